Lay out the project: build, base modules, wire messages

Cause: an empty tree; the layers need shared ground before they are built. Conclusion: a base to build on; nothing is served yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,129 @@
+# galenapier: build, test, lint, bench and install.
+#
+#   make                 library and programs into build/
+#   make check           unit tests and scripted runs (SANITIZE=1: ASan+UBSan)
+#   make lint            formatter and linter, no changes
+#   make bench           benchmarks, printed as text
+#   make demo            a small site of real processes on loopback
+#   make install         PREFIX=/usr/local DESTDIR=
+#
+# Sources are found by wildcard: a new file in src/, tests/unit/ or bench/
+# needs no change here.
+
+PREFIX ?= /usr/local
+CC ?= gcc
+SANITIZE ?=
+BUILD := build$(if $(SANITIZE),-sanitize)
+
+PACKAGES := libh2o libuv libprotobuf-c libcyaml glib-2.0 jansson libxxhash \
+	openssl
+ifneq ($(MAKECMDGOALS),deps)
+PKG_CFLAGS := $(patsubst -I%,-isystem%,$(shell pkg-config --cflags $(PACKAGES)))
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES)) -lm
+endif
+
+WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wno-unused-parameter -Werror
+OPT := -O2 -g
+ifneq ($(SANITIZE),)
+OPT := -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	-fno-omit-frame-pointer
+endif
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Iinclude -Isrc \
+	-Isrc/protocol/generated
+CFLAGS += -std=gnu11 $(OPT) $(WARN)
+
+LIB_SRC := $(wildcard src/*/*.c src/*/generated/*.c)
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libgalenapier.a
+PROGRAM_SRC := $(wildcard programs/*.c)
+PROGRAMS := $(PROGRAM_SRC:programs/%.c=$(BUILD)/%)
+STANDIN_SRC := $(wildcard tests/standins/*.c)
+STANDINS := $(STANDIN_SRC:tests/standins/%.c=$(BUILD)/standins/%)
+TEST_SRC := $(wildcard tests/unit/test_*.c)
+TESTS := $(TEST_SRC:tests/unit/%.c=$(BUILD)/tests/%)
+TEST_SUPPORT_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/unit/*.c))
+TEST_SUPPORT_OBJ := $(TEST_SUPPORT_SRC:%.c=$(BUILD)/%.o)
+BENCH_SRC := $(wildcard bench/bench_*.c)
+BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
+STYLE_SRC := $(filter-out src/protocol/generated/%,\
+	$(wildcard src/*/*.[ch] include/*/*.h programs/*.c \
+	tests/unit/*.[ch] tests/standins/*.[ch] bench/*.[ch]))
+TIDY_SRC := $(filter %.c,$(STYLE_SRC))
+
+.PHONY: all check check-unit check-scripts lint format bench demo install \
+	proto deps clean soak
+.SECONDARY:
+
+all: $(LIB) $(PROGRAMS) $(STANDINS)
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/src/protocol/generated/%.o: src/protocol/generated/%.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -c -o $@ $<
+
+$(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o $(LIB)
+	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o $(LIB)
+	@mkdir -p $(@D)
+	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/tests/%: $(BUILD)/tests/unit/%.o $(TEST_SUPPORT_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
+	@mkdir -p $(@D)
+	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
+
+check: all check-unit check-scripts
+
+check-unit: $(TESTS)
+	@tests/run-unit $(BUILD) $(TESTS)
+
+check-scripts: all
+	@tests/run-scripts $(BUILD)
+
+lint:
+	@clang-format --dry-run -Werror $(STYLE_SRC)
+	@printf '%s\n' $(TIDY_SRC) | xargs -P 10 -n 3 \
+		tools/tidy $(CPPFLAGS) $(PKG_CFLAGS) --
+
+format:
+	@clang-format -i $(STYLE_SRC)
+
+bench: all $(BENCHES)
+	@tools/run-bench $(BUILD) $(BENCHES)
+
+demo: all
+	@tools/demo $(BUILD)
+
+# Regenerate the committed protobuf-c code; needs protobuf-c-compiler.
+proto:
+	protoc-c --c_out=src/protocol/generated --proto_path=src/protocol \
+		$(wildcard src/protocol/*.proto)
+
+deps:
+	tools/install-deps
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
+		$(DESTDIR)$(PREFIX)/include/galenapier
+	install -m 755 $(PROGRAMS) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 $(wildcard include/galenapier/*.h) \
+		$(DESTDIR)$(PREFIX)/include/galenapier
+
+clean:
+	rm -rf build build-sanitize
+
+-include $(LIB_OBJ:.o=.d)
+-include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,60 @@
+/* Structured log lines for changes of state.
+
+   One line of JSON on standard error for each change: time, level, process,
+   event and typed fields.  What happens often is counted, not logged (see
+   base/counters.h).  */
+
+#ifndef GP_BASE_LOG_H
+#define GP_BASE_LOG_H
+
+#include <stdint.h>
+
+typedef enum
+{
+  GP_LOG_DEBUG,
+  GP_LOG_INFO,
+  GP_LOG_WARNING,
+  GP_LOG_ERROR
+} gp_log_level_t;
+
+typedef enum
+{
+  GP_LOG_FIELD_END,
+  GP_LOG_FIELD_STRING,
+  GP_LOG_FIELD_INTEGER
+} gp_log_field_kind_t;
+
+/* One typed field of a line.  */
+typedef struct
+{
+  gp_log_field_kind_t kind;
+  const char *name;
+  union
+  {
+    const char *string;
+    int64_t integer;
+  } u;
+} gp_log_field_t;
+
+#define GP_LOG_S(n, v)                                                        \
+  ((gp_log_field_t){                                                          \
+      .kind = GP_LOG_FIELD_STRING, .name = (n), .u.string = (v) })
+#define GP_LOG_I(n, v)                                                        \
+  ((gp_log_field_t){                                                          \
+      .kind = GP_LOG_FIELD_INTEGER, .name = (n), .u.integer = (int64_t)(v) })
+
+/* Name this process in its lines and drop lines below LEVEL.  PROCESS must
+   stay valid.  */
+void gp_log_init (const char *process, gp_log_level_t level);
+
+/* Write one line.  FIELDS ends with a field of kind GP_LOG_FIELD_END.  */
+void gp_log_write (gp_log_level_t level, const char *event,
+                   const gp_log_field_t *fields);
+
+/* gp_log (GP_LOG_INFO, "peer.up", GP_LOG_S ("peer", name)).  */
+#define gp_log(level, event, ...)                                             \
+  gp_log_write ((level), (event),                                             \
+                (const gp_log_field_t[]){ __VA_ARGS__ __VA_OPT__ (, ){        \
+                    .kind = GP_LOG_FIELD_END } })
+
+#endif
--- /dev/null
+++ b/src/transport/http.h
@@ -0,0 +1,143 @@
+/* HTTP/1 server and client over h2o.
+
+   The server hands over whole requests (their body is bounded by a setting;
+   over it the answer is 413) and takes answers whole or in parts under
+   back-pressure.  A part-sent answer that is aborted closes the connection
+   without a clean end, so that the caller sees the truncation.  The client
+   streams answers; an answer cut short by the far side is an error, never
+   an end.  */
+
+#ifndef GP_TRANSPORT_HTTP_H
+#define GP_TRANSPORT_HTTP_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "transport/loop.h"
+
+typedef struct
+{
+  const char *name; /* lower case */
+  size_t name_size;
+  const char *value;
+  size_t value_size;
+} gp_http_header_t;
+
+/* A piece of text that is not terminated.  */
+typedef struct
+{
+  const char *base;
+  size_t size;
+} gp_http_text_t;
+
+typedef struct gp_http_server gp_http_server_t;
+typedef struct gp_http_exchange gp_http_exchange_t;
+typedef struct gp_http_client gp_http_client_t;
+typedef struct gp_http_call gp_http_call_t;
+
+/* Server.  */
+
+typedef struct
+{
+  const char *address;      /* "IP:port" */
+  size_t max_body_size;     /* bytes, 413 beyond */
+  gp_time_t header_timeout; /* duration for a request to arrive whole */
+  void (*on_request) (gp_http_exchange_t *exchange, void *data);
+  void *data;
+} gp_http_server_options_t;
+
+gp_http_server_t *gp_http_server_new (gp_loop_t *loop,
+                                      const gp_http_server_options_t *options,
+                                      GError **error);
+int gp_http_server_port (const gp_http_server_t *server);
+
+/* Stop listening and close idle connections; open exchanges finish, then
+   ON_DONE is called once.  The server is freed after.  */
+void gp_http_server_shutdown (gp_http_server_t *server,
+                              void (*on_done) (void *data), void *data);
+size_t gp_http_server_open_exchanges (const gp_http_server_t *server);
+
+/* Valid until the exchange is answered or its on_gone was called.  */
+gp_http_text_t gp_http_exchange_method (const gp_http_exchange_t *exchange);
+gp_http_text_t gp_http_exchange_path (const gp_http_exchange_t *exchange);
+gp_http_text_t gp_http_exchange_body (const gp_http_exchange_t *exchange);
+size_t gp_http_exchange_headers (const gp_http_exchange_t *exchange,
+                                 gp_http_header_t *headers, size_t max);
+/* Value of header NAME (lower case); base is NULL when it is absent.  */
+gp_http_text_t gp_http_exchange_header (const gp_http_exchange_t *exchange,
+                                        const char *name);
+
+/* ON_GONE: the connection went away before the answer was complete; the
+   exchange must not be used after.  ON_PROCEED: the part given last has
+   been written, the next may be sent.  Either may be NULL.  */
+void gp_http_exchange_watch (gp_http_exchange_t *exchange,
+                             void (*on_gone) (void *data),
+                             void (*on_proceed) (void *data), void *data);
+
+/* Answer whole and end the exchange.  BODY is copied.  */
+void gp_http_exchange_answer (gp_http_exchange_t *exchange, int status,
+                              const gp_http_header_t *headers, size_t count,
+                              const void *body, size_t size);
+
+/* Answer in parts: start once, then parts, each after the on_proceed of the
+   one before; SIZE bytes are copied.  CONTENT_LENGTH is -1 when unknown.
+   FINAL ends the exchange.  */
+void gp_http_exchange_start (gp_http_exchange_t *exchange, int status,
+                             const gp_http_header_t *headers, size_t count,
+                             int64_t content_length);
+void gp_http_exchange_part (gp_http_exchange_t *exchange, const void *bytes,
+                            size_t size, bool final);
+
+/* End a started answer as broken: the connection is closed.  */
+void gp_http_exchange_abort (gp_http_exchange_t *exchange);
+
+/* Client.  */
+
+typedef struct
+{
+  const char *address;    /* "IP:port" */
+  size_t max_connections; /* open at once */
+  gp_time_t idle_timeout; /* duration an unused connection is kept */
+} gp_http_client_options_t;
+
+typedef struct
+{
+  /* Status line and headers have come.  */
+  void (*on_head) (int status, const gp_http_header_t *headers, size_t count,
+                   void *data);
+  /* Some of the body; valid during the call.  Return false to pause until
+     gp_http_call_resume.  */
+  bool (*on_body) (const void *bytes, size_t size, void *data);
+  /* The last call: ERROR is NULL when the answer came whole.  SENT tells
+     whether any byte of the request may have reached the far side.  */
+  void (*on_done) (const GError *error, bool sent, void *data);
+} gp_http_call_callbacks_t;
+
+typedef struct
+{
+  const char *method;
+  const char *path;
+  const gp_http_header_t *headers;
+  size_t header_count;
+  const void *body; /* must stay valid until on_done */
+  size_t body_size;
+  gp_time_t deadline; /* on_done with TIMEOUT at this point */
+} gp_http_call_request_t;
+
+gp_http_client_t *gp_http_client_new (gp_loop_t *loop,
+                                      const gp_http_client_options_t *options,
+                                      GError **error);
+/* Cancels open calls (their on_done is called) and frees the client.  */
+void gp_http_client_free (gp_http_client_t *client);
+
+/* Start a call; on_done is never called from inside.  */
+gp_http_call_t *gp_http_client_call (gp_http_client_t *client,
+                                     const gp_http_call_request_t *request,
+                                     const gp_http_call_callbacks_t *callbacks,
+                                     void *data);
+void gp_http_call_resume (gp_http_call_t *call);
+/* Give up at once: no more callbacks.  */
+void gp_http_call_cancel (gp_http_call_t *call);
+
+#endif
