--- /dev/null
+++ b/src/protocol/codec.h
@@ -0,0 +1,33 @@
+/* Encoding and decoding of peer messages (protobuf-c).  */
+
+#ifndef GP_PROTOCOL_CODEC_H
+#define GP_PROTOCOL_CODEC_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "base/arena.h"
+#include "transport/peer.h"
+#include "wire.pb-c.h"
+
+/* The type of MEMBER of the union in an envelope.  */
+#define GP_ENVELOPE(member_case, member, value)                               \
+  {                                                                           \
+    PROTOBUF_C_MESSAGE_INIT (&gp__wire__envelope__descriptor),                \
+        GP__WIRE__ENVELOPE__MESSAGE_##member_case,                            \
+    {                                                                         \
+      .member = (value)                                                       \
+    }                                                                         \
+  }
+
+/* Encode ENVELOPE straight into the peer's write buffer.  False when the
+   peer is closing or the message is over the frame bound.  */
+bool gp_codec_send (gp_peer_t *peer, const Gp__Wire__Envelope *envelope);
+
+/* Decode one frame into ARENA, which is reset first: the result is valid
+   until the next decode with the same arena.  NULL and
+   GP_PROTOCOL_ERROR_MALFORMED when the bytes are no message.  */
+Gp__Wire__Envelope *gp_codec_decode (gp_arena_t *arena, const uint8_t *bytes,
+                                     size_t size, GError **error);
+
+#endif
