Load the settings of a process from YAML

Cause: both daemons need their addresses, place, limits and timings from one file, and an operator needs every fault of it at once with its place; libcyaml stops at the first fault and tells lines only in its log.

Change: base/settings loads the typed structure through libcyaml and fills in the defaults. base/yaml reads the same text into a tree with libyaml, on which libcyaml is built, and checks it against the very libcyaml schema, so that all faults come with line, column, key and what is allowed; base/issue is the list of faults. Reading is strict: no aliases, doubled keys, second documents, octal or quoted numbers. Addresses are IP:port literals; plain traffic between processes is for loopback only. The build links libyaml itself (yaml-0.1, libyaml-dev).

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 SANITIZE ?=
 BUILD := build$(if $(SANITIZE),-sanitize)
 
-PACKAGES := libh2o libuv libprotobuf-c libcyaml glib-2.0 jansson libxxhash \
+PACKAGES := libh2o libuv libprotobuf-c libcyaml glib-2.0 jansson libxxhash yaml-0.1 \
 	openssl
 ifneq ($(MAKECMDGOALS),deps)
 PKG_CFLAGS := $(patsubst -I%,-isystem%,$(shell pkg-config --cflags $(PACKAGES)))
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,131 @@
+/* Reading of settings: tree, schema, typed structure, then the checks that
+   a schema cannot tell.  */
+
+#include "base/settings.h"
+
+#include <string.h>
+
+#include "base/error.h"
+#include "base/settings_check.h"
+#include "base/settings_schema.h"
+#include "base/yaml.h"
+
+const gp_settings_member_t *
+gp_settings_find_entry (const gp_settings_t *settings, const char *name)
+{
+  for (uint32_t i = 0; i < settings->entries_count; i++)
+    if (strcmp (settings->entries[i].name, name) == 0)
+      return &settings->entries[i];
+  return NULL;
+}
+
+void
+gp_settings_finish (gp_settings_t *settings)
+{
+  /* libcyaml frees the outermost structure too.  */
+  gp_settings_t *whole = g_memdup2 (settings, sizeof *settings);
+
+  gp_yaml_unload (whole, &gp_settings_schema);
+  memset (settings, 0, sizeof *settings);
+}
+
+static void
+set_issues (const char *name, GPtrArray *issues, bool syntax, GError **error)
+{
+  GString *text = g_string_new (NULL);
+
+  gp_issues_sort (issues);
+  gp_issues_format (issues, name, text);
+  g_string_truncate (text, text->len - 1);
+  g_set_error_literal (
+      error, GP_SETTINGS_ERROR,
+      syntax ? GP_SETTINGS_ERROR_SYNTAX : GP_SETTINGS_ERROR_SCHEMA, text->str);
+  g_string_free (text, TRUE);
+}
+
+/* Load what fits the schema and check the rest.  */
+static bool
+load_checked (gp_settings_t *settings, const char *text, size_t size,
+              const gp_yaml_node_t *root, GPtrArray *issues)
+{
+  gp_settings_t *loaded;
+
+  gp_yaml_check (root, &gp_settings_schema, issues);
+  if (issues->len > 0)
+    return false;
+  loaded = gp_yaml_load (text, size, &gp_settings_schema, issues);
+  if (!loaded)
+    return false;
+  *settings = *loaded;
+  g_free (loaded);
+  gp_settings_check (settings, root, issues);
+  if (issues->len == 0)
+    return true;
+  gp_settings_finish (settings);
+  return false;
+}
+
+bool
+gp_settings_load_text (gp_settings_t *settings, const char *name,
+                       const char *text, size_t size, GError **error)
+{
+  GPtrArray *issues = gp_issues_new ();
+  gp_yaml_node_t *root = gp_yaml_parse (text, size, issues);
+  bool ok = false;
+
+  if (root)
+    ok = load_checked (settings, text, size, root, issues);
+  if (!ok)
+    set_issues (name, issues, !root, error);
+  gp_yaml_node_free (root);
+  g_ptr_array_unref (issues);
+  return ok;
+}
+
+static bool
+read_file (const char *path, char **text, gsize *size, GError **error)
+{
+  GError *below = NULL;
+
+  if (g_file_get_contents (path, text, size, &below))
+    return true;
+  gp_error_convert (error, below, GP_SETTINGS_ERROR, GP_SETTINGS_ERROR_FILE,
+                    path);
+  return false;
+}
+
+/* Put the first line of the token's file in place of the token.  */
+static bool
+load_token (gp_settings_entry_t *entry, GError **error)
+{
+  gsize size;
+
+  if (!read_file (entry->operator_token_file, &entry->operator_token, &size,
+                  error))
+    return false;
+  g_strstrip (entry->operator_token);
+  if (entry->operator_token[0] != '\0')
+    return true;
+  g_set_error (error, GP_SETTINGS_ERROR, GP_SETTINGS_ERROR_FILE,
+               "%s: the token is empty", entry->operator_token_file);
+  return false;
+}
+
+bool
+gp_settings_load (gp_settings_t *settings, const char *path, GError **error)
+{
+  char *text = NULL;
+  gsize size;
+  bool ok;
+
+  if (!read_file (path, &text, &size, error))
+    return false;
+  ok = gp_settings_load_text (settings, path, text, size, error);
+  g_free (text);
+  if (!ok || !settings->entry || !settings->entry->operator_token_file)
+    return ok;
+  if (load_token (settings->entry, error))
+    return true;
+  gp_settings_finish (settings);
+  return false;
+}
--- /dev/null
+++ b/src/base/settings_check.c
@@ -0,0 +1,367 @@
+/* Defaults and checks of settings that a schema cannot tell.  */
+
+#include "base/settings_check.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include "base/address.h"
+
+#define PATH_SIZE 128
+
+typedef struct
+{
+  const gp_settings_t *settings;
+  const gp_yaml_node_t *root;
+  GPtrArray *issues;
+} check_t;
+
+/* A number of the settings: where, what may stand there, what when it is
+   left out.  */
+typedef struct
+{
+  const char *path;
+  size_t offset;
+  uint32_t min;
+  uint32_t max;
+  uint32_t fallback;
+} number_t;
+
+#define ERROR(check, path, allowed, ...)                                      \
+  gp_yaml_report ((check)->root, (check)->issues, GP_ISSUE_ERROR, (path),     \
+                  (allowed), __VA_ARGS__)
+
+#define TIMING(name, min, max, fallback)                                      \
+  {                                                                           \
+    "timings." #name, offsetof (gp_settings_timings_t, name), (min), (max),   \
+        (fallback)                                                            \
+  }
+
+static const number_t timings[] = {
+  TIMING (heartbeat_ms, 10, 60000, 2000),
+  TIMING (lease_ms, 100, 600000, 15000),
+  TIMING (vouch_ms, 100, 600000, 15000),
+  TIMING (margin_ms, 1, 60000, 500),
+  TIMING (drift_ppm, 1, 100000, 1000),
+  TIMING (suspect_ms, 50, 600000, 10000),
+  TIMING (connect_ms, 10, 60000, 2000),
+  TIMING (reconnect_min_ms, 1, 60000, 100),
+  TIMING (reconnect_max_ms, 1, 600000, 5000),
+  TIMING (log_wait_ms, 1, 60000, 5000),
+  TIMING (log_timeout_ms, 10, 60000, 3000),
+  TIMING (log_batch_ms, 1, 1000, 20),
+  TIMING (usage_ms, 10, 60000, 1000),
+  TIMING (leave_ms, 1, 600000, 5000),
+};
+
+static const number_t entry_numbers[] = {
+  { "entry.max_body_kib", offsetof (gp_settings_entry_t, max_body_kib), 1,
+    65536, 1024 },
+  { "entry.max_requests", offsetof (gp_settings_entry_t, max_requests), 1,
+    1000000, 10000 },
+};
+
+static const number_t upstream_numbers[] = {
+  { "guard.upstream.slots", offsetof (gp_settings_upstream_t, slots), 1, 65536,
+    0 },
+  { "guard.upstream.connections",
+    offsetof (gp_settings_upstream_t, connections), 1, 65536, 0 },
+};
+
+static const number_t worker_numbers[] = {
+  { "guard.worker.millicores", offsetof (gp_settings_worker_t, millicores), 1,
+    1024000, 0 },
+  { "guard.worker.memory_mib", offsetof (gp_settings_worker_t, memory_mib), 1,
+    67108864, 0 },
+  { "guard.worker.accelerators", offsetof (gp_settings_worker_t, accelerators),
+    0, 1024, 0 },
+};
+
+static void
+check_numbers (check_t *check, void *base, const number_t *numbers,
+               size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      const number_t *number = &numbers[i];
+      uint32_t *value = (uint32_t *)(void *)((char *)base + number->offset);
+      char *allowed;
+
+      if (!gp_yaml_find (check->root, number->path))
+        {
+          *value = number->fallback;
+          continue;
+        }
+      if (*value >= number->min && *value <= number->max)
+        continue;
+      allowed = g_strdup_printf ("%u to %u", number->min, number->max);
+      ERROR (check, number->path, allowed, "%u is out of range", *value);
+      g_free (allowed);
+    }
+}
+
+/* Read TEXT at PATH; false after a report.  */
+static bool
+check_address (check_t *check, const char *path, const char *text,
+               struct sockaddr_storage *address)
+{
+  if (gp_address_parse (text, address))
+    return true;
+  ERROR (check, path, "IP:port with an IP number, [IP]:port for IPv6",
+         "\"%s\" is not an address", text);
+  return false;
+}
+
+/* An address to connect to: a port and no wildcard.  */
+static bool
+check_target (check_t *check, const char *path, const char *text,
+              struct sockaddr_storage *address)
+{
+  if (!check_address (check, path, text, address))
+    return false;
+  if (gp_address_port (address) != 0 && !gp_address_is_wildcard (address))
+    return true;
+  ERROR (check, path, "the IP number of one VM and a port from 1 to 65535",
+         "\"%s\" cannot be connected to", text);
+  return false;
+}
+
+/* An address of the site's own protocol: plain only on loopback.  */
+static void
+check_protected (check_t *check, const char *path,
+                 const struct sockaddr_storage *address)
+{
+  if (!check->settings->tls && !gp_address_is_loopback (address))
+    ERROR (check, path, "loopback, or a `tls' section",
+           "without TLS the site's processes may talk on loopback only");
+}
+
+static const gp_settings_region_t *
+find_region (const gp_settings_t *settings, const char *name)
+{
+  for (uint32_t i = 0; i < settings->regions_count; i++)
+    if (strcmp (settings->regions[i].name, name) == 0)
+      return &settings->regions[i];
+  return NULL;
+}
+
+static bool
+has_zone (const gp_settings_region_t *region, const char *zone)
+{
+  for (uint32_t i = 0; i < region->zones_count; i++)
+    if (strcmp (region->zones[i], zone) == 0)
+      return true;
+  return false;
+}
+
+static void
+check_place (check_t *check, const char *prefix, const char *region_name,
+             const char *zone)
+{
+  const gp_settings_t *settings = check->settings;
+  const gp_settings_region_t *region = find_region (settings, region_name);
+  char path[PATH_SIZE];
+
+  if (settings->regions_count == 0)
+    return;
+  if (!region)
+    {
+      g_snprintf (path, sizeof path, "%sregion", prefix);
+      ERROR (check, path, "a region of `regions'", "\"%s\" is not known",
+             region_name);
+      return;
+    }
+  if (has_zone (region, zone))
+    return;
+  g_snprintf (path, sizeof path, "%szone", prefix);
+  ERROR (check, path, "a zone of that region in `regions'",
+         "\"%s\" is not a zone of %s", zone, region_name);
+}
+
+static void
+check_entries (check_t *check)
+{
+  const gp_settings_t *settings = check->settings;
+  struct sockaddr_storage address;
+  char path[PATH_SIZE];
+
+  for (uint32_t i = 0; i < settings->entries_count; i++)
+    {
+      const gp_settings_member_t *member = &settings->entries[i];
+
+      g_snprintf (path, sizeof path, "entries[%u].name", i);
+      if (gp_settings_find_entry (settings, member->name) != member)
+        ERROR (check, path, NULL, "\"%s\" is used twice", member->name);
+      g_snprintf (path, sizeof path, "entries[%u].", i);
+      check_place (check, path, member->region, member->zone);
+      g_snprintf (path, sizeof path, "entries[%u].peers", i);
+      if (check_target (check, path, member->peers, &address))
+        check_protected (check, path, &address);
+    }
+}
+
+/* The entry's own line in the list must lead to where it listens.  */
+static void
+check_own_line (check_t *check, const struct sockaddr_storage *listened)
+{
+  const gp_settings_t *settings = check->settings;
+  const gp_settings_member_t *own
+      = gp_settings_find_entry (settings, settings->name);
+  struct sockaddr_storage listed;
+
+  if (!own)
+    {
+      ERROR (check, "name", "a name of `entries'",
+             "the entry \"%s\" is not in `entries'", settings->name);
+      return;
+    }
+  if (strcmp (own->region, settings->region) != 0
+      || strcmp (own->zone, settings->zone) != 0)
+    ERROR (check, "zone", NULL,
+           "`entries' has \"%s\" in %s, %s, not in %s, %s", own->name,
+           own->region, own->zone, settings->region, settings->zone);
+  if (!gp_address_parse (own->peers, &listed))
+    return;
+  if (gp_address_port (&listed) != gp_address_port (listened)
+      || (!gp_address_is_wildcard (listened)
+          && strcmp (own->peers, settings->entry->peers) != 0))
+    ERROR (check, "entry.peers", NULL, "`entries' has \"%s\" at %s, not %s",
+           own->name, own->peers, settings->entry->peers);
+}
+
+static void
+check_entry (check_t *check, gp_settings_entry_t *entry)
+{
+  struct sockaddr_storage address;
+
+  check_numbers (check, entry, entry_numbers, G_N_ELEMENTS (entry_numbers));
+  check_address (check, "entry.callers", entry->callers, &address);
+  check_address (check, "entry.operators", entry->operators, &address);
+  if (check_address (check, "entry.peers", entry->peers, &address))
+    {
+      check_protected (check, "entry.peers", &address);
+      check_own_line (check, &address);
+    }
+  if (!entry->operator_token == !entry->operator_token_file)
+    ERROR (check, "entry", "operator_token or operator_token_file", "%s",
+           entry->operator_token ? "both tokens are given"
+                                 : "no token for operators is given");
+  if (!check->settings->platform_log)
+    ERROR (check, "platform_log", NULL, "an entry needs the platform's log");
+}
+
+static void
+check_upstream (check_t *check, gp_settings_upstream_t *upstream)
+{
+  struct sockaddr_storage address;
+
+  check_numbers (check, upstream, upstream_numbers,
+                 G_N_ELEMENTS (upstream_numbers));
+  check_target (check, "guard.upstream.address", upstream->address, &address);
+  if (upstream->connections < upstream->slots)
+    ERROR (check, "guard.upstream.connections", "at least the slots",
+           "%u connections cannot serve %u slots", upstream->connections,
+           upstream->slots);
+}
+
+static void
+check_worker (check_t *check, gp_settings_worker_t *worker)
+{
+  struct sockaddr_storage address;
+
+  check_numbers (check, worker, worker_numbers, G_N_ELEMENTS (worker_numbers));
+  if (check_target (check, "guard.worker.runtime", worker->runtime, &address)
+      && !gp_address_is_loopback (&address))
+    ERROR (check, "guard.worker.runtime", "a loopback address",
+           "the worker runtime must be on the guard's own VM");
+}
+
+static void
+check_one_reserve (check_t *check, const char *path, uint32_t reserve,
+                   uint32_t capacity)
+{
+  if (reserve > capacity)
+    ERROR (check, path, NULL, "%u is more than the worker's %u", reserve,
+           capacity);
+}
+
+static void
+check_reserve (check_t *check, const gp_settings_resources_t *reserve,
+               const gp_settings_worker_t *worker)
+{
+  check_one_reserve (check, "guard.upstream.reserve.millicores",
+                     reserve->millicores, worker->millicores);
+  check_one_reserve (check, "guard.upstream.reserve.memory_mib",
+                     reserve->memory_mib, worker->memory_mib);
+  check_one_reserve (check, "guard.upstream.reserve.accelerators",
+                     reserve->accelerators, worker->accelerators);
+}
+
+static void
+check_guard (check_t *check, gp_settings_guard_t *guard)
+{
+  struct sockaddr_storage address;
+
+  if (guard->peers
+      && check_address (check, "guard.peers", guard->peers, &address))
+    check_protected (check, "guard.peers", &address);
+  if (guard->upstream)
+    check_upstream (check, guard->upstream);
+  if (guard->worker)
+    check_worker (check, guard->worker);
+  if (guard->upstream && guard->worker)
+    check_reserve (check, &guard->upstream->reserve, guard->worker);
+  if (!guard->upstream && !guard->worker)
+    ERROR (check, "guard", "upstream, worker or both",
+           "there is nothing to guard");
+}
+
+/* Timings that only work together.  */
+static void
+check_timings (check_t *check, gp_settings_timings_t *values)
+{
+  check_numbers (check, values, timings, G_N_ELEMENTS (timings));
+  if ((uint64_t)values->heartbeat_ms * 3 + values->margin_ms
+      > values->lease_ms)
+    ERROR (check, "timings.lease_ms", "three heartbeats and the margin",
+           "%u ms is too short for a heartbeat every %u ms", values->lease_ms,
+           values->heartbeat_ms);
+  if ((uint64_t)values->heartbeat_ms * 3 + values->margin_ms
+      > values->vouch_ms)
+    ERROR (check, "timings.vouch_ms", "three heartbeats and the margin",
+           "%u ms is too short for a heartbeat every %u ms", values->vouch_ms,
+           values->heartbeat_ms);
+  if ((uint64_t)values->heartbeat_ms * 2 > values->suspect_ms)
+    ERROR (check, "timings.suspect_ms", "two heartbeats",
+           "%u ms is too short for a heartbeat every %u ms",
+           values->suspect_ms, values->heartbeat_ms);
+  if (values->reconnect_min_ms > values->reconnect_max_ms)
+    ERROR (check, "timings.reconnect_min_ms", "at most reconnect_max_ms",
+           "%u ms is more than %u ms", values->reconnect_min_ms,
+           values->reconnect_max_ms);
+}
+
+void
+gp_settings_check (gp_settings_t *settings, const gp_yaml_node_t *root,
+                   GPtrArray *issues)
+{
+  check_t check = { .settings = settings, .root = root, .issues = issues };
+  struct sockaddr_storage address;
+
+  if (!gp_yaml_find (root, "log_level"))
+    settings->log_level = GP_LOG_INFO;
+  check_place (&check, "", settings->region, settings->zone);
+  check_entries (&check);
+  if (settings->platform_log)
+    check_target (&check, "platform_log.address",
+                  settings->platform_log->address, &address);
+  if (!settings->entry == !settings->guard)
+    ERROR (&check, "", "an `entry' section or a `guard' section", "%s",
+           settings->entry ? "both sections are given"
+                           : "neither section is given");
+  if (settings->entry)
+    check_entry (&check, settings->entry);
+  if (settings->guard)
+    check_guard (&check, settings->guard);
+  check_timings (&check, &settings->timings);
+}
--- /dev/null
+++ b/src/base/yaml.c
@@ -0,0 +1,341 @@
+/* Trees of YAML nodes, read from the events of libyaml.  */
+
+#include "base/yaml.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <yaml.h>
+
+typedef struct
+{
+  yaml_parser_t yaml;
+  GPtrArray *issues;
+  bool broken; /* the text cannot be read further */
+} reader_t;
+
+static gp_yaml_node_t *read_node (reader_t *reader, const yaml_event_t *event,
+                                  unsigned depth);
+
+void
+gp_yaml_node_free (gp_yaml_node_t *node)
+{
+  if (!node)
+    return;
+  g_free (node->key);
+  g_free (node->value);
+  if (node->children)
+    g_ptr_array_unref (node->children);
+  g_free (node);
+}
+
+static void
+free_child (gpointer node)
+{
+  gp_yaml_node_free (node);
+}
+
+static void
+add_issue (reader_t *reader, const yaml_mark_t *mark, const char *path,
+           const char *message)
+{
+  gp_issue_t issue = { .severity = GP_ISSUE_ERROR,
+                       .line = (unsigned)mark->line + 1,
+                       .column = (unsigned)mark->column + 1,
+                       .path = (char *)path,
+                       .message = (char *)message };
+
+  gp_issues_add (reader->issues, &issue);
+}
+
+static void
+give_up (reader_t *reader, const yaml_mark_t *mark, const char *message)
+{
+  add_issue (reader, mark, "", message);
+  reader->broken = true;
+}
+
+/* Take the next event; false when the text is not YAML.  */
+static bool
+next_event (reader_t *reader, yaml_event_t *event)
+{
+  const char *problem;
+  char *message;
+
+  if (reader->broken)
+    return false;
+  if (yaml_parser_parse (&reader->yaml, event))
+    return true;
+  problem = reader->yaml.problem ? reader->yaml.problem : "out of memory";
+  message = g_strdup_printf ("not YAML: %s", problem);
+  give_up (reader, &reader->yaml.problem_mark, message);
+  g_free (message);
+  return false;
+}
+
+static gp_yaml_node_t *
+new_node (gp_yaml_kind_t kind, const yaml_event_t *event)
+{
+  gp_yaml_node_t *node = g_new0 (gp_yaml_node_t, 1);
+
+  node->kind = kind;
+  node->line = (unsigned)event->start_mark.line + 1;
+  node->column = (unsigned)event->start_mark.column + 1;
+  if (kind != GP_YAML_SCALAR)
+    node->children = g_ptr_array_new_with_free_func (free_child);
+  return node;
+}
+
+static gp_yaml_node_t *
+read_scalar (reader_t *reader, const yaml_event_t *event)
+{
+  gp_yaml_node_t *node = new_node (GP_YAML_SCALAR, event);
+  const char *value = (const char *)event->data.scalar.value;
+  size_t size = event->data.scalar.length;
+
+  if (strlen (value) != size)
+    give_up (reader, &event->start_mark, "a value holds a NUL character");
+  node->value = g_strndup (value, size);
+  node->plain = event->data.scalar.style == YAML_PLAIN_SCALAR_STYLE;
+  return node;
+}
+
+static gp_yaml_node_t *
+read_sequence (reader_t *reader, const yaml_event_t *start, unsigned depth)
+{
+  gp_yaml_node_t *node = new_node (GP_YAML_SEQUENCE, start);
+  yaml_event_t event;
+  bool end = false;
+
+  while (!end && next_event (reader, &event))
+    {
+      gp_yaml_node_t *child = NULL;
+
+      end = event.type == YAML_SEQUENCE_END_EVENT;
+      if (!end)
+        child = read_node (reader, &event, depth + 1);
+      if (child)
+        g_ptr_array_add (node->children, child);
+      yaml_event_delete (&event);
+    }
+  return node;
+}
+
+static const gp_yaml_node_t *
+child_of_key (const gp_yaml_node_t *node, const char *key, size_t size)
+{
+  for (guint i = 0; i < node->children->len; i++)
+    {
+      const gp_yaml_node_t *child = node->children->pdata[i];
+
+      if (strncmp (child->key, key, size) == 0 && child->key[size] == '\0')
+        return child;
+    }
+  return NULL;
+}
+
+/* Read the value of KEY and put it into NODE.  */
+static void
+read_member (reader_t *reader, gp_yaml_node_t *node, const yaml_event_t *key,
+             unsigned depth)
+{
+  const char *name = (const char *)key->data.scalar.value;
+  const gp_yaml_node_t *earlier = child_of_key (node, name, strlen (name));
+  gp_yaml_node_t *child = NULL;
+  yaml_event_t event;
+
+  if (earlier)
+    {
+      char *message
+          = g_strdup_printf ("the key is given twice; the first is in line %u",
+                             earlier->key_line);
+
+      add_issue (reader, &key->start_mark, name, message);
+      g_free (message);
+    }
+  if (!next_event (reader, &event))
+    return;
+  child = read_node (reader, &event, depth + 1);
+  yaml_event_delete (&event);
+  if (!child)
+    return;
+  child->key = g_strdup (name);
+  child->key_line = (unsigned)key->start_mark.line + 1;
+  child->key_column = (unsigned)key->start_mark.column + 1;
+  g_ptr_array_add (node->children, child);
+}
+
+static gp_yaml_node_t *
+read_mapping (reader_t *reader, const yaml_event_t *start, unsigned depth)
+{
+  gp_yaml_node_t *node = new_node (GP_YAML_MAPPING, start);
+  yaml_event_t event;
+  bool end = false;
+
+  while (!end && next_event (reader, &event))
+    {
+      end = event.type == YAML_MAPPING_END_EVENT;
+      if (!end && event.type == YAML_SCALAR_EVENT)
+        read_member (reader, node, &event, depth);
+      else if (!end)
+        give_up (reader, &event.start_mark, "a key must be a word");
+      yaml_event_delete (&event);
+    }
+  return node;
+}
+
+/* The node that starts with EVENT, NULL when there is none to keep.  */
+static gp_yaml_node_t *
+read_node (reader_t *reader, const yaml_event_t *event, unsigned depth)
+{
+  if (depth > GP_YAML_MAX_DEPTH)
+    {
+      give_up (reader, &event->start_mark, "nested too deeply");
+      return NULL;
+    }
+  switch ((int)event->type)
+    {
+    case YAML_SCALAR_EVENT:
+      return read_scalar (reader, event);
+    case YAML_SEQUENCE_START_EVENT:
+      return read_sequence (reader, event, depth);
+    case YAML_MAPPING_START_EVENT:
+      return read_mapping (reader, event, depth);
+    case YAML_ALIAS_EVENT:
+      give_up (reader, &event->start_mark, "aliases are not allowed");
+      return NULL;
+    default:
+      give_up (reader, &event->start_mark, "not a value");
+      return NULL;
+    }
+}
+
+/* Read all documents; the first is kept.  */
+static gp_yaml_node_t *
+read_stream (reader_t *reader)
+{
+  gp_yaml_node_t *root = NULL;
+  yaml_event_t event;
+  bool end = false;
+
+  while (!end && next_event (reader, &event))
+    {
+      bool structure = event.type == YAML_STREAM_START_EVENT
+                       || event.type == YAML_DOCUMENT_START_EVENT
+                       || event.type == YAML_DOCUMENT_END_EVENT;
+
+      end = event.type == YAML_STREAM_END_EVENT;
+      if (!end && !structure && root)
+        give_up (reader, &event.start_mark, "more than one YAML document");
+      else if (!end && !structure)
+        root = read_node (reader, &event, 0);
+      yaml_event_delete (&event);
+    }
+  return root;
+}
+
+gp_yaml_node_t *
+gp_yaml_parse (const char *text, size_t size, GPtrArray *issues)
+{
+  reader_t reader = { .issues = issues };
+  const yaml_mark_t start = { 0, 0, 0 };
+  gp_yaml_node_t *root = NULL;
+
+  if (!yaml_parser_initialize (&reader.yaml))
+    g_error ("out of memory");
+  yaml_parser_set_input_string (&reader.yaml, (const unsigned char *)text,
+                                size);
+  if (size > GP_YAML_MAX_SIZE)
+    give_up (&reader, &start, "larger than 8 MiB");
+  else
+    root = read_stream (&reader);
+  if (!root && !reader.broken)
+    give_up (&reader, &start, "empty");
+  yaml_parser_delete (&reader.yaml);
+  if (!reader.broken)
+    return root;
+  gp_yaml_node_free (root);
+  return NULL;
+}
+
+/* One step of a path: the child of NODE, and *PATH is moved on.  */
+static const gp_yaml_node_t *
+step (const gp_yaml_node_t *node, const char **path)
+{
+  const char *at = *path;
+  size_t size;
+  guint64 index;
+  char *end;
+
+  if (*at == '.')
+    at++;
+  if (*at == '[')
+    {
+      index = g_ascii_strtoull (at + 1, &end, 10);
+      *path = *end == ']' ? end + 1 : end;
+      if (node->kind != GP_YAML_SEQUENCE || index >= node->children->len)
+        return NULL;
+      return node->children->pdata[index];
+    }
+  size = strcspn (at, ".[");
+  *path = at + size;
+  if (node->kind != GP_YAML_MAPPING || size == 0)
+    return NULL;
+  return child_of_key (node, at, size);
+}
+
+/* The deepest node of PATH that is there; *WHOLE tells whether it is the
+   one that was asked for.  */
+static const gp_yaml_node_t *
+deepest (const gp_yaml_node_t *root, const char *path, bool *whole)
+{
+  const gp_yaml_node_t *node = root;
+
+  *whole = true;
+  while (node && *path != '\0')
+    {
+      const gp_yaml_node_t *child = step (node, &path);
+
+      if (!child)
+        {
+          *whole = false;
+          return node;
+        }
+      node = child;
+    }
+  return node;
+}
+
+const gp_yaml_node_t *
+gp_yaml_find (const gp_yaml_node_t *root, const char *path)
+{
+  bool whole;
+  const gp_yaml_node_t *node = deepest (root, path, &whole);
+
+  return whole ? node : NULL;
+}
+
+void
+gp_yaml_report (const gp_yaml_node_t *root, GPtrArray *issues,
+                gp_issue_severity_t severity, const char *path,
+                const char *allowed, const char *format, ...)
+{
+  bool whole;
+  const gp_yaml_node_t *node = deepest (root, path, &whole);
+  gp_issue_t issue = { .severity = severity,
+                       .path = (char *)path,
+                       .allowed = (char *)allowed };
+  va_list arguments;
+
+  if (node)
+    {
+      issue.line = node->key ? node->key_line : node->line;
+      issue.column = node->key ? node->key_column : node->column;
+      issue.value = whole ? node->value : NULL;
+    }
+  va_start (arguments, format);
+  issue.message = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  gp_issues_add (issues, &issue);
+  g_free (issue.message);
+}
--- /dev/null
+++ b/tests/unit/test_settings.c
@@ -0,0 +1,158 @@
+/* Settings: the examples load, and each fault is told with its place.  The
+   transcript is compared with test_settings.expected.  */
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "base/settings.h"
+
+#define HEAD                                                                  \
+  "site: s\nname: a\nregion: r\nzone: z1\n"                                   \
+  "entries:\n  - {name: a, region: r, zone: z1, peers: \"127.0.0.1:1\"}\n"
+#define ENTRY                                                                 \
+  "platform_log: {address: \"127.0.0.1:9\", stream: s}\n"                     \
+  "entry: {callers: \"127.0.0.1:2\", operators: \"127.0.0.1:3\", "            \
+  "peers: \"127.0.0.1:1\", operator_token: t}\n"
+#define GUARD                                                                 \
+  "guard: {worker: {runtime: \"127.0.0.1:9\", millicores: 1000, "             \
+  "memory_mib: 100}}\n"
+
+typedef struct
+{
+  const char *title;
+  const char *text;
+} case_t;
+
+static const case_t cases[] = {
+  { "whole entry", HEAD ENTRY },
+  { "whole guard", HEAD GUARD },
+  { "empty", "" },
+  { "not YAML", "site: [a\nname: b\n" },
+  { "a list", "- a\n" },
+  { "two documents", HEAD GUARD "---\nsite: t\n" },
+  { "alias", "site: &a s\nname: *a\n" },
+  { "merge key", "site: s\n<<: {name: a}\n" },
+  { "doubled key", HEAD GUARD "site: t\n" },
+  { "several faults", "site: s\nname:\nregion: [r]\nzone: z\nlog_level: loud\n"
+                      "port: 5\nentries: []\n" GUARD },
+  { "not numbers", HEAD "guard: {worker: {runtime: \"127.0.0.1:9\", "
+                        "millicores: -1, memory_mib: \"100\", "
+                        "accelerators: 010}}\n" },
+  { "number too large", HEAD GUARD "timings: {lease_ms: 4294967296}\n" },
+  { "no section", HEAD },
+  { "both sections", HEAD ENTRY GUARD },
+  { "nothing to guard", HEAD "guard: {}\n" },
+  { "addresses", HEAD "guard: {peers: \"localhost:1\", upstream: {service: x, "
+                      "address: \"127.0.0.1\", slots: 8, connections: 4}, "
+                      "worker: {runtime: \"10.0.0.1:9\", millicores: 1, "
+                      "memory_mib: 1}}\n" },
+  { "port", HEAD "guard: {peers: \"127.0.0.1:65536\", upstream: {service: x, "
+                 "address: \"0.0.0.0:80\", slots: 0, connections: 4}}\n" },
+  { "not loopback", HEAD "guard: {peers: \"10.0.0.1:1\", worker: {runtime: "
+                         "\"[::1]:9\", millicores: 1, memory_mib: 1}}\n" },
+  { "reserve", HEAD "guard: {upstream: {service: x, address: \"127.0.0.1:1\", "
+                    "slots: 8, connections: 64, reserve: {millicores: 2000}}, "
+                    "worker: {runtime: \"127.0.0.1:9\", millicores: 1000, "
+                    "memory_mib: 1}}\n" },
+  { "places", HEAD GUARD "regions: [{name: r, zones: [z2]}]\n" },
+  { "entry not listed", "site: s\nname: b\nregion: r\nzone: z1\nentries:\n"
+                        "  - {name: a, region: r, zone: z1, peers: "
+                        "\"127.0.0.1:1\"}\n" ENTRY },
+  { "entry elsewhere", "site: s\nname: a\nregion: r\nzone: z2\nentries:\n"
+                       "  - {name: a, region: r, zone: z1, peers: "
+                       "\"127.0.0.1:4\"}\n" ENTRY },
+  { "entries twice", HEAD "  - {name: a, region: r, zone: z1, peers: "
+                          "\"127.0.0.1:4\"}\n" GUARD },
+  { "tokens", HEAD "platform_log: {address: \"127.0.0.1:9\", stream: s}\n"
+                   "entry: {callers: \"127.0.0.1:2\", operators: "
+                   "\"127.0.0.1:3\", peers: \"127.0.0.1:1\"}\n" },
+  { "no log", HEAD "entry: {callers: \"127.0.0.1:2\", operators: "
+                   "\"127.0.0.1:3\", peers: \"127.0.0.1:1\", "
+                   "operator_token: t}\n" },
+  { "timings", HEAD GUARD "timings: {heartbeat_ms: 6000, drift_ppm: 0, "
+                          "reconnect_min_ms: 9000}\n" },
+};
+
+static void
+test_cases (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GError *error = NULL;
+      gp_settings_t settings;
+
+      printf ("== %s\n", cases[i].title);
+      if (gp_settings_load_text (&settings, "x.yaml", cases[i].text,
+                                 strlen (cases[i].text), &error))
+        {
+          printf ("accepted\n");
+          gp_settings_finish (&settings);
+          continue;
+        }
+      printf ("%s\n", error->message);
+      CU_ASSERT (error->domain == GP_SETTINGS_ERROR);
+      g_error_free (error);
+    }
+}
+
+static void
+test_defaults (void)
+{
+  gp_settings_t settings;
+
+  CU_ASSERT_FATAL (gp_settings_load_text (&settings, "x", HEAD GUARD,
+                                          strlen (HEAD GUARD), NULL));
+  CU_ASSERT_EQUAL (settings.log_level, GP_LOG_INFO);
+  CU_ASSERT_EQUAL (settings.timings.heartbeat_ms, 2000);
+  CU_ASSERT_EQUAL (settings.timings.lease_ms, 15000);
+  CU_ASSERT_EQUAL (settings.timings.drift_ppm, 1000);
+  CU_ASSERT_PTR_NULL (settings.tls);
+  CU_ASSERT_PTR_NULL (settings.guard->upstream);
+  CU_ASSERT_EQUAL (settings.guard->worker->accelerators, 0);
+  gp_settings_finish (&settings);
+}
+
+/* The guard's example loads as it stands; the entry's needs its token.  */
+static void
+test_examples (void)
+{
+  GError *error = NULL;
+  gp_settings_t settings;
+
+  CU_ASSERT_FATAL (
+      gp_settings_load (&settings, "examples/guard.yaml", &error));
+  CU_ASSERT_STRING_EQUAL (settings.guard->upstream->service, "reclamos-api");
+  CU_ASSERT_EQUAL (settings.entries_count, 3);
+  CU_ASSERT_STRING_EQUAL (settings.regions[0].zones[3], "tunja");
+  gp_settings_finish (&settings);
+  CU_ASSERT_FALSE (
+      gp_settings_load (&settings, "examples/entry.yaml", &error));
+  CU_ASSERT (
+      g_error_matches (error, GP_SETTINGS_ERROR, GP_SETTINGS_ERROR_FILE));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error->message, "operator-token"));
+  g_clear_error (&error);
+  CU_ASSERT_FALSE (gp_settings_load (&settings, "no/such/file", &error));
+  CU_ASSERT (
+      g_error_matches (error, GP_SETTINGS_ERROR, GP_SETTINGS_ERROR_FILE));
+  g_clear_error (&error);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("settings", NULL, NULL);
+  CU_add_test (suite, "cases", test_cases);
+  CU_add_test (suite, "defaults", test_defaults);
+  CU_add_test (suite, "examples", test_examples);
+  CU_run_all_tests ();
+  CU_basic_show_failures (CU_get_failure_list ());
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
