Keep ranges, patterns and defaults beside the YAML schema

Cause: libcyaml knows neither ranges nor defaults, so settings_check held a second list of the numeric fields; the operators' document needs the same for many more fields.

Change: a gp_yaml_schema_t is a libcyaml schema with rules. A mapping is bounded to 256 keys and a list of issues to 1000, so that hostile text stays cheap.

Conclusion: each field stands in one table.

--- a/src/base/issue.c
+++ b/src/base/issue.c
@@ -23,8 +23,11 @@
 void
 gp_issues_add (GPtrArray *issues, const gp_issue_t *issue)
 {
-  gp_issue_t *copy = g_new0 (gp_issue_t, 1);
+  gp_issue_t *copy;
 
+  if (issues->len >= GP_ISSUES_MAX)
+    return;
+  copy = g_new0 (gp_issue_t, 1);
   copy->severity = issue->severity;
   copy->line = issue->line;
   copy->column = issue->column;
--- a/src/base/issue.h
+++ b/src/base/issue.h
@@ -25,6 +25,9 @@
   char *allowed;   /* what may stand there; NULL when the message says it */
 } gp_issue_t;
 
+/* Issues that a list takes; more are dropped.  */
+#define GP_ISSUES_MAX 1000
+
 /* A list of gp_issue_t that owns them.  */
 GPtrArray *gp_issues_new (void);
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -8,7 +8,6 @@
 #include "base/error.h"
 #include "base/settings_check.h"
 #include "base/settings_schema.h"
-#include "base/yaml.h"
 
 const gp_settings_member_t *
 gp_settings_find_entry (const gp_settings_t *settings, const char *name)
@@ -53,7 +52,7 @@
   gp_yaml_check (root, &gp_settings_schema, issues);
   if (issues->len > 0)
     return false;
-  loaded = gp_yaml_load (text, size, &gp_settings_schema, issues);
+  loaded = gp_yaml_load (text, size, root, &gp_settings_schema, issues);
   if (!loaded)
     return false;
   *settings = *loaded;
--- a/src/base/settings_check.c
+++ b/src/base/settings_check.c
@@ -2,7 +2,6 @@
 
 #include "base/settings_check.h"
 
-#include <stddef.h>
 #include <string.h>
 
 #include "base/address.h"
@@ -16,90 +15,10 @@
   GPtrArray *issues;
 } check_t;
 
-/* A number of the settings: where, what may stand there, what when it is
-   left out.  */
-typedef struct
-{
-  const char *path;
-  size_t offset;
-  uint32_t min;
-  uint32_t max;
-  uint32_t fallback;
-} number_t;
-
 #define ERROR(check, path, allowed, ...)                                      \
   gp_yaml_report ((check)->root, (check)->issues, GP_ISSUE_ERROR, (path),     \
                   (allowed), __VA_ARGS__)
 
-#define TIMING(name, min, max, fallback)                                      \
-  {                                                                           \
-    "timings." #name, offsetof (gp_settings_timings_t, name), (min), (max),   \
-        (fallback)                                                            \
-  }
-
-static const number_t timings[] = {
-  TIMING (heartbeat_ms, 10, 60000, 2000),
-  TIMING (lease_ms, 100, 600000, 15000),
-  TIMING (vouch_ms, 100, 600000, 15000),
-  TIMING (margin_ms, 1, 60000, 500),
-  TIMING (drift_ppm, 1, 100000, 1000),
-  TIMING (suspect_ms, 50, 600000, 10000),
-  TIMING (connect_ms, 10, 60000, 2000),
-  TIMING (reconnect_min_ms, 1, 60000, 100),
-  TIMING (reconnect_max_ms, 1, 600000, 5000),
-  TIMING (log_wait_ms, 1, 60000, 5000),
-  TIMING (log_timeout_ms, 10, 60000, 3000),
-  TIMING (log_batch_ms, 1, 1000, 20),
-  TIMING (usage_ms, 10, 60000, 1000),
-  TIMING (leave_ms, 1, 600000, 5000),
-};
-
-static const number_t entry_numbers[] = {
-  { "entry.max_body_kib", offsetof (gp_settings_entry_t, max_body_kib), 1,
-    65536, 1024 },
-  { "entry.max_requests", offsetof (gp_settings_entry_t, max_requests), 1,
-    1000000, 10000 },
-};
-
-static const number_t upstream_numbers[] = {
-  { "guard.upstream.slots", offsetof (gp_settings_upstream_t, slots), 1, 65536,
-    0 },
-  { "guard.upstream.connections",
-    offsetof (gp_settings_upstream_t, connections), 1, 65536, 0 },
-};
-
-static const number_t worker_numbers[] = {
-  { "guard.worker.millicores", offsetof (gp_settings_worker_t, millicores), 1,
-    1024000, 0 },
-  { "guard.worker.memory_mib", offsetof (gp_settings_worker_t, memory_mib), 1,
-    67108864, 0 },
-  { "guard.worker.accelerators", offsetof (gp_settings_worker_t, accelerators),
-    0, 1024, 0 },
-};
-
-static void
-check_numbers (check_t *check, void *base, const number_t *numbers,
-               size_t count)
-{
-  for (size_t i = 0; i < count; i++)
-    {
-      const number_t *number = &numbers[i];
-      uint32_t *value = (uint32_t *)(void *)((char *)base + number->offset);
-      char *allowed;
-
-      if (!gp_yaml_find (check->root, number->path))
-        {
-          *value = number->fallback;
-          continue;
-        }
-      if (*value >= number->min && *value <= number->max)
-        continue;
-      allowed = g_strdup_printf ("%u to %u", number->min, number->max);
-      ERROR (check, number->path, allowed, "%u is out of range", *value);
-      g_free (allowed);
-    }
-}
-
 /* Read TEXT at PATH; false after a report.  */
 static bool
 check_address (check_t *check, const char *path, const char *text,
@@ -234,7 +153,6 @@
 {
   struct sockaddr_storage address;
 
-  check_numbers (check, entry, entry_numbers, G_N_ELEMENTS (entry_numbers));
   check_address (check, "entry.callers", entry->callers, &address);
   check_address (check, "entry.operators", entry->operators, &address);
   if (check_address (check, "entry.peers", entry->peers, &address))
@@ -255,8 +173,6 @@
 {
   struct sockaddr_storage address;
 
-  check_numbers (check, upstream, upstream_numbers,
-                 G_N_ELEMENTS (upstream_numbers));
   check_target (check, "guard.upstream.address", upstream->address, &address);
   if (upstream->connections < upstream->slots)
     ERROR (check, "guard.upstream.connections", "at least the slots",
@@ -269,7 +185,6 @@
 {
   struct sockaddr_storage address;
 
-  check_numbers (check, worker, worker_numbers, G_N_ELEMENTS (worker_numbers));
   if (check_target (check, "guard.worker.runtime", worker->runtime, &address)
       && !gp_address_is_loopback (&address))
     ERROR (check, "guard.worker.runtime", "a loopback address",
@@ -320,7 +235,6 @@
 static void
 check_timings (check_t *check, gp_settings_timings_t *values)
 {
-  check_numbers (check, values, timings, G_N_ELEMENTS (timings));
   if ((uint64_t)values->heartbeat_ms * 3 + values->margin_ms
       > values->lease_ms)
     ERROR (check, "timings.lease_ms", "three heartbeats and the margin",
--- a/src/base/settings_schema.c
+++ b/src/base/settings_schema.c
@@ -4,19 +4,13 @@
 
 #include <stddef.h>
 
-#define NAME_MAX_SIZE 64
-#define TEXT_MAX_SIZE 4096
 #define LIST_MAX_COUNT 1024
 
-#define REQUIRED CYAML_FLAG_DEFAULT
-#define OPTIONAL CYAML_FLAG_OPTIONAL
-
-#define NAME(key, flags, type, member)                                        \
-  CYAML_FIELD_STRING_PTR (key, flags, type, member, 1, NAME_MAX_SIZE)
-#define TEXT(key, flags, type, member)                                        \
-  CYAML_FIELD_STRING_PTR (key, flags, type, member, 1, TEXT_MAX_SIZE)
-#define UINT(key, flags, type, member)                                        \
-  CYAML_FIELD_UINT (key, flags, type, member)
+#define REQUIRED GP_YAML_REQUIRED
+#define OPTIONAL GP_YAML_OPTIONAL
+#define NAME GP_YAML_NAME
+#define TEXT GP_YAML_TEXT
+#define UINT GP_YAML_NUMBER
 
 static const cyaml_strval_t log_levels[] = {
   { "debug", GP_LOG_DEBUG },
@@ -25,8 +19,8 @@
   { "error", GP_LOG_ERROR },
 };
 
-static const cyaml_schema_value_t zone_value
-    = { CYAML_VALUE_STRING (CYAML_FLAG_POINTER, char *, 1, NAME_MAX_SIZE) };
+static const cyaml_schema_value_t zone_value = { CYAML_VALUE_STRING (
+    CYAML_FLAG_POINTER, char *, 1, GP_YAML_NAME_MAX_SIZE) };
 
 static const cyaml_schema_field_t region_fields[]
     = { NAME ("name", REQUIRED, gp_settings_region_t, name),
@@ -134,5 +128,55 @@
   CYAML_FIELD_END
 };
 
-const cyaml_schema_value_t gp_settings_schema = { CYAML_VALUE_MAPPING (
+static const cyaml_schema_value_t settings_value = { CYAML_VALUE_MAPPING (
     CYAML_FLAG_POINTER, gp_settings_t, settings_fields) };
+
+#define MILLICORES_MAX 1024000
+#define MEMORY_MIB_MAX 67108864
+#define ACCELERATORS_MAX 1024
+
+#define RANGE GP_YAML_RULE_RANGE
+#define RANGE_OF_TIMING(name, min, max, fallback)                             \
+  GP_YAML_RULE_RANGE (timings_fields, #name, min, max, fallback)
+
+static const gp_yaml_rule_t rules[] = {
+  GP_YAML_RULE_NAME (settings_fields, "site"),
+  GP_YAML_RULE_NAME (settings_fields, "name"),
+  GP_YAML_RULE_NAME (settings_fields, "region"),
+  GP_YAML_RULE_NAME (settings_fields, "zone"),
+  GP_YAML_RULE_NAME (settings_fields, "rack"),
+  GP_YAML_RULE_NAME (region_fields, "name"),
+  GP_YAML_RULE_NAME (region_fields, "zones"),
+  GP_YAML_RULE_NAME (member_fields, "name"),
+  GP_YAML_RULE_NAME (member_fields, "region"),
+  GP_YAML_RULE_NAME (member_fields, "zone"),
+  GP_YAML_RULE_NAME (platform_log_fields, "stream"),
+  GP_YAML_RULE_NAME (upstream_fields, "service"),
+  RANGE (resources_fields, "millicores", 0, MILLICORES_MAX, 0),
+  RANGE (resources_fields, "memory_mib", 0, MEMORY_MIB_MAX, 0),
+  RANGE (resources_fields, "accelerators", 0, ACCELERATORS_MAX, 0),
+  RANGE (entry_fields, "max_body_kib", 1, 65536, 1024),
+  RANGE (entry_fields, "max_requests", 1, 1000000, 10000),
+  RANGE (upstream_fields, "slots", 1, 65536, 0),
+  RANGE (upstream_fields, "connections", 1, 65536, 0),
+  RANGE (worker_fields, "millicores", 1, MILLICORES_MAX, 0),
+  RANGE (worker_fields, "memory_mib", 1, MEMORY_MIB_MAX, 0),
+  RANGE (worker_fields, "accelerators", 0, ACCELERATORS_MAX, 0),
+  RANGE_OF_TIMING (heartbeat_ms, 10, 60000, 2000),
+  RANGE_OF_TIMING (lease_ms, 100, 600000, 15000),
+  RANGE_OF_TIMING (vouch_ms, 100, 600000, 15000),
+  RANGE_OF_TIMING (margin_ms, 1, 60000, 500),
+  RANGE_OF_TIMING (drift_ppm, 1, 100000, 1000),
+  RANGE_OF_TIMING (suspect_ms, 50, 600000, 10000),
+  RANGE_OF_TIMING (connect_ms, 10, 60000, 2000),
+  RANGE_OF_TIMING (reconnect_min_ms, 1, 60000, 100),
+  RANGE_OF_TIMING (reconnect_max_ms, 1, 600000, 5000),
+  RANGE_OF_TIMING (log_wait_ms, 1, 60000, 5000),
+  RANGE_OF_TIMING (log_timeout_ms, 10, 60000, 3000),
+  RANGE_OF_TIMING (log_batch_ms, 1, 1000, 20),
+  RANGE_OF_TIMING (usage_ms, 10, 60000, 1000),
+  RANGE_OF_TIMING (leave_ms, 1, 600000, 5000),
+};
+
+const gp_yaml_schema_t gp_settings_schema
+    = { &settings_value, rules, G_N_ELEMENTS (rules) };
--- a/src/base/settings_schema.h
+++ b/src/base/settings_schema.h
@@ -1,12 +1,11 @@
-/* The schema of the settings for libcyaml; see settings.h.  */
+/* The schema of the settings ; see settings.h.  */
 
 #ifndef GP_BASE_SETTINGS_SCHEMA_H
 #define GP_BASE_SETTINGS_SCHEMA_H
 
-#include <cyaml/cyaml.h>
-
 #include "base/settings.h"
+#include "base/yaml_schema.h"
 
-extern const cyaml_schema_value_t gp_settings_schema;
+extern const gp_yaml_schema_t gp_settings_schema;
 
 #endif
--- a/src/base/yaml.c
+++ b/src/base/yaml.c
@@ -144,6 +144,8 @@
   gp_yaml_node_t *child = NULL;
   yaml_event_t event;
 
+  if (node->children->len >= GP_YAML_MAX_KEYS)
+    give_up (reader, &key->start_mark, "a mapping has too many keys");
   if (earlier)
     {
       char *message
@@ -315,6 +317,14 @@
   return whole ? node : NULL;
 }
 
+const gp_yaml_node_t *
+gp_yaml_member (const gp_yaml_node_t *node, const char *key)
+{
+  if (!node || node->kind != GP_YAML_MAPPING)
+    return NULL;
+  return child_of_key (node, key, strlen (key));
+}
+
 void
 gp_yaml_report (const gp_yaml_node_t *root, GPtrArray *issues,
                 gp_issue_severity_t severity, const char *path,
--- a/src/base/yaml.h
+++ b/src/base/yaml.h
@@ -1,17 +1,12 @@
-/* YAML texts with the place of each value.
+/* Trees of YAML nodes, each with its place.
 
-   libcyaml reads a text into typed structures, but stops at the first fault
-   and tells places only in its log.  This module reads the same text into a
-   tree of nodes with libyaml, on which libcyaml is built, and checks the
-   tree against the libcyaml schema: all faults are gathered, each with line
-   and column, and the schema is written only once.  The tree is stricter
-   than YAML where a human would be surprised: no aliases, no doubled keys,
-   one document, plain decimal numbers, true and false.  */
+   A text is read with libyaml, more strictly than YAML asks: no aliases, no
+   doubled keys, one document, bounded size and depth.  Types are the matter
+   of base/yaml_schema.h.  */
 
 #ifndef GP_BASE_YAML_H
 #define GP_BASE_YAML_H
 
-#include <cyaml/cyaml.h>
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -21,6 +16,7 @@
 /* Bounds of a text; beyond them it is refused.  */
 #define GP_YAML_MAX_SIZE ((size_t)8 * 1024 * 1024)
 #define GP_YAML_MAX_DEPTH 16
+#define GP_YAML_MAX_KEYS 256 /* of one mapping */
 
 typedef enum
 {
@@ -61,16 +57,20 @@
                      const char *allowed, const char *format, ...)
     G_GNUC_PRINTF (6, 7);
 
-/* Add every place where ROOT departs from SCHEMA to ISSUES.  */
-void gp_yaml_check (const gp_yaml_node_t *root,
-                    const cyaml_schema_value_t *schema, GPtrArray *issues);
+/* The child of mapping NODE that has KEY, or NULL; also when NODE is not a
+   mapping.  */
+const gp_yaml_node_t *gp_yaml_member (const gp_yaml_node_t *node,
+                                      const char *key);
 
-/* Read TEXT as SCHEMA, which is of a pointer type.  NULL and an issue with
-   what libcyaml says when it refuses.  */
-void *gp_yaml_load (const char *text, size_t size,
-                    const cyaml_schema_value_t *schema, GPtrArray *issues);
+typedef enum
+{
+  GP_YAML_FLOW, /* one line, as it is hashed and sent */
+  GP_YAML_BLOCK /* lines, as a person reads it */
+} gp_yaml_style_t;
 
-/* Free DATA of gp_yaml_load.  */
-void gp_yaml_unload (void *data, const cyaml_schema_value_t *schema);
+/* Append NODE as YAML to OUT.  A plain scalar is written as it is, others
+   are quoted where STYLE needs it.  */
+void gp_yaml_emit (const gp_yaml_node_t *node, gp_yaml_style_t style,
+                   GString *out);
 
 #endif
--- /dev/null
+++ b/src/base/yaml_load.c
@@ -0,0 +1,163 @@
+/* Checked trees into typed structures and into their one form.  */
+
+#include <string.h>
+
+#include "base/yaml_schema.h"
+
+static void
+capture_log (cyaml_log_t level, void *context, const char *format,
+             va_list arguments)
+{
+  GString *said = context;
+
+  if (said->len > 0)
+    g_string_append (said, "; ");
+  g_string_append_vprintf (said, format, arguments);
+  while (said->len > 0 && said->str[said->len - 1] == '\n')
+    g_string_truncate (said, said->len - 1);
+}
+
+static void *
+allocate (void *context, void *old, size_t size)
+{
+  if (size > 0)
+    return g_realloc (old, size);
+  g_free (old);
+  return NULL;
+}
+
+/* Filling in of what is left out.  A mapping that is part of its parent is
+   filled also when its key is absent (NODE is NULL).  */
+
+static void fill_mapping (const gp_yaml_schema_t *schema,
+                          const cyaml_schema_field_t *fields,
+                          const gp_yaml_node_t *node, char *data);
+
+static void
+fill_sequence (const gp_yaml_schema_t *schema,
+               const cyaml_schema_value_t *value, const gp_yaml_node_t *node,
+               char *items)
+{
+  const cyaml_schema_value_t *entry = value->sequence.entry;
+
+  if (entry->type != CYAML_MAPPING)
+    return;
+  for (guint i = 0; i < node->children->len; i++)
+    fill_mapping (schema, entry->mapping.fields, node->children->pdata[i],
+                  items + (size_t)i * entry->data_size);
+}
+
+static void
+fill_field (const gp_yaml_schema_t *schema, const cyaml_schema_field_t *field,
+            const gp_yaml_node_t *node, char *place)
+{
+  bool pointer = field->value.flags & CYAML_FLAG_POINTER;
+
+  if (pointer && !node)
+    return;
+  if (pointer)
+    memcpy (&place, place, sizeof place);
+  if (field->value.type == CYAML_MAPPING)
+    fill_mapping (schema, field->value.mapping.fields, node, place);
+  else if (field->value.type == CYAML_SEQUENCE && node)
+    fill_sequence (schema, &field->value, node, place);
+}
+
+static void
+fill_mapping (const gp_yaml_schema_t *schema,
+              const cyaml_schema_field_t *fields, const gp_yaml_node_t *node,
+              char *data)
+{
+  for (size_t i = 0; i < schema->rule_count; i++)
+    {
+      const gp_yaml_rule_t *rule = &schema->rules[i];
+
+      if (rule->fields != fields || rule->pattern
+          || gp_yaml_member (node, rule->key))
+        continue;
+      for (const cyaml_schema_field_t *field = fields; field->key; field++)
+        if (strcmp (field->key, rule->key) == 0)
+          memcpy (data + field->data_offset, &rule->fallback,
+                  sizeof rule->fallback);
+    }
+  for (; fields->key; fields++)
+    fill_field (schema, fields, gp_yaml_member (node, fields->key),
+                data + fields->data_offset);
+}
+
+void *
+gp_yaml_load (const char *text, size_t size, const gp_yaml_node_t *root,
+              const gp_yaml_schema_t *schema, GPtrArray *issues)
+{
+  GString *said = g_string_new (NULL);
+  cyaml_config_t config = { .log_fn = capture_log,
+                            .log_ctx = said,
+                            .mem_fn = allocate,
+                            .log_level = CYAML_LOG_ERROR,
+                            .flags = CYAML_CFG_NO_ALIAS };
+  cyaml_data_t *data = NULL;
+  cyaml_err_t result;
+
+  result = cyaml_load_data ((const uint8_t *)text, size, &config,
+                            schema->value, &data, NULL);
+  if (result == CYAML_OK)
+    fill_mapping (schema, schema->value->mapping.fields, root, data);
+  else
+    {
+      gp_yaml_report (root, issues, GP_ISSUE_ERROR, "", NULL, "%s: %s",
+                      cyaml_strerror (result), said->str);
+      data = NULL;
+    }
+  g_string_free (said, TRUE);
+  return data;
+}
+
+void
+gp_yaml_unload (void *data, const gp_yaml_schema_t *schema)
+{
+  cyaml_config_t config = { .mem_fn = allocate, .log_level = CYAML_LOG_ERROR };
+
+  cyaml_free (&config, schema->value, data, 0);
+}
+
+static gint
+compare_keys (gconstpointer left, gconstpointer right)
+{
+  const gp_yaml_node_t *a = *(const gp_yaml_node_t *const *)left;
+  const gp_yaml_node_t *b = *(const gp_yaml_node_t *const *)right;
+
+  return strcmp (a->key, b->key);
+}
+
+static void
+canonicalize (gp_yaml_node_t *node, const cyaml_schema_value_t *value)
+{
+  switch (node->kind)
+    {
+    case GP_YAML_SCALAR:
+      node->plain = value->type == CYAML_UINT || value->type == CYAML_BOOL;
+      break;
+    case GP_YAML_SEQUENCE:
+      for (guint i = 0; i < node->children->len; i++)
+        canonicalize (node->children->pdata[i], value->sequence.entry);
+      break;
+    case GP_YAML_MAPPING:
+      for (guint i = 0; i < node->children->len; i++)
+        {
+          gp_yaml_node_t *child = node->children->pdata[i];
+          const cyaml_schema_field_t *field = value->mapping.fields;
+
+          while (strcmp (field->key, child->key) != 0)
+            field++;
+          canonicalize (child, &field->value);
+        }
+      g_ptr_array_sort (node->children, compare_keys);
+      break;
+    }
+}
+
+void
+gp_yaml_canonicalize (gp_yaml_node_t *root, const gp_yaml_schema_t *schema)
+{
+  canonicalize (root, schema->value);
+}
--- a/src/base/yaml_schema.c
+++ b/src/base/yaml_schema.c
@@ -1,21 +1,33 @@
-/* Trees of YAML nodes against a libcyaml schema.  */
+/* Trees of YAML nodes against a schema.  */
 
-#include <string.h>
+#include "base/yaml_schema.h"
 
-#include "base/yaml.h"
+#include <string.h>
 
 /* Most names listed as allowed in one message.  */
 #define LISTED_MAX 24
 
 typedef struct
 {
-  const gp_yaml_node_t *root;
+  const gp_yaml_schema_t *schema;
   GPtrArray *issues;
   GString *path; /* of the node that is checked */
 } checker_t;
 
 static void check_value (checker_t *checker, const gp_yaml_node_t *node,
-                         const cyaml_schema_value_t *schema);
+                         const cyaml_schema_value_t *schema,
+                         const gp_yaml_rule_t *rule);
+
+const gp_yaml_rule_t *
+gp_yaml_find_rule (const gp_yaml_schema_t *schema,
+                   const cyaml_schema_field_t *fields, const char *key)
+{
+  for (size_t i = 0; i < schema->rule_count; i++)
+    if (schema->rules[i].fields == fields
+        && strcmp (schema->rules[i].key, key) == 0)
+      return &schema->rules[i];
+  return NULL;
+}
 
 static void
 report (checker_t *checker, const gp_yaml_node_t *node, const char *allowed,
@@ -58,54 +70,38 @@
 
 /* The largest number that SIZE bytes hold.  */
 static guint64
-largest (bool is_signed, unsigned size)
+largest (unsigned size)
 {
-  unsigned bits = size * 8 - (is_signed ? 1 : 0);
-
-  return bits >= 64 ? G_MAXUINT64 : (G_GUINT64_CONSTANT (1) << bits) - 1;
+  return size >= 8 ? G_MAXUINT64 : (G_GUINT64_CONSTANT (1) << (size * 8)) - 1;
 }
 
-/* Whether TEXT is a plain decimal number up to MAX.  */
+/* Whether TEXT is a decimal number from MIN to MAX.  */
 static bool
-is_number (const char *text, bool is_signed, guint64 max)
+is_number (const char *text, guint64 min, guint64 max)
 {
-  const char *digits = is_signed && text[0] == '-' ? text + 1 : text;
-
-  if (!all_digits (digits) || (digits[0] == '0' && digits[1] != '\0'))
+  if (!all_digits (text) || (text[0] == '0' && text[1] != '\0'))
     return false;
-  return g_ascii_string_to_unsigned (digits, 10, 0, max, NULL, NULL);
+  return g_ascii_string_to_unsigned (text, 10, min, max, NULL, NULL);
 }
 
 static void
 check_number (checker_t *checker, const gp_yaml_node_t *node,
-              const cyaml_schema_value_t *schema)
+              const cyaml_schema_value_t *schema, const gp_yaml_rule_t *rule)
 {
-  bool is_signed = schema->type == CYAML_INT;
-  guint64 max = largest (is_signed, schema->data_size);
+  guint64 min = rule ? rule->min : 0;
+  guint64 max = rule ? rule->max : largest (schema->data_size);
   char *allowed;
 
   if (node->kind == GP_YAML_SCALAR && node->plain
-      && is_number (node->value, is_signed, max))
+      && is_number (node->value, min, max))
     return;
-  allowed = g_strdup_printf ("a whole number from %s%" G_GUINT64_FORMAT
+  allowed = g_strdup_printf ("a whole number from %" G_GUINT64_FORMAT
                              " to %" G_GUINT64_FORMAT,
-                             is_signed ? "-" : "", is_signed ? max : 0, max);
+                             min, max);
   report_value (checker, node, allowed);
   g_free (allowed);
 }
 
-static void
-check_float (checker_t *checker, const gp_yaml_node_t *node)
-{
-  char *end = NULL;
-
-  if (node->kind == GP_YAML_SCALAR && node->plain && node->value[0] != '\0'
-      && strspn (node->value, "0123456789.") == strlen (node->value))
-    g_ascii_strtod (node->value, &end);
-  if (!end || *end != '\0')
-    report_value (checker, node, "a decimal number");
-}
-
 static void
 check_bool (checker_t *checker, const gp_yaml_node_t *node)
 {
@@ -115,18 +111,49 @@
     report_value (checker, node, "true or false");
 }
 
+/* No control characters but tab and line feed, which every form shows.  */
+static bool
+is_printable (const char *text)
+{
+  for (; *text != '\0'; text = g_utf8_next_char (text))
+    {
+      gunichar character = g_utf8_get_char (text);
+
+      if (g_unichar_iscntrl (character) && character != '\t'
+          && character != '\n')
+        return false;
+    }
+  return true;
+}
+
+static bool
+matches (const char *text, const gp_yaml_rule_t *rule)
+{
+  char *whole;
+  bool found;
+
+  if (!rule || !rule->pattern)
+    return true;
+  whole = g_strdup_printf ("^(?:%s)$", rule->pattern);
+  found = g_regex_match_simple (whole, text, G_REGEX_DOLLAR_ENDONLY, 0);
+  g_free (whole);
+  return found;
+}
+
 static void
 check_string (checker_t *checker, const gp_yaml_node_t *node,
-              const cyaml_schema_value_t *schema)
+              const cyaml_schema_value_t *schema, const gp_yaml_rule_t *rule)
 {
   char *allowed;
 
   if (node->kind == GP_YAML_SCALAR
       && strlen (node->value) >= schema->string.min
-      && strlen (node->value) <= schema->string.max)
+      && strlen (node->value) <= schema->string.max
+      && is_printable (node->value) && matches (node->value, rule))
     return;
-  allowed = g_strdup_printf ("text of %u to %u bytes", schema->string.min,
-                             schema->string.max);
+  allowed = g_strdup_printf ("%s, %u to %u bytes",
+                             rule && rule->allowed ? rule->allowed : "text",
+                             schema->string.min, schema->string.max);
   report_value (checker, node, allowed);
   g_free (allowed);
 }
@@ -158,19 +185,6 @@
   return NULL;
 }
 
-static bool
-has_child (const gp_yaml_node_t *node, const char *key)
-{
-  for (guint i = 0; i < node->children->len; i++)
-    {
-      const gp_yaml_node_t *child = node->children->pdata[i];
-
-      if (strcmp (child->key, key) == 0)
-        return true;
-    }
-  return false;
-}
-
 static void
 report_unknown (checker_t *checker, const gp_yaml_node_t *node,
                 const cyaml_schema_field_t *fields)
@@ -197,7 +211,8 @@
       g_string_append_printf (checker->path, "%s%s", size > 0 ? "." : "",
                               child->key);
       if (field)
-        check_value (checker, child, &field->value);
+        check_value (checker, child, &field->value,
+                     gp_yaml_find_rule (checker->schema, fields, child->key));
       else
         report_unknown (checker, child, fields);
       g_string_truncate (checker->path, size);
@@ -205,7 +220,7 @@
   for (; fields->key; fields++)
     {
       if ((fields->value.flags & CYAML_FLAG_OPTIONAL)
-          || has_child (node, fields->key))
+          || gp_yaml_member (node, fields->key))
         continue;
       g_string_append_printf (checker->path, "%s%s", size > 0 ? "." : "",
                               fields->key);
@@ -216,7 +231,7 @@
 
 static void
 check_sequence (checker_t *checker, const gp_yaml_node_t *node,
-                const cyaml_schema_value_t *schema)
+                const cyaml_schema_value_t *schema, const gp_yaml_rule_t *rule)
 {
   size_t size = checker->path->len;
   guint count = node->children->len;
@@ -234,29 +249,26 @@
   for (guint i = 0; i < count; i++)
     {
       g_string_append_printf (checker->path, "[%u]", i);
-      check_value (checker, node->children->pdata[i], schema->sequence.entry);
+      check_value (checker, node->children->pdata[i], schema->sequence.entry,
+                   rule);
       g_string_truncate (checker->path, size);
     }
 }
 
 static void
 check_value (checker_t *checker, const gp_yaml_node_t *node,
-             const cyaml_schema_value_t *schema)
+             const cyaml_schema_value_t *schema, const gp_yaml_rule_t *rule)
 {
   switch (schema->type)
     {
-    case CYAML_INT:
     case CYAML_UINT:
-      check_number (checker, node, schema);
-      break;
-    case CYAML_FLOAT:
-      check_float (checker, node);
+      check_number (checker, node, schema, rule);
       break;
     case CYAML_BOOL:
       check_bool (checker, node);
       break;
     case CYAML_STRING:
-      check_string (checker, node, schema);
+      check_string (checker, node, schema, rule);
       break;
     case CYAML_ENUM:
       check_enum (checker, node, schema);
@@ -269,10 +281,12 @@
       break;
     case CYAML_SEQUENCE:
       if (node->kind == GP_YAML_SEQUENCE)
-        check_sequence (checker, node, schema);
+        check_sequence (checker, node, schema, rule);
       else
         report_value (checker, node, "a list");
       break;
+    case CYAML_INT:
+    case CYAML_FLOAT:
     case CYAML_FLAGS:
     case CYAML_BITFIELD:
     case CYAML_SEQUENCE_FIXED:
@@ -283,68 +297,12 @@
 }
 
 void
-gp_yaml_check (const gp_yaml_node_t *root, const cyaml_schema_value_t *schema,
+gp_yaml_check (const gp_yaml_node_t *root, const gp_yaml_schema_t *schema,
                GPtrArray *issues)
 {
-  checker_t checker = { .root = root, .issues = issues };
+  checker_t checker = { .schema = schema, .issues = issues };
 
   checker.path = g_string_new (NULL);
-  check_value (&checker, root, schema);
+  check_value (&checker, root, schema->value, NULL);
   g_string_free (checker.path, TRUE);
 }
-
-static void
-capture_log (cyaml_log_t level, void *context, const char *format,
-             va_list arguments)
-{
-  GString *said = context;
-
-  if (said->len > 0)
-    g_string_append (said, "; ");
-  g_string_append_vprintf (said, format, arguments);
-  while (said->len > 0 && said->str[said->len - 1] == '\n')
-    g_string_truncate (said, said->len - 1);
-}
-
-static void *
-allocate (void *context, void *old, size_t size)
-{
-  if (size > 0)
-    return g_realloc (old, size);
-  g_free (old);
-  return NULL;
-}
-
-void *
-gp_yaml_load (const char *text, size_t size,
-              const cyaml_schema_value_t *schema, GPtrArray *issues)
-{
-  GString *said = g_string_new (NULL);
-  cyaml_config_t config = { .log_fn = capture_log,
-                            .log_ctx = said,
-                            .mem_fn = allocate,
-                            .log_level = CYAML_LOG_ERROR,
-                            .flags = CYAML_CFG_NO_ALIAS };
-  cyaml_data_t *data = NULL;
-  cyaml_err_t result;
-
-  result = cyaml_load_data ((const uint8_t *)text, size, &config, schema,
-                            &data, NULL);
-  if (result != CYAML_OK)
-    {
-      g_string_prepend (said, ": ");
-      g_string_prepend (said, cyaml_strerror (result));
-      gp_yaml_report (NULL, issues, GP_ISSUE_ERROR, "", NULL, "%s", said->str);
-      data = NULL;
-    }
-  g_string_free (said, TRUE);
-  return data;
-}
-
-void
-gp_yaml_unload (void *data, const cyaml_schema_value_t *schema)
-{
-  cyaml_config_t config = { .mem_fn = allocate, .log_level = CYAML_LOG_ERROR };
-
-  cyaml_free (&config, schema, data, 0);
-}
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -49,7 +49,10 @@
                       "worker: {runtime: \"10.0.0.1:9\", millicores: 1, "
                       "memory_mib: 1}}\n" },
   { "port", HEAD "guard: {peers: \"127.0.0.1:65536\", upstream: {service: x, "
-                 "address: \"0.0.0.0:80\", slots: 0, connections: 4}}\n" },
+                 "address: \"0.0.0.0:80\", slots: 1, connections: 4}}\n" },
+  { "ranges", HEAD GUARD "timings: {heartbeat_ms: 0, drift_ppm: 100001}\n" },
+  { "names", "site: s/t\nname: \"a\\tb\"\nregion: -r\nzone: z1\n"
+             "entries: [x]\n" GUARD },
   { "not loopback", HEAD "guard: {peers: \"10.0.0.1:1\", worker: {runtime: "
                          "\"[::1]:9\", millicores: 1, memory_mib: 1}}\n" },
   { "reserve", HEAD "guard: {upstream: {service: x, address: \"127.0.0.1:1\", "
@@ -71,7 +74,7 @@
   { "no log", HEAD "entry: {callers: \"127.0.0.1:2\", operators: "
                    "\"127.0.0.1:3\", peers: \"127.0.0.1:1\", "
                    "operator_token: t}\n" },
-  { "timings", HEAD GUARD "timings: {heartbeat_ms: 6000, drift_ppm: 0, "
+  { "timings", HEAD GUARD "timings: {heartbeat_ms: 6000, "
                           "reconnect_min_ms: 9000}\n" },
 };
 
