Add stand-ins for the log service and the executors

Log outage, delay, lost and late acknowledgement, dropped append, retention and a cut-off of single entries can now be brought about by tests.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,8 @@
 PROGRAMS := $(PROGRAM_SRC:programs/%.c=$(BUILD)/%)
 STANDIN_SRC := $(wildcard tests/standins/*.c)
 STANDINS := $(STANDIN_SRC:tests/standins/%.c=$(BUILD)/standins/%)
+STANDIN_LIB_SRC := $(wildcard tests/standins/lib/*.c)
+STANDIN_LIB_OBJ := $(STANDIN_LIB_SRC:%.c=$(BUILD)/%.o)
 TEST_SRC := $(wildcard tests/unit/test_*.c)
 TESTS := $(TEST_SRC:tests/unit/%.c=$(BUILD)/tests/%)
 TEST_SUPPORT_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/unit/*.c))
@@ -48,7 +50,8 @@
 BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
 STYLE_SRC := $(filter-out src/protocol/generated/%,\
 	$(wildcard src/*/*.[ch] include/*/*.h programs/*.c \
-	tests/unit/*.[ch] tests/standins/*.[ch] bench/*.[ch]))
+	tests/unit/*.[ch] tests/standins/*.[ch] \
+	tests/standins/lib/*.[ch] bench/*.[ch]))
 TIDY_SRC := $(filter %.c,$(STYLE_SRC))
 
 .PHONY: all check check-unit check-scripts lint format bench demo install \
@@ -72,7 +75,7 @@
 $(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
 
-$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o $(LIB)
+$(BUILD)/standins/%: $(BUILD)/tests/standins/%.o $(STANDIN_LIB_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
 
@@ -126,4 +129,4 @@
 	rm -rf build build-sanitize
 
 -include $(LIB_OBJ:.o=.d)
--include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
+-include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d $(BUILD)/*/*/*/*.d)
--- /dev/null
+++ b/tests/scripts/standins.py
@@ -0,0 +1,155 @@
+"""Smoke test of the stand-ins: each is started, used over HTTP and judged by
+its answers, its statistics and its ledger.  Prints one line a check."""
+
+import http.client
+import json
+import os
+import subprocess
+import sys
+import tempfile
+
+BUILD = sys.argv[1]
+TIMEOUT_S = 20
+
+
+def check(name, holds):
+    print(("ok " if holds else "FAILED ") + name)
+
+
+class Standin:
+    """A process of a stand-in and an HTTP client for it."""
+
+    def __init__(self, program, *arguments):
+        handle, self.ledger_path = tempfile.mkstemp(prefix=program)
+        os.close(handle)
+        self.process = subprocess.Popen(
+            [f"{BUILD}/standins/{program}", "--listen", "127.0.0.1:0",
+             "--control", "127.0.0.1:0", "--ledger", self.ledger_path,
+             "--node", program + "-1", *arguments],
+            stdout=subprocess.PIPE, text=True)
+        _, self.address, self.control = self.process.stdout.readline().split()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.process.terminate()
+        self.process.wait()
+        self.process.stdout.close()
+        os.unlink(self.ledger_path)
+
+    def request(self, method, path, body=None, headers=None, control=False):
+        """Status and body; (0, b"") when no whole answer comes."""
+        address = self.control if control else self.address
+        client = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+        try:
+            client.request(method, path, body, headers or {})
+            answer = client.getresponse()
+            return answer.status, answer.read()
+        except (http.client.HTTPException, ConnectionError):
+            return 0, b""
+        finally:
+            client.close()
+
+    def json(self, method, path, body=None):
+        text = None if body is None else json.dumps(body)
+        status, answer = self.request(method, path, text)
+        return status, json.loads(answer) if answer else None
+
+    def faults(self, **switches):
+        return self.request("POST", "/faults", json.dumps(switches),
+                            control=True)[0]
+
+    def stats(self):
+        return json.loads(self.request("GET", "/stats", control=True)[1])
+
+    def ledger(self, event):
+        with open(self.ledger_path, encoding="ascii") as lines:
+            return [line for line in map(json.loads, lines)
+                    if line["event"] == event]
+
+
+def check_log():
+    records = "/v1/streams/site/records"
+    with Standin("logd") as log:
+        check("log: dense offsets",
+              [log.request("POST", records, data) for data in ("a", "bb")]
+              == [(201, b""), (201, b"\x08\x01")])
+        check("log: read",
+              log.request("GET", records + "?from=0")
+              == (200, b"\x10\x02\x1a\x03\x12\x01a\x1a\x06\x08\x01\x12\x02bb"))
+        check("log: bounded read",
+              log.request("GET", records + "?from=0&max_bytes=1")
+              == (200, b"\x10\x02\x1a\x03\x12\x01a"))
+        check("log: wait for a record that does not come",
+              log.request("GET", records + "?from=2&wait_ms=10")
+              == (200, b"\x10\x02"))
+        waiting = http.client.HTTPConnection(log.address, timeout=TIMEOUT_S)
+        waiting.request("GET", records + "?from=2&wait_ms=19000")
+        log.faults(lost_ack=1)
+        check("log: lost acknowledgement",
+              log.request("POST", records, "c") == (0, b""))
+        check("log: it took effect, a waiting reader has it",
+              waiting.getresponse().read()
+              == b"\x10\x03\x1a\x05\x08\x02\x12\x01c")
+        log.faults(drop_append=1)
+        check("log: dropped append",
+              log.request("POST", records, "d") == (0, b"")
+              and log.stats()["streams"]["site"]["next_offset"] == 3)
+        log.faults(retain_records=1)
+        check("log: gap after retention",
+              log.request("GET", records + "?from=1")
+              == (410, b"\x08\x02\x10\x03"))
+        check("log: oversized record",
+              log.request("POST", records, "x" * (512 * 1024 + 1))[0] == 413)
+        log.faults(down=True)
+        check("log: outage", log.request("POST", records, "e")[0] == 503)
+        log.faults(down=False, refuse_on=[int(log.address.split(":")[1])])
+        check("log: cut off for one port",
+              log.request("POST", records, "e") == (0, b""))
+        check("log: unknown fault", log.faults(no_such=1) == 400)
+        check("log: ledger", [line["offset"] for line in log.ledger("append")]
+              == [0, 1, 2])
+
+
+def check_upstream():
+    with Standin("upstream", "--slots", "1") as upstream:
+        one = {"X-Request-Id": "one", "Idempotency-Key": "k1"}
+        status, body = upstream.request("POST", "/a?size=200000", "in", one)
+        check("upstream: whole answer", status == 200 and len(body) == 200000)
+        check("upstream: an answer follows from its request",
+              upstream.request("GET", "/a?size=200000", None, one)[1] == body
+              and upstream.request("GET", "/a?size=200000")[1] != body)
+        check("upstream: truncated answers",
+              upstream.request("GET", "/a?size=9000&truncate=1") == (0, b"")
+              and upstream.request("GET", "/?size=900&truncate=1&chunked=1")
+              == (0, b""))
+        check("upstream: closed without an answer",
+              upstream.request("GET", "/?close=1") == (0, b""))
+        check("upstream: status",
+              upstream.request("GET", "/?status=418&size=1")[0] == 418)
+        upstream.faults(fail_fast=True)
+        check("upstream: fails fast", upstream.request("GET", "/")[0] == 500)
+        upstream.faults(fail_fast=False, hang=True)
+        held = [http.client.HTTPConnection(upstream.address) for _ in "ab"]
+        for client in held:
+            client.request("GET", "/")
+        while upstream.stats()["running"] < 2:
+            pass
+        upstream.faults(hang=False)
+        check("upstream: held answers come",
+              [client.getresponse().status for client in held] == [200, 200])
+        check("upstream: slots over the limit",
+              [line["seen"] for line in upstream.ledger("breach")] == [2])
+        upstream.faults(refuse_connections=True)
+        check("upstream: refused", upstream.request("GET", "/") == (0, b""))
+        upstream.faults(refuse_connections=False)
+        check("upstream: open again", upstream.request("GET", "/")[0] == 200)
+        check("upstream: ledger",
+              upstream.ledger("execution_start")[0]["key"] == "k1"
+              and len(upstream.ledger("execution_start"))
+              == len(upstream.ledger("execution_end")) == 11)
+
+
+check_log()
+check_upstream()
--- /dev/null
+++ b/tests/standins/lib/content.h
@@ -0,0 +1,21 @@
+/* Bodies whose bytes follow from an identifier, so that a receiver can tell
+   whether it holds its own body, whole.  */
+
+#ifndef GP_STANDINS_CONTENT_H
+#define GP_STANDINS_CONTENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* The seed of the body that belongs to the identifier ID.  */
+uint64_t gp_content_seed (const char *id, size_t size);
+
+/* Write bytes [OFFSET, OFFSET + SIZE) of the body of SEED to OUT.  */
+void gp_content_fill (uint64_t seed, uint64_t offset, char *out, size_t size);
+
+/* Whether DATA is bytes [OFFSET, OFFSET + SIZE) of the body of SEED.  */
+bool gp_content_check (uint64_t seed, uint64_t offset, const char *data,
+                       size_t size);
+
+#endif
