Add a stand-in for the worker runtime

Leases, checkpoints, throttling and interference happen on the worker VMs of the platform. worker simulates their tasks and enforces the lease itself: every entry into it kills what has lapsed first, so a process that was paused has no effect after its deadline.

Tests can now judge by the ledger where each epoch of a task ran.

--- a/tests/scripts/standins.py
+++ b/tests/scripts/standins.py
@@ -4,9 +4,11 @@
 import http.client
 import json
 import os
+import signal
 import subprocess
 import sys
 import tempfile
+import time
 
 BUILD = sys.argv[1]
 TIMEOUT_S = 20
@@ -151,5 +153,121 @@
               == len(upstream.ledger("execution_end")) == 11)
 
 
+def boot_time_us():
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+
+def start(worker, task, lease_us=60_000_000, **payload):
+    """Start TASK, epoch 1, and return the status."""
+    checkpoint = payload.pop("checkpoint", "")
+    return worker.request("POST", "/v1/tasks", json.dumps({
+        "task": task, "epoch": 1, "kind": payload.pop("kind", "assessment"),
+        "payload": json.dumps(payload), "checkpoint": checkpoint,
+        "millicores": 1000, "memory_mib": 100, "accelerators": 0,
+        "deadline_us": boot_time_us() + lease_us}))[0]
+
+
+def events(worker, count):
+    """The first COUNT events as (task, state), waiting for them."""
+    found = []
+    while len(found) < count:
+        _, answer = worker.json(
+            "GET", f"/v1/events?after={len(found)}&wait_ms=5000")
+        found += answer["events"]
+    return [(event["task"], event["state"]) for event in found]
+
+
+def check_worker():
+    with Standin("worker", "--millicores", "2000", "--boot", "b1") as worker:
+        check("worker: runtime", worker.json("GET", "/v1/runtime")[1] == {
+            "boot": "b1", "millicores": 2000, "memory_mib": 61440,
+            "accelerators": 0})
+        check("worker: runs, fails and resumes",
+              [start(worker, "a", run_ms=5), start(worker, "a"),
+               events(worker, 2)[1], start(worker, "b", run_ms=5, fail=True),
+               events(worker, 4)[3],
+               start(worker, "c", run_ms=10**9, checkpoint=str(10**9)),
+               events(worker, 6)[5]]
+              == [201, 409, ("a", "succeeded"), 201, ("b", "failed"), 201,
+                  ("c", "succeeded")])
+        check("worker: another epoch is refused", worker.request(
+            "DELETE", "/v1/tasks/a?epoch=2")[0] == 409)
+        check("worker: an ended task is forgotten", [worker.request(
+            "DELETE", f"/v1/tasks/{task}?epoch=1")[0] for task in "abca"]
+            == [204, 204, 204, 404])
+        start(worker, "d")
+        worker.json("POST", "/v1/tasks/d/checkpoint", {"epoch": 1})
+        check("worker: stops", worker.request(
+            "POST", "/v1/tasks/d/stop", '{"epoch":1}')[0] == 202
+            and events(worker, 9)[6:] == [
+                ("d", "running"), ("d", "checkpointed"), ("d", "stopped")])
+        for task in "efg":
+            start(worker, task)
+        check("worker: over capacity",
+              [line["seen"] for line in worker.ledger("breach")] == [3000])
+        worker.faults(hang_stop=True)
+        check("worker: a stop that hangs", worker.request(
+            "POST", "/v1/tasks/e/cancel", '{"epoch":1}')[0] == 202
+            and ("e", "running") in [
+                (task["task"], task["state"]) for task
+                in worker.json("GET", "/v1/tasks")[1]["tasks"]])
+        worker.faults(fail_all=True, usage_lag_ms=0)
+        start(worker, "h")
+        check("worker: fails everything",
+              events(worker, 14)[13] == ("h", "failed"))
+        while not worker.json("GET", "/v1/usage")[1]["tasks"]:
+            pass
+        check("worker: usage", {
+            usage["millicores"] for usage
+            in worker.json("GET", "/v1/usage")[1]["tasks"]} == {1000})
+
+
+def check_lease():
+    with Standin("worker") as worker:
+        start(worker, "kept", lease_us=300_000)
+        worker.json("POST", "/v1/lease",
+                    {"deadline_us": boot_time_us() + 60_000_000})
+        start(worker, "idle", lease_us=50_000)
+        check("lease: it lapses without a renewal",
+              events(worker, 3)[2] == ("idle", "lost"))
+        start(worker, "paused", lease_us=100_000, checkpoint_every_ms=1)
+        worker.process.send_signal(signal.SIGSTOP)
+        deadline = worker.ledger("task_start")[-1]["deadline_us"]
+        while boot_time_us() <= deadline + 50_000:
+            time.sleep(0.01)
+        worker.process.send_signal(signal.SIGCONT)
+        events(worker, 5)
+        check("lease: first after a pause, before any effect", all(
+            line["time_us"] < deadline for line in worker.ledger("checkpoint")))
+        check("lease: the ledger has the end", [
+            (line["task"], line["until_us"] - line["deadline_us"])
+            for line in worker.ledger("lease_expired")]
+            == [("idle", 0), ("paused", 0)])
+        check("lease: what was renewed runs on", [
+            task["state"] for task in worker.json("GET", "/v1/tasks")[1]["tasks"]
+            if task["task"] == "kept"] == ["running"])
+
+
+def check_interference():
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as table:
+        json.dump({"service_p99_us": 1000,
+                   "pairs": {"service": {"assessment": 0.5}}}, table)
+        table.flush()
+        with Standin("worker", "--interference", table.name) as worker:
+            worker.faults(usage_lag_ms=0)
+            for task in "ab":
+                start(worker, task)
+            worker.json("POST", "/v1/tasks/b/throttle", {"epoch": 1})
+            usage = {"tasks": [], "service_p99_us": 1000}
+            while usage["service_p99_us"] != 1625:
+                usage = worker.json("GET", "/v1/usage")[1]
+            check("interference: the sum of the pairs, less when throttled",
+                  sorted(task["millicores"] for task in usage["tasks"])
+                  == [250, 1000])
+
+
 check_log()
 check_upstream()
+check_worker()
+check_lease()
+check_interference()
--- a/tests/standins/lib/reply.c
+++ b/tests/standins/lib/reply.c
@@ -117,29 +117,24 @@
   gp_reply_status (req, 503);
 }
 
-struct gp_hold_link
-{
-  gp_hold_t *hold;
-};
-
 static void
 on_request_disposed (void *memory)
 {
-  gp_hold_link_t *link = memory;
+  gp_hold_t **owner = memory;
 
-  if (link->hold == NULL)
+  if (*owner == NULL)
     return;
-  link->hold->req = NULL;
-  link->hold->link = NULL;
+  (*owner)->req = NULL;
+  (*owner)->owner = NULL;
 }
 
 void
 gp_hold_init (gp_hold_t *hold, h2o_req_t *req)
 {
   hold->req = req;
-  hold->link = h2o_mem_alloc_shared (&req->pool, sizeof *hold->link,
-                                     on_request_disposed);
-  hold->link->hold = hold;
+  hold->owner = h2o_mem_alloc_shared (&req->pool, sizeof (gp_hold_t *),
+                                      on_request_disposed);
+  *hold->owner = hold;
 }
 
 h2o_req_t *
@@ -147,9 +142,9 @@
 {
   h2o_req_t *req = hold->req;
 
-  if (hold->link != NULL)
-    hold->link->hold = NULL;
+  if (hold->owner != NULL)
+    *hold->owner = NULL;
   hold->req = NULL;
-  hold->link = NULL;
+  hold->owner = NULL;
   return req;
 }
--- a/tests/standins/lib/server.c
+++ b/tests/standins/lib/server.c
@@ -12,13 +12,13 @@
 #define IDLE_TIMEOUT_MS (3600L * 1000)
 #define HOST_PORT 65535
 
-struct gp_standin_listener
+typedef struct
 {
   uv_tcp_t *tcp; /* NULL while connecting is refused */
   gp_standin_t *standin;
   struct sockaddr_in address; /* with the port that was bound */
   bool control;
-};
+} listener_t;
 
 typedef struct
 {
@@ -29,7 +29,7 @@
 typedef struct
 {
   uv_tcp_t tcp;
-  gp_standin_listener_t *listener;
+  listener_t *listener;
 } connection_t;
 
 static void
@@ -53,7 +53,7 @@
 static void
 on_connection (uv_stream_t *stream, int status)
 {
-  gp_standin_listener_t *listener = stream->data;
+  listener_t *listener = stream->data;
   gp_standin_t *standin = listener->standin;
   connection_t *connection;
 
@@ -78,7 +78,7 @@
 }
 
 static int
-listener_open (gp_standin_listener_t *listener)
+listener_open (listener_t *listener)
 {
   int size = sizeof listener->address;
   int rc;
@@ -97,7 +97,7 @@
 }
 
 static void
-listener_close (gp_standin_listener_t *listener)
+listener_close (listener_t *listener)
 {
   if (listener->tcp == NULL)
     return;
@@ -108,7 +108,7 @@
 static void
 listener_add (gp_standin_t *standin, const char *text, bool control)
 {
-  gp_standin_listener_t *listener = g_new0 (gp_standin_listener_t, 1);
+  listener_t *listener = g_new0 (listener_t, 1);
   g_auto (GStrv) parts = g_strsplit (text, ":", 2);
   int rc;
 
@@ -128,7 +128,7 @@
 {
   for (guint i = 0; i < standin->listeners->len; i++)
     {
-      gp_standin_listener_t *listener = standin->listeners->pdata[i];
+      listener_t *listener = standin->listeners->pdata[i];
       int rc = 0;
 
       if (listener->control || refuse == (listener->tcp == NULL))
@@ -212,7 +212,7 @@
   printf ("ready");
   for (guint i = 0; i < standin->listeners->len; i++)
     {
-      const gp_standin_listener_t *listener = standin->listeners->pdata[i];
+      const listener_t *listener = standin->listeners->pdata[i];
       char ip[INET_ADDRSTRLEN];
 
       uv_ip4_name (&listener->address, ip, sizeof ip);
@@ -276,6 +276,8 @@
       uv_signal_start (&standin->signals[i], on_signal, numbers[i]);
     }
   uv_run (&standin->uv, UV_RUN_DEFAULT);
+  if (standin->on_stop != NULL)
+    standin->on_stop (standin);
   gp_ledger_finish (&standin->ledger);
 }
 
--- a/tests/standins/lib/server.h
+++ b/tests/standins/lib/server.h
@@ -18,7 +18,6 @@
 #include "ledger.h"
 
 typedef struct gp_standin gp_standin_t;
-typedef struct gp_standin_listener gp_standin_listener_t;
 
 struct gp_standin
 {
@@ -30,6 +29,7 @@
   void (*on_faults) (gp_standin_t *standin); /* after a change; or NULL */
   json_t *(*stats) (gp_standin_t *standin);  /* new reference */
   void (*on_connection) (gp_standin_t *standin, int open); /* or NULL */
+  void (*on_stop) (gp_standin_t *standin); /* SIGTERM or SIGINT; or NULL */
   void *data;
 
   uv_loop_t uv;
@@ -88,13 +88,13 @@
 
 /* A request that is answered later; req becomes NULL when its connection
    goes away first.  */
-typedef struct gp_hold_link gp_hold_link_t;
+typedef struct gp_hold gp_hold_t;
 
-typedef struct
+struct gp_hold
 {
   h2o_req_t *req;
-  gp_hold_link_t *link;
-} gp_hold_t;
+  gp_hold_t **owner; /* back pointer, in memory of the request */
+};
 
 void gp_hold_init (gp_hold_t *hold, h2o_req_t *req);
 /* Stop watching and return the request, NULL when it is gone.  */
