--- /dev/null
+++ b/src/coordination/lease_grantor.c
@@ -0,0 +1,460 @@
+#include "coordination/lease_grantor.h"
+
+/* A read older than length / LATE_PART makes the entry ask for vouches.  */
+#define LATE_PART 4
+/* Vouches are asked for this many times in a promise.  */
+#define ASKS_PER_PROMISE 5
+/* A tick that comes later than silence / PAUSE_PART means that the process
+   was paused and may have missed heartbeats.  */
+#define PAUSE_PART 4
+
+typedef struct
+{
+  gp_list_t link; /* in by_heard or fenced, or empty */
+  char *name;
+  uint64_t current;     /* the incarnation on the log, or 0 */
+  uint64_t asked;       /* the last incarnation asked to be registered */
+  uint64_t fence_asked; /* the last incarnation asked to be fenced */
+  bool fenced;          /* current is fenced on the log */
+  bool done_asked;      /* FENCE_DONE has been proposed */
+  gp_time_t heard;      /* by any entry, or -1 */
+  gp_time_t act_at;     /* of a fence */
+} gp_lease_guard_t;
+
+static void
+guard_free (gpointer data)
+{
+  gp_lease_guard_t *guard = data;
+
+  gp_list_remove (&guard->link);
+  g_free (guard->name);
+  g_free (guard);
+}
+
+void
+gp_lease_grantor_init (gp_lease_grantor_t *grantor,
+                       const gp_lease_timing_t *timing, unsigned num_others,
+                       uint64_t entry_set, gp_time_t now)
+{
+  g_assert (num_others <= GP_LEASE_GRANTOR_MAX_ENTRIES);
+  *grantor = (gp_lease_grantor_t){ .timing = *timing,
+                                   .entry_set = entry_set,
+                                   .num_others = num_others,
+                                   .fresh = -1,
+                                   .valid_from = now,
+                                   .ticked = now,
+                                   .listening = now,
+                                   .ask_at = now,
+                                   .next_ask = 1 };
+  /* Those of the predecessor; its last vouch came before this start.  */
+  grantor->promised = now + gp_lease_timing_wait (timing, timing->promise);
+  grantor->guards
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, guard_free);
+  gp_list_init (&grantor->by_heard);
+  gp_list_init (&grantor->fenced);
+  for (unsigned i = 0; i < num_others; i++)
+    {
+      grantor->others[i].vouched_since = -1;
+      grantor->others[i].fences
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+    }
+}
+
+void
+gp_lease_grantor_finish (gp_lease_grantor_t *grantor)
+{
+  for (unsigned i = 0; i < grantor->num_others; i++)
+    g_hash_table_destroy (grantor->others[i].fences);
+  g_hash_table_destroy (grantor->guards);
+}
+
+static gp_lease_guard_t *
+guard_obtain (gp_lease_grantor_t *grantor, const char *name)
+{
+  gp_lease_guard_t *guard = g_hash_table_lookup (grantor->guards, name);
+
+  if (guard != NULL)
+    return guard;
+  guard = g_new0 (gp_lease_guard_t, 1);
+  guard->name = g_strdup (name);
+  guard->heard = -1;
+  gp_list_init (&guard->link);
+  g_hash_table_insert (grantor->guards, guard->name, guard);
+  return guard;
+}
+
+/* Put GUARD into by_heard, which is sorted; news are recent, so the walk from
+   the end is short.  */
+static void
+guard_sort (gp_lease_grantor_t *grantor, gp_lease_guard_t *guard)
+{
+  gp_list_t *pos = &grantor->by_heard;
+
+  gp_list_remove (&guard->link);
+  while (pos->prev != &grantor->by_heard
+         && GP_CONTAINER_OF (pos->prev, gp_lease_guard_t, link)->heard
+                > guard->heard)
+    pos = pos->prev;
+  gp_list_insert_before (pos, &guard->link);
+}
+
+static void
+guard_hear (gp_lease_grantor_t *grantor, gp_lease_guard_t *guard,
+            gp_time_t heard)
+{
+  if (heard <= guard->heard)
+    return;
+  guard->heard = heard;
+  guard->fence_asked = 0;
+  if (guard->current != 0 && !guard->fenced)
+    guard_sort (grantor, guard);
+}
+
+void
+gp_lease_grantor_registered (gp_lease_grantor_t *grantor, const char *name,
+                             uint64_t incarnation, gp_time_t now)
+{
+  gp_lease_guard_t *guard = guard_obtain (grantor, name);
+
+  if (incarnation <= guard->current)
+    return;
+  guard->current = incarnation;
+  guard->fenced = false;
+  guard->done_asked = false;
+  guard->heard = MAX (guard->heard, now);
+  guard_sort (grantor, guard);
+}
+
+void
+gp_lease_grantor_fence_read (gp_lease_grantor_t *grantor, const char *name,
+                             uint64_t incarnation, gp_time_t now)
+{
+  gp_lease_guard_t *guard = g_hash_table_lookup (grantor->guards, name);
+  gp_time_t lapsed;
+
+  if (guard == NULL || guard->current != incarnation || guard->fenced)
+    return;
+  lapsed
+      = now + gp_lease_timing_wait (&grantor->timing, grantor->timing.length);
+  guard->fenced = true;
+  /* Vouches given from now on list this fence, so they do not delay it.  */
+  guard->act_at = MAX (lapsed, grantor->promised);
+  gp_list_remove (&guard->link);
+  gp_list_push_back (&grantor->fenced, &guard->link);
+}
+
+void
+gp_lease_grantor_fence_done_read (gp_lease_grantor_t *grantor,
+                                  const char *name, uint64_t incarnation)
+{
+  gp_lease_guard_t *guard = g_hash_table_lookup (grantor->guards, name);
+
+  if (guard != NULL && guard->current == incarnation && guard->fenced)
+    gp_list_remove (&guard->link);
+}
+
+void
+gp_lease_grantor_removed (gp_lease_grantor_t *grantor, const char *name)
+{
+  g_hash_table_remove (grantor->guards, name);
+}
+
+void
+gp_lease_grantor_read_done (gp_lease_grantor_t *grantor, gp_time_t sent)
+{
+  if (sent >= grantor->valid_from)
+    grantor->fresh = MAX (grantor->fresh, sent);
+}
+
+void
+gp_lease_grantor_gap (gp_lease_grantor_t *grantor, gp_time_t now)
+{
+  grantor->fresh = -1;
+  grantor->valid_from = now;
+  g_hash_table_remove_all (grantor->guards);
+}
+
+gp_time_t
+gp_lease_grantor_fresh_until (const gp_lease_grantor_t *grantor)
+{
+  return grantor->fresh < 0 ? -1 : grantor->fresh + grantor->timing.length;
+}
+
+gp_time_t
+gp_lease_grantor_vouched_until (const gp_lease_grantor_t *grantor)
+{
+  /* The own promise, made with the last asks, counts like the others'.  */
+  gp_time_t until
+      = grantor->promised
+        - gp_lease_timing_wait (&grantor->timing, grantor->timing.promise)
+        + grantor->timing.promise;
+
+  for (unsigned i = 0; i < grantor->num_others; i++)
+    {
+      gp_time_t since = grantor->others[i].vouched_since;
+
+      if (since < 0)
+        return -1;
+      until = MIN (until, since + grantor->timing.promise);
+    }
+  return until;
+}
+
+/* Whether a vouch lists a fence on an incarnation up to INCARNATION.  */
+static bool
+fence_listed (const gp_lease_grantor_t *grantor, const char *name,
+              uint64_t incarnation)
+{
+  for (unsigned i = 0; i < grantor->num_others; i++)
+    {
+      const uint64_t *fenced
+          = g_hash_table_lookup (grantor->others[i].fences, name);
+
+      if (fenced != NULL && *fenced <= incarnation)
+        return true;
+    }
+  return false;
+}
+
+static gp_time_t
+fresh_remaining (const gp_lease_grantor_t *grantor,
+                 const gp_lease_guard_t *guard,
+                 const gp_lease_request_t *request, gp_time_t now)
+{
+  bool inherited = request->held && request->inherits != 0
+                   && request->inherits == guard->current;
+
+  if (grantor->fresh < 0 || guard->current == 0 || guard->fenced)
+    return 0;
+  if (request->incarnation != guard->current && !inherited)
+    return 0;
+  return MAX (gp_lease_grantor_fresh_until (grantor) - now, 0);
+}
+
+static gp_time_t
+vouched_remaining (const gp_lease_grantor_t *grantor,
+                   const gp_lease_guard_t *guard,
+                   const gp_lease_request_t *request, gp_time_t now)
+{
+  if (!request->held || guard->fenced)
+    return 0;
+  if (fence_listed (grantor, guard->name, request->incarnation))
+    return 0;
+  return MAX (gp_lease_grantor_vouched_until (grantor) - now, 0);
+}
+
+static gp_lease_grantor_action_t *
+action_add (gp_lease_grantor_actions_t *actions,
+            gp_lease_grantor_action_kind_t kind)
+{
+  gp_lease_grantor_action_t *action;
+
+  if (actions->count >= GP_LEASE_GRANTOR_MAX_ACTIONS)
+    return NULL;
+  action = &actions->items[actions->count++];
+  action->kind = kind;
+  return action;
+}
+
+static bool
+propose (gp_lease_grantor_actions_t *actions,
+         gp_lease_grantor_action_kind_t kind, const gp_lease_guard_t *guard,
+         uint64_t incarnation)
+{
+  gp_lease_grantor_action_t *action = action_add (actions, kind);
+
+  if (action == NULL)
+    return false;
+  action->u.guard.name = guard->name;
+  action->u.guard.incarnation = incarnation;
+  return true;
+}
+
+static void
+register_if_new (const gp_lease_grantor_t *grantor, gp_lease_guard_t *guard,
+                 uint64_t incarnation, gp_lease_grantor_actions_t *actions)
+{
+  if (grantor->fresh < 0 || incarnation <= guard->current
+      || incarnation <= guard->asked)
+    return;
+  if (propose (actions, GP_LEASE_GRANTOR_REGISTER, guard, incarnation))
+    guard->asked = incarnation;
+}
+
+void
+gp_lease_grantor_heartbeat (gp_lease_grantor_t *grantor, const char *name,
+                            const gp_lease_request_t *request, gp_time_t now,
+                            gp_lease_grant_t *grant,
+                            gp_lease_grantor_actions_t *actions)
+{
+  gp_lease_guard_t *guard = guard_obtain (grantor, name);
+  gp_time_t vouched;
+
+  *grant = (gp_lease_grant_t){ 0 };
+  if (request->incarnation < guard->current)
+    {
+      grant->superseded_by = guard->current;
+      return;
+    }
+  guard_hear (grantor, guard, now);
+  register_if_new (grantor, guard, request->incarnation, actions);
+  if (guard->fenced && request->incarnation == guard->current)
+    {
+      grant->fenced = true;
+      return;
+    }
+  grant->remaining = fresh_remaining (grantor, guard, request, now);
+  vouched = vouched_remaining (grantor, guard, request, now);
+  if (vouched <= grant->remaining)
+    return;
+  grant->remaining = vouched;
+  grant->vouched = true;
+}
+
+void
+gp_lease_grantor_heard (gp_lease_grantor_t *grantor, const char *name,
+                        gp_time_t heard)
+{
+  gp_lease_guard_t *guard = g_hash_table_lookup (grantor->guards, name);
+
+  if (guard != NULL)
+    guard_hear (grantor, guard, heard);
+}
+
+static void
+promise (gp_lease_grantor_t *grantor, gp_time_t now)
+{
+  gp_time_t until
+      = now + gp_lease_timing_wait (&grantor->timing, grantor->timing.promise);
+
+  grantor->promised = MAX (grantor->promised, until);
+}
+
+bool
+gp_lease_grantor_vouch (gp_lease_grantor_t *grantor, uint64_t entry_set,
+                        gp_time_t now, GArray *fences)
+{
+  if (entry_set != grantor->entry_set)
+    return false;
+  promise (grantor, now);
+  GP_LIST_FOREACH (pos, &grantor->fenced)
+  {
+    gp_lease_guard_t *guard = GP_CONTAINER_OF (pos, gp_lease_guard_t, link);
+    gp_lease_fence_t fence = { guard->name, guard->current };
+
+    g_array_append_val (fences, fence);
+  }
+  return true;
+}
+
+void
+gp_lease_grantor_vouched (gp_lease_grantor_t *grantor, unsigned entry,
+                          uint64_t id, const gp_lease_fence_t *fences,
+                          unsigned num_fences)
+{
+  gp_lease_voucher_t *other = &grantor->others[entry];
+
+  if (id == 0 || other->ask_id != id)
+    return;
+  other->ask_id = 0;
+  other->vouched_since = other->ask_sent;
+  g_hash_table_remove_all (other->fences);
+  for (unsigned i = 0; i < num_fences; i++)
+    g_hash_table_insert (
+        other->fences, g_strdup (fences[i].guard),
+        g_memdup2 (&fences[i].incarnation, sizeof fences[i].incarnation));
+}
+
+/* After a pause the silence of the guards means nothing.  */
+static void
+check_pause (gp_lease_grantor_t *grantor, gp_time_t now)
+{
+  gp_time_t late = grantor->timing.silence / PAUSE_PART;
+
+  if (now - grantor->ticked > late)
+    grantor->listening = now;
+  grantor->ticked = now;
+}
+
+static void
+ask_vouches (gp_lease_grantor_t *grantor, gp_time_t now,
+             gp_lease_grantor_actions_t *actions)
+{
+  gp_time_t late = grantor->timing.length / LATE_PART;
+
+  if (now < grantor->ask_at)
+    return;
+  if (grantor->fresh >= 0 && now - grantor->fresh < late)
+    return;
+  grantor->ask_at = now + grantor->timing.promise / ASKS_PER_PROMISE;
+  promise (grantor, now);
+  for (unsigned i = 0; i < grantor->num_others; i++)
+    {
+      gp_lease_voucher_t *other = &grantor->others[i];
+      gp_lease_grantor_action_t *action
+          = action_add (actions, GP_LEASE_GRANTOR_ASK_VOUCH);
+
+      if (action == NULL)
+        return;
+      other->ask_id = grantor->next_ask++;
+      other->ask_sent = now;
+      action->u.ask.entry = i;
+      action->u.ask.id = other->ask_id;
+    }
+}
+
+/* The log's tail is known well enough to judge a guard.  */
+static bool
+log_current (const gp_lease_grantor_t *grantor, gp_time_t now)
+{
+  return grantor->fresh >= 0
+         && now - grantor->fresh < grantor->timing.length / LATE_PART;
+}
+
+static void
+fence_silent (gp_lease_grantor_t *grantor, gp_time_t now,
+              gp_lease_grantor_actions_t *actions)
+{
+  gp_time_t silence = grantor->timing.silence;
+
+  if (!log_current (grantor, now) || now - grantor->listening < silence)
+    return;
+  GP_LIST_FOREACH (pos, &grantor->by_heard)
+  {
+    gp_lease_guard_t *guard = GP_CONTAINER_OF (pos, gp_lease_guard_t, link);
+
+    if (now - guard->heard < silence)
+      return;
+    if (guard->fence_asked == guard->current)
+      continue;
+    if (!propose (actions, GP_LEASE_GRANTOR_FENCE, guard, guard->current))
+      return;
+    guard->fence_asked = guard->current;
+  }
+}
+
+static void
+act_on_fences (gp_lease_grantor_t *grantor, gp_time_t now,
+               gp_lease_grantor_actions_t *actions)
+{
+  GP_LIST_FOREACH (pos, &grantor->fenced)
+  {
+    gp_lease_guard_t *guard = GP_CONTAINER_OF (pos, gp_lease_guard_t, link);
+
+    if (guard->done_asked || now < guard->act_at)
+      continue;
+    if (!propose (actions, GP_LEASE_GRANTOR_FENCE_DONE, guard, guard->current))
+      return;
+    guard->done_asked = true;
+  }
+}
+
+void
+gp_lease_grantor_tick (gp_lease_grantor_t *grantor, gp_time_t now,
+                       gp_lease_grantor_actions_t *actions)
+{
+  check_pause (grantor, now);
+  ask_vouches (grantor, now, actions);
+  fence_silent (grantor, now, actions);
+  act_on_fences (grantor, now, actions);
+}
--- /dev/null
+++ b/src/coordination/lease_holder.c
@@ -0,0 +1,249 @@
+#include "coordination/lease_holder.h"
+
+/* A lease with less than length / EXPIRING_PART left is overdue.  */
+#define EXPIRING_PART 2
+/* Heartbeats come this much faster while there is no sound lease.  */
+#define URGENT_FACTOR 4
+/* Half the width of the jitter, as a part of the period.  */
+#define JITTER 0.25
+
+static gp_lease_holder_action_t *
+action_add (gp_lease_holder_actions_t *actions,
+            gp_lease_holder_action_kind_t kind)
+{
+  gp_lease_holder_action_t *action;
+
+  g_assert (actions->count < GP_LEASE_HOLDER_MAX_ACTIONS);
+  action = &actions->items[actions->count++];
+  action->kind = kind;
+  return action;
+}
+
+void
+gp_lease_holder_init (gp_lease_holder_t *holder,
+                      const gp_lease_timing_t *timing,
+                      gp_epoch_table_t *epochs, GRand *random,
+                      uint64_t incarnation, gp_time_t now)
+{
+  *holder = (gp_lease_holder_t){ .timing = *timing,
+                                 .random = random,
+                                 .epochs = epochs,
+                                 .state = GP_LEASE_NONE,
+                                 .incarnation = incarnation,
+                                 .next_incarnation = incarnation + 1,
+                                 .renew_at = now };
+}
+
+void
+gp_lease_holder_inherit (gp_lease_holder_t *holder, uint64_t predecessor,
+                         gp_time_t deadline, gp_time_t now)
+{
+  if (deadline <= now)
+    return;
+  holder->inherits = predecessor;
+  holder->deadline = deadline;
+  holder->state = GP_LEASE_HELD;
+}
+
+static void
+lose (gp_lease_holder_t *holder, gp_lease_state_t state,
+      gp_lease_holder_actions_t *actions)
+{
+  holder->state = state;
+  gp_epoch_table_end_all (holder->epochs);
+  action_add (actions, GP_LEASE_HOLDER_STOP_ALL);
+}
+
+/* The lease itself, before anything else.  */
+static void
+check_lease (gp_lease_holder_t *holder, gp_time_t now,
+             gp_lease_holder_actions_t *actions)
+{
+  if (!gp_lease_holder_held (holder))
+    return;
+  if (now >= holder->deadline)
+    lose (holder, GP_LEASE_LAPSED, actions);
+  else if (holder->deadline - now < holder->timing.length / EXPIRING_PART)
+    holder->state = GP_LEASE_EXPIRING;
+}
+
+static gp_time_t
+renewal_period (const gp_lease_holder_t *holder)
+{
+  gp_time_t period = holder->timing.heartbeat;
+
+  return holder->state == GP_LEASE_HELD ? period : period / URGENT_FACTOR;
+}
+
+static void
+renew (gp_lease_holder_t *holder, gp_time_t now,
+       gp_lease_holder_actions_t *actions)
+{
+  gp_lease_holder_action_t *action;
+  double jitter = g_rand_double_range (holder->random, -JITTER, JITTER);
+
+  holder->sequence++;
+  holder->sent_at[holder->sequence % GP_LEASE_HOLDER_SENT] = now;
+  holder->renew_at
+      = now + (gp_time_t)(renewal_period (holder) * (1.0 + jitter));
+  action = action_add (actions, GP_LEASE_HOLDER_RENEW);
+  action->u.renew.sequence = holder->sequence;
+  action->u.renew.held = gp_lease_holder_held (holder);
+}
+
+static bool
+stopping (const gp_lease_holder_t *holder)
+{
+  return holder->state == GP_LEASE_LAPSED || holder->state == GP_LEASE_FENCED;
+}
+
+void
+gp_lease_holder_check (gp_lease_holder_t *holder, gp_time_t now,
+                       gp_lease_holder_actions_t *actions)
+{
+  check_lease (holder, now, actions);
+  if (!stopping (holder) && now >= holder->renew_at)
+    renew (holder, now, actions);
+}
+
+/* When the heartbeat SEQUENCE was sent, or -1 if that is forgotten.  */
+static gp_time_t
+sent_time (const gp_lease_holder_t *holder, uint64_t sequence)
+{
+  if (sequence == 0 || sequence > holder->sequence)
+    return -1;
+  if (holder->sequence - sequence >= GP_LEASE_HOLDER_SENT)
+    return -1;
+  return holder->sent_at[sequence % GP_LEASE_HOLDER_SENT];
+}
+
+static void
+extend (gp_lease_holder_t *holder, const gp_lease_reply_t *reply,
+        gp_time_t now, gp_lease_holder_actions_t *actions)
+{
+  gp_time_t sent = sent_time (holder, reply->sequence);
+  gp_time_t deadline = sent + reply->remaining;
+
+  if (sent < 0 || reply->remaining <= 0 || deadline <= now)
+    return;
+  if (reply->vouched && !gp_lease_holder_held (holder))
+    return;
+  if (gp_lease_holder_held (holder) && deadline <= holder->deadline)
+    return;
+  holder->deadline = deadline;
+  holder->state = GP_LEASE_HELD;
+  action_add (actions, GP_LEASE_HOLDER_SET_DEADLINE)->u.deadline = deadline;
+  check_lease (holder, now, actions);
+}
+
+void
+gp_lease_holder_reply (gp_lease_holder_t *holder,
+                       const gp_lease_reply_t *reply, gp_time_t now,
+                       gp_lease_holder_actions_t *actions)
+{
+  check_lease (holder, now, actions);
+  if (stopping (holder) || reply->incarnation != holder->incarnation)
+    return;
+  if (reply->superseded_by >= holder->next_incarnation)
+    holder->next_incarnation = reply->superseded_by + 1;
+  if (reply->fenced || reply->superseded_by > holder->incarnation)
+    lose (holder, GP_LEASE_FENCED, actions);
+  else
+    extend (holder, reply, now, actions);
+}
+
+static void
+begin_incarnation (gp_lease_holder_t *holder, uint64_t inherits, gp_time_t now,
+                   gp_lease_holder_actions_t *actions)
+{
+  gp_lease_holder_action_t *action;
+
+  holder->incarnation = holder->next_incarnation++;
+  holder->inherits = inherits;
+  holder->renew_at = now;
+  gp_epoch_table_restart (holder->epochs);
+  action = action_add (actions, GP_LEASE_HOLDER_ANNOUNCE);
+  action->u.announce.incarnation = holder->incarnation;
+  action->u.announce.inherits = inherits;
+}
+
+void
+gp_lease_holder_stopped (gp_lease_holder_t *holder, gp_time_t now,
+                         gp_lease_holder_actions_t *actions)
+{
+  if (!stopping (holder))
+    return;
+  holder->state = GP_LEASE_NONE;
+  holder->deadline = 0;
+  begin_incarnation (holder, 0, now, actions);
+}
+
+void
+gp_lease_holder_recycle (gp_lease_holder_t *holder, gp_time_t now,
+                         gp_lease_holder_actions_t *actions)
+{
+  check_lease (holder, now, actions);
+  if (gp_lease_holder_held (holder))
+    begin_incarnation (holder, holder->incarnation, now, actions);
+}
+
+static bool
+may_start (const gp_lease_holder_t *holder, gp_time_t now)
+{
+  if (gp_epoch_table_full (holder->epochs))
+    return false;
+  if (!gp_lease_holder_held (holder))
+    return false;
+  return holder->deadline - now >= holder->timing.start_min;
+}
+
+gp_start_verdict_t
+gp_lease_holder_start (gp_lease_holder_t *holder, uint64_t task,
+                       uint64_t epoch, uint64_t incarnation, gp_time_t now,
+                       gp_lease_holder_actions_t *actions)
+{
+  gp_epoch_status_t status;
+
+  check_lease (holder, now, actions);
+  status = gp_epoch_table_status (holder->epochs, task, epoch);
+  if (status == GP_EPOCH_RUNNING)
+    return GP_START_DUPLICATE;
+  if (incarnation != holder->incarnation)
+    return GP_START_STALE;
+  if (status == GP_EPOCH_NEW && may_start (holder, now))
+    {
+      gp_epoch_table_set_running (holder->epochs, task, epoch);
+      return GP_START_ACCEPTED;
+    }
+  gp_epoch_table_set_ended (holder->epochs, task, epoch);
+  return GP_START_REFUSED;
+}
+
+gp_time_t
+gp_lease_holder_due (const gp_lease_holder_t *holder)
+{
+  if (stopping (holder))
+    return GP_TIME_NEVER;
+  if (gp_lease_holder_held (holder))
+    return MIN (holder->renew_at, holder->deadline);
+  return holder->renew_at;
+}
+
+const char *
+gp_lease_state_name (gp_lease_state_t state)
+{
+  switch (state)
+    {
+    case GP_LEASE_NONE:
+      return "none";
+    case GP_LEASE_HELD:
+      return "held";
+    case GP_LEASE_EXPIRING:
+      return "expiring";
+    case GP_LEASE_LAPSED:
+      return "lapsed";
+    case GP_LEASE_FENCED:
+      return "fenced";
+    }
+  return "?";
+}
