Add the transport: loop, peers with mutual TLS, HTTP server and client

Everything above needs framed connections between the site's own processes and HTTP towards callers, upstreams and the platform.

Peers are libuv streams with OpenSSL over memory BIOs and not h2o's sockets, whose TLS does not serve here. A trial client on h2o_socket_ssl_handshake accepted a TLS 1.3 server whose certificate names another host, and the installed library's code takes the empty read that libuv reports after a read that filled the buffer for an I/O error. HTTP is h2o's handler interface and its HTTP/1 client with a socket pool; each server has its own h2o context, as h2o keeps the bounds on body and time there.

--- /dev/null
+++ b/src/transport/http_client.c
@@ -0,0 +1,511 @@
+/* HTTP/1 client over h2o's client and socket pool.
+
+   A call waits in a list until one of the client's connections is free, is
+   then in the hands of h2o, and ends once.  h2o gives a connection back to
+   the pool only after its last callback for a call has returned; so the
+   next waiting call is started at the end of the phase, which finds that
+   connection in the pool.
+
+   h2o frees its side of a call when a callback returns a value that stops
+   it, and must not be told to from inside of one: IN_CALLBACK tells.  */
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "transport/address.h"
+#include "transport/http_header.h"
+
+typedef enum
+{
+  WAITING, /* for a connection */
+  ACTIVE,  /* with h2o */
+  ENDING,  /* its end is known and is reported at the end of the phase */
+  HELD,    /* it came whole, and the user has paused it */
+  DONE     /* reported */
+} call_state_t;
+
+struct gp_http_call
+{
+  gp_list_t link;
+  gp_http_client_t *client;
+  call_state_t state;
+  gp_http_call_callbacks_t callbacks;
+  void *data;
+  gp_timer_t timer;
+  gp_deferred_t ending;
+  GError *error;
+  h2o_http1client_t *h2o;
+  h2o_socket_cb reader; /* while it is paused */
+  bool sent;
+  bool is_head;
+  bool paused;
+  bool in_callback;
+  bool cancelled; /* inside a callback */
+  GString *head;
+  h2o_iovec_t request[2]; /* head and body */
+};
+
+struct gp_http_client
+{
+  gp_closer_t closer;
+  gp_loop_t *loop;
+  h2o_socketpool_t pool;
+  uv_timer_t end; /* its close tells that the closes before are done */
+  size_t max_connections;
+  size_t active;
+  bool closed;
+  gp_list_t waiting;
+  gp_list_t started;
+  gp_deferred_t start_next;
+  char address[GP_ADDRESS_TEXT_SIZE];
+};
+
+static gp_counter_t calls_total
+    = GP_COUNTER ("http_client_calls_total", "HTTP calls made.");
+static gp_counter_t failed_total
+    = GP_COUNTER ("http_client_failed_total", "HTTP calls that failed.");
+
+/* The end of a call.  */
+
+static void
+on_call_closed (uv_handle_t *handle)
+{
+  gp_http_call_t *call = handle->data;
+
+  g_string_free (call->head, TRUE);
+  g_clear_error (&call->error);
+  g_free (call);
+}
+
+static void
+discard (gp_http_call_t *call)
+{
+  call->state = DONE;
+  gp_list_remove (&call->link);
+  gp_deferred_cancel (&call->ending);
+  uv_close ((uv_handle_t *)&call->timer.uv, on_call_closed);
+}
+
+/* Report the end; ERROR, which may be NULL, is taken.  */
+static void
+finish (gp_http_call_t *call, GError *error)
+{
+  discard (call);
+  call->error = error;
+  if (error != NULL)
+    gp_counter_add (&failed_total, 1);
+  call->callbacks.on_done (error, call->sent, call->data);
+}
+
+static GError *
+call_error (const gp_http_call_t *call, gp_transport_error_t code,
+            const char *message)
+{
+  return g_error_new (GP_TRANSPORT_ERROR, (gint)code, "%s: %s",
+                      call->client->address, message);
+}
+
+/* CALL no longer holds a connection.  */
+static void
+release_connection (gp_http_call_t *call)
+{
+  call->h2o = NULL;
+  call->client->active--;
+  if (!call->client->closed)
+    gp_deferred_schedule (&call->client->start_next, call->client->loop);
+}
+
+/* End CALL later, with ERROR, which is taken.  */
+static void
+end_soon (gp_http_call_t *call, GError *error)
+{
+  call->state = ENDING;
+  call->error = error;
+  gp_deferred_schedule (&call->ending, call->client->loop);
+}
+
+static void
+on_ending (gp_deferred_t *deferred)
+{
+  gp_http_call_t *call = GP_CONTAINER_OF (deferred, gp_http_call_t, ending);
+  GError *error = call->error;
+
+  call->error = NULL;
+  finish (call, error);
+}
+
+/* Take the connection from CALL, from outside of h2o's callbacks.  */
+static void
+drop_connection (gp_http_call_t *call)
+{
+  h2o_http1client_t *h2o = call->h2o;
+
+  if (call->state != ACTIVE)
+    return;
+  if (call->in_callback)
+    {
+      call->cancelled = true;
+      return;
+    }
+  release_connection (call);
+  h2o_http1client_cancel (h2o);
+}
+
+static void
+on_deadline (gp_timer_t *timer, void *data)
+{
+  gp_http_call_t *call = data;
+
+  drop_connection (call);
+  finish (call, call_error (call, GP_TRANSPORT_ERROR_TIMEOUT, "timeout"));
+}
+
+/* What h2o calls.  */
+
+static int
+on_h2o_body (h2o_http1client_t *h2o, const char *failure)
+{
+  gp_http_call_t *call = h2o->data;
+  h2o_buffer_t **input = &h2o->sock->input;
+  size_t size = (*input)->size;
+  bool whole = failure == h2o_http1client_error_is_eos;
+  bool go_on = true;
+
+  if (failure != NULL && !whole)
+    {
+      release_connection (call);
+      finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED, failure));
+      return -1;
+    }
+  if (size > 0)
+    {
+      call->in_callback = true;
+      call->paused = true;
+      go_on = call->callbacks.on_body ((*input)->bytes, size, call->data);
+      call->in_callback = false;
+      if (call->cancelled)
+        {
+          release_connection (call);
+          return -1;
+        }
+      h2o_buffer_consume (input, size);
+    }
+  /* A resume from inside the callback counts.  */
+  call->paused = call->paused && !go_on;
+  if (whole)
+    {
+      release_connection (call);
+      if (call->paused)
+        call->state = HELD;
+      else
+        finish (call, NULL);
+    }
+  else if (call->paused)
+    {
+      call->reader = h2o->sock->_cb.read;
+      h2o_socket_read_stop (h2o->sock);
+    }
+  return 0;
+}
+
+static gp_http_header_t
+header_of (const h2o_header_t *header)
+{
+  return (gp_http_header_t){ .name = header->name->base,
+                             .name_size = header->name->len,
+                             .value = header->value.base,
+                             .value_size = header->value.len };
+}
+
+/* Whether the end of the body can be told from a cut.  */
+static bool
+has_framing (const h2o_header_t *headers, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (headers[i].name == &H2O_TOKEN_CONTENT_LENGTH->buf
+        || headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
+      return true;
+  return false;
+}
+
+static void
+report_head (gp_http_call_t *call, int status, const h2o_header_t *headers,
+             size_t count)
+{
+  gp_http_header_t converted[H2O_MAX_HEADERS];
+
+  count = MIN (count, H2O_MAX_HEADERS);
+  for (size_t i = 0; i < count; i++)
+    converted[i] = header_of (&headers[i]);
+  call->in_callback = true;
+  call->callbacks.on_head (status, converted, count, call->data);
+  call->in_callback = false;
+}
+
+static h2o_http1client_body_cb
+on_h2o_head (h2o_http1client_t *h2o, const char *failure, int minor_version,
+             int status, h2o_iovec_t message, h2o_header_t *headers,
+             size_t count, int head_size)
+{
+  gp_http_call_t *call = h2o->data;
+  bool bodiless = failure == h2o_http1client_error_is_eos;
+
+  if (failure == NULL && !has_framing (headers, count))
+    failure = "answer without a length";
+  if (failure != NULL && !bodiless)
+    {
+      release_connection (call);
+      finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED, failure));
+      return NULL;
+    }
+  report_head (call, status, headers, count);
+  if (call->cancelled || bodiless)
+    release_connection (call);
+  if (call->cancelled)
+    return NULL;
+  if (!bodiless)
+    return on_h2o_body;
+  finish (call, NULL);
+  return NULL;
+}
+
+static h2o_http1client_head_cb
+on_h2o_connect (h2o_http1client_t *h2o, const char *failure,
+                h2o_iovec_t **buffers, size_t *count, int *is_head)
+{
+  gp_http_call_t *call = h2o->data;
+  int on = 1;
+
+  if (failure != NULL)
+    {
+      release_connection (call);
+      end_soon (call, call_error (call, GP_TRANSPORT_ERROR_CONNECT, failure));
+      return NULL;
+    }
+  setsockopt (h2o_socket_get_fd (h2o->sock), IPPROTO_TCP, TCP_NODELAY, &on,
+              sizeof on);
+  call->sent = true;
+  *buffers = call->request;
+  *count = call->request[1].len > 0 ? 2 : 1;
+  *is_head = call->is_head;
+  return on_h2o_head;
+}
+
+/* Starting.  */
+
+static void
+start (gp_http_call_t *call)
+{
+  gp_http_client_t *client = call->client;
+
+  gp_list_remove (&call->link);
+  gp_list_push_back (&client->started, &call->link);
+  call->state = ACTIVE;
+  client->active++;
+  h2o_http1client_connect_with_pool (&call->h2o, call,
+                                     &client->loop->http_client, &client->pool,
+                                     on_h2o_connect);
+}
+
+static void
+on_start_next (gp_deferred_t *deferred)
+{
+  gp_http_client_t *client
+      = GP_CONTAINER_OF (deferred, gp_http_client_t, start_next);
+
+  while (client->active < client->max_connections
+         && !gp_list_empty (&client->waiting))
+    start (GP_CONTAINER_OF (client->waiting.next, gp_http_call_t, link));
+}
+
+static bool
+has_header (const gp_http_call_request_t *request, const char *name)
+{
+  for (size_t i = 0; i < request->header_count; i++)
+    if (h2o_memis (request->headers[i].name, request->headers[i].name_size,
+                   name, strlen (name)))
+      return true;
+  return false;
+}
+
+static void
+append_header (GString *head, const gp_http_header_t *header)
+{
+  if (gp_http_header_is_framing (header) || !gp_http_header_is_clean (header))
+    return;
+  g_string_append_len (head, header->name, (gssize)header->name_size);
+  g_string_append (head, ": ");
+  g_string_append_len (head, header->value, (gssize)header->value_size);
+  g_string_append (head, "\r\n");
+}
+
+static bool
+needs_length (const gp_http_call_request_t *request)
+{
+  return request->body_size > 0 || strcmp (request->method, "POST") == 0
+         || strcmp (request->method, "PUT") == 0;
+}
+
+static GString *
+write_head (const gp_http_client_t *client,
+            const gp_http_call_request_t *request)
+{
+  GString *head = g_string_sized_new (256);
+
+  g_string_append_printf (head, "%s %s HTTP/1.1\r\n", request->method,
+                          request->path);
+  if (!has_header (request, "host"))
+    g_string_append_printf (head, "host: %s\r\n", client->address);
+  for (size_t i = 0; i < request->header_count; i++)
+    append_header (head, &request->headers[i]);
+  if (needs_length (request))
+    g_string_append_printf (head, "content-length: %zu\r\n",
+                            request->body_size);
+  g_string_append (head, "\r\n");
+  return head;
+}
+
+gp_http_call_t *
+gp_http_client_call (gp_http_client_t *client,
+                     const gp_http_call_request_t *request,
+                     const gp_http_call_callbacks_t *callbacks, void *data)
+{
+  gp_http_call_t *call = g_new0 (gp_http_call_t, 1);
+
+  gp_counter_add (&calls_total, 1);
+  call->client = client;
+  call->callbacks = *callbacks;
+  call->data = data;
+  call->is_head = strcmp (request->method, "HEAD") == 0;
+  call->head = write_head (client, request);
+  call->request[0] = h2o_iovec_init (call->head->str, call->head->len);
+  call->request[1] = h2o_iovec_init (request->body, request->body_size);
+  gp_deferred_init (&call->ending, on_ending);
+  gp_timer_init (&call->timer, client->loop, on_deadline, call);
+  call->timer.uv.data = call;
+  gp_timer_arm (&call->timer, request->deadline);
+  gp_list_push_back (&client->waiting, &call->link);
+  gp_deferred_schedule (&client->start_next, client->loop);
+  return call;
+}
+
+void
+gp_http_call_resume (gp_http_call_t *call)
+{
+  if (!call->paused)
+    return;
+  call->paused = false;
+  if (call->state == HELD)
+    end_soon (call, NULL);
+  else if (call->state == ACTIVE && !call->in_callback)
+    h2o_socket_read_start (call->h2o->sock, call->reader);
+}
+
+void
+gp_http_call_cancel (gp_http_call_t *call)
+{
+  if (call->state == DONE)
+    return;
+  drop_connection (call);
+  discard (call);
+}
+
+/* The client.  */
+
+static void
+on_closer (gp_closer_t *closer)
+{
+  gp_http_client_free (GP_CONTAINER_OF (closer, gp_http_client_t, closer));
+}
+
+gp_http_client_t *
+gp_http_client_new (gp_loop_t *loop, const gp_http_client_options_t *options,
+                    GError **error)
+{
+  struct sockaddr_storage address;
+  gp_http_client_t *client;
+
+  if (!gp_address_parse (options->address, &address, error))
+    return NULL;
+  gp_counter_register (&calls_total);
+  gp_counter_register (&failed_total);
+  client = g_new0 (gp_http_client_t, 1);
+  client->loop = loop;
+  client->max_connections = options->max_connections;
+  gp_address_format (&address, client->address, sizeof client->address);
+  gp_list_init (&client->waiting);
+  gp_list_init (&client->started);
+  gp_deferred_init (&client->start_next, on_start_next);
+  uv_timer_init (&loop->uv, &client->end);
+  client->end.data = client;
+  h2o_socketpool_init_by_address (&client->pool, (struct sockaddr *)&address,
+                                  gp_address_size (&address), 0,
+                                  options->max_connections);
+  h2o_socketpool_set_timeout (&client->pool, &loop->uv,
+                              (uint64_t)(options->idle_timeout / GP_MSEC));
+  gp_closer_add (&client->closer, loop, on_closer, NULL);
+  return client;
+}
+
+static void
+on_pool_closed (uv_handle_t *handle)
+{
+  gp_http_client_t *client = handle->data;
+
+  g_free (client);
+}
+
+static void
+close_end_again (gp_http_client_t *client, uv_close_cb cb)
+{
+  uv_timer_init (&client->loop->uv, &client->end);
+  uv_close ((uv_handle_t *)&client->end, cb);
+}
+
+static void
+on_pool_closing (uv_handle_t *handle)
+{
+  close_end_again (handle->data, on_pool_closed);
+}
+
+/* h2o has let go of the last call.  The pool closes a timer in its own
+   memory; END is closed in the same turn, in an order not told, and then
+   once more.  */
+static void
+on_calls_closed (uv_handle_t *handle)
+{
+  gp_http_client_t *client = handle->data;
+
+  h2o_socketpool_dispose (&client->pool);
+  close_end_again (client, on_pool_closing);
+}
+
+static void
+end_all (gp_list_t *calls)
+{
+  while (!gp_list_empty (calls))
+    {
+      gp_http_call_t *call
+          = GP_CONTAINER_OF (calls->next, gp_http_call_t, link);
+
+      drop_connection (call);
+      g_clear_error (&call->error);
+      finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED,
+                                "the client is closed"));
+    }
+}
+
+void
+gp_http_client_free (gp_http_client_t *client)
+{
+  if (client == NULL || client->closed)
+    return;
+  client->closed = true;
+  gp_closer_remove (&client->closer);
+  end_all (&client->waiting);
+  end_all (&client->started);
+  gp_deferred_cancel (&client->start_next);
+  uv_close ((uv_handle_t *)&client->end, on_calls_closed);
+}
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -1,5 +1,10 @@
-/* The event loop of a process: one thread, one libuv loop, and the h2o
-   context that HTTP servers and clients share.  */
+/* The event loop of a process: one thread, one libuv loop, and what all HTTP
+   clients share.
+
+   A turn of the loop runs its callbacks in phases (timers, descriptors,
+   closed handles).  At the end of a phase, before the loop waits, it runs
+   the deferred calls: what must not happen inside a caller's call, and what
+   is done once for many calls of a phase.  */
 
 #ifndef GP_TRANSPORT_LOOP_H
 #define GP_TRANSPORT_LOOP_H
@@ -9,30 +14,61 @@
 #include <stdbool.h>
 #include <uv.h>
 
+#include "base/list.h"
 #include "base/time.h"
 
 typedef struct gp_loop gp_loop_t;
 typedef struct gp_timer gp_timer_t;
+typedef struct gp_deferred gp_deferred_t;
+typedef struct gp_closer gp_closer_t;
 
 typedef void (*gp_timer_cb_t) (gp_timer_t *timer, void *data);
 
+/* A call put off to the end of this phase, on memory of the caller.  */
+struct gp_deferred
+{
+  gp_list_t link;
+  void (*cb) (gp_deferred_t *deferred);
+};
+
+/* Something of the transport that gp_loop_finish closes when its owner has
+   not: CLOSE lets go of its handles; DISPOSE, which may be NULL, frees it
+   once the loop has none left.  */
+struct gp_closer
+{
+  gp_list_t link;
+  void (*close) (gp_closer_t *closer);
+  void (*dispose) (gp_closer_t *closer);
+};
+
 struct gp_loop
 {
   uv_loop_t uv;
-  h2o_globalconf_t h2o_config;
-  h2o_context_t h2o;
+  h2o_http1client_ctx_t http_client;
+  h2o_timeout_t http_client_timeout;
   uv_signal_t sigterm;
   uv_signal_t sigint;
+  uv_prepare_t before_wait;
+  uv_check_t after_wait;
+  gp_list_t deferred;
+  gp_list_t closers;
+  gp_time_t now;
+  uint64_t now_uv;    /* uv_now when NOW was read, 0: to be read again */
+  void *read_buffer;  /* shared by all peers, see GP_LOOP_BUFFER_SIZE */
+  void *plain_buffer; /* the same after decryption */
   void (*on_stop) (void *data);
   void *stop_data;
 };
 
+#define GP_LOOP_BUFFER_SIZE ((size_t)64 * 1024)
+
 /* A one-shot timer on memory of the caller; armed again from its callback
    when it is to repeat.  */
 struct gp_timer
 {
   uv_timer_t uv;
   gp_loop_t *loop;
+  gp_time_t deadline;
   gp_timer_cb_t cb;
   void *data;
 };
@@ -51,6 +87,18 @@
 void gp_loop_on_signal (gp_loop_t *loop, void (*on_stop) (void *data),
                         void *data);
 
+/* Run DEFERRED once at the end of this phase; harmless when it is already
+   scheduled or not scheduled.  */
+void gp_deferred_init (gp_deferred_t *deferred,
+                       void (*cb) (gp_deferred_t *deferred));
+void gp_deferred_schedule (gp_deferred_t *deferred, gp_loop_t *loop);
+void gp_deferred_cancel (gp_deferred_t *deferred);
+
+void gp_closer_add (gp_closer_t *closer, gp_loop_t *loop,
+                    void (*close) (gp_closer_t *closer),
+                    void (*dispose) (gp_closer_t *closer));
+void gp_closer_remove (gp_closer_t *closer);
+
 /* The time of this turn of the loop, refreshed once a turn.  */
 gp_time_t gp_loop_now (gp_loop_t *loop);
 
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -21,7 +21,7 @@
 #include "transport/tls.h"
 
 #define GP_FRAME_HEADER_SIZE 4
-#define GP_FRAME_MAX_SIZE (1024 * 1024)
+#define GP_FRAME_MAX_SIZE ((size_t)1024 * 1024)
 
 typedef struct gp_peer gp_peer_t;
 typedef struct gp_peer_server gp_peer_server_t;
--- /dev/null
+++ b/src/transport/tls.c
@@ -0,0 +1,219 @@
+/* The security context of a process and the TLS state of a connection.
+
+   The name is checked by OpenSSL during the handshake on both sides, as a
+   parameter of the verification, so there is no moment at which a peer of
+   another name counts as verified.  Resumption is off: connections live
+   long, and each one is verified in full.  */
+
+#include "transport/tls.h"
+
+#include <limits.h>
+#include <openssl/err.h>
+#include <openssl/x509v3.h>
+
+#include "base/error.h"
+
+#define ERROR_TEXT_SIZE 256
+
+struct gp_tls
+{
+  SSL_CTX *context;
+};
+
+static void
+set_error (GError **error, const char *what)
+{
+  unsigned long code = ERR_peek_last_error ();
+  char text[ERROR_TEXT_SIZE] = "unexpected end";
+
+  if (code != 0)
+    ERR_error_string_n (code, text, sizeof text);
+  g_set_error (error, GP_TRANSPORT_ERROR, GP_TRANSPORT_ERROR_TLS, "%s: %s",
+               what, text);
+}
+
+static SSL_CTX *
+new_context (void)
+{
+  SSL_CTX *context = SSL_CTX_new (TLS_method ());
+  X509_VERIFY_PARAM *param;
+
+  if (context == NULL)
+    return NULL;
+  param = SSL_CTX_get0_param (context);
+  SSL_CTX_set_min_proto_version (context, TLS1_2_VERSION);
+  SSL_CTX_set_verify (context,
+                      SSL_VERIFY_PEER | SSL_VERIFY_FAIL_IF_NO_PEER_CERT, NULL);
+  SSL_CTX_set_session_cache_mode (context, SSL_SESS_CACHE_OFF);
+  SSL_CTX_set_options (context, SSL_OP_NO_TICKET | SSL_OP_NO_RENEGOTIATION);
+  SSL_CTX_set_num_tickets (context, 0);
+  SSL_CTX_set_mode (context, SSL_MODE_RELEASE_BUFFERS);
+  if (X509_VERIFY_PARAM_set1_host (param, GP_TLS_SITE_NAME, 0) == 1)
+    return context;
+  SSL_CTX_free (context);
+  return NULL;
+}
+
+static bool
+load_files (SSL_CTX *context, const char *authority, const char *certificate,
+            const char *key, GError **error)
+{
+  if (SSL_CTX_load_verify_file (context, authority) != 1)
+    {
+      set_error (error, authority);
+      return false;
+    }
+  if (SSL_CTX_use_certificate_chain_file (context, certificate) != 1)
+    {
+      set_error (error, certificate);
+      return false;
+    }
+  if (SSL_CTX_use_PrivateKey_file (context, key, SSL_FILETYPE_PEM) != 1
+      || SSL_CTX_check_private_key (context) != 1)
+    {
+      set_error (error, key);
+      return false;
+    }
+  return true;
+}
+
+gp_tls_t *
+gp_tls_new (const char *authority, const char *certificate, const char *key,
+            GError **error)
+{
+  SSL_CTX *context;
+  gp_tls_t *tls;
+
+  ERR_clear_error ();
+  context = new_context ();
+  if (context == NULL)
+    {
+      set_error (error, "TLS context");
+      return NULL;
+    }
+  if (!load_files (context, authority, certificate, key, error))
+    {
+      SSL_CTX_free (context);
+      return NULL;
+    }
+  tls = g_new0 (gp_tls_t, 1);
+  tls->context = context;
+  return tls;
+}
+
+void
+gp_tls_free (gp_tls_t *tls)
+{
+  if (tls == NULL)
+    return;
+  SSL_CTX_free (tls->context);
+  g_free (tls);
+}
+
+bool
+gp_secure_init (gp_secure_t *secure, gp_tls_t *tls, bool server)
+{
+  secure->ssl = SSL_new (tls->context);
+  secure->from_peer = BIO_new (BIO_s_mem ());
+  secure->to_peer = BIO_new (BIO_s_mem ());
+  if (secure->ssl == NULL || secure->from_peer == NULL
+      || secure->to_peer == NULL)
+    {
+      BIO_free (secure->from_peer);
+      BIO_free (secure->to_peer);
+      SSL_free (secure->ssl);
+      secure->ssl = NULL;
+      return false;
+    }
+  BIO_set_mem_eof_return (secure->from_peer, -1);
+  SSL_set_bio (secure->ssl, secure->from_peer, secure->to_peer);
+  if (server)
+    SSL_set_accept_state (secure->ssl);
+  else
+    SSL_set_connect_state (secure->ssl);
+  return true;
+}
+
+void
+gp_secure_finish (gp_secure_t *secure)
+{
+  SSL_free (secure->ssl);
+  secure->ssl = NULL;
+}
+
+void
+gp_secure_feed (gp_secure_t *secure, const void *bytes, size_t size)
+{
+  g_assert (size <= INT_MAX);
+  BIO_write (secure->from_peer, bytes, (int)size);
+}
+
+/* The meaning of RC of the last call on SECURE, which was WHAT.  */
+static gp_secure_result_t
+result (gp_secure_t *secure, int rc, const char *what, GError **error)
+{
+  switch (SSL_get_error (secure->ssl, rc))
+    {
+    case SSL_ERROR_NONE:
+      return GP_SECURE_DONE;
+    case SSL_ERROR_WANT_READ:
+    case SSL_ERROR_WANT_WRITE:
+      return GP_SECURE_WAIT;
+    case SSL_ERROR_ZERO_RETURN:
+      return GP_SECURE_CLOSED;
+    default:
+      set_error (error, what);
+      return GP_SECURE_FAILED;
+    }
+}
+
+gp_secure_result_t
+gp_secure_handshake (gp_secure_t *secure, GError **error)
+{
+  ERR_clear_error ();
+  return result (secure, SSL_do_handshake (secure->ssl), "TLS handshake",
+                 error);
+}
+
+gp_secure_result_t
+gp_secure_read (gp_secure_t *secure, void *buffer, size_t size, size_t *got,
+                GError **error)
+{
+  int rc;
+
+  ERR_clear_error ();
+  rc = SSL_read_ex (secure->ssl, buffer, size, got);
+  return result (secure, rc, "TLS", error);
+}
+
+bool
+gp_secure_write (gp_secure_t *secure, const void *bytes, size_t size)
+{
+  size_t written = 0;
+
+  ERR_clear_error ();
+  return SSL_write_ex (secure->ssl, bytes, size, &written) == 1
+         && written == size;
+}
+
+void
+gp_secure_shutdown (gp_secure_t *secure)
+{
+  ERR_clear_error ();
+  if (SSL_is_init_finished (secure->ssl))
+    SSL_shutdown (secure->ssl);
+}
+
+size_t
+gp_secure_pending (const gp_secure_t *secure)
+{
+  return BIO_ctrl_pending (secure->to_peer);
+}
+
+size_t
+gp_secure_take (gp_secure_t *secure, void *buffer, size_t size)
+{
+  int got = BIO_read (secure->to_peer, buffer, (int)MIN (size, INT_MAX));
+
+  return got > 0 ? (size_t)got : 0;
+}
