--- a/Makefile
+++ b/Makefile
@@ -66,11 +66,11 @@
 
 $(BUILD)/src/protocol/generated/%.o: src/protocol/generated/%.c
 	@mkdir -p $(@D)
-	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -c -o $@ $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -c -o $@ $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
 $(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o $(LIB)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
--- a/src/base/address.c
+++ b/src/base/address.c
@@ -89,3 +89,26 @@
     return IN6_IS_ADDR_UNSPECIFIED (&v6->sin6_addr);
   return v4->sin_addr.s_addr == htonl (INADDR_ANY);
 }
+
+socklen_t
+gp_address_size (const struct sockaddr_storage *address)
+{
+  return address->ss_family == AF_INET6 ? sizeof (struct sockaddr_in6)
+                                        : sizeof (struct sockaddr_in);
+}
+
+void
+gp_address_format (const struct sockaddr_storage *address, char *text,
+                   size_t size)
+{
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *)address;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)address;
+  char host[INET6_ADDRSTRLEN] = "";
+
+  if (address->ss_family == AF_INET6)
+    inet_ntop (AF_INET6, &v6->sin6_addr, host, sizeof host);
+  else
+    inet_ntop (AF_INET, &v4->sin_addr, host, sizeof host);
+  g_snprintf (text, size, address->ss_family == AF_INET6 ? "[%s]:%d" : "%s:%d",
+              host, gp_address_port (address));
+}
