Carry requests from entries to the upstream at the guard

Cause: the guard had decisions but nobody to carry them out. Change: executions: gather a body, submit to admission, call the upstream, answer whole or in parts under a window, verdicts NOT_RUN, RAN, UNKNOWN. Conclusion: a slot stays taken until the upstream ends the request.

--- /dev/null
+++ b/src/daemon/execution.c
@@ -0,0 +1,851 @@
+/* Requests at a guard.
+
+   States of an execution, besides those of admission:
+
+     gathering   the body is not whole, admission does not know it
+     queued      submitted
+     running     the call to the upstream is open
+     unanswered  running, but the verdict was given at the deadline
+
+   An execution is freed when admission is done with it and the call is
+   over.  SET is NULL once nobody is to be answered.  */
+
+#include "daemon/execution.h"
+
+#include <string.h>
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "daemon/text.h"
+
+#define MAX_BUFFERED ((size_t)64 * 1024 * 1024)
+#define MAX_BODY_SIZE ((size_t)32 * 1024 * 1024)
+#define UPSTREAM_IDLE_TIMEOUT (30 * GP_SEC)
+#define QUEUE_PER_SLOT 16
+#define DECLARED_SERVICE_TIME (5 * GP_MSEC)
+#define RESERVE_DURATION (1 * GP_SEC)
+
+typedef struct
+{
+  gp_admission_request_t admission;
+  gp_heap_node_t started; /* in executor->started while UNDER_DEADLINE */
+  gp_list_t blocked;
+  gp_executor_t *executor;
+  gp_execution_set_t *set;
+  uint64_t id;
+  char *method;
+  char *path;
+  gp_http_header_t *headers;
+  size_t header_count;
+  char *header_text;
+  GByteArray *body;
+  uint64_t body_size;
+  gp_http_call_t *call;
+  bool submitted;
+  bool under_deadline;
+  bool head_sent;
+  bool paused;
+  int status;
+  int64_t content_length;
+  GByteArray *held; /* packed Answer with its head, see hold_head */
+  GByteArray *held_body;
+  int64_t window;
+} gp_execution_t;
+
+static gp_counter_t requests_received = GP_COUNTER (
+    "guard_requests_received_total", "Requests received from entries.");
+static gp_counter_t requests_started = GP_COUNTER (
+    "guard_requests_started_total", "Requests sent to the upstream.");
+static gp_counter_t requests_refused = GP_COUNTER (
+    "guard_requests_refused_total", "Requests refused as not run.");
+static gp_counter_t requests_ran
+    = GP_COUNTER ("guard_requests_ran_total", "Requests with an answer.");
+static gp_counter_t requests_unknown = GP_COUNTER (
+    "guard_requests_unknown_total", "Requests whose outcome is not known.");
+static gp_counter_t answers_broken
+    = GP_COUNTER ("guard_answers_broken_total", "Answers that ended early.");
+static gp_counter_t slots_running
+    = GP_GAUGE ("guard_slots_running", "Slots in use.");
+static gp_counter_t requests_queued
+    = GP_GAUGE ("guard_requests_queued", "Requests that wait for a slot.");
+
+static void take_actions (gp_executor_t *executor);
+
+/* Answers.  */
+
+void
+gp_executor_load (const gp_executor_t *executor, Gp__Wire__Load *load)
+{
+  const gp_admission_t *a = &executor->admission;
+
+  load->running = a->running[GP_ADMISSION_LATENCY_CRITICAL]
+                  + a->running[GP_ADMISSION_BATCH];
+  load->queued = a->queued[GP_ADMISSION_LATENCY_CRITICAL]
+                 + a->queued[GP_ADMISSION_BATCH];
+}
+
+static void
+fill_load (const gp_execution_t *execution, Gp__Wire__Load *load)
+{
+  gp_executor_load (execution->executor, load);
+  if (execution->admission.kind != NULL)
+    load->latency_us = (uint32_t)execution->admission.kind->service_time.mean;
+}
+
+static void
+send_verdict (gp_execution_set_t *set, uint64_t id, Gp__Wire__Verdict verdict,
+              Gp__Wire__Reason reason, gp_time_t retry_after)
+{
+  Gp__Wire__Answer answer = GP__WIRE__ANSWER__INIT;
+  Gp__Wire__Load load = GP__WIRE__LOAD__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANSWER, answer, &answer);
+
+  answer.id = id;
+  answer.verdict = verdict;
+  answer.reason = reason;
+  answer.last = true;
+  answer.retry_after_ms = (uint32_t)MAX (retry_after / GP_MSEC, 0);
+  gp_executor_load (set->executor, &load);
+  answer.load = &load;
+  gp_session_send (set->session, &envelope);
+}
+
+/* Forget the entry: what comes now from the upstream is dropped.  */
+static void
+detach (gp_execution_t *execution)
+{
+  gp_executor_t *executor = execution->executor;
+
+  if (execution->under_deadline)
+    {
+      gp_heap_remove (&executor->started, &execution->started);
+      execution->under_deadline = false;
+    }
+  if (execution->set == NULL)
+    return;
+  gp_list_remove (&execution->blocked);
+  g_hash_table_remove (execution->set->by_id, &execution->id);
+  execution->set = NULL;
+  if (execution->paused && execution->call != NULL)
+    {
+      execution->paused = false;
+      gp_http_call_resume (execution->call);
+    }
+}
+
+static void
+give_verdict (gp_execution_t *execution, Gp__Wire__Verdict verdict,
+              Gp__Wire__Reason reason, gp_time_t retry_after)
+{
+  if (verdict == GP__WIRE__VERDICT__VERDICT_UNKNOWN)
+    gp_counter_add (&requests_unknown, 1);
+  else
+    gp_counter_add (&requests_refused, 1);
+  if (execution->set != NULL)
+    send_verdict (execution->set, execution->id, verdict, reason, retry_after);
+  detach (execution);
+}
+
+static void
+give_broken (gp_execution_t *execution, Gp__Wire__Reason reason)
+{
+  Gp__Wire__Broken broken = GP__WIRE__BROKEN__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (BROKEN, broken, &broken);
+
+  gp_counter_add (&answers_broken, 1);
+  broken.id = execution->id;
+  broken.reason = reason;
+  if (execution->set != NULL)
+    gp_session_send (execution->set->session, &envelope);
+  detach (execution);
+}
+
+static void
+release_body (gp_execution_t *execution)
+{
+  execution->executor->buffered -= execution->body_size;
+  execution->body_size = 0;
+  g_byte_array_set_size (execution->body, 0);
+}
+
+static void
+execution_free (gp_execution_t *execution)
+{
+  gp_executor_t *executor = execution->executor;
+
+  detach (execution);
+  release_body (execution);
+  g_free (execution->method);
+  g_free (execution->path);
+  g_free (execution->headers);
+  g_free (execution->header_text);
+  g_byte_array_unref (execution->body);
+  if (execution->held != NULL)
+    g_byte_array_unref (execution->held);
+  if (execution->held_body != NULL)
+    g_byte_array_unref (execution->held_body);
+  g_free (execution);
+  executor->open--;
+}
+
+/* The upstream's answer.  */
+
+/* Keep the head until the body is whole, so that a small answer is one
+   frame.  */
+static void
+hold_head (gp_execution_t *execution, const Gp__Wire__Answer *head)
+{
+  size_t size = gp__wire__answer__get_packed_size (head);
+
+  execution->held = g_byte_array_sized_new ((guint)size);
+  g_byte_array_set_size (execution->held, (guint)size);
+  gp__wire__answer__pack (head, execution->held->data);
+  execution->held_body
+      = g_byte_array_sized_new ((guint)execution->content_length);
+}
+
+static void
+send_head (gp_execution_t *execution, const Gp__Wire__Answer *head)
+{
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (ANSWER, answer, (Gp__Wire__Answer *)head);
+
+  execution->head_sent = true;
+  if (execution->set != NULL)
+    gp_session_send (execution->set->session, &envelope);
+}
+
+static int64_t
+find_content_length (const gp_http_header_t *headers, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (headers[i].name_size == strlen ("content-length")
+        && g_ascii_strncasecmp (headers[i].name, "content-length",
+                                headers[i].name_size)
+               == 0)
+      return gp_text_number (
+          (gp_http_text_t){ headers[i].value, headers[i].value_size }, -1);
+  return -1;
+}
+
+static void
+on_head (int status, const gp_http_header_t *headers, size_t count, void *data)
+{
+  gp_execution_t *execution = data;
+  Gp__Wire__Answer head = GP__WIRE__ANSWER__INIT;
+  Gp__Wire__Load load = GP__WIRE__LOAD__INIT;
+  gp_wire_headers_t wire;
+
+  execution->content_length = find_content_length (headers, count);
+  gp_wire_headers_from_http (&wire, headers, count);
+  fill_load (execution, &load);
+  head.id = execution->id;
+  head.verdict = GP__WIRE__VERDICT__VERDICT_RAN;
+  head.status = (uint32_t)status;
+  head.headers = wire.pointers;
+  head.n_headers = wire.count;
+  head.content_length = execution->content_length;
+  head.load = &load;
+  if (execution->content_length >= 0
+      && execution->content_length <= GP_PART_SIZE)
+    hold_head (execution, &head);
+  else
+    send_head (execution, &head);
+}
+
+static void
+send_part (gp_execution_t *execution, const void *bytes, size_t size,
+           bool last)
+{
+  Gp__Wire__Part part = GP__WIRE__PART__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANSWER_PART, answer_part, &part);
+
+  part.id = execution->id;
+  part.data.data = (uint8_t *)bytes;
+  part.data.len = size;
+  part.last = last;
+  gp_session_send (execution->set->session, &envelope);
+  execution->window -= (int64_t)size;
+}
+
+static void
+send_parts (gp_execution_t *execution, const uint8_t *bytes, size_t size)
+{
+  while (size > 0)
+    {
+      size_t part = MIN (size, (size_t)GP_PART_SIZE);
+
+      send_part (execution, bytes, part, false);
+      bytes += part;
+      size -= part;
+    }
+}
+
+static bool
+may_continue (gp_execution_t *execution)
+{
+  gp_execution_set_t *set = execution->set;
+
+  if (execution->window <= 0)
+    return false;
+  if (!gp_peer_congested (set->session->peer))
+    return true;
+  gp_list_push_back (&set->blocked, &execution->blocked);
+  return false;
+}
+
+static bool
+on_body (const void *bytes, size_t size, void *data)
+{
+  gp_execution_t *execution = data;
+
+  if (execution->set == NULL)
+    return true;
+  if (!execution->head_sent)
+    {
+      g_byte_array_append (execution->held_body, bytes, (guint)size);
+      return true;
+    }
+  send_parts (execution, bytes, size);
+  execution->paused = !may_continue (execution);
+  return !execution->paused;
+}
+
+static void
+send_held (gp_execution_t *execution)
+{
+  Gp__Wire__Answer *answer = gp__wire__answer__unpack (
+      NULL, execution->held->len, execution->held->data);
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANSWER, answer, answer);
+
+  answer->data.data = execution->held_body->data;
+  answer->data.len = execution->held_body->len;
+  answer->last = true;
+  gp_executor_load (execution->executor, answer->load);
+  gp_session_send (execution->set->session, &envelope);
+  answer->data.data = NULL;
+  answer->data.len = 0;
+  gp__wire__answer__free_unpacked (answer, NULL);
+}
+
+static void
+complete_answer (gp_execution_t *execution)
+{
+  gp_counter_add (&requests_ran, 1);
+  if (execution->set == NULL)
+    return;
+  if (execution->head_sent)
+    send_part (execution, NULL, 0, true);
+  else
+    send_held (execution);
+  detach (execution);
+}
+
+static void
+fail_answer (gp_execution_t *execution, bool sent)
+{
+  if (execution->head_sent)
+    give_broken (execution, GP__WIRE__REASON__REASON_UPSTREAM);
+  else if (sent)
+    give_verdict (execution, GP__WIRE__VERDICT__VERDICT_UNKNOWN,
+                  GP__WIRE__REASON__REASON_UPSTREAM, 0);
+  else
+    give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                  GP__WIRE__REASON__REASON_CONNECT, 0);
+}
+
+static void
+on_done (const GError *error, bool sent, void *data)
+{
+  gp_execution_t *execution = data;
+  gp_executor_t *executor = execution->executor;
+  gp_time_t now = gp_loop_now (executor->loop);
+
+  execution->call = NULL;
+  gp_admission_finish (
+      &executor->admission, &execution->admission,
+      error == NULL ? GP_ADMISSION_ANSWERED : GP_ADMISSION_FAILED, false, now);
+  gp_admission_close_connection (&executor->admission, false, now);
+  if (error == NULL)
+    complete_answer (execution);
+  else
+    fail_answer (execution, sent);
+  execution_free (execution);
+  take_actions (executor);
+}
+
+static const gp_http_call_callbacks_t call_callbacks = {
+  .on_head = on_head,
+  .on_body = on_body,
+  .on_done = on_done,
+};
+
+/* Admission.  */
+
+static void
+start (gp_execution_t *execution)
+{
+  gp_executor_t *executor = execution->executor;
+  gp_http_call_request_t request = {
+    .method = execution->method,
+    .path = execution->path,
+    .headers = execution->headers,
+    .header_count = execution->header_count,
+    .body = execution->body->data,
+    .body_size = execution->body->len,
+    .deadline = GP_TIME_NEVER,
+  };
+
+  gp_counter_add (&requests_started, 1);
+  execution->call = gp_http_client_call (executor->client, &request,
+                                         &call_callbacks, execution);
+  execution->under_deadline = true;
+  gp_heap_insert (&executor->started, &execution->started);
+}
+
+static Gp__Wire__Reason
+wire_reason (gp_admission_reason_t reason)
+{
+  switch (reason)
+    {
+    case GP_ADMISSION_QUEUE_FULL:
+      return GP__WIRE__REASON__REASON_QUEUE_FULL;
+    case GP_ADMISSION_DEADLINE:
+      return GP__WIRE__REASON__REASON_DEADLINE;
+    case GP_ADMISSION_LEAVING:
+      return GP__WIRE__REASON__REASON_LEAVING;
+    case GP_ADMISSION_CANCELLED:
+      return GP__WIRE__REASON__REASON_CANCELLED;
+    case GP_ADMISSION_LIMIT:
+      return GP__WIRE__REASON__REASON_LIMIT;
+    }
+  g_assert_not_reached ();
+}
+
+static void
+refuse (gp_execution_t *execution, gp_time_t now)
+{
+  const gp_admission_request_t *request = &execution->admission;
+
+  give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                wire_reason (request->reason), request->retry_at - now);
+  execution_free (execution);
+}
+
+static gp_time_t
+next_deadline (const gp_executor_t *executor)
+{
+  gp_time_t deadline = gp_admission_next_deadline (&executor->admission);
+  const gp_heap_node_t *first = gp_heap_first (&executor->started);
+
+  if (first != NULL)
+    deadline = MIN (
+        deadline,
+        GP_CONTAINER_OF (first, gp_execution_t, started)->admission.deadline);
+  return deadline;
+}
+
+static void
+check_drained (gp_executor_t *executor)
+{
+  void (*on_drained) (void *data) = executor->on_drained;
+
+  if (on_drained == NULL || executor->open > 0)
+    return;
+  executor->on_drained = NULL;
+  on_drained (executor->data);
+}
+
+static void
+take_actions (gp_executor_t *executor)
+{
+  gp_time_t now = gp_loop_now (executor->loop);
+  gp_time_t deadline;
+  gp_admission_request_t *request;
+  Gp__Wire__Load load = GP__WIRE__LOAD__INIT;
+
+  while ((request = gp_admission_next_action (&executor->admission)) != NULL)
+    {
+      gp_execution_t *execution
+          = GP_CONTAINER_OF (request, gp_execution_t, admission);
+
+      if (request->state == GP_ADMISSION_STARTED)
+        start (execution);
+      else
+        refuse (execution, now);
+    }
+  gp_executor_load (executor, &load);
+  gp_counter_set (&slots_running, load.running);
+  gp_counter_set (&requests_queued, load.queued);
+  deadline = next_deadline (executor);
+  if (deadline == GP_TIME_NEVER)
+    gp_timer_disarm (&executor->timer);
+  else
+    gp_timer_arm (&executor->timer, deadline);
+  check_drained (executor);
+}
+
+/* Tell the entries of started requests whose deadline has passed; their
+   slots stay taken.  */
+static void
+expire_started (gp_executor_t *executor, gp_time_t now)
+{
+  gp_heap_node_t *first;
+
+  while ((first = gp_heap_first (&executor->started)) != NULL)
+    {
+      gp_execution_t *execution
+          = GP_CONTAINER_OF (first, gp_execution_t, started);
+
+      if (execution->admission.deadline > now)
+        return;
+      if (execution->head_sent)
+        give_broken (execution, GP__WIRE__REASON__REASON_DEADLINE);
+      else
+        give_verdict (execution, GP__WIRE__VERDICT__VERDICT_UNKNOWN,
+                      GP__WIRE__REASON__REASON_DEADLINE, 0);
+    }
+}
+
+static void
+on_timer (gp_timer_t *timer, void *data)
+{
+  gp_executor_t *executor = data;
+  gp_time_t now = gp_loop_now (executor->loop);
+
+  (void)timer;
+  gp_admission_advance (&executor->admission, now);
+  expire_started (executor, now);
+  take_actions (executor);
+}
+
+static bool
+started_before (const gp_heap_node_t *a, const gp_heap_node_t *b)
+{
+  const gp_execution_t *x = GP_CONTAINER_OF (a, gp_execution_t, started);
+  const gp_execution_t *y = GP_CONTAINER_OF (b, gp_execution_t, started);
+
+  return x->admission.deadline < y->admission.deadline;
+}
+
+static void
+register_counters (void)
+{
+  gp_counter_register (&requests_received);
+  gp_counter_register (&requests_started);
+  gp_counter_register (&requests_refused);
+  gp_counter_register (&requests_ran);
+  gp_counter_register (&requests_unknown);
+  gp_counter_register (&answers_broken);
+  gp_counter_register (&slots_running);
+  gp_counter_register (&requests_queued);
+}
+
+bool
+gp_executor_init (gp_executor_t *executor, gp_loop_t *loop,
+                  const gp_settings_upstream_t *upstream, uint64_t incarnation,
+                  GError **error)
+{
+  gp_http_client_options_t options
+      = { .address = upstream->address,
+          .max_connections = upstream->connections,
+          .idle_timeout = UPSTREAM_IDLE_TIMEOUT };
+  gp_admission_options_t limits
+      = { .slots = upstream->slots,
+          .connections = upstream->connections,
+          .max_queued = upstream->slots * QUEUE_PER_SLOT,
+          .critical_reserve = upstream->slots > 1 ? 1 : 0,
+          .batch_share = 1,
+          .reserve_duration = RESERVE_DURATION };
+
+  *executor = (gp_executor_t){ .loop = loop,
+                               .upstream = upstream,
+                               .incarnation = incarnation,
+                               .max_buffered = MAX_BUFFERED };
+  register_counters ();
+  executor->client = gp_http_client_new (loop, &options, error);
+  if (executor->client == NULL)
+    return false;
+  gp_admission_init (&executor->admission, &limits);
+  executor->teams
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  executor->kinds
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gp_heap_init (&executor->started, started_before);
+  gp_timer_init (&executor->timer, loop, on_timer, executor);
+  return true;
+}
+
+void
+gp_executor_finish (gp_executor_t *executor)
+{
+  gp_timer_finish (&executor->timer);
+  gp_http_client_free (executor->client);
+  g_hash_table_unref (executor->teams);
+  g_hash_table_unref (executor->kinds);
+}
+
+void
+gp_executor_leave (gp_executor_t *executor, void (*on_drained) (void *data),
+                   void *data)
+{
+  executor->on_drained = on_drained;
+  executor->data = data;
+  gp_admission_leave (&executor->admission, gp_loop_now (executor->loop));
+  /* The timer carries the actions out, outside this call.  */
+  gp_timer_arm (&executor->timer, gp_loop_now (executor->loop));
+}
+
+/* Requests.  */
+
+static gp_admission_group_t *
+find_team (gp_executor_t *executor, const char *name)
+{
+  gp_admission_group_t *team = g_hash_table_lookup (executor->teams, name);
+
+  if (team != NULL)
+    return team;
+  team = g_new0 (gp_admission_group_t, 1);
+  gp_admission_group_init (team, GP_ADMISSION_UNLIMITED,
+                           GP_ADMISSION_UNLIMITED);
+  g_hash_table_insert (executor->teams, g_strdup (name), team);
+  return team;
+}
+
+static gp_admission_kind_t *
+find_kind (gp_executor_t *executor, const char *name)
+{
+  gp_admission_kind_t *kind = g_hash_table_lookup (executor->kinds, name);
+
+  if (kind != NULL)
+    return kind;
+  kind = g_new0 (gp_admission_kind_t, 1);
+  gp_admission_kind_init (kind, GP_ADMISSION_UNLIMITED, GP_ADMISSION_UNLIMITED,
+                          DECLARED_SERVICE_TIME);
+  g_hash_table_insert (executor->kinds, g_strdup (name), kind);
+  return kind;
+}
+
+static Gp__Wire__Reason
+check_request (const gp_executor_t *executor, const Gp__Wire__Request *request)
+{
+  if (request->guard_incarnation != 0
+      && request->guard_incarnation != executor->incarnation)
+    return GP__WIRE__REASON__REASON_STALE;
+  if (strcmp (request->service, executor->upstream->service) != 0)
+    return GP__WIRE__REASON__REASON_NO_SUCH_SERVICE;
+  if (request->body_size > MAX_BODY_SIZE
+      || request->body.len > request->body_size)
+    return GP__WIRE__REASON__REASON_TOO_LARGE;
+  if (executor->admission.leaving)
+    return GP__WIRE__REASON__REASON_LEAVING;
+  if (executor->buffered + request->body_size > executor->max_buffered)
+    return GP__WIRE__REASON__REASON_QUEUE_FULL;
+  return GP__WIRE__REASON__REASON_UNSPECIFIED;
+}
+
+/* Copy the headers into one block owned by the execution.  */
+static void
+copy_headers (gp_execution_t *execution, const Gp__Wire__Request *request)
+{
+  size_t size = 1;
+  char *text;
+
+  for (size_t i = 0; i < request->n_headers; i++)
+    size += request->headers[i]->name.len + request->headers[i]->value.len;
+  execution->headers = g_new (gp_http_header_t, request->n_headers + 1);
+  execution->header_text = text = g_malloc (size);
+  execution->header_count
+      = gp_http_headers_from_wire (execution->headers, request->n_headers,
+                                   request->headers, request->n_headers);
+  for (size_t i = 0; i < execution->header_count; i++)
+    {
+      gp_http_header_t *header = &execution->headers[i];
+
+      memcpy (text, header->name, header->name_size);
+      header->name = text;
+      text += header->name_size;
+      memcpy (text, header->value, header->value_size);
+      header->value = text;
+      text += header->value_size;
+    }
+}
+
+static gp_execution_t *
+execution_new (gp_execution_set_t *set, const Gp__Wire__Request *request)
+{
+  gp_executor_t *executor = set->executor;
+  gp_time_t now = gp_loop_now (executor->loop);
+  gp_execution_t *execution = g_new0 (gp_execution_t, 1);
+  bool batch = request->work_class == GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
+
+  execution->executor = executor;
+  execution->set = set;
+  execution->id = request->id;
+  execution->window = GP_ANSWER_WINDOW;
+  execution->method = g_strdup (request->method);
+  execution->path = g_strdup (request->path);
+  execution->body = g_byte_array_sized_new ((guint)request->body_size);
+  execution->body_size = request->body_size;
+  gp_list_init (&execution->blocked);
+  copy_headers (execution, request);
+  execution->admission.work_class
+      = batch ? GP_ADMISSION_BATCH : GP_ADMISSION_LATENCY_CRITICAL;
+  execution->admission.deadline = now + (gp_time_t)request->remaining_us;
+  execution->admission.team = find_team (executor, request->team);
+  execution->admission.kind = find_kind (executor, request->kind);
+  executor->buffered += request->body_size;
+  executor->open++;
+  g_hash_table_insert (set->by_id, &execution->id, execution);
+  return execution;
+}
+
+static void
+submit (gp_execution_t *execution)
+{
+  gp_executor_t *executor = execution->executor;
+
+  execution->submitted = true;
+  gp_admission_submit (&executor->admission, &execution->admission,
+                       gp_loop_now (executor->loop));
+  take_actions (executor);
+}
+
+/* Add bytes of the body; submit once it is whole.  */
+static void
+append_body (gp_execution_t *execution, const ProtobufCBinaryData *data)
+{
+  if (execution->body->len + data->len > execution->body_size)
+    {
+      give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                    GP__WIRE__REASON__REASON_TOO_LARGE, 0);
+      execution_free (execution);
+      return;
+    }
+  g_byte_array_append (execution->body, data->data, (guint)data->len);
+  if (execution->body->len == execution->body_size)
+    submit (execution);
+}
+
+void
+gp_execution_set_request (gp_execution_set_t *set,
+                          const Gp__Wire__Request *request)
+{
+  Gp__Wire__Reason reason = check_request (set->executor, request);
+
+  gp_counter_add (&requests_received, 1);
+  if (g_hash_table_contains (set->by_id, &request->id))
+    return;
+  if (reason != GP__WIRE__REASON__REASON_UNSPECIFIED)
+    {
+      gp_counter_add (&requests_refused, 1);
+      send_verdict (set, request->id, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                    reason, 0);
+      return;
+    }
+  append_body (execution_new (set, request), &request->body);
+}
+
+void
+gp_execution_set_part (gp_execution_set_t *set, const Gp__Wire__Part *part)
+{
+  gp_execution_t *execution = g_hash_table_lookup (set->by_id, &part->id);
+
+  if (execution != NULL && !execution->submitted)
+    append_body (execution, &part->data);
+}
+
+void
+gp_execution_set_cancel (gp_execution_set_t *set, uint64_t id)
+{
+  gp_execution_t *execution = g_hash_table_lookup (set->by_id, &id);
+  gp_executor_t *executor = set->executor;
+
+  if (execution == NULL)
+    return;
+  if (!execution->submitted)
+    {
+      give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                    GP__WIRE__REASON__REASON_CANCELLED, 0);
+      execution_free (execution);
+    }
+  else if (gp_admission_cancel (&executor->admission, &execution->admission,
+                                gp_loop_now (executor->loop)))
+    take_actions (executor);
+  else if (execution->head_sent)
+    detach (execution); /* the caller left in the middle of its answer */
+}
+
+static void
+resume (gp_execution_t *execution)
+{
+  if (!execution->paused || execution->call == NULL)
+    return;
+  gp_list_remove (&execution->blocked);
+  if (!may_continue (execution))
+    return;
+  execution->paused = false;
+  gp_http_call_resume (execution->call);
+}
+
+void
+gp_execution_set_credit (gp_execution_set_t *set,
+                         const Gp__Wire__Credit *credit)
+{
+  gp_execution_t *execution = g_hash_table_lookup (set->by_id, &credit->id);
+
+  if (execution == NULL)
+    return;
+  execution->window
+      = MIN (execution->window + credit->bytes, GP_ANSWER_WINDOW);
+  resume (execution);
+}
+
+void
+gp_execution_set_drain (gp_execution_set_t *set)
+{
+  gp_list_t *link;
+  gp_list_t waiting;
+
+  gp_list_init (&waiting);
+  while ((link = gp_list_pop_front (&set->blocked)) != NULL)
+    gp_list_push_back (&waiting, link);
+  while ((link = gp_list_pop_front (&waiting)) != NULL)
+    resume (GP_CONTAINER_OF (link, gp_execution_t, blocked));
+}
+
+void
+gp_execution_set_init (gp_execution_set_t *set, gp_executor_t *executor,
+                       gp_session_t *session)
+{
+  set->executor = executor;
+  set->session = session;
+  set->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  gp_list_init (&set->blocked);
+}
+
+/* The entry is gone: give up what has not started.  */
+static void
+abandon (gp_execution_t *execution)
+{
+  gp_executor_t *executor = execution->executor;
+
+  detach (execution);
+  if (!execution->submitted)
+    execution_free (execution);
+  else
+    gp_admission_cancel (&executor->admission, &execution->admission,
+                         gp_loop_now (executor->loop));
+}
+
+void
+gp_execution_set_finish (gp_execution_set_t *set)
+{
+  GList *executions = g_hash_table_get_values (set->by_id);
+
+  for (GList *pos = executions; pos != NULL; pos = pos->next)
+    abandon (pos->data);
+  g_list_free (executions);
+  g_hash_table_unref (set->by_id);
+  take_actions (set->executor);
+}
--- /dev/null
+++ b/src/daemon/text.c
@@ -0,0 +1,96 @@
+/* Headers between HTTP and the wire.  */
+
+#include "daemon/text.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define NUMBER_DIGITS_MAX 15
+
+static const char *const hop_by_hop[] = { "connection",
+                                          "keep-alive",
+                                          "proxy-authenticate",
+                                          "proxy-authorization",
+                                          "te",
+                                          "trailer",
+                                          "transfer-encoding",
+                                          "upgrade",
+                                          "content-length",
+                                          "host",
+                                          "expect" };
+
+bool
+gp_header_is_hop_by_hop (const char *name, size_t size)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (hop_by_hop); i++)
+    if (strlen (hop_by_hop[i]) == size
+        && strncasecmp (hop_by_hop[i], name, size) == 0)
+      return true;
+  return false;
+}
+
+void
+gp_wire_headers_from_http (gp_wire_headers_t *wire,
+                           const gp_http_header_t *headers, size_t count)
+{
+  wire->count = 0;
+  for (size_t i = 0; i < count && wire->count < GP_HEADERS_MAX; i++)
+    {
+      Gp__Wire__Header *header = &wire->storage[wire->count];
+
+      if (gp_header_is_hop_by_hop (headers[i].name, headers[i].name_size))
+        continue;
+      gp__wire__header__init (header);
+      header->name.data = (uint8_t *)headers[i].name;
+      header->name.len = headers[i].name_size;
+      header->value.data = (uint8_t *)headers[i].value;
+      header->value.len = headers[i].value_size;
+      wire->pointers[wire->count++] = header;
+    }
+}
+
+size_t
+gp_http_headers_from_wire (gp_http_header_t *headers, size_t max,
+                           Gp__Wire__Header *const *wire, size_t count)
+{
+  size_t used = 0;
+
+  for (size_t i = 0; i < count && used < max; i++)
+    {
+      const Gp__Wire__Header *header = wire[i];
+
+      if (gp_header_is_hop_by_hop ((const char *)header->name.data,
+                                   header->name.len))
+        continue;
+      headers[used++] = (gp_http_header_t){
+        .name = (const char *)header->name.data,
+        .name_size = header->name.len,
+        .value = (const char *)header->value.data,
+        .value_size = header->value.len,
+      };
+    }
+  return used;
+}
+
+bool
+gp_text_equal (gp_http_text_t text, const char *other)
+{
+  return text.base != NULL && strlen (other) == text.size
+         && memcmp (text.base, other, text.size) == 0;
+}
+
+int64_t
+gp_text_number (gp_http_text_t text, int64_t fallback)
+{
+  int64_t value = 0;
+
+  if (text.base == NULL || text.size == 0 || text.size > NUMBER_DIGITS_MAX)
+    return fallback;
+  for (size_t i = 0; i < text.size; i++)
+    {
+      if (!g_ascii_isdigit (text.base[i]))
+        return fallback;
+      value = value * 10 + (text.base[i] - '0');
+    }
+  return value;
+}
--- /dev/null
+++ b/src/daemon/text.h
@@ -0,0 +1,40 @@
+/* Headers between HTTP and the wire, and small helpers on text that is not
+   terminated.  */
+
+#ifndef GP_DAEMON_TEXT_H
+#define GP_DAEMON_TEXT_H
+
+#include <stdbool.h>
+
+#include "transport/http.h"
+#include "wire.pb-c.h"
+
+#define GP_HEADERS_MAX 64
+
+/* Wire headers on memory of the caller, pointing into their source.  */
+typedef struct
+{
+  size_t count;
+  Gp__Wire__Header storage[GP_HEADERS_MAX];
+  Gp__Wire__Header *pointers[GP_HEADERS_MAX];
+} gp_wire_headers_t;
+
+/* Whether a header concerns one connection only and must not be passed
+   on.  */
+bool gp_header_is_hop_by_hop (const char *name, size_t size);
+
+/* Make wire headers of COUNT HTTP headers without the hop-by-hop ones; what
+   is beyond GP_HEADERS_MAX is left out.  */
+void gp_wire_headers_from_http (gp_wire_headers_t *wire,
+                                const gp_http_header_t *headers, size_t count);
+
+/* Make HTTP headers of wire headers; the number that fits MAX.  */
+size_t gp_http_headers_from_wire (gp_http_header_t *headers, size_t max,
+                                  Gp__Wire__Header *const *wire, size_t count);
+
+bool gp_text_equal (gp_http_text_t text, const char *other);
+
+/* TEXT as a decimal number, or FALLBACK when it is none.  */
+int64_t gp_text_number (gp_http_text_t text, int64_t fallback);
+
+#endif
