--- /dev/null
+++ b/src/coordination/homes.c
@@ -0,0 +1,78 @@
+#include "coordination/homes.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define NONE SIZE_MAX
+
+static uint64_t
+rank (const char *guard, const char *entry)
+{
+  XXH64_hash_t seed = XXH3_64bits (entry, strlen (entry));
+
+  return XXH3_64bits_withSeed (guard, strlen (guard), seed);
+}
+
+/* The highest ranked entry of REGION whose zone is (or is not) ZONE,
+   besides EXCEPT.  */
+static size_t
+best_entry (const char *guard, const char *region, const char *zone,
+            bool same_zone, const gp_home_t *entries, size_t n_entries,
+            size_t except)
+{
+  size_t best = NONE;
+  uint64_t best_rank = 0;
+
+  for (size_t i = 0; i < n_entries; i++)
+    {
+      uint64_t r;
+
+      if (i == except || strcmp (entries[i].region, region) != 0)
+        continue;
+      if ((strcmp (entries[i].zone, zone) == 0) != same_zone)
+        continue;
+      r = rank (guard, entries[i].name);
+      if (best != NONE && r <= best_rank)
+        continue;
+      best = i;
+      best_rank = r;
+    }
+  return best;
+}
+
+size_t
+gp_homes_choose (const char *guard, const char *region, const char *zone,
+                 const gp_home_t *entries, size_t n_entries,
+                 size_t chosen[GP_HOMES_MAX])
+{
+  size_t n = 0;
+  bool same_zone = true;
+  size_t except = NONE;
+
+  /* Own zone, then another; then the same again for a region whose entries
+     are all in one zone, or all in others.  */
+  for (int turn = 0; turn < 2 * GP_HOMES_MAX && n < GP_HOMES_MAX; turn++)
+    {
+      size_t best = best_entry (guard, region, zone, same_zone, entries,
+                                n_entries, except);
+
+      same_zone = !same_zone;
+      if (best == NONE)
+        continue;
+      chosen[n++] = best;
+      except = best;
+    }
+  return n;
+}
+
+gp_time_t
+gp_homes_interval (size_t n_guards, size_t n_entries, size_t exchange,
+                   size_t budget)
+{
+  gp_time_t bytes = (gp_time_t)(n_guards * GP_HOMES_MAX * exchange);
+  gp_time_t interval = bytes * GP_SEC / (gp_time_t)(n_entries * budget);
+
+  return interval < GP_HOMES_MIN_INTERVAL ? GP_HOMES_MIN_INTERVAL : interval;
+}
--- /dev/null
+++ b/src/coordination/load.h
@@ -0,0 +1,18 @@
+/* Load of an executor as its guard reports it.  */
+
+#ifndef GP_COORDINATION_LOAD_H
+#define GP_COORDINATION_LOAD_H
+
+#include <stdint.h>
+
+#include "base/time.h"
+
+typedef struct
+{
+  uint32_t running;    /* slots in use */
+  uint32_t queued;     /* requests that wait for a slot */
+  uint32_t latency_us; /* moving average of the time in a slot */
+  gp_time_t at;        /* when it was true */
+} gp_load_t;
+
+#endif
--- /dev/null
+++ b/tests/unit/test_members.c
@@ -0,0 +1,497 @@
+/* Tests of membership: a scripted run printed as a transcript, a naive twin
+   on random scripts, and news handed from one table to another.  */
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "coordination/members.h"
+
+#define N_GUARDS 6
+#define N_ENTRIES 3
+#define N_STEPS 4000
+#define N_SEEDS 20
+
+static const char *const state_names[]
+    = { "joining", "serving", "suspect", "leaving", "gone" };
+static const char *const reach_names[] = { "none", "up", "down" };
+static const char *const guard_names[N_GUARDS]
+    = { "guard-0", "guard-1", "guard-2", "guard-3", "guard-4", "guard-5" };
+static const char *const entry_names[N_ENTRIES]
+    = { "entry-0", "entry-1", "entry-2" };
+
+static gp_announcement_t
+announcement (const char *name, uint64_t incarnation, bool leaving)
+{
+  return (gp_announcement_t){ .name = name,
+                              .address = "127.0.0.1:7000",
+                              .region = "andina",
+                              .zone = "tunja",
+                              .service = "reclamos-api",
+                              .incarnation = incarnation,
+                              .slots = 8,
+                              .connections = 64,
+                              .leaving = leaving };
+}
+
+/* Scripted run.  */
+
+static void
+show (gp_members_t *members, const char *event, gp_time_t now)
+{
+  gp_member_t *member;
+
+  printf ("%6.1f s  %s\n", (double)now / (double)GP_SEC, event);
+  while ((member = gp_members_next_change (members)) != NULL)
+    printf ("          %s/%d %s %s%s\n", member->announcement.name,
+            (int)member->announcement.incarnation, state_names[member->state],
+            reach_names[member->reach],
+            gp_member_routable (member) ? " routable" : "");
+}
+
+static void
+announce (gp_members_t *members, const char *name, uint64_t incarnation,
+          gp_time_t now)
+{
+  gp_announcement_t a = announcement (name, incarnation, false);
+  gp_members_result_t result = gp_members_announce (members, &a, now);
+
+  show (members, result == GP_MEMBERS_STALE ? "announce: stale" : "announce",
+        now);
+}
+
+static void
+learn (gp_members_t *members, const char *reporter, const char *name,
+       bool gone, gp_time_t now)
+{
+  gp_member_news_t news = { .announcement = announcement (name, 1, false),
+                            .load.at = now,
+                            .gone = gone };
+
+  gp_members_learn (members, reporter, &news, now);
+  show (members, gone ? "news: gone" : "news: heard", now);
+}
+
+static void
+tick (gp_members_t *members, gp_time_t now)
+{
+  gp_members_tick (members, now);
+  show (members, "tick", now);
+}
+
+static void
+test_script (void)
+{
+  gp_members_settings_t settings = GP_MEMBERS_SETTINGS_DEFAULT;
+  gp_members_t members;
+  gp_time_t t = 0;
+
+  gp_members_init (&members, &settings);
+  announce (&members, "a", 1, t);
+  gp_members_heartbeat (&members, "a", 1, NULL, t += GP_SEC);
+  show (&members, "heartbeat", t);
+  tick (&members, t += 6 * GP_SEC - 1);
+  tick (&members, t += 1);
+  gp_members_heartbeat (&members, "a", 1, NULL, t += GP_SEC);
+  show (&members, "heartbeat after a pause", t);
+  gp_members_connection_lost (&members, "a", 1, t += GP_SEC);
+  show (&members, "connection lost", t);
+  announce (&members, "a", 2, t += GP_SEC);
+  announce (&members, "a", 1, t);
+  gp_members_leaving (&members, "a", 1, t);
+  show (&members, "leaving, of an old incarnation", t);
+  gp_members_leaving (&members, "a", 2, t);
+  show (&members, "leaving", t);
+  announce (&members, "a", 2, t += GP_SEC);
+  gp_members_connection_lost (&members, "a", 2, t);
+  show (&members, "connection lost", t);
+  gp_members_reporter_open (&members, "entry-1", t += GP_SEC);
+  gp_members_reporter_open (&members, "entry-2", t);
+  learn (&members, "entry-1", "b", false, t);
+  learn (&members, "entry-2", "b", false, t);
+  gp_members_connection_open (&members, "b", 1);
+  show (&members, "connection open", t);
+  learn (&members, "entry-1", "b", true, t);
+  tick (&members, t += 6 * GP_SEC);
+  gp_members_reporter_heard (&members, "entry-2", t += GP_SEC);
+  show (&members, "reporter heard again", t);
+  gp_members_reporter_open (&members, "entry-2", t += GP_SEC);
+  tick (&members, t += 5 * GP_SEC);
+  gp_members_reporter_heard (&members, "entry-2", t);
+  tick (&members, t += GP_SEC);
+  tick (&members, t += 30 * GP_SEC);
+  tick (&members, t + 60 * GP_SEC);
+  CU_ASSERT_EQUAL (gp_members_count (&members), 0);
+  gp_members_finish (&members);
+}
+
+/* The naive twin keeps what happened and judges it by scanning.  */
+
+typedef struct
+{
+  bool known;
+  bool leaving;
+  bool direct;
+  bool beaten;
+  gp_reach_t reach;
+  uint64_t incarnation;
+  gp_time_t heard_at;
+  uint64_t said[N_ENTRIES]; /* generation in which it was reported, or 0 */
+  gp_member_state_t state;
+  gp_time_t state_since;
+} naive_guard_t;
+
+typedef struct
+{
+  naive_guard_t guards[N_GUARDS];
+  uint64_t generation[N_ENTRIES]; /* 0: never open */
+  gp_time_t opened_at[N_ENTRIES];
+  gp_time_t heard_at[N_ENTRIES];
+} naive_t;
+
+/* Forget what has run out, as time passes.  */
+static void
+naive_expire (naive_t *naive, gp_time_t now)
+{
+  gp_members_settings_t s = GP_MEMBERS_SETTINGS_DEFAULT;
+
+  for (int g = 0; g < N_GUARDS; g++)
+    {
+      naive_guard_t *guard = &naive->guards[g];
+
+      if (now >= guard->heard_at + s.suspect_after)
+        guard->direct = false;
+      for (int e = 0; e < N_ENTRIES; e++)
+        if ((guard->said[e] < naive->generation[e]
+             && now >= naive->opened_at[e] + s.suspect_after)
+            || now >= naive->heard_at[e] + s.gone_after + s.forget_after)
+          guard->said[e] = 0;
+    }
+}
+
+static gp_member_state_t
+naive_state (const naive_t *naive, const naive_guard_t *guard, gp_time_t now)
+{
+  gp_members_settings_t s = GP_MEMBERS_SETTINGS_DEFAULT;
+  bool others = false;
+
+  for (int e = 0; e < N_ENTRIES; e++)
+    if (guard->said[e] != 0 && now < naive->heard_at[e] + s.suspect_after)
+      others = true;
+  if (others || guard->direct)
+    {
+      if (guard->leaving)
+        return GP_MEMBER_LEAVING;
+      return others || guard->beaten ? GP_MEMBER_SERVING : GP_MEMBER_JOINING;
+    }
+  if (guard->leaving || guard->state == GP_MEMBER_GONE)
+    return GP_MEMBER_GONE;
+  if (guard->state == GP_MEMBER_SUSPECT
+      && now >= guard->state_since + s.gone_after)
+    return GP_MEMBER_GONE;
+  return GP_MEMBER_SUSPECT;
+}
+
+static void
+naive_settle (naive_t *naive, gp_time_t now)
+{
+  gp_members_settings_t s = GP_MEMBERS_SETTINGS_DEFAULT;
+
+  for (int g = 0; g < N_GUARDS; g++)
+    {
+      naive_guard_t *guard = &naive->guards[g];
+      gp_member_state_t state = naive_state (naive, guard, now);
+
+      if (!guard->known)
+        continue;
+      if (state != guard->state)
+        guard->state_since = now;
+      guard->state = state;
+      if (state == GP_MEMBER_GONE
+          && now >= guard->state_since + s.forget_after)
+        *guard = (naive_guard_t){ .heard_at = INT32_MIN };
+    }
+}
+
+/* Does an event of INCARNATION count?  A newer announcement resets.  */
+static bool
+naive_admit (naive_guard_t *guard, uint64_t incarnation, bool announces)
+{
+  if (guard->known && incarnation == guard->incarnation)
+    return true;
+  if (!announces || (guard->known && incarnation < guard->incarnation))
+    return false;
+  *guard
+      = (naive_guard_t){ .known = true,
+                         .incarnation = incarnation,
+                         .heard_at = INT32_MIN,
+                         .state = guard->known ? guard->state : GP_MEMBER_GONE,
+                         .state_since = guard->state_since };
+  return true;
+}
+
+typedef struct
+{
+  gp_members_t members;
+  naive_t naive;
+  GRand *rand;
+  gp_time_t now;
+} twins_t;
+
+static void
+guard_event (twins_t *twins, int g, uint64_t incarnation)
+{
+  naive_guard_t *guard = &twins->naive.guards[g];
+  const char *name = guard_names[g];
+  gp_announcement_t a = announcement (name, incarnation, false);
+  int kind = g_rand_int_range (twins->rand, 0, 12);
+  bool counts = naive_admit (guard, incarnation, kind == 0);
+
+  if (kind == 0)
+    {
+      gp_members_announce (&twins->members, &a, twins->now);
+      if (counts)
+        guard->reach = GP_REACH_UP;
+      guard->beaten = counts ? guard->beaten && guard->direct : guard->beaten;
+    }
+  else if (kind == 1)
+    {
+      gp_members_connection_lost (&twins->members, name, incarnation,
+                                  twins->now);
+      guard->direct = guard->direct && !counts;
+      guard->reach = counts ? GP_REACH_DOWN : guard->reach;
+    }
+  else if (kind == 2)
+    {
+      gp_members_leaving (&twins->members, name, incarnation, twins->now);
+      guard->leaving = guard->leaving || counts;
+    }
+  else if (kind == 3)
+    {
+      gp_members_connection_open (&twins->members, name, incarnation);
+      guard->reach = counts ? GP_REACH_UP : guard->reach;
+    }
+  else
+    {
+      gp_members_heartbeat (&twins->members, name, incarnation, NULL,
+                            twins->now);
+      counts = counts && (guard->direct || guard->reach == GP_REACH_UP);
+      guard->beaten = guard->beaten || counts;
+    }
+  if (counts && (kind == 0 || kind > 3))
+    {
+      guard->direct = true;
+      guard->heard_at = twins->now;
+    }
+}
+
+static void
+entry_event (twins_t *twins, int g, int e, uint64_t incarnation)
+{
+  naive_t *naive = &twins->naive;
+  naive_guard_t *guard = &naive->guards[g];
+  int kind = g_rand_int_range (twins->rand, 0, 8);
+  gp_member_news_t news = { .announcement = announcement (
+                                guard_names[g], incarnation, kind == 3),
+                            .gone = kind == 2 };
+  bool known = naive->generation[e] != 0
+               && twins->now < naive->heard_at[e] + 90 * GP_SEC;
+
+  if (kind == 0)
+    {
+      gp_members_reporter_open (&twins->members, entry_names[e], twins->now);
+      naive->generation[e]++;
+      naive->opened_at[e] = twins->now;
+      naive->heard_at[e] = twins->now;
+      return;
+    }
+  CU_ASSERT_EQUAL (
+      gp_members_reporter_heard (&twins->members, entry_names[e], twins->now),
+      known);
+  if (!known)
+    return;
+  naive->heard_at[e] = twins->now;
+  naive_settle (naive, twins->now); /* the table saw two events */
+  if (kind > 4)
+    return;
+  gp_members_learn (&twins->members, entry_names[e], &news, twins->now);
+  if (naive_admit (guard, incarnation, !news.gone))
+    {
+      guard->said[e] = news.gone ? 0 : naive->generation[e];
+      guard->leaving = guard->leaving || kind == 3;
+    }
+}
+
+static void
+compare (twins_t *twins)
+{
+  for (int g = 0; g < N_GUARDS; g++)
+    {
+      const naive_guard_t *guard = &twins->naive.guards[g];
+      const gp_member_t *member
+          = gp_members_find (&twins->members, guard_names[g]);
+
+      CU_ASSERT_EQUAL_FATAL (guard->known, member != NULL);
+      if (member == NULL)
+        continue;
+      CU_ASSERT_EQUAL_FATAL (guard->state, member->state);
+      CU_ASSERT_EQUAL_FATAL (guard->reach, member->reach);
+      CU_ASSERT_EQUAL_FATAL (guard->direct, member->direct);
+    }
+}
+
+static void
+twins_step (twins_t *twins)
+{
+  int g = g_rand_int_range (twins->rand, 0, N_GUARDS);
+  uint64_t incarnation = twins->naive.guards[g].incarnation;
+  int other = g_rand_int_range (twins->rand, 0, 30);
+  gp_time_t pause = g_rand_int_range (twins->rand, 0, 100) == 0 ? 130 : 2;
+
+  incarnation += other == 0 ? 1 : 0;
+  incarnation -= other == 1 && incarnation > 0 ? 1 : 0;
+  twins->now += g_rand_int_range (twins->rand, 0, (gint32)(pause * GP_SEC));
+  naive_expire (&twins->naive, twins->now);
+  naive_settle (&twins->naive, twins->now);
+  gp_members_tick (&twins->members, twins->now);
+  if (g_rand_boolean (twins->rand))
+    guard_event (twins, g, incarnation);
+  else
+    entry_event (twins, g, g_rand_int_range (twins->rand, 0, N_ENTRIES),
+                 incarnation);
+  naive_settle (&twins->naive, twins->now);
+  while (gp_members_next_change (&twins->members) != NULL)
+    ;
+  compare (twins);
+}
+
+static void
+test_twin (void)
+{
+  gp_members_settings_t settings = GP_MEMBERS_SETTINGS_DEFAULT;
+
+  for (guint32 seed = 1; seed <= N_SEEDS; seed++)
+    {
+      twins_t twins = { .rand = g_rand_new_with_seed (seed) };
+
+      gp_members_init (&twins.members, &settings);
+      for (int g = 0; g < N_GUARDS; g++)
+        twins.naive.guards[g].heard_at = INT32_MIN;
+      for (int i = 0; i < N_STEPS; i++)
+        twins_step (&twins);
+      gp_members_finish (&twins.members);
+      g_rand_free (twins.rand);
+    }
+}
+
+/* What one table tells, in pieces, makes another agree with it.  */
+
+static size_t
+carry (const gp_member_news_t *news, void *data)
+{
+  gp_members_learn (data, "entry-0", news, 0);
+  return 1;
+}
+
+static void
+test_news (void)
+{
+  gp_members_settings_t settings = GP_MEMBERS_SETTINGS_DEFAULT;
+  twins_t home = { .rand = g_rand_new_with_seed (7) };
+  gp_members_t away;
+  uint64_t cursor = 0;
+
+  gp_members_init (&home.members, &settings);
+  gp_members_init (&away, &settings);
+  gp_members_reporter_open (&away, "entry-0", 0);
+  for (int i = 0; i < N_STEPS; i++)
+    {
+      int g = g_rand_int_range (home.rand, 0, N_GUARDS);
+      size_t budget = (size_t)g_rand_int_range (home.rand, 0, 3);
+
+      guard_event (&home, g, home.naive.guards[g].incarnation + (i % 50 == 0));
+      cursor = gp_members_tell (&home.members, cursor, budget, carry, &away);
+      if (i % 10 != 0)
+        continue;
+      cursor = gp_members_tell (&home.members, cursor, N_GUARDS, carry, &away);
+      for (g = 0; g < N_GUARDS; g++)
+        {
+          const gp_member_t *a
+              = gp_members_find (&home.members, guard_names[g]);
+          const gp_member_t *b = gp_members_find (&away, guard_names[g]);
+          bool alive = b != NULL
+                       && (b->state == GP_MEMBER_SERVING
+                           || b->state == GP_MEMBER_LEAVING);
+
+          CU_ASSERT_EQUAL_FATAL (a != NULL && a->direct, alive);
+          if (alive)
+            CU_ASSERT_EQUAL (a->announcement.leaving, b->announcement.leaving);
+        }
+    }
+  gp_members_finish (&home.members);
+  gp_members_finish (&away);
+  g_rand_free (home.rand);
+}
+
+/* Homes: one in the zone and one outside, and few move.  */
+
+#define N_HOMES 18
+
+static void
+test_homes (void)
+{
+  gp_home_t entries[N_HOMES];
+  char names[N_HOMES][16];
+  static const char *const zones[] = { "z0", "z1", "z2" };
+  static const char *const regions[] = { "r0", "r1", "r2" };
+  size_t without = 0;
+  size_t moved = 0;
+
+  for (size_t i = 0; i < N_HOMES; i++)
+    {
+      g_snprintf (names[i], sizeof names[i], "entry-%zu", i);
+      entries[i] = (gp_home_t){ names[i], regions[i / 6], zones[i % 3] };
+    }
+  for (int g = 0; g < 300; g++)
+    {
+      char guard[16];
+      size_t before[GP_HOMES_MAX];
+      size_t after[GP_HOMES_MAX];
+
+      g_snprintf (guard, sizeof guard, "guard-%d", g);
+      CU_ASSERT_EQUAL (
+          gp_homes_choose (guard, "r1", "z2", entries, N_HOMES, before), 2);
+      CU_ASSERT_STRING_EQUAL (entries[before[0]].zone, "z2");
+      CU_ASSERT_STRING_NOT_EQUAL (entries[before[1]].zone, "z2");
+      CU_ASSERT_STRING_EQUAL (entries[before[0]].region, "r1");
+      CU_ASSERT_STRING_EQUAL (entries[before[1]].region, "r1");
+      gp_homes_choose (guard, "r1", "z2", entries, N_HOMES - 7, after);
+      without += before[0] == N_HOMES - 7 || before[1] == N_HOMES - 7;
+      moved += before[0] != after[0] || before[1] != after[1];
+    }
+  CU_ASSERT_EQUAL (moved, without);
+  CU_ASSERT_EQUAL (
+      gp_homes_choose ("g", "r0", "elsewhere", entries, 1, (size_t[2]){ 0 }),
+      1);
+  CU_ASSERT_EQUAL (gp_homes_interval (11, 3, 70, 10000), 2 * GP_SEC);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("members", NULL, NULL);
+  CU_add_test (suite, "script", test_script);
+  CU_add_test (suite, "twin", test_twin);
+  CU_add_test (suite, "news", test_news);
+  CU_add_test (suite, "homes", test_homes);
+  CU_run_all_tests (); /* prints nothing: the transcript is compared */
+  failures = CU_get_number_of_failures ();
+  if (failures != 0)
+    CU_basic_show_failures (CU_get_failure_list ());
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
