Write records to the log by group commit

Cause: the log takes several hundred appends a second, may lose an acknowledgement and has outages; 1,300 task starts a second need more than one record an append, and nothing may be doubled or accepted on hope.

Change: gp_writer_t queues records by priority, sends one batch at a time, repeats the same bytes until they are acknowledged or read back, reports a verdict only from the fold, expires or withdraws only what was never sent, and refuses new records while the log makes no progress.

--- /dev/null
+++ b/src/state/writer.c
@@ -0,0 +1,521 @@
+#include "state/writer.h"
+
+#include <string.h>
+
+#define BACKOFF_SHIFT_MAX 16
+
+struct gp_writer_entry
+{
+  gp_list_t link; /* in a queue or in a batch */
+  uint64_t token;
+  gp_time_t queued_at;
+  gp_time_t deadline;
+  bool sent;
+  size_t size;
+  uint8_t data[]; /* a packed gp.record.Batch with this one record */
+};
+
+struct gp_writer_batch
+{
+  gp_list_t link;
+  uint64_t sequence;
+  gp_list_t entries;
+  size_t count;
+  GBytes *bytes;
+  gp_time_t sent_at;  /* the first time */
+  gp_time_t deadline; /* of the append, or when it is to be repeated */
+  bool in_flight;
+  uint32_t failures;
+};
+
+const gp_writer_limits_t gp_writer_default_limits = {
+  .batch_bytes_max = (size_t)256 * 1024,
+  .batch_records_max = 4096,
+  .queue_bytes_max = (size_t)4 * 1024 * 1024,
+  .queue_records_max = 65536,
+  .unread_max = 8,
+  .hold = { 5 * GP_MSEC, 30 * GP_MSEC, 30 * GP_MSEC },
+  .spacing = 25 * GP_MSEC,
+  .timeout = 2 * GP_SEC,
+  .backoff_min = 50 * GP_MSEC,
+  .backoff_max = 2 * GP_SEC,
+  .outage_after = 3 * GP_SEC,
+};
+
+static gp_writer_entry_t *
+entry_of (gp_list_t *link)
+{
+  return GP_CONTAINER_OF (link, gp_writer_entry_t, link);
+}
+
+static gp_writer_batch_t *
+batch_of (gp_list_t *link)
+{
+  return GP_CONTAINER_OF (link, gp_writer_batch_t, link);
+}
+
+void
+gp_writer_init (gp_writer_t *writer, const char *name, uint64_t incarnation,
+                const gp_writer_limits_t *limits, GRand *rand)
+{
+  memset (writer, 0, sizeof *writer);
+  writer->limits = limits != NULL ? *limits : gp_writer_default_limits;
+  writer->name = g_strdup (name);
+  writer->incarnation = incarnation;
+  writer->rand = rand;
+  writer->expiry = GP_TIME_NEVER;
+  for (int i = 0; i < GP_WRITER_PRIORITIES; i++)
+    gp_list_init (&writer->queues[i]);
+  gp_list_init (&writer->unread);
+  g_queue_init (&writer->actions);
+}
+
+static void
+free_entries (gp_list_t *entries)
+{
+  GP_LIST_FOREACH_SAFE (pos, entries)
+  {
+    gp_list_remove (pos);
+    g_free (entry_of (pos));
+  }
+}
+
+static void
+free_batch (gp_writer_batch_t *batch)
+{
+  free_entries (&batch->entries);
+  g_bytes_unref (batch->bytes);
+  g_free (batch);
+}
+
+void
+gp_writer_finish (gp_writer_t *writer)
+{
+  gp_writer_action_t action;
+
+  while (gp_writer_next (writer, &action))
+    if (action.kind == GP_WRITER_APPEND)
+      g_bytes_unref (action.u.append.bytes);
+  for (int i = 0; i < GP_WRITER_PRIORITIES; i++)
+    free_entries (&writer->queues[i]);
+  GP_LIST_FOREACH_SAFE (pos, &writer->unread)
+  {
+    gp_list_remove (pos);
+    free_batch (batch_of (pos));
+  }
+  if (writer->current != NULL)
+    free_batch (writer->current);
+  g_free (writer->name);
+}
+
+void
+gp_writer_set_wall (gp_writer_t *writer, int64_t offset)
+{
+  writer->wall_offset = offset;
+}
+
+void
+gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical)
+{
+  if (wall_us > writer->wall_us)
+    {
+      writer->wall_us = wall_us;
+      writer->logical = logical;
+    }
+  else if (wall_us == writer->wall_us)
+    writer->logical = MAX (writer->logical, logical);
+}
+
+static void
+tick (gp_writer_t *writer, gp_time_t now)
+{
+  int64_t wall_us = now + writer->wall_offset;
+
+  if (wall_us > writer->wall_us)
+    {
+      writer->wall_us = wall_us;
+      writer->logical = 0;
+    }
+  else
+    writer->logical++;
+}
+
+static void
+push_action (gp_writer_t *writer, const gp_writer_action_t *action)
+{
+  g_queue_push_tail (&writer->actions, g_memdup2 (action, sizeof *action));
+}
+
+bool
+gp_writer_next (gp_writer_t *writer, gp_writer_action_t *action)
+{
+  gp_writer_action_t *first = g_queue_pop_head (&writer->actions);
+
+  if (first == NULL)
+    return false;
+  *action = *first;
+  g_free (first);
+  return true;
+}
+
+/* Since when the log owes an answer, or GP_TIME_NEVER.  */
+static gp_time_t
+waiting_since (const gp_writer_t *writer)
+{
+  if (!gp_list_empty (&writer->unread))
+    return batch_of (writer->unread.next)->sent_at;
+  if (writer->current != NULL)
+    return writer->current->sent_at;
+  return GP_TIME_NEVER;
+}
+
+bool
+gp_writer_available (const gp_writer_t *writer, gp_time_t now)
+{
+  return now
+         < gp_time_add (waiting_since (writer), writer->limits.outage_after);
+}
+
+/* The bytes of a batch before its records.  */
+static GByteArray *
+pack_header (const gp_writer_t *writer, uint64_t sequence)
+{
+  Gp__Record__Batch header = GP__RECORD__BATCH__INIT;
+  GByteArray *bytes = g_byte_array_new ();
+
+  header.version = GP_FOLD_VERSION;
+  header.writer = writer->name;
+  header.incarnation = writer->incarnation;
+  header.sequence = sequence;
+  header.wall_us = writer->wall_us;
+  header.logical = writer->logical;
+  g_byte_array_set_size (bytes,
+                         (guint)gp__record__batch__get_packed_size (&header));
+  gp__record__batch__pack (&header, bytes->data);
+  return bytes;
+}
+
+/* Packed messages that are joined are one message with the repeated fields
+   of all, so each record is packed once, as a batch of its own.  */
+static gp_writer_entry_t *
+pack_entry (const Gp__Record__Record *record)
+{
+  Gp__Record__Record *records[] = { (Gp__Record__Record *)record };
+  Gp__Record__Batch batch = GP__RECORD__BATCH__INIT;
+  gp_writer_entry_t *entry;
+  size_t size;
+
+  batch.n_records = 1;
+  batch.records = records;
+  size = gp__record__batch__get_packed_size (&batch);
+  entry = g_malloc (sizeof *entry + size);
+  entry->size = size;
+  entry->sent = false;
+  gp__record__batch__pack (&batch, entry->data);
+  return entry;
+}
+
+/* Room for the header of a batch.  */
+static size_t
+header_room (const gp_writer_t *writer)
+{
+  return strlen (writer->name) + 64;
+}
+
+gp_writer_result_t
+gp_writer_enqueue (gp_writer_t *writer, const Gp__Record__Record *record,
+                   gp_writer_priority_t priority, uint64_t token,
+                   gp_time_t deadline, gp_time_t now,
+                   gp_writer_entry_t **entry)
+{
+  gp_writer_entry_t *queued;
+  size_t bytes;
+
+  if (deadline <= now)
+    return GP_WRITER_LATE;
+  if (!gp_writer_available (writer, now))
+    return GP_WRITER_UNAVAILABLE;
+  if (writer->queue_records >= writer->limits.queue_records_max)
+    return GP_WRITER_FULL;
+  queued = pack_entry (record);
+  bytes = writer->queue_bytes + queued->size;
+  if (queued->size + header_room (writer) > writer->limits.batch_bytes_max
+      || bytes > writer->limits.queue_bytes_max)
+    {
+      gp_writer_result_t result = bytes > writer->limits.queue_bytes_max
+                                      ? GP_WRITER_FULL
+                                      : GP_WRITER_TOO_LARGE;
+      g_free (queued);
+      return result;
+    }
+  queued->token = token;
+  queued->queued_at = now;
+  queued->deadline = deadline;
+  gp_list_push_back (&writer->queues[priority], &queued->link);
+  writer->queue_bytes = bytes;
+  writer->queue_records++;
+  writer->expiry = MIN (writer->expiry, deadline);
+  if (entry != NULL)
+    *entry = queued;
+  gp_writer_step (writer, now);
+  return GP_WRITER_QUEUED;
+}
+
+static void
+unqueue (gp_writer_t *writer, gp_writer_entry_t *entry)
+{
+  gp_list_remove (&entry->link);
+  writer->queue_bytes -= entry->size;
+  writer->queue_records--;
+}
+
+bool
+gp_writer_withdraw (gp_writer_t *writer, gp_writer_entry_t *entry)
+{
+  if (entry->sent)
+    return false;
+  unqueue (writer, entry);
+  g_free (entry);
+  return true;
+}
+
+static void
+expire_entry (gp_writer_t *writer, gp_writer_entry_t *entry)
+{
+  gp_writer_action_t action
+      = { .kind = GP_WRITER_EXPIRED, .u.expired.token = entry->token };
+
+  unqueue (writer, entry);
+  push_action (writer, &action);
+  g_free (entry);
+}
+
+static void
+expire_entries (gp_writer_t *writer, gp_time_t now)
+{
+  if (now < writer->expiry)
+    return;
+  writer->expiry = GP_TIME_NEVER;
+  for (int i = 0; i < GP_WRITER_PRIORITIES; i++)
+    GP_LIST_FOREACH_SAFE (pos, &writer->queues[i])
+    {
+      gp_writer_entry_t *entry = entry_of (pos);
+
+      if (entry->deadline <= now)
+        expire_entry (writer, entry);
+      else
+        writer->expiry = MIN (writer->expiry, entry->deadline);
+    }
+}
+
+static void
+send_batch (gp_writer_t *writer, gp_writer_batch_t *batch, gp_time_t now)
+{
+  gp_writer_action_t action
+      = { .kind = GP_WRITER_APPEND,
+          .u.append = { batch->sequence, g_bytes_ref (batch->bytes) } };
+
+  batch->in_flight = true;
+  batch->deadline = now + writer->limits.timeout;
+  writer->appends++;
+  writer->bytes += g_bytes_get_size (batch->bytes);
+  push_action (writer, &action);
+}
+
+/* Move queued records into BATCH and their bytes behind BYTES.  False when
+   it is full.  */
+static bool
+fill_batch (gp_writer_t *writer, gp_writer_batch_t *batch, GByteArray *bytes,
+            gp_list_t *queue)
+{
+  while (!gp_list_empty (queue))
+    {
+      gp_writer_entry_t *entry = entry_of (queue->next);
+
+      if (batch->count >= writer->limits.batch_records_max
+          || bytes->len + entry->size > writer->limits.batch_bytes_max)
+        return false;
+      unqueue (writer, entry);
+      entry->sent = true;
+      gp_list_push_back (&batch->entries, &entry->link);
+      batch->count++;
+      g_byte_array_append (bytes, entry->data, (guint)entry->size);
+    }
+  return true;
+}
+
+static void
+form_batch (gp_writer_t *writer, gp_time_t now)
+{
+  gp_writer_batch_t *batch = g_new0 (gp_writer_batch_t, 1);
+  GByteArray *bytes;
+
+  gp_list_init (&batch->link);
+  gp_list_init (&batch->entries);
+  tick (writer, now);
+  batch->sequence = ++writer->sequence;
+  batch->sent_at = now;
+  writer->spaced = now + writer->limits.spacing;
+  bytes = pack_header (writer, batch->sequence);
+  for (int i = 0; i < GP_WRITER_PRIORITIES; i++)
+    if (!fill_batch (writer, batch, bytes, &writer->queues[i]))
+      break;
+  writer->records += batch->count;
+  batch->bytes = g_byte_array_free_to_bytes (bytes);
+  writer->current = batch;
+  send_batch (writer, batch, now);
+}
+
+/* When the queued records are to leave, were nothing under way.  */
+static gp_time_t
+queue_due (const gp_writer_t *writer)
+{
+  gp_time_t due = GP_TIME_NEVER;
+
+  if (writer->queue_records >= writer->limits.batch_records_max
+      || writer->queue_bytes + header_room (writer)
+             >= writer->limits.batch_bytes_max)
+    return 0;
+  for (int i = 0; i < GP_WRITER_PRIORITIES; i++)
+    if (!gp_list_empty (&writer->queues[i]))
+      {
+        gp_writer_entry_t *oldest = entry_of (writer->queues[i].next);
+
+        due = MIN (due, oldest->queued_at + writer->limits.hold[i]);
+      }
+  return MAX (due, writer->spaced);
+}
+
+static gp_time_t
+backoff (const gp_writer_t *writer, uint32_t failures)
+{
+  uint32_t shift = MIN (failures - 1, BACKOFF_SHIFT_MAX);
+  gp_time_t full
+      = MIN (writer->limits.backoff_min << shift, writer->limits.backoff_max);
+
+  return (gp_time_t)((double)full
+                     * g_rand_double_range (writer->rand, 0.5, 1.0));
+}
+
+static void
+fail_append (gp_writer_t *writer, gp_time_t now)
+{
+  gp_writer_batch_t *batch = writer->current;
+
+  batch->in_flight = false;
+  batch->failures++;
+  batch->deadline = now + backoff (writer, batch->failures);
+}
+
+static void
+step_current (gp_writer_t *writer, gp_time_t now)
+{
+  gp_writer_batch_t *batch = writer->current;
+
+  if (now < batch->deadline)
+    return;
+  if (batch->in_flight)
+    {
+      fail_append (writer, now);
+      return;
+    }
+  writer->repeats++;
+  send_batch (writer, batch, now);
+}
+
+static bool
+may_form (const gp_writer_t *writer)
+{
+  return writer->current == NULL && writer->queue_records > 0
+         && writer->unread_count < writer->limits.unread_max;
+}
+
+void
+gp_writer_step (gp_writer_t *writer, gp_time_t now)
+{
+  expire_entries (writer, now);
+  if (writer->current != NULL)
+    step_current (writer, now);
+  else if (may_form (writer) && queue_due (writer) <= now)
+    form_batch (writer, now);
+}
+
+gp_time_t
+gp_writer_deadline (const gp_writer_t *writer)
+{
+  gp_time_t deadline = writer->expiry;
+
+  if (writer->current != NULL)
+    return MIN (deadline, writer->current->deadline);
+  if (may_form (writer))
+    return MIN (deadline, queue_due (writer));
+  return deadline;
+}
+
+void
+gp_writer_acked (gp_writer_t *writer, uint64_t sequence, gp_time_t now)
+{
+  gp_writer_batch_t *batch = writer->current;
+
+  if (batch == NULL || batch->sequence != sequence)
+    return;
+  writer->current = NULL;
+  gp_list_push_back (&writer->unread, &batch->link);
+  writer->unread_count++;
+  gp_writer_step (writer, now);
+}
+
+void
+gp_writer_failed (gp_writer_t *writer, uint64_t sequence, gp_time_t now)
+{
+  gp_writer_batch_t *batch = writer->current;
+
+  if (batch == NULL || batch->sequence != sequence || !batch->in_flight)
+    return;
+  fail_append (writer, now);
+}
+
+/* Unlink and return the sent batch SEQUENCE, or NULL.  */
+static gp_writer_batch_t *
+take_batch (gp_writer_t *writer, uint64_t sequence)
+{
+  gp_writer_batch_t *batch = writer->current;
+
+  if (batch != NULL && batch->sequence == sequence)
+    {
+      writer->current = NULL;
+      return batch;
+    }
+  GP_LIST_FOREACH (pos, &writer->unread)
+  if (batch_of (pos)->sequence == sequence)
+    {
+      batch = batch_of (pos);
+      gp_list_remove (pos);
+      writer->unread_count--;
+      return batch;
+    }
+  return NULL;
+}
+
+void
+gp_writer_observe (gp_writer_t *writer, uint64_t sequence,
+                   const gp_fold_verdict_t *verdicts, size_t count,
+                   gp_time_t now)
+{
+  gp_writer_batch_t *batch = take_batch (writer, sequence);
+  size_t i = 0;
+
+  if (batch == NULL)
+    return;
+  g_assert (batch->count == count);
+  GP_LIST_FOREACH (pos, &batch->entries)
+  {
+    gp_writer_action_t action
+        = { .kind = GP_WRITER_VERDICT,
+            .u.verdict = { entry_of (pos)->token, verdicts[i++] } };
+
+    push_action (writer, &action);
+  }
+  free_batch (batch);
+  gp_writer_step (writer, now);
+}
