coordination: Place tasks on an index of the workers' headroom

Cause: an entry has to choose a worker for each of 1,300 starts a second among 3,600 workers, and a scan of the fleet for each choice would cost more than the processor time allowed for control.

Change: fleet keeps the workers in buckets by zone, accelerators, free processors and free memory; placement scores at most 32 candidates by fit, expected harm to the service beside, spread over racks and zones, stickiness of watchers and distance to a checkpoint. The harm, the dear term, is computed only while it can change the choice. A choice is a worker with its terms or a typed reason. The harm comes from an online regression of the service's tail latency on the tasks that were there when it was measured.

--- /dev/null
+++ b/src/coordination/placement.c
@@ -0,0 +1,409 @@
+/* Scoring of candidate workers.  */
+
+#include "coordination/placement.h"
+
+#include <math.h>
+#include <string.h>
+
+#define IDLE_ACCELERATOR_COST 1000.0 /* above all other terms together */
+
+const char *
+gp_placement_outcome_name (gp_placement_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case GP_PLACEMENT_CHOSEN:
+      return "chosen";
+    case GP_PLACEMENT_NO_CAPACITY_NOW:
+      return "no-capacity-now";
+    case GP_PLACEMENT_NEVER_FITS:
+      return "never-fits";
+    case GP_PLACEMENT_AVOIDED:
+      return "avoided";
+    case GP_PLACEMENT_HARMFUL:
+      return "harmful";
+    case GP_PLACEMENT_QUOTA:
+      return "quota";
+    case GP_PLACEMENT_PARKED:
+      return "parked";
+    }
+  return "unknown";
+}
+
+void
+gp_placement_init (gp_placement_t *placement,
+                   const gp_placement_weights_t *weights, gp_fleet_t *fleet,
+                   gp_spread_t *spread, const gp_interference_t *interference)
+{
+  memset (placement, 0, sizeof *placement);
+  placement->weights = *weights;
+  placement->fleet = fleet;
+  placement->spread = spread;
+  placement->interference = interference;
+}
+
+/* The part of CAPACITY that is left of FREE after NEED.  */
+static double
+part_left (uint32_t free, uint32_t need, uint32_t capacity)
+{
+  return capacity == 0 ? 0.0 : (double)(free - need) / capacity;
+}
+
+static double
+fit_cost (const gp_placement_weights_t *weights, const gp_placement_ask_t *ask,
+          const gp_worker_t *worker)
+{
+  double processors
+      = part_left (worker->free.millicores, ask->demand.millicores,
+                   worker->capacity.millicores);
+  double memory = part_left (worker->free.memory_mib, ask->demand.memory_mib,
+                             worker->capacity.memory_mib);
+  double room = 0.5 * (processors + memory);
+  double tightness = ask->work_class == GP_WORK_BATCH ? room : 1.0 - room;
+
+  return weights->tightness * tightness
+         + weights->balance * fabs (processors - memory);
+}
+
+static double
+spread_cost (const gp_placement_t *placement, const gp_placement_ask_t *ask,
+             const gp_worker_t *worker)
+{
+  const gp_placement_weights_t *weights = &placement->weights;
+
+  return weights->rack
+             * gp_spread_in_rack (placement->spread, ask->group, worker->rack)
+         + weights->zone
+               * gp_spread_in_zone (placement->spread, ask->group,
+                                    worker->zone);
+}
+
+/* Steps from the zone of the checkpoint: none, another zone, another
+   region.  */
+static double
+locality_cost (const gp_placement_t *placement, const gp_placement_ask_t *ask,
+               const gp_worker_t *worker)
+{
+  const gp_worker_t *previous
+      = gp_fleet_worker (placement->fleet, ask->previous);
+
+  if (!ask->has_checkpoint || previous == NULL
+      || previous->zone == worker->zone)
+    return 0.0;
+  return placement->weights.locality
+         * (previous->region == worker->region ? 1.0 : 2.0);
+}
+
+static double
+harm_cost (const gp_placement_t *placement, const gp_placement_ask_t *ask,
+           const gp_worker_t *worker)
+{
+  if (placement->interference == NULL)
+    return 0.0;
+  return placement->weights.harm
+         * gp_interference_harm (placement->interference, worker, ask->kind);
+}
+
+/* All terms but harm, which costs most to compute and is never negative.  */
+static gp_placement_cost_t
+cost_without_harm (const gp_placement_t *placement,
+                   const gp_placement_ask_t *ask, const gp_worker_t *worker)
+{
+  gp_placement_cost_t cost = { 0 };
+
+  cost.fit = fit_cost (&placement->weights, ask, worker);
+  cost.spread = spread_cost (placement, ask, worker);
+  cost.locality = locality_cost (placement, ask, worker);
+  if (ask->work_class == GP_WORK_WATCHER && ask->previous == worker->index)
+    cost.stickiness = -placement->weights.stickiness;
+  if (worker->capacity.accelerators > 0 && ask->demand.accelerators == 0)
+    cost.accelerators = IDLE_ACCELERATOR_COST;
+  return cost;
+}
+
+gp_placement_cost_t
+gp_placement_cost (const gp_placement_t *placement,
+                   const gp_placement_ask_t *ask, const gp_worker_t *worker)
+{
+  gp_placement_cost_t cost = cost_without_harm (placement, ask, worker);
+
+  cost.harm = harm_cost (placement, ask, worker);
+  return cost;
+}
+
+double
+gp_placement_cost_total (const gp_placement_cost_t *cost)
+{
+  return cost->fit + cost->harm + cost->spread + cost->stickiness
+         + cost->locality + cost->accelerators;
+}
+
+static bool
+avoids (const gp_placement_ask_t *ask, const gp_worker_t *worker)
+{
+  for (unsigned int i = 0; i < ask->n_avoided; i++)
+    if (ask->avoided[i] == worker->index)
+      return true;
+  return false;
+}
+
+bool
+gp_placement_allows (const gp_placement_ask_t *ask, const gp_worker_t *worker)
+{
+  return worker->state == GP_WORKER_SERVING
+         && (ask->zones & (UINT64_C (1) << worker->zone)) != 0
+         && (worker->held_for == 0 || worker->held_for == ask->task)
+         && gp_resources_fit (&ask->demand, &worker->free);
+}
+
+/* A candidate and its cost without harm.  */
+typedef struct
+{
+  gp_worker_t *worker;
+  gp_placement_cost_t cost;
+  double least; /* its total cost is not below this */
+} candidate_t;
+
+typedef struct
+{
+  candidate_t items[2 * GP_FLEET_ZONES_MAX + 2];
+  unsigned int n;
+} candidates_t;
+
+static void
+add_candidate (const gp_placement_t *placement, const gp_placement_ask_t *ask,
+               gp_worker_t *worker, candidates_t *candidates)
+{
+  candidate_t *candidate = &candidates->items[candidates->n];
+
+  if (avoids (ask, worker) || !gp_placement_allows (ask, worker))
+    return;
+  candidate->worker = worker;
+  candidate->cost = cost_without_harm (placement, ask, worker);
+  candidate->least = gp_placement_cost_total (&candidate->cost);
+  candidates->n++;
+}
+
+/* Take CANDIDATE into CHOICE when it costs less.  */
+static void
+consider (const gp_placement_t *placement, const gp_placement_ask_t *ask,
+          candidate_t *candidate, gp_placement_choice_t *choice)
+{
+  gp_worker_t *worker = candidate->worker;
+  double total;
+
+  candidate->cost.harm = harm_cost (placement, ask, worker);
+  total = gp_placement_cost_total (&candidate->cost);
+  if (candidate->cost.harm > placement->weights.harm * ask->harm_limit)
+    return;
+  if (choice->worker != NULL
+      && (total > choice->total
+          || (total == choice->total
+              && worker->index > choice->worker->index)))
+    return;
+  choice->worker = worker;
+  choice->cost = candidate->cost;
+  choice->total = total;
+}
+
+/* Take the candidates from the least cost without harm on, and stop when the
+   rest can't cost less than what was found.  */
+static void
+choose_among (const gp_placement_t *placement, const gp_placement_ask_t *ask,
+              candidates_t *candidates, gp_placement_choice_t *choice)
+{
+  choice->candidates = candidates->n;
+  while (candidates->n > 0)
+    {
+      candidate_t *least = &candidates->items[0];
+
+      for (unsigned int i = 1; i < candidates->n; i++)
+        if (candidates->items[i].least < least->least)
+          least = &candidates->items[i];
+      if (choice->worker != NULL && least->least > choice->total)
+        break;
+      consider (placement, ask, least, choice);
+      *least = candidates->items[--candidates->n];
+    }
+}
+
+/* Consider every worker; for a task that avoids all that the index offers.  */
+static void
+choose_among_all (const gp_placement_t *placement,
+                  const gp_placement_ask_t *ask, gp_placement_choice_t *choice)
+{
+  for (guint i = 0; i < placement->fleet->workers->len; i++)
+    {
+      gp_worker_t *worker = gp_fleet_worker (placement->fleet, i);
+      candidates_t one = { .n = 0 };
+
+      if (worker != NULL)
+        add_candidate (placement, ask, worker, &one);
+      choice->candidates += one.n;
+      if (one.n > 0)
+        consider (placement, ask, &one.items[0], choice);
+    }
+}
+
+static bool
+known_miss (const gp_placement_t *placement, const gp_placement_ask_t *ask)
+{
+  const gp_placement_miss_t *miss = &placement->miss;
+
+  return miss->growth == placement->fleet->growth && miss->zones == ask->zones
+         && gp_resources_fit (&miss->demand, &ask->demand);
+}
+
+static void
+note_miss (gp_placement_t *placement, const gp_placement_ask_t *ask)
+{
+  placement->miss.growth = placement->fleet->growth;
+  placement->miss.zones = ask->zones;
+  placement->miss.demand = ask->demand;
+}
+
+/* The reason why nothing was chosen; SEEN workers had room.  */
+static gp_placement_outcome_t
+reason_of (const gp_placement_t *placement, const gp_placement_ask_t *ask,
+           unsigned int seen, unsigned int candidates)
+{
+  if (candidates > 0)
+    return GP_PLACEMENT_HARMFUL;
+  if (seen > 0)
+    return GP_PLACEMENT_AVOIDED;
+  if (!gp_fleet_can_ever_fit (placement->fleet, &ask->demand, ask->zones))
+    return GP_PLACEMENT_NEVER_FITS;
+  return GP_PLACEMENT_NO_CAPACITY_NOW;
+}
+
+/* Add what the index offers to CANDIDATES; return how many workers had room,
+   those to be avoided among them.  */
+static unsigned int
+search (gp_placement_t *placement, const gp_placement_ask_t *ask,
+        candidates_t *candidates)
+{
+  gp_worker_t *found[2 * GP_FLEET_ZONES_MAX];
+  unsigned int n;
+
+  if (known_miss (placement, ask))
+    return 0;
+  n = gp_fleet_search (
+      placement->fleet, &ask->demand, ask->zones, found,
+      MAX (GP_PLACEMENT_CANDIDATES, 2 * placement->fleet->n_zones));
+  if (n == 0)
+    note_miss (placement, ask);
+  for (unsigned int i = 0; i < n; i++)
+    if (found[i]->index != ask->previous)
+      add_candidate (placement, ask, found[i], candidates);
+  return n;
+}
+
+gp_placement_choice_t
+gp_placement_choose (gp_placement_t *placement, const gp_placement_ask_t *ask)
+{
+  gp_placement_choice_t choice = { .outcome = GP_PLACEMENT_CHOSEN };
+  gp_worker_t *previous = gp_fleet_worker (placement->fleet, ask->previous);
+  gp_worker_t *held = gp_fleet_worker (placement->fleet, ask->held);
+  candidates_t candidates;
+  unsigned int seen;
+
+  candidates.n = 0;
+  if (held != NULL)
+    add_candidate (placement, ask, held, &candidates);
+  if (previous != NULL && previous != held)
+    add_candidate (placement, ask, previous, &candidates);
+  seen = search (placement, ask, &candidates);
+  if (seen > 0 && candidates.n == 0)
+    choose_among_all (placement, ask, &choice);
+  else
+    choose_among (placement, ask, &candidates, &choice);
+  if (choice.worker == NULL)
+    choice.outcome = reason_of (placement, ask, seen, choice.candidates);
+  return choice;
+}
+
+void
+gp_placement_reserve (gp_placement_t *placement, const gp_placement_ask_t *ask,
+                      gp_worker_t *worker)
+{
+  gp_placement_drop_hold (placement, ask);
+  gp_fleet_reserve (placement->fleet, worker, ask->kind, &ask->demand);
+  gp_spread_add (placement->spread, ask->group, worker->rack, worker->zone, 1);
+}
+
+void
+gp_placement_release (gp_placement_t *placement, const gp_placement_ask_t *ask,
+                      gp_worker_t *worker)
+{
+  gp_fleet_release (placement->fleet, worker, ask->kind, &ask->demand);
+  gp_spread_add (placement->spread, ask->group, worker->rack, worker->zone,
+                 -1);
+}
+
+void
+gp_placement_refuse (gp_placement_t *placement, const gp_placement_ask_t *ask,
+                     gp_worker_t *worker, const gp_resources_t *headroom)
+{
+  gp_fleet_refuse (placement->fleet, worker, ask->kind, &ask->demand,
+                   headroom);
+  gp_spread_add (placement->spread, ask->group, worker->rack, worker->zone,
+                 -1);
+}
+
+/* The least part of DEMAND that FREE covers.  */
+static double
+part_covered (const gp_resources_t *free, const gp_resources_t *demand)
+{
+  double share = gp_resources_share (demand, free);
+
+  return share > 0.0 ? 1.0 / share : INFINITY;
+}
+
+static bool
+may_hold (const gp_placement_ask_t *ask, const gp_worker_t *worker)
+{
+  return worker->state == GP_WORKER_SERVING && worker->held_for == 0
+         && (ask->zones & (UINT64_C (1) << worker->zone)) != 0
+         && !avoids (ask, worker)
+         && gp_resources_fit (&ask->demand, &worker->capacity);
+}
+
+uint32_t
+gp_placement_hold (gp_placement_t *placement, const gp_placement_ask_t *ask,
+                   gp_time_t until)
+{
+  gp_fleet_t *fleet = placement->fleet;
+  gp_worker_t *best = NULL;
+  double best_part = -1.0;
+
+  if (fleet->holds > fleet->workers->len / GP_PLACEMENT_WORKERS_PER_HOLD)
+    return GP_WORKER_NONE;
+  for (guint i = 0; i < fleet->workers->len; i++)
+    {
+      gp_worker_t *worker = gp_fleet_worker (fleet, i);
+      double part;
+
+      if (worker == NULL || !may_hold (ask, worker))
+        continue;
+      part = part_covered (&worker->free, &ask->demand);
+      if (part > best_part)
+        {
+          best = worker;
+          best_part = part;
+        }
+    }
+  if (best == NULL)
+    return GP_WORKER_NONE;
+  gp_fleet_hold (fleet, best, ask->task, until);
+  return best->index;
+}
+
+void
+gp_placement_drop_hold (gp_placement_t *placement,
+                        const gp_placement_ask_t *ask)
+{
+  gp_worker_t *worker = gp_fleet_worker (placement->fleet, ask->held);
+
+  if (worker != NULL && worker->held_for == ask->task)
+    gp_fleet_hold (placement->fleet, worker, 0, 0);
+}
--- /dev/null
+++ b/tests/unit/test_placement.c
@@ -0,0 +1,286 @@
+/* Placement against a scan of the whole fleet with the same scoring.  */
+
+#include "policy_suite.h"
+
+#include <math.h>
+#include <stdio.h>
+
+enum
+{
+  STEPS = 4000,
+  TASKS_MAX = 4000
+};
+
+static const gp_resources_t site_worker = { 64000, 256000, 0 };
+
+static void
+print_choice (const char *what, const gp_placement_choice_t *choice)
+{
+  printf ("%s: %s", what, gp_placement_outcome_name (choice->outcome));
+  if (choice->worker != NULL)
+    printf (" worker %u fit %.3f spread %.3f sticky %.1f locality %.1f",
+            choice->worker->index, choice->cost.fit, choice->cost.spread,
+            choice->cost.stickiness, choice->cost.locality);
+  printf ("\n");
+}
+
+static gp_worker_t *
+place (policy_site_t *site, const char *what, const gp_placement_ask_t *ask)
+{
+  gp_placement_choice_t choice = gp_placement_choose (&site->placement, ask);
+
+  print_choice (what, &choice);
+  if (choice.worker != NULL)
+    gp_placement_reserve (&site->placement, ask, choice.worker);
+  return choice.worker;
+}
+
+static void
+test_transcript (void)
+{
+  policy_site_t site;
+  gp_placement_ask_t ask = policy_ask (1, 40000, 100000);
+  gp_resources_t headroom = { 1000, 1000, 0 };
+  gp_resources_t ended = ask.demand;
+  gp_worker_t *worker;
+
+  policy_site_init (&site, 4, 2, &site_worker);
+  worker = place (&site, "first", &ask);
+  place (&site, "batch spreads", &ask);
+  gp_placement_refuse (&site.placement, &ask, worker, &headroom);
+  ask.work_class = GP_WORK_WATCHER;
+  ask.previous = 2;
+  ask.has_checkpoint = true;
+  place (&site, "watcher stays", &ask);
+  place (&site, "watcher near", &ask);
+  ask.demand.millicores = 70000;
+  place (&site, "too large", &ask);
+  ask.demand.millicores = 30000;
+  place (&site, "full", &ask);
+  ask.held = gp_placement_hold (&site.placement, &ask, GP_SEC);
+  printf ("held %u\n", ask.held);
+  gp_fleet_confirm (&site.fleet, &site.workers[ask.held], &ended);
+  gp_fleet_release (&site.fleet, &site.workers[ask.held], 0, &ended);
+  ask.task = 2;
+  place (&site, "other task", &ask);
+  ask.task = 1;
+  ask.avoided[0] = ask.held;
+  ask.n_avoided = 1;
+  place (&site, "avoiding it", &ask);
+  gp_placement_drop_hold (&site.placement, &ask);
+  place (&site, "not held, avoiding it", &ask);
+  ask.n_avoided = 0;
+  place (&site, "at last", &ask);
+  policy_site_finish (&site);
+}
+
+static void
+test_accelerators_kept (void)
+{
+  policy_site_t site;
+  gp_placement_ask_t ask = policy_ask (1, 40000, 1000);
+  gp_worker_t accelerated;
+
+  policy_site_init (&site, 1, 1, &site_worker);
+  gp_worker_init (&accelerated);
+  accelerated.capacity = site_worker;
+  accelerated.capacity.accelerators = 2;
+  gp_fleet_add (&site.fleet, &accelerated);
+  CU_ASSERT_EQUAL (place (&site, "plain", &ask)->index, 0);
+  CU_ASSERT_EQUAL (place (&site, "plain, else full", &ask)->index, 1);
+  ask.demand = (gp_resources_t){ 1000, 1000, 2 };
+  CU_ASSERT_EQUAL (place (&site, "accelerated", &ask)->index, 1);
+  CU_ASSERT_PTR_NULL (place (&site, "accelerators used", &ask));
+  gp_worker_finish (&accelerated);
+  policy_site_finish (&site);
+}
+
+/* What the naive twin finds: the least cost over all workers.  */
+static gp_worker_t *
+scan_all (policy_site_t *site, const gp_placement_ask_t *ask, double *least)
+{
+  gp_worker_t *best = NULL;
+
+  *least = INFINITY;
+  for (unsigned int i = 0; i < site->n_workers; i++)
+    {
+      gp_worker_t *worker = &site->workers[i];
+      gp_placement_cost_t cost;
+      double total;
+
+      if (!gp_placement_allows (ask, worker))
+        continue;
+      cost = gp_placement_cost (&site->placement, ask, worker);
+      total = gp_placement_cost_total (&cost);
+      if (total < *least)
+        {
+          *least = total;
+          best = worker;
+        }
+    }
+  return best;
+}
+
+/* A task that was placed.  */
+typedef struct
+{
+  gp_placement_ask_t ask;
+  gp_worker_t *worker;
+} placed_t;
+
+typedef struct
+{
+  policy_site_t site;
+  gp_interference_t interference;
+  GRand *random;
+  placed_t tasks[TASKS_MAX];
+  unsigned int n_tasks;
+  double regret;
+  unsigned int choices;
+  unsigned int misses;
+} run_t;
+
+/* Give the workers a service whose model has seen some measurements.  */
+static void
+begin_interference (run_t *run)
+{
+  gp_residency_t residency;
+
+  gp_interference_init (&run->interference, &GP_INTERFERENCE_DEFAULTS);
+  run->site.placement.interference = &run->interference;
+  gp_residency_init (&residency, 0);
+  for (int i = 1; i < 40; i++)
+    {
+      gp_residency_change (&residency, (uint16_t)(i % 5), GP_RESIDENCY_WHOLE,
+                           i * GP_SEC);
+      gp_interference_measure (&run->interference, 0, 0.5, &residency,
+                               i * GP_SEC, (i + 1) * GP_SEC, 0.03 * i);
+    }
+  for (unsigned int i = 0; i < run->site.n_workers; i++)
+    {
+      run->site.workers[i].service = 0;
+      run->site.workers[i].load_permille
+          = (uint16_t)g_rand_int_range (run->random, 0, 1000);
+    }
+}
+
+static gp_placement_ask_t
+random_ask (run_t *run, uint64_t task)
+{
+  gp_placement_ask_t ask
+      = policy_ask (task, 250U << g_rand_int_range (run->random, 0, 8),
+                    500U << g_rand_int_range (run->random, 0, 9));
+
+  ask.group = (uint32_t)g_rand_int_range (run->random, 0, 5);
+  ask.kind = (uint16_t)ask.group;
+  ask.work_class = ask.group == 0 ? GP_WORK_WATCHER : GP_WORK_BATCH;
+  ask.previous
+      = (uint32_t)g_rand_int_range (run->random, 0, (gint)run->site.n_workers);
+  ask.has_checkpoint = ask.group < 3;
+  return ask;
+}
+
+static void
+step_place (run_t *run, uint64_t task, bool exact)
+{
+  gp_placement_ask_t ask = random_ask (run, task);
+  double least;
+  gp_worker_t *naive = scan_all (&run->site, &ask, &least);
+  gp_placement_choice_t choice
+      = gp_placement_choose (&run->site.placement, &ask);
+
+  CU_ASSERT_EQUAL (naive != NULL, choice.outcome == GP_PLACEMENT_CHOSEN);
+  if (exact)
+    CU_ASSERT_PTR_EQUAL (naive, choice.worker);
+  if (choice.worker == NULL)
+    {
+      CU_ASSERT_EQUAL (choice.outcome, GP_PLACEMENT_NO_CAPACITY_NOW);
+      run->misses++;
+      return;
+    }
+  CU_ASSERT_TRUE (gp_resources_fit (&ask.demand, &choice.worker->free));
+  run->regret += choice.total - least;
+  run->choices++;
+  gp_placement_reserve (&run->site.placement, &ask, choice.worker);
+  gp_fleet_confirm (&run->site.fleet, choice.worker, &ask.demand);
+  run->tasks[run->n_tasks++] = (placed_t){ ask, choice.worker };
+}
+
+static void
+step_release (run_t *run)
+{
+  unsigned int i
+      = (unsigned int)g_rand_int_range (run->random, 0, (gint)run->n_tasks);
+
+  gp_placement_release (&run->site.placement, &run->tasks[i].ask,
+                        run->tasks[i].worker);
+  run->tasks[i] = run->tasks[--run->n_tasks];
+}
+
+/* What is placed on each worker equals what is missing there.  */
+static void
+check_headroom (const run_t *run)
+{
+  gp_resources_t *used = g_new0 (gp_resources_t, run->site.n_workers);
+
+  for (unsigned int i = 0; i < run->n_tasks; i++)
+    gp_resources_add (&used[run->tasks[i].worker->index],
+                      &run->tasks[i].ask.demand);
+  for (unsigned int i = 0; i < run->site.n_workers; i++)
+    {
+      gp_resources_add (&used[i], &run->site.workers[i].free);
+      CU_ASSERT_TRUE (gp_resources_equal (&used[i], &site_worker));
+    }
+  g_free (used);
+}
+
+static void
+random_run (unsigned int workers, uint32_t seed, bool exact)
+{
+  run_t *run = g_new0 (run_t, 1);
+
+  run->random = g_rand_new_with_seed (seed);
+  policy_site_init (&run->site, workers, 4, &site_worker);
+  begin_interference (run);
+  for (unsigned int step = 0; step < STEPS; step++)
+    if (run->n_tasks > 0 && g_rand_int_range (run->random, 0, 10) < 4)
+      step_release (run);
+    else
+      step_place (run, step + 1, exact);
+  check_headroom (run);
+  CU_ASSERT_TRUE (run->choices > STEPS / 10);
+  CU_ASSERT_TRUE (run->regret / run->choices < 0.25);
+  printf ("%u workers: %u chosen, %u misses, mean regret %.2f\n", workers,
+          run->choices, run->misses, run->regret / run->choices);
+  gp_interference_finish (&run->interference);
+  policy_site_finish (&run->site);
+  g_rand_free (run->random);
+  g_free (run);
+}
+
+static void
+test_twin_small (void)
+{
+  for (uint32_t seed = 1; seed <= 3; seed++)
+    random_run (11, seed, true);
+}
+
+static void
+test_twin_large (void)
+{
+  random_run (60, 4, false);
+  random_run (300, 5, false);
+}
+
+int
+main (void)
+{
+  static const policy_test_t tests[]
+      = { { "transcript", test_transcript },
+          { "accelerators kept", test_accelerators_kept },
+          { "twin, small", test_twin_small },
+          { "twin, large", test_twin_large },
+          { NULL, NULL } };
+
+  return policy_suite_run ("placement", tests);
+}
