Make the random scripts of admission crowd teams and kinds

Cause: trials that broke the waking of blocked requests and the share of batch went unnoticed, since the scripts seldom had a queue. Change: finish any started request, submit more often, tighter limits.

--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -246,7 +246,7 @@
   GRand *random = g_rand_new_with_seed (seed);
   gp_admission_options_t options
       = { .slots = g_rand_int_range (random, 1, 9),
-          .connections = g_rand_int_range (random, 2, 12),
+          .connections = g_rand_int_range (random, 2, 14),
           .max_queued = g_rand_int_range (random, 1, 40),
           .reserve_duration = g_rand_int_range (random, 1, 200) * GP_MSEC };
 
@@ -257,9 +257,9 @@
   admission_twin_init (&pair->twin, &options);
   for (int i = 0; i < GROUPS; i++)
     {
-      uint32_t running = random_limit (random, 1, 6);
-      uint32_t queued = random_limit (random, 1, 20);
-      gp_time_t declared = g_rand_int_range (random, 1, 40) * GP_MSEC;
+      uint32_t running = random_limit (random, 1, 4);
+      uint32_t queued = random_limit (random, 5, 20);
+      gp_time_t declared = g_rand_int_range (random, 1, 15) * GP_MSEC;
 
       for (int side = 0; side < 2; side++)
         {
@@ -381,6 +381,20 @@
                            > options->max_queued;
 }
 
+/* The first started request from NUMBER on, in a ring; else NUMBER.  */
+static int
+started_from (const pair_t *pair, int number)
+{
+  for (int i = 0; i < pair->submitted; i++)
+    {
+      int candidate = (number + i) % pair->submitted;
+
+      if (pair->requests[0][candidate].state == GP_ADMISSION_STARTED)
+        return candidate;
+    }
+  return number;
+}
+
 static void
 pair_step (pair_t *pair)
 {
@@ -388,10 +402,10 @@
   int choice = g_rand_int_range (pair->random, 0, 100);
 
   pair->now += g_rand_int_range (pair->random, 0, 4) * GP_MSEC;
-  if (choice < 30 && pair->submitted < REQUESTS)
+  if (choice < 40 && pair->submitted < REQUESTS)
     pair_submit (pair);
   else if (choice < 80)
-    pair_finish (pair, MAX (number, pair->submitted - 1 - number / 4));
+    pair_finish (pair, started_from (pair, number));
   else if (choice < 83 && pair->submitted > 0)
     pair_cancel (pair, number);
   else if (choice < 90)
