Bound the queue of admission in time and keep batch's share busy

Change: a latency-critical request is refused when its predicted wait is over a third of its time; batch is also out of laxity when its queue would outlast the last one's laxity at the pace of the share. The queue of requests becomes an object of its own, request_queue.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -3,8 +3,11 @@
    Rules.  A request may start when a slot and a connection are free and its
    team and kind run fewer than their limits.  Of those that may:
 
-   1. Urgent batch (its laxity has run out: URGENT_AT has come) goes first
-      while batch holds fewer than BATCH_SHARE slots, by earliest URGENT_AT.
+   1. Batch that is out of laxity goes first while batch holds fewer than
+      BATCH_SHARE slots, by earliest URGENT_AT.  Batch is out of laxity when
+      the first URGENT_AT has come, or when all queued batch, drained at the
+      pace of the share, would take past the last URGENT_AT.  URGENT_AT is the
+      deadline less twice the high estimate of the kind.
    2. Latency-critical requests are next, by earliest deadline.
    3. Other batch is last, by earliest URGENT_AT, and only while batch holds
       fewer than SLOTS - CRITICAL_RESERVE slots.  The reserve lapses when no
@@ -15,19 +18,16 @@
    over by latency-critical requests only when batch has its share.
 
    Refusal.  A request that cannot start at once is refused if its predicted
-   end is past its deadline.  At its turn a request that is hopeless (NOW plus
-   the mean of its kind is past its deadline) is refused if another of its
-   class waits behind it; the last one is tried, so that an estimate which is
-   far too high is corrected by measurement.  At its deadline a request is
-   refused wherever it waits.
-
-   Structure.  A queued request is in EXPIRY and in one of READY (it lacks
-   only a slot) or a group's BLOCKED (the group is at its running limit).  A
-   request moves from READY to BLOCKED when its turn comes, and back when the
-   group has room.  Invariant: if a group has room and has blocked requests
-   of a class, then READY of that class holds a request of that group for
-   each place that the group has; so none is forgotten.  Whatever takes a
-   request out of READY wakes one of its groups to keep this true.  */
+   end is past its deadline, and a latency-critical one also if its predicted
+   wait is more than MAX_CRITICAL_WAIT or a third of its time: so the queue is
+   bounded in time, and the bound follows the measured service times.  At its
+   turn a request that is hopeless (NOW plus the mean of its kind is past its
+   deadline) is refused if another of its class waits behind it; the last one
+   is tried, so that an estimate which is far too high is corrected by
+   measurement.  At its deadline a request is refused wherever it waits.
+
+   Each public call first does what is due, so that afterwards nothing that
+   may start is waiting.  */
 
 #include "coordination/admission.h"
 
@@ -36,7 +36,9 @@
 enum
 {
   /* Urgent when the rest of the time is this many high estimates.  */
-  URGENT_ESTIMATES = 2
+  URGENT_ESTIMATES = 2,
+  /* A latency-critical request waits at most this part of its time.  */
+  WAIT_FRACTION = 3
 };
 
 /* Bounds of the hint when to retry.  */
@@ -46,85 +48,6 @@
 #define CRITICAL GP_ADMISSION_LATENCY_CRITICAL
 #define BATCH GP_ADMISSION_BATCH
 
-/* Orders.  */
-
-static bool
-deadline_before (const gp_admission_request_t *a,
-                 const gp_admission_request_t *b)
-{
-  if (a->deadline != b->deadline)
-    return a->deadline < b->deadline;
-  return a->sequence < b->sequence;
-}
-
-static bool
-critical_before (const gp_heap_node_t *a, const gp_heap_node_t *b)
-{
-  return deadline_before (GP_CONTAINER_OF (a, gp_admission_request_t, order),
-                          GP_CONTAINER_OF (b, gp_admission_request_t, order));
-}
-
-static bool
-batch_before (const gp_heap_node_t *na, const gp_heap_node_t *nb)
-{
-  const gp_admission_request_t *a
-      = GP_CONTAINER_OF (na, gp_admission_request_t, order);
-  const gp_admission_request_t *b
-      = GP_CONTAINER_OF (nb, gp_admission_request_t, order);
-
-  if (a->urgent_at != b->urgent_at)
-    return a->urgent_at < b->urgent_at;
-  return a->sequence < b->sequence;
-}
-
-static bool
-expiry_before (const gp_heap_node_t *a, const gp_heap_node_t *b)
-{
-  return deadline_before (GP_CONTAINER_OF (a, gp_admission_request_t, expiry),
-                          GP_CONTAINER_OF (b, gp_admission_request_t, expiry));
-}
-
-/* The most slack first; of equals the latest arrival.  */
-static bool
-slack_before (const gp_heap_node_t *na, const gp_heap_node_t *nb)
-{
-  const gp_admission_request_t *a
-      = GP_CONTAINER_OF (na, gp_admission_request_t, slack);
-  const gp_admission_request_t *b
-      = GP_CONTAINER_OF (nb, gp_admission_request_t, slack);
-
-  if (a->urgent_at != b->urgent_at)
-    return a->urgent_at > b->urgent_at;
-  return a->sequence > b->sequence;
-}
-
-static void
-init_order (gp_heap_t heaps[GP_ADMISSION_CLASSES])
-{
-  gp_heap_init (&heaps[CRITICAL], critical_before);
-  gp_heap_init (&heaps[BATCH], batch_before);
-}
-
-static gp_admission_request_t *
-first_in_order (const gp_heap_t *heap)
-{
-  gp_heap_node_t *node = gp_heap_first (heap);
-
-  if (node == NULL)
-    return NULL;
-  return GP_CONTAINER_OF (node, gp_admission_request_t, order);
-}
-
-static gp_admission_request_t *
-first_to_expire (const gp_admission_t *admission)
-{
-  gp_heap_node_t *node = gp_heap_first (&admission->expiry);
-
-  if (node == NULL)
-    return NULL;
-  return GP_CONTAINER_OF (node, gp_admission_request_t, expiry);
-}
-
 /* Limits.  */
 
 static uint32_t
@@ -133,12 +56,6 @@
   return admission->running[CRITICAL] + admission->running[BATCH];
 }
 
-static uint32_t
-all_queued (const gp_admission_t *admission)
-{
-  return admission->queued[CRITICAL] + admission->queued[BATCH];
-}
-
 static bool
 slot_free (const gp_admission_t *admission)
 {
@@ -170,23 +87,6 @@
          || admission->running[BATCH] < batch_limit (admission, now);
 }
 
-static bool
-group_full (const gp_admission_group_t *group)
-{
-  return group->running >= group->max_running;
-}
-
-/* The group at its running limit that keeps REQUEST waiting, or NULL.  */
-static gp_admission_group_t *
-find_blocker (const gp_admission_request_t *request)
-{
-  if (group_full (request->team))
-    return request->team;
-  if (group_full (&request->kind->group))
-    return &request->kind->group;
-  return NULL;
-}
-
 /* Estimates.  */
 
 /* Slots that drain the queue of WORK_CLASS; at least one.  */
@@ -194,7 +94,7 @@
 drain_slots (const gp_admission_t *admission, gp_admission_class_t work_class)
 {
   const gp_admission_options_t *options = &admission->options;
-  uint32_t batch = admission->running[BATCH] + admission->queued[BATCH];
+  uint32_t batch = admission->running[BATCH] + admission->queue.count[BATCH];
   uint32_t slots;
 
   if (work_class == CRITICAL)
@@ -210,7 +110,7 @@
 predicted_wait (const gp_admission_t *admission,
                 gp_admission_class_t work_class, gp_time_t mean)
 {
-  gp_time_t work = admission->queued_work[work_class] + mean;
+  gp_time_t work = admission->queue.work[work_class] + mean;
 
   return work / drain_slots (admission, work_class);
 }
@@ -225,6 +125,21 @@
   return now + wait + gp_service_time_high (time) <= request->deadline;
 }
 
+/* Whether the predicted wait of a latency-critical request is within its
+   bound; that of batch has none but the deadline.  */
+static bool
+wait_bounded (const gp_admission_t *admission,
+              const gp_admission_request_t *request, gp_time_t now)
+{
+  gp_time_t bound = (request->deadline - now) / WAIT_FRACTION;
+  gp_time_t wait = predicted_wait (admission, request->work_class,
+                                   request->kind->service_time.mean);
+
+  if (request->work_class != CRITICAL)
+    return true;
+  return wait <= MIN (bound, admission->options.max_critical_wait);
+}
+
 static bool
 hopeless (const gp_admission_request_t *request, gp_time_t now)
 {
@@ -263,7 +178,7 @@
   request->started_at = now;
   admission->running[request->work_class]++;
   request->team->running++;
-  request->kind->group.running++;
+  request->kind->quota.running++;
   if (admission->idle_connections > 0)
     admission->idle_connections--;
   else
@@ -271,138 +186,54 @@
   gp_list_push_back (&admission->actions, &request->action);
 }
 
-static void
-make_ready (gp_admission_t *admission, gp_admission_request_t *request)
-{
-  request->blocker = NULL;
-  gp_heap_insert (&admission->ready[request->work_class], &request->order);
-}
-
-/* Move the first blocked request of GROUP and WORK_CLASS to READY if the
-   group has room.  */
-static void
-wake (gp_admission_t *admission, gp_admission_group_t *group,
-      gp_admission_class_t work_class)
-{
-  gp_admission_request_t *request
-      = first_in_order (&group->blocked[work_class]);
-
-  if (request == NULL || group_full (group))
-    return;
-  gp_heap_remove (&group->blocked[work_class], &request->order);
-  make_ready (admission, request);
-}
-
-static void
-wake_all (gp_admission_t *admission, gp_admission_group_t *group)
-{
-  for (int c = 0; c < GP_ADMISSION_CLASSES; c++)
-    {
-      while (!group_full (group) && !gp_heap_empty (&group->blocked[c]))
-        wake (admission, group, c);
-    }
-}
-
-/* Take REQUEST out of READY or BLOCKED.  */
-static void
-leave_order (gp_admission_t *admission, gp_admission_request_t *request)
-{
-  gp_admission_class_t work_class = request->work_class;
-
-  if (request->blocker != NULL)
-    {
-      gp_heap_remove (&request->blocker->blocked[work_class], &request->order);
-      return;
-    }
-  gp_heap_remove (&admission->ready[work_class], &request->order);
-  wake (admission, request->team, work_class);
-  wake (admission, &request->kind->group, work_class);
-}
-
-static void
-block (gp_admission_t *admission, gp_admission_request_t *request,
-       gp_admission_group_t *blocker)
-{
-  leave_order (admission, request);
-  request->blocker = blocker;
-  gp_heap_insert (&blocker->blocked[request->work_class], &request->order);
-}
-
 static void
 enqueue (gp_admission_t *admission, gp_admission_request_t *request)
 {
-  gp_admission_class_t work_class = request->work_class;
+  const gp_service_time_t *time = &request->kind->service_time;
 
-  request->state = GP_ADMISSION_QUEUED;
-  request->sequence = admission->next_sequence++;
-  request->work = request->kind->service_time.mean;
+  request->work = time->mean;
   request->urgent_at
-      = request->deadline
-        - URGENT_ESTIMATES
-              * gp_service_time_high (&request->kind->service_time);
-  admission->queued[work_class]++;
-  admission->queued_work[work_class] += request->work;
-  request->team->queued++;
-  request->kind->group.queued++;
-  gp_heap_insert (&admission->expiry, &request->expiry);
-  if (work_class == BATCH)
-    gp_heap_insert (&admission->slack, &request->slack);
-  make_ready (admission, request);
-}
-
-static void
-dequeue (gp_admission_t *admission, gp_admission_request_t *request)
-{
-  gp_admission_class_t work_class = request->work_class;
-
-  admission->queued[work_class]--;
-  admission->queued_work[work_class] -= request->work;
-  request->team->queued--;
-  request->kind->group.queued--;
-  gp_heap_remove (&admission->expiry, &request->expiry);
-  if (work_class == BATCH)
-    gp_heap_remove (&admission->slack, &request->slack);
-  leave_order (admission, request);
+      = request->deadline - URGENT_ESTIMATES * gp_service_time_high (time);
+  gp_request_queue_insert (&admission->queue, request);
 }
 
 static void
 refuse_queued (gp_admission_t *admission, gp_admission_request_t *request,
                gp_admission_reason_t reason, gp_time_t now)
 {
-  dequeue (admission, request);
+  gp_request_queue_remove (&admission->queue, request);
   refuse (admission, request, reason, now);
 }
 
 /* Dispatch.  */
 
-/* The first ready request of WORK_CLASS that no group blocks, or NULL.  */
-static gp_admission_request_t *
-first_startable (gp_admission_t *admission, gp_admission_class_t work_class)
+/* Whether FIRST, the first batch, or the batch with most slack after all the
+   other batch and at the pace of the share, would start too late.  */
+static bool
+out_of_laxity (const gp_admission_t *admission,
+               const gp_admission_request_t *first, gp_time_t now)
 {
-  gp_admission_request_t *request;
-
-  while ((request = first_in_order (&admission->ready[work_class])) != NULL)
-    {
-      gp_admission_group_t *blocker = find_blocker (request);
+  const gp_admission_request_t *last
+      = gp_request_queue_most_slack (&admission->queue);
+  gp_time_t backlog
+      = admission->queue.work[BATCH] / admission->options.batch_share;
 
-      if (blocker == NULL)
-        return request;
-      block (admission, request, blocker);
-    }
-  return NULL;
+  return first->urgent_at <= now || last->urgent_at <= now + backlog;
 }
 
 /* The request whose turn it is by the rules, or NULL.  A slot is free.  */
 static gp_admission_request_t *
 choose (gp_admission_t *admission, gp_time_t now)
 {
-  gp_admission_request_t *critical = first_startable (admission, CRITICAL);
+  gp_admission_request_t *critical
+      = gp_request_queue_first (&admission->queue, CRITICAL);
   gp_admission_request_t *batch = NULL;
 
   if (class_may_start (admission, BATCH, now))
-    batch = first_startable (admission, BATCH);
-  if (batch != NULL && batch->urgent_at <= now
-      && admission->running[BATCH] < admission->options.batch_share)
+    batch = gp_request_queue_first (&admission->queue, BATCH);
+  if (batch != NULL
+      && admission->running[BATCH] < admission->options.batch_share
+      && out_of_laxity (admission, batch, now))
     return batch;
   return critical != NULL ? critical : batch;
 }
@@ -412,7 +243,8 @@
 {
   gp_admission_request_t *request;
 
-  while ((request = first_to_expire (admission)) != NULL
+  while ((request = gp_request_queue_first_to_expire (&admission->queue))
+             != NULL
          && request->deadline <= now)
     refuse_queued (admission, request, GP_ADMISSION_DEADLINE, now);
 }
@@ -428,12 +260,12 @@
       if (request == NULL)
         return;
       if (hopeless (request, now)
-          && admission->queued[request->work_class] > 1)
+          && admission->queue.count[request->work_class] > 1)
         {
           refuse_queued (admission, request, GP_ADMISSION_DEADLINE, now);
           continue;
         }
-      dequeue (admission, request);
+      gp_request_queue_remove (&admission->queue, request);
       start (admission, request, now);
     }
 }
@@ -441,12 +273,12 @@
 gp_time_t
 gp_admission_next_deadline (const gp_admission_t *admission)
 {
-  gp_admission_request_t *request = first_to_expire (admission);
+  gp_admission_request_t *request
+      = gp_request_queue_first_to_expire (&admission->queue);
 
   if (request == NULL)
     return GP_TIME_NEVER;
-  if (slot_free (admission)
-      && !gp_heap_empty (&admission->ready[GP_ADMISSION_BATCH]))
+  if (slot_free (admission) && !gp_heap_empty (&admission->queue.ready[BATCH]))
     return MIN (request->deadline, admission->reserve_until);
   return request->deadline;
 }
@@ -459,28 +291,22 @@
 find_victim (const gp_admission_t *admission,
              const gp_admission_request_t *arrival, gp_time_t now)
 {
-  gp_admission_request_t *oldest = first_to_expire (admission);
-  gp_heap_node_t *slack = gp_heap_first (&admission->slack);
+  gp_admission_request_t *oldest
+      = gp_request_queue_first_to_expire (&admission->queue);
 
   if (oldest != NULL && hopeless (oldest, now))
     return oldest;
-  if (arrival->work_class != CRITICAL || slack == NULL)
+  if (arrival->work_class != CRITICAL)
     return NULL;
-  return GP_CONTAINER_OF (slack, gp_admission_request_t, slack);
-}
-
-static bool
-queue_limit_reached (const gp_admission_group_t *group)
-{
-  return group->queued >= group->max_queued;
+  return gp_request_queue_most_slack (&admission->queue);
 }
 
 static void
 submit_to_queue (gp_admission_t *admission, gp_admission_request_t *request,
                  gp_time_t now)
 {
-  if (queue_limit_reached (request->team)
-      || queue_limit_reached (&request->kind->group))
+  if (gp_request_quota_queue_full (request->team)
+      || gp_request_quota_queue_full (&request->kind->quota))
     {
       refuse (admission, request, GP_ADMISSION_LIMIT, now);
       return;
@@ -490,7 +316,13 @@
       refuse (admission, request, GP_ADMISSION_DEADLINE, now);
       return;
     }
-  if (all_queued (admission) >= admission->options.max_queued)
+  if (!wait_bounded (admission, request, now))
+    {
+      refuse (admission, request, GP_ADMISSION_QUEUE_FULL, now);
+      return;
+    }
+  if (gp_request_queue_length (&admission->queue)
+      >= admission->options.max_queued)
     {
       gp_admission_request_t *victim = find_victim (admission, request, now);
 
@@ -524,7 +356,7 @@
   else if (request->deadline <= now)
     refuse (admission, request, GP_ADMISSION_DEADLINE, now);
   else if (class_may_start (admission, work_class, now)
-           && find_blocker (request) == NULL)
+           && gp_request_queue_blocker (request) == NULL)
     start (admission, request, now);
   else
     submit_to_queue (admission, request, now);
@@ -552,17 +384,14 @@
   request->state = GP_ADMISSION_DONE;
   admission->running[request->work_class]--;
   request->team->running--;
-  request->kind->group.running--;
+  request->kind->quota.running--;
   if (keep)
     admission->idle_connections++;
   if (end == GP_ADMISSION_ANSWERED)
     gp_service_time_add (&request->kind->service_time,
                          now - request->started_at);
-  for (int c = 0; c < GP_ADMISSION_CLASSES; c++)
-    {
-      wake (admission, request->team, c);
-      wake (admission, &request->kind->group, c);
-    }
+  gp_request_queue_wake (&admission->queue, request->team);
+  gp_request_queue_wake (&admission->queue, &request->kind->quota);
   gp_admission_advance (admission, now);
 }
 
@@ -582,14 +411,16 @@
   gp_admission_request_t *request;
 
   admission->leaving = true;
-  while ((request = first_to_expire (admission)) != NULL)
+  while ((request = gp_request_queue_first_to_expire (&admission->queue))
+         != NULL)
     refuse_queued (admission, request, GP_ADMISSION_LEAVING, now);
 }
 
 bool
 gp_admission_drained (const gp_admission_t *admission)
 {
-  return all_running (admission) == 0 && all_queued (admission) == 0;
+  return all_running (admission) == 0
+         && gp_request_queue_length (&admission->queue) == 0;
 }
 
 gp_admission_request_t *
@@ -604,31 +435,32 @@
 
 /* Set-up.  */
 
-void
-gp_admission_group_init (gp_admission_group_t *group, uint32_t max_running,
-                         uint32_t max_queued)
-{
-  *group = (gp_admission_group_t){ .max_running = max_running,
-                                   .max_queued = max_queued };
-  init_order (group->blocked);
-}
-
 void
 gp_admission_kind_init (gp_admission_kind_t *kind, uint32_t max_running,
                         uint32_t max_queued, gp_time_t declared)
 {
-  gp_admission_group_init (&kind->group, max_running, max_queued);
+  gp_request_quota_init (&kind->quota, max_running, max_queued);
   gp_service_time_init (&kind->service_time, declared);
 }
 
+/* Take OPTIONS over, with shares that fit into the slots.  */
+static void
+set_options (gp_admission_t *admission, const gp_admission_options_t *options)
+{
+  uint32_t slots = options->slots;
+
+  admission->options = *options;
+  admission->options.batch_share = MIN (options->batch_share, slots);
+  admission->options.critical_reserve = MIN (options->critical_reserve, slots);
+}
+
 void
 gp_admission_init (gp_admission_t *admission,
                    const gp_admission_options_t *options)
 {
-  *admission = (gp_admission_t){ .options = *options };
-  init_order (admission->ready);
-  gp_heap_init (&admission->expiry, expiry_before);
-  gp_heap_init (&admission->slack, slack_before);
+  *admission = (gp_admission_t){ .leaving = false };
+  set_options (admission, options);
+  gp_request_queue_init (&admission->queue);
   gp_list_init (&admission->actions);
 }
 
@@ -636,17 +468,17 @@
 gp_admission_configure (gp_admission_t *admission,
                         const gp_admission_options_t *options, gp_time_t now)
 {
-  admission->options = *options;
+  set_options (admission, options);
   gp_admission_advance (admission, now);
 }
 
 void
-gp_admission_set_limits (gp_admission_t *admission,
-                         gp_admission_group_t *group, uint32_t max_running,
-                         uint32_t max_queued, gp_time_t now)
+gp_admission_set_limits (gp_admission_t *admission, gp_request_quota_t *quota,
+                         uint32_t max_running, uint32_t max_queued,
+                         gp_time_t now)
 {
-  group->max_running = max_running;
-  group->max_queued = max_queued;
-  wake_all (admission, group);
+  quota->max_running = max_running;
+  quota->max_queued = max_queued;
+  gp_request_queue_wake_all (&admission->queue, quota);
   gp_admission_advance (admission, now);
 }
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -19,38 +19,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "base/heap.h"
 #include "base/list.h"
 #include "base/time.h"
-#include "coordination/service_time.h"
-
-#define GP_ADMISSION_UNLIMITED UINT32_MAX
-
-typedef enum
-{
-  GP_ADMISSION_LATENCY_CRITICAL,
-  GP_ADMISSION_BATCH,
-  GP_ADMISSION_CLASSES /* how many there are */
-} gp_admission_class_t;
-
-typedef enum
-{
-  GP_ADMISSION_IDLE, /* not submitted yet */
-  GP_ADMISSION_QUEUED,
-  GP_ADMISSION_STARTED,
-  GP_ADMISSION_DONE,
-  GP_ADMISSION_REFUSED
-} gp_admission_state_t;
-
-/* Why a request was refused; each means that it did not run.  */
-typedef enum
-{
-  GP_ADMISSION_QUEUE_FULL,
-  GP_ADMISSION_DEADLINE, /* it has passed, or could not be met */
-  GP_ADMISSION_LEAVING,
-  GP_ADMISSION_CANCELLED, /* by the caller */
-  GP_ADMISSION_LIMIT      /* queue limit of its team or kind */
-} gp_admission_reason_t;
+#include "coordination/request_queue.h"
 
 /* How a started request ended.  */
 typedef enum
@@ -59,56 +30,17 @@
   GP_ADMISSION_FAILED    /* its duration tells nothing */
 } gp_admission_end_t;
 
-/* Limits on the requests of one team or one kind, with their use.  */
-typedef struct
-{
-  uint32_t max_running; /* at least 1, or GP_ADMISSION_UNLIMITED */
-  uint32_t max_queued;  /* or GP_ADMISSION_UNLIMITED */
-  uint32_t running;
-  uint32_t queued;
-  gp_heap_t blocked[GP_ADMISSION_CLASSES]; /* queued for want of running */
-} gp_admission_group_t;
-
-typedef struct
-{
-  gp_admission_group_t group;
-  gp_service_time_t service_time;
-} gp_admission_kind_t;
-
-typedef struct
-{
-  /* Set by the caller before submission.  */
-  gp_admission_class_t work_class;
-  gp_time_t deadline;
-  gp_admission_group_t *team;
-  gp_admission_kind_t *kind;
-
-  /* To be read by the caller.  */
-  gp_admission_state_t state;
-  gp_time_t started_at;         /* when STARTED or DONE */
-  gp_admission_reason_t reason; /* when REFUSED */
-  gp_time_t retry_at;           /* when REFUSED: not worth trying before */
-
-  /* Private.  */
-  gp_list_t action;              /* in admission->actions */
-  gp_heap_node_t order;          /* in READY or a group's BLOCKED */
-  gp_heap_node_t expiry;         /* in EXPIRY */
-  gp_heap_node_t slack;          /* in SLACK, batch only */
-  gp_admission_group_t *blocker; /* whose BLOCKED, or NULL for READY */
-  gp_time_t urgent_at;           /* when the laxity of batch runs out */
-  gp_time_t work;                /* estimate that counts in QUEUED_WORK */
-  uint64_t sequence;             /* breaks ties by arrival */
-} gp_admission_request_t;
-
 typedef struct
 {
-  uint32_t slots;             /* requests that run at once */
-  uint32_t connections;       /* open to the upstream at once */
-  uint32_t max_queued;        /* requests that wait at once */
-  uint32_t critical_reserve;  /* slots kept from batch, < slots */
-  uint32_t batch_share;       /* slots urgent batch is sure of */
-  gp_time_t reserve_duration; /* the reserve holds this long after the last
-                                 latency-critical request */
+  uint32_t slots;              /* requests that run at once */
+  uint32_t connections;        /* open to the upstream at once */
+  uint32_t max_queued;         /* requests that wait at once */
+  uint32_t critical_reserve;   /* slots kept from batch, < slots */
+  uint32_t batch_share;        /* slots urgent batch is sure of */
+  gp_time_t reserve_duration;  /* the reserve holds this long after the last
+                                  latency-critical request */
+  gp_time_t max_critical_wait; /* duration that a latency-critical request
+                                  may be predicted to wait */
 } gp_admission_options_t;
 
 typedef struct
@@ -116,20 +48,13 @@
   gp_admission_options_t options;
   bool leaving;
   uint32_t running[GP_ADMISSION_CLASSES];
-  uint32_t queued[GP_ADMISSION_CLASSES];
-  gp_time_t queued_work[GP_ADMISSION_CLASSES]; /* sum of estimates */
   uint32_t open_connections;
   uint32_t idle_connections;
   gp_time_t reserve_until;
-  uint64_t next_sequence;
-  gp_heap_t ready[GP_ADMISSION_CLASSES]; /* waiting for a slot only */
-  gp_heap_t expiry;                      /* all queued, by deadline */
-  gp_heap_t slack; /* queued batch, the latest urgent_at first */
+  gp_request_queue_t queue;
   gp_list_t actions;
 } gp_admission_t;
 
-void gp_admission_group_init (gp_admission_group_t *group,
-                              uint32_t max_running, uint32_t max_queued);
 /* DECLARED is the duration to expect until one has been measured.  */
 void gp_admission_kind_init (gp_admission_kind_t *kind, uint32_t max_running,
                              uint32_t max_queued, gp_time_t declared);
@@ -143,9 +68,8 @@
                              const gp_admission_options_t *options,
                              gp_time_t now);
 void gp_admission_set_limits (gp_admission_t *admission,
-                              gp_admission_group_t *group,
-                              uint32_t max_running, uint32_t max_queued,
-                              gp_time_t now);
+                              gp_request_quota_t *quota, uint32_t max_running,
+                              uint32_t max_queued, gp_time_t now);
 
 /* Decide on REQUEST, whose first four fields are set; it must stay valid
    until it is DONE or REFUSED and its action was taken.  */
