Add the operators' document with one check for all its users

Cause: command line, console and entry must agree on what is a valid document, tell every fault with its place, and send changes in proportion to what changed.

--- a/src/base/yaml_json.c
+++ b/src/base/yaml_json.c
@@ -20,7 +20,7 @@
     }
   json_object_set_new (json, "minimum", json_integer (rule->min));
   json_object_set_new (json, "maximum", json_integer (rule->max));
-  if (optional)
+  if (optional && rule->fallback >= rule->min && rule->fallback <= rule->max)
     json_object_set_new (json, "default", json_integer (rule->fallback));
   return json;
 }
--- a/src/base/yaml_schema.c
+++ b/src/base/yaml_schema.c
@@ -144,16 +144,17 @@
 check_string (checker_t *checker, const gp_yaml_node_t *node,
               const cyaml_schema_value_t *schema, const gp_yaml_rule_t *rule)
 {
+  size_t size = node->kind == GP_YAML_SCALAR ? strlen (node->value) : 0;
+  bool fits = size >= schema->string.min && size <= schema->string.max;
   char *allowed;
 
-  if (node->kind == GP_YAML_SCALAR
-      && strlen (node->value) >= schema->string.min
-      && strlen (node->value) <= schema->string.max
-      && is_printable (node->value) && matches (node->value, rule))
+  if (fits && is_printable (node->value) && matches (node->value, rule))
     return;
-  allowed = g_strdup_printf ("%s, %u to %u bytes",
-                             rule && rule->allowed ? rule->allowed : "text",
-                             schema->string.min, schema->string.max);
+  if (fits && rule && rule->allowed)
+    allowed = g_strdup (rule->allowed);
+  else
+    allowed = g_strdup_printf ("text of %u to %u bytes", schema->string.min,
+                               schema->string.max);
   report_value (checker, node, allowed);
   g_free (allowed);
 }
--- /dev/null
+++ b/src/state/document_check.h
@@ -0,0 +1,13 @@
+/* Checks of a document that its schema cannot tell; see document.h.  */
+
+#ifndef GP_STATE_DOCUMENT_CHECK_H
+#define GP_STATE_DOCUMENT_CHECK_H
+
+#include "base/yaml.h"
+#include "state/document.h"
+
+/* Add what DOCUMENT, loaded from ROOT, breaks to ISSUES.  */
+void gp_document_check_rules (const gp_document_t *document,
+                              const gp_yaml_node_t *root, GPtrArray *issues);
+
+#endif
--- /dev/null
+++ b/src/state/document_items.h
@@ -0,0 +1,59 @@
+/* A document in parts, as it is sent, stored and hashed.
+
+   A list of items is a GPtrArray of gp_document_item_t ordered by key, each
+   key once.  See document.h for what the items are.  */
+
+#ifndef GP_STATE_DOCUMENT_ITEMS_H
+#define GP_STATE_DOCUMENT_ITEMS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/issue.h"
+#include "base/yaml.h"
+
+#define GP_DOCUMENT_DIGEST_SIZE 16
+
+typedef struct
+{
+  char *key;
+  GBytes *value; /* canonical YAML in one line; NULL in a delta: removed */
+} gp_document_item_t;
+
+/* An empty list that owns its items.  */
+GPtrArray *gp_document_items_new (void);
+
+/* Append an item; VALUE is referenced and may be NULL.  */
+void gp_document_items_add (GPtrArray *items, const char *key, GBytes *value);
+
+/* Order ITEMS by key.  */
+void gp_document_items_sort (GPtrArray *items);
+
+/* What turns BASE into TARGET.  */
+GPtrArray *gp_document_items_diff (const GPtrArray *base,
+                                   const GPtrArray *target);
+
+/* BASE with DELTA applied.  */
+GPtrArray *gp_document_items_patch (const GPtrArray *base,
+                                    const GPtrArray *delta);
+
+bool gp_document_items_equal (const GPtrArray *left, const GPtrArray *right);
+
+void gp_document_items_digest (const GPtrArray *items,
+                               uint8_t digest[GP_DOCUMENT_DIGEST_SIZE]);
+
+/* Split the canonical tree ROOT of a whole document.  */
+GPtrArray *gp_document_items_split (const gp_yaml_node_t *root);
+
+/* Put the items of a whole document together as one line of YAML.  False
+   and an issue when a key is not one of a document.  */
+bool gp_document_items_join (const GPtrArray *items, GString *out,
+                             GPtrArray *issues);
+
+/* The items of a whole document as YAML for people; as
+   gp_document_items_join otherwise.  */
+bool gp_document_items_format (const GPtrArray *items, GString *out,
+                               GPtrArray *issues);
+
+#endif
