Fuzz the check of documents and settings

Cause: both texts come from outside; the check must come back for any bytes and what it accepts must survive being split, joined and shown.

The compiler of the fuzz build also points out a memcpy that reads like a mistake; it is written plainly now. The two transcript tests use the common runner.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 #   make check           unit tests and scripted runs (SANITIZE=1: ASan+UBSan)
 #   make lint            formatter and linter, no changes
 #   make bench           benchmarks, printed as text
+#   make soak            fuzz targets (FUZZ_SECONDS=30 each; needs clang)
 #   make demo            a small site of real processes on loopback
 #   make install         PREFIX=/usr/local DESTDIR=
 #
@@ -15,8 +16,8 @@
 SANITIZE ?=
 BUILD := build$(if $(SANITIZE),-sanitize)
 
-PACKAGES := libh2o libuv libprotobuf-c libcyaml glib-2.0 jansson libxxhash yaml-0.1 \
-	openssl
+PACKAGES := libh2o libuv libprotobuf-c libcyaml yaml-0.1 glib-2.0 jansson \
+	libxxhash openssl
 ifneq ($(MAKECMDGOALS),deps)
 PKG_CFLAGS := $(patsubst -I%,-isystem%,$(shell pkg-config --cflags $(PACKAGES)))
 PKG_LIBS := $(shell pkg-config --libs $(PACKAGES)) -lm
@@ -48,6 +49,10 @@
 TEST_SUPPORT_OBJ := $(TEST_SUPPORT_SRC:%.c=$(BUILD)/%.o)
 BENCH_SRC := $(wildcard bench/bench_*.c)
 BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
+FUZZ_SRC := $(wildcard tests/fuzz/fuzz_*.c)
+FUZZERS := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
+FUZZ_LIB_SRC := $(wildcard src/base/*.c src/state/document*.c)
+FUZZ_SECONDS ?= 30
 STYLE_SRC := $(filter-out src/protocol/generated/%,\
 	$(wildcard src/*/*.[ch] include/*/*.h programs/*.c \
 	tests/unit/*.[ch] tests/standins/*.[ch] \
@@ -109,6 +114,17 @@
 demo: all
 	@tools/demo $(BUILD)
 
+# Fuzz targets with libFuzzer and ASan; needs clang.
+build-fuzz/%: tests/fuzz/%.c $(FUZZ_LIB_SRC)
+	@mkdir -p $(@D)
+	@clang $(CPPFLAGS) $(PKG_CFLAGS) -std=gnu11 -O1 -g $(WARN) \
+		-fsanitize=fuzzer,address,undefined \
+		-fno-sanitize-recover=undefined -o $@ $^ $(PKG_LIBS)
+
+# Longer runs of what check does in short: fuzzing, bounded in time.
+soak: $(FUZZERS)
+	@tools/run-fuzz $(FUZZ_SECONDS) $(FUZZERS)
+
 # Regenerate the committed protobuf-c code; needs protobuf-c-compiler.
 proto:
 	protoc-c --c_out=src/protocol/generated --proto_path=src/protocol \
@@ -126,7 +142,7 @@
 		$(DESTDIR)$(PREFIX)/include/galenapier
 
 clean:
-	rm -rf build build-sanitize
+	rm -rf build build-sanitize build-fuzz
 
 -include $(LIB_OBJ:.o=.d)
 -include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d $(BUILD)/*/*/*/*.d)
--- a/src/base/yaml_load.c
+++ b/src/base/yaml_load.c
@@ -52,15 +52,16 @@
             const gp_yaml_node_t *node, char *place)
 {
   bool pointer = field->value.flags & CYAML_FLAG_POINTER;
+  char *target = place;
 
   if (pointer && !node)
     return;
   if (pointer)
-    memcpy (&place, place, sizeof place);
+    memcpy (&target, place, sizeof (char *));
   if (field->value.type == CYAML_MAPPING)
-    fill_mapping (schema, field->value.mapping.fields, node, place);
+    fill_mapping (schema, field->value.mapping.fields, node, target);
   else if (field->value.type == CYAML_SEQUENCE && node)
-    fill_sequence (schema, &field->value, node, place);
+    fill_sequence (schema, &field->value, node, target);
 }
 
 static void
--- /dev/null
+++ b/tests/fuzz/fuzz_document.c
@@ -0,0 +1,82 @@
+/* Fuzz target: whatever the bytes, the document's check must come back; what
+   it accepts must survive the split into items and back, and the form for
+   people.  The same bytes are read as settings.  */
+
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include "base/settings.h"
+#include "state/document.h"
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+must_equal (const gp_document_t *left, const gp_document_t *right)
+{
+  if (memcmp (left->digest, right->digest, sizeof left->digest) != 0)
+    g_error ("the digests differ");
+}
+
+static void
+check_items (const gp_document_t *document)
+{
+  GPtrArray *issues = gp_issues_new ();
+  gp_document_t again;
+
+  if (!gp_document_load_items (&again, document->items, issues))
+    g_error ("the document does not load from its items");
+  must_equal (document, &again);
+  gp_document_finish (&again);
+  g_ptr_array_unref (issues);
+}
+
+static void
+check_format (const gp_document_t *document)
+{
+  GPtrArray *issues = gp_issues_new ();
+  GString *text = g_string_new (NULL);
+  gp_document_t again;
+
+  if (!gp_document_items_format (document->items, text, issues)
+      || !gp_document_load (&again, text->str, text->len, issues))
+    g_error ("the document does not load from its form for people");
+  must_equal (document, &again);
+  gp_document_finish (&again);
+  g_string_free (text, TRUE);
+  g_ptr_array_unref (issues);
+}
+
+static void
+check_document (const char *text, size_t size)
+{
+  GPtrArray *issues = gp_issues_new ();
+  gp_document_t document;
+
+  if (gp_document_load (&document, text, size, issues))
+    {
+      check_items (&document);
+      check_format (&document);
+      gp_document_finish (&document);
+    }
+  else if (gp_issues_count (issues, GP_ISSUE_ERROR) == 0)
+    g_error ("refused without a reason");
+  g_ptr_array_unref (issues);
+}
+
+static void
+check_settings (const char *text, size_t size)
+{
+  gp_settings_t settings;
+
+  if (gp_settings_load_text (&settings, "fuzz", text, size, NULL))
+    gp_settings_finish (&settings);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  check_document ((const char *)data, size);
+  check_settings ((const char *)data, size);
+  return 0;
+}
--- a/tests/unit/test_document.c
+++ b/tests/unit/test_document.c
@@ -2,12 +2,11 @@
    place, and items split, join, differ and patch.  The transcript of
    messages is compared with test_document.expected.  */
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/time.h"
-#include "base/yaml.h"
+#include "runner.h"
 #include "state/document.h"
 
 #define HEAD "version: 1\nsite: s\n"
@@ -251,37 +250,23 @@
   return g_string_free (text, FALSE);
 }
 
-/* The items of A and B by a table: as many changes as keys that differ.  */
+/* How many items differ between A and B, by looking at every pair.  */
 static guint
 naive_changes (const GPtrArray *a, const GPtrArray *b)
 {
-  GHashTable *left = g_hash_table_new (g_str_hash, g_str_equal);
+  guint common = 0;
   guint same = 0;
 
-  for (guint i = 0; i < a->len; i++)
-    {
-      gp_document_item_t *item = a->pdata[i];
-
-      g_hash_table_insert (left, item->key, item->value);
-    }
-  for (guint i = 0; i < b->len; i++)
-    {
-      gp_document_item_t *item = b->pdata[i];
-      GBytes *value = g_hash_table_lookup (left, item->key);
-
-      if (!value)
-        continue;
-      same += g_bytes_equal (value, item->value);
-      g_hash_table_remove (left, item->key);
-      g_hash_table_insert (left, item->key, item->value);
-    }
-  g_hash_table_unref (left);
-  guint common = 0;
   for (guint i = 0; i < a->len; i++)
     for (guint j = 0; j < b->len; j++)
-      common += strcmp (((gp_document_item_t *)a->pdata[i])->key,
-                        ((gp_document_item_t *)b->pdata[j])->key)
-                == 0;
+      {
+        const gp_document_item_t *left = a->pdata[i];
+        const gp_document_item_t *right = b->pdata[j];
+        bool equal = strcmp (left->key, right->key) == 0;
+
+        common += equal;
+        same += equal && g_bytes_equal (left->value, right->value);
+      }
   return a->len + b->len - common - same;
 }
 
@@ -426,23 +411,16 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("document", NULL, NULL);
-  CU_add_test (suite, "cases", test_cases);
-  CU_add_test (suite, "examples", test_examples);
-  CU_add_test (suite, "canonical", test_canonical);
-  CU_add_test (suite, "round trip", test_round_trip);
-  CU_add_test (suite, "diff and patch", test_diff_patch);
-  CU_add_test (suite, "bad items", test_bad_items);
-  CU_add_test (suite, "deadline", test_deadline);
-  CU_add_test (suite, "bounds", test_bounds);
-  CU_add_test (suite, "schema", test_schema);
-  CU_run_all_tests ();
-  CU_basic_show_failures (CU_get_failure_list ());
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  CU_TestInfo tests[] = { { "cases", test_cases },
+                          { "examples", test_examples },
+                          { "canonical", test_canonical },
+                          { "round trip", test_round_trip },
+                          { "diff and patch", test_diff_patch },
+                          { "bad items", test_bad_items },
+                          { "deadline", test_deadline },
+                          { "bounds", test_bounds },
+                          { "schema", test_schema },
+                          CU_TEST_INFO_NULL };
+
+  return runner_main ("document", tests);
 }
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -1,12 +1,12 @@
 /* Settings: the examples load, and each fault is told with its place.  The
    transcript is compared with test_settings.expected.  */
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/error.h"
 #include "base/settings.h"
+#include "runner.h"
 
 #define HEAD                                                                  \
   "site: s\nname: a\nregion: r\nzone: z1\n"                                   \
@@ -145,17 +145,10 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
+  CU_TestInfo tests[] = { { "cases", test_cases },
+                          { "defaults", test_defaults },
+                          { "examples", test_examples },
+                          CU_TEST_INFO_NULL };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("settings", NULL, NULL);
-  CU_add_test (suite, "cases", test_cases);
-  CU_add_test (suite, "defaults", test_defaults);
-  CU_add_test (suite, "examples", test_examples);
-  CU_run_all_tests ();
-  CU_basic_show_failures (CU_get_failure_list ());
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return runner_main ("settings", tests);
 }
