Serve requests from caller to upstream through entry and guard

Cause: the decisions stood alone; nothing was served. Change: galenapier-entry and galenapier-guard: relays with tries, verdicts, streaming under a window, deadlines; targets from membership; graceful stops; a scripted run with real processes; tools/site_processes.py starts a site on loopback. Conclusion: the request path holds thinly; limits of teams, keyed requests and the log come next.

--- /dev/null
+++ b/src/daemon/entry.c
@@ -0,0 +1,246 @@
+/* The entry: listeners, sessions, stop.  */
+
+#include "daemon/entry.h"
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "daemon/operators.h"
+#include "daemon/text.h"
+
+#define HEADER_TIMEOUT (10 * GP_SEC)
+#define CLOSE_GRACE (200 * GP_MSEC)
+#define READY_PATH "/-/ready"
+
+/* Sessions.  */
+
+static void
+on_ready (gp_session_t *session, void *data)
+{
+  (void)data;
+  gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("peer", session->process),
+          GP_LOG_I ("incarnation", session->incarnation));
+}
+
+static void
+on_announce (gp_entry_t *entry, gp_session_t *session,
+             const Gp__Wire__Announce *announce)
+{
+  if (session->role != GP__WIRE__ROLE__ROLE_GUARD
+      || !gp_routes_announce (&entry->routes, session, announce))
+    gp_session_close (session, true);
+}
+
+static void
+on_message (gp_session_t *session, const Gp__Wire__Envelope *envelope,
+            void *data)
+{
+  gp_entry_t *entry = data;
+
+  switch (envelope->message_case)
+    {
+    case GP__WIRE__ENVELOPE__MESSAGE_ANNOUNCE:
+      on_announce (entry, session, envelope->announce);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT:
+      gp_routes_heartbeat (&entry->routes, session, envelope->heartbeat);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_ANSWER:
+      gp_relays_on_answer (&entry->relays, session, envelope->answer);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_ANSWER_PART:
+      gp_relays_on_part (&entry->relays, session, envelope->answer_part);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_BROKEN:
+      gp_relays_on_broken (&entry->relays, session, envelope->broken);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_drain (gp_session_t *session, void *data)
+{
+  gp_entry_t *entry = data;
+
+  if (session->object != NULL)
+    gp_relays_on_drain (&entry->relays, session->object);
+}
+
+static void
+on_close (gp_session_t *session, bool ready, const GError *reason, void *data)
+{
+  gp_entry_t *entry = data;
+
+  if (!ready)
+    return;
+  gp_log (GP_LOG_INFO, "session.closed", GP_LOG_S ("peer", session->process),
+          GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
+  if (session->object != NULL)
+    gp_relays_on_closed (&entry->relays, session->object);
+  gp_routes_closed (&entry->routes, session);
+}
+
+static const gp_session_callbacks_t session_callbacks = {
+  .on_ready = on_ready,
+  .on_message = on_message,
+  .on_drain = on_drain,
+  .on_close = on_close,
+};
+
+/* Callers.  */
+
+static void
+answer_ready (const gp_entry_t *entry, gp_http_exchange_t *exchange)
+{
+  if (entry->leaving)
+    gp_http_exchange_answer (exchange, 503, NULL, 0, "leaving\n", 8);
+  else
+    gp_http_exchange_answer (exchange, 200, NULL, 0, "ready\n", 6);
+}
+
+static void
+on_caller (gp_http_exchange_t *exchange, void *data)
+{
+  gp_entry_t *entry = data;
+
+  if (gp_text_equal (gp_http_exchange_path (exchange), READY_PATH))
+    answer_ready (entry, exchange);
+  else
+    gp_relays_on_request (exchange, &entry->relays);
+}
+
+/* Stop.  */
+
+static void
+on_peers_closed (gp_timer_t *timer, void *data)
+{
+  gp_entry_t *entry = data;
+
+  (void)timer;
+  gp_loop_stop (&entry->loop);
+}
+
+static void
+on_callers_done (void *data)
+{
+  gp_entry_t *entry = data;
+
+  gp_log (GP_LOG_INFO, "entry.drained");
+  entry->callers = NULL;
+  gp_session_host_close (&entry->host);
+  entry->stop_timer.cb = on_peers_closed;
+  gp_timer_arm (&entry->stop_timer, gp_loop_now (&entry->loop) + CLOSE_GRACE);
+}
+
+static void
+on_balancer_gone (gp_timer_t *timer, void *data)
+{
+  gp_entry_t *entry = data;
+
+  (void)timer;
+  gp_http_server_shutdown (entry->callers, on_callers_done, entry);
+}
+
+static void
+on_stop (void *data)
+{
+  gp_entry_t *entry = data;
+
+  if (entry->leaving)
+    return;
+  entry->leaving = true;
+  gp_log (GP_LOG_INFO, "entry.leaving");
+  gp_timer_arm (&entry->stop_timer,
+                gp_loop_now (&entry->loop)
+                    + entry->settings->timings.leave_ms * GP_MSEC);
+}
+
+static bool
+listen_http (gp_entry_t *entry, GError **error)
+{
+  const gp_settings_entry_t *settings = entry->settings->entry;
+  gp_http_server_options_t callers
+      = { .address = settings->callers,
+          .max_body_size = settings->max_body_kib * 1024UL,
+          .header_timeout = HEADER_TIMEOUT,
+          .on_request = on_caller,
+          .data = entry };
+  gp_http_server_options_t operators = callers;
+
+  operators.address = settings->operators;
+  operators.on_request = gp_operators_on_request;
+  entry->callers = gp_http_server_new (&entry->loop, &callers, error);
+  if (entry->callers == NULL)
+    return false;
+  if (settings->operators == NULL)
+    return true;
+  entry->operators = gp_http_server_new (&entry->loop, &operators, error);
+  return entry->operators != NULL;
+}
+
+static bool
+load_tls (gp_entry_t *entry, GError **error)
+{
+  const gp_settings_tls_t *tls = entry->settings->tls;
+
+  if (tls == NULL)
+    return true;
+  entry->tls = gp_tls_new (tls->authority, tls->certificate, tls->key, error);
+  return entry->tls != NULL;
+}
+
+bool
+gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
+               GError **error)
+{
+  gp_members_settings_t members = GP_MEMBERS_SETTINGS_DEFAULT;
+  gp_identity_t self = { .site = settings->site,
+                         .process = settings->name,
+                         .role = GP__WIRE__ROLE__ROLE_ENTRY,
+                         .region = settings->region,
+                         .zone = settings->zone,
+                         .address = settings->entry->peers };
+
+  *entry = (gp_entry_t){ .settings = settings };
+  entry->incarnation = (uint64_t)gp_time_wall ();
+  self.incarnation = entry->incarnation;
+  members.suspect_after = settings->timings.suspect_ms * GP_MSEC;
+  if (!load_tls (entry, error) || !gp_loop_init (&entry->loop, error))
+    return false;
+  entry->rand = g_rand_new ();
+  gp_session_host_init (&entry->host, &entry->loop, entry->tls, &self,
+                        &session_callbacks, entry);
+  gp_routes_init (&entry->routes, &entry->loop, settings->zone, &members);
+  gp_relays_init (&entry->relays, &entry->loop, &entry->routes, entry->rand,
+                  settings->entry->max_requests);
+  gp_timer_init (&entry->stop_timer, &entry->loop, on_balancer_gone, entry);
+  if (!gp_session_host_listen (&entry->host, settings->entry->peers, error))
+    return false;
+  if (!listen_http (entry, error))
+    return false;
+  gp_loop_on_signal (&entry->loop, on_stop, entry);
+  return true;
+}
+
+void
+gp_entry_run (gp_entry_t *entry)
+{
+  gp_log (GP_LOG_INFO, "entry.started",
+          GP_LOG_I ("incarnation", entry->incarnation));
+  gp_loop_run (&entry->loop);
+  gp_log (GP_LOG_INFO, "entry.stopped");
+}
+
+void
+gp_entry_finish (gp_entry_t *entry)
+{
+  gp_timer_finish (&entry->stop_timer);
+  gp_relays_finish (&entry->relays);
+  gp_routes_finish (&entry->routes);
+  gp_session_host_finish (&entry->host);
+  gp_loop_finish (&entry->loop);
+  if (entry->tls != NULL)
+    gp_tls_free (entry->tls);
+  g_rand_free (entry->rand);
+}
--- /dev/null
+++ b/src/daemon/entry.h
@@ -0,0 +1,36 @@
+/* The entry: HTTP to callers and operators, sessions to guards and other
+   entries.  */
+
+#ifndef GP_DAEMON_ENTRY_H
+#define GP_DAEMON_ENTRY_H
+
+#include "base/settings.h"
+#include "daemon/relay.h"
+#include "daemon/routes.h"
+#include "protocol/session.h"
+
+typedef struct
+{
+  gp_loop_t loop;
+  const gp_settings_t *settings;
+  gp_tls_t *tls;
+  GRand *rand;
+  uint64_t incarnation;
+  gp_session_host_t host;
+  gp_routes_t routes;
+  gp_relays_t relays;
+  gp_http_server_t *callers;
+  gp_http_server_t *operators;
+  gp_timer_t stop_timer;
+  bool leaving;
+} gp_entry_t;
+
+bool gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
+                    GError **error);
+
+/* Run until a signal has been followed to the end: fail readiness, serve on
+   until the balancer has gone, finish what is open.  */
+void gp_entry_run (gp_entry_t *entry);
+void gp_entry_finish (gp_entry_t *entry);
+
+#endif
--- a/src/daemon/execution.c
+++ b/src/daemon/execution.c
@@ -24,6 +24,7 @@
 #define QUEUE_PER_SLOT 16
 #define DECLARED_SERVICE_TIME (5 * GP_MSEC)
 #define RESERVE_DURATION (1 * GP_SEC)
+#define MAX_CRITICAL_WAIT (500 * GP_MSEC)
 
 typedef struct
 {
@@ -80,8 +81,7 @@
 
   load->running = a->running[GP_ADMISSION_LATENCY_CRITICAL]
                   + a->running[GP_ADMISSION_BATCH];
-  load->queued = a->queued[GP_ADMISSION_LATENCY_CRITICAL]
-                 + a->queued[GP_ADMISSION_BATCH];
+  load->queued = gp_request_queue_length (&a->queue);
 }
 
 static void
@@ -598,16 +598,15 @@
 
 /* Requests.  */
 
-static gp_admission_group_t *
+static gp_request_quota_t *
 find_team (gp_executor_t *executor, const char *name)
 {
-  gp_admission_group_t *team = g_hash_table_lookup (executor->teams, name);
+  gp_request_quota_t *team = g_hash_table_lookup (executor->teams, name);
 
   if (team != NULL)
     return team;
-  team = g_new0 (gp_admission_group_t, 1);
-  gp_admission_group_init (team, GP_ADMISSION_UNLIMITED,
-                           GP_ADMISSION_UNLIMITED);
+  team = g_new0 (gp_request_quota_t, 1);
+  gp_request_quota_init (team, GP_ADMISSION_UNLIMITED, GP_ADMISSION_UNLIMITED);
   g_hash_table_insert (executor->teams, g_strdup (name), team);
   return team;
 }
--- a/src/daemon/execution.h
+++ b/src/daemon/execution.h
@@ -35,7 +35,7 @@
   uint64_t incarnation;
   gp_http_client_t *client;
   gp_admission_t admission;
-  GHashTable *teams; /* name -> gp_admission_group_t */
+  GHashTable *teams; /* name -> gp_request_quota_t */
   GHashTable *kinds; /* name -> gp_admission_kind_t */
   gp_heap_t started; /* executions that the entry awaits, by deadline */
   gp_timer_t timer;
--- /dev/null
+++ b/src/daemon/guard.c
@@ -0,0 +1,317 @@
+/* The guard: sessions, announcements, heartbeats, stop.  */
+
+#include "daemon/guard.h"
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "base/log.h"
+
+#define HEARTBEAT_JITTER 0.1
+#define CLOSE_GRACE (200 * GP_MSEC)
+
+static gp_counter_t entries_connected
+    = GP_GAUGE ("guard_entries_connected", "Open sessions to entries.");
+static gp_counter_t heartbeats_sent
+    = GP_COUNTER ("guard_heartbeats_sent_total", "Heartbeats sent.");
+
+static bool
+has_upstream (const gp_guard_t *guard)
+{
+  return guard->settings->guard->upstream != NULL;
+}
+
+/* Announcements and heartbeats.  */
+
+static void
+announce (gp_guard_t *guard, gp_session_t *session)
+{
+  const gp_settings_guard_t *settings = guard->settings->guard;
+  Gp__Wire__Announce message = GP__WIRE__ANNOUNCE__INIT;
+  Gp__Wire__Upstream upstream = GP__WIRE__UPSTREAM__INIT;
+  Gp__Wire__Resources capacity = GP__WIRE__RESOURCES__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANNOUNCE, announce, &message);
+
+  message.state = guard->leaving
+                      ? GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING
+                      : GP__WIRE__MEMBER_STATE__MEMBER_STATE_SERVING;
+  if (guard->settings->rack != NULL)
+    message.rack = guard->settings->rack;
+  if (settings->upstream != NULL)
+    {
+      upstream.service = settings->upstream->service;
+      upstream.slots = settings->upstream->slots;
+      upstream.connections = settings->upstream->connections;
+      message.upstream = &upstream;
+    }
+  if (settings->worker != NULL)
+    {
+      capacity.millicores = settings->worker->millicores;
+      capacity.memory_mib = settings->worker->memory_mib;
+      capacity.accelerators = settings->worker->accelerators;
+      message.capacity = &capacity;
+    }
+  gp_session_send (session, &envelope);
+}
+
+static void
+send_heartbeat (gp_guard_t *guard, gp_session_t *session)
+{
+  Gp__Wire__Heartbeat heartbeat = GP__WIRE__HEARTBEAT__INIT;
+  Gp__Wire__Load load = GP__WIRE__LOAD__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (HEARTBEAT, heartbeat, &heartbeat);
+
+  heartbeat.sequence = guard->heartbeat_sequence;
+  heartbeat.sent_at = (uint64_t)gp_loop_now (&guard->loop);
+  if (has_upstream (guard))
+    {
+      gp_executor_load (&guard->executor, &load);
+      heartbeat.load = &load;
+    }
+  gp_counter_add (&heartbeats_sent, 1);
+  gp_session_send (session, &envelope);
+}
+
+static void
+arm_heartbeat (gp_guard_t *guard)
+{
+  double interval = (double)guard->settings->timings.heartbeat_ms * GP_MSEC
+                    * g_rand_double_range (guard->rand, 1 - HEARTBEAT_JITTER,
+                                           1 + HEARTBEAT_JITTER);
+
+  gp_timer_arm (&guard->heartbeat,
+                gp_loop_now (&guard->loop) + (gp_time_t)interval);
+}
+
+static void
+on_heartbeat (gp_timer_t *timer, void *data)
+{
+  gp_guard_t *guard = data;
+
+  (void)timer;
+  guard->heartbeat_sequence++;
+  GP_LIST_FOREACH (pos, &guard->host.sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready)
+      send_heartbeat (guard, session);
+  }
+  arm_heartbeat (guard);
+}
+
+/* Sessions.  */
+
+static void
+on_ready (gp_session_t *session, void *data)
+{
+  gp_guard_t *guard = data;
+
+  if (session->owner != NULL)
+    gp_dialer_on_ready (session->owner);
+  gp_counter_add (&entries_connected, 1);
+  gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("entry", session->process));
+  if (has_upstream (guard))
+    {
+      gp_execution_set_t *set = g_new0 (gp_execution_set_t, 1);
+
+      gp_execution_set_init (set, &guard->executor, session);
+      session->object = set;
+    }
+  announce (guard, session);
+  send_heartbeat (guard, session);
+}
+
+static void
+on_request_message (gp_execution_set_t *set,
+                    const Gp__Wire__Envelope *envelope)
+{
+  switch (envelope->message_case)
+    {
+    case GP__WIRE__ENVELOPE__MESSAGE_REQUEST:
+      gp_execution_set_request (set, envelope->request);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_REQUEST_PART:
+      gp_execution_set_part (set, envelope->request_part);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_CANCEL:
+      gp_execution_set_cancel (set, envelope->cancel->id);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_CREDIT:
+      gp_execution_set_credit (set, envelope->credit);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_message (gp_session_t *session, const Gp__Wire__Envelope *envelope,
+            void *data)
+{
+  (void)data;
+  if (session->object != NULL)
+    on_request_message (session->object, envelope);
+}
+
+static void
+on_drain (gp_session_t *session, void *data)
+{
+  (void)data;
+  if (session->object != NULL)
+    gp_execution_set_drain (session->object);
+}
+
+static void
+on_close (gp_session_t *session, bool ready, const GError *reason, void *data)
+{
+  (void)data;
+  if (ready)
+    {
+      gp_counter_add (&entries_connected, -1);
+      gp_log (GP_LOG_INFO, "session.closed",
+              GP_LOG_S ("entry", session->process),
+              GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
+    }
+  if (session->object != NULL)
+    {
+      gp_execution_set_finish (session->object);
+      g_free (session->object);
+      session->object = NULL;
+    }
+  if (session->owner != NULL)
+    gp_dialer_on_close (session->owner);
+}
+
+static const gp_session_callbacks_t session_callbacks = {
+  .on_ready = on_ready,
+  .on_message = on_message,
+  .on_drain = on_drain,
+  .on_close = on_close,
+};
+
+/* Stop.  */
+
+static void
+on_sessions_closed (gp_timer_t *timer, void *data)
+{
+  gp_guard_t *guard = data;
+
+  (void)timer;
+  gp_loop_stop (&guard->loop);
+}
+
+static void
+close_sessions (void *data)
+{
+  gp_guard_t *guard = data;
+
+  gp_log (GP_LOG_INFO, "guard.drained");
+  gp_session_host_close (&guard->host);
+  guard->heartbeat.cb = on_sessions_closed;
+  gp_timer_arm (&guard->heartbeat, gp_loop_now (&guard->loop) + CLOSE_GRACE);
+}
+
+static void
+on_stop (void *data)
+{
+  gp_guard_t *guard = data;
+
+  if (guard->leaving)
+    return;
+  guard->leaving = true;
+  gp_log (GP_LOG_INFO, "guard.leaving");
+  for (size_t i = 0; i < guard->dialer_count; i++)
+    gp_dialer_stop (&guard->dialers[i]);
+  GP_LIST_FOREACH (pos, &guard->host.sessions)
+  announce (guard, GP_CONTAINER_OF (pos, gp_session_t, link));
+  if (has_upstream (guard))
+    gp_executor_leave (&guard->executor, close_sessions, guard);
+  else
+    close_sessions (guard);
+}
+
+static void
+start_dialers (gp_guard_t *guard)
+{
+  const gp_settings_t *settings = guard->settings;
+
+  guard->dialers = g_new0 (gp_dialer_t, settings->entries_count);
+  for (uint32_t i = 0; i < settings->entries_count; i++)
+    if (strcmp (settings->entries[i].region, settings->region) == 0)
+      gp_dialer_init (&guard->dialers[guard->dialer_count++], &guard->host,
+                      settings->entries[i].peers, guard->rand);
+}
+
+static bool
+load_tls (gp_guard_t *guard, GError **error)
+{
+  const gp_settings_tls_t *tls = guard->settings->tls;
+
+  if (tls == NULL)
+    return true;
+  guard->tls = gp_tls_new (tls->authority, tls->certificate, tls->key, error);
+  return guard->tls != NULL;
+}
+
+bool
+gp_guard_init (gp_guard_t *guard, const gp_settings_t *settings,
+               GError **error)
+{
+  gp_identity_t self
+      = { .site = settings->site,
+          .process = settings->name,
+          .role = GP__WIRE__ROLE__ROLE_GUARD,
+          .region = settings->region,
+          .zone = settings->zone,
+          .address
+          = settings->guard->peers != NULL ? settings->guard->peers : "" };
+
+  *guard = (gp_guard_t){ .settings = settings };
+  guard->incarnation = (uint64_t)gp_time_wall ();
+  self.incarnation = guard->incarnation;
+  if (!load_tls (guard, error) || !gp_loop_init (&guard->loop, error))
+    return false;
+  guard->rand = g_rand_new ();
+  gp_counter_register (&entries_connected);
+  gp_counter_register (&heartbeats_sent);
+  gp_session_host_init (&guard->host, &guard->loop, guard->tls, &self,
+                        &session_callbacks, guard);
+  if (has_upstream (guard)
+      && !gp_executor_init (&guard->executor, &guard->loop,
+                            settings->guard->upstream, guard->incarnation,
+                            error))
+    return false;
+  if (settings->guard->peers != NULL
+      && !gp_session_host_listen (&guard->host, settings->guard->peers, error))
+    return false;
+  gp_timer_init (&guard->heartbeat, &guard->loop, on_heartbeat, guard);
+  arm_heartbeat (guard);
+  start_dialers (guard);
+  gp_loop_on_signal (&guard->loop, on_stop, guard);
+  return true;
+}
+
+void
+gp_guard_run (gp_guard_t *guard)
+{
+  gp_log (GP_LOG_INFO, "guard.started",
+          GP_LOG_I ("incarnation", guard->incarnation));
+  gp_loop_run (&guard->loop);
+  gp_log (GP_LOG_INFO, "guard.stopped");
+}
+
+void
+gp_guard_finish (gp_guard_t *guard)
+{
+  for (size_t i = 0; i < guard->dialer_count; i++)
+    gp_dialer_finish (&guard->dialers[i]);
+  g_free (guard->dialers);
+  gp_timer_finish (&guard->heartbeat);
+  if (has_upstream (guard))
+    gp_executor_finish (&guard->executor);
+  gp_session_host_finish (&guard->host);
+  gp_loop_finish (&guard->loop);
+  if (guard->tls != NULL)
+    gp_tls_free (guard->tls);
+  g_rand_free (guard->rand);
+}
--- /dev/null
+++ b/src/daemon/routes.c
@@ -0,0 +1,366 @@
+/* Services and their upstreams at an entry.  */
+
+#include "daemon/routes.h"
+
+#include <string.h>
+
+#include "base/counters.h"
+#include "base/log.h"
+
+#define TICK (100 * GP_MSEC)
+
+static gp_counter_t members_serving
+    = GP_GAUGE ("entry_targets_routed", "Upstreams that take requests.");
+static gp_counter_t ejections
+    = GP_COUNTER ("entry_ejections_total", "Upstreams ejected as outliers.");
+static gp_counter_t stale_messages = GP_COUNTER (
+    "entry_stale_incarnations_total", "Messages of older incarnations.");
+
+static void
+service_free (gpointer data)
+{
+  gp_service_t *service = data;
+
+  gp_router_finish (&service->router);
+  g_free (service->name);
+  g_free (service);
+}
+
+static gp_service_t *
+service_new (gp_routes_t *routes, const char *name)
+{
+  gp_service_t *service = g_new0 (gp_service_t, 1);
+  gp_time_t now = gp_loop_now (routes->loop);
+
+  service->name = g_strdup (name);
+  gp_router_init (&service->router, &GP_ROUTER_SETTINGS_DEFAULT);
+  gp_outlier_init (&service->outlier, &GP_OUTLIER_SETTINGS_DEFAULT, now);
+  gp_retry_init (&service->retry, &GP_RETRY_SETTINGS_DEFAULT, now);
+  g_hash_table_insert (routes->services, service->name, service);
+  return service;
+}
+
+gp_service_t *
+gp_routes_find (gp_routes_t *routes, const char *name)
+{
+  return g_hash_table_lookup (routes->services, name);
+}
+
+/* Targets.  */
+
+static gp_target_t *
+target_new (gp_routes_t *routes, gp_member_t *member)
+{
+  gp_target_t *target = g_new0 (gp_target_t, 1);
+  const char *name = member->announcement.service;
+
+  target->service = gp_routes_find (routes, name);
+  if (target->service == NULL)
+    target->service = service_new (routes, name);
+  target->member = member;
+  gp_list_init (&target->relays);
+  member->data = target;
+  return target;
+}
+
+static void
+add_route (gp_routes_t *routes, gp_target_t *target)
+{
+  const gp_announcement_t *a = &target->member->announcement;
+  bool near = strcmp (a->zone, routes->zone) == 0;
+
+  target->candidate = (gp_candidate_t){ .data = target };
+  target->health = (gp_health_t){ .data = target };
+  gp_router_add (&target->service->router, &target->candidate, near, a->slots,
+                 a->connections, target);
+  gp_outlier_add (&target->service->outlier, &target->health, target);
+  target->routed = true;
+  gp_counter_add (&members_serving, 1);
+  gp_log (GP_LOG_INFO, "target.up", GP_LOG_S ("guard", a->name),
+          GP_LOG_S ("service", a->service), GP_LOG_S ("zone", a->zone));
+}
+
+static void
+remove_route (gp_target_t *target)
+{
+  gp_router_remove (&target->service->router, &target->candidate);
+  gp_outlier_remove (&target->service->outlier, &target->health);
+  target->routed = false;
+  gp_counter_add (&members_serving, -1);
+  gp_log (GP_LOG_INFO, "target.down",
+          GP_LOG_S ("guard", target->member->announcement.name),
+          GP_LOG_S ("service", target->service->name));
+}
+
+/* A target lives while its member is known or requests are under way.  */
+static void
+target_release (gp_target_t *target)
+{
+  if (target->member == NULL && gp_list_empty (&target->relays)
+      && target->session == NULL)
+    g_free (target);
+}
+
+static void
+settle_member (gp_routes_t *routes, gp_member_t *member)
+{
+  gp_target_t *target = member->data;
+  bool routable
+      = gp_member_routable (member) && member->announcement.service != NULL;
+
+  if (target == NULL && routable)
+    target = target_new (routes, member);
+  if (target == NULL)
+    return;
+  if (routable && !target->routed && target->session != NULL)
+    add_route (routes, target);
+  else if (!routable && target->routed)
+    remove_route (target);
+  if (member->state == GP_MEMBER_GONE)
+    {
+      member->data = NULL;
+      target->member = NULL;
+      target_release (target);
+    }
+}
+
+void
+gp_routes_settle (gp_routes_t *routes)
+{
+  gp_member_t *member;
+
+  while ((member = gp_members_next_change (&routes->members)) != NULL)
+    {
+      if (routes->on_change != NULL)
+        routes->on_change (member, routes->data);
+      settle_member (routes, member);
+    }
+}
+
+/* Events.  */
+
+static gp_announcement_t
+announcement_of (const gp_session_t *session,
+                 const Gp__Wire__Announce *announce)
+{
+  gp_announcement_t a = {
+    .name = session->process,
+    .address = session->address,
+    .region = session->region,
+    .zone = session->zone,
+    .incarnation = session->incarnation,
+    .leaving = announce->state == GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING,
+  };
+
+  if (announce->upstream != NULL)
+    {
+      a.service = announce->upstream->service;
+      a.slots = announce->upstream->slots;
+      a.connections = announce->upstream->connections;
+    }
+  if (announce->capacity != NULL)
+    {
+      a.millicores = announce->capacity->millicores;
+      a.memory_mib = announce->capacity->memory_mib;
+      a.accelerators = announce->capacity->accelerators;
+    }
+  return a;
+}
+
+static void
+attach_session (gp_routes_t *routes, gp_session_t *session)
+{
+  gp_member_t *member = gp_members_find (&routes->members, session->process);
+  gp_target_t *target;
+
+  if (member == NULL || member->announcement.service == NULL)
+    return;
+  target = member->data;
+  if (target == NULL)
+    target = target_new (routes, member);
+  target->session = session;
+  session->object = target;
+}
+
+bool
+gp_routes_announce (gp_routes_t *routes, gp_session_t *session,
+                    const Gp__Wire__Announce *announce)
+{
+  gp_announcement_t a = announcement_of (session, announce);
+  gp_time_t now = gp_loop_now (routes->loop);
+
+  if (gp_members_announce (&routes->members, &a, now) == GP_MEMBERS_STALE)
+    {
+      gp_counter_add (&stale_messages, 1);
+      return false;
+    }
+  attach_session (routes, session);
+  gp_routes_settle (routes);
+  return true;
+}
+
+void
+gp_routes_heartbeat (gp_routes_t *routes, gp_session_t *session,
+                     const Gp__Wire__Heartbeat *heartbeat)
+{
+  gp_time_t now = gp_loop_now (routes->loop);
+  gp_load_t load = { .at = now };
+  gp_load_t *reported = NULL;
+  gp_target_t *target = session->object;
+
+  if (heartbeat->load != NULL)
+    {
+      load.running = heartbeat->load->running;
+      load.queued = heartbeat->load->queued;
+      load.latency_us = heartbeat->load->latency_us;
+      reported = &load;
+    }
+  if (gp_members_heartbeat (&routes->members, session->process,
+                            session->incarnation, reported, now)
+      == GP_MEMBERS_STALE)
+    gp_counter_add (&stale_messages, 1);
+  else if (target != NULL && target->routed && reported != NULL)
+    gp_router_report (&target->service->router, &target->candidate, &load);
+  gp_routes_settle (routes);
+}
+
+void
+gp_routes_closed (gp_routes_t *routes, gp_session_t *session)
+{
+  gp_target_t *target = session->object;
+
+  if (target != NULL && target->session == session)
+    {
+      target->session = NULL;
+      session->object = NULL;
+    }
+  gp_members_connection_lost (&routes->members, session->process,
+                              session->incarnation,
+                              gp_loop_now (routes->loop));
+  gp_routes_settle (routes);
+}
+
+void
+gp_routes_report (gp_routes_t *routes, gp_target_t *target,
+                  const Gp__Wire__Load *load)
+{
+  gp_load_t reported = { .running = load->running,
+                         .queued = load->queued,
+                         .latency_us = load->latency_us,
+                         .at = gp_loop_now (routes->loop) };
+
+  if (target->routed)
+    gp_router_report (&target->service->router, &target->candidate, &reported);
+}
+
+static void
+apply (gp_target_t *target, gp_outlier_action_t action)
+{
+  gp_router_t *router = &target->service->router;
+
+  switch (action)
+    {
+    case GP_OUTLIER_NONE:
+      break;
+    case GP_OUTLIER_EJECT:
+      gp_counter_add (&ejections, 1);
+      gp_log (GP_LOG_WARNING, "target.ejected",
+              GP_LOG_S ("guard", target->member->announcement.name));
+      gp_router_eject (router, &target->candidate);
+      break;
+    case GP_OUTLIER_OFFER_PROBE:
+      gp_router_offer_probe (router, &target->candidate);
+      break;
+    case GP_OUTLIER_READMIT:
+      gp_log (GP_LOG_INFO, "target.readmitted",
+              GP_LOG_S ("guard", target->member->announcement.name));
+      gp_router_readmit (router, &target->candidate);
+      break;
+    }
+}
+
+void
+gp_routes_record (gp_routes_t *routes, gp_target_t *target, bool success,
+                  gp_time_t duration)
+{
+  gp_outlier_t *outlier = &target->service->outlier;
+  gp_time_t now = gp_loop_now (routes->loop);
+
+  if (!target->routed)
+    return;
+  if (target->health.state == GP_HEALTH_PROBED)
+    apply (target,
+           gp_outlier_probe_done (outlier, &target->health, success, now));
+  else
+    apply (target, gp_outlier_record (outlier, &target->health, success,
+                                      duration, now));
+}
+
+void
+gp_routes_sent (gp_routes_t *routes, gp_target_t *target)
+{
+  gp_outlier_t *outlier = &target->service->outlier;
+
+  gp_router_sent (&target->service->router, &target->candidate);
+  if (target->health.state == GP_HEALTH_WAITING)
+    gp_outlier_probe_sent (outlier, &target->health,
+                           gp_loop_now (routes->loop));
+}
+
+void
+gp_routes_done (gp_routes_t *routes, gp_target_t *target)
+{
+  (void)routes;
+  gp_router_done (&target->service->router, &target->candidate);
+  target_release (target);
+}
+
+static void
+tick_service (gp_service_t *service, gp_time_t now)
+{
+  gp_outlier_action_t action;
+  gp_health_t *health;
+
+  while ((health = gp_outlier_next_due (&service->outlier, now, &action))
+         != NULL)
+    apply (health->data, action);
+}
+
+static void
+on_tick (gp_timer_t *timer, void *data)
+{
+  gp_routes_t *routes = data;
+  gp_time_t now = gp_loop_now (routes->loop);
+  GHashTableIter iter;
+  gpointer service;
+
+  gp_members_tick (&routes->members, now);
+  gp_routes_settle (routes);
+  g_hash_table_iter_init (&iter, routes->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    tick_service (service, now);
+  gp_timer_arm (timer, now + TICK);
+}
+
+void
+gp_routes_init (gp_routes_t *routes, gp_loop_t *loop, const char *zone,
+                const gp_members_settings_t *settings)
+{
+  *routes = (gp_routes_t){ .loop = loop, .zone = zone };
+  gp_members_init (&routes->members, settings);
+  routes->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  gp_counter_register (&members_serving);
+  gp_counter_register (&ejections);
+  gp_counter_register (&stale_messages);
+  gp_timer_init (&routes->timer, loop, on_tick, routes);
+  gp_timer_arm (&routes->timer, gp_loop_now (loop) + TICK);
+}
+
+void
+gp_routes_finish (gp_routes_t *routes)
+{
+  gp_timer_finish (&routes->timer);
+  g_hash_table_unref (routes->services);
+  gp_members_finish (&routes->members);
+}
--- a/src/protocol/session.c
+++ b/src/protocol/session.c
@@ -5,12 +5,6 @@
 #include "base/counters.h"
 #include "base/error.h"
 
-static gp_counter_t frames_received
-    = GP_COUNTER ("peer_frames_received_total", "Frames from peers.");
-static gp_counter_t frames_sent
-    = GP_COUNTER ("peer_frames_sent_total", "Frames to peers.");
-static gp_counter_t bytes_received
-    = GP_COUNTER ("peer_bytes_received_total", "Frame bytes from peers.");
 static gp_counter_t sessions_refused = GP_COUNTER (
     "peer_sessions_refused_total", "Sessions refused at Hello or after.");
 
@@ -112,8 +106,6 @@
   GError *error = NULL;
 
   (void)peer;
-  gp_counter_add (&frames_received, 1);
-  gp_counter_add (&bytes_received, (int64_t)size + GP_FRAME_HEADER_SIZE);
   envelope = gp_codec_decode (&host->arena, bytes, size, &error);
   if (envelope == NULL)
     refuse (session, error);
@@ -199,9 +191,6 @@
   host->server = NULL;
   gp_list_init (&host->sessions);
   gp_arena_init (&host->arena);
-  gp_counter_register (&frames_received);
-  gp_counter_register (&frames_sent);
-  gp_counter_register (&bytes_received);
   gp_counter_register (&sessions_refused);
 }
 
@@ -269,7 +258,6 @@
 {
   if (session->peer == NULL)
     return false;
-  gp_counter_add (&frames_sent, 1);
   return gp_codec_send (session->peer, envelope);
 }
 
--- /dev/null
+++ b/tests/scripts/request_path.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Requests through real processes; see request_path.py.
+exec python3 "$(dirname "$0")/request_path.py" "$1"
--- /dev/null
+++ b/tools/site_processes.py
@@ -0,0 +1,300 @@
+"""A small site of real processes on loopback, for scripted runs and the
+experiment tool.
+
+A Site holds the log stand-in, entries, and guards with their executors and
+worker runtimes.  Every process is started by this module alone, is known by
+its name, and is ended by its id when the Site is closed, whatever happens.
+"""
+
+import http.client
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+TOKEN = "operator-token-of-a-test-site"
+REQUEST_TIMEOUT_S = 20
+START_TIMEOUT_S = 20
+
+
+def free_port():
+    """A TCP port of loopback that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def until(condition, timeout_s=START_TIMEOUT_S, what="condition"):
+    """Wait for CONDITION() to be true and return its value."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{what}: not within {timeout_s} s")
+        time.sleep(0.02)
+
+
+def request(address, method, path, body=None, headers=None,
+            timeout_s=REQUEST_TIMEOUT_S):
+    """Status, headers (lower case) and body; status 0 when no whole answer
+    comes."""
+    client = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        try:
+            client.request(method, path, body, headers or {})
+        except (BrokenPipeError, ConnectionResetError):
+            pass  # refused before the whole body was sent: read the answer
+        answer = client.getresponse()
+        names = {k.lower(): v for k, v in answer.getheaders()}
+        return answer.status, names, answer.read()
+    except (http.client.HTTPException, OSError):
+        return 0, {}, b""
+    finally:
+        client.close()
+
+
+class Process:
+    """One started program with its output in files."""
+
+    def __init__(self, site, name, arguments):
+        self.name = name
+        self.arguments = arguments
+        self.log_path = os.path.join(site.folder, name + ".log")
+        self.popen = None
+        self.start()
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen(self.arguments, stdout=log,
+                                          stderr=log,
+                                          stdin=subprocess.DEVNULL)
+
+    def signal(self, number):
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def wait(self, timeout_s=START_TIMEOUT_S):
+        return self.popen.wait(timeout_s)
+
+    def kill(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as log:
+            return log.read()
+
+
+class Site:
+    """Processes of one site.  Zones are given to entries and guards in
+    turn.  Times in `timings` are those of the settings."""
+
+    def __init__(self, build, name="test", zones=("a", "b"), entries=1,
+                 guards=1, service="reclamos-api", slots=8, connections=64,
+                 upstream=True, worker=False, upstream_options=(),
+                 worker_options=(), timings=None, max_body_kib=1024,
+                 with_log=True, tls=False):
+        self.build = os.path.abspath(build)
+        self.folder = tempfile.mkdtemp(prefix="galenapier-")
+        self.name = name
+        self.zones = zones
+        self.timings = timings or {}
+        self.max_body_kib = max_body_kib
+        self.processes = {}
+        self.addresses = {}
+        self.guard_options = {
+            "service": service, "slots": slots, "connections": connections,
+            "upstream": upstream, "worker": worker,
+            "upstream_options": list(upstream_options),
+            "worker_options": list(worker_options)}
+        self.entry_names = [f"entry-{i + 1}" for i in range(entries)]
+        self.guard_names = [f"guard-{i + 1}" for i in range(guards)]
+        self.tls = tls
+        try:
+            if tls:
+                self._make_certificates()
+            self._allocate()
+            if with_log:
+                self.start_log()
+            for entry in self.entry_names:
+                self.start_entry(entry)
+            for guard in self.guard_names:
+                self.start_guard(guard)
+        except BaseException:
+            self.close()
+            raise
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def close(self):
+        for process in self.processes.values():
+            process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _make_certificates(self):
+        tool = os.path.join(os.path.dirname(__file__), "make-certs")
+        subprocess.run([tool, self.folder, *self.entry_names,
+                        *self.guard_names], check=True,
+                       stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+
+    def _allocate(self):
+        for name in self.entry_names:
+            for port in ("callers", "operators", "peers"):
+                self.addresses[f"{name}.{port}"] = \
+                    f"127.0.0.1:{free_port()}"
+        for name in self.guard_names:
+            for port in ("peers", "upstream", "upstream-control", "runtime",
+                         "runtime-control"):
+                self.addresses[f"{name}.{port}"] = \
+                    f"127.0.0.1:{free_port()}"
+        for port in ("log", "log-control"):
+            self.addresses[port] = f"127.0.0.1:{free_port()}"
+
+    def zone_of(self, name):
+        number = int(name.rsplit("-", 1)[1]) - 1
+        return self.zones[number % len(self.zones)]
+
+    def _settings(self, name):
+        settings = {
+            "site": self.name, "name": name, "region": "r",
+            "zone": self.zone_of(name),
+            "entries": [{"name": e, "region": "r", "zone": self.zone_of(e),
+                         "peers": self.addresses[f"{e}.peers"]}
+                        for e in self.entry_names]}
+        if self.timings:
+            settings["timings"] = self.timings
+        if self.tls:
+            settings["tls"] = {
+                "authority": f"{self.folder}/authority.pem",
+                "certificate": f"{self.folder}/{name}.pem",
+                "key": f"{self.folder}/{name}.key"}
+        return settings
+
+    def _write(self, name, settings):
+        path = os.path.join(self.folder, name + ".yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)  # JSON is YAML
+        return path
+
+    def _start(self, name, *arguments):
+        if name in self.processes:
+            self.processes[name].start()
+        else:
+            self.processes[name] = Process(self, name, list(arguments))
+        return self.processes[name]
+
+    def ledger(self, name):
+        return os.path.join(self.folder, name + ".ledger")
+
+    def start_log(self):
+        self._start("log", f"{self.build}/standins/logd",
+                    "--listen", self.addresses["log"],
+                    "--control", self.addresses["log-control"],
+                    "--ledger", self.ledger("log"), "--node", "log")
+        self._await_ready("log")
+
+    def _await_ready(self, name):
+        process = self.processes[name]
+        until(lambda: "ready " in process.log()
+              or process.popen.poll() is not None, what=f"{name} ready")
+
+    def start_entry(self, name):
+        settings = self._settings(name)
+        settings["platform_log"] = {"address": self.addresses["log"],
+                                    "stream": self.name}
+        settings["entry"] = {
+            "callers": self.addresses[f"{name}.callers"],
+            "operators": self.addresses[f"{name}.operators"],
+            "peers": self.addresses[f"{name}.peers"],
+            "operator_token": TOKEN, "max_body_kib": self.max_body_kib}
+        path = self._write(name, settings)
+        self._start(name, f"{self.build}/galenapier-entry", "--config", path)
+
+    def start_upstream(self, guard):
+        options = self.guard_options
+        self._start(f"{guard}.upstream", f"{self.build}/standins/upstream",
+                    "--listen", self.addresses[f"{guard}.upstream"],
+                    "--control", self.addresses[f"{guard}.upstream-control"],
+                    "--slots", str(options["slots"]),
+                    "--connections", str(options["connections"]),
+                    "--ledger", self.ledger(f"{guard}.upstream"),
+                    "--node", guard, *options["upstream_options"])
+        self._await_ready(f"{guard}.upstream")
+
+    def start_worker(self, guard):
+        self._start(f"{guard}.worker", f"{self.build}/standins/worker",
+                    "--listen", self.addresses[f"{guard}.runtime"],
+                    "--control", self.addresses[f"{guard}.runtime-control"],
+                    "--ledger", self.ledger(f"{guard}.worker"),
+                    "--node", guard, *self.guard_options["worker_options"])
+        self._await_ready(f"{guard}.worker")
+
+    def start_guard(self, name, alone=False):
+        """Start a guard; unless ALONE, what it guards first."""
+        options = self.guard_options
+        settings = self._settings(name)
+        guard = {"peers": self.addresses[f"{name}.peers"]}
+        if options["upstream"]:
+            if not alone:
+                self.start_upstream(name)
+            guard["upstream"] = {
+                "service": options["service"],
+                "address": self.addresses[f"{name}.upstream"],
+                "slots": options["slots"],
+                "connections": options["connections"]}
+        if options["worker"]:
+            if not alone:
+                self.start_worker(name)
+            guard["worker"] = {
+                "runtime": self.addresses[f"{name}.runtime"],
+                "millicores": 16000, "memory_mib": 61440,
+                "accelerators": 0}
+        settings["guard"] = guard
+        path = self._write(name, settings)
+        self._start(name, f"{self.build}/galenapier-guard", "--config", path)
+
+    def call(self, entry, method, path, body=None, headers=None):
+        return request(self.addresses[f"{entry}.callers"], method, path,
+                       body, headers)
+
+    def operate(self, entry, method, path, body=None):
+        return request(self.addresses[f"{entry}.operators"], method, path,
+                       body, {"Authorization": "Bearer " + TOKEN})
+
+    def fault(self, name, faults):
+        """Set faults of a stand-in: "log", "GUARD.upstream" or
+        "GUARD.runtime"."""
+        status, _, body = request(self.addresses[f"{name}-control"], "POST",
+                                  "/faults", json.dumps(faults))
+        if status != 200:
+            raise RuntimeError(f"faults of {name}: {status} {body}")
+
+    def counter(self, entry, name):
+        _, _, body = self.operate(entry, "GET", "/v1/counters")
+        for line in body.decode().splitlines():
+            if line.startswith(f"galenapier_{name} "):
+                return int(line.split()[1])
+        return 0
+
+    def await_targets(self, count):
+        """Wait until each entry routes to COUNT upstreams."""
+        for entry in self.entry_names:
+            until(lambda e=entry:
+                  self.counter(e, "entry_targets_routed") == count,
+                  what=f"{count} targets at {entry}")
+
+    def facts(self, name):
+        """Lines of the ledger of a stand-in."""
+        with open(self.ledger(name), encoding="utf-8") as ledger:
+            return [json.loads(line) for line in ledger if line.strip()]
