Keep the analyzer's view of relays simple

Cause: clang-tidy took a relay for used after its release, since it cannot see that the heap and the list forget it. Change: expired relays leave the heap before they are ended; a closed session's relays are visited with the safe walk.

--- a/src/daemon/execution.c
+++ b/src/daemon/execution.c
@@ -247,7 +247,7 @@
   head.content_length = execution->content_length;
   head.load = &load;
   if (execution->content_length >= 0
-      && execution->content_length <= GP_PART_SIZE)
+      && execution->content_length <= (int64_t)GP_PART_SIZE)
     hold_head (execution, &head);
   else
     send_head (execution, &head);
@@ -273,7 +273,7 @@
 {
   while (size > 0)
     {
-      size_t part = MIN (size, (size_t)GP_PART_SIZE);
+      size_t part = MIN (size, GP_PART_SIZE);
 
       send_part (execution, bytes, part, false);
       bytes += part;
--- a/src/daemon/execution.h
+++ b/src/daemon/execution.h
@@ -23,10 +23,10 @@
 #include "transport/http.h"
 
 /* Bytes of an answer that may be under way to an entry for one request.  */
-#define GP_ANSWER_WINDOW (256 * 1024)
+#define GP_ANSWER_WINDOW ((int64_t)256 * 1024)
 
 /* The largest part of a body in one frame.  */
-#define GP_PART_SIZE (64 * 1024)
+#define GP_PART_SIZE ((size_t)64 * 1024)
 
 typedef struct
 {
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -30,8 +30,9 @@
   const gp_document_kind_t *kind;
   gp_target_t *target; /* of the current try, or NULL */
   gp_list_t link;      /* in target->relays */
-  gp_heap_node_t node; /* in relays->deadlines */
-  gp_time_t wake_at;   /* its order there */
+  gp_heap_node_t node; /* in relays->deadlines, unless EXPIRED */
+  bool expired;
+  gp_time_t wake_at; /* its order there */
   uint64_t id;
   uint64_t handle;
   gp_time_t deadline;
@@ -151,7 +152,8 @@
   gp_relays_t *relays = relay->relays;
 
   end_try (relay);
-  gp_heap_remove (&relays->deadlines, &relay->node);
+  if (!relay->expired)
+    gp_heap_remove (&relays->deadlines, &relay->node);
   g_byte_array_unref (relay->pending);
   g_free (relay);
   relays->open--;
@@ -317,7 +319,7 @@
 
   while (relay->body_sent < body.size && !gp_peer_congested (session->peer))
     {
-      size_t size = MIN (body.size - relay->body_sent, (size_t)GP_PART_SIZE);
+      size_t size = MIN (body.size - relay->body_sent, GP_PART_SIZE);
       Gp__Wire__Part part = GP__WIRE__PART__INIT;
       Gp__Wire__Envelope envelope
           = GP_ENVELOPE (REQUEST_PART, request_part, &part);
@@ -408,7 +410,7 @@
   request.n_headers = wire.count;
   request.body_size = body.size;
   request.body.data = (uint8_t *)body.base;
-  request.body.len = MIN (body.size, (size_t)GP_PART_SIZE);
+  request.body.len = MIN (body.size, GP_PART_SIZE);
   request.guard_incarnation = relay->target->session->incarnation;
   relay->body_sent = request.body.len;
   gp_session_send (relay->target->session, &envelope);
@@ -775,19 +777,17 @@
 void
 gp_relays_on_closed (gp_relays_t *relays, gp_target_t *target)
 {
-  gp_list_t *link;
-
   (void)relays;
-  while ((link = gp_list_pop_front (&target->relays)) != NULL)
-    {
-      gp_relay_t *relay = GP_CONTAINER_OF (link, gp_relay_t, link);
+  GP_LIST_FOREACH_SAFE (pos, &target->relays)
+  {
+    gp_relay_t *relay = GP_CONTAINER_OF (pos, gp_relay_t, link);
 
-      if (relay->streaming)
-        cut_answer (relay);
-      else
-        decide (relay, verdict_of_loss (relay),
-                GP__WIRE__REASON__REASON_UPSTREAM);
-    }
+    if (relay->streaming)
+      cut_answer (relay);
+    else
+      decide (relay, verdict_of_loss (relay),
+              GP__WIRE__REASON__REASON_UPSTREAM);
+  }
 }
 
 /* Deadlines.  */
@@ -804,17 +804,33 @@
                 GP__WIRE__REASON__REASON_DEADLINE, -1);
 }
 
+/* The first relay whose time has come, taken out of the heap, or NULL.  */
+static gp_relay_t *
+take_expired (gp_relays_t *relays, gp_time_t now)
+{
+  gp_heap_node_t *first = gp_heap_first (&relays->deadlines);
+  gp_relay_t *relay;
+
+  if (first == NULL)
+    return NULL;
+  relay = GP_CONTAINER_OF (first, gp_relay_t, node);
+  if (relay->wake_at > now)
+    return NULL;
+  gp_heap_pop (&relays->deadlines);
+  relay->expired = true;
+  return relay;
+}
+
 static void
 on_timer (gp_timer_t *timer, void *data)
 {
   gp_relays_t *relays = data;
   gp_time_t now = gp_loop_now (relays->loop);
-  gp_heap_node_t *first;
+  gp_relay_t *relay;
 
   (void)timer;
-  while ((first = gp_heap_first (&relays->deadlines)) != NULL
-         && GP_CONTAINER_OF (first, gp_relay_t, node)->wake_at <= now)
-    expire (GP_CONTAINER_OF (first, gp_relay_t, node));
+  while ((relay = take_expired (relays, now)) != NULL)
+    expire (relay);
   arm_timer (relays);
 }
 
