--- a/src/state/fold.h
+++ b/src/state/fold.h
@@ -37,6 +37,9 @@
 #define GP_FOLD_PAYLOAD_MAX ((size_t)64 * 1024)
 #define GP_FOLD_CHECKPOINT_MAX ((size_t)16 * 1024)
 #define GP_FOLD_RESULT_MAX ((size_t)16 * 1024)
+#define GP_FOLD_DOCUMENT_MAX ((size_t)128 * 1024)
+#define GP_FOLD_ITEM_MAX ((size_t)64 * 1024)
+#define GP_FOLD_COMMENT_MAX 1024
 #define GP_FOLD_ANSWER_MAX ((size_t)4 * 1024)
 
 /* Bounds of the state.  They are part of the fold: all processes of a site
--- a/src/state/fold_config.c
+++ b/src/state/fold_config.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "state/fold_internal.h"
 
 static void
@@ -9,14 +11,28 @@
   gp_fold_emit (fold, &change);
 }
 
+static bool
+item_valid (const Gp__Record__ConfigItem *item)
+{
+  return gp_fold_name_valid (item->key) && item->value.len <= GP_FOLD_ITEM_MAX;
+}
+
+static bool
+text_valid (const char *text)
+{
+  return strnlen (text, GP_FOLD_COMMENT_MAX + 1) <= GP_FOLD_COMMENT_MAX;
+}
+
 static bool
 record_valid (const Gp__Record__Config *record)
 {
   if (record->digest.len != GP_CONFIG_DIGEST_SIZE
-      || record->revision != record->base_revision + 1)
+      || record->document.len > GP_FOLD_DOCUMENT_MAX
+      || record->revision != record->base_revision + 1
+      || !text_valid (record->author) || !text_valid (record->comment))
     return false;
   for (size_t i = 0; i < record->n_items; i++)
-    if (record->items[i]->key[0] == '\0')
+    if (!item_valid (record->items[i]))
       return false;
   return true;
 }
--- /dev/null
+++ b/src/state/snapshot.c
@@ -0,0 +1,198 @@
+#include "state/snapshot.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define HOUR_US (INT64_C (3600) * 1000000)
+
+const gp_snapshot_limits_t gp_snapshot_default_limits = {
+  .part_bytes = (size_t)128 * 1024,
+  .pace = 100 * GP_MSEC,
+  .distance = 200000,
+  .interval_us = 2 * HOUR_US,
+  .patience = 20000,
+};
+
+static void
+draw_factor (gp_snapshot_t *snapshot)
+{
+  snapshot->factor = g_rand_double_range (snapshot->rand, 1.0, 1.5);
+}
+
+void
+gp_snapshot_init (gp_snapshot_t *snapshot, const gp_snapshot_limits_t *limits,
+                  GRand *rand)
+{
+  memset (snapshot, 0, sizeof *snapshot);
+  snapshot->limits = limits != NULL ? *limits : gp_snapshot_default_limits;
+  snapshot->rand = rand;
+  g_queue_init (&snapshot->parts);
+  draw_factor (snapshot);
+}
+
+void
+gp_snapshot_abandon (gp_snapshot_t *snapshot)
+{
+  g_queue_clear_full (&snapshot->parts, (GDestroyNotify)g_bytes_unref);
+  snapshot->writing = false;
+}
+
+void
+gp_snapshot_finish (gp_snapshot_t *snapshot)
+{
+  gp_snapshot_abandon (snapshot);
+}
+
+/* Whether another process is at it.  */
+static bool
+others_write (const gp_snapshot_t *snapshot, const gp_fold_t *fold,
+              const gp_catalog_t *catalog)
+{
+  for (guint i = 0; i < catalog->open->len; i++)
+    {
+      const gp_catalog_entry_t *entry = catalog->open->pdata[i];
+
+      if (entry->begin_offset + snapshot->limits.patience > fold->next_offset)
+        return true;
+    }
+  return false;
+}
+
+bool
+gp_snapshot_due (gp_snapshot_t *snapshot, const gp_fold_t *fold,
+                 const gp_catalog_t *catalog, uint64_t first_offset)
+{
+  uint64_t covered = catalog->newest != NULL ? catalog->newest->as_of + 1 : 0;
+  double behind = (double)(fold->next_offset - covered);
+  double retained = (double)(fold->next_offset - first_offset);
+  double age;
+
+  if (snapshot->newest_us == 0)
+    snapshot->newest_us = fold->log_time_us;
+  age = (double)(fold->log_time_us - snapshot->newest_us);
+  if (snapshot->writing || behind == 0
+      || others_write (snapshot, fold, catalog))
+    return false;
+  if (behind >= (double)snapshot->limits.distance * snapshot->factor)
+    return true;
+  if (first_offset > 0 && behind * 2 >= retained * snapshot->factor)
+    return true;
+  return age >= (double)snapshot->limits.interval_us * snapshot->factor;
+}
+
+static void
+keep_part (GBytes *part, void *data)
+{
+  g_queue_push_tail (data, part);
+}
+
+static uint64_t
+checksum_parts (const gp_snapshot_t *snapshot)
+{
+  XXH3_state_t *state = XXH3_createState ();
+  uint64_t checksum;
+
+  XXH3_64bits_reset (state);
+  for (GList *at = snapshot->parts.head; at != NULL; at = at->next)
+    XXH3_64bits_update (state, g_bytes_get_data (at->data, NULL),
+                        g_bytes_get_size (at->data));
+  checksum = XXH3_64bits_digest (state);
+  XXH3_freeState (state);
+  return checksum;
+}
+
+void
+gp_snapshot_begin (gp_snapshot_t *snapshot, const gp_fold_t *fold,
+                   gp_time_t now)
+{
+  gp_snapshot_abandon (snapshot);
+  gp_fold_save (fold, snapshot->limits.part_bytes, keep_part,
+                &snapshot->parts);
+  snapshot->writing = true;
+  snapshot->id++;
+  snapshot->as_of = fold->next_offset - 1;
+  snapshot->parts_count = snapshot->parts.length;
+  snapshot->checksum = checksum_parts (snapshot);
+  snapshot->digest = gp_fold_digest (fold);
+  snapshot->step = 0;
+  snapshot->next_at = now;
+}
+
+static void
+make_begin (gp_snapshot_t *snapshot)
+{
+  Gp__Record__SnapshotBegin *begin = &snapshot->begin;
+
+  gp__record__snapshot_begin__init (begin);
+  begin->id = snapshot->id;
+  begin->as_of = snapshot->as_of;
+  snapshot->record.record_case = GP__RECORD__RECORD__RECORD_SNAPSHOT_BEGIN;
+  snapshot->record.snapshot_begin = begin;
+}
+
+static void
+make_part (gp_snapshot_t *snapshot)
+{
+  Gp__Record__SnapshotPart *part = &snapshot->part;
+  GBytes *bytes = g_queue_peek_head (&snapshot->parts);
+
+  gp__record__snapshot_part__init (part);
+  part->id = snapshot->id;
+  part->index = snapshot->step - 1;
+  part->data.data = (uint8_t *)g_bytes_get_data (bytes, &part->data.len);
+  snapshot->record.record_case = GP__RECORD__RECORD__RECORD_SNAPSHOT_PART;
+  snapshot->record.snapshot_part = part;
+}
+
+static void
+make_end (gp_snapshot_t *snapshot)
+{
+  Gp__Record__SnapshotEnd *end = &snapshot->end;
+
+  gp__record__snapshot_end__init (end);
+  end->id = snapshot->id;
+  end->as_of = snapshot->as_of;
+  end->parts = snapshot->parts_count;
+  end->checksum = snapshot->checksum;
+  end->digest = snapshot->digest;
+  snapshot->record.record_case = GP__RECORD__RECORD__RECORD_SNAPSHOT_END;
+  snapshot->record.snapshot_end = end;
+}
+
+const Gp__Record__Record *
+gp_snapshot_next (gp_snapshot_t *snapshot, gp_time_t now)
+{
+  if (!snapshot->writing || now < snapshot->next_at)
+    return NULL;
+  gp__record__record__init (&snapshot->record);
+  if (snapshot->step == 0)
+    make_begin (snapshot);
+  else if (snapshot->step <= snapshot->parts_count)
+    make_part (snapshot);
+  else
+    make_end (snapshot);
+  return &snapshot->record;
+}
+
+void
+gp_snapshot_queued (gp_snapshot_t *snapshot, gp_time_t now)
+{
+  bool was_part
+      = snapshot->step > 0 && snapshot->step <= snapshot->parts_count;
+
+  if (was_part)
+    g_bytes_unref (g_queue_pop_head (&snapshot->parts));
+  snapshot->next_at = now + snapshot->limits.pace;
+  snapshot->writing = snapshot->step <= snapshot->parts_count;
+  snapshot->step++;
+}
+
+void
+gp_snapshot_completed (gp_snapshot_t *snapshot, uint64_t as_of,
+                       int64_t log_time_us)
+{
+  snapshot->newest_us = MAX (snapshot->newest_us, log_time_us);
+  draw_factor (snapshot);
+  if (snapshot->writing && snapshot->as_of <= as_of)
+    gp_snapshot_abandon (snapshot);
+}
--- a/src/state/writer.c
+++ b/src/state/writer.c
@@ -519,3 +519,32 @@
   free_batch (batch);
   gp_writer_step (writer, now);
 }
+
+static void
+skip_batch (gp_writer_t *writer, gp_writer_batch_t *batch)
+{
+  GP_LIST_FOREACH (pos, &batch->entries)
+  {
+    gp_writer_action_t action = { .kind = GP_WRITER_UNREAD,
+                                  .u.unread.token = entry_of (pos)->token };
+
+    push_action (writer, &action);
+  }
+  free_batch (batch);
+}
+
+void
+gp_writer_skip (gp_writer_t *writer, uint64_t sequence, gp_time_t now)
+{
+  GP_LIST_FOREACH_SAFE (pos, &writer->unread)
+  {
+    if (batch_of (pos)->sequence > sequence)
+      break;
+    gp_list_remove (pos);
+    writer->unread_count--;
+    skip_batch (writer, batch_of (pos));
+  }
+  if (writer->current != NULL && writer->current->sequence <= sequence)
+    skip_batch (writer, g_steal_pointer (&writer->current));
+  gp_writer_step (writer, now);
+}
--- a/src/state/writer.h
+++ b/src/state/writer.h
@@ -70,7 +70,8 @@
 {
   GP_WRITER_APPEND,
   GP_WRITER_VERDICT,
-  GP_WRITER_EXPIRED /* certainly not on the log, and never will be */
+  GP_WRITER_EXPIRED, /* certainly not on the log, and never will be */
+  GP_WRITER_UNREAD   /* on the log and folded; its verdict was not read */
 } gp_writer_action_kind_t;
 
 typedef struct
@@ -92,6 +93,10 @@
     {
       uint64_t token;
     } expired;
+    struct
+    {
+      uint64_t token;
+    } unread;
   } u;
 } gp_writer_action_t;
 
@@ -166,6 +171,10 @@
                         const gp_fold_verdict_t *verdicts, size_t count,
                         gp_time_t now);
 
+/* The state was rebuilt from a snapshot that holds all batches up to
+   SEQUENCE: those that were not read back are GP_WRITER_UNREAD.  */
+void gp_writer_skip (gp_writer_t *writer, uint64_t sequence, gp_time_t now);
+
 /* Do what is due.  */
 void gp_writer_step (gp_writer_t *writer, gp_time_t now);
 
--- /dev/null
+++ b/tests/unit/test_snapshot.c
@@ -0,0 +1,388 @@
+/* Snapshots and recovery over a log with retention: writers that die
+   half-way, write at once or repeat batches, and readers that are overtaken
+   by retention.  */
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "state/follower.h"
+#include "state/snapshot.h"
+
+#define SEEDS 30
+#define STEPS 1500
+#define WRITERS 2
+#define RETAINED 120
+
+static const gp_snapshot_limits_t limits = {
+  .part_bytes = 300,
+  .pace = 0,
+  .distance = 40,
+  .interval_us = INT64_MAX / 4,
+  .patience = 10,
+};
+
+typedef struct
+{
+  GRand *rand;
+  GPtrArray *log; /* of GBytes */
+  uint64_t first_offset;
+  uint64_t sequence[WRITERS + 1];
+  uint64_t incarnation[WRITERS];
+  gp_snapshot_t snapshots[WRITERS];
+  gp_follower_t live;
+  guint started; /* length of the log when the reader began */
+  size_t ready;
+  size_t completed;
+} site_t;
+
+static void
+append_record (site_t *site, const char *writer, uint64_t incarnation,
+               uint64_t sequence, const Gp__Record__Record *record)
+{
+  Gp__Record__Record *records[] = { (Gp__Record__Record *)record };
+  Gp__Record__Batch batch = GP__RECORD__BATCH__INIT;
+  uint8_t *bytes;
+
+  batch.version = GP_FOLD_VERSION;
+  batch.writer = (char *)writer;
+  batch.incarnation = incarnation;
+  batch.sequence = sequence;
+  batch.wall_us = (int64_t)site->log->len;
+  batch.n_records = 1;
+  batch.records = records;
+  bytes = g_malloc (gp__record__batch__get_packed_size (&batch));
+  g_ptr_array_add (
+      site->log,
+      g_bytes_new_take (bytes, gp__record__batch__pack (&batch, bytes)));
+}
+
+/* A submission, or the cancellation of one.  */
+static void
+append_load (site_t *site)
+{
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+  Gp__Record__Submit submit = GP__RECORD__SUBMIT__INIT;
+  Gp__Record__Cancel cancel = GP__RECORD__CANCEL__INIT;
+  uint64_t *sequence = &site->sequence[WRITERS];
+
+  submit.task = ++*sequence;
+  submit.kind = "line-test";
+  submit.work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
+  cancel.task = (uint64_t)g_rand_int_range (site->rand, 0, (int)*sequence);
+  record.record_case = GP__RECORD__RECORD__RECORD_SUBMIT;
+  record.submit = &submit;
+  if (g_rand_boolean (site->rand))
+    {
+      record.record_case = GP__RECORD__RECORD__RECORD_CANCEL;
+      record.cancel = &cancel;
+    }
+  append_record (site, "load", 1, *sequence, &record);
+}
+
+/* One read by FOLLOWER of at most COUNT records.  */
+static gp_follower_phase_t
+read_some (const site_t *site, gp_follower_t *follower, size_t count)
+{
+  gp_follower_record_t records[16];
+  gp_follower_reply_t reply = { .first_offset = site->first_offset,
+                                .next_offset = site->log->len,
+                                .records = records };
+  uint64_t from = gp_follower_from (follower);
+
+  for (uint64_t at = from;
+       from >= site->first_offset && at < site->log->len && at < from + count;
+       at++)
+    {
+      gp_follower_record_t *record = &records[reply.count++];
+
+      record->offset = at;
+      record->bytes = g_bytes_get_data (site->log->pdata[at], &record->size);
+    }
+  return gp_follower_read (follower, &reply);
+}
+
+static void
+read_all (const site_t *site, gp_follower_t *follower)
+{
+  for (int i = 0; i < 1000; i++)
+    {
+      read_some (site, follower, 16);
+      if (gp_follower_caught_up (follower))
+        return;
+    }
+}
+
+static void
+note_change (const gp_fold_change_t *change, void *data)
+{
+  site_t *site = data;
+
+  if (change->kind == GP_FOLD_SNAPSHOT
+      && change->u.snapshot.record->record_case
+             == GP__RECORD__RECORD__RECORD_SNAPSHOT_END)
+    site->completed++;
+}
+
+static void
+site_init (site_t *site, guint32 seed)
+{
+  memset (site, 0, sizeof *site);
+  site->rand = g_rand_new_with_seed (seed);
+  site->log = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  gp_follower_init (&site->live, NULL, note_change, site);
+  for (int i = 0; i < WRITERS; i++)
+    {
+      site->incarnation[i] = 1;
+      gp_snapshot_init (&site->snapshots[i], &limits, site->rand);
+    }
+}
+
+static void
+site_finish (site_t *site)
+{
+  for (int i = 0; i < WRITERS; i++)
+    gp_snapshot_finish (&site->snapshots[i]);
+  gp_follower_finish (&site->live);
+  g_ptr_array_unref (site->log);
+  g_rand_free (site->rand);
+}
+
+/* One record of the snapshot of writer I.  */
+static bool
+append_snapshot (site_t *site, int i)
+{
+  const Gp__Record__Record *record = gp_snapshot_next (&site->snapshots[i], 0);
+
+  if (record == NULL)
+    return false;
+  append_record (site, i == 0 ? "s0" : "s1", site->incarnation[i],
+                 ++site->sequence[i], record);
+  gp_snapshot_queued (&site->snapshots[i], 0);
+  return true;
+}
+
+static void
+step_writer (site_t *site, int i)
+{
+  gp_snapshot_t *snapshot = &site->snapshots[i];
+  int choice = g_rand_int_range (site->rand, 0, 60);
+
+  if (choice == 0) /* it dies and comes back */
+    {
+      gp_snapshot_abandon (snapshot);
+      site->incarnation[i]++;
+      site->sequence[i] = 0;
+    }
+  else if (gp_follower_caught_up (&site->live)
+           && (choice == 1 /* at any time */
+               || gp_snapshot_due (snapshot, &site->live.fold,
+                                   &site->live.catalog, site->first_offset)))
+    gp_snapshot_begin (snapshot, &site->live.fold, 0);
+  append_snapshot (site, i);
+  if (choice < 15) /* a late duplicate of something recent */
+    {
+      int back = g_rand_int_range (site->rand, 1, 8);
+      int at = MAX ((int)site->log->len - back, 0);
+
+      g_ptr_array_add (site->log, g_bytes_ref (site->log->pdata[at]));
+    }
+}
+
+/* A new process reads slowly; whenever it has caught up its state must be
+   that of the live one.  */
+static size_t
+step_reader (site_t *site, gp_follower_t *reader)
+{
+  size_t wrong = 0;
+
+  read_some (site, reader, (size_t)g_rand_int_range (site->rand, 0, 16));
+  if (reader->phase == GP_FOLLOWER_READY)
+    wrong += reader->fold.next_offset < site->started;
+  if (!gp_follower_caught_up (reader))
+    return wrong;
+  wrong += gp_fold_digest (&reader->fold) != gp_fold_digest (&site->live.fold);
+  site->ready++;
+  if (g_rand_int_range (site->rand, 0, 4) != 0)
+    return wrong;
+  gp_follower_finish (reader);
+  gp_follower_init (reader, NULL, NULL, NULL);
+  site->started = site->log->len;
+  return wrong;
+}
+
+static size_t
+run_seed (guint32 seed, uint64_t *restarts, size_t *ready)
+{
+  site_t site;
+  gp_follower_t reader;
+  size_t wrong = 0;
+
+  site_init (&site, seed);
+  gp_follower_init (&reader, NULL, NULL, NULL);
+  for (int i = 0; i < STEPS; i++)
+    {
+      append_load (&site);
+      for (int w = 0; w < WRITERS; w++)
+        step_writer (&site, w);
+      if (site.log->len > RETAINED)
+        site.first_offset = site.log->len - RETAINED;
+      read_all (&site, &site.live);
+      wrong += site.live.restarts != 0;
+      wrong += step_reader (&site, &reader);
+    }
+  *restarts += reader.restarts;
+  *ready += site.ready;
+  wrong += site.completed == 0;
+  gp_follower_finish (&reader);
+  site_finish (&site);
+  return wrong;
+}
+
+static void
+test_random (void)
+{
+  uint64_t restarts = 0;
+  size_t ready = 0;
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    CU_ASSERT_EQUAL (run_seed (seed, &restarts, &ready), 0);
+  CU_ASSERT_TRUE (restarts > 0);
+  CU_ASSERT_TRUE (ready > SEEDS);
+}
+
+/* Write the whole snapshot of writer I but its last LESS records, each
+   batch twice.  */
+static void
+write_snapshot (site_t *site, int i, uint32_t less)
+{
+  gp_snapshot_t *snapshot = &site->snapshots[i];
+
+  gp_snapshot_begin (snapshot, &site->live.fold, 0);
+  while (snapshot->step + less < snapshot->parts_count + 2)
+    {
+      append_snapshot (site, i);
+      g_ptr_array_add (site->log,
+                       g_bytes_ref (site->log->pdata[site->log->len - 1]));
+    }
+}
+
+static void
+test_gap (void)
+{
+  site_t site;
+  gp_follower_t reader;
+
+  site_init (&site, 1);
+  for (int i = 0; i < 50; i++)
+    append_load (&site);
+  read_all (&site, &site.live);
+  write_snapshot (&site, 0, 1); /* without its End */
+  site.first_offset = 10;
+  gp_follower_init (&reader, NULL, NULL, NULL);
+  read_all (&site, &reader);
+  CU_ASSERT_EQUAL (reader.phase, GP_FOLLOWER_SCAN);
+  read_all (&site, &site.live);
+  CU_ASSERT_EQUAL (site.live.phase, GP_FOLLOWER_READY);
+  write_snapshot (&site, 1, 0);
+  read_all (&site, &reader);
+  read_all (&site, &site.live);
+  CU_ASSERT_EQUAL (reader.phase, GP_FOLLOWER_READY);
+  CU_ASSERT_EQUAL (reader.restarts, 1); /* at offset 0 */
+  CU_ASSERT_EQUAL (gp_fold_digest (&reader.fold),
+                   gp_fold_digest (&site.live.fold));
+  /* A paused reader finds its place gone.  */
+  for (int i = 0; i < 50; i++)
+    append_load (&site);
+  CU_ASSERT_TRUE (gp_follower_take_rebuilt (&reader));
+  site.first_offset = site.log->len - 20;
+  read_all (&site, &reader);
+  CU_ASSERT_EQUAL (reader.phase, GP_FOLLOWER_SCAN);
+  CU_ASSERT_FALSE (gp_follower_take_rebuilt (&reader));
+  gp_follower_finish (&reader);
+  site_finish (&site);
+}
+
+/* A snapshot that is whole but wrong is not taken; an older one is.  */
+static void
+test_corrupt (void)
+{
+  site_t site;
+  gp_follower_t reader;
+
+  site_init (&site, 2);
+  for (int i = 0; i < 50; i++)
+    append_load (&site);
+  read_all (&site, &site.live);
+  write_snapshot (&site, 0, 0);
+  read_all (&site, &site.live);
+  gp_snapshot_begin (&site.snapshots[1], &site.live.fold, 0);
+  site.snapshots[1].digest++;
+  while (append_snapshot (&site, 1))
+    continue;
+  read_all (&site, &site.live);
+  gp_snapshot_begin (&site.snapshots[0], &site.live.fold, 0);
+  site.snapshots[0].checksum++;
+  while (append_snapshot (&site, 0))
+    continue;
+  site.first_offset = 5;
+  gp_follower_init (&reader, NULL, NULL, NULL);
+  read_all (&site, &reader);
+  read_all (&site, &site.live);
+  CU_ASSERT_EQUAL (reader.phase, GP_FOLLOWER_READY);
+  CU_ASSERT_EQUAL (reader.catalog.rejected_count, 1);
+  CU_ASSERT_EQUAL (gp_fold_digest (&reader.fold),
+                   gp_fold_digest (&site.live.fold));
+  gp_follower_finish (&reader);
+  site_finish (&site);
+}
+
+static bool
+is_due (site_t *site, int i)
+{
+  read_all (site, &site->live);
+  return gp_snapshot_due (&site->snapshots[i], &site->live.fold,
+                          &site->live.catalog, site->first_offset);
+}
+
+static void
+test_due (void)
+{
+  site_t site;
+  int until_due = 0;
+
+  site_init (&site, 3);
+  for (; !is_due (&site, 0) && until_due < 100; until_due++)
+    append_load (&site);
+  CU_ASSERT_TRUE (until_due >= 40 && until_due <= 60); /* distance x factor */
+  write_snapshot (&site, 0, 1);
+  CU_ASSERT_FALSE (is_due (&site, 1)); /* another is at it */
+  for (int i = 0; i < 10; i++)
+    append_load (&site);
+  CU_ASSERT_TRUE (is_due (&site, 1)); /* it has been abandoned */
+  write_snapshot (&site, 1, 0);
+  CU_ASSERT_FALSE (is_due (&site, 1));
+  for (int i = 0; i < 10; i++)
+    append_load (&site);
+  CU_ASSERT_FALSE (is_due (&site, 1));
+  site.first_offset = site.log->len - 21; /* half is after the snapshot */
+  CU_ASSERT_TRUE (is_due (&site, 1));
+  site_finish (&site);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("snapshot", NULL, NULL);
+  CU_add_test (suite, "random", test_random);
+  CU_add_test (suite, "gap", test_gap);
+  CU_add_test (suite, "corrupt", test_corrupt);
+  CU_add_test (suite, "due", test_due);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
--- a/tests/unit/test_writer.c
+++ b/tests/unit/test_writer.c
@@ -139,6 +139,9 @@
       case GP_WRITER_EXPIRED:
         settle (run, action.u.expired.token, FATE_EXPIRED);
         break;
+      case GP_WRITER_UNREAD:
+        run->wrong++;
+        break;
       }
 }
 
@@ -317,6 +320,7 @@
   GRand *rand = g_rand_new_with_seed (1);
   gp_writer_t writer;
   gp_writer_entry_t *entry;
+  gp_writer_action_t action;
   GBytes *first;
   GBytes *again;
   uint64_t sequence;
@@ -337,6 +341,13 @@
   CU_ASSERT_EQUAL (submit_task (&writer, 3, GP_WRITER_URGENT, GP_TIME_NEVER,
                                 10 * GP_SEC, NULL),
                    GP_WRITER_UNAVAILABLE);
+  gp_writer_skip (&writer, 1, 10 * GP_SEC);
+  CU_ASSERT_TRUE (gp_writer_next (&writer, &action));
+  CU_ASSERT_EQUAL (action.kind, GP_WRITER_UNREAD);
+  CU_ASSERT_EQUAL (action.u.unread.token, 1);
+  CU_ASSERT_TRUE (gp_writer_available (&writer, 10 * GP_SEC));
+  g_bytes_unref (next_append (&writer, &sequence));
+  CU_ASSERT_EQUAL (sequence, 2);
   g_bytes_unref (first);
   g_bytes_unref (again);
   gp_writer_finish (&writer);
