--- a/src/state/fold.c
+++ b/src/state/fold.c
@@ -7,6 +7,8 @@
 #define HOUR_US (INT64_C (3600) * 1000000)
 #define MIB (UINT64_C (1024) * 1024)
 #define BATCH_RECORDS_MAX 16384
+/* Writers heard last whose clocks make the log time.  */
+#define CLOCKS 8
 
 const gp_fold_limits_t gp_fold_default_limits = {
   .key_window_us = 24 * HOUR_US,
@@ -18,6 +20,7 @@
   .keys_max = 200000,
   .writers_max = 1024,
   .task_bytes_max = 64 * MIB,
+  .result_bytes_max = 16 * MIB,
   .answer_bytes_max = 16 * MIB,
 };
 
@@ -142,6 +145,27 @@
     }
 }
 
+/* The second highest clock of the writers heard last, or the only one.  */
+static int64_t
+second_clock (const gp_fold_t *fold)
+{
+  int64_t highest = -1;
+  int64_t second = -1;
+  int count = 0;
+
+  for (const gp_list_t *pos = fold->writers_heard.prev;
+       pos != &fold->writers_heard && count < CLOCKS; pos = pos->prev)
+    {
+      const gp_fold_writer_t *writer
+          = GP_CONTAINER_OF (pos, gp_fold_writer_t, link);
+
+      second = MAX (second, MIN (highest, writer->wall_us));
+      highest = MAX (highest, writer->wall_us);
+      count++;
+    }
+  return count > 1 ? second : highest;
+}
+
 /* Whether the batch comes in its turn; then its writer is current.  */
 static gp_fold_result_t
 accept_writer (gp_fold_t *fold, const Gp__Record__Batch *batch)
@@ -157,12 +181,13 @@
     return GP_FOLD_DUPLICATE;
   if (writer == NULL)
     writer = gp_fold_add_writer (fold, batch->writer);
-  fold->log_time_us = MAX (fold->log_time_us, batch->wall_us);
   writer->incarnation = batch->incarnation;
   writer->sequence = batch->sequence;
-  writer->heard_us = fold->log_time_us;
+  writer->wall_us = batch->wall_us;
   gp_list_remove (&writer->link);
   gp_list_push_back (&fold->writers_heard, &writer->link);
+  fold->log_time_us = MAX (fold->log_time_us, second_clock (fold));
+  writer->heard_us = fold->log_time_us;
   fold->writer = writer;
   change.u.writer = writer;
   if (started)
@@ -287,6 +312,7 @@
   Gp__Record__Batch *batch;
   gp_fold_result_t result;
 
+  g_assert (fold->held == 0);
   if (offset != fold->next_offset)
     {
       result = offset < fold->next_offset ? GP_FOLD_OLD : GP_FOLD_GAP;
--- a/src/state/fold.h
+++ b/src/state/fold.h
@@ -3,9 +3,10 @@
    Every process that follows the log applies the same batches in the order
    of their offsets and so holds the same state.  A record is accepted, or
    void for a typed reason, by the state before it alone; no clock, no
-   randomness and no identity of the process takes part.  The log time is
-   the highest wall clock that any accepted batch carried; windows of memory
-   are measured in it.
+   randomness and no identity of the process takes part.  Windows of memory
+   are measured in log time: the second highest wall clock among the last
+   batches of the writers heard last, so that one wrong clock cannot make a
+   window pass; of a lone writer its own.  It never goes back.
 
    A batch is known by its writer, incarnation and sequence.  A writer has
    one batch under way at a time and repeats the same bytes until it reads
@@ -55,6 +56,7 @@
   uint32_t keys_max;
   uint32_t writers_max;      /* the longest silent are dropped */
   uint64_t task_bytes_max;   /* payloads and checkpoints of live tasks */
+  uint64_t result_bytes_max; /* of ended tasks; the oldest are dropped */
   uint64_t answer_bytes_max; /* the oldest answers are dropped */
 } gp_fold_limits_t;
 
@@ -100,8 +102,9 @@
   char *name; /* interned */
   uint64_t incarnation;
   uint64_t sequence; /* the last applied */
-  int64_t heard_us;
-  gp_list_t link; /* in gp_fold_t.writers_heard, longest silent first */
+  int64_t heard_us;  /* log time */
+  int64_t wall_us;   /* as its last batch said */
+  gp_list_t link;    /* in gp_fold_t.writers_heard, longest silent first */
 } gp_fold_writer_t;
 
 typedef struct
@@ -130,7 +133,7 @@
   int64_t deadline_us; /* 0: none */
   gp_blob_t *payload;
   gp_blob_t *checkpoint;
-  gp_blob_t *result;
+  gp_blob_t *result; /* of an ended task */
   uint32_t millicores;
   uint32_t memory_mib;
   uint32_t accelerators;
@@ -233,6 +236,7 @@
   gp_list_t *answer_cursor; /* keys before it have no answer kept */
   uint32_t phase_count[5];  /* by Gp__Record__TaskPhase */
   uint64_t task_bytes;
+  uint64_t result_bytes;
   uint64_t answer_bytes;
   gp_config_t config;
   /* Statistics; not part of the state.  */
@@ -246,6 +250,7 @@
   /* The writer whose verdicts are reported.  */
   char *own_name;
   uint64_t own_incarnation;
+  uint32_t held; /* by savers: nothing may be applied */
 } gp_fold_t;
 
 /* An empty state before offset 0.  LIMITS NULL: the default.  */
@@ -256,7 +261,7 @@
 void gp_fold_watch (gp_fold_t *fold, const char *writer, uint64_t incarnation);
 
 /* Apply the batch at OFFSET.  SINK (may be NULL) gets the changes in order.
-   It must not change the fold.  */
+   It must not change the fold, which must not be held by a saver.  */
 gp_fold_result_t gp_fold_apply (gp_fold_t *fold, uint64_t offset,
                                 const uint8_t *bytes, size_t size,
                                 gp_fold_sink_t sink, void *data);
@@ -278,15 +283,36 @@
                         const gp_fold_guard_t *guard, uint64_t incarnation);
 
 /* A digest of the whole state, equal on all replicas at the same offset.  */
-uint64_t gp_fold_digest (const gp_fold_t *fold);
+uint64_t gp_fold_digest (gp_fold_t *fold);
 
 /* Bytes of memory that the state takes, estimated by its counts.  */
 uint64_t gp_fold_memory (const gp_fold_t *fold);
 
-/* Write the state as packed gp.record.StateChunk messages of about
-   PART_BYTES each; EMIT takes the reference.  */
-void gp_fold_save (const gp_fold_t *fold, size_t part_bytes,
-                   void (*emit) (GBytes *part, void *data), void *data);
+/* Writes the state, a number of rows at a time, as packed
+   gp.record.StateChunk messages.  The fold is held from init to finish and
+   must not apply anything.  */
+typedef struct
+{
+  gp_fold_t *fold;
+  size_t part_bytes;
+  void (*emit) (GBytes *part, void *data); /* takes the reference */
+  void *data;
+  GByteArray *part; /* not yet emitted */
+  uint64_t digest;  /* of the rows so far; at the end as gp_fold_digest */
+  int stage;
+  gp_list_t *at; /* in the list of the stage */
+  GHashTableIter iter;
+  gp_fold_guard_t *guard; /* whose grants are being written */
+} gp_fold_saver_t;
+
+/* Emit parts of about PART_BYTES each.  */
+void gp_fold_saver_init (gp_fold_saver_t *saver, gp_fold_t *fold,
+                         size_t part_bytes,
+                         void (*emit) (GBytes *part, void *data), void *data);
+void gp_fold_saver_finish (gp_fold_saver_t *saver);
+
+/* Write up to ROWS rows more.  True when all are written and emitted.  */
+bool gp_fold_saver_step (gp_fold_saver_t *saver, size_t rows);
 
 /* Take the rows of one chunk into a fresh fold, chunks in their order.
    False when it is corrupt: finish the fold.  */
--- a/src/state/fold_rows.c
+++ b/src/state/fold_rows.c
@@ -14,15 +14,45 @@
 
 typedef Gp__Record__StateChunk chunk_t;
 
-/* Gets one row in a chunk of its own.  */
-typedef void (*row_sink_t) (const chunk_t *chunk, void *data);
+/* The order in which a saver writes; see step_row.  */
+typedef enum
+{
+  STAGE_TIME,
+  STAGE_WRITERS,
+  STAGE_GUARDS_GONE,
+  STAGE_GUARDS, /* each guard, then its grants in their order */
+  STAGE_ENDED,
+  STAGE_TASKS, /* pending and parked */
+  STAGE_KEYS,
+  STAGE_CONFIG,
+  STAGE_END
+} stage_t;
 
-typedef struct
+static void
+flush_part (gp_fold_saver_t *saver)
 {
-  const gp_fold_t *fold;
-  row_sink_t sink;
-  void *data;
-} walk_t;
+  if (saver->part->len == 0)
+    return;
+  if (saver->emit != NULL)
+    saver->emit (g_bytes_new (saver->part->data, saver->part->len),
+                 saver->data);
+  g_byte_array_set_size (saver->part, 0);
+}
+
+/* Take one row in a chunk of its own.  */
+static void
+put_row (gp_fold_saver_t *saver, const chunk_t *chunk)
+{
+  size_t size = gp__record__state_chunk__get_packed_size (chunk);
+  guint at;
+
+  if (saver->part->len + size > saver->part_bytes)
+    flush_part (saver);
+  at = saver->part->len;
+  g_byte_array_set_size (saver->part, (guint)(at + size));
+  gp__record__state_chunk__pack (chunk, saver->part->data + at);
+  saver->digest += XXH3_64bits (saver->part->data + at, size);
+}
 
 static ProtobufCBinaryData
 blob_field (gp_blob_t *blob)
@@ -32,7 +62,7 @@
 }
 
 static void
-walk_task (const walk_t *walk, gp_fold_task_t *task)
+put_task (gp_fold_saver_t *saver, gp_fold_task_t *task)
 {
   chunk_t chunk = GP__RECORD__STATE_CHUNK__INIT;
   Gp__Record__TaskRow row = GP__RECORD__TASK_ROW__INIT;
@@ -69,11 +99,11 @@
   row.failed_workers = task->failed_workers;
   chunk.n_tasks = 1;
   chunk.tasks = &rows;
-  walk->sink (&chunk, walk->data);
+  put_row (saver, &chunk);
 }
 
 static void
-walk_guard (const walk_t *walk, const gp_fold_guard_t *guard)
+put_guard (gp_fold_saver_t *saver, const gp_fold_guard_t *guard)
 {
   chunk_t chunk = GP__RECORD__STATE_CHUNK__INIT;
   Gp__Record__GuardRow row = GP__RECORD__GUARD_ROW__INIT;
@@ -87,11 +117,11 @@
   row.changed_us = guard->changed_us;
   chunk.n_guards = 1;
   chunk.guards = &rows;
-  walk->sink (&chunk, walk->data);
+  put_row (saver, &chunk);
 }
 
 static void
-walk_writer (const walk_t *walk, const gp_fold_writer_t *writer)
+put_writer (gp_fold_saver_t *saver, const gp_fold_writer_t *writer)
 {
   chunk_t chunk = GP__RECORD__STATE_CHUNK__INIT;
   Gp__Record__WriterRow row = GP__RECORD__WRITER_ROW__INIT;
@@ -101,13 +131,14 @@
   row.incarnation = writer->incarnation;
   row.sequence = writer->sequence;
   row.heard_us = writer->heard_us;
+  row.wall_us = writer->wall_us;
   chunk.n_writers = 1;
   chunk.writers = &rows;
-  walk->sink (&chunk, walk->data);
+  put_row (saver, &chunk);
 }
 
 static void
-walk_key (const walk_t *walk, gp_fold_key_t *key)
+put_key (gp_fold_saver_t *saver, gp_fold_key_t *key)
 {
   chunk_t chunk = GP__RECORD__STATE_CHUNK__INIT;
   Gp__Record__KeyRow row = GP__RECORD__KEY_ROW__INIT;
@@ -125,13 +156,13 @@
   row.answer_dropped = key->answer_dropped;
   chunk.n_keys = 1;
   chunk.keys = &rows;
-  walk->sink (&chunk, walk->data);
+  put_row (saver, &chunk);
 }
 
 static gboolean
-walk_config_item (void *key, void *value, void *data)
+put_config_item (void *key, void *value, void *data)
 {
-  const walk_t *walk = data;
+  gp_fold_saver_t *saver = data;
   chunk_t chunk = GP__RECORD__STATE_CHUNK__INIT;
   Gp__Record__ConfigItem item = GP__RECORD__CONFIG_ITEM__INIT;
   Gp__Record__ConfigItem *items = &item;
@@ -142,14 +173,14 @@
   item.value.len = size;
   chunk.n_config_items = 1;
   chunk.config_items = &items;
-  walk->sink (&chunk, walk->data);
+  put_row (saver, &chunk);
   return FALSE;
 }
 
 static void
-walk_config (const walk_t *walk)
+put_config (gp_fold_saver_t *saver)
 {
-  const gp_config_t *config = &walk->fold->config;
+  const gp_config_t *config = &saver->fold->config;
   const gp_config_change_t *newest = gp_config_newest (config);
   chunk_t chunk = GP__RECORD__STATE_CHUNK__INIT;
   Gp__Record__ConfigRow row = GP__RECORD__CONFIG_ROW__INIT;
@@ -157,7 +188,7 @@
 
   if (newest == NULL)
     return;
-  g_tree_foreach (config->items, walk_config_item, (void *)walk);
+  g_tree_foreach (config->items, put_config_item, saver);
   row.revision = config->revision;
   row.document.data = (uint8_t *)g_bytes_get_data (config->document, &size);
   row.document.len = size;
@@ -165,135 +196,212 @@
   row.comment = newest->comment;
   row.changed_us = newest->changed_us;
   chunk.config = &row;
-  walk->sink (&chunk, walk->data);
+  put_row (saver, &chunk);
 }
 
-/* Guards in the order in which they went, then the tasks of each in the
-   order of their grants, ended tasks in the order of their ends, others.  */
 static void
-walk_guards (const walk_t *walk)
+put_time (gp_fold_saver_t *saver)
 {
-  GHashTableIter iter;
-  gp_fold_guard_t *guard;
+  chunk_t chunk = GP__RECORD__STATE_CHUNK__INIT;
 
-  GP_LIST_FOREACH (pos, &walk->fold->guards_gone)
-  walk_guard (walk, GP_CONTAINER_OF (pos, gp_fold_guard_t, link));
-  g_hash_table_iter_init (&iter, walk->fold->guards);
-  while (g_hash_table_iter_next (&iter, (void **)&guard, NULL))
-    {
-      if (!guard->gone)
-        walk_guard (walk, guard);
-      GP_LIST_FOREACH (pos, &guard->grants)
-      walk_task (walk, GP_CONTAINER_OF (pos, gp_fold_task_t, link));
-    }
+  chunk.log_time_us = saver->fold->log_time_us;
+  put_row (saver, &chunk);
 }
 
 static void
-walk_tasks (const walk_t *walk)
+start_stage (gp_fold_saver_t *saver, stage_t stage)
 {
-  GHashTableIter iter;
-  gp_fold_task_t *task;
+  gp_fold_t *fold = saver->fold;
 
-  GP_LIST_FOREACH (pos, &walk->fold->ended)
-  walk_task (walk, GP_CONTAINER_OF (pos, gp_fold_task_t, link));
-  g_hash_table_iter_init (&iter, walk->fold->tasks);
-  while (g_hash_table_iter_next (&iter, (void **)&task, NULL))
-    if (task->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_PENDING
-        || task->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_PARKED)
-      walk_task (walk, task);
+  saver->stage = (int)stage;
+  switch (stage)
+    {
+    case STAGE_WRITERS:
+      saver->at = fold->writers_heard.next;
+      break;
+    case STAGE_GUARDS_GONE:
+      saver->at = fold->guards_gone.next;
+      break;
+    case STAGE_GUARDS:
+      g_hash_table_iter_init (&saver->iter, fold->guards);
+      saver->guard = NULL;
+      break;
+    case STAGE_ENDED:
+      saver->at = fold->ended.next;
+      break;
+    case STAGE_TASKS:
+      g_hash_table_iter_init (&saver->iter, fold->tasks);
+      break;
+    case STAGE_KEYS:
+      saver->at = fold->keys_opened.next;
+      break;
+    case STAGE_TIME:
+    case STAGE_CONFIG:
+    case STAGE_END:
+      break;
+    }
 }
 
-static void
-walk_state (const gp_fold_t *fold, row_sink_t sink, void *data)
+/* The next link of the list of HEAD, or NULL at its end.  */
+static gp_list_t *
+next_link (gp_fold_saver_t *saver, const gp_list_t *head)
 {
-  walk_t walk = { .fold = fold, .sink = sink, .data = data };
-  chunk_t chunk = GP__RECORD__STATE_CHUNK__INIT;
+  gp_list_t *link = saver->at;
 
-  chunk.log_time_us = fold->log_time_us;
-  sink (&chunk, data);
-  GP_LIST_FOREACH (pos, &fold->writers_heard)
-  walk_writer (&walk, GP_CONTAINER_OF (pos, gp_fold_writer_t, link));
-  walk_guards (&walk);
-  walk_tasks (&walk);
-  GP_LIST_FOREACH (pos, &fold->keys_opened)
-  walk_key (&walk, GP_CONTAINER_OF (pos, gp_fold_key_t, link));
-  walk_config (&walk);
+  if (link == head)
+    return NULL;
+  saver->at = link->next;
+  return link;
 }
 
-/* Digest.  */
-
-typedef struct
+/* The next grant of the current guard, or the next guard.  */
+static bool
+step_guards (gp_fold_saver_t *saver)
 {
-  uint64_t sum;
-  GByteArray *buffer;
-} digest_t;
+  gp_list_t *link = NULL;
 
-static void
-digest_row (const chunk_t *chunk, void *data)
+  if (saver->guard != NULL)
+    link = next_link (saver, &saver->guard->grants);
+  if (link != NULL)
+    {
+      put_task (saver, GP_CONTAINER_OF (link, gp_fold_task_t, link));
+      return true;
+    }
+  if (!g_hash_table_iter_next (&saver->iter, (void **)&saver->guard, NULL))
+    return false;
+  saver->at = saver->guard->grants.next;
+  if (!saver->guard->gone)
+    put_guard (saver, saver->guard);
+  return true;
+}
+
+static bool
+step_tasks (gp_fold_saver_t *saver)
 {
-  digest_t *digest = data;
-  size_t size = gp__record__state_chunk__get_packed_size (chunk);
+  gp_fold_task_t *task;
 
-  g_byte_array_set_size (digest->buffer, (guint)size);
-  gp__record__state_chunk__pack (chunk, digest->buffer->data);
-  digest->sum += XXH3_64bits (digest->buffer->data, size);
+  if (!g_hash_table_iter_next (&saver->iter, (void **)&task, NULL))
+    return false;
+  if (task->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_PENDING
+      || task->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_PARKED)
+    put_task (saver, task);
+  return true;
 }
 
-uint64_t
-gp_fold_digest (const gp_fold_t *fold)
+static bool
+step_writers (gp_fold_saver_t *saver)
 {
-  digest_t digest = { .sum = 0, .buffer = g_byte_array_sized_new (1024) };
+  gp_list_t *link = next_link (saver, &saver->fold->writers_heard);
 
-  walk_state (fold, digest_row, &digest);
-  g_byte_array_unref (digest.buffer);
-  return digest.sum;
+  if (link != NULL)
+    put_writer (saver, GP_CONTAINER_OF (link, gp_fold_writer_t, link));
+  return link != NULL;
 }
 
-/* Save.  */
-
-typedef struct
+static bool
+step_guards_gone (gp_fold_saver_t *saver)
 {
-  size_t part_bytes;
-  GByteArray *part;
-  void (*emit) (GBytes *part, void *data);
-  void *data;
-} save_t;
+  gp_list_t *link = next_link (saver, &saver->fold->guards_gone);
 
-static void
-flush_part (save_t *save)
+  if (link != NULL)
+    put_guard (saver, GP_CONTAINER_OF (link, gp_fold_guard_t, link));
+  return link != NULL;
+}
+
+static bool
+step_ended (gp_fold_saver_t *saver)
 {
-  if (save->part->len == 0)
-    return;
-  save->emit (g_bytes_new (save->part->data, save->part->len), save->data);
-  g_byte_array_set_size (save->part, 0);
+  gp_list_t *link = next_link (saver, &saver->fold->ended);
+
+  if (link != NULL)
+    put_task (saver, GP_CONTAINER_OF (link, gp_fold_task_t, link));
+  return link != NULL;
 }
 
-static void
-save_row (const chunk_t *chunk, void *data)
+static bool
+step_keys (gp_fold_saver_t *saver)
 {
-  save_t *save = data;
-  size_t size = gp__record__state_chunk__get_packed_size (chunk);
-  guint at = save->part->len;
+  gp_list_t *link = next_link (saver, &saver->fold->keys_opened);
+
+  if (link != NULL)
+    put_key (saver, GP_CONTAINER_OF (link, gp_fold_key_t, link));
+  return link != NULL;
+}
 
-  if (at > 0 && at + size > save->part_bytes)
+/* Write one row of the stage.  False when it has none left.  */
+static bool
+step_row (gp_fold_saver_t *saver)
+{
+  switch ((stage_t)saver->stage)
     {
-      flush_part (save);
-      at = 0;
+    case STAGE_TIME:
+      put_time (saver);
+      return false;
+    case STAGE_WRITERS:
+      return step_writers (saver);
+    case STAGE_GUARDS_GONE:
+      return step_guards_gone (saver);
+    case STAGE_GUARDS:
+      return step_guards (saver);
+    case STAGE_ENDED:
+      return step_ended (saver);
+    case STAGE_TASKS:
+      return step_tasks (saver);
+    case STAGE_KEYS:
+      return step_keys (saver);
+    case STAGE_CONFIG:
+      put_config (saver);
+      return false;
+    case STAGE_END:
+      return true;
     }
-  g_byte_array_set_size (save->part, (guint)(at + size));
-  gp__record__state_chunk__pack (chunk, save->part->data + at);
+  return true;
+}
+
+void
+gp_fold_saver_init (gp_fold_saver_t *saver, gp_fold_t *fold, size_t part_bytes,
+                    void (*emit) (GBytes *part, void *data), void *data)
+{
+  memset (saver, 0, sizeof *saver);
+  saver->fold = fold;
+  saver->part_bytes = part_bytes;
+  saver->emit = emit;
+  saver->data = data;
+  saver->part = g_byte_array_sized_new ((guint)part_bytes);
+  fold->held++;
+  start_stage (saver, STAGE_TIME);
 }
 
 void
-gp_fold_save (const gp_fold_t *fold, size_t part_bytes,
-              void (*emit) (GBytes *part, void *data), void *data)
+gp_fold_saver_finish (gp_fold_saver_t *saver)
+{
+  saver->fold->held--;
+  g_byte_array_unref (saver->part);
+}
+
+bool
+gp_fold_saver_step (gp_fold_saver_t *saver, size_t rows)
 {
-  save_t save = { .part_bytes = part_bytes, .emit = emit, .data = data };
+  for (size_t i = 0; i < rows && saver->stage != STAGE_END; i++)
+    if (!step_row (saver))
+      start_stage (saver, (stage_t)(saver->stage + 1));
+  if (saver->stage != STAGE_END)
+    return false;
+  flush_part (saver);
+  return true;
+}
 
-  save.part = g_byte_array_sized_new ((guint)part_bytes);
-  walk_state (fold, save_row, &save);
-  flush_part (&save);
-  g_byte_array_unref (save.part);
+uint64_t
+gp_fold_digest (gp_fold_t *fold)
+{
+  gp_fold_saver_t saver;
+  uint64_t digest;
+
+  gp_fold_saver_init (&saver, fold, 0, NULL, NULL);
+  gp_fold_saver_step (&saver, SIZE_MAX);
+  digest = saver.digest;
+  gp_fold_saver_finish (&saver);
+  return digest;
 }
 
 /* Load.  */
@@ -310,6 +418,7 @@
   writer->incarnation = row->incarnation;
   writer->sequence = row->sequence;
   writer->heard_us = row->heard_us;
+  writer->wall_us = row->wall_us;
   return true;
 }
 
@@ -384,6 +493,7 @@
   task->checkpoint = gp_blob_new (row->checkpoint.data, row->checkpoint.len);
   task->result = gp_blob_new (row->result.data, row->result.len);
   fold->task_bytes += row->checkpoint.len;
+  fold->result_bytes += row->result.len;
   task->failed_count = (uint8_t)row->n_failed_workers;
   for (size_t i = 0; i < row->n_failed_workers; i++)
     task->failed_workers[i] = row->failed_workers[i];
@@ -488,5 +598,5 @@
   return tasks * (sizeof (gp_fold_task_t) + 2 * slot)
          + guards * (sizeof (gp_fold_guard_t) + 2 * slot)
          + keys * (sizeof (gp_fold_key_t) + 2 * slot) + fold->task_bytes
-         + fold->answer_bytes + fold->config.bytes;
+         + fold->result_bytes + fold->answer_bytes + fold->config.bytes;
 }
--- a/src/state/fold_tasks.c
+++ b/src/state/fold_tasks.c
@@ -176,6 +176,7 @@
 end_task (gp_fold_t *fold, gp_fold_task_t *task, const gp_fold_guard_t *guard)
 {
   gp_list_push_back (&fold->ended, &task->link);
+  fold->result_bytes += gp_blob_size (task->result);
   fold->task_bytes -= gp_blob_size (task->payload);
   fold->task_bytes -= gp_blob_size (task->checkpoint);
   g_clear_pointer (&task->payload, g_free);
@@ -204,6 +205,7 @@
       end_task (fold, task, guard);
       return;
     }
+  g_clear_pointer (&task->result, g_free);
   gp_fold_set_phase (fold, task, GP__RECORD__TASK_PHASE__TASK_PHASE_PENDING);
   emit_task (fold, GP_FOLD_TASK_RETURNED, task, guard);
 }
@@ -259,7 +261,6 @@
   if (verdict != GP_FOLD_ACCEPTED)
     return verdict;
   set_checkpoint (fold, task, &end->checkpoint);
-  g_free (task->result);
   task->result = gp_blob_new (end->result.data, end->result.len);
   gp_fold_end_epoch (fold, task, end->state, end->reason);
   return GP_FOLD_ACCEPTED;
@@ -355,10 +356,14 @@
       bool late = task->changed_us + fold->limits.ended_window_us
                   <= fold->log_time_us;
 
-      if (!late && *ended <= fold->limits.ended_max)
+      bool many = *ended > fold->limits.ended_max
+                  || fold->result_bytes > fold->limits.result_bytes_max;
+
+      if (!late && !many)
         return;
       emit_task (fold, GP_FOLD_TASK_DROPPED, task, NULL);
       gp_list_remove (&task->link);
+      fold->result_bytes -= gp_blob_size (task->result);
       (*ended)--;
       g_hash_table_remove (fold->tasks, task);
     }
--- a/src/state/follower.c
+++ b/src/state/follower.c
@@ -263,6 +263,8 @@
 gp_follower_phase_t
 gp_follower_read (gp_follower_t *follower, const gp_follower_reply_t *reply)
 {
+  if (follower->fold.held > 0)
+    return follower->phase;
   follower->first_offset = reply->first_offset;
   follower->next_offset = reply->next_offset;
   if (follower->phase == GP_FOLLOWER_STOPPED)
--- a/src/state/follower.h
+++ b/src/state/follower.h
@@ -80,7 +80,8 @@
 /* The offset to read from.  */
 uint64_t gp_follower_from (const gp_follower_t *follower);
 
-/* Take the reply to a read from gp_follower_from.  */
+/* Take the reply to a read from gp_follower_from.  While the fold is held
+   by a saver nothing is taken: keep the reply, or read again.  */
 gp_follower_phase_t gp_follower_read (gp_follower_t *follower,
                                       const gp_follower_reply_t *reply);
 
--- a/src/state/snapshot.c
+++ b/src/state/snapshot.c
@@ -7,6 +7,7 @@
 
 const gp_snapshot_limits_t gp_snapshot_default_limits = {
   .part_bytes = (size_t)128 * 1024,
+  .rows = 1000,
   .pace = 100 * GP_MSEC,
   .distance = 200000,
   .interval_us = 2 * HOUR_US,
@@ -30,9 +31,19 @@
   draw_factor (snapshot);
 }
 
+static void
+end_copy (gp_snapshot_t *snapshot)
+{
+  gp_fold_saver_finish (&snapshot->saver);
+  XXH3_freeState (snapshot->checksum_state);
+  snapshot->copying = false;
+}
+
 void
 gp_snapshot_abandon (gp_snapshot_t *snapshot)
 {
+  if (snapshot->copying)
+    end_copy (snapshot);
   g_queue_clear_full (&snapshot->parts, (GDestroyNotify)g_bytes_unref);
   snapshot->writing = false;
 }
@@ -70,7 +81,7 @@
   if (snapshot->newest_us == 0)
     snapshot->newest_us = fold->log_time_us;
   age = (double)(fold->log_time_us - snapshot->newest_us);
-  if (snapshot->writing || behind == 0
+  if (snapshot->writing || covered >= fold->next_offset
       || others_write (snapshot, fold, catalog))
     return false;
   if (behind >= (double)snapshot->limits.distance * snapshot->factor)
@@ -83,41 +94,43 @@
 static void
 keep_part (GBytes *part, void *data)
 {
-  g_queue_push_tail (data, part);
-}
-
-static uint64_t
-checksum_parts (const gp_snapshot_t *snapshot)
-{
-  XXH3_state_t *state = XXH3_createState ();
-  uint64_t checksum;
+  gp_snapshot_t *snapshot = data;
 
-  XXH3_64bits_reset (state);
-  for (GList *at = snapshot->parts.head; at != NULL; at = at->next)
-    XXH3_64bits_update (state, g_bytes_get_data (at->data, NULL),
-                        g_bytes_get_size (at->data));
-  checksum = XXH3_64bits_digest (state);
-  XXH3_freeState (state);
-  return checksum;
+  XXH3_64bits_update (snapshot->checksum_state, g_bytes_get_data (part, NULL),
+                      g_bytes_get_size (part));
+  g_queue_push_tail (&snapshot->parts, part);
 }
 
 void
-gp_snapshot_begin (gp_snapshot_t *snapshot, const gp_fold_t *fold,
-                   gp_time_t now)
+gp_snapshot_begin (gp_snapshot_t *snapshot, gp_fold_t *fold, gp_time_t now)
 {
   gp_snapshot_abandon (snapshot);
-  gp_fold_save (fold, snapshot->limits.part_bytes, keep_part,
-                &snapshot->parts);
+  snapshot->checksum_state = XXH3_createState ();
+  XXH3_64bits_reset (snapshot->checksum_state);
+  gp_fold_saver_init (&snapshot->saver, fold, snapshot->limits.part_bytes,
+                      keep_part, snapshot);
+  snapshot->copying = true;
   snapshot->writing = true;
   snapshot->id++;
   snapshot->as_of = fold->next_offset - 1;
-  snapshot->parts_count = snapshot->parts.length;
-  snapshot->checksum = checksum_parts (snapshot);
-  snapshot->digest = gp_fold_digest (fold);
   snapshot->step = 0;
   snapshot->next_at = now;
 }
 
+bool
+gp_snapshot_copy (gp_snapshot_t *snapshot)
+{
+  if (!snapshot->copying)
+    return false;
+  if (!gp_fold_saver_step (&snapshot->saver, snapshot->limits.rows))
+    return true;
+  snapshot->parts_count = snapshot->parts.length;
+  snapshot->checksum = XXH3_64bits_digest (snapshot->checksum_state);
+  snapshot->digest = snapshot->saver.digest;
+  end_copy (snapshot);
+  return false;
+}
+
 static void
 make_begin (gp_snapshot_t *snapshot)
 {
@@ -162,7 +175,7 @@
 const Gp__Record__Record *
 gp_snapshot_next (gp_snapshot_t *snapshot, gp_time_t now)
 {
-  if (!snapshot->writing || now < snapshot->next_at)
+  if (!snapshot->writing || snapshot->copying || now < snapshot->next_at)
     return NULL;
   gp__record__record__init (&snapshot->record);
   if (snapshot->step == 0)
--- a/src/state/snapshot.h
+++ b/src/state/snapshot.h
@@ -8,9 +8,10 @@
    A snapshot is due when the newest one lies too far back in offsets or log
    time, or in the older half of what the log retains.
 
-   The state is copied when the snapshot begins, and written in parts at a
-   pace.  The machine hands out records; the caller queues them with a
-   gp_writer_t.  */
+   The state is copied when the snapshot begins, a few rows in each turn of
+   the loop so that requests are served meanwhile; the fold is held until
+   the copy is complete.  The copy is written in parts at a pace.  The
+   machine hands out records; the caller queues them with a gp_writer_t.  */
 
 #ifndef GP_STATE_SNAPSHOT_H
 #define GP_STATE_SNAPSHOT_H
@@ -28,6 +29,7 @@
 typedef struct
 {
   size_t part_bytes;
+  size_t rows;         /* copied at once */
   gp_time_t pace;      /* between records, microseconds */
   uint64_t distance;   /* offsets since the newest snapshot */
   int64_t interval_us; /* log time since it was completed */
@@ -43,12 +45,15 @@
   GRand *rand;       /* the caller's */
   double factor;     /* own point of time, 1.0 to 1.5 */
   int64_t newest_us; /* log time when the newest was completed */
-  bool writing;
+  bool copying;
+  bool writing; /* or still copying */
   uint64_t id;
   uint64_t as_of;
   uint64_t checksum;
   uint64_t digest;
-  GQueue parts; /* of GBytes, still to be handed out */
+  gp_fold_saver_t saver; /* while copying */
+  void *checksum_state;  /* XXH3_state_t, while copying */
+  GQueue parts;          /* of GBytes, still to be handed out */
   uint32_t parts_count;
   uint32_t step; /* 0: Begin, 1..parts_count: parts, then End */
   gp_time_t next_at;
@@ -69,10 +74,14 @@
 bool gp_snapshot_due (gp_snapshot_t *snapshot, const gp_fold_t *fold,
                       const gp_catalog_t *catalog, uint64_t first_offset);
 
-/* Copy the state of FOLD, which must have applied something.  */
-void gp_snapshot_begin (gp_snapshot_t *snapshot, const gp_fold_t *fold,
+/* Begin to copy the state of FOLD, which must have applied something.  */
+void gp_snapshot_begin (gp_snapshot_t *snapshot, gp_fold_t *fold,
                         gp_time_t now);
 
+/* Copy some rows more; nothing if no copy is under way.  True when there is
+   more to copy: call it again in the next turn of the loop.  */
+bool gp_snapshot_copy (gp_snapshot_t *snapshot);
+
 /* The record to be queued now, or NULL.  It is valid until
    gp_snapshot_queued, which says that it has been queued.  */
 const Gp__Record__Record *gp_snapshot_next (gp_snapshot_t *snapshot,
--- a/src/state/writer.c
+++ b/src/state/writer.c
@@ -39,6 +39,7 @@
   .timeout = 2 * GP_SEC,
   .backoff_min = 50 * GP_MSEC,
   .backoff_max = 2 * GP_SEC,
+  .skew_max = 10 * GP_SEC,
   .outage_after = 3 * GP_SEC,
 };
 
@@ -114,9 +115,12 @@
   writer->wall_offset = offset;
 }
 
-void
-gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical)
+bool
+gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical,
+               gp_time_t now)
 {
+  if (wall_us > now + writer->wall_offset + writer->limits.skew_max)
+    return false;
   if (wall_us > writer->wall_us)
     {
       writer->wall_us = wall_us;
@@ -124,6 +128,7 @@
     }
   else if (wall_us == writer->wall_us)
     writer->logical = MAX (writer->logical, logical);
+  return true;
 }
 
 static void
--- a/src/state/writer.h
+++ b/src/state/writer.h
@@ -52,6 +52,7 @@
   gp_time_t timeout; /* of one append */
   gp_time_t backoff_min;
   gp_time_t backoff_max;
+  gp_time_t skew_max;     /* between wall clocks */
   gp_time_t outage_after; /* without progress: refuse new records */
 } gp_writer_limits_t;
 
@@ -144,8 +145,11 @@
 /* The wall clock is NOW + OFFSET.  */
 void gp_writer_set_wall (gp_writer_t *writer, int64_t offset);
 
-/* A hybrid time from elsewhere: later batches are after it.  */
-void gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical);
+/* Later batches are after this hybrid time of another process.  False, and
+   nothing done, if it is ahead of the own clock by more than the skew that
+   clocks are allowed.  */
+bool gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical,
+                    gp_time_t now);
 
 /* Queue a copy of RECORD.  TOKEN comes back with its fate.  If it has not
    been sent at DEADLINE it expires.  *ENTRY (may be NULL) is set when
--- a/tests/unit/fold_twin.c
+++ b/tests/unit/fold_twin.c
@@ -1,5 +1,6 @@
 #include "fold_twin.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 const gp_fold_limits_t fold_twin_limits = {
@@ -12,6 +13,7 @@
   .keys_max = 5,
   .writers_max = 16,
   .task_bytes_max = 1000,
+  .result_bytes_max = 1000,
   .answer_bytes_max = 30,
 };
 
@@ -277,6 +279,23 @@
     }
 }
 
+static int
+compare_clocks (const void *a, const void *b)
+{
+  return *(const int64_t *)a < *(const int64_t *)b ? 1 : -1;
+}
+
+void
+fold_twin_clock (fold_twin_t *twin, int writer, int64_t wall_us)
+{
+  int64_t sorted[WRITERS];
+
+  twin->clock[writer] = wall_us;
+  memcpy (sorted, twin->clock, sizeof sorted);
+  qsort (sorted, WRITERS, sizeof sorted[0], compare_clocks);
+  twin->now = MAX (twin->now, sorted[1] >= 0 ? sorted[1] : sorted[0]);
+}
+
 void
 fold_twin_expire (fold_twin_t *twin)
 {
--- a/tests/unit/fold_twin.h
+++ b/tests/unit/fold_twin.h
@@ -55,6 +55,7 @@
   fold_twin_key_t keys[KEYS];
   uint64_t incarnation[WRITERS];
   uint64_t sequence[WRITERS];
+  int64_t clock[WRITERS]; /* -1: not heard */
   uint64_t revision;
   int64_t now;
 } fold_twin_t;
@@ -88,6 +89,9 @@
   Gp__Record__TaskEpoch *running_list[TASKS];
 } fold_slot_t;
 
+/* WRITER said WALL_US.  */
+void fold_twin_clock (fold_twin_t *twin, int writer, int64_t wall_us);
+
 /* Drop what is past its window.  */
 void fold_twin_expire (fold_twin_t *twin);
 
--- a/tests/unit/test_fold.c
+++ b/tests/unit/test_fold.c
@@ -248,10 +248,16 @@
 static void
 start_replica (run_t *run)
 {
+  gp_fold_saver_t saver;
+
   if (run->replicated)
     gp_fold_finish (&run->replica);
   gp_fold_init (&run->replica, &fold_twin_limits);
-  gp_fold_save (&run->fold, 200, load_part, &run->replica);
+  gp_fold_saver_init (&saver, &run->fold, 200, load_part, &run->replica);
+  while (!gp_fold_saver_step (&saver, 3))
+    continue;
+  run->wrong += saver.digest != gp_fold_digest (&run->fold);
+  gp_fold_saver_finish (&saver);
   gp_fold_load_done (&run->replica, run->fold.next_offset - 1);
   run->replicated = true;
 }
@@ -299,7 +305,9 @@
   batch.sequence = ++twin->sequence[writer];
   batch.wall_us = twin->now + g_rand_int_range (run->rand, -50, 100);
   batch.wall_us = MAX (batch.wall_us, 0);
-  twin->now = MAX (twin->now, batch.wall_us);
+  if (g_rand_int_range (run->rand, 0, 300) == 0)
+    batch.wall_us += KEY_WINDOW; /* a clock that jumps ahead */
+  fold_twin_clock (twin, writer, batch.wall_us);
   fold_twin_expire (twin);
   batch.n_records = (size_t)g_rand_int_range (run->rand, 1, RECORDS + 1);
   batch.records = records;
@@ -336,6 +344,8 @@
   GBytes *junk = g_bytes_new_static ("\xff\xff\xff junk", 8);
 
   run.sent = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  for (int i = 0; i < WRITERS; i++)
+    run.twin.clock[i] = -1;
   gp_fold_init (&run.fold, &fold_twin_limits);
   for (int i = 0; i < STEPS; i++)
     {
@@ -388,6 +398,60 @@
   gp_fold_finish (&fold);
 }
 
+/* Three tasks end with results; then a bound drops the oldest.  */
+static void
+test_result_bytes (void)
+{
+  gp_fold_limits_t limits = fold_twin_limits;
+  fold_slot_t slots[10] = { 0 };
+  Gp__Record__Record *records[10];
+  Gp__Record__Batch batch = GP__RECORD__BATCH__INIT;
+  uint8_t bytes[1024];
+  gp_fold_t fold;
+
+  limits.result_bytes_max = 20;
+  gp_fold_init (&fold, &limits);
+  MAKE (&slots[0], adopt, adopt, ADOPT);
+  slots[0].u.adopt.guard = "g0";
+  slots[0].u.adopt.incarnation = 1;
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      fold_slot_t *slot = &slots[i];
+
+      MAKE (slot, submit, submit, SUBMIT);
+      slot->u.submit.task = i;
+      slot->u.submit.kind = "triage";
+      slot->u.submit.work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
+      MAKE (slot + 3, grant, grant, GRANT);
+      slot[3].u.grant.task = i;
+      slot[3].u.grant.epoch = 1;
+      slot[3].u.grant.guard = "g0";
+      slot[3].u.grant.guard_incarnation = 1;
+      MAKE (slot + 6, end, end, END);
+      slot[6].u.end.task = i;
+      slot[6].u.end.epoch = 1;
+      slot[6].u.end.state = TASK_STATE (SUCCEEDED);
+      slot[6].u.end.result.data = (uint8_t *)"no fault";
+      slot[6].u.end.result.len = 8;
+    }
+  for (int i = 0; i < 10; i++)
+    {
+      records[i] = &slots[i].record;
+      slots[i].record.base.descriptor = &gp__record__record__descriptor;
+    }
+  batch.writer = "w0";
+  batch.incarnation = 1;
+  batch.records = records;
+  batch.n_records = 10;
+  for (batch.sequence = 1; batch.sequence <= 2; batch.sequence++)
+    gp_fold_apply (&fold, fold.next_offset, bytes,
+                   gp__record__batch__pack (&batch, bytes), NULL, NULL);
+  CU_ASSERT_EQUAL (fold.verdict_count[GP_FOLD_ACCEPTED], 10 + 3);
+  CU_ASSERT_EQUAL (fold.result_bytes, 24);
+  CU_ASSERT_EQUAL (gp_fold_task (&fold, 1)->phase, PHASE (ENDED));
+  gp_fold_finish (&fold);
+}
+
 int
 main (void)
 {
@@ -398,6 +462,7 @@
   suite = CU_add_suite ("fold", NULL, NULL);
   CU_add_test (suite, "twin", test_twin);
   CU_add_test (suite, "offsets", test_offsets);
+  CU_add_test (suite, "result bytes", test_result_bytes);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
--- a/tests/unit/test_snapshot.c
+++ b/tests/unit/test_snapshot.c
@@ -15,6 +15,7 @@
 
 static const gp_snapshot_limits_t limits = {
   .part_bytes = 300,
+  .rows = 7,
   .pace = 0,
   .distance = 40,
   .interval_us = INT64_MAX / 4,
@@ -147,6 +148,20 @@
   g_rand_free (site->rand);
 }
 
+static void
+begin_snapshot (site_t *site, int i)
+{
+  uint64_t from = gp_follower_from (&site->live);
+
+  gp_snapshot_begin (&site->snapshots[i], &site->live.fold, 0);
+  while (gp_snapshot_copy (&site->snapshots[i]))
+    {
+      CU_ASSERT_PTR_NULL (gp_snapshot_next (&site->snapshots[i], 0));
+      read_some (site, &site->live, 16);
+    }
+  CU_ASSERT_EQUAL (gp_follower_from (&site->live), from); /* held */
+}
+
 /* One record of the snapshot of writer I.  */
 static bool
 append_snapshot (site_t *site, int i)
@@ -177,7 +192,7 @@
            && (choice == 1 /* at any time */
                || gp_snapshot_due (snapshot, &site->live.fold,
                                    &site->live.catalog, site->first_offset)))
-    gp_snapshot_begin (snapshot, &site->live.fold, 0);
+    begin_snapshot (site, i);
   append_snapshot (site, i);
   if (choice < 15) /* a late duplicate of something recent */
     {
@@ -257,7 +272,7 @@
 {
   gp_snapshot_t *snapshot = &site->snapshots[i];
 
-  gp_snapshot_begin (snapshot, &site->live.fold, 0);
+  begin_snapshot (site, i);
   while (snapshot->step + less < snapshot->parts_count + 2)
     {
       append_snapshot (site, i);
@@ -315,12 +330,12 @@
   read_all (&site, &site.live);
   write_snapshot (&site, 0, 0);
   read_all (&site, &site.live);
-  gp_snapshot_begin (&site.snapshots[1], &site.live.fold, 0);
+  begin_snapshot (&site, 1);
   site.snapshots[1].digest++;
   while (append_snapshot (&site, 1))
     continue;
   read_all (&site, &site.live);
-  gp_snapshot_begin (&site.snapshots[0], &site.live.fold, 0);
+  begin_snapshot (&site, 0);
   site.snapshots[0].checksum++;
   while (append_snapshot (&site, 0))
     continue;
--- a/tests/unit/test_writer.c
+++ b/tests/unit/test_writer.c
@@ -401,6 +401,8 @@
   CU_ASSERT_EQUAL (submit_task (&writer, 5, GP_WRITER_URGENT, 5, 5, NULL),
                    GP_WRITER_LATE);
   CU_ASSERT_EQUAL (gp_writer_deadline (&writer), 5 * GP_MSEC);
+  CU_ASSERT_TRUE (gp_writer_saw (&writer, 7 * GP_SEC, 3, 0));
+  CU_ASSERT_FALSE (gp_writer_saw (&writer, 60 * GP_SEC, 0, 0));
   gp_writer_step (&writer, 5 * GP_MSEC);
   bytes = next_append (&writer, &sequence);
   batch = gp__record__batch__unpack (NULL, g_bytes_get_size (bytes),
@@ -412,6 +414,8 @@
   CU_ASSERT_EQUAL (batch->records[2]->submit->task, 4);
   CU_ASSERT_EQUAL (batch->records[3]->submit->task, 1);
   CU_ASSERT_STRING_EQUAL (batch->writer, "w");
+  CU_ASSERT_EQUAL (batch->wall_us, 7 * GP_SEC);
+  CU_ASSERT_EQUAL (batch->logical, 4);
   gp__record__batch__free_unpacked (batch, NULL);
   g_bytes_unref (bytes);
   gp_writer_finish (&writer);
