Refuse new records after three failures of a batch

Cause: with a log that refuses connections, a writer went on queueing for 3 s before it reported the outage, though it knew after the first failures.

Change: a batch that has failed three times makes the writer unavailable until it is acknowledged or read back.

Result: test_outage has the refusal within one second of virtual time; the random faults still give each record one fate.

Conclusion: a request that needs the log is refused as not run sooner.

--- a/src/state/writer.c
+++ b/src/state/writer.c
@@ -40,6 +40,7 @@
   .backoff_min = 50 * GP_MSEC,
   .backoff_max = 2 * GP_SEC,
   .skew_max = 10 * GP_SEC,
+  .failures_max = 3,
   .outage_after = 3 * GP_SEC,
 };
 
@@ -177,6 +178,10 @@
 bool
 gp_writer_available (const gp_writer_t *writer, gp_time_t now)
 {
+  const gp_writer_batch_t *batch = writer->current;
+
+  if (batch != NULL && batch->failures >= writer->limits.failures_max)
+    return false;
   return now
          < gp_time_add (waiting_since (writer), writer->limits.outage_after);
 }
--- a/src/state/writer.h
+++ b/src/state/writer.h
@@ -53,6 +53,7 @@
   gp_time_t backoff_min;
   gp_time_t backoff_max;
   gp_time_t skew_max;     /* between wall clocks */
+  uint32_t failures_max;  /* of one batch: refuse new records */
   gp_time_t outage_after; /* without progress: refuse new records */
 } gp_writer_limits_t;
 
--- a/tests/unit/test_writer.c
+++ b/tests/unit/test_writer.c
@@ -379,6 +379,37 @@
   g_rand_free (rand);
 }
 
+/* Failures that come at once are an outage before any timeout is.  */
+static void
+test_outage (void)
+{
+  GRand *rand = g_rand_new_with_seed (1);
+  gp_time_t now = 30 * GP_MSEC;
+  gp_writer_t writer;
+  uint64_t sequence;
+
+  gp_writer_init (&writer, "w", 1, NULL, rand);
+  submit_task (&writer, 1, GP_WRITER_NORMAL, GP_TIME_NEVER, 0, NULL);
+  for (int i = 0; i < 3; i++)
+    {
+      CU_ASSERT_TRUE (gp_writer_available (&writer, now));
+      gp_writer_step (&writer, now);
+      g_bytes_unref (next_append (&writer, &sequence));
+      gp_writer_failed (&writer, sequence, now);
+      gp_writer_failed (&writer, sequence, now); /* of an earlier attempt */
+      now = gp_writer_deadline (&writer);
+    }
+  CU_ASSERT_TRUE (now < GP_SEC);
+  CU_ASSERT_EQUAL (
+      submit_task (&writer, 2, GP_WRITER_URGENT, GP_TIME_NEVER, now, NULL),
+      GP_WRITER_UNAVAILABLE);
+  gp_writer_step (&writer, now);
+  gp_writer_acked (&writer, sequence, now);
+  CU_ASSERT_TRUE (gp_writer_available (&writer, now));
+  gp_writer_finish (&writer);
+  g_rand_free (rand);
+}
+
 static void
 test_priority_and_bounds (void)
 {
@@ -433,6 +464,7 @@
   CU_add_test (suite, "faults", test_faults);
   CU_add_test (suite, "same bytes", test_same_bytes);
   CU_add_test (suite, "expiry", test_expiry);
+  CU_add_test (suite, "outage", test_outage);
   CU_add_test (suite, "priority and bounds", test_priority_and_bounds);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
