--- a/tests/unit/test_writer.c
+++ b/tests/unit/test_writer.c
@@ -139,6 +139,9 @@
       case GP_WRITER_EXPIRED:
         settle (run, action.u.expired.token, FATE_EXPIRED);
         break;
+      case GP_WRITER_UNREAD:
+        run->wrong++;
+        break;
       }
 }
 
@@ -317,6 +320,7 @@
   GRand *rand = g_rand_new_with_seed (1);
   gp_writer_t writer;
   gp_writer_entry_t *entry;
+  gp_writer_action_t action;
   GBytes *first;
   GBytes *again;
   uint64_t sequence;
@@ -337,6 +341,13 @@
   CU_ASSERT_EQUAL (submit_task (&writer, 3, GP_WRITER_URGENT, GP_TIME_NEVER,
                                 10 * GP_SEC, NULL),
                    GP_WRITER_UNAVAILABLE);
+  gp_writer_skip (&writer, 1, 10 * GP_SEC);
+  CU_ASSERT_TRUE (gp_writer_next (&writer, &action));
+  CU_ASSERT_EQUAL (action.kind, GP_WRITER_UNREAD);
+  CU_ASSERT_EQUAL (action.u.unread.token, 1);
+  CU_ASSERT_TRUE (gp_writer_available (&writer, 10 * GP_SEC));
+  g_bytes_unref (next_append (&writer, &sequence));
+  CU_ASSERT_EQUAL (sequence, 2);
   g_bytes_unref (first);
   g_bytes_unref (again);
   gp_writer_finish (&writer);
@@ -368,6 +379,37 @@
   g_rand_free (rand);
 }
 
+/* Failures that come at once are an outage before any timeout is.  */
+static void
+test_outage (void)
+{
+  GRand *rand = g_rand_new_with_seed (1);
+  gp_time_t now = 30 * GP_MSEC;
+  gp_writer_t writer;
+  uint64_t sequence;
+
+  gp_writer_init (&writer, "w", 1, NULL, rand);
+  submit_task (&writer, 1, GP_WRITER_NORMAL, GP_TIME_NEVER, 0, NULL);
+  for (int i = 0; i < 3; i++)
+    {
+      CU_ASSERT_TRUE (gp_writer_available (&writer, now));
+      gp_writer_step (&writer, now);
+      g_bytes_unref (next_append (&writer, &sequence));
+      gp_writer_failed (&writer, sequence, now);
+      gp_writer_failed (&writer, sequence, now); /* of an earlier attempt */
+      now = gp_writer_deadline (&writer);
+    }
+  CU_ASSERT_TRUE (now < GP_SEC);
+  CU_ASSERT_EQUAL (
+      submit_task (&writer, 2, GP_WRITER_URGENT, GP_TIME_NEVER, now, NULL),
+      GP_WRITER_UNAVAILABLE);
+  gp_writer_step (&writer, now);
+  gp_writer_acked (&writer, sequence, now);
+  CU_ASSERT_TRUE (gp_writer_available (&writer, now));
+  gp_writer_finish (&writer);
+  g_rand_free (rand);
+}
+
 static void
 test_priority_and_bounds (void)
 {
@@ -390,6 +432,8 @@
   CU_ASSERT_EQUAL (submit_task (&writer, 5, GP_WRITER_URGENT, 5, 5, NULL),
                    GP_WRITER_LATE);
   CU_ASSERT_EQUAL (gp_writer_deadline (&writer), 5 * GP_MSEC);
+  CU_ASSERT_TRUE (gp_writer_saw (&writer, 7 * GP_SEC, 3, 0));
+  CU_ASSERT_FALSE (gp_writer_saw (&writer, 60 * GP_SEC, 0, 0));
   gp_writer_step (&writer, 5 * GP_MSEC);
   bytes = next_append (&writer, &sequence);
   batch = gp__record__batch__unpack (NULL, g_bytes_get_size (bytes),
@@ -401,6 +445,8 @@
   CU_ASSERT_EQUAL (batch->records[2]->submit->task, 4);
   CU_ASSERT_EQUAL (batch->records[3]->submit->task, 1);
   CU_ASSERT_STRING_EQUAL (batch->writer, "w");
+  CU_ASSERT_EQUAL (batch->wall_us, 7 * GP_SEC);
+  CU_ASSERT_EQUAL (batch->logical, 4);
   gp__record__batch__free_unpacked (batch, NULL);
   g_bytes_unref (bytes);
   gp_writer_finish (&writer);
@@ -418,6 +464,7 @@
   CU_add_test (suite, "faults", test_faults);
   CU_add_test (suite, "same bytes", test_same_bytes);
   CU_add_test (suite, "expiry", test_expiry);
+  CU_add_test (suite, "outage", test_outage);
   CU_add_test (suite, "priority and bounds", test_priority_and_bounds);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
