--- a/tests/scripts/standins.py
+++ b/tests/scripts/standins.py
@@ -2,12 +2,14 @@
 its answers, its statistics and its ledger.  Prints one line a check."""
 
 import http.client
+import http.server
 import json
 import os
 import signal
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 BUILD = sys.argv[1]
@@ -266,8 +268,92 @@
                   == [250, 1000])
 
 
+def call(*arguments, kinds=None):
+    """Run a caller; its kinds' summaries and its ledger."""
+    with tempfile.NamedTemporaryFile("w+", suffix=".json") as table, \
+            tempfile.NamedTemporaryFile("r") as ledger:
+        if kinds is not None:
+            json.dump({"kinds": kinds}, table)
+            table.flush()
+            arguments += ("--kinds", table.name)
+        done = subprocess.run(
+            [f"{BUILD}/standins/caller", "--ledger", ledger.name,
+             "--duration-s", "20", *arguments],
+            stdout=subprocess.PIPE, check=True)
+        return (json.loads(done.stdout)["kinds"],
+                [json.loads(line) for line in ledger])
+
+
+class Refuser(http.server.BaseHTTPRequestHandler):
+    """Answers 503 with the verdict that the path names."""
+
+    def do_GET(self):
+        self.send_response(503)
+        self.send_header("Galenapier-Verdict", self.path[1:])
+        self.send_header("Galenapier-Reason", "capacity")
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
+    def log_message(self, *_):
+        pass
+
+
+def check_verdicts():
+    server = http.server.HTTPServer(("127.0.0.1", 0), Refuser)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    kinds, ledger = call(
+        "--entry", "127.0.0.1:%d" % server.server_port, "--closed",
+        "--connections", "1", "--requests", "9", kinds=[
+            {"name": name, "path": "/" + name} for name
+            in ("not-run", "unknown")])
+    server.shutdown()
+    thread.join()
+    server.server_close()
+    check("caller: verdicts", kinds["unknown"]["unknown"]
+          + kinds["not-run"]["not_run"] == 9 and {
+              (line["kind"], line["outcome"], line["reason"])
+              for line in ledger} <= {("not-run", "not_run", "capacity"),
+                                      ("unknown", "unknown", "capacity")})
+
+
+def check_caller():
+    with Standin("upstream") as one, Standin("upstream") as two:
+        to_one = ("--entry", one.address, "--requests", "50")
+        both = to_one + ("--entry", two.address)
+        summary = call(*both, "--rate", "5000", "--size", "128")[0]["request"]
+        check("caller: open loop, whole answers, in turn",
+              (summary["sent"], summary["ran"]) == (50, 50)
+              and one.stats()["executions"] == 25)
+        two.faults(refuse_connections=True)
+        summary = call(*both, "--closed", "--connections", "4", "--size",
+                       "128")[0]["request"]
+        check("caller: past an entry that cannot be connected",
+              summary["ran"] == 50 and one.stats()["executions"] == 75)
+        for name, path, size, outcome in (
+                ("answers that are cut short", "/?truncate=1", 128, "broken"),
+                ("answers of a wrong size", "/?chunked=1", 127, "broken"),
+                ("no answer", "/?close=1", 128, "unknown")):
+            summary = call(*to_one, "--closed", "--path", path, "--size",
+                           str(size))[0]["request"]
+            check("caller: " + name, summary[outcome] == 50)
+        ledger = call("--entry", one.address, "--requests", "1", "--closed",
+                      "--path", "/?close=1", "--keyed", "--tries", "2")[1]
+        executed = [line["key"] for line in one.ledger("execution_start")][-2:]
+        check("caller: a second try has the first one's key",
+              [line["try"] for line in ledger] == [1, 2]
+              and [line["key"] for line in ledger] == executed
+              and executed[0] == executed[1] != "")
+        one.faults(hang=True)
+        summary = call("--entry", one.address, "--requests", "1", "--closed",
+                       "--timeout-ms", "10", "--give-up-ms", "10")[0]
+        check("caller: gives up", summary["request"]["unknown"] == 1)
+
+
 check_log()
 check_upstream()
 check_worker()
 check_lease()
 check_interference()
+check_verdicts()
+check_caller()
--- a/tests/standins/upstream.c
+++ b/tests/standins/upstream.c
@@ -2,8 +2,9 @@
 
    Every request is one execution, timed and written to the ledger; more at
    once than the slots, or more open connections than allowed, is written as
-   a breach.  The answer's body follows from the request's X-Request-Id (see
-   lib/content.h).  Query parameters of a request:
+   a breach.  The answer's body follows from the request's Idempotency-Key, or
+   else from its X-Request-Id (see lib/content.h).  Query parameters of a
+   request:
 
    ms=N        service time in place of a drawn one
    size=N      bytes of the answer's body
@@ -260,9 +261,11 @@
 execution_new (h2o_req_t *req)
 {
   execution_t *execution = g_new0 (execution_t, 1);
-  h2o_iovec_t id = gp_request_header (req, "x-request-id");
+  h2o_iovec_t id = gp_request_header (req, "idempotency-key");
   int64_t ms = gp_request_number (req, "ms", -1);
 
+  if (id.base == NULL)
+    id = gp_request_header (req, "x-request-id");
   execution->number = (uint64_t)executions++;
   execution->started_at = gp_time_now ();
   execution->service_ms = ms >= 0 ? (uint64_t)((double)ms * faults.slow_factor)
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -472,5 +472,7 @@
   uv_timer_start (&sample_timer, on_sample, SAMPLE_MS, SAMPLE_MS);
   gp_standin_run (&standin);
   gp_interference_finish (&interference);
+  g_free (table);
+  g_free (boot);
   return 0;
 }
