Take the pool of connections out of the load generator

caller.c had grown to 757 lines with two jobs. The connections, the turn of the entries and the judgement of an answer are now lib/pool.c; arrivals, retries and the summary stay.

--- a/tests/scripts/standins.py
+++ b/tests/scripts/standins.py
@@ -348,6 +348,12 @@
         summary = call("--entry", one.address, "--requests", "1", "--closed",
                        "--timeout-ms", "10", "--give-up-ms", "10")[0]
         check("caller: gives up", summary["request"]["unknown"] == 1)
+        summary = call("--entry", one.address, "--requests", "9", "--rate",
+                       "5000", "--connections", "1", "--timeout-ms", "20",
+                       "--give-up-ms", "10")[0]["request"]
+        check("caller: gives up what found no connection",
+              summary["unknown"] >= 1
+              and summary["unknown"] + summary["refused"] == 9)
 
 
 check_log()
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -17,51 +17,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
 #include <uv.h>
 
-#include "base/list.h"
 #include "base/time.h"
-#include "lib/connection.h"
-#include "lib/content.h"
 #include "lib/kind.h"
 #include "lib/ledger.h"
+#include "lib/pool.h"
 
 #define SWEEP_MS 10
-#define CONNECT_TIMEOUT (1000 * GP_MSEC)
-#define ID_SIZE 48
-#define REASON_SIZE 32
-#define BODY_MAX_SIZE (64L * 1024 * 1024)
-
-typedef struct
-{
-  char *text;
-  struct sockaddr_in address;
-  gp_list_t idle; /* connections */
-} entry_t;
-
-typedef struct
-{
-  gp_kind_t *kind;
-  char id[ID_SIZE];
-  char key[ID_SIZE]; /* empty: none */
-  int64_t try_number;
-  guint connects; /* entries that could not be connected */
-  guint turn;     /* index of the entry, modulo their number */
-  entry_t *entry;
-  gp_time_t arrived_at;
-  gp_time_t give_up_at;
-  gp_time_t connect_by;
-  int status; /* 0: no answer */
-  char verdict[REASON_SIZE];
-  char reason[REASON_SIZE];
-  uint64_t seed;
-  int64_t received;
-  bool wrong;     /* the body is not its own */
-  gp_list_t link; /* among those that wait for a connection */
-} request_t;
 
 static struct
 {
@@ -91,71 +56,65 @@
 static GRand *rand_state;
 static GArray *kinds; /* of gp_kind_t */
 static json_t *kinds_document;
-static GPtrArray *entries; /* of entry_t */
-static guint next_entry;
-static gp_list_t busy = { &busy, &busy }; /* connections with a request */
-static gp_list_t waiting = { &waiting, &waiting }; /* requests */
-static int open_connections;
+static gp_pool_t pool;
 static int64_t issued, open_requests;
 static int64_t postponed; /* of the closed loop, to the next sweep */
 static gp_time_t started_at, stopped_at;
 static bool stopping;
-static GString *out;
 
 static void issue (gp_kind_t *kind, gp_time_t arrived_at);
-static void dispatch (request_t *request);
 
-/* The end of a request.  */
+/* Requests, from their start to their end.  */
 
 static void
-write_request (const request_t *request, gp_outcome_t outcome)
+write_query (const gp_query_t *query, gp_outcome_t outcome)
 {
   const char *name = gp_outcome_name (outcome);
 
   gp_ledger_begin (&ledger, "request");
-  gp_ledger_string (&ledger, "request", request->id, strlen (request->id));
-  gp_ledger_string (&ledger, "key", request->key, strlen (request->key));
-  gp_ledger_string (&ledger, "kind", request->kind->name,
-                    strlen (request->kind->name));
+  gp_ledger_string (&ledger, "request", query->id, strlen (query->id));
+  gp_ledger_string (&ledger, "key", query->key, strlen (query->key));
+  gp_ledger_string (&ledger, "kind", query->kind->name,
+                    strlen (query->kind->name));
   gp_ledger_string (&ledger, "outcome", name, strlen (name));
-  gp_ledger_string (&ledger, "verdict", request->verdict,
-                    strlen (request->verdict));
-  gp_ledger_string (&ledger, "reason", request->reason,
-                    strlen (request->reason));
-  gp_ledger_string (&ledger, "entry", request->entry->text,
-                    strlen (request->entry->text));
-  gp_ledger_integer (&ledger, "status", request->status);
-  gp_ledger_integer (&ledger, "try", request->try_number);
-  gp_ledger_integer (&ledger, "arrived_us", request->arrived_at);
-  gp_ledger_integer (&ledger, "received", request->received);
+  gp_ledger_string (&ledger, "verdict", query->verdict,
+                    strlen (query->verdict));
+  gp_ledger_string (&ledger, "reason", query->reason, strlen (query->reason));
+  gp_ledger_string (&ledger, "entry", query->entry, strlen (query->entry));
+  gp_ledger_integer (&ledger, "status", query->status);
+  gp_ledger_integer (&ledger, "try", query->try_number);
+  gp_ledger_integer (&ledger, "arrived_us", query->arrived_at);
+  gp_ledger_integer (&ledger, "received", query->received);
   gp_ledger_end (&ledger);
 }
 
-static request_t *
-request_new (gp_kind_t *kind, gp_time_t arrived_at, const char *key)
+static gp_query_t *
+query_new (gp_kind_t *kind, gp_time_t arrived_at, const char *key)
 {
-  request_t *request = g_new0 (request_t, 1);
+  gp_query_t *query = g_new0 (gp_query_t, 1);
 
-  request->kind = kind;
-  request->try_number = 1;
-  request->arrived_at = arrived_at;
-  request->give_up_at
+  query->kind = kind;
+  query->try_number = 1;
+  query->arrived_at = arrived_at;
+  query->give_up_at
       = arrived_at + (kind->timeout_ms + options.give_up_ms) * GP_MSEC;
-  gp_list_init (&request->link);
-  g_snprintf (request->id, ID_SIZE, "%s-%" PRId64, options.name, issued++);
+  gp_list_init (&query->link);
+  g_snprintf (query->id, GP_QUERY_ID_SIZE, "%s-%" PRId64, options.name,
+              issued++);
   if (key != NULL)
-    g_strlcpy (request->key, key, ID_SIZE);
+    g_strlcpy (query->key, key, GP_QUERY_ID_SIZE);
   else if (kind->keyed)
-    g_snprintf (request->key, ID_SIZE, "%s-k%" PRId64, options.name, issued);
+    g_snprintf (query->key, GP_QUERY_ID_SIZE, "%s-k%" PRId64, options.name,
+                issued);
   kind->sent++;
   open_requests++;
-  return request;
+  return query;
 }
 
 typedef struct
 {
   uv_timer_t timer;
-  request_t *request;
+  gp_query_t *query;
 } retry_t;
 
 static void
@@ -163,19 +122,19 @@
 {
   retry_t *retry = (retry_t *)timer;
 
-  dispatch (retry->request);
+  gp_pool_send (&pool, retry->query);
   uv_close ((uv_handle_t *)timer, (uv_close_cb)g_free);
 }
 
 /* Send a request with the same key again, later.  */
 static void
-retry_start (const request_t *old)
+retry_start (const gp_query_t *old)
 {
   gp_time_t at = gp_time_now () + old->kind->retry_ms * GP_MSEC;
   retry_t *retry = g_new0 (retry_t, 1);
 
-  retry->request = request_new (old->kind, at, old->key);
-  retry->request->try_number = old->try_number + 1;
+  retry->query = query_new (old->kind, at, old->key);
+  retry->query->try_number = old->try_number + 1;
   uv_timer_init (&loop, &retry->timer);
   uv_timer_start (&retry->timer, on_retry, (uint64_t)old->kind->retry_ms, 0);
 }
@@ -201,17 +160,15 @@
 }
 
 static void
-finish (request_t *request, gp_outcome_t outcome)
+on_query_end (gp_query_t *query, gp_outcome_t outcome)
 {
   gp_time_t now = gp_time_now ();
 
-  gp_kind_count (request->kind, outcome, request->status,
-                 now - request->arrived_at);
-  write_request (request, outcome);
-  if (outcome != GP_OUTCOME_RAN && request->try_number < request->kind->tries)
-    retry_start (request);
-  gp_list_remove (&request->link);
-  g_free (request);
+  gp_kind_count (query->kind, outcome, query->status, now - query->arrived_at);
+  write_query (query, outcome);
+  if (outcome != GP_OUTCOME_RAN && query->try_number < query->kind->tries)
+    retry_start (query);
+  g_free (query);
   open_requests--;
   if (!options.closed || stopping)
     return;
@@ -221,243 +178,19 @@
     issue (draw_kind (), now);
 }
 
-/* Connections.  */
-
-static void
-send_request (gp_connection_t *connection, request_t *request)
-{
-  const gp_kind_t *kind = request->kind;
-  const char *id = request->key[0] != '\0' ? request->key : request->id;
-
-  connection->data = request;
-  request->entry = connection->owner;
-  request->seed = gp_content_seed (id, strlen (id));
-  gp_list_remove (&connection->link);
-  gp_list_push_back (&busy, &connection->link);
-  g_string_printf (out,
-                   "%s %s HTTP/1.1\r\nhost: %s\r\nx-request-id: %s\r\n"
-                   "galenapier-kind: %s\r\ngalenapier-timeout-ms: %" PRId64
-                   "\r\n",
-                   kind->method, kind->path, request->entry->text, request->id,
-                   kind->name, kind->timeout_ms);
-  if (request->key[0] != '\0')
-    g_string_append_printf (out, "idempotency-key: %s\r\n", request->key);
-  if (kind->team != NULL)
-    g_string_append_printf (out, "galenapier-team: %s\r\n", kind->team);
-  if (kind->body_size > 0)
-    g_string_append_printf (out, "content-length: %" PRId64 "\r\n",
-                            kind->body_size);
-  g_string_append (out, "\r\n");
-  if (kind->body_size > 0)
-    {
-      size_t head = out->len;
-
-      g_string_set_size (out, head + (size_t)kind->body_size);
-      gp_content_fill (request->seed, 0, out->str + head,
-                       (size_t)kind->body_size);
-    }
-  gp_connection_send (connection, out->str, out->len);
-}
-
-static void
-make_idle (gp_connection_t *connection)
-{
-  entry_t *entry = connection->owner;
-  gp_list_t *link = gp_list_pop_front (&waiting);
-
-  connection->data = NULL;
-  gp_list_remove (&connection->link);
-  if (link != NULL)
-    send_request (connection, GP_CONTAINER_OF (link, request_t, link));
-  else
-    gp_list_push_front (&entry->idle, &connection->link);
-}
-
-/* The connection is about to be freed.  */
-static void
-connection_gone (gp_connection_t *connection)
-{
-  gp_list_t *link;
-
-  gp_list_remove (&connection->link);
-  open_connections--;
-  link = gp_list_pop_front (&waiting);
-  if (link != NULL)
-    dispatch (GP_CONTAINER_OF (link, request_t, link));
-}
-
-static void
-connect_failed (request_t *request)
-{
-  if (++request->connects < entries->len)
-    dispatch (request);
-  else
-    finish (request, GP_OUTCOME_REFUSED);
-}
-
-static void
-on_open (gp_connection_t *connection, int status)
-{
-  request_t *request = connection->data;
-
-  if (status == 0)
-    {
-      send_request (connection, request);
-      return;
-    }
-  connection_gone (connection);
-  connect_failed (request);
-}
-
-static bool
-header_is (const gp_connection_header_t *header, const char *name)
-{
-  return header->name_size == strlen (name)
-         && strncasecmp (header->name, name, header->name_size) == 0;
-}
-
-static void
-copy_value (char *to, const gp_connection_header_t *header)
-{
-  g_strlcpy (to, header->value, MIN (header->value_size + 1, REASON_SIZE));
-}
-
-static void
-on_head (gp_connection_t *connection, int status,
-         const gp_connection_header_t *headers, size_t count)
-{
-  request_t *request = connection->data;
-
-  request->status = status;
-  for (size_t i = 0; i < count; i++)
-    {
-      if (header_is (&headers[i], "galenapier-verdict"))
-        copy_value (request->verdict, &headers[i]);
-      else if (header_is (&headers[i], "galenapier-reason"))
-        copy_value (request->reason, &headers[i]);
-    }
-}
-
-/* Whether the body is to follow from the request.  */
-static bool
-checks_body (const request_t *request)
-{
-  return request->kind->size >= 0 && request->status == request->kind->status;
-}
-
-static void
-on_body (gp_connection_t *connection, const char *bytes, size_t size)
-{
-  request_t *request = connection->data;
-
-  if (checks_body (request) && !request->wrong)
-    request->wrong = !gp_content_check (
-        request->seed, (uint64_t)request->received, bytes, size);
-  request->received += (int64_t)size;
-}
-
-static gp_outcome_t
-judge_whole (const request_t *request)
-{
-  if (strcmp (request->verdict, "not-run") == 0)
-    return GP_OUTCOME_NOT_RUN;
-  if (strcmp (request->verdict, "unknown") == 0)
-    return GP_OUTCOME_UNKNOWN;
-  if (checks_body (request)
-      && (request->wrong || request->received != request->kind->size))
-    return GP_OUTCOME_BROKEN;
-  return GP_OUTCOME_RAN;
-}
-
-static void
-on_end (gp_connection_t *connection, gp_connection_end_t end, bool open)
-{
-  request_t *request = connection->data;
-
-  if (open)
-    make_idle (connection);
-  else
-    connection_gone (connection);
-  switch (end)
-    {
-    case GP_CONNECTION_WHOLE:
-      finish (request, judge_whole (request));
-      break;
-    case GP_CONNECTION_TRUNCATED:
-      finish (request, GP_OUTCOME_BROKEN);
-      break;
-    case GP_CONNECTION_NO_ANSWER:
-      finish (request, GP_OUTCOME_UNKNOWN);
-      break;
-    case GP_CONNECTION_IDLE:
-      break;
-    }
-}
-
-static const gp_connection_callbacks_t callbacks
-    = { on_open, on_head, on_body, on_end };
-
-static gp_connection_t *
-find_idle (void)
-{
-  for (guint i = 0; i < entries->len; i++)
-    {
-      entry_t *entry = entries->pdata[(next_entry + i) % entries->len];
-
-      if (!gp_list_empty (&entry->idle))
-        return GP_CONTAINER_OF (entry->idle.next, gp_connection_t, link);
-    }
-  return NULL;
-}
-
-/* Send REQUEST to the entry whose turn it is, over a connection that is
-   idle or new; when there may be no more of them, over any idle one, or
-   after others.  */
-static void
-dispatch (request_t *request)
-{
-  gp_connection_t *connection;
-  entry_t *entry;
-
-  request->turn = request->connects > 0 ? request->turn + 1 : next_entry++;
-  entry = entries->pdata[request->turn % entries->len];
-  request->entry = entry;
-  if (!gp_list_empty (&entry->idle))
-    {
-      send_request (GP_CONTAINER_OF (entry->idle.next, gp_connection_t, link),
-                    request);
-      return;
-    }
-  if (open_connections >= options.connections)
-    {
-      connection = find_idle ();
-      if (connection != NULL)
-        send_request (connection, request);
-      else
-        gp_list_push_back (&waiting, &request->link);
-      return;
-    }
-  connection = gp_connection_new (&loop, &entry->address, &callbacks);
-  connection->owner = entry;
-  connection->data = request;
-  request->connect_by = gp_time_now () + CONNECT_TIMEOUT;
-  open_connections++;
-  gp_list_push_back (&busy, &connection->link);
-}
-
 /* Arrivals and the end.  */
 
 static void
 issue (gp_kind_t *kind, gp_time_t arrived_at)
 {
-  request_t *request;
+  gp_query_t *query;
 
   if (issued >= options.requests)
     return;
-  request = request_new (kind, arrived_at, NULL);
+  query = query_new (kind, arrived_at, NULL);
   if (kind->duplicate > 0 && g_rand_double (rand_state) < kind->duplicate)
-    dispatch (request_new (kind, arrived_at, request->key));
-  dispatch (request);
+    gp_pool_send (&pool, query_new (kind, arrived_at, query->key));
+  gp_pool_send (&pool, query);
 }
 
 static gp_kind_t *
@@ -529,71 +262,12 @@
   stop_arrivals ();
 }
 
-/* The request of CONNECTION is given up, or goes to another entry when it
-   is not even connected.  */
-static void
-give_up (gp_connection_t *connection)
-{
-  request_t *request = connection->data;
-  bool connecting = connection->state == GP_CONNECTION_CONNECTING;
-
-  connection_gone (connection);
-  gp_connection_abort (connection);
-  g_strlcpy (request->reason, "no answer in time", REASON_SIZE);
-  if (connecting)
-    connect_failed (request);
-  else
-    finish (request,
-            request->status != 0 ? GP_OUTCOME_BROKEN : GP_OUTCOME_UNKNOWN);
-}
-
-static bool
-is_late (const gp_connection_t *connection, gp_time_t now)
-{
-  const request_t *request = connection->data;
-
-  if (connection->state == GP_CONNECTION_CONNECTING)
-    return now >= request->connect_by;
-  return now >= request->give_up_at;
-}
-
-/* The first connection whose request is late, or NULL.  */
-static gp_connection_t *
-find_late (gp_time_t now)
-{
-  GP_LIST_FOREACH (link, &busy)
-  {
-    gp_connection_t *connection
-        = GP_CONTAINER_OF (link, gp_connection_t, link);
-
-    if (is_late (connection, now))
-      return connection;
-  }
-  return NULL;
-}
-
-/* Requests that found no connection in time were never sent.  */
-static void
-give_up_waiting (gp_time_t now)
-{
-  GP_LIST_FOREACH_SAFE (link, &waiting)
-  {
-    request_t *request = GP_CONTAINER_OF (link, request_t, link);
-
-    if (now >= request->give_up_at)
-      finish (request, GP_OUTCOME_REFUSED);
-  }
-}
-
 static void
 on_sweep (uv_timer_t *timer)
 {
   gp_time_t now = gp_time_now ();
-  gp_connection_t *late;
 
-  while ((late = find_late (now)) != NULL)
-    give_up (late);
-  give_up_waiting (now);
+  gp_pool_sweep (&pool, now);
   for (; postponed > 0; postponed--)
     issue (draw_kind (), now);
   if (now - started_at >= (gp_time_t)(options.duration_s * (double)GP_SEC)
@@ -612,20 +286,6 @@
   exit (1);
 }
 
-static void
-add_entry (const char *text)
-{
-  g_auto (GStrv) parts = g_strsplit (text, ":", 2);
-  entry_t *entry = g_new0 (entry_t, 1);
-
-  if (g_strv_length (parts) != 2
-      || uv_ip4_addr (parts[0], atoi (parts[1]), &entry->address) != 0)
-    die (text, "not IP:port");
-  entry->text = g_strdup (text);
-  gp_list_init (&entry->idle);
-  g_ptr_array_add (entries, entry);
-}
-
 static void
 parse (int argc, char **argv)
 {
@@ -686,7 +346,8 @@
   if (error != NULL)
     die (argv[0], error->message);
   for (char **text = options.entries; *text != NULL; text++)
-    add_entry (*text);
+    if (!gp_pool_add_entry (&pool, *text))
+      die (*text, "not IP:port");
   if (!gp_ledger_init (&ledger, options.ledger, options.name, true, &error))
     die (argv[0], error->message);
 }
@@ -736,9 +397,11 @@
   signal (SIGPIPE, SIG_IGN);
   gp_kind_init (&single);
   kinds = g_array_new (FALSE, FALSE, sizeof (gp_kind_t));
-  entries = g_ptr_array_new ();
-  out = g_string_new (NULL);
+  pool.loop = &loop;
+  pool.on_end = on_query_end;
+  gp_pool_init (&pool);
   parse (argc, argv);
+  pool.max_connections = options.connections;
   rand_state = g_rand_new_with_seed ((guint32)options.seed);
   uv_loop_init (&loop);
   for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
