--- a/src/coordination/members.c
+++ b/src/coordination/members.c
@@ -1,6 +1,7 @@
 #include "coordination/members_private.h"
 
-#include <string.h>
+/* Older than any report.  */
+static const gp_load_t no_load = { .at = INT64_MIN };
 
 /* Memory of members.  */
 
@@ -26,6 +27,7 @@
   gp_member_t *member = g_new0 (gp_member_t, 1);
 
   member->announcement.name = g_strdup (name);
+  member->load = no_load;
   member->state = GP_MEMBER_GONE;
   member->state_deadline = GP_TIME_NEVER;
   gp_list_init (&member->direct_link);
@@ -219,20 +221,19 @@
 
 /* Forget what was known of an older incarnation.  */
 static void
-member_reset (gp_members_t *members, gp_member_t *member, gp_time_t now)
+member_reset (gp_member_t *member)
 {
   for (size_t i = 0; i < GP_MEMBER_REPORTS; i++)
     gp_report_drop (&member->reports[i]);
   gp_list_remove (&member->direct_link);
   member->direct = false;
-  member->beaten = false;
   member->reach = GP_REACH_NONE;
-  member->load = (gp_load_t){ .at = now };
+  member->load = no_load;
 }
 
 gp_member_t *
 gp_members_update (gp_members_t *members,
-                   const gp_announcement_t *announcement, gp_time_t now)
+                   const gp_announcement_t *announcement)
 {
   gp_member_t *member = gp_members_find (members, announcement->name);
   gp_announcement_t next = *announcement;
@@ -246,7 +247,7 @@
   if (announcement->incarnation < member->announcement.incarnation)
     return NULL;
   if (announcement->incarnation > member->announcement.incarnation)
-    member_reset (members, member, now);
+    member_reset (member);
   else if (member->announcement.leaving)
     next.leaving = true; /* an incarnation that leaves does not return */
   if (announcement_equal (&next, &member->announcement))
@@ -277,7 +278,7 @@
 gp_members_announce (gp_members_t *members,
                      const gp_announcement_t *announcement, gp_time_t now)
 {
-  gp_member_t *member = gp_members_update (members, announcement, now);
+  gp_member_t *member = gp_members_update (members, announcement);
 
   if (member == NULL)
     return GP_MEMBERS_STALE;
--- a/src/coordination/members.h
+++ b/src/coordination/members.h
@@ -103,7 +103,7 @@
 struct gp_member
 {
   gp_announcement_t announcement; /* strings belong to the table */
-  gp_load_t load;
+  gp_load_t load; /* load.at is INT64_MIN while none is known */
   gp_member_state_t state;
   gp_reach_t reach;
   void *data; /* of the owner of the table */
--- a/src/coordination/members_private.h
+++ b/src/coordination/members_private.h
@@ -37,8 +37,7 @@
 /* The member that ANNOUNCEMENT tells of, brought up to its incarnation and
    content; NULL when that is an older incarnation.  */
 gp_member_t *gp_members_update (gp_members_t *members,
-                                const gp_announcement_t *announcement,
-                                gp_time_t now);
+                                const gp_announcement_t *announcement);
 
 /* The member of that name and incarnation, or NULL with the reason.  */
 gp_member_t *gp_members_current (gp_members_t *members, const char *name,
--- a/src/coordination/reporters.c
+++ b/src/coordination/reporters.c
@@ -164,7 +164,7 @@
       announcement = member->announcement;
       announcement.leaving |= news->announcement.leaving;
     }
-  member = gp_members_update (members, &announcement, now);
+  member = gp_members_update (members, &announcement);
   if (member == NULL)
     return GP_MEMBERS_STALE;
   if (news->load.at > member->load.at)
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -158,20 +158,30 @@
   return (gp_time_t)(router->total_latency_us / router->n_latencies);
 }
 
+static uint64_t
+latency_of (const gp_router_t *router, const gp_candidate_t *candidate)
+{
+  if (candidate->latency_us != 0)
+    return candidate->latency_us;
+  return (uint64_t)gp_router_latency (router);
+}
+
 uint64_t
 gp_router_load (const gp_router_t *router, const gp_candidate_t *candidate,
                 gp_time_t now)
 {
   uint64_t mean = router->total_others * MILLI / router->n_candidates;
   uint64_t known = (uint64_t)candidate->others * MILLI;
-  uint64_t half_life = (uint64_t)router->settings.half_life;
   uint64_t own = (uint64_t)candidate->in_flight * MILLI;
-  uint64_t age;
+  uint64_t half_life = 1;
+  uint64_t age = 0;
 
   if (candidate->reported_at == INT64_MIN)
     return own + mean;
-  age = now > candidate->reported_at ? (uint64_t)(now - candidate->reported_at)
-                                     : 0;
+  if (now > candidate->reported_at)
+    age = (uint64_t)(now - candidate->reported_at);
+  half_life
+      += latency_of (router, candidate) * router->settings.report_pct / 100;
   return own + (known * half_life + mean * age) / (half_life + age);
 }
 
@@ -190,11 +200,8 @@
 candidate_wait (const gp_router_t *router, const gp_candidate_t *candidate,
                 uint64_t milli_load)
 {
-  uint64_t latency = candidate->latency_us;
-
-  if (latency == 0)
-    latency = (uint64_t)gp_router_latency (router);
-  return wait_for (milli_load, candidate->slots, latency);
+  return wait_for (milli_load, candidate->slots,
+                   latency_of (router, candidate));
 }
 
 gp_time_t
--- a/src/coordination/router.h
+++ b/src/coordination/router.h
@@ -11,6 +11,8 @@
    The load of a candidate is this entry's own requests in flight, which it
    knows exactly, and those of others, which it knows from the last report
    and which fade towards the mean over all candidates as the report ages.
+   The pace is that of the queue itself, so it is set as a part of the time
+   that a request spends in a slot.
 
    A pick takes constant time for any number of candidates and allocates
    nothing.  Candidates that cannot take a request (ejected, or with all
@@ -62,12 +64,12 @@
 typedef struct
 {
   gp_time_t zone_cost; /* there and back to another zone */
-  gp_time_t half_life; /* of the weight of a report */
+  uint32_t report_pct; /* the age, in % of the time in a slot, at which a
+                          report has half its weight */
 } gp_router_settings_t;
 
 #define GP_ROUTER_SETTINGS_DEFAULT                                            \
-  ((gp_router_settings_t){ .zone_cost = 3 * GP_MSEC,                          \
-                           .half_life = 200 * GP_MSEC })
+  ((gp_router_settings_t){ .zone_cost = 3 * GP_MSEC, .report_pct = 50 })
 
 typedef struct
 {
