Route to a subset of the executors in a large region

Change: coordination/subset lets only the entries of each zone that rank highest for an executor route to it, at least two, and as many as give each entry 32 executors a zone; the ranking moves to coordination/rendezvous.h, which homes uses too.

--- a/bench/bench_router.c
+++ b/bench/bench_router.c
@@ -5,6 +5,7 @@
 
 #include "coordination/outlier.h"
 #include "coordination/router.h"
+#include "coordination/subset.h"
 #include "meter.h"
 
 #define N_PICKS 2000000
@@ -77,6 +78,7 @@
   bool one_zone;   /* the router takes all zones for one */
   bool black_hole; /* executor 0 fails all */
   bool eject;
+  bool all; /* entries route to all executors, not to a subset */
   gp_router_settings_t settings;
 } case_t;
 
@@ -132,8 +134,27 @@
          - (*(const gp_time_t *)a < *(const gp_time_t *)b);
 }
 
+/* Does the entry route to executor I?  */
+static bool
+in_subset (const case_t *c, guint entry, guint i)
+{
+  static const char *const zones[] = { "z0", "z1", "z2" };
+  char names[MAX_ENTRIES][16];
+  char name[16];
+  gp_home_t entries[MAX_ENTRIES];
+  size_t share = gp_subset_share (c->n_entries / 3, c->n / 3);
+
+  for (guint e = 0; e < c->n_entries; e++)
+    {
+      g_snprintf (names[e], sizeof names[e], "entry-%u", e);
+      entries[e] = (gp_home_t){ names[e], "r0", zones[e % 3] };
+    }
+  g_snprintf (name, sizeof name, "guard-%u", i);
+  return gp_subset_contains (name, entries, c->n_entries, entry, share);
+}
+
 static void
-entry_init (entry_t *entry, const case_t *c, guint zone)
+entry_init (entry_t *entry, const case_t *c, guint e)
 {
   gp_outlier_settings_t settings = GP_OUTLIER_SETTINGS_DEFAULT;
 
@@ -143,8 +164,10 @@
   entry->health = g_new (gp_health_t, c->n);
   for (guint i = 0; i < c->n; i++)
     {
+      if (!c->all && !in_subset (c, e, i))
+        continue;
       gp_router_add (&entry->router, &entry->candidates[i],
-                     c->one_zone || i % 3 == zone, SLOTS, CONNECTIONS, NULL);
+                     c->one_zone || i % 3 == e % 3, SLOTS, CONNECTIONS, NULL);
       gp_outlier_add (&entry->outlier, &entry->health[i],
                       &entry->candidates[i]);
     }
@@ -342,7 +365,7 @@
   model.executors = g_new0 (executor_t, c.n);
   model.delays = g_array_new (FALSE, FALSE, sizeof (gp_time_t));
   for (guint e = 0; e < c.n_entries; e++)
-    entry_init (&model.entries[e], &c, e % 3);
+    entry_init (&model.entries[e], &c, e);
   for (guint r = 0; r < N_REQUESTS; r++)
     {
       now -= log (1 - g_rand_double (model.rand)) * SERVICE_US
@@ -388,8 +411,12 @@
   c.name = "router, no reports";
   c.settings.report_pct = 0;
   model_run (c);
-  c.name = "router, reports kept 1 s";
-  c.settings.report_pct = 10000;
+  c = usual;
+  c.name = "router, all executors";
+  c.all = true;
+  model_run (c);
+  c.name = "all, no reports";
+  c.settings.report_pct = 0;
   model_run (c);
 }
 
--- a/src/coordination/homes.c
+++ b/src/coordination/homes.c
@@ -3,17 +3,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <string.h>
-#include <xxhash.h>
 
-#define NONE SIZE_MAX
-
-static uint64_t
-rank (const char *guard, const char *entry)
-{
-  XXH64_hash_t seed = XXH3_64bits (entry, strlen (entry));
+#include "coordination/rendezvous.h"
 
-  return XXH3_64bits_withSeed (guard, strlen (guard), seed);
-}
+#define NONE SIZE_MAX
 
 /* The highest ranked entry of REGION whose zone is (or is not) ZONE,
    besides EXCEPT.  */
@@ -33,7 +26,7 @@
         continue;
       if ((strcmp (entries[i].zone, zone) == 0) != same_zone)
         continue;
-      r = rank (guard, entries[i].name);
+      r = gp_rendezvous_rank (guard, entries[i].name);
       if (best != NONE && r <= best_rank)
         continue;
       best = i;
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -4,6 +4,7 @@
 #include <CUnit/Basic.h>
 
 #include "coordination/router.h"
+#include "coordination/subset.h"
 
 #define N_CANDIDATES 9
 #define N_STEPS 20000
@@ -325,6 +326,55 @@
   twins_finish (&twins);
 }
 
+/* In each zone exactly as many entries as wanted route to an executor, and
+   evenly; the loss of an entry moves its own executors only.  */
+static void
+test_subset (void)
+{
+  enum
+  {
+    ENTRIES = 18,
+    EXECUTORS = 1200
+  };
+  gp_home_t entries[ENTRIES];
+  char names[ENTRIES][16];
+  static const char *const zones[] = { "z0", "z1", "z2" };
+  size_t counts[ENTRIES] = { 0 };
+
+  CU_ASSERT_EQUAL (gp_subset_share (6, 400), 2);
+  CU_ASSERT_EQUAL (gp_subset_share (6, 50), 4);
+  CU_ASSERT_EQUAL (gp_subset_share (6, 4), 6);
+  CU_ASSERT_EQUAL (gp_subset_share (1, 4000), 1);
+  CU_ASSERT_EQUAL (gp_subset_share (3, 0), 3);
+  for (size_t i = 0; i < ENTRIES; i++)
+    {
+      g_snprintf (names[i], sizeof names[i], "entry-%zu", i);
+      entries[i] = (gp_home_t){ names[i], "r0", zones[i % 3] };
+    }
+  for (size_t x = 0; x < EXECUTORS; x++)
+    {
+      size_t in_zone[3] = { 0 };
+      char name[24];
+
+      g_snprintf (name, sizeof name, "guard-%zu", x);
+      for (size_t i = 0; i < ENTRIES; i++)
+        {
+          bool routes = gp_subset_contains (name, entries, ENTRIES, i, 2);
+          bool later
+              = i < ENTRIES - 1
+                && gp_subset_contains (name, entries, ENTRIES - 1, i, 2);
+
+          in_zone[i % 3] += routes;
+          counts[i] += routes;
+          CU_ASSERT (!routes || later || i == ENTRIES - 1);
+        }
+      for (size_t z = 0; z < 3; z++)
+        CU_ASSERT_EQUAL (in_zone[z], 2);
+    }
+  for (size_t i = 0; i < ENTRIES; i++)
+    CU_ASSERT (counts[i] > 340 && counts[i] < 460);
+}
+
 int
 main (void)
 {
@@ -337,6 +387,7 @@
   CU_add_test (suite, "uniform", test_uniform);
   CU_add_test (suite, "zone", test_zone);
   CU_add_test (suite, "probe", test_probe);
+  CU_add_test (suite, "subset", test_subset);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
