--- a/src/coordination/lease_grantor.c
+++ b/src/coordination/lease_grantor.c
@@ -15,10 +15,11 @@
   uint64_t current;     /* the incarnation on the log, or 0 */
   uint64_t asked;       /* the last incarnation asked to be registered */
   uint64_t fence_asked; /* the last incarnation asked to be fenced */
-  bool fenced;          /* current is fenced on the log */
-  bool done_asked;      /* FENCE_DONE has been proposed */
-  gp_time_t heard;      /* by any entry, or -1 */
-  gp_time_t act_at;     /* of a fence */
+  gp_time_t fence_asked_at;
+  bool fenced;      /* current is fenced on the log */
+  bool done_asked;  /* FENCE_DONE has been proposed */
+  gp_time_t heard;  /* by any entry, or -1 */
+  gp_time_t act_at; /* of a fence */
 } gp_lease_guard_t;
 
 static void
@@ -34,7 +35,7 @@
 void
 gp_lease_grantor_init (gp_lease_grantor_t *grantor,
                        const gp_lease_timing_t *timing, unsigned num_others,
-                       uint64_t entry_set, gp_time_t now)
+                       uint64_t entry_set, uint64_t incarnation, gp_time_t now)
 {
   g_assert (num_others <= GP_LEASE_GRANTOR_MAX_ENTRIES);
   *grantor = (gp_lease_grantor_t){ .timing = *timing,
@@ -45,7 +46,7 @@
                                    .ticked = now,
                                    .listening = now,
                                    .ask_at = now,
-                                   .next_ask = 1 };
+                                   .next_ask = incarnation };
   /* Those of the predecessor; its last vouch came before this start.  */
   grantor->promised = now + gp_lease_timing_wait (timing, timing->promise);
   grantor->guards
@@ -105,7 +106,6 @@
   if (heard <= guard->heard)
     return;
   guard->heard = heard;
-  guard->fence_asked = 0;
   if (guard->current != 0 && !guard->fenced)
     guard_sort (grantor, guard);
 }
@@ -425,11 +425,13 @@
 
     if (now - guard->heard < silence)
       return;
-    if (guard->fence_asked == guard->current)
+    if (guard->fence_asked == guard->current
+        && guard->heard <= guard->fence_asked_at)
       continue;
     if (!propose (actions, GP_LEASE_GRANTOR_FENCE, guard, guard->current))
       return;
     guard->fence_asked = guard->current;
+    guard->fence_asked_at = now;
   }
 }
 
--- a/src/coordination/lease_grantor.h
+++ b/src/coordination/lease_grantor.h
@@ -126,11 +126,13 @@
 } gp_lease_grantor_t;
 
 /* Begin at the start of the process.  NUM_OTHERS is how many other entries
-   the settings name; ENTRY_SET is a digest of all their names.  */
+   the settings name; ENTRY_SET is a digest of all their names.  INCARNATION,
+   in microseconds of wall time and not 0, numbers the asks, so that an answer
+   to the predecessor is not taken for one's own.  */
 void gp_lease_grantor_init (gp_lease_grantor_t *grantor,
                             const gp_lease_timing_t *timing,
                             unsigned num_others, uint64_t entry_set,
-                            gp_time_t now);
+                            uint64_t incarnation, gp_time_t now);
 void gp_lease_grantor_finish (gp_lease_grantor_t *grantor);
 
 /* Records read from the log.  */
--- a/src/coordination/lease_holder.c
+++ b/src/coordination/lease_holder.c
@@ -51,7 +51,8 @@
 {
   holder->state = state;
   gp_epoch_table_end_all (holder->epochs);
-  action_add (actions, GP_LEASE_HOLDER_STOP_ALL);
+  action_add (actions, GP_LEASE_HOLDER_STOP_ALL)->u.claim
+      = holder->next_incarnation;
 }
 
 /* The lease itself, before anything else.  */
--- a/src/coordination/lease_holder.h
+++ b/src/coordination/lease_holder.h
@@ -13,6 +13,9 @@
      over can never meet a renewed lease.
    - A vouched renewal only extends a lease that is held; the first lease of
      an incarnation comes from an entry that read the log.
+   - The runtime takes calls of the greatest incarnation that claimed it only.
+     A stop claims it for the next incarnation, so that a Start of this one
+     that is still under way to the runtime cannot land after the stop.
    - A guard process that starts beside a runtime which still runs tasks
      inherits the runtime's deadline from its predecessor.
 
@@ -42,7 +45,7 @@
 {
   GP_LEASE_HOLDER_RENEW,        /* send heartbeats with this sequence */
   GP_LEASE_HOLDER_SET_DEADLINE, /* tell the runtime */
-  GP_LEASE_HOLDER_STOP_ALL,     /* kill, then call .._stopped */
+  GP_LEASE_HOLDER_STOP_ALL,     /* claim, kill, then call .._stopped */
   GP_LEASE_HOLDER_ANNOUNCE      /* announce, with the inventory */
 } gp_lease_holder_action_kind_t;
 
@@ -57,6 +60,7 @@
       bool held; /* a vouched renewal is of use */
     } renew;
     gp_time_t deadline;
+    uint64_t claim; /* STOP_ALL: the next incarnation */
     struct
     {
       uint64_t incarnation;
--- a/tests/unit/test_lease_rules.c
+++ b/tests/unit/test_lease_rules.c
@@ -153,7 +153,7 @@
 {
   timing = gp_lease_timing_default ();
   timing.promise = promise;
-  gp_lease_grantor_init (grantor, &timing, 2, SET, 0);
+  gp_lease_grantor_init (grantor, &timing, 2, SET, 1000, 0);
   gp_lease_grantor_registered (grantor, GUARD, 10, 0);
   gp_lease_grantor_read_done (grantor, 0);
 }
