--- a/tests/unit/lease_world.c
+++ b/tests/unit/lease_world.c
@@ -1,6 +1,6 @@
-#include "lease_world_impl.h"
+/* Processes, faults and the main loop of the lease world.  */
 
-/* Processes and the main loop.  */
+#include "lease_world_impl.h"
 
 static void
 boot (world_t *w, unsigned node)
@@ -28,6 +28,36 @@
     gp_epoch_table_finish (&w->guards[node - LW_ENTRIES].epochs);
 }
 
+/* The tasks of a suspended VM do not run.  */
+static void
+vm_suspend (world_t *w, unsigned guard)
+{
+  for (unsigned t = 0; t < LW_TASKS; t++)
+    if (w->runtimes[guard].running[t] != NO_EPOCH && lw_places (w, t) == 0)
+      w->idle_since[t] = w->now;
+}
+
+/* The runtime checks its deadline before a task gets on.  */
+static void
+vm_resume (world_t *w, unsigned guard)
+{
+  lw_runtime_check (w, guard);
+  for (unsigned t = 0; t < LW_TASKS; t++)
+    if (w->runtimes[guard].running[t] != NO_EPOCH && lw_places (w, t) == 1)
+      lw_end_idle (w, t);
+}
+
+/* Whether E is for a process, or of a VM, that is no more.  */
+static bool
+is_late (const world_t *w, const event_t *e)
+{
+  if (e->kind >= EV_TASK_ENDED && e->from != w->boots[e->node - LW_ENTRIES])
+    return true;
+  if (e->kind >= EV_RT_START)
+    return false;
+  return !w->alive[e->node] || (e->pid != 0 && e->pid != w->pid[e->node]);
+}
+
 static void
 handle (world_t *w, event_t *e)
 {
@@ -46,20 +76,17 @@
   else if (e->kind == EV_BOOT)
     boot (w, e->node);
   else if (e->kind == EV_VM_RESUMES)
-    lw_runtime_check (w, e->node - LW_ENTRIES);
+    vm_resume (w, e->node - LW_ENTRIES);
   else if (e->kind == EV_KILL)
     {
       kill_process (w, e->node);
       if (e->id == LW_KILL_VM)
         lw_vm_die (w, e->node - LW_ENTRIES);
     }
-  else if (e->kind >= EV_TASK_ENDED
-           && e->from != w->boots[e->node - LW_ENTRIES])
+  else if (is_late (w, e))
     return;
   else if (e->kind >= EV_RT_START)
     lw_runtime_event (w, e->node - LW_ENTRIES, e);
-  else if (!w->alive[e->node] || (e->pid != 0 && e->pid != w->pid[e->node]))
-    return;
   else if (e->node < LW_ENTRIES)
     lw_entry_event (w, e);
   else
@@ -111,6 +138,8 @@
             lw_entry_propose_for (w, f->a, LEASE_RECORD_FENCE, f->b,
                                   w->entries[f->a].fold.guards[f->b].current,
                                   NULL);
+          if (f->kind == LW_PAUSE_VM)
+            vm_suspend (w, f->a);
           if (f->kind == LW_RETENTION)
             {
               w->first = w->tail;
--- a/tests/unit/lease_world.h
+++ b/tests/unit/lease_world.h
@@ -78,6 +78,7 @@
   uint32_t seed;  /* of delays, drifts and choices */
   bool rough;     /* drifting clocks, kill latency, now and then a delay */
   FILE *trace;    /* events as text, or NULL */
+  gp_time_t trace_from; /* none before */
 } lease_world_options_t;
 
 typedef struct
@@ -85,7 +86,7 @@
   const char *violation; /* NULL when none */
   gp_time_t violation_at;
   gp_time_t idle[LW_TASKS];  /* time in which the task did not run */
-  gp_time_t worst[LW_TASKS]; /* the longest such time */
+  gp_time_t worst[LW_TASKS]; /* the longest such time but the first */
   bool running[LW_TASKS];    /* at the end */
   unsigned starts;           /* task starts */
   unsigned events;
--- a/tests/unit/lease_world_entry.c
+++ b/tests/unit/lease_world_entry.c
@@ -2,8 +2,6 @@
 
 #include "lease_world_impl.h"
 
-/* The entry.  */
-
 static void
 log_append (world_t *w, unsigned entry, const lease_record_t *record)
 {
@@ -43,11 +41,6 @@
   record.incarnation = incarnation;
   if (running != NULL)
     memcpy (record.running, running, sizeof record.running);
-  lw_trace (w, "e%u: proposes %s %s %" PRIu64, entry + 1,
-            kind == LEASE_RECORD_ADOPT   ? "ADOPT"
-            : kind == LEASE_RECORD_FENCE ? "FENCE"
-                                         : "FENCE_DONE",
-            lw_guard_names[guard], incarnation);
   entry_propose (w, entry, record);
 }
 
@@ -209,6 +202,20 @@
     entry_read (w, entry);
 }
 
+static void
+trace_record (const world_t *w, const lease_record_t *r)
+{
+  static const char *names[]
+      = { "GRANT", "END", "ADOPT", "FENCE", "FENCE_DONE" };
+
+  if (r->kind == LEASE_RECORD_GRANT || r->kind == LEASE_RECORD_END)
+    lw_trace (w, "log: %s task %u epoch %" PRIu64, names[r->kind], r->task + 1,
+              r->epoch);
+  else
+    lw_trace (w, "log: %s %s incarnation %" PRIu64, names[r->kind],
+              lw_guard_names[r->guard], r->incarnation);
+}
+
 void
 lw_log_accept (world_t *w, const lease_record_t *record)
 {
@@ -219,7 +226,8 @@
   if (w->seen[record->id])
     return;
   w->seen[record->id] = true;
-  lease_fold_apply (&w->fold, record);
+  if (lease_fold_apply (&w->fold, record))
+    trace_record (w, record);
   lw_check_world (w);
 }
 
--- a/tests/unit/lease_world_net.c
+++ b/tests/unit/lease_world_net.c
@@ -4,8 +4,6 @@
 
 const char *const lw_guard_names[LW_GUARDS] = { "w1", "w2" };
 
-/* Clocks and faults.  */
-
 unsigned
 lw_guard_node (unsigned guard)
 {
@@ -140,7 +138,7 @@
 {
   va_list args;
 
-  if (w->options->trace == NULL)
+  if (w->options->trace == NULL || w->now < w->options->trace_from)
     return;
   fprintf (w->options->trace, "%8.3f  ", (double)w->now / GP_SEC);
   va_start (args, format);
@@ -223,5 +221,6 @@
   gp_time_t idle = w->now - w->idle_since[task];
 
   w->result.idle[task] += idle;
-  w->result.worst[task] = MAX (w->result.worst[task], idle);
+  if (w->idle_since[task] > 0)
+    w->result.worst[task] = MAX (w->result.worst[task], idle);
 }
--- a/tests/unit/lease_world_worker.c
+++ b/tests/unit/lease_world_worker.c
@@ -2,8 +2,6 @@
 
 #include "lease_world_impl.h"
 
-/* The runtime.  */
-
 static void
 task_gone (world_t *w, unsigned guard, unsigned task)
 {
