Ask for vouches only when a guard needs them

Cause: an entry that alone is cut off from the log asked the others for vouches all the time. With a promise longer than a lease every such vouch puts off the next fence of any other worker.

Change: the heartbeat says whether the guard gets sound renewals from an entry that reads the log; vouches are asked for only while one does not.

The exploration finds no violation and still finds each rule that is left out.

--- a/src/coordination/lease_grantor.c
+++ b/src/coordination/lease_grantor.c
@@ -4,6 +4,8 @@
 #define LATE_PART 4
 /* Vouches are asked for this many times in a promise.  */
 #define ASKS_PER_PROMISE 5
+/* A guard that wants vouches says so in every heartbeat.  */
+#define WANTED_HEARTBEATS 2
 /* A tick that comes later than silence / PAUSE_PART means that the process
    was paused and may have missed heartbeats.  */
 #define PAUSE_PART 4
@@ -46,6 +48,7 @@
                                    .ticked = now,
                                    .listening = now,
                                    .ask_at = now,
+                                   .wanted = -1,
                                    .next_ask = incarnation };
   /* Those of the predecessor; its last vouch came before this start.  */
   grantor->promised = now + gp_lease_timing_wait (timing, timing->promise);
@@ -297,6 +300,8 @@
       return;
     }
   guard_hear (grantor, guard, now);
+  if (request->wants_vouch)
+    grantor->wanted = now;
   register_if_new (grantor, guard, request->incarnation, actions);
   if (guard->fenced && request->incarnation == guard->current)
     {
@@ -382,7 +387,9 @@
 {
   gp_time_t late = grantor->timing.length / LATE_PART;
 
-  if (now < grantor->ask_at)
+  if (now < grantor->ask_at || grantor->wanted < 0)
+    return;
+  if (now - grantor->wanted > WANTED_HEARTBEATS * grantor->timing.heartbeat)
     return;
   if (grantor->fresh >= 0 && now - grantor->fresh < late)
     return;
--- a/src/coordination/lease_grantor.h
+++ b/src/coordination/lease_grantor.h
@@ -9,7 +9,9 @@
      sent the oldest of its asks to the other entries, all of which have
      vouched: "until P from now I act on no fence but these".  Such a renewal
      only extends a lease that the guard says it holds, and never that of a
-     guard in one of those lists.
+     guard in one of those lists.  Vouches are asked for only while a guard
+   says that it gets no sound renewals: one entry that is cut off from the log
+   does not make the others promise anything.
 
    An entry acts on a fence, by appending FENCE_DONE, only when every lease of
    that incarnation has lapsed: at b + wait (L), where b is when it read the
@@ -81,6 +83,7 @@
   uint64_t incarnation;
   uint64_t inherits; /* the incarnation whose lease goes on, or 0 */
   bool held;         /* it held its lease when it sent this */
+  bool wants_vouch;  /* and gets no sound log-fresh renewals */
 } gp_lease_request_t;
 
 typedef struct
@@ -121,6 +124,7 @@
   gp_time_t listening;  /* since when heartbeats can have been heard */
   gp_time_t promised;   /* acts on no unlisted fence before this */
   gp_time_t ask_at;     /* when the vouches are next asked for */
+  gp_time_t wanted;     /* when a guard last wanted a vouched renewal */
   uint64_t next_ask;
   gp_lease_voucher_t others[GP_LEASE_GRANTOR_MAX_ENTRIES];
 } gp_lease_grantor_t;
--- a/src/coordination/lease_holder.c
+++ b/src/coordination/lease_holder.c
@@ -2,6 +2,9 @@
 
 /* A lease with less than length / EXPIRING_PART left is overdue.  */
 #define EXPIRING_PART 2
+/* A log-fresh renewal for less than length * (1 - 1 / FRESH_PART), or none for
+   length / FRESH_PART, means that the log is in trouble.  */
+#define FRESH_PART 4
 /* Heartbeats come this much faster while there is no sound lease.  */
 #define URGENT_FACTOR 4
 /* Half the width of the jitter, as a part of the period.  */
@@ -90,6 +93,9 @@
   action = action_add (actions, GP_LEASE_HOLDER_RENEW);
   action->u.renew.sequence = holder->sequence;
   action->u.renew.held = gp_lease_holder_held (holder);
+  action->u.renew.wants_vouch
+      = action->u.renew.held
+        && now - holder->fresh_at > holder->timing.length / FRESH_PART;
 }
 
 static bool
@@ -118,6 +124,14 @@
   return holder->sent_at[sequence % GP_LEASE_HOLDER_SENT];
 }
 
+static bool
+is_sound (const gp_lease_holder_t *holder, const gp_lease_reply_t *reply)
+{
+  gp_time_t length = holder->timing.length;
+
+  return !reply->vouched && reply->remaining >= length - length / FRESH_PART;
+}
+
 static void
 extend (gp_lease_holder_t *holder, const gp_lease_reply_t *reply,
         gp_time_t now, gp_lease_holder_actions_t *actions)
@@ -127,6 +141,8 @@
 
   if (sent < 0 || reply->remaining <= 0 || deadline <= now)
     return;
+  if (is_sound (holder, reply))
+    holder->fresh_at = now;
   if (reply->vouched && !gp_lease_holder_held (holder))
     return;
   if (gp_lease_holder_held (holder) && deadline <= holder->deadline)
--- a/src/coordination/lease_holder.h
+++ b/src/coordination/lease_holder.h
@@ -57,7 +57,8 @@
     struct
     {
       uint64_t sequence;
-      bool held; /* a vouched renewal is of use */
+      bool held;        /* a vouched renewal is of use */
+      bool wants_vouch; /* and needed: the log-fresh ones stay out */
     } renew;
     gp_time_t deadline;
     uint64_t claim; /* STOP_ALL: the next incarnation */
@@ -110,6 +111,7 @@
   uint64_t inherits;
   uint64_t next_incarnation; /* the least number not known to be used */
   gp_time_t deadline;        /* of the lease while it is held */
+  gp_time_t fresh_at;        /* when a sound log-fresh renewal last came */
   gp_time_t renew_at;
   uint64_t sequence; /* of the last heartbeat */
   gp_time_t sent_at[GP_LEASE_HOLDER_SENT];
--- a/tests/unit/lease_world_worker.c
+++ b/tests/unit/lease_world_worker.c
@@ -163,6 +163,7 @@
       beat.request.incarnation = g->holder.incarnation;
       beat.request.inherits = g->holder.inherits;
       beat.request.held = action->u.renew.held;
+      beat.request.wants_vouch = action->u.renew.wants_vouch;
       for (uint64_t t = 0; t < LW_TASKS; t++)
         for (uint64_t n = 1; n <= w->fold.tasks[t].epoch; n++)
           if (gp_epoch_table_status (&g->epochs, t, n) == GP_EPOCH_RUNNING)
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -84,6 +84,10 @@
   { .title = "P = 60 s: VM does not return",
     .faults = { { LW_KILL_VM, 0, 0, 80, NO_RETURN } },
     .promise = 60 },
+  { .title = "P = 60 s: one entry cut off from the log, VM does not return",
+    .faults
+    = { { LW_LOG_CUT, 0, 0, 75, 125 }, { LW_KILL_VM, 0, 0, 85, NO_RETURN } },
+    .promise = 60 },
   { .title = "L = 8 s: VM does not return",
     .faults = { { LW_KILL_VM, 0, 0, 20, NO_RETURN } },
     .length = 8 },
--- a/tests/unit/test_lease_explore.c
+++ b/tests/unit/test_lease_explore.c
@@ -204,6 +204,7 @@
     {
       script_random (&s, seed);
       s.options.timing.promise = (seed % 4 == 0 ? 40 : 15) * GP_SEC;
+      s.options.timing.length = (seed % 3 == 0 ? 8 : 15) * GP_SEC;
       failures += script_check (&s);
     }
   CU_ASSERT_EQUAL (failures, 0);
--- a/tests/unit/test_lease_rules.c
+++ b/tests/unit/test_lease_rules.c
@@ -140,7 +140,8 @@
 static gp_lease_grant_t
 beat (gp_lease_grantor_t *grantor, gp_time_t now)
 {
-  gp_lease_request_t request = { .incarnation = 10, .held = true };
+  gp_lease_request_t request
+      = { .incarnation = 10, .held = true, .wants_vouch = true };
   gp_lease_grantor_actions_t actions = { 0 };
   gp_lease_grant_t grant;
 
@@ -184,15 +185,20 @@
 
   grantor_init (&grantor, 15 * GP_SEC);
   gp_lease_grantor_tick (&grantor, now, &actions);
+  CU_ASSERT_EQUAL (actions.count, 0);
+  beat (&grantor, now);
+  gp_lease_grantor_tick (&grantor, now, &actions);
   CU_ASSERT_EQUAL (actions.count, 2);
   gp_lease_grantor_vouched (&grantor, 0, actions.items[0].u.ask.id, NULL, 0);
   CU_ASSERT_FALSE (beat (&grantor, now).vouched);
   gp_lease_grantor_vouched (&grantor, 1, actions.items[1].u.ask.id, NULL, 0);
   CU_ASSERT_EQUAL (beat (&grantor, now).remaining, 15 * GP_SEC);
   actions.count = 0;
-  gp_lease_grantor_tick (&grantor, now + 5 * GP_SEC, &actions);
+  now += 5 * GP_SEC;
+  CU_ASSERT_EQUAL (beat (&grantor, now).remaining, 10 * GP_SEC);
+  gp_lease_grantor_tick (&grantor, now, &actions);
   gp_lease_grantor_vouched (&grantor, 1, actions.items[1].u.ask.id, &fence, 1);
-  CU_ASSERT_EQUAL (beat (&grantor, now + 5 * GP_SEC).remaining, 0);
+  CU_ASSERT_EQUAL (beat (&grantor, now).remaining, 0);
   gp_lease_grantor_finish (&grantor);
 }
 
