--- /dev/null
+++ b/src/coordination/remedy.c
@@ -0,0 +1,226 @@
+/* The ladder of remedies for one worker.  */
+
+#include "coordination/remedy.h"
+
+#include <math.h>
+#include <string.h>
+
+#define LATE_FACTOR 10.0 /* cost of making a task miss its deadline */
+#define WATCHER_FACTOR 100.0
+#define THROTTLE_COST 1.0 /* seconds, before the deadline counts */
+#define RELAPSES_MAX 6
+
+void
+gp_remedy_init (gp_remedy_t *remedy)
+{
+  memset (remedy, 0, sizeof *remedy);
+}
+
+double
+gp_remedy_eviction_cost (const gp_remedy_settings_t *settings,
+                         const gp_remedy_resident_t *resident)
+{
+  gp_time_t lost = settings->restart_cost + resident->since_checkpoint;
+  double cost = (double)lost / GP_SEC;
+
+  if (resident->laxity < lost)
+    cost *= LATE_FACTOR;
+  if (resident->work_class == GP_WORK_WATCHER)
+    cost *= WATCHER_FACTOR;
+  return cost;
+}
+
+static double
+throttle_cost (const gp_remedy_settings_t *settings,
+               const gp_remedy_resident_t *resident)
+{
+  if (resident->laxity < settings->calm_time)
+    return THROTTLE_COST * LATE_FACTOR;
+  return THROTTLE_COST;
+}
+
+static bool
+may_act (const gp_remedy_settings_t *settings,
+         const gp_remedy_resident_t *resident, gp_remedy_action_t action)
+{
+  switch (action)
+    {
+    case GP_REMEDY_NONE:
+      return false;
+    case GP_REMEDY_THROTTLE:
+      return resident->work_class == GP_WORK_BATCH && !resident->throttled
+             && resident->relief >= settings->least_relief;
+    case GP_REMEDY_EVICT:
+      return resident->work_class != GP_WORK_LATENCY_CRITICAL
+             && resident->relief >= settings->least_relief;
+    case GP_REMEDY_UNTHROTTLE:
+      return resident->throttled;
+    }
+  return false;
+}
+
+/* How good ACTION on RESIDENT is: relief for its cost, or for an
+   unthrottling the least harm.  */
+static double
+merit_of (const gp_remedy_settings_t *settings,
+          const gp_remedy_resident_t *resident, gp_remedy_action_t action)
+{
+  switch (action)
+    {
+    case GP_REMEDY_NONE:
+      break;
+    case GP_REMEDY_THROTTLE:
+      return resident->relief / throttle_cost (settings, resident);
+    case GP_REMEDY_EVICT:
+      return resident->relief / gp_remedy_eviction_cost (settings, resident);
+    case GP_REMEDY_UNTHROTTLE:
+      return -resident->relief;
+    }
+  return 0.0;
+}
+
+static bool
+is_chosen (const gp_remedy_decision_t *decision, uint64_t task)
+{
+  for (unsigned int i = 0; i < decision->n; i++)
+    if (decision->tasks[i] == task)
+      return true;
+  return false;
+}
+
+/* The best resident for ACTION that is not yet in DECISION, or NULL.  */
+static const gp_remedy_resident_t *
+best_for (const gp_remedy_settings_t *settings,
+          const gp_remedy_resident_t *residents, unsigned int n,
+          gp_remedy_action_t action, const gp_remedy_decision_t *decision)
+{
+  const gp_remedy_resident_t *best = NULL;
+  double best_merit = -INFINITY;
+
+  for (unsigned int i = 0; i < n; i++)
+    {
+      double merit = merit_of (settings, &residents[i], action);
+
+      if (!may_act (settings, &residents[i], action)
+          || is_chosen (decision, residents[i].task) || merit <= best_merit)
+        continue;
+      best = &residents[i];
+      best_merit = merit;
+    }
+  return best;
+}
+
+/* Choose residents for ACTION until their relief covers EXCESS, MOST at the
+   most.  */
+static gp_remedy_decision_t
+choose (const gp_remedy_settings_t *settings,
+        const gp_remedy_resident_t *residents, unsigned int n,
+        gp_remedy_action_t action, double excess, unsigned int most)
+{
+  gp_remedy_decision_t decision = { .action = GP_REMEDY_NONE };
+  const gp_remedy_resident_t *best;
+
+  while (decision.n < most && excess > 0.0
+         && (best = best_for (settings, residents, n, action, &decision))
+                != NULL)
+    {
+      decision.action = action;
+      decision.tasks[decision.n++] = best->task;
+      excess -= best->relief * settings->throttled_part;
+    }
+  return decision;
+}
+
+static gp_remedy_decision_t
+relieve (const gp_remedy_settings_t *settings, double ratio,
+         const gp_remedy_resident_t *residents, unsigned int n)
+{
+  double excess = ratio - settings->calm;
+  gp_remedy_decision_t decision = choose (
+      settings, residents, n, GP_REMEDY_THROTTLE, excess, GP_REMEDY_TASKS_MAX);
+
+  if (decision.action == GP_REMEDY_NONE)
+    decision = choose (settings, residents, n, GP_REMEDY_EVICT, excess, 1);
+  return decision;
+}
+
+/* Unthrottle the task that slows the service least, if the ratio is expected
+   to stay in the dead band.  */
+static gp_remedy_decision_t
+let_go (const gp_remedy_settings_t *settings, double ratio,
+        const gp_remedy_resident_t *residents, unsigned int n)
+{
+  gp_remedy_decision_t decision = { .action = GP_REMEDY_NONE };
+  const gp_remedy_resident_t *best
+      = best_for (settings, residents, n, GP_REMEDY_UNTHROTTLE, &decision);
+  double middle = 0.5 * (settings->calm + settings->breach);
+
+  if (best == NULL || ratio + best->relief * settings->throttled_part > middle)
+    return decision;
+  decision.action = GP_REMEDY_UNTHROTTLE;
+  decision.tasks[decision.n++] = best->task;
+  return decision;
+}
+
+/* Count breaches and calm; a relapse counts once for each unthrottling.  */
+static void
+take_in (gp_remedy_t *remedy, const gp_remedy_settings_t *settings,
+         const gp_remedy_measurement_t *measurement)
+{
+  bool breach = measurement->ratio > settings->breach;
+  bool calm = measurement->ratio < settings->calm;
+
+  remedy->breaches = breach ? remedy->breaches + 1 : 0;
+  if (!calm)
+    remedy->calm_since = 0;
+  else if (remedy->calm_since == 0)
+    remedy->calm_since = measurement->from;
+  if (remedy->unthrottled == 0)
+    return;
+  if (measurement->to > remedy->unthrottled + settings->relapse)
+    {
+      remedy->unthrottled = 0;
+      remedy->relapses -= remedy->relapses > 0;
+    }
+  else if (remedy->breaches >= settings->breaches)
+    {
+      remedy->unthrottled = 0;
+      remedy->relapses += remedy->relapses < RELAPSES_MAX;
+    }
+}
+
+static bool
+calm_enough (const gp_remedy_t *remedy, const gp_remedy_settings_t *settings,
+             gp_time_t to)
+{
+  return remedy->calm_since != 0
+         && to - remedy->calm_since >= settings->calm_time << remedy->relapses;
+}
+
+gp_remedy_decision_t
+gp_remedy_decide (gp_remedy_t *remedy, const gp_remedy_settings_t *settings,
+                  const gp_remedy_measurement_t *measurement,
+                  const gp_remedy_resident_t *residents, unsigned int n,
+                  gp_time_t now)
+{
+  gp_remedy_decision_t decision = { .action = GP_REMEDY_NONE };
+
+  if (remedy->acted != 0
+      && measurement->from < remedy->acted + settings->settle)
+    return decision;
+  take_in (remedy, settings, measurement);
+  if (remedy->acted != 0 && now < remedy->acted + settings->cool_down)
+    return decision;
+  if (remedy->breaches >= settings->breaches)
+    decision = relieve (settings, measurement->ratio, residents, n);
+  else if (calm_enough (remedy, settings, measurement->to))
+    decision = let_go (settings, measurement->ratio, residents, n);
+  if (decision.action == GP_REMEDY_NONE)
+    return decision;
+  remedy->acted = now;
+  remedy->breaches = 0;
+  remedy->calm_since = 0;
+  if (decision.action == GP_REMEDY_UNTHROTTLE)
+    remedy->unthrottled = now;
+  return decision;
+}
