tests: Check the pending queue, interference and remedies

Cause: these decisions had no tests yet.

Change: the pending queue is compared with a list that is searched whole, the residency ring with a plain sum over time, the slowdowns with the truth that the measurements were made from; remedies run over 100 random sites. Watchers are now evicted only after every batch task that helps, whatever its cost.

The queue takes the same task as its twin in each step of five random runs; slopes are within 0.01 after 400 measurements; all 100 sites come to rest, with at most six actions in the second half of 20,000 s.

Conclusion: the order, the learning and the hysteresis do what they say.

--- a/src/coordination/pending.h
+++ b/src/coordination/pending.h
@@ -78,7 +78,7 @@
                             .hold_after = 6,                                  \
                             .risk_ahead = 60 * GP_SEC,                        \
                             .patience                                         \
-                            = { GP_SEC, 10 * GP_SEC, 24 * 3600 * GP_SEC } })
+                            = { GP_SEC, 10 * GP_SEC, GP_SEC * 24 * 3600 } })
 
 typedef struct
 {
--- a/src/coordination/remedy.c
+++ b/src/coordination/remedy.c
@@ -5,8 +5,7 @@
 #include <math.h>
 #include <string.h>
 
-#define LATE_FACTOR 10.0 /* cost of making a task miss its deadline */
-#define WATCHER_FACTOR 100.0
+#define LATE_FACTOR 10.0  /* cost of making a task miss its deadline */
 #define THROTTLE_COST 1.0 /* seconds, before the deadline counts */
 #define RELAPSES_MAX 6
 
@@ -25,8 +24,6 @@
 
   if (resident->laxity < lost)
     cost *= LATE_FACTOR;
-  if (resident->work_class == GP_WORK_WATCHER)
-    cost *= WATCHER_FACTOR;
   return cost;
 }
 
@@ -59,8 +56,20 @@
   return false;
 }
 
+static double
+eviction_merit (const gp_remedy_settings_t *settings,
+                const gp_remedy_resident_t *resident)
+{
+  double cost = gp_remedy_eviction_cost (settings, resident);
+
+  if (resident->work_class == GP_WORK_WATCHER)
+    return -cost / resident->relief;
+  return resident->relief / cost;
+}
+
 /* How good ACTION on RESIDENT is: relief for its cost, or for an
-   unthrottling the least harm.  */
+   unthrottling the least harm.  A watcher's is below that of any batch
+   task.  */
 static double
 merit_of (const gp_remedy_settings_t *settings,
           const gp_remedy_resident_t *resident, gp_remedy_action_t action)
@@ -72,7 +81,7 @@
     case GP_REMEDY_THROTTLE:
       return resident->relief / throttle_cost (settings, resident);
     case GP_REMEDY_EVICT:
-      return resident->relief / gp_remedy_eviction_cost (settings, resident);
+      return eviction_merit (settings, resident);
     case GP_REMEDY_UNTHROTTLE:
       return -resident->relief;
     }
--- /dev/null
+++ b/tests/unit/test_interference.c
@@ -0,0 +1,210 @@
+/* Residency against a plain sum, and slowdowns against the truth that the
+   measurements were made from.  */
+
+#include "policy_suite.h"
+
+#include <math.h>
+#include <stdio.h>
+
+#include "coordination/interference.h"
+#include "coordination/residency.h"
+
+enum
+{
+  CHANGES = 300,
+  KINDS = 6,
+  MEASUREMENTS = 400
+};
+
+static void
+test_residency_transcript (void)
+{
+  gp_residency_t residency;
+  double mean[GP_RESIDENCY_KINDS];
+
+  gp_residency_init (&residency, 0);
+  gp_residency_change (&residency, 1, GP_RESIDENCY_WHOLE, 10);
+  gp_residency_change (&residency, 1, GP_RESIDENCY_WHOLE, 20);
+  gp_residency_change (&residency, 1,
+                       GP_RESIDENCY_THROTTLED - GP_RESIDENCY_WHOLE, 30);
+  gp_residency_change (&residency, 500, GP_RESIDENCY_WHOLE, 40);
+  for (gp_time_t from = 0; from <= 40; from += 10)
+    {
+      CU_ASSERT_TRUE (gp_residency_mean (&residency, from, from + 20, mean));
+      printf ("%ld to %ld: %.3f of kind 1, %.3f of others\n", (long)from,
+              (long)from + 20, mean[1], mean[GP_RESIDENCY_KINDS - 1]);
+    }
+  CU_ASSERT_FALSE (gp_residency_mean (&residency, -1, 20, mean));
+}
+
+/* The mean of KIND from FROM to TO, one microsecond after the other.  */
+static double
+naive_mean (const gp_residency_change_t *changes, unsigned int n,
+            uint16_t kind, gp_time_t from, gp_time_t to)
+{
+  double sum = 0.0;
+
+  for (gp_time_t t = from; t < to; t++)
+    for (unsigned int i = 0; i < n && changes[i].time <= t; i++)
+      if (changes[i].kind == kind)
+        sum += changes[i].quarters;
+  return sum / (double)(to - from) / GP_RESIDENCY_WHOLE;
+}
+
+static void
+test_residency_twin (void)
+{
+  GRand *random = g_rand_new_with_seed (3);
+  gp_residency_change_t changes[CHANGES];
+  gp_residency_t residency;
+  gp_time_t now = 0;
+  unsigned int answered = 0;
+
+  gp_residency_init (&residency, 0);
+  for (unsigned int i = 0; i < CHANGES; i++)
+    {
+      uint16_t kind = (uint16_t)g_rand_int_range (random, 0, KINDS);
+      gp_time_t to;
+      gp_time_t from;
+      double mean[GP_RESIDENCY_KINDS];
+
+      now += g_rand_int_range (random, 0, 10);
+      changes[i] = (gp_residency_change_t){ now, kind, i % 3 == 2 ? -4 : 4 };
+      gp_residency_change (&residency, kind, changes[i].quarters, now);
+      to = now + 5 - g_rand_int_range (random, 0, 200);
+      from = to - g_rand_int_range (random, 1, 100);
+      if (!gp_residency_mean (&residency, from, to, mean))
+        continue;
+      answered++;
+      for (unsigned int k = 0; k < KINDS; k++)
+        CU_ASSERT_DOUBLE_EQUAL (
+            mean[k], naive_mean (changes, i + 1, (uint16_t)k, from, to), 1e-9);
+    }
+  CU_ASSERT_TRUE (answered > CHANGES / 2);
+  g_rand_free (random);
+}
+
+/* A worker whose residents are known, measured with noise.  */
+typedef struct
+{
+  gp_interference_t interference;
+  gp_worker_t worker;
+  gp_resident_t residents[KINDS];
+} lab_t;
+
+static const double truth[KINDS + 2]
+    = { 0.4, 0.2, 0.0, 0.01, 0.03, 0.06, 0.1, 0.2 };
+
+static void
+lab_init (lab_t *lab)
+{
+  gp_interference_init (&lab->interference, &GP_INTERFERENCE_DEFAULTS);
+  gp_worker_init (&lab->worker);
+  lab->worker.service = 0;
+  lab->worker.residents = lab->residents;
+}
+
+/* Measure once with random residents that changed since.  */
+static void
+lab_measure (lab_t *lab, GRand *random)
+{
+  gp_residency_t residency;
+  double load = g_rand_double (random);
+  double ratio = 0.05 * (g_rand_double (random) - 0.5);
+  int counts[KINDS];
+
+  gp_residency_init (&residency, 0);
+  ratio += truth[0] + truth[1] * load;
+  for (unsigned int k = 0; k < KINDS; k++)
+    {
+      int count = g_rand_int_range (random, 0, 4);
+
+      ratio += truth[k + 2] * count * (1.0 + load);
+      counts[k] = count * GP_RESIDENCY_WHOLE;
+      gp_residency_change (&residency, (uint16_t)k, counts[k], 0);
+    }
+  for (unsigned int k = 0; k < KINDS; k++)
+    gp_residency_change (&residency, (uint16_t)k, -counts[k], 10 * GP_SEC);
+  CU_ASSERT_TRUE (gp_interference_measure (
+      &lab->interference, 0, load, &residency, GP_SEC, 2 * GP_SEC, ratio));
+}
+
+static void
+lab_finish (lab_t *lab)
+{
+  gp_interference_finish (&lab->interference);
+  g_free (lab);
+}
+
+static void
+test_learning (void)
+{
+  lab_t *lab = g_new0 (lab_t, 1);
+  GRand *random = g_rand_new_with_seed (5);
+  gp_interference_estimate_t before;
+
+  lab_init (lab);
+  before = gp_interference_slope (&lab->interference, 0, 3);
+  for (unsigned int i = 0; i < MEASUREMENTS; i++)
+    lab_measure (lab, random);
+  for (unsigned int k = 0; k < KINDS; k++)
+    {
+      gp_interference_estimate_t slope
+          = gp_interference_slope (&lab->interference, 0, (uint16_t)k);
+
+      printf ("kind %u: slope %.2f, truth %.2f\n", k, slope.mean,
+              truth[k + 2]);
+      CU_ASSERT_DOUBLE_EQUAL (slope.mean, truth[k + 2], 0.01);
+      CU_ASSERT_TRUE (slope.deviation < before.deviation / 4.0);
+    }
+  CU_ASSERT_EQUAL (
+      gp_interference_slope (&lab->interference, 0, KINDS).deviation,
+      before.deviation);
+  lab_finish (lab);
+  g_rand_free (random);
+}
+
+/* Harm grows with the slope and with what is there, and is nothing where
+   there is room.  */
+static void
+test_harm (void)
+{
+  lab_t *lab = g_new0 (lab_t, 1);
+  GRand *random = g_rand_new_with_seed (6);
+
+  lab_init (lab);
+  printf ("no model: %.4f\n",
+          gp_interference_harm (&lab->interference, &lab->worker, 0));
+  for (unsigned int i = 0; i < MEASUREMENTS; i++)
+    lab_measure (lab, random);
+  for (uint16_t count = 0; count < 4; count++)
+    {
+      lab->residents[0] = (gp_resident_t){ 5, count };
+      lab->worker.n_residents = count > 0;
+      printf ("%u of kind 5: ratio %.2f, harm of one more of kind", count,
+              gp_interference_predict (&lab->interference, &lab->worker).mean);
+      for (unsigned int kind = 0; kind < KINDS; kind++)
+        printf (" %.2f", gp_interference_harm (&lab->interference,
+                                               &lab->worker, (uint16_t)kind));
+      printf (", unknown %.2f\n",
+              gp_interference_harm (&lab->interference, &lab->worker, 40));
+    }
+  lab->worker.service = GP_SERVICE_NONE;
+  CU_ASSERT_EQUAL (gp_interference_harm (&lab->interference, &lab->worker, 5),
+                   0.0);
+  lab_finish (lab);
+  g_rand_free (random);
+}
+
+int
+main (void)
+{
+  static const policy_test_t tests[]
+      = { { "residency transcript", test_residency_transcript },
+          { "residency twin", test_residency_twin },
+          { "learning", test_learning },
+          { "harm", test_harm },
+          { NULL, NULL } };
+
+  return policy_suite_run ("interference", tests);
+}
--- /dev/null
+++ b/tests/unit/test_pending.c
@@ -0,0 +1,328 @@
+/* The pending queue against a plain list that is searched whole.  */
+
+#include "policy_suite.h"
+
+#include <math.h>
+#include <stdio.h>
+
+#include "coordination/pending.h"
+
+enum
+{
+  TEAMS = 4,
+  TASKS = 600,
+  STEPS = 6000
+};
+
+static const gp_resources_t limit = { 10000, 100000, 0 };
+
+typedef struct
+{
+  gp_pending_t pending;
+  gp_quota_t quota;
+  gp_pending_task_t tasks[TASKS];
+  unsigned int n_tasks;
+} site_t;
+
+static void
+site_init (site_t *site, const gp_pending_settings_t *settings)
+{
+  gp_pending_init (&site->pending, settings);
+  gp_quota_init (&site->quota);
+  for (uint32_t team = 0; team < TEAMS; team++)
+    gp_quota_set_limit (&site->quota, team, &limit);
+  site->n_tasks = 0;
+}
+
+static void
+site_finish (site_t *site)
+{
+  gp_quota_finish (&site->quota);
+  gp_pending_finish (&site->pending);
+}
+
+/* Add a task; its identity is its place, from 1.  */
+static gp_pending_task_t *
+add (site_t *site, uint32_t team, gp_work_class_t work_class,
+     uint32_t millicores, gp_time_t latest_start, gp_time_t now)
+{
+  gp_pending_task_t *task = &site->tasks[site->n_tasks++];
+  gp_resources_t demand = { millicores, 10, 0 };
+
+  gp_pending_task_init (task, site->n_tasks, team, work_class, &demand,
+                        latest_start);
+  gp_pending_add (&site->pending, task, now);
+  return task;
+}
+
+static gp_pending_task_t *
+print_next (site_t *site, const char *what, gp_time_t now)
+{
+  gp_pending_task_t *task
+      = gp_pending_next (&site->pending, &site->quota, now);
+
+  if (task == NULL)
+    printf ("%s: none, again at %ld ms\n", what,
+            (long)(gp_pending_wake (&site->pending, now) / GP_MSEC));
+  else
+    printf ("%s: task %u of team %u\n", what, (unsigned int)task->node.task,
+            task->charge.team);
+  return task;
+}
+
+static void
+test_order (void)
+{
+  site_t site;
+
+  site_init (&site, &GP_PENDING_DEFAULTS);
+  add (&site, 0, GP_WORK_BATCH, 3000, 900 * GP_SEC, 0);
+  add (&site, 0, GP_WORK_BATCH, 3000, 30 * GP_SEC, 0);
+  add (&site, 0, GP_WORK_WATCHER, 1000, GP_TIME_NEVER, 0);
+  add (&site, 1, GP_WORK_BATCH, 3000, 800 * GP_SEC, 0);
+  for (int i = 0; i < 5; i++)
+    add (&site, 2, GP_WORK_LATENCY_CRITICAL, 100, GP_TIME_NEVER, i);
+  for (int i = 0; i < 10; i++)
+    print_next (&site, "order", GP_SEC);
+  site_finish (&site);
+}
+
+/* A head without room defers alone, is kept room for, and is not starved by
+   smaller tasks of its team.  */
+static void
+test_quota_head (void)
+{
+  site_t site;
+  gp_pending_task_t *running;
+  gp_time_t now = 0;
+
+  site_init (&site, &GP_PENDING_DEFAULTS);
+  add (&site, 0, GP_WORK_BATCH, 6000, 10 * GP_SEC, 0);
+  running = print_next (&site, "runs", 0);
+  add (&site, 0, GP_WORK_BATCH, 8000, 20 * GP_SEC, 0);
+  for (int i = 0; i < 9; i++)
+    {
+      gp_pending_task_t *small
+          = add (&site, 0, GP_WORK_BATCH, 1000, 40 * GP_SEC, now);
+
+      print_next (&site, "behind the large one", now);
+      gp_pending_remove (&site.pending, &site.quota, small);
+      now += 2 * GP_SEC;
+    }
+  gp_pending_remove (&site.pending, &site.quota, running);
+  print_next (&site, "room at last", now);
+  site_finish (&site);
+}
+
+static void
+test_no_capacity (void)
+{
+  site_t site;
+  gp_pending_task_t *large;
+  gp_time_t now = 0;
+  bool hold = false;
+
+  site_init (&site, &GP_PENDING_DEFAULTS);
+  large = add (&site, 0, GP_WORK_BATCH, 9000, 10 * GP_SEC, 0);
+  add (&site, 0, GP_WORK_BATCH, 1000, 20 * GP_SEC, 0);
+  for (int tries = 1; !hold; tries++)
+    {
+      CU_ASSERT_PTR_EQUAL (gp_pending_next (&site.pending, &site.quota, now),
+                           large);
+      hold = gp_pending_defer (&site.pending, &site.quota, large,
+                               GP_PENDING_NO_CAPACITY, now);
+      printf ("try %d: again at %ld ms%s\n", tries,
+              (long)(large->node.key / GP_MSEC), hold ? ", keep room" : "");
+      now = large->node.key;
+      if (tries == 1)
+        print_next (&site, "goes on", 0);
+    }
+  gp_pending_remove (&site.pending, &site.quota, large);
+  CU_ASSERT_EQUAL (gp_pending_wake (&site.pending, now), GP_TIME_NEVER);
+  CU_ASSERT_EQUAL (gp_pending_length (&site.pending), 0);
+  site_finish (&site);
+}
+
+static void
+test_pace (void)
+{
+  site_t site;
+
+  site_init (&site, &GP_PENDING_DEFAULTS);
+  for (int i = 0; i < 4; i++)
+    add (&site, 0, GP_WORK_WATCHER, 10, GP_TIME_NEVER, 0);
+  for (int i = 0; i < 3; i++)
+    add (&site, 0, GP_WORK_LATENCY_CRITICAL, 10, GP_TIME_NEVER, 0);
+  gp_pending_pace (&site.pending, 10.0, 2.0, 0);
+  for (int i = 0; i < 5; i++)
+    print_next (&site, "at 0 ms", 0);
+  print_next (&site, "at 199 ms", 199 * GP_MSEC);
+  print_next (&site, "at 250 ms", 250 * GP_MSEC);
+  print_next (&site, "at 350 ms", 350 * GP_MSEC);
+  gp_pending_pace (&site.pending, 0.0, 0.0, 350 * GP_MSEC);
+  print_next (&site, "unbounded", 350 * GP_MSEC);
+  site_finish (&site);
+}
+
+/* The twin searches all tasks.  It is told nothing but the rules: quotas are
+   ample in its runs, so that only order, back-off and turns decide.  */
+typedef struct
+{
+  site_t site;
+  gp_time_t retry_at[TASKS]; /* GP_TIME_NEVER: not queued */
+  unsigned int picks;
+} twin_t;
+
+static unsigned int
+twin_rank (const gp_pending_task_t *task)
+{
+  static const unsigned int ranks[] = {
+    [GP_WORK_LATENCY_CRITICAL] = 0, [GP_WORK_WATCHER] = 1, [GP_WORK_BATCH] = 2
+  };
+
+  return ranks[task->work_class];
+}
+
+/* Whether task A goes before B in its turn, or among all.  */
+static bool
+twin_before (const twin_t *twin, const gp_pending_task_t *a,
+             const gp_pending_task_t *b, bool turn)
+{
+  double share_a = gp_quota_share (&twin->site.quota, a->charge.team);
+  double share_b = gp_quota_share (&twin->site.quota, b->charge.team);
+
+  if (!turn && twin_rank (a) != twin_rank (b))
+    return twin_rank (a) < twin_rank (b);
+  if (!turn && share_a != share_b)
+    return share_a < share_b;
+  if (!turn && a->charge.team != b->charge.team)
+    return a->charge.team < b->charge.team;
+  if (a->latest_start != b->latest_start)
+    return a->latest_start < b->latest_start;
+  return a->node.task < b->node.task;
+}
+
+static unsigned int
+twin_find (const twin_t *twin, gp_time_t now, bool turn)
+{
+  unsigned int best = TASKS;
+
+  for (unsigned int i = 0; i < twin->site.n_tasks; i++)
+    {
+      const gp_pending_task_t *task = &twin->site.tasks[i];
+
+      if (twin->retry_at[i] > now)
+        continue;
+      if (turn
+          && (twin_rank (task) == 0
+              || task->latest_start
+                     > now + twin->site.pending.settings.risk_ahead))
+        continue;
+      if (best == TASKS
+          || twin_before (twin, task, &twin->site.tasks[best], turn))
+        best = i;
+    }
+  return best;
+}
+
+static unsigned int
+twin_next (twin_t *twin, gp_time_t now)
+{
+  unsigned int found = TASKS;
+
+  if (twin->picks == GP_PENDING_TURN - 1)
+    found = twin_find (twin, now, true);
+  if (found < TASKS)
+    twin->picks = 0;
+  else if ((found = twin_find (twin, now, false)) < TASKS)
+    twin->picks += twin->picks < GP_PENDING_TURN - 1;
+  return found;
+}
+
+static void
+twin_add (twin_t *twin, GRand *random, gp_time_t now)
+{
+  static const gp_work_class_t classes[]
+      = { GP_WORK_LATENCY_CRITICAL, GP_WORK_WATCHER, GP_WORK_BATCH };
+  gp_work_class_t work_class = classes[g_rand_int_range (random, 0, 3)];
+  /* One latest start for each task, so that no tie decides.  */
+  gp_time_t latest_start
+      = now + g_rand_int_range (random, 0, 200) * GP_SEC + twin->site.n_tasks;
+
+  twin->retry_at[twin->site.n_tasks] = now;
+  add (&twin->site, (uint32_t)g_rand_int_range (random, 0, TEAMS), work_class,
+       (uint32_t)g_rand_int_range (random, 1, 20), latest_start, now);
+}
+
+static void
+twin_take (twin_t *twin, GRand *random, gp_time_t now)
+{
+  unsigned int expected = twin_next (twin, now);
+  gp_pending_task_t *task
+      = gp_pending_next (&twin->site.pending, &twin->site.quota, now);
+
+  CU_ASSERT_EQUAL (task == NULL, expected == TASKS);
+  if (task == NULL || expected == TASKS)
+    return;
+  CU_ASSERT_PTR_EQUAL (task, &twin->site.tasks[expected]);
+  twin->retry_at[expected] = GP_TIME_NEVER;
+  if (!g_rand_boolean (random))
+    return;
+  (void)gp_pending_defer (&twin->site.pending, &twin->site.quota, task,
+                          GP_PENDING_NO_CAPACITY, now);
+  twin->retry_at[expected] = task->node.key;
+}
+
+static void
+twin_run (uint32_t seed)
+{
+  twin_t *twin = g_new0 (twin_t, 1);
+  GRand *random = g_rand_new_with_seed (seed);
+  uint32_t queued = 0;
+
+  site_init (&twin->site, &GP_PENDING_DEFAULTS);
+  for (unsigned int step = 0; step < STEPS; step++)
+    {
+      gp_time_t now = step * (20 * GP_MSEC);
+      int what = g_rand_int_range (random, 0, 10);
+      int any = g_rand_int_range (random, 0, TASKS);
+
+      if (what < 2 && twin->site.n_tasks < TASKS)
+        twin_add (twin, random, now);
+      else if (what < 9)
+        twin_take (twin, random, now);
+      else if (any < (int)twin->site.n_tasks)
+        {
+          gp_pending_remove (&twin->site.pending, &twin->site.quota,
+                             &twin->site.tasks[any]);
+          twin->retry_at[any] = GP_TIME_NEVER;
+        }
+    }
+  for (unsigned int i = 0; i < twin->site.n_tasks; i++)
+    queued += twin->retry_at[i] != GP_TIME_NEVER;
+  CU_ASSERT_EQUAL (gp_pending_length (&twin->site.pending), queued);
+  CU_ASSERT_EQUAL (twin->site.n_tasks, TASKS);
+  site_finish (&twin->site);
+  g_rand_free (random);
+  g_free (twin);
+}
+
+static void
+test_twin (void)
+{
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    twin_run (seed);
+}
+
+int
+main (void)
+{
+  static const policy_test_t tests[] = { { "order", test_order },
+                                         { "quota head", test_quota_head },
+                                         { "no capacity", test_no_capacity },
+                                         { "pace", test_pace },
+                                         { "twin", test_twin },
+                                         { NULL, NULL } };
+
+  return policy_suite_run ("pending", tests);
+}
--- /dev/null
+++ b/tests/unit/test_remedy.c
@@ -0,0 +1,202 @@
+/* Remedies by script, and that they come to rest on random sites.  */
+
+#include "policy_suite.h"
+
+#include <stdio.h>
+
+#include "coordination/remedy.h"
+
+enum
+{
+  RESIDENTS = 6,
+  STEPS = 4000 /* of five seconds */
+};
+
+#define STEP (5 * GP_SEC)
+
+static const char *const action_names[]
+    = { "none", "throttle", "evict", "unthrottle" };
+
+typedef struct
+{
+  gp_remedy_t remedy;
+  gp_remedy_resident_t residents[RESIDENTS];
+  unsigned int n;
+} site_t;
+
+static void
+site_add (site_t *site, gp_work_class_t work_class, gp_time_t since_checkpoint,
+          gp_time_t laxity, double relief)
+{
+  site->residents[site->n]
+      = (gp_remedy_resident_t){ .task = site->n + 1,
+                                .work_class = work_class,
+                                .since_checkpoint = since_checkpoint,
+                                .laxity = laxity,
+                                .relief = relief };
+  site->n++;
+}
+
+static void
+remove_task (site_t *site, uint64_t task)
+{
+  for (unsigned int i = 0; i < site->n; i++)
+    if (site->residents[i].task == task)
+      site->residents[i] = site->residents[--site->n];
+}
+
+static void
+carry_out (site_t *site, const gp_remedy_decision_t *decision)
+{
+  for (unsigned int i = 0; i < decision->n; i++)
+    {
+      if (decision->action == GP_REMEDY_EVICT)
+        remove_task (site, decision->tasks[i]);
+      for (unsigned int j = 0; j < site->n; j++)
+        if (site->residents[j].task == decision->tasks[i])
+          site->residents[j].throttled
+              = decision->action == GP_REMEDY_THROTTLE;
+    }
+}
+
+/* Measure RATIO over the five seconds before NOW and do what is decided.  */
+static gp_remedy_decision_t
+step (site_t *site, double ratio, gp_time_t now)
+{
+  gp_remedy_measurement_t measurement = { ratio, now - STEP, now };
+  gp_remedy_decision_t decision
+      = gp_remedy_decide (&site->remedy, &GP_REMEDY_DEFAULTS, &measurement,
+                          site->residents, site->n, now);
+
+  carry_out (site, &decision);
+  return decision;
+}
+
+/* The site's ratio with some load and noise.  */
+static double
+ratio_of (const site_t *site, double base, GRand *random)
+{
+  double ratio = base + 0.1 * (g_rand_double (random) - 0.5);
+
+  for (unsigned int i = 0; i < site->n; i++)
+    ratio += site->residents[i].relief
+             * (site->residents[i].throttled ? 0.25 : 1.0);
+  return ratio;
+}
+
+static void
+step_and_print (site_t *site, double ratio, gp_time_t now)
+{
+  gp_remedy_decision_t decision = step (site, ratio, now);
+
+  if (decision.action == GP_REMEDY_NONE)
+    return;
+  printf ("%ld s: ratio %.2f, %s", (long)(now / GP_SEC), ratio,
+          action_names[decision.action]);
+  for (unsigned int j = 0; j < decision.n; j++)
+    printf (" %u", (unsigned int)decision.tasks[j]);
+  printf ("\n");
+}
+
+/* A breach that nothing cures goes down the ladder.  */
+static void
+test_ladder (void)
+{
+  site_t site = { .n = 0 };
+
+  gp_remedy_init (&site.remedy);
+  site_add (&site, GP_WORK_LATENCY_CRITICAL, 0, GP_TIME_NEVER, 0.9);
+  site_add (&site, GP_WORK_WATCHER, 0, GP_TIME_NEVER, 0.5);
+  site_add (&site, GP_WORK_BATCH, 600 * GP_SEC, 3600 * GP_SEC, 0.1);
+  site_add (&site, GP_WORK_BATCH, 5 * GP_SEC, 3600 * GP_SEC, 0.1);
+  site_add (&site, GP_WORK_BATCH, 0, 3600 * GP_SEC, 0.001);
+  for (int i = 1; i < 20; i++)
+    step_and_print (&site, 1.2, i * STEP);
+  CU_ASSERT_EQUAL (site.n, 2);
+}
+
+/* A breach, calm, and a relapse after which it waits longer.  */
+static void
+test_relapse (void)
+{
+  site_t site = { .n = 0 };
+  GRand *random = g_rand_new_with_seed (1);
+
+  gp_remedy_init (&site.remedy);
+  for (int i = 0; i < 3; i++)
+    site_add (&site, GP_WORK_BATCH, 0, 3600 * GP_SEC, 0.15);
+  for (int i = 1; i < 240; i++)
+    {
+      double base = i % 60 < 30 ? 0.75 : 0.45;
+
+      step_and_print (&site, ratio_of (&site, base, random), i * STEP);
+    }
+  g_rand_free (random);
+}
+
+static void
+test_eviction_cost (void)
+{
+  gp_remedy_resident_t a = { .work_class = GP_WORK_BATCH,
+                             .since_checkpoint = 90 * GP_SEC,
+                             .laxity = 3600 * GP_SEC };
+
+  printf ("batch %.0f", gp_remedy_eviction_cost (&GP_REMEDY_DEFAULTS, &a));
+  a.laxity = 60 * GP_SEC;
+  printf (" late %.0f\n", gp_remedy_eviction_cost (&GP_REMEDY_DEFAULTS, &a));
+}
+
+/* Under a steady load a worker comes to rest: its actions grow no faster than
+   the logarithm of the time allows, and never follow within the cool-down.  */
+static void
+come_to_rest (uint32_t seed)
+{
+  site_t site = { .n = 0 };
+  GRand *random = g_rand_new_with_seed (seed);
+  double base = 0.3 + 0.5 * g_rand_double (random);
+  gp_time_t last = 0;
+  unsigned int actions = 0;
+  unsigned int late_actions = 0;
+
+  gp_remedy_init (&site.remedy);
+  for (unsigned int i = 0; i < RESIDENTS; i++)
+    site_add (&site, GP_WORK_BATCH, g_rand_int_range (random, 0, 99) * GP_SEC,
+              3600 * GP_SEC, 0.2 * g_rand_double (random));
+  for (unsigned int i = 1; i <= STEPS; i++)
+    {
+      gp_time_t now = i * STEP;
+      gp_remedy_decision_t decision
+          = step (&site, ratio_of (&site, base, random), now);
+
+      if (decision.action == GP_REMEDY_NONE)
+        continue;
+      CU_ASSERT_TRUE (last == 0 || now - last >= GP_REMEDY_DEFAULTS.cool_down);
+      last = now;
+      actions++;
+      late_actions += i > STEPS / 2;
+    }
+  CU_ASSERT_TRUE (actions < 30);
+  CU_ASSERT_TRUE (late_actions <= 6);
+  CU_ASSERT_TRUE (ratio_of (&site, base, random) < 1.05);
+  g_rand_free (random);
+}
+
+static void
+test_come_to_rest (void)
+{
+  for (uint32_t seed = 1; seed <= 100; seed++)
+    come_to_rest (seed);
+}
+
+int
+main (void)
+{
+  static const policy_test_t tests[]
+      = { { "ladder", test_ladder },
+          { "relapse", test_relapse },
+          { "eviction cost", test_eviction_cost },
+          { "come to rest", test_come_to_rest },
+          { NULL, NULL } };
+
+  return policy_suite_run ("remedy", tests);
+}
