--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 
 #include "base/time.h"
+#include "coordination/pending.h"
 #include "coordination/placement.h"
 #include "coordination/residency.h"
 
@@ -16,6 +17,8 @@
   KINDS = 40,
   GROUPS = 200,
   DECISIONS = 200000,
+  WAITING = 20000,
+  TEAMS = 71,
   TASKS_PER_WORKER = 26 /* 95,000 on 3,600 */
 };
 
@@ -175,6 +178,53 @@
   site_finish (&site);
 }
 
+/* Take tasks from a queue of many and defer them again.  */
+static void
+run_pending (void)
+{
+  gp_pending_t pending;
+  gp_quota_t quota;
+  gp_pending_task_t *tasks = g_new (gp_pending_task_t, WAITING);
+  gp_resources_t limit = { 1U << 30, 1U << 30, 0 };
+  gp_resources_t demand = { 1000, 1000, 0 };
+  gp_time_t now = GP_SEC;
+  gp_time_t begun;
+  unsigned int taken = 0;
+
+  gp_pending_init (&pending, &GP_PENDING_DEFAULTS);
+  gp_quota_init (&quota);
+  for (uint32_t team = 0; team < TEAMS; team++)
+    gp_quota_set_limit (&quota, team, &limit);
+  for (unsigned int i = 0; i < WAITING; i++)
+    {
+      gp_pending_task_init (&tasks[i], i + 1, i % TEAMS, GP_WORK_BATCH,
+                            &demand, (i * 7919LL % WAITING) * GP_SEC);
+      gp_pending_add (&pending, &tasks[i], now);
+    }
+  begun = gp_time_now ();
+  for (; taken < DECISIONS; now += 10 * GP_MSEC)
+    {
+      gp_pending_task_t *task;
+
+      while ((task = gp_pending_next (&pending, &quota, now)) != NULL)
+        {
+          gp_pending_defer (&pending, &quota, task, GP_PENDING_NO_CAPACITY,
+                            now);
+          taken++;
+        }
+    }
+  printf ("%u waiting tasks of %u teams: %8.0f taken and deferred/s\n",
+          WAITING, TEAMS, taken / ((double)(gp_time_now () - begun) / GP_SEC));
+  begun = gp_time_now ();
+  for (unsigned int i = 0; i < WAITING; i++)
+    gp_pending_remove (&pending, &quota, &tasks[i]);
+  printf ("cancelling all: %8.0f/s\n",
+          WAITING / ((double)(gp_time_now () - begun) / GP_SEC));
+  gp_quota_finish (&quota);
+  gp_pending_finish (&pending);
+  g_free (tasks);
+}
+
 int
 main (void)
 {
@@ -185,9 +235,12 @@
       run (sizes[i], false);
       run (sizes[i], true);
     }
+  run_pending ();
   printf ("bytes: worker %zu and 4 a resident kind, residency ring %zu, "
-          "interference model %d a service, cells %d a zone\n",
+          "interference model %d a service, cells %d a zone, "
+          "pending task %zu, ask %zu\n",
           sizeof (gp_worker_t), sizeof (gp_residency_t), 8 * 66 * 67,
-          2 * 1024 * 16);
+          2 * 1024 * 16, sizeof (gp_pending_task_t),
+          sizeof (gp_placement_ask_t));
   return 0;
 }
--- a/src/coordination/remedy.c
+++ b/src/coordination/remedy.c
@@ -144,7 +144,7 @@
 relieve (const gp_remedy_settings_t *settings, double ratio,
          const gp_remedy_resident_t *residents, unsigned int n)
 {
-  double excess = ratio - settings->calm;
+  double excess = ratio - settings->aim;
   gp_remedy_decision_t decision = choose (
       settings, residents, n, GP_REMEDY_THROTTLE, excess, GP_REMEDY_TASKS_MAX);
 
@@ -154,7 +154,7 @@
 }
 
 /* Unthrottle the task that slows the service least, if the ratio is expected
-   to stay in the dead band.  */
+   to stay below the aim.  */
 static gp_remedy_decision_t
 let_go (const gp_remedy_settings_t *settings, double ratio,
         const gp_remedy_resident_t *residents, unsigned int n)
@@ -162,9 +162,9 @@
   gp_remedy_decision_t decision = { .action = GP_REMEDY_NONE };
   const gp_remedy_resident_t *best
       = best_for (settings, residents, n, GP_REMEDY_UNTHROTTLE, &decision);
-  double middle = 0.5 * (settings->calm + settings->breach);
 
-  if (best == NULL || ratio + best->relief * settings->throttled_part > middle)
+  if (best == NULL
+      || ratio + best->relief * settings->throttled_part > settings->aim)
     return decision;
   decision.action = GP_REMEDY_UNTHROTTLE;
   decision.tasks[decision.n++] = best->task;
@@ -177,7 +177,7 @@
          const gp_remedy_measurement_t *measurement)
 {
   bool breach = measurement->ratio > settings->breach;
-  bool calm = measurement->ratio < settings->calm;
+  bool calm = measurement->ratio < settings->aim;
 
   remedy->breaches = breach ? remedy->breaches + 1 : 0;
   if (!calm)
--- a/src/coordination/remedy.h
+++ b/src/coordination/remedy.h
@@ -5,7 +5,7 @@
    cheapest; when it has been calm for long, let throttled tasks go again, one
    at a time and only if the prediction stays below the target.
 
-   It does not oscillate: between breach and calm lies a dead band; only
+   It does not oscillate: between the aim and a breach lies a dead band; only
    measurements that began after the last action took effect count; each
    worker has a cool-down between actions; and every breach that follows soon
    on an unthrottling doubles the calm that the next one needs.  */
@@ -32,7 +32,7 @@
 typedef struct
 {
   double breach;          /* p99 / target above which it is one */
-  double calm;            /* below which it is calm */
+  double aim;             /* remedies go no further; below it is calm */
   unsigned int breaches;  /* in a row, before an action */
   gp_time_t calm_time;    /* before a task is unthrottled */
   gp_time_t cool_down;    /* between two actions on a worker */
@@ -45,9 +45,9 @@
 
 #define GP_REMEDY_DEFAULTS                                                    \
   ((gp_remedy_settings_t){ .breach = 1.0,                                     \
-                           .calm = 0.8,                                       \
+                           .aim = 0.9,                                        \
                            .breaches = 2,                                     \
-                           .calm_time = 60 * GP_SEC,                          \
+                           .calm_time = 30 * GP_SEC,                          \
                            .cool_down = 10 * GP_SEC,                          \
                            .settle = 2 * GP_SEC,                              \
                            .relapse = 120 * GP_SEC,                           \
--- a/tests/unit/test_pending.c
+++ b/tests/unit/test_pending.c
@@ -314,6 +314,60 @@
     twin_run (seed);
 }
 
+/* Random demands on tight quotas, each task running for a while: no quota is
+   exceeded, every task gets its turn, and the large ones, which never fit
+   beside another, wait no longer than half as long again as the mean.  */
+static void
+starvation_run (uint32_t seed)
+{
+  site_t site;
+  GRand *random = g_rand_new_with_seed (seed);
+  gp_time_t ends[TASKS];
+  gp_time_t now = 0;
+  gp_time_t waited = 0;
+  gp_time_t waited_large = 0;
+  unsigned int taken = 0;
+
+  site_init (&site, &GP_PENDING_DEFAULTS);
+  for (unsigned int i = 0; i < TASKS; i++)
+    add (&site, i % TEAMS, i % 5 == 0 ? GP_WORK_WATCHER : GP_WORK_BATCH,
+         i / TEAMS % 10 == 3 ? 9500
+                             : (uint32_t)g_rand_int_range (random, 500, 3000),
+         GP_TIME_NEVER, 0);
+  for (; taken < TASKS && now < 10000 * GP_SEC; now += 500 * GP_MSEC)
+    {
+      gp_pending_task_t *task;
+
+      for (unsigned int i = 0; i < TASKS; i++)
+        if (site.tasks[i].charge.state != GP_QUOTA_NONE && ends[i] <= now)
+          gp_quota_release (&site.quota, &site.tasks[i].charge);
+      while ((task = gp_pending_next (&site.pending, &site.quota, now)))
+        {
+          ends[task->node.task - 1]
+              = now + g_rand_int_range (random, 1, 20) * GP_SEC;
+          taken++;
+          waited += now / TASKS;
+          if (task->charge.resources.millicores == 9500)
+            waited_large += now / (TASKS / 10);
+        }
+      for (uint32_t team = 0; team < TEAMS; team++)
+        CU_ASSERT_TRUE (gp_quota_share (&site.quota, team) <= 1.0);
+    }
+  CU_ASSERT_EQUAL (taken, TASKS);
+  CU_ASSERT_TRUE (waited_large < waited * 3 / 2);
+  printf ("mean wait %ld s, of large tasks %ld s\n", (long)(waited / GP_SEC),
+          (long)(waited_large / GP_SEC));
+  site_finish (&site);
+  g_rand_free (random);
+}
+
+static void
+test_starvation (void)
+{
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    starvation_run (seed);
+}
+
 int
 main (void)
 {
@@ -322,6 +376,7 @@
                                          { "no capacity", test_no_capacity },
                                          { "pace", test_pace },
                                          { "twin", test_twin },
+                                         { "starvation", test_starvation },
                                          { NULL, NULL } };
 
   return policy_suite_run ("pending", tests);
