--- /dev/null
+++ b/src/base/hlc.c
@@ -0,0 +1,44 @@
+/* Hybrid logical clock.
+
+   Time and counter are one number, so the greatest of the inputs plus one is
+   the next stamp; a counter that overflows carries into the milliseconds.  */
+
+#include "base/hlc.h"
+
+#include <glib.h>
+
+#define USEC_PER_MSEC INT64_C (1000)
+
+static gp_hlc_stamp_t
+stamp_of_wall (int64_t wall)
+{
+  return (gp_hlc_stamp_t)(MAX (wall, 0) / USEC_PER_MSEC)
+         << GP_HLC_COUNTER_BITS;
+}
+
+void
+gp_hlc_init (gp_hlc_t *clock)
+{
+  clock->last = 0;
+}
+
+gp_hlc_stamp_t
+gp_hlc_tick (gp_hlc_t *clock, int64_t wall)
+{
+  clock->last = MAX (clock->last + 1, stamp_of_wall (wall));
+  return clock->last;
+}
+
+bool
+gp_hlc_receive (gp_hlc_t *clock, gp_hlc_stamp_t remote, int64_t wall,
+                gp_hlc_stamp_t *stamp)
+{
+  gp_hlc_stamp_t bound
+      = stamp_of_wall (wall + GP_HLC_MAX_AHEAD_MS * USEC_PER_MSEC);
+  bool followed = remote <= bound;
+
+  if (followed)
+    clock->last = MAX (clock->last, remote);
+  *stamp = gp_hlc_tick (clock, wall);
+  return followed;
+}
