--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -452,6 +452,8 @@
   admission->options = *options;
   admission->options.batch_share = MIN (options->batch_share, slots);
   admission->options.critical_reserve = MIN (options->critical_reserve, slots);
+  if (options->max_critical_wait == 0)
+    admission->options.max_critical_wait = GP_TIME_NEVER;
 }
 
 void
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -40,7 +40,8 @@
   gp_time_t reserve_duration;  /* the reserve holds this long after the last
                                   latency-critical request */
   gp_time_t max_critical_wait; /* duration that a latency-critical request
-                                  may be predicted to wait */
+                                  may be predicted to wait, on top of the
+                                  bound by its deadline; 0 for none */
 } gp_admission_options_t;
 
 typedef struct
