--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -7,7 +7,7 @@
       BATCH_SHARE slots, by earliest URGENT_AT.  Batch is out of laxity when
       the first URGENT_AT has come, or when all queued batch, drained at the
       pace of the share, would take past the last URGENT_AT.  URGENT_AT is the
-      deadline less twice the high estimate of the kind.
+      deadline less four times the high estimate of the kind.
    2. Latency-critical requests are next, by earliest deadline.
    3. Other batch is last, by earliest URGENT_AT, and only while batch holds
       fewer than SLOTS - CRITICAL_RESERVE slots.  The reserve lapses when no
@@ -18,9 +18,12 @@
    over by latency-critical requests only when batch has its share.
 
    Refusal.  A request that cannot start at once is refused if its predicted
-   end is past its deadline, and a latency-critical one also if its predicted
-   wait is more than MAX_CRITICAL_WAIT or a third of its time: so the queue is
-   bounded in time, and the bound follows the measured service times.  At its
+   end is past its deadline (for batch with a margin), and a latency-critical
+   one also if its predicted wait is more than MAX_CRITICAL_WAIT or a third of
+   its time: so the queue is bounded in time, and the bound follows the
+   measured service times.  A quarter of the queue's places is kept from batch;
+   when all are taken, a latency-critical request displaces the batch with the
+   most slack.  At its
    turn a request that is hopeless (NOW plus the mean of its kind is past its
    deadline) is refused if another of its class waits behind it; the last one
    is tried, so that an estimate which is far too high is corrected by
@@ -36,9 +39,15 @@
 enum
 {
   /* Urgent when the rest of the time is this many high estimates.  */
-  URGENT_ESTIMATES = 2,
+  URGENT_ESTIMATES = 4,
+  /* Time after a predicted wait that a request needs to be accepted, in high
+     estimates.  */
+  CRITICAL_ESTIMATES = 1,
+  BATCH_ESTIMATES = 2,
   /* A latency-critical request waits at most this part of its time.  */
-  WAIT_FRACTION = 3
+  WAIT_FRACTION = 3,
+  /* One place of so many in the queue is kept from batch.  */
+  CRITICAL_PLACES = 4
 };
 
 /* Bounds of the hint when to retry.  */
@@ -121,8 +130,11 @@
 {
   const gp_service_time_t *time = &request->kind->service_time;
   gp_time_t wait = predicted_wait (admission, request->work_class, time->mean);
+  int estimates
+      = request->work_class == CRITICAL ? CRITICAL_ESTIMATES : BATCH_ESTIMATES;
 
-  return now + wait + gp_service_time_high (time) <= request->deadline;
+  return now + wait + estimates * gp_service_time_high (time)
+         <= request->deadline;
 }
 
 /* Whether the predicted wait of a latency-critical request is within its
@@ -285,6 +297,17 @@
 
 /* Submission.  */
 
+/* The length of the queue at which a request of WORK_CLASS finds it full:
+   some places are kept from batch, so that latency-critical requests seldom
+   displace batch that has been accepted.  */
+static uint32_t
+queue_limit (const gp_admission_t *admission, gp_admission_class_t work_class)
+{
+  uint32_t limit = admission->options.max_queued;
+
+  return work_class == CRITICAL ? limit : limit - limit / CRITICAL_PLACES;
+}
+
 /* The queued request that makes place for ARRIVAL, or NULL: one that is
    hopeless, else for a latency-critical one the batch with most slack.  */
 static gp_admission_request_t *
@@ -322,7 +345,7 @@
       return;
     }
   if (gp_request_queue_length (&admission->queue)
-      >= admission->options.max_queued)
+      >= queue_limit (admission, request->work_class))
     {
       gp_admission_request_t *victim = find_victim (admission, request, now);
 
--- a/src/coordination/service_time.c
+++ b/src/coordination/service_time.c
@@ -4,7 +4,7 @@
 
 enum
 {
-  MEAN_WEIGHT = 8,      /* one sample moves the mean by 1/8 of the error */
+  MEAN_WEIGHT = 16,     /* one sample moves the mean by 1/16 of the error */
   DEVIATION_WEIGHT = 4, /* and the deviation by 1/4 */
   HIGH_DEVIATIONS = 2   /* gp_service_time_high, in deviations */
 };
--- a/src/coordination/service_time.h
+++ b/src/coordination/service_time.h
@@ -1,8 +1,8 @@
 /* Running estimate of how long work of one kind takes.
 
-   The mean and the mean deviation are exponentially weighted with the
-   weights of the retransmission timer of TCP (1/8 and 1/4): constant memory
-   and time, and a change is followed within some twenty samples.  */
+   The mean and the mean deviation are exponentially weighted (1/16 and 1/4):
+   constant memory and time, and a change is followed within some forty
+   samples.  */
 
 #ifndef GP_COORDINATION_SERVICE_TIME_H
 #define GP_COORDINATION_SERVICE_TIME_H
