Add the operator's command line

Cause: operators check and publish the document, submit and look after jobs, and need one time line over all processes; scripts need JSON and exit codes they can rely on.

Change: src/cli with check, publish, config show/diff/history/wait, status, submit, jobs, watchers, cancel, explain, counters and timeline. Calls go to the operators' HTTP, one entry after the other; each has a deadline, and one that is not idempotent goes on only while nothing of it can have taken effect. publish needs the revision that the document was written for. timeline keeps each event once and orders by hybrid logical time, as text, JSON lines or the JSON of trace viewers. Replicas may outnumber zones without a warning: it is the usual case.

Result: cli_check runs without a site, cli_http against a stand-in of the operators' HTTP with entries that are gone, hang, or have no log; both equal their transcripts, also under the sanitizers.

Conclusion: the shapes of the HTTP answers are now the matter of the entry.

--- a/programs/galenapier.c
+++ b/programs/galenapier.c
@@ -1,12 +1,9 @@
 /* galenapier: the operator's command line.  */
 
-#include <stdio.h>
+#include "cli/cli.h"
 
 int
 main (int argc, char **argv)
 {
-  (void)argc;
-  (void)argv;
-  puts ("galenapier");
-  return 0;
+  return gp_cli_main (argc, argv);
 }
--- a/src/base/issue.c
+++ b/src/base/issue.c
@@ -84,14 +84,19 @@
   return count;
 }
 
+static const char *
+severity_name (gp_issue_severity_t severity)
+{
+  return severity == GP_ISSUE_ERROR ? "error" : "warning";
+}
+
 void
 gp_issue_format (const gp_issue_t *issue, const char *name, GString *out)
 {
   g_string_append (out, name);
   if (issue->line > 0)
     g_string_append_printf (out, ":%u:%u", issue->line, issue->column);
-  g_string_append (out, issue->severity == GP_ISSUE_ERROR ? ": error: "
-                                                          : ": warning: ");
+  g_string_append_printf (out, ": %s: ", severity_name (issue->severity));
   if (issue->path[0] != '\0')
     g_string_append_printf (out, "%s: ", issue->path);
   g_string_append (out, issue->message);
@@ -108,3 +113,28 @@
       g_string_append_c (out, '\n');
     }
 }
+
+static json_t *
+issue_json (const gp_issue_t *issue)
+{
+  json_t *json = json_pack ("{s:s, s:i, s:i, s:s, s:s}", "severity",
+                            severity_name (issue->severity), "line",
+                            (int)issue->line, "column", (int)issue->column,
+                            "path", issue->path, "message", issue->message);
+
+  if (issue->value)
+    json_object_set_new (json, "value", json_string (issue->value));
+  if (issue->allowed)
+    json_object_set_new (json, "allowed", json_string (issue->allowed));
+  return json;
+}
+
+json_t *
+gp_issues_json (const GPtrArray *issues)
+{
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < issues->len; i++)
+    json_array_append_new (list, issue_json (issues->pdata[i]));
+  return list;
+}
--- a/src/base/issue.h
+++ b/src/base/issue.h
@@ -7,6 +7,7 @@
 #define GP_BASE_ISSUE_H
 
 #include <glib.h>
+#include <jansson.h>
 
 typedef enum
 {
@@ -47,4 +48,8 @@
 void gp_issues_format (const GPtrArray *issues, const char *name,
                        GString *out);
 
+/* All of ISSUES as a JSON array of objects with the members of gp_issue_t;
+   severity is "error" or "warning", NULL strings are left out.  */
+json_t *gp_issues_json (const GPtrArray *issues);
+
 #endif
--- a/src/state/document.h
+++ b/src/state/document.h
@@ -34,7 +34,7 @@
   GP_DOCUMENT_BATCH
 } gp_document_class_t;
 
-/* What the replicas of a watcher are kept apart by.  */
+/* Over what the replicas of a watcher are spread evenly.  */
 typedef enum
 {
   GP_DOCUMENT_SPREAD_NONE,
--- a/src/state/document_check.c
+++ b/src/state/document_check.c
@@ -146,21 +146,10 @@
     }
 }
 
-static uint32_t
-zone_count (const gp_document_t *document)
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < document->regions_count; i++)
-    count += document->regions[i].zones_count;
-  return count;
-}
-
 static void
 check_watchers (check_t *check)
 {
   const gp_document_t *document = check->document;
-  uint32_t zones = zone_count (document);
 
   for (uint32_t i = 0; i < document->watchers_count; i++)
     {
@@ -173,10 +162,6 @@
                   &watcher->resources);
       check_quota (check, "watchers", i, watcher->team, &watcher->resources,
                    MAX (watcher->count, 1));
-      if (watcher->spread == GP_DOCUMENT_SPREAD_ZONE && zones > 0
-          && watcher->count > zones)
-        WARNING (check, PATH ("watchers[%u].spread", i), NULL,
-                 "%u replicas in %u zones share zones", watcher->count, zones);
     }
 }
 
