Install manual pages, completion and headers; document the interfaces

Cause: `make install' failed, as include/galenapier has no headers; the digest of a list of items stood twice, here and in state/config; a time zone that the machine does not know went unnoticed.

Change: install puts the library's headers in their layers under include/galenapier, manual pages and bash completion in place. The digest and patch of items go: gp_document_items_config hands a list to state/config, and the test brings one configuration to another by the difference. gp_document_time_zone looks the zone up; check warns of one that is unknown.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,8 @@
 BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
 FUZZ_SRC := $(wildcard tests/fuzz/fuzz_*.c)
 FUZZERS := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
-FUZZ_LIB_SRC := $(wildcard src/base/*.c src/state/document*.c)
+FUZZ_LIB_SRC := $(wildcard src/base/*.c src/state/document*.c) \
+	src/state/config.c src/protocol/generated/wire.pb-c.c
 FUZZ_SECONDS ?= 30
 STYLE_SRC := $(filter-out src/protocol/generated/%,\
 	$(wildcard src/*/*.[ch] include/*/*.h programs/*.c \
@@ -133,13 +134,23 @@
 deps:
 	tools/install-deps
 
+PUBLIC_HEADERS := $(patsubst src/%,%,$(filter-out src/cli/%,\
+	$(wildcard src/*/*.h)))
+INCLUDE := $(DESTDIR)$(PREFIX)/include/galenapier
+COMPLETIONS := $(DESTDIR)$(PREFIX)/share/bash-completion/completions
+
 install: all
-	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
-		$(DESTDIR)$(PREFIX)/include/galenapier
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib
 	install -m 755 $(PROGRAMS) $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
-	install -m 644 $(wildcard include/galenapier/*.h) \
-		$(DESTDIR)$(PREFIX)/include/galenapier
+	@for header in $(PUBLIC_HEADERS); do \
+	  install -D -m 644 src/$$header $(INCLUDE)/$$header; done
+	install -m 644 src/protocol/generated/*.h $(INCLUDE)
+	install -d $(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/man/man8 $(COMPLETIONS)
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 644 completions/galenapier.bash $(COMPLETIONS)/galenapier
 
 clean:
 	rm -rf build build-sanitize build-fuzz
--- a/src/cli/cmd_check.c
+++ b/src/cli/cmd_check.c
@@ -31,6 +31,22 @@
   g_string_free (text, TRUE);
 }
 
+/* The zone is looked up here, as loading reads no files.  */
+static void
+check_time_zone (gp_cli_document_file_t *file)
+{
+  GTimeZone *zone = gp_document_time_zone (&file->document);
+  gp_issue_t issue
+      = { .severity = GP_ISSUE_WARNING,
+          .path = (char *)"time_zone",
+          .message = (char *)"this machine does not know the time zone" };
+
+  if (zone)
+    g_time_zone_unref (zone);
+  else
+    gp_issues_add (file->issues, &issue);
+}
+
 static gp_cli_exit_t
 print_schema (void)
 {
@@ -64,6 +80,8 @@
   status = gp_cli_document_file_load (&file, argv[1]);
   if (status == GP_CLI_USAGE)
     return status;
+  if (status == GP_CLI_OK)
+    check_time_zone (&file);
   if (cli->json)
     print_json (status == GP_CLI_OK, file.issues);
   else
--- a/src/state/document.c
+++ b/src/state/document.c
@@ -112,7 +112,6 @@
     }
   gp_yaml_canonicalize (root, &gp_document_schema);
   document->items = gp_document_items_split (root);
-  gp_document_items_digest (document->items, document->digest);
   return true;
 }
 
@@ -206,6 +205,14 @@
   return found;
 }
 
+GTimeZone *
+gp_document_time_zone (const gp_document_t *document)
+{
+  if (!document->time_zone)
+    return g_time_zone_new_utc ();
+  return g_time_zone_new_identifier (document->time_zone);
+}
+
 /* The first HOUR:MINUTE of ZONE after WALL.  */
 static int64_t
 next_time_of_day (GTimeZone *zone, int64_t wall, int hour, int minute)
--- a/src/state/document.h
+++ b/src/state/document.h
@@ -8,8 +8,7 @@
    For sending and storing, a document is split into items: one for each
    service, batch job and so on, each with a key ("service/reclamos-api") and
    its canonical bytes, which do not depend on how the operator wrote it.
-   The digest covers all items, and a change of a document is the list of
-   items that differ.
+   A change of a document is the list of items that differ.
 
    Every number that was left out has its default; a limit that was left out
    is GP_DOCUMENT_UNLIMITED, and one of 0 lets nothing pass.  */
@@ -169,8 +168,7 @@
   gp_document_limits_t limits;
   gp_document_interference_t interference;
 
-  GPtrArray *items; /* of gp_document_item_t, by key */
-  uint8_t digest[GP_DOCUMENT_DIGEST_SIZE];
+  GPtrArray *items;  /* of gp_document_item_t, by key */
   GHashTable *index; /* key of an item -> its structure above */
 } gp_document_t;
 
@@ -210,6 +208,10 @@
 gp_document_find_kind (const gp_document_service_t *service, const char *path,
                        size_t size);
 
+/* The time zone of DOCUMENT, owned by the caller; NULL when this machine's
+   time zone database does not have it.  Reads that database.  */
+GTimeZone *gp_document_time_zone (const gp_document_t *document);
+
 /* The deadline of a job of kind JOB submitted at WALL (microseconds since
    the epoch): the same scale, or 0 when it has none.  ZONE is that of the
    document.  */
--- a/src/state/document_items.c
+++ b/src/state/document_items.c
@@ -3,7 +3,6 @@
 #include "state/document_items.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /* Sections that are lists: each of their elements is an item.  */
 typedef struct
@@ -106,27 +105,6 @@
   return delta;
 }
 
-GPtrArray *
-gp_document_items_patch (const GPtrArray *base, const GPtrArray *delta)
-{
-  GPtrArray *result = gp_document_items_new ();
-  guint i = 0;
-  guint j = 0;
-
-  while (i < base->len || j < delta->len)
-    {
-      int order = compare_at (base, i, delta, j);
-
-      if (order < 0)
-        add_copy (result, item_at (base, i));
-      else if (item_at (delta, j)->value)
-        add_copy (result, item_at (delta, j));
-      i += order <= 0;
-      j += order >= 0;
-    }
-  return result;
-}
-
 bool
 gp_document_items_equal (const GPtrArray *left, const GPtrArray *right)
 {
@@ -137,28 +115,22 @@
   return equal;
 }
 
-void
-gp_document_items_digest (const GPtrArray *items,
-                          uint8_t digest[GP_DOCUMENT_DIGEST_SIZE])
+gp_config_item_t *
+gp_document_items_config (const GPtrArray *items)
 {
-  XXH3_state_t *state = XXH3_createState ();
-  XXH128_canonical_t canonical;
+  gp_config_item_t *list = g_new0 (gp_config_item_t, items->len + 1);
 
-  XXH3_128bits_reset (state);
   for (guint i = 0; i < items->len; i++)
     {
-      const gp_document_item_t *item = items->pdata[i];
-      gsize size;
-      const void *bytes = g_bytes_get_data (item->value, &size);
-      uint64_t size_le = GUINT64_TO_LE (size);
+      const gp_document_item_t *item = item_at (items, i);
+      gsize size = 0;
 
-      XXH3_128bits_update (state, item->key, strlen (item->key) + 1);
-      XXH3_128bits_update (state, &size_le, sizeof size_le);
-      XXH3_128bits_update (state, bytes, size);
+      list[i].key = item->key;
+      if (item->value)
+        list[i].value = g_bytes_get_data (item->value, &size);
+      list[i].size = size;
     }
-  XXH128_canonicalFromHash (&canonical, XXH3_128bits_digest (state));
-  XXH3_freeState (state);
-  memcpy (digest, canonical.digest, GP_DOCUMENT_DIGEST_SIZE);
+  return list;
 }
 
 static void
--- a/src/state/document_items.h
+++ b/src/state/document_items.h
@@ -1,4 +1,5 @@
-/* A document in parts, as it is sent, stored and hashed.
+/* A document in parts, as it is sent and stored (see state/config.h, which
+   also has the digest of a list).
 
    A list of items is a GPtrArray of gp_document_item_t ordered by key, each
    key once.  See document.h for what the items are.  */
@@ -8,12 +9,10 @@
 
 #include <glib.h>
 #include <stdbool.h>
-#include <stdint.h>
 
 #include "base/issue.h"
 #include "base/yaml.h"
-
-#define GP_DOCUMENT_DIGEST_SIZE 16
+#include "state/config.h"
 
 typedef struct
 {
@@ -34,14 +33,11 @@
 GPtrArray *gp_document_items_diff (const GPtrArray *base,
                                    const GPtrArray *target);
 
-/* BASE with DELTA applied.  */
-GPtrArray *gp_document_items_patch (const GPtrArray *base,
-                                    const GPtrArray *delta);
-
 bool gp_document_items_equal (const GPtrArray *left, const GPtrArray *right);
 
-void gp_document_items_digest (const GPtrArray *items,
-                               uint8_t digest[GP_DOCUMENT_DIGEST_SIZE]);
+/* ITEMS as state/config.h takes it, ITEMS->len elements that point into ITEMS;
+   free with g_free.  */
+gp_config_item_t *gp_document_items_config (const GPtrArray *items);
 
 /* Split the canonical tree ROOT of a whole document.  */
 GPtrArray *gp_document_items_split (const gp_yaml_node_t *root);
--- a/tests/fuzz/fuzz_document.c
+++ b/tests/fuzz/fuzz_document.c
@@ -4,7 +4,6 @@
 
 #include <stddef.h>
 #include <stdint.h>
-#include <string.h>
 
 #include "base/settings.h"
 #include "state/document.h"
@@ -14,8 +13,8 @@
 static void
 must_equal (const gp_document_t *left, const gp_document_t *right)
 {
-  if (memcmp (left->digest, right->digest, sizeof left->digest) != 0)
-    g_error ("the digests differ");
+  if (!gp_document_items_equal (left->items, right->items))
+    g_error ("the items differ");
 }
 
 static void
--- a/tests/unit/test_document.c
+++ b/tests/unit/test_document.c
@@ -185,9 +185,8 @@
   load (&b, "# other\nteams: [{name: 'y'}, {\"max_tasks\": 3, name: x}]\n"
             "site: \"s\"\nversion: 1\n");
   load (&c, HEAD "teams: [{name: x, max_tasks: 4}, {name: y}]\n");
-  CU_ASSERT_EQUAL (memcmp (a.digest, b.digest, sizeof a.digest), 0);
   CU_ASSERT_TRUE (gp_document_items_equal (a.items, b.items));
-  CU_ASSERT_NOT_EQUAL (memcmp (a.digest, c.digest, sizeof a.digest), 0);
+  CU_ASSERT_FALSE (gp_document_items_equal (a.items, c.items));
   gp_document_finish (&a);
   gp_document_finish (&b);
   gp_document_finish (&c);
@@ -219,7 +218,7 @@
       CU_ASSERT_STRING_EQUAL (a.watchers[0].payload, b.watchers[0].payload);
       CU_ASSERT (gp_document_items_format (a.items, shown, issues));
       load (&c, shown->str);
-      CU_ASSERT_EQUAL (memcmp (a.digest, c.digest, sizeof a.digest), 0);
+      CU_ASSERT_TRUE (gp_document_items_equal (a.items, c.items));
       gp_document_finish (&a);
       gp_document_finish (&b);
       gp_document_finish (&c);
@@ -267,29 +266,55 @@
   return a->len + b->len - common - same;
 }
 
+/* Bring CONFIG to REVISION by ITEMS on BASE (0: they are the whole).  */
+static gp_config_result_t
+apply (gp_config_t *config, uint64_t revision, uint64_t base,
+       const GPtrArray *items, const GPtrArray *whole)
+{
+  gp_config_item_t *changed = gp_document_items_config (items);
+  gp_config_item_t *all = gp_document_items_config (whole);
+  uint8_t digest[GP_CONFIG_DIGEST_SIZE];
+  gp_config_update_t update = { .revision = revision,
+                                .base = base,
+                                .digest = digest,
+                                .digest_size = sizeof digest,
+                                .items = changed,
+                                .items_count = items->len };
+  gp_config_result_t result;
+
+  gp_config_digest_items (all, whole->len, digest);
+  result = gp_config_apply (config, &update);
+  g_free (changed);
+  g_free (all);
+  return result;
+}
+
+/* A holder of one document that takes the difference has the other: the
+   digest of the configuration tells.  */
 static void
-test_diff_patch (void)
+test_diff (void)
 {
   GRand *random = g_rand_new_with_seed (7);
 
   for (int i = 0; i < 200; i++)
     {
       char *texts[2] = { random_text (random), random_text (random) };
-      uint8_t digest[GP_DOCUMENT_DIGEST_SIZE];
+      gp_config_t config;
       gp_document_t a;
       gp_document_t b;
       GPtrArray *delta;
-      GPtrArray *patched;
 
       load (&a, texts[0]);
       load (&b, texts[1]);
+      gp_config_init (&config);
       delta = gp_document_items_diff (a.items, b.items);
-      patched = gp_document_items_patch (a.items, delta);
-      gp_document_items_digest (patched, digest);
-      CU_ASSERT_EQUAL (memcmp (digest, b.digest, sizeof digest), 0);
       CU_ASSERT_EQUAL (delta->len, naive_changes (a.items, b.items));
+      CU_ASSERT_EQUAL (apply (&config, 1, 0, a.items, a.items),
+                       GP_CONFIG_APPLIED);
+      CU_ASSERT_EQUAL (apply (&config, 2, 1, delta, b.items),
+                       GP_CONFIG_APPLIED);
       g_ptr_array_unref (delta);
-      g_ptr_array_unref (patched);
+      gp_config_finish (&config);
       gp_document_finish (&a);
       gp_document_finish (&b);
       g_free (texts[0]);
@@ -349,6 +374,8 @@
 test_deadline (void)
 {
   GTimeZone *offset = g_time_zone_new_identifier ("+02:00");
+  GTimeZone *spring
+      = g_time_zone_new_identifier ("CET-1CEST,M3.5.0/2,M10.5.0/3");
   gp_document_batch_job_t job = { .deadline = (char *)"06:00" };
 
   CU_ASSERT_EQUAL (gp_document_job_deadline (&job, offset, at (7, 1, 3, 0)),
@@ -357,6 +384,11 @@
                    at (7, 2, 4, 0));
   CU_ASSERT_EQUAL (gp_document_job_deadline (&job, offset, at (7, 31, 22, 0)),
                    at (8, 1, 4, 0));
+  CU_ASSERT_EQUAL (gp_document_job_deadline (&job, spring, at (3, 28, 21, 0)),
+                   at (3, 29, 4, 0));
+  CU_ASSERT_EQUAL (gp_document_job_deadline (&job, spring, at (10, 24, 21, 0)),
+                   at (10, 25, 5, 0));
+  g_time_zone_unref (spring);
   job = (gp_document_batch_job_t){ .deadline_s = 60 };
   CU_ASSERT_EQUAL (gp_document_job_deadline (&job, offset, 5),
                    60 * GP_SEC + 5);
@@ -408,16 +440,12 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "cases", test_cases },
-                          { "examples", test_examples },
-                          { "canonical", test_canonical },
-                          { "round trip", test_round_trip },
-                          { "diff and patch", test_diff_patch },
-                          { "bad items", test_bad_items },
-                          { "deadline", test_deadline },
-                          { "bounds", test_bounds },
-                          { "schema", test_schema },
-                          CU_TEST_INFO_NULL };
+  CU_TestInfo tests[]
+      = { { "cases", test_cases },         { "examples", test_examples },
+          { "canonical", test_canonical }, { "round trip", test_round_trip },
+          { "diff", test_diff },           { "bad items", test_bad_items },
+          { "deadline", test_deadline },   { "bounds", test_bounds },
+          { "schema", test_schema },       CU_TEST_INFO_NULL };
 
   return runner_main ("document", tests);
 }
