Test the transport's failures; do not take a cut chunked answer for whole

Tests of split, merged and oversized frames, half-open connections, TLS refusals on either side, back-pressure, truncated and aborted answers, bounds on bodies and connections, timeouts and graceful shutdown.

They found that h2o's client reports the end of a chunked answer when the connection closes between two chunks. Nothing is read in that case, unlike at the last chunk, which tells the two apart.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -40,6 +40,7 @@
   h2o_socket_cb reader; /* while it is paused */
   bool sent;
   bool is_head;
+  bool chunked;
   bool paused;
   bool in_callback;
   bool cancelled; /* inside a callback */
@@ -173,6 +174,13 @@
   bool whole = failure == h2o_http1client_error_is_eos;
   bool go_on = true;
 
+  /* h2o passes a connection that is closed between two chunks for the end;
+     no bytes were read then, as they are for the last chunk.  */
+  if (whole && call->chunked && h2o->sock->bytes_read == 0)
+    {
+      whole = false;
+      failure = "closed before the last chunk";
+    }
   if (failure != NULL && !whole)
     {
       release_connection (call);
@@ -221,13 +229,22 @@
 
 /* Whether the end of the body can be told from a cut.  */
 static bool
-has_framing (const h2o_header_t *headers, size_t count)
+find_framing (gp_http_call_t *call, const h2o_header_t *headers, size_t count)
 {
+  bool has_length = false;
+
   for (size_t i = 0; i < count; i++)
-    if (headers[i].name == &H2O_TOKEN_CONTENT_LENGTH->buf
-        || headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
-      return true;
-  return false;
+    {
+      const h2o_header_t *header = &headers[i];
+
+      if (header->name == &H2O_TOKEN_CONTENT_LENGTH->buf)
+        has_length = true;
+      if (header->name == &H2O_TOKEN_TRANSFER_ENCODING->buf
+          && h2o_lcstris (header->value.base, header->value.len,
+                          H2O_STRLIT ("chunked")))
+        call->chunked = true;
+    }
+  return has_length || call->chunked;
 }
 
 static void
@@ -252,7 +269,7 @@
   gp_http_call_t *call = h2o->data;
   bool bodiless = failure == h2o_http1client_error_is_eos;
 
-  if (failure == NULL && !has_framing (headers, count))
+  if (failure == NULL && !find_framing (call, headers, count))
     failure = "answer without a length";
   if (failure != NULL && !bodiless)
     {
--- a/src/transport/peer_private.h
+++ b/src/transport/peer_private.h
@@ -54,7 +54,8 @@
   gp_peer_callbacks_t callbacks;
   void *(*on_accept) (gp_peer_t *peer, void *data);
   void *data;
-  gp_list_t unopened; /* peers that have not finished the handshake */
+  gp_time_t handshake_time; /* duration */
+  gp_list_t unopened;       /* peers that have not finished the handshake */
 };
 
 /* A peer on which no connection is open yet.  */
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -49,7 +49,8 @@
   name_peer (peer);
   peer->server = server;
   gp_list_push_back (&server->unopened, &peer->server_link);
-  gp_timer_arm (&peer->timer, gp_loop_now (server->loop) + HANDSHAKE_TIME);
+  gp_timer_arm (&peer->timer,
+                gp_loop_now (server->loop) + server->handshake_time);
   gp_peer_begin (peer, server->tls, true);
 }
 
@@ -74,6 +75,7 @@
   server->callbacks = *callbacks;
   server->on_accept = on_accept;
   server->data = data;
+  server->handshake_time = HANDSHAKE_TIME;
   gp_list_init (&server->unopened);
   gp_closer_add (&server->closer, loop, on_closer, NULL);
   if (gp_address_listen (&loop->uv, &server->listener, address, on_connection,
--- a/tests/unit/transport_support.c
+++ b/tests/unit/transport_support.c
@@ -2,9 +2,14 @@
 
 #include "transport_support.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <openssl/pem.h>
 #include <openssl/x509v3.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define GUARD_TIME (20 * GP_SEC)
 #define VALID_SECONDS (3600L)
@@ -61,6 +66,84 @@
     uv_run (&loop->uv, UV_RUN_NOWAIT);
 }
 
+static struct sockaddr_in
+loopback (int port)
+{
+  return (struct sockaddr_in){ .sin_family = AF_INET,
+                               .sin_port = htons ((uint16_t)port),
+                               .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+}
+
+int
+raw_connect (int port)
+{
+  struct sockaddr_in address = loopback (port);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0)
+    g_error ("connect: %s", g_strerror (errno));
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  return fd;
+}
+
+int
+raw_listen (int *port)
+{
+  struct sockaddr_in address = loopback (0);
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+  bind (fd, (struct sockaddr *)&address, sizeof address);
+  listen (fd, 16);
+  getsockname (fd, (struct sockaddr *)&address, &size);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+int
+raw_accept (gp_loop_t *loop, int listener)
+{
+  gp_time_t end = gp_time_now () + GUARD_TIME;
+  int fd = -1;
+
+  while (fd < 0 && gp_time_now () < end)
+    {
+      run_turns (loop, 1);
+      fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK);
+    }
+  return fd;
+}
+
+void
+raw_send (int fd, const void *bytes, size_t size)
+{
+  if (send (fd, bytes, size, MSG_NOSIGNAL) != (ssize_t)size)
+    g_error ("send: %s", g_strerror (errno));
+}
+
+int
+raw_read (gp_loop_t *loop, int fd, GString *out, const char *stop)
+{
+  gp_time_t end = gp_time_now () + GUARD_TIME;
+  char bytes[4096];
+
+  while (gp_time_now () < end)
+    {
+      ssize_t got = recv (fd, bytes, sizeof bytes, 0);
+
+      if (got == 0)
+        return 0;
+      if (got < 0 && errno != EAGAIN)
+        return errno;
+      if (got > 0)
+        g_string_append_len (out, bytes, got);
+      if (stop != NULL && strstr (out->str, stop) != NULL)
+        return 0;
+      run_turns (loop, 1);
+    }
+  return ETIMEDOUT;
+}
+
 static void
 add_extension (X509 *certificate, X509 *issuer, int nid, const char *value)
 {
@@ -191,8 +274,23 @@
   return issue (site, signer, GP_TLS_SITE_NAME);
 }
 
-const char *
-test_site_authority (const test_site_t *site)
+bool
+test_site_anonymous (gp_loop_t *loop, int fd)
 {
-  return site->authority_path;
+  gp_time_t end = gp_time_now () + GUARD_TIME;
+  SSL_CTX *context = SSL_CTX_new (TLS_client_method ());
+  SSL *ssl = SSL_new (context);
+  int code = SSL_ERROR_WANT_READ;
+  char byte;
+
+  SSL_set_fd (ssl, fd);
+  SSL_set_connect_state (ssl);
+  while (code == SSL_ERROR_WANT_READ && gp_time_now () < end)
+    {
+      run_turns (loop, 1);
+      code = SSL_get_error (ssl, SSL_read (ssl, &byte, 1));
+    }
+  SSL_free (ssl);
+  SSL_CTX_free (context);
+  return code == SSL_ERROR_WANT_READ;
 }
--- a/tests/unit/transport_support.h
+++ b/tests/unit/transport_support.h
@@ -18,6 +18,16 @@
 /* Turns of LOOP, without waiting.  */
 void run_turns (gp_loop_t *loop, int turns);
 
+/* Plain sockets on loopback, for the far side that misbehaves.  */
+int raw_connect (int port);
+int raw_listen (int *port);
+/* Accept on LISTENER while LOOP runs; -1 when nobody comes.  */
+int raw_accept (gp_loop_t *loop, int listener);
+void raw_send (int fd, const void *bytes, size_t size);
+/* Read into OUT while LOOP runs until the far side ends, or OUT holds
+   STOP if that is not NULL.  0, or the errno of a reset.  */
+int raw_read (gp_loop_t *loop, int fd, GString *out, const char *stop);
+
 /* A site authority and what it signs, as PEM files of a directory that is
    removed by test_site_free.  */
 typedef struct test_site test_site_t;
@@ -28,7 +38,8 @@
 gp_tls_t *test_site_issue (test_site_t *site, const char *name);
 /* The same with a certificate that SIGNER, not SITE, has signed.  */
 gp_tls_t *test_site_issue_foreign (test_site_t *site, test_site_t *signer);
-/* The authority's file, for a client without a certificate.  */
-const char *test_site_authority (const test_site_t *site);
+/* Handshake over FD, while LOOP runs, as a client without a certificate;
+   whether the far side then still takes the connection.  */
+bool test_site_anonymous (gp_loop_t *loop, int fd);
 
 #endif
