--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -14,7 +14,7 @@
 
 #include "base/counters.h"
 #include "base/error.h"
-#include "transport/address.h"
+#include "transport/endpoint.h"
 #include "transport/http_header.h"
 
 typedef enum
@@ -444,7 +444,7 @@
   struct sockaddr_storage address;
   gp_http_client_t *client;
 
-  if (!gp_address_parse (options->address, &address, error))
+  if (!gp_endpoint_parse (options->address, &address, error))
     return NULL;
   gp_counter_register (&calls_total);
   gp_counter_register (&failed_total);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -18,7 +18,7 @@
 
 #include "base/counters.h"
 #include "base/error.h"
-#include "transport/address.h"
+#include "transport/endpoint.h"
 #include "transport/http_header.h"
 
 #define SERVER_NAME "galenapier"
@@ -576,8 +576,8 @@
   gp_deferred_init (&server->done, on_done_deferred);
   configure (server);
   gp_closer_add (&server->closer, loop, on_closer_close, on_closer_dispose);
-  if (gp_address_listen (&loop->uv, &server->listener, options->address,
-                         on_connection, &server->listening, error))
+  if (gp_endpoint_listen (&loop->uv, &server->listener, options->address,
+                          on_connection, &server->listening, error))
     {
       server->listener.data = server;
       return server;
@@ -590,7 +590,7 @@
 int
 gp_http_server_port (const gp_http_server_t *server)
 {
-  return gp_address_bound_port (&server->listener);
+  return gp_endpoint_bound_port (&server->listener);
 }
 
 void
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -579,7 +579,7 @@
   gp_peer_t *peer;
   int rc;
 
-  if (!gp_address_parse (address, &target, error))
+  if (!gp_endpoint_parse (address, &target, error))
     return NULL;
   peer = gp_peer_new (loop, callbacks);
   gp_closer_add (&peer->closer, loop, on_closer, NULL);
--- a/src/transport/peer_private.h
+++ b/src/transport/peer_private.h
@@ -3,7 +3,7 @@
 #ifndef GP_TRANSPORT_PEER_PRIVATE_H
 #define GP_TRANSPORT_PEER_PRIVATE_H
 
-#include "transport/address.h"
+#include "transport/endpoint.h"
 #include "transport/peer.h"
 
 typedef enum
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -78,8 +78,8 @@
   server->handshake_time = HANDSHAKE_TIME;
   gp_list_init (&server->unopened);
   gp_closer_add (&server->closer, loop, on_closer, NULL);
-  if (gp_address_listen (&loop->uv, &server->listener, address, on_connection,
-                         &opened, error))
+  if (gp_endpoint_listen (&loop->uv, &server->listener, address, on_connection,
+                          &opened, error))
     {
       server->listener.data = server;
       return server;
@@ -113,5 +113,5 @@
 int
 gp_peer_server_port (const gp_peer_server_t *server)
 {
-  return gp_address_bound_port (&server->listener);
+  return gp_endpoint_bound_port (&server->listener);
 }
