Split the peers and the HTTP server into files of one job

Reading and writing of a peer, and the exchange of a server, have files of their own. A peer that closes after the far side has ended its writing no longer waits for that end a second time; the test of it hangs without the mend.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -17,6 +17,9 @@
 #include "transport/endpoint.h"
 #include "transport/http_header.h"
 
+/* What a body callback of h2o returns to have the connection closed.  */
+#define STOP_CALL (-1)
+
 typedef enum
 {
   WAITING, /* for a connection */
@@ -165,51 +168,73 @@
 
 /* What h2o calls.  */
 
+/* h2o has ended CALL by itself.  */
+static void
+fail (gp_http_call_t *call, const char *message)
+{
+  release_connection (call);
+  finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED, message));
+}
+
+/* h2o passes a connection that is closed between two chunks for the end of
+   the answer; no bytes were read then, as they are for the last chunk.  */
+static bool
+is_cut (const gp_http_call_t *call)
+{
+  return call->chunked && call->h2o->sock->bytes_read == 0;
+}
+
+/* Hand over what has come; a resume from inside the callback counts.  */
+static void
+deliver (gp_http_call_t *call)
+{
+  h2o_buffer_t **input = &call->h2o->sock->input;
+  size_t size = (*input)->size;
+  bool go_on;
+
+  if (size == 0)
+    return;
+  call->in_callback = true;
+  call->paused = true;
+  go_on = call->callbacks.on_body ((*input)->bytes, size, call->data);
+  call->in_callback = false;
+  call->paused = call->paused && !go_on;
+  h2o_buffer_consume (input, size);
+}
+
+static void
+end_whole (gp_http_call_t *call)
+{
+  release_connection (call);
+  if (call->paused)
+    call->state = HELD;
+  else
+    finish (call, NULL);
+}
+
 static int
 on_h2o_body (h2o_http1client_t *h2o, const char *failure)
 {
   gp_http_call_t *call = h2o->data;
-  h2o_buffer_t **input = &h2o->sock->input;
-  size_t size = (*input)->size;
-  bool whole = failure == h2o_http1client_error_is_eos;
-  bool go_on = true;
+  bool ended = failure == h2o_http1client_error_is_eos;
 
-  /* h2o passes a connection that is closed between two chunks for the end;
-     no bytes were read then, as they are for the last chunk.  */
-  if (whole && call->chunked && h2o->sock->bytes_read == 0)
-    {
-      whole = false;
-      failure = "closed before the last chunk";
-    }
-  if (failure != NULL && !whole)
-    {
-      release_connection (call);
-      finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED, failure));
-      return -1;
-    }
-  if (size > 0)
+  if (ended && is_cut (call))
+    failure = "closed before the last chunk";
+  else if (ended)
+    failure = NULL;
+  if (failure != NULL)
     {
-      call->in_callback = true;
-      call->paused = true;
-      go_on = call->callbacks.on_body ((*input)->bytes, size, call->data);
-      call->in_callback = false;
-      if (call->cancelled)
-        {
-          release_connection (call);
-          return -1;
-        }
-      h2o_buffer_consume (input, size);
+      fail (call, failure);
+      return STOP_CALL;
     }
-  /* A resume from inside the callback counts.  */
-  call->paused = call->paused && !go_on;
-  if (whole)
+  deliver (call);
+  if (call->cancelled)
     {
       release_connection (call);
-      if (call->paused)
-        call->state = HELD;
-      else
-        finish (call, NULL);
+      return STOP_CALL;
     }
+  if (ended)
+    end_whole (call);
   else if (call->paused)
     {
       call->reader = h2o->sock->_cb.read;
@@ -273,8 +298,7 @@
     failure = "answer without a length";
   if (failure != NULL && !bodiless)
     {
-      release_connection (call);
-      finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED, failure));
+      fail (call, failure);
       return NULL;
     }
   report_head (call, status, headers, count);
--- /dev/null
+++ b/src/transport/http_exchange.c
@@ -0,0 +1,311 @@
+/* One request and its answer on the server's side.
+
+   An exchange lives in the memory pool of its h2o request.  The release of
+   that pool is the one sure sign that h2o is done with the request, be the
+   answer complete or the connection gone; on_gone and the count of open
+   exchanges hang on it.
+
+   h2o calls back at once, and may go on to the next request of the
+   connection, when it is given nothing to write; so an empty last part and
+   an abort are put off to the end of the phase.  */
+
+#include <sys/socket.h>
+
+#include "base/counters.h"
+#include "transport/http_private.h"
+
+#define HTTP_1_1 0x101
+
+static gp_counter_t requests_total
+    = GP_COUNTER ("http_server_requests_total", "Requests received.");
+static gp_counter_t gone_total = GP_COUNTER (
+    "http_server_gone_total", "Requests whose caller went away.");
+
+static void
+on_exchange_disposed (void *memory)
+{
+  gp_http_exchange_t *exchange = memory;
+  bool gone = exchange->state != GP_HTTP_EXCHANGE_ENDED;
+
+  gp_deferred_cancel (&exchange->deferred);
+  gp_list_remove (&exchange->link);
+  exchange->server->open_exchanges--;
+  exchange->connection->exchanges--;
+  g_byte_array_unref (exchange->part);
+  if (!gone)
+    return;
+  exchange->state = GP_HTTP_EXCHANGE_ENDED;
+  gp_counter_add (&gone_total, 1);
+  if (exchange->on_gone != NULL)
+    exchange->on_gone (exchange->data);
+}
+
+static int
+socket_of (const gp_http_exchange_t *exchange)
+{
+  return h2o_socket_get_fd (exchange->connection->socket);
+}
+
+static void
+send_part (gp_http_exchange_t *exchange, h2o_send_state_t state)
+{
+  h2o_iovec_t bytes
+      = h2o_iovec_init (exchange->part->data, exchange->part->len);
+
+  exchange->writing = true;
+  h2o_send (exchange->request, &bytes, bytes.len > 0 ? 1 : 0, state);
+}
+
+/* h2o has written the last part.  */
+static void
+on_generator_proceed (h2o_generator_t *generator, h2o_req_t *request)
+{
+  gp_http_exchange_t *exchange
+      = GP_CONTAINER_OF (generator, gp_http_exchange_t, generator);
+
+  exchange->writing = false;
+  if (exchange->task != GP_HTTP_TASK_NONE)
+    gp_deferred_schedule (&exchange->deferred, exchange->server->loop);
+  else if (exchange->state == GP_HTTP_EXCHANGE_STARTED
+           && exchange->on_proceed != NULL)
+    exchange->on_proceed (exchange->data);
+}
+
+static void
+on_exchange_deferred (gp_deferred_t *deferred)
+{
+  gp_http_exchange_t *exchange
+      = GP_CONTAINER_OF (deferred, gp_http_exchange_t, deferred);
+  gp_http_exchange_task_t task = exchange->task;
+
+  exchange->task = GP_HTTP_TASK_NONE;
+  switch (task)
+    {
+    case GP_HTTP_TASK_NONE:
+      break;
+    case GP_HTTP_TASK_PROCEED:
+      if (exchange->on_proceed != NULL)
+        exchange->on_proceed (exchange->data);
+      break;
+    case GP_HTTP_TASK_END:
+      send_part (exchange, H2O_SEND_STATE_FINAL);
+      break;
+    case GP_HTTP_TASK_ABORT:
+      g_byte_array_set_size (exchange->part, 0);
+      send_part (exchange, H2O_SEND_STATE_ERROR);
+      break;
+    }
+}
+
+static void
+defer (gp_http_exchange_t *exchange, gp_http_exchange_task_t task)
+{
+  exchange->task = task;
+  gp_deferred_schedule (&exchange->deferred, exchange->server->loop);
+}
+
+static gp_http_text_t
+text_of (h2o_iovec_t bytes)
+{
+  return (gp_http_text_t){ bytes.base, bytes.len };
+}
+
+gp_http_text_t
+gp_http_exchange_method (const gp_http_exchange_t *exchange)
+{
+  return text_of (exchange->request->input.method);
+}
+
+gp_http_text_t
+gp_http_exchange_path (const gp_http_exchange_t *exchange)
+{
+  return text_of (exchange->request->input.path);
+}
+
+gp_http_text_t
+gp_http_exchange_body (const gp_http_exchange_t *exchange)
+{
+  return text_of (exchange->request->entity);
+}
+
+size_t
+gp_http_exchange_headers (const gp_http_exchange_t *exchange,
+                          gp_http_header_t *headers, size_t max)
+{
+  const h2o_headers_t *source = &exchange->request->headers;
+  size_t count = MIN (source->size, max);
+
+  for (size_t i = 0; i < count; i++)
+    headers[i]
+        = (gp_http_header_t){ .name = source->entries[i].name->base,
+                              .name_size = source->entries[i].name->len,
+                              .value = source->entries[i].value.base,
+                              .value_size = source->entries[i].value.len };
+  return count;
+}
+
+gp_http_text_t
+gp_http_exchange_header (const gp_http_exchange_t *exchange, const char *name)
+{
+  const h2o_headers_t *headers = &exchange->request->headers;
+  size_t size = strlen (name);
+
+  if (strcmp (name, "host") == 0)
+    return text_of (exchange->request->input.authority);
+  for (size_t i = 0; i < headers->size; i++)
+    if (h2o_memis (headers->entries[i].name->base,
+                   headers->entries[i].name->len, name, size))
+      return text_of (headers->entries[i].value);
+  return (gp_http_text_t){ NULL, 0 };
+}
+
+void
+gp_http_exchange_watch (gp_http_exchange_t *exchange,
+                        void (*on_gone) (void *data),
+                        void (*on_proceed) (void *data), void *data)
+{
+  exchange->on_gone = on_gone;
+  exchange->on_proceed = on_proceed;
+  exchange->data = data;
+}
+
+static void
+add_header (h2o_req_t *request, const gp_http_header_t *header)
+{
+  h2o_iovec_t name
+      = h2o_strdup (&request->pool, header->name, header->name_size);
+  h2o_iovec_t value
+      = h2o_strdup (&request->pool, header->value, header->value_size);
+
+  if (gp_http_header_is_framing (header) || !gp_http_header_is_clean (header))
+    return;
+  h2o_add_header_by_str (&request->pool, &request->res.headers, name.base,
+                         name.len, 1, NULL, value.base, value.len);
+}
+
+static bool
+status_has_no_body (int status)
+{
+  return status < 200 || status == 204 || status == 304;
+}
+
+void
+gp_http_exchange_start (gp_http_exchange_t *exchange, int status,
+                        const gp_http_header_t *headers, size_t count,
+                        int64_t content_length)
+{
+  h2o_req_t *request = exchange->request;
+
+  g_assert (exchange->state == GP_HTTP_EXCHANGE_WAITING);
+  exchange->state = GP_HTTP_EXCHANGE_STARTED;
+  exchange->bodiless = status_has_no_body (status)
+                       || h2o_memis (request->input.method.base,
+                                     request->input.method.len, "HEAD", 4);
+  request->res.status = status;
+  request->res.reason = gp_http_reason (status);
+  if (content_length >= 0 && !status_has_no_body (status))
+    request->res.content_length = (size_t)content_length;
+  else if (request->version < HTTP_1_1 && !exchange->bodiless)
+    request->http1_is_persistent = 0;
+  for (size_t i = 0; i < count; i++)
+    add_header (request, &headers[i]);
+  h2o_start_response (request, &exchange->generator);
+}
+
+void
+gp_http_exchange_part (gp_http_exchange_t *exchange, const void *bytes,
+                       size_t size, bool final)
+{
+  g_assert (exchange->state == GP_HTTP_EXCHANGE_STARTED && !exchange->writing);
+  g_byte_array_set_size (exchange->part, 0);
+  if (!exchange->bodiless)
+    g_byte_array_append (exchange->part, bytes, (guint)size);
+  if (final)
+    exchange->state = GP_HTTP_EXCHANGE_ENDED;
+  if (exchange->part->len == 0)
+    defer (exchange, final ? GP_HTTP_TASK_END : GP_HTTP_TASK_PROCEED);
+  else
+    send_part (exchange,
+               final ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void
+gp_http_exchange_answer (gp_http_exchange_t *exchange, int status,
+                         const gp_http_header_t *headers, size_t count,
+                         const void *body, size_t size)
+{
+  gp_http_exchange_start (exchange, status, headers, count, (int64_t)size);
+  gp_http_exchange_part (exchange, body, size, true);
+}
+
+/* Have the far side see a reset and not a proper end of the stream, by
+   which an HTTP/1.0 answer would look whole.  */
+static void
+reset_on_close (gp_http_exchange_t *exchange)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (socket_of (exchange), SOL_SOCKET, SO_LINGER, &linger,
+              sizeof linger);
+}
+
+void
+gp_http_exchange_abort (gp_http_exchange_t *exchange)
+{
+  if (exchange->state == GP_HTTP_EXCHANGE_WAITING)
+    gp_http_exchange_start (exchange, 500, NULL, 0, -1);
+  g_assert (exchange->state == GP_HTTP_EXCHANGE_STARTED);
+  exchange->state = GP_HTTP_EXCHANGE_ENDED;
+  exchange->request->http1_is_persistent = 0;
+  if (exchange->request->version < HTTP_1_1)
+    reset_on_close (exchange);
+  if (!exchange->writing)
+    {
+      defer (exchange, GP_HTTP_TASK_ABORT);
+      return;
+    }
+  exchange->task = GP_HTTP_TASK_ABORT;
+  shutdown (socket_of (exchange), SHUT_RDWR);
+}
+
+void
+gp_http_exchange_give_up (gp_http_exchange_t *exchange)
+{
+  if (exchange->state == GP_HTTP_EXCHANGE_ENDED)
+    return;
+  if (exchange->on_gone != NULL)
+    exchange->on_gone (exchange->data);
+  gp_http_exchange_abort (exchange);
+}
+
+static gp_http_connection_t *
+connection_of (h2o_req_t *request)
+{
+  h2o_socket_t *socket = request->conn->callbacks->get_socket (request->conn);
+
+  return socket->on_close.data;
+}
+
+void
+gp_http_exchange_begin (gp_http_server_t *server, h2o_req_t *request)
+{
+  gp_http_exchange_t *exchange = h2o_mem_alloc_shared (
+      &request->pool, sizeof *exchange, on_exchange_disposed);
+
+  memset (exchange, 0, sizeof *exchange);
+  exchange->generator.proceed = on_generator_proceed;
+  exchange->request = request;
+  exchange->server = server;
+  exchange->connection = connection_of (request);
+  exchange->part = g_byte_array_new ();
+  gp_deferred_init (&exchange->deferred, on_exchange_deferred);
+  gp_list_push_back (&server->exchanges, &exchange->link);
+  server->open_exchanges++;
+  exchange->connection->exchanges++;
+  gp_counter_register (&requests_total);
+  gp_counter_register (&gone_total);
+  gp_counter_add (&requests_total, 1);
+  if (server->closing)
+    request->http1_is_persistent = 0;
+  server->options.on_request (exchange, server->options.data);
+}
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -6,7 +6,8 @@
    is read.  Frames written in one turn of the loop leave in one write.  A
    connection that holds more than a bound of unwritten bytes reports itself
    congested, and reading can be paused, so a slow reader is not fed without
-   limit.  */
+   limit.  A frame that is empty or over GP_FRAME_MAX_SIZE ends the
+   connection with GP_TRANSPORT_ERROR_SIZE.  */
 
 #ifndef GP_TRANSPORT_PEER_H
 #define GP_TRANSPORT_PEER_H
@@ -28,7 +29,8 @@
 
 typedef struct
 {
-  /* The connection is open (after TLS).  May be NULL.  */
+  /* The connection is open (after TLS).  A client whose certificate is
+     refused may still see this before on_close.  May be NULL.  */
   void (*on_open) (gp_peer_t *peer, void *data);
   /* A whole frame; BYTES are valid during the call only.  */
   void (*on_frame) (gp_peer_t *peer, const uint8_t *bytes, size_t size,
@@ -48,11 +50,14 @@
                             const gp_peer_callbacks_t *callbacks, void *data,
                             GError **error);
 
-/* Queue one frame.  False when the peer is closing.  */
+/* Queue one frame of 1 to GP_FRAME_MAX_SIZE bytes; also before the peer is
+   open.  False when the peer is closing or SIZE is not allowed.  A peer
+   that is fed on and on while it is congested is closed with
+   GP_TRANSPORT_ERROR_SIZE.  */
 bool gp_peer_send (gp_peer_t *peer, const uint8_t *bytes, size_t size);
 
 /* Reserve SIZE bytes for a frame and return where to write them; the caller
-   fills them before it returns to the loop.  NULL when closing.  */
+   fills them before the next call for this peer.  NULL as gp_peer_send.  */
 uint8_t *gp_peer_reserve (gp_peer_t *peer, size_t size);
 
 /* Bytes that are queued and not yet given to the kernel.  */
@@ -71,8 +76,9 @@
 void gp_peer_set_data (gp_peer_t *peer, void *data);
 void *gp_peer_data (const gp_peer_t *peer);
 
-/* Accept framed connections on ADDRESS.  ON_ACCEPT returns the data of the
-   new peer, which uses CALLBACKS.  A connection that has not finished its
+/* Accept framed connections on ADDRESS.  ON_ACCEPT is called when a new
+   peer has finished its handshake and returns its data; it uses CALLBACKS,
+   which are not called before.  A connection that has not finished its
    handshake within a few seconds is closed.  */
 gp_peer_server_t *
 gp_peer_listen (gp_loop_t *loop, const char *address, gp_tls_t *tls,
--- a/src/transport/peer_private.h
+++ b/src/transport/peer_private.h
@@ -1,4 +1,4 @@
-/* What peer.c and peer_server.c share.  */
+/* What the files of the peers share; see peer.c.  */
 
 #ifndef GP_TRANSPORT_PEER_PRIVATE_H
 #define GP_TRANSPORT_PEER_PRIVATE_H
@@ -35,8 +35,9 @@
   bool writing;         /* a write of INFLIGHT is under way */
   bool paused;
   bool congested;
-  bool announced; /* the callbacks know this peer */
-  int handles;    /* that are not closed yet */
+  bool input_ended; /* the far side writes no more */
+  bool announced;   /* the callbacks know this peer */
+  int handles;      /* that are not closed yet */
   GError *reason;
   gp_peer_server_t *server; /* until it is open, for accepted peers */
   gp_list_t server_link;
@@ -67,4 +68,28 @@
 /* Close at once.  */
 void gp_peer_destroy (gp_peer_t *peer);
 
+/* Close at once for the reason CODE and MESSAGE.  */
+void gp_peer_fail (gp_peer_t *peer, gp_transport_error_t code,
+                   const char *message);
+
+/* Keep ERROR, which is taken, as the reason of the end if there is none.  */
+void gp_peer_set_reason (gp_peer_t *peer, GError *error);
+
+/* The connection is up and verified.  */
+void gp_peer_set_open (gp_peer_t *peer);
+
+/* Empty BUFFER and give back what is large.  */
+void gp_peer_reset_buffer (GByteArray **buffer);
+
+/* Writing.  */
+void gp_peer_init_writing (gp_peer_t *peer);
+/* Give what is queued to the kernel.  */
+void gp_peer_flush (gp_peer_t *peer);
+/* Write the rest, tell the far side, wait for it to close, then close.  */
+void gp_peer_start_closing (gp_peer_t *peer);
+
+/* Reading.  */
+void gp_peer_init_reading (gp_peer_t *peer);
+void gp_peer_start_reading (gp_peer_t *peer);
+
 #endif
--- a/tests/unit/test_transport_peer.c
+++ b/tests/unit/test_transport_peer.c
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
-#include "transport/address.h"
+#include "transport/endpoint.h"
 #include "transport/peer_private.h"
 #include "transport_support.h"
 
@@ -520,6 +520,32 @@
   test_site_free (site);
 }
 
+/* The far side has ended its writing before the rest is written: the close
+   does not wait for that end once more, nor for its time to run out.  */
+static void
+test_close_on_both_sides (void)
+{
+  GString *out = g_string_new (NULL);
+  fixture_t fixture;
+  int fd;
+
+  setup (&fixture, NULL);
+  fd = raw_connect (gp_peer_server_port (fixture.server));
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.far.opens, 1));
+  for (int i = 0; i < 15; i++)
+    send_numbered (fixture.far.peer, i, GP_FRAME_MAX_SIZE);
+  gp_peer_close (fixture.far.peer, false);
+  gp_timer_disarm (&fixture.far.peer->timer);
+  shutdown (fd, SHUT_WR);
+  run_turns (&fixture.loop, 5);
+  CU_ASSERT_EQUAL (raw_read (&fixture.loop, fd, out, NULL), 0);
+  CU_ASSERT_EQUAL (out->len, 15 * (GP_FRAME_MAX_SIZE + GP_FRAME_HEADER_SIZE));
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.far.closes, 1));
+  close (fd);
+  g_string_free (out, TRUE);
+  teardown (&fixture);
+}
+
 /* A callback may close or pause the peer between two frames of one read.  */
 static void
 test_close_and_pause_between_frames (void)
@@ -551,7 +577,7 @@
   char again[GP_ADDRESS_TEXT_SIZE] = "";
   GError *error = NULL;
 
-  if (gp_address_parse (text, &address, &error))
+  if (gp_endpoint_parse (text, &address, &error))
     gp_address_format (&address, again, sizeof again);
   CU_ASSERT_EQUAL (error == NULL, expected[0] != '\0');
   CU_ASSERT_STRING_EQUAL (again, expected);
@@ -593,6 +619,7 @@
   CU_add_test (suite, "back-pressure", test_back_pressure);
   CU_add_test (suite, "backlog bound", test_backlog_bound);
   CU_add_test (suite, "close", test_close);
+  CU_add_test (suite, "close on both sides", test_close_on_both_sides);
   CU_add_test (suite, "close and pause between frames",
                test_close_and_pause_between_frames);
   CU_add_test (suite, "addresses", test_addresses);
--- a/tests/unit/transport_support.c
+++ b/tests/unit/transport_support.c
@@ -93,8 +93,9 @@
   socklen_t size = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
-  bind (fd, (struct sockaddr *)&address, sizeof address);
-  listen (fd, 16);
+  if (bind (fd, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (fd, 16) != 0)
+    g_error ("listen: %s", g_strerror (errno));
   getsockname (fd, (struct sockaddr *)&address, &size);
   *port = ntohs (address.sin_port);
   return fd;
