--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -5,7 +5,9 @@
    back-pressure.  A part-sent answer that is aborted closes the connection
    without a clean end, so that the caller sees the truncation.  The client
    streams answers; an answer cut short by the far side is an error, never
-   an end.  */
+   an end.  An answer with neither a length nor chunks, whose end cannot be
+   told from a cut, is an error too.  Headers that frame the body or the
+   connection are the transport's own: those of a user are left out.  */
 
 #ifndef GP_TRANSPORT_HTTP_H
 #define GP_TRANSPORT_HTTP_H
@@ -42,7 +44,8 @@
 {
   const char *address;      /* "IP:port" */
   size_t max_body_size;     /* bytes, 413 beyond */
-  gp_time_t header_timeout; /* duration for a request to arrive whole */
+  gp_time_t header_timeout; /* duration for a request to arrive whole, and
+                               for which an idle connection is kept */
   void (*on_request) (gp_http_exchange_t *exchange, void *data);
   void *data;
 } gp_http_server_options_t;
@@ -53,7 +56,8 @@
 int gp_http_server_port (const gp_http_server_t *server);
 
 /* Stop listening and close idle connections; open exchanges finish, then
-   ON_DONE is called once.  The server is freed after.  */
+   ON_DONE is called once.  The server must not be used after; its memory is
+   released by gp_loop_finish.  */
 void gp_http_server_shutdown (gp_http_server_t *server,
                               void (*on_done) (void *data), void *data);
 size_t gp_http_server_open_exchanges (const gp_http_server_t *server);
@@ -89,7 +93,8 @@
 void gp_http_exchange_part (gp_http_exchange_t *exchange, const void *bytes,
                             size_t size, bool final);
 
-/* End a started answer as broken: the connection is closed.  */
+/* End a started answer as broken: the connection is closed, short of what
+   would be a proper end.  An answer that was not started becomes a 500.  */
 void gp_http_exchange_abort (gp_http_exchange_t *exchange);
 
 /* Client.  */
@@ -107,7 +112,7 @@
   void (*on_head) (int status, const gp_http_header_t *headers, size_t count,
                    void *data);
   /* Some of the body; valid during the call.  Return false to pause until
-     gp_http_call_resume.  */
+     gp_http_call_resume, which holds back on_done as well.  */
   bool (*on_body) (const void *bytes, size_t size, void *data);
   /* The last call: ERROR is NULL when the answer came whole.  SENT tells
      whether any byte of the request may have reached the far side.  */
@@ -137,7 +142,7 @@
                                      const gp_http_call_callbacks_t *callbacks,
                                      void *data);
 void gp_http_call_resume (gp_http_call_t *call);
-/* Give up at once: no more callbacks.  */
+/* Give up at once: no more callbacks.  Also from inside of one.  */
 void gp_http_call_cancel (gp_http_call_t *call);
 
 #endif
--- a/src/transport/http_exchange.c
+++ b/src/transport/http_exchange.c
@@ -169,6 +169,15 @@
   exchange->data = data;
 }
 
+/* h2o writes these itself.  */
+static bool
+is_of_server (const gp_http_header_t *header)
+{
+  return h2o_lcstris (header->name, header->name_size, H2O_STRLIT ("date"))
+         || h2o_lcstris (header->name, header->name_size,
+                         H2O_STRLIT ("server"));
+}
+
 static void
 add_header (h2o_req_t *request, const gp_http_header_t *header)
 {
@@ -177,7 +186,8 @@
   h2o_iovec_t value
       = h2o_strdup (&request->pool, header->value, header->value_size);
 
-  if (gp_http_header_is_framing (header) || !gp_http_header_is_clean (header))
+  if (gp_http_header_is_framing (header) || !gp_http_header_is_clean (header)
+      || is_of_server (header))
     return;
   h2o_add_header_by_str (&request->pool, &request->res.headers, name.base,
                          name.len, 1, NULL, value.base, value.len);
