--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -21,8 +21,8 @@
 typedef struct
 {
   gp_admission_t admission;
-  gp_admission_group_t wide;   /* team without limits */
-  gp_admission_group_t narrow; /* team that runs one and queues one */
+  gp_request_quota_t wide;   /* team without limits */
+  gp_request_quota_t narrow; /* team that runs one and queues one */
   gp_admission_kind_t kind;
   gp_admission_request_t requests[SCRIPT_REQUESTS];
 } script_t;
@@ -105,13 +105,14 @@
           .max_queued = 4,
           .critical_reserve = 1,
           .batch_share = 1,
-          .reserve_duration = 1000 * GP_MSEC };
+          .reserve_duration = 1000 * GP_MSEC,
+          .max_critical_wait = 500 * GP_MSEC };
   script_t script;
 
   gp_admission_init (&script.admission, &options);
-  gp_admission_group_init (&script.wide, GP_ADMISSION_UNLIMITED,
-                           GP_ADMISSION_UNLIMITED);
-  gp_admission_group_init (&script.narrow, 1, 1);
+  gp_request_quota_init (&script.wide, GP_ADMISSION_UNLIMITED,
+                         GP_ADMISSION_UNLIMITED);
+  gp_request_quota_init (&script.narrow, 1, 1);
   gp_admission_kind_init (&script.kind, GP_ADMISSION_UNLIMITED,
                           GP_ADMISSION_UNLIMITED, 100 * GP_MSEC);
   printf ("# %s\n", title);
@@ -126,7 +127,7 @@
                                             "0 submit 1 batch wide 900",
                                             "1 submit 2 batch wide 2000",
                                             "2 submit 3 critical wide 900",
-                                            "3 submit 4 critical wide 600",
+                                            "3 submit 4 critical wide 700",
                                             "10 finish 0",
                                             "20 finish 1",
                                             "30 finish 4",
@@ -168,7 +169,8 @@
                                            "1 submit 2 critical wide 150",
                                            "1 submit 3 critical wide 350",
                                            "1 submit 4 critical wide 1",
-                                           "2 submit 5 critical wide 300",
+                                           "2 submit 5 critical wide 320",
+                                           "2 submit 6 critical wide 290",
                                            "320 finish 0",
                                            "330 advance",
                                            "340 finish 1",
@@ -222,7 +224,7 @@
   gp_time_t now;
   gp_admission_t admission;
   admission_twin_t twin;
-  gp_admission_group_t teams[2][GROUPS]; /* of the module, of the twin */
+  gp_request_quota_t teams[2][GROUPS]; /* of the module, of the twin */
   gp_admission_kind_t kinds[2][GROUPS];
   gp_admission_request_t requests[2][REQUESTS];
   int submitted;
@@ -246,9 +248,10 @@
   GRand *random = g_rand_new_with_seed (seed);
   gp_admission_options_t options
       = { .slots = g_rand_int_range (random, 1, 9),
-          .connections = g_rand_int_range (random, 2, 12),
+          .connections = g_rand_int_range (random, 2, 14),
           .max_queued = g_rand_int_range (random, 1, 40),
-          .reserve_duration = g_rand_int_range (random, 1, 200) * GP_MSEC };
+          .reserve_duration = g_rand_int_range (random, 1, 200) * GP_MSEC,
+          .max_critical_wait = g_rand_int_range (random, 1, 300) * GP_MSEC };
 
   *pair = (pair_t){ .random = random };
   options.critical_reserve = g_rand_int_range (random, 0, options.slots);
@@ -257,13 +260,13 @@
   admission_twin_init (&pair->twin, &options);
   for (int i = 0; i < GROUPS; i++)
     {
-      uint32_t running = random_limit (random, 1, 6);
-      uint32_t queued = random_limit (random, 1, 20);
-      gp_time_t declared = g_rand_int_range (random, 1, 40) * GP_MSEC;
+      uint32_t running = random_limit (random, 1, 4);
+      uint32_t queued = random_limit (random, 5, 20);
+      gp_time_t declared = g_rand_int_range (random, 1, 15) * GP_MSEC;
 
       for (int side = 0; side < 2; side++)
         {
-          gp_admission_group_init (&pair->teams[side][i], running, queued);
+          gp_request_quota_init (&pair->teams[side][i], running, queued);
           gp_admission_kind_init (&pair->kinds[side][i], running, queued,
                                   declared);
         }
@@ -374,11 +377,26 @@
       pair->started[number] |= a->state == GP_ADMISSION_STARTED;
     }
   pair->mismatches += (guint)pair->actions != pair->twin.actions->len;
-  pair->breaches += pair->admission.running[0] + pair->admission.running[1]
-                        > options->slots
-                    || pair->admission.open_connections > options->connections
-                    || pair->admission.queued[0] + pair->admission.queued[1]
-                           > options->max_queued;
+  pair->breaches
+      += pair->admission.running[0] + pair->admission.running[1]
+             > options->slots
+         || pair->admission.open_connections > options->connections
+         || pair->admission.queue.count[0] + pair->admission.queue.count[1]
+                > options->max_queued;
+}
+
+/* The first started request from NUMBER on, in a ring; else NUMBER.  */
+static int
+started_from (const pair_t *pair, int number)
+{
+  for (int i = 0; i < pair->submitted; i++)
+    {
+      int candidate = (number + i) % pair->submitted;
+
+      if (pair->requests[0][candidate].state == GP_ADMISSION_STARTED)
+        return candidate;
+    }
+  return number;
 }
 
 static void
@@ -388,10 +406,10 @@
   int choice = g_rand_int_range (pair->random, 0, 100);
 
   pair->now += g_rand_int_range (pair->random, 0, 4) * GP_MSEC;
-  if (choice < 30 && pair->submitted < REQUESTS)
+  if (choice < 40 && pair->submitted < REQUESTS)
     pair_submit (pair);
   else if (choice < 80)
-    pair_finish (pair, MAX (number, pair->submitted - 1 - number / 4));
+    pair_finish (pair, started_from (pair, number));
   else if (choice < 83 && pair->submitted > 0)
     pair_cancel (pair, number);
   else if (choice < 90)
@@ -438,8 +456,8 @@
   pair_compare (pair);
   CU_ASSERT_TRUE (gp_admission_drained (&pair->admission));
   CU_ASSERT_EQUAL (pair->actions, pair->submitted);
-  CU_ASSERT_EQUAL (pair->admission.queued_work[0], 0);
-  CU_ASSERT_EQUAL (pair->admission.queued_work[1], 0);
+  CU_ASSERT_EQUAL (pair->admission.queue.work[0], 0);
+  CU_ASSERT_EQUAL (pair->admission.queue.work[1], 0);
   CU_ASSERT_EQUAL (pair->mismatches, 0);
   CU_ASSERT_EQUAL (pair->breaches, 0);
   CU_ASSERT_EQUAL (pair->twin.breaches, 0);
