Add a client of the platform's log

Entries append records and follow the tail of a stream. An append is done, refused or unknown; retries are the user's. The follower reads by long polls and reports each with the time it was sent at, on which the renewal of leases rests; gaps and failures are reported, and a failed read is repeated after a growing pause. A call made on an HTTP client that is being freed now fails later instead of never.

--- a/bench/bench_transport.c
+++ b/bench/bench_transport.c
@@ -157,7 +157,7 @@
   while (bench.opened < 2 * IDLE_PEERS)
     uv_run (&bench.loop.uv, UV_RUN_ONCE);
   printf ("%-22s %10zu bytes an end, %.0f us to open both ends\n", name,
-          (mallinfo2 ().uordblks - before) / (2 * IDLE_PEERS),
+          (mallinfo2 ().uordblks - before) / (2 * (size_t)IDLE_PEERS),
           (double)(clock () - start) * 1e6 / CLOCKS_PER_SEC / IDLE_PEERS);
   gp_loop_finish (&bench.loop);
 }
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -22,7 +22,8 @@
   GP_TRANSPORT_ERROR_CLOSED,  /* the peer closed or reset */
   GP_TRANSPORT_ERROR_TLS,     /* certificate, key or handshake */
   GP_TRANSPORT_ERROR_SIZE,    /* a frame or body over its bound */
-  GP_TRANSPORT_ERROR_TIMEOUT
+  GP_TRANSPORT_ERROR_TIMEOUT,
+  GP_TRANSPORT_ERROR_ANSWER /* a service answers otherwise than agreed */
 } gp_transport_error_t;
 
 typedef enum
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -427,6 +427,13 @@
   gp_timer_init (&call->timer, client->loop, on_deadline, call);
   call->timer.uv.data = call;
   gp_timer_arm (&call->timer, request->deadline);
+  gp_list_init (&call->link);
+  if (client->closed)
+    {
+      end_soon (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED,
+                                  "the client is closed"));
+      return call;
+    }
   gp_list_push_back (&client->waiting, &call->link);
   gp_deferred_schedule (&client->start_next, client->loop);
   return call;
--- /dev/null
+++ b/src/transport/log_client.c
@@ -0,0 +1,532 @@
+/* Client of the platform's log service: appends and the tail follower.  */
+
+#include "transport/log_client.h"
+
+#include <inttypes.h>
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "platform_log.pb-c.h"
+#include "transport/http.h"
+
+/* Records are followed by this much of their own framing at most.  */
+#define REPLY_OVERHEAD ((size_t)64 * 1024)
+#define ACK_MAX_SIZE ((size_t)1024)
+#define IDLE_TIME (10 * GP_SEC)
+
+#define STATUS_OK 200
+#define STATUS_CREATED 201
+#define STATUS_BAD_REQUEST 400
+#define STATUS_GONE 410
+#define STATUS_TOO_LARGE 413
+
+/* The body of an answer as it comes.  */
+typedef struct
+{
+  int status;
+  GByteArray *body;
+  size_t max_size;
+  bool too_large;
+} answer_t;
+
+/* An append in progress.  */
+typedef struct
+{
+  gp_list_t link;
+  gp_deferred_t refusal; /* of a record that is not sent */
+  answer_t answer;
+  void (*on_done) (gp_append_result_t result, uint64_t offset,
+                   const GError *error, void *data);
+  void *data;
+} append_t;
+
+struct gp_stream
+{
+  gp_closer_t closer;
+  gp_loop_t *loop;
+  gp_http_client_t *reader;
+  gp_http_client_t *writer;
+  gp_stream_callbacks_t callbacks;
+  void *data;
+  gp_stream_options_t options;
+  char *path;
+  gp_list_t appends;
+  gp_timer_t retry;
+  gp_time_t retry_time; /* the next pause */
+  gp_http_call_t *read; /* in progress */
+  answer_t answer;
+  gp_time_t sent_at;
+  uint64_t from;
+  uint64_t turn; /* counts gp_stream_follow and gp_stream_unfollow */
+  bool following;
+};
+
+static gp_counter_t appends_total
+    = GP_COUNTER ("log_appends_total", "Appends sent to the platform's log.");
+static gp_counter_t append_failures_total = GP_COUNTER (
+    "log_append_failures_total", "Appends that were not acknowledged.");
+static gp_counter_t reads_total
+    = GP_COUNTER ("log_reads_total", "Reads of the log that were answered.");
+static gp_counter_t read_failures_total
+    = GP_COUNTER ("log_read_failures_total", "Reads of the log that failed.");
+static gp_counter_t records_total
+    = GP_COUNTER ("log_records_total", "Records read from the log.");
+
+/* Answers.  */
+
+static void
+answer_init (answer_t *answer, size_t max_size)
+{
+  answer->status = 0;
+  answer->body = g_byte_array_new ();
+  answer->max_size = max_size;
+  answer->too_large = false;
+}
+
+static void
+answer_finish (answer_t *answer)
+{
+  if (answer->body != NULL)
+    g_byte_array_unref (answer->body);
+  answer->body = NULL;
+}
+
+static void
+answer_add (answer_t *answer, const void *bytes, size_t size)
+{
+  if (answer->body->len + size > answer->max_size)
+    answer->too_large = true;
+  else
+    g_byte_array_append (answer->body, bytes, (guint)size);
+}
+
+static GError *
+answer_error (const answer_t *answer, const char *what)
+{
+  if (answer->too_large)
+    return g_error_new (GP_TRANSPORT_ERROR, GP_TRANSPORT_ERROR_SIZE,
+                        "%s: answer is too large", what);
+  return g_error_new (GP_TRANSPORT_ERROR, GP_TRANSPORT_ERROR_ANSWER,
+                      "%s: answer of status %d does not fit", what,
+                      answer->status);
+}
+
+/* Appends.  */
+
+static void
+end_append (append_t *append, gp_append_result_t result, uint64_t offset,
+            const GError *error)
+{
+  gp_list_remove (&append->link);
+  gp_deferred_cancel (&append->refusal);
+  if (result != GP_APPEND_DONE)
+    gp_counter_add (&append_failures_total, 1);
+  append->on_done (result, offset, error, append->data);
+  answer_finish (&append->answer);
+  g_free (append);
+}
+
+static void
+on_append_head (int status, const gp_http_header_t *headers, size_t count,
+                void *data)
+{
+  append_t *append = data;
+
+  append->answer.status = status;
+}
+
+static bool
+on_append_body (const void *bytes, size_t size, void *data)
+{
+  append_t *append = data;
+
+  answer_add (&append->answer, bytes, size);
+  return true;
+}
+
+static void
+on_append_answer (append_t *append)
+{
+  const answer_t *answer = &append->answer;
+  bool refused = answer->status == STATUS_BAD_REQUEST
+                 || answer->status == STATUS_TOO_LARGE;
+  Gp__Log__AppendReply *reply = NULL;
+  GError *error = NULL;
+
+  if (answer->status == STATUS_CREATED && !answer->too_large)
+    reply = gp__log__append_reply__unpack (NULL, answer->body->len,
+                                           answer->body->data);
+  if (reply != NULL)
+    {
+      end_append (append, GP_APPEND_DONE, reply->offset, NULL);
+      gp__log__append_reply__free_unpacked (reply, NULL);
+      return;
+    }
+  error = answer_error (answer, "append");
+  end_append (append, refused ? GP_APPEND_REFUSED : GP_APPEND_UNKNOWN, 0,
+              error);
+  g_error_free (error);
+}
+
+static void
+on_append_done (const GError *error, bool sent, void *data)
+{
+  append_t *append = data;
+
+  if (error == NULL)
+    on_append_answer (append);
+  else
+    end_append (append, sent ? GP_APPEND_UNKNOWN : GP_APPEND_REFUSED, 0,
+                error);
+}
+
+static const gp_http_call_callbacks_t append_callbacks
+    = { on_append_head, on_append_body, on_append_done };
+
+static void
+on_refusal (gp_deferred_t *deferred)
+{
+  append_t *append = GP_CONTAINER_OF (deferred, append_t, refusal);
+  GError *error
+      = g_error_new (GP_TRANSPORT_ERROR, GP_TRANSPORT_ERROR_SIZE,
+                     "append: a record has at most %zu bytes and is not empty",
+                     GP_STREAM_RECORD_MAX);
+
+  end_append (append, GP_APPEND_REFUSED, 0, error);
+  g_error_free (error);
+}
+
+void
+gp_stream_append (gp_stream_t *stream, const void *bytes, size_t size,
+                  gp_time_t deadline,
+                  void (*on_done) (gp_append_result_t result, uint64_t offset,
+                                   const GError *error, void *data),
+                  void *data)
+{
+  append_t *append = g_new0 (append_t, 1);
+  gp_http_call_request_t request = { .method = "POST",
+                                     .path = stream->path,
+                                     .body = bytes,
+                                     .body_size = size,
+                                     .deadline = deadline };
+
+  append->on_done = on_done;
+  append->data = data;
+  answer_init (&append->answer, ACK_MAX_SIZE);
+  gp_deferred_init (&append->refusal, on_refusal);
+  gp_list_push_back (&stream->appends, &append->link);
+  gp_counter_add (&appends_total, 1);
+  if (size > 0 && size <= GP_STREAM_RECORD_MAX)
+    gp_http_client_call (stream->writer, &request, &append_callbacks, append);
+  else
+    gp_deferred_schedule (&append->refusal, stream->loop);
+}
+
+/* The follower.  */
+
+static void start_read (gp_stream_t *stream);
+
+static void
+on_retry (gp_timer_t *timer, void *data)
+{
+  start_read (data);
+}
+
+/* Report ERROR, which is taken, and repeat the read later.  */
+static void
+fail_read (gp_stream_t *stream, GError *error)
+{
+  gp_time_t pause = stream->retry_time;
+
+  gp_counter_add (&read_failures_total, 1);
+  stream->retry_time
+      = MIN (2 * stream->retry_time, stream->options.retry_time_max);
+  gp_timer_arm (&stream->retry, gp_time_now () + pause);
+  stream->callbacks.on_error (error, stream->data);
+  g_error_free (error);
+}
+
+static void
+report_gap (gp_stream_t *stream, uint64_t first_offset)
+{
+  stream->following = false;
+  stream->callbacks.on_gap (stream->from, first_offset, stream->data);
+}
+
+/* The records of REPLY from FROM on; NULL when they are not dense.  */
+static gp_stream_record_t *
+convert_records (const Gp__Log__ReadReply *reply, uint64_t from)
+{
+  gp_stream_record_t *records
+      = g_new (gp_stream_record_t, reply->n_records + 1);
+
+  for (size_t i = 0; i < reply->n_records; i++)
+    {
+      const Gp__Log__Record *record = reply->records[i];
+
+      records[i] = (gp_stream_record_t){ .offset = record->offset,
+                                         .data = record->data.data,
+                                         .size = record->data.len };
+      if (record->offset != from + i || record->offset >= reply->next_offset)
+        {
+          g_free (records);
+          return NULL;
+        }
+    }
+  return records;
+}
+
+/* Whether an empty read did not wait as it should; such a service is not
+   asked again at once.  */
+static bool
+came_early (const gp_stream_t *stream)
+{
+  return gp_time_now () - stream->sent_at < stream->options.poll_time / 2
+         || stream->options.poll_time == 0;
+}
+
+/* Report the read and go on, unless the user has stopped it meanwhile.  */
+static void
+report_read (gp_stream_t *stream, const Gp__Log__ReadReply *reply,
+             const gp_stream_record_t *records)
+{
+  uint64_t turn = stream->turn;
+  uint64_t read_up_to = stream->from + reply->n_records;
+  gp_stream_read_t read = { .sent_at = stream->sent_at,
+                            .from = stream->from,
+                            .first_offset = reply->first_offset,
+                            .next_offset = reply->next_offset,
+                            .records = records,
+                            .count = reply->n_records,
+                            .complete = read_up_to == reply->next_offset };
+
+  gp_counter_add (&reads_total, 1);
+  gp_counter_add (&records_total, (int64_t)reply->n_records);
+  stream->retry_time = stream->options.retry_time;
+  stream->from = read_up_to;
+  stream->callbacks.on_read (&read, stream->data);
+  if (stream->turn != turn)
+    return;
+  if (reply->n_records == 0 && came_early (stream))
+    gp_timer_arm (&stream->retry, gp_time_now () + stream->retry_time);
+  else
+    start_read (stream);
+}
+
+static void
+take_reply (gp_stream_t *stream, const Gp__Log__ReadReply *reply)
+{
+  gp_stream_record_t *records;
+
+  if (reply->first_offset > stream->from || reply->next_offset < stream->from)
+    {
+      report_gap (stream, reply->first_offset);
+      return;
+    }
+  records = convert_records (reply, stream->from);
+  if (records == NULL)
+    fail_read (stream, g_error_new_literal (GP_TRANSPORT_ERROR,
+                                            GP_TRANSPORT_ERROR_ANSWER,
+                                            "read: records are not dense"));
+  else
+    report_read (stream, reply, records);
+  g_free (records);
+}
+
+static void
+on_read_answer (gp_stream_t *stream, const answer_t *answer)
+{
+  bool expected = answer->status == STATUS_OK || answer->status == STATUS_GONE;
+  Gp__Log__ReadReply *reply = NULL;
+
+  if (expected && !answer->too_large)
+    reply = gp__log__read_reply__unpack (NULL, answer->body->len,
+                                         answer->body->data);
+  if (reply == NULL)
+    {
+      fail_read (stream, answer_error (answer, "read"));
+      return;
+    }
+  if (answer->status == STATUS_GONE)
+    report_gap (stream, reply->first_offset);
+  else
+    take_reply (stream, reply);
+  gp__log__read_reply__free_unpacked (reply, NULL);
+}
+
+static void
+on_read_head (int status, const gp_http_header_t *headers, size_t count,
+              void *data)
+{
+  gp_stream_t *stream = data;
+
+  stream->answer.status = status;
+}
+
+static bool
+on_read_body (const void *bytes, size_t size, void *data)
+{
+  gp_stream_t *stream = data;
+
+  answer_add (&stream->answer, bytes, size);
+  return true;
+}
+
+static void
+on_read_done (const GError *error, bool sent, void *data)
+{
+  gp_stream_t *stream = data;
+  answer_t answer = stream->answer;
+
+  stream->read = NULL;
+  stream->answer.body = NULL;
+  if (error != NULL)
+    fail_read (stream, g_error_copy (error));
+  else
+    on_read_answer (stream, &answer);
+  answer_finish (&answer);
+}
+
+static const gp_http_call_callbacks_t read_callbacks
+    = { on_read_head, on_read_body, on_read_done };
+
+static void
+start_read (gp_stream_t *stream)
+{
+  const gp_stream_options_t *options = &stream->options;
+  char *path
+      = g_strdup_printf ("%s?from=%" PRIu64 "&max_bytes=%zu&wait_ms=%" PRId64,
+                         stream->path, stream->from, options->max_read_size,
+                         (int64_t)(options->poll_time / GP_MSEC));
+  gp_http_call_request_t request = { .method = "GET", .path = path };
+
+  answer_init (&stream->answer,
+               options->max_read_size + GP_STREAM_RECORD_MAX + REPLY_OVERHEAD);
+  stream->sent_at = gp_time_now ();
+  request.deadline
+      = stream->sent_at + options->poll_time + options->read_timeout;
+  stream->read = gp_http_client_call (stream->reader, &request,
+                                      &read_callbacks, stream);
+  g_free (path);
+}
+
+void
+gp_stream_unfollow (gp_stream_t *stream)
+{
+  stream->turn++;
+  stream->following = false;
+  gp_timer_disarm (&stream->retry);
+  if (stream->read == NULL)
+    return;
+  gp_http_call_cancel (stream->read);
+  stream->read = NULL;
+  answer_finish (&stream->answer);
+}
+
+void
+gp_stream_follow (gp_stream_t *stream, uint64_t from)
+{
+  gp_stream_unfollow (stream);
+  stream->from = from;
+  stream->following = true;
+  stream->retry_time = stream->options.retry_time;
+  start_read (stream);
+}
+
+/* The stream.  */
+
+static bool
+name_is_allowed (const char *name)
+{
+  if (name[0] == '\0')
+    return false;
+  for (; *name != '\0'; name++)
+    if (!g_ascii_isalnum (*name) && strchr ("._-", *name) == NULL)
+      return false;
+  return true;
+}
+
+static gp_http_client_t *
+new_client (gp_loop_t *loop, const gp_stream_options_t *options,
+            size_t max_connections, GError **error)
+{
+  gp_http_client_options_t client = { .address = options->address,
+                                      .max_connections = max_connections,
+                                      .idle_timeout = IDLE_TIME };
+
+  return gp_http_client_new (loop, &client, error);
+}
+
+static void
+register_counters (void)
+{
+  gp_counter_register (&appends_total);
+  gp_counter_register (&append_failures_total);
+  gp_counter_register (&reads_total);
+  gp_counter_register (&read_failures_total);
+  gp_counter_register (&records_total);
+}
+
+static void
+on_closer (gp_closer_t *closer)
+{
+  gp_stream_free (GP_CONTAINER_OF (closer, gp_stream_t, closer));
+}
+
+gp_stream_t *
+gp_stream_new (gp_loop_t *loop, const gp_stream_options_t *options,
+               const gp_stream_callbacks_t *callbacks, void *data,
+               GError **error)
+{
+  gp_http_client_t *reader;
+  gp_stream_t *stream;
+
+  if (!name_is_allowed (options->name))
+    {
+      g_set_error (error, GP_TRANSPORT_ERROR, GP_TRANSPORT_ERROR_ADDRESS,
+                   "'%s' is not a name of a stream", options->name);
+      return NULL;
+    }
+  reader = new_client (loop, options, 1, error);
+  if (reader == NULL)
+    return NULL;
+  register_counters ();
+  stream = g_new0 (gp_stream_t, 1);
+  stream->loop = loop;
+  stream->reader = reader;
+  stream->writer = new_client (loop, options, options->max_appends, NULL);
+  stream->callbacks = *callbacks;
+  stream->data = data;
+  stream->options = *options;
+  stream->options.address = NULL;
+  stream->options.name = NULL;
+  stream->path = g_strdup_printf ("/v1/streams/%s/records", options->name);
+  gp_list_init (&stream->appends);
+  gp_timer_init (&stream->retry, loop, on_retry, stream);
+  stream->retry.uv.data = stream;
+  gp_closer_add (&stream->closer, loop, on_closer, NULL);
+  return stream;
+}
+
+static void
+on_stream_closed (uv_handle_t *handle)
+{
+  gp_stream_t *stream = handle->data;
+
+  g_free (stream->path);
+  g_free (stream);
+}
+
+void
+gp_stream_free (gp_stream_t *stream)
+{
+  if (stream == NULL)
+    return;
+  gp_closer_remove (&stream->closer);
+  gp_stream_unfollow (stream);
+  gp_http_client_free (stream->reader);
+  gp_http_client_free (stream->writer);
+  GP_LIST_FOREACH_SAFE (pos, &stream->appends)
+  on_refusal (&GP_CONTAINER_OF (pos, append_t, link)->refusal);
+  uv_close ((uv_handle_t *)&stream->retry.uv, on_stream_closed);
+}
--- a/tests/unit/test_transport_http.c
+++ b/tests/unit/test_transport_http.c
@@ -42,8 +42,9 @@
   int done;
   int code; /* of the error, -1 without */
   bool sent;
-  gp_time_t time;  /* until its deadline, 0: CALL_TIME */
-  char header[32]; /* value of "x-answer" */
+  fixture_t *again; /* call once more from on_done */
+  gp_time_t time;   /* until its deadline, 0: CALL_TIME */
+  char header[32];  /* value of "x-answer" */
 } call_t;
 
 /* The server's side.  */
@@ -166,6 +167,8 @@
   return !call->pause;
 }
 
+static void call_again (call_t *call);
+
 static void
 on_done (const GError *error, bool sent, void *data)
 {
@@ -175,6 +178,8 @@
   call->call = NULL;
   call->sent = sent;
   call->code = error != NULL ? error->code : -1;
+  if (call->again != NULL)
+    call_again (call);
 }
 
 static const gp_http_call_callbacks_t callbacks
@@ -208,9 +213,20 @@
           .deadline = gp_loop_now (&fixture->loop)
                       + (call->time > 0 ? call->time : CALL_TIME) };
 
+  int done = call->done;
+
   call->call
       = gp_http_client_call (fixture->client, &request, &callbacks, call);
-  CU_ASSERT_EQUAL (call->done, 0);
+  CU_ASSERT_EQUAL (call->done, done);
+}
+
+static void
+call_again (call_t *call)
+{
+  fixture_t *fixture = call->again;
+
+  call->again = NULL;
+  call_start (fixture, call, "GET", "/echo", NULL, 0);
 }
 
 /* Make one call and wait for its end.  */
@@ -706,6 +722,28 @@
   call_finish (&call);
 }
 
+/* A retry from inside of the end of the client fails, and fails later.  */
+static void
+test_call_at_client_end (void)
+{
+  fixture_t fixture;
+  call_t call;
+
+  setup (&fixture, 1);
+  call_init (&call);
+  call.again = &fixture;
+  call_start (&fixture, &call, "GET", "/hold", NULL, 0);
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.requests, 1));
+  gp_http_client_free (fixture.client);
+  CU_ASSERT_EQUAL (call.done, 1);
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &call.done, 2));
+  CU_ASSERT_EQUAL (call.code, GP_TRANSPORT_ERROR_CLOSED);
+  CU_ASSERT_FALSE (call.sent);
+  CU_ASSERT_EQUAL (fixture.requests, 1);
+  call_finish (&call);
+  gp_loop_finish (&fixture.loop);
+}
+
 /* Bytes of a header that would begin another are not sent.  */
 static void
 test_unclean_headers (void)
@@ -742,6 +780,7 @@
   CU_add_test (suite, "shutdown", test_shutdown);
   CU_add_test (suite, "shutdown, idle", test_shutdown_idle);
   CU_add_test (suite, "loop end", test_loop_end);
+  CU_add_test (suite, "call at the client's end", test_call_at_client_end);
   CU_add_test (suite, "unclean headers", test_unclean_headers);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
