--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -17,6 +17,9 @@
 #include "transport/endpoint.h"
 #include "transport/http_header.h"
 
+/* What a body callback of h2o returns to have the connection closed.  */
+#define STOP_CALL (-1)
+
 typedef enum
 {
   WAITING, /* for a connection */
@@ -40,6 +43,7 @@
   h2o_socket_cb reader; /* while it is paused */
   bool sent;
   bool is_head;
+  bool chunked;
   bool paused;
   bool in_callback;
   bool cancelled; /* inside a callback */
@@ -164,44 +168,73 @@
 
 /* What h2o calls.  */
 
+/* h2o has ended CALL by itself.  */
+static void
+fail (gp_http_call_t *call, const char *message)
+{
+  release_connection (call);
+  finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED, message));
+}
+
+/* h2o passes a connection that is closed between two chunks for the end of
+   the answer; no bytes were read then, as they are for the last chunk.  */
+static bool
+is_cut (const gp_http_call_t *call)
+{
+  return call->chunked && call->h2o->sock->bytes_read == 0;
+}
+
+/* Hand over what has come; a resume from inside the callback counts.  */
+static void
+deliver (gp_http_call_t *call)
+{
+  h2o_buffer_t **input = &call->h2o->sock->input;
+  size_t size = (*input)->size;
+  bool go_on;
+
+  if (size == 0)
+    return;
+  call->in_callback = true;
+  call->paused = true;
+  go_on = call->callbacks.on_body ((*input)->bytes, size, call->data);
+  call->in_callback = false;
+  call->paused = call->paused && !go_on;
+  h2o_buffer_consume (input, size);
+}
+
+static void
+end_whole (gp_http_call_t *call)
+{
+  release_connection (call);
+  if (call->paused)
+    call->state = HELD;
+  else
+    finish (call, NULL);
+}
+
 static int
 on_h2o_body (h2o_http1client_t *h2o, const char *failure)
 {
   gp_http_call_t *call = h2o->data;
-  h2o_buffer_t **input = &h2o->sock->input;
-  size_t size = (*input)->size;
-  bool whole = failure == h2o_http1client_error_is_eos;
-  bool go_on = true;
+  bool ended = failure == h2o_http1client_error_is_eos;
 
-  if (failure != NULL && !whole)
-    {
-      release_connection (call);
-      finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED, failure));
-      return -1;
-    }
-  if (size > 0)
+  if (ended && is_cut (call))
+    failure = "closed before the last chunk";
+  else if (ended)
+    failure = NULL;
+  if (failure != NULL)
     {
-      call->in_callback = true;
-      call->paused = true;
-      go_on = call->callbacks.on_body ((*input)->bytes, size, call->data);
-      call->in_callback = false;
-      if (call->cancelled)
-        {
-          release_connection (call);
-          return -1;
-        }
-      h2o_buffer_consume (input, size);
+      fail (call, failure);
+      return STOP_CALL;
     }
-  /* A resume from inside the callback counts.  */
-  call->paused = call->paused && !go_on;
-  if (whole)
+  deliver (call);
+  if (call->cancelled)
     {
       release_connection (call);
-      if (call->paused)
-        call->state = HELD;
-      else
-        finish (call, NULL);
+      return STOP_CALL;
     }
+  if (ended)
+    end_whole (call);
   else if (call->paused)
     {
       call->reader = h2o->sock->_cb.read;
@@ -221,13 +254,22 @@
 
 /* Whether the end of the body can be told from a cut.  */
 static bool
-has_framing (const h2o_header_t *headers, size_t count)
+find_framing (gp_http_call_t *call, const h2o_header_t *headers, size_t count)
 {
+  bool has_length = false;
+
   for (size_t i = 0; i < count; i++)
-    if (headers[i].name == &H2O_TOKEN_CONTENT_LENGTH->buf
-        || headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
-      return true;
-  return false;
+    {
+      const h2o_header_t *header = &headers[i];
+
+      if (header->name == &H2O_TOKEN_CONTENT_LENGTH->buf)
+        has_length = true;
+      if (header->name == &H2O_TOKEN_TRANSFER_ENCODING->buf
+          && h2o_lcstris (header->value.base, header->value.len,
+                          H2O_STRLIT ("chunked")))
+        call->chunked = true;
+    }
+  return has_length || call->chunked;
 }
 
 static void
@@ -252,12 +294,11 @@
   gp_http_call_t *call = h2o->data;
   bool bodiless = failure == h2o_http1client_error_is_eos;
 
-  if (failure == NULL && !has_framing (headers, count))
+  if (failure == NULL && !find_framing (call, headers, count))
     failure = "answer without a length";
   if (failure != NULL && !bodiless)
     {
-      release_connection (call);
-      finish (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED, failure));
+      fail (call, failure);
       return NULL;
     }
   report_head (call, status, headers, count);
@@ -386,6 +427,13 @@
   gp_timer_init (&call->timer, client->loop, on_deadline, call);
   call->timer.uv.data = call;
   gp_timer_arm (&call->timer, request->deadline);
+  gp_list_init (&call->link);
+  if (client->closed)
+    {
+      end_soon (call, call_error (call, GP_TRANSPORT_ERROR_CLOSED,
+                                  "the client is closed"));
+      return call;
+    }
   gp_list_push_back (&client->waiting, &call->link);
   gp_deferred_schedule (&client->start_next, client->loop);
   return call;
