Define the seams of store, tasks, runner and configuration

Cause: the parts that bind the state to the sockets are built side by side and need agreed interfaces. Conclusion: the interfaces stand; behaviour follows in each part.

--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -2,6 +2,8 @@
 
 #include "daemon/entry.h"
 
+#include <string.h>
+
 #include "base/counters.h"
 #include "base/log.h"
 #include "daemon/operators.h"
@@ -16,9 +18,13 @@
 static void
 on_ready (gp_session_t *session, void *data)
 {
-  (void)data;
+  gp_entry_t *entry = data;
+
+  if (session->owner != NULL)
+    gp_dialer_on_ready (session->owner);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("peer", session->process),
           GP_LOG_I ("incarnation", session->incarnation));
+  gp_configuration_on_ready (entry->configuration, session);
 }
 
 static void
@@ -56,6 +62,8 @@
     default:
       break;
     }
+  gp_tasks_on_message (entry->tasks, session, envelope);
+  gp_configuration_on_message (entry->configuration, session, envelope);
 }
 
 static void
@@ -72,13 +80,18 @@
 {
   gp_entry_t *entry = data;
 
+  if (session->owner != NULL)
+    gp_dialer_on_close (session->owner);
   if (!ready)
     return;
   gp_log (GP_LOG_INFO, "session.closed", GP_LOG_S ("peer", session->process),
           GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
   if (session->object != NULL)
     gp_relays_on_closed (&entry->relays, session->object);
-  gp_routes_closed (&entry->routes, session);
+  gp_tasks_on_closed (entry->tasks, session);
+  gp_configuration_on_closed (entry->configuration, session);
+  if (session->role == GP__WIRE__ROLE__ROLE_GUARD)
+    gp_routes_closed (&entry->routes, session);
 }
 
 static const gp_session_callbacks_t session_callbacks = {
@@ -128,6 +141,8 @@
 
   gp_log (GP_LOG_INFO, "entry.drained");
   entry->callers = NULL;
+  for (size_t i = 0; i < entry->dialer_count; i++)
+    gp_dialer_stop (&entry->dialers[i]);
   gp_session_host_close (&entry->host);
   entry->stop_timer.cb = on_peers_closed;
   gp_timer_arm (&entry->stop_timer, gp_loop_now (&entry->loop) + CLOSE_GRACE);
@@ -190,6 +205,64 @@
   return entry->tls != NULL;
 }
 
+static void
+on_configuration (const gp_document_t *document, uint64_t revision, void *data)
+{
+  gp_entry_t *entry = data;
+
+  gp_log (GP_LOG_INFO, "configuration.in-force",
+          GP_LOG_I ("revision", revision));
+  entry->relays.document = document;
+  gp_tasks_set_document (entry->tasks, document);
+}
+
+static void
+on_member (gp_member_t *member, void *data)
+{
+  gp_entry_t *entry = data;
+
+  gp_tasks_on_member (entry->tasks, member);
+}
+
+/* Each pair of entries has one session, opened by the first in the
+   settings.  */
+static void
+start_dialers (gp_entry_t *entry)
+{
+  const gp_settings_t *settings = entry->settings;
+  bool after = false;
+
+  entry->dialers = g_new0 (gp_dialer_t, settings->entries_count);
+  for (uint32_t i = 0; i < settings->entries_count; i++)
+    if (after)
+      gp_dialer_init (&entry->dialers[entry->dialer_count++], &entry->host,
+                      settings->entries[i].peers, entry->rand);
+    else
+      after = strcmp (settings->entries[i].name, settings->name) == 0;
+}
+
+static bool
+start_parts (gp_entry_t *entry, GError **error)
+{
+  const gp_settings_t *settings = entry->settings;
+
+  entry->events = g_new0 (gp_timeline_event_t, GP_ENTRY_TIMELINE_SIZE);
+  gp_timeline_init (&entry->timeline, settings->name, entry->incarnation,
+                    entry->events, GP_ENTRY_TIMELINE_SIZE);
+  entry->store = gp_store_new (&entry->loop, settings, entry->incarnation,
+                               entry->rand, &entry->timeline, error);
+  if (entry->store == NULL)
+    return false;
+  entry->tasks
+      = gp_tasks_new (&entry->host, entry->store, settings, entry->incarnation,
+                      entry->rand, &entry->timeline);
+  entry->configuration = gp_configuration_new (
+      &entry->host, entry->store, &entry->timeline, on_configuration, entry);
+  entry->routes.on_change = on_member;
+  entry->routes.data = entry;
+  return true;
+}
+
 bool
 gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
                GError **error)
@@ -214,11 +287,14 @@
   gp_routes_init (&entry->routes, &entry->loop, settings->zone, &members);
   gp_relays_init (&entry->relays, &entry->loop, &entry->routes, entry->rand,
                   settings->entry->max_requests);
+  if (!start_parts (entry, error))
+    return false;
   gp_timer_init (&entry->stop_timer, &entry->loop, on_balancer_gone, entry);
   if (!gp_session_host_listen (&entry->host, settings->entry->peers, error))
     return false;
   if (!listen_http (entry, error))
     return false;
+  start_dialers (entry);
   gp_loop_on_signal (&entry->loop, on_stop, entry);
   return true;
 }
@@ -236,9 +312,16 @@
 gp_entry_finish (gp_entry_t *entry)
 {
   gp_timer_finish (&entry->stop_timer);
+  for (size_t i = 0; i < entry->dialer_count; i++)
+    gp_dialer_finish (&entry->dialers[i]);
+  g_free (entry->dialers);
+  gp_configuration_free (entry->configuration);
+  gp_tasks_free (entry->tasks);
+  gp_store_free (entry->store);
   gp_relays_finish (&entry->relays);
   gp_routes_finish (&entry->routes);
   gp_session_host_finish (&entry->host);
+  g_free (entry->events);
   gp_loop_finish (&entry->loop);
   if (entry->tls != NULL)
     gp_tls_free (entry->tls);
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -5,10 +5,17 @@
 #define GP_DAEMON_ENTRY_H
 
 #include "base/settings.h"
+#include "base/timeline.h"
+#include "daemon/configuration.h"
 #include "daemon/relay.h"
 #include "daemon/routes.h"
+#include "daemon/store.h"
+#include "daemon/tasks.h"
+#include "protocol/dialer.h"
 #include "protocol/session.h"
 
+#define GP_ENTRY_TIMELINE_SIZE 65536
+
 typedef struct
 {
   gp_loop_t loop;
@@ -19,6 +26,13 @@
   gp_session_host_t host;
   gp_routes_t routes;
   gp_relays_t relays;
+  gp_store_t *store;
+  gp_tasks_t *tasks;
+  gp_configuration_t *configuration;
+  gp_timeline_t timeline;
+  gp_timeline_event_t *events;
+  gp_dialer_t *dialers; /* to the entries after this one in the settings */
+  size_t dialer_count;
   gp_http_server_t *callers;
   gp_http_server_t *operators;
   gp_timer_t stop_timer;
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -8,6 +8,7 @@
 
 #define HEARTBEAT_JITTER 0.1
 #define CLOSE_GRACE (200 * GP_MSEC)
+#define LEAVE_TIME (10 * GP_SEC)
 
 static gp_counter_t entries_connected
     = GP_GAUGE ("guard_entries_connected", "Open sessions to entries.");
@@ -50,6 +51,8 @@
       capacity.accelerators = settings->worker->accelerators;
       message.capacity = &capacity;
     }
+  if (guard->runner != NULL)
+    gp_runner_fill_announce (guard->runner, &message);
   gp_session_send (session, &envelope);
 }
 
@@ -61,12 +64,14 @@
   Gp__Wire__Envelope envelope = GP_ENVELOPE (HEARTBEAT, heartbeat, &heartbeat);
 
   heartbeat.sequence = guard->heartbeat_sequence;
-  heartbeat.sent_at = (uint64_t)gp_loop_now (&guard->loop);
   if (has_upstream (guard))
     {
       gp_executor_load (&guard->executor, &load);
       heartbeat.load = &load;
     }
+  if (guard->runner != NULL)
+    gp_runner_fill_heartbeat (guard->runner, &heartbeat);
+  heartbeat.config_revision = gp_configuration_revision (guard->configuration);
   gp_counter_add (&heartbeats_sent, 1);
   gp_session_send (session, &envelope);
 }
@@ -118,6 +123,9 @@
       session->object = set;
     }
   announce (guard, session);
+  if (guard->runner != NULL)
+    gp_runner_on_ready (guard->runner, session);
+  gp_configuration_on_ready (guard->configuration, session);
   send_heartbeat (guard, session);
 }
 
@@ -148,9 +156,13 @@
 on_message (gp_session_t *session, const Gp__Wire__Envelope *envelope,
             void *data)
 {
-  (void)data;
+  gp_guard_t *guard = data;
+
   if (session->object != NULL)
     on_request_message (session->object, envelope);
+  if (guard->runner != NULL)
+    gp_runner_on_message (guard->runner, session, envelope);
+  gp_configuration_on_message (guard->configuration, session, envelope);
 }
 
 static void
@@ -164,7 +176,9 @@
 static void
 on_close (gp_session_t *session, bool ready, const GError *reason, void *data)
 {
-  (void)data;
+  gp_guard_t *guard = data;
+
+  gp_configuration_on_closed (guard->configuration, session);
   if (ready)
     {
       gp_counter_add (&entries_connected, -1);
@@ -201,10 +215,12 @@
 }
 
 static void
-close_sessions (void *data)
+on_part_drained (void *data)
 {
   gp_guard_t *guard = data;
 
+  if (--guard->draining > 0)
+    return;
   gp_log (GP_LOG_INFO, "guard.drained");
   gp_session_host_close (&guard->host);
   guard->heartbeat.cb = on_sessions_closed;
@@ -224,10 +240,58 @@
     gp_dialer_stop (&guard->dialers[i]);
   GP_LIST_FOREACH (pos, &guard->host.sessions)
   announce (guard, GP_CONTAINER_OF (pos, gp_session_t, link));
+  guard->draining = has_upstream (guard) + (guard->runner != NULL);
   if (has_upstream (guard))
-    gp_executor_leave (&guard->executor, close_sessions, guard);
-  else
-    close_sessions (guard);
+    gp_executor_leave (&guard->executor, on_part_drained, guard);
+  if (guard->runner != NULL)
+    gp_runner_leave (guard->runner, gp_loop_now (&guard->loop) + LEAVE_TIME,
+                     on_part_drained, guard);
+}
+
+/* The worker's lease goes on under a new incarnation.  */
+static void
+on_runner_renewed (void *data)
+{
+  gp_guard_t *guard = data;
+
+  GP_LIST_FOREACH (pos, &guard->host.sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready)
+      announce (guard, session);
+  }
+}
+
+static void
+on_configuration (const gp_document_t *document, uint64_t revision, void *data)
+{
+  (void)document, (void)data;
+  gp_log (GP_LOG_INFO, "configuration.in-force",
+          GP_LOG_I ("revision", revision));
+}
+
+static bool
+start_parts (gp_guard_t *guard, GError **error)
+{
+  const gp_settings_t *settings = guard->settings;
+
+  guard->events = g_new0 (gp_timeline_event_t, GP_GUARD_TIMELINE_SIZE);
+  gp_timeline_init (&guard->timeline, settings->name, guard->incarnation,
+                    guard->events, GP_GUARD_TIMELINE_SIZE);
+  guard->configuration = gp_configuration_new (
+      &guard->host, NULL, &guard->timeline, on_configuration, guard);
+  if (has_upstream (guard)
+      && !gp_executor_init (&guard->executor, &guard->loop,
+                            settings->guard->upstream, guard->incarnation,
+                            error))
+    return false;
+  if (settings->guard->worker == NULL)
+    return true;
+  guard->runner
+      = gp_runner_new (&guard->host, settings, guard->incarnation, guard->rand,
+                       &guard->timeline, on_runner_renewed, guard, error);
+  return guard->runner != NULL;
 }
 
 static void
@@ -276,10 +340,7 @@
   gp_counter_register (&heartbeats_sent);
   gp_session_host_init (&guard->host, &guard->loop, guard->tls, &self,
                         &session_callbacks, guard);
-  if (has_upstream (guard)
-      && !gp_executor_init (&guard->executor, &guard->loop,
-                            settings->guard->upstream, guard->incarnation,
-                            error))
+  if (!start_parts (guard, error))
     return false;
   if (settings->guard->peers != NULL
       && !gp_session_host_listen (&guard->host, settings->guard->peers, error))
@@ -309,6 +370,10 @@
   gp_timer_finish (&guard->heartbeat);
   if (has_upstream (guard))
     gp_executor_finish (&guard->executor);
+  if (guard->runner != NULL)
+    gp_runner_free (guard->runner);
+  gp_configuration_free (guard->configuration);
+  g_free (guard->events);
   gp_session_host_finish (&guard->host);
   gp_loop_finish (&guard->loop);
   if (guard->tls != NULL)
--- a/src/daemon/guard.h
+++ b/src/daemon/guard.h
@@ -8,9 +8,14 @@
 #define GP_DAEMON_GUARD_H
 
 #include "base/settings.h"
+#include "base/timeline.h"
+#include "daemon/configuration.h"
 #include "daemon/execution.h"
+#include "daemon/runner.h"
 #include "protocol/dialer.h"
 
+#define GP_GUARD_TIMELINE_SIZE 4096
+
 typedef struct
 {
   gp_loop_t loop;
@@ -22,6 +27,11 @@
   gp_dialer_t *dialers;
   size_t dialer_count;
   gp_executor_t executor; /* when settings->guard->upstream is set */
+  gp_runner_t *runner;    /* when settings->guard->worker is set */
+  gp_configuration_t *configuration;
+  gp_timeline_t timeline;
+  gp_timeline_event_t *events;
+  unsigned draining; /* parts that have not drained yet */
   gp_timer_t heartbeat;
   uint64_t heartbeat_sequence;
   bool leaving;
