--- a/bench/bench_members.c
+++ b/bench/bench_members.c
@@ -91,7 +91,6 @@
   heartbeat.load = &load;
   heartbeat.free = &available;
   heartbeat.config_revision = 100000;
-  heartbeat.sent_at = 1;
   heartbeat.renew = 1;
   envelope.message_case = GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT;
   envelope.heartbeat = &heartbeat;
@@ -105,7 +104,6 @@
   Gp__Wire__HeartbeatReply reply = GP__WIRE__HEARTBEAT_REPLY__INIT;
 
   reply.sequence = 100000;
-  reply.sent_at = 1;
   reply.lease_remaining_us = 14000000;
   reply.config_revision = 100000;
   envelope.message_case = GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT_REPLY;
