Follow and write the log in the store

The first read of a stream no longer waits for a long poll, so the state of an idle log is built at once, and a log that is up again is seen at once.

--- /dev/null
+++ b/src/daemon/store_private.h
@@ -0,0 +1,81 @@
+/* Inside of the store: shared by its proposals (store.c), its reading of the
+   log (store_read.c) and its snapshots (store_snapshot.c).  */
+
+#ifndef GP_DAEMON_STORE_PRIVATE_H
+#define GP_DAEMON_STORE_PRIVATE_H
+
+#include "base/idpool.h"
+#include "daemon/store.h"
+#include "state/snapshot.h"
+#include "transport/log_client.h"
+
+struct gp_proposal
+{
+  gp_list_t link; /* in gp_store_t.decided once it has its result */
+  gp_writer_entry_t *entry;
+  uint64_t token;
+  bool decided;
+  gp_proposal_result_t result;
+  gp_fold_verdict_t verdict;
+  gp_proposal_done_t done;
+  void *data;
+};
+
+struct gp_store
+{
+  gp_loop_t *loop;
+  gp_timeline_t *timeline;
+  char *name;
+  uint64_t incarnation;
+  gp_stream_t *stream;
+  gp_follower_t follower;
+  gp_writer_t writer;
+  gp_snapshot_t snapshot;
+  gp_list_t subscribers;
+  gp_idpool_t proposals;    /* token -> gp_proposal_t */
+  gp_list_t decided;        /* of gp_proposal_t, their DONE is due */
+  gp_deferred_t deliver;    /* calls their DONE */
+  gp_timer_t timer;         /* of the writer and of the snapshot's pace */
+  gp_timer_t copy_timer;    /* next rows of a snapshot */
+  gp_closer_t closer;       /* frees the memory after the timers */
+  gp_time_t append_timeout; /* duration */
+  gp_time_t read_at;        /* when the last complete read was sent */
+  unsigned read_failures;   /* in a row */
+  uint64_t restarts;        /* of the follower, as told to subscribers */
+  uint64_t snapshot_as_of;  /* of the newest known, plus one */
+  bool up;                  /* as told by the timeline */
+  bool closing;
+};
+
+/* Start following; store_read.c.  */
+bool gp_store_open_stream (gp_store_t *store, const gp_settings_t *settings,
+                           GError **error);
+
+/* A change of the fold while it applies a batch.  */
+void gp_store_on_change (const gp_fold_change_t *change, void *data);
+
+/* Read on from where the follower needs it.  */
+void gp_store_follow (gp_store_t *store);
+
+/* Take what the writer wants done.  Due at once after each call that may
+   decide a record, since its entry is gone then.  */
+void gp_store_take_actions (gp_store_t *store);
+
+/* Do what is due, and set the timer.  */
+void gp_store_pump (gp_store_t *store);
+
+/* Append to the timeline, if there is one.  */
+void gp_store_note (gp_store_t *store, gp_timeline_kind_t kind);
+
+/* Note a change between up and down.  */
+void gp_store_note_health (gp_store_t *store);
+
+/* Begin a snapshot if it is due.  */
+void gp_store_check_snapshot (gp_store_t *store);
+
+/* Queue the snapshot's next record if it is time.  */
+void gp_store_write_snapshot (gp_store_t *store);
+
+void gp_store_on_copy_timer (gp_timer_t *timer, void *data);
+
+#endif
--- /dev/null
+++ b/src/daemon/store_read.c
@@ -0,0 +1,250 @@
+/* Reading of the store: replies of the log into the follower, changes of the
+   state out to subscribers.
+
+   The follower says from where it wants to read.  The stream goes on by
+   itself after each reply; where the follower wants another offset (it has
+   changed its phase, or started again) the stream is told to follow anew.  */
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "daemon/store_private.h"
+
+#define MAX_APPENDS 4
+#define READ_TIMEOUT (5 * GP_SEC)
+#define READ_RETRY (50 * GP_MSEC)
+#define READ_RETRY_MAX (1 * GP_SEC)
+#define MAX_READ_SIZE ((size_t)4 * 1024 * 1024)
+
+static gp_counter_t records_applied
+    = GP_COUNTER ("store_records_total", "Batches read from the log.");
+static gp_counter_t read_errors
+    = GP_COUNTER ("store_read_errors_total", "Reads of the log that failed.");
+static gp_counter_t restarts = GP_COUNTER (
+    "store_restarts_total", "States given up because of a gap in the log.");
+static gp_counter_t is_ready
+    = GP_GAUGE ("store_ready", "1 when the state may be acted upon.");
+
+void
+gp_store_on_change (const gp_fold_change_t *change, void *data)
+{
+  gp_store_t *store = data;
+
+  if (change->kind == GP_FOLD_OWN_BATCH)
+    {
+      gp_writer_observe (&store->writer, change->u.own.sequence,
+                         change->u.own.verdicts, change->u.own.count,
+                         gp_loop_now (store->loop));
+      gp_store_take_actions (store);
+    }
+  if (store->follower.phase != GP_FOLLOWER_READY)
+    return;
+  GP_LIST_FOREACH_SAFE (pos, &store->subscribers)
+  {
+    gp_store_subscriber_t *subscriber
+        = GP_CONTAINER_OF (pos, gp_store_subscriber_t, link);
+
+    if (subscriber->on_change != NULL)
+      subscriber->on_change (change, subscriber->data);
+  }
+}
+
+static void
+tell_gap (gp_store_t *store)
+{
+  if (store->follower.restarts == store->restarts)
+    return;
+  gp_counter_add (&restarts,
+                  (int64_t)(store->follower.restarts - store->restarts));
+  store->restarts = store->follower.restarts;
+  store->snapshot_as_of = 0;
+  gp_log (GP_LOG_WARNING, "log.gap",
+          GP_LOG_I ("first", store->follower.first_offset));
+  gp_store_note (store, GP_TIMELINE_LOG_GAP);
+  GP_LIST_FOREACH_SAFE (pos, &store->subscribers)
+  {
+    gp_store_subscriber_t *subscriber
+        = GP_CONTAINER_OF (pos, gp_store_subscriber_t, link);
+
+    if (subscriber->on_gap != NULL)
+      subscriber->on_gap (subscriber->data);
+  }
+}
+
+/* Batches up to the sequence in the state are on the log, also those that
+   were not read one by one.  */
+static void
+skip_own (gp_store_t *store)
+{
+  const gp_fold_writer_t *own
+      = gp_fold_writer (&store->follower.fold, store->name);
+  bool is_own = own != NULL && own->incarnation == store->incarnation;
+
+  gp_writer_skip (&store->writer, is_own ? own->sequence : 0,
+                  gp_loop_now (store->loop));
+  gp_store_take_actions (store);
+}
+
+static void
+tell_rebuilt (gp_store_t *store)
+{
+  if (!gp_follower_take_rebuilt (&store->follower))
+    return;
+  skip_own (store);
+  gp_log (GP_LOG_INFO, "log.state-built",
+          GP_LOG_I ("offset", store->follower.fold.next_offset));
+  GP_LIST_FOREACH_SAFE (pos, &store->subscribers)
+  {
+    gp_store_subscriber_t *subscriber
+        = GP_CONTAINER_OF (pos, gp_store_subscriber_t, link);
+
+    if (subscriber->on_rebuilt != NULL)
+      subscriber->on_rebuilt (subscriber->data);
+  }
+}
+
+static void
+tell_read (gp_store_t *store, gp_time_t sent_at)
+{
+  store->read_at = sent_at;
+  GP_LIST_FOREACH_SAFE (pos, &store->subscribers)
+  {
+    gp_store_subscriber_t *subscriber
+        = GP_CONTAINER_OF (pos, gp_store_subscriber_t, link);
+
+    if (subscriber->on_read != NULL)
+      subscriber->on_read (sent_at, subscriber->data);
+  }
+}
+
+static void
+tell_stopped (gp_store_t *store, gp_follower_phase_t before)
+{
+  if (store->follower.phase != GP_FOLLOWER_STOPPED
+      || before == GP_FOLLOWER_STOPPED)
+    return;
+  gp_log (GP_LOG_ERROR, "log.later-version",
+          GP_LOG_I ("offset", store->follower.from));
+  gp_stream_unfollow (store->stream);
+}
+
+/* Give the follower one reply and tell what has come of it.  */
+static void
+take_reply (gp_store_t *store, const gp_follower_reply_t *reply)
+{
+  gp_follower_phase_t before = store->follower.phase;
+
+  gp_follower_read (&store->follower, reply);
+  tell_gap (store);
+  tell_rebuilt (store);
+  tell_stopped (store, before);
+  gp_counter_set (&is_ready, gp_store_ready (store));
+}
+
+void
+gp_store_follow (gp_store_t *store)
+{
+  if (store->follower.phase != GP_FOLLOWER_STOPPED)
+    gp_stream_follow (store->stream, gp_follower_from (&store->follower));
+}
+
+static gp_follower_record_t *
+convert_records (const gp_stream_read_t *read)
+{
+  gp_follower_record_t *records
+      = g_new (gp_follower_record_t, read->count + 1);
+
+  for (size_t i = 0; i < read->count; i++)
+    records[i] = (gp_follower_record_t){ .offset = read->records[i].offset,
+                                         .bytes = read->records[i].data,
+                                         .size = read->records[i].size };
+  return records;
+}
+
+static void
+apply_read (gp_store_t *store, const gp_stream_read_t *read)
+{
+  gp_follower_record_t *records = convert_records (read);
+  gp_follower_reply_t reply = { .first_offset = read->first_offset,
+                                .next_offset = read->next_offset,
+                                .records = records,
+                                .count = read->count };
+
+  gp_counter_add (&records_applied, (int64_t)read->count);
+  take_reply (store, &reply);
+  g_free (records);
+  if (read->complete && gp_follower_caught_up (&store->follower))
+    tell_read (store, read->sent_at);
+  if (gp_follower_from (&store->follower) != read->from + read->count)
+    gp_store_follow (store);
+}
+
+static void
+on_read (const gp_stream_read_t *read, void *data)
+{
+  gp_store_t *store = data;
+
+  store->read_failures = 0;
+  if (store->snapshot.copying)
+    {
+      gp_stream_unfollow (store->stream); /* read again after the copy */
+      return;
+    }
+  gp_writer_set_wall (&store->writer,
+                      gp_time_wall () - gp_loop_now (store->loop));
+  apply_read (store, read);
+  gp_store_check_snapshot (store);
+  gp_store_pump (store);
+}
+
+/* Records were lost, or the stream has begun anew.  */
+static void
+on_gap (uint64_t from, uint64_t first_offset, void *data)
+{
+  gp_store_t *store = data;
+  gp_follower_reply_t reply
+      = { .first_offset = first_offset, .next_offset = first_offset };
+
+  gp_snapshot_abandon (&store->snapshot);
+  gp_timer_disarm (&store->copy_timer);
+  take_reply (store, &reply);
+  gp_store_follow (store);
+  gp_store_pump (store);
+}
+
+static void
+on_error (const GError *error, void *data)
+{
+  gp_store_t *store = data;
+
+  gp_counter_add (&read_errors, 1);
+  store->read_failures++;
+  gp_store_note_health (store);
+}
+
+static const gp_stream_callbacks_t callbacks = { on_read, on_gap, on_error };
+
+bool
+gp_store_open_stream (gp_store_t *store, const gp_settings_t *settings,
+                      GError **error)
+{
+  gp_stream_options_t options
+      = { .address = settings->platform_log->address,
+          .name = settings->platform_log->stream,
+          .max_appends = MAX_APPENDS,
+          .poll_time = settings->timings.log_wait_ms * GP_MSEC,
+          .read_timeout = READ_TIMEOUT,
+          .retry_time = READ_RETRY,
+          .retry_time_max = READ_RETRY_MAX,
+          .max_read_size = MAX_READ_SIZE };
+
+  gp_counter_register (&records_applied);
+  gp_counter_register (&read_errors);
+  gp_counter_register (&restarts);
+  gp_counter_register (&is_ready);
+  store->stream
+      = gp_stream_new (store->loop, &options, &callbacks, store, error);
+  if (store->stream == NULL)
+    return false;
+  gp_store_follow (store);
+  return true;
+}
--- a/src/transport/log_client.c
+++ b/src/transport/log_client.c
@@ -59,6 +59,7 @@
   uint64_t from;
   uint64_t turn; /* counts gp_stream_follow and gp_stream_unfollow */
   bool following;
+  bool fresh; /* do not wait: nothing was read since the start or an error */
 };
 
 static gp_counter_t appends_total
@@ -236,6 +237,7 @@
 static void
 fail_read (gp_stream_t *stream, GError *error)
 {
+  stream->fresh = true;
   gp_time_t pause = stream->retry_time;
 
   gp_counter_add (&read_failures_total, 1);
@@ -292,6 +294,7 @@
 {
   uint64_t turn = stream->turn;
   uint64_t read_up_to = stream->from + reply->n_records;
+  bool waited = !stream->fresh;
   gp_stream_read_t read = { .sent_at = stream->sent_at,
                             .from = stream->from,
                             .first_offset = reply->first_offset,
@@ -304,10 +307,11 @@
   gp_counter_add (&records_total, (int64_t)reply->n_records);
   stream->retry_time = stream->options.retry_time;
   stream->from = read_up_to;
+  stream->fresh = false;
   stream->callbacks.on_read (&read, stream->data);
   if (stream->turn != turn)
     return;
-  if (reply->n_records == 0 && came_early (stream))
+  if (reply->n_records == 0 && waited && came_early (stream))
     gp_timer_arm (&stream->retry, gp_time_now () + stream->retry_time);
   else
     start_read (stream);
@@ -394,10 +398,10 @@
 start_read (gp_stream_t *stream)
 {
   const gp_stream_options_t *options = &stream->options;
-  char *path
-      = g_strdup_printf ("%s?from=%" PRIu64 "&max_bytes=%zu&wait_ms=%" PRId64,
-                         stream->path, stream->from, options->max_read_size,
-                         (int64_t)(options->poll_time / GP_MSEC));
+  gp_time_t wait = stream->fresh ? 0 : options->poll_time;
+  char *path = g_strdup_printf (
+      "%s?from=%" PRIu64 "&max_bytes=%zu&wait_ms=%" PRId64, stream->path,
+      stream->from, options->max_read_size, (int64_t)(wait / GP_MSEC));
   gp_http_call_request_t request = { .method = "GET", .path = path };
 
   answer_init (&stream->answer,
@@ -429,6 +433,7 @@
   gp_stream_unfollow (stream);
   stream->from = from;
   stream->following = true;
+  stream->fresh = true;
   stream->retry_time = stream->options.retry_time;
   start_read (stream);
 }
