--- a/src/daemon/store.c
+++ b/src/daemon/store.c
@@ -78,9 +78,7 @@
   gp_store_t *store = append->store;
   gp_time_t now = gp_loop_now (store->loop);
 
-  if (store->closing)
-    result = GP_APPEND_UNKNOWN;
-  else if (result == GP_APPEND_DONE)
+  if (result == GP_APPEND_DONE)
     gp_writer_acked (&store->writer, append->sequence, now);
   else
     {
@@ -118,7 +116,6 @@
 
   if (proposal == NULL)
     return; /* of a snapshot */
-  gp_idpool_remove (&store->proposals, token);
   proposal->entry = NULL;
   proposal->decided = true;
   proposal->result = result;
@@ -137,6 +134,7 @@
     {
       gp_proposal_t *proposal = GP_CONTAINER_OF (link, gp_proposal_t, link);
 
+      gp_idpool_remove (&store->proposals, proposal->token);
       if (proposal->result == GP_PROPOSAL_EXPIRED)
         gp_counter_add (&expired, 1);
       if (proposal->done != NULL)
@@ -278,14 +276,10 @@
 void
 gp_store_free (gp_store_t *store)
 {
-  gp_list_t *link;
-
   store->closing = true;
   if (store->stream != NULL)
     gp_stream_free (store->stream);
   gp_deferred_cancel (&store->deliver);
-  while ((link = gp_list_pop_front (&store->decided)) != NULL)
-    g_free (GP_CONTAINER_OF (link, gp_proposal_t, link));
   gp_idpool_foreach (&store->proposals, free_proposal, NULL);
   gp_idpool_finish (&store->proposals);
   gp_snapshot_finish (&store->snapshot);
--- a/src/transport/log_client.c
+++ b/src/transport/log_client.c
@@ -237,9 +237,9 @@
 static void
 fail_read (gp_stream_t *stream, GError *error)
 {
-  stream->fresh = true;
   gp_time_t pause = stream->retry_time;
 
+  stream->fresh = true;
   gp_counter_add (&read_failures_total, 1);
   stream->retry_time
       = MIN (2 * stream->retry_time, stream->options.retry_time_max);
--- a/src/transport/log_client.h
+++ b/src/transport/log_client.h
@@ -4,11 +4,11 @@
    without an acknowledgement may have taken effect and may still do so.
    Retrying it, with the same bytes, is the user's.
 
-   The follower reads the stream's tail one read at a time, the first at
-   once and the others as long polls, and
-   reports each one with the time it was sent at: what the log held then is
-   known once the read is complete.  A failed read is reported and repeated
-   after a pause that doubles up to a bound.  A gap ends the following.  */
+   The follower reads the stream's tail one read at a time, the first and
+   those after an error at once and the others as long polls, and reports
+   each one with the time it was sent at: what the log held then is known
+   once the read is complete.  A failed read is reported and repeated after a
+   pause that doubles up to a bound.  A gap ends the following.  */
 
 #ifndef GP_TRANSPORT_LOG_CLIENT_H
 #define GP_TRANSPORT_LOG_CLIENT_H
