Publish the configuration and hand it on between processes

Entries and guards had no configuration. Revisions go from the log to entries and between all processes by offer, ask and delta; every process holds the whole, so a revision outlives a total replacement of the entries while the log is out. Operators have GET and POST /v1/config, its history and /v1/check.

--- a/src/daemon/configuration.c
+++ b/src/daemon/configuration.c
@@ -1,36 +1,251 @@
-/* The configuration at a process.  */
+/* The configuration that a process holds, and its way between processes.
 
-#include "daemon/configuration.h"
+   A process that learns that a peer has a lower revision offers its own;
+   one that learns of a higher revision asks one peer for it and gets a
+   delta, or the whole when the delta cannot be made or does not fit.  What
+   it gets it offers on.  Every process, a guard too, holds the whole: after
+   a total replacement of the entries the guards are all that is left of a
+   revision while the log is out.
 
-struct gp_configuration
+   An entry takes revisions from the log in the same way, as an update from
+   what it holds to what the fold holds.  As a lower revision is refused at
+   every step, the two ways need no order between them.  */
+
+#include <string.h>
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "daemon/configuration_private.h"
+
+/* A peer that has not answered an ask for so long is passed over.  */
+#define ASK_TIMEOUT (2 * GP_SEC)
+
+static gp_counter_t revision_held
+    = GP_GAUGE ("config_revision", "Revision in force here.");
+static gp_counter_t bytes_held
+    = GP_GAUGE ("config_bytes", "Bytes of keys, values and document held.");
+static gp_counter_t offers
+    = GP_COUNTER ("config_offers_total", "Revisions offered to peers.");
+static gp_counter_t updates_sent
+    = GP_COUNTER ("config_updates_sent_total", "Updates sent to peers.");
+static gp_counter_t updates_taken = GP_COUNTER (
+    "config_updates_taken_total", "Updates of peers that were applied.");
+static gp_counter_t update_bytes = GP_COUNTER (
+    "config_update_bytes_total", "Bytes of the updates sent to peers.");
+static gp_counter_t updates_refused = GP_COUNTER (
+    "config_updates_refused_total", "Updates of peers that did not apply.");
+
+void
+gp_configuration_note (gp_configuration_t *configuration,
+                       gp_timeline_kind_t kind, uint64_t revision)
 {
-  gp_config_t config;
-};
+  const gp_timeline_subject_t none = { 0 };
+  char text[GP_TIMELINE_TEXT_SIZE];
 
-gp_configuration_t *
-gp_configuration_new (gp_session_host_t *host, gp_store_t *store,
-                      gp_timeline_t *timeline,
-                      gp_configuration_changed_t changed, void *data)
+  if (configuration->timeline == NULL)
+    return;
+  g_snprintf (text, sizeof text, "revision %" G_GUINT64_FORMAT, revision);
+  gp_timeline_append (configuration->timeline, kind, &none, text,
+                      gp_time_wall ());
+}
+
+/* What is held.  */
+
+static gboolean
+add_item (void *key, void *value, void *data)
 {
-  gp_configuration_t *configuration = g_new0 (gp_configuration_t, 1);
+  gp_document_items_add (data, key, value);
+  return FALSE;
+}
 
-  (void)host, (void)store, (void)timeline, (void)changed, (void)data;
-  gp_config_init (&configuration->config);
-  return configuration;
+GPtrArray *
+gp_configuration_list (const gp_config_t *config)
+{
+  GPtrArray *items = gp_document_items_new ();
+
+  g_tree_foreach (config->items, add_item, items);
+  return items;
 }
 
-void
-gp_configuration_free (gp_configuration_t *configuration)
+static void
+free_document (gp_document_t *document)
 {
-  gp_config_finish (&configuration->config);
-  g_free (configuration);
+  if (document == NULL)
+    return;
+  gp_document_finish (document);
+  g_free (document);
+}
+
+/* The document of the items that are held, or NULL.  */
+static gp_document_t *
+load_document (const gp_config_t *config)
+{
+  gp_document_t *document = g_new0 (gp_document_t, 1);
+  g_autoptr (GPtrArray) items = gp_configuration_list (config);
+  g_autoptr (GPtrArray) issues = gp_issues_new ();
+
+  if (gp_document_load_items (document, items, issues))
+    return document;
+  g_free (document);
+  gp_log (GP_LOG_ERROR, "configuration.unreadable",
+          GP_LOG_I ("revision", config->revision));
+  return NULL;
+}
+
+/* Put the items that are held in force.  The document before stays valid
+   until CHANGED has returned.  */
+static void
+enforce (gp_configuration_t *configuration)
+{
+  gp_config_t *config = &configuration->config;
+  gp_document_t *before = configuration->document;
+  gp_document_t *document = load_document (config);
+
+  gp_counter_set (&revision_held, (int64_t)config->revision);
+  gp_counter_set (&bytes_held, (int64_t)config->bytes);
+  if (document == NULL)
+    return;
+  configuration->document = document;
+  gp_configuration_note (configuration, GP_TIMELINE_CONFIG_IN_FORCE,
+                         config->revision);
+  configuration->changed (document, config->revision, configuration->data);
+  free_document (before);
+}
+
+/* Messages.  */
+
+static void
+send_offer (gp_configuration_t *configuration, gp_session_t *session)
+{
+  Gp__Wire__ConfigOffer offer = GP__WIRE__CONFIG_OFFER__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (CONFIG_OFFER, config_offer, &offer);
+
+  if (configuration->config.revision == 0)
+    return;
+  offer.revision = configuration->config.revision;
+  offer.digest.data = configuration->config.digest;
+  offer.digest.len = sizeof configuration->config.digest;
+  gp_counter_add (&offers, 1);
+  gp_session_send (session, &envelope);
+}
+
+static void
+send_ask (gp_configuration_t *configuration, gp_session_t *session,
+          uint64_t have)
+{
+  Gp__Wire__ConfigAsk ask = GP__WIRE__CONFIG_ASK__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (CONFIG_ASK, config_ask, &ask);
+
+  configuration->asked = session;
+  configuration->asked_at = gp_loop_now (configuration->host->loop);
+  ask.have_revision = have;
+  gp_session_send (session, &envelope);
+}
+
+static void
+forget_packed (gp_configuration_t *configuration)
+{
+  if (configuration->packed != NULL)
+    gp__wire__config_update__free_unpacked (configuration->packed, NULL);
+  configuration->packed = NULL;
+}
+
+/* An update of CONFIG for a holder of revision HAVE.  */
+static Gp__Wire__ConfigUpdate *
+make_update (const gp_config_t *config, uint64_t have)
+{
+  g_autoptr (GBytes) bytes = gp_config_pack (config, have, NULL, NULL);
+  size_t size;
+  const uint8_t *data = g_bytes_get_data (bytes, &size);
+
+  return gp__wire__config_update__unpack (NULL, size, data);
+}
+
+/* Most peers ask from the same revision, so the last one is kept.  */
+static void
+send_update (gp_configuration_t *configuration, gp_session_t *session,
+             uint64_t have)
+{
+  const gp_config_t *config = &configuration->config;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (CONFIG_UPDATE, config_update, 0);
+
+  if (config->revision <= have)
+    return;
+  if (configuration->packed == NULL
+      || configuration->packed->revision != config->revision
+      || configuration->packed_from != have)
+    {
+      forget_packed (configuration);
+      configuration->packed = make_update (config, have);
+      configuration->packed_from = have;
+    }
+  envelope.config_update = configuration->packed;
+  gp_counter_add (&updates_sent, 1);
+  gp_counter_add (&update_bytes,
+                  (int64_t)gp__wire__envelope__get_packed_size (&envelope));
+  gp_session_send (session, &envelope);
+}
+
+static void
+offer_to_all (gp_configuration_t *configuration, const gp_session_t *but)
+{
+  GP_LIST_FOREACH_SAFE (pos, &configuration->host->sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready && session != but)
+      send_offer (configuration, session);
+  }
+}
+
+/* The peer has REVISION, which is higher: ask, unless another peer has been
+   asked a moment ago.  */
+static void
+want (gp_configuration_t *configuration, gp_session_t *session)
+{
+  gp_time_t now = gp_loop_now (configuration->host->loop);
+
+  if (configuration->asked != NULL
+      && now < configuration->asked_at + ASK_TIMEOUT)
+    return;
+  send_ask (configuration, session, configuration->config.revision);
 }
 
 void
-gp_configuration_on_ready (gp_configuration_t *configuration,
-                           gp_session_t *session)
+gp_configuration_on_peer_revision (gp_configuration_t *configuration,
+                                   gp_session_t *session, uint64_t revision)
 {
-  (void)configuration, (void)session;
+  if (revision > configuration->config.revision)
+    want (configuration, session);
+  else if (revision < configuration->config.revision)
+    send_offer (configuration, session);
+}
+
+static void
+on_update (gp_configuration_t *configuration, gp_session_t *session,
+           const Gp__Wire__ConfigUpdate *update)
+{
+  if (configuration->asked == session)
+    configuration->asked = NULL;
+  switch (gp_config_apply_wire (&configuration->config, update))
+    {
+    case GP_CONFIG_APPLIED:
+      gp_counter_add (&updates_taken, 1);
+      enforce (configuration);
+      if (configuration->store != NULL)
+        offer_to_all (configuration, session);
+      break;
+    case GP_CONFIG_SAME:
+    case GP_CONFIG_LOWER:
+      break;
+    case GP_CONFIG_NO_BASE:
+    case GP_CONFIG_DIGEST:
+      gp_counter_add (&updates_refused, 1);
+      if (update->base_revision != 0)
+        send_ask (configuration, session, 0);
+      break;
+    }
 }
 
 void
@@ -38,21 +253,138 @@
                              gp_session_t *session,
                              const Gp__Wire__Envelope *envelope)
 {
-  (void)configuration, (void)session, (void)envelope;
+  switch (envelope->message_case)
+    {
+    case GP__WIRE__ENVELOPE__MESSAGE_CONFIG_OFFER:
+      if (envelope->config_offer->revision > configuration->config.revision)
+        want (configuration, session);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_CONFIG_ASK:
+      send_update (configuration, session,
+                   envelope->config_ask->have_revision);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_CONFIG_UPDATE:
+      on_update (configuration, session, envelope->config_update);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT:
+      gp_configuration_on_peer_revision (configuration, session,
+                                         envelope->heartbeat->config_revision);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+gp_configuration_on_ready (gp_configuration_t *configuration,
+                           gp_session_t *session)
+{
+  send_offer (configuration, session);
 }
 
 void
 gp_configuration_on_closed (gp_configuration_t *configuration,
                             gp_session_t *session)
 {
-  (void)configuration, (void)session;
+  if (configuration->asked == session)
+    configuration->asked = NULL;
+}
+
+/* The log.  */
+
+static void
+follow_fold (gp_configuration_t *configuration)
+{
+  const gp_config_t *fold = &gp_store_fold (configuration->store)->config;
+  Gp__Wire__ConfigUpdate *update;
+
+  if (fold->revision <= configuration->config.revision)
+    return;
+  update = make_update (fold, configuration->config.revision);
+  if (gp_config_apply_wire (&configuration->config, update)
+      != GP_CONFIG_APPLIED)
+    {
+      gp__wire__config_update__free_unpacked (update, NULL);
+      update = make_update (fold, 0);
+      gp_config_apply_wire (&configuration->config, update);
+    }
+  gp__wire__config_update__free_unpacked (update, NULL);
+  enforce (configuration);
+  offer_to_all (configuration, NULL);
+}
+
+static void
+on_change (const gp_fold_change_t *change, void *data)
+{
+  if (change->kind == GP_FOLD_CONFIG_CHANGED)
+    follow_fold (data);
+}
+
+static void
+on_rebuilt (void *data)
+{
+  follow_fold (data);
+}
+
+/* Life.  */
+
+static void
+register_counters (void)
+{
+  gp_counter_register (&revision_held);
+  gp_counter_register (&bytes_held);
+  gp_counter_register (&offers);
+  gp_counter_register (&updates_sent);
+  gp_counter_register (&updates_taken);
+  gp_counter_register (&update_bytes);
+  gp_counter_register (&updates_refused);
+}
+
+gp_configuration_t *
+gp_configuration_new (gp_session_host_t *host, gp_store_t *store,
+                      gp_timeline_t *timeline,
+                      gp_configuration_changed_t changed, void *data)
+{
+  gp_configuration_t *configuration = g_new0 (gp_configuration_t, 1);
+
+  register_counters ();
+  configuration->host = host;
+  configuration->store = store;
+  configuration->timeline = timeline;
+  configuration->changed = changed;
+  configuration->data = data;
+  gp_config_init (&configuration->config);
+  gp_configuration_init_publications (configuration);
+  configuration->subscriber.on_change = on_change;
+  configuration->subscriber.on_rebuilt = on_rebuilt;
+  configuration->subscriber.data = configuration;
+  if (store != NULL)
+    gp_store_subscribe (store, &configuration->subscriber);
+  return configuration;
+}
+
+static void
+no_close (gp_closer_t *closer)
+{
+}
+
+static void
+dispose (gp_closer_t *closer)
+{
+  g_free (GP_CONTAINER_OF (closer, gp_configuration_t, closer));
 }
 
 void
-gp_configuration_on_peer_revision (gp_configuration_t *configuration,
-                                   gp_session_t *session, uint64_t revision)
+gp_configuration_free (gp_configuration_t *configuration)
 {
-  (void)configuration, (void)session, (void)revision;
+  gp_configuration_finish_publications (configuration);
+  forget_packed (configuration);
+  free_document (configuration->document);
+  gp_config_finish (&configuration->config);
+  if (configuration->store != NULL)
+    gp_list_remove (&configuration->subscriber.link);
+  gp_closer_add (&configuration->closer, configuration->host->loop, no_close,
+                 dispose);
 }
 
 uint64_t
@@ -64,8 +396,7 @@
 const gp_document_t *
 gp_configuration_document (const gp_configuration_t *configuration)
 {
-  (void)configuration;
-  return NULL;
+  return configuration->document;
 }
 
 const gp_config_t *
@@ -73,16 +404,3 @@
 {
   return &configuration->config;
 }
-
-void
-gp_configuration_publish (gp_configuration_t *configuration, uint64_t base,
-                          const char *author, const char *comment,
-                          const char *text, size_t size, gp_time_t deadline,
-                          gp_publish_done_t done, void *data)
-{
-  gp_publish_answer_t answer = { .result = GP_PUBLISH_UNAVAILABLE };
-
-  (void)configuration, (void)base, (void)author, (void)comment, (void)text;
-  (void)size, (void)deadline;
-  done (&answer, data);
-}
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -7,6 +7,7 @@
 
 #include "base/counters.h"
 #include "daemon/entry.h"
+#include "daemon/operators_config.h"
 #include "daemon/text.h"
 
 #define BEARER "Bearer "
@@ -40,6 +41,10 @@
 
 static const route_t routes[] = {
   { "GET", "/v1/counters", answer_counters },
+  { "GET", "/v1/config", gp_operators_get_config },
+  { "GET", "/v1/config/history", gp_operators_get_history },
+  { "POST", "/v1/config", gp_operators_publish },
+  { "POST", "/v1/check", gp_operators_check },
 };
 
 /* Compare in time that does not depend on where the token differs.  */
--- /dev/null
+++ b/src/daemon/operators_config.c
@@ -0,0 +1,270 @@
+/* HTTP to operators about the configuration.  */
+
+#include "daemon/operators_config.h"
+
+#include <string.h>
+
+#include "daemon/text.h"
+
+#define PUBLISH_TIMEOUT (10 * GP_SEC)
+#define PUBLISH_TIMEOUT_MAX (60 * GP_SEC)
+
+/* A publication whose operator waits.  */
+typedef struct
+{
+  gp_http_exchange_t *exchange; /* NULL once the operator left */
+} waiting_t;
+
+static void
+answer_json (gp_http_exchange_t *exchange, int status, json_t *body)
+{
+  gp_http_header_t type = { "content-type", strlen ("content-type"),
+                            "application/json", strlen ("application/json") };
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  gp_http_exchange_answer (exchange, status, &type, 1, text, strlen (text));
+  free (text);
+  json_decref (body);
+}
+
+static void
+answer_message (gp_http_exchange_t *exchange, int status, const char *message)
+{
+  answer_json (exchange, status, json_pack ("{s:s}", "message", message));
+}
+
+/* The body as a JSON object, or NULL after an answer.  */
+static json_t *
+read_body (gp_http_exchange_t *exchange)
+{
+  gp_http_text_t text = gp_http_exchange_body (exchange);
+  json_t *body = NULL;
+
+  if (text.size > 0)
+    body = json_loadb (text.base, text.size, 0, NULL);
+  if (json_is_object (body))
+    return body;
+  json_decref (body);
+  answer_message (exchange, 400, "the body is no JSON object");
+  return NULL;
+}
+
+/* Reading.  */
+
+static const gp_config_t *
+fold_config (const gp_entry_t *entry)
+{
+  return &gp_store_fold (entry->store)->config;
+}
+
+/* The document of the revision in force: as it was written if the log told
+   it here, else from its items.  */
+static json_t *
+document_json (const gp_entry_t *entry)
+{
+  const gp_config_t *held = gp_configuration_items (entry->configuration);
+  const gp_config_t *fold = fold_config (entry);
+  const gp_document_t *document
+      = gp_configuration_document (entry->configuration);
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_autoptr (GPtrArray) issues = gp_issues_new ();
+  size_t size;
+  const char *bytes;
+
+  if (fold->revision != held->revision)
+    {
+      if (document != NULL)
+        gp_document_items_format (document->items, text, issues);
+      return json_stringn (text->str, text->len);
+    }
+  bytes = g_bytes_get_data (fold->document, &size);
+  return json_stringn (bytes != NULL ? bytes : "", size);
+}
+
+/* The digest of the items, so that two processes can be compared.  */
+static json_t *
+digest_json (const gp_config_t *config)
+{
+  char text[2 * GP_CONFIG_DIGEST_SIZE + 1];
+
+  for (size_t i = 0; i < GP_CONFIG_DIGEST_SIZE; i++)
+    g_snprintf (text + 2 * i, 3, "%02x", config->digest[i]);
+  return json_string (text);
+}
+
+static json_t *
+change_json (const gp_config_change_t *change)
+{
+  json_t *json = json_pack ("{s:I, s:s, s:s, s:I}", "revision",
+                            (json_int_t)change->revision, "author",
+                            change->author, "comment", change->comment,
+                            "changed_us", (json_int_t)change->changed_us);
+  json_t *keys = json_array ();
+
+  for (guint i = 0; change->keys != NULL && i < change->keys->len; i++)
+    json_array_append_new (keys, json_string (change->keys->pdata[i]));
+  if (change->keys != NULL)
+    json_object_set (json, "keys", keys);
+  json_decref (keys);
+  return json;
+}
+
+void
+gp_operators_get_config (gp_entry_t *entry, gp_http_exchange_t *exchange)
+{
+  const gp_config_t *held = gp_configuration_items (entry->configuration);
+  const gp_config_t *fold = fold_config (entry);
+  const gp_config_change_t *newest = gp_config_newest (fold);
+  json_t *body = json_pack ("{s:I}", "revision", (json_int_t)held->revision);
+
+  if (held->revision > 0)
+    {
+      json_object_set_new (body, "digest", digest_json (held));
+      json_object_set_new (body, "document", document_json (entry));
+    }
+  if (newest != NULL && fold->revision == held->revision)
+    {
+      json_object_set_new (body, "author", json_string (newest->author));
+      json_object_set_new (body, "comment", json_string (newest->comment));
+      json_object_set_new (body, "changed_us",
+                           json_integer (newest->changed_us));
+    }
+  answer_json (exchange, 200, body);
+}
+
+void
+gp_operators_get_history (gp_entry_t *entry, gp_http_exchange_t *exchange)
+{
+  const gp_config_t *config = fold_config (entry);
+  json_t *list = json_array ();
+
+  for (GList *at = config->history.tail; at != NULL; at = at->prev)
+    json_array_append_new (list, change_json (at->data));
+  answer_json (exchange, 200, json_pack ("{s:o}", "revisions", list));
+}
+
+void
+gp_operators_check (gp_entry_t *entry, gp_http_exchange_t *exchange)
+{
+  json_t *body = read_body (exchange);
+  const char *text;
+  size_t size;
+  bool ok;
+  g_autoptr (GPtrArray) issues = gp_issues_new ();
+
+  if (body == NULL)
+    return;
+  if (json_unpack (body, "{s:s%}", "document", &text, &size) == 0)
+    {
+      ok = gp_document_check (text, size, issues);
+      answer_json (exchange, 200,
+                   json_pack ("{s:b, s:o}", "ok", ok, "issues",
+                              gp_issues_json (issues)));
+    }
+  else
+    answer_message (exchange, 400, "there is no document");
+  json_decref (body);
+}
+
+/* Publishing.  */
+
+static void
+on_gone (void *data)
+{
+  waiting_t *waiting = data;
+
+  waiting->exchange = NULL;
+}
+
+static void
+answer_conflict (gp_http_exchange_t *exchange,
+                 const gp_publish_answer_t *answer)
+{
+  g_autofree char *message = g_strdup_printf (
+      "revision %" G_GUINT64_FORMAT " of %s came first", answer->revision,
+      answer->author[0] != '\0' ? answer->author : "nobody");
+
+  answer_json (exchange, 409,
+               json_pack ("{s:I, s:s, s:s}", "revision",
+                          (json_int_t)answer->revision, "author",
+                          answer->author, "message", message));
+}
+
+static void
+on_published (const gp_publish_answer_t *answer, void *data)
+{
+  waiting_t *waiting = data;
+  gp_http_exchange_t *exchange = waiting->exchange;
+
+  g_free (waiting);
+  if (exchange == NULL)
+    return;
+  switch (answer->result)
+    {
+    case GP_PUBLISH_ACCEPTED:
+      answer_json (exchange, 201,
+                   json_pack ("{s:I, s:o}", "revision",
+                              (json_int_t)answer->revision, "issues",
+                              gp_issues_json (answer->issues)));
+      break;
+    case GP_PUBLISH_INVALID:
+      answer_json (exchange, 422,
+                   json_pack ("{s:s, s:o}", "message",
+                              "the document is not valid", "issues",
+                              gp_issues_json (answer->issues)));
+      break;
+    case GP_PUBLISH_CONFLICT:
+      answer_conflict (exchange, answer);
+      break;
+    case GP_PUBLISH_UNAVAILABLE:
+      answer_message (exchange, 503,
+                      "the log takes nothing now; nothing was published");
+      break;
+    case GP_PUBLISH_UNKNOWN:
+      answer_message (exchange, 504,
+                      "the document may yet be accepted; read it again");
+      break;
+    }
+}
+
+static gp_time_t
+publish_deadline (gp_entry_t *entry, const gp_http_exchange_t *exchange)
+{
+  gp_http_text_t asked
+      = gp_http_exchange_header (exchange, "galenapier-timeout-ms");
+  gp_time_t timeout
+      = gp_text_number (asked, PUBLISH_TIMEOUT / GP_MSEC) * GP_MSEC;
+
+  return gp_loop_now (&entry->loop)
+         + CLAMP (timeout, GP_MSEC, PUBLISH_TIMEOUT_MAX);
+}
+
+void
+gp_operators_publish (gp_entry_t *entry, gp_http_exchange_t *exchange)
+{
+  json_t *body = read_body (exchange);
+  const char *text;
+  const char *author = "";
+  const char *comment = "";
+  json_int_t base = 0;
+  size_t size;
+
+  if (body == NULL)
+    return;
+  if (json_unpack (body, "{s:I, s?s, s?s, s:s%}", "base", &base, "author",
+                   &author, "comment", &comment, "document", &text, &size)
+          == 0
+      && base >= 0)
+    {
+      waiting_t *waiting = g_new0 (waiting_t, 1);
+
+      waiting->exchange = exchange;
+      gp_http_exchange_watch (exchange, on_gone, NULL, waiting);
+      gp_configuration_publish (
+          entry->configuration, (uint64_t)base, author, comment, text, size,
+          publish_deadline (entry, exchange), on_published, waiting);
+    }
+  else
+    answer_message (exchange, 400, "base and document are required");
+  json_decref (body);
+}
