tests: Cover holds, class edges, heap removal and bad tasks

Cause: five changes made to the sources on trial were not noticed by any test; three of these were real faults (removal from a heap without moving up, no unbounded search, blaming a worker for tasks that fail everywhere). The other two changed nothing that can be seen but speed.

Change: tests of each, and of a hold on a full site. The residents of tasks that other entries placed can be counted without a reservation.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -255,8 +255,8 @@
   return NULL;
 }
 
-static void
-add_resident (gp_worker_t *worker, uint16_t kind)
+void
+gp_worker_add_resident (gp_worker_t *worker, uint16_t kind)
 {
   gp_resident_t *resident = find_resident (worker, kind);
 
@@ -276,8 +276,8 @@
   worker->n_residents++;
 }
 
-static void
-remove_resident (gp_worker_t *worker, uint16_t kind)
+void
+gp_worker_remove_resident (gp_worker_t *worker, uint16_t kind)
 {
   gp_resident_t *resident = find_resident (worker, kind);
 
@@ -303,7 +303,7 @@
                   const gp_resources_t *demand)
 {
   gp_resources_add (&worker->unconfirmed, demand);
-  add_resident (worker, kind);
+  gp_worker_add_resident (worker, kind);
   refresh (fleet, worker);
 }
 
@@ -322,7 +322,7 @@
 {
   gp_resources_subtract (&worker->unconfirmed, demand);
   worker->reported = *headroom;
-  remove_resident (worker, kind);
+  gp_worker_remove_resident (worker, kind);
   refresh (fleet, worker);
 }
 
@@ -337,7 +337,7 @@
   reported->millicores = MIN (reported->millicores, most->millicores);
   reported->memory_mib = MIN (reported->memory_mib, most->memory_mib);
   reported->accelerators = MIN (reported->accelerators, most->accelerators);
-  remove_resident (worker, kind);
+  gp_worker_remove_resident (worker, kind);
   refresh (fleet, worker);
 }
 
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -3,7 +3,8 @@
    An entry's view is optimistic: a worker's free resources are what its guard
    reported last, less what this entry has reserved there and the guard has
    not confirmed.  The guard decides; its refusal carries the true headroom
-   and refreshes the view.
+   and refreshes the view.  A report that crosses a confirmation on its way
+   makes the view too low or too high until the next one, never the guard's.
 
    Each zone has two cells, one for workers with accelerators and one for
    those without.  A cell is a grid of buckets by class of free processors
@@ -116,7 +117,8 @@
 /* The guard runs the task: the reservation becomes part of the report.  */
 void gp_fleet_confirm (gp_fleet_t *fleet, gp_worker_t *worker,
                        const gp_resources_t *demand);
-/* The guard refused and told its HEADROOM.  */
+/* The guard refused and told its HEADROOM; or the grant was voided, and
+   HEADROOM is the worker's last report.  */
 void gp_fleet_refuse (gp_fleet_t *fleet, gp_worker_t *worker, uint16_t kind,
                       const gp_resources_t *demand,
                       const gp_resources_t *headroom);
@@ -137,6 +139,11 @@
 bool gp_fleet_can_ever_fit (const gp_fleet_t *fleet,
                             const gp_resources_t *demand, uint64_t zones);
 
+/* Count a task of KIND on WORKER, or no longer, that this entry did not
+   reserve: the guard's reports hold its resources already.  */
+void gp_worker_add_resident (gp_worker_t *worker, uint16_t kind);
+void gp_worker_remove_resident (gp_worker_t *worker, uint16_t kind);
+
 /* How many tasks of KIND are on WORKER.  */
 uint32_t gp_worker_count (const gp_worker_t *worker, uint16_t kind);
 
--- a/src/coordination/pending.h
+++ b/src/coordination/pending.h
@@ -16,6 +16,9 @@
    after as many for lack of quota its team saves: others of its class and
    lower get only what leaves room for it.
 
+   A demand above the whole quota of its team, or above every worker, would
+   be tried for ever; the caller parks it.
+
    Every operation is logarithmic in the tasks; gp_pending_next also looks at
    each team once.  Tasks are memory of the caller.  */
 
@@ -128,8 +131,8 @@
 gp_time_t gp_pending_wake (const gp_pending_t *pending, gp_time_t now);
 
 /* Allow RATE starts a second with a burst of BURST from NOW on, after the
-   loss of many workers; latency-critical tasks may borrow another burst.
-   RATE 0 ends the pacing.  */
+   loss of many workers; BURST is at least 1, and latency-critical tasks may
+   borrow another.  RATE 0 ends the pacing.  */
 void gp_pending_pace (gp_pending_t *pending, double rate, double burst,
                       gp_time_t now);
 
--- a/src/coordination/suspects.h
+++ b/src/coordination/suspects.h
@@ -102,7 +102,8 @@
 bool gp_suspects_tick (gp_suspects_t *suspects, uint32_t worker,
                        gp_time_t now);
 
-/* Whether WORKER may get a new task.  */
+/* Whether WORKER may get a new task.  The caller keeps it from the index of
+   the fleet (GP_WORKER_SUSPECTED) while it may not.  */
 bool gp_suspects_allows (const gp_suspects_t *suspects, uint32_t worker);
 
 /* TASK_ID was sent to WORKER; the one that tries it when it is probed.  */
--- a/tests/unit/test_pending.c
+++ b/tests/unit/test_pending.c
@@ -70,6 +70,39 @@
   return task;
 }
 
+/* Whatever is removed from a heap, the rest comes out in order.  */
+static void
+test_heap (void)
+{
+  gp_task_heap_t heap;
+  gp_task_heap_node_t nodes[200];
+  gp_task_heap_node_t *node;
+  GRand *random = g_rand_new_with_seed (2);
+
+  gp_task_heap_init (&heap);
+  for (int round = 0; round < 200; round++)
+    {
+      gp_time_t last = -1;
+
+      for (unsigned int i = 0; i < G_N_ELEMENTS (nodes); i++)
+        {
+          nodes[i].task = i;
+          nodes[i].key = g_rand_int_range (random, 0, 500);
+          gp_task_heap_push (&heap, &nodes[i]);
+        }
+      for (unsigned int i = 0; i < G_N_ELEMENTS (nodes) / 2; i++)
+        gp_task_heap_remove (&heap, heap.nodes->pdata[g_rand_int_range (
+                                        random, 0, (gint)heap.nodes->len)]);
+      for (; (node = gp_task_heap_first (&heap)) != NULL; last = node->key)
+        {
+          CU_ASSERT_TRUE (node->key >= last);
+          gp_task_heap_remove (&heap, node);
+        }
+    }
+  gp_task_heap_finish (&heap);
+  g_rand_free (random);
+}
+
 static void
 test_order (void)
 {
@@ -371,7 +404,8 @@
 int
 main (void)
 {
-  static const policy_test_t tests[] = { { "order", test_order },
+  static const policy_test_t tests[] = { { "heap", test_heap },
+                                         { "order", test_order },
                                          { "quota head", test_quota_head },
                                          { "no capacity", test_no_capacity },
                                          { "pace", test_pace },
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -272,6 +272,68 @@
   random_run (300, 5, false);
 }
 
+/* One worker has room and very many of its class just don't: it is found, and
+   a miss is known until some headroom grows.  */
+static void
+test_edge_of_class (void)
+{
+  policy_site_t site;
+  gp_placement_ask_t ask = policy_ask (1, 55000, 1000);
+  gp_resources_t headroom = { 50000, 200000, 0 };
+
+  policy_site_init (&site, 600, 1, &site_worker);
+  for (unsigned int i = 0; i < 599; i++)
+    gp_fleet_report (&site.fleet, &site.workers[i], &headroom);
+  CU_ASSERT_PTR_EQUAL (gp_placement_choose (&site.placement, &ask).worker,
+                       &site.workers[599]);
+  gp_fleet_report (&site.fleet, &site.workers[599], &headroom);
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_EQUAL (gp_placement_choose (&site.placement, &ask).outcome,
+                     GP_PLACEMENT_NO_CAPACITY_NOW);
+  gp_fleet_report (&site.fleet, &site.workers[7], &site_worker);
+  CU_ASSERT_PTR_EQUAL (gp_placement_choose (&site.placement, &ask).worker,
+                       &site.workers[7]);
+  policy_site_finish (&site);
+}
+
+/* Small tasks come and go on a full site; a task that needs a whole worker
+   gets one by a hold, on which nothing else is placed meanwhile.  */
+static void
+test_hold (void)
+{
+  run_t *run = g_new0 (run_t, 1);
+  gp_placement_ask_t large = policy_ask (1, 60000, 1000);
+  gp_worker_t *got = NULL;
+  uint32_t least = 0;
+  unsigned int steps = 0;
+
+  run->random = g_rand_new_with_seed (9);
+  policy_site_init (&run->site, 11, 4, &site_worker);
+  begin_interference (run);
+  while (run->misses < 20)
+    step_place (run, run->n_tasks + 2, true);
+  CU_ASSERT_EQUAL (gp_placement_choose (&run->site.placement, &large).outcome,
+                   GP_PLACEMENT_NO_CAPACITY_NOW);
+  large.held = gp_placement_hold (&run->site.placement, &large, GP_SEC);
+  CU_ASSERT_NOT_EQUAL_FATAL (large.held, GP_WORKER_NONE);
+  for (; got == NULL && steps < STEPS; steps++)
+    {
+      step_release (run);
+      step_place (run, run->n_tasks + 2, true);
+      CU_ASSERT_TRUE (run->site.workers[large.held].free.millicores >= least);
+      least = run->site.workers[large.held].free.millicores;
+      got = gp_placement_choose (&run->site.placement, &large).worker;
+    }
+  CU_ASSERT_PTR_EQUAL (got, &run->site.workers[large.held]);
+  gp_placement_reserve (&run->site.placement, &large, got);
+  CU_ASSERT_EQUAL (run->site.fleet.holds, 0);
+  CU_ASSERT_EQUAL (got->held_for, 0);
+  gp_interference_finish (&run->interference);
+  policy_site_finish (&run->site);
+  g_rand_free (run->random);
+  g_free (run);
+}
+
 int
 main (void)
 {
@@ -280,6 +342,8 @@
           { "accelerators kept", test_accelerators_kept },
           { "twin, small", test_twin_small },
           { "twin, large", test_twin_large },
+          { "edge of class", test_edge_of_class },
+          { "hold", test_hold },
           { NULL, NULL } };
 
   return policy_suite_run ("placement", tests);
--- a/tests/unit/test_suspects.c
+++ b/tests/unit/test_suspects.c
@@ -85,6 +85,24 @@
   end_task (&site, 10, 6, true, 821 * GP_SEC);
 }
 
+/* Tasks that failed elsewhere before don't make a worker suspected, however
+   many there are; their parking is enough.  */
+static void
+test_bad_tasks (void)
+{
+  site_t site;
+
+  site_init (&site);
+  for (unsigned int task = 0; task < 10; task++)
+    {
+      (void)gp_suspects_outcome (&site.suspects, task + 1, &site.tasks[task],
+                                 task, true, GP_SEC);
+      CU_ASSERT_FALSE (gp_suspects_outcome (
+          &site.suspects, task + 1, &site.tasks[task], 15, true, 2 * GP_SEC));
+    }
+  CU_ASSERT_TRUE (gp_suspects_allows (&site.suspects, 15));
+}
+
 /* One worker fails everything and some tasks fail everywhere: exactly these
    are found.  */
 static void
@@ -132,6 +150,7 @@
 main (void)
 {
   static const policy_test_t tests[] = { { "transcript", test_transcript },
+                                         { "bad tasks", test_bad_tasks },
                                          { "random", test_random },
                                          { NULL, NULL } };
 
