--- a/src/base/yaml_schema.c
+++ b/src/base/yaml_schema.c
@@ -11,7 +11,8 @@
 {
   const gp_yaml_schema_t *schema;
   GPtrArray *issues;
-  GString *path; /* of the node that is checked */
+  GString *path;        /* of the node that is checked */
+  GHashTable *compiled; /* pattern -> GRegex */
 } checker_t;
 
 static void check_value (checker_t *checker, const gp_yaml_node_t *node,
@@ -126,18 +127,27 @@
   return true;
 }
 
-static bool
-matches (const char *text, const gp_yaml_rule_t *rule)
+static GRegex *
+compiled_pattern (checker_t *checker, const char *pattern)
 {
+  GRegex *regex = g_hash_table_lookup (checker->compiled, pattern);
   char *whole;
-  bool found;
 
-  if (!rule || !rule->pattern)
-    return true;
-  whole = g_strdup_printf ("^(?:%s)$", rule->pattern);
-  found = g_regex_match_simple (whole, text, G_REGEX_DOLLAR_ENDONLY, 0);
+  if (regex)
+    return regex;
+  whole = g_strdup_printf ("^(?:%s)$", pattern);
+  regex = g_regex_new (whole, G_REGEX_DOLLAR_ENDONLY, 0, NULL);
   g_free (whole);
-  return found;
+  g_hash_table_insert (checker->compiled, (char *)pattern, regex);
+  return regex;
+}
+
+static bool
+matches (checker_t *checker, const char *text, const gp_yaml_rule_t *rule)
+{
+  return !rule || !rule->pattern
+         || g_regex_match (compiled_pattern (checker, rule->pattern), text, 0,
+                           NULL);
 }
 
 static void
@@ -148,7 +158,8 @@
   bool fits = size >= schema->string.min && size <= schema->string.max;
   char *allowed;
 
-  if (fits && is_printable (node->value) && matches (node->value, rule))
+  if (fits && is_printable (node->value)
+      && matches (checker, node->value, rule))
     return;
   if (fits && rule && rule->allowed)
     allowed = g_strdup (rule->allowed);
@@ -304,6 +315,9 @@
   checker_t checker = { .schema = schema, .issues = issues };
 
   checker.path = g_string_new (NULL);
+  checker.compiled = g_hash_table_new_full (
+      g_direct_hash, g_direct_equal, NULL, (GDestroyNotify)g_regex_unref);
   check_value (&checker, root, schema->value, NULL);
+  g_hash_table_unref (checker.compiled);
   g_string_free (checker.path, TRUE);
 }
