Take in a change of the document at the cost of the change

Change: gp_document_patch brings a document forward by a list of items. All new items are read and compared with their canonical form first, so that a bad one changes nothing; elements are replaced in place, added ones are appended, and the last fills the gap of a removed one. The table of the sections that are lists stands once, in document_schema. A token file whose content cannot stand in a header is refused by the command line.

--- a/bench/bench_document.c
+++ b/bench/bench_document.c
@@ -109,6 +109,26 @@
   return (gp_time_now () - start) / ROUNDS;
 }
 
+/* Bring DOCUMENT to TARGET and back, ROUNDS times.  */
+static gp_time_t
+time_patch (gp_document_t *document, const GPtrArray *target)
+{
+  GPtrArray *issues = gp_issues_new ();
+  GPtrArray *there = gp_document_items_diff (document->items, target);
+  GPtrArray *back = gp_document_items_diff (target, document->items);
+  gp_time_t start = gp_time_now ();
+
+  for (int i = 0; i < ROUNDS; i++)
+    if (!gp_document_patch (document, there, issues)
+        || !gp_document_patch (document, back, issues))
+      g_error ("the change must fit");
+  start = gp_time_now () - start;
+  g_ptr_array_unref (there);
+  g_ptr_array_unref (back);
+  g_ptr_array_unref (issues);
+  return start / ROUNDS / 2;
+}
+
 int
 main (void)
 {
@@ -128,6 +148,8 @@
   diff = time_diff (before.items, after.items, &changed);
   printf ("difference of %u items: %u changed, %.2f ms\n", before.items->len,
           changed, (double)diff / GP_MSEC);
+  printf ("taking in that change: %.2f ms\n",
+          (double)time_patch (&before, after.items) / GP_MSEC);
   gp_document_finish (&before);
   gp_document_finish (&after);
   g_free (texts[0]);
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -49,6 +49,17 @@
          out);
 }
 
+/* What may stand in a header.  */
+static bool
+is_token (const char *text)
+{
+  const char *at = text;
+
+  while (g_ascii_isgraph (*at))
+    at++;
+  return at > text && *at == '\0';
+}
+
 static bool
 read_token (gp_cli_t *cli)
 {
@@ -63,7 +74,12 @@
       return false;
     }
   g_strstrip (cli->token);
-  return true;
+  if (is_token (cli->token))
+    return true;
+  gp_cli_error ("%s does not hold a token: letters, digits and signs, no "
+                "spaces",
+                cli->token_file);
+  return false;
 }
 
 static bool
--- a/src/state/document.c
+++ b/src/state/document.c
@@ -11,34 +11,32 @@
 
 /* Names in the index; the first of two equal ones stays.  */
 static void
-index_name (gp_document_t *document, const char *prefix, const char *name,
-            void *item)
+index_section (gp_document_t *document, const gp_document_section_t *section)
 {
-  char *key = g_strconcat (prefix, name, NULL);
+  char *list = *(char **)(void *)((char *)document + section->list);
+  uint32_t count = *(uint32_t *)(void *)((char *)document + section->count);
 
-  if (g_hash_table_contains (document->index, key))
-    g_free (key);
-  else
-    g_hash_table_insert (document->index, key, item);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char *element = list + (size_t)i * section->size;
+      char *key
+          = g_strconcat (section->prefix, *(char **)(void *)element, NULL);
+
+      if (g_hash_table_contains (document->index, key))
+        g_free (key);
+      else
+        g_hash_table_insert (document->index, key, element);
+    }
 }
 
-static void
-build_index (gp_document_t *document)
+void
+gp_document_build_index (gp_document_t *document)
 {
+  g_clear_pointer (&document->index, g_hash_table_unref);
   document->index
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  for (uint32_t i = 0; i < document->teams_count; i++)
-    index_name (document, "team/", document->teams[i].name,
-                &document->teams[i]);
-  for (uint32_t i = 0; i < document->services_count; i++)
-    index_name (document, "service/", document->services[i].name,
-                &document->services[i]);
-  for (uint32_t i = 0; i < document->batch_jobs_count; i++)
-    index_name (document, "job/", document->batch_jobs[i].name,
-                &document->batch_jobs[i]);
-  for (uint32_t i = 0; i < document->watchers_count; i++)
-    index_name (document, "watcher/", document->watchers[i].name,
-                &document->watchers[i]);
+  for (size_t i = 0; i < GP_DOCUMENT_SECTIONS; i++)
+    index_section (document, &gp_document_sections[i]);
 }
 
 static const void *
@@ -75,23 +73,17 @@
   return find (document, "team/", name);
 }
 
-/* What a kind leaves out is that of its service.  */
-static void
-inherit (gp_document_t *document)
+void
+gp_document_inherit (gp_document_service_t *service)
 {
-  for (uint32_t i = 0; i < document->services_count; i++)
+  for (uint32_t i = 0; i < service->kinds_count; i++)
     {
-      gp_document_service_t *service = &document->services[i];
-
-      for (uint32_t j = 0; j < service->kinds_count; j++)
-        {
-          gp_document_kind_t *kind = &service->kinds[j];
+      gp_document_kind_t *kind = &service->kinds[i];
 
-          if (kind->latency_target_ms == 0)
-            kind->latency_target_ms = service->latency_target_ms;
-          if (kind->timeout_ms == 0)
-            kind->timeout_ms = service->timeout_ms;
-        }
+      if (kind->latency_target_ms == 0)
+        kind->latency_target_ms = service->latency_target_ms;
+      if (kind->timeout_ms == 0)
+        kind->timeout_ms = service->timeout_ms;
     }
 }
 
@@ -102,8 +94,9 @@
 {
   *document = *loaded;
   g_free (loaded);
-  build_index (document);
-  inherit (document);
+  gp_document_build_index (document);
+  for (uint32_t i = 0; i < document->services_count; i++)
+    gp_document_inherit (&document->services[i]);
   gp_document_check_rules (document, root, issues);
   if (gp_issues_count (issues, GP_ISSUE_ERROR) > 0)
     {
--- a/src/state/document.h
+++ b/src/state/document.h
@@ -186,6 +186,15 @@
 bool gp_document_load_items (gp_document_t *document, const GPtrArray *items,
                              GPtrArray *issues);
 
+/* Bring DOCUMENT forward by DELTA, a list as gp_document_items_diff makes it.
+   The cost is in proportion to DELTA and a walk over the names, as long as
+   it has items of lists only.  The rules that need the whole are taken as
+   kept: whoever accepted the change has checked them.  False when an item
+   does not fit its schema or is not in canonical form; DOCUMENT is as it
+   was then.  Pointers into DOCUMENT do not outlive the call.  */
+bool gp_document_patch (gp_document_t *document, const GPtrArray *delta,
+                        GPtrArray *issues);
+
 void gp_document_finish (gp_document_t *document);
 
 /* Only the check.  */
--- a/src/state/document_items.c
+++ b/src/state/document_items.c
@@ -4,18 +4,7 @@
 
 #include <string.h>
 
-/* Sections that are lists: each of their elements is an item.  */
-typedef struct
-{
-  const char *section;
-  const char *prefix;
-} section_t;
-
-static const section_t sections[] = {
-  { "regions", "region/" }, { "workers", "worker/" },
-  { "teams", "team/" },     { "services", "service/" },
-  { "batch_jobs", "job/" }, { "watchers", "watcher/" },
-};
+#include "state/document_schema.h"
 
 static void
 item_free (gpointer data)
@@ -105,6 +94,27 @@
   return delta;
 }
 
+GPtrArray *
+gp_document_items_patch (const GPtrArray *base, const GPtrArray *delta)
+{
+  GPtrArray *result = gp_document_items_new ();
+  guint i = 0;
+  guint j = 0;
+
+  while (i < base->len || j < delta->len)
+    {
+      int order = compare_at (base, i, delta, j);
+
+      if (order < 0)
+        add_copy (result, item_at (base, i));
+      else if (item_at (delta, j)->value)
+        add_copy (result, item_at (delta, j));
+      i += order <= 0;
+      j += order >= 0;
+    }
+  return result;
+}
+
 bool
 gp_document_items_equal (const GPtrArray *left, const GPtrArray *right)
 {
@@ -133,16 +143,22 @@
   return list;
 }
 
-static void
-add_node (GPtrArray *items, const char *key, const gp_yaml_node_t *node)
+GBytes *
+gp_document_item_value (const gp_yaml_node_t *node)
 {
   GString *text = g_string_new (NULL);
-  GBytes *value;
 
   gp_yaml_emit (node, GP_YAML_FLOW, text);
   while (text->len > 0 && text->str[text->len - 1] == '\n')
     g_string_truncate (text, text->len - 1);
-  value = g_string_free_to_bytes (text);
+  return g_string_free_to_bytes (text);
+}
+
+static void
+add_node (GPtrArray *items, const char *key, const gp_yaml_node_t *node)
+{
+  GBytes *value = gp_document_item_value (node);
+
   gp_document_items_add (items, key, value);
   g_bytes_unref (value);
 }
@@ -161,21 +177,12 @@
     }
 }
 
-static const section_t *
+static const gp_document_section_t *
 section_of_name (const char *name)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (sections); i++)
-    if (strcmp (sections[i].section, name) == 0)
-      return &sections[i];
-  return NULL;
-}
-
-static const section_t *
-section_of_key (const char *key)
-{
-  for (size_t i = 0; i < G_N_ELEMENTS (sections); i++)
-    if (g_str_has_prefix (key, sections[i].prefix))
-      return &sections[i];
+  for (size_t i = 0; i < GP_DOCUMENT_SECTIONS; i++)
+    if (strcmp (gp_document_sections[i].name, name) == 0)
+      return &gp_document_sections[i];
   return NULL;
 }
 
@@ -187,7 +194,7 @@
   for (guint i = 0; i < root->children->len; i++)
     {
       const gp_yaml_node_t *child = root->children->pdata[i];
-      const section_t *section = section_of_name (child->key);
+      const gp_document_section_t *section = section_of_name (child->key);
 
       if (section)
         add_elements (items, section->prefix, child);
@@ -208,10 +215,10 @@
 
 /* Append KEY's opening, given the SECTION that is open before it; returns
    the one that is open now.  */
-static const section_t *
-open_item (GString *out, const section_t *open, const char *key)
+static const gp_document_section_t *
+open_item (GString *out, const gp_document_section_t *open, const char *key)
 {
-  const section_t *section = section_of_key (key);
+  const gp_document_section_t *section = gp_document_section_of_key (key);
 
   if (section && section == open)
     {
@@ -223,7 +230,7 @@
   if (out->len > 1)
     g_string_append (out, ", ");
   if (section)
-    g_string_append_printf (out, "%s: [", section->section);
+    g_string_append_printf (out, "%s: [", section->name);
   else
     g_string_append_printf (out, "%s: ", key);
   return section;
@@ -233,7 +240,7 @@
 gp_document_items_join (const GPtrArray *items, GString *out,
                         GPtrArray *issues)
 {
-  const section_t *open = NULL;
+  const gp_document_section_t *open = NULL;
 
   g_string_assign (out, "{");
   for (guint i = 0; i < items->len; i++)
@@ -243,7 +250,8 @@
       const char *bytes;
 
       if (!item->value
-          || (!section_of_key (item->key) && !is_plain_key (item->key)))
+          || (!gp_document_section_of_key (item->key)
+              && !is_plain_key (item->key)))
         {
           gp_yaml_report (NULL, issues, GP_ISSUE_ERROR, item->key, NULL,
                           "not an item of a document");
--- a/src/state/document_items.h
+++ b/src/state/document_items.h
@@ -33,12 +33,19 @@
 GPtrArray *gp_document_items_diff (const GPtrArray *base,
                                    const GPtrArray *target);
 
+/* BASE with DELTA applied.  */
+GPtrArray *gp_document_items_patch (const GPtrArray *base,
+                                    const GPtrArray *delta);
+
 bool gp_document_items_equal (const GPtrArray *left, const GPtrArray *right);
 
 /* ITEMS as state/config.h takes it, ITEMS->len elements that point into ITEMS;
    free with g_free.  */
 gp_config_item_t *gp_document_items_config (const GPtrArray *items);
 
+/* The bytes of an item that is the canonical tree NODE.  */
+GBytes *gp_document_item_value (const gp_yaml_node_t *node);
+
 /* Split the canonical tree ROOT of a whole document.  */
 GPtrArray *gp_document_items_split (const gp_yaml_node_t *root);
 
--- /dev/null
+++ b/src/state/document_patch.c
@@ -0,0 +1,257 @@
+/* A document brought forward by the items that changed.
+
+   First all new elements are read, which may fail; only then the document is
+   touched.  An element that changed takes the place of the old one in its
+   array; a new one goes to the end; the last one fills the gap of one that
+   is removed, as the order of a section has no meaning.  */
+
+#include <string.h>
+
+#include "state/document_schema.h"
+
+/* One item of a delta on its way into the document.  */
+typedef struct
+{
+  const gp_document_section_t *section;
+  const char *name;
+  void *element; /* owned; NULL: to be removed */
+} change_t;
+
+static void
+change_clear (gpointer data)
+{
+  change_t *change = data;
+
+  if (change->element)
+    gp_yaml_unload (change->element, &change->section->schema);
+}
+
+static void *
+read_canonical (const gp_document_section_t *section,
+                const gp_document_item_t *item, gp_yaml_node_t *root,
+                GPtrArray *issues)
+{
+  gsize size;
+  const char *text = g_bytes_get_data (item->value, &size);
+  void *element;
+  GBytes *canonical;
+  bool same;
+
+  gp_yaml_check (root, &section->schema, issues);
+  if (gp_issues_count (issues, GP_ISSUE_ERROR) > 0)
+    return NULL;
+  element = gp_yaml_load (text, size, root, &section->schema, issues);
+  gp_yaml_canonicalize (root, &section->schema);
+  canonical = gp_document_item_value (root);
+  same = g_bytes_equal (canonical, item->value)
+         && strcmp (gp_yaml_member (root, "name")->value,
+                    item->key + strlen (section->prefix))
+                == 0;
+  g_bytes_unref (canonical);
+  if (same || !element)
+    return element;
+  gp_yaml_report (NULL, issues, GP_ISSUE_ERROR, item->key, NULL,
+                  "the item is not in canonical form");
+  gp_yaml_unload (element, &section->schema);
+  return NULL;
+}
+
+static void *
+read_element (const gp_document_section_t *section,
+              const gp_document_item_t *item, GPtrArray *issues)
+{
+  gsize size;
+  const char *text = g_bytes_get_data (item->value, &size);
+  gp_yaml_node_t *root = gp_yaml_parse (text, size, issues);
+  void *element = NULL;
+
+  if (root)
+    element = read_canonical (section, item, root, issues);
+  gp_yaml_node_free (root);
+  return element;
+}
+
+/* Read all of DELTA; false after an issue.  */
+static bool
+read_changes (const GPtrArray *delta, GArray *changes, GPtrArray *issues)
+{
+  for (guint i = 0; i < delta->len; i++)
+    {
+      const gp_document_item_t *item = delta->pdata[i];
+      change_t change = { gp_document_section_of_key (item->key), NULL, NULL };
+
+      change.name = item->key + strlen (change.section->prefix);
+      if (item->value)
+        change.element = read_element (change.section, item, issues);
+      if (item->value && !change.element)
+        return false;
+      g_array_append_val (changes, change);
+    }
+  return true;
+}
+
+/* Free what the element at PLACE of an array holds.  */
+static void
+clear_element (const gp_document_section_t *section, void *place)
+{
+  gp_yaml_unload (g_memdup2 (place, section->size), &section->schema);
+}
+
+static void *
+place_of (const gp_document_t *document, const change_t *change)
+{
+  char *key = g_strconcat (change->section->prefix, change->name, NULL);
+  void *place = g_hash_table_lookup (document->index, key);
+
+  g_free (key);
+  return place;
+}
+
+/* Fill the gap at PLACE with the last element; its name leads to PLACE
+   from now on.  */
+static void
+remove_element (gp_document_t *document, const change_t *change, char *place)
+{
+  const gp_document_section_t *section = change->section;
+  char *list = *(char **)(void *)((char *)document + section->list);
+  uint32_t *count = (uint32_t *)(void *)((char *)document + section->count);
+  char *last = list + (size_t)(*count - 1) * section->size;
+  char *key = g_strconcat (section->prefix, change->name, NULL);
+
+  g_hash_table_remove (document->index, key);
+  g_free (key);
+  clear_element (section, place);
+  (*count)--;
+  if (place == last)
+    return;
+  memcpy (place, last, section->size);
+  key = g_strconcat (section->prefix, *(char **)(void *)place, NULL);
+  g_hash_table_insert (document->index, key, place);
+}
+
+/* Room for one element more; the array may move.  */
+static char *
+append_place (gp_document_t *document, const gp_document_section_t *section)
+{
+  char **list = (char **)(void *)((char *)document + section->list);
+  uint32_t *count = (uint32_t *)(void *)((char *)document + section->count);
+
+  *list = g_realloc_n (*list, (size_t)*count + 1, section->size);
+  return *list + (size_t)(*count)++ * section->size;
+}
+
+static void
+move_element (change_t *change, char *place)
+{
+  memcpy (place, change->element, change->section->size);
+  g_free (change->element);
+  change->element = NULL;
+}
+
+/* Replace or remove what is there already.  */
+static void
+apply_to_present (gp_document_t *document, change_t *change)
+{
+  char *place = place_of (document, change);
+
+  if (place && change->element)
+    {
+      clear_element (change->section, place);
+      move_element (change, place);
+    }
+  else if (place)
+    remove_element (document, change, place);
+}
+
+static void
+inherit_changed (gp_document_t *document)
+{
+  for (uint32_t i = 0; i < document->services_count; i++)
+    gp_document_inherit (&document->services[i]);
+}
+
+static void
+apply_changes (gp_document_t *document, const GPtrArray *delta,
+               GArray *changes)
+{
+  GPtrArray *items = gp_document_items_patch (document->items, delta);
+
+  bool added = false;
+
+  for (guint i = 0; i < changes->len; i++)
+    apply_to_present (document, &g_array_index (changes, change_t, i));
+  for (guint i = 0; i < changes->len; i++)
+    {
+      change_t *change = &g_array_index (changes, change_t, i);
+
+      if (!change->element)
+        continue;
+      move_element (change, append_place (document, change->section));
+      added = true;
+    }
+  if (added) /* arrays have moved */
+    gp_document_build_index (document);
+  inherit_changed (document);
+  g_ptr_array_unref (document->items);
+  document->items = items;
+}
+
+/* Load the whole, for changes outside of the lists.  */
+static bool
+load_patched (gp_document_t *document, const GPtrArray *delta,
+              GPtrArray *issues)
+{
+  GPtrArray *items = gp_document_items_patch (document->items, delta);
+  gp_document_t loaded;
+  bool ok = gp_document_load_items (&loaded, items, issues);
+
+  g_ptr_array_unref (items);
+  if (!ok)
+    return false;
+  gp_document_finish (document);
+  *document = loaded;
+  return true;
+}
+
+/* Each key once, in order.  */
+static bool
+check_order (const GPtrArray *delta, GPtrArray *issues)
+{
+  for (guint i = 1; i < delta->len; i++)
+    {
+      const gp_document_item_t *before = delta->pdata[i - 1];
+      const gp_document_item_t *item = delta->pdata[i];
+
+      if (strcmp (before->key, item->key) < 0)
+        continue;
+      gp_yaml_report (NULL, issues, GP_ISSUE_ERROR, item->key, NULL,
+                      "the item is out of order");
+      return false;
+    }
+  return true;
+}
+
+bool
+gp_document_patch (gp_document_t *document, const GPtrArray *delta,
+                   GPtrArray *issues)
+{
+  GArray *changes;
+  bool ok;
+
+  if (!check_order (delta, issues))
+    return false;
+  for (guint i = 0; i < delta->len; i++)
+    {
+      const gp_document_item_t *item = delta->pdata[i];
+
+      if (!gp_document_section_of_key (item->key))
+        return load_patched (document, delta, issues);
+    }
+  changes = g_array_new (FALSE, FALSE, sizeof (change_t));
+  g_array_set_clear_func (changes, change_clear);
+  ok = read_changes (delta, changes, issues);
+  if (ok)
+    apply_changes (document, delta, changes);
+  g_array_unref (changes);
+  return ok;
+}
--- a/src/state/document_schema.c
+++ b/src/state/document_schema.c
@@ -268,3 +268,50 @@
 
 const gp_yaml_schema_t gp_document_schema
     = { &document_value, rules, G_N_ELEMENTS (rules) };
+
+#define ELEMENT(type, fields)                                                 \
+  {                                                                           \
+    CYAML_VALUE_MAPPING (CYAML_FLAG_POINTER, type, fields)                    \
+  }
+
+static const cyaml_schema_value_t region_element
+    = ELEMENT (gp_document_region_t, region_fields);
+static const cyaml_schema_value_t worker_element
+    = ELEMENT (gp_document_worker_t, worker_fields);
+static const cyaml_schema_value_t team_element
+    = ELEMENT (gp_document_team_t, team_fields);
+static const cyaml_schema_value_t service_element
+    = ELEMENT (gp_document_service_t, service_fields);
+static const cyaml_schema_value_t batch_job_element
+    = ELEMENT (gp_document_batch_job_t, batch_job_fields);
+static const cyaml_schema_value_t watcher_element
+    = ELEMENT (gp_document_watcher_t, watcher_fields);
+
+#define SECTION(member, prefix_, type, element)                               \
+  {                                                                           \
+    .name = #member, .prefix = (prefix_),                                     \
+    .list = offsetof (gp_document_t, member),                                 \
+    .count = offsetof (gp_document_t, member##_count), .size = sizeof (type), \
+    .schema                                                                   \
+        = { &(element),                                                       \
+            rules,                                                            \
+            G_N_ELEMENTS (rules) }                                            \
+  }
+
+const gp_document_section_t gp_document_sections[GP_DOCUMENT_SECTIONS] = {
+  SECTION (regions, "region/", gp_document_region_t, region_element),
+  SECTION (workers, "worker/", gp_document_worker_t, worker_element),
+  SECTION (teams, "team/", gp_document_team_t, team_element),
+  SECTION (services, "service/", gp_document_service_t, service_element),
+  SECTION (batch_jobs, "job/", gp_document_batch_job_t, batch_job_element),
+  SECTION (watchers, "watcher/", gp_document_watcher_t, watcher_element),
+};
+
+const gp_document_section_t *
+gp_document_section_of_key (const char *key)
+{
+  for (size_t i = 0; i < GP_DOCUMENT_SECTIONS; i++)
+    if (g_str_has_prefix (key, gp_document_sections[i].prefix))
+      return &gp_document_sections[i];
+  return NULL;
+}
--- a/tests/scripts/cli_http.py
+++ b/tests/scripts/cli_http.py
@@ -127,6 +127,7 @@
     result = subprocess.run(command, capture_output=True, text=True,
                             stdin=subprocess.DEVNULL, check=False)
     text = result.stdout + result.stderr
+    text = re.sub(r"/\S*/bad", "BAD", text)
     text = re.sub(r"127\.0\.0\.1:\d+", "ADDRESS", text)
     text = re.sub(r"[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}", "KEY", text)
     print("$ galenapier " + (show or " ".join(arguments)))
@@ -138,9 +139,10 @@
     directory = tempfile.mkdtemp()
     token = directory + "/token"
     wrong = directory + "/wrong"
+    bad = directory + "/bad"
     file = directory + "/document.yaml"
     os.environ["GALENAPIER_TOKEN_FILE"] = token
-    for path, text in ((token, TOKEN + "\n"), (wrong, "x"), (file, DOCUMENT)):
+    for path, text in ((token, TOKEN + "\n"), (wrong, "x"), (bad, "a\r\nb"), (file, DOCUMENT)):
         with open(path, "w", encoding="utf-8") as out:
             out.write(text)
     up = Entry("entry-1")
@@ -155,6 +157,8 @@
     run("status", "--json", entries=[gone, up])
     run("status", "--token-file", wrong, entries=[up],
         show="status --token-file WRONG")
+    run("status", "--token-file", bad, entries=[up],
+        show="status --token-file BAD")
     run("status", "--timeout", "1", entries=[hanging])
     run("status", "--timeout", "2", entries=[hanging, other])
     run("status", entries=[gone])
--- a/tests/unit/test_document.c
+++ b/tests/unit/test_document.c
@@ -228,20 +228,32 @@
     }
 }
 
-/* Random documents of a few teams.  */
+/* Random documents of a few teams, services and watchers; the site changes
+   now and then, which is no item of a list.  */
 static char *
 random_text (GRand *random)
 {
-  GString *text = g_string_new (HEAD "teams: [");
-  const char *separator = "";
+  GString *text = g_string_new ("version: 1\n");
 
+  g_string_append_printf (text, "site: s%d\nteams: [{name: t}",
+                          g_rand_int_range (random, 0, 8) == 0);
   for (int i = 0; i < 6; i++)
     if (g_rand_boolean (random))
-      {
-        g_string_append_printf (text, "%s{name: t%d, max_tasks: %d}",
-                                separator, i, g_rand_int_range (random, 0, 3));
-        separator = ", ";
-      }
+      g_string_append_printf (text, ", {name: t%d, max_tasks: %d}", i,
+                              g_rand_int_range (random, 0, 3));
+  g_string_append (text, "]\nservices: [");
+  for (int i = 0; i < 5; i++)
+    if (g_rand_boolean (random))
+      g_string_append_printf (
+          text,
+          "{name: s%d, latency_target_ms: %d, timeout_ms: 1000, slots: 8, "
+          "connections: 64, kinds: [" KIND ("k", "/a", "") "]}, ",
+          i, g_rand_int_range (random, 1, 4));
+  g_string_append (text, "]\nwatchers: [");
+  for (int i = 0; i < 5; i++)
+    if (g_rand_boolean (random))
+      g_string_append_printf (text, WATCHER ("w%d", ", count: %d") ", ", i,
+                              g_rand_int_range (random, 0, 3));
   g_string_append (text, "]\n");
   return g_string_free (text, FALSE);
 }
@@ -323,6 +335,99 @@
   g_rand_free (random);
 }
 
+/* Every part of WHOLE must be found in PATCHED, and nothing else.  */
+static void
+assert_same (const gp_document_t *patched, const gp_document_t *whole)
+{
+  CU_ASSERT_TRUE (gp_document_items_equal (patched->items, whole->items));
+  CU_ASSERT_STRING_EQUAL (patched->site, whole->site);
+  CU_ASSERT_EQUAL (patched->teams_count, whole->teams_count);
+  CU_ASSERT_EQUAL (patched->services_count, whole->services_count);
+  CU_ASSERT_EQUAL (patched->watchers_count, whole->watchers_count);
+  CU_ASSERT_EQUAL (g_hash_table_size (patched->index),
+                   g_hash_table_size (whole->index));
+  for (uint32_t i = 0; i < whole->teams_count; i++)
+    CU_ASSERT_EQUAL (
+        gp_document_find_team (patched, whole->teams[i].name)->max_tasks,
+        whole->teams[i].max_tasks);
+  for (uint32_t i = 0; i < whole->services_count; i++)
+    CU_ASSERT_EQUAL (
+        gp_document_find_service (patched, whole->services[i].name)
+            ->kinds[0]
+            .latency_target_ms,
+        whole->services[i].latency_target_ms);
+  for (uint32_t i = 0; i < whole->watchers_count; i++)
+    CU_ASSERT_EQUAL (
+        gp_document_find_watcher (patched, whole->watchers[i].name)->count,
+        whole->watchers[i].count);
+}
+
+/* One document that takes difference after difference is what a load of the
+   newest text gives.  */
+static void
+test_patch (void)
+{
+  GRand *random = g_rand_new_with_seed (11);
+  gp_document_t document;
+
+  load (&document, HEAD);
+  for (int i = 0; i < 300; i++)
+    {
+      GPtrArray *issues = gp_issues_new ();
+      char *text = random_text (random);
+      gp_document_t whole;
+      GPtrArray *delta;
+
+      load (&whole, text);
+      delta = gp_document_items_diff (document.items, whole.items);
+      CU_ASSERT_TRUE (gp_document_patch (&document, delta, issues));
+      assert_same (&document, &whole);
+      gp_document_finish (&whole);
+      g_ptr_array_unref (delta);
+      g_ptr_array_unref (issues);
+      g_free (text);
+    }
+  gp_document_finish (&document);
+  g_rand_free (random);
+}
+
+/* A delta with one bad item changes nothing.  */
+static void
+test_bad_patch (void)
+{
+  static const char *const bad[] = { "{name: t2}",
+                                     "{name: \"t3\"}",
+                                     "{max_tasks: 1, name: \"t2\"",
+                                     "{max_tasks: x, name: \"t2\"}",
+                                     "",
+                                     "{name: \"t2\"}" };
+  GBytes *good = g_bytes_new_static ("{name: \"t1\"}", 12);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      GPtrArray *issues = gp_issues_new ();
+      GPtrArray *delta = gp_document_items_new ();
+      GBytes *value = g_bytes_new_static (bad[i], strlen (bad[i]));
+      gp_document_t document;
+
+      load (&document, HEAD TEAM);
+      gp_document_items_add (delta, "team/t", NULL);
+      gp_document_items_add (delta, "team/t1", good);
+      gp_document_items_add (delta, "team/t2", value);
+      if (i + 1 == G_N_ELEMENTS (bad)) /* sound, but given twice */
+        gp_document_items_add (delta, "team/t2", value);
+      CU_ASSERT_FALSE (gp_document_patch (&document, delta, issues));
+      CU_ASSERT_NOT_EQUAL (issues->len, 0);
+      CU_ASSERT_EQUAL (document.teams_count, 1);
+      CU_ASSERT_PTR_NOT_NULL (gp_document_find_team (&document, "t"));
+      gp_document_finish (&document);
+      g_bytes_unref (value);
+      g_ptr_array_unref (delta);
+      g_ptr_array_unref (issues);
+    }
+  g_bytes_unref (good);
+}
+
 /* Items that were not made by a split.  */
 static void
 test_bad_items (void)
@@ -443,7 +548,8 @@
   CU_TestInfo tests[]
       = { { "cases", test_cases },         { "examples", test_examples },
           { "canonical", test_canonical }, { "round trip", test_round_trip },
-          { "diff", test_diff },           { "bad items", test_bad_items },
+          { "diff", test_diff },           { "patch", test_patch },
+          { "bad patch", test_bad_patch }, { "bad items", test_bad_items },
           { "deadline", test_deadline },   { "bounds", test_bounds },
           { "schema", test_schema },       CU_TEST_INFO_NULL };
 
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -1,6 +1,7 @@
 /* Settings: the examples load, and each fault is told with its place.  The
    transcript is compared with test_settings.expected.  */
 
+#include <glib/gstdio.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -142,12 +143,51 @@
   g_clear_error (&error);
 }
 
+/* The token comes from its file, without the white space around it.  */
+static void
+test_token_file (void)
+{
+  static const char *const tokens[] = { " secret\n", "\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (tokens); i++)
+    {
+      char *directory = g_dir_make_tmp (NULL, NULL);
+      char *token = g_build_filename (directory, "token", NULL);
+      char *path = g_build_filename (directory, "entry.yaml", NULL);
+      char *text = g_strdup_printf (
+          HEAD "platform_log: {address: \"127.0.0.1:9\", stream: s}\n"
+               "entry: {callers: \"127.0.0.1:2\", operators: \"127.0.0.1:3\","
+               " peers: \"127.0.0.1:1\", operator_token_file: \"%s\"}\n",
+          token);
+      gp_settings_t settings;
+      bool ok;
+
+      g_file_set_contents (token, tokens[i], -1, NULL);
+      g_file_set_contents (path, text, -1, NULL);
+      ok = gp_settings_load (&settings, path, NULL);
+      CU_ASSERT_EQUAL (ok, i == 0);
+      if (ok)
+        {
+          CU_ASSERT_STRING_EQUAL (settings.entry->operator_token, "secret");
+          gp_settings_finish (&settings);
+        }
+      g_unlink (token);
+      g_unlink (path);
+      g_rmdir (directory);
+      g_free (text);
+      g_free (path);
+      g_free (token);
+      g_free (directory);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = { { "cases", test_cases },
                           { "defaults", test_defaults },
                           { "examples", test_examples },
+                          { "token file", test_token_file },
                           CU_TEST_INFO_NULL };
 
   return runner_main ("settings", tests);
