--- a/src/transport/http_private.h
+++ b/src/transport/http_private.h
@@ -4,6 +4,7 @@
 #define GP_TRANSPORT_HTTP_PRIVATE_H
 
 #include "transport/http_header.h"
+#include "transport/listener.h"
 
 typedef enum
 {
@@ -51,7 +52,7 @@
 {
   gp_closer_t closer;
   gp_loop_t *loop;
-  uv_tcp_t listener;
+  gp_listener_t listener;
   bool listening;
   bool closing;
   h2o_globalconf_t config;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -7,9 +7,6 @@
 
 #include <sys/socket.h>
 
-#include "base/counters.h"
-#include "base/error.h"
-#include "transport/endpoint.h"
 #include "transport/http_private.h"
 
 #define SERVER_NAME "galenapier"
@@ -20,10 +17,6 @@
   gp_http_server_t *server;
 } server_handler_t;
 
-static gp_counter_t accept_errors_total
-    = GP_COUNTER ("http_server_accept_errors_total",
-                  "Connections that could not be accepted.");
-
 /* Connections.  */
 
 static void
@@ -67,28 +60,18 @@
   h2o_accept (&server->accept, socket);
 }
 
-/* An error here, such as too many open descriptors, passes: libuv goes on
-   listening.  */
 static void
-on_connection (uv_stream_t *stream, int status)
+on_connection (gp_listener_t *listener)
 {
-  gp_http_server_t *server = stream->data;
-  uv_tcp_t *tcp;
+  gp_http_server_t *server
+      = GP_CONTAINER_OF (listener, gp_http_server_t, listener);
+  uv_tcp_t *tcp = g_new0 (uv_tcp_t, 1);
 
-  if (status < 0)
-    {
-      gp_counter_add (&accept_errors_total, 1);
-      return;
-    }
-  tcp = g_new0 (uv_tcp_t, 1);
   uv_tcp_init (&server->loop->uv, tcp);
-  if (uv_accept (stream, (uv_stream_t *)tcp) == 0)
-    {
-      serve (server, tcp);
-      return;
-    }
-  gp_counter_add (&accept_errors_total, 1);
-  uv_close ((uv_handle_t *)tcp, on_tcp_closed);
+  if (uv_accept ((uv_stream_t *)&listener->tcp, (uv_stream_t *)tcp) == 0)
+    serve (server, tcp);
+  else
+    uv_close ((uv_handle_t *)tcp, on_tcp_closed);
 }
 
 /* The server.  */
@@ -106,9 +89,10 @@
 }
 
 static void
-on_listener_closed (uv_handle_t *handle)
+on_listener_closed (gp_listener_t *listener)
 {
-  gp_http_server_t *server = handle->data;
+  gp_http_server_t *server
+      = GP_CONTAINER_OF (listener, gp_http_server_t, listener);
 
   server->listening = false;
   check_done (server);
@@ -129,8 +113,7 @@
   if (server->closing)
     return;
   server->closing = true;
-  if (server->listening)
-    uv_close ((uv_handle_t *)&server->listener, on_listener_closed);
+  gp_listener_close (&server->listener, on_listener_closed);
   GP_LIST_FOREACH (pos, &server->exchanges)
   GP_CONTAINER_OF (pos, gp_http_exchange_t, link)->request->http1_is_persistent
       = 0;
@@ -208,7 +191,6 @@
 {
   gp_http_server_t *server = g_new0 (gp_http_server_t, 1);
 
-  gp_counter_register (&accept_errors_total);
   server->loop = loop;
   server->options = *options;
   server->options.address = g_strdup (options->address);
@@ -217,13 +199,10 @@
   gp_deferred_init (&server->done, on_done_deferred);
   configure (server);
   gp_closer_add (&server->closer, loop, on_closer_close, on_closer_dispose);
-  if (gp_endpoint_listen (&loop->uv, &server->listener, options->address,
-                          on_connection, &server->listening, error))
-    {
-      server->listener.data = server;
-      return server;
-    }
-  server->listener.data = server;
+  server->listening = true;
+  if (gp_listener_open (&server->listener, loop, options->address,
+                        on_connection, error))
+    return server;
   start_closing (server);
   return NULL;
 }
@@ -231,7 +210,7 @@
 int
 gp_http_server_port (const gp_http_server_t *server)
 {
-  return gp_endpoint_bound_port (&server->listener);
+  return gp_listener_port (&server->listener);
 }
 
 void
--- /dev/null
+++ b/src/transport/listener.c
@@ -0,0 +1,135 @@
+/* A listening TCP socket that outlives a want of descriptors.  */
+
+#include "transport/listener.h"
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "transport/endpoint.h"
+
+/* Connections that wait to be accepted; the kernel clips it.  */
+#define LISTEN_BACKLOG 1024
+
+#define RETRY_TIME (100 * GP_MSEC)
+
+static gp_counter_t accept_errors_total = GP_COUNTER (
+    "accept_errors_total", "Times that listening was given up for a moment.");
+
+static void
+check_closed (gp_listener_t *listener)
+{
+  if (listener->closing && !listener->tcp_live && !listener->retry_live)
+    listener->on_closed (listener);
+}
+
+static void
+on_tcp_closed (uv_handle_t *handle)
+{
+  gp_listener_t *listener = handle->data;
+
+  listener->tcp_live = false;
+  if (!listener->closing)
+    gp_timer_arm (&listener->retry, gp_time_now () + RETRY_TIME);
+  check_closed (listener);
+}
+
+static void
+close_tcp (gp_listener_t *listener)
+{
+  uv_handle_t *handle = (uv_handle_t *)&listener->tcp;
+
+  if (listener->tcp_live && !uv_is_closing (handle))
+    uv_close (handle, on_tcp_closed);
+}
+
+static void
+on_connection (uv_stream_t *stream, int status)
+{
+  gp_listener_t *listener = stream->data;
+
+  if (status >= 0)
+    {
+      listener->on_connection (listener);
+      return;
+    }
+  gp_counter_add (&accept_errors_total, 1);
+  close_tcp (listener);
+}
+
+/* 0, or libuv's error.  */
+static int
+start (gp_listener_t *listener)
+{
+  int rc = uv_tcp_init (listener->retry.uv.loop, &listener->tcp);
+
+  listener->tcp.data = listener;
+  listener->tcp_live = true;
+  if (rc == 0)
+    rc = uv_tcp_bind (&listener->tcp, (struct sockaddr *)&listener->address,
+                      0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)&listener->tcp, LISTEN_BACKLOG,
+                    on_connection);
+  return rc;
+}
+
+static void
+on_retry (gp_timer_t *timer, void *data)
+{
+  gp_listener_t *listener = data;
+
+  if (start (listener) != 0)
+    close_tcp (listener);
+}
+
+bool
+gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
+                  const char *address,
+                  void (*on_connected) (gp_listener_t *listener),
+                  GError **error)
+{
+  int size = sizeof listener->address;
+  int rc;
+
+  gp_counter_register (&accept_errors_total);
+  memset (listener, 0, sizeof *listener);
+  listener->on_connection = on_connected;
+  gp_timer_init (&listener->retry, loop, on_retry, listener);
+  listener->retry.uv.data = listener;
+  listener->retry_live = true;
+  if (!gp_endpoint_parse (address, &listener->address, error))
+    return false;
+  rc = start (listener);
+  if (rc == 0)
+    rc = uv_tcp_getsockname (&listener->tcp,
+                             (struct sockaddr *)&listener->address, &size);
+  if (rc == 0)
+    return true;
+  g_set_error (error, GP_TRANSPORT_ERROR, GP_TRANSPORT_ERROR_CONNECT,
+               "listen on %s: %s", address, uv_strerror (rc));
+  return false;
+}
+
+static void
+on_retry_closed (uv_handle_t *handle)
+{
+  gp_listener_t *listener = handle->data;
+
+  listener->retry_live = false;
+  check_closed (listener);
+}
+
+void
+gp_listener_close (gp_listener_t *listener,
+                   void (*on_closed) (gp_listener_t *listener))
+{
+  listener->closing = true;
+  listener->on_closed = on_closed;
+  close_tcp (listener);
+  uv_close ((uv_handle_t *)&listener->retry.uv, on_retry_closed);
+}
+
+int
+gp_listener_port (const gp_listener_t *listener)
+{
+  return gp_address_port (&listener->address);
+}
--- /dev/null
+++ b/src/transport/listener.h
@@ -0,0 +1,43 @@
+/* A listening TCP socket.
+
+   When connections cannot be accepted, for want of descriptors, libuv would
+   try again without end; the socket is closed instead, which turns the
+   waiting callers away, and opened again a moment later.  */
+
+#ifndef GP_TRANSPORT_LISTENER_H
+#define GP_TRANSPORT_LISTENER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <sys/socket.h>
+
+#include "transport/loop.h"
+
+typedef struct gp_listener gp_listener_t;
+
+struct gp_listener
+{
+  uv_tcp_t tcp;
+  gp_timer_t retry;
+  struct sockaddr_storage address; /* with the port that was bound */
+  void (*on_connection) (gp_listener_t *listener);
+  void (*on_closed) (gp_listener_t *listener);
+  bool tcp_live; /* not closed yet */
+  bool retry_live;
+  bool closing;
+};
+
+/* Listen on ADDRESS ("IP:port").  ON_CONNECTED takes one connection with
+   uv_accept from TCP.  On failure the listener must be closed as well.  */
+bool gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
+                       const char *address,
+                       void (*on_connected) (gp_listener_t *listener),
+                       GError **error);
+
+/* Stop; ON_CLOSED, from the loop, says that the memory is free.  */
+void gp_listener_close (gp_listener_t *listener,
+                        void (*on_closed) (gp_listener_t *listener));
+
+int gp_listener_port (const gp_listener_t *listener);
+
+#endif
--- a/src/transport/peer_private.h
+++ b/src/transport/peer_private.h
@@ -4,6 +4,7 @@
 #define GP_TRANSPORT_PEER_PRIVATE_H
 
 #include "transport/endpoint.h"
+#include "transport/listener.h"
 #include "transport/peer.h"
 
 typedef enum
@@ -50,7 +51,7 @@
 {
   gp_closer_t closer;
   gp_loop_t *loop;
-  uv_tcp_t listener;
+  gp_listener_t listener;
   gp_tls_t *tls;
   gp_peer_callbacks_t callbacks;
   void *(*on_accept) (gp_peer_t *peer, void *data);
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -1,14 +1,10 @@
 /* Accepting framed connections.  */
 
-#include "base/counters.h"
 #include "base/error.h"
 #include "transport/peer_private.h"
 
 #define HANDSHAKE_TIME (5 * GP_SEC)
 
-static gp_counter_t accept_errors_total = GP_COUNTER (
-    "peer_accept_errors_total", "Connections that could not be accepted.");
-
 static void
 on_peer_closer (gp_closer_t *closer)
 {
@@ -25,24 +21,16 @@
   gp_address_format (&address, peer->address, sizeof peer->address);
 }
 
-/* An error here, such as too many open descriptors, passes: libuv goes on
-   listening.  */
 static void
-on_connection (uv_stream_t *stream, int status)
+on_connection (gp_listener_t *listener)
 {
-  gp_peer_server_t *server = stream->data;
-  gp_peer_t *peer;
+  gp_peer_server_t *server
+      = GP_CONTAINER_OF (listener, gp_peer_server_t, listener);
+  gp_peer_t *peer = gp_peer_new (server->loop, &server->callbacks);
 
-  if (status < 0)
-    {
-      gp_counter_add (&accept_errors_total, 1);
-      return;
-    }
-  peer = gp_peer_new (server->loop, &server->callbacks);
   gp_closer_add (&peer->closer, server->loop, on_peer_closer, NULL);
-  if (uv_accept (stream, (uv_stream_t *)&peer->tcp) < 0)
+  if (uv_accept ((uv_stream_t *)&listener->tcp, (uv_stream_t *)&peer->tcp) < 0)
     {
-      gp_counter_add (&accept_errors_total, 1);
       gp_peer_destroy (peer);
       return;
     }
@@ -67,9 +55,7 @@
                 GError **error)
 {
   gp_peer_server_t *server = g_new0 (gp_peer_server_t, 1);
-  bool opened = false;
 
-  gp_counter_register (&accept_errors_total);
   server->loop = loop;
   server->tls = tls;
   server->callbacks = *callbacks;
@@ -78,27 +64,17 @@
   server->handshake_time = HANDSHAKE_TIME;
   gp_list_init (&server->unopened);
   gp_closer_add (&server->closer, loop, on_closer, NULL);
-  if (gp_endpoint_listen (&loop->uv, &server->listener, address, on_connection,
-                          &opened, error))
-    {
-      server->listener.data = server;
-      return server;
-    }
-  server->listener.data = server;
-  if (opened)
-    gp_peer_server_close (server);
-  else
-    {
-      gp_closer_remove (&server->closer);
-      g_free (server);
-    }
+  if (gp_listener_open (&server->listener, loop, address, on_connection,
+                        error))
+    return server;
+  gp_peer_server_close (server);
   return NULL;
 }
 
 static void
-on_listener_closed (uv_handle_t *handle)
+on_listener_closed (gp_listener_t *listener)
 {
-  g_free (handle->data);
+  g_free (GP_CONTAINER_OF (listener, gp_peer_server_t, listener));
 }
 
 void
@@ -107,11 +83,11 @@
   gp_closer_remove (&server->closer);
   GP_LIST_FOREACH_SAFE (pos, &server->unopened)
   gp_peer_destroy (GP_CONTAINER_OF (pos, gp_peer_t, server_link));
-  uv_close ((uv_handle_t *)&server->listener, on_listener_closed);
+  gp_listener_close (&server->listener, on_listener_closed);
 }
 
 int
 gp_peer_server_port (const gp_peer_server_t *server)
 {
-  return gp_endpoint_bound_port (&server->listener);
+  return gp_listener_port (&server->listener);
 }
--- a/tests/unit/test_transport_http.c
+++ b/tests/unit/test_transport_http.c
@@ -6,7 +6,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
-#include "transport/http_header.h"
+#include "transport/http_private.h"
 #include "transport_support.h"
 
 #define CALL_TIME (10 * GP_SEC)
@@ -722,6 +722,21 @@
   call_finish (&call);
 }
 
+/* Accepting goes on once there are descriptors again.  */
+static void
+test_without_descriptors (void)
+{
+  fixture_t fixture;
+  call_t call;
+
+  setup (&fixture, 1);
+  raw_connect_without_descriptors (&fixture.loop, &fixture.server->listener);
+  call_run (&fixture, &call, "GET", "/echo", NULL, 0);
+  CU_ASSERT_EQUAL (call.code, -1);
+  call_finish (&call);
+  teardown (&fixture);
+}
+
 /* A retry from inside of the end of the client fails, and fails later.  */
 static void
 test_call_at_client_end (void)
@@ -781,6 +796,7 @@
   CU_add_test (suite, "shutdown, idle", test_shutdown_idle);
   CU_add_test (suite, "loop end", test_loop_end);
   CU_add_test (suite, "call at the client's end", test_call_at_client_end);
+  CU_add_test (suite, "without descriptors", test_without_descriptors);
   CU_add_test (suite, "unclean headers", test_unclean_headers);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/tests/unit/test_transport_peer.c
+++ b/tests/unit/test_transport_peer.c
@@ -570,6 +570,25 @@
   teardown (&fixture);
 }
 
+/* Accepting goes on once there are descriptors again.  */
+static void
+test_without_descriptors (void)
+{
+  fixture_t fixture;
+  int opens;
+
+  setup (&fixture, NULL);
+  raw_connect_without_descriptors (&fixture.loop, &fixture.server->listener);
+  run_turns (&fixture.loop, 5);
+  opens = fixture.far.opens;
+  CU_ASSERT_EQUAL (fixture.far.closes, opens);
+  connect_near (&fixture, NULL);
+  CU_ASSERT_TRUE (
+      run_until_count (&fixture.loop, &fixture.far.opens, opens + 1));
+  CU_ASSERT_EQUAL (fixture.near.opens, 1);
+  teardown (&fixture);
+}
+
 static void
 expect_address (const char *text, const char *expected)
 {
@@ -622,6 +641,7 @@
   CU_add_test (suite, "close on both sides", test_close_on_both_sides);
   CU_add_test (suite, "close and pause between frames",
                test_close_and_pause_between_frames);
+  CU_add_test (suite, "without descriptors", test_without_descriptors);
   CU_add_test (suite, "addresses", test_addresses);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/tests/unit/transport_support.c
+++ b/tests/unit/transport_support.c
@@ -8,6 +8,7 @@
 #include <glib/gstdio.h>
 #include <openssl/pem.h>
 #include <openssl/x509v3.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -145,6 +146,31 @@
   return ETIMEDOUT;
 }
 
+#define REFUSED_CONNECTIONS 3
+
+void
+raw_connect_without_descriptors (gp_loop_t *loop,
+                                 const gp_listener_t *listener)
+{
+  const uv_handle_t *handle = (const uv_handle_t *)&listener->tcp;
+  int fds[REFUSED_CONNECTIONS];
+  struct rlimit limit;
+  struct rlimit none;
+
+  getrlimit (RLIMIT_NOFILE, &limit);
+  for (int i = 0; i < REFUSED_CONNECTIONS; i++)
+    fds[i] = raw_connect (gp_listener_port (listener));
+  none = limit;
+  none.rlim_cur = 0;
+  setrlimit (RLIMIT_NOFILE, &none);
+  run_turns (loop, 5);
+  setrlimit (RLIMIT_NOFILE, &limit);
+  while (!listener->tcp_live || !uv_is_active (handle))
+    uv_run (&loop->uv, UV_RUN_ONCE);
+  for (int i = 0; i < REFUSED_CONNECTIONS; i++)
+    close (fds[i]);
+}
+
 static void
 add_extension (X509 *certificate, X509 *issuer, int nid, const char *value)
 {
--- a/tests/unit/transport_support.h
+++ b/tests/unit/transport_support.h
@@ -6,7 +6,7 @@
 
 #include <stdbool.h>
 
-#include "transport/loop.h"
+#include "transport/listener.h"
 #include "transport/tls.h"
 
 /* Run LOOP until *FLAG; false when that takes unreasonably long.  */
@@ -28,6 +28,11 @@
    STOP if that is not NULL.  0, or the errno of a reset.  */
 int raw_read (gp_loop_t *loop, int fd, GString *out, const char *stop);
 
+/* Connect to LISTENER a few times while this process can open no
+   descriptors, let LOOP see it, and wait until it listens again.  */
+void raw_connect_without_descriptors (gp_loop_t *loop,
+                                      const gp_listener_t *listener);
+
 /* A site authority and what it signs, as PEM files of a directory that is
    removed by test_site_free.  */
 typedef struct test_site test_site_t;
