--- a/src/state/writer.c
+++ b/src/state/writer.c
@@ -39,6 +39,8 @@
   .timeout = 2 * GP_SEC,
   .backoff_min = 50 * GP_MSEC,
   .backoff_max = 2 * GP_SEC,
+  .skew_max = 10 * GP_SEC,
+  .failures_max = 3,
   .outage_after = 3 * GP_SEC,
 };
 
@@ -114,9 +116,12 @@
   writer->wall_offset = offset;
 }
 
-void
-gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical)
+bool
+gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical,
+               gp_time_t now)
 {
+  if (wall_us > now + writer->wall_offset + writer->limits.skew_max)
+    return false;
   if (wall_us > writer->wall_us)
     {
       writer->wall_us = wall_us;
@@ -124,6 +129,7 @@
     }
   else if (wall_us == writer->wall_us)
     writer->logical = MAX (writer->logical, logical);
+  return true;
 }
 
 static void
@@ -172,6 +178,10 @@
 bool
 gp_writer_available (const gp_writer_t *writer, gp_time_t now)
 {
+  const gp_writer_batch_t *batch = writer->current;
+
+  if (batch != NULL && batch->failures >= writer->limits.failures_max)
+    return false;
   return now
          < gp_time_add (waiting_since (writer), writer->limits.outage_after);
 }
@@ -519,3 +529,32 @@
   free_batch (batch);
   gp_writer_step (writer, now);
 }
+
+static void
+skip_batch (gp_writer_t *writer, gp_writer_batch_t *batch)
+{
+  GP_LIST_FOREACH (pos, &batch->entries)
+  {
+    gp_writer_action_t action = { .kind = GP_WRITER_UNREAD,
+                                  .u.unread.token = entry_of (pos)->token };
+
+    push_action (writer, &action);
+  }
+  free_batch (batch);
+}
+
+void
+gp_writer_skip (gp_writer_t *writer, uint64_t sequence, gp_time_t now)
+{
+  GP_LIST_FOREACH_SAFE (pos, &writer->unread)
+  {
+    if (batch_of (pos)->sequence > sequence)
+      break;
+    gp_list_remove (pos);
+    writer->unread_count--;
+    skip_batch (writer, batch_of (pos));
+  }
+  if (writer->current != NULL && writer->current->sequence <= sequence)
+    skip_batch (writer, g_steal_pointer (&writer->current));
+  gp_writer_step (writer, now);
+}
--- a/src/state/writer.h
+++ b/src/state/writer.h
@@ -52,6 +52,8 @@
   gp_time_t timeout; /* of one append */
   gp_time_t backoff_min;
   gp_time_t backoff_max;
+  gp_time_t skew_max;     /* between wall clocks */
+  uint32_t failures_max;  /* of one batch: refuse new records */
   gp_time_t outage_after; /* without progress: refuse new records */
 } gp_writer_limits_t;
 
@@ -70,7 +72,8 @@
 {
   GP_WRITER_APPEND,
   GP_WRITER_VERDICT,
-  GP_WRITER_EXPIRED /* certainly not on the log, and never will be */
+  GP_WRITER_EXPIRED, /* certainly not on the log, and never will be */
+  GP_WRITER_UNREAD   /* on the log and folded; its verdict was not read */
 } gp_writer_action_kind_t;
 
 typedef struct
@@ -92,6 +95,10 @@
     {
       uint64_t token;
     } expired;
+    struct
+    {
+      uint64_t token;
+    } unread;
   } u;
 } gp_writer_action_t;
 
@@ -139,8 +146,11 @@
 /* The wall clock is NOW + OFFSET.  */
 void gp_writer_set_wall (gp_writer_t *writer, int64_t offset);
 
-/* A hybrid time from elsewhere: later batches are after it.  */
-void gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical);
+/* Later batches are after this hybrid time of another process.  False, and
+   nothing done, if it is ahead of the own clock by more than the skew that
+   clocks are allowed.  */
+bool gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical,
+                    gp_time_t now);
 
 /* Queue a copy of RECORD.  TOKEN comes back with its fate.  If it has not
    been sent at DEADLINE it expires.  *ENTRY (may be NULL) is set when
@@ -166,6 +176,10 @@
                         const gp_fold_verdict_t *verdicts, size_t count,
                         gp_time_t now);
 
+/* The state was rebuilt from a snapshot that holds all batches up to
+   SEQUENCE: those that were not read back are GP_WRITER_UNREAD.  */
+void gp_writer_skip (gp_writer_t *writer, uint64_t sequence, gp_time_t now);
+
 /* Do what is due.  */
 void gp_writer_step (gp_writer_t *writer, gp_time_t now);
 
