Read random streams of frames; close the latest first at the loop's end

A differential test cuts a stream of random frames at random places and pauses between them; it finds what was sent. The tests now turn the loop without waiting: what they wait for may happen in the deferred calls, after which the loop waited for their time limit.

gp_loop_finish closes the latest object first, so that a log client ends before the HTTP clients under it and reports no error for that.

--- a/src/transport/loop.c
+++ b/src/transport/loop.c
@@ -206,7 +206,7 @@
 {
   closer->close = close;
   closer->dispose = dispose;
-  gp_list_push_back (&loop->closers, &closer->link);
+  gp_list_push_front (&loop->closers, &closer->link);
 }
 
 void
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -32,8 +32,8 @@
 };
 
 /* Something of the transport that gp_loop_finish closes when its owner has
-   not: CLOSE lets go of its handles; DISPOSE, which may be NULL, frees it
-   once the loop has none left.  */
+   not, the latest first: CLOSE lets go of its handles; DISPOSE, which may be
+   NULL, frees it once the loop has none left.  */
 struct gp_closer
 {
   gp_list_t link;
--- a/tests/unit/test_transport_log.c
+++ b/tests/unit/test_transport_log.c
@@ -465,6 +465,19 @@
   teardown (&fixture);
 }
 
+/* The loop ends before its users: no error is reported for that.  */
+static void
+test_loop_end (void)
+{
+  fixture_t fixture;
+
+  setup (&fixture);
+  gp_stream_follow (fixture.stream, 0);
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.reads_asked, 1));
+  teardown (&fixture);
+  CU_ASSERT_EQUAL (fixture.errors, 0);
+}
+
 int
 main (void)
 {
@@ -480,6 +493,7 @@
   CU_add_test (suite, "gap", test_gap);
   CU_add_test (suite, "not dense", test_not_dense);
   CU_add_test (suite, "end from a callback", test_end_from_callback);
+  CU_add_test (suite, "loop end", test_loop_end);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
--- a/tests/unit/test_transport_peer.c
+++ b/tests/unit/test_transport_peer.c
@@ -62,7 +62,7 @@
   end->frames++;
   end->last_size = size;
   end->last_sum = sum_bytes (bytes, size);
-  end->sum += end->last_sum;
+  end->sum = end->sum * 31 + end->last_sum;
   if (end->echo)
     CU_ASSERT_TRUE (gp_peer_send (peer, bytes, size));
   if (end->frames == end->close_after)
@@ -219,6 +219,71 @@
   teardown (&fixture);
 }
 
+#define RANDOM_FRAMES 300
+#define RANDOM_FRAME_MAX 9000
+#define RANDOM_SEED 7
+
+/* A stream of random frames, and the sum that its reader should find.  */
+static GByteArray *
+random_stream (GRand *rand, uint32_t *sum)
+{
+  GByteArray *stream = g_byte_array_new ();
+
+  *sum = 0;
+  for (int i = 0; i < RANDOM_FRAMES; i++)
+    {
+      guint32 size = (guint32)g_rand_int_range (rand, 1, RANDOM_FRAME_MAX);
+      guint32 header = g_htonl (size);
+      guint start = stream->len + GP_FRAME_HEADER_SIZE;
+
+      g_byte_array_append (stream, (guint8 *)&header, sizeof header);
+      g_byte_array_set_size (stream, start + size);
+      for (guint32 j = 0; j < size; j++)
+        stream->data[start + j] = (uint8_t)g_rand_int (rand);
+      *sum = *sum * 31 + sum_bytes (stream->data + start, size);
+    }
+  return stream;
+}
+
+/* Cuts and pauses at random places change nothing in what is read.  */
+static void
+test_random_cuts_and_pauses (void)
+{
+  GRand *rand = g_rand_new_with_seed (RANDOM_SEED);
+  uint32_t sum;
+  GByteArray *stream = random_stream (rand, &sum);
+  fixture_t fixture;
+  guint sent = 0;
+  int fd;
+
+  setup (&fixture, NULL);
+  fd = raw_connect (gp_peer_server_port (fixture.server));
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.far.opens, 1));
+  while (sent < stream->len)
+    {
+      guint size = (guint)g_rand_int_range (rand, 1, RANDOM_FRAME_MAX);
+
+      size = MIN (size, stream->len - sent);
+      raw_send (fd, stream->data + sent, size);
+      sent += size;
+      gp_peer_resume (fixture.far.peer);
+      if (g_rand_boolean (rand))
+        fixture.far.pause_after = fixture.far.frames + 1;
+      if (g_rand_boolean (rand))
+        gp_peer_pause (fixture.far.peer);
+      run_turns (&fixture.loop, 1);
+    }
+  fixture.far.pause_after = 0;
+  gp_peer_resume (fixture.far.peer);
+  CU_ASSERT_TRUE (
+      run_until_count (&fixture.loop, &fixture.far.frames, RANDOM_FRAMES));
+  CU_ASSERT_EQUAL (fixture.far.sum, sum);
+  close (fd);
+  teardown (&fixture);
+  g_byte_array_unref (stream);
+  g_rand_free (rand);
+}
+
 static void
 expect_refused_frame (const char *bytes, size_t size)
 {
@@ -628,6 +693,7 @@
   CU_add_test (suite, "frames, plain", test_frames_plain);
   CU_add_test (suite, "frames, TLS", test_frames_tls);
   CU_add_test (suite, "split and merged", test_frames_split_and_merged);
+  CU_add_test (suite, "random cuts and pauses", test_random_cuts_and_pauses);
   CU_add_test (suite, "frame sizes", test_frame_sizes);
   CU_add_test (suite, "connect refused", test_connect_refused);
   CU_add_test (suite, "silent far side", test_silent_far_side);
--- a/tests/unit/transport_support.c
+++ b/tests/unit/transport_support.c
@@ -24,40 +24,28 @@
   int issued;
 };
 
-static void
-on_guard (gp_timer_t *timer, void *data)
-{
-  *(bool *)data = true;
-}
-
+/* Turns do not wait: what is waited for may happen in the deferred calls,
+   after which the loop would wait for something else.  */
 bool
 run_until_count (gp_loop_t *loop, const int *count, int target)
 {
-  bool late = false;
-  gp_timer_t guard;
+  gp_time_t end = gp_time_now () + GUARD_TIME;
 
-  gp_timer_init (&guard, loop, on_guard, &late);
-  gp_timer_arm (&guard, gp_time_now () + GUARD_TIME);
-  while (*(volatile const int *)count < target && !late)
-    uv_run (&loop->uv, UV_RUN_ONCE);
-  gp_timer_finish (&guard);
+  while (*(volatile const int *)count < target && gp_time_now () < end)
+    run_turns (loop, 1);
   run_turns (loop, 2);
-  return !late;
+  return *count >= target;
 }
 
 bool
 run_until (gp_loop_t *loop, const bool *flag)
 {
-  bool late = false;
-  gp_timer_t guard;
+  gp_time_t end = gp_time_now () + GUARD_TIME;
 
-  gp_timer_init (&guard, loop, on_guard, &late);
-  gp_timer_arm (&guard, gp_time_now () + GUARD_TIME);
-  while (!*(volatile const bool *)flag && !late)
-    uv_run (&loop->uv, UV_RUN_ONCE);
-  gp_timer_finish (&guard);
+  while (!*(volatile const bool *)flag && gp_time_now () < end)
+    run_turns (loop, 1);
   run_turns (loop, 2);
-  return !late;
+  return *flag;
 }
 
 void
