Fuzz the way to a document by differences

Cause: gp_document_patch edits arrays that libcyaml allocated; a mistake there would be a fault of memory.

Change: what the fuzz target accepts is also reached from the document without its lists by the difference, and must be equal.

--- a/tests/fuzz/fuzz_document.c
+++ b/tests/fuzz/fuzz_document.c
@@ -1,12 +1,12 @@
 /* Fuzz target: whatever the bytes, the document's check must come back; what
-   it accepts must survive the split into items and back, and the form for
-   people.  The same bytes are read as settings.  */
+   it accepts must survive the split into items and back, the form for people
+   and the way by differences.  The same bytes are read as settings.  */
 
 #include <stddef.h>
 #include <stdint.h>
 
 #include "base/settings.h"
-#include "state/document.h"
+#include "state/document_schema.h"
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
@@ -46,6 +46,33 @@
   g_ptr_array_unref (issues);
 }
 
+/* DOCUMENT without its lists, brought forward by them.  */
+static void
+check_patch (const gp_document_t *document)
+{
+  GPtrArray *issues = gp_issues_new ();
+  GPtrArray *rest = gp_document_items_new ();
+  GPtrArray *delta;
+  gp_document_t again;
+
+  for (guint i = 0; i < document->items->len; i++)
+    {
+      const gp_document_item_t *item = document->items->pdata[i];
+
+      if (!gp_document_section_of_key (item->key))
+        gp_document_items_add (rest, item->key, item->value);
+    }
+  delta = gp_document_items_diff (rest, document->items);
+  if (!gp_document_load_items (&again, rest, issues)
+      || !gp_document_patch (&again, delta, issues))
+    g_error ("the document is not reached by its difference");
+  must_equal (document, &again);
+  gp_document_finish (&again);
+  g_ptr_array_unref (delta);
+  g_ptr_array_unref (rest);
+  g_ptr_array_unref (issues);
+}
+
 static void
 check_document (const char *text, size_t size)
 {
@@ -56,6 +83,7 @@
     {
       check_items (&document);
       check_format (&document);
+      check_patch (&document);
       gp_document_finish (&document);
     }
   else if (gp_issues_count (issues, GP_ISSUE_ERROR) == 0)
