Run keyed requests at most once

A request that is not idempotent was dispatched whatever the caller had tried before. With an Idempotency-Key an entry now has an Intent read back before it dispatches; the Outcome follows on the log, so that any entry answers a later try as the first one, as in progress, as unknown when the owner died, or refuses a key that comes with another request. While the log takes nothing a new key is refused as not run. A guard takes kinds, teams and queue of the document; a request keeps no pointer into a document that may be replaced.

--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -253,6 +253,8 @@
                                entry->rand, &entry->timeline, error);
   if (entry->store == NULL)
     return false;
+  entry->keys = gp_keys_new (&entry->host, entry->store, &entry->timeline);
+  entry->relays.keys = entry->keys;
   entry->tasks
       = gp_tasks_new (&entry->host, entry->store, settings, entry->incarnation,
                       entry->rand, &entry->timeline);
@@ -317,6 +319,7 @@
   g_free (entry->dialers);
   gp_configuration_free (entry->configuration);
   gp_tasks_free (entry->tasks);
+  gp_keys_free (entry->keys);
   gp_store_free (entry->store);
   gp_relays_finish (&entry->relays);
   gp_routes_finish (&entry->routes);
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -27,6 +27,7 @@
   gp_routes_t routes;
   gp_relays_t relays;
   gp_store_t *store;
+  gp_keys_t *keys;
   gp_tasks_t *tasks;
   gp_configuration_t *configuration;
   gp_timeline_t timeline;
--- a/src/daemon/execution.c
+++ b/src/daemon/execution.c
@@ -16,13 +16,12 @@
 
 #include "base/counters.h"
 #include "base/error.h"
+#include "daemon/execution_limits.h"
 #include "daemon/text.h"
 
 #define MAX_BUFFERED ((size_t)64 * 1024 * 1024)
 #define MAX_BODY_SIZE ((size_t)32 * 1024 * 1024)
 #define UPSTREAM_IDLE_TIMEOUT (30 * GP_SEC)
-#define QUEUE_PER_SLOT 16
-#define DECLARED_SERVICE_TIME (5 * GP_MSEC)
 #define RESERVE_DURATION (1 * GP_SEC)
 #define MAX_CRITICAL_WAIT (500 * GP_MSEC)
 
@@ -553,7 +552,7 @@
   gp_admission_options_t limits
       = { .slots = upstream->slots,
           .connections = upstream->connections,
-          .max_queued = upstream->slots * QUEUE_PER_SLOT,
+          .max_queued = upstream->slots * GP_EXECUTOR_QUEUE_PER_SLOT,
           .critical_reserve = upstream->slots > 1 ? 1 : 0,
           .batch_share = 1,
           .reserve_duration = RESERVE_DURATION };
@@ -598,33 +597,6 @@
 
 /* Requests.  */
 
-static gp_request_quota_t *
-find_team (gp_executor_t *executor, const char *name)
-{
-  gp_request_quota_t *team = g_hash_table_lookup (executor->teams, name);
-
-  if (team != NULL)
-    return team;
-  team = g_new0 (gp_request_quota_t, 1);
-  gp_request_quota_init (team, GP_ADMISSION_UNLIMITED, GP_ADMISSION_UNLIMITED);
-  g_hash_table_insert (executor->teams, g_strdup (name), team);
-  return team;
-}
-
-static gp_admission_kind_t *
-find_kind (gp_executor_t *executor, const char *name)
-{
-  gp_admission_kind_t *kind = g_hash_table_lookup (executor->kinds, name);
-
-  if (kind != NULL)
-    return kind;
-  kind = g_new0 (gp_admission_kind_t, 1);
-  gp_admission_kind_init (kind, GP_ADMISSION_UNLIMITED, GP_ADMISSION_UNLIMITED,
-                          DECLARED_SERVICE_TIME);
-  g_hash_table_insert (executor->kinds, g_strdup (name), kind);
-  return kind;
-}
-
 static Gp__Wire__Reason
 check_request (const gp_executor_t *executor, const Gp__Wire__Request *request)
 {
@@ -691,8 +663,8 @@
   execution->admission.work_class
       = batch ? GP_ADMISSION_BATCH : GP_ADMISSION_LATENCY_CRITICAL;
   execution->admission.deadline = now + (gp_time_t)request->remaining_us;
-  execution->admission.team = find_team (executor, request->team);
-  execution->admission.kind = find_kind (executor, request->kind);
+  execution->admission.team = gp_executor_find_team (executor, request->team);
+  execution->admission.kind = gp_executor_find_kind (executor, request->kind);
   executor->buffered += request->body_size;
   executor->open++;
   g_hash_table_insert (set->by_id, &execution->id, execution);
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -5,6 +5,7 @@
 #include "base/counters.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "daemon/execution_limits.h"
 
 #define HEARTBEAT_JITTER 0.1
 #define CLOSE_GRACE (200 * GP_MSEC)
@@ -266,9 +267,12 @@
 static void
 on_configuration (const gp_document_t *document, uint64_t revision, void *data)
 {
-  (void)document, (void)data;
+  gp_guard_t *guard = data;
+
   gp_log (GP_LOG_INFO, "configuration.in-force",
           GP_LOG_I ("revision", revision));
+  if (has_upstream (guard))
+    gp_executor_configure (&guard->executor, document);
 }
 
 static bool
--- /dev/null
+++ b/src/daemon/keys.c
@@ -0,0 +1,666 @@
+/* Keyed requests at an entry.
+
+   A keyed request is DECIDING until its verdict, RUNNING when this entry may
+   dispatch it, and ENDED while its Outcome is on its way to the log.  An
+   Outcome that the log refuses for now is proposed again until it is taken.
+   All of this entry's keys that are RUNNING, ENDED or have an Intent on its
+   way stand in ACTIVE, one of a key: so an Intent that was not read back one
+   by one is known to be this request's if the state names this entry.  */
+
+#include "daemon/keys.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/counters.h"
+
+#define OUTCOME_RETRY (200 * GP_MSEC)
+/* A peer that has not connected by then is not there.  */
+#define PEERS_GRACE (2 * GP_SEC)
+
+typedef enum
+{
+  KEYED_DECIDING,
+  KEYED_RUNNING,
+  KEYED_ENDED
+} keyed_state_t;
+
+struct gp_keyed
+{
+  uint8_t key[GP_FOLD_KEY_SIZE]; /* first: key of ACTIVE */
+  gp_list_t link;                /* in gp_keys_t.unwritten */
+  gp_keys_t *keys;
+  keyed_state_t state;
+  bool active;
+  uint64_t id;
+  uint64_t request;
+  gp_time_t deadline;
+  gp_proposal_t *proposal; /* of the Intent */
+  gp_deferred_t deferred;  /* calls DECIDED */
+  bool settled;            /* VERDICT is set */
+  gp_keys_verdict_t verdict;
+  gp_keys_decided_t decided; /* NULL: nobody waits */
+  void *data;
+  Gp__Wire__Answer *head; /* kept, NULL: nothing */
+  GByteArray *body;
+  Gp__Wire__Verdict outcome;
+  uint32_t status;
+  GByteArray *answer; /* of the outcome, or NULL */
+};
+
+struct gp_keys
+{
+  gp_session_host_t *host;
+  gp_store_t *store;
+  gp_timeline_t *timeline;
+  gp_time_t started_at;
+  GHashTable *active;  /* set of gp_keyed_t */
+  gp_list_t unwritten; /* of gp_keyed_t: outcomes that the log refused */
+  gp_timer_t timer;    /* proposes them again */
+  gp_closer_t closer;  /* frees the memory after the timer */
+};
+
+static gp_counter_t intents
+    = GP_COUNTER ("keys_intents_total", "Intents accepted.");
+static gp_counter_t replayed
+    = GP_COUNTER ("keys_replayed_total", "Answers replayed.");
+static gp_counter_t busy
+    = GP_COUNTER ("keys_busy_total", "Tries of a key in progress.");
+static gp_counter_t mismatched = GP_COUNTER (
+    "keys_mismatched_total", "Keys that came with another request.");
+static gp_counter_t unknown
+    = GP_COUNTER ("keys_unknown_total", "Tries answered as unknown.");
+static gp_counter_t not_run = GP_COUNTER (
+    "keys_refused_total", "Keyed requests refused without an intent.");
+static gp_counter_t active_keys
+    = GP_GAUGE ("keys_active", "Keys of this entry without an outcome.");
+
+/* Identity.  */
+
+uint64_t
+gp_keys_hash (const char *method, size_t method_size, const char *path,
+              size_t path_size, const void *body, size_t body_size)
+{
+  uint64_t sizes[] = { method_size, path_size, body_size };
+  XXH3_state_t *state = XXH3_createState ();
+  uint64_t hash;
+
+  XXH3_64bits_reset (state);
+  XXH3_64bits_update (state, sizes, sizeof sizes);
+  XXH3_64bits_update (state, method, method_size);
+  XXH3_64bits_update (state, path, path_size);
+  XXH3_64bits_update (state, body, body_size);
+  hash = XXH3_64bits_digest (state);
+  XXH3_freeState (state);
+  return hash;
+}
+
+static void
+digest_text (GChecksum *checksum, const void *bytes, size_t size)
+{
+  uint64_t length = GUINT64_TO_LE (size);
+
+  g_checksum_update (checksum, (const guchar *)&length, sizeof length);
+  g_checksum_update (checksum, bytes, (gssize)size);
+}
+
+static void
+make_key (const gp_keys_request_t *request, uint8_t key[GP_FOLD_KEY_SIZE])
+{
+  GChecksum *checksum = g_checksum_new (G_CHECKSUM_SHA256);
+  uint8_t digest[32];
+  gsize digest_size = sizeof digest;
+  size_t size;
+  const void *bytes = g_bytes_get_data (request->key, &size);
+
+  digest_text (checksum, request->team, strlen (request->team));
+  digest_text (checksum, request->service, strlen (request->service));
+  digest_text (checksum, bytes, size);
+  g_checksum_get_digest (checksum, digest, &digest_size);
+  g_checksum_free (checksum);
+  memcpy (key, digest, GP_FOLD_KEY_SIZE);
+}
+
+static guint
+hash_key (const void *key)
+{
+  guint hash;
+
+  memcpy (&hash, key, sizeof hash);
+  return hash;
+}
+
+static gboolean
+equal_keys (const void *a, const void *b)
+{
+  return memcmp (a, b, GP_FOLD_KEY_SIZE) == 0;
+}
+
+/* Life of a keyed request.  */
+
+static void
+set_active (gp_keyed_t *keyed)
+{
+  if (keyed->active)
+    return;
+  keyed->active = true;
+  g_hash_table_add (keyed->keys->active, keyed);
+  gp_counter_set (&active_keys, g_hash_table_size (keyed->keys->active));
+}
+
+static void
+keyed_free (gp_keyed_t *keyed)
+{
+  if (keyed->active)
+    g_hash_table_remove (keyed->keys->active, keyed);
+  gp_counter_set (&active_keys, g_hash_table_size (keyed->keys->active));
+  gp_list_remove (&keyed->link);
+  gp_deferred_cancel (&keyed->deferred);
+  if (keyed->head != NULL)
+    gp__wire__answer__free_unpacked (keyed->head, NULL);
+  if (keyed->body != NULL)
+    g_byte_array_unref (keyed->body);
+  if (keyed->answer != NULL)
+    g_byte_array_unref (keyed->answer);
+  g_free (keyed);
+}
+
+static void
+note (const gp_keyed_t *keyed, gp_timeline_kind_t kind, const char *text)
+{
+  const gp_timeline_subject_t subject = { .request = keyed->id };
+
+  if (keyed->keys->timeline != NULL)
+    gp_timeline_append (keyed->keys->timeline, kind, &subject, text,
+                        gp_time_wall ());
+}
+
+/* Outcomes.  */
+
+static Gp__Record__KeyState
+outcome_state (Gp__Wire__Verdict verdict)
+{
+  switch (verdict)
+    {
+    case GP__WIRE__VERDICT__VERDICT_RAN:
+      return GP__RECORD__KEY_STATE__KEY_STATE_RAN;
+    case GP__WIRE__VERDICT__VERDICT_NOT_RUN:
+      return GP__RECORD__KEY_STATE__KEY_STATE_NOT_RUN;
+    default:
+      return GP__RECORD__KEY_STATE__KEY_STATE_UNKNOWN;
+    }
+}
+
+static void
+on_outcome_read (gp_proposal_result_t result, gp_fold_verdict_t verdict,
+                 void *data)
+{
+  keyed_free (data);
+}
+
+static gp_writer_result_t
+propose_outcome (gp_store_t *store, uint8_t *key, Gp__Record__KeyState state,
+                 gp_keyed_t *keyed)
+{
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+  Gp__Record__Outcome outcome = GP__RECORD__OUTCOME__INIT;
+
+  outcome.key.data = key;
+  outcome.key.len = GP_FOLD_KEY_SIZE;
+  outcome.state = state;
+  if (keyed != NULL)
+    outcome.status = keyed->status;
+  if (keyed != NULL && keyed->answer != NULL)
+    {
+      outcome.answer.data = keyed->answer->data;
+      outcome.answer.len = keyed->answer->len;
+    }
+  record.record_case = GP__RECORD__RECORD__RECORD_OUTCOME;
+  record.outcome = &outcome;
+  return gp_store_propose (store, &record, GP_WRITER_NORMAL, GP_TIME_NEVER,
+                           keyed != NULL ? on_outcome_read : NULL, keyed,
+                           NULL);
+}
+
+/* Propose the outcome of an ended request, now or later.  */
+static void
+write_outcome (gp_keyed_t *keyed)
+{
+  gp_keys_t *keys = keyed->keys;
+
+  if (propose_outcome (keys->store, keyed->key, outcome_state (keyed->outcome),
+                       keyed)
+      == GP_WRITER_QUEUED)
+    return;
+  gp_list_push_back (&keys->unwritten, &keyed->link);
+  gp_timer_arm (&keys->timer, gp_loop_now (keys->host->loop) + OUTCOME_RETRY);
+}
+
+static void
+on_timer (gp_timer_t *timer, void *data)
+{
+  gp_keys_t *keys = data;
+  gp_list_t waiting;
+  gp_list_t *link;
+
+  gp_list_init (&waiting);
+  while ((link = gp_list_pop_front (&keys->unwritten)) != NULL)
+    gp_list_push_back (&waiting, link);
+  while ((link = gp_list_pop_front (&waiting)) != NULL)
+    write_outcome (GP_CONTAINER_OF (link, gp_keyed_t, link));
+}
+
+/* Answers.  */
+
+void
+gp_keyed_drop_answer (gp_keyed_t *keyed)
+{
+  if (keyed->head != NULL)
+    gp__wire__answer__free_unpacked (keyed->head, NULL);
+  keyed->head = NULL;
+}
+
+void
+gp_keyed_keep_part (gp_keyed_t *keyed, const void *bytes, size_t size)
+{
+  if (keyed->head == NULL)
+    return;
+  if (keyed->body->len + size > GP_FOLD_ANSWER_MAX)
+    gp_keyed_drop_answer (keyed);
+  else
+    g_byte_array_append (keyed->body, bytes, (guint)size);
+}
+
+void
+gp_keyed_keep_head (gp_keyed_t *keyed, const Gp__Wire__Answer *answer)
+{
+  Gp__Wire__Answer head = GP__WIRE__ANSWER__INIT;
+  g_autofree uint8_t *packed = NULL;
+  size_t size;
+
+  head.status = answer->status;
+  head.headers = answer->headers;
+  head.n_headers = answer->n_headers;
+  size = gp__wire__answer__get_packed_size (&head);
+  packed = g_malloc (size + 1);
+  gp__wire__answer__pack (&head, packed);
+  keyed->status = answer->status;
+  keyed->head = gp__wire__answer__unpack (NULL, size, packed);
+  keyed->body = g_byte_array_new ();
+  gp_keyed_keep_part (keyed, answer->data.data, answer->data.len);
+}
+
+/* Pack what was kept into the outcome's answer if it fits.  */
+static void
+pack_answer (gp_keyed_t *keyed)
+{
+  size_t size;
+
+  if (keyed->head == NULL)
+    return;
+  keyed->head->data.data = keyed->body->data;
+  keyed->head->data.len = keyed->body->len;
+  size = gp__wire__answer__get_packed_size (keyed->head);
+  if (size <= GP_FOLD_ANSWER_MAX)
+    {
+      keyed->answer = g_byte_array_new ();
+      g_byte_array_set_size (keyed->answer, (guint)size);
+      gp__wire__answer__pack (keyed->head, keyed->answer->data);
+    }
+  keyed->head->data.data = NULL;
+  keyed->head->data.len = 0;
+}
+
+/* Nobody waits for the decision any more.  An Intent that is or may come on
+   the log is followed by its Outcome all the same.  */
+static void
+give_up (gp_keyed_t *keyed)
+{
+  bool may_be_open = keyed->verdict == GP_KEYS_RUN;
+
+  if (!keyed->settled)
+    may_be_open = keyed->proposal != NULL
+                  && !gp_store_withdraw (keyed->keys->store, keyed->proposal);
+  if (!may_be_open)
+    keyed_free (keyed);
+}
+
+void
+gp_keyed_end (gp_keyed_t *keyed, Gp__Wire__Verdict verdict)
+{
+  keyed->decided = NULL;
+  if (keyed->state == KEYED_DECIDING)
+    {
+      give_up (keyed);
+      return;
+    }
+  keyed->state = KEYED_ENDED;
+  keyed->outcome = verdict;
+  if (verdict == GP__WIRE__VERDICT__VERDICT_RAN)
+    pack_answer (keyed);
+  note (keyed, GP_TIMELINE_KEY_OUTCOME,
+        verdict == GP__WIRE__VERDICT__VERDICT_RAN       ? "ran"
+        : verdict == GP__WIRE__VERDICT__VERDICT_NOT_RUN ? "not-run"
+                                                        : "unknown");
+  write_outcome (keyed);
+}
+
+/* Decisions.  */
+
+gp_keys_verdict_t
+gp_keys_decide (const gp_fold_t *fold, const gp_fold_key_t *key,
+                uint64_t request, bool owner_alive)
+{
+  if (key == NULL)
+    return GP_KEYS_RUN;
+  if (key->request != request)
+    return GP_KEYS_MISMATCH;
+  switch (gp_fold_key_state (fold, key))
+    {
+    case GP__RECORD__KEY_STATE__KEY_STATE_RAN:
+      return GP_KEYS_REPLAY;
+    case GP__RECORD__KEY_STATE__KEY_STATE_OPEN:
+      return owner_alive ? GP_KEYS_BUSY : GP_KEYS_UNKNOWN;
+    default:
+      return GP_KEYS_UNKNOWN;
+    }
+}
+
+static bool
+is_own (const gp_keys_t *keys, const gp_fold_key_t *key)
+{
+  return key->owner_incarnation == keys->host->self.incarnation
+         && strcmp (key->owner, keys->host->self.process) == 0;
+}
+
+/* Whether the entry that opened KEY still runs, as far as is known here.  */
+static bool
+owner_alive (const gp_keys_t *keys, const gp_fold_key_t *key)
+{
+  if (strcmp (key->owner, keys->host->self.process) == 0)
+    return is_own (keys, key);
+  GP_LIST_FOREACH (pos, &keys->host->sessions)
+  {
+    const gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready && strcmp (session->process, key->owner) == 0)
+      return session->incarnation == key->owner_incarnation;
+  }
+  return gp_loop_now (keys->host->loop) < keys->started_at + PEERS_GRACE;
+}
+
+static void
+count (gp_keys_verdict_t verdict)
+{
+  switch (verdict)
+    {
+    case GP_KEYS_RUN:
+      gp_counter_add (&intents, 1);
+      break;
+    case GP_KEYS_REPLAY:
+      gp_counter_add (&replayed, 1);
+      break;
+    case GP_KEYS_BUSY:
+      gp_counter_add (&busy, 1);
+      break;
+    case GP_KEYS_MISMATCH:
+      gp_counter_add (&mismatched, 1);
+      break;
+    case GP_KEYS_UNKNOWN:
+      gp_counter_add (&unknown, 1);
+      break;
+    case GP_KEYS_UNAVAILABLE:
+    case GP_KEYS_LATE:
+      gp_counter_add (&not_run, 1);
+      break;
+    }
+}
+
+/* The answer to be replayed: of the log, or of a request of this entry whose
+   outcome is not on the log yet.  */
+static void
+fill_replay (const gp_keyed_t *keyed, gp_keys_decision_t *decision)
+{
+  gp_keys_t *keys = keyed->keys;
+  const gp_keyed_t *other = g_hash_table_lookup (keys->active, keyed->key);
+  gp_fold_key_t *key = gp_fold_key (gp_store_fold (keys->store), keyed->key);
+
+  if (key != NULL && key->state == GP__RECORD__KEY_STATE__KEY_STATE_RAN)
+    {
+      decision->status = key->status;
+      decision->answer = gp_blob_data (key->answer);
+      decision->answer_size = gp_blob_size (key->answer);
+    }
+  else if (other != NULL)
+    {
+      decision->status = other->status;
+      if (other->answer != NULL)
+        {
+          decision->answer = other->answer->data;
+          decision->answer_size = other->answer->len;
+        }
+    }
+}
+
+static void
+deliver (gp_deferred_t *deferred)
+{
+  gp_keyed_t *keyed = GP_CONTAINER_OF (deferred, gp_keyed_t, deferred);
+  gp_keys_decision_t decision = { .verdict = keyed->verdict };
+  gp_keys_decided_t decided = keyed->decided;
+  void *data = keyed->data;
+
+  keyed->decided = NULL;
+  count (decision.verdict);
+  if (decision.verdict == GP_KEYS_RUN)
+    {
+      keyed->state = KEYED_RUNNING;
+      note (keyed, GP_TIMELINE_KEY_INTENT, NULL);
+      if (decided != NULL)
+        decided (&decision, data);
+      else
+        gp_keyed_end (keyed, GP__WIRE__VERDICT__VERDICT_NOT_RUN);
+      return;
+    }
+  if (decision.verdict == GP_KEYS_REPLAY)
+    fill_replay (keyed, &decision);
+  if (decided != NULL)
+    decided (&decision, data);
+  keyed_free (keyed);
+}
+
+static void
+decide (gp_keyed_t *keyed, gp_keys_verdict_t verdict)
+{
+  keyed->settled = true;
+  keyed->verdict = verdict;
+  gp_deferred_schedule (&keyed->deferred, keyed->keys->host->loop);
+}
+
+/* Another intent came first, or this one was not read one by one.  */
+static void
+decide_by_state (gp_keyed_t *keyed)
+{
+  gp_keys_t *keys = keyed->keys;
+  const gp_fold_t *fold = gp_store_fold (keys->store);
+  const gp_fold_key_t *key = gp_fold_key (fold, keyed->key);
+
+  if (key == NULL)
+    decide (keyed, GP_KEYS_BUSY); /* released meanwhile: try again */
+  else if (is_own (keys, key) && key->request == keyed->request
+           && key->state == GP__RECORD__KEY_STATE__KEY_STATE_OPEN)
+    decide (keyed, GP_KEYS_RUN);
+  else
+    decide (keyed, gp_keys_decide (fold, key, keyed->request,
+                                   owner_alive (keys, key)));
+}
+
+static void
+on_intent_read (gp_proposal_result_t result, gp_fold_verdict_t verdict,
+                void *data)
+{
+  gp_keyed_t *keyed = data;
+
+  keyed->proposal = NULL;
+  switch (result)
+    {
+    case GP_PROPOSAL_DECIDED:
+      if (verdict == GP_FOLD_ACCEPTED)
+        decide (keyed, GP_KEYS_RUN);
+      else if (verdict == GP_FOLD_VOID_KEY_TAKEN)
+        decide_by_state (keyed);
+      else
+        decide (keyed, GP_KEYS_UNAVAILABLE);
+      break;
+    case GP_PROPOSAL_EXPIRED:
+      decide (keyed, GP_KEYS_LATE);
+      break;
+    case GP_PROPOSAL_UNREAD:
+      decide_by_state (keyed);
+      break;
+    }
+}
+
+static void
+propose_intent (gp_keyed_t *keyed)
+{
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+  Gp__Record__Intent intent = GP__RECORD__INTENT__INIT;
+
+  intent.key.data = keyed->key;
+  intent.key.len = GP_FOLD_KEY_SIZE;
+  intent.request = keyed->request;
+  record.record_case = GP__RECORD__RECORD__RECORD_INTENT;
+  record.intent = &intent;
+  set_active (keyed);
+  switch (gp_store_propose (keyed->keys->store, &record, GP_WRITER_URGENT,
+                            keyed->deadline, on_intent_read, keyed,
+                            &keyed->proposal))
+    {
+    case GP_WRITER_QUEUED:
+      return;
+    case GP_WRITER_LATE:
+      decide (keyed, GP_KEYS_LATE);
+      break;
+    case GP_WRITER_UNAVAILABLE:
+    case GP_WRITER_FULL:
+    case GP_WRITER_TOO_LARGE:
+      decide (keyed, GP_KEYS_UNAVAILABLE);
+      break;
+    }
+}
+
+/* A try while this entry has the key already.  */
+static gp_keys_verdict_t
+decide_beside (const gp_keyed_t *keyed, const gp_keyed_t *other)
+{
+  if (other->request != keyed->request)
+    return GP_KEYS_MISMATCH;
+  if (other->state != KEYED_ENDED)
+    return GP_KEYS_BUSY;
+  switch (other->outcome)
+    {
+    case GP__WIRE__VERDICT__VERDICT_RAN:
+      return GP_KEYS_REPLAY;
+    case GP__WIRE__VERDICT__VERDICT_NOT_RUN:
+      return GP_KEYS_BUSY; /* until the log has released the key */
+    default:
+      return GP_KEYS_UNKNOWN;
+    }
+}
+
+static void
+start (gp_keyed_t *keyed)
+{
+  gp_keys_t *keys = keyed->keys;
+  const gp_fold_t *fold = gp_store_fold (keys->store);
+  const gp_keyed_t *other = g_hash_table_lookup (keys->active, keyed->key);
+  gp_fold_key_t *key;
+  gp_keys_verdict_t verdict;
+
+  if (other != NULL)
+    {
+      decide (keyed, decide_beside (keyed, other));
+      return;
+    }
+  key = gp_store_ready (keys->store) ? gp_fold_key (fold, keyed->key) : NULL;
+  verdict = gp_keys_decide (fold, key, keyed->request,
+                            key != NULL && owner_alive (keys, key));
+  if (verdict == GP_KEYS_RUN)
+    {
+      propose_intent (keyed);
+      return;
+    }
+  if (verdict == GP_KEYS_UNKNOWN
+      && key->state == GP__RECORD__KEY_STATE__KEY_STATE_OPEN)
+    propose_outcome (keys->store, keyed->key,
+                     GP__RECORD__KEY_STATE__KEY_STATE_UNKNOWN, NULL);
+  decide (keyed, verdict);
+}
+
+gp_keyed_t *
+gp_keys_begin (gp_keys_t *keys, const gp_keys_request_t *request,
+               gp_time_t deadline, gp_keys_decided_t decided, void *data)
+{
+  gp_keyed_t *keyed = g_new0 (gp_keyed_t, 1);
+
+  keyed->keys = keys;
+  keyed->id = request->id;
+  keyed->request = request->request;
+  keyed->deadline = deadline;
+  keyed->decided = decided;
+  keyed->data = data;
+  gp_list_init (&keyed->link);
+  gp_deferred_init (&keyed->deferred, deliver);
+  make_key (request, keyed->key);
+  start (keyed);
+  return keyed;
+}
+
+/* Life.  */
+
+gp_keys_t *
+gp_keys_new (gp_session_host_t *host, gp_store_t *store,
+             gp_timeline_t *timeline)
+{
+  gp_keys_t *keys = g_new0 (gp_keys_t, 1);
+
+  gp_counter_register (&intents);
+  gp_counter_register (&replayed);
+  gp_counter_register (&busy);
+  gp_counter_register (&mismatched);
+  gp_counter_register (&unknown);
+  gp_counter_register (&not_run);
+  gp_counter_register (&active_keys);
+  keys->host = host;
+  keys->store = store;
+  keys->timeline = timeline;
+  keys->started_at = gp_loop_now (host->loop);
+  keys->active = g_hash_table_new (hash_key, equal_keys);
+  gp_list_init (&keys->unwritten);
+  gp_timer_init (&keys->timer, host->loop, on_timer, keys);
+  return keys;
+}
+
+static void
+no_close (gp_closer_t *closer)
+{
+}
+
+static void
+dispose (gp_closer_t *closer)
+{
+  g_free (GP_CONTAINER_OF (closer, gp_keys_t, closer));
+}
+
+void
+gp_keys_free (gp_keys_t *keys)
+{
+  g_autoptr (GList) left = g_hash_table_get_keys (keys->active);
+
+  for (GList *at = left; at != NULL; at = at->next)
+    keyed_free (at->data);
+  g_hash_table_unref (keys->active);
+  gp_timer_finish (&keys->timer);
+  gp_closer_add (&keys->closer, keys->host->loop, no_close, dispose);
+}
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -19,6 +19,7 @@
 #define MAX_TIMEOUT (600 * GP_SEC)
 #define ANSWER_GRACE (250 * GP_MSEC)
 #define STALL_TIMEOUT (30 * GP_SEC)
+#define LOG_RETRY (1 * GP_SEC)
 #define NAME_SIZE 128
 #define EXTRA_HEADERS 3
 
@@ -27,7 +28,9 @@
   gp_relays_t *relays;
   gp_http_exchange_t *exchange; /* NULL once the caller left */
   gp_service_t *service;
-  const gp_document_kind_t *kind;
+  char *kind; /* name of the document's kind, NULL: the caller's word */
+  Gp__Wire__WorkClass work_class;
+  gp_keyed_t *keyed;   /* its outcome is due, or NULL */
   gp_target_t *target; /* of the current try, or NULL */
   gp_list_t link;      /* in target->relays */
   gp_heap_node_t node; /* in relays->deadlines, unless EXPIRED */
@@ -42,8 +45,10 @@
   uint32_t attempts;
   bool idempotent;
   bool streaming;
+  bool head_received;
   bool part_in_flight;
   bool last_received;
+  size_t body_size;
   size_t body_sent;
   size_t in_flight_size;
   GByteArray *pending;
@@ -132,6 +137,27 @@
   gp_heap_insert (&relay->relays->deadlines, &relay->node);
 }
 
+/* Tell the outcome of a keyed request, once.  */
+static void
+end_key (gp_relay_t *relay, Gp__Wire__Verdict verdict)
+{
+  if (relay->keyed == NULL)
+    return;
+  if (!relay->last_received)
+    gp_keyed_drop_answer (relay->keyed);
+  gp_keyed_end (g_steal_pointer (&relay->keyed), verdict);
+}
+
+/* What is known of a relay that ends without a verdict.  */
+static Gp__Wire__Verdict
+verdict_so_far (const gp_relay_t *relay)
+{
+  if (relay->head_received)
+    return GP__WIRE__VERDICT__VERDICT_RAN;
+  return relay->attempts > 0 ? GP__WIRE__VERDICT__VERDICT_UNKNOWN
+                             : GP__WIRE__VERDICT__VERDICT_NOT_RUN;
+}
+
 /* End the current try: late messages for it find nothing.  */
 static void
 end_try (gp_relay_t *relay)
@@ -151,10 +177,12 @@
 {
   gp_relays_t *relays = relay->relays;
 
+  end_key (relay, verdict_so_far (relay));
   end_try (relay);
   if (!relay->expired)
     gp_heap_remove (&relays->deadlines, &relay->node);
   g_byte_array_unref (relay->pending);
+  g_free (relay->kind);
   g_free (relay);
   relays->open--;
   gp_counter_set (&relays_open, (int64_t)relays->open);
@@ -253,6 +281,7 @@
 {
   if (relay->exchange != NULL)
     answer_failure (relay->exchange, verdict, reason, retry_after);
+  end_key (relay, verdict);
   relay_free (relay);
 }
 
@@ -273,8 +302,9 @@
   size_t count = answer_headers (answer, headers);
 
   gp_counter_add (&answers_ran, 1);
-  gp_http_exchange_answer (relay->exchange, (int)answer->status, headers,
-                           count, answer->data.data, answer->data.len);
+  if (relay->exchange != NULL)
+    gp_http_exchange_answer (relay->exchange, (int)answer->status, headers,
+                             count, answer->data.data, answer->data.len);
   relay_free (relay);
 }
 
@@ -284,6 +314,7 @@
 {
   gp_counter_add (&answers_cut, 1);
   gp_http_exchange_abort (relay->exchange);
+  end_key (relay, GP__WIRE__VERDICT__VERDICT_UNKNOWN);
   relay_free (relay);
 }
 
@@ -347,20 +378,12 @@
 kind_name (const gp_relay_t *relay, char *name, size_t size)
 {
   if (relay->kind != NULL)
-    g_strlcpy (name, relay->kind->name, size);
+    g_strlcpy (name, relay->kind, size);
   else
     copy_text (name, size,
                gp_http_exchange_header (relay->exchange, "galenapier-kind"));
 }
 
-static Gp__Wire__WorkClass
-work_class (const gp_relay_t *relay)
-{
-  if (relay->kind != NULL && relay->kind->work_class == GP_DOCUMENT_BATCH)
-    return GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
-  return GP__WIRE__WORK_CLASS__WORK_CLASS_LATENCY_CRITICAL;
-}
-
 /* The path behind the service's name.  */
 static gp_http_text_t
 upstream_path (const gp_relay_t *relay)
@@ -401,7 +424,7 @@
   request.service = relay->service->name;
   request.kind = kind;
   request.team = team;
-  request.work_class = work_class (relay);
+  request.work_class = relay->work_class;
   request.idempotent = relay->idempotent;
   request.remaining_us = (uint64_t)MAX (relay->deadline - now, 0);
   request.method = method;
@@ -451,6 +474,7 @@
   end_try (relay);
   if (relay->exchange == NULL)
     {
+      end_key (relay, verdict);
       relay_free (relay);
       return;
     }
@@ -504,6 +528,14 @@
 
 /* Requests.  */
 
+/* Whether the verdict on a keyed request is wanted without its caller.  */
+static bool
+awaits_outcome (const gp_relay_t *relay)
+{
+  return relay->keyed != NULL && relay->target != NULL && !relay->streaming
+         && relay->body_sent == relay->body_size;
+}
+
 static void
 on_gone (void *data)
 {
@@ -511,6 +543,8 @@
 
   gp_counter_add (&callers_gone, 1);
   relay->exchange = NULL;
+  if (awaits_outcome (relay))
+    return;
   if (relay->target != NULL)
     send_cancel (relay);
   relay_free (relay);
@@ -576,8 +610,8 @@
   return true;
 }
 
-static void
-find_policy (gp_relay_t *relay)
+static const gp_document_kind_t *
+find_policy (const gp_relay_t *relay)
 {
   const gp_document_t *document = relay->relays->document;
   const gp_document_service_t *service = NULL;
@@ -585,23 +619,45 @@
 
   if (document != NULL)
     service = gp_document_find_service (document, relay->service->name);
-  if (service != NULL)
-    relay->kind = gp_document_find_kind (service, path.base, path.size);
+  if (service == NULL)
+    return NULL;
+  return gp_document_find_kind (service, path.base, path.size);
 }
 
 static gp_time_t
-request_timeout (const gp_relay_t *relay)
+request_timeout (const gp_relay_t *relay, const gp_document_kind_t *kind)
 {
   gp_http_text_t asked
       = gp_http_exchange_header (relay->exchange, "galenapier-timeout-ms");
   gp_time_t timeout = DEFAULT_TIMEOUT;
 
-  if (relay->kind != NULL && relay->kind->timeout_ms > 0)
-    timeout = relay->kind->timeout_ms * GP_MSEC;
+  if (kind != NULL && kind->timeout_ms > 0)
+    timeout = kind->timeout_ms * GP_MSEC;
   timeout = gp_text_number (asked, timeout / GP_MSEC) * GP_MSEC;
   return CLAMP (timeout, GP_MSEC, MAX_TIMEOUT);
 }
 
+/* Copies what it needs: the document may change before the answer.  */
+static void
+set_policy (gp_relay_t *relay)
+{
+  const gp_document_kind_t *kind = find_policy (relay);
+
+  relay->work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_LATENCY_CRITICAL;
+  relay->idempotent
+      = method_is_idempotent (gp_http_exchange_method (relay->exchange));
+  if (kind != NULL)
+    {
+      relay->kind = g_strdup (kind->name);
+      relay->idempotent = kind->idempotent;
+    }
+  if (kind != NULL && kind->work_class == GP_DOCUMENT_BATCH)
+    relay->work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
+  relay->route.may_probe = relay->idempotent;
+  relay->deadline
+      = gp_loop_now (relay->relays->loop) + request_timeout (relay, kind);
+}
+
 static gp_relay_t *
 relay_new (gp_relays_t *relays, gp_http_exchange_t *exchange,
            gp_service_t *service)
@@ -614,13 +670,8 @@
   relay->id = ++relays->next_id;
   relay->pending = g_byte_array_new ();
   gp_list_init (&relay->link);
-  find_policy (relay);
-  relay->idempotent
-      = relay->kind != NULL
-            ? relay->kind->idempotent
-            : method_is_idempotent (gp_http_exchange_method (exchange));
-  relay->route.may_probe = relay->idempotent;
-  relay->deadline = gp_loop_now (relays->loop) + request_timeout (relay);
+  relay->body_size = gp_http_exchange_body (exchange).size;
+  set_policy (relay);
   relay->wake_at = relay->deadline + ANSWER_GRACE;
   gp_heap_insert (&relays->deadlines, &relay->node);
   relays->open++;
@@ -629,6 +680,66 @@
   return relay;
 }
 
+/* The verdict on a key.  */
+static void
+on_key_decided (const gp_keys_decision_t *decision, void *data)
+{
+  gp_relay_t *relay = data;
+
+  if (decision->verdict == GP_KEYS_RUN)
+    {
+      dispatch (relay);
+      return;
+    }
+  relay->keyed = NULL;
+  if (gp_keys_answer (relay->exchange, decision))
+    relay_free (relay);
+  else if (decision->verdict == GP_KEYS_UNKNOWN)
+    fail_relay (relay, GP__WIRE__VERDICT__VERDICT_UNKNOWN,
+                GP__WIRE__REASON__REASON_UPSTREAM, -1);
+  else if (decision->verdict == GP_KEYS_LATE)
+    fail_relay (relay, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                GP__WIRE__REASON__REASON_DEADLINE, LOG_RETRY);
+  else
+    fail_relay (relay, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                GP__WIRE__REASON__REASON_LOG, LOG_RETRY);
+}
+
+/* Ask for the right to run a keyed request.  */
+static void
+begin_keyed (gp_relay_t *relay, gp_http_text_t key)
+{
+  gp_http_exchange_t *exchange = relay->exchange;
+  gp_http_text_t method = gp_http_exchange_method (exchange);
+  gp_http_text_t path = gp_http_exchange_path (exchange);
+  gp_http_text_t body = gp_http_exchange_body (exchange);
+  char team[NAME_SIZE];
+  gp_keys_request_t request
+      = { .id = relay->id, .team = team, .service = relay->service->name };
+
+  copy_text (team, sizeof team,
+             gp_http_exchange_header (exchange, "galenapier-team"));
+  request.key = g_bytes_new (key.base, key.size);
+  request.request = gp_keys_hash (method.base, method.size, path.base,
+                                  path.size, body.base, body.size);
+  relay->keyed = gp_keys_begin (relay->relays->keys, &request, relay->deadline,
+                                on_key_decided, relay);
+  g_bytes_unref (request.key);
+}
+
+/* A request that must not run twice is run under its key, if it has one.  */
+static void
+start_relay (gp_relay_t *relay)
+{
+  gp_http_text_t key
+      = gp_http_exchange_header (relay->exchange, "idempotency-key");
+
+  if (relay->relays->keys != NULL && !relay->idempotent && key.size > 0)
+    begin_keyed (relay, key);
+  else
+    dispatch (relay);
+}
+
 void
 gp_relays_on_request (gp_http_exchange_t *exchange, void *data)
 {
@@ -655,7 +766,7 @@
   relay = relay_new (relays, exchange, service);
   gp_retry_request (&service->retry);
   arm_timer (relays);
-  dispatch (relay);
+  start_relay (relay);
 }
 
 /* Messages from guards.  */
@@ -699,6 +810,12 @@
   gp_http_header_t headers[GP_HEADERS_MAX + EXTRA_HEADERS];
   size_t count = answer_headers (answer, headers);
 
+  if (relay->exchange == NULL)
+    {
+      send_cancel (relay); /* that it ran is all that is wanted */
+      relay_free (relay);
+      return;
+    }
   relay->streaming = true;
   set_wake (relay, gp_loop_now (relay->relays->loop) + STALL_TIMEOUT);
   gp_http_exchange_start (relay->exchange, (int)answer->status, headers, count,
@@ -718,8 +835,15 @@
     return;
   record (relay, answer);
   if (answer->verdict != GP__WIRE__VERDICT__VERDICT_RAN)
-    decide (relay, answer->verdict, answer->reason);
-  else if (answer->last)
+    {
+      decide (relay, answer->verdict, answer->reason);
+      return;
+    }
+  relay->head_received = true;
+  relay->last_received = answer->last;
+  if (relay->keyed != NULL)
+    gp_keyed_keep_head (relay->keyed, answer);
+  if (answer->last)
     answer_whole (relay, answer);
   else
     start_streaming (relay, answer);
@@ -734,6 +858,8 @@
   if (relay == NULL || !relay->streaming)
     return;
   g_byte_array_append (relay->pending, part->data.data, (guint)part->data.len);
+  if (relay->keyed != NULL)
+    gp_keyed_keep_part (relay->keyed, part->data.data, part->data.len);
   relay->last_received = part->last;
   if (part->last)
     end_try (relay);
@@ -768,10 +894,10 @@
 static Gp__Wire__Verdict
 verdict_of_loss (const gp_relay_t *relay)
 {
-  gp_http_text_t body = gp_http_exchange_body (relay->exchange);
+  bool sent = relay->attempts > 0 && relay->body_sent == relay->body_size;
 
-  return relay->body_sent < body.size ? GP__WIRE__VERDICT__VERDICT_NOT_RUN
-                                      : GP__WIRE__VERDICT__VERDICT_UNKNOWN;
+  return sent ? GP__WIRE__VERDICT__VERDICT_UNKNOWN
+              : GP__WIRE__VERDICT__VERDICT_NOT_RUN;
 }
 
 void
--- a/src/daemon/relay.h
+++ b/src/daemon/relay.h
@@ -10,6 +10,7 @@
 
 #include "base/heap.h"
 #include "base/idpool.h"
+#include "daemon/keys.h"
 #include "daemon/routes.h"
 #include "state/document.h"
 #include "transport/http.h"
@@ -20,6 +21,7 @@
   gp_routes_t *routes;
   GRand *rand;
   const gp_document_t *document; /* NULL before the first configuration */
+  gp_keys_t *keys;               /* NULL: keys of callers are not heeded */
   gp_idpool_t tries;             /* handle -> gp_relay_t */
   gp_heap_t deadlines;
   gp_timer_t timer;
