Let the worker stand-in take calls of its greatest holder only

A call of an earlier guard, or of an earlier lease, that is still under way must not take effect after a later one has taken the inventory. The runtime is claimed by incarnation, each call that changes something names its holder, and a lesser one is refused. The runtime also tells its holder, its deadline and the last event, which a guard that starts beside it goes on from.

--- a/tests/scripts/standins.py
+++ b/tests/scripts/standins.py
@@ -182,8 +182,8 @@
 def check_worker():
     with Standin("worker", "--millicores", "2000", "--boot", "b1") as worker:
         check("worker: runtime", worker.json("GET", "/v1/runtime")[1] == {
-            "boot": "b1", "millicores": 2000, "memory_mib": 61440,
-            "accelerators": 0})
+            "boot": "b1", "holder": 0, "deadline_us": 0, "events": 0,
+            "millicores": 2000, "memory_mib": 61440, "accelerators": 0})
         check("worker: runs, fails and resumes",
               [start(worker, "a", run_ms=5), start(worker, "a"),
                events(worker, 2)[1], start(worker, "b", run_ms=5, fail=True),
@@ -224,6 +224,32 @@
             in worker.json("GET", "/v1/usage")[1]["tasks"]} == {1000})
 
 
+def check_claim():
+    with Standin("worker") as worker:
+        start(worker, "a")
+        claims = [worker.json("POST", "/v1/claim", {"holder": holder})
+                  for holder in (7, 6, 7, 9)]
+        check("claim: the greatest holds it", [answer for _, answer in claims]
+              == [{"previous": 0}, {"error": "claimed", "holder": 7},
+                  {"previous": 7}, {"previous": 7}])
+        deadline = worker.json("GET", "/v1/runtime")[1]["deadline_us"]
+        call = {"epoch": 1, "holder": 8, "deadline_us": deadline + 1}
+        check("claim: a lesser one changes nothing", [
+            worker.request("POST", "/v1/lease", json.dumps(call))[0],
+            worker.request("POST", "/v1/tasks/a/cancel", json.dumps(call))[0],
+            start(worker, "b"),
+            worker.request("DELETE", "/v1/tasks/a?epoch=1&holder=8")[0],
+            worker.json("GET", "/v1/runtime")[1]["deadline_us"] == deadline,
+            len(worker.json("GET", "/v1/tasks")[1]["tasks"])]
+            == [409, 409, 409, 409, True, 1])
+        call["holder"] = 9
+        check("claim: the holder does", [
+            worker.request("POST", "/v1/lease", json.dumps(call))[0],
+            worker.request("POST", "/v1/tasks/a/cancel", json.dumps(call))[0],
+            worker.request("DELETE", "/v1/tasks/a?epoch=1&holder=9")[0]]
+            == [204, 202, 204])
+
+
 def check_lease():
     with Standin("worker") as worker:
         start(worker, "kept", lease_us=300_000)
@@ -359,6 +385,7 @@
 check_log()
 check_upstream()
 check_worker()
+check_claim()
 check_lease()
 check_interference()
 check_verdicts()
--- a/tests/standins/lib/vm.c
+++ b/tests/standins/lib/vm.c
@@ -81,6 +81,7 @@
      const char *result)
 {
   task->state = state;
+  task->run_time = until - task->started_at;
   g_free (task->result);
   task->result = g_strdup (result);
   uv_timer_stop (&task->timer);
@@ -336,6 +337,7 @@
   gp_vmtask_t *task = task_new (vm, start);
 
   g_hash_table_insert (vm->tasks, task->id, task);
+  vm->deadline = MAX (vm->deadline, task->deadline);
   vm->starts++;
   write_task (task, "task_start", task->started_at);
   check_capacity (vm);
@@ -349,6 +351,7 @@
   GHashTableIter iter;
   void *value;
 
+  vm->deadline = MAX (vm->deadline, deadline);
   g_hash_table_iter_init (&iter, vm->tasks);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/tests/standins/lib/vm.h
+++ b/tests/standins/lib/vm.h
@@ -59,6 +59,7 @@
   gp_vm_size_t declared;
   gp_vm_size_t real; /* what it uses, not throttled */
   gp_time_t deadline;
+  gp_time_t run_time; /* duration, once it has ended */
   gp_time_t started_at;
   gp_time_t advanced_at; /* progress is as of this point */
   double progress_ms;
@@ -97,7 +98,8 @@
   bool hang_stop;
   int64_t stop_ms;
 
-  GHashTable *tasks; /* of gp_vmtask_t by id */
+  GHashTable *tasks;  /* of gp_vmtask_t by id */
+  gp_time_t deadline; /* the latest that a task was given */
   uv_timer_t lease_timer;
   int64_t starts;
   int64_t expired;
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -11,6 +11,9 @@
    A checkpoint is the progress in milliseconds; a task that is started with
    one goes on from there.
 
+   A call that changes something carries the caller's "holder" (0 when it is
+   left out) and is refused when a greater one has claimed the runtime.
+
    Fault switches (POST /faults): fail_all (every task that is started fails
    at once), hang_stop (stop and cancel are accepted and never done), stop_ms
    (how long a stop takes), usage_lag_ms, refuse_start (500 to every start),
@@ -48,6 +51,7 @@
 static gp_vm_t vm = { .capacity = { 16000, 61440, 0 }, .stop_ms = 10 };
 static int64_t usage_lag_ms = 1000;
 static bool refuse_start, refuse_connections;
+static json_int_t holder;  /* the greatest that claimed the runtime */
 static GPtrArray *events;  /* of json_t; event N has sequence N + 1 */
 static GPtrArray *readers; /* of reader_t */
 static GQueue samples = G_QUEUE_INIT;
@@ -229,13 +233,50 @@
   gp_reply_json (req, status, json_pack ("{s:s}", "error", why));
 }
 
+/* Whether a call in the name of CALLER may change something; else it is
+   refused.  */
+static bool
+is_holder (json_int_t caller, h2o_req_t *req)
+{
+  if (caller >= holder)
+    return true;
+  gp_reply_json (
+      req, 409, json_pack ("{s:s,s:I}", "error", "claimed", "holder", holder));
+  return false;
+}
+
+static json_int_t
+body_holder (json_t *body)
+{
+  json_int_t caller = 0;
+
+  json_unpack (body, "{s?I}", "holder", &caller);
+  return caller;
+}
+
+static void
+claim (json_t *body, h2o_req_t *req)
+{
+  json_int_t caller;
+  json_int_t previous = holder;
+
+  if (json_unpack (body, "{s:I}", "holder", &caller) != 0)
+    refuse (req, 400, "malformed");
+  else if (is_holder (caller, req))
+    {
+      holder = caller;
+      gp_reply_json (req, 200, json_pack ("{s:I}", "previous", previous));
+    }
+}
+
 static json_t *
 show_task (const gp_vmtask_t *task)
 {
-  return json_pack ("{s:s,s:I,s:s,s:s,s:s,s:I,s:I,s:I}", "task", task->id,
+  return json_pack ("{s:s,s:I,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "task", task->id,
                     "epoch", (json_int_t)task->epoch, "state",
                     gp_vmtask_state_name (task->state), "result", task->result,
-                    "checkpoint", task->checkpoint, "millicores",
+                    "checkpoint", task->checkpoint, "run_time_us",
+                    (json_int_t)task->run_time, "millicores",
                     (json_int_t)task->declared.millicores, "memory_mib",
                     (json_int_t)task->declared.memory_mib, "accelerators",
                     (json_int_t)task->declared.accelerators);
@@ -267,6 +308,14 @@
   return rc == 0;
 }
 
+static void
+refuse_present (const gp_vmtask_t *task, h2o_req_t *req)
+{
+  gp_reply_json (req, 409,
+                 json_pack ("{s:s,s:I}", "error", "present", "epoch",
+                            (json_int_t)task->epoch));
+}
+
 static void
 start_task (json_t *body, h2o_req_t *req)
 {
@@ -279,8 +328,8 @@
   else if (start.deadline <= gp_time_now ())
     refuse (req, 400, "the deadline has passed");
   else if (g_hash_table_contains (vm.tasks, start.id))
-    refuse (req, 409, "present");
-  else
+    refuse_present (g_hash_table_lookup (vm.tasks, start.id), req);
+  else if (is_holder (body_holder (body), req))
     {
       gp_vm_start (&vm, &start);
       gp_reply_status (req, 201);
@@ -297,6 +346,8 @@
       refuse (req, 400, "malformed");
       return;
     }
+  if (!is_holder (body_holder (body), req))
+    return;
   gp_vm_renew (&vm, deadline);
   gp_reply_status (req, 204);
 }
@@ -357,8 +408,11 @@
   gp_vmtask_t *task
       = parts[0] != NULL ? g_hash_table_lookup (vm.tasks, parts[0]) : NULL;
   json_int_t epoch = gp_request_number (req, "epoch", -1);
+  json_int_t caller = gp_request_number (req, "holder", body_holder (body));
 
   json_unpack (body, "{s?I}", "epoch", &epoch);
+  if (!is_holder (caller, req))
+    return;
   if (task == NULL)
     refuse (req, 404, "no such task");
   else if (epoch != task->epoch)
@@ -373,7 +427,10 @@
 answer_runtime (h2o_req_t *req)
 {
   gp_reply_json (req, 200,
-                 json_pack ("{s:s,s:I,s:I,s:I}", "boot", vm.boot, "millicores",
+                 json_pack ("{s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "boot", vm.boot,
+                            "holder", holder, "deadline_us",
+                            (json_int_t)vm.deadline, "events",
+                            (json_int_t)events->len, "millicores",
                             (json_int_t)vm.capacity.millicores, "memory_mib",
                             (json_int_t)vm.capacity.memory_mib, "accelerators",
                             (json_int_t)vm.capacity.accelerators));
@@ -390,6 +447,8 @@
   gp_vm_expire (&vm);
   if (gp_request_is (req, "GET", "/v1/runtime"))
     answer_runtime (req);
+  else if (gp_request_is (req, "POST", "/v1/claim"))
+    claim (body, req);
   else if (gp_request_is (req, "GET", "/v1/tasks"))
     answer_tasks (req);
   else if (gp_request_is (req, "POST", "/v1/tasks"))
