Run tasks on a guard's worker

The guard did not start tasks yet. The runner claims the worker runtime, adopts what runs there, holds the lease, reserves capacity, starts and stops tasks, follows the runtime's events and reports to the entries until they acknowledge.

--- a/src/coordination/lease_holder.c
+++ b/src/coordination/lease_holder.c
@@ -169,6 +169,14 @@
     extend (holder, reply, now, actions);
 }
 
+void
+gp_lease_holder_give_up (gp_lease_holder_t *holder,
+                         gp_lease_holder_actions_t *actions)
+{
+  if (!stopping (holder))
+    lose (holder, GP_LEASE_LAPSED, actions);
+}
+
 static void
 begin_incarnation (gp_lease_holder_t *holder, uint64_t inherits, gp_time_t now,
                    gp_lease_holder_actions_t *actions)
--- a/src/coordination/lease_holder.h
+++ b/src/coordination/lease_holder.h
@@ -138,6 +138,11 @@
                             const gp_lease_reply_t *reply, gp_time_t now,
                             gp_lease_holder_actions_t *actions);
 
+/* The runtime was started anew: nothing runs, and what was granted to this
+   incarnation has ended.  Goes on as after a lapse.  */
+void gp_lease_holder_give_up (gp_lease_holder_t *holder,
+                              gp_lease_holder_actions_t *actions);
+
 /* The runtime confirmed, after STOP_ALL, that no task is left.  */
 void gp_lease_holder_stopped (gp_lease_holder_t *holder, gp_time_t now,
                               gp_lease_holder_actions_t *actions);
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -7,6 +7,9 @@
 #include "base/log.h"
 
 #define HEARTBEAT_JITTER 0.1
+/* On a worker the lease sets the pace, and the timer only steps in while
+   there is none to renew.  */
+#define WORKER_HEARTBEAT_FACTOR 1.5
 #define CLOSE_GRACE (200 * GP_MSEC)
 #define LEAVE_TIME (10 * GP_SEC)
 
@@ -83,16 +86,15 @@
                     * g_rand_double_range (guard->rand, 1 - HEARTBEAT_JITTER,
                                            1 + HEARTBEAT_JITTER);
 
+  if (guard->runner != NULL)
+    interval *= WORKER_HEARTBEAT_FACTOR;
   gp_timer_arm (&guard->heartbeat,
                 gp_loop_now (&guard->loop) + (gp_time_t)interval);
 }
 
 static void
-on_heartbeat (gp_timer_t *timer, void *data)
+send_heartbeats (gp_guard_t *guard)
 {
-  gp_guard_t *guard = data;
-
-  (void)timer;
   guard->heartbeat_sequence++;
   GP_LIST_FOREACH (pos, &guard->host.sessions)
   {
@@ -104,6 +106,13 @@
   arm_heartbeat (guard);
 }
 
+static void
+on_heartbeat (gp_timer_t *timer, void *data)
+{
+  (void)timer;
+  send_heartbeats (data);
+}
+
 /* Sessions.  */
 
 static void
@@ -263,6 +272,12 @@
   }
 }
 
+static void
+on_runner_heartbeat (void *data)
+{
+  send_heartbeats (data);
+}
+
 static void
 on_configuration (const gp_document_t *document, uint64_t revision, void *data)
 {
@@ -275,6 +290,10 @@
 start_parts (gp_guard_t *guard, GError **error)
 {
   const gp_settings_t *settings = guard->settings;
+  const gp_runner_callbacks_t callbacks
+      = { .on_renewed = on_runner_renewed,
+          .on_heartbeat = on_runner_heartbeat,
+          .data = guard };
 
   guard->events = g_new0 (gp_timeline_event_t, GP_GUARD_TIMELINE_SIZE);
   gp_timeline_init (&guard->timeline, settings->name, guard->incarnation,
@@ -290,7 +309,7 @@
     return true;
   guard->runner
       = gp_runner_new (&guard->host, settings, guard->incarnation, guard->rand,
-                       &guard->timeline, on_runner_renewed, guard, error);
+                       &guard->timeline, &callbacks, error);
   return guard->runner != NULL;
 }
 
--- a/src/daemon/runner.h
+++ b/src/daemon/runner.h
@@ -16,17 +16,28 @@
 
 typedef struct gp_runner gp_runner_t;
 
-/* The incarnation of the lease may run ahead of the guard's own.  ON_RENEWED
-   is called when the guard must announce itself anew on all sessions (see
-   gp_runner_fill_announce); TIMELINE may be NULL.  */
+/* What the runner asks of the guard; never called from inside of
+   gp_runner_new.  */
+typedef struct
+{
+  /* Announce the guard anew on all sessions (see gp_runner_fill_announce):
+     the incarnation of the lease, which may run ahead of the guard's own, or
+     the worker has changed.  */
+  void (*on_renewed) (void *data);
+  /* Send a heartbeat on all sessions: the lease is to be renewed.  */
+  void (*on_heartbeat) (void *data);
+  void *data;
+} gp_runner_callbacks_t;
+
+/* TIMELINE may be NULL.  */
 gp_runner_t *
 gp_runner_new (gp_session_host_t *host, const gp_settings_t *settings,
                uint64_t incarnation, GRand *rand, gp_timeline_t *timeline,
-               void (*on_renewed) (void *data), void *data, GError **error);
+               const gp_runner_callbacks_t *callbacks, GError **error);
 void gp_runner_free (gp_runner_t *runner);
 
-/* What the guard announces of the worker; the parts stay valid until the
-   next call.  */
+/* What the guard announces of the worker, or that there is none yet; the
+   parts stay valid until the next call.  */
 void gp_runner_fill_announce (gp_runner_t *runner,
                               Gp__Wire__Announce *announce);
 
@@ -43,7 +54,7 @@
                            const Gp__Wire__Envelope *envelope);
 
 /* Leave: refuse new tasks, checkpoint and stop what runs, hand the epochs
-   back.  ON_DRAINED is called once every end is acknowledged or TIMEOUT has
+   back.  ON_DRAINED is called once every end is acknowledged or DEADLINE has
    passed, never from inside.  */
 void gp_runner_leave (gp_runner_t *runner, gp_time_t deadline,
                       void (*on_drained) (void *data), void *data);
--- /dev/null
+++ b/src/daemon/runner_runtime.c
@@ -0,0 +1,353 @@
+/* The runner and its runtime: finding, claiming, following.
+
+   To find the runtime means, one call after the other: ask for its holder,
+   claim it, ask again (after the claim nobody else moves its deadline), and
+   read its tasks.  While serving it only means to see that it is the same
+   one.  At most one call of this chain is under way; a step that fails is
+   tried again by beginning anew.  */
+
+#include "daemon/runner_private.h"
+
+#include "base/counters.h"
+#include "base/log.h"
+
+#define RETRY_INTERVAL (100 * GP_MSEC)
+
+static void on_events (const gp_runtime_answer_t *answer, void *data);
+
+static void
+retry_later (gp_runner_t *runner)
+{
+  gp_timer_arm (&runner->retry_timer, gp_time_now () + RETRY_INTERVAL);
+}
+
+void
+gp_runner_on_retry (gp_timer_t *timer, void *data)
+{
+  gp_runner_t *runner = data;
+
+  (void)timer;
+  gp_runner_check (runner);
+  gp_runner_find_runtime (runner);
+}
+
+static void
+await_events (gp_runner_t *runner)
+{
+  if (runner->awaiting)
+    return;
+  runner->awaiting = true;
+  gp_runtime_await_events (&runner->runtime, runner->next_event, on_events);
+}
+
+static void
+set_up (gp_runner_t *runner, bool up)
+{
+  if (runner->up == up)
+    return;
+  runner->up = up;
+  gp_log (up ? GP_LOG_INFO : GP_LOG_WARNING,
+          up ? "runtime.up" : "runtime.down");
+  if (up)
+    gp_runner_repeat (runner);
+}
+
+/* Events.  */
+
+static void
+hear_events (gp_runner_t *runner, const json_t *list)
+{
+  gp_runtime_task_t event;
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+  {
+    if (gp_runtime_read_task (item, &event))
+      gp_runner_hear (runner, &event);
+  }
+}
+
+static bool
+take_events (gp_runner_t *runner, const gp_runtime_answer_t *answer)
+{
+  json_int_t next;
+  json_t *list;
+
+  if (!gp_runtime_done_well (answer)
+      || json_unpack (answer->body, "{s:I,s:o}", "next", &next, "events",
+                      &list)
+             != 0)
+    return false;
+  hear_events (runner, list);
+  if (answer->asked_at >= runner->attached_at)
+    runner->next_event = (uint64_t)next;
+  return true;
+}
+
+static void
+on_events (const gp_runtime_answer_t *answer, void *data)
+{
+  gp_runner_t *runner = data;
+
+  runner->awaiting = false;
+  gp_runner_check (runner);
+  if (runner->phase != GP_RUNNER_SERVING)
+    return;
+  if (take_events (runner, answer))
+    {
+      await_events (runner);
+      return;
+    }
+  set_up (runner, false);
+  gp_runner_find_runtime (runner);
+}
+
+/* The chain of calls.  */
+
+/* A step was answered: whether to go on with the next one.  */
+static bool
+step_done (gp_runner_t *runner, const gp_runtime_answer_t *answer)
+{
+  runner->asking = false;
+  gp_runner_check (runner);
+  if (answer->claimed != 0 && runner->phase != GP_RUNNER_STARTING)
+    gp_runner_on_claimed (runner, answer->claimed);
+  if (runner->asking || runner->phase == GP_RUNNER_SUPERSEDED)
+    return false; /* begun anew by the check, or given up */
+  if (runner->ask_again)
+    {
+      runner->ask_again = false;
+      gp_runner_find_runtime (runner);
+      return false;
+    }
+  if (gp_runtime_done_well (answer))
+    return true;
+  if (runner->phase == GP_RUNNER_SERVING)
+    set_up (runner, false);
+  retry_later (runner);
+  return false;
+}
+
+static void
+serve (gp_runner_t *runner)
+{
+  runner->phase = GP_RUNNER_SERVING;
+  set_up (runner, true);
+  await_events (runner);
+}
+
+/* The listed tasks at the start of this process.  */
+static void
+adopt_tasks (gp_runner_t *runner, const json_t *list)
+{
+  gp_runtime_task_t task;
+  const json_t *item;
+  size_t i;
+
+  gp_runner_begin (runner);
+  json_array_foreach (list, i, item)
+  {
+    if (gp_runtime_read_task (item, &task))
+      gp_runner_adopt (runner, &task);
+  }
+  gp_log (GP_LOG_INFO, "runner.attached",
+          GP_LOG_I ("incarnation", runner->holder.incarnation),
+          GP_LOG_I ("inherits", runner->holder.inherits),
+          GP_LOG_I ("tasks", g_hash_table_size (runner->tasks)));
+  serve (runner);
+  gp_runner_announce (runner);
+  gp_runner_relieve (runner);
+  gp_runner_check (runner);
+}
+
+/* Whether the list names (TASK, EPOCH).  */
+static bool
+is_listed (const json_t *list, const gp_runner_key_t *key)
+{
+  gp_runtime_task_t task;
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+  {
+    if (gp_runtime_read_task (item, &task) && task.task == key->task
+        && task.epoch == key->epoch)
+      return true;
+  }
+  return false;
+}
+
+static void
+lose_unlisted (gp_runner_t *runner, const json_t *list)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, runner->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_runner_task_t *task = value;
+
+      if (task->phase != GP_RUNNER_TASK_ENDED && !is_listed (list, &task->key))
+        gp_runner_lose (runner, task);
+    }
+}
+
+/* Cancel what still runs; the number of these.  */
+static unsigned
+cancel_listed (gp_runner_t *runner, const json_t *list)
+{
+  gp_runtime_task_t task;
+  unsigned running = 0;
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+  {
+    if (!gp_runtime_read_task (item, &task))
+      continue;
+    if (task.state == GP__WIRE__TASK_STATE__TASK_STATE_RUNNING)
+      {
+        gp_runtime_command (&runner->runtime, task.task, task.epoch, "cancel",
+                            NULL);
+        running++;
+      }
+    else
+      gp_runner_hear (runner, &task);
+  }
+  return running;
+}
+
+static void
+confirm_stop (gp_runner_t *runner, const json_t *list)
+{
+  gp_lease_holder_actions_t actions = { 0 };
+
+  lose_unlisted (runner, list);
+  if (cancel_listed (runner, list) > 0)
+    {
+      retry_later (runner);
+      return;
+    }
+  serve (runner);
+  gp_lease_holder_stopped (&runner->holder, gp_time_now (), &actions);
+  gp_runner_act (runner, &actions);
+}
+
+static void
+on_tasks (const gp_runtime_answer_t *answer, void *data)
+{
+  gp_runner_t *runner = data;
+  json_t *list;
+
+  if (!step_done (runner, answer))
+    return;
+  if (json_unpack (answer->body, "{s:o}", "tasks", &list) != 0)
+    {
+      retry_later (runner);
+      return;
+    }
+  switch (runner->phase)
+    {
+    case GP_RUNNER_STARTING:
+      adopt_tasks (runner, list);
+      break;
+    case GP_RUNNER_STOPPING:
+      confirm_stop (runner, list);
+      break;
+    case GP_RUNNER_SERVING:
+    case GP_RUNNER_SUPERSEDED:
+      break;
+    }
+}
+
+static void
+on_claimed_info (const gp_runtime_answer_t *answer, void *data)
+{
+  gp_runner_t *runner = data;
+
+  if (!step_done (runner, answer))
+    return;
+  if (!gp_runtime_read_info (answer->body, &runner->info)
+      || runner->info.holder != runner->runtime.holder)
+    {
+      retry_later (runner);
+      return;
+    }
+  runner->next_event = runner->info.events;
+  runner->attached_at = gp_time_now ();
+  runner->asking = true;
+  gp_runtime_ask_tasks (&runner->runtime, on_tasks);
+}
+
+static void
+on_claim (const gp_runtime_answer_t *answer, void *data)
+{
+  gp_runner_t *runner = data;
+
+  if (!step_done (runner, answer))
+    return;
+  runner->asking = true;
+  gp_runtime_ask_info (&runner->runtime, on_claimed_info);
+}
+
+/* While serving: the runtime has been out of reach.  */
+static void
+compare_boot (gp_runner_t *runner, const gp_runtime_info_t *info)
+{
+  gp_lease_holder_actions_t actions = { 0 };
+
+  if (info->boot == runner->info.boot)
+    {
+      serve (runner);
+      return;
+    }
+  gp_log (GP_LOG_WARNING, "runtime.restarted");
+  gp_lease_holder_give_up (&runner->holder, &actions);
+  gp_runner_act (runner, &actions);
+}
+
+static void
+claim (gp_runner_t *runner, const gp_runtime_info_t *info)
+{
+  gp_runtime_t *runtime = &runner->runtime;
+
+  if (info->holder != runtime->holder)
+    runner->predecessor = info->holder;
+  if (info->holder > runtime->holder && runner->phase == GP_RUNNER_STARTING)
+    runtime->holder = info->holder + 1;
+  runner->asking = true;
+  gp_runtime_claim (runtime, on_claim);
+}
+
+static void
+on_info (const gp_runtime_answer_t *answer, void *data)
+{
+  gp_runner_t *runner = data;
+  gp_runtime_info_t info;
+
+  if (!step_done (runner, answer))
+    return;
+  if (!gp_runtime_read_info (answer->body, &info))
+    retry_later (runner);
+  else if (runner->phase == GP_RUNNER_SERVING)
+    compare_boot (runner, &info);
+  else
+    claim (runner, &info);
+}
+
+void
+gp_runner_find_runtime (gp_runner_t *runner)
+{
+  if (runner->phase == GP_RUNNER_SUPERSEDED)
+    return;
+  if (runner->asking)
+    {
+      runner->ask_again = true;
+      return;
+    }
+  gp_timer_disarm (&runner->retry_timer);
+  runner->asking = true;
+  gp_runtime_ask_info (&runner->runtime, on_info);
+}
--- /dev/null
+++ b/src/daemon/runtime.h
@@ -0,0 +1,112 @@
+/* The worker runtime of this VM, over HTTP and JSON on loopback.
+
+   One object makes the calls of docs/internals/task-protocol.md and reads
+   their answers; it decides nothing.  Calls go over one connection in the
+   order in which they were made, so that a claim stands before what is
+   called after it; only events are awaited on a connection of their own.
+   Each call that changes something names the holder set last.  */
+
+#ifndef GP_DAEMON_RUNTIME_H
+#define GP_DAEMON_RUNTIME_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "coordination/resources.h"
+#include "transport/http.h"
+#include "wire.pb-c.h"
+
+typedef struct
+{
+  gp_loop_t *loop;
+  gp_http_client_t *calls;
+  gp_http_client_t *events;
+  uint64_t holder;
+  void *data;  /* passed to what is called */
+  bool closed; /* nothing is called any more */
+} gp_runtime_t;
+
+typedef struct
+{
+  uint64_t boot;
+  uint64_t holder;    /* the greatest that claimed it, or 0 */
+  gp_time_t deadline; /* until when tasks may run */
+  uint64_t events;    /* sequence of the last event */
+  gp_resources_t capacity;
+} gp_runtime_info_t;
+
+/* A task as it is listed, or in an event; the strings are the answer's.  */
+typedef struct
+{
+  uint64_t task;
+  uint64_t epoch;
+  Gp__Wire__TaskState state;
+  const char *result;
+  const char *checkpoint;
+  uint64_t run_time_us;
+  gp_resources_t resources; /* declared; in a usage: used */
+} gp_runtime_task_t;
+
+/* What a task is started with.  */
+typedef struct
+{
+  uint64_t task;
+  uint64_t epoch;
+  const char *kind;
+  const char *payload;
+  const char *checkpoint;
+  gp_resources_t resources;
+  gp_time_t deadline;
+} gp_runtime_start_t;
+
+typedef struct
+{
+  int status;         /* 0: no whole answer has come */
+  bool sent;          /* the call may have reached the runtime */
+  json_t *body;       /* NULL: none, or not JSON */
+  uint64_t task;      /* that the call was about, or 0 */
+  uint64_t epoch;     /* likewise */
+  uint64_t claimed;   /* refused: the greater holder, or 0 */
+  gp_time_t asked_at; /* when the call was made */
+} gp_runtime_answer_t;
+
+typedef void (*gp_runtime_done_t) (const gp_runtime_answer_t *answer,
+                                   void *data);
+
+/* DATA is passed to each call's DONE.  */
+bool gp_runtime_init (gp_runtime_t *runtime, gp_loop_t *loop,
+                      const char *address, void *data, GError **error);
+
+/* Give up all calls without telling.  */
+void gp_runtime_finish (gp_runtime_t *runtime);
+
+/* The calls; DONE is never called from inside and may be NULL.  */
+void gp_runtime_ask_info (gp_runtime_t *runtime, gp_runtime_done_t done);
+void gp_runtime_claim (gp_runtime_t *runtime, gp_runtime_done_t done);
+void gp_runtime_ask_tasks (gp_runtime_t *runtime, gp_runtime_done_t done);
+void gp_runtime_start (gp_runtime_t *runtime, const gp_runtime_start_t *start,
+                       gp_runtime_done_t done);
+void gp_runtime_renew (gp_runtime_t *runtime, gp_time_t deadline,
+                       gp_runtime_done_t done);
+/* VERB is stop, cancel, checkpoint, throttle or unthrottle.  */
+void gp_runtime_command (gp_runtime_t *runtime, uint64_t task, uint64_t epoch,
+                         const char *verb, gp_runtime_done_t done);
+void gp_runtime_forget (gp_runtime_t *runtime, uint64_t task, uint64_t epoch,
+                        gp_runtime_done_t done);
+void gp_runtime_await_events (gp_runtime_t *runtime, uint64_t after,
+                              gp_runtime_done_t done);
+void gp_runtime_ask_usage (gp_runtime_t *runtime, gp_runtime_done_t done);
+
+/* Reading of bodies; false: not what was agreed.  */
+bool gp_runtime_read_info (const json_t *body, gp_runtime_info_t *info);
+bool gp_runtime_read_task (const json_t *item, gp_runtime_task_t *task);
+
+/* Whether ANSWER is a 2xx.  */
+static inline bool
+gp_runtime_done_well (const gp_runtime_answer_t *answer)
+{
+  return answer->status >= 200 && answer->status < 300;
+}
+
+#endif
