--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -105,6 +105,8 @@
   uint32_t log_batch_ms;     /* records gathered into one append */
   uint32_t usage_ms;         /* between readings of the runtime's usage */
   uint32_t leave_ms;         /* an entry serves on after failing readiness */
+  uint32_t header_ms;        /* for a caller's request to arrive whole */
+  uint32_t stall_ms;         /* an answer in parts may make no progress */
 } gp_settings_timings_t;
 
 typedef struct
--- a/src/base/settings_schema.c
+++ b/src/base/settings_schema.c
@@ -95,13 +95,24 @@
 
 #define TIMING(name) UINT (#name, OPTIONAL, gp_settings_timings_t, name)
 
-static const cyaml_schema_field_t timings_fields[] = {
-  TIMING (heartbeat_ms), TIMING (lease_ms),         TIMING (vouch_ms),
-  TIMING (margin_ms),    TIMING (drift_ppm),        TIMING (suspect_ms),
-  TIMING (connect_ms),   TIMING (reconnect_min_ms), TIMING (reconnect_max_ms),
-  TIMING (log_wait_ms),  TIMING (log_timeout_ms),   TIMING (log_batch_ms),
-  TIMING (usage_ms),     TIMING (leave_ms),         CYAML_FIELD_END
-};
+static const cyaml_schema_field_t timings_fields[]
+    = { TIMING (heartbeat_ms),
+        TIMING (lease_ms),
+        TIMING (vouch_ms),
+        TIMING (margin_ms),
+        TIMING (drift_ppm),
+        TIMING (suspect_ms),
+        TIMING (connect_ms),
+        TIMING (reconnect_min_ms),
+        TIMING (reconnect_max_ms),
+        TIMING (log_wait_ms),
+        TIMING (log_timeout_ms),
+        TIMING (log_batch_ms),
+        TIMING (usage_ms),
+        TIMING (leave_ms),
+        TIMING (header_ms),
+        TIMING (stall_ms),
+        CYAML_FIELD_END };
 
 static const cyaml_schema_field_t settings_fields[] = {
   NAME ("site", REQUIRED, gp_settings_t, site),
@@ -176,6 +187,8 @@
   RANGE_OF_TIMING (log_batch_ms, 1, 1000, 20),
   RANGE_OF_TIMING (usage_ms, 10, 60000, 1000),
   RANGE_OF_TIMING (leave_ms, 1, 600000, 5000),
+  RANGE_OF_TIMING (header_ms, 100, 600000, 10000),
+  RANGE_OF_TIMING (stall_ms, 100, 600000, 30000),
 };
 
 const gp_yaml_schema_t gp_settings_schema
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -9,7 +9,6 @@
 #include "daemon/operators.h"
 #include "daemon/text.h"
 
-#define HEADER_TIMEOUT (10 * GP_SEC)
 #define CLOSE_GRACE (200 * GP_MSEC)
 #define READY_PATH "/-/ready"
 
@@ -178,7 +177,7 @@
   gp_http_server_options_t callers
       = { .address = settings->callers,
           .max_body_size = settings->max_body_kib * 1024UL,
-          .header_timeout = HEADER_TIMEOUT,
+          .header_timeout = entry->settings->timings.header_ms * GP_MSEC,
           .on_request = on_caller,
           .data = entry };
   gp_http_server_options_t operators = callers;
@@ -286,7 +285,8 @@
                         &session_callbacks, entry);
   gp_routes_init (&entry->routes, &entry->loop, settings->zone, &members);
   gp_relays_init (&entry->relays, &entry->loop, &entry->routes, entry->rand,
-                  settings->entry->max_requests);
+                  settings->entry->max_requests,
+                  settings->timings.stall_ms * GP_MSEC);
   if (!start_parts (entry, error))
     return false;
   gp_timer_init (&entry->stop_timer, &entry->loop, on_balancer_gone, entry);
--- a/src/daemon/execution.c
+++ b/src/daemon/execution.c
@@ -10,7 +10,7 @@
    An execution is freed when admission is done with it and the call is
    over.  SET is NULL once nobody is to be answered.  */
 
-#include "daemon/execution.h"
+#include "daemon/execution_private.h"
 
 #include <string.h>
 
@@ -26,45 +26,10 @@
 #define RESERVE_DURATION (1 * GP_SEC)
 #define MAX_CRITICAL_WAIT (500 * GP_MSEC)
 
-typedef struct
-{
-  gp_admission_request_t admission;
-  gp_heap_node_t started; /* in executor->started while UNDER_DEADLINE */
-  gp_list_t blocked;
-  gp_executor_t *executor;
-  gp_execution_set_t *set;
-  uint64_t id;
-  char *method;
-  char *path;
-  gp_http_header_t *headers;
-  size_t header_count;
-  char *header_text;
-  GByteArray *body;
-  uint64_t body_size;
-  gp_http_call_t *call;
-  bool submitted;
-  bool under_deadline;
-  bool head_sent;
-  bool paused;
-  int status;
-  int64_t content_length;
-  GByteArray *held; /* packed Answer with its head, see hold_head */
-  GByteArray *held_body;
-  int64_t window;
-} gp_execution_t;
-
 static gp_counter_t requests_received = GP_COUNTER (
     "guard_requests_received_total", "Requests received from entries.");
 static gp_counter_t requests_started = GP_COUNTER (
     "guard_requests_started_total", "Requests sent to the upstream.");
-static gp_counter_t requests_refused = GP_COUNTER (
-    "guard_requests_refused_total", "Requests refused as not run.");
-static gp_counter_t requests_ran
-    = GP_COUNTER ("guard_requests_ran_total", "Requests with an answer.");
-static gp_counter_t requests_unknown = GP_COUNTER (
-    "guard_requests_unknown_total", "Requests whose outcome is not known.");
-static gp_counter_t answers_broken
-    = GP_COUNTER ("guard_answers_broken_total", "Answers that ended early.");
 static gp_counter_t slots_running
     = GP_GAUGE ("guard_slots_running", "Slots in use.");
 static gp_counter_t requests_queued
@@ -72,288 +37,6 @@
 
 static void take_actions (gp_executor_t *executor);
 
-/* Answers.  */
-
-void
-gp_executor_load (const gp_executor_t *executor, Gp__Wire__Load *load)
-{
-  const gp_admission_t *a = &executor->admission;
-
-  load->running = a->running[GP_ADMISSION_LATENCY_CRITICAL]
-                  + a->running[GP_ADMISSION_BATCH];
-  load->queued = gp_request_queue_length (&a->queue);
-}
-
-static void
-fill_load (const gp_execution_t *execution, Gp__Wire__Load *load)
-{
-  gp_executor_load (execution->executor, load);
-  if (execution->admission.kind != NULL)
-    load->latency_us = (uint32_t)execution->admission.kind->service_time.mean;
-}
-
-static void
-send_verdict (gp_execution_set_t *set, uint64_t id, Gp__Wire__Verdict verdict,
-              Gp__Wire__Reason reason, gp_time_t retry_after)
-{
-  Gp__Wire__Answer answer = GP__WIRE__ANSWER__INIT;
-  Gp__Wire__Load load = GP__WIRE__LOAD__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANSWER, answer, &answer);
-
-  answer.id = id;
-  answer.verdict = verdict;
-  answer.reason = reason;
-  answer.last = true;
-  answer.retry_after_ms = (uint32_t)MAX (retry_after / GP_MSEC, 0);
-  gp_executor_load (set->executor, &load);
-  answer.load = &load;
-  gp_session_send (set->session, &envelope);
-}
-
-/* Forget the entry: what comes now from the upstream is dropped.  */
-static void
-detach (gp_execution_t *execution)
-{
-  gp_executor_t *executor = execution->executor;
-
-  if (execution->under_deadline)
-    {
-      gp_heap_remove (&executor->started, &execution->started);
-      execution->under_deadline = false;
-    }
-  if (execution->set == NULL)
-    return;
-  gp_list_remove (&execution->blocked);
-  g_hash_table_remove (execution->set->by_id, &execution->id);
-  execution->set = NULL;
-  if (execution->paused && execution->call != NULL)
-    {
-      execution->paused = false;
-      gp_http_call_resume (execution->call);
-    }
-}
-
-static void
-give_verdict (gp_execution_t *execution, Gp__Wire__Verdict verdict,
-              Gp__Wire__Reason reason, gp_time_t retry_after)
-{
-  if (verdict == GP__WIRE__VERDICT__VERDICT_UNKNOWN)
-    gp_counter_add (&requests_unknown, 1);
-  else
-    gp_counter_add (&requests_refused, 1);
-  if (execution->set != NULL)
-    send_verdict (execution->set, execution->id, verdict, reason, retry_after);
-  detach (execution);
-}
-
-static void
-give_broken (gp_execution_t *execution, Gp__Wire__Reason reason)
-{
-  Gp__Wire__Broken broken = GP__WIRE__BROKEN__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (BROKEN, broken, &broken);
-
-  gp_counter_add (&answers_broken, 1);
-  broken.id = execution->id;
-  broken.reason = reason;
-  if (execution->set != NULL)
-    gp_session_send (execution->set->session, &envelope);
-  detach (execution);
-}
-
-static void
-release_body (gp_execution_t *execution)
-{
-  execution->executor->buffered -= execution->body_size;
-  execution->body_size = 0;
-  g_byte_array_set_size (execution->body, 0);
-}
-
-static void
-execution_free (gp_execution_t *execution)
-{
-  gp_executor_t *executor = execution->executor;
-
-  detach (execution);
-  release_body (execution);
-  g_free (execution->method);
-  g_free (execution->path);
-  g_free (execution->headers);
-  g_free (execution->header_text);
-  g_byte_array_unref (execution->body);
-  if (execution->held != NULL)
-    g_byte_array_unref (execution->held);
-  if (execution->held_body != NULL)
-    g_byte_array_unref (execution->held_body);
-  g_free (execution);
-  executor->open--;
-}
-
-/* The upstream's answer.  */
-
-/* Keep the head until the body is whole, so that a small answer is one
-   frame.  */
-static void
-hold_head (gp_execution_t *execution, const Gp__Wire__Answer *head)
-{
-  size_t size = gp__wire__answer__get_packed_size (head);
-
-  execution->held = g_byte_array_sized_new ((guint)size);
-  g_byte_array_set_size (execution->held, (guint)size);
-  gp__wire__answer__pack (head, execution->held->data);
-  execution->held_body
-      = g_byte_array_sized_new ((guint)execution->content_length);
-}
-
-static void
-send_head (gp_execution_t *execution, const Gp__Wire__Answer *head)
-{
-  Gp__Wire__Envelope envelope
-      = GP_ENVELOPE (ANSWER, answer, (Gp__Wire__Answer *)head);
-
-  execution->head_sent = true;
-  if (execution->set != NULL)
-    gp_session_send (execution->set->session, &envelope);
-}
-
-static int64_t
-find_content_length (const gp_http_header_t *headers, size_t count)
-{
-  for (size_t i = 0; i < count; i++)
-    if (headers[i].name_size == strlen ("content-length")
-        && g_ascii_strncasecmp (headers[i].name, "content-length",
-                                headers[i].name_size)
-               == 0)
-      return gp_text_number (
-          (gp_http_text_t){ headers[i].value, headers[i].value_size }, -1);
-  return -1;
-}
-
-static void
-on_head (int status, const gp_http_header_t *headers, size_t count, void *data)
-{
-  gp_execution_t *execution = data;
-  Gp__Wire__Answer head = GP__WIRE__ANSWER__INIT;
-  Gp__Wire__Load load = GP__WIRE__LOAD__INIT;
-  gp_wire_headers_t wire;
-
-  execution->content_length = find_content_length (headers, count);
-  gp_wire_headers_from_http (&wire, headers, count);
-  fill_load (execution, &load);
-  head.id = execution->id;
-  head.verdict = GP__WIRE__VERDICT__VERDICT_RAN;
-  head.status = (uint32_t)status;
-  head.headers = wire.pointers;
-  head.n_headers = wire.count;
-  head.content_length = execution->content_length;
-  head.load = &load;
-  if (execution->content_length >= 0
-      && execution->content_length <= (int64_t)GP_PART_SIZE)
-    hold_head (execution, &head);
-  else
-    send_head (execution, &head);
-}
-
-static void
-send_part (gp_execution_t *execution, const void *bytes, size_t size,
-           bool last)
-{
-  Gp__Wire__Part part = GP__WIRE__PART__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANSWER_PART, answer_part, &part);
-
-  part.id = execution->id;
-  part.data.data = (uint8_t *)bytes;
-  part.data.len = size;
-  part.last = last;
-  gp_session_send (execution->set->session, &envelope);
-  execution->window -= (int64_t)size;
-}
-
-static void
-send_parts (gp_execution_t *execution, const uint8_t *bytes, size_t size)
-{
-  while (size > 0)
-    {
-      size_t part = MIN (size, GP_PART_SIZE);
-
-      send_part (execution, bytes, part, false);
-      bytes += part;
-      size -= part;
-    }
-}
-
-static bool
-may_continue (gp_execution_t *execution)
-{
-  gp_execution_set_t *set = execution->set;
-
-  if (execution->window <= 0)
-    return false;
-  if (!gp_peer_congested (set->session->peer))
-    return true;
-  gp_list_push_back (&set->blocked, &execution->blocked);
-  return false;
-}
-
-static bool
-on_body (const void *bytes, size_t size, void *data)
-{
-  gp_execution_t *execution = data;
-
-  if (execution->set == NULL)
-    return true;
-  if (!execution->head_sent)
-    {
-      g_byte_array_append (execution->held_body, bytes, (guint)size);
-      return true;
-    }
-  send_parts (execution, bytes, size);
-  execution->paused = !may_continue (execution);
-  return !execution->paused;
-}
-
-static void
-send_held (gp_execution_t *execution)
-{
-  Gp__Wire__Answer *answer = gp__wire__answer__unpack (
-      NULL, execution->held->len, execution->held->data);
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANSWER, answer, answer);
-
-  answer->data.data = execution->held_body->data;
-  answer->data.len = execution->held_body->len;
-  answer->last = true;
-  gp_executor_load (execution->executor, answer->load);
-  gp_session_send (execution->set->session, &envelope);
-  answer->data.data = NULL;
-  answer->data.len = 0;
-  gp__wire__answer__free_unpacked (answer, NULL);
-}
-
-static void
-complete_answer (gp_execution_t *execution)
-{
-  gp_counter_add (&requests_ran, 1);
-  if (execution->set == NULL)
-    return;
-  if (execution->head_sent)
-    send_part (execution, NULL, 0, true);
-  else
-    send_held (execution);
-  detach (execution);
-}
-
-static void
-fail_answer (gp_execution_t *execution, bool sent)
-{
-  if (execution->head_sent)
-    give_broken (execution, GP__WIRE__REASON__REASON_UPSTREAM);
-  else if (sent)
-    give_verdict (execution, GP__WIRE__VERDICT__VERDICT_UNKNOWN,
-                  GP__WIRE__REASON__REASON_UPSTREAM, 0);
-  else
-    give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
-                  GP__WIRE__REASON__REASON_CONNECT, 0);
-}
-
 static void
 on_done (const GError *error, bool sent, void *data)
 {
@@ -367,16 +50,16 @@
       error == NULL ? GP_ADMISSION_ANSWERED : GP_ADMISSION_FAILED, false, now);
   gp_admission_close_connection (&executor->admission, false, now);
   if (error == NULL)
-    complete_answer (execution);
+    gp_execution_complete (execution);
   else
-    fail_answer (execution, sent);
-  execution_free (execution);
+    gp_execution_fail (execution, sent);
+  gp_execution_free (execution);
   take_actions (executor);
 }
 
 static const gp_http_call_callbacks_t call_callbacks = {
-  .on_head = on_head,
-  .on_body = on_body,
+  .on_head = gp_execution_on_head,
+  .on_body = gp_execution_on_body,
   .on_done = on_done,
 };
 
@@ -400,6 +83,7 @@
   execution->call = gp_http_client_call (executor->client, &request,
                                          &call_callbacks, execution);
   execution->under_deadline = true;
+  execution->wake_at = execution->admission.deadline;
   gp_heap_insert (&executor->started, &execution->started);
 }
 
@@ -427,9 +111,10 @@
 {
   const gp_admission_request_t *request = &execution->admission;
 
-  give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
-                wire_reason (request->reason), request->retry_at - now);
-  execution_free (execution);
+  gp_execution_give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                             wire_reason (request->reason),
+                             request->retry_at - now);
+  gp_execution_free (execution);
 }
 
 static gp_time_t
@@ -439,9 +124,8 @@
   const gp_heap_node_t *first = gp_heap_first (&executor->started);
 
   if (first != NULL)
-    deadline = MIN (
-        deadline,
-        GP_CONTAINER_OF (first, gp_execution_t, started)->admission.deadline);
+    deadline = MIN (deadline,
+                    GP_CONTAINER_OF (first, gp_execution_t, started)->wake_at);
   return deadline;
 }
 
@@ -485,8 +169,27 @@
   check_drained (executor);
 }
 
-/* Tell the entries of started requests whose deadline has passed; their
-   slots stay taken.  */
+/* The time of EXECUTION has come: an answer in parts that made progress
+   goes on, of others the entry is told.  The slot stays taken.  */
+static void
+expire (gp_execution_t *execution, gp_time_t now)
+{
+  gp_executor_t *executor = execution->executor;
+  gp_time_t stalled_at = execution->progress_at + executor->stall_timeout;
+
+  if (!execution->head_sent)
+    gp_execution_give_verdict (execution, GP__WIRE__VERDICT__VERDICT_UNKNOWN,
+                               GP__WIRE__REASON__REASON_DEADLINE, 0);
+  else if (stalled_at <= now)
+    gp_execution_give_broken (execution, GP__WIRE__REASON__REASON_DEADLINE);
+  else
+    {
+      gp_heap_remove (&executor->started, &execution->started);
+      execution->wake_at = stalled_at;
+      gp_heap_insert (&executor->started, &execution->started);
+    }
+}
+
 static void
 expire_started (gp_executor_t *executor, gp_time_t now)
 {
@@ -497,13 +200,9 @@
       gp_execution_t *execution
           = GP_CONTAINER_OF (first, gp_execution_t, started);
 
-      if (execution->admission.deadline > now)
+      if (execution->wake_at > now)
         return;
-      if (execution->head_sent)
-        give_broken (execution, GP__WIRE__REASON__REASON_DEADLINE);
-      else
-        give_verdict (execution, GP__WIRE__VERDICT__VERDICT_UNKNOWN,
-                      GP__WIRE__REASON__REASON_DEADLINE, 0);
+      expire (execution, now);
     }
 }
 
@@ -525,7 +224,7 @@
   const gp_execution_t *x = GP_CONTAINER_OF (a, gp_execution_t, started);
   const gp_execution_t *y = GP_CONTAINER_OF (b, gp_execution_t, started);
 
-  return x->admission.deadline < y->admission.deadline;
+  return x->wake_at < y->wake_at;
 }
 
 static void
@@ -533,18 +232,15 @@
 {
   gp_counter_register (&requests_received);
   gp_counter_register (&requests_started);
-  gp_counter_register (&requests_refused);
-  gp_counter_register (&requests_ran);
-  gp_counter_register (&requests_unknown);
-  gp_counter_register (&answers_broken);
   gp_counter_register (&slots_running);
   gp_counter_register (&requests_queued);
+  gp_execution_register_counters ();
 }
 
 bool
 gp_executor_init (gp_executor_t *executor, gp_loop_t *loop,
                   const gp_settings_upstream_t *upstream, uint64_t incarnation,
-                  GError **error)
+                  gp_time_t stall_timeout, GError **error)
 {
   gp_http_client_options_t options
       = { .address = upstream->address,
@@ -561,6 +257,7 @@
   *executor = (gp_executor_t){ .loop = loop,
                                .upstream = upstream,
                                .incarnation = incarnation,
+                               .stall_timeout = stall_timeout,
                                .max_buffered = MAX_BUFFERED };
   register_counters ();
   executor->client = gp_http_client_new (loop, &options, error);
@@ -716,9 +413,9 @@
 {
   if (execution->body->len + data->len > execution->body_size)
     {
-      give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
-                    GP__WIRE__REASON__REASON_TOO_LARGE, 0);
-      execution_free (execution);
+      gp_execution_give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                                 GP__WIRE__REASON__REASON_TOO_LARGE, 0);
+      gp_execution_free (execution);
       return;
     }
   g_byte_array_append (execution->body, data->data, (guint)data->len);
@@ -737,9 +434,8 @@
     return;
   if (reason != GP__WIRE__REASON__REASON_UNSPECIFIED)
     {
-      gp_counter_add (&requests_refused, 1);
-      send_verdict (set, request->id, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
-                    reason, 0);
+      gp_execution_send_verdict (
+          set, request->id, GP__WIRE__VERDICT__VERDICT_NOT_RUN, reason, 0);
       return;
     }
   append_body (execution_new (set, request), &request->body);
@@ -764,27 +460,16 @@
     return;
   if (!execution->submitted)
     {
-      give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
-                    GP__WIRE__REASON__REASON_CANCELLED, 0);
-      execution_free (execution);
+      gp_execution_give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                                 GP__WIRE__REASON__REASON_CANCELLED, 0);
+      gp_execution_free (execution);
     }
   else if (gp_admission_cancel (&executor->admission, &execution->admission,
                                 gp_loop_now (executor->loop)))
     take_actions (executor);
   else if (execution->head_sent)
-    detach (execution); /* the caller left in the middle of its answer */
-}
-
-static void
-resume (gp_execution_t *execution)
-{
-  if (!execution->paused || execution->call == NULL)
-    return;
-  gp_list_remove (&execution->blocked);
-  if (!may_continue (execution))
-    return;
-  execution->paused = false;
-  gp_http_call_resume (execution->call);
+    gp_execution_detach (
+        execution); /* the caller left in the middle of its answer */
 }
 
 void
@@ -797,7 +482,8 @@
     return;
   execution->window
       = MIN (execution->window + credit->bytes, GP_ANSWER_WINDOW);
-  resume (execution);
+  execution->progress_at = gp_loop_now (execution->executor->loop);
+  gp_execution_resume (execution);
 }
 
 void
@@ -810,7 +496,7 @@
   while ((link = gp_list_pop_front (&set->blocked)) != NULL)
     gp_list_push_back (&waiting, link);
   while ((link = gp_list_pop_front (&waiting)) != NULL)
-    resume (GP_CONTAINER_OF (link, gp_execution_t, blocked));
+    gp_execution_resume (GP_CONTAINER_OF (link, gp_execution_t, blocked));
 }
 
 void
@@ -829,9 +515,9 @@
 {
   gp_executor_t *executor = execution->executor;
 
-  detach (execution);
+  gp_execution_detach (execution);
   if (!execution->submitted)
-    execution_free (execution);
+    gp_execution_free (execution);
   else
     gp_admission_cancel (&executor->admission, &execution->admission,
                          gp_loop_now (executor->loop));
--- a/src/daemon/execution.h
+++ b/src/daemon/execution.h
@@ -8,6 +8,10 @@
      RAN      the upstream answered; the answer is sent whole or in parts
      UNKNOWN  bytes of it were sent, no answer came
 
+   The deadline of a request governs the time to the head of its answer (one
+   of up to GP_PART_SIZE counts as head); after that a part must go on to
+   the entry, or be taken by it, once in every stall timeout.
+
    An answer that ends early after its head was passed on is Broken, never a
    clean end.  A slot stays taken until the upstream has ended the request,
    also when the entry was told UNKNOWN at the deadline before, since only
@@ -37,7 +41,8 @@
   gp_admission_t admission;
   GHashTable *teams; /* name -> gp_request_quota_t */
   GHashTable *kinds; /* name -> gp_admission_kind_t */
-  gp_heap_t started; /* executions that the entry awaits, by deadline */
+  gp_heap_t started; /* executions that the entry awaits, by wake_at */
+  gp_time_t stall_timeout;
   gp_timer_t timer;
   size_t buffered; /* bytes of request bodies held */
   size_t max_buffered;
@@ -57,7 +62,8 @@
 
 bool gp_executor_init (gp_executor_t *executor, gp_loop_t *loop,
                        const gp_settings_upstream_t *upstream,
-                       uint64_t incarnation, GError **error);
+                       uint64_t incarnation, gp_time_t stall_timeout,
+                       GError **error);
 void gp_executor_finish (gp_executor_t *executor);
 
 /* Refuse new and waiting requests; ON_DRAINED is called once nothing runs,
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -203,6 +203,18 @@
   .on_close = on_close,
 };
 
+static void
+announce_all (gp_guard_t *guard)
+{
+  GP_LIST_FOREACH (pos, &guard->host.sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready)
+      announce (guard, session);
+  }
+}
+
 /* Stop.  */
 
 static void
@@ -238,8 +250,7 @@
   gp_log (GP_LOG_INFO, "guard.leaving");
   for (size_t i = 0; i < guard->dialer_count; i++)
     gp_dialer_stop (&guard->dialers[i]);
-  GP_LIST_FOREACH (pos, &guard->host.sessions)
-  announce (guard, GP_CONTAINER_OF (pos, gp_session_t, link));
+  announce_all (guard);
   guard->draining = has_upstream (guard) + (guard->runner != NULL);
   if (has_upstream (guard))
     gp_executor_leave (&guard->executor, on_part_drained, guard);
@@ -252,15 +263,7 @@
 static void
 on_runner_renewed (void *data)
 {
-  gp_guard_t *guard = data;
-
-  GP_LIST_FOREACH (pos, &guard->host.sessions)
-  {
-    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
-
-    if (session->ready)
-      announce (guard, session);
-  }
+  announce_all (data);
 }
 
 static void
@@ -284,7 +287,7 @@
   if (has_upstream (guard)
       && !gp_executor_init (&guard->executor, &guard->loop,
                             settings->guard->upstream, guard->incarnation,
-                            error))
+                            settings->timings.stall_ms * GP_MSEC, error))
     return false;
   if (settings->guard->worker == NULL)
     return true;
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -6,67 +6,25 @@
    plus a grace, since the guard speaks first; while it streams, the
    deadline moves with every part that the caller takes.  */
 
-#include "daemon/relay.h"
+#include "daemon/relay_private.h"
 
-#include <jansson.h>
 #include <string.h>
 
 #include "base/counters.h"
-#include "daemon/execution.h"
 #include "daemon/text.h"
 
 #define DEFAULT_TIMEOUT (30 * GP_SEC)
 #define MAX_TIMEOUT (600 * GP_SEC)
 #define ANSWER_GRACE (250 * GP_MSEC)
-#define STALL_TIMEOUT (30 * GP_SEC)
-#define NAME_SIZE 128
-#define EXTRA_HEADERS 3
 
-typedef struct
-{
-  gp_relays_t *relays;
-  gp_http_exchange_t *exchange; /* NULL once the caller left */
-  gp_service_t *service;
-  const gp_document_kind_t *kind;
-  gp_target_t *target; /* of the current try, or NULL */
-  gp_list_t link;      /* in target->relays */
-  gp_heap_node_t node; /* in relays->deadlines, unless EXPIRED */
-  bool expired;
-  gp_time_t wake_at; /* its order there */
-  uint64_t id;
-  uint64_t handle;
-  gp_time_t deadline;
-  gp_time_t sent_at;
-  gp_time_t remaining_hint;
-  gp_route_t route;
-  uint32_t attempts;
-  bool idempotent;
-  bool streaming;
-  bool part_in_flight;
-  bool last_received;
-  size_t body_sent;
-  size_t in_flight_size;
-  GByteArray *pending;
-} gp_relay_t;
-
-typedef struct
-{
-  int status;
-  const char *text;
-} failure_t;
+/* Callers that hang up are looked for in this interval, so many at once.  */
+#define SWEEP_INTERVAL (100 * GP_MSEC)
+#define SWEEP_COUNT 256
 
 static gp_counter_t requests
     = GP_COUNTER ("entry_requests_total", "Requests of callers.");
 static gp_counter_t tries_sent
     = GP_COUNTER ("entry_tries_total", "Tries sent to guards.");
-static gp_counter_t answers_ran
-    = GP_COUNTER ("entry_answers_ran_total", "Answers passed on.");
-static gp_counter_t answers_not_run = GP_COUNTER (
-    "entry_answers_not_run_total", "Requests answered as not run.");
-static gp_counter_t answers_unknown = GP_COUNTER (
-    "entry_answers_unknown_total", "Requests answered as unknown.");
-static gp_counter_t answers_cut
-    = GP_COUNTER ("entry_answers_cut_total", "Answers that ended early.");
 static gp_counter_t callers_gone = GP_COUNTER (
     "entry_callers_gone_total", "Callers that left before their answer.");
 static gp_counter_t relays_open
@@ -74,35 +32,6 @@
 
 static void dispatch (gp_relay_t *relay);
 
-/* Names.  */
-
-static const char *
-verdict_name (Gp__Wire__Verdict verdict)
-{
-  switch (verdict)
-    {
-    case GP__WIRE__VERDICT__VERDICT_NOT_RUN:
-      return "not-run";
-    case GP__WIRE__VERDICT__VERDICT_RAN:
-      return "ran";
-    default:
-      return "unknown";
-    }
-}
-
-/* "queue-full" of REASON_QUEUE_FULL.  */
-static void
-reason_name (Gp__Wire__Reason reason, char *name, size_t size)
-{
-  const ProtobufCEnumValue *value = protobuf_c_enum_descriptor_get_value (
-      &gp__wire__reason__descriptor, (int)reason);
-  size_t prefix = strlen ("REASON_");
-
-  g_strlcpy (name, value == NULL ? "unknown" : value->name + prefix, size);
-  for (char *c = name; *c != '\0'; c++)
-    *c = *c == '_' ? '-' : g_ascii_tolower (*c);
-}
-
 /* Life of a relay.  */
 
 static bool
@@ -124,12 +53,14 @@
                   GP_CONTAINER_OF (first, gp_relay_t, node)->wake_at);
 }
 
-static void
-set_wake (gp_relay_t *relay, gp_time_t at)
+void
+gp_relay_set_wake (gp_relay_t *relay, gp_time_t at)
 {
   gp_heap_remove (&relay->relays->deadlines, &relay->node);
   relay->wake_at = at;
   gp_heap_insert (&relay->relays->deadlines, &relay->node);
+  if (gp_heap_first (&relay->relays->deadlines) == &relay->node)
+    arm_timer (relay->relays);
 }
 
 /* End the current try: late messages for it find nothing.  */
@@ -146,12 +77,13 @@
   gp_routes_done (relay->relays->routes, target);
 }
 
-static void
-relay_free (gp_relay_t *relay)
+void
+gp_relay_free (gp_relay_t *relay)
 {
   gp_relays_t *relays = relay->relays;
 
   end_try (relay);
+  gp_list_remove (&relay->waiting);
   if (!relay->expired)
     gp_heap_remove (&relays->deadlines, &relay->node);
   g_byte_array_unref (relay->pending);
@@ -161,264 +93,6 @@
   arm_timer (relays);
 }
 
-/* Answers to the caller.  */
-
-static gp_http_header_t
-make_header (const char *name, const char *value)
-{
-  return (gp_http_header_t){ name, strlen (name), value, strlen (value) };
-}
-
-static int
-failure_status (Gp__Wire__Verdict verdict, Gp__Wire__Reason reason)
-{
-  if (verdict == GP__WIRE__VERDICT__VERDICT_UNKNOWN)
-    return reason == GP__WIRE__REASON__REASON_DEADLINE ? 504 : 502;
-  switch (reason)
-    {
-    case GP__WIRE__REASON__REASON_TOO_LARGE:
-      return 413;
-    case GP__WIRE__REASON__REASON_NO_SUCH_SERVICE:
-      return 404;
-    case GP__WIRE__REASON__REASON_LIMIT:
-      return 429;
-    case GP__WIRE__REASON__REASON_DEADLINE:
-      return 504;
-    default:
-      return 503;
-    }
-}
-
-static const char *
-failure_message (Gp__Wire__Verdict verdict)
-{
-  if (verdict == GP__WIRE__VERDICT__VERDICT_NOT_RUN)
-    return "The request did not run and may be sent again.";
-  return "The request may have run; its outcome is not known.";
-}
-
-static char *
-failure_body (Gp__Wire__Verdict verdict, const char *reason,
-              gp_time_t retry_after)
-{
-  json_t *body
-      = json_pack ("{s:s, s:s, s:s}", "verdict", verdict_name (verdict),
-                   "reason", reason, "message", failure_message (verdict));
-  char *text;
-
-  if (retry_after >= 0)
-    json_object_set_new (body, "retry_after_ms",
-                         json_integer (retry_after / GP_MSEC));
-  text = json_dumps (body, JSON_COMPACT);
-  json_decref (body);
-  return text;
-}
-
-/* Answer EXCHANGE with a failure.  RETRY_AFTER is a duration, negative: no
-   hint is given.  */
-static void
-answer_failure (gp_http_exchange_t *exchange, Gp__Wire__Verdict verdict,
-                Gp__Wire__Reason reason, gp_time_t retry_after)
-{
-  char reason_text[NAME_SIZE];
-  char seconds[24];
-  char *body;
-  gp_http_header_t headers[4];
-  size_t count = 0;
-
-  reason_name (reason, reason_text, sizeof reason_text);
-  body = failure_body (verdict, reason_text, retry_after);
-  headers[count++] = make_header ("content-type", "application/json");
-  headers[count++]
-      = make_header ("galenapier-verdict", verdict_name (verdict));
-  headers[count++] = make_header ("galenapier-reason", reason_text);
-  if (retry_after >= 0)
-    {
-      g_snprintf (seconds, sizeof seconds, "%lld",
-                  (long long)((retry_after + GP_SEC - 1) / GP_SEC));
-      headers[count++] = make_header ("retry-after", seconds);
-    }
-  gp_counter_add (verdict == GP__WIRE__VERDICT__VERDICT_NOT_RUN
-                      ? &answers_not_run
-                      : &answers_unknown,
-                  1);
-  gp_http_exchange_answer (exchange, failure_status (verdict, reason), headers,
-                           count, body, strlen (body));
-  free (body);
-}
-
-static void
-fail_relay (gp_relay_t *relay, Gp__Wire__Verdict verdict,
-            Gp__Wire__Reason reason, gp_time_t retry_after)
-{
-  if (relay->exchange != NULL)
-    answer_failure (relay->exchange, verdict, reason, retry_after);
-  relay_free (relay);
-}
-
-static size_t
-answer_headers (const Gp__Wire__Answer *answer, gp_http_header_t *headers)
-{
-  size_t count = gp_http_headers_from_wire (
-      headers, GP_HEADERS_MAX, answer->headers, answer->n_headers);
-
-  headers[count++] = make_header ("galenapier-verdict", "ran");
-  return count;
-}
-
-static void
-answer_whole (gp_relay_t *relay, const Gp__Wire__Answer *answer)
-{
-  gp_http_header_t headers[GP_HEADERS_MAX + EXTRA_HEADERS];
-  size_t count = answer_headers (answer, headers);
-
-  gp_counter_add (&answers_ran, 1);
-  gp_http_exchange_answer (relay->exchange, (int)answer->status, headers,
-                           count, answer->data.data, answer->data.len);
-  relay_free (relay);
-}
-
-/* The caller sees that the answer is cut short.  */
-static void
-cut_answer (gp_relay_t *relay)
-{
-  gp_counter_add (&answers_cut, 1);
-  gp_http_exchange_abort (relay->exchange);
-  relay_free (relay);
-}
-
-/* Messages to the guard.  */
-
-static void
-send_cancel (gp_relay_t *relay)
-{
-  Gp__Wire__Cancel cancel = GP__WIRE__CANCEL__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (CANCEL, cancel, &cancel);
-
-  cancel.id = relay->handle;
-  gp_session_send (relay->target->session, &envelope);
-}
-
-static void
-send_credit (gp_relay_t *relay, size_t bytes)
-{
-  Gp__Wire__Credit credit = GP__WIRE__CREDIT__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (CREDIT, credit, &credit);
-
-  credit.id = relay->handle;
-  credit.bytes = (uint32_t)bytes;
-  gp_session_send (relay->target->session, &envelope);
-}
-
-/* Send what the session takes of the request's body.  */
-static void
-send_body (gp_relay_t *relay)
-{
-  gp_http_text_t body = gp_http_exchange_body (relay->exchange);
-  gp_session_t *session = relay->target->session;
-
-  while (relay->body_sent < body.size && !gp_peer_congested (session->peer))
-    {
-      size_t size = MIN (body.size - relay->body_sent, GP_PART_SIZE);
-      Gp__Wire__Part part = GP__WIRE__PART__INIT;
-      Gp__Wire__Envelope envelope
-          = GP_ENVELOPE (REQUEST_PART, request_part, &part);
-
-      part.id = relay->handle;
-      part.data.data = (uint8_t *)body.base + relay->body_sent;
-      part.data.len = size;
-      relay->body_sent += size;
-      part.last = relay->body_sent == body.size;
-      gp_session_send (session, &envelope);
-    }
-}
-
-static void
-copy_text (char *buffer, size_t size, gp_http_text_t text)
-{
-  size_t length = MIN (text.size, size - 1);
-
-  memcpy (buffer, text.base != NULL ? text.base : "", length);
-  buffer[length] = '\0';
-}
-
-/* The kind of request: that of the document, or the caller's word.  */
-static void
-kind_name (const gp_relay_t *relay, char *name, size_t size)
-{
-  if (relay->kind != NULL)
-    g_strlcpy (name, relay->kind->name, size);
-  else
-    copy_text (name, size,
-               gp_http_exchange_header (relay->exchange, "galenapier-kind"));
-}
-
-static Gp__Wire__WorkClass
-work_class (const gp_relay_t *relay)
-{
-  if (relay->kind != NULL && relay->kind->work_class == GP_DOCUMENT_BATCH)
-    return GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
-  return GP__WIRE__WORK_CLASS__WORK_CLASS_LATENCY_CRITICAL;
-}
-
-/* The path behind the service's name.  */
-static gp_http_text_t
-upstream_path (const gp_relay_t *relay)
-{
-  gp_http_text_t path = gp_http_exchange_path (relay->exchange);
-  size_t skip = 1 + strlen (relay->service->name);
-
-  if (path.size <= skip)
-    return (gp_http_text_t){ "/", 1 };
-  return (gp_http_text_t){ path.base + skip, path.size - skip };
-}
-
-static void
-send_request (gp_relay_t *relay, gp_time_t now)
-{
-  gp_http_header_t headers[GP_HEADERS_MAX];
-  gp_wire_headers_t wire;
-  char kind[NAME_SIZE];
-  char team[NAME_SIZE];
-  char *method;
-  char *path;
-  gp_http_text_t text;
-  gp_http_text_t body = gp_http_exchange_body (relay->exchange);
-  Gp__Wire__Request request = GP__WIRE__REQUEST__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (REQUEST, request, &request);
-
-  gp_wire_headers_from_http (
-      &wire, headers,
-      gp_http_exchange_headers (relay->exchange, headers, GP_HEADERS_MAX));
-  kind_name (relay, kind, sizeof kind);
-  copy_text (team, sizeof team,
-             gp_http_exchange_header (relay->exchange, "galenapier-team"));
-  text = gp_http_exchange_method (relay->exchange);
-  method = g_strndup (text.base, text.size);
-  text = upstream_path (relay);
-  path = g_strndup (text.base, text.size);
-  request.id = relay->handle;
-  request.service = relay->service->name;
-  request.kind = kind;
-  request.team = team;
-  request.work_class = work_class (relay);
-  request.idempotent = relay->idempotent;
-  request.remaining_us = (uint64_t)MAX (relay->deadline - now, 0);
-  request.method = method;
-  request.path = path;
-  request.headers = wire.pointers;
-  request.n_headers = wire.count;
-  request.body_size = body.size;
-  request.body.data = (uint8_t *)body.base;
-  request.body.len = MIN (body.size, GP_PART_SIZE);
-  request.guard_incarnation = relay->target->session->incarnation;
-  relay->body_sent = request.body.len;
-  gp_session_send (relay->target->session, &envelope);
-  g_free (method);
-  g_free (path);
-  send_body (relay);
-}
-
 /* Tries.  */
 
 static void
@@ -449,9 +123,9 @@
   };
 
   end_try (relay);
-  if (relay->exchange == NULL)
+  if (relay->cancelled)
     {
-      relay_free (relay);
+      gp_relay_fail (relay, verdict, reason, -1);
       return;
     }
   input.candidate_left
@@ -464,10 +138,11 @@
       dispatch (relay);
       break;
     case GP_RETRY_REFUSE:
-      fail_relay (relay, decision.u.refuse.verdict, decision.u.refuse.reason,
-                  decision.u.refuse.return_at == GP_TIME_NEVER
-                      ? -1
-                      : MAX (decision.u.refuse.return_at - now, 0));
+      gp_relay_fail (relay, decision.u.refuse.verdict,
+                     decision.u.refuse.reason,
+                     decision.u.refuse.return_at == GP_TIME_NEVER
+                         ? -1
+                         : MAX (decision.u.refuse.return_at - now, 0));
       break;
     case GP_RETRY_ANSWER:
       break;
@@ -499,7 +174,7 @@
   gp_list_push_back (&target->relays, &relay->link);
   gp_routes_sent (relays->routes, target);
   gp_counter_add (&tries_sent, 1);
-  send_request (relay, now);
+  gp_relay_send (relay, now);
 }
 
 /* Requests.  */
@@ -509,43 +184,11 @@
 {
   gp_relay_t *relay = data;
 
-  gp_counter_add (&callers_gone, 1);
-  relay->exchange = NULL;
+  if (!relay->cancelled)
+    gp_counter_add (&callers_gone, 1);
   if (relay->target != NULL)
-    send_cancel (relay);
-  relay_free (relay);
-}
-
-static void
-send_next_part (gp_relay_t *relay)
-{
-  bool final = relay->last_received;
-
-  if (relay->part_in_flight || (relay->pending->len == 0 && !final))
-    return;
-  relay->part_in_flight = true;
-  relay->in_flight_size = relay->pending->len;
-  set_wake (relay, gp_loop_now (relay->relays->loop) + STALL_TIMEOUT);
-  gp_http_exchange_part (relay->exchange, relay->pending->data,
-                         relay->pending->len, final);
-  if (final)
-    {
-      gp_counter_add (&answers_ran, 1);
-      relay_free (relay);
-      return;
-    }
-  g_byte_array_set_size (relay->pending, 0);
-}
-
-static void
-on_proceed (void *data)
-{
-  gp_relay_t *relay = data;
-
-  relay->part_in_flight = false;
-  if (relay->target != NULL && !relay->last_received)
-    send_credit (relay, relay->in_flight_size);
-  send_next_part (relay);
+    gp_relay_send_cancel (relay);
+  gp_relay_free (relay);
 }
 
 static bool
@@ -581,7 +224,7 @@
 {
   const gp_document_t *document = relay->relays->document;
   const gp_document_service_t *service = NULL;
-  gp_http_text_t path = upstream_path (relay);
+  gp_http_text_t path = gp_relay_path (relay);
 
   if (document != NULL)
     service = gp_document_find_service (document, relay->service->name);
@@ -614,6 +257,10 @@
   relay->id = ++relays->next_id;
   relay->pending = g_byte_array_new ();
   gp_list_init (&relay->link);
+  if (gp_list_empty (&relays->waiting))
+    gp_timer_arm (&relays->sweep_timer,
+                  gp_loop_now (relays->loop) + SWEEP_INTERVAL);
+  gp_list_push_back (&relays->waiting, &relay->waiting);
   find_policy (relay);
   relay->idempotent
       = relay->kind != NULL
@@ -625,7 +272,7 @@
   gp_heap_insert (&relays->deadlines, &relay->node);
   relays->open++;
   gp_counter_set (&relays_open, (int64_t)relays->open);
-  gp_http_exchange_watch (exchange, on_gone, on_proceed, relay);
+  gp_http_exchange_watch (exchange, on_gone, gp_relay_on_proceed, relay);
   return relay;
 }
 
@@ -634,7 +281,7 @@
 {
   gp_relays_t *relays = data;
   gp_service_t *service = NULL;
-  char name[NAME_SIZE];
+  char name[GP_RELAY_NAME_SIZE];
   gp_relay_t *relay;
 
   gp_counter_add (&requests, 1);
@@ -642,14 +289,14 @@
     service = gp_routes_find (relays->routes, name);
   if (service == NULL)
     {
-      answer_failure (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
-                      GP__WIRE__REASON__REASON_NO_SUCH_SERVICE, -1);
+      gp_relay_refuse (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                       GP__WIRE__REASON__REASON_NO_SUCH_SERVICE, -1);
       return;
     }
   if (relays->open >= relays->max_open)
     {
-      answer_failure (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
-                      GP__WIRE__REASON__REASON_QUEUE_FULL, GP_SEC);
+      gp_relay_refuse (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                       GP__WIRE__REASON__REASON_QUEUE_FULL, GP_SEC);
       return;
     }
   relay = relay_new (relays, exchange, service);
@@ -692,22 +339,6 @@
     gp_routes_record (routes, relay->target, !is_fault (answer),
                       gp_loop_now (relay->relays->loop) - relay->sent_at);
 }
-
-static void
-start_streaming (gp_relay_t *relay, const Gp__Wire__Answer *answer)
-{
-  gp_http_header_t headers[GP_HEADERS_MAX + EXTRA_HEADERS];
-  size_t count = answer_headers (answer, headers);
-
-  relay->streaming = true;
-  set_wake (relay, gp_loop_now (relay->relays->loop) + STALL_TIMEOUT);
-  gp_http_exchange_start (relay->exchange, (int)answer->status, headers, count,
-                          answer->content_length);
-  g_byte_array_append (relay->pending, answer->data.data,
-                       (guint)answer->data.len);
-  send_next_part (relay);
-}
-
 void
 gp_relays_on_answer (gp_relays_t *relays, gp_session_t *session,
                      const Gp__Wire__Answer *answer)
@@ -720,9 +351,9 @@
   if (answer->verdict != GP__WIRE__VERDICT__VERDICT_RAN)
     decide (relay, answer->verdict, answer->reason);
   else if (answer->last)
-    answer_whole (relay, answer);
+    gp_relay_answer (relay, answer);
   else
-    start_streaming (relay, answer);
+    gp_relay_stream (relay, answer);
 }
 
 void
@@ -737,7 +368,7 @@
   relay->last_received = part->last;
   if (part->last)
     end_try (relay);
-  send_next_part (relay);
+  gp_relay_send_next (relay);
 }
 
 void
@@ -747,7 +378,7 @@
   gp_relay_t *relay = find_relay (relays, session, broken->id);
 
   if (relay != NULL && relay->streaming)
-    cut_answer (relay);
+    gp_relay_cut (relay);
 }
 
 void
@@ -758,8 +389,8 @@
   {
     gp_relay_t *relay = GP_CONTAINER_OF (pos, gp_relay_t, link);
 
-    if (relay->exchange != NULL && !relay->streaming)
-      send_body (relay);
+    if (!relay->streaming)
+      gp_relay_send_body (relay);
   }
 }
 
@@ -783,25 +414,61 @@
     gp_relay_t *relay = GP_CONTAINER_OF (pos, gp_relay_t, link);
 
     if (relay->streaming)
-      cut_answer (relay);
+      gp_relay_cut (relay);
     else
       decide (relay, verdict_of_loss (relay),
               GP__WIRE__REASON__REASON_UPSTREAM);
   }
 }
 
+/* Callers that hang up.  */
+
+/* Cancel the try of RELAY if its caller has closed its side.  What has not
+   started is given up by the guard, whose verdict then ends the relay; the
+   answer of what has started goes to a caller that may still read.  */
+static void
+check_caller (gp_relay_t *relay)
+{
+  if (relay->cancelled || relay->target == NULL
+      || !gp_http_exchange_hung_up (relay->exchange))
+    return;
+  gp_counter_add (&callers_gone, 1);
+  relay->cancelled = true;
+  gp_relay_send_cancel (relay);
+}
+
+static void
+on_sweep (gp_timer_t *timer, void *data)
+{
+  gp_relays_t *relays = data;
+  size_t left = MIN (relays->open, SWEEP_COUNT);
+  gp_list_t *link;
+
+  while (left-- > 0 && (link = gp_list_pop_front (&relays->waiting)) != NULL)
+    {
+      gp_relay_t *relay = GP_CONTAINER_OF (link, gp_relay_t, waiting);
+
+      if (relay->streaming)
+        continue;
+      gp_list_push_back (&relays->waiting, link);
+      check_caller (relay);
+    }
+  if (!gp_list_empty (&relays->waiting))
+    gp_timer_arm (timer, gp_loop_now (relays->loop) + SWEEP_INTERVAL);
+}
+
 /* Deadlines.  */
 
 static void
 expire (gp_relay_t *relay)
 {
   if (relay->target != NULL)
-    send_cancel (relay);
+    gp_relay_send_cancel (relay);
   if (relay->streaming)
-    cut_answer (relay);
+    gp_relay_cut (relay);
   else
-    fail_relay (relay, verdict_of_loss (relay),
-                GP__WIRE__REASON__REASON_DEADLINE, -1);
+    gp_relay_fail (relay, verdict_of_loss (relay),
+                   GP__WIRE__REASON__REASON_DEADLINE, -1);
 }
 
 /* The first relay whose time has come, taken out of the heap, or NULL.  */
@@ -836,20 +503,21 @@
 
 void
 gp_relays_init (gp_relays_t *relays, gp_loop_t *loop, gp_routes_t *routes,
-                GRand *rand, size_t max_open)
+                GRand *rand, size_t max_open, gp_time_t stall_timeout)
 {
-  *relays = (gp_relays_t){
-    .loop = loop, .routes = routes, .rand = rand, .max_open = max_open
-  };
+  *relays = (gp_relays_t){ .loop = loop,
+                           .routes = routes,
+                           .rand = rand,
+                           .max_open = max_open,
+                           .stall_timeout = stall_timeout };
   gp_idpool_init (&relays->tries);
+  gp_list_init (&relays->waiting);
+  gp_timer_init (&relays->sweep_timer, loop, on_sweep, relays);
   gp_heap_init (&relays->deadlines, wakes_before);
   gp_timer_init (&relays->timer, loop, on_timer, relays);
   gp_counter_register (&requests);
   gp_counter_register (&tries_sent);
-  gp_counter_register (&answers_ran);
-  gp_counter_register (&answers_not_run);
-  gp_counter_register (&answers_unknown);
-  gp_counter_register (&answers_cut);
+  gp_relay_register_counters ();
   gp_counter_register (&callers_gone);
   gp_counter_register (&relays_open);
 }
@@ -858,5 +526,6 @@
 gp_relays_finish (gp_relays_t *relays)
 {
   gp_timer_finish (&relays->timer);
+  gp_timer_finish (&relays->sweep_timer);
   gp_idpool_finish (&relays->tries);
 }
--- a/src/daemon/relay.h
+++ b/src/daemon/relay.h
@@ -23,13 +23,16 @@
   gp_idpool_t tries;             /* handle -> gp_relay_t */
   gp_heap_t deadlines;
   gp_timer_t timer;
+  gp_list_t waiting; /* relays without an answer, to ask their callers */
+  gp_timer_t sweep_timer;
   uint64_t next_id;
   size_t open;
   size_t max_open;
+  gp_time_t stall_timeout; /* without progress of an answer in parts */
 } gp_relays_t;
 
 void gp_relays_init (gp_relays_t *relays, gp_loop_t *loop, gp_routes_t *routes,
-                     GRand *rand, size_t max_open);
+                     GRand *rand, size_t max_open, gp_time_t stall_timeout);
 void gp_relays_finish (gp_relays_t *relays);
 
 /* A caller's request; DATA is the gp_relays_t.  */
--- /dev/null
+++ b/src/daemon/relay_send.c
@@ -0,0 +1,137 @@
+/* Messages of relays to guards.  */
+
+#include "daemon/relay_private.h"
+
+#include <string.h>
+
+#include "daemon/text.h"
+
+void
+gp_relay_send_cancel (gp_relay_t *relay)
+{
+  Gp__Wire__Cancel cancel = GP__WIRE__CANCEL__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (CANCEL, cancel, &cancel);
+
+  cancel.id = relay->handle;
+  gp_session_send (relay->target->session, &envelope);
+}
+
+void
+gp_relay_send_credit (gp_relay_t *relay, size_t bytes)
+{
+  Gp__Wire__Credit credit = GP__WIRE__CREDIT__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (CREDIT, credit, &credit);
+
+  credit.id = relay->handle;
+  credit.bytes = (uint32_t)bytes;
+  gp_session_send (relay->target->session, &envelope);
+}
+
+/* Send what the session takes of the request's body.  */
+void
+gp_relay_send_body (gp_relay_t *relay)
+{
+  gp_http_text_t body = gp_http_exchange_body (relay->exchange);
+  gp_session_t *session = relay->target->session;
+
+  while (relay->body_sent < body.size && !gp_peer_congested (session->peer))
+    {
+      size_t size = MIN (body.size - relay->body_sent, GP_PART_SIZE);
+      Gp__Wire__Part part = GP__WIRE__PART__INIT;
+      Gp__Wire__Envelope envelope
+          = GP_ENVELOPE (REQUEST_PART, request_part, &part);
+
+      part.id = relay->handle;
+      part.data.data = (uint8_t *)body.base + relay->body_sent;
+      part.data.len = size;
+      relay->body_sent += size;
+      part.last = relay->body_sent == body.size;
+      gp_session_send (session, &envelope);
+    }
+}
+
+static void
+copy_text (char *buffer, size_t size, gp_http_text_t text)
+{
+  size_t length = MIN (text.size, size - 1);
+
+  memcpy (buffer, text.base != NULL ? text.base : "", length);
+  buffer[length] = '\0';
+}
+
+/* The kind of request: that of the document, or the caller's word.  */
+static void
+kind_name (const gp_relay_t *relay, char *name, size_t size)
+{
+  if (relay->kind != NULL)
+    g_strlcpy (name, relay->kind->name, size);
+  else
+    copy_text (name, size,
+               gp_http_exchange_header (relay->exchange, "galenapier-kind"));
+}
+
+static Gp__Wire__WorkClass
+work_class (const gp_relay_t *relay)
+{
+  if (relay->kind != NULL && relay->kind->work_class == GP_DOCUMENT_BATCH)
+    return GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
+  return GP__WIRE__WORK_CLASS__WORK_CLASS_LATENCY_CRITICAL;
+}
+
+/* The path behind the service's name.  */
+gp_http_text_t
+gp_relay_path (const gp_relay_t *relay)
+{
+  gp_http_text_t path = gp_http_exchange_path (relay->exchange);
+  size_t skip = 1 + strlen (relay->service->name);
+
+  if (path.size <= skip)
+    return (gp_http_text_t){ "/", 1 };
+  return (gp_http_text_t){ path.base + skip, path.size - skip };
+}
+
+void
+gp_relay_send (gp_relay_t *relay, gp_time_t now)
+{
+  gp_http_header_t headers[GP_HEADERS_MAX];
+  gp_wire_headers_t wire;
+  char kind[GP_RELAY_NAME_SIZE];
+  char team[GP_RELAY_NAME_SIZE];
+  char *method;
+  char *path;
+  gp_http_text_t text;
+  gp_http_text_t body = gp_http_exchange_body (relay->exchange);
+  Gp__Wire__Request request = GP__WIRE__REQUEST__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (REQUEST, request, &request);
+
+  gp_wire_headers_from_http (
+      &wire, headers,
+      gp_http_exchange_headers (relay->exchange, headers, GP_HEADERS_MAX));
+  kind_name (relay, kind, sizeof kind);
+  copy_text (team, sizeof team,
+             gp_http_exchange_header (relay->exchange, "galenapier-team"));
+  text = gp_http_exchange_method (relay->exchange);
+  method = g_strndup (text.base, text.size);
+  text = gp_relay_path (relay);
+  path = g_strndup (text.base, text.size);
+  request.id = relay->handle;
+  request.service = relay->service->name;
+  request.kind = kind;
+  request.team = team;
+  request.work_class = work_class (relay);
+  request.idempotent = relay->idempotent;
+  request.remaining_us = (uint64_t)MAX (relay->deadline - now, 0);
+  request.method = method;
+  request.path = path;
+  request.headers = wire.pointers;
+  request.n_headers = wire.count;
+  request.body_size = body.size;
+  request.body.data = (uint8_t *)body.base;
+  request.body.len = MIN (body.size, GP_PART_SIZE);
+  request.guard_incarnation = relay->target->session->incarnation;
+  relay->body_sent = request.body.len;
+  gp_session_send (relay->target->session, &envelope);
+  g_free (method);
+  g_free (path);
+  gp_relay_send_body (relay);
+}
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -79,6 +79,11 @@
                              void (*on_gone) (void *data),
                              void (*on_proceed) (void *data), void *data);
 
+/* Has the caller closed its side?  The library does not read a connection
+   while it has a request to answer, so this is seen by asking only.  A caller
+   that closes its side may still read the answer.  */
+bool gp_http_exchange_hung_up (const gp_http_exchange_t *exchange);
+
 /* Answer whole and end the exchange.  BODY is copied.  */
 void gp_http_exchange_answer (gp_http_exchange_t *exchange, int status,
                               const gp_http_header_t *headers, size_t count,
--- a/src/transport/http_exchange.c
+++ b/src/transport/http_exchange.c
@@ -9,6 +9,8 @@
    connection, when it is given nothing to write; so an empty last part and
    an abort are put off to the end of the phase.  */
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "base/counters.h"
@@ -159,6 +161,20 @@
   return (gp_http_text_t){ NULL, 0 };
 }
 
+bool
+gp_http_exchange_hung_up (const gp_http_exchange_t *exchange)
+{
+  struct tcp_info info;
+  socklen_t size = sizeof info;
+
+  if (exchange->state == GP_HTTP_EXCHANGE_ENDED)
+    return true;
+  if (getsockopt (socket_of (exchange), IPPROTO_TCP, TCP_INFO, &info, &size)
+      != 0)
+    return false;
+  return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
+}
+
 void
 gp_http_exchange_watch (gp_http_exchange_t *exchange,
                         void (*on_gone) (void *data),
