Judge the ledgers of a run promise by promise

Cause: nothing judged what the stand-ins write; each scripted run looked at single lines. The callers' stand-in tells whether an answer was not its own. Conclusion: the verdict of a run does not rest on the system's counters.

--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -85,6 +85,7 @@
   gp_ledger_integer (&ledger, "try", query->try_number);
   gp_ledger_integer (&ledger, "arrived_us", query->arrived_at);
   gp_ledger_integer (&ledger, "received", query->received);
+  gp_ledger_integer (&ledger, "wrong", query->wrong);
   gp_ledger_end (&ledger);
 }
 
--- a/tests/standins/lib/pool.c
+++ b/tests/standins/lib/pool.c
@@ -192,6 +192,7 @@
 {
   gp_pool_t *pool = pool_of (connection);
   gp_query_t *query = connection->data;
+  gp_outcome_t outcome;
 
   if (open)
     make_idle (connection);
@@ -200,7 +201,9 @@
   switch (end)
     {
     case GP_CONNECTION_WHOLE:
-      pool->on_end (query, judge_whole (query));
+      outcome = judge_whole (query);
+      query->wrong |= outcome == GP_OUTCOME_BROKEN;
+      pool->on_end (query, outcome);
       break;
     case GP_CONNECTION_TRUNCATED:
       pool->on_end (query, GP_OUTCOME_BROKEN);
--- /dev/null
+++ b/tools/checker.py
@@ -0,0 +1,408 @@
+"""Judge what must always hold from the ledgers of a run.
+
+Each promise is judged from facts of the platform's side, the callers' side
+and the experiment tool alone; the system's own counters and views are never
+asked, but for the revision that each process says to have in force.
+"""
+
+import collections
+import math
+
+from ledgers import FOREVER, SECOND, Ledgers
+
+PROMISES = {
+    "capacity": "no VM is given more than it can hold",
+    "two-places": "nothing runs in two places at once",
+    "resumed-once": "evicted work resumes exactly once",
+    "whole-answer": "each caller gets the whole answer to its own request",
+    "refused-ran": "what was refused as not run did not run",
+    "twice": "a non-idempotent request runs at most once",
+    "leaver": "an upstream that leaves gets no new work",
+    "planned-stop": "a planned stop cuts nothing off",
+    "configuration": "a configuration is in force in time and stays",
+    "lost": "no accepted work is lost or doubled",
+}
+LIMITS = {"leave_s": 3.0, "configuration_s": 5.0, "cancel_s": 5.0}
+ANSWER_GRACE = SECOND // 10  # from an upstream's end to the caller
+QUANTILES = {"p50_ms": 0.5, "p99_ms": 0.99, "p99_9_ms": 0.999}
+
+
+def quantiles(values):
+    """Nearest ranks of VALUES, in milliseconds."""
+    ordered = sorted(values)
+    if not ordered:
+        return {name: None for name in QUANTILES}
+    return {name: round(ordered[max(math.ceil(q * len(ordered)), 1) - 1]
+                        / 1000, 3) for name, q in QUANTILES.items()}
+
+
+class Checker:
+    """Breaches by promise, and figures by kind, of one folder of ledgers."""
+
+    def __init__(self, folder):
+        self.ledgers = Ledgers(folder)
+        self.lives = self.ledgers.lives
+        self.limits = {name: seconds * SECOND for name, seconds in
+                       {**LIMITS, **self.ledgers.site.get("limits", {})}
+                       .items()}
+        self.breaches = {name: [] for name in PROMISES}
+        self.by_request = collections.defaultdict(list)
+        self.by_key = collections.defaultdict(list)
+        self.by_task = collections.defaultdict(list)
+        for execution in self.ledgers.executions:
+            self.by_request[execution.request].append(execution)
+            if execution.key:
+                self.by_key[execution.key].append(execution)
+        for run in sorted(self.ledgers.runs, key=lambda r: r.start):
+            self.by_task[run.task].append(run)
+        self.cancelled = {f["id"]: f["time_us"]
+                          for f in self.ledgers.of("cancel")
+                          if f["status"] == 200}
+        self.accepted = {task: f for f in self.ledgers.of("submit")
+                         for task in f["ids"]}
+        self._judge()
+
+    def _judge(self):
+        self._judge_capacity()
+        self._judge_requests()
+        self._judge_executions()
+        self._judge_tasks()
+        self._judge_leavers()
+        self._judge_configuration()
+        self._judge_work()
+
+    def _breach(self, promise, text):
+        if text not in self.breaches[promise]:
+            self.breaches[promise].append(text)
+
+    @property
+    def kept(self):
+        return not any(self.breaches.values())
+
+    # Capacity.
+
+    def _judge_capacity(self):
+        for fact in self.ledgers.of("breach"):
+            if fact["limit"] != "real_memory_mib":  # not known beforehand
+                self._breach("capacity", f"{fact['node']}: {fact['limit']} "
+                             f"{fact['seen']} of {fact['allowed']}")
+
+    # Requests.
+
+    def _judge_requests(self):
+        for fact in self.ledgers.of("request"):
+            runs = self.by_request[fact["request"]]
+            outcome = fact["outcome"]
+            if outcome in ("not_run", "refused"):
+                if runs:
+                    self._breach("refused-ran", f"{fact['request']}: "
+                                 f"{outcome}, ran on {runs[0].node}")
+            elif outcome == "ran":
+                if not runs and not self.by_key.get(fact["key"]):
+                    self._breach("whole-answer", f"{fact['request']}: "
+                                 "answered, but no upstream ran it")
+            else:
+                self._judge_failure(fact, runs)
+
+    def _judge_failure(self, fact, runs):
+        """A request that ended as unknown or with a broken answer."""
+        name = fact["request"]
+        start, end = fact["arrived_us"], fact["time_us"]
+        entry = self.ledgers.site["entries"].get(fact["entry"], fact["entry"])
+        nodes = [p for r in runs for p in (r.node, f"{r.node}.upstream")]
+        if fact.get("wrong"):
+            self._breach("whole-answer", f"{name}: not its own answer")
+        elif self.lives.disturbed([entry], start, end):
+            return
+        elif fact["outcome"] == "unknown" and not fact["verdict"]:
+            self._break_off([entry], fact, "no answer and no verdict")
+        elif self.lives.disturbed(nodes, start, end) or self._spoilt(runs):
+            return
+        elif fact["outcome"] == "broken":
+            self._break_off([entry] + nodes, fact, "answer cut short")
+        elif any(r.end + ANSWER_GRACE < end for r in runs):
+            self._break_off([entry] + nodes, fact, "its answer went missing")
+        elif fact["reason"] != "deadline" \
+                and self.lives.drained(nodes, start, end):
+            self._break_off(nodes, fact, "verdict unknown")
+
+    @staticmethod
+    def _spoilt(runs):
+        """Whether an upstream was asked to break its answer off."""
+        return any("truncate=1" in r.path or "close=1" in r.path
+                   for r in runs)
+
+    def _break_off(self, names, fact, text):
+        stopped = self.lives.drained(names, fact["arrived_us"],
+                                     fact["time_us"])
+        self._breach("planned-stop" if stopped else "whole-answer",
+                     f"{fact['request']}: {text} ({', '.join(names)})")
+
+    def _judge_executions(self):
+        kinds = {f["request"]: f["kind"] for f in self.ledgers.of("request")}
+        may_repeat = set(self.ledgers.site.get("idempotent", ()))
+        for key, runs in self.by_key.items():
+            if len(runs) > 1:
+                self._breach("twice", f"key {key}: {len(runs)} executions")
+        for request, runs in self.by_request.items():
+            if len(runs) > 1 and not runs[0].key and request \
+                    and runs[0].method == "POST" \
+                    and kinds.get(request) not in may_repeat:
+                self._breach("twice", f"{request}: {len(runs)} executions")
+
+    # Tasks.
+
+    def _judge_tasks(self):
+        for task, runs in self.by_task.items():
+            for before, after in zip(runs, runs[1:]):
+                self._judge_succession(task, before, after)
+            self._judge_progress(task, runs)
+        for run in self.ledgers.runs:
+            self._judge_end(run)
+
+    def _judge_succession(self, task, before, after):
+        if before.end > after.start:
+            self._breach("two-places", f"{task}: on {before.node} epoch "
+                         f"{before.epoch} and {after.node} epoch "
+                         f"{after.epoch} at once")
+        if after.epoch <= before.epoch:
+            self._breach("resumed-once", f"{task}: epoch {after.epoch} after "
+                         f"{before.epoch}")
+        if before.state == "succeeded" \
+                and not self._disturbed(before, after.start):
+            self._breach("lost", f"{task}: started again after it was done")
+
+    def _disturbed(self, run, until):
+        """Whether what RUN reached may not have become known."""
+        return self.lives.disturbed([run.node, f"{run.node}.worker"],
+                                    run.start, until)
+
+    def _judge_progress(self, task, runs):
+        known = {0}
+        last = None
+        for run in runs:
+            if run.progress not in known:
+                self._breach("resumed-once", f"{task}: epoch {run.epoch} "
+                             f"resumed at {run.progress}, never reached")
+            elif last is not None and last.state == "stopped" \
+                    and run.progress != last.left_at \
+                    and not self._disturbed(last, run.start):
+                self._breach("resumed-once", f"{task}: epoch {run.epoch} "
+                             f"resumed at {run.progress}, was stopped at "
+                             f"{last.left_at}")
+            known.update(run.checkpoints)
+            if run.state == "stopped":
+                known.add(run.left_at)
+            last = run
+
+    def _judge_end(self, run):
+        """A planned stop lets a task checkpoint first."""
+        names = [run.node, f"{run.node}.worker"]
+        cut = run.state == "lost" or run.state == "running"
+        if cut and self.lives.drained(names, run.start, run.end) \
+                and not self.lives.disturbed(names, run.start, run.end):
+            self._breach("planned-stop", f"task {run.task}: cut off on "
+                         f"{run.node}, {run.state}")
+
+    # Leavers.
+
+    def _judge_leavers(self):
+        work = [(r.node, r.start, f"task {r.task}")
+                for r in self.ledgers.runs]
+        work += [(e.node, e.start, f"request {e.request}")
+                 for e in self.ledgers.executions]
+        for node, start, what in work:
+            for since, until in self.lives.leaving(node):
+                if since + self.limits["leave_s"] < start < until:
+                    late = (start - since) / SECOND
+                    self._breach("leaver", f"{node}: {what} {late:.1f} s "
+                                 "after it began to leave")
+
+    # Configuration.
+
+    def _judge_configuration(self):
+        published = [f for f in self.ledgers.of("publish")
+                     if f["status"] == 201]
+        digests = {f["revision"]: f["digest"] for f in published}
+        bases = collections.Counter(f["base"] for f in published)
+        for base, count in bases.items():
+            if count > 1:
+                self._breach("configuration", f"{count} successors of "
+                             f"revision {base} were accepted")
+        seen = {}
+        for poll in self.ledgers.of("poll"):
+            self._judge_poll(poll, published, digests)
+            self._judge_reverted(poll, seen)
+
+    def _judge_poll(self, poll, published, digests):
+        digest = digests.get(poll["revision"])
+        if poll.get("digest") and digest and poll["digest"] != digest:
+            self._breach("configuration", f"{poll['process']}: revision "
+                         f"{poll['revision']} is not what was accepted")
+        for fact in published:
+            if poll["revision"] < fact["revision"] \
+                    and self._overdue(poll, fact["time_us"]):
+                self._breach("configuration", f"{poll['process']}: late at "
+                             f"revision {poll['revision']} when "
+                             f"{fact['revision']} was long accepted")
+
+    def _overdue(self, poll, accepted):
+        grace = self.limits["configuration_s"]
+        names = (poll["process"], poll["via"])
+        return poll["time_us"] > accepted + grace \
+            and all(self.lives.settled(n, poll["time_us"], grace)
+                    for n in names) \
+            and not self._unreachable(poll["process"], poll["time_us"], grace)
+
+    def _unreachable(self, name, time, grace):
+        """Whether NAME was started in an outage of the log that lasted until
+        less than GRACE before TIME: nobody may know the revision."""
+        started = [i[1] for i in self.lives.away.get(name, ())
+                   if i[1] <= time]
+        return any(since <= max(started, default=0) <= until
+                   and until + grace > time
+                   for since, until in self._outages())
+
+    def _outages(self):
+        outages = []
+        for fact in self.ledgers.of("switch"):
+            down = fact["faults"].get("down")
+            if fact["process"] != "log" or down is None:
+                continue
+            if down:
+                outages.append([fact["time_us"], FOREVER])
+            elif outages:
+                outages[-1][1] = min(outages[-1][1], fact["time_us"])
+        return outages
+
+    def _judge_reverted(self, poll, seen):
+        """Within one life of a process its revision never falls."""
+        name = (poll["process"], poll["via"])
+        last = seen.get(name)
+        if last is not None and 0 < poll["revision"] < last["revision"] \
+                and all(self.lives.settled(n, poll["time_us"],
+                                           poll["time_us"] - last["time_us"])
+                        for n in name):
+            self._breach("configuration", f"{poll['process']}: revision fell "
+                         f"from {last['revision']} to {poll['revision']}")
+        seen[name] = poll
+
+    # Jobs and watchers.
+
+    def _judge_work(self):
+        unsure = {f["kind"] for f in self.ledgers.of("submit")
+                  if f["status"] in (0, 504)}
+        submitted = {f["kind"] for f in self.ledgers.of("submit")}
+        for task, runs in self.by_task.items():
+            if task not in self.accepted and runs[0].kind in submitted \
+                    and runs[0].kind not in unsure:
+                self._breach("refused-ran", f"{task}: a {runs[0].kind} that "
+                             "was not accepted ran")
+            ended = self.cancelled.get(task, FOREVER)
+            if runs[-1].start > ended + self.limits["cancel_s"]:
+                self._breach("lost", f"{task}: started after it was "
+                             "cancelled")
+        for task in self.accepted:
+            if self._is_lost(task):
+                self._breach("lost", f"{task}: accepted, never done")
+        self._judge_watchers()
+
+    def _succeeded(self, task):
+        return [r for r in self.by_task.get(task, ())
+                if r.state == "succeeded"]
+
+    def _is_lost(self, task):
+        fact = self.accepted[task]
+        return not fact.get("may_remain") and task not in self.cancelled \
+            and not self._succeeded(task)
+
+    def _running(self, kind):
+        """Runs of KIND that were under way at the end."""
+        return [r for r in self.ledgers.runs
+                if r.kind == kind and r.end == FOREVER]
+
+    def _judge_watchers(self):
+        for kind, count in self.ledgers.site.get("watchers", {}).items():
+            running = len({r.task for r in self._running(kind)})
+            if running != count:
+                self._breach("lost", f"watcher {kind}: {running} of {count} "
+                             "ran at the end")
+
+    # Figures.
+
+    def requests(self):
+        """A row for each kind of request, by name."""
+        kinds = collections.defaultdict(list)
+        for fact in self.ledgers.of("request"):
+            kinds[fact["kind"]].append(fact)
+        return {kind: self._request_row(facts)
+                for kind, facts in sorted(kinds.items())}
+
+    def _request_row(self, facts):
+        outcomes = collections.Counter(f["outcome"] for f in facts)
+        names = {f["request"] for f in facts}
+        keys = {f["key"] for f in facts if f["key"]}
+        doubled = sum(len(self.by_key[k]) > 1 for k in keys)
+        if not keys:
+            doubled = sum(len(r) > 1 for n, r in self.by_request.items()
+                          if n in names and r[0].method == "POST")
+        lost = sum(f["outcome"] == "broken" or (
+            f["outcome"] == "unknown" and not f["verdict"]) for f in facts)
+        return {
+            "sent": len(facts), "answered": outcomes["ran"],
+            "not_run": outcomes["not_run"] + outcomes["refused"],
+            "unknown": outcomes["unknown"], "doubled": doubled, "lost": lost,
+            **quantiles(f["time_us"] - f["arrived_us"] for f in facts
+                        if f["outcome"] == "ran")}
+
+    def jobs(self):
+        """A row for each kind of job that was submitted."""
+        kinds = collections.defaultdict(list)
+        for task, fact in self.accepted.items():
+            kinds[fact["kind"]].append(task)
+        return {kind: self._job_row(kind, tasks)
+                for kind, tasks in sorted(kinds.items())}
+
+    def _job_row(self, kind, tasks):
+        refused = [f for f in self.ledgers.of("submit")
+                   if f["kind"] == kind and not f["ids"]]
+        done = {t: self._succeeded(t) for t in tasks}
+        deadline = self.ledgers.site.get("deadlines", {}).get(kind)
+        met = [t for t, runs in done.items() if runs and deadline
+               and runs[0].end <= self.accepted[t]["time_us"]
+               + deadline * SECOND]
+        waits = [self.by_task[t][0].start - self.accepted[t]["time_us"]
+                 for t in tasks if self.by_task.get(t)]
+        return {
+            "submitted": len(tasks),
+            "refused": sum(f["count"] for f in refused),
+            "cancelled": sum(t in self.cancelled for t in tasks),
+            "done": sum(bool(r) for r in done.values()),
+            "doubled": sum(len(r) > 1 for r in done.values()),
+            "lost": sum(self._is_lost(t) for t in tasks),
+            "in_time": len(met) if deadline else None,
+            "evictions": self._evictions(tasks),
+            "start_p50_ms": quantiles(waits)["p50_ms"],
+            "start_p99_ms": quantiles(waits)["p99_ms"]}
+
+    def _evictions(self, tasks):
+        return sum(r.state == "stopped" and t not in self.cancelled
+                   for t in tasks for r in self.by_task.get(t, ()))
+
+    def watchers(self):
+        """A row for each kind of watcher of the document."""
+        rows = {}
+        for kind, count in self.ledgers.site.get("watchers", {}).items():
+            tasks = {r.task for r in self.ledgers.runs if r.kind == kind}
+            rows[kind] = {
+                "declared": count,
+                "running": len({r.task for r in self._running(kind)}),
+                "starts": sum(len(self.by_task[t]) for t in tasks),
+                "evictions": self._evictions(tasks)}
+        return rows
+
+    def report(self):
+        """All of it as one object for JSON."""
+        return {"kept": self.kept, "breaches": self.breaches,
+                "requests": self.requests(), "jobs": self.jobs(),
+                "watchers": self.watchers()}
--- /dev/null
+++ b/tools/ledgers.py
@@ -0,0 +1,196 @@
+"""Facts of a run, as the stand-ins and the experiment tool wrote them.
+
+docs/internals/ledger.md describes each line.  Nothing here was written by
+the system's own processes.
+"""
+
+import dataclasses
+import glob
+import json
+import os
+
+FOREVER = float("inf")
+SECOND = 1_000_000  # ledgers are in microseconds
+
+
+@dataclasses.dataclass
+class Execution:
+    """A request that an upstream ran."""
+    node: str
+    request: str
+    key: str
+    method: str
+    path: str
+    start: float
+    end: float = FOREVER
+
+
+@dataclasses.dataclass
+class Run:
+    """A task on a worker under one epoch."""
+    node: str
+    boot: str
+    task: str
+    epoch: int
+    kind: str
+    start: float
+    progress: int  # where it went on from
+    end: float = FOREVER
+    state: str = ""  # of its end; empty: no end was written
+    left_at: int = 0  # progress at its end
+    checkpoints: list = dataclasses.field(default_factory=list)
+
+
+class Lives:
+    """When each process was disturbed, by the tool's own facts."""
+
+    def __init__(self, facts):
+        self.hard = {}  # killed until ready, stopped until continued
+        self.drains = {}  # told to end until it had
+        self.away = {}  # any of these, until ready again
+        self.kills = {}
+        self.starts = {}
+        for fact in facts:
+            if fact["event"] == "process":
+                self._add(fact["process"], fact["action"], fact["time_us"])
+
+    def _add(self, name, action, time):
+        hard = self.hard.setdefault(name, [])
+        drains = self.drains.setdefault(name, [])
+        away = self.away.setdefault(name, [])
+        if action == "kill":
+            self._kill(name, time)
+        elif action == "stop":
+            hard.append([time, FOREVER])
+            away.append([time, FOREVER])
+        elif action == "terminate":
+            drains.append([time, FOREVER])
+            away.append([time, FOREVER])
+        elif action == "exited":
+            drains[-1][1] = time
+        elif action == "start":
+            self.starts.setdefault(name, []).append(time)
+        elif action in ("continue", "ready"):
+            self._close(hard, time)
+            self._close(away, time)
+
+    def _kill(self, name, time):
+        stopped = [i[0] for i in self.hard[name] if i[1] == FOREVER]
+        self.kills.setdefault(name, []).append(min(stopped + [time]))
+        self.hard[name].append([time, FOREVER])
+        self.away[name].append([time, FOREVER])
+
+    @staticmethod
+    def _close(intervals, time):
+        for interval in intervals:
+            interval[1] = min(interval[1], time)
+
+    @staticmethod
+    def _overlaps(intervals, start, end):
+        return any(i[0] <= end and i[1] >= start for i in intervals)
+
+    def disturbed(self, names, start, end):
+        """Whether one of NAMES was killed or paused from START to END."""
+        return any(self._overlaps(self.hard.get(n, ()), start, end)
+                   for n in names)
+
+    def drained(self, names, start, end):
+        return any(self._overlaps(self.drains.get(n, ()), start, end)
+                   for n in names)
+
+    def settled(self, name, time, grace):
+        """Whether NAME has run without a break for GRACE at TIME."""
+        return not self._overlaps(self.away.get(name, ()), time - grace, time)
+
+    def leaving(self, name):
+        """Intervals from when NAME was told to end to its next start."""
+        for told, _ in self.drains.get(name, ()):
+            later = [s for s in self.starts.get(name, ()) if s > told]
+            yield told, min(later, default=FOREVER)
+
+    def killed_after(self, name, time):
+        """When NAME was last able to act after TIME."""
+        kills = [k for k in self.kills.get(name, ()) if k >= time]
+        return min(kills, default=FOREVER)
+
+
+class Ledgers:
+    """All facts of a folder, up to the end of the run."""
+
+    def __init__(self, folder):
+        self.facts = {}  # by event
+        self.executions = []
+        self.runs = []
+        self.site = {"entries": {}}
+        self.torn = 0
+        files = {}
+        for path in sorted(glob.glob(os.path.join(folder, "*.ledger"))):
+            files[path] = self._read(path)
+        ends = [f["time_us"] for facts in files.values() for f in facts
+                if f["event"] == "end"]
+        self.end = min(ends, default=FOREVER)
+        for facts in files.values():
+            self._take([f for f in facts if f["time_us"] <= self.end])
+        self.lives = Lives(self.of("process"))
+        self._bound_runs()
+
+    def of(self, event):
+        return self.facts.get(event, [])
+
+    def _read(self, path):
+        facts = []
+        with open(path, encoding="utf-8") as file:
+            for line in file:
+                try:
+                    facts.append(json.loads(line))
+                except ValueError:
+                    self.torn += 1  # a process was killed as it wrote
+        return facts
+
+    def _take(self, facts):
+        executing = {}
+        running = {}
+        for fact in facts:
+            event = fact["event"]
+            self.facts.setdefault(event, []).append(fact)
+            if event == "site":
+                self.site = fact
+            elif event == "execution_start":
+                executing[fact["execution"]] = self._execution(fact)
+            elif event == "execution_end":
+                execution = executing.pop(fact["execution"], None)
+                if execution is not None:
+                    execution.end = fact["time_us"]
+            elif event == "task_start":
+                running[fact["boot"], fact["task"]] = self._run(fact)
+            elif event == "checkpoint":
+                run = running[fact["boot"], fact["task"]]
+                run.checkpoints.append(fact["progress_ms"])
+            elif event in ("task_end", "lease_expired"):
+                run = running.pop((fact["boot"], fact["task"]))
+                run.end = fact["until_us"]
+                run.state = fact["state"]
+                run.left_at = fact["progress_ms"]
+
+    def _execution(self, fact):
+        execution = Execution(fact["node"], fact["request"], fact["key"],
+                              fact["method"], fact["path"], fact["time_us"])
+        self.executions.append(execution)
+        return execution
+
+    def _run(self, fact):
+        run = Run(fact["node"], fact["boot"], fact["task"], fact["epoch"],
+                  fact["kind"], fact["time_us"], fact["progress_ms"])
+        self.runs.append(run)
+        return run
+
+    def _bound_runs(self):
+        """A run without an end lasted until its VM was killed."""
+        for run in self.runs:
+            if not run.state:
+                run.end = self.lives.killed_after(f"{run.node}.worker",
+                                                  run.start)
+        for execution in self.executions:
+            if execution.end == FOREVER:
+                execution.end = self.lives.killed_after(
+                    f"{execution.node}.upstream", execution.start)
