Run scenarios of load and faults on a small site

Cause: faults were brought about by scripted runs of their own only. Change: tools/experiment reads a scenario, starts the site, drives load and a time line of faults, and prints figures and the checker's verdict. The module of the test site takes regions, racks, sizes and callers. Conclusion: a run of faults is a page of YAML.

--- a/tests/scripts/checker.py
+++ b/tests/scripts/checker.py
@@ -198,6 +198,7 @@
 
 
 check("clean run")
+check("crash", tool=[at(5, "crash", process="entry-1", status="-6")])
 check_requests()
 check_stops()
 check_tasks()
--- a/tools/checker.py
+++ b/tools/checker.py
@@ -21,6 +21,7 @@
     "planned-stop": "a planned stop cuts nothing off",
     "configuration": "a configuration is in force in time and stays",
     "lost": "no accepted work is lost or doubled",
+    "crash": "no process ends by itself, and each ends when told",
 }
 LIMITS = {"leave_s": 3.0, "configuration_s": 5.0, "cancel_s": 5.0}
 ANSWER_GRACE = SECOND // 10  # from an upstream's end to the caller
@@ -63,6 +64,8 @@
         self._judge()
 
     def _judge(self):
+        for fact in self.ledgers.of("crash"):
+            self._breach("crash", f"{fact['process']}: {fact['status']}")
         self._judge_capacity()
         self._judge_requests()
         self._judge_executions()
--- /dev/null
+++ b/tools/experiment_run.py
@@ -0,0 +1,487 @@
+"""Run a scenario on a site of real processes and record what was done.
+
+The facts go to the ledger of the tool, beside those of the stand-ins; the
+checker judges all of them together.  Each step of the time line runs in a
+thread of its own at its time.  Whatever happens, every process is ended by
+its id.
+"""
+
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+import yaml
+
+from checker import Checker
+from site_processes import WORKER_SIZE, Site, until
+
+POLL_S = 0.25
+DOCUMENT_POLLS = 4  # the document is read with each fourth poll
+SETTLE_S = 20.0
+SETTLE_POLL_S = 0.5
+EXIT_S = 30.0
+CALLER_GRACE_S = 30.0
+WATCHERS_AT_START_S = 10.0
+CONNECTIONS = 64
+ANSWER_SIZE = 128
+TOOL_KINDS = ("idempotent",)  # of a kind of load, not for the caller
+PAYLOAD = ("run_ms", "fail", "checkpoint_every_ms", "real_millicores",
+           "real_memory_mib")
+PENDING_JOBS = 100000  # changed with each revision
+
+
+class ToolLedger:
+    """Facts of the tool, a line each, flushed at once."""
+
+    def __init__(self, path):
+        self.file = open(path, "a", encoding="utf-8")
+        self.lock = threading.Lock()
+
+    def write(self, event, **members):
+        with self.lock:
+            now = time.clock_gettime(time.CLOCK_BOOTTIME)
+            fact = {"event": event, "time_us": int(now * 1e6), **members}
+            self.file.write(json.dumps(fact) + "\n")
+            self.file.flush()
+
+    def close(self):
+        self.file.close()
+
+
+class Experiment:
+    """One run of SCENARIO with the programs in BUILD."""
+
+    def __init__(self, build, scenario, out=sys.stderr):
+        self.scenario = scenario
+        self.out = out
+        self.random = random.Random(scenario.get("seed", 1))
+        self.limits = scenario.get("limits", {})
+        self.document = scenario.get("document")
+        self.jobs = []  # (kind, id) in order of acceptance
+        self.callers = {}
+        self.ended = set()  # processes that the tool has ended
+        self.errors = []
+        self.over = threading.Event()
+        self.started = time.monotonic()
+        self.folder = tempfile.mkdtemp(prefix="galenapier-")
+        self.site = self._make_site(build)
+        self.ledger = ToolLedger(self.site.ledger("tool"))
+
+    def _make_site(self, build):
+        site = self.scenario["site"]
+        upstream = site.get("upstream", {})
+        worker = dict(site.get("worker", {}))
+        worker.pop("interference", None)
+        options = ["--seed", str(self.scenario.get("seed", 1))]
+        for name in ("service_ms", "distribution", "size"):
+            if name in upstream:
+                options += [f"--{name.replace('_', '-')}",
+                            str(upstream[name])]
+        given = {n: site[n] for n in ("region", "zones", "entries", "guards",
+                                      "guards_per_rack", "timings")
+                 if n in site}
+        given.update({n: upstream[n] for n in ("service", "slots",
+                                               "connections", "reserve")
+                      if n in upstream})
+        name = self.document["site"] if self.document else "experiment"
+        return Site(build, name=name, upstream="upstream" in site,
+                    worker="worker" in site, upstream_options=options,
+                    worker_options=self._interference(site),
+                    worker_size={**WORKER_SIZE, **worker},
+                    folder=self.folder, **given)
+
+    def _interference(self, site):
+        table = site.get("worker", {}).get("interference")
+        if table is None:
+            return []
+        path = os.path.join(self.folder, "interference.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(table, file)
+        return ["--interference", path]
+
+    def close(self):
+        self.over.set()
+        self.site.close()
+        self.ledger.close()
+
+    def say(self, text):
+        at = time.monotonic() - self.started
+        print(f"{at:6.1f} s  {text}", file=self.out, flush=True)
+
+    # Processes.
+
+    def _process_fact(self, name, action):
+        self.ledger.write("process", process=name, action=action)
+
+    def _parts(self, step):
+        """The processes of STEP; `vm' means all on the VM of a guard."""
+        names = step["process"]
+        names = [names] if isinstance(names, str) else names
+        if not step.get("vm"):
+            return names
+        return [p for n in names
+                for p in (n, f"{n}.upstream", f"{n}.worker")
+                if p in self.site.processes]
+
+    def _kill(self, name):
+        self.ended.add(name)
+        self._process_fact(name, "kill")
+        self.site.processes[name].kill()
+
+    def _terminate(self, name):
+        process = self.site.processes[name]
+        self.ended.add(name)
+        self._process_fact(name, "terminate")
+        process.signal(signal.SIGTERM)
+        try:
+            status = process.wait(EXIT_S)
+        except Exception:  # pylint: disable=broad-except
+            status = "still running"
+            process.kill()
+        self._process_fact(name, "exited")
+        if status != 0:
+            self.ledger.write("crash", process=name, status=str(status))
+
+    def _start(self, name):
+        self._process_fact(name, "start")
+        guard, _, part = name.partition(".")
+        if name == "log":
+            self.site.start_log()
+        elif part == "upstream":
+            self.site.start_upstream(guard)
+        elif part == "worker":
+            self.site.start_worker(guard)
+        elif name in self.site.entry_names:
+            self.site.start_entry(name)
+        else:
+            self.site.start_guard(name, alone=True)
+        self.ended.discard(name)
+        self._await(name)
+        self._process_fact(name, "ready")
+
+    def _await(self, name):
+        process = self.site.processes[name]
+        word = {"entry": "entry.started", "guard": "session.open"}.get(
+            name.split("-")[0] if "." not in name else "", "ready ")
+        until(lambda: word in process.log_of_life()
+              or process.popen.poll() is not None or self.over.is_set(),
+              what=f"{name} ready")
+
+    # Steps of the time line.
+
+    def _later(self, step, action, names):
+        """Do ACTION to NAMES once the time of STEP is over."""
+        if "for_s" in step and not self.over.wait(step["for_s"]):
+            for name in names:
+                self.say(f"{action.__name__.strip('_')} {name}")
+                action(name)
+
+    def do_kill(self, step):
+        names = self._parts(step)
+        for name in names:
+            self._kill(name)
+        self._later(step, self._start, names[::-1])
+
+    def do_stop(self, step):
+        for name in self._parts(step):
+            self._process_fact(name, "stop")
+            self.site.processes[name].signal(signal.SIGSTOP)
+        self._later(step, self._continue, self._parts(step))
+
+    def _continue(self, name):
+        self.site.processes[name].signal(signal.SIGCONT)
+        self._process_fact(name, "continue")
+
+    def do_continue(self, step):
+        for name in self._parts(step):
+            self._continue(name)
+
+    def do_drain(self, step):
+        names = self._parts(step)
+        for name in names:  # the guard first, then what it guards
+            self._terminate(name)
+        self._later(step, self._start, names[::-1])
+
+    def do_start(self, step):
+        for name in reversed(self._parts(step)):
+            self._start(name)
+
+    def do_switch(self, step):
+        before = {}
+        for name in self._parts(step):
+            known = json.loads(self._control(name, "GET"))
+            before[name] = {k: known.get(k) for k in step["set"]}
+            self._switch(name, step["set"])
+        if "for_s" in step and not self.over.wait(step["for_s"]):
+            for name, faults in before.items():
+                self.say(f"switch {name} back")
+                self._switch(name, faults)
+
+    def _control(self, name, method, faults=None):
+        return self.site.control(name.replace(".worker", ".runtime"), method,
+                                 faults)
+
+    def _switch(self, name, faults):
+        if faults.get("down") is False:
+            self._control(name, "POST", faults)
+            self.ledger.write("switch", process=name, faults=faults)
+        else:
+            self.ledger.write("switch", process=name, faults=faults)
+            self._control(name, "POST", faults)
+
+    def do_submit(self, step):
+        payload = json.dumps({n: step[n] for n in PAYLOAD if n in step})
+        body = {"kind": step["kind"], "count": step.get("count", 1),
+                "payload": payload}
+        if "team" in step:
+            body["team"] = step["team"]
+        status, answer = self._operate("POST", "/v1/jobs", body)
+        ids = answer.get("jobs", []) if status == 201 else []
+        self.ledger.write("submit", kind=step["kind"], count=body["count"],
+                          status=status, ids=ids,
+                          may_remain=step.get("may_remain", False)
+                          or step.get("fail", False))
+        self.jobs += [(step["kind"], i) for i in ids]
+        self.say(f"submit {step['kind']}: {status}, {len(ids)} jobs")
+
+    def _operate(self, method, path, body=None, entry=None):
+        """Ask ENTRY, or the first that answers; status and JSON object."""
+        status, answer = 0, b""
+        for name in [entry] if entry else self.site.entry_names:
+            status, _, answer = self.site.operate(
+                name, method, path, json.dumps(body) if body else None)
+            if status not in (0, 503):
+                break
+        try:
+            return status, json.loads(answer)
+        except ValueError:
+            return status, {}
+
+    def do_cancel(self, step):
+        ids = [i for kind, i in self.jobs
+               if step.get("kind") in (None, kind)]
+        chosen = self.random.sample(
+            ids, round(len(ids) * step.get("share", 1.0)))
+        for job in chosen:
+            status, _ = self._operate("DELETE", f"/v1/jobs/{job}")
+            self.ledger.write("cancel", id=job, status=status)
+        self.say(f"cancelled {len(chosen)} jobs")
+
+    def do_publish(self, step):
+        for _ in range(step.get("times", 1)):
+            base = self._current()
+            racers = [threading.Thread(target=self._publish, args=(i, base))
+                      for i in range(step.get("racers", 1))]
+            for racer in racers:
+                racer.start()
+            for racer in racers:
+                racer.join()
+            self.over.wait(step.get("every_s", 0))
+
+    def _publish(self, number, base):
+        """Publish a document that differs in one number, which tells it from
+        all others; each racer asks another entry."""
+        mark = PENDING_JOBS + 100 * base + number
+        document = json.loads(json.dumps(self.document))
+        document.setdefault("limits", {})["pending_jobs"] = mark
+        names = self.site.entry_names
+        status, answer = self._operate(
+            "POST", "/v1/config",
+            {"base": base, "author": f"racer-{number}",
+             "comment": "experiment", "document": json.dumps(document)},
+            names[number % len(names)])
+        self.ledger.write("publish", base=base, status=status, digest=mark,
+                          revision=answer.get("revision", 0))
+        self.say(f"publish on {base}: {status}")
+        return status
+
+    def _current(self):
+        return self._operate("GET", "/v1/config")[1].get("revision", 0)
+
+    def do_replace_all(self, step):
+        guards = [{"process": n, "vm": True} for n in self.site.guard_names]
+        entries = [{"process": n} for n in self.site.entry_names]
+        if step.get("rolling"):
+            for one in entries + guards:
+                self.do_drain({**one, "for_s": step.get("pause_s", 0)})
+            return
+        names = [p for one in entries + guards for p in self._parts(one)]
+        for name in names:
+            self._kill(name)
+        self.over.wait(step.get("pause_s", 0))
+        for name in reversed(names):
+            self._start(name)
+
+    def _step(self, step):
+        if self.over.wait(max(self.started + step["at_s"] - time.monotonic(),
+                              0)):
+            return
+        shown = {k: v for k, v in step.items() if k not in ("at_s", "do")}
+        self.say(f"{step['do']} {json.dumps(shown) if shown else ''}")
+        try:
+            getattr(self, "do_" + step["do"].replace("-", "_"))(step)
+        except Exception as error:  # pylint: disable=broad-except
+            if not self.over.is_set():
+                self.errors.append(f"{step['do']}: {error!r}")
+                self.say(f"{step['do']} failed: {error!r}")
+
+    # Load.
+
+    def _kinds(self, load):
+        size = self.scenario["site"].get("upstream", {}).get("size",
+                                                             ANSWER_SIZE)
+        kinds = []
+        for kind in load["kinds"]:
+            kind = {k: v for k, v in kind.items() if k not in TOOL_KINDS}
+            kinds.append({"size": size, **kind})
+        return {"kinds": kinds}
+
+    def do_load(self, step):
+        name = step["name"]
+        path = os.path.join(self.site.folder, name + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(self._kinds(step), file)
+        entries = [o for e in self.site.entry_names for o in
+                   ("--entry", self.site.addresses[f"{e}.callers"])]
+        self.callers[name] = self.site.start_caller(
+            name, *entries, "--kinds", path,
+            "--duration-s", str(step["duration_s"]),
+            "--connections", str(step.get("connections", CONNECTIONS)),
+            "--seed", str(self.scenario.get("seed", 1)))
+
+    # Polls of the revision in force.
+
+    def _poll(self):
+        count = 0
+        while not self.over.wait(POLL_S):
+            for entry in self.site.entry_names:
+                self._poll_entry(entry, count % DOCUMENT_POLLS == 0)
+            count += 1
+
+    def _poll_entry(self, entry, with_document):
+        status, answer = self._operate("GET", "/v1/status", None, entry)
+        if status != 200 or "config_revision" not in answer:
+            return
+        self.ledger.write("poll", process=entry, via=entry,
+                          revision=answer["config_revision"])
+        for guard in answer.get("guards", ()):
+            if guard.get("state") == "serving":
+                self.ledger.write("poll", process=guard["name"], via=entry,
+                                  revision=guard["config_revision"])
+        if with_document:
+            self._poll_document(entry)
+
+    def _poll_document(self, entry):
+        status, answer = self._operate("GET", "/v1/config", None, entry)
+        if status != 200 or not answer.get("document"):
+            return
+        document = answer["document"]
+        if isinstance(document, str):
+            document = yaml.safe_load(document)
+        self.ledger.write("poll", process=entry, via=entry,
+                          revision=answer["revision"],
+                          digest=document["limits"]["pending_jobs"])
+
+    # The whole.
+
+    def _site_fact(self, published):
+        site = self.site
+        document = self.document if published else {}
+        self.ledger.write(
+            "site",
+            entries={site.addresses[f"{e}.callers"]: e
+                     for e in site.entry_names},
+            limits={k: v for k, v in self.limits.items() if k != "settle_s"},
+            watchers={w["name"]: w["count"]
+                      for w in document.get("watchers", [])
+                      if self.site.guard_options["worker"]},
+            deadlines={j["name"]: j["deadline_s"]
+                       for j in document.get("batch_jobs", [])
+                       if "deadline_s" in j},
+            idempotent=[k["name"] for load in self.scenario.get("load", [])
+                        for k in load["kinds"] if k.get("idempotent")])
+
+    def _bring_up(self):
+        site = self.site
+        for name, faults in self.scenario["site"].get("log_faults",
+                                                      {}).items():
+            self._switch("log", {name: faults})
+        if site.guard_options["upstream"]:
+            site.await_targets(len(site.guard_names))
+        published = self.document is not None \
+            and until(self._try_publish, what="first configuration")
+        self._site_fact(published == "yes")
+        if published == "yes":
+            self._await_watchers()
+
+    def _try_publish(self):
+        """The first configuration; an entry may still be reading the log."""
+        status = self._publish(0, 0)
+        if status == 404:
+            self.say("no configuration taken here: going on without")
+        return {201: "yes", 404: "no"}.get(status)
+
+    def _await_watchers(self):
+        deadline = time.monotonic() + WATCHERS_AT_START_S
+        while time.monotonic() < deadline and self._open_work():
+            time.sleep(SETTLE_POLL_S)
+
+    def _open_work(self):
+        return Checker(self.site.folder).breaches["lost"]
+
+    def _settle(self):
+        """Wait for all accepted work to be done."""
+        deadline = time.monotonic() + self.limits.get("settle_s", SETTLE_S)
+        while self._open_work() and time.monotonic() < deadline:
+            time.sleep(SETTLE_POLL_S)
+
+    def _find_crashes(self):
+        for name, process in self.site.processes.items():
+            if name in self.callers or name in self.ended:
+                continue
+            status = process.popen.poll()
+            if status is not None:
+                self.ledger.write("crash", process=name, status=str(status))
+                self.say(f"{name} ended by itself: {status}\n"
+                         + process.log()[-2000:])
+
+    def run(self, keep=None):
+        """Run all of it; the report.  The ledgers are copied to KEEP."""
+        self.say(f"{self.scenario['name']}: bringing the site up")
+        self._bring_up()
+        self.started = time.monotonic()
+        steps = [{**load, "at_s": load.get("at_s", 0), "do": "load",
+                  "duration_s": load.get("duration_s", 10),
+                  "name": f"caller-{i + 1}"}
+                 for i, load in enumerate(self.scenario.get("load", []))]
+        steps += self.scenario.get("timeline", [])
+        threads = [threading.Thread(target=self._step, args=(s,), daemon=True)
+                   for s in steps]
+        threads.append(threading.Thread(target=self._poll, daemon=True))
+        for thread in threads:
+            thread.start()
+        for thread in threads[:-1]:
+            thread.join()
+        for caller in self.callers.values():
+            caller.wait(CALLER_GRACE_S + max(s["duration_s"] for s in steps
+                                             if s["do"] == "load"))
+        self.say("load is over, waiting for accepted work")
+        self._settle()
+        self.over.set()
+        threads[-1].join()
+        self._find_crashes()
+        self.ledger.write("end")
+        self.site.kill_all()
+        report = Checker(self.site.folder).report()
+        report["name"] = self.scenario["name"]
+        report["errors"] = self.errors
+        if keep:
+            shutil.copytree(self.site.folder, keep, dirs_exist_ok=True)
+        return report
+
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -14,11 +14,13 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 
 TOKEN = "operator-token-of-a-test-site"
 REQUEST_TIMEOUT_S = 20
 START_TIMEOUT_S = 20
+WORKER_SIZE = {"millicores": 16000, "memory_mib": 61440, "accelerators": 0}
 
 
 def free_port():
@@ -66,11 +68,13 @@
         self.name = name
         self.arguments = arguments
         self.log_path = os.path.join(site.folder, name + ".log")
+        self.log_start = 0
         self.popen = None
         self.start()
 
     def start(self):
         with open(self.log_path, "ab") as log:
+            self.log_start = log.tell()
             self.popen = subprocess.Popen(self.arguments, stdout=log,
                                           stderr=log,
                                           stdin=subprocess.DEVNULL)
@@ -91,6 +95,12 @@
         with open(self.log_path, encoding="utf-8", errors="replace") as log:
             return log.read()
 
+    def log_of_life(self):
+        """What it has written since its last start."""
+        with open(self.log_path, "rb") as log:
+            log.seek(self.log_start)
+            return log.read().decode(errors="replace")
+
 
 class Site:
     """Processes of one site.  Zones are given to entries and guards in
@@ -100,20 +110,27 @@
                  guards=1, service="reclamos-api", slots=8, connections=64,
                  upstream=True, worker=False, upstream_options=(),
                  worker_options=(), timings=None, max_body_kib=1024,
-                 with_log=True, tls=False):
+                 with_log=True, tls=False, region="r", guards_per_rack=0,
+                 reserve=None, worker_size=None, folder=None):
         self.build = os.path.abspath(build)
-        self.folder = tempfile.mkdtemp(prefix="galenapier-")
+        self.folder = folder or tempfile.mkdtemp(prefix="galenapier-")
         self.name = name
+        self.region = region
         self.zones = zones
+        self.guards_per_rack = guards_per_rack
         self.timings = timings or {}
         self.max_body_kib = max_body_kib
         self.processes = {}
+        self.closing = False  # nothing is started any more
+        self.lock = threading.Lock()
         self.addresses = {}
         self.guard_options = {
             "service": service, "slots": slots, "connections": connections,
             "upstream": upstream, "worker": worker,
             "upstream_options": list(upstream_options),
-            "worker_options": list(worker_options)}
+            "worker_options": list(worker_options),
+            "reserve": reserve,
+            "worker_size": worker_size or WORKER_SIZE}
         self.entry_names = [f"entry-{i + 1}" for i in range(entries)]
         self.guard_names = [f"guard-{i + 1}" for i in range(guards)]
         self.tls = tls
@@ -137,9 +154,14 @@
     def __exit__(self, *_):
         self.close()
 
-    def close(self):
+    def kill_all(self):
+        with self.lock:
+            self.closing = True
         for process in self.processes.values():
             process.kill()
+
+    def close(self):
+        self.kill_all()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def _make_certificates(self):
@@ -167,9 +189,10 @@
 
     def _settings(self, name):
         settings = {
-            "site": self.name, "name": name, "region": "r",
+            "site": self.name, "name": name, "region": self.region,
             "zone": self.zone_of(name),
-            "entries": [{"name": e, "region": "r", "zone": self.zone_of(e),
+            "entries": [{"name": e, "region": self.region,
+                         "zone": self.zone_of(e),
                          "peers": self.addresses[f"{e}.peers"]}
                         for e in self.entry_names]}
         if self.timings:
@@ -188,11 +211,14 @@
         return path
 
     def _start(self, name, *arguments):
-        if name in self.processes:
-            self.processes[name].start()
-        else:
-            self.processes[name] = Process(self, name, list(arguments))
-        return self.processes[name]
+        with self.lock:
+            if self.closing:
+                raise RuntimeError("the site is being closed")
+            if name in self.processes:
+                self.processes[name].start()
+            else:
+                self.processes[name] = Process(self, name, list(arguments))
+            return self.processes[name]
 
     def ledger(self, name):
         return os.path.join(self.folder, name + ".ledger")
@@ -206,7 +232,7 @@
 
     def _await_ready(self, name):
         process = self.processes[name]
-        until(lambda: "ready " in process.log()
+        until(lambda: "ready " in process.log_of_life()
               or process.popen.poll() is not None, what=f"{name} ready")
 
     def start_entry(self, name):
@@ -232,14 +258,26 @@
                     "--node", guard, *options["upstream_options"])
         self._await_ready(f"{guard}.upstream")
 
+    def _worker_size(self):
+        return [option for name, value
+                in self.guard_options["worker_size"].items()
+                for option in (f"--{name.replace('_', '-')}", str(value))]
+
     def start_worker(self, guard):
         self._start(f"{guard}.worker", f"{self.build}/standins/worker",
                     "--listen", self.addresses[f"{guard}.runtime"],
                     "--control", self.addresses[f"{guard}.runtime-control"],
                     "--ledger", self.ledger(f"{guard}.worker"),
-                    "--node", guard, *self.guard_options["worker_options"])
+                    "--node", guard, *self._worker_size(),
+                    *self.guard_options["worker_options"])
         self._await_ready(f"{guard}.worker")
 
+    def start_caller(self, name, *arguments):
+        """Start a load generator with ARGUMENTS; the process."""
+        return self._start(name, f"{self.build}/standins/caller",
+                           "--name", name, "--ledger", self.ledger(name),
+                           *arguments)
+
     def start_guard(self, name, alone=False):
         """Start a guard; unless ALONE, what it guards first."""
         options = self.guard_options
@@ -253,14 +291,19 @@
                 "address": self.addresses[f"{name}.upstream"],
                 "slots": options["slots"],
                 "connections": options["connections"]}
+            if options["reserve"]:
+                guard["upstream"]["reserve"] = options["reserve"]
         if options["worker"]:
             if not alone:
                 self.start_worker(name)
             guard["worker"] = {
                 "runtime": self.addresses[f"{name}.runtime"],
-                "millicores": 16000, "memory_mib": 61440,
-                "accelerators": 0}
+                **options["worker_size"]}
         settings["guard"] = guard
+        if self.guards_per_rack:
+            in_zone = self.guard_names.index(name) // len(self.zones)
+            rack = in_zone // self.guards_per_rack + 1
+            settings["rack"] = f"{settings['zone']}-r{rack}"
         path = self._write(name, settings)
         self._start(name, f"{self.build}/galenapier-guard", "--config", path)
 
@@ -275,10 +318,16 @@
     def fault(self, name, faults):
         """Set faults of a stand-in: "log", "GUARD.upstream" or
         "GUARD.runtime"."""
-        status, _, body = request(self.addresses[f"{name}-control"], "POST",
-                                  "/faults", json.dumps(faults))
+        self.control(name, "POST", faults)
+
+    def control(self, name, method, faults=None):
+        """Set or get the faults of a stand-in."""
+        body = json.dumps(faults) if faults is not None else None
+        status, _, answer = request(self.addresses[f"{name}-control"], method,
+                                    "/faults", body)
         if status != 200:
-            raise RuntimeError(f"faults of {name}: {status} {body}")
+            raise RuntimeError(f"faults of {name}: {status} {answer}")
+        return json.loads(answer)
 
     def counter(self, entry, name):
         _, _, body = self.operate(entry, "GET", "/v1/counters")
