--- a/Makefile
+++ b/Makefile
@@ -112,7 +112,7 @@
 bench: all $(BENCHES)
 	@tools/run-bench $(BUILD) $(BENCHES)
 
-demo: all
+demo:
 	@tools/demo $(BUILD)
 
 # Fuzz targets with libFuzzer and ASan; needs clang.
--- a/tools/experiment_run.py
+++ b/tools/experiment_run.py
@@ -6,6 +6,7 @@
 its id.
 """
 
+import datetime
 import json
 import os
 import random
@@ -15,6 +16,7 @@
 import tempfile
 import threading
 import time
+import zoneinfo
 
 import yaml
 
@@ -311,11 +313,11 @@
             for one in entries + guards:
                 self.do_drain({**one, "for_s": step.get("pause_s", 0)})
             return
-        names = [p for one in entries + guards for p in self._parts(one)]
+        names = [p for one in guards + entries for p in self._parts(one)]
         for name in names:
             self._kill(name)
         self.over.wait(step.get("pause_s", 0))
-        for name in reversed(names):
+        for name in reversed(names):  # the entries first
             self._start(name)
 
     def _step(self, step):
@@ -401,9 +403,9 @@
             watchers={w["name"]: w["count"]
                       for w in document.get("watchers", [])
                       if self.site.guard_options["worker"]},
-            deadlines={j["name"]: j["deadline_s"]
+            deadlines={j["name"]: deadline_s(j, document)
                        for j in document.get("batch_jobs", [])
-                       if "deadline_s" in j},
+                       if "deadline_s" in j or "deadline" in j},
             idempotent=[k["name"] for load in self.scenario.get("load", [])
                         for k in load["kinds"] if k.get("idempotent")])
 
@@ -485,3 +487,15 @@
             shutil.copytree(self.site.folder, keep, dirs_exist_ok=True)
         return report
 
+
+def deadline_s(job, document):
+    """Seconds from now to the deadline of JOB; DOCUMENT has its zone."""
+    if "deadline_s" in job:
+        return job["deadline_s"]
+    zone = zoneinfo.ZoneInfo(document.get("time_zone", "UTC"))
+    now = datetime.datetime.now(zone)
+    hour, minute = (int(part) for part in job["deadline"].split(":"))
+    then = now.replace(hour=hour, minute=minute, second=0, microsecond=0)
+    if then <= now:
+        then += datetime.timedelta(days=1)
+    return (then - now).total_seconds()
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -4,6 +4,7 @@
 docs/operators/experiments.md explains each key.
 """
 
+import json
 import os
 
 import yaml
@@ -65,6 +66,7 @@
     def __init__(self, path):
         self.path = path
         self.loader = None
+        self.processes = []  # nodes that name one
 
     def fail(self, node, text):
         mark = node.start_mark
@@ -125,11 +127,29 @@
         if "do" not in pairs or value.value not in STEPS:
             self.fail(key, f"{where}.do: what to do (allowed: "
                       f"{', '.join(STEPS)})")
+        if "process" in pairs:
+            named = pairs["process"][1]
+            self.processes += named.value \
+                if isinstance(named, yaml.SequenceNode) else [named]
         schema = STEPS[value.value]
         needed = REQUIRED[id(STEP)] + REQUIRED.get(id(schema), ())
         return self._mapping(node, {**STEP, **schema}, where, needed)
 
 
+    def check_processes(self, site):
+        """Steps may name processes of SITE only."""
+        known = {"log"}
+        known.update(f"entry-{i + 1}" for i in range(site.get("entries", 1)))
+        for i in range(site.get("guards", 1)):
+            known.add(f"guard-{i + 1}")
+            known.update(f"guard-{i + 1}.{part}"
+                         for part in ("upstream", "worker") if part in site)
+        for node in self.processes:
+            if node.value not in known:
+                self.fail(node, f"{node.value}: no such process (allowed: "
+                          f"{', '.join(sorted(known))})")
+
+
 def load(path):
     """The scenario in the file PATH, or a ScenarioError."""
     reader = _Reader(path)
@@ -146,6 +166,7 @@
     if node is None:
         raise ScenarioError(f"{path}: error: empty")
     scenario = reader.read(node, SCENARIO, "")
+    reader.check_processes(scenario["site"])
     scenario["document"] = _document(scenario, os.path.dirname(path))
     return scenario
 
@@ -163,7 +184,7 @@
     payloads = scenario.get("payloads", {})
     for item in document.get("batch_jobs", []) + document.get("watchers", []):
         if item["name"] in payloads:
-            item["payload"] = payloads[item["name"]]
+            item["payload"] = json.dumps(payloads[item["name"]])
     return document
 
 
