Test the guard's tasks between a fake entry and a fake runtime

21 cases: refusals, duplicates, stale incarnations, lapse, fence, a pause past the lease, adoption, a restarted or silent runtime, lost answers, repeated reports, eviction, recycling, leaving.

--- /dev/null
+++ b/tests/unit/task_site.c
@@ -0,0 +1,339 @@
+#include "task_site.h"
+
+#include <unistd.h>
+
+#include "transport_support.h"
+
+#define PATIENCE (20 * GP_SEC)
+
+static const char settings_text[]
+    = "site: s\nname: guard-1\nregion: r\nzone: z\n"
+      "entries: [{name: entry-1, region: r, zone: z, peers: "
+      "\"127.0.0.1:%d\"}]\n"
+      "guard:\n"
+      "  upstream: {service: a, address: \"127.0.0.1:9\", slots: 1, "
+      "connections: 1,\n"
+      "    reserve: {millicores: 1000, memory_mib: 0}}\n"
+      "  worker: {runtime: \"127.0.0.1:%d\", millicores: 5000, "
+      "memory_mib: 1000}\n"
+      "timings: {heartbeat_ms: 20, lease_ms: 3000, vouch_ms: 3000, "
+      "margin_ms: 10,\n"
+      "  suspect_ms: 1000, usage_ms: 10, reconnect_min_ms: 1}\n";
+
+/* Told.  */
+
+static told_t
+copy_report (const Gp__Wire__TaskReport *report)
+{
+  return (told_t){
+    .task = report->task,
+    .epoch = report->epoch,
+    .state = report->state,
+    .reason = report->reason,
+    .number = report->number,
+    .text = g_strdup_printf (
+        "%.*s/%.*s", (int)report->result.len, (char *)report->result.data,
+        (int)report->checkpoint.len, (char *)report->checkpoint.data),
+    .free_millicores = report->free != NULL ? report->free->millicores : 0
+  };
+}
+
+static void
+told_clear (void *data)
+{
+  g_free (((told_t *)data)->text);
+}
+
+void
+task_site_ack (task_site_t *site, const told_t *told)
+{
+  Gp__Wire__TaskReportAck ack = GP__WIRE__TASK_REPORT_ACK__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (TASK_REPORT_ACK, task_report_ack, &ack);
+
+  ack.task = told->task;
+  ack.epoch = told->epoch;
+  ack.state = told->state;
+  ack.number = told->number;
+  gp_session_send (site->session, &envelope);
+}
+
+static void
+take_report (task_site_t *site, const Gp__Wire__TaskReport *report)
+{
+  told_t told = copy_report (report);
+
+  g_array_append_val (site->reports, told);
+  if (site->acks && told.number != 0)
+    task_site_ack (site, &told);
+}
+
+static void
+take_inventory (task_site_t *site, const Gp__Wire__Inventory *inventory)
+{
+  g_array_set_size (site->inventory, 0);
+  for (size_t i = 0; i < inventory->n_tasks; i++)
+    {
+      told_t told = copy_report (inventory->tasks[i]);
+
+      g_array_append_val (site->inventory, told);
+    }
+  if (inventory->lease_incarnation == site->lease)
+    site->inventories++;
+}
+
+static void
+take_announce (task_site_t *site, const Gp__Wire__Announce *announce)
+{
+  site->lease = announce->lease_incarnation;
+  site->inherits = announce->inherits;
+  site->boot = announce->runtime_incarnation;
+  site->capacity
+      = announce->capacity != NULL ? announce->capacity->millicores : 0;
+  site->leaving
+      = announce->state == GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING;
+}
+
+static void
+answer_heartbeat (task_site_t *site, const Gp__Wire__Heartbeat *heartbeat)
+{
+  Gp__Wire__HeartbeatReply reply = GP__WIRE__HEARTBEAT_REPLY__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (HEARTBEAT_REPLY, heartbeat_reply, &reply);
+
+  site->heartbeats++;
+  site->free = heartbeat->free != NULL ? heartbeat->free->millicores : 0;
+  if (!heartbeat->renew)
+    return;
+  reply.sequence = heartbeat->sequence;
+  reply.lease_incarnation = heartbeat->lease_incarnation;
+  reply.lease_remaining_us = (uint64_t)site->grant;
+  reply.fenced = site->fenced;
+  site->fenced = false;
+  gp_session_send (site->session, &envelope);
+}
+
+static void
+on_entry_message (gp_session_t *session, const Gp__Wire__Envelope *envelope,
+                  void *data)
+{
+  task_site_t *site = data;
+
+  if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_ANNOUNCE)
+    take_announce (site, envelope->announce);
+  else if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_INVENTORY)
+    take_inventory (site, envelope->inventory);
+  else if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT)
+    answer_heartbeat (site, envelope->heartbeat);
+  else if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_TASK_REPORT)
+    take_report (site, envelope->task_report);
+  else if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_USAGE)
+    site->usages++;
+}
+
+static void
+on_entry_ready (gp_session_t *session, void *data)
+{
+  task_site_t *site = data;
+
+  site->session = session;
+}
+
+static void
+on_entry_close (gp_session_t *session, bool ready, const GError *reason,
+                void *data)
+{
+  task_site_t *site = data;
+
+  if (site->session == session)
+    site->session = NULL;
+}
+
+static const gp_session_callbacks_t entry_callbacks
+    = { .on_ready = on_entry_ready,
+        .on_message = on_entry_message,
+        .on_close = on_entry_close };
+
+/* The site.  */
+
+static int
+free_port (void)
+{
+  int port;
+
+  close (raw_listen (&port));
+  return port;
+}
+
+static void
+start_entry (task_site_t *site, int port)
+{
+  static const gp_identity_t self = { .site = "s",
+                                      .process = "entry-1",
+                                      .role = GP__WIRE__ROLE__ROLE_ENTRY,
+                                      .incarnation = 1,
+                                      .region = "r",
+                                      .zone = "z",
+                                      .address = "" };
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%d", port);
+
+  gp_session_host_init (&site->entry, &site->guard.loop, NULL, &self,
+                        &entry_callbacks, site);
+  g_assert (gp_session_host_listen (&site->entry, address, NULL));
+}
+
+void
+task_site_init (task_site_t *site)
+{
+  int entry_port = free_port ();
+  int runtime_port = free_port ();
+  g_autofree char *text
+      = g_strdup_printf (settings_text, entry_port, runtime_port);
+  g_autoptr (GError) error = NULL;
+
+  *site = (task_site_t){ .grant = 2 * GP_SEC, .acks = true };
+  if (!gp_settings_load_text (&site->settings, "test", text, strlen (text),
+                              &error)
+      || !gp_guard_init (&site->guard, &site->settings, &error))
+    g_error ("%s", error->message);
+  site->reports = g_array_new (FALSE, TRUE, sizeof (told_t));
+  site->inventory = g_array_new (FALSE, TRUE, sizeof (told_t));
+  g_array_set_clear_func (site->reports, told_clear);
+  g_array_set_clear_func (site->inventory, told_clear);
+  start_entry (site, entry_port);
+  fake_runtime_init (&site->runtime, &site->guard.loop, runtime_port);
+}
+
+void
+task_site_finish (task_site_t *site)
+{
+  gp_session_host_finish (&site->entry);
+  gp_guard_finish (&site->guard);
+  fake_runtime_finish (&site->runtime);
+  gp_settings_finish (&site->settings);
+  g_array_unref (site->reports);
+  g_array_unref (site->inventory);
+}
+
+static void
+on_late (gp_timer_t *timer, void *data)
+{
+  *(bool *)data = true;
+}
+
+/* Run until CONDITION or, when that is NULL, until report N has come.  */
+static bool
+run (task_site_t *site, bool (*condition) (const task_site_t *site),
+     const told_t *wanted, unsigned n)
+{
+  bool late = false;
+  gp_timer_t timer;
+
+  gp_timer_init (&timer, &site->guard.loop, on_late, &late);
+  gp_timer_arm (&timer, gp_time_now () + PATIENCE);
+  while (!late
+         && (condition != NULL ? !condition (site)
+                               : task_site_count (site, wanted->task,
+                                                  wanted->epoch, wanted->state)
+                                     < n))
+    uv_run (&site->guard.loop.uv, UV_RUN_ONCE);
+  gp_timer_finish (&timer);
+  run_turns (&site->guard.loop, 2);
+  return !late;
+}
+
+bool
+task_site_until (task_site_t *site,
+                 bool (*condition) (const task_site_t *site))
+{
+  return run (site, condition, NULL, 0);
+}
+
+static bool
+has_lease (const task_site_t *site)
+{
+  return site->inventories > 0 && site->runtime.renewals > 0 && site->free > 0;
+}
+
+bool
+task_site_ready (task_site_t *site)
+{
+  return task_site_until (site, has_lease);
+}
+
+void
+task_site_start (task_site_t *site, uint64_t task, uint64_t epoch,
+                 uint64_t incarnation, uint32_t millicores)
+{
+  Gp__Wire__Start start = GP__WIRE__START__INIT;
+  Gp__Wire__Resources resources = GP__WIRE__RESOURCES__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (START, start, &start);
+
+  resources.millicores = millicores;
+  start.task = task;
+  start.epoch = epoch;
+  start.guard_incarnation = incarnation;
+  start.kind = "k";
+  start.payload = "{}";
+  start.work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
+  start.resources = &resources;
+  gp_session_send (site->session, &envelope);
+}
+
+void
+task_site_stop (task_site_t *site, uint64_t task, uint64_t epoch,
+                Gp__Wire__StopMode mode)
+{
+  Gp__Wire__Stop stop = GP__WIRE__STOP__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (STOP, stop, &stop);
+
+  stop.task = task;
+  stop.epoch = epoch;
+  stop.mode = mode;
+  gp_session_send (site->session, &envelope);
+}
+
+static const told_t *
+find_told (const GArray *list, uint64_t task, uint64_t epoch,
+           Gp__Wire__TaskState state, unsigned n)
+{
+  for (guint i = 0; i < list->len; i++)
+    {
+      const told_t *told = &g_array_index (list, told_t, i);
+
+      if (told->task == task && told->epoch == epoch
+          && (state == GP__WIRE__TASK_STATE__TASK_STATE_UNSPECIFIED
+              || told->state == state)
+          && --n == 0)
+        return told;
+    }
+  return NULL;
+}
+
+unsigned
+task_site_count (const task_site_t *site, uint64_t task, uint64_t epoch,
+                 Gp__Wire__TaskState state)
+{
+  unsigned count = 0;
+
+  while (find_told (site->reports, task, epoch, state, count + 1) != NULL)
+    count++;
+  return count;
+}
+
+const told_t *
+task_site_await (task_site_t *site, uint64_t task, uint64_t epoch,
+                 Gp__Wire__TaskState state, unsigned n)
+{
+  const told_t wanted = { .task = task, .epoch = epoch, .state = state };
+
+  run (site, NULL, &wanted, n);
+  return find_told (site->reports, task, epoch, state, n);
+}
+
+const told_t *
+task_site_listed (const task_site_t *site, uint64_t task, uint64_t epoch)
+{
+  return find_told (site->inventory, task, epoch,
+                    GP__WIRE__TASK_STATE__TASK_STATE_UNSPECIFIED, 1);
+}
--- /dev/null
+++ b/tests/unit/test_runner.c
@@ -0,0 +1,540 @@
+/* The guard's tasks: the real guard between a fake entry and a fake runtime.
+
+   Every step waits for what it expects, and what must not happen is checked
+   after something later has happened on the same connection.  */
+
+#include "daemon/runner_private.h"
+#include "runner.h"
+#include "task_site.h"
+
+#include <signal.h>
+
+#define STATE(name) GP__WIRE__TASK_STATE__TASK_STATE_##name
+#define REASON(name) GP__WIRE__REASON__REASON_##name
+#define MODE(name) GP__WIRE__STOP_MODE__STOP_MODE_##name
+
+static task_site_t site;
+static uint64_t old_lease;
+
+static void
+begin (void)
+{
+  task_site_init (&site);
+  CU_ASSERT_TRUE (task_site_ready (&site));
+  old_lease = site.lease;
+}
+
+static void
+end (void)
+{
+  CU_ASSERT_EQUAL (site.runtime.refused, 0);
+  task_site_finish (&site);
+}
+
+static bool
+has_new_lease (const task_site_t *s)
+{
+  return s->lease > old_lease && s->capacity > 0
+         && s->runtime.holder == s->lease && s->free > 0;
+}
+
+static bool
+is_idle (const task_site_t *s)
+{
+  return json_object_size (s->runtime.tasks) == 0;
+}
+
+/* Run one task to its end, to see that all works.  */
+static void
+run_one (uint64_t task)
+{
+  task_site_start (&site, task, 1, site.lease, 1);
+  CU_ASSERT_PTR_NOT_NULL (
+      task_site_await (&site, task, 1, STATE (RUNNING), 1));
+  fake_runtime_set (&site.runtime, task, "succeeded", "", "");
+  CU_ASSERT_PTR_NOT_NULL (
+      task_site_await (&site, task, 1, STATE (SUCCEEDED), 1));
+}
+
+/* An end is repeated until it is acknowledged; then the runtime forgets.  */
+static void
+test_end (void)
+{
+  const told_t *told;
+
+  begin ();
+  CU_ASSERT_EQUAL (site.capacity, 4000);
+  CU_ASSERT_EQUAL (site.boot, site.runtime.boot);
+  CU_ASSERT_EQUAL (site.inventory->len, 0);
+  site.acks = false;
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 7, 1, STATE (RUNNING), 1));
+  fake_runtime_set (&site.runtime, 7, "checkpointed", "", "half");
+  told = task_site_await (&site, 7, 1, STATE (CHECKPOINTED), 2);
+  CU_ASSERT_STRING_EQUAL (told->text, "/half");
+  fake_runtime_set (&site.runtime, 7, "succeeded", "good", "half");
+  told = task_site_await (&site, 7, 1, STATE (SUCCEEDED), 3);
+  CU_ASSERT_STRING_EQUAL (told->text, "good/half");
+  CU_ASSERT_STRING_EQUAL (fake_runtime_state (&site.runtime, 7), "succeeded");
+  task_site_ack (&site, told);
+  CU_ASSERT_TRUE (task_site_until (&site, is_idle));
+  CU_ASSERT_EQUAL (site.runtime.forgotten, 1);
+  end ();
+}
+
+/* The acknowledgement of an older checkpoint does not stand for the last
+   one.  */
+static void
+test_checkpoint_ack (void)
+{
+  const told_t *told;
+  told_t older;
+
+  begin ();
+  site.acks = false;
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  task_site_await (&site, 7, 1, STATE (RUNNING), 1);
+  fake_runtime_set (&site.runtime, 7, "checkpointed", "", "one");
+  older = *task_site_await (&site, 7, 1, STATE (CHECKPOINTED), 1);
+  fake_runtime_set (&site.runtime, 7, "checkpointed", "", "two");
+  do
+    told = task_site_await (&site, 7, 1, STATE (CHECKPOINTED),
+                            task_site_count (&site, 7, 1, STATE (CHECKPOINTED))
+                                + 1);
+  while (told->number == older.number);
+  task_site_ack (&site, &older);
+  run_one (8);
+  told = task_site_await (&site, 7, 1, STATE (CHECKPOINTED),
+                          task_site_count (&site, 7, 1, STATE (CHECKPOINTED))
+                              + 1);
+  CU_ASSERT_STRING_EQUAL (told->text, "/two");
+  end ();
+}
+
+static void
+test_duplicate (void)
+{
+  begin ();
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 7, 1, STATE (RUNNING), 2));
+  CU_ASSERT_EQUAL (site.runtime.starts, 1);
+  fake_runtime_set (&site.runtime, 7, "failed", "", "");
+  task_site_await (&site, 7, 1, STATE (FAILED), 1);
+  CU_ASSERT_TRUE (task_site_until (&site, is_idle));
+  /* A copy that comes after all is neither started nor refused.  */
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  run_one (8);
+  CU_ASSERT_EQUAL (site.runtime.starts, 2);
+  CU_ASSERT_EQUAL (task_site_count (&site, 7, 1, STATE (REFUSED)), 0);
+  end ();
+}
+
+static void
+test_stale (void)
+{
+  begin ();
+  task_site_start (&site, 7, 1, site.lease - 1, 1000);
+  run_one (8);
+  CU_ASSERT_EQUAL (site.runtime.starts, 1);
+  CU_ASSERT_EQUAL (task_site_count (&site, 7, 1, STATE (REFUSED)), 0);
+  end ();
+}
+
+/* 4,000 of 5,000 are for tasks; what has ended leaves its room.  */
+static void
+test_capacity (void)
+{
+  const told_t *told;
+
+  begin ();
+  task_site_start (&site, 1, 1, site.lease, 3000);
+  task_site_start (&site, 2, 1, site.lease, 1500);
+  told = task_site_await (&site, 2, 1, STATE (REFUSED), 1);
+  CU_ASSERT_EQUAL (told->reason, REASON (CAPACITY));
+  CU_ASSERT_EQUAL (told->free_millicores, 1000);
+  task_site_start (&site, 3, 1, site.lease, 1000);
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 3, 1, STATE (RUNNING), 1));
+  fake_runtime_set (&site.runtime, 1, "succeeded", "", "");
+  task_site_await (&site, 1, 1, STATE (SUCCEEDED), 1);
+  task_site_start (&site, 2, 2, site.lease, 1500);
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 2, 2, STATE (RUNNING), 1));
+  end ();
+}
+
+/* The answer to a start is lost: it is asked for again, and runs once.  */
+static void
+test_start_unanswered (void)
+{
+  begin ();
+  site.runtime.mute_starts = 1;
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 7, 1, STATE (RUNNING), 1));
+  CU_ASSERT_EQUAL (site.runtime.starts, 1);
+  CU_ASSERT_EQUAL (task_site_count (&site, 7, 1, STATE (REFUSED)), 0);
+  end ();
+}
+
+static void
+test_start_turned_down (void)
+{
+  const told_t *told;
+
+  begin ();
+  site.runtime.refuse_start = 500;
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  told = task_site_await (&site, 7, 1, STATE (REFUSED), 1);
+  CU_ASSERT_EQUAL (told->reason, REASON (UPSTREAM));
+  site.runtime.refuse_start = 0;
+  /* The next epoch has the room.  */
+  task_site_start (&site, 7, 2, site.lease, 4000);
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 7, 2, STATE (RUNNING), 1));
+  end ();
+}
+
+/* The end of the last epoch is on the log, but not acknowledged here: the
+   next one says so.  */
+static void
+test_next_epoch (void)
+{
+  begin ();
+  site.acks = false;
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  task_site_await (&site, 7, 1, STATE (RUNNING), 1);
+  fake_runtime_set (&site.runtime, 7, "stopped", "", "");
+  task_site_await (&site, 7, 1, STATE (STOPPED), 1);
+  task_site_start (&site, 7, 2, site.lease, 1000);
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 7, 2, STATE (RUNNING), 1));
+  CU_ASSERT_STRING_EQUAL (fake_runtime_state (&site.runtime, 7), "running");
+  end ();
+}
+
+static void
+test_stop (void)
+{
+  const told_t *told;
+
+  begin ();
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  task_site_await (&site, 7, 1, STATE (RUNNING), 1);
+  task_site_stop (&site, 7, 1, MODE (THROTTLE));
+  task_site_stop (&site, 7, 1, MODE (EVICT));
+  told = task_site_await (&site, 7, 1, STATE (STOPPED), 1);
+  CU_ASSERT_STRING_EQUAL (told->text, "/taken at the stop");
+  CU_ASSERT_EQUAL (told->reason, REASON (CANCELLED));
+  CU_ASSERT_EQUAL (site.runtime.throttles, 1);
+  /* A stop that overtakes its start.  */
+  task_site_stop (&site, 8, 1, MODE (CANCEL));
+  told = task_site_await (&site, 8, 1, STATE (REFUSED), 1);
+  CU_ASSERT_EQUAL (told->reason, REASON (CANCELLED));
+  task_site_start (&site, 8, 1, site.lease, 1000);
+  run_one (9);
+  CU_ASSERT_EQUAL (task_site_count (&site, 8, 1, STATE (RUNNING)), 0);
+  end ();
+}
+
+/* After the end of its lease the guard stops all, and goes on.  */
+static void
+check_stopped (void)
+{
+  const told_t *listed;
+
+  CU_ASSERT_TRUE (task_site_until (&site, has_new_lease));
+  CU_ASSERT_EQUAL (site.inherits, 0);
+  listed = task_site_listed (&site, 7, 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (listed);
+  CU_ASSERT_EQUAL (listed->state, STATE (STOPPED));
+  site.grant = 2 * GP_SEC;
+  site.runtime.renewals = 0;
+  CU_ASSERT_TRUE (task_site_ready (&site));
+  task_site_start (&site, 9, 1, old_lease, 1000);
+  run_one (10);
+  CU_ASSERT_EQUAL (task_site_count (&site, 9, 1, STATE (REFUSED)), 0);
+}
+
+static void
+run_unacknowledged (void)
+{
+  site.acks = false;
+  task_site_start (&site, 7, 1, site.lease, 4000);
+  task_site_await (&site, 7, 1, STATE (RUNNING), 1);
+}
+
+static void
+test_lapse (void)
+{
+  begin ();
+  run_unacknowledged ();
+  site.grant = 0;
+  check_stopped ();
+  end ();
+}
+
+static void
+test_fence (void)
+{
+  begin ();
+  run_unacknowledged ();
+  site.fenced = true;
+  check_stopped ();
+  end ();
+}
+
+static bool
+has_claimed_again (const task_site_t *s)
+{
+  return s->runtime.holder > old_lease;
+}
+
+/* A task that does not stop holds up the new incarnation.  */
+static void
+test_fence_hangs (void)
+{
+  begin ();
+  run_unacknowledged ();
+  site.runtime.hang_stop = true;
+  site.fenced = true;
+  CU_ASSERT_TRUE (task_site_until (&site, has_claimed_again));
+  site.heartbeats = 0;
+  task_site_start (&site, 8, 1, site.lease, 1);
+  CU_ASSERT_EQUAL (task_site_await (&site, 8, 1, STATE (REFUSED), 1)->reason,
+                   REASON (FENCED));
+  CU_ASSERT_EQUAL (site.lease, old_lease);
+  fake_runtime_set (&site.runtime, 7, "stopped", "", "");
+  check_stopped ();
+  end ();
+}
+
+/* A Start that waits while the guard is paused past its lease.  */
+static void
+test_pause (void)
+{
+  Gp__Wire__Start start = GP__WIRE__START__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (START, start, &start);
+  gp_runner_t *runner;
+
+  begin ();
+  run_unacknowledged ();
+  runner = site.guard.runner;
+  start.task = 8;
+  start.epoch = 1;
+  start.guard_incarnation = site.lease;
+  runner->holder.deadline = gp_time_now ();
+  gp_runner_on_message (
+      runner,
+      GP_CONTAINER_OF (site.guard.host.sessions.next, gp_session_t, link),
+      &envelope);
+  CU_ASSERT_EQUAL (task_site_await (&site, 8, 1, STATE (REFUSED), 1)->reason,
+                   REASON (FENCED));
+  CU_ASSERT_EQUAL (site.runtime.starts, 1);
+  check_stopped ();
+  end ();
+}
+
+/* A guard starts beside a runtime with tasks of its predecessor.  */
+static void
+test_adopt (void)
+{
+  task_site_init (&site);
+  site.acks = false;
+  site.grant = 0;
+  site.runtime.holder = 5;
+  site.runtime.deadline = gp_time_now () + 60 * GP_SEC;
+  fake_runtime_put (&site.runtime, 1, 4, "running", 3000);
+  fake_runtime_put (&site.runtime, 2, 6, "succeeded", 1000);
+  site.runtime.renewals = 1;
+  CU_ASSERT_TRUE (task_site_ready (&site));
+  CU_ASSERT_EQUAL (site.inherits, 5);
+  CU_ASSERT_EQUAL (site.runtime.holder, site.lease);
+  CU_ASSERT_EQUAL (site.inventory->len, 2);
+  CU_ASSERT_EQUAL (task_site_listed (&site, 1, 4)->state, STATE (RUNNING));
+  CU_ASSERT_EQUAL (task_site_listed (&site, 2, 6)->state, STATE (SUCCEEDED));
+  CU_ASSERT_EQUAL (site.free, 1000);
+  task_site_start (&site, 3, 1, site.lease, 1001);
+  CU_ASSERT_EQUAL (task_site_await (&site, 3, 1, STATE (REFUSED), 1)->reason,
+                   REASON (CAPACITY));
+  task_site_ack (&site, task_site_await (&site, 2, 6, STATE (SUCCEEDED), 1));
+  fake_runtime_set (&site.runtime, 1, "failed", "", "");
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 1, 4, STATE (FAILED), 1));
+  CU_ASSERT_PTR_NULL (fake_runtime_state (&site.runtime, 2));
+  end ();
+}
+
+/* The predecessor had a greater incarnation (the wall clock stepped back).  */
+static void
+test_greater_predecessor (void)
+{
+  uint64_t greater = (uint64_t)gp_time_wall () + 3600 * (uint64_t)GP_SEC;
+
+  task_site_init (&site);
+  site.runtime.holder = greater;
+  CU_ASSERT_TRUE (task_site_ready (&site));
+  CU_ASSERT_EQUAL (site.lease, greater + 1);
+  run_one (1);
+  end ();
+}
+
+static void
+test_runtime_restart (void)
+{
+  const told_t *listed;
+
+  begin ();
+  run_unacknowledged ();
+  fake_runtime_set (&site.runtime, 7, "checkpointed", "", "half");
+  task_site_await (&site, 7, 1, STATE (CHECKPOINTED), 1);
+  fake_runtime_reboot (&site.runtime);
+  CU_ASSERT_TRUE (task_site_until (&site, has_new_lease));
+  CU_ASSERT_EQUAL (site.boot, site.runtime.boot);
+  listed = task_site_listed (&site, 7, 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (listed);
+  CU_ASSERT_EQUAL (listed->state, STATE (LOST));
+  CU_ASSERT_STRING_EQUAL (listed->text, "/half");
+  site.runtime.renewals = 0;
+  CU_ASSERT_TRUE (task_site_ready (&site));
+  run_one (8);
+  end ();
+}
+
+static bool
+is_down (const task_site_t *s)
+{
+  return s->free == 0;
+}
+
+/* The runtime is out of reach for a while; no end is missed.  */
+static void
+test_runtime_silent (void)
+{
+  begin ();
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  task_site_await (&site, 7, 1, STATE (RUNNING), 1);
+  site.runtime.silent = true;
+  gp_http_exchange_abort (site.runtime.waiting);
+  site.runtime.waiting = NULL;
+  CU_ASSERT_TRUE (task_site_until (&site, is_down));
+  fake_runtime_set (&site.runtime, 7, "succeeded", "", "");
+  site.runtime.silent = false;
+  CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 7, 1, STATE (SUCCEEDED), 1));
+  CU_ASSERT_EQUAL (site.lease, old_lease);
+  end ();
+}
+
+/* The table of epochs is full: a new incarnation that keeps its tasks.  */
+static void
+test_recycle (void)
+{
+  begin ();
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  task_site_await (&site, 7, 1, STATE (RUNNING), 1);
+  site.guard.runner->epochs.max_tasks = 3;
+  run_one (1);
+  run_one (2);
+  CU_ASSERT_TRUE (task_site_until (&site, has_new_lease));
+  CU_ASSERT_EQUAL (site.inherits, old_lease);
+  CU_ASSERT_EQUAL (task_site_listed (&site, 7, 1)->state, STATE (RUNNING));
+  CU_ASSERT_STRING_EQUAL (fake_runtime_state (&site.runtime, 7), "running");
+  run_one (3);
+  end ();
+}
+
+static bool
+is_withdrawn (const task_site_t *s)
+{
+  return s->lease == 0 && s->capacity == 0;
+}
+
+static void
+test_superseded (void)
+{
+  begin ();
+  site.runtime.holder = old_lease + 1000;
+  CU_ASSERT_TRUE (task_site_until (&site, is_withdrawn));
+  CU_ASSERT_EQUAL (site.runtime.holder, old_lease + 1000);
+  task_site_finish (&site);
+}
+
+/* Over its reservation, and no room: throttled first, then evicted.  */
+static void
+test_usage (void)
+{
+  const told_t *told;
+
+  begin ();
+  task_site_start (&site, 1, 1, site.lease, 2000);
+  task_site_start (&site, 2, 1, site.lease, 2000);
+  task_site_await (&site, 2, 1, STATE (RUNNING), 1);
+  json_array_append_new (site.runtime.usage,
+                         json_pack ("{s:s,s:i,s:i,s:i}", "task",
+                                    "0000000000000001", "epoch", 1,
+                                    "millicores", 3000, "memory_mib", 0));
+  told = task_site_await (&site, 1, 1, STATE (STOPPED), 1);
+  CU_ASSERT_EQUAL (told->reason, REASON (CAPACITY));
+  CU_ASSERT_EQUAL (site.runtime.throttles, 1);
+  CU_ASSERT_TRUE (site.usages > 0);
+  CU_ASSERT_STRING_EQUAL (fake_runtime_state (&site.runtime, 2), "running");
+  end ();
+}
+
+static bool
+is_drained (const task_site_t *s)
+{
+  return s->leaving && s->guard.draining == 0;
+}
+
+/* The guard leaves: it refuses, evicts, and waits for the
+   acknowledgement.  */
+static void
+test_leave (void)
+{
+  const told_t *told;
+
+  begin ();
+  site.acks = false;
+  task_site_start (&site, 7, 1, site.lease, 1000);
+  task_site_await (&site, 7, 1, STATE (RUNNING), 1);
+  raise (SIGTERM);
+  told = task_site_await (&site, 7, 1, STATE (STOPPED), 2);
+  CU_ASSERT_EQUAL (told->reason, REASON (LEAVING));
+  CU_ASSERT_STRING_EQUAL (told->text, "/taken at the stop");
+  task_site_start (&site, 8, 1, site.lease, 1000);
+  told = task_site_await (&site, 8, 1, STATE (REFUSED), 1);
+  CU_ASSERT_EQUAL (told->reason, REASON (LEAVING));
+  CU_ASSERT_FALSE (is_drained (&site));
+  site.acks = true;
+  CU_ASSERT_TRUE (task_site_until (&site, is_drained));
+  CU_ASSERT_TRUE (is_idle (&site));
+  end ();
+}
+
+static CU_TestInfo tests[] = {
+  { "end", test_end },
+  { "checkpoint_ack", test_checkpoint_ack },
+  { "duplicate", test_duplicate },
+  { "stale", test_stale },
+  { "capacity", test_capacity },
+  { "start_unanswered", test_start_unanswered },
+  { "start_turned_down", test_start_turned_down },
+  { "next_epoch", test_next_epoch },
+  { "stop", test_stop },
+  { "lapse", test_lapse },
+  { "fence", test_fence },
+  { "fence_hangs", test_fence_hangs },
+  { "pause", test_pause },
+  { "adopt", test_adopt },
+  { "greater_predecessor", test_greater_predecessor },
+  { "runtime_restart", test_runtime_restart },
+  { "runtime_silent", test_runtime_silent },
+  { "recycle", test_recycle },
+  { "superseded", test_superseded },
+  { "usage", test_usage },
+  { "leave", test_leave },
+  CU_TEST_INFO_NULL,
+};
+
+int
+main (void)
+{
+  gp_log_init ("test", GP_LOG_ERROR);
+  return runner_main ("runner", tests);
+}
