End sessions before what they use at a process's exit

A guard or entry that stopped freed its dialers while the loop still had their timers to close, and sessions that were still open then called back into freed parts; the guard's test under ASan showed both.

--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -312,17 +312,19 @@
 gp_entry_finish (gp_entry_t *entry)
 {
   gp_timer_finish (&entry->stop_timer);
+  for (size_t i = 0; i < entry->dialer_count; i++)
+    gp_dialer_stop (&entry->dialers[i]);
+  gp_session_host_finish (&entry->host);
   for (size_t i = 0; i < entry->dialer_count; i++)
     gp_dialer_finish (&entry->dialers[i]);
-  g_free (entry->dialers);
   gp_configuration_free (entry->configuration);
   gp_tasks_free (entry->tasks);
   gp_store_free (entry->store);
   gp_relays_finish (&entry->relays);
   gp_routes_finish (&entry->routes);
-  gp_session_host_finish (&entry->host);
   g_free (entry->events);
   gp_loop_finish (&entry->loop);
+  g_free (entry->dialers);
   if (entry->tls != NULL)
     gp_tls_free (entry->tls);
   g_rand_free (entry->rand);
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -386,9 +386,11 @@
 void
 gp_guard_finish (gp_guard_t *guard)
 {
+  for (size_t i = 0; i < guard->dialer_count; i++)
+    gp_dialer_stop (&guard->dialers[i]);
+  gp_session_host_finish (&guard->host);
   for (size_t i = 0; i < guard->dialer_count; i++)
     gp_dialer_finish (&guard->dialers[i]);
-  g_free (guard->dialers);
   gp_timer_finish (&guard->heartbeat);
   if (has_upstream (guard))
     gp_executor_finish (&guard->executor);
@@ -396,8 +398,8 @@
     gp_runner_free (guard->runner);
   gp_configuration_free (guard->configuration);
   g_free (guard->events);
-  gp_session_host_finish (&guard->host);
   gp_loop_finish (&guard->loop);
+  g_free (guard->dialers);
   if (guard->tls != NULL)
     gp_tls_free (guard->tls);
   g_rand_free (guard->rand);
--- a/src/protocol/session.c
+++ b/src/protocol/session.c
@@ -5,6 +5,9 @@
 #include "base/counters.h"
 #include "base/error.h"
 
+/* Turns of the loop that an aborted session needs at most.  */
+#define FINISH_TURNS 8
+
 static gp_counter_t sessions_refused = GP_COUNTER (
     "peer_sessions_refused_total", "Sessions refused at Hello or after.");
 
@@ -230,6 +233,11 @@
 void
 gp_session_host_finish (gp_session_host_t *host)
 {
+  gp_session_host_close (host);
+  GP_LIST_FOREACH (pos, &host->sessions)
+  gp_session_close (GP_CONTAINER_OF (pos, gp_session_t, link), true);
+  for (int i = 0; i < FINISH_TURNS && !gp_list_empty (&host->sessions); i++)
+    uv_run (&host->loop->uv, UV_RUN_NOWAIT);
   gp_arena_finish (&host->arena);
 }
 
--- a/src/protocol/session.h
+++ b/src/protocol/session.h
@@ -85,6 +85,9 @@
 
 /* Close the listener and every session.  */
 void gp_session_host_close (gp_session_host_t *host);
+
+/* Abort every session and run the loop, without waiting, until each on_close
+   has been called; to be called before what the callbacks use goes.  */
 void gp_session_host_finish (gp_session_host_t *host);
 
 /* Start a session to ADDRESS; OWNER is kept in it.  NULL and ERROR when the
