--- a/src/daemon/runner_private.h
+++ b/src/daemon/runner_private.h
@@ -137,7 +137,7 @@
 void gp_runner_resize (gp_runner_t *runner);
 /* When it leaves: whether it is done.  */
 void gp_runner_check_drained (gp_runner_t *runner);
-Gp__Wire__Resources gp_runner_wire_resources (const gp_resources_t *from);
+Gp__Wire__Resources gp_runner_wire_resources (const gp_resources_t *resources);
 void gp_runner_note (gp_runner_t *runner, gp_timeline_kind_t kind,
                      const gp_runner_key_t *key, const char *text);
 
@@ -197,9 +197,8 @@
                        Gp__Wire__Reason reason);
 void gp_runner_acknowledge (gp_runner_t *runner,
                             const Gp__Wire__TaskReportAck *ack);
-/* All epochs of the task TASK below EPOCH have ended on the log.  */
-void gp_runner_settle_older (gp_runner_t *runner, uint64_t task,
-                             uint64_t epoch);
+/* All epochs of the task ID below EPOCH have ended on the log.  */
+void gp_runner_settle_older (gp_runner_t *runner, uint64_t id, uint64_t epoch);
 /* Let the runtime forget TASK.  */
 void gp_runner_forget_task (gp_runner_t *runner, gp_runner_task_t *task);
 
