Test that the next epoch settles the last, and that an adopted task is busy

Of 22 mutants of the runner, two real ones were not found: the next epoch's Start not settling the older record, and an adopted task missing from the table of epochs. Both have a check now. The other two survivors change nothing: the lease holder checks again by itself, and events heard twice are ignored.

--- a/tests/unit/test_runner.c
+++ b/tests/unit/test_runner.c
@@ -206,6 +206,7 @@
   task_site_start (&site, 7, 2, site.lease, 1000);
   CU_ASSERT_PTR_NOT_NULL (task_site_await (&site, 7, 2, STATE (RUNNING), 1));
   CU_ASSERT_STRING_EQUAL (fake_runtime_state (&site.runtime, 7), "running");
+  CU_ASSERT_PTR_NULL (gp_runner_find (site.guard.runner, 7, 1));
   end ();
 }
 
@@ -356,6 +357,9 @@
   task_site_start (&site, 3, 1, site.lease, 1001);
   CU_ASSERT_EQUAL (task_site_await (&site, 3, 1, STATE (REFUSED), 1)->reason,
                    REASON (CAPACITY));
+  task_site_start (&site, 1, 5, site.lease, 1);
+  CU_ASSERT_EQUAL (task_site_await (&site, 1, 5, STATE (REFUSED), 1)->reason,
+                   REASON (FENCED));
   CU_ASSERT_STRING_EQUAL (
       task_site_await (&site, 1, 4, STATE (CHECKPOINTED), 1)->text, "/half");
   task_site_ack (&site, task_site_await (&site, 2, 6, STATE (SUCCEEDED), 1));
