--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,8 @@
 TEST_SUPPORT_OBJ := $(TEST_SUPPORT_SRC:%.c=$(BUILD)/%.o)
 BENCH_SRC := $(wildcard bench/bench_*.c)
 BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
+DRIVER_SRC := $(wildcard bench/driver_*.c)
+DRIVERS := $(DRIVER_SRC:bench/%.c=$(BUILD)/bench/%)
 FUZZ_SRC := $(wildcard tests/fuzz/fuzz_*.c)
 FUZZERS := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
 FUZZ_LIB_SRC := $(wildcard src/base/*.c src/state/document*.c) \
@@ -64,7 +66,7 @@
 	proto deps clean soak
 .SECONDARY:
 
-all: $(LIB) $(PROGRAMS) $(STANDINS)
+all: $(LIB) $(PROGRAMS) $(STANDINS) $(DRIVERS)
 
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
