--- a/bench/driver_fleet.c
+++ b/bench/driver_fleet.c
@@ -141,26 +141,34 @@
                   GP_CONTAINER_OF (fleet->running.next, run_t, link)->end_at);
 }
 
-/* All runs take as long, so the list is in order of their ends.  */
+/* The oldest run whose end has come, or NULL.  All runs take as long, so
+   the list is in order of their ends.  */
+static run_t *
+take_ended (fleet_t *fleet, gp_time_t now)
+{
+  run_t *run = GP_CONTAINER_OF (fleet->running.next, run_t, link);
+
+  if (gp_list_empty (&fleet->running) || run->end_at > now)
+    return NULL;
+  gp_list_remove (&run->link);
+  return run;
+}
+
 static void
 on_runs (gp_timer_t *timer, void *data)
 {
   fleet_t *fleet = data;
   gp_time_t now = gp_loop_now (&fleet->loop);
+  run_t *run;
 
   (void)timer;
-  GP_LIST_FOREACH_SAFE (pos, &fleet->running)
-  {
-    run_t *run = GP_CONTAINER_OF (pos, run_t, link);
-
-    if (run->end_at > now)
-      break;
-    fleet->ends++;
-    report (run->guard, run->task, run->epoch,
-            GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED);
-    gp_list_remove (&run->link);
-    g_free (run);
-  }
+  while ((run = take_ended (fleet, now)) != NULL)
+    {
+      fleet->ends++;
+      report (run->guard, run->task, run->epoch,
+              GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED);
+      g_free (run);
+    }
   arm_runs (fleet);
 }
 
