--- a/bench/driver_fleet.c
+++ b/bench/driver_fleet.c
@@ -15,7 +15,6 @@
 
 typedef struct
 {
-  gp_list_t link; /* in fleet->running, by end_at */
   uint64_t task;
   uint64_t epoch;
   gp_time_t end_at;
@@ -42,7 +41,7 @@
   int announced;
   int heartbeat_ms;
   int run_ms;
-  gp_list_t running;
+  GQueue running; /* of run_t, by end_at */
   gp_timer_t run_timer;
   gp_timer_t end_timer;
   uint64_t heartbeats;
@@ -136,22 +135,22 @@
 static void
 arm_runs (fleet_t *fleet)
 {
-  if (!gp_list_empty (&fleet->running))
-    gp_timer_arm (&fleet->run_timer,
-                  GP_CONTAINER_OF (fleet->running.next, run_t, link)->end_at);
+  const run_t *run = g_queue_peek_head (&fleet->running);
+
+  if (run != NULL)
+    gp_timer_arm (&fleet->run_timer, run->end_at);
 }
 
 /* The oldest run whose end has come, or NULL.  All runs take as long, so
-   the list is in order of their ends.  */
+   the queue is in order of their ends.  */
 static run_t *
 take_ended (fleet_t *fleet, gp_time_t now)
 {
-  run_t *run = GP_CONTAINER_OF (fleet->running.next, run_t, link);
+  const run_t *run = g_queue_peek_head (&fleet->running);
 
-  if (gp_list_empty (&fleet->running) || run->end_at > now)
+  if (run == NULL || run->end_at > now)
     return NULL;
-  gp_list_remove (&run->link);
-  return run;
+  return g_queue_pop_head (&fleet->running);
 }
 
 static void
@@ -183,7 +182,7 @@
   run->epoch = start->epoch;
   run->guard = guard;
   run->end_at = gp_loop_now (&fleet->loop) + fleet->run_ms * GP_MSEC;
-  gp_list_push_back (&fleet->running, &run->link);
+  g_queue_push_tail (&fleet->running, run);
   report (guard, run->task, run->epoch,
           GP__WIRE__TASK_STATE__TASK_STATE_RUNNING);
   arm_runs (fleet);
@@ -293,7 +292,7 @@
       return 2;
     }
   fleet.rand = g_rand_new_with_seed (1);
-  gp_list_init (&fleet.running);
+  g_queue_init (&fleet.running);
   gp_timer_init (&fleet.run_timer, &fleet.loop, on_runs, &fleet);
   gp_timer_init (&fleet.end_timer, &fleet.loop, on_end, &fleet);
   gp_timer_arm (&fleet.end_timer,
