--- a/src/daemon/tasks.c
+++ b/src/daemon/tasks.c
@@ -1,102 +1,759 @@
-/* Tasks at an entry.  */
+/* Tasks at an entry: wiring, and the mirror of the fold's tasks.  */
 
-#include "daemon/tasks.h"
+#include "daemon/tasks_private.h"
 
-struct gp_tasks
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "coordination/rendezvous.h"
+
+#define TICK (50 * GP_MSEC)
+#define DUE_PER_TICK 500
+
+static gp_counter_t proposals_refused = GP_COUNTER (
+    "entry_task_proposals_refused_total",
+    "Records on tasks that were not taken, as the log took nothing.");
+static gp_counter_t tasks_pending
+    = GP_GAUGE ("entry_tasks_pending", "Tasks that wait for a worker.");
+static gp_counter_t tasks_granted
+    = GP_GAUGE ("entry_tasks_granted", "Tasks with a grant.");
+static gp_counter_t tasks_parked
+    = GP_GAUGE ("entry_tasks_parked", "Tasks that are parked.");
+
+/* Lookups.  */
+
+gp_tasks_task_t *
+gp_tasks_find (const gp_tasks_t *tasks, uint64_t id)
 {
-  gp_store_t *store;
-};
+  return g_hash_table_lookup (tasks->tasks, &id);
+}
 
-gp_tasks_t *
-gp_tasks_new (gp_session_host_t *host, gp_store_t *store,
-              const gp_settings_t *settings, uint64_t incarnation, GRand *rand,
-              gp_timeline_t *timeline)
+static void
+kind_free (gpointer data)
 {
-  gp_tasks_t *tasks = g_new0 (gp_tasks_t, 1);
+  gp_tasks_kind_t *kind = data;
 
-  (void)host, (void)settings, (void)incarnation, (void)rand, (void)timeline;
-  tasks->store = store;
-  return tasks;
+  g_free (kind->name);
+  g_free (kind);
 }
 
-void
-gp_tasks_free (gp_tasks_t *tasks)
+gp_tasks_kind_t *
+gp_tasks_kind (gp_tasks_t *tasks, const char *name)
 {
-  g_free (tasks);
+  gp_tasks_kind_t *kind = g_hash_table_lookup (tasks->kinds, name);
+
+  if (kind != NULL)
+    return kind;
+  kind = g_new0 (gp_tasks_kind_t, 1);
+  kind->name = g_strdup (name);
+  kind->index
+      = (uint16_t)MIN (g_hash_table_size (tasks->kinds), UINT16_MAX - 1);
+  gp_estimate_init (&kind->estimate);
+  g_hash_table_insert (tasks->kinds, kind->name, kind);
+  return kind;
 }
 
-void
-gp_tasks_set_document (gp_tasks_t *tasks, const gp_document_t *document)
+static void
+team_free (gpointer data)
 {
-  (void)tasks, (void)document;
+  gp_tasks_team_t *team = data;
+
+  g_free (team->name);
+  g_free (team);
 }
 
-void
-gp_tasks_on_member (gp_tasks_t *tasks, const gp_member_t *member)
+/* Take the team's limits from the document; without any it has none.  */
+static void
+team_limit (gp_tasks_t *tasks, gp_tasks_team_t *team)
+{
+  const gp_document_team_t *declared = NULL;
+  gp_resources_t limit = { UINT32_MAX, UINT32_MAX, UINT32_MAX };
+
+  team->max_tasks = UINT32_MAX;
+  if (tasks->document != NULL)
+    declared = gp_document_find_team (tasks->document, team->name);
+  if (declared != NULL)
+    {
+      limit.millicores = declared->quota.millicores;
+      limit.memory_mib = declared->quota.memory_mib;
+      limit.accelerators = declared->quota.accelerators;
+      team->max_tasks = declared->max_tasks;
+    }
+  gp_quota_set_limit (&tasks->quota, team->index, &limit);
+}
+
+gp_tasks_team_t *
+gp_tasks_team (gp_tasks_t *tasks, const char *name)
+{
+  gp_tasks_team_t *team = g_hash_table_lookup (tasks->teams, name);
+
+  if (team != NULL)
+    return team;
+  team = g_new0 (gp_tasks_team_t, 1);
+  team->name = g_strdup (name);
+  team->index = g_hash_table_size (tasks->teams);
+  team->mine = gp_tasks_is_mine (tasks, "team", name);
+  team_limit (tasks, team);
+  g_hash_table_insert (tasks->teams, team->name, team);
+  return team;
+}
+
+/* Responsibility.  */
+
+static bool
+is_live_entry (const gp_session_t *session)
+{
+  return session->ready && session->role == GP__WIRE__ROLE__ROLE_ENTRY;
+}
+
+bool
+gp_tasks_is_mine (const gp_tasks_t *tasks, const char *scope, const char *name)
+{
+  char *key = g_strconcat (scope, "/", name, NULL);
+  uint64_t own = gp_rendezvous_rank (key, tasks->settings->name);
+  bool mine = true;
+
+  GP_LIST_FOREACH (pos, &tasks->host->sessions)
+  {
+    const gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (is_live_entry (session)
+        && gp_rendezvous_rank (key, session->process) > own)
+      mine = false;
+  }
+  g_free (key);
+  return mine;
+}
+
+static uint64_t
+live_entries (const gp_tasks_t *tasks)
+{
+  uint64_t digest = 0;
+
+  GP_LIST_FOREACH (pos, &tasks->host->sessions)
+  {
+    const gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (is_live_entry (session))
+      digest += XXH3_64bits (session->process, strlen (session->process));
+  }
+  return digest;
+}
+
+/* Who acts on what, after entries came or went.  */
+static void
+assign (gp_tasks_t *tasks)
 {
-  (void)tasks, (void)member;
+  GHashTableIter iter;
+  gpointer value;
+
+  tasks->live_entries = live_entries (tasks);
+  g_hash_table_iter_init (&iter, tasks->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_tasks_team_t *team = value;
+
+      team->mine = gp_tasks_is_mine (tasks, "team", team->name);
+    }
+  g_hash_table_iter_init (&iter, tasks->guards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_tasks_guard_t *guard = value;
+
+      guard->mine = gp_tasks_is_mine (tasks, "guard", guard->name);
+    }
+  g_hash_table_iter_init (&iter, tasks->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_tasks_task_t *task = value;
+      const gp_fold_task_t *state
+          = gp_fold_task (gp_store_fold (tasks->store), task->id);
+
+      if (task->stage == GP_TASKS_QUEUED && !task->team->mine)
+        gp_tasks_dequeue (tasks, task);
+      else if (task->stage == GP_TASKS_IDLE && !task->parking
+               && task->team->mine && state != NULL
+               && state->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_PENDING)
+        gp_tasks_enqueue (tasks, task, false);
+    }
+  tasks->watchers_changed = true;
+}
+
+/* Proposals and events.  */
+
+bool
+gp_tasks_propose (gp_tasks_t *tasks, const Gp__Record__Record *record,
+                  gp_writer_priority_t priority, gp_proposal_done_t done,
+                  void *data)
+{
+  gp_time_t deadline = gp_tasks_now (tasks) + GP_TASKS_PROPOSAL_TIME;
+
+  if (gp_store_propose (tasks->store, record, priority, deadline, done, data,
+                        NULL)
+      == GP_WRITER_QUEUED)
+    return true;
+  gp_counter_add (&proposals_refused, 1);
+  return false;
 }
 
 void
-gp_tasks_on_message (gp_tasks_t *tasks, gp_session_t *session,
-                     const Gp__Wire__Envelope *envelope)
+gp_tasks_event (gp_tasks_t *tasks, gp_timeline_kind_t kind, uint64_t task,
+                uint64_t epoch, const char *vm, const char *text)
+{
+  gp_timeline_subject_t subject = { .task = task, .epoch = epoch, .vm = vm };
+
+  if (tasks->timeline != NULL)
+    gp_timeline_append (tasks->timeline, kind, &subject, text,
+                        gp_time_wall ());
+}
+
+/* The mirror.  */
+
+static gp_resources_t
+declared_of (const gp_fold_task_t *state)
+{
+  return (gp_resources_t){ state->millicores, state->memory_mib,
+                           state->accelerators };
+}
+
+static gp_time_t
+latest_start (const gp_tasks_t *tasks, const gp_tasks_task_t *task,
+              const gp_fold_task_t *state)
+{
+  const gp_document_batch_job_t *job = NULL;
+  gp_time_t now = gp_tasks_now (tasks);
+  gp_time_t deadline;
+
+  if (state->work_class == GP__WIRE__WORK_CLASS__WORK_CLASS_WATCHER)
+    return now + tasks->pending.settings.patience[1];
+  if (state->deadline_us == 0)
+    return now + tasks->pending.settings.patience[2];
+  if (tasks->document != NULL)
+    job = gp_document_find_batch_job (tasks->document, state->kind);
+  deadline = now + (state->deadline_us - gp_time_wall ());
+  return gp_estimate_latest_start (&task->kind->estimate, deadline,
+                                   job == NULL ? 0
+                                               : job->expected_run_s * GP_SEC);
+}
+
+static gp_tasks_task_t *
+mirror_new (gp_tasks_t *tasks, const gp_fold_task_t *state)
+{
+  gp_tasks_task_t *task = g_new0 (gp_tasks_task_t, 1);
+  gp_resources_t declared = declared_of (state);
+
+  task->id = state->id;
+  task->kind = gp_tasks_kind (tasks, state->kind);
+  task->team = gp_tasks_team (tasks, state->team);
+  gp_pending_task_init (&task->pending, state->id, task->team->index,
+                        (gp_work_class_t)state->work_class, &declared,
+                        latest_start (tasks, task, state));
+  task->ask
+      = (gp_placement_ask_t){ .task = state->id,
+                              .kind = task->kind->index,
+                              .work_class = (gp_work_class_t)state->work_class,
+                              .group = task->kind->index,
+                              .demand = declared,
+                              .previous = GP_WORKER_NONE,
+                              .held = GP_WORKER_NONE };
+  gp_list_init (&task->placed_link);
+  gp_list_init (&task->due_link);
+  g_hash_table_add (tasks->tasks, task);
+  return task;
+}
+
+static void
+count_watcher (gp_tasks_t *tasks, gp_tasks_task_t *task, int amount)
+{
+  if (task->ask.work_class != GP_WORK_WATCHER)
+    return;
+  task->kind->live += (uint32_t)amount;
+  tasks->watchers_changed = true;
+}
+
+static void
+on_submitted (gp_tasks_t *tasks, const gp_fold_task_t *state)
+{
+  gp_tasks_task_t *task = mirror_new (tasks, state);
+
+  if (!state->cancelled)
+    count_watcher (tasks, task, 1);
+  task->kind->seed_us = MAX (task->kind->seed_us, state->submitted_us);
+  gp_tasks_event (tasks, GP_TIMELINE_TASK_SUBMITTED, state->id, 0, NULL,
+                  state->kind);
+}
+
+/* The last epoch of TASK ended on GUARD.  */
+static void
+note_outcome (gp_tasks_t *tasks, gp_tasks_task_t *task,
+              const gp_fold_task_t *state, gp_tasks_guard_t *guard)
+{
+  bool failed = state->end_state == GP__WIRE__TASK_STATE__TASK_STATE_FAILED;
+  bool succeeded
+      = state->end_state == GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED;
+
+  if (!guard->added || (!failed && !succeeded))
+    return;
+  if (gp_suspects_outcome (&tasks->suspects, task->id, &task->failures,
+                           guard->worker.index, failed, gp_tasks_now (tasks)))
+    gp_tasks_guard_settle (tasks, guard);
+}
+
+static void
+count_lost (gp_tasks_t *tasks, const gp_fold_task_t *state)
+{
+  if (state->end_state == GP__WIRE__TASK_STATE__TASK_STATE_LOST)
+    tasks->lost++;
+}
+
+static void
+on_epoch_over (gp_tasks_t *tasks, gp_tasks_task_t *task,
+               const gp_fold_task_t *state, const gp_fold_guard_t *of)
+{
+  gp_tasks_guard_t *guard
+      = of == NULL ? NULL : gp_tasks_guard (tasks, of->name);
+
+  if (task->stage == GP_TASKS_GRANTED && task->peak.memory_mib > 0)
+    gp_estimate_observe_use (&task->kind->estimate, &task->peak);
+  gp_tasks_dequeue (tasks, task);
+  gp_tasks_unput (tasks, task);
+  gp_list_remove (&task->due_link);
+  if (guard != NULL)
+    {
+      note_outcome (tasks, task, state, guard);
+      count_lost (tasks, state);
+    }
+  task->ask.previous
+      = guard != NULL && guard->added ? guard->worker.index : GP_WORKER_NONE;
+  task->running = task->over_quota = task->throttled = false;
+  task->ending = task->checkpointing = false;
+  task->peak = (gp_resources_t){ 0 };
+}
+
+static void
+on_returned (gp_tasks_t *tasks, gp_tasks_task_t *task,
+             const gp_fold_task_t *state, const gp_fold_guard_t *of)
+{
+  bool backoff
+      = state->end_state == GP__WIRE__TASK_STATE__TASK_STATE_REFUSED
+        || state->end_state == GP__WIRE__TASK_STATE__TASK_STATE_FAILED;
+
+  gp_tasks_event (tasks, GP_TIMELINE_TASK_ENDED, state->id, state->epoch,
+                  of == NULL ? NULL : of->name, "returned");
+  on_epoch_over (tasks, task, state, of);
+  if (backoff)
+    task->ask.previous = GP_WORKER_NONE;
+  task->ask.has_checkpoint = state->checkpoint != NULL;
+  gp_tasks_enqueue (tasks, task, backoff);
+}
+
+static void
+on_ended (gp_tasks_t *tasks, gp_tasks_task_t *task,
+          const gp_fold_task_t *state, const gp_fold_guard_t *of)
+{
+  gp_tasks_event (tasks, GP_TIMELINE_TASK_ENDED, state->id, state->epoch,
+                  of == NULL ? NULL : of->name,
+                  state->cancelled ? "cancelled" : "ended");
+  on_epoch_over (tasks, task, state, of);
+  /* One that was granted has been counted off when it was cancelled.  */
+  if (!state->cancelled || of == NULL)
+    count_watcher (tasks, task, -1);
+  gp_placement_drop_hold (&tasks->placement, &task->ask);
+  g_hash_table_remove (tasks->tasks, task);
+}
+
+static void
+on_task_change (gp_tasks_t *tasks, const gp_fold_change_t *change)
+{
+  const gp_fold_task_t *state = change->u.task.task;
+  const gp_fold_guard_t *guard = change->u.task.guard;
+  gp_tasks_task_t *task = gp_tasks_find (tasks, state->id);
+
+  if (task == NULL && change->kind == GP_FOLD_TASK_SUBMITTED)
+    {
+      on_submitted (tasks, state);
+      gp_tasks_enqueue (tasks, gp_tasks_find (tasks, state->id), false);
+    }
+  if (task == NULL)
+    return;
+  switch ((int)change->kind)
+    {
+    case GP_FOLD_TASK_GRANTED:
+      gp_tasks_granted (tasks, task, state, guard);
+      break;
+    case GP_FOLD_TASK_CHECKPOINT:
+      task->saved_at = gp_tasks_now (tasks);
+      gp_tasks_event (tasks, GP_TIMELINE_TASK_CHECKPOINTED, state->id,
+                      state->epoch, guard == NULL ? NULL : guard->name, NULL);
+      break;
+    case GP_FOLD_TASK_CANCELLING:
+      count_watcher (tasks, task, -1);
+      task->waits_since = gp_tasks_now (tasks);
+      gp_tasks_push (tasks, task);
+      break;
+    case GP_FOLD_TASK_RETURNED:
+      on_returned (tasks, task, state, guard);
+      break;
+    case GP_FOLD_TASK_ENDED:
+      on_ended (tasks, task, state, guard);
+      break;
+    case GP_FOLD_TASK_PARKED:
+      gp_tasks_dequeue (tasks, task);
+      task->parking = false;
+      gp_tasks_event (tasks, GP_TIMELINE_TASK_PARKED, state->id, state->epoch,
+                      NULL, NULL);
+      break;
+    case GP_FOLD_TASK_UNPARKED:
+      task->failures.n = 0;
+      gp_tasks_enqueue (tasks, task, false);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_change (const gp_fold_change_t *change, void *data)
+{
+  gp_tasks_t *tasks = data;
+
+  switch (change->kind)
+    {
+    case GP_FOLD_TASK_SUBMITTED:
+    case GP_FOLD_TASK_GRANTED:
+    case GP_FOLD_TASK_CHECKPOINT:
+    case GP_FOLD_TASK_CANCELLING:
+    case GP_FOLD_TASK_RETURNED:
+    case GP_FOLD_TASK_ENDED:
+    case GP_FOLD_TASK_PARKED:
+    case GP_FOLD_TASK_UNPARKED:
+      on_task_change (tasks, change);
+      break;
+    case GP_FOLD_GUARD_ADOPTED:
+    case GP_FOLD_GUARD_FENCED:
+    case GP_FOLD_GUARD_GONE:
+    case GP_FOLD_GUARD_DROPPED:
+      gp_tasks_lease_change (tasks, change);
+      break;
+    case GP_FOLD_OWN_BATCH:
+    case GP_FOLD_WRITER_STARTED:
+    case GP_FOLD_TASK_DROPPED:
+    case GP_FOLD_KEY_OPENED:
+    case GP_FOLD_KEY_DECIDED:
+    case GP_FOLD_KEY_RELEASED:
+    case GP_FOLD_KEY_DROPPED:
+    case GP_FOLD_CONFIG_CHANGED:
+    case GP_FOLD_SNAPSHOT:
+      break;
+    }
+  gp_tasks_place_soon (tasks);
+}
+
+/* Drop the mirror; what the fleet holds of it goes with it.  */
+static void
+forget_all (gp_tasks_t *tasks)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, tasks->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_tasks_task_t *task = value;
+
+      gp_tasks_dequeue (tasks, task);
+      gp_tasks_unput (tasks, task);
+      gp_list_remove (&task->due_link);
+      gp_placement_drop_hold (&tasks->placement, &task->ask);
+      g_hash_table_iter_remove (&iter);
+    }
+  g_hash_table_iter_init (&iter, tasks->kinds);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((gp_tasks_kind_t *)value)->live = 0;
+}
+
+static void
+on_rebuilt (void *data)
+{
+  gp_tasks_t *tasks = data;
+  const gp_fold_t *fold = gp_store_fold (tasks->store);
+  GHashTableIter iter;
+  gpointer key;
+
+  forget_all (tasks);
+  gp_tasks_lease_rebuild (tasks);
+  g_hash_table_iter_init (&iter, fold->tasks);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const gp_fold_task_t *state = key;
+
+      if (state->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_ENDED)
+        continue;
+      on_submitted (tasks, state);
+      if (state->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_GRANTED)
+        gp_tasks_granted (tasks, gp_tasks_find (tasks, state->id), state,
+                          state->guard);
+      if (state->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_PENDING)
+        gp_tasks_enqueue (tasks, gp_tasks_find (tasks, state->id), false);
+    }
+  gp_tasks_place_soon (tasks);
+}
+
+static void
+on_read (gp_time_t sent_at, void *data)
+{
+  gp_tasks_t *tasks = data;
+
+  gp_lease_grantor_read_done (&tasks->grantor, sent_at);
+}
+
+static void
+on_gap (void *data)
+{
+  gp_tasks_t *tasks = data;
+
+  gp_lease_grantor_gap (&tasks->grantor, gp_tasks_now (tasks));
+}
+
+/* Time.  */
+
+static void
+look_at_due (gp_tasks_t *tasks, gp_time_t now)
+{
+  for (int i = 0; i < DUE_PER_TICK && !gp_list_empty (&tasks->due); i++)
+    {
+      gp_tasks_task_t *task
+          = GP_CONTAINER_OF (tasks->due.next, gp_tasks_task_t, due_link);
+
+      if (task->due_at > now)
+        return;
+      gp_list_remove (&task->due_link);
+      if (task->stage == GP_TASKS_GRANTED)
+        gp_tasks_push (tasks, task);
+    }
+}
+
+static void
+set_gauges (const gp_tasks_t *tasks)
+{
+  const uint32_t *count = gp_store_fold (tasks->store)->phase_count;
+
+  gp_counter_set (&tasks_pending,
+                  count[GP__RECORD__TASK_PHASE__TASK_PHASE_PENDING]);
+  gp_counter_set (&tasks_granted,
+                  count[GP__RECORD__TASK_PHASE__TASK_PHASE_GRANTED]);
+  gp_counter_set (&tasks_parked,
+                  count[GP__RECORD__TASK_PHASE__TASK_PHASE_PARKED]);
+}
+
+static void
+tick (gp_tasks_t *tasks, gp_time_t now)
+{
+  tasks->tick_at = now + TICK;
+  if (live_entries (tasks) != tasks->live_entries)
+    assign (tasks);
+  gp_tasks_lease_tick (tasks);
+  gp_tasks_guards_tick (tasks);
+  gp_tasks_submit_tick (tasks);
+  set_gauges (tasks);
+  if (!gp_store_ready (tasks->store))
+    return;
+  look_at_due (tasks, now);
+  gp_tasks_watch (tasks);
+  gp_tasks_unpark_fitting (tasks);
+}
+
+static void
+on_timer (gp_timer_t *timer, void *data)
 {
-  (void)tasks, (void)session, (void)envelope;
+  gp_tasks_t *tasks = data;
+  gp_time_t now = gp_tasks_now (tasks);
+
+  (void)timer;
+  if (now >= tasks->tick_at)
+    tick (tasks, now);
+  gp_tasks_place (tasks);
+}
+
+static void
+on_deferred (gp_deferred_t *deferred)
+{
+  gp_tasks_place (GP_CONTAINER_OF (deferred, gp_tasks_t, deferred));
 }
 
 void
-gp_tasks_on_closed (gp_tasks_t *tasks, gp_session_t *session)
+gp_tasks_place_soon (gp_tasks_t *tasks)
 {
-  (void)tasks, (void)session;
+  gp_deferred_schedule (&tasks->deferred, tasks->host->loop);
 }
 
 void
-gp_tasks_submit (gp_tasks_t *tasks, const gp_tasks_submission_t *submission,
-                 gp_tasks_done_t done, void *data)
+gp_tasks_set_due (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  gp_list_remove (&task->due_link);
+  task->due_at = gp_tasks_now (tasks) + tasks->due_period;
+  gp_list_push_back (&tasks->due, &task->due_link);
+}
+
+/* The interface.  */
+
+static void
+register_counters (void)
 {
-  gp_tasks_answer_t answer = { .result = GP_TASKS_UNAVAILABLE,
-                               .message = "the log takes nothing now" };
+  gp_counter_register (&proposals_refused);
+  gp_counter_register (&tasks_pending);
+  gp_counter_register (&tasks_granted);
+  gp_counter_register (&tasks_parked);
+}
 
-  (void)tasks, (void)submission;
-  done (&answer, data);
+static void
+init_tables (gp_tasks_t *tasks)
+{
+  tasks->tasks
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  tasks->guards = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         gp_tasks_guard_free);
+  tasks->kinds
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kind_free);
+  tasks->teams
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, team_free);
+  tasks->places
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  tasks->racks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  tasks->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+gp_tasks_t *
+gp_tasks_new (gp_session_host_t *host, gp_store_t *store,
+              const gp_settings_t *settings, uint64_t incarnation, GRand *rand,
+              gp_timeline_t *timeline)
+{
+  gp_tasks_t *tasks = g_new0 (gp_tasks_t, 1);
+
+  tasks->host = host;
+  tasks->store = store;
+  tasks->settings = settings;
+  tasks->timeline = timeline;
+  tasks->rand = rand;
+  tasks->incarnation = incarnation;
+  tasks->due_period = 2 * settings->timings.heartbeat_ms * GP_MSEC;
+  gp_list_init (&tasks->due);
+  gp_list_init (&tasks->submitting);
+  register_counters ();
+  init_tables (tasks);
+  gp_tasks_place_init (tasks);
+  gp_tasks_lease_init (tasks);
+  gp_timer_init (&tasks->timer, host->loop, on_timer, tasks);
+  gp_deferred_init (&tasks->deferred, on_deferred);
+  gp_timer_arm (&tasks->timer, gp_tasks_now (tasks) + TICK);
+  tasks->subscriber = (gp_store_subscriber_t){ .on_change = on_change,
+                                               .on_rebuilt = on_rebuilt,
+                                               .on_read = on_read,
+                                               .on_gap = on_gap,
+                                               .data = tasks };
+  gp_store_subscribe (store, &tasks->subscriber);
+  return tasks;
 }
 
 void
-gp_tasks_cancel (gp_tasks_t *tasks, uint64_t task, gp_tasks_done_t done,
-                 void *data)
+gp_tasks_free (gp_tasks_t *tasks)
 {
-  gp_tasks_answer_t answer = { .result = GP_TASKS_UNAVAILABLE,
-                               .message = "the log takes nothing now" };
+  gp_list_remove (&tasks->subscriber.link);
+  gp_timer_finish (&tasks->timer);
+  gp_deferred_cancel (&tasks->deferred);
+  gp_tasks_submit_finish (tasks);
+  forget_all (tasks);
+  g_hash_table_unref (tasks->guards);
+  gp_tasks_lease_finish (tasks);
+  gp_tasks_place_finish (tasks);
+  g_hash_table_unref (tasks->tasks);
+  g_hash_table_unref (tasks->kinds);
+  g_hash_table_unref (tasks->teams);
+  g_hash_table_unref (tasks->places);
+  g_hash_table_unref (tasks->racks);
+  g_hash_table_unref (tasks->services);
+  g_free (tasks);
+}
 
-  (void)tasks, (void)task;
-  done (&answer, data);
+void
+gp_tasks_set_document (gp_tasks_t *tasks, const gp_document_t *document)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  tasks->document = document;
+  for (uint32_t i = 0; document != NULL && i < document->watchers_count; i++)
+    gp_tasks_kind (tasks, document->watchers[i].name);
+  g_hash_table_iter_init (&iter, tasks->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    team_limit (tasks, value);
+  tasks->watchers_changed = true;
+  tasks->shapes_changed = true;
+  gp_tasks_place_soon (tasks);
 }
 
-json_t *
-gp_tasks_describe (const gp_tasks_t *tasks, uint64_t task)
+static void
+on_guard_message (gp_tasks_t *tasks, gp_session_t *session,
+                  const Gp__Wire__Envelope *envelope)
 {
-  (void)tasks, (void)task;
-  return NULL;
+  switch ((int)envelope->message_case)
+    {
+    case GP__WIRE__ENVELOPE__MESSAGE_ANNOUNCE:
+      gp_tasks_on_announce (tasks, session, envelope->announce);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT:
+      gp_tasks_on_heartbeat (tasks, session, envelope->heartbeat);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_INVENTORY:
+      gp_tasks_on_inventory (tasks, session, envelope->inventory);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_TASK_REPORT:
+      gp_tasks_on_report (tasks, session, envelope->task_report);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_USAGE:
+      gp_tasks_on_usage (tasks, session, envelope->usage);
+      break;
+    default:
+      break;
+    }
 }
 
-json_t *
-gp_tasks_list (const gp_tasks_t *tasks, Gp__Wire__WorkClass work_class,
-               size_t max)
+void
+gp_tasks_on_message (gp_tasks_t *tasks, gp_session_t *session,
+                     const Gp__Wire__Envelope *envelope)
 {
-  (void)tasks, (void)work_class, (void)max;
-  return json_array ();
+  if (session->role == GP__WIRE__ROLE__ROLE_GUARD)
+    on_guard_message (tasks, session, envelope);
+  if (session->role != GP__WIRE__ROLE__ROLE_ENTRY)
+    return;
+  if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_VOUCH_ASK)
+    gp_tasks_on_vouch_ask (tasks, session, envelope->vouch_ask);
+  if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_VOUCH)
+    gp_tasks_on_vouch (tasks, session, envelope->vouch);
 }
 
-json_t *
-gp_tasks_explain (const gp_tasks_t *tasks, uint64_t task)
+void
+gp_tasks_on_closed (gp_tasks_t *tasks, gp_session_t *session)
 {
-  (void)tasks, (void)task;
-  return NULL;
+  gp_tasks_guard_t *guard = gp_tasks_find_guard (tasks, session->process);
+
+  if (guard == NULL || guard->session != session)
+    return;
+  guard->session = NULL;
+  gp_tasks_guard_settle (tasks, guard);
 }
 
-json_t *
-gp_tasks_status (const gp_tasks_t *tasks)
+void
+gp_tasks_on_member (gp_tasks_t *tasks, const gp_member_t *member)
 {
-  (void)tasks;
-  return json_object ();
+  gp_tasks_guard_t *guard
+      = gp_tasks_find_guard (tasks, member->announcement.name);
+
+  if (guard == NULL)
+    return;
+  guard->member = member->state == GP_MEMBER_GONE ? NULL : member;
+  gp_tasks_guard_settle (tasks, guard);
 }
--- /dev/null
+++ b/src/daemon/tasks_guard.c
@@ -0,0 +1,263 @@
+/* Guards with a worker, and their place in the fleet.  */
+
+#include "daemon/tasks_private.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+gp_tasks_guard_t *
+gp_tasks_find_guard (const gp_tasks_t *tasks, const char *name)
+{
+  return g_hash_table_lookup (tasks->guards, name);
+}
+
+gp_tasks_guard_t *
+gp_tasks_guard (gp_tasks_t *tasks, const char *name)
+{
+  gp_tasks_guard_t *guard = gp_tasks_find_guard (tasks, name);
+
+  if (guard != NULL)
+    return guard;
+  guard = g_new0 (gp_tasks_guard_t, 1);
+  guard->name = g_strdup (name);
+  guard->mine = gp_tasks_is_mine (tasks, "guard", name);
+  gp_worker_init (&guard->worker);
+  guard->worker.state = GP_WORKER_LOST;
+  guard->worker.service = GP_SERVICE_NONE;
+  gp_list_init (&guard->placed);
+  gp_residency_init (&guard->residency, gp_tasks_now (tasks));
+  gp_remedy_init (&guard->remedy);
+  guard->inventory = g_array_new (FALSE, FALSE, sizeof (gp_tasks_epoch_t));
+  g_hash_table_insert (tasks->guards, guard->name, guard);
+  return guard;
+}
+
+void
+gp_tasks_guard_free (gpointer data)
+{
+  gp_tasks_guard_t *guard = data;
+
+  gp_worker_finish (&guard->worker);
+  g_array_free (guard->inventory, TRUE);
+  g_free (guard->name);
+  g_free (guard);
+}
+
+gp_tasks_guard_t *
+gp_tasks_guard_of_worker (gp_worker_t *worker)
+{
+  return GP_CONTAINER_OF (worker, gp_tasks_guard_t, worker);
+}
+
+/* A small number for NAME, from 0, the same for the life of the process.  */
+static uint32_t
+number_of (GHashTable *table, const char *name)
+{
+  uint32_t number = GPOINTER_TO_UINT (g_hash_table_lookup (table, name));
+
+  if (number != 0)
+    return number - 1;
+  number = g_hash_table_size (table) + 1;
+  g_hash_table_insert (table, g_strdup (name), GUINT_TO_POINTER (number));
+  return number - 1;
+}
+
+static void
+need_suspects (gp_tasks_t *tasks, uint32_t index)
+{
+  gp_suspects_t *suspects = &tasks->suspects;
+  uint32_t before = suspects->n_workers;
+
+  if (index >= before)
+    {
+      suspects->n_workers = MAX (index + 1, 2 * before);
+      suspects->workers = g_renew (gp_suspects_worker_t, suspects->workers,
+                                   suspects->n_workers);
+      memset (&suspects->workers[before], 0,
+              (suspects->n_workers - before) * sizeof *suspects->workers);
+    }
+  memset (&suspects->workers[index], 0, sizeof *suspects->workers);
+}
+
+/* Add the worker of GUARD to the fleet, with what is placed there.  */
+static void
+attach (gp_tasks_t *tasks, gp_tasks_guard_t *guard)
+{
+  gp_fleet_add (&tasks->fleet, &guard->worker);
+  need_suspects (tasks, guard->worker.index);
+  guard->added = true;
+  tasks->shapes_changed = true;
+  GP_LIST_FOREACH (pos, &guard->placed)
+  {
+    gp_tasks_task_t *task
+        = GP_CONTAINER_OF (pos, gp_tasks_task_t, placed_link);
+
+    gp_placement_reserve (&tasks->placement, &task->ask, &guard->worker);
+    if (task->confirmed)
+      gp_fleet_confirm (&tasks->fleet, &guard->worker, &task->ask.demand);
+  }
+}
+
+static void
+detach (gp_tasks_t *tasks, gp_tasks_guard_t *guard)
+{
+  if (!guard->added)
+    return;
+  GP_LIST_FOREACH (pos, &guard->placed)
+  {
+    gp_tasks_task_t *task
+        = GP_CONTAINER_OF (pos, gp_tasks_task_t, placed_link);
+
+    if (!task->confirmed)
+      gp_fleet_confirm (&tasks->fleet, &guard->worker, &task->ask.demand);
+    gp_placement_release (&tasks->placement, &task->ask, &guard->worker);
+  }
+  gp_fleet_remove (&tasks->fleet, &guard->worker);
+  guard->added = false;
+}
+
+static void
+take_place (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
+            const gp_session_t *session, const Gp__Wire__Announce *announce)
+{
+  gp_worker_t *worker = &guard->worker;
+  char *rack = g_strconcat (session->zone, "/", announce->rack, NULL);
+  uint32_t zone = number_of (tasks->places, session->zone);
+
+  worker->zone = (uint16_t)MIN (zone, tasks->n_zones - 1);
+  worker->region = 0;
+  worker->rack = number_of (tasks->racks, rack);
+  tasks->zones |= UINT64_C (1) << worker->zone;
+  g_free (rack);
+  worker->service = GP_SERVICE_NONE;
+  guard->slots = 0;
+  if (announce->upstream == NULL)
+    return;
+  worker->service
+      = (uint16_t)number_of (tasks->services, announce->upstream->service);
+  guard->slots = announce->upstream->slots;
+}
+
+static void
+take_capacity (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
+               const gp_session_t *session, const Gp__Wire__Announce *announce)
+{
+  gp_resources_t capacity
+      = { announce->capacity->millicores, announce->capacity->memory_mib,
+          announce->capacity->accelerators };
+
+  if (guard->added && gp_resources_equal (&capacity, &guard->worker.capacity))
+    return;
+  detach (tasks, guard);
+  take_place (tasks, guard, session, announce);
+  guard->worker.capacity = capacity;
+  attach (tasks, guard);
+}
+
+void
+gp_tasks_on_announce (gp_tasks_t *tasks, gp_session_t *session,
+                      const Gp__Wire__Announce *announce)
+{
+  gp_tasks_guard_t *guard = gp_tasks_find_guard (tasks, session->process);
+
+  if (announce->lease_incarnation == 0 || announce->capacity == NULL)
+    return;
+  if (guard == NULL)
+    guard = gp_tasks_guard (tasks, session->process);
+  if (announce->lease_incarnation < guard->incarnation)
+    return;
+  if (announce->lease_incarnation != guard->incarnation)
+    guard->lease_until = 0;
+  guard->session = session;
+  guard->incarnation = announce->lease_incarnation;
+  guard->inherits = announce->inherits;
+  guard->leaving
+      = announce->state == GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING;
+  take_capacity (tasks, guard, session, announce);
+  gp_tasks_guard_settle (tasks, guard);
+}
+
+static bool
+is_registered (const gp_tasks_t *tasks, const gp_tasks_guard_t *guard)
+{
+  const gp_fold_guard_t *state
+      = gp_fold_guard (gp_store_fold (tasks->store), guard->name);
+
+  return state != NULL && state->incarnation == guard->incarnation
+         && !state->fenced;
+}
+
+static bool
+is_heard (const gp_tasks_t *tasks, const gp_tasks_guard_t *guard)
+{
+  if (guard->session == NULL || guard->lease_until <= gp_tasks_now (tasks))
+    return false;
+  return guard->member == NULL || guard->member->state == GP_MEMBER_SERVING
+         || guard->member->state == GP_MEMBER_JOINING;
+}
+
+static gp_worker_state_t
+state_of (const gp_tasks_t *tasks, const gp_tasks_guard_t *guard)
+{
+  if (!is_heard (tasks, guard) || !is_registered (tasks, guard))
+    return GP_WORKER_LOST;
+  if (guard->leaving)
+    return GP_WORKER_LEAVING;
+  if (!gp_suspects_allows (&tasks->suspects, guard->worker.index))
+    return GP_WORKER_SUSPECTED;
+  return GP_WORKER_SERVING;
+}
+
+void
+gp_tasks_guard_settle (gp_tasks_t *tasks, gp_tasks_guard_t *guard)
+{
+  gp_worker_state_t state;
+
+  if (!guard->added)
+    return;
+  state = state_of (tasks, guard);
+  if (state == guard->worker.state)
+    return;
+  if (state == GP_WORKER_SUSPECTED)
+    gp_log (GP_LOG_WARNING, "worker.suspected",
+            GP_LOG_S ("guard", guard->name));
+  gp_fleet_set_state (&tasks->fleet, &guard->worker, state);
+  gp_tasks_place_soon (tasks);
+}
+
+/* A guard that is gone from the log and from here.  */
+static bool
+is_forgotten (const gp_tasks_t *tasks, const gp_tasks_guard_t *guard)
+{
+  return guard->session == NULL && guard->member == NULL
+         && gp_list_empty (&guard->placed) && guard->adopt == 0
+         && !guard->proposing
+         && gp_fold_guard (gp_store_fold (tasks->store), guard->name) == NULL;
+}
+
+void
+gp_tasks_guards_tick (gp_tasks_t *tasks)
+{
+  gp_time_t now = gp_tasks_now (tasks);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, tasks->guards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_tasks_guard_t *guard = value;
+
+      if (gp_store_ready (tasks->store) && is_forgotten (tasks, guard))
+        {
+          detach (tasks, guard);
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      if (!guard->added)
+        continue;
+      (void)gp_suspects_tick (&tasks->suspects, guard->worker.index, now);
+      gp_fleet_expire_hold (&tasks->fleet, &guard->worker, now);
+      gp_tasks_guard_settle (tasks, guard);
+    }
+}
--- /dev/null
+++ b/src/daemon/tasks_interfere.c
@@ -0,0 +1,187 @@
+/* What tasks do to the services beside them: learning and remedies.
+
+   Every entry learns from the usage that guards report; the one responsible
+   for the guard acts on it.  */
+
+#include "daemon/tasks_private.h"
+
+#include "base/counters.h"
+
+#define RESIDENTS_MAX 256
+
+static gp_counter_t throttles
+    = GP_COUNTER ("entry_throttles_total", "Tasks throttled for a service.");
+static gp_counter_t evictions
+    = GP_COUNTER ("entry_evictions_total", "Tasks evicted for a service.");
+
+void
+gp_tasks_weigh (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
+                const gp_tasks_task_t *task, int quarters)
+{
+  gp_residency_change (&guard->residency, task->kind->index, quarters,
+                       gp_tasks_now (tasks));
+}
+
+static void
+note_peaks (gp_tasks_t *tasks, const gp_tasks_guard_t *guard,
+            const Gp__Wire__Usage *usage)
+{
+  for (size_t i = 0; i < usage->n_tasks; i++)
+    {
+      const Gp__Wire__TaskUsage *one = usage->tasks[i];
+      gp_tasks_task_t *task = gp_tasks_find (tasks, one->task);
+
+      if (task == NULL || one->used == NULL || task->epoch != one->epoch
+          || task->guard != guard)
+        continue;
+      task->peak.millicores
+          = MAX (task->peak.millicores, one->used->millicores);
+      task->peak.memory_mib
+          = MAX (task->peak.memory_mib, one->used->memory_mib);
+    }
+}
+
+/* The latency target of the service beside GUARD, or 0.  */
+static double
+target_us (const gp_tasks_t *tasks, const gp_tasks_guard_t *guard)
+{
+  const gp_document_service_t *service;
+
+  if (tasks->document == NULL || guard->member == NULL
+      || guard->member->announcement.service == NULL)
+    return 0.0;
+  service = gp_document_find_service (tasks->document,
+                                      guard->member->announcement.service);
+  return service == NULL ? 0.0 : service->latency_target_ms * 1000.0;
+}
+
+static unsigned int
+list_residents (const gp_tasks_t *tasks, const gp_tasks_guard_t *guard,
+                gp_remedy_resident_t *residents)
+{
+  gp_time_t now = gp_tasks_now (tasks);
+  unsigned int n = 0;
+
+  GP_LIST_FOREACH (pos, &guard->placed)
+  {
+    const gp_tasks_task_t *task
+        = GP_CONTAINER_OF (pos, gp_tasks_task_t, placed_link);
+    gp_interference_estimate_t slope = gp_interference_slope (
+        &tasks->interference, guard->worker.service, task->kind->index);
+
+    if (n == RESIDENTS_MAX)
+      break;
+    if (!task->running)
+      continue;
+    residents[n++] = (gp_remedy_resident_t){
+      .task = task->id,
+      .work_class = task->ask.work_class,
+      .throttled = task->throttled,
+      .since_checkpoint = now - task->saved_at,
+      .laxity = task->pending.latest_start - now,
+      .relief = slope.mean * (1.0 + guard->worker.load_permille / 1000.0)
+    };
+  }
+  return n;
+}
+
+static void
+set_throttled (gp_tasks_t *tasks, gp_tasks_task_t *task, bool throttled)
+{
+  int change = GP_RESIDENCY_WHOLE - GP_RESIDENCY_THROTTLED;
+
+  if (task->throttled == throttled)
+    return;
+  task->throttled = throttled;
+  gp_tasks_weigh (tasks, task->guard, task, throttled ? -change : change);
+}
+
+static void
+apply (gp_tasks_t *tasks, gp_tasks_task_t *task, gp_remedy_action_t action)
+{
+  switch (action)
+    {
+    case GP_REMEDY_NONE:
+      return;
+    case GP_REMEDY_THROTTLE:
+      gp_counter_add (&throttles, 1);
+      set_throttled (tasks, task, true);
+      gp_tasks_stop (tasks, task, GP__WIRE__STOP_MODE__STOP_MODE_THROTTLE);
+      gp_tasks_event (tasks, GP_TIMELINE_TASK_THROTTLED, task->id, task->epoch,
+                      task->guard->name, "throttle");
+      return;
+    case GP_REMEDY_UNTHROTTLE:
+      set_throttled (tasks, task, false);
+      gp_tasks_stop (tasks, task, GP__WIRE__STOP_MODE__STOP_MODE_UNTHROTTLE);
+      gp_tasks_event (tasks, GP_TIMELINE_TASK_THROTTLED, task->id, task->epoch,
+                      task->guard->name, "unthrottle");
+      return;
+    case GP_REMEDY_EVICT:
+      gp_counter_add (&evictions, 1);
+      gp_tasks_stop (tasks, task, GP__WIRE__STOP_MODE__STOP_MODE_EVICT);
+      gp_tasks_event (tasks, GP_TIMELINE_TASK_EVICTED, task->id, task->epoch,
+                      task->guard->name, NULL);
+      return;
+    }
+}
+
+static gp_remedy_settings_t
+remedy_settings (const gp_document_t *document)
+{
+  gp_remedy_settings_t settings = GP_REMEDY_DEFAULTS;
+  const gp_document_interference_t *declared = &document->interference;
+
+  if (declared->throttle_percent > 0)
+    settings.breach = declared->throttle_percent / 100.0;
+  if (declared->calm_percent > 0)
+    settings.aim = MIN (declared->calm_percent / 100.0, settings.breach);
+  return settings;
+}
+
+static void
+remedy (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
+        const gp_remedy_measurement_t *measurement)
+{
+  gp_remedy_settings_t settings = remedy_settings (tasks->document);
+  gp_remedy_resident_t residents[RESIDENTS_MAX];
+  unsigned int n = list_residents (tasks, guard, residents);
+  gp_remedy_decision_t decision
+      = gp_remedy_decide (&guard->remedy, &settings, measurement, residents, n,
+                          gp_tasks_now (tasks));
+
+  for (unsigned int i = 0; i < decision.n; i++)
+    {
+      gp_tasks_task_t *task = gp_tasks_find (tasks, decision.tasks[i]);
+
+      if (task != NULL && task->guard == guard)
+        apply (tasks, task, decision.action);
+    }
+}
+
+void
+gp_tasks_on_usage (gp_tasks_t *tasks, gp_session_t *session,
+                   const Gp__Wire__Usage *usage)
+{
+  gp_tasks_guard_t *guard = gp_tasks_find_guard (tasks, session->process);
+  gp_remedy_measurement_t measurement;
+  double target;
+
+  if (guard == NULL || guard->session != session)
+    return;
+  gp_counter_register (&throttles);
+  gp_counter_register (&evictions);
+  note_peaks (tasks, guard, usage);
+  target = target_us (tasks, guard);
+  if (target <= 0.0 || usage->service_p99_us == 0 || usage->span_us == 0
+      || usage->age_us > INT64_MAX / 4 || usage->span_us > INT64_MAX / 4)
+    return;
+  measurement.ratio = usage->service_p99_us / target;
+  measurement.to = gp_tasks_now (tasks) - (gp_time_t)usage->age_us;
+  measurement.from = measurement.to - (gp_time_t)usage->span_us;
+  (void)gp_interference_measure (&tasks->interference, guard->worker.service,
+                                 guard->worker.load_permille / 1000.0,
+                                 &guard->residency, measurement.from,
+                                 measurement.to, measurement.ratio);
+  if (guard->mine)
+    remedy (tasks, guard, &measurement);
+}
--- /dev/null
+++ b/src/daemon/tasks_place.c
@@ -0,0 +1,584 @@
+/* From the queue to a granted and started task.
+
+   The queue holds the pending tasks of the teams that this entry places.  A
+   chosen worker is reserved and a Grant proposed; what follows comes from the
+   log.  The Start is sent when the grant is read, and again until the guard
+   answers, by whichever entry is responsible then: a guard tells copies
+   apart.  A grant that is over the team's quota in log order is not started;
+   its guard is told to end it as refused.  */
+
+#include "daemon/tasks_private.h"
+
+#include <math.h>
+
+#include "base/counters.h"
+
+#define PLACED_PER_TURN 256
+#define HOLD_TIME (60 * GP_SEC)
+#define MAX_ZONES_LEAST 16
+/* A batch task with more time to spare than this may wait for a worker where
+   it does no harm.  */
+#define LAXITY_TO_WAIT (60 * GP_SEC)
+#define HARM_WITH_LAXITY 0.02
+/* A mass loss is that many epochs in one second; starts are paced then.  */
+#define LOST_TO_PACE 300
+#define PACE_RATE 1300.0
+#define PACE_BURST 200.0
+/* Entries that are not responsible act after so many periods.  */
+#define PATIENCE_OF_OTHERS 5
+
+typedef struct
+{
+  gp_tasks_t *tasks;
+  uint64_t task;
+  uint64_t epoch;
+} granting_t;
+
+static gp_counter_t grants_proposed
+    = GP_COUNTER ("entry_grants_proposed_total", "Grants proposed.");
+static gp_counter_t grants_void = GP_COUNTER (
+    "entry_grants_void_total", "Proposed grants that the log voided.");
+static gp_counter_t starts_sent
+    = GP_COUNTER ("entry_starts_sent_total", "Starts sent to guards.");
+static gp_counter_t over_quota = GP_COUNTER (
+    "entry_grants_over_quota_total", "Grants over a quota in log order.");
+
+void
+gp_tasks_place_init (gp_tasks_t *tasks)
+{
+  uint32_t zones = MAX_ZONES_LEAST;
+
+  for (uint32_t i = 0; i < tasks->settings->regions_count; i++)
+    zones += tasks->settings->regions[i].zones_count;
+  tasks->n_zones = MIN (zones, GP_FLEET_ZONES_MAX);
+  gp_pending_init (&tasks->pending, &GP_PENDING_DEFAULTS);
+  gp_quota_init (&tasks->quota);
+  gp_fleet_init (&tasks->fleet, tasks->n_zones);
+  gp_spread_init (&tasks->spread);
+  gp_interference_init (&tasks->interference, &GP_INTERFERENCE_DEFAULTS);
+  gp_placement_init (&tasks->placement, &GP_PLACEMENT_WEIGHTS_DEFAULT,
+                     &tasks->fleet, &tasks->spread, &tasks->interference);
+  gp_suspects_init (&tasks->suspects, &GP_SUSPECTS_DEFAULTS, NULL, 0);
+  gp_counter_register (&grants_proposed);
+  gp_counter_register (&grants_void);
+  gp_counter_register (&starts_sent);
+  gp_counter_register (&over_quota);
+}
+
+void
+gp_tasks_place_finish (gp_tasks_t *tasks)
+{
+  gp_pending_finish (&tasks->pending);
+  gp_quota_finish (&tasks->quota);
+  gp_fleet_finish (&tasks->fleet);
+  gp_spread_finish (&tasks->spread);
+  gp_interference_finish (&tasks->interference);
+  g_free (tasks->suspects.workers);
+}
+
+/* The queue.  */
+
+void
+gp_tasks_enqueue (gp_tasks_t *tasks, gp_tasks_task_t *task, bool backoff)
+{
+  gp_time_t now = gp_tasks_now (tasks);
+
+  if (!task->team->mine)
+    return;
+  task->stage = GP_TASKS_QUEUED;
+  if (backoff)
+    (void)gp_pending_defer (&tasks->pending, &tasks->quota, &task->pending,
+                            GP_PENDING_OTHER, now);
+  else
+    gp_pending_add (&tasks->pending, &task->pending, now);
+  gp_tasks_place_soon (tasks);
+}
+
+void
+gp_tasks_dequeue (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  gp_pending_remove (&tasks->pending, &tasks->quota, &task->pending);
+  task->stage = GP_TASKS_IDLE;
+}
+
+/* Reservations in the fleet.  */
+
+static void
+count_running (gp_tasks_task_t *task, bool running)
+{
+  if (task->counted == running)
+    return;
+  task->counted = running;
+  task->team->running += running ? 1U : UINT32_MAX;
+}
+
+void
+gp_tasks_put (gp_tasks_t *tasks, gp_tasks_task_t *task,
+              gp_tasks_guard_t *guard)
+{
+  task->guard = guard;
+  task->confirmed = false;
+  gp_list_push_back (&guard->placed, &task->placed_link);
+  count_running (task, true);
+  if (guard->added)
+    gp_placement_reserve (&tasks->placement, &task->ask, &guard->worker);
+  task->ask.held = GP_WORKER_NONE;
+  gp_tasks_weigh (tasks, guard, task, GP_RESIDENCY_WHOLE);
+}
+
+void
+gp_tasks_unput (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  gp_tasks_guard_t *guard = task->guard;
+
+  count_running (task, false);
+  if (guard == NULL)
+    return;
+  gp_tasks_confirm (tasks, task);
+  gp_list_remove (&task->placed_link);
+  if (guard->added)
+    gp_placement_release (&tasks->placement, &task->ask, &guard->worker);
+  gp_tasks_weigh (tasks, guard, task,
+                  task->throttled ? -GP_RESIDENCY_THROTTLED
+                                  : -GP_RESIDENCY_WHOLE);
+  task->guard = NULL;
+}
+
+void
+gp_tasks_confirm (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  if (task->confirmed || task->guard == NULL)
+    return;
+  task->confirmed = true;
+  if (task->guard->added)
+    gp_fleet_confirm (&tasks->fleet, &task->guard->worker, &task->ask.demand);
+}
+
+/* Sizes.  */
+
+static bool
+fits_document (const gp_document_t *document, const gp_resources_t *demand)
+{
+  for (uint32_t i = 0; document != NULL && i < document->workers_count; i++)
+    {
+      const gp_document_worker_t *worker = &document->workers[i];
+      gp_resources_t size
+          = { worker->millicores, worker->memory_mib, worker->accelerators };
+
+      if (gp_resources_fit (demand, &size))
+        return true;
+    }
+  return false;
+}
+
+bool
+gp_tasks_ever_fits (const gp_tasks_t *tasks, const gp_resources_t *demand)
+{
+  if (gp_fleet_can_ever_fit (&tasks->fleet, demand, GP_PLACEMENT_ALL_ZONES))
+    return true;
+  /* Without a list of workers in the document the fleet may be incomplete. */
+  if (tasks->document == NULL || tasks->document->workers_count == 0)
+    return true;
+  return fits_document (tasks->document, demand);
+}
+
+/* The largest worker, by each component.  */
+static gp_resources_t
+largest (const gp_tasks_t *tasks)
+{
+  gp_resources_t most = { 0, 0, 0 };
+
+  for (guint i = 0; i < tasks->fleet.shapes->len; i++)
+    {
+      const gp_resources_t *capacity
+          = &g_array_index (tasks->fleet.shapes, gp_fleet_shape_t, i).capacity;
+
+      most.millicores = MAX (most.millicores, capacity->millicores);
+      most.memory_mib = MAX (most.memory_mib, capacity->memory_mib);
+      most.accelerators = MAX (most.accelerators, capacity->accelerators);
+    }
+  return most;
+}
+
+/* Parking.  */
+
+static void
+on_parked (gp_proposal_result_t result, gp_fold_verdict_t verdict, void *data)
+{
+  granting_t *parking = data;
+  gp_tasks_task_t *task = gp_tasks_find (parking->tasks, parking->task);
+
+  (void)verdict;
+  if (task != NULL && task->parking)
+    {
+      task->parking = false;
+      if (result == GP_PROPOSAL_EXPIRED && task->stage == GP_TASKS_IDLE)
+        gp_tasks_enqueue (parking->tasks, task, true);
+    }
+  g_free (parking);
+}
+
+void
+gp_tasks_park (gp_tasks_t *tasks, gp_tasks_task_t *task,
+               Gp__Record__ParkReason reason)
+{
+  Gp__Record__Park park = GP__RECORD__PARK__INIT;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+  granting_t *parking = g_new (granting_t, 1);
+
+  *parking = (granting_t){ tasks, task->id, 0 };
+  park.task = task->id;
+  park.reason = reason;
+  record.record_case = GP__RECORD__RECORD__RECORD_PARK;
+  record.park = &park;
+  task->parking = gp_tasks_propose (tasks, &record, GP_WRITER_NORMAL,
+                                    on_parked, parking);
+  if (task->parking)
+    return;
+  g_free (parking);
+  gp_tasks_enqueue (tasks, task, true);
+}
+
+static void
+unpark (gp_tasks_t *tasks, uint64_t id)
+{
+  Gp__Record__Unpark message = GP__RECORD__UNPARK__INIT;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+
+  message.task = id;
+  record.record_case = GP__RECORD__RECORD__RECORD_UNPARK;
+  record.unpark = &message;
+  (void)gp_tasks_propose (tasks, &record, GP_WRITER_NORMAL, NULL, NULL);
+}
+
+void
+gp_tasks_unpark_fitting (gp_tasks_t *tasks)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!tasks->shapes_changed)
+    return;
+  tasks->shapes_changed = false;
+  g_hash_table_iter_init (&iter, tasks->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_tasks_task_t *task = value;
+      const gp_fold_task_t *state
+          = gp_fold_task (gp_store_fold (tasks->store), task->id);
+
+      if (task->team->mine && state != NULL
+          && state->park_reason
+                 == GP__RECORD__PARK_REASON__PARK_REASON_TOO_LARGE
+          && state->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_PARKED
+          && gp_tasks_ever_fits (tasks, &task->pending.charge.resources))
+        unpark (tasks, task->id);
+    }
+}
+
+/* Placement.  */
+
+static void
+defer (gp_tasks_t *tasks, gp_tasks_task_t *task, gp_pending_cause_t cause)
+{
+  gp_time_t now = gp_tasks_now (tasks);
+  bool hold = gp_pending_defer (&tasks->pending, &tasks->quota, &task->pending,
+                                cause, now);
+
+  task->stage = GP_TASKS_QUEUED;
+  if (hold && cause == GP_PENDING_NO_CAPACITY
+      && task->ask.held == GP_WORKER_NONE)
+    task->ask.held
+        = gp_placement_hold (&tasks->placement, &task->ask, now + HOLD_TIME);
+}
+
+/* The grant did not come about: wait for another.  */
+static void
+give_back (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  gp_tasks_unput (tasks, task);
+  gp_tasks_dequeue (tasks, task);
+  gp_tasks_enqueue (tasks, task, true);
+}
+
+static void
+on_grant_decided (gp_proposal_result_t result, gp_fold_verdict_t verdict,
+                  void *data)
+{
+  granting_t *granting = data;
+  gp_tasks_t *tasks = granting->tasks;
+  gp_tasks_task_t *task = gp_tasks_find (tasks, granting->task);
+  bool accepted = result == GP_PROPOSAL_DECIDED && verdict == GP_FOLD_ACCEPTED;
+
+  if (!accepted)
+    gp_counter_add (&grants_void, 1);
+  /* An accepted grant was seen as a change before this.  */
+  if (task != NULL && task->stage == GP_TASKS_PROPOSED
+      && task->epoch == granting->epoch)
+    give_back (tasks, task);
+  g_free (granting);
+}
+
+static bool
+propose_grant (gp_tasks_t *tasks, gp_tasks_task_t *task,
+               gp_tasks_guard_t *guard)
+{
+  Gp__Record__Grant grant = GP__RECORD__GRANT__INIT;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+  granting_t *granting;
+
+  grant.task = task->id;
+  grant.epoch = task->epoch;
+  grant.guard = guard->name;
+  grant.guard_incarnation = guard->incarnation;
+  record.record_case = GP__RECORD__RECORD__RECORD_GRANT;
+  record.grant = &grant;
+  granting = g_new (granting_t, 1);
+  *granting = (granting_t){ tasks, task->id, task->epoch };
+  if (gp_tasks_propose (tasks, &record, GP_WRITER_NORMAL, on_grant_decided,
+                        granting))
+    return true;
+  g_free (granting);
+  return false;
+}
+
+static void
+fill_ask (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  gp_placement_ask_t *ask = &task->ask;
+  gp_resources_t most = largest (tasks);
+  gp_time_t laxity = task->pending.latest_start - gp_tasks_now (tasks);
+
+  ask->zones = tasks->zones;
+  ask->demand = gp_estimate_reservation (
+      &task->kind->estimate, &task->pending.charge.resources, &most);
+  ask->harm_limit = ask->work_class == GP_WORK_BATCH && laxity > LAXITY_TO_WAIT
+                        ? HARM_WITH_LAXITY
+                        : (double)INFINITY;
+  ask->n_avoided = MIN (task->failures.n, GP_PLACEMENT_AVOIDED_MAX);
+  for (unsigned i = 0; i < ask->n_avoided; i++)
+    ask->avoided[i] = task->failures.workers[i];
+}
+
+/* A worker was found: reserve it and propose the grant.  */
+static bool
+choose_worker (gp_tasks_t *tasks, gp_tasks_task_t *task, gp_worker_t *worker,
+               const gp_fold_task_t *state)
+{
+  gp_tasks_guard_t *guard = gp_tasks_guard_of_worker (worker);
+  const gp_fold_t *fold = gp_store_fold (tasks->store);
+
+  if (!gp_fold_may_grant (fold, state, gp_fold_guard (fold, guard->name),
+                          guard->incarnation))
+    {
+      defer (tasks, task, GP_PENDING_OTHER);
+      return true;
+    }
+  task->epoch = state->epoch + 1;
+  if (!propose_grant (tasks, task, guard))
+    {
+      defer (tasks, task, GP_PENDING_OTHER);
+      return false;
+    }
+  gp_counter_add (&grants_proposed, 1);
+  task->stage = GP_TASKS_PROPOSED;
+  gp_tasks_put (tasks, task, guard);
+  if (guard->added)
+    gp_suspects_started (&tasks->suspects, task->id, worker->index,
+                         gp_tasks_now (tasks));
+  gp_tasks_guard_settle (tasks, guard);
+  return true;
+}
+
+/* Try to place TASK, which was taken from the queue; false when the log takes
+   nothing.  */
+static bool
+place_one (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  const gp_fold_task_t *state
+      = gp_fold_task (gp_store_fold (tasks->store), task->id);
+  gp_placement_choice_t choice;
+
+  task->stage = GP_TASKS_IDLE;
+  if (task->team->running >= task->team->max_tasks)
+    {
+      defer (tasks, task, GP_PENDING_NO_QUOTA);
+      task->outcome = GP_PLACEMENT_QUOTA;
+      return true;
+    }
+  if (gp_suspects_parks (&tasks->suspects, &task->failures))
+    {
+      gp_tasks_park (tasks, task, GP__RECORD__PARK_REASON__PARK_REASON_FAILS);
+      return true;
+    }
+  fill_ask (tasks, task);
+  choice = gp_placement_choose (&tasks->placement, &task->ask);
+  task->outcome = choice.outcome;
+  task->cost = choice.cost;
+  switch (choice.outcome)
+    {
+    case GP_PLACEMENT_CHOSEN:
+      return choose_worker (tasks, task, choice.worker, state);
+    case GP_PLACEMENT_NEVER_FITS:
+      if (gp_tasks_ever_fits (tasks, &task->pending.charge.resources))
+        defer (tasks, task, GP_PENDING_NO_CAPACITY);
+      else
+        gp_tasks_park (tasks, task,
+                       GP__RECORD__PARK_REASON__PARK_REASON_TOO_LARGE);
+      return true;
+    case GP_PLACEMENT_NO_CAPACITY_NOW:
+      defer (tasks, task, GP_PENDING_NO_CAPACITY);
+      return true;
+    case GP_PLACEMENT_QUOTA:
+    case GP_PLACEMENT_AVOIDED:
+    case GP_PLACEMENT_HARMFUL:
+    case GP_PLACEMENT_PARKED:
+      defer (tasks, task, GP_PENDING_OTHER);
+      return true;
+    }
+  return true;
+}
+
+/* Pace the starts after a mass loss until the queue is empty.  */
+static void
+set_pace (gp_tasks_t *tasks, gp_time_t now)
+{
+  if (!tasks->paced && tasks->lost >= LOST_TO_PACE)
+    {
+      gp_pending_pace (&tasks->pending, PACE_RATE, PACE_BURST, now);
+      tasks->paced = true;
+    }
+  if (tasks->paced && gp_pending_length (&tasks->pending) == 0)
+    {
+      gp_pending_pace (&tasks->pending, 0, 0, now);
+      tasks->paced = false;
+    }
+  if (now - tasks->lost_since < GP_SEC)
+    return;
+  tasks->lost = 0;
+  tasks->lost_since = now;
+}
+
+void
+gp_tasks_place (gp_tasks_t *tasks)
+{
+  gp_time_t now = gp_tasks_now (tasks);
+  gp_time_t wake;
+
+  set_pace (tasks, now);
+  for (int i = 0; i < PLACED_PER_TURN && gp_store_ready (tasks->store); i++)
+    {
+      gp_pending_task_t *next
+          = gp_pending_next (&tasks->pending, &tasks->quota, now);
+
+      if (next == NULL
+          || !place_one (tasks,
+                         GP_CONTAINER_OF (next, gp_tasks_task_t, pending)))
+        break;
+    }
+  wake = MAX (gp_pending_wake (&tasks->pending, now), now + GP_MSEC);
+  gp_timer_arm (&tasks->timer, MIN (wake, tasks->tick_at));
+}
+
+/* Grants that were read.  */
+
+void
+gp_tasks_granted (gp_tasks_t *tasks, gp_tasks_task_t *task,
+                  const gp_fold_task_t *state, const gp_fold_guard_t *of)
+{
+  gp_tasks_guard_t *guard = gp_tasks_guard (tasks, of->name);
+  bool own = task->stage == GP_TASKS_PROPOSED && task->guard == guard
+             && task->epoch == state->epoch;
+
+  if (!own)
+    {
+      gp_tasks_dequeue (tasks, task);
+      gp_tasks_unput (tasks, task);
+      task->ask.demand = task->pending.charge.resources;
+      gp_tasks_put (tasks, task, guard);
+      gp_tasks_confirm (tasks, task);
+    }
+  task->over_quota = !gp_quota_grant (&tasks->quota, &task->pending.charge);
+  gp_counter_add (&over_quota, task->over_quota);
+  task->stage = GP_TASKS_GRANTED;
+  task->epoch = state->epoch;
+  task->running = task->ending = task->checkpointing = false;
+  task->saved_at = gp_tasks_now (tasks);
+  task->waits_since = task->saved_at;
+  task->reported_at = 0;
+  gp_tasks_event (tasks, GP_TIMELINE_TASK_GRANTED, state->id, state->epoch,
+                  of->name, NULL);
+  gp_tasks_set_due (tasks, task);
+  if (own)
+    gp_tasks_push (tasks, task);
+}
+
+static void
+fill_start (const gp_tasks_task_t *task, const gp_fold_task_t *state,
+            Gp__Wire__Start *start, Gp__Wire__Resources *resources)
+{
+  start->task = state->id;
+  start->epoch = state->epoch;
+  start->guard_incarnation = state->guard->incarnation;
+  start->kind = state->kind;
+  start->work_class = (Gp__Wire__WorkClass)state->work_class;
+  start->team = state->team;
+  start->resources = resources;
+  resources->millicores = task->ask.demand.millicores;
+  resources->memory_mib = task->ask.demand.memory_mib;
+  resources->accelerators = task->ask.demand.accelerators;
+  start->checkpoint.data = gp_blob_data (state->checkpoint);
+  start->checkpoint.len = gp_blob_size (state->checkpoint);
+}
+
+static void
+send_start (gp_tasks_t *tasks, const gp_tasks_task_t *task,
+            const gp_fold_task_t *state)
+{
+  Gp__Wire__Start start = GP__WIRE__START__INIT;
+  Gp__Wire__Resources resources = GP__WIRE__RESOURCES__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (START, start, &start);
+  char *payload = g_strndup ((const char *)gp_blob_data (state->payload),
+                             gp_blob_size (state->payload));
+
+  fill_start (task, state, &start, &resources);
+  start.payload = payload;
+  gp_counter_add (&starts_sent, 1);
+  gp_session_send (task->guard->session, &envelope);
+  g_free (payload);
+}
+
+/* Whether this entry is to act on TASK now: the responsible one and the one
+   that was granted it at once, another when nothing has come of that.  */
+static bool
+acts_on (const gp_tasks_t *tasks, const gp_tasks_task_t *task)
+{
+  gp_time_t waited = gp_tasks_now (tasks) - task->waits_since;
+
+  return task->team->mine || !task->confirmed
+         || waited >= PATIENCE_OF_OTHERS * tasks->due_period;
+}
+
+void
+gp_tasks_push (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  const gp_fold_task_t *state
+      = gp_fold_task (gp_store_fold (tasks->store), task->id);
+
+  if (state == NULL || task->guard == NULL
+      || state->phase != GP__RECORD__TASK_PHASE__TASK_PHASE_GRANTED)
+    return;
+  if (task->running && !state->cancelled)
+    return;
+  gp_tasks_set_due (tasks, task);
+  if (task->guard->session == NULL || !acts_on (tasks, task))
+    return;
+  /* Only the guard knows whether another entry, with an older
+     configuration, has started what is over its quota here.  */
+  if (state->cancelled)
+    gp_tasks_stop (tasks, task, GP__WIRE__STOP_MODE__STOP_MODE_CANCEL);
+  else if (task->over_quota)
+    gp_tasks_stop (tasks, task, GP__WIRE__STOP_MODE__STOP_MODE_EVICT);
+  else
+    send_start (tasks, task, state);
+}
--- /dev/null
+++ b/src/daemon/tasks_report.c
@@ -0,0 +1,299 @@
+/* What guards report of tasks, and what they are told to stop.
+
+   Every entry gets every report, and any may put it on the log.  The
+   responsible entry does so at once, another one when the report is repeated
+   after the usual period.  A report is acknowledged when its record was read
+   back, whatever the verdict, or when the log shows that the epoch is
+   over.  */
+
+#include "daemon/tasks_private.h"
+
+#include "base/counters.h"
+
+typedef struct
+{
+  gp_tasks_t *tasks;
+  char *guard;
+  uint64_t task;
+  uint64_t epoch;
+  uint64_t number;
+  Gp__Wire__TaskState state;
+} reporting_t;
+
+static gp_counter_t ends_proposed
+    = GP_COUNTER ("entry_task_ends_proposed_total",
+                  "Ends and checkpoints put forward for the log.");
+static gp_counter_t acks_sent = GP_COUNTER (
+    "entry_task_acks_total", "Reports of guards that were acknowledged.");
+
+static void
+acknowledge (const reporting_t *reporting)
+{
+  gp_tasks_guard_t *guard
+      = gp_tasks_find_guard (reporting->tasks, reporting->guard);
+  Gp__Wire__TaskReportAck ack = GP__WIRE__TASK_REPORT_ACK__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (TASK_REPORT_ACK, task_report_ack, &ack);
+
+  if (guard == NULL || guard->session == NULL)
+    return;
+  ack.task = reporting->task;
+  ack.epoch = reporting->epoch;
+  ack.state = reporting->state;
+  ack.number = reporting->number;
+  gp_counter_register (&acks_sent);
+  gp_counter_add (&acks_sent, 1);
+  gp_session_send (guard->session, &envelope);
+}
+
+static reporting_t *
+reporting_new (gp_tasks_t *tasks, const gp_tasks_guard_t *guard,
+               const Gp__Wire__TaskReport *report)
+{
+  reporting_t *reporting = g_new (reporting_t, 1);
+
+  *reporting = (reporting_t){ .tasks = tasks,
+                              .guard = g_strdup (guard->name),
+                              .task = report->task,
+                              .epoch = report->epoch,
+                              .number = report->number,
+                              .state = report->state };
+  return reporting;
+}
+
+static void
+reporting_free (reporting_t *reporting)
+{
+  g_free (reporting->guard);
+  g_free (reporting);
+}
+
+static void
+on_decided (gp_proposal_result_t result, gp_fold_verdict_t verdict, void *data)
+{
+  reporting_t *reporting = data;
+  gp_tasks_task_t *task = gp_tasks_find (reporting->tasks, reporting->task);
+
+  (void)verdict;
+  if (task != NULL && task->epoch == reporting->epoch)
+    {
+      if (reporting->state == GP__WIRE__TASK_STATE__TASK_STATE_CHECKPOINTED)
+        task->checkpointing = false;
+      else
+        task->ending = false;
+    }
+  if (result == GP_PROPOSAL_DECIDED)
+    acknowledge (reporting);
+  reporting_free (reporting);
+}
+
+static bool
+propose (gp_tasks_t *tasks, const gp_tasks_guard_t *guard,
+         const Gp__Wire__TaskReport *report, Gp__Record__Record *record)
+{
+  reporting_t *reporting = reporting_new (tasks, guard, report);
+
+  if (gp_tasks_propose (tasks, record, GP_WRITER_NORMAL, on_decided,
+                        reporting))
+    {
+      gp_counter_register (&ends_proposed);
+      gp_counter_add (&ends_proposed, 1);
+      return true;
+    }
+  reporting_free (reporting);
+  return false;
+}
+
+static void
+propose_end (gp_tasks_t *tasks, gp_tasks_task_t *task,
+             const Gp__Wire__TaskReport *report)
+{
+  Gp__Record__End end = GP__RECORD__END__INIT;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+
+  end.task = report->task;
+  end.epoch = report->epoch;
+  end.state = report->state;
+  end.reason = report->reason;
+  end.run_time_us = report->run_time_us;
+  end.result = report->result;
+  end.result.len = MIN (end.result.len, GP_FOLD_RESULT_MAX);
+  if (report->checkpoint.len <= GP_FOLD_CHECKPOINT_MAX)
+    end.checkpoint = report->checkpoint;
+  record.record_case = GP__RECORD__RECORD__RECORD_END;
+  record.end = &end;
+  task->ending = propose (tasks, task->guard, report, &record);
+}
+
+static void
+propose_checkpoint (gp_tasks_t *tasks, gp_tasks_task_t *task,
+                    const Gp__Wire__TaskReport *report)
+{
+  Gp__Record__Checkpoint checkpoint = GP__RECORD__CHECKPOINT__INIT;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+
+  checkpoint.task = report->task;
+  checkpoint.epoch = report->epoch;
+  checkpoint.data = report->checkpoint;
+  record.record_case = GP__RECORD__RECORD__RECORD_CHECKPOINT;
+  record.checkpoint = &checkpoint;
+  task->checkpointing = propose (tasks, task->guard, report, &record);
+}
+
+/* Whether EPOCH of the task of STATE is over.  */
+static bool
+is_over (const gp_fold_task_t *state, uint64_t epoch)
+{
+  if (state == NULL || state->epoch > epoch)
+    return true;
+  return state->epoch == epoch
+         && state->phase != GP__RECORD__TASK_PHASE__TASK_PHASE_GRANTED;
+}
+
+/* Learn from the first copy of the report of an end.  */
+static void
+learn (gp_tasks_t *tasks, gp_tasks_task_t *task,
+       const Gp__Wire__TaskReport *report)
+{
+  if (task->reported_at != 0)
+    return;
+  task->reported_at = gp_tasks_now (tasks);
+  if (report->state == GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED
+      && report->run_time_us > 0 && report->run_time_us < INT64_MAX)
+    gp_estimate_observe_run (&task->kind->estimate,
+                             (gp_time_t)report->run_time_us);
+}
+
+static void
+on_running (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  gp_tasks_confirm (tasks, task);
+  if (task->running)
+    return;
+  task->running = true;
+  gp_tasks_event (tasks, GP_TIMELINE_TASK_STARTED, task->id, task->epoch,
+                  task->guard->name, NULL);
+}
+
+static void
+on_end (gp_tasks_t *tasks, gp_tasks_task_t *task,
+        const Gp__Wire__TaskReport *report)
+{
+  gp_time_t now = gp_tasks_now (tasks);
+
+  learn (tasks, task, report);
+  if (task->ending)
+    return;
+  if (task->team->mine || now - task->reported_at >= tasks->due_period)
+    propose_end (tasks, task, report);
+}
+
+static void
+on_checkpointed (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
+                 gp_tasks_task_t *task, const Gp__Wire__TaskReport *report)
+{
+  size_t size = report->checkpoint.len;
+  reporting_t *reporting;
+
+  on_running (tasks, task);
+  if (task->checkpointing || !task->team->mine)
+    return;
+  if (size > 0 && size <= GP_FOLD_CHECKPOINT_MAX)
+    {
+      propose_checkpoint (tasks, task, report);
+      return;
+    }
+  reporting = reporting_new (tasks, guard, report);
+  acknowledge (reporting);
+  reporting_free (reporting);
+}
+
+static void
+on_report (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
+           const Gp__Wire__TaskReport *report)
+{
+  gp_tasks_task_t *task = gp_tasks_find (tasks, report->task);
+  const gp_fold_task_t *state
+      = gp_fold_task (gp_store_fold (tasks->store), report->task);
+
+  if (!gp_store_ready (tasks->store))
+    return;
+  if (is_over (state, report->epoch))
+    {
+      reporting_t *reporting = reporting_new (tasks, guard, report);
+
+      if (report->state != GP__WIRE__TASK_STATE__TASK_STATE_RUNNING)
+        acknowledge (reporting);
+      reporting_free (reporting);
+      return;
+    }
+  if (task == NULL || task->stage != GP_TASKS_GRANTED
+      || task->epoch != report->epoch || task->guard != guard)
+    return;
+  switch ((int)report->state)
+    {
+    case GP__WIRE__TASK_STATE__TASK_STATE_RUNNING:
+      on_running (tasks, task);
+      break;
+    case GP__WIRE__TASK_STATE__TASK_STATE_CHECKPOINTED:
+      on_checkpointed (tasks, guard, task, report);
+      break;
+    case GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED:
+    case GP__WIRE__TASK_STATE__TASK_STATE_FAILED:
+    case GP__WIRE__TASK_STATE__TASK_STATE_STOPPED:
+    case GP__WIRE__TASK_STATE__TASK_STATE_REFUSED:
+    case GP__WIRE__TASK_STATE__TASK_STATE_LOST:
+      on_end (tasks, task, report);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+gp_tasks_on_report (gp_tasks_t *tasks, gp_session_t *session,
+                    const Gp__Wire__TaskReport *report)
+{
+  gp_tasks_guard_t *guard = gp_tasks_find_guard (tasks, session->process);
+
+  if (guard != NULL && guard->session == session)
+    on_report (tasks, guard, report);
+}
+
+void
+gp_tasks_on_inventory (gp_tasks_t *tasks, gp_session_t *session,
+                       const Gp__Wire__Inventory *inventory)
+{
+  gp_tasks_guard_t *guard = gp_tasks_find_guard (tasks, session->process);
+
+  if (guard == NULL || guard->session != session
+      || inventory->lease_incarnation == 0)
+    return;
+  guard->inventory_of = inventory->lease_incarnation;
+  g_array_set_size (guard->inventory, 0);
+  for (size_t i = 0; i < inventory->n_tasks; i++)
+    {
+      const Gp__Wire__TaskReport *report = inventory->tasks[i];
+      gp_tasks_epoch_t epoch = { report->task, report->epoch };
+
+      g_array_append_val (guard->inventory, epoch);
+      on_report (tasks, guard, report);
+    }
+  gp_tasks_lease_tick (tasks);
+}
+
+void
+gp_tasks_stop (gp_tasks_t *tasks, const gp_tasks_task_t *task,
+               Gp__Wire__StopMode mode)
+{
+  Gp__Wire__Stop stop = GP__WIRE__STOP__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (STOP, stop, &stop);
+
+  (void)tasks;
+  if (task->guard == NULL || task->guard->session == NULL)
+    return;
+  stop.task = task->id;
+  stop.epoch = task->epoch;
+  stop.mode = mode;
+  gp_session_send (task->guard->session, &envelope);
+}
--- /dev/null
+++ b/src/daemon/tasks_submit.c
@@ -0,0 +1,434 @@
+/* Submissions and cancellations.
+
+   A submission is answered when all of its records have their fate.  One
+   that takes too long takes back what was not sent, and answers UNKNOWN if
+   something was: those tasks may yet appear under their ids.  */
+
+#include "daemon/tasks_private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define COUNT_MAX 10000
+#define ANSWER_TIME (8 * GP_SEC)
+
+typedef struct
+{
+  gp_tasks_submitting_t *of;
+  uint64_t id;
+  gp_proposal_t *proposal; /* NULL when it has its fate */
+} submitted_t;
+
+struct gp_tasks_submitting
+{
+  gp_list_t link;
+  gp_tasks_t *tasks;
+  gp_tasks_done_t done; /* NULL once it was answered */
+  void *data;
+  gp_time_t deadline;
+  uint32_t count;
+  uint32_t open; /* without their fate */
+  GArray *ids;   /* accepted */
+  bool refused;  /* one of them, by the log's order */
+  const char *refusal;
+  submitted_t *tasks_submitted;
+};
+
+uint64_t
+gp_tasks_new_id (gp_tasks_t *tasks)
+{
+  uint64_t parts[2] = { tasks->incarnation, ++tasks->next_id };
+  const char *name = tasks->settings->name;
+  uint64_t id = XXH3_64bits_withSeed (parts, sizeof parts,
+                                      XXH3_64bits (name, strlen (name)));
+
+  return id != 0 ? id : gp_tasks_new_id (tasks);
+}
+
+void
+gp_tasks_resources_to_wire (Gp__Wire__Resources *wire,
+                            const gp_document_resources_t *resources)
+{
+  wire->millicores = resources->millicores;
+  wire->memory_mib = resources->memory_mib;
+  wire->accelerators = resources->accelerators;
+}
+
+static void
+answer (gp_tasks_done_t done, void *data, gp_tasks_result_t result,
+        const char *message)
+{
+  gp_tasks_answer_t reply = { .result = result, .message = message };
+
+  done (&reply, data);
+}
+
+/* Answers of a submission.  */
+
+static void
+submitting_free (gp_tasks_submitting_t *submitting)
+{
+  gp_list_remove (&submitting->link);
+  g_array_free (submitting->ids, TRUE);
+  g_free (submitting->tasks_submitted);
+  g_free (submitting);
+}
+
+static void
+answer_all (gp_tasks_submitting_t *submitting)
+{
+  gp_tasks_answer_t reply
+      = { .result = GP_TASKS_ACCEPTED,
+          .ids = (const uint64_t *)(void *)submitting->ids->data,
+          .count = submitting->ids->len };
+  gp_tasks_done_t done = submitting->done;
+
+  if (done == NULL)
+    return;
+  submitting->done = NULL;
+  if (reply.count < submitting->count)
+    reply.message = submitting->refused
+                        ? submitting->refusal
+                        : "the log took no more; submit the rest again";
+  if (reply.count == 0)
+    reply.result
+        = submitting->refused ? GP_TASKS_REFUSED : GP_TASKS_UNAVAILABLE;
+  done (&reply, submitting->data);
+}
+
+/* Time is up: take back what was not sent and tell of the rest.  */
+static void
+give_up (gp_tasks_submitting_t *submitting)
+{
+  gp_tasks_done_t done = submitting->done;
+  gp_tasks_answer_t reply = { .result = GP_TASKS_UNKNOWN,
+                              .message = "the log does not answer; these "
+                                         "may yet appear" };
+
+  for (uint32_t i = 0; i < submitting->count; i++)
+    {
+      submitted_t *one = &submitting->tasks_submitted[i];
+
+      if (one->proposal == NULL)
+        continue;
+      if (gp_store_withdraw (submitting->tasks->store, one->proposal))
+        {
+          one->proposal = NULL;
+          submitting->open--;
+        }
+      else
+        g_array_append_val (submitting->ids, one->id);
+    }
+  if (submitting->open == 0)
+    {
+      answer_all (submitting);
+      submitting_free (submitting);
+      return;
+    }
+  reply.ids = (const uint64_t *)(void *)submitting->ids->data;
+  reply.count = submitting->ids->len;
+  submitting->done = NULL;
+  done (&reply, submitting->data);
+}
+
+static const char *
+refusal_of (gp_fold_verdict_t verdict)
+{
+  if (verdict == GP_FOLD_VOID_FULL)
+    return "the site holds as many tasks as it can";
+  if (verdict == GP_FOLD_VOID_MALFORMED)
+    return "a field of the task is out of its bounds";
+  return gp_fold_verdict_name (verdict);
+}
+
+static void
+on_submitted (gp_proposal_result_t result, gp_fold_verdict_t verdict,
+              void *data)
+{
+  submitted_t *one = data;
+  gp_tasks_submitting_t *submitting = one->of;
+  const gp_fold_t *fold = gp_store_fold (submitting->tasks->store);
+  bool accepted = result == GP_PROPOSAL_DECIDED && verdict == GP_FOLD_ACCEPTED;
+
+  one->proposal = NULL;
+  submitting->open--;
+  if (result == GP_PROPOSAL_UNREAD && gp_fold_task (fold, one->id) != NULL)
+    accepted = true;
+  if (accepted && submitting->done != NULL)
+    g_array_append_val (submitting->ids, one->id);
+  if (result == GP_PROPOSAL_DECIDED && !accepted)
+    {
+      submitting->refused = true;
+      submitting->refusal = refusal_of (verdict);
+    }
+  if (submitting->open > 0)
+    return;
+  answer_all (submitting);
+  submitting_free (submitting);
+}
+
+void
+gp_tasks_submit_tick (gp_tasks_t *tasks)
+{
+  gp_time_t now = gp_tasks_now (tasks);
+
+  GP_LIST_FOREACH_SAFE (pos, &tasks->submitting)
+  {
+    gp_tasks_submitting_t *submitting
+        = GP_CONTAINER_OF (pos, gp_tasks_submitting_t, link);
+
+    if (submitting->done != NULL && submitting->deadline <= now)
+      give_up (submitting);
+  }
+}
+
+void
+gp_tasks_submit_finish (gp_tasks_t *tasks)
+{
+  while (!gp_list_empty (&tasks->submitting))
+    submitting_free (
+        GP_CONTAINER_OF (tasks->submitting.next, gp_tasks_submitting_t, link));
+}
+
+/* Checks before anything is proposed: NULL, or why it is refused.  */
+
+static const char *
+check_team (const gp_tasks_t *tasks, const gp_document_batch_job_t *job,
+            const char *name)
+{
+  const gp_document_team_t *team
+      = name == NULL ? NULL : gp_document_find_team (tasks->document, name);
+  gp_resources_t demand
+      = { job->resources.millicores, job->resources.memory_mib,
+          job->resources.accelerators };
+  gp_resources_t quota;
+
+  if (team == NULL)
+    return "no such team in the document";
+  if (team->max_tasks == 0)
+    return "the team may run no tasks";
+  quota = (gp_resources_t){ team->quota.millicores, team->quota.memory_mib,
+                            team->quota.accelerators };
+  if (!gp_resources_fit (&demand, &quota))
+    return "larger than the quota of its team, so it could never run";
+  if (!gp_tasks_ever_fits (tasks, &demand))
+    return "larger than every worker, so it could never run";
+  return NULL;
+}
+
+static const char *
+check (const gp_tasks_t *tasks, const gp_tasks_submission_t *submission,
+       const gp_document_batch_job_t *job, const char *team)
+{
+  const char *payload = submission->payload;
+  uint32_t pending
+      = gp_store_fold (tasks->store)
+            ->phase_count[GP__RECORD__TASK_PHASE__TASK_PHASE_PENDING];
+
+  if (submission->count == 0 || submission->count > COUNT_MAX)
+    return "count must be from 1 to 10000";
+  if (payload != NULL && strlen (payload) > GP_FOLD_PAYLOAD_MAX)
+    return "the payload is over 64 KiB";
+  if (tasks->document->limits.pending_jobs != GP_DOCUMENT_UNLIMITED
+      && pending + submission->count > tasks->document->limits.pending_jobs)
+    return "too many jobs are pending";
+  return check_team (tasks, job, team);
+}
+
+/* The records.  */
+
+static int64_t
+deadline_of (const gp_tasks_t *tasks, const gp_tasks_submission_t *submission,
+             const gp_document_batch_job_t *job)
+{
+  GTimeZone *zone;
+  int64_t deadline;
+
+  if (submission->deadline_us != 0)
+    return submission->deadline_us;
+  zone = gp_document_time_zone (tasks->document);
+  if (zone == NULL)
+    zone = g_time_zone_new_utc ();
+  deadline = gp_document_job_deadline (job, zone, gp_time_wall ());
+  g_time_zone_unref (zone);
+  return deadline;
+}
+
+static gp_writer_result_t
+propose_one (submitted_t *one, Gp__Record__Submit *submit)
+{
+  gp_tasks_submitting_t *submitting = one->of;
+  gp_tasks_t *tasks = submitting->tasks;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+
+  submit->task = one->id;
+  record.record_case = GP__RECORD__RECORD__RECORD_SUBMIT;
+  record.submit = submit;
+  return gp_store_propose (tasks->store, &record, GP_WRITER_NORMAL,
+                           gp_tasks_now (tasks) + GP_TASKS_PROPOSAL_TIME,
+                           on_submitted, one, &one->proposal);
+}
+
+static gp_tasks_submitting_t *
+submitting_new (gp_tasks_t *tasks, uint32_t count, gp_tasks_done_t done,
+                void *data)
+{
+  gp_tasks_submitting_t *submitting = g_new0 (gp_tasks_submitting_t, 1);
+
+  submitting->tasks = tasks;
+  submitting->done = done;
+  submitting->data = data;
+  submitting->deadline = gp_tasks_now (tasks) + ANSWER_TIME;
+  submitting->count = count;
+  submitting->ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  submitting->tasks_submitted = g_new0 (submitted_t, count);
+  gp_list_push_back (&tasks->submitting, &submitting->link);
+  return submitting;
+}
+
+static void
+propose_all (gp_tasks_submitting_t *submitting, Gp__Record__Submit *submit)
+{
+  for (uint32_t i = 0; i < submitting->count; i++)
+    {
+      submitted_t *one = &submitting->tasks_submitted[i];
+
+      one->of = submitting;
+      one->id = gp_tasks_new_id (submitting->tasks);
+      if (propose_one (one, submit) != GP_WRITER_QUEUED)
+        break;
+      submitting->open++;
+    }
+  if (submitting->open > 0)
+    return;
+  answer_all (submitting);
+  submitting_free (submitting);
+}
+
+static void
+submit_checked (gp_tasks_t *tasks, const gp_tasks_submission_t *submission,
+                const gp_document_batch_job_t *job, const char *team,
+                gp_tasks_done_t done, void *data)
+{
+  const char *payload
+      = submission->payload != NULL ? submission->payload : job->payload;
+  Gp__Wire__Resources resources = GP__WIRE__RESOURCES__INIT;
+  Gp__Record__Submit submit = GP__RECORD__SUBMIT__INIT;
+
+  gp_tasks_resources_to_wire (&resources, &job->resources);
+  submit.kind = job->name;
+  submit.work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
+  submit.team = (char *)team;
+  submit.resources = &resources;
+  submit.payload.data = (uint8_t *)payload;
+  submit.payload.len = payload == NULL ? 0 : strlen (payload);
+  submit.deadline_us = deadline_of (tasks, submission, job);
+  submit.max_tries = job->max_tries;
+  propose_all (submitting_new (tasks, submission->count, done, data), &submit);
+}
+
+void
+gp_tasks_submit (gp_tasks_t *tasks, const gp_tasks_submission_t *submission,
+                 gp_tasks_done_t done, void *data)
+{
+  const gp_document_batch_job_t *job;
+  const char *team;
+  const char *refusal;
+
+  if (!gp_store_ready (tasks->store) || tasks->document == NULL)
+    {
+      answer (done, data, GP_TASKS_UNAVAILABLE,
+              "the state of the site is not known here yet");
+      return;
+    }
+  job = gp_document_find_batch_job (tasks->document, submission->kind);
+  if (job == NULL)
+    {
+      answer (done, data, GP_TASKS_REFUSED,
+              "no such batch job in the document");
+      return;
+    }
+  team = submission->team != NULL ? submission->team : job->team;
+  refusal = check (tasks, submission, job, team);
+  if (refusal != NULL)
+    answer (done, data, GP_TASKS_REFUSED, refusal);
+  else
+    submit_checked (tasks, submission, job, team, done, data);
+}
+
+/* Cancellation.  */
+
+typedef struct
+{
+  gp_tasks_t *tasks;
+  gp_tasks_done_t done;
+  void *data;
+  uint64_t id;
+} cancelling_t;
+
+static void
+answer_cancelled (const cancelling_t *cancelling, gp_tasks_result_t result,
+                  const char *message)
+{
+  gp_tasks_answer_t reply = {
+    .result = result, .message = message, .ids = &cancelling->id, .count = 1
+  };
+
+  cancelling->done (&reply, cancelling->data);
+}
+
+static void
+on_cancelled (gp_proposal_result_t result, gp_fold_verdict_t verdict,
+              void *data)
+{
+  cancelling_t *cancelling = data;
+  const gp_fold_task_t *state = gp_fold_task (
+      gp_store_fold (cancelling->tasks->store), cancelling->id);
+
+  if (result == GP_PROPOSAL_EXPIRED)
+    answer_cancelled (cancelling, GP_TASKS_UNAVAILABLE,
+                      "the log takes nothing now; it was not cancelled");
+  else if (result == GP_PROPOSAL_DECIDED && verdict == GP_FOLD_ACCEPTED)
+    answer_cancelled (cancelling, GP_TASKS_ACCEPTED, NULL);
+  else if (state != NULL && state->cancelled)
+    answer_cancelled (cancelling, GP_TASKS_ACCEPTED,
+                      "it was cancelled before");
+  else if (state == NULL)
+    answer_cancelled (cancelling, GP_TASKS_REFUSED, "no such task");
+  else
+    answer_cancelled (cancelling, GP_TASKS_REFUSED, "it has ended");
+  g_free (cancelling);
+}
+
+void
+gp_tasks_cancel (gp_tasks_t *tasks, uint64_t task, gp_tasks_done_t done,
+                 void *data)
+{
+  Gp__Record__Cancel cancel = GP__RECORD__CANCEL__INIT;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+  cancelling_t *cancelling;
+
+  if (!gp_store_ready (tasks->store))
+    {
+      answer (done, data, GP_TASKS_UNAVAILABLE,
+              "the state of the site is not known here yet");
+      return;
+    }
+  if (gp_fold_task (gp_store_fold (tasks->store), task) == NULL)
+    {
+      answer (done, data, GP_TASKS_REFUSED, "no such task");
+      return;
+    }
+  cancel.task = task;
+  cancel.reason = GP__WIRE__REASON__REASON_CANCELLED;
+  record.record_case = GP__RECORD__RECORD__RECORD_CANCEL;
+  record.cancel = &cancel;
+  cancelling = g_new (cancelling_t, 1);
+  *cancelling = (cancelling_t){ tasks, done, data, task };
+  if (gp_tasks_propose (tasks, &record, GP_WRITER_NORMAL, on_cancelled,
+                        cancelling))
+    return;
+  g_free (cancelling);
+  answer (done, data, GP_TASKS_UNAVAILABLE,
+          "the log takes nothing now; it was not cancelled");
+}
--- /dev/null
+++ b/src/daemon/tasks_watch.c
@@ -0,0 +1,209 @@
+/* Watchers at the counts that the document declares.
+
+   The responsible entry submits what is missing and cancels what is too
+   many.  Ids follow from the state on the log, so that two entries that both
+   think themselves responsible submit the same tasks, of which the log takes
+   one.  */
+
+#include "daemon/tasks_private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/counters.h"
+
+#define CHANGES_PER_TURN 500
+
+typedef struct
+{
+  gp_tasks_t *tasks;
+  gp_tasks_kind_t *kind;
+  uint64_t id;
+} change_t;
+
+static gp_counter_t submitted = GP_COUNTER (
+    "entry_watchers_submitted_total", "Watchers submitted to reach a count.");
+static gp_counter_t withdrawn = GP_COUNTER (
+    "entry_watchers_withdrawn_total", "Watchers cancelled to reach a count.");
+
+static void
+on_submitted (gp_proposal_result_t result, gp_fold_verdict_t verdict,
+              void *data)
+{
+  change_t *change = data;
+
+  change->kind->proposed--;
+  if (result == GP_PROPOSAL_DECIDED && verdict == GP_FOLD_VOID_EXISTS)
+    change->kind->salt++;
+  change->tasks->watchers_changed = true;
+  g_free (change);
+}
+
+static uint64_t
+id_of (const gp_tasks_kind_t *kind, uint32_t number)
+{
+  uint64_t parts[3] = { (uint64_t)kind->seed_us, kind->salt, number };
+
+  return XXH3_64bits_withSeed (parts, sizeof parts,
+                               XXH3_64bits (kind->name, strlen (kind->name)));
+}
+
+static bool
+submit_one (gp_tasks_t *tasks, gp_tasks_kind_t *kind,
+            const gp_document_watcher_t *watcher, uint32_t number)
+{
+  Gp__Wire__Resources resources = GP__WIRE__RESOURCES__INIT;
+  Gp__Record__Submit submit = GP__RECORD__SUBMIT__INIT;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+  change_t *change = g_new (change_t, 1);
+
+  gp_tasks_resources_to_wire (&resources, &watcher->resources);
+  submit.task = id_of (kind, number);
+  submit.kind = watcher->name;
+  submit.work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_WATCHER;
+  submit.team = watcher->team;
+  submit.resources = &resources;
+  submit.payload.data = (uint8_t *)watcher->payload;
+  submit.payload.len
+      = watcher->payload == NULL ? 0 : strlen (watcher->payload);
+  record.record_case = GP__RECORD__RECORD__RECORD_SUBMIT;
+  record.submit = &submit;
+  *change = (change_t){ tasks, kind, submit.task };
+  if (gp_tasks_propose (tasks, &record, GP_WRITER_NORMAL, on_submitted,
+                        change))
+    {
+      kind->proposed++;
+      return true;
+    }
+  g_free (change);
+  return false;
+}
+
+static void
+submit_missing (gp_tasks_t *tasks, gp_tasks_kind_t *kind,
+                const gp_document_watcher_t *watcher, uint32_t missing)
+{
+  gp_counter_register (&submitted);
+  for (uint32_t i = 0; i < MIN (missing, CHANGES_PER_TURN); i++)
+    {
+      if (!submit_one (tasks, kind, watcher, i))
+        {
+          tasks->watchers_changed = true;
+          return;
+        }
+      gp_counter_add (&submitted, 1);
+    }
+}
+
+static void
+on_withdrawn (gp_proposal_result_t result, gp_fold_verdict_t verdict,
+              void *data)
+{
+  change_t *change = data;
+  gp_tasks_task_t *task = gp_tasks_find (change->tasks, change->id);
+
+  (void)result, (void)verdict;
+  if (task != NULL)
+    task->cancelling = false;
+  change->tasks->watchers_changed = true;
+  g_free (change);
+}
+
+static bool
+withdraw_one (gp_tasks_t *tasks, gp_tasks_task_t *task)
+{
+  Gp__Record__Cancel cancel = GP__RECORD__CANCEL__INIT;
+  Gp__Record__Record record = GP__RECORD__RECORD__INIT;
+  change_t *change = g_new (change_t, 1);
+
+  cancel.task = task->id;
+  cancel.reason = GP__WIRE__REASON__REASON_CANCELLED;
+  record.record_case = GP__RECORD__RECORD__RECORD_CANCEL;
+  record.cancel = &cancel;
+  *change = (change_t){ tasks, task->kind, task->id };
+  task->cancelling = gp_tasks_propose (tasks, &record, GP_WRITER_NORMAL,
+                                       on_withdrawn, change);
+  if (!task->cancelling)
+    g_free (change);
+  return task->cancelling;
+}
+
+/* Those that don't run come first, then the higher ids, so that entries agree
+   on whom they withdraw.  */
+static gint
+compare_worth (gconstpointer a, gconstpointer b)
+{
+  const gp_tasks_task_t *one = *(gp_tasks_task_t *const *)a;
+  const gp_tasks_task_t *other = *(gp_tasks_task_t *const *)b;
+  bool one_runs = one->stage == GP_TASKS_GRANTED;
+  bool other_runs = other->stage == GP_TASKS_GRANTED;
+
+  if (one_runs != other_runs)
+    return one_runs ? 1 : -1;
+  return one->id > other->id ? -1 : one->id < other->id;
+}
+
+static void
+withdraw_surplus (gp_tasks_t *tasks, gp_tasks_kind_t *kind, uint32_t surplus)
+{
+  GPtrArray *live = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  gp_counter_register (&withdrawn);
+  g_hash_table_iter_init (&iter, tasks->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_tasks_task_t *task = value;
+      const gp_fold_task_t *state
+          = gp_fold_task (gp_store_fold (tasks->store), task->id);
+
+      if (task->kind == kind && task->ask.work_class == GP_WORK_WATCHER
+          && state != NULL && !state->cancelled)
+        g_ptr_array_add (live, task);
+    }
+  g_ptr_array_sort (live, compare_worth);
+  for (guint i = 0; i < live->len && i < MIN (surplus, CHANGES_PER_TURN); i++)
+    {
+      gp_tasks_task_t *task = g_ptr_array_index (live, i);
+
+      if (!task->cancelling && !withdraw_one (tasks, task))
+        {
+          tasks->watchers_changed = true;
+          break;
+        }
+      gp_counter_add (&withdrawn, 1);
+    }
+  g_ptr_array_unref (live);
+}
+
+static void
+watch_kind (gp_tasks_t *tasks, gp_tasks_kind_t *kind)
+{
+  const gp_document_watcher_t *watcher
+      = gp_document_find_watcher (tasks->document, kind->name);
+  uint32_t wanted = watcher == NULL ? 0 : watcher->count;
+
+  if (kind->live == wanted || kind->proposed > 0)
+    return;
+  if (!gp_tasks_is_mine (tasks, "watcher", kind->name))
+    return;
+  if (kind->live < wanted)
+    submit_missing (tasks, kind, watcher, wanted - kind->live);
+  else
+    withdraw_surplus (tasks, kind, kind->live - wanted);
+}
+
+void
+gp_tasks_watch (gp_tasks_t *tasks)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!tasks->watchers_changed || tasks->document == NULL)
+    return;
+  tasks->watchers_changed = false;
+  g_hash_table_iter_init (&iter, tasks->kinds);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    watch_kind (tasks, value);
+}
