Test an entry's tasks against a log that the test holds

The decisions of the tasks module had no test. Store, sessions and clock are stood in for, so that the order of records and time are the test's: starts only after the grant was read, races of two entries for a task and for a quota, silence of a guard until its task runs elsewhere, adoption, watchers, cancellation, outages and a state built anew.

--- a/src/daemon/tasks.h
+++ b/src/daemon/tasks.h
@@ -49,6 +49,15 @@
   int64_t deadline_us; /* wall clock, 0: that of the document */
 } gp_tasks_submission_t;
 
+/* Which tasks to list; NULL and unspecified: all.  */
+typedef struct
+{
+  Gp__Wire__WorkClass work_class;
+  const char *state; /* as in the views, such as "running" */
+  const char *team;
+  const char *kind;
+} gp_tasks_filter_t;
+
 gp_tasks_t *gp_tasks_new (gp_session_host_t *host, gp_store_t *store,
                           const gp_settings_t *settings, uint64_t incarnation,
                           GRand *rand, gp_timeline_t *timeline);
@@ -79,6 +88,9 @@
 /* Tasks of WORK_CLASS (unspecified: all), at most MAX.  */
 json_t *gp_tasks_list (const gp_tasks_t *tasks, Gp__Wire__WorkClass work_class,
                        size_t max);
+/* Those that FILTER lets through, at most MAX.  */
+json_t *gp_tasks_list_filtered (const gp_tasks_t *tasks,
+                                const gp_tasks_filter_t *filter, size_t max);
 /* Why the task is where it is, in one sentence.  */
 json_t *gp_tasks_explain (const gp_tasks_t *tasks, uint64_t task);
 /* Workers with capacity, reserved, observed and state; counts of tasks.  */
--- a/src/daemon/tasks_place.c
+++ b/src/daemon/tasks_place.c
@@ -24,6 +24,8 @@
 #define LOST_TO_PACE 300
 #define PACE_RATE 1300.0
 #define PACE_BURST 200.0
+/* Guards that are there have come by then.  */
+#define FLEET_COMES_IN (60 * GP_SEC)
 /* Entries that are not responsible act after so many periods.  */
 #define PATIENCE_OF_OTHERS 5
 
@@ -176,10 +178,12 @@
 {
   if (gp_fleet_can_ever_fit (&tasks->fleet, demand, GP_PLACEMENT_ALL_ZONES))
     return true;
-  /* Without a list of workers in the document the fleet may be incomplete. */
-  if (tasks->document == NULL || tasks->document->workers_count == 0)
-    return true;
-  return fits_document (tasks->document, demand);
+  if (tasks->document != NULL && tasks->document->workers_count > 0)
+    return fits_document (tasks->document, demand);
+  /* Without a list of workers in the document the fleet must have had the
+     time to come in.  */
+  return tasks->fleet.shapes->len == 0
+         || gp_tasks_now (tasks) < tasks->started_at + FLEET_COMES_IN;
 }
 
 /* The largest worker, by each component.  */
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -1,6 +1,7 @@
 /* What the parts of daemon/tasks.h share.
 
-   tasks.c           wiring, the mirror of the fold's tasks, responsibility
+   tasks.c           wiring, responsibility, time
+   tasks_mirror.c    the mirror of the fold's tasks
    tasks_place.c     queue, placement, grants and starts
    tasks_report.c    reports of guards, ends, checkpoints, stops
    tasks_lease.c     heartbeats, vouches, adoptions and fences
@@ -146,6 +147,7 @@
   gp_timer_t timer;
   gp_deferred_t deferred; /* places what waits */
   gp_time_t tick_at;
+  gp_time_t started_at;
 
   GHashTable *tasks;  /* set of gp_tasks_task_t */
   GHashTable *guards; /* name -> gp_tasks_guard_t */
@@ -214,6 +216,14 @@
 const char *gp_tasks_state_name (const gp_tasks_t *tasks,
                                  const gp_fold_task_t *task);
 
+/* tasks_mirror.c */
+
+/* For the store: DATA is the gp_tasks_t.  */
+void gp_tasks_on_change (const gp_fold_change_t *change, void *data);
+void gp_tasks_on_rebuilt (void *data);
+/* Drop the mirror; what the fleet holds of it goes with it.  */
+void gp_tasks_forget_all (gp_tasks_t *tasks);
+
 /* tasks_place.c */
 
 void gp_tasks_place_init (gp_tasks_t *tasks);
--- a/src/daemon/tasks_view.c
+++ b/src/daemon/tasks_view.c
@@ -119,9 +119,27 @@
   return json;
 }
 
+static bool
+matches (const char *wanted, const char *text)
+{
+  return wanted == NULL || strcmp (wanted, text) == 0;
+}
+
+static bool
+passes (const gp_tasks_t *tasks, const gp_tasks_filter_t *filter,
+        const gp_fold_task_t *state)
+{
+  if (filter->work_class != GP__WIRE__WORK_CLASS__WORK_CLASS_UNSPECIFIED
+      && state->work_class != filter->work_class)
+    return false;
+  return matches (filter->team, state->team)
+         && matches (filter->kind, state->kind)
+         && matches (filter->state, gp_tasks_state_name (tasks, state));
+}
+
 json_t *
-gp_tasks_list (const gp_tasks_t *tasks, Gp__Wire__WorkClass work_class,
-               size_t max)
+gp_tasks_list_filtered (const gp_tasks_t *tasks,
+                        const gp_tasks_filter_t *filter, size_t max)
 {
   json_t *list = json_array ();
   GHashTableIter iter;
@@ -130,16 +148,20 @@
   g_hash_table_iter_init (&iter, gp_store_fold (tasks->store)->tasks);
   while (json_array_size (list) < max
          && g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const gp_fold_task_t *state = key;
-
-      if (work_class == GP__WIRE__WORK_CLASS__WORK_CLASS_UNSPECIFIED
-          || state->work_class == work_class)
-        json_array_append_new (list, describe (tasks, state));
-    }
+    if (passes (tasks, filter, key))
+      json_array_append_new (list, describe (tasks, key));
   return list;
 }
 
+json_t *
+gp_tasks_list (const gp_tasks_t *tasks, Gp__Wire__WorkClass work_class,
+               size_t max)
+{
+  gp_tasks_filter_t filter = { .work_class = work_class };
+
+  return gp_tasks_list_filtered (tasks, &filter, max);
+}
+
 /* Why it is where it is.  */
 
 static void
--- /dev/null
+++ b/tests/unit/test_tasks.c
@@ -0,0 +1,346 @@
+/* Tasks at an entry, against a log, guards and a clock of the test's own; see
+   tasks_world_impl.h.  */
+
+#include "tasks_world_impl.h"
+
+/* Tests.  */
+
+static void
+test_run (void)
+{
+  uint64_t task;
+
+  set_up (0);
+  bring_up (0);
+  task = submit ("job");
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 1);
+  pass (GP_SEC);
+  CU_ASSERT_STRING_EQUAL (take_sent (), ""); /* not before it is read */
+  flush ();
+  CU_ASSERT_STRING_EQUAL (take_sent (), line (0, "start epoch 1"));
+  report (0, task, 1, GP__WIRE__TASK_STATE__TASK_STATE_RUNNING);
+  report (0, task, 1, GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED);
+  report (0, task, 1, GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_END), 1);
+  CU_ASSERT_STRING_EQUAL (take_sent (), "");
+  flush ();
+  CU_ASSERT_STRING_EQUAL (take_sent (), line (0, "ack 1"));
+  CU_ASSERT_STRING_EQUAL (gp_tasks_state_name (tasks, state_of (task)),
+                          "succeeded");
+  report (0, task, 1, GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED);
+  CU_ASSERT_STRING_EQUAL (take_sent (), line (0, "ack 1"));
+  tear_down ();
+}
+
+/* A start that gets no answer is sent again.  */
+static void
+test_start_again (void)
+{
+  set_up (0);
+  bring_up (0);
+  submit ("job");
+  flush ();
+  run_deferred ();
+  take_sent ();
+  pass (4 * GP_SEC + STEP * GP_MSEC);
+  CU_ASSERT_STRING_EQUAL (take_sent (), line (0, "start epoch 1"));
+  tear_down ();
+}
+
+static void
+test_log_down (void)
+{
+  set_up (0);
+  bring_up (0);
+  store.down = true;
+  ask ("job", 1);
+  CU_ASSERT_EQUAL (answered, GP_TASKS_UNAVAILABLE);
+  store.down = false;
+  ask ("job", 2);
+  expire ();
+  CU_ASSERT_EQUAL (answered, GP_TASKS_UNAVAILABLE);
+  CU_ASSERT_EQUAL (answered_ids->len, 0);
+  ask ("job", 2);
+  pass (10 * GP_SEC); /* never sent: taken back */
+  CU_ASSERT_EQUAL (answered, GP_TASKS_UNAVAILABLE);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_SUBMIT), 0);
+  tear_down ();
+}
+
+/* A grant that was never sent is proposed again.  */
+static void
+test_expired_grant (void)
+{
+  set_up (0);
+  bring_up (0);
+  submit ("job");
+  expire ();
+  run_deferred ();
+  heartbeat (0, 1);
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 1);
+  flush ();
+  CU_ASSERT_PTR_NOT_NULL (strstr (take_sent (), "start epoch 1"));
+  tear_down ();
+}
+
+static void
+test_refused (void)
+{
+  set_up (0);
+  bring_up (0);
+  pass (60 * GP_SEC); /* the fleet is known */
+  ask ("large", 1);
+  CU_ASSERT_EQUAL (answered, GP_TASKS_REFUSED);
+  ask ("nothing", 1);
+  CU_ASSERT_EQUAL (answered, GP_TASKS_REFUSED);
+  ask ("job", 0);
+  CU_ASSERT_EQUAL (answered, GP_TASKS_REFUSED);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_SUBMIT), 0);
+  tear_down ();
+}
+
+/* Another entry's grant came first: ours is void and nothing is started
+   twice.  */
+static void
+test_race (void)
+{
+  uint64_t task;
+
+  set_up (0);
+  bring_up (0);
+  bring_up (1);
+  task = submit ("small");
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 1);
+  grant_by_peer (task, 1, "guard-2");
+  flush ();
+  run_deferred ();
+  CU_ASSERT_STRING_EQUAL (take_sent (), "");
+  CU_ASSERT_EQUAL (state_of (task)->epoch, 1);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 0);
+  pass (4 * GP_SEC + STEP * GP_MSEC); /* the peer is not there to start it */
+  CU_ASSERT_STRING_EQUAL (take_sent (), line (1, "start epoch 1"));
+  tear_down ();
+}
+
+/* Two grants race for the last of a quota: the later is not started.  */
+static void
+test_quota_race (void)
+{
+  uint64_t first;
+  uint64_t second;
+
+  set_up (0);
+  bring_up (0);
+  bring_up (1);
+  first = submit ("job");
+  ask ("job", 1);
+  flush ();
+  second = g_array_index (answered_ids, uint64_t, 0);
+  run_deferred ();
+  CU_ASSERT_NOT_EQUAL (first, second);
+  CU_ASSERT_EQUAL (state_of (first)->epoch, 1);
+  take_sent ();
+  grant_by_peer (second, 1, "guard-2");
+  pass (4 * GP_SEC + STEP * GP_MSEC);
+  CU_ASSERT_PTR_NULL (strstr (sent->str, line (1, "start epoch 1")));
+  CU_ASSERT_PTR_NOT_NULL (strstr (sent->str, line (1, "stop 1")));
+  tear_down ();
+}
+
+/* A guard that is not heard is fenced, and its task runs elsewhere only after
+   the wait.  */
+static void
+test_silent_guard (void)
+{
+  uint64_t task;
+  unsigned int at;
+  gp_time_t fenced;
+
+  set_up (0);
+  bring_up (0);
+  bring_up (1);
+  task = run_one ("small");
+  at = guard_of (task);
+  for (int i = 0;
+       i < 100 && !gp_fold_guard (&store.fold, sessions[at].process)->fenced;
+       i++)
+    {
+      pass (GP_SEC);
+      heartbeat (1 - at, 1);
+      flush ();
+    }
+  CU_ASSERT_TRUE (gp_fold_guard (&store.fold, sessions[at].process)->fenced);
+  heartbeat (at, 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (take_sent (), "lease no fenced"));
+  fenced = present;
+  while (state_of (task)->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_GRANTED
+         && state_of (task)->epoch == 1 && present < fenced + 100 * GP_SEC)
+    {
+      pass (GP_SEC);
+      heartbeat (1 - at, 1);
+      flush ();
+    }
+  CU_ASSERT_TRUE (present - fenced >= 15 * GP_SEC);
+  pass (GP_SEC);
+  flush ();
+  CU_ASSERT_EQUAL (state_of (task)->epoch, 2);
+  CU_ASSERT_EQUAL (guard_of (task), 1 - at);
+  CU_ASSERT_PTR_NOT_NULL (strstr (take_sent (), "start epoch 2"));
+  tear_down ();
+}
+
+/* The guard's process starts again beside its runtime: what runs goes on
+   under its epoch, what does not is lost and runs again.  */
+static void
+test_adopted (void)
+{
+  Gp__Wire__TaskReport running = GP__WIRE__TASK_REPORT__INIT;
+  Gp__Wire__TaskReport *reports[] = { &running };
+  uint64_t kept;
+  uint64_t lost;
+
+  set_up (0);
+  bring_up (0);
+  kept = run_one ("small");
+  lost = run_one ("small");
+  gp_tasks_on_closed (tasks, &sessions[0]);
+  running.task = kept;
+  running.epoch = 1;
+  running.state = GP__WIRE__TASK_STATE__TASK_STATE_RUNNING;
+  announce (0, 2, reports, 1);
+  heartbeat (0, 2);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_ADOPT), 1);
+  flush ();
+  heartbeat (0, 2);
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (state_of (kept)->epoch, 1);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 1);
+  flush ();
+  CU_ASSERT_EQUAL (state_of (kept)->epoch, 1);
+  CU_ASSERT_EQUAL (state_of (lost)->epoch, 2);
+  CU_ASSERT_PTR_NULL (strstr (sent->str, "start epoch 1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (sent->str, "start epoch 2"));
+  tear_down ();
+}
+
+static unsigned int
+count_watchers (void)
+{
+  json_t *list
+      = gp_tasks_list (tasks, GP__WIRE__WORK_CLASS__WORK_CLASS_WATCHER, 100);
+  unsigned int count = 0;
+  size_t i;
+  json_t *one;
+
+  json_array_foreach (list, i, one)
+  {
+    const char *state = json_string_value (json_object_get (one, "state"));
+
+    count += strcmp (state, "cancelled") != 0;
+  }
+  json_decref (list);
+  return count;
+}
+
+static void
+test_watchers (void)
+{
+  set_up (5);
+  bring_up (0);
+  pass (GP_SEC);
+  for (int i = 0; i < 3; i++)
+    {
+      flush ();
+      pass (GP_SEC);
+    }
+  CU_ASSERT_EQUAL (count_watchers (), 5);
+  set_document (2);
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_CANCEL), 3);
+  flush ();
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_CANCEL), 0);
+  set_document (4);
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_SUBMIT), 2);
+  flush ();
+  tear_down ();
+}
+
+static void
+test_cancel (void)
+{
+  uint64_t waiting;
+  uint64_t running;
+
+  set_up (0);
+  bring_up (0);
+  running = run_one ("job");
+  waiting = submit ("job"); /* over the quota */
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 0);
+  gp_tasks_cancel (tasks, waiting, on_answer, NULL);
+  gp_tasks_cancel (tasks, running, on_answer, NULL);
+  flush ();
+  CU_ASSERT_EQUAL (answered, GP_TASKS_ACCEPTED);
+  CU_ASSERT_STRING_EQUAL (take_sent (), line (0, "stop 2"));
+  CU_ASSERT_STRING_EQUAL (gp_tasks_state_name (tasks, state_of (waiting)),
+                          "cancelled");
+  pass (4 * GP_SEC + STEP * GP_MSEC);
+  CU_ASSERT_STRING_EQUAL (take_sent (), line (0, "stop 2"));
+  report (0, running, 1, GP__WIRE__TASK_STATE__TASK_STATE_STOPPED);
+  flush ();
+  CU_ASSERT_STRING_EQUAL (gp_tasks_state_name (tasks, state_of (running)),
+                          "cancelled");
+  gp_tasks_cancel (tasks, running, on_answer, NULL);
+  flush ();
+  CU_ASSERT_EQUAL (answered, GP_TASKS_ACCEPTED); /* it was */
+  tear_down ();
+}
+
+/* What is known beside the fold is built anew with it.  */
+static void
+test_rebuilt (void)
+{
+  uint64_t running;
+  uint64_t waiting;
+
+  set_up (0);
+  bring_up (0);
+  running = run_one ("job");
+  waiting = submit ("job");
+  store.subscriber->on_gap (store.subscriber->data);
+  store.subscriber->on_rebuilt (store.subscriber->data);
+  run_deferred ();
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 0);
+  report (0, running, 1, GP__WIRE__TASK_STATE__TASK_STATE_RUNNING);
+  report (0, running, 1, GP__WIRE__TASK_STATE__TASK_STATE_SUCCEEDED);
+  flush ();
+  pass (STEP * GP_MSEC); /* the log is read */
+  heartbeat (0, 1);
+  pass (3 * GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 1);
+  flush ();
+  CU_ASSERT_EQUAL (state_of (waiting)->epoch, 1);
+  tear_down ();
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "run", test_run },
+                          { "start again", test_start_again },
+                          { "log down", test_log_down },
+                          { "expired grant", test_expired_grant },
+                          { "refused", test_refused },
+                          { "race", test_race },
+                          { "quota race", test_quota_race },
+                          { "silent guard", test_silent_guard },
+                          { "adopted", test_adopted },
+                          { "watchers", test_watchers },
+                          { "cancel", test_cancel },
+                          { "rebuilt", test_rebuilt },
+                          CU_TEST_INFO_NULL };
+
+  return runner_main ("tasks", tests);
+}
