--- a/src/daemon/tasks.c
+++ b/src/daemon/tasks.c
@@ -348,7 +348,7 @@
   tasks->rand = rand;
   tasks->incarnation = incarnation;
   tasks->started_at = gp_tasks_now (tasks);
-  tasks->due_period = 2 * settings->timings.heartbeat_ms * GP_MSEC;
+  tasks->due_period = settings->timings.heartbeat_ms * (2 * GP_MSEC);
   gp_list_init (&tasks->due);
   gp_list_init (&tasks->submitting);
   register_counters ();
--- a/src/daemon/tasks.h
+++ b/src/daemon/tasks.h
@@ -92,7 +92,7 @@
 json_t *gp_tasks_list_filtered (const gp_tasks_t *tasks,
                                 const gp_tasks_filter_t *filter, size_t max);
 /* Why the task is where it is, in one sentence.  */
-json_t *gp_tasks_explain (const gp_tasks_t *tasks, uint64_t task);
+json_t *gp_tasks_explain (const gp_tasks_t *tasks, uint64_t id);
 /* Workers with capacity, reserved, observed and state; counts of tasks.  */
 json_t *gp_tasks_status (const gp_tasks_t *tasks);
 
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -214,7 +214,7 @@
 
 /* A short name of the state of a task.  */
 const char *gp_tasks_state_name (const gp_tasks_t *tasks,
-                                 const gp_fold_task_t *task);
+                                 const gp_fold_task_t *state);
 
 /* tasks_mirror.c */
 
@@ -240,8 +240,7 @@
 
 /* The grant of TASK was read.  */
 void gp_tasks_granted (gp_tasks_t *tasks, gp_tasks_task_t *task,
-                       const gp_fold_task_t *state,
-                       const gp_fold_guard_t *guard);
+                       const gp_fold_task_t *state, const gp_fold_guard_t *of);
 
 /* Reserve the worker of GUARD for TASK, or let go of it.  */
 void gp_tasks_put (gp_tasks_t *tasks, gp_tasks_task_t *task,
--- a/src/daemon/tasks_submit.c
+++ b/src/daemon/tasks_submit.c
@@ -185,9 +185,10 @@
 void
 gp_tasks_submit_finish (gp_tasks_t *tasks)
 {
-  while (!gp_list_empty (&tasks->submitting))
-    submitting_free (
-        GP_CONTAINER_OF (tasks->submitting.next, gp_tasks_submitting_t, link));
+  gp_list_t *link;
+
+  while ((link = gp_list_pop_front (&tasks->submitting)) != NULL)
+    submitting_free (GP_CONTAINER_OF (link, gp_tasks_submitting_t, link));
 }
 
 /* Checks before anything is proposed: NULL, or why it is refused.  */
