Serve status, time lines and counters of all processes to operators

An operator reached only the counters of the entry that he asked. The operators' HTTP is now a list of route tables, one for each part, so that further parts add a file. Status tells of processes with the revision in force and since when, upstreams, tasks and the log. A time line or the counters of any process are asked for over its session (ViewAsk, View). Every message but parts of bodies carries the stamp of the hybrid logical clock, 10 bytes, so merged time lines agree with cause. Entries tell each other the revision in force (EntryState).

--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,9 @@
 	@mkdir -p $(@D)
 	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
+# Its files are taken in by the assembler, which tells no dependencies.
+$(BUILD)/src/daemon/console.o: $(wildcard src/console/*)
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -13,8 +13,52 @@
 #define CLOSE_GRACE (200 * GP_MSEC)
 #define READY_PATH "/-/ready"
 
+/* Add an event about this process to the time line.  */
+static void
+note_self (gp_entry_t *entry, gp_timeline_kind_t kind)
+{
+  const gp_timeline_subject_t subject = { .vm = entry->settings->name };
+
+  gp_timeline_append (&entry->timeline, kind, &subject, NULL, gp_time_wall ());
+}
+
 /* Sessions.  */
 
+/* Add an event about the process of SESSION to the time line.  */
+static void
+note_peer (gp_entry_t *entry, gp_timeline_kind_t kind,
+           const gp_session_t *session)
+{
+  const gp_timeline_subject_t subject = { .vm = session->process };
+
+  gp_timeline_append (&entry->timeline, kind, &subject, NULL, gp_time_wall ());
+}
+
+static void
+send_state (gp_entry_t *entry, gp_session_t *session)
+{
+  Gp__Wire__EntryState state = GP__WIRE__ENTRY_STATE__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (ENTRY_STATE, entry_state, &state);
+
+  state.state = entry->leaving ? GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING
+                               : GP__WIRE__MEMBER_STATE__MEMBER_STATE_SERVING;
+  state.config_revision = gp_configuration_revision (entry->configuration);
+  gp_session_send (session, &envelope);
+}
+
+/* Tell the other entries what changed here.  */
+static void
+tell_state (gp_entry_t *entry)
+{
+  GP_LIST_FOREACH (pos, &entry->host.sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready && session->role == GP__WIRE__ROLE__ROLE_ENTRY)
+      send_state (entry, session);
+  }
+}
+
 static void
 on_ready (gp_session_t *session, void *data)
 {
@@ -22,6 +66,10 @@
 
   if (session->owner != NULL)
     gp_dialer_on_ready (session->owner);
+  gp_processes_opened (&entry->processes, session, gp_time_wall ());
+  note_peer (entry, GP_TIMELINE_PEER_UP, session);
+  if (session->role == GP__WIRE__ROLE__ROLE_ENTRY)
+    send_state (entry, session);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("peer", session->process),
           GP_LOG_I ("incarnation", session->incarnation));
   gp_configuration_on_ready (entry->configuration, session);
@@ -48,6 +96,9 @@
       on_announce (entry, session, envelope->announce);
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT:
+      gp_processes_revision (&entry->processes, session,
+                             envelope->heartbeat->config_revision,
+                             gp_time_wall ());
       gp_routes_heartbeat (&entry->routes, session, envelope->heartbeat);
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_ANSWER:
@@ -59,6 +110,16 @@
     case GP__WIRE__ENVELOPE__MESSAGE_BROKEN:
       gp_relays_on_broken (&entry->relays, session, envelope->broken);
       break;
+    case GP__WIRE__ENVELOPE__MESSAGE_ENTRY_STATE:
+      gp_processes_entry_state (&entry->processes, session,
+                                envelope->entry_state, gp_time_wall ());
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_VIEW_ASK:
+      gp_view_serve (session, &entry->timeline, envelope->view_ask);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_VIEW:
+      gp_views_on_view (&entry->views, session, envelope->view);
+      break;
     default:
       break;
     }
@@ -86,6 +147,9 @@
     return;
   gp_log (GP_LOG_INFO, "session.closed", GP_LOG_S ("peer", session->process),
           GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
+  gp_processes_closed (&entry->processes, session, gp_time_wall ());
+  note_peer (entry, GP_TIMELINE_PEER_DOWN, session);
+  gp_views_on_closed (&entry->views, session);
   if (session->object != NULL)
     gp_relays_on_closed (&entry->relays, session->object);
   gp_tasks_on_closed (entry->tasks, session);
@@ -166,6 +230,8 @@
     return;
   entry->leaving = true;
   gp_log (GP_LOG_INFO, "entry.leaving");
+  note_self (entry, GP_TIMELINE_PROCESS_STOP);
+  tell_state (entry);
   gp_timer_arm (&entry->stop_timer,
                 gp_loop_now (&entry->loop)
                     + entry->settings->timings.leave_ms * GP_MSEC);
@@ -212,15 +278,51 @@
 
   gp_log (GP_LOG_INFO, "configuration.in-force",
           GP_LOG_I ("revision", revision));
+  entry->config_since_us = gp_time_wall ();
+  tell_state (entry);
   entry->relays.document = document;
   gp_tasks_set_document (entry->tasks, document);
 }
 
+/* Whether the state of a member is an event of its own.  */
+static bool
+is_event (gp_member_state_t state, gp_timeline_kind_t *kind)
+{
+  switch (state)
+    {
+    case GP_MEMBER_SERVING:
+      *kind = GP_TIMELINE_MEMBER_SERVING;
+      return true;
+    case GP_MEMBER_LEAVING:
+      *kind = GP_TIMELINE_MEMBER_LEAVING;
+      return true;
+    case GP_MEMBER_GONE:
+      *kind = GP_TIMELINE_MEMBER_GONE;
+      return true;
+    case GP_MEMBER_JOINING:
+    case GP_MEMBER_SUSPECT:
+      break;
+    }
+  return false;
+}
+
+static void
+note_member (gp_entry_t *entry, const gp_member_t *member)
+{
+  const gp_timeline_subject_t subject = { .vm = member->announcement.name };
+  gp_timeline_kind_t kind = GP_TIMELINE_MEMBER_GONE;
+
+  if (is_event (member->state, &kind))
+    gp_timeline_append (&entry->timeline, kind, &subject, NULL,
+                        gp_time_wall ());
+}
+
 static void
 on_member (gp_member_t *member, void *data)
 {
   gp_entry_t *entry = data;
 
+  note_member (entry, member);
   gp_tasks_on_member (entry->tasks, member);
 }
 
@@ -249,6 +351,11 @@
   entry->events = g_new0 (gp_timeline_event_t, GP_ENTRY_TIMELINE_SIZE);
   gp_timeline_init (&entry->timeline, settings->name, entry->incarnation,
                     entry->events, GP_ENTRY_TIMELINE_SIZE);
+  entry->host.timeline = &entry->timeline;
+  note_self (entry, GP_TIMELINE_PROCESS_START);
+  gp_processes_init (&entry->processes);
+  gp_views_init (&entry->views, &entry->host);
+  gp_operators_init (&entry->operators_state);
   entry->store = gp_store_new (&entry->loop, settings, entry->incarnation,
                                entry->rand, &entry->timeline, error);
   if (entry->store == NULL)
@@ -276,7 +383,8 @@
                          .address = settings->entry->peers };
 
   *entry = (gp_entry_t){ .settings = settings };
-  entry->incarnation = (uint64_t)gp_time_wall ();
+  entry->started_us = gp_time_wall ();
+  entry->incarnation = (uint64_t)entry->started_us;
   self.incarnation = entry->incarnation;
   members.suspect_after = settings->timings.suspect_ms * GP_MSEC;
   if (!load_tls (entry, error) || !gp_loop_init (&entry->loop, error))
@@ -320,6 +428,9 @@
   gp_store_free (entry->store);
   gp_relays_finish (&entry->relays);
   gp_routes_finish (&entry->routes);
+  gp_views_finish (&entry->views);
+  gp_processes_finish (&entry->processes);
+  gp_operators_finish (&entry->operators_state);
   gp_session_host_finish (&entry->host);
   g_free (entry->events);
   gp_loop_finish (&entry->loop);
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -7,16 +7,19 @@
 #include "base/settings.h"
 #include "base/timeline.h"
 #include "daemon/configuration.h"
+#include "daemon/operators.h"
+#include "daemon/processes.h"
 #include "daemon/relay.h"
 #include "daemon/routes.h"
 #include "daemon/store.h"
 #include "daemon/tasks.h"
+#include "daemon/view.h"
 #include "protocol/dialer.h"
 #include "protocol/session.h"
 
 #define GP_ENTRY_TIMELINE_SIZE 65536
 
-typedef struct
+struct gp_entry
 {
   gp_loop_t loop;
   const gp_settings_t *settings;
@@ -35,9 +38,14 @@
   size_t dialer_count;
   gp_http_server_t *callers;
   gp_http_server_t *operators;
+  gp_operators_t operators_state;
+  gp_views_t views;
+  gp_processes_t processes;
+  int64_t started_us; /* wall clock, as the next */
+  int64_t config_since_us;
   gp_timer_t stop_timer;
   bool leaving;
-} gp_entry_t;
+};
 
 bool gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
                     GError **error);
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -5,6 +5,7 @@
 #include "base/counters.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "daemon/view.h"
 
 #define HEARTBEAT_JITTER 0.1
 #define CLOSE_GRACE (200 * GP_MSEC)
@@ -104,8 +105,26 @@
   arm_heartbeat (guard);
 }
 
+/* Add an event about this process to the time line.  */
+static void
+note_self (gp_guard_t *guard, gp_timeline_kind_t kind)
+{
+  const gp_timeline_subject_t subject = { .vm = guard->settings->name };
+
+  gp_timeline_append (&guard->timeline, kind, &subject, NULL, gp_time_wall ());
+}
+
 /* Sessions.  */
 
+static void
+note_peer (gp_guard_t *guard, gp_timeline_kind_t kind,
+           const gp_session_t *session)
+{
+  const gp_timeline_subject_t subject = { .vm = session->process };
+
+  gp_timeline_append (&guard->timeline, kind, &subject, NULL, gp_time_wall ());
+}
+
 static void
 on_ready (gp_session_t *session, void *data)
 {
@@ -114,6 +133,7 @@
   if (session->owner != NULL)
     gp_dialer_on_ready (session->owner);
   gp_counter_add (&entries_connected, 1);
+  note_peer (guard, GP_TIMELINE_PEER_UP, session);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("entry", session->process));
   if (has_upstream (guard))
     {
@@ -160,6 +180,8 @@
 
   if (session->object != NULL)
     on_request_message (session->object, envelope);
+  if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_VIEW_ASK)
+    gp_view_serve (session, &guard->timeline, envelope->view_ask);
   if (guard->runner != NULL)
     gp_runner_on_message (guard->runner, session, envelope);
   gp_configuration_on_message (guard->configuration, session, envelope);
@@ -182,6 +204,7 @@
   if (ready)
     {
       gp_counter_add (&entries_connected, -1);
+      note_peer (guard, GP_TIMELINE_PEER_DOWN, session);
       gp_log (GP_LOG_INFO, "session.closed",
               GP_LOG_S ("entry", session->process),
               GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
@@ -236,6 +259,7 @@
     return;
   guard->leaving = true;
   gp_log (GP_LOG_INFO, "guard.leaving");
+  note_self (guard, GP_TIMELINE_PROCESS_STOP);
   for (size_t i = 0; i < guard->dialer_count; i++)
     gp_dialer_stop (&guard->dialers[i]);
   GP_LIST_FOREACH (pos, &guard->host.sessions)
@@ -279,6 +303,8 @@
   guard->events = g_new0 (gp_timeline_event_t, GP_GUARD_TIMELINE_SIZE);
   gp_timeline_init (&guard->timeline, settings->name, guard->incarnation,
                     guard->events, GP_GUARD_TIMELINE_SIZE);
+  guard->host.timeline = &guard->timeline;
+  note_self (guard, GP_TIMELINE_PROCESS_START);
   guard->configuration = gp_configuration_new (
       &guard->host, NULL, &guard->timeline, on_configuration, guard);
   if (has_upstream (guard)
--- /dev/null
+++ b/src/daemon/operators_timeline.c
@@ -0,0 +1,68 @@
+/* Operators: time lines and counters, of this entry or of any process that
+   it has a session to.  */
+
+#include <string.h>
+
+#include "daemon/entry.h"
+
+#define TYPE_LINES "application/x-ndjson"
+#define TYPE_TEXT "text/plain; version=0.0.4"
+
+static void
+answer_own (const gp_operators_request_t *request,
+            const Gp__Wire__ViewAsk *ask, const char *type)
+{
+  GString *text = g_string_new (NULL);
+
+  gp_view_fill (&request->entry->timeline, ask, text);
+  gp_operators_answer_text (request->exchange, 200, type, text->str,
+                            text->len);
+  g_string_free (text, TRUE);
+}
+
+static void
+answer_view (const gp_operators_request_t *request, Gp__Wire__ViewAsk *ask,
+             const char *type)
+{
+  gp_entry_t *entry = request->entry;
+  char *process = gp_operators_query (request, "process");
+
+  if (process == NULL || strcmp (process, entry->settings->name) == 0)
+    answer_own (request, ask, type);
+  else
+    gp_views_ask (&entry->views, request->exchange, process, ask);
+  g_free (process);
+}
+
+static void
+answer_timeline (const gp_operators_request_t *request)
+{
+  Gp__Wire__ViewAsk ask = GP__WIRE__VIEW_ASK__INIT;
+  uint64_t max;
+
+  ask.kind = GP__WIRE__VIEW_KIND__VIEW_KIND_TIMELINE;
+  if (!gp_operators_query_number (request, "since", 0, &ask.since)
+      || !gp_operators_query_number (request, "max", GP_VIEW_EVENTS_MAX, &max))
+    {
+      gp_operators_fail (request->exchange, 400,
+                         "`since' and `max' must be numbers");
+      return;
+    }
+  ask.max = (uint32_t)MIN (max, GP_VIEW_EVENTS_MAX);
+  answer_view (request, &ask, TYPE_LINES);
+}
+
+static void
+answer_counters (const gp_operators_request_t *request)
+{
+  Gp__Wire__ViewAsk ask = GP__WIRE__VIEW_ASK__INIT;
+
+  ask.kind = GP__WIRE__VIEW_KIND__VIEW_KIND_COUNTERS;
+  answer_view (request, &ask, TYPE_TEXT);
+}
+
+const gp_operators_route_t gp_operators_timeline_routes[] = {
+  { "GET", "/v1/timeline", GP_OPERATORS_EXACT, answer_timeline },
+  { "GET", "/v1/counters", GP_OPERATORS_EXACT, answer_counters },
+  { NULL, NULL, GP_OPERATORS_EXACT, NULL },
+};
--- /dev/null
+++ b/src/daemon/processes.h
@@ -0,0 +1,51 @@
+/* The processes that an entry has met over sessions: what `status' tells of
+   them beyond membership.  */
+
+#ifndef GP_DAEMON_PROCESSES_H
+#define GP_DAEMON_PROCESSES_H
+
+#include "protocol/session.h"
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  Gp__Wire__Role role;
+  Gp__Wire__MemberState state;
+  uint64_t incarnation;
+  bool connected;
+  int64_t since_us; /* wall clock: connected, or not, since then */
+  uint64_t config_revision;
+  int64_t config_since_us; /* when this entry learnt of that revision */
+} gp_process_t;
+
+typedef struct
+{
+  GHashTable *by_name; /* name -> gp_process_t */
+} gp_processes_t;
+
+void gp_processes_init (gp_processes_t *processes);
+void gp_processes_finish (gp_processes_t *processes);
+
+/* A session is ready, or closed.  WALL is the wall clock.  */
+void gp_processes_opened (gp_processes_t *processes,
+                          const gp_session_t *session, int64_t wall);
+void gp_processes_closed (gp_processes_t *processes,
+                          const gp_session_t *session, int64_t wall);
+
+/* The far side said which revision is in force there.  */
+void gp_processes_revision (gp_processes_t *processes,
+                            const gp_session_t *session, uint64_t revision,
+                            int64_t wall);
+
+/* Another entry told its state.  */
+void gp_processes_entry_state (gp_processes_t *processes,
+                               const gp_session_t *session,
+                               const Gp__Wire__EntryState *state,
+                               int64_t wall);
+
+/* The process NAME, or NULL when there was no session to it.  */
+const gp_process_t *gp_processes_find (const gp_processes_t *processes,
+                                       const char *name);
+
+#endif
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -13,11 +13,9 @@
 /* The type of MEMBER of the union in an envelope.  */
 #define GP_ENVELOPE(member_case, member, value)                               \
   {                                                                           \
-    PROTOBUF_C_MESSAGE_INIT (&gp__wire__envelope__descriptor),                \
-        GP__WIRE__ENVELOPE__MESSAGE_##member_case,                            \
-    {                                                                         \
-      .member = (value)                                                       \
-    }                                                                         \
+    .base = PROTOBUF_C_MESSAGE_INIT (&gp__wire__envelope__descriptor),        \
+    .message_case = GP__WIRE__ENVELOPE__MESSAGE_##member_case,                \
+    .member = (value)                                                         \
   }
 
 /* Encode ENVELOPE straight into the peer's write buffer.  False when the
--- a/src/protocol/session.c
+++ b/src/protocol/session.c
@@ -97,6 +97,13 @@
   host->callbacks.on_ready (session, host->data);
 }
 
+static void
+receive_stamp (gp_session_host_t *host, const Gp__Wire__Envelope *envelope)
+{
+  if (envelope->stamp != 0 && host->timeline != NULL)
+    gp_timeline_receive (host->timeline, envelope->stamp, gp_time_wall ());
+}
+
 static void
 on_frame (gp_peer_t *peer, const uint8_t *bytes, size_t size, void *data)
 {
@@ -112,7 +119,10 @@
   else if (!session->ready)
     on_first_message (session, envelope);
   else
-    host->callbacks.on_message (session, envelope, host->data);
+    {
+      receive_stamp (host, envelope);
+      host->callbacks.on_message (session, envelope, host->data);
+    }
 }
 
 static void
@@ -189,6 +199,7 @@
   host->callbacks = *callbacks;
   host->data = data;
   host->server = NULL;
+  host->timeline = NULL;
   gp_list_init (&host->sessions);
   gp_arena_init (&host->arena);
   gp_counter_register (&sessions_refused);
@@ -253,12 +264,34 @@
   return NULL;
 }
 
+/* Parts of bodies carry bulk and cause no event.  */
+static bool
+is_stamped (const Gp__Wire__Envelope *envelope)
+{
+  switch ((int)envelope->message_case)
+    {
+    case GP__WIRE__ENVELOPE__MESSAGE_REQUEST_PART:
+    case GP__WIRE__ENVELOPE__MESSAGE_ANSWER_PART:
+    case GP__WIRE__ENVELOPE__MESSAGE_CREDIT:
+      return false;
+    default:
+      return true;
+    }
+}
+
 bool
 gp_session_send (gp_session_t *session, const Gp__Wire__Envelope *envelope)
 {
+  gp_timeline_t *timeline = session->host->timeline;
+  Gp__Wire__Envelope stamped;
+
   if (session->peer == NULL)
     return false;
-  return gp_codec_send (session->peer, envelope);
+  if (timeline == NULL || !is_stamped (envelope))
+    return gp_codec_send (session->peer, envelope);
+  stamped = *envelope;
+  stamped.stamp = gp_hlc_tick (&timeline->clock, gp_time_wall ());
+  return gp_codec_send (session->peer, &stamped);
 }
 
 void
--- a/src/protocol/session.h
+++ b/src/protocol/session.h
@@ -3,7 +3,10 @@
    Both sides send Hello first.  A far side of another protocol version or
    site is refused; any other message before Hello is refused.  After that
    each whole message is handed on.  Sessions are symmetric: it does not
-   matter which side connected.  */
+   matter which side connected.
+
+   With a time line each message but parts of bodies carries the stamp of its
+   clock, and a message that comes moves the clock past its stamp.  */
 
 #ifndef GP_PROTOCOL_SESSION_H
 #define GP_PROTOCOL_SESSION_H
@@ -12,6 +15,7 @@
 #include <stdbool.h>
 
 #include "base/list.h"
+#include "base/timeline.h"
 #include "protocol/codec.h"
 
 #define GP_PROTOCOL_VERSION 1
@@ -54,6 +58,7 @@
   gp_list_t sessions;
   gp_arena_t arena;
   gp_peer_server_t *server;
+  gp_timeline_t *timeline; /* whose clock stamps messages, or NULL */
 };
 
 struct gp_session
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -68,6 +68,12 @@
 gp_http_text_t gp_http_exchange_body (const gp_http_exchange_t *exchange);
 size_t gp_http_exchange_headers (const gp_http_exchange_t *exchange,
                                  gp_http_header_t *headers, size_t max);
+/* Enough for any address of gp_http_exchange_address.  */
+#define GP_HTTP_ADDRESS_SIZE 64
+/* Write the IP address, without the port, of the far side; empty when it is
+   not known.  */
+void gp_http_exchange_address (const gp_http_exchange_t *exchange,
+                               char address[GP_HTTP_ADDRESS_SIZE]);
 /* Value of header NAME (lower case); base is NULL when it is absent.  */
 gp_http_text_t gp_http_exchange_header (const gp_http_exchange_t *exchange,
                                         const char *name);
--- a/src/transport/http_exchange.c
+++ b/src/transport/http_exchange.c
@@ -9,6 +9,7 @@
    connection, when it is given nothing to write; so an empty last part and
    an abort are put off to the end of the phase.  */
 
+#include <netdb.h>
 #include <sys/socket.h>
 
 #include "base/counters.h"
@@ -144,6 +145,21 @@
   return count;
 }
 
+void
+gp_http_exchange_address (const gp_http_exchange_t *exchange,
+                          char address[GP_HTTP_ADDRESS_SIZE])
+{
+  struct sockaddr_storage peer;
+  socklen_t size = h2o_socket_getpeername (exchange->connection->socket,
+                                           (struct sockaddr *)&peer);
+
+  if (size == 0
+      || getnameinfo ((struct sockaddr *)&peer, size, address,
+                      GP_HTTP_ADDRESS_SIZE, NULL, 0, NI_NUMERICHOST)
+             != 0)
+    address[0] = '\0';
+}
+
 gp_http_text_t
 gp_http_exchange_header (const gp_http_exchange_t *exchange, const char *name)
 {
