--- a/src/daemon/tasks.c
+++ b/src/daemon/tasks.c
@@ -350,7 +350,8 @@
   tasks->started_at = gp_tasks_now (tasks);
   tasks->due_period = settings->timings.heartbeat_ms * (2 * GP_MSEC);
   gp_list_init (&tasks->due);
-  gp_list_init (&tasks->submitting);
+  tasks->submitting
+      = g_ptr_array_new_with_free_func (gp_tasks_submitting_free);
   register_counters ();
   init_tables (tasks);
   gp_tasks_place_init (tasks);
@@ -374,7 +375,7 @@
   gp_list_remove (&tasks->subscriber.link);
   gp_timer_finish (&tasks->timer);
   gp_deferred_cancel (&tasks->deferred);
-  gp_tasks_submit_finish (tasks);
+  g_ptr_array_unref (tasks->submitting);
   gp_tasks_forget_all (tasks);
   g_hash_table_unref (tasks->guards);
   gp_tasks_lease_finish (tasks);
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -179,7 +179,7 @@
 
   uint64_t live_entries; /* digest of the entries thought alive */
   uint64_t next_id;
-  gp_list_t submitting;  /* of gp_tasks_submitting_t */
+  GPtrArray *submitting; /* of gp_tasks_submitting_t */
   bool watchers_changed; /* counts are to be compared again */
   bool shapes_changed;   /* what was too large may fit now */
   uint64_t shapes_growth;
@@ -313,7 +313,7 @@
 /* tasks_submit.c */
 
 void gp_tasks_submit_tick (gp_tasks_t *tasks);
-void gp_tasks_submit_finish (gp_tasks_t *tasks);
+void gp_tasks_submitting_free (gpointer data);
 uint64_t gp_tasks_new_id (gp_tasks_t *tasks);
 /* A Submit record's parts for a batch job or watcher.  */
 void gp_tasks_resources_to_wire (Gp__Wire__Resources *wire,
--- a/src/daemon/tasks_submit.c
+++ b/src/daemon/tasks_submit.c
@@ -21,7 +21,6 @@
 
 struct gp_tasks_submitting
 {
-  gp_list_t link;
   gp_tasks_t *tasks;
   gp_tasks_done_t done; /* NULL once it was answered */
   void *data;
@@ -65,15 +64,22 @@
 
 /* Answers of a submission.  */
 
-static void
-submitting_free (gp_tasks_submitting_t *submitting)
+void
+gp_tasks_submitting_free (gpointer data)
 {
-  gp_list_remove (&submitting->link);
+  gp_tasks_submitting_t *submitting = data;
+
   g_array_free (submitting->ids, TRUE);
   g_free (submitting->tasks_submitted);
   g_free (submitting);
 }
 
+static void
+submitting_end (gp_tasks_submitting_t *submitting)
+{
+  g_ptr_array_remove_fast (submitting->tasks->submitting, submitting);
+}
+
 static void
 answer_all (gp_tasks_submitting_t *submitting)
 {
@@ -122,7 +128,7 @@
   if (submitting->open == 0)
     {
       answer_all (submitting);
-      submitting_free (submitting);
+      submitting_end (submitting);
       return;
     }
   reply.ids = (const uint64_t *)(void *)submitting->ids->data;
@@ -164,7 +170,7 @@
   if (submitting->open > 0)
     return;
   answer_all (submitting);
-  submitting_free (submitting);
+  submitting_end (submitting);
 }
 
 void
@@ -172,23 +178,14 @@
 {
   gp_time_t now = gp_tasks_now (tasks);
 
-  GP_LIST_FOREACH_SAFE (pos, &tasks->submitting)
-  {
-    gp_tasks_submitting_t *submitting
-        = GP_CONTAINER_OF (pos, gp_tasks_submitting_t, link);
-
-    if (submitting->done != NULL && submitting->deadline <= now)
-      give_up (submitting);
-  }
-}
-
-void
-gp_tasks_submit_finish (gp_tasks_t *tasks)
-{
-  gp_list_t *link;
+  for (guint i = tasks->submitting->len; i > 0; i--)
+    {
+      gp_tasks_submitting_t *submitting
+          = g_ptr_array_index (tasks->submitting, i - 1);
 
-  while ((link = gp_list_pop_front (&tasks->submitting)) != NULL)
-    submitting_free (GP_CONTAINER_OF (link, gp_tasks_submitting_t, link));
+      if (submitting->done != NULL && submitting->deadline <= now)
+        give_up (submitting);
+    }
 }
 
 /* Checks before anything is proposed: NULL, or why it is refused.  */
@@ -283,7 +280,7 @@
   submitting->count = count;
   submitting->ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   submitting->tasks_submitted = g_new0 (submitted_t, count);
-  gp_list_push_back (&tasks->submitting, &submitting->link);
+  g_ptr_array_add (tasks->submitting, submitting);
   return submitting;
 }
 
@@ -303,7 +300,7 @@
   if (submitting->open > 0)
     return;
   answer_all (submitting);
-  submitting_free (submitting);
+  submitting_end (submitting);
 }
 
 static void
