--- a/src/daemon/operators_tasks.c
+++ b/src/daemon/operators_tasks.c
@@ -10,12 +10,10 @@
 
 typedef enum
 {
-  STATUS_CREATED = 201,
-  STATUS_ACCEPTED = 202,
   STATUS_OK = 200,
+  STATUS_CREATED = 201,
   STATUS_INVALID = 400,
   STATUS_NOT_FOUND = 404,
-  STATUS_REFUSED = 422,
   STATUS_UNAVAILABLE = 503,
   STATUS_UNKNOWN = 504
 } status_t;
@@ -53,7 +51,7 @@
     case GP_TASKS_ACCEPTED:
       return waiting->accepted;
     case GP_TASKS_REFUSED:
-      return STATUS_REFUSED;
+      return STATUS_INVALID;
     case GP_TASKS_UNAVAILABLE:
       return STATUS_UNAVAILABLE;
     case GP_TASKS_UNKNOWN:
@@ -67,7 +65,7 @@
 {
   waiting_t *waiting = data;
   json_t *ids = json_array ();
-  json_t *json = json_pack ("{s:o}", "ids", ids);
+  json_t *json = json_pack ("{s:o}", "jobs", ids);
 
   for (size_t i = 0; i < answer->count; i++)
     json_array_append_new (
@@ -179,6 +177,8 @@
 {
   json_t *body = gp_operators_body (request);
   gp_tasks_submission_t submission = { .count = 1 };
+  gp_http_text_t key
+      = gp_http_exchange_header (request->exchange, "idempotency-key");
   json_int_t count = 1;
   json_error_t error;
 
@@ -194,6 +194,8 @@
   else
     {
       submission.count = (uint32_t)count;
+      submission.key = key.base;
+      submission.key_size = key.size;
       gp_tasks_submit (request->entry->tasks, &submission, on_done,
                        wait_for (request, STATUS_CREATED));
     }
--- a/src/daemon/tasks.h
+++ b/src/daemon/tasks.h
@@ -47,6 +47,8 @@
   const char *payload; /* NULL: that of the document */
   uint32_t count;
   int64_t deadline_us; /* wall clock, 0: that of the document */
+  const char *key;     /* a second submission of it has the same tasks */
+  size_t key_size;     /* 0: none */
 } gp_tasks_submission_t;
 
 /* Which tasks to list; NULL and unspecified: all.  */
--- a/src/daemon/tasks_submit.c
+++ b/src/daemon/tasks_submit.c
@@ -27,8 +27,9 @@
   gp_time_t deadline;
   uint32_t count;
   uint32_t open; /* without their fate */
-  GArray *ids;   /* accepted */
-  bool refused;  /* one of them, by the log's order */
+  bool keyed;
+  GArray *ids;  /* accepted */
+  bool refused; /* one of them, by the log's order */
   const char *refusal;
   submitted_t *tasks_submitted;
 };
@@ -137,6 +138,27 @@
   done (&reply, submitting->data);
 }
 
+/* Whether the task of ONE is on the log for this submission: by its record,
+   or by an earlier one of the same key.  */
+static bool
+is_taken (const submitted_t *one, gp_proposal_result_t result,
+          gp_fold_verdict_t verdict)
+{
+  const gp_fold_t *fold = gp_store_fold (one->of->tasks->store);
+
+  switch (result)
+    {
+    case GP_PROPOSAL_DECIDED:
+      return verdict == GP_FOLD_ACCEPTED
+             || (verdict == GP_FOLD_VOID_EXISTS && one->of->keyed);
+    case GP_PROPOSAL_UNREAD:
+      return gp_fold_task (fold, one->id) != NULL;
+    case GP_PROPOSAL_EXPIRED:
+      return false;
+    }
+  return false;
+}
+
 static const char *
 refusal_of (gp_fold_verdict_t verdict)
 {
@@ -153,13 +175,10 @@
 {
   submitted_t *one = data;
   gp_tasks_submitting_t *submitting = one->of;
-  const gp_fold_t *fold = gp_store_fold (submitting->tasks->store);
-  bool accepted = result == GP_PROPOSAL_DECIDED && verdict == GP_FOLD_ACCEPTED;
+  bool accepted = is_taken (one, result, verdict);
 
   one->proposal = NULL;
   submitting->open--;
-  if (result == GP_PROPOSAL_UNREAD && gp_fold_task (fold, one->id) != NULL)
-    accepted = true;
   if (accepted && submitting->done != NULL)
     g_array_append_val (submitting->ids, one->id);
   if (result == GP_PROPOSAL_DECIDED && !accepted)
@@ -284,15 +303,28 @@
   return submitting;
 }
 
+static uint64_t
+id_of (gp_tasks_t *tasks, const gp_tasks_submission_t *submission,
+       uint32_t number)
+{
+  if (submission->key_size == 0)
+    return gp_tasks_new_id (tasks);
+  return XXH3_64bits_withSeed (submission->key, submission->key_size,
+                               XXH3_64bits (&number, sizeof number));
+}
+
 static void
-propose_all (gp_tasks_submitting_t *submitting, Gp__Record__Submit *submit)
+propose_all (gp_tasks_submitting_t *submitting,
+             const gp_tasks_submission_t *submission,
+             Gp__Record__Submit *submit)
 {
+  submitting->keyed = submission->key_size > 0;
   for (uint32_t i = 0; i < submitting->count; i++)
     {
       submitted_t *one = &submitting->tasks_submitted[i];
 
       one->of = submitting;
-      one->id = gp_tasks_new_id (submitting->tasks);
+      one->id = id_of (submitting->tasks, submission, i);
       if (propose_one (one, submit) != GP_WRITER_QUEUED)
         break;
       submitting->open++;
@@ -322,7 +354,8 @@
   submit.payload.len = payload == NULL ? 0 : strlen (payload);
   submit.deadline_us = deadline_of (tasks, submission, job);
   submit.max_tries = job->max_tries;
-  propose_all (submitting_new (tasks, submission->count, done, data), &submit);
+  propose_all (submitting_new (tasks, submission->count, done, data),
+               submission, &submit);
 }
 
 void
@@ -394,7 +427,7 @@
   else if (state == NULL)
     answer_cancelled (cancelling, GP_TASKS_REFUSED, "no such task");
   else
-    answer_cancelled (cancelling, GP_TASKS_REFUSED, "it has ended");
+    answer_cancelled (cancelling, GP_TASKS_ACCEPTED, "it has ended");
   g_free (cancelling);
 }
 
--- a/src/daemon/tasks_view.c
+++ b/src/daemon/tasks_view.c
@@ -274,9 +274,8 @@
       && state->phase == GP__RECORD__TASK_PHASE__TASK_PHASE_PENDING)
     g_string_append_printf (text, "; its last run %s",
                             end_name (state->end_state));
-  json = json_pack ("{s:o, s:s, s:s}", "id", json_id (id), "state",
-                    gp_tasks_state_name (tasks, state), "explanation",
-                    text->str);
+  json = json_pack ("{s:o, s:s, s:[s]}", "id", json_id (id), "state",
+                    gp_tasks_state_name (tasks, state), "reasons", text->str);
   g_string_free (text, TRUE);
   return json;
 }
--- a/tests/unit/test_tasks.c
+++ b/tests/unit/test_tasks.c
@@ -100,6 +100,29 @@
   tear_down ();
 }
 
+/* A key names its tasks: submitted twice they are there once.  */
+static void
+test_key (void)
+{
+  gp_tasks_submission_t submission
+      = { .kind = "small", .count = 2, .key = "k", .key_size = 1 };
+  uint64_t first;
+
+  set_up (0);
+  gp_tasks_submit (tasks, &submission, on_answer, NULL);
+  flush ();
+  CU_ASSERT_EQUAL (answered, GP_TASKS_ACCEPTED);
+  CU_ASSERT_EQUAL (answered_ids->len, 2);
+  first = g_array_index (answered_ids, uint64_t, 0);
+  gp_tasks_submit (tasks, &submission, on_answer, NULL);
+  flush ();
+  CU_ASSERT_EQUAL (answered, GP_TASKS_ACCEPTED);
+  CU_ASSERT_EQUAL (answered_ids->len, 2);
+  CU_ASSERT_EQUAL (g_array_index (answered_ids, uint64_t, 0), first);
+  CU_ASSERT_EQUAL (g_hash_table_size (store.fold.tasks), 2);
+  tear_down ();
+}
+
 /* Another entry's grant came first: ours is void and nothing is started
    twice.  */
 static void
@@ -333,6 +356,7 @@
                           { "log down", test_log_down },
                           { "expired grant", test_expired_grant },
                           { "refused", test_refused },
+                          { "key", test_key },
                           { "race", test_race },
                           { "quota race", test_quota_race },
                           { "silent guard", test_silent_guard },
