--- a/tests/scripts/tasks.py
+++ b/tests/scripts/tasks.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tools"))
 from site_processes import Site, until  # noqa: E402
@@ -146,8 +147,195 @@
         print("  breaches:", breaches(site))
 
 
+def now_us():
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1e6)
+
+
+def long_jobs(site, count):
+    """Jobs that run on and take checkpoints, all running."""
+    names = submit(site, count=count, run_ms=600000, checkpoint_every_ms=50)
+    for name in names:
+        await_state(site, name, "running")
+    return names
+
+
+def await_epoch(site, names, epoch, entry="entry-1"):
+    for name in names:
+        until(lambda n=name: (lambda j: j["state"] == "running"
+                              and j["epoch"] >= epoch)(job(site, n, entry)),
+              what=f"{name} in epoch {epoch}")
+
+
+def on(site, names, guard):
+    return [n for n in names if job(site, n)["worker"] == guard]
+
+
+def await_checkpoints(site, names):
+    for name in names:
+        until(lambda n=name: "checkpoint_bytes" in job(site, n),
+              what=f"checkpoint of {name}")
+
+
+def went_on(site, names):
+    """Whether the last stretch of each began at a checkpoint."""
+    runs = executions(site)
+    return all(max(runs[n], key=lambda run: run["start"])["progress"] > 0
+               for n in names)
+
+
+def epochs(site, entry="entry-1"):
+    return {w["id"]: w["epoch"] for w in running_watchers(site, entry)}
+
+
+def lost_vm(build):
+    print("a VM dies")
+    with site_of(build, entries=2, guards=3) as site:
+        ready(site)
+        names = long_jobs(site, 6)
+        await_watchers(site, WATCHERS)
+        victim = job(site, names[0])["worker"]
+        moved = on(site, names, victim)
+        await_checkpoints(site, moved)
+        site.processes[victim].kill()
+        site.processes[victim + ".worker"].kill()
+        killed = now_us()
+        await_epoch(site, moved, 2)
+        await_watchers(site, WATCHERS)
+        print("  all run elsewhere:", on(site, names, victim) == [])
+        print("  from their checkpoints:", went_on(site, moved))
+        judge(site, {victim: killed})
+
+
+def restarted_guard(build):
+    print("a guard's process dies beside its runtime")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 4)
+        await_watchers(site, WATCHERS)
+        before = epochs(site)
+        for guard in site.guard_names:
+            site.processes[guard].kill()
+            site.start_guard(guard, alone=True)
+            until(lambda g=guard: any(
+                w["worker"] == g and w["state"] == "serving"
+                for w in workers(site)), what=f"{guard} serving")
+        await_epoch(site, names, 1)
+        await_watchers(site, WATCHERS)
+        print("  same epochs:", epochs(site) == before
+              and all(job(site, n)["epoch"] == 1 for n in names))
+        judge(site)
+
+
+def workers(site, entry="entry-1"):
+    answer = json.loads(site.operate(entry, "GET", "/v1/status")[2])
+    return answer["tasks"]["workers"]
+
+
+def dead_entry(build):
+    print("an entry dies")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 2)
+        await_watchers(site, WATCHERS)
+        before = epochs(site, "entry-2")
+        site.processes["entry-1"].kill()
+        name = submit(site, "entry-2", run_ms=100)[0]
+        await_state(site, name, "succeeded", "entry-2")
+        site.start_entry("entry-1")
+        await_epoch(site, names, 1)
+        await_watchers(site, WATCHERS)
+        print("  same epochs:", epochs(site) == before)
+        judge(site)
+
+
+def paused_guard(build):
+    print("a guard is paused for longer than its lease")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 4)
+        await_watchers(site, WATCHERS)
+        victim = job(site, names[0])["worker"]
+        moved = on(site, names, victim)
+        await_checkpoints(site, moved)
+        site.processes[victim].signal(signal.SIGSTOP)
+        await_epoch(site, moved, 2)
+        await_watchers(site, WATCHERS)
+        site.processes[victim].signal(signal.SIGCONT)
+        until(lambda: any(w["worker"] == victim and w["state"] == "serving"
+                          for w in workers(site)), what="it serves again")
+        print("  from their checkpoints:", went_on(site, moved))
+        judge(site)
+
+
+def log_down(build):
+    print("the log is down for longer than a lease")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 2)
+        await_watchers(site, WATCHERS)
+        before = epochs(site)
+        site.fault("log", {"down": True})
+        until(lambda: all(site.counter(e, "store_available") == 0
+                          for e in site.entry_names), what="log down")
+        vouched = {e: site.counter(e, "entry_leases_vouched_total")
+                   for e in site.entry_names}
+        until(lambda: all(site.counter(e, "entry_leases_vouched_total")
+                          >= vouched[e] + 40 for e in site.entry_names),
+              what="vouched renewals")
+        status = site.operate("entry-1", "POST", "/v1/jobs",
+                              json.dumps({"kind": "assess"}))[0]
+        print("  a submission meanwhile:", status)
+        site.fault("log", {"down": False})
+        until(lambda: all(site.counter(e, "store_available") == 1
+                          for e in site.entry_names), what="log up")
+        name = submit(site, run_ms=100)[0]
+        await_state(site, name, "succeeded")
+        await_epoch(site, names, 1)
+        print("  same epochs:", epochs(site) == before
+              and all(job(site, n)["epoch"] == 1 for n in names))
+        judge(site)
+
+
+def lost_acknowledgements(build):
+    print("acknowledgements and appends are lost")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = []
+        for fault in ("lost_ack", "drop_append") * 3:
+            site.fault("log", {fault: 2})
+            names += submit(site, count=3, run_ms=50)
+            site.fault("log", {fault: 1})
+        for name in names:
+            await_state(site, name, "succeeded")
+        print("  succeeded:", len(names))
+        judge(site)
+
+
+def drained(build):
+    print("a worker is drained")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 4)
+        await_watchers(site, WATCHERS)
+        victim = job(site, names[0])["worker"]
+        moved = on(site, names, victim)
+        site.processes[victim].signal(signal.SIGTERM)
+        print("  exit:", site.processes[victim].wait())
+        await_epoch(site, moved, 2)
+        await_watchers(site, WATCHERS)
+        print("  from their checkpoints:", went_on(site, moved))
+        judge(site)
+
+
 def main(build):
     plain(build)
+    lost_vm(build)
+    restarted_guard(build)
+    dead_entry(build)
+    paused_guard(build)
+    log_down(build)
+    lost_acknowledgements(build)
+    drained(build)
 
 
 main(sys.argv[1])
