Judge tasks on real processes by the ledgers of their workers

A drained guard with a worker did not end: the heartbeats that the lease asks for put its last timer off again and again.

--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -302,7 +302,11 @@
 static void
 on_runner_heartbeat (void *data)
 {
-  send_heartbeats (data);
+  gp_guard_t *guard = data;
+
+  /* Once drained the timer of the heartbeats ends the process.  */
+  if (!guard->leaving || guard->draining > 0)
+    send_heartbeats (guard);
 }
 
 static void
--- /dev/null
+++ b/tests/scripts/tasks_faults.py
@@ -0,0 +1,106 @@
+"""Tasks through the loss and pause of VMs, entries and the log."""
+
+import json
+import signal
+import sys
+
+from tasks_site import (WATCHERS, await_checkpoints, await_epoch, await_state,
+                        await_watchers, epochs, job, judge, long_jobs, now_us,
+                        on, ready, site_of, submit, went_on, workers)
+
+from site_processes import until
+
+
+def lost_vm(build):
+    print("a VM dies")
+    with site_of(build, entries=2, guards=3) as site:
+        ready(site)
+        names = long_jobs(site, 6)
+        await_watchers(site, WATCHERS)
+        victim = job(site, names[0])["worker"]
+        moved = on(site, names, victim)
+        await_checkpoints(site, moved)
+        site.processes[victim].kill()
+        site.processes[victim + ".worker"].kill()
+        killed = now_us()
+        await_epoch(site, moved, 2)
+        await_watchers(site, WATCHERS)
+        print("  all run elsewhere:", on(site, names, victim) == [])
+        print("  from their checkpoints:", went_on(site, moved))
+        judge(site, {victim: killed})
+
+
+def dead_entry(build):
+    print("an entry dies")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 2)
+        await_watchers(site, WATCHERS)
+        before = epochs(site, "entry-2")
+        site.processes["entry-1"].kill()
+        name = submit(site, "entry-2", run_ms=100)[0]
+        await_state(site, name, "succeeded", "entry-2")
+        site.start_entry("entry-1")
+        await_epoch(site, names, 1)
+        await_watchers(site, WATCHERS)
+        print("  same epochs:", epochs(site) == before)
+        judge(site)
+
+
+def paused_guard(build):
+    print("a guard is paused for longer than its lease")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 4)
+        await_watchers(site, WATCHERS)
+        victim = job(site, names[0])["worker"]
+        moved = on(site, names, victim)
+        await_checkpoints(site, moved)
+        site.processes[victim].signal(signal.SIGSTOP)
+        await_epoch(site, moved, 2)
+        await_watchers(site, WATCHERS)
+        site.processes[victim].signal(signal.SIGCONT)
+        until(lambda: any(w["worker"] == victim and w["state"] == "serving"
+                          for w in workers(site)), what="it serves again")
+        print("  from their checkpoints:", went_on(site, moved))
+        judge(site)
+
+
+def log_down(build):
+    print("the log is down for longer than a lease")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 2)
+        await_watchers(site, WATCHERS)
+        before = epochs(site)
+        site.fault("log", {"down": True})
+        until(lambda: all(site.counter(e, "store_available") == 0
+                          for e in site.entry_names), what="log down")
+        vouched = {e: site.counter(e, "entry_leases_vouched_total")
+                   for e in site.entry_names}
+        until(lambda: all(site.counter(e, "entry_leases_vouched_total")
+                          >= vouched[e] + 40 for e in site.entry_names),
+              what="vouched renewals")
+        status = site.operate("entry-1", "POST", "/v1/jobs",
+                              json.dumps({"kind": "assess"}))[0]
+        print("  a submission meanwhile:", status)
+        site.fault("log", {"down": False})
+        until(lambda: all(site.counter(e, "store_available") == 1
+                          for e in site.entry_names), what="log up")
+        name = submit(site, run_ms=100)[0]
+        await_state(site, name, "succeeded")
+        await_epoch(site, names, 1)
+        print("  same epochs:", epochs(site) == before
+              and all(job(site, n)["epoch"] == 1 for n in names))
+        judge(site)
+
+
+
+def main(build):
+    lost_vm(build)
+    dead_entry(build)
+    paused_guard(build)
+    log_down(build)
+
+
+main(sys.argv[1])
--- /dev/null
+++ b/tests/scripts/tasks_site.py
@@ -0,0 +1,168 @@
+"""A site of real processes that runs tasks, for the scripted runs of tasks,
+and the judgement of the ledgers of its worker runtimes."""
+
+import json
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tools"))
+from site_processes import Site, until  # noqa: E402
+
+TIMINGS = {"heartbeat_ms": 200, "lease_ms": 2000, "vouch_ms": 2000,
+           "margin_ms": 200, "suspect_ms": 600, "log_wait_ms": 200,
+           "log_timeout_ms": 300, "log_batch_ms": 5, "reconnect_min_ms": 50,
+           "reconnect_max_ms": 200, "usage_ms": 250, "leave_ms": 300}
+WATCHERS = 4
+
+DOCUMENT = """
+version: 1
+site: test
+regions: [{name: r, zones: [a, b]}]
+teams: [{name: claims}]
+batch_jobs:
+  - {name: assess, team: claims, resources: {millicores: 2000, memory_mib: 512},
+     expected_run_s: 1, max_tries: 9}
+watchers:
+  - {name: watch, team: claims, resources: {millicores: 200, memory_mib: 128},
+     count: %d, spread: rack, payload: "{}"}
+"""
+
+
+def publish(site, base, watchers):
+    body = json.dumps({"base": base, "author": "test",
+                       "document": DOCUMENT % watchers})
+    status, _, answer = site.operate("entry-1", "POST", "/v1/config", body)
+    if status != 201:
+        raise RuntimeError(f"publish: {status} {answer}")
+
+
+def submit(site, entry="entry-1", count=1, **payload):
+    body = json.dumps({"kind": "assess", "count": count,
+                       "payload": json.dumps(payload)})
+    status, _, answer = site.operate(entry, "POST", "/v1/jobs", body)
+    if status != 201:
+        raise RuntimeError(f"submit: {status} {answer}")
+    return json.loads(answer)["jobs"]
+
+
+def job(site, name, entry="entry-1"):
+    status, _, answer = site.operate(entry, "GET", "/v1/jobs/" + name)
+    return json.loads(answer) if status == 200 else {"state": None}
+
+
+def await_state(site, name, state, entry="entry-1"):
+    return until(lambda: (lambda j: j["state"] == state and j)(
+        job(site, name, entry)), what=f"{name} {state}")
+
+
+def running_watchers(site, entry="entry-1"):
+    answer = site.operate(entry, "GET", "/v1/watchers?state=running")[2]
+    return json.loads(answer)["watchers"] if answer else []
+
+
+def await_watchers(site, count, entry="entry-1"):
+    until(lambda: len(running_watchers(site, entry)) == count,
+          what=f"{count} watchers")
+
+
+def executions(site):
+    """For each task its stretches of running, by the ledgers: start, end (or
+    the last point known), epoch, node."""
+    runs = {}
+    for guard in site.guard_names:
+        open_runs = {}
+        for fact in site.facts(guard + ".worker"):
+            key = (fact.get("task"), fact.get("epoch"))
+            if fact["event"] == "boot":
+                open_runs = {}
+            elif fact["event"] == "task_start":
+                run = {"start": fact["time_us"], "end": None, "node": guard,
+                       "epoch": fact["epoch"],
+                       "progress": fact["progress_ms"]}
+                open_runs[key] = run
+                runs.setdefault(fact["task"], []).append(run)
+            elif fact["event"] in ("task_end", "lease_expired"):
+                open_runs[key]["end"] = fact["until_us"]
+    return runs
+
+
+def judge(site, killed=()):
+    """No task ran twice at a time, no epoch twice.  KILLED: node to the
+    point at which its VM was killed."""
+    overlaps, doubled = 0, 0
+    for runs in executions(site).values():
+        runs.sort(key=lambda run: run["start"])
+        epochs = [run["epoch"] for run in runs]
+        doubled += len(epochs) - len(set(epochs))
+        for run, following in zip(runs, runs[1:]):
+            end = run["end"]
+            if end is None:
+                end = dict(killed).get(run["node"], float("inf"))
+            overlaps += end > following["start"]
+    print(f"  twice at a time: {overlaps}, epochs run twice: {doubled}")
+
+
+def breaches(site):
+    return sum(fact["event"] == "breach" for guard in site.guard_names
+               for fact in site.facts(guard + ".worker"))
+
+
+def ready(site, watchers=WATCHERS):
+    for entry in site.entry_names:
+        until(lambda e=entry: site.counter(e, "store_ready") == 1,
+              what=f"{entry} ready")
+    publish(site, 0, watchers)
+    for entry in site.entry_names:
+        until(lambda e=entry: site.counter(e, "config_revision") == 1,
+              what=f"{entry} configured")
+
+
+def site_of(build, **options):
+    return Site(build, upstream=False, worker=True, timings=TIMINGS,
+                **options)
+
+
+def now_us():
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1e6)
+
+
+def long_jobs(site, count):
+    """Jobs that run on and take checkpoints, all running."""
+    names = submit(site, count=count, run_ms=600000, checkpoint_every_ms=50)
+    for name in names:
+        await_state(site, name, "running")
+    return names
+
+
+def await_epoch(site, names, epoch, entry="entry-1"):
+    for name in names:
+        until(lambda n=name: (lambda j: j["state"] == "running"
+                              and j["epoch"] >= epoch)(job(site, n, entry)),
+              what=f"{name} in epoch {epoch}")
+
+
+def on(site, names, guard):
+    return [n for n in names if job(site, n)["worker"] == guard]
+
+
+def await_checkpoints(site, names):
+    for name in names:
+        until(lambda n=name: "checkpoint_bytes" in job(site, n),
+              what=f"checkpoint of {name}")
+
+
+def went_on(site, names):
+    """Whether the last stretch of each began at a checkpoint."""
+    runs = executions(site)
+    return all(max(runs[n], key=lambda run: run["start"])["progress"] > 0
+               for n in names)
+
+
+def epochs(site, entry="entry-1"):
+    return {w["id"]: w["epoch"] for w in running_watchers(site, entry)}
+
+
+def workers(site, entry="entry-1"):
+    answer = json.loads(site.operate(entry, "GET", "/v1/status")[2])
+    return answer["tasks"]["workers"]
