--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 #   make check           unit tests and scripted runs (SANITIZE=1: ASan+UBSan)
 #   make lint            formatter and linter, no changes
 #   make bench           benchmarks, printed as text
-#   make soak            fuzz targets (FUZZ_SECONDS=30 each; needs clang)
+#   make soak            fuzz targets (FUZZ_SECONDS=30 each; needs clang) and
+#                        all scenarios of load and faults
 #   make demo            a small site of real processes on loopback
 #   make install         PREFIX=/usr/local DESTDIR=
 #
@@ -122,9 +123,11 @@
 		-fsanitize=fuzzer,address,undefined \
 		-fno-sanitize-recover=undefined -o $@ $^ $(PKG_LIBS)
 
-# Longer runs of what check does in short: fuzzing, bounded in time.
-soak: $(FUZZERS)
+# Longer runs of what check does in short: fuzzing, bounded in time, and the
+# scenarios of load and faults.
+soak: all $(FUZZERS)
 	@tools/run-fuzz $(FUZZ_SECONDS) $(FUZZERS)
+	@tools/run-scenarios $(BUILD)
 
 # Regenerate the committed protobuf-c code; needs protobuf-c-compiler.
 proto:
--- a/tests/scripts/checker.py
+++ b/tests/scripts/checker.py
@@ -197,7 +197,19 @@
     check("two successors", tool=[publish(10, 1, 3), poll(11, 3)])
 
 
+def show_figures():
+    facts = clean()
+    facts["tool"].insert(4, process(5.05, "entry-1", "kill"))
+    facts["caller"].append(request(5, "x", "unknown"))
+    report = judge(facts).report()
+    print("figures:", report["kept"])
+    for part in ("requests", "jobs", "watchers"):
+        for kind, row in report[part].items():
+            print(f"  {kind}: {json.dumps(row)}")
+
+
 check("clean run")
+show_figures()
 check("crash", tool=[at(5, "crash", process="entry-1", status="-6")])
 check_requests()
 check_stops()
--- a/tools/checker.py
+++ b/tools/checker.py
@@ -47,6 +47,7 @@
                        {**LIMITS, **self.ledgers.site.get("limits", {})}
                        .items()}
         self.breaches = {name: [] for name in PROMISES}
+        self.doubled = set()  # keys and requests that ran more than once
         self.by_request = collections.defaultdict(list)
         self.by_key = collections.defaultdict(list)
         self.by_task = collections.defaultdict(list)
@@ -94,7 +95,7 @@
 
     def _judge_requests(self):
         for fact in self.ledgers.of("request"):
-            runs = self.by_request[fact["request"]]
+            runs = self.by_request.get(fact["request"], [])
             outcome = fact["outcome"]
             if outcome in ("not_run", "refused"):
                 if runs:
@@ -146,11 +147,13 @@
         may_repeat = set(self.ledgers.site.get("idempotent", ()))
         for key, runs in self.by_key.items():
             if len(runs) > 1:
+                self.doubled.add(key)
                 self._breach("twice", f"key {key}: {len(runs)} executions")
         for request, runs in self.by_request.items():
             if len(runs) > 1 and not runs[0].key and request \
                     and runs[0].method == "POST" \
                     and kinds.get(request) not in may_repeat:
+                self.doubled.add(request)
                 self._breach("twice", f"{request}: {len(runs)} executions")
 
     # Tasks.
@@ -343,24 +346,22 @@
 
     def _request_row(self, facts):
         outcomes = collections.Counter(f["outcome"] for f in facts)
-        names = {f["request"] for f in facts}
-        keys = {f["key"] for f in facts if f["key"]}
-        doubled = sum(len(self.by_key[k]) > 1 for k in keys)
-        if not keys:
-            doubled = sum(len(r) > 1 for n, r in self.by_request.items()
-                          if n in names and r[0].method == "POST")
+        doubled = self.doubled & {f["key"] or f["request"] for f in facts}
         lost = sum(f["outcome"] == "broken" or (
             f["outcome"] == "unknown" and not f["verdict"]) for f in facts)
         return {
             "sent": len(facts), "answered": outcomes["ran"],
+            "failed": sum(f["outcome"] == "ran" and f["status"] >= 500
+                          for f in facts),
             "not_run": outcomes["not_run"] + outcomes["refused"],
-            "unknown": outcomes["unknown"], "doubled": doubled, "lost": lost,
+            "unknown": outcomes["unknown"], "doubled": len(doubled),
+            "lost": lost,
             **quantiles(f["time_us"] - f["arrived_us"] for f in facts
                         if f["outcome"] == "ran")}
 
     def jobs(self):
         """A row for each kind of job that was submitted."""
-        kinds = collections.defaultdict(list)
+        kinds = {f["kind"]: [] for f in self.ledgers.of("submit")}
         for task, fact in self.accepted.items():
             kinds[fact["kind"]].append(task)
         return {kind: self._job_row(kind, tasks)
@@ -375,7 +376,7 @@
                and runs[0].end <= self.accepted[t]["time_us"]
                + deadline * SECOND]
         waits = [self.by_task[t][0].start - self.accepted[t]["time_us"]
-                 for t in tasks if self.by_task.get(t)]
+                 for t in tasks if t in self.by_task]
         return {
             "submitted": len(tasks),
             "refused": sum(f["count"] for f in refused),
--- a/tools/experiment_run.py
+++ b/tools/experiment_run.py
@@ -17,6 +17,7 @@
 import threading
 import time
 import zoneinfo
+from concurrent import futures
 
 import yaml
 
@@ -28,6 +29,8 @@
 SETTLE_S = 20.0
 SETTLE_POLL_S = 0.5
 EXIT_S = 30.0
+SUBMIT_S = 30.0
+SUBMIT_AGAIN_S = 0.5
 CALLER_GRACE_S = 30.0
 WATCHERS_AT_START_S = 10.0
 CONNECTIONS = 64
@@ -217,7 +220,7 @@
     def do_switch(self, step):
         before = {}
         for name in self._parts(step):
-            known = json.loads(self._control(name, "GET"))
+            known = self._control(name, "GET")
             before[name] = {k: known.get(k) for k in step["set"]}
             self._switch(name, step["set"])
         if "for_s" in step and not self.over.wait(step["for_s"]):
@@ -243,8 +246,10 @@
                 "payload": payload}
         if "team" in step:
             body["team"] = step["team"]
-        status, answer = self._operate("POST", "/v1/jobs", body)
+        status, answer = self._submit(body)
         ids = answer.get("jobs", []) if status == 201 else []
+        if not ids and not step.get("may_refuse"):
+            self.errors.append(f"submit {step['kind']}: {status}")
         self.ledger.write("submit", kind=step["kind"], count=body["count"],
                           status=status, ids=ids,
                           may_remain=step.get("may_remain", False)
@@ -252,12 +257,25 @@
         self.jobs += [(step["kind"], i) for i in ids]
         self.say(f"submit {step['kind']}: {status}, {len(ids)} jobs")
 
-    def _operate(self, method, path, body=None, entry=None):
+    def _submit(self, body):
+        """As an operator would: again with the same key until it is sure."""
+        headers = {"Idempotency-Key": f"{self.random.getrandbits(64):016x}"}
+        deadline = time.monotonic() + SUBMIT_S
+        while True:
+            status, answer = self._operate("POST", "/v1/jobs", body,
+                                           headers=headers)
+            if status not in (0, 503, 504) or time.monotonic() > deadline:
+                return status, answer
+            if self.over.wait(SUBMIT_AGAIN_S):
+                return status, answer
+
+    def _operate(self, method, path, body=None, entry=None, headers=None):
         """Ask ENTRY, or the first that answers; status and JSON object."""
         status, answer = 0, b""
         for name in [entry] if entry else self.site.entry_names:
             status, _, answer = self.site.operate(
-                name, method, path, json.dumps(body) if body else None)
+                name, method, path, json.dumps(body) if body else None,
+                headers)
             if status not in (0, 503):
                 break
         try:
@@ -276,15 +294,17 @@
         self.say(f"cancelled {len(chosen)} jobs")
 
     def do_publish(self, step):
+        accepted = 0
         for _ in range(step.get("times", 1)):
             base = self._current()
-            racers = [threading.Thread(target=self._publish, args=(i, base))
-                      for i in range(step.get("racers", 1))]
-            for racer in racers:
-                racer.start()
-            for racer in racers:
-                racer.join()
+            with futures.ThreadPoolExecutor() as pool:
+                racers = range(step.get("racers", 1))
+                statuses = list(pool.map(
+                    lambda i, b=base: self._publish(i, b), racers))
+            accepted += 201 in statuses
             self.over.wait(step.get("every_s", 0))
+        if accepted == 0 and not step.get("may_refuse"):
+            self.errors.append("publish: none accepted")
 
     def _publish(self, number, base):
         """Publish a document that differs in one number, which tells it from
--- a/tools/report.py
+++ b/tools/report.py
@@ -35,6 +35,7 @@
     lines += table("jobs", report["jobs"])
     lines += table("watchers", report["watchers"])
     lines += verdict(report)
+    lines += [f"not done: {error}" for error in report.get("errors", ())]
     return "\n".join(lines)
 
 
--- a/tools/scenario.py
+++ b/tools/scenario.py
@@ -43,9 +43,10 @@
     "submit": {"kind": str, "team": str, "count": int, "run_ms": int,
                "fail": bool, "checkpoint_every_ms": int,
                "real_millicores": int, "real_memory_mib": int,
-               "may_remain": bool},
+               "may_remain": bool, "may_refuse": bool},
     "cancel": {"kind": str, "share": NUMBER},
-    "publish": {"racers": int, "times": int, "every_s": NUMBER},
+    "publish": {"racers": int, "times": int, "every_s": NUMBER,
+                "may_refuse": bool},
     "replace-all": {"rolling": bool, "pause_s": NUMBER},
 }
 REQUIRED = {id(SCENARIO): ("name", "site"), id(LOAD): ("kinds",),
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -311,9 +311,10 @@
         return request(self.addresses[f"{entry}.callers"], method, path,
                        body, headers)
 
-    def operate(self, entry, method, path, body=None):
+    def operate(self, entry, method, path, body=None, headers=None):
         return request(self.addresses[f"{entry}.operators"], method, path,
-                       body, {"Authorization": "Bearer " + TOKEN})
+                       body, {"Authorization": "Bearer " + TOKEN,
+                              **(headers or {})})
 
     def fault(self, name, faults):
         """Set faults of a stand-in: "log", "GUARD.upstream" or
