Start no process that a signal could leave behind

Cause: a signal between the start of a process and its entry in the table would have left it running; workers without a lease yet got no share of the first work. Change: signals are deferred while a process is started; a run waits for the workers' leases before the first configuration.

--- a/tools/experiment_run.py
+++ b/tools/experiment_run.py
@@ -388,14 +388,11 @@
 
     def _poll_entry(self, entry, with_document):
         status, answer = self._operate("GET", "/v1/status", None, entry)
-        if status != 200 or "config_revision" not in answer:
-            return
-        self.ledger.write("poll", process=entry, via=entry,
-                          revision=answer["config_revision"])
-        for guard in answer.get("guards", ()):
-            if guard.get("state") == "serving":
-                self.ledger.write("poll", process=guard["name"], via=entry,
-                                  revision=guard["config_revision"])
+        processes = answer.get("entries", []) + answer.get("guards", [])
+        for process in processes if status == 200 else ():
+            if process.get("state") == "serving":
+                self.ledger.write("poll", process=process["name"], via=entry,
+                                  revision=process["config_revision"])
         if with_document:
             self._poll_document(entry)
 
@@ -436,12 +433,20 @@
             self._switch("log", {name: faults})
         if site.guard_options["upstream"]:
             site.await_targets(len(site.guard_names))
+        if site.guard_options["worker"]:
+            self._await_leases()
         published = self.document is not None \
             and until(self._try_publish, what="first configuration")
         self._site_fact(published == "yes")
         if published == "yes":
             self._await_watchers()
 
+    def _await_leases(self):
+        """Workers that are known at the start get their share of it."""
+        processes = [self.site.processes[g] for g in self.site.guard_names]
+        until(lambda: all("lease.held" in p.log() for p in processes),
+              what="leases of all workers")
+
     def _try_publish(self):
         """The first configuration; an entry may still be reading the log."""
         status = self._publish(0, 0)
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -6,6 +6,7 @@
 its name, and is ended by its id when the Site is closed, whatever happens.
 """
 
+import contextlib
 import http.client
 import json
 import os
@@ -20,6 +21,7 @@
 TOKEN = "operator-token-of-a-test-site"
 REQUEST_TIMEOUT_S = 20
 START_TIMEOUT_S = 20
+SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 WORKER_SIZE = {"millicores": 16000, "memory_mib": 61440, "accelerators": 0}
 
 
@@ -61,6 +63,25 @@
         client.close()
 
 
+@contextlib.contextmanager
+def deferred_signals():
+    """Signals that come inside are handled after it, so that no process is
+    started without being known.  Only the main thread handles any."""
+    if threading.current_thread() is not threading.main_thread():
+        yield
+        return
+    came = []
+    before = {number: signal.signal(number, lambda n, _: came.append(n))
+              for number in SIGNALS}
+    try:
+        yield
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+        for number in came:
+            signal.raise_signal(number)
+
+
 class Process:
     """One started program with its output in files."""
 
@@ -211,7 +232,7 @@
         return path
 
     def _start(self, name, *arguments):
-        with self.lock:
+        with deferred_signals(), self.lock:
             if self.closing:
                 raise RuntimeError("the site is being closed")
             if name in self.processes:
