--- a/tools/experiment_run.py
+++ b/tools/experiment_run.py
@@ -99,7 +99,7 @@
                     worker="worker" in site, upstream_options=options,
                     worker_options=self._interference(site),
                     worker_size={**WORKER_SIZE, **worker},
-                    folder=self.folder, **given)
+                    folder=self.folder, start=False, **given)
 
     def _interference(self, site):
         table = site.get("worker", {}).get("interference")
@@ -428,6 +428,7 @@
 
     def _bring_up(self):
         site = self.site
+        site.start()
         for name, faults in self.scenario["site"].get("log_faults",
                                                       {}).items():
             self._switch("log", {name: faults})
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -132,7 +132,8 @@
                  upstream=True, worker=False, upstream_options=(),
                  worker_options=(), timings=None, max_body_kib=1024,
                  with_log=True, tls=False, region="r", guards_per_rack=0,
-                 reserve=None, worker_size=None, folder=None):
+                 reserve=None, worker_size=None, folder=None,
+                 start=True):
         self.build = os.path.abspath(build)
         self.folder = folder or tempfile.mkdtemp(prefix="galenapier-")
         self.name = name
@@ -155,11 +156,17 @@
         self.entry_names = [f"entry-{i + 1}" for i in range(entries)]
         self.guard_names = [f"guard-{i + 1}" for i in range(guards)]
         self.tls = tls
+        self.with_log = with_log
+        self._allocate()
+        if start:
+            self.start()
+
+    def start(self):
+        """Start all processes; none is left if that fails."""
         try:
-            if tls:
+            if self.tls:
                 self._make_certificates()
-            self._allocate()
-            if with_log:
+            if self.with_log:
                 self.start_log()
             for entry in self.entry_names:
                 self.start_entry(entry)
