--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -6,6 +6,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "daemon/view.h"
+#include "daemon/execution_limits.h"
 
 #define HEARTBEAT_JITTER 0.1
 /* On a worker the lease sets the pace, and the timer only steps in while
@@ -312,9 +313,12 @@
 static void
 on_configuration (const gp_document_t *document, uint64_t revision, void *data)
 {
-  (void)document, (void)data;
+  gp_guard_t *guard = data;
+
   gp_log (GP_LOG_INFO, "configuration.in-force",
           GP_LOG_I ("revision", revision));
+  if (has_upstream (guard))
+    gp_executor_configure (&guard->executor, document);
 }
 
 static bool
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -30,8 +30,6 @@
 static gp_counter_t relays_open
     = GP_GAUGE ("entry_requests_open", "Requests in progress.");
 
-static void dispatch (gp_relay_t *relay);
-
 /* Life of a relay.  */
 
 static bool
@@ -82,11 +80,13 @@
 {
   gp_relays_t *relays = relay->relays;
 
+  gp_relay_end_key (relay, GP__WIRE__VERDICT__VERDICT_UNSPECIFIED);
   end_try (relay);
   gp_list_remove (&relay->waiting);
   if (!relay->expired)
     gp_heap_remove (&relays->deadlines, &relay->node);
   g_byte_array_unref (relay->pending);
+  g_free (relay->kind);
   g_free (relay);
   relays->open--;
   gp_counter_set (&relays_open, (int64_t)relays->open);
@@ -123,7 +123,7 @@
   };
 
   end_try (relay);
-  if (relay->cancelled)
+  if (relay->cancelled || relay->exchange == NULL)
     {
       gp_relay_fail (relay, verdict, reason, -1);
       return;
@@ -135,7 +135,7 @@
   switch (decision.kind)
     {
     case GP_RETRY_AGAIN:
-      dispatch (relay);
+      gp_relay_dispatch (relay);
       break;
     case GP_RETRY_REFUSE:
       gp_relay_fail (relay, decision.u.refuse.verdict,
@@ -149,8 +149,8 @@
     }
 }
 
-static void
-dispatch (gp_relay_t *relay)
+void
+gp_relay_dispatch (gp_relay_t *relay)
 {
   gp_relays_t *relays = relay->relays;
   gp_time_t now = gp_loop_now (relays->loop);
@@ -186,6 +186,11 @@
 
   if (!relay->cancelled)
     gp_counter_add (&callers_gone, 1);
+  if (gp_relay_awaits_outcome (relay))
+    {
+      relay->exchange = NULL;
+      return;
+    }
   if (relay->target != NULL)
     gp_relay_send_cancel (relay);
   gp_relay_free (relay);
@@ -219,8 +224,8 @@
   return true;
 }
 
-static void
-find_policy (gp_relay_t *relay)
+static const gp_document_kind_t *
+find_policy (const gp_relay_t *relay)
 {
   const gp_document_t *document = relay->relays->document;
   const gp_document_service_t *service = NULL;
@@ -228,23 +233,45 @@
 
   if (document != NULL)
     service = gp_document_find_service (document, relay->service->name);
-  if (service != NULL)
-    relay->kind = gp_document_find_kind (service, path.base, path.size);
+  if (service == NULL)
+    return NULL;
+  return gp_document_find_kind (service, path.base, path.size);
 }
 
 static gp_time_t
-request_timeout (const gp_relay_t *relay)
+request_timeout (const gp_relay_t *relay, const gp_document_kind_t *kind)
 {
   gp_http_text_t asked
       = gp_http_exchange_header (relay->exchange, "galenapier-timeout-ms");
   gp_time_t timeout = DEFAULT_TIMEOUT;
 
-  if (relay->kind != NULL && relay->kind->timeout_ms > 0)
-    timeout = relay->kind->timeout_ms * GP_MSEC;
+  if (kind != NULL && kind->timeout_ms > 0)
+    timeout = kind->timeout_ms * GP_MSEC;
   timeout = gp_text_number (asked, timeout / GP_MSEC) * GP_MSEC;
   return CLAMP (timeout, GP_MSEC, MAX_TIMEOUT);
 }
 
+/* Copies what it needs: the document may change before the answer.  */
+static void
+set_policy (gp_relay_t *relay)
+{
+  const gp_document_kind_t *kind = find_policy (relay);
+
+  relay->work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_LATENCY_CRITICAL;
+  relay->idempotent
+      = method_is_idempotent (gp_http_exchange_method (relay->exchange));
+  if (kind != NULL)
+    {
+      relay->kind = g_strdup (kind->name);
+      relay->idempotent = kind->idempotent;
+    }
+  if (kind != NULL && kind->work_class == GP_DOCUMENT_BATCH)
+    relay->work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
+  relay->route.may_probe = relay->idempotent;
+  relay->deadline
+      = gp_loop_now (relay->relays->loop) + request_timeout (relay, kind);
+}
+
 static gp_relay_t *
 relay_new (gp_relays_t *relays, gp_http_exchange_t *exchange,
            gp_service_t *service)
@@ -261,13 +288,8 @@
     gp_timer_arm (&relays->sweep_timer,
                   gp_loop_now (relays->loop) + SWEEP_INTERVAL);
   gp_list_push_back (&relays->waiting, &relay->waiting);
-  find_policy (relay);
-  relay->idempotent
-      = relay->kind != NULL
-            ? relay->kind->idempotent
-            : method_is_idempotent (gp_http_exchange_method (exchange));
-  relay->route.may_probe = relay->idempotent;
-  relay->deadline = gp_loop_now (relays->loop) + request_timeout (relay);
+  relay->body_size = gp_http_exchange_body (exchange).size;
+  set_policy (relay);
   relay->wake_at = relay->deadline + ANSWER_GRACE;
   gp_heap_insert (&relays->deadlines, &relay->node);
   relays->open++;
@@ -302,7 +324,7 @@
   relay = relay_new (relays, exchange, service);
   gp_retry_request (&service->retry);
   arm_timer (relays);
-  dispatch (relay);
+  gp_relay_start (relay);
 }
 
 /* Messages from guards.  */
@@ -349,8 +371,15 @@
     return;
   record (relay, answer);
   if (answer->verdict != GP__WIRE__VERDICT__VERDICT_RAN)
-    decide (relay, answer->verdict, answer->reason);
-  else if (answer->last)
+    {
+      decide (relay, answer->verdict, answer->reason);
+      return;
+    }
+  relay->head_received = true;
+  relay->last_received = answer->last;
+  if (relay->keyed != NULL)
+    gp_keyed_keep_head (relay->keyed, answer);
+  if (answer->last)
     gp_relay_answer (relay, answer);
   else
     gp_relay_stream (relay, answer);
@@ -366,6 +395,8 @@
     return;
   g_byte_array_append (relay->pending, part->data.data, (guint)part->data.len);
   relay->last_received = part->last;
+  if (relay->keyed != NULL)
+    gp_keyed_keep_part (relay->keyed, part->data.data, part->data.len);
   if (part->last)
     end_try (relay);
   gp_relay_send_next (relay);
@@ -389,7 +420,7 @@
   {
     gp_relay_t *relay = GP_CONTAINER_OF (pos, gp_relay_t, link);
 
-    if (!relay->streaming)
+    if (!relay->streaming && relay->exchange != NULL)
       gp_relay_send_body (relay);
   }
 }
@@ -399,10 +430,10 @@
 static Gp__Wire__Verdict
 verdict_of_loss (const gp_relay_t *relay)
 {
-  gp_http_text_t body = gp_http_exchange_body (relay->exchange);
+  bool sent = relay->attempts > 0 && relay->body_sent == relay->body_size;
 
-  return relay->body_sent < body.size ? GP__WIRE__VERDICT__VERDICT_NOT_RUN
-                                      : GP__WIRE__VERDICT__VERDICT_UNKNOWN;
+  return sent ? GP__WIRE__VERDICT__VERDICT_UNKNOWN
+              : GP__WIRE__VERDICT__VERDICT_NOT_RUN;
 }
 
 void
@@ -429,7 +460,7 @@
 static void
 check_caller (gp_relay_t *relay)
 {
-  if (relay->cancelled || relay->target == NULL
+  if (relay->cancelled || relay->target == NULL || relay->exchange == NULL
       || !gp_http_exchange_hung_up (relay->exchange))
     return;
   gp_counter_add (&callers_gone, 1);
--- a/src/daemon/relay_send.c
+++ b/src/daemon/relay_send.c
@@ -64,20 +64,12 @@
 kind_name (const gp_relay_t *relay, char *name, size_t size)
 {
   if (relay->kind != NULL)
-    g_strlcpy (name, relay->kind->name, size);
+    g_strlcpy (name, relay->kind, size);
   else
     copy_text (name, size,
                gp_http_exchange_header (relay->exchange, "galenapier-kind"));
 }
 
-static Gp__Wire__WorkClass
-work_class (const gp_relay_t *relay)
-{
-  if (relay->kind != NULL && relay->kind->work_class == GP_DOCUMENT_BATCH)
-    return GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
-  return GP__WIRE__WORK_CLASS__WORK_CLASS_LATENCY_CRITICAL;
-}
-
 /* The path behind the service's name.  */
 gp_http_text_t
 gp_relay_path (const gp_relay_t *relay)
@@ -118,7 +110,7 @@
   request.service = relay->service->name;
   request.kind = kind;
   request.team = team;
-  request.work_class = work_class (relay);
+  request.work_class = relay->work_class;
   request.idempotent = relay->idempotent;
   request.remaining_us = (uint64_t)MAX (relay->deadline - now, 0);
   request.method = method;
