Serve a console for the operators' document

The operators' port serves a page of forms made from the document's JSON Schema, and the same as text: sign-in, check while typing by POST /v1/check with each issue beside its field, differences, publishing on a base revision, and the winner's changes shown to a loser. No inline script or style; the token is kept in the tab only.

Tried in headless Chromium by keyboard against a site with a stand-in for GET and POST /v1/config: sign-in refused and taken, a fault beside its field and the button to publish disabled, a value changed and one added with comments kept, publish, a lost race, undo, a text that is no YAML.

--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,8 @@
 	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
 
 # Its files are taken in by the assembler, which tells no dependencies.
-$(BUILD)/src/daemon/console.o: $(wildcard src/console/*)
+$(BUILD)/src/daemon/console.o: $(wildcard src/console/*) \
+	docs/schema/document.schema.json
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
--- a/src/console/forms.js
+++ b/src/console/forms.js
@@ -1,1 +1,251 @@
+/* Forms of a document, made from its JSON Schema.
 
+   Each input stands for one path.  A change is told by callbacks:
+   onValue (path, value) for a value, onShape (change, path) for one that
+   adds or takes away parts, after which the forms are made anew. */
+
+import { fresh, get, join, parentOf, words } from "./model.js";
+
+const ORDER = ["version", "site", "time_zone", "services", "batch_jobs",
+  "watchers", "teams", "limits", "interference", "workers", "regions"];
+const LONG = new Set(["payload"]);
+
+export function idOf(path) {
+  return `field-${path}`;
+}
+
+function element(name, attributes = {}, ...children) {
+  const node = document.createElement(name);
+  for (const [key, value] of Object.entries(attributes))
+    if (value !== undefined)
+      node.setAttribute(key, value);
+  node.append(...children);
+  return node;
+}
+
+/* A text as a value: a number where one is meant, so that the check of the
+   entry tells what else is wrong. */
+function valueOf(text, schema) {
+  if (schema.type === "integer" && /^(0|[1-9]\d{0,15})$/.test(text))
+    return Number(text);
+  if (schema.type === "boolean")
+    return text === "" ? undefined : text === "true";
+  if (schema.type === "array")
+    return text.split(",").map((part) => part.trim()).filter(Boolean);
+  return text;
+}
+
+function textOf(value) {
+  return Array.isArray(value) ? value.join(", ") : String(value ?? "");
+}
+
+function choices(schema) {
+  if (schema.enum)
+    return schema.enum;
+  return schema.type === "boolean" ? ["true", "false"] : null;
+}
+
+function makeSelect(options, value, required) {
+  const select = element("select");
+  if (!required || value === undefined)
+    select.append(element("option", { value: "" }, "(not set)"));
+  for (const option of options)
+    select.append(element("option", { value: option }, option));
+  select.value = textOf(value);
+  return select;
+}
+
+function makeInput(schema, key, value, required) {
+  const options = choices(schema);
+  if (options)
+    return makeSelect(options, value, required);
+  const input = LONG.has(key) ? element("textarea", { rows: 2 })
+    : element("input", { type: "text",
+      inputmode: schema.type === "integer" ? "numeric" : undefined,
+      placeholder: schema.default });
+  input.value = textOf(value);
+  return input;
+}
+
+function hint(schema) {
+  if (schema.type === "integer")
+    return `${schema.minimum} to ${schema.maximum}` +
+      (schema.default === undefined ? "" : `, ${schema.default} if left out`);
+  if (schema.type === "array")
+    return "names, with commas between";
+  return undefined;
+}
+
+function makeField(forms, schema, path, key, required) {
+  const id = idOf(path);
+  const input = makeInput(schema, key, get(forms.model, path), required);
+  const isList = schema.type === "array";
+  input.id = id;
+  input.title = hint(schema) ?? "";
+  input.spellcheck = false;
+  input.setAttribute("aria-describedby", `${id}-note`);
+  input.addEventListener("input", () => {
+    const value = valueOf(input.value, schema);
+    if (isList)
+      forms.onShape({ keepForms: true, path, value });
+    else
+      forms.onValue(path, value);
+  });
+  /* An input that is left empty takes its key away. */
+  input.addEventListener("change", () => {
+    if (input.value === "" && !required)
+      forms.onValue(path, undefined);
+  });
+  return element("div", { class: "field" },
+    element("label", { for: id, class: required ? "required" : undefined },
+      words(key)), input, element("p", { id: `${id}-note`, class: "note" }));
+}
+
+function makeGroup(forms, schema, path, key) {
+  return element("fieldset", {}, element("legend", {}, words(key)),
+    makeFields(forms, schema, path));
+}
+
+function summaryOf(item, index) {
+  return item?.name ? String(item.name) : `number ${index + 1}`;
+}
+
+function makeItem(forms, schema, path, index) {
+  const own = join(path, index);
+  const summary = element("summary", { id: idOf(own) },
+    summaryOf(get(forms.model, own), index));
+  const remove = element("button", { type: "button" },
+    `Remove ${summaryOf(get(forms.model, own), index)}`);
+  remove.addEventListener("click", () =>
+    forms.onShape({ remove: index, path }));
+  const details = element("details", { class: "item", "data-path": own },
+    summary, makeFields(forms, schema, own), remove);
+  details.open = forms.open.has(own);
+  details.addEventListener("toggle", () => details.open
+    ? forms.open.add(own) : forms.open.delete(own));
+  return details;
+}
+
+function makeList(forms, schema, path, key) {
+  const items = get(forms.model, path) ?? [];
+  const add = element("button", { type: "button", id: `${idOf(path)}-add` },
+    `Add to ${words(key).toLowerCase()}`);
+  add.addEventListener("click", () => forms.onShape({ path,
+    add: fresh(schema.items, `new-${items.length + 1}`) }));
+  const list = element("div", { class: "list" },
+    element("p", { id: `${idOf(path)}-note`, class: "note" }));
+  if (Array.isArray(items))
+    items.forEach((_, index) =>
+      list.append(makeItem(forms, schema.items, path, index)));
+  list.append(add);
+  return list;
+}
+
+function makePart(forms, schema, path, key, required) {
+  if (schema.type === "object")
+    return makeGroup(forms, schema, path, key);
+  if (schema.type === "array" && schema.items.type === "object")
+    return element("fieldset", {}, element("legend", {}, words(key)),
+      makeList(forms, schema, path, key));
+  return makeField(forms, schema, path, key, required);
+}
+
+/* Required keys first. */
+function keysOf(schema) {
+  const required = schema.required ?? [];
+  return [...required, ...Object.keys(schema.properties).filter(
+    (key) => !required.includes(key))];
+}
+
+function makeFields(forms, schema, path) {
+  const fields = element("div", { class: "fields" });
+  for (const key of keysOf(schema))
+    fields.append(makePart(forms, schema.properties[key], join(path, key),
+      key, (schema.required ?? []).includes(key)));
+  return fields;
+}
+
+function makeSection(forms, key, schema) {
+  const count = Array.isArray(forms.model[key])
+    ? ` (${forms.model[key].length})` : "";
+  const content = schema.type === "array"
+    ? makeList(forms, schema, key, key) : makeFields(forms, schema, key);
+  const details = element("details", { class: "section", "data-path": key },
+    element("summary", { id: idOf(key) }, words(key) + count), content);
+  details.open = forms.open.has(key);
+  details.addEventListener("toggle", () => details.open
+    ? forms.open.add(key) : forms.open.delete(key));
+  return details;
+}
+
+/* Fill NODE with forms of forms.model. */
+export function render(forms, node) {
+  const head = element("div", { class: "fields" });
+  const sections = [];
+  for (const key of ORDER) {
+    const schema = forms.schema.properties[key];
+    if (schema.type === "array" || schema.type === "object")
+      sections.push(makeSection(forms, key, schema));
+    else
+      head.append(makeField(forms, schema, key, key,
+        forms.schema.required.includes(key)));
+  }
+  node.replaceChildren(head, ...sections);
+}
+
+function describe(issue) {
+  return issue.message + (issue.allowed ? ` (allowed: ${issue.allowed})` : "");
+}
+
+/* The nearest part with a note that holds PATH. */
+function noteOf(path) {
+  for (let own = path; own !== ""; own = parentOf(own)) {
+    const note = document.getElementById(`${idOf(own)}-note`);
+    if (note)
+      return note;
+  }
+  return null;
+}
+
+function markOne(issue) {
+  const note = noteOf(issue.path);
+  const input = document.getElementById(idOf(issue.path));
+  if (note) {
+    note.textContent += (note.textContent ? "; " : "") + describe(issue);
+    note.classList.add(issue.severity);
+  }
+  if (input && issue.severity === "error")
+    input.setAttribute("aria-invalid", "true");
+  if (issue.severity === "error")
+    for (const item of document.querySelectorAll("details.item"))
+      if (issue.path.startsWith(item.dataset.path))
+        item.classList.add("bad");
+}
+
+/* Show ISSUES beside their fields. */
+export function mark(node, issues) {
+  for (const note of node.querySelectorAll(".note")) {
+    note.textContent = "";
+    note.className = "note";
+  }
+  for (const input of node.querySelectorAll("[aria-invalid]"))
+    input.removeAttribute("aria-invalid");
+  for (const item of node.querySelectorAll("details.bad"))
+    item.classList.remove("bad");
+  issues.forEach(markOne);
+}
+
+/* Open what holds PATH and put the focus there. */
+export function reveal(forms, path) {
+  let target = null;
+  for (let own = path; own !== "" && !target; own = parentOf(own))
+    target = document.getElementById(idOf(own));
+  if (!target)
+    return false;
+  for (let node = target.parentElement; node; node = node.parentElement)
+    if (node.tagName === "DETAILS")
+      node.open = true;
+  target.focus();
+  target.scrollIntoView({ block: "center" });
+  return true;
+}
--- a/src/console/model.js
+++ b/src/console/model.js
@@ -1,1 +1,91 @@
+/* Paths into a document, such as "services[0].slots", and changes at them. */
 
+export function split(path) {
+  const parts = [];
+  for (const part of path.matchAll(/([^.[\]]+)|\[(\d+)\]/g))
+    parts.push(part[2] === undefined ? part[1] : Number(part[2]));
+  return parts;
+}
+
+export function join(path, part) {
+  if (typeof part === "number")
+    return `${path}[${part}]`;
+  return path === "" ? part : `${path}.${part}`;
+}
+
+/* The path of what holds PATH; empty for a key of the document. */
+export function parentOf(path) {
+  return path.replace(/(\.[^.[\]]+|\[\d+\]|^[^.[\]]+)$/, "");
+}
+
+export function get(model, path) {
+  let value = model;
+  for (const part of split(path)) {
+    if (value === null || typeof value !== "object")
+      return undefined;
+    value = value[part];
+  }
+  return value;
+}
+
+function isEmptyObject(value) {
+  return value !== null && typeof value === "object" &&
+    !Array.isArray(value) && Object.keys(value).length === 0;
+}
+
+/* Set PATH to VALUE; undefined takes the key away, and a mapping that is
+   left empty with it. */
+export function set(model, path, value) {
+  const parts = split(path);
+  const last = parts.pop();
+  const parents = [];
+  let place = model;
+  for (const part of parts) {
+    if (place[part] === undefined) {
+      if (value === undefined)
+        return;
+      place[part] = {};
+    }
+    parents.push([place, part]);
+    place = place[part];
+  }
+  if (value !== undefined) {
+    place[last] = value;
+    return;
+  }
+  delete place[last];
+  for (const [parent, part] of parents.reverse())
+    if (!Array.isArray(parent) && isEmptyObject(parent[part]))
+      delete parent[part];
+    else
+      break;
+}
+
+/* What a new object of SCHEMA starts with: its required keys. */
+export function fresh(schema, name) {
+  if (schema.enum)
+    return schema.enum[0];
+  switch (schema.type) {
+  case "object":
+    return Object.fromEntries((schema.required ?? []).map(
+      (key) => [key, key === "name" ? name : fresh(schema.properties[key],
+        name)]));
+  case "array":
+    return schema.items.type === "object"
+      ? [fresh(schema.items, "new")] : [name];
+  case "integer":
+    return schema.default ?? Math.max(schema.minimum, 1);
+  default:
+    return "";
+  }
+}
+
+/* "latency_target_ms" as words. */
+export function words(key) {
+  const units = { ms: "ms", s: "s", mib: "MiB", percent: "%" };
+  const parts = key.split("_");
+  const last = parts[parts.length - 1];
+  const text = parts.length > 1 && units[last]
+    ? `${parts.slice(0, -1).join(" ")} (${units[last]})` : parts.join(" ");
+  return text[0].toUpperCase() + text.slice(1);
+}
--- a/src/console/yaml.js
+++ b/src/console/yaml.js
@@ -1,1 +1,169 @@
+/* Writing YAML, changing one value of it in place, and comparing lines. */
 
+const PLAIN = /^[A-Za-z/][A-Za-z0-9._/~-]*( [A-Za-z0-9._/~-]+)*$/;
+const WORDS = /^(true|false|null|yes|no|on|off|y|n)$/i;
+/* Lines that are compared at most by each pair. */
+const PAIRS_MAX = 4e6;
+
+export function scalar(value) {
+  if (typeof value === "number" || typeof value === "boolean")
+    return String(value);
+  if (PLAIN.test(value) && !WORDS.test(value))
+    return value;
+  return JSON.stringify(value);
+}
+
+function isFlat(value) {
+  return Object.values(value).every((part) => typeof part !== "object");
+}
+
+function flow(value) {
+  if (Array.isArray(value))
+    return `[${value.map(scalar).join(", ")}]`;
+  const parts = Object.entries(value).map(
+    ([key, part]) => `${key}: ${scalar(part)}`);
+  return `{${parts.join(", ")}}`;
+}
+
+function emitMember(key, value, indent, lines) {
+  if (value === null || typeof value !== "object")
+    lines.push(`${indent}${key}: ${scalar(value ?? "")}`);
+  else if (isFlat(value))
+    lines.push(`${indent}${key}: ${flow(value)}`);
+  else {
+    lines.push(`${indent}${key}:`);
+    emitValue(value, `${indent}  `, lines);
+  }
+}
+
+function emitItem(item, indent, lines) {
+  if (item === null || typeof item !== "object") {
+    lines.push(`${indent}- ${scalar(item ?? "")}`);
+    return;
+  }
+  const own = [];
+  emitValue(item, `${indent}  `, own);
+  if (own.length === 0)
+    own.push(`${indent}  {}`);
+  own[0] = `${indent}- ${own[0].slice(indent.length + 2)}`;
+  lines.push(...own);
+}
+
+function emitValue(value, indent, lines) {
+  if (Array.isArray(value))
+    for (const item of value)
+      emitItem(item, indent, lines);
+  else
+    for (const [key, part] of Object.entries(value))
+      emitMember(key, part, indent, lines);
+}
+
+export function emit(model) {
+  const lines = [];
+  for (const [key, value] of Object.entries(model)) {
+    const isBlock = value !== null && typeof value === "object" &&
+      !isFlat(value);
+    if (isBlock && lines.length > 0)
+      lines.push("");
+    emitMember(key, value, "", lines);
+  }
+  return `${lines.join("\n")}\n`;
+}
+
+function tokenSize(text, old) {
+  const quoted = /^(?:"(?:[^"\\\n]|\\.)*"|'(?:[^'\n]|'')*')/.exec(text);
+  if (quoted)
+    return quoted[0].length;
+  return text.startsWith(String(old)) ? String(old).length : -1;
+}
+
+/* The line of PLACE ([line, column]) cut before and after the value OLD that
+   stands there, or null when it does not. */
+function cut(text, place, old) {
+  const lines = text.split("\n");
+  const characters = Array.from(lines[place[0] - 1] ?? "");
+  const before = characters.slice(0, place[1] - 1).join("");
+  const rest = characters.slice(place[1] - 1).join("");
+  const size = tokenSize(rest, old);
+  if (size < 0)
+    return null;
+  return { lines, before, token: rest.slice(0, size), after: rest.slice(size) };
+}
+
+/* TEXT with the value OLD at PLACE replaced, or null. */
+export function replaceAt(text, place, old, value) {
+  const parts = cut(text, place, old);
+  if (!parts)
+    return null;
+  parts.lines[place[0] - 1] = parts.before + scalar(value) + parts.after;
+  return parts.lines.join("\n");
+}
+
+/* TEXT with KEY added after the member SIBLING, whose value OLD stands at
+   PLACE, in the style of that member; or null. */
+export function insertAfter(text, place, sibling, old, key, value) {
+  const parts = cut(text, place, old);
+  const lead = parts && new RegExp(`^(.*?)${sibling}: *$`).exec(parts.before);
+  if (!lead)
+    return null;
+  const member = `${key}: ${scalar(value)}`;
+  if (/^\s*(- +)?$/.test(lead[1]))
+    parts.lines.splice(place[0], 0, " ".repeat(lead[1].length) + member);
+  else if (/[{,]\s*$/.test(lead[1]))
+    parts.lines[place[0] - 1] = parts.before + parts.token + ", " + member +
+      parts.after;
+  else
+    return null;
+  return parts.lines.join("\n");
+}
+
+/* The lengths of the longest common parts of A and B from each pair of
+   lines on. */
+function commonLengths(a, b) {
+  const width = b.length + 1;
+  const lengths = new Uint32Array((a.length + 1) * width);
+  for (let i = a.length - 1; i >= 0; i--)
+    for (let j = b.length - 1; j >= 0; j--)
+      lengths[i * width + j] = a[i] === b[j]
+        ? lengths[(i + 1) * width + j + 1] + 1
+        : Math.max(lengths[(i + 1) * width + j], lengths[i * width + j + 1]);
+  return lengths;
+}
+
+function compareMiddle(a, b) {
+  if (a.length * b.length > PAIRS_MAX)
+    return [...a.map((line) => ["-", line]), ...b.map((line) => ["+", line])];
+  const lengths = commonLengths(a, b);
+  const width = b.length + 1;
+  const result = [];
+  let i = 0;
+  let j = 0;
+  while (i < a.length || j < b.length)
+    if (i < a.length && j < b.length && a[i] === b[j]) {
+      result.push([" ", a[i++]]);
+      j++;
+    } else if (j === b.length || (i < a.length &&
+      lengths[(i + 1) * width + j] >= lengths[i * width + j + 1]))
+      result.push(["-", a[i++]]);
+    else
+      result.push(["+", b[j++]]);
+  return result;
+}
+
+/* [mark, line] for each line of OLD and NEW; mark is " ", "-" or "+". */
+export function compare(old, current) {
+  const a = old.split("\n");
+  const b = current.split("\n");
+  let start = 0;
+  let end = 0;
+  while (start < a.length && start < b.length && a[start] === b[start])
+    start++;
+  while (end < a.length - start && end < b.length - start &&
+    a[a.length - 1 - end] === b[b.length - 1 - end])
+    end++;
+  const same = (line) => [" ", line];
+  return [...a.slice(0, start).map(same),
+    ...compareMiddle(a.slice(start, a.length - end),
+      b.slice(start, b.length - end)),
+    ...a.slice(a.length - end).map(same)];
+}
--- a/src/daemon/console.c
+++ b/src/daemon/console.c
@@ -6,24 +6,25 @@
 
 #include "daemon/text.h"
 
-/* Put a file of src/console between two symbols.  */
+/* Put a file between two symbols.  */
 #define ASSET(name, file)                                                     \
   __asm__(".section .rodata\n"                                                \
           ".global gp_console_" #name "_start\n"                              \
           ".global gp_console_" #name "_end\n"                                \
           "gp_console_" #name "_start:\n"                                     \
-          ".incbin \"src/console/" file "\"\n"                                \
+          ".incbin \"" file "\"\n"                                            \
           "gp_console_" #name "_end:\n"                                       \
           ".previous\n");                                                     \
   extern const char gp_console_##name##_start[];                              \
   extern const char gp_console_##name##_end[]
 
-ASSET (page, "index.html");
-ASSET (style, "console.css");
-ASSET (main, "console.js");
-ASSET (model, "model.js");
-ASSET (yaml, "yaml.js");
-ASSET (forms, "forms.js");
+ASSET (page, "src/console/index.html");
+ASSET (style, "src/console/console.css");
+ASSET (main, "src/console/console.js");
+ASSET (model, "src/console/model.js");
+ASSET (yaml, "src/console/yaml.js");
+ASSET (forms, "src/console/forms.js");
+ASSET (schema, "docs/schema/document.schema.json");
 
 #define TYPE_HTML "text/html; charset=utf-8"
 #define TYPE_STYLE "text/css; charset=utf-8"
@@ -50,13 +51,16 @@
     gp_console_yaml_end },
   { "/console/forms.js", TYPE_SCRIPT, gp_console_forms_start,
     gp_console_forms_end },
+  { "/console/schema.json", "application/json", gp_console_schema_start,
+    gp_console_schema_end },
 };
 
 /* Only files of this origin run or are shown, and nothing else may be
    reached or may frame the page.  */
 static const char policy[]
     = "default-src 'none'; script-src 'self'; style-src 'self'; "
-      "connect-src 'self'; base-uri 'none'; form-action 'none'; "
+      "connect-src 'self'; img-src data:; base-uri 'none'; form-action "
+      "'none'; "
       "frame-ancestors 'none'";
 
 static gp_http_header_t
