--- /dev/null
+++ b/tests/scripts/operators.py
@@ -0,0 +1,170 @@
+"""The operators' HTTP: sign-in and its limit, status, time lines and counters
+of all processes, the check, the console's files."""
+
+import json
+import os
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tools"))
+from site_processes import Site, TOKEN, request, until  # noqa: E402
+
+GOOD = {"Authorization": "Bearer " + TOKEN}
+WRONG = {"Authorization": "Bearer " + TOKEN[:-1]}
+TRIES_MAX = 100
+
+
+class Operator:
+    """Requests to one entry's operators' port from one loopback address."""
+
+    def __init__(self, site, entry):
+        self.address = site.addresses[f"{entry}.operators"]
+
+    def ask(self, method, path, body=None, headers=None):
+        return request(self.address, method, path, body,
+                       GOOD if headers is None else headers)
+
+    def json(self, path):
+        return json.loads(self.ask("GET", path)[2])
+
+    def lines(self, path):
+        return [json.loads(line)
+                for line in self.ask("GET", path)[2].splitlines()]
+
+
+def show_status(operator):
+    status = operator.json("/v1/status")
+    print("site:", status["site"], status["entry"], status["owners"])
+    print("log:", status["log"]["state"] in ("up", "catching-up", "down"),
+          {"offset", "appends", "restarts"} <= set(status["log"]))
+    for entry in status["entries"]:
+        print("entry:", entry["name"], entry["zone"], entry["state"],
+              entry["config_revision"], "incarnation" in entry)
+    for guard in status["guards"]:
+        print("guard:", guard["name"], guard["zone"], guard["state"],
+              guard["connected"], guard["config_revision"])
+    for upstream in status["upstreams"]:
+        print("upstream:", upstream["guard"], upstream["service"],
+              upstream["state"], upstream["slots"], upstream["running"],
+              upstream["queued"])
+    print("tasks:", isinstance(status["tasks"], dict))
+
+
+def stamp(event):
+    return event["ms"], event["counter"]
+
+
+def show_timelines(operator):
+    events = {}
+    for process in ("entry-1", "entry-2", "guard-1", "guard-2"):
+        events[process] = operator.lines(f"/v1/timeline?process={process}")
+        own = events[process]
+        print(process, own[0]["kind"], own[0]["sequence"],
+              all(e["process"] == process for e in own),
+              sorted(own, key=stamp) == own)
+    # The guard's start causes the entry to see it serving.
+    started = next(e for e in events["guard-1"]
+                   if e["kind"] == "peer.up" and e["vm"] == "entry-1")
+    serving = next(e for e in events["entry-1"]
+                   if e["kind"] == "member.serving" and e["vm"] == "guard-1")
+    print("cause before effect:", stamp(started) < stamp(serving))
+    page = operator.lines("/v1/timeline?process=guard-1&max=1&since=1")
+    print("page:", [event["sequence"] for event in page])
+    for path in ("?process=nobody", "?since=-1", "?max=x"):
+        status, _, body = operator.ask("GET", "/v1/timeline" + path)
+        print(path, status, json.loads(body)["message"])
+
+
+def show_counters(operator):
+    for process, name in (("", "entry_targets_routed 2"),
+                          ("?process=guard-2", "guard_entries_connected 2"),
+                          ("?process=entry-2", "entry_targets_routed 2")):
+        status, headers, body = operator.ask("GET", "/v1/counters" + process)
+        print("counters", process, status, headers["content-type"],
+              f"galenapier_{name}\n" in body.decode())
+
+
+def show_check(operator):
+    for document in ("version: 1\nsite: s\n",
+                     "version: 1\nsite: s\nteams: [{nam: t}]\n", "\"a\n"):
+        body = json.dumps({"document": document, "tree": True})
+        status, _, answer = operator.ask("POST", "/v1/check", body)
+        answer = json.loads(answer)
+        print("check", status, answer["ok"], answer.get("tree"),
+              answer.get("places"))
+        for issue in answer["issues"]:
+            print(" ", issue["line"], issue["path"], issue["message"])
+    for body in ("", "[]", "{", "{}", '{"document": 1}'):
+        print("body", repr(body), operator.ask("POST", "/v1/check", body)[0])
+
+
+def show_console(operator):
+    wanted = ("content-type", "content-security-policy",
+              "x-content-type-options", "referrer-policy", "cache-control")
+    page = operator.ask("GET", "/console", headers={})
+    for name in wanted:
+        print(name + ":", page[1].get(name))
+    text = page[2].decode()
+    print("inline:", "<style" in text or "onclick" in text
+          or "<script>" in text)
+    for file in ("console.css", "console.js", "model.js", "yaml.js",
+                 "forms.js", "schema.json"):
+        status, headers, body = operator.ask("GET", "/console/" + file,
+                                             headers={})
+        print(file, status, headers["content-type"], len(body) > 0)
+    print("other file:", operator.ask("GET", "/console/x")[0])
+    print("holds no token:", TOKEN not in text)
+
+
+def show_refusals(operator):
+    for headers in ({}, WRONG, {"Authorization": TOKEN},
+                    {"Authorization": "Bearer "}):
+        status, names, body = operator.ask("GET", "/v1/status",
+                                           headers=headers)
+        print("refused", status, names["content-type"], json.loads(body))
+    print("other method:", operator.ask("DELETE", "/v1/status")[0])
+    print("other path:", operator.ask("GET", "/v1/nothing")[0])
+
+
+def show_limit(operator):
+    """After too many failures the right token is refused as well, until the
+    time is over."""
+    statuses = []
+    while 429 not in statuses and len(statuses) < TRIES_MAX:
+        statuses.append(operator.ask("GET", "/v1/status", headers=WRONG)[0])
+    print("failures:", sorted(set(statuses)))
+    status, headers, body = operator.ask("GET", "/v1/status")
+    print("right token:", status, int(headers["retry-after"]) > 0,
+          json.loads(body)["message"])
+    print("console:", operator.ask("GET", "/console", headers={})[0])
+    until(lambda: operator.ask("GET", "/v1/status")[0] == 200,
+          what="sign-in after the limit")
+    print("right token later: 200")
+
+
+def main(build):
+    with Site(build, entries=2, guards=2, timings={"leave_ms": 500}) as site:
+        site.await_targets(2)
+        operator = Operator(site, "entry-1")
+        until(lambda: all(e["state"] == "serving"
+                          for e in operator.json("/v1/status")["entries"]),
+              what="entries serving")
+        show_status(operator)
+        show_timelines(operator)
+        show_counters(operator)
+        show_check(operator)
+        show_console(operator)
+        show_refusals(operator)
+        show_limit(operator)
+        site.processes["entry-2"].kill()
+        until(lambda: operator.json("/v1/status")["entries"][1]["state"]
+              == "unreachable", what="entry-2 unreachable")
+        print("entry-2 killed:", operator.json("/v1/status")["owners"])
+        print("its counters:",
+              operator.ask("GET", "/v1/counters?process=entry-2")[0])
+        site.processes["guard-1"].kill()
+        site.await_targets_of("entry-1", 1)
+        guard = operator.json("/v1/status")["guards"][0]
+        print("guard-1 killed:", guard["connected"])
+
+
+main(sys.argv[1])
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -287,12 +287,15 @@
                 return int(line.split()[1])
         return 0
 
+    def await_targets_of(self, entry, count):
+        """Wait until ENTRY routes to COUNT upstreams."""
+        until(lambda: self.counter(entry, "entry_targets_routed") == count,
+              what=f"{count} targets at {entry}")
+
     def await_targets(self, count):
         """Wait until each entry routes to COUNT upstreams."""
         for entry in self.entry_names:
-            until(lambda e=entry:
-                  self.counter(e, "entry_targets_routed") == count,
-                  what=f"{count} targets at {entry}")
+            self.await_targets_of(entry, count)
 
     def facts(self, name):
         """Lines of the ledger of a stand-in."""
