Tell members between entries and connect to guards on demand

Guards heartbeat to their two home entries only, when the region has more entries and they can be connected to; a home that cannot be reached gives its place to the next. Entries tell each other what they hear, as changes, and connect to the guards that they route to but are no home of. When both sides connect at once the second session waits for the first to close, and a session that closes ends its own requests only.

An entry aborted when a guard that was suspect came back while requests to it were open: the router started from none under way. Seen in tests/scripts/streams, which covers it.

--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -23,6 +23,8 @@
     gp_dialer_on_ready (session->owner);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("peer", session->process),
           GP_LOG_I ("incarnation", session->incarnation));
+  if (session->role == GP__WIRE__ROLE__ROLE_ENTRY)
+    gp_news_on_ready (&entry->news, session);
   gp_configuration_on_ready (entry->configuration, session);
 }
 
@@ -41,6 +43,7 @@
 {
   gp_entry_t *entry = data;
 
+  gp_news_on_message (&entry->news, session, envelope);
   switch (envelope->message_case)
     {
     case GP__WIRE__ENVELOPE__MESSAGE_ANNOUNCE:
@@ -58,6 +61,9 @@
     case GP__WIRE__ENVELOPE__MESSAGE_BROKEN:
       gp_relays_on_broken (&entry->relays, session, envelope->broken);
       break;
+    case GP__WIRE__ENVELOPE__MESSAGE_MEMBERS:
+      gp_routes_settle (&entry->routes);
+      break;
     default:
       break;
     }
@@ -85,8 +91,9 @@
     return;
   gp_log (GP_LOG_INFO, "session.closed", GP_LOG_S ("peer", session->process),
           GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
+  gp_news_on_closed (&entry->news, session);
   if (session->object != NULL)
-    gp_relays_on_closed (&entry->relays, session->object);
+    gp_relays_on_closed (&entry->relays, session);
   gp_tasks_on_closed (entry->tasks, session);
   gp_configuration_on_closed (entry->configuration, session);
   if (session->role == GP__WIRE__ROLE__ROLE_GUARD)
@@ -220,6 +227,8 @@
 {
   gp_entry_t *entry = data;
 
+  gp_downlinks_on_member (&entry->downlinks, member);
+  gp_news_schedule (&entry->news);
   gp_tasks_on_member (entry->tasks, member);
 }
 
@@ -283,7 +292,10 @@
   entry->rand = g_rand_new ();
   gp_session_host_init (&entry->host, &entry->loop, entry->tls, &self,
                         &session_callbacks, entry);
-  gp_routes_init (&entry->routes, &entry->loop, settings->zone, &members);
+  gp_routes_init (&entry->routes, &entry->host, settings->zone, &members);
+  gp_news_init (&entry->news, &entry->host, &entry->routes.members);
+  gp_downlinks_init (&entry->downlinks, &entry->host, &entry->routes.members,
+                     settings, entry->rand);
   gp_relays_init (&entry->relays, &entry->loop, &entry->routes, entry->rand,
                   settings->entry->max_requests,
                   settings->timings.stall_ms * GP_MSEC);
@@ -319,10 +331,13 @@
   gp_tasks_free (entry->tasks);
   gp_store_free (entry->store);
   gp_relays_finish (&entry->relays);
+  gp_news_finish (&entry->news);
+  gp_downlinks_close (&entry->downlinks);
   gp_routes_finish (&entry->routes);
   gp_session_host_finish (&entry->host);
   g_free (entry->events);
   gp_loop_finish (&entry->loop);
+  gp_downlinks_finish (&entry->downlinks);
   if (entry->tls != NULL)
     gp_tls_free (entry->tls);
   g_rand_free (entry->rand);
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -7,6 +7,8 @@
 #include "base/settings.h"
 #include "base/timeline.h"
 #include "daemon/configuration.h"
+#include "daemon/news.h"
+#include "daemon/downlinks.h"
 #include "daemon/relay.h"
 #include "daemon/routes.h"
 #include "daemon/store.h"
@@ -25,6 +27,8 @@
   uint64_t incarnation;
   gp_session_host_t host;
   gp_routes_t routes;
+  gp_news_t news;
+  gp_downlinks_t downlinks;
   gp_relays_t relays;
   gp_store_t *store;
   gp_tasks_t *tasks;
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -98,7 +98,7 @@
   {
     gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
 
-    if (session->ready)
+    if (session->ready && gp_uplinks_is_home (&guard->uplinks, session))
       send_heartbeat (guard, session);
   }
   arm_heartbeat (guard);
@@ -111,8 +111,7 @@
 {
   gp_guard_t *guard = data;
 
-  if (session->owner != NULL)
-    gp_dialer_on_ready (session->owner);
+  gp_uplinks_on_ready (&guard->uplinks, session);
   gp_counter_add (&entries_connected, 1);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("entry", session->process));
   if (has_upstream (guard))
@@ -126,7 +125,8 @@
   if (guard->runner != NULL)
     gp_runner_on_ready (guard->runner, session);
   gp_configuration_on_ready (guard->configuration, session);
-  send_heartbeat (guard, session);
+  if (gp_uplinks_is_home (&guard->uplinks, session))
+    send_heartbeat (guard, session);
 }
 
 static void
@@ -192,8 +192,7 @@
       g_free (session->object);
       session->object = NULL;
     }
-  if (session->owner != NULL)
-    gp_dialer_on_close (session->owner);
+  gp_uplinks_on_close (&guard->uplinks, session);
 }
 
 static const gp_session_callbacks_t session_callbacks = {
@@ -248,8 +247,7 @@
     return;
   guard->leaving = true;
   gp_log (GP_LOG_INFO, "guard.leaving");
-  for (size_t i = 0; i < guard->dialer_count; i++)
-    gp_dialer_stop (&guard->dialers[i]);
+  gp_uplinks_stop (&guard->uplinks);
   announce_all (guard);
   guard->draining = has_upstream (guard) + (guard->runner != NULL);
   if (has_upstream (guard))
@@ -297,18 +295,6 @@
   return guard->runner != NULL;
 }
 
-static void
-start_dialers (gp_guard_t *guard)
-{
-  const gp_settings_t *settings = guard->settings;
-
-  guard->dialers = g_new0 (gp_dialer_t, settings->entries_count);
-  for (uint32_t i = 0; i < settings->entries_count; i++)
-    if (strcmp (settings->entries[i].region, settings->region) == 0)
-      gp_dialer_init (&guard->dialers[guard->dialer_count++], &guard->host,
-                      settings->entries[i].peers, guard->rand);
-}
-
 static bool
 load_tls (gp_guard_t *guard, GError **error)
 {
@@ -350,7 +336,7 @@
     return false;
   gp_timer_init (&guard->heartbeat, &guard->loop, on_heartbeat, guard);
   arm_heartbeat (guard);
-  start_dialers (guard);
+  gp_uplinks_init (&guard->uplinks, &guard->host, settings, guard->rand);
   gp_loop_on_signal (&guard->loop, on_stop, guard);
   return true;
 }
@@ -367,9 +353,7 @@
 void
 gp_guard_finish (gp_guard_t *guard)
 {
-  for (size_t i = 0; i < guard->dialer_count; i++)
-    gp_dialer_finish (&guard->dialers[i]);
-  g_free (guard->dialers);
+  gp_uplinks_close (&guard->uplinks);
   gp_timer_finish (&guard->heartbeat);
   if (has_upstream (guard))
     gp_executor_finish (&guard->executor);
@@ -379,6 +363,7 @@
   g_free (guard->events);
   gp_session_host_finish (&guard->host);
   gp_loop_finish (&guard->loop);
+  gp_uplinks_finish (&guard->uplinks);
   if (guard->tls != NULL)
     gp_tls_free (guard->tls);
   g_rand_free (guard->rand);
--- a/src/daemon/guard.h
+++ b/src/daemon/guard.h
@@ -12,7 +12,7 @@
 #include "daemon/configuration.h"
 #include "daemon/execution.h"
 #include "daemon/runner.h"
-#include "protocol/dialer.h"
+#include "daemon/uplinks.h"
 
 #define GP_GUARD_TIMELINE_SIZE 4096
 
@@ -24,8 +24,7 @@
   GRand *rand;
   uint64_t incarnation;
   gp_session_host_t host;
-  gp_dialer_t *dialers;
-  size_t dialer_count;
+  gp_uplinks_t uplinks;
   gp_executor_t executor; /* when settings->guard->upstream is set */
   gp_runner_t *runner;    /* when settings->guard->worker is set */
   gp_configuration_t *configuration;
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -166,6 +166,7 @@
     }
   target = candidate->data;
   relay->target = target;
+  relay->session = target->session;
   relay->handle = gp_idpool_add (&relays->tries, relay);
   relay->sent_at = now;
   relay->attempts++;
@@ -312,7 +313,7 @@
 {
   gp_relay_t *relay = gp_idpool_get (&relays->tries, handle);
 
-  if (relay == NULL || relay->target->session != session)
+  if (relay == NULL || relay->session != session)
     return NULL;
   return relay;
 }
@@ -406,13 +407,17 @@
 }
 
 void
-gp_relays_on_closed (gp_relays_t *relays, gp_target_t *target)
+gp_relays_on_closed (gp_relays_t *relays, gp_session_t *session)
 {
+  gp_target_t *target = session->object;
+
   (void)relays;
   GP_LIST_FOREACH_SAFE (pos, &target->relays)
   {
     gp_relay_t *relay = GP_CONTAINER_OF (pos, gp_relay_t, link);
 
+    if (relay->session != session)
+      continue;
     if (relay->streaming)
       gp_relay_cut (relay);
     else
--- a/src/daemon/relay.h
+++ b/src/daemon/relay.h
@@ -46,8 +46,8 @@
 void gp_relays_on_broken (gp_relays_t *relays, gp_session_t *session,
                           const Gp__Wire__Broken *broken);
 
-/* The session of TARGET can take more, or is closed.  */
+/* The session of TARGET can take more; a session with a target is closed.  */
 void gp_relays_on_drain (gp_relays_t *relays, gp_target_t *target);
-void gp_relays_on_closed (gp_relays_t *relays, gp_target_t *target);
+void gp_relays_on_closed (gp_relays_t *relays, gp_session_t *session);
 
 #endif
--- a/src/daemon/relay_private.h
+++ b/src/daemon/relay_private.h
@@ -16,6 +16,7 @@
   gp_service_t *service;
   const gp_document_kind_t *kind;
   gp_target_t *target; /* of the current try, or NULL */
+  gp_session_t *session;
   gp_list_t link;      /* in target->relays */
   gp_list_t waiting;   /* in relays->waiting */
   gp_heap_node_t node; /* in relays->deadlines, unless EXPIRED */
--- a/src/daemon/relay_send.c
+++ b/src/daemon/relay_send.c
@@ -13,7 +13,7 @@
   Gp__Wire__Envelope envelope = GP_ENVELOPE (CANCEL, cancel, &cancel);
 
   cancel.id = relay->handle;
-  gp_session_send (relay->target->session, &envelope);
+  gp_session_send (relay->session, &envelope);
 }
 
 void
@@ -24,7 +24,7 @@
 
   credit.id = relay->handle;
   credit.bytes = (uint32_t)bytes;
-  gp_session_send (relay->target->session, &envelope);
+  gp_session_send (relay->session, &envelope);
 }
 
 /* Send what the session takes of the request's body.  */
@@ -32,7 +32,7 @@
 gp_relay_send_body (gp_relay_t *relay)
 {
   gp_http_text_t body = gp_http_exchange_body (relay->exchange);
-  gp_session_t *session = relay->target->session;
+  gp_session_t *session = relay->session;
 
   while (relay->body_sent < body.size && !gp_peer_congested (session->peer))
     {
@@ -128,9 +128,9 @@
   request.body_size = body.size;
   request.body.data = (uint8_t *)body.base;
   request.body.len = MIN (body.size, GP_PART_SIZE);
-  request.guard_incarnation = relay->target->session->incarnation;
+  request.guard_incarnation = relay->session->incarnation;
   relay->body_sent = request.body.len;
-  gp_session_send (relay->target->session, &envelope);
+  gp_session_send (relay->session, &envelope);
   g_free (method);
   g_free (path);
   gp_relay_send_body (relay);
--- a/src/daemon/routes.c
+++ b/src/daemon/routes.c
@@ -63,6 +63,7 @@
   return target;
 }
 
+/* Requests of the time before may be under way.  */
 static void
 add_route (gp_routes_t *routes, gp_target_t *target)
 {
@@ -75,6 +76,8 @@
                  a->connections, target);
   gp_outlier_add (&target->service->outlier, &target->health, target);
   target->routed = true;
+  GP_LIST_FOREACH (pos, &target->relays)
+  gp_router_sent (&target->service->router, &target->candidate);
   gp_counter_add (&members_serving, 1);
   gp_log (GP_LOG_INFO, "target.up", GP_LOG_S ("guard", a->name),
           GP_LOG_S ("service", a->service), GP_LOG_S ("zone", a->zone));
@@ -178,18 +181,41 @@
   target = member->data;
   if (target == NULL)
     target = target_new (routes, member);
+  if (target->session != NULL
+      && target->session->incarnation == session->incarnation)
+    return;
+  if (target->session != NULL)
+    gp_session_close (target->session, true);
   target->session = session;
   session->object = target;
 }
 
+/* A guard that this entry connected to heartbeats to others, its homes: what
+   it says here opens the way to it, but is no promise to be heard again.  */
+static gp_members_result_t
+take_announcement (gp_routes_t *routes, const gp_session_t *session,
+                   const gp_announcement_t *a)
+{
+  gp_members_t *members = &routes->members;
+  gp_time_t now = gp_loop_now (routes->loop);
+  gp_members_result_t result = GP_MEMBERS_UNKNOWN;
+
+  if (session->outgoing)
+    result = gp_members_connection_open (members, a->name, a->incarnation);
+  if (result == GP_MEMBERS_UNKNOWN)
+    return gp_members_announce (members, a, now);
+  if (result == GP_MEMBERS_ACCEPTED && a->leaving)
+    gp_members_leaving (members, a->name, a->incarnation, now);
+  return result;
+}
+
 bool
 gp_routes_announce (gp_routes_t *routes, gp_session_t *session,
                     const Gp__Wire__Announce *announce)
 {
   gp_announcement_t a = announcement_of (session, announce);
-  gp_time_t now = gp_loop_now (routes->loop);
 
-  if (gp_members_announce (&routes->members, &a, now) == GP_MEMBERS_STALE)
+  if (take_announcement (routes, session, &a) == GP_MEMBERS_STALE)
     {
       gp_counter_add (&stale_messages, 1);
       return false;
@@ -224,19 +250,39 @@
   gp_routes_settle (routes);
 }
 
+/* Another open session with the same incarnation of a guard, or NULL.  */
+static gp_session_t *
+other_session (const gp_routes_t *routes, const gp_session_t *session)
+{
+  GP_LIST_FOREACH (pos, &routes->host->sessions)
+  {
+    gp_session_t *other = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (other != session && other->ready && other->peer != NULL
+        && other->incarnation == session->incarnation
+        && strcmp (other->process, session->process) == 0)
+      return other;
+  }
+  return NULL;
+}
+
 void
 gp_routes_closed (gp_routes_t *routes, gp_session_t *session)
 {
   gp_target_t *target = session->object;
+  gp_session_t *other = other_session (routes, session);
 
   if (target != NULL && target->session == session)
     {
-      target->session = NULL;
+      target->session = other;
       session->object = NULL;
     }
-  gp_members_connection_lost (&routes->members, session->process,
-                              session->incarnation,
-                              gp_loop_now (routes->loop));
+  if (other != NULL && target != NULL && other->object == NULL)
+    other->object = target;
+  if (other == NULL)
+    gp_members_connection_lost (&routes->members, session->process,
+                                session->incarnation,
+                                gp_loop_now (routes->loop));
   gp_routes_settle (routes);
 }
 
@@ -343,10 +389,12 @@
 }
 
 void
-gp_routes_init (gp_routes_t *routes, gp_loop_t *loop, const char *zone,
+gp_routes_init (gp_routes_t *routes, gp_session_host_t *host, const char *zone,
                 const gp_members_settings_t *settings)
 {
-  *routes = (gp_routes_t){ .loop = loop, .zone = zone };
+  gp_loop_t *loop = host->loop;
+
+  *routes = (gp_routes_t){ .host = host, .loop = loop, .zone = zone };
   gp_members_init (&routes->members, settings);
   routes->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
--- a/src/daemon/routes.h
+++ b/src/daemon/routes.h
@@ -35,6 +35,7 @@
 
 typedef struct
 {
+  gp_session_host_t *host;
   gp_loop_t *loop;
   const char *zone; /* of this entry */
   gp_members_t members;
@@ -44,15 +45,16 @@
   void *data;
 } gp_routes_t;
 
-void gp_routes_init (gp_routes_t *routes, gp_loop_t *loop, const char *zone,
-                     const gp_members_settings_t *settings);
+void gp_routes_init (gp_routes_t *routes, gp_session_host_t *host,
+                     const char *zone, const gp_members_settings_t *settings);
 void gp_routes_finish (gp_routes_t *routes);
 
 /* The service NAME, or NULL when no upstream ever announced it.  */
 gp_service_t *gp_routes_find (gp_routes_t *routes, const char *name);
 
 /* A guard announced itself over SESSION.  False: an older incarnation; the
-   session should be closed.  */
+   session should be closed.  When both sides connected at once there are two
+   sessions; the first is used, the second takes its place when it closes.  */
 bool gp_routes_announce (gp_routes_t *routes, gp_session_t *session,
                          const Gp__Wire__Announce *announce);
 
--- /dev/null
+++ b/src/daemon/uplinks.h
@@ -0,0 +1,50 @@
+/* Sessions of a guard to entries.
+
+   A guard heartbeats to its home entries (coordination/homes.h) and keeps
+   sessions to them open.  Other entries connect to its address when they
+   have work for it.  An entry that cannot be reached loses its place to the
+   next best, and is dialed on, so that it gets it back.  A guard without an
+   address cannot be connected to: all entries of its region are its homes.  */
+
+#ifndef GP_DAEMON_UPLINKS_H
+#define GP_DAEMON_UPLINKS_H
+
+#include "base/settings.h"
+#include "coordination/homes.h"
+#include "protocol/dialer.h"
+
+typedef struct
+{
+  const gp_settings_member_t *entry;
+  gp_dialer_t dialer;
+  bool home;
+} gp_uplink_t;
+
+typedef struct
+{
+  gp_session_host_t *host;
+  const gp_settings_t *settings;
+  gp_uplink_t *links; /* one for each entry of the region */
+  size_t count;
+  bool stopped;
+} gp_uplinks_t;
+
+void gp_uplinks_init (gp_uplinks_t *uplinks, gp_session_host_t *host,
+                      const gp_settings_t *settings, GRand *rand);
+/* Release the timers, before the end of the loop, and the memory, which
+   sessions refer to, after it.  */
+void gp_uplinks_close (gp_uplinks_t *uplinks);
+void gp_uplinks_finish (gp_uplinks_t *uplinks);
+
+/* Does SESSION lead to a home?  */
+bool gp_uplinks_is_home (const gp_uplinks_t *uplinks,
+                         const gp_session_t *session);
+
+/* A session opened or closed; to be told of all of them.  */
+void gp_uplinks_on_ready (gp_uplinks_t *uplinks, gp_session_t *session);
+void gp_uplinks_on_close (gp_uplinks_t *uplinks, gp_session_t *session);
+
+/* Dial no more.  */
+void gp_uplinks_stop (gp_uplinks_t *uplinks);
+
+#endif
--- a/src/protocol/dialer.c
+++ b/src/protocol/dialer.c
@@ -74,6 +74,16 @@
   gp_timer_disarm (&dialer->timer);
 }
 
+void
+gp_dialer_resume (gp_dialer_t *dialer)
+{
+  if (!dialer->stopped)
+    return;
+  dialer->stopped = false;
+  if (dialer->session == NULL)
+    gp_timer_arm (&dialer->timer, gp_loop_now (dialer->host->loop));
+}
+
 void
 gp_dialer_finish (gp_dialer_t *dialer)
 {
--- a/src/protocol/dialer.h
+++ b/src/protocol/dialer.h
@@ -30,6 +30,9 @@
 
 /* Dial no more; an open session stays.  */
 void gp_dialer_stop (gp_dialer_t *dialer);
+
+/* Dial again at once after a stop; without one nothing changes.  */
+void gp_dialer_resume (gp_dialer_t *dialer);
 void gp_dialer_finish (gp_dialer_t *dialer);
 
 /* Duration before try FAILURES + 1, drawn between half and all of an
--- a/tests/scripts/streams.py
+++ b/tests/scripts/streams.py
@@ -165,6 +165,24 @@
     print("guard-1 is back")
 
 
+def resumed_guard(site):
+    """Requests outlive the absence of their guard from the routes."""
+    for name in ("guard-1.upstream", "guard-2.upstream"):
+        site.fault(name, {"hang": True})
+    callers = [connect(site, "entry-1", "POST" + get("/reclamos-api/x")[3:])
+               for _ in range(4)]
+    until(lambda: site.counter("entry-1", "entry_requests_open") == 4,
+          what="requests open")
+    site.processes["guard-1"].signal(signal.SIGSTOP)
+    site.await_targets(1)
+    site.processes["guard-1"].signal(signal.SIGCONT)
+    site.await_targets(2)
+    for name in ("guard-1.upstream", "guard-2.upstream"):
+        site.fault(name, {"hang": False})
+    print("resumed guard:", [c.recv(4096).split(b"\r\n")[0].decode()
+                             for c in callers])
+
+
 def main(build):
     with Site(build, guards=2, slots=2,
               timings={"stall_ms": 1000, "header_ms": 700,
@@ -177,6 +195,7 @@
         hang_up_before(site)
         hang_up(site)
         stopped_guard(site)
+        resumed_guard(site)
 
 
 main(sys.argv[1])
