--- a/src/daemon/uplinks.c
+++ b/src/daemon/uplinks.c
@@ -25,7 +25,7 @@
 find_link (const gp_uplinks_t *uplinks, const char *process)
 {
   for (size_t i = 0; i < uplinks->count; i++)
-    if (strcmp (uplinks->links[i].entry->name, process) == 0)
+    if (strcmp (uplinks->links[i].entry.name, process) == 0)
       return &uplinks->links[i];
   return NULL;
 }
@@ -37,7 +37,7 @@
   {
     const gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
 
-    if (session->ready && strcmp (session->process, link->entry->name) == 0)
+    if (session->ready && strcmp (session->process, link->entry.name) == 0)
       return true;
   }
   return false;
@@ -56,14 +56,11 @@
 
   for (size_t i = 0; i < uplinks->count; i++)
     {
-      const gp_settings_member_t *entry = uplinks->links[i].entry;
-
       uplinks->links[i].home = false;
       if (is_lost (&uplinks->links[i]))
         continue;
       places[n_entries] = i;
-      entries[n_entries++]
-          = (gp_home_t){ entry->name, entry->region, entry->zone };
+      entries[n_entries++] = uplinks->links[i].entry;
     }
   n_chosen = gp_homes_choose (settings->name, settings->region, settings->zone,
                               entries, n_entries, chosen);
@@ -136,7 +133,7 @@
       if (strcmp (entry->region, settings->region) != 0)
         continue;
       uplinks->count++;
-      link->entry = entry;
+      link->entry = (gp_home_t){ entry->name, entry->region, entry->zone };
       link->home = true;
       gp_dialer_init (&link->dialer, host, entry->peers, rand);
     }
--- a/src/daemon/uplinks.h
+++ b/src/daemon/uplinks.h
@@ -15,7 +15,7 @@
 
 typedef struct
 {
-  const gp_settings_member_t *entry;
+  gp_home_t entry;
   gp_dialer_t dialer;
   bool home;
 } gp_uplink_t;
