--- a/src/daemon/relay_private.h
+++ b/src/daemon/relay_private.h
@@ -18,6 +18,7 @@
   Gp__Wire__WorkClass work_class;
   gp_keyed_t *keyed;   /* its outcome is due, or NULL */
   gp_target_t *target; /* of the current try, or NULL */
+  gp_session_t *session;
   gp_list_t link;      /* in target->relays */
   gp_list_t waiting;   /* in relays->waiting */
   gp_heap_node_t node; /* in relays->deadlines, unless EXPIRED */
