Link each test with the support that it calls only

Cause: a test that puts its own store in place of the library's met support objects that pull the library's in. Change: the support of the tests is an archive.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 TESTS := $(TEST_SRC:tests/unit/%.c=$(BUILD)/tests/%)
 TEST_SUPPORT_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/unit/*.c))
 TEST_SUPPORT_OBJ := $(TEST_SUPPORT_SRC:%.c=$(BUILD)/%.o)
+TEST_SUPPORT := $(BUILD)/libtestsupport.a
 BENCH_SRC := $(wildcard bench/bench_*.c)
 BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
 DRIVER_SRC := $(wildcard bench/driver_*.c)
@@ -92,7 +93,12 @@
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/unit/%.o $(TEST_SUPPORT_OBJ) $(LIB)
+# An archive, so that a test links only the support that it calls.
+$(TEST_SUPPORT): $(TEST_SUPPORT_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/tests/%: $(BUILD)/tests/unit/%.o $(TEST_SUPPORT) $(LIB)
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
 
