--- a/src/daemon/relay_private.h
+++ b/src/daemon/relay_private.h
@@ -12,10 +12,13 @@
 typedef struct
 {
   gp_relays_t *relays;
-  gp_http_exchange_t *exchange;
+  gp_http_exchange_t *exchange; /* NULL: its outcome is awaited alone */
   gp_service_t *service;
-  const gp_document_kind_t *kind;
+  char *kind; /* name of the document's kind, NULL: the caller's word */
+  Gp__Wire__WorkClass work_class;
+  gp_keyed_t *keyed;   /* its outcome is due, or NULL */
   gp_target_t *target; /* of the current try, or NULL */
+  gp_session_t *session;
   gp_list_t link;      /* in target->relays */
   gp_list_t waiting;   /* in relays->waiting */
   gp_heap_node_t node; /* in relays->deadlines, unless EXPIRED */
@@ -29,9 +32,11 @@
   uint32_t attempts;
   bool idempotent;
   bool streaming;
+  bool head_received;
   bool cancelled; /* the guard was told that the caller has gone */
   bool part_in_flight;
   bool last_received;
+  size_t body_size;
   size_t body_sent;
   size_t in_flight_size;
   GByteArray *pending;
@@ -41,6 +46,20 @@
 void gp_relay_set_wake (gp_relay_t *relay, gp_time_t at);
 void gp_relay_free (gp_relay_t *relay);
 
+/* Send the request to an upstream, or answer that there is none.  */
+void gp_relay_dispatch (gp_relay_t *relay);
+
+/* Dispatch, after a request that must not run twice has the right to run
+   under its key, if it has one.  */
+void gp_relay_start (gp_relay_t *relay);
+
+/* Tell the outcome of a keyed request, once.  UNSPECIFIED: what is known so
+   far.  */
+void gp_relay_end_key (gp_relay_t *relay, Gp__Wire__Verdict verdict);
+
+/* Whether the verdict on a keyed request is wanted without its caller.  */
+bool gp_relay_awaits_outcome (const gp_relay_t *relay);
+
 /* The path behind the service's name.  */
 gp_http_text_t gp_relay_path (const gp_relay_t *relay);
 
