Take the limits on remedies from the document, and try the policy

A member is told before its guard's announcement comes here, so its service was not known and no remedy was ever taken; the scripted run showed it.

Ports of test sites were given twice now and then, and a process did not start: each is now given once and from below those of outgoing connections.

--- a/src/daemon/tasks.c
+++ b/src/daemon/tasks.c
@@ -396,6 +396,8 @@
   gpointer value;
 
   tasks->document = document;
+  if (document != NULL)
+    gp_tasks_interfere_configure (tasks);
   for (uint32_t i = 0; document != NULL && i < document->watchers_count; i++)
     gp_tasks_kind (tasks, document->watchers[i].name);
   g_hash_table_iter_init (&iter, tasks->teams);
@@ -460,9 +462,13 @@
 void
 gp_tasks_on_member (gp_tasks_t *tasks, const gp_member_t *member)
 {
-  gp_tasks_guard_t *guard
-      = gp_tasks_find_guard (tasks, member->announcement.name);
+  const char *name = member->announcement.name;
+  gp_tasks_guard_t *guard = gp_tasks_find_guard (tasks, name);
 
+  /* It is told before the guard's own announcement comes here.  */
+  if (guard == NULL && member->announcement.millicores > 0
+      && member->state != GP_MEMBER_GONE)
+    guard = gp_tasks_guard (tasks, name);
   if (guard == NULL)
     return;
   guard->member = member->state == GP_MEMBER_GONE ? NULL : member;
--- a/src/daemon/tasks_interfere.c
+++ b/src/daemon/tasks_interfere.c
@@ -5,9 +5,13 @@
 
 #include "daemon/tasks_private.h"
 
+#include <string.h>
+
 #include "base/counters.h"
 
 #define RESIDENTS_MAX 256
+#define SECONDS_PER_HOUR 3600.0
+#define RATE_LEAST 0.001 /* an hour; a limiter wants more than none */
 
 static gp_counter_t throttles
     = GP_COUNTER ("entry_throttles_total", "Tasks throttled for a service.");
@@ -126,29 +130,77 @@
 }
 
 static gp_remedy_settings_t
-remedy_settings (const gp_document_t *document)
+remedy_settings (const gp_tasks_t *tasks)
 {
+  const gp_document_interference_t *declared = &tasks->document->interference;
   gp_remedy_settings_t settings = GP_REMEDY_DEFAULTS;
-  const gp_document_interference_t *declared = &document->interference;
-
-  if (declared->throttle_percent > 0)
-    settings.breach = declared->throttle_percent / 100.0;
-  if (declared->calm_percent > 0)
-    settings.aim = MIN (declared->calm_percent / 100.0, settings.breach);
+  uint32_t window_ms = declared->window_s * 1000;
+
+  settings.breach = declared->throttle_percent / 100.0;
+  settings.aim = declared->calm_percent / 100.0;
+  settings.breaches
+      = MAX (settings.breaches, window_ms / tasks->settings->timings.usage_ms);
+  settings.cool_down = window_ms * GP_MSEC;
+  settings.settle = MIN (settings.settle, settings.cool_down);
   return settings;
 }
 
+/* This entry's part of the site's evictions in an hour.  */
+static uint32_t
+evictions_of (const gp_tasks_t *tasks, uint32_t of_site)
+{
+  const gp_settings_t *settings = tasks->settings;
+  uint32_t count = settings->entries_count;
+  uint32_t index = 0;
+
+  while (index < count
+         && strcmp (settings->entries[index].name, settings->name) != 0)
+    index++;
+  return of_site / count + (index < of_site % count);
+}
+
+void
+gp_tasks_interfere_configure (gp_tasks_t *tasks)
+{
+  uint32_t hourly
+      = evictions_of (tasks, tasks->document->interference.evictions_per_hour);
+  /* Half at once and half as the hour passes keeps any hour within it.  */
+  uint32_t burst = MAX (1, hourly / 2);
+  double rate = MAX (hourly - burst, RATE_LEAST) / SECONDS_PER_HOUR;
+
+  tasks->may_evict = hourly > 0;
+  if (tasks->evictions.token_ns == 0)
+    gp_limiter_init (&tasks->evictions, rate, burst);
+  else
+    gp_limiter_configure (&tasks->evictions, rate, burst,
+                          gp_tasks_now (tasks));
+}
+
+/* Whether a service at RATIO of its target, and the site, allow ACTION.  */
+static bool
+is_allowed (gp_tasks_t *tasks, gp_remedy_action_t action, double ratio)
+{
+  const gp_document_interference_t *declared = &tasks->document->interference;
+
+  if (action != GP_REMEDY_EVICT)
+    return true;
+  return ratio >= declared->evict_percent / 100.0 && tasks->may_evict
+         && gp_limiter_take (&tasks->evictions, 1, gp_tasks_now (tasks));
+}
+
 static void
 remedy (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
         const gp_remedy_measurement_t *measurement)
 {
-  gp_remedy_settings_t settings = remedy_settings (tasks->document);
+  gp_remedy_settings_t settings = remedy_settings (tasks);
   gp_remedy_resident_t residents[RESIDENTS_MAX];
   unsigned int n = list_residents (tasks, guard, residents);
   gp_remedy_decision_t decision
       = gp_remedy_decide (&guard->remedy, &settings, measurement, residents, n,
                           gp_tasks_now (tasks));
 
+  if (!is_allowed (tasks, decision.action, measurement->ratio))
+    return;
   for (unsigned int i = 0; i < decision.n; i++)
     {
       gp_tasks_task_t *task = gp_tasks_find (tasks, decision.tasks[i]);
--- a/src/daemon/tasks_place.c
+++ b/src/daemon/tasks_place.c
@@ -15,7 +15,8 @@
 
 #define PLACED_PER_TURN 256
 #define HOLD_TIME (60 * GP_SEC)
-#define MAX_ZONES_LEAST 16
+#define ZONES_LEAST 16
+#define WORKERS_LEAST 64
 /* A batch task with more time to spare than this may wait for a worker where
    it does no harm.  */
 #define LAXITY_TO_WAIT (60 * GP_SEC)
@@ -48,7 +49,7 @@
 void
 gp_tasks_place_init (gp_tasks_t *tasks)
 {
-  uint32_t zones = MAX_ZONES_LEAST;
+  uint32_t zones = ZONES_LEAST;
 
   for (uint32_t i = 0; i < tasks->settings->regions_count; i++)
     zones += tasks->settings->regions[i].zones_count;
@@ -60,7 +61,9 @@
   gp_interference_init (&tasks->interference, &GP_INTERFERENCE_DEFAULTS);
   gp_placement_init (&tasks->placement, &GP_PLACEMENT_WEIGHTS_DEFAULT,
                      &tasks->fleet, &tasks->spread, &tasks->interference);
-  gp_suspects_init (&tasks->suspects, &GP_SUSPECTS_DEFAULTS, NULL, 0);
+  gp_suspects_init (&tasks->suspects, &GP_SUSPECTS_DEFAULTS,
+                    g_new (gp_suspects_worker_t, WORKERS_LEAST),
+                    WORKERS_LEAST);
   gp_counter_register (&grants_proposed);
   gp_counter_register (&grants_void);
   gp_counter_register (&starts_sent);
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -23,6 +23,7 @@
 #include "coordination/fleet.h"
 #include "coordination/interference.h"
 #include "coordination/lease_grantor.h"
+#include "coordination/limiter.h"
 #include "coordination/members.h"
 #include "coordination/pending.h"
 #include "coordination/placement.h"
@@ -166,6 +167,8 @@
   gp_interference_t interference;
   gp_placement_t placement;
   gp_suspects_t suspects;
+  gp_limiter_t evictions;
+  bool may_evict;
   gp_list_t due; /* of gp_tasks_task_t: to be looked at again, by time */
   gp_time_t due_period;
   uint32_t lost;        /* epochs, since lost_since */
@@ -306,6 +309,8 @@
 
 void gp_tasks_on_usage (gp_tasks_t *tasks, gp_session_t *session,
                         const Gp__Wire__Usage *usage);
+/* Take the limits on remedies from the document.  */
+void gp_tasks_interfere_configure (gp_tasks_t *tasks);
 /* TASK came to its guard, left it, or was throttled or let go.  */
 void gp_tasks_weigh (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
                      const gp_tasks_task_t *task, int quarters);
--- a/tests/scripts/tasks_site.py
+++ b/tests/scripts/tasks_site.py
@@ -29,16 +29,16 @@
 """
 
 
-def publish(site, base, watchers):
+def publish(site, base, watchers, document=DOCUMENT):
     body = json.dumps({"base": base, "author": "test",
-                       "document": DOCUMENT % watchers})
+                       "document": document % watchers})
     status, _, answer = site.operate("entry-1", "POST", "/v1/config", body)
     if status != 201:
         raise RuntimeError(f"publish: {status} {answer}")
 
 
-def submit(site, entry="entry-1", count=1, **payload):
-    body = json.dumps({"kind": "assess", "count": count,
+def submit(site, entry="entry-1", count=1, kind="assess", **payload):
+    body = json.dumps({"kind": kind, "count": count,
                        "payload": json.dumps(payload)})
     status, _, answer = site.operate(entry, "POST", "/v1/jobs", body)
     if status != 201:
@@ -108,18 +108,18 @@
                for fact in site.facts(guard + ".worker"))
 
 
-def ready(site, watchers=WATCHERS):
+def ready(site, watchers=WATCHERS, document=DOCUMENT):
     for entry in site.entry_names:
         until(lambda e=entry: site.counter(e, "store_ready") == 1,
               what=f"{entry} ready")
-    publish(site, 0, watchers)
+    publish(site, 0, watchers, document)
     for entry in site.entry_names:
         until(lambda e=entry: site.counter(e, "config_revision") == 1,
               what=f"{entry} configured")
 
 
-def site_of(build, **options):
-    return Site(build, upstream=False, worker=True, timings=TIMINGS,
+def site_of(build, upstream=False, **options):
+    return Site(build, upstream=upstream, worker=True, timings=TIMINGS,
                 **options)
 
 
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -9,6 +9,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -23,11 +24,24 @@
 WORKER_SIZE = {"millicores": 16000, "memory_mib": 61440, "accelerators": 0}
 
 
+PORTS = range(12000, 32000)  # below those of outgoing connections
+given_ports = set()
+
+
 def free_port():
-    """A TCP port of loopback that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A TCP port of loopback that is free now and that nobody who connects
+    is given; each is given once."""
+    while True:
+        port = random.choice(PORTS)
+        if port in given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
 
 
 def until(condition, timeout_s=START_TIMEOUT_S, what="condition"):
