Keep the names of the live entries, and test who acts

Whose turn it is was found by a walk over all sessions for each name; with 3,600 guards a change of the entries meant as many walks as guards and teams. The live entries are now listed once a change. Tests: a guard that only other entries hear is not fenced, and an entry places only what is its own until the other one goes.

--- a/src/daemon/tasks.c
+++ b/src/daemon/tasks.c
@@ -115,14 +115,9 @@
   uint64_t own = gp_rendezvous_rank (key, tasks->settings->name);
   bool mine = true;
 
-  GP_LIST_FOREACH (pos, &tasks->host->sessions)
-  {
-    const gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
-
-    if (is_live_entry (session)
-        && gp_rendezvous_rank (key, session->process) > own)
+  for (guint i = 0; i < tasks->entries->len; i++)
+    if (gp_rendezvous_rank (key, g_ptr_array_index (tasks->entries, i)) > own)
       mine = false;
-  }
   g_free (key);
   return mine;
 }
@@ -142,6 +137,20 @@
   return digest;
 }
 
+static void
+list_live_entries (gp_tasks_t *tasks)
+{
+  tasks->live_entries = live_entries (tasks);
+  g_ptr_array_set_size (tasks->entries, 0);
+  GP_LIST_FOREACH (pos, &tasks->host->sessions)
+  {
+    const gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (is_live_entry (session))
+      g_ptr_array_add (tasks->entries, g_strdup (session->process));
+  }
+}
+
 /* Who acts on what, after entries came or went.  */
 static void
 assign (gp_tasks_t *tasks)
@@ -149,7 +158,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  tasks->live_entries = live_entries (tasks);
+  list_live_entries (tasks);
   g_hash_table_iter_init (&iter, tasks->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -353,6 +362,7 @@
   tasks->submitting
       = g_ptr_array_new_with_free_func (gp_tasks_submitting_free);
   register_counters ();
+  tasks->entries = g_ptr_array_new_with_free_func (g_free);
   init_tables (tasks);
   gp_tasks_place_init (tasks);
   gp_tasks_lease_init (tasks);
@@ -376,6 +386,7 @@
   gp_timer_finish (&tasks->timer);
   gp_deferred_cancel (&tasks->deferred);
   g_ptr_array_unref (tasks->submitting);
+  g_ptr_array_unref (tasks->entries);
   gp_tasks_forget_all (tasks);
   g_hash_table_unref (tasks->guards);
   gp_tasks_lease_finish (tasks);
--- a/src/daemon/tasks_interfere.c
+++ b/src/daemon/tasks_interfere.c
@@ -153,6 +153,8 @@
   uint32_t count = settings->entries_count;
   uint32_t index = 0;
 
+  if (count == 0)
+    return of_site;
   while (index < count
          && strcmp (settings->entries[index].name, settings->name) != 0)
     index++;
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -180,7 +180,8 @@
   unsigned n_others;
   uint64_t entry_set;
 
-  uint64_t live_entries; /* digest of the entries thought alive */
+  uint64_t live_entries; /* digest of the other entries thought alive */
+  GPtrArray *entries;    /* their names */
   uint64_t next_id;
   GPtrArray *submitting; /* of gp_tasks_submitting_t */
   bool watchers_changed; /* counts are to be compared again */
--- a/src/daemon/tasks_report.c
+++ b/src/daemon/tasks_report.c
@@ -279,7 +279,6 @@
       g_array_append_val (guard->inventory, epoch);
       on_report (tasks, guard, report);
     }
-  gp_tasks_lease_tick (tasks);
 }
 
 void
--- a/tests/unit/test_tasks.c
+++ b/tests/unit/test_tasks.c
@@ -213,6 +213,69 @@
   tear_down ();
 }
 
+/* A guard that only other entries hear is not fenced.  */
+static void
+test_heard_elsewhere (void)
+{
+  gp_member_t member = { .announcement = { .name = "guard-1",
+                                           .millicores = 4000 },
+                         .state = GP_MEMBER_SERVING };
+
+  set_up (0);
+  gp_tasks_on_member (tasks, &member);
+  bring_up (0);
+  gp_tasks_on_closed (tasks, &sessions[0]);
+  pass (60 * GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_FENCE), 0);
+  member.state = GP_MEMBER_SUSPECT;
+  gp_tasks_on_member (tasks, &member);
+  pass (60 * GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_FENCE), 1);
+  tear_down ();
+}
+
+/* Of two entries the responsible one places, proposes and starts; the other
+   takes over when it goes.  */
+static void
+test_responsible (void)
+{
+  gp_session_t other = { .host = &host,
+                         .ready = true,
+                         .process = PEER,
+                         .role = GP__WIRE__ROLE__ROLE_ENTRY };
+  uint64_t task;
+
+  set_up (0);
+  gp_list_push_back (&host.sessions, &other.link);
+  pass (GP_SEC);
+  announce (0, 1, NULL, 0);
+  heartbeat (0, 1);
+  if (queued (GP__RECORD__RECORD__RECORD_ADOPT) == 0)
+    pass (5 * GP_SEC); /* the guard is the other's, who does nothing */
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_ADOPT), 1);
+  flush ();
+  heartbeat (0, 1);
+  task = submit ("small");
+  while (gp_tasks_find (tasks, task)->team->mine)
+    {
+      g_free (gp_tasks_find (tasks, task)->team->name);
+      gp_tasks_find (tasks, task)->team->name
+          = g_strdup_printf ("team-%u", g_random_int ());
+      gp_list_remove (&other.link);
+      pass (STEP * GP_MSEC);
+      gp_list_push_back (&host.sessions, &other.link);
+      pass (STEP * GP_MSEC);
+    }
+  expire ();
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 0);
+  gp_list_remove (&other.link);
+  heartbeat (0, 1);
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 1);
+  tear_down ();
+}
+
 /* The guard's process starts again beside its runtime: what runs goes on
    under its epoch, what does not is lost and runs again.  */
 static void
@@ -360,6 +423,8 @@
                           { "race", test_race },
                           { "quota race", test_quota_race },
                           { "silent guard", test_silent_guard },
+                          { "heard elsewhere", test_heard_elsewhere },
+                          { "responsible", test_responsible },
                           { "adopted", test_adopted },
                           { "watchers", test_watchers },
                           { "cancel", test_cancel },
