--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -9,6 +9,8 @@
 #include "daemon/configuration.h"
 #include "daemon/operators.h"
 #include "daemon/processes.h"
+#include "daemon/news.h"
+#include "daemon/downlinks.h"
 #include "daemon/relay.h"
 #include "daemon/routes.h"
 #include "daemon/store.h"
@@ -28,8 +30,11 @@
   uint64_t incarnation;
   gp_session_host_t host;
   gp_routes_t routes;
+  gp_news_t news;
+  gp_downlinks_t downlinks;
   gp_relays_t relays;
   gp_store_t *store;
+  gp_keys_t *keys;
   gp_tasks_t *tasks;
   gp_configuration_t *configuration;
   gp_timeline_t timeline;
