Keep the document's limits on requests at the entries

Each entry keeps a fixed share of the limits on teams, kinds and classes, so that all together never let more pass, and refuses with 429, NOT_RUN and Retry-After. What the document says of a request is copied, as its structures may be replaced while the request is under way. A service of the document without an upstream is answered 503, not 404. Routes that open and close, ejections, refusals and unknown outcomes go to the time line.

--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -218,7 +218,7 @@
 
   gp_log (GP_LOG_INFO, "configuration.in-force",
           GP_LOG_I ("revision", revision));
-  entry->relays.document = document;
+  gp_relays_set_document (&entry->relays, document);
   gp_tasks_set_document (entry->tasks, document);
 }
 
@@ -266,11 +266,26 @@
                       entry->rand, &entry->timeline);
   entry->configuration = gp_configuration_new (
       &entry->host, entry->store, &entry->timeline, on_configuration, entry);
+  entry->routes.timeline = &entry->timeline;
+  entry->relays.timeline = &entry->timeline;
   entry->routes.on_change = on_member;
   entry->routes.data = entry;
   return true;
 }
 
+/* The place of this entry among those of the settings, which all processes
+   list alike.  */
+static uint32_t
+own_place (const gp_settings_t *settings)
+{
+  uint32_t place = 0;
+
+  while (place + 1 < settings->entries_count
+         && strcmp (settings->entries[place].name, settings->name) != 0)
+    place++;
+  return place;
+}
+
 bool
 gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
                GError **error)
@@ -299,6 +314,8 @@
   gp_relays_init (&entry->relays, &entry->loop, &entry->routes, entry->rand,
                   settings->entry->max_requests,
                   settings->timings.stall_ms * GP_MSEC);
+  gp_limits_init (&entry->relays.limits, MAX (settings->entries_count, 1),
+                  own_place (settings));
   if (!start_parts (entry, error))
     return false;
   gp_timer_init (&entry->stop_timer, &entry->loop, on_balancer_gone, entry);
--- /dev/null
+++ b/src/daemon/limits.c
@@ -0,0 +1,220 @@
+/* Limits of the document on callers' requests.  */
+
+#include "daemon/limits.h"
+
+/* Hint to a caller when a place among the requests in progress is awaited,
+   and when nothing is let pass.  */
+#define CONCURRENT_HINT (1 * GP_SEC)
+#define CLOSED_HINT (60 * GP_SEC)
+
+/* Keys: what is limited.  */
+
+static char *
+team_key (const char *team)
+{
+  return g_strconcat ("team/", team, NULL);
+}
+
+static char *
+kind_key (const char *service, const char *kind)
+{
+  return g_strconcat ("kind/", service, "/", kind, NULL);
+}
+
+static char *
+class_key (gp_document_class_t work_class)
+{
+  return g_strdup (work_class == GP_DOCUMENT_BATCH ? "class/batch"
+                                                   : "class/critical");
+}
+
+/* Configuration.  */
+
+static uint32_t
+share_of (const gp_limits_t *limits, uint32_t all)
+{
+  uint32_t rest = all % limits->entries;
+
+  if (all == GP_DOCUMENT_UNLIMITED)
+    return all;
+  return all / limits->entries + (limits->self < rest ? 1 : 0);
+}
+
+static void
+set_rate (const gp_limits_t *limits, gp_limit_t *limit, uint32_t rate,
+          gp_time_t now)
+{
+  double share = (double)rate / limits->entries;
+  uint32_t burst = (uint32_t)MAX (share, 1);
+  bool rated = rate != GP_DOCUMENT_UNLIMITED && rate > 0;
+
+  if (rated && limit->rated)
+    gp_limiter_configure (&limit->rate, share, burst, now);
+  else if (rated)
+    gp_limiter_init (&limit->rate, share, burst);
+  limit->rated = rated;
+}
+
+/* Takes KEY.  */
+static void
+set_limit (gp_limits_t *limits, char *key, const gp_document_limit_t *to,
+           gp_time_t now)
+{
+  gp_limit_t *limit = g_hash_table_lookup (limits->by_key, key);
+
+  if (limit == NULL)
+    {
+      limit = g_new0 (gp_limit_t, 1);
+      g_hash_table_insert (limits->by_key, g_strdup (key), limit);
+    }
+  limit->concurrent
+      = to->requests_per_s == 0 ? 0 : share_of (limits, to->concurrent);
+  limit->declared = true;
+  set_rate (limits, limit, to->requests_per_s, now);
+  g_free (key);
+}
+
+static void
+forget_declared (gpointer key, gpointer value, gpointer data)
+{
+  gp_limit_t *limit = value;
+
+  (void)key, (void)data;
+  limit->declared = false;
+}
+
+/* A limit that is declared no more is open while requests count for it.  */
+static gboolean
+drop_undeclared (gpointer key, gpointer value, gpointer data)
+{
+  gp_limit_t *limit = value;
+
+  (void)key, (void)data;
+  if (limit->declared)
+    return FALSE;
+  limit->concurrent = GP_DOCUMENT_UNLIMITED;
+  limit->rated = false;
+  return limit->running == 0;
+}
+
+static void
+set_service (gp_limits_t *limits, const gp_document_service_t *service,
+             gp_time_t now)
+{
+  for (uint32_t i = 0; i < service->kinds_count; i++)
+    set_limit (limits, kind_key (service->name, service->kinds[i].name),
+               &service->kinds[i].limits, now);
+}
+
+void
+gp_limits_configure (gp_limits_t *limits, const gp_document_t *document,
+                     gp_time_t now)
+{
+  g_hash_table_foreach (limits->by_key, forget_declared, NULL);
+  for (uint32_t i = 0; i < document->teams_count; i++)
+    set_limit (limits, team_key (document->teams[i].name),
+               &document->teams[i].requests, now);
+  for (uint32_t i = 0; i < document->services_count; i++)
+    set_service (limits, &document->services[i], now);
+  set_limit (limits, class_key (GP_DOCUMENT_BATCH), &document->limits.batch,
+             now);
+  set_limit (limits, class_key (GP_DOCUMENT_LATENCY_CRITICAL),
+             &document->limits.latency_critical, now);
+  g_hash_table_foreach_remove (limits->by_key, drop_undeclared, NULL);
+}
+
+/* Requests.  */
+
+/* Add the limit of KEY, which is taken, if there is one.  */
+static void
+add_limit (gp_limits_t *limits, char *key, gp_limits_hold_t *hold)
+{
+  gp_limit_t *limit = g_hash_table_lookup (limits->by_key, key);
+
+  if (limit != NULL)
+    hold->limits[hold->count++] = limit;
+  g_free (key);
+}
+
+static void
+find_limits (gp_limits_t *limits, const gp_limits_subject_t *subject,
+             gp_limits_hold_t *hold)
+{
+  hold->count = 0;
+  if (g_hash_table_size (limits->by_key) == 0)
+    return;
+  if (subject->team != NULL && subject->team[0] != '\0')
+    add_limit (limits, team_key (subject->team), hold);
+  if (subject->kind != NULL && subject->kind[0] != '\0')
+    add_limit (limits, kind_key (subject->service, subject->kind), hold);
+  add_limit (limits, class_key (subject->work_class), hold);
+}
+
+static bool
+has_place (const gp_limits_hold_t *hold, gp_time_t *retry_after)
+{
+  for (size_t i = 0; i < hold->count; i++)
+    {
+      const gp_limit_t *limit = hold->limits[i];
+
+      if (limit->running < limit->concurrent)
+        continue;
+      *retry_after = limit->concurrent == 0 ? CLOSED_HINT : CONCURRENT_HINT;
+      return false;
+    }
+  return true;
+}
+
+static bool
+take_rates (const gp_limits_hold_t *hold, gp_time_t now,
+            gp_time_t *retry_after)
+{
+  gp_limiter_t *rates[GP_LIMITS_PER_REQUEST];
+  size_t count = 0;
+  gp_time_t retry_at;
+
+  for (size_t i = 0; i < hold->count; i++)
+    if (hold->limits[i]->rated)
+      rates[count++] = &hold->limits[i]->rate;
+  if (gp_limiter_take_all (rates, count, 1, now, &retry_at))
+    return true;
+  *retry_after = retry_at - now;
+  return false;
+}
+
+bool
+gp_limits_take (gp_limits_t *limits, const gp_limits_subject_t *subject,
+                gp_limits_hold_t *hold, gp_time_t now, gp_time_t *retry_after)
+{
+  find_limits (limits, subject, hold);
+  if (!has_place (hold, retry_after) || !take_rates (hold, now, retry_after))
+    {
+      hold->count = 0;
+      return false;
+    }
+  for (size_t i = 0; i < hold->count; i++)
+    hold->limits[i]->running++;
+  return true;
+}
+
+void
+gp_limits_release (gp_limits_hold_t *hold)
+{
+  for (size_t i = 0; i < hold->count; i++)
+    hold->limits[i]->running--;
+  hold->count = 0;
+}
+
+void
+gp_limits_init (gp_limits_t *limits, uint32_t entries, uint32_t self)
+{
+  *limits = (gp_limits_t){ .entries = entries, .self = self };
+  limits->by_key
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+gp_limits_finish (gp_limits_t *limits)
+{
+  g_hash_table_unref (limits->by_key);
+}
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -25,6 +25,8 @@
     = GP_COUNTER ("entry_requests_total", "Requests of callers.");
 static gp_counter_t tries_sent
     = GP_COUNTER ("entry_tries_total", "Tries sent to guards.");
+static gp_counter_t requests_limited = GP_COUNTER (
+    "entry_requests_limited_total", "Requests over a limit of the document.");
 static gp_counter_t callers_gone = GP_COUNTER (
     "entry_callers_gone_total", "Callers that left before their answer.");
 static gp_counter_t relays_open
@@ -86,7 +88,10 @@
   gp_list_remove (&relay->waiting);
   if (!relay->expired)
     gp_heap_remove (&relays->deadlines, &relay->node);
+  gp_limits_release (&relay->hold);
   g_byte_array_unref (relay->pending);
+  g_free (relay->kind);
+  g_free (relay->team);
   g_free (relay);
   relays->open--;
   gp_counter_set (&relays_open, (int64_t)relays->open);
@@ -220,30 +225,72 @@
   return true;
 }
 
+static gp_time_t
+request_timeout (const gp_relay_t *relay, const gp_document_kind_t *kind)
+{
+  gp_http_text_t asked
+      = gp_http_exchange_header (relay->exchange, "galenapier-timeout-ms");
+  gp_time_t timeout = DEFAULT_TIMEOUT;
+
+  if (kind != NULL && kind->timeout_ms > 0)
+    timeout = kind->timeout_ms * GP_MSEC;
+  timeout = gp_text_number (asked, timeout / GP_MSEC) * GP_MSEC;
+  return CLAMP (timeout, GP_MSEC, MAX_TIMEOUT);
+}
+
+/* The value of a header, cut to GP_RELAY_NAME_SIZE - 1 bytes.  */
+static char *
+copy_header (const gp_relay_t *relay, const char *name)
+{
+  gp_http_text_t text = gp_http_exchange_header (relay->exchange, name);
+
+  if (text.base == NULL)
+    return g_strdup ("");
+  return g_strndup (text.base, MIN (text.size, GP_RELAY_NAME_SIZE - 1));
+}
+
+/* Take over what the document says of the request; its structures may be
+   replaced while the request is under way.  */
 static void
 find_policy (gp_relay_t *relay)
 {
   const gp_document_t *document = relay->relays->document;
   const gp_document_service_t *service = NULL;
+  const gp_document_kind_t *kind = NULL;
   gp_http_text_t path = gp_relay_path (relay);
 
   if (document != NULL)
     service = gp_document_find_service (document, relay->service->name);
   if (service != NULL)
-    relay->kind = gp_document_find_kind (service, path.base, path.size);
+    kind = gp_document_find_kind (service, path.base, path.size);
+  relay->deadline
+      = gp_loop_now (relay->relays->loop) + request_timeout (relay, kind);
+  if (service != NULL && service->team != NULL)
+    relay->team = g_strdup (service->team);
+  else
+    relay->team = copy_header (relay, "galenapier-team");
+  if (kind == NULL)
+    {
+      relay->kind = copy_header (relay, "galenapier-kind");
+      relay->idempotent
+          = method_is_idempotent (gp_http_exchange_method (relay->exchange));
+      return;
+    }
+  relay->kind = g_strdup (kind->name);
+  relay->idempotent = kind->idempotent;
+  relay->work_class = kind->work_class;
 }
 
-static gp_time_t
-request_timeout (const gp_relay_t *relay)
+static bool
+take_limits (gp_relay_t *relay, gp_time_t *retry_after)
 {
-  gp_http_text_t asked
-      = gp_http_exchange_header (relay->exchange, "galenapier-timeout-ms");
-  gp_time_t timeout = DEFAULT_TIMEOUT;
+  gp_limits_subject_t subject = { .team = relay->team,
+                                  .service = relay->service->name,
+                                  .kind = relay->kind,
+                                  .work_class = relay->work_class };
 
-  if (relay->kind != NULL && relay->kind->timeout_ms > 0)
-    timeout = relay->kind->timeout_ms * GP_MSEC;
-  timeout = gp_text_number (asked, timeout / GP_MSEC) * GP_MSEC;
-  return CLAMP (timeout, GP_MSEC, MAX_TIMEOUT);
+  return gp_limits_take (&relay->relays->limits, &subject, &relay->hold,
+                         gp_loop_now (relay->relays->loop), retry_after);
 }
 
 static gp_relay_t *
@@ -263,12 +310,7 @@
                   gp_loop_now (relays->loop) + SWEEP_INTERVAL);
   gp_list_push_back (&relays->waiting, &relay->waiting);
   find_policy (relay);
-  relay->idempotent
-      = relay->kind != NULL
-            ? relay->kind->idempotent
-            : method_is_idempotent (gp_http_exchange_method (exchange));
   relay->route.may_probe = relay->idempotent;
-  relay->deadline = gp_loop_now (relays->loop) + request_timeout (relay);
   relay->wake_at = relay->deadline + ANSWER_GRACE;
   gp_heap_insert (&relays->deadlines, &relay->node);
   relays->open++;
@@ -277,21 +319,37 @@
   return relay;
 }
 
+/* No upstream of service NAME was ever seen here.  */
+static void
+refuse_unknown (const gp_relays_t *relays, gp_http_exchange_t *exchange,
+                const char *name)
+{
+  bool declared = relays->document != NULL
+                  && gp_document_find_service (relays->document, name) != NULL;
+
+  gp_relay_refuse (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                   declared ? GP__WIRE__REASON__REASON_NO_CANDIDATE
+                            : GP__WIRE__REASON__REASON_NO_SUCH_SERVICE,
+                   declared ? GP_SEC : -1);
+}
+
 void
 gp_relays_on_request (gp_http_exchange_t *exchange, void *data)
 {
   gp_relays_t *relays = data;
   gp_service_t *service = NULL;
   char name[GP_RELAY_NAME_SIZE];
+  gp_time_t retry_after;
   gp_relay_t *relay;
 
   gp_counter_add (&requests, 1);
-  if (service_name (exchange, name, sizeof name))
+  if (!service_name (exchange, name, sizeof name))
+    name[0] = '\0';
+  else
     service = gp_routes_find (relays->routes, name);
   if (service == NULL)
     {
-      gp_relay_refuse (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
-                       GP__WIRE__REASON__REASON_NO_SUCH_SERVICE, -1);
+      refuse_unknown (relays, exchange, name);
       return;
     }
   if (relays->open >= relays->max_open)
@@ -301,8 +359,15 @@
       return;
     }
   relay = relay_new (relays, exchange, service);
-  gp_retry_request (&service->retry);
   arm_timer (relays);
+  if (!take_limits (relay, &retry_after))
+    {
+      gp_counter_add (&requests_limited, 1);
+      gp_relay_fail (relay, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                     GP__WIRE__REASON__REASON_LIMIT, retry_after);
+      return;
+    }
+  gp_retry_request (&service->retry);
   dispatch (relay);
 }
 
@@ -523,13 +588,22 @@
   gp_counter_register (&requests);
   gp_counter_register (&tries_sent);
   gp_relay_register_counters ();
+  gp_counter_register (&requests_limited);
   gp_counter_register (&callers_gone);
   gp_counter_register (&relays_open);
 }
 
+void
+gp_relays_set_document (gp_relays_t *relays, const gp_document_t *document)
+{
+  relays->document = document;
+  gp_limits_configure (&relays->limits, document, gp_loop_now (relays->loop));
+}
+
 void
 gp_relays_finish (gp_relays_t *relays)
 {
+  gp_limits_finish (&relays->limits);
   gp_timer_finish (&relays->timer);
   gp_timer_finish (&relays->sweep_timer);
   gp_idpool_finish (&relays->tries);
--- a/src/daemon/relay.h
+++ b/src/daemon/relay.h
@@ -10,6 +10,7 @@
 
 #include "base/heap.h"
 #include "base/idpool.h"
+#include "daemon/limits.h"
 #include "daemon/routes.h"
 #include "state/document.h"
 #include "transport/http.h"
@@ -23,7 +24,9 @@
   gp_idpool_t tries;             /* handle -> gp_relay_t */
   gp_heap_t deadlines;
   gp_timer_t timer;
-  gp_list_t waiting; /* relays without an answer, to ask their callers */
+  gp_limits_t limits;
+  gp_timeline_t *timeline; /* may be NULL */
+  gp_list_t waiting;       /* relays without an answer, to ask their callers */
   gp_timer_t sweep_timer;
   uint64_t next_id;
   size_t open;
@@ -35,6 +38,10 @@
                      GRand *rand, size_t max_open, gp_time_t stall_timeout);
 void gp_relays_finish (gp_relays_t *relays);
 
+/* The configuration in force; DOCUMENT stays valid until the next call.  */
+void gp_relays_set_document (gp_relays_t *relays,
+                             const gp_document_t *document);
+
 /* A caller's request; DATA is the gp_relays_t.  */
 void gp_relays_on_request (gp_http_exchange_t *exchange, void *data);
 
--- a/src/daemon/relay_answer.c
+++ b/src/daemon/relay_answer.c
@@ -139,10 +139,29 @@
   free (body);
 }
 
+static void
+note_failure (const gp_relay_t *relay, Gp__Wire__Verdict verdict,
+              Gp__Wire__Reason reason)
+{
+  gp_timeline_t *timeline = relay->relays->timeline;
+  bool refused = verdict == GP__WIRE__VERDICT__VERDICT_NOT_RUN;
+  gp_timeline_subject_t subject = { .request = relay->id };
+  char text[GP_RELAY_NAME_SIZE];
+
+  if (timeline == NULL)
+    return;
+  reason_name (reason, text, sizeof text);
+  gp_timeline_append (timeline,
+                      refused ? GP_TIMELINE_REQUEST_REFUSED
+                              : GP_TIMELINE_REQUEST_UNKNOWN,
+                      &subject, text, gp_time_wall ());
+}
+
 void
 gp_relay_fail (gp_relay_t *relay, Gp__Wire__Verdict verdict,
                Gp__Wire__Reason reason, gp_time_t retry_after)
 {
+  note_failure (relay, verdict, reason);
   gp_relay_refuse (relay->exchange, verdict, reason, retry_after);
   gp_relay_free (relay);
 }
--- a/src/daemon/relay_private.h
+++ b/src/daemon/relay_private.h
@@ -14,7 +14,10 @@
   gp_relays_t *relays;
   gp_http_exchange_t *exchange;
   gp_service_t *service;
-  const gp_document_kind_t *kind;
+  char *kind; /* from the document, or the caller's word */
+  char *team;
+  gp_document_class_t work_class;
+  gp_limits_hold_t hold;
   gp_target_t *target; /* of the current try, or NULL */
   gp_session_t *session;
   gp_list_t link;      /* in target->relays */
--- a/src/daemon/relay_send.c
+++ b/src/daemon/relay_send.c
@@ -50,30 +50,10 @@
     }
 }
 
-static void
-copy_text (char *buffer, size_t size, gp_http_text_t text)
-{
-  size_t length = MIN (text.size, size - 1);
-
-  memcpy (buffer, text.base != NULL ? text.base : "", length);
-  buffer[length] = '\0';
-}
-
-/* The kind of request: that of the document, or the caller's word.  */
-static void
-kind_name (const gp_relay_t *relay, char *name, size_t size)
-{
-  if (relay->kind != NULL)
-    g_strlcpy (name, relay->kind->name, size);
-  else
-    copy_text (name, size,
-               gp_http_exchange_header (relay->exchange, "galenapier-kind"));
-}
-
 static Gp__Wire__WorkClass
 work_class (const gp_relay_t *relay)
 {
-  if (relay->kind != NULL && relay->kind->work_class == GP_DOCUMENT_BATCH)
+  if (relay->work_class == GP_DOCUMENT_BATCH)
     return GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
   return GP__WIRE__WORK_CLASS__WORK_CLASS_LATENCY_CRITICAL;
 }
@@ -95,8 +75,6 @@
 {
   gp_http_header_t headers[GP_HEADERS_MAX];
   gp_wire_headers_t wire;
-  char kind[GP_RELAY_NAME_SIZE];
-  char team[GP_RELAY_NAME_SIZE];
   char *method;
   char *path;
   gp_http_text_t text;
@@ -107,17 +85,14 @@
   gp_wire_headers_from_http (
       &wire, headers,
       gp_http_exchange_headers (relay->exchange, headers, GP_HEADERS_MAX));
-  kind_name (relay, kind, sizeof kind);
-  copy_text (team, sizeof team,
-             gp_http_exchange_header (relay->exchange, "galenapier-team"));
   text = gp_http_exchange_method (relay->exchange);
   method = g_strndup (text.base, text.size);
   text = gp_relay_path (relay);
   path = g_strndup (text.base, text.size);
   request.id = relay->handle;
   request.service = relay->service->name;
-  request.kind = kind;
-  request.team = team;
+  request.kind = relay->kind;
+  request.team = relay->team;
   request.work_class = work_class (relay);
   request.idempotent = relay->idempotent;
   request.remaining_us = (uint64_t)MAX (relay->deadline - now, 0);
--- a/src/daemon/routes.c
+++ b/src/daemon/routes.c
@@ -46,6 +46,18 @@
   return g_hash_table_lookup (routes->services, name);
 }
 
+/* What an operator sees of a target.  */
+static void
+note (const gp_routes_t *routes, gp_timeline_kind_t kind,
+      const gp_target_t *target, const char *text)
+{
+  gp_timeline_subject_t subject = { .vm = target->member->announcement.name };
+
+  if (routes->timeline != NULL)
+    gp_timeline_append (routes->timeline, kind, &subject, text,
+                        gp_time_wall ());
+}
+
 /* Targets.  */
 
 static gp_target_t *
@@ -79,17 +91,22 @@
   GP_LIST_FOREACH (pos, &target->relays)
   gp_router_sent (&target->service->router, &target->candidate);
   gp_counter_add (&members_serving, 1);
+  note (routes, GP_TIMELINE_MEMBER_SERVING, target, a->service);
   gp_log (GP_LOG_INFO, "target.up", GP_LOG_S ("guard", a->name),
           GP_LOG_S ("service", a->service), GP_LOG_S ("zone", a->zone));
 }
 
 static void
-remove_route (gp_target_t *target)
+remove_route (const gp_routes_t *routes, gp_target_t *target)
 {
+  bool leaving = target->member->announcement.leaving;
+
   gp_router_remove (&target->service->router, &target->candidate);
   gp_outlier_remove (&target->service->outlier, &target->health);
   target->routed = false;
   gp_counter_add (&members_serving, -1);
+  note (routes, leaving ? GP_TIMELINE_MEMBER_LEAVING : GP_TIMELINE_MEMBER_GONE,
+        target, target->service->name);
   gp_log (GP_LOG_INFO, "target.down",
           GP_LOG_S ("guard", target->member->announcement.name),
           GP_LOG_S ("service", target->service->name));
@@ -118,7 +135,7 @@
   if (routable && !target->routed && target->session != NULL)
     add_route (routes, target);
   else if (!routable && target->routed)
-    remove_route (target);
+    remove_route (routes, target);
   if (member->state == GP_MEMBER_GONE)
     {
       member->data = NULL;
@@ -300,7 +317,8 @@
 }
 
 static void
-apply (gp_target_t *target, gp_outlier_action_t action)
+apply (const gp_routes_t *routes, gp_target_t *target,
+       gp_outlier_action_t action)
 {
   gp_router_t *router = &target->service->router;
 
@@ -312,6 +330,7 @@
       gp_counter_add (&ejections, 1);
       gp_log (GP_LOG_WARNING, "target.ejected",
               GP_LOG_S ("guard", target->member->announcement.name));
+      note (routes, GP_TIMELINE_MEMBER_GONE, target, "ejected");
       gp_router_eject (router, &target->candidate);
       break;
     case GP_OUTLIER_OFFER_PROBE:
@@ -320,6 +339,7 @@
     case GP_OUTLIER_READMIT:
       gp_log (GP_LOG_INFO, "target.readmitted",
               GP_LOG_S ("guard", target->member->announcement.name));
+      note (routes, GP_TIMELINE_MEMBER_SERVING, target, "readmitted");
       gp_router_readmit (router, &target->candidate);
       break;
     }
@@ -335,11 +355,12 @@
   if (!target->routed)
     return;
   if (target->health.state == GP_HEALTH_PROBED)
-    apply (target,
+    apply (routes, target,
            gp_outlier_probe_done (outlier, &target->health, success, now));
   else
-    apply (target, gp_outlier_record (outlier, &target->health, success,
-                                      duration, now));
+    apply (
+        routes, target,
+        gp_outlier_record (outlier, &target->health, success, duration, now));
 }
 
 void
@@ -362,14 +383,14 @@
 }
 
 static void
-tick_service (gp_service_t *service, gp_time_t now)
+tick_service (const gp_routes_t *routes, gp_service_t *service, gp_time_t now)
 {
   gp_outlier_action_t action;
   gp_health_t *health;
 
   while ((health = gp_outlier_next_due (&service->outlier, now, &action))
          != NULL)
-    apply (health->data, action);
+    apply (routes, health->data, action);
 }
 
 static void
@@ -384,7 +405,7 @@
   gp_routes_settle (routes);
   g_hash_table_iter_init (&iter, routes->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
-    tick_service (service, now);
+    tick_service (routes, service, now);
   gp_timer_arm (timer, now + TICK);
 }
 
--- a/src/daemon/routes.h
+++ b/src/daemon/routes.h
@@ -7,6 +7,7 @@
 #ifndef GP_DAEMON_ROUTES_H
 #define GP_DAEMON_ROUTES_H
 
+#include "base/timeline.h"
 #include "coordination/members.h"
 #include "coordination/outlier.h"
 #include "coordination/retry.h"
@@ -41,6 +42,7 @@
   gp_members_t members;
   GHashTable *services; /* name -> gp_service_t */
   gp_timer_t timer;
+  gp_timeline_t *timeline;                             /* may be NULL */
   void (*on_change) (gp_member_t *member, void *data); /* may be NULL */
   void *data;
 } gp_routes_t;
