--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -5,6 +5,8 @@
 #include "base/counters.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "daemon/view.h"
+#include "daemon/execution_limits.h"
 
 #define HEARTBEAT_JITTER 0.1
 /* On a worker the lease sets the pace, and the timer only steps in while
@@ -113,8 +115,26 @@
   send_heartbeats (data);
 }
 
+/* Add an event about this process to the time line.  */
+static void
+note_self (gp_guard_t *guard, gp_timeline_kind_t kind)
+{
+  const gp_timeline_subject_t subject = { .vm = guard->settings->name };
+
+  gp_timeline_append (&guard->timeline, kind, &subject, NULL, gp_time_wall ());
+}
+
 /* Sessions.  */
 
+static void
+note_peer (gp_guard_t *guard, gp_timeline_kind_t kind,
+           const gp_session_t *session)
+{
+  const gp_timeline_subject_t subject = { .vm = session->process };
+
+  gp_timeline_append (&guard->timeline, kind, &subject, NULL, gp_time_wall ());
+}
+
 static void
 on_ready (gp_session_t *session, void *data)
 {
@@ -122,6 +142,7 @@
 
   gp_uplinks_on_ready (&guard->uplinks, session);
   gp_counter_add (&entries_connected, 1);
+  note_peer (guard, GP_TIMELINE_PEER_UP, session);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("entry", session->process));
   if (has_upstream (guard))
     {
@@ -169,6 +190,8 @@
 
   if (session->object != NULL)
     on_request_message (session->object, envelope);
+  if (envelope->message_case == GP__WIRE__ENVELOPE__MESSAGE_VIEW_ASK)
+    gp_view_serve (session, &guard->timeline, envelope->view_ask);
   if (guard->runner != NULL)
     gp_runner_on_message (guard->runner, session, envelope);
   gp_configuration_on_message (guard->configuration, session, envelope);
@@ -191,6 +214,7 @@
   if (ready)
     {
       gp_counter_add (&entries_connected, -1);
+      note_peer (guard, GP_TIMELINE_PEER_DOWN, session);
       gp_log (GP_LOG_INFO, "session.closed",
               GP_LOG_S ("entry", session->process),
               GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
@@ -263,6 +287,7 @@
     return;
   guard->leaving = true;
   gp_log (GP_LOG_INFO, "guard.leaving");
+  note_self (guard, GP_TIMELINE_PROCESS_STOP);
   gp_uplinks_stop (&guard->uplinks);
   announce_all (guard);
   guard->draining = has_upstream (guard) + (guard->runner != NULL);
@@ -283,15 +308,22 @@
 static void
 on_runner_heartbeat (void *data)
 {
-  send_heartbeats (data);
+  gp_guard_t *guard = data;
+
+  /* Once drained the timer of the heartbeats ends the process.  */
+  if (!guard->leaving || guard->draining > 0)
+    send_heartbeats (guard);
 }
 
 static void
 on_configuration (const gp_document_t *document, uint64_t revision, void *data)
 {
-  (void)document, (void)data;
+  gp_guard_t *guard = data;
+
   gp_log (GP_LOG_INFO, "configuration.in-force",
           GP_LOG_I ("revision", revision));
+  if (has_upstream (guard))
+    gp_executor_configure (&guard->executor, document);
 }
 
 static bool
@@ -306,6 +338,8 @@
   guard->events = g_new0 (gp_timeline_event_t, GP_GUARD_TIMELINE_SIZE);
   gp_timeline_init (&guard->timeline, settings->name, guard->incarnation,
                     guard->events, GP_GUARD_TIMELINE_SIZE);
+  guard->host.timeline = &guard->timeline;
+  note_self (guard, GP_TIMELINE_PROCESS_START);
   guard->configuration = gp_configuration_new (
       &guard->host, NULL, &guard->timeline, on_configuration, guard);
   if (has_upstream (guard)
@@ -381,6 +415,8 @@
 void
 gp_guard_finish (gp_guard_t *guard)
 {
+  gp_uplinks_stop (&guard->uplinks);
+  gp_session_host_finish (&guard->host);
   gp_uplinks_close (&guard->uplinks);
   gp_timer_finish (&guard->heartbeat);
   if (has_upstream (guard))
@@ -389,7 +425,6 @@
     gp_runner_free (guard->runner);
   gp_configuration_free (guard->configuration);
   g_free (guard->events);
-  gp_session_host_finish (&guard->host);
   gp_loop_finish (&guard->loop);
   gp_uplinks_finish (&guard->uplinks);
   if (guard->tls != NULL)
--- a/src/daemon/operators_config.c
+++ b/src/daemon/operators_config.c
@@ -268,3 +268,30 @@
     answer_message (exchange, 400, "base and document are required");
   json_decref (body);
 }
+
+/* Routes.  */
+
+static void
+get_config (const gp_operators_request_t *request)
+{
+  gp_operators_get_config (request->entry, request->exchange);
+}
+
+static void
+get_history (const gp_operators_request_t *request)
+{
+  gp_operators_get_history (request->entry, request->exchange);
+}
+
+static void
+publish_config (const gp_operators_request_t *request)
+{
+  gp_operators_publish (request->entry, request->exchange);
+}
+
+const gp_operators_route_t gp_operators_config_routes[] = {
+  { "GET", "/v1/config", GP_OPERATORS_EXACT, get_config },
+  { "GET", "/v1/config/history", GP_OPERATORS_EXACT, get_history },
+  { "POST", "/v1/config", GP_OPERATORS_EXACT, publish_config },
+  { NULL, NULL, GP_OPERATORS_EXACT, NULL },
+};
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -32,8 +32,6 @@
 static gp_counter_t relays_open
     = GP_GAUGE ("entry_requests_open", "Requests in progress.");
 
-static void dispatch (gp_relay_t *relay);
-
 /* Life of a relay.  */
 
 static bool
@@ -84,6 +82,7 @@
 {
   gp_relays_t *relays = relay->relays;
 
+  gp_relay_end_key (relay, GP__WIRE__VERDICT__VERDICT_UNSPECIFIED);
   end_try (relay);
   gp_list_remove (&relay->waiting);
   if (!relay->expired)
@@ -128,7 +127,7 @@
   };
 
   end_try (relay);
-  if (relay->cancelled)
+  if (relay->cancelled || relay->exchange == NULL)
     {
       gp_relay_fail (relay, verdict, reason, -1);
       return;
@@ -140,7 +139,7 @@
   switch (decision.kind)
     {
     case GP_RETRY_AGAIN:
-      dispatch (relay);
+      gp_relay_dispatch (relay);
       break;
     case GP_RETRY_REFUSE:
       gp_relay_fail (relay, decision.u.refuse.verdict,
@@ -154,8 +153,8 @@
     }
 }
 
-static void
-dispatch (gp_relay_t *relay)
+void
+gp_relay_dispatch (gp_relay_t *relay)
 {
   gp_relays_t *relays = relay->relays;
   gp_time_t now = gp_loop_now (relays->loop);
@@ -192,6 +191,11 @@
 
   if (!relay->cancelled)
     gp_counter_add (&callers_gone, 1);
+  if (gp_relay_awaits_outcome (relay))
+    {
+      relay->exchange = NULL;
+      return;
+    }
   if (relay->target != NULL)
     gp_relay_send_cancel (relay);
   gp_relay_free (relay);
@@ -309,6 +313,7 @@
     gp_timer_arm (&relays->sweep_timer,
                   gp_loop_now (relays->loop) + SWEEP_INTERVAL);
   gp_list_push_back (&relays->waiting, &relay->waiting);
+  relay->body_size = gp_http_exchange_body (exchange).size;
   find_policy (relay);
   relay->route.may_probe = relay->idempotent;
   relay->wake_at = relay->deadline + ANSWER_GRACE;
@@ -367,8 +372,7 @@
                      GP__WIRE__REASON__REASON_LIMIT, retry_after);
       return;
     }
-  gp_retry_request (&service->retry);
-  dispatch (relay);
+  gp_relay_start (relay);
 }
 
 /* Messages from guards.  */
@@ -415,8 +419,15 @@
     return;
   record (relay, answer);
   if (answer->verdict != GP__WIRE__VERDICT__VERDICT_RAN)
-    decide (relay, answer->verdict, answer->reason);
-  else if (answer->last)
+    {
+      decide (relay, answer->verdict, answer->reason);
+      return;
+    }
+  relay->head_received = true;
+  relay->last_received = answer->last;
+  if (relay->keyed != NULL)
+    gp_keyed_keep_head (relay->keyed, answer);
+  if (answer->last)
     gp_relay_answer (relay, answer);
   else
     gp_relay_stream (relay, answer);
@@ -432,6 +443,8 @@
     return;
   g_byte_array_append (relay->pending, part->data.data, (guint)part->data.len);
   relay->last_received = part->last;
+  if (relay->keyed != NULL)
+    gp_keyed_keep_part (relay->keyed, part->data.data, part->data.len);
   if (part->last)
     end_try (relay);
   gp_relay_send_next (relay);
@@ -455,7 +468,7 @@
   {
     gp_relay_t *relay = GP_CONTAINER_OF (pos, gp_relay_t, link);
 
-    if (!relay->streaming)
+    if (!relay->streaming && relay->exchange != NULL)
       gp_relay_send_body (relay);
   }
 }
@@ -465,10 +478,10 @@
 static Gp__Wire__Verdict
 verdict_of_loss (const gp_relay_t *relay)
 {
-  gp_http_text_t body = gp_http_exchange_body (relay->exchange);
+  bool sent = relay->attempts > 0 && relay->body_sent == relay->body_size;
 
-  return relay->body_sent < body.size ? GP__WIRE__VERDICT__VERDICT_NOT_RUN
-                                      : GP__WIRE__VERDICT__VERDICT_UNKNOWN;
+  return sent ? GP__WIRE__VERDICT__VERDICT_UNKNOWN
+              : GP__WIRE__VERDICT__VERDICT_NOT_RUN;
 }
 
 void
@@ -499,7 +512,7 @@
 static void
 check_caller (gp_relay_t *relay)
 {
-  if (relay->cancelled || relay->target == NULL
+  if (relay->cancelled || relay->target == NULL || relay->exchange == NULL
       || !gp_http_exchange_hung_up (relay->exchange))
     return;
   gp_counter_add (&callers_gone, 1);
--- a/src/daemon/routes.c
+++ b/src/daemon/routes.c
@@ -91,7 +91,6 @@
   GP_LIST_FOREACH (pos, &target->relays)
   gp_router_sent (&target->service->router, &target->candidate);
   gp_counter_add (&members_serving, 1);
-  note (routes, GP_TIMELINE_MEMBER_SERVING, target, a->service);
   if (routes->on_route != NULL)
     routes->on_route (routes->data);
   gp_log (GP_LOG_INFO, "target.up", GP_LOG_S ("guard", a->name),
@@ -99,16 +98,12 @@
 }
 
 static void
-remove_route (const gp_routes_t *routes, gp_target_t *target)
+remove_route (gp_target_t *target)
 {
-  bool leaving = target->member->announcement.leaving;
-
   gp_router_remove (&target->service->router, &target->candidate);
   gp_outlier_remove (&target->service->outlier, &target->health);
   target->routed = false;
   gp_counter_add (&members_serving, -1);
-  note (routes, leaving ? GP_TIMELINE_MEMBER_LEAVING : GP_TIMELINE_MEMBER_GONE,
-        target, target->service->name);
   gp_log (GP_LOG_INFO, "target.down",
           GP_LOG_S ("guard", target->member->announcement.name),
           GP_LOG_S ("service", target->service->name));
@@ -163,7 +158,7 @@
   if (routable && !target->routed && target->session != NULL)
     add_route (routes, target);
   else if (!routable && target->routed)
-    remove_route (routes, target);
+    remove_route (target);
   if (member->state == GP_MEMBER_GONE)
     {
       member->data = NULL;
