--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -49,7 +49,10 @@
   int64_t started_us; /* wall clock, as the next */
   int64_t config_since_us;
   gp_timer_t stop_timer;
+  gp_timer_t opening_timer;
+  gp_time_t open_at; /* to callers, at the latest */
   bool leaving;
+  bool failed; /* to listen for callers */
 };
 
 bool gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -380,9 +380,13 @@
         return 0
 
     def await_targets_of(self, entry, count):
-        """Wait until ENTRY routes to COUNT upstreams."""
+        """Wait until ENTRY routes to COUNT upstreams and, when there are any,
+        takes callers."""
         until(lambda: self.counter(entry, "entry_targets_routed") == count,
               what=f"{count} targets at {entry}")
+        if count > 0:
+            until(lambda: self.call(entry, "GET", "/-/ready")[0] == 200,
+                  what=f"{entry} ready")
 
     def await_targets(self, count):
         """Wait until each entry routes to COUNT upstreams."""
