--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -8,6 +8,9 @@
 #include "daemon/view.h"
 
 #define HEARTBEAT_JITTER 0.1
+/* On a worker the lease sets the pace, and the timer only steps in while
+   there is none to renew.  */
+#define WORKER_HEARTBEAT_FACTOR 1.5
 #define CLOSE_GRACE (200 * GP_MSEC)
 #define LEAVE_TIME (10 * GP_SEC)
 
@@ -84,16 +87,15 @@
                     * g_rand_double_range (guard->rand, 1 - HEARTBEAT_JITTER,
                                            1 + HEARTBEAT_JITTER);
 
+  if (guard->runner != NULL)
+    interval *= WORKER_HEARTBEAT_FACTOR;
   gp_timer_arm (&guard->heartbeat,
                 gp_loop_now (&guard->loop) + (gp_time_t)interval);
 }
 
 static void
-on_heartbeat (gp_timer_t *timer, void *data)
+send_heartbeats (gp_guard_t *guard)
 {
-  gp_guard_t *guard = data;
-
-  (void)timer;
   guard->heartbeat_sequence++;
   GP_LIST_FOREACH (pos, &guard->host.sessions)
   {
@@ -105,6 +107,13 @@
   arm_heartbeat (guard);
 }
 
+static void
+on_heartbeat (gp_timer_t *timer, void *data)
+{
+  (void)timer;
+  send_heartbeats (data);
+}
+
 /* Add an event about this process to the time line.  */
 static void
 note_self (gp_guard_t *guard, gp_timeline_kind_t kind)
@@ -226,6 +235,18 @@
   .on_close = on_close,
 };
 
+static void
+announce_all (gp_guard_t *guard)
+{
+  GP_LIST_FOREACH (pos, &guard->host.sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready)
+      announce (guard, session);
+  }
+}
+
 /* Stop.  */
 
 static void
@@ -262,8 +283,7 @@
   note_self (guard, GP_TIMELINE_PROCESS_STOP);
   for (size_t i = 0; i < guard->dialer_count; i++)
     gp_dialer_stop (&guard->dialers[i]);
-  GP_LIST_FOREACH (pos, &guard->host.sessions)
-  announce (guard, GP_CONTAINER_OF (pos, gp_session_t, link));
+  announce_all (guard);
   guard->draining = has_upstream (guard) + (guard->runner != NULL);
   if (has_upstream (guard))
     gp_executor_leave (&guard->executor, on_part_drained, guard);
@@ -276,15 +296,13 @@
 static void
 on_runner_renewed (void *data)
 {
-  gp_guard_t *guard = data;
-
-  GP_LIST_FOREACH (pos, &guard->host.sessions)
-  {
-    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+  announce_all (data);
+}
 
-    if (session->ready)
-      announce (guard, session);
-  }
+static void
+on_runner_heartbeat (void *data)
+{
+  send_heartbeats (data);
 }
 
 static void
@@ -299,6 +317,10 @@
 start_parts (gp_guard_t *guard, GError **error)
 {
   const gp_settings_t *settings = guard->settings;
+  const gp_runner_callbacks_t callbacks
+      = { .on_renewed = on_runner_renewed,
+          .on_heartbeat = on_runner_heartbeat,
+          .data = guard };
 
   guard->events = g_new0 (gp_timeline_event_t, GP_GUARD_TIMELINE_SIZE);
   gp_timeline_init (&guard->timeline, settings->name, guard->incarnation,
@@ -310,13 +332,13 @@
   if (has_upstream (guard)
       && !gp_executor_init (&guard->executor, &guard->loop,
                             settings->guard->upstream, guard->incarnation,
-                            error))
+                            settings->timings.stall_ms * GP_MSEC, error))
     return false;
   if (settings->guard->worker == NULL)
     return true;
   guard->runner
       = gp_runner_new (&guard->host, settings, guard->incarnation, guard->rand,
-                       &guard->timeline, on_runner_renewed, guard, error);
+                       &guard->timeline, &callbacks, error);
   return guard->runner != NULL;
 }
 
