Collect the time lines of all processes through one entry

The command line asked entries only and one answer at a time, so events of guards were missing. It now asks each entry for its status and, through it, for the time line of each process that no entry before gave, page by page. A page has 1000 events, as 2000 of the longest do not fit a frame.

The scripted run collects four processes through one entry in stamp order, and shows that the entry refuses an invalid document that is sent by hand.

--- a/src/cli/cmd_timeline.c
+++ b/src/cli/cmd_timeline.c
@@ -1,12 +1,15 @@
 /* galenapier timeline: events of the site in their order.  */
 
 #include <stdio.h>
+#include <string.h>
 
 #include "cli/call.h"
 #include "cli/cli.h"
 #include "cli/timeline_merge.h"
 
 #define FILES_MAX 1000
+/* Events of one answer.  */
+#define PAGE_SIZE 1000
 
 typedef struct
 {
@@ -18,29 +21,184 @@
   gboolean trace;
 } timeline_options_t;
 
-/* Add the events that ENTRY has.  */
+/* One collection of events.  */
+typedef struct
+{
+  gp_cli_t *cli;
+  const timeline_options_t *options;
+  const gp_timeline_filter_t *filter;
+  gp_timeline_merge_t *merge;
+  GHashTable *asked; /* names of processes */
+} collection_t;
+
+/* The path of the page after sequence SINCE of PROCESS, NULL: of the entry
+   that is asked.  */
+static char *
+page_path (const char *process, guint64 since)
+{
+  GString *path = g_string_new ("/v1/timeline");
+
+  g_string_append_printf (path, "?since=%" G_GUINT64_FORMAT "&max=%d", since,
+                          PAGE_SIZE);
+  if (process)
+    {
+      g_string_append (path, "&process=");
+      g_string_append_uri_escaped (path, process, NULL, FALSE);
+    }
+  return g_string_free (path, FALSE);
+}
+
+/* The sequence of the last event of a page, 0 when it has none.  */
+static guint64
+last_sequence (const GString *page)
+{
+  json_t *event;
+  json_int_t sequence;
+  const char *start;
+
+  if (page->len < 2)
+    return 0;
+  start = g_strrstr_len (page->str, (gssize)page->len - 1, "\n");
+  event = json_loads (start ? start + 1 : page->str, JSON_DISABLE_EOF_CHECK,
+                      NULL);
+  sequence = json_integer_value (json_object_get (event, "sequence"));
+  json_decref (event);
+  return sequence > 0 ? (guint64)sequence : 0;
+}
+
+/* Add one page of events; *SINCE moves on, or stays at the end.  */
 static gp_cli_exit_t
-collect (gp_cli_t *cli, const char *entry, const timeline_options_t *options,
-         const gp_timeline_filter_t *filter, gp_timeline_merge_t *merge)
+collect_page (const collection_t *collection, const char *entry,
+              const char *process, guint64 *since)
 {
-  char *path = g_strdup_printf ("/v1/timeline?since=%s",
-                                options->since ? options->since : "0");
+  char *path = page_path (process, *since);
   const gp_cli_request_t request
       = { .method = "GET", .path = path, .idempotent = true };
   gp_cli_answer_t answer;
-  gp_cli_exit_t status = gp_cli_call_entry (cli, entry, &request, &answer);
+  gp_cli_exit_t status
+      = gp_cli_call_entry (collection->cli, entry, &request, &answer);
 
   g_free (path);
   if (status != GP_CLI_OK)
     return status;
   if (gp_cli_answer_ok (&answer))
-    gp_timeline_merge_add (merge, filter, answer.body->str, answer.body->len);
+    {
+      gp_timeline_merge_add (collection->merge, collection->filter,
+                             answer.body->str, answer.body->len);
+      *since = MAX (*since, last_sequence (answer.body));
+    }
   else
     status = gp_cli_refusal (&answer);
   gp_cli_answer_finish (&answer);
   return status;
 }
 
+/* Add all events of PROCESS, NULL: of ENTRY itself.  */
+static gp_cli_exit_t
+collect (const collection_t *collection, const char *entry,
+         const char *process)
+{
+  guint64 since = 0;
+  guint64 before;
+  gp_cli_exit_t status;
+
+  if (collection->options->since)
+    since = g_ascii_strtoull (collection->options->since, NULL, 10);
+  do
+    {
+      before = since;
+      status = collect_page (collection, entry, process, &since);
+    }
+  while (status == GP_CLI_OK && since > before);
+  return status;
+}
+
+static bool
+is_wanted (const collection_t *collection, const char *name)
+{
+  const char *only = collection->options->process;
+
+  return (!only || strcmp (only, name) == 0)
+         && g_hash_table_add (collection->asked, g_strdup (name));
+}
+
+/* Whether the entry can reach PROCESS.  */
+static bool
+is_reachable (json_t *process)
+{
+  const char *state = json_string_value (json_object_get (process, "state"));
+  json_t *connected = json_object_get (process, "connected");
+
+  if (state
+      && (strcmp (state, "gone") == 0 || strcmp (state, "unreachable") == 0))
+    return false;
+  return !json_is_false (connected);
+}
+
+/* Add the events of each process in LIST through ENTRY.  */
+static gp_cli_exit_t
+collect_list (const collection_t *collection, const char *entry, json_t *list)
+{
+  gp_cli_exit_t first = GP_CLI_OK;
+  json_t *process;
+  size_t i;
+
+  json_array_foreach (list, i, process)
+  {
+    const char *name = json_string_value (json_object_get (process, "name"));
+    gp_cli_exit_t status = GP_CLI_OK;
+
+    if (name && is_reachable (process) && is_wanted (collection, name))
+      status = collect (collection, entry, name);
+    if (first == GP_CLI_OK)
+      first = status;
+  }
+  return first;
+}
+
+/* The status of ENTRY, NULL when it cannot be told.  */
+static gp_cli_exit_t
+ask_status (gp_cli_t *cli, const char *entry, json_t **json)
+{
+  const gp_cli_request_t request
+      = { .method = "GET", .path = "/v1/status", .idempotent = true };
+  gp_cli_answer_t answer;
+  gp_cli_exit_t status = gp_cli_call_entry (cli, entry, &request, &answer);
+
+  *json = NULL;
+  if (status != GP_CLI_OK)
+    return status;
+  if (gp_cli_answer_ok (&answer))
+    *json = json_loadb (answer.body->str, answer.body->len, 0, NULL);
+  else
+    status = gp_cli_refusal (&answer);
+  gp_cli_answer_finish (&answer);
+  return status;
+}
+
+/* Add the events of ENTRY and of all processes that it reaches and that no
+   entry before gave.  */
+static gp_cli_exit_t
+collect_entry (const collection_t *collection, const char *entry)
+{
+  json_t *json;
+  gp_cli_exit_t status = ask_status (collection->cli, entry, &json);
+  const char *name;
+  gp_cli_exit_t first = GP_CLI_OK;
+
+  if (status != GP_CLI_OK)
+    return status;
+  name = json_string_value (json_object_get (json, "entry"));
+  if (!name || is_wanted (collection, name))
+    first = collect (collection, entry, NULL);
+  status = collect_list (collection, entry, json_object_get (json, "entries"));
+  if (first == GP_CLI_OK)
+    first = status;
+  status = collect_list (collection, entry, json_object_get (json, "guards"));
+  json_decref (json);
+  return first == GP_CLI_OK ? status : first;
+}
+
 /* Add what was saved in a file with --json.  */
 static gp_cli_exit_t
 read_saved (const char *path, const gp_timeline_filter_t *filter,
@@ -94,8 +252,8 @@
     gp_cli_error ("%zu lines are not events", merge->malformed);
 }
 
-/* Ask all entries and read all files; what fails is told, the rest is
-   printed, and the first failure is the exit status.  */
+/* Ask all entries, through them all processes, and read all files; what fails
+   is told, the rest is printed, and the first failure is the exit status.  */
 static gp_cli_exit_t
 merge_all (gp_cli_t *cli, const timeline_options_t *options, int argc,
            char **argv)
@@ -106,6 +264,13 @@
                                         .request = options->request };
   gp_timeline_merge_t merge;
   gp_cli_exit_t first = GP_CLI_OK;
+  const collection_t collection
+      = { .cli = cli,
+          .options = options,
+          .filter = &filter,
+          .merge = &merge,
+          .asked
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL) };
 
   gp_timeline_merge_init (&merge);
   for (int i = 1; i < argc; i++)
@@ -117,7 +282,7 @@
     }
   for (char **entry = cli->entries; entry && *entry; entry++)
     {
-      gp_cli_exit_t status = collect (cli, *entry, options, &filter, &merge);
+      gp_cli_exit_t status = collect_entry (&collection, *entry);
 
       if (first == GP_CLI_OK)
         first = status;
@@ -125,6 +290,7 @@
   gp_timeline_merge_sort (&merge);
   print_merge (cli, options, &merge);
   gp_timeline_merge_finish (&merge);
+  g_hash_table_unref (collection.asked);
   return first;
 }
 
@@ -143,7 +309,7 @@
     }
   if (!cli->entries && argc == 1)
     {
-      gp_cli_error ("give --entry IP:PORT, all entries of the site, or files");
+      gp_cli_error ("give --entry IP:PORT, or files");
       return GP_CLI_USAGE;
     }
   return merge_all (cli, options, argc, argv);
--- a/src/daemon/view.h
+++ b/src/daemon/view.h
@@ -13,7 +13,7 @@
 #include "transport/http.h"
 
 /* Events of one answer, so that it fits a frame.  */
-#define GP_VIEW_EVENTS_MAX 2000
+#define GP_VIEW_EVENTS_MAX 1000
 
 /* Questions of this entry that are open.  */
 typedef struct
--- a/tests/scripts/operators.py
+++ b/tests/scripts/operators.py
@@ -3,6 +3,7 @@
 
 import json
 import os
+import subprocess
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tools"))
@@ -74,6 +75,22 @@
         print(path, status, json.loads(body)["message"])
 
 
+def show_command(build, site, operator):
+    """The command line collects every process through one entry."""
+    token = os.path.join(site.folder, "token")
+    with open(token, "w", encoding="utf-8") as file:
+        file.write(TOKEN)
+    for more in ((), ("--process", "guard-2"), ("--kind", "member")):
+        result = subprocess.run(
+            [f"{build}/galenapier", "timeline", "--json", "--entry",
+             operator.address, "--token-file", token, *more],
+            capture_output=True, text=True, check=False)
+        events = [json.loads(line) for line in result.stdout.splitlines()]
+        print("timeline", *more, result.returncode, result.stderr,
+              sorted({e["process"] for e in events}),
+              sorted(events, key=stamp) == events)
+
+
 def show_counters(operator):
     for process, name in (("", "entry_targets_routed 2"),
                           ("?process=guard-2", "guard_entries_connected 2"),
@@ -97,6 +114,31 @@
         print("body", repr(body), operator.ask("POST", "/v1/check", body)[0])
 
 
+def publish(operator, base, document, headers=None):
+    body = json.dumps({"base": base, "author": "ana", "document": document})
+    status, _, answer = operator.ask("POST", "/v1/config", body, headers)
+    answer = json.loads(answer)
+    print("publish on", base, status, answer.get("revision"),
+          answer.get("message"))
+
+
+def show_publish(operator):
+    """What is not valid is refused by the entry, however it is sent."""
+    until(lambda: operator.json("/v1/status")["log"]["state"] == "up",
+          what="log up")
+    good = "version: 1\nsite: test\n"
+    publish(operator, 0, good + "teams: [{nam: t}]\n")
+    publish(operator, 0, good, WRONG)
+    print("revision:", operator.json("/v1/config")["revision"])
+    publish(operator, 0, good)
+    publish(operator, 0, good + "teams: [{name: t}]\n")
+    until(lambda: all(p["config_revision"] == 1
+                      for key in ("entries", "guards")
+                      for p in operator.json("/v1/status")[key]),
+          what="revision 1 everywhere")
+    print("in force everywhere")
+
+
 def show_console(operator):
     wanted = ("content-type", "content-security-policy",
               "x-content-type-options", "referrer-policy", "cache-control")
@@ -142,7 +184,7 @@
 
 
 def main(build):
-    with Site(build, entries=2, guards=2, timings={"leave_ms": 500}) as site:
+    with Site(build, entries=2, guards=2, timings={"leave_ms": 500, "heartbeat_ms": 200}) as site:
         site.await_targets(2)
         operator = Operator(site, "entry-1")
         until(lambda: all(e["state"] == "serving"
@@ -150,8 +192,10 @@
               what="entries serving")
         show_status(operator)
         show_timelines(operator)
+        show_command(build, site, operator)
         show_counters(operator)
         show_check(operator)
+        show_publish(operator)
         show_console(operator)
         show_refusals(operator)
         show_limit(operator)
