Free the targets of known members when an entry ends

An entry that ended by signal with guards still known leaked their targets, 400 bytes for two, so it exits with 1 under LeakSanitizer: request_path failed so. gp_routes_finish frees them. request_path under SANITIZE=1 passes.

--- a/src/daemon/routes.c
+++ b/src/daemon/routes.c
@@ -357,10 +357,23 @@
   gp_timer_arm (&routes->timer, gp_loop_now (loop) + TICK);
 }
 
+/* The targets of members that are still known.  */
+static void
+free_targets (gp_routes_t *routes)
+{
+  GHashTableIter iter;
+  gpointer member;
+
+  g_hash_table_iter_init (&iter, routes->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &member))
+    g_free (((gp_member_t *)member)->data);
+}
+
 void
 gp_routes_finish (gp_routes_t *routes)
 {
   gp_timer_finish (&routes->timer);
+  free_targets (routes);
   g_hash_table_unref (routes->services);
   gp_members_finish (&routes->members);
 }
