--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 #   make check           unit tests and scripted runs (SANITIZE=1: ASan+UBSan)
 #   make lint            formatter and linter, no changes
 #   make bench           benchmarks, printed as text
-#   make soak            fuzz targets (FUZZ_SECONDS=30 each; needs clang)
+#   make soak            fuzz targets (FUZZ_SECONDS=30 each; needs clang) and
+#                        all scenarios of load and faults
 #   make demo            a small site of real processes on loopback
 #   make install         PREFIX=/usr/local DESTDIR=
 #
@@ -47,8 +48,11 @@
 TESTS := $(TEST_SRC:tests/unit/%.c=$(BUILD)/tests/%)
 TEST_SUPPORT_SRC := $(filter-out $(TEST_SRC),$(wildcard tests/unit/*.c))
 TEST_SUPPORT_OBJ := $(TEST_SUPPORT_SRC:%.c=$(BUILD)/%.o)
+TEST_SUPPORT := $(BUILD)/libtestsupport.a
 BENCH_SRC := $(wildcard bench/bench_*.c)
 BENCHES := $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
+DRIVER_SRC := $(wildcard bench/driver_*.c)
+DRIVERS := $(DRIVER_SRC:bench/%.c=$(BUILD)/bench/%)
 FUZZ_SRC := $(wildcard tests/fuzz/fuzz_*.c)
 FUZZERS := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
 FUZZ_LIB_SRC := $(wildcard src/base/*.c src/state/document*.c) \
@@ -64,7 +68,7 @@
 	proto deps clean soak
 .SECONDARY:
 
-all: $(LIB) $(PROGRAMS) $(STANDINS)
+all: $(LIB) $(PROGRAMS) $(STANDINS) $(DRIVERS)
 
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
@@ -89,7 +93,12 @@
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/unit/%.o $(TEST_SUPPORT_OBJ) $(LIB)
+# An archive, so that a test links only the support that it calls.
+$(TEST_SUPPORT): $(TEST_SUPPORT_OBJ)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/tests/%: $(BUILD)/tests/unit/%.o $(TEST_SUPPORT) $(LIB)
 	@mkdir -p $(@D)
 	@$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS) -lcunit
 
@@ -126,9 +135,11 @@
 		-fsanitize=fuzzer,address,undefined \
 		-fno-sanitize-recover=undefined -o $@ $^ $(PKG_LIBS)
 
-# Longer runs of what check does in short: fuzzing, bounded in time.
-soak: $(FUZZERS)
+# Longer runs of what check does in short: fuzzing, bounded in time, and the
+# scenarios of load and faults.
+soak: all $(FUZZERS)
 	@tools/run-fuzz $(FUZZ_SECONDS) $(FUZZERS)
+	@tools/run-scenarios $(BUILD)
 
 # Regenerate the committed protobuf-c code; needs protobuf-c-compiler.
 proto:
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -71,6 +71,8 @@
     send_state (entry, session);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("peer", session->process),
           GP_LOG_I ("incarnation", session->incarnation));
+  if (session->role == GP__WIRE__ROLE__ROLE_ENTRY)
+    gp_news_on_ready (&entry->news, session);
   gp_configuration_on_ready (entry->configuration, session);
 }
 
@@ -89,6 +91,7 @@
 {
   gp_entry_t *entry = data;
 
+  gp_news_on_message (&entry->news, session, envelope);
   switch (envelope->message_case)
     {
     case GP__WIRE__ENVELOPE__MESSAGE_ANNOUNCE:
@@ -119,6 +122,9 @@
     case GP__WIRE__ENVELOPE__MESSAGE_VIEW:
       gp_views_on_view (&entry->views, session, envelope->view);
       break;
+    case GP__WIRE__ENVELOPE__MESSAGE_MEMBERS:
+      gp_routes_settle (&entry->routes);
+      break;
     default:
       break;
     }
@@ -149,8 +155,9 @@
   gp_processes_closed (&entry->processes, session, gp_time_wall ());
   note_peer (entry, GP_TIMELINE_PEER_DOWN, session);
   gp_views_on_closed (&entry->views, session);
+  gp_news_on_closed (&entry->news, session);
   if (session->object != NULL)
-    gp_relays_on_closed (&entry->relays, session->object);
+    gp_relays_on_closed (&entry->relays, session);
   gp_tasks_on_closed (entry->tasks, session);
   gp_configuration_on_closed (entry->configuration, session);
   if (session->role == GP__WIRE__ROLE__ROLE_GUARD)
@@ -322,6 +329,8 @@
   gp_entry_t *entry = data;
 
   note_member (entry, member);
+  gp_downlinks_on_member (&entry->downlinks, member);
+  gp_news_schedule (&entry->news);
   gp_tasks_on_member (entry->tasks, member);
 }
 
@@ -359,6 +368,8 @@
                                entry->rand, &entry->timeline, error);
   if (entry->store == NULL)
     return false;
+  entry->keys = gp_keys_new (&entry->host, entry->store, &entry->timeline);
+  entry->relays.keys = entry->keys;
   entry->tasks
       = gp_tasks_new (&entry->host, entry->store, settings, entry->incarnation,
                       entry->rand, &entry->timeline);
@@ -391,7 +402,10 @@
   entry->rand = g_rand_new ();
   gp_session_host_init (&entry->host, &entry->loop, entry->tls, &self,
                         &session_callbacks, entry);
-  gp_routes_init (&entry->routes, &entry->loop, settings->zone, &members);
+  gp_routes_init (&entry->routes, &entry->host, settings->zone, &members);
+  gp_news_init (&entry->news, &entry->host, &entry->routes.members);
+  gp_downlinks_init (&entry->downlinks, &entry->host, &entry->routes.members,
+                     settings, entry->rand);
   gp_relays_init (&entry->relays, &entry->loop, &entry->routes, entry->rand,
                   settings->entry->max_requests,
                   settings->timings.stall_ms * GP_MSEC);
@@ -420,20 +434,26 @@
 gp_entry_finish (gp_entry_t *entry)
 {
   gp_timer_finish (&entry->stop_timer);
+  for (size_t i = 0; i < entry->dialer_count; i++)
+    gp_dialer_stop (&entry->dialers[i]);
+  gp_session_host_finish (&entry->host);
   for (size_t i = 0; i < entry->dialer_count; i++)
     gp_dialer_finish (&entry->dialers[i]);
-  g_free (entry->dialers);
   gp_configuration_free (entry->configuration);
   gp_tasks_free (entry->tasks);
+  gp_keys_free (entry->keys);
   gp_store_free (entry->store);
   gp_relays_finish (&entry->relays);
+  gp_news_finish (&entry->news);
+  gp_downlinks_close (&entry->downlinks);
   gp_routes_finish (&entry->routes);
   gp_views_finish (&entry->views);
   gp_processes_finish (&entry->processes);
   gp_operators_finish (&entry->operators_state);
-  gp_session_host_finish (&entry->host);
   g_free (entry->events);
   gp_loop_finish (&entry->loop);
+  g_free (entry->dialers);
+  gp_downlinks_finish (&entry->downlinks);
   if (entry->tls != NULL)
     gp_tls_free (entry->tls);
   g_rand_free (entry->rand);
--- a/src/daemon/relay_answer.c
+++ b/src/daemon/relay_answer.c
@@ -143,7 +143,9 @@
 gp_relay_fail (gp_relay_t *relay, Gp__Wire__Verdict verdict,
                Gp__Wire__Reason reason, gp_time_t retry_after)
 {
-  gp_relay_refuse (relay->exchange, verdict, reason, retry_after);
+  if (relay->exchange != NULL)
+    gp_relay_refuse (relay->exchange, verdict, reason, retry_after);
+  gp_relay_end_key (relay, verdict);
   gp_relay_free (relay);
 }
 
@@ -164,8 +166,9 @@
   size_t count = answer_headers (answer, headers);
 
   gp_counter_add (&answers_ran, 1);
-  gp_http_exchange_answer (relay->exchange, (int)answer->status, headers,
-                           count, answer->data.data, answer->data.len);
+  if (relay->exchange != NULL)
+    gp_http_exchange_answer (relay->exchange, (int)answer->status, headers,
+                             count, answer->data.data, answer->data.len);
   gp_relay_free (relay);
 }
 
@@ -219,6 +222,12 @@
   gp_http_header_t headers[GP_HEADERS_MAX + EXTRA_HEADERS];
   size_t count = answer_headers (answer, headers);
 
+  if (relay->exchange == NULL)
+    {
+      gp_relay_send_cancel (relay); /* that it ran is all that is wanted */
+      gp_relay_free (relay);
+      return;
+    }
   relay->streaming = true;
   note_progress (relay);
   gp_http_exchange_start (relay->exchange, (int)answer->status, headers, count,
@@ -234,6 +243,7 @@
 {
   gp_counter_add (&answers_cut, 1);
   gp_http_exchange_abort (relay->exchange);
+  gp_relay_end_key (relay, GP__WIRE__VERDICT__VERDICT_UNKNOWN);
   gp_relay_free (relay);
 }
 
--- /dev/null
+++ b/tests/scripts/tasks.py
@@ -0,0 +1,97 @@
+"""Tasks through real processes: their life, drains, restarted guards and lost
+records."""
+
+import signal
+import sys
+
+from tasks_site import (WATCHERS, await_epoch, await_state, await_watchers,
+                        breaches, epochs, job, judge, long_jobs, on, publish,
+                        ready, running_watchers, site_of, submit, went_on,
+                        workers)
+
+from site_processes import until
+
+
+def plain(build):
+    print("submit, run, read the result")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        await_watchers(site, WATCHERS)
+        name = submit(site, run_ms=100)[0]
+        print("  state:", await_state(site, name, "succeeded")["state"])
+        await_state(site, name, "succeeded", "entry-2")
+        print("  has a result:", "result" in job(site, name, "entry-2"))
+        name = submit(site, run_ms=60000)[0]
+        await_state(site, name, "running")
+        status = site.operate("entry-2", "DELETE", "/v1/jobs/" + name)[0]
+        await_state(site, name, "cancelled")
+        print("  cancelled:", status)
+        publish(site, 1, 2)
+        await_watchers(site, 2)
+        publish(site, 2, 6)
+        await_watchers(site, 6)
+        print("  watchers:", len(running_watchers(site)))
+        judge(site)
+        print("  breaches:", breaches(site))
+
+
+def drained(build):
+    print("a worker is drained")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 4)
+        await_watchers(site, WATCHERS)
+        victim = job(site, names[0])["worker"]
+        moved = on(site, names, victim)
+        site.processes[victim].signal(signal.SIGTERM)
+        print("  exit:", site.processes[victim].wait())
+        await_epoch(site, moved, 2)
+        await_watchers(site, WATCHERS)
+        print("  from their checkpoints:", went_on(site, moved))
+        judge(site)
+
+
+def restarted_guard(build):
+    print("a guard's process dies beside its runtime")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 4)
+        await_watchers(site, WATCHERS)
+        before = epochs(site)
+        for guard in site.guard_names:
+            site.processes[guard].kill()
+            site.start_guard(guard, alone=True)
+            until(lambda g=guard: any(
+                w["worker"] == g and w["state"] == "serving"
+                for w in workers(site)), what=f"{guard} serving")
+        await_epoch(site, names, 1)
+        await_watchers(site, WATCHERS)
+        print("  same epochs:", epochs(site) == before
+              and all(job(site, n)["epoch"] == 1 for n in names))
+        judge(site)
+
+
+def lost_acknowledgements(build):
+    print("acknowledgements and appends are lost")
+    with site_of(build, entries=2, guards=2) as site:
+        ready(site)
+        names = []
+        for fault in ("lost_ack", "drop_append") * 3:
+            site.fault("log", {fault: 2})
+            names += submit(site, count=3, run_ms=50)
+            site.fault("log", {fault: 1})
+        for name in names:
+            await_state(site, name, "succeeded")
+        print("  succeeded:", len(names))
+        judge(site)
+
+
+
+def main(build):
+    plain(build)
+    drained(build)
+    restarted_guard(build)
+    lost_acknowledgements(build)
+
+
+main(sys.argv[1])
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -6,6 +6,7 @@
 its name, and is ended by its id when the Site is closed, whatever happens.
 """
 
+import contextlib
 import http.client
 import json
 import os
@@ -20,6 +21,7 @@
 TOKEN = "operator-token-of-a-test-site"
 REQUEST_TIMEOUT_S = 20
 START_TIMEOUT_S = 20
+SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 WORKER_SIZE = {"millicores": 16000, "memory_mib": 61440, "accelerators": 0}
 
 
@@ -61,6 +63,25 @@
         client.close()
 
 
+@contextlib.contextmanager
+def deferred_signals():
+    """Signals that come inside are handled after it, so that no process is
+    started without being known.  Only the main thread handles any."""
+    if threading.current_thread() is not threading.main_thread():
+        yield
+        return
+    came = []
+    before = {number: signal.signal(number, lambda n, _: came.append(n))
+              for number in SIGNALS}
+    try:
+        yield
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+        for number in came:
+            signal.raise_signal(number)
+
+
 class Process:
     """One started program with its output in files."""
 
@@ -111,7 +132,8 @@
                  upstream=True, worker=False, upstream_options=(),
                  worker_options=(), timings=None, max_body_kib=1024,
                  with_log=True, tls=False, region="r", guards_per_rack=0,
-                 reserve=None, worker_size=None, folder=None):
+                 reserve=None, worker_size=None, folder=None,
+                 start=True):
         self.build = os.path.abspath(build)
         self.folder = folder or tempfile.mkdtemp(prefix="galenapier-")
         self.name = name
@@ -134,11 +156,17 @@
         self.entry_names = [f"entry-{i + 1}" for i in range(entries)]
         self.guard_names = [f"guard-{i + 1}" for i in range(guards)]
         self.tls = tls
+        self.with_log = with_log
+        self._allocate()
+        if start:
+            self.start()
+
+    def start(self):
+        """Start all processes; none is left if that fails."""
         try:
-            if tls:
+            if self.tls:
                 self._make_certificates()
-            self._allocate()
-            if with_log:
+            if self.with_log:
                 self.start_log()
             for entry in self.entry_names:
                 self.start_entry(entry)
@@ -211,7 +239,7 @@
         return path
 
     def _start(self, name, *arguments):
-        with self.lock:
+        with deferred_signals(), self.lock:
             if self.closing:
                 raise RuntimeError("the site is being closed")
             if name in self.processes:
@@ -311,9 +339,10 @@
         return request(self.addresses[f"{entry}.callers"], method, path,
                        body, headers)
 
-    def operate(self, entry, method, path, body=None):
+    def operate(self, entry, method, path, body=None, headers=None):
         return request(self.addresses[f"{entry}.operators"], method, path,
-                       body, {"Authorization": "Bearer " + TOKEN})
+                       body, {"Authorization": "Bearer " + TOKEN,
+                              **(headers or {})})
 
     def fault(self, name, faults):
         """Set faults of a stand-in: "log", "GUARD.upstream" or
