--- a/src/daemon/operators_config.c
+++ b/src/daemon/operators_config.c
@@ -1,9 +1,8 @@
 /* HTTP to operators about the configuration.  */
 
-#include "daemon/operators_config.h"
-
 #include <string.h>
 
+#include "daemon/entry.h"
 #include "daemon/text.h"
 
 #define PUBLISH_TIMEOUT (10 * GP_SEC)
@@ -15,40 +14,6 @@
   gp_http_exchange_t *exchange; /* NULL once the operator left */
 } waiting_t;
 
-static void
-answer_json (gp_http_exchange_t *exchange, int status, json_t *body)
-{
-  gp_http_header_t type = { "content-type", strlen ("content-type"),
-                            "application/json", strlen ("application/json") };
-  char *text = json_dumps (body, JSON_COMPACT);
-
-  gp_http_exchange_answer (exchange, status, &type, 1, text, strlen (text));
-  free (text);
-  json_decref (body);
-}
-
-static void
-answer_message (gp_http_exchange_t *exchange, int status, const char *message)
-{
-  answer_json (exchange, status, json_pack ("{s:s}", "message", message));
-}
-
-/* The body as a JSON object, or NULL after an answer.  */
-static json_t *
-read_body (gp_http_exchange_t *exchange)
-{
-  gp_http_text_t text = gp_http_exchange_body (exchange);
-  json_t *body = NULL;
-
-  if (text.size > 0)
-    body = json_loadb (text.base, text.size, 0, NULL);
-  if (json_is_object (body))
-    return body;
-  json_decref (body);
-  answer_message (exchange, 400, "the body is no JSON object");
-  return NULL;
-}
-
 /* Reading.  */
 
 static const gp_config_t *
@@ -109,9 +74,10 @@
   return json;
 }
 
-void
-gp_operators_get_config (gp_entry_t *entry, gp_http_exchange_t *exchange)
+static void
+get_config (const gp_operators_request_t *request)
 {
+  gp_entry_t *entry = request->entry;
   const gp_config_t *held = gp_configuration_items (entry->configuration);
   const gp_config_t *fold = fold_config (entry);
   const gp_config_change_t *newest = gp_config_newest (fold);
@@ -129,41 +95,19 @@
       json_object_set_new (body, "changed_us",
                            json_integer (newest->changed_us));
     }
-  answer_json (exchange, 200, body);
+  gp_operators_answer (request->exchange, 200, body);
 }
 
-void
-gp_operators_get_history (gp_entry_t *entry, gp_http_exchange_t *exchange)
+static void
+get_history (const gp_operators_request_t *request)
 {
-  const gp_config_t *config = fold_config (entry);
+  const gp_config_t *config = fold_config (request->entry);
   json_t *list = json_array ();
 
   for (GList *at = config->history.tail; at != NULL; at = at->prev)
     json_array_append_new (list, change_json (at->data));
-  answer_json (exchange, 200, json_pack ("{s:o}", "revisions", list));
-}
-
-void
-gp_operators_check (gp_entry_t *entry, gp_http_exchange_t *exchange)
-{
-  json_t *body = read_body (exchange);
-  const char *text;
-  size_t size;
-  bool ok;
-  g_autoptr (GPtrArray) issues = gp_issues_new ();
-
-  if (body == NULL)
-    return;
-  if (json_unpack (body, "{s:s%}", "document", &text, &size) == 0)
-    {
-      ok = gp_document_check (text, size, issues);
-      answer_json (exchange, 200,
-                   json_pack ("{s:b, s:o}", "ok", ok, "issues",
-                              gp_issues_json (issues)));
-    }
-  else
-    answer_message (exchange, 400, "there is no document");
-  json_decref (body);
+  gp_operators_answer (request->exchange, 200,
+                       json_pack ("{s:o}", "revisions", list));
 }
 
 /* Publishing.  */
@@ -184,10 +128,10 @@
       "revision %" G_GUINT64_FORMAT " of %s came first", answer->revision,
       answer->author[0] != '\0' ? answer->author : "nobody");
 
-  answer_json (exchange, 409,
-               json_pack ("{s:I, s:s, s:s}", "revision",
-                          (json_int_t)answer->revision, "author",
-                          answer->author, "message", message));
+  gp_operators_answer (exchange, 409,
+                       json_pack ("{s:I, s:s, s:s}", "revision",
+                                  (json_int_t)answer->revision, "author",
+                                  answer->author, "message", message));
 }
 
 static void
@@ -202,27 +146,27 @@
   switch (answer->result)
     {
     case GP_PUBLISH_ACCEPTED:
-      answer_json (exchange, 201,
-                   json_pack ("{s:I, s:o}", "revision",
-                              (json_int_t)answer->revision, "issues",
-                              gp_issues_json (answer->issues)));
+      gp_operators_answer (exchange, 201,
+                           json_pack ("{s:I, s:o}", "revision",
+                                      (json_int_t)answer->revision, "issues",
+                                      gp_issues_json (answer->issues)));
       break;
     case GP_PUBLISH_INVALID:
-      answer_json (exchange, 422,
-                   json_pack ("{s:s, s:o}", "message",
-                              "the document is not valid", "issues",
-                              gp_issues_json (answer->issues)));
+      gp_operators_answer (exchange, 422,
+                           json_pack ("{s:s, s:o}", "message",
+                                      "the document is not valid", "issues",
+                                      gp_issues_json (answer->issues)));
       break;
     case GP_PUBLISH_CONFLICT:
       answer_conflict (exchange, answer);
       break;
     case GP_PUBLISH_UNAVAILABLE:
-      answer_message (exchange, 503,
-                      "the log takes nothing now; nothing was published");
+      gp_operators_fail (exchange, 503,
+                         "the log takes nothing now; nothing was published");
       break;
     case GP_PUBLISH_UNKNOWN:
-      answer_message (exchange, 504,
-                      "the document may yet be accepted; read it again");
+      gp_operators_fail (exchange, 504,
+                         "the document may yet be accepted; read it again");
       break;
     }
 }
@@ -239,10 +183,12 @@
          + CLAMP (timeout, GP_MSEC, PUBLISH_TIMEOUT_MAX);
 }
 
-void
-gp_operators_publish (gp_entry_t *entry, gp_http_exchange_t *exchange)
+static void
+publish (const gp_operators_request_t *request)
 {
-  json_t *body = read_body (exchange);
+  gp_entry_t *entry = request->entry;
+  gp_http_exchange_t *exchange = request->exchange;
+  json_t *body = gp_operators_body (request);
   const char *text;
   const char *author = "";
   const char *comment = "";
@@ -265,33 +211,13 @@
           publish_deadline (entry, exchange), on_published, waiting);
     }
   else
-    answer_message (exchange, 400, "base and document are required");
+    gp_operators_fail (exchange, 400, "base and document are required");
   json_decref (body);
 }
 
-/* Routes.  */
-
-static void
-get_config (const gp_operators_request_t *request)
-{
-  gp_operators_get_config (request->entry, request->exchange);
-}
-
-static void
-get_history (const gp_operators_request_t *request)
-{
-  gp_operators_get_history (request->entry, request->exchange);
-}
-
-static void
-publish_config (const gp_operators_request_t *request)
-{
-  gp_operators_publish (request->entry, request->exchange);
-}
-
 const gp_operators_route_t gp_operators_config_routes[] = {
   { "GET", "/v1/config", GP_OPERATORS_EXACT, get_config },
   { "GET", "/v1/config/history", GP_OPERATORS_EXACT, get_history },
-  { "POST", "/v1/config", GP_OPERATORS_EXACT, publish_config },
+  { "POST", "/v1/config", GP_OPERATORS_EXACT, publish },
   { NULL, NULL, GP_OPERATORS_EXACT, NULL },
 };
