--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -10,10 +10,58 @@
 #include "daemon/text.h"
 
 #define CLOSE_GRACE (200 * GP_MSEC)
+
+/* Guards look for a lost entry at least every two seconds.  */
+#define OPENING_TIME (2500 * GP_MSEC)
+#define OPENING_PAUSE (100 * GP_MSEC)
 #define READY_PATH "/-/ready"
 
+/* Add an event about this process to the time line.  */
+static void
+note_self (gp_entry_t *entry, gp_timeline_kind_t kind)
+{
+  const gp_timeline_subject_t subject = { .vm = entry->settings->name };
+
+  gp_timeline_append (&entry->timeline, kind, &subject, NULL, gp_time_wall ());
+}
+
 /* Sessions.  */
 
+/* Add an event about the process of SESSION to the time line.  */
+static void
+note_peer (gp_entry_t *entry, gp_timeline_kind_t kind,
+           const gp_session_t *session)
+{
+  const gp_timeline_subject_t subject = { .vm = session->process };
+
+  gp_timeline_append (&entry->timeline, kind, &subject, NULL, gp_time_wall ());
+}
+
+static void
+send_state (gp_entry_t *entry, gp_session_t *session)
+{
+  Gp__Wire__EntryState state = GP__WIRE__ENTRY_STATE__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (ENTRY_STATE, entry_state, &state);
+
+  state.state = entry->leaving ? GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING
+                               : GP__WIRE__MEMBER_STATE__MEMBER_STATE_SERVING;
+  state.config_revision = gp_configuration_revision (entry->configuration);
+  gp_session_send (session, &envelope);
+}
+
+/* Tell the other entries what changed here.  */
+static void
+tell_state (gp_entry_t *entry)
+{
+  GP_LIST_FOREACH (pos, &entry->host.sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready && session->role == GP__WIRE__ROLE__ROLE_ENTRY)
+      send_state (entry, session);
+  }
+}
+
 static void
 on_ready (gp_session_t *session, void *data)
 {
@@ -21,8 +69,14 @@
 
   if (session->owner != NULL)
     gp_dialer_on_ready (session->owner);
+  gp_processes_opened (&entry->processes, session, gp_time_wall ());
+  note_peer (entry, GP_TIMELINE_PEER_UP, session);
+  if (session->role == GP__WIRE__ROLE__ROLE_ENTRY)
+    send_state (entry, session);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("peer", session->process),
           GP_LOG_I ("incarnation", session->incarnation));
+  if (session->role == GP__WIRE__ROLE__ROLE_ENTRY)
+    gp_news_on_ready (&entry->news, session);
   gp_configuration_on_ready (entry->configuration, session);
 }
 
@@ -41,12 +95,16 @@
 {
   gp_entry_t *entry = data;
 
+  gp_news_on_message (&entry->news, session, envelope);
   switch (envelope->message_case)
     {
     case GP__WIRE__ENVELOPE__MESSAGE_ANNOUNCE:
       on_announce (entry, session, envelope->announce);
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT:
+      gp_processes_revision (&entry->processes, session,
+                             envelope->heartbeat->config_revision,
+                             gp_time_wall ());
       gp_routes_heartbeat (&entry->routes, session, envelope->heartbeat);
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_ANSWER:
@@ -58,6 +116,19 @@
     case GP__WIRE__ENVELOPE__MESSAGE_BROKEN:
       gp_relays_on_broken (&entry->relays, session, envelope->broken);
       break;
+    case GP__WIRE__ENVELOPE__MESSAGE_ENTRY_STATE:
+      gp_processes_entry_state (&entry->processes, session,
+                                envelope->entry_state, gp_time_wall ());
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_VIEW_ASK:
+      gp_view_serve (session, &entry->timeline, envelope->view_ask);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_VIEW:
+      gp_views_on_view (&entry->views, session, envelope->view);
+      break;
+    case GP__WIRE__ENVELOPE__MESSAGE_MEMBERS:
+      gp_routes_settle (&entry->routes);
+      break;
     default:
       break;
     }
@@ -85,8 +156,12 @@
     return;
   gp_log (GP_LOG_INFO, "session.closed", GP_LOG_S ("peer", session->process),
           GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
+  gp_processes_closed (&entry->processes, session, gp_time_wall ());
+  note_peer (entry, GP_TIMELINE_PEER_DOWN, session);
+  gp_views_on_closed (&entry->views, session);
+  gp_news_on_closed (&entry->news, session);
   if (session->object != NULL)
-    gp_relays_on_closed (&entry->relays, session->object);
+    gp_relays_on_closed (&entry->relays, session);
   gp_tasks_on_closed (entry->tasks, session);
   gp_configuration_on_closed (entry->configuration, session);
   if (session->role == GP__WIRE__ROLE__ROLE_GUARD)
@@ -153,7 +228,10 @@
   gp_entry_t *entry = data;
 
   (void)timer;
-  gp_http_server_shutdown (entry->callers, on_callers_done, entry);
+  if (entry->callers != NULL)
+    gp_http_server_shutdown (entry->callers, on_callers_done, entry);
+  else
+    on_callers_done (entry);
 }
 
 static void
@@ -165,31 +243,79 @@
     return;
   entry->leaving = true;
   gp_log (GP_LOG_INFO, "entry.leaving");
+  note_self (entry, GP_TIMELINE_PROCESS_STOP);
+  tell_state (entry);
   gp_timer_arm (&entry->stop_timer,
                 gp_loop_now (&entry->loop)
                     + entry->settings->timings.leave_ms * GP_MSEC);
 }
 
-static bool
-listen_http (gp_entry_t *entry, GError **error)
+static gp_http_server_options_t
+caller_options (const gp_entry_t *entry)
 {
   const gp_settings_entry_t *settings = entry->settings->entry;
-  gp_http_server_options_t callers
-      = { .address = settings->callers,
-          .max_body_size = settings->max_body_kib * 1024UL,
-          .header_timeout = entry->settings->timings.header_ms * GP_MSEC,
-          .on_request = on_caller,
-          .data = entry };
-  gp_http_server_options_t operators = callers;
-
-  operators.address = settings->operators;
-  operators.on_request = gp_operators_on_request;
-  entry->callers = gp_http_server_new (&entry->loop, &callers, error);
+
+  return (gp_http_server_options_t){
+    .address = settings->callers,
+    .max_body_size = settings->max_body_kib * 1024UL,
+    .header_timeout = entry->settings->timings.header_ms * GP_MSEC,
+    .on_request = on_caller,
+    .data = (void *)entry
+  };
+}
+
+/* Listen for callers, once: when upstreams were found and no more for a
+   moment, or when every guard has had the time to find this entry.  An entry
+   that took requests before would refuse what others can serve.  */
+static void
+open_to_callers (gp_entry_t *entry)
+{
+  gp_http_server_options_t options = caller_options (entry);
+  GError *error = NULL;
+
+  gp_timer_disarm (&entry->opening_timer);
+  if (entry->callers != NULL || entry->leaving)
+    return;
+  entry->callers = gp_http_server_new (&entry->loop, &options, &error);
+  if (entry->callers != NULL)
+    {
+      gp_log (GP_LOG_INFO, "entry.open");
+      return;
+    }
+  gp_log (GP_LOG_ERROR, "entry.not-open", GP_LOG_S ("reason", error->message));
+  g_error_free (error);
+  entry->failed = true;
+  gp_loop_stop (&entry->loop);
+}
+
+static void
+on_route (void *data)
+{
+  gp_entry_t *entry = data;
+
   if (entry->callers == NULL)
-    return false;
-  if (settings->operators == NULL)
+    gp_timer_arm (
+        &entry->opening_timer,
+        MIN (gp_loop_now (&entry->loop) + OPENING_PAUSE, entry->open_at));
+}
+
+static void
+on_opening (gp_timer_t *timer, void *data)
+{
+  (void)timer;
+  open_to_callers (data);
+}
+
+static bool
+listen_operators (gp_entry_t *entry, GError **error)
+{
+  gp_http_server_options_t options = caller_options (entry);
+
+  if (entry->settings->entry->operators == NULL)
     return true;
-  entry->operators = gp_http_server_new (&entry->loop, &operators, error);
+  options.address = entry->settings->entry->operators;
+  options.on_request = gp_operators_on_request;
+  entry->operators = gp_http_server_new (&entry->loop, &options, error);
   return entry->operators != NULL;
 }
 
@@ -211,15 +337,53 @@
 
   gp_log (GP_LOG_INFO, "configuration.in-force",
           GP_LOG_I ("revision", revision));
-  entry->relays.document = document;
+  entry->config_since_us = gp_time_wall ();
+  tell_state (entry);
+  gp_relays_set_document (&entry->relays, document);
   gp_tasks_set_document (entry->tasks, document);
 }
 
+/* Whether the state of a member is an event of its own.  */
+static bool
+is_event (gp_member_state_t state, gp_timeline_kind_t *kind)
+{
+  switch (state)
+    {
+    case GP_MEMBER_SERVING:
+      *kind = GP_TIMELINE_MEMBER_SERVING;
+      return true;
+    case GP_MEMBER_LEAVING:
+      *kind = GP_TIMELINE_MEMBER_LEAVING;
+      return true;
+    case GP_MEMBER_GONE:
+      *kind = GP_TIMELINE_MEMBER_GONE;
+      return true;
+    case GP_MEMBER_JOINING:
+    case GP_MEMBER_SUSPECT:
+      break;
+    }
+  return false;
+}
+
+static void
+note_member (gp_entry_t *entry, const gp_member_t *member)
+{
+  const gp_timeline_subject_t subject = { .vm = member->announcement.name };
+  gp_timeline_kind_t kind = GP_TIMELINE_MEMBER_GONE;
+
+  if (is_event (member->state, &kind))
+    gp_timeline_append (&entry->timeline, kind, &subject, NULL,
+                        gp_time_wall ());
+}
+
 static void
 on_member (gp_member_t *member, void *data)
 {
   gp_entry_t *entry = data;
 
+  note_member (entry, member);
+  gp_downlinks_on_member (&entry->downlinks, member);
+  gp_news_schedule (&entry->news);
   gp_tasks_on_member (entry->tasks, member);
 }
 
@@ -248,6 +412,11 @@
   entry->events = g_new0 (gp_timeline_event_t, GP_ENTRY_TIMELINE_SIZE);
   gp_timeline_init (&entry->timeline, settings->name, entry->incarnation,
                     entry->events, GP_ENTRY_TIMELINE_SIZE);
+  entry->host.timeline = &entry->timeline;
+  note_self (entry, GP_TIMELINE_PROCESS_START);
+  gp_processes_init (&entry->processes);
+  gp_views_init (&entry->views, &entry->host);
+  gp_operators_init (&entry->operators_state);
   entry->store = gp_store_new (&entry->loop, settings, entry->incarnation,
                                entry->rand, &entry->timeline, error);
   if (entry->store == NULL)
@@ -259,11 +428,27 @@
                       entry->rand, &entry->timeline);
   entry->configuration = gp_configuration_new (
       &entry->host, entry->store, &entry->timeline, on_configuration, entry);
+  entry->routes.timeline = &entry->timeline;
+  entry->relays.timeline = &entry->timeline;
   entry->routes.on_change = on_member;
+  entry->routes.on_route = on_route;
   entry->routes.data = entry;
   return true;
 }
 
+/* The place of this entry among those of the settings, which all processes
+   list alike.  */
+static uint32_t
+own_place (const gp_settings_t *settings)
+{
+  uint32_t place = 0;
+
+  while (place + 1 < settings->entries_count
+         && strcmp (settings->entries[place].name, settings->name) != 0)
+    place++;
+  return place;
+}
+
 bool
 gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
                GError **error)
@@ -277,7 +462,8 @@
                          .address = settings->entry->peers };
 
   *entry = (gp_entry_t){ .settings = settings };
-  entry->incarnation = (uint64_t)gp_time_wall ();
+  entry->started_us = gp_time_wall ();
+  entry->incarnation = (uint64_t)entry->started_us;
   self.incarnation = entry->incarnation;
   members.suspect_after = settings->timings.suspect_ms * GP_MSEC;
   if (!load_tls (entry, error) || !gp_loop_init (&entry->loop, error))
@@ -285,17 +471,25 @@
   entry->rand = g_rand_new ();
   gp_session_host_init (&entry->host, &entry->loop, entry->tls, &self,
                         &session_callbacks, entry);
-  gp_routes_init (&entry->routes, &entry->loop, settings->zone, &members);
+  gp_routes_init (&entry->routes, &entry->host, settings->zone, &members);
+  gp_news_init (&entry->news, &entry->host, &entry->routes.members);
+  gp_downlinks_init (&entry->downlinks, &entry->host, &entry->routes.members,
+                     settings, entry->rand);
   gp_relays_init (&entry->relays, &entry->loop, &entry->routes, entry->rand,
                   settings->entry->max_requests,
                   settings->timings.stall_ms * GP_MSEC);
+  gp_limits_init (&entry->relays.limits, MAX (settings->entries_count, 1),
+                  own_place (settings));
   if (!start_parts (entry, error))
     return false;
   gp_timer_init (&entry->stop_timer, &entry->loop, on_balancer_gone, entry);
   if (!gp_session_host_listen (&entry->host, settings->entry->peers, error))
     return false;
-  if (!listen_http (entry, error))
+  if (!listen_operators (entry, error))
     return false;
+  gp_timer_init (&entry->opening_timer, &entry->loop, on_opening, entry);
+  entry->open_at = gp_loop_now (&entry->loop) + OPENING_TIME;
+  gp_timer_arm (&entry->opening_timer, entry->open_at);
   start_dialers (entry);
   gp_loop_on_signal (&entry->loop, on_stop, entry);
   return true;
@@ -314,18 +508,27 @@
 gp_entry_finish (gp_entry_t *entry)
 {
   gp_timer_finish (&entry->stop_timer);
+  gp_timer_finish (&entry->opening_timer);
+  for (size_t i = 0; i < entry->dialer_count; i++)
+    gp_dialer_stop (&entry->dialers[i]);
+  gp_session_host_finish (&entry->host);
   for (size_t i = 0; i < entry->dialer_count; i++)
     gp_dialer_finish (&entry->dialers[i]);
-  g_free (entry->dialers);
   gp_configuration_free (entry->configuration);
   gp_tasks_free (entry->tasks);
   gp_keys_free (entry->keys);
   gp_store_free (entry->store);
   gp_relays_finish (&entry->relays);
+  gp_news_finish (&entry->news);
+  gp_downlinks_close (&entry->downlinks);
   gp_routes_finish (&entry->routes);
-  gp_session_host_finish (&entry->host);
+  gp_views_finish (&entry->views);
+  gp_processes_finish (&entry->processes);
+  gp_operators_finish (&entry->operators_state);
   g_free (entry->events);
   gp_loop_finish (&entry->loop);
+  g_free (entry->dialers);
+  gp_downlinks_finish (&entry->downlinks);
   if (entry->tls != NULL)
     gp_tls_free (entry->tls);
   g_rand_free (entry->rand);
--- a/src/daemon/relay_private.h
+++ b/src/daemon/relay_private.h
@@ -14,10 +14,13 @@
   gp_relays_t *relays;
   gp_http_exchange_t *exchange; /* NULL: its outcome is awaited alone */
   gp_service_t *service;
-  char *kind; /* name of the document's kind, NULL: the caller's word */
-  Gp__Wire__WorkClass work_class;
+  char *kind; /* from the document, or the caller's word */
+  char *team;
+  gp_document_class_t work_class;
+  gp_limits_hold_t hold;
   gp_keyed_t *keyed;   /* its outcome is due, or NULL */
   gp_target_t *target; /* of the current try, or NULL */
+  gp_session_t *session;
   gp_list_t link;      /* in target->relays */
   gp_list_t waiting;   /* in relays->waiting */
   gp_heap_node_t node; /* in relays->deadlines, unless EXPIRED */
--- a/src/daemon/routes.c
+++ b/src/daemon/routes.c
@@ -46,6 +46,18 @@
   return g_hash_table_lookup (routes->services, name);
 }
 
+/* What an operator sees of a target.  */
+static void
+note (const gp_routes_t *routes, gp_timeline_kind_t kind,
+      const gp_target_t *target, const char *text)
+{
+  gp_timeline_subject_t subject = { .vm = target->member->announcement.name };
+
+  if (routes->timeline != NULL)
+    gp_timeline_append (routes->timeline, kind, &subject, text,
+                        gp_time_wall ());
+}
+
 /* Targets.  */
 
 static gp_target_t *
@@ -63,6 +75,7 @@
   return target;
 }
 
+/* Requests of the time before may be under way.  */
 static void
 add_route (gp_routes_t *routes, gp_target_t *target)
 {
@@ -75,7 +88,11 @@
                  a->connections, target);
   gp_outlier_add (&target->service->outlier, &target->health, target);
   target->routed = true;
+  GP_LIST_FOREACH (pos, &target->relays)
+  gp_router_sent (&target->service->router, &target->candidate);
   gp_counter_add (&members_serving, 1);
+  if (routes->on_route != NULL)
+    routes->on_route (routes->data);
   gp_log (GP_LOG_INFO, "target.up", GP_LOG_S ("guard", a->name),
           GP_LOG_S ("service", a->service), GP_LOG_S ("zone", a->zone));
 }
@@ -101,6 +118,30 @@
     g_free (target);
 }
 
+static void
+take_session (gp_target_t *target, gp_session_t *session)
+{
+  target->session = session;
+  if (session != NULL)
+    session->object = target;
+}
+
+/* An open session with the current incarnation of MEMBER, or NULL.  */
+static gp_session_t *
+find_session (const gp_routes_t *routes, const gp_member_t *member)
+{
+  GP_LIST_FOREACH (pos, &routes->host->sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready && session->peer != NULL
+        && session->incarnation == member->announcement.incarnation
+        && strcmp (session->process, member->announcement.name) == 0)
+      return session;
+  }
+  return NULL;
+}
+
 static void
 settle_member (gp_routes_t *routes, gp_member_t *member)
 {
@@ -112,6 +153,8 @@
     target = target_new (routes, member);
   if (target == NULL)
     return;
+  if (routable && target->session == NULL)
+    take_session (target, find_session (routes, member));
   if (routable && !target->routed && target->session != NULL)
     add_route (routes, target);
   else if (!routable && target->routed)
@@ -178,18 +221,41 @@
   target = member->data;
   if (target == NULL)
     target = target_new (routes, member);
+  if (target->session != NULL
+      && target->session->incarnation == session->incarnation)
+    return;
+  if (target->session != NULL)
+    gp_session_close (target->session, true);
   target->session = session;
   session->object = target;
 }
 
+/* A guard that this entry connected to heartbeats to others, its homes: what
+   it says here opens the way to it, but is no promise to be heard again.  */
+static gp_members_result_t
+take_announcement (gp_routes_t *routes, const gp_session_t *session,
+                   const gp_announcement_t *a)
+{
+  gp_members_t *members = &routes->members;
+  gp_time_t now = gp_loop_now (routes->loop);
+  gp_members_result_t result = GP_MEMBERS_UNKNOWN;
+
+  if (session->outgoing)
+    result = gp_members_connection_open (members, a->name, a->incarnation);
+  if (result == GP_MEMBERS_UNKNOWN)
+    return gp_members_announce (members, a, now);
+  if (result == GP_MEMBERS_ACCEPTED && a->leaving)
+    gp_members_leaving (members, a->name, a->incarnation, now);
+  return result;
+}
+
 bool
 gp_routes_announce (gp_routes_t *routes, gp_session_t *session,
                     const Gp__Wire__Announce *announce)
 {
   gp_announcement_t a = announcement_of (session, announce);
-  gp_time_t now = gp_loop_now (routes->loop);
 
-  if (gp_members_announce (&routes->members, &a, now) == GP_MEMBERS_STALE)
+  if (take_announcement (routes, session, &a) == GP_MEMBERS_STALE)
     {
       gp_counter_add (&stale_messages, 1);
       return false;
@@ -224,19 +290,39 @@
   gp_routes_settle (routes);
 }
 
+/* Another open session with the same incarnation of a guard, or NULL.  */
+static gp_session_t *
+other_session (const gp_routes_t *routes, const gp_session_t *session)
+{
+  GP_LIST_FOREACH (pos, &routes->host->sessions)
+  {
+    gp_session_t *other = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (other != session && other->ready && other->peer != NULL
+        && other->incarnation == session->incarnation
+        && strcmp (other->process, session->process) == 0)
+      return other;
+  }
+  return NULL;
+}
+
 void
 gp_routes_closed (gp_routes_t *routes, gp_session_t *session)
 {
   gp_target_t *target = session->object;
+  gp_session_t *other = other_session (routes, session);
 
   if (target != NULL && target->session == session)
     {
-      target->session = NULL;
+      target->session = other;
       session->object = NULL;
     }
-  gp_members_connection_lost (&routes->members, session->process,
-                              session->incarnation,
-                              gp_loop_now (routes->loop));
+  if (other != NULL && target != NULL && other->object == NULL)
+    other->object = target;
+  if (other == NULL)
+    gp_members_connection_lost (&routes->members, session->process,
+                                session->incarnation,
+                                gp_loop_now (routes->loop));
   gp_routes_settle (routes);
 }
 
@@ -254,7 +340,8 @@
 }
 
 static void
-apply (gp_target_t *target, gp_outlier_action_t action)
+apply (const gp_routes_t *routes, gp_target_t *target,
+       gp_outlier_action_t action)
 {
   gp_router_t *router = &target->service->router;
 
@@ -266,6 +353,7 @@
       gp_counter_add (&ejections, 1);
       gp_log (GP_LOG_WARNING, "target.ejected",
               GP_LOG_S ("guard", target->member->announcement.name));
+      note (routes, GP_TIMELINE_MEMBER_GONE, target, "ejected");
       gp_router_eject (router, &target->candidate);
       break;
     case GP_OUTLIER_OFFER_PROBE:
@@ -274,6 +362,7 @@
     case GP_OUTLIER_READMIT:
       gp_log (GP_LOG_INFO, "target.readmitted",
               GP_LOG_S ("guard", target->member->announcement.name));
+      note (routes, GP_TIMELINE_MEMBER_SERVING, target, "readmitted");
       gp_router_readmit (router, &target->candidate);
       break;
     }
@@ -289,11 +378,12 @@
   if (!target->routed)
     return;
   if (target->health.state == GP_HEALTH_PROBED)
-    apply (target,
+    apply (routes, target,
            gp_outlier_probe_done (outlier, &target->health, success, now));
   else
-    apply (target, gp_outlier_record (outlier, &target->health, success,
-                                      duration, now));
+    apply (
+        routes, target,
+        gp_outlier_record (outlier, &target->health, success, duration, now));
 }
 
 void
@@ -316,14 +406,14 @@
 }
 
 static void
-tick_service (gp_service_t *service, gp_time_t now)
+tick_service (const gp_routes_t *routes, gp_service_t *service, gp_time_t now)
 {
   gp_outlier_action_t action;
   gp_health_t *health;
 
   while ((health = gp_outlier_next_due (&service->outlier, now, &action))
          != NULL)
-    apply (health->data, action);
+    apply (routes, health->data, action);
 }
 
 static void
@@ -338,15 +428,17 @@
   gp_routes_settle (routes);
   g_hash_table_iter_init (&iter, routes->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
-    tick_service (service, now);
+    tick_service (routes, service, now);
   gp_timer_arm (timer, now + TICK);
 }
 
 void
-gp_routes_init (gp_routes_t *routes, gp_loop_t *loop, const char *zone,
+gp_routes_init (gp_routes_t *routes, gp_session_host_t *host, const char *zone,
                 const gp_members_settings_t *settings)
 {
-  *routes = (gp_routes_t){ .loop = loop, .zone = zone };
+  gp_loop_t *loop = host->loop;
+
+  *routes = (gp_routes_t){ .host = host, .loop = loop, .zone = zone };
   gp_members_init (&routes->members, settings);
   routes->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
@@ -357,10 +449,23 @@
   gp_timer_arm (&routes->timer, gp_loop_now (loop) + TICK);
 }
 
+/* The targets of members that are still known.  */
+static void
+free_targets (gp_routes_t *routes)
+{
+  GHashTableIter iter;
+  gpointer member;
+
+  g_hash_table_iter_init (&iter, routes->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &member))
+    g_free (((gp_member_t *)member)->data);
+}
+
 void
 gp_routes_finish (gp_routes_t *routes)
 {
   gp_timer_finish (&routes->timer);
+  free_targets (routes);
   g_hash_table_unref (routes->services);
   gp_members_finish (&routes->members);
 }
--- a/src/daemon/routes.h
+++ b/src/daemon/routes.h
@@ -7,6 +7,7 @@
 #ifndef GP_DAEMON_ROUTES_H
 #define GP_DAEMON_ROUTES_H
 
+#include "base/timeline.h"
 #include "coordination/members.h"
 #include "coordination/outlier.h"
 #include "coordination/retry.h"
@@ -35,24 +36,28 @@
 
 typedef struct
 {
+  gp_session_host_t *host;
   gp_loop_t *loop;
   const char *zone; /* of this entry */
   gp_members_t members;
   GHashTable *services; /* name -> gp_service_t */
   gp_timer_t timer;
+  gp_timeline_t *timeline;                             /* may be NULL */
   void (*on_change) (gp_member_t *member, void *data); /* may be NULL */
+  void (*on_route) (void *data); /* a target was routed; may be NULL */
   void *data;
 } gp_routes_t;
 
-void gp_routes_init (gp_routes_t *routes, gp_loop_t *loop, const char *zone,
-                     const gp_members_settings_t *settings);
+void gp_routes_init (gp_routes_t *routes, gp_session_host_t *host,
+                     const char *zone, const gp_members_settings_t *settings);
 void gp_routes_finish (gp_routes_t *routes);
 
 /* The service NAME, or NULL when no upstream ever announced it.  */
 gp_service_t *gp_routes_find (gp_routes_t *routes, const char *name);
 
 /* A guard announced itself over SESSION.  False: an older incarnation; the
-   session should be closed.  */
+   session should be closed.  When both sides connected at once there are two
+   sessions; the first is used, the second takes its place when it closes.  */
 bool gp_routes_announce (gp_routes_t *routes, gp_session_t *session,
                          const Gp__Wire__Announce *announce);
 
