Refuse oversize headers, and name why a session is refused

Headers of 300 KB were let through, headers beyond 64 were dropped without a word, and the reason of a refused session was lost. Path and headers are bounded by 32 KiB (413), as many headers as the HTTP library takes are passed on, and a refused session is logged with its reason.

--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -17,6 +17,10 @@
 #define MAX_TIMEOUT (600 * GP_SEC)
 #define ANSWER_GRACE (250 * GP_MSEC)
 
+/* Path and headers of a request, in bytes; far more would be let through by
+   the HTTP library.  */
+#define MAX_HEAD_SIZE ((size_t)32 * 1024)
+
 /* Callers that hang up are looked for in this interval, so many at once.  */
 #define SWEEP_INTERVAL (100 * GP_MSEC)
 #define SWEEP_COUNT 256
@@ -324,6 +328,18 @@
   return relay;
 }
 
+static bool
+headers_fit (const gp_http_exchange_t *exchange)
+{
+  gp_http_header_t headers[GP_HEADERS_MAX];
+  size_t count = gp_http_exchange_headers (exchange, headers, GP_HEADERS_MAX);
+  size_t size = gp_http_exchange_path (exchange).size;
+
+  for (size_t i = 0; i < count; i++)
+    size += headers[i].name_size + headers[i].value_size;
+  return size <= MAX_HEAD_SIZE;
+}
+
 /* No upstream of service NAME was ever seen here.  */
 static void
 refuse_unknown (const gp_relays_t *relays, gp_http_exchange_t *exchange,
@@ -357,6 +373,12 @@
       refuse_unknown (relays, exchange, name);
       return;
     }
+  if (!headers_fit (exchange))
+    {
+      gp_relay_refuse (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
+                       GP__WIRE__REASON__REASON_TOO_LARGE, -1);
+      return;
+    }
   if (relays->open >= relays->max_open)
     {
       gp_relay_refuse (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
--- a/src/daemon/text.h
+++ b/src/daemon/text.h
@@ -9,7 +9,8 @@
 #include "transport/http.h"
 #include "wire.pb-c.h"
 
-#define GP_HEADERS_MAX 64
+/* As many as the HTTP library lets through.  */
+#define GP_HEADERS_MAX 100
 
 /* Wire headers on memory of the caller, pointing into their source.  */
 typedef struct
--- a/src/protocol/session.c
+++ b/src/protocol/session.c
@@ -4,6 +4,7 @@
 
 #include "base/counters.h"
 #include "base/error.h"
+#include "base/log.h"
 
 /* Turns of the loop that an aborted session needs at most.  */
 #define FINISH_TURNS 8
@@ -73,6 +74,9 @@
 refuse (gp_session_t *session, GError *reason)
 {
   gp_counter_add (&sessions_refused, 1);
+  gp_log (GP_LOG_WARNING, "session.refused",
+          GP_LOG_S ("address", gp_peer_address (session->peer)),
+          GP_LOG_S ("reason", reason->message));
   g_error_free (reason);
   gp_session_close (session, true);
 }
