Take the callers' address at the start, listen when there is work

An entry that listens only later could find its address taken. It is bound at the start, where a failure ends the process, and listened on when the entry is open to callers.

--- a/programs/galenapier-entry.c
+++ b/programs/galenapier-entry.c
@@ -32,5 +32,5 @@
   gp_entry_run (&entry);
   gp_entry_finish (&entry);
   gp_settings_finish (&settings);
-  return entry.failed ? 1 : 0;
+  return 0;
 }
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -228,10 +228,7 @@
   gp_entry_t *entry = data;
 
   (void)timer;
-  if (entry->callers != NULL)
-    gp_http_server_shutdown (entry->callers, on_callers_done, entry);
-  else
-    on_callers_done (entry);
+  gp_http_server_shutdown (entry->callers, on_callers_done, entry);
 }
 
 static void
@@ -257,6 +254,7 @@
 
   return (gp_http_server_options_t){
     .address = settings->callers,
+    .held = true,
     .max_body_size = settings->max_body_kib * 1024UL,
     .header_timeout = entry->settings->timings.header_ms * GP_MSEC,
     .on_request = on_caller,
@@ -270,22 +268,12 @@
 static void
 open_to_callers (gp_entry_t *entry)
 {
-  gp_http_server_options_t options = caller_options (entry);
-  GError *error = NULL;
-
   gp_timer_disarm (&entry->opening_timer);
-  if (entry->callers != NULL || entry->leaving)
+  if (entry->open || entry->leaving)
     return;
-  entry->callers = gp_http_server_new (&entry->loop, &options, &error);
-  if (entry->callers != NULL)
-    {
-      gp_log (GP_LOG_INFO, "entry.open");
-      return;
-    }
-  gp_log (GP_LOG_ERROR, "entry.not-open", GP_LOG_S ("reason", error->message));
-  g_error_free (error);
-  entry->failed = true;
-  gp_loop_stop (&entry->loop);
+  entry->open = true;
+  gp_http_server_open (entry->callers);
+  gp_log (GP_LOG_INFO, "entry.open");
 }
 
 static void
@@ -293,7 +281,7 @@
 {
   gp_entry_t *entry = data;
 
-  if (entry->callers == NULL)
+  if (!entry->open)
     gp_timer_arm (
         &entry->opening_timer,
         MIN (gp_loop_now (&entry->loop) + OPENING_PAUSE, entry->open_at));
@@ -307,10 +295,14 @@
 }
 
 static bool
-listen_operators (gp_entry_t *entry, GError **error)
+listen_http (gp_entry_t *entry, GError **error)
 {
   gp_http_server_options_t options = caller_options (entry);
 
+  entry->callers = gp_http_server_new (&entry->loop, &options, error);
+  if (entry->callers == NULL)
+    return false;
+  options.held = false;
   if (entry->settings->entry->operators == NULL)
     return true;
   options.address = entry->settings->entry->operators;
@@ -485,7 +477,7 @@
   gp_timer_init (&entry->stop_timer, &entry->loop, on_balancer_gone, entry);
   if (!gp_session_host_listen (&entry->host, settings->entry->peers, error))
     return false;
-  if (!listen_operators (entry, error))
+  if (!listen_http (entry, error))
     return false;
   gp_timer_init (&entry->opening_timer, &entry->loop, on_opening, entry);
   entry->open_at = gp_loop_now (&entry->loop) + OPENING_TIME;
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -52,7 +52,7 @@
   gp_timer_t opening_timer;
   gp_time_t open_at; /* to callers, at the latest */
   bool leaving;
-  bool failed; /* to listen for callers */
+  bool open; /* to callers */
 };
 
 bool gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -46,6 +46,7 @@
   size_t max_body_size;     /* bytes, 413 beyond */
   gp_time_t header_timeout; /* duration for a request to arrive whole, and
                                for which an idle connection is kept */
+  bool held;                /* callers are refused until gp_http_server_open */
   void (*on_request) (gp_http_exchange_t *exchange, void *data);
   void *data;
 } gp_http_server_options_t;
@@ -53,6 +54,7 @@
 gp_http_server_t *gp_http_server_new (gp_loop_t *loop,
                                       const gp_http_server_options_t *options,
                                       GError **error);
+void gp_http_server_open (gp_http_server_t *server);
 int gp_http_server_port (const gp_http_server_t *server);
 
 /* Stop listening and close idle connections; open exchanges finish, then
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -200,13 +200,22 @@
   configure (server);
   gp_closer_add (&server->closer, loop, on_closer_close, on_closer_dispose);
   server->listening = true;
-  if (gp_listener_open (&server->listener, loop, options->address,
-                        on_connection, error))
+  if (options->held
+          ? gp_listener_bind (&server->listener, loop, options->address,
+                              on_connection, error)
+          : gp_listener_open (&server->listener, loop, options->address,
+                              on_connection, error))
     return server;
   start_closing (server);
   return NULL;
 }
 
+void
+gp_http_server_open (gp_http_server_t *server)
+{
+  gp_listener_listen (&server->listener);
+}
+
 int
 gp_http_server_port (const gp_http_server_t *server)
 {
--- a/src/transport/listener.c
+++ b/src/transport/listener.c
@@ -66,7 +66,7 @@
   if (rc == 0)
     rc = uv_tcp_bind (&listener->tcp, (struct sockaddr *)&listener->address,
                       0);
-  if (rc == 0)
+  if (rc == 0 && !listener->held)
     rc = uv_listen ((uv_stream_t *)&listener->tcp, LISTEN_BACKLOG,
                     on_connection);
   return rc;
@@ -81,17 +81,17 @@
     close_tcp (listener);
 }
 
-bool
-gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
-                  const char *address,
-                  void (*on_connected) (gp_listener_t *listener),
-                  GError **error)
+static bool
+take_address (gp_listener_t *listener, gp_loop_t *loop, const char *address,
+              bool held, void (*on_connected) (gp_listener_t *listener),
+              GError **error)
 {
   int size = sizeof listener->address;
   int rc;
 
   gp_counter_register (&accept_errors_total);
   memset (listener, 0, sizeof *listener);
+  listener->held = held;
   listener->on_connection = on_connected;
   gp_timer_init (&listener->retry, loop, on_retry, listener);
   listener->retry.uv.data = listener;
@@ -109,6 +109,36 @@
   return false;
 }
 
+bool
+gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
+                  const char *address,
+                  void (*on_connected) (gp_listener_t *listener),
+                  GError **error)
+{
+  return take_address (listener, loop, address, false, on_connected, error);
+}
+
+bool
+gp_listener_bind (gp_listener_t *listener, gp_loop_t *loop,
+                  const char *address,
+                  void (*on_connected) (gp_listener_t *listener),
+                  GError **error)
+{
+  return take_address (listener, loop, address, true, on_connected, error);
+}
+
+/* A failure is treated as one to accept: the socket is opened again.  */
+void
+gp_listener_listen (gp_listener_t *listener)
+{
+  if (!listener->held)
+    return;
+  listener->held = false;
+  if (uv_listen ((uv_stream_t *)&listener->tcp, LISTEN_BACKLOG, on_connection)
+      != 0)
+    close_tcp (listener);
+}
+
 static void
 on_retry_closed (uv_handle_t *handle)
 {
--- a/src/transport/listener.h
+++ b/src/transport/listener.h
@@ -25,6 +25,7 @@
   bool tcp_live; /* not closed yet */
   bool retry_live;
   bool closing;
+  bool held; /* bound, but not listening */
 };
 
 /* Listen on ADDRESS ("IP:port").  ON_CONNECTED takes one connection with
@@ -34,6 +35,13 @@
                        void (*on_connected) (gp_listener_t *listener),
                        GError **error);
 
+/* Take ADDRESS only; callers are turned away until gp_listener_listen.  */
+bool gp_listener_bind (gp_listener_t *listener, gp_loop_t *loop,
+                       const char *address,
+                       void (*on_connected) (gp_listener_t *listener),
+                       GError **error);
+void gp_listener_listen (gp_listener_t *listener);
+
 /* Stop; ON_CLOSED, from the loop, says that the memory is free.  */
 void gp_listener_close (gp_listener_t *listener,
                         void (*on_closed) (gp_listener_t *listener));
