Know the revision and the views of guards without a session

In a large site a guard has sessions to some entries only and heartbeats to its two homes. Status then showed revision 0 for the others, and their time line could not be reached. A guard now tells its revision to every entry that it has a session with when it changes (ProcessState, as entries do); for the rest, status asks the other entries which guards are behind its own revision, and a view is passed on by an entry that hears the guard.

Two sessions between one pair count as one: the end of the second is not the end.

--- a/src/coordination/members.h
+++ b/src/coordination/members.h
@@ -220,6 +220,9 @@
    next event.  */
 gp_member_t *gp_members_next_change (gp_members_t *members);
 
+/* An entry that is heard and says that it hears MEMBER, or NULL.  */
+const char *gp_member_reporter (const gp_member_t *member);
+
 /* May this entry send it work?  */
 bool gp_member_routable (const gp_member_t *member);
 
--- a/src/coordination/reporters.c
+++ b/src/coordination/reporters.c
@@ -21,17 +21,23 @@
   g_free (reporter);
 }
 
-bool
-gp_member_reported (const gp_member_t *member)
+const char *
+gp_member_reporter (const gp_member_t *member)
 {
   for (size_t i = 0; i < GP_MEMBER_REPORTS; i++)
     {
       const gp_reporter_t *reporter = member->reports[i].reporter;
 
       if (reporter != NULL && !reporter->silent)
-        return true;
+        return reporter->name;
     }
-  return false;
+  return NULL;
+}
+
+bool
+gp_member_reported (const gp_member_t *member)
+{
+  return gp_member_reporter (member) != NULL;
 }
 
 /* Events from other entries.  */
--- a/src/coordination/suspects.c
+++ b/src/coordination/suspects.c
@@ -14,7 +14,8 @@
   suspects->settings = *settings;
   suspects->workers = workers;
   suspects->n_workers = n_workers;
-  memset (workers, 0, n_workers * sizeof *workers);
+  if (n_workers > 0)
+    memset (workers, 0, n_workers * sizeof *workers);
 }
 
 /* Whether the failure at INDEX of TASK still counts: its worker was not
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -6,6 +6,7 @@
 
 #include "base/counters.h"
 #include "base/log.h"
+#include "daemon/laggards.h"
 #include "daemon/operators.h"
 #include "daemon/text.h"
 
@@ -36,8 +37,9 @@
 static void
 send_state (gp_entry_t *entry, gp_session_t *session)
 {
-  Gp__Wire__EntryState state = GP__WIRE__ENTRY_STATE__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (ENTRY_STATE, entry_state, &state);
+  Gp__Wire__ProcessState state = GP__WIRE__PROCESS_STATE__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (PROCESS_STATE, process_state, &state);
 
   state.state = entry->leaving ? GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING
                                : GP__WIRE__MEMBER_STATE__MEMBER_STATE_SERVING;
@@ -85,6 +87,19 @@
     gp_session_close (session, true);
 }
 
+static void
+on_view_ask (gp_entry_t *entry, gp_session_t *session,
+             const Gp__Wire__ViewAsk *ask)
+{
+  if (ask->process[0] != '\0'
+      && strcmp (ask->process, entry->settings->name) != 0)
+    gp_views_forward (&entry->views, session, ask);
+  else if (ask->kind == GP__WIRE__VIEW_KIND__VIEW_KIND_LAGGARDS)
+    gp_laggards_serve (entry, session, ask);
+  else
+    gp_view_serve (session, &entry->timeline, ask);
+}
+
 static void
 on_message (gp_session_t *session, const Gp__Wire__Envelope *envelope,
             void *data)
@@ -112,12 +127,12 @@
     case GP__WIRE__ENVELOPE__MESSAGE_BROKEN:
       gp_relays_on_broken (&entry->relays, session, envelope->broken);
       break;
-    case GP__WIRE__ENVELOPE__MESSAGE_ENTRY_STATE:
-      gp_processes_entry_state (&entry->processes, session,
-                                envelope->entry_state, gp_time_wall ());
+    case GP__WIRE__ENVELOPE__MESSAGE_PROCESS_STATE:
+      gp_processes_state (&entry->processes, session, envelope->process_state,
+                          gp_time_wall ());
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_VIEW_ASK:
-      gp_view_serve (session, &entry->timeline, envelope->view_ask);
+      on_view_ask (entry, session, envelope->view_ask);
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_VIEW:
       gp_views_on_view (&entry->views, session, envelope->view);
@@ -433,6 +448,7 @@
 void
 gp_entry_finish (gp_entry_t *entry)
 {
+  gp_views_finish (&entry->views);
   gp_timer_finish (&entry->stop_timer);
   for (size_t i = 0; i < entry->dialer_count; i++)
     gp_dialer_stop (&entry->dialers[i]);
@@ -447,7 +463,6 @@
   gp_news_finish (&entry->news);
   gp_downlinks_close (&entry->downlinks);
   gp_routes_finish (&entry->routes);
-  gp_views_finish (&entry->views);
   gp_processes_finish (&entry->processes);
   gp_operators_finish (&entry->operators_state);
   g_free (entry->events);
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -124,6 +124,19 @@
   gp_timeline_append (&guard->timeline, kind, &subject, NULL, gp_time_wall ());
 }
 
+static void
+send_state (gp_guard_t *guard, gp_session_t *session)
+{
+  Gp__Wire__ProcessState state = GP__WIRE__PROCESS_STATE__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (PROCESS_STATE, process_state, &state);
+
+  state.state = guard->leaving ? GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING
+                               : GP__WIRE__MEMBER_STATE__MEMBER_STATE_SERVING;
+  state.config_revision = gp_configuration_revision (guard->configuration);
+  gp_session_send (session, &envelope);
+}
+
 /* Sessions.  */
 
 static void
@@ -155,6 +168,7 @@
   if (guard->runner != NULL)
     gp_runner_on_ready (guard->runner, session);
   gp_configuration_on_ready (guard->configuration, session);
+  send_state (guard, session);
   if (gp_uplinks_is_home (&guard->uplinks, session))
     send_heartbeat (guard, session);
 }
@@ -315,6 +329,13 @@
 
   gp_log (GP_LOG_INFO, "configuration.in-force",
           GP_LOG_I ("revision", revision));
+  GP_LIST_FOREACH (pos, &guard->host.sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready)
+      send_state (guard, session);
+  }
   if (has_upstream (guard))
     gp_executor_configure (&guard->executor, document);
 }
--- a/src/daemon/operators_status.c
+++ b/src/daemon/operators_status.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "daemon/entry.h"
+#include "daemon/laggards.h"
 
 /* Descriptions.  */
 
@@ -84,7 +85,7 @@
 static const char *
 entry_state (const gp_process_t *process)
 {
-  if (process == NULL || !process->connected)
+  if (process == NULL || process->sessions == 0)
     return "unreachable";
   if (process->state == GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING)
     return "leaving";
@@ -151,8 +152,26 @@
   return "unknown";
 }
 
+/* By the guard's own word here, or by that of an entry that hears it.  */
+static void
+set_guard_revision (json_t *object, const gp_process_t *process,
+                    const gp_member_t *member, const gp_laggards_t *laggards)
+{
+  uint64_t revision;
+
+  if (process != NULL && process->sessions > 0)
+    set_revision (object, process->config_revision, process->config_since_us);
+  else if (gp_laggards_revision (laggards, gp_member_reporter (member),
+                                 member->announcement.name, &revision))
+    set_number (object, "config_revision", (int64_t)revision);
+  else
+    set_number (object, "config_revision",
+                process != NULL ? (int64_t)process->config_revision : 0);
+}
+
 static json_t *
-describe_guard (const gp_entry_t *entry, const gp_member_t *member)
+describe_guard (const gp_entry_t *entry, const gp_member_t *member,
+                const gp_laggards_t *laggards)
 {
   const gp_announcement_t *a = &member->announcement;
   const gp_process_t *process = gp_processes_find (&entry->processes, a->name);
@@ -165,13 +184,9 @@
   set_text (object, "service", a->service);
   json_object_set_new (object, "connected",
                        json_boolean (member->reach == GP_REACH_UP));
-  if (process == NULL)
-    {
-      set_revision (object, 0, 0);
-      return object;
-    }
-  set_number (object, "since_us", process->since_us);
-  set_revision (object, process->config_revision, process->config_since_us);
+  if (process != NULL)
+    set_number (object, "since_us", process->since_us);
+  set_guard_revision (object, process, member, laggards);
   return object;
 }
 
@@ -240,7 +255,8 @@
 }
 
 static void
-set_members (json_t *status, const gp_entry_t *entry)
+set_members (json_t *status, const gp_entry_t *entry,
+             const gp_laggards_t *laggards)
 {
   GPtrArray *members = sorted_members (entry);
   json_t *guards = json_array ();
@@ -250,7 +266,7 @@
     {
       const gp_member_t *member = members->pdata[i];
 
-      json_array_append_new (guards, describe_guard (entry, member));
+      json_array_append_new (guards, describe_guard (entry, member, laggards));
       if (member->data != NULL)
         json_array_append_new (upstreams, describe_upstream (member->data));
     }
@@ -277,10 +293,9 @@
   return owners;
 }
 
-static void
-answer_status (const gp_operators_request_t *request)
+static json_t *
+describe_status (gp_entry_t *entry, const gp_laggards_t *laggards)
 {
-  gp_entry_t *entry = request->entry;
   json_t *status = json_object ();
   json_t *entries = describe_entries (entry);
 
@@ -291,9 +306,51 @@
   json_object_set_new (status, "log", describe_log (entry));
   json_object_set_new (status, "owners", describe_owners (entries));
   json_object_set_new (status, "entries", entries);
-  set_members (status, entry);
+  set_members (status, entry, laggards);
   json_object_set_new (status, "tasks", gp_tasks_status (entry->tasks));
-  gp_operators_answer (request->exchange, 200, status);
+  return status;
+}
+
+/* An operator who waits for the word of the other entries.  */
+typedef struct
+{
+  gp_entry_t *entry;
+  gp_http_exchange_t *exchange;
+  gp_laggards_t *laggards;
+} reader_t;
+
+static void
+on_laggards (const gp_laggards_t *laggards, void *data)
+{
+  reader_t *reader = data;
+
+  gp_operators_answer (reader->exchange, 200,
+                       describe_status (reader->entry, laggards));
+  g_free (reader);
+}
+
+static void
+on_gone (void *data)
+{
+  reader_t *reader = data;
+
+  gp_laggards_cancel (reader->laggards);
+  g_free (reader);
+}
+
+static void
+answer_status (const gp_operators_request_t *request)
+{
+  reader_t *reader = g_new0 (reader_t, 1);
+  gp_laggards_t *laggards;
+
+  reader->entry = request->entry;
+  reader->exchange = request->exchange;
+  laggards = gp_laggards_ask (request->entry, on_laggards, reader);
+  if (laggards == NULL)
+    return;
+  reader->laggards = laggards;
+  gp_http_exchange_watch (request->exchange, on_gone, NULL, reader);
 }
 
 const gp_operators_route_t gp_operators_status_routes[] = {
--- a/src/daemon/operators_timeline.c
+++ b/src/daemon/operators_timeline.c
@@ -20,6 +20,38 @@
   g_string_free (text, TRUE);
 }
 
+/* The session over which PROCESS can be asked: its own, or that of an entry
+   that hears it, which ASK then tells; NULL when there is none.  */
+static gp_session_t *
+find_way (gp_entry_t *entry, const char *process, Gp__Wire__ViewAsk *ask)
+{
+  gp_session_t *session = gp_views_session (&entry->views, process);
+  const gp_member_t *member
+      = gp_members_find (&entry->routes.members, process);
+  const char *reporter = NULL;
+
+  if (session != NULL)
+    return session;
+  if (member != NULL)
+    reporter = gp_member_reporter (member);
+  ask->process = (char *)process;
+  return reporter == NULL ? NULL : gp_views_session (&entry->views, reporter);
+}
+
+static void
+ask_other (const gp_operators_request_t *request, const char *process,
+           Gp__Wire__ViewAsk *ask)
+{
+  gp_entry_t *entry = request->entry;
+  gp_session_t *session = find_way (entry, process, ask);
+
+  if (session != NULL)
+    gp_views_answer (&entry->views, request->exchange, session, ask);
+  else
+    gp_operators_fail (request->exchange, 404,
+                       "no entry has a connection to such a process");
+}
+
 static void
 answer_view (const gp_operators_request_t *request, Gp__Wire__ViewAsk *ask,
              const char *type)
@@ -30,7 +62,7 @@
   if (process == NULL || strcmp (process, entry->settings->name) == 0)
     answer_own (request, ask, type);
   else
-    gp_views_ask (&entry->views, request->exchange, process, ask);
+    ask_other (request, process, ask);
   g_free (process);
 }
 
--- a/src/daemon/processes.c
+++ b/src/daemon/processes.c
@@ -22,7 +22,7 @@
   const int64_t *wall = data;
 
   (void)key;
-  return !process->connected && process->since_us + FORGET_AFTER_US < *wall;
+  return process->sessions == 0 && process->since_us + FORGET_AFTER_US < *wall;
 }
 
 static gp_process_t *
@@ -56,8 +56,8 @@
       process->state = GP__WIRE__MEMBER_STATE__MEMBER_STATE_SERVING;
       g_hash_table_replace (processes->by_name, process->name, process);
     }
-  process->connected = true;
-  process->since_us = wall;
+  if (process->sessions++ == 0)
+    process->since_us = wall;
 }
 
 void
@@ -66,10 +66,8 @@
 {
   gp_process_t *process = find_of_session (processes, session);
 
-  if (process == NULL)
-    return;
-  process->connected = false;
-  process->since_us = wall;
+  if (process != NULL && --process->sessions == 0)
+    process->since_us = wall;
 }
 
 void
@@ -85,9 +83,8 @@
 }
 
 void
-gp_processes_entry_state (gp_processes_t *processes,
-                          const gp_session_t *session,
-                          const Gp__Wire__EntryState *state, int64_t wall)
+gp_processes_state (gp_processes_t *processes, const gp_session_t *session,
+                    const Gp__Wire__ProcessState *state, int64_t wall)
 {
   gp_process_t *process = find_of_session (processes, session);
 
--- a/src/daemon/processes.h
+++ b/src/daemon/processes.h
@@ -13,8 +13,8 @@
   Gp__Wire__Role role;
   Gp__Wire__MemberState state;
   uint64_t incarnation;
-  bool connected;
-  int64_t since_us; /* wall clock: connected, or not, since then */
+  unsigned sessions; /* open; either side may have connected */
+  int64_t since_us;  /* wall clock: has a session, or none, since then */
   uint64_t config_revision;
   int64_t config_since_us; /* when this entry learnt of that revision */
 } gp_process_t;
@@ -38,11 +38,10 @@
                             const gp_session_t *session, uint64_t revision,
                             int64_t wall);
 
-/* Another entry told its state.  */
-void gp_processes_entry_state (gp_processes_t *processes,
-                               const gp_session_t *session,
-                               const Gp__Wire__EntryState *state,
-                               int64_t wall);
+/* The far side told its state.  */
+void gp_processes_state (gp_processes_t *processes,
+                         const gp_session_t *session,
+                         const Gp__Wire__ProcessState *state, int64_t wall);
 
 /* The process NAME, or NULL when there was no session to it.  */
 const gp_process_t *gp_processes_find (const gp_processes_t *processes,
--- a/src/daemon/view.c
+++ b/src/daemon/view.c
@@ -12,147 +12,321 @@
 #define TYPE_LINES "application/x-ndjson"
 #define TYPE_TEXT "text/plain; version=0.0.4"
 
-typedef struct
+struct gp_view
 {
   gp_views_t *views;
-  gp_http_exchange_t *exchange;
   gp_session_t *session;
-  gp_timer_t timer;
+  gp_time_t deadline;
   uint64_t id;
+  gp_view_done_t done;
+  void *data;
+};
+
+/* An operator who waits for a view.  */
+typedef struct
+{
+  gp_http_exchange_t *exchange;
+  gp_view_t *view;
   Gp__Wire__ViewKind kind;
-} view_t;
+} reader_t;
+
+/* Another entry that waits for one.  */
+typedef struct
+{
+  gp_list_t link;
+  gp_session_t *from;
+  gp_view_t *view;
+  uint64_t id; /* that the other entry gave */
+} forward_t;
 
 static gp_counter_t asked = GP_COUNTER (
     "views_asked_total", "Views asked of other processes for operators.");
 static gp_counter_t lost = GP_COUNTER (
     "views_lost_total", "Views that another process did not give in time.");
 
-/* The end of a question; its exchange has been answered or is gone.  */
-static void
-view_free (gpointer data)
+/* Questions.  */
+
+void
+gp_view_cancel (gp_view_t *view)
 {
-  view_t *view = data;
+  uint64_t id = view->id;
 
-  gp_timer_finish (&view->timer);
-  g_free (view);
+  g_hash_table_remove (view->views->open, &id);
 }
 
 static void
-end_view (view_t *view)
+end_view (gp_view_t *view, gp_view_result_t result,
+          const Gp__Wire__View *message)
 {
-  uint64_t id = view->id;
+  gp_view_done_t done = view->done;
+  void *data = view->data;
 
-  g_hash_table_remove (view->views->open, &id);
+  if (result != GP_VIEW_COME)
+    gp_counter_add (&lost, 1);
+  gp_view_cancel (view);
+  done (result, message, data);
 }
 
 static void
-fail_view (view_t *view, int status, const char *message)
+arm_timer (gp_views_t *views)
 {
-  gp_counter_add (&lost, 1);
-  gp_operators_fail (view->exchange, status, message);
-  end_view (view);
+  gp_time_t first = GP_TIME_NEVER;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, views->open);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    first = MIN (first, ((gp_view_t *)value)->deadline);
+  if (first == GP_TIME_NEVER)
+    gp_timer_disarm (&views->timer);
+  else
+    gp_timer_arm (&views->timer, first);
 }
 
-static void
-on_gone (void *data)
+static gboolean
+is_late (gpointer key, gpointer value, gpointer now)
 {
-  end_view (data);
+  const gp_view_t *view = value;
+
+  (void)key;
+  return view->deadline <= *(const gp_time_t *)now;
 }
 
 static void
-on_timeout (gp_timer_t *timer, void *data)
+on_timer (gp_timer_t *timer, void *data)
 {
+  gp_views_t *views = data;
+  gp_time_t now = gp_loop_now (views->host->loop);
+  gp_view_t *view;
+
   (void)timer;
-  fail_view (data, 504, "the process did not answer in time");
+  while ((view = g_hash_table_find (views->open, is_late, &now)) != NULL)
+    end_view (view, GP_VIEW_LATE, NULL);
+  arm_timer (views);
 }
 
-static gp_session_t *
-find_session (const gp_views_t *views, const char *process)
+gp_session_t *
+gp_views_session (const gp_views_t *views, const char *process)
 {
   GP_LIST_FOREACH (pos, &views->host->sessions)
   {
     gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
 
-    if (session->ready && strcmp (session->process, process) == 0)
+    if (session->ready && session->peer != NULL
+        && strcmp (session->process, process) == 0)
       return session;
   }
   return NULL;
 }
 
-static view_t *
-view_new (gp_views_t *views, gp_http_exchange_t *exchange,
-          gp_session_t *session, Gp__Wire__ViewKind kind)
+gp_view_t *
+gp_views_ask (gp_views_t *views, gp_session_t *session, Gp__Wire__ViewAsk *ask,
+              gp_time_t timeout, gp_view_done_t done, void *data)
 {
-  view_t *view = g_new0 (view_t, 1);
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (VIEW_ASK, view_ask, ask);
+  gp_view_t *view;
 
+  if (g_hash_table_size (views->open) >= OPEN_MAX)
+    return NULL;
+  ask->id = ++views->next_id;
+  if (!gp_session_send (session, &envelope))
+    return NULL;
+  view = g_new0 (gp_view_t, 1);
   view->views = views;
-  view->exchange = exchange;
   view->session = session;
-  view->kind = kind;
-  view->id = ++views->next_id;
-  gp_timer_init (&view->timer, views->host->loop, on_timeout, view);
-  gp_timer_arm (&view->timer, gp_loop_now (views->host->loop) + VIEW_TIMEOUT);
+  view->id = ask->id;
+  view->done = done;
+  view->data = data;
+  view->deadline = gp_loop_now (views->host->loop) + timeout;
   g_hash_table_insert (views->open, &view->id, view);
-  gp_http_exchange_watch (exchange, on_gone, NULL, view);
+  arm_timer (views);
+  gp_counter_add (&asked, 1);
   return view;
 }
 
 void
-gp_views_ask (gp_views_t *views, gp_http_exchange_t *exchange,
-              const char *process, Gp__Wire__ViewAsk *ask)
+gp_views_on_view (gp_views_t *views, gp_session_t *session,
+                  const Gp__Wire__View *message)
 {
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (VIEW_ASK, view_ask, ask);
-  gp_session_t *session = find_session (views, process);
-  view_t *view;
+  uint64_t id = message->id;
+  gp_view_t *view = g_hash_table_lookup (views->open, &id);
 
-  if (session == NULL)
+  if (view != NULL && view->session == session)
+    end_view (view, GP_VIEW_COME, message);
+}
+
+/* Operators.  */
+
+static void
+answer_reader (const reader_t *reader, const Gp__Wire__View *view)
+{
+  bool lines = reader->kind == GP__WIRE__VIEW_KIND__VIEW_KIND_TIMELINE;
+
+  if (view->missing)
+    gp_operators_fail (reader->exchange, 404,
+                       "no entry has a connection to such a process");
+  else
+    gp_operators_answer_text (reader->exchange, 200,
+                              lines ? TYPE_LINES : TYPE_TEXT,
+                              (const char *)view->text.data, view->text.len);
+}
+
+static void
+on_reader_view (gp_view_result_t result, const Gp__Wire__View *view,
+                void *data)
+{
+  reader_t *reader = data;
+
+  switch (result)
     {
-      gp_operators_fail (exchange, 404,
-                         "this entry has no connection to such a process");
-      return;
+    case GP_VIEW_COME:
+      answer_reader (reader, view);
+      break;
+    case GP_VIEW_LATE:
+      gp_operators_fail (reader->exchange, 504,
+                         "the process did not answer in time");
+      break;
+    case GP_VIEW_LOST:
+      gp_operators_fail (reader->exchange, 502,
+                         "the connection to the process was lost");
+      break;
     }
-  if (g_hash_table_size (views->open) >= OPEN_MAX)
+  g_free (reader);
+}
+
+static void
+on_reader_gone (void *data)
+{
+  reader_t *reader = data;
+
+  gp_view_cancel (reader->view);
+  g_free (reader);
+}
+
+void
+gp_views_answer (gp_views_t *views, gp_http_exchange_t *exchange,
+                 gp_session_t *session, Gp__Wire__ViewAsk *ask)
+{
+  reader_t *reader = g_new0 (reader_t, 1);
+
+  reader->exchange = exchange;
+  reader->kind = ask->kind;
+  reader->view = gp_views_ask (views, session, ask, VIEW_TIMEOUT,
+                               on_reader_view, reader);
+  if (reader->view != NULL)
     {
-      gp_operators_fail (exchange, 503, "too many open questions");
+      gp_http_exchange_watch (exchange, on_reader_gone, NULL, reader);
       return;
     }
-  view = view_new (views, exchange, session, ask->kind);
-  ask->id = view->id;
-  gp_counter_add (&asked, 1);
-  if (!gp_session_send (session, &envelope))
-    fail_view (view, 502, "the connection to the process is closing");
+  g_free (reader);
+  gp_operators_fail (exchange, 503, "the process cannot be asked now");
+}
+
+/* Other entries.  */
+
+static void
+send_missing (gp_session_t *session, uint64_t id)
+{
+  Gp__Wire__View view = GP__WIRE__VIEW__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (VIEW, view, &view);
+
+  view.id = id;
+  view.missing = true;
+  gp_session_send (session, &envelope);
+}
+
+static void
+forward_free (forward_t *forward)
+{
+  gp_list_remove (&forward->link);
+  g_free (forward);
+}
+
+/* One that is late is late for the asker as well, who notices by itself.  */
+static void
+on_forward_view (gp_view_result_t result, const Gp__Wire__View *view,
+                 void *data)
+{
+  forward_t *forward = data;
+  Gp__Wire__View back;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (VIEW, view, &back);
+
+  switch (result)
+    {
+    case GP_VIEW_COME:
+      back = *view;
+      back.id = forward->id;
+      gp_session_send (forward->from, &envelope);
+      break;
+    case GP_VIEW_LATE:
+    case GP_VIEW_LOST:
+      send_missing (forward->from, forward->id);
+      break;
+    }
+  forward_free (forward);
 }
 
 void
-gp_views_on_view (gp_views_t *views, gp_session_t *session,
-                  const Gp__Wire__View *message)
+gp_views_forward (gp_views_t *views, gp_session_t *from,
+                  const Gp__Wire__ViewAsk *ask)
 {
-  uint64_t id = message->id;
-  view_t *view = g_hash_table_lookup (views->open, &id);
-  bool lines;
+  gp_session_t *session = gp_views_session (views, ask->process);
+  Gp__Wire__ViewAsk onward = *ask;
+  forward_t *forward;
 
-  if (view == NULL || view->session != session)
+  if (session == NULL)
+    {
+      send_missing (from, ask->id);
+      return;
+    }
+  onward.process = "";
+  forward = g_new0 (forward_t, 1);
+  forward->from = from;
+  forward->id = ask->id;
+  gp_list_push_back (&views->forwards, &forward->link);
+  forward->view = gp_views_ask (views, session, &onward, VIEW_TIMEOUT,
+                                on_forward_view, forward);
+  if (forward->view != NULL)
     return;
-  lines = view->kind == GP__WIRE__VIEW_KIND__VIEW_KIND_TIMELINE;
-  gp_operators_answer_text (
-      view->exchange, 200, lines ? TYPE_LINES : TYPE_TEXT,
-      (const char *)message->text.data, message->text.len);
-  end_view (view);
+  send_missing (from, ask->id);
+  forward_free (forward);
+}
+
+/* Sessions.  */
+
+static gboolean
+is_of_session (gpointer key, gpointer value, gpointer session)
+{
+  const gp_view_t *view = value;
+
+  (void)key;
+  return view->session == session;
 }
 
 void
 gp_views_on_closed (gp_views_t *views, gp_session_t *session)
 {
-  GList *open = g_hash_table_get_values (views->open);
+  gp_view_t *view;
 
-  for (GList *pos = open; pos != NULL; pos = pos->next)
-    {
-      view_t *view = pos->data;
+  GP_LIST_FOREACH_SAFE (pos, &views->forwards)
+  {
+    forward_t *forward = GP_CONTAINER_OF (pos, forward_t, link);
 
-      if (view->session == session)
-        fail_view (view, 502, "the connection to the process was lost");
-    }
-  g_list_free (open);
+    if (forward->from != session)
+      continue;
+    gp_view_cancel (forward->view);
+    forward_free (forward);
+  }
+  while ((view = g_hash_table_find (views->open, is_of_session, session))
+         != NULL)
+    end_view (view, GP_VIEW_LOST, NULL);
+}
+
+static gboolean
+is_any (gpointer key, gpointer value, gpointer data)
+{
+  (void)key, (void)value, (void)data;
+  return TRUE;
 }
 
 void
@@ -160,7 +334,9 @@
 {
   *views = (gp_views_t){ .host = host };
   views->open
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, view_free);
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  gp_timer_init (&views->timer, host->loop, on_timer, views);
+  gp_list_init (&views->forwards);
   gp_counter_register (&asked);
   gp_counter_register (&lost);
 }
@@ -168,6 +344,11 @@
 void
 gp_views_finish (gp_views_t *views)
 {
+  gp_view_t *view;
+
+  while ((view = g_hash_table_find (views->open, is_any, NULL)) != NULL)
+    end_view (view, GP_VIEW_LOST, NULL);
+  gp_timer_finish (&views->timer);
   g_hash_table_unref (views->open);
 }
 
@@ -187,6 +368,7 @@
     case GP__WIRE__VIEW_KIND__VIEW_KIND_COUNTERS:
       gp_counters_format (out);
       return 0;
+    case GP__WIRE__VIEW_KIND__VIEW_KIND_LAGGARDS:
     case GP__WIRE__VIEW_KIND__VIEW_KIND_UNSPECIFIED:
     case _GP__WIRE__VIEW_KIND_IS_INT_SIZE:
       break;
@@ -195,17 +377,26 @@
 }
 
 void
-gp_view_serve (gp_session_t *session, const gp_timeline_t *timeline,
-               const Gp__Wire__ViewAsk *ask)
+gp_view_send (gp_session_t *session, uint64_t id, const GString *text,
+              uint64_t next)
 {
   Gp__Wire__View view = GP__WIRE__VIEW__INIT;
   Gp__Wire__Envelope envelope = GP_ENVELOPE (VIEW, view, &view);
-  GString *text = g_string_new (NULL);
 
-  view.id = ask->id;
-  view.next = gp_view_fill (timeline, ask, text);
+  view.id = id;
+  view.next = next;
   view.text.data = (uint8_t *)text->str;
   view.text.len = text->len;
   gp_session_send (session, &envelope);
+}
+
+void
+gp_view_serve (gp_session_t *session, const gp_timeline_t *timeline,
+               const Gp__Wire__ViewAsk *ask)
+{
+  GString *text = g_string_new (NULL);
+  uint64_t next = gp_view_fill (timeline, ask, text);
+
+  gp_view_send (session, ask->id, text, next);
   g_string_free (text, TRUE);
 }
--- a/tests/unit/test_processes.c
+++ b/tests/unit/test_processes.c
@@ -32,11 +32,11 @@
   CU_ASSERT_EQUAL (process->config_revision, 7);
   CU_ASSERT_EQUAL (process->config_since_us, 200);
   gp_processes_closed (&processes, &session, 400);
-  CU_ASSERT_FALSE (process->connected);
+  CU_ASSERT_EQUAL (process->sessions, 0);
   CU_ASSERT_EQUAL (process->since_us, 400);
   gp_processes_opened (&processes, &session, 500);
   process = gp_processes_find (&processes, "g");
-  CU_ASSERT_TRUE (process->connected);
+  CU_ASSERT_EQUAL (process->sessions, 1);
   CU_ASSERT_EQUAL (process->config_revision, 7);
   gp_processes_finish (&processes);
 }
@@ -59,25 +59,43 @@
   gp_processes_opened (&processes, &old, 300);
   process = gp_processes_find (&processes, "g");
   CU_ASSERT_EQUAL (process->incarnation, 2);
-  CU_ASSERT_TRUE (process->connected);
+  CU_ASSERT_EQUAL (process->sessions, 1);
   CU_ASSERT_EQUAL (process->config_revision, 0);
   CU_ASSERT_EQUAL (process->since_us, 200);
   gp_processes_finish (&processes);
 }
 
+/* Both sides connected: the end of one session is not the end.  */
 static void
-test_entry_state (void)
+test_two_sessions (void)
+{
+  gp_processes_t processes;
+  gp_session_t session = session_of ("g", 1);
+  const gp_process_t *process;
+
+  gp_processes_init (&processes);
+  gp_processes_opened (&processes, &session, 100);
+  gp_processes_opened (&processes, &session, 200);
+  gp_processes_closed (&processes, &session, 300);
+  process = gp_processes_find (&processes, "g");
+  CU_ASSERT_EQUAL (process->sessions, 1);
+  CU_ASSERT_EQUAL (process->since_us, 100);
+  gp_processes_finish (&processes);
+}
+
+static void
+test_state (void)
 {
   gp_processes_t processes;
   gp_session_t session = session_of ("e", 1);
-  Gp__Wire__EntryState state = GP__WIRE__ENTRY_STATE__INIT;
+  Gp__Wire__ProcessState state = GP__WIRE__PROCESS_STATE__INIT;
   const gp_process_t *process;
 
   gp_processes_init (&processes);
   gp_processes_opened (&processes, &session, 100);
   state.state = GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING;
   state.config_revision = 3;
-  gp_processes_entry_state (&processes, &session, &state, 200);
+  gp_processes_state (&processes, &session, &state, 200);
   process = gp_processes_find (&processes, "e");
   CU_ASSERT_EQUAL (process->state,
                    GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING);
@@ -110,7 +128,8 @@
 {
   CU_TestInfo tests[] = { { "revision since", test_revision_since },
                           { "older incarnation", test_older_incarnation },
-                          { "entry state", test_entry_state },
+                          { "state", test_state },
+                          { "two sessions", test_two_sessions },
                           { "forgotten", test_forgotten },
                           CU_TEST_INFO_NULL };
 
