--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -522,7 +522,7 @@
 void
 gp_entry_finish (gp_entry_t *entry)
 {
-  gp_views_finish (&entry->views);
+  gp_views_close (&entry->views);
   gp_timer_finish (&entry->stop_timer);
   gp_timer_finish (&entry->opening_timer);
   for (size_t i = 0; i < entry->dialer_count; i++)
@@ -538,10 +538,11 @@
   gp_news_finish (&entry->news);
   gp_downlinks_close (&entry->downlinks);
   gp_routes_finish (&entry->routes);
+  gp_loop_finish (&entry->loop);
+  gp_views_finish (&entry->views);
   gp_processes_finish (&entry->processes);
   gp_operators_finish (&entry->operators_state);
   g_free (entry->events);
-  gp_loop_finish (&entry->loop);
   g_free (entry->dialers);
   gp_downlinks_finish (&entry->downlinks);
   if (entry->tls != NULL)
--- a/src/daemon/view.c
+++ b/src/daemon/view.c
@@ -342,13 +342,18 @@
 }
 
 void
-gp_views_finish (gp_views_t *views)
+gp_views_close (gp_views_t *views)
 {
   gp_view_t *view;
 
   while ((view = g_hash_table_find (views->open, is_any, NULL)) != NULL)
     end_view (view, GP_VIEW_LOST, NULL);
   gp_timer_finish (&views->timer);
+}
+
+void
+gp_views_finish (gp_views_t *views)
+{
   g_hash_table_unref (views->open);
 }
 
--- a/src/daemon/view.h
+++ b/src/daemon/view.h
@@ -41,7 +41,9 @@
 } gp_views_t;
 
 void gp_views_init (gp_views_t *views, gp_session_host_t *host);
-/* Ends what is open as lost, while all else is still there.  */
+/* End what is open as lost, while all else is still there, and release the
+   timer before the end of the loop; and the rest after it.  */
+void gp_views_close (gp_views_t *views);
 void gp_views_finish (gp_views_t *views);
 
 /* The ready session to PROCESS, or NULL.  */
