Refuse a document of another site

Cause: a document was accepted whatever site it named, so one site's operators could put another's in force by a wrong address. Change: the entry that publishes compares the site with its own, and wants the time zone to be known to it. Result: tests/scripts/config.py: accepted before (201), refused now with one issue at the key "site"; the other runs are unchanged.

--- a/src/daemon/configuration_publish.c
+++ b/src/daemon/configuration_publish.c
@@ -301,6 +301,33 @@
   gp_config_digest_items (list, items->len, publication->digest);
 }
 
+/* What only a process can tell of DOCUMENT: that it is this site's, and that
+   its time zone is known here.  */
+static bool
+fits_process (publication_t *publication, const gp_document_t *document)
+{
+  const char *site = publication->configuration->host->self.site;
+  g_autoptr (GTimeZone) zone = gp_document_time_zone (document);
+  gp_issue_t issue = { .severity = GP_ISSUE_ERROR };
+
+  if (strcmp (document->site, site) != 0)
+    {
+      issue.path = (char *)"site";
+      issue.value = document->site;
+      issue.message = (char *)"is not the site of this entry";
+      issue.allowed = (char *)site;
+      gp_issues_add (publication->issues, &issue);
+      return false;
+    }
+  if (zone != NULL)
+    return true;
+  issue.path = (char *)"time_zone";
+  issue.value = document->time_zone;
+  issue.message = (char *)"is not in the entry's time zone database";
+  gp_issues_add (publication->issues, &issue);
+  return false;
+}
+
 void
 gp_configuration_publish (gp_configuration_t *configuration, uint64_t base,
                           const char *author, const char *comment,
@@ -324,7 +351,10 @@
       return;
     }
   set_digest (publication, document.items);
-  if (configuration->store == NULL || !gp_store_ready (configuration->store))
+  if (!fits_process (publication, &document))
+    end_at_once (publication, GP_PUBLISH_INVALID);
+  else if (configuration->store == NULL
+           || !gp_store_ready (configuration->store))
     end_at_once (publication, GP_PUBLISH_UNAVAILABLE);
   else if (is_published (publication))
     end_at_once (publication, GP_PUBLISH_ACCEPTED);
--- a/tests/scripts/config.py
+++ b/tests/scripts/config.py
@@ -149,6 +149,10 @@
         print("first:", json.dumps(held(site, "entry-1")))
         show("faulty", publish(site, "entry-1", 0, "lucia",
                                "version: 1\nsite: x\nteams: [{}]\n"))
+        show("other site", publish(site, "entry-1", 0, "lucia",
+                                   document(90).replace(
+                                       "site: parabrisas-claros",
+                                       "site: obermaier")))
         show("publish", publish(site, "entry-1", 0, "lucia", document(90)))
         await_revision(site, 1)
         print("as written:", held(site, "entry-2")["document"]
