Give the test site ports that no outgoing connection takes

Cause: ports were taken from the kernel's range for outgoing connections; one of hundreds of those could hold a port while its process was down. Change: ports come from below that range. Ledgers and logs are kept also when a run could not be brought up.

--- a/tools/experiment_run.py
+++ b/tools/experiment_run.py
@@ -28,6 +28,7 @@
 DOCUMENT_POLLS = 4  # the document is read with each fourth poll
 SETTLE_S = 20.0
 SETTLE_POLL_S = 0.5
+LEASES_S = 5.0
 EXIT_S = 30.0
 SUBMIT_S = 30.0
 SUBMIT_AGAIN_S = 0.5
@@ -445,8 +446,11 @@
     def _await_leases(self):
         """Workers that are known at the start get their share of it."""
         processes = [self.site.processes[g] for g in self.site.guard_names]
-        until(lambda: all("lease.held" in p.log() for p in processes),
-              what="leases of all workers")
+        try:
+            until(lambda: all("lease.held" in p.log() for p in processes),
+                  LEASES_S, "leases of all workers")
+        except TimeoutError as error:
+            self.errors.append(str(error))
 
     def _try_publish(self):
         """The first configuration; an entry may still be reading the log."""
@@ -479,8 +483,12 @@
                 self.say(f"{name} ended by itself: {status}\n"
                          + process.log()[-2000:])
 
-    def run(self, keep=None):
-        """Run all of it; the report.  The ledgers are copied to KEEP."""
+    def keep(self, folder):
+        """Copy ledgers, settings and logs to FOLDER."""
+        shutil.copytree(self.folder, folder, dirs_exist_ok=True)
+
+    def run(self):
+        """Run all of it; the report."""
         self.say(f"{self.scenario['name']}: bringing the site up")
         self._bring_up()
         self.started = time.monotonic()
@@ -509,8 +517,6 @@
         report = Checker(self.site.folder).report()
         report["name"] = self.scenario["name"]
         report["errors"] = self.errors
-        if keep:
-            shutil.copytree(self.site.folder, keep, dirs_exist_ok=True)
         return report
 
 
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -10,6 +10,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -21,15 +22,26 @@
 TOKEN = "operator-token-of-a-test-site"
 REQUEST_TIMEOUT_S = 20
 START_TIMEOUT_S = 20
+LOWEST_PORT = 10000
 SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 WORKER_SIZE = {"millicores": 16000, "memory_mib": 61440, "accelerators": 0}
 
 
 def free_port():
-    """A TCP port of loopback that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A TCP port of loopback that is free now.  It is none of those that the
+    kernel gives to outgoing connections, which could take it while the
+    process that listens there is down."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range",
+              encoding="ascii") as file:
+        above = int(file.read().split()[0])
+    while True:
+        port = random.SystemRandom().randrange(LOWEST_PORT, above)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def until(condition, timeout_s=START_TIMEOUT_S, what="condition"):
