--- a/src/daemon/relay_send.c
+++ b/src/daemon/relay_send.c
@@ -13,7 +13,7 @@
   Gp__Wire__Envelope envelope = GP_ENVELOPE (CANCEL, cancel, &cancel);
 
   cancel.id = relay->handle;
-  gp_session_send (relay->target->session, &envelope);
+  gp_session_send (relay->session, &envelope);
 }
 
 void
@@ -24,7 +24,7 @@
 
   credit.id = relay->handle;
   credit.bytes = (uint32_t)bytes;
-  gp_session_send (relay->target->session, &envelope);
+  gp_session_send (relay->session, &envelope);
 }
 
 /* Send what the session takes of the request's body.  */
@@ -32,7 +32,7 @@
 gp_relay_send_body (gp_relay_t *relay)
 {
   gp_http_text_t body = gp_http_exchange_body (relay->exchange);
-  gp_session_t *session = relay->target->session;
+  gp_session_t *session = relay->session;
 
   while (relay->body_sent < body.size && !gp_peer_congested (session->peer))
     {
@@ -64,20 +64,12 @@
 kind_name (const gp_relay_t *relay, char *name, size_t size)
 {
   if (relay->kind != NULL)
-    g_strlcpy (name, relay->kind->name, size);
+    g_strlcpy (name, relay->kind, size);
   else
     copy_text (name, size,
                gp_http_exchange_header (relay->exchange, "galenapier-kind"));
 }
 
-static Gp__Wire__WorkClass
-work_class (const gp_relay_t *relay)
-{
-  if (relay->kind != NULL && relay->kind->work_class == GP_DOCUMENT_BATCH)
-    return GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
-  return GP__WIRE__WORK_CLASS__WORK_CLASS_LATENCY_CRITICAL;
-}
-
 /* The path behind the service's name.  */
 gp_http_text_t
 gp_relay_path (const gp_relay_t *relay)
@@ -118,7 +110,7 @@
   request.service = relay->service->name;
   request.kind = kind;
   request.team = team;
-  request.work_class = work_class (relay);
+  request.work_class = relay->work_class;
   request.idempotent = relay->idempotent;
   request.remaining_us = (uint64_t)MAX (relay->deadline - now, 0);
   request.method = method;
@@ -128,9 +120,9 @@
   request.body_size = body.size;
   request.body.data = (uint8_t *)body.base;
   request.body.len = MIN (body.size, GP_PART_SIZE);
-  request.guard_incarnation = relay->target->session->incarnation;
+  request.guard_incarnation = relay->session->incarnation;
   relay->body_sent = request.body.len;
-  gp_session_send (relay->target->session, &envelope);
+  gp_session_send (relay->session, &envelope);
   g_free (method);
   g_free (path);
   gp_relay_send_body (relay);
