Run jobs, watchers and configuration in the short scenario too

Cause: entries take documents and jobs now; a site could be given one port twice. Change: the scripted run publishes the small document, submits jobs and stops a VM as planned. Ports of a process differ from each other.

--- a/tests/scripts/experiment.py
+++ b/tests/scripts/experiment.py
@@ -12,20 +12,30 @@
 sys.path.insert(0, os.path.join(ROOT, "tools"))
 from site_processes import until  # noqa: E402
 
-SITE = """name: short
+SITE = f"""name: short
 site:
+  zones: [a, b, c]
   entries: 2
-  guards: 2
-  upstream: {service: reclamos-api, service_ms: 5}
-  timings: {leave_ms: 300}
+  guards: 3
+  upstream: {{service: reclamos-api, service_ms: 5}}
+  worker: {{millicores: 16000, memory_mib: 61440}}
+  timings: {{heartbeat_ms: 200, lease_ms: 3000, vouch_ms: 3000,
+            margin_ms: 100, suspect_ms: 1500, usage_ms: 200, leave_ms: 300,
+            reconnect_max_ms: 300}}
+document: {ROOT}/tools/scenarios/documents/small.yaml
 load:
   - duration_s: 4
     kinds:
-      - {name: check, path: /reclamos-api/checks, rate: 50}
+      - {{name: check, path: /reclamos-api/checks, rate: 50}}
+      - {{name: claim, path: /reclamos-api/claims, method: POST, rate: 10,
+         keyed: true, duplicate: 0.2, tries: 5, body_size: 500}}
 """
 FAULTS = """timeline:
+  - {at_s: 0.2, do: submit, kind: assessment, count: 12, run_ms: 900,
+     checkpoint_every_ms: 100}
   - {at_s: 1, do: kill, process: guard-1, for_s: 0.5}
-  - {at_s: 2.5, do: drain, process: guard-2, for_s: 0.5}
+  - {at_s: 1.5, do: publish, racers: 2, times: 2}
+  - {at_s: 2.5, do: drain, process: guard-2, vm: true, for_s: 0.5}
 """
 
 
@@ -50,6 +60,9 @@
     print("promises:", [line.split()[:2] for line in out.splitlines()
                         if " kept " in line])
     print("breaches:", [b for b in report["breaches"].values() if b])
+    print("jobs:", {name: report["jobs"]["assessment"][name]
+                    for name in ("submitted", "done", "lost")})
+    print("watchers:", report["watchers"]["watcher"]["running"])
     print("all accounted for:", row["sent"] > 100 and row["sent"]
           == row["answered"] + row["not_run"] + row["unknown"] + row["lost"])
     judged = subprocess.run(
@@ -87,7 +100,7 @@
 
 def interrupt(folder):
     process = experiment(folder, SITE)
-    started = until(lambda: len(children_of(process.pid)) >= 8
+    started = until(lambda: len(children_of(process.pid)) >= 10
                     and children_of(process.pid), what="all processes")
     process.send_signal(signal.SIGTERM)
     process.communicate()
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -27,15 +27,21 @@
 WORKER_SIZE = {"millicores": 16000, "memory_mib": 61440, "accelerators": 0}
 
 
+_given_ports = set()
+
+
 def free_port():
-    """A TCP port of loopback that is free now.  It is none of those that the
-    kernel gives to outgoing connections, which could take it while the
-    process that listens there is down."""
+    """A TCP port of loopback that is free now, another one each time.  It is
+    none of those that the kernel gives to outgoing connections, which could
+    take it while the process that listens there is down."""
     with open("/proc/sys/net/ipv4/ip_local_port_range",
               encoding="ascii") as file:
         above = int(file.read().split()[0])
     while True:
         port = random.SystemRandom().randrange(LOWEST_PORT, above)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
