--- a/src/daemon/routes.c
+++ b/src/daemon/routes.c
@@ -46,6 +46,18 @@
   return g_hash_table_lookup (routes->services, name);
 }
 
+/* What an operator sees of a target.  */
+static void
+note (const gp_routes_t *routes, gp_timeline_kind_t kind,
+      const gp_target_t *target, const char *text)
+{
+  gp_timeline_subject_t subject = { .vm = target->member->announcement.name };
+
+  if (routes->timeline != NULL)
+    gp_timeline_append (routes->timeline, kind, &subject, text,
+                        gp_time_wall ());
+}
+
 /* Targets.  */
 
 static gp_target_t *
@@ -79,6 +91,8 @@
   GP_LIST_FOREACH (pos, &target->relays)
   gp_router_sent (&target->service->router, &target->candidate);
   gp_counter_add (&members_serving, 1);
+  if (routes->on_route != NULL)
+    routes->on_route (routes->data);
   gp_log (GP_LOG_INFO, "target.up", GP_LOG_S ("guard", a->name),
           GP_LOG_S ("service", a->service), GP_LOG_S ("zone", a->zone));
 }
@@ -104,6 +118,30 @@
     g_free (target);
 }
 
+static void
+take_session (gp_target_t *target, gp_session_t *session)
+{
+  target->session = session;
+  if (session != NULL)
+    session->object = target;
+}
+
+/* An open session with the current incarnation of MEMBER, or NULL.  */
+static gp_session_t *
+find_session (const gp_routes_t *routes, const gp_member_t *member)
+{
+  GP_LIST_FOREACH (pos, &routes->host->sessions)
+  {
+    gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
+
+    if (session->ready && session->peer != NULL
+        && session->incarnation == member->announcement.incarnation
+        && strcmp (session->process, member->announcement.name) == 0)
+      return session;
+  }
+  return NULL;
+}
+
 static void
 settle_member (gp_routes_t *routes, gp_member_t *member)
 {
@@ -115,6 +153,8 @@
     target = target_new (routes, member);
   if (target == NULL)
     return;
+  if (routable && target->session == NULL)
+    take_session (target, find_session (routes, member));
   if (routable && !target->routed && target->session != NULL)
     add_route (routes, target);
   else if (!routable && target->routed)
@@ -300,7 +340,8 @@
 }
 
 static void
-apply (gp_target_t *target, gp_outlier_action_t action)
+apply (const gp_routes_t *routes, gp_target_t *target,
+       gp_outlier_action_t action)
 {
   gp_router_t *router = &target->service->router;
 
@@ -312,6 +353,7 @@
       gp_counter_add (&ejections, 1);
       gp_log (GP_LOG_WARNING, "target.ejected",
               GP_LOG_S ("guard", target->member->announcement.name));
+      note (routes, GP_TIMELINE_MEMBER_GONE, target, "ejected");
       gp_router_eject (router, &target->candidate);
       break;
     case GP_OUTLIER_OFFER_PROBE:
@@ -320,6 +362,7 @@
     case GP_OUTLIER_READMIT:
       gp_log (GP_LOG_INFO, "target.readmitted",
               GP_LOG_S ("guard", target->member->announcement.name));
+      note (routes, GP_TIMELINE_MEMBER_SERVING, target, "readmitted");
       gp_router_readmit (router, &target->candidate);
       break;
     }
@@ -335,11 +378,12 @@
   if (!target->routed)
     return;
   if (target->health.state == GP_HEALTH_PROBED)
-    apply (target,
+    apply (routes, target,
            gp_outlier_probe_done (outlier, &target->health, success, now));
   else
-    apply (target, gp_outlier_record (outlier, &target->health, success,
-                                      duration, now));
+    apply (
+        routes, target,
+        gp_outlier_record (outlier, &target->health, success, duration, now));
 }
 
 void
@@ -362,14 +406,14 @@
 }
 
 static void
-tick_service (gp_service_t *service, gp_time_t now)
+tick_service (const gp_routes_t *routes, gp_service_t *service, gp_time_t now)
 {
   gp_outlier_action_t action;
   gp_health_t *health;
 
   while ((health = gp_outlier_next_due (&service->outlier, now, &action))
          != NULL)
-    apply (health->data, action);
+    apply (routes, health->data, action);
 }
 
 static void
@@ -384,7 +428,7 @@
   gp_routes_settle (routes);
   g_hash_table_iter_init (&iter, routes->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
-    tick_service (service, now);
+    tick_service (routes, service, now);
   gp_timer_arm (timer, now + TICK);
 }
 
@@ -405,10 +449,23 @@
   gp_timer_arm (&routes->timer, gp_loop_now (loop) + TICK);
 }
 
+/* The targets of members that are still known.  */
+static void
+free_targets (gp_routes_t *routes)
+{
+  GHashTableIter iter;
+  gpointer member;
+
+  g_hash_table_iter_init (&iter, routes->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &member))
+    g_free (((gp_member_t *)member)->data);
+}
+
 void
 gp_routes_finish (gp_routes_t *routes)
 {
   gp_timer_finish (&routes->timer);
+  free_targets (routes);
   g_hash_table_unref (routes->services);
   gp_members_finish (&routes->members);
 }
