End callers' connections with their answers while an entry leaves

Ruled out: the relay (it never saw the request) and the guard. Change: from SIGTERM on each answer ends its connection (gp_http_server_retire), so that few connections are idle at the end. Conclusion: a connection idle for the whole leave time can still cross; the balancer has taken it out by then.

--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -257,6 +257,7 @@
   gp_log (GP_LOG_INFO, "entry.leaving");
   note_self (entry, GP_TIMELINE_PROCESS_STOP);
   tell_state (entry);
+  gp_http_server_retire (entry->callers);
   gp_timer_arm (&entry->stop_timer,
                 gp_loop_now (&entry->loop)
                     + entry->settings->timings.leave_ms * GP_MSEC);
--- a/src/transport/http_exchange.c
+++ b/src/transport/http_exchange.c
@@ -347,7 +347,7 @@
   gp_counter_register (&requests_total);
   gp_counter_register (&gone_total);
   gp_counter_add (&requests_total, 1);
-  if (server->closing)
+  if (server->retiring)
     request->http1_is_persistent = 0;
   server->options.on_request (exchange, server->options.data);
 }
--- a/src/transport/http_private.h
+++ b/src/transport/http_private.h
@@ -54,6 +54,7 @@
   gp_loop_t *loop;
   gp_listener_t listener;
   bool listening;
+  bool retiring; /* each answer ends its connection */
   bool closing;
   h2o_globalconf_t config;
   h2o_context_t context;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -107,16 +107,23 @@
     shutdown (h2o_socket_get_fd (connection->socket), SHUT_RD);
 }
 
+void
+gp_http_server_retire (gp_http_server_t *server)
+{
+  server->retiring = true;
+  GP_LIST_FOREACH (pos, &server->exchanges)
+  GP_CONTAINER_OF (pos, gp_http_exchange_t, link)->request->http1_is_persistent
+      = 0;
+}
+
 static void
 start_closing (gp_http_server_t *server)
 {
   if (server->closing)
     return;
   server->closing = true;
+  gp_http_server_retire (server);
   gp_listener_close (&server->listener, on_listener_closed);
-  GP_LIST_FOREACH (pos, &server->exchanges)
-  GP_CONTAINER_OF (pos, gp_http_exchange_t, link)->request->http1_is_persistent
-      = 0;
   GP_LIST_FOREACH (pos, &server->connections)
   close_idle (GP_CONTAINER_OF (pos, gp_http_connection_t, link));
 }
