--- a/programs/galenapier-entry.c
+++ b/programs/galenapier-entry.c
@@ -1,36 +1,36 @@
 /* galenapier-entry: HTTP to callers and operators, routing, placement.  */
 
-#include <stdio.h>
-
-#include "base/log.h"
 #include "daemon/entry.h"
-#include "daemon/options.h"
+#include "daemon/program.h"
+
+static bool
+init (void *state, const gp_settings_t *settings, GError **error)
+{
+  return gp_entry_init (state, settings, error);
+}
+
+static void
+run (void *state)
+{
+  gp_entry_run (state);
+}
+
+static void
+finish (void *state)
+{
+  gp_entry_finish (state);
+}
 
 int
 main (int argc, char **argv)
 {
   static gp_entry_t entry;
-  gp_settings_t settings;
-  GError *error = NULL;
+  const gp_program_t program = { .name = "galenapier-entry",
+                                 .wants_entry = true,
+                                 .init = init,
+                                 .run = run,
+                                 .finish = finish,
+                                 .state = &entry };
 
-  switch (gp_options_load (&argc, &argv, "galenapier-entry", true, &settings))
-    {
-    case GP_OPTIONS_RUN:
-      break;
-    case GP_OPTIONS_EXIT:
-      return 0;
-    case GP_OPTIONS_ERROR:
-      return 2;
-    }
-  gp_log_init (settings.name, settings.log_level);
-  if (!gp_entry_init (&entry, &settings, &error))
-    {
-      fprintf (stderr, "galenapier-entry: %s\n", error->message);
-      g_error_free (error);
-      return 1;
-    }
-  gp_entry_run (&entry);
-  gp_entry_finish (&entry);
-  gp_settings_finish (&settings);
-  return 0;
+  return gp_program_main (&program, argc, argv);
 }
--- a/programs/galenapier-guard.c
+++ b/programs/galenapier-guard.c
@@ -1,36 +1,36 @@
 /* galenapier-guard: the process beside an upstream or on a worker.  */
 
-#include <stdio.h>
-
-#include "base/log.h"
 #include "daemon/guard.h"
-#include "daemon/options.h"
+#include "daemon/program.h"
+
+static bool
+init (void *state, const gp_settings_t *settings, GError **error)
+{
+  return gp_guard_init (state, settings, error);
+}
+
+static void
+run (void *state)
+{
+  gp_guard_run (state);
+}
+
+static void
+finish (void *state)
+{
+  gp_guard_finish (state);
+}
 
 int
 main (int argc, char **argv)
 {
   static gp_guard_t guard;
-  gp_settings_t settings;
-  GError *error = NULL;
+  const gp_program_t program = { .name = "galenapier-guard",
+                                 .wants_entry = false,
+                                 .init = init,
+                                 .run = run,
+                                 .finish = finish,
+                                 .state = &guard };
 
-  switch (gp_options_load (&argc, &argv, "galenapier-guard", false, &settings))
-    {
-    case GP_OPTIONS_RUN:
-      break;
-    case GP_OPTIONS_EXIT:
-      return 0;
-    case GP_OPTIONS_ERROR:
-      return 2;
-    }
-  gp_log_init (settings.name, settings.log_level);
-  if (!gp_guard_init (&guard, &settings, &error))
-    {
-      fprintf (stderr, "galenapier-guard: %s\n", error->message);
-      g_error_free (error);
-      return 1;
-    }
-  gp_guard_run (&guard);
-  gp_guard_finish (&guard);
-  gp_settings_finish (&settings);
-  return 0;
+  return gp_program_main (&program, argc, argv);
 }
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "daemon/laggards.h"
 #include "daemon/operators.h"
+#include "daemon/program.h"
 #include "daemon/text.h"
 
 #define CLOSE_GRACE (200 * GP_MSEC)
@@ -17,27 +18,8 @@
 #define OPENING_PAUSE (100 * GP_MSEC)
 #define READY_PATH "/-/ready"
 
-/* Add an event about this process to the time line.  */
-static void
-note_self (gp_entry_t *entry, gp_timeline_kind_t kind)
-{
-  const gp_timeline_subject_t subject = { .vm = entry->settings->name };
-
-  gp_timeline_append (&entry->timeline, kind, &subject, NULL, gp_time_wall ());
-}
-
 /* Sessions.  */
 
-/* Add an event about the process of SESSION to the time line.  */
-static void
-note_peer (gp_entry_t *entry, gp_timeline_kind_t kind,
-           const gp_session_t *session)
-{
-  const gp_timeline_subject_t subject = { .vm = session->process };
-
-  gp_timeline_append (&entry->timeline, kind, &subject, NULL, gp_time_wall ());
-}
-
 static void
 send_state (gp_entry_t *entry, gp_session_t *session)
 {
@@ -72,7 +54,7 @@
   if (session->owner != NULL)
     gp_dialer_on_ready (session->owner);
   gp_processes_opened (&entry->processes, session, gp_time_wall ());
-  note_peer (entry, GP_TIMELINE_PEER_UP, session);
+  gp_program_note (&entry->timeline, GP_TIMELINE_PEER_UP, session->process);
   if (session->role == GP__WIRE__ROLE__ROLE_ENTRY)
     send_state (entry, session);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("peer", session->process),
@@ -172,7 +154,7 @@
   gp_log (GP_LOG_INFO, "session.closed", GP_LOG_S ("peer", session->process),
           GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
   gp_processes_closed (&entry->processes, session, gp_time_wall ());
-  note_peer (entry, GP_TIMELINE_PEER_DOWN, session);
+  gp_program_note (&entry->timeline, GP_TIMELINE_PEER_DOWN, session->process);
   gp_views_on_closed (&entry->views, session);
   gp_news_on_closed (&entry->news, session);
   if (session->object != NULL)
@@ -255,7 +237,8 @@
     return;
   entry->leaving = true;
   gp_log (GP_LOG_INFO, "entry.leaving");
-  note_self (entry, GP_TIMELINE_PROCESS_STOP);
+  gp_program_note (&entry->timeline, GP_TIMELINE_PROCESS_STOP,
+                   entry->settings->name);
   tell_state (entry);
   gp_http_server_retire (entry->callers);
   gp_timer_arm (&entry->stop_timer,
@@ -327,17 +310,6 @@
   return entry->operators != NULL;
 }
 
-static bool
-load_tls (gp_entry_t *entry, GError **error)
-{
-  const gp_settings_tls_t *tls = entry->settings->tls;
-
-  if (tls == NULL)
-    return true;
-  entry->tls = gp_tls_new (tls->authority, tls->certificate, tls->key, error);
-  return entry->tls != NULL;
-}
-
 static void
 on_configuration (const gp_document_t *document, uint64_t revision, void *data)
 {
@@ -421,7 +393,8 @@
   gp_timeline_init (&entry->timeline, settings->name, entry->incarnation,
                     entry->events, GP_ENTRY_TIMELINE_SIZE);
   entry->host.timeline = &entry->timeline;
-  note_self (entry, GP_TIMELINE_PROCESS_START);
+  gp_program_note (&entry->timeline, GP_TIMELINE_PROCESS_START,
+                   entry->settings->name);
   gp_processes_init (&entry->processes);
   gp_views_init (&entry->views, &entry->host);
   gp_operators_init (&entry->operators_state);
@@ -474,7 +447,8 @@
   entry->incarnation = (uint64_t)entry->started_us;
   self.incarnation = entry->incarnation;
   members.suspect_after = settings->timings.suspect_ms * GP_MSEC;
-  if (!load_tls (entry, error) || !gp_loop_init (&entry->loop, error))
+  if (!gp_program_load_tls (settings, &entry->tls, error)
+      || !gp_loop_init (&entry->loop, error))
     return false;
   entry->rand = g_rand_new ();
   gp_session_host_init (&entry->host, &entry->loop, entry->tls, &self,
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -5,6 +5,7 @@
 #include "base/counters.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "daemon/program.h"
 #include "daemon/view.h"
 #include "daemon/execution_limits.h"
 
@@ -115,15 +116,6 @@
   send_heartbeats (data);
 }
 
-/* Add an event about this process to the time line.  */
-static void
-note_self (gp_guard_t *guard, gp_timeline_kind_t kind)
-{
-  const gp_timeline_subject_t subject = { .vm = guard->settings->name };
-
-  gp_timeline_append (&guard->timeline, kind, &subject, NULL, gp_time_wall ());
-}
-
 static void
 send_state (gp_guard_t *guard, gp_session_t *session)
 {
@@ -139,15 +131,6 @@
 
 /* Sessions.  */
 
-static void
-note_peer (gp_guard_t *guard, gp_timeline_kind_t kind,
-           const gp_session_t *session)
-{
-  const gp_timeline_subject_t subject = { .vm = session->process };
-
-  gp_timeline_append (&guard->timeline, kind, &subject, NULL, gp_time_wall ());
-}
-
 static void
 on_ready (gp_session_t *session, void *data)
 {
@@ -155,7 +138,7 @@
 
   gp_uplinks_on_ready (&guard->uplinks, session);
   gp_counter_add (&entries_connected, 1);
-  note_peer (guard, GP_TIMELINE_PEER_UP, session);
+  gp_program_note (&guard->timeline, GP_TIMELINE_PEER_UP, session->process);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("entry", session->process));
   if (has_upstream (guard))
     {
@@ -228,7 +211,8 @@
   if (ready)
     {
       gp_counter_add (&entries_connected, -1);
-      note_peer (guard, GP_TIMELINE_PEER_DOWN, session);
+      gp_program_note (&guard->timeline, GP_TIMELINE_PEER_DOWN,
+                       session->process);
       gp_log (GP_LOG_INFO, "session.closed",
               GP_LOG_S ("entry", session->process),
               GP_LOG_S ("reason", reason != NULL ? reason->message : "left"));
@@ -301,7 +285,8 @@
     return;
   guard->leaving = true;
   gp_log (GP_LOG_INFO, "guard.leaving");
-  note_self (guard, GP_TIMELINE_PROCESS_STOP);
+  gp_program_note (&guard->timeline, GP_TIMELINE_PROCESS_STOP,
+                   guard->settings->name);
   gp_uplinks_stop (&guard->uplinks);
   announce_all (guard);
   guard->draining = has_upstream (guard) + (guard->runner != NULL);
@@ -360,7 +345,8 @@
   gp_timeline_init (&guard->timeline, settings->name, guard->incarnation,
                     guard->events, GP_GUARD_TIMELINE_SIZE);
   guard->host.timeline = &guard->timeline;
-  note_self (guard, GP_TIMELINE_PROCESS_START);
+  gp_program_note (&guard->timeline, GP_TIMELINE_PROCESS_START,
+                   guard->settings->name);
   guard->configuration = gp_configuration_new (
       &guard->host, NULL, &guard->timeline, on_configuration, guard);
   if (has_upstream (guard)
@@ -376,17 +362,6 @@
   return guard->runner != NULL;
 }
 
-static bool
-load_tls (gp_guard_t *guard, GError **error)
-{
-  const gp_settings_tls_t *tls = guard->settings->tls;
-
-  if (tls == NULL)
-    return true;
-  guard->tls = gp_tls_new (tls->authority, tls->certificate, tls->key, error);
-  return guard->tls != NULL;
-}
-
 bool
 gp_guard_init (gp_guard_t *guard, const gp_settings_t *settings,
                GError **error)
@@ -403,7 +378,8 @@
   *guard = (gp_guard_t){ .settings = settings };
   guard->incarnation = (uint64_t)gp_time_wall ();
   self.incarnation = guard->incarnation;
-  if (!load_tls (guard, error) || !gp_loop_init (&guard->loop, error))
+  if (!gp_program_load_tls (settings, &guard->tls, error)
+      || !gp_loop_init (&guard->loop, error))
     return false;
   guard->rand = g_rand_new ();
   gp_counter_register (&entries_connected);
