Prove two faults at a time and long outages of the log with real processes

Cause: the scripted runs of tasks set one fault at a time, and the table of docs/design/leases.md was checked in virtual time only. The ledgers of the worker runtimes are the judge.

--- /dev/null
+++ b/tests/scripts/proof_outage.py
@@ -0,0 +1,90 @@
+"""An outage of the log that lasts for several leases, with an entry that
+restarts in it and one that does not come back."""
+
+import sys
+
+from tasks_site import (WATCHERS, await_checkpoints, await_epoch,
+                        await_watchers, epochs, executions, job, judge,
+                        long_jobs, ready, site_of, went_on)
+
+from site_processes import until
+
+RENEWALS = 25  # of each entry: 200 ms and two guards make it 2.5 s
+
+
+def log_down(site):
+    site.fault("log", {"down": True})
+    until(lambda: all(site.counter(e, "store_available") == 0
+                      for e in site.entry_names), what="log down")
+
+
+def log_up(site):
+    site.fault("log", {"down": False})
+    until(lambda: all(site.counter(e, "store_available") == 1
+                      for e in site.entry_names), what="log up")
+
+
+def await_renewals(site):
+    before = {e: site.counter(e, "entry_leases_vouched_total")
+              for e in site.entry_names}
+    until(lambda: all(site.counter(e, "entry_leases_vouched_total")
+                      >= before[e] + RENEWALS for e in site.entry_names),
+          what="vouched renewals")
+
+
+def lapses(site):
+    return sum(fact["event"] == "lease_expired" for guard in site.guard_names
+               for fact in site.facts(guard + ".worker"))
+
+
+def running(site):
+    """Tasks whose last stretch has not ended, by the workers' ledgers."""
+    return sum(max(runs, key=lambda run: run["start"])["end"] is None
+               for runs in executions(site).values())
+
+
+def entry_restarts(build):
+    print("the log is down and an entry restarts")
+    with site_of(build, entries=3, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 2)
+        await_watchers(site, WATCHERS)
+        before = epochs(site)
+        log_down(site)
+        await_renewals(site)
+        site.processes["entry-2"].kill()
+        site.start_entry("entry-2")
+        await_renewals(site)
+        print("  leases that lapsed:", lapses(site))
+        print("  running:", running(site) == WATCHERS + len(names))
+        log_up(site)
+        await_epoch(site, names, 1)
+        await_watchers(site, WATCHERS)
+        print("  same epochs:", epochs(site) == before
+              and all(job(site, n)["epoch"] == 1 for n in names))
+        judge(site)
+
+
+def entry_gone(build):
+    print("the log is down and an entry is gone")
+    with site_of(build, entries=3, guards=2) as site:
+        ready(site)
+        names = long_jobs(site, 2)
+        await_watchers(site, WATCHERS)
+        await_checkpoints(site, names)
+        log_down(site)
+        await_renewals(site)
+        site.processes["entry-3"].kill()
+        until(lambda: running(site) == 0, what="all tasks stopped")
+        print("  stopped by the lease:", lapses(site) >= 1)
+        site.entry_names.remove("entry-3")
+        log_up(site)
+        await_epoch(site, names, 2)
+        await_watchers(site, WATCHERS)
+        print("  from their checkpoints:", went_on(site, names))
+        judge(site)
+
+
+RUNS = {"restart": entry_restarts, "gone": entry_gone}
+
+RUNS[sys.argv[2]](sys.argv[1])
