Acknowledge a report to the process that made it only

Seen: with the log down, a guard that was told to leave had stopped its work and was killed; its next process beside the same runtime ended one task of two for good. The log showed the task as running on that guard for ever. Cause: an entry acknowledges a report by the guard's name when its record was read back. The old process had reported a checkpoint under a number; the new one counts its reports from 1 again and had given that number to the task's end. It took the acknowledgement of the checkpoint for that of the end and let the runtime forget the task, while no END was on the log. Ruled out: the fold (no END of that task was ever appended), the inventory (it listed the end), the runtime (it told the end until it was forgotten). Change: an entry keeps the incarnation of the process that reported and acknowledges to that one alone. Before: proof_resume and the test "ack of predecessor" fail. Conclusion: a report's number means something within one process only.

--- a/src/daemon/tasks_report.c
+++ b/src/daemon/tasks_report.c
@@ -14,6 +14,7 @@
 {
   gp_tasks_t *tasks;
   char *guard;
+  uint64_t process; /* of the guard that reported: its incarnation */
   uint64_t task;
   uint64_t epoch;
   uint64_t number;
@@ -35,7 +36,8 @@
   Gp__Wire__Envelope envelope
       = GP_ENVELOPE (TASK_REPORT_ACK, task_report_ack, &ack);
 
-  if (guard == NULL || guard->session == NULL)
+  if (guard == NULL || guard->session == NULL
+      || guard->session->incarnation != reporting->process)
     return;
   ack.task = reporting->task;
   ack.epoch = reporting->epoch;
@@ -54,6 +56,7 @@
 
   *reporting = (reporting_t){ .tasks = tasks,
                               .guard = g_strdup (guard->name),
+                              .process = guard->session->incarnation,
                               .task = report->task,
                               .epoch = report->epoch,
                               .number = report->number,
--- /dev/null
+++ b/tests/scripts/proof_resume.py
@@ -0,0 +1,118 @@
+"""Evicted work resumes once, from its last checkpoint, when the guard or an
+entry is killed while it is evicted.
+
+The log is down from the eviction on, so that the kill always comes when the
+work has stopped and its end is not on the log."""
+
+import signal
+import sys
+
+from tasks_site import (WATCHERS, await_checkpoints, await_epoch,
+                        await_watchers, executions, job, judge, long_jobs, on,
+                        ready, site_of)
+
+from site_processes import until
+
+
+def stretches(site, task):
+    """Its stretches in the order of epochs, with the checkpoints of each and
+    how far it was at its end."""
+    found = {}
+    for guard in site.guard_names:
+        for fact in site.facts(guard + ".worker"):
+            if fact.get("task") != task:
+                continue
+            stretch = found.setdefault(fact["epoch"], {
+                "from": None, "starts": 0, "saved": [], "state": None})
+            if fact["event"] == "task_start":
+                stretch["from"] = fact["progress_ms"]
+                stretch["starts"] += 1
+                continue
+            stretch["state"] = fact["state"]
+            if fact["event"] == "checkpoint" or fact["state"] == "stopped":
+                stretch["saved"].append(fact["progress_ms"])
+    return [found[epoch] for epoch in sorted(found)]
+
+
+def judge_resumed(site, names, exact):
+    """Each went on once; EXACT: from where its eviction left it, otherwise
+    from any of its checkpoints."""
+    once, right = 0, 0
+    for name in names:
+        first, *later = stretches(site, name)
+        once += len(later) == 1 and later[0]["starts"] == 1
+        saved = first["saved"][-1:] if exact else first["saved"]
+        right += later[0]["from"] in saved
+    print("  resumed once:", once == len(names) > 0)
+    print("  from", "where it was stopped:" if exact else "a checkpoint:",
+          right == len(names))
+
+
+def set_log(site, down):
+    site.fault("log", {"down": down})
+    until(lambda: all(site.counter(e, "store_available") == (not down)
+                      for e in site.entry_names), what=f"log down: {down}")
+
+
+def evicted(site):
+    """Work of a guard that leaves: stopped, and no end of it on the log."""
+    ready(site)
+    names = long_jobs(site, 4)
+    await_watchers(site, WATCHERS)
+    victim = job(site, names[0])["worker"]
+    moved = on(site, names, victim)
+    await_checkpoints(site, moved)
+    set_log(site, True)
+    site.processes[victim].signal(signal.SIGTERM)
+    until(lambda: all(executions(site)[n][0]["end"] for n in moved),
+          what="all stopped")
+    return victim, moved
+
+
+def guard_killed(build):
+    print("the guard is killed and does not return")
+    with site_of(build, entries=2, guards=3) as site:
+        victim, moved = evicted(site)
+        site.processes[victim].kill()
+        set_log(site, False)
+        await_epoch(site, moved, 2)
+        await_watchers(site, WATCHERS)
+        judge_resumed(site, moved, exact=False)
+        judge(site)
+
+
+def guard_restarted(build):
+    print("the guard is killed and restarted beside its runtime")
+    with site_of(build, entries=2, guards=3) as site:
+        victim, moved = evicted(site)
+        site.processes[victim].kill()
+        site.start_guard(victim, alone=True)
+        set_log(site, False)
+        await_epoch(site, moved, 2)
+        await_watchers(site, WATCHERS)
+        judge_resumed(site, moved, exact=True)
+        judge(site)
+
+
+def entry_killed(build, entry, other):
+    print(f"{entry} is killed and restarted")
+    with site_of(build, entries=2, guards=3) as site:
+        victim, moved = evicted(site)
+        site.processes[entry].kill()
+        site.start_entry(entry)
+        set_log(site, False)
+        await_epoch(site, moved, 2, other)
+        await_watchers(site, WATCHERS, other)
+        judge_resumed(site, moved, exact=True)
+        print("  exit:", site.processes[victim].wait())
+        judge(site)
+
+
+def main(build):
+    guard_killed(build)
+    guard_restarted(build)
+    entry_killed(build, "entry-1", "entry-2")
+    entry_killed(build, "entry-2", "entry-1")
+
+
+main(sys.argv[1])
--- /dev/null
+++ b/tests/scripts/proof_resume.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# See proof_resume.py.
+exec python3 "$(dirname "$0")/proof_resume.py" "$1"
--- a/tests/unit/test_tasks.c
+++ b/tests/unit/test_tasks.c
@@ -302,6 +302,43 @@
   tear_down ();
 }
 
+/* A checkpoint that is decided when the guard has started again is not
+   acknowledged to the new process: its own report of the task's end may have
+   the same number.  */
+static void
+test_ack_of_predecessor (void)
+{
+  Gp__Wire__TaskReport message = GP__WIRE__TASK_REPORT__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (TASK_REPORT, task_report, &message);
+  Gp__Wire__TaskReport *reports[] = { &message };
+  gp_proposal_t *end;
+
+  set_up (0);
+  bring_up (0);
+  message.task = run_one ("job");
+  message.epoch = 1;
+  message.number = 1;
+  message.state = GP__WIRE__TASK_STATE__TASK_STATE_CHECKPOINTED;
+  message.checkpoint
+      = (ProtobufCBinaryData){ .len = 4, .data = (uint8_t *)"half" };
+  deliver (&sessions[0], &envelope);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_CHECKPOINT), 1);
+  gp_tasks_on_closed (tasks, &sessions[0]);
+  sessions[0].incarnation = 2;
+  message.state = GP__WIRE__TASK_STATE__TASK_STATE_STOPPED;
+  announce (0, 2, reports, 1);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_END), 1);
+  take_sent ();
+  end = g_queue_pop_tail (&store.queue);
+  flush (); /* the checkpoint alone */
+  CU_ASSERT_PTR_NULL (strstr (take_sent (), "ack"));
+  g_queue_push_tail (&store.queue, end);
+  flush ();
+  CU_ASSERT_PTR_NOT_NULL (strstr (take_sent (), line (0, "ack 1")));
+  tear_down ();
+}
+
 static unsigned int
 count_watchers (void)
 {
@@ -418,6 +455,7 @@
                           { "heard elsewhere", test_heard_elsewhere },
                           { "responsible", test_responsible },
                           { "adopted", test_adopted },
+                          { "ack of predecessor", test_ack_of_predecessor },
                           { "watchers", test_watchers },
                           { "cancel", test_cancel },
                           { "rebuilt", test_rebuilt },
