Prove the bounds of a worker and the leaving of an upstream with processes

Cause: no scripted run had two entries place on one worker at once, and none judged by the upstream's ledger when a leaver's last work came. Change: proof_capacity delays the reads of the log, so that both entries place before they see the other's grants; the guard refuses what is too much and the worker's ledger never shows more than the room beside the service's reserve. proof_leaving stops a guard that is kept at work by a slow request, also while an entry is paused.

--- /dev/null
+++ b/tests/scripts/proof_capacity.py
@@ -0,0 +1,74 @@
+"""No VM over its capacity while two entries place on one worker at once, with
+room kept for the service beside the tasks."""
+
+import sys
+import threading
+
+from tasks_site import (await_state, breaches, executions, judge, ready,
+                        site_of, submit)
+
+TEAMS = 6  # hashed over the entries, so that each has some
+SIZE = 2000  # millicores of a task
+RESERVE = {"millicores": 10000, "memory_mib": 4096}
+ROOM = (16000 - RESERVE["millicores"]) // SIZE
+ROUNDS = 4
+DOCUMENT = "\n".join(
+    ["version: 1", "site: test", "regions: [{name: r, zones: [a, b]}]",
+     f"teams: [{', '.join(f'{{name: t{i}}}' for i in range(TEAMS))}]",
+     "batch_jobs:"]
+    + [f"  - {{name: j{i}, team: t{i}, resources: {{millicores: {SIZE}, "
+       "memory_mib: 512}, expected_run_s: 1, max_tries: 9}"
+       for i in range(TEAMS)] + ["# watchers: %d"])
+
+
+def most_at_once(site):
+    """The greatest number of tasks that the worker ran at a time."""
+    points = [(run[at], change) for runs in executions(site).values()
+              for run in runs for at, change in (("start", 1), ("end", -1))]
+    running, most = 0, 0
+    for _, change in sorted(points):
+        running += change
+        most = max(most, running)
+    return most
+
+
+def submit_at_once(site):
+    """A job of each team through each entry, all at the same time."""
+    names = []
+    threads = [threading.Thread(target=lambda e=entry, t=team: names.extend(
+                   submit(site, e, kind=f"j{t}", run_ms=100)))
+               for entry in site.entry_names for team in range(TEAMS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return names
+
+
+def refused(site):
+    """Grants that ended without a start: the guard had no room."""
+    return sum(max(run["epoch"] for run in runs) - len(runs)
+               for runs in executions(site).values())
+
+
+def main(build):
+    with site_of(build, entries=2, guards=1, upstream=True,
+                 reserve=RESERVE) as site:
+        ready(site, 0, DOCUMENT)
+        site.fault("log", {"read_delay_ms": 50})
+        done = 0
+        for _ in range(ROUNDS):
+            names = submit_at_once(site)
+            for name in names:
+                await_state(site, name, "succeeded")
+            done += len(names)
+            if refused(site) > 0:
+                break
+        print("all succeeded:", done % (2 * TEAMS) == 0 and done > 0)
+        print("the guard refused some:", refused(site) > 0)
+        print("room:", ROOM, "most at once:", most_at_once(site))
+        print("breaches:", breaches(site))
+        judge(site)
+
+
+main(sys.argv[1])
--- /dev/null
+++ b/tests/scripts/proof_leaving.py
@@ -0,0 +1,108 @@
+"""An upstream that leaves gets no new work after a few seconds, also from an
+entry that was paused when it was told, and what it runs it ends."""
+
+import signal
+import sys
+import threading
+
+from tasks_site import (TIMINGS, await_watchers, judge, now_us, ready, submit,
+                        WATCHERS)
+
+from site_processes import Site, until
+
+LIMIT_US = 2_000_000
+SLOW_MS = 5000  # a request that keeps the leaver at work
+CALLS_AFTER = 200
+
+
+class Callers:
+    """Callers that ask through ENTRIES all the time, until they are closed."""
+
+    def __init__(self, site, entries):
+        self.site = site
+        self.statuses = []
+        self.closed = False
+        self.threads = [threading.Thread(target=self.run, args=(entry,))
+                        for entry in entries for _ in range(4)]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, entry):
+        while not self.closed:
+            self.statuses.append(self.site.call(
+                entry, "GET", "/reclamos-api/check?ms=5")[0])
+
+    def await_calls(self, count):
+        goal = len(self.statuses) + count
+        until(lambda: len(self.statuses) >= goal, what=f"{count} calls")
+
+    def close(self):
+        self.closed = True
+        for thread in self.threads:
+            thread.join()
+
+
+def starts(site, guard, event, since):
+    """Of the ledger: how long after SINCE each start came."""
+    names = {"execution_start": guard + ".upstream",
+             "task_start": guard + ".worker"}
+    return [fact["time_us"] - since for fact in site.facts(names[event])
+            if fact["event"] == event and fact["time_us"] > since]
+
+
+def leave(build, paused):
+    print("a guard leaves" + (", an entry is paused as it is told"
+                              if paused else ""))
+    with Site(build, entries=2, guards=3, worker=True,
+              timings=TIMINGS) as site:
+        site.await_targets(3)
+        ready(site)
+        await_watchers(site, WATCHERS)
+        slow = []
+        keeper = threading.Thread(target=lambda: slow.append(
+            site.call("entry-1", "GET", f"/reclamos-api/check?ms={SLOW_MS}")))
+        keeper.start()
+        until(lambda: any(busy(site, g) for g in site.guard_names),
+              what="the slow request")
+        leaver = next(g for g in site.guard_names if busy(site, g))
+        callers = Callers(site, site.entry_names)
+        callers.await_calls(CALLS_AFTER)
+        if paused:
+            site.processes["entry-2"].signal(signal.SIGSTOP)
+        site.processes[leaver].signal(signal.SIGTERM)
+        told = now_us()
+        until(lambda: now_us() > told + LIMIT_US, what="the limit")
+        if paused:
+            site.processes["entry-2"].signal(signal.SIGCONT)
+        submit(site, count=6, run_ms=300)
+        callers.await_calls(CALLS_AFTER)
+        print("  it still ends what it runs:", busy(site, leaver))
+        keeper.join()
+        print("  the slow request:", slow[0][0])
+        print("  exit:", site.processes[leaver].wait())
+        callers.close()
+        print("  statuses:", sorted(set(callers.statuses)))
+        for event in ("execution_start", "task_start"):
+            late = [t for t in starts(site, leaver, event, told)
+                    if t > LIMIT_US]
+            print(f"  {event} after {LIMIT_US // 1_000_000} s:", len(late))
+            print(event, starts(site, leaver, event, told)[-1:],
+                  file=sys.stderr)
+        judge(site)
+
+
+def busy(site, guard):
+    """Whether the slow request is under way there."""
+    facts = site.facts(guard + ".upstream")
+    begun = {f["execution"] for f in facts if f["event"] == "execution_start"
+             and f"ms={SLOW_MS}" in f["path"]}
+    return bool(begun - {f["execution"] for f in facts
+                         if f["event"] == "execution_end"})
+
+
+def main(build):
+    leave(build, paused=False)
+    leave(build, paused=True)
+
+
+main(sys.argv[1])
