--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -6,6 +6,7 @@
 
 #include "base/counters.h"
 #include "base/log.h"
+#include "daemon/laggards.h"
 #include "daemon/operators.h"
 #include "daemon/text.h"
 
@@ -40,8 +41,9 @@
 static void
 send_state (gp_entry_t *entry, gp_session_t *session)
 {
-  Gp__Wire__EntryState state = GP__WIRE__ENTRY_STATE__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (ENTRY_STATE, entry_state, &state);
+  Gp__Wire__ProcessState state = GP__WIRE__PROCESS_STATE__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (PROCESS_STATE, process_state, &state);
 
   state.state = entry->leaving ? GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING
                                : GP__WIRE__MEMBER_STATE__MEMBER_STATE_SERVING;
@@ -89,6 +91,19 @@
     gp_session_close (session, true);
 }
 
+static void
+on_view_ask (gp_entry_t *entry, gp_session_t *session,
+             const Gp__Wire__ViewAsk *ask)
+{
+  if (ask->process[0] != '\0'
+      && strcmp (ask->process, entry->settings->name) != 0)
+    gp_views_forward (&entry->views, session, ask);
+  else if (ask->kind == GP__WIRE__VIEW_KIND__VIEW_KIND_LAGGARDS)
+    gp_laggards_serve (entry, session, ask);
+  else
+    gp_view_serve (session, &entry->timeline, ask);
+}
+
 static void
 on_message (gp_session_t *session, const Gp__Wire__Envelope *envelope,
             void *data)
@@ -116,12 +131,12 @@
     case GP__WIRE__ENVELOPE__MESSAGE_BROKEN:
       gp_relays_on_broken (&entry->relays, session, envelope->broken);
       break;
-    case GP__WIRE__ENVELOPE__MESSAGE_ENTRY_STATE:
-      gp_processes_entry_state (&entry->processes, session,
-                                envelope->entry_state, gp_time_wall ());
+    case GP__WIRE__ENVELOPE__MESSAGE_PROCESS_STATE:
+      gp_processes_state (&entry->processes, session, envelope->process_state,
+                          gp_time_wall ());
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_VIEW_ASK:
-      gp_view_serve (session, &entry->timeline, envelope->view_ask);
+      on_view_ask (entry, session, envelope->view_ask);
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_VIEW:
       gp_views_on_view (&entry->views, session, envelope->view);
@@ -228,10 +243,7 @@
   gp_entry_t *entry = data;
 
   (void)timer;
-  if (entry->callers != NULL)
-    gp_http_server_shutdown (entry->callers, on_callers_done, entry);
-  else
-    on_callers_done (entry);
+  gp_http_server_shutdown (entry->callers, on_callers_done, entry);
 }
 
 static void
@@ -257,6 +269,7 @@
 
   return (gp_http_server_options_t){
     .address = settings->callers,
+    .held = true,
     .max_body_size = settings->max_body_kib * 1024UL,
     .header_timeout = entry->settings->timings.header_ms * GP_MSEC,
     .on_request = on_caller,
@@ -270,22 +283,12 @@
 static void
 open_to_callers (gp_entry_t *entry)
 {
-  gp_http_server_options_t options = caller_options (entry);
-  GError *error = NULL;
-
   gp_timer_disarm (&entry->opening_timer);
-  if (entry->callers != NULL || entry->leaving)
+  if (entry->open || entry->leaving)
     return;
-  entry->callers = gp_http_server_new (&entry->loop, &options, &error);
-  if (entry->callers != NULL)
-    {
-      gp_log (GP_LOG_INFO, "entry.open");
-      return;
-    }
-  gp_log (GP_LOG_ERROR, "entry.not-open", GP_LOG_S ("reason", error->message));
-  g_error_free (error);
-  entry->failed = true;
-  gp_loop_stop (&entry->loop);
+  entry->open = true;
+  gp_http_server_open (entry->callers);
+  gp_log (GP_LOG_INFO, "entry.open");
 }
 
 static void
@@ -293,7 +296,7 @@
 {
   gp_entry_t *entry = data;
 
-  if (entry->callers == NULL)
+  if (!entry->open)
     gp_timer_arm (
         &entry->opening_timer,
         MIN (gp_loop_now (&entry->loop) + OPENING_PAUSE, entry->open_at));
@@ -307,10 +310,14 @@
 }
 
 static bool
-listen_operators (gp_entry_t *entry, GError **error)
+listen_http (gp_entry_t *entry, GError **error)
 {
   gp_http_server_options_t options = caller_options (entry);
 
+  entry->callers = gp_http_server_new (&entry->loop, &options, error);
+  if (entry->callers == NULL)
+    return false;
+  options.held = false;
   if (entry->settings->entry->operators == NULL)
     return true;
   options.address = entry->settings->entry->operators;
@@ -485,7 +492,7 @@
   gp_timer_init (&entry->stop_timer, &entry->loop, on_balancer_gone, entry);
   if (!gp_session_host_listen (&entry->host, settings->entry->peers, error))
     return false;
-  if (!listen_operators (entry, error))
+  if (!listen_http (entry, error))
     return false;
   gp_timer_init (&entry->opening_timer, &entry->loop, on_opening, entry);
   entry->open_at = gp_loop_now (&entry->loop) + OPENING_TIME;
@@ -507,6 +514,7 @@
 void
 gp_entry_finish (gp_entry_t *entry)
 {
+  gp_views_close (&entry->views);
   gp_timer_finish (&entry->stop_timer);
   gp_timer_finish (&entry->opening_timer);
   for (size_t i = 0; i < entry->dialer_count; i++)
@@ -522,11 +530,11 @@
   gp_news_finish (&entry->news);
   gp_downlinks_close (&entry->downlinks);
   gp_routes_finish (&entry->routes);
+  gp_loop_finish (&entry->loop);
   gp_views_finish (&entry->views);
   gp_processes_finish (&entry->processes);
   gp_operators_finish (&entry->operators_state);
   g_free (entry->events);
-  gp_loop_finish (&entry->loop);
   g_free (entry->dialers);
   gp_downlinks_finish (&entry->downlinks);
   if (entry->tls != NULL)
