Space batches by the number of writers

Cause: each entry spaces its batches by 25 ms, so 18 entries that write could make 720 appends a second, above the log's several hundred. Change: the distance is 25 ms x writers / 6 with more than six; 50 ms at most for a batch with an urgent record. Conclusion: appends stay bounded whatever the number of entries; nothing changes for up to six.

--- a/src/state/writer.c
+++ b/src/state/writer.c
@@ -36,6 +36,8 @@
   .unread_max = 8,
   .hold = { 5 * GP_MSEC, 30 * GP_MSEC, 30 * GP_MSEC },
   .spacing = 25 * GP_MSEC,
+  .spacing_writers = 6,
+  .urgent_spacing_max = 50 * GP_MSEC,
   .timeout = 2 * GP_SEC,
   .backoff_min = 50 * GP_MSEC,
   .backoff_max = 2 * GP_SEC,
@@ -66,6 +68,8 @@
   writer->incarnation = incarnation;
   writer->rand = rand;
   writer->expiry = GP_TIME_NEVER;
+  writer->batch_at = -GP_SEC;
+  writer->spacing = writer->limits.spacing;
   for (int i = 0; i < GP_WRITER_PRIORITIES; i++)
     gp_list_init (&writer->queues[i]);
   gp_list_init (&writer->unread);
@@ -116,6 +120,16 @@
   writer->wall_offset = offset;
 }
 
+void
+gp_writer_set_writers (gp_writer_t *writer, uint32_t count)
+{
+  uint32_t least = writer->limits.spacing_writers;
+
+  writer->spacing = writer->limits.spacing;
+  if (least > 0 && count > least)
+    writer->spacing = writer->limits.spacing * count / least;
+}
+
 bool
 gp_writer_saw (gp_writer_t *writer, int64_t wall_us, uint32_t logical,
                gp_time_t now)
@@ -365,7 +379,7 @@
   tick (writer, now);
   batch->sequence = ++writer->sequence;
   batch->sent_at = now;
-  writer->spaced = now + writer->limits.spacing;
+  writer->batch_at = now;
   bytes = pack_header (writer, batch->sequence);
   for (int i = 0; i < GP_WRITER_PRIORITIES; i++)
     if (!fill_batch (writer, batch, bytes, &writer->queues[i]))
@@ -376,6 +390,16 @@
   send_batch (writer, batch, now);
 }
 
+static gp_time_t
+spacing_of (const gp_writer_t *writer, int priority)
+{
+  gp_time_t most = writer->limits.urgent_spacing_max;
+
+  if (priority == GP_WRITER_URGENT && most > 0)
+    return MIN (writer->spacing, most);
+  return writer->spacing;
+}
+
 /* When the queued records are to leave, were nothing under way.  */
 static gp_time_t
 queue_due (const gp_writer_t *writer)
@@ -391,9 +415,11 @@
       {
         gp_writer_entry_t *oldest = entry_of (writer->queues[i].next);
 
-        due = MIN (due, oldest->queued_at + writer->limits.hold[i]);
+        gp_time_t held = oldest->queued_at + writer->limits.hold[i];
+
+        due = MIN (due, MAX (held, writer->batch_at + spacing_of (writer, i)));
       }
-  return MAX (due, writer->spaced);
+  return due;
 }
 
 static gp_time_t
--- a/src/state/writer.h
+++ b/src/state/writer.h
@@ -48,8 +48,11 @@
   uint32_t queue_records_max;
   uint32_t unread_max; /* batches acknowledged but not yet read back */
   gp_time_t hold[GP_WRITER_PRIORITIES];
-  gp_time_t spacing; /* between batches that are not full */
-  gp_time_t timeout; /* of one append */
+  gp_time_t spacing;        /* between batches that are not full, with ... */
+  uint32_t spacing_writers; /* ... so many writers or fewer; above that it
+                               grows with them */
+  gp_time_t urgent_spacing_max; /* for a batch with an urgent record */
+  gp_time_t timeout;            /* of one append */
   gp_time_t backoff_min;
   gp_time_t backoff_max;
   gp_time_t skew_max;     /* between wall clocks */
@@ -119,7 +122,8 @@
   gp_list_t queues[GP_WRITER_PRIORITIES]; /* of gp_writer_entry_t */
   size_t queue_bytes;
   uint32_t queue_records;
-  gp_time_t spaced;           /* no batch before, unless full */
+  gp_time_t batch_at;         /* when the last batch was formed */
+  gp_time_t spacing;          /* by the number of writers */
   gp_time_t expiry;           /* no queued deadline is before it */
   gp_writer_batch_t *current; /* not yet known to be on the log, or NULL */
   gp_list_t unread;           /* of gp_writer_batch_t, oldest first */
@@ -146,6 +150,10 @@
 /* The wall clock is NOW + OFFSET.  */
 void gp_writer_set_wall (gp_writer_t *writer, int64_t offset);
 
+/* So many processes write to the stream, this one among them: space batches
+   so that all together make no more appends than spacing_writers do.  */
+void gp_writer_set_writers (gp_writer_t *writer, uint32_t count);
+
 /* Later batches are after this hybrid time of another process.  False, and
    nothing done, if it is ahead of the own clock by more than the skew that
    clocks are allowed.  */
--- a/tests/unit/test_writer.c
+++ b/tests/unit/test_writer.c
@@ -4,6 +4,7 @@
 #include <CUnit/Basic.h>
 #include <string.h>
 
+#include "state/active_writers.h"
 #include "state/writer.h"
 
 #define WRITERS 2
@@ -453,6 +454,98 @@
   g_rand_free (rand);
 }
 
+/* Batches of one that always has more to write.  */
+static int
+count_batches (gp_writer_priority_t priority, uint32_t writers)
+{
+  GRand *rand = g_rand_new_with_seed (1);
+  gp_writer_t writer;
+  int batches = 0;
+
+  gp_writer_init (&writer, "w", 1, NULL, rand);
+  gp_writer_set_writers (&writer, writers);
+  for (gp_time_t now = 0; now < 3 * GP_SEC; now += GP_MSEC)
+    {
+      gp_writer_action_t action;
+
+      submit_task (&writer, (uint64_t)now + 1, priority, GP_TIME_NEVER, now,
+                   NULL);
+      gp_writer_step (&writer, now);
+      while (gp_writer_next (&writer, &action))
+        if (action.kind == GP_WRITER_APPEND)
+          {
+            batches++;
+            g_bytes_unref (action.u.append.bytes);
+            gp_writer_acked (&writer, action.u.append.sequence, now);
+            gp_writer_skip (&writer, action.u.append.sequence, now);
+          }
+    }
+  gp_writer_finish (&writer);
+  g_rand_free (rand);
+  return batches;
+}
+
+/* Six may write as one does; above that all together make no more, but for
+   urgent records, which wait 50 ms at most.  */
+static void
+test_spacing (void)
+{
+  int alone = count_batches (GP_WRITER_URGENT, 1);
+
+  CU_ASSERT (alone >= 115 && alone <= 120); /* 40 a second */
+  CU_ASSERT_EQUAL (count_batches (GP_WRITER_URGENT, 6), alone);
+  CU_ASSERT (count_batches (GP_WRITER_NORMAL, 18) <= 41);
+  CU_ASSERT (count_batches (GP_WRITER_NORMAL, 18) >= 39);
+  CU_ASSERT (count_batches (GP_WRITER_URGENT, 18) <= 61);
+  CU_ASSERT (count_batches (GP_WRITER_URGENT, 18) >= 58);
+}
+
+static void
+apply_batch (gp_fold_t *fold, const char *name, uint64_t sequence)
+{
+  Gp__Record__Batch batch = GP__RECORD__BATCH__INIT;
+  Gp__Record__Record record;
+  Gp__Record__Submit submit;
+  Gp__Record__Record *records[] = { &record };
+  uint8_t bytes[128];
+
+  make_submit (&record, &submit, sequence);
+  batch.records = records;
+  batch.n_records = 1;
+  batch.version = GP_FOLD_VERSION;
+  batch.writer = (char *)name;
+  batch.incarnation = 1;
+  batch.sequence = sequence;
+  batch.wall_us = GP_SEC;
+  gp_fold_apply (fold, fold->next_offset, bytes,
+                 gp__record__batch__pack (&batch, bytes), NULL, NULL);
+}
+
+/* Writers count while they write, whatever their clocks say.  */
+static void
+test_active_writers (void)
+{
+  gp_active_writers_t active;
+  gp_fold_t fold;
+  gp_time_t later = GP_ACTIVE_WRITERS_WINDOW;
+
+  gp_active_writers_init (&active);
+  gp_fold_init (&fold, NULL);
+  CU_ASSERT_EQUAL (gp_active_writers_update (&active, &fold, 0), 0);
+  apply_batch (&fold, "a", 1);
+  apply_batch (&fold, "b", 1);
+  CU_ASSERT_EQUAL (gp_active_writers_update (&active, &fold, 1), 2);
+  apply_batch (&fold, "b", 2);
+  CU_ASSERT_EQUAL (gp_active_writers_update (&active, &fold, 9), 2);
+  CU_ASSERT_EQUAL (gp_active_writers_update (&active, &fold, later), 2);
+  CU_ASSERT_EQUAL (gp_active_writers_update (&active, &fold, later + 1), 1);
+  apply_batch (&fold, "a", 2);
+  CU_ASSERT_EQUAL (gp_active_writers_update (&active, &fold, later + 2), 2);
+  CU_ASSERT_EQUAL (gp_active_writers_update (&active, &fold, 9 * later), 0);
+  gp_fold_finish (&fold);
+  gp_active_writers_finish (&active);
+}
+
 int
 main (void)
 {
@@ -466,6 +559,8 @@
   CU_add_test (suite, "expiry", test_expiry);
   CU_add_test (suite, "outage", test_outage);
   CU_add_test (suite, "priority and bounds", test_priority_and_bounds);
+  CU_add_test (suite, "spacing", test_spacing);
+  CU_add_test (suite, "active writers", test_active_writers);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
