Let each region own its tasks

Cause: with one stream for all regions a region that is parted from the others keeps its tasks only by vouches of all entries, which it does not get; and entries of another region fenced guards that they never hear. Change: platform_log takes config_stream (and config_address); an entry with one follows it by a second store, and has its tasks and keys on the region's stream. Vouches, their set of entries and responsibility are of the own region. Counts of watchers and limits of teams are shared by the regions. Settings with entries of several regions on one stream are refused. Heartbeats are answered with the revision in force, not with that of the tasks' fold. A stand-in session of test_tasks gets the region that a real one always has. Idempotency keys are known in their region only.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -18,6 +18,52 @@
   return NULL;
 }
 
+const char *
+gp_settings_config_address (const gp_settings_platform_log_t *log)
+{
+  return log->config_address != NULL ? log->config_address : log->address;
+}
+
+const char *
+gp_settings_config_stream (const gp_settings_platform_log_t *log)
+{
+  return log->config_stream != NULL ? log->config_stream : log->stream;
+}
+
+bool
+gp_settings_config_apart (const gp_settings_platform_log_t *log)
+{
+  return strcmp (gp_settings_config_stream (log), log->stream) != 0;
+}
+
+/* Whether no entry before PLACE is in its region.  */
+static bool
+is_first_of_region (const gp_settings_t *settings, uint32_t place)
+{
+  for (uint32_t i = 0; i < place; i++)
+    if (strcmp (settings->entries[i].region, settings->entries[place].region)
+        == 0)
+      return false;
+  return true;
+}
+
+uint32_t
+gp_settings_region_share (const gp_settings_t *settings, uint32_t total)
+{
+  uint32_t count = 0;
+  uint32_t index = 0;
+
+  for (uint32_t i = 0; i < settings->entries_count; i++)
+    if (is_first_of_region (settings, i))
+      {
+        count++;
+        index += strcmp (settings->entries[i].region, settings->region) < 0;
+      }
+  if (count < 2 || total == UINT32_MAX)
+    return total;
+  return total / count + (index < total % count);
+}
+
 void
 gp_settings_finish (gp_settings_t *settings)
 {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -43,7 +43,10 @@
 typedef struct
 {
   char *address; /* "IP:port" */
-  char *stream;
+  char *stream;  /* of the region: tasks and idempotency keys */
+  /* Of the configuration, which all regions share; NULL: as above.  */
+  char *config_address;
+  char *config_stream;
 } gp_settings_platform_log_t;
 
 typedef struct
@@ -128,6 +131,17 @@
   gp_settings_timings_t timings;
 } gp_settings_t;
 
+/* Where the configuration is on the log, and whether that is another stream
+   than the region's.  */
+const char *gp_settings_config_address (const gp_settings_platform_log_t *log);
+const char *gp_settings_config_stream (const gp_settings_platform_log_t *log);
+bool gp_settings_config_apart (const gp_settings_platform_log_t *log);
+
+/* The own region's part of TOTAL: all regions that have entries share it, the
+   first by name get what is left over.  UINT32_MAX, no limit, stays.  */
+uint32_t gp_settings_region_share (const gp_settings_t *settings,
+                                   uint32_t total);
+
 /* Fill SETTINGS from the file PATH.  False and a GP_SETTINGS_ERROR that
    names file, line, key and what is allowed, one line for each fault, when
    it cannot be read or breaks a rule; SETTINGS need not be finished then.
--- a/src/base/settings_check.c
+++ b/src/base/settings_check.c
@@ -148,6 +148,32 @@
            own->name, own->peers, settings->entry->peers);
 }
 
+/* An entry vouches to those of its region only, and fences the guards of
+   its stream, so a stream may not serve two regions.  */
+static void
+check_log (check_t *check, const gp_settings_platform_log_t *log)
+{
+  const gp_settings_t *settings = check->settings;
+  struct sockaddr_storage address;
+  bool alone = true;
+
+  check_target (check, "platform_log.address", log->address, &address);
+  if (log->config_address != NULL)
+    check_target (check, "platform_log.config_address", log->config_address,
+                  &address);
+  for (uint32_t i = 0; i < settings->entries_count; i++)
+    if (strcmp (settings->entries[i].region, settings->region) != 0)
+      alone = false;
+  if (!alone && !gp_settings_config_apart (log))
+    ERROR (check, "platform_log.config_stream",
+           "a stream that no region has as its `stream'",
+           "with entries in several regions the configuration needs a stream "
+           "of its own");
+  if (log->config_address != NULL && !gp_settings_config_apart (log))
+    ERROR (check, "platform_log.config_address", "only with a config_stream",
+           "the configuration is on the region's stream");
+}
+
 static void
 check_entry (check_t *check, gp_settings_entry_t *entry)
 {
@@ -260,15 +286,13 @@
                    GPtrArray *issues)
 {
   check_t check = { .settings = settings, .root = root, .issues = issues };
-  struct sockaddr_storage address;
 
   if (!gp_yaml_find (root, "log_level"))
     settings->log_level = GP_LOG_INFO;
   check_place (&check, "", settings->region, settings->zone);
   check_entries (&check);
   if (settings->platform_log)
-    check_target (&check, "platform_log.address",
-                  settings->platform_log->address, &address);
+    check_log (&check, settings->platform_log);
   if (!settings->entry == !settings->guard)
     ERROR (&check, "", "an `entry' section or a `guard' section", "%s",
            settings->entry ? "both sections are given"
--- a/src/base/settings_schema.c
+++ b/src/base/settings_schema.c
@@ -50,6 +50,10 @@
 static const cyaml_schema_field_t platform_log_fields[]
     = { TEXT ("address", REQUIRED, gp_settings_platform_log_t, address),
         NAME ("stream", REQUIRED, gp_settings_platform_log_t, stream),
+        TEXT ("config_address", OPTIONAL, gp_settings_platform_log_t,
+              config_address),
+        NAME ("config_stream", OPTIONAL, gp_settings_platform_log_t,
+              config_stream),
         CYAML_FIELD_END };
 
 static const cyaml_schema_field_t resources_fields[]
@@ -162,6 +166,7 @@
   GP_YAML_RULE_NAME (member_fields, "region"),
   GP_YAML_RULE_NAME (member_fields, "zone"),
   GP_YAML_RULE_NAME (platform_log_fields, "stream"),
+  GP_YAML_RULE_NAME (platform_log_fields, "config_stream"),
   GP_YAML_RULE_NAME (upstream_fields, "service"),
   RANGE (resources_fields, "millicores", 0, MILLICORES_MAX, 0),
   RANGE (resources_fields, "memory_mib", 0, MEMORY_MIB_MAX, 0),
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -340,7 +340,7 @@
   entry->config_since_us = gp_time_wall ();
   tell_state (entry);
   gp_relays_set_document (&entry->relays, document);
-  gp_tasks_set_document (entry->tasks, document);
+  gp_tasks_set_document (entry->tasks, document, revision);
 }
 
 /* Whether the state of a member is an event of its own.  */
@@ -404,6 +404,19 @@
       after = strcmp (settings->entries[i].name, settings->name) == 0;
 }
 
+static bool
+open_config_store (gp_entry_t *entry, GError **error)
+{
+  const gp_settings_t *settings = entry->settings;
+
+  entry->config_store = entry->store;
+  if (gp_settings_config_apart (settings->platform_log))
+    entry->config_store
+        = gp_store_new_config (&entry->loop, settings, entry->incarnation,
+                               entry->rand, &entry->timeline, error);
+  return entry->config_store != NULL;
+}
+
 static bool
 start_parts (gp_entry_t *entry, GError **error)
 {
@@ -419,15 +432,16 @@
   gp_operators_init (&entry->operators_state);
   entry->store = gp_store_new (&entry->loop, settings, entry->incarnation,
                                entry->rand, &entry->timeline, error);
-  if (entry->store == NULL)
+  if (entry->store == NULL || !open_config_store (entry, error))
     return false;
   entry->keys = gp_keys_new (&entry->host, entry->store, &entry->timeline);
   entry->relays.keys = entry->keys;
   entry->tasks
       = gp_tasks_new (&entry->host, entry->store, settings, entry->incarnation,
                       entry->rand, &entry->timeline);
-  entry->configuration = gp_configuration_new (
-      &entry->host, entry->store, &entry->timeline, on_configuration, entry);
+  entry->configuration
+      = gp_configuration_new (&entry->host, entry->config_store,
+                              &entry->timeline, on_configuration, entry);
   entry->routes.timeline = &entry->timeline;
   entry->relays.timeline = &entry->timeline;
   entry->routes.on_change = on_member;
@@ -517,6 +531,8 @@
   gp_configuration_free (entry->configuration);
   gp_tasks_free (entry->tasks);
   gp_keys_free (entry->keys);
+  if (entry->config_store != entry->store)
+    gp_store_free (entry->config_store);
   gp_store_free (entry->store);
   gp_relays_finish (&entry->relays);
   gp_news_finish (&entry->news);
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -33,7 +33,8 @@
   gp_news_t news;
   gp_downlinks_t downlinks;
   gp_relays_t relays;
-  gp_store_t *store;
+  gp_store_t *store;        /* of the region */
+  gp_store_t *config_store; /* the same, unless the regions share another */
   gp_keys_t *keys;
   gp_tasks_t *tasks;
   gp_configuration_t *configuration;
--- a/src/daemon/operators_config.c
+++ b/src/daemon/operators_config.c
@@ -19,7 +19,7 @@
 static const gp_config_t *
 fold_config (const gp_entry_t *entry)
 {
-  return &gp_store_fold (entry->store)->config;
+  return &gp_store_fold (entry->config_store)->config;
 }
 
 /* The document of the revision in force: as it was written if the log told
--- a/src/daemon/operators_status.c
+++ b/src/daemon/operators_status.c
@@ -47,13 +47,13 @@
 }
 
 static json_t *
-describe_log (gp_entry_t *entry)
+describe_log (gp_entry_t *entry, const gp_store_t *store)
 {
   gp_store_health_t health;
   json_t *log = json_object ();
   gp_time_t now = gp_loop_now (&entry->loop);
 
-  gp_store_health (entry->store, &health);
+  gp_store_health (store, &health);
   set_text (log, "state", log_state (&health));
   if (health.ready)
     set_number (log, "age_ms", (now - health.read_at) / GP_MSEC);
@@ -288,7 +288,10 @@
   set_text (status, "entry", entry->settings->name);
   set_revision (status, gp_configuration_revision (entry->configuration),
                 entry->config_since_us);
-  json_object_set_new (status, "log", describe_log (entry));
+  json_object_set_new (status, "log", describe_log (entry, entry->store));
+  if (entry->config_store != entry->store)
+    json_object_set_new (status, "config_log",
+                         describe_log (entry, entry->config_store));
   json_object_set_new (status, "owners", describe_owners (entries));
   json_object_set_new (status, "entries", entries);
   set_members (status, entry);
--- a/src/daemon/store.c
+++ b/src/daemon/store.c
@@ -37,6 +37,13 @@
     "store_appends_failed_total", "Appends refused or of unknown fate.");
 static gp_counter_t is_available
     = GP_GAUGE ("store_available", "1 when the log makes progress.");
+static gp_counter_t is_ready
+    = GP_GAUGE ("store_ready", "1 when the state may be acted upon.");
+static gp_counter_t config_is_available
+    = GP_GAUGE ("store_config_available",
+                "1 when the log of the configuration makes progress.");
+static gp_counter_t config_is_ready = GP_GAUGE (
+    "store_config_ready", "1 when the state of that log may be acted upon.");
 
 static bool
 available (const gp_store_t *store)
@@ -59,11 +66,12 @@
 {
   bool up = gp_store_ready (store) && available (store);
 
-  gp_counter_set (&is_available, up);
+  gp_counter_set (store->source.available, up);
   if (up == store->up)
     return;
   store->up = up;
   gp_log (up ? GP_LOG_INFO : GP_LOG_WARNING, up ? "log.up" : "log.down",
+          GP_LOG_S ("stream", store->source.stream),
           GP_LOG_I ("offset", store->follower.from));
   gp_store_note (store, up ? GP_TIMELINE_LOG_UP : GP_TIMELINE_LOG_DOWN);
 }
@@ -209,7 +217,6 @@
   gp_counter_register (&appends);
   gp_counter_register (&append_bytes);
   gp_counter_register (&appends_failed);
-  gp_counter_register (&is_available);
 }
 
 static void
@@ -228,14 +235,17 @@
                       gp_time_wall () - gp_loop_now (store->loop));
 }
 
-gp_store_t *
-gp_store_new (gp_loop_t *loop, const gp_settings_t *settings,
-              uint64_t incarnation, GRand *rand, gp_timeline_t *timeline,
-              GError **error)
+static gp_store_t *
+open_source (gp_loop_t *loop, const gp_settings_t *settings,
+             const gp_store_source_t *source, uint64_t incarnation,
+             GRand *rand, gp_timeline_t *timeline, GError **error)
 {
   gp_store_t *store = g_new0 (gp_store_t, 1);
 
   register_counters ();
+  gp_counter_register (source->ready);
+  gp_counter_register (source->available);
+  store->source = *source;
   store->loop = loop;
   store->timeline = timeline;
   store->name = g_strdup (settings->name);
@@ -249,6 +259,7 @@
   gp_follower_init (&store->follower, NULL, gp_store_on_change, store);
   gp_fold_watch (&store->follower.fold, store->name, incarnation);
   gp_snapshot_init (&store->snapshot, NULL, rand);
+  gp_active_writers_init (&store->active_writers);
   init_writer (store, settings, rand);
   if (gp_store_open_stream (store, settings, error))
     return store;
@@ -256,6 +267,36 @@
   return NULL;
 }
 
+gp_store_t *
+gp_store_new (gp_loop_t *loop, const gp_settings_t *settings,
+              uint64_t incarnation, GRand *rand, gp_timeline_t *timeline,
+              GError **error)
+{
+  const gp_store_source_t source
+      = { .address = settings->platform_log->address,
+          .stream = settings->platform_log->stream,
+          .ready = &is_ready,
+          .available = &is_available };
+
+  return open_source (loop, settings, &source, incarnation, rand, timeline,
+                      error);
+}
+
+gp_store_t *
+gp_store_new_config (gp_loop_t *loop, const gp_settings_t *settings,
+                     uint64_t incarnation, GRand *rand,
+                     gp_timeline_t *timeline, GError **error)
+{
+  const gp_store_source_t source
+      = { .address = gp_settings_config_address (settings->platform_log),
+          .stream = gp_settings_config_stream (settings->platform_log),
+          .ready = &config_is_ready,
+          .available = &config_is_available };
+
+  return open_source (loop, settings, &source, incarnation, rand, timeline,
+                      error);
+}
+
 static void
 free_proposal (void *object, void *data)
 {
@@ -283,6 +324,7 @@
   gp_idpool_foreach (&store->proposals, free_proposal, NULL);
   gp_idpool_finish (&store->proposals);
   gp_snapshot_finish (&store->snapshot);
+  gp_active_writers_finish (&store->active_writers);
   gp_writer_finish (&store->writer);
   gp_follower_finish (&store->follower);
   gp_timer_finish (&store->timer);
--- a/src/daemon/store.h
+++ b/src/daemon/store.h
@@ -67,6 +67,12 @@
 gp_store_t *gp_store_new (gp_loop_t *loop, const gp_settings_t *settings,
                           uint64_t incarnation, GRand *rand,
                           gp_timeline_t *timeline, GError **error);
+
+/* The same for the stream of the configuration, where that is another.  */
+gp_store_t *gp_store_new_config (gp_loop_t *loop,
+                                 const gp_settings_t *settings,
+                                 uint64_t incarnation, GRand *rand,
+                                 gp_timeline_t *timeline, GError **error);
 void gp_store_free (gp_store_t *store);
 
 void gp_store_subscribe (gp_store_t *store, gp_store_subscriber_t *subscriber);
--- a/src/daemon/store_private.h
+++ b/src/daemon/store_private.h
@@ -4,8 +4,10 @@
 #ifndef GP_DAEMON_STORE_PRIVATE_H
 #define GP_DAEMON_STORE_PRIVATE_H
 
+#include "base/counters.h"
 #include "base/idpool.h"
 #include "daemon/store.h"
+#include "state/active_writers.h"
 #include "state/snapshot.h"
 #include "transport/log_client.h"
 
@@ -21,8 +23,19 @@
   void *data;
 };
 
+/* What a store follows, and its gauges, which the second store of a process
+   must not share.  */
+typedef struct
+{
+  const char *address;
+  const char *stream;
+  gp_counter_t *ready;
+  gp_counter_t *available;
+} gp_store_source_t;
+
 struct gp_store
 {
+  gp_store_source_t source; /* text of the settings */
   gp_loop_t *loop;
   gp_timeline_t *timeline;
   char *name;
@@ -30,6 +43,7 @@
   gp_stream_t *stream;
   gp_follower_t follower;
   gp_writer_t writer;
+  gp_active_writers_t active_writers;
   gp_snapshot_t snapshot;
   gp_list_t subscribers;
   gp_idpool_t proposals;    /* token -> gp_proposal_t */
--- a/src/daemon/store_read.c
+++ b/src/daemon/store_read.c
@@ -21,8 +21,6 @@
     = GP_COUNTER ("store_read_errors_total", "Reads of the log that failed.");
 static gp_counter_t restarts = GP_COUNTER (
     "store_restarts_total", "States given up because of a gap in the log.");
-static gp_counter_t is_ready
-    = GP_GAUGE ("store_ready", "1 when the state may be acted upon.");
 
 void
 gp_store_on_change (const gp_fold_change_t *change, void *data)
@@ -137,7 +135,7 @@
   tell_gap (store);
   tell_rebuilt (store);
   tell_stopped (store, before);
-  gp_counter_set (&is_ready, gp_store_ready (store));
+  gp_counter_set (store->source.ready, gp_store_ready (store));
 }
 
 void
@@ -160,6 +158,17 @@
   return records;
 }
 
+/* The more entries write to the stream, the rarer this one does.  */
+static void
+count_writers (gp_store_t *store)
+{
+  uint32_t count = gp_active_writers_update (&store->active_writers,
+                                             &store->follower.fold,
+                                             gp_loop_now (store->loop));
+
+  gp_writer_set_writers (&store->writer, count);
+}
+
 static void
 apply_read (gp_store_t *store, const gp_stream_read_t *read)
 {
@@ -172,6 +181,7 @@
   gp_counter_add (&records_applied, (int64_t)read->count);
   take_reply (store, &reply);
   g_free (records);
+  count_writers (store);
   if (read->complete && gp_follower_caught_up (&store->follower))
     tell_read (store, read->sent_at);
   if (gp_follower_from (&store->follower) != read->from + read->count)
@@ -228,8 +238,8 @@
                       GError **error)
 {
   gp_stream_options_t options
-      = { .address = settings->platform_log->address,
-          .name = settings->platform_log->stream,
+      = { .address = store->source.address,
+          .name = store->source.stream,
           .max_appends = MAX_APPENDS,
           .poll_time = settings->timings.log_wait_ms * GP_MSEC,
           .read_timeout = READ_TIMEOUT,
@@ -240,7 +250,6 @@
   gp_counter_register (&records_applied);
   gp_counter_register (&read_errors);
   gp_counter_register (&restarts);
-  gp_counter_register (&is_ready);
   store->stream
       = gp_stream_new (store->loop, &options, &callbacks, store, error);
   if (store->stream == NULL)
--- a/src/daemon/tasks.c
+++ b/src/daemon/tasks.c
@@ -64,7 +64,8 @@
   g_free (team);
 }
 
-/* Take the team's limits from the document; without any it has none.  */
+/* Take the region's share of the team's limits from the document; without
+   any it has none.  */
 static void
 team_limit (gp_tasks_t *tasks, gp_tasks_team_t *team)
 {
@@ -76,10 +77,16 @@
     declared = gp_document_find_team (tasks->document, team->name);
   if (declared != NULL)
     {
-      limit.millicores = declared->quota.millicores;
-      limit.memory_mib = declared->quota.memory_mib;
-      limit.accelerators = declared->quota.accelerators;
-      team->max_tasks = declared->max_tasks;
+      const gp_settings_t *settings = tasks->settings;
+
+      limit.millicores
+          = gp_settings_region_share (settings, declared->quota.millicores);
+      limit.memory_mib
+          = gp_settings_region_share (settings, declared->quota.memory_mib);
+      limit.accelerators
+          = gp_settings_region_share (settings, declared->quota.accelerators);
+      team->max_tasks
+          = gp_settings_region_share (settings, declared->max_tasks);
     }
   gp_quota_set_limit (&tasks->quota, team->index, &limit);
 }
@@ -102,10 +109,12 @@
 
 /* Responsibility.  */
 
+/* Another entry of this region, which acts on the same tasks.  */
 static bool
-is_live_entry (const gp_session_t *session)
+is_live_entry (const gp_tasks_t *tasks, const gp_session_t *session)
 {
-  return session->ready && session->role == GP__WIRE__ROLE__ROLE_ENTRY;
+  return session->ready && session->role == GP__WIRE__ROLE__ROLE_ENTRY
+         && g_strcmp0 (session->region, tasks->settings->region) == 0;
 }
 
 bool
@@ -131,7 +140,7 @@
   {
     const gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
 
-    if (is_live_entry (session))
+    if (is_live_entry (tasks, session))
       digest += XXH3_64bits (session->process, strlen (session->process));
   }
   return digest;
@@ -146,7 +155,7 @@
   {
     const gp_session_t *session = GP_CONTAINER_OF (pos, gp_session_t, link);
 
-    if (is_live_entry (session))
+    if (is_live_entry (tasks, session))
       g_ptr_array_add (tasks->entries, g_strdup (session->process));
   }
 }
@@ -401,11 +410,13 @@
 }
 
 void
-gp_tasks_set_document (gp_tasks_t *tasks, const gp_document_t *document)
+gp_tasks_set_document (gp_tasks_t *tasks, const gp_document_t *document,
+                       uint64_t revision)
 {
   GHashTableIter iter;
   gpointer value;
 
+  tasks->revision = revision;
   tasks->document = document;
   if (document != NULL)
     gp_tasks_interfere_configure (tasks);
--- a/src/daemon/tasks.h
+++ b/src/daemon/tasks.h
@@ -67,7 +67,8 @@
 
 /* The configuration in force has changed; DOCUMENT stays valid until the
    next call.  Watchers are kept at their declared counts.  */
-void gp_tasks_set_document (gp_tasks_t *tasks, const gp_document_t *document);
+void gp_tasks_set_document (gp_tasks_t *tasks, const gp_document_t *document,
+                            uint64_t revision);
 
 /* A member changed (see gp_members_next_change).  */
 void gp_tasks_on_member (gp_tasks_t *tasks, const gp_member_t *member);
--- a/src/daemon/tasks_lease.c
+++ b/src/daemon/tasks_lease.c
@@ -56,6 +56,8 @@
     {
       const gp_settings_member_t *entry = &settings->entries[i];
 
+      if (strcmp (entry->region, settings->region) != 0)
+        continue; /* it acts on no guard of this region's stream */
       tasks->entry_set += XXH3_64bits (entry->name, strlen (entry->name));
       if (strcmp (entry->name, settings->name) != 0
           && tasks->n_others < GP_LEASE_GRANTOR_MAX_ENTRIES)
@@ -407,7 +409,7 @@
 
   reply.sequence = heartbeat->sequence;
   reply.lease_incarnation = heartbeat->lease_incarnation;
-  reply.config_revision = gp_store_fold (tasks->store)->config.revision;
+  reply.config_revision = tasks->revision;
   if (guard != NULL && guard->session == session)
     {
       note_heartbeat (tasks, guard, heartbeat);
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -144,6 +144,7 @@
   GRand *rand;
   uint64_t incarnation;
   const gp_document_t *document; /* NULL before the first */
+  uint64_t revision;             /* of it */
   gp_store_subscriber_t subscriber;
   gp_timer_t timer;
   gp_deferred_t deferred; /* places what waits */
--- a/src/daemon/tasks_watch.c
+++ b/src/daemon/tasks_watch.c
@@ -40,9 +40,11 @@
 }
 
 static uint64_t
-id_of (const gp_tasks_kind_t *kind, uint32_t number)
+id_of (const gp_tasks_t *tasks, const gp_tasks_kind_t *kind, uint32_t number)
 {
-  uint64_t parts[3] = { (uint64_t)kind->seed_us, kind->salt, number };
+  const char *region = tasks->settings->region;
+  uint64_t parts[4] = { (uint64_t)kind->seed_us, kind->salt, number,
+                        XXH3_64bits (region, strlen (region)) };
 
   return XXH3_64bits_withSeed (parts, sizeof parts,
                                XXH3_64bits (kind->name, strlen (kind->name)));
@@ -58,7 +60,7 @@
   change_t *change = g_new (change_t, 1);
 
   gp_tasks_resources_to_wire (&resources, &watcher->resources);
-  submit.task = id_of (kind, number);
+  submit.task = id_of (tasks, kind, number);
   submit.kind = watcher->name;
   submit.work_class = GP__WIRE__WORK_CLASS__WORK_CLASS_WATCHER;
   submit.team = watcher->team;
@@ -182,7 +184,10 @@
 {
   const gp_document_watcher_t *watcher
       = gp_document_find_watcher (tasks->document, kind->name);
-  uint32_t wanted = watcher == NULL ? 0 : watcher->count;
+  uint32_t wanted
+      = watcher == NULL
+            ? 0
+            : gp_settings_region_share (tasks->settings, watcher->count);
 
   if (kind->live == wanted || kind->proposed > 0)
     return;
--- /dev/null
+++ b/tests/scripts/regions.py
@@ -0,0 +1,157 @@
+"""Two regions that part: each has a log for its tasks, and the first also
+has the configuration's."""
+
+import json
+import os
+import sys
+
+from bridge import Bridge
+from tasks_site import (TIMINGS, await_epoch, await_state, await_watchers,
+                        epochs, executions, job, judge, publish, ready,
+                        submit)
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tools"))
+from site_processes import Site, until  # noqa: E402
+
+DOCUMENT = """
+version: 1
+site: test
+regions: [{name: north, zones: [a]}, {name: south, zones: [b]}]
+teams: [{name: claims}]
+batch_jobs:
+  - {name: assess, team: claims, resources: {millicores: 2000, memory_mib: 512},
+     expected_run_s: 1, max_tries: 9}
+watchers:
+  - {name: watch, team: claims, resources: {millicores: 200, memory_mib: 128},
+     count: %d, spread: rack, payload: "{}"}
+"""
+NEAR, FAR = "entry-1", "entry-2"
+RENEWALS = 3 * TIMINGS["lease_ms"] // (2 * TIMINGS["heartbeat_ms"])
+
+
+def start(site):
+    """Start SITE with links to the far region that can be cut."""
+    peers = Bridge(site.addresses[f"{FAR}.peers"])
+    log = Bridge(site.addresses["log"])
+    site.addresses[f"{NEAR}>{FAR}"] = peers.address
+    site.addresses[f"{FAR}>log"] = log.address
+    site.start()
+    return peers, log
+
+
+def await_revision(site, entry, revision):
+    until(lambda: site.counter(entry, "config_revision") == revision,
+          what=f"revision {revision} at {entry}")
+
+
+def await_renewals(site, entry, kind="renewed"):
+    """Wait for longer than a lease, by the renewals of it."""
+    name = f"entry_leases_{kind}_total"
+    first = site.counter(entry, name)
+    until(lambda: site.counter(entry, name) >= first + RENEWALS,
+          what=f"renewals at {entry}")
+
+
+def try_publishing(site, entry, base):
+    body = json.dumps({"base": base, "author": "test",
+                       "document": DOCUMENT % 8})
+    return site.operate(entry, "POST", "/v1/config", body)[0]
+
+
+def keyed(site, entry):
+    """A claim that is made twice with one key."""
+    path = f"/reclamos-api/claims?{entry}"
+    headers = {"Idempotency-Key": f"key-{entry}"}
+    first = site.call(entry, "POST", path, "x", headers)[0]
+    until(lambda: site.counter(entry, "keys_active") == 0, what="its outcome")
+    return [first, site.call(entry, "POST", path, "x", headers)[0]]
+
+
+def runs_of_claims(site):
+    return sorted(fact["key"] for guard in site.guard_names
+                  for fact in site.facts(guard + ".upstream")
+                  if fact["event"] == "execution_start" and fact["key"])
+
+
+def show_parted(site, entry, long_job, before):
+    """What goes on in the region of ENTRY."""
+    name = submit(site, entry, run_ms=100)[0]
+    await_state(site, name, "succeeded", entry)
+    answers = {site.call(entry, "GET", "/reclamos-api/check")[0]
+               for _ in range(20)}
+    print(f"  {entry}: a job {job(site, name, entry)['state']},",
+          "requests:", sorted(answers), "with a key:", keyed(site, entry))
+    print("    same epochs:", epochs(site, entry) == before
+          and job(site, long_job, entry)["epoch"] == 1,
+          "vouched:", site.counter(entry, "entry_leases_vouched_total"))
+
+
+def homes(site):
+    """How many tasks ran in each region, and in both."""
+    regions = [{site.region_of(run["node"]) for run in runs}
+               for runs in executions(site).values()]
+    return {"north": sum(r == {"north"} for r in regions),
+            "south": sum(r == {"south"} for r in regions),
+            "both": sum(len(r) > 1 for r in regions)}
+
+
+def main(build):
+    with Site(build, entries=2, guards=2, worker=True, timings=TIMINGS,
+              regions=("north", "south"), start=False) as site:
+        links = start(site)
+        until(lambda: all(site.counter(e, "store_config_ready") == 1
+                          for e in site.entry_names), what="config logs")
+        ready(site, 5, DOCUMENT)
+        await_watchers(site, 3, NEAR)
+        await_watchers(site, 2, FAR)
+        site.await_targets(1)
+        print("five watchers: three in north, two in south")
+        long_jobs = {e: submit(site, e, run_ms=600000)[0]
+                     for e in site.entry_names}
+        for entry, name in long_jobs.items():
+            await_epoch(site, [name], 1, entry)
+        before = {e: epochs(site, e) for e in site.entry_names}
+
+        print("south is cut off from north and from its log")
+        for link in links:
+            link.cut()
+        until(lambda: site.counter(FAR, "store_config_available") == 0,
+              what="no log of the configuration")
+        await_renewals(site, FAR)
+        for entry in site.entry_names:
+            show_parted(site, entry, long_jobs[entry], before[entry])
+        print("  published in south:", try_publishing(site, FAR, 1))
+        publish(site, 1, 7, DOCUMENT)
+        await_watchers(site, 4, NEAR)
+        print("  revision in north:", site.counter(NEAR, "config_revision"),
+              "in south:", site.counter(FAR, "config_revision"))
+
+        print("south's own log is down too")
+        site.fault("log-2", {"down": True})
+        await_renewals(site, FAR, "vouched")
+        site.fault("log-2", {"down": False})
+        until(lambda: site.counter(FAR, "store_available") == 1,
+              what="log of south")
+        print("  same epochs:", epochs(site, FAR) == before[FAR])
+
+        print("they are together again")
+        for link in links:
+            link.heal()
+        await_revision(site, FAR, 2)
+        await_watchers(site, 3, FAR)
+        until(lambda: site.counter(FAR, "store_config_available") == 1,
+              what="log of the configuration")
+        print("  published in south:", try_publishing(site, FAR, 2))
+        await_revision(site, NEAR, 3)
+        for entry in site.entry_names:
+            await_watchers(site, 4, entry)
+            await_epoch(site, [long_jobs[entry]], 1, entry)
+        print("  long jobs in their first epochs:",
+              all(job(site, name, e)["epoch"] == 1
+                  for e, name in long_jobs.items()))
+        print("  claims that ran:", runs_of_claims(site))
+        print("  tasks that ran:", homes(site))
+        judge(site)
+
+
+main(sys.argv[1])
--- a/tests/unit/tasks_world_impl.h
+++ b/tests/unit/tasks_world_impl.h
@@ -413,7 +413,7 @@
   for (guint i = 0; !good && i < issues->len; i++)
     fprintf (stderr, "%s\n", ((gp_issue_t *)issues->pdata[i])->message);
   g_assert (good);
-  gp_tasks_set_document (tasks, &document);
+  gp_tasks_set_document (tasks, &document, 1);
   if (old.items != NULL)
     gp_document_finish (&old);
   g_free (text);
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -12,6 +12,8 @@
 #define HEAD                                                                  \
   "site: s\nname: a\nregion: r\nzone: z1\n"                                   \
   "entries:\n  - {name: a, region: r, zone: z1, peers: \"127.0.0.1:1\"}\n"
+#define ELSEWHERE                                                             \
+  "  - {name: b, region: q, zone: z1, peers: \"127.0.0.1:4\"}\n"
 #define ENTRY                                                                 \
   "platform_log: {address: \"127.0.0.1:9\", stream: s}\n"                     \
   "entry: {callers: \"127.0.0.1:2\", operators: \"127.0.0.1:3\", "            \
@@ -75,6 +77,18 @@
   { "no log", HEAD "entry: {callers: \"127.0.0.1:2\", operators: "
                    "\"127.0.0.1:3\", peers: \"127.0.0.1:1\", "
                    "operator_token: t}\n" },
+  { "own stream of the configuration",
+    HEAD ELSEWHERE "platform_log: {address: \"127.0.0.1:9\", stream: s, "
+                   "config_stream: c, config_address: \"127.0.0.1:8\"}\n"
+                   "entry: {callers: \"127.0.0.1:2\", operators: "
+                   "\"127.0.0.1:3\", peers: \"127.0.0.1:1\", "
+                   "operator_token: t}\n" },
+  { "one stream for two regions", HEAD ELSEWHERE ENTRY },
+  { "configuration on the region's stream",
+    HEAD "platform_log: {address: \"127.0.0.1:9\", stream: s, "
+         "config_stream: s, config_address: \"localhost:8\"}\n"
+         "entry: {callers: \"127.0.0.1:2\", operators: \"127.0.0.1:3\", "
+         "peers: \"127.0.0.1:1\", operator_token: t}\n" },
   { "timings", HEAD GUARD "timings: {heartbeat_ms: 6000, "
                           "reconnect_min_ms: 9000}\n" },
 };
@@ -143,6 +157,52 @@
   g_clear_error (&error);
 }
 
+/* Regions share a number without a rest, whoever of them asks.  */
+static void
+test_region_share (void)
+{
+  static const char entries[]
+      = "site: s\nname: g\nregion: %s\nzone: z\nentries:\n"
+        "  - {name: a, region: r, zone: z, peers: \"127.0.0.1:1\"}\n"
+        "  - {name: b, region: q, zone: z, peers: \"127.0.0.1:2\"}\n"
+        "  - {name: c, region: r, zone: z, peers: \"127.0.0.1:3\"}\n"
+        "  - {name: d, region: p, zone: z, peers: \"127.0.0.1:4\"}\n" GUARD;
+  static const char *const regions[] = { "p", "q", "r" };
+  static const uint32_t shares[] = { 4, 3, 3 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (regions); i++)
+    {
+      char *text = g_strdup_printf (entries, regions[i]);
+      gp_settings_t settings;
+
+      CU_ASSERT_FATAL (
+          gp_settings_load_text (&settings, "x", text, strlen (text), NULL));
+      CU_ASSERT_EQUAL (gp_settings_region_share (&settings, 10), shares[i]);
+      CU_ASSERT_EQUAL (gp_settings_region_share (&settings, 0), 0);
+      CU_ASSERT_EQUAL (gp_settings_region_share (&settings, UINT32_MAX),
+                       UINT32_MAX);
+      gp_settings_finish (&settings);
+      g_free (text);
+    }
+}
+
+/* A site of one region keeps all, and one stream.  */
+static void
+test_one_region (void)
+{
+  gp_settings_t settings;
+
+  CU_ASSERT_FATAL (gp_settings_load_text (&settings, "x", HEAD ENTRY,
+                                          strlen (HEAD ENTRY), NULL));
+  CU_ASSERT_EQUAL (gp_settings_region_share (&settings, 7), 7);
+  CU_ASSERT_FALSE (gp_settings_config_apart (settings.platform_log));
+  CU_ASSERT_STRING_EQUAL (gp_settings_config_stream (settings.platform_log),
+                          "s");
+  CU_ASSERT_STRING_EQUAL (gp_settings_config_address (settings.platform_log),
+                          "127.0.0.1:9");
+  gp_settings_finish (&settings);
+}
+
 /* The token comes from its file, without the white space around it.  */
 static void
 test_token_file (void)
@@ -188,6 +248,8 @@
                           { "defaults", test_defaults },
                           { "examples", test_examples },
                           { "token file", test_token_file },
+                          { "region share", test_region_share },
+                          { "one region", test_one_region },
                           CU_TEST_INFO_NULL };
 
   return runner_main ("settings", tests);
--- a/tests/unit/test_tasks.c
+++ b/tests/unit/test_tasks.c
@@ -242,6 +242,7 @@
   gp_session_t other = { .host = &host,
                          .ready = true,
                          .process = PEER,
+                         .region = "r",
                          .role = GP__WIRE__ROLE__ROLE_ENTRY };
   const char *other_team;
   uint64_t task;
@@ -268,6 +269,42 @@
   tear_down ();
 }
 
+/* An entry of another region takes nothing over.  */
+static void
+test_other_region (void)
+{
+  gp_session_t others[16];
+  char *names[G_N_ELEMENTS (others)];
+
+  set_up (0);
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      names[i] = g_strdup_printf ("far-%zu", i);
+      others[i] = (gp_session_t){ .host = &host,
+                                  .ready = true,
+                                  .process = names[i],
+                                  .region = "q",
+                                  .role = GP__WIRE__ROLE__ROLE_ENTRY };
+      gp_list_push_back (&host.sessions, &others[i].link);
+    }
+  pass (GP_SEC);
+  announce (0, 1, NULL, 0);
+  heartbeat (0, 1);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_ADOPT), 1);
+  flush ();
+  heartbeat (0, 1);
+  CU_ASSERT_TRUE (gp_tasks_is_mine (tasks, "team", "u"));
+  CU_ASSERT_TRUE (gp_tasks_find (tasks, submit ("job"))->team->mine);
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      gp_list_remove (&others[i].link);
+      g_free (names[i]);
+    }
+  tear_down ();
+}
+
 /* The guard's process starts again beside its runtime: what runs goes on
    under its epoch, what does not is lost and runs again.  */
 static void
@@ -417,6 +454,7 @@
                           { "silent guard", test_silent_guard },
                           { "heard elsewhere", test_heard_elsewhere },
                           { "responsible", test_responsible },
+                          { "other region", test_other_region },
                           { "adopted", test_adopted },
                           { "watchers", test_watchers },
                           { "cancel", test_cancel },
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -146,12 +146,18 @@
                  upstream=True, worker=False, upstream_options=(),
                  worker_options=(), timings=None, max_body_kib=1024,
                  with_log=True, tls=False, region="r", guards_per_rack=0,
+                 regions=None,
                  reserve=None, worker_size=None, folder=None,
                  start=True):
         self.build = os.path.abspath(build)
         self.folder = folder or tempfile.mkdtemp(prefix="galenapier-")
         self.name = name
         self.region = region
+        # Several: given to entries and guards in turn.  Each has a log, and
+        # the configuration is on the first.
+        self.regions = regions or [region]
+        self.logs = ["log"] + [f"log-{i + 1}"
+                               for i in range(1, len(self.regions))]
         self.zones = zones
         self.guards_per_rack = guards_per_rack
         self.timings = timings or {}
@@ -181,7 +187,8 @@
             if self.tls:
                 self._make_certificates()
             if self.with_log:
-                self.start_log()
+                for log in self.logs:
+                    self.start_log(log)
             for entry in self.entry_names:
                 self.start_entry(entry)
             for guard in self.guard_names:
@@ -222,20 +229,41 @@
                          "runtime-control"):
                 self.addresses[f"{name}.{port}"] = \
                     f"127.0.0.1:{free_port()}"
-        for port in ("log", "log-control"):
-            self.addresses[port] = f"127.0.0.1:{free_port()}"
+        for log in self.logs:
+            for port in (log, f"{log}-control"):
+                self.addresses[port] = f"127.0.0.1:{free_port()}"
 
     def zone_of(self, name):
         number = int(name.rsplit("-", 1)[1]) - 1
         return self.zones[number % len(self.zones)]
 
+    def region_of(self, name):
+        number = int(name.rsplit("-", 1)[1]) - 1
+        return self.regions[number % len(self.regions)]
+
+    def _peers_of(self, name, entry):
+        """Where the process NAME reaches ENTRY."""
+        return self.addresses.get(f"{name}>{entry}",
+                                  self.addresses[f"{entry}.peers"])
+
+    def _log_settings(self, name):
+        region = self.region_of(name)
+        if len(self.regions) == 1:
+            return {"address": self.addresses["log"], "stream": self.name}
+        log = self.logs[self.regions.index(region)]
+        return {"address": self.addresses[log],
+                "stream": f"{self.name}-{region}",
+                "config_address": self.addresses.get(
+                    f"{name}>log", self.addresses["log"]),
+                "config_stream": f"{self.name}-config"}
+
     def _settings(self, name):
         settings = {
-            "site": self.name, "name": name, "region": self.region,
+            "site": self.name, "name": name, "region": self.region_of(name),
             "zone": self.zone_of(name),
-            "entries": [{"name": e, "region": self.region,
+            "entries": [{"name": e, "region": self.region_of(e),
                          "zone": self.zone_of(e),
-                         "peers": self.addresses[f"{e}.peers"]}
+                         "peers": self._peers_of(name, e)}
                         for e in self.entry_names]}
         if self.timings:
             settings["timings"] = self.timings
@@ -265,12 +293,12 @@
     def ledger(self, name):
         return os.path.join(self.folder, name + ".ledger")
 
-    def start_log(self):
-        self._start("log", f"{self.build}/standins/logd",
-                    "--listen", self.addresses["log"],
-                    "--control", self.addresses["log-control"],
-                    "--ledger", self.ledger("log"), "--node", "log")
-        self._await_ready("log")
+    def start_log(self, name="log"):
+        self._start(name, f"{self.build}/standins/logd",
+                    "--listen", self.addresses[name],
+                    "--control", self.addresses[f"{name}-control"],
+                    "--ledger", self.ledger(name), "--node", name)
+        self._await_ready(name)
 
     def _await_ready(self, name):
         process = self.processes[name]
@@ -279,8 +307,7 @@
 
     def start_entry(self, name):
         settings = self._settings(name)
-        settings["platform_log"] = {"address": self.addresses["log"],
-                                    "stream": self.name}
+        settings["platform_log"] = self._log_settings(name)
         settings["entry"] = {
             "callers": self.addresses[f"{name}.callers"],
             "operators": self.addresses[f"{name}.operators"],
