Bound the appends of all regions together

Cause: with a stream for each region an entry sees the writers of its own only, so three regions of six writers would make 585 appends a second again. Change: an entry takes the other regions to have as many writers as its own. A test for the revision that a guard is told, which was that of the tasks' stream.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -48,17 +48,25 @@
 }
 
 uint32_t
-gp_settings_region_share (const gp_settings_t *settings, uint32_t total)
+gp_settings_region_count (const gp_settings_t *settings)
 {
   uint32_t count = 0;
+
+  for (uint32_t i = 0; i < settings->entries_count; i++)
+    count += is_first_of_region (settings, i);
+  return count;
+}
+
+uint32_t
+gp_settings_region_share (const gp_settings_t *settings, uint32_t total)
+{
+  uint32_t count = gp_settings_region_count (settings);
   uint32_t index = 0;
 
   for (uint32_t i = 0; i < settings->entries_count; i++)
-    if (is_first_of_region (settings, i))
-      {
-        count++;
-        index += strcmp (settings->entries[i].region, settings->region) < 0;
-      }
+    if (is_first_of_region (settings, i)
+        && strcmp (settings->entries[i].region, settings->region) < 0)
+      index++;
   if (count < 2 || total == UINT32_MAX)
     return total;
   return total / count + (index < total % count);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -137,6 +137,9 @@
 const char *gp_settings_config_stream (const gp_settings_platform_log_t *log);
 bool gp_settings_config_apart (const gp_settings_platform_log_t *log);
 
+/* Regions that have entries.  */
+uint32_t gp_settings_region_count (const gp_settings_t *settings);
+
 /* The own region's part of TOTAL: all regions that have entries share it, the
    first by name get what is left over.  UINT32_MAX, no limit, stays.  */
 uint32_t gp_settings_region_share (const gp_settings_t *settings,
--- a/src/daemon/store.c
+++ b/src/daemon/store.c
@@ -275,6 +275,7 @@
   const gp_store_source_t source
       = { .address = settings->platform_log->address,
           .stream = settings->platform_log->stream,
+          .streams = MAX (gp_settings_region_count (settings), 1),
           .ready = &is_ready,
           .available = &is_available };
 
@@ -290,6 +291,7 @@
   const gp_store_source_t source
       = { .address = gp_settings_config_address (settings->platform_log),
           .stream = gp_settings_config_stream (settings->platform_log),
+          .streams = 1,
           .ready = &config_is_ready,
           .available = &config_is_available };
 
--- a/src/daemon/store_private.h
+++ b/src/daemon/store_private.h
@@ -29,6 +29,7 @@
 {
   const char *address;
   const char *stream;
+  uint32_t streams; /* like it, on the same log service */
   gp_counter_t *ready;
   gp_counter_t *available;
 } gp_store_source_t;
--- a/src/daemon/store_read.c
+++ b/src/daemon/store_read.c
@@ -158,7 +158,8 @@
   return records;
 }
 
-/* The more entries write to the stream, the rarer this one does.  */
+/* The more entries write to the log, the rarer this one does.  The streams
+   of other regions are taken to have as many.  */
 static void
 count_writers (gp_store_t *store)
 {
@@ -166,7 +167,7 @@
                                              &store->follower.fold,
                                              gp_loop_now (store->loop));
 
-  gp_writer_set_writers (&store->writer, count);
+  gp_writer_set_writers (&store->writer, count * store->source.streams);
 }
 
 static void
--- a/tests/unit/tasks_world_impl.h
+++ b/tests/unit/tasks_world_impl.h
@@ -53,6 +53,7 @@
 static gp_document_t document;
 static gp_tasks_t *tasks;
 static GString *sent;
+static uint64_t replied_revision; /* of the last reply to a heartbeat */
 static gp_tasks_result_t answered;
 static GArray *answered_ids;
 
@@ -268,6 +269,7 @@
                               envelope->task_report_ack->number);
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_HEARTBEAT_REPLY:
+      replied_revision = envelope->heartbeat_reply->config_revision;
       g_string_append_printf (
           sent, "%s lease %s%s\n", to,
           envelope->heartbeat_reply->lease_remaining_us > 0 ? "yes" : "no",
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -179,6 +179,7 @@
           gp_settings_load_text (&settings, "x", text, strlen (text), NULL));
       CU_ASSERT_EQUAL (gp_settings_region_share (&settings, 10), shares[i]);
       CU_ASSERT_EQUAL (gp_settings_region_share (&settings, 0), 0);
+      CU_ASSERT_EQUAL (gp_settings_region_count (&settings), 3);
       CU_ASSERT_EQUAL (gp_settings_region_share (&settings, UINT32_MAX),
                        UINT32_MAX);
       gp_settings_finish (&settings);
--- a/tests/unit/test_tasks.c
+++ b/tests/unit/test_tasks.c
@@ -269,6 +269,20 @@
   tear_down ();
 }
 
+/* A guard is told the revision in force, which may not be on the stream of
+   the tasks; with a lower one it would offer its own at each heartbeat.  */
+static void
+test_revision (void)
+{
+  set_up (0);
+  pass (GP_SEC);
+  announce (0, 1, NULL, 0);
+  heartbeat (0, 1);
+  CU_ASSERT_EQUAL (gp_store_fold (&store)->config.revision, 0);
+  CU_ASSERT_EQUAL (replied_revision, 1);
+  tear_down ();
+}
+
 /* An entry of another region takes nothing over.  */
 static void
 test_other_region (void)
@@ -455,6 +469,7 @@
                           { "heard elsewhere", test_heard_elsewhere },
                           { "responsible", test_responsible },
                           { "other region", test_other_region },
+                          { "revision", test_revision },
                           { "adopted", test_adopted },
                           { "watchers", test_watchers },
                           { "cancel", test_cancel },
