--- a/tests/unit/test_tasks.c
+++ b/tests/unit/test_tasks.c
@@ -262,6 +262,7 @@
   gp_session_t other = { .host = &host,
                          .ready = true,
                          .process = PEER,
+                         .region = "r",
                          .role = GP__WIRE__ROLE__ROLE_ENTRY };
   const char *other_team;
   uint64_t task;
@@ -288,6 +289,56 @@
   tear_down ();
 }
 
+/* A guard is told the revision in force, which may not be on the stream of
+   the tasks; with a lower one it would offer its own at each heartbeat.  */
+static void
+test_revision (void)
+{
+  set_up (0);
+  pass (GP_SEC);
+  announce (0, 1, NULL, 0);
+  heartbeat (0, 1);
+  CU_ASSERT_EQUAL (gp_store_fold (&store)->config.revision, 0);
+  CU_ASSERT_EQUAL (replied_revision, 1);
+  tear_down ();
+}
+
+/* An entry of another region takes nothing over.  */
+static void
+test_other_region (void)
+{
+  gp_session_t others[16];
+  char *names[G_N_ELEMENTS (others)];
+
+  set_up (0);
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      names[i] = g_strdup_printf ("far-%zu", i);
+      others[i] = (gp_session_t){ .host = &host,
+                                  .ready = true,
+                                  .process = names[i],
+                                  .region = "q",
+                                  .role = GP__WIRE__ROLE__ROLE_ENTRY };
+      gp_list_push_back (&host.sessions, &others[i].link);
+    }
+  pass (GP_SEC);
+  announce (0, 1, NULL, 0);
+  heartbeat (0, 1);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_ADOPT), 1);
+  flush ();
+  heartbeat (0, 1);
+  CU_ASSERT_TRUE (gp_tasks_is_mine (tasks, "team", "u"));
+  CU_ASSERT_TRUE (gp_tasks_find (tasks, submit ("job"))->team->mine);
+  pass (GP_SEC);
+  CU_ASSERT_EQUAL (queued (GP__RECORD__RECORD__RECORD_GRANT), 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      gp_list_remove (&others[i].link);
+      g_free (names[i]);
+    }
+  tear_down ();
+}
+
 /* The guard's process starts again beside its runtime: what runs goes on
    under its epoch, what does not is lost and runs again.  */
 static void
@@ -475,6 +526,8 @@
                           { "full", test_full },
                           { "heard elsewhere", test_heard_elsewhere },
                           { "responsible", test_responsible },
+                          { "other region", test_other_region },
+                          { "revision", test_revision },
                           { "adopted", test_adopted },
                           { "ack of predecessor", test_ack_of_predecessor },
                           { "watchers", test_watchers },
