Serve latency-critical requests by their target, not their timeout

Cause: the guard's queue ordered the latency-critical class by deadline, so under overload requests of a caller with a long timeout starved behind equal ones with a short timeout.

Change: a request carries the time that is left until its latency target is due (remaining_target_us; from the kind in the document, or its service). Admission orders the class by that point, never after the deadline, and by the deadline when there is no target. Feasibility and expiry follow from the deadline as before. The twin and the differential test cover the new field; a script with equal targets and different timeouts, served by arrival, fails with the order by deadline.

Conclusion: the timeout of a caller no longer decides its place.

--- a/src/coordination/admission.c
+++ b/src/coordination/admission.c
@@ -8,7 +8,9 @@
       the first URGENT_AT has come, or when all queued batch, drained at the
       pace of the share, would take past the last URGENT_AT.  URGENT_AT is the
       deadline less four times the high estimate of the kind.
-   2. Latency-critical requests are next, by earliest deadline.
+   2. Latency-critical requests are next, by the earliest point at which
+      their latency target is due (DUE, or the deadline if that is earlier or
+      there is no target).
    3. Other batch is last, by earliest URGENT_AT, and only while batch holds
       fewer than SLOTS - CRITICAL_RESERVE slots.  The reserve lapses when no
       latency-critical request has come for RESERVE_DURATION.
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -72,7 +72,7 @@
                               gp_request_quota_t *quota, uint32_t max_running,
                               uint32_t max_queued, gp_time_t now);
 
-/* Decide on REQUEST, whose first four fields are set; it must stay valid
+/* Decide on REQUEST, whose first five fields are set; it must stay valid
    until it is DONE or REFUSED and its action was taken.  */
 void gp_admission_submit (gp_admission_t *admission,
                           gp_admission_request_t *request, gp_time_t now);
--- a/src/coordination/request_queue.c
+++ b/src/coordination/request_queue.c
@@ -6,39 +6,42 @@
 #define BATCH GP_ADMISSION_BATCH
 
 static bool
-deadline_before (const gp_admission_request_t *a,
-                 const gp_admission_request_t *b)
+turn_before (const gp_heap_node_t *na, const gp_heap_node_t *nb)
 {
-  if (a->deadline != b->deadline)
-    return a->deadline < b->deadline;
-  return a->sequence < b->sequence;
-}
+  const gp_admission_request_t *a
+      = GP_CONTAINER_OF (na, gp_admission_request_t, order);
+  const gp_admission_request_t *b
+      = GP_CONTAINER_OF (nb, gp_admission_request_t, order);
 
-static bool
-critical_before (const gp_heap_node_t *a, const gp_heap_node_t *b)
-{
-  return deadline_before (GP_CONTAINER_OF (a, gp_admission_request_t, order),
-                          GP_CONTAINER_OF (b, gp_admission_request_t, order));
+  if (a->turn != b->turn)
+    return a->turn < b->turn;
+  return a->sequence < b->sequence;
 }
 
 static bool
-batch_before (const gp_heap_node_t *na, const gp_heap_node_t *nb)
+expiry_before (const gp_heap_node_t *na, const gp_heap_node_t *nb)
 {
   const gp_admission_request_t *a
-      = GP_CONTAINER_OF (na, gp_admission_request_t, order);
+      = GP_CONTAINER_OF (na, gp_admission_request_t, expiry);
   const gp_admission_request_t *b
-      = GP_CONTAINER_OF (nb, gp_admission_request_t, order);
+      = GP_CONTAINER_OF (nb, gp_admission_request_t, expiry);
 
-  if (a->urgent_at != b->urgent_at)
-    return a->urgent_at < b->urgent_at;
+  if (a->deadline != b->deadline)
+    return a->deadline < b->deadline;
   return a->sequence < b->sequence;
 }
 
-static bool
-expiry_before (const gp_heap_node_t *a, const gp_heap_node_t *b)
+/* The point by which REQUEST is ordered in its class.  The latency target
+   tells which wait hurts most; the deadline is often far behind it, and a
+   caller that waits longer must not be served later for it.  */
+static gp_time_t
+turn (const gp_admission_request_t *request)
 {
-  return deadline_before (GP_CONTAINER_OF (a, gp_admission_request_t, expiry),
-                          GP_CONTAINER_OF (b, gp_admission_request_t, expiry));
+  if (request->work_class == BATCH)
+    return request->urgent_at;
+  if (request->due == 0 || request->due > request->deadline)
+    return request->deadline;
+  return request->due;
 }
 
 /* The most slack first; of equals the latest arrival.  */
@@ -58,8 +61,8 @@
 static void
 init_order (gp_heap_t heaps[GP_ADMISSION_CLASSES])
 {
-  gp_heap_init (&heaps[CRITICAL], critical_before);
-  gp_heap_init (&heaps[BATCH], batch_before);
+  gp_heap_init (&heaps[CRITICAL], turn_before);
+  gp_heap_init (&heaps[BATCH], turn_before);
 }
 
 static gp_admission_request_t *
@@ -193,6 +196,7 @@
 
   request->state = GP_ADMISSION_QUEUED;
   request->sequence = queue->next_sequence++;
+  request->turn = turn (request);
   queue->count[work_class]++;
   queue->work[work_class] += request->work;
   request->team->queued++;
--- a/src/coordination/request_queue.h
+++ b/src/coordination/request_queue.h
@@ -73,6 +73,7 @@
   gp_time_t deadline;
   gp_request_quota_t *team;
   gp_admission_kind_t *kind;
+  gp_time_t due; /* when its latency target is; 0: the deadline counts */
 
   /* To be read by the caller.  */
   gp_admission_state_t state;
@@ -87,6 +88,7 @@
   gp_heap_node_t slack;        /* in SLACK, batch only */
   gp_request_quota_t *blocker; /* whose BLOCKED, or NULL for READY */
   gp_time_t urgent_at;         /* when the laxity of batch runs out */
+  gp_time_t turn;              /* order in READY or BLOCKED */
   gp_time_t work;              /* estimate that counts in QUEUED_WORK */
   uint64_t sequence;           /* breaks ties by arrival */
 } gp_admission_request_t;
@@ -125,7 +127,8 @@
          + queue->count[GP_ADMISSION_BATCH];
 }
 
-/* Add REQUEST, whose work and urgent_at are set; it is QUEUED.  */
+/* Add REQUEST, whose work and urgent_at are set; it is QUEUED.  Its turn
+   follows from them.  */
 void gp_request_queue_insert (gp_request_queue_t *queue,
                               gp_admission_request_t *request);
 
@@ -134,7 +137,7 @@
                               gp_admission_request_t *request);
 
 /* The request of WORK_CLASS whose turn it is of those that no quota blocks
-   (latency-critical by deadline, batch by urgent_at), or NULL.  */
+   (latency-critical by due, batch by urgent_at), or NULL.  */
 gp_admission_request_t *
 gp_request_queue_first (gp_request_queue_t *queue,
                         gp_admission_class_t work_class);
--- a/src/daemon/execution.c
+++ b/src/daemon/execution.c
@@ -401,6 +401,8 @@
   execution->admission.work_class
       = batch ? GP_ADMISSION_BATCH : GP_ADMISSION_LATENCY_CRITICAL;
   execution->admission.deadline = now + (gp_time_t)request->remaining_us;
+  if (request->remaining_target_us > 0)
+    execution->admission.due = now + (gp_time_t)request->remaining_target_us;
   execution->admission.team = gp_executor_find_team (executor, request->team);
   execution->admission.kind = gp_executor_find_kind (executor, request->kind);
   executor->buffered += request->body_size;
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -257,6 +257,16 @@
   return g_strndup (text.base, MIN (text.size, GP_RELAY_NAME_SIZE - 1));
 }
 
+/* The duration in which the answer is wanted, or 0.  */
+static gp_time_t
+latency_target (const gp_document_service_t *service,
+                const gp_document_kind_t *kind)
+{
+  if (kind != NULL)
+    return kind->latency_target_ms * GP_MSEC;
+  return service == NULL ? 0 : service->latency_target_ms * GP_MSEC;
+}
+
 /* Take over what the document says of the request; its structures may be
    replaced while the request is under way.  */
 static void
@@ -266,13 +276,17 @@
   const gp_document_service_t *service = NULL;
   const gp_document_kind_t *kind = NULL;
   gp_http_text_t path = gp_relay_path (relay);
+  gp_time_t now = gp_loop_now (relay->relays->loop);
+  gp_time_t target;
 
   if (document != NULL)
     service = gp_document_find_service (document, relay->service->name);
   if (service != NULL)
     kind = gp_document_find_kind (service, path.base, path.size);
-  relay->deadline
-      = gp_loop_now (relay->relays->loop) + request_timeout (relay, kind);
+  relay->deadline = now + request_timeout (relay, kind);
+  target = latency_target (service, kind);
+  if (target > 0)
+    relay->due = now + target;
   if (service != NULL && service->team != NULL)
     relay->team = g_strdup (service->team);
   else
--- a/src/daemon/relay_private.h
+++ b/src/daemon/relay_private.h
@@ -29,6 +29,7 @@
   uint64_t id;
   uint64_t handle;
   gp_time_t deadline;
+  gp_time_t due; /* when its latency target is, or 0 */
   gp_time_t sent_at;
   gp_route_t route;
   uint32_t attempts;
--- a/src/daemon/relay_send.c
+++ b/src/daemon/relay_send.c
@@ -96,6 +96,8 @@
   request.work_class = work_class (relay);
   request.idempotent = relay->idempotent;
   request.remaining_us = (uint64_t)MAX (relay->deadline - now, 0);
+  if (relay->due != 0)
+    request.remaining_target_us = (uint64_t)MAX (relay->due - now, 1);
   request.method = method;
   request.path = path;
   request.headers = wire.pointers;
--- a/tests/unit/admission_twin.c
+++ b/tests/unit/admission_twin.c
@@ -104,7 +104,9 @@
 static gp_time_t
 turn (const gp_admission_request_t *r)
 {
-  return r->work_class == BATCH ? r->urgent_at : r->deadline;
+  if (r->work_class == BATCH)
+    return r->urgent_at;
+  return r->due == 0 ? r->deadline : MIN (r->due, r->deadline);
 }
 
 static gp_admission_request_t *
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -47,7 +47,8 @@
     printf ("  next at %d\n", (int)(next / GP_MSEC));
 }
 
-/* Run one line: TIME VERB [NUMBER [CLASS TEAM DEADLINE]], times in ms.  */
+/* Run one line: TIME VERB [NUMBER [CLASS TEAM DEADLINE [DUE]]], times in
+   ms.  */
 static void
 run_line (script_t *script, const char *line)
 {
@@ -57,11 +58,12 @@
   int at = 0;
   int number = 0;
   int deadline = 0;
+  int due = 0;
   gp_time_t now;
   gp_admission_request_t *r;
 
-  sscanf (line, "%d %15s %d %15s %15s %d", &at, verb, &number, work_class,
-          team, &deadline);
+  sscanf (line, "%d %15s %d %15s %15s %d %d", &at, verb, &number, work_class,
+          team, &deadline, &due);
   now = at * GP_MSEC;
   r = &script->requests[number];
   printf ("%s\n", line);
@@ -73,7 +75,8 @@
                           : GP_ADMISSION_LATENCY_CRITICAL,
         .team = strcmp (team, "wide") == 0 ? &script->wide : &script->narrow,
         .kind = &script->kind,
-        .deadline = deadline * GP_MSEC
+        .deadline = deadline * GP_MSEC,
+        .due = due * GP_MSEC
       };
       gp_admission_submit (&script->admission, r, now);
     }
@@ -133,6 +136,17 @@
                                             "30 finish 4",
                                             "40 finish 3",
                                             NULL };
+  static const char *const targets[] = { "0 submit 0 critical wide 9000 250",
+                                         "0 submit 1 critical wide 9000 250",
+                                         "1 submit 2 critical wide 4000 251",
+                                         "2 submit 3 critical wide 1000 252",
+                                         "3 submit 4 critical wide 4000 253",
+                                         "4 submit 5 critical wide 900 9000",
+                                         "10 finish 0",
+                                         "20 finish 1",
+                                         "30 finish 2",
+                                         "40 finish 3",
+                                         NULL };
   static const char *const urgent[] = { "0 submit 0 critical wide 900",
                                         "0 submit 1 critical wide 900",
                                         "1 submit 2 batch wide 500",
@@ -201,6 +215,7 @@
                                          NULL };
 
   run_script ("latency-critical before batch", precedence);
+  run_script ("equal targets, different deadlines: by arrival", targets);
   run_script ("batch out of laxity has its share", urgent);
   run_script ("the reserve lapses", reserve);
   run_script ("a full queue", full);
@@ -282,12 +297,16 @@
   int work_class = g_rand_int_range (pair->random, 0, GP_ADMISSION_CLASSES);
   gp_time_t deadline
       = pair->now + g_rand_int_range (pair->random, -5, 500) * GP_MSEC;
+  gp_time_t due = 0;
 
+  if (g_rand_boolean (pair->random))
+    due = pair->now + g_rand_int_range (pair->random, 0, 250) * GP_MSEC;
   for (int side = 0; side < 2; side++)
     {
       pair->requests[side][number]
           = (gp_admission_request_t){ .work_class = work_class,
                                       .deadline = deadline,
+                                      .due = due,
                                       .team = &pair->teams[side][team],
                                       .kind = &pair->kinds[side][kind] };
     }
