Guard: keep a small answer as headers and pack it once

Cause: the head of a small answer was packed, unpacked by malloc and packed again, and each request held seven blocks of memory. Change: the head is kept as copied headers with room for the body in one block; a request's method, path, headers and body lie in the block of its execution.

--- a/src/daemon/execution.c
+++ b/src/daemon/execution.c
@@ -109,8 +109,8 @@
     .path = execution->path,
     .headers = execution->headers,
     .header_count = execution->header_count,
-    .body = execution->body->data,
-    .body_size = execution->body->len,
+    .body = execution->body,
+    .body_size = execution->body_received,
     .deadline = GP_TIME_NEVER,
   };
 
@@ -353,31 +353,41 @@
   return GP__WIRE__REASON__REASON_UNSPECIFIED;
 }
 
-/* Copy the headers into one block owned by the execution.  */
-static void
-copy_headers (gp_execution_t *execution, const Gp__Wire__Request *request)
-{
-  size_t size = 1;
-  char *text;
-
-  for (size_t i = 0; i < request->n_headers; i++)
-    size += request->headers[i]->name.len + request->headers[i]->value.len;
-  execution->headers = g_new (gp_http_header_t, request->n_headers + 1);
-  execution->header_text = text = g_malloc (size);
-  execution->header_count
-      = gp_http_headers_from_wire (execution->headers, request->n_headers,
-                                   request->headers, request->n_headers);
-  for (size_t i = 0; i < execution->header_count; i++)
-    {
-      gp_http_header_t *header = &execution->headers[i];
-
-      memcpy (text, header->name, header->name_size);
-      header->name = text;
-      text += header->name_size;
-      memcpy (text, header->value, header->value_size);
-      header->value = text;
-      text += header->value_size;
-    }
+static char *
+copy_string (char *to, const char *string, size_t size)
+{
+  memcpy (to, string, size);
+  to[size] = '\0';
+  return to + size + 1;
+}
+
+/* An execution with what it keeps of REQUEST in the same block.  */
+static gp_execution_t *
+execution_alloc (const Gp__Wire__Request *request)
+{
+  gp_http_header_t headers[GP_HEADERS_MAX];
+  size_t count = gp_http_headers_from_wire (
+      headers, GP_HEADERS_MAX, request->headers, request->n_headers);
+  size_t method_size = strlen (request->method);
+  size_t path_size = strlen (request->path);
+  size_t fixed_size = sizeof (gp_execution_t) + count * sizeof *headers;
+  gp_execution_t *execution = g_malloc (
+      fixed_size + method_size + 1 + path_size + 1
+      + gp_execution_text_size (headers, count) + request->body_size);
+  char *text = (char *)execution + fixed_size;
+
+  memset (execution, 0, sizeof *execution);
+  execution->headers = (gp_http_header_t *)(execution + 1);
+  execution->header_count = count;
+  memcpy (execution->headers, headers, count * sizeof *headers);
+  execution->method = text;
+  text = copy_string (text, request->method, method_size);
+  execution->path = text;
+  text = copy_string (text, request->path, path_size);
+  text = gp_execution_copy_texts (execution->headers, count, text);
+  execution->body = (uint8_t *)text;
+  execution->body_size = request->body_size;
+  return execution;
 }
 
 static gp_execution_t *
@@ -385,19 +395,14 @@
 {
   gp_executor_t *executor = set->executor;
   gp_time_t now = gp_loop_now (executor->loop);
-  gp_execution_t *execution = g_new0 (gp_execution_t, 1);
+  gp_execution_t *execution = execution_alloc (request);
   bool batch = request->work_class == GP__WIRE__WORK_CLASS__WORK_CLASS_BATCH;
 
   execution->executor = executor;
   execution->set = set;
   execution->id = request->id;
   execution->window = GP_ANSWER_WINDOW;
-  execution->method = g_strdup (request->method);
-  execution->path = g_strdup (request->path);
-  execution->body = g_byte_array_sized_new ((guint)request->body_size);
-  execution->body_size = request->body_size;
   gp_list_init (&execution->blocked);
-  copy_headers (execution, request);
   execution->admission.work_class
       = batch ? GP_ADMISSION_BATCH : GP_ADMISSION_LATENCY_CRITICAL;
   execution->admission.deadline = now + (gp_time_t)request->remaining_us;
@@ -424,15 +429,17 @@
 static void
 append_body (gp_execution_t *execution, const ProtobufCBinaryData *data)
 {
-  if (execution->body->len + data->len > execution->body_size)
+  if (execution->body_received + data->len > execution->body_size)
     {
       gp_execution_give_verdict (execution, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
                                  GP__WIRE__REASON__REASON_TOO_LARGE, 0);
       gp_execution_free (execution);
       return;
     }
-  g_byte_array_append (execution->body, data->data, (guint)data->len);
-  if (execution->body->len == execution->body_size)
+  if (data->len > 0)
+    memcpy (execution->body + execution->body_received, data->data, data->len);
+  execution->body_received += data->len;
+  if (execution->body_received == execution->body_size)
     submit (execution);
 }
 
--- a/src/daemon/execution_answer.c
+++ b/src/daemon/execution_answer.c
@@ -28,14 +28,6 @@
   load->queued = gp_request_queue_length (&a->queue);
 }
 
-static void
-fill_load (const gp_execution_t *execution, Gp__Wire__Load *load)
-{
-  gp_executor_load (execution->executor, load);
-  if (execution->admission.kind != NULL)
-    load->latency_us = (uint32_t)execution->admission.kind->service_time.mean;
-}
-
 void
 gp_execution_send_verdict (gp_execution_set_t *set, uint64_t id,
                            Gp__Wire__Verdict verdict, Gp__Wire__Reason reason,
@@ -107,48 +99,79 @@
   gp_execution_detach (execution);
 }
 
-static void
-release_body (gp_execution_t *execution)
-{
-  execution->executor->buffered -= execution->body_size;
-  execution->body_size = 0;
-  g_byte_array_set_size (execution->body, 0);
-}
-
 void
 gp_execution_free (gp_execution_t *execution)
 {
   gp_executor_t *executor = execution->executor;
 
   gp_execution_detach (execution);
-  release_body (execution);
-  g_free (execution->method);
-  g_free (execution->path);
-  g_free (execution->headers);
-  g_free (execution->header_text);
-  g_byte_array_unref (execution->body);
-  if (execution->held != NULL)
-    g_byte_array_unref (execution->held);
-  if (execution->held_body != NULL)
-    g_byte_array_unref (execution->held_body);
+  executor->buffered -= execution->body_size;
+  g_free (execution->held);
   g_free (execution);
   executor->open--;
 }
 
 /* The upstream's answer.  */
 
+size_t
+gp_execution_text_size (const gp_http_header_t *headers, size_t count)
+{
+  size_t size = 0;
+
+  for (size_t i = 0; i < count; i++)
+    size += headers[i].name_size + headers[i].value_size;
+  return size;
+}
+
+static char *
+copy_text (const char **text, size_t size, char *to)
+{
+  if (size > 0)
+    memcpy (to, *text, size);
+  *text = to;
+  return to + size;
+}
+
+char *
+gp_execution_copy_texts (gp_http_header_t *headers, size_t count, char *text)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      text = copy_text (&headers[i].name, headers[i].name_size, text);
+      text = copy_text (&headers[i].value, headers[i].value_size, text);
+    }
+  return text;
+}
+
 /* Keep the head until the body is whole, so that a small answer is one
    frame.  */
 static void
-hold_head (gp_execution_t *execution, const Gp__Wire__Answer *head)
+hold_head (gp_execution_t *execution, const gp_http_header_t *headers,
+           size_t count)
 {
-  size_t size = gp__wire__answer__get_packed_size (head);
+  size_t max_size = (size_t)execution->content_length;
+  size_t fixed_size = sizeof (gp_execution_held_t) + count * sizeof *headers;
+  gp_execution_held_t *held = g_malloc (
+      fixed_size + gp_execution_text_size (headers, count) + max_size);
+
+  held->headers = (gp_http_header_t *)(held + 1);
+  held->count = count;
+  held->size = 0;
+  held->max_size = max_size;
+  memcpy (held->headers, headers, count * sizeof *headers);
+  held->body = (uint8_t *)gp_execution_copy_texts (held->headers, count,
+                                                   (char *)held + fixed_size);
+  execution->held = held;
+}
 
-  execution->held = g_byte_array_sized_new ((guint)size);
-  g_byte_array_set_size (execution->held, (guint)size);
-  gp__wire__answer__pack (head, execution->held->data);
-  execution->held_body
-      = g_byte_array_sized_new ((guint)execution->content_length);
+/* What is beyond the length that the upstream gave is no part of the
+   answer.  */
+static void
+hold_body (gp_execution_held_t *held, const void *bytes, size_t size)
+{
+  size = MIN (size, held->max_size - held->size);
+  memcpy (held->body + held->size, bytes, size);
+  held->size += size;
 }
 
 static void
@@ -176,15 +199,29 @@
                        gp_admission_next_deadline (&executor->admission)));
 }
 
+/* The head of an answer with the bytes of BODY, the last ones with LAST.  */
 static void
-send_head (gp_execution_t *execution, const Gp__Wire__Answer *head)
+send_head (const gp_execution_t *execution, const gp_http_header_t *headers,
+           size_t count, ProtobufCBinaryData body, bool last)
 {
-  Gp__Wire__Envelope envelope
-      = GP_ENVELOPE (ANSWER, answer, (Gp__Wire__Answer *)head);
+  Gp__Wire__Answer answer = GP__WIRE__ANSWER__INIT;
+  Gp__Wire__Load load = GP__WIRE__LOAD__INIT;
+  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANSWER, answer, &answer);
+  gp_wire_headers_t wire;
 
-  begin_streaming (execution);
-  if (execution->set != NULL)
-    gp_session_send (execution->set->session, &envelope);
+  gp_wire_headers_from_http (&wire, headers, count);
+  gp_executor_load (execution->executor, &load);
+  load.latency_us = execution->latency_us;
+  answer.id = execution->id;
+  answer.verdict = GP__WIRE__VERDICT__VERDICT_RAN;
+  answer.status = (uint32_t)execution->status;
+  answer.headers = wire.pointers;
+  answer.n_headers = wire.count;
+  answer.content_length = execution->content_length;
+  answer.load = &load;
+  answer.data = body;
+  answer.last = last;
+  gp_session_send (execution->set->session, &envelope);
 }
 
 static int64_t
@@ -205,25 +242,21 @@
                       size_t count, void *data)
 {
   gp_execution_t *execution = data;
-  Gp__Wire__Answer head = GP__WIRE__ANSWER__INIT;
-  Gp__Wire__Load load = GP__WIRE__LOAD__INIT;
-  gp_wire_headers_t wire;
+  const gp_admission_kind_t *kind = execution->admission.kind;
 
   execution->content_length = find_content_length (headers, count);
-  gp_wire_headers_from_http (&wire, headers, count);
-  fill_load (execution, &load);
-  head.id = execution->id;
-  head.verdict = GP__WIRE__VERDICT__VERDICT_RAN;
-  head.status = (uint32_t)status;
-  head.headers = wire.pointers;
-  head.n_headers = wire.count;
-  head.content_length = execution->content_length;
-  head.load = &load;
+  execution->status = status;
+  if (kind != NULL)
+    execution->latency_us = (uint32_t)kind->service_time.mean;
   if (execution->content_length >= 0
       && execution->content_length <= (int64_t)GP_PART_SIZE)
-    hold_head (execution, &head);
-  else
-    send_head (execution, &head);
+    {
+      hold_head (execution, headers, count);
+      return;
+    }
+  begin_streaming (execution);
+  if (execution->set != NULL)
+    send_head (execution, headers, count, (ProtobufCBinaryData){ 0 }, false);
 }
 
 static void
@@ -277,7 +310,7 @@
     return true;
   if (!execution->head_sent)
     {
-      g_byte_array_append (execution->held_body, bytes, (guint)size);
+      hold_body (execution->held, bytes, size);
       return true;
     }
   send_parts (execution, bytes, size);
@@ -286,20 +319,12 @@
 }
 
 static void
-send_held (gp_execution_t *execution)
+send_held (const gp_execution_t *execution)
 {
-  Gp__Wire__Answer *answer = gp__wire__answer__unpack (
-      NULL, execution->held->len, execution->held->data);
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (ANSWER, answer, answer);
-
-  answer->data.data = execution->held_body->data;
-  answer->data.len = execution->held_body->len;
-  answer->last = true;
-  gp_executor_load (execution->executor, answer->load);
-  gp_session_send (execution->set->session, &envelope);
-  answer->data.data = NULL;
-  answer->data.len = 0;
-  gp__wire__answer__free_unpacked (answer, NULL);
+  const gp_execution_held_t *held = execution->held;
+  ProtobufCBinaryData body = { held->size, held->body };
+
+  send_head (execution, held->headers, held->count, body, true);
 }
 
 void
--- a/src/daemon/execution_private.h
+++ b/src/daemon/execution_private.h
@@ -7,6 +7,16 @@
 
 #include "daemon/execution.h"
 
+/* An answer, copied into one block.  */
+typedef struct
+{
+  gp_http_header_t *headers;
+  size_t count;
+  uint8_t *body;
+  size_t size;
+  size_t max_size;
+} gp_execution_held_t;
+
 typedef struct
 {
   gp_admission_request_t admission;
@@ -15,12 +25,13 @@
   gp_executor_t *executor;
   gp_execution_set_t *set;
   uint64_t id;
+  /* In the block of the execution.  */
   char *method;
   char *path;
   gp_http_header_t *headers;
   size_t header_count;
-  char *header_text;
-  GByteArray *body;
+  uint8_t *body;
+  size_t body_received;
   uint64_t body_size;
   gp_http_call_t *call;
   bool submitted;
@@ -31,11 +42,19 @@
   gp_time_t progress_at; /* of an answer in parts */
   int status;
   int64_t content_length;
-  GByteArray *held; /* packed Answer with its head, see hold_head */
-  GByteArray *held_body;
+  uint32_t latency_us;       /* of its kind, when the head came */
+  gp_execution_held_t *held; /* a small answer until it is whole, or NULL */
   int64_t window;
 } gp_execution_t;
 
+/* Bytes that the texts of HEADERS take.  */
+size_t gp_execution_text_size (const gp_http_header_t *headers, size_t count);
+
+/* Copy the texts of HEADERS to TEXT and let them point there; the place
+   behind them is returned.  */
+char *gp_execution_copy_texts (gp_http_header_t *headers, size_t count,
+                               char *text);
+
 /* A refusal of a request that has no execution.  */
 void gp_execution_send_verdict (gp_execution_set_t *set, uint64_t id,
                                 Gp__Wire__Verdict verdict,
