Transport: tables of header names with sizes, heads in one block

Cause: each header was compared with up to twenty names whose sizes were counted each time, and the head of a call to an upstream was printed into a string that grew. Change: the names carry their sizes; the head of a call is written once into the block of the call; headers that h2o knows are added by token, and those that are left out are no longer copied.

--- a/src/daemon/text.c
+++ b/src/daemon/text.c
@@ -3,30 +3,30 @@
 #include "daemon/text.h"
 
 #include <string.h>
-#include <strings.h>
+
+#include "transport/http_header.h"
 
 #define NUMBER_DIGITS_MAX 15
 
-static const char *const hop_by_hop[] = { "connection",
-                                          "keep-alive",
-                                          "proxy-authenticate",
-                                          "proxy-authorization",
-                                          "te",
-                                          "trailer",
-                                          "transfer-encoding",
-                                          "upgrade",
-                                          "content-length",
-                                          "host",
-                                          "expect" };
+static const gp_http_name_t hop_by_hop[] = {
+  GP_HTTP_NAME ("connection"),
+  GP_HTTP_NAME ("keep-alive"),
+  GP_HTTP_NAME ("proxy-authenticate"),
+  GP_HTTP_NAME ("proxy-authorization"),
+  GP_HTTP_NAME ("te"),
+  GP_HTTP_NAME ("trailer"),
+  GP_HTTP_NAME ("transfer-encoding"),
+  GP_HTTP_NAME ("upgrade"),
+  GP_HTTP_NAME ("content-length"),
+  GP_HTTP_NAME ("host"),
+  GP_HTTP_NAME ("expect"),
+};
 
 bool
 gp_header_is_hop_by_hop (const char *name, size_t size)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (hop_by_hop); i++)
-    if (strlen (hop_by_hop[i]) == size
-        && strncasecmp (hop_by_hop[i], name, size) == 0)
-      return true;
-  return false;
+  return gp_http_name_is_among (name, size, hop_by_hop,
+                                G_N_ELEMENTS (hop_by_hop));
 }
 
 void
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -20,6 +20,10 @@
 /* What a body callback of h2o returns to have the connection closed.  */
 #define STOP_CALL (-1)
 
+/* Of the head of a request: room for what does not depend on it, its first
+   line's and the content-length's text.  */
+#define FIXED_HEAD_SIZE 128
+
 typedef enum
 {
   WAITING, /* for a connection */
@@ -46,9 +50,9 @@
   bool chunked;
   bool paused;
   bool in_callback;
-  bool cancelled; /* inside a callback */
-  GString *head;
+  bool cancelled;         /* inside a callback */
   h2o_iovec_t request[2]; /* head and body */
+  char head[];
 };
 
 struct gp_http_client
@@ -78,7 +82,6 @@
 {
   gp_http_call_t *call = handle->data;
 
-  g_string_free (call->head, TRUE);
   g_clear_error (&call->error);
   g_free (call);
 }
@@ -371,15 +374,29 @@
   return false;
 }
 
-static void
-append_header (GString *head, const gp_http_header_t *header)
+static char *
+append (char *to, const char *text, size_t size)
+{
+  memcpy (to, text, size);
+  return to + size;
+}
+
+static char *
+append_string (char *to, const char *text)
+{
+  return append (to, text, strlen (text));
+}
+
+static char *
+append_header (char *to, const gp_http_header_t *header)
 {
   if (gp_http_header_is_framing (header) || !gp_http_header_is_clean (header))
-    return;
-  g_string_append_len (head, header->name, (gssize)header->name_size);
-  g_string_append (head, ": ");
-  g_string_append_len (head, header->value, (gssize)header->value_size);
-  g_string_append (head, "\r\n");
+    return to;
+  to = append (to, header->name, header->name_size);
+  to = append_string (to, ": ");
+  if (header->value_size > 0)
+    to = append (to, header->value, header->value_size);
+  return append_string (to, "\r\n");
 }
 
 static bool
@@ -389,23 +406,55 @@
          || strcmp (request->method, "PUT") == 0;
 }
 
-static GString *
-write_head (const gp_http_client_t *client,
-            const gp_http_call_request_t *request)
+/* Room for the head of REQUEST.  */
+static size_t
+head_size (const gp_http_client_t *client,
+           const gp_http_call_request_t *request)
 {
-  GString *head = g_string_sized_new (256);
+  size_t size = FIXED_HEAD_SIZE + strlen (request->method)
+                + strlen (request->path) + strlen (client->address);
+
+  for (size_t i = 0; i < request->header_count; i++)
+    size += strlen (": \r\n") + request->headers[i].name_size
+            + request->headers[i].value_size;
+  return size;
+}
 
-  g_string_append_printf (head, "%s %s HTTP/1.1\r\n", request->method,
-                          request->path);
+/* The place behind the head is returned.  */
+static char *
+write_head (char *to, const gp_http_client_t *client,
+            const gp_http_call_request_t *request)
+{
+  to = append_string (to, request->method);
+  to = append_string (to, " ");
+  to = append_string (to, request->path);
+  to = append_string (to, " HTTP/1.1\r\n");
   if (!has_header (request, "host"))
-    g_string_append_printf (head, "host: %s\r\n", client->address);
+    {
+      to = append_string (to, "host: ");
+      to = append_string (to, client->address);
+      to = append_string (to, "\r\n");
+    }
   for (size_t i = 0; i < request->header_count; i++)
-    append_header (head, &request->headers[i]);
+    to = append_header (to, &request->headers[i]);
   if (needs_length (request))
-    g_string_append_printf (head, "content-length: %zu\r\n",
-                            request->body_size);
-  g_string_append (head, "\r\n");
-  return head;
+    to += sprintf (to, "content-length: %zu\r\n", request->body_size);
+  return append_string (to, "\r\n");
+}
+
+/* A call with its head in the same block.  */
+static gp_http_call_t *
+call_new (const gp_http_client_t *client,
+          const gp_http_call_request_t *request)
+{
+  gp_http_call_t *call = g_malloc (sizeof *call + head_size (client, request));
+  const char *end;
+
+  memset (call, 0, sizeof *call);
+  end = write_head (call->head, client, request);
+  call->request[0] = h2o_iovec_init (call->head, (size_t)(end - call->head));
+  call->request[1] = h2o_iovec_init (request->body, request->body_size);
+  return call;
 }
 
 gp_http_call_t *
@@ -413,16 +462,13 @@
                      const gp_http_call_request_t *request,
                      const gp_http_call_callbacks_t *callbacks, void *data)
 {
-  gp_http_call_t *call = g_new0 (gp_http_call_t, 1);
+  gp_http_call_t *call = call_new (client, request);
 
   gp_counter_add (&calls_total, 1);
   call->client = client;
   call->callbacks = *callbacks;
   call->data = data;
   call->is_head = strcmp (request->method, "HEAD") == 0;
-  call->head = write_head (client, request);
-  call->request[0] = h2o_iovec_init (call->head->str, call->head->len);
-  call->request[1] = h2o_iovec_init (request->body, request->body_size);
   gp_deferred_init (&call->ending, on_ending);
   gp_timer_init (&call->timer, client->loop, on_deadline, call);
   call->timer.uv.data = call;
--- a/src/transport/http_exchange.c
+++ b/src/transport/http_exchange.c
@@ -213,16 +213,25 @@
 static void
 add_header (h2o_req_t *request, const gp_http_header_t *header)
 {
-  h2o_iovec_t name
-      = h2o_strdup (&request->pool, header->name, header->name_size);
-  h2o_iovec_t value
-      = h2o_strdup (&request->pool, header->value, header->value_size);
+  h2o_headers_t *headers = &request->res.headers;
+  const h2o_token_t *token;
+  h2o_iovec_t name;
+  h2o_iovec_t value;
 
   if (gp_http_header_is_framing (header) || !gp_http_header_is_clean (header)
       || is_of_server (header))
     return;
-  h2o_add_header_by_str (&request->pool, &request->res.headers, name.base,
-                         name.len, 1, NULL, value.base, value.len);
+  value = h2o_strdup (&request->pool, header->value, header->value_size);
+  token = h2o_lookup_token (header->name, header->name_size);
+  if (token != NULL)
+    {
+      h2o_add_header (&request->pool, headers, token, NULL, value.base,
+                      value.len);
+      return;
+    }
+  name = h2o_strdup (&request->pool, header->name, header->name_size);
+  h2o_add_header_by_str (&request->pool, headers, name.base, name.len, 0, NULL,
+                         value.base, value.len);
 }
 
 static bool
--- a/src/transport/http_header.c
+++ b/src/transport/http_header.c
@@ -2,36 +2,48 @@
 
 #include "transport/http_header.h"
 
-#include <string.h>
+#define DELETE_CHARACTER 0x7f
 
-static const char *const framing_headers[]
-    = { "connection", "content-length",   "expect",  "keep-alive",
-        "te",         "proxy-connection", "trailer", "transfer-encoding",
-        "upgrade" };
+static const gp_http_name_t framing_headers[] = {
+  GP_HTTP_NAME ("connection"),
+  GP_HTTP_NAME ("content-length"),
+  GP_HTTP_NAME ("expect"),
+  GP_HTTP_NAME ("keep-alive"),
+  GP_HTTP_NAME ("te"),
+  GP_HTTP_NAME ("trailer"),
+  GP_HTTP_NAME ("proxy-connection"),
+  GP_HTTP_NAME ("transfer-encoding"),
+  GP_HTTP_NAME ("upgrade"),
+};
 
-static bool
-has_name (const gp_http_header_t *header, const char *name)
+bool
+gp_http_name_is_among (const char *name, size_t size,
+                       const gp_http_name_t *names, size_t count)
 {
-  return strlen (name) == header->name_size
-         && g_ascii_strncasecmp (header->name, name, header->name_size) == 0;
+  for (size_t i = 0; i < count; i++)
+    if (names[i].size == size
+        && g_ascii_strncasecmp (name, names[i].text, size) == 0)
+      return true;
+  return false;
 }
 
 bool
 gp_http_header_is_framing (const gp_http_header_t *header)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (framing_headers); i++)
-    if (has_name (header, framing_headers[i]))
-      return true;
-  return false;
+  return gp_http_name_is_among (header->name, header->name_size,
+                                framing_headers,
+                                G_N_ELEMENTS (framing_headers));
 }
 
 static bool
 has_control (const char *text, size_t size)
 {
+  bool found = false;
+
   for (size_t i = 0; i < size; i++)
-    if (g_ascii_iscntrl (text[i]) && text[i] != '\t')
-      return true;
-  return false;
+    found |= ((unsigned char)text[i] < ' ' && text[i] != '\t')
+             || text[i] == DELETE_CHARACTER;
+  return found;
 }
 
 bool
