--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -6,10 +6,15 @@
 
 #include "base/counters.h"
 #include "base/log.h"
+#include "daemon/laggards.h"
 #include "daemon/operators.h"
 #include "daemon/text.h"
 
 #define CLOSE_GRACE (200 * GP_MSEC)
+
+/* Guards look for a lost entry at least every two seconds.  */
+#define OPENING_TIME (2500 * GP_MSEC)
+#define OPENING_PAUSE (100 * GP_MSEC)
 #define READY_PATH "/-/ready"
 
 /* Add an event about this process to the time line.  */
@@ -36,8 +41,9 @@
 static void
 send_state (gp_entry_t *entry, gp_session_t *session)
 {
-  Gp__Wire__EntryState state = GP__WIRE__ENTRY_STATE__INIT;
-  Gp__Wire__Envelope envelope = GP_ENVELOPE (ENTRY_STATE, entry_state, &state);
+  Gp__Wire__ProcessState state = GP__WIRE__PROCESS_STATE__INIT;
+  Gp__Wire__Envelope envelope
+      = GP_ENVELOPE (PROCESS_STATE, process_state, &state);
 
   state.state = entry->leaving ? GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING
                                : GP__WIRE__MEMBER_STATE__MEMBER_STATE_SERVING;
@@ -85,6 +91,19 @@
     gp_session_close (session, true);
 }
 
+static void
+on_view_ask (gp_entry_t *entry, gp_session_t *session,
+             const Gp__Wire__ViewAsk *ask)
+{
+  if (ask->process[0] != '\0'
+      && strcmp (ask->process, entry->settings->name) != 0)
+    gp_views_forward (&entry->views, session, ask);
+  else if (ask->kind == GP__WIRE__VIEW_KIND__VIEW_KIND_LAGGARDS)
+    gp_laggards_serve (entry, session, ask);
+  else
+    gp_view_serve (session, &entry->timeline, ask);
+}
+
 static void
 on_message (gp_session_t *session, const Gp__Wire__Envelope *envelope,
             void *data)
@@ -112,12 +131,12 @@
     case GP__WIRE__ENVELOPE__MESSAGE_BROKEN:
       gp_relays_on_broken (&entry->relays, session, envelope->broken);
       break;
-    case GP__WIRE__ENVELOPE__MESSAGE_ENTRY_STATE:
-      gp_processes_entry_state (&entry->processes, session,
-                                envelope->entry_state, gp_time_wall ());
+    case GP__WIRE__ENVELOPE__MESSAGE_PROCESS_STATE:
+      gp_processes_state (&entry->processes, session, envelope->process_state,
+                          gp_time_wall ());
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_VIEW_ASK:
-      gp_view_serve (session, &entry->timeline, envelope->view_ask);
+      on_view_ask (entry, session, envelope->view_ask);
       break;
     case GP__WIRE__ENVELOPE__MESSAGE_VIEW:
       gp_views_on_view (&entry->views, session, envelope->view);
@@ -243,26 +262,67 @@
                     + entry->settings->timings.leave_ms * GP_MSEC);
 }
 
+static gp_http_server_options_t
+caller_options (const gp_entry_t *entry)
+{
+  const gp_settings_entry_t *settings = entry->settings->entry;
+
+  return (gp_http_server_options_t){
+    .address = settings->callers,
+    .held = true,
+    .max_body_size = settings->max_body_kib * 1024UL,
+    .header_timeout = entry->settings->timings.header_ms * GP_MSEC,
+    .on_request = on_caller,
+    .data = (void *)entry
+  };
+}
+
+/* Listen for callers, once: when upstreams were found and no more for a
+   moment, or when every guard has had the time to find this entry.  An entry
+   that took requests before would refuse what others can serve.  */
+static void
+open_to_callers (gp_entry_t *entry)
+{
+  gp_timer_disarm (&entry->opening_timer);
+  if (entry->open || entry->leaving)
+    return;
+  entry->open = true;
+  gp_http_server_open (entry->callers);
+  gp_log (GP_LOG_INFO, "entry.open");
+}
+
+static void
+on_route (void *data)
+{
+  gp_entry_t *entry = data;
+
+  if (!entry->open)
+    gp_timer_arm (
+        &entry->opening_timer,
+        MIN (gp_loop_now (&entry->loop) + OPENING_PAUSE, entry->open_at));
+}
+
+static void
+on_opening (gp_timer_t *timer, void *data)
+{
+  (void)timer;
+  open_to_callers (data);
+}
+
 static bool
 listen_http (gp_entry_t *entry, GError **error)
 {
-  const gp_settings_entry_t *settings = entry->settings->entry;
-  gp_http_server_options_t callers
-      = { .address = settings->callers,
-          .max_body_size = settings->max_body_kib * 1024UL,
-          .header_timeout = entry->settings->timings.header_ms * GP_MSEC,
-          .on_request = on_caller,
-          .data = entry };
-  gp_http_server_options_t operators = callers;
-
-  operators.address = settings->operators;
-  operators.on_request = gp_operators_on_request;
-  entry->callers = gp_http_server_new (&entry->loop, &callers, error);
+  gp_http_server_options_t options = caller_options (entry);
+
+  entry->callers = gp_http_server_new (&entry->loop, &options, error);
   if (entry->callers == NULL)
     return false;
-  if (settings->operators == NULL)
+  options.held = false;
+  if (entry->settings->entry->operators == NULL)
     return true;
-  entry->operators = gp_http_server_new (&entry->loop, &operators, error);
+  options.address = entry->settings->entry->operators;
+  options.on_request = gp_operators_on_request;
+  entry->operators = gp_http_server_new (&entry->loop, &options, error);
   return entry->operators != NULL;
 }
 
@@ -286,7 +346,7 @@
           GP_LOG_I ("revision", revision));
   entry->config_since_us = gp_time_wall ();
   tell_state (entry);
-  entry->relays.document = document;
+  gp_relays_set_document (&entry->relays, document);
   gp_tasks_set_document (entry->tasks, document);
 }
 
@@ -375,11 +435,27 @@
                       entry->rand, &entry->timeline);
   entry->configuration = gp_configuration_new (
       &entry->host, entry->store, &entry->timeline, on_configuration, entry);
+  entry->routes.timeline = &entry->timeline;
+  entry->relays.timeline = &entry->timeline;
   entry->routes.on_change = on_member;
+  entry->routes.on_route = on_route;
   entry->routes.data = entry;
   return true;
 }
 
+/* The place of this entry among those of the settings, which all processes
+   list alike.  */
+static uint32_t
+own_place (const gp_settings_t *settings)
+{
+  uint32_t place = 0;
+
+  while (place + 1 < settings->entries_count
+         && strcmp (settings->entries[place].name, settings->name) != 0)
+    place++;
+  return place;
+}
+
 bool
 gp_entry_init (gp_entry_t *entry, const gp_settings_t *settings,
                GError **error)
@@ -409,6 +485,8 @@
   gp_relays_init (&entry->relays, &entry->loop, &entry->routes, entry->rand,
                   settings->entry->max_requests,
                   settings->timings.stall_ms * GP_MSEC);
+  gp_limits_init (&entry->relays.limits, MAX (settings->entries_count, 1),
+                  own_place (settings));
   if (!start_parts (entry, error))
     return false;
   gp_timer_init (&entry->stop_timer, &entry->loop, on_balancer_gone, entry);
@@ -416,6 +494,9 @@
     return false;
   if (!listen_http (entry, error))
     return false;
+  gp_timer_init (&entry->opening_timer, &entry->loop, on_opening, entry);
+  entry->open_at = gp_loop_now (&entry->loop) + OPENING_TIME;
+  gp_timer_arm (&entry->opening_timer, entry->open_at);
   start_dialers (entry);
   gp_loop_on_signal (&entry->loop, on_stop, entry);
   return true;
@@ -433,7 +514,9 @@
 void
 gp_entry_finish (gp_entry_t *entry)
 {
+  gp_views_close (&entry->views);
   gp_timer_finish (&entry->stop_timer);
+  gp_timer_finish (&entry->opening_timer);
   for (size_t i = 0; i < entry->dialer_count; i++)
     gp_dialer_stop (&entry->dialers[i]);
   gp_session_host_finish (&entry->host);
@@ -447,11 +530,11 @@
   gp_news_finish (&entry->news);
   gp_downlinks_close (&entry->downlinks);
   gp_routes_finish (&entry->routes);
+  gp_loop_finish (&entry->loop);
   gp_views_finish (&entry->views);
   gp_processes_finish (&entry->processes);
   gp_operators_finish (&entry->operators_state);
   g_free (entry->events);
-  gp_loop_finish (&entry->loop);
   g_free (entry->dialers);
   gp_downlinks_finish (&entry->downlinks);
   if (entry->tls != NULL)
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -3,6 +3,7 @@
    tasks.c           wiring, responsibility, time
    tasks_mirror.c    the mirror of the fold's tasks
    tasks_place.c     queue, placement, grants and starts
+   tasks_park.c      tasks that can't run
    tasks_report.c    reports of guards, ends, checkpoints, stops
    tasks_lease.c     heartbeats, vouches, adoptions and fences
    tasks_guard.c     guards and their workers in the fleet
@@ -23,6 +24,7 @@
 #include "coordination/fleet.h"
 #include "coordination/interference.h"
 #include "coordination/lease_grantor.h"
+#include "coordination/limiter.h"
 #include "coordination/members.h"
 #include "coordination/pending.h"
 #include "coordination/placement.h"
@@ -166,18 +168,25 @@
   gp_interference_t interference;
   gp_placement_t placement;
   gp_suspects_t suspects;
+  gp_limiter_t evictions;
+  bool may_evict;
   gp_list_t due; /* of gp_tasks_task_t: to be looked at again, by time */
   gp_time_t due_period;
   uint32_t lost;        /* epochs, since lost_since */
   gp_time_t lost_since; /* of the count */
   bool paced;
+  uint64_t released;    /* changes when quota or a task comes free */
+  uint64_t full_growth; /* of the fleet and RELEASED, when nothing fitted */
+  gp_time_t full_until;
+  gp_time_t room_at; /* when more room is next looked at */
 
   gp_lease_grantor_t grantor;
   const gp_settings_member_t *others[GP_LEASE_GRANTOR_MAX_ENTRIES];
   unsigned n_others;
   uint64_t entry_set;
 
-  uint64_t live_entries; /* digest of the entries thought alive */
+  uint64_t live_entries; /* digest of the other entries thought alive */
+  GPtrArray *entries;    /* their names */
   uint64_t next_id;
   GPtrArray *submitting; /* of gp_tasks_submitting_t */
   bool watchers_changed; /* counts are to be compared again */
@@ -253,6 +262,8 @@
 /* Send what TASK, granted, still lacks: start, stop or end.  */
 void gp_tasks_push (gp_tasks_t *tasks, gp_tasks_task_t *task);
 
+/* tasks_park.c */
+
 /* Propose to park TASK, or to end that.  */
 void gp_tasks_park (gp_tasks_t *tasks, gp_tasks_task_t *task,
                     Gp__Record__ParkReason reason);
@@ -306,6 +317,8 @@
 
 void gp_tasks_on_usage (gp_tasks_t *tasks, gp_session_t *session,
                         const Gp__Wire__Usage *usage);
+/* Take the limits on remedies from the document.  */
+void gp_tasks_interfere_configure (gp_tasks_t *tasks);
 /* TASK came to its guard, left it, or was throttled or let go.  */
 void gp_tasks_weigh (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
                      const gp_tasks_task_t *task, int quarters);
