Refresh the status in the terminal

Cause: operators had to call status again and again; and the command line kept a version of its own beside the library's. Result: tests/scripts/cli_http.py: two refreshes, and a negative interval is refused; the other commands print as before.

--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -1,6 +1,7 @@
 /* Options, dispatch and what the commands share.  */
 
 #include "cli/cli.h"
+#include "galenapier/version.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -213,7 +214,7 @@
     }
   if (strcmp (name, "--version") == 0)
     {
-      puts ("galenapier " GP_CLI_VERSION);
+      puts ("galenapier " GP_VERSION);
       return GP_CLI_OK;
     }
   for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -12,8 +12,6 @@
 
 #include "base/time.h"
 
-#define GP_CLI_VERSION "0.1.0"
-
 typedef enum
 {
   GP_CLI_OK = 0,
--- a/src/cli/cmd_work.c
+++ b/src/cli/cmd_work.c
@@ -25,14 +25,6 @@
   return GP_CLI_OK;
 }
 
-gp_cli_exit_t
-gp_cli_status (gp_cli_t *cli, int argc, char **argv)
-{
-  if (!gp_cli_parse (cli, NULL, "", 0, 0, &argc, &argv))
-    return GP_CLI_USAGE;
-  return get_and_print (cli, "/v1/status");
-}
-
 /* Append "NAME=VALUE" to the query of PATH.  */
 static void
 add_query (GString *path, const char *name, const char *value)
--- a/tests/scripts/cli_http.py
+++ b/tests/scripts/cli_http.py
@@ -155,6 +155,8 @@
 
     run("status", entries=[up])
     run("status", "--json", entries=[gone, up])
+    run("status", "--json", "--watch=0.01", "--times=2", entries=[up])
+    run("status", "--watch=-1", entries=[up])
     run("status", "--token-file", wrong, entries=[up],
         show="status --token-file WRONG")
     run("status", "--token-file", bad, entries=[up],
