Give up at once what waits for a guard that is silent

Cause: the requests at a guard that was stopped or cut off, with its connections up, waited for their deadline, although membership had found it suspect long before.

Change: when a target becomes suspect, after it and all others of that turn have left the routes, the tries that wait for it end as unknown (not run if the body was not sent whole): idempotent ones go elsewhere within the retry budget, others get their final answer. The guard is told to cancel, and a late answer finds nothing. Answers that have begun go on, and so do keyed requests without a caller. An entry that was itself held up reads what has come before it judges the silence of others; without that it gave up all open requests after its own stop.

--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -394,6 +394,14 @@
   gp_tasks_on_member (entry->tasks, member);
 }
 
+static void
+on_silent (gp_target_t *target, void *data)
+{
+  gp_entry_t *entry = data;
+
+  gp_relays_on_silent (&entry->relays, target);
+}
+
 /* Each pair of entries has one session, opened by the first in the
    settings.  */
 static void
@@ -439,6 +447,7 @@
   entry->relays.timeline = &entry->timeline;
   entry->routes.on_change = on_member;
   entry->routes.on_route = on_route;
+  entry->routes.on_silent = on_silent;
   entry->routes.data = entry;
   return true;
 }
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -29,6 +29,9 @@
     = GP_COUNTER ("entry_requests_total", "Requests of callers.");
 static gp_counter_t tries_sent
     = GP_COUNTER ("entry_tries_total", "Tries sent to guards.");
+static gp_counter_t tries_given_up
+    = GP_COUNTER ("entry_tries_given_up_total",
+                  "Tries ended because their guard was not heard any more.");
 static gp_counter_t requests_limited = GP_COUNTER (
     "entry_requests_limited_total", "Requests over a limit of the document.");
 static gp_counter_t callers_gone = GP_COUNTER (
@@ -540,6 +543,24 @@
   }
 }
 
+/* An answer that has begun may go on, and who has no caller any more can
+   wait for a late verdict.  */
+void
+gp_relays_on_silent (gp_relays_t *relays, gp_target_t *target)
+{
+  (void)relays;
+  GP_LIST_FOREACH_SAFE (pos, &target->relays)
+  {
+    gp_relay_t *relay = GP_CONTAINER_OF (pos, gp_relay_t, link);
+
+    if (relay->streaming || relay->exchange == NULL)
+      continue;
+    gp_counter_add (&tries_given_up, 1);
+    gp_relay_send_cancel (relay);
+    decide (relay, verdict_of_loss (relay), GP__WIRE__REASON__REASON_UPSTREAM);
+  }
+}
+
 /* Callers that hang up.  */
 
 /* Cancel the try of RELAY if its caller has closed its side.  What has not
@@ -636,6 +657,7 @@
   gp_timer_init (&relays->timer, loop, on_timer, relays);
   gp_counter_register (&requests);
   gp_counter_register (&tries_sent);
+  gp_counter_register (&tries_given_up);
   gp_relay_register_counters ();
   gp_counter_register (&requests_limited);
   gp_counter_register (&callers_gone);
--- a/src/daemon/relay.h
+++ b/src/daemon/relay.h
@@ -59,4 +59,8 @@
 void gp_relays_on_drain (gp_relays_t *relays, gp_target_t *target);
 void gp_relays_on_closed (gp_relays_t *relays, gp_session_t *session);
 
+/* TARGET is not heard any more, though its session is open.  What waits for
+   it is ended: tried elsewhere, or answered at once.  */
+void gp_relays_on_silent (gp_relays_t *relays, gp_target_t *target);
+
 #endif
--- a/src/daemon/routes.c
+++ b/src/daemon/routes.c
@@ -9,6 +9,9 @@
 
 #define TICK (100 * GP_MSEC)
 
+/* A tick that comes so long after the last one is late.  */
+#define LATE (5 * TICK)
+
 static gp_counter_t members_serving
     = GP_GAUGE ("entry_targets_routed", "Upstreams that take requests.");
 static gp_counter_t ejections
@@ -71,6 +74,7 @@
     target->service = service_new (routes, name);
   target->member = member;
   gp_list_init (&target->relays);
+  gp_list_init (&target->silent);
   member->data = target;
   return target;
 }
@@ -159,6 +163,9 @@
     add_route (routes, target);
   else if (!routable && target->routed)
     remove_route (target);
+  gp_list_remove (&target->silent);
+  if (member->state == GP_MEMBER_SUSPECT)
+    gp_list_push_back (&routes->silent, &target->silent);
   if (member->state == GP_MEMBER_GONE)
     {
       member->data = NULL;
@@ -167,6 +174,19 @@
     }
 }
 
+/* Tell of the targets that became suspect, when none of them is routed any
+   more.  */
+static void
+tell_silent (gp_routes_t *routes)
+{
+  gp_list_t *link;
+
+  while ((link = gp_list_pop_front (&routes->silent)) != NULL)
+    if (routes->on_silent != NULL)
+      routes->on_silent (GP_CONTAINER_OF (link, gp_target_t, silent),
+                         routes->data);
+}
+
 void
 gp_routes_settle (gp_routes_t *routes)
 {
@@ -178,6 +198,7 @@
         routes->on_change (member, routes->data);
       settle_member (routes, member);
     }
+  tell_silent (routes);
 }
 
 /* Events.  */
@@ -416,6 +437,19 @@
     apply (routes, health->data, action);
 }
 
+/* Whether to judge the silence of others.  A process that was itself held
+   up first reads what has come meanwhile.  */
+static bool
+may_judge (gp_routes_t *routes, gp_time_t now)
+{
+  bool late = now - routes->ticked_at > LATE;
+  bool judge = !late || routes->was_late;
+
+  routes->ticked_at = now;
+  routes->was_late = late;
+  return judge;
+}
+
 static void
 on_tick (gp_timer_t *timer, void *data)
 {
@@ -424,7 +458,8 @@
   GHashTableIter iter;
   gpointer service;
 
-  gp_members_tick (&routes->members, now);
+  if (may_judge (routes, now))
+    gp_members_tick (&routes->members, now);
   gp_routes_settle (routes);
   g_hash_table_iter_init (&iter, routes->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
@@ -440,13 +475,15 @@
 
   *routes = (gp_routes_t){ .host = host, .loop = loop, .zone = zone };
   gp_members_init (&routes->members, settings);
+  gp_list_init (&routes->silent);
   routes->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   gp_counter_register (&members_serving);
   gp_counter_register (&ejections);
   gp_counter_register (&stale_messages);
   gp_timer_init (&routes->timer, loop, on_tick, routes);
-  gp_timer_arm (&routes->timer, gp_loop_now (loop) + TICK);
+  routes->ticked_at = gp_loop_now (loop);
+  gp_timer_arm (&routes->timer, routes->ticked_at + TICK);
 }
 
 /* The targets of members that are still known.  */
--- a/src/daemon/routes.h
+++ b/src/daemon/routes.h
@@ -31,6 +31,7 @@
   gp_candidate_t candidate;
   gp_health_t health;
   gp_list_t relays; /* requests under way, see daemon/relay.c */
+  gp_list_t silent; /* in routes->silent, or empty */
   bool routed;      /* in the service's router */
 } gp_target_t;
 
@@ -41,10 +42,14 @@
   const char *zone; /* of this entry */
   gp_members_t members;
   GHashTable *services; /* name -> gp_service_t */
+  gp_list_t silent;     /* targets that became suspect, not yet told */
   gp_timer_t timer;
+  gp_time_t ticked_at;
+  bool was_late;                                       /* at the last tick */
   gp_timeline_t *timeline;                             /* may be NULL */
   void (*on_change) (gp_member_t *member, void *data); /* may be NULL */
   void (*on_route) (void *data); /* a target was routed; may be NULL */
+  void (*on_silent) (gp_target_t *target, void *data); /* may be NULL */
   void *data;
 } gp_routes_t;
 
