--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -29,6 +29,9 @@
     = GP_COUNTER ("entry_requests_total", "Requests of callers.");
 static gp_counter_t tries_sent
     = GP_COUNTER ("entry_tries_total", "Tries sent to guards.");
+static gp_counter_t tries_given_up
+    = GP_COUNTER ("entry_tries_given_up_total",
+                  "Tries ended because their guard was not heard any more.");
 static gp_counter_t requests_limited = GP_COUNTER (
     "entry_requests_limited_total", "Requests over a limit of the document.");
 static gp_counter_t callers_gone = GP_COUNTER (
@@ -92,9 +95,8 @@
   if (!relay->expired)
     gp_heap_remove (&relays->deadlines, &relay->node);
   gp_limits_release (&relay->hold);
-  g_byte_array_unref (relay->pending);
-  g_free (relay->kind);
-  g_free (relay->team);
+  if (relay->pending != NULL)
+    g_byte_array_unref (relay->pending);
   g_free (relay);
   relays->open--;
   gp_counter_set (&relays_open, (int64_t)relays->open);
@@ -246,15 +248,17 @@
   return CLAMP (timeout, GP_MSEC, MAX_TIMEOUT);
 }
 
-/* The value of a header, cut to GP_RELAY_NAME_SIZE - 1 bytes.  */
-static char *
-copy_header (const gp_relay_t *relay, const char *name)
+/* The value of a header, cut to what TO takes, or "".  */
+static void
+copy_header (const gp_relay_t *relay, const char *name,
+             char to[GP_RELAY_NAME_SIZE])
 {
   gp_http_text_t text = gp_http_exchange_header (relay->exchange, name);
+  size_t size = MIN (text.size, GP_RELAY_NAME_SIZE - 1);
 
-  if (text.base == NULL)
-    return g_strdup ("");
-  return g_strndup (text.base, MIN (text.size, GP_RELAY_NAME_SIZE - 1));
+  if (text.base != NULL)
+    memcpy (to, text.base, size);
+  to[size] = '\0';
 }
 
 /* The duration in which the answer is wanted, or 0.  */
@@ -288,17 +292,17 @@
   if (target > 0)
     relay->due = now + target;
   if (service != NULL && service->team != NULL)
-    relay->team = g_strdup (service->team);
+    g_strlcpy (relay->team, service->team, sizeof relay->team);
   else
-    relay->team = copy_header (relay, "galenapier-team");
+    copy_header (relay, "galenapier-team", relay->team);
   if (kind == NULL)
     {
-      relay->kind = copy_header (relay, "galenapier-kind");
+      copy_header (relay, "galenapier-kind", relay->kind);
       relay->idempotent
           = method_is_idempotent (gp_http_exchange_method (relay->exchange));
       return;
     }
-  relay->kind = g_strdup (kind->name);
+  g_strlcpy (relay->kind, kind->name, sizeof relay->kind);
   relay->idempotent = kind->idempotent;
   relay->work_class = kind->work_class;
 }
@@ -319,13 +323,12 @@
 relay_new (gp_relays_t *relays, gp_http_exchange_t *exchange,
            gp_service_t *service)
 {
-  gp_relay_t *relay = g_new0 (gp_relay_t, 1);
+  gp_relay_t *relay = g_new (gp_relay_t, 1);
 
-  relay->relays = relays;
-  relay->exchange = exchange;
-  relay->service = service;
-  relay->id = ++relays->next_id;
-  relay->pending = g_byte_array_new ();
+  *relay = (gp_relay_t){ .relays = relays,
+                         .exchange = exchange,
+                         .service = service,
+                         .id = ++relays->next_id };
   gp_list_init (&relay->link);
   if (gp_list_empty (&relays->waiting))
     gp_timer_arm (&relays->sweep_timer,
@@ -540,6 +543,24 @@
   }
 }
 
+/* An answer that has begun may go on, and who has no caller any more can
+   wait for a late verdict.  */
+void
+gp_relays_on_silent (gp_relays_t *relays, gp_target_t *target)
+{
+  (void)relays;
+  GP_LIST_FOREACH_SAFE (pos, &target->relays)
+  {
+    gp_relay_t *relay = GP_CONTAINER_OF (pos, gp_relay_t, link);
+
+    if (relay->streaming || relay->exchange == NULL)
+      continue;
+    gp_counter_add (&tries_given_up, 1);
+    gp_relay_send_cancel (relay);
+    decide (relay, verdict_of_loss (relay), GP__WIRE__REASON__REASON_UPSTREAM);
+  }
+}
+
 /* Callers that hang up.  */
 
 /* Cancel the try of RELAY if its caller has closed its side.  What has not
@@ -629,6 +650,7 @@
                            .rand = rand,
                            .max_open = max_open,
                            .stall_timeout = stall_timeout };
+  relays->line = g_string_new (NULL);
   gp_idpool_init (&relays->tries);
   gp_list_init (&relays->waiting);
   gp_timer_init (&relays->sweep_timer, loop, on_sweep, relays);
@@ -636,6 +658,7 @@
   gp_timer_init (&relays->timer, loop, on_timer, relays);
   gp_counter_register (&requests);
   gp_counter_register (&tries_sent);
+  gp_counter_register (&tries_given_up);
   gp_relay_register_counters ();
   gp_counter_register (&requests_limited);
   gp_counter_register (&callers_gone);
@@ -656,4 +679,5 @@
   gp_timer_finish (&relays->timer);
   gp_timer_finish (&relays->sweep_timer);
   gp_idpool_finish (&relays->tries);
+  g_string_free (relays->line, TRUE);
 }
