Entry: look at guards when their time has come

Cause: each tick of 50 ms looked at every guard: a look-up on the log's state, its suspicion, its hold and what is to be proposed for it. Change: guards lie in a heap by the time of their next look (the end of a lease, suspicion or hold; every tick without a session; once a period in any case), which events bring forward; guards with a wanted record lie in a list. The pass that hears guards by way of other entries still visits all of them, as does the search for live entries among the sessions: finding changes there by a counter in the session host was left out, since a unit test adds sessions to the host by itself. Conclusion: behaviour is kept; the gain is still to be shown.

--- a/src/daemon/tasks.c
+++ b/src/daemon/tasks.c
@@ -364,6 +364,7 @@
   register_counters ();
   tasks->entries = g_ptr_array_new_with_free_func (g_free);
   init_tables (tasks);
+  gp_tasks_guards_init (tasks);
   gp_tasks_place_init (tasks);
   gp_tasks_lease_init (tasks);
   gp_timer_init (&tasks->timer, host->loop, on_timer, tasks);
@@ -467,6 +468,7 @@
   if (guard == NULL || guard->session != session)
     return;
   guard->session = NULL;
+  gp_tasks_guard_look_by (tasks, guard, gp_tasks_now (tasks));
   gp_tasks_guard_settle (tasks, guard);
 }
 
@@ -483,5 +485,6 @@
   if (guard == NULL)
     return;
   guard->member = member->state == GP_MEMBER_GONE ? NULL : member;
+  gp_tasks_guard_look_by (tasks, guard, gp_tasks_now (tasks));
   gp_tasks_guard_settle (tasks, guard);
 }
--- a/src/daemon/tasks_guard.c
+++ b/src/daemon/tasks_guard.c
@@ -26,10 +26,13 @@
   guard->worker.state = GP_WORKER_LOST;
   guard->worker.service = GP_SERVICE_NONE;
   gp_list_init (&guard->placed);
+  gp_list_init (&guard->wanted_link);
   gp_residency_init (&guard->residency, gp_tasks_now (tasks));
   gp_remedy_init (&guard->remedy);
   guard->inventory = g_array_new (FALSE, FALSE, sizeof (gp_tasks_epoch_t));
   g_hash_table_insert (tasks->guards, guard->name, guard);
+  guard->look_at = gp_tasks_now (tasks);
+  gp_heap_insert (&tasks->looks, &guard->look);
   return guard;
 }
 
@@ -38,6 +41,7 @@
 {
   gp_tasks_guard_t *guard = data;
 
+  gp_list_remove (&guard->wanted_link);
   gp_worker_finish (&guard->worker);
   g_array_free (guard->inventory, TRUE);
   g_free (guard->name);
@@ -175,6 +179,7 @@
   guard->leaving
       = announce->state == GP__WIRE__MEMBER_STATE__MEMBER_STATE_LEAVING;
   take_capacity (tasks, guard, session, announce);
+  gp_tasks_guard_look_by (tasks, guard, gp_tasks_now (tasks));
   gp_tasks_guard_settle (tasks, guard);
 }
 
@@ -236,28 +241,93 @@
          && gp_fold_guard (gp_store_fold (tasks->store), guard->name) == NULL;
 }
 
+/* Looks.  */
+
+static bool
+looked_at_before (const gp_heap_node_t *a, const gp_heap_node_t *b)
+{
+  return GP_CONTAINER_OF (a, gp_tasks_guard_t, look)->look_at
+         < GP_CONTAINER_OF (b, gp_tasks_guard_t, look)->look_at;
+}
+
 void
-gp_tasks_guards_tick (gp_tasks_t *tasks)
+gp_tasks_guards_init (gp_tasks_t *tasks)
 {
-  gp_time_t now = gp_tasks_now (tasks);
-  GHashTableIter iter;
-  gpointer value;
+  gp_heap_init (&tasks->looks, looked_at_before);
+  gp_list_init (&tasks->wanted);
+}
+
+static void
+set_look (gp_tasks_t *tasks, gp_tasks_guard_t *guard, gp_time_t at)
+{
+  gp_heap_remove (&tasks->looks, &guard->look);
+  guard->look_at = at;
+  gp_heap_insert (&tasks->looks, &guard->look);
+}
+
+void
+gp_tasks_guard_look_by (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
+                        gp_time_t at)
+{
+  if (at < guard->look_at)
+    set_look (tasks, guard, at);
+}
+
+/* When time alone may next change the state of GUARD.  */
+static gp_time_t
+next_look (const gp_tasks_t *tasks, const gp_tasks_guard_t *guard,
+           gp_time_t now)
+{
+  gp_time_t at = now + tasks->due_period;
+  const gp_suspects_worker_t *suspect;
 
-  g_hash_table_iter_init (&iter, tasks->guards);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  if (guard->session == NULL)
+    return now + 1;
+  if (guard->lease_until > now)
+    at = MIN (at, guard->lease_until);
+  if (!guard->added)
+    return at;
+  suspect = &tasks->suspects.workers[guard->worker.index];
+  if (suspect->state != GP_SUSPECTS_TRUSTED)
+    at = MIN (at, suspect->until);
+  if (guard->worker.held_for != 0)
+    at = MIN (at, guard->worker.held_until);
+  return MAX (at, now + 1);
+}
+
+/* Let the time of GUARD pass; it may be freed.  */
+static void
+look (gp_tasks_t *tasks, gp_tasks_guard_t *guard, gp_time_t now)
+{
+  if (gp_store_ready (tasks->store) && is_forgotten (tasks, guard))
+    {
+      detach (tasks, guard);
+      gp_heap_remove (&tasks->looks, &guard->look);
+      g_hash_table_remove (tasks->guards, guard->name);
+      return;
+    }
+  if (guard->added)
     {
-      gp_tasks_guard_t *guard = value;
-
-      if (gp_store_ready (tasks->store) && is_forgotten (tasks, guard))
-        {
-          detach (tasks, guard);
-          g_hash_table_iter_remove (&iter);
-          continue;
-        }
-      if (!guard->added)
-        continue;
       (void)gp_suspects_tick (&tasks->suspects, guard->worker.index, now);
       gp_fleet_expire_hold (&tasks->fleet, &guard->worker, now);
       gp_tasks_guard_settle (tasks, guard);
     }
+  set_look (tasks, guard, next_look (tasks, guard, now));
+}
+
+void
+gp_tasks_guards_tick (gp_tasks_t *tasks)
+{
+  gp_time_t now = gp_tasks_now (tasks);
+  gp_heap_node_t *first;
+
+  while ((first = gp_heap_first (&tasks->looks)) != NULL)
+    {
+      gp_tasks_guard_t *guard
+          = GP_CONTAINER_OF (first, gp_tasks_guard_t, look);
+
+      if (guard->look_at > now)
+        return;
+      look (tasks, guard, now);
+    }
 }
--- a/src/daemon/tasks_lease.c
+++ b/src/daemon/tasks_lease.c
@@ -86,6 +86,8 @@
   uint64_t incarnation = action->u.guard.incarnation;
 
   guard->propose_at = now + (guard->mine ? 0 : tasks->due_period);
+  gp_list_remove (&guard->wanted_link);
+  gp_list_push_back (&tasks->wanted, &guard->wanted_link);
   switch (action->kind)
     {
     case GP_LEASE_GRANTOR_REGISTER:
@@ -219,6 +221,20 @@
     propose_fence_done (tasks, guard);
 }
 
+static void
+propose_all_wanted (gp_tasks_t *tasks)
+{
+  GP_LIST_FOREACH_SAFE (pos, &tasks->wanted)
+  {
+    gp_tasks_guard_t *guard
+        = GP_CONTAINER_OF (pos, gp_tasks_guard_t, wanted_link);
+
+    propose_wanted (tasks, guard);
+    if (guard->adopt == 0 && guard->fence == 0 && guard->fence_done == 0)
+      gp_list_remove (&guard->wanted_link);
+  }
+}
+
 /* Vouches.  */
 
 static gp_session_t *
@@ -344,9 +360,7 @@
   carry_out (tasks, &actions);
   if (!gp_store_ready (tasks->store))
     return;
-  g_hash_table_iter_init (&iter, tasks->guards);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    propose_wanted (tasks, value);
+  propose_all_wanted (tasks);
 }
 
 static void
@@ -394,6 +408,7 @@
   gp_counter_add (&vouched_renewals, grant.remaining > 0 && grant.vouched);
   if (heartbeat->lease_incarnation == guard->incarnation)
     guard->lease_until = now + grant.remaining;
+  gp_tasks_guard_look_by (tasks, guard, MAX (guard->lease_until, now));
 }
 
 void
@@ -431,6 +446,7 @@
   guard->fence = guard->fence_done = 0;
   gp_lease_grantor_registered (&tasks->grantor, state->name,
                                state->incarnation, gp_tasks_now (tasks));
+  gp_tasks_guard_look_by (tasks, guard, gp_tasks_now (tasks));
   gp_tasks_guard_settle (tasks, guard);
 }
 
@@ -442,6 +458,7 @@
   guard->fence = 0;
   gp_lease_grantor_fence_read (&tasks->grantor, state->name,
                                state->incarnation, gp_tasks_now (tasks));
+  gp_tasks_guard_look_by (tasks, guard, gp_tasks_now (tasks));
   gp_tasks_guard_settle (tasks, guard);
 }
 
@@ -478,6 +495,8 @@
       break;
     case GP_FOLD_GUARD_DROPPED:
       gp_lease_grantor_removed (&tasks->grantor, state->name);
+      gp_tasks_guard_look_by (tasks, gp_tasks_guard (tasks, state->name),
+                              gp_tasks_now (tasks));
       break;
     default:
       break;
@@ -489,7 +508,11 @@
 {
   GHashTableIter iter;
   gpointer key;
+  gpointer value;
 
+  g_hash_table_iter_init (&iter, tasks->guards);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    gp_tasks_guard_look_by (tasks, value, gp_tasks_now (tasks));
   g_hash_table_iter_init (&iter, gp_store_fold (tasks->store)->guards);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
--- a/src/daemon/tasks_mirror.c
+++ b/src/daemon/tasks_mirror.c
@@ -89,7 +89,10 @@
     return;
   if (gp_suspects_outcome (&tasks->suspects, task->id, &task->failures,
                            guard->worker.index, failed, gp_tasks_now (tasks)))
-    gp_tasks_guard_settle (tasks, guard);
+    {
+      gp_tasks_guard_look_by (tasks, guard, gp_tasks_now (tasks));
+      gp_tasks_guard_settle (tasks, guard);
+    }
 }
 
 static void
--- a/src/daemon/tasks_place.c
+++ b/src/daemon/tasks_place.c
@@ -184,6 +184,17 @@
   return most;
 }
 
+static void
+hold_worker (gp_tasks_t *tasks, gp_tasks_task_t *task, gp_time_t until)
+{
+  gp_worker_t *worker;
+
+  task->ask.held = gp_placement_hold (&tasks->placement, &task->ask, until);
+  worker = gp_fleet_worker (&tasks->fleet, task->ask.held);
+  if (worker != NULL)
+    gp_tasks_guard_look_by (tasks, gp_tasks_guard_of_worker (worker), until);
+}
+
 static void
 defer (gp_tasks_t *tasks, gp_tasks_task_t *task, gp_pending_cause_t cause)
 {
@@ -194,8 +205,7 @@
   task->stage = GP_TASKS_QUEUED;
   if (hold && cause == GP_PENDING_NO_CAPACITY
       && task->ask.held == GP_WORKER_NONE)
-    task->ask.held
-        = gp_placement_hold (&tasks->placement, &task->ask, now + HOLD_TIME);
+    hold_worker (tasks, task, now + HOLD_TIME);
 }
 
 /* The grant did not come about: wait for another.  */
@@ -292,6 +302,7 @@
   if (guard->added)
     gp_suspects_started (&tasks->suspects, task->id, worker->index,
                          gp_tasks_now (tasks));
+  gp_tasks_guard_look_by (tasks, guard, gp_tasks_now (tasks));
   gp_tasks_guard_settle (tasks, guard);
   return true;
 }
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -20,6 +20,7 @@
 #ifndef GP_DAEMON_TASKS_PRIVATE_H
 #define GP_DAEMON_TASKS_PRIVATE_H
 
+#include "base/heap.h"
 #include "coordination/estimate.h"
 #include "coordination/fleet.h"
 #include "coordination/interference.h"
@@ -95,6 +96,9 @@
   gp_time_t propose_at;
   gp_time_t fence_asked;
   bool proposing;
+  gp_list_t wanted_link; /* in gp_tasks_t.wanted */
+  gp_heap_node_t look;   /* in gp_tasks_t.looks */
+  gp_time_t look_at;     /* its order there */
 } gp_tasks_guard_t;
 
 typedef struct
@@ -153,6 +157,8 @@
 
   GHashTable *tasks;  /* set of gp_tasks_task_t */
   GHashTable *guards; /* name -> gp_tasks_guard_t */
+  gp_heap_t looks;    /* of all of them, by the time of their next look */
+  gp_list_t wanted;   /* those with a record that may be wanted */
   GHashTable *kinds;  /* name -> gp_tasks_kind_t */
   GHashTable *teams;  /* name -> gp_tasks_team_t */
   GHashTable *places; /* zone and rack names -> number from 1 */
@@ -307,7 +313,13 @@
                            const Gp__Wire__Announce *announce);
 /* Bring the state of the worker in line with what is known of GUARD.  */
 void gp_tasks_guard_settle (gp_tasks_t *tasks, gp_tasks_guard_t *guard);
+void gp_tasks_guards_init (gp_tasks_t *tasks);
+/* Look at the guards whose time has come: at the end of a lease, a suspicion
+   or a hold, in each tick while there is no session, and once a period.  */
 void gp_tasks_guards_tick (gp_tasks_t *tasks);
+/* Have GUARD looked at in the next tick after AT, if not before.  */
+void gp_tasks_guard_look_by (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
+                             gp_time_t at);
 
 /* tasks_watch.c */
 
