Turn settings into lease timing in one place

Cause: guard and entry each made the protocol's timing from the settings; the protocol is safe only while both agree, so a change to one copy would have broken it silently. Two answers of the worker runtime began with the same four lines. Change: gp_lease_timing_of_settings in coordination/lease_timing, called by both; answered_task in runner_tasks.c.

--- a/src/coordination/lease_timing.h
+++ b/src/coordination/lease_timing.h
@@ -7,6 +7,7 @@
 #ifndef GP_COORDINATION_LEASE_TIMING_H
 #define GP_COORDINATION_LEASE_TIMING_H
 
+#include "base/settings.h"
 #include "base/time.h"
 
 #define GP_PPM 1000000
@@ -47,4 +48,9 @@
   return duration * fast / slow + 1 + timing->margin;
 }
 
+/* The timing that SETTINGS give: the guard's and the entries' sides of the
+   protocol are safe only with the same.  */
+gp_lease_timing_t
+gp_lease_timing_of_settings (const gp_settings_timings_t *settings);
+
 #endif
--- a/src/daemon/runner.c
+++ b/src/daemon/runner.c
@@ -7,8 +7,6 @@
 
 /* Tasks whose epochs are remembered; see coordination/epoch_table.h.  */
 #define MAX_EPOCHS 8192
-/* A task starts with this part of a lease left, 2 s of 15 s.  */
-#define START_MIN(length) ((length)*2 / 15)
 
 static gp_counter_t lapses_total = GP_COUNTER (
     "runner_lapses_total", "Leases of the worker that lapsed or were fenced.");
@@ -459,20 +457,6 @@
 
 /* Beginning and end.  */
 
-static gp_lease_timing_t
-timing_of (const gp_settings_timings_t *settings)
-{
-  gp_time_t length = settings->lease_ms * GP_MSEC;
-
-  return (gp_lease_timing_t){ .length = length,
-                              .promise = settings->vouch_ms * GP_MSEC,
-                              .margin = settings->margin_ms * GP_MSEC,
-                              .heartbeat = settings->heartbeat_ms * GP_MSEC,
-                              .silence = settings->suspect_ms * GP_MSEC,
-                              .start_min = START_MIN (length),
-                              .drift_ppm = settings->drift_ppm };
-}
-
 static void
 init_timers (gp_runner_t *runner)
 {
@@ -502,7 +486,7 @@
   runner->timeline = timeline;
   runner->callbacks = *callbacks;
   runner->rand = rand;
-  runner->timing = timing_of (&settings->timings);
+  runner->timing = gp_lease_timing_of_settings (&settings->timings);
   if (!gp_runtime_init (&runner->runtime, host->loop,
                         settings->guard->worker->runtime, runner, error))
     {
--- a/src/daemon/runner_tasks.c
+++ b/src/daemon/runner_tasks.c
@@ -178,16 +178,24 @@
     gp_runner_refuse (runner, task, GP__WIRE__REASON__REASON_UPSTREAM);
 }
 
+/* The task that the runtime's ANSWER is about, or NULL; the lease and the
+   claim come first.  */
+static gp_runner_task_t *
+answered_task (gp_runner_t *runner, const gp_runtime_answer_t *answer)
+{
+  gp_runner_check (runner);
+  if (answer->claimed != 0)
+    gp_runner_on_claimed (runner, answer->claimed);
+  return gp_runner_find (runner, answer->task, answer->epoch);
+}
+
 static void
 on_started (const gp_runtime_answer_t *answer, void *data)
 {
   gp_runner_t *runner = data;
   gp_runner_task_t *task;
 
-  gp_runner_check (runner);
-  if (answer->claimed != 0)
-    gp_runner_on_claimed (runner, answer->claimed);
-  task = gp_runner_find (runner, answer->task, answer->epoch);
+  task = answered_task (runner, answer);
   if (task == NULL || task->phase != GP_RUNNER_TASK_STARTING)
     return;
   if (gp_runtime_done_well (answer))
@@ -290,10 +298,7 @@
   gp_runner_t *runner = data;
   gp_runner_task_t *task;
 
-  gp_runner_check (runner);
-  if (answer->claimed != 0)
-    gp_runner_on_claimed (runner, answer->claimed);
-  task = gp_runner_find (runner, answer->task, answer->epoch);
+  task = answered_task (runner, answer);
   if (task == NULL || task->phase == GP_RUNNER_TASK_ENDED)
     return;
   task->stop_due = !gp_runtime_done_well (answer);
--- a/src/daemon/tasks_lease.c
+++ b/src/daemon/tasks_lease.c
@@ -32,25 +32,11 @@
 static gp_counter_t vouches
     = GP_COUNTER ("entry_vouches_given_total", "Vouches given to entries.");
 
-static gp_lease_timing_t
-timing_of (const gp_settings_timings_t *timings)
-{
-  gp_lease_timing_t timing = gp_lease_timing_default ();
-
-  timing.length = timings->lease_ms * GP_MSEC;
-  timing.promise = timings->vouch_ms * GP_MSEC;
-  timing.margin = timings->margin_ms * GP_MSEC;
-  timing.heartbeat = timings->heartbeat_ms * GP_MSEC;
-  timing.silence = timings->suspect_ms * GP_MSEC;
-  timing.drift_ppm = timings->drift_ppm;
-  return timing;
-}
-
 void
 gp_tasks_lease_init (gp_tasks_t *tasks)
 {
   const gp_settings_t *settings = tasks->settings;
-  gp_lease_timing_t timing = timing_of (&settings->timings);
+  gp_lease_timing_t timing = gp_lease_timing_of_settings (&settings->timings);
 
   for (uint32_t i = 0; i < settings->entries_count; i++)
     {
