--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,11 @@
 OPT := -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=undefined \
 	-fno-omit-frame-pointer
 endif
-CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Iinclude -Isrc \
+CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Iinclude -Isrc -I. \
 	-Isrc/protocol/generated
 CFLAGS += -std=gnu11 $(OPT) $(WARN)
 
-LIB_SRC := $(wildcard src/*/*.c src/*/generated/*.c)
+LIB_SRC := $(wildcard src/*/*.c src/*/generated/*.c platform/*.c)
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libgalenapier.a
 PROGRAM_SRC := $(wildcard programs/*.c)
@@ -59,17 +59,20 @@
 	src/state/config.c src/protocol/generated/wire.pb-c.c
 FUZZ_SECONDS ?= 30
 STYLE_SRC := $(filter-out src/protocol/generated/%,\
-	$(wildcard src/*/*.[ch] include/*/*.h programs/*.c \
+	$(wildcard src/*/*.[ch] platform/*.[ch] include/*/*.h programs/*.c \
 	tests/unit/*.[ch] tests/standins/*.[ch] \
 	tests/standins/lib/*.[ch] bench/*.[ch]))
 TIDY_SRC := $(filter %.c,$(STYLE_SRC))
 
-.PHONY: all check check-unit check-scripts lint format bench demo install \
+.PHONY: all platform check check-unit check-scripts lint format bench demo install \
 	proto deps clean soak
 .SECONDARY:
 
 all: $(LIB) $(PROGRAMS) $(STANDINS) $(DRIVERS)
 
+# The one program that the platform runs, and nothing of the tests.
+platform: $(BUILD)/galenapier-node
+
 $(LIB): $(LIB_OBJ)
 	@rm -f $@
 	@ar rcs $@ $^
@@ -168,7 +171,7 @@
 	install -m 644 completions/galenapier.bash $(COMPLETIONS)/galenapier
 
 clean:
-	rm -rf build build-sanitize build-fuzz
+	rm -rf build build-sanitize build-fuzz target
 
 -include $(LIB_OBJ:.o=.d)
 -include $(wildcard $(BUILD)/*/*.d $(BUILD)/*/*/*.d $(BUILD)/*/*/*/*.d)
--- /dev/null
+++ b/src/jobs/agent.c
@@ -0,0 +1,651 @@
+/* Decisions of the guard: what to tell the executor of its VM.  */
+
+#include "jobs/agent.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+/* Between tries of a call without an answer or with a passing refusal.  */
+#define RETRY_TIME (100 * GP_MSEC)
+/* Without an answer of the executor for so long, leases are not moved on:
+   the longest wait of a list and its timeout.  */
+#define SILENCE_TIME (1500 * GP_MSEC)
+
+gp_time_t
+gp_agent_lease_end (gp_time_t sent_at)
+{
+  return sent_at
+         + GP_AGENT_LEASE_TIME * 1000 / (1000 - GP_AGENT_CLOCK_SLOW_PERMILLE)
+         + GP_AGENT_LEASE_MARGIN;
+}
+
+/* Messages that the agent keeps are made with malloc, as protobuf-c does
+   when it unpacks without an allocator.  */
+
+static void
+free_run (gpointer data)
+{
+  gp_agent_run_t *run = data;
+
+  if (run->start != NULL)
+    gp__jobs__start__free_unpacked (run->start, NULL);
+  g_free (run);
+}
+
+static void
+free_end (gpointer data)
+{
+  gp__jobs__end__free_unpacked (data, NULL);
+}
+
+static Gp__Jobs__End *
+copy_end (const Gp__Jobs__End *end)
+{
+  Gp__Jobs__End *copy = g_new (Gp__Jobs__End, 1);
+
+  gp__jobs__end__init (copy);
+  copy->number = end->number;
+  copy->task = g_strdup (end->task);
+  copy->run = end->run;
+  copy->how = end->how;
+  if (end->checkpoint.len > 0)
+    {
+      copy->checkpoint.data
+          = g_memdup2 (end->checkpoint.data, end->checkpoint.len);
+      copy->checkpoint.len = end->checkpoint.len;
+    }
+  return copy;
+}
+
+void
+gp_agent_init (gp_agent_t *agent)
+{
+  memset (agent, 0, sizeof *agent);
+  agent->runs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_run);
+  agent->ends = g_ptr_array_new_with_free_func (free_end);
+  agent->granted = INT64_MIN / 2;
+  agent->lease = INT64_MIN / 2;
+  agent->retry_time = RETRY_TIME;
+  gp_pacer_init (&agent->pacer);
+}
+
+void
+gp_agent_finish (gp_agent_t *agent)
+{
+  gp_agent_drop_executor (agent);
+  g_hash_table_destroy (agent->runs);
+  g_ptr_array_unref (agent->ends);
+}
+
+void
+gp_agent_drop_executor (gp_agent_t *agent)
+{
+  if (agent->executor != NULL)
+    gp__jobs__executor__free_unpacked (agent->executor, NULL);
+  agent->executor = NULL;
+  agent->is_synced = false;
+  agent->synced = 0;
+  agent->seen_ends = 0;
+  agent->listed_ends = 0;
+  agent->fence = 0;
+  agent->raise_fence = false;
+  agent->clock_ms = -1;
+  agent->lease = INT64_MIN / 2;
+  g_hash_table_remove_all (agent->runs);
+  g_ptr_array_set_size (agent->ends, 0);
+  gp_pacer_init (&agent->pacer);
+}
+
+static void
+take_clock (gp_agent_t *agent, int64_t clock_ms, gp_time_t now)
+{
+  if (clock_ms < 0)
+    return;
+  agent->heard_at = now;
+  if (agent->clock_ms >= clock_ms)
+    return;
+  agent->clock_ms = clock_ms;
+  agent->clock_at = now;
+  if (agent->fence == 0 || agent->raise_fence)
+    {
+      agent->fence = clock_ms;
+      agent->raise_fence = false;
+    }
+}
+
+void
+gp_agent_set_executor (gp_agent_t *agent, Gp__Jobs__Executor *executor,
+                       int64_t clock_ms, gp_time_t now)
+{
+  if (agent->executor != NULL
+      && strcmp (agent->executor->id, executor->id) == 0)
+    gp__jobs__executor__free_unpacked (agent->executor, NULL);
+  else
+    {
+      gp_agent_drop_executor (agent);
+      agent->known_since = now;
+      gp_log (GP_LOG_INFO, "executor.known",
+              GP_LOG_S ("executor", executor->id),
+              GP_LOG_I ("clock_ms", clock_ms));
+    }
+  agent->executor = executor;
+  take_clock (agent, clock_ms, now);
+}
+
+void
+gp_agent_acknowledged (gp_agent_t *agent, gp_time_t sent_at)
+{
+  agent->granted = MAX (agent->granted, sent_at);
+}
+
+/* What the leader wants.  */
+
+static gp_agent_run_t *
+find_run (const gp_agent_t *agent, const char *name, uint32_t number)
+{
+  gp_agent_run_t *run = g_hash_table_lookup (agent->runs, name);
+
+  return run != NULL && run->run == number ? run : NULL;
+}
+
+static gp_agent_run_t *
+add_run (gp_agent_t *agent, const char *name, uint32_t number,
+         gp_run_phase_t phase)
+{
+  gp_agent_run_t *run = g_new0 (gp_agent_run_t, 1);
+
+  g_strlcpy (run->name, name, sizeof run->name);
+  run->run = number;
+  run->phase = phase;
+  run->percent = GP_PACER_FULL;
+  g_hash_table_replace (agent->runs, run->name, run);
+  return run;
+}
+
+/* Has the executor already told the end of this run?  */
+static bool
+has_ended (const gp_agent_t *agent, const char *name, uint32_t number)
+{
+  for (guint i = 0; i < agent->ends->len; i++)
+    {
+      const Gp__Jobs__End *end = g_ptr_array_index (agent->ends, i);
+
+      if (end->run == number && strcmp (end->task, name) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Take START over from *PLACE.  */
+static void
+want_start (gp_agent_t *agent, Gp__Jobs__Start **place)
+{
+  Gp__Jobs__Start *start = *place;
+  gp_agent_run_t *run = g_hash_table_lookup (agent->runs, start->task);
+
+  if (has_ended (agent, start->task, start->run))
+    return;
+  if (run != NULL && run->run > start->run)
+    return;
+  if (run == NULL || run->run < start->run)
+    run = add_run (agent, start->task, start->run, GP_RUN_STARTING);
+  if (run->start == NULL)
+    {
+      run->start = start;
+      *place = NULL;
+    }
+}
+
+static void
+want_stop (gp_agent_t *agent, const char *name, uint32_t number)
+{
+  gp_agent_run_t *run = g_hash_table_lookup (agent->runs, name);
+
+  if (has_ended (agent, name, number) || (run != NULL && run->run > number))
+    return;
+  if (run == NULL || run->run < number)
+    run = add_run (agent, name, number, GP_RUN_STOPPING);
+  if (run->phase == GP_RUN_STARTING || run->phase == GP_RUN_PRESENT)
+    {
+      run->phase = GP_RUN_STOPPING;
+      run->retry_at = 0;
+    }
+}
+
+/* A run that was taken out of an array leaves a hole, which protobuf-c does
+   not free: close it.  */
+static void
+close_holes (Gp__Jobs__Start **starts, size_t *count)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < *count; i++)
+    if (starts[i] != NULL)
+      starts[kept++] = starts[i];
+  *count = kept;
+}
+
+static bool
+is_wanted (const Gp__Jobs__Sync *sync, const gp_agent_run_t *run)
+{
+  for (size_t i = 0; i < sync->n_starts; i++)
+    if (sync->starts[i]->run == run->run
+        && strcmp (sync->starts[i]->task, run->name) == 0)
+      return true;
+  return false;
+}
+
+/* Stop what the leader does not want; what was absent and is not wanted is
+   on record.  */
+static void
+stop_unwanted (gp_agent_t *agent, const Gp__Jobs__Sync *sync)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+
+      if (is_wanted (sync, run))
+        continue;
+      if (run->phase == GP_RUN_ABSENT)
+        g_hash_table_iter_remove (&iter);
+      else
+        want_stop (agent, run->name, run->run);
+    }
+}
+
+void
+gp_agent_sync (gp_agent_t *agent, Gp__Jobs__Sync *sync)
+{
+  if (agent->executor == NULL
+      || strcmp (agent->executor->id, sync->executor) != 0)
+    return;
+  stop_unwanted (agent, sync);
+  for (size_t i = 0; i < sync->n_starts; i++)
+    want_start (agent, &sync->starts[i]);
+  close_holes (sync->starts, &sync->n_starts);
+  agent->synced = sync->number;
+  agent->is_synced = true;
+  if (sync->raise_fence)
+    agent->raise_fence = true;
+}
+
+void
+gp_agent_unsync (gp_agent_t *agent)
+{
+  agent->is_synced = false;
+  agent->synced = 0;
+}
+
+static void
+forget_absent (gp_agent_t *agent, const Gp__Jobs__TaskRun *what)
+{
+  const gp_agent_run_t *run = find_run (agent, what->task, what->run);
+
+  if (run != NULL && run->phase == GP_RUN_ABSENT)
+    g_hash_table_remove (agent->runs, what->task);
+}
+
+static void
+forget_ends (gp_agent_t *agent, uint64_t seen)
+{
+  agent->seen_ends = MAX (agent->seen_ends, seen);
+  while (agent->ends->len > 0)
+    {
+      const Gp__Jobs__End *end = g_ptr_array_index (agent->ends, 0);
+
+      if (end->number > agent->seen_ends)
+        break;
+      g_ptr_array_remove_index (agent->ends, 0);
+    }
+}
+
+void
+gp_agent_order (gp_agent_t *agent, Gp__Jobs__Orders *orders)
+{
+  if (agent->executor == NULL
+      || strcmp (agent->executor->id, orders->executor) != 0
+      || !agent->is_synced)
+    return;
+  for (size_t i = 0; i < orders->n_forget; i++)
+    forget_absent (agent, orders->forget[i]);
+  forget_ends (agent, orders->seen_ends);
+  for (size_t i = 0; i < orders->n_starts; i++)
+    want_start (agent, &orders->starts[i]);
+  close_holes (orders->starts, &orders->n_starts);
+  for (size_t i = 0; i < orders->n_stops; i++)
+    want_stop (agent, orders->stops[i]->task, orders->stops[i]->run);
+}
+
+/* The lease.  */
+
+/* The lease point on the executor's clock, taken low: its clock may run
+   slow since it was read.  */
+static int64_t
+lease_on_clock (const gp_agent_t *agent)
+{
+  gp_time_t ahead = agent->lease - agent->clock_at;
+
+  if (ahead > 0)
+    ahead -= ahead * GP_AGENT_CLOCK_SLOW_PERMILLE / 1000;
+  return agent->clock_ms + (ahead + GP_AGENT_LEASE_TIME) / GP_MSEC;
+}
+
+static void
+move_lease (gp_agent_t *agent, gp_time_t now)
+{
+  if (now - agent->heard_at < SILENCE_TIME)
+    agent->lease = MAX (agent->lease, agent->granted);
+}
+
+static bool
+lease_is_open (const gp_agent_t *agent, gp_time_t now)
+{
+  return agent->clock_ms >= 0 && agent->lease + GP_AGENT_LEASE_TIME > now;
+}
+
+int64_t
+gp_agent_list_lease (gp_agent_t *agent, gp_time_t now)
+{
+  move_lease (agent, now);
+  return lease_is_open (agent, now) ? lease_on_clock (agent) : 0;
+}
+
+bool
+gp_agent_lapsed (const gp_agent_t *agent, gp_time_t now)
+{
+  /* A process before this one may have moved the lease until it ended.  */
+  gp_time_t lease = MAX (agent->lease, agent->known_since);
+
+  return agent->executor != NULL && now > gp_agent_lease_end (lease);
+}
+
+/* Calls.  */
+
+static bool
+wants_pace (const gp_agent_t *agent, const gp_agent_run_t *run)
+{
+  return run->phase == GP_RUN_PRESENT && run->listed && run->start != NULL
+         && run->start->fills && run->percent != agent->pacer.level;
+}
+
+static gp_agent_call_kind_t
+call_for (const gp_agent_t *agent, const gp_agent_run_t *run)
+{
+  switch (run->phase)
+    {
+    case GP_RUN_STARTING:
+      return run->start != NULL ? GP_AGENT_CALL_START : GP_AGENT_CALL_NONE;
+    case GP_RUN_STOPPING:
+      return GP_AGENT_CALL_STOP;
+    case GP_RUN_PRESENT:
+      return wants_pace (agent, run) ? GP_AGENT_CALL_PACE : GP_AGENT_CALL_NONE;
+    case GP_RUN_STOPPED:
+    case GP_RUN_ABSENT:
+      return GP_AGENT_CALL_NONE;
+    }
+  return GP_AGENT_CALL_NONE;
+}
+
+/* Stops go first, as they make room; slowing down is next.  */
+static int
+rank (gp_agent_call_kind_t kind)
+{
+  switch (kind)
+    {
+    case GP_AGENT_CALL_STOP:
+      return 3;
+    case GP_AGENT_CALL_PACE:
+      return 2;
+    case GP_AGENT_CALL_START:
+      return 1;
+    case GP_AGENT_CALL_NONE:
+      return 0;
+    }
+  return 0;
+}
+
+gp_agent_call_t
+gp_agent_next_call (gp_agent_t *agent, gp_time_t now, gp_time_t *again_at)
+{
+  gp_agent_call_t best = { GP_AGENT_CALL_NONE, NULL, 0, 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  *again_at = GP_TIME_NEVER;
+  if (agent->executor == NULL || agent->clock_ms < 0)
+    return best;
+  move_lease (agent, now);
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+      gp_agent_call_kind_t kind = call_for (agent, run);
+
+      if (kind == GP_AGENT_CALL_NONE || run->in_flight)
+        continue;
+      if (kind == GP_AGENT_CALL_START
+          && (!lease_is_open (agent, now) || agent->raise_fence))
+        continue;
+      if (run->retry_at > now)
+        *again_at = MIN (*again_at, run->retry_at);
+      else if (rank (kind) > rank (best.kind))
+        best = (gp_agent_call_t){ kind, run, 0, 0 };
+    }
+  if (best.run == NULL)
+    return best;
+  best.run->in_flight = true;
+  best.lease_ms = lease_on_clock (agent);
+  best.percent = agent->pacer.level;
+  return best;
+}
+
+static void
+start_answered (gp_agent_t *agent, gp_agent_run_t *run,
+                gp_agent_result_t result, gp_time_t now)
+{
+  if (run->phase != GP_RUN_STARTING)
+    {
+      run->doubtful = run->doubtful || result == GP_AGENT_UNANSWERED;
+      return;
+    }
+  switch (result)
+    {
+    case GP_AGENT_TAKEN:
+      run->phase = GP_RUN_PRESENT;
+      run->confirmed_at = now;
+      break;
+    case GP_AGENT_UNANSWERED:
+      run->doubtful = true;
+      break;
+    case GP_AGENT_FENCED:
+      agent->raise_fence = true;
+      break;
+    case GP_AGENT_TOO_OLD:
+    case GP_AGENT_NO_ROOM:
+    case GP_AGENT_REFUSED:
+      run->phase = GP_RUN_STOPPING;
+      run->retry_at = now;
+      break;
+    case GP_AGENT_TOO_LATE:
+    case GP_AGENT_REPLACED:
+      break;
+    }
+}
+
+static void
+stop_answered (gp_agent_t *agent, gp_agent_run_t *run,
+               gp_agent_result_t result, gp_time_t now)
+{
+  if (run->phase != GP_RUN_STOPPING)
+    return;
+  if (result == GP_AGENT_FENCED)
+    agent->raise_fence = true;
+  if (result == GP_AGENT_TAKEN || result == GP_AGENT_TOO_OLD
+      || (result == GP_AGENT_REFUSED && !run->doubtful && !run->listed))
+    {
+      run->phase = GP_RUN_STOPPED;
+      run->confirmed_at = now;
+    }
+}
+
+void
+gp_agent_answered (gp_agent_t *agent, gp_agent_call_kind_t kind,
+                   const char *name, uint32_t number, gp_agent_result_t result,
+                   int64_t clock_ms, gp_time_t now)
+{
+  gp_agent_run_t *run = find_run (agent, name, number);
+
+  if (result != GP_AGENT_REPLACED)
+    take_clock (agent, clock_ms, now);
+  if (result != GP_AGENT_TAKEN)
+    gp_log (GP_LOG_INFO, "order.not_taken", GP_LOG_S ("task", name),
+            GP_LOG_I ("run", number), GP_LOG_I ("call", kind),
+            GP_LOG_I ("result", result));
+  if (run == NULL)
+    return;
+  run->in_flight = false;
+  run->retry_at = now + agent->retry_time;
+  switch (kind)
+    {
+    case GP_AGENT_CALL_START:
+      start_answered (agent, run, result, now);
+      break;
+    case GP_AGENT_CALL_STOP:
+      stop_answered (agent, run, result, now);
+      break;
+    case GP_AGENT_CALL_PACE:
+      if (result == GP_AGENT_TAKEN)
+        run->percent = agent->pacer.level;
+      break;
+    case GP_AGENT_CALL_NONE:
+      break;
+    }
+}
+
+/* The executor's list.  */
+
+static bool
+take_ends (gp_agent_t *agent, const Gp__Jobs__End *ends, size_t count)
+{
+  bool news = false;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const gp_agent_run_t *run;
+
+      if (ends[i].number <= agent->listed_ends
+          || ends[i].number <= agent->seen_ends)
+        continue;
+      agent->listed_ends = ends[i].number;
+      g_ptr_array_add (agent->ends, copy_end (&ends[i]));
+      run = find_run (agent, ends[i].task, ends[i].run);
+      if (run != NULL)
+        g_hash_table_remove (agent->runs, ends[i].task);
+      news = true;
+    }
+  return news;
+}
+
+static void
+clear_listed (gp_agent_t *agent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((gp_agent_run_t *)value)->listed = false;
+}
+
+/* Note the rows and return the worst ratio of latency to target.  */
+static uint32_t
+take_rows (gp_agent_t *agent, const gp_agent_row_t *rows, size_t count,
+           gp_time_t sent_at, gp_time_t now)
+{
+  int64_t worst = 0;
+
+  clear_listed (agent);
+  for (size_t i = 0; i < count; i++)
+    {
+      gp_agent_run_t *run = find_run (agent, rows[i].task, rows[i].run);
+
+      if (run == NULL)
+        {
+          if (agent->is_synced
+              && !has_ended (agent, rows[i].task, rows[i].run))
+            want_stop (agent, rows[i].task, rows[i].run);
+          continue;
+        }
+      run->listed = true;
+      if (!run->in_flight && sent_at > run->retry_at - agent->retry_time)
+        run->percent = rows[i].percent;
+      if (run->phase == GP_RUN_STARTING && run->start != NULL)
+        {
+          run->phase = GP_RUN_PRESENT;
+          run->confirmed_at = now;
+        }
+      if (run->start != NULL && run->start->target_ms > 0)
+        worst = MAX (worst,
+                     MAX (rows[i].measure, 0) * 1000 / run->start->target_ms
+                         + 1);
+    }
+  return (uint32_t)MIN (worst, INT32_MAX);
+}
+
+/* Runs that the list, asked for after their phase was sure, does not show.
+   Returns whether one became absent.  */
+static bool
+find_absent (gp_agent_t *agent, gp_time_t sent_at)
+{
+  bool news = false;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+
+      if (run->listed || run->in_flight || run->confirmed_at >= sent_at)
+        continue;
+      if (run->phase == GP_RUN_PRESENT)
+        run->phase = GP_RUN_STOPPING;
+      if (run->phase == GP_RUN_STOPPED)
+        {
+          run->phase = GP_RUN_ABSENT;
+          news = true;
+        }
+    }
+  return news;
+}
+
+bool
+gp_agent_listed (gp_agent_t *agent, const gp_agent_row_t *rows,
+                 size_t row_count, const Gp__Jobs__End *ends, size_t end_count,
+                 int64_t clock_ms, gp_time_t sent_at, gp_time_t now)
+{
+  bool news;
+  uint32_t worst;
+
+  take_clock (agent, clock_ms, now);
+  news = take_ends (agent, ends, end_count);
+  worst = take_rows (agent, rows, row_count, sent_at, now);
+  gp_pacer_update (&agent->pacer, worst, now);
+  return find_absent (agent, sent_at) || news;
+}
+
+void
+gp_agent_list_refused (gp_agent_t *agent, gp_agent_result_t result,
+                       int64_t clock_ms, gp_time_t now)
+{
+  if (result == GP_AGENT_FENCED)
+    agent->raise_fence = true;
+  if (result != GP_AGENT_REPLACED)
+    take_clock (agent, clock_ms, now);
+}
--- /dev/null
+++ b/src/jobs/agent.h
@@ -0,0 +1,166 @@
+/* Decisions of the guard: what to tell the executor of its VM.
+
+   The leading entry says which runs belong here (a sync, then orders).  The
+   worker brings the executor there with calls that may stay unanswered and
+   be carried out late, and tells the leader the ends that the executor lists
+   and the runs that are absent.
+
+   Invariants:
+   - A run counts as absent only after a stop of it was confirmed, or its
+     only start was refused, and a list asked for after that does not show
+     it: the executor refuses a start of it from then on.
+   - The lease that calls carry ends LEASE_TIME after the sending of the last
+     report that the leader has acknowledged, on a clock that may run slow by
+     GP_AGENT_CLOCK_SLOW_PERMILLE; it is not moved on while the executor
+     does not answer, so that its end becomes certain.
+   - The fence is the executor's own clock when this process first heard of
+     it, or when the leader asked for a new one: it is above all fences that
+     were used before, without anything stored.
+
+   Pure: events and NOW in, calls and reports out.  */
+
+#ifndef GP_JOBS_AGENT_H
+#define GP_JOBS_AGENT_H
+
+#include "jobs/job.h"
+#include "jobs/pacer.h"
+
+/* Duration of an executor's lease.  Long enough to outlive a guard that is
+   killed or frozen for 4 s; short enough that work on a VM that is gone for
+   good is back within 6 s.  */
+#define GP_AGENT_LEASE_TIME (5 * GP_SEC)
+/* How slow an executor's clock may run, in thousandths.  */
+#define GP_AGENT_CLOCK_SLOW_PERMILLE 20
+/* Added to the end of a lease before it counts as certain.  */
+#define GP_AGENT_LEASE_MARGIN (150 * GP_MSEC)
+
+/* The latest point at which a lease given for a report sent at SENT_AT ends
+   on an executor.  */
+gp_time_t gp_agent_lease_end (gp_time_t sent_at);
+
+typedef enum
+{
+  GP_RUN_STARTING, /* to be started */
+  GP_RUN_PRESENT,  /* it was started */
+  GP_RUN_STOPPING, /* to be stopped */
+  GP_RUN_STOPPED,  /* the stop was taken: an end or its absence will show */
+  GP_RUN_ABSENT    /* it never ran here and never will */
+} gp_run_phase_t;
+
+typedef struct
+{
+  char name[GP_TASK_NAME_SIZE];
+  uint32_t run;
+  gp_run_phase_t phase;
+  Gp__Jobs__Start *start; /* owned; NULL for a run that is only stopped */
+  bool in_flight;
+  bool doubtful;          /* a start went unanswered */
+  bool listed;            /* seen on the executor's list */
+  gp_time_t retry_at;     /* no call before */
+  gp_time_t confirmed_at; /* when the phase was entered by an answer */
+  uint32_t percent;       /* of full speed, as listed */
+} gp_agent_run_t;
+
+typedef enum
+{
+  GP_AGENT_CALL_NONE,
+  GP_AGENT_CALL_START,
+  GP_AGENT_CALL_STOP,
+  GP_AGENT_CALL_PACE
+} gp_agent_call_kind_t;
+
+typedef struct
+{
+  gp_agent_call_kind_t kind;
+  gp_agent_run_t *run; /* valid during the call only */
+  int64_t lease_ms;    /* on the executor's clock, for a start */
+  uint32_t percent;    /* for a pace */
+} gp_agent_call_t;
+
+/* What an order came to.  */
+typedef enum
+{
+  GP_AGENT_TAKEN,
+  GP_AGENT_FENCED,
+  GP_AGENT_TOO_OLD,
+  GP_AGENT_TOO_LATE,
+  GP_AGENT_NO_ROOM,
+  GP_AGENT_REFUSED,
+  GP_AGENT_REPLACED,
+  GP_AGENT_UNANSWERED
+} gp_agent_result_t;
+
+/* A row of the executor's list.  */
+typedef struct
+{
+  const char *task;
+  uint32_t run;
+  uint32_t percent;
+  int64_t measure;
+} gp_agent_row_t;
+
+typedef struct
+{
+  Gp__Jobs__Executor *executor; /* owned, NULL: none known */
+  GHashTable *runs;             /* name to gp_agent_run_t, owned */
+  GPtrArray *ends;              /* Gp__Jobs__End, owned, not yet on record */
+  uint64_t seen_ends;           /* on record */
+  uint64_t listed_ends;         /* the highest number taken in */
+  uint64_t synced;              /* number of the last sync */
+  bool is_synced;               /* RUNS is what the leader wants */
+  int64_t fence;
+  bool raise_fence;      /* take a new fence from the next answer */
+  int64_t clock_ms;      /* the executor's clock ... */
+  gp_time_t clock_at;    /* ... no earlier than here */
+  gp_time_t granted;     /* sending of the last acknowledged report */
+  gp_time_t lease;       /* the same of the lease that calls carry */
+  gp_time_t heard_at;    /* last answer of the executor */
+  gp_time_t known_since; /* this process knows the executor since */
+  gp_pacer_t pacer;
+  gp_time_t retry_time; /* duration between tries of a call */
+} gp_agent_t;
+
+void gp_agent_init (gp_agent_t *agent);
+void gp_agent_finish (gp_agent_t *agent);
+
+/* The executor of this VM is EXECUTOR now, which the agent takes over; if
+   it is another one, all that was known is forgotten.  CLOCK_MS is its clock
+   or -1.  */
+void gp_agent_set_executor (gp_agent_t *agent, Gp__Jobs__Executor *executor,
+                            int64_t clock_ms, gp_time_t now);
+/* The executor has ended.  */
+void gp_agent_drop_executor (gp_agent_t *agent);
+
+/* The leader's words.  */
+void gp_agent_acknowledged (gp_agent_t *agent, gp_time_t sent_at);
+void gp_agent_sync (gp_agent_t *agent, Gp__Jobs__Sync *sync);
+void gp_agent_order (gp_agent_t *agent, Gp__Jobs__Orders *orders);
+/* Another leader has come: what it wants is not known yet.  */
+void gp_agent_unsync (gp_agent_t *agent);
+
+/* The next call to make, marked as in flight; NONE when there is none before
+ *AGAIN_AT.  */
+gp_agent_call_t gp_agent_next_call (gp_agent_t *agent, gp_time_t now,
+                                    gp_time_t *again_at);
+/* The answer to a call about RUN of the task NAME.  */
+void gp_agent_answered (gp_agent_t *agent, gp_agent_call_kind_t kind,
+                        const char *name, uint32_t run,
+                        gp_agent_result_t result, int64_t clock_ms,
+                        gp_time_t now);
+
+/* The lease for the next list on the executor's clock, 0: do not extend.  */
+int64_t gp_agent_list_lease (gp_agent_t *agent, gp_time_t now);
+/* The executor's list, asked for at SENT_AT.  Returns whether there is news
+   for the leader.  */
+bool gp_agent_listed (gp_agent_t *agent, const gp_agent_row_t *rows,
+                      size_t row_count, const Gp__Jobs__End *ends,
+                      size_t end_count, int64_t clock_ms, gp_time_t sent_at,
+                      gp_time_t now);
+/* The list was answered by another executor, or refused for the fence.  */
+void gp_agent_list_refused (gp_agent_t *agent, gp_agent_result_t result,
+                            int64_t clock_ms, gp_time_t now);
+
+/* Has the executor's lease certainly run out?  */
+bool gp_agent_lapsed (const gp_agent_t *agent, gp_time_t now);
+
+#endif
--- /dev/null
+++ b/src/jobs/book.h
@@ -0,0 +1,56 @@
+/* The book: all jobs and executors that this process knows.
+
+   A follower folds the records of the log into it.  The leader changes it
+   ahead of the log and throws it away when it loses the lead: what is not on
+   the log then never happened.  */
+
+#ifndef GP_JOBS_BOOK_H
+#define GP_JOBS_BOOK_H
+
+#include "jobs/executor.h"
+#include "jobs/job.h"
+
+typedef struct
+{
+  GHashTable *jobs;      /* id to gp_job_t, owned */
+  GHashTable *executors; /* id to gp_executor_t, owned */
+  gp_list_t live;        /* defined jobs that have not ended, by arrival */
+} gp_book_t;
+
+void gp_book_init (gp_book_t *book);
+void gp_book_finish (gp_book_t *book);
+
+/* Forget everything.  */
+void gp_book_clear (gp_book_t *book);
+
+/* The job ID, or NULL when neither a submission nor a cancellation of it is
+   known.  */
+gp_job_t *gp_book_find (const gp_book_t *book, const char *id);
+gp_executor_t *gp_book_executor (gp_book_t *book, const char *id);
+
+/* The task of NAME ("ID.OCCURRENCE.STEP.INDEX"), or NULL.  */
+gp_job_task_t *gp_book_task (const gp_book_t *book, const char *name);
+
+/* Fold one record each; they return the job that has changed, or NULL and
+   ERROR for bytes that do not decode.  A second submission of a job changes
+   nothing.  */
+gp_job_t *gp_book_submit (gp_book_t *book, const char *id,
+                          const uint8_t *bytes, size_t size, gp_time_t now,
+                          GError **error);
+gp_job_t *gp_book_cancel (gp_book_t *book, const char *id);
+gp_job_t *gp_book_progress (gp_book_t *book, const char *id,
+                            const uint8_t *bytes, size_t size, GError **error);
+
+/* Pack what has become of JOB.  */
+GBytes *gp_book_pack (const gp_job_t *job);
+
+/* JOB is at its end: take it off the list of live ones.  */
+void gp_book_end (gp_job_t *job, gp_job_state_t state, int64_t wall_ms);
+
+/* Jobs of QUEUE, without times, that have not begun.  */
+unsigned gp_book_pending (const gp_book_t *book, const char *queue);
+
+/* Forget jobs that ended before WALL_MS.  */
+void gp_book_expire (gp_book_t *book, int64_t wall_ms);
+
+#endif
--- /dev/null
+++ b/src/jobs/executor.c
@@ -0,0 +1,102 @@
+/* What the leading entry believes of an executor.  */
+
+#include "jobs/executor.h"
+
+#include <string.h>
+
+gp_executor_t *
+gp_executor_new (const char *id)
+{
+  gp_executor_t *executor = g_new0 (gp_executor_t, 1);
+
+  executor->id = g_strdup (id);
+  gp_list_init (&executor->tasks);
+  return executor;
+}
+
+void
+gp_executor_free (gp_executor_t *executor)
+{
+  while (gp_list_pop_front (&executor->tasks) != NULL)
+    ;
+  g_free (executor->id);
+  g_free (executor->node);
+  g_free (executor->service);
+  g_free (executor->zone);
+  g_strfreev (executor->labels);
+  g_free (executor);
+}
+
+static void
+set_labels (gp_executor_t *executor, const Gp__Jobs__Executor *report)
+{
+  g_strfreev (executor->labels);
+  executor->labels = g_new0 (char *, report->n_labels + 1);
+  for (size_t i = 0; i < report->n_labels; i++)
+    executor->labels[i] = g_strdup (report->labels[i]);
+}
+
+static void
+set_text (char **text, const char *value)
+{
+  if (g_strcmp0 (*text, value) == 0)
+    return;
+  g_free (*text);
+  *text = g_strdup (value);
+}
+
+void
+gp_executor_update (gp_executor_t *executor, const char *node,
+                    const Gp__Jobs__Executor *report, gp_time_t now)
+{
+  set_text (&executor->node, node);
+  set_text (&executor->service, report->service);
+  set_text (&executor->zone, report->zone);
+  set_labels (executor, report);
+  executor->capacity.cpu_milli = report->cpu_milli;
+  executor->capacity.memory_mb = report->memory_mb;
+  executor->capacity.accelerators = report->accelerators;
+  executor->draining = report->draining;
+  if (report->draining)
+    executor->leaves_at = now + (gp_time_t)report->remaining_ms * GP_MSEC;
+}
+
+static void
+reserve (gp_executor_t *executor, const Gp__Jobs__Step *step, int64_t sign)
+{
+  if (step->fills)
+    executor->filling += sign * step->cpu_milli;
+  else
+    executor->used.cpu_milli += sign * step->cpu_milli;
+  if (step->target_ms > 0)
+    executor->serving += sign;
+  executor->used.memory_mb += sign * step->memory_mb;
+  executor->used.accelerators += sign * step->accelerators;
+}
+
+void
+gp_executor_add (gp_executor_t *executor, gp_job_task_t *task)
+{
+  task->executor = executor;
+  gp_list_push_back (&executor->tasks, &task->on_executor);
+  executor->task_count++;
+  reserve (executor, gp_task_step (task), 1);
+}
+
+void
+gp_executor_remove (gp_executor_t *executor, gp_job_task_t *task)
+{
+  gp_list_remove (&task->on_executor);
+  task->executor = NULL;
+  executor->task_count--;
+  reserve (executor, gp_task_step (task), -1);
+}
+
+bool
+gp_executor_has_label (const gp_executor_t *executor, const char *label)
+{
+  for (char **at = executor->labels; at != NULL && *at != NULL; at++)
+    if (strcmp (*at, label) == 0)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/jobs/executor.h
@@ -0,0 +1,56 @@
+/* An executor: one life of the runtime that works on a VM.
+
+   A new life has a new id and runs nothing.  What the leading entry believes
+   of its executors stands here: capacity and labels as reported by the
+   guard, what is reserved by the runs assigned to it, and how its runs have
+   ended lately.  */
+
+#ifndef GP_JOBS_EXECUTOR_H
+#define GP_JOBS_EXECUTOR_H
+
+#include "jobs/job.h"
+
+/* What a run takes, or an executor has.  */
+typedef struct
+{
+  int64_t cpu_milli;
+  int64_t memory_mb;
+  int64_t accelerators;
+} gp_room_t;
+
+struct gp_executor
+{
+  char *id;
+  char *node; /* the VM's name, NULL when it is known from records only */
+  char *service;
+  char *zone;
+  char **labels; /* NULL-terminated, may be NULL */
+  gp_room_t capacity;
+  gp_room_t used;  /* by runs, filling ones only by their memory */
+  int64_t filling; /* thousandths of a core that filling runs ask for */
+  int64_t serving; /* number of runs with a tail latency to keep */
+  gp_list_t tasks; /* gp_job_task_t.on_executor */
+  uint32_t task_count;
+  bool reachable; /* its guard reports */
+  bool draining;
+  bool dead;               /* certainly runs nothing any more */
+  gp_time_t leaves_at;     /* while draining: its end at the earliest */
+  uint32_t failed_in_row;  /* runs that failed since one was done */
+  gp_time_t trusted_again; /* no new work before, after failures */
+  gp_time_t full_until;    /* it has refused for want of room */
+};
+
+gp_executor_t *gp_executor_new (const char *id);
+void gp_executor_free (gp_executor_t *executor);
+
+/* Take over what the guard on NODE says.  */
+void gp_executor_update (gp_executor_t *executor, const char *node,
+                         const Gp__Jobs__Executor *report, gp_time_t now);
+
+/* Reserve for TASK, which has been assigned to EXECUTOR, and let go.  */
+void gp_executor_add (gp_executor_t *executor, gp_job_task_t *task);
+void gp_executor_remove (gp_executor_t *executor, gp_job_task_t *task);
+
+bool gp_executor_has_label (const gp_executor_t *executor, const char *label);
+
+#endif
--- /dev/null
+++ b/src/jobs/job.c
@@ -0,0 +1,305 @@
+/* A job of steps and its tasks.  */
+
+#include "jobs/job.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+
+gp_job_t *
+gp_job_new (const char *id)
+{
+  gp_job_t *job = g_new0 (gp_job_t, 1);
+
+  g_strlcpy (job->id, id, sizeof job->id);
+  gp_list_init (&job->link);
+  gp_list_init (&job->dirty_link);
+  return job;
+}
+
+static void
+free_tasks (gp_job_t *job)
+{
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      gp_list_remove (&job->tasks[i].on_executor);
+      g_free (job->tasks[i].checkpoint);
+    }
+  g_free (job->tasks);
+  g_free (job->tallies);
+  g_free (job->step_start);
+}
+
+void
+gp_job_free (gp_job_t *job)
+{
+  gp_list_remove (&job->link);
+  gp_list_remove (&job->dirty_link);
+  free_tasks (job);
+  if (job->submission != NULL)
+    gp__jobs__submission__free_unpacked (job->submission, NULL);
+  if (job->early_progress != NULL)
+    g_bytes_unref (job->early_progress);
+  g_free (job);
+}
+
+bool
+gp_job_id_valid (const char *text, size_t size)
+{
+  if (size != GP_JOB_ID_SIZE)
+    return false;
+  for (size_t i = 0; i < size; i++)
+    if (!g_ascii_isxdigit (text[i]))
+      return false;
+  return true;
+}
+
+static bool
+check_step (const Gp__Jobs__Submission *submission, size_t number,
+            GError **error)
+{
+  const Gp__Jobs__Step *step = submission->steps[number];
+
+  if (step->count == 0)
+    {
+      g_set_error (error, GP_STATE_ERROR, GP_STATE_ERROR_INVALID,
+                   "steps[%zu]: it has no tasks", number);
+      return false;
+    }
+  for (size_t i = 0; i < step->n_after; i++)
+    if (step->after[i] >= number)
+      {
+        g_set_error (error, GP_STATE_ERROR, GP_STATE_ERROR_INVALID,
+                     "steps[%zu]: waits for step %u, which is not an "
+                     "earlier one",
+                     number, step->after[i]);
+        return false;
+      }
+  return true;
+}
+
+bool
+gp_job_check (const Gp__Jobs__Submission *submission, GError **error)
+{
+  uint64_t tasks = 0;
+  uint64_t occurrences = MAX (submission->repeats, 1);
+
+  if (submission->n_steps == 0 || submission->n_steps > GP_JOB_MAX_STEPS)
+    {
+      g_set_error (error, GP_STATE_ERROR, GP_STATE_ERROR_INVALID,
+                   "%zu steps, allowed are 1 to %d", submission->n_steps,
+                   GP_JOB_MAX_STEPS);
+      return false;
+    }
+  for (size_t i = 0; i < submission->n_steps; i++)
+    {
+      if (!check_step (submission, i, error))
+        return false;
+      tasks += submission->steps[i]->count;
+    }
+  if (tasks * occurrences > GP_JOB_MAX_TASKS)
+    {
+      g_set_error (error, GP_STATE_ERROR, GP_STATE_ERROR_INVALID,
+                   "%" G_GUINT64_FORMAT " tasks, allowed are %d",
+                   tasks * occurrences, GP_JOB_MAX_TASKS);
+      return false;
+    }
+  return true;
+}
+
+/* The length, by its estimates, of the longest chain of steps.  */
+static uint64_t
+chain_ms (const Gp__Jobs__Submission *submission)
+{
+  uint64_t ends[GP_JOB_MAX_STEPS];
+  uint64_t longest = 0;
+
+  for (size_t i = 0; i < submission->n_steps; i++)
+    {
+      const Gp__Jobs__Step *step = submission->steps[i];
+
+      ends[i] = 0;
+      for (size_t j = 0; j < step->n_after; j++)
+        ends[i] = MAX (ends[i], ends[step->after[j]]);
+      ends[i] += step->estimate_ms;
+      longest = MAX (longest, ends[i]);
+    }
+  return longest;
+}
+
+static void
+make_tasks (gp_job_t *job)
+{
+  const Gp__Jobs__Submission *submission = job->submission;
+  size_t steps = submission->n_steps;
+
+  job->occurrences = MAX (submission->repeats, 1);
+  job->step_start = g_new0 (uint32_t, steps);
+  for (size_t i = 0; i < steps; i++)
+    {
+      job->step_start[i] = job->tasks_per_occurrence;
+      job->tasks_per_occurrence += submission->steps[i]->count;
+    }
+  job->task_count = job->tasks_per_occurrence * job->occurrences;
+  job->tasks = g_new0 (gp_job_task_t, job->task_count);
+  job->tallies = g_new0 (gp_step_tally_t, job->occurrences * steps);
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      job->tasks[i].job = job;
+      job->tasks[i].index = i;
+      gp_list_init (&job->tasks[i].on_executor);
+      gp_task_tally (&job->tasks[i])->waiting++;
+    }
+}
+
+bool
+gp_job_define (gp_job_t *job, Gp__Jobs__Submission *submission, gp_time_t now)
+{
+  uint64_t objective_ms;
+
+  if (job->submission != NULL || !gp_job_check (submission, NULL))
+    return false;
+  job->submission = submission;
+  job->submitted_at = now;
+  objective_ms = chain_ms (submission) * submission->stretch_percent / 100
+                 + submission->target_ms;
+  job->due_at = now + (gp_time_t)objective_ms * GP_MSEC;
+  make_tasks (job);
+  return true;
+}
+
+bool
+gp_job_ended (const gp_job_t *job)
+{
+  return job->state >= GP_JOB_COMPLETED;
+}
+
+uint32_t
+gp_task_occurrence (const gp_job_task_t *task)
+{
+  return task->index / task->job->tasks_per_occurrence;
+}
+
+uint32_t
+gp_task_step_number (const gp_job_task_t *task)
+{
+  const gp_job_t *job = task->job;
+  uint32_t within = task->index % job->tasks_per_occurrence;
+  uint32_t step = (uint32_t)job->submission->n_steps - 1;
+
+  while (job->step_start[step] > within)
+    step--;
+  return step;
+}
+
+const Gp__Jobs__Step *
+gp_task_step (const gp_job_task_t *task)
+{
+  return task->job->submission->steps[gp_task_step_number (task)];
+}
+
+gp_step_tally_t *
+gp_task_tally (const gp_job_task_t *task)
+{
+  const gp_job_t *job = task->job;
+
+  return &job->tallies[gp_task_occurrence (task) * job->submission->n_steps
+                       + gp_task_step_number (task)];
+}
+
+void
+gp_task_name (const gp_job_task_t *task, char name[GP_TASK_NAME_SIZE])
+{
+  const gp_job_t *job = task->job;
+  uint32_t step = gp_task_step_number (task);
+  uint32_t within = task->index % job->tasks_per_occurrence;
+
+  snprintf (name, GP_TASK_NAME_SIZE, "%s.%u.%u.%u", job->id,
+            gp_task_occurrence (task), step, within - job->step_start[step]);
+}
+
+bool
+gp_job_step_ready (const gp_job_t *job, uint32_t occurrence, uint32_t step,
+                   int64_t wall_ms)
+{
+  const Gp__Jobs__Submission *submission = job->submission;
+  const Gp__Jobs__Step *definition = submission->steps[step];
+  const gp_step_tally_t *tallies
+      = &job->tallies[(size_t)occurrence * submission->n_steps];
+
+  if (submission->repeats > 0
+      && wall_ms < submission->first_wall_ms
+                       + (int64_t)occurrence * submission->interval_ms)
+    return false;
+  for (size_t i = 0; i < definition->n_after; i++)
+    {
+      uint32_t earlier = definition->after[i];
+
+      if (tallies[earlier].done < submission->steps[earlier]->count)
+        return false;
+    }
+  return true;
+}
+
+void
+gp_task_set_state (gp_job_task_t *task, gp_task_state_t state)
+{
+  gp_step_tally_t *tally = gp_task_tally (task);
+
+  if (task->state == GP_TASK_WAITING)
+    tally->waiting--;
+  if (task->state == GP_TASK_DONE)
+    {
+      tally->done--;
+      task->job->done_count--;
+    }
+  task->state = state;
+  if (state == GP_TASK_WAITING)
+    tally->waiting++;
+  if (state == GP_TASK_DONE)
+    {
+      tally->done++;
+      task->job->done_count++;
+    }
+}
+
+const char *
+gp_job_state_name (gp_job_state_t state)
+{
+  switch (state)
+    {
+    case GP_JOB_QUEUED:
+      return "queued";
+    case GP_JOB_RUNNING:
+      return "running";
+    case GP_JOB_COMPLETED:
+      return "completed";
+    case GP_JOB_FAILED:
+      return "failed";
+    case GP_JOB_CANCELLED:
+      return "cancelled";
+    }
+  return "unknown";
+}
+
+const char *
+gp_end_name (gp_end_t how)
+{
+  switch (how)
+    {
+    case GP_END_DONE:
+      return "done";
+    case GP_END_FAILED:
+      return "failed";
+    case GP_END_STOPPED:
+      return "stopped";
+    case GP_END_LAPSED:
+      return "lapsed";
+    case GP_END_BROKEN:
+      return "broken";
+    case GP_END_ALONE:
+      return "alone";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/src/jobs/job.h
@@ -0,0 +1,144 @@
+/* A job of steps and its tasks.
+
+   A job is a Submission (protocol/jobs.proto) and what became of its tasks.
+   Step S of occurrence K has COUNT tasks; all tasks of a job stand in one
+   array, occurrence after occurrence and in it step after step, so that a
+   task has one index.  What a task has come to is packed into a Progress
+   record, which replaces the one before; a reader needs only the newest.
+
+   The right to run: a task has at most one run that may be at work, the one
+   numbered RUN on EXECUTOR.  It is given up only when that executor has told
+   its end or its absence, or is certainly dead (see jobs/scheduler.h).  */
+
+#ifndef GP_JOBS_JOB_H
+#define GP_JOBS_JOB_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/list.h"
+#include "base/time.h"
+#include "jobs.pb-c.h"
+
+typedef struct gp_job gp_job_t;
+typedef struct gp_job_task gp_job_task_t;
+typedef struct gp_executor gp_executor_t;
+
+/* Hexadecimal digits of a job's id.  */
+#define GP_JOB_ID_SIZE 16
+/* Bounds of a submission; beyond them it is refused.  */
+#define GP_JOB_MAX_STEPS 64
+#define GP_JOB_MAX_TASKS 5000
+/* Enough for the name of any task: id, occurrence, step and index.  */
+#define GP_TASK_NAME_SIZE 64
+
+typedef enum
+{
+  GP_JOB_QUEUED,
+  GP_JOB_RUNNING,
+  GP_JOB_COMPLETED,
+  GP_JOB_FAILED,
+  GP_JOB_CANCELLED
+} gp_job_state_t;
+
+typedef enum
+{
+  GP_TASK_WAITING,
+  GP_TASK_ASSIGNED, /* its run may be at work on its executor */
+  GP_TASK_STOPPING, /* the same, and the run is to end */
+  GP_TASK_DONE
+} gp_task_state_t;
+
+/* How a run has ended.  */
+typedef enum
+{
+  GP_END_DONE,
+  GP_END_FAILED,  /* by its own or the executor's fault */
+  GP_END_STOPPED, /* on order */
+  GP_END_LAPSED,  /* the executor's lease ran out */
+  GP_END_BROKEN,  /* another member of its gang ended */
+  GP_END_ALONE    /* the others of its gang did not come in time */
+} gp_end_t;
+
+struct gp_job_task
+{
+  gp_job_t *job;
+  uint32_t index;
+  gp_task_state_t state;
+  uint32_t run; /* the last number used, 0: none */
+  uint32_t failures;
+  gp_executor_t *executor;  /* while assigned or stopping */
+  gp_list_t on_executor;    /* in gp_executor_t.tasks */
+  char *checkpoint;         /* NULL: none */
+  gp_time_t since;          /* when the run was assigned, by this process */
+  gp_executor_t *failed_on; /* the last executor it failed on */
+};
+
+/* The tasks of one step in one occurrence.  */
+typedef struct
+{
+  uint32_t done;
+  uint32_t waiting;
+} gp_step_tally_t;
+
+struct gp_job
+{
+  char id[GP_JOB_ID_SIZE + 1];
+  Gp__Jobs__Submission *submission; /* NULL until its record is read */
+  gp_job_state_t state;
+  bool cancelled;
+  int64_t ended_wall_ms;
+  gp_time_t submitted_at; /* when this process first saw it */
+  gp_time_t due_at;       /* objective by the estimates, for ordering */
+  uint32_t occurrences;
+  uint32_t tasks_per_occurrence;
+  uint32_t *step_start; /* first index of each step in an occurrence */
+  gp_job_task_t *tasks;
+  gp_step_tally_t *tallies; /* by occurrence and step */
+  uint32_t task_count;
+  uint32_t done_count;
+  bool started;           /* a run was assigned once */
+  bool dirty;             /* changed since it was last packed */
+  gp_list_t link;         /* in gp_book_t.live while it has not ended */
+  gp_list_t dirty_link;   /* in gp_scheduler_t.dirty */
+  GBytes *early_progress; /* a Progress that came before its submission */
+};
+
+gp_job_t *gp_job_new (const char *id);
+void gp_job_free (gp_job_t *job);
+
+/* Is TEXT, SIZE bytes long, the id of a job?  */
+bool gp_job_id_valid (const char *text, size_t size);
+
+/* Take SUBMISSION, which the job owns from then on, once.  False when it
+   breaks a bound; SUBMISSION is then the caller's.  */
+bool gp_job_define (gp_job_t *job, Gp__Jobs__Submission *submission,
+                    gp_time_t now);
+
+/* Can SUBMISSION be scheduled at all?  FALSE sets ERROR.  */
+bool gp_job_check (const Gp__Jobs__Submission *submission, GError **error);
+
+bool gp_job_ended (const gp_job_t *job);
+
+const Gp__Jobs__Step *gp_task_step (const gp_job_task_t *task);
+uint32_t gp_task_step_number (const gp_job_task_t *task);
+uint32_t gp_task_occurrence (const gp_job_task_t *task);
+gp_step_tally_t *gp_task_tally (const gp_job_task_t *task);
+
+/* Write the task's name, "ID.OCCURRENCE.STEP.INDEX".  */
+void gp_task_name (const gp_job_task_t *task, char name[GP_TASK_NAME_SIZE]);
+
+/* Are all steps that STEP of OCCURRENCE waits for done, and its time come
+   (WALL_MS since 1970)?  */
+bool gp_job_step_ready (const gp_job_t *job, uint32_t occurrence,
+                        uint32_t step, int64_t wall_ms);
+
+/* Set the state of TASK and keep the tallies; the executor's lists are the
+   caller's.  */
+void gp_task_set_state (gp_job_task_t *task, gp_task_state_t state);
+
+const char *gp_job_state_name (gp_job_state_t state);
+const char *gp_end_name (gp_end_t how);
+
+#endif
--- /dev/null
+++ b/src/jobs/placer.c
@@ -0,0 +1,309 @@
+/* Placement of waiting tasks.  */
+
+#include "jobs/placer.h"
+
+#include <string.h>
+
+#include "base/log.h"
+
+/* Share of an executor's processors, in thousandths, that only jobs of the
+   first priority may take: quick work then finds room without preemption.  */
+#define RESERVED_PERMILLE 60
+/* A filling task is placed where at least this share, in thousandths, of
+   what it asks for is left over; with less it waits for a better place.  */
+#define FILL_PERMILLE 700
+/* Of a serving task's processors, the share in thousandths that it leaves
+   unused in the mean; filling tasks count on half of that.  */
+#define SERVING_UNUSED_PERMILLE 250
+/* The longest time without a look at what waits.  */
+#define LOOK_AGAIN_TIME (250 * GP_MSEC)
+
+typedef struct
+{
+  gp_book_t *book;
+  gp_time_t now;
+  GPtrArray *executors; /* those that may take work */
+  GPtrArray *placed;
+} pass_t;
+
+static gint
+by_urgency (gconstpointer a, gconstpointer b)
+{
+  const gp_job_t *left = *(gp_job_t *const *)a;
+  const gp_job_t *right = *(gp_job_t *const *)b;
+
+  if (left->submission->priority != right->submission->priority)
+    return left->submission->priority < right->submission->priority ? -1 : 1;
+  if (left->due_at != right->due_at)
+    return left->due_at < right->due_at ? -1 : 1;
+  return strcmp (left->id, right->id);
+}
+
+static GPtrArray *
+urgent_first (const gp_book_t *book)
+{
+  GPtrArray *jobs = g_ptr_array_new ();
+
+  GP_LIST_FOREACH (link, &book->live)
+  {
+    gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
+
+    if (!job->cancelled)
+      g_ptr_array_add (jobs, job);
+  }
+  g_ptr_array_sort (jobs, by_urgency);
+  return jobs;
+}
+
+static bool
+takes_work (const gp_executor_t *executor, gp_time_t now)
+{
+  return executor->reachable && !executor->draining && !executor->dead
+         && now >= executor->trusted_again && now >= executor->full_until;
+}
+
+static GPtrArray *
+candidates (const gp_book_t *book, gp_time_t now)
+{
+  GPtrArray *executors = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (takes_work (value, now))
+      g_ptr_array_add (executors, value);
+  return executors;
+}
+
+/* Number of tasks of TASK's step and occurrence on EXECUTOR.  */
+static uint32_t
+siblings_on (const gp_executor_t *executor, const gp_job_task_t *task)
+{
+  uint32_t step = gp_task_step_number (task);
+  uint32_t occurrence = gp_task_occurrence (task);
+  uint32_t count = 0;
+
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    const gp_job_task_t *other
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    if (other->job == task->job && gp_task_step_number (other) == step
+        && gp_task_occurrence (other) == occurrence)
+      count++;
+  }
+  return count;
+}
+
+/* Thousandths of a core that filling tasks find on EXECUTOR.  */
+static int64_t
+left_over (const gp_executor_t *executor)
+{
+  int64_t unused = executor->capacity.cpu_milli - executor->used.cpu_milli;
+
+  return unused - executor->filling
+         + executor->used.cpu_milli * SERVING_UNUSED_PERMILLE / 1000
+               * (executor->serving > 0);
+}
+
+static bool
+has_processors (const gp_executor_t *executor, const gp_job_task_t *task,
+                const Gp__Jobs__Step *step)
+{
+  int64_t reserved = executor->capacity.cpu_milli * RESERVED_PERMILLE / 1000;
+
+  if (step->fills)
+    return left_over (executor)
+           >= (int64_t)step->cpu_milli * FILL_PERMILLE / 1000;
+  if (task->job->submission->priority == 0)
+    reserved = 0;
+  return executor->used.cpu_milli + step->cpu_milli + reserved
+         <= executor->capacity.cpu_milli;
+}
+
+static bool
+fits (const gp_executor_t *executor, const gp_job_task_t *task,
+      const Gp__Jobs__Step *step)
+{
+  const gp_room_t *capacity = &executor->capacity;
+  const gp_room_t *used = &executor->used;
+
+  if (g_strcmp0 (executor->service, task->job->submission->service) != 0)
+    return false;
+  if (*step->required_label != '\0'
+      && !gp_executor_has_label (executor, step->required_label))
+    return false;
+  if (used->memory_mb + step->memory_mb > capacity->memory_mb
+      || used->accelerators + step->accelerators > capacity->accelerators)
+    return false;
+  if (!has_processors (executor, task, step))
+    return false;
+  return step->max_per_executor == 0
+         || siblings_on (executor, task) < step->max_per_executor;
+}
+
+/* Higher is better; thousandths of the executor's processors.  */
+static int64_t
+score (const gp_executor_t *executor, const gp_job_task_t *task,
+       const Gp__Jobs__Step *step)
+{
+  int64_t capacity = MAX (executor->capacity.cpu_milli, 1);
+  int64_t free = capacity - executor->used.cpu_milli;
+  int64_t points;
+
+  if (step->fills)
+    points = left_over (executor) * 1000 / capacity;
+  else
+    points = (free - executor->filling / 2) * 1000 / capacity;
+  if (*step->preferred_rack != '\0'
+      && gp_executor_has_label (executor, step->preferred_rack))
+    points += 1000;
+  if (task->failed_on == executor)
+    points -= 4000;
+  return points;
+}
+
+static gp_executor_t *
+choose (const pass_t *pass, const gp_job_task_t *task)
+{
+  const Gp__Jobs__Step *step = gp_task_step (task);
+  gp_executor_t *best = NULL;
+  int64_t best_score = INT64_MIN;
+
+  for (guint i = 0; i < pass->executors->len; i++)
+    {
+      gp_executor_t *executor = g_ptr_array_index (pass->executors, i);
+      int64_t points;
+
+      if (!fits (executor, task, step))
+        continue;
+      points = score (executor, task, step);
+      if (points > best_score
+          || (points == best_score && strcmp (executor->id, best->id) < 0))
+        {
+          best = executor;
+          best_score = points;
+        }
+    }
+  return best;
+}
+
+static void
+assign (pass_t *pass, gp_job_task_t *task, gp_executor_t *executor,
+        uint32_t run)
+{
+  gp_job_t *job = task->job;
+
+  task->run = run;
+  task->since = pass->now;
+  gp_task_set_state (task, GP_TASK_ASSIGNED);
+  gp_executor_add (executor, task);
+  job->started = true;
+  if (job->state == GP_JOB_QUEUED)
+    job->state = GP_JOB_RUNNING;
+  g_ptr_array_add (pass->placed, task);
+}
+
+/* Assign the waiting tasks of a step one by one; false when one found no
+   place, so that those like it need no look.  */
+static bool
+assign_each (pass_t *pass, gp_job_task_t *first, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      gp_executor_t *executor;
+
+      if (first[i].state != GP_TASK_WAITING)
+        continue;
+      executor = choose (pass, &first[i]);
+      if (executor == NULL)
+        return false;
+      assign (pass, &first[i], executor, first[i].run + 1);
+    }
+  return true;
+}
+
+static void
+withdraw (pass_t *pass, gp_job_task_t *first, uint32_t count, uint32_t *runs)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      gp_executor_remove (first[i].executor, &first[i]);
+      gp_task_set_state (&first[i], GP_TASK_WAITING);
+      first[i].run = runs[i];
+      g_ptr_array_set_size (pass->placed, (gint)pass->placed->len - 1);
+    }
+}
+
+/* Assign all members of a gang under one run number, or none.  */
+static void
+assign_gang (pass_t *pass, gp_job_task_t *first, uint32_t count)
+{
+  uint32_t *runs = g_new (uint32_t, count);
+  uint32_t run = 0;
+  uint32_t placed = 0;
+  bool waiting = true;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      runs[i] = first[i].run;
+      run = MAX (run, first[i].run + 1);
+      waiting = waiting && first[i].state == GP_TASK_WAITING;
+    }
+  for (; waiting && placed < count; placed++)
+    {
+      gp_executor_t *executor = choose (pass, &first[placed]);
+
+      if (executor == NULL)
+        break;
+      assign (pass, &first[placed], executor, run);
+    }
+  if (placed < count)
+    withdraw (pass, first, placed, runs);
+  g_free (runs);
+}
+
+static void
+assign_step (pass_t *pass, gp_job_t *job, uint32_t occurrence, uint32_t step)
+{
+  const Gp__Jobs__Step *definition = job->submission->steps[step];
+  gp_job_task_t *first = &job->tasks[occurrence * job->tasks_per_occurrence
+                                     + job->step_start[step]];
+
+  if (definition->gang)
+    assign_gang (pass, first, definition->count);
+  else
+    assign_each (pass, first, definition->count);
+}
+
+static void
+assign_job (pass_t *pass, gp_job_t *job, int64_t wall_ms)
+{
+  size_t steps = job->submission->n_steps;
+
+  for (uint32_t k = 0; k < job->occurrences; k++)
+    for (uint32_t s = 0; s < steps; s++)
+      if (job->tallies[k * steps + s].waiting > 0
+          && gp_job_step_ready (job, k, s, wall_ms))
+        assign_step (pass, job, k, s);
+}
+
+gp_time_t
+gp_placer_assign (gp_book_t *book, gp_time_t now, int64_t wall_ms,
+                  GPtrArray *placed)
+{
+  pass_t pass = { .book = book, .now = now, .placed = placed };
+  GPtrArray *jobs;
+
+  pass.executors = candidates (book, now);
+  if (pass.executors->len > 0)
+    {
+      jobs = urgent_first (book);
+      for (guint i = 0; i < jobs->len; i++)
+        assign_job (&pass, g_ptr_array_index (jobs, i), wall_ms);
+      g_ptr_array_free (jobs, TRUE);
+    }
+  g_ptr_array_free (pass.executors, TRUE);
+  return now + LOOK_AGAIN_TIME;
+}
--- /dev/null
+++ b/src/jobs/placer.h
@@ -0,0 +1,17 @@
+/* Placement: which waiting task goes to which executor now.
+
+   Jobs are taken by priority, then by the deadline that their estimates
+   give.  A task that serves or works goes where most processors are left; a
+   task that fills goes where the most is left over by the others.  */
+
+#ifndef GP_JOBS_PLACER_H
+#define GP_JOBS_PLACER_H
+
+#include "jobs/book.h"
+
+/* Assign waiting tasks of BOOK, add each to PLACED and return when time
+   alone may allow more (a due time or the end of a pause).  */
+gp_time_t gp_placer_assign (gp_book_t *book, gp_time_t now, int64_t wall_ms,
+                            GPtrArray *placed);
+
+#endif
--- /dev/null
+++ b/src/jobs/scheduler.c
@@ -0,0 +1,307 @@
+/* What the end of a run means, and what is stopped.  Placement is in
+   jobs/placer.c.  */
+
+#include "jobs/scheduler.h"
+
+#include <string.h>
+
+#include "base/log.h"
+#include "jobs/placer.h"
+
+/* Runs that fail one after the other before an executor gets no more work
+   for a while.  One in fifty fails by its own fault on the sites known, so
+   two in a row are chance once in 2,500.  */
+#define FAILURES_TO_DISTRUST 2
+/* Duration of the first pause; it doubles with each further failure.  */
+#define DISTRUST_TIME (GP_SEC)
+#define DISTRUST_TIME_MAX (8 * GP_SEC)
+/* Pause after an executor refused for want of room: its own view of what is
+   stopped lags ours by about a stop.  */
+#define FULL_TIME (300 * GP_MSEC)
+/* A run that saves its progress is stopped this long before its executor
+   leaves: the longest stop on the sites known and a round trip.  */
+#define LEAVE_MARGIN (1500 * GP_MSEC)
+
+void
+gp_scheduler_init (gp_scheduler_t *scheduler, gp_book_t *book)
+{
+  scheduler->book = book;
+  scheduler->next_due = GP_TIME_NEVER;
+  scheduler->orders = g_array_new (FALSE, FALSE, sizeof (gp_order_t));
+  gp_list_init (&scheduler->dirty);
+}
+
+void
+gp_scheduler_finish (gp_scheduler_t *scheduler)
+{
+  g_array_free (scheduler->orders, TRUE);
+}
+
+void
+gp_scheduler_reset (gp_scheduler_t *scheduler)
+{
+  g_array_set_size (scheduler->orders, 0);
+  while (gp_list_pop_front (&scheduler->dirty) != NULL)
+    ;
+  scheduler->next_due = GP_TIME_NEVER;
+}
+
+static void
+mark_dirty (gp_scheduler_t *scheduler, gp_job_t *job)
+{
+  gp_list_remove (&job->dirty_link);
+  gp_list_push_back (&scheduler->dirty, &job->dirty_link);
+}
+
+static void
+add_order (gp_scheduler_t *scheduler, gp_order_kind_t kind,
+           gp_job_task_t *task)
+{
+  const gp_order_t order = {
+    .kind = kind, .executor = task->executor, .task = task, .run = task->run
+  };
+
+  g_array_append_val (scheduler->orders, order);
+}
+
+bool
+gp_scheduler_wanted (const gp_job_task_t *task)
+{
+  return task->state == GP_TASK_ASSIGNED && !gp_job_ended (task->job);
+}
+
+static void
+stop_task (gp_scheduler_t *scheduler, gp_job_task_t *task)
+{
+  if (task->state != GP_TASK_ASSIGNED)
+    return;
+  gp_task_set_state (task, GP_TASK_STOPPING);
+  add_order (scheduler, GP_ORDER_STOP, task);
+  mark_dirty (scheduler, task->job);
+}
+
+static void
+end_job (gp_scheduler_t *scheduler, gp_job_t *job, gp_job_state_t state,
+         int64_t wall_ms)
+{
+  gp_book_end (job, state, wall_ms);
+  mark_dirty (scheduler, job);
+  for (uint32_t i = 0; i < job->task_count; i++)
+    stop_task (scheduler, &job->tasks[i]);
+  gp_log (GP_LOG_INFO, "job.ended", GP_LOG_S ("job", job->id),
+          GP_LOG_S ("state", gp_job_state_name (state)),
+          GP_LOG_I ("done", job->done_count),
+          GP_LOG_I ("tasks", job->task_count));
+}
+
+void
+gp_scheduler_job (gp_scheduler_t *scheduler, gp_job_t *job, int64_t wall_ms)
+{
+  if (job->submission == NULL || gp_job_ended (job))
+    return;
+  if (job->cancelled)
+    end_job (scheduler, job, GP_JOB_CANCELLED, wall_ms);
+}
+
+/* Take TASK off its executor; it waits again.  */
+static void
+release (gp_scheduler_t *scheduler, gp_job_task_t *task)
+{
+  gp_executor_remove (task->executor, task);
+  gp_task_set_state (task, GP_TASK_WAITING);
+  mark_dirty (scheduler, task->job);
+}
+
+static void
+set_checkpoint (gp_job_task_t *task, const ProtobufCBinaryData *checkpoint)
+{
+  if (checkpoint->len == 0)
+    return;
+  g_free (task->checkpoint);
+  task->checkpoint
+      = g_strndup ((const char *)checkpoint->data, checkpoint->len);
+}
+
+static void
+finish_task (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
+{
+  gp_job_t *job = task->job;
+
+  gp_task_set_state (task, GP_TASK_DONE);
+  g_clear_pointer (&task->checkpoint, g_free);
+  if (!gp_job_ended (job) && job->done_count == job->task_count)
+    end_job (scheduler, job, GP_JOB_COMPLETED, wall_ms);
+}
+
+static void
+count_failure (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
+{
+  gp_job_t *job = task->job;
+
+  task->failures++;
+  if (gp_task_step (task)->long_running || gp_job_ended (job))
+    return;
+  if (task->failures >= job->submission->max_attempts)
+    end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
+}
+
+/* The members of TASK's gang, TASK among them, from *FIRST on.  */
+static uint32_t
+members (gp_job_task_t *task, gp_job_task_t **first)
+{
+  gp_job_t *job = task->job;
+  uint32_t step = gp_task_step_number (task);
+
+  *first = &job->tasks[gp_task_occurrence (task) * job->tasks_per_occurrence
+                       + job->step_start[step]];
+  return job->submission->steps[step]->count;
+}
+
+/* A gang ends done as one: its other members need no word of their own.  */
+static void
+finish_gang (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
+{
+  gp_job_task_t *first;
+  uint32_t count = members (task, &first);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (first[i].executor != NULL)
+        release (scheduler, &first[i]);
+      if (first[i].state != GP_TASK_DONE)
+        finish_task (scheduler, &first[i], wall_ms);
+    }
+}
+
+static void
+judge (gp_executor_t *executor, gp_end_t how, gp_time_t now)
+{
+  gp_time_t pause = DISTRUST_TIME;
+
+  if (how == GP_END_DONE)
+    executor->failed_in_row = 0;
+  if (how != GP_END_FAILED || ++executor->failed_in_row < FAILURES_TO_DISTRUST)
+    return;
+  for (uint32_t i = FAILURES_TO_DISTRUST;
+       i < executor->failed_in_row && pause < DISTRUST_TIME_MAX; i++)
+    pause *= 2;
+  executor->trusted_again = now + pause;
+  gp_log (GP_LOG_INFO, "executor.distrusted",
+          GP_LOG_S ("executor", executor->id),
+          GP_LOG_I ("failed_in_row", executor->failed_in_row),
+          GP_LOG_I ("pause_ms", pause / GP_MSEC));
+}
+
+static void
+apply_end (gp_scheduler_t *scheduler, gp_job_task_t *task, gp_end_t how,
+           gp_time_t now, int64_t wall_ms)
+{
+  const Gp__Jobs__Step *step = gp_task_step (task);
+  gp_executor_t *executor = task->executor;
+
+  judge (executor, how, now);
+  release (scheduler, task);
+  if (how == GP_END_DONE && !step->long_running)
+    {
+      if (step->gang)
+        finish_gang (scheduler, task, wall_ms);
+      else
+        finish_task (scheduler, task, wall_ms);
+    }
+  if (how == GP_END_FAILED)
+    {
+      task->failed_on = executor;
+      count_failure (scheduler, task, wall_ms);
+    }
+}
+
+void
+gp_scheduler_end (gp_scheduler_t *scheduler, gp_executor_t *executor,
+                  const Gp__Jobs__End *end, gp_time_t now, int64_t wall_ms)
+{
+  gp_job_task_t *task = gp_book_task (scheduler->book, end->task);
+  const gp_order_t order
+      = { .kind = GP_ORDER_SEEN, .executor = executor, .seen = end->number };
+  bool current
+      = task != NULL && task->executor == executor && task->run == end->run;
+
+  g_array_append_val (scheduler->orders, order);
+  if (!current)
+    return;
+  gp_log (
+      GP_LOG_INFO, "run.ended", GP_LOG_S ("task", end->task),
+      GP_LOG_I ("run", end->run), GP_LOG_S ("executor", executor->id),
+      GP_LOG_S ("how", gp_end_name ((gp_end_t)end->how)),
+      GP_LOG_I ("after_ms", task->since ? (now - task->since) / GP_MSEC : -1));
+  set_checkpoint (task, &end->checkpoint);
+  apply_end (scheduler, task, (gp_end_t)end->how, now, wall_ms);
+}
+
+void
+gp_scheduler_absent (gp_scheduler_t *scheduler, gp_executor_t *executor,
+                     const Gp__Jobs__TaskRun *run, gp_time_t now)
+{
+  gp_job_task_t *task = gp_book_task (scheduler->book, run->task);
+
+  if (task == NULL)
+    return;
+  if (task->executor == executor && task->run == run->run)
+    {
+      add_order (scheduler, GP_ORDER_FORGET, task);
+      executor->full_until = now + FULL_TIME;
+      release (scheduler, task);
+      gp_log (GP_LOG_INFO, "run.absent", GP_LOG_S ("task", run->task),
+              GP_LOG_I ("run", run->run), GP_LOG_S ("executor", executor->id));
+      return;
+    }
+  const gp_order_t order = { .kind = GP_ORDER_FORGET,
+                             .executor = executor,
+                             .task = task,
+                             .run = run->run };
+
+  g_array_append_val (scheduler->orders, order);
+}
+
+void
+gp_scheduler_dead (gp_scheduler_t *scheduler, gp_executor_t *executor)
+{
+  gp_log (GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
+          GP_LOG_I ("runs", executor->task_count));
+  executor->dead = true;
+  executor->reachable = false;
+  GP_LIST_FOREACH_SAFE (link, &executor->tasks)
+  release (scheduler, GP_CONTAINER_OF (link, gp_job_task_t, on_executor));
+}
+
+void
+gp_scheduler_evacuate (gp_scheduler_t *scheduler, gp_executor_t *executor,
+                       gp_time_t now)
+{
+  bool soon = now >= executor->leaves_at - LEAVE_MARGIN;
+
+  GP_LIST_FOREACH_SAFE (link, &executor->tasks)
+  {
+    gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+    const Gp__Jobs__Step *step = gp_task_step (task);
+
+    if (step->long_running || (step->checkpointing && soon))
+      stop_task (scheduler, task);
+  }
+}
+
+void
+gp_scheduler_plan (gp_scheduler_t *scheduler, gp_time_t now, int64_t wall_ms)
+{
+  GPtrArray *placed = g_ptr_array_new ();
+
+  scheduler->next_due
+      = gp_placer_assign (scheduler->book, now, wall_ms, placed);
+  for (guint i = 0; i < placed->len; i++)
+    {
+      gp_job_task_t *task = g_ptr_array_index (placed, i);
+
+      add_order (scheduler, GP_ORDER_START, task);
+      mark_dirty (scheduler, task->job);
+    }
+  g_ptr_array_free (placed, TRUE);
+}
--- /dev/null
+++ b/src/jobs/scheduler.h
@@ -0,0 +1,75 @@
+/* Decisions of the leading entry: which run goes where, and what its end
+   means.
+
+   Pure: events and NOW in, changed jobs and orders out.  The caller packs
+   the changed jobs into one append and sends the orders only after that is
+   acknowledged, so that whatever an executor may run stands on the log
+   first.  A task's run is given up on three proofs only: its end, the
+   guard's word that it is not there and never will be, or the certain death
+   of the executor.  */
+
+#ifndef GP_JOBS_SCHEDULER_H
+#define GP_JOBS_SCHEDULER_H
+
+#include "jobs/book.h"
+
+typedef enum
+{
+  GP_ORDER_START,
+  GP_ORDER_STOP,
+  GP_ORDER_FORGET, /* an absence is on record */
+  GP_ORDER_SEEN    /* ends up to a number are on record */
+} gp_order_kind_t;
+
+typedef struct
+{
+  gp_order_kind_t kind;
+  gp_executor_t *executor;
+  gp_job_task_t *task; /* not for GP_ORDER_SEEN */
+  uint32_t run;
+  uint64_t seen; /* for GP_ORDER_SEEN */
+} gp_order_t;
+
+typedef struct
+{
+  gp_book_t *book;
+  gp_list_t dirty;    /* gp_job_t.dirty_link */
+  GArray *orders;     /* gp_order_t, in the order of their decisions */
+  gp_time_t next_due; /* when gp_scheduler_plan has to look again at the
+                         latest */
+} gp_scheduler_t;
+
+void gp_scheduler_init (gp_scheduler_t *scheduler, gp_book_t *book);
+void gp_scheduler_finish (gp_scheduler_t *scheduler);
+
+/* Forget what is pending, for a new term as leader.  */
+void gp_scheduler_reset (gp_scheduler_t *scheduler);
+
+/* JOB has come or was cancelled.  */
+void gp_scheduler_job (gp_scheduler_t *scheduler, gp_job_t *job,
+                       int64_t wall_ms);
+
+/* EXECUTOR lists END.  */
+void gp_scheduler_end (gp_scheduler_t *scheduler, gp_executor_t *executor,
+                       const Gp__Jobs__End *end, gp_time_t now,
+                       int64_t wall_ms);
+
+/* The guard says that RUN never ran on EXECUTOR and never will.  */
+void gp_scheduler_absent (gp_scheduler_t *scheduler, gp_executor_t *executor,
+                          const Gp__Jobs__TaskRun *run, gp_time_t now);
+
+/* EXECUTOR certainly runs nothing any more.  */
+void gp_scheduler_dead (gp_scheduler_t *scheduler, gp_executor_t *executor);
+
+/* EXECUTOR is about to leave: take off what has to go on elsewhere.  */
+void gp_scheduler_evacuate (gp_scheduler_t *scheduler, gp_executor_t *executor,
+                            gp_time_t now);
+
+/* Assign what waits.  */
+void gp_scheduler_plan (gp_scheduler_t *scheduler, gp_time_t now,
+                        int64_t wall_ms);
+
+/* Should TASK, which is on an executor's list, be at work there?  */
+bool gp_scheduler_wanted (const gp_job_task_t *task);
+
+#endif
--- /dev/null
+++ b/src/jobsd/entry.c
@@ -0,0 +1,320 @@
+/* The entry of a site that runs on the platform.  */
+
+#include "jobsd/entry.h"
+
+#include <string.h>
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "platform/jobs_http.h"
+
+/* What a caller may send; the documents known allow no more.  */
+#define BODY_MAX ((size_t)256 * 1024)
+#define HEADER_TIME (15 * GP_SEC)
+/* A stopping entry serves on until the balancer has seen it unready twice,
+   at one look a second, and some more.  */
+#define SERVE_ON_TIME (3200 * GP_MSEC)
+/* Followers read progress in portions: a state that is told so late costs a
+   caller nothing, and each read has its price.  */
+#define PROGRESS_SPACING (60 * GP_MSEC)
+/* How old the book may be for this entry to be ready.  */
+#define READY_AGE (6 * GP_SEC)
+
+static gp_counter_t jobs_gauge = GP_GAUGE ("jobs", "Jobs in the book");
+static gp_counter_t leading_gauge
+    = GP_GAUGE ("leading", "1 while this process leads");
+
+static void
+turn_record (gp_job_entry_t *entry, const gp_store_record_t *record)
+{
+  char *key = g_strndup (record->key, record->key_size);
+  size_t prefix = strlen (GP_CANCEL_PREFIX);
+  gp_job_t *job = NULL;
+  GError *error = NULL;
+
+  if (g_str_has_prefix (key, GP_CANCEL_PREFIX)
+      && gp_job_id_valid (key + prefix, record->key_size - prefix))
+    job = gp_book_cancel (&entry->book, key + prefix);
+  else if (gp_job_id_valid (key, record->key_size))
+    job = gp_book_submit (&entry->book, key, record->value, record->value_size,
+                          gp_loop_now (&entry->loop), &error);
+  if (error != NULL)
+    {
+      gp_log (GP_LOG_WARNING, "record.malformed",
+              GP_LOG_S ("why", error->message));
+      g_error_free (error);
+    }
+  if (job != NULL)
+    gp_leader_job (&entry->leader, job);
+  gp_counter_set (&jobs_gauge, g_hash_table_size (entry->book.jobs));
+  g_free (key);
+}
+
+static void
+on_job_record (const gp_store_record_t *record, void *data)
+{
+  if (record->value_size > 0)
+    turn_record (data, record);
+}
+
+static void
+on_progress_record (const gp_store_record_t *record, void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  if (record->value_size > 0)
+    gp_leader_record (&entry->leader, record);
+}
+
+static void
+on_document (const gp_store_record_t *record, void *data)
+{
+  gp_job_entry_t *entry = data;
+  gp_queues_t queues;
+  GError *error = NULL;
+
+  if (record->key_size != strlen (GP_STORE_DOCUMENT_KEY)
+      || memcmp (record->key, GP_STORE_DOCUMENT_KEY, record->key_size) != 0
+      || record->value_size == 0)
+    return;
+  gp_queues_init (&queues);
+  if (!gp_platform_document_parse (&queues, record->value, record->value_size,
+                                   &error))
+    {
+      gp_log (GP_LOG_WARNING, "document.malformed",
+              GP_LOG_S ("why", error->message));
+      g_error_free (error);
+    }
+  else if (gp_queues_replace (&entry->queues, &queues))
+    gp_log (GP_LOG_INFO, "document.in_force",
+            GP_LOG_I ("version", entry->queues.version),
+            GP_LOG_I ("queues", entry->queues.queues->len));
+  gp_queues_finish (&queues);
+}
+
+static void
+on_node (const gp_store_record_t *record, void *data)
+{
+  gp_job_entry_t *entry = data;
+  Gp__Jobs__Node *node;
+  char *name;
+
+  if (record->value_size == 0)
+    return;
+  node = gp__jobs__node__unpack (NULL, record->value_size, record->value);
+  name = g_strndup (record->key, record->key_size);
+  if (node == NULL)
+    gp_log (GP_LOG_WARNING, "record.malformed", GP_LOG_S ("key", name));
+  else if (node->guard)
+    gp_leader_guard (&entry->leader, name, node->address);
+  if (node != NULL)
+    gp__jobs__node__free_unpacked (node, NULL);
+  g_free (name);
+}
+
+static void
+on_fresh (void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_leader_fresh (&entry->leader, entry->progress.position,
+                   entry->progress.fresh_at,
+                   gp_feed_fresh (&entry->jobs, 2 * GP_SEC)
+                       && entry->nodes.loaded && entry->queues.version > 0);
+  gp_counter_set (&leading_gauge, entry->leader.role == GP_LEADER_LEADING);
+  if (entry->leader.role == GP_LEADER_LEADING)
+    gp_feed_stop (&entry->progress);
+}
+
+static void
+on_other_fresh (void *data)
+{
+}
+
+static void
+on_state (bool down, const char *reason, void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_log (GP_LOG_INFO, down ? "store.down" : "store.up",
+          GP_LOG_S ("why", reason));
+  gp_leader_deaf (&entry->leader);
+}
+
+static void
+on_deposed (void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_counter_set (&leading_gauge, 0);
+  gp_book_clear (&entry->book);
+  gp_feed_start (&entry->jobs);
+  gp_feed_start (&entry->progress);
+}
+
+static void
+init_feeds (gp_job_entry_t *entry)
+{
+  static const gp_feed_callbacks_t documents
+      = { on_document, on_other_fresh, on_state };
+  static const gp_feed_callbacks_t jobs
+      = { on_job_record, on_other_fresh, on_state };
+  static const gp_feed_callbacks_t progress
+      = { on_progress_record, on_fresh, on_state };
+  static const gp_feed_callbacks_t nodes
+      = { on_node, on_other_fresh, on_state };
+
+  gp_feed_init (&entry->documents, &entry->loop, entry->store,
+                GP_TOPIC_OPERATORS, 0, &documents, entry);
+  gp_feed_init (&entry->jobs, &entry->loop, entry->store, GP_TOPIC_JOBS, 0,
+                &jobs, entry);
+  gp_feed_init (&entry->progress, &entry->loop, entry->store,
+                GP_TOPIC_PROGRESS, PROGRESS_SPACING, &progress, entry);
+  gp_feed_init (&entry->nodes, &entry->loop, entry->store, GP_TOPIC_NODES, 0,
+                &nodes, entry);
+}
+
+/* Requests.  */
+
+static void
+on_request (gp_http_exchange_t *exchange, void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_jobs_front_request (&entry->front, exchange);
+}
+
+static bool
+is_ready (const gp_job_entry_t *entry)
+{
+  return !entry->stopping && entry->queues.version > 0 && entry->jobs.loaded
+         && (entry->progress.loaded
+             || entry->leader.role == GP_LEADER_LEADING);
+}
+
+static void
+on_ready_request (gp_http_exchange_t *exchange, void *data)
+{
+  gp_http_exchange_answer (exchange, is_ready (data) ? 200 : 503, NULL, 0,
+                           NULL, 0);
+}
+
+static void
+on_metrics (gp_http_exchange_t *exchange, void *data)
+{
+  GString *text = g_string_new (NULL);
+
+  gp_counters_format (text);
+  gp_http_exchange_answer (exchange, 200, NULL, 0, text->str, text->len);
+  g_string_free (text, TRUE);
+}
+
+static gp_http_server_t *
+open_server (gp_job_entry_t *entry, const char *address,
+             void (*on_call) (gp_http_exchange_t *exchange, void *data),
+             GError **error)
+{
+  const gp_http_server_options_t options = { .address = address,
+                                             .max_body_size = BODY_MAX,
+                                             .header_timeout = HEADER_TIME,
+                                             .on_request = on_call,
+                                             .data = entry };
+
+  return gp_http_server_new (&entry->loop, &options, error);
+}
+
+/* Life.  */
+
+static void
+on_served (void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_log (GP_LOG_INFO, "process.stop");
+  gp_loop_stop (&entry->loop);
+}
+
+static void
+on_leave (gp_timer_t *timer, void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_http_server_shutdown (entry->callers, on_served, entry);
+}
+
+static void
+on_stop (void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  if (entry->stopping)
+    return;
+  gp_log (GP_LOG_INFO, "process.stopping");
+  entry->stopping = true;
+  gp_leader_resign (&entry->leader);
+  gp_http_server_retire (entry->callers);
+  gp_timer_arm (&entry->leave, gp_loop_now (&entry->loop) + SERVE_ON_TIME);
+}
+
+bool
+gp_job_entry_init (gp_job_entry_t *entry,
+                   const gp_platform_settings_t *settings, GError **error)
+{
+  memset (entry, 0, sizeof *entry);
+  entry->settings = settings;
+  if (!gp_loop_init (&entry->loop, error))
+    return false;
+  gp_loop_on_signal (&entry->loop, on_stop, entry);
+  gp_counter_register (&jobs_gauge);
+  gp_counter_register (&leading_gauge);
+  gp_timer_init (&entry->leave, &entry->loop, on_leave, entry);
+  gp_book_init (&entry->book);
+  gp_queues_init (&entry->queues);
+  entry->store = gp_store_new (&entry->loop, settings->store, error);
+  if (entry->store == NULL)
+    return false;
+  init_feeds (entry);
+  gp_leader_init (&entry->leader, &entry->loop, entry->store, &entry->book,
+                  settings->node, on_deposed, entry);
+  gp_jobs_front_init (&entry->front, &entry->loop, entry->store, &entry->book,
+                      &entry->queues, &entry->jobs, on_job_record, entry);
+  entry->callers = open_server (entry, settings->front, on_request, error);
+  entry->ready = entry->callers != NULL ? open_server (entry, settings->ready,
+                                                       on_ready_request, error)
+                                        : NULL;
+  entry->metrics
+      = entry->ready != NULL
+            ? open_server (entry, settings->metrics, on_metrics, error)
+            : NULL;
+  if (entry->metrics == NULL)
+    return false;
+  gp_log (GP_LOG_INFO, "process.start", GP_LOG_S ("zone", settings->zone),
+          GP_LOG_S ("front", settings->front),
+          GP_LOG_S ("store", settings->store));
+  gp_feed_start (&entry->documents);
+  gp_feed_start (&entry->jobs);
+  gp_feed_start (&entry->progress);
+  gp_feed_start (&entry->nodes);
+  return true;
+}
+
+void
+gp_job_entry_run (gp_job_entry_t *entry)
+{
+  gp_loop_run (&entry->loop);
+}
+
+void
+gp_job_entry_finish (gp_job_entry_t *entry)
+{
+  gp_jobs_front_finish (&entry->front);
+  gp_feed_finish (&entry->documents);
+  gp_feed_finish (&entry->jobs);
+  gp_feed_finish (&entry->progress);
+  gp_feed_finish (&entry->nodes);
+  gp_leader_finish (&entry->leader);
+  gp_timer_finish (&entry->leave);
+  gp_loop_finish (&entry->loop);
+  gp_queues_finish (&entry->queues);
+  gp_book_finish (&entry->book);
+}
--- /dev/null
+++ b/src/jobsd/entry.h
@@ -0,0 +1,40 @@
+/* The entry of a site that runs on the platform: callers' requests, and the
+   lead over all executors when it falls to this process.  */
+
+#ifndef GP_JOBSD_ENTRY_H
+#define GP_JOBSD_ENTRY_H
+
+#include "jobs/book.h"
+#include "jobs/queues.h"
+#include "jobsd/feed.h"
+#include "jobsd/jobs_front.h"
+#include "jobsd/leader.h"
+#include "platform/settings.h"
+
+typedef struct
+{
+  const gp_platform_settings_t *settings;
+  gp_loop_t loop;
+  gp_store_t *store;
+  gp_http_server_t *callers;
+  gp_http_server_t *ready;
+  gp_http_server_t *metrics;
+  gp_book_t book;
+  gp_queues_t queues;
+  gp_feed_t documents;
+  gp_feed_t jobs;
+  gp_feed_t progress;
+  gp_feed_t nodes;
+  gp_jobs_front_t front;
+  gp_leader_t leader;
+  gp_timer_t leave; /* stopping: when callers are not served any more */
+  bool stopping;
+} gp_job_entry_t;
+
+bool gp_job_entry_init (gp_job_entry_t *entry,
+                        const gp_platform_settings_t *settings,
+                        GError **error);
+void gp_job_entry_run (gp_job_entry_t *entry);
+void gp_job_entry_finish (gp_job_entry_t *entry);
+
+#endif
--- /dev/null
+++ b/src/jobsd/feed.c
@@ -0,0 +1,192 @@
+/* Following a topic of the platform's log.  */
+
+#include "jobsd/feed.h"
+
+/* Duration of a long poll: an idle topic is known to be so that late.  */
+#define POLL_TIME (GP_SEC)
+/* Beyond the poll: a slow store answers within this, as a read that is given
+   up has to be made again.  */
+#define CALL_TIME (1500 * GP_MSEC)
+/* Pause after a failed call; a store that is back is noticed that late.  */
+#define RETRY_TIME (150 * GP_MSEC)
+
+static void step (gp_feed_t *feed);
+
+static void
+on_timer (gp_timer_t *timer, void *data)
+{
+  step (data);
+}
+
+void
+gp_feed_init (gp_feed_t *feed, gp_loop_t *loop, gp_store_t *store,
+              gp_topic_t topic, gp_time_t spacing,
+              const gp_feed_callbacks_t *callbacks, void *data)
+{
+  *feed = (gp_feed_t){ .loop = loop,
+                       .store = store,
+                       .topic = topic,
+                       .callbacks = callbacks,
+                       .data = data,
+                       .spacing = spacing,
+                       .fresh_at = INT64_MIN / 2 };
+  gp_timer_init (&feed->timer, loop, on_timer, feed);
+}
+
+void
+gp_feed_finish (gp_feed_t *feed)
+{
+  gp_feed_stop (feed);
+  gp_timer_finish (&feed->timer);
+}
+
+void
+gp_feed_stop (gp_feed_t *feed)
+{
+  if (feed->call != NULL)
+    gp_store_cancel (feed->call);
+  feed->call = NULL;
+  feed->running = false;
+  gp_timer_disarm (&feed->timer);
+  g_clear_pointer (&feed->after, g_free);
+}
+
+static void
+begin_load (gp_feed_t *feed)
+{
+  feed->loaded = false;
+  feed->first_page = true;
+  g_clear_pointer (&feed->after, g_free);
+}
+
+void
+gp_feed_start (gp_feed_t *feed)
+{
+  gp_feed_stop (feed);
+  feed->running = true;
+  feed->fresh_at = INT64_MIN / 2;
+  begin_load (feed);
+  step (feed);
+}
+
+bool
+gp_feed_fresh (const gp_feed_t *feed, gp_time_t age)
+{
+  return feed->fresh_at >= gp_loop_now (feed->loop) - age;
+}
+
+static void
+set_down (gp_feed_t *feed, bool down, const char *reason)
+{
+  if (feed->down == down)
+    return;
+  feed->down = down;
+  feed->callbacks->on_state (down, reason, feed->data);
+}
+
+static void
+wait_for (gp_feed_t *feed, gp_time_t duration)
+{
+  gp_timer_arm (&feed->timer, gp_loop_now (feed->loop) + duration);
+}
+
+static void
+deliver (gp_feed_t *feed, const gp_store_answer_t *answer)
+{
+  for (size_t i = 0; i < answer->count && feed->running; i++)
+    feed->callbacks->on_record (&answer->records[i], feed->data);
+}
+
+static void
+on_page (const gp_store_answer_t *answer, void *data)
+{
+  gp_feed_t *feed = data;
+
+  feed->call = NULL;
+  if (answer->result != GP_STORE_DONE)
+    {
+      set_down (feed, true, answer->reason);
+      wait_for (feed, RETRY_TIME);
+      return;
+    }
+  set_down (feed, false, "");
+  if (feed->first_page)
+    feed->load_end = answer->end;
+  feed->first_page = false;
+  deliver (feed, answer);
+  if (!feed->running)
+    return;
+  g_clear_pointer (&feed->after, g_free);
+  if (answer->more && answer->count > 0)
+    feed->after = g_strndup (answer->records[answer->count - 1].key,
+                             answer->records[answer->count - 1].key_size);
+  else
+    {
+      feed->loaded = true;
+      feed->position = feed->load_end;
+    }
+  step (feed);
+}
+
+static void
+on_read (const gp_store_answer_t *answer, void *data)
+{
+  gp_feed_t *feed = data;
+  gp_time_t now = gp_loop_now (feed->loop);
+
+  feed->call = NULL;
+  if (answer->result == GP_STORE_FORGOTTEN
+      || (answer->result == GP_STORE_DONE && answer->end < feed->position))
+    {
+      begin_load (feed);
+      step (feed);
+      return;
+    }
+  if (answer->result != GP_STORE_DONE)
+    {
+      set_down (feed, true, answer->reason);
+      wait_for (feed, RETRY_TIME);
+      return;
+    }
+  set_down (feed, false, "");
+  feed->position += answer->count;
+  deliver (feed, answer);
+  if (!feed->running)
+    return;
+  if (feed->position >= answer->end)
+    {
+      feed->fresh_at = answer->sent_at;
+      feed->callbacks->on_fresh (feed->data);
+    }
+  if (!feed->running)
+    return;
+  if (answer->count == 0 && now - answer->sent_at < RETRY_TIME)
+    wait_for (feed, RETRY_TIME);
+  else if (answer->sent_at + feed->spacing > now)
+    gp_timer_arm (&feed->timer, answer->sent_at + feed->spacing);
+  else
+    step (feed);
+}
+
+/* The first read after a load or a failure waits for nothing, so that the
+   feed is known to be fresh soon.  */
+static gp_time_t
+poll_time (const gp_feed_t *feed, gp_time_t now)
+{
+  return now - feed->fresh_at > 2 * POLL_TIME ? 0 : POLL_TIME;
+}
+
+static void
+step (gp_feed_t *feed)
+{
+  gp_time_t now = gp_loop_now (feed->loop);
+  gp_time_t wait = poll_time (feed, now);
+
+  feed->sent_at = now;
+  if (feed->loaded)
+    feed->call = gp_store_read (feed->store, feed->topic, feed->position, wait,
+                                now + wait + CALL_TIME, on_read, feed);
+  else
+    feed->call = gp_store_newest (feed->store, feed->topic, feed->after,
+                                  now + CALL_TIME, on_page, feed);
+}
--- /dev/null
+++ b/src/jobsd/guard.c
@@ -0,0 +1,618 @@
+/* The guard of a worker's VM: its executor's only caller.
+
+   It answers the executor's heartbeats, keeps one list call open at all
+   times, makes the calls that jobs/agent.c asks for and reports to the
+   leading entry, which connects to it.  A guard that is new on its VM
+   announces its address on the log once.  */
+
+#include "jobsd/guard.h"
+
+#include <string.h>
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "jobsd/link.h"
+
+/* A heartbeat is a few hundred bytes; the platform allows more than we
+   need.  */
+#define BODY_MAX ((size_t)64 * 1024)
+#define HEADER_TIME (5 * GP_SEC)
+/* Reports are leases, so a few have to fit into one.  */
+#define REPORT_TIME (300 * GP_MSEC)
+/* The executor holds a list call so long when nothing ends.  */
+#define LIST_WAIT (500 * GP_MSEC)
+/* Beyond that without an answer it is made again.  */
+#define LIST_TIME (600 * GP_MSEC)
+/* An order without an answer is repeated after this; an executor answers
+   within a few milliseconds.  */
+#define ORDER_TIME (300 * GP_MSEC)
+/* Least duration between two list calls: ends that come together then come
+   in one, and ends that are not yet on record do not make it spin.  */
+#define LIST_SPACING (15 * GP_MSEC)
+#define LIST_SPACING_UNSEEN (60 * GP_MSEC)
+#define LIST_RETRY_TIME (100 * GP_MSEC)
+#define CALLS_MAX 4
+#define ANNOUNCE_RETRY_TIME (500 * GP_MSEC)
+#define ANNOUNCE_TIME (2 * GP_SEC)
+
+static gp_counter_t starts_count
+    = GP_COUNTER ("guard_starts_total", "Start orders sent to the executor");
+static gp_counter_t unanswered_count = GP_COUNTER (
+    "guard_unanswered_total", "Orders that the executor did not answer");
+static gp_counter_t ends_count
+    = GP_COUNTER ("guard_ends_total", "Ends that the executor listed");
+static gp_counter_t runs_gauge
+    = GP_GAUGE ("guard_runs", "Runs that belong on the executor");
+static gp_counter_t pace_gauge
+    = GP_GAUGE ("guard_pace_percent", "Speed that filling runs are held to");
+
+/* An order until its answer.  */
+typedef struct
+{
+  gp_job_guard_t *guard;
+  gp_agent_call_kind_t kind;
+  char *executor;
+  char name[GP_TASK_NAME_SIZE];
+  uint32_t run;
+} order_t;
+
+static void
+act_soon (gp_job_guard_t *guard)
+{
+  gp_deferred_schedule (&guard->act, &guard->loop);
+}
+
+static gp_time_t
+now_of (gp_job_guard_t *guard)
+{
+  return gp_loop_now (&guard->loop);
+}
+
+/* Reports.  */
+
+static void
+report_runs (const gp_agent_t *agent, Gp__Jobs__Report *report, GArray *absent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_agent_run_t *run = value;
+      Gp__Jobs__TaskRun row = GP__JOBS__TASK_RUN__INIT;
+
+      if (run->phase != GP_RUN_ABSENT)
+        continue;
+      row.task = (char *)run->name;
+      row.run = run->run;
+      g_array_append_val (absent, row);
+    }
+  report->absent = g_new (Gp__Jobs__TaskRun *, absent->len);
+  for (guint i = 0; i < absent->len; i++)
+    report->absent[report->n_absent++]
+        = &g_array_index (absent, Gp__Jobs__TaskRun, i);
+}
+
+static void
+send_report (gp_job_guard_t *guard)
+{
+  gp_agent_t *agent = &guard->agent;
+  gp_time_t now = now_of (guard);
+  Gp__Jobs__Report report = GP__JOBS__REPORT__INIT;
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+  GArray *absent;
+
+  gp_timer_arm (&guard->report, now + REPORT_TIME);
+  if (guard->leader == NULL)
+    return;
+  absent = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
+  report.sent_at = now;
+  report.node = guard->settings->node;
+  report.executor = agent->executor;
+  report.lapsed = gp_agent_lapsed (agent, now);
+  report.synced = agent->synced;
+  report.ends = (Gp__Jobs__End **)agent->ends->pdata;
+  report.n_ends = agent->ends->len;
+  report_runs (agent, &report, absent);
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_REPORT;
+  frame.report = &report;
+  gp_link_send (guard->leader, &frame);
+  g_free (report.absent);
+  g_array_free (absent, TRUE);
+  gp_counter_set (&runs_gauge, g_hash_table_size (agent->runs));
+  gp_counter_set (&pace_gauge, agent->pacer.level);
+}
+
+static void
+on_report_due (gp_timer_t *timer, void *data)
+{
+  send_report (data);
+}
+
+/* Calls to the executor.  */
+
+static gp_agent_result_t
+agent_result (gp_order_result_t result)
+{
+  switch (result)
+    {
+    case GP_ORDER_TAKEN:
+      return GP_AGENT_TAKEN;
+    case GP_ORDER_FENCED:
+      return GP_AGENT_FENCED;
+    case GP_ORDER_OLD:
+      return GP_AGENT_TOO_OLD;
+    case GP_ORDER_LATE:
+      return GP_AGENT_TOO_LATE;
+    case GP_ORDER_NO_ROOM:
+      return GP_AGENT_NO_ROOM;
+    case GP_ORDER_REFUSED:
+      return GP_AGENT_REFUSED;
+    case GP_ORDER_REPLACED:
+      return GP_AGENT_REPLACED;
+    case GP_ORDER_UNKNOWN:
+      return GP_AGENT_UNANSWERED;
+    }
+  return GP_AGENT_UNANSWERED;
+}
+
+static bool
+is_current (const gp_job_guard_t *guard, const char *executor)
+{
+  return guard->agent.executor != NULL
+         && strcmp (guard->agent.executor->id, executor) == 0;
+}
+
+static void
+on_ordered (gp_order_result_t result, int64_t clock_ms, void *data)
+{
+  order_t *order = data;
+  gp_job_guard_t *guard = order->guard;
+
+  guard->calls_open--;
+  if (result == GP_ORDER_UNKNOWN)
+    gp_counter_add (&unanswered_count, 1);
+  if (is_current (guard, order->executor))
+    gp_agent_answered (&guard->agent, order->kind, order->name, order->run,
+                       agent_result (result), clock_ms, now_of (guard));
+  g_free (order->executor);
+  g_free (order);
+  act_soon (guard);
+}
+
+static void
+make_call (gp_job_guard_t *guard, const gp_agent_call_t *call)
+{
+  static const ProtobufCBinaryData nothing = { 0, NULL };
+  gp_agent_t *agent = &guard->agent;
+  order_t *order = g_new0 (order_t, 1);
+  const gp_runtime_order_t what = { .executor = agent->executor->id,
+                                    .task = call->run->name,
+                                    .run = call->run->run,
+                                    .fence = agent->fence,
+                                    .deadline = now_of (guard) + ORDER_TIME };
+  const Gp__Jobs__Start *start = call->run->start;
+
+  order->guard = guard;
+  order->kind = call->kind;
+  order->executor = g_strdup (agent->executor->id);
+  g_strlcpy (order->name, call->run->name, sizeof order->name);
+  order->run = call->run->run;
+  guard->calls_open++;
+  switch (call->kind)
+    {
+    case GP_AGENT_CALL_START:
+      gp_counter_add (&starts_count, 1);
+      gp_platform_runtime_start (guard->runtime, &what,
+                                 start != NULL ? &start->spec : &nothing,
+                                 start != NULL ? &start->checkpoint : &nothing,
+                                 call->lease_ms, on_ordered, order);
+      break;
+    case GP_AGENT_CALL_STOP:
+      gp_platform_runtime_stop (guard->runtime, &what, on_ordered, order);
+      break;
+    case GP_AGENT_CALL_PACE:
+      gp_platform_runtime_pace (guard->runtime, &what, call->percent,
+                                on_ordered, order);
+      break;
+    case GP_AGENT_CALL_NONE:
+      break;
+    }
+}
+
+static void
+make_calls (gp_job_guard_t *guard)
+{
+  gp_time_t again_at = GP_TIME_NEVER;
+
+  while (guard->calls_open < CALLS_MAX && guard->agent.executor != NULL)
+    {
+      gp_agent_call_t call
+          = gp_agent_next_call (&guard->agent, now_of (guard), &again_at);
+
+      if (call.kind == GP_AGENT_CALL_NONE)
+        break;
+      make_call (guard, &call);
+    }
+  if (again_at != GP_TIME_NEVER)
+    gp_timer_arm (&guard->calls, again_at);
+}
+
+static void
+on_calls_due (gp_timer_t *timer, void *data)
+{
+  act_soon (data);
+}
+
+static void
+on_act (gp_deferred_t *deferred)
+{
+  make_calls (GP_CONTAINER_OF (deferred, gp_job_guard_t, act));
+}
+
+/* The list.  */
+
+static void
+take_list (gp_job_guard_t *guard, const gp_runtime_list_t *list)
+{
+  gp_agent_row_t *rows = g_new (gp_agent_row_t, list->run_count);
+  uint64_t listed = guard->agent.listed_ends;
+
+  for (size_t i = 0; i < list->run_count; i++)
+    rows[i] = (gp_agent_row_t){ list->runs[i].task, list->runs[i].run,
+                                list->runs[i].percent, list->runs[i].measure };
+  if (gp_agent_listed (&guard->agent, rows, list->run_count, list->ends,
+                       list->end_count, list->clock_ms, list->sent_at,
+                       now_of (guard)))
+    send_report (guard);
+  gp_counter_add (&ends_count, (int64_t)(guard->agent.listed_ends - listed));
+  g_free (rows);
+  act_soon (guard);
+}
+
+static void
+on_listed (const gp_runtime_list_t *list, void *data)
+{
+  gp_job_guard_t *guard = data;
+  gp_time_t now = now_of (guard);
+  gp_time_t pause = LIST_SPACING;
+
+  guard->listing = false;
+  if (guard->agent.executor == NULL)
+    return;
+  if (list->result == GP_ORDER_TAKEN)
+    take_list (guard, list);
+  else
+    {
+      pause = LIST_RETRY_TIME;
+      gp_agent_list_refused (&guard->agent, agent_result (list->result),
+                             list->clock_ms, now);
+    }
+  if (guard->agent.ends->len > 0)
+    pause = MAX (pause, LIST_SPACING_UNSEEN);
+  gp_timer_arm (&guard->list, now + pause);
+}
+
+static void
+ask_list (gp_job_guard_t *guard)
+{
+  gp_agent_t *agent = &guard->agent;
+  gp_time_t now = now_of (guard);
+  gp_runtime_order_t order
+      = { .fence = agent->fence, .deadline = now + LIST_WAIT + LIST_TIME };
+
+  if (guard->listing || agent->executor == NULL)
+    return;
+  order.executor = agent->executor->id;
+  guard->listing = true;
+  gp_platform_runtime_list (guard->runtime, &order, agent->seen_ends,
+                            gp_agent_list_lease (agent, now), LIST_WAIT,
+                            on_listed, guard);
+}
+
+static void
+on_list_due (gp_timer_t *timer, void *data)
+{
+  ask_list (data);
+}
+
+/* Heartbeats.  */
+
+static void
+take_heartbeat (gp_job_guard_t *guard, const char *id,
+                gp_heartbeat_t *heartbeat)
+{
+  bool known = is_current (guard, id);
+  bool changed;
+
+  if (g_strcmp0 (guard->gone, id) == 0
+      || (known && heartbeat->sequence < guard->beat_sequence))
+    return;
+  if (!known && guard->agent.executor != NULL)
+    {
+      g_free (guard->gone);
+      guard->gone = g_strdup (guard->agent.executor->id);
+    }
+  changed
+      = !known
+        || guard->agent.executor->draining != heartbeat->executor->draining;
+  guard->beat_sequence = heartbeat->sequence;
+  gp_agent_set_executor (&guard->agent, g_steal_pointer (&heartbeat->executor),
+                         heartbeat->clock_ms, now_of (guard));
+  if (changed)
+    send_report (guard);
+  if (!guard->listing)
+    ask_list (guard);
+}
+
+static int
+on_heartbeat (gp_job_guard_t *guard, const char *id, gp_http_text_t body)
+{
+  gp_heartbeat_t heartbeat = { 0 };
+  GError *error = NULL;
+
+  if (!gp_platform_heartbeat_parse (&heartbeat, id, body.base, body.size,
+                                    &error))
+    {
+      gp_log (GP_LOG_WARNING, "heartbeat.malformed",
+              GP_LOG_S ("why", error->message));
+      g_error_free (error);
+      return 400;
+    }
+  take_heartbeat (guard, id, &heartbeat);
+  gp_heartbeat_finish (&heartbeat);
+  return 200;
+}
+
+static void
+on_goodbye (gp_job_guard_t *guard, const char *id)
+{
+  gp_log (GP_LOG_INFO, "executor.left", GP_LOG_S ("executor", id));
+}
+
+static void
+on_request (gp_http_exchange_t *exchange, void *data)
+{
+  gp_job_guard_t *guard = data;
+  gp_http_text_t path = gp_http_exchange_path (exchange);
+  char *id;
+  int status = 404;
+
+  switch (gp_platform_beat_kind (path.base, path.size, &id))
+    {
+    case GP_BEAT_HEARTBEAT:
+      status = on_heartbeat (guard, id, gp_http_exchange_body (exchange));
+      break;
+    case GP_BEAT_GOODBYE:
+      on_goodbye (guard, id);
+      status = 200;
+      break;
+    case GP_BEAT_OTHER:
+      break;
+    }
+  g_free (id);
+  gp_http_exchange_answer (exchange, status, NULL, 0, "{}", 2);
+}
+
+/* The leader.  */
+
+static void
+on_lead (gp_job_guard_t *guard, gp_peer_t *peer, const Gp__Jobs__Lead *lead)
+{
+  if (lead->epoch < guard->epoch)
+    {
+      gp_log (GP_LOG_INFO, "leader.outdated", GP_LOG_S ("leader", lead->node),
+              GP_LOG_I ("epoch", lead->epoch),
+              GP_LOG_I ("current", guard->epoch));
+      gp_peer_close (peer, true);
+      return;
+    }
+  if (guard->leader != NULL && guard->leader != peer)
+    gp_peer_close (guard->leader, true);
+  guard->leader = peer;
+  guard->epoch = lead->epoch;
+  gp_agent_unsync (&guard->agent);
+  gp_log (GP_LOG_INFO, "leader.known", GP_LOG_S ("leader", lead->node),
+          GP_LOG_I ("epoch", lead->epoch));
+  send_report (guard);
+}
+
+static void
+on_frame (gp_peer_t *peer, const uint8_t *bytes, size_t size, void *data)
+{
+  gp_job_guard_t *guard = data;
+  Gp__Jobs__Frame *frame = gp_link_parse (bytes, size);
+
+  if (frame == NULL)
+    {
+      gp_peer_close (peer, true);
+      return;
+    }
+  if (frame->message_case == GP__JOBS__FRAME__MESSAGE_LEAD)
+    on_lead (guard, peer, frame->lead);
+  else if (peer == guard->leader)
+    switch (frame->message_case)
+      {
+      case GP__JOBS__FRAME__MESSAGE_ACKNOWLEDGE:
+        gp_agent_acknowledged (&guard->agent, frame->acknowledge->sent_at);
+        break;
+      case GP__JOBS__FRAME__MESSAGE_SYNC:
+        gp_agent_sync (&guard->agent, frame->sync);
+        send_report (guard);
+        break;
+      case GP__JOBS__FRAME__MESSAGE_ORDERS:
+        gp_agent_order (&guard->agent, frame->orders);
+        break;
+      case GP__JOBS__FRAME__MESSAGE__NOT_SET:
+      case GP__JOBS__FRAME__MESSAGE_LEAD:
+      case GP__JOBS__FRAME__MESSAGE_REPORT:
+      default:
+        break;
+      }
+  gp__jobs__frame__free_unpacked (frame, NULL);
+  act_soon (guard);
+}
+
+static void
+on_close (gp_peer_t *peer, const GError *reason, void *data)
+{
+  gp_job_guard_t *guard = data;
+
+  if (guard->leader != peer)
+    return;
+  guard->leader = NULL;
+  gp_log (GP_LOG_INFO, "leader.lost",
+          GP_LOG_S ("why", reason != NULL ? reason->message : "closed here"));
+}
+
+static void *
+on_accept (gp_peer_t *peer, void *data)
+{
+  return data;
+}
+
+/* The announcement of this guard's address.  */
+
+static void
+on_announced (const gp_store_answer_t *answer, void *data)
+{
+  gp_job_guard_t *guard = data;
+
+  if (answer->result == GP_STORE_DONE)
+    return;
+  gp_log (GP_LOG_WARNING, "announce.failed", GP_LOG_S ("why", answer->reason));
+  gp_timer_arm (&guard->announce, now_of (guard) + ANNOUNCE_RETRY_TIME);
+}
+
+static void
+announce (gp_job_guard_t *guard)
+{
+  Gp__Jobs__Node node = GP__JOBS__NODE__INIT;
+  GByteArray *batch = g_byte_array_new ();
+  uint8_t *bytes;
+  size_t size;
+
+  node.address = guard->settings->peers;
+  node.guard = true;
+  node.zone = guard->settings->zone;
+  node.incarnation = (uint64_t)gp_time_wall ();
+  size = gp__jobs__node__get_packed_size (&node);
+  bytes = g_malloc (size);
+  gp__jobs__node__pack (&node, bytes);
+  gp_store_batch_add (batch, guard->settings->node, bytes, size);
+  gp_store_append (guard->store, GP_TOPIC_NODES, batch, GP_STORE_ANYWHERE,
+                   now_of (guard) + ANNOUNCE_TIME, on_announced, guard);
+  g_free (bytes);
+  g_byte_array_unref (batch);
+}
+
+static void
+on_announce_due (gp_timer_t *timer, void *data)
+{
+  announce (data);
+}
+
+/* Life.  */
+
+static void
+on_metrics (gp_http_exchange_t *exchange, void *data)
+{
+  GString *text = g_string_new (NULL);
+
+  gp_counters_format (text);
+  gp_http_exchange_answer (exchange, 200, NULL, 0, text->str, text->len);
+  g_string_free (text, TRUE);
+}
+
+static void
+on_stop (void *data)
+{
+  gp_job_guard_t *guard = data;
+
+  gp_log (GP_LOG_INFO, "process.stop");
+  guard->stopping = true;
+  gp_loop_stop (&guard->loop);
+}
+
+static void
+register_counters (void)
+{
+  gp_counter_register (&starts_count);
+  gp_counter_register (&unanswered_count);
+  gp_counter_register (&ends_count);
+  gp_counter_register (&runs_gauge);
+  gp_counter_register (&pace_gauge);
+}
+
+static bool
+open_servers (gp_job_guard_t *guard, GError **error)
+{
+  static const gp_peer_callbacks_t callbacks
+      = { .on_frame = on_frame, .on_close = on_close };
+  gp_http_server_options_t options = { .address = guard->settings->beats,
+                                       .max_body_size = BODY_MAX,
+                                       .header_timeout = HEADER_TIME,
+                                       .on_request = on_request,
+                                       .data = guard };
+
+  guard->beats = gp_http_server_new (&guard->loop, &options, error);
+  if (guard->beats == NULL)
+    return false;
+  options.address = guard->settings->metrics;
+  options.on_request = on_metrics;
+  guard->metrics = gp_http_server_new (&guard->loop, &options, error);
+  if (guard->metrics == NULL)
+    return false;
+  guard->peers = gp_peer_listen (&guard->loop, guard->settings->peers, NULL,
+                                 &callbacks, on_accept, guard, error);
+  return guard->peers != NULL;
+}
+
+bool
+gp_job_guard_init (gp_job_guard_t *guard,
+                   const gp_platform_settings_t *settings, GError **error)
+{
+  memset (guard, 0, sizeof *guard);
+  guard->settings = settings;
+  if (!gp_loop_init (&guard->loop, error))
+    return false;
+  gp_loop_on_signal (&guard->loop, on_stop, guard);
+  register_counters ();
+  gp_agent_init (&guard->agent);
+  gp_deferred_init (&guard->act, on_act);
+  gp_timer_init (&guard->report, &guard->loop, on_report_due, guard);
+  gp_timer_init (&guard->calls, &guard->loop, on_calls_due, guard);
+  gp_timer_init (&guard->list, &guard->loop, on_list_due, guard);
+  gp_timer_init (&guard->announce, &guard->loop, on_announce_due, guard);
+  guard->store = gp_store_new (&guard->loop, settings->store, error);
+  if (guard->store == NULL)
+    return false;
+  guard->runtime
+      = gp_platform_runtime_new (&guard->loop, settings->executor, error);
+  if (guard->runtime == NULL || !open_servers (guard, error))
+    return false;
+  gp_log (GP_LOG_INFO, "process.start", GP_LOG_S ("zone", settings->zone),
+          GP_LOG_S ("executor", settings->executor),
+          GP_LOG_S ("peers", settings->peers));
+  announce (guard);
+  return true;
+}
+
+void
+gp_job_guard_run (gp_job_guard_t *guard)
+{
+  gp_loop_run (&guard->loop);
+}
+
+void
+gp_job_guard_finish (gp_job_guard_t *guard)
+{
+  gp_timer_finish (&guard->report);
+  gp_timer_finish (&guard->calls);
+  gp_timer_finish (&guard->list);
+  gp_timer_finish (&guard->announce);
+  gp_loop_finish (&guard->loop);
+  gp_agent_finish (&guard->agent);
+  g_free (guard->gone);
+}
--- /dev/null
+++ b/src/jobsd/guard.h
@@ -0,0 +1,44 @@
+/* The guard of a worker's VM: its executor's only caller.  */
+
+#ifndef GP_JOBSD_GUARD_H
+#define GP_JOBSD_GUARD_H
+
+#include "jobs/agent.h"
+#include "platform/runtime.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+#include "transport/http.h"
+#include "transport/peer.h"
+
+typedef struct
+{
+  const gp_platform_settings_t *settings;
+  gp_loop_t loop;
+  gp_store_t *store;
+  gp_platform_runtime_t *runtime;
+  gp_http_server_t *beats;
+  gp_http_server_t *metrics;
+  gp_peer_server_t *peers;
+  gp_peer_t *leader; /* the connection of the leader, or NULL */
+  uint64_t epoch;    /* the highest seen */
+  gp_agent_t agent;
+  gp_timer_t report; /* the next report is due */
+  gp_timer_t calls;  /* a call may be repeated */
+  gp_timer_t list;   /* the next list is due */
+  gp_timer_t announce;
+  gp_deferred_t act; /* make the calls that are due */
+  unsigned calls_open;
+  bool listing;
+  bool stopping;
+  gp_time_t unknown_since; /* the executor answers as another one since */
+  uint64_t beat_sequence;  /* of the executor's last heartbeat */
+  char *gone;              /* id of the executor before this one, or NULL */
+} gp_job_guard_t;
+
+bool gp_job_guard_init (gp_job_guard_t *guard,
+                        const gp_platform_settings_t *settings,
+                        GError **error);
+void gp_job_guard_run (gp_job_guard_t *guard);
+void gp_job_guard_finish (gp_job_guard_t *guard);
+
+#endif
--- /dev/null
+++ b/src/jobsd/jobs_front.c
@@ -0,0 +1,482 @@
+/* Callers' requests: submit, show and cancel jobs.
+
+   A change is answered with success only when its record is on the log.  It
+   is refused only when the store has told that nothing was done, every time
+   that it was asked; as long as one try went unanswered the same record is
+   appended again, and at the end of the caller's patience the answer leaves
+   open what came of it.  Both are safe to repeat: a record with the key of
+   one that is there changes nothing.  */
+
+#include "jobsd/jobs_front.h"
+
+#include <string.h>
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "platform/jobs_http.h"
+
+/* How long a caller waits who does not tell.  */
+#define PATIENCE_DEFAULT (3 * GP_SEC)
+#define PATIENCE_MAX (10 * GP_SEC)
+/* The answer leaves so long before the caller's patience ends: the way back
+   and a busy loop.  */
+#define ANSWER_MARGIN (300 * GP_MSEC)
+/* One try of an append; the store answers in a few milliseconds, or up to
+   half a second when it is slow.  */
+#define TRY_TIME (700 * GP_MSEC)
+#define TRY_PAUSE (50 * GP_MSEC)
+/* What a caller is told to wait after a refusal, in seconds.  */
+#define RETRY_AFTER "1"
+/* How old the book may be for an answer that a job does not exist.  */
+#define ABSENCE_AGE (2500 * GP_MSEC)
+#define DEADLINE_HEADER "x-request-deadline"
+
+static gp_counter_t accepted_count
+    = GP_COUNTER ("jobs_accepted_total", "Submissions that are on the log");
+static gp_counter_t repeated_count = GP_COUNTER (
+    "jobs_repeated_total", "Submissions of a job that is known already");
+static gp_counter_t refused_count = GP_COUNTER (
+    "jobs_refused_total", "Submissions refused because of the store");
+static gp_counter_t open_count = GP_COUNTER (
+    "jobs_unknown_total", "Changes whose fate was left open to the caller");
+static gp_counter_t cancelled_count
+    = GP_COUNTER ("jobs_cancelled_total", "Cancellations on the log");
+
+/* A submission or cancellation until its answer.  */
+typedef struct
+{
+  gp_list_t link;
+  gp_jobs_front_t *front;
+  gp_http_exchange_t *exchange; /* NULL: the caller has gone */
+  char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
+  GByteArray *batch;
+  GBytes *value;
+  gp_time_t deadline;
+  gp_time_t since;
+  bool doubtful;
+  bool cancels;
+  gp_store_call_t *call; /* NULL: it waits for the next try */
+} change_t;
+
+static void try_append (change_t *change);
+
+/* Answers.  */
+
+static void
+answer (gp_http_exchange_t *exchange, int status, const char *body)
+{
+  static const gp_http_header_t headers[]
+      = { { "content-type", 12, "application/json", 16 },
+          { "retry-after", 11, RETRY_AFTER, 1 } };
+  bool later = status == 503 || status == 429;
+
+  gp_http_exchange_answer (exchange, status, headers, later ? 2 : 1, body,
+                           strlen (body));
+}
+
+static void
+answer_error (gp_http_exchange_t *exchange, int status, const char *why)
+{
+  char *body = g_strdup_printf ("{\"error\":\"%s\"}", why);
+
+  answer (exchange, status, body);
+  g_free (body);
+}
+
+/* Changes.  */
+
+static void
+free_change (change_t *change)
+{
+  gp_list_remove (&change->link);
+  if (change->call != NULL)
+    gp_store_cancel (change->call);
+  g_byte_array_unref (change->batch);
+  g_bytes_unref (change->value);
+  g_free (change);
+}
+
+static void
+end_change (change_t *change, int status, const char *why)
+{
+  gp_time_t now = gp_loop_now (change->front->loop);
+
+  gp_log (GP_LOG_INFO, change->cancels ? "cancel.answered" : "job.answered",
+          GP_LOG_S ("job", change->cancels
+                               ? change->key + strlen (GP_CANCEL_PREFIX)
+                               : change->key),
+          GP_LOG_I ("status", status), GP_LOG_S ("why", why),
+          GP_LOG_I ("after_ms", (now - change->since) / GP_MSEC),
+          GP_LOG_I ("doubtful", change->doubtful));
+  if (change->exchange != NULL)
+    {
+      if (status == 200)
+        answer (change->exchange, 200, "{}");
+      else
+        answer_error (change->exchange, status, why);
+    }
+  free_change (change);
+}
+
+static void
+change_done (change_t *change, uint64_t offset)
+{
+  gp_jobs_front_t *front = change->front;
+  gsize size;
+  gp_store_record_t record = { .offset = offset,
+                               .key = change->key,
+                               .key_size = strlen (change->key) };
+
+  record.value = g_bytes_get_data (change->value, &size);
+  record.value_size = size;
+  gp_counter_add (change->cancels ? &cancelled_count : &accepted_count, 1);
+  front->on_record (&record, front->data);
+  end_change (change, 200, "on the log");
+}
+
+static void
+try_again (change_t *change, const char *why)
+{
+  gp_time_t now = gp_loop_now (change->front->loop);
+
+  if (now + TRY_PAUSE < change->deadline)
+    {
+      gp_timer_arm (&change->front->retry, now + TRY_PAUSE);
+      return;
+    }
+  gp_counter_add (&open_count, 1);
+  end_change (change, 504, why);
+}
+
+static void
+on_appended (const gp_store_answer_t *result, void *data)
+{
+  change_t *change = data;
+
+  change->call = NULL;
+  switch (result->result)
+    {
+    case GP_STORE_DONE:
+      change_done (change, result->offset);
+      return;
+    case GP_STORE_UNKNOWN:
+      change->doubtful = true;
+      break;
+    case GP_STORE_REFUSED:
+    case GP_STORE_CONFLICT:
+    case GP_STORE_FORGOTTEN:
+      if (change->doubtful)
+        break;
+      gp_counter_add (&refused_count, 1);
+      end_change (change, 503, result->reason);
+      return;
+    }
+  try_again (change, result->reason);
+}
+
+static void
+try_append (change_t *change)
+{
+  gp_time_t now = gp_loop_now (change->front->loop);
+  gp_time_t deadline = MIN (now + TRY_TIME, change->deadline);
+
+  change->call = gp_store_append (
+      change->front->store, GP_TOPIC_JOBS, change->batch, GP_STORE_ANYWHERE,
+      MAX (deadline, now + TRY_PAUSE), on_appended, change);
+}
+
+static void
+on_retry (gp_timer_t *timer, void *data)
+{
+  gp_jobs_front_t *front = data;
+
+  GP_LIST_FOREACH (link, &front->changes)
+    {
+      change_t *change = GP_CONTAINER_OF (link, change_t, link);
+
+      if (change->call == NULL)
+        try_append (change);
+    }
+}
+
+static void
+on_gone (void *data)
+{
+  change_t *change = data;
+
+  change->exchange = NULL;
+}
+
+static gp_time_t
+patience (const gp_http_exchange_t *exchange)
+{
+  gp_http_text_t header = gp_http_exchange_header (exchange, DEADLINE_HEADER);
+  char text[32];
+  gp_time_t told;
+
+  if (header.base == NULL || header.size >= sizeof text)
+    return PATIENCE_DEFAULT;
+  memcpy (text, header.base, header.size);
+  text[header.size] = '\0';
+  told = (gp_time_t)g_ascii_strtoll (text, NULL, 10) * GP_MSEC;
+  return told > 0 && told < PATIENCE_MAX ? told : PATIENCE_DEFAULT;
+}
+
+/* Write a record with KEY and VALUE, which is taken over.  */
+static void
+start_change (gp_jobs_front_t *front, gp_http_exchange_t *exchange,
+              const char *id, bool cancels, GBytes *value)
+{
+  change_t *change = g_new0 (change_t, 1);
+  gsize size;
+  const uint8_t *data = g_bytes_get_data (value, &size);
+
+  change->front = front;
+  change->exchange = exchange;
+  change->cancels = cancels;
+  change->since = gp_loop_now (front->loop);
+  change->deadline = change->since + patience (exchange) - ANSWER_MARGIN;
+  g_snprintf (change->key, sizeof change->key, "%s%s",
+              cancels ? GP_CANCEL_PREFIX : "", id);
+  change->value = value;
+  change->batch = g_byte_array_new ();
+  gp_store_batch_add (change->batch, change->key, data, size);
+  gp_list_push_back (&front->changes, &change->link);
+  gp_http_exchange_watch (exchange, on_gone, NULL, change);
+  try_append (change);
+}
+
+/* Requests.  */
+
+static void
+set_policy (Gp__Jobs__Submission *submission, const gp_queue_t *queue)
+{
+  free (submission->queue);
+  free (submission->service);
+  submission->queue = strdup (queue->name);
+  submission->service = strdup (queue->service);
+  submission->priority = queue->priority;
+  submission->max_attempts = queue->max_attempts;
+  submission->stretch_percent = queue->stretch_percent;
+  submission->target_ms = queue->target_ms;
+  submission->accepted_wall_ms = gp_time_wall () / GP_MSEC;
+}
+
+static GBytes *
+pack_submission (const Gp__Jobs__Submission *submission)
+{
+  size_t size = gp__jobs__submission__get_packed_size (submission);
+  uint8_t *bytes = g_malloc (size);
+
+  gp__jobs__submission__pack (submission, bytes);
+  return g_bytes_new_take (bytes, size);
+}
+
+static void
+submit (gp_jobs_front_t *front, gp_http_exchange_t *exchange,
+        const gp_queue_t *queue, const char *id)
+{
+  gp_http_text_t body = gp_http_exchange_body (exchange);
+  const gp_job_t *job = gp_book_find (front->book, id);
+  Gp__Jobs__Submission *submission;
+  GError *error = NULL;
+
+  if (job != NULL && job->submission != NULL)
+    {
+      gp_counter_add (&repeated_count, 1);
+      answer (exchange, 200, "{}");
+      return;
+    }
+  submission = gp_platform_submission_parse (body.base, body.size, &error);
+  if (submission == NULL || !gp_job_check (submission, &error))
+    {
+      gp_log (GP_LOG_WARNING, "job.malformed", GP_LOG_S ("job", id),
+              GP_LOG_S ("why", error->message));
+      answer_error (exchange, 400, "the job does not decode");
+      g_error_free (error);
+    }
+  else
+    {
+      set_policy (submission, queue);
+      start_change (front, exchange, id, false, pack_submission (submission));
+    }
+  if (submission != NULL)
+    gp__jobs__submission__free_unpacked (submission, NULL);
+}
+
+/* That a job does not exist can be told only from a fresh book.  */
+static void
+answer_absent (gp_jobs_front_t *front, gp_http_exchange_t *exchange)
+{
+  if (gp_feed_fresh (front->jobs, ABSENCE_AGE))
+    answer_error (exchange, 410, "no such job");
+  else
+    answer_error (exchange, 503, "the log cannot be read");
+}
+
+static void
+show (gp_jobs_front_t *front, gp_http_exchange_t *exchange, const char *id)
+{
+  const gp_job_t *job = gp_book_find (front->book, id);
+  gp_job_state_t state;
+  char *body;
+
+  if (job == NULL || job->submission == NULL)
+    {
+      answer_absent (front, exchange);
+      return;
+    }
+  state = job->state;
+  if (job->cancelled && !gp_job_ended (job))
+    state = GP_JOB_CANCELLED;
+  body = gp_platform_state_body (gp_job_state_name (state));
+  answer (exchange, 200, body);
+  g_free (body);
+}
+
+static void
+cancel (gp_jobs_front_t *front, gp_http_exchange_t *exchange, const char *id)
+{
+  const gp_job_t *job = gp_book_find (front->book, id);
+
+  if (job != NULL && (job->cancelled || gp_job_ended (job)))
+    {
+      answer (exchange, 200, "{}");
+      return;
+    }
+  start_change (front, exchange, id, true, g_bytes_new ("1", 1));
+}
+
+static void
+show_queue (gp_jobs_front_t *front, gp_http_exchange_t *exchange,
+            const gp_queue_t *queue)
+{
+  char *body;
+
+  if (!gp_feed_fresh (front->jobs, ABSENCE_AGE))
+    {
+      answer_error (exchange, 503, "the log cannot be read");
+      return;
+    }
+  body = gp_platform_pending_body (gp_book_pending (front->book, queue->name));
+  answer (exchange, 200, body);
+  g_free (body);
+}
+
+static bool
+is_method (gp_http_text_t method, const char *name)
+{
+  return method.size == strlen (name)
+         && memcmp (method.base, name, method.size) == 0;
+}
+
+/* The host that the caller names, without its port.  */
+static gp_http_text_t
+host_of (const gp_http_exchange_t *exchange)
+{
+  gp_http_text_t host = gp_http_exchange_header (exchange, "host");
+  const char *colon
+      = host.base != NULL ? memchr (host.base, ':', host.size) : NULL;
+
+  if (colon != NULL)
+    host.size = (size_t)(colon - host.base);
+  return host;
+}
+
+static gp_http_text_t
+path_of (const gp_http_exchange_t *exchange)
+{
+  gp_http_text_t path = gp_http_exchange_path (exchange);
+  const char *query = memchr (path.base, '?', path.size);
+
+  if (query != NULL)
+    path.size = (size_t)(query - path.base);
+  return path;
+}
+
+static void
+dispatch (gp_jobs_front_t *front, gp_http_exchange_t *exchange,
+          const gp_queue_t *queue, gp_http_text_t rest)
+{
+  gp_http_text_t method = gp_http_exchange_method (exchange);
+  char id[GP_JOB_ID_SIZE + 1] = "";
+
+  if (rest.size == 0 && is_method (method, "GET"))
+    {
+      show_queue (front, exchange, queue);
+      return;
+    }
+  if (!gp_job_id_valid (rest.base, rest.size))
+    {
+      answer_error (exchange, 404, "not the id of a job");
+      return;
+    }
+  memcpy (id, rest.base, rest.size);
+  if (is_method (method, "POST"))
+    submit (front, exchange, queue, id);
+  else if (is_method (method, "GET"))
+    show (front, exchange, id);
+  else if (is_method (method, "DELETE"))
+    cancel (front, exchange, id);
+  else
+    answer_error (exchange, 405, "no such method");
+}
+
+void
+gp_jobs_front_request (gp_jobs_front_t *front, gp_http_exchange_t *exchange)
+{
+  gp_http_text_t host = host_of (exchange);
+  gp_http_text_t path = path_of (exchange);
+  const gp_queue_t *queue;
+  size_t prefix_size;
+
+  if (front->queues->version == 0)
+    {
+      answer_error (exchange, 503, "no document is known yet");
+      return;
+    }
+  queue = host.base != NULL ? gp_queues_find (front->queues, host.base,
+                                              host.size, path.base, path.size)
+                            : NULL;
+  if (queue == NULL)
+    {
+      answer_error (exchange, 404, "no such queue");
+      return;
+    }
+  prefix_size = strlen (queue->prefix);
+  path.base += prefix_size;
+  path.size -= prefix_size;
+  dispatch (front, exchange, queue, path);
+}
+
+void
+gp_jobs_front_init (gp_jobs_front_t *front, gp_loop_t *loop, gp_store_t *store,
+                    gp_book_t *book, const gp_queues_t *queues,
+                    const gp_feed_t *jobs,
+                    void (*on_record) (const gp_store_record_t *record,
+                                       void *data),
+                    void *data)
+{
+  *front = (gp_jobs_front_t){ .loop = loop,
+                              .store = store,
+                              .book = book,
+                              .queues = queues,
+                              .jobs = jobs,
+                              .on_record = on_record,
+                              .data = data };
+  gp_list_init (&front->changes);
+  gp_timer_init (&front->retry, loop, on_retry, front);
+  gp_counter_register (&accepted_count);
+  gp_counter_register (&repeated_count);
+  gp_counter_register (&refused_count);
+  gp_counter_register (&open_count);
+  gp_counter_register (&cancelled_count);
+}
+
+void
+gp_jobs_front_finish (gp_jobs_front_t *front)
+{
+  GP_LIST_FOREACH_SAFE (link, &front->changes)
+    free_change (GP_CONTAINER_OF (link, change_t, link));
+  gp_timer_finish (&front->retry);
+}
--- /dev/null
+++ b/src/jobsd/jobs_front.h
@@ -0,0 +1,42 @@
+/* Callers' requests: submit, show and cancel jobs.  */
+
+#ifndef GP_JOBSD_JOBS_FRONT_H
+#define GP_JOBSD_JOBS_FRONT_H
+
+#include "jobs/book.h"
+#include "jobs/queues.h"
+#include "jobsd/feed.h"
+#include "platform/store.h"
+#include "transport/http.h"
+
+/* The key of a job's cancellation is this and its id; that of its submission
+   is the id.  */
+#define GP_CANCEL_PREFIX "c."
+
+typedef struct
+{
+  gp_loop_t *loop;
+  gp_store_t *store;
+  gp_book_t *book;
+  const gp_queues_t *queues;
+  const gp_feed_t *jobs; /* for how fresh the book is */
+  gp_list_t changes;     /* submissions and cancellations in progress */
+  gp_timer_t retry;      /* some of them are to be tried again */
+  /* A record is on the log: fold it now, without waiting for the feed.  */
+  void (*on_record) (const gp_store_record_t *record, void *data);
+  void *data;
+} gp_jobs_front_t;
+
+void gp_jobs_front_init (gp_jobs_front_t *front, gp_loop_t *loop,
+                         gp_store_t *store, gp_book_t *book,
+                         const gp_queues_t *queues, const gp_feed_t *jobs,
+                         void (*on_record) (const gp_store_record_t *record,
+                                            void *data),
+                         void *data);
+void gp_jobs_front_finish (gp_jobs_front_t *front);
+
+/* Answer EXCHANGE, now or later.  */
+void gp_jobs_front_request (gp_jobs_front_t *front,
+                            gp_http_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/src/jobsd/leader.h
@@ -0,0 +1,124 @@
+/* The leading entry: the one process that assigns runs.
+
+   Any entry may lead.  The lead is taken by an append to the progress topic
+   that is refused unless the topic ends where its writer has read to, and
+   each later append has the same condition; so whoever appends next ends the
+   lead of the one before, and all that a leader decided is on the log or
+   never happened.  The offset of the record that took the lead is the epoch.
+
+   Orders leave only after the append that holds their reason was
+   acknowledged.  An append without an answer is repeated with the same bytes
+   and the same condition until its fate is known.
+
+   A guard's reports are leases: each one that is acknowledged lets the
+   executor work for GP_AGENT_LEASE_TIME more.  A leader acknowledges while
+   its own last append is at most GP_LEADER_TERM_TIME old.  So a new leader
+   knows when the leases that others gave have run out: that time and a lease
+   after the last record of the leader before.  */
+
+#ifndef GP_JOBSD_LEADER_H
+#define GP_JOBSD_LEADER_H
+
+#include "jobs/scheduler.h"
+#include "jobsd/feed.h"
+#include "jobsd/link.h"
+#include "platform/store.h"
+
+/* Duration after its last acknowledged append for which a leader may give
+   leases.  Outages of the store of 9 s are known on the users' sites; with a
+   lease behind it work goes on through 13 s.  */
+#define GP_LEADER_TERM_TIME (8 * GP_SEC)
+
+/* The key of the leader's record in the progress topic.  */
+#define GP_LEADER_KEY "leader"
+/* Before the name of a VM in the key that tells its executor.  */
+#define GP_PLACE_PREFIX "at."
+
+typedef enum
+{
+  GP_LEADER_FOLLOWING,
+  GP_LEADER_CLAIMING, /* the append that takes the lead is on its way */
+  GP_LEADER_LEADING
+} gp_leader_role_t;
+
+typedef struct gp_leader gp_leader_t;
+
+/* The connection to one guard.  */
+typedef struct
+{
+  gp_leader_t *leader;
+  char *node;
+  char *address;
+  gp_peer_t *peer;
+  gp_timer_t redial;
+  gp_executor_t *executor;   /* the one on the VM, NULL: none known */
+  gp_time_t acknowledged_at; /* the last acknowledgement was sent */
+  gp_time_t reported_at;     /* the last report came, or it was dialled */
+  uint64_t sync;             /* number of the last sync sent or being sent */
+  bool wants_sync;           /* the guard has to be told all its runs */
+  bool lapsed;               /* the executor's lease has run out */
+  bool up;                   /* it reports */
+} gp_link_t;
+
+struct gp_leader
+{
+  gp_loop_t *loop;
+  gp_store_t *store;
+  gp_book_t *book;
+  const char *node;
+  uint64_t incarnation;
+  gp_scheduler_t scheduler;
+  GHashTable *links;      /* node to gp_link_t, owned */
+  GHashTable *places;     /* node to id of its executor, owned */
+  GHashTable *new_places; /* key to record, owned: not yet written */
+  gp_leader_role_t role;
+  uint64_t epoch;
+  uint64_t position; /* the progress topic's end, as far as known */
+  uint64_t beat;
+  uint64_t sync_count;
+  gp_time_t confirmed_at;  /* sending of the last acknowledged append */
+  gp_time_t foreign_until; /* leases that others gave end by then */
+  gp_time_t heard_at;      /* the last record of another leader was read */
+  bool resigned;           /* the last leader's record says so */
+  bool led;                /* there was a leader's record at all */
+  GByteArray *batch;       /* the append in progress */
+  unsigned batch_records;
+  gp_time_t batch_sent_at; /* its first sending */
+  bool doubtful;           /* it went unanswered once */
+  bool resigning;          /* it gives the lead up */
+  gp_store_call_t *call;
+  GPtrArray *frames; /* gp_leader_frame_t, to be sent when it is done */
+  gp_time_t heartbeat_due;
+  gp_timer_t timer;
+  gp_timer_t retry;
+  gp_deferred_t turn;
+  bool stopping;
+  /* The lead was lost: the book has to be read anew.  */
+  void (*on_deposed) (void *data);
+  void *data;
+};
+
+void gp_leader_init (gp_leader_t *leader, gp_loop_t *loop, gp_store_t *store,
+                     gp_book_t *book, const char *node,
+                     void (*on_deposed) (void *data), void *data);
+void gp_leader_finish (gp_leader_t *leader);
+
+/* A record of the progress topic was read (while following).  */
+void gp_leader_record (gp_leader_t *leader, const gp_store_record_t *record);
+/* All up to POSITION was read, by a read sent at SENT_AT.  READY: the jobs
+   are known as well, so that the lead may be taken.  */
+void gp_leader_fresh (gp_leader_t *leader, uint64_t position,
+                      gp_time_t sent_at, bool ready);
+/* The progress topic could not be read for a while: silence says nothing.  */
+void gp_leader_deaf (gp_leader_t *leader);
+
+/* A guard's address is known.  */
+void gp_leader_guard (gp_leader_t *leader, const char *node,
+                      const char *address);
+/* JOB has come or was cancelled.  */
+void gp_leader_job (gp_leader_t *leader, gp_job_t *job);
+
+/* Give the lead up; ends when what is on its way is done.  */
+void gp_leader_resign (gp_leader_t *leader);
+
+#endif
--- /dev/null
+++ b/src/jobsd/leader_links.c
@@ -0,0 +1,560 @@
+/* The leading entry's connections to the guards.  */
+
+#include <string.h>
+
+#include "base/log.h"
+#include "jobs/agent.h"
+#include "jobsd/leader_private.h"
+
+/* A connection attempt that hangs is given up after this.  */
+#define DIAL_TIME (GP_SEC)
+#define REDIAL_TIME (200 * GP_MSEC)
+/* A guard reports every 300 ms; without a report for so long its executor
+   gets no new work and the connection is made anew.  */
+#define QUIET_TIME (1200 * GP_MSEC)
+
+/* A frame that waits for the append of its reason.  */
+typedef struct
+{
+  gp_link_t *link;
+  gp_peer_t *peer; /* the connection that it was made for */
+  GBytes *bytes;
+} frame_t;
+
+/* The orders of one executor, collected from the scheduler.  */
+typedef struct
+{
+  GPtrArray *starts; /* Gp__Jobs__Start */
+  GPtrArray *stops;  /* Gp__Jobs__TaskRun */
+  GPtrArray *forget; /* the same */
+  uint64_t seen;
+} outbox_t;
+
+static void dial (gp_link_t *link);
+
+/* Frames.  */
+
+static void
+frame_free (frame_t *frame)
+{
+  g_bytes_unref (frame->bytes);
+  g_free (frame);
+}
+
+static void
+keep_frame (gp_link_t *link, const Gp__Jobs__Frame *message)
+{
+  frame_t *frame = g_new (frame_t, 1);
+
+  frame->link = link;
+  frame->peer = link->peer;
+  frame->bytes = gp_link_pack (message);
+  g_ptr_array_add (link->leader->frames, frame);
+}
+
+void
+gp_leader_send_frames (gp_leader_t *leader)
+{
+  for (guint i = 0; i < leader->frames->len; i++)
+    {
+      frame_t *frame = g_ptr_array_index (leader->frames, i);
+
+      if (frame->peer != NULL && frame->peer == frame->link->peer)
+        gp_link_send_bytes (frame->peer, frame->bytes);
+      frame_free (frame);
+    }
+  g_ptr_array_set_size (leader->frames, 0);
+}
+
+static void
+drop_frames (gp_leader_t *leader)
+{
+  for (guint i = 0; i < leader->frames->len; i++)
+    frame_free (g_ptr_array_index (leader->frames, i));
+  g_ptr_array_set_size (leader->frames, 0);
+}
+
+static Gp__Jobs__Start *
+start_message (const gp_job_task_t *task)
+{
+  const Gp__Jobs__Step *step = gp_task_step (task);
+  Gp__Jobs__Start *start = g_new (Gp__Jobs__Start, 1);
+
+  gp__jobs__start__init (start);
+  start->task = g_malloc (GP_TASK_NAME_SIZE);
+  gp_task_name (task, start->task);
+  start->run = task->run;
+  start->spec = task->job->submission->spec;
+  if (task->checkpoint != NULL)
+    {
+      start->checkpoint.data = (uint8_t *)task->checkpoint;
+      start->checkpoint.len = strlen (task->checkpoint);
+    }
+  start->fills = step->fills;
+  start->target_ms = step->target_ms;
+  start->image = step->image;
+  return start;
+}
+
+static void
+free_start (gpointer data)
+{
+  Gp__Jobs__Start *start = data;
+
+  g_free (start->task);
+  g_free (start);
+}
+
+static Gp__Jobs__TaskRun *
+run_message (const gp_order_t *order)
+{
+  Gp__Jobs__TaskRun *run = g_new (Gp__Jobs__TaskRun, 1);
+
+  gp__jobs__task_run__init (run);
+  run->task = g_malloc (GP_TASK_NAME_SIZE);
+  gp_task_name (order->task, run->task);
+  run->run = order->run;
+  return run;
+}
+
+static void
+free_run (gpointer data)
+{
+  Gp__Jobs__TaskRun *run = data;
+
+  g_free (run->task);
+  g_free (run);
+}
+
+static void
+outbox_free (gpointer data)
+{
+  outbox_t *outbox = data;
+
+  g_ptr_array_unref (outbox->starts);
+  g_ptr_array_unref (outbox->stops);
+  g_ptr_array_unref (outbox->forget);
+  g_free (outbox);
+}
+
+static outbox_t *
+outbox_of (GHashTable *outboxes, gp_executor_t *executor)
+{
+  outbox_t *outbox = g_hash_table_lookup (outboxes, executor);
+
+  if (outbox != NULL)
+    return outbox;
+  outbox = g_new0 (outbox_t, 1);
+  outbox->starts = g_ptr_array_new_with_free_func (free_start);
+  outbox->stops = g_ptr_array_new_with_free_func (free_run);
+  outbox->forget = g_ptr_array_new_with_free_func (free_run);
+  g_hash_table_insert (outboxes, executor, outbox);
+  return outbox;
+}
+
+static void
+collect (GHashTable *outboxes, const gp_order_t *order)
+{
+  outbox_t *outbox = outbox_of (outboxes, order->executor);
+
+  switch (order->kind)
+    {
+    case GP_ORDER_START:
+      if (order->task->executor == order->executor
+          && order->task->run == order->run
+          && gp_scheduler_wanted (order->task))
+        g_ptr_array_add (outbox->starts, start_message (order->task));
+      break;
+    case GP_ORDER_STOP:
+      g_ptr_array_add (outbox->stops, run_message (order));
+      break;
+    case GP_ORDER_FORGET:
+      g_ptr_array_add (outbox->forget, run_message (order));
+      break;
+    case GP_ORDER_SEEN:
+      outbox->seen = MAX (outbox->seen, order->seen);
+      break;
+    }
+}
+
+static void
+make_orders (gp_link_t *link, const outbox_t *outbox)
+{
+  Gp__Jobs__Orders orders = GP__JOBS__ORDERS__INIT;
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  orders.executor = link->executor->id;
+  orders.starts = (Gp__Jobs__Start **)outbox->starts->pdata;
+  orders.n_starts = outbox->starts->len;
+  orders.stops = (Gp__Jobs__TaskRun **)outbox->stops->pdata;
+  orders.n_stops = outbox->stops->len;
+  orders.forget = (Gp__Jobs__TaskRun **)outbox->forget->pdata;
+  orders.n_forget = outbox->forget->len;
+  orders.seen_ends = outbox->seen;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_ORDERS;
+  frame.orders = &orders;
+  keep_frame (link, &frame);
+}
+
+/* All that belongs on the executor now; made before the orders of the same
+   append, which then change nothing.  */
+static void
+make_sync (gp_link_t *link)
+{
+  GPtrArray *starts = g_ptr_array_new_with_free_func (free_start);
+  Gp__Jobs__Sync sync = GP__JOBS__SYNC__INIT;
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  GP_LIST_FOREACH (at, &link->executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (at, gp_job_task_t, on_executor);
+
+    if (gp_scheduler_wanted (task))
+      g_ptr_array_add (starts, start_message (task));
+  }
+  link->sync = ++link->leader->sync_count;
+  link->wants_sync = false;
+  sync.number = link->sync;
+  sync.executor = link->executor->id;
+  sync.starts = (Gp__Jobs__Start **)starts->pdata;
+  sync.n_starts = starts->len;
+  sync.raise_fence = link->executor->dead;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_SYNC;
+  frame.sync = &sync;
+  keep_frame (link, &frame);
+  link->executor->dead = false;
+  g_ptr_array_unref (starts);
+}
+
+void
+gp_leader_make_frames (gp_leader_t *leader)
+{
+  GHashTable *outboxes = g_hash_table_new_full (NULL, NULL, NULL, outbox_free);
+  GArray *orders = leader->scheduler.orders;
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < orders->len; i++)
+    collect (outboxes, &g_array_index (orders, gp_order_t, i));
+  g_array_set_size (orders, 0);
+  g_hash_table_iter_init (&iter, leader->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_link_t *link = value;
+      const outbox_t *outbox;
+
+      if (link->peer == NULL || link->executor == NULL)
+        continue;
+      if (link->wants_sync && !link->lapsed)
+        make_sync (link);
+      outbox = g_hash_table_lookup (outboxes, link->executor);
+      if (outbox != NULL)
+        make_orders (link, outbox);
+    }
+  g_hash_table_destroy (outboxes);
+}
+
+/* Reports.  */
+
+static void
+acknowledge (gp_link_t *link, int64_t sent_at)
+{
+  gp_leader_t *leader = link->leader;
+  gp_time_t now = gp_loop_now (leader->loop);
+  Gp__Jobs__Acknowledge message = GP__JOBS__ACKNOWLEDGE__INIT;
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  if (now > leader->confirmed_at + GP_LEADER_TERM_TIME)
+    return;
+  message.sent_at = sent_at;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_ACKNOWLEDGE;
+  frame.acknowledge = &message;
+  if (gp_link_send (link->peer, &frame))
+    link->acknowledged_at = now;
+}
+
+static void
+set_executor (gp_link_t *link, const Gp__Jobs__Executor *report)
+{
+  gp_leader_t *leader = link->leader;
+  gp_executor_t *executor = gp_book_executor (leader->book, report->id);
+  const char *before = g_hash_table_lookup (leader->places, link->node);
+
+  if (g_strcmp0 (before, report->id) != 0)
+    {
+      if (before != NULL)
+        gp_scheduler_dead (&leader->scheduler,
+                           gp_book_executor (leader->book, before));
+      gp_leader_add_place (leader, link->node, report->id);
+    }
+  if (link->executor != executor)
+    {
+      link->executor = executor;
+      link->wants_sync = true;
+    }
+}
+
+static void
+take_report (gp_link_t *link, const Gp__Jobs__Report *report)
+{
+  gp_leader_t *leader = link->leader;
+  gp_executor_t *executor = link->executor;
+  gp_time_t now = gp_loop_now (leader->loop);
+
+  gp_executor_update (executor, link->node, report->executor, now);
+  for (size_t i = 0; i < report->n_ends; i++)
+    gp_scheduler_end (&leader->scheduler, executor, report->ends[i], now,
+                      gp_time_wall () / GP_MSEC);
+  for (size_t i = 0; i < report->n_absent; i++)
+    gp_scheduler_absent (&leader->scheduler, executor, report->absent[i], now);
+  if (report->lapsed && !executor->dead)
+    {
+      gp_scheduler_dead (&leader->scheduler, executor);
+      link->wants_sync = true;
+    }
+  link->lapsed = report->lapsed;
+  executor->reachable
+      = !link->lapsed && !link->wants_sync && report->synced == link->sync;
+}
+
+static void
+on_report (gp_link_t *link, const Gp__Jobs__Report *report)
+{
+  gp_leader_t *leader = link->leader;
+
+  if (leader->role != GP_LEADER_LEADING)
+    return;
+  if (!link->up)
+    gp_log (GP_LOG_INFO, "guard.up", GP_LOG_S ("guard", link->node),
+            GP_LOG_S ("executor",
+                      report->executor != NULL ? report->executor->id : ""));
+  link->up = true;
+  link->reported_at = gp_loop_now (leader->loop);
+  acknowledge (link, report->sent_at);
+  if (report->executor == NULL)
+    return;
+  set_executor (link, report->executor);
+  take_report (link, report);
+  gp_leader_turn_soon (leader);
+}
+
+static void
+on_frame (gp_peer_t *peer, const uint8_t *bytes, size_t size, void *data)
+{
+  gp_link_t *link = data;
+  Gp__Jobs__Frame *frame = gp_link_parse (bytes, size);
+
+  if (frame == NULL)
+    {
+      gp_peer_close (peer, true);
+      return;
+    }
+  if (peer == link->peer
+      && frame->message_case == GP__JOBS__FRAME__MESSAGE_REPORT)
+    on_report (link, frame->report);
+  gp__jobs__frame__free_unpacked (frame, NULL);
+}
+
+/* Connections.  */
+
+static void
+set_down (gp_link_t *link, const char *why)
+{
+  if (link->up)
+    gp_log (GP_LOG_INFO, "guard.down", GP_LOG_S ("guard", link->node),
+            GP_LOG_S ("why", why));
+  link->up = false;
+  link->peer = NULL;
+  link->wants_sync = true;
+  if (link->executor != NULL)
+    link->executor->reachable = false;
+}
+
+static void
+on_close (gp_peer_t *peer, const GError *reason, void *data)
+{
+  gp_link_t *link = data;
+
+  if (link == NULL || link->peer != peer)
+    return;
+  set_down (link, reason != NULL ? reason->message : "closed here");
+  gp_timer_arm (&link->redial, gp_loop_now (link->leader->loop) + REDIAL_TIME);
+}
+
+static void
+hang_up (gp_link_t *link, const char *why)
+{
+  gp_peer_t *peer = link->peer;
+
+  set_down (link, why);
+  if (peer == NULL)
+    return;
+  gp_peer_set_data (peer, NULL);
+  gp_peer_close (peer, true);
+}
+
+static void
+say_lead (gp_link_t *link)
+{
+  Gp__Jobs__Lead message = GP__JOBS__LEAD__INIT;
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  message.epoch = link->leader->epoch;
+  message.node = (char *)link->leader->node;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_LEAD;
+  frame.lead = &message;
+  gp_link_send (link->peer, &frame);
+}
+
+static void
+dial (gp_link_t *link)
+{
+  static const gp_peer_callbacks_t callbacks
+      = { .on_frame = on_frame, .on_close = on_close };
+  gp_time_t now = gp_loop_now (link->leader->loop);
+  GError *error = NULL;
+
+  if (link->peer != NULL || link->leader->role != GP_LEADER_LEADING)
+    return;
+  link->reported_at = now;
+  link->peer = gp_peer_connect (link->leader->loop, link->address, NULL,
+                                now + DIAL_TIME, &callbacks, link, &error);
+  if (link->peer != NULL)
+    {
+      say_lead (link);
+      return;
+    }
+  gp_log (GP_LOG_WARNING, "guard.address", GP_LOG_S ("guard", link->node),
+          GP_LOG_S ("why", error->message));
+  g_error_free (error);
+}
+
+static void
+on_redial (gp_timer_t *timer, void *data)
+{
+  dial (data);
+}
+
+static void
+free_link (gpointer data)
+{
+  gp_link_t *link = data;
+
+  gp_timer_finish (&link->redial);
+  g_free (link->node);
+  g_free (link->address);
+  g_free (link);
+}
+
+GHashTable *
+gp_leader_links_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link);
+}
+
+void
+gp_leader_dial_all (gp_leader_t *leader)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, leader->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    dial (value);
+}
+
+void
+gp_leader_drop_links (gp_leader_t *leader)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  drop_frames (leader);
+  g_hash_table_iter_init (&iter, leader->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_link_t *link = value;
+
+      gp_timer_disarm (&link->redial);
+      hang_up (link, "not leading");
+      link->executor = NULL;
+      link->acknowledged_at = 0;
+    }
+}
+
+void
+gp_leader_guard (gp_leader_t *leader, const char *node, const char *address)
+{
+  gp_link_t *link = g_hash_table_lookup (leader->links, node);
+
+  if (link == NULL)
+    {
+      link = g_new0 (gp_link_t, 1);
+      link->leader = leader;
+      link->node = g_strdup (node);
+      gp_timer_init (&link->redial, leader->loop, on_redial, link);
+      g_hash_table_insert (leader->links, link->node, link);
+    }
+  if (g_strcmp0 (link->address, address) != 0)
+    {
+      g_free (link->address);
+      link->address = g_strdup (address);
+      hang_up (link, "another address");
+    }
+  dial (link);
+}
+
+/* Executors.  */
+
+/* When the leases of the executor on NODE have certainly run out.  */
+static gp_time_t
+leases_end (const gp_leader_t *leader, const gp_link_t *link)
+{
+  gp_time_t given = leader->foreign_until;
+
+  if (link != NULL)
+    given = MAX (given, link->acknowledged_at);
+  return gp_agent_lease_end (given);
+}
+
+static void
+look_after_place (gp_leader_t *leader, const char *node, const char *id)
+{
+  gp_executor_t *executor = gp_book_executor (leader->book, id);
+  const gp_link_t *link = g_hash_table_lookup (leader->links, node);
+  gp_time_t now = gp_loop_now (leader->loop);
+
+  if (executor->draining && executor->reachable)
+    gp_scheduler_evacuate (&leader->scheduler, executor, now);
+  if (executor->dead || (link != NULL && link->up))
+    return;
+  if (now > leases_end (leader, link))
+    gp_scheduler_dead (&leader->scheduler, executor);
+}
+
+static void
+look_after_link (gp_link_t *link)
+{
+  gp_time_t now = gp_loop_now (link->leader->loop);
+
+  if (link->peer == NULL || now - link->reported_at < QUIET_TIME)
+    return;
+  hang_up (link, "it does not report");
+  gp_timer_arm (&link->redial, now + REDIAL_TIME);
+}
+
+void
+gp_leader_look_after_executors (gp_leader_t *leader)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, leader->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    look_after_link (value);
+  g_hash_table_iter_init (&iter, leader->places);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    look_after_place (leader, key, value);
+}
--- /dev/null
+++ b/src/jobsd/leader_private.h
@@ -0,0 +1,27 @@
+/* What the files of the leader share.  */
+
+#ifndef GP_JOBSD_LEADER_PRIVATE_H
+#define GP_JOBSD_LEADER_PRIVATE_H
+
+#include "jobsd/leader.h"
+
+/* Decide and write at the end of this phase of the loop.  */
+void gp_leader_turn_soon (gp_leader_t *leader);
+
+/* NODE has EXECUTOR now, to be written with the next append.  */
+void gp_leader_add_place (gp_leader_t *leader, const char *node,
+                          const char *executor);
+
+GHashTable *gp_leader_links_new (void);
+void gp_leader_dial_all (gp_leader_t *leader);
+void gp_leader_drop_links (gp_leader_t *leader);
+
+/* Find executors that are certainly dead and those that are leaving.  */
+void gp_leader_look_after_executors (gp_leader_t *leader);
+
+/* Turn the scheduler's orders into frames, and send those that were made
+   before the append that is done now.  */
+void gp_leader_make_frames (gp_leader_t *leader);
+void gp_leader_send_frames (gp_leader_t *leader);
+
+#endif
--- /dev/null
+++ b/src/jobsd/link.c
@@ -0,0 +1,47 @@
+/* Frames between the leading entry and the guards.  */
+
+#include "jobsd/link.h"
+
+#include "base/log.h"
+
+bool
+gp_link_send (gp_peer_t *peer, const Gp__Jobs__Frame *frame)
+{
+  size_t size = gp__jobs__frame__get_packed_size (frame);
+  uint8_t *bytes
+      = size <= GP_FRAME_MAX_SIZE ? gp_peer_reserve (peer, size) : NULL;
+
+  if (bytes == NULL)
+    return false;
+  gp__jobs__frame__pack (frame, bytes);
+  return true;
+}
+
+GBytes *
+gp_link_pack (const Gp__Jobs__Frame *frame)
+{
+  size_t size = gp__jobs__frame__get_packed_size (frame);
+  uint8_t *bytes = g_malloc (size);
+
+  gp__jobs__frame__pack (frame, bytes);
+  return g_bytes_new_take (bytes, size);
+}
+
+bool
+gp_link_send_bytes (gp_peer_t *peer, GBytes *bytes)
+{
+  gsize size;
+  const uint8_t *data = g_bytes_get_data (bytes, &size);
+
+  return gp_peer_send (peer, data, size);
+}
+
+Gp__Jobs__Frame *
+gp_link_parse (const uint8_t *bytes, size_t size)
+{
+  Gp__Jobs__Frame *frame = gp__jobs__frame__unpack (NULL, size, bytes);
+
+  if (frame == NULL)
+    gp_log (GP_LOG_WARNING, "frame.malformed", GP_LOG_I ("size", size));
+  return frame;
+}
--- /dev/null
+++ b/src/jobsd/link.h
@@ -0,0 +1,20 @@
+/* Frames between the leading entry and the guards.  */
+
+#ifndef GP_JOBSD_LINK_H
+#define GP_JOBSD_LINK_H
+
+#include "jobs.pb-c.h"
+#include "transport/peer.h"
+
+/* Send FRAME.  False when the peer is closing or the frame is too long.  */
+bool gp_link_send (gp_peer_t *peer, const Gp__Jobs__Frame *frame);
+
+/* FRAME as bytes, for sending later.  */
+GBytes *gp_link_pack (const Gp__Jobs__Frame *frame);
+bool gp_link_send_bytes (gp_peer_t *peer, GBytes *bytes);
+
+/* Decode a frame, to be freed with gp__jobs__frame__free_unpacked.  NULL and
+   a log line when it does not decode.  */
+Gp__Jobs__Frame *gp_link_parse (const uint8_t *bytes, size_t size);
+
+#endif
