--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -8,6 +8,10 @@
 
 /* Between tries of a call without an answer or with a passing refusal.  */
 #define RETRY_TIME (100 * GP_MSEC)
+/* How long after a call went unanswered it may still be carried out: 12 s on
+   the sites known, and some more.  */
+#define LATE_TIME (13 * GP_SEC)
+#define PACE_REPEAT_TIME (GP_SEC)
 /* Without an answer of the executor for so long, leases are not moved on:
    the longest wait of a list and its timeout.  */
 #define SILENCE_TIME (1500 * GP_MSEC)
@@ -159,7 +163,8 @@
   g_strlcpy (run->name, name, sizeof run->name);
   run->run = number;
   run->phase = phase;
-  run->percent = GP_PACER_FULL;
+  run->pace = GP_PACER_FULL;
+  run->pace_again = GP_TIME_NEVER;
   g_hash_table_replace (agent->runs, run->name, run);
   return run;
 }
@@ -368,14 +373,15 @@
 /* Calls.  */
 
 static bool
-wants_pace (const gp_agent_t *agent, const gp_agent_run_t *run)
+wants_pace (const gp_agent_t *agent, const gp_agent_run_t *run, gp_time_t now)
 {
   return run->phase == GP_RUN_PRESENT && run->listed && run->start != NULL
-         && run->start->fills && run->percent != agent->pacer.level;
+         && run->start->fills
+         && (run->pace != agent->pacer.level || now >= run->pace_again);
 }
 
 static gp_agent_call_kind_t
-call_for (const gp_agent_t *agent, const gp_agent_run_t *run)
+call_for (const gp_agent_t *agent, const gp_agent_run_t *run, gp_time_t now)
 {
   switch (run->phase)
     {
@@ -384,7 +390,8 @@
     case GP_RUN_STOPPING:
       return GP_AGENT_CALL_STOP;
     case GP_RUN_PRESENT:
-      return wants_pace (agent, run) ? GP_AGENT_CALL_PACE : GP_AGENT_CALL_NONE;
+      return wants_pace (agent, run, now) ? GP_AGENT_CALL_PACE
+                                          : GP_AGENT_CALL_NONE;
     case GP_RUN_STOPPED:
     case GP_RUN_ABSENT:
       return GP_AGENT_CALL_NONE;
@@ -425,7 +432,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       gp_agent_run_t *run = value;
-      gp_agent_call_kind_t kind = call_for (agent, run);
+      gp_agent_call_kind_t kind = call_for (agent, run, now);
 
       if (kind == GP_AGENT_CALL_NONE || run->in_flight)
         continue;
@@ -494,10 +501,24 @@
     }
 }
 
+/* A pace that went unanswered may take effect after newer ones: until that
+   is over, the one that is wanted is repeated.  */
+static void
+pace_answered (gp_agent_run_t *run, gp_agent_result_t result, uint32_t percent,
+               gp_time_t now)
+{
+  if (result == GP_AGENT_TAKEN)
+    run->pace = percent;
+  if (result == GP_AGENT_UNANSWERED)
+    run->pace_sure_at = now + LATE_TIME;
+  run->pace_again
+      = now < run->pace_sure_at ? now + PACE_REPEAT_TIME : GP_TIME_NEVER;
+}
+
 void
 gp_agent_answered (gp_agent_t *agent, gp_agent_call_kind_t kind,
-                   const char *name, uint32_t number, gp_agent_result_t result,
-                   int64_t clock_ms, gp_time_t now)
+                   const char *name, uint32_t number, uint32_t percent,
+                   gp_agent_result_t result, int64_t clock_ms, gp_time_t now)
 {
   gp_agent_run_t *run = find_run (agent, name, number);
 
@@ -520,8 +541,7 @@
       stop_answered (agent, run, result, now);
       break;
     case GP_AGENT_CALL_PACE:
-      if (result == GP_AGENT_TAKEN)
-        run->percent = agent->pacer.level;
+      pace_answered (run, result, percent, now);
       break;
     case GP_AGENT_CALL_NONE:
       break;
@@ -566,7 +586,7 @@
 /* Note the rows and return the worst ratio of latency to target.  */
 static uint32_t
 take_rows (gp_agent_t *agent, const gp_agent_row_t *rows, size_t count,
-           gp_time_t sent_at, gp_time_t now)
+           gp_time_t now)
 {
   int64_t worst = 0;
 
@@ -583,8 +603,6 @@
           continue;
         }
       run->listed = true;
-      if (!run->in_flight && sent_at > run->retry_at - agent->retry_time)
-        run->percent = rows[i].percent;
       if (run->phase == GP_RUN_STARTING && run->start != NULL)
         {
           run->phase = GP_RUN_PRESENT;
@@ -635,7 +653,7 @@
 
   take_clock (agent, clock_ms, now);
   news = take_ends (agent, ends, end_count);
-  worst = take_rows (agent, rows, row_count, sent_at, now);
+  worst = take_rows (agent, rows, row_count, now);
   gp_pacer_update (&agent->pacer, worst, now);
   return find_absent (agent, sent_at) || news;
 }
--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -58,7 +58,10 @@
   bool listed;            /* seen on the executor's list */
   gp_time_t retry_at;     /* no call before */
   gp_time_t confirmed_at; /* when the phase was entered by an answer */
-  uint32_t percent;       /* of full speed, as listed */
+  uint32_t pace;          /* percent of full speed, as last confirmed */
+  gp_time_t pace_again;   /* repeat it then: a call without an answer may
+                             still set an older one; GP_TIME_NEVER */
+  gp_time_t pace_sure_at; /* no such call is left by then */
 } gp_agent_run_t;
 
 typedef enum
@@ -95,7 +98,6 @@
 {
   const char *task;
   uint32_t run;
-  uint32_t percent;
   int64_t measure;
 } gp_agent_row_t;
 
@@ -142,9 +144,10 @@
  *AGAIN_AT.  */
 gp_agent_call_t gp_agent_next_call (gp_agent_t *agent, gp_time_t now,
                                     gp_time_t *again_at);
-/* The answer to a call about RUN of the task NAME.  */
+/* The answer to a call about RUN of the task NAME; PERCENT is what a pace
+   asked for.  */
 void gp_agent_answered (gp_agent_t *agent, gp_agent_call_kind_t kind,
-                        const char *name, uint32_t run,
+                        const char *name, uint32_t run, uint32_t percent,
                         gp_agent_result_t result, int64_t clock_ms,
                         gp_time_t now);
 
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -289,6 +289,21 @@
   }
 }
 
+static void
+log_assigned (const gp_job_task_t *task)
+{
+  const gp_executor_t *executor = task->executor;
+  char name[GP_TASK_NAME_SIZE];
+
+  gp_task_name (task, name);
+  gp_log (GP_LOG_INFO, "run.assigned", GP_LOG_S ("task", name),
+          GP_LOG_I ("run", task->run), GP_LOG_S ("executor", executor->id),
+          GP_LOG_I ("used_cpu_milli", executor->used.cpu_milli),
+          GP_LOG_I ("filling_cpu_milli", executor->filling),
+          GP_LOG_I ("serving", executor->serving),
+          GP_LOG_I ("used_memory_mb", executor->used.memory_mb));
+}
+
 void
 gp_scheduler_plan (gp_scheduler_t *scheduler, gp_time_t now, int64_t wall_ms)
 {
@@ -301,6 +316,7 @@
       gp_job_task_t *task = g_ptr_array_index (placed, i);
 
       add_order (scheduler, GP_ORDER_START, task);
+      log_assigned (task);
       mark_dirty (scheduler, task->job);
     }
   g_ptr_array_free (placed, TRUE);
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -122,7 +122,9 @@
                    gp_feed_fresh (&entry->jobs, 2 * GP_SEC)
                        && entry->nodes.loaded && entry->queues.version > 0);
   gp_counter_set (&leading_gauge, entry->leader.role == GP_LEADER_LEADING);
-  if (entry->leader.role == GP_LEADER_LEADING)
+  /* From the claim on the book is ahead of the log; when the claim fails
+     both are read anew.  */
+  if (entry->leader.role != GP_LEADER_FOLLOWING)
     gp_feed_stop (&entry->progress);
 }
 
@@ -242,6 +244,14 @@
   gp_http_server_shutdown (entry->callers, on_served, entry);
 }
 
+static void
+on_reload (void *data)
+{
+  const gp_job_entry_t *entry = data;
+
+  gp_platform_settings_reload (entry->settings);
+}
+
 static void
 on_stop (void *data)
 {
@@ -265,6 +275,7 @@
   if (!gp_loop_init (&entry->loop, error))
     return false;
   gp_loop_on_signal (&entry->loop, on_stop, entry);
+  gp_loop_on_reload (&entry->loop, on_reload, entry);
   gp_counter_register (&jobs_gauge);
   gp_counter_register (&leading_gauge);
   gp_timer_init (&entry->leave, &entry->loop, on_leave, entry);
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -54,6 +54,7 @@
   char *executor;
   char name[GP_TASK_NAME_SIZE];
   uint32_t run;
+  uint32_t percent; /* of a pace */
 } order_t;
 
 static void
@@ -175,7 +176,8 @@
     gp_counter_add (&unanswered_count, 1);
   if (is_current (guard, order->executor))
     gp_agent_answered (&guard->agent, order->kind, order->name, order->run,
-                       agent_result (result), clock_ms, now_of (guard));
+                       order->percent, agent_result (result), clock_ms,
+                       now_of (guard));
   g_free (order->executor);
   g_free (order);
   act_soon (guard);
@@ -199,6 +201,7 @@
   order->executor = g_strdup (agent->executor->id);
   g_strlcpy (order->name, call->run->name, sizeof order->name);
   order->run = call->run->run;
+  order->percent = call->percent;
   guard->calls_open++;
   switch (call->kind)
     {
@@ -261,7 +264,7 @@
 
   for (size_t i = 0; i < list->run_count; i++)
     rows[i] = (gp_agent_row_t){ list->runs[i].task, list->runs[i].run,
-                                list->runs[i].percent, list->runs[i].measure };
+                                list->runs[i].measure };
   if (gp_agent_listed (&guard->agent, rows, list->run_count, list->ends,
                        list->end_count, list->clock_ms, list->sent_at,
                        now_of (guard)))
@@ -525,6 +528,14 @@
   g_string_free (text, TRUE);
 }
 
+static void
+on_reload (void *data)
+{
+  const gp_job_guard_t *guard = data;
+
+  gp_platform_settings_reload (guard->settings);
+}
+
 static void
 on_stop (void *data)
 {
@@ -578,6 +589,7 @@
   if (!gp_loop_init (&guard->loop, error))
     return false;
   gp_loop_on_signal (&guard->loop, on_stop, guard);
+  gp_loop_on_reload (&guard->loop, on_reload, guard);
   register_counters ();
   gp_agent_init (&guard->agent);
   gp_deferred_init (&guard->act, on_act);
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -191,12 +191,12 @@
   gp_jobs_front_t *front = data;
 
   GP_LIST_FOREACH (link, &front->changes)
-    {
-      change_t *change = GP_CONTAINER_OF (link, change_t, link);
+  {
+    change_t *change = GP_CONTAINER_OF (link, change_t, link);
 
-      if (change->call == NULL)
-        try_append (change);
-    }
+    if (change->call == NULL)
+      try_append (change);
+  }
 }
 
 static void
@@ -477,6 +477,6 @@
 gp_jobs_front_finish (gp_jobs_front_t *front)
 {
   GP_LIST_FOREACH_SAFE (link, &front->changes)
-    free_change (GP_CONTAINER_OF (link, change_t, link));
+  free_change (GP_CONTAINER_OF (link, change_t, link));
   gp_timer_finish (&front->retry);
 }
--- a/src/transport/loop.c
+++ b/src/transport/loop.c
@@ -154,7 +154,10 @@
 {
   gp_loop_t *loop = handle->data;
 
-  loop->on_stop (loop->stop_data);
+  if (number == SIGHUP)
+    loop->on_reload (loop->reload_data);
+  else
+    loop->on_stop (loop->stop_data);
 }
 
 static void
@@ -178,6 +181,14 @@
   watch_signal (loop, &loop->sigint, SIGINT);
 }
 
+void
+gp_loop_on_reload (gp_loop_t *loop, void (*on_reload) (void *data), void *data)
+{
+  loop->on_reload = on_reload;
+  loop->reload_data = data;
+  watch_signal (loop, &loop->sighup, SIGHUP);
+}
+
 void
 gp_deferred_init (gp_deferred_t *deferred,
                   void (*cb) (gp_deferred_t *deferred))
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -48,6 +48,7 @@
   h2o_timeout_t http_client_timeout;
   uv_signal_t sigterm;
   uv_signal_t sigint;
+  uv_signal_t sighup;
   uv_prepare_t before_wait;
   uv_check_t after_wait;
   gp_list_t deferred;
@@ -58,6 +59,8 @@
   void *plain_buffer; /* the same after decryption */
   void (*on_stop) (void *data);
   void *stop_data;
+  void (*on_reload) (void *data);
+  void *reload_data;
 };
 
 #define GP_LOOP_BUFFER_SIZE ((size_t)64 * 1024)
@@ -88,6 +91,10 @@
 void gp_loop_on_signal (gp_loop_t *loop, void (*on_stop) (void *data),
                         void *data);
 
+/* Call ON_RELOAD for SIGHUP, which ends the process otherwise.  */
+void gp_loop_on_reload (gp_loop_t *loop, void (*on_reload) (void *data),
+                        void *data);
+
 /* Run DEFERRED once at the end of this phase; harmless when it is already
    scheduled or not scheduled.  */
 void gp_deferred_init (gp_deferred_t *deferred,
