--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -142,6 +142,7 @@
   job->started = progress->n_done > 0 || progress->n_tasks > 0;
   job->ended_wall_ms = progress->ended_wall_ms;
   job->state = (gp_job_state_t)progress->state;
+  job->recorded = job->state;
   if (gp_job_ended (job))
     gp_list_remove (&job->link);
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -87,6 +87,8 @@
   char id[GP_JOB_ID_SIZE + 1];
   Gp__Jobs__Submission *submission; /* NULL until its record is read */
   gp_job_state_t state;
+  gp_job_state_t recorded; /* the state that is on the log: what callers are
+                              told, as a later one may be lost */
   bool cancelled;
   int64_t ended_wall_ms;
   gp_time_t submitted_at; /* when this process first saw it */
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -326,8 +326,8 @@
       answer_absent (front, exchange);
       return;
     }
-  state = job->state;
-  if (job->cancelled && !gp_job_ended (job))
+  state = job->recorded;
+  if (job->cancelled && state < GP_JOB_COMPLETED)
     state = GP_JOB_CANCELLED;
   body = gp_platform_state_body (gp_job_state_name (state));
   answer (exchange, 200, body);
@@ -339,7 +339,8 @@
 {
   const gp_job_t *job = gp_book_find (front->book, id);
 
-  if (job != NULL && (job->cancelled || gp_job_ended (job)))
+  if (job != NULL
+      && (job->cancelled || job->recorded >= GP_JOB_COMPLETED))
     {
       answer (exchange, 200, "{}");
       return;
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -17,6 +17,13 @@
 #define APPEND_TIME (GP_SEC)
 #define APPEND_RETRY_TIME (60 * GP_MSEC)
 
+/* The state of a job as the append in progress has it.  */
+typedef struct
+{
+  gp_job_t *job;
+  gp_job_state_t state;
+} batch_state_t;
+
 static void flush (gp_leader_t *leader);
 static void lead (gp_leader_t *leader, uint64_t epoch);
 
@@ -112,13 +119,15 @@
 
   while ((link = gp_list_pop_front (&leader->scheduler.dirty)) != NULL)
     {
-      const gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, dirty_link);
+      gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, dirty_link);
+      const batch_state_t state = { job, job->state };
       GBytes *bytes = gp_book_pack (job);
       gsize size;
       const uint8_t *data = g_bytes_get_data (bytes, &size);
 
       gp_store_batch_add (leader->batch, job->id, data, size);
       leader->batch_records++;
+      g_array_append_val (leader->batch_states, state);
       g_bytes_unref (bytes);
     }
 }
@@ -130,15 +139,30 @@
 {
   g_clear_pointer (&leader->batch, g_byte_array_unref);
   leader->batch_records = 0;
+  g_array_set_size (leader->batch_states, 0);
   leader->doubtful = false;
 }
 
+/* Callers may be told now what was written.  */
+static void
+note_recorded (gp_leader_t *leader)
+{
+  for (guint i = 0; i < leader->batch_states->len; i++)
+    {
+      const batch_state_t *entry
+          = &g_array_index (leader->batch_states, batch_state_t, i);
+
+      entry->job->recorded = entry->state;
+    }
+}
+
 static void
 batch_done (gp_leader_t *leader, uint64_t offset, gp_time_t sent_at)
 {
   leader->position = offset + leader->batch_records;
   leader->confirmed_at = sent_at;
   leader->heartbeat_due = now_of (leader) + HEARTBEAT_TIME;
+  note_recorded (leader);
   end_batch (leader);
   gp_leader_send_frames (leader);
   if (leader->resigning)
@@ -494,6 +518,7 @@
   leader->new_places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                               (GDestroyNotify)g_bytes_unref);
   leader->frames = g_ptr_array_new ();
+  leader->batch_states = g_array_new (FALSE, FALSE, sizeof (batch_state_t));
   gp_timer_init (&leader->timer, loop, on_timer, leader);
   gp_timer_init (&leader->retry, loop, on_retry, leader);
   gp_deferred_init (&leader->turn, on_turn);
@@ -513,5 +538,6 @@
   g_hash_table_destroy (leader->places);
   g_hash_table_destroy (leader->new_places);
   g_ptr_array_unref (leader->frames);
+  g_array_free (leader->batch_states, TRUE);
   gp_scheduler_finish (&leader->scheduler);
 }
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -83,6 +83,7 @@
   bool led;                /* there was a leader's record at all */
   GByteArray *batch;       /* the append in progress */
   unsigned batch_records;
+  GArray *batch_states; /* of the jobs in it, see jobsd/leader.c */
   gp_time_t batch_sent_at; /* its first sending */
   bool doubtful;           /* it went unanswered once */
   bool resigning;          /* it gives the lead up */
