--- a/src/coordination/regression.c
+++ b/src/coordination/regression.c
@@ -3,6 +3,7 @@
 #include "coordination/regression.h"
 
 #include <math.h>
+#include <stddef.h>
 
 #define CLIP_DEVIATIONS 3. /* an innovation counts at most so much */
 #define NOISE_GAIN 0.02    /* of the moving mean of squared innovations */
@@ -47,7 +48,8 @@
 
   for (unsigned int i = 0; i < regression->features; i++)
     {
-      const double *row = &regression->covariance[i * regression->features];
+      const double *row
+          = &regression->covariance[(size_t)i * regression->features];
 
       gain[i] = 0.0;
       for (unsigned int j = 0; j < input->n; j++)
@@ -75,7 +77,7 @@
   regression->noise += NOISE_GAIN * (excess - regression->noise);
   for (unsigned int i = 0; i < regression->features; i++)
     {
-      double *row = &regression->covariance[i * regression->features];
+      double *row = &regression->covariance[(size_t)i * regression->features];
 
       regression->coefficients[i] += gain[i] / total * innovation;
       for (unsigned int j = 0; j < regression->features; j++)
--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -150,10 +150,10 @@
  *AGAIN_AT.  */
 gp_agent_call_t gp_agent_next_call (gp_agent_t *agent, gp_time_t now,
                                     gp_time_t *again_at);
-/* The answer to a call about RUN of the task NAME; PERCENT is what a pace
-   asked for.  */
+/* The answer to a call about run NUMBER of the task NAME; PERCENT is what a
+   pace asked for.  */
 void gp_agent_answered (gp_agent_t *agent, gp_agent_call_kind_t kind,
-                        const char *name, uint32_t run, uint32_t percent,
+                        const char *name, uint32_t number, uint32_t percent,
                         gp_agent_result_t result, int64_t clock_ms,
                         gp_time_t now);
 
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -265,7 +265,7 @@
   else
     points = (free - executor->filling / 2) * 1000 / capacity;
   if (step->target_ms > 0)
-    points += ALIKE_POINTS * alike_on (executor, step->image);
+    points += (int64_t)ALIKE_POINTS * alike_on (executor, step->image);
   if (*step->preferred_rack != '\0'
       && gp_executor_has_label (executor, step->preferred_rack))
     points += 1000;
