--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -423,6 +423,14 @@
   return 0;
 }
 
+/* A start that came before the leader's last word may be outdated: after a
+   pause it can still be read from a connection that the leader gave up.  */
+static bool
+may_start (const gp_agent_t *agent, gp_time_t now)
+{
+  return agent->is_synced && lease_is_open (agent, now) && !agent->raise_fence;
+}
+
 gp_agent_call_t
 gp_agent_next_call (gp_agent_t *agent, gp_time_t now, gp_time_t *again_at)
 {
@@ -442,8 +450,7 @@
 
       if (kind == GP_AGENT_CALL_NONE || run->in_flight)
         continue;
-      if (kind == GP_AGENT_CALL_START
-          && (!lease_is_open (agent, now) || agent->raise_fence))
+      if (kind == GP_AGENT_CALL_START && !may_start (agent, now))
         continue;
       if (run->retry_at > now)
         *again_at = MIN (*again_at, run->retry_at);
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -249,7 +249,7 @@
       gp_link_t *link = value;
       const outbox_t *outbox;
 
-      if (link->peer == NULL || link->executor == NULL)
+      if (link->peer == NULL || !link->up || link->executor == NULL)
         continue;
       if (link->wants_sync && !link->lapsed)
         make_sync (link);
@@ -387,10 +387,10 @@
   for (size_t i = 0; i < report->n_absent; i++)
     gp_scheduler_absent (&leader->scheduler, executor, report->absent[i], now);
   if (report->lapsed && !executor->dead)
-    {
-      gp_scheduler_dead (&leader->scheduler, executor);
-      link->wants_sync = true;
-    }
+    gp_scheduler_dead (&leader->scheduler, executor);
+  /* It may work again only under a new fence.  */
+  if (executor->dead)
+    link->wants_sync = true;
   link->lapsed = report->lapsed;
   executor->reachable
       = !link->lapsed && !link->wants_sync && report->synced == link->sync;
