--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -56,6 +56,8 @@
   gp_time_t reported_at;     /* the last report came, or it was dialled */
   uint64_t sync;             /* number of the last sync sent or being sent */
   bool wants_sync;           /* the guard has to be told all its runs */
+  gp_time_t synced_at;       /* the last sync was made */
+  bool sees_executor;        /* the guard's last report names one */
   bool lapsed;               /* the executor's lease has run out */
   gp_time_t taught_at;       /* the guard was told the pressures last */
   bool up;                   /* it reports */
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -14,6 +14,8 @@
    gets no new work and the connection is made anew.  */
 #define QUIET_TIME (1200 * GP_MSEC)
 
+/* A sync that the guard has not taken in by then is sent again.  */
+#define RESYNC_TIME (2 * GP_SEC)
 /* Guards are told what was learned so often.  */
 #define TEACH_TIME (2 * GP_SEC)
 
@@ -219,6 +221,7 @@
       g_ptr_array_add (starts, start_message (task));
   }
   link->sync = ++link->leader->sync_count;
+  link->synced_at = gp_loop_now (link->leader->loop);
   link->wants_sync = false;
   sync.number = link->sync;
   sync.executor = link->executor->id;
@@ -249,7 +252,7 @@
       gp_link_t *link = value;
       const outbox_t *outbox;
 
-      if (link->peer == NULL || !link->up || link->executor == NULL)
+      if (link->peer == NULL || !link->sees_executor)
         continue;
       if (link->wants_sync && !link->lapsed)
         make_sync (link);
@@ -391,6 +394,8 @@
   /* It may work again only under a new fence.  */
   if (executor->dead)
     link->wants_sync = true;
+  if (report->synced != link->sync && now - link->synced_at > RESYNC_TIME)
+    link->wants_sync = true;
   link->lapsed = report->lapsed;
   executor->reachable
       = !link->lapsed && !link->wants_sync && report->synced == link->sync;
@@ -410,7 +415,8 @@
   link->up = true;
   link->reported_at = gp_loop_now (leader->loop);
   acknowledge (link, report);
-  if (report->executor == NULL)
+  link->sees_executor = report->executor != NULL;
+  if (!link->sees_executor)
     return;
   set_executor (link, report->executor);
   learn (link, report);
@@ -444,6 +450,7 @@
     gp_log (GP_LOG_INFO, "guard.down", GP_LOG_S ("guard", link->node),
             GP_LOG_S ("why", why));
   link->up = false;
+  link->sees_executor = false;
   link->peer = NULL;
   link->wants_sync = true;
   if (link->executor != NULL)
