Guard: a lapse holds until the leader has taken it into account

Cause: after an outage of the store a guard got leases again, started what it was told, and its report that the old lease had lapsed came after; the leader gave the same runs to others (TWICE 25 to 44 on store-down-twice). The lapse is now latched, and only a sync made after its report ends it.

--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -102,6 +102,7 @@
   agent->raise_fence = false;
   agent->clock_ms = -1;
   agent->lease = INT64_MIN / 2;
+  agent->lapsed = false;
   g_hash_table_remove_all (agent->runs);
   g_ptr_array_set_size (agent->ends, 0);
 }
@@ -142,9 +143,31 @@
   take_clock (agent, clock_ms, now);
 }
 
+/* Note when the lease has run out; before anything moves it on.  */
+static void
+check_lapse (gp_agent_t *agent, gp_time_t now)
+{
+  /* A process before this one may have moved the lease until it ended.  */
+  gp_time_t lease = MAX (agent->lease, agent->known_since);
+
+  if (agent->executor == NULL || agent->lapsed
+      || now <= gp_agent_lease_end (lease))
+    return;
+  agent->lapsed = true;
+  agent->lapsed_at = now;
+  agent->is_synced = false;
+  agent->synced = 0;
+  gp_log (GP_LOG_INFO, "lease.lapsed",
+          GP_LOG_S ("executor", agent->executor->id),
+          GP_LOG_I ("runs", g_hash_table_size (agent->runs)),
+          GP_LOG_I ("moved_ms_ago", (now - lease) / GP_MSEC),
+          GP_LOG_I ("heard_ms_ago", (now - agent->heard_at) / GP_MSEC));
+}
+
 void
-gp_agent_acknowledged (gp_agent_t *agent, gp_time_t sent_at)
+gp_agent_acknowledged (gp_agent_t *agent, gp_time_t sent_at, gp_time_t now)
 {
+  check_lapse (agent, now);
   agent->granted = MAX (agent->granted, sent_at);
 }
 
@@ -273,8 +296,12 @@
 gp_agent_sync (gp_agent_t *agent, Gp__Jobs__Sync *sync)
 {
   if (agent->executor == NULL
-      || strcmp (agent->executor->id, sync->executor) != 0)
+      || strcmp (agent->executor->id, sync->executor) != 0
+      || (agent->lapsed && sync->after < agent->lapsed_at))
     return;
+  if (agent->lapsed)
+    agent->lease = agent->granted;
+  agent->lapsed = false;
   stop_unwanted (agent, sync);
   for (size_t i = 0; i < sync->n_starts; i++)
     want_start (agent, &sync->starts[i]);
@@ -346,10 +373,17 @@
   return agent->clock_ms + (ahead + GP_AGENT_LEASE_TIME) / GP_MSEC;
 }
 
+bool
+gp_agent_answers (const gp_agent_t *agent, gp_time_t now)
+{
+  return now - agent->heard_at < SILENCE_TIME;
+}
+
 static void
 move_lease (gp_agent_t *agent, gp_time_t now)
 {
-  if (now - agent->heard_at < SILENCE_TIME)
+  check_lapse (agent, now);
+  if (gp_agent_answers (agent, now))
     agent->lease = MAX (agent->lease, agent->granted);
 }
 
@@ -367,12 +401,10 @@
 }
 
 bool
-gp_agent_lapsed (const gp_agent_t *agent, gp_time_t now)
+gp_agent_lapsed (gp_agent_t *agent, gp_time_t now)
 {
-  /* A process before this one may have moved the lease until it ended.  */
-  gp_time_t lease = MAX (agent->lease, agent->known_since);
-
-  return agent->executor != NULL && now > gp_agent_lease_end (lease);
+  check_lapse (agent, now);
+  return agent->lapsed;
 }
 
 /* Calls.  */
--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -13,6 +13,9 @@
      report that the leader has acknowledged, on a clock that may run slow by
      GP_AGENT_CLOCK_SLOW_PERMILLE; it is not moved on while the executor
      does not answer, so that its end becomes certain.
+   - Once the lease has certainly run out, nothing is started until a sync
+     that takes a report of that into account: the leader may have given the
+     runs to others.
    - The fence is the executor's own clock when this process first heard of
      it, or when the leader asked for a new one: it is above all fences that
      were used before, without anything stored.
@@ -115,12 +118,14 @@
   uint64_t synced;              /* number of the last sync */
   bool is_synced;               /* RUNS is what the leader wants */
   int64_t fence;
-  bool raise_fence;      /* take a new fence from the next answer */
-  int64_t clock_ms;      /* the executor's clock ... */
-  gp_time_t clock_at;    /* ... no earlier than here */
-  gp_time_t granted;     /* sending of the last acknowledged report */
-  gp_time_t lease;       /* the same of the lease that calls carry */
-  gp_time_t heard_at;    /* last answer of the executor */
+  bool raise_fence;   /* take a new fence from the next answer */
+  int64_t clock_ms;   /* the executor's clock ... */
+  gp_time_t clock_at; /* ... no earlier than here */
+  gp_time_t granted;  /* sending of the last acknowledged report */
+  gp_time_t lease;    /* the same of the lease that calls carry */
+  gp_time_t heard_at; /* last answer of the executor */
+  bool lapsed;        /* the lease ran out, and no sync since says so */
+  gp_time_t lapsed_at;
   gp_time_t known_since; /* this process knows the executor since */
   gp_pacer_t pacer;
   gp_time_t measured_at; /* the measures of the runs are from then */
@@ -140,7 +145,8 @@
 void gp_agent_drop_executor (gp_agent_t *agent);
 
 /* The leader's words.  */
-void gp_agent_acknowledged (gp_agent_t *agent, gp_time_t sent_at);
+void gp_agent_acknowledged (gp_agent_t *agent, gp_time_t sent_at,
+                            gp_time_t now);
 void gp_agent_sync (gp_agent_t *agent, Gp__Jobs__Sync *sync);
 void gp_agent_order (gp_agent_t *agent, Gp__Jobs__Orders *orders);
 /* Another leader has come: what it wants is not known yet.  */
@@ -172,7 +178,11 @@
 void gp_agent_list_refused (gp_agent_t *agent, gp_agent_result_t result,
                             int64_t clock_ms, gp_time_t now);
 
-/* Has the executor's lease certainly run out?  */
-bool gp_agent_lapsed (const gp_agent_t *agent, gp_time_t now);
+/* Has the executor answered a call lately?  */
+bool gp_agent_answers (const gp_agent_t *agent, gp_time_t now);
+
+/* Has the executor's lease certainly run out, and did no sync take that into
+   account yet?  */
+bool gp_agent_lapsed (gp_agent_t *agent, gp_time_t now);
 
 #endif
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -161,6 +161,7 @@
   report.node = guard->settings->node;
   report.executor = agent->executor;
   report.lapsed = gp_agent_lapsed (agent, now);
+  report.answers = gp_agent_answers (agent, now);
   report.synced = agent->synced;
   report.ends = (Gp__Jobs__End **)agent->ends->pdata;
   report.n_ends = agent->ends->len;
@@ -480,7 +481,7 @@
 {
   gp_pressure_t *pressure = &guard->agent.pacer.pressure;
 
-  gp_agent_acknowledged (&guard->agent, message->sent_at);
+  gp_agent_acknowledged (&guard->agent, message->sent_at, now_of (guard));
   for (size_t i = 0; i < message->n_pressures; i++)
     {
       const Gp__Jobs__Pressure *row = message->pressures[i];
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -54,13 +54,14 @@
   gp_executor_t *executor;   /* the one on the VM, NULL: none known */
   gp_time_t acknowledged_at; /* the last acknowledgement was sent */
   gp_time_t reported_at;     /* the last report came, or it was dialled */
+  gp_time_t report_sent_at;  /* the last report left, on the guard's clock */
   uint64_t sync;             /* number of the last sync sent or being sent */
   bool wants_sync;           /* the guard has to be told all its runs */
   gp_time_t synced_at;       /* the last sync was made */
   bool sees_executor;        /* the guard's last report names one */
-  bool lapsed;               /* the executor's lease has run out */
-  gp_time_t taught_at;       /* the guard was told the pressures last */
-  bool up;                   /* it reports */
+  bool silent; /* the executor's lease has run out and it does not answer */
+  gp_time_t taught_at; /* the guard was told the pressures last */
+  bool up;             /* it reports */
 } gp_link_t;
 
 struct gp_leader
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -228,6 +228,7 @@
   sync.starts = (Gp__Jobs__Start **)starts->pdata;
   sync.n_starts = starts->len;
   sync.raise_fence = link->executor->dead;
+  sync.after = link->report_sent_at;
   frame.message_case = GP__JOBS__FRAME__MESSAGE_SYNC;
   frame.sync = &sync;
   keep_frame (link, &frame);
@@ -254,7 +255,7 @@
 
       if (link->peer == NULL || !link->sees_executor)
         continue;
-      if (link->wants_sync && !link->lapsed)
+      if (link->wants_sync && !link->silent)
         make_sync (link);
       outbox = g_hash_table_lookup (outboxes, link->executor);
       if (outbox != NULL)
@@ -396,9 +397,9 @@
     link->wants_sync = true;
   if (report->synced != link->sync && now - link->synced_at > RESYNC_TIME)
     link->wants_sync = true;
-  link->lapsed = report->lapsed;
+  link->silent = report->lapsed && !report->answers;
   executor->reachable
-      = !link->lapsed && !link->wants_sync && report->synced == link->sync;
+      = !report->lapsed && !link->wants_sync && report->synced == link->sync;
 }
 
 static void
@@ -416,6 +417,7 @@
   link->reported_at = gp_loop_now (leader->loop);
   acknowledge (link, report);
   link->sees_executor = report->executor != NULL;
+  link->report_sent_at = report->sent_at;
   if (!link->sees_executor)
     return;
   set_executor (link, report->executor);
