--- a/Makefile
+++ b/Makefile
@@ -118,6 +118,7 @@
 	@tests/run-scripts $(BUILD)
 
 lint:
+	@tools/check-names
 	@clang-format --dry-run -Werror $(STYLE_SRC)
 	@printf '%s\n' $(TIDY_SRC) | xargs -P 10 -n 3 \
 		tools/tidy $(CPPFLAGS) $(PKG_CFLAGS) --
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -353,6 +353,22 @@
     }
 }
 
+/* All members go on from the same point: any member's is good for all.  */
+static void
+share_checkpoint (gp_job_task_t *first, uint32_t count)
+{
+  const char *checkpoint = NULL;
+
+  for (uint32_t i = 0; i < count && checkpoint == NULL; i++)
+    checkpoint = first[i].checkpoint;
+  for (uint32_t i = 0; i < count; i++)
+    if (first[i].checkpoint != checkpoint)
+      {
+        g_free (first[i].checkpoint);
+        first[i].checkpoint = g_strdup (checkpoint);
+      }
+}
+
 /* Assign all members of a gang under one run number, or none.  */
 static void
 assign_gang (pass_t *pass, gp_job_task_t *first, uint32_t count)
@@ -368,6 +384,8 @@
       run = MAX (run, first[i].run + 1);
       waiting = waiting && first[i].state == GP_TASK_WAITING;
     }
+  if (waiting)
+    share_checkpoint (first, count);
   for (; waiting && placed < count; placed++)
     {
       candidate_t *candidate = choose (pass, &first[placed]);
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -135,18 +135,6 @@
     end_job (scheduler, job, GP_JOB_COMPLETED, wall_ms);
 }
 
-static void
-count_failure (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
-{
-  gp_job_t *job = task->job;
-
-  task->failures++;
-  if (gp_task_step (task)->long_running || gp_job_ended (job))
-    return;
-  if (task->failures >= job->submission->max_attempts)
-    end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
-}
-
 /* The members of TASK's gang, TASK among them, from *FIRST on.  */
 static uint32_t
 members (gp_job_task_t *task, gp_job_task_t **first)
@@ -159,6 +147,22 @@
   return job->submission->steps[step]->count;
 }
 
+static void
+count_failure (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
+{
+  gp_job_t *job = task->job;
+  gp_job_task_t *counted = task;
+
+  /* The failures of a gang count together, at its first member.  */
+  if (gp_task_step (task)->gang)
+    members (task, &counted);
+  counted->failures++;
+  if (gp_task_step (task)->long_running || gp_job_ended (job))
+    return;
+  if (counted->failures >= job->submission->max_attempts)
+    end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
+}
+
 /* A gang ends done as one: its other members need no word of their own.  */
 static void
 finish_gang (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
--- /dev/null
+++ b/tests/unit/fake_executor.h
@@ -0,0 +1,52 @@
+/* An executor in virtual time, as the platform describes it: fences, leases
+   on a clock of its own, orders that are carried out late.  */
+
+#ifndef GP_TESTS_FAKE_EXECUTOR_H
+#define GP_TESTS_FAKE_EXECUTOR_H
+
+#include "jobs/agent.h"
+
+typedef struct
+{
+  char task[GP_TASK_NAME_SIZE];
+  uint32_t run;
+  gp_time_t done_at;
+  gp_time_t stop_at; /* GP_TIME_NEVER: it is not being stopped */
+} fake_run_t;
+
+typedef struct
+{
+  gp_time_t slow_permille; /* how much slower than time its clock runs */
+  int64_t fence;
+  int64_t lease_ms; /* on its clock */
+  GArray *runs;     /* fake_run_t */
+  GPtrArray *ends;  /* Gp__Jobs__End, owned, not confirmed */
+  uint64_t end_count;
+  GHashTable *highest; /* task to the highest run stopped or ended */
+  GHashTable *starts;  /* "task/run" to how often it was started */
+  gp_time_t work_time; /* of a run */
+} fake_executor_t;
+
+void fake_executor_init (fake_executor_t *fake);
+void fake_executor_finish (fake_executor_t *fake);
+
+int64_t fake_executor_clock (const fake_executor_t *fake, gp_time_t now);
+
+/* End what is due by NOW.  */
+void fake_executor_advance (fake_executor_t *fake, gp_time_t now);
+
+gp_agent_result_t fake_executor_start (fake_executor_t *fake, const char *task,
+                                       uint32_t run, int64_t lease_ms,
+                                       int64_t fence, gp_time_t now);
+gp_agent_result_t fake_executor_stop (fake_executor_t *fake, const char *task,
+                                      uint32_t run, int64_t fence,
+                                      gp_time_t now);
+gp_agent_result_t fake_executor_hold (fake_executor_t *fake,
+                                      uint64_t confirmed, int64_t lease_ms,
+                                      int64_t fence, gp_time_t now);
+
+/* Is RUN of TASK at work?  */
+bool fake_executor_runs (const fake_executor_t *fake, const char *task,
+                         uint32_t run);
+
+#endif
--- /dev/null
+++ b/tests/unit/jobs_site.c
@@ -0,0 +1,149 @@
+/* A book, a scheduler and executors for tests of jobs.  */
+
+#include "jobs_site.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SERVICE "upstream"
+#define MB_A_CORE 1024
+
+void
+jobs_site_init (jobs_site_t *site)
+{
+  gp_book_init (&site->book);
+  gp_pressure_init (&site->pressure);
+  gp_scheduler_init (&site->scheduler, &site->book, &site->pressure);
+  site->now = GP_SEC;
+}
+
+void
+jobs_site_finish (jobs_site_t *site)
+{
+  gp_scheduler_finish (&site->scheduler);
+  gp_pressure_finish (&site->pressure);
+  gp_book_finish (&site->book);
+}
+
+gp_executor_t *
+jobs_site_executor (jobs_site_t *site, const char *id, unsigned cores)
+{
+  gp_executor_t *executor = gp_book_executor (&site->book, id);
+  Gp__Jobs__Executor report = GP__JOBS__EXECUTOR__INIT;
+  char *labels[] = { "a", "rack-1" };
+
+  report.id = (char *)id;
+  report.service = SERVICE;
+  report.cpu_milli = cores * 1000;
+  report.memory_mb = cores * MB_A_CORE;
+  report.labels = labels;
+  report.n_labels = G_N_ELEMENTS (labels);
+  gp_executor_update (executor, id, &report, site->now);
+  executor->reachable = true;
+  return executor;
+}
+
+/* Messages are made with malloc, as protobuf-c frees them with free.  */
+
+void
+jobs_site_add_step (Gp__Jobs__Submission *submission, unsigned count,
+                    unsigned cpu_milli)
+{
+  Gp__Jobs__Step *step = g_new0 (Gp__Jobs__Step, 1);
+  size_t number = submission->n_steps;
+
+  gp__jobs__step__init (step);
+  step->count = count;
+  step->cpu_milli = cpu_milli;
+  step->memory_mb = 100;
+  step->estimate_ms = 1000;
+  step->required_label = strdup ("");
+  step->preferred_rack = strdup ("");
+  step->image = strdup ("image");
+  if (number > 0)
+    {
+      step->after = g_new0 (uint32_t, 1);
+      step->after[step->n_after++] = (uint32_t)number - 1;
+    }
+  submission->steps
+      = g_renew (Gp__Jobs__Step *, submission->steps, number + 1);
+  submission->steps[submission->n_steps++] = step;
+}
+
+Gp__Jobs__Submission *
+jobs_site_submission (unsigned count, unsigned cpu_milli)
+{
+  Gp__Jobs__Submission *submission = g_new0 (Gp__Jobs__Submission, 1);
+
+  gp__jobs__submission__init (submission);
+  submission->queue = strdup ("queue");
+  submission->service = strdup (SERVICE);
+  submission->max_attempts = 2;
+  submission->stretch_percent = 150;
+  submission->target_ms = 250;
+  jobs_site_add_step (submission, count, cpu_milli);
+  return submission;
+}
+
+gp_job_t *
+jobs_site_submit (jobs_site_t *site, const char *id,
+                  Gp__Jobs__Submission *submission)
+{
+  size_t size = gp__jobs__submission__get_packed_size (submission);
+  uint8_t *bytes = g_malloc (size);
+  gp_job_t *job;
+
+  gp__jobs__submission__pack (submission, bytes);
+  gp__jobs__submission__free_unpacked (submission, NULL);
+  job = gp_book_submit (&site->book, id, bytes, size, site->now, NULL);
+  g_free (bytes);
+  return job;
+}
+
+void
+jobs_site_plan (jobs_site_t *site)
+{
+  gp_scheduler_plan (&site->scheduler, site->now, site->now / GP_MSEC);
+}
+
+void
+jobs_site_end (jobs_site_t *site, gp_job_task_t *task, gp_end_t how)
+{
+  static uint64_t number;
+  char name[GP_TASK_NAME_SIZE];
+  Gp__Jobs__End end = GP__JOBS__END__INIT;
+
+  gp_task_name (task, name);
+  end.number = ++number;
+  end.task = name;
+  end.run = task->run;
+  end.how = how;
+  gp_scheduler_end (&site->scheduler, task->executor, &end, site->now,
+                    site->now / GP_MSEC);
+}
+
+void
+jobs_site_refold (const jobs_site_t *site, gp_book_t *fresh)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, site->book.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_t *job = value;
+      GBytes *progress = gp_book_pack (job);
+      size_t packed = gp__jobs__submission__get_packed_size (job->submission);
+      uint8_t *submission = g_malloc (packed);
+      gsize size;
+      const uint8_t *data = g_bytes_get_data (progress, &size);
+
+      gp__jobs__submission__pack (job->submission, submission);
+      gp_book_progress (fresh, job->id, data, size, NULL);
+      gp_book_submit (fresh, job->id, submission, packed, site->now, NULL);
+      if (job->cancelled)
+        gp_book_cancel (fresh, job->id);
+      g_free (submission);
+      g_bytes_unref (progress);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_agent.c
@@ -0,0 +1,553 @@
+/* Tests of the guard's decisions: a scripted transcript, and random runs
+   against an executor that leaves calls unanswered and carries them out
+   late.  */
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fake_executor.h"
+#include "runner.h"
+
+#define TASK "00000000000000aa.0.0.0"
+
+static Gp__Jobs__Executor *
+executor_new (const char *id)
+{
+  Gp__Jobs__Executor *executor = g_new (Gp__Jobs__Executor, 1);
+
+  gp__jobs__executor__init (executor);
+  executor->id = g_strdup (id);
+  executor->service = g_strdup ("upstream");
+  executor->zone = g_strdup ("zone");
+  return executor;
+}
+
+static Gp__Jobs__Start *
+start_new (const char *task, uint32_t run)
+{
+  Gp__Jobs__Start *start = g_new (Gp__Jobs__Start, 1);
+
+  gp__jobs__start__init (start);
+  start->task = g_strdup (task);
+  start->run = run;
+  start->image = g_strdup ("image");
+  return start;
+}
+
+/* The leader wants just RUN of TASK (0: nothing).  */
+static void
+sync_with (gp_agent_t *agent, const char *task, uint32_t run, gp_time_t after)
+{
+  Gp__Jobs__Sync *sync = g_new (Gp__Jobs__Sync, 1);
+
+  gp__jobs__sync__init (sync);
+  sync->number = agent->synced + 1;
+  sync->executor = g_strdup (agent->executor->id);
+  sync->after = after;
+  if (run > 0)
+    {
+      sync->starts = g_new (Gp__Jobs__Start *, 1);
+      sync->starts[sync->n_starts++] = start_new (task, run);
+    }
+  gp_agent_sync (agent, sync);
+  gp__jobs__sync__free_unpacked (sync, NULL);
+}
+
+static void
+order_stop (gp_agent_t *agent, const char *task, uint32_t run)
+{
+  Gp__Jobs__Orders orders = GP__JOBS__ORDERS__INIT;
+  Gp__Jobs__TaskRun stop = GP__JOBS__TASK_RUN__INIT;
+  Gp__Jobs__TaskRun *stops[] = { &stop };
+
+  stop.task = (char *)task;
+  stop.run = run;
+  orders.executor = agent->executor->id;
+  orders.stops = stops;
+  orders.n_stops = 1;
+  gp_agent_order (agent, &orders);
+}
+
+static const char *const call_names[] = { "none", "start", "stop", "pace" };
+static const char *const phase_names[]
+    = { "starting", "present", "stopping", "stopped", "absent" };
+
+/* Make the next call and give it RESULT.  */
+static void
+call (gp_agent_t *agent, gp_agent_result_t result, gp_time_t now)
+{
+  gp_time_t again;
+  gp_agent_call_t next = gp_agent_next_call (agent, now, &again);
+  char name[GP_TASK_NAME_SIZE];
+  uint32_t run;
+
+  printf ("  call: %s", call_names[next.kind]);
+  if (next.kind == GP_AGENT_CALL_NONE)
+    {
+      if (again != GP_TIME_NEVER)
+        printf (", again in %d ms", (int)((again - now) / GP_MSEC));
+      printf ("\n");
+      return;
+    }
+  g_strlcpy (name, next.run->name, sizeof name);
+  run = next.run->run;
+  gp_agent_answered (agent, next.kind, name, run, next.percent, result, -1,
+                     now);
+  printf (" run %u\n", run);
+}
+
+static void
+show (const gp_agent_t *agent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_agent_run_t *run = value;
+
+      printf ("  run %u: %s\n", run->run, phase_names[run->phase]);
+    }
+  printf ("  ends to tell: %u\n", agent->ends->len);
+}
+
+static void
+begin (gp_agent_t *agent, gp_time_t now)
+{
+  gp_agent_init (agent);
+  gp_agent_set_executor (agent, executor_new ("x1"), 5000, now);
+  gp_agent_acknowledged (agent, now, now);
+}
+
+static void
+test_no_start_before_sync (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  printf ("nothing starts before the sync, after it the run does\n");
+  begin (&agent, now);
+  call (&agent, GP_AGENT_TAKEN, now);
+  sync_with (&agent, TASK, 1, 0);
+  gp_agent_unsync (&agent);
+  call (&agent, GP_AGENT_TAKEN, now);
+  sync_with (&agent, TASK, 1, 0);
+  call (&agent, GP_AGENT_TAKEN, now);
+  show (&agent);
+  gp_agent_finish (&agent);
+}
+
+static void
+test_refused_start (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  printf ("a refused start is absent only after a stop and a list\n");
+  begin (&agent, now);
+  sync_with (&agent, TASK, 1, 0);
+  call (&agent, GP_AGENT_UNANSWERED, now);
+  call (&agent, GP_AGENT_TAKEN, now);
+  now += 200 * GP_MSEC;
+  call (&agent, GP_AGENT_NO_ROOM, now);
+  call (&agent, GP_AGENT_TAKEN, now);
+  show (&agent);
+  gp_agent_listed (&agent, NULL, 0, NULL, 0, 5300, now, now);
+  show (&agent);
+  gp_agent_listed (&agent, NULL, 0, NULL, 0, 5400, now + 1, now + 2);
+  show (&agent);
+  gp_agent_finish (&agent);
+}
+
+static void
+test_lapse (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  printf ("after a lapse only a sync that knows of it lets runs start\n");
+  begin (&agent, now);
+  sync_with (&agent, TASK, 1, 0);
+  gp_agent_list_lease (&agent, now);
+  now += 6 * GP_SEC;
+  printf ("  lapsed: %d\n", gp_agent_lapsed (&agent, now));
+  gp_agent_listed (&agent, NULL, 0, NULL, 0, 11000, now - 1, now);
+  gp_agent_acknowledged (&agent, now, now);
+  call (&agent, GP_AGENT_TAKEN, now);
+  sync_with (&agent, TASK, 1, now - 1);
+  call (&agent, GP_AGENT_TAKEN, now);
+  sync_with (&agent, TASK, 2, now);
+  printf ("  lapsed: %d\n", gp_agent_lapsed (&agent, now));
+  call (&agent, GP_AGENT_TAKEN, now);
+  gp_agent_finish (&agent);
+}
+
+static void
+test_new_executor (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  printf ("another executor: what was known of the first is forgotten\n");
+  begin (&agent, now);
+  sync_with (&agent, TASK, 1, 0);
+  call (&agent, GP_AGENT_TAKEN, now);
+  gp_agent_set_executor (&agent, executor_new ("x2"), 70, now);
+  show (&agent);
+  call (&agent, GP_AGENT_TAKEN, now);
+  printf ("  fence %d\n", (int)agent.fence);
+  gp_agent_finish (&agent);
+}
+
+static void
+test_stop (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+  Gp__Jobs__End end = GP__JOBS__END__INIT;
+  const gp_agent_row_t row = { TASK, 1, 100 };
+
+  printf ("a stop goes on until the end is listed\n");
+  begin (&agent, now);
+  sync_with (&agent, TASK, 1, 0);
+  call (&agent, GP_AGENT_TAKEN, now);
+  order_stop (&agent, TASK, 1);
+  call (&agent, GP_AGENT_UNANSWERED, now);
+  now += 200 * GP_MSEC;
+  call (&agent, GP_AGENT_TAKEN, now);
+  gp_agent_listed (&agent, &row, 1, NULL, 0, 5300, now + 1, now + 2);
+  show (&agent);
+  end.number = 1;
+  end.task = TASK;
+  end.run = 1;
+  end.how = GP_END_STOPPED;
+  gp_agent_listed (&agent, NULL, 0, &end, 1, 5600, now + 3, now + 4);
+  show (&agent);
+  gp_agent_finish (&agent);
+}
+
+/* Random runs.  One task at a time is wanted, as a leader would have it: run
+   N + 1 only after run N is known ended or absent.  */
+
+#define STEP (20 * GP_MSEC)
+#define STEPS 1500
+
+/* A call on its way: carried out at DUE, answered unless LOST.  */
+typedef struct
+{
+  gp_agent_call_kind_t kind; /* NONE: a list */
+  char name[GP_TASK_NAME_SIZE];
+  uint32_t run;
+  int64_t fence;
+  int64_t lease_ms;
+  uint64_t confirmed;
+  gp_time_t sent_at;
+  gp_time_t due;
+  bool lost;
+  gp_time_t gives_up; /* the agent takes it as unanswered then */
+} flight_t;
+
+typedef struct
+{
+  GRand *random;
+  gp_agent_t agent;
+  fake_executor_t fake;
+  GArray *flights;
+  gp_time_t now;
+  bool listing;
+  uint32_t wanted;   /* the leader's run, 0: none */
+  uint32_t given_up; /* runs up to here may be at work no more */
+  uint32_t done_runs;
+} world_t;
+
+static bool
+chance (world_t *world, double share)
+{
+  return g_rand_double (world->random) < share;
+}
+
+static flight_t *
+take_off (world_t *world, gp_agent_call_kind_t kind)
+{
+  flight_t flight
+      = { .kind = kind,
+          .sent_at = world->now,
+          .fence = world->agent.fence,
+          .confirmed = world->agent.seen_ends,
+          .due
+          = world->now + g_rand_int_range (world->random, 1, 30) * GP_MSEC,
+          .gives_up = world->now + 300 * GP_MSEC };
+
+  if (chance (world, 0.1))
+    {
+      flight.lost = true;
+      if (chance (world, 0.7))
+        flight.due += g_rand_int_range (world->random, 2000, 12000) * GP_MSEC;
+    }
+  g_array_append_val (world->flights, flight);
+  return &g_array_index (world->flights, flight_t, world->flights->len - 1);
+}
+
+static gp_agent_result_t
+carry_out (world_t *world, const flight_t *flight)
+{
+  switch (flight->kind)
+    {
+    case GP_AGENT_CALL_START:
+      return fake_executor_start (&world->fake, flight->name, flight->run,
+                                  flight->lease_ms, flight->fence, world->now);
+    case GP_AGENT_CALL_STOP:
+      return fake_executor_stop (&world->fake, flight->name, flight->run,
+                                 flight->fence, world->now);
+    case GP_AGENT_CALL_NONE:
+      return fake_executor_hold (&world->fake, flight->confirmed,
+                                 flight->lease_ms, flight->fence, world->now);
+    case GP_AGENT_CALL_PACE:
+      break;
+    }
+  return GP_AGENT_TAKEN;
+}
+
+static void
+answer_list (world_t *world, const flight_t *flight)
+{
+  fake_executor_t *fake = &world->fake;
+  gp_agent_row_t *rows = g_new (gp_agent_row_t, fake->runs->len);
+  Gp__Jobs__End *ends = g_new (Gp__Jobs__End, fake->ends->len);
+
+  for (guint i = 0; i < fake->runs->len; i++)
+    {
+      const fake_run_t *run = &g_array_index (fake->runs, fake_run_t, i);
+
+      rows[i] = (gp_agent_row_t){ run->task, run->run, 100 };
+    }
+  for (guint i = 0; i < fake->ends->len; i++)
+    ends[i] = *(Gp__Jobs__End *)g_ptr_array_index (fake->ends, i);
+  gp_agent_listed (&world->agent, rows, fake->runs->len, ends, fake->ends->len,
+                   fake_executor_clock (fake, world->now), flight->sent_at,
+                   world->now);
+  g_free (rows);
+  g_free (ends);
+}
+
+static void
+answer (world_t *world, const flight_t *flight, gp_agent_result_t result)
+{
+  int64_t clock = result == GP_AGENT_UNANSWERED
+                      ? -1
+                      : fake_executor_clock (&world->fake, world->now);
+
+  if (flight->kind != GP_AGENT_CALL_NONE)
+    {
+      gp_agent_answered (&world->agent, flight->kind, flight->name,
+                         flight->run, 0, result, clock, world->now);
+      return;
+    }
+  world->listing = false;
+  if (result == GP_AGENT_TAKEN)
+    answer_list (world, flight);
+  else
+    gp_agent_list_refused (&world->agent, result, clock, world->now);
+}
+
+static void
+land (world_t *world)
+{
+  for (guint i = world->flights->len; i-- > 0;)
+    {
+      flight_t flight = g_array_index (world->flights, flight_t, i);
+      gp_agent_result_t result;
+
+      if (flight.lost && flight.gives_up != 0 && world->now >= flight.gives_up)
+        {
+          answer (world, &flight, GP_AGENT_UNANSWERED);
+          g_array_index (world->flights, flight_t, i).gives_up = 0;
+        }
+      if (world->now < flight.due)
+        continue;
+      result = carry_out (world, &flight);
+      if (!flight.lost)
+        answer (world, &flight, result);
+      else if (flight.gives_up != 0)
+        {
+          answer (world, &flight, GP_AGENT_UNANSWERED);
+        }
+      g_array_remove_index (world->flights, i);
+    }
+}
+
+static void
+fly (world_t *world)
+{
+  gp_time_t again;
+  gp_agent_call_t next;
+
+  while ((next = gp_agent_next_call (&world->agent, world->now, &again)).kind
+         != GP_AGENT_CALL_NONE)
+    {
+      flight_t *flight = take_off (world, next.kind);
+
+      g_strlcpy (flight->name, next.run->name, sizeof flight->name);
+      flight->run = next.run->run;
+      flight->lease_ms = next.lease_ms;
+    }
+  if (!world->listing && chance (world, 0.3))
+    {
+      world->listing = true;
+      take_off (world, GP_AGENT_CALL_NONE)->lease_ms
+          = gp_agent_list_lease (&world->agent, world->now);
+    }
+}
+
+/* What the leader would do with a report made now.  */
+static void
+lead (world_t *world)
+{
+  gp_agent_t *agent = &world->agent;
+  bool lapsed = gp_agent_lapsed (agent, world->now);
+
+  if (lapsed)
+    world->given_up = world->wanted;
+  for (guint i = 0; i < agent->ends->len; i++)
+    {
+      const Gp__Jobs__End *end = g_ptr_array_index (agent->ends, i);
+
+      if (end->run == world->wanted)
+        world->given_up = world->wanted;
+      if (end->how == GP_END_DONE)
+        world->done_runs++;
+    }
+  if (agent->ends->len > 0 && agent->is_synced)
+    {
+      Gp__Jobs__Orders orders = GP__JOBS__ORDERS__INIT;
+
+      orders.executor = agent->executor->id;
+      orders.seen_ends = agent->listed_ends;
+      gp_agent_order (agent, &orders);
+    }
+  gp_agent_acknowledged (agent, world->now, world->now);
+  if (lapsed || !agent->is_synced)
+    {
+      world->wanted = world->given_up + 1;
+      sync_with (agent, TASK, world->wanted, world->now);
+    }
+  else if (world->given_up == world->wanted)
+    {
+      world->wanted++;
+      sync_with (agent, TASK, world->wanted, world->now);
+    }
+}
+
+static void
+take_absent (world_t *world)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, world->agent.runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_agent_run_t *run = value;
+
+      if (run->phase == GP_RUN_ABSENT && run->run == world->wanted)
+        world->given_up = world->wanted;
+    }
+}
+
+/* A run that was given up is not at work, now or later.  */
+static void
+check_world (world_t *world)
+{
+  fake_executor_advance (&world->fake, world->now);
+  for (guint i = 0; i < world->fake.runs->len; i++)
+    {
+      const fake_run_t *run = &g_array_index (world->fake.runs, fake_run_t, i);
+
+      CU_ASSERT_FATAL (run->run > world->given_up);
+    }
+  CU_ASSERT_FATAL (world->fake.runs->len <= 1);
+}
+
+static void
+restart_guard (world_t *world)
+{
+  gp_agent_finish (&world->agent);
+  gp_agent_init (&world->agent);
+  world->listing = false;
+  for (guint i = 0; i < world->flights->len; i++)
+    {
+      flight_t *flight = &g_array_index (world->flights, flight_t, i);
+
+      flight->lost = true;
+      flight->gives_up = 0;
+    }
+  gp_agent_set_executor (&world->agent, executor_new ("x1"),
+                         fake_executor_clock (&world->fake, world->now),
+                         world->now);
+}
+
+/* Returns the number of runs that were done.  */
+static uint32_t
+play (guint32 seed)
+{
+  world_t world = { .random = g_rand_new_with_seed (seed),
+                    .flights = g_array_new (FALSE, FALSE, sizeof (flight_t)),
+                    .now = 100 * GP_SEC };
+  gp_time_t cut_until = 0;
+
+  fake_executor_init (&world.fake);
+  world.fake.slow_permille = g_rand_int_range (world.random, 0, 21);
+  gp_agent_init (&world.agent);
+  restart_guard (&world);
+  for (int step = 0; step < STEPS; step++)
+    {
+      world.now += STEP;
+      world.fake.work_time
+          = g_rand_int_range (world.random, 100, 9000) * GP_MSEC;
+      land (&world);
+      check_world (&world);
+      take_absent (&world);
+      if (chance (&world, 0.002))
+        cut_until
+            = world.now + g_rand_int_range (world.random, 500, 9000) * GP_MSEC;
+      if (world.now >= cut_until && chance (&world, 0.1))
+        lead (&world);
+      if (chance (&world, 0.001))
+        restart_guard (&world);
+      if (chance (&world, 0.003))
+        gp_agent_unsync (&world.agent);
+      fly (&world);
+    }
+  gp_agent_finish (&world.agent);
+  fake_executor_finish (&world.fake);
+  g_array_free (world.flights, TRUE);
+  g_rand_free (world.random);
+  return world.done_runs;
+}
+
+static void
+test_random (void)
+{
+  uint32_t done = 0;
+
+  for (guint32 seed = 1; seed <= 60; seed++)
+    done += play (seed);
+  CU_ASSERT (done > 60);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "no start before sync", test_no_start_before_sync },
+          { "refused start", test_refused_start },
+          { "lapse", test_lapse },
+          { "new executor", test_new_executor },
+          { "stop", test_stop },
+          { "random", test_random },
+          CU_TEST_INFO_NULL };
+
+  return runner_main ("agent", tests);
+}
--- /dev/null
+++ b/tests/unit/test_jobs.c
@@ -0,0 +1,481 @@
+/* Tests of jobs: their life in the scheduler, the fold, and placement
+   against what it must never do.  */
+
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "jobs_site.h"
+#include "runner.h"
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+#define JOB_C "00000000000000cc"
+
+static void
+print_job (const gp_job_t *job)
+{
+  printf ("  %s %s:", job->id + 14, gp_job_state_name (job->state));
+  for (uint32_t i = 0; i < job->task_count; i++)
+    {
+      const gp_job_task_t *task = &job->tasks[i];
+
+      printf (" %c%u", "wasd"[task->state], task -> run);
+      if (task->executor != NULL)
+        printf ("@%s", task->executor->id);
+    }
+  printf ("\n");
+}
+
+/* Print the orders made since the last call.  */
+static void
+print_orders (jobs_site_t *site)
+{
+  static const char *const names[] = { "start", "stop", "forget", "seen" };
+  GArray *orders = site->scheduler.orders;
+
+  for (guint i = 0; i < orders->len; i++)
+    {
+      const gp_order_t *order = &g_array_index (orders, gp_order_t, i);
+
+      if (order->kind == GP_ORDER_SEEN)
+        continue;
+      printf ("  %s %u.%u on %s\n", names[order->kind], order->task->index,
+              order->run, order->executor->id);
+    }
+  g_array_set_size (orders, 0);
+}
+
+static void
+test_life (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *submission = jobs_site_submission (2, 1000);
+  gp_job_t *job;
+
+  printf ("two steps, one after the other\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  jobs_site_add_step (submission, 1, 1000);
+  job = jobs_site_submit (&site, JOB_A, submission);
+  print_job (job);
+  jobs_site_plan (&site);
+  print_orders (&site);
+  print_job (job);
+  jobs_site_end (&site, &job->tasks[0], GP_END_DONE);
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_end (&site, &job->tasks[1], GP_END_DONE);
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_end (&site, &job->tasks[2], GP_END_DONE);
+  print_job (job);
+  jobs_site_finish (&site);
+}
+
+static void
+test_attempts (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+
+  printf ("a task fails as often as it may\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  jobs_site_executor (&site, "x2", 8);
+  job = jobs_site_submit (&site, JOB_A, jobs_site_submission (2, 1000));
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_end (&site, &job->tasks[0], GP_END_LAPSED);
+  jobs_site_end (&site, &job->tasks[1], GP_END_FAILED);
+  jobs_site_plan (&site);
+  print_job (job);
+  g_array_set_size (site.scheduler.orders, 0);
+  jobs_site_end (&site, &job->tasks[1], GP_END_FAILED);
+  print_job (job);
+  print_orders (&site);
+  jobs_site_finish (&site);
+}
+
+static void
+test_cancel (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+
+  printf ("a cancelled job is stopped and starts nothing\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 1);
+  job = jobs_site_submit (&site, JOB_A, jobs_site_submission (2, 1000));
+  jobs_site_plan (&site);
+  print_orders (&site);
+  gp_book_cancel (&site.book, JOB_A);
+  gp_scheduler_job (&site.scheduler, job, 5);
+  print_orders (&site);
+  print_job (job);
+  jobs_site_end (&site, &job->tasks[0], GP_END_STOPPED);
+  jobs_site_plan (&site);
+  print_orders (&site);
+  print_job (job);
+  jobs_site_finish (&site);
+}
+
+static void
+test_lasting (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *submission = jobs_site_submission (1, 1000);
+  gp_job_t *job;
+
+  printf ("a task that lasts comes back however it ends\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  submission->steps[0]->long_running = true;
+  job = jobs_site_submit (&site, JOB_A, submission);
+  for (int how = GP_END_DONE; how <= GP_END_BROKEN; how++)
+    {
+      site.now += 20 * GP_SEC;
+      jobs_site_plan (&site);
+      print_job (job);
+      jobs_site_end (&site, &job->tasks[0], (gp_end_t)how);
+    }
+  print_job (job);
+  jobs_site_finish (&site);
+}
+
+static void
+test_gang (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *submission = jobs_site_submission (3, 4000);
+  gp_job_t *job;
+
+  printf ("a gang starts whole, under one number, and ends as one\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  submission->steps[0]->gang = true;
+  job = jobs_site_submit (&site, JOB_A, submission);
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_executor (&site, "x2", 8);
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_end (&site, &job->tasks[0], GP_END_FAILED);
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_end (&site, &job->tasks[1], GP_END_BROKEN);
+  jobs_site_end (&site, &job->tasks[2], GP_END_BROKEN);
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_end (&site, &job->tasks[1], GP_END_DONE);
+  print_job (job);
+  jobs_site_finish (&site);
+}
+
+static void
+test_repeats (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *submission = jobs_site_submission (1, 1000);
+  gp_job_t *job;
+
+  printf ("occurrences start at their time, and may overlap\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  submission->repeats = 3;
+  submission->first_wall_ms = 2000;
+  submission->interval_ms = 500;
+  job = jobs_site_submit (&site, JOB_A, submission);
+  for (int64_t ms = 1900; ms <= 3100; ms += 400)
+    {
+      site.now = ms * GP_MSEC;
+      jobs_site_plan (&site);
+      print_job (job);
+    }
+  jobs_site_finish (&site);
+}
+
+static void
+test_priority (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *low = jobs_site_submission (4, 4000);
+  gp_job_t *first;
+  gp_job_t *second;
+
+  printf ("the first priority goes first, and some room is kept for it\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 16);
+  low->priority = 2;
+  first = jobs_site_submit (&site, JOB_A, low);
+  second = jobs_site_submit (&site, JOB_B, jobs_site_submission (1, 2000));
+  jobs_site_plan (&site);
+  print_job (first);
+  print_job (second);
+  jobs_site_finish (&site);
+}
+
+static void
+test_distrust (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *submission = jobs_site_submission (3, 1000);
+  gp_job_t *job;
+
+  printf ("an executor that fails all gets a pause\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  submission->max_attempts = 9;
+  job = jobs_site_submit (&site, JOB_A, submission);
+  jobs_site_plan (&site);
+  for (int i = 0; i < 3; i++)
+    jobs_site_end (&site, &job->tasks[i], GP_END_FAILED);
+  jobs_site_plan (&site);
+  print_job (job);
+  site.now += 3 * GP_SEC;
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_finish (&site);
+}
+
+static void
+test_evacuate (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *submission = jobs_site_submission (1, 1000);
+  gp_executor_t *executor;
+  gp_job_t *lasting;
+  gp_job_t *batch;
+
+  printf ("an executor that leaves gives up what lasts\n");
+  jobs_site_init (&site);
+  executor = jobs_site_executor (&site, "x1", 8);
+  submission->steps[0]->long_running = true;
+  lasting = jobs_site_submit (&site, JOB_A, submission);
+  batch = jobs_site_submit (&site, JOB_B, jobs_site_submission (1, 1000));
+  jobs_site_plan (&site);
+  executor->draining = true;
+  executor->leaves_at = site.now + 5 * GP_SEC;
+  gp_scheduler_evacuate (&site.scheduler, executor, site.now);
+  print_job (lasting);
+  print_job (batch);
+  gp_scheduler_dead (&site.scheduler, executor);
+  print_job (lasting);
+  print_job (batch);
+  jobs_site_finish (&site);
+}
+
+static void
+test_check (void)
+{
+  Gp__Jobs__Submission *submission = jobs_site_submission (0, 1000);
+  GError *error = NULL;
+
+  printf ("submissions that are refused\n");
+  gp_job_check (submission, &error);
+  printf ("  %s\n", error->message);
+  g_clear_error (&error);
+  submission->steps[0]->count = GP_JOB_MAX_TASKS;
+  submission->repeats = 2;
+  gp_job_check (submission, &error);
+  printf ("  %s\n", error->message);
+  g_clear_error (&error);
+  submission->repeats = 0;
+  jobs_site_add_step (submission, 1, 1000);
+  submission->steps[1]->after[0] = 1;
+  gp_job_check (submission, &error);
+  printf ("  %s\n", error->message);
+  g_clear_error (&error);
+  gp__jobs__submission__free_unpacked (submission, NULL);
+}
+
+/* What a reader of the log knows equals what the leader knows.  */
+static void
+check_refold (const jobs_site_t *site)
+{
+  gp_book_t fresh;
+  GHashTableIter iter;
+  gpointer value;
+
+  gp_book_init (&fresh);
+  jobs_site_refold (site, &fresh);
+  g_hash_table_iter_init (&iter, site->book.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_t *job = value;
+      const gp_job_t *folded = gp_book_find (&fresh, job->id);
+
+      CU_ASSERT (folded != NULL);
+      if (folded == NULL)
+        continue;
+      CU_ASSERT_EQUAL (job->state, folded->state);
+      for (uint32_t i = 0; i < job->task_count; i++)
+        {
+          const gp_job_task_t *task = &job->tasks[i];
+          const gp_job_task_t *other = &folded->tasks[i];
+
+          if (task->executor == NULL)
+            CU_ASSERT_PTR_NULL (other->executor);
+          if (task->executor != NULL)
+            CU_ASSERT_STRING_EQUAL (task->executor->id, other->executor->id);
+          if (gp_job_ended (job))
+            continue;
+          CU_ASSERT_EQUAL (task->state, other->state);
+          if (task->state != GP_TASK_DONE)
+            CU_ASSERT_EQUAL (task->run, other->run);
+        }
+    }
+  gp_book_finish (&fresh);
+}
+
+/* The naive twin of the reservations: add up what stands in the book.  */
+static void
+check_room (const jobs_site_t *site)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, site->book.executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_executor_t *executor = value;
+      int64_t cpu = 0;
+      int64_t memory = 0;
+      GHashTableIter jobs;
+      gpointer job_value;
+
+      g_hash_table_iter_init (&jobs, site->book.jobs);
+      while (g_hash_table_iter_next (&jobs, NULL, &job_value))
+        {
+          const gp_job_t *job = job_value;
+
+          for (uint32_t i = 0; i < job->task_count; i++)
+            {
+              const Gp__Jobs__Step *step = gp_task_step (&job->tasks[i]);
+
+              if (job->tasks[i].executor != executor)
+                continue;
+              memory += step->memory_mb;
+              if (!step->fills)
+                cpu += step->cpu_milli;
+            }
+        }
+      CU_ASSERT_EQUAL (cpu, executor->used.cpu_milli);
+      CU_ASSERT_EQUAL (memory, executor->used.memory_mb);
+      CU_ASSERT (cpu <= executor->capacity.cpu_milli);
+      CU_ASSERT (memory <= executor->capacity.memory_mb);
+    }
+}
+
+static void
+submit_random (jobs_site_t *site, GRand *random, unsigned number)
+{
+  char id[GP_JOB_ID_SIZE + 1];
+  Gp__Jobs__Submission *submission
+      = jobs_site_submission ((unsigned)g_rand_int_range (random, 1, 6),
+                              (unsigned)g_rand_int_range (random, 100, 4000));
+
+  g_snprintf (id, sizeof id, "%016x", number);
+  submission->priority = (unsigned)g_rand_int_range (random, 0, 3);
+  submission->steps[0]->fills = g_rand_int_range (random, 0, 3) == 0;
+  submission->steps[0]->gang = g_rand_int_range (random, 0, 4) == 0;
+  submission->steps[0]->long_running = g_rand_int_range (random, 0, 5) == 0;
+  if (g_rand_int_range (random, 0, 2))
+    jobs_site_add_step (submission, 2, 500);
+  jobs_site_submit (site, id, submission);
+}
+
+static void
+end_random (jobs_site_t *site, GRand *random)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, site->book.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_job_t *job = value;
+
+      for (uint32_t i = 0; i < job->task_count; i++)
+        if (job->tasks[i].executor != NULL
+            && g_rand_int_range (random, 0, 4) == 0)
+          jobs_site_end (site, &job->tasks[i],
+                         (gp_end_t)g_rand_int_range (random, GP_END_DONE,
+                                                     GP_END_ALONE + 1));
+    }
+}
+
+static void
+step_random (jobs_site_t *site, GRand *random, unsigned number)
+{
+  char id[8];
+
+  site->now += g_rand_int_range (random, 1, 500) * GP_MSEC;
+  switch (g_rand_int_range (random, 0, 8))
+    {
+    case 0:
+      g_snprintf (id, sizeof id, "x%d", g_rand_int_range (random, 0, 4));
+      gp_scheduler_dead (&site->scheduler, gp_book_executor (&site->book, id));
+      jobs_site_executor (site, id, 8)->dead = false;
+      break;
+    case 1:
+      {
+        char job_id[GP_JOB_ID_SIZE + 1];
+        gp_job_t *job;
+
+        g_snprintf (job_id, sizeof job_id, "%016x", number / 2);
+        job = gp_book_find (&site->book, job_id);
+        if (job == NULL)
+          break;
+        gp_book_cancel (&site->book, job_id);
+        gp_scheduler_job (&site->scheduler, job, site->now / GP_MSEC);
+        break;
+      }
+    default:
+      submit_random (site, random, number);
+    }
+  end_random (site, random);
+  jobs_site_plan (site);
+}
+
+static void
+test_random (void)
+{
+  for (guint32 seed = 1; seed <= 40; seed++)
+    {
+      GRand *random = g_rand_new_with_seed (seed);
+      jobs_site_t site;
+
+      jobs_site_init (&site);
+      for (int i = 0; i < 4; i++)
+        {
+          char id[8];
+
+          g_snprintf (id, sizeof id, "x%d", i);
+          jobs_site_executor (&site, id, 8);
+        }
+      for (unsigned step = 0; step < 120; step++)
+        {
+          step_random (&site, random, step);
+          check_room (&site);
+        }
+      check_refold (&site);
+      jobs_site_finish (&site);
+      g_rand_free (random);
+    }
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "life", test_life },         { "attempts", test_attempts },
+          { "cancel", test_cancel },     { "lasting", test_lasting },
+          { "gang", test_gang },         { "repeats", test_repeats },
+          { "priority", test_priority }, { "distrust", test_distrust },
+          { "evacuate", test_evacuate }, { "check", test_check },
+          { "random", test_random },     CU_TEST_INFO_NULL };
+
+  return runner_main ("jobs", tests);
+}
