Scripted runs of entries and guards on the platform's stand-ins

Nine scenarios, among them a regression each for the restarted guard, the paused guard and the state shown before it was on the log.

--- /dev/null
+++ b/tests/scripts/platform.py
@@ -0,0 +1,193 @@
+"""Jobs through real entries and guards on the platform's stand-ins."""
+
+import contextlib
+import signal
+import sys
+import tempfile
+
+from platform_site import PlatformSite, request, until
+
+JOB_A, JOB_B, JOB_C = "00000000000000aa", "00000000000000bb", "0" * 15 + "c"
+STEPS = [{"count": 4, "cpu": 1000, "memMb": 10, "estimateMs": 300},
+         {"count": 2, "cpu": 1000, "memMb": 10, "after": [0]}]
+LASTING = [{"count": 3, "cpu": 1000, "memMb": 10, "longRunning": True}]
+
+
+@contextlib.contextmanager
+def site_of(build, **more):
+    with tempfile.TemporaryDirectory() as folder:
+        site = PlatformSite(build, folder, **more)
+        try:
+            site.ready()
+            yield site
+        finally:
+            site.close()
+
+
+def verdict(site):
+    print("  breaches:", site.judge.breaches)
+
+
+def other(site, name):
+    return next(e for e in site.entries if e != name)
+
+
+def calm(build):
+    print("a calm site")
+    with site_of(build) as site:
+        print("  submitted:", site.submit("e1", JOB_A, STEPS))
+        print("  again, elsewhere:", site.submit("e2", JOB_A, STEPS))
+        site.await_state("e1", JOB_A, "completed")
+        site.await_state("e2", JOB_A, "completed")
+        print("  after its end:", site.submit("e2", JOB_A, STEPS))
+        print("  starts:", sum(site.judge.starts.values()))
+        print("  unknown:", site.state("e1", JOB_B))
+        print("  no such queue:", site.call("e1", "GET", "/other/x")[0])
+        print("  not an id:", site.call("e1", "GET", "/q/x")[0])
+        print("  malformed:", site.call("e1", "POST", "/q/" + JOB_B, "{")[0])
+        print("  no steps:", site.submit("e1", JOB_B, []))
+        print("  queue:", site.call("e1", "GET", "/q/"))
+        verdict(site)
+
+
+def cancelled(build):
+    print("a job that lasts is cancelled at another entry")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        print("  cancelled:", site.call("e2", "DELETE", "/q/" + JOB_A)[0])
+        until(lambda: not site.judge.at_work(JOB_A), what="stopped")
+        site.await_state("e1", JOB_A, "cancelled")
+        print("  again:", site.call("e1", "DELETE", "/q/" + JOB_A)[0])
+        verdict(site)
+
+
+def leader_killed(build):
+    print("the leader is killed, and what lasts goes on")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        first = site.leader()
+        second = other(site, first)
+        site.processes[first].kill()
+        until(lambda: site.leader() == second, what="another leader")
+        print("  submitted:", site.submit(second, JOB_B, STEPS))
+        site.await_state(second, JOB_B, "completed")
+        print("  starts of what lasts:",
+              sum(n for t, n in site.judge.starts.items()
+                  if t.startswith(JOB_A)))
+        verdict(site)
+
+
+def guard_restarted(build):
+    print("guards are killed; a stop still reaches their executors")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        for name in site.executors:
+            site.processes[name].kill()
+        for name in site.executors:
+            site.processes[name].start()
+        site.submit("e2", JOB_B, STEPS)
+        site.await_state("e2", JOB_B, "completed")
+        site.call("e1", "DELETE", "/q/" + JOB_A)
+        until(lambda: not site.judge.at_work(JOB_A), what="stopped")
+        print("  starts of what lasted:",
+              sum(n for t, n in site.judge.starts.items()
+                  if t.startswith(JOB_A)))
+        verdict(site)
+
+
+def guard_paused(build):
+    print("a guard is paused past its lease")
+    with site_of(build, workers=2) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        site.processes["w1"].signal(signal.SIGSTOP)
+        until(lambda: not site.executors["w1"].runs, what="lapsed")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="elsewhere")
+        site.processes["w1"].signal(signal.SIGCONT)
+        site.submit("e1", JOB_B, [{"count": 24, "cpu": 1000, "memMb": 10}])
+        site.await_state("e1", JOB_B, "completed")
+        used = {run for task, runs in site.judge.starts.items()
+                if task.startswith(JOB_B) for run in [runs]}
+        print("  each task started once:", used == {1})
+        verdict(site)
+
+
+def store_down(build):
+    print("the store goes away with an end on its way, then all entries die")
+    with site_of(build) as site:
+        for executor in site.executors.values():
+            executor.work_s = 1.0
+        site.submit("e1", JOB_A, STEPS[:1])
+        until(lambda: len(site.judge.at_work(JOB_A)) == 4, what="at work")
+        site.store.down = "busy"
+        until(lambda: not site.judge.at_work(JOB_A), what="ended")
+        leader = site.leader()
+        print("  shown:", site.state(leader, JOB_A))
+        print("  refused:", site.submit("e1", JOB_B, STEPS))
+        for name in site.entries:
+            site.processes[name].kill()
+        site.store.down = None
+        for name in site.entries:
+            site.processes[name].start()
+        site.ready()
+        site.await_state("e1", JOB_A, "completed")
+        print("  starts:", sum(site.judge.starts.values()))
+        print("  refused job unknown:", site.state("e1", JOB_B))
+        verdict(site)
+
+
+def lost_answers(build):
+    print("answers of the store are lost")
+    with site_of(build) as site:
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.store.lost = 2
+            print("  submitted:", site.submit("e1", job, STEPS))
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.await_state("e2", job, "completed")
+        print("  starts:", sum(site.judge.starts.values()))
+        verdict(site)
+
+
+def late_orders(build):
+    print("executors leave orders unanswered and carry them out late")
+    with site_of(build) as site:
+        for executor in site.executors.values():
+            executor.late = 0.25
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.submit("e1", job, STEPS)
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.await_state("e1", job, "completed")
+        print("  done:", len(site.judge.done))
+        verdict(site)
+
+
+def executors_crash(build):
+    print("executors crash, and the history of the log is dropped")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        for topic in list(site.store.topics):
+            site.store.forget(topic)
+        for executor in site.executors.values():
+            executor.crash()
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="again")
+        site.processes[site.leader()].signal(signal.SIGTERM)
+        site.submit("e1", JOB_B, STEPS)
+        for topic in list(site.store.topics):
+            site.store.forget(topic)
+        until(lambda: any(site.state(e, JOB_B) == "completed"
+                          for e in site.entries), what="completed")
+        verdict(site)
+
+
+SCENARIOS = {scenario.__name__: scenario
+             for scenario in (calm, cancelled, leader_killed, guard_restarted,
+                              guard_paused, store_down, lost_answers,
+                              late_orders, executors_crash)}
+
+if __name__ == "__main__":
+    for wanted in sys.argv[2:] or SCENARIOS:
+        SCENARIOS[wanted](sys.argv[1])
--- /dev/null
+++ b/tests/scripts/platform_site.py
@@ -0,0 +1,133 @@
+"""A small site on the platform's stand-ins: entries and guards as processes,
+the store and the executors in this one."""
+
+import json
+import os
+import socket
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
+                                "tools"))
+
+import keyed_platform as standin  # noqa: E402
+from site_processes import Process, free_port, request, until  # noqa: E402
+
+DOCUMENT = {
+    "version": 1,
+    "routes": [{"name": "q", "host": "jobs.example", "pathPrefix": "/q/",
+                "service": "work", "priority": 0, "maxAttempts": 3,
+                "stretch": 2.0, "targetCompletionMs": 1000}],
+    "services": [{"name": "work"}], "limits": {}}
+HOST = {"Host": "jobs.example"}
+
+
+def loopback():
+    return f"127.0.0.1:{free_port()}"
+
+
+def port_pair():
+    """A port whose successor is free as well."""
+    while True:
+        port = free_port()
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port + 1))
+                return port
+            except OSError:
+                continue
+
+
+class PlatformSite:
+    """ENTRIES entries and WORKERS workers with their guards."""
+
+    def __init__(self, build, folder, entries=2, workers=3, seed=1):
+        self.build = build
+        self.folder = folder
+        self.store_address = loopback()
+        self.store = standin.Store(self.store_address)
+        self.judge = standin.Judge()
+        self.entries = {}
+        self.guards = {}
+        self.executors = {}
+        self.processes = {}
+        self.publish(DOCUMENT)
+        for i in range(1, workers + 1):
+            self.add_worker(f"w{i}", seed * 100 + i)
+        for i in range(1, entries + 1):
+            self.add_entry(f"e{i}")
+
+    def publish(self, document):
+        self.store.put("keyed.op", "config", json.dumps(document).encode())
+
+    def settings(self, name, more):
+        path = os.path.join(self.folder, name + ".yaml")
+        lines = [f'node: "{name}"', 'zone: "z"', 'ip: "127.0.0.1"',
+                 "internalPorts:", f"  - {port_pair()}",
+                 "platform:", f'  address: "{self.store_address}"'] + more
+        with open(path, "w", encoding="utf-8") as file:
+            file.write("\n".join(lines) + "\n")
+        return path
+
+    def start(self, name, role, path):
+        program = os.path.join(self.build, "galenapier-node")
+        self.processes[name] = Process(
+            self, name, ["/usr/bin/env", f"GALENAPIER_SETTINGS={path}",
+                         program, role])
+
+    def add_entry(self, name):
+        front, ready = loopback(), loopback()
+        self.entries[name] = (front, ready)
+        path = self.settings(name, ["listen:", f'  front: "{front}"',
+                                    f'  ready: "{ready}"'])
+        self.start(name, "entry", path)
+
+    def add_worker(self, name, seed):
+        control, app = loopback(), loopback()
+        path = self.settings(name, ["listen:", f'  control: "{control}"',
+                                    f'app: "{app}"'])
+        self.start(name, "guard", path)
+        self.executors[name] = standin.Executor(self.judge, name, app,
+                                                control, seed=seed)
+
+    def ready(self):
+        for _, ready in self.entries.values():
+            until(lambda a=ready: request(a, "GET", "/api/ready")[0] == 200,
+                  what="entry ready")
+        until(lambda: self.leader() is not None, what="a leader")
+
+    def leader(self):
+        """The name of the entry that has taken the lead last."""
+        best = None
+        for name in self.entries:
+            for line in self.processes[name].log_of_life().splitlines():
+                if '"lead.taken"' in line:
+                    record = json.loads(line)
+                    if best is None or record["time"] > best[0]:
+                        best = (record["time"], name)
+        return best[1] if best else None
+
+    def call(self, entry, method, path, body=None):
+        status, _, data = request(self.entries[entry][0], method, path,
+                                  body, HOST)
+        return status, data
+
+    def submit(self, entry, job, steps, spec="work"):
+        body = json.dumps({"spec": spec, "steps": steps})
+        return self.call(entry, "POST", "/q/" + job, body)[0]
+
+    def state(self, entry, job):
+        status, data = self.call(entry, "GET", "/q/" + job)
+        return json.loads(data)["state"] if status == 200 else status
+
+    def await_state(self, entry, job, state):
+        until(lambda: self.state(entry, job) == state,
+              what=f"{job} {state}")
+
+    def close(self):
+        for executor in self.executors.values():
+            executor.close()
+        for process in self.processes.values():
+            process.kill()
+        self.store.server.shutdown()
+        self.store.server.server_close()
