Logs on standard output, bounded and never blocking; histograms; explain from logs

A line goes out in one write and only if it is taken at once; events have a budget a second; what is left out is told and counted. galenapier explain ID LOG... prints the path of a job through the logs of all processes.

--- a/programs/galenapier-node.c
+++ b/programs/galenapier-node.c
@@ -54,6 +54,7 @@
   else
     {
       gp_log_init (settings.node, GP_LOG_INFO);
+      gp_log_to_stdout ();
       if (strcmp (argv[1], "--check") == 0)
         status = 0;
       else if (strcmp (argv[1], "entry") == 0)
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,15 +1,47 @@
-/* Structured log lines: one JSON object a line on standard error.  */
+/* Structured log lines: one JSON object a line.
+
+   A line goes out in one write of at most PIPE_BUF bytes, and only when the
+   kernel takes it at once, so that a reader that is slow or gone never holds
+   a process up.  What is left out, for that reason or because an event came
+   too often within a second, is counted and told with the next line.  */
 
 #include "base/log.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <jansson.h>
-#include <stdio.h>
+#include <limits.h>
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
 
+#include "base/counters.h"
 #include "base/time.h"
 
+/* Lines of one event that go out in a second: at the peak of the sites known
+   an entry decides on some 150 runs a second.  */
+#define LINES_A_SECOND 400
+/* Events that are told apart; further ones share the last place.  */
+#define EVENTS_MAX 96
+
+/* The lines of one event in the present second.  */
+typedef struct
+{
+  const char *event;
+  gp_time_t second;
+  unsigned lines;
+} budget_t;
+
 static const char *log_process = "galenapier";
 static gp_log_level_t log_threshold = GP_LOG_INFO;
+static int log_descriptor = STDERR_FILENO;
+static budget_t budgets[EVENTS_MAX];
+static int64_t left_out; /* since the last line */
+
+static gp_counter_t lines_count
+    = GP_COUNTER ("log_lines_total", "Log lines written");
+static gp_counter_t left_out_count = GP_COUNTER (
+    "log_lines_left_out_total", "Log lines over the budget or not taken");
 
 static const char *const level_names[]
     = { "debug", "info", "warning", "error" };
@@ -19,6 +51,42 @@
 {
   log_process = process;
   log_threshold = level;
+  gp_counter_register (&lines_count);
+  gp_counter_register (&left_out_count);
+}
+
+void
+gp_log_to_stdout (void)
+{
+  log_descriptor = STDOUT_FILENO;
+}
+
+static budget_t *
+budget_of (const char *event)
+{
+  unsigned i = 0;
+
+  while (i < EVENTS_MAX - 1 && budgets[i].event != NULL
+         && strcmp (budgets[i].event, event) != 0)
+    i++;
+  if (budgets[i].event == NULL)
+    budgets[i].event = event;
+  return &budgets[i];
+}
+
+/* May one more line of EVENT go out?  */
+static bool
+take_budget (const char *event, int64_t wall)
+{
+  budget_t *budget = budget_of (event);
+  gp_time_t second = wall / GP_SEC;
+
+  if (budget->second != second)
+    {
+      budget->second = second;
+      budget->lines = 0;
+    }
+  return ++budget->lines <= LINES_A_SECOND;
 }
 
 static void
@@ -39,6 +107,33 @@
     }
 }
 
+static bool
+is_taken_at_once (void)
+{
+  struct pollfd descriptor = { .fd = log_descriptor, .events = POLLOUT };
+
+  return poll (&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+}
+
+/* Write TEXT and an end of line; false when it could not be written whole at
+   once.  */
+static bool
+write_line (const char *text)
+{
+  size_t size = strlen (text);
+  char line[PIPE_BUF];
+  ssize_t written;
+
+  if (size + 1 > sizeof line || !is_taken_at_once ())
+    return false;
+  memcpy (line, text, size);
+  line[size] = '\n';
+  do
+    written = write (log_descriptor, line, size + 1);
+  while (written < 0 && errno == EINTR);
+  return written == (ssize_t)(size + 1);
+}
+
 void
 gp_log_write (gp_log_level_t level, const char *event,
               const gp_log_field_t *fields)
@@ -49,17 +144,33 @@
 
   if (level < log_threshold)
     return;
-  line = json_object ();
   wall = gp_time_wall ();
+  if (!take_budget (event, wall))
+    {
+      left_out++;
+      gp_counter_add (&left_out_count, 1);
+      return;
+    }
+  line = json_object ();
   json_object_set_new (line, "time", json_integer (wall));
   json_object_set_new (line, "level", json_string (level_names[level]));
   json_object_set_new (line, "process", json_string (log_process));
   json_object_set_new (line, "event", json_string (event));
   for (; fields->kind != GP_LOG_FIELD_END; fields++)
     set_field (line, fields);
+  if (left_out > 0)
+    json_object_set_new (line, "lines_left_out", json_integer (left_out));
   text = json_dumps (line, JSON_COMPACT);
-  if (text != NULL)
-    fprintf (stderr, "%s\n", text);
+  if (text != NULL && write_line (text))
+    {
+      left_out = 0;
+      gp_counter_add (&lines_count, 1);
+    }
+  else
+    {
+      left_out++;
+      gp_counter_add (&left_out_count, 1);
+    }
   free (text);
   json_decref (line);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,8 +1,10 @@
-/* Structured log lines for changes of state.
+/* Structured log lines.
 
-   One line of JSON on standard error for each change: time, level, process,
-   event and typed fields.  What happens often is counted, not logged (see
-   base/counters.h).  */
+   One line of JSON for each change of state or decision: time, level,
+   process, event and typed fields, on standard error or, where that is asked
+   for, on standard output.  Writing never blocks, and the lines of an event
+   are bounded in each second; what was left out is told with the next line
+   (`lines_left_out') and counted.  */
 
 #ifndef GP_BASE_LOG_H
 #define GP_BASE_LOG_H
@@ -47,6 +49,9 @@
    stay valid.  */
 void gp_log_init (const char *process, gp_log_level_t level);
 
+/* Write to standard output from now on.  */
+void gp_log_to_stdout (void);
+
 /* Write one line.  FIELDS ends with a field of kind GP_LOG_FIELD_END.  */
 void gp_log_write (gp_log_level_t level, const char *event,
                    const gp_log_field_t *fields);
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -68,6 +68,9 @@
 gp_cli_exit_t gp_cli_watchers (gp_cli_t *cli, int argc, char **argv);
 gp_cli_exit_t gp_cli_cancel (gp_cli_t *cli, int argc, char **argv);
 gp_cli_exit_t gp_cli_explain (gp_cli_t *cli, int argc, char **argv);
+/* The path of the job or task ID through the LOGS (NULL-terminated, "-":
+   standard input) of all processes.  */
+gp_cli_exit_t gp_cli_explain_logs (gp_cli_t *cli, const char *id, char **logs);
 gp_cli_exit_t gp_cli_counters (gp_cli_t *cli, int argc, char **argv);
 gp_cli_exit_t gp_cli_timeline (gp_cli_t *cli, int argc, char **argv);
 
--- /dev/null
+++ b/src/cli/cmd_explain_logs.c
@@ -0,0 +1,161 @@
+/* galenapier explain ID LOG...: the path of a job or task through the log
+   lines of all processes.  */
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/time.h"
+#include "cli/cli.h"
+
+/* One log line that names the job.  */
+typedef struct
+{
+  json_int_t time; /* microseconds since 1970 */
+  json_t *json;    /* owned */
+} line_t;
+
+static void
+clear_line (gpointer data)
+{
+  json_decref (((line_t *)data)->json);
+}
+
+static gint
+by_time (gconstpointer a, gconstpointer b)
+{
+  const line_t *left = a;
+  const line_t *right = b;
+
+  return left->time < right->time ? -1 : left->time > right->time;
+}
+
+/* Does the line's job or task belong to ID?  A job's id begins the names of
+   its tasks.  */
+static bool
+names (const json_t *json, const char *key, const char *id)
+{
+  const char *value = json_string_value (json_object_get (json, key));
+  size_t size = strlen (id);
+
+  return value != NULL && strncmp (value, id, size) == 0
+         && (value[size] == '\0' || value[size] == '.');
+}
+
+/* A log may hold other text, also before the object on a line.  */
+static void
+take_line (GArray *lines, const char *id, const char *text)
+{
+  const char *begin = strchr (text, '{');
+  line_t line;
+
+  if (begin == NULL || strstr (begin, id) == NULL)
+    return;
+  line.json = json_loads (begin, JSON_DISABLE_EOF_CHECK, NULL);
+  if (line.json == NULL)
+    return;
+  if (!names (line.json, "job", id) && !names (line.json, "task", id))
+    {
+      json_decref (line.json);
+      return;
+    }
+  line.time = json_integer_value (json_object_get (line.json, "time"));
+  g_array_append_val (lines, line);
+}
+
+static bool
+take_log (GArray *lines, const char *id, const char *path)
+{
+  char *text = gp_cli_read_file (path, NULL);
+  char **rows;
+
+  if (text == NULL)
+    return false;
+  rows = g_strsplit (text, "\n", -1);
+  for (char **row = rows; *row != NULL; row++)
+    take_line (lines, id, *row);
+  g_strfreev (rows);
+  g_free (text);
+  return true;
+}
+
+static bool
+is_common (const char *key)
+{
+  return strcmp (key, "time") == 0 || strcmp (key, "level") == 0
+         || strcmp (key, "process") == 0 || strcmp (key, "event") == 0;
+}
+
+static void
+print_fields (json_t *json)
+{
+  const char *key;
+  json_t *value;
+
+  json_object_foreach (json, key, value)
+  {
+    if (is_common (key))
+      continue;
+    if (json_is_string (value))
+      printf (" %s=%s", key, json_string_value (value));
+    else
+      printf (" %s=%" JSON_INTEGER_FORMAT, key, json_integer_value (value));
+  }
+}
+
+/* Milliseconds since the first line, those since the line before, where and
+   what.  */
+static void
+print_lines (const GArray *lines)
+{
+  const line_t *first = &g_array_index (lines, line_t, 0);
+  json_int_t before = first->time;
+
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const line_t *line = &g_array_index (lines, line_t, i);
+
+      printf ("%9.1f %+8.1f ms  %s %s",
+              (double)(line->time - first->time) / GP_MSEC,
+              (double)(line->time - before) / GP_MSEC,
+              json_string_value (json_object_get (line->json, "process")),
+              json_string_value (json_object_get (line->json, "event")));
+      print_fields (line->json);
+      putchar ('\n');
+      before = line->time;
+    }
+}
+
+static void
+print_json (const GArray *lines)
+{
+  for (guint i = 0; i < lines->len; i++)
+    {
+      json_dumpf (g_array_index (lines, line_t, i).json, stdout, JSON_COMPACT);
+      putchar ('\n');
+    }
+}
+
+gp_cli_exit_t
+gp_cli_explain_logs (gp_cli_t *cli, const char *id, char **logs)
+{
+  GArray *lines = g_array_new (FALSE, FALSE, sizeof (line_t));
+  gp_cli_exit_t status = GP_CLI_OK;
+
+  g_array_set_clear_func (lines, clear_line);
+  for (char **log = logs; *log != NULL && status == GP_CLI_OK; log++)
+    if (!take_log (lines, id, *log))
+      status = GP_CLI_USAGE;
+  if (status == GP_CLI_OK && lines->len == 0)
+    {
+      gp_cli_error ("no line of these logs names %s", id);
+      status = GP_CLI_REFUSED;
+    }
+  g_array_sort (lines, by_time);
+  if (lines->len > 0 && cli->json)
+    print_json (lines);
+  else if (lines->len > 0)
+    print_lines (lines);
+  g_array_unref (lines);
+  return status;
+}
--- a/src/cli/cmd_work.c
+++ b/src/cli/cmd_work.c
@@ -8,6 +8,8 @@
 #include "cli/print.h"
 
 #define IDS_MAX 10000
+/* An ID and the logs of as many processes.  */
+#define LOGS_MAX 1001
 
 /* GET PATH and print what comes.  */
 static gp_cli_exit_t
@@ -100,8 +102,10 @@
   gp_cli_exit_t status;
   char *path;
 
-  if (!gp_cli_parse (cli, NULL, "ID", 1, 1, &argc, &argv))
+  if (!gp_cli_parse (cli, NULL, "ID [LOG...]", 1, LOGS_MAX, &argc, &argv))
     return GP_CLI_USAGE;
+  if (argc > 2)
+    return gp_cli_explain_logs (cli, argv[1], &argv[2]);
   path = path_of_id ("/v1/explain", argv[1]);
   status = get_and_print (cli, path);
   g_free (path);
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "base/histogram.h"
 #include "base/log.h"
 #include "jobs/placer.h"
 
@@ -22,12 +23,16 @@
    leaves: the longest stop on the sites known and a round trip.  */
 #define LEAVE_MARGIN (1500 * GP_MSEC)
 
+static gp_histogram_t placed_time = GP_HISTOGRAM (
+    "job_placed", "From when a job was known here to its first run");
+
 void
 gp_scheduler_init (gp_scheduler_t *scheduler, gp_book_t *book,
                    gp_pressure_t *pressure)
 {
   scheduler->book = book;
   scheduler->pressure = pressure;
+  gp_histogram_register (&placed_time);
   scheduler->next_due = GP_TIME_NEVER;
   scheduler->orders = g_array_new (FALSE, FALSE, sizeof (gp_order_t));
   gp_list_init (&scheduler->dirty);
@@ -324,6 +329,8 @@
     {
       gp_job_task_t *task = g_ptr_array_index (placed, i);
 
+      if (task->index == 0 && task->run == 1)
+        gp_histogram_add (&placed_time, now - task->job->submitted_at);
       add_order (scheduler, GP_ORDER_START, task);
       log_assigned (task);
       mark_dirty (scheduler, task->job);
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/counters.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "platform/jobs_http.h"
 
@@ -207,6 +208,7 @@
   GString *text = g_string_new (NULL);
 
   gp_counters_format (text);
+  gp_histograms_format (text);
   gp_http_exchange_answer (exchange, 200, NULL, 0, text->str, text->len);
   g_string_free (text, TRUE);
 }
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "base/counters.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "jobsd/link.h"
 
@@ -46,6 +47,12 @@
 static gp_counter_t paces_count
     = GP_COUNTER ("guard_paces_total", "Changes of a filling run's speed");
 
+static gp_histogram_t order_time = GP_HISTOGRAM (
+    "executor_order", "From an order to the executor's answer");
+static gp_histogram_t record_time = GP_HISTOGRAM (
+    "end_record",
+    "From the first unrecorded end on the executor's list to its record");
+
 /* An order until its answer.  */
 typedef struct
 {
@@ -55,6 +62,7 @@
   char name[GP_TASK_NAME_SIZE];
   uint32_t run;
   uint32_t percent; /* of a pace */
+  gp_time_t sent_at;
 } order_t;
 
 static void
@@ -228,6 +236,8 @@
   guard->calls_open--;
   if (result == GP_ORDER_UNKNOWN)
     gp_counter_add (&unanswered_count, 1);
+  else
+    gp_histogram_add (&order_time, now_of (guard) - order->sent_at);
   if (is_current (guard, order->executor))
     gp_agent_answered (&guard->agent, order->kind, order->name, order->run,
                        order->percent, agent_result (result), clock_ms,
@@ -256,6 +266,7 @@
   g_strlcpy (order->name, call->run->name, sizeof order->name);
   order->run = call->run->run;
   order->percent = call->percent;
+  order->sent_at = now_of (guard);
   guard->calls_open++;
   switch (call->kind)
     {
@@ -347,6 +358,8 @@
       gp_agent_list_refused (&guard->agent, agent_result (list->result),
                              list->clock_ms, now);
     }
+  if (guard->agent.ends->len > 0 && guard->unrecorded_since == 0)
+    guard->unrecorded_since = now;
   if (guard->agent.ends->len > 0)
     pause = MAX (pause, LIST_SPACING_UNSEEN);
   gp_timer_arm (&guard->list, now + pause);
@@ -476,6 +489,15 @@
   send_report (guard);
 }
 
+static void
+note_recorded (gp_job_guard_t *guard)
+{
+  if (guard->unrecorded_since == 0 || guard->agent.ends->len > 0)
+    return;
+  gp_histogram_add (&record_time, now_of (guard) - guard->unrecorded_since);
+  guard->unrecorded_since = 0;
+}
+
 static void
 on_acknowledge (gp_job_guard_t *guard, const Gp__Jobs__Acknowledge *message)
 {
@@ -517,6 +539,7 @@
         break;
       case GP__JOBS__FRAME__MESSAGE_ORDERS:
         gp_agent_order (&guard->agent, frame->orders);
+        note_recorded (guard);
         break;
       case GP__JOBS__FRAME__MESSAGE__NOT_SET:
       case GP__JOBS__FRAME__MESSAGE_LEAD:
@@ -595,6 +618,7 @@
   GString *text = g_string_new (NULL);
 
   gp_counters_format (text);
+  gp_histograms_format (text);
   gp_http_exchange_answer (exchange, 200, NULL, 0, text->str, text->len);
   g_string_free (text, TRUE);
 }
@@ -624,6 +648,8 @@
   gp_counter_register (&unanswered_count);
   gp_counter_register (&ends_count);
   gp_counter_register (&runs_gauge);
+  gp_histogram_register (&order_time);
+  gp_histogram_register (&record_time);
   gp_counter_register (&paces_count);
 }
 
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "base/counters.h"
+#include "base/histogram.h"
 #include "base/log.h"
 #include "platform/jobs_http.h"
 
@@ -42,6 +43,11 @@
 static gp_counter_t cancelled_count
     = GP_COUNTER ("jobs_cancelled_total", "Cancellations on the log");
 
+static gp_histogram_t durable_time = GP_HISTOGRAM (
+    "job_durable", "From a submission or cancellation to its record");
+static gp_histogram_t book_age
+    = GP_HISTOGRAM ("book_age", "Age of the book when a job was shown");
+
 /* A submission or cancellation until its answer.  */
 typedef struct
 {
@@ -130,6 +136,7 @@
   record.value = g_bytes_get_data (change->value, &size);
   record.value_size = size;
   gp_counter_add (change->cancels ? &cancelled_count : &accepted_count, 1);
+  gp_histogram_add (&durable_time, gp_loop_now (front->loop) - change->since);
   front->on_record (&record, front->data);
   end_change (change, 200, "on the log");
 }
@@ -326,6 +333,8 @@
       answer_absent (front, exchange);
       return;
     }
+  gp_histogram_add (&book_age,
+                    gp_loop_now (front->loop) - front->jobs->fresh_at);
   state = job->recorded;
   if (job->cancelled && state < GP_JOB_COMPLETED)
     state = GP_JOB_CANCELLED;
@@ -471,6 +480,8 @@
   gp_counter_register (&refused_count);
   gp_counter_register (&open_count);
   gp_counter_register (&cancelled_count);
+  gp_histogram_register (&durable_time);
+  gp_histogram_register (&book_age);
 }
 
 void
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "base/histogram.h"
 #include "base/log.h"
 
 /* An idle leader writes a record so often.  */
@@ -17,6 +18,9 @@
 #define APPEND_TIME (GP_SEC)
 #define APPEND_RETRY_TIME (60 * GP_MSEC)
 
+static gp_histogram_t append_time = GP_HISTOGRAM (
+    "progress_append", "From the first sending of an append to its end");
+
 /* The state of a job as the append in progress has it.  */
 typedef struct
 {
@@ -159,6 +163,7 @@
 static void
 batch_done (gp_leader_t *leader, uint64_t offset, gp_time_t sent_at)
 {
+  gp_histogram_add (&append_time, now_of (leader) - leader->batch_sent_at);
   leader->position = offset + leader->batch_records;
   leader->confirmed_at = sent_at;
   leader->heartbeat_due = now_of (leader) + HEARTBEAT_TIME;
@@ -511,6 +516,7 @@
   leader->incarnation = (uint64_t)gp_time_wall ();
   leader->on_deposed = on_deposed;
   leader->data = data;
+  gp_histogram_register (&append_time);
   gp_pressure_init (&leader->pressure);
   gp_scheduler_init (&leader->scheduler, book, &leader->pressure);
   leader->links = gp_leader_links_new ();
--- a/tests/standins/keyed_platform.py
+++ b/tests/standins/keyed_platform.py
@@ -211,6 +211,12 @@
             if how == "done" and not lasts:
                 self.done.add(task)
 
+    def void(self, task):
+        """The lease of the executor ran out before the end was confirmed:
+        the task may run again."""
+        with self.lock:
+            self.done.discard(task)
+
     def at_work(self, prefix):
         with self.lock:
             return sorted(task for task, runs in self.running.items()
@@ -289,6 +295,8 @@
             with self.lock:
                 now = time.monotonic()
                 lapsed = self.clock() > self.lease_ms
+                for row in self.ended if lapsed else []:
+                    self.judge.void(row[1])
                 for task, run in list(self.runs.items()):
                     if lapsed:
                         self.end(task, "lapsed")
