--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -1,6 +1,7 @@
 /* The entry of a site that runs on the platform.  */
 
 #include "jobsd/entry.h"
+#include "jobsd/announce.h"
 
 #include <string.h>
 
@@ -18,6 +19,7 @@
 /* Followers read progress in portions: a state that is told so late costs a
    caller nothing, and each read has its price.  */
 #define PROGRESS_SPACING (60 * GP_MSEC)
+#define ANNOUNCE_RETRY_TIME (500 * GP_MSEC)
 /* How old the book may be for this entry to be ready.  */
 #define READY_AGE (6 * GP_SEC)
 
@@ -108,6 +110,8 @@
     gp_log (GP_LOG_WARNING, "record.malformed", GP_LOG_S ("key", name));
   else if (node->guard)
     gp_leader_guard (&entry->leader, name, node->address);
+  else if (strcmp (name, entry->settings->node) != 0)
+    gp_route_add (&entry->route, node->address);
   if (node != NULL)
     gp__jobs__node__free_unpacked (node, NULL);
   g_free (name);
@@ -177,6 +181,27 @@
                 &nodes, entry);
 }
 
+/* Peers are told where this entry passes calls on.  */
+
+static void
+on_announced (const gp_store_answer_t *answer, void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  if (answer->result != GP_STORE_DONE)
+    gp_timer_arm (&entry->announce,
+                  gp_loop_now (&entry->loop) + ANNOUNCE_RETRY_TIME);
+}
+
+static void
+on_announce_due (gp_timer_t *timer, void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_announce (entry->store, entry->settings, entry->settings->relay, false,
+               gp_loop_now (&entry->loop), on_announced, entry);
+}
+
 /* Requests.  */
 
 static void
@@ -286,11 +311,16 @@
   entry->store = gp_store_new (&entry->loop, settings->store, error);
   if (entry->store == NULL)
     return false;
+  gp_route_init (&entry->route, &entry->loop, entry->store);
   init_feeds (entry);
   gp_leader_init (&entry->leader, &entry->loop, entry->store, &entry->book,
                   settings->node, on_deposed, entry);
   gp_jobs_front_init (&entry->front, &entry->loop, entry->store, &entry->book,
                       &entry->queues, &entry->jobs, on_job_record, entry);
+  gp_timer_init (&entry->announce, &entry->loop, on_announce_due, entry);
+  if (!gp_relay_init (&entry->relay, &entry->loop, settings->relay,
+                      settings->store, error))
+    return false;
   entry->callers = open_server (entry, settings->front, on_request, error);
   entry->ready = entry->callers != NULL ? open_server (entry, settings->ready,
                                                        on_ready_request, error)
@@ -304,6 +334,7 @@
   gp_log (GP_LOG_INFO, "process.start", GP_LOG_S ("zone", settings->zone),
           GP_LOG_S ("front", settings->front),
           GP_LOG_S ("store", settings->store));
+  on_announce_due (&entry->announce, entry);
   gp_feed_start (&entry->documents);
   gp_feed_start (&entry->jobs);
   gp_feed_start (&entry->progress);
@@ -326,6 +357,8 @@
   gp_feed_finish (&entry->progress);
   gp_feed_finish (&entry->nodes);
   gp_leader_finish (&entry->leader);
+  gp_route_finish (&entry->route);
+  gp_timer_finish (&entry->announce);
   gp_timer_finish (&entry->leave);
   gp_loop_finish (&entry->loop);
   gp_queues_finish (&entry->queues);
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -9,6 +9,7 @@
 #include "jobsd/feed.h"
 #include "jobsd/jobs_front.h"
 #include "jobsd/leader.h"
+#include "jobsd/relay.h"
 #include "platform/settings.h"
 
 typedef struct
@@ -16,6 +17,9 @@
   const gp_platform_settings_t *settings;
   gp_loop_t loop;
   gp_store_t *store;
+  gp_relay_t relay;
+  gp_route_t route;
+  gp_timer_t announce; /* the relay's address is written again */
   gp_http_server_t *callers;
   gp_http_server_t *ready;
   gp_http_server_t *metrics;
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -6,6 +6,7 @@
    announces its address on the log once.  */
 
 #include "jobsd/guard.h"
+#include "jobsd/announce.h"
 
 #include <string.h>
 
@@ -34,7 +35,6 @@
 #define LIST_RETRY_TIME (100 * GP_MSEC)
 #define CALLS_MAX 4
 #define ANNOUNCE_RETRY_TIME (500 * GP_MSEC)
-#define ANNOUNCE_TIME (2 * GP_SEC)
 
 static gp_counter_t starts_count
     = GP_COUNTER ("guard_starts_total", "Start orders sent to the executor");
@@ -585,23 +585,8 @@
 static void
 announce (gp_job_guard_t *guard)
 {
-  Gp__Jobs__Node node = GP__JOBS__NODE__INIT;
-  GByteArray *batch = g_byte_array_new ();
-  uint8_t *bytes;
-  size_t size;
-
-  node.address = guard->settings->peers;
-  node.guard = true;
-  node.zone = guard->settings->zone;
-  node.incarnation = (uint64_t)gp_time_wall ();
-  size = gp__jobs__node__get_packed_size (&node);
-  bytes = g_malloc (size);
-  gp__jobs__node__pack (&node, bytes);
-  gp_store_batch_add (batch, guard->settings->node, bytes, size);
-  gp_store_append (guard->store, GP_TOPIC_NODES, batch, GP_STORE_ANYWHERE,
-                   now_of (guard) + ANNOUNCE_TIME, on_announced, guard);
-  g_free (bytes);
-  g_byte_array_unref (batch);
+  gp_announce (guard->store, guard->settings, guard->settings->peers, true,
+               now_of (guard), on_announced, guard);
 }
 
 static void
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -439,7 +439,10 @@
       return;
     }
   leader->led = true;
-  leader->resigned = leadership->resigned;
+  /* An earlier process of this VM has ended, as this one runs.  */
+  leader->resigned = leadership->resigned
+                     || (strcmp (leadership->node, leader->node) == 0
+                         && leadership->incarnation != leader->incarnation);
   gp__jobs__leadership__free_unpacked (leadership, NULL);
 }
 
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -134,6 +134,21 @@
         verdict(site)
 
 
+def entry_refused(build):
+    print("the store turns single processes away")
+    with site_of(build, entries=3) as site:
+        for name in ("e1", "e2", "e3"):
+            site.store.refused = {site.doors[name]}
+            until(lambda n=name: site.submit(n, JOB_A, STEPS) == 200,
+                  what="accepted through a peer")
+            site.await_state(name, JOB_A, "completed")
+        site.store.refused = {site.doors[w] for w in ("w1", "w2", "w3")}
+        print("  submitted:", site.submit("e1", JOB_B, STEPS))
+        site.await_state("e2", JOB_B, "completed")
+        print("  starts:", sum(site.judge.starts.values()))
+        verdict(site)
+
+
 def lost_answers(build):
     print("answers of the store are lost")
     with site_of(build) as site:
@@ -180,7 +195,8 @@
 
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (calm, cancelled, leader_killed, guard_restarted,
-                              guard_paused, store_down, lost_answers,
+                              guard_paused, store_down, entry_refused,
+                              lost_answers,
                               late_orders, executors_crash)}
 
 if __name__ == "__main__":
--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -26,16 +26,17 @@
     return f"127.0.0.1:{free_port()}"
 
 
-def port_pair():
-    """A port whose successor is free as well."""
+def port_of_three():
+    """A port whose two successors are free as well."""
     while True:
         port = free_port()
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port + 1))
-                return port
-            except OSError:
-                continue
+        try:
+            for more in (1, 2):
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", port + more))
+            return port
+        except OSError:
+            continue
 
 
 class PlatformSite:
@@ -51,6 +52,7 @@
         self.guards = {}
         self.executors = {}
         self.processes = {}
+        self.doors = {}  # the store's address that a process is told
         self.publish(DOCUMENT)
         for i in range(1, workers + 1):
             self.add_worker(f"w{i}", seed * 100 + i)
@@ -61,10 +63,12 @@
         self.store.put("keyed.op", "config", json.dumps(document).encode())
 
     def settings(self, name, more):
+        store = self.doors[name] = loopback()
+        self.store.open(store)
         path = os.path.join(self.folder, name + ".yaml")
         lines = [f'node: "{name}"', 'zone: "z"', 'ip: "127.0.0.1"',
-                 "internalPorts:", f"  - {port_pair()}",
-                 "platform:", f'  address: "{self.store_address}"'] + more
+                 "internalPorts:", f"  - {port_of_three()}",
+                 "platform:", f'  address: "{store}"'] + more
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
         return path
@@ -129,5 +133,4 @@
             executor.close()
         for process in self.processes.values():
             process.kill()
-        self.store.server.shutdown()
-        self.store.server.server_close()
+        self.store.close()
--- a/tests/standins/keyed_platform.py
+++ b/tests/standins/keyed_platform.py
@@ -94,6 +94,7 @@
 
 class Store:
     """The platform's log.  Faults: `down` (None, "busy" or "silent"),
+    `refused` (addresses of `open`),
     `lost` (the next N appends are done and not answered)."""
 
     def __init__(self, address):
@@ -102,7 +103,23 @@
         self.down = None
         self.lost = 0
         self.appends = 0
-        self.server = serve(address, self.handle)
+        self.refused = set()
+        self.servers = []
+        self.open(address)
+
+    def open(self, address):
+        """Serve on ADDRESS as well; calls to it get 503 while it stands in
+        `refused`, as the platform turns single VMs away."""
+        def handle(*call):
+            if address in self.refused:
+                return 503, b"{}"
+            return self.handle(*call)
+        self.servers.append(serve(address, handle))
+
+    def close(self):
+        for server in self.servers:
+            server.shutdown()
+            server.server_close()
 
     def topic(self, query):
         return self.topics.setdefault(query["topic"], Topic())
