--- a/src/jobsd/relay.c
+++ b/src/jobsd/relay.c
@@ -18,6 +18,9 @@
 #define IDLE_TIME (30 * GP_SEC)
 /* Calls in a row that fail before another way is tried: one may be chance.  */
 #define FAILURES_TO_LEAVE 2
+/* When no peer has a way either, the store is down: no peer is tried again
+   for so long.  */
+#define GIVE_UP_TIME (1500 * GP_MSEC)
 /* While calls are passed on, the direct way is tried so often.  */
 #define PROBE_TIME (400 * GP_MSEC)
 
@@ -123,15 +126,27 @@
 {
   gp_route_t *route = data;
 
+  gp_time_t now = gp_loop_now (route->loop);
+
   if (answered)
     {
       route->failures = 0;
+      route->ways = 0;
       return;
     }
-  if (++route->failures < FAILURES_TO_LEAVE || route->peers->len == 0)
+  if (++route->failures < FAILURES_TO_LEAVE || route->peers->len == 0
+      || now < route->stay_until)
     return;
-  take_way (route, g_ptr_array_index (route->peers,
-                                      route->next++ % route->peers->len));
+  if (route->ways++ < route->peers->len)
+    {
+      take_way (route, g_ptr_array_index (route->peers,
+                                          route->next++ % route->peers->len));
+      return;
+    }
+  route->ways = 0;
+  route->stay_until = now + GIVE_UP_TIME;
+  if (route->relayed)
+    take_way (route, NULL);
 }
 
 static void
--- a/src/jobsd/relay.h
+++ b/src/jobsd/relay.h
@@ -28,9 +28,11 @@
 {
   gp_loop_t *loop;
   gp_store_t *store;
-  GPtrArray *peers;  /* addresses of relays, owned */
-  guint next;        /* the peer to try next */
-  unsigned failures; /* calls that failed in a row on this way */
+  GPtrArray *peers;     /* addresses of relays, owned */
+  guint next;           /* the peer to try next */
+  unsigned failures;    /* calls that failed in a row on this way */
+  unsigned ways;        /* peers that failed since the direct way did */
+  gp_time_t stay_until; /* no other way is tried before */
   bool relayed;
   gp_timer_t probe; /* the direct way is tried again */
   gp_store_call_t *probing;
