Filling waits less and closer to the target; late jobs go after those in time

Change: goal 0.9, less harm accepted at once, all of it after 1.2 s without a run; jobs in time before late ones before hopeless ones.

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -8,6 +8,9 @@
 
 #include "base/error.h"
 
+/* More than any job is kept; an older time is a clock that is wrong.  */
+#define AGE_MAX_MS (3600 * 1000)
+
 static void
 free_job (gpointer job)
 {
@@ -186,9 +189,18 @@
   return applied;
 }
 
+/* How long ago SUBMISSION was accepted; clocks may differ a little.  */
+static gp_time_t
+age_of (const Gp__Jobs__Submission *submission, int64_t wall_ms)
+{
+  int64_t age_ms = wall_ms - submission->accepted_wall_ms;
+
+  return CLAMP (age_ms, 0, AGE_MAX_MS) * GP_MSEC;
+}
+
 gp_job_t *
 gp_book_submit (gp_book_t *book, const char *id, const uint8_t *bytes,
-                size_t size, gp_time_t now, GError **error)
+                size_t size, gp_time_t now, int64_t wall_ms, GError **error)
 {
   gp_job_t *job = get_job (book, id);
   Gp__Jobs__Submission *submission;
@@ -196,7 +208,8 @@
   if (job->submission != NULL)
     return job;
   submission = gp__jobs__submission__unpack (NULL, size, bytes);
-  if (submission == NULL || !gp_job_define (job, submission, now))
+  if (submission == NULL
+      || !gp_job_define (job, submission, now - age_of (submission, wall_ms)))
     {
       if (submission != NULL)
         gp__jobs__submission__free_unpacked (submission, NULL);
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -32,11 +32,12 @@
 gp_job_task_t *gp_book_task (const gp_book_t *book, const char *name);
 
 /* Fold one record each; they return the job that has changed, or NULL and
-   ERROR for bytes that do not decode.  A second submission of a job changes
-   nothing.  */
+   ERROR for bytes that do not decode.  NOW and WALL_MS are the same moment;
+   with them the time of a submission is known here.  A second submission of a
+   job changes nothing.  */
 gp_job_t *gp_book_submit (gp_book_t *book, const char *id,
                           const uint8_t *bytes, size_t size, gp_time_t now,
-                          GError **error);
+                          int64_t wall_ms, GError **error);
 gp_job_t *gp_book_cancel (gp_book_t *book, const char *id);
 gp_job_t *gp_book_progress (gp_book_t *book, const char *id,
                             const uint8_t *bytes, size_t size, GError **error);
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -108,9 +108,11 @@
   return true;
 }
 
-/* The length, by its estimates, of the longest chain of steps.  */
+/* The length, by its estimates, of the longest chain of the steps that
+   TALLIES (NULL: all) leave to do.  */
 static uint64_t
-chain_ms (const Gp__Jobs__Submission *submission)
+chain_ms (const Gp__Jobs__Submission *submission,
+          const gp_step_tally_t *tallies)
 {
   uint64_t ends[GP_JOB_MAX_STEPS];
   uint64_t longest = 0;
@@ -122,7 +124,8 @@
       ends[i] = 0;
       for (size_t j = 0; j < step->n_after; j++)
         ends[i] = MAX (ends[i], ends[step->after[j]]);
-      ends[i] += step->estimate_ms;
+      if (tallies == NULL || tallies[i].done < step->count)
+        ends[i] += step->estimate_ms;
       longest = MAX (longest, ends[i]);
     }
   return longest;
@@ -154,21 +157,36 @@
 }
 
 bool
-gp_job_define (gp_job_t *job, Gp__Jobs__Submission *submission, gp_time_t now)
+gp_job_define (gp_job_t *job, Gp__Jobs__Submission *submission,
+               gp_time_t submitted_at)
 {
   uint64_t objective_ms;
 
   if (job->submission != NULL || !gp_job_check (submission, NULL))
     return false;
   job->submission = submission;
-  job->submitted_at = now;
-  objective_ms = chain_ms (submission) * submission->stretch_percent / 100
-                 + submission->target_ms;
-  job->due_at = now + (gp_time_t)objective_ms * GP_MSEC;
+  job->submitted_at = submitted_at;
+  objective_ms
+      = chain_ms (submission, NULL) * submission->stretch_percent / 100
+        + submission->target_ms;
+  job->due_at = submitted_at + (gp_time_t)objective_ms * GP_MSEC;
+  job->useless_at = submitted_at + 3 * (gp_time_t)objective_ms * GP_MSEC;
   make_tasks (job);
   return true;
 }
 
+gp_time_t
+gp_job_remaining (const gp_job_t *job)
+{
+  uint64_t longest = 0;
+
+  for (uint32_t k = 0; k < job->occurrences; k++)
+    longest = MAX (longest,
+                   chain_ms (job->submission,
+                             &job->tallies[k * job->submission->n_steps]));
+  return (gp_time_t)longest * GP_MSEC;
+}
+
 bool
 gp_job_ended (const gp_job_t *job)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -92,8 +92,9 @@
                               told, as a later one may be lost */
   bool cancelled;
   int64_t ended_wall_ms;
-  gp_time_t submitted_at; /* when this process first saw it */
-  gp_time_t due_at;       /* objective by the estimates, for ordering */
+  gp_time_t submitted_at; /* by its record, on this process's clock */
+  gp_time_t due_at;       /* objective by the estimates */
+  gp_time_t useless_at;   /* three objectives: its end earns nothing after */
   uint32_t occurrences;
   uint32_t tasks_per_occurrence;
   uint32_t *step_start; /* first index of each step in an occurrence */
@@ -102,6 +103,7 @@
   uint32_t task_count;
   uint32_t done_count;
   bool started;           /* a run was assigned once */
+  gp_time_t idle_since;   /* it has work and no run since, 0: it has a run */
   bool dirty;             /* changed since it was last packed */
   gp_list_t link;         /* in gp_book_t.live while it has not ended */
   gp_list_t dirty_link;   /* in gp_scheduler_t.dirty */
@@ -117,7 +119,10 @@
 /* Take SUBMISSION, which the job owns from then on, once.  False when it
    breaks a bound; SUBMISSION is then the caller's.  */
 bool gp_job_define (gp_job_t *job, Gp__Jobs__Submission *submission,
-                    gp_time_t now);
+                    gp_time_t submitted_at);
+
+/* The estimated time that the longest chain of steps still needs.  */
+gp_time_t gp_job_remaining (const gp_job_t *job);
 
 /* Can SUBMISSION be scheduled at all?  FALSE sets ERROR.  */
 bool gp_job_check (const Gp__Jobs__Submission *submission, GError **error);
--- a/src/jobs/pacer.c
+++ b/src/jobs/pacer.c
@@ -6,9 +6,9 @@
 #include <string.h>
 
 /* Serving runs are held to this logarithm of their latency over the target:
-   0.78 of it.  The measures are rough, and an excess costs four times what
+   0.9 of it.  The measures are rough, and an excess costs four times what
    the filling work brings.  */
-#define LOG_GOAL (-0.25)
+#define LOG_GOAL (-0.10)
 /* A run that would be over its target by a factor of 1.5 without filling
    work is not helped by slowing that down.  */
 #define LOG_HOPELESS 0.4
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -28,8 +28,11 @@
 /* Points that a task loses for each unit of harm that it is expected to do.
    A unit makes a latency 2.7 times as long.  */
 #define HARM_POINTS 1000.0
-/* A filling task waits rather than do more harm than this.  */
-#define HARM_MAX 0.7
+/* A filling task waits rather than do more harm than this, but no longer
+   than the time below when its job has no other run: the pacer then keeps
+   the harm down.  */
+#define HARM_MAX 0.5
+#define IDLE_MAX_TIME (1200 * GP_MSEC)
 /* Points for each run of the same image on the executor: like images suffer
    from the same neighbours, so that others are left for those.  */
 #define ALIKE_POINTS 300
@@ -51,32 +54,66 @@
   GPtrArray *placed;
 } pass_t;
 
+typedef enum
+{
+  HOPE_IN_TIME, /* it can meet its objective */
+  HOPE_LATE,    /* its end is still worth something */
+  HOPE_NONE
+} hope_t;
+
+typedef struct
+{
+  gp_job_t *job;
+  hope_t hope;
+  gp_time_t rank; /* lower first, within the same hope */
+} ranked_t;
+
+static ranked_t
+rank_job (gp_job_t *job, gp_time_t now)
+{
+  gp_time_t remaining = gp_job_remaining (job);
+  ranked_t ranked = { job, HOPE_IN_TIME, job->due_at };
+
+  if (now + remaining <= job->due_at)
+    return ranked;
+  ranked.hope = now + remaining <= job->useless_at ? HOPE_LATE : HOPE_NONE;
+  if (ranked.hope == HOPE_LATE)
+    ranked.rank = remaining;
+  return ranked;
+}
+
 static gint
 by_urgency (gconstpointer a, gconstpointer b)
 {
-  const gp_job_t *left = *(gp_job_t *const *)a;
-  const gp_job_t *right = *(gp_job_t *const *)b;
-
-  if (left->submission->priority != right->submission->priority)
-    return left->submission->priority < right->submission->priority ? -1 : 1;
-  if (left->due_at != right->due_at)
-    return left->due_at < right->due_at ? -1 : 1;
-  return strcmp (left->id, right->id);
+  const ranked_t *left = a;
+  const ranked_t *right = b;
+  uint32_t left_priority = left->job->submission->priority;
+  uint32_t right_priority = right->job->submission->priority;
+
+  if (left_priority != right_priority)
+    return left_priority < right_priority ? -1 : 1;
+  if (left->hope != right->hope)
+    return left->hope < right->hope ? -1 : 1;
+  if (left->rank != right->rank)
+    return left->rank < right->rank ? -1 : 1;
+  return strcmp (left->job->id, right->job->id);
 }
 
-static GPtrArray *
-urgent_first (const gp_book_t *book)
+static GArray *
+urgent_first (const gp_book_t *book, gp_time_t now)
 {
-  GPtrArray *jobs = g_ptr_array_new ();
+  GArray *jobs = g_array_new (FALSE, FALSE, sizeof (ranked_t));
 
   GP_LIST_FOREACH (link, &book->live)
   {
     gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
 
+    ranked_t ranked = rank_job (job, now);
+
     if (!job->cancelled)
-      g_ptr_array_add (jobs, job);
+      g_array_append_val (jobs, ranked);
   }
-  g_ptr_array_sort (jobs, by_urgency);
+  g_array_sort (jobs, by_urgency);
   return jobs;
 }
 
@@ -242,6 +279,14 @@
   return alike;
 }
 
+static double
+harm_limit (const gp_job_t *job, gp_time_t now)
+{
+  bool waited = job->idle_since != 0 && now - job->idle_since > IDLE_MAX_TIME;
+
+  return waited ? INFINITY : HARM_MAX;
+}
+
 /* Higher is better; thousandths of the executor's processors.  INT64_MIN:
    not there.  */
 static int64_t
@@ -257,7 +302,7 @@
     {
       double expected = harm (pass, candidate, step->image);
 
-      if (expected > HARM_MAX)
+      if (expected > harm_limit (task->job, pass->now))
         return INT64_MIN;
       points = left_over (executor) * 1000 / capacity
                - (int64_t)(expected * HARM_POINTS);
@@ -317,11 +362,24 @@
     candidate->fillings.work[gp_pressure_place (pass->pressure, step->image)]
         += 1.0;
   job->started = true;
+  job->idle_since = 0;
   if (job->state == GP_JOB_QUEUED)
     job->state = GP_JOB_RUNNING;
   g_ptr_array_add (pass->placed, task);
 }
 
+/* A task of JOB found no place: does the job have any run?  */
+static void
+note_idle (const pass_t *pass, gp_job_t *job)
+{
+  if (job->idle_since != 0)
+    return;
+  for (uint32_t i = 0; i < job->task_count; i++)
+    if (job->tasks[i].executor != NULL)
+      return;
+  job->idle_since = pass->now;
+}
+
 /* Assign the waiting tasks of a step one by one; false when one found no
    place, so that those like it need no look.  */
 static bool
@@ -335,7 +393,10 @@
         continue;
       candidate = choose (pass, &first[i]);
       if (candidate == NULL)
-        return false;
+        {
+          note_idle (pass, first[i].job);
+          return false;
+        }
       assign (pass, &first[i], candidate, first[i].run + 1);
     }
   return true;
@@ -430,15 +491,15 @@
 {
   pass_t pass
       = { .book = book, .pressure = pressure, .now = now, .placed = placed };
-  GPtrArray *jobs;
+  GArray *jobs;
 
   pass.candidates = find_candidates (book, now);
   if (pass.candidates->len > 0)
     {
-      jobs = urgent_first (book);
+      jobs = urgent_first (book, now);
       for (guint i = 0; i < jobs->len; i++)
-        assign_job (&pass, g_ptr_array_index (jobs, i), wall_ms);
-      g_ptr_array_free (jobs, TRUE);
+        assign_job (&pass, g_array_index (jobs, ranked_t, i).job, wall_ms);
+      g_array_free (jobs, TRUE);
     }
   g_array_free (pass.candidates, TRUE);
   return now + LOOK_AGAIN_TIME;
--- a/src/jobs/placer.h
+++ b/src/jobs/placer.h
@@ -1,9 +1,12 @@
 /* Placement: which waiting task goes to which executor now.
 
-   Jobs are taken by priority, then by the deadline that their estimates
-   give.  A task that serves or works goes where most processors are left; a
-   task that fills goes where the most is left over by the others and where it
-   is expected to harm those that serve least (jobs/pressure.h).  */
+   Jobs are taken by priority.  Within one, those that can still meet the
+   objective that their estimates give come first, by that objective; then
+   those that are late, the shortest first; then those whose time is past, in
+   which an overload ends instead of making all jobs late.  A task that serves
+   or works goes where most processors are left; a task that fills goes where
+   the most is left over by the others and where it is expected to harm those
+   that serve least (jobs/pressure.h).  */
 
 #ifndef GP_JOBS_PLACER_H
 #define GP_JOBS_PLACER_H
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -40,7 +40,8 @@
     job = gp_book_cancel (&entry->book, key + prefix);
   else if (gp_job_id_valid (key, record->key_size))
     job = gp_book_submit (&entry->book, key, record->value, record->value_size,
-                          gp_loop_now (&entry->loop), &error);
+                          gp_loop_now (&entry->loop),
+                          gp_time_wall () / GP_MSEC, &error);
   if (error != NULL)
     {
       gp_log (GP_LOG_WARNING, "record.malformed",
--- a/tests/unit/jobs_site.c
+++ b/tests/unit/jobs_site.c
@@ -95,7 +95,7 @@
 
   gp__jobs__submission__pack (submission, bytes);
   gp__jobs__submission__free_unpacked (submission, NULL);
-  job = gp_book_submit (&site->book, id, bytes, size, site->now, NULL);
+  job = gp_book_submit (&site->book, id, bytes, size, site->now, 0, NULL);
   g_free (bytes);
   return job;
 }
@@ -140,7 +140,7 @@
 
       gp__jobs__submission__pack (job->submission, submission);
       gp_book_progress (fresh, job->id, data, size, NULL);
-      gp_book_submit (fresh, job->id, submission, packed, site->now, NULL);
+      gp_book_submit (fresh, job->id, submission, packed, site->now, 0, NULL);
       if (job->cancelled)
         gp_book_cancel (fresh, job->id);
       g_free (submission);
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -266,6 +266,33 @@
   jobs_site_finish (&site);
 }
 
+static void
+test_harm (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *serving = jobs_site_submission (1, 1000);
+  Gp__Jobs__Submission *filling = jobs_site_submission (1, 1000);
+  gp_job_t *job;
+
+  printf ("filling that harms waits for a better place, but not for ever\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  serving->steps[0]->long_running = true;
+  serving->steps[0]->target_ms = 20;
+  jobs_site_submit (&site, JOB_A, serving);
+  jobs_site_plan (&site);
+  filling->steps[0]->fills = true;
+  gp_pressure_set (&site.pressure, "image",
+                   gp_pressure_place (&site.pressure, "image"), 3.0);
+  job = jobs_site_submit (&site, JOB_B, filling);
+  jobs_site_plan (&site);
+  print_job (job);
+  site.now += 2 * GP_SEC;
+  jobs_site_plan (&site);
+  print_job (job);
+  jobs_site_finish (&site);
+}
+
 static void
 test_check (void)
 {
@@ -469,13 +496,19 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[]
-      = { { "life", test_life },         { "attempts", test_attempts },
-          { "cancel", test_cancel },     { "lasting", test_lasting },
-          { "gang", test_gang },         { "repeats", test_repeats },
-          { "priority", test_priority }, { "distrust", test_distrust },
-          { "evacuate", test_evacuate }, { "check", test_check },
-          { "random", test_random },     CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = { { "life", test_life },
+                                 { "attempts", test_attempts },
+                                 { "cancel", test_cancel },
+                                 { "lasting", test_lasting },
+                                 { "gang", test_gang },
+                                 { "repeats", test_repeats },
+                                 { "priority", test_priority },
+                                 { "distrust", test_distrust },
+                                 { "evacuate", test_evacuate },
+                                 { "harm", test_harm },
+                                 { "check", test_check },
+                                 { "random", test_random },
+                                 CU_TEST_INFO_NULL };
 
   return runner_main ("jobs", tests);
 }
