--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -414,8 +414,11 @@
   if (leader->role != GP_LEADER_FOLLOWING)
     return;
   leader->position = position;
-  if (!ready || leader->stopping
-      || sent_at < leader->heard_at + silence_time (leader))
+  if (!ready || leader->stopping)
+    return;
+  /* Where nobody leads, nothing has to be waited for.  */
+  if (silence_time (leader) > 0
+      && sent_at < leader->heard_at + silence_time (leader))
     return;
   claim (leader);
 }
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -448,7 +448,7 @@
 static void
 set_down (gp_link_t *link, const char *why)
 {
-  if (link->up)
+  if (link->up && link->leader->role == GP_LEADER_LEADING)
     gp_log (GP_LOG_INFO, "guard.down", GP_LOG_S ("guard", link->node),
             GP_LOG_S ("why", why));
   link->up = false;
