--- a/Makefile
+++ b/Makefile
@@ -119,6 +119,7 @@
 
 lint:
 	@tools/check-names
+	@tools/check-logs
 	@clang-format --dry-run -Werror $(STYLE_SRC)
 	@printf '%s\n' $(TIDY_SRC) | xargs -P 10 -n 3 \
 		tools/tidy $(CPPFLAGS) $(PKG_CFLAGS) --
--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -19,6 +19,11 @@
    the longest wait of a list and its timeout.  */
 #define SILENCE_TIME (1500 * GP_MSEC)
 
+static const char *const call_names[] = { "none", "start", "stop", "pace" };
+static const char *const result_names[]
+    = { "taken",   "fenced",  "too old",  "too late",
+        "no room", "refused", "replaced", "no answer" };
+
 gp_time_t
 gp_agent_lease_end (gp_time_t sent_at)
 {
@@ -570,10 +575,12 @@
 
   if (result != GP_AGENT_REPLACED)
     take_clock (agent, clock_ms, now);
-  if (result != GP_AGENT_TAKEN)
-    gp_log (GP_LOG_INFO, "order.not_taken", GP_LOG_S ("task", name),
-            GP_LOG_I ("run", number), GP_LOG_I ("call", kind),
-            GP_LOG_I ("result", result));
+  if (kind != GP_AGENT_CALL_PACE || result != GP_AGENT_TAKEN)
+    gp_log (GP_LOG_INFO, "order.answered", GP_LOG_S ("task", name),
+            GP_LOG_I ("run", number), GP_LOG_S ("order", call_names[kind]),
+            GP_LOG_S ("result", result_names[result]),
+            GP_LOG_I ("fence", agent->fence),
+            GP_LOG_I ("lease_ms_ago", (now - agent->lease) / GP_MSEC));
   if (run == NULL)
     return;
   run->in_flight = false;
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -140,12 +140,14 @@
 }
 
 static void
-on_state (bool down, const char *reason, void *data)
+on_state (gp_topic_t topic, bool down, const char *reason, void *data)
 {
+  static const char *const topics[]
+      = { "documents", "jobs", "progress", "nodes" };
   gp_job_entry_t *entry = data;
 
   gp_log (GP_LOG_INFO, down ? "store.down" : "store.up",
-          GP_LOG_S ("why", reason));
+          GP_LOG_S ("topic", topics[topic]), GP_LOG_S ("why", reason));
   gp_leader_deaf (&entry->leader);
 }
 
--- a/src/jobsd/feed.c
+++ b/src/jobsd/feed.c
@@ -81,7 +81,7 @@
   if (feed->down == down)
     return;
   feed->down = down;
-  feed->callbacks->on_state (down, reason, feed->data);
+  feed->callbacks->on_state (feed->topic, down, reason, feed->data);
 }
 
 static void
--- a/src/jobsd/feed.h
+++ b/src/jobsd/feed.h
@@ -19,7 +19,8 @@
      been delivered.  */
   void (*on_fresh) (void *data);
   /* Reads fail (DOWN) or work again.  */
-  void (*on_state) (bool down, const char *reason, void *data);
+  void (*on_state) (gp_topic_t topic, bool down, const char *reason,
+                    void *data);
 } gp_feed_callbacks_t;
 
 typedef struct
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -22,10 +22,20 @@
 /* The answer leaves so long before the caller's patience ends: the way back
    and a busy loop.  */
 #define ANSWER_MARGIN (300 * GP_MSEC)
-/* One try of an append; the store answers in a few milliseconds, or up to
-   half a second when it is slow.  */
-#define TRY_TIME (700 * GP_MSEC)
+/* One try of an append takes so many times what the last ones took, within
+   these bounds: a store that is slow is not asked again while it works, and
+   an answer that was lost is not waited for long.  */
+#define TRY_FACTOR 5
+#define TRY_TIME_MIN (500 * GP_MSEC)
+#define TRY_TIME_MAX (2200 * GP_MSEC)
+/* Share of the last duration in the mean of them.  */
+#define LATENCY_GAIN 0.3
 #define TRY_PAUSE (50 * GP_MSEC)
+/* Tries that the store refuses before the caller is refused: by then another
+   way to the store has been found if there is one.  */
+#define REFUSALS_MAX 4
+/* Bytes of records in one append; far under the platform's bound.  */
+#define BATCH_MAX ((guint)256 * 1024)
 /* What a caller is told to wait after a refusal, in seconds.  */
 #define RETRY_AFTER "1"
 /* How old the book may be for an answer that a job does not exist.  */
@@ -55,16 +65,16 @@
   gp_jobs_front_t *front;
   gp_http_exchange_t *exchange; /* NULL: the caller has gone */
   char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
-  GByteArray *batch;
   GBytes *value;
   gp_time_t deadline;
   gp_time_t since;
-  bool doubtful;
+  unsigned refusals; /* tries of which nothing was done */
+  bool in_call;      /* part of the append in progress */
+  bool doubtful;     /* an append that it was part of went unanswered */
   bool cancels;
-  gp_store_call_t *call; /* NULL: it waits for the next try */
 } change_t;
 
-static void try_append (change_t *change);
+static void append_waiting (gp_jobs_front_t *front);
 
 /* Answers.  */
 
@@ -95,9 +105,6 @@
 free_change (change_t *change)
 {
   gp_list_remove (&change->link);
-  if (change->call != NULL)
-    gp_store_cancel (change->call);
-  g_byte_array_unref (change->batch);
   g_bytes_unref (change->value);
   g_free (change);
 }
@@ -141,69 +148,128 @@
   end_change (change, 200, "on the log");
 }
 
+/* No try is left: what has certainly not been done is refused, the rest is
+   left open.  */
 static void
-try_again (change_t *change, const char *why)
+give_up (change_t *change, const char *why)
 {
-  gp_time_t now = gp_loop_now (change->front->loop);
+  bool open = change->in_call || change->doubtful;
 
-  if (now + TRY_PAUSE < change->deadline)
-    {
-      gp_timer_arm (&change->front->retry, now + TRY_PAUSE);
-      return;
-    }
-  gp_counter_add (&open_count, 1);
-  end_change (change, 504, why);
+  gp_counter_add (open ? &open_count : &refused_count, 1);
+  end_change (change, open ? 504 : 503, why);
 }
 
 static void
-on_appended (const gp_store_answer_t *result, void *data)
+arm (gp_jobs_front_t *front)
 {
-  change_t *change = data;
+  gp_time_t at = front->call == NULL ? front->try_at : GP_TIME_NEVER;
 
-  change->call = NULL;
+  if (gp_list_empty (&front->changes))
+    return;
+  GP_LIST_FOREACH (link, &front->changes)
+  at = MIN (at, GP_CONTAINER_OF (link, change_t, link)->deadline);
+  gp_timer_arm (&front->timer, at);
+}
+
+static void
+note_latency (gp_jobs_front_t *front, gp_store_result_t result,
+              gp_time_t duration)
+{
+  if (result == GP_STORE_UNKNOWN)
+    duration = MAX (duration, 2 * front->latency);
+  front->latency
+      += (gp_time_t)((double)(duration - front->latency) * LATENCY_GAIN);
+}
+
+/* What the append in progress has come to, for one of its changes.  */
+static void
+apply_result (change_t *change, const gp_store_answer_t *result,
+              uint64_t offset)
+{
+  change->in_call = false;
   switch (result->result)
     {
     case GP_STORE_DONE:
-      change_done (change, result->offset);
+      change_done (change, offset);
       return;
     case GP_STORE_UNKNOWN:
       change->doubtful = true;
-      break;
+      return;
     case GP_STORE_REFUSED:
     case GP_STORE_CONFLICT:
     case GP_STORE_FORGOTTEN:
-      if (change->doubtful)
-        break;
-      gp_counter_add (&refused_count, 1);
-      end_change (change, 503, result->reason);
+      if (!change->doubtful && ++change->refusals >= REFUSALS_MAX)
+        give_up (change, result->reason);
       return;
     }
-  try_again (change, result->reason);
 }
 
 static void
-try_append (change_t *change)
+on_appended (const gp_store_answer_t *result, void *data)
 {
-  gp_time_t now = gp_loop_now (change->front->loop);
-  gp_time_t deadline = MIN (now + TRY_TIME, change->deadline);
+  gp_jobs_front_t *front = data;
+  gp_time_t now = gp_loop_now (front->loop);
+  uint64_t offset = result->offset;
 
-  change->call = gp_store_append (
-      change->front->store, GP_TOPIC_JOBS, change->batch, GP_STORE_ANYWHERE,
-      MAX (deadline, now + TRY_PAUSE), on_appended, change);
+  front->call = NULL;
+  note_latency (front, result->result, now - result->sent_at);
+  front->try_at = result->result == GP_STORE_DONE ? now : now + TRY_PAUSE;
+  GP_LIST_FOREACH_SAFE (link, &front->changes)
+  {
+    change_t *change = GP_CONTAINER_OF (link, change_t, link);
+
+    if (change->in_call)
+      apply_result (change, result, offset++);
+  }
+  append_waiting (front);
+  arm (front);
 }
 
+/* Append what waits in one call, unless one is in progress.  */
 static void
-on_retry (gp_timer_t *timer, void *data)
+append_waiting (gp_jobs_front_t *front)
 {
-  gp_jobs_front_t *front = data;
+  gp_time_t now = gp_loop_now (front->loop);
+  gp_time_t patience
+      = CLAMP (TRY_FACTOR * front->latency, TRY_TIME_MIN, TRY_TIME_MAX);
+  GByteArray *batch;
 
+  if (front->call != NULL || now < front->try_at
+      || gp_list_empty (&front->changes))
+    return;
+  batch = g_byte_array_new ();
   GP_LIST_FOREACH (link, &front->changes)
+  {
+    change_t *change = GP_CONTAINER_OF (link, change_t, link);
+    gsize size;
+    const uint8_t *data = g_bytes_get_data (change->value, &size);
+
+    if (batch->len > 0 && batch->len + size > BATCH_MAX)
+      break;
+    gp_store_batch_add (batch, change->key, data, size);
+    change->in_call = true;
+  }
+  front->call
+      = gp_store_append (front->store, GP_TOPIC_JOBS, batch, GP_STORE_ANYWHERE,
+                         now + patience, on_appended, front);
+  g_byte_array_unref (batch);
+}
+
+static void
+on_timer (gp_timer_t *timer, void *data)
+{
+  gp_jobs_front_t *front = data;
+  gp_time_t now = gp_loop_now (front->loop);
+
+  GP_LIST_FOREACH_SAFE (link, &front->changes)
   {
     change_t *change = GP_CONTAINER_OF (link, change_t, link);
 
-    if (change->call == NULL)
-      try_append (change);
+    if (now >= change->deadline)
+      give_up (change, "the store does not answer");
   }
+  append_waiting (front);
+  arm (front);
 }
 
 static void
@@ -235,8 +301,6 @@
               const char *id, bool cancels, GBytes *value)
 {
   change_t *change = g_new0 (change_t, 1);
-  gsize size;
-  const uint8_t *data = g_bytes_get_data (value, &size);
 
   change->front = front;
   change->exchange = exchange;
@@ -246,11 +310,10 @@
   g_snprintf (change->key, sizeof change->key, "%s%s",
               cancels ? GP_CANCEL_PREFIX : "", id);
   change->value = value;
-  change->batch = g_byte_array_new ();
-  gp_store_batch_add (change->batch, change->key, data, size);
   gp_list_push_back (&front->changes, &change->link);
   gp_http_exchange_watch (exchange, on_gone, NULL, change);
-  try_append (change);
+  append_waiting (front);
+  arm (front);
 }
 
 /* Requests.  */
@@ -474,7 +537,7 @@
                               .on_record = on_record,
                               .data = data };
   gp_list_init (&front->changes);
-  gp_timer_init (&front->retry, loop, on_retry, front);
+  gp_timer_init (&front->timer, loop, on_timer, front);
   gp_counter_register (&accepted_count);
   gp_counter_register (&repeated_count);
   gp_counter_register (&refused_count);
@@ -489,5 +552,7 @@
 {
   GP_LIST_FOREACH_SAFE (link, &front->changes)
   free_change (GP_CONTAINER_OF (link, change_t, link));
-  gp_timer_finish (&front->retry);
+  if (front->call != NULL)
+    gp_store_cancel (front->call);
+  gp_timer_finish (&front->timer);
 }
--- a/src/jobsd/jobs_front.h
+++ b/src/jobsd/jobs_front.h
@@ -21,7 +21,10 @@
   const gp_queues_t *queues;
   const gp_feed_t *jobs; /* for how fresh the book is */
   gp_list_t changes;     /* submissions and cancellations in progress */
-  gp_timer_t retry;      /* some of them are to be tried again */
+  gp_store_call_t *call; /* the append in progress, or NULL */
+  gp_time_t try_at;      /* none is begun before */
+  gp_time_t latency;     /* mean duration of appends */
+  gp_timer_t timer;      /* the next try or the end of a caller's patience */
   /* A record is on the log: fold it now, without waiting for the feed.  */
   void (*on_record) (const gp_store_record_t *record, void *data);
   void *data;
