Appends of submissions are given up after 1.2 s at the most

Cause: in an outage a first append that hung kept the changes behind it waiting for 2.2 s (late refusals). Ruled out: the number of refusals before a caller is refused (1, 4, 20: no difference).

--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -27,7 +27,7 @@
    an answer that was lost is not waited for long.  */
 #define TRY_FACTOR 5
 #define TRY_TIME_MIN (500 * GP_MSEC)
-#define TRY_TIME_MAX (2200 * GP_MSEC)
+#define TRY_TIME_MAX (1200 * GP_MSEC)
 /* Share of the last duration in the mean of them.  */
 #define LATENCY_GAIN 0.3
 #define TRY_PAUSE (50 * GP_MSEC)
