Take the lead when the last feed that it waited for is fresh

Cause: after a total loss the lead was considered only when the progress feed came round, a long poll later.

--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -118,15 +118,20 @@
   g_free (name);
 }
 
+/* Any feed that has become fresh may be the last one that the lead waited
+   for.  */
 static void
 on_fresh (void *data)
 {
   gp_job_entry_t *entry = data;
+  bool ready = gp_feed_fresh (&entry->jobs, 2 * GP_SEC)
+               && gp_feed_fresh (&entry->progress, 2 * GP_SEC)
+               && entry->nodes.loaded && entry->queues.version > 0;
 
+  if (!entry->progress.running)
+    return;
   gp_leader_fresh (&entry->leader, entry->progress.position,
-                   entry->progress.fresh_at,
-                   gp_feed_fresh (&entry->jobs, 2 * GP_SEC)
-                       && entry->nodes.loaded && entry->queues.version > 0);
+                   entry->progress.fresh_at, ready);
   gp_counter_set (&leading_gauge, entry->leader.role == GP_LEADER_LEADING);
   /* From the claim on the book is ahead of the log; when the claim fails
      both are read anew.  */
@@ -134,11 +139,6 @@
     gp_feed_stop (&entry->progress);
 }
 
-static void
-on_other_fresh (void *data)
-{
-}
-
 static void
 on_state (gp_topic_t topic, bool down, const char *reason, void *data)
 {
@@ -166,13 +166,12 @@
 init_feeds (gp_job_entry_t *entry)
 {
   static const gp_feed_callbacks_t documents
-      = { on_document, on_other_fresh, on_state };
+      = { on_document, on_fresh, on_state };
   static const gp_feed_callbacks_t jobs
-      = { on_job_record, on_other_fresh, on_state };
+      = { on_job_record, on_fresh, on_state };
   static const gp_feed_callbacks_t progress
       = { on_progress_record, on_fresh, on_state };
-  static const gp_feed_callbacks_t nodes
-      = { on_node, on_other_fresh, on_state };
+  static const gp_feed_callbacks_t nodes = { on_node, on_fresh, on_state };
 
   gp_feed_init (&entry->documents, &entry->loop, entry->store,
                 GP_TOPIC_OPERATORS, 0, &documents, entry);
