--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -330,14 +330,23 @@
   return pending;
 }
 
+/* Has JOB ended, so long ago that nothing of it is at work?  */
+bool
+gp_book_expired (const gp_job_t *job, int64_t wall_ms)
+{
+  if (job->submission == NULL || job->recorded < GP_JOB_COMPLETED
+      || job->ended_wall_ms >= wall_ms)
+    return false;
+  for (uint32_t i = 0; i < job->task_count; i++)
+    if (job->tasks[i].executor != NULL)
+      return false;
+  return true;
+}
+
 static gboolean
 expired (gpointer key, gpointer value, gpointer data)
 {
-  const gp_job_t *job = value;
-  const int64_t *wall_ms = data;
-
-  return job->submission != NULL && gp_job_ended (job)
-         && job->ended_wall_ms < *wall_ms;
+  return gp_book_expired (value, *(const int64_t *)data);
 }
 
 void
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -51,7 +51,10 @@
 /* Jobs of QUEUE, without times, that have not begun.  */
 unsigned gp_book_pending (const gp_book_t *book, const char *queue);
 
-/* Forget jobs that ended before WALL_MS.  */
+/* Has JOB ended before WALL_MS and runs nowhere any more?  */
+bool gp_book_expired (const gp_job_t *job, int64_t wall_ms);
+
+/* Forget jobs that ended before WALL_MS and run nowhere any more.  */
 void gp_book_expire (gp_book_t *book, int64_t wall_ms);
 
 #endif
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -104,7 +104,7 @@
   uint32_t done_count;
   bool started;           /* a run was assigned once */
   gp_time_t idle_since;   /* it has work and no run since, 0: it has a run */
-  bool dirty;             /* changed since it was last packed */
+  bool dropped;           /* its submission is being dropped from the log */
   gp_list_t link;         /* in gp_book_t.live while it has not ended */
   gp_list_t dirty_link;   /* in gp_scheduler_t.dirty */
   GBytes *early_progress; /* a Progress that came before its submission */
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -317,6 +317,8 @@
   init_feeds (entry);
   gp_leader_init (&entry->leader, &entry->loop, entry->store, &entry->book,
                   settings->node, on_deposed, entry);
+  gp_janitor_init (&entry->janitor, &entry->loop, entry->store, &entry->book,
+                   &entry->leader, settings->status_time);
   gp_jobs_front_init (&entry->front, &entry->loop, entry->store, &entry->book,
                       &entry->queues, &entry->jobs, on_job_record, entry);
   gp_timer_init (&entry->announce, &entry->loop, on_announce_due, entry);
@@ -354,6 +356,7 @@
 gp_job_entry_finish (gp_job_entry_t *entry)
 {
   gp_jobs_front_finish (&entry->front);
+  gp_janitor_finish (&entry->janitor);
   gp_feed_finish (&entry->documents);
   gp_feed_finish (&entry->jobs);
   gp_feed_finish (&entry->progress);
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -7,6 +7,7 @@
 #include "jobs/book.h"
 #include "jobs/queues.h"
 #include "jobsd/feed.h"
+#include "jobsd/janitor.h"
 #include "jobsd/jobs_front.h"
 #include "jobsd/leader.h"
 #include "jobsd/relay.h"
@@ -31,6 +32,7 @@
   gp_feed_t nodes;
   gp_jobs_front_t front;
   gp_leader_t leader;
+  gp_janitor_t janitor;
   gp_timer_t leave; /* stopping: when callers are not served any more */
   bool stopping;
 } gp_job_entry_t;
--- /dev/null
+++ b/src/jobsd/janitor.c
@@ -0,0 +1,102 @@
+/* Dropping the records of jobs that ended long ago.  */
+
+#include "jobsd/janitor.h"
+
+#include "base/log.h"
+#include "jobsd/jobs_front.h"
+
+/* The book is looked through this often in the time that ends are told.  */
+#define LOOKS 8
+#define DROP_TIME (2 * GP_SEC)
+/* Jobs in one append.  */
+#define DROPS_MAX 500
+
+static bool
+ended_before (const gp_job_t *job, int64_t wall_ms)
+{
+  return job->recorded >= GP_JOB_COMPLETED && job->ended_wall_ms < wall_ms;
+}
+
+static void
+on_dropped (const gp_store_answer_t *answer, void *data)
+{
+  gp_janitor_t *janitor = data;
+
+  janitor->dropping = false;
+  if (answer->result != GP_STORE_DONE)
+    gp_log (GP_LOG_INFO, "drop.failed", GP_LOG_S ("why", answer->reason));
+}
+
+/* Drop the submissions and cancellations of jobs that ended before WALL_MS;
+   once more does no harm.  */
+static void
+drop_submissions (gp_janitor_t *janitor, int64_t wall_ms)
+{
+  GByteArray *batch = g_byte_array_new ();
+  unsigned drops = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, janitor->book->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && drops < DROPS_MAX)
+    {
+      gp_job_t *job = value;
+      char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
+
+      if (job->dropped || !ended_before (job, wall_ms))
+        continue;
+      job->dropped = true;
+      drops++;
+      gp_store_batch_add (batch, job->id, NULL, 0);
+      g_snprintf (key, sizeof key, GP_CANCEL_PREFIX "%s", job->id);
+      if (job->cancelled)
+        gp_store_batch_add (batch, key, NULL, 0);
+    }
+  if (drops > 0)
+    {
+      janitor->dropping = true;
+      gp_log (GP_LOG_INFO, "jobs.dropped", GP_LOG_I ("jobs", drops));
+      gp_store_append (janitor->store, GP_TOPIC_JOBS, batch, GP_STORE_ANYWHERE,
+                       gp_loop_now (janitor->loop) + DROP_TIME, on_dropped,
+                       janitor);
+    }
+  g_byte_array_unref (batch);
+}
+
+static void
+on_timer (gp_timer_t *timer, void *data)
+{
+  gp_janitor_t *janitor = data;
+  int64_t wall_ms = gp_time_wall () / GP_MSEC;
+  gp_time_t pause = janitor->keep_ms * GP_MSEC / LOOKS;
+
+  gp_timer_arm (&janitor->timer, gp_loop_now (janitor->loop) + pause);
+  if (janitor->leader->role == GP_LEADER_LEADING)
+    {
+      if (!janitor->dropping)
+        drop_submissions (janitor, wall_ms - janitor->keep_ms * 3 / 2);
+      gp_leader_drop_progress (janitor->leader,
+                               wall_ms - janitor->keep_ms * 2);
+    }
+  else
+    gp_book_expire (janitor->book, wall_ms - janitor->keep_ms * 2);
+}
+
+void
+gp_janitor_init (gp_janitor_t *janitor, gp_loop_t *loop, gp_store_t *store,
+                 gp_book_t *book, gp_leader_t *leader, gp_time_t keep)
+{
+  *janitor = (gp_janitor_t){ .loop = loop,
+                             .store = store,
+                             .book = book,
+                             .leader = leader,
+                             .keep_ms = keep / GP_MSEC };
+  gp_timer_init (&janitor->timer, loop, on_timer, janitor);
+  gp_timer_arm (&janitor->timer, gp_loop_now (loop) + keep / LOOKS);
+}
+
+void
+gp_janitor_finish (gp_janitor_t *janitor)
+{
+  gp_timer_finish (&janitor->timer);
+}
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -29,6 +29,7 @@
 } batch_state_t;
 
 static void flush (gp_leader_t *leader);
+static void add_drops (gp_leader_t *leader);
 static void lead (gp_leader_t *leader, uint64_t epoch);
 
 static gp_time_t
@@ -195,6 +196,7 @@
   gp_leader_drop_links (leader);
   gp_scheduler_reset (&leader->scheduler);
   g_hash_table_remove_all (leader->new_places);
+  g_ptr_array_set_size (leader->drops, 0);
   leader->on_deposed (leader->data);
 }
 
@@ -309,7 +311,8 @@
 flush (gp_leader_t *leader)
 {
   bool changed = !gp_list_empty (&leader->scheduler.dirty)
-                 || g_hash_table_size (leader->new_places) > 0;
+                 || g_hash_table_size (leader->new_places) > 0
+                 || leader->drops->len > 0;
   bool due = now_of (leader) >= leader->heartbeat_due;
 
   if (leader->batch != NULL)
@@ -323,6 +326,7 @@
   leader->batch = g_byte_array_new ();
   add_places (leader);
   add_dirty_jobs (leader);
+  add_drops (leader);
   add_leadership (leader, leader->stopping);
   leader->resigning = leader->stopping;
   append (leader);
@@ -499,6 +503,39 @@
   gp_leader_turn_soon (leader);
 }
 
+void
+gp_leader_drop_progress (gp_leader_t *leader, int64_t wall_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, leader->book->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_t *job = value;
+
+      if (gp_list_empty (&job->dirty_link) && gp_book_expired (job, wall_ms))
+        g_ptr_array_add (leader->drops, g_strdup (job->id));
+    }
+  if (leader->drops->len > 0)
+    gp_leader_turn_soon (leader);
+}
+
+/* Only between appends: one that is on its way points to its jobs.  */
+static void
+add_drops (gp_leader_t *leader)
+{
+  for (guint i = 0; i < leader->drops->len; i++)
+    {
+      const char *id = g_ptr_array_index (leader->drops, i);
+
+      gp_store_batch_add (leader->batch, id, NULL, 0);
+      leader->batch_records++;
+      g_hash_table_remove (leader->book->jobs, id);
+    }
+  g_ptr_array_set_size (leader->drops, 0);
+}
+
 void
 gp_leader_resign (gp_leader_t *leader)
 {
@@ -531,6 +568,7 @@
   leader->new_places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                               (GDestroyNotify)g_bytes_unref);
   leader->frames = g_ptr_array_new ();
+  leader->drops = g_ptr_array_new_with_free_func (g_free);
   leader->batch_states = g_array_new (FALSE, FALSE, sizeof (batch_state_t));
   gp_timer_init (&leader->timer, loop, on_timer, leader);
   gp_timer_init (&leader->retry, loop, on_retry, leader);
@@ -551,6 +589,7 @@
   g_hash_table_destroy (leader->places);
   g_hash_table_destroy (leader->new_places);
   g_ptr_array_unref (leader->frames);
+  g_ptr_array_unref (leader->drops);
   g_array_free (leader->batch_states, TRUE);
   gp_scheduler_finish (&leader->scheduler);
   gp_pressure_finish (&leader->pressure);
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -75,6 +75,7 @@
   gp_pressure_t pressure; /* learned from the guards' reports */
   GHashTable *links;      /* node to gp_link_t, owned */
   GHashTable *places;     /* node to id of its executor, owned */
+  GPtrArray *drops;       /* ids of jobs whose progress goes, owned */
   GHashTable *new_places; /* key to record, owned: not yet written */
   gp_leader_role_t role;
   uint64_t epoch;
@@ -124,6 +125,10 @@
 /* JOB has come or was cancelled.  */
 void gp_leader_job (gp_leader_t *leader, gp_job_t *job);
 
+/* Drop the progress of jobs that ended before WALL_MS with the next append,
+   and forget them.  */
+void gp_leader_drop_progress (gp_leader_t *leader, int64_t wall_ms);
+
 /* Give the lead up; ends when what is on its way is done.  */
 void gp_leader_resign (gp_leader_t *leader);
 
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -161,6 +161,21 @@
         verdict(site)
 
 
+def records_dropped(build):
+    print("records of ended jobs are dropped after their time")
+    with site_of(build, status_s=1) as site:
+        site.submit("e1", JOB_A, STEPS)
+        site.await_state("e1", JOB_A, "completed")
+        for topic in ("keyed.jobs", "keyed.progress"):
+            until(lambda t=topic: JOB_A not in site.store.topics[t].newest,
+                  what="dropped from " + topic)
+        until(lambda: {site.state(e, JOB_A) for e in site.entries} == {410},
+              what="forgotten")
+        print("  submitted:", site.submit("e2", JOB_B, STEPS))
+        site.await_state("e2", JOB_B, "completed")
+        verdict(site)
+
+
 def late_orders(build):
     print("executors leave orders unanswered and carry them out late")
     with site_of(build) as site:
@@ -197,7 +212,7 @@
              for scenario in (calm, cancelled, leader_killed, guard_restarted,
                               guard_paused, store_down, entry_refused,
                               lost_answers,
-                              late_orders, executors_crash)}
+                              records_dropped, late_orders, executors_crash)}
 
 if __name__ == "__main__":
     for wanted in sys.argv[2:] or SCENARIOS:
--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -42,8 +42,10 @@
 class PlatformSite:
     """ENTRIES entries and WORKERS workers with their guards."""
 
-    def __init__(self, build, folder, entries=2, workers=3, seed=1):
+    def __init__(self, build, folder, entries=2, workers=3, seed=1,
+                 status_s=120):
         self.build = build
+        self.status_s = status_s
         self.folder = folder
         self.store_address = loopback()
         self.store = standin.Store(self.store_address)
@@ -68,6 +70,7 @@
         path = os.path.join(self.folder, name + ".yaml")
         lines = [f'node: "{name}"', 'zone: "z"', 'ip: "127.0.0.1"',
                  "internalPorts:", f"  - {port_of_three()}",
+                 "bounds:", f"  status_s: {self.status_s}",
                  "platform:", f'  address: "{store}"'] + more
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
