--- a/src/base/log.c
+++ b/src/base/log.c
@@ -13,6 +13,7 @@
 #include <limits.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include "base/counters.h"
@@ -121,15 +122,13 @@
 write_line (const char *text)
 {
   size_t size = strlen (text);
-  char line[PIPE_BUF];
+  struct iovec parts[] = { { (void *)text, size }, { (void *)"\n", 1 } };
   ssize_t written;
 
-  if (size + 1 > sizeof line || !is_taken_at_once ())
+  if (size + 1 > PIPE_BUF || !is_taken_at_once ())
     return false;
-  memcpy (line, text, size);
-  line[size] = '\n';
   do
-    written = write (log_descriptor, line, size + 1);
+    written = writev (log_descriptor, parts, G_N_ELEMENTS (parts));
   while (written < 0 && errno == EINTR);
   return written == (ssize_t)(size + 1);
 }
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -9,7 +9,7 @@
 #include "base/error.h"
 
 /* More than any job is kept; an older time is a clock that is wrong.  */
-#define AGE_MAX_MS (3600 * 1000)
+#define AGE_MAX_MS ((int64_t)3600 * 1000)
 
 static void
 free_job (gpointer job)
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -35,7 +35,7 @@
    way to the store has been found if there is one.  */
 #define REFUSALS_MAX 4
 /* Bytes of records in one append; far under the platform's bound.  */
-#define BATCH_MAX ((guint)256 * 1024)
+#define BATCH_MAX ((size_t)256 * 1024)
 /* What a caller is told to wait after a refusal, in seconds.  */
 #define RETRY_AFTER "1"
 /* How old the book may be for an answer that a job does not exist.  */
--- a/tests/standins/keyed_platform.py
+++ b/tests/standins/keyed_platform.py
@@ -284,6 +284,8 @@
         with self.lock:
             for task in list(self.runs):
                 self.end(task, "gone", listed=False)
+            for row in self.ended:
+                self.judge.void(row[1])
             self.dark = dark_s > 0
             self.begin()
             self.lock.notify_all()
