--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -4,6 +4,7 @@
 #define GP_JOBSD_GUARD_H
 
 #include "jobs/agent.h"
+#include "platform/heartbeat.h"
 #include "platform/runtime.h"
 #include "platform/settings.h"
 #include "platform/store.h"
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -5,8 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "platform/heartbeat.h"
 #include "platform/jobs_http.h"
-#include "platform/runtime.h"
 #include "platform/settings.h"
 #include "runner.h"
 
