Refuse callers at once while the store does not answer

Cause: with an append that hangs, changes that came after it waited out their caller's patience and were refused late.

--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -31,6 +31,9 @@
 /* Share of the last duration in the mean of them.  */
 #define LATENCY_GAIN 0.3
 #define TRY_PAUSE (50 * GP_MSEC)
+/* Appends that failed in a row before callers that come are refused at once
+   while the next one is on its way.  */
+#define FAILURES_TO_REFUSE 2
 /* Tries that the store refuses before the caller is refused: by then another
    way to the store has been found if there is one.  */
 #define REFUSALS_MAX 4
@@ -213,6 +216,7 @@
 
   front->call = NULL;
   note_latency (front, result->result, now - result->sent_at);
+  front->failures = result->result == GP_STORE_DONE ? 0 : front->failures + 1;
   front->try_at = result->result == GP_STORE_DONE ? now : now + TRY_PAUSE;
   GP_LIST_FOREACH_SAFE (link, &front->changes)
   {
@@ -295,13 +299,33 @@
   return told > 0 && told < PATIENCE_MAX ? told : PATIENCE_DEFAULT;
 }
 
+/* The store does not answer, and what is on its way will show when it does
+   again: a caller that has not been written down is told at once.  */
+static void
+refuse_now (gp_http_exchange_t *exchange, const char *id)
+{
+  gp_counter_add (&refused_count, 1);
+  gp_log (GP_LOG_INFO, "job.answered", GP_LOG_S ("job", id),
+          GP_LOG_I ("status", 503),
+          GP_LOG_S ("why", "the store has not answered lately"),
+          GP_LOG_I ("after_ms", 0), GP_LOG_I ("doubtful", 0));
+  answer_error (exchange, 503, "the store does not answer");
+}
+
 /* Write a record with KEY and VALUE, which is taken over.  */
 static void
 start_change (gp_jobs_front_t *front, gp_http_exchange_t *exchange,
               const char *id, bool cancels, GBytes *value)
 {
-  change_t *change = g_new0 (change_t, 1);
+  change_t *change;
 
+  if (front->failures >= FAILURES_TO_REFUSE && front->call != NULL)
+    {
+      refuse_now (exchange, id);
+      g_bytes_unref (value);
+      return;
+    }
+  change = g_new0 (change_t, 1);
   change->front = front;
   change->exchange = exchange;
   change->cancels = cancels;
--- a/src/jobsd/jobs_front.h
+++ b/src/jobsd/jobs_front.h
@@ -23,6 +23,7 @@
   gp_list_t changes;     /* submissions and cancellations in progress */
   gp_store_call_t *call; /* the append in progress, or NULL */
   gp_time_t try_at;      /* none is begun before */
+  unsigned failures;     /* appends that failed since one was done */
   gp_time_t latency;     /* mean duration of appends */
   gp_timer_t timer;      /* the next try or the end of a caller's patience */
   /* A record is on the log: fold it now, without waiting for the feed.  */
