--- /dev/null
+++ b/src/jobs/agent_calls.c
@@ -0,0 +1,203 @@
+/* The calls that an agent makes, and what their answers mean.  */
+
+#include "jobs/agent_private.h"
+
+#include "base/log.h"
+
+/* How long after a call went unanswered it may still be carried out: 12 s on
+   the sites known, and some more.  */
+#define LATE_TIME (13 * GP_SEC)
+#define PACE_REPEAT_TIME (GP_SEC)
+
+static const char *const call_names[] = { "none", "start", "stop", "pace" };
+static const char *const result_names[]
+    = { "taken",   "fenced",  "too old",  "too late",
+        "no room", "refused", "replaced", "no answer" };
+
+static bool
+wants_pace (gp_agent_t *agent, const gp_agent_run_t *run, gp_time_t now)
+{
+  return run->phase == GP_RUN_PRESENT && run->listed && run->start != NULL
+         && run->start->fills
+         && (run->pace != gp_pacer_pace (&agent->pacer, run->start->image)
+             || now >= run->pace_again);
+}
+
+static gp_agent_call_kind_t
+call_for (gp_agent_t *agent, const gp_agent_run_t *run, gp_time_t now)
+{
+  switch (run->phase)
+    {
+    case GP_RUN_STARTING:
+      return run->start != NULL ? GP_AGENT_CALL_START : GP_AGENT_CALL_NONE;
+    case GP_RUN_STOPPING:
+      return GP_AGENT_CALL_STOP;
+    case GP_RUN_PRESENT:
+      return wants_pace (agent, run, now) ? GP_AGENT_CALL_PACE
+                                          : GP_AGENT_CALL_NONE;
+    case GP_RUN_STOPPED:
+    case GP_RUN_ABSENT:
+      return GP_AGENT_CALL_NONE;
+    }
+  return GP_AGENT_CALL_NONE;
+}
+
+/* Stops go first, as they make room; slowing down is next.  */
+static int
+rank (gp_agent_call_kind_t kind)
+{
+  switch (kind)
+    {
+    case GP_AGENT_CALL_STOP:
+      return 3;
+    case GP_AGENT_CALL_PACE:
+      return 2;
+    case GP_AGENT_CALL_START:
+      return 1;
+    case GP_AGENT_CALL_NONE:
+      return 0;
+    }
+  return 0;
+}
+
+/* A start that came before the leader's last word may be outdated: after a
+   pause it can still be read from a connection that the leader gave up.  */
+static bool
+may_start (const gp_agent_t *agent, gp_time_t now)
+{
+  return agent->is_synced && gp_agent_lease_is_open (agent, now)
+         && !agent->raise_fence;
+}
+
+gp_agent_call_t
+gp_agent_next_call (gp_agent_t *agent, gp_time_t now, gp_time_t *again_at)
+{
+  gp_agent_call_t best = { GP_AGENT_CALL_NONE, NULL, 0, 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  *again_at = GP_TIME_NEVER;
+  if (agent->executor == NULL || agent->clock_ms < 0)
+    return best;
+  gp_agent_move_lease (agent, now);
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+      gp_agent_call_kind_t kind = call_for (agent, run, now);
+
+      if (kind == GP_AGENT_CALL_NONE || run->in_flight)
+        continue;
+      if (kind == GP_AGENT_CALL_START && !may_start (agent, now))
+        continue;
+      if (run->retry_at > now)
+        *again_at = MIN (*again_at, run->retry_at);
+      else if (rank (kind) > rank (best.kind))
+        best = (gp_agent_call_t){ kind, run, 0, 0 };
+    }
+  if (best.run == NULL)
+    return best;
+  best.run->in_flight = true;
+  best.lease_ms = gp_agent_lease_on_clock (agent);
+  if (best.kind == GP_AGENT_CALL_PACE)
+    best.percent = gp_pacer_pace (&agent->pacer, best.run->start->image);
+  return best;
+}
+
+static void
+start_answered (gp_agent_t *agent, gp_agent_run_t *run,
+                gp_agent_result_t result, gp_time_t now)
+{
+  if (run->phase != GP_RUN_STARTING)
+    {
+      run->doubtful = run->doubtful || result == GP_AGENT_UNANSWERED;
+      return;
+    }
+  switch (result)
+    {
+    case GP_AGENT_TAKEN:
+      run->phase = GP_RUN_PRESENT;
+      run->confirmed_at = now;
+      break;
+    case GP_AGENT_UNANSWERED:
+      run->doubtful = true;
+      break;
+    case GP_AGENT_FENCED:
+      agent->raise_fence = true;
+      break;
+    case GP_AGENT_TOO_OLD:
+    case GP_AGENT_NO_ROOM:
+    case GP_AGENT_REFUSED:
+      run->phase = GP_RUN_STOPPING;
+      run->retry_at = now;
+      break;
+    case GP_AGENT_TOO_LATE:
+    case GP_AGENT_REPLACED:
+      break;
+    }
+}
+
+static void
+stop_answered (gp_agent_t *agent, gp_agent_run_t *run,
+               gp_agent_result_t result, gp_time_t now)
+{
+  if (run->phase != GP_RUN_STOPPING)
+    return;
+  if (result == GP_AGENT_FENCED)
+    agent->raise_fence = true;
+  if (result == GP_AGENT_TAKEN || result == GP_AGENT_TOO_OLD
+      || (result == GP_AGENT_REFUSED && !run->doubtful && !run->listed))
+    {
+      run->phase = GP_RUN_STOPPED;
+      run->confirmed_at = now;
+    }
+}
+
+/* A pace that went unanswered may take effect after newer ones: until that
+   is over, the one that is wanted is repeated.  */
+static void
+pace_answered (gp_agent_run_t *run, gp_agent_result_t result, uint32_t percent,
+               gp_time_t now)
+{
+  if (result == GP_AGENT_TAKEN)
+    run->pace = percent;
+  if (result == GP_AGENT_UNANSWERED)
+    run->pace_sure_at = now + LATE_TIME;
+  run->pace_again
+      = now < run->pace_sure_at ? now + PACE_REPEAT_TIME : GP_TIME_NEVER;
+}
+
+void
+gp_agent_answered (gp_agent_t *agent, gp_agent_call_kind_t kind,
+                   const char *name, uint32_t number, uint32_t percent,
+                   gp_agent_result_t result, int64_t clock_ms, gp_time_t now)
+{
+  gp_agent_run_t *run = gp_agent_find_run (agent, name, number);
+
+  if (result != GP_AGENT_REPLACED)
+    gp_agent_take_clock (agent, clock_ms, now);
+  if (kind != GP_AGENT_CALL_PACE || result != GP_AGENT_TAKEN)
+    gp_log (GP_LOG_INFO, "order.answered", GP_LOG_S ("task", name),
+            GP_LOG_I ("run", number), GP_LOG_S ("order", call_names[kind]),
+            GP_LOG_S ("result", result_names[result]),
+            GP_LOG_I ("fence", agent->fence),
+            GP_LOG_I ("lease_ms_ago", (now - agent->lease) / GP_MSEC));
+  if (run == NULL)
+    return;
+  run->in_flight = false;
+  run->retry_at = now + agent->retry_time;
+  switch (kind)
+    {
+    case GP_AGENT_CALL_START:
+      start_answered (agent, run, result, now);
+      break;
+    case GP_AGENT_CALL_STOP:
+      stop_answered (agent, run, result, now);
+      break;
+    case GP_AGENT_CALL_PACE:
+      pace_answered (run, result, percent, now);
+      break;
+    case GP_AGENT_CALL_NONE:
+      break;
+    }
+}
--- /dev/null
+++ b/src/jobs/agent_list.c
@@ -0,0 +1,206 @@
+/* What an agent reads from its executor's list: ends, rows, measures, and
+   what is absent.  */
+
+#include "jobs/agent_private.h"
+
+#include <math.h>
+
+/* Measures are of the last half second.  */
+#define MEASURE_TIME (480 * GP_MSEC)
+
+static Gp__Jobs__End *
+copy_end (const Gp__Jobs__End *end)
+{
+  Gp__Jobs__End *copy = g_new (Gp__Jobs__End, 1);
+
+  gp__jobs__end__init (copy);
+  copy->number = end->number;
+  copy->task = g_strdup (end->task);
+  copy->run = end->run;
+  copy->how = end->how;
+  if (end->checkpoint.len > 0)
+    {
+      copy->checkpoint.data
+          = g_memdup2 (end->checkpoint.data, end->checkpoint.len);
+      copy->checkpoint.len = end->checkpoint.len;
+    }
+  return copy;
+}
+
+static bool
+take_ends (gp_agent_t *agent, const Gp__Jobs__End *ends, size_t count)
+{
+  bool news = false;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const gp_agent_run_t *run;
+
+      if (ends[i].number <= agent->listed_ends
+          || ends[i].number <= agent->seen_ends)
+        continue;
+      agent->listed_ends = ends[i].number;
+      g_ptr_array_add (agent->ends, copy_end (&ends[i]));
+      run = gp_agent_find_run (agent, ends[i].task, ends[i].run);
+      if (run != NULL)
+        g_hash_table_remove (agent->runs, ends[i].task);
+      news = true;
+    }
+  return news;
+}
+
+static void
+clear_listed (gp_agent_t *agent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((gp_agent_run_t *)value)->listed = false;
+}
+
+static void
+take_rows (gp_agent_t *agent, const gp_agent_row_t *rows, size_t count,
+           gp_time_t now)
+{
+  clear_listed (agent);
+  for (size_t i = 0; i < count; i++)
+    {
+      gp_agent_run_t *run
+          = gp_agent_find_run (agent, rows[i].task, rows[i].run);
+
+      if (run == NULL)
+        {
+          if (agent->is_synced
+              && !gp_agent_has_ended (agent, rows[i].task, rows[i].run))
+            gp_agent_want_stop (agent, rows[i].task, rows[i].run);
+          continue;
+        }
+      run->listed = true;
+      run->measure = rows[i].measure;
+      if (run->phase == GP_RUN_STARTING && run->start != NULL)
+        {
+          run->phase = GP_RUN_PRESENT;
+          run->confirmed_at = now;
+        }
+    }
+}
+
+/* The share of its full speed that a filling run works at.  */
+double
+gp_agent_run_work (const gp_agent_run_t *run)
+{
+  double full = run->start->cpu_milli;
+
+  return full > 0.0 ? CLAMP ((double)run->measure / full, 0.0, 1.0) : 0.0;
+}
+
+static void
+add_filling (gp_agent_t *agent, const gp_agent_run_t *run,
+             gp_pressure_work_t *work, gp_pressure_work_t *counts)
+{
+  unsigned int place
+      = gp_pressure_place (&agent->pacer.pressure, run->start->image);
+
+  work->work[place] += gp_agent_run_work (run);
+  counts->work[place] += 1.0;
+}
+
+static gp_pacer_serving_t
+serving_of (gp_agent_run_t *run, gp_time_t now)
+{
+  bool over = run->measure > run->start->target_ms;
+
+  if (!over)
+    run->over_since = GP_TIME_NEVER;
+  else if (run->over_since == GP_TIME_NEVER)
+    run->over_since = now;
+  return (gp_pacer_serving_t){
+    .image = run->start->image,
+    .log_ratio = log ((double)run->measure / run->start->target_ms),
+    .over = over ? (double)(now - run->over_since) / GP_SEC : 0.0
+  };
+}
+
+/* Give the pacer the measures of the runs, when they are new ones.  */
+static void
+take_measures (gp_agent_t *agent, gp_time_t now)
+{
+  gp_pacer_serving_t servings[GP_PACER_SERVINGS];
+  size_t count = 0;
+  gp_pressure_work_t work = { { 0.0 } };
+  gp_pressure_work_t counts = { { 0.0 } };
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now - agent->measured_at < MEASURE_TIME)
+    return;
+  agent->measured_at = now;
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+
+      if (!run->listed || run->start == NULL)
+        continue;
+      if (run->start->fills)
+        add_filling (agent, run, &work, &counts);
+      else if (run->start->target_ms > 0 && run->measure > 0
+               && count < GP_PACER_SERVINGS)
+        servings[count++] = serving_of (run, now);
+    }
+  agent->has_measures = count > 0;
+  gp_pacer_update (&agent->pacer, servings, count, &work, &counts);
+}
+
+/* Runs that the list, asked for after their phase was sure, does not show.
+   Returns whether one became absent.  */
+static bool
+find_absent (gp_agent_t *agent, gp_time_t sent_at)
+{
+  bool news = false;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+
+      if (run->listed || run->in_flight || run->confirmed_at >= sent_at)
+        continue;
+      if (run->phase == GP_RUN_PRESENT)
+        run->phase = GP_RUN_STOPPING;
+      if (run->phase == GP_RUN_STOPPED)
+        {
+          run->phase = GP_RUN_ABSENT;
+          news = true;
+        }
+    }
+  return news;
+}
+
+bool
+gp_agent_listed (gp_agent_t *agent, const gp_agent_row_t *rows,
+                 size_t row_count, const Gp__Jobs__End *ends, size_t end_count,
+                 int64_t clock_ms, gp_time_t sent_at, gp_time_t now)
+{
+  bool news;
+
+  gp_agent_take_clock (agent, clock_ms, now);
+  news = take_ends (agent, ends, end_count);
+  take_rows (agent, rows, row_count, now);
+  take_measures (agent, now);
+  return find_absent (agent, sent_at) || news;
+}
+
+void
+gp_agent_list_refused (gp_agent_t *agent, gp_agent_result_t result,
+                       int64_t clock_ms, gp_time_t now)
+{
+  if (result == GP_AGENT_FENCED)
+    agent->raise_fence = true;
+  if (result != GP_AGENT_REPLACED)
+    gp_agent_take_clock (agent, clock_ms, now);
+}
--- /dev/null
+++ b/src/jobs/agent_private.h
@@ -0,0 +1,29 @@
+/* What the files of the agent share.  */
+
+#ifndef GP_JOBS_AGENT_PRIVATE_H
+#define GP_JOBS_AGENT_PRIVATE_H
+
+#include "jobs/agent.h"
+
+/* Run NUMBER of the task NAME, or NULL.  */
+gp_agent_run_t *gp_agent_find_run (const gp_agent_t *agent, const char *name,
+                                   uint32_t number);
+
+/* Has the executor already told the end of this run?  */
+bool gp_agent_has_ended (const gp_agent_t *agent, const char *name,
+                         uint32_t number);
+
+/* The run is to be stopped, whether it is known or not.  */
+void gp_agent_want_stop (gp_agent_t *agent, const char *name, uint32_t number);
+
+/* The executor has answered with its clock, or -1.  */
+void gp_agent_take_clock (gp_agent_t *agent, int64_t clock_ms, gp_time_t now);
+
+/* Move the lease that calls carry to the last one granted, if the executor
+   answers; after noting whether the one before has run out.  */
+void gp_agent_move_lease (gp_agent_t *agent, gp_time_t now);
+bool gp_agent_lease_is_open (const gp_agent_t *agent, gp_time_t now);
+/* The end of the lease on the executor's clock.  */
+int64_t gp_agent_lease_on_clock (const gp_agent_t *agent);
+
+#endif
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -2,11 +2,11 @@
 
 #include "jobsd/entry.h"
 #include "jobsd/announce.h"
+#include "jobsd/metrics.h"
 
 #include <string.h>
 
 #include "base/counters.h"
-#include "base/histogram.h"
 #include "base/log.h"
 #include "platform/jobs_http.h"
 
@@ -229,17 +229,6 @@
                            NULL, 0);
 }
 
-static void
-on_metrics (gp_http_exchange_t *exchange, void *data)
-{
-  GString *text = g_string_new (NULL);
-
-  gp_counters_format (text);
-  gp_histograms_format (text);
-  gp_http_exchange_answer (exchange, 200, NULL, 0, text->str, text->len);
-  g_string_free (text, TRUE);
-}
-
 static gp_http_server_t *
 open_server (gp_job_entry_t *entry, const char *address,
              void (*on_call) (gp_http_exchange_t *exchange, void *data),
@@ -331,7 +320,7 @@
                                         : NULL;
   entry->metrics
       = entry->ready != NULL
-            ? open_server (entry, settings->metrics, on_metrics, error)
+            ? open_server (entry, settings->metrics, gp_metrics_request, error)
             : NULL;
   if (entry->metrics == NULL)
     return false;
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -5,7 +5,7 @@
    leading entry, which connects to it.  A guard that is new on its VM
    announces its address on the log once.  */
 
-#include "jobsd/guard.h"
+#include "jobsd/guard_private.h"
 #include "jobsd/announce.h"
 
 #include <string.h>
@@ -14,13 +14,12 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "jobsd/link.h"
+#include "jobsd/metrics.h"
 
 /* A heartbeat is a few hundred bytes; the platform allows more than we
    need.  */
 #define BODY_MAX ((size_t)64 * 1024)
 #define HEADER_TIME (5 * GP_SEC)
-/* Reports are leases, so a few have to fit into one.  */
-#define REPORT_TIME (300 * GP_MSEC)
 /* The executor holds a list call so long when nothing ends.  */
 #define LIST_WAIT (500 * GP_MSEC)
 /* Beyond that without an answer it is made again.  */
@@ -42,8 +41,6 @@
     "guard_unanswered_total", "Orders that the executor did not answer");
 static gp_counter_t ends_count
     = GP_COUNTER ("guard_ends_total", "Ends that the executor listed");
-static gp_counter_t runs_gauge
-    = GP_GAUGE ("guard_runs", "Runs that belong on the executor");
 static gp_counter_t paces_count
     = GP_COUNTER ("guard_paces_total", "Changes of a filling run's speed");
 
@@ -77,122 +74,10 @@
   return gp_loop_now (&guard->loop);
 }
 
-/* Reports.  */
-
-static void
-report_runs (const gp_agent_t *agent, Gp__Jobs__Report *report, GArray *absent)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, agent->runs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const gp_agent_run_t *run = value;
-      Gp__Jobs__TaskRun row = GP__JOBS__TASK_RUN__INIT;
-
-      if (run->phase != GP_RUN_ABSENT)
-        continue;
-      row.task = (char *)run->name;
-      row.run = run->run;
-      g_array_append_val (absent, row);
-    }
-  report->absent = g_new (Gp__Jobs__TaskRun *, absent->len);
-  for (guint i = 0; i < absent->len; i++)
-    report->absent[report->n_absent++]
-        = &g_array_index (absent, Gp__Jobs__TaskRun, i);
-}
-
-/* The measures of the runs, for the leader to learn from.  */
-static void
-report_measures (gp_agent_t *agent, Gp__Jobs__Report *report, GArray *servings,
-                 GArray *fillings)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (!agent->has_measures)
-    return;
-  agent->has_measures = false;
-  g_hash_table_iter_init (&iter, agent->runs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const gp_agent_run_t *run = value;
-      Gp__Jobs__Serving serving = GP__JOBS__SERVING__INIT;
-      Gp__Jobs__Filling filling = GP__JOBS__FILLING__INIT;
-
-      if (!run->listed || run->start == NULL)
-        continue;
-      if (run->start->fills)
-        {
-          filling.image = run->start->image;
-          filling.task = (char *)run->name;
-          filling.pace_percent = run->pace;
-          filling.work_permille = (uint32_t)(gp_agent_run_work (run) * 1000.0);
-          g_array_append_val (fillings, filling);
-        }
-      else if (run->start->target_ms > 0 && run->measure > 0)
-        {
-          serving.task = (char *)run->name;
-          serving.image = run->start->image;
-          serving.ratio_permille
-              = (uint32_t)(run->measure * 1000 / run->start->target_ms);
-          g_array_append_val (servings, serving);
-        }
-    }
-  report->servings = g_new (Gp__Jobs__Serving *, servings->len);
-  for (guint i = 0; i < servings->len; i++)
-    report->servings[report->n_servings++]
-        = &g_array_index (servings, Gp__Jobs__Serving, i);
-  report->fillings = g_new (Gp__Jobs__Filling *, fillings->len);
-  for (guint i = 0; i < fillings->len; i++)
-    report->fillings[report->n_fillings++]
-        = &g_array_index (fillings, Gp__Jobs__Filling, i);
-}
-
-static void
-send_report (gp_job_guard_t *guard)
-{
-  gp_agent_t *agent = &guard->agent;
-  gp_time_t now = now_of (guard);
-  Gp__Jobs__Report report = GP__JOBS__REPORT__INIT;
-  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
-  GArray *absent;
-  GArray *servings;
-  GArray *fillings;
-
-  gp_timer_arm (&guard->report, now + REPORT_TIME);
-  if (guard->leader == NULL)
-    return;
-  absent = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
-  servings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Serving));
-  fillings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Filling));
-  report.sent_at = now;
-  report.node = guard->settings->node;
-  report.executor = agent->executor;
-  report.lapsed = gp_agent_lapsed (agent, now);
-  report.answers = gp_agent_answers (agent, now);
-  report.synced = agent->synced;
-  report.ends = (Gp__Jobs__End **)agent->ends->pdata;
-  report.n_ends = agent->ends->len;
-  report_runs (agent, &report, absent);
-  report_measures (agent, &report, servings, fillings);
-  frame.message_case = GP__JOBS__FRAME__MESSAGE_REPORT;
-  frame.report = &report;
-  gp_link_send (guard->leader, &frame);
-  g_free (report.absent);
-  g_free (report.servings);
-  g_free (report.fillings);
-  g_array_free (absent, TRUE);
-  g_array_free (servings, TRUE);
-  g_array_free (fillings, TRUE);
-  gp_counter_set (&runs_gauge, g_hash_table_size (agent->runs));
-}
-
 static void
 on_report_due (gp_timer_t *timer, void *data)
 {
-  send_report (data);
+  gp_guard_send_report (data);
 }
 
 /* Calls to the executor.  */
@@ -336,7 +221,7 @@
   if (gp_agent_listed (&guard->agent, rows, list->run_count, list->ends,
                        list->end_count, list->clock_ms, list->sent_at,
                        now_of (guard)))
-    send_report (guard);
+    gp_guard_send_report (guard);
   gp_counter_add (&ends_count, (int64_t)(guard->agent.listed_ends - listed));
   g_free (rows);
   act_soon (guard);
@@ -414,7 +299,7 @@
   gp_agent_set_executor (&guard->agent, g_steal_pointer (&heartbeat->executor),
                          heartbeat->clock_ms, now_of (guard));
   if (changed)
-    send_report (guard);
+    gp_guard_send_report (guard);
   if (!guard->listing)
     ask_list (guard);
 }
@@ -488,7 +373,7 @@
   gp_agent_unsync (&guard->agent);
   gp_log (GP_LOG_INFO, "leader.known", GP_LOG_S ("leader", lead->node),
           GP_LOG_I ("epoch", lead->epoch));
-  send_report (guard);
+  gp_guard_send_report (guard);
 }
 
 static void
@@ -537,7 +422,7 @@
         break;
       case GP__JOBS__FRAME__MESSAGE_SYNC:
         gp_agent_sync (&guard->agent, frame->sync);
-        send_report (guard);
+        gp_guard_send_report (guard);
         break;
       case GP__JOBS__FRAME__MESSAGE_ORDERS:
         gp_agent_order (&guard->agent, frame->orders);
@@ -599,17 +484,6 @@
 
 /* Life.  */
 
-static void
-on_metrics (gp_http_exchange_t *exchange, void *data)
-{
-  GString *text = g_string_new (NULL);
-
-  gp_counters_format (text);
-  gp_histograms_format (text);
-  gp_http_exchange_answer (exchange, 200, NULL, 0, text->str, text->len);
-  g_string_free (text, TRUE);
-}
-
 static void
 on_reload (void *data)
 {
@@ -634,7 +508,7 @@
   gp_counter_register (&starts_count);
   gp_counter_register (&unanswered_count);
   gp_counter_register (&ends_count);
-  gp_counter_register (&runs_gauge);
+  gp_guard_register_reports ();
   gp_histogram_register (&order_time);
   gp_histogram_register (&record_time);
   gp_counter_register (&paces_count);
@@ -655,7 +529,7 @@
   if (guard->beats == NULL)
     return false;
   options.address = guard->settings->metrics;
-  options.on_request = on_metrics;
+  options.on_request = gp_metrics_request;
   guard->metrics = gp_http_server_new (&guard->loop, &options, error);
   if (guard->metrics == NULL)
     return false;
--- /dev/null
+++ b/src/jobsd/leader_frames.c
@@ -0,0 +1,247 @@
+/* What the leader tells the guards: frames that are made before an append
+   and leave when it is done.  */
+
+#include <string.h>
+
+#include "jobsd/leader_private.h"
+
+/* A frame that waits for the append of its reason.  */
+typedef struct
+{
+  gp_link_t *link;
+  gp_peer_t *peer; /* the connection that it was made for */
+  GBytes *bytes;
+} frame_t;
+
+/* The orders of one executor, collected from the scheduler.  */
+typedef struct
+{
+  GPtrArray *starts; /* Gp__Jobs__Start */
+  GPtrArray *stops;  /* Gp__Jobs__TaskRun */
+  GPtrArray *forget; /* the same */
+  uint64_t seen;
+} outbox_t;
+
+static void
+frame_free (frame_t *frame)
+{
+  g_bytes_unref (frame->bytes);
+  g_free (frame);
+}
+
+static void
+keep_frame (gp_link_t *link, const Gp__Jobs__Frame *message)
+{
+  frame_t *frame = g_new (frame_t, 1);
+
+  frame->link = link;
+  frame->peer = link->peer;
+  frame->bytes = gp_link_pack (message);
+  g_ptr_array_add (link->leader->frames, frame);
+}
+
+void
+gp_leader_send_frames (gp_leader_t *leader)
+{
+  for (guint i = 0; i < leader->frames->len; i++)
+    {
+      frame_t *frame = g_ptr_array_index (leader->frames, i);
+
+      if (frame->peer != NULL && frame->peer == frame->link->peer)
+        gp_link_send_bytes (frame->peer, frame->bytes);
+      frame_free (frame);
+    }
+  g_ptr_array_set_size (leader->frames, 0);
+}
+
+void
+gp_leader_drop_frames (gp_leader_t *leader)
+{
+  for (guint i = 0; i < leader->frames->len; i++)
+    frame_free (g_ptr_array_index (leader->frames, i));
+  g_ptr_array_set_size (leader->frames, 0);
+}
+
+static Gp__Jobs__Start *
+start_message (const gp_job_task_t *task)
+{
+  const Gp__Jobs__Step *step = gp_task_step (task);
+  Gp__Jobs__Start *start = g_new (Gp__Jobs__Start, 1);
+
+  gp__jobs__start__init (start);
+  start->task = g_malloc (GP_TASK_NAME_SIZE);
+  gp_task_name (task, start->task);
+  start->run = task->run;
+  start->spec = task->job->submission->spec;
+  if (task->checkpoint != NULL)
+    {
+      start->checkpoint.data = (uint8_t *)task->checkpoint;
+      start->checkpoint.len = strlen (task->checkpoint);
+    }
+  start->fills = step->fills;
+  start->target_ms = step->target_ms;
+  start->image = step->image;
+  start->cpu_milli = step->cpu_milli;
+  return start;
+}
+
+static void
+free_start (gpointer data)
+{
+  Gp__Jobs__Start *start = data;
+
+  g_free (start->task);
+  g_free (start);
+}
+
+static Gp__Jobs__TaskRun *
+run_message (const gp_order_t *order)
+{
+  Gp__Jobs__TaskRun *run = g_new (Gp__Jobs__TaskRun, 1);
+
+  gp__jobs__task_run__init (run);
+  run->task = g_malloc (GP_TASK_NAME_SIZE);
+  gp_task_name (order->task, run->task);
+  run->run = order->run;
+  return run;
+}
+
+static void
+free_run (gpointer data)
+{
+  Gp__Jobs__TaskRun *run = data;
+
+  g_free (run->task);
+  g_free (run);
+}
+
+static void
+outbox_free (gpointer data)
+{
+  outbox_t *outbox = data;
+
+  g_ptr_array_unref (outbox->starts);
+  g_ptr_array_unref (outbox->stops);
+  g_ptr_array_unref (outbox->forget);
+  g_free (outbox);
+}
+
+static outbox_t *
+outbox_of (GHashTable *outboxes, gp_executor_t *executor)
+{
+  outbox_t *outbox = g_hash_table_lookup (outboxes, executor);
+
+  if (outbox != NULL)
+    return outbox;
+  outbox = g_new0 (outbox_t, 1);
+  outbox->starts = g_ptr_array_new_with_free_func (free_start);
+  outbox->stops = g_ptr_array_new_with_free_func (free_run);
+  outbox->forget = g_ptr_array_new_with_free_func (free_run);
+  g_hash_table_insert (outboxes, executor, outbox);
+  return outbox;
+}
+
+static void
+collect (GHashTable *outboxes, const gp_order_t *order)
+{
+  outbox_t *outbox = outbox_of (outboxes, order->executor);
+
+  switch (order->kind)
+    {
+    case GP_ORDER_START:
+      if (order->task->executor == order->executor
+          && order->task->run == order->run
+          && gp_scheduler_wanted (order->task))
+        g_ptr_array_add (outbox->starts, start_message (order->task));
+      break;
+    case GP_ORDER_STOP:
+      g_ptr_array_add (outbox->stops, run_message (order));
+      break;
+    case GP_ORDER_FORGET:
+      g_ptr_array_add (outbox->forget, run_message (order));
+      break;
+    case GP_ORDER_SEEN:
+      outbox->seen = MAX (outbox->seen, order->seen);
+      break;
+    }
+}
+
+static void
+make_orders (gp_link_t *link, const outbox_t *outbox)
+{
+  Gp__Jobs__Orders orders = GP__JOBS__ORDERS__INIT;
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  orders.executor = link->executor->id;
+  orders.starts = (Gp__Jobs__Start **)outbox->starts->pdata;
+  orders.n_starts = outbox->starts->len;
+  orders.stops = (Gp__Jobs__TaskRun **)outbox->stops->pdata;
+  orders.n_stops = outbox->stops->len;
+  orders.forget = (Gp__Jobs__TaskRun **)outbox->forget->pdata;
+  orders.n_forget = outbox->forget->len;
+  orders.seen_ends = outbox->seen;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_ORDERS;
+  frame.orders = &orders;
+  keep_frame (link, &frame);
+}
+
+/* All that belongs on the executor now; made before the orders of the same
+   append, which then change nothing.  */
+static void
+make_sync (gp_link_t *link)
+{
+  GPtrArray *starts = g_ptr_array_new_with_free_func (free_start);
+  Gp__Jobs__Sync sync = GP__JOBS__SYNC__INIT;
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  GP_LIST_FOREACH (at, &link->executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (at, gp_job_task_t, on_executor);
+
+    if (gp_scheduler_wanted (task))
+      g_ptr_array_add (starts, start_message (task));
+  }
+  link->sync = ++link->leader->sync_count;
+  link->synced_at = gp_loop_now (link->leader->loop);
+  link->wants_sync = false;
+  sync.number = link->sync;
+  sync.executor = link->executor->id;
+  sync.starts = (Gp__Jobs__Start **)starts->pdata;
+  sync.n_starts = starts->len;
+  sync.raise_fence = link->executor->dead;
+  sync.after = link->report_sent_at;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_SYNC;
+  frame.sync = &sync;
+  keep_frame (link, &frame);
+  link->executor->dead = false;
+  g_ptr_array_unref (starts);
+}
+
+void
+gp_leader_make_frames (gp_leader_t *leader)
+{
+  GHashTable *outboxes = g_hash_table_new_full (NULL, NULL, NULL, outbox_free);
+  GArray *orders = leader->scheduler.orders;
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < orders->len; i++)
+    collect (outboxes, &g_array_index (orders, gp_order_t, i));
+  g_array_set_size (orders, 0);
+  g_hash_table_iter_init (&iter, leader->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_link_t *link = value;
+      const outbox_t *outbox;
+
+      if (link->peer == NULL || !link->sees_executor)
+        continue;
+      if (link->wants_sync && !link->silent)
+        make_sync (link);
+      outbox = g_hash_table_lookup (outboxes, link->executor);
+      if (outbox != NULL)
+        make_orders (link, outbox);
+    }
+  g_hash_table_destroy (outboxes);
+}
--- a/src/jobsd/leader_private.h
+++ b/src/jobsd/leader_private.h
@@ -23,5 +23,6 @@
    before the append that is done now.  */
 void gp_leader_make_frames (gp_leader_t *leader);
 void gp_leader_send_frames (gp_leader_t *leader);
+void gp_leader_drop_frames (gp_leader_t *leader);
 
 #endif
