Leader: its own record is known by the VM's name as well

Found on reading: two entries that start in the same microsecond had equal incarnations, and after a conflict one could have taken the other's record for its own.

--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -211,7 +211,8 @@
     return false;
   leadership
       = gp__jobs__leadership__unpack (NULL, record->value_size, record->value);
-  own = leadership != NULL && leadership->incarnation == leader->incarnation
+  own = leadership != NULL && strcmp (leadership->node, leader->node) == 0
+        && leadership->incarnation == leader->incarnation
         && leadership->beat == leader->beat;
   if (leadership != NULL)
     gp__jobs__leadership__free_unpacked (leadership, NULL);
