Counters on the port that the deploy file names

GALENAPIER_METRICS_PORT names it to the process; without it, as before, the second of the internal ports.

--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -49,6 +49,15 @@
   parse_settings ("node: \"n1\"\nzone: \"z\"\nip: \"127.0.0.1\"\n"
                   "internalPorts:\n  - 70000\n"
                   "platform:\n  address: \"127.0.0.1:9\"\n");
+  g_setenv ("GALENAPIER_METRICS_PORT", "9464", TRUE);
+  parse_settings ("node: \"n1\"\nzone: \"z\"\nip: \"127.0.0.1\"\n"
+                  "internalPorts:\n  - 7000\n"
+                  "platform:\n  address: \"127.0.0.1:9\"\n");
+  g_setenv ("GALENAPIER_METRICS_PORT", "none", TRUE);
+  parse_settings ("node: \"n1\"\nzone: \"z\"\nip: \"127.0.0.1\"\n"
+                  "internalPorts:\n  - 7000\n"
+                  "platform:\n  address: \"127.0.0.1:9\"\n");
+  g_unsetenv ("GALENAPIER_METRICS_PORT");
   parse_settings ("zone: \"z\"\n");
   parse_settings ("node: \"n1\n");
   parse_settings ("");
