A job that was left open is never called refused by that entry

Found on reading: a 504 and then a 503 for the same id said that a job never runs whose first append may still take effect.

--- a/Makefile
+++ b/Makefile
@@ -147,6 +147,7 @@
 soak: all $(FUZZERS)
 	@tools/run-fuzz $(FUZZ_SECONDS) $(FUZZERS)
 	@tools/run-scenarios $(BUILD)
+	@tools/soak $(BUILD) --seeds 10
 
 # Regenerate the committed protobuf-c code; needs protobuf-c-compiler.
 proto:
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -14,7 +14,8 @@
 #define BODY_MAX ((size_t)256 * 1024)
 #define HEADER_TIME (15 * GP_SEC)
 /* A stopping entry serves on until the balancer has seen it unready twice,
-   at one look a second, and some more.  */
+   at one look a second, and some more; at most for half of the time that it
+   is given to stop.  */
 #define SERVE_ON_TIME (3200 * GP_MSEC)
 /* Followers read progress in portions: a state that is told so late costs a
    caller nothing, and each read has its price.  */
@@ -281,7 +282,9 @@
   entry->stopping = true;
   gp_leader_resign (&entry->leader);
   gp_http_server_retire (entry->callers);
-  gp_timer_arm (&entry->leave, gp_loop_now (&entry->loop) + SERVE_ON_TIME);
+  gp_timer_arm (&entry->leave,
+                gp_loop_now (&entry->loop)
+                    + MIN (SERVE_ON_TIME, entry->settings->grace_time / 2));
 }
 
 bool
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -37,13 +37,14 @@
 /* Tries that the store refuses before the caller is refused: by then another
    way to the store has been found if there is one.  */
 #define REFUSALS_MAX 4
+/* Ids of jobs left open that are remembered; an outage leaves some hundred. */
+#define OPEN_MAX 10000
 /* Bytes of records in one append; far under the platform's bound.  */
 #define BATCH_MAX ((size_t)256 * 1024)
 /* What a caller is told to wait after a refusal, in seconds.  */
 #define RETRY_AFTER "1"
 /* How old the book may be for an answer that a job does not exist.  */
 #define ABSENCE_AGE (2500 * GP_MSEC)
-#define DEADLINE_HEADER "x-request-deadline"
 
 static gp_counter_t accepted_count
     = GP_COUNTER ("jobs_accepted_total", "Submissions that are on the log");
@@ -112,16 +113,22 @@
   g_free (change);
 }
 
+/* The id of the job that CHANGE is about.  */
+static const char *
+id_of (const change_t *change)
+{
+  return change->cancels ? change->key + strlen (GP_CANCEL_PREFIX)
+                         : change->key;
+}
+
 static void
 end_change (change_t *change, int status, const char *why)
 {
   gp_time_t now = gp_loop_now (change->front->loop);
 
   gp_log (GP_LOG_INFO, change->cancels ? "cancel.answered" : "job.answered",
-          GP_LOG_S ("job", change->cancels
-                               ? change->key + strlen (GP_CANCEL_PREFIX)
-                               : change->key),
-          GP_LOG_I ("status", status), GP_LOG_S ("why", why),
+          GP_LOG_S ("job", id_of (change)), GP_LOG_I ("status", status),
+          GP_LOG_S ("why", why),
           GP_LOG_I ("after_ms", (now - change->since) / GP_MSEC),
           GP_LOG_I ("doubtful", change->doubtful));
   if (change->exchange != NULL)
@@ -151,15 +158,29 @@
   end_change (change, 200, "on the log");
 }
 
+/* A refusal says that the job never runs, which holds only when no try was
+   left open, this time (DOUBTFUL) or before.  */
+static int
+refusal_status (gp_jobs_front_t *front, const char *id, bool doubtful)
+{
+  if (!doubtful && !g_hash_table_contains (front->open, id))
+    return 503;
+  if (g_hash_table_size (front->open) >= OPEN_MAX)
+    g_hash_table_remove_all (front->open);
+  g_hash_table_add (front->open, g_strdup (id));
+  return 504;
+}
+
 /* No try is left: what has certainly not been done is refused, the rest is
    left open.  */
 static void
 give_up (change_t *change, const char *why)
 {
-  bool open = change->in_call || change->doubtful;
+  bool doubtful = change->in_call || change->doubtful;
+  int status = refusal_status (change->front, id_of (change), doubtful);
 
-  gp_counter_add (open ? &open_count : &refused_count, 1);
-  end_change (change, open ? 504 : 503, why);
+  gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
+  end_change (change, status, why);
 }
 
 static void
@@ -287,7 +308,8 @@
 static gp_time_t
 patience (const gp_http_exchange_t *exchange)
 {
-  gp_http_text_t header = gp_http_exchange_header (exchange, DEADLINE_HEADER);
+  gp_http_text_t header
+      = gp_http_exchange_header (exchange, GP_PLATFORM_PATIENCE_HEADER);
   char text[32];
   gp_time_t told;
 
@@ -302,14 +324,17 @@
 /* The store does not answer, and what is on its way will show when it does
    again: a caller that has not been written down is told at once.  */
 static void
-refuse_now (gp_http_exchange_t *exchange, const char *id)
+refuse_now (gp_jobs_front_t *front, gp_http_exchange_t *exchange,
+            const char *id, bool cancels)
 {
-  gp_counter_add (&refused_count, 1);
-  gp_log (GP_LOG_INFO, "job.answered", GP_LOG_S ("job", id),
-          GP_LOG_I ("status", 503),
+  int status = refusal_status (front, id, false);
+
+  gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
+  gp_log (GP_LOG_INFO, cancels ? "cancel.answered" : "job.answered",
+          GP_LOG_S ("job", id), GP_LOG_I ("status", status),
           GP_LOG_S ("why", "the store has not answered lately"),
-          GP_LOG_I ("after_ms", 0), GP_LOG_I ("doubtful", 0));
-  answer_error (exchange, 503, "the store does not answer");
+          GP_LOG_I ("after_ms", 0), GP_LOG_I ("doubtful", status != 503));
+  answer_error (exchange, status, "the store does not answer");
 }
 
 /* Write a record with KEY and VALUE, which is taken over.  */
@@ -321,7 +346,7 @@
 
   if (front->failures >= FAILURES_TO_REFUSE && front->call != NULL)
     {
-      refuse_now (exchange, id);
+      refuse_now (front, exchange, id, cancels);
       g_bytes_unref (value);
       return;
     }
@@ -561,6 +586,7 @@
                               .on_record = on_record,
                               .data = data };
   gp_list_init (&front->changes);
+  front->open = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gp_timer_init (&front->timer, loop, on_timer, front);
   gp_counter_register (&accepted_count);
   gp_counter_register (&repeated_count);
@@ -579,4 +605,5 @@
   if (front->call != NULL)
     gp_store_cancel (front->call);
   gp_timer_finish (&front->timer);
+  g_hash_table_destroy (front->open);
 }
--- a/src/jobsd/jobs_front.h
+++ b/src/jobsd/jobs_front.h
@@ -21,6 +21,7 @@
   const gp_queues_t *queues;
   const gp_feed_t *jobs; /* for how fresh the book is */
   gp_list_t changes;     /* submissions and cancellations in progress */
+  GHashTable *open;      /* ids, owned, of jobs whose fate was left open */
   gp_store_call_t *call; /* the append in progress, or NULL */
   gp_time_t try_at;      /* none is begun before */
   unsigned failures;     /* appends that failed since one was done */
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -134,6 +134,20 @@
         verdict(site)
 
 
+def left_open(build):
+    print("a job that was left open is not called refused later")
+    with site_of(build) as site:
+        site.store.down = "silent"
+        print("  submitted:", site.submit("e1", JOB_A, STEPS))
+        print("  again:", site.submit("e1", JOB_A, STEPS))
+        site.store.down = None
+        until(lambda: site.submit("e1", JOB_A, STEPS) == 200,
+              what="accepted")
+        site.await_state("e1", JOB_A, "completed")
+        print("  starts:", sum(site.judge.starts.values()))
+        verdict(site)
+
+
 def entry_refused(build):
     print("the store turns single processes away")
     with site_of(build, entries=3) as site:
@@ -210,7 +224,7 @@
 
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (calm, cancelled, leader_killed, guard_restarted,
-                              guard_paused, store_down, entry_refused,
+                              guard_paused, store_down, left_open, entry_refused,
                               lost_answers,
                               records_dropped, late_orders, executors_crash)}
 
