Scheduler: an end of a job whose submission is not known is not confirmed

Cause: after a change of the leader in a slow store, the new leader held the progress record of a job before its submission.

Change: such an end, and those after it in the report, wait for the submission. Not for a job that has ended: its submission is dropped before its progress and may never come.

Ruled out: appends without an answer, pages of newest records, resignation.

Before: unit test end_early fails (3 assertions).

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -103,6 +103,30 @@
                      + job->step_start[step] + index];
 }
 
+bool
+gp_book_awaits (const gp_book_t *book, const char *name)
+{
+  char id[GP_JOB_ID_SIZE + 1];
+  Gp__Jobs__Progress *progress;
+  gp_job_t *job;
+  bool live;
+  gsize size;
+  const uint8_t *bytes;
+
+  g_strlcpy (id, name, sizeof id);
+  job = gp_book_find (book, id);
+  if (job == NULL || job->submission != NULL || job->early_progress == NULL)
+    return false;
+  bytes = g_bytes_get_data (job->early_progress, &size);
+  progress = gp__jobs__progress__unpack (NULL, size, bytes);
+  /* Bytes that do not decode are reported when the submission comes.  */
+  if (progress == NULL)
+    return false;
+  live = progress->state < GP_JOB_COMPLETED;
+  gp__jobs__progress__free_unpacked (progress, NULL);
+  return live;
+}
+
 /* Set a task back to its beginning before a record is applied.  */
 static void
 reset_task (gp_job_task_t *task)
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -31,6 +31,11 @@
 /* The task of NAME ("ID.OCCURRENCE.STEP.INDEX"), or NULL.  */
 gp_job_task_t *gp_book_task (const gp_book_t *book, const char *name);
 
+/* Has progress of the job of the task NAME come before its submission, and has
+   the job not ended?  The submission of one that has may never come: it is
+   dropped before the progress.  */
+bool gp_book_awaits (const gp_book_t *book, const char *name);
+
 /* Fold one record each; they return the job that has changed, or NULL and
    ERROR for bytes that do not decode.  NOW and WALL_MS are the same moment;
    with them the time of a submission is known here.  A second submission of a
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -231,7 +231,7 @@
     }
 }
 
-void
+bool
 gp_scheduler_end (gp_scheduler_t *scheduler, gp_executor_t *executor,
                   const Gp__Jobs__End *end, gp_time_t now, int64_t wall_ms)
 {
@@ -241,9 +241,11 @@
   bool current
       = task != NULL && task->executor == executor && task->run == end->run;
 
+  if (gp_book_awaits (scheduler->book, end->task))
+    return false;
   g_array_append_val (scheduler->orders, order);
   if (!current)
-    return;
+    return true;
   gp_log (
       GP_LOG_INFO, "run.ended", GP_LOG_S ("task", end->task),
       GP_LOG_I ("run", end->run), GP_LOG_S ("executor", executor->id),
@@ -251,6 +253,7 @@
       GP_LOG_I ("after_ms", task->since ? (now - task->since) / GP_MSEC : -1));
   set_checkpoint (task, &end->checkpoint);
   apply_end (scheduler, task, (gp_end_t)end->how, now, wall_ms);
+  return true;
 }
 
 void
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -52,8 +52,10 @@
 void gp_scheduler_job (gp_scheduler_t *scheduler, gp_job_t *job,
                        int64_t wall_ms);
 
-/* EXECUTOR lists END.  */
-void gp_scheduler_end (gp_scheduler_t *scheduler, gp_executor_t *executor,
+/* EXECUTOR lists END.  FALSE: the submission of its job is not known yet, END
+   is not confirmed and has to be told again.  Confirmation covers all earlier
+   numbers, so the ends after it wait as well.  */
+bool gp_scheduler_end (gp_scheduler_t *scheduler, gp_executor_t *executor,
                        const Gp__Jobs__End *end, gp_time_t now,
                        int64_t wall_ms);
 
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -161,8 +161,11 @@
 
   gp_executor_update (executor, link->node, report->executor, now);
   for (size_t i = 0; i < report->n_ends; i++)
-    gp_scheduler_end (&leader->scheduler, executor, report->ends[i], now,
-                      gp_time_wall () / GP_MSEC);
+    {
+      if (!gp_scheduler_end (&leader->scheduler, executor, report->ends[i],
+                             now, gp_time_wall () / GP_MSEC))
+        break;
+    }
   for (size_t i = 0; i < report->n_absent; i++)
     gp_scheduler_absent (&leader->scheduler, executor, report->absent[i], now);
   if (report->lapsed && !executor->dead)
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -548,24 +548,62 @@
     }
 }
 
+/* An end whose job has progress but no submission yet is not confirmed.  */
+static void
+test_end_early (void)
+{
+  const char *id = "00000000000000e1";
+  char name[GP_TASK_NAME_SIZE];
+  Gp__Jobs__End end = GP__JOBS__END__INIT;
+  Gp__Jobs__Progress progress = GP__JOBS__PROGRESS__INIT;
+  uint8_t packed[32];
+  size_t size;
+  jobs_site_t site;
+  gp_executor_t *executor;
+  unsigned before;
+
+  jobs_site_init (&site);
+  executor = jobs_site_executor (&site, "x0", 8);
+  before = site.scheduler.orders->len;
+  g_snprintf (name, sizeof name, "%s.0.0.0", id);
+  end.number = 1;
+  end.task = name;
+  end.run = 1;
+  end.how = GP_END_DONE;
+  CU_ASSERT_PTR_NOT_NULL (
+      gp_book_progress (&site.book, id, (const uint8_t *)"", 0, NULL));
+  CU_ASSERT_TRUE (gp_book_awaits (&site.book, name));
+  CU_ASSERT_FALSE (
+      gp_scheduler_end (&site.scheduler, executor, &end, site.now, 0));
+  CU_ASSERT_EQUAL (site.scheduler.orders->len, before);
+
+  /* A job that has ended awaits nothing.  */
+  progress.state = GP_JOB_COMPLETED;
+  size = gp__jobs__progress__pack (&progress, packed);
+  CU_ASSERT_PTR_NOT_NULL (
+      gp_book_progress (&site.book, id, packed, size, NULL));
+  CU_ASSERT_FALSE (gp_book_awaits (&site.book, name));
+
+  /* An end of a job that nobody knows is confirmed: it has expired.  */
+  name[0] = '1';
+  CU_ASSERT_TRUE (
+      gp_scheduler_end (&site.scheduler, executor, &end, site.now, 0));
+  CU_ASSERT_EQUAL (site.scheduler.orders->len, before + 1);
+  jobs_site_finish (&site);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "life", test_life },
-                                 { "attempts", test_attempts },
-                                 { "cancel", test_cancel },
-                                 { "lasting", test_lasting },
-                                 { "gang", test_gang },
-                                 { "repeats", test_repeats },
-                                 { "priority", test_priority },
-                                 { "distrust", test_distrust },
-                                 { "evacuate", test_evacuate },
-                                 { "harm", test_harm },
-                                 { "relocate", test_relocate },
-                                 { "racks", test_racks },
-                                 { "check", test_check },
-                                 { "random", test_random },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "life", test_life },           { "attempts", test_attempts },
+          { "cancel", test_cancel },       { "lasting", test_lasting },
+          { "gang", test_gang },           { "repeats", test_repeats },
+          { "priority", test_priority },   { "distrust", test_distrust },
+          { "evacuate", test_evacuate },   { "harm", test_harm },
+          { "relocate", test_relocate },   { "racks", test_racks },
+          { "check", test_check },         { "random", test_random },
+          { "end_early", test_end_early }, CU_TEST_INFO_NULL };
 
   return runner_main ("jobs", tests);
 }
