--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -17,7 +17,7 @@
     {
       char id[16];
       Gp__Jobs__Executor report = GP__JOBS__EXECUTOR__INIT;
-      gp_executor_t *executor;
+      gp_job_executor_t *executor;
 
       g_snprintf (id, sizeof id, "x%u", i);
       executor = gp_book_executor (book, id);
@@ -25,7 +25,7 @@
       report.service = (char *)"s";
       report.cpu_milli = CORES * 1000;
       report.memory_mb = CORES * 1024;
-      gp_executor_update (executor, id, &report, 0);
+      gp_job_executor_update (executor, id, &report, 0);
       executor->reachable = true;
     }
 }
--- a/src/daemon/laggards.h
+++ b/src/daemon/laggards.h
@@ -8,9 +8,9 @@
 #ifndef GP_DAEMON_LAGGARDS_H
 #define GP_DAEMON_LAGGARDS_H
 
+#include "daemon/operators.h"
 #include "protocol/session.h"
 
-typedef struct gp_entry gp_entry_t;
 typedef struct gp_laggards gp_laggards_t;
 
 /* Ask all entries that are connected; DONE is called once, within a second,
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -20,7 +20,7 @@
 static void
 free_executor (gpointer executor)
 {
-  gp_executor_free (executor);
+  gp_job_executor_free (executor);
 }
 
 void
@@ -66,14 +66,14 @@
   return job;
 }
 
-gp_executor_t *
+gp_job_executor_t *
 gp_book_executor (gp_book_t *book, const char *id)
 {
-  gp_executor_t *executor = g_hash_table_lookup (book->executors, id);
+  gp_job_executor_t *executor = g_hash_table_lookup (book->executors, id);
 
   if (executor == NULL)
     {
-      executor = gp_executor_new (id);
+      executor = gp_job_executor_new (id);
       g_hash_table_insert (book->executors, executor->id, executor);
     }
   return executor;
@@ -132,7 +132,7 @@
 reset_task (gp_job_task_t *task)
 {
   if (task->executor != NULL)
-    gp_executor_remove (task->executor, task);
+    gp_job_executor_remove (task->executor, task);
   gp_task_set_state (task, GP_TASK_WAITING);
   task->run = 0;
   task->failures = 0;
@@ -151,7 +151,7 @@
                                   progress->checkpoint.len);
   if (*progress->executor == '\0')
     return;
-  gp_executor_add (gp_book_executor (book, progress->executor), task);
+  gp_job_executor_add (gp_book_executor (book, progress->executor), task);
   gp_task_set_state (task,
                      progress->stopping ? GP_TASK_STOPPING : GP_TASK_ASSIGNED);
 }
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -13,7 +13,7 @@
 typedef struct
 {
   GHashTable *jobs;      /* id to gp_job_t, owned */
-  GHashTable *executors; /* id to gp_executor_t, owned */
+  GHashTable *executors; /* id to gp_job_executor_t, owned */
   gp_list_t live;        /* defined jobs that have not ended, by arrival */
 } gp_book_t;
 
@@ -26,7 +26,7 @@
 /* The job ID, or NULL when neither a submission nor a cancellation of it is
    known.  */
 gp_job_t *gp_book_find (const gp_book_t *book, const char *id);
-gp_executor_t *gp_book_executor (gp_book_t *book, const char *id);
+gp_job_executor_t *gp_book_executor (gp_book_t *book, const char *id);
 
 /* The task of NAME ("ID.OCCURRENCE.STEP.INDEX"), or NULL.  */
 gp_job_task_t *gp_book_task (const gp_book_t *book, const char *name);
--- a/src/jobs/executor.c
+++ b/src/jobs/executor.c
@@ -4,10 +4,10 @@
 
 #include <string.h>
 
-gp_executor_t *
-gp_executor_new (const char *id)
+gp_job_executor_t *
+gp_job_executor_new (const char *id)
 {
-  gp_executor_t *executor = g_new0 (gp_executor_t, 1);
+  gp_job_executor_t *executor = g_new0 (gp_job_executor_t, 1);
 
   executor->id = g_strdup (id);
   gp_list_init (&executor->tasks);
@@ -15,7 +15,7 @@
 }
 
 void
-gp_executor_free (gp_executor_t *executor)
+gp_job_executor_free (gp_job_executor_t *executor)
 {
   while (gp_list_pop_front (&executor->tasks) != NULL)
     ;
@@ -28,7 +28,7 @@
 }
 
 static void
-set_labels (gp_executor_t *executor, const Gp__Jobs__Executor *report)
+set_labels (gp_job_executor_t *executor, const Gp__Jobs__Executor *report)
 {
   g_strfreev (executor->labels);
   executor->labels = g_new0 (char *, report->n_labels + 1);
@@ -46,8 +46,8 @@
 }
 
 void
-gp_executor_update (gp_executor_t *executor, const char *node,
-                    const Gp__Jobs__Executor *report, gp_time_t now)
+gp_job_executor_update (gp_job_executor_t *executor, const char *node,
+                        const Gp__Jobs__Executor *report, gp_time_t now)
 {
   set_text (&executor->node, node);
   set_text (&executor->service, report->service);
@@ -62,7 +62,7 @@
 }
 
 static void
-reserve (gp_executor_t *executor, const Gp__Jobs__Step *step, int64_t sign)
+reserve (gp_job_executor_t *executor, const Gp__Jobs__Step *step, int64_t sign)
 {
   if (step->fills)
     executor->filling += sign * step->cpu_milli;
@@ -75,7 +75,7 @@
 }
 
 void
-gp_executor_add (gp_executor_t *executor, gp_job_task_t *task)
+gp_job_executor_add (gp_job_executor_t *executor, gp_job_task_t *task)
 {
   task->executor = executor;
   gp_list_push_back (&executor->tasks, &task->on_executor);
@@ -84,7 +84,7 @@
 }
 
 void
-gp_executor_remove (gp_executor_t *executor, gp_job_task_t *task)
+gp_job_executor_remove (gp_job_executor_t *executor, gp_job_task_t *task)
 {
   gp_list_remove (&task->on_executor);
   task->executor = NULL;
@@ -93,7 +93,8 @@
 }
 
 bool
-gp_executor_has_label (const gp_executor_t *executor, const char *label)
+gp_job_executor_has_label (const gp_job_executor_t *executor,
+                           const char *label)
 {
   for (char **at = executor->labels; at != NULL && *at != NULL; at++)
     if (strcmp (*at, label) == 0)
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -18,7 +18,7 @@
   int64_t accelerators;
 } gp_room_t;
 
-struct gp_executor
+struct gp_job_executor
 {
   char *id;
   char *node; /* the VM's name, NULL when it is known from records only */
@@ -41,17 +41,18 @@
   gp_time_t full_until;    /* it has refused for want of room */
 };
 
-gp_executor_t *gp_executor_new (const char *id);
-void gp_executor_free (gp_executor_t *executor);
+gp_job_executor_t *gp_job_executor_new (const char *id);
+void gp_job_executor_free (gp_job_executor_t *executor);
 
 /* Take over what the guard on NODE says.  */
-void gp_executor_update (gp_executor_t *executor, const char *node,
-                         const Gp__Jobs__Executor *report, gp_time_t now);
+void gp_job_executor_update (gp_job_executor_t *executor, const char *node,
+                             const Gp__Jobs__Executor *report, gp_time_t now);
 
 /* Reserve for TASK, which has been assigned to EXECUTOR, and let go.  */
-void gp_executor_add (gp_executor_t *executor, gp_job_task_t *task);
-void gp_executor_remove (gp_executor_t *executor, gp_job_task_t *task);
+void gp_job_executor_add (gp_job_executor_t *executor, gp_job_task_t *task);
+void gp_job_executor_remove (gp_job_executor_t *executor, gp_job_task_t *task);
 
-bool gp_executor_has_label (const gp_executor_t *executor, const char *label);
+bool gp_job_executor_has_label (const gp_job_executor_t *executor,
+                                const char *label);
 
 #endif
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -23,7 +23,7 @@
 
 typedef struct gp_job gp_job_t;
 typedef struct gp_job_task gp_job_task_t;
-typedef struct gp_executor gp_executor_t;
+typedef struct gp_job_executor gp_job_executor_t;
 
 /* Hexadecimal digits of a job's id.  */
 #define GP_JOB_ID_SIZE 16
@@ -68,13 +68,13 @@
   gp_task_state_t state;
   uint32_t run; /* the last number used, 0: none */
   uint32_t failures;
-  gp_executor_t *executor;  /* while assigned or stopping */
-  gp_list_t on_executor;    /* in gp_executor_t.tasks */
-  char *checkpoint;         /* NULL: none */
-  gp_time_t since;          /* when the run was assigned, by this process */
-  gp_executor_t *failed_on; /* the last executor it failed on */
-  gp_time_t slow_since;     /* a filling run is held to little speed since, 0:
-                               it is not */
+  gp_job_executor_t *executor; /* while assigned or stopping */
+  gp_list_t on_executor;       /* in gp_job_executor_t.tasks */
+  char *checkpoint;            /* NULL: none */
+  gp_time_t since;             /* when the run was assigned, by this process */
+  gp_job_executor_t *failed_on; /* the last executor it failed on */
+  gp_time_t slow_since; /* a filling run is held to little speed since, 0:
+                           it is not */
   double baseline; /* of a serving run, see jobs/pressure.h; NAN: unknown */
 };
 
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -47,7 +47,7 @@
 /* What a pass needs of an executor more than once.  */
 typedef struct
 {
-  gp_executor_t *executor;
+  gp_job_executor_t *executor;
   bool counted;
   gp_pressure_work_t fillings; /* filling runs by image, at full speed */
 } candidate_t;
@@ -125,7 +125,7 @@
 }
 
 static bool
-takes_work (const gp_executor_t *executor, gp_time_t now)
+takes_work (const gp_job_executor_t *executor, gp_time_t now)
 {
   return executor->reachable && !executor->draining && !executor->dead
          && now >= executor->trusted_again && now >= executor->full_until;
@@ -151,7 +151,7 @@
 
 /* Number of tasks of TASK's step and occurrence on EXECUTOR.  */
 static uint32_t
-siblings_on (const gp_executor_t *executor, const gp_job_task_t *task)
+siblings_on (const gp_job_executor_t *executor, const gp_job_task_t *task)
 {
   uint32_t step = gp_task_step_number (task);
   uint32_t occurrence = gp_task_occurrence (task);
@@ -171,7 +171,7 @@
 
 /* Thousandths of a core that filling tasks find on EXECUTOR.  */
 static int64_t
-left_over (const gp_executor_t *executor)
+left_over (const gp_job_executor_t *executor)
 {
   int64_t unused = executor->capacity.cpu_milli - executor->used.cpu_milli;
 
@@ -181,7 +181,7 @@
 }
 
 static bool
-has_processors (const gp_executor_t *executor, const gp_job_task_t *task,
+has_processors (const gp_job_executor_t *executor, const gp_job_task_t *task,
                 const Gp__Jobs__Step *step)
 {
   int64_t reserved = executor->capacity.cpu_milli * RESERVED_PERMILLE / 1000;
@@ -196,7 +196,7 @@
 }
 
 static bool
-fits (const gp_executor_t *executor, const gp_job_task_t *task,
+fits (const gp_job_executor_t *executor, const gp_job_task_t *task,
       const Gp__Jobs__Step *step)
 {
   const gp_room_t *capacity = &executor->capacity;
@@ -205,7 +205,7 @@
   if (g_strcmp0 (executor->service, task->job->submission->service) != 0)
     return false;
   if (*step->required_label != '\0'
-      && !gp_executor_has_label (executor, step->required_label))
+      && !gp_job_executor_has_label (executor, step->required_label))
     return false;
   if (used->memory_mb + step->memory_mb > capacity->memory_mb
       || used->accelerators + step->accelerators > capacity->accelerators)
@@ -272,7 +272,7 @@
 
 /* Runs of IMAGE on EXECUTOR.  */
 static unsigned
-alike_on (const gp_executor_t *executor, const char *image)
+alike_on (const gp_job_executor_t *executor, const char *image)
 {
   unsigned alike = 0;
 
@@ -289,7 +289,7 @@
 /* The label that tells the rack: executors name their kind first and their
    rack after it.  */
 static const char *
-rack_of (const gp_executor_t *executor)
+rack_of (const gp_job_executor_t *executor)
 {
   guint count
       = executor->labels != NULL ? g_strv_length (executor->labels) : 0;
@@ -300,7 +300,7 @@
 /* Do the runs of TASK's step and occurrence that were placed before stand in
    EXECUTOR's rack, or are there none?  */
 static bool
-is_with_siblings (const gp_executor_t *executor, const gp_job_task_t *task)
+is_with_siblings (const gp_job_executor_t *executor, const gp_job_task_t *task)
 {
   const gp_job_t *job = task->job;
   uint32_t step = gp_task_step_number (task);
@@ -328,7 +328,7 @@
 score (const pass_t *pass, candidate_t *candidate, const gp_job_task_t *task,
        const Gp__Jobs__Step *step)
 {
-  const gp_executor_t *executor = candidate->executor;
+  const gp_job_executor_t *executor = candidate->executor;
   int64_t capacity = MAX (executor->capacity.cpu_milli, 1);
   int64_t free = capacity - executor->used.cpu_milli;
   int64_t points;
@@ -347,7 +347,7 @@
   if (step->target_ms > 0)
     points += (int64_t)ALIKE_POINTS * alike_on (executor, step->image);
   if (*step->preferred_rack != '\0'
-      && gp_executor_has_label (executor, step->preferred_rack))
+      && gp_job_executor_has_label (executor, step->preferred_rack))
     points += RACK_POINTS;
   if (step->same_rack && !is_with_siblings (executor, task))
     points -= RACK_POINTS;
@@ -395,7 +395,7 @@
   task->baseline = NAN;
   task->slow_since = 0;
   gp_task_set_state (task, GP_TASK_ASSIGNED);
-  gp_executor_add (candidate->executor, task);
+  gp_job_executor_add (candidate->executor, task);
   if (step->fills && candidate->counted)
     candidate->fillings.work[gp_pressure_place (pass->pressure, step->image)]
         += 1.0;
@@ -445,7 +445,7 @@
 {
   for (uint32_t i = 0; i < count; i++)
     {
-      gp_executor_remove (first[i].executor, &first[i]);
+      gp_job_executor_remove (first[i].executor, &first[i]);
       gp_task_set_state (&first[i], GP_TASK_WAITING);
       first[i].run = runs[i];
       g_ptr_array_set_size (pass->placed, (gint)pass->placed->len - 1);
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -119,7 +119,7 @@
 static void
 release (gp_scheduler_t *scheduler, gp_job_task_t *task)
 {
-  gp_executor_remove (task->executor, task);
+  gp_job_executor_remove (task->executor, task);
   gp_task_set_state (task, GP_TASK_WAITING);
   mark_dirty (scheduler, task->job);
 }
@@ -190,7 +190,7 @@
 }
 
 static void
-judge (gp_executor_t *executor, gp_end_t how, gp_time_t now)
+judge (gp_job_executor_t *executor, gp_end_t how, gp_time_t now)
 {
   gp_time_t pause = DISTRUST_TIME;
 
@@ -213,7 +213,7 @@
            gp_time_t now, int64_t wall_ms)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
-  gp_executor_t *executor = task->executor;
+  gp_job_executor_t *executor = task->executor;
 
   judge (executor, how, now);
   release (scheduler, task);
@@ -232,7 +232,7 @@
 }
 
 bool
-gp_scheduler_end (gp_scheduler_t *scheduler, gp_executor_t *executor,
+gp_scheduler_end (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                   const Gp__Jobs__End *end, gp_time_t now, int64_t wall_ms)
 {
   gp_job_task_t *task = gp_book_task (scheduler->book, end->task);
@@ -257,7 +257,7 @@
 }
 
 void
-gp_scheduler_absent (gp_scheduler_t *scheduler, gp_executor_t *executor,
+gp_scheduler_absent (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                      const Gp__Jobs__TaskRun *run, gp_time_t now)
 {
   gp_job_task_t *task = gp_book_task (scheduler->book, run->task);
@@ -282,7 +282,7 @@
 }
 
 void
-gp_scheduler_dead (gp_scheduler_t *scheduler, gp_executor_t *executor)
+gp_scheduler_dead (gp_scheduler_t *scheduler, gp_job_executor_t *executor)
 {
   gp_log (GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
           GP_LOG_I ("runs", executor->task_count));
@@ -293,7 +293,7 @@
 }
 
 void
-gp_scheduler_evacuate (gp_scheduler_t *scheduler, gp_executor_t *executor,
+gp_scheduler_evacuate (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                        gp_time_t now)
 {
   bool soon = now >= executor->leaves_at - LEAVE_MARGIN;
@@ -319,7 +319,7 @@
 }
 
 void
-gp_scheduler_relocate (gp_scheduler_t *scheduler, gp_executor_t *executor,
+gp_scheduler_relocate (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                        gp_time_t now)
 {
   if (executor->draining || now < executor->relocated_at + RELOCATE_TIME)
@@ -345,7 +345,7 @@
 static void
 log_assigned (const gp_job_task_t *task)
 {
-  const gp_executor_t *executor = task->executor;
+  const gp_job_executor_t *executor = task->executor;
   char name[GP_TASK_NAME_SIZE];
 
   gp_task_name (task, name);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -25,7 +25,7 @@
 typedef struct
 {
   gp_order_kind_t kind;
-  gp_executor_t *executor;
+  gp_job_executor_t *executor;
   gp_job_task_t *task; /* not for GP_ORDER_SEEN */
   uint32_t run;
   uint64_t seen; /* for GP_ORDER_SEEN */
@@ -55,25 +55,27 @@
 /* EXECUTOR lists END.  FALSE: the submission of its job is not known yet, END
    is not confirmed and has to be told again.  Confirmation covers all earlier
    numbers, so the ends after it wait as well.  */
-bool gp_scheduler_end (gp_scheduler_t *scheduler, gp_executor_t *executor,
+bool gp_scheduler_end (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                        const Gp__Jobs__End *end, gp_time_t now,
                        int64_t wall_ms);
 
 /* The guard says that RUN never ran on EXECUTOR and never will.  */
-void gp_scheduler_absent (gp_scheduler_t *scheduler, gp_executor_t *executor,
+void gp_scheduler_absent (gp_scheduler_t *scheduler,
+                          gp_job_executor_t *executor,
                           const Gp__Jobs__TaskRun *run, gp_time_t now);
 
 /* EXECUTOR certainly runs nothing any more.  */
-void gp_scheduler_dead (gp_scheduler_t *scheduler, gp_executor_t *executor);
+void gp_scheduler_dead (gp_scheduler_t *scheduler,
+                        gp_job_executor_t *executor);
 
 /* EXECUTOR is about to leave: take off what has to go on elsewhere.  */
-void gp_scheduler_evacuate (gp_scheduler_t *scheduler, gp_executor_t *executor,
-                            gp_time_t now);
+void gp_scheduler_evacuate (gp_scheduler_t *scheduler,
+                            gp_job_executor_t *executor, gp_time_t now);
 
 /* EXECUTOR's filling runs are held back: stop those that go on from a
    checkpoint where a better place is free.  */
-void gp_scheduler_relocate (gp_scheduler_t *scheduler, gp_executor_t *executor,
-                            gp_time_t now);
+void gp_scheduler_relocate (gp_scheduler_t *scheduler,
+                            gp_job_executor_t *executor, gp_time_t now);
 
 /* Assign what waits.  */
 void gp_scheduler_plan (gp_scheduler_t *scheduler, gp_time_t now,
--- a/src/jobsd/announce.c
+++ b/src/jobsd/announce.c
@@ -7,9 +7,10 @@
 #define ANNOUNCE_TIME (2 * GP_SEC)
 
 void
-gp_announce (gp_store_t *store, const gp_platform_settings_t *settings,
-             const char *address, bool guard, gp_time_t now,
-             gp_store_cb_t on_done, void *data)
+gp_announce (gp_platform_store_t *store,
+             const gp_platform_settings_t *settings, const char *address,
+             bool guard, gp_time_t now, gp_platform_store_cb_t on_done,
+             void *data)
 {
   Gp__Jobs__Node node = GP__JOBS__NODE__INIT;
   GByteArray *batch = g_byte_array_new ();
@@ -23,9 +24,10 @@
   size = gp__jobs__node__get_packed_size (&node);
   bytes = g_malloc (size);
   gp__jobs__node__pack (&node, bytes);
-  gp_store_batch_add (batch, settings->node, bytes, size);
-  gp_store_append (store, GP_TOPIC_NODES, batch, GP_STORE_ANYWHERE,
-                   now + ANNOUNCE_TIME, on_done, data);
+  gp_platform_store_batch_add (batch, settings->node, bytes, size);
+  gp_platform_store_append (store, GP_TOPIC_NODES, batch,
+                            GP_PLATFORM_STORE_ANYWHERE, now + ANNOUNCE_TIME,
+                            on_done, data);
   g_free (bytes);
   g_byte_array_unref (batch);
 }
--- a/src/jobsd/announce.h
+++ b/src/jobsd/announce.h
@@ -7,8 +7,9 @@
 #include "platform/store.h"
 
 /* Write ADDRESS under this VM's name into the topic of nodes.  */
-void gp_announce (gp_store_t *store, const gp_platform_settings_t *settings,
-                  const char *address, bool guard, gp_time_t now,
-                  gp_store_cb_t on_done, void *data);
+void gp_announce (gp_platform_store_t *store,
+                  const gp_platform_settings_t *settings, const char *address,
+                  bool guard, gp_time_t now, gp_platform_store_cb_t on_done,
+                  void *data);
 
 #endif
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -29,7 +29,7 @@
     = GP_GAUGE ("leading", "1 while this process leads");
 
 static void
-turn_record (gp_job_entry_t *entry, const gp_store_record_t *record)
+turn_record (gp_job_entry_t *entry, const gp_platform_store_record_t *record)
 {
   char *key = g_strndup (record->key, record->key_size);
   size_t prefix = strlen (GP_CANCEL_PREFIX);
@@ -56,14 +56,14 @@
 }
 
 static void
-on_job_record (const gp_store_record_t *record, void *data)
+on_job_record (const gp_platform_store_record_t *record, void *data)
 {
   if (record->value_size > 0)
     turn_record (data, record);
 }
 
 static void
-on_progress_record (const gp_store_record_t *record, void *data)
+on_progress_record (const gp_platform_store_record_t *record, void *data)
 {
   gp_job_entry_t *entry = data;
 
@@ -72,14 +72,15 @@
 }
 
 static void
-on_document (const gp_store_record_t *record, void *data)
+on_document (const gp_platform_store_record_t *record, void *data)
 {
   gp_job_entry_t *entry = data;
   gp_queues_t queues;
   GError *error = NULL;
 
-  if (record->key_size != strlen (GP_STORE_DOCUMENT_KEY)
-      || memcmp (record->key, GP_STORE_DOCUMENT_KEY, record->key_size) != 0
+  if (record->key_size != strlen (GP_PLATFORM_STORE_DOCUMENT_KEY)
+      || memcmp (record->key, GP_PLATFORM_STORE_DOCUMENT_KEY, record->key_size)
+             != 0
       || record->value_size == 0)
     return;
   gp_queues_init (&queues);
@@ -98,7 +99,7 @@
 }
 
 static void
-on_node (const gp_store_record_t *record, void *data)
+on_node (const gp_platform_store_record_t *record, void *data)
 {
   gp_job_entry_t *entry = data;
   Gp__Jobs__Node *node;
@@ -113,7 +114,7 @@
   else if (node->guard)
     gp_leader_guard (&entry->leader, name, node->address);
   else if (strcmp (name, entry->settings->node) != 0)
-    gp_route_add (&entry->route, node->address);
+    gp_way_add (&entry->way, node->address);
   if (node != NULL)
     gp__jobs__node__free_unpacked (node, NULL);
   g_free (name);
@@ -187,11 +188,11 @@
 /* Peers are told where this entry passes calls on.  */
 
 static void
-on_announced (const gp_store_answer_t *answer, void *data)
+on_announced (const gp_platform_store_answer_t *answer, void *data)
 {
   gp_job_entry_t *entry = data;
 
-  if (answer->result != GP_STORE_DONE)
+  if (answer->result != GP_PLATFORM_STORE_DONE)
     gp_timer_arm (&entry->announce,
                   gp_loop_now (&entry->loop) + ANNOUNCE_RETRY_TIME);
 }
@@ -302,10 +303,10 @@
   gp_timer_init (&entry->leave, &entry->loop, on_leave, entry);
   gp_book_init (&entry->book);
   gp_queues_init (&entry->queues);
-  entry->store = gp_store_new (&entry->loop, settings->store, error);
+  entry->store = gp_platform_store_new (&entry->loop, settings->store, error);
   if (entry->store == NULL)
     return false;
-  gp_route_init (&entry->route, &entry->loop, entry->store);
+  gp_way_init (&entry->way, &entry->loop, entry->store);
   init_feeds (entry);
   gp_leader_init (&entry->leader, &entry->loop, entry->store, &entry->book,
                   settings->node, on_deposed, entry);
@@ -314,8 +315,8 @@
   gp_jobs_front_init (&entry->front, &entry->loop, entry->store, &entry->book,
                       &entry->queues, &entry->jobs, on_job_record, entry);
   gp_timer_init (&entry->announce, &entry->loop, on_announce_due, entry);
-  if (!gp_relay_init (&entry->relay, &entry->loop, settings->relay,
-                      settings->store, error))
+  if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
+                          settings->store, error))
     return false;
   entry->callers = open_server (entry, settings->front, on_request, error);
   entry->ready = entry->callers != NULL ? open_server (entry, settings->ready,
@@ -354,7 +355,7 @@
   gp_feed_finish (&entry->progress);
   gp_feed_finish (&entry->nodes);
   gp_leader_finish (&entry->leader);
-  gp_route_finish (&entry->route);
+  gp_way_finish (&entry->way);
   gp_timer_finish (&entry->announce);
   gp_timer_finish (&entry->leave);
   gp_loop_finish (&entry->loop);
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -11,15 +11,16 @@
 #include "jobsd/jobs_front.h"
 #include "jobsd/leader.h"
 #include "jobsd/relay.h"
+#include "jobsd/way.h"
 #include "platform/settings.h"
 
 typedef struct
 {
   const gp_platform_settings_t *settings;
   gp_loop_t loop;
-  gp_store_t *store;
-  gp_relay_t relay;
-  gp_route_t route;
+  gp_platform_store_t *store;
+  gp_job_relay_t relay;
+  gp_way_t way;
   gp_timer_t announce; /* the relay's address is written again */
   gp_http_server_t *callers;
   gp_http_server_t *ready;
--- a/src/jobsd/feed.c
+++ b/src/jobsd/feed.c
@@ -19,7 +19,7 @@
 }
 
 void
-gp_feed_init (gp_feed_t *feed, gp_loop_t *loop, gp_store_t *store,
+gp_feed_init (gp_feed_t *feed, gp_loop_t *loop, gp_platform_store_t *store,
               gp_topic_t topic, gp_time_t spacing,
               const gp_feed_callbacks_t *callbacks, void *data)
 {
@@ -44,7 +44,7 @@
 gp_feed_stop (gp_feed_t *feed)
 {
   if (feed->call != NULL)
-    gp_store_cancel (feed->call);
+    gp_platform_store_cancel (feed->call);
   feed->call = NULL;
   feed->running = false;
   gp_timer_disarm (&feed->timer);
@@ -91,19 +91,19 @@
 }
 
 static void
-deliver (gp_feed_t *feed, const gp_store_answer_t *answer)
+deliver (gp_feed_t *feed, const gp_platform_store_answer_t *answer)
 {
   for (size_t i = 0; i < answer->count && feed->running; i++)
     feed->callbacks->on_record (&answer->records[i], feed->data);
 }
 
 static void
-on_page (const gp_store_answer_t *answer, void *data)
+on_page (const gp_platform_store_answer_t *answer, void *data)
 {
   gp_feed_t *feed = data;
 
   feed->call = NULL;
-  if (answer->result != GP_STORE_DONE)
+  if (answer->result != GP_PLATFORM_STORE_DONE)
     {
       set_down (feed, true, answer->reason);
       wait_for (feed, RETRY_TIME);
@@ -129,20 +129,21 @@
 }
 
 static void
-on_read (const gp_store_answer_t *answer, void *data)
+on_read (const gp_platform_store_answer_t *answer, void *data)
 {
   gp_feed_t *feed = data;
   gp_time_t now = gp_loop_now (feed->loop);
 
   feed->call = NULL;
-  if (answer->result == GP_STORE_FORGOTTEN
-      || (answer->result == GP_STORE_DONE && answer->end < feed->position))
+  if (answer->result == GP_PLATFORM_STORE_FORGOTTEN
+      || (answer->result == GP_PLATFORM_STORE_DONE
+          && answer->end < feed->position))
     {
       begin_load (feed);
       step (feed);
       return;
     }
-  if (answer->result != GP_STORE_DONE)
+  if (answer->result != GP_PLATFORM_STORE_DONE)
     {
       set_down (feed, true, answer->reason);
       wait_for (feed, RETRY_TIME);
@@ -184,9 +185,10 @@
 
   feed->sent_at = now;
   if (feed->loaded)
-    feed->call = gp_store_read (feed->store, feed->topic, feed->position, wait,
-                                now + wait + CALL_TIME, on_read, feed);
+    feed->call
+        = gp_platform_store_read (feed->store, feed->topic, feed->position,
+                                  wait, now + wait + CALL_TIME, on_read, feed);
   else
-    feed->call = gp_store_newest (feed->store, feed->topic, feed->after,
-                                  now + CALL_TIME, on_page, feed);
+    feed->call = gp_platform_store_newest (
+        feed->store, feed->topic, feed->after, now + CALL_TIME, on_page, feed);
 }
--- a/src/jobsd/feed.h
+++ b/src/jobsd/feed.h
@@ -14,7 +14,7 @@
 typedef struct
 {
   /* A record, in the order of the offsets once the load is over.  */
-  void (*on_record) (const gp_store_record_t *record, void *data);
+  void (*on_record) (const gp_platform_store_record_t *record, void *data);
   /* All records up to the topic's end at the time FRESH_AT of the feed have
      been delivered.  */
   void (*on_fresh) (void *data);
@@ -26,11 +26,11 @@
 typedef struct
 {
   gp_loop_t *loop;
-  gp_store_t *store;
+  gp_platform_store_t *store;
   gp_topic_t topic;
   const gp_feed_callbacks_t *callbacks;
   void *data;
-  gp_store_call_t *call;
+  gp_platform_store_call_t *call;
   gp_timer_t timer;
   bool running;
   bool loaded;       /* the load is over */
@@ -44,9 +44,10 @@
   gp_time_t sent_at;  /* of the last call */
 } gp_feed_t;
 
-void gp_feed_init (gp_feed_t *feed, gp_loop_t *loop, gp_store_t *store,
-                   gp_topic_t topic, gp_time_t spacing,
-                   const gp_feed_callbacks_t *callbacks, void *data);
+void gp_feed_init (gp_feed_t *feed, gp_loop_t *loop,
+                   gp_platform_store_t *store, gp_topic_t topic,
+                   gp_time_t spacing, const gp_feed_callbacks_t *callbacks,
+                   void *data);
 void gp_feed_finish (gp_feed_t *feed);
 
 /* Load and follow, from the beginning also when it runs already.  */
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -459,11 +459,11 @@
 /* The announcement of this guard's address.  */
 
 static void
-on_announced (const gp_store_answer_t *answer, void *data)
+on_announced (const gp_platform_store_answer_t *answer, void *data)
 {
   gp_job_guard_t *guard = data;
 
-  if (answer->result == GP_STORE_DONE)
+  if (answer->result == GP_PLATFORM_STORE_DONE)
     return;
   gp_log (GP_LOG_WARNING, "announce.failed", GP_LOG_S ("why", answer->reason));
   gp_timer_arm (&guard->announce, now_of (guard) + ANNOUNCE_RETRY_TIME);
@@ -555,7 +555,7 @@
   gp_timer_init (&guard->calls, &guard->loop, on_calls_due, guard);
   gp_timer_init (&guard->list, &guard->loop, on_list_due, guard);
   gp_timer_init (&guard->announce, &guard->loop, on_announce_due, guard);
-  guard->store = gp_store_new (&guard->loop, settings->store, error);
+  guard->store = gp_platform_store_new (&guard->loop, settings->store, error);
   if (guard->store == NULL)
     return false;
   guard->runtime
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -15,7 +15,7 @@
 {
   const gp_platform_settings_t *settings;
   gp_loop_t loop;
-  gp_store_t *store;
+  gp_platform_store_t *store;
   gp_platform_runtime_t *runtime;
   gp_http_server_t *beats;
   gp_http_server_t *metrics;
--- a/src/jobsd/janitor.c
+++ b/src/jobsd/janitor.c
@@ -18,12 +18,12 @@
 }
 
 static void
-on_dropped (const gp_store_answer_t *answer, void *data)
+on_dropped (const gp_platform_store_answer_t *answer, void *data)
 {
   gp_janitor_t *janitor = data;
 
   janitor->dropping = false;
-  if (answer->result != GP_STORE_DONE)
+  if (answer->result != GP_PLATFORM_STORE_DONE)
     gp_log (GP_LOG_INFO, "drop.failed", GP_LOG_S ("why", answer->reason));
 }
 
@@ -47,18 +47,18 @@
         continue;
       job->dropped = true;
       drops++;
-      gp_store_batch_add (batch, job->id, NULL, 0);
+      gp_platform_store_batch_add (batch, job->id, NULL, 0);
       g_snprintf (key, sizeof key, GP_CANCEL_PREFIX "%s", job->id);
       if (job->cancelled)
-        gp_store_batch_add (batch, key, NULL, 0);
+        gp_platform_store_batch_add (batch, key, NULL, 0);
     }
   if (drops > 0)
     {
       janitor->dropping = true;
       gp_log (GP_LOG_INFO, "jobs.dropped", GP_LOG_I ("jobs", drops));
-      gp_store_append (janitor->store, GP_TOPIC_JOBS, batch, GP_STORE_ANYWHERE,
-                       gp_loop_now (janitor->loop) + DROP_TIME, on_dropped,
-                       janitor);
+      gp_platform_store_append (
+          janitor->store, GP_TOPIC_JOBS, batch, GP_PLATFORM_STORE_ANYWHERE,
+          gp_loop_now (janitor->loop) + DROP_TIME, on_dropped, janitor);
     }
   g_byte_array_unref (batch);
 }
@@ -83,8 +83,9 @@
 }
 
 void
-gp_janitor_init (gp_janitor_t *janitor, gp_loop_t *loop, gp_store_t *store,
-                 gp_book_t *book, gp_leader_t *leader, gp_time_t keep)
+gp_janitor_init (gp_janitor_t *janitor, gp_loop_t *loop,
+                 gp_platform_store_t *store, gp_book_t *book,
+                 gp_leader_t *leader, gp_time_t keep)
 {
   *janitor = (gp_janitor_t){ .loop = loop,
                              .store = store,
--- a/src/jobsd/janitor.h
+++ b/src/jobsd/janitor.h
@@ -13,7 +13,7 @@
 typedef struct
 {
   gp_loop_t *loop;
-  gp_store_t *store;
+  gp_platform_store_t *store;
   gp_book_t *book;
   gp_leader_t *leader;
   int64_t keep_ms; /* for which a job's end is told */
@@ -22,8 +22,8 @@
 } gp_janitor_t;
 
 void gp_janitor_init (gp_janitor_t *janitor, gp_loop_t *loop,
-                      gp_store_t *store, gp_book_t *book, gp_leader_t *leader,
-                      gp_time_t keep);
+                      gp_platform_store_t *store, gp_book_t *book,
+                      gp_leader_t *leader, gp_time_t keep);
 void gp_janitor_finish (gp_janitor_t *janitor);
 
 #endif
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -146,9 +146,9 @@
 {
   gp_jobs_front_t *front = change->front;
   gsize size;
-  gp_store_record_t record = { .offset = offset,
-                               .key = change->key,
-                               .key_size = strlen (change->key) };
+  gp_platform_store_record_t record = { .offset = offset,
+                                        .key = change->key,
+                                        .key_size = strlen (change->key) };
 
   record.value = g_bytes_get_data (change->value, &size);
   record.value_size = size;
@@ -196,10 +196,10 @@
 }
 
 static void
-note_latency (gp_jobs_front_t *front, gp_store_result_t result,
+note_latency (gp_jobs_front_t *front, gp_platform_store_result_t result,
               gp_time_t duration)
 {
-  if (result == GP_STORE_UNKNOWN)
+  if (result == GP_PLATFORM_STORE_UNKNOWN)
     duration = MAX (duration, 2 * front->latency);
   front->latency
       += (gp_time_t)((double)(duration - front->latency) * LATENCY_GAIN);
@@ -207,21 +207,21 @@
 
 /* What the append in progress has come to, for one of its changes.  */
 static void
-apply_result (change_t *change, const gp_store_answer_t *result,
+apply_result (change_t *change, const gp_platform_store_answer_t *result,
               uint64_t offset)
 {
   change->in_call = false;
   switch (result->result)
     {
-    case GP_STORE_DONE:
+    case GP_PLATFORM_STORE_DONE:
       change_done (change, offset);
       return;
-    case GP_STORE_UNKNOWN:
+    case GP_PLATFORM_STORE_UNKNOWN:
       change->doubtful = true;
       return;
-    case GP_STORE_REFUSED:
-    case GP_STORE_CONFLICT:
-    case GP_STORE_FORGOTTEN:
+    case GP_PLATFORM_STORE_REFUSED:
+    case GP_PLATFORM_STORE_CONFLICT:
+    case GP_PLATFORM_STORE_FORGOTTEN:
       if (!change->doubtful && ++change->refusals >= REFUSALS_MAX)
         give_up (change, result->reason);
       return;
@@ -229,7 +229,7 @@
 }
 
 static void
-on_appended (const gp_store_answer_t *result, void *data)
+on_appended (const gp_platform_store_answer_t *result, void *data)
 {
   gp_jobs_front_t *front = data;
   gp_time_t now = gp_loop_now (front->loop);
@@ -237,8 +237,10 @@
 
   front->call = NULL;
   note_latency (front, result->result, now - result->sent_at);
-  front->failures = result->result == GP_STORE_DONE ? 0 : front->failures + 1;
-  front->try_at = result->result == GP_STORE_DONE ? now : now + TRY_PAUSE;
+  front->failures
+      = result->result == GP_PLATFORM_STORE_DONE ? 0 : front->failures + 1;
+  front->try_at
+      = result->result == GP_PLATFORM_STORE_DONE ? now : now + TRY_PAUSE;
   GP_LIST_FOREACH_SAFE (link, &front->changes)
   {
     change_t *change = GP_CONTAINER_OF (link, change_t, link);
@@ -271,12 +273,12 @@
 
     if (batch->len > 0 && batch->len + size > BATCH_MAX)
       break;
-    gp_store_batch_add (batch, change->key, data, size);
+    gp_platform_store_batch_add (batch, change->key, data, size);
     change->in_call = true;
   }
-  front->call
-      = gp_store_append (front->store, GP_TOPIC_JOBS, batch, GP_STORE_ANYWHERE,
-                         now + patience, on_appended, front);
+  front->call = gp_platform_store_append (front->store, GP_TOPIC_JOBS, batch,
+                                          GP_PLATFORM_STORE_ANYWHERE,
+                                          now + patience, on_appended, front);
   g_byte_array_unref (batch);
 }
 
@@ -571,12 +573,11 @@
 }
 
 void
-gp_jobs_front_init (gp_jobs_front_t *front, gp_loop_t *loop, gp_store_t *store,
-                    gp_book_t *book, const gp_queues_t *queues,
-                    const gp_feed_t *jobs,
-                    void (*on_record) (const gp_store_record_t *record,
-                                       void *data),
-                    void *data)
+gp_jobs_front_init (
+    gp_jobs_front_t *front, gp_loop_t *loop, gp_platform_store_t *store,
+    gp_book_t *book, const gp_queues_t *queues, const gp_feed_t *jobs,
+    void (*on_record) (const gp_platform_store_record_t *record, void *data),
+    void *data)
 {
   *front = (gp_jobs_front_t){ .loop = loop,
                               .store = store,
@@ -603,7 +604,7 @@
   GP_LIST_FOREACH_SAFE (link, &front->changes)
   free_change (GP_CONTAINER_OF (link, change_t, link));
   if (front->call != NULL)
-    gp_store_cancel (front->call);
+    gp_platform_store_cancel (front->call);
   gp_timer_finish (&front->timer);
   g_hash_table_destroy (front->open);
 }
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -60,7 +60,7 @@
   uint8_t *bytes = g_malloc (size);
 
   protobuf_c_message_pack (message, bytes);
-  gp_store_batch_add (leader->batch, key, bytes, size);
+  gp_platform_store_batch_add (leader->batch, key, bytes, size);
   leader->batch_records++;
   g_free (bytes);
 }
@@ -111,7 +111,7 @@
       gsize size;
       const uint8_t *data = g_bytes_get_data (value, &size);
 
-      gp_store_batch_add (leader->batch, key, data, size);
+      gp_platform_store_batch_add (leader->batch, key, data, size);
       leader->batch_records++;
     }
   g_hash_table_remove_all (leader->new_places);
@@ -130,7 +130,7 @@
       gsize size;
       const uint8_t *data = g_bytes_get_data (bytes, &size);
 
-      gp_store_batch_add (leader->batch, job->id, data, size);
+      gp_platform_store_batch_add (leader->batch, job->id, data, size);
       leader->batch_records++;
       g_array_append_val (leader->batch_states, state);
       g_bytes_unref (bytes);
@@ -201,7 +201,8 @@
 }
 
 static bool
-is_own_record (const gp_leader_t *leader, const gp_store_record_t *record)
+is_own_record (const gp_leader_t *leader,
+               const gp_platform_store_record_t *record)
 {
   Gp__Jobs__Leadership *leadership;
   bool own;
@@ -221,18 +222,18 @@
 
 /* After a conflict that may be with our own append: what stands there?  */
 static void
-on_checked (const gp_store_answer_t *answer, void *data)
+on_checked (const gp_platform_store_answer_t *answer, void *data)
 {
   gp_leader_t *leader = data;
   size_t last = leader->batch_records - 1;
 
   leader->call = NULL;
-  if (answer->result == GP_STORE_FORGOTTEN)
+  if (answer->result == GP_PLATFORM_STORE_FORGOTTEN)
     {
       depose (leader, "its append cannot be read any more");
       return;
     }
-  if (answer->result != GP_STORE_DONE)
+  if (answer->result != GP_PLATFORM_STORE_DONE)
     {
       gp_timer_arm (&leader->retry, now_of (leader) + APPEND_RETRY_TIME);
       return;
@@ -246,33 +247,33 @@
 static void
 check_append (gp_leader_t *leader)
 {
-  leader->call
-      = gp_store_read (leader->store, GP_TOPIC_PROGRESS, leader->position, 0,
-                       now_of (leader) + APPEND_TIME, on_checked, leader);
+  leader->call = gp_platform_store_read (
+      leader->store, GP_TOPIC_PROGRESS, leader->position, 0,
+      now_of (leader) + APPEND_TIME, on_checked, leader);
 }
 
 static void
-on_appended (const gp_store_answer_t *answer, void *data)
+on_appended (const gp_platform_store_answer_t *answer, void *data)
 {
   gp_leader_t *leader = data;
 
   leader->call = NULL;
   switch (answer->result)
     {
-    case GP_STORE_DONE:
+    case GP_PLATFORM_STORE_DONE:
       batch_done (leader, answer->offset, answer->sent_at);
       return;
-    case GP_STORE_CONFLICT:
+    case GP_PLATFORM_STORE_CONFLICT:
       if (leader->doubtful)
         check_append (leader);
       else
         depose (leader, "another has appended");
       return;
-    case GP_STORE_UNKNOWN:
+    case GP_PLATFORM_STORE_UNKNOWN:
       leader->doubtful = true;
       break;
-    case GP_STORE_REFUSED:
-    case GP_STORE_FORGOTTEN:
+    case GP_PLATFORM_STORE_REFUSED:
+    case GP_PLATFORM_STORE_FORGOTTEN:
       break;
     }
   gp_log (GP_LOG_INFO, "append.failed", GP_LOG_S ("why", answer->reason),
@@ -293,9 +294,9 @@
 
   if (!leader->doubtful)
     leader->batch_sent_at = now;
-  leader->call = gp_store_append (leader->store, GP_TOPIC_PROGRESS,
-                                  leader->batch, (int64_t)leader->position,
-                                  now + APPEND_TIME, on_appended, leader);
+  leader->call = gp_platform_store_append (
+      leader->store, GP_TOPIC_PROGRESS, leader->batch,
+      (int64_t)leader->position, now + APPEND_TIME, on_appended, leader);
 }
 
 static void
@@ -435,7 +436,7 @@
 }
 
 static void
-on_leadership (gp_leader_t *leader, const gp_store_record_t *record)
+on_leadership (gp_leader_t *leader, const gp_platform_store_record_t *record)
 {
   Gp__Jobs__Leadership *leadership
       = gp__jobs__leadership__unpack (NULL, record->value_size, record->value);
@@ -456,7 +457,7 @@
 
 static void
 on_place (gp_leader_t *leader, const char *node,
-          const gp_store_record_t *record)
+          const gp_platform_store_record_t *record)
 {
   Gp__Jobs__Place *place
       = gp__jobs__place__unpack (NULL, record->value_size, record->value);
@@ -472,7 +473,8 @@
 }
 
 void
-gp_leader_record (gp_leader_t *leader, const gp_store_record_t *record)
+gp_leader_record (gp_leader_t *leader,
+                  const gp_platform_store_record_t *record)
 {
   char *key = g_strndup (record->key, record->key_size);
   GError *error = NULL;
@@ -530,7 +532,7 @@
     {
       const char *id = g_ptr_array_index (leader->drops, i);
 
-      gp_store_batch_add (leader->batch, id, NULL, 0);
+      gp_platform_store_batch_add (leader->batch, id, NULL, 0);
       leader->batch_records++;
       g_hash_table_remove (leader->book->jobs, id);
     }
@@ -548,8 +550,8 @@
 /* Life.  */
 
 void
-gp_leader_init (gp_leader_t *leader, gp_loop_t *loop, gp_store_t *store,
-                gp_book_t *book, const char *node,
+gp_leader_init (gp_leader_t *leader, gp_loop_t *loop,
+                gp_platform_store_t *store, gp_book_t *book, const char *node,
                 void (*on_deposed) (void *data), void *data)
 {
   memset (leader, 0, sizeof *leader);
@@ -580,7 +582,7 @@
 gp_leader_finish (gp_leader_t *leader)
 {
   if (leader->call != NULL)
-    gp_store_cancel (leader->call);
+    gp_platform_store_cancel (leader->call);
   end_batch (leader);
   gp_leader_drop_links (leader);
   gp_timer_finish (&leader->timer);
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -51,14 +51,14 @@
   char *address;
   gp_peer_t *peer;
   gp_timer_t redial;
-  gp_executor_t *executor;   /* the one on the VM, NULL: none known */
-  gp_time_t acknowledged_at; /* the last acknowledgement was sent */
-  gp_time_t reported_at;     /* the last report came, or it was dialled */
-  gp_time_t report_sent_at;  /* the last report left, on the guard's clock */
-  uint64_t sync;             /* number of the last sync sent or being sent */
-  bool wants_sync;           /* the guard has to be told all its runs */
-  gp_time_t synced_at;       /* the last sync was made */
-  bool sees_executor;        /* the guard's last report names one */
+  gp_job_executor_t *executor; /* the one on the VM, NULL: none known */
+  gp_time_t acknowledged_at;   /* the last acknowledgement was sent */
+  gp_time_t reported_at;       /* the last report came, or it was dialled */
+  gp_time_t report_sent_at;    /* the last report left, on the guard's clock */
+  uint64_t sync;               /* number of the last sync sent or being sent */
+  bool wants_sync;             /* the guard has to be told all its runs */
+  gp_time_t synced_at;         /* the last sync was made */
+  bool sees_executor;          /* the guard's last report names one */
   bool silent; /* the executor's lease has run out and it does not answer */
   gp_time_t taught_at; /* the guard was told the pressures last */
   bool up;             /* it reports */
@@ -67,7 +67,7 @@
 struct gp_leader
 {
   gp_loop_t *loop;
-  gp_store_t *store;
+  gp_platform_store_t *store;
   gp_book_t *book;
   const char *node;
   uint64_t incarnation;
@@ -93,7 +93,7 @@
   gp_time_t batch_sent_at; /* its first sending */
   bool doubtful;           /* it went unanswered once */
   bool resigning;          /* it gives the lead up */
-  gp_store_call_t *call;
+  gp_platform_store_call_t *call;
   GPtrArray *frames; /* gp_leader_frame_t, to be sent when it is done */
   gp_time_t heartbeat_due;
   gp_timer_t timer;
@@ -105,13 +105,15 @@
   void *data;
 };
 
-void gp_leader_init (gp_leader_t *leader, gp_loop_t *loop, gp_store_t *store,
-                     gp_book_t *book, const char *node,
-                     void (*on_deposed) (void *data), void *data);
+void gp_leader_init (gp_leader_t *leader, gp_loop_t *loop,
+                     gp_platform_store_t *store, gp_book_t *book,
+                     const char *node, void (*on_deposed) (void *data),
+                     void *data);
 void gp_leader_finish (gp_leader_t *leader);
 
 /* A record of the progress topic was read (while following).  */
-void gp_leader_record (gp_leader_t *leader, const gp_store_record_t *record);
+void gp_leader_record (gp_leader_t *leader,
+                       const gp_platform_store_record_t *record);
 /* All up to POSITION was read, by a read sent at SENT_AT.  READY: the jobs
    are known as well, so that the lead may be taken.  */
 void gp_leader_fresh (gp_leader_t *leader, uint64_t position,
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -127,7 +127,7 @@
 }
 
 static outbox_t *
-outbox_of (GHashTable *outboxes, gp_executor_t *executor)
+outbox_of (GHashTable *outboxes, gp_job_executor_t *executor)
 {
   outbox_t *outbox = g_hash_table_lookup (outboxes, executor);
 
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -135,7 +135,7 @@
 set_executor (gp_link_t *link, const Gp__Jobs__Executor *report)
 {
   gp_leader_t *leader = link->leader;
-  gp_executor_t *executor = gp_book_executor (leader->book, report->id);
+  gp_job_executor_t *executor = gp_book_executor (leader->book, report->id);
   const char *before = g_hash_table_lookup (leader->places, link->node);
 
   if (g_strcmp0 (before, report->id) != 0)
@@ -156,10 +156,10 @@
 take_report (gp_link_t *link, const Gp__Jobs__Report *report)
 {
   gp_leader_t *leader = link->leader;
-  gp_executor_t *executor = link->executor;
+  gp_job_executor_t *executor = link->executor;
   gp_time_t now = gp_loop_now (leader->loop);
 
-  gp_executor_update (executor, link->node, report->executor, now);
+  gp_job_executor_update (executor, link->node, report->executor, now);
   for (size_t i = 0; i < report->n_ends; i++)
     {
       if (!gp_scheduler_end (&leader->scheduler, executor, report->ends[i],
@@ -387,7 +387,7 @@
 static void
 look_after_place (gp_leader_t *leader, const char *node, const char *id)
 {
-  gp_executor_t *executor = gp_book_executor (leader->book, id);
+  gp_job_executor_t *executor = gp_book_executor (leader->book, id);
   const gp_link_t *link = g_hash_table_lookup (leader->links, node);
   gp_time_t now = gp_loop_now (leader->loop);
 
--- a/src/jobsd/relay.c
+++ b/src/jobsd/relay.c
@@ -1,4 +1,4 @@
-/* A way to the store through another entry.  */
+/* Passing calls of other entries on to the store.  */
 
 #include "jobsd/relay.h"
 
@@ -16,21 +16,9 @@
 #define HEADER_TIME (15 * GP_SEC)
 #define CONNECTIONS 16
 #define IDLE_TIME (30 * GP_SEC)
-/* Calls in a row that fail before another way is tried: one may be chance.  */
-#define FAILURES_TO_LEAVE 2
-/* When no peer has a way either, the store is down: no peer is tried again
-   for so long.  */
-#define GIVE_UP_TIME (1500 * GP_MSEC)
-/* While calls are passed on, the direct way is tried so often.  */
-#define PROBE_TIME (400 * GP_MSEC)
 
 static gp_counter_t relayed_count
     = GP_COUNTER ("store_relayed_total", "Calls of peers passed on");
-static gp_counter_t route_gauge = GP_GAUGE (
-    "store_by_relay", "1 while a peer passes this process's calls on");
-
-static gp_counter_t peers_gauge
-    = GP_GAUGE ("store_peers", "Peers that can pass this process's calls on");
 
 /* A call of a peer until its answer.  */
 typedef struct
@@ -66,7 +54,7 @@
 static void
 on_request (gp_http_exchange_t *exchange, void *data)
 {
-  gp_relay_t *relay = data;
+  gp_job_relay_t *relay = data;
   gp_time_t now = gp_loop_now (relay->loop);
   gp_http_text_t method = gp_http_exchange_method (exchange);
   gp_http_text_t path = gp_http_exchange_path (exchange);
@@ -88,8 +76,8 @@
 }
 
 bool
-gp_relay_init (gp_relay_t *relay, gp_loop_t *loop, const char *address,
-               const char *store, GError **error)
+gp_job_relay_init (gp_job_relay_t *relay, gp_loop_t *loop, const char *address,
+                   const char *store, GError **error)
 {
   const gp_http_client_options_t client = { .address = store,
                                             .max_connections = CONNECTIONS,
@@ -108,103 +96,3 @@
   relay->server = gp_http_server_new (loop, &server, error);
   return relay->server != NULL;
 }
-
-/* The way of this process's own calls.  */
-
-static void
-take_way (gp_route_t *route, const char *peer)
-{
-  gp_log (GP_LOG_INFO, "store.way", GP_LOG_S ("peer", peer),
-          GP_LOG_I ("failures", route->failures));
-  route->failures = 0;
-  route->relayed = peer != NULL;
-  gp_counter_set (&route_gauge, route->relayed);
-  gp_store_set_way (route->store, peer);
-  if (route->relayed)
-    gp_timer_arm (&route->probe, gp_loop_now (route->loop) + PROBE_TIME);
-}
-
-static void
-on_result (bool answered, void *data)
-{
-  gp_route_t *route = data;
-
-  gp_time_t now = gp_loop_now (route->loop);
-
-  if (answered)
-    {
-      route->failures = 0;
-      route->ways = 0;
-      return;
-    }
-  if (++route->failures < FAILURES_TO_LEAVE || route->peers->len == 0
-      || now < route->stay_until)
-    return;
-  if (route->ways++ < route->peers->len)
-    {
-      take_way (route, g_ptr_array_index (route->peers,
-                                          route->next++ % route->peers->len));
-      return;
-    }
-  route->ways = 0;
-  route->stay_until = now + GIVE_UP_TIME;
-  if (route->relayed)
-    take_way (route, NULL);
-}
-
-static void
-on_probed (const gp_store_answer_t *answer, void *data)
-{
-  gp_route_t *route = data;
-
-  route->probing = NULL;
-  if (!route->relayed)
-    return;
-  if (answer->result == GP_STORE_DONE || answer->result == GP_STORE_FORGOTTEN)
-    take_way (route, NULL);
-  else
-    gp_timer_arm (&route->probe, gp_loop_now (route->loop) + PROBE_TIME);
-}
-
-static void
-on_probe_due (gp_timer_t *timer, void *data)
-{
-  gp_route_t *route = data;
-
-  if (route->relayed && route->probing == NULL)
-    route->probing
-        = gp_store_probe (route->store, gp_loop_now (route->loop) + PROBE_TIME,
-                          on_probed, route);
-}
-
-void
-gp_route_init (gp_route_t *route, gp_loop_t *loop, gp_store_t *store)
-{
-  memset (route, 0, sizeof *route);
-  route->loop = loop;
-  route->store = store;
-  route->peers = g_ptr_array_new_with_free_func (g_free);
-  gp_counter_register (&route_gauge);
-  gp_counter_register (&peers_gauge);
-  gp_timer_init (&route->probe, loop, on_probe_due, route);
-  gp_store_on_result (store, on_result, route);
-}
-
-void
-gp_route_finish (gp_route_t *route)
-{
-  if (route->probing != NULL)
-    gp_store_cancel (route->probing);
-  gp_timer_finish (&route->probe);
-  g_ptr_array_unref (route->peers);
-}
-
-void
-gp_route_add (gp_route_t *route, const char *address)
-{
-  for (guint i = 0; i < route->peers->len; i++)
-    if (strcmp (g_ptr_array_index (route->peers, i), address) == 0)
-      return;
-  g_ptr_array_add (route->peers, g_strdup (address));
-  gp_counter_set (&peers_gauge, route->peers->len);
-}
--- a/tests/unit/jobs_site.c
+++ b/tests/unit/jobs_site.c
@@ -25,11 +25,11 @@
   gp_book_finish (&site->book);
 }
 
-gp_executor_t *
+gp_job_executor_t *
 jobs_site_executor_in (jobs_site_t *site, const char *id, unsigned cores,
                        const char *rack)
 {
-  gp_executor_t *executor = gp_book_executor (&site->book, id);
+  gp_job_executor_t *executor = gp_book_executor (&site->book, id);
   Gp__Jobs__Executor report = GP__JOBS__EXECUTOR__INIT;
   char *labels[] = { "a", (char *)rack };
 
@@ -39,12 +39,12 @@
   report.memory_mb = cores * MB_A_CORE;
   report.labels = labels;
   report.n_labels = G_N_ELEMENTS (labels);
-  gp_executor_update (executor, id, &report, site->now);
+  gp_job_executor_update (executor, id, &report, site->now);
   executor->reachable = true;
   return executor;
 }
 
-gp_executor_t *
+gp_job_executor_t *
 jobs_site_executor (jobs_site_t *site, const char *id, unsigned cores)
 {
   return jobs_site_executor_in (site, id, cores, "rack-1");
--- a/tests/unit/jobs_site.h
+++ b/tests/unit/jobs_site.h
@@ -17,11 +17,11 @@
 void jobs_site_finish (jobs_site_t *site);
 
 /* An executor of CORES cores, 1 GB a core, that takes work.  */
-gp_executor_t *jobs_site_executor (jobs_site_t *site, const char *id,
-                                   unsigned cores);
+gp_job_executor_t *jobs_site_executor (jobs_site_t *site, const char *id,
+                                       unsigned cores);
 /* The same in RACK.  */
-gp_executor_t *jobs_site_executor_in (jobs_site_t *site, const char *id,
-                                      unsigned cores, const char *rack);
+gp_job_executor_t *jobs_site_executor_in (jobs_site_t *site, const char *id,
+                                          unsigned cores, const char *rack);
 
 /* A submission of one step of COUNT tasks of CPU_MILLI; to be changed and
    handed to jobs_site_submit, which frees it.  */
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -245,7 +245,7 @@
 {
   jobs_site_t site;
   Gp__Jobs__Submission *submission = jobs_site_submission (1, 1000);
-  gp_executor_t *executor;
+  gp_job_executor_t *executor;
   gp_job_t *lasting;
   gp_job_t *batch;
 
@@ -299,7 +299,7 @@
 {
   jobs_site_t site;
   Gp__Jobs__Submission *filling = jobs_site_submission (2, 1000);
-  gp_executor_t *executor;
+  gp_job_executor_t *executor;
   gp_job_t *job;
 
   printf ("a filling run that is held back goes on elsewhere\n");
@@ -421,7 +421,7 @@
   g_hash_table_iter_init (&iter, site->book.executors);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const gp_executor_t *executor = value;
+      const gp_job_executor_t *executor = value;
       int64_t cpu = 0;
       int64_t memory = 0;
       GHashTableIter jobs;
@@ -559,7 +559,7 @@
   uint8_t packed[32];
   size_t size;
   jobs_site_t site;
-  gp_executor_t *executor;
+  gp_job_executor_t *executor;
   unsigned before;
 
   jobs_site_init (&site);
