Jobs: one place for the tasks of a step, the tallies and the recorded end

The index of a step's first task was computed in four places, that of an occurrence's tallies in four, and "its end is on the log" in four more. They are gp_job_step_tasks, gp_job_tallies, gp_job_end_is_recorded and gp_job_ended_before now.

An end that a guard tells looked its job up twice, the second time only to find out whether the submission is missing; that is asked now only when the task is not known, which a missing submission implies.

In the placer nobody read the result of assign_each nor the book of a pass, and a cancelled job was ranked before it was left out. Two numbers have names.

Behaviour is unchanged.

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -99,8 +99,7 @@
       || step >= job->submission->n_steps
       || index >= job->submission->steps[step]->count)
     return NULL;
-  return &job->tasks[occurrence * job->tasks_per_occurrence
-                     + job->step_start[step] + index];
+  return gp_job_step_tasks (job, occurrence, step) + index;
 }
 
 bool
@@ -358,8 +357,7 @@
 bool
 gp_book_expired (const gp_job_t *job, int64_t wall_ms)
 {
-  if (job->submission == NULL || job->recorded < GP_JOB_COMPLETED
-      || job->ended_wall_ms >= wall_ms)
+  if (job->submission == NULL || !gp_job_ended_before (job, wall_ms))
     return false;
   for (uint32_t i = 0; i < job->task_count; i++)
     if (job->tasks[i].executor != NULL)
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -7,6 +7,9 @@
 
 #include "base/error.h"
 
+/* An end earns nothing after so many objectives, by the users' terms.  */
+#define USELESS_FACTOR 3
+
 gp_job_t *
 gp_job_new (const char *id)
 {
@@ -170,7 +173,8 @@
       = chain_ms (submission, NULL) * submission->stretch_percent / 100
         + submission->target_ms;
   job->due_at = submitted_at + (gp_time_t)objective_ms * GP_MSEC;
-  job->useless_at = submitted_at + 3 * (gp_time_t)objective_ms * GP_MSEC;
+  job->useless_at
+      = submitted_at + USELESS_FACTOR * (gp_time_t)objective_ms * GP_MSEC;
   make_tasks (job);
   return true;
 }
@@ -181,9 +185,8 @@
   uint64_t longest = 0;
 
   for (uint32_t k = 0; k < job->occurrences; k++)
-    longest = MAX (longest,
-                   chain_ms (job->submission,
-                             &job->tallies[k * job->submission->n_steps]));
+    longest
+        = MAX (longest, chain_ms (job->submission, gp_job_tallies (job, k)));
   return (gp_time_t)longest * GP_MSEC;
 }
 
@@ -193,6 +196,18 @@
   return job->state >= GP_JOB_COMPLETED;
 }
 
+bool
+gp_job_end_is_recorded (const gp_job_t *job)
+{
+  return job->recorded >= GP_JOB_COMPLETED;
+}
+
+bool
+gp_job_ended_before (const gp_job_t *job, int64_t wall_ms)
+{
+  return gp_job_end_is_recorded (job) && job->ended_wall_ms < wall_ms;
+}
+
 uint32_t
 gp_task_occurrence (const gp_job_task_t *task)
 {
@@ -217,13 +232,24 @@
   return task->job->submission->steps[gp_task_step_number (task)];
 }
 
+gp_job_task_t *
+gp_job_step_tasks (const gp_job_t *job, uint32_t occurrence, uint32_t step)
+{
+  return &job->tasks[occurrence * job->tasks_per_occurrence
+                     + job->step_start[step]];
+}
+
 gp_step_tally_t *
-gp_task_tally (const gp_job_task_t *task)
+gp_job_tallies (const gp_job_t *job, uint32_t occurrence)
 {
-  const gp_job_t *job = task->job;
+  return &job->tallies[(size_t)occurrence * job->submission->n_steps];
+}
 
-  return &job->tallies[gp_task_occurrence (task) * job->submission->n_steps
-                       + gp_task_step_number (task)];
+gp_step_tally_t *
+gp_task_tally (const gp_job_task_t *task)
+{
+  return gp_job_tallies (task->job, gp_task_occurrence (task))
+         + gp_task_step_number (task);
 }
 
 void
@@ -243,8 +269,7 @@
 {
   const Gp__Jobs__Submission *submission = job->submission;
   const Gp__Jobs__Step *definition = submission->steps[step];
-  const gp_step_tally_t *tallies
-      = &job->tallies[(size_t)occurrence * submission->n_steps];
+  const gp_step_tally_t *tallies = gp_job_tallies (job, occurrence);
 
   if (submission->repeats > 0
       && wall_ms < submission->first_wall_ms
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -131,11 +131,24 @@
 
 bool gp_job_ended (const gp_job_t *job);
 
+/* The same by what is on the log, which is what callers are told.  */
+bool gp_job_end_is_recorded (const gp_job_t *job);
+
+/* Is an end before WALL_MS (since 1970) on the log?  */
+bool gp_job_ended_before (const gp_job_t *job, int64_t wall_ms);
+
 const Gp__Jobs__Step *gp_task_step (const gp_job_task_t *task);
 uint32_t gp_task_step_number (const gp_job_task_t *task);
 uint32_t gp_task_occurrence (const gp_job_task_t *task);
 gp_step_tally_t *gp_task_tally (const gp_job_task_t *task);
 
+/* The tasks of STEP in OCCURRENCE, as many as the step counts.  */
+gp_job_task_t *gp_job_step_tasks (const gp_job_t *job, uint32_t occurrence,
+                                  uint32_t step);
+
+/* The tallies of OCCURRENCE, one for each step.  */
+gp_step_tally_t *gp_job_tallies (const gp_job_t *job, uint32_t occurrence);
+
 /* Write the task's name, "ID.OCCURRENCE.STEP.INDEX".  */
 void gp_task_name (const gp_job_task_t *task, char name[GP_TASK_NAME_SIZE]);
 
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -43,6 +43,9 @@
 /* Points for the right rack: as much as an executor that is empty has over
    one that is full, as the work takes 1.5 to 3 times as long elsewhere.  */
 #define RACK_POINTS 1000
+/* Points that an executor loses on which the task has failed: four times what
+   one that is empty has over one that is full, so that it is a last resort. */
+#define FAILED_POINTS 4000
 
 /* What a pass needs of an executor more than once.  */
 typedef struct
@@ -54,7 +57,6 @@
 
 typedef struct
 {
-  gp_book_t *book;
   gp_pressure_t *pressure;
   gp_time_t now;
   GArray *candidates; /* candidate_t of those that may take work */
@@ -114,11 +116,12 @@
   GP_LIST_FOREACH (link, &book->live)
   {
     gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
+    ranked_t ranked;
 
-    ranked_t ranked = rank_job (job, now);
-
-    if (!job->cancelled)
-      g_array_append_val (jobs, ranked);
+    if (job->cancelled)
+      continue;
+    ranked = rank_job (job, now);
+    g_array_append_val (jobs, ranked);
   }
   g_array_sort (jobs, by_urgency);
   return jobs;
@@ -305,8 +308,7 @@
   const gp_job_t *job = task->job;
   uint32_t step = gp_task_step_number (task);
   const gp_job_task_t *first
-      = &job->tasks[gp_task_occurrence (task) * job->tasks_per_occurrence
-                    + job->step_start[step]];
+      = gp_job_step_tasks (job, gp_task_occurrence (task), step);
 
   for (uint32_t i = 0; i < job->submission->steps[step]->count; i++)
     if (first[i].executor != NULL)
@@ -352,7 +354,7 @@
   if (step->same_rack && !is_with_siblings (executor, task))
     points -= RACK_POINTS;
   if (task->failed_on == executor)
-    points -= 4000;
+    points -= FAILED_POINTS;
   return points;
 }
 
@@ -418,9 +420,9 @@
   job->idle_since = pass->now;
 }
 
-/* Assign the waiting tasks of a step one by one; false when one found no
-   place, so that those like it need no look.  */
-static bool
+/* Assign the waiting tasks of a step one by one, up to one that finds no
+   place: those after it are like it.  */
+static void
 assign_each (pass_t *pass, gp_job_task_t *first, uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
@@ -433,11 +435,10 @@
       if (candidate == NULL)
         {
           note_idle (pass, first[i].job);
-          return false;
+          return;
         }
       assign (pass, &first[i], candidate, first[i].run + 1);
     }
-  return true;
 }
 
 static void
@@ -502,8 +503,7 @@
 assign_step (pass_t *pass, gp_job_t *job, uint32_t occurrence, uint32_t step)
 {
   const Gp__Jobs__Step *definition = job->submission->steps[step];
-  gp_job_task_t *first = &job->tasks[occurrence * job->tasks_per_occurrence
-                                     + job->step_start[step]];
+  gp_job_task_t *first = gp_job_step_tasks (job, occurrence, step);
 
   if (definition->gang)
     assign_gang (pass, first, definition->count);
@@ -518,7 +518,7 @@
 
   for (uint32_t k = 0; k < job->occurrences; k++)
     for (uint32_t s = 0; s < steps; s++)
-      if (job->tallies[k * steps + s].waiting > 0
+      if (gp_job_tallies (job, k)[s].waiting > 0
           && gp_job_step_ready (job, k, s, wall_ms))
         assign_step (pass, job, k, s);
 }
@@ -528,7 +528,7 @@
                       const gp_job_task_t *task, gp_time_t now)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
-  pass_t pass = { .book = book, .pressure = pressure, .now = now };
+  pass_t pass = { .pressure = pressure, .now = now };
   bool found = false;
 
   pass.candidates = find_candidates (book, now);
@@ -549,8 +549,7 @@
 gp_placer_assign (gp_book_t *book, gp_pressure_t *pressure, gp_time_t now,
                   int64_t wall_ms, GPtrArray *placed)
 {
-  pass_t pass
-      = { .book = book, .pressure = pressure, .now = now, .placed = placed };
+  pass_t pass = { .pressure = pressure, .now = now, .placed = placed };
   GArray *jobs;
 
   pass.candidates = find_candidates (book, now);
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -152,8 +152,7 @@
   gp_job_t *job = task->job;
   uint32_t step = gp_task_step_number (task);
 
-  *first = &job->tasks[gp_task_occurrence (task) * job->tasks_per_occurrence
-                       + job->step_start[step]];
+  *first = gp_job_step_tasks (job, gp_task_occurrence (task), step);
   return job->submission->steps[step]->count;
 }
 
@@ -241,7 +240,7 @@
   bool current
       = task != NULL && task->executor == executor && task->run == end->run;
 
-  if (gp_book_awaits (scheduler->book, end->task))
+  if (task == NULL && gp_book_awaits (scheduler->book, end->task))
     return false;
   g_array_append_val (scheduler->orders, order);
   if (!current)
--- a/src/jobsd/janitor.c
+++ b/src/jobsd/janitor.c
@@ -11,12 +11,6 @@
 /* Jobs in one append.  */
 #define DROPS_MAX 500
 
-static bool
-ended_before (const gp_job_t *job, int64_t wall_ms)
-{
-  return job->recorded >= GP_JOB_COMPLETED && job->ended_wall_ms < wall_ms;
-}
-
 static void
 on_dropped (const gp_platform_store_answer_t *answer, void *data)
 {
@@ -43,7 +37,7 @@
       gp_job_t *job = value;
       char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
 
-      if (job->dropped || !ended_before (job, wall_ms))
+      if (job->dropped || !gp_job_ended_before (job, wall_ms))
         continue;
       job->dropped = true;
       drops++;
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -450,7 +450,7 @@
   gp_histogram_add (&book_age,
                     gp_loop_now (front->loop) - front->jobs->fresh_at);
   state = job->recorded;
-  if (job->cancelled && state < GP_JOB_COMPLETED)
+  if (job->cancelled && !gp_job_end_is_recorded (job))
     state = GP_JOB_CANCELLED;
   body = gp_platform_state_body (gp_job_state_name (state));
   answer (exchange, 200, body);
@@ -462,7 +462,7 @@
 {
   const gp_job_t *job = gp_book_find (front->book, id);
 
-  if (job != NULL && (job->cancelled || job->recorded >= GP_JOB_COMPLETED))
+  if (job != NULL && (job->cancelled || gp_job_end_is_recorded (job)))
     {
       answer (exchange, 200, "{}");
       return;
