Guard: an order's result and a list's row have one type each

The executor's client had an enumeration of eight results and a row type of its own; the guard turned each into the agent's enumeration and row of the same meaning, the rows through a copy at every list, and nobody read the checkpoint and percent that were decoded for it. The client gives the agent's types now; the comments on the results went along.

Behaviour is unchanged.

--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -90,13 +90,13 @@
 typedef enum
 {
   GP_AGENT_TAKEN,
-  GP_AGENT_FENCED,
-  GP_AGENT_TOO_OLD,
-  GP_AGENT_TOO_LATE,
+  GP_AGENT_FENCED,   /* a higher fence was seen there */
+  GP_AGENT_TOO_OLD,  /* this run or a later one was stopped or ended there */
+  GP_AGENT_TOO_LATE, /* the lease of the order had run out */
   GP_AGENT_NO_ROOM,
-  GP_AGENT_REFUSED,
-  GP_AGENT_REPLACED,
-  GP_AGENT_UNANSWERED
+  GP_AGENT_REFUSED,   /* nothing was done: unhealthy, or a bad order */
+  GP_AGENT_REPLACED,  /* another executor answered */
+  GP_AGENT_UNANSWERED /* it may be carried out now or later */
 } gp_agent_result_t;
 
 /* A row of the executor's list.  */
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -82,31 +82,6 @@
 
 /* Calls to the executor.  */
 
-static gp_agent_result_t
-agent_result (gp_order_result_t result)
-{
-  switch (result)
-    {
-    case GP_ORDER_TAKEN:
-      return GP_AGENT_TAKEN;
-    case GP_ORDER_FENCED:
-      return GP_AGENT_FENCED;
-    case GP_ORDER_OLD:
-      return GP_AGENT_TOO_OLD;
-    case GP_ORDER_LATE:
-      return GP_AGENT_TOO_LATE;
-    case GP_ORDER_NO_ROOM:
-      return GP_AGENT_NO_ROOM;
-    case GP_ORDER_REFUSED:
-      return GP_AGENT_REFUSED;
-    case GP_ORDER_REPLACED:
-      return GP_AGENT_REPLACED;
-    case GP_ORDER_UNKNOWN:
-      return GP_AGENT_UNANSWERED;
-    }
-  return GP_AGENT_UNANSWERED;
-}
-
 static bool
 is_current (const gp_job_guard_t *guard, const char *executor)
 {
@@ -115,20 +90,19 @@
 }
 
 static void
-on_ordered (gp_order_result_t result, int64_t clock_ms, void *data)
+on_ordered (gp_agent_result_t result, int64_t clock_ms, void *data)
 {
   order_t *order = data;
   gp_job_guard_t *guard = order->guard;
 
   guard->calls_open--;
-  if (result == GP_ORDER_UNKNOWN)
+  if (result == GP_AGENT_UNANSWERED)
     gp_counter_add (&unanswered_count, 1);
   else
     gp_histogram_add (&order_time, now_of (guard) - order->sent_at);
   if (is_current (guard, order->executor))
     gp_agent_answered (&guard->agent, order->kind, order->name, order->run,
-                       order->percent, agent_result (result), clock_ms,
-                       now_of (guard));
+                       order->percent, result, clock_ms, now_of (guard));
   g_free (order->executor);
   g_free (order);
   act_soon (guard);
@@ -212,18 +186,13 @@
 static void
 take_list (gp_job_guard_t *guard, const gp_runtime_list_t *list)
 {
-  gp_agent_row_t *rows = g_new (gp_agent_row_t, list->run_count);
   uint64_t listed = guard->agent.listed_ends;
 
-  for (size_t i = 0; i < list->run_count; i++)
-    rows[i] = (gp_agent_row_t){ list->runs[i].task, list->runs[i].run,
-                                list->runs[i].measure };
-  if (gp_agent_listed (&guard->agent, rows, list->run_count, list->ends,
+  if (gp_agent_listed (&guard->agent, list->runs, list->run_count, list->ends,
                        list->end_count, list->clock_ms, list->sent_at,
                        now_of (guard)))
     gp_guard_send_report (guard);
   gp_counter_add (&ends_count, (int64_t)(guard->agent.listed_ends - listed));
-  g_free (rows);
   act_soon (guard);
 }
 
@@ -237,13 +206,12 @@
   guard->listing = false;
   if (guard->agent.executor == NULL)
     return;
-  if (list->result == GP_ORDER_TAKEN)
+  if (list->result == GP_AGENT_TAKEN)
     take_list (guard, list);
   else
     {
       pause = LIST_RETRY_TIME;
-      gp_agent_list_refused (&guard->agent, agent_result (list->result),
-                             list->clock_ms, now);
+      gp_agent_list_refused (&guard->agent, list->result, list->clock_ms, now);
     }
   if (guard->agent.ends->len > 0 && guard->unrecorded_since == 0)
     guard->unrecorded_since = now;
