One function packs a message, one sends it, one reads the wall clock in ms

Five places measured, allocated and packed a protobuf message on their own (progress, place, leadership, node, submission, frame, configuration update), and the tests twice more: gp_message_pack does it. The guards' frames and the product's envelopes were written into the peer's buffer by two functions of the same body: gp_codec_send_message. The leader put values into its batch in three ways, compared the key of a record by hand as the entry did, and five places divided the wall clock. The two loops of gp_book_pack, of which one always ran over nothing, are one with a named condition.

Behaviour is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,8 @@
 FUZZ_SRC := $(wildcard tests/fuzz/fuzz_*.c)
 FUZZERS := $(FUZZ_SRC:tests/fuzz/%.c=build-fuzz/%)
 FUZZ_LIB_SRC := $(wildcard src/base/*.c src/state/document*.c) \
-	src/state/config.c src/protocol/generated/wire.pb-c.c \
+	src/state/config.c src/protocol/message.c \
+	src/protocol/generated/wire.pb-c.c \
 	src/protocol/generated/jobs.pb-c.c src/jobs/queues.c \
 	platform/settings.c platform/heartbeat.c platform/jobs_http.c
 FUZZ_SECONDS ?= 30
--- a/src/base/time.c
+++ b/src/base/time.c
@@ -24,3 +24,9 @@
 {
   return read_clock (CLOCK_REALTIME);
 }
+
+int64_t
+gp_time_wall_ms (void)
+{
+  return gp_time_wall () / GP_MSEC;
+}
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -25,6 +25,10 @@
    people, incarnation numbers and hybrid logical clocks.  */
 int64_t gp_time_wall (void);
 
+/* The same in milliseconds, for records that other processes read: their
+   clocks differ a little.  */
+int64_t gp_time_wall_ms (void);
+
 /* POINT + DURATION, kept at GP_TIME_NEVER when POINT is that.  */
 static inline gp_time_t
 gp_time_add (gp_time_t point, gp_time_t duration)
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "protocol/message.h"
 
 /* More than any job is kept; an older time is a clock that is wrong.  */
 #define AGE_MAX_MS ((int64_t)3600 * 1000)
@@ -269,10 +270,14 @@
   return job;
 }
 
+/* Does a record of the job need TASK?  When the job has ended, only what may
+   still be at work.  */
 static bool
-untouched (const gp_job_task_t *task)
+is_packed (const gp_job_task_t *task, bool ended)
 {
-  return task->state == GP_TASK_WAITING && task->run == 0;
+  if (ended)
+    return task->executor != NULL;
+  return task->state != GP_TASK_WAITING || task->run != 0;
 }
 
 static void
@@ -298,35 +303,26 @@
   Gp__Jobs__Progress progress = GP__JOBS__PROGRESS__INIT;
   Gp__Jobs__TaskProgress *tasks
       = g_new (Gp__Jobs__TaskProgress, job->task_count);
-  uint8_t *bytes;
-  size_t size;
+  bool ended = gp_job_ended (job);
+  GBytes *bytes;
 
   progress.state = job->state;
   progress.ended_wall_ms = job->ended_wall_ms;
   progress.done = g_new (uint32_t, job->task_count);
   progress.tasks = g_new (Gp__Jobs__TaskProgress *, job->task_count);
-  for (uint32_t i = 0; i < job->task_count && !gp_job_ended (job); i++)
-    if (job->tasks[i].state == GP_TASK_DONE)
+  for (uint32_t i = 0; i < job->task_count; i++)
+    if (job->tasks[i].state == GP_TASK_DONE && !ended)
       progress.done[progress.n_done++] = i;
-    else if (!untouched (&job->tasks[i]))
-      {
-        progress.tasks[progress.n_tasks] = &tasks[progress.n_tasks];
-        pack_task (&job->tasks[i], &tasks[progress.n_tasks++]);
-      }
-  /* An ended job keeps what may still be at work.  */
-  for (uint32_t i = 0; i < job->task_count && gp_job_ended (job); i++)
-    if (job->tasks[i].executor != NULL)
+    else if (is_packed (&job->tasks[i], ended))
       {
         progress.tasks[progress.n_tasks] = &tasks[progress.n_tasks];
         pack_task (&job->tasks[i], &tasks[progress.n_tasks++]);
       }
-  size = gp__jobs__progress__get_packed_size (&progress);
-  bytes = g_malloc (size);
-  gp__jobs__progress__pack (&progress, bytes);
+  bytes = gp_message_pack (&progress.base);
   g_free (progress.done);
   g_free (progress.tasks);
   g_free (tasks);
-  return g_bytes_new_take (bytes, size);
+  return bytes;
 }
 
 void
--- a/src/jobsd/announce.c
+++ b/src/jobsd/announce.c
@@ -3,6 +3,7 @@
 #include "jobsd/announce.h"
 
 #include "jobs.pb-c.h"
+#include "protocol/message.h"
 
 #define ANNOUNCE_TIME (2 * GP_SEC)
 
@@ -14,20 +15,20 @@
 {
   Gp__Jobs__Node node = GP__JOBS__NODE__INIT;
   GByteArray *batch = g_byte_array_new ();
-  uint8_t *bytes;
-  size_t size;
+  GBytes *value;
+  gsize size;
+  const uint8_t *bytes;
 
   node.address = (char *)address;
   node.guard = guard;
   node.zone = settings->zone;
   node.incarnation = (uint64_t)gp_time_wall ();
-  size = gp__jobs__node__get_packed_size (&node);
-  bytes = g_malloc (size);
-  gp__jobs__node__pack (&node, bytes);
+  value = gp_message_pack (&node.base);
+  bytes = g_bytes_get_data (value, &size);
   gp_platform_store_batch_add (batch, settings->node, bytes, size);
   gp_platform_store_append (store, GP_TOPIC_NODES, batch,
                             GP_PLATFORM_STORE_ANYWHERE, now + ANNOUNCE_TIME,
                             on_done, data);
-  g_free (bytes);
+  g_bytes_unref (value);
   g_byte_array_unref (batch);
 }
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -41,8 +41,8 @@
     job = gp_book_cancel (&entry->book, key + prefix);
   else if (gp_job_id_valid (key, record->key_size))
     job = gp_book_submit (&entry->book, key, record->value, record->value_size,
-                          gp_loop_now (&entry->loop),
-                          gp_time_wall () / GP_MSEC, &error);
+                          gp_loop_now (&entry->loop), gp_time_wall_ms (),
+                          &error);
   if (error != NULL)
     {
       gp_log (GP_LOG_WARNING, "record.malformed",
@@ -78,9 +78,7 @@
   gp_queues_t queues;
   GError *error = NULL;
 
-  if (record->key_size != strlen (GP_PLATFORM_STORE_DOCUMENT_KEY)
-      || memcmp (record->key, GP_PLATFORM_STORE_DOCUMENT_KEY, record->key_size)
-             != 0
+  if (!gp_platform_store_record_is (record, GP_PLATFORM_STORE_DOCUMENT_KEY)
       || record->value_size == 0)
     return;
   gp_queues_init (&queues);
--- a/src/jobsd/janitor.c
+++ b/src/jobsd/janitor.c
@@ -61,7 +61,7 @@
 on_timer (gp_timer_t *timer, void *data)
 {
   gp_janitor_t *janitor = data;
-  int64_t wall_ms = gp_time_wall () / GP_MSEC;
+  int64_t wall_ms = gp_time_wall_ms ();
   gp_time_t pause = janitor->keep_ms * GP_MSEC / LOOKS;
 
   gp_timer_arm (&janitor->timer, gp_loop_now (janitor->loop) + pause);
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -15,6 +15,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "platform/jobs_http.h"
+#include "protocol/message.h"
 
 /* How long a caller waits who does not tell.  */
 #define PATIENCE_DEFAULT (3 * GP_SEC)
@@ -380,17 +381,7 @@
   submission->max_attempts = queue->max_attempts;
   submission->stretch_percent = queue->stretch_percent;
   submission->target_ms = queue->target_ms;
-  submission->accepted_wall_ms = gp_time_wall () / GP_MSEC;
-}
-
-static GBytes *
-pack_submission (const Gp__Jobs__Submission *submission)
-{
-  size_t size = gp__jobs__submission__get_packed_size (submission);
-  uint8_t *bytes = g_malloc (size);
-
-  gp__jobs__submission__pack (submission, bytes);
-  return g_bytes_new_take (bytes, size);
+  submission->accepted_wall_ms = gp_time_wall_ms ();
 }
 
 static void
@@ -419,7 +410,8 @@
   else
     {
       set_policy (submission, queue);
-      start_change (front, exchange, id, false, pack_submission (submission));
+      start_change (front, exchange, id, false,
+                    gp_message_pack (&submission->base));
     }
   if (submission != NULL)
     gp__jobs__submission__free_unpacked (submission, NULL);
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -7,6 +7,7 @@
 
 #include "base/histogram.h"
 #include "base/log.h"
+#include "protocol/message.h"
 
 /* An idle leader writes a record so often.  */
 #define HEARTBEAT_TIME (400 * GP_MSEC)
@@ -38,12 +39,6 @@
   return gp_loop_now (leader->loop);
 }
 
-static int64_t
-wall_ms (void)
-{
-  return gp_time_wall () / GP_MSEC;
-}
-
 void
 gp_leader_turn_soon (gp_leader_t *leader)
 {
@@ -53,16 +48,13 @@
 /* Records.  */
 
 static void
-add_message (gp_leader_t *leader, const char *key,
-             const ProtobufCMessage *message)
+add_record (gp_leader_t *leader, const char *key, GBytes *value)
 {
-  size_t size = protobuf_c_message_get_packed_size (message);
-  uint8_t *bytes = g_malloc (size);
+  gsize size;
+  const uint8_t *data = g_bytes_get_data (value, &size);
 
-  protobuf_c_message_pack (message, bytes);
-  gp_platform_store_batch_add (leader->batch, key, bytes, size);
+  gp_platform_store_batch_add (leader->batch, key, data, size);
   leader->batch_records++;
-  g_free (bytes);
 }
 
 /* Each batch ends with the leader's record, by which its writer is known
@@ -71,12 +63,15 @@
 add_leadership (gp_leader_t *leader, bool resigned)
 {
   Gp__Jobs__Leadership record = GP__JOBS__LEADERSHIP__INIT;
+  GBytes *value;
 
   record.node = (char *)leader->node;
   record.incarnation = leader->incarnation;
   record.resigned = resigned;
   record.beat = ++leader->beat;
-  add_message (leader, GP_LEADER_KEY, &record.base);
+  value = gp_message_pack (&record.base);
+  add_record (leader, GP_LEADER_KEY, value);
+  g_bytes_unref (value);
 }
 
 void
@@ -85,17 +80,11 @@
 {
   Gp__Jobs__Place place = GP__JOBS__PLACE__INIT;
   char *key = g_strconcat (GP_PLACE_PREFIX, node, NULL);
-  GBytes *bytes;
-  size_t size;
-  uint8_t *packed;
 
   place.executor = (char *)executor;
-  size = gp__jobs__place__get_packed_size (&place);
-  packed = g_malloc (size);
-  gp__jobs__place__pack (&place, packed);
-  bytes = g_bytes_new_take (packed, size);
   g_hash_table_replace (leader->places, g_strdup (node), g_strdup (executor));
-  g_hash_table_replace (leader->new_places, key, bytes);
+  g_hash_table_replace (leader->new_places, key,
+                        gp_message_pack (&place.base));
 }
 
 static void
@@ -107,13 +96,7 @@
 
   g_hash_table_iter_init (&iter, leader->new_places);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      gsize size;
-      const uint8_t *data = g_bytes_get_data (value, &size);
-
-      gp_platform_store_batch_add (leader->batch, key, data, size);
-      leader->batch_records++;
-    }
+    add_record (leader, key, value);
   g_hash_table_remove_all (leader->new_places);
 }
 
@@ -127,11 +110,8 @@
       gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, dirty_link);
       const batch_state_t state = { job, job->state };
       GBytes *bytes = gp_book_pack (job);
-      gsize size;
-      const uint8_t *data = g_bytes_get_data (bytes, &size);
 
-      gp_platform_store_batch_add (leader->batch, job->id, data, size);
-      leader->batch_records++;
+      add_record (leader, job->id, bytes);
       g_array_append_val (leader->batch_states, state);
       g_bytes_unref (bytes);
     }
@@ -207,8 +187,7 @@
   Gp__Jobs__Leadership *leadership;
   bool own;
 
-  if (record->key_size != strlen (GP_LEADER_KEY)
-      || memcmp (record->key, GP_LEADER_KEY, record->key_size) != 0)
+  if (!gp_platform_store_record_is (record, GP_LEADER_KEY))
     return false;
   leadership
       = gp__jobs__leadership__unpack (NULL, record->value_size, record->value);
@@ -357,7 +336,8 @@
   /* While an append is on its way nothing new can be written: what comes
      meanwhile is decided on together.  */
   if (leader->batch == NULL && !leader->stopping)
-    gp_scheduler_plan (&leader->scheduler, now_of (leader), wall_ms ());
+    gp_scheduler_plan (&leader->scheduler, now_of (leader),
+                       gp_time_wall_ms ());
   flush (leader);
   gp_timer_arm (&leader->timer, next_look (leader));
 }
@@ -378,7 +358,7 @@
 {
   GP_LIST_FOREACH_SAFE (link, &leader->book->live)
   gp_scheduler_job (&leader->scheduler, GP_CONTAINER_OF (link, gp_job_t, link),
-                    wall_ms ());
+                    gp_time_wall_ms ());
 }
 
 static void
@@ -481,7 +461,7 @@
 
   leader->heard_at = now_of (leader);
   leader->foreign_until = leader->heard_at + GP_LEADER_TERM_TIME;
-  if (strcmp (key, GP_LEADER_KEY) == 0)
+  if (gp_platform_store_record_is (record, GP_LEADER_KEY))
     on_leadership (leader, record);
   else if (g_str_has_prefix (key, GP_PLACE_PREFIX))
     on_place (leader, key + strlen (GP_PLACE_PREFIX), record);
@@ -502,7 +482,7 @@
 {
   if (leader->role != GP_LEADER_LEADING)
     return;
-  gp_scheduler_job (&leader->scheduler, job, wall_ms ());
+  gp_scheduler_job (&leader->scheduler, job, gp_time_wall_ms ());
   gp_leader_turn_soon (leader);
 }
 
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "jobsd/leader_private.h"
+#include "protocol/message.h"
 
 /* A frame that waits for the append of its reason.  */
 typedef struct
@@ -36,7 +37,7 @@
 
   frame->link = link;
   frame->peer = link->peer;
-  frame->bytes = gp_link_pack (message);
+  frame->bytes = gp_message_pack (&message->base);
   g_ptr_array_add (link->leader->frames, frame);
 }
 
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -163,7 +163,7 @@
   for (size_t i = 0; i < report->n_ends; i++)
     {
       if (!gp_scheduler_end (&leader->scheduler, executor, report->ends[i],
-                             now, gp_time_wall () / GP_MSEC))
+                             now, gp_time_wall_ms ()))
         break;
     }
   for (size_t i = 0; i < report->n_absent; i++)
--- a/src/jobsd/link.c
+++ b/src/jobsd/link.c
@@ -3,28 +3,12 @@
 #include "jobsd/link.h"
 
 #include "base/log.h"
+#include "protocol/codec.h"
 
 bool
 gp_link_send (gp_peer_t *peer, const Gp__Jobs__Frame *frame)
 {
-  size_t size = gp__jobs__frame__get_packed_size (frame);
-  uint8_t *bytes
-      = size <= GP_FRAME_MAX_SIZE ? gp_peer_reserve (peer, size) : NULL;
-
-  if (bytes == NULL)
-    return false;
-  gp__jobs__frame__pack (frame, bytes);
-  return true;
-}
-
-GBytes *
-gp_link_pack (const Gp__Jobs__Frame *frame)
-{
-  size_t size = gp__jobs__frame__get_packed_size (frame);
-  uint8_t *bytes = g_malloc (size);
-
-  gp__jobs__frame__pack (frame, bytes);
-  return g_bytes_new_take (bytes, size);
+  return gp_codec_send_message (peer, &frame->base);
 }
 
 bool
--- a/src/jobsd/link.h
+++ b/src/jobsd/link.h
@@ -9,8 +9,7 @@
 /* Send FRAME.  False when the peer is closing or the frame is too long.  */
 bool gp_link_send (gp_peer_t *peer, const Gp__Jobs__Frame *frame);
 
-/* FRAME as bytes, for sending later.  */
-GBytes *gp_link_pack (const Gp__Jobs__Frame *frame);
+/* Send a frame that was packed before.  */
 bool gp_link_send_bytes (gp_peer_t *peer, GBytes *bytes);
 
 /* Decode a frame, to be freed with gp__jobs__frame__free_unpacked.  NULL and
--- a/src/protocol/codec.c
+++ b/src/protocol/codec.c
@@ -5,9 +5,9 @@
 #include "base/error.h"
 
 bool
-gp_codec_send (gp_peer_t *peer, const Gp__Wire__Envelope *envelope)
+gp_codec_send_message (gp_peer_t *peer, const ProtobufCMessage *message)
 {
-  size_t size = gp__wire__envelope__get_packed_size (envelope);
+  size_t size = protobuf_c_message_get_packed_size (message);
   uint8_t *bytes;
 
   if (size > GP_FRAME_MAX_SIZE)
@@ -15,10 +15,16 @@
   bytes = gp_peer_reserve (peer, size);
   if (bytes == NULL)
     return false;
-  gp__wire__envelope__pack (envelope, bytes);
+  protobuf_c_message_pack (message, bytes);
   return true;
 }
 
+bool
+gp_codec_send (gp_peer_t *peer, const Gp__Wire__Envelope *envelope)
+{
+  return gp_codec_send_message (peer, &envelope->base);
+}
+
 static void *
 arena_alloc (void *data, size_t size)
 {
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -18,8 +18,11 @@
     .member = (value)                                                         \
   }
 
-/* Encode ENVELOPE straight into the peer's write buffer.  False when the
+/* Encode a message straight into the peer's write buffer.  False when the
    peer is closing or the message is over the frame bound.  */
+bool gp_codec_send_message (gp_peer_t *peer, const ProtobufCMessage *message);
+
+/* The same for an envelope.  */
 bool gp_codec_send (gp_peer_t *peer, const Gp__Wire__Envelope *envelope);
 
 /* Decode one frame into ARENA, which is reset first: the result is valid
--- /dev/null
+++ b/src/protocol/message.c
@@ -0,0 +1,13 @@
+/* Packing any message into bytes of its own.  */
+
+#include "protocol/message.h"
+
+GBytes *
+gp_message_pack (const ProtobufCMessage *message)
+{
+  size_t size = protobuf_c_message_get_packed_size (message);
+  uint8_t *bytes = g_malloc (size);
+
+  protobuf_c_message_pack (message, bytes);
+  return g_bytes_new_take (bytes, size);
+}
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "protocol/message.h"
+
 /* Visits the items of a slice in the order of their keys.  */
 typedef struct
 {
@@ -338,8 +340,7 @@
   walk_t walk = { .filter = filter, .data = data };
   GPtrArray *changes = have == 0 ? NULL : changes_since (config, have);
   uint8_t digest[GP_CONFIG_DIGEST_SIZE];
-  uint8_t *bytes;
-  size_t size;
+  GBytes *bytes;
 
   walk.items = g_ptr_array_new_with_free_func (g_free);
   if (changes != NULL)
@@ -353,11 +354,9 @@
   message.digest.len = sizeof digest;
   message.n_items = walk.items->len;
   message.items = (Gp__Wire__ConfigItem **)walk.items->pdata;
-  size = gp__wire__config_update__get_packed_size (&message);
-  bytes = g_malloc (size + 1);
-  gp__wire__config_update__pack (&message, bytes);
+  bytes = gp_message_pack (&message.base);
   g_ptr_array_unref (walk.items);
   if (changes != NULL)
     g_ptr_array_unref (changes);
-  return g_bytes_new_take (bytes, size);
+  return bytes;
 }
--- a/tests/unit/jobs_site.c
+++ b/tests/unit/jobs_site.c
@@ -2,6 +2,8 @@
 
 #include "jobs_site.h"
 
+#include "protocol/message.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -96,14 +98,14 @@
 jobs_site_submit (jobs_site_t *site, const char *id,
                   Gp__Jobs__Submission *submission)
 {
-  size_t size = gp__jobs__submission__get_packed_size (submission);
-  uint8_t *bytes = g_malloc (size);
+  GBytes *packed = gp_message_pack (&submission->base);
+  gsize size;
+  const uint8_t *bytes = g_bytes_get_data (packed, &size);
   gp_job_t *job;
 
-  gp__jobs__submission__pack (submission, bytes);
   gp__jobs__submission__free_unpacked (submission, NULL);
   job = gp_book_submit (&site->book, id, bytes, size, site->now, 0, NULL);
-  g_free (bytes);
+  g_bytes_unref (packed);
   return job;
 }
 
@@ -140,17 +142,16 @@
     {
       const gp_job_t *job = value;
       GBytes *progress = gp_book_pack (job);
-      size_t packed = gp__jobs__submission__get_packed_size (job->submission);
-      uint8_t *submission = g_malloc (packed);
+      GBytes *submission = gp_message_pack (&job->submission->base);
       gsize size;
-      const uint8_t *data = g_bytes_get_data (progress, &size);
+      const uint8_t *bytes = g_bytes_get_data (progress, &size);
 
-      gp__jobs__submission__pack (job->submission, submission);
-      gp_book_progress (fresh, job->id, data, size, NULL);
-      gp_book_submit (fresh, job->id, submission, packed, site->now, 0, NULL);
+      gp_book_progress (fresh, job->id, bytes, size, NULL);
+      bytes = g_bytes_get_data (submission, &size);
+      gp_book_submit (fresh, job->id, bytes, size, site->now, 0, NULL);
       if (job->cancelled)
         gp_book_cancel (fresh, job->id);
-      g_free (submission);
+      g_bytes_unref (submission);
       g_bytes_unref (progress);
     }
 }
