Node: one announcer for entries and guards, and no state that nobody reads

The entry and the guard each had a timer, a retry and a callback for writing their address; gp_announcer_t has them now. With it an entry logs announce.failed as a guard does; it passed a failure over in silence before.

Gone: the node and zone of an executor, copied at each report and never read; the guard's stopping, the feed's sent_at and a macro that nothing uses; the feed's first_page, which says the same as that there is no key to go on after. The labels of an executor were freed and copied at each of three reports a second; they are compared first. A threshold has a name.

Behaviour is otherwise unchanged.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -25,7 +25,7 @@
       report.service = (char *)"s";
       report.cpu_milli = CORES * 1000;
       report.memory_mb = CORES * 1024;
-      gp_job_executor_update (executor, id, &report, 0);
+      gp_job_executor_update (executor, &report, 0);
       executor->reachable = true;
     }
 }
--- a/src/jobs/executor.c
+++ b/src/jobs/executor.c
@@ -20,38 +20,45 @@
   while (gp_list_pop_front (&executor->tasks) != NULL)
     ;
   g_free (executor->id);
-  g_free (executor->node);
   g_free (executor->service);
-  g_free (executor->zone);
   g_strfreev (executor->labels);
   g_free (executor);
 }
 
-static void
-set_labels (gp_job_executor_t *executor, const Gp__Jobs__Executor *report)
+static bool
+has_labels (const gp_job_executor_t *executor,
+            const Gp__Jobs__Executor *report)
 {
-  g_strfreev (executor->labels);
-  executor->labels = g_new0 (char *, report->n_labels + 1);
+  if (executor->labels == NULL
+      || g_strv_length (executor->labels) != report->n_labels)
+    return false;
   for (size_t i = 0; i < report->n_labels; i++)
-    executor->labels[i] = g_strdup (report->labels[i]);
+    if (strcmp (executor->labels[i], report->labels[i]) != 0)
+      return false;
+  return true;
 }
 
+/* Reports come a few times a second and seldom differ.  */
 static void
-set_text (char **text, const char *value)
+set_labels (gp_job_executor_t *executor, const Gp__Jobs__Executor *report)
 {
-  if (g_strcmp0 (*text, value) == 0)
+  if (has_labels (executor, report))
     return;
-  g_free (*text);
-  *text = g_strdup (value);
+  g_strfreev (executor->labels);
+  executor->labels = g_new0 (char *, report->n_labels + 1);
+  for (size_t i = 0; i < report->n_labels; i++)
+    executor->labels[i] = g_strdup (report->labels[i]);
 }
 
 void
-gp_job_executor_update (gp_job_executor_t *executor, const char *node,
+gp_job_executor_update (gp_job_executor_t *executor,
                         const Gp__Jobs__Executor *report, gp_time_t now)
 {
-  set_text (&executor->node, node);
-  set_text (&executor->service, report->service);
-  set_text (&executor->zone, report->zone);
+  if (g_strcmp0 (executor->service, report->service) != 0)
+    {
+      g_free (executor->service);
+      executor->service = g_strdup (report->service);
+    }
   set_labels (executor, report);
   executor->capacity.cpu_milli = report->cpu_milli;
   executor->capacity.memory_mb = report->memory_mb;
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -21,9 +21,7 @@
 struct gp_job_executor
 {
   char *id;
-  char *node; /* the VM's name, NULL when it is known from records only */
   char *service;
-  char *zone;
   char **labels; /* NULL-terminated, may be NULL */
   gp_room_t capacity;
   gp_room_t used;  /* by runs, filling ones only by their memory */
@@ -44,8 +42,8 @@
 gp_job_executor_t *gp_job_executor_new (const char *id);
 void gp_job_executor_free (gp_job_executor_t *executor);
 
-/* Take over what the guard on NODE says.  */
-void gp_job_executor_update (gp_job_executor_t *executor, const char *node,
+/* Take over what its guard says.  */
+void gp_job_executor_update (gp_job_executor_t *executor,
                              const Gp__Jobs__Executor *report, gp_time_t now);
 
 /* Reserve for TASK, which has been assigned to EXECUTOR, and let go.  */
--- a/src/jobsd/announce.c
+++ b/src/jobsd/announce.c
@@ -2,16 +2,28 @@
 
 #include "jobsd/announce.h"
 
+#include "base/log.h"
 #include "jobs.pb-c.h"
 #include "protocol/message.h"
 
+/* A slow store answers within this.  */
 #define ANNOUNCE_TIME (2 * GP_SEC)
+/* Between tries: nobody finds the process meanwhile.  */
+#define RETRY_TIME (500 * GP_MSEC)
 
-void
-gp_announce (gp_platform_store_t *store,
-             const gp_platform_settings_t *settings, const char *address,
-             bool guard, gp_time_t now, gp_platform_store_cb_t on_done,
-             void *data)
+static void
+on_announced (const gp_platform_store_answer_t *answer, void *data)
+{
+  gp_announcer_t *announcer = data;
+
+  if (answer->result == GP_PLATFORM_STORE_DONE)
+    return;
+  gp_log (GP_LOG_WARNING, "announce.failed", GP_LOG_S ("why", answer->reason));
+  gp_timer_arm (&announcer->retry, gp_loop_now (announcer->loop) + RETRY_TIME);
+}
+
+static void
+announce (gp_announcer_t *announcer)
 {
   Gp__Jobs__Node node = GP__JOBS__NODE__INIT;
   GByteArray *batch = g_byte_array_new ();
@@ -19,16 +31,43 @@
   gsize size;
   const uint8_t *bytes;
 
-  node.address = (char *)address;
-  node.guard = guard;
-  node.zone = settings->zone;
+  node.address = (char *)announcer->address;
+  node.guard = announcer->guard;
+  node.zone = announcer->settings->zone;
   node.incarnation = (uint64_t)gp_time_wall ();
   value = gp_message_pack (&node.base);
   bytes = g_bytes_get_data (value, &size);
-  gp_platform_store_batch_add (batch, settings->node, bytes, size);
-  gp_platform_store_append (store, GP_TOPIC_NODES, batch,
-                            GP_PLATFORM_STORE_ANYWHERE, now + ANNOUNCE_TIME,
-                            on_done, data);
+  gp_platform_store_batch_add (batch, announcer->settings->node, bytes, size);
+  gp_platform_store_append (
+      announcer->store, GP_TOPIC_NODES, batch, GP_PLATFORM_STORE_ANYWHERE,
+      gp_loop_now (announcer->loop) + ANNOUNCE_TIME, on_announced, announcer);
   g_bytes_unref (value);
   g_byte_array_unref (batch);
 }
+
+static void
+on_retry (gp_timer_t *timer, void *data)
+{
+  announce (data);
+}
+
+void
+gp_announcer_start (gp_announcer_t *announcer, gp_loop_t *loop,
+                    gp_platform_store_t *store,
+                    const gp_platform_settings_t *settings,
+                    const char *address, bool guard)
+{
+  *announcer = (gp_announcer_t){ .loop = loop,
+                                 .store = store,
+                                 .settings = settings,
+                                 .address = address,
+                                 .guard = guard };
+  gp_timer_init (&announcer->retry, loop, on_retry, announcer);
+  announce (announcer);
+}
+
+void
+gp_announcer_finish (gp_announcer_t *announcer)
+{
+  gp_timer_finish (&announcer->retry);
+}
--- a/src/jobsd/announce.h
+++ b/src/jobsd/announce.h
@@ -1,4 +1,5 @@
-/* Telling the others where a process is reached.  */
+/* Telling the others where a process is reached: its address under its VM's
+   name in the topic of nodes, again until the store has it.  */
 
 #ifndef GP_JOBSD_ANNOUNCE_H
 #define GP_JOBSD_ANNOUNCE_H
@@ -6,10 +7,21 @@
 #include "platform/settings.h"
 #include "platform/store.h"
 
-/* Write ADDRESS under this VM's name into the topic of nodes.  */
-void gp_announce (gp_platform_store_t *store,
-                  const gp_platform_settings_t *settings, const char *address,
-                  bool guard, gp_time_t now, gp_platform_store_cb_t on_done,
-                  void *data);
+typedef struct
+{
+  gp_loop_t *loop;
+  gp_platform_store_t *store;
+  const gp_platform_settings_t *settings;
+  const char *address;
+  bool guard; /* else an entry */
+  gp_timer_t retry;
+} gp_announcer_t;
+
+/* Announce ADDRESS, which has to stay valid, as SETTINGS.  */
+void gp_announcer_start (gp_announcer_t *announcer, gp_loop_t *loop,
+                         gp_platform_store_t *store,
+                         const gp_platform_settings_t *settings,
+                         const char *address, bool guard);
+void gp_announcer_finish (gp_announcer_t *announcer);
 
 #endif
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -1,7 +1,6 @@
 /* The entry of a site that runs on the platform.  */
 
 #include "jobsd/entry.h"
-#include "jobsd/announce.h"
 #include "jobsd/metrics.h"
 
 #include <string.h>
@@ -20,9 +19,9 @@
 /* Followers read progress in portions: a state that is told so late costs a
    caller nothing, and each read has its price.  */
 #define PROGRESS_SPACING (60 * GP_MSEC)
-#define ANNOUNCE_RETRY_TIME (500 * GP_MSEC)
-/* How old the book may be for this entry to be ready.  */
-#define READY_AGE (6 * GP_SEC)
+/* How old the book may be for this entry to take the lead: an idle feed is
+   known to be fresh once a second.  */
+#define LEAD_AGE (2 * GP_SEC)
 
 static gp_counter_t jobs_gauge = GP_GAUGE ("jobs", "Jobs in the book");
 static gp_counter_t leading_gauge
@@ -124,8 +123,8 @@
 on_fresh (void *data)
 {
   gp_job_entry_t *entry = data;
-  bool ready = gp_feed_fresh (&entry->jobs, 2 * GP_SEC)
-               && gp_feed_fresh (&entry->progress, 2 * GP_SEC)
+  bool ready = gp_feed_fresh (&entry->jobs, LEAD_AGE)
+               && gp_feed_fresh (&entry->progress, LEAD_AGE)
                && entry->nodes.loaded && entry->queues.version > 0;
 
   if (!entry->progress.running)
@@ -183,27 +182,6 @@
                 &nodes, entry);
 }
 
-/* Peers are told where this entry passes calls on.  */
-
-static void
-on_announced (const gp_platform_store_answer_t *answer, void *data)
-{
-  gp_job_entry_t *entry = data;
-
-  if (answer->result != GP_PLATFORM_STORE_DONE)
-    gp_timer_arm (&entry->announce,
-                  gp_loop_now (&entry->loop) + ANNOUNCE_RETRY_TIME);
-}
-
-static void
-on_announce_due (gp_timer_t *timer, void *data)
-{
-  gp_job_entry_t *entry = data;
-
-  gp_announce (entry->store, entry->settings, entry->settings->relay, false,
-               gp_loop_now (&entry->loop), on_announced, entry);
-}
-
 /* Requests.  */
 
 static void
@@ -312,7 +290,6 @@
                    &entry->leader, settings->status_time);
   gp_jobs_front_init (&entry->front, &entry->loop, entry->store, &entry->book,
                       &entry->queues, &entry->jobs, on_job_record, entry);
-  gp_timer_init (&entry->announce, &entry->loop, on_announce_due, entry);
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
                           settings->store, error))
     return false;
@@ -329,7 +306,9 @@
   gp_log (GP_LOG_INFO, "process.start", GP_LOG_S ("zone", settings->zone),
           GP_LOG_S ("front", settings->front),
           GP_LOG_S ("store", settings->store));
-  on_announce_due (&entry->announce, entry);
+  /* Peers are told where this entry passes calls on.  */
+  gp_announcer_start (&entry->announcer, &entry->loop, entry->store, settings,
+                      settings->relay, false);
   gp_feed_start (&entry->documents);
   gp_feed_start (&entry->jobs);
   gp_feed_start (&entry->progress);
@@ -354,7 +333,7 @@
   gp_feed_finish (&entry->nodes);
   gp_leader_finish (&entry->leader);
   gp_way_finish (&entry->way);
-  gp_timer_finish (&entry->announce);
+  gp_announcer_finish (&entry->announcer);
   gp_timer_finish (&entry->leave);
   gp_loop_finish (&entry->loop);
   gp_queues_finish (&entry->queues);
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -6,6 +6,7 @@
 
 #include "jobs/book.h"
 #include "jobs/queues.h"
+#include "jobsd/announce.h"
 #include "jobsd/feed.h"
 #include "jobsd/janitor.h"
 #include "jobsd/jobs_front.h"
@@ -21,7 +22,7 @@
   gp_platform_store_t *store;
   gp_job_relay_t relay;
   gp_way_t way;
-  gp_timer_t announce; /* the relay's address is written again */
+  gp_announcer_t announcer;
   gp_http_server_t *callers;
   gp_http_server_t *ready;
   gp_http_server_t *metrics;
--- a/src/jobsd/feed.c
+++ b/src/jobsd/feed.c
@@ -55,7 +55,6 @@
 begin_load (gp_feed_t *feed)
 {
   feed->loaded = false;
-  feed->first_page = true;
   g_clear_pointer (&feed->after, g_free);
 }
 
@@ -110,9 +109,8 @@
       return;
     }
   set_down (feed, false, "");
-  if (feed->first_page)
+  if (feed->after == NULL)
     feed->load_end = answer->end;
-  feed->first_page = false;
   deliver (feed, answer);
   if (!feed->running)
     return;
@@ -183,7 +181,6 @@
   gp_time_t now = gp_loop_now (feed->loop);
   gp_time_t wait = poll_time (feed, now);
 
-  feed->sent_at = now;
   if (feed->loaded)
     feed->call
         = gp_platform_store_read (feed->store, feed->topic, feed->position,
--- a/src/jobsd/feed.h
+++ b/src/jobsd/feed.h
@@ -33,15 +33,13 @@
   gp_platform_store_call_t *call;
   gp_timer_t timer;
   bool running;
-  bool loaded;       /* the load is over */
-  bool down;         /* the last call failed */
-  char *after;       /* while loading: the last key seen */
-  uint64_t load_end; /* of the first page of a load */
-  bool first_page;
+  bool loaded;        /* the load is over */
+  bool down;          /* the last call failed */
+  char *after;        /* while loading: the last key seen */
+  uint64_t load_end;  /* of the first page of a load */
   uint64_t position;  /* the next offset to read */
   gp_time_t fresh_at; /* what the topic held then has been delivered */
   gp_time_t spacing;  /* least duration between two reads */
-  gp_time_t sent_at;  /* of the last call */
 } gp_feed_t;
 
 void gp_feed_init (gp_feed_t *feed, gp_loop_t *loop,
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -6,7 +6,6 @@
    announces its address on the log once.  */
 
 #include "jobsd/guard_private.h"
-#include "jobsd/announce.h"
 
 #include <string.h>
 
@@ -33,7 +32,6 @@
 #define LIST_SPACING_UNSEEN (60 * GP_MSEC)
 #define LIST_RETRY_TIME (100 * GP_MSEC)
 #define CALLS_MAX 4
-#define ANNOUNCE_RETRY_TIME (500 * GP_MSEC)
 
 static gp_counter_t starts_count
     = GP_COUNTER ("guard_starts_total", "Start orders sent to the executor");
@@ -424,32 +422,6 @@
   return data;
 }
 
-/* The announcement of this guard's address.  */
-
-static void
-on_announced (const gp_platform_store_answer_t *answer, void *data)
-{
-  gp_job_guard_t *guard = data;
-
-  if (answer->result == GP_PLATFORM_STORE_DONE)
-    return;
-  gp_log (GP_LOG_WARNING, "announce.failed", GP_LOG_S ("why", answer->reason));
-  gp_timer_arm (&guard->announce, now_of (guard) + ANNOUNCE_RETRY_TIME);
-}
-
-static void
-announce (gp_job_guard_t *guard)
-{
-  gp_announce (guard->store, guard->settings, guard->settings->peers, true,
-               now_of (guard), on_announced, guard);
-}
-
-static void
-on_announce_due (gp_timer_t *timer, void *data)
-{
-  announce (data);
-}
-
 /* Life.  */
 
 static void
@@ -466,7 +438,6 @@
   gp_job_guard_t *guard = data;
 
   gp_log (GP_LOG_INFO, "process.stop");
-  guard->stopping = true;
   gp_loop_stop (&guard->loop);
 }
 
@@ -522,7 +493,6 @@
   gp_timer_init (&guard->report, &guard->loop, on_report_due, guard);
   gp_timer_init (&guard->calls, &guard->loop, on_calls_due, guard);
   gp_timer_init (&guard->list, &guard->loop, on_list_due, guard);
-  gp_timer_init (&guard->announce, &guard->loop, on_announce_due, guard);
   guard->store = gp_platform_store_new (&guard->loop, settings->store, error);
   if (guard->store == NULL)
     return false;
@@ -533,7 +503,8 @@
   gp_log (GP_LOG_INFO, "process.start", GP_LOG_S ("zone", settings->zone),
           GP_LOG_S ("executor", settings->executor),
           GP_LOG_S ("peers", settings->peers));
-  announce (guard);
+  gp_announcer_start (&guard->announcer, &guard->loop, guard->store, settings,
+                      settings->peers, true);
   return true;
 }
 
@@ -549,7 +520,7 @@
   gp_timer_finish (&guard->report);
   gp_timer_finish (&guard->calls);
   gp_timer_finish (&guard->list);
-  gp_timer_finish (&guard->announce);
+  gp_announcer_finish (&guard->announcer);
   gp_loop_finish (&guard->loop);
   gp_agent_finish (&guard->agent);
   g_free (guard->gone);
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -4,6 +4,7 @@
 #define GP_JOBSD_GUARD_H
 
 #include "jobs/agent.h"
+#include "jobsd/announce.h"
 #include "platform/heartbeat.h"
 #include "platform/runtime.h"
 #include "platform/settings.h"
@@ -26,11 +27,10 @@
   gp_timer_t report; /* the next report is due */
   gp_timer_t calls;  /* a call may be repeated */
   gp_timer_t list;   /* the next list is due */
-  gp_timer_t announce;
+  gp_announcer_t announcer;
   gp_deferred_t act; /* make the calls that are due */
   unsigned calls_open;
   bool listing;
-  bool stopping;
   gp_time_t unrecorded_since; /* ends wait for their record since, or 0 */
   uint64_t beat_sequence;     /* of the executor's last heartbeat */
   char *gone;                 /* id of the executor before this one, or NULL */
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -159,7 +159,7 @@
   gp_job_executor_t *executor = link->executor;
   gp_time_t now = gp_loop_now (leader->loop);
 
-  gp_job_executor_update (executor, link->node, report->executor, now);
+  gp_job_executor_update (executor, report->executor, now);
   for (size_t i = 0; i < report->n_ends; i++)
     {
       if (!gp_scheduler_end (&leader->scheduler, executor, report->ends[i],
--- a/tests/unit/jobs_site.c
+++ b/tests/unit/jobs_site.c
@@ -41,7 +41,7 @@
   report.memory_mb = cores * MB_A_CORE;
   report.labels = labels;
   report.n_labels = G_N_ELEMENTS (labels);
-  gp_job_executor_update (executor, id, &report, site->now);
+  gp_job_executor_update (executor, &report, site->now);
   executor->reachable = true;
   return executor;
 }
