HTTP: one way to make a header and to compare a text

The line that is logged for an answer to a caller was written in two places, one now.

Behaviour is unchanged.

--- a/src/cli/call.c
+++ b/src/cli/call.c
@@ -60,10 +60,7 @@
 add_header (gp_http_header_t *headers, size_t *count, const char *name,
             const char *value)
 {
-  headers[(*count)++] = (gp_http_header_t){ .name = name,
-                                            .name_size = strlen (name),
-                                            .value = value,
-                                            .value_size = strlen (value) };
+  headers[(*count)++] = gp_http_header_make (name, value);
 }
 
 static void
--- a/src/daemon/console.c
+++ b/src/daemon/console.c
@@ -63,21 +63,15 @@
       "'none'; "
       "frame-ancestors 'none'";
 
-static gp_http_header_t
-make_header (const char *name, const char *value)
-{
-  return (gp_http_header_t){ name, strlen (name), value, strlen (value) };
-}
-
 static void
 answer_asset (gp_http_exchange_t *exchange, const asset_t *asset)
 {
   gp_http_header_t headers[]
-      = { make_header ("content-type", asset->type),
-          make_header ("content-security-policy", policy),
-          make_header ("x-content-type-options", "nosniff"),
-          make_header ("referrer-policy", "no-referrer"),
-          make_header ("cache-control", "no-cache") };
+      = { gp_http_header_make ("content-type", asset->type),
+          gp_http_header_make ("content-security-policy", policy),
+          gp_http_header_make ("x-content-type-options", "nosniff"),
+          gp_http_header_make ("referrer-policy", "no-referrer"),
+          gp_http_header_make ("cache-control", "no-cache") };
 
   gp_http_exchange_answer (exchange, 200, headers, G_N_ELEMENTS (headers),
                            asset->start, (size_t)(asset->end - asset->start));
@@ -86,10 +80,10 @@
 bool
 gp_console_answer (gp_http_exchange_t *exchange, gp_http_text_t path)
 {
-  if (!gp_text_equal (gp_http_exchange_method (exchange), "GET"))
+  if (!gp_http_text_equal (gp_http_exchange_method (exchange), "GET"))
     return false;
   for (size_t i = 0; i < G_N_ELEMENTS (assets); i++)
-    if (gp_text_equal (path, assets[i].path))
+    if (gp_http_text_equal (path, assets[i].path))
       {
         answer_asset (exchange, &assets[i]);
         return true;
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -188,7 +188,7 @@
 {
   gp_entry_t *entry = data;
 
-  if (gp_text_equal (gp_http_exchange_path (exchange), READY_PATH))
+  if (gp_http_text_equal (gp_http_exchange_path (exchange), READY_PATH))
     answer_ready (entry, exchange);
   else
     gp_relays_on_request (exchange, &entry->relays);
--- a/src/daemon/execution_answer.c
+++ b/src/daemon/execution_answer.c
@@ -232,7 +232,7 @@
         && g_ascii_strncasecmp (headers[i].name, "content-length",
                                 headers[i].name_size)
                == 0)
-      return gp_text_number (
+      return gp_http_text_number (
           (gp_http_text_t){ headers[i].value, headers[i].value_size }, -1);
   return -1;
 }
--- a/src/daemon/keys_answer.c
+++ b/src/daemon/keys_answer.c
@@ -9,12 +9,6 @@
 #define EXTRA_HEADERS 4
 #define BUSY_RETRY_S 1
 
-static gp_http_header_t
-make_header (const char *name, const char *value)
-{
-  return (gp_http_header_t){ name, strlen (name), value, strlen (value) };
-}
-
 /* What the earlier try was answered.  */
 static void
 replay (gp_http_exchange_t *exchange, const gp_keys_decision_t *decision)
@@ -30,9 +24,10 @@
     count = gp_http_headers_from_wire (headers, GP_HEADERS_MAX,
                                        answer->headers, answer->n_headers);
   else
-    headers[count++] = make_header ("galenapier-reason", "answer-not-kept");
-  headers[count++] = make_header ("galenapier-verdict", "ran");
-  headers[count++] = make_header ("galenapier-replayed", "true");
+    headers[count++]
+        = gp_http_header_make ("galenapier-reason", "answer-not-kept");
+  headers[count++] = gp_http_header_make ("galenapier-verdict", "ran");
+  headers[count++] = gp_http_header_make ("galenapier-replayed", "true");
   gp_http_exchange_answer (exchange, (int)decision->status, headers, count,
                            answer != NULL ? answer->data.data : NULL,
                            answer != NULL ? answer->data.len : 0);
@@ -51,13 +46,13 @@
   size_t count = 0;
   char *text;
 
-  headers[count++] = make_header ("content-type", "application/json");
-  headers[count++] = make_header ("galenapier-verdict", verdict);
-  headers[count++] = make_header ("galenapier-reason", reason);
+  headers[count++] = gp_http_header_make ("content-type", "application/json");
+  headers[count++] = gp_http_header_make ("galenapier-verdict", verdict);
+  headers[count++] = gp_http_header_make ("galenapier-reason", reason);
   if (retry_s > 0)
     {
       g_snprintf (seconds, sizeof seconds, "%d", (int)retry_s);
-      headers[count++] = make_header ("retry-after", seconds);
+      headers[count++] = gp_http_header_make ("retry-after", seconds);
       json_object_set_new (body, "retry_after_ms",
                            json_integer (retry_s * 1000));
     }
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -39,20 +39,14 @@
 
 /* Answers.  */
 
-static gp_http_header_t
-make_header (const char *name, const char *value)
-{
-  return (gp_http_header_t){ name, strlen (name), value, strlen (value) };
-}
-
 void
 gp_operators_answer_text (gp_http_exchange_t *exchange, int status,
                           const char *type, const char *text, size_t size)
 {
   gp_http_header_t headers[]
-      = { make_header ("content-type", type),
-          make_header ("cache-control", "no-store"),
-          make_header ("x-content-type-options", "nosniff") };
+      = { gp_http_header_make ("content-type", type),
+          gp_http_header_make ("cache-control", "no-store"),
+          gp_http_header_make ("x-content-type-options", "nosniff") };
 
   gp_http_exchange_answer (exchange, status, headers, G_N_ELEMENTS (headers),
                            text, size);
@@ -106,7 +100,7 @@
       gp_http_text_t value = take_until (&rest, '&');
       gp_http_text_t key = take_until (&value, '=');
 
-      if (gp_text_equal (key, name))
+      if (gp_http_text_equal (key, name))
         return g_uri_unescape_segment (value.base, value.base + value.size,
                                        NULL);
     }
@@ -232,8 +226,9 @@
   static const char body[]
       = "{\"message\":\"too many failed sign-ins from this address\"}";
   char seconds[24];
-  gp_http_header_t headers[] = { make_header ("content-type", JSON_TYPE),
-                                 make_header ("retry-after", seconds) };
+  gp_http_header_t headers[]
+      = { gp_http_header_make ("content-type", JSON_TYPE),
+          gp_http_header_make ("retry-after", seconds) };
 
   g_snprintf (seconds, sizeof seconds, "%lld",
               (long long)((wait + GP_SEC - 1) / GP_SEC));
@@ -278,7 +273,7 @@
   switch (route->match)
     {
     case GP_OPERATORS_EXACT:
-      return gp_text_equal (path, route->path);
+      return gp_http_text_equal (path, route->path);
     case GP_OPERATORS_PREFIX:
       if (path.size <= size || memcmp (path.base, route->path, size) != 0)
         return false;
@@ -300,7 +295,7 @@
       {
         if (!path_matches (route, path, &request->tail))
           continue;
-        if (gp_text_equal (method, route->method))
+        if (gp_http_text_equal (method, route->method))
           return route;
         *path_known = true;
       }
--- a/src/daemon/operators_config.c
+++ b/src/daemon/operators_config.c
@@ -177,7 +177,7 @@
   gp_http_text_t asked
       = gp_http_exchange_header (exchange, "galenapier-timeout-ms");
   gp_time_t timeout
-      = gp_text_number (asked, PUBLISH_TIMEOUT / GP_MSEC) * GP_MSEC;
+      = gp_http_text_number (asked, PUBLISH_TIMEOUT / GP_MSEC) * GP_MSEC;
 
   return gp_loop_now (&entry->loop)
          + CLAMP (timeout, GP_MSEC, PUBLISH_TIMEOUT_MAX);
--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -210,9 +210,11 @@
 static bool
 method_is_idempotent (gp_http_text_t method)
 {
-  return gp_text_equal (method, "GET") || gp_text_equal (method, "HEAD")
-         || gp_text_equal (method, "PUT") || gp_text_equal (method, "DELETE")
-         || gp_text_equal (method, "OPTIONS");
+  return gp_http_text_equal (method, "GET")
+         || gp_http_text_equal (method, "HEAD")
+         || gp_http_text_equal (method, "PUT")
+         || gp_http_text_equal (method, "DELETE")
+         || gp_http_text_equal (method, "OPTIONS");
 }
 
 /* The first segment of the path.  */
@@ -244,7 +246,7 @@
 
   if (kind != NULL && kind->timeout_ms > 0)
     timeout = kind->timeout_ms * GP_MSEC;
-  timeout = gp_text_number (asked, timeout / GP_MSEC) * GP_MSEC;
+  timeout = gp_http_text_number (asked, timeout / GP_MSEC) * GP_MSEC;
   return CLAMP (timeout, GP_MSEC, MAX_TIMEOUT);
 }
 
--- a/src/daemon/relay_answer.c
+++ b/src/daemon/relay_answer.c
@@ -55,12 +55,6 @@
 
 /* Answers to the caller.  */
 
-static gp_http_header_t
-make_header (const char *name, const char *value)
-{
-  return (gp_http_header_t){ name, strlen (name), value, strlen (value) };
-}
-
 static int
 failure_status (Gp__Wire__Verdict verdict, Gp__Wire__Reason reason)
 {
@@ -120,15 +114,15 @@
 
   reason_name (reason, reason_text, sizeof reason_text);
   body = failure_body (verdict, reason_text, retry_after);
-  headers[count++] = make_header ("content-type", "application/json");
+  headers[count++] = gp_http_header_make ("content-type", "application/json");
   headers[count++]
-      = make_header ("galenapier-verdict", verdict_name (verdict));
-  headers[count++] = make_header ("galenapier-reason", reason_text);
+      = gp_http_header_make ("galenapier-verdict", verdict_name (verdict));
+  headers[count++] = gp_http_header_make ("galenapier-reason", reason_text);
   if (retry_after >= 0)
     {
       g_snprintf (seconds, sizeof seconds, "%lld",
                   (long long)((retry_after + GP_SEC - 1) / GP_SEC));
-      headers[count++] = make_header ("retry-after", seconds);
+      headers[count++] = gp_http_header_make ("retry-after", seconds);
     }
   gp_counter_add (verdict == GP__WIRE__VERDICT__VERDICT_NOT_RUN
                       ? &answers_not_run
@@ -174,7 +168,7 @@
   size_t count = gp_http_headers_from_wire (
       headers, GP_HEADERS_MAX, answer->headers, answer->n_headers);
 
-  headers[count++] = make_header ("galenapier-verdict", "ran");
+  headers[count++] = gp_http_header_make ("galenapier-verdict", "ran");
   return count;
 }
 
--- a/src/daemon/text.c
+++ b/src/daemon/text.c
@@ -6,8 +6,6 @@
 
 #include "transport/http_header.h"
 
-#define NUMBER_DIGITS_MAX 15
-
 static const gp_http_name_t hop_by_hop[] = {
   GP_HTTP_NAME ("connection"),
   GP_HTTP_NAME ("keep-alive"),
@@ -71,26 +69,3 @@
     }
   return used;
 }
-
-bool
-gp_text_equal (gp_http_text_t text, const char *other)
-{
-  return text.base != NULL && strlen (other) == text.size
-         && memcmp (text.base, other, text.size) == 0;
-}
-
-int64_t
-gp_text_number (gp_http_text_t text, int64_t fallback)
-{
-  int64_t value = 0;
-
-  if (text.base == NULL || text.size == 0 || text.size > NUMBER_DIGITS_MAX)
-    return fallback;
-  for (size_t i = 0; i < text.size; i++)
-    {
-      if (!g_ascii_isdigit (text.base[i]))
-        return fallback;
-      value = value * 10 + (text.base[i] - '0');
-    }
-  return value;
-}
--- a/src/daemon/text.h
+++ b/src/daemon/text.h
@@ -1,5 +1,4 @@
-/* Headers between HTTP and the wire, and small helpers on text that is not
-   terminated.  */
+/* Headers between HTTP and the wire.  */
 
 #ifndef GP_DAEMON_TEXT_H
 #define GP_DAEMON_TEXT_H
@@ -33,9 +32,4 @@
 size_t gp_http_headers_from_wire (gp_http_header_t *headers, size_t max,
                                   Gp__Wire__Header *const *wire, size_t count);
 
-bool gp_text_equal (gp_http_text_t text, const char *other);
-
-/* TEXT as a decimal number, or FALLBACK when it is none.  */
-int64_t gp_text_number (gp_http_text_t text, int64_t fallback);
-
 #endif
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -86,9 +86,9 @@
 static void
 answer (gp_http_exchange_t *exchange, int status, const char *body)
 {
-  static const gp_http_header_t headers[]
-      = { { "content-type", 12, "application/json", 16 },
-          { "retry-after", 11, RETRY_AFTER, 1 } };
+  const gp_http_header_t headers[]
+      = { gp_http_header_make ("content-type", "application/json"),
+          gp_http_header_make ("retry-after", RETRY_AFTER) };
   bool later = status == 503 || status == 429;
 
   gp_http_exchange_answer (exchange, status, headers, later ? 2 : 1, body,
@@ -122,16 +122,23 @@
                          : change->key;
 }
 
+static void
+log_answer (const char *id, bool cancels, int status, const char *why,
+            gp_time_t after, bool doubtful)
+{
+  gp_log (GP_LOG_INFO, cancels ? "cancel.answered" : "job.answered",
+          GP_LOG_S ("job", id), GP_LOG_I ("status", status),
+          GP_LOG_S ("why", why), GP_LOG_I ("after_ms", after / GP_MSEC),
+          GP_LOG_I ("doubtful", doubtful));
+}
+
 static void
 end_change (change_t *change, int status, const char *why)
 {
   gp_time_t now = gp_loop_now (change->front->loop);
 
-  gp_log (GP_LOG_INFO, change->cancels ? "cancel.answered" : "job.answered",
-          GP_LOG_S ("job", id_of (change)), GP_LOG_I ("status", status),
-          GP_LOG_S ("why", why),
-          GP_LOG_I ("after_ms", (now - change->since) / GP_MSEC),
-          GP_LOG_I ("doubtful", change->doubtful));
+  log_answer (id_of (change), change->cancels, status, why,
+              now - change->since, change->doubtful);
   if (change->exchange != NULL)
     {
       if (status == 200)
@@ -333,10 +340,8 @@
   int status = refusal_status (front, id, false);
 
   gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
-  gp_log (GP_LOG_INFO, cancels ? "cancel.answered" : "job.answered",
-          GP_LOG_S ("job", id), GP_LOG_I ("status", status),
-          GP_LOG_S ("why", "the store has not answered lately"),
-          GP_LOG_I ("after_ms", 0), GP_LOG_I ("doubtful", status != 503));
+  log_answer (id, cancels, status, "the store has not answered lately", 0,
+              status != 503);
   answer_error (exchange, status, "the store does not answer");
 }
 
@@ -478,13 +483,6 @@
   g_free (body);
 }
 
-static bool
-is_method (gp_http_text_t method, const char *name)
-{
-  return method.size == strlen (name)
-         && memcmp (method.base, name, method.size) == 0;
-}
-
 /* The host that the caller names, without its port.  */
 static gp_http_text_t
 host_of (const gp_http_exchange_t *exchange)
@@ -516,7 +514,7 @@
   gp_http_text_t method = gp_http_exchange_method (exchange);
   char id[GP_JOB_ID_SIZE + 1] = "";
 
-  if (rest.size == 0 && is_method (method, "GET"))
+  if (rest.size == 0 && gp_http_text_equal (method, "GET"))
     {
       show_queue (front, exchange, queue);
       return;
@@ -527,11 +525,11 @@
       return;
     }
   memcpy (id, rest.base, rest.size);
-  if (is_method (method, "POST"))
+  if (gp_http_text_equal (method, "POST"))
     submit (front, exchange, queue, id);
-  else if (is_method (method, "GET"))
+  else if (gp_http_text_equal (method, "GET"))
     show (front, exchange, id);
-  else if (is_method (method, "DELETE"))
+  else if (gp_http_text_equal (method, "DELETE"))
     cancel (front, exchange, id);
   else
     answer_error (exchange, 405, "no such method");
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -33,6 +33,14 @@
   size_t size;
 } gp_http_text_t;
 
+/* A header that points to NAME (lower case) and VALUE.  */
+gp_http_header_t gp_http_header_make (const char *name, const char *value);
+
+bool gp_http_text_equal (gp_http_text_t text, const char *other);
+
+/* TEXT as a decimal number, or FALLBACK when it is none.  */
+int64_t gp_http_text_number (gp_http_text_t text, int64_t fallback);
+
 typedef struct gp_http_server gp_http_server_t;
 typedef struct gp_http_exchange gp_http_exchange_t;
 typedef struct gp_http_client gp_http_client_t;
--- a/src/transport/http_header.c
+++ b/src/transport/http_header.c
@@ -1,4 +1,5 @@
-/* Rules on headers, and the standard phrases of statuses.  */
+/* Rules on headers, texts that are not terminated, and the standard phrases of
+   statuses.  */
 
 #include "transport/http_header.h"
 
@@ -6,6 +7,8 @@
 
 #define DELETE_CHARACTER 0x7f
 #define HIGH_BIT 0x80
+/* A longer number is taken for none: no header or parameter needs it.  */
+#define NUMBER_DIGITS_MAX 15
 #define EACH_BYTE UINT64_C (0x0101010101010101)
 
 static const gp_http_name_t framing_headers[] = {
@@ -134,3 +137,32 @@
       return reasons[i].reason;
   return "Status";
 }
+
+gp_http_header_t
+gp_http_header_make (const char *name, const char *value)
+{
+  return (gp_http_header_t){ name, strlen (name), value, strlen (value) };
+}
+
+bool
+gp_http_text_equal (gp_http_text_t text, const char *other)
+{
+  return text.base != NULL && strlen (other) == text.size
+         && memcmp (text.base, other, text.size) == 0;
+}
+
+int64_t
+gp_http_text_number (gp_http_text_t text, int64_t fallback)
+{
+  int64_t value = 0;
+
+  if (text.base == NULL || text.size == 0 || text.size > NUMBER_DIGITS_MAX)
+    return fallback;
+  for (size_t i = 0; i < text.size; i++)
+    {
+      if (!g_ascii_isdigit (text.base[i]))
+        return fallback;
+      value = value * 10 + (text.base[i] - '0');
+    }
+  return value;
+}
