--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,8 @@
 	src/state/config.c src/protocol/message.c \
 	src/protocol/generated/wire.pb-c.c \
 	src/protocol/generated/jobs.pb-c.c src/jobs/queues.c \
-	platform/settings.c platform/heartbeat.c platform/jobs_http.c
+	platform/settings.c platform/heartbeat.c platform/jobs_http.c \
+	platform/json.c
 FUZZ_SECONDS ?= 30
 STYLE_SRC := $(filter-out src/protocol/generated/%,\
 	$(wildcard src/*/*.[ch] platform/*.[ch] include/*/*.h programs/*.c \
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -35,10 +35,8 @@
       row.run = run->run;
       g_array_append_val (absent, row);
     }
-  report->absent = g_new (Gp__Jobs__TaskRun *, absent->len);
-  for (guint i = 0; i < absent->len; i++)
-    report->absent[report->n_absent++]
-        = &g_array_index (absent, Gp__Jobs__TaskRun, i);
+  report->absent = gp_link_pointers (absent);
+  report->n_absent = absent->len;
 }
 
 /* The measures of the runs, for the leader to learn from.  */
@@ -78,14 +76,10 @@
           g_array_append_val (servings, serving);
         }
     }
-  report->servings = g_new (Gp__Jobs__Serving *, servings->len);
-  for (guint i = 0; i < servings->len; i++)
-    report->servings[report->n_servings++]
-        = &g_array_index (servings, Gp__Jobs__Serving, i);
-  report->fillings = g_new (Gp__Jobs__Filling *, fillings->len);
-  for (guint i = 0; i < fillings->len; i++)
-    report->fillings[report->n_fillings++]
-        = &g_array_index (fillings, Gp__Jobs__Filling, i);
+  report->servings = gp_link_pointers (servings);
+  report->n_servings = servings->len;
+  report->fillings = gp_link_pointers (fillings);
+  report->n_fillings = fillings->len;
 }
 
 void
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -64,10 +64,8 @@
     return;
   link->taught_at = now;
   add_pressures (link, report, rows);
-  message->pressures = g_new (Gp__Jobs__Pressure *, rows->len);
-  for (guint i = 0; i < rows->len; i++)
-    message->pressures[message->n_pressures++]
-        = &g_array_index (rows, Gp__Jobs__Pressure, i);
+  message->pressures = gp_link_pointers (rows);
+  message->n_pressures = rows->len;
 }
 
 static void
--- a/src/jobsd/link.c
+++ b/src/jobsd/link.c
@@ -20,6 +20,17 @@
   return gp_peer_send (peer, data, size);
 }
 
+void *
+gp_link_pointers (const GArray *rows)
+{
+  guint size = g_array_get_element_size ((GArray *)rows);
+  char **pointers = g_new (char *, rows->len);
+
+  for (guint i = 0; i < rows->len; i++)
+    pointers[i] = rows->data + (size_t)i * size;
+  return pointers;
+}
+
 Gp__Jobs__Frame *
 gp_link_parse (const uint8_t *bytes, size_t size)
 {
--- a/src/jobsd/link.h
+++ b/src/jobsd/link.h
@@ -12,6 +12,10 @@
 /* Send a frame that was packed before.  */
 bool gp_link_send_bytes (gp_peer_t *peer, GBytes *bytes);
 
+/* Pointers to the rows of an array of messages, as a message that holds them
+   wants them; to be freed with g_free.  */
+void *gp_link_pointers (const GArray *rows);
+
 /* Decode a frame, to be freed with gp__jobs__frame__free_unpacked.  NULL and
    a log line when it does not decode.  */
 Gp__Jobs__Frame *gp_link_parse (const uint8_t *bytes, size_t size);
