Tests: one runner for all unit tests, one small site for placement

Nothing dropped: test functions are static, so one that is not registered would not compile (-Wunused-function).

--- a/tests/unit/policy_suite.c
+++ b/tests/unit/policy_site.c
@@ -1,36 +1,8 @@
-/* Silent runner and a small site for the placement tests.  */
+/* A small site for the tests of placement.  */
 
-#include "policy_suite.h"
+#include "policy_site.h"
 
-#include <CUnit/TestRun.h>
 #include <math.h>
-#include <stdio.h>
-
-static void
-print_failures (void)
-{
-  for (CU_pFailureRecord failure = CU_get_failure_list (); failure != NULL;
-       failure = failure->pNext)
-    fprintf (stderr, "%s:%u: %s\n", failure->strFileName,
-             failure->uiLineNumber, failure->strCondition);
-}
-
-int
-policy_suite_run (const char *name, const policy_test_t *tests)
-{
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite (name, NULL, NULL);
-  for (; tests->name != NULL; tests++)
-    CU_add_test (suite, tests->name, tests->run);
-  CU_run_all_tests ();
-  print_failures ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
-}
 
 void
 policy_site_init (policy_site_t *site, unsigned int n, uint32_t zones,
--- a/tests/unit/policy_suite.h
+++ b/tests/unit/policy_site.h
@@ -1,24 +1,10 @@
-/* Running the suites of the placement decisions.
+/* A small site for the tests of placement decisions.  */
 
-   Their transcripts go to standard output, so the runner is silent there and
-   tells of failures on standard error.  */
-
-#ifndef GP_TESTS_POLICY_SUITE_H
-#define GP_TESTS_POLICY_SUITE_H
-
-#include <CUnit/CUnit.h>
+#ifndef GP_TESTS_POLICY_SITE_H
+#define GP_TESTS_POLICY_SITE_H
 
 #include "coordination/placement.h"
 
-typedef struct
-{
-  const char *name;
-  CU_TestFunc run;
-} policy_test_t;
-
-/* Run the tests up to a NULL name and return the exit status.  */
-int policy_suite_run (const char *name, const policy_test_t *tests);
-
 /* A fleet of workers with its spread and placement.  */
 typedef struct
 {
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -1,10 +1,9 @@
 /* Tests of the intrusive list, error conversion and counters.  */
 
-#include <CUnit/Basic.h>
-
 #include "base/counters.h"
 #include "base/error.h"
 #include "base/list.h"
+#include "runner.h"
 
 typedef struct
 {
@@ -71,16 +70,10 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
+  static CU_TestInfo tests[] = { { "list order", test_list_order },
+                                 { "error convert", test_error_convert },
+                                 { "counters format", test_counters_format },
+                                 CU_TEST_INFO_NULL };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("base", NULL, NULL);
-  CU_add_test (suite, "list order", test_list_order);
-  CU_add_test (suite, "error convert", test_error_convert);
-  CU_add_test (suite, "counters format", test_counters_format);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return runner_main ("base", tests);
 }
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -1,10 +1,10 @@
 /* A held configuration: revisions, deltas, slices and races.  */
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #include "state/config.h"
 #include "state/fold.h"
+#include "runner.h"
 
 #define SEEDS 30
 #define REVISIONS 120
@@ -246,16 +246,10 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
+  static CU_TestInfo tests[] = { { "follow", test_follow },
+                                 { "never reverts", test_never_reverts },
+                                 { "race", test_race },
+                                 CU_TEST_INFO_NULL };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("config", NULL, NULL);
-  CU_add_test (suite, "follow", test_follow);
-  CU_add_test (suite, "never reverts", test_never_reverts);
-  CU_add_test (suite, "race", test_race);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return runner_main ("config", tests);
 }
--- a/tests/unit/test_estimate.c
+++ b/tests/unit/test_estimate.c
@@ -1,7 +1,8 @@
 /* Learned sizes against the exact quantiles of the same values.  */
 
-#include "policy_suite.h"
+#include "runner.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -100,9 +101,9 @@
 int
 main (void)
 {
-  static const policy_test_t tests[] = { { "transcript", test_transcript },
-                                         { "quantiles", test_quantiles },
-                                         { NULL, NULL } };
+  static CU_TestInfo tests[] = { { "transcript", test_transcript },
+                                 { "quantiles", test_quantiles },
+                                 CU_TEST_INFO_NULL };
 
-  return policy_suite_run ("estimate", tests);
+  return runner_main ("estimate", tests);
 }
--- a/tests/unit/test_fold.c
+++ b/tests/unit/test_fold.c
@@ -1,10 +1,10 @@
 /* The fold against its naive twin: random scripts of batches with repeated,
    stale and malformed ones; replicas that start from a save.  */
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #include "fold_twin.h"
+#include "runner.h"
 
 #define SEEDS 40
 #define STEPS 400
@@ -455,16 +455,10 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("fold", NULL, NULL);
-  CU_add_test (suite, "twin", test_twin);
-  CU_add_test (suite, "offsets", test_offsets);
-  CU_add_test (suite, "result bytes", test_result_bytes);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[] = { { "twin", test_twin },
+                                 { "offsets", test_offsets },
+                                 { "result bytes", test_result_bytes },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("fold", tests);
 }
--- a/tests/unit/test_interference.c
+++ b/tests/unit/test_interference.c
@@ -1,7 +1,7 @@
 /* Residency against a plain sum, and slowdowns against the truth that the
    measurements were made from.  */
 
-#include "policy_suite.h"
+#include "runner.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -199,12 +199,12 @@
 int
 main (void)
 {
-  static const policy_test_t tests[]
+  static CU_TestInfo tests[]
       = { { "residency transcript", test_residency_transcript },
           { "residency twin", test_residency_twin },
           { "learning", test_learning },
           { "harm", test_harm },
-          { NULL, NULL } };
+          CU_TEST_INFO_NULL };
 
-  return policy_suite_run ("interference", tests);
+  return runner_main ("interference", tests);
 }
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -3,9 +3,8 @@
    test_lease.expected; times are virtual, and the longest time without a
    running task is the row's recovery time.  */
 
-#include <CUnit/Basic.h>
-
 #include "lease_world.h"
+#include "runner.h"
 
 #define MAX_FAULTS 4
 #define NO_RETURN 200
@@ -139,16 +138,7 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
+  static CU_TestInfo tests[] = { { "rows", test_rows }, CU_TEST_INFO_NULL };
 
-  CU_initialize_registry ();
-  suite = CU_add_suite ("lease", NULL, NULL);
-  CU_add_test (suite, "rows", test_rows);
-  CU_run_all_tests (); /* prints nothing, as the transcript is compared */
-  failures = CU_get_number_of_failures ();
-  if (failures > 0)
-    CU_basic_show_failures (CU_get_failure_list ());
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  return runner_main ("lease", tests);
 }
--- a/tests/unit/test_lease_explore.c
+++ b/tests/unit/test_lease_explore.c
@@ -4,10 +4,10 @@
 
    GP_LEASE_SOAK=N runs N times as many random scripts.  */
 
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 
 #include "lease_world.h"
+#include "runner.h"
 
 #define MAX_FAULTS 6
 #define RANDOM_SCRIPTS 3000
@@ -437,16 +437,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("lease exploration", NULL, NULL);
-  CU_add_test (suite, "every pair of faults", test_pairs);
-  CU_add_test (suite, "random scripts", test_random);
-  CU_add_test (suite, "rules left out are found", test_mutations);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[]
+      = { { "every pair of faults", test_pairs },
+          { "random scripts", test_random },
+          { "rules left out are found", test_mutations },
+          CU_TEST_INFO_NULL };
+
+  return runner_main ("lease exploration", tests);
 }
--- a/tests/unit/test_lease_rules.c
+++ b/tests/unit/test_lease_rules.c
@@ -1,9 +1,8 @@
 /* Single rules of the epoch table, the lease holder and the grantor.  */
 
-#include <CUnit/Basic.h>
-
 #include "coordination/lease_grantor.h"
 #include "coordination/lease_holder.h"
+#include "runner.h"
 
 #define GUARD "w1"
 #define SET 7
@@ -249,23 +248,20 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
+  static CU_TestInfo tests[]
+      = { { "refused while busy", test_refused_while_busy },
+          { "deadline from send", test_deadline_from_send },
+          { "pause past deadline", test_pause_past_deadline },
+          { "vouch only extends", test_vouch_only_extends },
+          { "full table recycles", test_full_table_recycles },
+          { "fresh renewal", test_fresh_renewal },
+          { "vouches of each", test_vouches_of_each },
+          { "act time", test_act_time },
+          CU_TEST_INFO_NULL };
+  int status;
 
   rng = g_rand_new_with_seed (1);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("lease rules", NULL, NULL);
-  CU_add_test (suite, "refused while busy", test_refused_while_busy);
-  CU_add_test (suite, "deadline from send", test_deadline_from_send);
-  CU_add_test (suite, "pause past deadline", test_pause_past_deadline);
-  CU_add_test (suite, "vouch only extends", test_vouch_only_extends);
-  CU_add_test (suite, "full table recycles", test_full_table_recycles);
-  CU_add_test (suite, "fresh renewal", test_fresh_renewal);
-  CU_add_test (suite, "vouches of each", test_vouches_of_each);
-  CU_add_test (suite, "act time", test_act_time);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
+  status = runner_main ("lease rules", tests);
   g_rand_free (rng);
-  return failures == 0 ? 0 : 1;
+  return status;
 }
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -1,11 +1,11 @@
 /* Tests of membership: a scripted run printed as a transcript, a naive twin
    on random scripts, and news handed from one table to another.  */
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "coordination/members.h"
+#include "runner.h"
 
 #define N_GUARDS 6
 #define N_ENTRIES 3
@@ -546,20 +546,10 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("members", NULL, NULL);
-  CU_add_test (suite, "script", test_script);
-  CU_add_test (suite, "twin", test_twin);
-  CU_add_test (suite, "news", test_news);
-  CU_add_test (suite, "news edges", test_news_edges);
-  CU_add_test (suite, "homes", test_homes);
-  CU_run_all_tests (); /* prints nothing: the transcript is compared */
-  failures = CU_get_number_of_failures ();
-  if (failures != 0)
-    CU_basic_show_failures (CU_get_failure_list ());
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[]
+      = { { "script", test_script }, { "twin", test_twin },
+          { "news", test_news },     { "news edges", test_news_edges },
+          { "homes", test_homes },   CU_TEST_INFO_NULL };
+
+  return runner_main ("members", tests);
 }
--- a/tests/unit/test_outlier.c
+++ b/tests/unit/test_outlier.c
@@ -1,10 +1,10 @@
 /* Tests of outlier detection: a scripted run printed as a transcript, and a
    naive twin that keeps every result and reads them all each time.  */
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 
 #include "coordination/outlier.h"
+#include "runner.h"
 
 #define N_EXECUTORS 7
 #define N_STEPS 600
@@ -366,19 +366,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("outlier", NULL, NULL);
-  CU_add_test (suite, "script", test_script);
-  CU_add_test (suite, "shared", test_shared);
-  CU_add_test (suite, "cap", test_cap);
-  CU_add_test (suite, "twin", test_twin);
-  CU_run_all_tests (); /* prints nothing: the transcript is compared */
-  failures = CU_get_number_of_failures ();
-  if (failures != 0)
-    CU_basic_show_failures (CU_get_failure_list ());
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[] = { { "script", test_script },
+                                 { "shared", test_shared },
+                                 { "cap", test_cap },
+                                 { "twin", test_twin },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("outlier", tests);
 }
--- a/tests/unit/test_pending.c
+++ b/tests/unit/test_pending.c
@@ -1,6 +1,6 @@
 /* The pending queue against a plain list that is searched whole.  */
 
-#include "policy_suite.h"
+#include "runner.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -404,14 +404,14 @@
 int
 main (void)
 {
-  static const policy_test_t tests[] = { { "heap", test_heap },
-                                         { "order", test_order },
-                                         { "quota head", test_quota_head },
-                                         { "no capacity", test_no_capacity },
-                                         { "pace", test_pace },
-                                         { "twin", test_twin },
-                                         { "starvation", test_starvation },
-                                         { NULL, NULL } };
-
-  return policy_suite_run ("pending", tests);
+  static CU_TestInfo tests[] = { { "heap", test_heap },
+                                 { "order", test_order },
+                                 { "quota head", test_quota_head },
+                                 { "no capacity", test_no_capacity },
+                                 { "pace", test_pace },
+                                 { "twin", test_twin },
+                                 { "starvation", test_starvation },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("pending", tests);
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -1,6 +1,7 @@
 /* Placement against a scan of the whole fleet with the same scoring.  */
 
-#include "policy_suite.h"
+#include "policy_site.h"
+#include "runner.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -337,14 +338,14 @@
 int
 main (void)
 {
-  static const policy_test_t tests[]
+  static CU_TestInfo tests[]
       = { { "transcript", test_transcript },
           { "accelerators kept", test_accelerators_kept },
           { "twin, small", test_twin_small },
           { "twin, large", test_twin_large },
           { "edge of class", test_edge_of_class },
           { "hold", test_hold },
-          { NULL, NULL } };
+          CU_TEST_INFO_NULL };
 
-  return policy_suite_run ("placement", tests);
+  return runner_main ("placement", tests);
 }
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -1,6 +1,6 @@
 /* Quotas of teams, by script and by random races of several entries.  */
 
-#include "policy_suite.h"
+#include "runner.h"
 
 #include <stdio.h>
 
@@ -144,9 +144,9 @@
 int
 main (void)
 {
-  static const policy_test_t tests[] = { { "transcript", test_transcript },
-                                         { "race", test_race },
-                                         { NULL, NULL } };
+  static CU_TestInfo tests[] = { { "transcript", test_transcript },
+                                 { "race", test_race },
+                                 CU_TEST_INFO_NULL };
 
-  return policy_suite_run ("quota", tests);
+  return runner_main ("quota", tests);
 }
--- a/tests/unit/test_remedy.c
+++ b/tests/unit/test_remedy.c
@@ -1,7 +1,8 @@
 /* Remedies by script, and that they come to rest on random sites.  */
 
-#include "policy_suite.h"
+#include "runner.h"
 
+#include <glib.h>
 #include <stdio.h>
 
 #include "coordination/remedy.h"
@@ -191,12 +192,11 @@
 int
 main (void)
 {
-  static const policy_test_t tests[]
-      = { { "ladder", test_ladder },
-          { "relapse", test_relapse },
-          { "eviction cost", test_eviction_cost },
-          { "come to rest", test_come_to_rest },
-          { NULL, NULL } };
-
-  return policy_suite_run ("remedy", tests);
+  static CU_TestInfo tests[] = { { "ladder", test_ladder },
+                                 { "relapse", test_relapse },
+                                 { "eviction cost", test_eviction_cost },
+                                 { "come to rest", test_come_to_rest },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("remedy", tests);
 }
--- a/tests/unit/test_retry.c
+++ b/tests/unit/test_retry.c
@@ -1,11 +1,11 @@
 /* Tests of retries: the whole table of decisions as a transcript, the bound
    of the budget on random scripts, and the spread of hints.  */
 
-#include <CUnit/Basic.h>
 #include <glib.h>
 #include <stdio.h>
 
 #include "coordination/retry.h"
+#include "runner.h"
 
 #define N_STEPS 20000
 #define N_SEEDS 10
@@ -192,19 +192,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("retry", NULL, NULL);
-  CU_add_test (suite, "table", test_table);
-  CU_add_test (suite, "feasible", test_feasible);
-  CU_add_test (suite, "budget", test_budget);
-  CU_add_test (suite, "hint", test_hint);
-  CU_run_all_tests (); /* prints nothing: the transcript is compared */
-  failures = CU_get_number_of_failures ();
-  if (failures != 0)
-    CU_basic_show_failures (CU_get_failure_list ());
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[] = { { "table", test_table },
+                                 { "feasible", test_feasible },
+                                 { "budget", test_budget },
+                                 { "hint", test_hint },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("retry", tests);
 }
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -1,10 +1,9 @@
 /* Tests of routing: naive twins on random scripts (the choice among few, the
    sums, what may be picked at all), uniform sampling, zone preference.  */
 
-#include <CUnit/Basic.h>
-
 #include "coordination/router.h"
 #include "coordination/subset.h"
+#include "runner.h"
 
 #define N_CANDIDATES 9
 #define N_STEPS 20000
@@ -378,18 +377,10 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("router", NULL, NULL);
-  CU_add_test (suite, "twin", test_twin);
-  CU_add_test (suite, "uniform", test_uniform);
-  CU_add_test (suite, "zone", test_zone);
-  CU_add_test (suite, "probe", test_probe);
-  CU_add_test (suite, "subset", test_subset);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[]
+      = { { "twin", test_twin },     { "uniform", test_uniform },
+          { "zone", test_zone },     { "probe", test_probe },
+          { "subset", test_subset }, CU_TEST_INFO_NULL };
+
+  return runner_main ("router", tests);
 }
--- a/tests/unit/test_snapshot.c
+++ b/tests/unit/test_snapshot.c
@@ -2,11 +2,11 @@
    half-way, write at once or repeat batches, and readers that are overtaken
    by retention.  */
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #include "state/follower.h"
 #include "state/snapshot.h"
+#include "runner.h"
 
 #define SEEDS 30
 #define STEPS 1500
@@ -387,17 +387,11 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("snapshot", NULL, NULL);
-  CU_add_test (suite, "random", test_random);
-  CU_add_test (suite, "gap", test_gap);
-  CU_add_test (suite, "corrupt", test_corrupt);
-  CU_add_test (suite, "due", test_due);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[] = { { "random", test_random },
+                                 { "gap", test_gap },
+                                 { "corrupt", test_corrupt },
+                                 { "due", test_due },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("snapshot", tests);
 }
--- a/tests/unit/test_suspects.c
+++ b/tests/unit/test_suspects.c
@@ -1,7 +1,8 @@
 /* Blame between tasks and workers, by script and over random outcomes.  */
 
-#include "policy_suite.h"
+#include "runner.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -149,10 +150,10 @@
 int
 main (void)
 {
-  static const policy_test_t tests[] = { { "transcript", test_transcript },
-                                         { "bad tasks", test_bad_tasks },
-                                         { "random", test_random },
-                                         { NULL, NULL } };
+  static CU_TestInfo tests[] = { { "transcript", test_transcript },
+                                 { "bad tasks", test_bad_tasks },
+                                 { "random", test_random },
+                                 CU_TEST_INFO_NULL };
 
-  return policy_suite_run ("suspects", tests);
+  return runner_main ("suspects", tests);
 }
--- a/tests/unit/test_transport_http.c
+++ b/tests/unit/test_transport_http.c
@@ -1,6 +1,5 @@
 /* Tests of the HTTP server and client against each other on loopback.  */
 
-#include <CUnit/Basic.h>
 #include <errno.h>
 #include <string.h>
 #include <unistd.h>
@@ -8,6 +7,7 @@
 #include "base/error.h"
 #include "transport/http_private.h"
 #include "transport_support.h"
+#include "runner.h"
 
 #define CALL_TIME (10 * GP_SEC)
 #define MAX_BODY 1000
@@ -49,19 +49,6 @@
 
 /* The server's side.  */
 
-static gp_http_header_t
-header (const char *name, const char *value)
-{
-  return (gp_http_header_t){ name, strlen (name), value, strlen (value) };
-}
-
-static bool
-text_is (gp_http_text_t text, const char *expected)
-{
-  return text.size == strlen (expected)
-         && memcmp (text.base, expected, text.size) == 0;
-}
-
 static void
 on_gone (void *data)
 {
@@ -105,8 +92,8 @@
 {
   gp_http_text_t body = gp_http_exchange_body (exchange);
   gp_http_text_t value = gp_http_exchange_header (exchange, "x-request");
-  gp_http_header_t headers[]
-      = { header ("x-answer", ""), header ("content-length", "5") };
+  gp_http_header_t headers[] = { gp_http_header_make ("x-answer", ""),
+                                 gp_http_header_make ("content-length", "5") };
 
   headers[0].value = value.base;
   headers[0].value_size = value.size;
@@ -121,16 +108,16 @@
   gp_http_text_t path = gp_http_exchange_path (exchange);
 
   fixture->requests++;
-  if (text_is (path, "/hold"))
+  if (gp_http_text_equal (path, "/hold"))
     {
       fixture->held = exchange;
       gp_http_exchange_watch (exchange, on_gone, NULL, fixture);
     }
-  else if (text_is (path, "/stream"))
+  else if (gp_http_text_equal (path, "/stream"))
     start_stream (fixture, exchange, -1);
-  else if (text_is (path, "/sized"))
+  else if (gp_http_text_equal (path, "/sized"))
     start_stream (fixture, exchange, (int64_t)PART_SIZE * fixture->parts_left);
-  else if (text_is (path, "/empty"))
+  else if (gp_http_text_equal (path, "/empty"))
     gp_http_exchange_answer (exchange, 204, NULL, 0, NULL, 0);
   else
     answer_echo (exchange);
@@ -202,7 +189,7 @@
 call_start (fixture_t *fixture, call_t *call, const char *method,
             const char *path, const void *body, size_t size)
 {
-  gp_http_header_t headers[] = { header ("x-request", "abc") };
+  gp_http_header_t headers[] = { gp_http_header_make ("x-request", "abc") };
   gp_http_call_request_t request
       = { .method = method,
           .path = path,
@@ -763,9 +750,10 @@
 static void
 test_unclean_headers (void)
 {
-  gp_http_header_t clean = header ("a", "b\tc");
-  gp_http_header_t unclean = header ("a", "b\r\nx: y");
-  gp_http_header_t framing = header ("Transfer-Encoding", "chunked");
+  gp_http_header_t clean = gp_http_header_make ("a", "b\tc");
+  gp_http_header_t unclean = gp_http_header_make ("a", "b\r\nx: y");
+  gp_http_header_t framing
+      = gp_http_header_make ("Transfer-Encoding", "chunked");
 
   CU_ASSERT_TRUE (gp_http_header_is_clean (&clean));
   CU_ASSERT_FALSE (gp_http_header_is_clean (&unclean));
@@ -795,31 +783,26 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("transport/http", NULL, NULL);
-  CU_add_test (suite, "whole answers", test_whole_answers);
-  CU_add_test (suite, "large answer", test_large_answer);
-  CU_add_test (suite, "abort", test_abort);
-  CU_add_test (suite, "abort, HTTP/1.0", test_abort_http_1_0);
-  CU_add_test (suite, "caller gone", test_caller_gone);
-  CU_add_test (suite, "body bound", test_body_bound);
-  CU_add_test (suite, "body bound, chunked", test_chunked_body_bound);
-  CU_add_test (suite, "timeout", test_timeout);
-  CU_add_test (suite, "connection bound", test_connection_bound);
-  CU_add_test (suite, "truncated answers", test_truncated_answers);
-  CU_add_test (suite, "connect refused", test_connect_refused);
-  CU_add_test (suite, "shutdown", test_shutdown);
-  CU_add_test (suite, "shutdown, idle", test_shutdown_idle);
-  CU_add_test (suite, "loop end", test_loop_end);
-  CU_add_test (suite, "call at the client's end", test_call_at_client_end);
-  CU_add_test (suite, "without descriptors", test_without_descriptors);
-  CU_add_test (suite, "unclean headers", test_unclean_headers);
-  CU_add_test (suite, "clean bytes", test_clean_bytes);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[]
+      = { { "whole answers", test_whole_answers },
+          { "large answer", test_large_answer },
+          { "abort", test_abort },
+          { "abort, HTTP/1.0", test_abort_http_1_0 },
+          { "caller gone", test_caller_gone },
+          { "body bound", test_body_bound },
+          { "body bound, chunked", test_chunked_body_bound },
+          { "timeout", test_timeout },
+          { "connection bound", test_connection_bound },
+          { "truncated answers", test_truncated_answers },
+          { "connect refused", test_connect_refused },
+          { "shutdown", test_shutdown },
+          { "shutdown, idle", test_shutdown_idle },
+          { "loop end", test_loop_end },
+          { "call at the client's end", test_call_at_client_end },
+          { "without descriptors", test_without_descriptors },
+          { "unclean headers", test_unclean_headers },
+          { "clean bytes", test_clean_bytes },
+          CU_TEST_INFO_NULL };
+
+  return runner_main ("transport/http", tests);
 }
--- a/tests/unit/test_transport_log.c
+++ b/tests/unit/test_transport_log.c
@@ -1,6 +1,5 @@
 /* Tests of the log client against a small log in memory.  */
 
-#include <CUnit/Basic.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,6 +8,7 @@
 #include "transport/http.h"
 #include "transport/log_client.h"
 #include "transport_support.h"
+#include "runner.h"
 
 #define APPEND_TIME (10 * GP_SEC)
 #define PATH "/v1/streams/site.events/records"
@@ -481,21 +481,16 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("transport/log", NULL, NULL);
-  CU_add_test (suite, "append and follow", test_append_and_follow);
-  CU_add_test (suite, "lost acknowledgement", test_lost_ack);
-  CU_add_test (suite, "append refused", test_append_refused);
-  CU_add_test (suite, "outage", test_outage);
-  CU_add_test (suite, "gap", test_gap);
-  CU_add_test (suite, "not dense", test_not_dense);
-  CU_add_test (suite, "end from a callback", test_end_from_callback);
-  CU_add_test (suite, "loop end", test_loop_end);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[]
+      = { { "append and follow", test_append_and_follow },
+          { "lost acknowledgement", test_lost_ack },
+          { "append refused", test_append_refused },
+          { "outage", test_outage },
+          { "gap", test_gap },
+          { "not dense", test_not_dense },
+          { "end from a callback", test_end_from_callback },
+          { "loop end", test_loop_end },
+          CU_TEST_INFO_NULL };
+
+  return runner_main ("transport/log", tests);
 }
--- a/tests/unit/test_transport_peer.c
+++ b/tests/unit/test_transport_peer.c
@@ -1,12 +1,12 @@
 /* Tests of framed connections on loopback, with and without TLS.  */
 
-#include <CUnit/Basic.h>
 #include <unistd.h>
 
 #include "base/error.h"
 #include "transport/endpoint.h"
 #include "transport/peer_private.h"
 #include "transport_support.h"
+#include "runner.h"
 
 #define CONNECT_TIME (10 * GP_SEC)
 
@@ -685,32 +685,27 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("transport/peer", NULL, NULL);
-  CU_add_test (suite, "frames, plain", test_frames_plain);
-  CU_add_test (suite, "frames, TLS", test_frames_tls);
-  CU_add_test (suite, "split and merged", test_frames_split_and_merged);
-  CU_add_test (suite, "random cuts and pauses", test_random_cuts_and_pauses);
-  CU_add_test (suite, "frame sizes", test_frame_sizes);
-  CU_add_test (suite, "connect refused", test_connect_refused);
-  CU_add_test (suite, "silent far side", test_silent_far_side);
-  CU_add_test (suite, "silent near side", test_silent_near_side);
-  CU_add_test (suite, "half open", test_half_open);
-  CU_add_test (suite, "TLS client refused", test_tls_client_refused);
-  CU_add_test (suite, "TLS server refused", test_tls_server_refused);
-  CU_add_test (suite, "back-pressure", test_back_pressure);
-  CU_add_test (suite, "backlog bound", test_backlog_bound);
-  CU_add_test (suite, "close", test_close);
-  CU_add_test (suite, "close on both sides", test_close_on_both_sides);
-  CU_add_test (suite, "close and pause between frames",
-               test_close_and_pause_between_frames);
-  CU_add_test (suite, "without descriptors", test_without_descriptors);
-  CU_add_test (suite, "addresses", test_addresses);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[]
+      = { { "frames, plain", test_frames_plain },
+          { "frames, TLS", test_frames_tls },
+          { "split and merged", test_frames_split_and_merged },
+          { "random cuts and pauses", test_random_cuts_and_pauses },
+          { "frame sizes", test_frame_sizes },
+          { "connect refused", test_connect_refused },
+          { "silent far side", test_silent_far_side },
+          { "silent near side", test_silent_near_side },
+          { "half open", test_half_open },
+          { "TLS client refused", test_tls_client_refused },
+          { "TLS server refused", test_tls_server_refused },
+          { "back-pressure", test_back_pressure },
+          { "backlog bound", test_backlog_bound },
+          { "close", test_close },
+          { "close on both sides", test_close_on_both_sides },
+          { "close and pause between frames",
+            test_close_and_pause_between_frames },
+          { "without descriptors", test_without_descriptors },
+          { "addresses", test_addresses },
+          CU_TEST_INFO_NULL };
+
+  return runner_main ("transport/peer", tests);
 }
--- a/tests/unit/test_writer.c
+++ b/tests/unit/test_writer.c
@@ -1,11 +1,11 @@
 /* Group commit over a log that loses acknowledgements, acts late and has
    outages, in virtual time.  */
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 #include "state/active_writers.h"
 #include "state/writer.h"
+#include "runner.h"
 
 #define WRITERS 2
 #define SEEDS 25
@@ -549,20 +549,15 @@
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned int failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("writer", NULL, NULL);
-  CU_add_test (suite, "faults", test_faults);
-  CU_add_test (suite, "same bytes", test_same_bytes);
-  CU_add_test (suite, "expiry", test_expiry);
-  CU_add_test (suite, "outage", test_outage);
-  CU_add_test (suite, "priority and bounds", test_priority_and_bounds);
-  CU_add_test (suite, "spacing", test_spacing);
-  CU_add_test (suite, "active writers", test_active_writers);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures == 0 ? 0 : 1;
+  static CU_TestInfo tests[]
+      = { { "faults", test_faults },
+          { "same bytes", test_same_bytes },
+          { "expiry", test_expiry },
+          { "outage", test_outage },
+          { "priority and bounds", test_priority_and_bounds },
+          { "spacing", test_spacing },
+          { "active writers", test_active_writers },
+          CU_TEST_INFO_NULL };
+
+  return runner_main ("writer", tests);
 }
