Guard: an executor that is new to it is believed once it answers itself

Cause: a heartbeat that a cut had delayed could name an executor that had crashed meanwhile. A guard that had been restarted since took it for the newest, the leader declared the one at work dead and started its runs again. Change: an id that is not the current one is asked at the VM's address first (a list that confirms and extends nothing); only its own answer counts. Ruled out: remembering the ids that are gone, which a restart forgets. Test: scenario stale_heartbeat of tests/scripts/platform.sh; without the change it does not finish (jobs run twice, then nothing is placed).

--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -23,9 +23,6 @@
 #define LIST_WAIT (500 * GP_MSEC)
 /* Beyond that without an answer it is made again.  */
 #define LIST_TIME (600 * GP_MSEC)
-/* An order without an answer is repeated after this; an executor answers
-   within a few milliseconds.  */
-#define ORDER_TIME (300 * GP_MSEC)
 /* Least duration between two list calls: ends that come together then come
    in one, and ends that are not yet on record do not make it spin.  */
 #define LIST_SPACING (15 * GP_MSEC)
@@ -80,11 +77,11 @@
 
 /* Calls to the executor.  */
 
-static bool
-is_current (const gp_job_guard_t *guard, const char *executor)
+bool
+gp_guard_executor_is (const gp_job_guard_t *guard, const char *id)
 {
   return guard->agent.executor != NULL
-         && strcmp (guard->agent.executor->id, executor) == 0;
+         && strcmp (guard->agent.executor->id, id) == 0;
 }
 
 static void
@@ -98,7 +95,7 @@
     gp_counter_add (&unanswered_count, 1);
   else
     gp_histogram_add (&order_time, now_of (guard) - order->sent_at);
-  if (is_current (guard, order->executor))
+  if (gp_guard_executor_is (guard, order->executor))
     gp_agent_answered (&guard->agent, order->kind, order->name, order->run,
                        order->percent, result, clock_ms, now_of (guard));
   g_free (order->executor);
@@ -112,11 +109,12 @@
   static const ProtobufCBinaryData nothing = { 0, NULL };
   gp_agent_t *agent = &guard->agent;
   order_t *order = g_new0 (order_t, 1);
-  const gp_runtime_order_t what = { .executor = agent->executor->id,
-                                    .task = call->run->name,
-                                    .run = call->run->run,
-                                    .fence = agent->fence,
-                                    .deadline = now_of (guard) + ORDER_TIME };
+  const gp_runtime_order_t what
+      = { .executor = agent->executor->id,
+          .task = call->run->name,
+          .run = call->run->run,
+          .fence = agent->fence,
+          .deadline = now_of (guard) + GP_GUARD_ORDER_TIME };
   const Gp__Jobs__Start *start = call->run->start;
 
   order->guard = guard;
@@ -218,8 +216,8 @@
   gp_timer_arm (&guard->list, now + pause);
 }
 
-static void
-ask_list (gp_job_guard_t *guard)
+void
+gp_guard_ask_list (gp_job_guard_t *guard)
 {
   gp_agent_t *agent = &guard->agent;
   gp_time_t now = now_of (guard);
@@ -238,63 +236,11 @@
 static void
 on_list_due (gp_timer_t *timer, void *data)
 {
-  ask_list (data);
+  gp_guard_ask_list (data);
 }
 
 /* Heartbeats.  */
 
-static void
-take_heartbeat (gp_job_guard_t *guard, const char *id,
-                gp_heartbeat_t *heartbeat)
-{
-  bool known = is_current (guard, id);
-  bool changed;
-
-  if (g_strcmp0 (guard->gone, id) == 0
-      || (known && heartbeat->sequence < guard->beat_sequence))
-    return;
-  if (!known && guard->agent.executor != NULL)
-    {
-      g_free (guard->gone);
-      guard->gone = g_strdup (guard->agent.executor->id);
-    }
-  changed
-      = !known
-        || guard->agent.executor->draining != heartbeat->executor->draining;
-  guard->beat_sequence = heartbeat->sequence;
-  gp_agent_set_executor (&guard->agent, g_steal_pointer (&heartbeat->executor),
-                         heartbeat->clock_ms, now_of (guard));
-  if (changed)
-    gp_guard_send_report (guard);
-  if (!guard->listing)
-    ask_list (guard);
-}
-
-static int
-on_heartbeat (gp_job_guard_t *guard, const char *id, gp_http_text_t body)
-{
-  gp_heartbeat_t heartbeat = { 0 };
-  GError *error = NULL;
-
-  if (!gp_platform_heartbeat_parse (&heartbeat, id, body.base, body.size,
-                                    &error))
-    {
-      gp_log (GP_LOG_WARNING, "heartbeat.malformed",
-              GP_LOG_S ("why", error->message));
-      g_error_free (error);
-      return 400;
-    }
-  take_heartbeat (guard, id, &heartbeat);
-  gp_heartbeat_finish (&heartbeat);
-  return 200;
-}
-
-static void
-on_goodbye (gp_job_guard_t *guard, const char *id)
-{
-  gp_log (GP_LOG_INFO, "executor.left", GP_LOG_S ("executor", id));
-}
-
 static void
 on_request (gp_http_exchange_t *exchange, void *data)
 {
@@ -306,10 +252,11 @@
   switch (gp_platform_beat_kind (path.base, path.size, &id))
     {
     case GP_BEAT_HEARTBEAT:
-      status = on_heartbeat (guard, id, gp_http_exchange_body (exchange));
+      status
+          = gp_guard_heartbeat (guard, id, gp_http_exchange_body (exchange));
       break;
     case GP_BEAT_GOODBYE:
-      on_goodbye (guard, id);
+      gp_log (GP_LOG_INFO, "executor.left", GP_LOG_S ("executor", id));
       status = 200;
       break;
     case GP_BEAT_OTHER:
@@ -523,5 +470,4 @@
   gp_announcer_finish (&guard->announcer);
   gp_loop_finish (&guard->loop);
   gp_agent_finish (&guard->agent);
-  g_free (guard->gone);
 }
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -33,7 +33,6 @@
   bool listing;
   gp_time_t unrecorded_since; /* ends wait for their record since, or 0 */
   uint64_t beat_sequence;     /* of the executor's last heartbeat */
-  char *gone;                 /* id of the executor before this one, or NULL */
 } gp_job_guard_t;
 
 bool gp_job_guard_init (gp_job_guard_t *guard,
--- a/src/jobsd/guard_private.h
+++ b/src/jobsd/guard_private.h
@@ -5,6 +5,20 @@
 
 #include "jobsd/guard.h"
 
+/* An order without an answer is repeated after this; an executor answers
+   within a few milliseconds.  */
+#define GP_GUARD_ORDER_TIME (300 * GP_MSEC)
+
+/* Is ID the executor that works on this VM?  */
+bool gp_guard_executor_is (const gp_job_guard_t *guard, const char *id);
+
+/* Ask the executor for its list, unless such a call is open.  */
+void gp_guard_ask_list (gp_job_guard_t *guard);
+
+/* Take in a heartbeat of the executor ID; returns the status to answer.  */
+int gp_guard_heartbeat (gp_job_guard_t *guard, const char *id,
+                        gp_http_text_t body);
+
 void gp_guard_register_reports (void);
 
 /* Report to the leader now, and put the next report off.  */
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -111,6 +111,29 @@
         verdict(site)
 
 
+def stale_heartbeat(build):
+    print("a heartbeat of a crashed executor arrives at a new guard")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        for name, executor in site.executors.items():
+            executor.crash()
+            site.processes[name].kill()
+            site.processes[name].start()
+            until(lambda n=name: '"executor.known"'
+                  in site.processes[n].log_of_life(), what="known")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="again")
+        starts = sum(site.judge.starts.values())
+        for executor in site.executors.values():
+            print("  answer:", executor.repeat_beat_of(1))
+        for job in (JOB_B, JOB_C):
+            site.submit("e2", job, STEPS)
+            site.await_state("e2", job, "completed")
+        print("  started again:", sum(site.judge.starts.values())
+              - starts - 12)
+        verdict(site)
+
+
 def store_down(build):
     print("the store goes away with an end on its way, then all entries die")
     with site_of(build) as site:
@@ -227,9 +250,10 @@
 
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (calm, cancelled, leader_killed, guard_restarted,
-                              guard_paused, store_down, left_open, entry_refused,
-                              lost_answers,
-                              records_dropped, late_orders, executors_crash)}
+                              guard_paused, stale_heartbeat,
+                              store_down, left_open, entry_refused,
+                              lost_answers, records_dropped, late_orders,
+                              executors_crash)}
 
 if __name__ == "__main__":
     for wanted in sys.argv[2:] or SCENARIOS:
--- a/tests/standins/keyed_platform.py
+++ b/tests/standins/keyed_platform.py
@@ -330,23 +330,35 @@
                 self.send_beat()
             time.sleep(0.2)
 
+    def repeat_beat_of(self, life):
+        """Send the first heartbeat of an earlier life once more."""
+        return self.post_beat(f"{self.name}-{life}", 1)
+
     def send_beat(self):
         with self.lock:
             self.sequence += 1
+            executor, sequence = self.id, self.sequence
+        self.post_beat(executor, sequence)
+
+    def post_beat(self, executor, sequence):
+        """Returns the status of the answer, 0 when none came."""
+        with self.lock:
             body = json.dumps({
                 "service": "work", "zone": "z", "slots": 8,
                 "state": "draining" if self.draining else "ready",
-                "remainingMs": 3000, "seq": self.sequence,
+                "remainingMs": 3000, "seq": sequence,
                 "capacity": {"cpu": self.cores * 1000,
                              "memMb": self.cores * 1024},
                 "labels": ["a", "r1"], "clockMs": self.clock()})
-            path = "/api/Instances.Heartbeat/" + self.id
+        path = "/api/Instances.Heartbeat/" + executor
         client = http.client.HTTPConnection(self.guard, timeout=1)
         try:
             client.request("POST", path, body)
-            client.getresponse().read()
+            answer = client.getresponse()
+            answer.read()
+            return answer.status
         except (OSError, http.client.HTTPException):
-            pass  # the guard is down: the next heartbeat is due soon
+            return 0  # the guard is down: the next heartbeat is due soon
         finally:
             client.close()
 
