Entry: another leads within a second, and hung calls end with the outage

After an outage in which calls hang, feeds came back one by one, the last 1.7 s after the first. Change: the progress feed looks when the silence ends; the silence is 0.7 s and four times the usual gap between records, so that a slow store does not change leaders; an entry whose claim fails keeps its book. The first feed that is answered after a failure makes the other calls anew, the leader's append among them; every other call after a failure is given up sooner. Ruled out as the cause of late jobs: the gap without a leader.

--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -132,12 +132,27 @@
   gp_leader_fresh (&entry->leader, entry->progress.position,
                    entry->progress.fresh_at, ready);
   gp_counter_set (&leading_gauge, entry->leader.role == GP_LEADER_LEADING);
+  entry->progress.look_at = gp_leader_claim_at (&entry->leader);
   /* From the claim on the book is ahead of the log; when the claim fails
      both are read anew.  */
   if (entry->leader.role != GP_LEADER_FOLLOWING)
     gp_feed_stop (&entry->progress);
 }
 
+/* The store has answered the feed of TOPIC after a failure: other calls may
+   hang since the outage.  */
+static void
+retry_calls (gp_job_entry_t *entry, gp_topic_t topic)
+{
+  gp_feed_t *feeds[]
+      = { &entry->documents, &entry->jobs, &entry->progress, &entry->nodes };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (feeds); i++)
+    if (feeds[i]->topic != topic)
+      gp_feed_retry (feeds[i]);
+  gp_leader_retry (&entry->leader);
+}
+
 static void
 on_state (gp_topic_t topic, bool down, const char *reason, void *data)
 {
@@ -148,14 +163,21 @@
   gp_log (GP_LOG_INFO, down ? "store.down" : "store.up",
           GP_LOG_S ("topic", topics[topic]), GP_LOG_S ("why", reason));
   gp_leader_deaf (&entry->leader);
+  if (!down)
+    retry_calls (entry, topic);
 }
 
 static void
-on_deposed (void *data)
+on_deposed (bool claimed, void *data)
 {
   gp_job_entry_t *entry = data;
 
   gp_counter_set (&leading_gauge, 0);
+  if (claimed)
+    {
+      gp_feed_resume (&entry->progress);
+      return;
+    }
   gp_book_clear (&entry->book);
   gp_feed_start (&entry->jobs);
   gp_feed_start (&entry->progress);
--- a/src/jobsd/feed.c
+++ b/src/jobsd/feed.c
@@ -7,6 +7,10 @@
 /* Beyond the poll: a slow store answers within this, as a read that is given
    up has to be made again.  */
 #define CALL_TIME (1500 * GP_MSEC)
+/* Every other call after a failure is given up sooner than that: a store that
+   is back from an outage in which calls hung is noticed soon, and one that is
+   very slow is served by the rest.  */
+#define DOWN_CALL_TIME (600 * GP_MSEC)
 /* Pause after a failed call; a store that is back is noticed that late.  */
 #define RETRY_TIME (150 * GP_MSEC)
 
@@ -29,6 +33,7 @@
                        .callbacks = callbacks,
                        .data = data,
                        .spacing = spacing,
+                       .look_at = GP_TIME_NEVER,
                        .fresh_at = INT64_MIN / 2 };
   gp_timer_init (&feed->timer, loop, on_timer, feed);
 }
@@ -51,6 +56,26 @@
   g_clear_pointer (&feed->after, g_free);
 }
 
+void
+gp_feed_resume (gp_feed_t *feed)
+{
+  feed->running = true;
+  step (feed);
+}
+
+void
+gp_feed_retry (gp_feed_t *feed)
+{
+  gp_time_t now = gp_loop_now (feed->loop);
+
+  if (!feed->running || (!feed->down && now <= feed->called_at + POLL_TIME))
+    return;
+  if (feed->call != NULL)
+    gp_platform_store_cancel (feed->call);
+  gp_timer_disarm (&feed->timer);
+  step (feed);
+}
+
 static void
 begin_load (gp_feed_t *feed)
 {
@@ -77,6 +102,7 @@
 static void
 set_down (gp_feed_t *feed, bool down, const char *reason)
 {
+  feed->failures = down ? feed->failures + 1 : 0;
   if (feed->down == down)
     return;
   feed->down = down;
@@ -172,7 +198,15 @@
 static gp_time_t
 poll_time (const gp_feed_t *feed, gp_time_t now)
 {
-  return now - feed->fresh_at > 2 * POLL_TIME ? 0 : POLL_TIME;
+  if (feed->down || now - feed->fresh_at > 2 * POLL_TIME)
+    return 0;
+  return CLAMP (feed->look_at - now, 0, POLL_TIME);
+}
+
+static gp_time_t
+call_time (const gp_feed_t *feed)
+{
+  return feed->failures % 2 == 1 ? DOWN_CALL_TIME : CALL_TIME;
 }
 
 static void
@@ -180,12 +214,14 @@
 {
   gp_time_t now = gp_loop_now (feed->loop);
   gp_time_t wait = poll_time (feed, now);
+  gp_time_t deadline = now + wait + call_time (feed);
 
+  feed->called_at = now;
   if (feed->loaded)
     feed->call
         = gp_platform_store_read (feed->store, feed->topic, feed->position,
-                                  wait, now + wait + CALL_TIME, on_read, feed);
+                                  wait, deadline, on_read, feed);
   else
     feed->call = gp_platform_store_newest (
-        feed->store, feed->topic, feed->after, now + CALL_TIME, on_page, feed);
+        feed->store, feed->topic, feed->after, deadline, on_page, feed);
 }
--- a/src/jobsd/feed.h
+++ b/src/jobsd/feed.h
@@ -31,6 +31,7 @@
   const gp_feed_callbacks_t *callbacks;
   void *data;
   gp_platform_store_call_t *call;
+  gp_time_t called_at; /* the call was sent */
   gp_timer_t timer;
   bool running;
   bool loaded;        /* the load is over */
@@ -40,6 +41,9 @@
   uint64_t position;  /* the next offset to read */
   gp_time_t fresh_at; /* what the topic held then has been delivered */
   gp_time_t spacing;  /* least duration between two reads */
+  gp_time_t look_at;  /* a read is to be sent then, rather than wait on;
+                         GP_TIME_NEVER: no matter */
+  unsigned failures;  /* calls that failed since one worked */
 } gp_feed_t;
 
 void gp_feed_init (gp_feed_t *feed, gp_loop_t *loop,
@@ -51,6 +55,11 @@
 /* Load and follow, from the beginning also when it runs already.  */
 void gp_feed_start (gp_feed_t *feed);
 void gp_feed_stop (gp_feed_t *feed);
+/* Go on from where the feed was stopped: nothing it delivered was lost.  */
+void gp_feed_resume (gp_feed_t *feed);
+/* The store answers others again: give up a call that hangs and make it
+   anew.  */
+void gp_feed_retry (gp_feed_t *feed);
 
 /* Has the feed delivered what the topic held AGE (a duration) ago?  */
 bool gp_feed_fresh (const gp_feed_t *feed, gp_time_t age);
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -10,10 +10,15 @@
 #include "protocol/message.h"
 
 /* An idle leader writes a record so often.  */
-#define HEARTBEAT_TIME (400 * GP_MSEC)
-/* Without a record for so long, others try to lead: a few heartbeats, so
-   that a leader on a slow VM keeps it.  */
-#define SILENCE_TIME (1500 * GP_MSEC)
+#define HEARTBEAT_TIME (250 * GP_MSEC)
+/* Without a record for so long, and for a few times the usual duration
+   between two, others try to lead: a leader in a slow store or on a slow VM
+   keeps it.  Work that is due within 1.5 s waits for a new leader.  */
+#define SILENCE_TIME (700 * GP_MSEC)
+#define SILENCE_GAPS 4
+/* Weight of the last duration in the mean, and the most that one counts.  */
+#define GAP_GAIN 0.2
+#define GAP_MAX (500 * GP_MSEC)
 /* Others wait this much longer by turns, so that two seldom try at once.  */
 #define SILENCE_SPREAD (400 * GP_MSEC)
 #define APPEND_TIME (GP_SEC)
@@ -166,9 +171,10 @@
 static void
 depose (gp_leader_t *leader, const char *why)
 {
+  bool claimed = leader->role == GP_LEADER_CLAIMING;
+
   gp_log (GP_LOG_INFO, "lead.lost", GP_LOG_S ("why", why),
-          GP_LOG_I ("epoch", leader->epoch),
-          GP_LOG_I ("claiming", leader->role == GP_LEADER_CLAIMING));
+          GP_LOG_I ("epoch", leader->epoch), GP_LOG_I ("claiming", claimed));
   leader->role = GP_LEADER_FOLLOWING;
   leader->heard_at = now_of (leader);
   end_batch (leader);
@@ -177,7 +183,7 @@
   gp_scheduler_reset (&leader->scheduler);
   g_hash_table_remove_all (leader->new_places);
   g_ptr_array_set_size (leader->drops, 0);
-  leader->on_deposed (leader->data);
+  leader->on_deposed (claimed, leader->data);
 }
 
 static bool
@@ -389,10 +395,26 @@
 {
   if (!leader->led || leader->resigned)
     return 0;
-  return SILENCE_TIME
+  return SILENCE_TIME + SILENCE_GAPS * leader->heard_gap
          + (gp_time_t)(g_str_hash (leader->node) % 5) * SILENCE_SPREAD / 4;
 }
 
+gp_time_t
+gp_leader_claim_at (const gp_leader_t *leader)
+{
+  return leader->heard_at + silence_time (leader);
+}
+
+void
+gp_leader_retry (gp_leader_t *leader)
+{
+  if (leader->call == NULL || leader->batch == NULL)
+    return;
+  gp_platform_store_cancel (leader->call);
+  leader->doubtful = true;
+  append (leader);
+}
+
 void
 gp_leader_fresh (gp_leader_t *leader, uint64_t position, gp_time_t sent_at,
                  bool ready)
@@ -403,8 +425,7 @@
   if (!ready || leader->stopping)
     return;
   /* Where nobody leads, nothing has to be waited for.  */
-  if (silence_time (leader) > 0
-      && sent_at < leader->heard_at + silence_time (leader))
+  if (silence_time (leader) > 0 && sent_at < gp_leader_claim_at (leader))
     return;
   claim (leader);
 }
@@ -415,6 +436,21 @@
   leader->heard_at = now_of (leader);
 }
 
+/* A record was read.  */
+static void
+note_heard (gp_leader_t *leader)
+{
+  gp_time_t now = now_of (leader);
+  gp_time_t gap = MIN (now - leader->heard_at, GAP_MAX);
+
+  /* Records of one read come at once.  */
+  if (gap > 0)
+    leader->heard_gap
+        += (gp_time_t)((double)(gap - leader->heard_gap) * GAP_GAIN);
+  leader->heard_at = now;
+  leader->foreign_until = now + GP_LEADER_TERM_TIME;
+}
+
 static void
 on_leadership (gp_leader_t *leader, const gp_platform_store_record_t *record)
 {
@@ -459,8 +495,7 @@
   char *key = g_strndup (record->key, record->key_size);
   GError *error = NULL;
 
-  leader->heard_at = now_of (leader);
-  leader->foreign_until = leader->heard_at + GP_LEADER_TERM_TIME;
+  note_heard (leader);
   if (gp_platform_store_record_is (record, GP_LEADER_KEY))
     on_leadership (leader, record);
   else if (g_str_has_prefix (key, GP_PLACE_PREFIX))
@@ -532,7 +567,7 @@
 void
 gp_leader_init (gp_leader_t *leader, gp_loop_t *loop,
                 gp_platform_store_t *store, gp_book_t *book, const char *node,
-                void (*on_deposed) (void *data), void *data)
+                void (*on_deposed) (bool claimed, void *data), void *data)
 {
   memset (leader, 0, sizeof *leader);
   leader->loop = loop;
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -85,6 +85,7 @@
   gp_time_t confirmed_at;  /* sending of the last acknowledged append */
   gp_time_t foreign_until; /* leases that others gave end by then */
   gp_time_t heard_at;      /* the last record of another leader was read */
+  gp_time_t heard_gap;     /* mean duration between such reads */
   bool resigned;           /* the last leader's record says so */
   bool led;                /* there was a leader's record at all */
   GByteArray *batch;       /* the append in progress */
@@ -100,14 +101,16 @@
   gp_timer_t retry;
   gp_deferred_t turn;
   bool stopping;
-  /* The lead was lost: the book has to be read anew.  */
-  void (*on_deposed) (void *data);
+  /* The lead was lost, or (CLAIMED) not won.  A book that was led has to be
+     read anew; one that was not is still what the log says.  */
+  void (*on_deposed) (bool claimed, void *data);
   void *data;
 };
 
 void gp_leader_init (gp_leader_t *leader, gp_loop_t *loop,
                      gp_platform_store_t *store, gp_book_t *book,
-                     const char *node, void (*on_deposed) (void *data),
+                     const char *node,
+                     void (*on_deposed) (bool claimed, void *data),
                      void *data);
 void gp_leader_finish (gp_leader_t *leader);
 
@@ -118,6 +121,10 @@
    are known as well, so that the lead may be taken.  */
 void gp_leader_fresh (gp_leader_t *leader, uint64_t position,
                       gp_time_t sent_at, bool ready);
+/* When this follower tries to lead unless it hears the leader before.  */
+gp_time_t gp_leader_claim_at (const gp_leader_t *leader);
+/* The store answers again: an append that may hang is made again.  */
+void gp_leader_retry (gp_leader_t *leader);
 /* The progress topic could not be read for a while: silence says nothing.  */
 void gp_leader_deaf (gp_leader_t *leader);
 
