Jobs: forecasts, admission in an overload, and paces planned sooner

Change: durations and the longest task of a step are learned by image (jobs/forecast.c); jobs are admitted while the work before them fits, else the one that has got least far goes behind (jobs/urgency.c, out of the placer). Ruled out (trials in docs/measurements): more or less room counted for filling runs, serving runs packed together, trends and smoothing of the baseline.

--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -2,6 +2,7 @@
 
 #include "jobs/agent_private.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -166,6 +167,7 @@
   run->phase = phase;
   run->pace = GP_PACER_FULL;
   run->pace_again = GP_TIME_NEVER;
+  run->log_ratio = NAN;
   run->over_since = GP_TIME_NEVER;
   g_hash_table_replace (agent->runs, run->name, run);
   return run;
@@ -202,6 +204,7 @@
     {
       run->start = start;
       *place = NULL;
+      agent->plan_is_old = true;
     }
 }
 
--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -62,8 +62,10 @@
   gp_time_t retry_at;     /* no call before */
   gp_time_t confirmed_at; /* when the phase was entered by an answer */
   int64_t measure;        /* as last listed, see gp_agent_row_t */
-  gp_time_t over_since;   /* a serving run is over its target since, or
-                             GP_TIME_NEVER */
+  double log_ratio;       /* of a serving run's measure to its target, as the
+                             pacer last took it in; NAN: never */
+  double over;            /* seconds for which it was over its target then */
+  gp_time_t over_since;   /* the time since when, or GP_TIME_NEVER */
   uint32_t pace;          /* percent of full speed, as last confirmed */
   gp_time_t pace_again;   /* repeat it then: a call without an answer may
                              still set an older one; GP_TIME_NEVER */
@@ -128,9 +130,12 @@
   gp_time_t lapsed_at;
   gp_time_t known_since; /* this process knows the executor since */
   gp_pacer_t pacer;
-  gp_time_t measured_at; /* the measures of the runs are from then */
-  bool has_measures;     /* and the leader does not have them yet */
-  gp_time_t retry_time;  /* duration between tries of a call */
+  gp_pressure_work_t work; /* of the filling runs when they were measured */
+  bool plan_is_old;        /* filling runs have come or gone since the pacer's
+                              last plan */
+  gp_time_t measured_at;   /* the measures of the runs are from then */
+  bool has_measures;       /* and the leader does not have them yet */
+  gp_time_t retry_time;    /* duration between tries of a call */
 } gp_agent_t;
 
 void gp_agent_init (gp_agent_t *agent);
--- a/src/jobs/agent_calls.c
+++ b/src/jobs/agent_calls.c
@@ -17,7 +17,7 @@
 static bool
 wants_pace (gp_agent_t *agent, const gp_agent_run_t *run, gp_time_t now)
 {
-  return run->phase == GP_RUN_PRESENT && run->listed && run->start != NULL
+  return run->phase == GP_RUN_PRESENT && run->start != NULL
          && run->start->fills
          && (run->pace != gp_pacer_pace (&agent->pacer, run->start->image)
              || now >= run->pace_again);
@@ -80,6 +80,8 @@
   if (agent->executor == NULL || agent->clock_ms < 0)
     return best;
   gp_agent_move_lease (agent, now);
+  if (agent->plan_is_old)
+    gp_agent_plan (agent);
   g_hash_table_iter_init (&iter, agent->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/jobs/agent_private.h
+++ b/src/jobs/agent_private.h
@@ -16,6 +16,9 @@
 /* The run is to be stopped, whether it is known or not.  */
 void gp_agent_want_stop (gp_agent_t *agent, const char *name, uint32_t number);
 
+/* Let the pacer plan anew with the filling runs that there are now.  */
+void gp_agent_plan (gp_agent_t *agent);
+
 /* The executor has answered with its clock, or -1.  */
 void gp_agent_take_clock (gp_agent_t *agent, int64_t clock_ms, gp_time_t now);
 
--- a/src/jobs/executor.c
+++ b/src/jobs/executor.c
@@ -4,6 +4,10 @@
 
 #include <string.h>
 
+/* Of a serving run's processors, the share in thousandths that it leaves
+   unused in the mean; filling runs count on half of that.  */
+#define SERVING_UNUSED_PERMILLE 500
+
 gp_job_executor_t *
 gp_job_executor_new (const char *id)
 {
@@ -75,6 +79,8 @@
     executor->filling += sign * step->cpu_milli;
   else
     executor->used.cpu_milli += sign * step->cpu_milli;
+  if (step->long_running)
+    executor->lasting += sign * step->cpu_milli;
   if (step->target_ms > 0)
     executor->serving += sign;
   executor->used.memory_mb += sign * step->memory_mb;
@@ -99,6 +105,16 @@
   reserve (executor, gp_task_step (task), -1);
 }
 
+int64_t
+gp_job_executor_left_over (const gp_job_executor_t *executor)
+{
+  int64_t unused = executor->capacity.cpu_milli - executor->used.cpu_milli;
+
+  return unused - executor->filling
+         + executor->used.cpu_milli * SERVING_UNUSED_PERMILLE / 1000
+               * (executor->serving > 0);
+}
+
 bool
 gp_job_executor_has_label (const gp_job_executor_t *executor,
                            const char *label)
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -25,6 +25,7 @@
   char **labels; /* NULL-terminated, may be NULL */
   gp_room_t capacity;
   gp_room_t used;  /* by runs, filling ones only by their memory */
+  int64_t lasting; /* thousandths of a core of runs that last */
   int64_t filling; /* thousandths of a core that filling runs ask for */
   int64_t serving; /* number of runs with a tail latency to keep */
   gp_list_t tasks; /* gp_job_task_t.on_executor */
@@ -50,6 +51,10 @@
 void gp_job_executor_add (gp_job_executor_t *executor, gp_job_task_t *task);
 void gp_job_executor_remove (gp_job_executor_t *executor, gp_job_task_t *task);
 
+/* Thousandths of a core that filling runs find on EXECUTOR, beside those that
+   it has; negative when it has too many.  */
+int64_t gp_job_executor_left_over (const gp_job_executor_t *executor);
+
 bool gp_job_executor_has_label (const gp_job_executor_t *executor,
                                 const char *label);
 
--- /dev/null
+++ b/src/jobs/forecast.c
@@ -0,0 +1,210 @@
+/* How long tasks take, learned online.  */
+
+#include "jobs/forecast.h"
+
+#include <math.h>
+
+#include "coordination/regression.h"
+
+/* A line: its height at an estimate of one second, and its slope.  */
+#define FEATURES 2
+/* Variances of both before anything is known: estimates are off by a factor
+   of two, and some tell little.  */
+#define HEIGHT_VARIANCE 0.5
+#define SLOPE_VARIANCE 0.3
+/* Variance of a logarithm of a duration around the line, to begin with.  */
+#define NOISE_VARIANCE 0.3
+/* The longest task of a step over the mean, before it is known, and the
+   weight of the last step in what is learned.  */
+#define SPREAD_UNKNOWN 1.3
+#define SPREAD_GAIN 0.05
+/* A step with fewer tasks says little of the longest.  */
+#define SPREAD_TASKS_MIN 4
+/* An estimate that is missing.  */
+#define ESTIMATE_UNKNOWN_MS 1000
+/* A forecast of a job is good for so long; much is learned in a second.  */
+#define FORECAST_TIME (500 * GP_MSEC)
+/* An end earns nothing after so many objectives, by the users' terms.  */
+#define USELESS_FACTOR 3
+
+typedef struct
+{
+  double coefficients[FEATURES];
+  double covariance[FEATURES * FEATURES];
+  gp_regression_t regression;
+  double spread;
+} model_t;
+
+void
+gp_forecast_init (gp_forecast_t *forecast)
+{
+  forecast->models
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+gp_forecast_finish (gp_forecast_t *forecast)
+{
+  g_hash_table_destroy (forecast->models);
+}
+
+static model_t *
+need_model (gp_forecast_t *forecast, const char *image)
+{
+  model_t *model = g_hash_table_lookup (forecast->models, image);
+
+  if (model != NULL)
+    return model;
+  model = g_new0 (model_t, 1);
+  model->coefficients[1] = 1.0;
+  model->covariance[0] = HEIGHT_VARIANCE;
+  model->covariance[FEATURES + 1] = SLOPE_VARIANCE;
+  model->spread = SPREAD_UNKNOWN;
+  gp_regression_init (&model->regression, FEATURES, model->coefficients,
+                      model->covariance, NOISE_VARIANCE);
+  g_hash_table_insert (forecast->models, g_strdup (image), model);
+  return model;
+}
+
+static gp_regression_input_t
+input_of (const Gp__Jobs__Step *step)
+{
+  uint32_t estimate_ms
+      = step->estimate_ms > 0 ? step->estimate_ms : ESTIMATE_UNKNOWN_MS;
+  gp_regression_input_t input = { .n = 0 };
+
+  gp_regression_push (&input, 0, 1.0);
+  gp_regression_push (&input, 1, log (estimate_ms / 1000.0));
+  return input;
+}
+
+void
+gp_forecast_learn (gp_forecast_t *forecast, const Gp__Jobs__Step *step,
+                   gp_time_t duration)
+{
+  gp_regression_input_t input = input_of (step);
+
+  if (duration <= 0)
+    return;
+  gp_regression_update (&need_model (forecast, step->image)->regression,
+                        &input, log ((double)duration / GP_SEC));
+}
+
+void
+gp_forecast_learn_spread (gp_forecast_t *forecast, const Gp__Jobs__Step *step,
+                          gp_time_t longest, gp_time_t mean)
+{
+  model_t *model = need_model (forecast, step->image);
+
+  if (mean > 0 && step->count >= SPREAD_TASKS_MIN)
+    model->spread
+        += SPREAD_GAIN * ((double)longest / (double)mean - model->spread);
+}
+
+/* The mean of what is distributed by its logarithm lies above the middle.  */
+static gp_time_t
+task_time (const gp_forecast_t *forecast, const Gp__Jobs__Step *step)
+{
+  const model_t *model = g_hash_table_lookup (forecast->models, step->image);
+  gp_regression_input_t input = input_of (step);
+  double seconds;
+
+  if (model == NULL)
+    return (gp_time_t)MAX (step->estimate_ms, 1) * GP_MSEC;
+  seconds = exp (gp_regression_mean (&model->regression, &input)
+                 + model->regression.noise / 2.0);
+  return (gp_time_t)(seconds * GP_SEC);
+}
+
+static double
+spread_of (const gp_forecast_t *forecast, const Gp__Jobs__Step *step)
+{
+  const model_t *model = g_hash_table_lookup (forecast->models, step->image);
+
+  if (step->count < SPREAD_TASKS_MIN)
+    return 1.0;
+  return model != NULL ? model->spread : SPREAD_UNKNOWN;
+}
+
+/* The end of the longest chain of steps up to STEP, which takes DURATION.  */
+static gp_time_t
+chain_end (const Gp__Jobs__Step *step, const gp_time_t *ends,
+           gp_time_t duration)
+{
+  gp_time_t start = 0;
+
+  for (size_t i = 0; i < step->n_after; i++)
+    start = MAX (start, ends[step->after[i]]);
+  return start + duration;
+}
+
+/* The longest chain of the whole job, by the longest task of each step.  */
+static gp_time_t
+whole_chain (const gp_forecast_t *forecast, const gp_job_t *job)
+{
+  const Gp__Jobs__Submission *submission = job->submission;
+  gp_time_t ends[GP_JOB_MAX_STEPS];
+  gp_time_t longest = 0;
+
+  for (size_t i = 0; i < submission->n_steps; i++)
+    {
+      const Gp__Jobs__Step *step = submission->steps[i];
+      double duration
+          = (double)job->task_times[i] * spread_of (forecast, step);
+
+      ends[i] = chain_end (step, ends, (gp_time_t)duration);
+      longest = MAX (longest, ends[i]);
+    }
+  return longest;
+}
+
+void
+gp_forecast_job (const gp_forecast_t *forecast, gp_job_t *job, gp_time_t now)
+{
+  const Gp__Jobs__Submission *submission = job->submission;
+  gp_time_t objective;
+
+  if (job->forecast_at != 0 && now < job->forecast_at + FORECAST_TIME)
+    return;
+  for (size_t i = 0; i < submission->n_steps; i++)
+    job->task_times[i] = task_time (forecast, submission->steps[i]);
+  objective = whole_chain (forecast, job) * submission->stretch_percent / 100
+              + submission->target_ms * GP_MSEC;
+  job->forecast_at = now;
+  job->due_at = job->submitted_at + objective;
+  job->useless_at = job->submitted_at + USELESS_FACTOR * objective;
+}
+
+/* What is left of one occurrence, by the mean of its tasks: a job is not
+   given up because its longest task might be late.  */
+static gp_time_t
+chain_left (const gp_job_t *job, const gp_step_tally_t *tallies)
+{
+  const Gp__Jobs__Submission *submission = job->submission;
+  gp_time_t ends[GP_JOB_MAX_STEPS];
+  gp_time_t longest = 0;
+
+  for (size_t i = 0; i < submission->n_steps; i++)
+    {
+      const Gp__Jobs__Step *step = submission->steps[i];
+      gp_time_t duration = 0;
+
+      if (tallies[i].waiting > 0)
+        duration = job->task_times[i];
+      else if (tallies[i].done < step->count)
+        duration = job->task_times[i] / 2;
+      ends[i] = chain_end (step, ends, duration);
+      longest = MAX (longest, ends[i]);
+    }
+  return longest;
+}
+
+gp_time_t
+gp_forecast_remaining (const gp_job_t *job)
+{
+  gp_time_t longest = 0;
+
+  for (uint32_t k = 0; k < job->occurrences; k++)
+    longest = MAX (longest, chain_left (job, gp_job_tallies (job, k)));
+  return longest;
+}
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -7,9 +7,6 @@
 
 #include "base/error.h"
 
-/* An end earns nothing after so many objectives, by the users' terms.  */
-#define USELESS_FACTOR 3
-
 gp_job_t *
 gp_job_new (const char *id)
 {
@@ -31,6 +28,7 @@
     }
   g_free (job->tasks);
   g_free (job->tallies);
+  g_free (job->task_times);
   g_free (job->step_start);
 }
 
@@ -111,29 +109,6 @@
   return true;
 }
 
-/* The length, by its estimates, of the longest chain of the steps that
-   TALLIES (NULL: all) leave to do.  */
-static uint64_t
-chain_ms (const Gp__Jobs__Submission *submission,
-          const gp_step_tally_t *tallies)
-{
-  uint64_t ends[GP_JOB_MAX_STEPS];
-  uint64_t longest = 0;
-
-  for (size_t i = 0; i < submission->n_steps; i++)
-    {
-      const Gp__Jobs__Step *step = submission->steps[i];
-
-      ends[i] = 0;
-      for (size_t j = 0; j < step->n_after; j++)
-        ends[i] = MAX (ends[i], ends[step->after[j]]);
-      if (tallies == NULL || tallies[i].done < step->count)
-        ends[i] += step->estimate_ms;
-      longest = MAX (longest, ends[i]);
-    }
-  return longest;
-}
-
 static void
 make_tasks (gp_job_t *job)
 {
@@ -150,6 +125,7 @@
   job->task_count = job->tasks_per_occurrence * job->occurrences;
   job->tasks = g_new0 (gp_job_task_t, job->task_count);
   job->tallies = g_new0 (gp_step_tally_t, job->occurrences * steps);
+  job->task_times = g_new0 (gp_time_t, steps);
   for (uint32_t i = 0; i < job->task_count; i++)
     {
       job->tasks[i].job = job;
@@ -163,33 +139,14 @@
 gp_job_define (gp_job_t *job, Gp__Jobs__Submission *submission,
                gp_time_t submitted_at)
 {
-  uint64_t objective_ms;
-
   if (job->submission != NULL || !gp_job_check (submission, NULL))
     return false;
   job->submission = submission;
   job->submitted_at = submitted_at;
-  objective_ms
-      = chain_ms (submission, NULL) * submission->stretch_percent / 100
-        + submission->target_ms;
-  job->due_at = submitted_at + (gp_time_t)objective_ms * GP_MSEC;
-  job->useless_at
-      = submitted_at + USELESS_FACTOR * (gp_time_t)objective_ms * GP_MSEC;
   make_tasks (job);
   return true;
 }
 
-gp_time_t
-gp_job_remaining (const gp_job_t *job)
-{
-  uint64_t longest = 0;
-
-  for (uint32_t k = 0; k < job->occurrences; k++)
-    longest
-        = MAX (longest, chain_ms (job->submission, gp_job_tallies (job, k)));
-  return (gp_time_t)longest * GP_MSEC;
-}
-
 bool
 gp_job_ended (const gp_job_t *job)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -71,6 +71,8 @@
   gp_job_executor_t *executor; /* while assigned or stopping */
   gp_list_t on_executor;       /* in gp_job_executor_t.tasks */
   char *checkpoint;            /* NULL: none */
+  gp_time_t took;              /* duration of the run that was done, as seen
+                                  by this process, 0: not known */
   gp_time_t since;             /* when the run was assigned, by this process */
   gp_job_executor_t *failed_on; /* the last executor it failed on */
   gp_time_t slow_since; /* a filling run is held to little speed since, 0:
@@ -95,8 +97,11 @@
   bool cancelled;
   int64_t ended_wall_ms;
   gp_time_t submitted_at; /* by its record, on this process's clock */
-  gp_time_t due_at;       /* objective by the estimates */
-  gp_time_t useless_at;   /* three objectives: its end earns nothing after */
+  gp_time_t forecast_at;  /* what follows was computed, 0: it was not; see
+                             jobs/forecast.h */
+  gp_time_t due_at;       /* its objective */
+  gp_time_t useless_at;   /* its end earns nothing after */
+  gp_time_t *task_times;  /* expected duration of a task, by step */
   uint32_t occurrences;
   uint32_t tasks_per_occurrence;
   uint32_t *step_start; /* first index of each step in an occurrence */
@@ -123,9 +128,6 @@
 bool gp_job_define (gp_job_t *job, Gp__Jobs__Submission *submission,
                     gp_time_t submitted_at);
 
-/* The estimated time that the longest chain of steps still needs.  */
-gp_time_t gp_job_remaining (const gp_job_t *job);
-
 /* Can SUBMISSION be scheduled at all?  FALSE sets ERROR.  */
 bool gp_job_check (const Gp__Jobs__Submission *submission, GError **error);
 
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -5,7 +5,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "base/log.h"
+#include "jobs/urgency.h"
 
 /* Share of an executor's processors, in thousandths, that only jobs of the
    first priority may take: quick work then finds room without preemption.  */
@@ -13,9 +13,6 @@
 /* A filling task is placed where at least this share, in thousandths, of
    what it asks for is left over; with less it waits for a better place.  */
 #define FILL_PERMILLE 700
-/* Of a serving task's processors, the share in thousandths that it leaves
-   unused in the mean; filling tasks count on half of that.  */
-#define SERVING_UNUSED_PERMILLE 500
 /* The longest time without a look at what waits.  */
 #define LOOK_AGAIN_TIME (250 * GP_MSEC)
 
@@ -63,70 +60,6 @@
   GPtrArray *placed;
 } pass_t;
 
-typedef enum
-{
-  HOPE_IN_TIME, /* it can meet its objective */
-  HOPE_LATE,    /* its end is still worth something */
-  HOPE_NONE
-} hope_t;
-
-typedef struct
-{
-  gp_job_t *job;
-  hope_t hope;
-  gp_time_t rank; /* lower first, within the same hope */
-} ranked_t;
-
-static ranked_t
-rank_job (gp_job_t *job, gp_time_t now)
-{
-  gp_time_t remaining = gp_job_remaining (job);
-  ranked_t ranked = { job, HOPE_IN_TIME, job->due_at };
-
-  if (now + remaining <= job->due_at)
-    return ranked;
-  ranked.hope = now + remaining <= job->useless_at ? HOPE_LATE : HOPE_NONE;
-  if (ranked.hope == HOPE_LATE)
-    ranked.rank = remaining;
-  return ranked;
-}
-
-static gint
-by_urgency (gconstpointer a, gconstpointer b)
-{
-  const ranked_t *left = a;
-  const ranked_t *right = b;
-  uint32_t left_priority = left->job->submission->priority;
-  uint32_t right_priority = right->job->submission->priority;
-
-  if (left_priority != right_priority)
-    return left_priority < right_priority ? -1 : 1;
-  if (left->hope != right->hope)
-    return left->hope < right->hope ? -1 : 1;
-  if (left->rank != right->rank)
-    return left->rank < right->rank ? -1 : 1;
-  return strcmp (left->job->id, right->job->id);
-}
-
-static GArray *
-urgent_first (const gp_book_t *book, gp_time_t now)
-{
-  GArray *jobs = g_array_new (FALSE, FALSE, sizeof (ranked_t));
-
-  GP_LIST_FOREACH (link, &book->live)
-  {
-    gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
-    ranked_t ranked;
-
-    if (job->cancelled)
-      continue;
-    ranked = rank_job (job, now);
-    g_array_append_val (jobs, ranked);
-  }
-  g_array_sort (jobs, by_urgency);
-  return jobs;
-}
-
 static bool
 takes_work (const gp_job_executor_t *executor, gp_time_t now)
 {
@@ -172,17 +105,6 @@
   return count;
 }
 
-/* Thousandths of a core that filling tasks find on EXECUTOR.  */
-static int64_t
-left_over (const gp_job_executor_t *executor)
-{
-  int64_t unused = executor->capacity.cpu_milli - executor->used.cpu_milli;
-
-  return unused - executor->filling
-         + executor->used.cpu_milli * SERVING_UNUSED_PERMILLE / 1000
-               * (executor->serving > 0);
-}
-
 static bool
 has_processors (const gp_job_executor_t *executor, const gp_job_task_t *task,
                 const Gp__Jobs__Step *step)
@@ -190,7 +112,7 @@
   int64_t reserved = executor->capacity.cpu_milli * RESERVED_PERMILLE / 1000;
 
   if (step->fills)
-    return left_over (executor)
+    return gp_job_executor_left_over (executor)
            >= (int64_t)step->cpu_milli * FILL_PERMILLE / 1000;
   if (task->job->submission->priority == 0)
     reserved = 0;
@@ -341,7 +263,7 @@
 
       if (expected > harm_limit (task->job, pass->now))
         return INT64_MIN;
-      points = left_over (executor) * 1000 / capacity
+      points = gp_job_executor_left_over (executor) * 1000 / capacity
                - (int64_t)(expected * HARM_POINTS);
     }
   else
@@ -546,7 +468,8 @@
 }
 
 gp_time_t
-gp_placer_assign (gp_book_t *book, gp_pressure_t *pressure, gp_time_t now,
+gp_placer_assign (gp_book_t *book, gp_pressure_t *pressure,
+                  const gp_forecast_t *forecast, gp_time_t now,
                   int64_t wall_ms, GPtrArray *placed)
 {
   pass_t pass = { .pressure = pressure, .now = now, .placed = placed };
@@ -555,9 +478,10 @@
   pass.candidates = find_candidates (book, now);
   if (pass.candidates->len > 0)
     {
-      jobs = urgent_first (book, now);
+      jobs = gp_urgency_rank (book, forecast, now);
       for (guint i = 0; i < jobs->len; i++)
-        assign_job (&pass, g_array_index (jobs, ranked_t, i).job, wall_ms);
+        assign_job (&pass, g_array_index (jobs, gp_ranked_job_t, i).job,
+                    wall_ms);
       g_array_free (jobs, TRUE);
     }
   g_array_free (pass.candidates, TRUE);
--- a/src/jobs/placer.h
+++ b/src/jobs/placer.h
@@ -1,10 +1,7 @@
 /* Placement: which waiting task goes to which executor now.
 
-   Jobs are taken by priority.  Within one, those that can still meet the
-   objective that their estimates give come first, by that objective; then
-   those that are late, the shortest first; then those whose time is past, in
-   which an overload ends instead of making all jobs late.  A task that serves
-   or works goes where most processors are left; a task that fills goes where
+   Jobs are taken by their urgency (jobs/urgency.h).  A task that serves or
+   works goes where most processors are left; a task that fills goes where
    the most is left over by the others and where it is expected to harm those
    that serve least (jobs/pressure.h).  */
 
@@ -12,6 +9,7 @@
 #define GP_JOBS_PLACER_H
 
 #include "jobs/book.h"
+#include "jobs/forecast.h"
 #include "jobs/pressure.h"
 
 /* Is there another executor where the filling TASK fits and would do next to
@@ -22,6 +20,7 @@
 /* Assign waiting tasks of BOOK, add each to PLACED and return when time
    alone may allow more (a due time or the end of a pause).  */
 gp_time_t gp_placer_assign (gp_book_t *book, gp_pressure_t *pressure,
-                            gp_time_t now, int64_t wall_ms, GPtrArray *placed);
+                            const gp_forecast_t *forecast, gp_time_t now,
+                            int64_t wall_ms, GPtrArray *placed);
 
 #endif
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -37,6 +37,7 @@
 {
   scheduler->book = book;
   scheduler->pressure = pressure;
+  gp_forecast_init (&scheduler->forecast);
   gp_histogram_register (&placed_time);
   scheduler->next_due = GP_TIME_NEVER;
   scheduler->orders = g_array_new (FALSE, FALSE, sizeof (gp_order_t));
@@ -47,6 +48,7 @@
 gp_scheduler_finish (gp_scheduler_t *scheduler)
 {
   g_array_free (scheduler->orders, TRUE);
+  gp_forecast_finish (&scheduler->forecast);
 }
 
 void
@@ -134,6 +136,51 @@
       = g_strndup ((const char *)checkpoint->data, checkpoint->len);
 }
 
+/* The tasks of TASK's step and occurrence, TASK among them, from *FIRST on:
+   where it is a gang, its members.  */
+static uint32_t
+members (gp_job_task_t *task, gp_job_task_t **first)
+{
+  gp_job_t *job = task->job;
+  uint32_t step = gp_task_step_number (task);
+
+  *first = gp_job_step_tasks (job, gp_task_occurrence (task), step);
+  return job->submission->steps[step]->count;
+}
+
+/* All tasks of TASK's step are done: how long was the longest?  Tells nothing
+   when this process has seen less than half of them.  */
+static void
+learn_step (gp_scheduler_t *scheduler, gp_job_task_t *task)
+{
+  gp_job_task_t *first;
+  uint32_t count = members (task, &first);
+  gp_time_t longest = 0;
+  gp_time_t sum = 0;
+  uint32_t known = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      longest = MAX (longest, first[i].took);
+      sum += first[i].took;
+      known += first[i].took > 0;
+    }
+  if (known > 0 && known * 2 >= count)
+    gp_forecast_learn_spread (&scheduler->forecast, gp_task_step (task),
+                              longest, sum / known);
+}
+
+/* TASK was done.  A run that went on from a checkpoint, or was assigned by
+   another process, tells nothing of the whole.  */
+static void
+learn_duration (gp_scheduler_t *scheduler, gp_job_task_t *task, gp_time_t now)
+{
+  if (task->since == 0 || task->checkpoint != NULL)
+    return;
+  task->took = now - task->since;
+  gp_forecast_learn (&scheduler->forecast, gp_task_step (task), task->took);
+}
+
 static void
 finish_task (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
 {
@@ -145,17 +192,6 @@
     end_job (scheduler, job, GP_JOB_COMPLETED, wall_ms);
 }
 
-/* The members of TASK's gang, TASK among them, from *FIRST on.  */
-static uint32_t
-members (gp_job_task_t *task, gp_job_task_t **first)
-{
-  gp_job_t *job = task->job;
-  uint32_t step = gp_task_step_number (task);
-
-  *first = gp_job_step_tasks (job, gp_task_occurrence (task), step);
-  return job->submission->steps[step]->count;
-}
-
 static void
 count_failure (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
 {
@@ -218,10 +254,13 @@
   release (scheduler, task);
   if (how == GP_END_DONE && !step->long_running)
     {
+      learn_duration (scheduler, task, now);
       if (step->gang)
         finish_gang (scheduler, task, wall_ms);
       else
         finish_task (scheduler, task, wall_ms);
+      if (gp_task_tally (task)->done == step->count)
+        learn_step (scheduler, task);
     }
   if (how == GP_END_FAILED)
     {
@@ -364,8 +403,9 @@
 {
   GPtrArray *placed = g_ptr_array_new ();
 
-  scheduler->next_due = gp_placer_assign (scheduler->book, scheduler->pressure,
-                                          now, wall_ms, placed);
+  scheduler->next_due
+      = gp_placer_assign (scheduler->book, scheduler->pressure,
+                          &scheduler->forecast, now, wall_ms, placed);
   for (guint i = 0; i < placed->len; i++)
     {
       gp_job_task_t *task = g_ptr_array_index (placed, i);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -12,6 +12,7 @@
 #define GP_JOBS_SCHEDULER_H
 
 #include "jobs/book.h"
+#include "jobs/forecast.h"
 #include "jobs/pressure.h"
 
 typedef enum
@@ -35,6 +36,7 @@
 {
   gp_book_t *book;
   gp_pressure_t *pressure;
+  gp_forecast_t forecast;
   gp_list_t dirty;    /* gp_job_t.dirty_link */
   GArray *orders;     /* gp_order_t, in the order of their decisions */
   gp_time_t next_due; /* when gp_scheduler_plan has to look again at the
--- /dev/null
+++ b/src/jobs/urgency.c
@@ -0,0 +1,239 @@
+/* In which order jobs get room.  */
+
+#include "jobs/urgency.h"
+
+#include <string.h>
+
+#include "jobs/executor.h"
+
+/* Share of a task that is at work that counts as done.  */
+#define AT_WORK_DONE 0.5
+
+/* Kinds of room on an executor: filling tasks live on what others leave.  */
+typedef enum
+{
+  KIND_RESERVED,
+  KIND_FILLING,
+  KINDS
+} kind_t;
+
+/* The executors of a service: their room, in thousandths of a core, and the
+   work that admitted jobs want of it, in these times a duration.  */
+typedef struct
+{
+  const char *name;
+  double room[KINDS];
+  double work[KINDS];
+} service_t;
+
+typedef struct
+{
+  gp_ranked_job_t ranked; /* first: the list of both is sorted by it */
+  service_t *service;     /* NULL: it has no executor */
+  double work[KINDS];     /* what the job still wants */
+} entry_t;
+
+static service_t *
+find_service (const GArray *services, const char *name)
+{
+  for (guint i = 0; i < services->len; i++)
+    {
+      service_t *service = &g_array_index (services, service_t, i);
+
+      if (g_strcmp0 (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+static GArray *
+count_room (const gp_book_t *book)
+{
+  GArray *services = g_array_new (FALSE, FALSE, sizeof (service_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_executor_t *executor = value;
+      service_t added = { .name = executor->service };
+      service_t *service;
+
+      if (!executor->reachable || executor->dead || executor->draining)
+        continue;
+      if (find_service (services, executor->service) == NULL)
+        g_array_append_val (services, added);
+      service = find_service (services, executor->service);
+      service->room[KIND_RESERVED]
+          += (double)(executor->capacity.cpu_milli - executor->lasting);
+      service->room[KIND_FILLING]
+          += (double)(executor->filling
+                      + MAX (gp_job_executor_left_over (executor), 0));
+    }
+  return services;
+}
+
+/* Count what the job still wants and how far it has got.  */
+static void
+count_work (entry_t *entry)
+{
+  const gp_job_t *job = entry->ranked.job;
+  double left = 0.0;
+
+  for (uint32_t k = 0; k < job->occurrences; k++)
+    for (size_t s = 0; s < job->submission->n_steps; s++)
+      {
+        const Gp__Jobs__Step *step = job->submission->steps[s];
+        const gp_step_tally_t *tally = &gp_job_tallies (job, k)[s];
+        uint32_t at_work = step->count - tally->done - tally->waiting;
+        double tasks = tally->waiting + at_work * (1.0 - AT_WORK_DONE);
+
+        left += tasks;
+        if (!step->long_running)
+          entry->work[step->fills ? KIND_FILLING : KIND_RESERVED]
+              += tasks * (double)step->cpu_milli * (double)job->task_times[s];
+      }
+  entry->ranked.progress = 1.0 - left / job->task_count;
+}
+
+/* What is expected of JOB by itself.  */
+static entry_t
+assess (const GArray *services, gp_job_t *job, gp_time_t now)
+{
+  gp_time_t remaining = gp_forecast_remaining (job);
+  entry_t entry
+      = { .ranked = { .job = job, .hope = GP_HOPE_NONE, .rank = job->due_at },
+          .service = find_service (services, job->submission->service) };
+
+  if (now + remaining <= job->due_at)
+    entry.ranked.hope = GP_HOPE_IN_TIME;
+  else if (now + remaining <= job->useless_at)
+    {
+      entry.ranked.hope = GP_HOPE_LATE;
+      entry.ranked.rank = remaining;
+    }
+  count_work (&entry);
+  return entry;
+}
+
+static gint
+by_urgency (gconstpointer a, gconstpointer b)
+{
+  const gp_ranked_job_t *left = a;
+  const gp_ranked_job_t *right = b;
+  uint32_t left_priority = left->job->submission->priority;
+  uint32_t right_priority = right->job->submission->priority;
+
+  if (left_priority != right_priority)
+    return left_priority < right_priority ? -1 : 1;
+  if (left->hope != right->hope)
+    return left->hope < right->hope ? -1 : 1;
+  if (left->rank != right->rank)
+    return left->rank < right->rank ? -1 : 1;
+  return strcmp (left->job->id, right->job->id);
+}
+
+static void
+add_work (const entry_t *entry, double sign)
+{
+  for (int kind = 0; kind < KINDS; kind++)
+    entry->service->work[kind] += sign * entry->work[kind];
+}
+
+/* Will work of the job not be through by its objective?  */
+static bool
+is_overbooked (const entry_t *entry, gp_time_t now)
+{
+  const service_t *service = entry->service;
+  double time = (double)(entry->ranked.job->due_at - now);
+
+  for (int kind = 0; kind < KINDS; kind++)
+    if (entry->work[kind] > 0.0
+        && service->work[kind] > service->room[kind] * time)
+      return true;
+  return false;
+}
+
+/* The job to put behind so that the one at LAST may be in time: of those up
+   to it with its service and priority, in time, the one that has got least
+   far; the later of two.  */
+static entry_t *
+least_far (GArray *entries, guint last)
+{
+  entry_t *least = &g_array_index (entries, entry_t, last);
+  uint32_t priority = least->ranked.job->submission->priority;
+  const service_t *service = least->service;
+
+  for (guint i = last; i-- > 0;)
+    {
+      entry_t *other = &g_array_index (entries, entry_t, i);
+
+      if (other->ranked.job->submission->priority != priority)
+        break;
+      if (other->service == service && other->ranked.hope == GP_HOPE_IN_TIME
+          && other->ranked.progress < least->ranked.progress)
+        least = other;
+    }
+  return least;
+}
+
+static void
+admit (GArray *entries, gp_time_t now)
+{
+  for (guint i = 0; i < entries->len; i++)
+    {
+      entry_t *entry = &g_array_index (entries, entry_t, i);
+
+      if (entry->ranked.hope != GP_HOPE_IN_TIME || entry->service == NULL)
+        continue;
+      add_work (entry, 1.0);
+      while (entry->ranked.hope == GP_HOPE_IN_TIME
+             && is_overbooked (entry, now))
+        {
+          entry_t *behind = least_far (entries, i);
+
+          add_work (behind, -1.0);
+          behind->ranked.hope = GP_HOPE_LATE;
+          behind->ranked.rank = gp_forecast_remaining (behind->ranked.job);
+        }
+    }
+}
+
+static GArray *
+ranked_of (const GArray *entries)
+{
+  GArray *ranked = g_array_new (FALSE, FALSE, sizeof (gp_ranked_job_t));
+
+  for (guint i = 0; i < entries->len; i++)
+    g_array_append_val (ranked, g_array_index (entries, entry_t, i).ranked);
+  return ranked;
+}
+
+GArray *
+gp_urgency_rank (const gp_book_t *book, const gp_forecast_t *forecast,
+                 gp_time_t now)
+{
+  GArray *entries = g_array_new (FALSE, FALSE, sizeof (entry_t));
+  GArray *services = count_room (book);
+  GArray *ranked;
+
+  GP_LIST_FOREACH (link, &book->live)
+  {
+    gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
+    entry_t entry;
+
+    if (job->cancelled)
+      continue;
+    gp_forecast_job (forecast, job, now);
+    entry = assess (services, job, now);
+    g_array_append_val (entries, entry);
+  }
+  g_array_sort (entries, by_urgency);
+  admit (entries, now);
+  ranked = ranked_of (entries);
+  g_array_sort (ranked, by_urgency);
+  g_array_free (entries, TRUE);
+  g_array_free (services, TRUE);
+  return ranked;
+}
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -19,8 +19,9 @@
    need.  */
 #define BODY_MAX ((size_t)64 * 1024)
 #define HEADER_TIME (5 * GP_SEC)
-/* The executor holds a list call so long when nothing ends.  */
-#define LIST_WAIT (500 * GP_MSEC)
+/* The executor holds a list call so long when nothing ends: half of the time
+   that its measures look back.  */
+#define LIST_WAIT (250 * GP_MSEC)
 /* Beyond that without an answer it is made again.  */
 #define LIST_TIME (600 * GP_MSEC)
 /* Least duration between two list calls: ends that come together then come
