--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -248,12 +248,38 @@
         verdict(site)
 
 
+def silenced(build):
+    print("all open connections go silent for good")
+    with site_of(build, links=True) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        for link in site.links.values():
+            link.silence()
+        until(lambda: site.submit("e1", JOB_B, STEPS) == 200, what="accepted")
+        site.await_state("e2", JOB_B, "completed")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="still")
+        verdict(site)
+
+
+def slow_store(build):
+    print("the store is slow")
+    with site_of(build, links=True) as site:
+        for name, link in site.links.items():
+            if name.endswith("store"):
+                link.delay_s = 0.15
+        for job in (JOB_A, JOB_B, JOB_C):
+            print("  submitted:", site.submit("e2", job, STEPS))
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.await_state("e1", job, "completed")
+        verdict(site)
+
+
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (calm, cancelled, leader_killed, guard_restarted,
                               guard_paused, stale_heartbeat,
                               store_down, left_open, entry_refused,
                               lost_answers, records_dropped, late_orders,
-                              executors_crash)}
+                              executors_crash, silenced, slow_store)}
 
 if __name__ == "__main__":
     for wanted in sys.argv[2:] or SCENARIOS:
--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -11,6 +11,7 @@
                                 "tools"))
 
 import keyed_platform as standin  # noqa: E402
+from links import Links  # noqa: E402
 from site_processes import Process, free_port, request, until  # noqa: E402
 
 DOCUMENT = {
@@ -40,10 +41,12 @@
 
 
 class PlatformSite:
-    """ENTRIES entries and WORKERS workers with their guards."""
+    """ENTRIES entries and WORKERS workers with their guards.  With LINKS all
+    connections between them, to the store and to the executors lead through
+    links, by name in `links`."""
 
     def __init__(self, build, folder, entries=2, workers=3, seed=1,
-                 status_s=120):
+                 status_s=120, links=False):
         self.build = build
         self.status_s = status_s
         self.folder = folder
@@ -55,6 +58,8 @@
         self.executors = {}
         self.processes = {}
         self.metrics = {}
+        self.net = Links() if links else None
+        self.links = {}
         self.doors = {}  # the store's address that a process is told
         self.publish(DOCUMENT)
         for i in range(1, workers + 1):
@@ -65,10 +70,28 @@
     def publish(self, document):
         self.store.put("keyed.op", "config", json.dumps(document).encode())
 
+    def link(self, name, target):
+        """The address at which TARGET is to be reached."""
+        if self.net is None:
+            return target
+        address = loopback()
+        self.links[name] = self.net.add(address, target)
+        return address
+
+    def link_peers(self, name, port):
+        """Let the addresses that the process will announce lead through
+        links; all addresses of loopback have the same length here."""
+        for what, offset in (("peers", 0), ("relay", 2)):
+            announced = f"127.0.0.1:{port + offset}"
+            self.store.rewrites[announced.encode()] = self.link(
+                f"{name} {what}", announced).encode()
+
     def settings(self, name, more):
-        store = self.doors[name] = loopback()
-        self.store.open(store)
+        self.doors[name] = loopback()
+        self.store.open(self.doors[name])
+        store = self.link(f"{name} store", self.doors[name])
         port = port_of_three()
+        self.link_peers(name, port)
         self.metrics[name] = f"127.0.0.1:{port + 1}"
         path = os.path.join(self.folder, name + ".yaml")
         lines = [f'node: "{name}"', 'zone: "z"', 'ip: "127.0.0.1"',
@@ -94,11 +117,13 @@
 
     def add_worker(self, name, seed):
         control, app = loopback(), loopback()
+        orders = self.link(f"{name} orders", app)
         path = self.settings(name, ["listen:", f'  control: "{control}"',
-                                    f'app: "{app}"'])
+                                    f'app: "{orders}"'])
         self.start(name, "guard", path)
-        self.executors[name] = standin.Executor(self.judge, name, app,
-                                                control, seed=seed)
+        self.executors[name] = standin.Executor(
+            self.judge, name, app, self.link(f"{name} heartbeats", control),
+            seed=seed)
 
     def ready(self):
         for _, ready in self.entries.values():
@@ -147,3 +172,5 @@
         for process in self.processes.values():
             process.kill()
         self.store.close()
+        if self.net is not None:
+            self.net.close()
--- a/tests/standins/keyed_platform.py
+++ b/tests/standins/keyed_platform.py
@@ -104,6 +104,7 @@
         self.lost = 0
         self.appends = 0
         self.refused = set()
+        self.rewrites = {}  # bytes in appended records, of the same length
         self.servers = []
         self.open(address)
 
@@ -155,6 +156,8 @@
         return 404, b"{}"
 
     def append(self, query, body):
+        for old, new in self.rewrites.items():
+            body = body.replace(old, new)
         with self.lock:
             topic = self.topic(query)
             if "at" in query and int(query["at"]) != topic.end:
--- /dev/null
+++ b/tests/standins/links.py
@@ -0,0 +1,136 @@
+"""Links on loopback with switches for their faults.
+
+A Link listens on one address and passes connections on to another.  It can
+delay what passes, hold it up one way or both ways, reset its connections, and
+silence those that are open: they stay open and pass nothing any more, while
+new ones work.  All links of a Links run on one loop in a thread of their own;
+their switches may be used from any thread.
+"""
+
+import asyncio
+import socket
+import struct
+import threading
+
+CHUNK = 65536
+TO_TARGET, FROM_TARGET = 0, 1
+
+
+def split(address):
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
+
+
+class Connection:
+    def __init__(self, writers):
+        self.writers = writers  # to the target, to who has connected
+        self.silent = False
+
+    def reset(self):
+        for writer in self.writers:
+            peer = writer.get_extra_info("socket")
+            if peer is not None and peer.fileno() >= 0:
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+
+class Link:
+    def __init__(self, loop, target):
+        self.loop = loop
+        self.target = target
+        self.delay_s = 0.0
+        self.held = [asyncio.Event(), asyncio.Event()]  # set: passes
+        self.connections = set()
+        self.server = None
+        for gate in self.held:
+            gate.set()
+
+    async def listen(self, address):
+        host, port = split(address)
+        self.server = await asyncio.start_server(self.pass_on, host, port)
+
+    async def pass_on(self, reader, writer):
+        try:
+            target = await asyncio.open_connection(*split(self.target))
+        except OSError:
+            Connection([writer]).reset()
+            return
+        connection = Connection([target[1], writer])
+        self.connections.add(connection)
+        try:
+            await asyncio.gather(
+                self.pump(connection, reader, target[1], TO_TARGET),
+                self.pump(connection, target[0], writer, FROM_TARGET))
+        except asyncio.CancelledError:
+            pass  # all links are being closed
+        self.connections.discard(connection)
+
+    async def pump(self, connection, reader, writer, way):
+        try:
+            while data := await reader.read(CHUNK):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await self.held[way].wait()
+                if connection.silent:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass  # reset on one side: the other learns it below
+        if not connection.silent:
+            writer.close()
+
+    # Switches, for any thread.
+
+    def call(self, action, *arguments):
+        self.loop.call_soon_threadsafe(action, *arguments)
+
+    def reset(self):
+        self.call(lambda: [c.reset() for c in list(self.connections)])
+
+    def silence(self):
+        def silence_all():
+            for connection in self.connections:
+                connection.silent = True
+        self.call(silence_all)
+
+    def hold(self, ways):
+        for way in ways:
+            self.call(self.held[way].clear)
+
+    def heal(self):
+        self.delay_s = 0.0
+        for gate in self.held:
+            self.call(gate.set)
+
+
+class Links:
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.all = []
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+
+    def run(self, task):
+        return asyncio.run_coroutine_threadsafe(task, self.loop).result()
+
+    def add(self, address, target):
+        """Pass what connects to ADDRESS on to TARGET."""
+        link = Link(self.loop, target)
+        self.run(link.listen(address))
+        self.all.append(link)
+        return link
+
+    def close(self):
+        self.run(self.close_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+
+    async def close_all(self):
+        for link in self.all:
+            link.server.close()
+            for connection in list(link.connections):
+                connection.reset()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
