--- a/tests/unit/test_pressure.c
+++ b/tests/unit/test_pressure.c
@@ -26,7 +26,8 @@
   static const double truth[] = { 0.8, 0.0, 0.3 };
   gp_pressure_work_t work = { { 0.0 } };
   gp_pressure_work_t change = { { 0.0 } };
-  double ratio = -1.0 + 0.7 * sin (i / RUNS * 2.0 * G_PI / 35.0)
+  int step = i / RUNS;
+  double ratio = -1.0 + 0.7 * sin (step * 2.0 * G_PI / 35.0)
                  + g_rand_double_range (random, -0.2, 0.2);
 
   for (int f = 0; f < 3; f++)
