--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -1,6 +1,5 @@
 /* The leading entry's connections to the guards.  */
 
-#include <math.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -16,145 +15,10 @@
 
 /* A sync that the guard has not taken in by then is sent again.  */
 #define RESYNC_TIME (2 * GP_SEC)
-/* A filling run that is held to no more speed than this is slow.  */
-#define SLOW_PERCENT 60
-/* Guards are told what was learned so often.  */
-#define TEACH_TIME (GP_SEC)
-/* Measures look back half a second: two that are compared are taken nearly so
-   far apart, and not much farther, as the load changes meanwhile.  */
-#define SAMPLE_TIME (400 * GP_MSEC)
-#define SAMPLE_TIME_MAX (900 * GP_MSEC)
-
 static void dial (gp_link_t *link);
 
 /* Reports.  */
 
-/* What was learned of the pairs of images that serve in REPORT and those
-   that fill anywhere.  */
-static void
-add_pressures (gp_link_t *link, const Gp__Jobs__Report *report, GArray *rows)
-{
-  const gp_pressure_t *pressure = &link->leader->pressure;
-
-  for (size_t i = 0; i < report->n_servings; i++)
-    {
-      GHashTableIter iter;
-      gpointer image;
-      gpointer place;
-
-      g_hash_table_iter_init (&iter, pressure->places);
-      while (g_hash_table_iter_next (&iter, &image, &place))
-        {
-          Gp__Jobs__Pressure row = GP__JOBS__PRESSURE__INIT;
-
-          row.serving = report->servings[i]->image;
-          row.filling = image;
-          row.weight_permille
-              = (int32_t)(gp_pressure_weight (pressure, row.serving,
-                                              GPOINTER_TO_UINT (place) - 1)
-                          * 1000.0);
-          g_array_append_val (rows, row);
-        }
-    }
-}
-
-static void
-teach (gp_link_t *link, const Gp__Jobs__Report *report,
-       Gp__Jobs__Acknowledge *message, GArray *rows)
-{
-  gp_time_t now = gp_loop_now (link->leader->loop);
-
-  if (report->n_servings == 0 || now - link->taught_at < TEACH_TIME)
-    return;
-  link->taught_at = now;
-  add_pressures (link, report, rows);
-  message->pressures = gp_link_pointers (rows);
-  message->n_pressures = rows->len;
-}
-
-static void
-note_speed (gp_link_t *link, const Gp__Jobs__Filling *filling)
-{
-  gp_job_task_t *task = gp_book_task (link->leader->book, filling->task);
-  gp_time_t now = gp_loop_now (link->leader->loop);
-
-  if (task == NULL || task->executor != link->executor)
-    return;
-  if (filling->pace_percent > SLOW_PERCENT)
-    task->slow_since = 0;
-  else if (task->slow_since == 0)
-    task->slow_since = now;
-}
-
-static gp_pressure_work_t
-work_of (gp_link_t *link, const Gp__Jobs__Report *report)
-{
-  gp_pressure_work_t work = { { 0.0 } };
-
-  for (size_t i = 0; i < report->n_fillings; i++)
-    work.work[gp_pressure_place (&link->leader->pressure,
-                                 report->fillings[i]->image)]
-        += report->fillings[i]->work_permille / 1000.0;
-  return work;
-}
-
-/* Compare a measure of TASK with the one of the link's last sample, if it was
-   part of that.  */
-static void
-compare (gp_link_t *link, gp_job_task_t *task, const char *image,
-         const gp_pressure_work_t *work, double log_ratio)
-{
-  gp_pressure_work_t change;
-
-  if (task->sampled_at == 0 || task->sampled_at != link->sampled_at)
-    return;
-  for (unsigned int i = 0; i < GP_PRESSURE_IMAGES; i++)
-    change.work[i] = work->work[i] - link->work.work[i];
-  gp_pressure_learn (&link->leader->pressure, image, &change,
-                     log_ratio - task->log_ratio);
-}
-
-static void
-learn_serving (gp_link_t *link, const Gp__Jobs__Serving *serving,
-               const gp_pressure_work_t *work, gp_time_t now)
-{
-  gp_leader_t *leader = link->leader;
-  gp_job_task_t *task = gp_book_task (leader->book, serving->task);
-  gp_time_t age = now - link->sampled_at;
-  double log_ratio;
-
-  if (task == NULL || task->executor != link->executor
-      || serving->ratio_permille == 0)
-    return;
-  log_ratio = log (serving->ratio_permille / 1000.0);
-  gp_pressure_follow (&leader->pressure, serving->image, work, log_ratio,
-                      &task->baseline);
-  if (age < SAMPLE_TIME)
-    return;
-  if (age <= SAMPLE_TIME_MAX)
-    compare (link, task, serving->image, work, log_ratio);
-  task->log_ratio = log_ratio;
-  task->sampled_at = now;
-}
-
-static void
-learn (gp_link_t *link, const Gp__Jobs__Report *report)
-{
-  gp_time_t now = gp_loop_now (link->leader->loop);
-  gp_pressure_work_t work = work_of (link, report);
-
-  if (report->n_servings == 0)
-    return;
-  for (size_t i = 0; i < report->n_fillings; i++)
-    note_speed (link, report->fillings[i]);
-  for (size_t i = 0; i < report->n_servings; i++)
-    learn_serving (link, report->servings[i], &work, now);
-  if (now - link->sampled_at < SAMPLE_TIME)
-    return;
-  link->work = work;
-  link->sampled_at = now;
-}
-
 static void
 acknowledge (gp_link_t *link, const Gp__Jobs__Report *report)
 {
@@ -168,7 +32,7 @@
     return;
   rows = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Pressure));
   message.sent_at = report->sent_at;
-  teach (link, report, &message, rows);
+  gp_leader_teach (link, report, &message, rows);
   frame.message_case = GP__JOBS__FRAME__MESSAGE_ACKNOWLEDGE;
   frame.acknowledge = &message;
   if (gp_link_send (link->peer, &frame))
@@ -245,7 +109,7 @@
   if (!link->sees_executor)
     return;
   set_executor (link, report->executor);
-  learn (link, report);
+  gp_leader_learn (link, report);
   take_report (link, report);
   gp_leader_turn_soon (leader);
 }
--- a/src/jobsd/leader_private.h
+++ b/src/jobsd/leader_private.h
@@ -25,4 +25,12 @@
 void gp_leader_send_frames (gp_leader_t *leader);
 void gp_leader_drop_frames (gp_leader_t *leader);
 
+/* Learn from the measures in REPORT, if it has any.  */
+void gp_leader_learn (gp_link_t *link, const Gp__Jobs__Report *report);
+
+/* Put what was learned of the images in REPORT into MESSAGE, if it is time;
+   ROWS holds it and is the caller's.  */
+void gp_leader_teach (gp_link_t *link, const Gp__Jobs__Report *report,
+                      Gp__Jobs__Acknowledge *message, GArray *rows);
+
 #endif
