Forecast: one walk over the chain of steps

Cause: the chain of a whole job and of what is left of it were walked twice in the same way. Change: longest_chain; behaviour unchanged. Measured: test_urgency passes.

--- a/src/jobs/forecast.c
+++ b/src/jobs/forecast.c
@@ -126,38 +126,40 @@
   return model != NULL ? model->spread : SPREAD_UNKNOWN;
 }
 
-/* The end of the longest chain of steps up to STEP, which takes DURATION.  */
+/* The longest chain of SUBMISSION's steps, which take DURATIONS.  */
 static gp_time_t
-chain_end (const Gp__Jobs__Step *step, const gp_time_t *ends,
-           gp_time_t duration)
+longest_chain (const Gp__Jobs__Submission *submission,
+               const gp_time_t *durations)
 {
-  gp_time_t start = 0;
-
-  for (size_t i = 0; i < step->n_after; i++)
-    start = MAX (start, ends[step->after[i]]);
-  return start + duration;
-}
-
-/* The longest chain of the whole job, by the longest task of each step.  */
-static gp_time_t
-whole_chain (const gp_forecast_t *forecast, const gp_job_t *job)
-{
-  const Gp__Jobs__Submission *submission = job->submission;
   gp_time_t ends[GP_JOB_MAX_STEPS];
   gp_time_t longest = 0;
 
   for (size_t i = 0; i < submission->n_steps; i++)
     {
       const Gp__Jobs__Step *step = submission->steps[i];
-      double duration
-          = (double)job->task_times[i] * spread_of (forecast, step);
 
-      ends[i] = chain_end (step, ends, (gp_time_t)duration);
+      ends[i] = 0;
+      for (size_t j = 0; j < step->n_after; j++)
+        ends[i] = MAX (ends[i], ends[step->after[j]]);
+      ends[i] += durations[i];
       longest = MAX (longest, ends[i]);
     }
   return longest;
 }
 
+/* The longest chain of the whole job, by the longest task of each step.  */
+static gp_time_t
+whole_chain (const gp_forecast_t *forecast, const gp_job_t *job)
+{
+  const Gp__Jobs__Submission *submission = job->submission;
+  gp_time_t durations[GP_JOB_MAX_STEPS];
+
+  for (size_t i = 0; i < submission->n_steps; i++)
+    durations[i] = (gp_time_t)((double)job->task_times[i]
+                               * spread_of (forecast, submission->steps[i]));
+  return longest_chain (submission, durations);
+}
+
 void
 gp_forecast_job (const gp_forecast_t *forecast, gp_job_t *job, gp_time_t now)
 {
@@ -181,22 +183,17 @@
 chain_left (const gp_job_t *job, const gp_step_tally_t *tallies)
 {
   const Gp__Jobs__Submission *submission = job->submission;
-  gp_time_t ends[GP_JOB_MAX_STEPS];
-  gp_time_t longest = 0;
+  gp_time_t durations[GP_JOB_MAX_STEPS];
 
   for (size_t i = 0; i < submission->n_steps; i++)
     {
-      const Gp__Jobs__Step *step = submission->steps[i];
-      gp_time_t duration = 0;
-
+      durations[i] = 0;
       if (tallies[i].waiting > 0)
-        duration = job->task_times[i];
-      else if (tallies[i].done < step->count)
-        duration = job->task_times[i] / 2;
-      ends[i] = chain_end (step, ends, duration);
-      longest = MAX (longest, ends[i]);
+        durations[i] = job->task_times[i];
+      else if (tallies[i].done < submission->steps[i]->count)
+        durations[i] = job->task_times[i] / 2;
     }
-  return longest;
+  return longest_chain (submission, durations);
 }
 
 gp_time_t
