--- a/src/jobs/pressure.c
+++ b/src/jobs/pressure.c
@@ -103,7 +103,8 @@
   model_t *model = need_model (pressure, serving);
 
   model->weights[place] = weight;
-  model->covariance[place * (GP_PRESSURE_IMAGES + 1)] = LEARNED_VARIANCE;
+  model->covariance[(size_t)place * (GP_PRESSURE_IMAGES + 1)]
+      = LEARNED_VARIANCE;
 }
 
 double
