--- a/src/jobsd/leader_private.h
+++ b/src/jobsd/leader_private.h
@@ -25,6 +25,18 @@
 void gp_leader_send_frames (gp_leader_t *leader);
 void gp_leader_drop_frames (gp_leader_t *leader);
 
+/* An idle leader writes a record so often.  */
+#define GP_LEADER_HEARTBEAT_TIME (250 * GP_MSEC)
+
+void gp_leader_append_init (gp_leader_t *leader);
+void gp_leader_append_finish (gp_leader_t *leader);
+/* Write down what was decided, unless an append is on its way.  */
+void gp_leader_flush (gp_leader_t *leader);
+/* Try to take the lead.  */
+void gp_leader_claim (gp_leader_t *leader);
+/* The lead was taken by the record at EPOCH.  */
+void gp_leader_lead (gp_leader_t *leader, uint64_t epoch);
+
 /* Add a record to the append that is being made.  */
 void gp_leader_add_record (gp_leader_t *leader, const char *key,
                            GBytes *value);
