Forecast: timed jobs by their occurrence, steps without an image by queue

Cause: reading the change as a whole: a timed job's objective counted from its submission, so that later occurrences had no hope from the start and went last; steps that name no image shared one model over all queues. Change: the objective is that of the first occurrence that is not done, and work counts once its time has come; such steps are told apart by queue.

--- a/src/jobs/forecast.c
+++ b/src/jobs/forecast.c
@@ -68,6 +68,12 @@
   return model;
 }
 
+static const char *
+model_key (const char *queue, const Gp__Jobs__Step *step)
+{
+  return *step->image != '\0' ? step->image : queue;
+}
+
 static gp_regression_input_t
 input_of (const Gp__Jobs__Step *step)
 {
@@ -81,22 +87,24 @@
 }
 
 void
-gp_forecast_learn (gp_forecast_t *forecast, const Gp__Jobs__Step *step,
-                   gp_time_t duration)
+gp_forecast_learn (gp_forecast_t *forecast, const char *queue,
+                   const Gp__Jobs__Step *step, gp_time_t duration)
 {
   gp_regression_input_t input = input_of (step);
+  model_t *model = need_model (forecast, model_key (queue, step));
 
   if (duration <= 0)
     return;
-  gp_regression_update (&need_model (forecast, step->image)->regression,
-                        &input, log ((double)duration / GP_SEC));
+  gp_regression_update (&model->regression, &input,
+                        log ((double)duration / GP_SEC));
 }
 
 void
-gp_forecast_learn_spread (gp_forecast_t *forecast, const Gp__Jobs__Step *step,
-                          gp_time_t longest, gp_time_t mean)
+gp_forecast_learn_spread (gp_forecast_t *forecast, const char *queue,
+                          const Gp__Jobs__Step *step, gp_time_t longest,
+                          gp_time_t mean)
 {
-  model_t *model = need_model (forecast, step->image);
+  model_t *model = need_model (forecast, model_key (queue, step));
 
   if (mean > 0 && step->count >= SPREAD_TASKS_MIN)
     model->spread
@@ -143,9 +151,11 @@
 
 /* The mean of what is distributed by its logarithm lies above the middle.  */
 static gp_time_t
-task_time (const gp_forecast_t *forecast, const Gp__Jobs__Step *step)
+task_time (const gp_forecast_t *forecast, const char *queue,
+           const Gp__Jobs__Step *step)
 {
-  const model_t *model = g_hash_table_lookup (forecast->models, step->image);
+  const model_t *model
+      = g_hash_table_lookup (forecast->models, model_key (queue, step));
   gp_regression_input_t input = input_of (step);
   double seconds;
 
@@ -157,9 +167,11 @@
 }
 
 static double
-spread_of (const gp_forecast_t *forecast, const Gp__Jobs__Step *step)
+spread_of (const gp_forecast_t *forecast, const char *queue,
+           const Gp__Jobs__Step *step)
 {
-  const model_t *model = g_hash_table_lookup (forecast->models, step->image);
+  const model_t *model
+      = g_hash_table_lookup (forecast->models, model_key (queue, step));
 
   if (step->count < SPREAD_TASKS_MIN)
     return 1.0;
@@ -196,25 +208,50 @@
 
   for (size_t i = 0; i < submission->n_steps; i++)
     durations[i] = (gp_time_t)((double)job->task_times[i]
-                               * spread_of (forecast, submission->steps[i]));
+                               * spread_of (forecast, submission->queue,
+                                            submission->steps[i]));
   return longest_chain (submission, durations);
 }
 
+static bool
+is_done (const gp_job_t *job, uint32_t occurrence)
+{
+  const gp_step_tally_t *tallies = gp_job_tallies (job, occurrence);
+
+  for (size_t i = 0; i < job->submission->n_steps; i++)
+    if (tallies[i].done < job->submission->steps[i]->count)
+      return false;
+  return true;
+}
+
+/* When what JOB has to do next was, or is, due to begin.  */
+static gp_time_t
+begins_at (const gp_job_t *job)
+{
+  uint32_t occurrence = 0;
+
+  while (occurrence + 1 < job->occurrences && is_done (job, occurrence))
+    occurrence++;
+  return gp_job_occurrence_at (job, occurrence);
+}
+
 void
 gp_forecast_job (const gp_forecast_t *forecast, gp_job_t *job, gp_time_t now)
 {
   const Gp__Jobs__Submission *submission = job->submission;
+  gp_time_t begin = begins_at (job);
   gp_time_t objective;
 
   if (job->forecast_at != 0 && now < job->forecast_at + FORECAST_TIME)
     return;
   for (size_t i = 0; i < submission->n_steps; i++)
-    job->task_times[i] = task_time (forecast, submission->steps[i]);
+    job->task_times[i]
+        = task_time (forecast, submission->queue, submission->steps[i]);
   objective = whole_chain (forecast, job) * submission->stretch_percent / 100
               + submission->target_ms * GP_MSEC;
   job->forecast_at = now;
-  job->due_at = job->submitted_at + objective;
-  job->useless_at = job->submitted_at + USELESS_FACTOR * objective;
+  job->due_at = begin + objective;
+  job->useless_at = begin + USELESS_FACTOR * objective;
 }
 
 /* What is left of one occurrence, by the mean of its tasks: a job is not
--- a/src/jobs/forecast.h
+++ b/src/jobs/forecast.h
@@ -2,7 +2,8 @@
 
    The estimates that come with a job are rough: on the users' sites they
    explain a quarter of the variance of one image and four fifths of
-   another's.  So for each image the logarithm of a run's duration is a line
+   another's.  So for each image (for each queue where steps name none) the
+   logarithm of a run's duration is a line
    over the logarithm of its estimate, learned from runs that are done, and
    the longest task of a step is a learned multiple of the mean.  A process
    that knows nothing yet takes estimates as they are.  */
@@ -20,13 +21,14 @@
 void gp_forecast_init (gp_forecast_t *forecast);
 void gp_forecast_finish (gp_forecast_t *forecast);
 
-/* A task of STEP has been done by a run that took DURATION.  */
-void gp_forecast_learn (gp_forecast_t *forecast, const Gp__Jobs__Step *step,
-                        gp_time_t duration);
+/* A task of STEP, from a job of QUEUE, has been done by a run that took
+   DURATION.  */
+void gp_forecast_learn (gp_forecast_t *forecast, const char *queue,
+                        const Gp__Jobs__Step *step, gp_time_t duration);
 
 /* All tasks of STEP are done: the longest took LONGEST, MEAN is the mean of
    all.  */
-void gp_forecast_learn_spread (gp_forecast_t *forecast,
+void gp_forecast_learn_spread (gp_forecast_t *forecast, const char *queue,
                                const Gp__Jobs__Step *step, gp_time_t longest,
                                gp_time_t mean);
 
@@ -38,7 +40,8 @@
 bool gp_forecast_set (gp_forecast_t *forecast, const Gp__Jobs__Forecast *row);
 
 /* Bring JOB's task times and objective up to what is known NOW, unless that
-   was done lately.  */
+   was done lately.  A timed job has the objective of its first occurrence that
+   is not done.  */
 void gp_forecast_job (const gp_forecast_t *forecast, gp_job_t *job,
                       gp_time_t now);
 
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -242,6 +242,20 @@
   return true;
 }
 
+gp_time_t
+gp_job_occurrence_at (const gp_job_t *job, uint32_t occurrence)
+{
+  const Gp__Jobs__Submission *submission = job->submission;
+  int64_t after_ms;
+
+  if (submission->repeats == 0)
+    return job->submitted_at;
+  after_ms = submission->first_wall_ms
+             + (int64_t)occurrence * submission->interval_ms
+             - submission->accepted_wall_ms;
+  return job->submitted_at + after_ms * GP_MSEC;
+}
+
 void
 gp_task_set_state (gp_job_task_t *task, gp_task_state_t state)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -161,6 +161,10 @@
 bool gp_job_step_ready (const gp_job_t *job, uint32_t occurrence,
                         uint32_t step, int64_t wall_ms);
 
+/* When OCCURRENCE is due, on this process's clock: for a job that is not timed
+   when it was submitted.  */
+gp_time_t gp_job_occurrence_at (const gp_job_t *job, uint32_t occurrence);
+
 /* Set the state of TASK and keep the tallies; the executor's lists are the
    caller's.  */
 void gp_task_set_state (gp_job_task_t *task, gp_task_state_t state);
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -166,8 +166,9 @@
       known += first[i].took > 0;
     }
   if (known > 0 && known * 2 >= count)
-    gp_forecast_learn_spread (&scheduler->forecast, gp_task_step (task),
-                              longest, sum / known);
+    gp_forecast_learn_spread (&scheduler->forecast,
+                              task->job->submission->queue,
+                              gp_task_step (task), longest, sum / known);
 }
 
 /* TASK was done.  A run that went on from a checkpoint, or was assigned by
@@ -178,7 +179,8 @@
   if (task->since == 0 || task->checkpoint != NULL)
     return;
   task->took = now - task->since;
-  gp_forecast_learn (&scheduler->forecast, gp_task_step (task), task->took);
+  gp_forecast_learn (&scheduler->forecast, task->job->submission->queue,
+                     gp_task_step (task), task->took);
 }
 
 static void
--- a/src/jobs/urgency.c
+++ b/src/jobs/urgency.c
@@ -74,9 +74,10 @@
   return services;
 }
 
-/* Count what the job still wants and how far it has got.  */
+/* Count what the job wants by now and how far it has got; occurrences whose
+   time has not come want nothing.  */
 static void
-count_work (entry_t *entry)
+count_work (entry_t *entry, gp_time_t now)
 {
   const gp_job_t *job = entry->ranked.job;
   double left = 0.0;
@@ -90,7 +91,7 @@
         double tasks = tally->waiting + at_work * (1.0 - AT_WORK_DONE);
 
         left += tasks;
-        if (!step->long_running)
+        if (!step->long_running && gp_job_occurrence_at (job, k) <= now)
           entry->work[step->fills ? KIND_FILLING : KIND_RESERVED]
               += tasks * (double)step->cpu_milli * (double)job->task_times[s];
       }
@@ -113,7 +114,7 @@
       entry.ranked.hope = GP_HOPE_LATE;
       entry.ranked.rank = remaining;
     }
-  count_work (&entry);
+  count_work (&entry, now);
   return entry;
 }
 
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -133,8 +133,8 @@
                    entry->progress.fresh_at, ready);
   gp_counter_set (&leading_gauge, entry->leader.role == GP_LEADER_LEADING);
   entry->progress.look_at = gp_leader_claim_at (&entry->leader);
-  /* From the claim on the book is ahead of the log; when the claim fails
-     both are read anew.  */
+  /* From the lead on the book is ahead of the log: this entry reads no more of
+     what it writes itself.  */
   if (entry->leader.role != GP_LEADER_FOLLOWING)
     gp_feed_stop (&entry->progress);
 }
--- a/tests/unit/test_urgency.c
+++ b/tests/unit/test_urgency.c
@@ -61,10 +61,10 @@
       double noise = g_rand_double_range (random, -0.3, 0.3);
 
       step->estimate_ms = (uint32_t)g_rand_int_range (random, 200, 9000);
-      gp_forecast_learn (&forecast, step,
+      gp_forecast_learn (&forecast, "queue", step,
                          (gp_time_t)(3.0 * sqrt (step->estimate_ms / 1000.0)
                                      * exp (noise) * GP_SEC));
-      gp_forecast_learn_spread (&forecast, step, 2 * GP_SEC, GP_SEC);
+      gp_forecast_learn_spread (&forecast, "queue", step, 2 * GP_SEC, GP_SEC);
     }
   step->estimate_ms = 4000;
   jobs_site_init (&site);
@@ -99,6 +99,53 @@
   gp_forecast_finish (&forecast);
 }
 
+/* An occurrence is as urgent as its own time makes it.  */
+static void
+test_timed (void)
+{
+  gp_forecast_t forecast;
+  jobs_site_t site;
+  gp_job_t *job;
+  Gp__Jobs__Submission *submission = jobs_site_submission (2, 1000);
+
+  submission->repeats = 3;
+  submission->interval_ms = 60000;
+  submission->first_wall_ms = 10000;
+  gp_forecast_init (&forecast);
+  jobs_site_init (&site);
+  job = jobs_site_submit (&site, "00000000000000aa", submission);
+  gp_forecast_job (&forecast, job, site.now);
+  CU_ASSERT_EQUAL (job->due_at - job->submitted_at, 11750 * GP_MSEC);
+  for (uint32_t i = 0; i < 2; i++)
+    gp_task_set_state (&job->tasks[i], GP_TASK_DONE);
+  job->forecast_at = 0;
+  gp_forecast_job (&forecast, job, site.now);
+  CU_ASSERT_EQUAL (job->due_at - job->submitted_at, 71750 * GP_MSEC);
+  jobs_site_finish (&site);
+  gp_forecast_finish (&forecast);
+}
+
+/* Steps without an image are told apart by their queue.  */
+static void
+test_queues (void)
+{
+  Gp__Jobs__Submission *submission = jobs_site_submission (1, 1000);
+  gp_forecast_t forecast;
+  jobs_site_t site;
+  gp_job_t *job;
+
+  *submission->steps[0]->image = '\0';
+  gp_forecast_init (&forecast);
+  for (int i = 0; i < 50; i++)
+    gp_forecast_learn (&forecast, "other", submission->steps[0], 9 * GP_SEC);
+  jobs_site_init (&site);
+  job = jobs_site_submit (&site, "00000000000000aa", submission);
+  gp_forecast_job (&forecast, job, site.now);
+  CU_ASSERT_EQUAL (job->task_times[0], GP_SEC);
+  jobs_site_finish (&site);
+  gp_forecast_finish (&forecast);
+}
+
 static void
 print_order (const jobs_site_t *site)
 {
@@ -254,6 +301,8 @@
 {
   static CU_TestInfo tests[] = { { "forecast", test_forecast },
                                  { "unknown", test_unknown },
+                                 { "timed", test_timed },
+                                 { "queues", test_queues },
                                  { "order", test_order },
                                  { "plain", test_plain },
                                  CU_TEST_INFO_NULL };
