Urgency: what is ranked is a rated job, not an entry

Cause: on reading, entry_t stood for a job here and for a process everywhere else. Change: a name; behaviour unchanged. Measured: test_urgency passes.

--- a/src/jobs/urgency.c
+++ b/src/jobs/urgency.c
@@ -31,7 +31,7 @@
   gp_ranked_job_t ranked; /* first: the list of both is sorted by it */
   service_t *service;     /* NULL: it has no executor */
   double work[KINDS];     /* what the job still wants */
-} entry_t;
+} rated_job_t;
 
 static service_t *
 find_service (const GArray *services, const char *name)
@@ -77,9 +77,9 @@
 /* Count what the job wants by now and how far it has got; occurrences whose
    time has not come want nothing.  */
 static void
-count_work (entry_t *entry, gp_time_t now)
+count_work (rated_job_t *rated_job, gp_time_t now)
 {
-  const gp_job_t *job = entry->ranked.job;
+  const gp_job_t *job = rated_job->ranked.job;
   double left = 0.0;
 
   for (uint32_t k = 0; k < job->occurrences; k++)
@@ -92,30 +92,30 @@
 
         left += tasks;
         if (!step->long_running && gp_job_occurrence_at (job, k) <= now)
-          entry->work[step->fills ? KIND_FILLING : KIND_RESERVED]
+          rated_job->work[step->fills ? KIND_FILLING : KIND_RESERVED]
               += tasks * (double)step->cpu_milli * (double)job->task_times[s];
       }
-  entry->ranked.progress = 1.0 - left / job->task_count;
+  rated_job->ranked.progress = 1.0 - left / job->task_count;
 }
 
 /* What is expected of JOB by itself.  */
-static entry_t
+static rated_job_t
 assess (const GArray *services, gp_job_t *job, gp_time_t now)
 {
   gp_time_t remaining = gp_forecast_remaining (job);
-  entry_t entry
+  rated_job_t rated_job
       = { .ranked = { .job = job, .hope = GP_HOPE_NONE, .rank = job->due_at },
           .service = find_service (services, job->submission->service) };
 
   if (now + remaining <= job->due_at)
-    entry.ranked.hope = GP_HOPE_IN_TIME;
+    rated_job.ranked.hope = GP_HOPE_IN_TIME;
   else if (now + remaining <= job->useless_at)
     {
-      entry.ranked.hope = GP_HOPE_LATE;
-      entry.ranked.rank = remaining;
+      rated_job.ranked.hope = GP_HOPE_LATE;
+      rated_job.ranked.rank = remaining;
     }
-  count_work (&entry, now);
-  return entry;
+  count_work (&rated_job, now);
+  return rated_job;
 }
 
 static gint
@@ -136,21 +136,21 @@
 }
 
 static void
-add_work (const entry_t *entry, double sign)
+add_work (const rated_job_t *rated_job, double sign)
 {
   for (int kind = 0; kind < KINDS; kind++)
-    entry->service->work[kind] += sign * entry->work[kind];
+    rated_job->service->work[kind] += sign * rated_job->work[kind];
 }
 
 /* Will work of the job not be through by its objective?  */
 static bool
-is_overbooked (const entry_t *entry, gp_time_t now)
+is_overbooked (const rated_job_t *rated_job, gp_time_t now)
 {
-  const service_t *service = entry->service;
-  double time = (double)(entry->ranked.job->due_at - now);
+  const service_t *service = rated_job->service;
+  double time = (double)(rated_job->ranked.job->due_at - now);
 
   for (int kind = 0; kind < KINDS; kind++)
-    if (entry->work[kind] > 0.0
+    if (rated_job->work[kind] > 0.0
         && service->work[kind] > service->room[kind] * time)
       return true;
   return false;
@@ -159,16 +159,16 @@
 /* The job to put behind so that the one at LAST may be in time: of those up
    to it with its service and priority, in time, the one that has got least
    far; the later of two.  */
-static entry_t *
-least_far (GArray *entries, guint last)
+static rated_job_t *
+least_far (GArray *rated, guint last)
 {
-  entry_t *least = &g_array_index (entries, entry_t, last);
+  rated_job_t *least = &g_array_index (rated, rated_job_t, last);
   uint32_t priority = least->ranked.job->submission->priority;
   const service_t *service = least->service;
 
   for (guint i = last; i-- > 0;)
     {
-      entry_t *other = &g_array_index (entries, entry_t, i);
+      rated_job_t *other = &g_array_index (rated, rated_job_t, i);
 
       if (other->ranked.job->submission->priority != priority)
         break;
@@ -180,19 +180,20 @@
 }
 
 static void
-admit (GArray *entries, gp_time_t now)
+admit (GArray *rated, gp_time_t now)
 {
-  for (guint i = 0; i < entries->len; i++)
+  for (guint i = 0; i < rated->len; i++)
     {
-      entry_t *entry = &g_array_index (entries, entry_t, i);
+      rated_job_t *rated_job = &g_array_index (rated, rated_job_t, i);
 
-      if (entry->ranked.hope != GP_HOPE_IN_TIME || entry->service == NULL)
+      if (rated_job->ranked.hope != GP_HOPE_IN_TIME
+          || rated_job->service == NULL)
         continue;
-      add_work (entry, 1.0);
-      while (entry->ranked.hope == GP_HOPE_IN_TIME
-             && is_overbooked (entry, now))
+      add_work (rated_job, 1.0);
+      while (rated_job->ranked.hope == GP_HOPE_IN_TIME
+             && is_overbooked (rated_job, now))
         {
-          entry_t *behind = least_far (entries, i);
+          rated_job_t *behind = least_far (rated, i);
 
           add_work (behind, -1.0);
           behind->ranked.hope = GP_HOPE_LATE;
@@ -202,12 +203,12 @@
 }
 
 static GArray *
-ranked_of (const GArray *entries)
+ranked_of (const GArray *rated)
 {
   GArray *ranked = g_array_new (FALSE, FALSE, sizeof (gp_ranked_job_t));
 
-  for (guint i = 0; i < entries->len; i++)
-    g_array_append_val (ranked, g_array_index (entries, entry_t, i).ranked);
+  for (guint i = 0; i < rated->len; i++)
+    g_array_append_val (ranked, g_array_index (rated, rated_job_t, i).ranked);
   return ranked;
 }
 
@@ -215,26 +216,26 @@
 gp_urgency_rank (const gp_book_t *book, const gp_forecast_t *forecast,
                  gp_time_t now)
 {
-  GArray *entries = g_array_new (FALSE, FALSE, sizeof (entry_t));
+  GArray *rated = g_array_new (FALSE, FALSE, sizeof (rated_job_t));
   GArray *services = count_room (book);
   GArray *ranked;
 
   GP_LIST_FOREACH (link, &book->live)
   {
     gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
-    entry_t entry;
+    rated_job_t rated_job;
 
     if (job->cancelled)
       continue;
     gp_forecast_job (forecast, job, now);
-    entry = assess (services, job, now);
-    g_array_append_val (entries, entry);
+    rated_job = assess (services, job, now);
+    g_array_append_val (rated, rated_job);
   }
-  g_array_sort (entries, by_urgency);
-  admit (entries, now);
-  ranked = ranked_of (entries);
+  g_array_sort (rated, by_urgency);
+  admit (rated, now);
+  ranked = ranked_of (rated);
   g_array_sort (ranked, by_urgency);
-  g_array_free (entries, TRUE);
+  g_array_free (rated, TRUE);
   g_array_free (services, TRUE);
   return ranked;
 }
