Forecast: where a job begins is looked up only when it is forecast anew

Cause: on reading, gp_forecast_job walked the occurrences of each live job in every pass of the leader, also when its forecast was still good. Change: the walk stands behind the early return; behaviour unchanged. Measured: test_urgency and test_jobs as expected.

--- a/src/jobs/forecast.c
+++ b/src/jobs/forecast.c
@@ -239,7 +239,7 @@
 gp_forecast_job (const gp_forecast_t *forecast, gp_job_t *job, gp_time_t now)
 {
   const Gp__Jobs__Submission *submission = job->submission;
-  gp_time_t begin = begins_at (job);
+  gp_time_t begin;
   gp_time_t objective;
 
   if (job->forecast_at != 0 && now < job->forecast_at + FORECAST_TIME)
@@ -249,6 +249,7 @@
         = task_time (forecast, submission->queue, submission->steps[i]);
   objective = whole_chain (forecast, job) * submission->stretch_percent / 100
               + submission->target_ms * GP_MSEC;
+  begin = begins_at (job);
   job->forecast_at = now;
   job->due_at = begin + objective;
   job->useless_at = begin + USELESS_FACTOR * objective;
