Pacer: what lacks headroom for no known reason is not hopeless

Cause: the lack was taken off the load, which then fell under the limit for hopeless runs; and images of next to no weight were halted in vain. Change: both told apart, a least weight.

--- a/src/jobs/agent_measure.c
+++ b/src/jobs/agent_measure.c
@@ -202,32 +202,48 @@
          + run->taught_slope * (double)(when - run->taught_at) / GP_SEC;
 }
 
+/* Note for how long RUN has been over its target.  */
 static void
-take_serving (gp_agent_t *agent, gp_agent_run_t *run,
-              const gp_pressure_work_t *work, gp_time_t now)
+note_over (gp_agent_run_t *run, gp_time_t now)
 {
-  double target_ms = run->start->target_ms;
   bool over = run->measure > run->start->target_ms;
-  double headroom;
 
   if (!over)
     run->over_since = GP_TIME_NEVER;
   else if (run->over_since == GP_TIME_NEVER)
     run->over_since = now;
   run->over = over ? (double)(now - run->over_since) / GP_SEC : 0.0;
-  headroom = gp_headroom_of ((double)run->measure, target_ms);
-  run->missed = 0.0;
-  if (headroom < FEEDBACK_UNDER)
-    run->missed
-        = FEEDBACK_SHARE
-          * fmax (0.0, headroom_at (run, now, now) - headroom
-                           - gp_pressure_sum (&agent->pacer.pressure,
-                                              run->start->image, work));
+}
+
+/* The headroom that RUN, measured with HEADROOM, lacks of what is expected
+   when TAKEN of it is taken; as far as it counts.  */
+static double
+missed_by (const gp_agent_run_t *run, double headroom, double taken,
+           gp_time_t now)
+{
+  double expected = headroom_at (run, now, now) - taken;
+
+  if (headroom >= FEEDBACK_UNDER)
+    return 0.0;
+  return FEEDBACK_SHARE * fmax (0.0, expected - headroom);
+}
+
+static void
+take_serving (gp_agent_t *agent, gp_agent_run_t *run,
+              const gp_pressure_work_t *work, gp_time_t now)
+{
+  gp_pressure_t *pressure = &agent->pacer.pressure;
+  const char *image = run->start->image;
+  double headroom
+      = gp_headroom_of ((double)run->measure, run->start->target_ms);
+
   if (run->at_work_at == 0)
     run->at_work_at = now;
+  note_over (run, now);
+  run->missed = missed_by (run, headroom,
+                           gp_pressure_sum (pressure, image, work), now);
   if (gp_agent_is_telling (run, now))
-    gp_pressure_learn (&agent->pacer.pressure, run->start->image, work,
-                       headroom, &run->headroom, now);
+    gp_pressure_learn (pressure, image, work, headroom, &run->headroom, now);
 }
 
 /* Is RUN at work, or will it be as soon as its start is carried out?  */
@@ -260,7 +276,8 @@
   double until = headroom_at (run, now, now + PLAN_UNTIL);
 
   return (gp_pacer_serving_t){ .image = run->start->image,
-                               .headroom = MIN (from, until) - run->missed,
+                               .headroom = MIN (from, until),
+                               .missed = run->missed,
                                .over = run->over };
 }
 
--- a/src/jobs/pacer.c
+++ b/src/jobs/pacer.c
@@ -18,6 +18,10 @@
 #define OVER_SLOPE 0.8
 /* Less excess than this is none.  */
 #define EXCESS_LEAST 1e-6
+/* An image with less weight than this is not slowed down for a run that is
+   under its target, or just over it: it would have to be halted, and gain
+   next to nothing.  */
+#define WEIGHT_LEAST 0.15
 /* Under this speed, in percent, filling work is halted.  */
 #define PACE_MIN 10
 /* Smaller changes, in percent, are not worth a call.  */
@@ -43,12 +47,13 @@
   return pacer->paces[gp_pressure_place (&pacer->pressure, image)];
 }
 
-/* The place of the image that presses SERVING most with the PLAN, or -1.  */
+/* The place of the image that presses SERVING most with the PLAN, by more than
+   LEAST, or -1.  */
 static int
 hardest (const gp_pacer_t *pacer, const char *serving,
-         const gp_pressure_work_t *plan)
+         const gp_pressure_work_t *plan, double least)
 {
-  double most = 0.0;
+  double most = least;
   int place = -1;
 
   for (unsigned int i = 0; i < GP_PRESSURE_IMAGES; i++)
@@ -64,18 +69,18 @@
   return place;
 }
 
-/* Take work off PLAN until SERVING, which has HEADROOM without any, is
-   expected at GOAL.  */
+/* Take work off PLAN, of images that weigh more than LEAST, until SERVING,
+   which has HEADROOM without any, is expected at GOAL.  */
 static void
 relieve (const gp_pacer_t *pacer, const char *serving, double headroom,
-         double goal, gp_pressure_work_t *plan)
+         double goal, double least, gp_pressure_work_t *plan)
 {
   double excess
       = goal - headroom + gp_pressure_sum (&pacer->pressure, serving, plan);
 
   while (excess > EXCESS_LEAST)
     {
-      int place = hardest (pacer, serving, plan);
+      int place = hardest (pacer, serving, plan, least);
       double weight;
       double work;
 
@@ -113,8 +118,10 @@
       double late = fmax (0.0, servings[i].over - OVER_GRACE);
 
       if (late > 0.0 || servings[i].headroom > HOPELESS)
-        relieve (pacer, servings[i].image, servings[i].headroom,
-                 GOAL + OVER_SLOPE * late, &plan);
+        relieve (pacer, servings[i].image,
+                 servings[i].headroom - servings[i].missed,
+                 GOAL + OVER_SLOPE * late, late > 0.0 ? 0.0 : WEIGHT_LEAST,
+                 &plan);
     }
   for (unsigned int i = 0; i < GP_PRESSURE_IMAGES; i++)
     if (busy->work[i] > 0.0)
--- a/src/jobs/pacer.h
+++ b/src/jobs/pacer.h
@@ -26,6 +26,7 @@
 {
   const char *image;
   double headroom; /* expected without filling work */
+  double missed;   /* what it lacks of that for no known reason */
   double over;     /* seconds for which it has been over its target */
 } gp_pacer_serving_t;
 
--- a/tests/unit/test_pressure.c
+++ b/tests/unit/test_pressure.c
@@ -86,14 +86,15 @@
 }
 
 static void
-show (gp_pacer_t *pacer, double headroom, double over)
+show (gp_pacer_t *pacer, double headroom, double missed, double over)
 {
-  const gp_pacer_serving_t serving = { "s", headroom, over };
+  const gp_pacer_serving_t serving = { "s", headroom, missed, over };
   gp_pressure_work_t busy = { { 2.0, 2.0 } };
 
   gp_pacer_update (pacer, &serving, 1, &busy);
-  printf ("  headroom %.2f over %.1f s: harmful %u %%, harmless %u %%\n",
-          headroom, over, gp_pacer_pace (pacer, "harmful"),
+  printf ("  headroom %.2f, %.2f missed, over %.1f s: harmful %u %%, "
+          "harmless %u %%\n",
+          headroom, missed, over, gp_pacer_pace (pacer, "harmful"),
           gp_pacer_pace (pacer, "harmless"));
 }
 
@@ -109,14 +110,16 @@
                    gp_pressure_place (&pacer.pressure, "harmful"), 0.6);
   gp_pressure_set (&pacer.pressure, "s",
                    gp_pressure_place (&pacer.pressure, "harmless"), 0.02);
-  show (&pacer, 3.50, 0.0);
-  show (&pacer, 1.90, 0.0);
-  show (&pacer, 1.40, 0.0);
-  show (&pacer, 0.60, 0.0);
-  show (&pacer, 1.40, 2.0);
-  show (&pacer, 1.40, 4.0);
-  show (&pacer, 0.60, 2.0);
-  show (&pacer, 3.50, 0.0);
+  show (&pacer, 3.50, 0.0, 0.0);
+  show (&pacer, 1.90, 0.0, 0.0);
+  show (&pacer, 1.40, 0.0, 0.0);
+  show (&pacer, 0.60, 0.0, 0.0);
+  show (&pacer, 3.50, 1.6, 0.0);
+  show (&pacer, 1.40, 0.7, 0.0);
+  show (&pacer, 1.40, 0.0, 2.0);
+  show (&pacer, 1.40, 0.0, 4.0);
+  show (&pacer, 0.60, 0.0, 2.0);
+  show (&pacer, 3.50, 0.0, 0.0);
   gp_pacer_update (&pacer, NULL, 0, &none);
   printf ("  nothing serves: %u %%\n", gp_pacer_pace (&pacer, "harmful"));
   gp_pacer_finish (&pacer);
@@ -130,7 +133,7 @@
 {
   gp_pacer_t pacer;
   gp_pressure_work_t busy = { { 1.0 } };
-  gp_pacer_serving_t serving = { "s", 0.0, 0.0 };
+  gp_pacer_serving_t serving = { "s", 0.0, 0.0, 0.0 };
 
   gp_pacer_init (&pacer);
   gp_pressure_set (&pacer.pressure, "s",
