--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -62,10 +62,10 @@
   gp_time_t retry_at;     /* no call before */
   gp_time_t confirmed_at; /* when the phase was entered by an answer */
   int64_t measure;        /* as last listed, see gp_agent_row_t */
-  gp_headroom_t headroom; /* of a serving run, without filling work ... */
-  double taught_headroom; /* ... as the leader had it, its slope a second ...*/
-  double taught_slope;
-  gp_time_t taught_at;    /* ... and when, 0: never */
+  gp_headroom_t headroom; /* of a serving run, without filling work */
+  double taught_headroom; /* the same as the leader had it ... */
+  double taught_slope;    /* ... with its rise in a second ... */
+  gp_time_t taught_at;    /* ... then, 0: never */
   double missed;          /* headroom that it lacks of what is foreseen */
   double over;            /* seconds for which it was over its target then */
   gp_time_t over_since;   /* the time since when, or GP_TIME_NEVER */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -31,8 +31,8 @@
 #define HARM_POINTS 3000.0
 /* A filling task waits rather than do more harm than this, but no longer
    than the time below when its job has no other run: the pacer then keeps
-   the harm down.  With 0.2 the heaviest day known has no places for its
-   batch work, with 0.5 the mean worth is lower by 0.05.  */
+   the harm down.  Mean gain in 40 plays with 0.3 and 0.5: 0.024 and 0.013;
+   with much less the heaviest days have no places for their batch work.  */
 #define HARM_MAX 0.3
 /* A place with no more harm than this is worth a move of a run that is held
    back where it is.  */
