Guard: a peer is noted before the announcement that it causes

The announcement was sent, and stamped, before the note. Change: the note comes first. Ruled out: the tests' order of events by itself (8 runs beside 8 busy processes hold).

--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -136,9 +136,11 @@
 {
   gp_guard_t *guard = data;
 
+  /* Noted before the announcement leaves: what that causes comes after it on
+     the time line.  */
+  gp_program_note (&guard->timeline, GP_TIMELINE_PEER_UP, session->process);
   gp_uplinks_on_ready (&guard->uplinks, session);
   gp_counter_add (&entries_connected, 1);
-  gp_program_note (&guard->timeline, GP_TIMELINE_PEER_UP, session->process);
   gp_log (GP_LOG_INFO, "session.open", GP_LOG_S ("entry", session->process));
   if (has_upstream (guard))
     {
