Pressure: a weight that is set loses its covariances; any weight is halted late

Guards have their weights set twice a second.

Change: row and column are cleared with the variance. And a run that stays over its target has every image beside it slowed down, whatever its weight.

Before and after: test_pressure, set while learning (weights of 0.6 swung between 0 and 0.7; now within 0.3) and no weight fail without the change.

--- a/src/jobs/pacer.c
+++ b/src/jobs/pacer.c
@@ -22,6 +22,9 @@
    under its target, or just over it: it would have to be halted, and gain
    next to nothing.  */
 #define WEIGHT_LEAST 0.15
+/* For a run that stays over its target any image is: its weights are wrong,
+   also one of zero.  */
+#define WEIGHT_ANY (-1.0)
 /* Under this speed, in percent, filling work is halted.  */
 #define PACE_MIN 10
 /* Smaller changes, in percent, are not worth a call.  */
@@ -87,7 +90,9 @@
       if (place < 0)
         return;
       weight = gp_pressure_weight (&pacer->pressure, serving, (unsigned)place);
-      work = fmin (plan->work[place], excess / weight);
+      work = plan->work[place];
+      if (weight > 0.0)
+        work = fmin (work, excess / weight);
       plan->work[place] -= work;
       excess -= work * weight;
       if (plan->work[place] < 1e-9)
@@ -120,8 +125,8 @@
       if (late > 0.0 || servings[i].headroom > HOPELESS)
         relieve (pacer, servings[i].image,
                  servings[i].headroom - servings[i].missed,
-                 GOAL + OVER_SLOPE * late, late > 0.0 ? 0.0 : WEIGHT_LEAST,
-                 &plan);
+                 GOAL + OVER_SLOPE * late,
+                 late > 0.0 ? WEIGHT_ANY : WEIGHT_LEAST, &plan);
     }
   for (unsigned int i = 0; i < GP_PRESSURE_IMAGES; i++)
     if (busy->work[i] > 0.0)
--- a/src/jobs/pressure.c
+++ b/src/jobs/pressure.c
@@ -102,8 +102,14 @@
   model_t *model = need_model (pressure, serving);
 
   model->weights[place] = weight;
-  model->covariance[(size_t)place * (GP_PRESSURE_IMAGES + 1)]
-      = LEARNED_VARIANCE;
+  /* What was known of it together with others goes, too: a variance that is
+     smaller than its covariances is none.  */
+  for (size_t i = 0; i < GP_PRESSURE_IMAGES; i++)
+    {
+      model->covariance[place * GP_PRESSURE_IMAGES + i] = 0.0;
+      model->covariance[i * GP_PRESSURE_IMAGES + place] = 0.0;
+    }
+  model->covariance[place * GP_PRESSURE_IMAGES + place] = LEARNED_VARIANCE;
 }
 
 /* The sum of weight times WORK by MODEL, NULL: nothing was learned.  */
--- a/tests/unit/test_pressure.c
+++ b/tests/unit/test_pressure.c
@@ -85,6 +85,37 @@
   gp_pressure_finish (&pressure);
 }
 
+/* Regression test: weights that are set again and again, as a guard's are by
+   the leader, go on being learned.  What was known of two images together
+   stayed when one of them was set, so that variances became negative and the
+   weights no numbers, which then counted as none for good.  */
+static void
+test_set_while_learning (void)
+{
+  gp_pressure_t pressure;
+  gp_headroom_t load;
+  gp_pressure_work_t none = { { 0.0 } };
+  gp_pressure_work_t both = { { 1.0, 1.0 } };
+
+  gp_pressure_init (&pressure);
+  gp_headroom_init (&load);
+  gp_pressure_place (&pressure, "a");
+  gp_pressure_place (&pressure, "b");
+  for (int i = 1; i <= 40; i++)
+    gp_pressure_learn (&pressure, "s", &none, 2.0, &load, i * STEP);
+  for (int i = 41; i <= 200; i++)
+    {
+      gp_pressure_learn (&pressure, "s", &both, i % 2 == 0 ? 0.7 : 0.9, &load,
+                         i * STEP);
+      if (i % 12 == 0)
+        for (unsigned f = 0; f < 2; f++)
+          gp_pressure_set (&pressure, "s", f, 0.6);
+      for (unsigned f = 0; f < 2; f++)
+        CU_ASSERT (fabs (gp_pressure_weight (&pressure, "s", f) - 0.6) < 0.3);
+    }
+  gp_pressure_finish (&pressure);
+}
+
 static void
 show (gp_pacer_t *pacer, double headroom, double missed, double over)
 {
@@ -147,14 +178,37 @@
   gp_pacer_finish (&pacer);
 }
 
+/* Regression test: an image that is thought to be harmless is halted all the
+   same beside a run that stays over its target.  */
+static void
+test_no_weight (void)
+{
+  gp_pacer_t pacer;
+  gp_pressure_work_t busy = { { 1.0 } };
+  gp_pacer_serving_t serving = { "s", 2.0, 1.2, 0.5 };
+
+  gp_pacer_init (&pacer);
+  gp_pressure_set (&pacer.pressure, "s",
+                   gp_pressure_place (&pacer.pressure, "f"), 0.0);
+  gp_pacer_update (&pacer, &serving, 1, &busy);
+  CU_ASSERT_EQUAL (gp_pacer_pace (&pacer, "f"), GP_PACER_FULL);
+  serving.over = 2.0;
+  gp_pacer_update (&pacer, &serving, 1, &busy);
+  CU_ASSERT_EQUAL (gp_pacer_pace (&pacer, "f"), 0);
+  gp_pacer_finish (&pacer);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "learn", test_learn },
-                                 { "overloaded", test_overloaded },
-                                 { "pace", test_pace },
-                                 { "tiny excess", test_tiny_excess },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "learn", test_learn },
+          { "overloaded", test_overloaded },
+          { "set while learning", test_set_while_learning },
+          { "pace", test_pace },
+          { "no weight", test_no_weight },
+          { "tiny excess", test_tiny_excess },
+          CU_TEST_INFO_NULL };
 
   return runner_main ("pressure", tests);
 }
