--- a/src/jobs/pressure.c
+++ b/src/jobs/pressure.c
@@ -100,16 +100,17 @@
                  unsigned int place, double weight)
 {
   model_t *model = need_model (pressure, serving);
+  size_t row = (size_t)place * GP_PRESSURE_IMAGES;
 
   model->weights[place] = weight;
   /* What was known of it together with others goes, too: a variance that is
      smaller than its covariances is none.  */
   for (size_t i = 0; i < GP_PRESSURE_IMAGES; i++)
     {
-      model->covariance[place * GP_PRESSURE_IMAGES + i] = 0.0;
+      model->covariance[row + i] = 0.0;
       model->covariance[i * GP_PRESSURE_IMAGES + place] = 0.0;
     }
-  model->covariance[place * GP_PRESSURE_IMAGES + place] = LEARNED_VARIANCE;
+  model->covariance[row + place] = LEARNED_VARIANCE;
 }
 
 /* The sum of weight times WORK by MODEL, NULL: nothing was learned.  */
