Leader: say what the runs of a silent executor wait for

Change, no decision is touched: executor.awaited (until when, this leader's last acknowledgement, former leaders' term), the proof in executor.dead, the gauge runs_unreachable.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -31,6 +31,7 @@
   gp_list_t tasks; /* gp_job_task_t.on_executor */
   uint32_t task_count;
   bool reachable; /* its guard reports */
+  bool awaited;   /* it was noted what its runs wait for since it does not */
   bool draining;
   bool dead;               /* certainly runs nothing any more */
   gp_time_t leaves_at;     /* while draining: its end at the earliest */
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -321,11 +321,28 @@
   g_array_append_val (scheduler->orders, order);
 }
 
+static const char *
+death_name (gp_death_t why)
+{
+  switch (why)
+    {
+    case GP_DEATH_REPLACED:
+      return "another one is on its VM";
+    case GP_DEATH_LAPSED:
+      return "its lease has run out";
+    case GP_DEATH_SILENT:
+      return "silent until all leases were over";
+    }
+  return "";
+}
+
 void
-gp_scheduler_dead (gp_scheduler_t *scheduler, gp_job_executor_t *executor)
+gp_scheduler_dead (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
+                   gp_death_t why)
 {
   gp_log (GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
-          GP_LOG_I ("runs", executor->task_count));
+          GP_LOG_I ("runs", executor->task_count),
+          GP_LOG_S ("why", death_name (why)));
   executor->dead = true;
   executor->reachable = false;
   GP_LIST_FOREACH_SAFE (link, &executor->tasks)
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -66,9 +66,17 @@
                           gp_job_executor_t *executor,
                           const Gp__Jobs__TaskRun *run, gp_time_t now);
 
-/* EXECUTOR certainly runs nothing any more.  */
-void gp_scheduler_dead (gp_scheduler_t *scheduler,
-                        gp_job_executor_t *executor);
+/* What proves that an executor runs nothing any more.  */
+typedef enum
+{
+  GP_DEATH_REPLACED, /* another executor is on its VM */
+  GP_DEATH_LAPSED,   /* its guard says that its lease has run out */
+  GP_DEATH_SILENT    /* no guard speaks for it, and all leases are over */
+} gp_death_t;
+
+/* EXECUTOR certainly runs nothing any more, for the reason WHY.  */
+void gp_scheduler_dead (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
+                        gp_death_t why);
 
 /* EXECUTOR is about to leave: take off what has to go on elsewhere.  */
 void gp_scheduler_evacuate (gp_scheduler_t *scheduler,
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/counters.h"
 #include "base/log.h"
 #include "jobs/agent.h"
 #include "jobsd/leader_private.h"
@@ -15,6 +16,11 @@
 
 /* A sync that the guard has not taken in by then is sent again.  */
 #define RESYNC_TIME (2 * GP_SEC)
+
+static gp_counter_t unreachable_gauge
+    = GP_GAUGE ("runs_unreachable",
+                "Runs on executors that no guard reports to this leader");
+
 static void dial (gp_link_t *link);
 
 /* Reports.  */
@@ -51,7 +57,8 @@
     {
       if (before != NULL)
         gp_scheduler_dead (&leader->scheduler,
-                           gp_book_executor (leader->book, before));
+                           gp_book_executor (leader->book, before),
+                           GP_DEATH_REPLACED);
       gp_leader_add_place (leader, link->node, report->id);
     }
   if (link->executor != executor)
@@ -78,13 +85,14 @@
   for (size_t i = 0; i < report->n_absent; i++)
     gp_scheduler_absent (&leader->scheduler, executor, report->absent[i], now);
   if (report->lapsed && !executor->dead)
-    gp_scheduler_dead (&leader->scheduler, executor);
+    gp_scheduler_dead (&leader->scheduler, executor, GP_DEATH_LAPSED);
   /* It may work again only under a new fence.  */
   if (executor->dead)
     link->wants_sync = true;
   if (report->synced != link->sync && now - link->synced_at > RESYNC_TIME)
     link->wants_sync = true;
   link->silent = report->lapsed && !report->answers;
+  executor->awaited = false;
   executor->reachable
       = !report->lapsed && !link->wants_sync && report->synced == link->sync;
 }
@@ -225,6 +233,7 @@
 GHashTable *
 gp_leader_links_new (void)
 {
+  gp_counter_register (&unreachable_gauge);
   return g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_link);
 }
 
@@ -293,6 +302,27 @@
   return gp_agent_lease_end (given);
 }
 
+/* Say once what EXECUTOR's runs wait for while no guard speaks for it.  */
+static void
+note_awaited (const gp_leader_t *leader, const gp_link_t *link,
+              gp_job_executor_t *executor, const char *node)
+{
+  gp_time_t now = gp_loop_now (leader->loop);
+  gp_time_t given = link != NULL ? link->acknowledged_at : 0;
+
+  if (executor->awaited
+      || (link != NULL && now - link->reported_at < QUIET_TIME))
+    return;
+  executor->awaited = true;
+  gp_log (
+      GP_LOG_INFO, "executor.awaited", GP_LOG_S ("executor", executor->id),
+      GP_LOG_S ("guard", node), GP_LOG_I ("runs", executor->task_count),
+      GP_LOG_I ("for_ms", (leases_end (leader, link) - now) / GP_MSEC),
+      GP_LOG_I ("acknowledged_ms_ago",
+                given > 0 ? (now - given) / GP_MSEC : -1),
+      GP_LOG_I ("former_leaders_ms", (leader->foreign_until - now) / GP_MSEC));
+}
+
 static void
 look_after_place (gp_leader_t *leader, const char *node, const char *id)
 {
@@ -306,8 +336,9 @@
     gp_scheduler_relocate (&leader->scheduler, executor, now);
   if (executor->dead || (link != NULL && link->up))
     return;
+  note_awaited (leader, link, executor, node);
   if (now > leases_end (leader, link))
-    gp_scheduler_dead (&leader->scheduler, executor);
+    gp_scheduler_dead (&leader->scheduler, executor, GP_DEATH_SILENT);
 }
 
 static void
@@ -321,6 +352,26 @@
   gp_timer_arm (&link->redial, now + REDIAL_TIME);
 }
 
+/* Runs that nobody can tell of: a level that stays up says that work is held
+   by executors that are gone.  */
+static void
+count_unreachable (const gp_leader_t *leader)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int64_t count = 0;
+
+  g_hash_table_iter_init (&iter, leader->book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_executor_t *executor = value;
+
+      if (!executor->reachable)
+        count += executor->task_count;
+    }
+  gp_counter_set (&unreachable_gauge, count);
+}
+
 void
 gp_leader_look_after_executors (gp_leader_t *leader)
 {
@@ -334,4 +385,5 @@
   g_hash_table_iter_init (&iter, leader->places);
   while (g_hash_table_iter_next (&iter, &key, &value))
     look_after_place (leader, key, value);
+  count_unreachable (leader);
 }
