--- a/tests/standins/keyed_platform.py
+++ b/tests/standins/keyed_platform.py
@@ -296,6 +296,21 @@
             time.sleep(dark_s)
             self.dark = False
 
+    def leave(self, goodbye):
+        """End for good, and all that runs here with it; with GOODBYE the
+        guard is told as the last thing."""
+        with self.lock:
+            self.closed = True
+            for task in list(self.runs):
+                self.end(task, "gone", listed=False)
+            for row in self.ended:
+                self.judge.void(row[1])
+            self.life += 1
+            self.lock.notify_all()
+        self.close()
+        if goodbye:
+            self.post("/api/Instances.Deregister/" + self.id, "{}")
+
     def close(self):
         self.closed = True
         self.server.shutdown()
@@ -353,7 +368,10 @@
                 "capacity": {"cpu": self.cores * 1000,
                              "memMb": self.cores * 1024},
                 "labels": ["a", "r1"], "clockMs": self.clock()})
-        path = "/api/Instances.Heartbeat/" + executor
+        return self.post("/api/Instances.Heartbeat/" + executor, body)
+
+    def post(self, path, body):
+        """Returns the status of the guard's answer, 0 when none came."""
         client = http.client.HTTPConnection(self.guard, timeout=1)
         try:
             client.request("POST", path, body)
@@ -366,6 +384,8 @@
             client.close()
 
     def handle(self, method, path, query, headers, body):
+        if self.closed:
+            return None
         if self.dark:
             time.sleep(1.0)
             return None
