Leases of former leaders: a leader's record tells what it knows of those before

An entry that has just started took the 8 s before its start as led by anybody, and the one that starts anew after the leader's end leads at once: 13.2 s again.

Change: the record of a leader holds the terms of the leaders before it; who reads one record, and all after it, knows all. A gap in what was read counts as unknown until then.

Ruled out: reading the history of the log back (kept for 20 s only, dropped at any time).

--- a/src/jobs/grants.c
+++ b/src/jobs/grants.c
@@ -19,9 +19,8 @@
 void
 gp_grants_init (gp_grants_t *grants)
 {
+  *grants = (gp_grants_t){ .next = 0 };
   gp_list_init (&grants->formers);
-  grants->unread_until = 0;
-  grants->unread_fresh = 0;
 }
 
 void
@@ -73,28 +72,113 @@
 }
 
 void
-gp_grants_unread (gp_grants_t *grants, gp_time_t now)
+gp_grants_read (gp_grants_t *grants, uint64_t offset, gp_time_t now)
 {
-  grants->unread_until = now + GP_GRANTS_TERM_TIME;
-  grants->unread_fresh = now + GP_GRANTS_FRESH_TIME;
+  /* Records that are kept for good come in any order, without those that they
+     replace.  */
+  if (offset > MAX (grants->next, grants->told))
+    {
+      grants->gap = true;
+      grants->unread_until = now + GP_GRANTS_TERM_TIME;
+      grants->unread_fresh = now + GP_GRANTS_FRESH_TIME;
+    }
+  grants->next = offset + 1;
 }
 
-void
-gp_grants_heard (gp_grants_t *grants, const char *node, uint64_t incarnation,
-                 uint64_t offset, gp_time_t now)
+static void
+hear (gp_grants_t *grants, const char *node, uint64_t incarnation,
+      gp_time_t until, gp_time_t fresh, gp_time_t now)
 {
   gp_former_leader_t *former = find_or_add (grants, node);
 
   former->incarnation = incarnation;
-  former->offset = offset;
-  former->until = now + GP_GRANTS_TERM_TIME;
-  former->fresh = now + GP_GRANTS_FRESH_TIME;
+  former->until = until;
+  former->fresh = fresh;
   /* The topics are read side by side: the process after it may be known
      before its last record.  */
   if (incarnation < former->announced)
     end_term (former, now);
 }
 
+/* Take over what RECORD tells, as leaders before it were missed.  */
+static void
+take_told (gp_grants_t *grants, const Gp__Jobs__Leadership *record,
+           gp_time_t now)
+{
+  GP_LIST_FOREACH (link, &grants->formers)
+  end_term (GP_CONTAINER_OF (link, gp_former_leader_t, link), now);
+  for (size_t i = 0; i < record->n_formers; i++)
+    {
+      const Gp__Jobs__Former *former = record->formers[i];
+
+      hear (grants, former->node, former->incarnation,
+            now + (gp_time_t)former->until_ms * GP_MSEC,
+            now + (gp_time_t)former->fresh_ms * GP_MSEC, now);
+    }
+  grants->unread_until = now + (gp_time_t)record->unread_ms * GP_MSEC;
+  grants->unread_fresh = now + (gp_time_t)record->unread_fresh_ms * GP_MSEC;
+  grants->gap = false;
+}
+
+void
+gp_grants_heard (gp_grants_t *grants, const Gp__Jobs__Leadership *record,
+                 uint64_t offset, gp_time_t now)
+{
+  if (grants->gap && record->tells_formers)
+    take_told (grants, record, now);
+  grants->told = MAX (grants->told, offset + 1);
+  hear (grants, record->node, record->incarnation, now + GP_GRANTS_TERM_TIME,
+        now + GP_GRANTS_FRESH_TIME, now);
+  find (grants, record->node)->offset = offset;
+  if (record->resigned)
+    gp_grants_ended (grants, record->node, now);
+}
+
+/* Rounded up: a term must not be told too short.  */
+static uint32_t
+milliseconds_left (gp_time_t until, gp_time_t now)
+{
+  return (uint32_t)((MAX (until - now, 0) + GP_MSEC - 1) / GP_MSEC);
+}
+
+void
+gp_grants_tell (const gp_grants_t *grants, Gp__Jobs__Leadership *record,
+                gp_time_t now)
+{
+  GPtrArray *formers = g_ptr_array_new ();
+
+  GP_LIST_FOREACH (link, &grants->formers)
+  {
+    const gp_former_leader_t *known
+        = GP_CONTAINER_OF (link, gp_former_leader_t, link);
+    Gp__Jobs__Former *former;
+
+    if (known->until <= now)
+      continue;
+    former = g_new (Gp__Jobs__Former, 1);
+    gp__jobs__former__init (former);
+    former->node = known->node;
+    former->incarnation = known->incarnation;
+    former->until_ms = milliseconds_left (known->until, now);
+    former->fresh_ms = milliseconds_left (known->fresh, now);
+    g_ptr_array_add (formers, former);
+  }
+  record->n_formers = formers->len;
+  record->formers = (Gp__Jobs__Former **)g_ptr_array_free (formers, FALSE);
+  record->tells_formers = true;
+  record->unread_ms = milliseconds_left (grants->unread_until, now);
+  record->unread_fresh_ms = milliseconds_left (grants->unread_fresh, now);
+}
+
+void
+gp_grants_clear_told (Gp__Jobs__Leadership *record)
+{
+  for (size_t i = 0; i < record->n_formers; i++)
+    g_free (record->formers[i]);
+  g_clear_pointer (&record->formers, g_free);
+  record->n_formers = 0;
+}
+
 void
 gp_grants_ended (gp_grants_t *grants, const char *node, gp_time_t now)
 {
--- a/src/jobs/grants.h
+++ b/src/jobs/grants.h
@@ -19,7 +19,11 @@
      leases only from a leader whose last append is at most
      GP_GRANTS_FRESH_TIME old, which a former leader's soon is not.
 
-   Without the last two, the runs of an executor that ended while the lead
+   - A leader's record tells what it knows of the leaders before it, and it has
+     read all of theirs.  So whoever reads one record, and all after it, knows
+   of all; one that has just started does not have to wait for a term.
+
+   Without the last three, the runs of an executor that ended while the lead
    changed were given up 13.25 s after the last record of the leader before;
    with them it is a lease (5.25 s) after the last word of its guard, or of the
    leader that stopped (tests/scripts/gone.py).
@@ -35,6 +39,7 @@
 
 #include "base/list.h"
 #include "base/time.h"
+#include "jobs.pb-c.h"
 
 /* Duration after its last acknowledged append for which a leader may give
    leases.  Outages of the store of 9 s are known on the users' sites; with a
@@ -49,22 +54,31 @@
 typedef struct
 {
   gp_list_t formers;      /* gp_former_leader_t, owned */
-  gp_time_t unread_until; /* the term of leaders whose records were not
-                             read */
-  gp_time_t unread_fresh; /* the same for guards that have started since */
+  uint64_t next;          /* one past the last record that was read */
+  uint64_t told;          /* one past the last record of a leader, which tells
+                             of all before */
+  bool gap;               /* records from TOLD on were not read */
+  gp_time_t unread_until; /* leaders that are not known give leases until
+                             then ... */
+  gp_time_t unread_fresh; /* ... and to guards that have started since until
+                             then */
 } gp_grants_t;
 
 void gp_grants_init (gp_grants_t *grants);
 void gp_grants_finish (gp_grants_t *grants);
 
-/* Records were read without those before them: leaders that are not known may
-   be in their term.  */
-void gp_grants_unread (gp_grants_t *grants, gp_time_t now);
+/* The record at OFFSET was read, of whatever kind.  */
+void gp_grants_read (gp_grants_t *grants, uint64_t offset, gp_time_t now);
+
+/* That was RECORD.  */
+void gp_grants_heard (gp_grants_t *grants, const Gp__Jobs__Leadership *record,
+                      uint64_t offset, gp_time_t now);
 
-/* A record of the leader in process INCARNATION on NODE was read.  It stands
-   at OFFSET.  */
-void gp_grants_heard (gp_grants_t *grants, const char *node,
-                      uint64_t incarnation, uint64_t offset, gp_time_t now);
+/* Put what is known of the leaders before into RECORD, which is about to be
+   written, until gp_grants_clear_told frees that.  */
+void gp_grants_tell (const gp_grants_t *grants, Gp__Jobs__Leadership *record,
+                     gp_time_t now);
+void gp_grants_clear_told (Gp__Jobs__Leadership *record);
 
 /* The leader on NODE has said that it resigns, or its process has ended.  */
 void gp_grants_ended (gp_grants_t *grants, const char *node, gp_time_t now);
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -137,9 +137,7 @@
   gp_time_t now = now_of (leader);
   gp_time_t gap = MIN (now - leader->heard_at, GAP_MAX);
 
-  if (offset != leader->next_record)
-    gp_grants_unread (&leader->grants, now);
-  leader->next_record = offset + 1;
+  gp_grants_read (&leader->grants, offset, now);
   /* Records of one read come at once.  */
   if (gap > 0)
     leader->heard_gap
@@ -147,19 +145,6 @@
   leader->heard_at = now;
 }
 
-/* RECORD was read: until when may its leader give leases?  */
-static void
-note_leader (gp_leader_t *leader, const Gp__Jobs__Leadership *leadership,
-             uint64_t offset)
-{
-  gp_time_t now = now_of (leader);
-
-  gp_grants_heard (&leader->grants, leadership->node, leadership->incarnation,
-                   offset, now);
-  if (leader->resigned)
-    gp_grants_ended (&leader->grants, leadership->node, now);
-}
-
 void
 gp_leader_announced (gp_leader_t *leader, const char *node,
                      uint64_t incarnation, uint64_t ceased)
@@ -185,7 +170,10 @@
   leader->resigned = leadership->resigned
                      || (strcmp (leadership->node, leader->node) == 0
                          && leadership->incarnation != leader->incarnation);
-  note_leader (leader, leadership, record->offset);
+  gp_grants_heard (&leader->grants, leadership, record->offset,
+                   now_of (leader));
+  if (leader->resigned)
+    gp_grants_ended (&leader->grants, leadership->node, now_of (leader));
   gp__jobs__leadership__free_unpacked (leadership, NULL);
 }
 
@@ -285,6 +273,9 @@
   leader->on_deposed = on_deposed;
   leader->data = data;
   gp_grants_init (&leader->grants);
+  /* Earlier processes here have ended.  */
+  gp_grants_announced (&leader->grants, node, leader->incarnation, 0,
+                       gp_loop_now (loop));
   gp_pressure_init (&leader->pressure);
   gp_scheduler_init (&leader->scheduler, book, &leader->pressure);
   leader->links = gp_leader_links_new ();
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -82,7 +82,6 @@
   uint64_t sync_count;
   gp_time_t confirmed_at; /* sending of the last acknowledged append */
   gp_grants_t grants;     /* leases that others may have given */
-  uint64_t next_record;   /* one past the last record that was read */
   gp_time_t heard_at;     /* the last record of another leader was read */
   gp_time_t heard_gap;    /* mean duration between such reads */
   bool resigned;          /* the last leader's record says so */
