Test: a planned stop answers what a caller began before it

Three of six fail: a caller in the listener's accept queue is reset, one that was accepted and has not sent its first request yet is closed as idle, and an answer that began without "close" loses its connection when the server retires. The others hold what must stay: a head without its body is a request, idle connections end, a late connect is turned away.

--- /dev/null
+++ b/tests/unit/test_transport_stop.c
@@ -0,0 +1,271 @@
+/* Tests of the planned stop of an HTTP server: what a caller began before it
+   is answered, at whatever point the stop finds it.  The far side is a plain
+   socket, so that each point is reached for certain.  */
+
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/error.h"
+#include "transport/http_private.h"
+#include "transport_support.h"
+#include "runner.h"
+
+#define MAX_BODY 1000
+#define TURNS 5
+
+#define HEAD                                                                  \
+  "POST /echo HTTP/1.1\r\nhost: a\r\n"                                        \
+  "content-length: 2\r\n\r\n"
+#define BODY "ab"
+
+typedef struct
+{
+  gp_loop_t loop;
+  gp_http_server_t *server;
+  gp_http_exchange_t *held; /* by the path /hold */
+  int requests;
+  bool shut_down;
+} fixture_t;
+
+static void
+on_request (gp_http_exchange_t *exchange, void *data)
+{
+  fixture_t *fixture = data;
+  gp_http_text_t body = gp_http_exchange_body (exchange);
+
+  fixture->requests++;
+  if (gp_http_text_equal (gp_http_exchange_path (exchange), "/hold"))
+    fixture->held = exchange;
+  else
+    gp_http_exchange_answer (exchange, 200, NULL, 0, body.base, body.size);
+}
+
+static void
+on_shut_down (void *data)
+{
+  fixture_t *fixture = data;
+
+  CU_ASSERT_FALSE (fixture->shut_down);
+  fixture->shut_down = true;
+}
+
+static void
+setup (fixture_t *fixture)
+{
+  gp_http_server_options_t options = { .address = "127.0.0.1:0",
+                                       .max_body_size = MAX_BODY,
+                                       .header_timeout = 20 * GP_SEC,
+                                       .on_request = on_request,
+                                       .data = fixture };
+
+  memset (fixture, 0, sizeof *fixture);
+  CU_ASSERT_TRUE_FATAL (gp_loop_init (&fixture->loop, NULL));
+  fixture->server = gp_http_server_new (&fixture->loop, &options, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fixture->server);
+}
+
+static void
+teardown (fixture_t *fixture)
+{
+  gp_loop_finish (&fixture->loop);
+}
+
+static int
+connect_to (const fixture_t *fixture)
+{
+  return raw_connect (gp_http_server_port (fixture->server));
+}
+
+/* A refusal to take it is one of the failures that are tested for.  */
+static void
+offer (int fd, const char *text)
+{
+  size_t size = strlen (text);
+
+  CU_ASSERT_EQUAL (send (fd, text, size, MSG_NOSIGNAL), (ssize_t)size);
+}
+
+static void
+stop (fixture_t *fixture)
+{
+  gp_http_server_shutdown (fixture->server, on_shut_down, fixture);
+}
+
+/* The answer on FD is BODY and says that the connection ends with it; FD is
+   closed.  */
+static void
+expect_last_answer (fixture_t *fixture, int fd)
+{
+  GString *out = g_string_new (NULL);
+
+  CU_ASSERT_EQUAL (raw_read (&fixture->loop, fd, out, NULL), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (out->str, "\r\n\r\n" BODY));
+  CU_ASSERT_PTR_NOT_NULL (strstr (out->str, "onnection: close"));
+  g_string_free (out, TRUE);
+  close (fd);
+}
+
+/* One whole request, after which the connection stays open.  */
+static void
+use_once (fixture_t *fixture, int fd)
+{
+  GString *out = g_string_new (NULL);
+
+  offer (fd, HEAD BODY);
+  CU_ASSERT_EQUAL (raw_read (&fixture->loop, fd, out, "\r\n\r\n" BODY), 0);
+  CU_ASSERT_PTR_NULL (strstr (out->str, "onnection: close"));
+  g_string_free (out, TRUE);
+}
+
+/* A caller whom the kernel has connected, but whom the server has not taken
+   yet, is served.  */
+static void
+test_not_accepted (void)
+{
+  fixture_t fixture;
+  int fd;
+
+  setup (&fixture);
+  fd = connect_to (&fixture);
+  stop (&fixture);
+  offer (fd, HEAD BODY);
+  expect_last_answer (&fixture, fd);
+  CU_ASSERT_EQUAL (fixture.requests, 1);
+  CU_ASSERT_TRUE (run_until (&fixture.loop, &fixture.shut_down));
+  teardown (&fixture);
+}
+
+/* The same when its request comes after the stop has begun: who has just
+   connected is about to send.  */
+static void
+test_accepted (void)
+{
+  fixture_t fixture;
+  int fd;
+
+  setup (&fixture);
+  fd = connect_to (&fixture);
+  run_turns (&fixture.loop, TURNS);
+  stop (&fixture);
+  run_turns (&fixture.loop, TURNS);
+  offer (fd, HEAD BODY);
+  expect_last_answer (&fixture, fd);
+  CU_ASSERT_TRUE (run_until (&fixture.loop, &fixture.shut_down));
+  teardown (&fixture);
+}
+
+/* A head that was read is a request, also before the first byte of its body
+   and on a connection that served others.  */
+static void
+test_head_read (void)
+{
+  fixture_t fixture;
+  int fd;
+
+  setup (&fixture);
+  fd = connect_to (&fixture);
+  use_once (&fixture, fd);
+  offer (fd, HEAD);
+  run_turns (&fixture.loop, TURNS);
+  stop (&fixture);
+  run_turns (&fixture.loop, TURNS);
+  CU_ASSERT_FALSE (fixture.shut_down);
+  offer (fd, BODY);
+  expect_last_answer (&fixture, fd);
+  CU_ASSERT_TRUE (run_until (&fixture.loop, &fixture.shut_down));
+  teardown (&fixture);
+}
+
+/* A connection that served a request, and one that never had any, are
+   closed; neither holds the stop up for good.  */
+static void
+test_idle (void)
+{
+  GString *out = g_string_new (NULL);
+  fixture_t fixture;
+  int used;
+  int unused;
+
+  setup (&fixture);
+  used = connect_to (&fixture);
+  unused = connect_to (&fixture);
+  use_once (&fixture, used);
+  stop (&fixture);
+  CU_ASSERT_EQUAL (raw_read (&fixture.loop, used, out, NULL), 0);
+  CU_ASSERT_EQUAL (raw_read (&fixture.loop, unused, out, NULL), 0);
+  CU_ASSERT_EQUAL (out->len, 0);
+  CU_ASSERT_TRUE (run_until (&fixture.loop, &fixture.shut_down));
+  close (used);
+  close (unused);
+  g_string_free (out, TRUE);
+  teardown (&fixture);
+}
+
+/* Who connects while the server stops is turned away, never connected and
+   then cut off.  */
+static void
+test_late_connect (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  GString *out = g_string_new (NULL);
+  fixture_t fixture;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+  setup (&fixture);
+  address.sin_port = htons ((uint16_t)gp_http_server_port (fixture.server));
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  stop (&fixture);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0
+      && errno == EINPROGRESS)
+    CU_ASSERT_EQUAL (raw_read (&fixture.loop, fd, out, NULL), ECONNREFUSED);
+  CU_ASSERT_TRUE (run_until (&fixture.loop, &fixture.shut_down));
+  CU_ASSERT_EQUAL (fixture.requests, 0);
+  close (fd);
+  g_string_free (out, TRUE);
+  teardown (&fixture);
+}
+
+/* An answer whose head is out without "close" keeps its connection when the
+   server retires: the caller may send the next request on it.  */
+static void
+test_retire_begun_answer (void)
+{
+  static const char hold[] = "GET /hold HTTP/1.1\r\nhost: a\r\n\r\n";
+  GString *out = g_string_new (NULL);
+  fixture_t fixture;
+  int fd;
+
+  setup (&fixture);
+  fd = connect_to (&fixture);
+  offer (fd, hold);
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.requests, 1));
+  gp_http_exchange_start (fixture.held, 200, NULL, 0, 6);
+  gp_http_exchange_part (fixture.held, "one", 3, false);
+  CU_ASSERT_EQUAL (raw_read (&fixture.loop, fd, out, "one"), 0);
+  run_turns (&fixture.loop, TURNS);
+  gp_http_server_retire (fixture.server);
+  gp_http_exchange_part (fixture.held, "two", 3, true);
+  CU_ASSERT_EQUAL (raw_read (&fixture.loop, fd, out, "onetwo"), 0);
+  CU_ASSERT_PTR_NULL (strstr (out->str, "onnection: close"));
+  run_turns (&fixture.loop, TURNS);
+  offer (fd, HEAD BODY);
+  expect_last_answer (&fixture, fd);
+  g_string_free (out, TRUE);
+  teardown (&fixture);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "not accepted yet", test_not_accepted },
+          { "accepted, nothing sent", test_accepted },
+          { "head read", test_head_read },
+          { "idle", test_idle },
+          { "late connect", test_late_connect },
+          { "retire within an answer", test_retire_begun_answer },
+          CU_TEST_INFO_NULL };
+
+  return runner_main ("transport/stop", tests);
+}
