Caller stand-in: a wait for a connection does not bring back the entry

Cause: a query whose entry refused the connection, and which then waited for a free connection, was given its turn twice and came back to the entry that had refused it; it ended as refused although the other entry was there. Seen in stops at 460 requests/s whenever all 64 connections were in use: 3 of 75,000 requests before the listener was drained, 14 of 26,000 beside three busy processes after it. Change: the turn moves on where the connection fails, as the module's header says.

--- a/tests/standins/lib/pool.c
+++ b/tests/standins/lib/pool.c
@@ -105,7 +105,9 @@
 static void
 connect_failed (gp_pool_t *pool, gp_query_t *query)
 {
-  if (++query->connects < pool->entries->len)
+  query->connects++;
+  query->turn++;
+  if (query->connects < pool->entries->len)
     gp_pool_send (pool, query);
   else
     pool->on_end (query, GP_OUTCOME_REFUSED);
@@ -235,14 +237,17 @@
 }
 
 /* The entry whose turn it is, over a connection that is idle or new; when
-   there may be no more of them, any idle one, or after others.  */
+   there may be no more of them, any idle one, or after others.  The wait for
+   one does not move on the turn of a query whose entry could not be
+   connected: it would come back to that entry and count as refused.  */
 void
 gp_pool_send (gp_pool_t *pool, gp_query_t *query)
 {
   gp_connection_t *connection;
   entry_t *entry;
 
-  query->turn = query->connects > 0 ? query->turn + 1 : pool->next_entry++;
+  if (query->connects == 0)
+    query->turn = pool->next_entry++;
   entry = pool->entries->pdata[query->turn % pool->entries->len];
   query->entry = entry->text;
   if (!gp_list_empty (&entry->idle))
