--- a/src/daemon/relay.c
+++ b/src/daemon/relay.c
@@ -11,16 +11,9 @@
 #include <string.h>
 
 #include "base/counters.h"
-#include "daemon/text.h"
 
-#define DEFAULT_TIMEOUT (30 * GP_SEC)
-#define MAX_TIMEOUT (600 * GP_SEC)
 #define ANSWER_GRACE (250 * GP_MSEC)
 
-/* Path and headers of a request, in bytes; far more would be let through by
-   the HTTP library.  */
-#define MAX_HEAD_SIZE ((size_t)32 * 1024)
-
 /* Callers that hang up are looked for in this interval, so many at once.  */
 #define SWEEP_INTERVAL (100 * GP_MSEC)
 #define SWEEP_COUNT 256
@@ -207,108 +200,6 @@
   gp_relay_free (relay);
 }
 
-static bool
-method_is_idempotent (gp_http_text_t method)
-{
-  return gp_http_text_equal (method, "GET")
-         || gp_http_text_equal (method, "HEAD")
-         || gp_http_text_equal (method, "PUT")
-         || gp_http_text_equal (method, "DELETE")
-         || gp_http_text_equal (method, "OPTIONS");
-}
-
-/* The first segment of the path.  */
-static bool
-service_name (const gp_http_exchange_t *exchange, char *name, size_t size)
-{
-  gp_http_text_t path = gp_http_exchange_path (exchange);
-  const char *start = path.base + 1;
-  size_t left = path.size - 1;
-  size_t length = 0;
-
-  if (path.size < 2 || path.base[0] != '/')
-    return false;
-  while (length < left && start[length] != '/' && start[length] != '?')
-    length++;
-  if (length == 0 || length >= size)
-    return false;
-  memcpy (name, start, length);
-  name[length] = '\0';
-  return true;
-}
-
-static gp_time_t
-request_timeout (const gp_relay_t *relay, const gp_document_kind_t *kind)
-{
-  gp_http_text_t asked
-      = gp_http_exchange_header (relay->exchange, "galenapier-timeout-ms");
-  gp_time_t timeout = DEFAULT_TIMEOUT;
-
-  if (kind != NULL && kind->timeout_ms > 0)
-    timeout = kind->timeout_ms * GP_MSEC;
-  timeout = gp_http_text_number (asked, timeout / GP_MSEC) * GP_MSEC;
-  return CLAMP (timeout, GP_MSEC, MAX_TIMEOUT);
-}
-
-/* The value of a header, cut to what TO takes, or "".  */
-static void
-copy_header (const gp_relay_t *relay, const char *name,
-             char to[GP_RELAY_NAME_SIZE])
-{
-  gp_http_text_t text = gp_http_exchange_header (relay->exchange, name);
-  size_t size = MIN (text.size, GP_RELAY_NAME_SIZE - 1);
-
-  if (text.base != NULL)
-    memcpy (to, text.base, size);
-  to[size] = '\0';
-}
-
-/* The duration in which the answer is wanted, or 0.  */
-static gp_time_t
-latency_target (const gp_document_service_t *service,
-                const gp_document_kind_t *kind)
-{
-  if (kind != NULL)
-    return kind->latency_target_ms * GP_MSEC;
-  return service == NULL ? 0 : service->latency_target_ms * GP_MSEC;
-}
-
-/* Take over what the document says of the request; its structures may be
-   replaced while the request is under way.  */
-static void
-find_policy (gp_relay_t *relay)
-{
-  const gp_document_t *document = relay->relays->document;
-  const gp_document_service_t *service = NULL;
-  const gp_document_kind_t *kind = NULL;
-  gp_http_text_t path = gp_relay_path (relay);
-  gp_time_t now = gp_loop_now (relay->relays->loop);
-  gp_time_t target;
-
-  if (document != NULL)
-    service = gp_document_find_service (document, relay->service->name);
-  if (service != NULL)
-    kind = gp_document_find_kind (service, path.base, path.size);
-  relay->deadline = now + request_timeout (relay, kind);
-  target = latency_target (service, kind);
-  if (target > 0)
-    relay->due = now + target;
-  if (service != NULL && service->team != NULL)
-    g_strlcpy (relay->team, service->team, sizeof relay->team);
-  else
-    copy_header (relay, "galenapier-team", relay->team);
-  if (kind == NULL)
-    {
-      copy_header (relay, "galenapier-kind", relay->kind);
-      relay->idempotent
-          = method_is_idempotent (gp_http_exchange_method (relay->exchange));
-      return;
-    }
-  g_strlcpy (relay->kind, kind->name, sizeof relay->kind);
-  relay->idempotent = kind->idempotent;
-  relay->work_class = kind->work_class;
-}
-
 static bool
 take_limits (gp_relay_t *relay, gp_time_t *retry_after)
 {
@@ -337,7 +228,7 @@
                   gp_loop_now (relays->loop) + SWEEP_INTERVAL);
   gp_list_push_back (&relays->waiting, &relay->waiting);
   relay->body_size = gp_http_exchange_body (exchange).size;
-  find_policy (relay);
+  gp_relay_find_policy (relay);
   relay->route.may_probe = relay->idempotent;
   relay->wake_at = relay->deadline + ANSWER_GRACE;
   gp_heap_insert (&relays->deadlines, &relay->node);
@@ -347,18 +238,6 @@
   return relay;
 }
 
-static bool
-headers_fit (const gp_http_exchange_t *exchange)
-{
-  gp_http_header_t headers[GP_HEADERS_MAX];
-  size_t count = gp_http_exchange_headers (exchange, headers, GP_HEADERS_MAX);
-  size_t size = gp_http_exchange_path (exchange).size;
-
-  for (size_t i = 0; i < count; i++)
-    size += headers[i].name_size + headers[i].value_size;
-  return size <= MAX_HEAD_SIZE;
-}
-
 /* No upstream of service NAME was ever seen here.  */
 static void
 refuse_unknown (const gp_relays_t *relays, gp_http_exchange_t *exchange,
@@ -383,7 +262,7 @@
   gp_relay_t *relay;
 
   gp_counter_add (&requests, 1);
-  if (!service_name (exchange, name, sizeof name))
+  if (!gp_relay_service_name (exchange, name, sizeof name))
     name[0] = '\0';
   else
     service = gp_routes_find (relays->routes, name);
@@ -392,7 +271,7 @@
       refuse_unknown (relays, exchange, name);
       return;
     }
-  if (!headers_fit (exchange))
+  if (!gp_relay_headers_fit (exchange))
     {
       gp_relay_refuse (exchange, GP__WIRE__VERDICT__VERDICT_NOT_RUN,
                        GP__WIRE__REASON__REASON_TOO_LARGE, -1);
@@ -450,6 +329,7 @@
     gp_routes_record (routes, relay->target, !is_fault (answer),
                       gp_loop_now (relay->relays->loop) - relay->sent_at);
 }
+
 void
 gp_relays_on_answer (gp_relays_t *relays, gp_session_t *session,
                      const Gp__Wire__Answer *answer)
--- a/src/daemon/relay_private.h
+++ b/src/daemon/relay_private.h
@@ -1,5 +1,6 @@
 /* What the parts of relaying share: relay.c (tries and decisions),
-   relay_answer.c (the caller's side) and relay_send.c (the guard's).  */
+   relay_policy.c (what is asked for), relay_answer.c (the caller's side) and
+   relay_send.c (the guard's).  */
 
 #ifndef GP_DAEMON_RELAY_PRIVATE_H
 #define GP_DAEMON_RELAY_PRIVATE_H
@@ -63,6 +64,18 @@
 /* Whether the verdict on a keyed request is wanted without its caller.  */
 bool gp_relay_awaits_outcome (const gp_relay_t *relay);
 
+/* Write the first segment of EXCHANGE's path to NAME; false when there is
+   none that fits.  */
+bool gp_relay_service_name (const gp_http_exchange_t *exchange, char *name,
+                            size_t size);
+
+/* Whether path and headers are not too long to be passed on.  */
+bool gp_relay_headers_fit (const gp_http_exchange_t *exchange);
+
+/* Take over what the document says of the request; its structures may be
+   replaced while the request is under way.  */
+void gp_relay_find_policy (gp_relay_t *relay);
+
 /* The path behind the service's name.  */
 gp_http_text_t gp_relay_path (const gp_relay_t *relay);
 
