--- a/src/daemon/keys.c
+++ b/src/daemon/keys.c
@@ -10,9 +10,9 @@
 #include "daemon/keys.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/counters.h"
+#include "daemon/kept_answer.h"
 
 #define OUTCOME_RETRY (200 * GP_MSEC)
 /* A peer that has not connected by then is not there.  */
@@ -41,11 +41,8 @@
   gp_keys_verdict_t verdict;
   gp_keys_decided_t decided; /* NULL: nobody waits */
   void *data;
-  Gp__Wire__Answer *head; /* kept, NULL: nothing */
-  GByteArray *body;
   Gp__Wire__Verdict outcome;
-  uint32_t status;
-  GByteArray *answer; /* of the outcome, or NULL */
+  gp_kept_answer_t kept;
 };
 
 struct gp_keys
@@ -75,52 +72,6 @@
 static gp_counter_t active_keys
     = GP_GAUGE ("keys_active", "Keys of this entry without an outcome.");
 
-/* Identity.  */
-
-uint64_t
-gp_keys_hash (const char *method, size_t method_size, const char *path,
-              size_t path_size, const void *body, size_t body_size)
-{
-  uint64_t sizes[] = { method_size, path_size, body_size };
-  XXH3_state_t *state = XXH3_createState ();
-  uint64_t hash;
-
-  XXH3_64bits_reset (state);
-  XXH3_64bits_update (state, sizes, sizeof sizes);
-  XXH3_64bits_update (state, method, method_size);
-  XXH3_64bits_update (state, path, path_size);
-  XXH3_64bits_update (state, body, body_size);
-  hash = XXH3_64bits_digest (state);
-  XXH3_freeState (state);
-  return hash;
-}
-
-static void
-digest_text (GChecksum *checksum, const void *bytes, size_t size)
-{
-  uint64_t length = GUINT64_TO_LE (size);
-
-  g_checksum_update (checksum, (const guchar *)&length, sizeof length);
-  g_checksum_update (checksum, bytes, (gssize)size);
-}
-
-static void
-make_key (const gp_keys_request_t *request, uint8_t key[GP_FOLD_KEY_SIZE])
-{
-  GChecksum *checksum = g_checksum_new (G_CHECKSUM_SHA256);
-  uint8_t digest[32];
-  gsize digest_size = sizeof digest;
-  size_t size;
-  const void *bytes = g_bytes_get_data (request->key, &size);
-
-  digest_text (checksum, request->team, strlen (request->team));
-  digest_text (checksum, request->service, strlen (request->service));
-  digest_text (checksum, bytes, size);
-  g_checksum_get_digest (checksum, digest, &digest_size);
-  g_checksum_free (checksum);
-  memcpy (key, digest, GP_FOLD_KEY_SIZE);
-}
-
 static guint
 hash_key (const void *key)
 {
@@ -156,12 +107,7 @@
   gp_counter_set (&active_keys, g_hash_table_size (keyed->keys->active));
   gp_list_remove (&keyed->link);
   gp_deferred_cancel (&keyed->deferred);
-  if (keyed->head != NULL)
-    gp__wire__answer__free_unpacked (keyed->head, NULL);
-  if (keyed->body != NULL)
-    g_byte_array_unref (keyed->body);
-  if (keyed->answer != NULL)
-    g_byte_array_unref (keyed->answer);
+  gp_kept_answer_finish (&keyed->kept);
   g_free (keyed);
 }
 
@@ -209,11 +155,11 @@
   outcome.key.len = GP_FOLD_KEY_SIZE;
   outcome.state = state;
   if (keyed != NULL)
-    outcome.status = keyed->status;
-  if (keyed != NULL && keyed->answer != NULL)
+    outcome.status = keyed->kept.status;
+  if (keyed != NULL && keyed->kept.packed != NULL)
     {
-      outcome.answer.data = keyed->answer->data;
-      outcome.answer.len = keyed->answer->len;
+      outcome.answer.data = keyed->kept.packed->data;
+      outcome.answer.len = keyed->kept.packed->len;
     }
   record.record_case = GP__RECORD__RECORD__RECORD_OUTCOME;
   record.outcome = &outcome;
@@ -255,60 +201,19 @@
 void
 gp_keyed_drop_answer (gp_keyed_t *keyed)
 {
-  if (keyed->head != NULL)
-    gp__wire__answer__free_unpacked (keyed->head, NULL);
-  keyed->head = NULL;
+  gp_kept_answer_drop (&keyed->kept);
 }
 
 void
 gp_keyed_keep_part (gp_keyed_t *keyed, const void *bytes, size_t size)
 {
-  if (keyed->head == NULL)
-    return;
-  if (keyed->body->len + size > GP_FOLD_ANSWER_MAX)
-    gp_keyed_drop_answer (keyed);
-  else
-    g_byte_array_append (keyed->body, bytes, (guint)size);
+  gp_kept_answer_part (&keyed->kept, bytes, size);
 }
 
 void
 gp_keyed_keep_head (gp_keyed_t *keyed, const Gp__Wire__Answer *answer)
 {
-  Gp__Wire__Answer head = GP__WIRE__ANSWER__INIT;
-  g_autofree uint8_t *packed = NULL;
-  size_t size;
-
-  head.status = answer->status;
-  head.headers = answer->headers;
-  head.n_headers = answer->n_headers;
-  size = gp__wire__answer__get_packed_size (&head);
-  packed = g_malloc (size + 1);
-  gp__wire__answer__pack (&head, packed);
-  keyed->status = answer->status;
-  keyed->head = gp__wire__answer__unpack (NULL, size, packed);
-  keyed->body = g_byte_array_new ();
-  gp_keyed_keep_part (keyed, answer->data.data, answer->data.len);
-}
-
-/* Pack what was kept into the outcome's answer if it fits.  */
-static void
-pack_answer (gp_keyed_t *keyed)
-{
-  size_t size;
-
-  if (keyed->head == NULL)
-    return;
-  keyed->head->data.data = keyed->body->data;
-  keyed->head->data.len = keyed->body->len;
-  size = gp__wire__answer__get_packed_size (keyed->head);
-  if (size <= GP_FOLD_ANSWER_MAX)
-    {
-      keyed->answer = g_byte_array_new ();
-      g_byte_array_set_size (keyed->answer, (guint)size);
-      gp__wire__answer__pack (keyed->head, keyed->answer->data);
-    }
-  keyed->head->data.data = NULL;
-  keyed->head->data.len = 0;
+  gp_kept_answer_head (&keyed->kept, answer);
 }
 
 /* Nobody waits for the decision any more.  An Intent that is or may come on
@@ -337,7 +242,7 @@
   keyed->state = KEYED_ENDED;
   keyed->outcome = verdict;
   if (verdict == GP__WIRE__VERDICT__VERDICT_RAN)
-    pack_answer (keyed);
+    gp_kept_answer_pack (&keyed->kept);
   note (keyed, GP_TIMELINE_KEY_OUTCOME,
         verdict == GP__WIRE__VERDICT__VERDICT_RAN       ? "ran"
         : verdict == GP__WIRE__VERDICT__VERDICT_NOT_RUN ? "not-run"
@@ -433,11 +338,11 @@
     }
   else if (other != NULL)
     {
-      decision->status = other->status;
-      if (other->answer != NULL)
+      decision->status = other->kept.status;
+      if (other->kept.packed != NULL)
         {
-          decision->answer = other->answer->data;
-          decision->answer_size = other->answer->len;
+          decision->answer = other->kept.packed->data;
+          decision->answer_size = other->kept.packed->len;
         }
     }
 }
@@ -612,7 +517,7 @@
   keyed->data = data;
   gp_list_init (&keyed->link);
   gp_deferred_init (&keyed->deferred, deliver);
-  make_key (request, keyed->key);
+  gp_keys_digest (request, keyed->key);
   start (keyed);
   return keyed;
 }
--- a/src/daemon/keys.h
+++ b/src/daemon/keys.h
@@ -88,6 +88,10 @@
                        const char *path, size_t path_size, const void *body,
                        size_t body_size);
 
+/* The digest of team, service and key that names REQUEST's key on the log. */
+void gp_keys_digest (const gp_keys_request_t *request,
+                     uint8_t key[GP_FOLD_KEY_SIZE]);
+
 /* The pure decision by KEY as FOLD has it (NULL: not seen); RUN means that
    an Intent may be proposed.  OWNER_ALIVE tells whether the entry that holds
    an open key is there.  */
