--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -16,14 +16,11 @@
 #include "base/error.h"
 #include "transport/endpoint.h"
 #include "transport/http_header.h"
+#include "transport/http_request.h"
 
 /* What a body callback of h2o returns to have the connection closed.  */
 #define STOP_CALL (-1)
 
-/* Of the head of a request: room for what does not depend on it, its first
-   line's and the content-length's text.  */
-#define FIXED_HEAD_SIZE 128
-
 typedef enum
 {
   WAITING, /* for a connection */
@@ -364,94 +361,17 @@
     start (GP_CONTAINER_OF (client->waiting.next, gp_http_call_t, link));
 }
 
-static bool
-has_header (const gp_http_call_request_t *request, const char *name)
-{
-  for (size_t i = 0; i < request->header_count; i++)
-    if (h2o_memis (request->headers[i].name, request->headers[i].name_size,
-                   name, strlen (name)))
-      return true;
-  return false;
-}
-
-static char *
-append (char *to, const char *text, size_t size)
-{
-  memcpy (to, text, size);
-  return to + size;
-}
-
-static char *
-append_string (char *to, const char *text)
-{
-  return append (to, text, strlen (text));
-}
-
-static char *
-append_header (char *to, const gp_http_header_t *header)
-{
-  if (gp_http_header_is_framing (header) || !gp_http_header_is_clean (header))
-    return to;
-  to = append (to, header->name, header->name_size);
-  to = append_string (to, ": ");
-  if (header->value_size > 0)
-    to = append (to, header->value, header->value_size);
-  return append_string (to, "\r\n");
-}
-
-static bool
-needs_length (const gp_http_call_request_t *request)
-{
-  return request->body_size > 0 || strcmp (request->method, "POST") == 0
-         || strcmp (request->method, "PUT") == 0;
-}
-
-/* Room for the head of REQUEST.  */
-static size_t
-head_size (const gp_http_client_t *client,
-           const gp_http_call_request_t *request)
-{
-  size_t size = FIXED_HEAD_SIZE + strlen (request->method)
-                + strlen (request->path) + strlen (client->address);
-
-  for (size_t i = 0; i < request->header_count; i++)
-    size += strlen (": \r\n") + request->headers[i].name_size
-            + request->headers[i].value_size;
-  return size;
-}
-
-/* The place behind the head is returned.  */
-static char *
-write_head (char *to, const gp_http_client_t *client,
-            const gp_http_call_request_t *request)
-{
-  to = append_string (to, request->method);
-  to = append_string (to, " ");
-  to = append_string (to, request->path);
-  to = append_string (to, " HTTP/1.1\r\n");
-  if (!has_header (request, "host"))
-    {
-      to = append_string (to, "host: ");
-      to = append_string (to, client->address);
-      to = append_string (to, "\r\n");
-    }
-  for (size_t i = 0; i < request->header_count; i++)
-    to = append_header (to, &request->headers[i]);
-  if (needs_length (request))
-    to += sprintf (to, "content-length: %zu\r\n", request->body_size);
-  return append_string (to, "\r\n");
-}
-
 /* A call with its head in the same block.  */
 static gp_http_call_t *
 call_new (const gp_http_client_t *client,
           const gp_http_call_request_t *request)
 {
-  gp_http_call_t *call = g_malloc (sizeof *call + head_size (client, request));
+  gp_http_call_t *call = g_malloc (
+      sizeof *call + gp_http_request_head_size (request, client->address));
   const char *end;
 
   memset (call, 0, sizeof *call);
-  end = write_head (call->head, client, request);
+  end = gp_http_request_write_head (call->head, request, client->address);
   call->request[0] = h2o_iovec_init (call->head, (size_t)(end - call->head));
   call->request[1] = h2o_iovec_init (request->body, request->body_size);
   return call;
