--- a/src/state/fold_internal.h
+++ b/src/state/fold_internal.h
@@ -5,7 +5,8 @@
    fold_guards.c  guards: adoption and fences
    fold_keys.c    keys of non-idempotent requests
    fold_config.c  configuration
-   fold_rows.c    digest, save and load  */
+   fold_rows.c    digest and save
+   fold_load.c    load of what was saved  */
 
 #ifndef GP_STATE_FOLD_INTERNAL_H
 #define GP_STATE_FOLD_INTERNAL_H
