--- a/tests/scripts/proof_pairs.py
+++ b/tests/scripts/proof_pairs.py
@@ -7,9 +7,9 @@
 import threading
 
 from tasks_site import (DOCUMENT, WATCHERS, await_checkpoints, await_epoch,
-                        await_state, await_watchers, executions, job, judge,
-                        long_jobs, on, ready, site_of, submit, went_on,
-                        workers)
+                        await_serving, await_state, await_watchers,
+                        executions, job, judge, long_jobs, on, ready, site_of,
+                        submit, went_on)
 
 from site_processes import until
 
@@ -33,8 +33,7 @@
         await_epoch(site, late, 1)
         await_watchers(site, WATCHERS)
         site.processes[victim].signal(signal.SIGCONT)
-        until(lambda: any(w["worker"] == victim and w["state"] == "serving"
-                          for w in workers(site)), what="it serves again")
+        await_serving(site, victim)
         name = submit(site, run_ms=50)[0]
         await_state(site, name, "succeeded")
         print("  from their checkpoints:", went_on(site, moved))
--- a/tests/scripts/tasks.py
+++ b/tests/scripts/tasks.py
@@ -4,12 +4,10 @@
 import signal
 import sys
 
-from tasks_site import (WATCHERS, await_epoch, await_state, await_watchers,
-                        breaches, epochs, job, judge, long_jobs, on, publish,
-                        ready, running_watchers, site_of, submit, went_on,
-                        workers)
-
-from site_processes import until
+from tasks_site import (WATCHERS, await_epoch, await_serving, await_state,
+                        await_watchers, breaches, epochs, job, judge,
+                        long_jobs, on, publish, ready, running_watchers,
+                        site_of, submit, went_on)
 
 
 def plain(build):
@@ -61,9 +59,7 @@
         for guard in site.guard_names:
             site.processes[guard].kill()
             site.start_guard(guard, alone=True)
-            until(lambda g=guard: any(
-                w["worker"] == g and w["state"] == "serving"
-                for w in workers(site)), what=f"{guard} serving")
+            await_serving(site, guard)
         await_epoch(site, names, 1)
         await_watchers(site, WATCHERS)
         print("  same epochs:", epochs(site) == before
--- a/tests/scripts/tasks_faults.py
+++ b/tests/scripts/tasks_faults.py
@@ -4,9 +4,10 @@
 import signal
 import sys
 
-from tasks_site import (WATCHERS, await_checkpoints, await_epoch, await_state,
-                        await_watchers, epochs, job, judge, long_jobs, now_us,
-                        on, ready, site_of, submit, went_on, workers)
+from tasks_site import (WATCHERS, await_checkpoints, await_epoch,
+                        await_serving, await_state, await_watchers, epochs,
+                        job, judge, long_jobs, now_us, on, ready, site_of,
+                        submit, went_on)
 
 from site_processes import until
 
@@ -60,8 +61,7 @@
         await_epoch(site, moved, 2)
         await_watchers(site, WATCHERS)
         site.processes[victim].signal(signal.SIGCONT)
-        until(lambda: any(w["worker"] == victim and w["state"] == "serving"
-                          for w in workers(site)), what="it serves again")
+        await_serving(site, victim)
         print("  from their checkpoints:", went_on(site, moved))
         judge(site)
 
--- a/tests/scripts/tasks_site.py
+++ b/tests/scripts/tasks_site.py
@@ -142,6 +142,11 @@
               what=f"{name} in epoch {epoch}")
 
 
+def await_serving(site, guard):
+    until(lambda: any(w["worker"] == guard and w["state"] == "serving"
+                      for w in workers(site)), what=f"{guard} serving")
+
+
 def on(site, names, guard):
     return [n for n in names if job(site, n)["worker"] == guard]
 
