--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -30,9 +30,10 @@
   int64_t serving; /* number of runs with a tail latency to keep */
   gp_list_t tasks; /* gp_job_task_t.on_executor */
   uint32_t task_count;
-  bool reachable;        /* its guard reports */
-  gp_time_t reported_at; /* its guard reported it to this leader last, 0:
-                            never */
+  bool reachable;           /* its guard reports */
+  gp_time_t reported_at;    /* its guard reported it to this leader last, 0:
+                               never */
+  gp_time_t unspoken_since; /* no guard reports it since then, 0: one does */
   bool awaited; /* it was noted what its runs wait for since it does not */
   bool draining;
   bool dead;               /* certainly runs nothing any more */
--- a/src/jobs/grants.c
+++ b/src/jobs/grants.c
@@ -4,6 +4,11 @@
 
 #include <string.h>
 
+#include "jobs/agent.h"
+
+/* What GP_GRANTS_TERM_TIME after its beginning spares a guard relies on.  */
+G_STATIC_ASSERT (GP_AGENT_LEASE_TIME < GP_GRANTS_TERM_TIME);
+
 /* A leader that was heard of.  Kept for good: there are as many as entries. */
 typedef struct
 {
@@ -74,8 +79,8 @@
 void
 gp_grants_read (gp_grants_t *grants, uint64_t offset, gp_time_t now)
 {
-  /* Records that are kept for good come in any order, without those that they
-     replace.  */
+  /* Records that are kept for good come in the order of their keys, without
+     those that they replace: NEXT then moves back and forth.  */
   if (offset > MAX (grants->next, grants->told))
     {
       grants->gap = true;
@@ -87,11 +92,12 @@
 
 static void
 hear (gp_grants_t *grants, const char *node, uint64_t incarnation,
-      gp_time_t until, gp_time_t fresh, gp_time_t now)
+      uint64_t offset, gp_time_t until, gp_time_t fresh, gp_time_t now)
 {
   gp_former_leader_t *former = find_or_add (grants, node);
 
   former->incarnation = incarnation;
+  former->offset = offset;
   former->until = until;
   former->fresh = fresh;
   /* The topics are read side by side: the process after it may be known
@@ -111,7 +117,7 @@
     {
       const Gp__Jobs__Former *former = record->formers[i];
 
-      hear (grants, former->node, former->incarnation,
+      hear (grants, former->node, former->incarnation, former->offset,
             now + (gp_time_t)former->until_ms * GP_MSEC,
             now + (gp_time_t)former->fresh_ms * GP_MSEC, now);
     }
@@ -127,9 +133,8 @@
   if (grants->gap && record->tells_formers)
     take_told (grants, record, now);
   grants->told = MAX (grants->told, offset + 1);
-  hear (grants, record->node, record->incarnation, now + GP_GRANTS_TERM_TIME,
-        now + GP_GRANTS_FRESH_TIME, now);
-  find (grants, record->node)->offset = offset;
+  hear (grants, record->node, record->incarnation, offset,
+        now + GP_GRANTS_TERM_TIME, now + GP_GRANTS_FRESH_TIME, now);
   if (record->resigned)
     gp_grants_ended (grants, record->node, now);
 }
@@ -161,6 +166,7 @@
     former->incarnation = known->incarnation;
     former->until_ms = milliseconds_left (known->until, now);
     former->fresh_ms = milliseconds_left (known->fresh, now);
+    former->offset = known->offset;
     g_ptr_array_add (formers, former);
   }
   record->n_formers = formers->len;
--- a/src/jobs/grants.h
+++ b/src/jobs/grants.h
@@ -17,16 +17,17 @@
      no longer count for a guard process that has obeyed this one.  One that
    has started since knows nothing of that: for GP_GRANTS_TERM_TIME it takes
      leases only from a leader whose last append is at most
-     GP_GRANTS_FRESH_TIME old, which a former leader's soon is not.
-
+     GP_GRANTS_FRESH_TIME old, which a former leader's soon is not.  After that
+     the terms of all former leaders are over; an acknowledgement that was held
+     up until then is of no use, as a lease is shorter than a term.
    - A leader's record tells what it knows of the leaders before it, and it has
      read all of theirs.  So whoever reads one record, and all after it, knows
    of all; one that has just started does not have to wait for a term.
 
-   Without the last three, the runs of an executor that ended while the lead
-   changed were given up 13.25 s after the last record of the leader before;
-   with them it is a lease (5.25 s) after the last word of its guard, or of the
-   leader that stopped (tests/scripts/gone.py).
+   Without that, the runs of an executor that ended while the lead changed were
+   given up 13.25 s after the last record of the leader before; with it it is a
+   lease (5.25 s) after the last word of its guard, or of the leader that
+   stopped (tests/scripts/gone.py).
 
    Pure: events and NOW in, points in time out.  */
 
@@ -49,7 +50,7 @@
 /* The age of a leader's last append up to which a guard takes its word without
    knowing of others.  An idle leader appends each 250 ms; the rest is for a
    store that is slow.  */
-#define GP_GRANTS_FRESH_TIME (2 * GP_SEC)
+#define GP_GRANTS_FRESH_TIME (3 * GP_SEC)
 
 typedef struct
 {
@@ -91,7 +92,8 @@
                           gp_time_t now);
 
 /* No leader before this one acknowledges a report after this.  OBEYED: the
-   guard has obeyed this leader before it fell silent.  */
+   guard has reported to this leader, and what it was given before is counted
+   apart.  */
 gp_time_t gp_grants_end (const gp_grants_t *grants, bool obeyed);
 
 /* May a guard that began at BEGAN_AT, and knows of no other leader, take a
--- a/src/jobsd/announce.c
+++ b/src/jobsd/announce.c
@@ -75,6 +75,13 @@
   announce (announcer);
 }
 
+void
+gp_announcer_renumber (gp_announcer_t *announcer, uint64_t incarnation)
+{
+  announcer->incarnation = incarnation;
+  announce (announcer);
+}
+
 void
 gp_announcer_finish (gp_announcer_t *announcer)
 {
--- a/src/jobsd/announce.h
+++ b/src/jobsd/announce.h
@@ -30,6 +30,8 @@
 /* Announce again that this entry leads no more by what it wrote before the
    offset CEASED: its term as a leader is over for others then.  */
 void gp_announcer_cease (gp_announcer_t *announcer, uint64_t ceased);
+/* Announce again, under a higher number.  */
+void gp_announcer_renumber (gp_announcer_t *announcer, uint64_t incarnation);
 void gp_announcer_finish (gp_announcer_t *announcer);
 
 #endif
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -109,7 +109,12 @@
     gp_log (GP_LOG_WARNING, "record.malformed", GP_LOG_S ("key", name));
   else if (node->guard)
     gp_leader_guard (&entry->leader, name, node->address);
-  else if (strcmp (name, entry->settings->node) != 0)
+  else if (strcmp (name, entry->settings->node) == 0)
+    {
+      if (gp_leader_outnumber (&entry->leader, node->incarnation))
+        gp_announcer_renumber (&entry->announcer, entry->leader.incarnation);
+    }
+  else
     {
       gp_way_add (&entry->way, node->address);
       gp_leader_announced (&entry->leader, name, node->incarnation,
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -12,6 +12,7 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "jobs/grants.h"
 #include "jobsd/link.h"
 #include "jobsd/metrics.h"
 
@@ -30,9 +31,10 @@
 #define LIST_SPACING_UNSEEN (60 * GP_MSEC)
 #define LIST_RETRY_TIME (100 * GP_MSEC)
 #define CALLS_MAX 4
-/* A guard that stops waits so long for an executor that has said goodbye; the
-   platform gives a process 6 s.  */
-#define LEAVE_TIME (2 * GP_SEC)
+/* A guard that stops waits so long for the end of an executor that has said
+   goodbye, and for a leader to tell it to; a new leader comes within 1.5 s as
+   a rule, and the platform gives a process 6 s.  */
+#define LEAVE_TIME (4 * GP_SEC)
 
 static gp_counter_t starts_count
     = GP_COUNTER ("guard_starts_total", "Start orders sent to the executor");
@@ -79,6 +81,36 @@
   gp_guard_send_report (data);
 }
 
+/* Its end.  */
+
+static void
+stop (gp_job_guard_t *guard)
+{
+  gp_log (GP_LOG_INFO, "process.stop");
+  gp_loop_stop (&guard->loop);
+}
+
+/* Is there an end of the executor that only this process can tell of?  */
+static bool
+has_end_to_tell (const gp_job_guard_t *guard)
+{
+  return guard->farewell.executor != NULL
+         || (guard->agent.ended && !guard->end_known);
+}
+
+void
+gp_guard_leave_if_done (gp_job_guard_t *guard)
+{
+  if (guard->stopping && !has_end_to_tell (guard))
+    stop (guard);
+}
+
+static void
+on_leave_due (gp_timer_t *timer, void *data)
+{
+  stop (data);
+}
+
 /* Calls to the executor.  */
 
 bool
@@ -308,8 +340,13 @@
   gp_pressure_t *pressure = &guard->agent.pacer.pressure;
 
   gp_agent_acknowledged (&guard->agent, message->sent_at,
-                         (gp_time_t)message->lead_age_ms * GP_MSEC,
+                         message->lead_age_ms > 0
+                             ? (gp_time_t)message->lead_age_ms * GP_MSEC
+                             : GP_GRANTS_TERM_TIME,
                          now_of (guard));
+  if (guard->agent.ended && message->sent_at > guard->ended_at)
+    guard->end_known = true;
+  gp_guard_leave_if_done (guard);
   for (size_t i = 0; i < message->n_pressures; i++)
     {
       const Gp__Jobs__Pressure *row = message->pressures[i];
@@ -369,8 +406,6 @@
   guard->leader = NULL;
   gp_log (GP_LOG_INFO, "leader.lost",
           GP_LOG_S ("why", reason != NULL ? reason->message : "closed here"));
-  if (guard->stopping && guard->farewell.executor == NULL)
-    gp_timer_arm (&guard->leave, now_of (guard));
 }
 
 static void *
@@ -389,19 +424,6 @@
   gp_platform_settings_reload (guard->settings);
 }
 
-static void
-stop (gp_job_guard_t *guard)
-{
-  gp_log (GP_LOG_INFO, "process.stop");
-  gp_loop_stop (&guard->loop);
-}
-
-static void
-on_leave_due (gp_timer_t *timer, void *data)
-{
-  stop (data);
-}
-
 /* An executor that has just said goodbye is seen to its end first: otherwise
    nobody could tell the leader of it, and its runs would wait for its lease
    (5.2 s in place of 0.1 s, tests/scripts/gone.py).  */
@@ -411,21 +433,8 @@
   gp_job_guard_t *guard = data;
 
   guard->stopping = true;
-  if (guard->farewell.executor == NULL)
-    stop (guard);
-  else
-    gp_timer_arm (&guard->leave, now_of (guard) + LEAVE_TIME);
-}
-
-void
-gp_guard_farewell_over (gp_job_guard_t *guard)
-{
-  if (!guard->stopping)
-    return;
-  if (guard->leader != NULL)
-    gp_peer_close (guard->leader, false);
-  else
-    stop (guard);
+  gp_timer_arm (&guard->leave, now_of (guard) + LEAVE_TIME);
+  gp_guard_leave_if_done (guard);
 }
 
 static void
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -39,6 +39,8 @@
   gp_farewell_t farewell;
   gp_timer_t leave; /* it stops then at the latest */
   bool stopping;
+  gp_time_t ended_at; /* the last report before the executor's end left */
+  bool end_known;     /* a leader has acknowledged one after it */
   gp_time_t report_sent_at; /* the last report left */
   gp_announcer_t announcer;
   gp_deferred_t act; /* make the calls that are due */
--- a/src/jobsd/guard_farewell.c
+++ b/src/jobsd/guard_farewell.c
@@ -50,8 +50,9 @@
     {
       end_farewell (farewell);
       gp_agent_executor_ended (&guard->agent);
+      guard->end_known = false;
+      guard->ended_at = guard->report_sent_at;
       gp_guard_send_report (guard);
-      gp_guard_farewell_over (guard);
     }
   else if (now < farewell->until)
     gp_timer_arm (&farewell->ask, now + ASK_TIME);
@@ -60,7 +61,7 @@
       gp_log (GP_LOG_WARNING, "executor.stays",
               GP_LOG_S ("executor", farewell->executor));
       end_farewell (farewell);
-      gp_guard_farewell_over (guard);
+      gp_guard_leave_if_done (guard);
     }
 }
 
--- a/src/jobsd/guard_private.h
+++ b/src/jobsd/guard_private.h
@@ -22,8 +22,8 @@
 /* The executor ID says goodbye: once nobody listens at its address any more it
    has ended, and the leader is told.  */
 void gp_guard_goodbye (gp_job_guard_t *guard, const char *id);
-/* The executor's end is settled, and the leader was told.  */
-void gp_guard_farewell_over (gp_job_guard_t *guard);
+/* End a guard that is to stop, unless it has an executor's end to tell.  */
+void gp_guard_leave_if_done (gp_job_guard_t *guard);
 void gp_guard_farewell_init (gp_job_guard_t *guard);
 void gp_guard_farewell_finish (gp_job_guard_t *guard);
 
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -84,6 +84,8 @@
 {
   leader->role = GP_LEADER_LEADING;
   leader->epoch = epoch;
+  /* It gives nothing any more by a lead of its own that was lost.  */
+  gp_grants_ended (&leader->grants, leader->node, now_of (leader));
   gp_log (GP_LOG_INFO, "lead.taken", GP_LOG_I ("epoch", epoch),
           GP_LOG_I ("jobs", g_hash_table_size (leader->book->jobs)),
           GP_LOG_I (
@@ -145,6 +147,16 @@
   leader->heard_at = now;
 }
 
+bool
+gp_leader_outnumber (gp_leader_t *leader, uint64_t incarnation)
+{
+  if (leader->role != GP_LEADER_FOLLOWING
+      || incarnation <= leader->incarnation)
+    return false;
+  leader->incarnation = incarnation + 1;
+  return true;
+}
+
 void
 gp_leader_announced (gp_leader_t *leader, const char *node,
                      uint64_t incarnation, uint64_t ceased)
@@ -166,6 +178,8 @@
       return;
     }
   leader->led = true;
+  if (strcmp (leadership->node, leader->node) == 0)
+    gp_leader_outnumber (leader, leadership->incarnation);
   /* An earlier process of this VM has ended, as this one runs.  */
   leader->resigned = leadership->resigned
                      || (strcmp (leadership->node, leader->node) == 0
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -51,6 +51,8 @@
   gp_timer_t redial;
   gp_job_executor_t *executor; /* the one on the VM, NULL: none known */
   gp_time_t reported_at;       /* the last report came, or it was dialled */
+  gp_time_t obeyed_at;         /* the first report to this leader came, 0: none
+                                  yet */
   gp_time_t report_sent_at;    /* the last report left, on the guard's clock */
   uint64_t sync;               /* number of the last sync sent or being sent */
   bool wants_sync;             /* the guard has to be told all its runs */
@@ -113,6 +115,12 @@
                      void *data);
 void gp_leader_finish (gp_leader_t *leader);
 
+/* A process of this VM has had the number INCARNATION.  Numbers are read off
+   the time of day, which may jump back between two starts; others take the
+   word of a lower one for that of a process that has ended.  Returns whether a
+   higher number than it was taken, which has to be announced.  */
+bool gp_leader_outnumber (gp_leader_t *leader, uint64_t incarnation);
+
 /* The entry on NODE has announced itself, see gp_grants_announced.  */
 void gp_leader_announced (gp_leader_t *leader, const char *node,
                           uint64_t incarnation, uint64_t ceased);
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -162,6 +162,10 @@
   gp_leader_drop_links (leader);
   gp_scheduler_reset (&leader->scheduler);
   g_hash_table_remove_all (leader->new_places);
+  /* They are read anew with the book: one that was never written down must
+     not count as written when this entry leads again.  */
+  if (!claimed)
+    g_hash_table_remove_all (leader->places);
   g_ptr_array_set_size (leader->drops, 0);
   leader->on_deposed (claimed, leader->data);
 }
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -34,12 +34,14 @@
   Gp__Jobs__Acknowledge message = GP__JOBS__ACKNOWLEDGE__INIT;
   Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
 
-  if (now > leader->confirmed_at + GP_GRANTS_TERM_TIME || leader->resigning)
+  /* The time of this turn may be old: the process may have been held up in the
+     middle of it.  */
+  if (gp_time_now () > leader->confirmed_at + GP_GRANTS_TERM_TIME
+      || leader->resigning)
     return;
   gp_teaching_init (&teaching);
   message.sent_at = report->sent_at;
-  message.lead_age_ms
-      = (uint32_t)((now - leader->confirmed_at + GP_MSEC - 1) / GP_MSEC);
+  message.lead_age_ms = (uint32_t)((now - leader->confirmed_at) / GP_MSEC + 1);
   gp_leader_teach (link, report, &message, &teaching);
   frame.message_case = GP__JOBS__FRAME__MESSAGE_ACKNOWLEDGE;
   frame.acknowledge = &message;
@@ -95,7 +97,6 @@
   if (report->synced != link->sync && now - link->synced_at > RESYNC_TIME)
     link->wants_sync = true;
   link->silent = report->ended || (report->lapsed && !report->answers);
-  executor->awaited = false;
   executor->reported_at = now;
   executor->reachable = !report->lapsed && !report->ended && !link->wants_sync
                         && report->synced == link->sync;
@@ -113,6 +114,8 @@
             GP_LOG_S ("executor",
                       report->executor != NULL ? report->executor->id : ""));
   link->up = true;
+  if (link->obeyed_at == 0)
+    link->obeyed_at = gp_loop_now (leader->loop);
   link->reported_at = gp_loop_now (leader->loop);
   acknowledge (link, report);
   link->sees_executor = report->executor != NULL;
@@ -267,6 +270,7 @@
       gp_timer_disarm (&link->redial);
       hang_up (link, "not leading");
       link->executor = NULL;
+      link->obeyed_at = 0;
     }
 }
 
@@ -294,14 +298,19 @@
 
 /* Executors.  */
 
-/* When the leases of EXECUTOR have certainly run out.  */
+/* When the leases of EXECUTOR, whose guard is behind LINK, have certainly run
+   out.  What former leaders gave counts up to the guard's first report to this
+   one, whether that named the executor or not.  */
 static gp_time_t
-leases_end (const gp_leader_t *leader, const gp_job_executor_t *executor)
+leases_end (const gp_leader_t *leader, const gp_link_t *link,
+            const gp_job_executor_t *executor)
 {
-  bool obeyed = executor->reported_at > 0;
+  bool obeyed = link != NULL && link->obeyed_at > 0;
+  gp_time_t given = gp_grants_end (&leader->grants, obeyed);
 
-  return gp_agent_lease_end (
-      MAX (gp_grants_end (&leader->grants, obeyed), executor->reported_at));
+  if (obeyed)
+    given = MAX (given, link->obeyed_at);
+  return gp_agent_lease_end (MAX (given, executor->reported_at));
 }
 
 /* Does the guard behind LINK report EXECUTOR?  One that has started anew may
@@ -313,27 +322,32 @@
          && link->executor == executor;
 }
 
-/* Say once what EXECUTOR's runs wait for while no guard speaks for it.  */
+/* Nobody speaks for EXECUTOR: say once what its runs wait for, when that is
+   more than a connection that is made anew.  */
 static void
 note_awaited (const gp_leader_t *leader, const gp_link_t *link,
               gp_job_executor_t *executor, const char *node)
 {
   gp_time_t now = gp_loop_now (leader->loop);
-  gp_time_t formers
-      = gp_grants_end (&leader->grants, executor->reported_at > 0);
+  gp_time_t end = leases_end (leader, link, executor);
 
-  if (executor->awaited
-      || (link != NULL && now - link->reported_at < QUIET_TIME))
+  if (executor->unspoken_since == 0)
+    executor->unspoken_since = now;
+  if (executor->awaited || now - executor->unspoken_since < QUIET_TIME)
     return;
   executor->awaited = true;
   gp_log (GP_LOG_INFO, "executor.awaited", GP_LOG_S ("executor", executor->id),
           GP_LOG_S ("guard", node), GP_LOG_I ("runs", executor->task_count),
-          GP_LOG_I ("for_ms", (leases_end (leader, executor) - now) / GP_MSEC),
+          GP_LOG_I ("for_ms", (end - now) / GP_MSEC),
           GP_LOG_I ("reported_ms_ago",
                     executor->reported_at > 0
                         ? (now - executor->reported_at) / GP_MSEC
                         : -1),
-          GP_LOG_I ("former_leaders_ms", (formers - now) / GP_MSEC));
+          GP_LOG_I ("former_leaders_ms",
+                    (gp_grants_end (&leader->grants,
+                                    link != NULL && link->obeyed_at > 0)
+                     - now)
+                        / GP_MSEC));
 }
 
 static void
@@ -347,10 +361,16 @@
     gp_scheduler_evacuate (&leader->scheduler, executor, now);
   if (executor->reachable)
     gp_scheduler_relocate (&leader->scheduler, executor, now);
-  if (executor->dead || is_spoken_for (link, executor))
+  if (executor->dead)
     return;
+  if (is_spoken_for (link, executor))
+    {
+      executor->unspoken_since = 0;
+      executor->awaited = false;
+      return;
+    }
   note_awaited (leader, link, executor, node);
-  if (now > leases_end (leader, executor))
+  if (now > leases_end (leader, link, executor))
     gp_scheduler_dead (&leader->scheduler, executor, GP_DEATH_SILENT);
 }
 
--- a/tests/scripts/gone.py
+++ b/tests/scripts/gone.py
@@ -13,7 +13,9 @@
 between and knew of the goodbye.  Two more ways to the same end showed when the
 code was read: a guard that starts anew where no executor is hides that one's
 end for good, and a leader that has stopped, or started again, was waited for
-like one that may still be at work.
+like one that may still be at work.  A review found three more orders of the same
+events: the guard starts anew under the next leader, the goodbye comes while
+nobody leads, and a leader waits for the leases of an earlier lead of its own.
 """
 
 import signal
@@ -65,6 +67,13 @@
     print(f"  within {limit_s} s:", not late)
 
 
+def said_so(site):
+    """The leader's log tells what the runs waited for."""
+    print("  said so:", any('"executor.awaited"'
+                            in site.processes[entry].log()
+                            for entry in site.entries))
+
+
 def started(build):
     return site_of(build, entries=3, workers=3)
 
@@ -101,6 +110,7 @@
         ended = time.monotonic()
         site.processes[name].signal(signal.SIGTERM)
         back(site, BY_LEASE_S, ended)
+        said_so(site)
         verdict(site)
 
 
@@ -114,6 +124,60 @@
         site.processes[name].kill()
         site.processes[name].start()
         back(site, BY_LEASE_S, ended)
+        said_so(site)
+        verdict(site)
+
+
+def forgotten_by_new_leader(build):
+    print("an executor ends without a word, the leader is lost, and the "
+          "guard starts anew under the next")
+    with started(build) as site:
+        lasting(site)
+        name = busy_worker(site)
+        site.processes[name].kill()
+        site.executors[name].leave(goodbye=False)
+        ended = time.monotonic()
+        leader = change_leader(site)
+        site.processes[name].start()
+        obeyed(site, name, leader)
+        back(site, BY_LEASE_S, ended)
+        verdict(site)
+
+
+def goodbye_unheard(build):
+    print("an executor says goodbye while nobody leads, and its VM is "
+          "stopped")
+    with started(build) as site:
+        lasting(site)
+        name, first = busy_worker(site), site.leader()
+        site.processes[first].kill()
+        site.executors[name].leave(goodbye=True)
+        ended = time.monotonic()
+        site.processes[name].signal(signal.SIGTERM)
+        back(site, BY_GOODBYE_S, ended)
+        verdict(site)
+
+
+def led_again(build):
+    print("a leader that lost the lead leads again, and a VM is lost that "
+          "has not heard of that")
+    with started(build) as site:
+        lasting(site)
+        name, first = busy_worker(site), site.leader()
+        site.processes[first].signal(signal.SIGSTOP)
+        until(lambda: site.leader() not in (None, first), what="another leader")
+        second = site.leader()
+        site.processes[first].signal(signal.SIGCONT)
+        until(lambda: '"lead.lost"' in site.processes[first].log_of_life(),
+              what="it has noticed")
+        site.processes[name].kill()
+        site.executors[name].leave(goodbye=False)
+        ended = time.monotonic()
+        for entry in site.entries:
+            if entry not in (first, second):
+                site.processes[entry].kill()
+        site.processes[second].signal(signal.SIGTERM)
+        back(site, BY_LEASE_S, ended)
         verdict(site)
 
 
@@ -147,8 +211,9 @@
 
 
 SCENARIOS = {scenario.__name__: scenario
-             for scenario in (drained, silent, forgotten, resigned,
-                              restarted)}
+             for scenario in (drained, silent, forgotten,
+                              forgotten_by_new_leader, goodbye_unheard,
+                              led_again, resigned, restarted)}
 
 if __name__ == "__main__":
     for wanted in sys.argv[2:] or SCENARIOS:
--- a/tests/scripts/gone.sh
+++ b/tests/scripts/gone.sh
@@ -5,7 +5,8 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 here=$(dirname "$0")
-scenarios="drained silent forgotten resigned restarted"
+scenarios="drained silent forgotten forgotten_by_new_leader goodbye_unheard
+led_again resigned restarted"
 for scenario in $scenarios; do
   python3 "$here/gone.py" "$1" "$scenario" >"$folder/$scenario" \
     2>"$folder/$scenario.err" &
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -221,15 +221,15 @@
   gp_agent_init (&agent, now);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_reported (&agent, now);
-  gp_agent_acknowledged (&agent, now, 3 * GP_SEC, now);
-  printf ("  last append 3 s ago: %d ms\n", lease_left (&agent, now));
+  gp_agent_acknowledged (&agent, now, 4 * GP_SEC, now);
+  printf ("  last append 4 s ago: %d ms\n", lease_left (&agent, now));
   gp_agent_acknowledged (&agent, now, GP_SEC, now);
   printf ("  1 s ago: %d ms\n", lease_left (&agent, now));
   now += 9 * GP_SEC;
   gp_agent_set_executor (&agent, agent_executor_new ("x2"), 70, now);
   gp_agent_reported (&agent, now);
-  gp_agent_acknowledged (&agent, now, 3 * GP_SEC, now);
-  printf ("  3 s ago, to a guard of 9 s: %d ms\n", lease_left (&agent, now));
+  gp_agent_acknowledged (&agent, now, 4 * GP_SEC, now);
+  printf ("  4 s ago, to a guard of 9 s: %d ms\n", lease_left (&agent, now));
   gp_agent_finish (&agent);
 }
 
--- a/tests/unit/test_grants.c
+++ b/tests/unit/test_grants.c
@@ -112,6 +112,35 @@
   gp_grants_finish (&writer);
 }
 
+static void
+test_led_twice (void)
+{
+  Gp__Jobs__Leadership record = GP__JOBS__LEADERSHIP__INIT;
+  gp_grants_t writer;
+  gp_grants_t reader;
+
+  printf ("an old word of a leader that leads again does not end its term\n");
+  gp_grants_init (&writer);
+  hear (&writer, "e1", 100, 0, GP_SEC);
+  gp_grants_announced (&writer, "e1", 100, 1, GP_SEC);
+  hear (&writer, "e1", 100, 1, 2 * GP_SEC);
+  record.node = (char *)"e2";
+  record.incarnation = 200;
+  gp_grants_tell (&writer, &record, 2 * GP_SEC);
+  gp_grants_init (&reader);
+  gp_grants_read (&reader, 5, 2 * GP_SEC);
+  gp_grants_heard (&reader, &record, 5, 2 * GP_SEC);
+  gp_grants_ended (&reader, "e2", 2 * GP_SEC);
+  show (&reader, "told of by the next leader");
+  gp_grants_announced (&reader, "e1", 100, 1, 2 * GP_SEC);
+  show (&reader, "its word on the lead before that");
+  gp_grants_announced (&reader, "e1", 100, 2, 2 * GP_SEC);
+  show (&reader, "its word on this lead");
+  gp_grants_clear_told (&record);
+  gp_grants_finish (&reader);
+  gp_grants_finish (&writer);
+}
+
 /* Random runs.  The log and the announcements are arrays; entries read them
    when they reach the store.  A leader that takes the executor for dead has to
    be right: its lease is over, and no leader of an earlier epoch moves it on
@@ -149,6 +178,7 @@
   gp_time_t parted_until; /* from the guard */
   gp_time_t reported_at;  /* this leader has heard of the executor */
   gp_time_t linked_at;    /* ... and of its guard */
+  gp_time_t obeyed_at;    /* ... and of that for the first time */
   bool dead;              /* it takes the executor for dead */
 } entry_t;
 
@@ -218,6 +248,27 @@
     read_record (world, entry, world->log->len - 1);
 }
 
+/* Of the announcements, too, only the newest of each entry is kept; it may be
+   older than the records.  */
+static void
+read_newest_announcements (world_t *world, entry_t *entry)
+{
+  for (int i = 0; i < ENTRIES; i++)
+    for (guint at = world->announcements->len; at-- > 0;)
+      {
+        const announcement_t *word
+            = &g_array_index (world->announcements, announcement_t, at);
+
+        if (word->entry != i)
+          continue;
+        if (&world->entries[i] != entry)
+          gp_grants_announced (&entry->grants, world->entries[i].name,
+                               word->incarnation, word->ceased, world->now);
+        break;
+      }
+  entry->heard = world->announcements->len;
+}
+
 static void
 begin_entry (world_t *world, entry_t *entry)
 {
@@ -225,9 +276,9 @@
   gp_grants_init (&entry->grants);
   gp_grants_announced (&entry->grants, entry->name, entry->incarnation, 0,
                        world->now);
-  entry->heard = world->announcements->len;
   entry->leads = false;
   read_newest (world, entry);
+  read_newest_announcements (world, entry);
   announce (world, entry, 0);
 }
 
@@ -302,6 +353,8 @@
       entry->epoch = world->log->len;
       entry->reported_at = 0;
       entry->linked_at = 0;
+      entry->obeyed_at = 0;
+      gp_grants_ended (&entry->grants, entry->name, world->now);
       entry->dead = false;
     }
 }
@@ -319,6 +372,8 @@
   world->sent_at = MAX (world->now, world->sent_at + 1);
   gp_agent_reported (agent, world->sent_at);
   entry->linked_at = world->now;
+  if (entry->obeyed_at == 0)
+    entry->obeyed_at = world->now;
   if (agent->executor != NULL)
     {
       entry->reported_at = world->now;
@@ -340,10 +395,10 @@
   bool spoken_for = entry->reported_at > 0
                     && entry->linked_at == entry->reported_at
                     && world->now - entry->reported_at < QUIET_TIME;
-  bool obeyed = entry->reported_at > 0;
-  gp_time_t given
-      = MAX (gp_grants_end (&entry->grants, obeyed), entry->reported_at);
+  bool obeyed = entry->obeyed_at > 0;
+  gp_time_t given = gp_grants_end (&entry->grants, obeyed);
 
+  given = MAX (given, MAX (entry->obeyed_at, entry->reported_at));
   if (!entry->leads || spoken_for || entry->dead
       || world->now <= gp_agent_lease_end (given))
     return;
@@ -490,7 +545,7 @@
 {
   unsigned deaths = 0;
 
-  for (guint32 seed = 1; seed <= 1000; seed++)
+  for (guint32 seed = 1; seed <= 3000; seed++)
     deaths += play (seed);
   CU_ASSERT (deaths > 1000);
 }
@@ -498,11 +553,10 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "terms", test_terms },
-                                 { "announcements", test_announcements },
-                                 { "gaps", test_gaps },
-                                 { "random", test_random },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "terms", test_terms },   { "announcements", test_announcements },
+          { "gaps", test_gaps },     { "led twice", test_led_twice },
+          { "random", test_random }, CU_TEST_INFO_NULL };
 
   return runner_main ("grants", tests);
 }
