Platform: one place checks the fields of what comes from outside

Cause: decoders of the platform's bodies took what they found. A heartbeat without capacity was an executor without room, any state but one counted as ready, a sequence of another type was 0 and a negative one shut out all true ones. A list without its array of runs counted as empty, so that each run was stopped. One record that was not in form made its whole page unreadable, for good; a document without routes dropped all queues.

Change: platform/field.[ch] reads a field by type and range and keeps the first fault with its place and cause (missing, type, range, word, unreadable); heartbeats, goodbyes, lists, pages of the store, results of appends, documents and submissions are decoded with it. platform/refusals.[ch] counts by cause and by what it was, and bounds log lines: the first of a sender for each cause, the 10th, 100th. A heartbeat in form that gives the current executor another service is refused as well. A list with a row that can not be read proves no absence. A page keeps a place for each record, so that offsets stay right; a record at which a page is cut three times in a row is passed over. Keys of other writers are escaped in the path. `galenapier explain` takes an executor's id, or `refused`.

Ruled out: a lenient reading of fields that are not used here (address, version, slots): the platform's page says that each heartbeat has them, and the contract is that one without a field names no executor. remainingMs stays optional (told while draining only), clockMs too (not in the page's list of fields), and numbers of submissions may have a fraction, as before. Passing over a cut record at once: a page may be damaged on its way and comes whole the next time.

Already safe before, and shown to be: cut bodies of all kinds, an executor of a service that no queue names (test_jobs), an end that can never be read (its run is found absent and started once more).

--- a/Makefile
+++ b/Makefile
@@ -58,9 +58,11 @@
 FUZZ_LIB_SRC := $(wildcard src/base/*.c src/state/document*.c) \
 	src/state/config.c src/protocol/message.c \
 	src/protocol/generated/wire.pb-c.c \
-	src/protocol/generated/jobs.pb-c.c src/jobs/queues.c \
+	src/protocol/generated/jobs.pb-c.c src/jobs/job.c \
+	src/jobs/queues.c \
 	platform/settings.c platform/heartbeat.c platform/jobs_http.c \
-	platform/json.c
+	platform/field.c platform/refusals.c platform/executor_list.c \
+	platform/store_page.c
 FUZZ_SECONDS ?= 30
 STYLE_SRC := $(filter-out src/protocol/generated/%,\
 	$(wildcard src/*/*.[ch] platform/*.[ch] include/*/*.h programs/*.c \
--- a/programs/galenapier-node.c
+++ b/programs/galenapier-node.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "jobsd/entry.h"
 #include "jobsd/guard.h"
+#include "platform/refusals.h"
 #include "platform/settings.h"
 
 #define EXIT_SETTINGS 2
@@ -55,6 +56,7 @@
     {
       gp_log_init (settings.node, GP_LOG_INFO);
       gp_log_to_stdout ();
+      gp_refusals_register ();
       if (strcmp (argv[1], "--check") == 0)
         status = 0;
       else if (strcmp (argv[1], "entry") == 0)
--- a/src/cli/cmd_explain_logs.c
+++ b/src/cli/cmd_explain_logs.c
@@ -1,5 +1,5 @@
-/* galenapier explain ID LOG...: the path of a job or task through the log
-   lines of all processes.  */
+/* galenapier explain ID LOG...: the path of a job, task or executor through
+   the log lines of all processes, or all that was refused as malformed.  */
 
 #include <jansson.h>
 #include <stdio.h>
@@ -8,7 +8,11 @@
 #include "base/time.h"
 #include "cli/cli.h"
 
-/* One log line that names the job.  */
+/* In the place of an ID: what came from outside and was refused.  */
+#define REFUSED "refused"
+#define REFUSAL_SUFFIX ".malformed"
+
+/* One log line that names the ID.  */
 typedef struct
 {
   json_int_t time; /* microseconds since 1970 */
@@ -42,6 +46,23 @@
          && (value[size] == '\0' || value[size] == '.');
 }
 
+static bool
+is_refusal (const json_t *json)
+{
+  const char *event = json_string_value (json_object_get (json, "event"));
+
+  return event != NULL && g_str_has_suffix (event, REFUSAL_SUFFIX);
+}
+
+static bool
+belongs (const json_t *json, const char *id)
+{
+  if (strcmp (id, REFUSED) == 0)
+    return is_refusal (json);
+  return names (json, "job", id) || names (json, "task", id)
+         || names (json, "executor", id);
+}
+
 /* A log may hold other text, also before the object on a line.  */
 static void
 take_line (GArray *lines, const char *id, const char *text)
@@ -49,12 +70,12 @@
   const char *begin = strchr (text, '{');
   line_t line;
 
-  if (begin == NULL || strstr (begin, id) == NULL)
+  if (begin == NULL)
     return;
   line.json = json_loads (begin, JSON_DISABLE_EOF_CHECK, NULL);
   if (line.json == NULL)
     return;
-  if (!names (line.json, "job", id) && !names (line.json, "task", id))
+  if (!belongs (line.json, id))
     {
       json_decref (line.json);
       return;
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -184,9 +184,12 @@
 take_list (gp_job_guard_t *guard, const gp_runtime_list_t *list)
 {
   uint64_t listed = guard->agent.listed_ends;
+  /* Nothing is absent from a list that could not be read whole: it is like
+     one that was asked for before all runs.  */
+  gp_time_t asked_at = list->whole ? list->sent_at : INT64_MIN;
 
   if (gp_agent_listed (&guard->agent, list->runs, list->run_count, list->ends,
-                       list->end_count, list->clock_ms, list->sent_at,
+                       list->end_count, list->clock_ms, asked_at,
                        now_of (guard)))
     gp_guard_send_report (guard);
   gp_counter_add (&ends_count, (int64_t)(guard->agent.listed_ends - listed));
@@ -260,6 +263,10 @@
       gp_log (GP_LOG_INFO, "executor.left", GP_LOG_S ("executor", id));
       status = 200;
       break;
+    case GP_BEAT_UNNAMED:
+      gp_guard_refuse_unnamed ();
+      status = 400;
+      break;
     case GP_BEAT_OTHER:
       break;
     }
--- a/src/jobsd/guard_beats.c
+++ b/src/jobsd/guard_beats.c
@@ -4,11 +4,19 @@
    another executor has come to the same address.  Taking the old one for the
    newest would declare the one that works dead and start its runs elsewhere.
    So an id that is not the current one only counts once the executor that
-   answers at the VM's address has said that it is its own.  */
+   answers at the VM's address has said that it is its own.
+
+   A heartbeat that is not in form, or that gives the current executor another
+   service, changes nothing: an executor keeps its service for life, so that
+   another writer has sent it.  */
 
 #include "jobsd/guard_private.h"
 
+#include <string.h>
+
 #include "base/log.h"
+#include "platform/field.h"
+#include "platform/refusals.h"
 
 /* A heartbeat of an executor that is not known yet, until it is identified.
  */
@@ -71,6 +79,40 @@
                                 introduction);
 }
 
+/* Count and tell ERROR, which is freed; returns the status to answer.  */
+static int
+refuse (const char *id, GError *error)
+{
+  uint64_t refusals = gp_refusal_note (GP_REFUSED_HEARTBEAT, id, error);
+
+  if (refusals > 0)
+    gp_log (GP_LOG_WARNING, "heartbeat.malformed", GP_LOG_S ("executor", id),
+            GP_LOG_S ("cause", gp_field_error_kind (error)),
+            GP_LOG_S ("why", error->message), GP_LOG_I ("refusals", refusals));
+  g_error_free (error);
+  return 400;
+}
+
+void
+gp_guard_refuse_unnamed (void)
+{
+  refuse ("", g_error_new (GP_FIELD_ERROR, GP_FIELD_ERROR_RANGE,
+                           "id: not an executor's"));
+}
+
+static GError *
+check_service (const gp_job_guard_t *guard, const gp_heartbeat_t *heartbeat)
+{
+  const char *service = heartbeat->executor->service;
+
+  if (!gp_guard_executor_is (guard, heartbeat->executor->id)
+      || strcmp (guard->agent.executor->service, service) == 0)
+    return NULL;
+  return g_error_new (GP_FIELD_ERROR, GP_FIELD_ERROR_WORD,
+                      "service: '%s' is not the one of this executor",
+                      service);
+}
+
 int
 gp_guard_heartbeat (gp_job_guard_t *guard, const char *id, gp_http_text_t body)
 {
@@ -79,11 +121,12 @@
 
   if (!gp_platform_heartbeat_parse (&heartbeat, id, body.base, body.size,
                                     &error))
+    return refuse (id, error);
+  error = check_service (guard, &heartbeat);
+  if (error != NULL)
     {
-      gp_log (GP_LOG_WARNING, "heartbeat.malformed",
-              GP_LOG_S ("why", error->message));
-      g_error_free (error);
-      return 400;
+      gp_heartbeat_finish (&heartbeat);
+      return refuse (id, error);
     }
   if (gp_guard_executor_is (guard, id))
     take_heartbeat (guard, &heartbeat);
--- a/src/jobsd/guard_private.h
+++ b/src/jobsd/guard_private.h
@@ -19,6 +19,9 @@
 int gp_guard_heartbeat (gp_job_guard_t *guard, const char *id,
                         gp_http_text_t body);
 
+/* Count and tell a heartbeat or goodbye of what can be no executor's id.  */
+void gp_guard_refuse_unnamed (void);
+
 void gp_guard_register_reports (void);
 
 /* Report to the leader now, and put the next report off.  */
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -14,7 +14,9 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "platform/field.h"
 #include "platform/jobs_http.h"
+#include "platform/refusals.h"
 #include "protocol/message.h"
 
 /* How long a caller waits who does not tell.  */
@@ -98,10 +100,10 @@
 static void
 answer_error (gp_http_exchange_t *exchange, int status, const char *why)
 {
-  char *body = g_strdup_printf ("{\"error\":\"%s\"}", why);
+  char *body = gp_platform_error_body (why);
 
   answer (exchange, status, body);
-  g_free (body);
+  free (body);
 }
 
 /* Changes.  */
@@ -389,6 +391,21 @@
   submission->accepted_wall_ms = gp_time_wall_ms ();
 }
 
+/* Log lines are bounded by queue, as callers choose a new id for each job. */
+static void
+refuse_malformed (gp_http_exchange_t *exchange, const gp_queue_t *queue,
+                  const char *id, const GError *error)
+{
+  uint64_t refusals = gp_refusal_note (GP_REFUSED_JOB, queue->name, error);
+
+  if (refusals > 0)
+    gp_log (GP_LOG_WARNING, "job.malformed", GP_LOG_S ("job", id),
+            GP_LOG_S ("queue", queue->name),
+            GP_LOG_S ("cause", gp_field_error_kind (error)),
+            GP_LOG_S ("why", error->message), GP_LOG_I ("refusals", refusals));
+  answer_error (exchange, 400, error->message);
+}
+
 static void
 submit (gp_jobs_front_t *front, gp_http_exchange_t *exchange,
         const gp_queue_t *queue, const char *id)
@@ -407,9 +424,7 @@
   submission = gp_platform_submission_parse (body.base, body.size, &error);
   if (submission == NULL || !gp_job_check (submission, &error))
     {
-      gp_log (GP_LOG_WARNING, "job.malformed", GP_LOG_S ("job", id),
-              GP_LOG_S ("why", error->message));
-      answer_error (exchange, 400, "the job does not decode");
+      refuse_malformed (exchange, queue, id, error);
       g_error_free (error);
     }
   else
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -1,13 +1,19 @@
-/* Fuzz target: what the platform, callers and operators send.  The first
-   byte chooses the decoder.  */
+/* Fuzz target: what the platform, executors, callers, operators and the store
+   send.  The first byte chooses the decoder.  The corpus holds a body in form
+   for each decoder and cases of tests/unit/test_wire.c.  */
 
 #include <stddef.h>
 #include <stdint.h>
 
 #include "jobs/job.h"
+#include "platform/executor_list.h"
+#include "platform/field.h"
 #include "platform/heartbeat.h"
 #include "platform/jobs_http.h"
 #include "platform/settings.h"
+#include "platform/store_page.h"
+
+#define TOPIC "topic"
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
@@ -53,6 +59,70 @@
   g_free (id);
 }
 
+static void
+fuzz_list (const char *text, size_t size)
+{
+  json_t *json = gp_field_parse (text, size, NULL);
+  gp_executor_list_t list;
+
+  gp_executor_list_init (&list);
+  gp_executor_list_decode (&list, json, "x", 0);
+  gp_executor_clock (json);
+  gp_executor_list_finish (&list);
+  json_decref (json);
+}
+
+/* What the records hold; kept so that the reads of it are made.  */
+static volatile uint8_t sum;
+
+/* Records must lie within the page.  */
+static void
+touch_records (const gp_store_page_t *page)
+{
+  for (guint i = 0; i < page->records->len; i++)
+    {
+      const gp_platform_store_record_t *record
+          = &g_array_index (page->records, gp_platform_store_record_t, i);
+
+      for (size_t at = 0; at < record->key_size; at++)
+        sum ^= (uint8_t)record->key[at];
+      for (size_t at = 0; at < record->value_size; at++)
+        sum ^= record->value[at];
+    }
+}
+
+static void
+fuzz_read (const uint8_t *bytes, size_t size)
+{
+  gp_store_page_t page;
+
+  gp_store_page_init (&page);
+  if (gp_store_page_read (&page, TOPIC, 0, bytes, size, NULL) && page.cut)
+    gp_store_page_pass (&page, TOPIC, 0);
+  touch_records (&page);
+  gp_store_page_finish (&page);
+}
+
+static void
+fuzz_newest (const uint8_t *bytes, size_t size)
+{
+  gp_store_page_t page;
+
+  gp_store_page_init (&page);
+  gp_store_page_newest (&page, TOPIC, bytes, size, NULL);
+  touch_records (&page);
+  gp_store_page_finish (&page);
+}
+
+static void
+fuzz_append (const uint8_t *bytes, size_t size)
+{
+  uint64_t offset;
+  uint64_t end;
+
+  gp_store_page_appended (bytes, size, &offset, &end, NULL);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -60,7 +130,7 @@
 
   if (size < 1)
     return 0;
-  switch (data[0] % 4)
+  switch (data[0] % 8)
     {
     case 0:
       fuzz_submission (text, size - 1);
@@ -74,6 +144,18 @@
     case 3:
       fuzz_heartbeat (text, size - 1);
       break;
+    case 4:
+      fuzz_list (text, size - 1);
+      break;
+    case 5:
+      fuzz_read (data + 1, size - 1);
+      break;
+    case 6:
+      fuzz_newest (data + 1, size - 1);
+      break;
+    case 7:
+      fuzz_append (data + 1, size - 1);
+      break;
     }
   return 0;
 }
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -1,6 +1,7 @@
 """Jobs through real entries and guards on the platform's stand-ins."""
 
 import contextlib
+import json
 import signal
 import sys
 import tempfile
@@ -278,9 +279,93 @@
         verdict(site)
 
 
+OTHER_WRITERS = [
+    ("no service", {"service": None}), ("service a number", {"service": 7}),
+    ("no sequence", {"seq": None}), ("negative sequence", {"seq": -1}),
+    ("no capacity", {"capacity": None}),
+    ("capacity a text", {"capacity": {"cpu": "1", "memMb": 1, "gpu": 0}}),
+    ("unknown state", {"state": "stopping"}), ("state a list", {"state": []}),
+    ("another service", {"service": "other"})]
+
+
+def other_writers(build):
+    print("heartbeats of another writer in the name of an executor")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        for name, executor in site.executors.items():
+            # Newer than all true ones: taken in, it would shut them out.
+            body = {**executor.beat_body(10 ** 9), "state": "draining",
+                    "remainingMs": 0}
+            for case, change in OTHER_WRITERS:
+                changed = {k: v for k, v in {**body, **change}.items()
+                           if v is not None}
+                status = executor.post_body(executor.id, json.dumps(changed))
+                if name == "w1":
+                    print(f"  {case}: {status}")
+            cut = json.dumps(body)[:-9]
+            statuses = [executor.post_body(executor.id, cut),
+                        executor.post_body(executor.id, b"\xff\x00"),
+                        executor.post_body("a/b", json.dumps(body)),
+                        executor.post_body("x" * 200, json.dumps(body))]
+            if name == "w1":
+                print("  cut, bytes, two bad ids:", statuses)
+        for job in (JOB_B, JOB_C):
+            site.submit("e2", job, STEPS)
+            site.await_state("e2", job, "completed")
+        print("  starts of the job that lasts:",
+              sum(n for task, n in site.judge.starts.items()
+                  if task.startswith(JOB_A)))
+        for key in ("heartbeats", "missing", "type", "range", "word",
+                    "unreadable"):
+            print(f"  refused, {key}:",
+                  int(site.metric("w1", f"refused_{key}_total")))
+        for line in site.processes["w1"].log_of_life().splitlines():
+            if '"heartbeat.malformed"' in line:
+                told = json.loads(line)
+                print("  line:", told["executor"] or "unnamed", told["cause"],
+                      told["refusals"])
+        verdict(site)
+
+
+def garbled_lists(build):
+    print("executors list rows that are not in form")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        for executor in site.executors.values():
+            executor.garbles = True
+        until(lambda: all(site.metric(name, "refused_rows_total") > 20
+                          for name in site.executors), what="refused")
+        site.submit("e2", JOB_B, STEPS)
+        site.await_state("e2", JOB_B, "completed")
+        for executor in site.executors.values():
+            executor.garbles = False
+        site.submit("e2", JOB_C, STEPS)
+        site.await_state("e2", JOB_C, "completed")
+        print("  starts:", sum(site.judge.starts.values()))
+        verdict(site)
+
+
+def unreadable_ends(build):
+    print("an end of each executor can never be read")
+    with site_of(build) as site:
+        for executor in site.executors.values():
+            executor.unreadable_ends = 1
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.submit("e1", job, STEPS)
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.await_state("e2", job, "completed")
+        print("  started again:",
+              sum(site.judge.starts.values()) - 3 * 6)
+        verdict(site)
+
+
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (calm, cancelled, leader_killed, guard_restarted,
                               guard_paused, stale_heartbeat,
+                              other_writers, garbled_lists,
+                              unreadable_ends,
                               store_down, left_open, entry_refused,
                               lost_answers, records_dropped, late_orders,
                               executors_crash, silenced, slow_store)}
--- a/tests/standins/keyed_platform.py
+++ b/tests/standins/keyed_platform.py
@@ -246,7 +246,10 @@
 class Executor:
     """One VM's executor; `crash` ends its life and begins another.  Faults:
     `late` (share of orders that get no answer and are carried out later),
-    `late_s` (how much later at the most), `fails` (every run fails)."""
+    `late_s` (how much later at the most), `fails` (every run fails),
+    `garbles` (its list has a run whose number is a text, and a bad end),
+    `unreadable_ends` (the next N ends are listed in a form that has no
+    meaning, for good)."""
 
     def __init__(self, judge, name, address, guard, cores=16, seed=1):
         self.judge = judge
@@ -258,6 +261,8 @@
         self.late = 0.0
         self.late_s = 1.0
         self.fails = False
+        self.garbles = False
+        self.unreadable_ends = 0
         self.dark = False
         self.draining = False
         self.closed = False
@@ -307,6 +312,10 @@
         self.judge.end(self.id, task, run["run"], how, run["lasts"])
         if listed:
             self.count += 1
+            if self.unreadable_ends > 0:
+                self.unreadable_ends -= 1
+                how = "vanished"
+                self.judge.void(task)
             self.ended.append([self.count, task, run["run"], how, ""])
             self.lock.notify_all()
 
@@ -343,16 +352,23 @@
             executor, sequence = self.id, self.sequence
         self.post_beat(executor, sequence)
 
-    def post_beat(self, executor, sequence):
-        """Returns the status of the answer, 0 when none came."""
+    def beat_body(self, sequence):
         with self.lock:
-            body = json.dumps({
-                "service": "work", "zone": "z", "slots": 8,
+            return {
+                "service": "work", "address": "127.0.0.1:1", "zone": "z",
+                "version": "v1", "slots": 8, "coldRemainingMs": 0,
                 "state": "draining" if self.draining else "ready",
                 "remainingMs": 3000, "seq": sequence,
                 "capacity": {"cpu": self.cores * 1000,
-                             "memMb": self.cores * 1024},
-                "labels": ["a", "r1"], "clockMs": self.clock()})
+                             "memMb": self.cores * 1024, "gpu": 0},
+                "labels": ["a", "r1"], "clockMs": self.clock()}
+
+    def post_beat(self, executor, sequence):
+        """Returns the status of the answer, 0 when none came."""
+        return self.post_body(executor, json.dumps(self.beat_body(sequence)))
+
+    def post_body(self, executor, body):
+        """The same with any BODY."""
         path = "/api/Instances.Heartbeat/" + executor
         client = http.client.HTTPConnection(self.guard, timeout=1)
         try:
@@ -442,4 +458,9 @@
             return None
         rows = [[task, run["run"], "", 100, 100]
                 for task, run in self.runs.items()]
-        return self.answer(200, running=rows, ended=self.ended[:500])
+        ended = [list(row) for row in self.ended[:500]]
+        if self.garbles:
+            for row in rows[:1]:
+                row[1] = str(row[1])
+            ended.append([0, "", -1, "vanished", 7])
+        return self.answer(200, running=rows, ended=ended)
--- /dev/null
+++ b/tests/unit/test_feed.c
@@ -0,0 +1,206 @@
+/* Tests of the feed of a topic against a store that answers as it is told:
+   what is asked for, what is delivered, and where the feed stands.  */
+
+#include <stdio.h>
+#include <string.h>
+
+#include "jobsd/feed.h"
+#include "transport/http.h"
+#include "transport_support.h"
+#include "runner.h"
+
+#define BODY_MAX 1000
+#define ANSWERS_MAX 16
+
+/* One answer of the store.  */
+typedef struct
+{
+  const char *body;
+  size_t size;
+} answer_t;
+
+#define ANSWER(text)                                                          \
+  {                                                                           \
+    (text), sizeof (text) - 1                                                 \
+  }
+/* A read: the end of the topic, then the first offset kept.  */
+#define HEAD(end) "\0\0\0\0\0\0\0" end "\0\0\0\0\0\0\0\0"
+#define RECORD(key, value) "\0\0\0\x04\x01" key value
+
+typedef struct
+{
+  gp_loop_t loop;
+  gp_http_server_t *server;
+  gp_platform_store_t *store;
+  gp_feed_t feed;
+  const answer_t *answers;
+  int count;
+  int asked;
+  gp_http_exchange_t *held; /* what is asked for after the last answer */
+} fixture_t;
+
+static void
+on_gone (void *data)
+{
+  ((fixture_t *)data)->held = NULL;
+}
+
+/* Print the part of the path that tells the place, and answer.  */
+static void
+on_request (gp_http_exchange_t *exchange, void *data)
+{
+  fixture_t *fixture = data;
+  gp_http_text_t path = gp_http_exchange_path (exchange);
+  g_autofree char *text = g_strndup (path.base, path.size);
+  char *end = strstr (text, "&maxKb");
+  int number = fixture->asked++;
+
+  if (end != NULL)
+    *end = '\0';
+  printf ("  asked: %s\n", text + strlen ("/api/"));
+  if (number < fixture->count)
+    {
+      gp_http_exchange_answer (exchange, 200, NULL, 0,
+                               fixture->answers[number].body,
+                               fixture->answers[number].size);
+      return;
+    }
+  fixture->held = exchange;
+  gp_http_exchange_watch (exchange, on_gone, NULL, fixture);
+}
+
+static void
+on_record (const gp_platform_store_record_t *record, void *data)
+{
+  printf ("    record '%.*s' of %zu bytes\n", (int)record->key_size,
+          record->key, record->value_size);
+}
+
+static void
+on_fresh (void *data)
+{
+  const fixture_t *fixture = data;
+
+  printf ("    fresh at %d\n", (int)fixture->feed.position);
+}
+
+static void
+on_state (gp_topic_t topic, bool down, const char *reason, void *data)
+{
+  printf ("    %s%s\n", down ? "down: " : "up", reason);
+}
+
+/* Follow a topic through ANSWERS and one request more.  */
+static void
+follow (const char *name, const answer_t *answers, int count)
+{
+  static const gp_feed_callbacks_t callbacks
+      = { on_record, on_fresh, on_state };
+  fixture_t fixture = { .answers = answers, .count = count };
+  gp_http_server_options_t options = { .address = "127.0.0.1:0",
+                                       .max_body_size = BODY_MAX,
+                                       .header_timeout = 20 * GP_SEC,
+                                       .on_request = on_request,
+                                       .data = &fixture };
+  g_autofree char *address = NULL;
+
+  printf ("%s\n", name);
+  CU_ASSERT_TRUE_FATAL (gp_loop_init (&fixture.loop, NULL));
+  fixture.server = gp_http_server_new (&fixture.loop, &options, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fixture.server);
+  address
+      = g_strdup_printf ("127.0.0.1:%d", gp_http_server_port (fixture.server));
+  fixture.store = gp_platform_store_new (&fixture.loop, address, NULL);
+  gp_feed_init (&fixture.feed, &fixture.loop, fixture.store, GP_TOPIC_JOBS, 0,
+                &callbacks, &fixture);
+  gp_feed_start (&fixture.feed);
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.asked, count + 1));
+  gp_feed_finish (&fixture.feed);
+  if (fixture.held != NULL)
+    gp_http_exchange_abort (fixture.held);
+  gp_loop_finish (&fixture.loop);
+}
+
+#define EMPTY_LOAD ANSWER ("{\"items\":[],\"hasMore\":false,\"end\":0}")
+
+static void
+test_reads (void)
+{
+  static const answer_t whole[]
+      = { EMPTY_LOAD,
+          ANSWER (HEAD ("\x02") RECORD ("a", "vv") RECORD ("b", "ww")) };
+  static const answer_t no_content[]
+      = { EMPTY_LOAD, ANSWER (HEAD ("\x03") RECORD (
+                          "a", "vv") "\0\0\0\0" RECORD ("c", "ww")) };
+  static const answer_t bad_key[]
+      = { EMPTY_LOAD, ANSWER (HEAD ("\x03") RECORD (
+                          "a", "vv") "\0\0\0\x02\x09x" RECORD ("c", "ww")) };
+  static const answer_t damaged[]
+      = { EMPTY_LOAD,
+          ANSWER (HEAD ("\x02") RECORD ("a", "vv") "\0\0\0\x04\x01"
+                                                   "b"),
+          ANSWER (HEAD ("\x02") "\0\0\0\x04\x01"),
+          ANSWER (HEAD ("\x02") RECORD ("b", "ww")) };
+  static const answer_t cut_for_good[]
+      = { EMPTY_LOAD,
+          ANSWER (HEAD ("\x03") RECORD ("a", "vv") "\x7f\0\0\0\x01"),
+          ANSWER (HEAD ("\x03") "\x7f\0\0\0\x01"),
+          ANSWER (HEAD ("\x03") "\x7f\0\0\0\x01"),
+          ANSWER (HEAD ("\x03") "\x7f\0\0\0\x01"),
+          ANSWER (HEAD ("\x03") RECORD ("c", "ww")) };
+  static const answer_t too_many[]
+      = { EMPTY_LOAD,
+          ANSWER (HEAD ("\x01") RECORD ("a", "vv") RECORD ("b", "ww")),
+          ANSWER (HEAD ("\x02") RECORD ("a", "vv") RECORD ("b", "ww")) };
+  static const answer_t no_head[]
+      = { EMPTY_LOAD, ANSWER ("\0\0\0\0"),
+          ANSWER (HEAD ("\x01") RECORD ("a", "vv")) };
+
+  follow ("a read in form", whole, G_N_ELEMENTS (whole));
+  follow ("a record without content", no_content, G_N_ELEMENTS (no_content));
+  follow ("a key longer than its record", bad_key, G_N_ELEMENTS (bad_key));
+  follow ("a page that was cut on its way", damaged, G_N_ELEMENTS (damaged));
+  follow ("a record longer than any page", cut_for_good,
+          G_N_ELEMENTS (cut_for_good));
+  follow ("more records than the topic has", too_many,
+          G_N_ELEMENTS (too_many));
+  follow ("a read without a head", no_head, G_N_ELEMENTS (no_head));
+}
+
+static void
+test_loads (void)
+{
+  static const answer_t bad_last[]
+      = { ANSWER ("{\"items\":[{\"key\":\"a\",\"value\":\"dnY=\","
+                  "\"offset\":0},{\"key\":\"b&c d\",\"value\":\"!\","
+                  "\"offset\":1}],\"hasMore\":true,\"end\":3}"),
+          ANSWER ("{\"items\":[{\"key\":\"c\",\"value\":\"dnY=\","
+                  "\"offset\":2}],\"hasMore\":false,\"end\":4}") };
+  static const answer_t keyless[]
+      = { ANSWER ("{\"items\":[{\"key\":\"a\",\"value\":\"dnY=\","
+                  "\"offset\":0},{\"value\":\"dnY=\",\"offset\":1},7],"
+                  "\"hasMore\":true,\"end\":3}"),
+          ANSWER ("{\"items\":[{\"key\":\"c\",\"value\":\"dnY=\","
+                  "\"offset\":2}],\"hasMore\":false,\"end\":3}") };
+  static const answer_t no_items[]
+      = { ANSWER ("{\"hasMore\":false,\"end\":3}"),
+          ANSWER ("{\"items\":7,\"hasMore\":false,\"end\":3}"),
+          ANSWER ("{\"items\":[],\"hasMore\":false}"), ANSWER ("[]"),
+          ANSWER ("{\"items\":[{\"key\":\"c\",\"value\":\"dnY=\","
+                  "\"offset\":2}],\"hasMore\":false,\"end\":3}") };
+
+  follow ("a value that is not base64, last on its page", bad_last,
+          G_N_ELEMENTS (bad_last));
+  follow ("items without a key", keyless, G_N_ELEMENTS (keyless));
+  follow ("lists that are none", no_items, G_N_ELEMENTS (no_items));
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = { { "reads", test_reads },
+                                 { "loads", test_loads },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("feed", tests);
+}
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -592,18 +592,55 @@
   jobs_site_finish (&site);
 }
 
+/* An executor of a service that no queue names is known and used for
+   nothing, however much room it has.  */
+static void
+test_foreign_service (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Executor report = GP__JOBS__EXECUTOR__INIT;
+  gp_job_executor_t *foreign;
+  gp_job_t *job;
+
+  printf ("an executor of a service that no queue names\n");
+  jobs_site_init (&site);
+  foreign = jobs_site_executor (&site, "x1", 8);
+  report.id = (char *)"x1";
+  report.service = (char *)"elsewhere";
+  report.cpu_milli = 64000;
+  report.memory_mb = 64000;
+  gp_job_executor_update (foreign, &report, site.now);
+  job = jobs_site_submit (&site, JOB_A, jobs_site_submission (2, 1000));
+  jobs_site_plan (&site);
+  print_orders (&site);
+  print_job (job);
+  jobs_site_executor (&site, "x2", 1);
+  jobs_site_plan (&site);
+  print_orders (&site);
+  print_job (job);
+  jobs_site_finish (&site);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[]
-      = { { "life", test_life },           { "attempts", test_attempts },
-          { "cancel", test_cancel },       { "lasting", test_lasting },
-          { "gang", test_gang },           { "repeats", test_repeats },
-          { "priority", test_priority },   { "distrust", test_distrust },
-          { "evacuate", test_evacuate },   { "harm", test_harm },
-          { "relocate", test_relocate },   { "racks", test_racks },
-          { "check", test_check },         { "random", test_random },
-          { "end_early", test_end_early }, CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = { { "life", test_life },
+                                 { "attempts", test_attempts },
+                                 { "cancel", test_cancel },
+                                 { "lasting", test_lasting },
+                                 { "gang", test_gang },
+                                 { "repeats", test_repeats },
+                                 { "priority", test_priority },
+                                 { "distrust", test_distrust },
+                                 { "evacuate", test_evacuate },
+                                 { "harm", test_harm },
+                                 { "relocate", test_relocate },
+                                 { "racks", test_racks },
+                                 { "check", test_check },
+                                 { "random", test_random },
+                                 { "end_early", test_end_early },
+                                 { "foreign_service", test_foreign_service },
+                                 CU_TEST_INFO_NULL };
 
   return runner_main ("jobs", tests);
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -183,8 +183,11 @@
   char *id;
 
   printf ("heartbeats\n");
-  parse_beat ("{\"service\":\"s\",\"state\":\"draining\",\"capacity\":{"
-              "\"cpu\":16000},\"labels\":[\"a\",\"r1\"],\"clockMs\":12}");
+  parse_beat ("{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+              "\"version\":\"v1\",\"slots\":8,\"coldRemainingMs\":0,"
+              "\"state\":\"draining\",\"capacity\":{\"cpu\":16000,"
+              "\"memMb\":1024,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+              "\"clockMs\":12,\"seq\":3}");
   parse_beat ("{}");
   parse_beat ("[]");
   parse_beat ("{\"service\"");
