--- a/src/cli/cmd_explain_logs.c
+++ b/src/cli/cmd_explain_logs.c
@@ -11,6 +11,7 @@
 /* In the place of an ID: what came from outside and was refused.  */
 #define REFUSED "refused"
 #define REFUSAL_SUFFIX ".malformed"
+#define UNCONFIRMED "executor.unconfirmed"
 
 /* One log line that names the ID.  */
 typedef struct
@@ -51,7 +52,9 @@
 {
   const char *event = json_string_value (json_object_get (json, "event"));
 
-  return event != NULL && g_str_has_suffix (event, REFUSAL_SUFFIX);
+  return event != NULL
+         && (g_str_has_suffix (event, REFUSAL_SUFFIX)
+             || strcmp (event, UNCONFIRMED) == 0);
 }
 
 static bool
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -33,6 +33,8 @@
   bool listing;
   gp_time_t unrecorded_since; /* ends wait for their record since, or 0 */
   uint64_t beat_sequence;     /* of the executor's last heartbeat */
+  unsigned other_service;     /* heartbeats in a row that give it another */
+  unsigned introductions;     /* executors that are being identified */
 } gp_job_guard_t;
 
 bool gp_job_guard_init (gp_job_guard_t *guard,
--- a/src/jobsd/guard_beats.c
+++ b/src/jobsd/guard_beats.c
@@ -6,9 +6,11 @@
    So an id that is not the current one only counts once the executor that
    answers at the VM's address has said that it is its own.
 
-   A heartbeat that is not in form, or that gives the current executor another
-   service, changes nothing: an executor keeps its service for life, so that
-   another writer has sent it.  */
+   A heartbeat that is not in form changes nothing, nor does one that gives the
+   current executor another service: an executor keeps its service for life,
+   so that another writer has sent it.  When that goes on, it is the first
+   heartbeat that was another writer's, and the service that is told on and on
+   is taken.  */
 
 #include "jobsd/guard_private.h"
 
@@ -18,6 +20,14 @@
 #include "platform/field.h"
 #include "platform/refusals.h"
 
+/* Executors that are identified at a time.  Each takes a call, and the orders
+   of the executor that works here must not wait behind those for whatever ids
+   another writer makes up.  */
+#define INTRODUCTIONS_MAX 8
+/* Heartbeats in a row that give the current executor another service before
+   one is believed.  */
+#define OTHER_SERVICE_MAX 3
+
 /* A heartbeat of an executor that is not known yet, until it is identified.
  */
 typedef struct
@@ -46,37 +56,59 @@
   gp_guard_ask_list (guard);
 }
 
+/* Count and tell that the executor ID is not believed in.  */
+static void
+note_unconfirmed (const char *id, const char *why)
+{
+  GError *error
+      = g_error_new_literal (GP_FIELD_ERROR, GP_FIELD_ERROR_IDENTITY, why);
+  uint64_t refusals = gp_refusal_note (GP_REFUSED_HEARTBEAT, id, error);
+
+  if (refusals > 0)
+    gp_log (GP_LOG_INFO, "executor.unconfirmed", GP_LOG_S ("executor", id),
+            GP_LOG_S ("why", why), GP_LOG_I ("refusals", refusals));
+  g_error_free (error);
+}
+
 static void
 on_identified (gp_agent_result_t result, int64_t clock_ms, void *data)
 {
   introduction_t *introduction = data;
   const char *id = introduction->heartbeat.executor->id;
 
-  if (result == GP_AGENT_REPLACED || result == GP_AGENT_UNANSWERED)
-    gp_log (GP_LOG_INFO, "executor.unconfirmed", GP_LOG_S ("executor", id),
-            GP_LOG_S ("why", result == GP_AGENT_REPLACED
-                                 ? "another one answers at its address"
-                                 : "no answer"));
+  introduction->guard->introductions--;
+  if (result == GP_AGENT_REPLACED)
+    note_unconfirmed (id, "another one answers at its address");
+  else if (result == GP_AGENT_UNANSWERED)
+    note_unconfirmed (id, "no answer");
   else
     take_heartbeat (introduction->guard, &introduction->heartbeat);
   gp_heartbeat_finish (&introduction->heartbeat);
   g_free (introduction);
 }
 
-/* Takes HEARTBEAT over.  */
-static void
+/* Takes HEARTBEAT over; returns the status to answer.  */
+static int
 identify (gp_job_guard_t *guard, gp_heartbeat_t *heartbeat)
 {
-  introduction_t *introduction = g_new (introduction_t, 1);
+  introduction_t *introduction;
   const gp_runtime_order_t order
       = { .executor = heartbeat->executor->id,
           .deadline = gp_loop_now (&guard->loop) + GP_GUARD_ORDER_TIME };
 
+  if (guard->introductions >= INTRODUCTIONS_MAX)
+    {
+      note_unconfirmed (heartbeat->executor->id, "too many at a time");
+      return 503;
+    }
+  guard->introductions++;
+  introduction = g_new (introduction_t, 1);
   introduction->guard = guard;
   introduction->heartbeat = *heartbeat;
   heartbeat->executor = NULL;
   gp_platform_runtime_identify (guard->runtime, &order, on_identified,
                                 introduction);
+  return 200;
 }
 
 /* Count and tell ERROR, which is freed; returns the status to answer.  */
@@ -100,15 +132,25 @@
                            "id: not an executor's"));
 }
 
+/* An error when HEARTBEAT gives the current executor another service.  */
 static GError *
-check_service (const gp_job_guard_t *guard, const gp_heartbeat_t *heartbeat)
+check_service (gp_job_guard_t *guard, const gp_heartbeat_t *heartbeat)
 {
   const char *service = heartbeat->executor->service;
 
-  if (!gp_guard_executor_is (guard, heartbeat->executor->id)
-      || strcmp (guard->agent.executor->service, service) == 0)
+  if (!gp_guard_executor_is (guard, heartbeat->executor->id))
     return NULL;
-  return g_error_new (GP_FIELD_ERROR, GP_FIELD_ERROR_WORD,
+  if (strcmp (guard->agent.executor->service, service) == 0)
+    {
+      guard->other_service = 0;
+      return NULL;
+    }
+  if (++guard->other_service >= OTHER_SERVICE_MAX)
+    {
+      guard->beat_sequence = 0;
+      return NULL;
+    }
+  return g_error_new (GP_FIELD_ERROR, GP_FIELD_ERROR_IDENTITY,
                       "service: '%s' is not the one of this executor",
                       service);
 }
@@ -118,6 +160,7 @@
 {
   gp_heartbeat_t heartbeat = { 0 };
   GError *error = NULL;
+  int status = 200;
 
   if (!gp_platform_heartbeat_parse (&heartbeat, id, body.base, body.size,
                                     &error))
@@ -131,7 +174,7 @@
   if (gp_guard_executor_is (guard, id))
     take_heartbeat (guard, &heartbeat);
   else
-    identify (guard, &heartbeat);
+    status = identify (guard, &heartbeat);
   gp_heartbeat_finish (&heartbeat);
-  return 200;
+  return status;
 }
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -293,6 +293,9 @@
     with site_of(build) as site:
         site.submit("e1", JOB_A, LASTING, spec="lasts")
         until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        until(lambda: all('"executor.known"'
+                          in site.processes[name].log_of_life()
+                          for name in site.executors), what="known")
         for name, executor in site.executors.items():
             # Newer than all true ones: taken in, it would shut them out.
             body = {**executor.beat_body(10 ** 9), "state": "draining",
@@ -317,7 +320,7 @@
               sum(n for task, n in site.judge.starts.items()
                   if task.startswith(JOB_A)))
         for key in ("heartbeats", "missing", "type", "range", "word",
-                    "unreadable"):
+                    "unreadable", "identity"):
             print(f"  refused, {key}:",
                   int(site.metric("w1", f"refused_{key}_total")))
         for line in site.processes["w1"].log_of_life().splitlines():
@@ -328,6 +331,26 @@
         verdict(site)
 
 
+def strangers(build):
+    print("heartbeats of executors that no guard has, and a false first one")
+    with site_of(build) as site:
+        executor = site.executors["w1"]
+        body = executor.beat_body(10 ** 9)
+        statuses = {executor.post_body(f"stranger-{i}", json.dumps(body))
+                    for i in range(40)}
+        print("  answers to 40 strangers:", statuses <= {200, 503})
+        until(lambda: site.metric("w1", "refused_identity_total") >= 40,
+              what="refused")
+        executor.crash()
+        false = {**executor.beat_body(10 ** 9), "service": "other"}
+        executor.post_body(executor.id, json.dumps(false))
+        # Each executor has room for one of these tasks.
+        site.submit("e1", JOB_A, [{"count": 3, "cpu": 9000, "memMb": 10,
+                                   "longRunning": True}], spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        verdict(site)
+
+
 def garbled_lists(build):
     print("executors list rows that are not in form")
     with site_of(build) as site:
@@ -364,7 +387,8 @@
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (calm, cancelled, leader_killed, guard_restarted,
                               guard_paused, stale_heartbeat,
-                              other_writers, garbled_lists,
+                              other_writers, strangers,
+                              garbled_lists,
                               unreadable_ends,
                               store_down, left_open, entry_refused,
                               lost_answers, records_dropped, late_orders,
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -27,6 +27,9 @@
 #define HEAD(end) "\0\0\0\0\0\0\0" end "\0\0\0\0\0\0\0\0"
 #define RECORD(key, value) "\0\0\0\x04\x01" key value
 
+/* Stores live as long as the process, see gp_platform_store_t.  */
+static GPtrArray *stores;
+
 typedef struct
 {
   gp_loop_t loop;
@@ -111,6 +114,7 @@
   address
       = g_strdup_printf ("127.0.0.1:%d", gp_http_server_port (fixture.server));
   fixture.store = gp_platform_store_new (&fixture.loop, address, NULL);
+  g_ptr_array_add (stores, fixture.store);
   gp_feed_init (&fixture.feed, &fixture.loop, fixture.store, GP_TOPIC_JOBS, 0,
                 &callbacks, &fixture);
   gp_feed_start (&fixture.feed);
@@ -202,5 +206,6 @@
                                  { "loads", test_loads },
                                  CU_TEST_INFO_NULL };
 
+  stores = g_ptr_array_new ();
   return runner_main ("feed", tests);
 }
