Platform: what the review of the decoders found

Cause, read in the diff: a body that tells why a submission was refused was made of the parser's message, which may end within a character: no JSON comes of that, and the entry would end. The bound of ends' numbers was taken from the last one that was confirmed, which a new guard has not: after a million ends of an executor, a restart of its guard would have refused all that follow.

The fuzzer makes the answer to each refused submission.

--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -4,6 +4,7 @@
 
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 
 #include "jobs/job.h"
 #include "platform/executor_list.h"
@@ -17,13 +18,28 @@
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
+/* Whatever is refused, there is an answer that tells why.  */
+static void
+answer_why (GError *error)
+{
+  char *body = gp_platform_error_body (error->message);
+
+  if (body == NULL)
+    abort ();
+  free (body);
+  g_error_free (error);
+}
+
 static void
 fuzz_submission (const char *text, size_t size)
 {
+  GError *error = NULL;
   Gp__Jobs__Submission *submission
-      = gp_platform_submission_parse (text, size, NULL);
+      = gp_platform_submission_parse (text, size, &error);
 
-  if (submission != NULL)
+  if (submission == NULL)
+    answer_why (error);
+  else
     gp__jobs__submission__free_unpacked (submission, NULL);
 }
 
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import json
+import os
 import signal
+import subprocess
 import sys
 import tempfile
 
@@ -279,6 +281,17 @@
         verdict(site)
 
 
+def explain(site, name, wanted):
+    """The lines that the command finds for WANTED in the log of NAME."""
+    path = os.path.join(site.folder, "explained-" + name)
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(site.processes[name].log_of_life())
+    done = subprocess.run([os.path.join(site.build, "galenapier"), "explain",
+                           wanted, path], capture_output=True, text=True,
+                          check=False)
+    return done.stdout.splitlines()
+
+
 OTHER_WRITERS = [
     ("no service", {"service": None}), ("service a number", {"service": 7}),
     ("no sequence", {"seq": None}), ("negative sequence", {"seq": -1}),
@@ -328,6 +341,10 @@
                 told = json.loads(line)
                 print("  line:", told["executor"] or "unnamed", told["cause"],
                       told["refusals"])
+        for wanted in ("refused", "w1-1", "w2-1"):
+            print(f"  explained of {wanted}:",
+                  sum("heartbeat.malformed" in line
+                      for line in explain(site, "w1", wanted)))
         verdict(site)
 
 
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "jobs/agent.h"
@@ -280,13 +281,13 @@
 #define CONFIRMED 57
 
 static void
-print_list (const char *body, size_t size)
+print_list (const char *body, size_t size, uint64_t confirmed)
 {
   json_t *json = json_loadb (body, size, 0, NULL);
   gp_executor_list_t list;
 
   gp_executor_list_init (&list);
-  if (!gp_executor_list_decode (&list, json, "x1", CONFIRMED))
+  if (!gp_executor_list_decode (&list, json, "x1", confirmed))
     printf ("no list");
   else
     printf ("%s,", list.whole ? "whole" : "not whole");
@@ -358,17 +359,28 @@
           { "clockMs", "-5" },
           { "clockMs", "9000000000000000000" } };
 
+  static const case_t late[] = { { "ended.2.0", "60000000" },
+                                 { "ended.2.0", "9000000000000000000" } };
+
   printf ("lists\n  in form: ");
-  print_list (list_base, strlen (list_base));
+  print_list (list_base, strlen (list_base), CONFIRMED);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       g_autofree char *body = changed (list_base, &cases[i]);
 
       print_case (&cases[i]);
-      print_list (body, strlen (body));
+      print_list (body, strlen (body), CONFIRMED);
     }
   printf ("  cut: ");
-  print_list (list_base, strlen (list_base) / 2);
+  print_list (list_base, strlen (list_base) / 2, CONFIRMED);
+  for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
+    {
+      g_autofree char *body = changed (list_base, &late[i]);
+
+      print_case (&late[i]);
+      printf ("to a new guard: ");
+      print_list (body, strlen (body), 0);
+    }
 }
 
 /* Pages of the store.  */
@@ -803,16 +815,30 @@
   printf (" %s\n", lines < 300 ? "fewer than 300" : "too many");
 }
 
+/* A reason that ends within a character is told all the same.  */
+static void
+test_reasons (void)
+{
+  char *body = gp_platform_error_body ("cut at \xc3");
+
+  printf ("\nanswer: %s\n", body != NULL ? body : "none");
+  free (body);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = {
-    { "heartbeats", test_heartbeats }, { "identities", test_identities },
-    { "lists", test_lists },           { "reads", test_reads },
-    { "newest records", test_newest }, { "appends", test_appends },
-    { "documents", test_documents },   { "submissions", test_submissions },
-    { "lines", test_lines },           CU_TEST_INFO_NULL
-  };
+  static CU_TestInfo tests[] = { { "heartbeats", test_heartbeats },
+                                 { "identities", test_identities },
+                                 { "lists", test_lists },
+                                 { "reads", test_reads },
+                                 { "newest records", test_newest },
+                                 { "appends", test_appends },
+                                 { "documents", test_documents },
+                                 { "submissions", test_submissions },
+                                 { "lines", test_lines },
+                                 { "reasons", test_reasons },
+                                 CU_TEST_INFO_NULL };
 
   return runner_main ("wire", tests);
 }
