--- a/src/jobsd/guard_private.h
+++ b/src/jobsd/guard_private.h
@@ -22,6 +22,14 @@
 /* Count and tell a heartbeat or goodbye of what can be no executor's id.  */
 void gp_guard_refuse_unnamed (void);
 
+/* The executor ID says goodbye: once nobody listens at its address any more it
+   has ended, and the leader is told.  */
+void gp_guard_goodbye (gp_job_guard_t *guard, const char *id);
+/* The executor's end is settled, and the leader was told.  */
+void gp_guard_farewell_over (gp_job_guard_t *guard);
+void gp_guard_farewell_init (gp_job_guard_t *guard);
+void gp_guard_farewell_finish (gp_job_guard_t *guard);
+
 void gp_guard_register_reports (void);
 
 /* Report to the leader now, and put the next report off.  */
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -349,7 +349,7 @@
 
 
 def strangers(build):
-    print("heartbeats of executors that no guard has, and a false first one")
+    print("strangers, a false first heartbeat, and false goodbyes")
     with site_of(build) as site:
         executor = site.executors["w1"]
         body = executor.beat_body(10 ** 9)
@@ -365,6 +365,14 @@
         site.submit("e1", JOB_A, [{"count": 3, "cpu": 9000, "memMb": 10,
                                    "longRunning": True}], spec="lasts")
         until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        starts = sum(site.judge.starts.values())
+        for executor in site.executors.values():
+            for name in (executor.id, "stranger"):
+                executor.post("/api/Instances.Deregister/" + name, "{}")
+        site.submit("e2", JOB_B, STEPS)
+        site.await_state("e2", JOB_B, "completed")
+        print("  starts after false goodbyes:",
+              sum(site.judge.starts.values()) - starts)
         verdict(site)
 
 
