Platform: checked fields of JSON bodies are called gp_json_, apart from those of records

Cause: the checks of records' fields in src/jobs use gp_field_; two functions of the same name would not link. Change: names and the file (platform/json), and the number of refusals in log lines is called count in both. No change of behaviour.

Tests: wire, feed, orders, platform, jobs, agent; scenarios other_writers, strangers and garbled_lists; linter clean on what changed.

--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 	src/protocol/generated/jobs.pb-c.c src/jobs/job.c \
 	src/jobs/queues.c \
 	platform/settings.c platform/heartbeat.c platform/jobs_http.c \
-	platform/field.c platform/refusals.c platform/executor_list.c \
+	platform/json.c platform/refusals.c platform/executor_list.c \
 	platform/store_page.c
 FUZZ_SECONDS ?= 30
 STYLE_SRC := $(filter-out src/protocol/generated/%,\
--- a/src/jobsd/guard_beats.c
+++ b/src/jobsd/guard_beats.c
@@ -17,7 +17,7 @@
 #include <string.h>
 
 #include "base/log.h"
-#include "platform/field.h"
+#include "platform/json.h"
 #include "platform/refusals.h"
 
 /* Executors that are identified at a time.  Each takes a call, and the orders
@@ -61,12 +61,12 @@
 note_unconfirmed (const char *id, const char *why)
 {
   GError *error
-      = g_error_new_literal (GP_FIELD_ERROR, GP_FIELD_ERROR_IDENTITY, why);
+      = g_error_new_literal (GP_JSON_ERROR, GP_JSON_ERROR_IDENTITY, why);
   uint64_t refusals = gp_refusal_note (GP_REFUSED_HEARTBEAT, id, error);
 
   if (refusals > 0)
     gp_log (GP_LOG_INFO, "executor.unconfirmed", GP_LOG_S ("executor", id),
-            GP_LOG_S ("why", why), GP_LOG_I ("refusals", refusals));
+            GP_LOG_S ("why", why), GP_LOG_I ("count", refusals));
   g_error_free (error);
 }
 
@@ -119,8 +119,8 @@
 
   if (refusals > 0)
     gp_log (GP_LOG_WARNING, "heartbeat.malformed", GP_LOG_S ("executor", id),
-            GP_LOG_S ("cause", gp_field_error_kind (error)),
-            GP_LOG_S ("why", error->message), GP_LOG_I ("refusals", refusals));
+            GP_LOG_S ("cause", gp_json_error_kind (error)),
+            GP_LOG_S ("why", error->message), GP_LOG_I ("count", refusals));
   g_error_free (error);
   return 400;
 }
@@ -128,7 +128,7 @@
 void
 gp_guard_refuse_unnamed (void)
 {
-  refuse ("", g_error_new (GP_FIELD_ERROR, GP_FIELD_ERROR_RANGE,
+  refuse ("", g_error_new (GP_JSON_ERROR, GP_JSON_ERROR_RANGE,
                            "id: not an executor's"));
 }
 
@@ -150,7 +150,7 @@
       guard->beat_sequence = 0;
       return NULL;
     }
-  return g_error_new (GP_FIELD_ERROR, GP_FIELD_ERROR_IDENTITY,
+  return g_error_new (GP_JSON_ERROR, GP_JSON_ERROR_IDENTITY,
                       "service: '%s' is not the one of this executor",
                       service);
 }
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -14,7 +14,7 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "base/log.h"
-#include "platform/field.h"
+#include "platform/json.h"
 #include "platform/jobs_http.h"
 #include "platform/refusals.h"
 #include "protocol/message.h"
@@ -401,8 +401,8 @@
   if (refusals > 0)
     gp_log (GP_LOG_WARNING, "job.malformed", GP_LOG_S ("job", id),
             GP_LOG_S ("queue", queue->name),
-            GP_LOG_S ("cause", gp_field_error_kind (error)),
-            GP_LOG_S ("why", error->message), GP_LOG_I ("refusals", refusals));
+            GP_LOG_S ("cause", gp_json_error_kind (error)),
+            GP_LOG_S ("why", error->message), GP_LOG_I ("count", refusals));
   answer_error (exchange, 400, error->message);
 }
 
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -8,7 +8,7 @@
 
 #include "jobs/job.h"
 #include "platform/executor_list.h"
-#include "platform/field.h"
+#include "platform/json.h"
 #include "platform/heartbeat.h"
 #include "platform/jobs_http.h"
 #include "platform/settings.h"
@@ -78,7 +78,7 @@
 static void
 fuzz_list (const char *text, size_t size)
 {
-  json_t *json = gp_field_parse (text, size, NULL);
+  json_t *json = gp_json_parse (text, size, NULL);
   gp_executor_list_t list;
 
   gp_executor_list_init (&list);
--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -340,7 +340,7 @@
             if '"heartbeat.malformed"' in line:
                 told = json.loads(line)
                 print("  line:", told["executor"] or "unnamed", told["cause"],
-                      told["refusals"])
+                      told["count"])
         for wanted in ("refused", "w1-1", "w2-1"):
             print(f"  explained of {wanted}:",
                   sum("heartbeat.malformed" in line
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -10,7 +10,7 @@
 
 #include "jobs/agent.h"
 #include "platform/executor_list.h"
-#include "platform/field.h"
+#include "platform/json.h"
 #include "platform/heartbeat.h"
 #include "platform/jobs_http.h"
 #include "platform/refusals.h"
@@ -96,7 +96,7 @@
 static void
 print_refused (GError *error)
 {
-  printf ("refused, %s: %s\n", gp_field_error_kind (error), error->message);
+  printf ("refused, %s: %s\n", gp_json_error_kind (error), error->message);
   g_error_free (error);
 }
 
@@ -783,9 +783,9 @@
 /* Log lines.  */
 
 static uint64_t
-refuse (const char *sender, gp_field_error_t kind)
+refuse (const char *sender, gp_json_error_t kind)
 {
-  GError *error = g_error_new_literal (GP_FIELD_ERROR, (gint)kind, "why");
+  GError *error = g_error_new_literal (GP_JSON_ERROR, (gint)kind, "why");
   uint64_t due = gp_refusal_note (GP_REFUSED_HEARTBEAT, sender, error);
 
   g_error_free (error);
@@ -800,7 +800,7 @@
   printf ("lines of one sender's 1,000 refusals:");
   for (int i = 0; i < 1000; i++)
     {
-      uint64_t due = refuse ("one", GP_FIELD_ERROR_WORD);
+      uint64_t due = refuse ("one", GP_JSON_ERROR_WORD);
 
       if (due > 0)
         printf (" %" G_GUINT64_FORMAT, due);
@@ -810,7 +810,7 @@
     {
       g_autofree char *sender = g_strdup_printf ("sender %d", i);
 
-      lines += refuse (sender, GP_FIELD_ERROR_MISSING) > 0;
+      lines += refuse (sender, GP_JSON_ERROR_MISSING) > 0;
     }
   printf (" %s\n", lines < 300 ? "fewer than 300" : "too many");
 }
