--- a/tests/scripts/platform.py
+++ b/tests/scripts/platform.py
@@ -1,7 +1,10 @@
 """Jobs through real entries and guards on the platform's stand-ins."""
 
 import contextlib
+import json
+import os
 import signal
+import subprocess
 import sys
 import tempfile
 
@@ -278,9 +281,140 @@
         verdict(site)
 
 
+def explain(site, name, wanted):
+    """The lines that the command finds for WANTED in the log of NAME."""
+    path = os.path.join(site.folder, "explained-" + name)
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(site.processes[name].log_of_life())
+    done = subprocess.run([os.path.join(site.build, "galenapier"), "explain",
+                           wanted, path], capture_output=True, text=True,
+                          check=False)
+    return done.stdout.splitlines()
+
+
+OTHER_WRITERS = [
+    ("no service", {"service": None}), ("service a number", {"service": 7}),
+    ("no sequence", {"seq": None}), ("negative sequence", {"seq": -1}),
+    ("no capacity", {"capacity": None}),
+    ("capacity a text", {"capacity": {"cpu": "1", "memMb": 1, "gpu": 0}}),
+    ("unknown state", {"state": "stopping"}), ("state a list", {"state": []}),
+    ("another service", {"service": "other"})]
+
+
+def other_writers(build):
+    print("heartbeats of another writer in the name of an executor")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        until(lambda: all('"executor.known"'
+                          in site.processes[name].log_of_life()
+                          for name in site.executors), what="known")
+        for name, executor in site.executors.items():
+            # Newer than all true ones: taken in, it would shut them out.
+            body = {**executor.beat_body(10 ** 9), "state": "draining",
+                    "remainingMs": 0}
+            for case, change in OTHER_WRITERS:
+                changed = {k: v for k, v in {**body, **change}.items()
+                           if v is not None}
+                status = executor.post_body(executor.id, json.dumps(changed))
+                if name == "w1":
+                    print(f"  {case}: {status}")
+            cut = json.dumps(body)[:-9]
+            statuses = [executor.post_body(executor.id, cut),
+                        executor.post_body(executor.id, b"\xff\x00"),
+                        executor.post_body("a/b", json.dumps(body)),
+                        executor.post_body("x" * 200, json.dumps(body))]
+            if name == "w1":
+                print("  cut, bytes, two bad ids:", statuses)
+        for job in (JOB_B, JOB_C):
+            site.submit("e2", job, STEPS)
+            site.await_state("e2", job, "completed")
+        print("  starts of the job that lasts:",
+              sum(n for task, n in site.judge.starts.items()
+                  if task.startswith(JOB_A)))
+        for key in ("heartbeats", "missing", "type", "range", "word",
+                    "unreadable", "identity"):
+            print(f"  refused, {key}:",
+                  int(site.metric("w1", f"refused_{key}_total")))
+        for line in site.processes["w1"].log_of_life().splitlines():
+            if '"heartbeat.malformed"' in line:
+                told = json.loads(line)
+                print("  line:", told["executor"] or "unnamed", told["cause"],
+                      told["count"])
+        for wanted in ("refused", "w1-1", "w2-1"):
+            print(f"  explained of {wanted}:",
+                  sum("heartbeat.malformed" in line
+                      for line in explain(site, "w1", wanted)))
+        verdict(site)
+
+
+def strangers(build):
+    print("strangers, a false first heartbeat, and false goodbyes")
+    with site_of(build) as site:
+        executor = site.executors["w1"]
+        body = executor.beat_body(10 ** 9)
+        statuses = {executor.post_body(f"stranger-{i}", json.dumps(body))
+                    for i in range(40)}
+        print("  answers to 40 strangers:", statuses <= {200, 503})
+        until(lambda: site.metric("w1", "refused_identity_total") >= 40,
+              what="refused")
+        executor.crash()
+        false = {**executor.beat_body(10 ** 9), "service": "other"}
+        executor.post_body(executor.id, json.dumps(false))
+        # Each executor has room for one of these tasks.
+        site.submit("e1", JOB_A, [{"count": 3, "cpu": 9000, "memMb": 10,
+                                   "longRunning": True}], spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        starts = sum(site.judge.starts.values())
+        for executor in site.executors.values():
+            for name in (executor.id, "stranger"):
+                executor.post("/api/Instances.Deregister/" + name, "{}")
+        site.submit("e2", JOB_B, STEPS)
+        site.await_state("e2", JOB_B, "completed")
+        print("  starts after false goodbyes:",
+              sum(site.judge.starts.values()) - starts)
+        verdict(site)
+
+
+def garbled_lists(build):
+    print("executors list rows that are not in form")
+    with site_of(build) as site:
+        site.submit("e1", JOB_A, LASTING, spec="lasts")
+        until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+        for executor in site.executors.values():
+            executor.garbles = True
+        until(lambda: all(site.metric(name, "refused_rows_total") > 20
+                          for name in site.executors), what="refused")
+        site.submit("e2", JOB_B, STEPS)
+        site.await_state("e2", JOB_B, "completed")
+        for executor in site.executors.values():
+            executor.garbles = False
+        site.submit("e2", JOB_C, STEPS)
+        site.await_state("e2", JOB_C, "completed")
+        print("  starts:", sum(site.judge.starts.values()))
+        verdict(site)
+
+
+def unreadable_ends(build):
+    print("an end of each executor can never be read")
+    with site_of(build) as site:
+        for executor in site.executors.values():
+            executor.unreadable_ends = 1
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.submit("e1", job, STEPS)
+        for job in (JOB_A, JOB_B, JOB_C):
+            site.await_state("e2", job, "completed")
+        print("  started again:",
+              sum(site.judge.starts.values()) - 3 * 6)
+        verdict(site)
+
+
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (calm, cancelled, leader_killed, guard_restarted,
                               guard_paused, stale_heartbeat,
+                              other_writers, strangers,
+                              garbled_lists,
+                              unreadable_ends,
                               store_down, left_open, entry_refused,
                               lost_answers, records_dropped, late_orders,
                               executors_crash, silenced, slow_store)}
