Placer: a gang that finds no place has not begun

Cause: a gang whose last members found no place was withdrawn, but its job kept the marks of the members placed before: state running, and begun. The queue's count of jobs that have not begun left such jobs out, and the job's progress would have told a state without a run.

Change: a job has begun once a pass has kept one of its tasks.

Test: test_jobs, the waiting gang is 'queued' where it was 'running'.

--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -348,10 +348,7 @@
   gp_job_executor_add (candidate->executor, task);
   if (step->fills && candidate->counted)
     add_filling (pass, candidate, step->image);
-  job->started = true;
   job->idle_since = 0;
-  if (job->state == GP_JOB_QUEUED)
-    job->state = GP_JOB_RUNNING;
   g_ptr_array_add (pass->placed, task);
 }
 
@@ -470,6 +467,21 @@
         assign_step (pass, job, k, s);
 }
 
+/* The jobs of what was placed have begun; a gang that was withdrawn has not.
+ */
+static void
+note_begun (const GPtrArray *placed)
+{
+  for (guint i = 0; i < placed->len; i++)
+    {
+      gp_job_t *job = ((gp_job_task_t *)g_ptr_array_index (placed, i))->job;
+
+      job->started = true;
+      if (job->state == GP_JOB_QUEUED)
+        job->state = GP_JOB_RUNNING;
+    }
+}
+
 bool
 gp_placer_has_better (gp_book_t *book, gp_pressure_t *pressure,
                       const gp_job_task_t *task, gp_time_t now)
@@ -509,6 +521,7 @@
                     wall_ms);
       g_array_free (jobs, TRUE);
     }
+  note_begun (placed);
   g_array_free (pass.candidates, TRUE);
   return now + LOOK_AGAIN_TIME;
 }
