--- a/src/base/error.h
+++ b/src/base/error.h
@@ -49,6 +49,7 @@
   GP_STATE_ERROR_GAP,      /* records were lost to retention */
   GP_STATE_ERROR_CONFLICT, /* the base is not current */
   GP_STATE_ERROR_INVALID,  /* a document or record breaks a rule */
+  GP_STATE_ERROR_UNKNOWN,  /* a record under a key that is none of ours */
   GP_STATE_ERROR_UNAVAILABLE
 } gp_state_error_t;
 
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -5,7 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "base/error.h"
+#include "jobs/fields.h"
+#include "jobs/records.h"
 #include "protocol/message.h"
 
 /* More than any job is kept; an older time is a clock that is wrong.  */
@@ -106,24 +107,15 @@
 gp_book_awaits (const gp_book_t *book, const char *name)
 {
   char id[GP_JOB_ID_SIZE + 1];
-  Gp__Jobs__Progress *progress;
-  gp_job_t *job;
-  bool live;
-  gsize size;
-  const uint8_t *bytes;
+  const gp_job_t *job;
 
   g_strlcpy (id, name, sizeof id);
   job = gp_book_find (book, id);
-  if (job == NULL || job->submission != NULL || job->early_progress == NULL)
-    return false;
-  bytes = g_bytes_get_data (job->early_progress, &size);
-  progress = gp__jobs__progress__unpack (NULL, size, bytes);
-  /* Bytes that do not decode are reported when the submission comes.  */
-  if (progress == NULL)
-    return false;
-  live = progress->state < GP_JOB_COMPLETED;
-  gp__jobs__progress__free_unpacked (progress, NULL);
-  return live;
+  /* A submission that cannot be read never comes: waiting for it would hold
+     up all later ends of the executor.  */
+  return job != NULL && job->submission == NULL && !job->lacks_submission
+         && job->early_progress != NULL
+         && job->early_progress->state < GP_JOB_COMPLETED;
 }
 
 /* Set a task back to its beginning before a record is applied.  */
@@ -154,61 +146,50 @@
                      progress->stopping ? GP_TASK_STOPPING : GP_TASK_ASSIGNED);
 }
 
+/* Bring the list of live jobs up to date with JOB.  */
+static void
+update_live (gp_book_t *book, gp_job_t *job)
+{
+  bool live
+      = job->submission != NULL && !gp_job_ended (job) && !job->lacks_progress;
+
+  if (!live)
+    gp_list_remove (&job->link);
+  else if (gp_list_empty (&job->link))
+    gp_list_push_back (&book->live, &job->link);
+}
+
 static void
 apply (gp_book_t *book, gp_job_t *job, const Gp__Jobs__Progress *progress)
 {
   for (uint32_t i = 0; i < job->task_count; i++)
     reset_task (&job->tasks[i]);
   for (size_t i = 0; i < progress->n_done; i++)
-    if (progress->done[i] < job->task_count)
-      gp_task_set_state (&job->tasks[progress->done[i]], GP_TASK_DONE);
+    gp_task_set_state (&job->tasks[progress->done[i]], GP_TASK_DONE);
   for (size_t i = 0; i < progress->n_tasks; i++)
-    if (progress->tasks[i]->index < job->task_count)
-      apply_task (book, &job->tasks[progress->tasks[i]->index],
-                  progress->tasks[i]);
+    apply_task (book, &job->tasks[progress->tasks[i]->index],
+                progress->tasks[i]);
   job->started = progress->n_done > 0 || progress->n_tasks > 0;
   job->ended_wall_ms = progress->ended_wall_ms;
   job->state = (gp_job_state_t)progress->state;
   job->recorded = job->state;
-  if (gp_job_ended (job))
-    gp_list_remove (&job->link);
-}
-
-static bool
-apply_bytes (gp_book_t *book, gp_job_t *job, const uint8_t *bytes, size_t size,
-             GError **error)
-{
-  Gp__Jobs__Progress *progress
-      = gp__jobs__progress__unpack (NULL, size, bytes);
-
-  if (progress == NULL || progress->state > GP_JOB_CANCELLED)
-    {
-      if (progress != NULL)
-        gp__jobs__progress__free_unpacked (progress, NULL);
-      g_set_error (error, GP_STATE_ERROR, GP_STATE_ERROR_CORRUPT,
-                   "progress of job %s: %zu bytes do not decode", job->id,
-                   size);
-      return false;
-    }
-  apply (book, job, progress);
-  gp__jobs__progress__free_unpacked (progress, NULL);
-  return true;
+  update_live (book, job);
 }
 
+/* Apply what came before the submission.  */
 static bool
 apply_early (gp_book_t *book, gp_job_t *job, GError **error)
 {
-  GBytes *early = g_steal_pointer (&job->early_progress);
-  size_t size;
-  const uint8_t *bytes;
-  bool applied;
+  Gp__Jobs__Progress *early = g_steal_pointer (&job->early_progress);
+  bool fits;
 
   if (early == NULL)
     return true;
-  bytes = g_bytes_get_data (early, &size);
-  applied = apply_bytes (book, job, bytes, size, error);
-  g_bytes_unref (early);
-  return applied;
+  fits = gp_record_progress_fits (early, job->task_count, error);
+  if (fits && !job->lacks_progress)
+    apply (book, job, early);
+  gp__jobs__progress__free_unpacked (early, NULL);
+  return fits;
 }
 
 /* How long ago SUBMISSION was accepted; clocks may differ a little.  */
@@ -221,30 +202,38 @@
 }
 
 gp_job_t *
-gp_book_submit (gp_book_t *book, const char *id, const uint8_t *bytes,
-                size_t size, gp_time_t now, int64_t wall_ms, GError **error)
+gp_book_take_submission (gp_book_t *book, const char *id,
+                         Gp__Jobs__Submission *submission, gp_time_t now,
+                         int64_t wall_ms, GError **error)
 {
   gp_job_t *job = get_job (book, id);
-  Gp__Jobs__Submission *submission;
 
-  if (job->submission != NULL)
-    return job;
-  submission = gp__jobs__submission__unpack (NULL, size, bytes);
-  if (submission == NULL
-      || !gp_job_define (job, submission, now - age_of (submission, wall_ms)))
+  if (!gp_job_define (job, submission, now - age_of (submission, wall_ms)))
     {
-      if (submission != NULL)
-        gp__jobs__submission__free_unpacked (submission, NULL);
-      g_set_error (error, GP_STATE_ERROR, GP_STATE_ERROR_CORRUPT,
-                   "submission of job %s: %zu bytes do not decode", id, size);
-      return NULL;
+      gp__jobs__submission__free_unpacked (submission, NULL);
+      return job;
     }
-  gp_list_push_back (&book->live, &job->link);
+  job->lacks_submission = false;
   if (!apply_early (book, job, error))
-    return NULL;
+    {
+      job->lacks_progress = true;
+      return NULL;
+    }
+  update_live (book, job);
   return job;
 }
 
+gp_job_t *
+gp_book_submit (gp_book_t *book, const char *id, const uint8_t *bytes,
+                size_t size, gp_time_t now, int64_t wall_ms, GError **error)
+{
+  Gp__Jobs__Submission *submission = gp_record_submission (bytes, size, error);
+
+  if (submission == NULL)
+    return NULL;
+  return gp_book_take_submission (book, id, submission, now, wall_ms, error);
+}
+
 gp_job_t *
 gp_book_cancel (gp_book_t *book, const char *id)
 {
@@ -254,18 +243,124 @@
   return job;
 }
 
+static void
+keep_early (gp_job_t *job, Gp__Jobs__Progress *progress)
+{
+  if (job->early_progress != NULL)
+    gp__jobs__progress__free_unpacked (job->early_progress, NULL);
+  job->early_progress = progress;
+}
+
+/* The number that stands in a record for the run of a task that is done.  */
+#define RUN_DONE UINT64_MAX
+
+/* The runs that PROGRESS tells, by task; owned by the caller.  */
+static uint64_t *
+told_runs (const gp_job_t *job, const Gp__Jobs__Progress *progress)
+{
+  uint64_t *runs = g_new0 (uint64_t, job->task_count);
+
+  for (size_t i = 0; i < progress->n_done; i++)
+    runs[progress->done[i]] = RUN_DONE;
+  for (size_t i = 0; i < progress->n_tasks; i++)
+    runs[progress->tasks[i]->index] = progress->tasks[i]->run;
+  return runs;
+}
+
+/* Can PROGRESS come after what is known of JOB?  Numbers of runs only grow,
+   and what is done stays so; a record that says otherwise would have a run
+   started twice.  A job that has ended tells no more of its tasks.  */
+static bool
+follows (const gp_job_t *job, const Gp__Jobs__Progress *progress,
+         GError **error)
+{
+  uint64_t *runs;
+  bool grows = true;
+
+  if (progress->state >= GP_JOB_COMPLETED)
+    return true;
+  if (gp_job_ended (job))
+    return gp_field_fail (error, "state", "the job has ended");
+  runs = told_runs (job, progress);
+  for (uint32_t i = 0; i < job->task_count; i++)
+    if (runs[i]
+        < (job->tasks[i].state == GP_TASK_DONE ? RUN_DONE : job->tasks[i].run))
+      grows = false;
+  g_free (runs);
+  return grows || gp_field_fail (error, "run", "goes back");
+}
+
+/* Is PROGRESS one of JOB, whose submission may still have to come?  */
+static bool
+is_of_job (const gp_job_t *job, const Gp__Jobs__Progress *progress,
+           GError **error)
+{
+  return job->submission == NULL
+         || (gp_record_progress_fits (progress, job->task_count, error)
+             && follows (job, progress, error));
+}
+
+gp_job_t *
+gp_book_take_progress (gp_book_t *book, const char *id,
+                       Gp__Jobs__Progress *progress, gp_book_place_t place,
+                       GError **error)
+{
+  gp_job_t *job = get_job (book, id);
+
+  if (!place.loading && place.offset < job->progress_end)
+    {
+      gp__jobs__progress__free_unpacked (progress, NULL);
+      return job;
+    }
+  if (!is_of_job (job, progress, error))
+    {
+      gp__jobs__progress__free_unpacked (progress, NULL);
+      gp_book_refuse_progress (book, id, place);
+      return NULL;
+    }
+  job->progress_end = place.offset + 1;
+  job->lacks_progress = false;
+  job->overwritten = false;
+  if (job->submission == NULL)
+    keep_early (job, progress);
+  else
+    {
+      apply (book, job, progress);
+      gp__jobs__progress__free_unpacked (progress, NULL);
+    }
+  return job;
+}
+
 gp_job_t *
 gp_book_progress (gp_book_t *book, const char *id, const uint8_t *bytes,
                   size_t size, GError **error)
+{
+  Gp__Jobs__Progress *progress = gp_record_progress (bytes, size, error);
+  gp_book_place_t place = { .offset = get_job (book, id)->progress_end };
+
+  if (progress == NULL)
+    return NULL;
+  return gp_book_take_progress (book, id, progress, place, error);
+}
+
+void
+gp_book_refuse_submission (gp_book_t *book, const char *id)
 {
   gp_job_t *job = get_job (book, id);
 
-  if (job->submission != NULL)
-    return apply_bytes (book, job, bytes, size, error) ? job : NULL;
-  if (job->early_progress != NULL)
-    g_bytes_unref (job->early_progress);
-  job->early_progress = g_bytes_new (bytes, size);
-  return job;
+  job->lacks_submission = job->submission == NULL;
+}
+
+void
+gp_book_refuse_progress (gp_book_t *book, const char *id,
+                         gp_book_place_t place)
+{
+  gp_job_t *job = get_job (book, id);
+
+  if (place.loading)
+    job->lacks_progress = true;
+  job->overwritten = !job->lacks_progress;
+  update_live (book, job);
 }
 
 /* Does a record of the job need TASK?  When the job has ended, only what may
@@ -328,6 +423,7 @@
 {
   job->state = state;
   job->ended_wall_ms = wall_ms;
+  job->lacks_progress = false;
   gp_list_remove (&job->link);
 }
 
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -14,7 +14,8 @@
 {
   GHashTable *jobs;      /* id to gp_job_t, owned */
   GHashTable *executors; /* id to gp_job_executor_t, owned */
-  gp_list_t live;        /* defined jobs that have not ended, by arrival */
+  gp_list_t live;        /* defined jobs that have not ended and whose progress
+                            is known, by arrival */
 } gp_book_t;
 
 void gp_book_init (gp_book_t *book);
@@ -36,10 +37,38 @@
    dropped before the progress.  */
 bool gp_book_awaits (const gp_book_t *book, const char *name);
 
-/* Fold one record each; they return the job that has changed, or NULL and
-   ERROR for bytes that do not decode.  NOW and WALL_MS are the same moment;
-   with them the time of a submission is known here.  A second submission of a
-   job changes nothing.  */
+/* Where a record stands on the log.  */
+typedef struct
+{
+  uint64_t offset;
+  bool loading; /* it is the newest of its key, and those before were not seen:
+                   what is known may be older than what it stands for */
+} gp_book_place_t;
+
+/* Fold one record each, whose message is taken over; they return the job that
+   has changed.  NOW and WALL_MS are the same moment; with them the time of a
+   submission is known here.  A second submission of a job changes nothing, nor
+   does a progress that is older than the one that is known.  NULL and ERROR
+   for a progress that cannot be of this job: it names other tasks, or numbers
+   of runs or ends go back, which no leader writes.  */
+gp_job_t *gp_book_take_submission (gp_book_t *book, const char *id,
+                                   Gp__Jobs__Submission *submission,
+                                   gp_time_t now, int64_t wall_ms,
+                                   GError **error);
+gp_job_t *gp_book_take_progress (gp_book_t *book, const char *id,
+                                 Gp__Jobs__Progress *progress,
+                                 gp_book_place_t place, GError **error);
+
+/* The newest submission or progress of the job ID cannot be read.  What was
+   known of it before holds.  When nothing before the progress was seen, the
+   job's runs are unknown, and it gets no new ones until its progress is known
+   again.  */
+void gp_book_refuse_submission (gp_book_t *book, const char *id);
+void gp_book_refuse_progress (gp_book_t *book, const char *id,
+                              gp_book_place_t place);
+
+/* The same from the bytes of a record; NULL and ERROR for those that do not
+   decode or break a rule, which are not folded.  */
 gp_job_t *gp_book_submit (gp_book_t *book, const char *id,
                           const uint8_t *bytes, size_t size, gp_time_t now,
                           int64_t wall_ms, GError **error);
--- a/src/jobs/forecast.c
+++ b/src/jobs/forecast.c
@@ -5,6 +5,7 @@
 #include <math.h>
 
 #include "coordination/regression.h"
+#include "jobs/fields.h"
 
 /* A line: its height at an estimate of one second, and its slope.  */
 #define FEATURES 2
@@ -28,6 +29,14 @@
 #define FORECAST_TIME (500 * GP_MSEC)
 /* An end earns nothing after so many objectives, by the users' terms.  */
 #define USELESS_FACTOR 3
+/* No task is expected to take longer than 30 days: sums and products of such
+   durations are still points in time.  */
+#define TASK_TIME_MAX ((gp_time_t)30 * 24 * 3600 * GP_SEC)
+/* Bounds of what is learned: a task with an estimate of one second takes from
+   nanoseconds to years, and more than in proportion to the third power of
+   estimates is noise.  */
+#define HEIGHT_MAX 20.0
+#define SLOPE_MAX 3.0
 
 typedef struct
 {
@@ -132,13 +141,23 @@
     }
 }
 
+bool
+gp_forecast_check (const Gp__Jobs__Forecast *row, GError **error)
+{
+  return gp_field_name_or_empty (row->image, "image", error)
+         && gp_field_real (row->height, -HEIGHT_MAX, HEIGHT_MAX, "height",
+                           error)
+         && gp_field_real (row->slope, -SLOPE_MAX, SLOPE_MAX, "slope", error)
+         && gp_field_real (row->spread, 1.0, GP_JOB_MAX_TASKS, "spread",
+                           error);
+}
+
 bool
 gp_forecast_set (gp_forecast_t *forecast, const Gp__Jobs__Forecast *row)
 {
   model_t *model;
 
-  if (!isfinite (row->height) || !isfinite (row->slope)
-      || !isfinite (row->spread) || row->spread < 1.0)
+  if (!gp_forecast_check (row, NULL))
     return false;
   model = need_model (forecast, row->image);
   model->coefficients[0] = row->height;
@@ -160,10 +179,11 @@
   double seconds;
 
   if (model == NULL)
-    return (gp_time_t)MAX (step->estimate_ms, 1) * GP_MSEC;
+    return MIN ((gp_time_t)MAX (step->estimate_ms, 1) * GP_MSEC,
+                TASK_TIME_MAX);
   seconds = exp (gp_regression_mean (&model->regression, &input)
                  + model->regression.noise / 2.0);
-  return (gp_time_t)(seconds * GP_SEC);
+  return (gp_time_t)fmin (seconds * GP_SEC, (double)TASK_TIME_MAX);
 }
 
 static double
@@ -247,7 +267,8 @@
   for (size_t i = 0; i < submission->n_steps; i++)
     job->task_times[i]
         = task_time (forecast, submission->queue, submission->steps[i]);
-  objective = whole_chain (forecast, job) * submission->stretch_percent / 100
+  objective = MIN (whole_chain (forecast, job), TASK_TIME_MAX)
+                  * submission->stretch_percent / 100
               + submission->target_ms * GP_MSEC;
   begin = begins_at (job);
   job->forecast_at = now;
--- a/src/jobs/forecast.h
+++ b/src/jobs/forecast.h
@@ -35,6 +35,8 @@
 /* What was learned, as rows of Gp__Jobs__Forecast that point into FORECAST,
    are added to ROWS.  */
 void gp_forecast_pack (const gp_forecast_t *forecast, GArray *rows);
+/* Can ROW have been learned?  FALSE sets ERROR.  */
+bool gp_forecast_check (const Gp__Jobs__Forecast *row, GError **error);
 /* Take over what another has learned of an image; false, and nothing is
    changed, when ROW is none that gp_forecast_pack makes.  */
 bool gp_forecast_set (gp_forecast_t *forecast, const Gp__Jobs__Forecast *row);
--- /dev/null
+++ b/src/jobs/frames.c
@@ -0,0 +1,247 @@
+/* The frames between the leading entry and the guards, as checked messages. */
+
+#include "jobs/frames.h"
+
+#include "base/error.h"
+#include "jobs/fields.h"
+#include "jobs/job.h"
+#include "jobs/records.h"
+
+/* Rows that stand for themselves.  */
+
+typedef bool (*check_row_t) (const ProtobufCMessage *row, GError **error);
+
+/* Leave out the ROWS that CHECK refuses; PLACE is their name.  */
+static void
+sift (void *rows, size_t *count, check_row_t check, const char *place,
+      GError **refused)
+{
+  ProtobufCMessage **messages = rows;
+  size_t kept = 0;
+
+  for (size_t i = 0; i < *count; i++)
+    {
+      GError **error = *refused == NULL ? refused : NULL;
+
+      if (check (messages[i], error))
+        {
+          messages[kept++] = messages[i];
+          continue;
+        }
+      g_prefix_error (error, "%s[%zu].", place, i);
+      protobuf_c_message_free_unpacked (messages[i], NULL);
+    }
+  *count = kept;
+}
+
+/* The name and number of a run as an executor told them: a task that nobody
+   knows is answered as such, so its name need not be one of ours.  */
+static bool
+check_told_run (const char *task, uint32_t run, GError **error)
+{
+  return gp_field_name (task, "task", error)
+         && gp_field_range (run, 1, UINT32_MAX, "run", error);
+}
+
+static bool
+check_end (const ProtobufCMessage *row, GError **error)
+{
+  const Gp__Jobs__End *end = (const Gp__Jobs__End *)row;
+
+  if (end->number == 0)
+    return gp_field_fail (error, "number", "missing");
+  return check_told_run (end->task, end->run, error)
+         && gp_field_range (end->how, GP_END_DONE, GP_END_ALONE, "how", error)
+         && gp_field_text (&end->checkpoint, GP_FIELD_CHECKPOINT_MAX,
+                           "checkpoint", error);
+}
+
+static bool
+check_absent (const ProtobufCMessage *row, GError **error)
+{
+  const Gp__Jobs__TaskRun *run = (const Gp__Jobs__TaskRun *)row;
+
+  return check_told_run (run->task, run->run, error);
+}
+
+static bool
+check_serving (const ProtobufCMessage *row, GError **error)
+{
+  const Gp__Jobs__Serving *serving = (const Gp__Jobs__Serving *)row;
+
+  return gp_field_name (serving->task, "task", error)
+         && gp_field_name_or_empty (serving->image, "image", error);
+}
+
+static bool
+check_filling (const ProtobufCMessage *row, GError **error)
+{
+  const Gp__Jobs__Filling *filling = (const Gp__Jobs__Filling *)row;
+
+  return gp_field_name_or_empty (filling->task, "task", error)
+         && gp_field_name_or_empty (filling->image, "image", error);
+}
+
+static bool
+check_load (const ProtobufCMessage *row, GError **error)
+{
+  const Gp__Jobs__Load *load = (const Gp__Jobs__Load *)row;
+
+  return gp_field_task (load->task, "task", error);
+}
+
+/* What the leader says.  */
+
+static bool
+check_lead (const Gp__Jobs__Lead *lead, GError **error)
+{
+  if (lead->epoch > GP_EPOCH_MAX)
+    return gp_field_fail (error, "lead.epoch", "too high");
+  return gp_field_name (lead->node, "lead.node", error);
+}
+
+/* A lease ends a while after the sending of a report: one in the future would
+   never end.  */
+static bool
+check_acknowledge (Gp__Jobs__Acknowledge *acknowledge, gp_time_t now,
+                   GError **refused, GError **error)
+{
+  if (acknowledge->sent_at > now)
+    return gp_field_fail (error, "acknowledge.sent_at", "in the future");
+  gp_record_sift_pressures (acknowledge->pressures, &acknowledge->n_pressures,
+                            refused);
+  sift (acknowledge->loads, &acknowledge->n_loads, check_load, "loads",
+        refused);
+  return true;
+}
+
+static bool
+check_start (const Gp__Jobs__Start *start, GError **error)
+{
+  return gp_field_task (start->task, "task", error)
+         && gp_field_range (start->run, 1, UINT32_MAX, "run", error)
+         && gp_field_text (&start->spec, GP_FIELD_SPEC_MAX, "spec", error)
+         && gp_field_text (&start->checkpoint, GP_FIELD_CHECKPOINT_MAX,
+                           "checkpoint", error)
+         && gp_field_name_or_empty (start->image, "image", error);
+}
+
+static bool
+check_starts (Gp__Jobs__Start *const *starts, size_t count, GError **error)
+{
+  for (size_t i = 0; i < count; i++)
+    if (!check_start (starts[i], error))
+      {
+        g_prefix_error (error, "starts[%zu].", i);
+        return false;
+      }
+  return true;
+}
+
+/* The leader names only runs that it has numbered itself.  */
+static bool
+check_runs (Gp__Jobs__TaskRun *const *runs, size_t count, const char *place,
+            GError **error)
+{
+  for (size_t i = 0; i < count; i++)
+    if (!gp_field_task (runs[i]->task, "task", error)
+        || !gp_field_range (runs[i]->run, 1, UINT32_MAX, "run", error))
+      {
+        g_prefix_error (error, "%s[%zu].", place, i);
+        return false;
+      }
+  return true;
+}
+
+static bool
+check_sync (const Gp__Jobs__Sync *sync, gp_time_t now, GError **error)
+{
+  if (sync->number == 0)
+    return gp_field_fail (error, "sync.number", "missing");
+  if (sync->after > now)
+    return gp_field_fail (error, "sync.after", "in the future");
+  return gp_field_name (sync->executor, "sync.executor", error)
+         && check_starts (sync->starts, sync->n_starts, error);
+}
+
+static bool
+check_orders (const Gp__Jobs__Orders *orders, GError **error)
+{
+  return gp_field_name (orders->executor, "orders.executor", error)
+         && check_starts (orders->starts, orders->n_starts, error)
+         && check_runs (orders->stops, orders->n_stops, "stops", error)
+         && check_runs (orders->forget, orders->n_forget, "forget", error);
+}
+
+/* What the guard says.  */
+
+static bool
+check_executor (const Gp__Jobs__Executor *executor, GError **error)
+{
+  if (!gp_field_name (executor->id, "executor.id", error)
+      || !gp_field_name_or_empty (executor->service, "executor.service", error)
+      || !gp_field_name_or_empty (executor->zone, "executor.zone", error))
+    return false;
+  for (size_t i = 0; i < executor->n_labels; i++)
+    if (!gp_field_name_or_empty (executor->labels[i], "executor.labels",
+                                 error))
+      return false;
+  return true;
+}
+
+static bool
+check_report (Gp__Jobs__Report *report, GError **refused, GError **error)
+{
+  if (!gp_field_name (report->node, "report.node", error))
+    return false;
+  if (report->executor != NULL && !check_executor (report->executor, error))
+    return false;
+  sift (report->ends, &report->n_ends, check_end, "ends", refused);
+  sift (report->absent, &report->n_absent, check_absent, "absent", refused);
+  sift (report->servings, &report->n_servings, check_serving, "servings",
+        refused);
+  sift (report->fillings, &report->n_fillings, check_filling, "fillings",
+        refused);
+  return true;
+}
+
+static bool
+check_frame (const Gp__Jobs__Frame *frame, gp_time_t now, GError **refused,
+             GError **error)
+{
+  switch (frame->message_case)
+    {
+    case GP__JOBS__FRAME__MESSAGE_LEAD:
+      return check_lead (frame->lead, error);
+    case GP__JOBS__FRAME__MESSAGE_REPORT:
+      return check_report (frame->report, refused, error);
+    case GP__JOBS__FRAME__MESSAGE_ACKNOWLEDGE:
+      return check_acknowledge (frame->acknowledge, now, refused, error);
+    case GP__JOBS__FRAME__MESSAGE_SYNC:
+      return check_sync (frame->sync, now, error);
+    case GP__JOBS__FRAME__MESSAGE_ORDERS:
+      return check_orders (frame->orders, error);
+    case GP__JOBS__FRAME__MESSAGE__NOT_SET:
+    case _GP__JOBS__FRAME__MESSAGE__CASE_IS_INT_SIZE:
+      break;
+    }
+  return gp_field_fail (error, "message", "missing");
+}
+
+Gp__Jobs__Frame *
+gp_frame_parse (const uint8_t *bytes, size_t size, gp_time_t now,
+                GError **refused, GError **error)
+{
+  Gp__Jobs__Frame *frame = gp__jobs__frame__unpack (NULL, size, bytes);
+
+  if (frame == NULL)
+    {
+      g_set_error (error, GP_STATE_ERROR, GP_STATE_ERROR_CORRUPT,
+                   "%zu bytes do not decode", size);
+      return NULL;
+    }
+  if (check_frame (frame, now, refused, error))
+    return frame;
+  gp__jobs__frame__free_unpacked (frame, NULL);
+  return NULL;
+}
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "jobs/fields.h"
 
 gp_job_t *
 gp_job_new (const char *id)
@@ -42,7 +43,7 @@
   if (job->submission != NULL)
     gp__jobs__submission__free_unpacked (job->submission, NULL);
   if (job->early_progress != NULL)
-    g_bytes_unref (job->early_progress);
+    gp__jobs__progress__free_unpacked (job->early_progress, NULL);
   g_free (job);
 }
 
@@ -57,6 +58,15 @@
   return true;
 }
 
+static bool
+check_names (const Gp__Jobs__Step *step, GError **error)
+{
+  return gp_field_name_or_empty (step->required_label, "required_label", error)
+         && gp_field_name_or_empty (step->preferred_rack, "preferred_rack",
+                                    error)
+         && gp_field_name_or_empty (step->image, "image", error);
+}
+
 static bool
 check_step (const Gp__Jobs__Submission *submission, size_t number,
             GError **error)
@@ -78,7 +88,36 @@
                      number, step->after[i]);
         return false;
       }
-  return true;
+  if (step->count > GP_JOB_MAX_TASKS)
+    {
+      g_set_error (error, GP_STATE_ERROR, GP_STATE_ERROR_INVALID,
+                   "steps[%zu]: %u tasks, allowed are %d", number, step->count,
+                   GP_JOB_MAX_TASKS);
+      return false;
+    }
+  if (check_names (step, error))
+    return true;
+  g_prefix_error (error, "steps[%zu].", number);
+  return false;
+}
+
+/* Times are added and multiplied later on: they stay far from where that
+   overflows.  */
+static bool
+check_times (const Gp__Jobs__Submission *submission, GError **error)
+{
+  if (submission->repeats > 0
+      && (!gp_field_range (submission->first_wall_ms, 0, GP_FIELD_WALL_MAX_MS,
+                           "first_wall_ms", error)
+          || !gp_field_range (submission->interval_ms, 0,
+                              GP_FIELD_WALL_MAX_MS / GP_JOB_MAX_TASKS,
+                              "interval_ms", error)))
+    return false;
+  return gp_field_range (submission->accepted_wall_ms, 0, GP_FIELD_WALL_MAX_MS,
+                         "accepted_wall_ms", error)
+         && gp_field_range (submission->stretch_percent, 0,
+                            GP_JOB_MAX_STRETCH_PERCENT, "stretch_percent",
+                            error);
 }
 
 bool
@@ -107,7 +146,10 @@
                    tasks * occurrences, GP_JOB_MAX_TASKS);
       return false;
     }
-  return true;
+  return gp_field_name (submission->queue, "queue", error)
+         && gp_field_name (submission->service, "service", error)
+         && gp_field_text (&submission->spec, GP_FIELD_SPEC_MAX, "spec", error)
+         && check_times (submission, error);
 }
 
 static void
@@ -149,6 +191,12 @@
   return true;
 }
 
+bool
+gp_job_is_readable (const gp_job_t *job)
+{
+  return !job->lacks_submission && !job->lacks_progress;
+}
+
 bool
 gp_job_ended (const gp_job_t *job)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -31,6 +31,9 @@
 /* Bounds of a submission; beyond them it is refused.  */
 #define GP_JOB_MAX_STEPS 64
 #define GP_JOB_MAX_TASKS 5000
+/* The same of an objective's stretch: ten thousand times the duration of the
+   work.  The product with the longest duration is still a point in time.  */
+#define GP_JOB_MAX_STRETCH_PERCENT 1000000
 /* Enough for the name of any task: id, occurrence, step and index.  */
 #define GP_TASK_NAME_SIZE 64
 
@@ -95,6 +98,13 @@
   gp_job_state_t recorded; /* the state that is on the log: what callers are
                               told, as a later one may be lost */
   bool cancelled;
+  bool lacks_submission; /* its record cannot be read */
+  bool lacks_progress;   /* the same, and what stood before was not seen: which
+                            runs it has is unknown, so none is started */
+  bool overwritten;      /* the newest progress cannot be read, and what stood
+                            before is known here */
+  uint64_t progress_end; /* one past the offset of the newest progress that was
+                            folded, 0: none was */
   int64_t ended_wall_ms;
   gp_time_t submitted_at; /* by its record, on this process's clock */
   gp_time_t forecast_at;  /* what follows was computed, 0: it was not; see
@@ -110,12 +120,13 @@
   gp_step_tally_t *tallies; /* by occurrence and step */
   uint32_t task_count;
   uint32_t done_count;
-  bool started;           /* a run was assigned once */
-  gp_time_t idle_since;   /* it has work and no run since, 0: it has a run */
-  bool dropped;           /* its submission is being dropped from the log */
-  gp_list_t link;         /* in gp_book_t.live while it has not ended */
-  gp_list_t dirty_link;   /* in gp_scheduler_t.dirty */
-  GBytes *early_progress; /* a Progress that came before its submission */
+  bool started;         /* a run was assigned once */
+  gp_time_t idle_since; /* it has work and no run since, 0: it has a run */
+  bool dropped;         /* its submission is being dropped from the log */
+  gp_list_t link;       /* in gp_book_t.live while it has not ended and
+                           its progress is known */
+  gp_list_t dirty_link; /* in gp_scheduler_t.dirty */
+  Gp__Jobs__Progress *early_progress; /* came before its submission */
 };
 
 gp_job_t *gp_job_new (const char *id);
@@ -132,6 +143,9 @@
 /* Can SUBMISSION be scheduled at all?  FALSE sets ERROR.  */
 bool gp_job_check (const Gp__Jobs__Submission *submission, GError **error);
 
+/* Are the newest records of JOB, or what stood before them, known?  */
+bool gp_job_is_readable (const gp_job_t *job);
+
 bool gp_job_ended (const gp_job_t *job);
 
 /* The same by what is on the log, which is what callers are told.  */
--- a/src/jobs/pressure.h
+++ b/src/jobs/pressure.h
@@ -27,6 +27,11 @@
 /* The weight of a pair of which nothing is known: a third of 0.9.  */
 #define GP_PRESSURE_PRIOR 0.3
 
+/* The most that a weight can be, in thousandths: one run that takes a hundred
+   times the headroom that a run has at its target.  Those known stay below
+   two.  */
+#define GP_PRESSURE_MAX_PERMILLE 100000
+
 /* The share of time for which a filling run is busy.  */
 #define GP_PRESSURE_BUSY_SHARE 0.6
 
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -117,6 +117,13 @@
     end_job (scheduler, job, GP_JOB_CANCELLED, wall_ms);
 }
 
+void
+gp_scheduler_rewrite (gp_scheduler_t *scheduler, gp_job_t *job)
+{
+  job->overwritten = false;
+  mark_dirty (scheduler, job);
+}
+
 /* Take TASK off its executor; it waits again.  */
 static void
 release (gp_scheduler_t *scheduler, gp_job_task_t *task)
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -54,6 +54,10 @@
 void gp_scheduler_job (gp_scheduler_t *scheduler, gp_job_t *job,
                        int64_t wall_ms);
 
+/* Write the progress of JOB down again, as the newest record of it cannot be
+   read.  */
+void gp_scheduler_rewrite (gp_scheduler_t *scheduler, gp_job_t *job);
+
 /* EXECUTOR lists END.  FALSE: the submission of its job is not known yet, END
    is not confirmed and has to be told again.  Confirmation covers all earlier
    numbers, so the ends after it wait as well.  */
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -27,31 +27,40 @@
 static gp_counter_t leading_gauge
     = GP_GAUGE ("leading", "1 while this process leads");
 
+/* Fold a record that was decoded, NULL and ERROR when it does not fit what is
+   known.  */
+static gp_job_t *
+take_record (gp_job_entry_t *entry, gp_record_t *record, GError **error)
+{
+  if (record->kind == GP_RECORD_CANCELLATION)
+    return gp_book_cancel (&entry->book, record->subject);
+  return gp_book_take_submission (
+      &entry->book, record->subject, g_steal_pointer (&record->u.submission),
+      gp_loop_now (&entry->loop), gp_time_wall_ms (), error);
+}
+
 static void
-turn_record (gp_job_entry_t *entry, const gp_platform_store_record_t *record)
+turn_record (gp_job_entry_t *entry, const gp_platform_store_record_t *origin)
 {
-  char *key = g_strndup (record->key, record->key_size);
-  size_t prefix = strlen (GP_CANCEL_PREFIX);
+  gp_record_t record;
   gp_job_t *job = NULL;
   GError *error = NULL;
 
-  if (g_str_has_prefix (key, GP_CANCEL_PREFIX)
-      && gp_job_id_valid (key + prefix, record->key_size - prefix))
-    job = gp_book_cancel (&entry->book, key + prefix);
-  else if (gp_job_id_valid (key, record->key_size))
-    job = gp_book_submit (&entry->book, key, record->value, record->value_size,
-                          gp_loop_now (&entry->loop), gp_time_wall_ms (),
-                          &error);
+  if (gp_record_parse_job (&record, origin->key, origin->key_size,
+                           origin->value, origin->value_size, &error))
+    job = take_record (entry, &record, &error);
+  else if (record.kind == GP_RECORD_SUBMISSION)
+    gp_book_refuse_submission (&entry->book, record.subject);
   if (error != NULL)
     {
-      gp_log (GP_LOG_WARNING, "record.malformed",
-              GP_LOG_S ("why", error->message));
+      gp_refusals_record (&entry->leader.refusals, "jobs", &record, origin,
+                          error);
       g_error_free (error);
     }
   if (job != NULL)
     gp_leader_job (&entry->leader, job);
   gp_counter_set (&jobs_gauge, g_hash_table_size (entry->book.jobs));
-  g_free (key);
+  gp_record_finish (&record);
 }
 
 static void
@@ -67,7 +76,7 @@
   gp_job_entry_t *entry = data;
 
   if (record->value_size > 0)
-    gp_leader_record (&entry->leader, record);
+    gp_leader_record (&entry->leader, record, !entry->progress.loaded);
 }
 
 static void
@@ -96,25 +105,33 @@
 }
 
 static void
-on_node (const gp_platform_store_record_t *record, void *data)
+take_node (gp_job_entry_t *entry, const char *name, const Gp__Jobs__Node *node)
 {
-  gp_job_entry_t *entry = data;
-  Gp__Jobs__Node *node;
-  char *name;
-
-  if (record->value_size == 0)
-    return;
-  node = gp__jobs__node__unpack (NULL, record->value_size, record->value);
-  name = g_strndup (record->key, record->key_size);
-  if (node == NULL)
-    gp_log (GP_LOG_WARNING, "record.malformed", GP_LOG_S ("key", name));
-  else if (node->guard)
+  if (node->guard)
     gp_leader_guard (&entry->leader, name, node->address);
   else if (strcmp (name, entry->settings->node) != 0)
     gp_way_add (&entry->way, node->address);
-  if (node != NULL)
-    gp__jobs__node__free_unpacked (node, NULL);
-  g_free (name);
+}
+
+static void
+on_node (const gp_platform_store_record_t *origin, void *data)
+{
+  gp_job_entry_t *entry = data;
+  gp_record_t record;
+  GError *error = NULL;
+
+  if (origin->value_size == 0)
+    return;
+  if (gp_record_parse_node (&record, origin->key, origin->key_size,
+                            origin->value, origin->value_size, &error))
+    take_node (entry, record.subject, record.u.node);
+  else
+    {
+      gp_refusals_record (&entry->leader.refusals, "nodes", &record, origin,
+                          error);
+      g_error_free (error);
+    }
+  gp_record_finish (&record);
 }
 
 /* Any feed that has become fresh may be the last one that the lead waited
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -321,13 +321,11 @@
 on_frame (gp_peer_t *peer, const uint8_t *bytes, size_t size, void *data)
 {
   gp_job_guard_t *guard = data;
-  Gp__Jobs__Frame *frame = gp_link_parse (bytes, size);
+  Gp__Jobs__Frame *frame
+      = gp_link_parse (peer, &guard->refusals, now_of (guard), bytes, size);
 
   if (frame == NULL)
-    {
-      gp_peer_close (peer, true);
-      return;
-    }
+    return;
   if (frame->message_case == GP__JOBS__FRAME__MESSAGE_LEAD)
     on_lead (guard, peer, frame->lead);
   else if (peer == guard->leader)
@@ -438,6 +436,7 @@
   gp_loop_on_signal (&guard->loop, on_stop, guard);
   gp_loop_on_reload (&guard->loop, on_reload, guard);
   register_counters ();
+  gp_refusals_init (&guard->refusals);
   gp_agent_init (&guard->agent);
   gp_deferred_init (&guard->act, on_act);
   gp_timer_init (&guard->report, &guard->loop, on_report_due, guard);
@@ -473,4 +472,5 @@
   gp_announcer_finish (&guard->announcer);
   gp_loop_finish (&guard->loop);
   gp_agent_finish (&guard->agent);
+  gp_refusals_finish (&guard->refusals);
 }
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -5,6 +5,7 @@
 
 #include "jobs/agent.h"
 #include "jobsd/announce.h"
+#include "jobsd/refusals.h"
 #include "platform/heartbeat.h"
 #include "platform/runtime.h"
 #include "platform/settings.h"
@@ -24,6 +25,7 @@
   gp_peer_t *leader; /* the connection of the leader, or NULL */
   uint64_t epoch;    /* the highest seen */
   gp_agent_t agent;
+  gp_refusals_t refusals;
   gp_timer_t report; /* the next report is due */
   gp_timer_t calls;  /* a call may be repeated */
   gp_timer_t list;   /* the next list is due */
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -14,6 +14,7 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "jobs/records.h"
 #include "platform/jobs_http.h"
 #include "protocol/message.h"
 
@@ -58,6 +59,10 @@
 static gp_counter_t cancelled_count
     = GP_COUNTER ("jobs_cancelled_total", "Cancellations on the log");
 
+static gp_counter_t unreadable_count
+    = GP_COUNTER ("jobs_unreadable_total",
+                  "States asked for of jobs with a record that is unreadable");
+
 static gp_histogram_t durable_time = GP_HISTOGRAM (
     "job_durable", "From a submission or cancellation to its record");
 static gp_histogram_t book_age
@@ -405,6 +410,9 @@
       return;
     }
   submission = gp_platform_submission_parse (body.base, body.size, &error);
+  if (submission != NULL)
+    set_policy (submission, queue);
+  /* The check of the readers of its record: what is accepted can be read.  */
   if (submission == NULL || !gp_job_check (submission, &error))
     {
       gp_log (GP_LOG_WARNING, "job.malformed", GP_LOG_S ("job", id),
@@ -413,11 +421,8 @@
       g_error_free (error);
     }
   else
-    {
-      set_policy (submission, queue);
-      start_change (front, exchange, id, false,
-                    gp_message_pack (&submission->base));
-    }
+    start_change (front, exchange, id, false,
+                  gp_message_pack (&submission->base));
   if (submission != NULL)
     gp__jobs__submission__free_unpacked (submission, NULL);
 }
@@ -432,6 +437,18 @@
     answer_error (exchange, 503, "the log cannot be read");
 }
 
+/* A record of the job is on the log and cannot be read.  Each state would
+   claim what nobody knows: that it does not exist lets its caller submit the
+   work anew under another id, an end makes him rely on it, and "queued" or
+   "running" promises an end that may never come.  So the answer is that of a
+   job that cannot be told now.  */
+static void
+answer_unreadable (gp_http_exchange_t *exchange)
+{
+  gp_counter_add (&unreadable_count, 1);
+  answer_error (exchange, 503, "a record of the job cannot be read");
+}
+
 static void
 show (gp_jobs_front_t *front, gp_http_exchange_t *exchange, const char *id)
 {
@@ -439,6 +456,11 @@
   gp_job_state_t state;
   char *body;
 
+  if (job != NULL && !gp_job_is_readable (job))
+    {
+      answer_unreadable (exchange);
+      return;
+    }
   if (job == NULL || job->submission == NULL)
     {
       answer_absent (front, exchange);
@@ -464,7 +486,9 @@
       answer (exchange, 200, "{}");
       return;
     }
-  start_change (front, exchange, id, true, g_bytes_new ("1", 1));
+  start_change (
+      front, exchange, id, true,
+      g_bytes_new_static (GP_CANCEL_VALUE, strlen (GP_CANCEL_VALUE)));
 }
 
 static void
@@ -584,6 +608,7 @@
   gp_counter_register (&refused_count);
   gp_counter_register (&open_count);
   gp_counter_register (&cancelled_count);
+  gp_counter_register (&unreadable_count);
   gp_histogram_register (&durable_time);
   gp_histogram_register (&book_age);
 }
--- a/src/jobsd/jobs_front.h
+++ b/src/jobsd/jobs_front.h
@@ -9,10 +9,6 @@
 #include "platform/store.h"
 #include "transport/http.h"
 
-/* The key of a job's cancellation is this and its id; that of its submission
-   is the id.  */
-#define GP_CANCEL_PREFIX "c."
-
 typedef struct
 {
   gp_loop_t *loop;
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "jobs/fields.h"
 
 /* Without a record for so long, and for a few times the usual duration
    between two, others try to lead: a leader in a slow store or on a slow VM
@@ -71,12 +72,23 @@
 
 /* The lead.  */
 
+/* Decide on what came for jobs before this process led: cancellations, and
+   progress that another writer has made unreadable.  */
 static void
-apply_cancellations (gp_leader_t *leader)
+take_over_jobs (gp_leader_t *leader)
 {
-  GP_LIST_FOREACH_SAFE (link, &leader->book->live)
-  gp_scheduler_job (&leader->scheduler, GP_CONTAINER_OF (link, gp_job_t, link),
-                    gp_time_wall_ms ());
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, leader->book->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_job_t *job = value;
+
+      if (job->overwritten && job->submission != NULL)
+        gp_scheduler_rewrite (&leader->scheduler, job);
+      gp_scheduler_job (&leader->scheduler, job, gp_time_wall_ms ());
+    }
 }
 
 void
@@ -89,7 +101,7 @@
       GP_LOG_I ("jobs", g_hash_table_size (leader->book->jobs)),
       GP_LOG_I ("foreign_leases_ms",
                 MAX (leader->foreign_until - now_of (leader), 0) / GP_MSEC));
-  apply_cancellations (leader);
+  take_over_jobs (leader);
   gp_leader_dial_all (leader);
 }
 
@@ -145,66 +157,127 @@
 }
 
 static void
-on_leadership (gp_leader_t *leader, const gp_platform_store_record_t *record)
+on_leadership (gp_leader_t *leader, const Gp__Jobs__Leadership *leadership)
 {
-  Gp__Jobs__Leadership *leadership
-      = gp__jobs__leadership__unpack (NULL, record->value_size, record->value);
-
-  if (leadership == NULL)
-    {
-      gp_log (GP_LOG_WARNING, "record.malformed",
-              GP_LOG_S ("key", GP_LEADER_KEY));
-      return;
-    }
   leader->led = true;
   /* An earlier process of this VM has ended, as this one runs.  */
   leader->resigned = leadership->resigned
                      || (strcmp (leadership->node, leader->node) == 0
                          && leadership->incarnation != leader->incarnation);
-  gp__jobs__leadership__free_unpacked (leadership, NULL);
 }
 
+/* Who leads cannot be read: somebody may, who is given the time of silence
+   once.  More of such records put no claim off.  */
 static void
-on_place (gp_leader_t *leader, const char *node,
-          const gp_platform_store_record_t *record)
+on_leadership_refused (gp_leader_t *leader)
+{
+  if (!leader->led)
+    note_heard (leader);
+  leader->led = true;
+  leader->resigned = false;
+}
+
+/* An executor and the VM that it is said to be on.  */
+typedef struct
 {
-  Gp__Jobs__Place *place
-      = gp__jobs__place__unpack (NULL, record->value_size, record->value);
+  const char *node;
+  const char *executor;
+} place_t;
 
-  if (place == NULL)
+static gboolean
+stands_elsewhere (gpointer key, gpointer value, gpointer data)
+{
+  const place_t *place = data;
+
+  return strcmp (key, place->node) != 0
+         && strcmp (value, place->executor) == 0;
+}
+
+/* An executor lives on one VM.  Where records place it on two, one of them is
+   another writer's: the new one is left out, and until a guard reports the
+   executor neither proves its death.  */
+static bool
+on_place (gp_leader_t *leader, const char *node, const char *executor,
+          GError **error)
+{
+  place_t place = { node, executor };
+
+  if (g_hash_table_find (leader->places, stands_elsewhere, &place) != NULL)
     {
-      gp_log (GP_LOG_WARNING, "record.malformed", GP_LOG_S ("key", node));
-      return;
+      g_hash_table_add (leader->disputed, g_strdup (executor));
+      return gp_field_fail (error, "executor", "stands on another VM");
     }
-  g_hash_table_replace (leader->places, g_strdup (node),
-                        g_strdup (place->executor));
-  gp__jobs__place__free_unpacked (place, NULL);
+  g_hash_table_replace (leader->places, g_strdup (node), g_strdup (executor));
+  return true;
+}
+
+/* Take in a record that was decoded; false and ERROR when it does not fit
+   what is known.  */
+static bool
+take_record (gp_leader_t *leader, gp_record_t *record, gp_book_place_t place,
+             GError **error)
+{
+  switch (record->kind)
+    {
+    case GP_RECORD_PROGRESS:
+      return gp_book_take_progress (leader->book, record->subject,
+                                    g_steal_pointer (&record->u.progress),
+                                    place, error)
+             != NULL;
+    case GP_RECORD_PLACE:
+      return on_place (leader, record->subject, record->u.place->executor,
+                       error);
+    case GP_RECORD_LEADERSHIP:
+      on_leadership (leader, record->u.leadership);
+      break;
+    case GP_RECORD_LEARNED:
+      gp_leader_take_learned (leader, record->u.learned);
+      if (record->refused != NULL)
+        gp_refusals_record_row (&leader->refusals, record, record->refused);
+      break;
+    case GP_RECORD_UNKNOWN:
+    case GP_RECORD_SUBMISSION:
+    case GP_RECORD_CANCELLATION:
+    case GP_RECORD_NODE:
+      break;
+    }
+  return true;
+}
+
+/* What a record means that cannot be read, by its key.  */
+static void
+refuse_record (gp_leader_t *leader, const gp_record_t *record,
+               gp_book_place_t place)
+{
+  if (record->kind == GP_RECORD_PROGRESS)
+    gp_book_refuse_progress (leader->book, record->subject, place);
+  if (record->kind == GP_RECORD_LEADERSHIP)
+    on_leadership_refused (leader);
 }
 
 void
 gp_leader_record (gp_leader_t *leader,
-                  const gp_platform_store_record_t *record)
+                  const gp_platform_store_record_t *record, bool loading)
 {
-  char *key = g_strndup (record->key, record->key_size);
+  const gp_book_place_t place
+      = { .offset = record->offset, .loading = loading };
+  gp_record_t decoded;
   GError *error = NULL;
 
-  note_heard (leader);
-  if (gp_platform_store_record_is (record, GP_LEADER_KEY))
-    on_leadership (leader, record);
-  else if (strcmp (key, GP_LEARNED_KEY) == 0)
-    gp_leader_take_learned (leader, record);
-  else if (g_str_has_prefix (key, GP_PLACE_PREFIX))
-    on_place (leader, key + strlen (GP_PLACE_PREFIX), record);
-  else if (gp_job_id_valid (key, record->key_size))
-    gp_book_progress (leader->book, key, record->value, record->value_size,
-                      &error);
+  /* Whoever wrote it may have given leases, readable or not.  */
+  leader->foreign_until = now_of (leader) + GP_LEADER_TERM_TIME;
+  if (!gp_record_parse_progress (&decoded, record->key, record->key_size,
+                                 record->value, record->value_size, &error))
+    refuse_record (leader, &decoded, place);
+  else if (take_record (leader, &decoded, place, &error))
+    note_heard (leader);
   if (error != NULL)
     {
-      gp_log (GP_LOG_WARNING, "record.malformed",
-              GP_LOG_S ("why", error->message));
+      gp_refusals_record (&leader->refusals, "progress", &decoded, record,
+                          error);
       g_error_free (error);
     }
-  g_free (key);
+  gp_record_finish (&decoded);
 }
 
 void
@@ -262,6 +335,9 @@
   leader->links = gp_leader_links_new ();
   leader->places
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  leader->disputed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gp_refusals_init (&leader->refusals);
   leader->new_places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                               (GDestroyNotify)g_bytes_unref);
   leader->frames = g_ptr_array_new ();
@@ -280,6 +356,8 @@
   gp_deferred_cancel (&leader->turn);
   g_hash_table_destroy (leader->links);
   g_hash_table_destroy (leader->places);
+  g_hash_table_destroy (leader->disputed);
+  gp_refusals_finish (&leader->refusals);
   g_hash_table_destroy (leader->new_places);
   g_ptr_array_unref (leader->frames);
   g_ptr_array_unref (leader->drops);
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -22,6 +22,7 @@
 #include "jobs/scheduler.h"
 #include "jobsd/feed.h"
 #include "jobsd/link.h"
+#include "jobsd/refusals.h"
 #include "platform/store.h"
 
 /* Duration after its last acknowledged append for which a leader may give
@@ -29,13 +30,6 @@
    lease behind it work goes on through 13 s.  */
 #define GP_LEADER_TERM_TIME (8 * GP_SEC)
 
-/* The key of the leader's record in the progress topic.  */
-#define GP_LEADER_KEY "leader"
-/* The key of what leaders have learned.  */
-#define GP_LEARNED_KEY "learned"
-/* Before the name of a VM in the key that tells its executor.  */
-#define GP_PLACE_PREFIX "at."
-
 typedef enum
 {
   GP_LEADER_FOLLOWING,
@@ -77,6 +71,8 @@
   gp_pressure_t pressure; /* learned from the guards' reports */
   GHashTable *links;      /* node to gp_link_t, owned */
   GHashTable *places;     /* node to id of its executor, owned */
+  GHashTable *disputed;   /* ids that records place on two VMs, owned: until
+                             a guard reports one, its place proves nothing */
   GPtrArray *drops;       /* ids of jobs whose progress goes, owned */
   GHashTable *new_places; /* key to record, owned: not yet written */
   gp_leader_role_t role;
@@ -108,6 +104,7 @@
      read anew; one that was not is still what the log says.  */
   void (*on_deposed) (bool claimed, void *data);
   void *data;
+  gp_refusals_t refusals; /* of the whole entry */
 };
 
 void gp_leader_init (gp_leader_t *leader, gp_loop_t *loop,
@@ -117,9 +114,10 @@
                      void *data);
 void gp_leader_finish (gp_leader_t *leader);
 
-/* A record of the progress topic was read (while following).  */
+/* A record of the progress topic was read (while following); LOADING: it is
+   the newest of its key, and those before it were not read.  */
 void gp_leader_record (gp_leader_t *leader,
-                       const gp_platform_store_record_t *record);
+                       const gp_platform_store_record_t *record, bool loading);
 /* All up to POSITION was read, by a read sent at SENT_AT.  READY: the jobs
    are known as well, so that the lead may be taken.  */
 void gp_leader_fresh (gp_leader_t *leader, uint64_t position,
--- a/src/jobsd/leader_learn.c
+++ b/src/jobsd/leader_learn.c
@@ -1,7 +1,6 @@
 /* What the leader learns from the guards' measures of interference, and what
    it teaches them.  */
 
-#include "base/log.h"
 #include "jobsd/leader_private.h"
 #include "protocol/message.h"
 
@@ -196,19 +195,10 @@
 }
 
 void
-gp_leader_take_learned (gp_leader_t *leader,
-                        const gp_platform_store_record_t *record)
+gp_leader_take_learned (gp_leader_t *leader, const Gp__Jobs__Learned *learned)
 {
   gp_pressure_t *pressure = &leader->pressure;
-  Gp__Jobs__Learned *learned
-      = gp__jobs__learned__unpack (NULL, record->value_size, record->value);
 
-  if (learned == NULL)
-    {
-      gp_log (GP_LOG_WARNING, "record.malformed",
-              GP_LOG_S ("key", GP_LEARNED_KEY));
-      return;
-    }
   for (size_t i = 0; i < learned->n_pressures; i++)
     {
       const Gp__Jobs__Pressure *row = learned->pressures[i];
@@ -218,8 +208,5 @@
                        row->weight_permille / 1000.0);
     }
   for (size_t i = 0; i < learned->n_forecasts; i++)
-    if (!gp_forecast_set (&leader->scheduler.forecast, learned->forecasts[i]))
-      gp_log (GP_LOG_WARNING, "record.malformed",
-              GP_LOG_S ("key", GP_LEARNED_KEY), GP_LOG_I ("forecast", i));
-  gp__jobs__learned__free_unpacked (learned, NULL);
+    gp_forecast_set (&leader->scheduler.forecast, learned->forecasts[i]);
 }
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "jobs/agent.h"
+#include "jobs/fields.h"
 #include "jobsd/leader_private.h"
 
 /* A connection attempt that hangs is given up after this.  */
@@ -49,11 +50,12 @@
 
   if (g_strcmp0 (before, report->id) != 0)
     {
-      if (before != NULL)
+      if (before != NULL && !g_hash_table_contains (leader->disputed, before))
         gp_scheduler_dead (&leader->scheduler,
                            gp_book_executor (leader->book, before));
       gp_leader_add_place (leader, link->node, report->id);
     }
+  g_hash_table_remove (leader->disputed, report->id);
   if (link->executor != executor)
     {
       link->executor = executor;
@@ -89,12 +91,28 @@
       = !report->lapsed && !link->wants_sync && report->synced == link->sync;
 }
 
+/* Does the guard of LINK's VM speak?  Another one at its address would prove
+   by its executor that the one here is dead.  */
+static bool
+is_of_link (const gp_link_t *link, const Gp__Jobs__Report *report)
+{
+  GError *error = NULL;
+
+  if (strcmp (report->node, link->node) == 0)
+    return true;
+  gp_field_fail (&error, "report.node", "the guard of another VM");
+  gp_refusals_frame (&link->leader->refusals, link->address, error);
+  g_error_free (error);
+  gp_peer_close (link->peer, true);
+  return false;
+}
+
 static void
 on_report (gp_link_t *link, const Gp__Jobs__Report *report)
 {
   gp_leader_t *leader = link->leader;
 
-  if (leader->role != GP_LEADER_LEADING)
+  if (leader->role != GP_LEADER_LEADING || !is_of_link (link, report))
     return;
   if (!link->up)
     gp_log (GP_LOG_INFO, "guard.up", GP_LOG_S ("guard", link->node),
@@ -117,13 +135,12 @@
 on_frame (gp_peer_t *peer, const uint8_t *bytes, size_t size, void *data)
 {
   gp_link_t *link = data;
-  Gp__Jobs__Frame *frame = gp_link_parse (bytes, size);
+  gp_leader_t *leader = link->leader;
+  Gp__Jobs__Frame *frame = gp_link_parse (
+      peer, &leader->refusals, gp_loop_now (leader->loop), bytes, size);
 
   if (frame == NULL)
-    {
-      gp_peer_close (peer, true);
-      return;
-    }
+    return;
   if (peer == link->peer
       && frame->message_case == GP__JOBS__FRAME__MESSAGE_REPORT)
     on_report (link, frame->report);
@@ -304,7 +321,8 @@
     gp_scheduler_evacuate (&leader->scheduler, executor, now);
   if (executor->reachable)
     gp_scheduler_relocate (&leader->scheduler, executor, now);
-  if (executor->dead || (link != NULL && link->up))
+  if (executor->dead || (link != NULL && link->up)
+      || g_hash_table_contains (leader->disputed, id))
     return;
   if (now > leases_end (leader, link))
     gp_scheduler_dead (&leader->scheduler, executor);
--- a/src/jobsd/leader_private.h
+++ b/src/jobsd/leader_private.h
@@ -3,6 +3,7 @@
 #ifndef GP_JOBSD_LEADER_PRIVATE_H
 #define GP_JOBSD_LEADER_PRIVATE_H
 
+#include "jobs/records.h"
 #include "jobsd/leader.h"
 
 /* Decide and write at the end of this phase of the loop.  */
@@ -46,7 +47,7 @@
 void gp_leader_add_learned (gp_leader_t *leader);
 /* Another leader has written it down.  */
 void gp_leader_take_learned (gp_leader_t *leader,
-                             const gp_platform_store_record_t *record);
+                             const Gp__Jobs__Learned *learned);
 
 /* Learn from the measures in REPORT, if it has any.  */
 void gp_leader_learn (gp_link_t *link, const Gp__Jobs__Report *report);
--- a/src/jobsd/link.c
+++ b/src/jobsd/link.c
@@ -2,7 +2,7 @@
 
 #include "jobsd/link.h"
 
-#include "base/log.h"
+#include "jobs/frames.h"
 #include "protocol/codec.h"
 
 bool
@@ -32,11 +32,20 @@
 }
 
 Gp__Jobs__Frame *
-gp_link_parse (const uint8_t *bytes, size_t size)
+gp_link_parse (gp_peer_t *peer, gp_refusals_t *refusals, gp_time_t now,
+               const uint8_t *bytes, size_t size)
 {
-  Gp__Jobs__Frame *frame = gp__jobs__frame__unpack (NULL, size, bytes);
-
-  if (frame == NULL)
-    gp_log (GP_LOG_WARNING, "frame.malformed", GP_LOG_I ("size", size));
-  return frame;
+  GError *error = NULL;
+  GError *row = NULL;
+  Gp__Jobs__Frame *frame = gp_frame_parse (bytes, size, now, &row, &error);
+
+  if (row != NULL)
+    gp_refusals_frame_row (refusals, gp_peer_address (peer), row);
+  g_clear_error (&row);
+  if (frame != NULL)
+    return frame;
+  gp_refusals_frame (refusals, gp_peer_address (peer), error);
+  g_error_free (error);
+  gp_peer_close (peer, true);
+  return NULL;
 }
--- a/src/jobsd/link.h
+++ b/src/jobsd/link.h
@@ -4,6 +4,7 @@
 #define GP_JOBSD_LINK_H
 
 #include "jobs.pb-c.h"
+#include "jobsd/refusals.h"
 #include "transport/peer.h"
 
 /* Send FRAME.  False when the peer is closing or the frame is too long.  */
@@ -16,8 +17,12 @@
    wants them; to be freed with g_free.  */
 void *gp_link_pointers (const GArray *rows);
 
-/* Decode a frame, to be freed with gp__jobs__frame__free_unpacked.  NULL and
-   a log line when it does not decode.  */
-Gp__Jobs__Frame *gp_link_parse (const uint8_t *bytes, size_t size);
+/* Decode a frame that PEER sent, to be freed with
+   gp__jobs__frame__free_unpacked.  NULL when it is refused (see
+   jobs/frames.h): that is counted and told in REFUSALS, and PEER is closing.
+   */
+Gp__Jobs__Frame *gp_link_parse (gp_peer_t *peer, gp_refusals_t *refusals,
+                                gp_time_t now, const uint8_t *bytes,
+                                size_t size);
 
 #endif
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -556,6 +556,8 @@
   char name[GP_TASK_NAME_SIZE];
   Gp__Jobs__End end = GP__JOBS__END__INIT;
   Gp__Jobs__Progress progress = GP__JOBS__PROGRESS__INIT;
+  Gp__Jobs__TaskProgress task = GP__JOBS__TASK_PROGRESS__INIT;
+  Gp__Jobs__TaskProgress *tasks[] = { &task };
   uint8_t packed[32];
   size_t size;
   jobs_site_t site;
@@ -570,8 +572,14 @@
   end.task = name;
   end.run = 1;
   end.how = GP_END_DONE;
+  task.run = 1;
+  task.executor = "x0";
+  progress.state = GP_JOB_RUNNING;
+  progress.tasks = tasks;
+  progress.n_tasks = 1;
+  size = gp__jobs__progress__pack (&progress, packed);
   CU_ASSERT_PTR_NOT_NULL (
-      gp_book_progress (&site.book, id, (const uint8_t *)"", 0, NULL));
+      gp_book_progress (&site.book, id, packed, size, NULL));
   CU_ASSERT_TRUE (gp_book_awaits (&site.book, name));
   CU_ASSERT_FALSE (
       gp_scheduler_end (&site.scheduler, executor, &end, site.now, 0));
@@ -579,6 +587,7 @@
 
   /* A job that has ended awaits nothing.  */
   progress.state = GP_JOB_COMPLETED;
+  progress.ended_wall_ms = 1;
   size = gp__jobs__progress__pack (&progress, packed);
   CU_ASSERT_PTR_NOT_NULL (
       gp_book_progress (&site.book, id, packed, size, NULL));
