--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,8 @@
 FUZZ_LIB_SRC := $(wildcard src/base/*.c src/state/document*.c) \
 	src/state/config.c src/protocol/message.c \
 	src/protocol/generated/wire.pb-c.c \
-	src/protocol/generated/jobs.pb-c.c src/jobs/queues.c \
+	src/protocol/generated/jobs.pb-c.c $(wildcard src/jobs/*.c) \
+	src/coordination/regression.c \
 	platform/settings.c platform/heartbeat.c platform/jobs_http.c \
 	platform/json.c
 FUZZ_SECONDS ?= 30
