Scripted run: records and frames of another writer beside a working site

Six scenarios with real entries and guards on the stand-ins: nodes, a job at work whose records are overwritten, a submission that cannot be read, entries that start with unreadable progress, a lead and places that are overwritten over three changes of the leader, and frames of a stranger to a guard.

--- /dev/null
+++ b/tests/scripts/records.py
@@ -0,0 +1,230 @@
+"""Records and frames of another writer beside a working site."""
+
+import contextlib
+import socket
+import struct
+import sys
+import tempfile
+
+from platform_site import PlatformSite, until
+
+JOB_A, JOB_B, JOB_C = "00000000000000aa", "00000000000000bb", "0" * 15 + "c"
+STEPS = [{"count": 4, "cpu": 1000, "memMb": 10, "estimateMs": 300},
+         {"count": 2, "cpu": 1000, "memMb": 10, "after": [0]}]
+LASTING = [{"count": 3, "cpu": 1000, "memMb": 10, "longRunning": True}]
+JSON = b'{"service":"work","state":"gone","seq":"x"}'
+CUT = b"\x0a\x20abc"
+
+
+# Protocol buffers by hand: what no writer of ours puts there.
+
+def varint(value):
+    out = b""
+    while value > 0x7F:
+        out += bytes([value & 0x7F | 0x80])
+        value >>= 7
+    return out + bytes([value])
+
+
+def number(field, value):
+    return varint(field << 3) + varint(value)
+
+
+def text(field, value):
+    return varint(field << 3 | 2) + varint(len(value)) + value
+
+
+def progress(*tasks):
+    """A running job; TASKS are (index, run, executor)."""
+    rows = (number(1, index) + number(2, run) + text(4, executor)
+            for index, run, executor in tasks)
+    return number(1, 1) + b"".join(text(3, row) for row in rows)
+
+
+@contextlib.contextmanager
+def site_of(build, **more):
+    with tempfile.TemporaryDirectory() as folder:
+        site = PlatformSite(build, folder, **more)
+        try:
+            site.ready()
+            yield site
+        except Exception:
+            for name, process in site.processes.items():
+                print(f"--- {name}\n{process.log()[-6000:]}",
+                      file=sys.stderr)
+            raise
+        finally:
+            site.close()
+
+
+def lasting_job(site):
+    site.submit("e1", JOB_A, LASTING, spec="lasts")
+    until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
+    for name in site.entries:
+        site.await_state(name, JOB_A, "running")
+
+
+def refused(site, entry, cause):
+    return site.metric(entry, f"records_{cause}_total")
+
+
+def await_refused(site, cause, more):
+    """All entries have refused MORE records for CAUSE.  A leader reads no
+    progress, so that it counts those only once it is deposed."""
+    until(lambda: all(refused(site, name, cause) >= more
+                      for name in site.entries), what=cause)
+
+
+def another_job(site, job):
+    """The site serves as before."""
+    until(lambda: site.submit("e1", job, STEPS) == 200, what="accepted")
+    for name in site.entries:
+        site.await_state(name, job, "completed")
+
+
+def verdict(site, starts):
+    print("  started again:", sum(site.judge.starts.values()) - starts)
+    print("  at work:", len(site.judge.at_work(JOB_A)))
+    print("  breaches:", site.judge.breaches)
+
+
+def nodes(build):
+    print("nodes of another writer")
+    with site_of(build) as site:
+        lasting_job(site)
+        for key, value in (("w1", JSON), ("w2", b""), ("w3", text(1, b"no")),
+                           ("w4", number(2, 1)), ("e1", CUT), ("w5", CUT)):
+            site.store.put("keyed.nodes", key, value)
+        await_refused(site, "undecodable", 3)
+        await_refused(site, "invalid", 2)
+        another_job(site, JOB_B)
+        verdict(site, 9)
+
+
+def a_known_job(build):
+    print("the records of a job that is at work are overwritten")
+    with site_of(build) as site:
+        lasting_job(site)
+        for value in (JSON, number(1, 2), number(1, 1), CUT,
+                      progress((0, 0, b"x")), progress((7, 1, b"x")),
+                      progress((0, 1, b"ghost")),
+                      progress((0, 2, b"a"), (0, 2, b"b"))):
+            site.store.put("keyed.progress", JOB_A, value)
+        site.store.put("keyed.jobs", JOB_A, JSON)
+        site.store.put("keyed.jobs", "c." + JOB_A, b"cancelled")
+        until(lambda: any(refused(site, name, "invalid") >= 5
+                          for name in site.entries), what="refused")
+        follower = next(name for name in site.entries
+                        if refused(site, name, "invalid") >= 5)
+        print("  shown:", site.state(follower, JOB_A))
+        verdict(site, 3)
+
+
+def an_unknown_job(build):
+    print("a job's submission cannot be read")
+    with site_of(build) as site:
+        site.store.put("keyed.jobs", JOB_B, JSON)
+        await_refused(site, "undecodable", 1)
+        print("  shown:", [site.state(name, JOB_B) for name in site.entries])
+        print("  another:", site.state("e1", JOB_C))
+        print("  queue:", site.call("e1", "GET", "/q/"))
+        another_job(site, JOB_B)
+        print("  submitted again:", site.state("e2", JOB_B))
+        print("  breaches:", site.judge.breaches)
+
+
+def never_read(build):
+    print("all entries start with progress that cannot be read")
+    with site_of(build) as site:
+        lasting_job(site)
+        for name in site.entries:
+            site.processes[name].kill()
+        site.store.put("keyed.progress", JOB_A, JSON)
+        site.store.put("keyed.progress", "leader", CUT)
+        site.store.put("keyed.progress", "at.w1", text(1, b""))
+        site.store.put("keyed.progress", "learned", CUT)
+        for name in site.entries:
+            site.processes[name].start()
+        site.ready()
+        print("  shown:", [site.state(name, JOB_A) for name in site.entries])
+        another_job(site, JOB_B)
+        print("  started again:", sum(site.judge.starts.values()) - 9)
+        print("  cancelled:", site.call("e1", "DELETE", "/q/" + JOB_A)[0])
+        for name in site.entries:
+            site.await_state(name, JOB_A, "cancelled")
+        until(lambda: not site.judge.at_work(JOB_A), what="stopped")
+        print("  breaches:", site.judge.breaches)
+
+
+def leads_taken(site):
+    return sum(site.processes[name].log().count('"lead.taken"')
+               for name in site.entries)
+
+
+def holder_of(site, task):
+    """The VM on which TASK is at work."""
+    (executor, _), = site.judge.running[task]
+    return executor.split("-")[0]
+
+
+def the_lead(build):
+    print("the lead, places and what was learned are overwritten")
+    with site_of(build) as site:
+        lasting_job(site)
+        newest = site.store.topics["keyed.progress"].newest
+        until(lambda: {"at.w1", "at.w2", "at.w3"} <= newest.keys(),
+              what="places")
+        holder = holder_of(site, JOB_A + ".0.0.0")
+        stranger = next(name for name in site.executors if name != holder)
+        place = newest["at." + holder][0]
+        for _ in range(3):
+            taken = leads_taken(site)
+            site.store.put("keyed.progress", "leader", JSON)
+            site.store.put("keyed.progress", "at." + stranger, place)
+            site.store.put("keyed.progress", "at.w9", text(1, b""))
+            site.store.put("keyed.progress", "learned", CUT)
+            site.store.put("keyed.progress", "another", JSON)
+            until(lambda t=taken: leads_taken(site) > t, what="a new lead")
+            another_job(site, JOB_B)
+        another_job(site, JOB_C)
+        verdict(site, 15)
+
+
+def send_frame(address, body):
+    """Send a frame and wait until the far side closes."""
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=10) as peer:
+        peer.sendall(struct.pack(">I", len(body)) + body)
+        with contextlib.suppress(ConnectionError):
+            while peer.recv(4096):
+                pass
+
+
+def frames(build):
+    print("frames of a stranger")
+    with site_of(build) as site:
+        lasting_job(site)
+        host, port = site.metrics["w1"].rsplit(":", 1)
+        guard = f"{host}:{int(port) - 1}"
+        for frame in (JSON, CUT, text(1, number(1, 7)),
+                      text(1, number(1, 2 ** 63) + text(2, b"e9")),
+                      text(4, text(2, b"w1-1")), text(5, b"")):
+            send_frame(guard, frame)
+        for cause in ("undecodable", "invalid"):
+            print(f"  {cause}:", int(site.metric("w1",
+                                                 f"frames_{cause}_total")))
+        print("  lines:",
+              site.processes["w1"].log().count('"frame.malformed"'))
+        print("  leaders lost:",
+              site.processes["w1"].log().count('"leader.lost"'))
+        another_job(site, JOB_B)
+        verdict(site, 9)
+
+
+SCENARIOS = {scenario.__name__: scenario
+             for scenario in (nodes, a_known_job, an_unknown_job, never_read,
+                              the_lead, frames)}
+
+if __name__ == "__main__":
+    for wanted in sys.argv[2:] or SCENARIOS:
+        SCENARIOS[wanted](sys.argv[1])
