--- a/src/jobs/grants.c
+++ b/src/jobs/grants.c
@@ -76,17 +76,21 @@
   former->fresh = MIN (former->fresh, now);
 }
 
+void
+gp_grants_unreadable (gp_grants_t *grants, gp_time_t now)
+{
+  grants->gap = true;
+  grants->unread_until = now + GP_GRANTS_TERM_TIME;
+  grants->unread_fresh = now + GP_GRANTS_FRESH_TIME;
+}
+
 void
 gp_grants_read (gp_grants_t *grants, uint64_t offset, gp_time_t now)
 {
   /* Records that are kept for good come in the order of their keys, without
      those that they replace: NEXT then moves back and forth.  */
   if (offset > MAX (grants->next, grants->told))
-    {
-      grants->gap = true;
-      grants->unread_until = now + GP_GRANTS_TERM_TIME;
-      grants->unread_fresh = now + GP_GRANTS_FRESH_TIME;
-    }
+    gp_grants_unreadable (grants, now);
   grants->next = offset + 1;
 }
 
--- a/src/jobs/grants.h
+++ b/src/jobs/grants.h
@@ -75,6 +75,9 @@
 void gp_grants_heard (gp_grants_t *grants, const Gp__Jobs__Leadership *record,
                       uint64_t offset, gp_time_t now);
 
+/* It was a leader's, and cannot be read.  */
+void gp_grants_unreadable (gp_grants_t *grants, gp_time_t now);
+
 /* Put what is known of the leaders before into RECORD, which is about to be
    written, until gp_grants_clear_told frees that.  */
 void gp_grants_tell (const gp_grants_t *grants, Gp__Jobs__Leadership *record,
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -23,15 +23,9 @@
 #include "jobs/scheduler.h"
 #include "jobsd/feed.h"
 #include "jobsd/link.h"
+#include "jobsd/refusals.h"
 #include "platform/store.h"
 
-/* The key of the leader's record in the progress topic.  */
-#define GP_LEADER_KEY "leader"
-/* The key of what leaders have learned.  */
-#define GP_LEARNED_KEY "learned"
-/* Before the name of a VM in the key that tells its executor.  */
-#define GP_PLACE_PREFIX "at."
-
 typedef enum
 {
   GP_LEADER_FOLLOWING,
@@ -75,6 +69,8 @@
   gp_pressure_t pressure; /* learned from the guards' reports */
   GHashTable *links;      /* node to gp_link_t, owned */
   GHashTable *places;     /* node to id of its executor, owned */
+  GHashTable *disputed;   /* ids that records place on two VMs, owned: until
+                             a guard reports one, its place proves nothing */
   GPtrArray *drops;       /* ids of jobs whose progress goes, owned */
   GHashTable *new_places; /* key to record, owned: not yet written */
   gp_leader_role_t role;
@@ -88,6 +84,8 @@
   gp_time_t heard_gap;    /* mean duration between such reads */
   bool resigned;          /* the last leader's record says so */
   bool led;               /* there was a leader's record at all */
+  bool forgot;            /* it threw its book away, and no other has led
+                             since */
   GByteArray *batch;      /* the append in progress */
   unsigned batch_records;
   GArray *batch_states;    /* of the jobs in it, see jobsd/leader.c */
@@ -106,6 +104,7 @@
      read anew; one that was not is still what the log says.  */
   void (*on_deposed) (bool claimed, void *data);
   void *data;
+  gp_refusals_t refusals; /* of the whole entry */
 };
 
 void gp_leader_init (gp_leader_t *leader, gp_loop_t *loop,
@@ -126,9 +125,10 @@
                           uint64_t incarnation, uint64_t ceased);
 
 /* A record of the progress topic was read (while following), also one that
-   drops a key.  */
+   drops a key; LOADING: it is the newest of its key, and those before it were
+   not read.  */
 void gp_leader_record (gp_leader_t *leader,
-                       const gp_platform_store_record_t *record);
+                       const gp_platform_store_record_t *record, bool loading);
 /* All up to POSITION was read, by a read sent at SENT_AT.  READY: the jobs
    are known as well, so that the lead may be taken.  */
 void gp_leader_fresh (gp_leader_t *leader, uint64_t position,
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -707,6 +707,11 @@
       print_refused (error);
       return;
     }
+  /* As the queue's policy does before the check.  */
+  free (submission->queue);
+  free (submission->service);
+  submission->queue = strdup ("queue");
+  submission->service = strdup ("upstream");
   if (gp_job_check (submission, &error))
     printf ("taken, %zu steps, work of %zu\n", submission->n_steps,
             submission->spec.len);
