Soak: series, open connections, executors that leave, other writers

Cause: faults came one at a time and were seldom planned ones; callers made a connection for each request; no executor left, and nothing else wrote.

Signals, restarts and documents come in series and overlap; executors drain and leave with their VMs, others come; other writers are among the faults. Callers use open connections until the process is gone. Ports are reserved for a run, three in a row for a process.

--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -31,6 +30,8 @@
 STEPS = [{"count": 4, "cpu": 1000, "memMb": 10, "estimateMs": 300},
          {"count": 2, "cpu": 1000, "memMb": 10, "after": [0]}]
 LASTING = [{"count": 3, "cpu": 1000, "memMb": 10, "longRunning": True}]
+# From the first of internalPorts on: peers, metrics, relay.
+PORTS_OF_PROCESS = 3
 GRACE_S = 6.0  # from SIGTERM to SIGKILL
 
 
@@ -38,19 +39,6 @@
     return f"127.0.0.1:{free_port()}"
 
 
-def port_of_three():
-    """A port whose two successors are free as well."""
-    while True:
-        port = free_port()
-        try:
-            for more in (1, 2):
-                with socket.socket() as probe:
-                    probe.bind(("127.0.0.1", port + more))
-            return port
-        except OSError:
-            continue
-
-
 class PlatformSite:
     """ENTRIES entries and WORKERS workers with their guards.  With LINKS all
     connections between them, to the store and to the executors lead through
@@ -102,7 +90,7 @@
         self.doors[name] = loopback()
         self.store.open(self.doors[name])
         store = self.link(f"{name} store", self.doors[name])
-        port = port_of_three()
+        port = free_port(PORTS_OF_PROCESS)
         self.link_peers(name, port)
         self.metrics[name] = f"127.0.0.1:{port + 1}"
         path = os.path.join(self.folder, name + ".yaml")
--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -253,7 +253,7 @@
             return self.answer(409, reason="late")
         if present is not None or len(self.runs) >= self.cores:
             return self.answer(409, reason="room")
-        lasts = order["spec"].startswith("lasts")
+        lasts = order.get("spec", "").startswith("lasts")
         done_at = float("inf") if lasts else time.monotonic() + self.work_s
         self.runs[task] = {"run": run, "lasts": lasts, "done_at": done_at,
                            "stop_at": float("inf")}
--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import fcntl
 import http.client
 import json
 import os
@@ -28,26 +29,40 @@
 
 
 _given_ports = set()
+# A locked byte for each port that a run has taken.
+_ports_file = None
 
 
-def free_port():
-    """A TCP port of loopback that is free now, another one each time.  It is
-    none of those that the kernel gives to outgoing connections, which could
-    take it while the process that listens there is down."""
+def _reserve(port):
+    """Take PORT for this run until it ends, unless another run has it: what
+    listens there may be down for a while."""
+    global _ports_file
+    if _ports_file is None:
+        path = os.path.join(tempfile.gettempdir(), "galenapier-ports")
+        _ports_file = open(path, "ab")
+    try:
+        fcntl.lockf(_ports_file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+        return True
+    except OSError:
+        return False
+
+
+def free_port(count=1):
+    """The first of COUNT TCP ports of loopback in a row that are free now,
+    others each time.  They are none of those that the kernel gives to outgoing
+    connections, which could take one while the process that listens there is
+    down."""
     with open("/proc/sys/net/ipv4/ip_local_port_range",
               encoding="ascii") as file:
         above = int(file.read().split()[0])
     while True:
-        port = random.SystemRandom().randrange(LOWEST_PORT, above)
-        if port in _given_ports:
-            continue
-        _given_ports.add(port)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
+        port = random.SystemRandom().randrange(LOWEST_PORT, above - count)
+        ports = range(port, port + count)
+        if _given_ports.isdisjoint(ports) and all(map(_reserve, ports)):
+            _given_ports.update(ports)
+            return port
 
 
 def until(condition, timeout_s=START_TIMEOUT_S, what="condition"):
--- /dev/null
+++ b/tools/soak_callers.py
@@ -0,0 +1,186 @@
+"""Callers of the soak: they submit, cancel and ask on connections that they
+keep open and use until the process at the other end is gone."""
+
+import json
+import random
+import socket
+import threading
+import time
+
+from platform_site import HOST
+
+TIMEOUT_S = 10.0
+KNOWN_S = 3.0  # from when on each entry has to know an accepted job
+LASTING_MAX = 8  # so that they leave room on the workers
+STEPS = [{"count": 3, "cpu": 1000, "memMb": 10, "estimateMs": 300},
+         {"count": 2, "cpu": 1000, "memMb": 10, "after": [0]}]
+LASTING = [{"count": 2, "cpu": 1000, "memMb": 10, "longRunning": True}]
+
+
+class Cut(Exception):
+    """A connection ended in the middle of an answer."""
+
+
+class Connection:
+    """An HTTP/1.1 connection to ADDRESS, made when it is needed."""
+
+    def __init__(self, address):
+        host, port = address.rsplit(":", 1)
+        self.address = (host, int(port))
+        self.socket = None
+        self.unanswered = 0  # calls on an open connection that then closed
+
+    def close(self):
+        if self.socket is not None:
+            self.socket.close()
+        self.socket = None
+
+    def call(self, method, path, body=b""):
+        """Status and body; status 0 when no answer comes.  Raises Cut."""
+        head = [f"{method} {path} HTTP/1.1", f"Host: {HOST['Host']}",
+                f"Content-Length: {len(body)}", "", ""]
+        data = b""
+        was_open = self.socket is not None
+        try:
+            if self.socket is None:
+                self.socket = socket.create_connection(self.address,
+                                                       TIMEOUT_S)
+            self.socket.sendall("\r\n".join(head).encode() + body)
+            while not is_whole(data):
+                piece = self.socket.recv(65536)
+                if not piece:
+                    raise ConnectionError
+                data += piece
+        except TimeoutError:
+            self.close()
+            return 0, b""
+        except OSError as error:
+            self.close()
+            if data:
+                raise Cut(data) from error
+            self.unanswered += was_open
+            return 0, b""
+        head, _, answer = data.partition(b"\r\n\r\n")
+        if b"connection: close" in head.lower():
+            self.close()
+        return int(head.split(b" ", 2)[1]), answer
+
+
+def is_whole(data):
+    head, end, body = data.partition(b"\r\n\r\n")
+    if not end:
+        return False
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return len(body) >= int(line.split(b":")[1])
+    raise ValueError(f"an answer without a length: {head}")
+
+
+class Book:
+    """What callers know of their jobs."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.accepted = {}  # job: whether it lasts
+        self.accepted_at = {}
+        self.refused = set()
+        self.unknown = set()
+        self.cancelled = set()
+        self.breaches = []
+
+    def take_answer(self, job, lasts, status):
+        with self.lock:
+            if status == 200:
+                self.accepted[job] = lasts
+                self.accepted_at[job] = time.monotonic()
+            elif status in (429, 503):
+                self.refused.add(job)
+            else:
+                self.unknown.add(job)
+
+    def alive(self):
+        """Jobs that last and were not cancelled."""
+        with self.lock:
+            return [job for job, lasts in self.accepted.items()
+                    if lasts and job not in self.cancelled]
+
+    def any_accepted(self, chance):
+        with self.lock:
+            return chance.choice(list(self.accepted)) if self.accepted \
+                else None
+
+    def cancel(self, job):
+        """Before it is asked for: from then on it may end."""
+        with self.lock:
+            self.cancelled.add(job)
+
+
+class Caller:
+    """One caller with a connection to each entry; it pauses for PAUSE_S after
+    each job."""
+
+    def __init__(self, site, faults, book, name, pause_s):
+        self.site = site
+        self.faults = faults
+        self.book = book
+        self.pause_s = pause_s
+        self.random = random.Random(name)
+        self.connections = {entry: Connection(front) for entry, (front, _)
+                            in site.entries.items()}
+
+    def unanswered(self):
+        return sum(connection.unanswered
+                   for connection in self.connections.values())
+
+    def call(self, method, path, body=b""):
+        entry = self.random.choice(list(self.connections))
+        began = time.monotonic()
+        try:
+            return self.connections[entry].call(method, path, body)
+        except Cut as cut:
+            if self.faults.troubled.get(entry, 0.0) < began:
+                self.book.breaches.append(
+                    f"{entry} cut an answer off after {cut.args[0]}")
+            return 0, b""
+
+    def submit(self):
+        job = f"{self.random.getrandbits(64):016x}"
+        lasts = (len(self.book.alive()) < LASTING_MAX
+                 and self.random.random() < 0.15)
+        steps, spec = (LASTING, "lasts") if lasts else (STEPS, "work")
+        body = json.dumps({"spec": spec, "steps": steps}).encode()
+        doubtful = False
+        status = 0
+        for _ in range(3):
+            status, _ = self.call("POST", "/q/" + job, body)
+            if status not in (0, 504):
+                break
+            doubtful = True
+        # A refusal is of this try; one before may have been carried out.
+        self.book.take_answer(job, lasts, 0 if doubtful and status != 200
+                              else status)
+
+    def cancel(self):
+        job = self.book.any_accepted(self.random)
+        if job is not None:
+            self.book.cancel(job)
+            self.call("DELETE", "/q/" + job)
+
+    def ask(self):
+        job = self.book.any_accepted(self.random)
+        if job is None:
+            return
+        asked_at = time.monotonic()
+        status, _ = self.call("GET", "/q/" + job)
+        if status == 410 and asked_at - self.book.accepted_at[job] > KNOWN_S:
+            self.book.breaches.append(f"{job} was accepted and is unknown")
+
+    def run(self, until):
+        while time.monotonic() < until:
+            self.submit()
+            self.ask()
+            if self.random.random() < 0.05:
+                self.cancel()
+            time.sleep(self.pause_s)
+        for connection in self.connections.values():
+            connection.close()
--- /dev/null
+++ b/tools/soak_checks.py
@@ -0,0 +1,87 @@
+"""Checks of the soak: what was accepted ends, what was refused does not run,
+and tasks that last are at work again soon."""
+
+import threading
+import time
+
+from platform_site import until
+
+SETTLE_S = 40
+LOOK_S = 0.05
+# Tasks that last are at work again within this when nothing unplanned goes on.
+LASTING_S = 6.0
+LASTING_COUNT = 2
+
+
+class LastingWatch:
+    """Watches the tasks that last, in a thread."""
+
+    def __init__(self, site, faults, book):
+        self.site = site
+        self.faults = faults
+        self.book = book
+        self.short_since = {}  # job: since when tasks are missing
+        self.worst_s = 0.0
+        self.breaches = {}
+        self.ended = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        while not self.ended.wait(LOOK_S):
+            now = time.monotonic()
+            for job in self.book.alive():
+                self.look(job, now)
+
+    def look(self, job, now):
+        if len(self.site.judge.at_work(job)) == LASTING_COUNT:
+            self.short_since.pop(job, None)
+            return
+        since = self.short_since.setdefault(job, now)
+        if now < self.faults.unplanned_until:
+            self.short_since[job] = now
+            return
+        self.worst_s = max(self.worst_s, now - since)
+        if now - since > LASTING_S and job not in self.breaches:
+            self.breaches[job] = (f"{job} lasts and was not at work for "
+                                  f"{LASTING_S} s")
+            self.faults.note(self.breaches[job])
+
+    def end(self):
+        self.ended.set()
+        self.thread.join()
+
+
+def check_ends(site, book):
+    """Breaches by jobs that do not come to their ends, once all faults are
+    over."""
+    breaches = []
+    entry = next(iter(site.entries))
+    deadline = time.monotonic() + SETTLE_S
+    for job, lasts in book.accepted.items():
+        left = max(deadline - time.monotonic(), 1.0)
+        try:
+            until(lambda j=job, k=lasts: has_ended(site, book, entry, j, k),
+                  timeout_s=left, what=job)
+        except TimeoutError:
+            breaches.append(
+                f"{job} (lasts: {lasts}, cancelled: "
+                f"{job in book.cancelled}) is {site.state(entry, job)}, "
+                f"{len(site.judge.at_work(job))} at work")
+    return breaches
+
+
+def has_ended(site, book, entry, job, lasts):
+    state = site.state(entry, job)
+    at_work = len(site.judge.at_work(job))
+    if job in book.cancelled and state == "cancelled":
+        return at_work == 0
+    if lasts:
+        return (job in book.cancelled or state == "running") \
+            and at_work == LASTING_COUNT
+    return state == "completed"
+
+
+def check_refused(site, book):
+    return [f"{job} was refused and has run" for job in book.refused
+            if any(task.startswith(job) for task in site.judge.starts)]
--- /dev/null
+++ b/tools/soak_faults.py
@@ -0,0 +1,397 @@
+"""Faults of the soak: each begins one at the site and puts its end off.
+
+Planned ones (stops, reloads, documents, workers that come and leave) and what
+other writers send must not be felt; the others may cost time.
+"""
+
+import copy
+import json
+import random
+import signal
+import subprocess
+import threading
+import time
+
+from links import FROM_TARGET, TO_TARGET
+from other_writers import (RecordWriter, foreign_heartbeats,
+                           malformed_heartbeats)
+from platform_site import DOCUMENT, GRACE_S, request
+
+# So long after the end of an unplanned fault it may still be felt: the leases
+# of executors that nobody reaches run out, and work is started elsewhere.
+AFTERMATH_S = 16.0
+HEARTBEAT = "/api/Instances.Heartbeat/"
+
+
+class Faults:
+    """Faults at SITE, of the kinds that are not in WITHOUT."""
+
+    def __init__(self, site, seed, profile, without, workers):
+        self.site = site
+        self.random = random.Random(f"faults {seed}")
+        self.workers = workers  # as many at the start
+        self.began = time.monotonic()
+        self.lock = threading.Lock()
+        self.notes = []
+        self.breaches = []
+        self.threads = []
+        self.leaving = set()  # processes whose end has begun
+        self.troubled = {}  # process: when it last had an unplanned fault
+        self.unplanned_until = 0.0
+        self.added = workers
+        self.document = copy.deepcopy(DOCUMENT)
+        self.records = RecordWriter(site.store, site.judge, seed)
+        kinds = {"planned": self.planned(), "mixed": self.planned()
+                 + self.unplanned()}[profile]
+        self.kinds = [kind for kind in kinds
+                      if not any(word in kind.__name__ for word in without)]
+
+    def planned(self):
+        return [self.stop_one, self.stop_series, self.reload_series,
+                self.documents, self.worker_leaves, self.worker_comes,
+                self.writers_records, self.writers_heartbeats,
+                self.writers_rows]
+
+    def unplanned(self):
+        return [self.kill_one, self.kill_series, self.pause_one,
+                self.pause_series, self.store_down, self.store_refuses,
+                self.store_loses, self.store_forgets, self.executor_crash,
+                self.executor_late, self.links_reset, self.links_silent,
+                self.links_slow, self.links_cut]
+
+    def begin_any(self):
+        self.random.choice(self.kinds)()
+
+    def note(self, text):
+        with self.lock:
+            self.notes.append(f"{time.monotonic() - self.began:8.2f} {text}")
+
+    def trouble(self, duration_s, names=()):
+        """Something unplanned goes on for DURATION_S, at processes NAMES."""
+        now = time.monotonic()
+        with self.lock:
+            self.unplanned_until = max(self.unplanned_until,
+                                       now + duration_s + AFTERMATH_S)
+            for name in names:
+                self.troubled[name] = now + duration_s
+
+    def in_background(self, action, *arguments):
+        thread = threading.Thread(target=action, args=arguments, daemon=True)
+        thread.start()
+        self.threads.append(thread)
+
+    def later(self, seconds, action, *arguments):
+        def wait():
+            time.sleep(seconds)
+            action(*arguments)
+        self.in_background(wait)
+
+    def join(self):
+        """Wait until all faults that have begun are over."""
+        while self.threads:
+            self.threads.pop().join()
+
+    # Processes.
+
+    def processes(self):
+        return [name for name in list(self.site.processes)
+                if name not in self.leaving]
+
+    def any_process(self):
+        return self.random.choice(self.processes())
+
+    def take(self, name):
+        """Nobody else ends NAME from now on, if it is not being ended."""
+        with self.lock:
+            if name in self.leaving or name not in self.site.processes:
+                return None
+            self.leaving.add(name)
+            return self.site.processes[name]
+
+    def start_again(self, name, pause_s):
+        time.sleep(pause_s)
+        self.site.processes[name].start()
+        self.leaving.discard(name)
+
+    def kill(self, name, pause_s):
+        process = self.take(name)
+        if process is None:
+            return
+        self.note(f"kill {name}")
+        self.trouble(pause_s, [name])
+        process.kill()
+        self.start_again(name, pause_s)
+
+    def stop(self, name, pause_s):
+        """SIGTERM, and SIGKILL to a process that stays on."""
+        process = self.take(name)
+        if process is None:
+            return
+        self.note(f"stop {name}")
+        if self.leaving.issuperset(self.site.entries):
+            self.trouble(GRACE_S + pause_s)  # nobody is left to lead
+        began = time.monotonic()
+        process.signal(signal.SIGTERM)
+        try:
+            process.wait(GRACE_S)
+        except subprocess.TimeoutExpired:
+            if self.troubled.get(name, 0.0) < began:
+                self.breaches.append(f"{name} did not end in {GRACE_S} s")
+            self.trouble(0, [name])
+            process.kill()
+        self.start_again(name, pause_s)
+
+    def pause(self, name, pause_s):
+        process = self.site.processes.get(name)
+        if process is None:
+            return
+        self.note(f"pause {name} {pause_s:.1f} s")
+        self.trouble(pause_s, [name])
+        process.signal(signal.SIGSTOP)
+        time.sleep(pause_s)
+        process.signal(signal.SIGCONT)
+
+    def reload(self, name):
+        process = self.site.processes.get(name)
+        if process is not None and name not in self.leaving:
+            self.note(f"reload {name}")
+            process.signal(signal.SIGHUP)
+
+    def kill_one(self):
+        self.in_background(self.kill, self.any_process(),
+                           self.random.uniform(0.1, 3))
+
+    def stop_one(self):
+        self.in_background(self.stop, self.any_process(),
+                           self.random.uniform(0, 2))
+
+    def pause_one(self):
+        self.in_background(self.pause, self.any_process(),
+                           self.random.uniform(0.2, 8))
+
+    def series(self, action, pauses_s):
+        """ACTION at several processes of one role, one after the other."""
+        names = self.processes()
+        entries = [name for name in names if name in self.site.entries]
+        guards = [name for name in names if name not in self.site.entries]
+        chosen = self.random.choice([entries, guards, names])
+        size = self.random.randint(min(2, len(chosen)), min(6, len(chosen)))
+        gap = self.random.uniform(0.0, 1.5)
+        for i, name in enumerate(self.random.sample(chosen, size)):
+            pause = [self.random.uniform(*pauses_s)] if pauses_s else []
+            self.later(i * gap, action, name, *pause)
+
+    def kill_series(self):
+        self.series(self.kill, (0.1, 3))
+
+    def stop_series(self):
+        self.series(self.stop, (0, 2))
+
+    def pause_series(self):
+        self.series(self.pause, (0.2, 4))
+
+    def reload_series(self):
+        self.series(self.reload, None)
+
+    def documents(self):
+        """Versions quickly one after the other; the queue in use stays."""
+        size, gap = self.random.randint(3, 30), self.random.uniform(0, 0.1)
+        self.note(f"{size} documents")
+        steps = [self.random.randint(1, 5) for _ in range(size)]
+
+        def storm():
+            for step in steps:
+                with self.lock:
+                    self.change_document(step)
+                time.sleep(gap)
+        self.in_background(storm)
+
+    def change_document(self, step):
+        document = self.document
+        document["version"] += step
+        routes = document["routes"]
+        if len(routes) > 1 and document["version"] % 2:
+            del routes[1]
+        else:
+            name = f"r{document['version']}"
+            routes.append({**routes[0], "name": name,
+                           "pathPrefix": f"/{name}/"})
+        self.site.store.put("keyed.op", "config",
+                            json.dumps(document).encode())
+
+    # Workers.
+
+    def worker_leaves(self):
+        names = [name for name in list(self.site.executors)
+                 if name not in self.leaving]
+        if len(names) <= max(2, self.workers - 2):
+            return
+        name = self.random.choice(names)
+        drain_s = self.random.uniform(0.5, 3)
+        if self.take(name) is None:
+            return
+        self.note(f"{name} leaves, drains {drain_s:.1f} s")
+        self.in_background(self.site.retire, name, drain_s,
+                           self.random.uniform(0, 1))
+
+    def worker_comes(self):
+        if len(self.site.executors) > self.workers + 2:
+            return
+        self.added += 1
+        self.note(f"w{self.added} comes")
+        self.site.add_worker(f"w{self.added}", self.random.getrandbits(32))
+
+    def any_executor(self):
+        return self.random.choice(list(self.site.executors.items()))
+
+    def executor_crash(self):
+        name, executor = self.any_executor()
+        if name in self.leaving:
+            return
+        dark_s = self.random.choice([0, 0, 2, 7])
+        self.note(f"crash {executor.name}, dark {dark_s} s")
+        self.trouble(dark_s)
+        self.in_background(executor.crash, dark_s)
+
+    def executor_late(self):
+        _, executor = self.any_executor()
+        seconds = self.random.uniform(1, 6)
+        self.note(f"late {executor.name} {seconds:.1f} s")
+        self.trouble(seconds + 8)
+        executor.late, executor.late_s = 0.4, 8
+
+        def prompt():
+            executor.late = 0.0
+        self.later(seconds, prompt)
+
+    # Other writers.
+
+    def writers_records(self):
+        size, gap = self.random.randint(1, 10), self.random.uniform(0, 0.3)
+        self.note(f"{size} foreign records")
+
+        def write():
+            for _ in range(size):
+                self.records.write()
+                time.sleep(gap)
+        self.in_background(write)
+
+    def writers_heartbeats(self):
+        name, executor = self.any_executor()
+        beat = executor.heartbeat(0)
+        cases = self.random.sample(
+            [(executor.id, body) for _, body in malformed_heartbeats(beat)]
+            + [(who, body) for _, who, body
+               in foreign_heartbeats(beat, executor.id)], 5)
+        self.note(f"foreign heartbeats to {name}")
+
+        def send():
+            for who, body in cases:
+                request(self.site.controls[name], "POST", HEARTBEAT + who,
+                        body, timeout_s=1)
+        self.in_background(send)
+
+    def writers_rows(self):
+        name, executor = self.any_executor()
+        self.note(f"malformed rows of {name}")
+        executor.bad_rows = True
+
+        def good():
+            executor.bad_rows = False
+        self.later(self.random.uniform(0.3, 3), good)
+
+    # The store.
+
+    def store_down(self):
+        how, seconds = (self.random.choice(["busy", "silent"]),
+                        self.random.uniform(0.5, 9))
+        self.note(f"store {how} {seconds:.1f} s")
+        self.trouble(seconds)
+        self.site.store.down = how
+
+        def up():
+            self.site.store.down = None
+        self.later(seconds, up)
+
+    def store_refuses(self):
+        doors = list(self.site.doors.values())
+        seconds = self.random.uniform(1, 9)
+        self.note(f"store refuses some {seconds:.1f} s")
+        self.trouble(seconds)
+        self.site.store.refused = set(self.random.sample(doors,
+                                                         len(doors) // 2))
+
+        def all_again():
+            self.site.store.refused = set()
+        self.later(seconds, all_again)
+
+    def store_loses(self):
+        self.note("answers lost")
+        self.trouble(0)
+        self.site.store.lost = self.random.randrange(1, 8)
+
+    def store_forgets(self):
+        self.note("history forgotten")
+        self.trouble(0)
+        for topic in list(self.site.store.topics):
+            self.site.store.forget(topic)
+
+    # Links.
+
+    def some_links(self):
+        """One link, or all of one process, or all of one kind."""
+        names = list(self.site.links)
+        word = self.random.choice(self.random.choice(names).split())
+        if self.random.random() < 0.4:
+            return [self.random.choice(names)]
+        return [name for name in names if word in name.split()]
+
+    def links_reset(self):
+        names = self.some_links()
+        self.note(f"reset {names}")
+        self.trouble(0)
+        for name in names:
+            self.site.links[name].reset()
+
+    def links_silent(self):
+        names = self.some_links()
+        self.note(f"silence {names}")
+        self.trouble(0)
+        for name in names:
+            self.site.links[name].silence()
+
+    def links_slow(self):
+        names, delay = self.some_links(), self.random.uniform(0.02, 0.3)
+        self.note(f"delay {delay:.2f} {names}")
+        seconds = self.random.uniform(1, 6)
+        self.trouble(seconds)
+        for name in names:
+            self.site.links[name].delay_s = delay
+        self.later(seconds, self.heal, names)
+
+    def links_cut(self):
+        names = self.some_links()
+        ways = self.random.choice([(TO_TARGET,), (FROM_TARGET,),
+                                   (TO_TARGET, FROM_TARGET)])
+        seconds = self.random.uniform(0.5, 8)
+        self.note(f"cut {ways} {names} {seconds:.1f} s")
+        self.trouble(seconds)
+        for name in names:
+            self.site.links[name].hold(ways)
+        self.later(seconds, self.heal, names)
+
+    def heal(self, names):
+        for name in names:
+            self.site.links[name].heal()
+
+    def end_all(self):
+        """Wait for the ends of all faults, and see that all processes run."""
+        self.join()
+        self.site.store.down, self.site.store.refused = None, set()
+        self.site.store.lost = 0
+        self.heal(list(self.site.links))
+        for process in list(self.site.processes.values()):
+            process.signal(signal.SIGCONT)
+            if process.popen.poll() is not None:
+                self.breaches.append(f"{process.name} has ended by itself")
+                process.start()
