--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -28,18 +28,32 @@
         host, port = address.rsplit(":", 1)
         self.address = (host, int(port))
         self.socket = None
-        self.unanswered = 0  # calls on an open connection that then closed
+        self.unanswered = 0  # calls on an open connection that closed then
 
     def close(self):
         if self.socket is not None:
             self.socket.close()
         self.socket = None
 
+    def forget_closed(self):
+        """Close a connection that the other side has closed."""
+        if self.socket is None:
+            return
+        self.socket.setblocking(False)
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+            self.close()
+        except BlockingIOError:
+            self.socket.settimeout(TIMEOUT_S)
+        except OSError:
+            self.close()
+
     def call(self, method, path, body=b""):
         """Status and body; status 0 when no answer comes.  Raises Cut."""
         head = [f"{method} {path} HTTP/1.1", f"Host: {HOST['Host']}",
                 f"Content-Length: {len(body)}", "", ""]
         data = b""
+        self.forget_closed()
         was_open = self.socket is not None
         try:
             if self.socket is None:
