--- /dev/null
+++ b/src/jobs/grants.c
@@ -0,0 +1,224 @@
+/* Until when leaders before this one may have given leases.  */
+
+#include "jobs/grants.h"
+
+#include <string.h>
+
+/* A leader that was heard of.  Kept for good: there are as many as entries. */
+typedef struct
+{
+  gp_list_t link;
+  char *node; /* owned */
+  uint64_t incarnation;
+  uint64_t announced; /* the newest process that is known there */
+  uint64_t offset;    /* of its last record */
+  gp_time_t until;    /* it may give leases until then ... */
+  gp_time_t fresh; /* ... and to guards that have started since until then */
+} gp_former_leader_t;
+
+void
+gp_grants_init (gp_grants_t *grants)
+{
+  *grants = (gp_grants_t){ .next = 0 };
+  gp_list_init (&grants->formers);
+}
+
+void
+gp_grants_finish (gp_grants_t *grants)
+{
+  GP_LIST_FOREACH_SAFE (link, &grants->formers)
+  {
+    gp_former_leader_t *former
+        = GP_CONTAINER_OF (link, gp_former_leader_t, link);
+
+    g_free (former->node);
+    g_free (former);
+  }
+  gp_list_init (&grants->formers);
+}
+
+static gp_former_leader_t *
+find (gp_grants_t *grants, const char *node)
+{
+  GP_LIST_FOREACH (link, &grants->formers)
+  {
+    gp_former_leader_t *former
+        = GP_CONTAINER_OF (link, gp_former_leader_t, link);
+
+    if (strcmp (former->node, node) == 0)
+      return former;
+  }
+  return NULL;
+}
+
+static gp_former_leader_t *
+find_or_add (gp_grants_t *grants, const char *node)
+{
+  gp_former_leader_t *former = find (grants, node);
+
+  if (former != NULL)
+    return former;
+  former = g_new0 (gp_former_leader_t, 1);
+  former->node = g_strdup (node);
+  gp_list_push_back (&grants->formers, &former->link);
+  return former;
+}
+
+static void
+end_term (gp_former_leader_t *former, gp_time_t now)
+{
+  former->until = MIN (former->until, now);
+  former->fresh = MIN (former->fresh, now);
+}
+
+void
+gp_grants_read (gp_grants_t *grants, uint64_t offset, gp_time_t now)
+{
+  /* Records that are kept for good come in any order, without those that they
+     replace.  */
+  if (offset > MAX (grants->next, grants->told))
+    {
+      grants->gap = true;
+      grants->unread_until = now + GP_GRANTS_TERM_TIME;
+      grants->unread_fresh = now + GP_GRANTS_FRESH_TIME;
+    }
+  grants->next = offset + 1;
+}
+
+static void
+hear (gp_grants_t *grants, const char *node, uint64_t incarnation,
+      gp_time_t until, gp_time_t fresh, gp_time_t now)
+{
+  gp_former_leader_t *former = find_or_add (grants, node);
+
+  former->incarnation = incarnation;
+  former->until = until;
+  former->fresh = fresh;
+  /* The topics are read side by side: the process after it may be known
+     before its last record.  */
+  if (incarnation < former->announced)
+    end_term (former, now);
+}
+
+/* Take over what RECORD tells, as leaders before it were missed.  */
+static void
+take_told (gp_grants_t *grants, const Gp__Jobs__Leadership *record,
+           gp_time_t now)
+{
+  GP_LIST_FOREACH (link, &grants->formers)
+  end_term (GP_CONTAINER_OF (link, gp_former_leader_t, link), now);
+  for (size_t i = 0; i < record->n_formers; i++)
+    {
+      const Gp__Jobs__Former *former = record->formers[i];
+
+      hear (grants, former->node, former->incarnation,
+            now + (gp_time_t)former->until_ms * GP_MSEC,
+            now + (gp_time_t)former->fresh_ms * GP_MSEC, now);
+    }
+  grants->unread_until = now + (gp_time_t)record->unread_ms * GP_MSEC;
+  grants->unread_fresh = now + (gp_time_t)record->unread_fresh_ms * GP_MSEC;
+  grants->gap = false;
+}
+
+void
+gp_grants_heard (gp_grants_t *grants, const Gp__Jobs__Leadership *record,
+                 uint64_t offset, gp_time_t now)
+{
+  if (grants->gap && record->tells_formers)
+    take_told (grants, record, now);
+  grants->told = MAX (grants->told, offset + 1);
+  hear (grants, record->node, record->incarnation, now + GP_GRANTS_TERM_TIME,
+        now + GP_GRANTS_FRESH_TIME, now);
+  find (grants, record->node)->offset = offset;
+  if (record->resigned)
+    gp_grants_ended (grants, record->node, now);
+}
+
+/* Rounded up: a term must not be told too short.  */
+static uint32_t
+milliseconds_left (gp_time_t until, gp_time_t now)
+{
+  return (uint32_t)((MAX (until - now, 0) + GP_MSEC - 1) / GP_MSEC);
+}
+
+void
+gp_grants_tell (const gp_grants_t *grants, Gp__Jobs__Leadership *record,
+                gp_time_t now)
+{
+  GPtrArray *formers = g_ptr_array_new ();
+
+  GP_LIST_FOREACH (link, &grants->formers)
+  {
+    const gp_former_leader_t *known
+        = GP_CONTAINER_OF (link, gp_former_leader_t, link);
+    Gp__Jobs__Former *former;
+
+    if (known->until <= now)
+      continue;
+    former = g_new (Gp__Jobs__Former, 1);
+    gp__jobs__former__init (former);
+    former->node = known->node;
+    former->incarnation = known->incarnation;
+    former->until_ms = milliseconds_left (known->until, now);
+    former->fresh_ms = milliseconds_left (known->fresh, now);
+    g_ptr_array_add (formers, former);
+  }
+  record->n_formers = formers->len;
+  record->formers = (Gp__Jobs__Former **)g_ptr_array_free (formers, FALSE);
+  record->tells_formers = true;
+  record->unread_ms = milliseconds_left (grants->unread_until, now);
+  record->unread_fresh_ms = milliseconds_left (grants->unread_fresh, now);
+}
+
+void
+gp_grants_clear_told (Gp__Jobs__Leadership *record)
+{
+  for (size_t i = 0; i < record->n_formers; i++)
+    g_free (record->formers[i]);
+  g_clear_pointer (&record->formers, g_free);
+  record->n_formers = 0;
+}
+
+void
+gp_grants_ended (gp_grants_t *grants, const char *node, gp_time_t now)
+{
+  gp_former_leader_t *former = find (grants, node);
+
+  if (former != NULL)
+    end_term (former, now);
+}
+
+void
+gp_grants_announced (gp_grants_t *grants, const char *node,
+                     uint64_t incarnation, uint64_t ceased, gp_time_t now)
+{
+  gp_former_leader_t *former = find_or_add (grants, node);
+
+  former->announced = MAX (former->announced, incarnation);
+  if (incarnation < former->incarnation)
+    return;
+  if (incarnation > former->incarnation || former->offset < ceased)
+    end_term (former, now);
+}
+
+gp_time_t
+gp_grants_end (const gp_grants_t *grants, bool obeyed)
+{
+  gp_time_t end = obeyed ? grants->unread_fresh : grants->unread_until;
+
+  GP_LIST_FOREACH (link, &grants->formers)
+  {
+    const gp_former_leader_t *former
+        = GP_CONTAINER_OF (link, gp_former_leader_t, link);
+
+    end = MAX (end, obeyed ? former->fresh : former->until);
+  }
+  return end;
+}
+
+bool
+gp_grants_trusted (gp_time_t began_at, gp_time_t lead_age, gp_time_t now)
+{
+  return now >= began_at + GP_GRANTS_TERM_TIME
+         || lead_age <= GP_GRANTS_FRESH_TIME;
+}
--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -129,7 +129,7 @@
     def retire(self, name, drain_s=1.0, longer_s=0.5):
         """The worker NAME leaves as planned: its executor drains and ends,
         then the guard on its VM is stopped, both for good."""
-        self.executors[name].leave(drain_s, longer_s)
+        self.executors[name].drain(drain_s, longer_s)
         del self.executors[name]
         guard = self.processes.pop(name)
         guard.signal(signal.SIGTERM)
--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -45,8 +45,8 @@
 
 
 class Executor:
-    """One VM's executor; `crash` ends its life and begins another, `leave`
-    ends it for good as planned.  Faults: `late` (share of orders that get no
+    """One VM's executor; `crash` ends its life and begins another, `drain`
+    and `leave` end it for good.  Faults: `late` (share of orders that get no
     answer and are carried out later), `late_s` (how much later at the most),
     `fails` (every run fails), `bad_rows` (each list has a malformed row beside
     the good ones)."""
@@ -114,20 +114,27 @@
         self.server.shutdown()
         self.server.server_close()
 
-    def leave(self, drain_s, longer_s):
+    def leave(self, goodbye):
+        """End for good, and all that runs here with it; with GOODBYE the
+        guard is told as the last thing."""
+        with self.lock:
+            self.closed = True
+            self.lose_all()
+            self.life += 1
+        self.close()
+        if goodbye:
+            self.post("/api/Instances.Deregister/" + self.id, "{}")
+
+    def drain(self, drain_s, longer_s):
         """Report `draining`, serve for DRAIN_S after this is acknowledged and
-        for LONGER_S more, say goodbye and end."""
+        for LONGER_S more, and leave."""
         with self.lock:
             self.drain_s = drain_s
             self.drained_at = float("inf")
         if self.drain_known.wait(UNACKNOWLEDGED_S):
             self.drained_at = time.monotonic() + drain_s
             time.sleep(drain_s + longer_s)
-        self.post("/api/Instances.Deregister/" + self.id, "{}")
-        with self.lock:
-            self.closed = True
-            self.lose_all()
-        self.close()
+        self.leave(goodbye=True)
 
     def end(self, task, how, listed=True):
         run = self.runs.pop(task)
@@ -208,6 +215,8 @@
             client.close()
 
     def handle(self, method, path, query, headers, body):
+        if self.closed:
+            return None
         if self.dark:
             time.sleep(1.0)
             return None
