--- a/tests/scripts/writers.py
+++ b/tests/scripts/writers.py
@@ -58,7 +58,7 @@
     def all_beats(self):
         while True:
             for worker, executor in list(self.site.executors.items()):
-                beat = executor.heartbeat(0)
+                beat = executor.beat_body(0)
                 for _, body in malformed_heartbeats(beat):
                     yield worker, executor.id, body
                 for _, name, body in foreign_heartbeats(beat, executor.id):
@@ -91,7 +91,7 @@
     with site_of(build) as site:
         site.submit_lasting("e1", JOB_A)
         workers = list(site.executors.items())
-        beats = [malformed_heartbeats(executor.heartbeat(0))
+        beats = [malformed_heartbeats(executor.beat_body(0))
                  for _, executor in workers]
         for cases in zip(*beats):
             answers = {post(site, worker, executor.id, body)
@@ -107,11 +107,11 @@
     with site_of(build) as site:
         site.submit_lasting("e1", JOB_A)
         for worker, executor in site.executors.items():
-            beat = executor.heartbeat(0)
+            beat = executor.beat_body(0)
             for _, name, body in foreign_heartbeats(beat, executor.id):
                 post(site, worker, name, body)
         worker, executor = next(iter(site.executors.items()))
-        body = json.dumps(executor.heartbeat(10 ** 9))
+        body = json.dumps(executor.beat_body(10 ** 9))
         for name, wrong in IDS.items():
             print(f"  id {name}: {post(site, worker, wrong, body)}")
         time.sleep(1.0)  # what was taken in would have had its effect
--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -181,24 +181,28 @@
         if draining and status == 200:
             self.drain_known.set()
 
-    def heartbeat(self, sequence):
+    def beat_body(self, sequence):
         """The fields of a heartbeat."""
-        beat = {"service": "work", "address": self.address, "zone": "z",
-                "version": "v1", "slots": 8, "state": "ready",
-                "coldRemainingMs": 0,
-                "capacity": {"cpu": self.cores * 1000,
-                             "memMb": self.cores * 1024, "gpu": 0},
-                "labels": ["a", "r1"], "clockMs": self.clock(),
-                "seq": sequence}
-        if self.drained_at is not None:
-            left = min(self.drain_s, self.drained_at - time.monotonic())
-            beat["state"] = "draining"
-            beat["remainingMs"] = int(max(0.0, left) * 1000)
-        return beat
+        with self.lock:
+            beat = {"service": "work", "address": self.address, "zone": "z",
+                    "version": "v1", "slots": 8, "state": "ready",
+                    "coldRemainingMs": 0,
+                    "capacity": {"cpu": self.cores * 1000,
+                                 "memMb": self.cores * 1024, "gpu": 0},
+                    "labels": ["a", "r1"], "clockMs": self.clock(),
+                    "seq": sequence}
+            if self.drained_at is not None:
+                left = min(self.drain_s, self.drained_at - time.monotonic())
+                beat["state"] = "draining"
+                beat["remainingMs"] = int(max(0.0, left) * 1000)
+            return beat
 
     def post_beat(self, executor, sequence):
-        with self.lock:
-            body = json.dumps(self.heartbeat(sequence))
+        """Returns the status of the answer, 0 when none came."""
+        return self.post_body(executor, json.dumps(self.beat_body(sequence)))
+
+    def post_body(self, executor, body):
+        """The same with any BODY."""
         return self.post("/api/Instances.Heartbeat/" + executor, body)
 
     def post(self, path, body):
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -278,7 +278,7 @@
 
     def writers_heartbeats(self):
         name, executor = self.any_executor()
-        beat = executor.heartbeat(0)
+        beat = executor.beat_body(0)
         cases = self.random.sample(
             [(executor.id, body) for _, body in malformed_heartbeats(beat)]
             + [(who, body) for _, who, body
