--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -20,6 +20,9 @@
 # So long after the end of an unplanned fault it may still be felt: the leases
 # of executors that nobody reaches run out, and work is started elsewhere.
 AFTERMATH_S = 16.0
+# A process that has just been started is left alone: until it has set up its
+# handlers, any signal ends it.
+STARTUP_S = 0.5
 
 
 class Faults:
@@ -34,7 +37,7 @@
         self.notes = []
         self.breaches = []
         self.threads = []
-        self.leaving = set()  # processes whose end has begun
+        self.leaving = set()  # processes that end or start
         self.troubled = {}  # process: when it last had an unplanned fault
         self.unplanned_until = 0.0
         self.added = workers
@@ -110,6 +113,10 @@
     def start_again(self, name, pause_s):
         time.sleep(pause_s)
         self.site.processes[name].start()
+        self.let_start(name)
+
+    def let_start(self, name):
+        time.sleep(STARTUP_S)
         self.leaving.discard(name)
 
     def kill(self, name, pause_s):
@@ -237,8 +244,11 @@
         if len(self.site.executors) > self.workers + 2:
             return
         self.added += 1
-        self.note(f"w{self.added} comes")
-        self.site.add_worker(f"w{self.added}", self.random.getrandbits(32))
+        name = f"w{self.added}"
+        self.note(f"{name} comes")
+        self.leaving.add(name)
+        self.site.add_worker(name, self.random.getrandbits(32))
+        self.in_background(self.let_start, name)
 
     def any_executor(self):
         return self.random.choice(list(self.site.executors.items()))
