--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -39,6 +39,8 @@
   gp_farewell_t farewell;
   gp_timer_t leave; /* it stops then at the latest */
   bool stopping;
+  gp_time_t ended_at; /* the last report before the executor's end left */
+  bool end_known;     /* a leader has acknowledged one after it */
   gp_time_t report_sent_at; /* the last report left */
   gp_announcer_t announcer;
   gp_deferred_t act; /* make the calls that are due */
@@ -46,6 +48,8 @@
   bool listing;
   gp_time_t unrecorded_since; /* ends wait for their record since, or 0 */
   uint64_t beat_sequence;     /* of the executor's last heartbeat */
+  unsigned other_service;     /* heartbeats in a row that give it another */
+  unsigned introductions;     /* executors that are being identified */
 } gp_job_guard_t;
 
 bool gp_job_guard_init (gp_job_guard_t *guard,
--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -49,7 +49,9 @@
     and `leave` end it for good.  Faults: `late` (share of orders that get no
     answer and are carried out later), `late_s` (how much later at the most),
     `fails` (every run fails), `bad_rows` (each list has a malformed row beside
-    the good ones)."""
+    the good ones), `garbles` (its list has a run whose number is a text, and
+    a bad end), `unreadable_ends` (the next N ends are listed in a form that
+    has no meaning, for good)."""
 
     def __init__(self, judge, name, address, guard, cores=16, seed=1):
         self.judge = judge
@@ -63,6 +65,8 @@
         self.late_s = 1.0
         self.fails = False
         self.bad_rows = False
+        self.garbles = False
+        self.unreadable_ends = 0
         self.dark = False
         self.drain_s = 0.0
         self.drained_at = None  # while it drains: when that may end
@@ -142,6 +146,10 @@
         self.judge.end(self.id, task, run["run"], how, run["lasts"])
         if listed:
             self.count += 1
+            if self.unreadable_ends > 0:
+                self.unreadable_ends -= 1
+                how = "vanished"
+                self.judge.void(task)
             self.ended.append([self.count, task, run["run"], how, ""])
             self.lock.notify_all()
 
@@ -299,7 +307,11 @@
             return None
         running = [[task, run["run"], "", 100, 100]
                    for task, run in self.runs.items()]
-        ended = self.ended[:500]
+        ended = [list(row) for row in self.ended[:500]]
+        if self.garbles:
+            for row in running[:1]:
+                row[1] = str(row[1])
+            ended.append([0, "", -1, "vanished", 7])
         if self.bad_rows:
             self.add_bad_row(running, ended)
         return self.answer(200, running=running, ended=ended)
