--- a/tests/scripts/gone.py
+++ b/tests/scripts/gone.py
@@ -22,8 +22,7 @@
 import sys
 import time
 
-from platform import JOB_A, LASTING, site_of, verdict
-from platform_site import until
+from platform_site import JOB_A, LASTING, site_of, until, verdict
 
 # A goodbye needs no lease to run out (5.25 s); without one, leases given up
 # to the end count, and not those of former leaders on top (13.25 s).
