Leader: records of another writer end no lead; a submission that was cut is none

A submission cut off behind its steps ran under no queue's policy.

Change: after a conflict the leader reads what stands there; when it is nobody's who leads, it appends behind, and writes down again what was overwritten. A submission needs its time of acceptance, its last field.

--- a/src/jobs/records.c
+++ b/src/jobs/records.c
@@ -375,7 +375,13 @@
     return fail_unknown (error);
   record->kind = GP_RECORD_SUBMISSION;
   record->u.submission = gp_record_submission (value, value_size, error);
-  return record->u.submission != NULL;
+  if (record->u.submission == NULL)
+    return false;
+  /* Its last field: without it the record was cut off behind its steps, which
+     would be run under the policy of no queue.  */
+  if (record->u.submission->accepted_wall_ms == 0)
+    return gp_field_fail (error, "accepted_wall_ms", "missing");
+  return true;
 }
 
 /* The kind of a record of progress by its key.  */
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -190,7 +190,61 @@
   return own;
 }
 
-/* After a conflict that may be with our own append: what stands there?  */
+static void append (gp_leader_t *leader);
+static void check_append (gp_leader_t *leader);
+
+/* Has another process appended that it leads?  A record of it that cannot be
+   read may say so.  */
+static bool
+has_other_leader (const gp_platform_store_answer_t *answer)
+{
+  for (size_t i = 0; i < answer->count; i++)
+    if (gp_platform_store_record_is (&answer->records[i], GP_LEADER_KEY))
+      return true;
+  return false;
+}
+
+/* Another writer has put RECORD in place of what is kept under its key: that
+   is written down again, for entries that start later.  */
+static void
+mend_record (gp_leader_t *leader, const gp_platform_store_record_t *record)
+{
+  char *key = g_strndup (record->key, record->key_size);
+  gp_job_t *job = gp_book_find (leader->book, key);
+
+  if (job != NULL)
+    gp_scheduler_rewrite (&leader->scheduler, job);
+  else if (g_str_has_prefix (key, GP_PLACE_PREFIX))
+    {
+      const char *node = key + strlen (GP_PLACE_PREFIX);
+      char *executor = g_strdup (g_hash_table_lookup (leader->places, node));
+
+      if (executor != NULL)
+        gp_leader_add_place (leader, node, executor);
+      g_free (executor);
+    }
+  g_free (key);
+}
+
+/* Records that are nobody's who leads have come between: another writer's.
+   They end no lead; the append is made again behind them.  One at the place
+   before can't succeed any more.  */
+static void
+append_behind (gp_leader_t *leader, const gp_platform_store_answer_t *answer)
+{
+  gp_log (GP_LOG_WARNING, "append.passed", GP_LOG_I ("records", answer->count),
+          GP_LOG_I ("at", leader->position));
+  for (size_t i = 0; i < answer->count; i++)
+    mend_record (leader, &answer->records[i]);
+  leader->position += answer->count;
+  leader->doubtful = false;
+  if (leader->position < answer->end)
+    check_append (leader);
+  else
+    append (leader);
+}
+
+/* After a conflict: what stands there?  It may be our own append.  */
 static void
 on_checked (const gp_platform_store_answer_t *answer, void *data)
 {
@@ -208,10 +262,13 @@
       gp_timer_arm (&leader->retry, now_of (leader) + APPEND_RETRY_TIME);
       return;
     }
-  if (answer->count > last && is_own_record (leader, &answer->records[last]))
+  if (leader->doubtful && answer->count > last
+      && is_own_record (leader, &answer->records[last]))
     batch_done (leader, leader->position, leader->batch_sent_at);
-  else
+  else if (answer->count == 0 || has_other_leader (answer))
     depose (leader, "another has appended");
+  else
+    append_behind (leader, answer);
 }
 
 static void
@@ -234,10 +291,10 @@
       batch_done (leader, answer->offset, answer->sent_at);
       return;
     case GP_PLATFORM_STORE_CONFLICT:
-      if (leader->doubtful)
-        check_append (leader);
-      else
+      if (leader->role == GP_LEADER_CLAIMING && !leader->doubtful)
         depose (leader, "another has appended");
+      else
+        check_append (leader);
       return;
     case GP_PLATFORM_STORE_UNKNOWN:
       leader->doubtful = true;
