Refusals: one count of repeats for records, frames and the wire

The rule of lines at the 1st, 10th, 100th refusal stood in jobsd/refusals and platform/refusals alike; it is base/repeats now. Keys of records beyond the bound count as one, as those of the wire did.

--- a/src/jobsd/refusals.c
+++ b/src/jobsd/refusals.c
@@ -8,8 +8,7 @@
 #include "base/error.h"
 #include "base/log.h"
 
-/* Keys and senders that are told apart; refusals of further ones are only
-   counted.  */
+/* Keys and senders that are told apart.  */
 #define COUNTS_MAX 1000
 /* Bytes of a key that are shown: a line has to fit into a write that is never
    cut.  */
@@ -33,8 +32,7 @@
 void
 gp_refusals_init (gp_refusals_t *refusals)
 {
-  refusals->counts
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gp_repeats_init (&refusals->repeats, COUNTS_MAX);
   gp_counter_register (&undecodable_count);
   gp_counter_register (&invalid_count);
   gp_counter_register (&unknown_count);
@@ -47,33 +45,19 @@
 void
 gp_refusals_finish (gp_refusals_t *refusals)
 {
-  g_hash_table_destroy (refusals->counts);
-}
-
-static bool
-is_power_of_ten (guint count)
-{
-  while (count % 10 == 0)
-    count /= 10;
-  return count == 1;
+  gp_repeats_finish (&refusals->repeats);
 }
 
 /* Count one more refusal of WHAT at ORIGIN.  The number, or 0 when there is
    to be no line.  */
-static guint
+static uint64_t
 count_up (gp_refusals_t *refusals, const char *what, const char *origin)
 {
   char *key = g_strdup_printf ("%s %s", what, origin);
-  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (refusals->counts, key));
+  uint64_t count = gp_repeats_note (&refusals->repeats, key);
 
-  if (count == 0 && g_hash_table_size (refusals->counts) >= COUNTS_MAX)
-    {
-      g_free (key);
-      return 0;
-    }
-  count++;
-  g_hash_table_replace (refusals->counts, key, GUINT_TO_POINTER (count));
-  return is_power_of_ten (count) ? count : 0;
+  g_free (key);
+  return count;
 }
 
 static void
@@ -145,7 +129,7 @@
                     const gp_platform_store_record_t *origin,
                     const GError *why)
 {
-  guint count = count_up (refusals, topic, record->subject);
+  uint64_t count = count_up (refusals, topic, record->subject);
   char *subject;
 
   count_record (why);
@@ -164,7 +148,7 @@
 gp_refusals_record_row (gp_refusals_t *refusals, const gp_record_t *record,
                         const GError *why)
 {
-  guint count = count_up (refusals, "row", record->subject);
+  uint64_t count = count_up (refusals, "row", record->subject);
 
   gp_counter_add (&record_rows_count, 1);
   if (count > 0)
@@ -188,7 +172,7 @@
                    const GError *why)
 {
   char *host = host_of (address);
-  guint count = count_up (refusals, "frame", host);
+  uint64_t count = count_up (refusals, "frame", host);
 
   g_free (host);
   if (g_error_matches (why, GP_STATE_ERROR, GP_STATE_ERROR_CORRUPT))
@@ -205,7 +189,7 @@
                        const GError *why)
 {
   char *host = host_of (address);
-  guint count = count_up (refusals, "frame row", host);
+  uint64_t count = count_up (refusals, "frame row", host);
 
   g_free (host);
   gp_counter_add (&frame_rows_count, 1);
--- a/src/jobsd/refusals.h
+++ b/src/jobsd/refusals.h
@@ -9,12 +9,13 @@
 
 #include <glib.h>
 
+#include "base/repeats.h"
 #include "jobs/records.h"
 #include "platform/store.h"
 
 typedef struct
 {
-  GHashTable *counts; /* key or sender to the number of its refusals */
+  gp_repeats_t repeats; /* by key or sender */
 } gp_refusals_t;
 
 void gp_refusals_init (gp_refusals_t *refusals);
