--- a/tools/site_processes.py
+++ b/tools/site_processes.py
@@ -443,6 +443,8 @@
             self.await_targets_of(entry, count)
 
     def facts(self, name):
-        """Lines of the ledger of a stand-in."""
+        """Lines of the ledger of a stand-in.  One that is still being
+        written is no line yet."""
         with open(self.ledger(name), encoding="utf-8") as ledger:
-            return [json.loads(line) for line in ledger if line.strip()]
+            return [json.loads(line) for line in ledger
+                    if line.endswith("\n") and line.strip()]
