--- a/tests/unit/test_transport_stop.c
+++ b/tests/unit/test_transport_stop.c
@@ -18,6 +18,8 @@
   "POST /echo HTTP/1.1\r\nhost: a\r\n"                                        \
   "content-length: 2\r\n\r\n"
 #define BODY "ab"
+#define CHUNKED_HEAD                                                          \
+  "POST /echo HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 
 typedef struct
 {
@@ -155,10 +157,10 @@
   teardown (&fixture);
 }
 
-/* A head that was read is a request, also before the first byte of its body
-   and on a connection that served others.  */
+/* The first part of a request is read, then the server stops, then the
+   caller sends the rest.  */
 static void
-test_head_read (void)
+check_begun (const char *begin, const char *rest)
 {
   fixture_t fixture;
   int fd;
@@ -166,17 +168,30 @@
   setup (&fixture);
   fd = connect_to (&fixture);
   use_once (&fixture, fd);
-  offer (fd, HEAD);
+  offer (fd, begin);
   run_turns (&fixture.loop, TURNS);
   stop (&fixture);
   run_turns (&fixture.loop, TURNS);
   CU_ASSERT_FALSE (fixture.shut_down);
-  offer (fd, BODY);
+  offer (fd, rest);
   expect_last_answer (&fixture, fd);
   CU_ASSERT_TRUE (run_until (&fixture.loop, &fixture.shut_down));
   teardown (&fixture);
 }
 
+/* What was read of a request is a request, also before the first byte of its
+   body, between two chunks, and on a connection that served others.  */
+static void
+test_begun (void)
+{
+  check_begun ("POST /ec", "ho HTTP/1.1\r\nhost: a\r\n"
+                           "content-length: 2\r\n\r\n" BODY);
+  check_begun (HEAD, BODY);
+  check_begun (HEAD "a", "b");
+  check_begun (CHUNKED_HEAD, "2\r\n" BODY "\r\n0\r\n\r\n");
+  check_begun (CHUNKED_HEAD "1\r\na\r\n", "1\r\nb\r\n0\r\n\r\n");
+}
+
 /* A connection that served a request, and one that never had any, are
    closed; neither holds the stop up for good.  */
 static void
@@ -261,7 +276,7 @@
   static CU_TestInfo tests[]
       = { { "not accepted yet", test_not_accepted },
           { "accepted, nothing sent", test_accepted },
-          { "head read", test_head_read },
+          { "begun", test_begun },
           { "idle", test_idle },
           { "late connect", test_late_connect },
           { "retire within an answer", test_retire_begun_answer },
