Scripted runs: one set-up of a site, one way of taking a VM away

records.py had a copy of platform_site's site_of and its jobs; drained and silent in gone.py shared seven lines. No check, bound or expected output changes.

--- a/tests/scripts/gone.py
+++ b/tests/scripts/gone.py
@@ -82,18 +82,24 @@
     until(lambda: at_work(site), what="at work")
 
 
+def taken_away(site, goodbye):
+    """After a change of the leader the executor of a busy worker ends, with a
+    goodbye or without, and its VM is stopped; returns when it ended."""
+    lasting(site)
+    leader = change_leader(site)
+    name = busy_worker(site)
+    obeyed(site, name, leader)
+    site.executors[name].leave(goodbye=goodbye)
+    ended = time.monotonic()
+    site.processes[name].signal(signal.SIGTERM)
+    return ended
+
+
 def drained(build):
     print("after a change of the leader an executor says goodbye, "
           "and its VM is stopped")
     with started(build) as site:
-        lasting(site)
-        leader = change_leader(site)
-        name = busy_worker(site)
-        obeyed(site, name, leader)
-        site.executors[name].leave(goodbye=True)
-        ended = time.monotonic()
-        site.processes[name].signal(signal.SIGTERM)
-        back(site, BY_GOODBYE_S, ended)
+        back(site, BY_GOODBYE_S, taken_away(site, goodbye=True))
         verdict(site)
 
 
@@ -101,14 +107,7 @@
     print("after a change of the leader an executor ends without a word, "
           "and its VM is stopped")
     with started(build) as site:
-        lasting(site)
-        leader = change_leader(site)
-        name = busy_worker(site)
-        obeyed(site, name, leader)
-        site.executors[name].leave(goodbye=False)
-        ended = time.monotonic()
-        site.processes[name].signal(signal.SIGTERM)
-        back(site, BY_LEASE_S, ended)
+        back(site, BY_LEASE_S, taken_away(site, goodbye=False))
         said_so(site)
         verdict(site)
 
--- a/tests/scripts/records.py
+++ b/tests/scripts/records.py
@@ -4,14 +4,10 @@
 import socket
 import struct
 import sys
-import tempfile
 
-from platform_site import PlatformSite, until
+from platform_site import (JOB_A, JOB_B, JOB_C, LASTING, STEPS, site_of,
+                           until)
 
-JOB_A, JOB_B, JOB_C = "00000000000000aa", "00000000000000bb", "0" * 15 + "c"
-STEPS = [{"count": 4, "cpu": 1000, "memMb": 10, "estimateMs": 300},
-         {"count": 2, "cpu": 1000, "memMb": 10, "after": [0]}]
-LASTING = [{"count": 3, "cpu": 1000, "memMb": 10, "longRunning": True}]
 JSON = b'{"service":"work","state":"gone","seq":"x"}'
 CUT = b"\x0a\x20abc"
 
@@ -41,22 +37,6 @@
     return number(1, 1) + b"".join(text(3, row) for row in rows)
 
 
-@contextlib.contextmanager
-def site_of(build, **more):
-    with tempfile.TemporaryDirectory() as folder:
-        site = PlatformSite(build, folder, **more)
-        try:
-            site.ready()
-            yield site
-        except Exception:
-            for name, process in site.processes.items():
-                print(f"--- {name}\n{process.log()[-6000:]}",
-                      file=sys.stderr)
-            raise
-        finally:
-            site.close()
-
-
 def lasting_job(site):
     site.submit("e1", JOB_A, LASTING, spec="lasts")
     until(lambda: len(site.judge.at_work(JOB_A)) == 3, what="at work")
