Specifications go to a guard once; bytes are counted by purpose

Cause: each start carried the job's specification (up to 4 KB). Change: a start names its job; the specification goes with the first start to a guard, from the leader to one guard in 33 and from that guard to the others (guards have wide links). Who could not get it says so in its report and gets it from the leader. New counters traffic_*_bytes_total and a line traffic.moved each ten seconds tell what fills a link. Ruled out: reading specifications from the store (calls, starts stop with it), compressing each connection (256 KB of state for each of 300 guards), asking other entries (30 KB/s on each thin link in place of one).

--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -56,6 +56,7 @@
   agent->runs
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_run);
   agent->ends = g_ptr_array_new_with_free_func (free_end);
+  gp_spec_store_init (&agent->specs);
   agent->granted = INT64_MIN / 2;
   agent->lease = INT64_MIN / 2;
   agent->retry_time = RETRY_TIME;
@@ -93,6 +94,7 @@
 {
   drop_executor (agent);
   g_hash_table_destroy (agent->runs);
+  gp_spec_store_finish (&agent->specs);
   g_ptr_array_unref (agent->ends);
   gp_pacer_finish (&agent->pacer);
   g_array_unref (agent->gone);
--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -31,6 +31,7 @@
 
 #include "jobs/job.h"
 #include "jobs/pacer.h"
+#include "jobs/spec_store.h"
 
 /* Duration of an executor's lease.  Long enough to outlive a guard that is
    killed or frozen for 4 s; short enough that work on a VM that is gone for
@@ -97,6 +98,7 @@
 {
   gp_agent_call_kind_t kind;
   gp_agent_run_t *run; /* valid during the call only */
+  const GBytes *spec;  /* the same, for a start */
   int64_t lease_ms;    /* on the executor's clock, for a start */
   uint32_t percent;    /* for a pace */
 } gp_agent_call_t;
@@ -137,6 +139,7 @@
 {
   Gp__Jobs__Executor *executor; /* owned, NULL: none known */
   GHashTable *runs;             /* name to gp_agent_run_t, owned */
+  gp_spec_store_t specs;        /* kept when the executor changes */
   GPtrArray *ends;              /* Gp__Jobs__End, owned, not yet on record */
   uint64_t seen_ends;           /* on record */
   uint64_t listed_ends;         /* the highest number taken in */
@@ -223,6 +226,10 @@
 void gp_agent_list_refused (gp_agent_t *agent, gp_agent_result_t result,
                             int64_t clock_ms, gp_time_t now);
 
+/* Add to JOBS the ids, owned, of the jobs whose specification is to be asked
+   of the leader.  */
+void gp_agent_lacking (const gp_agent_t *agent, GPtrArray *jobs);
+
 /* Has the executor answered a call lately?  */
 bool gp_agent_answers (const gp_agent_t *agent, gp_time_t now);
 
--- a/src/jobs/agent_calls.c
+++ b/src/jobs/agent_calls.c
@@ -2,6 +2,8 @@
 
 #include "jobs/agent_private.h"
 
+#include <string.h>
+
 #include "base/log.h"
 
 /* How long after a call went unanswered it may still be carried out: 12 s on
@@ -23,13 +25,21 @@
              || now >= run->pace_again);
 }
 
+static bool
+can_start (gp_agent_t *agent, const gp_agent_run_t *run, gp_time_t now)
+{
+  return run->start != NULL
+         && gp_spec_store_of_task (&agent->specs, run->name, now) != NULL;
+}
+
 static gp_agent_call_kind_t
 call_for (gp_agent_t *agent, const gp_agent_run_t *run, gp_time_t now)
 {
   switch (run->phase)
     {
     case GP_RUN_STARTING:
-      return run->start != NULL ? GP_AGENT_CALL_START : GP_AGENT_CALL_NONE;
+      return can_start (agent, run, now) ? GP_AGENT_CALL_START
+                                         : GP_AGENT_CALL_NONE;
     case GP_RUN_STOPPING:
       return GP_AGENT_CALL_STOP;
     case GP_RUN_PRESENT:
@@ -72,7 +82,7 @@
 gp_agent_call_t
 gp_agent_next_call (gp_agent_t *agent, gp_time_t now, gp_time_t *again_at)
 {
-  gp_agent_call_t best = { GP_AGENT_CALL_NONE, NULL, 0, 0 };
+  gp_agent_call_t best = { .kind = GP_AGENT_CALL_NONE };
   GHashTableIter iter;
   gpointer value;
 
@@ -95,17 +105,46 @@
       if (run->retry_at > now)
         *again_at = MIN (*again_at, run->retry_at);
       else if (rank (kind) > rank (best.kind))
-        best = (gp_agent_call_t){ kind, run, 0, 0 };
+        best = (gp_agent_call_t){ .kind = kind, .run = run };
     }
   if (best.run == NULL)
     return best;
   best.run->in_flight = true;
   best.lease_ms = gp_agent_lease_on_clock (agent);
+  if (best.kind == GP_AGENT_CALL_START)
+    best.spec = gp_spec_store_of_task (&agent->specs, best.run->name, now);
   if (best.kind == GP_AGENT_CALL_PACE)
     best.percent = gp_agent_wanted_pace (agent, best.run);
   return best;
 }
 
+/* Add the job of TASK to JOBS, once.  */
+static void
+add_job_of (GPtrArray *jobs, const char *task)
+{
+  for (guint i = 0; i < jobs->len; i++)
+    if (strncmp (g_ptr_array_index (jobs, i), task, GP_JOB_ID_SIZE) == 0)
+      return;
+  g_ptr_array_add (jobs, g_strndup (task, GP_JOB_ID_SIZE));
+}
+
+void
+gp_agent_lacking (const gp_agent_t *agent, GPtrArray *jobs)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+
+      if (run->phase == GP_RUN_STARTING && run->start != NULL
+          && gp_spec_store_lacks (&agent->specs, run->name))
+        add_job_of (jobs, run->name);
+    }
+}
+
 static void
 start_answered (gp_agent_t *agent, gp_agent_run_t *run,
                 gp_agent_result_t result, gp_time_t now)
--- a/src/jobs/frames.c
+++ b/src/jobs/frames.c
@@ -6,6 +6,9 @@
 #include "jobs/fields.h"
 #include "jobs/job.h"
 #include "jobs/records.h"
+#include "jobs/spec_store.h"
+
+#include <string.h>
 
 /* Reports of one turn of the loop get times of their own, a microsecond apart,
    and so run ahead of the clock.  */
@@ -124,7 +127,6 @@
 {
   return gp_field_task (start->task, "task", error)
          && gp_field_range (start->run, 1, UINT32_MAX, "run", error)
-         && gp_field_text (&start->spec, GP_FIELD_SPEC_MAX, "spec", error)
          && gp_field_text (&start->checkpoint, GP_FIELD_CHECKPOINT_MAX,
                            "checkpoint", error)
          && gp_field_name_or_empty (start->image, "image", error);
@@ -142,6 +144,39 @@
   return true;
 }
 
+static bool
+check_job (const char *job, GError **error)
+{
+  if (!gp_job_id_valid (job, strlen (job)))
+    return gp_field_fail (error, "job", "not the id of a job");
+  return true;
+}
+
+/* Where it is held, or the bytes that the digest stands for.  */
+static bool
+check_source (const Gp__Jobs__Spec *spec, GError **error)
+{
+  if (!spec->held)
+    return gp_field_address (spec->holder, "holder", error);
+  if (!gp_field_text (&spec->bytes, GP_FIELD_SPEC_MAX, "bytes", error))
+    return false;
+  if (gp_spec_digest (spec->bytes.data, spec->bytes.len) != spec->digest)
+    return gp_field_fail (error, "digest", "of other bytes");
+  return true;
+}
+
+static bool
+check_specs (Gp__Jobs__Spec *const *specs, size_t count, GError **error)
+{
+  for (size_t i = 0; i < count; i++)
+    if (!check_job (specs[i]->job, error) || !check_source (specs[i], error))
+      {
+        g_prefix_error (error, "specs[%zu].", i);
+        return false;
+      }
+  return true;
+}
+
 /* The leader names only runs that it has numbered itself.  */
 static bool
 check_runs (Gp__Jobs__TaskRun *const *runs, size_t count, const char *place,
@@ -173,11 +208,19 @@
 {
   return gp_field_name (orders->executor, "orders.executor", error)
          && check_starts (orders->starts, orders->n_starts, error)
+         && check_specs (orders->specs, orders->n_specs, error)
          && check_runs (orders->stops, orders->n_stops, "stops", error)
          && check_runs (orders->forget, orders->n_forget, "forget", error);
 }
 
-/* What the guard says.  */
+/* What guards say.  */
+
+static bool
+check_answer (const Gp__Jobs__Spec *spec, GError **error)
+{
+  return check_job (spec->job, error)
+         && (!spec->held || check_source (spec, error));
+}
 
 static bool
 check_executor (const Gp__Jobs__Executor *executor, GError **error)
@@ -200,6 +243,12 @@
     return false;
   if (report->executor != NULL && !check_executor (report->executor, error))
     return false;
+  for (size_t i = 0; i < report->n_lacking; i++)
+    if (!check_job (report->lacking[i], error))
+      {
+        g_prefix_error (error, "report.lacking[%zu].", i);
+        return false;
+      }
   sift (report->ends, &report->n_ends, check_end, "ends", refused);
   sift (report->absent, &report->n_absent, check_absent, "absent", refused);
   sift (report->servings, &report->n_servings, check_serving, "servings",
@@ -225,6 +274,10 @@
       return check_sync (frame->sync, now, error);
     case GP__JOBS__FRAME__MESSAGE_ORDERS:
       return check_orders (frame->orders, error);
+    case GP__JOBS__FRAME__MESSAGE_WANT_SPEC:
+      return check_job (frame->want_spec->job, error);
+    case GP__JOBS__FRAME__MESSAGE_SPEC:
+      return check_answer (frame->spec, error);
     case GP__JOBS__FRAME__MESSAGE__NOT_SET:
     case _GP__JOBS__FRAME__MESSAGE__CASE_IS_INT_SIZE:
       break;
--- /dev/null
+++ b/src/jobs/spec_store.c
@@ -0,0 +1,236 @@
+/* The specifications of jobs that a guard holds.  */
+
+#include "jobs/spec_store.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "jobs/job.h"
+
+/* A holder answers within two round trips, some ten milliseconds; one that was
+   told of the specification at the same moment may have to wait for it
+   itself, behind what else its leader sends.  */
+#define HOLDER_TIME (400 * GP_MSEC)
+
+uint64_t
+gp_spec_digest (const uint8_t *bytes, size_t size)
+{
+  return XXH3_64bits (bytes, size);
+}
+
+static void
+free_spec (gpointer data)
+{
+  gp_spec_t *spec = data;
+
+  g_free (spec->job);
+  g_free (spec->holder);
+  if (spec->bytes != NULL)
+    g_bytes_unref (spec->bytes);
+  g_free (spec);
+}
+
+void
+gp_spec_store_init (gp_spec_store_t *store)
+{
+  store->specs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_spec);
+  store->size = 0;
+}
+
+void
+gp_spec_store_finish (gp_spec_store_t *store)
+{
+  g_hash_table_destroy (store->specs);
+}
+
+static void
+drop (gp_spec_store_t *store, gp_spec_t *spec)
+{
+  if (spec->bytes != NULL)
+    store->size -= g_bytes_get_size (spec->bytes);
+  g_hash_table_remove (store->specs, spec->job);
+}
+
+static gp_spec_t *
+find_oldest (const gp_spec_store_t *store)
+{
+  gp_spec_t *oldest = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, store->specs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_spec_t *spec = value;
+
+      if (spec->bytes != NULL
+          && (oldest == NULL || spec->used_at < oldest->used_at))
+        oldest = spec;
+    }
+  return oldest;
+}
+
+static gp_spec_t *
+add (gp_spec_store_t *store, const char *job, uint64_t digest, gp_time_t now)
+{
+  gp_spec_t *spec = g_hash_table_lookup (store->specs, job);
+
+  if (spec != NULL)
+    drop (store, spec);
+  spec = g_new0 (gp_spec_t, 1);
+  spec->job = g_strdup (job);
+  spec->digest = digest;
+  spec->used_at = now;
+  spec->await_end = GP_TIME_NEVER;
+  g_hash_table_insert (store->specs, spec->job, spec);
+  return spec;
+}
+
+static void
+hold (gp_spec_store_t *store, gp_spec_t *spec,
+      const ProtobufCBinaryData *bytes, gp_time_t now)
+{
+  while (store->size + bytes->len > GP_SPEC_STORE_MAX && store->size > 0)
+    drop (store, find_oldest (store));
+  spec->bytes = g_bytes_new (bytes->data, bytes->len);
+  spec->used_at = now;
+  spec->await_end = GP_TIME_NEVER;
+  g_clear_pointer (&spec->holder, g_free);
+  store->size += bytes->len;
+}
+
+bool
+gp_spec_store_tell (gp_spec_store_t *store, const Gp__Jobs__Spec *told,
+                    gp_time_t now)
+{
+  gp_spec_t *spec = g_hash_table_lookup (store->specs, told->job);
+
+  if (spec != NULL && spec->digest == told->digest && spec->bytes != NULL)
+    return false;
+  spec = add (store, told->job, told->digest, now);
+  if (told->held)
+    {
+      hold (store, spec, &told->bytes, now);
+      return false;
+    }
+  spec->holder = g_strdup (told->holder);
+  spec->await_end = now + HOLDER_TIME;
+  return true;
+}
+
+/* The leader is to be asked from now on.  */
+static void
+give_holder_up (gp_spec_t *spec)
+{
+  g_clear_pointer (&spec->holder, g_free);
+  spec->await_end = GP_TIME_NEVER;
+}
+
+bool
+gp_spec_store_take (gp_spec_store_t *store, const Gp__Jobs__Spec *told,
+                    gp_time_t now)
+{
+  gp_spec_t *spec = g_hash_table_lookup (store->specs, told->job);
+
+  if (spec == NULL || spec->bytes != NULL)
+    return true;
+  if (!told->held
+      || gp_spec_digest (told->bytes.data, told->bytes.len) != spec->digest)
+    {
+      give_holder_up (spec);
+      return false;
+    }
+  hold (store, spec, &told->bytes, now);
+  return true;
+}
+
+bool
+gp_spec_store_lost (gp_spec_store_t *store, const char *holder)
+{
+  bool any = false;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, store->specs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_spec_t *spec = value;
+
+      if (spec->bytes != NULL || g_strcmp0 (spec->holder, holder) != 0)
+        continue;
+      give_holder_up (spec);
+      any = true;
+    }
+  return any;
+}
+
+bool
+gp_spec_store_expire (gp_spec_store_t *store, gp_time_t now)
+{
+  bool any = false;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, store->specs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_spec_t *spec = value;
+
+      if (spec->await_end > now)
+        continue;
+      give_holder_up (spec);
+      any = true;
+    }
+  return any;
+}
+
+gp_time_t
+gp_spec_store_next_expiry (const gp_spec_store_t *store)
+{
+  gp_time_t next = GP_TIME_NEVER;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, store->specs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    next = MIN (next, ((const gp_spec_t *)value)->await_end);
+  return next;
+}
+
+static gp_spec_t *
+find_of_task (const gp_spec_store_t *store, const char *task)
+{
+  char job[GP_JOB_ID_SIZE + 1];
+
+  g_strlcpy (job, task, sizeof job);
+  return g_hash_table_lookup (store->specs, job);
+}
+
+const GBytes *
+gp_spec_store_of_task (gp_spec_store_t *store, const char *task, gp_time_t now)
+{
+  gp_spec_t *spec = find_of_task (store, task);
+
+  if (spec == NULL || spec->bytes == NULL)
+    return NULL;
+  spec->used_at = now;
+  return spec->bytes;
+}
+
+GBytes *
+gp_spec_store_find (const gp_spec_store_t *store, const char *job,
+                    uint64_t digest)
+{
+  const gp_spec_t *spec = g_hash_table_lookup (store->specs, job);
+
+  return spec != NULL && spec->digest == digest ? spec->bytes : NULL;
+}
+
+bool
+gp_spec_store_lacks (const gp_spec_store_t *store, const char *task)
+{
+  const gp_spec_t *spec = find_of_task (store, task);
+
+  return spec == NULL || (spec->bytes == NULL && spec->holder == NULL);
+}
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -27,6 +27,9 @@
 static gp_counter_t leading_gauge
     = GP_GAUGE ("leading", "1 while this process leads");
 
+static gp_traffic_t callers_traffic
+    = GP_TRAFFIC ("callers", "requests of callers and their answers");
+
 /* Fold a record that was decoded, NULL and ERROR when it does not fit what is
    known.  */
 static gp_job_t *
@@ -256,19 +259,39 @@
 }
 
 static gp_http_server_t *
-open_server (gp_job_entry_t *entry, const char *address,
+open_server (gp_job_entry_t *entry, const char *address, gp_traffic_t *traffic,
              void (*on_call) (gp_http_exchange_t *exchange, void *data),
              GError **error)
 {
   const gp_http_server_options_t options = { .address = address,
                                              .max_body_size = BODY_MAX,
                                              .header_timeout = HEADER_TIME,
+                                             .traffic = traffic,
                                              .on_request = on_call,
                                              .data = entry };
 
   return gp_http_server_new (&entry->loop, &options, error);
 }
 
+static bool
+open_servers (gp_job_entry_t *entry, GError **error)
+{
+  const gp_platform_settings_t *settings = entry->settings;
+
+  gp_traffic_register (&callers_traffic);
+  entry->callers = open_server (entry, settings->front, &callers_traffic,
+                                on_request, error);
+  if (entry->callers == NULL)
+    return false;
+  entry->ready
+      = open_server (entry, settings->ready, NULL, on_ready_request, error);
+  if (entry->ready == NULL)
+    return false;
+  entry->metrics = open_server (entry, settings->metrics, NULL,
+                                gp_metrics_request, error);
+  return entry->metrics != NULL;
+}
+
 /* Life.  */
 
 static void
@@ -331,6 +354,8 @@
   if (entry->store == NULL)
     return false;
   gp_way_init (&entry->way, &entry->loop, entry->store);
+  gp_link_register ();
+  gp_traffic_reporter_init (&entry->traffic, &entry->loop);
   init_feeds (entry);
   gp_leader_init (&entry->leader, &entry->loop, entry->store, &entry->book,
                   settings->node, on_deposed, entry);
@@ -341,15 +366,7 @@
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
                           settings->store, error))
     return false;
-  entry->callers = open_server (entry, settings->front, on_request, error);
-  entry->ready = entry->callers != NULL ? open_server (entry, settings->ready,
-                                                       on_ready_request, error)
-                                        : NULL;
-  entry->metrics
-      = entry->ready != NULL
-            ? open_server (entry, settings->metrics, gp_metrics_request, error)
-            : NULL;
-  if (entry->metrics == NULL)
+  if (!open_servers (entry, error))
     return false;
   gp_log (GP_LOG_INFO, "process.start", GP_LOG_S ("zone", settings->zone),
           GP_LOG_S ("front", settings->front),
@@ -374,6 +391,7 @@
 gp_job_entry_finish (gp_job_entry_t *entry)
 {
   gp_jobs_front_finish (&entry->front);
+  gp_traffic_reporter_finish (&entry->traffic);
   gp_janitor_finish (&entry->janitor);
   gp_feed_finish (&entry->documents);
   gp_feed_finish (&entry->jobs);
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -12,6 +12,7 @@
 #include "jobsd/jobs_front.h"
 #include "jobsd/leader.h"
 #include "jobsd/relay.h"
+#include "jobsd/traffic_reporter.h"
 #include "jobsd/way.h"
 #include "platform/settings.h"
 
@@ -35,6 +36,7 @@
   gp_jobs_front_t front;
   gp_leader_t leader;
   gp_janitor_t janitor;
+  gp_traffic_reporter_t traffic;
   gp_timer_t leave; /* stopping: when callers are not served any more */
   bool stopping;
 } gp_job_entry_t;
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -152,6 +152,7 @@
           .fence = agent->fence,
           .deadline = now_of (guard) + GP_GUARD_ORDER_TIME };
   const Gp__Jobs__Start *start = call->run->start;
+  ProtobufCBinaryData spec = { 0, NULL };
 
   order->guard = guard;
   order->kind = call->kind;
@@ -165,8 +166,9 @@
     {
     case GP_AGENT_CALL_START:
       gp_counter_add (&starts_count, 1);
-      gp_platform_runtime_start (guard->runtime, &what,
-                                 start != NULL ? &start->spec : &nothing,
+      spec.data
+          = (uint8_t *)g_bytes_get_data ((GBytes *)call->spec, &spec.len);
+      gp_platform_runtime_start (guard->runtime, &what, &spec,
                                  start != NULL ? &start->checkpoint : &nothing,
                                  call->lease_ms, on_ordered, order);
       break;
@@ -377,6 +379,8 @@
     return;
   if (frame->message_case == GP__JOBS__FRAME__MESSAGE_LEAD)
     on_lead (guard, peer, frame->lead);
+  else if (frame->message_case == GP__JOBS__FRAME__MESSAGE_WANT_SPEC)
+    gp_guard_specs_asked (&guard->specs, peer, frame->want_spec);
   else if (peer == guard->leader)
     switch (frame->message_case)
       {
@@ -388,12 +392,16 @@
         gp_guard_send_report (guard);
         break;
       case GP__JOBS__FRAME__MESSAGE_ORDERS:
+        gp_guard_specs_told (&guard->specs, frame->orders->specs,
+                             frame->orders->n_specs);
         gp_agent_order (&guard->agent, frame->orders);
         note_recorded (guard);
         break;
       case GP__JOBS__FRAME__MESSAGE__NOT_SET:
       case GP__JOBS__FRAME__MESSAGE_LEAD:
       case GP__JOBS__FRAME__MESSAGE_REPORT:
+      case GP__JOBS__FRAME__MESSAGE_WANT_SPEC:
+      case GP__JOBS__FRAME__MESSAGE_SPEC:
       default:
         break;
       }
@@ -406,6 +414,7 @@
 {
   gp_job_guard_t *guard = data;
 
+  gp_guard_specs_asker_gone (&guard->specs, peer);
   if (guard->leader != peer)
     return;
   guard->leader = NULL;
@@ -413,6 +422,17 @@
           GP_LOG_S ("why", reason != NULL ? reason->message : "closed here"));
 }
 
+/* Runs can be started, or the leader has to be asked.  */
+static void
+on_spec (bool failed, void *data)
+{
+  gp_job_guard_t *guard = data;
+
+  if (failed)
+    gp_guard_send_report (guard);
+  act_soon (guard);
+}
+
 static void *
 on_accept (gp_peer_t *peer, void *data)
 {
@@ -489,6 +509,8 @@
   gp_loop_on_signal (&guard->loop, on_stop, guard);
   gp_loop_on_reload (&guard->loop, on_reload, guard);
   register_counters ();
+  gp_link_register ();
+  gp_traffic_reporter_init (&guard->traffic, &guard->loop);
   gp_refusals_init (&guard->refusals);
   gp_agent_init (&guard->agent, now_of (guard));
   gp_deferred_init (&guard->act, on_act);
@@ -496,6 +518,8 @@
   gp_timer_init (&guard->calls, &guard->loop, on_calls_due, guard);
   gp_timer_init (&guard->list, &guard->loop, on_list_due, guard);
   gp_guard_farewell_init (guard);
+  gp_guard_specs_init (&guard->specs, &guard->loop, &guard->agent.specs,
+                       &guard->refusals, on_spec, guard);
   gp_timer_init (&guard->leave, &guard->loop, on_leave_due, guard);
   guard->store = gp_platform_store_new (&guard->loop, settings->store, error);
   if (guard->store == NULL)
@@ -525,6 +549,8 @@
   gp_timer_finish (&guard->calls);
   gp_timer_finish (&guard->list);
   gp_guard_farewell_finish (guard);
+  gp_guard_specs_finish (&guard->specs);
+  gp_traffic_reporter_finish (&guard->traffic);
   gp_timer_finish (&guard->leave);
   gp_announcer_finish (&guard->announcer);
   gp_loop_finish (&guard->loop);
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -5,7 +5,9 @@
 
 #include "jobs/agent.h"
 #include "jobsd/announce.h"
+#include "jobsd/guard_specs.h"
 #include "jobsd/refusals.h"
+#include "jobsd/traffic_reporter.h"
 #include "platform/heartbeat.h"
 #include "platform/runtime.h"
 #include "platform/settings.h"
@@ -39,12 +41,14 @@
   gp_timer_t calls;  /* a call may be repeated */
   gp_timer_t list;   /* the next list is due */
   gp_farewell_t farewell;
+  gp_guard_specs_t specs;
   gp_timer_t leave; /* it stops then at the latest */
   bool stopping;
   gp_time_t ended_at; /* the last report before the executor's end left */
   bool end_known;     /* a leader has acknowledged one after it */
   gp_time_t report_sent_at; /* the last report left */
   gp_announcer_t announcer;
+  gp_traffic_reporter_t traffic;
   gp_deferred_t act; /* make the calls that are due */
   unsigned calls_open;
   bool listing;
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -108,6 +108,7 @@
   gp_time_t now = gp_loop_now (&guard->loop);
   Gp__Jobs__Report report = GP__JOBS__REPORT__INIT;
   Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+  GPtrArray *lacking;
   GArray *absent;
   GArray *servings;
   GArray *fillings;
@@ -115,6 +116,7 @@
   gp_timer_arm (&guard->report, now + REPORT_TIME);
   if (guard->leader == NULL)
     return;
+  lacking = g_ptr_array_new_with_free_func (g_free);
   absent = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   servings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Serving));
   fillings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Filling));
@@ -130,6 +132,9 @@
   report.synced = agent->synced;
   report.ends = (Gp__Jobs__End **)agent->ends->pdata;
   report.n_ends = agent->ends->len;
+  gp_agent_lacking (agent, lacking);
+  report.lacking = (char **)lacking->pdata;
+  report.n_lacking = lacking->len;
   report_runs (agent, &report, absent);
   report_measures (agent, &report, servings, fillings);
   frame.message_case = GP__JOBS__FRAME__MESSAGE_REPORT;
@@ -139,6 +144,7 @@
   g_free (report.absent);
   g_free (report.servings);
   g_free (report.fillings);
+  g_ptr_array_unref (lacking);
   g_array_free (absent, TRUE);
   g_array_free (servings, TRUE);
   g_array_free (fillings, TRUE);
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -21,6 +21,7 @@
 
 #include "jobs/grants.h"
 #include "jobs/scheduler.h"
+#include "jobs/spec_spread.h"
 #include "jobsd/feed.h"
 #include "jobsd/link.h"
 #include "jobsd/refusals.h"
@@ -55,6 +56,8 @@
   bool silent; /* the executor's lease has run out and it does not answer, or
                   it has ended */
   gp_time_t taught_at; /* the guard was told the pressures last */
+  GPtrArray *lacking;  /* ids of jobs, owned, whose specification the guard
+                          is to be sent */
   bool up;             /* it reports */
 } gp_link_t;
 
@@ -71,6 +74,7 @@
   GHashTable *places;     /* node to id of its executor, owned */
   GHashTable *disputed;   /* ids that records place on two VMs, owned: until
                              a guard reports one, its place proves nothing */
+  gp_spec_spread_t specs; /* what the guards hold */
   GPtrArray *drops;       /* ids of jobs whose progress goes, owned */
   GHashTable *new_places; /* key to record, owned: not yet written */
   gp_leader_role_t role;
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "jobs/spec_store.h"
 #include "jobsd/leader_private.h"
 #include "protocol/message.h"
 
@@ -11,6 +12,7 @@
 {
   gp_link_t *link;
   gp_peer_t *peer; /* the connection that it was made for */
+  Gp__Jobs__Frame__MessageCase kind;
   GBytes *bytes;
 } frame_t;
 
@@ -37,6 +39,7 @@
 
   frame->link = link;
   frame->peer = link->peer;
+  frame->kind = message->message_case;
   frame->bytes = gp_message_pack (&message->base);
   g_ptr_array_add (link->leader->frames, frame);
 }
@@ -49,7 +52,7 @@
       frame_t *frame = g_ptr_array_index (leader->frames, i);
 
       if (frame->peer != NULL && frame->peer == frame->link->peer)
-        gp_link_send_bytes (frame->peer, frame->bytes);
+        gp_link_send_bytes (frame->peer, frame->bytes, frame->kind);
       frame_free (frame);
     }
   g_ptr_array_set_size (leader->frames, 0);
@@ -73,7 +76,6 @@
   start->task = g_malloc (GP_TASK_NAME_SIZE);
   gp_task_name (task, start->task);
   start->run = task->run;
-  start->spec = task->job->submission->spec;
   if (task->checkpoint != NULL)
     {
       start->checkpoint.data = (uint8_t *)task->checkpoint;
@@ -167,23 +169,95 @@
     }
 }
 
+/* Add the specification of JOB, or, if HOLDER is not NULL, where it is.  */
+static void
+add_spec (GArray *specs, const gp_job_t *job, const char *holder)
+{
+  const ProtobufCBinaryData *bytes = &job->submission->spec;
+  Gp__Jobs__Spec spec = GP__JOBS__SPEC__INIT;
+
+  spec.job = (char *)job->id;
+  spec.digest = gp_spec_digest (bytes->data, bytes->len);
+  spec.held = holder == NULL;
+  if (holder != NULL)
+    spec.holder = (char *)holder;
+  else
+    spec.bytes = *bytes;
+  g_array_append_val (specs, spec);
+}
+
+/* A run of JOB goes to the guard of LINK: let it have the specification.  */
+static void
+provide_spec (gp_link_t *link, const gp_job_t *job, GArray *specs)
+{
+  gp_leader_t *leader = link->leader;
+  const gp_link_t *holder;
+  const char *name;
+
+  switch (gp_spec_spread_way (&leader->specs, job->id, link->node,
+                              gp_loop_now (leader->loop), &name))
+    {
+    case GP_SPEC_KNOWN:
+      break;
+    case GP_SPEC_FROM_LEADER:
+      add_spec (specs, job, NULL);
+      break;
+    case GP_SPEC_FROM_HOLDER:
+      holder = g_hash_table_lookup (leader->links, name);
+      add_spec (specs, job, holder->address);
+      break;
+    }
+}
+
+static void
+collect_specs (gp_link_t *link, const outbox_t *outbox, GArray *specs)
+{
+  const gp_book_t *book = link->leader->book;
+
+  for (guint i = 0; i < link->lacking->len; i++)
+    {
+      const gp_job_t *job
+          = gp_book_find (book, g_ptr_array_index (link->lacking, i));
+
+      if (job != NULL && job->submission != NULL)
+        add_spec (specs, job, NULL);
+    }
+  g_ptr_array_set_size (link->lacking, 0);
+  for (guint i = 0; outbox != NULL && i < outbox->starts->len; i++)
+    {
+      const Gp__Jobs__Start *start = g_ptr_array_index (outbox->starts, i);
+
+      provide_spec (link, gp_book_task (book, start->task)->job, specs);
+    }
+}
+
+/* OUTBOX may be NULL.  */
 static void
 make_orders (gp_link_t *link, const outbox_t *outbox)
 {
+  GArray *specs = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Spec));
   Gp__Jobs__Orders orders = GP__JOBS__ORDERS__INIT;
   Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
 
   orders.executor = link->executor->id;
-  orders.starts = (Gp__Jobs__Start **)outbox->starts->pdata;
-  orders.n_starts = outbox->starts->len;
-  orders.stops = (Gp__Jobs__TaskRun **)outbox->stops->pdata;
-  orders.n_stops = outbox->stops->len;
-  orders.forget = (Gp__Jobs__TaskRun **)outbox->forget->pdata;
-  orders.n_forget = outbox->forget->len;
-  orders.seen_ends = outbox->seen;
+  collect_specs (link, outbox, specs);
+  orders.specs = gp_link_pointers (specs);
+  orders.n_specs = specs->len;
+  if (outbox != NULL)
+    {
+      orders.starts = (Gp__Jobs__Start **)outbox->starts->pdata;
+      orders.n_starts = outbox->starts->len;
+      orders.stops = (Gp__Jobs__TaskRun **)outbox->stops->pdata;
+      orders.n_stops = outbox->stops->len;
+      orders.forget = (Gp__Jobs__TaskRun **)outbox->forget->pdata;
+      orders.n_forget = outbox->forget->len;
+      orders.seen_ends = outbox->seen;
+    }
   frame.message_case = GP__JOBS__FRAME__MESSAGE_ORDERS;
   frame.orders = &orders;
   keep_frame (link, &frame);
+  g_free (orders.specs);
+  g_array_free (specs, TRUE);
 }
 
 /* All that belongs on the executor now; made before the orders of the same
@@ -241,7 +315,7 @@
       if (link->wants_sync && !link->silent)
         make_sync (link);
       outbox = g_hash_table_lookup (outboxes, link->executor);
-      if (outbox != NULL)
+      if (outbox != NULL || link->lacking->len > 0)
         make_orders (link, outbox);
     }
   g_hash_table_destroy (outboxes);
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -120,6 +120,18 @@
   return false;
 }
 
+/* Note the jobs whose specification the guard could get nowhere else.  */
+static void
+note_lacking (gp_link_t *link, const Gp__Jobs__Report *report)
+{
+  gp_leader_t *leader = link->leader;
+
+  for (size_t i = 0; i < report->n_lacking; i++)
+    if (gp_spec_spread_lacks (&leader->specs, report->lacking[i], link->node,
+                              gp_loop_now (leader->loop)))
+      g_ptr_array_add (link->lacking, g_strdup (report->lacking[i]));
+}
+
 static void
 on_report (gp_link_t *link, const Gp__Jobs__Report *report)
 {
@@ -138,6 +150,7 @@
   acknowledge (link, report);
   link->sees_executor = report->executor != NULL;
   link->report_sent_at = report->sent_at;
+  note_lacking (link, report);
   if (!link->sees_executor)
     return;
   set_executor (link, report->executor);
@@ -174,6 +187,8 @@
   link->sees_executor = false;
   link->peer = NULL;
   link->wants_sync = true;
+  gp_spec_spread_forget_guard (&link->leader->specs, link->node);
+  g_ptr_array_set_size (link->lacking, 0);
   if (link->executor != NULL)
     link->executor->reachable = false;
 }
@@ -249,6 +264,7 @@
   gp_link_t *link = data;
 
   gp_timer_finish (&link->redial);
+  g_ptr_array_unref (link->lacking);
   g_free (link->node);
   g_free (link->address);
   g_free (link);
@@ -279,6 +295,7 @@
   gpointer value;
 
   gp_leader_drop_frames (leader);
+  gp_spec_spread_reset (&leader->specs);
   g_hash_table_iter_init (&iter, leader->links);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -301,6 +318,7 @@
       link = g_new0 (gp_link_t, 1);
       link->leader = leader;
       link->node = g_strdup (node);
+      link->lacking = g_ptr_array_new_with_free_func (g_free);
       gp_timer_init (&link->redial, leader->loop, on_redial, link);
       g_hash_table_insert (leader->links, link->node, link);
     }
--- a/src/jobsd/link.c
+++ b/src/jobsd/link.c
@@ -4,19 +4,57 @@
 
 #include "jobs/frames.h"
 #include "protocol/codec.h"
+#include "transport/traffic.h"
+
+/* Bytes of frames by kind, GP__JOBS__FRAME__MESSAGE__NOT_SET those that do
+   not decode.  */
+static gp_traffic_t traffic[] = {
+  [GP__JOBS__FRAME__MESSAGE__NOT_SET]
+  = GP_TRAFFIC ("refused_frames", "frames that were refused"),
+  [GP__JOBS__FRAME__MESSAGE_LEAD]
+  = GP_TRAFFIC ("leads", "first frames of leaders"),
+  [GP__JOBS__FRAME__MESSAGE_REPORT]
+  = GP_TRAFFIC ("reports", "reports of guards"),
+  [GP__JOBS__FRAME__MESSAGE_ACKNOWLEDGE]
+  = GP_TRAFFIC ("acknowledgements", "acknowledgements of reports"),
+  [GP__JOBS__FRAME__MESSAGE_SYNC]
+  = GP_TRAFFIC ("syncs", "all runs of an executor"),
+  [GP__JOBS__FRAME__MESSAGE_WANT_SPEC]
+  = GP_TRAFFIC ("want_specs", "guards that ask for specifications"),
+  [GP__JOBS__FRAME__MESSAGE_SPEC]
+  = GP_TRAFFIC ("specs", "specifications between guards"),
+  [GP__JOBS__FRAME__MESSAGE_ORDERS]
+  = GP_TRAFFIC ("orders", "orders to guards"),
+};
+
+void
+gp_link_register (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (traffic); i++)
+    gp_traffic_register (&traffic[i]);
+}
+
+static void
+count_sent (Gp__Jobs__Frame__MessageCase kind, size_t size)
+{
+  gp_traffic_sent (&traffic[kind], size + GP_FRAME_HEADER_SIZE);
+}
 
 bool
 gp_link_send (gp_peer_t *peer, const Gp__Jobs__Frame *frame)
 {
+  count_sent (frame->message_case, gp__jobs__frame__get_packed_size (frame));
   return gp_codec_send_message (peer, &frame->base);
 }
 
 bool
-gp_link_send_bytes (gp_peer_t *peer, GBytes *bytes)
+gp_link_send_bytes (gp_peer_t *peer, GBytes *bytes,
+                    Gp__Jobs__Frame__MessageCase kind)
 {
   gsize size;
   const uint8_t *data = g_bytes_get_data (bytes, &size);
 
+  count_sent (kind, size);
   return gp_peer_send (peer, data, size);
 }
 
@@ -39,6 +77,10 @@
   GError *row = NULL;
   Gp__Jobs__Frame *frame = gp_frame_parse (bytes, size, now, &row, &error);
 
+  gp_traffic_received (
+      &traffic[frame != NULL ? frame->message_case
+                             : GP__JOBS__FRAME__MESSAGE__NOT_SET],
+      size + GP_FRAME_HEADER_SIZE);
   if (row != NULL)
     gp_refusals_frame_row (refusals, gp_peer_address (peer), row);
   g_clear_error (&row);
--- a/src/jobsd/link.h
+++ b/src/jobsd/link.h
@@ -7,11 +7,15 @@
 #include "jobsd/refusals.h"
 #include "transport/peer.h"
 
+/* Make the bytes of frames, by kind, visible.  */
+void gp_link_register (void);
+
 /* Send FRAME.  False when the peer is closing or the frame is too long.  */
 bool gp_link_send (gp_peer_t *peer, const Gp__Jobs__Frame *frame);
 
-/* Send a frame that was packed before.  */
-bool gp_link_send_bytes (gp_peer_t *peer, GBytes *bytes);
+/* Send a frame of KIND that was packed before.  */
+bool gp_link_send_bytes (gp_peer_t *peer, GBytes *bytes,
+                         Gp__Jobs__Frame__MessageCase kind);
 
 /* Pointers to the rows of an array of messages, as a message that holds them
    wants them; to be freed with g_free.  */
--- a/src/jobsd/relay.c
+++ b/src/jobsd/relay.c
@@ -20,6 +20,11 @@
 static gp_counter_t relayed_count
     = GP_COUNTER ("store_relayed_total", "Calls of peers passed on");
 
+static gp_traffic_t peers_traffic
+    = GP_TRAFFIC ("relay_peers", "calls of peers that are passed on");
+static gp_traffic_t store_traffic
+    = GP_TRAFFIC ("relay_store", "the same, to the store");
+
 /* A call of a peer until its answer.  */
 typedef struct
 {
@@ -61,8 +66,9 @@
   gp_http_text_t body = gp_http_exchange_body (exchange);
   passing_t *passing = g_new0 (passing_t, 1);
   char *path_text = g_strndup (path.base, path.size);
-  gp_exchange_request_t request
-      = { .path = path_text, .deadline = now + RELAY_TIME };
+  gp_exchange_request_t request = { .path = path_text,
+                                    .deadline = now + RELAY_TIME,
+                                    .traffic = &store_traffic };
 
   passing->exchange = exchange;
   passing->method = g_strndup (method.base, method.size);
@@ -85,11 +91,14 @@
   const gp_http_server_options_t server = { .address = address,
                                             .max_body_size = BODY_MAX,
                                             .header_timeout = HEADER_TIME,
+                                            .traffic = &peers_traffic,
                                             .on_request = on_request,
                                             .data = relay };
 
   relay->loop = loop;
   gp_counter_register (&relayed_count);
+  gp_traffic_register (&peers_traffic);
+  gp_traffic_register (&store_traffic);
   relay->client = gp_http_client_new (loop, &client, error);
   if (relay->client == NULL)
     return false;
--- /dev/null
+++ b/src/jobsd/traffic_reporter.c
@@ -0,0 +1,32 @@
+/* Writing the bytes that moved, by purpose, to the log at regular times.  */
+
+#include "jobsd/traffic_reporter.h"
+
+#include "transport/traffic.h"
+
+/* One line in so long: what fills a link can be told from any ten seconds of
+   a log, for some forty bytes a second of it.  */
+#define REPORT_TIME (10 * GP_SEC)
+
+static void
+on_due (gp_timer_t *timer, void *data)
+{
+  gp_traffic_reporter_t *reporter = data;
+
+  gp_traffic_log ();
+  gp_timer_arm (&reporter->timer, gp_loop_now (reporter->loop) + REPORT_TIME);
+}
+
+void
+gp_traffic_reporter_init (gp_traffic_reporter_t *reporter, gp_loop_t *loop)
+{
+  reporter->loop = loop;
+  gp_timer_init (&reporter->timer, loop, on_due, reporter);
+  gp_timer_arm (&reporter->timer, gp_loop_now (loop) + REPORT_TIME);
+}
+
+void
+gp_traffic_reporter_finish (gp_traffic_reporter_t *reporter)
+{
+  gp_timer_finish (&reporter->timer);
+}
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -17,6 +17,7 @@
 #include <stddef.h>
 
 #include "transport/loop.h"
+#include "transport/traffic.h"
 
 typedef struct
 {
@@ -55,6 +56,7 @@
   gp_time_t header_timeout; /* duration for a request to arrive whole, and
                                for which an idle connection is kept */
   bool held;                /* callers are refused until gp_http_server_open */
+  gp_traffic_t *traffic;    /* bytes of requests and answers, may be NULL */
   void (*on_request) (gp_http_exchange_t *exchange, void *data);
   void *data;
 } gp_http_server_options_t;
@@ -155,7 +157,8 @@
   size_t header_count;
   const void *body; /* must stay valid until on_done */
   size_t body_size;
-  gp_time_t deadline; /* on_done with TIMEOUT at this point */
+  gp_time_t deadline;    /* on_done with TIMEOUT at this point */
+  gp_traffic_t *traffic; /* its bytes and the answer's, may be NULL */
 } gp_http_call_request_t;
 
 gp_http_client_t *gp_http_client_new (gp_loop_t *loop,
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -48,6 +48,7 @@
   bool paused;
   bool in_callback;
   bool cancelled;         /* inside a callback */
+  gp_traffic_t *traffic;  /* may be NULL */
   h2o_iovec_t request[2]; /* head and body */
   char head[];
 };
@@ -194,6 +195,7 @@
 
   if (size == 0)
     return;
+  gp_traffic_received (call->traffic, size);
   call->in_callback = true;
   call->paused = true;
   go_on = call->callbacks.on_body ((*input)->bytes, size, call->data);
@@ -294,6 +296,7 @@
   gp_http_call_t *call = h2o->data;
   bool bodiless = failure == h2o_http1client_error_is_eos;
 
+  gp_traffic_received (call->traffic, (size_t)MAX (head_size, 0));
   if (failure == NULL && !find_framing (call, headers, count))
     failure = "answer without a length";
   if (failure != NULL && !bodiless)
@@ -328,6 +331,7 @@
   setsockopt (h2o_socket_get_fd (h2o->sock), IPPROTO_TCP, TCP_NODELAY, &on,
               sizeof on);
   call->sent = true;
+  gp_traffic_sent (call->traffic, call->request[0].len + call->request[1].len);
   *buffers = call->request;
   *count = call->request[1].len > 0 ? 2 : 1;
   *is_head = call->is_head;
@@ -388,6 +392,7 @@
   call->client = client;
   call->callbacks = *callbacks;
   call->data = data;
+  call->traffic = request->traffic;
   call->is_head = strcmp (request->method, "HEAD") == 0;
   gp_deferred_init (&call->ending, on_ending);
   gp_timer_init (&call->timer, client->loop, on_deadline, call);
--- a/src/transport/http_exchange.c
+++ b/src/transport/http_exchange.c
@@ -18,6 +18,10 @@
 #include "transport/http_private.h"
 
 #define HTTP_1_1 0x101
+/* Bytes of an answer's head, about: the library does not tell them.  */
+#define ANSWER_HEAD_SIZE 120
+/* Beside the fields of a request's head: what stands between them.  */
+#define HEADER_SEPARATORS 4
 
 static gp_counter_t requests_total
     = GP_COUNTER ("http_server_requests_total", "Requests received.");
@@ -30,6 +34,8 @@
   gp_http_exchange_t *exchange = memory;
   bool gone = exchange->state != GP_HTTP_EXCHANGE_ENDED;
 
+  gp_traffic_sent (exchange->server->options.traffic,
+                   ANSWER_HEAD_SIZE + exchange->request->bytes_sent);
   gp_deferred_cancel (&exchange->deferred);
   gp_list_remove (&exchange->link);
   exchange->server->open_exchanges--;
@@ -347,6 +353,19 @@
   return socket->on_close.data;
 }
 
+/* The bytes of REQUEST, as far as they are kept.  */
+static size_t
+request_size (const h2o_req_t *request)
+{
+  size_t size = request->input.method.len + request->input.path.len
+                + request->input.authority.len + request->entity.len;
+
+  for (size_t i = 0; i < request->headers.size; i++)
+    size += request->headers.entries[i].name->len
+            + request->headers.entries[i].value.len + HEADER_SEPARATORS;
+  return size;
+}
+
 void
 gp_http_exchange_begin (gp_http_server_t *server, h2o_req_t *request)
 {
@@ -368,5 +387,6 @@
   gp_counter_add (&requests_total, 1);
   if (server->retiring)
     request->http1_is_persistent = 0;
+  gp_traffic_received (server->options.traffic, request_size (request));
   server->options.on_request (exchange, server->options.data);
 }
--- a/tests/unit/agent_messages.c
+++ b/tests/unit/agent_messages.c
@@ -27,3 +27,18 @@
   start->image = g_strdup ("image");
   return start;
 }
+
+void
+agent_hold_spec (gp_agent_t *agent, const char *task, gp_time_t now)
+{
+  static const char bytes[] = "work";
+  Gp__Jobs__Spec spec = GP__JOBS__SPEC__INIT;
+  g_autofree char *job = g_strndup (task, GP_JOB_ID_SIZE);
+
+  spec.job = job;
+  spec.held = true;
+  spec.bytes.data = (uint8_t *)bytes;
+  spec.bytes.len = sizeof bytes - 1;
+  spec.digest = gp_spec_digest (spec.bytes.data, spec.bytes.len);
+  gp_spec_store_tell (&agent->specs, &spec, now);
+}
--- a/tests/unit/record_cases.c
+++ b/tests/unit/record_cases.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "jobs/job.h"
+#include "jobs/spec_store.h"
 #include "protocol/message.h"
 
 #define JOB RECORD_CASES_JOB
@@ -554,6 +555,66 @@
   add_frame (cases, name, &frame);
 }
 
+/* Orders with the specification of a job, or with where it is held.  */
+static void
+add_spec (GArray *cases, const char *name, const char *job, const char *bytes,
+          uint64_t digest, const char *holder)
+{
+  Gp__Jobs__Orders orders = GP__JOBS__ORDERS__INIT;
+  Gp__Jobs__Spec spec = GP__JOBS__SPEC__INIT;
+  Gp__Jobs__Spec *specs[] = { &spec };
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  spec.job = (char *)job;
+  spec.held = bytes != NULL;
+  if (bytes != NULL)
+    {
+      spec.bytes.data = (uint8_t *)bytes;
+      spec.bytes.len = strlen (bytes);
+    }
+  spec.digest = digest;
+  spec.holder = (char *)holder;
+  orders.executor = "w1-1";
+  orders.specs = specs;
+  orders.n_specs = 1;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_ORDERS;
+  frame.orders = &orders;
+  add_frame (cases, name, &frame);
+}
+
+static void
+add_specs (GArray *cases)
+{
+  uint64_t digest = gp_spec_digest ((const uint8_t *)"work", 4);
+  Gp__Jobs__WantSpec want = GP__JOBS__WANT_SPEC__INIT;
+  Gp__Jobs__Spec answer = GP__JOBS__SPEC__INIT;
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  add_spec (cases, "a specification", JOB, "work", digest, "");
+  add_spec (cases, "a specification with the digest of another", JOB, "play",
+            digest, "");
+  add_spec (cases, "a specification of no job", "", "work", digest, "");
+  add_spec (cases, "a specification that is not text", JOB, "\xff", digest,
+            "");
+  add_spec (cases, "a specification that a guard holds", JOB, NULL, digest,
+            "10.0.0.1:7000");
+  add_spec (cases, "a specification that is held nowhere", JOB, NULL, digest,
+            "");
+  want.job = JOB;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_WANT_SPEC;
+  frame.want_spec = &want;
+  add_frame (cases, "a guard that asks for a specification", &frame);
+  want.job = "a";
+  add_frame (cases, "a guard that asks for that of no job", &frame);
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_SPEC;
+  frame.spec = &answer;
+  answer.job = JOB;
+  add_frame (cases, "a guard that does not hold it", &frame);
+  answer.held = true;
+  answer.digest = digest;
+  add_frame (cases, "a guard that gives another", &frame);
+}
+
 static void
 add_frames (GArray *cases)
 {
@@ -576,6 +637,7 @@
   add_orders (cases, "a stop of run 0", "w1-1", TASK, 0);
   add_orders (cases, "a stop with a number out of bounds", "w1-1",
               JOB ".0.0.99999999999", 1);
+  add_specs (cases);
   add_foreign (cases, RECORD_CASE_FRAME, "");
 }
 
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -94,6 +94,7 @@
 begin (gp_agent_t *agent, gp_time_t now)
 {
   gp_agent_init (agent, now);
+  agent_hold_spec (agent, TASK, now);
   gp_agent_set_executor (agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_reported (agent, now);
   gp_agent_acknowledged (agent, now, 0, now);
@@ -197,6 +198,7 @@
 
   printf ("a lease counts for the executor that the report named\n");
   gp_agent_init (&agent, now);
+  agent_hold_spec (&agent, TASK, now);
   gp_agent_reported (&agent, now);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 5000, now + 1);
   gp_agent_acknowledged (&agent, now, 0, now + 2);
@@ -219,6 +221,7 @@
   printf ("a guard that has just begun takes no lease of a lead that may be "
           "over\n");
   gp_agent_init (&agent, now);
+  agent_hold_spec (&agent, TASK, now);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_reported (&agent, now);
   gp_agent_acknowledged (&agent, now, 4 * GP_SEC, now);
@@ -533,6 +536,7 @@
 {
   gp_agent_finish (&world->agent);
   gp_agent_init (&world->agent, world->now);
+  agent_hold_spec (&world->agent, TASK, world->now);
   world->listing = false;
   for (guint i = 0; i < world->flights->len; i++)
     {
@@ -558,6 +562,7 @@
   fake_executor_init (&world.fake);
   world.fake.slow_permille = g_rand_int_range (world.random, 0, 21);
   gp_agent_init (&world.agent, world.now);
+  agent_hold_spec (&world.agent, TASK, world.now);
   restart_guard (&world);
   for (int step = 0; step < STEPS; step++)
     {
