--- a/src/jobsd/guard_specs.c
+++ b/src/jobsd/guard_specs.c
@@ -54,13 +54,11 @@
 static void
 arm (gp_guard_specs_t *specs)
 {
-  gp_time_t at = gp_spec_store_next_expiry (specs->store);
+  gp_time_t at
+      = MIN (gp_spec_store_next_expiry (specs->store), specs->askers_end);
   GHashTableIter iter;
   gpointer value;
 
-  /* The first has waited longest.  */
-  if (!gp_list_empty (&specs->askers))
-    at = MIN (at, GP_CONTAINER_OF (specs->askers.next, asker_t, link)->until);
   g_hash_table_iter_init (&iter, specs->holders);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     at = MIN (at, ((const holder_t *)value)->idle_end);
@@ -105,6 +103,7 @@
 {
   gp_time_t now = now_of (specs);
 
+  specs->askers_end = GP_TIME_NEVER;
   GP_LIST_FOREACH_SAFE (link, &specs->askers)
   {
     asker_t *asker = GP_CONTAINER_OF (link, asker_t, link);
@@ -112,7 +111,10 @@
         = gp_spec_store_find (specs->store, asker->job, asker->digest);
 
     if (bytes == NULL && now < asker->until)
-      continue;
+      {
+        specs->askers_end = MIN (specs->askers_end, asker->until);
+        continue;
+      }
     answer (asker->peer, asker->job, asker->digest, bytes);
     drop_asker (specs, asker);
   }
@@ -137,6 +139,7 @@
   asker->until = now_of (specs) + ASKER_TIME;
   gp_list_push_back (&specs->askers, &asker->link);
   specs->asker_count++;
+  specs->askers_end = MIN (specs->askers_end, asker->until);
   arm (specs);
 }
 
@@ -310,6 +313,7 @@
   *specs = (gp_guard_specs_t){ .loop = loop,
                                .store = store,
                                .refusals = refusals,
+                               .askers_end = GP_TIME_NEVER,
                                .on_change = on_change,
                                .data = data };
   specs->holders
--- a/src/jobsd/guard_specs.h
+++ b/src/jobsd/guard_specs.h
@@ -19,6 +19,8 @@
   GHashTable *holders; /* address to the connection there, owned */
   gp_list_t askers;    /* guards that wait for what is not held yet */
   guint asker_count;
+  gp_time_t askers_end; /* the first of them has waited long enough then, or
+                           GP_TIME_NEVER */
   gp_timer_t timer; /* a holder, an asker or an idle connection is given up */
   /* A specification has come (FAILED: it cannot be got from its holder).  */
   void (*on_change) (bool failed, void *data);
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -28,7 +28,7 @@
    window of each of four connections, also of calls that were given up.  Given
    up behind them it would leave one more.  */
 #define USED_PERCENT 10
-#define BYTES_BEFORE (256 * 1024)
+#define BYTES_BEFORE ((gp_time_t)256 * 1024)
 #define LOOK_TIME (200 * GP_MSEC)
 
 /* What a body callback of h2o returns to have the connection closed.  */
