--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -210,8 +210,9 @@
 
 /* The deadline of CALL is over: put it off if its answer stands behind others
    on the link.  Giving it up would waste what has come, and the next try would
-   stand at the end again: after an outage four entries behind 2 Mbit/s
-   took eight seconds to load 130 jobs, which their links carry in 1.5.  */
+   stand at the end again: after an outage four entries behind 2 Mbit/s had a
+   leader after 11.6 s, with this after 6.9 (one play each), for 700 KB that a
+   link carries in 2.8 s.  */
 static bool
 waits_on (gp_http_call_t *call)
 {
