Suspects: a task is proved only where nothing else can have begun just then

A job that only stood beside a task that takes executors down was given up after three: the other one's start was held up by a cut link for 0.95 s and came in the same millisecond; the guard could not know that it had begun, so that the other run was the only one that counted as fresh. Change: a guard tells of a suspect also that its start was not answered. Three executors prove a task only where its run is the only one that had begun just then or may have; else it takes four. Ruled out: waiting for all starts of an executor to be answered before one is started alone: a start that is held up is answered by nobody, and the others would wait.

--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -190,6 +190,9 @@
 bool gp_agent_is_suspect (const gp_agent_t *agent, const gp_agent_run_t *run);
 /* Had it begun for certain, and only just?  */
 bool gp_agent_is_fresh (const gp_agent_run_t *run);
+/* Has nobody told whether it has begun?  A start that was held up may arrive
+   at any time.  */
+bool gp_agent_is_unanswered (const gp_agent_run_t *run);
 /* Is the leader to be told now that RUN, which it watches, has settled? Counts
    as told from then on.  */
 bool gp_agent_tells_settled (gp_agent_run_t *run);
--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -25,12 +25,18 @@
   return was_listed_for (run, gp_suspicion_settle_time (is_gang (run)));
 }
 
+bool
+gp_agent_is_unanswered (const gp_agent_run_t *run)
+{
+  return run->listed_since == 0 && run->phase != GP_RUN_PRESENT;
+}
+
 /* One whose start was not answered may never have begun: its executor may have
    gone down just before.  */
 bool
 gp_agent_is_fresh (const gp_agent_run_t *run)
 {
-  return (run->listed_since != 0 || run->phase == GP_RUN_PRESENT)
+  return !gp_agent_is_unanswered (run)
          && !was_listed_for (run, gp_suspicion_fresh_time (is_gang (run)));
 }
 
@@ -40,7 +46,7 @@
 static bool
 may_have_begun (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
-  if (run->listed_since != 0 || run->phase == GP_RUN_PRESENT)
+  if (!gp_agent_is_unanswered (run))
     return true;
   return run->sent_at != 0
          && (agent->down_since == 0 || run->sent_at <= agent->down_since);
@@ -94,6 +100,7 @@
   row->task = g_strdup (run->name);
   row->run = run->run;
   row->fresh = gp_agent_is_fresh (run);
+  row->unanswered = gp_agent_is_unanswered (run);
   return row;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -76,11 +76,12 @@
                             the other; see jobs/suspicion.h */
   gp_time_t alone_since; /* it looks for an executor of its own, 0: not yet; by
                             this process */
-  bool alone;   /* nothing else had just begun beside its run, nor will */
-  bool settled; /* its run was at work for long enough not to be what
-                   takes its executor down */
-  bool suspect; /* its guard told that its run may be ... */
-  bool fresh;   /* ... and had begun, and only just */
+  bool alone;      /* nothing else had just begun beside its run, nor will */
+  bool settled;    /* its run was at work for long enough not to be what
+                      takes its executor down */
+  bool suspect;    /* its guard told that its run may be ... */
+  bool fresh;      /* ... and had begun, and only just */
+  bool unanswered; /* ... or may have: its start was not answered */
   gp_job_executor_t *executor; /* while assigned or stopping */
   gp_list_t on_executor;       /* in gp_job_executor_t.tasks */
   char *checkpoint;            /* NULL: none */
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -418,16 +418,13 @@
 }
 
 /* TASK's run ends with its executor: nobody will tell of it again.  Counting
-   only the ends that executors tell, a task that took them down was started 37
-   times in a hundred seconds, each time on another executor
-   (tests/scripts/crashes.py).  */
+   only the ends that executors tell, a task that takes them down would be
+   started without end, each time on another executor.  */
 static void
-lose_run (gp_scheduler_t *scheduler, gp_job_task_t *task, bool crashed,
-          gp_time_t now, int64_t wall_ms)
+lose_run (gp_scheduler_t *scheduler, gp_job_task_t *task,
+          gp_suspicion_t suspicion, gp_time_t now, int64_t wall_ms)
 {
   gp_job_t *job = task->job;
-  gp_suspicion_t suspicion
-      = crashed ? gp_suspicion_crashed (task) : GP_SUSPICION_NONE;
 
   log_lost (task, suspicion, now);
   gp_counter_add (&lost_runs_count, 1);
@@ -480,6 +477,7 @@
         continue;
       task->suspect = true;
       task->fresh = runs[i]->fresh;
+      task->unanswered = runs[i]->unanswered;
     }
 }
 
@@ -487,6 +485,8 @@
 gp_scheduler_dead (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                    gp_death_t why, gp_time_t now, int64_t wall_ms)
 {
+  unsigned beginners = gp_suspicion_beginners (executor);
+
   gp_log (GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
           GP_LOG_I ("runs", executor->task_count),
           GP_LOG_S ("why", death_name (why)));
@@ -494,8 +494,14 @@
   executor->dead = true;
   executor->reachable = false;
   GP_LIST_FOREACH_SAFE (link, &executor->tasks)
-  lose_run (scheduler, GP_CONTAINER_OF (link, gp_job_task_t, on_executor),
-            may_be_crash (executor, why), now, wall_ms);
+  {
+    gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+    gp_suspicion_t suspicion = may_be_crash (executor, why)
+                                   ? gp_suspicion_crashed (task, beginners)
+                                   : GP_SUSPICION_NONE;
+
+    lose_run (scheduler, task, suspicion, now, wall_ms);
+  }
   executor->suspects_told = false;
 }
 
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -49,26 +49,42 @@
   return changed;
 }
 
-/* Do the executors that have gone down under TASK speak against it alone?
-   Before its run had to be fresh, for certain, two jobs were given up in two
-   plays of a soak: a third executor went down by itself, once 0.8 s after a
-   start and once just before.  */
+/* Do the executors that have gone down under TASK, the last one with BEGINNERS
+   on it, speak against it alone?  An executor may also go down by itself, some
+   time after a start or just before.  */
 static bool
-is_guilty (const gp_job_task_t *task)
+is_guilty (const gp_job_task_t *task, unsigned beginners)
 {
   return task->crashes >= GP_SUSPICION_MOST
-         || (task->crashes >= GP_SUSPICION_PROVEN && task->alone
-             && task->fresh);
+         || (task->crashes >= GP_SUSPICION_PROVEN && task->alone && task->fresh
+             && beginners == 1);
+}
+
+unsigned
+gp_suspicion_beginners (const gp_job_executor_t *executor)
+{
+  unsigned beginners = 0;
+
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    beginners += task->suspect && !task->settled
+                 && (task->fresh || task->unanswered);
+  }
+  return beginners;
 }
 
 gp_suspicion_t
-gp_suspicion_crashed (gp_job_task_t *task)
+gp_suspicion_crashed (gp_job_task_t *task, unsigned beginners)
 {
   if (!is_suspect (task))
     return GP_SUSPICION_NONE;
   task->alone_since = 0;
   task->crashes++;
-  return is_guilty (task) ? GP_SUSPICION_GUILTY : GP_SUSPICION_COUNTED;
+  return is_guilty (task, beginners) ? GP_SUSPICION_GUILTY
+                                     : GP_SUSPICION_COUNTED;
 }
 
 void
@@ -77,6 +93,7 @@
   task->settled = false;
   task->suspect = false;
   task->fresh = false;
+  task->unanswered = false;
   task->alone = false;
 }
 
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -13,8 +13,9 @@
      an executor on which nothing has just begun, and which takes nothing else
      until the run has settled.
    - It is given up when PROVEN executors have gone down under it and the last
-     run was alone and fresh: it had begun for certain, and only just.  Else
-     after MOST.
+     run was alone and fresh: it had begun for certain, and only just.  Another
+     one beside it that may have begun just then as well, as its start was held
+     up, leaves it open which of the two it was.  Else after MOST.
 
    Only a few executors at a time are kept for one task, and not for longer
    than PATIENCE: after a disaster many are under suspicion, and all have to
@@ -86,8 +87,13 @@
    counted of it has changed, so that its progress has to be written.  */
 bool gp_suspicion_clear (gp_job_task_t *task);
 
-/* TASK's executor went down without a word; TASK is still on it.  */
-gp_suspicion_t gp_suspicion_crashed (gp_job_task_t *task);
+/* Runs on EXECUTOR, which went down without a word, that may have begun just
+   then.  */
+unsigned gp_suspicion_beginners (const gp_job_executor_t *executor);
+
+/* TASK's executor went down without a word; TASK is still on it, and was one
+   of BEGINNERS there.  */
+gp_suspicion_t gp_suspicion_crashed (gp_job_task_t *task, unsigned beginners);
 
 /* Nothing is known of the run of TASK any more, or not yet.  */
 void gp_suspicion_forget_run (gp_job_task_t *task);
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -18,14 +18,31 @@
   gp_counter_register (&runs_gauge);
 }
 
-static void
-add_row (GArray *rows, const gp_agent_run_t *run, bool fresh)
+static Gp__Jobs__TaskRun
+row_of (const gp_agent_run_t *run)
 {
   Gp__Jobs__TaskRun row = GP__JOBS__TASK_RUN__INIT;
 
   row.task = (char *)run->name;
   row.run = run->run;
-  row.fresh = fresh;
+  return row;
+}
+
+static void
+add_row (GArray *rows, const gp_agent_run_t *run)
+{
+  Gp__Jobs__TaskRun row = row_of (run);
+
+  g_array_append_val (rows, row);
+}
+
+static void
+add_suspect (GArray *rows, const gp_agent_run_t *run)
+{
+  Gp__Jobs__TaskRun row = row_of (run);
+
+  row.fresh = gp_agent_is_fresh (run);
+  row.unanswered = gp_agent_is_unanswered (run);
   g_array_append_val (rows, row);
 }
 
@@ -41,7 +58,7 @@
       const gp_agent_run_t *run = value;
 
       if (run->phase == GP_RUN_ABSENT)
-        add_row (absent, run, false);
+        add_row (absent, run);
     }
   report->absent = gp_link_pointers (absent);
   report->n_absent = absent->len;
@@ -60,9 +77,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       if (gp_agent_tells_settled (value))
-        add_row (settled, value, false);
+        add_row (settled, value);
       if (report->lapsed && gp_agent_is_suspect (agent, value))
-        add_row (suspects, value, gp_agent_is_fresh (value));
+        add_suspect (suspects, value);
     }
   report->settled = gp_link_pointers (settled);
   report->n_settled = settled->len;
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -19,14 +19,23 @@
 
 #define JOB_A "00000000000000aa"
 #define JOB_B "00000000000000bb"
+#define JOB_C "00000000000000cc"
 /* Starts of a task that takes its executors down, at the most: three executors
    go down under it, and two starts more are allowed.  */
 #define STARTS_MAX 5
 
-/* The guard of TASK's executor tells that its run may have taken that down,
-   having only just begun or not.  */
+/* How a run that may have taken its executor down had begun.  */
+typedef enum
+{
+  BEGUN_EARLIER,
+  BEGUN_JUST_NOW,
+  BEGUN_UNANSWERED /* its start was held up: at any time */
+} begun_t;
+
+/* The guard of TASK's executor tells that its run may have taken that down.
+ */
 static void
-tell_suspect (jobs_site_t *site, const gp_job_task_t *task, bool fresh)
+tell_suspect (jobs_site_t *site, const gp_job_task_t *task, begun_t begun)
 {
   Gp__Jobs__TaskRun run = GP__JOBS__TASK_RUN__INIT;
   Gp__Jobs__TaskRun *runs[] = { &run };
@@ -35,7 +44,8 @@
   gp_task_name (task, name);
   run.task = name;
   run.run = task->run;
-  run.fresh = fresh;
+  run.fresh = begun == BEGUN_JUST_NOW;
+  run.unanswered = begun == BEGUN_UNANSWERED;
   gp_scheduler_suspects (&site->scheduler, task->executor, runs, 1);
 }
 
@@ -49,7 +59,7 @@
   if (!executor->suspects_told)
     GP_LIST_FOREACH (link, &executor->tasks)
   tell_suspect (site, GP_CONTAINER_OF (link, gp_job_task_t, on_executor),
-                true);
+                BEGUN_JUST_NOW);
   jobs_site_dead (site, executor, GP_DEATH_REPLACED);
   jobs_site_executor (site, next, 8)->reported_at = site->now;
 }
@@ -176,18 +186,54 @@
   suspect_three (&site, &job, &beside);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  tell_suspect (&site, &job->tasks[0], false);
+  tell_suspect (&site, &job->tasks[0], BEGUN_EARLIER);
   replace (&site, "x3", "x4");
   jobs_site_print_job (job);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
   printf ("and one that it takes down\n");
-  tell_suspect (&site, &job->tasks[0], true);
+  tell_suspect (&site, &job->tasks[0], BEGUN_JUST_NOW);
   replace (&site, "x4", "x5");
   jobs_site_print_job (job);
   jobs_site_finish (&site);
 }
 
+/* A task of which two executors have gone down is on x3, alone, and another
+   job's beside it.  */
+static void
+test_beside (void)
+{
+  static const begun_t beside_begun[]
+      = { BEGUN_EARLIER, BEGUN_JUST_NOW, BEGUN_UNANSWERED };
+  static const char *const names[]
+      = { "had begun earlier", "had begun just now as well",
+          "was held up and may have begun just now" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (beside_begun); i++)
+    {
+      jobs_site_t site;
+      gp_job_t *job;
+      gp_job_t *beside;
+      gp_job_t *third;
+
+      printf ("beside a run that %s\n", names[i]);
+      suspect_three (&site, &job, &beside);
+      third = jobs_site_submit (&site, JOB_C, jobs_site_submission (1, 500));
+      job->cancelled = beside->cancelled = true;
+      jobs_site_plan (&site);
+      site.now += GP_SUSPICION_BEGIN_TIME;
+      job->cancelled = false;
+      jobs_site_plan (&site);
+      jobs_site_print_job (job);
+      tell_suspect (&site, &job->tasks[0], BEGUN_JUST_NOW);
+      tell_suspect (&site, &third->tasks[0], beside_begun[i]);
+      replace (&site, "x3", "x4");
+      jobs_site_print_job (job);
+      jobs_site_print_job (third);
+      jobs_site_finish (&site);
+    }
+}
+
 static void
 test_outage (void)
 {
@@ -295,7 +341,7 @@
   job = jobs_site_submit (&site, JOB_A, lasting ());
   jobs_site_plan (&site);
   if (suspect)
-    tell_suspect (&site, &job->tasks[0], true);
+    tell_suspect (&site, &job->tasks[0], BEGUN_JUST_NOW);
   else
     gp_scheduler_suspects (&site.scheduler, executor, NULL, 0);
   jobs_site_dead (&site, executor, GP_DEATH_REPLACED);
@@ -576,13 +622,19 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[]
-      = { { "given_up", test_given_up }, { "kept_apart", test_kept_apart },
-          { "kept", test_kept },         { "coincidence", test_coincidence },
-          { "outage", test_outage },     { "patience", test_patience },
-          { "settled", test_settled },   { "deaths", test_deaths },
-          { "gang", test_gang },         { "next_leader", test_next_leader },
-          { "random", test_random },     CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = { { "given_up", test_given_up },
+                                 { "kept_apart", test_kept_apart },
+                                 { "kept", test_kept },
+                                 { "coincidence", test_coincidence },
+                                 { "beside", test_beside },
+                                 { "outage", test_outage },
+                                 { "patience", test_patience },
+                                 { "settled", test_settled },
+                                 { "deaths", test_deaths },
+                                 { "gang", test_gang },
+                                 { "next_leader", test_next_leader },
+                                 { "random", test_random },
+                                 CU_TEST_INFO_NULL };
 
   return runner_main ("suspicion", tests);
 }
