Stand-in of executors: work that takes its executor down is never done

The stand-in's timer that takes the executor down came 400 ms late on a busy machine, and a gang with such a task had done its 300 ms of work by then. Change: such a run has no end of its own, and a gang with one never gets to work, however late the timer is. The check is as before: its job has to be given up. Ruled out: an earlier timer (it is 10 ms); a longer work (any is short on a busy machine).

--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -303,7 +303,8 @@
                 return self.answer(409, reason="room")
             self.judge.overfull(self.id, task, late)
         lasts = order.get("spec", "").startswith("lasts")
-        done_at = float("inf") if lasts else time.monotonic() + self.work_s
+        endless = lasts or task in self.judge.crashers
+        done_at = float("inf") if endless else time.monotonic() + self.work_s
         self.runs[task] = {"run": run, "lasts": lasts, "done_at": done_at,
                            "stop_at": float("inf"),
                            "began_at": time.monotonic()}
--- a/tests/standins/platform_judge.py
+++ b/tests/standins/platform_judge.py
@@ -7,11 +7,13 @@
 
 class Gang:
     """One run of a gang: it works while all COUNT members are there, and is
-    over for all with the end of one."""
+    over for all with the end of one.  With a member that takes its executor
+    down it never gets to work, however late that happens."""
 
     def __init__(self, count):
         self.count = count
         self.present = 0
+        self.doomed = False  # a member takes its executor down
         self.whole_at = None  # when the last member came
         self.how = None  # how it has ended for the others
 
@@ -55,7 +57,8 @@
             gang = self.gang(task, run)
             if gang is not None:
                 gang.present += 1
-                if gang.present == gang.count:
+                gang.doomed = gang.doomed or task in self.crashers
+                if gang.present == gang.count and not gang.doomed:
                     gang.whole_at = time.monotonic()
             self.starts[task] = self.starts.get(task, 0) + 1
 
