--- a/src/cli/cmd_explain_logs.c
+++ b/src/cli/cmd_explain_logs.c
@@ -1,5 +1,6 @@
-/* galenapier explain ID LOG...: the path of a job, task or executor through
-   the log lines of all processes, or all that was refused as malformed.  */
+/* galenapier explain ID LOG...: the path of a job, task, executor or zone
+   through the log lines of all processes, or all that was refused as
+   malformed.  */
 
 #include <jansson.h>
 #include <stdio.h>
@@ -63,7 +64,7 @@
   if (strcmp (id, REFUSED) == 0)
     return is_refusal (json);
   return names (json, "job", id) || names (json, "task", id)
-         || names (json, "executor", id);
+         || names (json, "executor", id) || names (json, "zone", id);
 }
 
 /* A log may hold other text, also before the object on a line.  */
--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -48,7 +48,7 @@
 }
 
 void
-gp_agent_init (gp_agent_t *agent, gp_time_t now)
+gp_agent_init (gp_agent_t *agent, gp_time_t zone_span, gp_time_t now)
 {
   memset (agent, 0, sizeof *agent);
   agent->began_at = now;
@@ -57,6 +57,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_run);
   agent->ends = g_ptr_array_new_with_free_func (free_end);
   gp_spec_store_init (&agent->specs);
+  gp_start_gate_init (&agent->gate, zone_span);
   agent->granted = INT64_MIN / 2;
   agent->lease = INT64_MIN / 2;
   agent->retry_time = RETRY_TIME;
@@ -224,6 +225,20 @@
   agent->granted = MAX (agent->granted, sent_at);
 }
 
+void
+gp_agent_zone_told (gp_agent_t *agent, bool evacuated, gp_time_t known_at)
+{
+  bool before = agent->gate.evacuated;
+
+  gp_start_gate_told (&agent->gate, evacuated, known_at);
+  if (agent->gate.evacuated == before)
+    return;
+  gp_log (
+      GP_LOG_INFO, before ? "starts.allowed" : "starts.withheld",
+      GP_LOG_S ("zone", agent->executor != NULL ? agent->executor->zone : ""),
+      GP_LOG_I ("runs", g_hash_table_size (agent->runs)));
+}
+
 /* What the leader wants.  */
 
 gp_agent_run_t *
--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -20,6 +20,8 @@
    - Once the lease has certainly run out, nothing is started until a sync
      that takes a report of that into account: the leader may have given the
      runs to others.
+   - Nothing is started while the gate is closed, see jobs/start_gate.h.  What
+     has not begun in a zone that is evacuated is given back.
    - The fence is the executor's own clock when this process first heard of
      it, or when the leader asked for a new one: it is above all fences that
      were used before, without anything stored.
@@ -32,6 +34,7 @@
 #include "jobs/job.h"
 #include "jobs/pacer.h"
 #include "jobs/spec_store.h"
+#include "jobs/start_gate.h"
 
 /* Duration of an executor's lease.  Long enough to outlive a guard that is
    killed or frozen for 4 s; short enough that work on a VM that is gone for
@@ -66,6 +69,7 @@
   bool listed;            /* seen on the executor's list */
   gp_time_t listed_since; /* first, 0: never ... */
   gp_time_t listed_at;    /* ... and last */
+  unsigned unlisted;      /* lists that did not show it, one after the other */
   bool settled_told;      /* the leader was told that it has settled */
   gp_time_t sent_at;      /* its first start, 0: never */
   gp_time_t retry_at;     /* no call before */
@@ -167,6 +171,7 @@
   gp_time_t lapsed_at;
   bool ended;            /* the executor has ended for good */
   gp_time_t known_since; /* this process knows the executor since */
+  gp_start_gate_t gate;  /* may anything be started? */
   gp_pacer_t pacer;
   GArray *gone;          /* gp_agent_gone_t */
   bool distrusts_phases; /* a run stays over its target though all that was
@@ -178,7 +183,9 @@
   gp_time_t retry_time;  /* duration between tries of a call */
 } gp_agent_t;
 
-void gp_agent_init (gp_agent_t *agent, gp_time_t now);
+/* ZONE_SPAN is the duration for which a word that the zone is open holds, 0:
+   for good.  */
+void gp_agent_init (gp_agent_t *agent, gp_time_t zone_span, gp_time_t now);
 void gp_agent_finish (gp_agent_t *agent);
 
 /* The executor of this VM is EXECUTOR now, which the agent takes over; if
@@ -206,6 +213,9 @@
 /* The leader's words.  LEAD_AGE is the age of its last append.  */
 void gp_agent_acknowledged (gp_agent_t *agent, gp_time_t sent_at,
                             gp_time_t lead_age, gp_time_t now);
+/* At KNOWN_AT the zone of the VM was EVACUATED, or was not.  */
+void gp_agent_zone_told (gp_agent_t *agent, bool evacuated,
+                         gp_time_t known_at);
 void gp_agent_sync (gp_agent_t *agent, Gp__Jobs__Sync *sync);
 void gp_agent_order (gp_agent_t *agent, Gp__Jobs__Orders *orders);
 /* Another leader has come: what it wants is not known yet.  */
--- a/src/jobs/agent_calls.c
+++ b/src/jobs/agent_calls.c
@@ -76,7 +76,7 @@
 may_start (const gp_agent_t *agent, gp_time_t now)
 {
   return agent->is_synced && gp_agent_lease_is_open (agent, now)
-         && !agent->raise_fence;
+         && !agent->raise_fence && gp_start_gate_is_open (&agent->gate, now);
 }
 
 gp_agent_call_t
--- a/src/jobs/agent_list.c
+++ b/src/jobs/agent_list.c
@@ -3,6 +3,8 @@
 
 #include "jobs/agent_private.h"
 
+#include "base/log.h"
+
 static Gp__Jobs__End *
 copy_end (const Gp__Jobs__End *end)
 {
@@ -77,6 +79,7 @@
           continue;
         }
       run->listed = true;
+      run->unlisted = 0;
       run->listed_at = now;
       if (run->listed_since == 0)
         run->listed_since = now;
@@ -89,6 +92,30 @@
     }
 }
 
+/* Nothing more is started in a zone that is evacuated, so the leader gets back
+   what has not begun there.  A guard that has just begun does not know what
+   has: that shows on the list.  The first list without a run may have been
+   asked for before the run was known, the second one was not.  */
+static void
+give_back_unlisted (gp_agent_t *agent)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+
+      if (run->phase != GP_RUN_STARTING || run->listed || run->in_flight
+          || ++run->unlisted < 2)
+        continue;
+      gp_log (GP_LOG_INFO, "run.given_back", GP_LOG_S ("task", run->name),
+              GP_LOG_I ("run", run->run), GP_LOG_S ("why", "zone evacuated"));
+      gp_agent_want_stop (agent, run->name, run->run);
+    }
+}
+
 /* Runs that the list, asked for after their phase was sure, does not show.
    Returns whether one became absent.  */
 static bool
@@ -127,6 +154,8 @@
   news = take_ends (agent, ends, end_count, now);
   take_rows (agent, rows, row_count, now);
   gp_agent_measure (agent, now);
+  if (agent->gate.evacuated)
+    give_back_unlisted (agent);
   return find_absent (agent, sent_at) || news;
 }
 
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -43,6 +43,7 @@
   gp_time_t unspoken_since; /* no guard reports it since then, 0: one does */
   bool awaited; /* it was noted what its runs wait for since it does not */
   bool draining;
+  bool evacuated;          /* its availability zone is: it gets no new work */
   bool dead;               /* certainly runs nothing any more */
   gp_time_t leaves_at;     /* while draining: its end at the earliest */
   uint32_t failed_in_row;  /* runs that failed since one was done */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -5,6 +5,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "jobs/suspicion.h"
 #include "jobs/urgency.h"
 
@@ -67,19 +68,27 @@
 
 typedef struct
 {
+  const gp_book_t *book;
   gp_pressure_t *pressure;
   gp_time_t now;
   GArray *candidates; /* candidate_t of those that may take work */
   GPtrArray *placed;
 } pass_t;
 
+/* May EXECUTOR get new work, but for its zone?  */
 static bool
-takes_work (const gp_job_executor_t *executor, gp_time_t now)
+is_usable (const gp_job_executor_t *executor, gp_time_t now)
 {
   return executor->reachable && !executor->draining && !executor->dead
          && now >= executor->trusted_again && now >= executor->full_until;
 }
 
+static bool
+takes_work (const gp_job_executor_t *executor, gp_time_t now)
+{
+  return !executor->evacuated && is_usable (executor, now);
+}
+
 static GArray *
 find_candidates (const gp_book_t *book, gp_time_t now)
 {
@@ -393,16 +402,40 @@
   g_ptr_array_add (pass->placed, task);
 }
 
-/* A task of JOB found no place: does the job have any run?  */
+/* Would TASK be placed if no availability zone were evacuated?  */
+static bool
+waits_for_zone (const pass_t *pass, const gp_job_task_t *task)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pass->book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_executor_t *executor = value;
+
+      if (executor->evacuated && is_usable (executor, pass->now)
+          && fits (executor, task, gp_task_step (task), pass->now))
+        return true;
+    }
+  return false;
+}
+
+/* TASK found no place: does its job have any run?  */
 static void
-note_idle (const pass_t *pass, gp_job_t *job)
+note_idle (const pass_t *pass, const gp_job_task_t *task)
 {
+  gp_job_t *job = task->job;
+
   if (job->idle_since != 0)
     return;
   for (uint32_t i = 0; i < job->task_count; i++)
     if (job->tasks[i].executor != NULL)
       return;
   job->idle_since = pass->now;
+  if (waits_for_zone (pass, task))
+    gp_log (GP_LOG_INFO, "job.waits", GP_LOG_S ("job", job->id),
+            GP_LOG_S ("why", "zone evacuated"));
 }
 
 /* Assign the waiting tasks of a step one by one, up to one that finds no
@@ -421,7 +454,7 @@
         continue;
       if (candidate == NULL)
         {
-          note_idle (pass, first[i].job);
+          note_idle (pass, &first[i]);
           return;
         }
       assign (pass, &first[i], candidate, first[i].run + 1);
@@ -530,7 +563,7 @@
                       const gp_job_task_t *task, gp_time_t now)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
-  pass_t pass = { .pressure = pressure, .now = now };
+  pass_t pass = { .book = book, .pressure = pressure, .now = now };
   bool found = false;
 
   pass.candidates = find_candidates (book, now);
@@ -552,7 +585,8 @@
                   const gp_forecast_t *forecast, gp_time_t now,
                   int64_t wall_ms, GPtrArray *placed)
 {
-  pass_t pass = { .pressure = pressure, .now = now, .placed = placed };
+  pass_t pass
+      = { .book = book, .pressure = pressure, .now = now, .placed = placed };
   GArray *jobs;
 
   pass.candidates = find_candidates (book, now);
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -506,8 +506,8 @@
 }
 
 void
-gp_scheduler_evacuate (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
-                       gp_time_t now)
+gp_scheduler_drain (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
+                    gp_time_t now)
 {
   bool soon = now >= executor->leaves_at - LEAVE_MARGIN;
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -98,8 +98,8 @@
                         gp_death_t why, gp_time_t now, int64_t wall_ms);
 
 /* EXECUTOR is about to leave: take off what has to go on elsewhere.  */
-void gp_scheduler_evacuate (gp_scheduler_t *scheduler,
-                            gp_job_executor_t *executor, gp_time_t now);
+void gp_scheduler_drain (gp_scheduler_t *scheduler,
+                         gp_job_executor_t *executor, gp_time_t now);
 
 /* EXECUTOR's filling runs are held back: stop those that go on from a
    checkpoint where a better place is free.  */
--- /dev/null
+++ b/src/jobs/start_gate.c
@@ -0,0 +1,29 @@
+/* May a guard start anything?  */
+
+#include "jobs/start_gate.h"
+
+void
+gp_start_gate_init (gp_start_gate_t *gate, gp_time_t span)
+{
+  *gate = (gp_start_gate_t){ .span = span,
+                             .told_at = INT64_MIN / 2,
+                             .open_until
+                             = span > 0 ? INT64_MIN / 2 : GP_TIME_NEVER };
+}
+
+void
+gp_start_gate_told (gp_start_gate_t *gate, bool evacuated, gp_time_t known_at)
+{
+  if (known_at < gate->told_at)
+    return;
+  gate->told_at = known_at;
+  gate->evacuated = evacuated;
+  if (gate->span > 0)
+    gate->open_until = known_at + gate->span;
+}
+
+bool
+gp_start_gate_is_open (const gp_start_gate_t *gate, gp_time_t now)
+{
+  return !gate->evacuated && now <= gate->open_until;
+}
--- a/src/jobs/urgency.c
+++ b/src/jobs/urgency.c
@@ -60,7 +60,8 @@
       service_t added = { .name = executor->service };
       service_t *service;
 
-      if (!executor->reachable || executor->dead || executor->draining)
+      if (!executor->reachable || executor->dead || executor->draining
+          || executor->evacuated)
         continue;
       if (find_service (services, executor->service) == NULL)
         g_array_append_val (services, added);
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -85,36 +85,11 @@
   gp_leader_record (&entry->leader, record, !entry->progress.loaded);
 }
 
-static void
-on_document (const gp_platform_store_record_t *record, void *data)
-{
-  gp_job_entry_t *entry = data;
-  gp_queues_t queues;
-  GError *error = NULL;
-
-  if (!gp_platform_store_record_is (record, GP_PLATFORM_STORE_DOCUMENT_KEY)
-      || record->value_size == 0)
-    return;
-  gp_queues_init (&queues);
-  if (!gp_platform_document_parse (&queues, record->value, record->value_size,
-                                   &error))
-    {
-      gp_log (GP_LOG_WARNING, "document.malformed",
-              GP_LOG_S ("why", error->message));
-      g_error_free (error);
-    }
-  else if (gp_queues_replace (&entry->queues, &queues))
-    gp_log (GP_LOG_INFO, "document.in_force",
-            GP_LOG_I ("version", entry->queues.version),
-            GP_LOG_I ("queues", entry->queues.queues->len));
-  gp_queues_finish (&queues);
-}
-
 static void
 take_node (gp_job_entry_t *entry, const char *name, const Gp__Jobs__Node *node)
 {
   if (node->guard)
-    gp_leader_guard (&entry->leader, name, node->address);
+    gp_leader_guard (&entry->leader, name, node->address, node->zone);
   else if (strcmp (name, entry->settings->node) == 0)
     {
       if (gp_leader_outnumber (&entry->leader, node->incarnation))
@@ -166,7 +141,7 @@
   gp_job_entry_t *entry = data;
   bool ready = gp_feed_fresh (&entry->jobs, LEAD_AGE)
                && gp_feed_fresh (&entry->progress, LEAD_AGE)
-               && entry->nodes.loaded && entry->queues.version > 0;
+               && entry->nodes.loaded && entry->operators.queues.version > 0;
 
   if (!entry->progress.running)
     return;
@@ -186,8 +161,8 @@
 static void
 retry_calls (gp_job_entry_t *entry, gp_topic_t topic)
 {
-  gp_feed_t *feeds[]
-      = { &entry->documents, &entry->jobs, &entry->progress, &entry->nodes };
+  gp_feed_t *feeds[] = { &entry->operators.feed, &entry->jobs,
+                         &entry->progress, &entry->nodes };
 
   for (size_t i = 0; i < G_N_ELEMENTS (feeds); i++)
     if (feeds[i]->topic != topic)
@@ -227,22 +202,28 @@
   gp_feed_start (&entry->progress);
 }
 
+static void
+on_zones (void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_leader_zones_changed (&entry->leader);
+}
+
 static void
 init_feeds (gp_job_entry_t *entry)
 {
-  static const gp_feed_callbacks_t documents
-      = { on_document, on_fresh, on_state };
   static const gp_feed_callbacks_t jobs
-      = { on_job_record, on_fresh, on_state };
+      = { on_job_record, NULL, on_fresh, on_state };
   static const gp_feed_callbacks_t progress
-      = { on_progress_record, on_fresh, on_state };
-  static const gp_feed_callbacks_t nodes = { on_node, on_fresh, on_state };
-
-  gp_feed_init (&entry->documents, &entry->loop, entry->store,
-                GP_TOPIC_OPERATORS, 0, &documents, entry);
-  /* A document may have 256 KB, and ten may come in a few seconds: reading
-     each took ten seconds of a link of 2 Mbit/s.  */
-  gp_feed_take_newest_only (&entry->documents);
+      = { on_progress_record, NULL, on_fresh, on_state };
+  static const gp_feed_callbacks_t nodes
+      = { on_node, NULL, on_fresh, on_state };
+  static const gp_operator_feed_callbacks_t operators
+      = { on_zones, on_fresh, on_state };
+
+  gp_operator_feed_init (&entry->operators, &entry->loop, entry->store,
+                         &operators, entry);
   gp_feed_init (&entry->jobs, &entry->loop, entry->store, GP_TOPIC_JOBS,
                 JOBS_SPACING, &jobs, entry);
   gp_feed_init (&entry->progress, &entry->loop, entry->store,
@@ -264,7 +245,8 @@
 static bool
 is_ready (const gp_job_entry_t *entry)
 {
-  return !entry->stopping && entry->queues.version > 0 && entry->jobs.loaded
+  return !entry->stopping && entry->operators.queues.version > 0
+         && entry->jobs.loaded
          && (entry->progress.loaded
              || entry->leader.role == GP_LEADER_LEADING);
 }
@@ -367,7 +349,6 @@
   gp_counter_register (&leading_gauge);
   gp_timer_init (&entry->leave, &entry->loop, on_leave, entry);
   gp_book_init (&entry->book);
-  gp_queues_init (&entry->queues);
   entry->store = gp_platform_store_new (&entry->loop, settings->store,
                                         settings->link_rate, error);
   if (entry->store == NULL)
@@ -377,11 +358,12 @@
   gp_traffic_reporter_init (&entry->traffic, &entry->loop);
   init_feeds (entry);
   gp_leader_init (&entry->leader, &entry->loop, entry->store, &entry->book,
-                  settings->node, on_deposed, entry);
+                  &entry->operators, settings->node, on_deposed, entry);
   gp_janitor_init (&entry->janitor, &entry->loop, entry->store, &entry->book,
                    &entry->leader, settings->status_time);
   gp_jobs_front_init (&entry->front, &entry->loop, entry->store, &entry->book,
-                      &entry->queues, &entry->jobs, on_job_record, entry);
+                      &entry->operators.queues, &entry->jobs, on_job_record,
+                      entry);
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
                           settings->store, settings->link_rate, error))
     return false;
@@ -394,7 +376,7 @@
   /* Peers are told where this entry passes calls on.  */
   gp_announcer_start (&entry->announcer, &entry->loop, entry->store, settings,
                       settings->relay, false, entry->leader.incarnation);
-  gp_feed_start (&entry->documents);
+  gp_feed_start (&entry->operators.feed);
   gp_feed_start (&entry->jobs);
   gp_feed_start (&entry->progress);
   gp_feed_start (&entry->nodes);
@@ -413,7 +395,7 @@
   gp_jobs_front_finish (&entry->front);
   gp_traffic_reporter_finish (&entry->traffic);
   gp_janitor_finish (&entry->janitor);
-  gp_feed_finish (&entry->documents);
+  gp_operator_feed_finish (&entry->operators);
   gp_feed_finish (&entry->jobs);
   gp_feed_finish (&entry->progress);
   gp_feed_finish (&entry->nodes);
@@ -422,6 +404,5 @@
   gp_announcer_finish (&entry->announcer);
   gp_timer_finish (&entry->leave);
   gp_loop_finish (&entry->loop);
-  gp_queues_finish (&entry->queues);
   gp_book_finish (&entry->book);
 }
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -5,12 +5,12 @@
 #define GP_JOBSD_ENTRY_H
 
 #include "jobs/book.h"
-#include "jobs/queues.h"
 #include "jobsd/announce.h"
 #include "jobsd/feed.h"
 #include "jobsd/janitor.h"
 #include "jobsd/jobs_front.h"
 #include "jobsd/leader.h"
+#include "jobsd/operator_feed.h"
 #include "jobsd/relay.h"
 #include "jobsd/traffic_reporter.h"
 #include "jobsd/way.h"
@@ -28,8 +28,7 @@
   gp_http_server_t *ready;
   gp_http_server_t *metrics;
   gp_book_t book;
-  gp_queues_t queues;
-  gp_feed_t documents;
+  gp_operator_feed_t operators;
   gp_feed_t jobs;
   gp_feed_t progress;
   gp_feed_t nodes;
--- a/src/jobsd/feed.c
+++ b/src/jobsd/feed.c
@@ -95,11 +95,19 @@
   feed->newest_only = true;
 }
 
+static void
+tell_load (gp_feed_t *feed, bool over)
+{
+  if (feed->callbacks->on_load != NULL)
+    feed->callbacks->on_load (over, feed->data);
+}
+
 static void
 begin_load (gp_feed_t *feed)
 {
   feed->loaded = false;
   g_clear_pointer (&feed->after, g_free);
+  tell_load (feed, false);
 }
 
 void
@@ -167,6 +175,7 @@
     {
       feed->loaded = true;
       feed->position = feed->load_end;
+      tell_load (feed, true);
     }
   step (feed);
 }
--- a/src/jobsd/feed.h
+++ b/src/jobsd/feed.h
@@ -15,6 +15,8 @@
 {
   /* A record, in the order of the offsets once the load is over.  */
   void (*on_record) (const gp_platform_store_record_t *record, void *data);
+  /* A load begins (OVER is false) or is over; may be NULL.  */
+  void (*on_load) (bool over, void *data);
   /* All records up to the topic's end at the time FRESH_AT of the feed have
      been delivered.  */
   void (*on_fresh) (void *data);
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -31,6 +31,9 @@
 #define LIST_SPACING_UNSEEN (60 * GP_MSEC)
 #define LIST_RETRY_TIME (100 * GP_MSEC)
 #define CALLS_MAX 4
+/* Nothing is started so long before an evacuation has to be in force: an order
+   without an answer is given up after a third of it.  */
+#define ZONE_MARGIN GP_SEC
 /* A guard that stops waits so long for the end of an executor that has said
    goodbye, and for a leader to tell it to; a new leader comes within 1.5 s as
    a rule, and the platform gives a process 6 s.  */
@@ -352,6 +355,10 @@
                              ? (gp_time_t)message->lead_age_ms * GP_MSEC
                              : GP_GRANTS_TERM_TIME,
                          now_of (guard));
+  if (message->zone_age_ms > 0)
+    gp_agent_zone_told (&guard->agent, message->evacuated,
+                        message->sent_at
+                            - (gp_time_t)message->zone_age_ms * GP_MSEC);
   if (guard->agent.ended && message->sent_at > guard->ended_at)
     guard->end_known = true;
   gp_guard_leave_if_done (guard);
@@ -488,6 +495,16 @@
   return guard->peers != NULL;
 }
 
+/* For how long a word that the zone is open holds: an order that is sent then
+   has to arrive within the time that operators are told.  */
+static gp_time_t
+zone_span (const gp_platform_settings_t *settings)
+{
+  if (settings->evacuation_time <= 0)
+    return 0;
+  return MAX (settings->evacuation_time - ZONE_MARGIN, GP_MSEC);
+}
+
 bool
 gp_job_guard_init (gp_job_guard_t *guard,
                    const gp_platform_settings_t *settings, GError **error)
@@ -502,7 +519,7 @@
   gp_link_register ();
   gp_traffic_reporter_init (&guard->traffic, &guard->loop);
   gp_refusals_init (&guard->refusals);
-  gp_agent_init (&guard->agent, now_of (guard));
+  gp_agent_init (&guard->agent, zone_span (settings), now_of (guard));
   gp_deferred_init (&guard->act, on_act);
   gp_timer_init (&guard->report, &guard->loop, on_report_due, guard);
   gp_timer_init (&guard->calls, &guard->loop, on_calls_due, guard);
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -362,13 +362,15 @@
 
 void
 gp_leader_init (gp_leader_t *leader, gp_loop_t *loop,
-                gp_platform_store_t *store, gp_book_t *book, const char *node,
+                gp_platform_store_t *store, gp_book_t *book,
+                const gp_operator_feed_t *operators, const char *node,
                 void (*on_deposed) (bool claimed, void *data), void *data)
 {
   memset (leader, 0, sizeof *leader);
   leader->loop = loop;
   leader->store = store;
   leader->book = book;
+  leader->operators = operators;
   leader->node = node;
   leader->incarnation = (uint64_t)gp_time_wall ();
   leader->on_deposed = on_deposed;
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -24,6 +24,7 @@
 #include "jobs/spec_spread.h"
 #include "jobsd/feed.h"
 #include "jobsd/link.h"
+#include "jobsd/operator_feed.h"
 #include "jobsd/refusals.h"
 #include "platform/store.h"
 
@@ -42,6 +43,7 @@
   gp_leader_t *leader;
   char *node;
   char *address;
+  char *zone; /* availability zone of the VM */
   gp_peer_t *peer;
   gp_timer_t redial;
   gp_job_executor_t *executor; /* the one on the VM, NULL: none known */
@@ -68,6 +70,7 @@
   gp_platform_store_t *store;
   gp_book_t *book;
   const char *node;
+  const gp_operator_feed_t *operators;
   uint64_t incarnation;
   gp_scheduler_t scheduler;
   gp_pressure_t pressure; /* learned from the guards' reports */
@@ -117,7 +120,7 @@
 
 void gp_leader_init (gp_leader_t *leader, gp_loop_t *loop,
                      gp_platform_store_t *store, gp_book_t *book,
-                     const char *node,
+                     const gp_operator_feed_t *operators, const char *node,
                      void (*on_deposed) (bool claimed, void *data),
                      void *data);
 void gp_leader_finish (gp_leader_t *leader);
@@ -148,9 +151,11 @@
 /* The progress topic could not be read for a while: silence says nothing.  */
 void gp_leader_deaf (gp_leader_t *leader);
 
-/* A guard's address is known.  */
+/* The guard of NODE, in availability zone ZONE, is reached at ADDRESS.  */
 void gp_leader_guard (gp_leader_t *leader, const char *node,
-                      const char *address);
+                      const char *address, const char *zone);
+/* Availability zones were evacuated or taken back.  */
+void gp_leader_zones_changed (gp_leader_t *leader);
 /* JOB has come or was cancelled.  */
 void gp_leader_job (gp_leader_t *leader, gp_job_t *job);
 
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -17,6 +17,8 @@
 
 /* A sync that the guard has not taken in by then is sent again.  */
 #define RESYNC_TIME (2 * GP_SEC)
+/* No word on zones is of use after so long.  */
+#define ZONE_AGE_MAX (3600 * GP_SEC)
 
 static gp_counter_t unreachable_gauge
     = GP_GAUGE ("runs_unreachable",
@@ -26,6 +28,22 @@
 
 /* Reports.  */
 
+static bool
+is_evacuated (const gp_link_t *link)
+{
+  return gp_evacuations_has (&link->leader->operators->evacuations,
+                             link->zone);
+}
+
+/* How old is what is known of evacuated zones, rounded up.  */
+static uint32_t
+zone_age_ms (const gp_leader_t *leader)
+{
+  gp_time_t age = MIN (gp_operator_feed_age (leader->operators), ZONE_AGE_MAX);
+
+  return (uint32_t)(age / GP_MSEC + 1);
+}
+
 static void
 acknowledge (gp_link_t *link, const Gp__Jobs__Report *report)
 {
@@ -43,6 +61,8 @@
   gp_teaching_init (&teaching);
   message.sent_at = report->sent_at;
   message.lead_age_ms = (uint32_t)((now - leader->confirmed_at) / GP_MSEC + 1);
+  message.zone_age_ms = zone_age_ms (leader);
+  message.evacuated = is_evacuated (link);
   gp_leader_teach (link, report, &message, &teaching);
   frame.message_case = GP__JOBS__FRAME__MESSAGE_ACKNOWLEDGE;
   frame.acknowledge = &message;
@@ -116,6 +136,7 @@
 
   if (!report->executor->unchanged)
     gp_job_executor_update (executor, report->executor, now);
+  executor->evacuated = is_evacuated (link);
   for (size_t i = 0; i < report->n_ends; i++)
     {
       if (!gp_scheduler_end (&leader->scheduler, executor, report->ends[i],
@@ -326,6 +347,7 @@
   g_ptr_array_unref (link->lacking);
   g_free (link->node);
   g_free (link->address);
+  g_free (link->zone);
   g_free (link);
 }
 
@@ -368,7 +390,8 @@
 }
 
 void
-gp_leader_guard (gp_leader_t *leader, const char *node, const char *address)
+gp_leader_guard (gp_leader_t *leader, const char *node, const char *address,
+                 const char *zone)
 {
   gp_link_t *link = g_hash_table_lookup (leader->links, node);
 
@@ -381,6 +404,11 @@
       gp_timer_init (&link->redial, leader->loop, on_redial, link);
       g_hash_table_insert (leader->links, link->node, link);
     }
+  if (g_strcmp0 (link->zone, zone) != 0)
+    {
+      g_free (link->zone);
+      link->zone = g_strdup (zone);
+    }
   if (g_strcmp0 (link->address, address) != 0)
     {
       g_free (link->address);
@@ -390,6 +418,25 @@
   dial (link);
 }
 
+void
+gp_leader_zones_changed (gp_leader_t *leader)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (leader->role != GP_LEADER_LEADING)
+    return;
+  g_hash_table_iter_init (&iter, leader->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_link_t *link = value;
+
+      if (link->executor != NULL)
+        link->executor->evacuated = is_evacuated (link);
+    }
+  gp_leader_turn_soon (leader);
+}
+
 /* Executors.  */
 
 /* When the leases of EXECUTOR, whose guard is behind LINK, have certainly run
@@ -452,7 +499,7 @@
   gp_time_t now = gp_loop_now (leader->loop);
 
   if (executor->draining && executor->reachable)
-    gp_scheduler_evacuate (&leader->scheduler, executor, now);
+    gp_scheduler_drain (&leader->scheduler, executor, now);
   if (executor->reachable)
     gp_scheduler_relocate (&leader->scheduler, executor, now);
   if (executor->dead || g_hash_table_contains (leader->disputed, id))
--- /dev/null
+++ b/tests/scripts/evacuated.py
@@ -0,0 +1,225 @@
+"""Availability zones that operators evacuate: nothing is started there from the
+time on that they are told, and work goes on elsewhere."""
+
+import sys
+import threading
+import time
+
+from platform_site import STEPS, other, site_of, until, verdict
+
+# "z1" has w1 and w2, "z2" has w3 and w4.
+ZONES = ["z1", "z2"]
+STEP = {"count": 6, "cpu": 1000, "memMb": 10, "estimateMs": 300}
+# Longer than the time within which an evacuation has to be in force.
+PAST_BOUND_S = 7.0
+LASTING_JOB = "00000000000000ee"
+
+
+class Callers:
+    """Hands in a job each 0.1 s and remembers what was accepted."""
+
+    def __init__(self, site):
+        self.site = site
+        self.accepted = []
+        self.ended = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        number = 0
+        while not self.ended.wait(0.1):
+            number += 1
+            job = f"{number:016x}"
+            for entry in list(self.site.entries):
+                try:
+                    if self.site.submit(entry, job, [STEP]) == 200:
+                        self.accepted.append(job)
+                        break
+                except OSError:
+                    continue  # it is being started again: the next one
+
+    def end(self):
+        """All that was accepted has to be done."""
+        self.ended.set()
+        self.thread.join()
+        entry = next(iter(self.site.entries))
+        until(lambda: all(self.site.state(entry, job) == "completed"
+                          for job in self.accepted), timeout_s=30,
+              what="all done")
+        print("  work was done:", len(self.accepted) > 20)
+
+
+def starts_in(site, zone):
+    return sum(site.judge.zone_starts.get(name, 0)
+               for name, executor in site.executors.items()
+               if executor.zone == zone)
+
+
+def is_used_again(site, zone):
+    """Is work started in ZONE from now on?"""
+    before = starts_in(site, zone)
+    until(lambda: starts_in(site, zone) > before, what="used again")
+    print("  used again:", True)
+
+
+def play(build, title, trouble, before=None):
+    """TROUBLE goes on from the evacuation of z1 on, until it is taken back;
+    BEFORE comes before it."""
+    print(title)
+    with site_of(build, entries=2, workers=4, zones=ZONES) as site:
+        callers = Callers(site)
+        until(lambda: starts_in(site, "z1") > 0, what="z1 in use")
+        if before is not None:
+            before(site)
+        site.evacuate("z1")
+        began = time.monotonic()
+        trouble(site)
+        time.sleep(max(0.0, began + PAST_BOUND_S - time.monotonic()))
+        site.take_back("z1")
+        is_used_again(site, "z1")
+        callers.end()
+        verdict(site)
+
+
+def lasting_tasks(site):
+    return set(site.judge.at_work(LASTING_JOB))
+
+
+def restart(site, name, pause_s=0.0):
+    site.processes[name].kill()
+    time.sleep(pause_s)
+    site.processes[name].start()
+
+
+def calm(build):
+    """What has begun goes on, and what lasts stays where it is."""
+    def trouble(site):
+        held = {name: set(site.judge.on(f"{name}-1")) & lasting_tasks(site)
+                for name in site.executors}
+        time.sleep(PAST_BOUND_S)
+        print("  lasting runs:", sum(len(tasks) for tasks in held.values()))
+        print("  they stay:", all(tasks <= set(site.judge.on(f"{name}-1"))
+                                  for name, tasks in held.items()))
+    play(build, "a zone is evacuated and taken back", trouble,
+         lambda site: site.submit_lasting(site.leader(), LASTING_JOB))
+
+
+def leader(build):
+    def trouble(site):
+        for _ in range(3):
+            restart(site, site.leader())
+            time.sleep(1.5)
+    play(build, "the leader is killed again and again", trouble)
+
+
+def entries(build):
+    def trouble(site):
+        for name in site.entries:
+            site.processes[name].kill()
+        time.sleep(1.0)
+        for name in site.entries:
+            site.processes[name].start()
+    play(build, "all entries are killed", trouble)
+
+
+def guards(build):
+    def trouble(site):
+        for _ in range(2):
+            restart(site, "w1", 0.3)
+            restart(site, "w2")
+            time.sleep(2.0)
+    play(build, "guards of the zone are killed", trouble)
+
+
+def late(build):
+    """Orders go unanswered before the evacuation and are carried out late; the
+    guard repeats them."""
+    def before(site):
+        for executor in site.executors.values():
+            executor.late, executor.late_s = 0.5, 3.0
+        time.sleep(1.0)
+
+    def trouble(site):
+        time.sleep(6.0)
+        for executor in site.executors.values():
+            executor.late = 0.0
+    play(build, "orders go unanswered", trouble, before)
+
+
+def stale(build):
+    """The leader can't read the operators' topic, and appends go on: what it
+    knows grows old, and nothing is started by it."""
+    def before(site):
+        site.store.unreadable = {"keyed.op"}
+        time.sleep(0.5)
+
+    def trouble(site):
+        time.sleep(PAST_BOUND_S)
+        site.store.unreadable = set()
+        time.sleep(1.5)
+    play(build, "the operators' topic can't be read meanwhile", trouble,
+         before)
+
+
+def forgotten(build):
+    def trouble(site):
+        site.store.forget("keyed.op")
+        time.sleep(2.0)
+        site.store.down = "silent"
+        time.sleep(3.0)
+        site.store.down = None
+        site.store.forget("keyed.op")
+    play(build, "the store forgets its history and is away", trouble)
+
+
+def by_turns(build):
+    """One zone goes as the other comes back: nothing waits for both."""
+    def trouble(site):
+        time.sleep(PAST_BOUND_S)
+        site.evacuate("z2")
+        site.take_back("z1")
+        is_used_again(site, "z1")
+        time.sleep(PAST_BOUND_S)
+        site.evacuate("z1")
+        site.take_back("z2")
+        is_used_again(site, "z2")
+    play(build, "two zones by turns", trouble)
+
+
+def all_zones(build):
+    """Nothing can be started; what was accepted waits and is done after."""
+    def trouble(site):
+        site.evacuate("z2")
+        time.sleep(PAST_BOUND_S)
+        name = site.leader()
+        print("  known as evacuated:", site.metric(name, "zones_evacuated"))
+        site.take_back("z2")
+    play(build, "all zones at once", trouble)
+
+
+def lasting(build):
+    """Runs that last and were stopped come back in the other zone."""
+    print("an executor of the zone goes down")
+    with site_of(build, entries=2, workers=4, zones=ZONES) as site:
+        site.submit_lasting(next(iter(site.entries)), LASTING_JOB)
+        site.evacuate("z1")
+        time.sleep(2.0)
+        for name in ("w1", "w2"):
+            site.executors[name].crash()
+        until(lambda: len(lasting_tasks(site)) == 3
+              and not site.judge.on("w1-2") and not site.judge.on("w2-2"),
+              what="back elsewhere")
+        print("  back elsewhere:", True)
+        entry = other(site, site.leader())
+        site.submit(entry, "00000000000000dd", STEPS)
+        site.await_state(entry, "00000000000000dd", "completed")
+        verdict(site)
+
+
+SCENARIOS = {scenario.__name__: scenario
+             for scenario in (calm, leader, entries, guards, late, stale,
+                              forgotten, by_turns, all_zones, lasting)}
+
+if __name__ == "__main__":
+    for wanted in sys.argv[2:] or SCENARIOS:
+        SCENARIOS[wanted](sys.argv[1])
--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
@@ -15,7 +16,7 @@
 
 from links import Links  # noqa: E402
 from platform_executor import Executor  # noqa: E402
-from platform_judge import Judge  # noqa: E402
+from platform_judge import EVACUATE_S, Judge  # noqa: E402
 from platform_store import Store  # noqa: E402
 from site_processes import Process, free_port, request, until  # noqa: E402
 
@@ -45,9 +46,11 @@
     links, by name in `links`."""
 
     def __init__(self, build, folder, entries=2, workers=3, seed=1,
-                 status_s=120, links=False):
+                 status_s=120, links=False, zones=("z",)):
         self.build = build
         self.status_s = status_s
+        self.zones = zones  # of workers, in equal parts one after the other
+        self.workers = workers
         self.folder = folder
         self.store_address = loopback()
         self.store = Store(self.store_address)
@@ -62,13 +65,25 @@
         self.doors = {}  # the store's address that a process is told
         self.publish(DOCUMENT)
         for i in range(1, workers + 1):
-            self.add_worker(f"w{i}", seed * 100 + i)
+            self.add_worker(f"w{i}", seed * 100 + i,
+                            zones[(i - 1) * len(zones) // workers])
         for i in range(1, entries + 1):
             self.add_entry(f"e{i}")
 
     def publish(self, document):
         self.store.put("keyed.op", "config", json.dumps(document).encode())
 
+    def evacuate(self, zone):
+        """Nothing is to be started in ZONE any more."""
+        self.store.put("keyed.op", f"evacuate/{zone}", b"{}")
+        with self.judge.lock:
+            self.judge.evacuated[zone] = time.monotonic()
+
+    def take_back(self, zone):
+        with self.judge.lock:
+            self.judge.evacuated.pop(zone, None)
+        self.store.put("keyed.op", f"evacuate/{zone}", b"")
+
     def link(self, name, target):
         """The address at which TARGET is to be reached."""
         if self.net is None:
@@ -85,7 +100,7 @@
             self.store.rewrites[announced.encode()] = self.link(
                 f"{name} {what}", announced).encode()
 
-    def settings(self, name, more):
+    def settings(self, name, more, zone):
         self.doors[name] = loopback()
         self.store.open(self.doors[name])
         store = self.link(f"{name} store", self.doors[name])
@@ -93,9 +108,10 @@
         self.link_peers(name, port)
         self.metrics[name] = f"127.0.0.1:{port + 1}"
         path = os.path.join(self.folder, name + ".yaml")
-        lines = [f'node: "{name}"', 'zone: "z"', 'ip: "127.0.0.1"',
+        lines = [f'node: "{name}"', f'zone: "{zone}"', 'ip: "127.0.0.1"',
                  "internalPorts:", f"  - {port}",
                  "bounds:", f"  status_s: {self.status_s}",
+                 f"  evacuateMs: {int(EVACUATE_S * 1000)}",
                  "platform:", f'  address: "{store}"'] + more
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
@@ -111,18 +127,21 @@
         front, ready = loopback(), loopback()
         self.entries[name] = (front, ready)
         path = self.settings(name, ["listen:", f'  front: "{front}"',
-                                    f'  ready: "{ready}"'])
+                                    f'  ready: "{ready}"'],
+                             self.zones[0])
         self.start(name, "entry", path)
 
-    def add_worker(self, name, seed):
+    def add_worker(self, name, seed, zone=None):
+        zone = zone or self.zones[0]
         control, app = loopback(), loopback()
         orders = self.link(f"{name} orders", app)
         path = self.settings(name, ["listen:", f'  control: "{control}"',
-                                    f'app: "{orders}"'])
+                                    f'app: "{orders}"'],
+                             zone)
         self.start(name, "guard", path)
         self.executors[name] = Executor(
             self.judge, name, app, self.link(f"{name} heartbeats", control),
-            seed=seed)
+            seed=seed, zone=zone)
 
     def retire(self, name, drain_s=1.0, longer_s=0.5):
         """The worker NAME leaves as planned: its executor drains and ends,
--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -60,11 +60,13 @@
     has no meaning, for good).  Tasks in `judge.crashers` take the executor
     down, which is away for `crash_dark_s` then."""
 
-    def __init__(self, judge, name, address, guard, cores=16, seed=1):
+    def __init__(self, judge, name, address, guard, cores=16, seed=1,
+                 zone="z"):
         self.judge = judge
         self.name = name
         self.address = address
         self.guard = guard
+        self.zone = zone
         self.cores = cores
         self.random = random.Random(seed)
         self.lock = threading.Condition()
@@ -218,7 +220,7 @@
     def beat_body(self, sequence):
         """The fields of a heartbeat."""
         with self.lock:
-            beat = {"service": "work", "address": self.address, "zone": "z",
+            beat = {"service": "work", "address": self.address, "zone": self.zone,
                     "version": "v1", "slots": 8, "state": "ready",
                     "coldRemainingMs": 0,
                     "capacity": {"cpu": self.cores * 1000,
@@ -310,6 +312,7 @@
                            "began_at": time.monotonic()}
         self.extend(order)
         self.judge.start(self.id, task, run)
+        self.judge.start_in(self.name, self.zone, task, late)
         if task in self.judge.crashers:
             threading.Timer(CRASH_S, self.crash_of, (self.life,)).start()
         return self.answer(200)
--- a/tests/standins/platform_judge.py
+++ b/tests/standins/platform_judge.py
@@ -4,6 +4,9 @@
 import threading
 import time
 
+# An evacuation has to be in force within this.
+EVACUATE_S = 5.0
+
 
 class Gang:
     """One run of a gang: it works while all COUNT members are there, and is
@@ -32,6 +35,8 @@
         self.crashes = []  # executors that such a task took down
         self.gang_counts = {}  # step: number of members
         self.gangs = {}  # (step, run): Gang
+        self.evacuated = {}  # zone: since when
+        self.zone_starts = {}  # VM: starts on its executors
         self.breaches = []
 
     def gang(self, task, run):
@@ -71,6 +76,17 @@
             if gang is not None and gang.how is None:
                 gang.how = "done" if how == "done" else "broken"
 
+    def start_in(self, name, zone, task, late):
+        """TASK was started on the VM NAME in ZONE; when it was carried out LATE
+        it had been ordered before."""
+        with self.lock:
+            self.zone_starts[name] = self.zone_starts.get(name, 0) + 1
+            since = self.evacuated.get(zone)
+            if since is not None and not late \
+                    and time.monotonic() > since + EVACUATE_S:
+                self.breaches.append(f"{task} started on {name} in {zone}, "
+                                     "which is evacuated")
+
     def overfull(self, executor, task, late):
         """A run was started where there is no room for it; one that was
         carried out LATE was ordered while there was."""
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -46,6 +46,7 @@
         self.lost = 0
         self.appends = 0
         self.refused = set()
+        self.unreadable = set()  # topics of which reads get 503
         self.rewrites = {}  # bytes in appended records, of the same length
         self.servers = []
         self.open(address)
@@ -115,14 +116,17 @@
     def read(self, query):
         start = int(query["from"])
         deadline = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+        if query["topic"] in self.unreadable:
+            return 503, b"{}"
         with self.lock:
             topic = self.topic(query)
-            while topic.end <= start and not self.down:
+            while topic.end <= start and not self.down \
+                    and query["topic"] not in self.unreadable:
                 left = deadline - time.monotonic()
                 if left <= 0 or not self.lock.wait(min(left, 0.1)) and \
                         time.monotonic() >= deadline:
                     break
-            if self.down:
+            if self.down or query["topic"] in self.unreadable:
                 return 503, b"{}"
             if start < topic.first:
                 return 410, json.dumps({"first": topic.first}).encode()
@@ -132,6 +136,8 @@
             return 200, data
 
     def list_newest(self, query):
+        if query["topic"] in self.unreadable:
+            return 503, b"{}"
         with self.lock:
             topic = self.topic(query)
             after = query.get("after", "")
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -94,7 +94,7 @@
 static void
 begin (gp_agent_t *agent, gp_time_t now)
 {
-  gp_agent_init (agent, now);
+  gp_agent_init (agent, 0, now);
   agent_hold_spec (agent, TASK, now);
   gp_agent_set_executor (agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_reported (agent, now);
@@ -198,7 +198,7 @@
   gp_time_t now = 10 * GP_SEC;
 
   printf ("a lease counts for the executor that the report named\n");
-  gp_agent_init (&agent, now);
+  gp_agent_init (&agent, 0, now);
   agent_hold_spec (&agent, TASK, now);
   gp_agent_reported (&agent, now);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 5000, now + 1);
@@ -221,7 +221,7 @@
 
   printf ("a guard that has just begun takes no lease of a lead that may be "
           "over\n");
-  gp_agent_init (&agent, now);
+  gp_agent_init (&agent, 0, now);
   agent_hold_spec (&agent, TASK, now);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_reported (&agent, now);
@@ -373,7 +373,7 @@
   gp_time_t now = 10 * GP_SEC;
 
   printf ("an executor's room shrinks: what has not begun is given back\n");
-  gp_agent_init (&agent, now);
+  gp_agent_init (&agent, 0, now);
   agent_hold_spec (&agent, TASK, now);
   gp_agent_set_executor (&agent, executor_of_cores ("x1", 8), 5000, now);
   gp_agent_reported (&agent, now);
@@ -642,7 +642,7 @@
 restart_guard (world_t *world)
 {
   gp_agent_finish (&world->agent);
-  gp_agent_init (&world->agent, world->now);
+  gp_agent_init (&world->agent, 0, world->now);
   agent_hold_spec (&world->agent, TASK, world->now);
   world->listing = false;
   for (guint i = 0; i < world->flights->len; i++)
@@ -668,7 +668,7 @@
 
   fake_executor_init (&world.fake);
   world.fake.slow_permille = g_rand_int_range (world.random, 0, 21);
-  gp_agent_init (&world.agent, world.now);
+  gp_agent_init (&world.agent, 0, world.now);
   agent_hold_spec (&world.agent, TASK, world.now);
   restart_guard (&world);
   for (int step = 0; step < STEPS; step++)
--- a/tests/unit/test_agent_measure.c
+++ b/tests/unit/test_agent_measure.c
@@ -35,7 +35,7 @@
 {
   Gp__Jobs__Sync *sync = g_new (Gp__Jobs__Sync, 1);
 
-  gp_agent_init (agent, now);
+  gp_agent_init (agent, 0, now);
   gp_agent_set_executor (agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_reported (agent, now);
   gp_agent_acknowledged (agent, now, 0, now);
--- /dev/null
+++ b/tests/unit/test_evacuations.c
@@ -0,0 +1,348 @@
+/* Tests of evacuated zones: what records and loads of their topic say, and
+   that no guard starts anything in one later than operators are told, whatever
+   happens to the words of leaders on their way.  */
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "agent_messages.h"
+#include "jobs/agent_private.h"
+#include "jobs/evacuations.h"
+#include "jobs/urgency.h"
+#include "jobs_site.h"
+#include "runner.h"
+
+#define TASK "00000000000000aa.0.0.0"
+#define SPAN (4 * GP_SEC)
+/* Within so long an evacuation has to be in force.  */
+#define IN_FORCE (5 * GP_SEC)
+
+static void
+show (const gp_evacuations_t *evacuations, const char *what)
+{
+  printf ("  %s: a %s, b %s\n", what,
+          gp_evacuations_has (evacuations, "a") ? "evacuated" : "open",
+          gp_evacuations_has (evacuations, "b") ? "evacuated" : "open");
+}
+
+static void
+end_load (gp_evacuations_t *evacuations)
+{
+  GPtrArray *changed = g_ptr_array_new_with_free_func (g_free);
+
+  gp_evacuations_end_load (evacuations, changed);
+  for (guint i = 0; i < changed->len; i++)
+    printf ("  changed: %s\n", (const char *)g_ptr_array_index (changed, i));
+  g_ptr_array_unref (changed);
+}
+
+static void
+test_records (void)
+{
+  gp_evacuations_t evacuations;
+
+  printf ("records\n");
+  gp_evacuations_init (&evacuations);
+  show (&evacuations, "nothing known");
+  CU_ASSERT_TRUE (gp_evacuations_put (&evacuations, "a", 3));
+  CU_ASSERT_FALSE (gp_evacuations_put (&evacuations, "a", 4));
+  show (&evacuations, "a put");
+  CU_ASSERT_TRUE (gp_evacuations_put (&evacuations, "b", 5));
+  CU_ASSERT_TRUE (gp_evacuations_take_back (&evacuations, "a", 6));
+  CU_ASSERT_FALSE (gp_evacuations_take_back (&evacuations, "a", 6));
+  show (&evacuations, "b put as a is taken back");
+  CU_ASSERT_FALSE (gp_evacuations_put (&evacuations, "a", 4));
+  CU_ASSERT_FALSE (gp_evacuations_take_back (&evacuations, "b", 4));
+  show (&evacuations, "older records once more");
+  CU_ASSERT_EQUAL (gp_evacuations_count (&evacuations), 1);
+  gp_evacuations_finish (&evacuations);
+}
+
+static void
+test_loads (void)
+{
+  gp_evacuations_t evacuations;
+
+  printf ("loads\n");
+  gp_evacuations_init (&evacuations);
+  gp_evacuations_begin_load (&evacuations);
+  gp_evacuations_put (&evacuations, "a", 3);
+  gp_evacuations_put (&evacuations, "b", 4);
+  show (&evacuations, "in the first one");
+  end_load (&evacuations);
+  gp_evacuations_begin_load (&evacuations);
+  show (&evacuations, "in another one, nothing shown yet");
+  gp_evacuations_put (&evacuations, "b", 4);
+  gp_evacuations_begin_load (&evacuations);
+  gp_evacuations_put (&evacuations, "a", 3);
+  show (&evacuations, "which begins anew");
+  end_load (&evacuations);
+  show (&evacuations, "and shows only a");
+  gp_evacuations_put (&evacuations, "b", 9);
+  show (&evacuations, "b again");
+  gp_evacuations_finish (&evacuations);
+}
+
+static void
+begin (gp_agent_t *agent, gp_time_t now)
+{
+  gp_agent_init (agent, SPAN, now);
+  agent_hold_spec (agent, TASK, now);
+  gp_agent_set_executor (agent, agent_executor_new ("x1"), 5000, now);
+  gp_agent_reported (agent, now);
+  gp_agent_acknowledged (agent, now, 0, now);
+}
+
+/* The leader wants RUN of TASK.  */
+static void
+want (gp_agent_t *agent, uint32_t run)
+{
+  Gp__Jobs__Sync *sync = g_new (Gp__Jobs__Sync, 1);
+
+  gp__jobs__sync__init (sync);
+  sync->number = agent->synced + 1;
+  sync->executor = g_strdup (agent->executor->id);
+  sync->starts = g_new (Gp__Jobs__Start *, 1);
+  sync->starts[sync->n_starts++] = agent_start_new (TASK, run);
+  gp_agent_sync (agent, sync);
+  gp__jobs__sync__free_unpacked (sync, NULL);
+}
+
+/* Keep the lease open as a leader does that knows nothing of zones.  */
+static void
+renew (gp_agent_t *agent, gp_time_t now)
+{
+  gp_agent_take_clock (agent, agent->clock_ms + 1, now);
+  gp_agent_acknowledged (agent, now, 0, now);
+}
+
+/* The next call, which gets RESULT.  */
+static gp_agent_call_kind_t
+call (gp_agent_t *agent, gp_agent_result_t result, gp_time_t now)
+{
+  gp_time_t again;
+  gp_agent_call_t next = gp_agent_next_call (agent, now, &again);
+
+  if (next.kind != GP_AGENT_CALL_NONE)
+    gp_agent_answered (agent, next.kind, TASK, next.run->run, next.percent,
+                       result, -1, now);
+  return next.kind;
+}
+
+static void
+show_call (gp_agent_t *agent, const char *when, gp_agent_result_t result,
+           gp_time_t now)
+{
+  static const char *const names[] = { "none", "start", "stop", "pace" };
+
+  printf ("  %s: %s\n", when, names[call (agent, result, now)]);
+}
+
+static void
+list (gp_agent_t *agent, bool shown, gp_time_t now)
+{
+  const gp_agent_row_t row = { .task = TASK, .run = 1 };
+
+  gp_agent_listed (agent, &row, shown, NULL, 0, agent->clock_ms + 1, now, now);
+}
+
+static void
+test_gate (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  printf ("a guard starts what its zone is known to be open for\n");
+  begin (&agent, now);
+  want (&agent, 1);
+  show_call (&agent, "before any word", GP_AGENT_UNANSWERED, now);
+  gp_agent_zone_told (&agent, false, now - GP_SEC);
+  show_call (&agent, "told that it is open", GP_AGENT_UNANSWERED, now);
+  now += SPAN - GP_SEC;
+  renew (&agent, now);
+  show_call (&agent, "no newer word for a span", GP_AGENT_UNANSWERED, now);
+  now += GP_MSEC * 200;
+  renew (&agent, now);
+  show_call (&agent, "for longer", GP_AGENT_UNANSWERED, now);
+  gp_agent_zone_told (&agent, false, now);
+  show_call (&agent, "a newer word", GP_AGENT_UNANSWERED, now);
+  gp_agent_zone_told (&agent, true, now + GP_MSEC);
+  now += GP_SEC;
+  renew (&agent, now);
+  show_call (&agent, "evacuated", GP_AGENT_UNANSWERED, now);
+  gp_agent_zone_told (&agent, false, now - 2 * GP_SEC);
+  show_call (&agent, "an older word that it is open", GP_AGENT_UNANSWERED,
+             now);
+  gp_agent_zone_told (&agent, false, now);
+  show_call (&agent, "taken back", GP_AGENT_TAKEN, now);
+  gp_agent_finish (&agent);
+}
+
+static void
+test_give_back (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  printf ("what has not begun is given back\n");
+  begin (&agent, now);
+  gp_agent_zone_told (&agent, false, now);
+  want (&agent, 1);
+  show_call (&agent, "a start without an answer", GP_AGENT_UNANSWERED, now);
+  gp_agent_zone_told (&agent, true, now);
+  now += GP_SEC;
+  list (&agent, false, now);
+  show_call (&agent, "one list without it", GP_AGENT_TAKEN, now);
+  list (&agent, false, now + 1);
+  show_call (&agent, "two", GP_AGENT_TAKEN, now + 1);
+  gp_agent_finish (&agent);
+
+  printf ("what has begun goes on, as a guard that starts anew sees\n");
+  begin (&agent, now);
+  gp_agent_zone_told (&agent, true, now);
+  want (&agent, 1);
+  list (&agent, false, now);
+  list (&agent, true, now + 1);
+  list (&agent, true, now + 2);
+  show_call (&agent, "it is listed", GP_AGENT_TAKEN, now + 2);
+  gp_agent_finish (&agent);
+}
+
+/* Two leaders whose view of the operators' records is refreshed, or not, at
+   random; acknowledgements that arrive late, out of order or never; a guard
+   whose starts go unanswered, and which starts anew.  */
+
+#define WORDS 400
+
+typedef struct
+{
+  bool evacuated;
+  gp_time_t known_at;
+  gp_time_t arrives_at;
+} word_t;
+
+/* Was the zone evacuated at TIME?  By turns, for seconds each.  */
+static bool
+is_evacuated (gp_time_t time)
+{
+  return time / (9 * GP_SEC) % 2 == 1;
+}
+
+/* And all the time from IN_FORCE before it on?  */
+static bool
+is_in_force (gp_time_t time)
+{
+  return is_evacuated (time) && is_evacuated (time - IN_FORCE);
+}
+
+/* A word of LEADER, whose view was fresh at SEEN, on a report sent at NOW.  */
+static word_t
+word_of (GRand *random, gp_time_t seen, gp_time_t now)
+{
+  return (word_t){ .evacuated = is_evacuated (seen),
+                   .known_at = seen - g_rand_int_range (random, 1, 3000),
+                   .arrives_at
+                   = now + g_rand_int_range (random, 0, 8000) * GP_MSEC };
+}
+
+static unsigned
+play (guint32 seed)
+{
+  GRand *random = g_rand_new_with_seed (seed);
+  word_t words[WORDS];
+  unsigned count = 0;
+  unsigned starts = 0;
+  gp_time_t seen[2] = { 0, 0 };
+  gp_agent_t agent;
+
+  begin (&agent, GP_SEC);
+  want (&agent, 1);
+  for (gp_time_t now = GP_SEC; now < 120 * GP_SEC; now += 50 * GP_MSEC)
+    {
+      int leader = g_rand_int_range (random, 0, 2);
+
+      if (g_rand_int_range (random, 0, 20) == 0)
+        seen[leader] = now;
+      if (g_rand_int_range (random, 0, 6) == 0 && count < WORDS)
+        words[count++] = word_of (random, seen[leader], now);
+      for (unsigned i = 0; i < count; i++)
+        if (words[i].arrives_at <= now)
+          {
+            gp_agent_zone_told (&agent, words[i].evacuated, words[i].known_at);
+            words[i--] = words[--count];
+          }
+      if (g_rand_int_range (random, 0, 400) == 0)
+        {
+          gp_agent_finish (&agent);
+          begin (&agent, now);
+          want (&agent, 1);
+        }
+      renew (&agent, now);
+      if (call (&agent, GP_AGENT_UNANSWERED, now) != GP_AGENT_CALL_START)
+        continue;
+      starts++;
+      CU_ASSERT_FALSE (is_in_force (now));
+    }
+  gp_agent_finish (&agent);
+  g_rand_free (random);
+  return starts;
+}
+
+static void
+test_random (void)
+{
+  unsigned starts = 0;
+
+  for (guint32 seed = 1; seed <= 200; seed++)
+    starts += play (seed);
+  CU_ASSERT_TRUE (starts > 200 * 100);
+}
+
+/* Where work goes, and what is expected to be in time, is decided without the
+   zone.  */
+static void
+test_room (void)
+{
+  jobs_site_t site;
+  gp_job_executor_t *executor;
+  GArray *ranked;
+  gp_job_t *job;
+
+  printf ("room in an evacuated zone is none\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 2);
+  executor = jobs_site_executor (&site, "x2", 16);
+  job = jobs_site_submit (&site, "00000000000000aa",
+                          jobs_site_submission (3, 1000));
+  executor->evacuated = true;
+  ranked = gp_urgency_rank (&site.book, &site.scheduler.forecast, site.now);
+  printf ("  in time: %s\n",
+          g_array_index (ranked, gp_ranked_job_t, 0).hope == GP_HOPE_IN_TIME
+              ? "yes"
+              : "no");
+  g_array_free (ranked, TRUE);
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  executor->evacuated = false;
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  printf ("what runs there goes on\n");
+  executor->evacuated = true;
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  jobs_site_finish (&site);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = { { "records", test_records },
+                                 { "loads", test_loads },
+                                 { "gate", test_gate },
+                                 { "give_back", test_give_back },
+                                 { "random", test_random },
+                                 { "room", test_room },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("evacuations", tests);
+}
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -87,6 +87,12 @@
   printf ("    fresh at %d\n", (int)fixture->feed.position);
 }
 
+static void
+on_load (bool over, void *data)
+{
+  printf ("    load %s\n", over ? "over" : "begins");
+}
+
 static void
 on_state (gp_topic_t topic, bool down, const char *reason, void *data)
 {
@@ -99,7 +105,7 @@
              bool newest_only)
 {
   static const gp_feed_callbacks_t callbacks
-      = { on_record, on_fresh, on_state };
+      = { on_record, on_load, on_fresh, on_state };
   fixture_t fixture = { .answers = answers, .count = count };
   gp_http_server_options_t options = { .address = "127.0.0.1:0",
                                        .max_body_size = BODY_MAX,
--- a/tests/unit/test_grants.c
+++ b/tests/unit/test_grants.c
@@ -461,7 +461,7 @@
   world->known_at = world->guard_down_until + later (world, 1500) - world->now;
   world->obeys = 0;
   gp_agent_finish (&world->agent);
-  gp_agent_init (&world->agent, world->guard_down_until);
+  gp_agent_init (&world->agent, 0, world->guard_down_until);
 }
 
 /* The guard reaches a former leader only, which the store has been cut off
@@ -516,7 +516,7 @@
     .announcements = g_array_new (FALSE, FALSE, sizeof (announcement_t))
   };
 
-  gp_agent_init (&world.agent, world.now);
+  gp_agent_init (&world.agent, 0, world.now);
   for (int i = 0; i < ENTRIES; i++)
     {
       g_snprintf (world.entries[i].name, sizeof world.entries[i].name, "e%d",
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -243,7 +243,7 @@
   jobs_site_plan (&site);
   executor->draining = true;
   executor->leaves_at = site.now + 5 * GP_SEC;
-  gp_scheduler_evacuate (&site.scheduler, executor, site.now);
+  gp_scheduler_drain (&site.scheduler, executor, site.now);
   jobs_site_print_job (lasting);
   jobs_site_print_job (batch);
   jobs_site_dead (&site, executor, GP_DEATH_SILENT);
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -59,7 +59,7 @@
                 self.pause_series, self.store_down, self.store_refuses,
                 self.store_loses, self.store_forgets, self.executor_crash,
                 self.executor_late, self.links_reset, self.links_silent,
-                self.links_slow, self.links_cut]
+                self.links_slow, self.links_cut, self.zone_evacuated]
 
     def begin_any(self):
         self.random.choice(self.kinds)()
@@ -247,9 +247,21 @@
         name = f"w{self.added}"
         self.note(f"{name} comes")
         self.leaving.add(name)
-        self.site.add_worker(name, self.random.getrandbits(32))
+        self.site.add_worker(name, self.random.getrandbits(32),
+                             self.random.choice(self.site.zones))
         self.in_background(self.let_start, name)
 
+    def zone_evacuated(self):
+        """Counts as trouble, as the workers of the others may all have left."""
+        zone, seconds = (self.random.choice(self.site.zones),
+                         self.random.uniform(0.5, 9))
+        if zone in self.site.judge.evacuated:
+            return
+        self.note(f"evacuate {zone} {seconds:.1f} s")
+        self.trouble(seconds)
+        self.site.evacuate(zone)
+        self.later(seconds, self.site.take_back, zone)
+
     def any_executor(self):
         return self.random.choice(list(self.site.executors.items()))
 
