Evacuated zones in the site's own document

Cause: an operator's act, which only the platform's topic knew; sites of our own had no word for it. Change: the document lists evacuated_zones (checked against regions and for doubles, an item each, in schema and console). No task is placed there, no request is routed there; what runs goes on. status names the zones, explain gives them as the reason, a task that only fits there waits and is not parked.

--- a/src/console/forms.js
+++ b/src/console/forms.js
@@ -7,7 +7,8 @@
 import { fresh, get, join, parentOf, words } from "./model.js";
 
 const ORDER = ["version", "site", "time_zone", "services", "batch_jobs",
-  "watchers", "teams", "limits", "interference", "workers", "regions"];
+  "watchers", "teams", "limits", "interference", "workers", "regions",
+  "evacuated_zones"];
 const LONG = new Set(["payload"]);
 
 export function idOf(path) {
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -18,6 +18,8 @@
       return "no-capacity-now";
     case GP_PLACEMENT_NEVER_FITS:
       return "never-fits";
+    case GP_PLACEMENT_ZONE_CLOSED:
+      return "zone-evacuated";
     case GP_PLACEMENT_AVOIDED:
       return "avoided";
     case GP_PLACEMENT_HARMFUL:
@@ -271,9 +273,12 @@
     return GP_PLACEMENT_HARMFUL;
   if (seen > 0)
     return GP_PLACEMENT_AVOIDED;
-  if (!gp_fleet_can_ever_fit (placement->fleet, &ask->demand, ask->zones))
-    return GP_PLACEMENT_NEVER_FITS;
-  return GP_PLACEMENT_NO_CAPACITY_NOW;
+  if (gp_fleet_can_ever_fit (placement->fleet, &ask->demand, ask->zones))
+    return GP_PLACEMENT_NO_CAPACITY_NOW;
+  if (gp_fleet_can_ever_fit (placement->fleet, &ask->demand,
+                             GP_PLACEMENT_ALL_ZONES))
+    return GP_PLACEMENT_ZONE_CLOSED;
+  return GP_PLACEMENT_NEVER_FITS;
 }
 
 /* Add what the index offers to CANDIDATES; return how many workers had room,
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -22,7 +22,9 @@
 {
   GP_PLACEMENT_CHOSEN,
   GP_PLACEMENT_NO_CAPACITY_NOW, /* some worker could, none has room */
-  GP_PLACEMENT_NEVER_FITS,      /* larger than every worker allowed */
+  GP_PLACEMENT_NEVER_FITS,      /* larger than every worker */
+  GP_PLACEMENT_ZONE_CLOSED,     /* than all but those of zones that are not
+                                   allowed */
   GP_PLACEMENT_AVOIDED,         /* only workers to be avoided have room */
   GP_PLACEMENT_HARMFUL,         /* every candidate would breach a target */
   GP_PLACEMENT_QUOTA,           /* the team's quota is used up */
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -319,6 +319,9 @@
           GP_LOG_I ("revision", revision));
   entry->config_since_us = gp_time_wall ();
   tell_state (entry);
+  gp_routes_evacuate (&entry->routes,
+                      document != NULL ? document->evacuated_zones : NULL,
+                      document != NULL ? document->evacuated_zones_count : 0);
   gp_relays_set_document (&entry->relays, document);
   gp_tasks_set_document (entry->tasks, document, revision);
 }
--- a/src/daemon/operators_status.c
+++ b/src/daemon/operators_status.c
@@ -293,6 +293,21 @@
   return owners;
 }
 
+/* Names of zones in which nothing is started.  */
+static json_t *
+describe_evacuated (const gp_entry_t *entry)
+{
+  const gp_document_t *document
+      = gp_configuration_document (entry->configuration);
+  json_t *zones = json_array ();
+
+  for (uint32_t i = 0; document != NULL && i < document->evacuated_zones_count;
+       i++)
+    json_array_append_new (zones,
+                           json_string (document->evacuated_zones[i].name));
+  return zones;
+}
+
 static json_t *
 describe_status (gp_entry_t *entry, const gp_laggards_t *laggards)
 {
@@ -309,6 +324,7 @@
                          describe_log (entry, entry->config_store));
   json_object_set_new (status, "owners", describe_owners (entries));
   json_object_set_new (status, "entries", entries);
+  json_object_set_new (status, "evacuated_zones", describe_evacuated (entry));
   set_members (status, entry, laggards);
   json_object_set_new (status, "tasks", gp_tasks_status (entry->tasks));
   return status;
--- a/src/daemon/routes.c
+++ b/src/daemon/routes.c
@@ -150,8 +150,10 @@
 settle_member (gp_routes_t *routes, gp_member_t *member)
 {
   gp_target_t *target = member->data;
-  bool routable
-      = gp_member_routable (member) && member->announcement.service != NULL;
+  bool routable = gp_member_routable (member)
+                  && member->announcement.service != NULL
+                  && !g_hash_table_contains (routes->evacuated,
+                                             member->announcement.zone);
 
   if (target == NULL && routable)
     target = target_new (routes, member);
@@ -201,6 +203,21 @@
   tell_silent (routes);
 }
 
+void
+gp_routes_evacuate (gp_routes_t *routes, const gp_document_zone_t *zones,
+                    uint32_t count)
+{
+  GHashTableIter iter;
+  gpointer member;
+
+  g_hash_table_remove_all (routes->evacuated);
+  for (uint32_t i = 0; i < count; i++)
+    g_hash_table_add (routes->evacuated, g_strdup (zones[i].name));
+  g_hash_table_iter_init (&iter, routes->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, &member))
+    settle_member (routes, member);
+}
+
 /* Events.  */
 
 static gp_announcement_t
@@ -478,6 +495,8 @@
   gp_list_init (&routes->silent);
   routes->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  routes->evacuated
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gp_counter_register (&members_serving);
   gp_counter_register (&ejections);
   gp_counter_register (&stale_messages);
@@ -504,5 +523,6 @@
   gp_timer_finish (&routes->timer);
   free_targets (routes);
   g_hash_table_unref (routes->services);
+  g_hash_table_unref (routes->evacuated);
   gp_members_finish (&routes->members);
 }
--- a/src/daemon/routes.h
+++ b/src/daemon/routes.h
@@ -13,6 +13,7 @@
 #include "coordination/retry.h"
 #include "coordination/router.h"
 #include "protocol/session.h"
+#include "state/document.h"
 
 /* What the router, outlier detection and retries keep of one service.  */
 typedef struct
@@ -41,8 +42,9 @@
   gp_loop_t *loop;
   const char *zone; /* of this entry */
   gp_members_t members;
-  GHashTable *services; /* name -> gp_service_t */
-  gp_list_t silent;     /* targets that became suspect, not yet told */
+  GHashTable *services;  /* name -> gp_service_t */
+  GHashTable *evacuated; /* names of zones, owned, that get no requests */
+  gp_list_t silent;      /* targets that became suspect, not yet told */
   gp_timer_t timer;
   gp_time_t ticked_at;
   bool was_late;                                       /* at the last tick */
@@ -57,6 +59,11 @@
                      const char *zone, const gp_members_settings_t *settings);
 void gp_routes_finish (gp_routes_t *routes);
 
+/* Upstreams in the COUNT ZONES get no more requests, the others do; those that
+   are under way go on.  */
+void gp_routes_evacuate (gp_routes_t *routes, const gp_document_zone_t *zones,
+                         uint32_t count);
+
 /* The service NAME, or NULL when no upstream ever announced it.  */
 gp_service_t *gp_routes_find (gp_routes_t *routes, const char *name);
 
--- a/src/daemon/tasks.c
+++ b/src/daemon/tasks.c
@@ -419,6 +419,7 @@
 
   tasks->revision = revision;
   tasks->document = document;
+  gp_tasks_close_zones (tasks);
   if (document != NULL)
     gp_tasks_interfere_configure (tasks);
   for (uint32_t i = 0; document != NULL && i < document->watchers_count; i++)
--- a/src/daemon/tasks_guard.c
+++ b/src/daemon/tasks_guard.c
@@ -121,6 +121,24 @@
   guard->added = false;
 }
 
+/* A zone that no guard has told of has no number yet.  */
+void
+gp_tasks_close_zones (gp_tasks_t *tasks)
+{
+  const gp_document_t *document = tasks->document;
+
+  tasks->evacuated = 0;
+  for (uint32_t i = 0; document != NULL && i < document->evacuated_zones_count;
+       i++)
+    {
+      uint32_t number = GPOINTER_TO_UINT (g_hash_table_lookup (
+          tasks->places, document->evacuated_zones[i].name));
+
+      if (number > 0 && number <= tasks->n_zones)
+        tasks->evacuated |= UINT64_C (1) << (number - 1);
+    }
+}
+
 static void
 take_place (gp_tasks_t *tasks, gp_tasks_guard_t *guard,
             const gp_session_t *session, const Gp__Wire__Announce *announce)
@@ -133,6 +151,7 @@
   worker->region = 0;
   worker->rack = number_of (tasks->racks, rack);
   tasks->zones |= UINT64_C (1) << worker->zone;
+  gp_tasks_close_zones (tasks);
   g_free (rack);
   worker->service = GP_SERVICE_NONE;
   guard->slots = 0;
--- a/src/daemon/tasks_place.c
+++ b/src/daemon/tasks_place.c
@@ -265,7 +265,7 @@
   gp_resources_t most = largest (tasks);
   gp_time_t laxity = task->pending.latest_start - gp_tasks_now (tasks);
 
-  ask->zones = tasks->zones;
+  ask->zones = tasks->zones & ~tasks->evacuated;
   ask->demand = gp_estimate_reservation (
       &task->kind->estimate, &task->pending.charge.resources, &most);
   ask->harm_limit = ask->work_class == GP_WORK_BATCH && laxity > LAXITY_TO_WAIT
@@ -344,6 +344,7 @@
         gp_tasks_park (tasks, task,
                        GP__RECORD__PARK_REASON__PARK_REASON_TOO_LARGE);
       return true;
+    case GP_PLACEMENT_ZONE_CLOSED:
     case GP_PLACEMENT_NO_CAPACITY_NOW:
       defer (tasks, task, GP_PENDING_NO_CAPACITY);
       return true;
--- a/src/daemon/tasks_private.h
+++ b/src/daemon/tasks_private.h
@@ -165,7 +165,8 @@
   GHashTable *places; /* zone and rack names -> number from 1 */
   GHashTable *racks;
   GHashTable *services;
-  uint64_t zones; /* in use, a bit each */
+  uint64_t zones;     /* in use, a bit each */
+  uint64_t evacuated; /* of these, those in which nothing is started */
   uint32_t n_zones;
 
   gp_pending_t pending;
@@ -309,6 +310,8 @@
 gp_tasks_guard_t *gp_tasks_find_guard (const gp_tasks_t *tasks,
                                        const char *name);
 gp_tasks_guard_t *gp_tasks_guard_of_worker (gp_worker_t *worker);
+/* Start nothing in the zones that the document evacuates, of those known.  */
+void gp_tasks_close_zones (gp_tasks_t *tasks);
 void gp_tasks_guard_free (gpointer data);
 void gp_tasks_on_announce (gp_tasks_t *tasks, gp_session_t *session,
                            const Gp__Wire__Announce *announce);
--- a/src/daemon/tasks_view.c
+++ b/src/daemon/tasks_view.c
@@ -187,6 +187,10 @@
     case GP_PLACEMENT_NEVER_FITS:
       g_string_append (text, "no worker that is there is large enough");
       break;
+    case GP_PLACEMENT_ZONE_CLOSED:
+      g_string_append (text, "the workers that are large enough are in an "
+                             "evacuated zone");
+      break;
     case GP_PLACEMENT_AVOIDED:
       g_string_append (text, "only workers on which it failed have room");
       break;
--- a/src/state/document.h
+++ b/src/state/document.h
@@ -62,6 +62,13 @@
   uint32_t zones_count;
 } gp_document_region_t;
 
+/* An availability zone in which nothing is started, and to whose upstreams no
+   request is sent.  */
+typedef struct
+{
+  char *name;
+} gp_document_zone_t;
+
 /* COUNT workers of one shape; used for checks only.  */
 typedef struct
 {
@@ -155,6 +162,8 @@
   char *time_zone; /* IANA name; NULL: UTC */
   gp_document_region_t *regions;
   uint32_t regions_count;
+  gp_document_zone_t *evacuated_zones;
+  uint32_t evacuated_zones_count;
   gp_document_worker_t *workers;
   uint32_t workers_count;
   gp_document_team_t *teams;
--- a/src/state/document_check.c
+++ b/src/state/document_check.c
@@ -388,6 +388,36 @@
   g_hash_table_unref (seen);
 }
 
+/* Is ZONE in no region, though there are some?  */
+static bool
+is_unknown_zone (const gp_document_t *document, const char *zone)
+{
+  for (uint32_t i = 0; i < document->regions_count; i++)
+    for (uint32_t j = 0; j < document->regions[i].zones_count; j++)
+      if (strcmp (document->regions[i].zones[j], zone) == 0)
+        return false;
+  return document->regions_count > 0;
+}
+
+static void
+check_evacuated_zones (check_t *check)
+{
+  const gp_document_t *document = check->document;
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (uint32_t i = 0; i < document->evacuated_zones_count; i++)
+    {
+      char *name = document->evacuated_zones[i].name;
+
+      if (!g_hash_table_add (seen, name))
+        report_twice (check, "evacuated_zones", i, name);
+      else if (is_unknown_zone (document, name))
+        ERROR (check, PATH ("evacuated_zones[%u].name", i),
+               "a zone of `regions'", "zone \"%s\" is in no region", name);
+    }
+  g_hash_table_unref (seen);
+}
+
 static void
 check_interference (check_t *check)
 {
@@ -426,6 +456,7 @@
 
   sum_fleet (&check);
   check_regions (&check);
+  check_evacuated_zones (&check);
   check_teams (&check);
   check_services (&check);
   check_batch_jobs (&check);
--- a/src/state/document_schema.c
+++ b/src/state/document_schema.c
@@ -43,6 +43,9 @@
                               LIST_MAX_COUNT),
         CYAML_FIELD_END };
 
+static const cyaml_schema_field_t zone_fields[]
+    = { NAME ("name", REQUIRED, gp_document_zone_t, name), CYAML_FIELD_END };
+
 static const cyaml_schema_field_t worker_fields[]
     = { NAME ("name", REQUIRED, gp_document_worker_t, name),
         UINT ("count", REQUIRED, gp_document_worker_t, count),
@@ -163,6 +166,8 @@
 
 static const cyaml_schema_value_t region_value
     = VALUE (gp_document_region_t, region_fields);
+static const cyaml_schema_value_t evacuated_zone_value
+    = VALUE (gp_document_zone_t, zone_fields);
 static const cyaml_schema_value_t worker_value
     = VALUE (gp_document_worker_t, worker_fields);
 static const cyaml_schema_value_t team_value
@@ -179,6 +184,8 @@
   NAME ("site", REQUIRED, gp_document_t, site),
   NAME ("time_zone", OPTIONAL, gp_document_t, time_zone),
   LIST ("regions", gp_document_t, regions, &region_value, LIST_MAX_COUNT),
+  LIST ("evacuated_zones", gp_document_t, evacuated_zones,
+        &evacuated_zone_value, LIST_MAX_COUNT),
   LIST ("workers", gp_document_t, workers, &worker_value, SHAPES_MAX_COUNT),
   LIST ("teams", gp_document_t, teams, &team_value, TEAMS_MAX_COUNT),
   LIST ("services", gp_document_t, services, &service_value, LIST_MAX_COUNT),
@@ -216,6 +223,7 @@
            "an IANA name such as Europe/Berlin"),
   RULE_NAME (region_fields, "name"),
   RULE_NAME (region_fields, "zones"),
+  RULE_NAME (zone_fields, "name"),
   RULE_NAME (worker_fields, "name"),
   RANGE (worker_fields, "count", 1, COUNT_MAX, 0),
   RANGE (worker_fields, "millicores", 1, MILLICORES_MAX, 0),
@@ -276,6 +284,8 @@
 
 static const cyaml_schema_value_t region_element
     = ELEMENT (gp_document_region_t, region_fields);
+static const cyaml_schema_value_t evacuated_zone_element
+    = ELEMENT (gp_document_zone_t, zone_fields);
 static const cyaml_schema_value_t worker_element
     = ELEMENT (gp_document_worker_t, worker_fields);
 static const cyaml_schema_value_t team_element
@@ -300,6 +310,8 @@
 
 const gp_document_section_t gp_document_sections[GP_DOCUMENT_SECTIONS] = {
   SECTION (regions, "region/", gp_document_region_t, region_element),
+  SECTION (evacuated_zones, "evacuated/", gp_document_zone_t,
+           evacuated_zone_element),
   SECTION (workers, "worker/", gp_document_worker_t, worker_element),
   SECTION (teams, "team/", gp_document_team_t, team_element),
   SECTION (services, "service/", gp_document_service_t, service_element),
--- a/src/state/document_schema.h
+++ b/src/state/document_schema.h
@@ -19,7 +19,7 @@
   gp_yaml_schema_t schema;
 } gp_document_section_t;
 
-#define GP_DOCUMENT_SECTIONS 6
+#define GP_DOCUMENT_SECTIONS 7
 extern const gp_document_section_t gp_document_sections[GP_DOCUMENT_SECTIONS];
 
 /* The section of an item's key, or NULL.  */
--- /dev/null
+++ b/tests/scripts/evacuated_site.py
@@ -0,0 +1,104 @@
+"""A zone is evacuated by the document of a site of our own: no task is started
+there and no request is sent there until it is taken back, whoever leads."""
+
+import json
+import signal
+import sys
+
+from tasks_site import (DOCUMENT, await_state, await_watchers, executions,
+                        judge, now_us, publish, ready, running_watchers,
+                        site_of, submit)
+
+from site_processes import until
+
+SERVICE = DOCUMENT + """
+services:
+  - {name: reclamos-api, team: claims, latency_target_ms: 150,
+     timeout_ms: 5000, executors: 2, slots: 8, connections: 64,
+     kinds: [{name: check, path_prefix: /, class: latency-critical,
+              idempotent: true}]}
+"""
+EVACUATED = SERVICE + "evacuated_zones: [{name: a}]\n"
+WATCHERS = 4
+
+
+def status(site, entry="entry-1"):
+    return json.loads(site.operate(entry, "GET", "/v1/status")[2])
+
+
+def await_revision(site, revision):
+    for entry in site.entry_names:
+        until(lambda e=entry: site.counter(e, "config_revision") == revision,
+              what=f"revision {revision} at {entry}")
+
+
+def starts_since(site, zone, since_us):
+    return sum(run["start"] > since_us and site.zone_of(run["node"]) == zone
+               for runs in executions(site).values() for run in runs)
+
+
+def requests_in(site, zone):
+    """Requests that the upstreams of ZONE have taken."""
+    return sum(fact["event"] == "execution_start" for guard in site.guard_names
+               if site.zone_of(guard) == zone
+               for fact in site.facts(guard + ".upstream"))
+
+
+def use(site, title):
+    """Work of both kinds, which ends."""
+    for entry in site.entry_names:
+        names = submit(site, entry, 6, run_ms=100)
+        for name in names:
+            await_state(site, name, "succeeded", entry)
+    answers = [site.call(entry, "GET", "/reclamos-api/check?ms=1")[0]
+               for entry in site.entry_names for _ in range(10)]
+    print(f"  {title}: jobs done, answers:", sorted(set(answers)))
+
+
+def upstreams(site, state):
+    return sorted(u["zone"] for u in status(site)["upstreams"]
+                  if u["state"] == state)
+
+
+def main(build):
+    print("a zone is evacuated")
+    with site_of(build, upstream=True, entries=2, guards=4) as site:
+        ready(site, WATCHERS, SERVICE)
+        site.await_targets(4)
+        await_watchers(site, WATCHERS)
+        before = {w["id"]: w["worker"] for w in running_watchers(site)}
+        publish(site, 1, WATCHERS, EVACUATED)
+        await_revision(site, 2)
+        print("  told:", status(site)["evacuated_zones"],
+              upstreams(site, "not-routed"))
+        since, taken = now_us(), requests_in(site, "a")
+        use(site, "meanwhile")
+        site.processes["entry-1"].kill()
+        site.start_entry("entry-1")
+        await_revision(site, 2)
+        use(site, "after a restart")
+        print("  started there:", starts_since(site, "a", since),
+              "requests there:", requests_in(site, "a") - taken,
+              "elsewhere:", requests_in(site, "b") > 0)
+        after = {w["id"]: w["worker"] for w in running_watchers(site)}
+        print("  watchers stay:", before == after)
+        site.processes["guard-1"].signal(signal.SIGTERM)
+        site.processes["guard-1"].wait()
+        await_watchers(site, WATCHERS)
+        print("  those of a worker that leaves go elsewhere:",
+              starts_since(site, "a", since) == 0)
+        publish(site, 2, WATCHERS, SERVICE)
+        await_revision(site, 3)
+        until(lambda: "not-routed" not in
+              [u["state"] for u in status(site)["upstreams"]
+               if u["guard"] != "guard-1"], what="routed")
+        use(site, "taken back")
+        until(lambda: submit(site, run_ms=10)
+              and starts_since(site, "a", since) > 0
+              and site.call("entry-1", "GET", "/reclamos-api/check?ms=1")
+              and requests_in(site, "a") > taken, what="used again")
+        print("  used again:", True)
+        judge(site)
+
+
+main(sys.argv[1])
--- a/tests/unit/test_document.c
+++ b/tests/unit/test_document.c
@@ -54,6 +54,9 @@
                                                             "j",
                                                             ", count: 1") "]"
                                                                           "\n" },
+  { "evacuated zones", HEAD "regions: [{name: r, zones: [y, z]}]\n"
+                            "evacuated_zones: [{name: z}, {name: z}, "
+                            "{name: x}]\n" },
   { "unknown team",
     HEAD SERVICE (", team: x", KIND ("k", "/a", "")) "batch_jobs: [" JOB (
         "j", "y", "") "]\n" },
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -72,6 +72,10 @@
   place (&site, "not held, avoiding it", &ask);
   ask.n_avoided = 0;
   place (&site, "at last", &ask);
+  ask.zones = 0;
+  place (&site, "no zone is open", &ask);
+  ask.demand.millicores = 70000;
+  place (&site, "and too large", &ask);
   policy_site_finish (&site);
 }
 
