--- a/src/jobs/agent_measure.c
+++ b/src/jobs/agent_measure.c
@@ -19,8 +19,7 @@
 #define SEEN_AFTER (150 * GP_MSEC)
 /* A pace tells so long after it was taken.  */
 #define PACE_TIME (100 * GP_MSEC)
-/* A run that is not busy uses this share of what it may.  Within 5 % on all
-   sites known, as a busy one uses all of it.  */
+/* A run that is not busy uses this share of what it may, a busy one all.  */
 #define LIGHT_SHARE (2.0 / 3.0)
 /* At a lower mean pace, of 1, the processors in use tell too little.  */
 #define PACE_LEAST 0.08
--- a/src/jobs/forecast.h
+++ b/src/jobs/forecast.h
@@ -1,12 +1,11 @@
 /* How long tasks take, learned online.
 
-   The estimates that come with a job are rough: on the users' sites they
-   explain a quarter of the variance of one image and four fifths of
-   another's.  So for each image (for each queue where steps name none) the
-   logarithm of a run's duration is a line
-   over the logarithm of its estimate, learned from runs that are done, and
-   the longest task of a step is a learned multiple of the mean.  A process
-   that knows nothing yet takes estimates as they are.  */
+   The estimates that come with a job are rough, for some images more than for
+   others.  So for each image (for each queue where steps name none) the
+   logarithm of a run's duration is a line over the logarithm of its estimate,
+   learned from runs that are done, and the longest task of a step is a learned
+   multiple of the mean.  A process that knows nothing yet takes estimates as
+   they are.  */
 
 #ifndef GP_JOBS_FORECAST_H
 #define GP_JOBS_FORECAST_H
--- a/src/jobs/grants.h
+++ b/src/jobs/grants.h
@@ -24,10 +24,9 @@
      read all of theirs.  So whoever reads one record, and all after it, knows
    of all; one that has just started does not have to wait for a term.
 
-   Without that, the runs of an executor that ended while the lead changed were
-   given up 13.25 s after the last record of the leader before; with it it is a
-   lease (5.25 s) after the last word of its guard, or of the leader that
-   stopped (tests/scripts/gone.py).
+   So the runs of an executor that ends while the lead changes are given up a
+   lease after the last word of its guard, or of the leader that stopped, and not
+   a term and a lease after the last record of the leader before.
 
    Pure: events and NOW in, points in time out.  */
 
--- a/src/jobs/headroom.c
+++ b/src/jobs/headroom.c
@@ -6,13 +6,10 @@
 #include <string.h>
 
 /* Deviation of a measurement: a share of it, and what rounding to whole
-   milliseconds and the time between measure and report add.  From 57,000
-   measures of six days: 4 to 10 % around the mean of a job's runs.  */
+   milliseconds and the time between measure and report add.  */
 #define NOISE_SHARE 0.05
 #define NOISE_LEAST 0.05
-/* Deviations of mean, displacement and speed before they are known: on the
-   sites known the mean lies between 2.5 and 2.9 and the displacement swings
-   by 1.1 to 1.6 within 10 to 14 s.  */
+/* Deviations of mean, displacement and speed before they are known.  */
 #define MEAN_DEVIATION 0.4
 #define DISPLACEMENT_DEVIATION 0.9
 #define SPEED_DEVIATION 0.5
@@ -26,9 +23,8 @@
 /* A surprise counts at most so many deviations.  */
 #define CLIP_DEVIATIONS 3.0
 
-/* Seconds, a step of 1.2 apart.  Of swings of 6 to 24 s, most of them between
-   two of these, the track misses 0.06 to 0.13 of a headroom 1.5 s ahead, the
-   last measure 0.3 to 1.1 (by the plays of test_headroom).  */
+/* Seconds, a factor of 1.2 apart: a swing between two of these is followed by
+   the nearer one.  */
 static const double periods[GP_HEADROOM_PERIODS]
     = { 5.8, 7.0, 8.4, 10.0, 12.0, 14.0, 17.0, 22.0 };
 
--- a/src/jobs/headroom.h
+++ b/src/jobs/headroom.h
@@ -24,8 +24,8 @@
    straight line was seen to hold down to here.  */
 #define GP_HEADROOM_LEAST 0.15
 
-/* What a run is taken to have before it was measured: the middle of the
-   swing on the sites known.  */
+/* What a run is taken to have before it was measured: the middle of a swing
+   between overloaded and idle.  */
 #define GP_HEADROOM_UNKNOWN 2.5
 
 /* Periods that are told apart.  */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -21,21 +21,18 @@
 
 /* Filling work harms a serving run that has less headroom than this left:
    twice that of the target, as the load goes on while the filling run works,
-   and its phase turns.  Mean gain in 40 plays with 1.3, 1.6, 2.0 and 2.5:
-   0.004, 0.017, 0.024 and 0.010.  */
+   and its phase turns.  */
 #define HEADROOM_GOAL 2.0
 /* Harm is the mean of what is expected at these times from now on, which lie
    within the duration of most filling runs.  */
 static const gp_time_t harm_times[] = { 300 * GP_MSEC, 1500 * GP_MSEC };
 /* Points that a task loses for each unit of harm that it is expected to do.
-   A unit is as much headroom as a run has at its target.  With 1000 one play
-   in 72 misses the floor of its batch work, with 3000 none, at the same mean
-   worth (+0.005 +- 0.004 in 120 plays).  */
+   A unit is as much headroom as a run has at its target; all the processors of
+   an executor are 1000.  */
 #define HARM_POINTS 3000.0
 /* A filling task waits rather than do more harm than this, but no longer
    than the time below when its job has no other run: the pacer then keeps
-   the harm down.  Mean gain in 40 plays with 0.3 and 0.5: 0.024 and 0.013;
-   with much less the heaviest days have no places for their batch work.  */
+   the harm down.  */
 #define HARM_MAX 0.3
 /* A place with no more harm than this is worth a move of a run that is held
    back where it is.  */
@@ -44,8 +41,7 @@
 /* A job that has had no run for so long takes a place with less left over as
    well, on an executor of which less than half is reserved: filling work asks
    for no room there, only its speed suffers, and an accepted job is not to
-   stand still while most of the room is free.  In an overload jobs that were
-   past their time stood still for 30 s behind those that were not.  */
+   stand still while most of the room is free.  */
 #define STARVED_TIME (2 * GP_SEC)
 /* Points for each run of the same image on the executor: like images suffer
    from the same neighbours, so that others are left for those.  */
--- a/src/jobs/pressure.h
+++ b/src/jobs/pressure.h
@@ -3,16 +3,14 @@
 
    A serving run has a headroom (jobs/headroom.h) by its own load, of which
    each filling run beside it takes a weight.  The weight belongs to the pair
-   of images: about two thirds of the pairs are harmless, the others weigh 0.4
-   to 1.4.  A filling run presses only in its busy phases, in which it uses
+   of images: about two thirds of the pairs are harmless, the others weigh
+   around one.  A filling run presses only in its busy phases, in which it uses
    all processors that it may; in the others it uses two thirds of them and
    presses next to nothing.
 
-   Offline fits to 57,000 measures of six days, with one load for each job
-   and moment: 12 % of the headroom are left unexplained, 10 % where nothing
-   presses.  The same weights fit at all loads: a busy run takes 1.2 of a
-   headroom of 2 as of one of 3.5, where the logarithm of the latency rises by
-   0.63 and 0.46.  */
+   The same weights hold at all loads: a busy run takes as much of a headroom of
+   2 as of one of 3.5, where the logarithm of the latency rises by other
+   amounts.  */
 
 #ifndef GP_JOBS_PRESSURE_H
 #define GP_JOBS_PRESSURE_H
--- a/src/jobs/spec_store.h
+++ b/src/jobs/spec_store.h
@@ -1,10 +1,9 @@
 /* The specifications of jobs that a guard holds.
 
    A start names its job, and the job's specification goes to a guard once,
-   whatever number of runs it gets: with the specification in each start, 85 %
-   of a leader's bytes were copies of it (1.8 of 2.1 MB in ten seconds, 18
-   workers, jobs of 39 tasks and 2 KB).  It comes from the leader or from
-   another guard that has it already; guards have wide links, entries do not.
+   whatever number of runs it gets: in each start it would be most of what a
+   leader sends.  It comes from the leader or from another guard that has it
+   already; guards have wide links, entries do not.
 
    A specification is known by its job and a digest of its bytes, so that one
    that another writer has put in place of the first is not mistaken for it.
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -104,9 +104,8 @@
     task->alone_since = now;
 }
 
-/* Its patience begins when it can be assigned: while the store was away for 8
-   s two suspects lost theirs, went to one executor and down with it, both for
-   the fourth time (a soak).  */
+/* Its patience begins when it can be assigned: suspects that lose theirs while
+   the store is away would go to one executor, and down with it.  */
 bool
 gp_suspicion_wants_alone (const gp_job_task_t *task, gp_time_t now)
 {
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -43,10 +43,9 @@
 #define GP_SUSPICION_MOST 4
 
 /* How long a run has to be listed as at work to have settled.  Tasks that take
-   their executor down do so 10 ms after their start.  On days on which a third
-   of the executors, or all, go down every few seconds by themselves, five
-   tasks were given up for nothing in eight plays with two seconds, none with
-   one.  */
+   their executor down do so milliseconds after their start; the longer this is
+   the more runs stand under suspicion after executors went down by themselves.
+ */
 #define GP_SUSPICION_SETTLE_TIME (GP_SEC)
 /* And not to have only just begun: such a run stands against its task, when it
    was alone.  Twice as long as a list may wait before it is answered.  */
@@ -58,9 +57,7 @@
    milliseconds, or made again after 300 ms.  */
 #define GP_SUSPICION_BEGIN_TIME (500 * GP_MSEC)
 /* A task waits no longer for an executor of its own: one that lasts has to run
-   again within 6 s, the others are late already.  With 3 s for those too, two
-   that only stood beside were given up in 60 sites with a task that takes its
-   executors down in each fifth job (tests/unit/test_suspicion.c); now none. */
+   again within 6 s, the others are late already.  */
 #define GP_SUSPICION_LASTING_PATIENCE (3 * GP_SEC)
 #define GP_SUSPICION_PATIENCE (10 * GP_SEC)
 /* Of all executors, at most one in so many is kept for one task (but one
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -17,8 +17,7 @@
    is given to stop.  */
 #define SERVE_ON_TIME (3200 * GP_MSEC)
 /* Entries that do not lead read in portions, as each read has its price and is
-   made by each of them: with a read after each append, 35 entries made 67,000
-   calls to the store on a calm day.  A job's end is told that much later; of
+   made by each of them.  A job's end is told that much later; of
    submissions they only need to know what is asked for at another entry than
    the one that took them, and for a takeover.  */
 #define PROGRESS_SPACING (100 * GP_MSEC)
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -447,8 +447,8 @@
 }
 
 /* An executor that has just said goodbye is seen to its end first: otherwise
-   nobody could tell the leader of it, and its runs would wait for its lease
-   (5.2 s in place of 0.1 s, tests/scripts/gone.py).  */
+   nobody could tell the leader of it, and its runs would wait for its lease.
+ */
 static void
 on_stop (void *data)
 {
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -72,8 +72,8 @@
 
 /* The guard on NODE reports EXECUTOR: what another writer has written of it
    under another VM's name is wrong.  Left there it would prove EXECUTOR's
-   death as soon as the guard of that VM reports its own: each of its runs was
-   started a second time (tests/scripts/records.py, a_place_of_two).  */
+   death as soon as the guard of that VM reports its own, and each of its runs
+   would be started a second time.  */
 static void
 drop_wrong_places (gp_leader_t *leader, const char *node, const char *executor)
 {
--- a/src/jobsd/way.c
+++ b/src/jobsd/way.c
@@ -11,8 +11,8 @@
 #define FAILURES_TO_LEAVE 2
 /* When none of so many peers has a way either, the store is down: no peer is
    tried again for a while.  With a third of all entries turned away one in a
-   hundred waits in vain; trying all of 35 in turn took four seconds and made
-   1,200 changes of the way in an outage of that time.  */
+   hundred waits in vain; trying all of them in turn would take as long as an
+   outage.  */
 #define PEERS_TO_TRY 4
 #define GIVE_UP_TIME (1500 * GP_MSEC)
 /* While calls are passed on, the direct way is tried so often.  */
