galenapier losses: what became of jobs, by the logs

Cause: where callers' jobs lose their time could only be read job by job (explain). Change: cli/losses makes a table by queue, by cause, by how runs ended, by answer and by moment from the logs of all processes; cli/log_lines reads them, for explain as well. job.ended tells how long the job took and its objective. Ruled out: a cause for each run: a job has dozens, and their sum says nothing of what came late.

--- a/completions/galenapier.bash
+++ b/completions/galenapier.bash
@@ -10,7 +10,7 @@
 
   if [ "$COMP_CWORD" -eq 1 ]; then
     COMPREPLY=($(compgen -W "check publish config status submit jobs watchers
-      cancel explain counters timeline --help --version" -- "$cur"))
+      cancel explain losses counters timeline --help --version" -- "$cur"))
     return
   fi
   if [ "$command" = config ] && [ "$COMP_CWORD" -eq 2 ]; then
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -22,6 +22,7 @@
   { "watchers", "list watchers", gp_cli_watchers },
   { "cancel", "cancel batch jobs", gp_cli_cancel },
   { "explain", "why a job or watcher is where it is", gp_cli_explain },
+  { "losses", "what became of jobs, from log files", gp_cli_losses },
   { "counters", "counters of an entry", gp_cli_counters },
   { "timeline", "events of the site in their order", gp_cli_timeline },
 };
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -71,6 +71,8 @@
 /* The path of the job or task ID through the LOGS (NULL-terminated, "-":
    standard input) of all processes.  */
 gp_cli_exit_t gp_cli_explain_logs (gp_cli_t *cli, const char *id, char **logs);
+/* Where jobs lost their time, from log files.  */
+gp_cli_exit_t gp_cli_losses (gp_cli_t *cli, int argc, char **argv);
 gp_cli_exit_t gp_cli_counters (gp_cli_t *cli, int argc, char **argv);
 gp_cli_exit_t gp_cli_timeline (gp_cli_t *cli, int argc, char **argv);
 
--- a/src/cli/cmd_explain_logs.c
+++ b/src/cli/cmd_explain_logs.c
@@ -8,34 +8,13 @@
 
 #include "base/time.h"
 #include "cli/cli.h"
+#include "cli/log_lines.h"
 
 /* In the place of an ID: what came from outside and was refused.  */
 #define REFUSED "refused"
 #define REFUSAL_SUFFIX ".malformed"
 #define UNCONFIRMED "executor.unconfirmed"
 
-/* One log line that names the ID.  */
-typedef struct
-{
-  json_int_t time; /* microseconds since 1970 */
-  json_t *json;    /* owned */
-} line_t;
-
-static void
-clear_line (gpointer data)
-{
-  json_decref (((line_t *)data)->json);
-}
-
-static gint
-by_time (gconstpointer a, gconstpointer b)
-{
-  const line_t *left = a;
-  const line_t *right = b;
-
-  return left->time < right->time ? -1 : left->time > right->time;
-}
-
 /* Does the line's job or task belong to ID?  A job's id begins the names of
    its tasks.  */
 static bool
@@ -59,51 +38,16 @@
 }
 
 static bool
-belongs (const json_t *json, const char *id)
+belongs (const json_t *json, void *data)
 {
+  const char *id = data;
+
   if (strcmp (id, REFUSED) == 0)
     return is_refusal (json);
   return names (json, "job", id) || names (json, "task", id)
          || names (json, "executor", id) || names (json, "zone", id);
 }
 
-/* A log may hold other text, also before the object on a line.  */
-static void
-take_line (GArray *lines, const char *id, const char *text)
-{
-  const char *begin = strchr (text, '{');
-  line_t line;
-
-  if (begin == NULL)
-    return;
-  line.json = json_loads (begin, JSON_DISABLE_EOF_CHECK, NULL);
-  if (line.json == NULL)
-    return;
-  if (!belongs (line.json, id))
-    {
-      json_decref (line.json);
-      return;
-    }
-  line.time = json_integer_value (json_object_get (line.json, "time"));
-  g_array_append_val (lines, line);
-}
-
-static bool
-take_log (GArray *lines, const char *id, const char *path)
-{
-  char *text = gp_cli_read_file (path, NULL);
-  char **rows;
-
-  if (text == NULL)
-    return false;
-  rows = g_strsplit (text, "\n", -1);
-  for (char **row = rows; *row != NULL; row++)
-    take_line (lines, id, *row);
-  g_strfreev (rows);
-  g_free (text);
-  return true;
-}
-
 static bool
 is_common (const char *key)
 {
@@ -133,12 +77,12 @@
 static void
 print_lines (const GArray *lines)
 {
-  const line_t *first = &g_array_index (lines, line_t, 0);
+  const gp_log_line_t *first = &g_array_index (lines, gp_log_line_t, 0);
   json_int_t before = first->time;
 
   for (guint i = 0; i < lines->len; i++)
     {
-      const line_t *line = &g_array_index (lines, line_t, i);
+      const gp_log_line_t *line = &g_array_index (lines, gp_log_line_t, i);
 
       printf ("%9.1f %+8.1f ms  %s %s",
               (double)(line->time - first->time) / GP_MSEC,
@@ -156,7 +100,8 @@
 {
   for (guint i = 0; i < lines->len; i++)
     {
-      json_dumpf (g_array_index (lines, line_t, i).json, stdout, JSON_COMPACT);
+      json_dumpf (g_array_index (lines, gp_log_line_t, i).json, stdout,
+                  JSON_COMPACT);
       putchar ('\n');
     }
 }
@@ -164,19 +109,16 @@
 gp_cli_exit_t
 gp_cli_explain_logs (gp_cli_t *cli, const char *id, char **logs)
 {
-  GArray *lines = g_array_new (FALSE, FALSE, sizeof (line_t));
+  GArray *lines = gp_log_lines_read (logs, belongs, (void *)id);
   gp_cli_exit_t status = GP_CLI_OK;
 
-  g_array_set_clear_func (lines, clear_line);
-  for (char **log = logs; *log != NULL && status == GP_CLI_OK; log++)
-    if (!take_log (lines, id, *log))
-      status = GP_CLI_USAGE;
-  if (status == GP_CLI_OK && lines->len == 0)
+  if (lines == NULL)
+    return GP_CLI_USAGE;
+  if (lines->len == 0)
     {
       gp_cli_error ("no line of these logs names %s", id);
       status = GP_CLI_REFUSED;
     }
-  g_array_sort (lines, by_time);
   if (lines->len > 0 && cli->json)
     print_json (lines);
   else if (lines->len > 0)
--- /dev/null
+++ b/src/cli/cmd_losses.c
@@ -0,0 +1,48 @@
+/* galenapier losses LOG...: where jobs lost their time, from log files.  */
+
+#include "cli/cli.h"
+#include "cli/log_lines.h"
+#include "cli/losses.h"
+#include "cli/print.h"
+
+#include <string.h>
+
+#define EVERY_DEFAULT_S 10
+
+static bool
+is_of_jobs (const json_t *json, void *data)
+{
+  const char *event = json_string_value (json_object_get (json, "event"));
+
+  return event != NULL
+         && (g_str_has_prefix (event, "job.")
+             || g_str_has_prefix (event, "run."));
+}
+
+gp_cli_exit_t
+gp_cli_losses (gp_cli_t *cli, int argc, char **argv)
+{
+  int every_s = EVERY_DEFAULT_S;
+  const GOptionEntry options[]
+      = { { "every", 0, 0, G_OPTION_ARG_INT, &every_s,
+            "moments in steps of SECONDS (10)", "SECONDS" },
+          { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL } };
+  GArray *lines;
+  json_t *losses;
+
+  if (!gp_cli_parse (cli, options, "LOG...", 1, G_MAXINT, &argc, &argv))
+    return GP_CLI_USAGE;
+  if (every_s <= 0)
+    {
+      gp_cli_error ("--every takes a number of seconds over 0");
+      return GP_CLI_USAGE;
+    }
+  lines = gp_log_lines_read (argv + 1, is_of_jobs, NULL);
+  if (lines == NULL)
+    return GP_CLI_USAGE;
+  losses = gp_losses_of (lines, every_s * GP_SEC);
+  gp_cli_print (losses, cli->json);
+  json_decref (losses);
+  g_array_unref (lines);
+  return GP_CLI_OK;
+}
--- /dev/null
+++ b/src/cli/losses.c
@@ -0,0 +1,492 @@
+/* What became of the jobs that callers handed in, by the logs.  */
+
+#include "cli/losses.h"
+
+#include <string.h>
+
+#include "cli/log_lines.h"
+
+/* Hexadecimal digits of a job's id, which begins the names of its tasks.  */
+#define ID_SIZE 16
+/* Of entries that follow: it does not know the queue of a job.  */
+#define QUEUE_UNKNOWN "-"
+
+typedef enum
+{
+  FATE_GOING_ON,
+  FATE_IN_TIME,
+  FATE_LATE,
+  FATE_FAILED,
+  FATE_CANCELLED,
+  FATE_REFUSED,
+  FATE_LEFT_OPEN, /* the caller does not know */
+  FATES
+} fate_t;
+
+static const char *const fate_names[FATES]
+    = { "going_on",  "in_time", "late",     "failed",
+        "cancelled", "refused", "left_open" };
+
+typedef enum
+{
+  CAUSE_NO_ROOM,
+  CAUSE_RUN_AGAIN,
+  CAUSE_AT_WORK,
+  CAUSES
+} cause_t;
+
+static const char *const cause_names[CAUSES]
+    = { "lost_no_room", "lost_run_again", "lost_at_work" };
+
+typedef struct
+{
+  char *queue; /* owned, NULL: not known */
+  gp_time_t handed_in;
+  gp_time_t recorded; /* 0: not */
+  gp_time_t started;  /* 0: not */
+  gp_time_t ended;    /* 0: not */
+  gp_time_t idle_since;
+  gp_time_t idle;  /* time for which it had no run */
+  gp_time_t again; /* sum over runs that did not end done ... */
+  gp_time_t spent; /* ... and over all that have ended */
+  unsigned active; /* runs */
+  fate_t fate;
+} job_t;
+
+typedef struct
+{
+  char *job;   /* owned */
+  char *queue; /* owned */
+  gp_time_t began;
+} run_t;
+
+/* Runs that ended in one way.  */
+typedef struct
+{
+  unsigned count;
+  gp_time_t time;
+} ends_t;
+
+typedef struct
+{
+  GHashTable *jobs;    /* id to job_t, owned */
+  GHashTable *runs;    /* "task run" to run_t, owned: under way */
+  GHashTable *ends;    /* "queue how" to ends_t, owned */
+  GHashTable *answers; /* "status why" to a count */
+  gp_time_t last;      /* time of the last line */
+} account_t;
+
+static void
+free_job (gpointer data)
+{
+  g_free (((job_t *)data)->queue);
+  g_free (data);
+}
+
+static void
+free_run (gpointer data)
+{
+  g_free (((run_t *)data)->job);
+  g_free (((run_t *)data)->queue);
+  g_free (data);
+}
+
+static job_t *
+need_job (account_t *account, const char *id, gp_time_t now)
+{
+  job_t *job = g_hash_table_lookup (account->jobs, id);
+
+  if (job != NULL)
+    return job;
+  job = g_new0 (job_t, 1);
+  job->handed_in = now;
+  job->idle_since = now;
+  g_hash_table_insert (account->jobs, g_strdup (id), job);
+  return job;
+}
+
+/* The key of a run, owned by the caller.  */
+static char *
+run_key (const gp_log_line_t *line)
+{
+  return g_strdup_printf ("%s %" G_GINT64_FORMAT,
+                          gp_log_line_text (line, "task"),
+                          gp_log_line_number (line, "run", 0));
+}
+
+static void
+take_answer (account_t *account, const gp_log_line_t *line)
+{
+  int64_t status = gp_log_line_number (line, "status", 0);
+  gp_time_t after = gp_log_line_number (line, "after_ms", 0) * GP_MSEC;
+  job_t *job
+      = need_job (account, gp_log_line_text (line, "job"), line->time - after);
+  char *key;
+
+  if (status == 200)
+    {
+      if (job->recorded == 0)
+        job->recorded = line->time;
+      if (job->fate == FATE_REFUSED || job->fate == FATE_LEFT_OPEN)
+        job->fate = FATE_GOING_ON;
+      return;
+    }
+  if (job->recorded == 0)
+    job->fate = status == 504 ? FATE_LEFT_OPEN : FATE_REFUSED;
+  key = g_strdup_printf ("%" G_GINT64_FORMAT " %s", status,
+                         gp_log_line_text (line, "why"));
+  g_hash_table_insert (
+      account->answers, key,
+      GUINT_TO_POINTER (
+          GPOINTER_TO_UINT (g_hash_table_lookup (account->answers, key)) + 1));
+}
+
+static void
+take_assigned (account_t *account, const gp_log_line_t *line)
+{
+  char *id = g_strndup (gp_log_line_text (line, "task"), ID_SIZE);
+  job_t *job = need_job (account, id, line->time);
+  run_t *run = g_new (run_t, 1);
+
+  if (job->queue == NULL)
+    job->queue = g_strdup (gp_log_line_text (line, "queue"));
+  if (job->started == 0)
+    job->started = line->time;
+  if (job->active++ == 0)
+    job->idle += line->time - job->idle_since;
+  *run = (run_t){ .job = id,
+                  .queue = g_strdup (job->queue),
+                  .began = line->time };
+  g_hash_table_replace (account->runs, run_key (line), run);
+}
+
+static void
+count_end (account_t *account, const run_t *run, const char *how,
+           gp_time_t duration)
+{
+  char *key = g_strdup_printf ("%s %s", run->queue, how);
+  ends_t *ends = g_hash_table_lookup (account->ends, key);
+
+  if (ends == NULL)
+    {
+      ends = g_new0 (ends_t, 1);
+      g_hash_table_insert (account->ends, g_strdup (key), ends);
+    }
+  ends->count++;
+  ends->time += duration;
+  g_free (key);
+}
+
+/* The run of LINE is over, by what it says or as HOW.  */
+static void
+take_end (account_t *account, const gp_log_line_t *line, const char *how)
+{
+  char *key = run_key (line);
+  const run_t *run = g_hash_table_lookup (account->runs, key);
+  job_t *job;
+
+  if (run != NULL)
+    {
+      job = need_job (account, run->job, line->time);
+      count_end (account, run, how, line->time - run->began);
+      job->spent += line->time - run->began;
+      if (strcmp (how, "done") != 0)
+        job->again += line->time - run->began;
+      if (--job->active == 0)
+        job->idle_since = line->time;
+      g_hash_table_remove (account->runs, key);
+    }
+  g_free (key);
+}
+
+static void
+take_job_end (account_t *account, const gp_log_line_t *line)
+{
+  const char *state = gp_log_line_text (line, "state");
+  job_t *job = need_job (account, gp_log_line_text (line, "job"), line->time);
+  int64_t objective = gp_log_line_number (line, "objective_ms", -1);
+  int64_t took = gp_log_line_number (line, "took_ms", 0);
+
+  job->ended = line->time;
+  if (job->active == 0)
+    job->idle += line->time - job->idle_since;
+  if (strcmp (state, "failed") == 0)
+    job->fate = FATE_FAILED;
+  else if (strcmp (state, "cancelled") == 0)
+    job->fate = FATE_CANCELLED;
+  else
+    job->fate = objective >= 0 && took > objective ? FATE_LATE : FATE_IN_TIME;
+}
+
+static void
+take_line (account_t *account, const gp_log_line_t *line)
+{
+  const char *event = gp_log_line_text (line, "event");
+
+  account->last = line->time;
+  if (strcmp (event, "job.answered") == 0)
+    take_answer (account, line);
+  else if (strcmp (event, "run.assigned") == 0)
+    take_assigned (account, line);
+  else if (strcmp (event, "run.ended") == 0)
+    take_end (account, line, gp_log_line_text (line, "how"));
+  else if (strcmp (event, "run.lost") == 0)
+    take_end (account, line, "lost");
+  else if (strcmp (event, "run.absent") == 0)
+    take_end (account, line, "absent");
+  else if (strcmp (event, "job.ended") == 0)
+    take_job_end (account, line);
+}
+
+/* Where JOB, which was not in time, lost most of it.  */
+static cause_t
+cause_of (const account_t *account, const job_t *job)
+{
+  gp_time_t end = job->ended != 0 ? job->ended : account->last;
+  gp_time_t idle = job->idle;
+  gp_time_t work;
+  gp_time_t again;
+
+  if (job->ended == 0 && job->active == 0)
+    idle += end - job->idle_since;
+  work = end - job->handed_in - idle;
+  again = job->spent > 0 ? work * job->again / job->spent : 0;
+  if (idle >= again && idle >= work - again)
+    return CAUSE_NO_ROOM;
+  return again > work - again ? CAUSE_RUN_AGAIN : CAUSE_AT_WORK;
+}
+
+static bool
+is_lost (const job_t *job)
+{
+  switch (job->fate)
+    {
+    case FATE_LATE:
+    case FATE_FAILED:
+    case FATE_GOING_ON:
+      return true;
+    case FATE_IN_TIME:
+    case FATE_CANCELLED:
+    case FATE_REFUSED:
+    case FATE_LEFT_OPEN:
+    case FATES:
+      break;
+    }
+  return false;
+}
+
+/* Tables.  */
+
+static void
+add_to (json_t *row, const char *key, int64_t amount)
+{
+  json_int_t before = json_integer_value (json_object_get (row, key));
+
+  json_object_set_new (row, key, json_integer (before + amount));
+}
+
+/* The row of table ROWS whose member KEY is NAME, made with ZEROES (a list
+   that ends with NULL) when there is none.  */
+static json_t *
+row_of (json_t *rows, const char *key, const char *name,
+        const char *const *zeroes)
+{
+  json_t *row;
+  size_t i;
+
+  json_array_foreach (rows, i, row)
+  {
+    if (strcmp (json_string_value (json_object_get (row, key)), name) == 0)
+      return row;
+  }
+  row = json_pack ("{s:s}", key, name);
+  for (; *zeroes != NULL; zeroes++)
+    json_object_set_new (row, *zeroes, json_integer (0));
+  json_array_append_new (rows, row);
+  return row;
+}
+
+static void
+count_job (const account_t *account, const job_t *job, json_t *row)
+{
+  add_to (row, "jobs", 1);
+  add_to (row, fate_names[job->fate], 1);
+  if (is_lost (job))
+    add_to (row, cause_names[cause_of (account, job)], 1);
+  if (job->recorded != 0)
+    add_to (row, "record_ms", (job->recorded - job->handed_in) / GP_MSEC);
+  if (job->recorded != 0 && job->started > job->recorded)
+    add_to (row, "start_ms", (job->started - job->recorded) / GP_MSEC);
+}
+
+/* Sums become means over the jobs of the row.  */
+static void
+take_means (json_t *rows)
+{
+  static const char *const means[] = { "record_ms", "start_ms" };
+  json_t *row;
+  size_t i;
+
+  json_array_foreach (rows, i, row)
+  {
+    json_int_t jobs = json_integer_value (json_object_get (row, "jobs"));
+
+    for (size_t k = 0; k < G_N_ELEMENTS (means); k++)
+      json_object_set_new (
+          row, means[k],
+          json_integer (json_integer_value (json_object_get (row, means[k]))
+                        / MAX (jobs, 1)));
+  }
+}
+
+static gint
+by_handed_in (gconstpointer a, gconstpointer b)
+{
+  const job_t *left = *(const job_t *const *)a;
+  const job_t *right = *(const job_t *const *)b;
+
+  if (left->handed_in == right->handed_in)
+    return 0;
+  return left->handed_in < right->handed_in ? -1 : 1;
+}
+
+static GPtrArray *
+sorted_jobs (const account_t *account)
+{
+  GPtrArray *jobs = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, account->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (jobs, value);
+  g_ptr_array_sort (jobs, by_handed_in);
+  return jobs;
+}
+
+static json_t *
+queue_table (const account_t *account, const GPtrArray *jobs)
+{
+  static const char *const zeroes[] = { "jobs",         "in_time",
+                                        "late",         "failed",
+                                        "cancelled",    "refused",
+                                        "left_open",    "going_on",
+                                        "lost_no_room", "lost_run_again",
+                                        "lost_at_work", "record_ms",
+                                        "start_ms",     NULL };
+  json_t *rows = json_array ();
+
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      const job_t *job = g_ptr_array_index (jobs, i);
+      const char *queue = job->queue != NULL ? job->queue : QUEUE_UNKNOWN;
+
+      count_job (account, job, row_of (rows, "queue", queue, zeroes));
+    }
+  take_means (rows);
+  return rows;
+}
+
+static json_t *
+moment_table (const account_t *account, const GPtrArray *jobs, gp_time_t every)
+{
+  static const char *const zeroes[]
+      = { "jobs",         "in_time",        "refused",      "left_open",
+          "lost_no_room", "lost_run_again", "lost_at_work", NULL };
+  json_t *rows = json_array ();
+  gp_time_t first
+      = jobs->len > 0 ? ((const job_t *)g_ptr_array_index (jobs, 0))->handed_in
+                      : 0;
+
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      const job_t *job = g_ptr_array_index (jobs, i);
+      gp_time_t step = (job->handed_in - first) / every;
+      char *name
+          = g_strdup_printf ("%" G_GINT64_FORMAT, step * every / GP_SEC);
+      json_t *row = row_of (rows, "from_s", name, zeroes);
+
+      add_to (row, "jobs", 1);
+      if (is_lost (job))
+        add_to (row, cause_names[cause_of (account, job)], 1);
+      else if (job->fate != FATE_CANCELLED)
+        add_to (row, fate_names[job->fate], 1);
+      g_free (name);
+    }
+  return rows;
+}
+
+static GList *
+sorted_keys (GHashTable *table)
+{
+  return g_list_sort (g_hash_table_get_keys (table), (GCompareFunc)strcmp);
+}
+
+static json_t *
+run_table (const account_t *account)
+{
+  json_t *rows = json_array ();
+  GList *keys = sorted_keys (account->ends);
+
+  for (const GList *key = keys; key != NULL; key = key->next)
+    {
+      const ends_t *ends = g_hash_table_lookup (account->ends, key->data);
+      char **parts = g_strsplit (key->data, " ", 2);
+
+      json_array_append_new (
+          rows, json_pack ("{s:s, s:s, s:i, s:I}", "queue", parts[0], "how",
+                           parts[1], "runs", (int)ends->count, "seconds",
+                           (json_int_t)(ends->time / GP_SEC)));
+      g_strfreev (parts);
+    }
+  g_list_free (keys);
+  return rows;
+}
+
+static json_t *
+answer_table (const account_t *account)
+{
+  json_t *rows = json_array ();
+  GList *keys = sorted_keys (account->answers);
+
+  for (const GList *key = keys; key != NULL; key = key->next)
+    {
+      char **parts = g_strsplit (key->data, " ", 2);
+      guint count = GPOINTER_TO_UINT (
+          g_hash_table_lookup (account->answers, key->data));
+
+      json_array_append_new (rows, json_pack ("{s:s, s:s, s:i}", "status",
+                                              parts[0], "why", parts[1],
+                                              "answers", (int)count));
+      g_strfreev (parts);
+    }
+  g_list_free (keys);
+  return rows;
+}
+
+json_t *
+gp_losses_of (const GArray *lines, gp_time_t every)
+{
+  account_t account = {
+    .jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_job),
+    .runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_run),
+    .ends = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+    .answers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+  };
+  GPtrArray *jobs;
+  json_t *result;
+
+  for (guint i = 0; i < lines->len; i++)
+    take_line (&account, &g_array_index (lines, gp_log_line_t, i));
+  jobs = sorted_jobs (&account);
+  result = json_pack ("{s:o, s:o, s:o, s:o}", "queues",
+                      queue_table (&account, jobs), "answers",
+                      answer_table (&account), "runs", run_table (&account),
+                      "moments", moment_table (&account, jobs, every));
+  g_ptr_array_unref (jobs);
+  g_hash_table_destroy (account.jobs);
+  g_hash_table_destroy (account.runs);
+  g_hash_table_destroy (account.ends);
+  g_hash_table_destroy (account.answers);
+  return result;
+}
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -12,8 +12,8 @@
 #include "jobs/suspicion.h"
 
 /* Runs that fail one after the other before an executor gets no more work
-   for a while.  One in fifty fails by its own fault on the sites known, so
-   two in a row are chance once in 2,500.  */
+   for a while: where one in fifty fails by its own fault, two in a row are
+   chance once in 2,500.  */
 #define FAILURES_TO_DISTRUST 2
 /* Duration of the first pause; it doubles with each further failure.  */
 #define DISTRUST_TIME (GP_SEC)
@@ -22,7 +22,7 @@
    stopped lags ours by about a stop.  */
 #define FULL_TIME (300 * GP_MSEC)
 /* A run that saves its progress is stopped this long before its executor
-   leaves: the longest stop on the sites known and a round trip.  */
+   leaves: a stop and a round trip.  */
 #define LEAVE_MARGIN (1500 * GP_MSEC)
 
 static gp_histogram_t placed_time = GP_HISTOGRAM (
@@ -125,14 +125,19 @@
 end_job (gp_scheduler_t *scheduler, gp_job_t *job, gp_job_state_t state,
          int64_t wall_ms)
 {
+  bool forecast = job->forecast_at != 0;
+
   gp_book_end (job, state, wall_ms);
   mark_dirty (scheduler, job);
   for (uint32_t i = 0; i < job->task_count; i++)
     stop_task (scheduler, &job->tasks[i]);
-  gp_log (GP_LOG_INFO, "job.ended", GP_LOG_S ("job", job->id),
-          GP_LOG_S ("state", gp_job_state_name (state)),
-          GP_LOG_I ("done", job->done_count),
-          GP_LOG_I ("tasks", job->task_count));
+  gp_log (
+      GP_LOG_INFO, "job.ended", GP_LOG_S ("job", job->id),
+      GP_LOG_S ("state", gp_job_state_name (state)),
+      GP_LOG_I ("done", job->done_count), GP_LOG_I ("tasks", job->task_count),
+      GP_LOG_I ("took_ms", wall_ms - job->submission->accepted_wall_ms),
+      GP_LOG_I ("objective_ms",
+                forecast ? (job->due_at - job->submitted_at) / GP_MSEC : -1));
 }
 
 void
