Retry-After by how long the store has been away, and by what the caller bears

Cause: each refusal said one second, whatever had happened: in a long outage callers come in vain each second, and all at once after it. Change: jobs/retry_after works it out (pure): as long again as the store has been away, or as its answers take, spread by half, but so that three tries fit into the caller's patience. jobsd/job_answers has the answers, out of jobs_front.c, which was at its limit. A patience of over ten seconds counts as ten; it counted as three.

--- /dev/null
+++ b/src/jobsd/job_answers.c
@@ -0,0 +1,68 @@
+/* Answers to callers.  */
+
+#include "jobsd/job_answers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/jobs_http.h"
+
+/* How long a caller waits who does not tell, and how long one is kept at the
+   most.  */
+#define PATIENCE_DEFAULT (3 * GP_SEC)
+#define PATIENCE_MAX (10 * GP_SEC)
+
+gp_time_t
+gp_job_patience (const gp_http_exchange_t *exchange)
+{
+  gp_http_text_t header
+      = gp_http_exchange_header (exchange, GP_PLATFORM_PATIENCE_HEADER);
+  char text[32];
+  gp_time_t told;
+
+  if (header.base == NULL || header.size >= sizeof text)
+    return PATIENCE_DEFAULT;
+  memcpy (text, header.base, header.size);
+  text[header.size] = '\0';
+  told = (gp_time_t)CLAMP (g_ascii_strtoll (text, NULL, 10), 0, INT32_MAX)
+         * GP_MSEC;
+  return told > 0 ? MIN (told, PATIENCE_MAX) : PATIENCE_DEFAULT;
+}
+
+void
+gp_job_answer (gp_http_exchange_t *exchange, int status, const char *body)
+{
+  const gp_http_header_t type
+      = gp_http_header_make ("content-type", "application/json");
+
+  gp_http_exchange_answer (exchange, status, &type, 1, body, strlen (body));
+}
+
+void
+gp_job_answer_error (gp_http_exchange_t *exchange, int status, const char *why)
+{
+  char *body = gp_platform_error_body (why);
+
+  gp_job_answer (exchange, status, body);
+  free (body);
+}
+
+void
+gp_job_refuse (gp_http_exchange_t *exchange, const char *why,
+               gp_retry_after_t refusal)
+{
+  char *body = gp_platform_error_body (why);
+  char seconds[16];
+
+  refusal.patience = gp_job_patience (exchange);
+  refusal.spread = g_random_int ();
+  g_snprintf (seconds, sizeof seconds, "%u", gp_retry_after_s (&refusal));
+
+  const gp_http_header_t headers[]
+      = { gp_http_header_make ("content-type", "application/json"),
+          gp_http_header_make ("retry-after", seconds) };
+
+  gp_http_exchange_answer (exchange, 503, headers, G_N_ELEMENTS (headers),
+                           body, strlen (body));
+  free (body);
+}
--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -14,15 +14,13 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "base/log.h"
-#include "platform/json.h"
 #include "jobs/records.h"
+#include "jobsd/job_answers.h"
+#include "platform/json.h"
 #include "platform/jobs_http.h"
 #include "platform/refusals.h"
 #include "protocol/message.h"
 
-/* How long a caller waits who does not tell.  */
-#define PATIENCE_DEFAULT (3 * GP_SEC)
-#define PATIENCE_MAX (10 * GP_SEC)
 /* The answer leaves so long before the caller's patience ends: the way back
    and a busy loop.  */
 #define ANSWER_MARGIN (300 * GP_MSEC)
@@ -45,8 +43,6 @@
 #define OPEN_MAX 10000
 /* Bytes of records in one append; far under the platform's bound.  */
 #define BATCH_MAX ((size_t)256 * 1024)
-/* What a caller is told to wait after a refusal, in seconds.  */
-#define RETRY_AFTER "1"
 /* How old the book may be for an answer that a job does not exist.  */
 #define ABSENCE_AGE (2500 * GP_MSEC)
 
@@ -90,25 +86,28 @@
 
 /* Answers.  */
 
+/* Nothing was done; when to try again follows from how the store does.  */
 static void
-answer (gp_http_exchange_t *exchange, int status, const char *body)
+refuse (const gp_jobs_front_t *front, gp_http_exchange_t *exchange,
+        const char *why)
 {
-  const gp_http_header_t headers[]
-      = { gp_http_header_make ("content-type", "application/json"),
-          gp_http_header_make ("retry-after", RETRY_AFTER) };
-  bool later = status == 503 || status == 429;
+  gp_retry_after_t refusal = { .store_time = front->latency };
 
-  gp_http_exchange_answer (exchange, status, headers, later ? 2 : 1, body,
-                           strlen (body));
+  if (front->failing_since != 0)
+    refusal.store_away = gp_loop_now (front->loop) - front->failing_since;
+  gp_job_refuse (exchange, why, refusal);
 }
 
 static void
-answer_error (gp_http_exchange_t *exchange, int status, const char *why)
+answer_change (const gp_jobs_front_t *front, gp_http_exchange_t *exchange,
+               int status, const char *why)
 {
-  char *body = gp_platform_error_body (why);
-
-  answer (exchange, status, body);
-  free (body);
+  if (status == 200)
+    gp_job_answer (exchange, 200, "{}");
+  else if (status == 503)
+    refuse (front, exchange, why);
+  else
+    gp_job_answer_error (exchange, status, why);
 }
 
 /* Changes.  */
@@ -147,12 +146,7 @@
   log_answer (id_of (change), change->cancels, status, why,
               now - change->since, change->doubtful);
   if (change->exchange != NULL)
-    {
-      if (status == 200)
-        answer (change->exchange, 200, "{}");
-      else
-        answer_error (change->exchange, status, why);
-    }
+    answer_change (change->front, change->exchange, status, why);
   free_change (change);
 }
 
@@ -254,6 +248,10 @@
   note_latency (front, result->result, now - result->sent_at);
   front->failures
       = result->result == GP_PLATFORM_STORE_DONE ? 0 : front->failures + 1;
+  if (front->failures == 0)
+    front->failing_since = 0;
+  else if (front->failing_since == 0)
+    front->failing_since = result->sent_at;
   front->try_at
       = result->result == GP_PLATFORM_STORE_DONE ? now : now + TRY_PAUSE;
   GP_LIST_FOREACH_SAFE (link, &front->changes)
@@ -322,22 +320,6 @@
   change->exchange = NULL;
 }
 
-static gp_time_t
-patience (const gp_http_exchange_t *exchange)
-{
-  gp_http_text_t header
-      = gp_http_exchange_header (exchange, GP_PLATFORM_PATIENCE_HEADER);
-  char text[32];
-  gp_time_t told;
-
-  if (header.base == NULL || header.size >= sizeof text)
-    return PATIENCE_DEFAULT;
-  memcpy (text, header.base, header.size);
-  text[header.size] = '\0';
-  told = (gp_time_t)g_ascii_strtoll (text, NULL, 10) * GP_MSEC;
-  return told > 0 && told < PATIENCE_MAX ? told : PATIENCE_DEFAULT;
-}
-
 /* The store does not answer, and what is on its way will show when it does
    again: a caller that has not been written down is told at once.  */
 static void
@@ -349,7 +331,7 @@
   gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
   log_answer (id, cancels, status, "the store has not answered lately", 0,
               status != 503);
-  answer_error (exchange, status, "the store does not answer");
+  answer_change (front, exchange, status, "the store does not answer");
 }
 
 /* Write a record with KEY and VALUE, which is taken over.  */
@@ -370,7 +352,8 @@
   change->exchange = exchange;
   change->cancels = cancels;
   change->since = gp_loop_now (front->loop);
-  change->deadline = change->since + patience (exchange) - ANSWER_MARGIN;
+  change->deadline
+      = change->since + gp_job_patience (exchange) - ANSWER_MARGIN;
   g_snprintf (change->key, sizeof change->key, "%s%s",
               cancels ? GP_CANCEL_PREFIX : "", id);
   change->value = value;
@@ -408,7 +391,7 @@
             GP_LOG_S ("queue", queue->name),
             GP_LOG_S ("cause", gp_json_error_kind (error)),
             GP_LOG_S ("why", error->message), GP_LOG_I ("count", refusals));
-  answer_error (exchange, 400, error->message);
+  gp_job_answer_error (exchange, 400, error->message);
 }
 
 static void
@@ -423,7 +406,7 @@
   if (job != NULL && job->submission != NULL)
     {
       gp_counter_add (&repeated_count, 1);
-      answer (exchange, 200, "{}");
+      gp_job_answer (exchange, 200, "{}");
       return;
     }
   submission = gp_platform_submission_parse (body.base, body.size, &error);
@@ -447,9 +430,9 @@
 answer_absent (gp_jobs_front_t *front, gp_http_exchange_t *exchange)
 {
   if (gp_feed_fresh (front->jobs, ABSENCE_AGE))
-    answer_error (exchange, 410, "no such job");
+    gp_job_answer_error (exchange, 410, "no such job");
   else
-    answer_error (exchange, 503, "the log cannot be read");
+    refuse (front, exchange, "the log cannot be read");
 }
 
 /* A record of the job is on the log and cannot be read.  Each state would
@@ -458,10 +441,10 @@
    "running" promises an end that may never come.  So the answer is that of a
    job that cannot be told now.  */
 static void
-answer_unreadable (gp_http_exchange_t *exchange)
+answer_unreadable (const gp_jobs_front_t *front, gp_http_exchange_t *exchange)
 {
   gp_counter_add (&unreadable_count, 1);
-  answer_error (exchange, 503, "a record of the job cannot be read");
+  refuse (front, exchange, "a record of the job cannot be read");
 }
 
 static void
@@ -473,7 +456,7 @@
 
   if (job != NULL && !gp_job_is_readable (job))
     {
-      answer_unreadable (exchange);
+      answer_unreadable (front, exchange);
       return;
     }
   if (job == NULL || job->submission == NULL)
@@ -487,7 +470,7 @@
   if (job->cancelled && !gp_job_end_is_recorded (job))
     state = GP_JOB_CANCELLED;
   body = gp_platform_state_body (gp_job_state_name (state));
-  answer (exchange, 200, body);
+  gp_job_answer (exchange, 200, body);
   g_free (body);
 }
 
@@ -498,7 +481,7 @@
 
   if (job != NULL && (job->cancelled || gp_job_end_is_recorded (job)))
     {
-      answer (exchange, 200, "{}");
+      gp_job_answer (exchange, 200, "{}");
       return;
     }
   start_change (
@@ -514,11 +497,11 @@
 
   if (!gp_feed_fresh (front->jobs, ABSENCE_AGE))
     {
-      answer_error (exchange, 503, "the log cannot be read");
+      refuse (front, exchange, "the log cannot be read");
       return;
     }
   body = gp_platform_pending_body (gp_book_pending (front->book, queue->name));
-  answer (exchange, 200, body);
+  gp_job_answer (exchange, 200, body);
   g_free (body);
 }
 
@@ -560,7 +543,7 @@
     }
   if (!gp_job_id_valid (rest.base, rest.size))
     {
-      answer_error (exchange, 404, "not the id of a job");
+      gp_job_answer_error (exchange, 404, "not the id of a job");
       return;
     }
   memcpy (id, rest.base, rest.size);
@@ -571,7 +554,7 @@
   else if (gp_http_text_equal (method, "DELETE"))
     cancel (front, exchange, id);
   else
-    answer_error (exchange, 405, "no such method");
+    gp_job_answer_error (exchange, 405, "no such method");
 }
 
 void
@@ -584,7 +567,7 @@
 
   if (front->queues->version == 0)
     {
-      answer_error (exchange, 503, "no document is known yet");
+      refuse (front, exchange, "no document is known yet");
       return;
     }
   queue = host.base != NULL ? gp_queues_find (front->queues, host.base,
@@ -592,7 +575,7 @@
                             : NULL;
   if (queue == NULL)
     {
-      answer_error (exchange, 404, "no such queue");
+      gp_job_answer_error (exchange, 404, "no such queue");
       return;
     }
   prefix_size = strlen (queue->prefix);
--- a/src/jobsd/jobs_front.h
+++ b/src/jobsd/jobs_front.h
@@ -21,6 +21,7 @@
   gp_platform_store_call_t *call; /* the append in progress, or NULL */
   gp_time_t try_at;               /* none is begun before */
   unsigned failures;              /* appends that failed since one was done */
+  gp_time_t failing_since;        /* the first of them was sent, 0: none */
   gp_time_t latency;              /* mean duration of appends */
   gp_timer_t timer; /* the next try or the end of a caller's patience */
   /* A record is on the log: fold it now, without waiting for the feed.  */
--- /dev/null
+++ b/tests/unit/test_retry_after.c
@@ -0,0 +1,113 @@
+/* Tests of when callers that were refused are to come back: a transcript, and
+   an outage that many callers meet, of which those that are patient enough are
+   served, few in vain and not all at once.  */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+#include "jobs/retry_after.h"
+#include "runner.h"
+
+static void
+show (const char *what, gp_time_t away, gp_time_t time, gp_time_t patience,
+      uint32_t spread)
+{
+  const gp_retry_after_t refusal = { .store_away = away,
+                                     .store_time = time,
+                                     .patience = patience,
+                                     .spread = spread };
+
+  printf ("  %s: %u s\n", what, gp_retry_after_s (&refusal));
+}
+
+static void
+test_transcript (void)
+{
+  printf ("when to come back\n");
+  show ("this entry has just started", 0, 4 * GP_MSEC, 3 * GP_SEC, 0);
+  show ("the store has just gone, three seconds of patience", 300 * GP_MSEC,
+        4 * GP_MSEC, 3 * GP_SEC, 0);
+  show ("it is away for ten", 10 * GP_SEC, 4 * GP_MSEC, 3 * GP_SEC, 999);
+  show ("ten, a minute of patience", 10 * GP_SEC, 4 * GP_MSEC, 60 * GP_SEC, 0);
+  show ("the same, another caller", 10 * GP_SEC, 4 * GP_MSEC, 60 * GP_SEC,
+        999);
+  show ("an hour of both", 3600 * GP_SEC, 4 * GP_MSEC, 3600 * GP_SEC, 0);
+  show ("its answers take two seconds", 0, 2 * GP_SEC, 60 * GP_SEC, 0);
+  show ("no patience", 10 * GP_SEC, 4 * GP_MSEC, 0, 0);
+}
+
+#define CALLERS 1000
+
+typedef struct
+{
+  unsigned served;
+  unsigned tries;
+  unsigned most_at_once; /* in one second after the outage */
+} outcome_t;
+
+/* CALLERS come in the first second of an outage that lasts for OUTAGE; each
+   comes back as told, or each second, until PATIENCE is over.  */
+static outcome_t
+play (gp_time_t outage, gp_time_t patience, bool each_second)
+{
+  GRand *random = g_rand_new_with_seed (5);
+  unsigned at_once[600] = { 0 };
+  outcome_t outcome = { 0 };
+
+  for (int i = 0; i < CALLERS; i++)
+    {
+      gp_time_t begin = g_rand_int_range (random, 0, 1000) * GP_MSEC;
+      gp_time_t now = begin;
+
+      for (; now <= begin + patience; outcome.tries++)
+        {
+          const gp_retry_after_t refusal
+              = { .store_away = now,
+                  .store_time = 4 * GP_MSEC,
+                  .patience = begin + patience - now,
+                  .spread = g_rand_int (random) };
+
+          if (now >= outage)
+            {
+              outcome.served++;
+              outcome.tries++;
+              at_once[now / GP_SEC]++;
+              break;
+            }
+          now += each_second ? GP_SEC : gp_retry_after_s (&refusal) * GP_SEC;
+        }
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (at_once); i++)
+    outcome.most_at_once = MAX (outcome.most_at_once, at_once[i]);
+  g_rand_free (random);
+  return outcome;
+}
+
+static void
+test_outage (void)
+{
+  outcome_t told = play (20 * GP_SEC, 60 * GP_SEC, false);
+  outcome_t steady = play (20 * GP_SEC, 60 * GP_SEC, true);
+  outcome_t hasty = play (2 * GP_SEC, 3 * GP_SEC, false);
+
+  printf ("20 s away, 60 s of patience: %u of %d served in %u tries, at most "
+          "%u in a second; each second: %u in %u, %u\n",
+          told.served, CALLERS, told.tries, told.most_at_once, steady.served,
+          steady.tries, steady.most_at_once);
+  printf ("2 s away, 3 s of patience: %u served\n", hasty.served);
+  CU_ASSERT_EQUAL (told.served, CALLERS);
+  CU_ASSERT_EQUAL (hasty.served, CALLERS);
+  CU_ASSERT_TRUE (told.tries * 2 < steady.tries);
+  CU_ASSERT_TRUE (told.most_at_once * 2 < steady.most_at_once);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = { { "transcript", test_transcript },
+                                 { "outage", test_outage },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("retry_after", tests);
+}
