Hand-ins: a caller's last try waits for the store, and is not left open for nothing

Cause: an answer had to leave 300 ms before the caller's patience ended. Who came with less than that left was answered at once that nothing is known of the job (504, after 0 ms), while its record was on the way and took 8 ms; who came while the store failed was refused at once, also right before it was back, though he could not come again. Change: jobs/hand_in (pure): the margin is a third of the patience at the most; a caller that can not come again waits for 45 % of the time it has left; what the store can't write down before the answer has to leave is refused, not begun.

--- a/src/jobsd/jobs_front.c
+++ b/src/jobsd/jobs_front.c
@@ -14,6 +14,7 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "base/log.h"
+#include "jobs/hand_in.h"
 #include "jobs/records.h"
 #include "jobsd/job_answers.h"
 #include "platform/json.h"
@@ -21,9 +22,6 @@
 #include "platform/refusals.h"
 #include "protocol/message.h"
 
-/* The answer leaves so long before the caller's patience ends: the way back
-   and a busy loop.  */
-#define ANSWER_MARGIN (300 * GP_MSEC)
 /* One try of an append takes so many times what the last ones took, within
    these bounds: a store that is slow is not asked again while it works, and
    an answer that was lost is not waited for long.  */
@@ -36,8 +34,8 @@
 /* Appends that failed in a row before callers that come are refused at once
    while the next one is on its way.  */
 #define FAILURES_TO_REFUSE 2
-/* Tries that the store refuses before the caller is refused: by then another
-   way to the store has been found if there is one.  */
+/* Tries that the store refuses before the caller is refused, if it can come
+   again: by then another way to the store has been found if there is one.  */
 #define REFUSALS_MAX 4
 /* Ids of jobs left open that are remembered; an outage leaves some hundred. */
 #define OPEN_MAX 10000
@@ -74,12 +72,14 @@
   gp_http_exchange_t *exchange; /* NULL: the caller has gone */
   char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
   GBytes *value;
-  gp_time_t deadline;
+  gp_time_t deadline;  /* its answer has to leave */
+  gp_time_t refuse_at; /* it is refused, if nothing was begun for it */
   gp_time_t since;
   unsigned refusals; /* tries of which nothing was done */
   bool in_call;      /* part of the append in progress */
   bool doubtful;     /* an append that it was part of went unanswered */
   bool cancels;
+  bool may_return; /* its caller can come again if it is refused */
 } change_t;
 
 static void append_waiting (gp_jobs_front_t *front);
@@ -192,6 +192,15 @@
   end_change (change, status, why);
 }
 
+/* When CHANGE is given up.  */
+static gp_time_t
+due_at (const change_t *change)
+{
+  bool begun = change->in_call || change->doubtful;
+
+  return begun ? change->deadline : change->refuse_at;
+}
+
 static void
 arm (gp_jobs_front_t *front)
 {
@@ -200,7 +209,7 @@
   if (gp_list_empty (&front->changes))
     return;
   GP_LIST_FOREACH (link, &front->changes)
-  at = MIN (at, GP_CONTAINER_OF (link, change_t, link)->deadline);
+  at = MIN (at, due_at (GP_CONTAINER_OF (link, change_t, link)));
   gp_timer_arm (&front->timer, at);
 }
 
@@ -231,7 +240,8 @@
     case GP_PLATFORM_STORE_REFUSED:
     case GP_PLATFORM_STORE_CONFLICT:
     case GP_PLATFORM_STORE_FORGOTTEN:
-      if (!change->doubtful && ++change->refusals >= REFUSALS_MAX)
+      if (!change->doubtful && change->may_return
+          && ++change->refusals >= REFUSALS_MAX)
         give_up (change, result->reason);
       return;
     }
@@ -272,26 +282,35 @@
   gp_time_t now = gp_loop_now (front->loop);
   gp_time_t patience
       = CLAMP (TRY_FACTOR * front->latency, TRY_TIME_MIN, TRY_TIME_MAX);
+  /* After failures the mean says little: who can wait so long is tried.  */
+  gp_time_t store_time = MIN (front->latency, TRY_TIME_MIN);
   GByteArray *batch;
 
   if (front->call != NULL || now < front->try_at
       || gp_list_empty (&front->changes))
     return;
   batch = g_byte_array_new ();
-  GP_LIST_FOREACH (link, &front->changes)
+  GP_LIST_FOREACH_SAFE (link, &front->changes)
   {
     change_t *change = GP_CONTAINER_OF (link, change_t, link);
     gsize size;
     const uint8_t *data = g_bytes_get_data (change->value, &size);
 
+    if (!change->doubtful
+        && !gp_hand_in_is_in_time (change->deadline, store_time, now))
+      {
+        give_up (change, "the store would answer too late");
+        continue;
+      }
     if (batch->len > 0 && batch->len + size > BATCH_MAX)
       break;
     gp_platform_store_batch_add (batch, change->key, data, size);
     change->in_call = true;
   }
-  front->call = gp_platform_store_append (front->store, GP_TOPIC_JOBS, batch,
-                                          GP_PLATFORM_STORE_ANYWHERE,
-                                          now + patience, on_appended, front);
+  if (batch->len > 0)
+    front->call = gp_platform_store_append (
+        front->store, GP_TOPIC_JOBS, batch, GP_PLATFORM_STORE_ANYWHERE,
+        now + patience, on_appended, front);
   g_byte_array_unref (batch);
 }
 
@@ -305,7 +324,7 @@
   {
     change_t *change = GP_CONTAINER_OF (link, change_t, link);
 
-    if (now >= change->deadline)
+    if (now >= due_at (change))
       give_up (change, "the store does not answer");
   }
   append_waiting (front);
@@ -339,9 +358,13 @@
 start_change (gp_jobs_front_t *front, gp_http_exchange_t *exchange,
               const char *id, bool cancels, GBytes *value)
 {
+  gp_time_t now = gp_loop_now (front->loop);
+  gp_time_t patience = gp_job_patience (exchange);
+  bool may_return = gp_hand_in_may_return (patience);
   change_t *change;
 
-  if (front->failures >= FAILURES_TO_REFUSE && front->call != NULL)
+  if (front->failures >= FAILURES_TO_REFUSE && front->call != NULL
+      && may_return)
     {
       refuse_now (front, exchange, id, cancels);
       g_bytes_unref (value);
@@ -351,9 +374,10 @@
   change->front = front;
   change->exchange = exchange;
   change->cancels = cancels;
-  change->since = gp_loop_now (front->loop);
-  change->deadline
-      = change->since + gp_job_patience (exchange) - ANSWER_MARGIN;
+  change->may_return = may_return;
+  change->since = now;
+  change->deadline = gp_hand_in_deadline (now, patience);
+  change->refuse_at = gp_hand_in_refuse_at (now, patience);
   g_snprintf (change->key, sizeof change->key, "%s%s",
               cancels ? GP_CANCEL_PREFIX : "", id);
   change->value = value;
--- /dev/null
+++ b/tests/unit/test_hand_in.c
@@ -0,0 +1,118 @@
+/* Tests of how long hand-ins wait for the store.  What users saw: a store that
+   was away for five seconds, and callers whose last try came just before or
+   just after it was back were told at once that it does not answer, or that
+   nothing is known of their job, while it would have been written down within
+   milliseconds.  Played here: callers that come all through an outage and come
+   back a second after each refusal, by the rules and by those before.  */
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "jobs/hand_in.h"
+#include "runner.h"
+
+#define CALLERS 2000
+#define PATIENCE (3 * GP_SEC)
+#define BACK_AT (5 * GP_SEC)
+#define STORE_TIME (8 * GP_MSEC)
+/* A caller that may return is refused after this.  */
+#define REFUSE_TIME (200 * GP_MSEC)
+#define MARGIN_BEFORE (300 * GP_MSEC)
+
+static void
+test_transcript (void)
+{
+  static const gp_time_t patiences[]
+      = { 3 * GP_SEC,    1300 * GP_MSEC, 1200 * GP_MSEC,
+          300 * GP_MSEC, 30 * GP_MSEC,   0 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (patiences); i++)
+    {
+      gp_time_t deadline = gp_hand_in_deadline (GP_SEC, patiences[i]);
+
+      printf ("%d ms of patience: %d ms to answer in, refused after %d, %s, "
+              "%s\n",
+              (int)(patiences[i] / GP_MSEC),
+              (int)((deadline - GP_SEC) / GP_MSEC),
+              (int)((gp_hand_in_refuse_at (GP_SEC, patiences[i]) - GP_SEC)
+                    / GP_MSEC),
+              gp_hand_in_may_return (patiences[i]) ? "may return" : "last try",
+              gp_hand_in_is_in_time (deadline, STORE_TIME, GP_SEC)
+                  ? "tried"
+                  : "refused at once");
+    }
+}
+
+/* Is a hand-in that comes at NOW, with PATIENCE left, written down and
+   answered in time?  If not, *UNTIL is when it is refused.  */
+static bool
+is_served (gp_time_t now, gp_time_t patience, gp_time_t *until)
+{
+  gp_time_t deadline = gp_hand_in_deadline (now, patience);
+  gp_time_t begin = MAX (now, BACK_AT);
+
+  *until = gp_hand_in_may_return (patience)
+               ? MIN (now + REFUSE_TIME, deadline)
+               : gp_hand_in_refuse_at (now, patience);
+  return begin <= *until
+         && gp_hand_in_is_in_time (deadline, STORE_TIME, begin);
+}
+
+/* By the rules before: each is refused soon, and whoever has less patience
+   than the margin gets no answer in time.  */
+static bool
+was_served (gp_time_t now, gp_time_t patience, gp_time_t *until)
+{
+  gp_time_t deadline = now + patience - MARGIN_BEFORE;
+  gp_time_t begin = MAX (now, BACK_AT);
+
+  *until = MAX (MIN (now + REFUSE_TIME, deadline), now);
+  return begin <= *until && begin + STORE_TIME <= deadline;
+}
+
+static unsigned
+play (bool (*serves) (gp_time_t now, gp_time_t patience, gp_time_t *until))
+{
+  GRand *random = g_rand_new_with_seed (11);
+  unsigned served = 0;
+
+  for (int i = 0; i < CALLERS; i++)
+    {
+      gp_time_t begin = g_rand_int_range (random, 0, 5000) * GP_MSEC;
+      gp_time_t now = begin;
+      gp_time_t until;
+
+      while (now < begin + PATIENCE)
+        {
+          if (serves (now, begin + PATIENCE - now, &until))
+            {
+              served++;
+              break;
+            }
+          now = until + g_rand_int_range (random, 300, 1300) * GP_MSEC;
+        }
+    }
+  g_rand_free (random);
+  return served;
+}
+
+static void
+test_outage (void)
+{
+  unsigned now = play (is_served);
+  unsigned before = play (was_served);
+
+  printf ("five seconds away: %u of %d served, %u by the rules before\n", now,
+          CALLERS, before);
+  CU_ASSERT_TRUE (now > before + CALLERS / 20);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = { { "transcript", test_transcript },
+                                 { "outage", test_outage },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("hand_in", tests);
+}
