Comments of the gate and the suspects read as one sentence; format

Cause: read in the whole diff: one named a count as if it were a list; some that were shortened were not wrapped anew. Change: wording and wrapping only. Ruled out: nothing.

--- a/src/jobs/grants.h
+++ b/src/jobs/grants.h
@@ -25,8 +25,8 @@
    of all; one that has just started does not have to wait for a term.
 
    So the runs of an executor that ends while the lead changes are given up a
-   lease after the last word of its guard, or of the leader that stopped, and not
-   a term and a lease after the last record of the leader before.
+   lease after the last word of its guard, or of the leader that stopped, and
+   not a term and a lease after the last record of the leader before.
 
    Pure: events and NOW in, points in time out.  */
 
--- a/src/jobs/pressure.h
+++ b/src/jobs/pressure.h
@@ -8,8 +8,8 @@
    all processors that it may; in the others it uses two thirds of them and
    presses next to nothing.
 
-   The same weights hold at all loads: a busy run takes as much of a headroom of
-   2 as of one of 3.5, where the logarithm of the latency rises by other
+   The same weights hold at all loads: a busy run takes as much of a headroom
+   of 2 as of one of 3.5, where the logarithm of the latency rises by other
    amounts.  */
 
 #ifndef GP_JOBS_PRESSURE_H
--- a/src/jobs/start_gate.h
+++ b/src/jobs/start_gate.h
@@ -2,7 +2,7 @@
 
    The guard does not read the operators' records: the leader tells it with
    each acknowledgement whether the zone is evacuated and how old that
-   knowledge is. The acknowledgement echoes the time at which the guard sent
+   knowledge is.  The acknowledgement echoes the time at which the guard sent
    its report, so that the age counts from a point on the guard's own clock:
    however long the word took, or a leader was cut off or held up, the guard
    knows at which time the zone was open at the latest.  A word that the zone
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -88,8 +88,8 @@
    then.  */
 unsigned gp_suspicion_beginners (const gp_job_executor_t *executor);
 
-/* TASK's executor went down without a word; TASK is still on it, and was one
-   of BEGINNERS there.  */
+/* TASK's executor went down without a word; TASK is still on it, and of the
+   runs there BEGINNERS may have begun just then.  */
 gp_suspicion_t gp_suspicion_crashed (gp_job_task_t *task, unsigned beginners);
 
 /* Nothing is known of the run of TASK any more, or not yet.  */
--- a/src/jobs/urgency.c
+++ b/src/jobs/urgency.c
@@ -100,9 +100,9 @@
 }
 
 /* Has JOB runs that last?  It earns as long as they are at work, so that its
-   time is never past.  Ranked by the objective of its first start it would come
-   behind all others of its priority from a few seconds on, and runs that have
-   to move would wait for as long as there is more work than room.  */
+   time is never past.  Ranked by the objective of its first start it would
+   come behind all others of its priority from a few seconds on, and runs that
+   have to move would wait for as long as there is more work than room.  */
 static bool
 lasts (const gp_job_t *job)
 {
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -17,9 +17,9 @@
    is given to stop.  */
 #define SERVE_ON_TIME (3200 * GP_MSEC)
 /* Entries that do not lead read in portions, as each read has its price and is
-   made by each of them.  A job's end is told that much later; of
-   submissions they only need to know what is asked for at another entry than
-   the one that took them, and for a takeover.  */
+   made by each of them.  A job's end is told that much later; of submissions
+   they only need to know what is asked for at another entry than the one that
+   took them, and for a takeover.  */
 #define PROGRESS_SPACING (100 * GP_MSEC)
 #define JOBS_SPACING (800 * GP_MSEC)
 /* How old the book may be for this entry to take the lead: an idle feed is
--- a/src/jobsd/guard_farewell.c
+++ b/src/jobsd/guard_farewell.c
@@ -3,8 +3,8 @@
    An executor sends its goodbye as the last thing before it ends, and all that
    ran on it ends with it, also what it has not listed.  The leader is told, so
    that those runs go on elsewhere at once.  Without that they would wait for
-   the lease to run out, and where the VM is stopped meanwhile, for those of former
-   leaders.
+   the lease to run out, and where the VM is stopped meanwhile, for those of
+   former leaders.
 
    A goodbye alone proves nothing yet: its sender may be about to end, or be
    somebody else.  It counts once nobody listens at the executor's address.  */
