--- /dev/null
+++ b/tests/scripts/soak_judged.py
@@ -0,0 +1,71 @@
+"""The soak judges all jobs that take their executors down, also those that it
+submits while it begins to judge; and one that can't be judged is not kept.
+
+Four such jobs in a soak ended it with "dictionary changed size during
+iteration", and the seeds behind it were not played.
+"""
+
+import importlib.machinery
+import importlib.util
+import os
+import sys
+import threading
+import time
+import types
+
+TOOLS = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..",
+                     "tools")
+sys.path.insert(0, TOOLS)
+
+from soak_crashers import Crashers  # noqa: E402
+
+
+class SlowSite:
+    """Takes jobs in SLOW_S and gives them up in as long."""
+
+    SLOW_S = 0.3
+
+    def __init__(self):
+        self.entries = ["e1"]
+        self.judge = types.SimpleNamespace(crashers=set(), crashes=[],
+                                           gang_counts={}, starts={})
+        self.asked = set()
+
+    def call(self, entry, method, path, body):
+        time.sleep(self.SLOW_S)
+        return 200, b""
+
+    def state(self, entry, job):
+        time.sleep(self.SLOW_S)
+        self.asked.add(job)
+        return "failed"
+
+
+def late(count):
+    """All of COUNT jobs are judged, though the last is submitted late."""
+    site = SlowSite()
+    faults = types.SimpleNamespace(note=lambda text: None,
+                                   trouble=lambda seconds: None)
+    crashers = Crashers(site, faults, 1, count, 0.1)
+    time.sleep(0.15)
+    breaches = crashers.end()
+    print("judged:", len(site.asked), "of", count, "breaches:", breaches)
+
+
+def spoilt():
+    loader = importlib.machinery.SourceFileLoader(
+        "soak", os.path.join(TOOLS, "soak"))
+    soak = importlib.util.module_from_spec(
+        importlib.util.spec_from_loader("soak", loader))
+    loader.exec_module(soak)
+
+    def fail():
+        raise RuntimeError("no judge")
+
+    print(soak.judge(types.SimpleNamespace(run=fail)))
+
+
+if __name__ == "__main__":
+    late(4)
+    spoilt()
+    print("threads left:", threading.active_count() - 1)
--- a/tools/soak_crashers.py
+++ b/tools/soak_crashers.py
@@ -13,6 +13,8 @@
 # Three executors may go down under a task, and two more while that is noticed.
 STARTS_MAX = 5
 GIVEN_UP_S = 60
+# The last one is submitted within the soak, by one entry or the next.
+SUBMITTED_S = 30
 LOOK_S = 0.05
 STEP = {"count": 3, "cpu": 1000, "memMb": 10, "estimateMs": 300}
 KINDS = [{}, {"longRunning": True}, {"gang": True}]
@@ -29,6 +31,7 @@
                               for _ in range(count))
         self.tasks = {}  # job: its task
         self.seen = 0
+        self.submitted = threading.Event()  # all of them were
         self.ended = threading.Event()
         self.thread = threading.Thread(target=self.run, daemon=True)
         self.thread.start()
@@ -39,6 +42,8 @@
             if self.moments and time.monotonic() - began > self.moments[0]:
                 self.moments.pop(0)
                 self.submit()
+            if not self.moments:
+                self.submitted.set()
             # What an executor that goes down leaves behind is trouble.
             if len(self.site.judge.crashes) > self.seen:
                 self.seen += 1
@@ -67,6 +72,8 @@
         """Stop, and return the breaches, once all faults are over."""
         entry = next(iter(self.site.entries))
         breaches = []
+        if not self.submitted.wait(SUBMITTED_S):
+            breaches.append("jobs that take executors down: not all submitted")
         for job, task in self.tasks.items():
             try:
                 until(lambda j=job: self.site.state(entry, j) == "failed",
