--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -199,9 +199,14 @@
                             int64_t clock_ms, gp_time_t now);
 /* May RUN have taken the executor down, should that not answer again?  */
 bool gp_agent_is_suspect (const gp_agent_t *agent, const gp_agent_run_t *run);
-/* Had it only just begun?  Of several such runs the youngest are meant, where
-   the end of a connection told when the executor went.  */
+/* Had it begun just then, where the end of a connection told when that was? */
+bool gp_agent_had_just_begun (const gp_agent_t *agent,
+                              const gp_agent_run_t *run);
+/* Had it begun lately?  If some have begun just then, no others are meant.  */
 bool gp_agent_is_fresh (const gp_agent_t *agent, const gp_agent_run_t *run);
+/* For how many milliseconds was it at work when the executor was last known to
+   be up?  0: it is not known.  */
+uint32_t gp_agent_age_ms (const gp_agent_t *agent, const gp_agent_run_t *run);
 /* Has nobody told whether it has begun, and when?  A start that was held up
    may arrive at any time.  */
 bool gp_agent_is_unanswered (const gp_agent_t *agent,
@@ -265,6 +270,10 @@
    of the leader.  */
 void gp_agent_lacking (const gp_agent_t *agent, GPtrArray *jobs);
 
+/* Have calls to the executor failed, so that nothing new is to be given to it
+   until one is answered?  Its runs may be at work nevertheless.  */
+bool gp_agent_is_down (const gp_agent_t *agent, gp_time_t now);
+
 /* Has the executor answered a call lately?  */
 bool gp_agent_answers (const gp_agent_t *agent, gp_time_t now);
 
--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -6,6 +6,10 @@
 #include "base/log.h"
 #include "jobs/suspicion.h"
 
+/* Calls that get no answer fail for so long before the executor counts as
+   down: single ones are lost.  */
+#define DOWN_TIME (300 * GP_MSEC)
+
 /* An executor that is up answers a list within this, whatever happens there: a
    connection that ends later had been dead before.  */
 #define ANSWER_TIME (300 * GP_MSEC)
@@ -38,8 +42,8 @@
 
 /* May RUN have begun no longer than JUST_TIME before the executor went?  The
    answer to a start that takes the executor down may be lost with it.  */
-static bool
-had_just_begun (const gp_agent_t *agent, const gp_agent_run_t *run)
+bool
+gp_agent_had_just_begun (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
   gp_time_t earliest = is_unknown (run) ? run->sent_at : run->began_at;
 
@@ -48,10 +52,20 @@
          && agent->gone_from - earliest <= GP_SUSPICION_JUST_TIME;
 }
 
+uint32_t
+gp_agent_age_ms (const gp_agent_t *agent, const gp_agent_run_t *run)
+{
+  gp_time_t up = MAX (agent->heard_at, agent->gone_from);
+
+  return run->began_at != 0 && up > run->began_at
+             ? (uint32_t)((up - run->began_at) / GP_MSEC)
+             : 0;
+}
+
 bool
 gp_agent_is_unanswered (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
-  return is_unknown (run) && !had_just_begun (agent, run);
+  return is_unknown (run) && !gp_agent_had_just_begun (agent, run);
 }
 
 static bool
@@ -62,7 +76,7 @@
 
   g_hash_table_iter_init (&iter, agent->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (had_just_begun (agent, value))
+    if (gp_agent_had_just_begun (agent, value))
       return true;
   return false;
 }
@@ -72,11 +86,18 @@
 gp_agent_is_fresh (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
   if (has_just_begun_run (agent))
-    return had_just_begun (agent, run);
+    return gp_agent_had_just_begun (agent, run);
   return !is_unknown (run)
          && !was_listed_for (run, gp_suspicion_fresh_time (is_gang (run)));
 }
 
+bool
+gp_agent_is_down (const gp_agent_t *agent, gp_time_t now)
+{
+  return agent->gone_from != 0
+         || (agent->down_since != 0 && now - agent->down_since >= DOWN_TIME);
+}
+
 /* Can a start of RUN have reached the executor before it went down?  One that
    left after a call had failed, with no answer since, has not: many are given
    to an executor until the leader learns of its end, 3 s later.  */
@@ -154,6 +175,8 @@
   row->task = g_strdup (run->name);
   row->run = run->run;
   row->fresh = gp_agent_is_fresh (agent, run);
+  row->just = gp_agent_had_just_begun (agent, run);
+  row->age_ms = gp_agent_age_ms (agent, run);
   row->unanswered = gp_agent_is_unanswered (agent, run);
   return row;
 }
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -41,7 +41,10 @@
   bool
       suspects_told; /* its guard has told which runs may have taken it down */
   gp_time_t unspoken_since; /* no guard reports it since then, 0: one does */
-  bool awaited; /* it was noted what its runs wait for since it does not */
+  bool awaited;     /* it was noted what its runs wait for since it does not */
+  bool down;        /* its guard gets no answer from it */
+  bool blamed;      /* that was noted against a queue */
+  bool quarantined; /* see jobs/quarantine.h */
   bool draining;
   bool evacuated;          /* its availability zone is: it gets no new work */
   bool dead;               /* certainly runs nothing any more */
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -82,7 +82,9 @@
   bool settled;    /* its run was at work for long enough not to be what
                       takes its executor down */
   bool suspect;    /* its guard told that its run may be ... */
-  bool fresh;      /* ... and had begun, and only just */
+  bool fresh;      /* ... and had begun lately ... */
+  bool just;       /* ... or just then ... */
+  uint32_t age_ms; /* ... so long before, 0: not known */
   bool unanswered; /* ... or may have: its start was not answered */
   gp_job_executor_t *executor; /* while assigned or stopping */
   gp_list_t on_executor;       /* in gp_job_executor_t.tasks */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -1,6 +1,7 @@
 /* Placement of waiting tasks.  */
 
 #include "jobs/placer.h"
+#include "jobs/placer_private.h"
 
 #include <math.h>
 #include <string.h>
@@ -54,22 +55,8 @@
    one that is empty has over one that is full, so that it is a last resort. */
 #define FAILED_POINTS 4000
 
-/* What a pass needs of an executor more than once.  */
-typedef struct
-{
-  gp_job_executor_t *executor;
-  bool counted;
-  gp_pressure_work_t fillings; /* busy work to be expected */
-} candidate_t;
-
-typedef struct
-{
-  const gp_book_t *book;
-  gp_pressure_t *pressure;
-  gp_time_t now;
-  GArray *candidates; /* candidate_t of those that may take work */
-  GPtrArray *placed;
-} pass_t;
+/* And that one loses that is in quarantine: a last resort as well.  */
+#define QUARANTINE_POINTS 4000
 
 /* May EXECUTOR get new work, but for its zone?  */
 static bool
@@ -88,7 +75,8 @@
 static GArray *
 find_candidates (const gp_book_t *book, gp_time_t now)
 {
-  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  GArray *candidates
+      = g_array_new (FALSE, FALSE, sizeof (gp_placer_candidate_t));
   GHashTableIter iter;
   gpointer value;
 
@@ -96,7 +84,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (takes_work (value, now))
       {
-        candidate_t candidate = { .executor = value };
+        gp_placer_candidate_t candidate = { .executor = value };
 
         g_array_append_val (candidates, candidate);
       }
@@ -154,9 +142,9 @@
          <= executor->capacity.cpu_milli;
 }
 
-static bool
-fits (const gp_job_executor_t *executor, const gp_job_task_t *task,
-      const Gp__Jobs__Step *step, gp_time_t now)
+bool
+gp_placer_fits (const gp_job_executor_t *executor, const gp_job_task_t *task,
+                const Gp__Jobs__Step *step, gp_time_t now)
 {
   const gp_room_t *capacity = &executor->capacity;
   const gp_room_t *used = &executor->used;
@@ -178,14 +166,15 @@
 
 /* Expect one more filling run of IMAGE on CANDIDATE.  */
 static void
-add_filling (const pass_t *pass, candidate_t *candidate, const char *image)
+add_filling (const gp_placer_pass_t *pass, gp_placer_candidate_t *candidate,
+             const char *image)
 {
   candidate->fillings.work[gp_pressure_place (pass->pressure, image)]
       += GP_PRESSURE_BUSY_SHARE;
 }
 
 static void
-count_fillings (const pass_t *pass, candidate_t *candidate)
+count_fillings (const gp_placer_pass_t *pass, gp_placer_candidate_t *candidate)
 {
   if (candidate->counted)
     return;
@@ -211,7 +200,7 @@
 /* What a run that takes WEIGHT, when it is busy, adds to the lack of the
    serving TASK beside the filling work TAKEN.  */
 static double
-harm_to (const pass_t *pass, const gp_job_task_t *task, double taken,
+harm_to (const gp_placer_pass_t *pass, const gp_job_task_t *task, double taken,
          double weight)
 {
   const gp_headroom_t *load = &task->job->loads[gp_task_step_number (task)];
@@ -229,7 +218,8 @@
 /* What one more filling run of IMAGE adds to the lack of the runs that serve
    on CANDIDATE.  */
 static double
-harm (const pass_t *pass, candidate_t *candidate, const char *image)
+harm (const gp_placer_pass_t *pass, gp_placer_candidate_t *candidate,
+      const char *image)
 {
   unsigned int place = gp_pressure_place (pass->pressure, image);
   double sum = 0.0;
@@ -304,8 +294,8 @@
 /* Higher is better; thousandths of the executor's processors.  INT64_MIN:
    not there.  */
 static int64_t
-score (const pass_t *pass, candidate_t *candidate, const gp_job_task_t *task,
-       const Gp__Jobs__Step *step)
+score (const gp_placer_pass_t *pass, gp_placer_candidate_t *candidate,
+       const gp_job_task_t *task, const Gp__Jobs__Step *step)
 {
   const gp_job_executor_t *executor = candidate->executor;
   int64_t capacity = MAX (executor->capacity.cpu_milli, 1);
@@ -332,92 +322,34 @@
     points -= RACK_POINTS;
   if (task->failed_on == executor)
     points -= FAILED_POINTS;
+  if (executor->quarantined)
+    points -= QUARANTINE_POINTS;
   return points;
 }
 
-/* Does a candidate with POINTS go before BEST, with BEST_POINTS?  */
-static bool
-is_better (const candidate_t *candidate, int64_t points,
-           const candidate_t *best, int64_t best_points)
-{
-  if (points != best_points || best == NULL)
-    return points > best_points;
-  return strcmp (candidate->executor->id, best->executor->id) < 0;
-}
-
-/* May one more executor be kept for the suspect TASK?  The suspects of a job
-   share one, but for those of a gang, which start together.  */
-static bool
-may_keep_one (const pass_t *pass, const gp_job_task_t *task)
-{
-  guint kept = 0;
-
-  for (guint i = 0; i < pass->candidates->len; i++)
-    {
-      const gp_job_executor_t *executor
-          = g_array_index (pass->candidates, candidate_t, i).executor;
-
-      if (gp_suspicion_is_kept_for (executor, task->job, pass->now))
-        return gp_task_step (task)->gang;
-      kept += gp_suspicion_is_kept (executor, pass->now);
-    }
-  return kept < MAX (pass->candidates->len / GP_SUSPICION_SHARE, 1);
-}
-
-/* Where the suspect TASK is to be started alone: where its job's are, or else
-   where the least is lost.  NULL: nowhere yet; the executor is kept for it
-   until all there has begun.  */
-static candidate_t *
-choose_alone (const pass_t *pass, gp_job_task_t *task)
+static gp_placer_candidate_t *
+choose (const gp_placer_pass_t *pass, gp_job_task_t *task)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
-  bool more = may_keep_one (pass, task);
-  candidate_t *best = NULL;
-  int64_t best_points = INT64_MIN;
-
-  for (guint i = 0; i < pass->candidates->len; i++)
-    {
-      candidate_t *candidate
-          = &g_array_index (pass->candidates, candidate_t, i);
-      gp_job_executor_t *executor = candidate->executor;
-      bool kept = gp_suspicion_is_kept_for (executor, task->job, pass->now);
-      int64_t points;
-
-      if ((!kept && !more) || !fits (executor, task, step, pass->now))
-        continue;
-      points = kept ? INT64_MAX : -gp_suspicion_at_stake (executor, pass->now);
-      if (is_better (candidate, points, best, best_points))
-        {
-          best = candidate;
-          best_points = points;
-        }
-    }
-  if (best == NULL || gp_suspicion_is_quiet (best->executor, pass->now))
-    return best;
-  gp_suspicion_keep (best->executor, task, pass->now);
-  return NULL;
-}
-
-static candidate_t *
-choose (const pass_t *pass, gp_job_task_t *task)
-{
-  const Gp__Jobs__Step *step = gp_task_step (task);
-  candidate_t *best = NULL;
+  gp_placer_candidate_t *best = NULL;
   int64_t best_score = INT64_MIN;
 
   gp_suspicion_waits (task, pass->now);
+  if (gp_placer_wants_quarantine (pass, task))
+    return gp_placer_choose_quarantined (pass, task);
   if (gp_suspicion_wants_alone (task, pass->now))
-    return choose_alone (pass, task);
+    return gp_placer_choose_alone (pass, task);
   for (guint i = 0; i < pass->candidates->len; i++)
     {
-      candidate_t *candidate
-          = &g_array_index (pass->candidates, candidate_t, i);
+      gp_placer_candidate_t *candidate
+          = &g_array_index (pass->candidates, gp_placer_candidate_t, i);
       int64_t points;
 
-      if (!fits (candidate->executor, task, step, pass->now))
+      if (!gp_placer_fits (candidate->executor, task, step, pass->now)
+          || (candidate->executor->quarantined && step->fills))
         continue;
       points = score (pass, candidate, task, step);
-      if (is_better (candidate, points, best, best_score))
+      if (gp_placer_is_better (candidate, points, best, best_score))
         {
           best = candidate;
           best_score = points;
@@ -427,8 +359,8 @@
 }
 
 static void
-assign (pass_t *pass, gp_job_task_t *task, candidate_t *candidate,
-        uint32_t run)
+assign (gp_placer_pass_t *pass, gp_job_task_t *task,
+        gp_placer_candidate_t *candidate, uint32_t run)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
   gp_job_t *job = task->job;
@@ -438,6 +370,9 @@
   task->slow_since = 0;
   gp_task_set_state (task, GP_TASK_ASSIGNED);
   gp_job_executor_add (candidate->executor, task);
+  if (gp_placer_wants_quarantine (pass, task))
+    gp_suspicion_keep_for (candidate->executor, job,
+                           pass->now + GP_QUARANTINE_KEEP_TIME);
   gp_suspicion_assigned (task, pass->now);
   if (step->fills && candidate->counted)
     add_filling (pass, candidate, step->image);
@@ -447,7 +382,7 @@
 
 /* Would TASK be placed if no availability zone were evacuated?  */
 static bool
-waits_for_zone (const pass_t *pass, const gp_job_task_t *task)
+waits_for_zone (const gp_placer_pass_t *pass, const gp_job_task_t *task)
 {
   GHashTableIter iter;
   gpointer value;
@@ -458,7 +393,7 @@
       const gp_job_executor_t *executor = value;
 
       if (executor->evacuated && is_usable (executor, pass->now)
-          && fits (executor, task, gp_task_step (task), pass->now))
+          && gp_placer_fits (executor, task, gp_task_step (task), pass->now))
         return true;
     }
   return false;
@@ -466,7 +401,7 @@
 
 /* TASK found no place: does its job have any run?  */
 static void
-note_idle (const pass_t *pass, const gp_job_task_t *task)
+note_idle (const gp_placer_pass_t *pass, const gp_job_task_t *task)
 {
   gp_job_t *job = task->job;
 
@@ -484,11 +419,11 @@
 /* Assign the waiting tasks of a step one by one, up to one that finds no
    place: those after it are like it, unless it is to be kept apart.  */
 static void
-assign_each (pass_t *pass, gp_job_task_t *first, uint32_t count)
+assign_each (gp_placer_pass_t *pass, gp_job_task_t *first, uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
     {
-      candidate_t *candidate;
+      gp_placer_candidate_t *candidate;
 
       if (first[i].state != GP_TASK_WAITING)
         continue;
@@ -506,7 +441,7 @@
 
 /* TASK does not start after all; what is kept for it stays so.  */
 static void
-withdraw_one (const pass_t *pass, gp_job_task_t *task)
+withdraw_one (const gp_placer_pass_t *pass, gp_job_task_t *task)
 {
   gp_job_executor_t *executor = task->executor;
 
@@ -517,7 +452,8 @@
 }
 
 static void
-withdraw (pass_t *pass, gp_job_task_t *first, uint32_t count, uint32_t *runs)
+withdraw (gp_placer_pass_t *pass, gp_job_task_t *first, uint32_t count,
+          uint32_t *runs)
 {
   for (uint32_t i = 0; i < count; i++)
     {
@@ -545,7 +481,7 @@
 
 /* Assign all members of a gang under one run number, or none.  */
 static void
-assign_gang (pass_t *pass, gp_job_task_t *first, uint32_t count)
+assign_gang (gp_placer_pass_t *pass, gp_job_task_t *first, uint32_t count)
 {
   uint32_t *runs = g_new (uint32_t, count);
   uint32_t run = 0;
@@ -562,7 +498,7 @@
     share_checkpoint (first, count);
   for (; waiting && placed < count; placed++)
     {
-      candidate_t *candidate = choose (pass, &first[placed]);
+      gp_placer_candidate_t *candidate = choose (pass, &first[placed]);
 
       if (candidate == NULL)
         break;
@@ -574,7 +510,8 @@
 }
 
 static void
-assign_step (pass_t *pass, gp_job_t *job, uint32_t occurrence, uint32_t step)
+assign_step (gp_placer_pass_t *pass, gp_job_t *job, uint32_t occurrence,
+             uint32_t step)
 {
   const Gp__Jobs__Step *definition = job->submission->steps[step];
   gp_job_task_t *first = gp_job_step_tasks (job, occurrence, step);
@@ -586,7 +523,7 @@
 }
 
 static void
-assign_job (pass_t *pass, gp_job_t *job, int64_t wall_ms)
+assign_job (gp_placer_pass_t *pass, gp_job_t *job, int64_t wall_ms)
 {
   size_t steps = job->submission->n_steps;
 
@@ -617,17 +554,17 @@
                       const gp_job_task_t *task, gp_time_t now)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
-  pass_t pass = { .book = book, .pressure = pressure, .now = now };
+  gp_placer_pass_t pass = { .book = book, .pressure = pressure, .now = now };
   bool found = false;
 
   pass.candidates = find_candidates (book, now);
   for (guint i = 0; i < pass.candidates->len && !found; i++)
     {
-      candidate_t *candidate
-          = &g_array_index (pass.candidates, candidate_t, i);
+      gp_placer_candidate_t *candidate
+          = &g_array_index (pass.candidates, gp_placer_candidate_t, i);
 
       found = candidate->executor != task->executor
-              && fits (candidate->executor, task, step, now)
+              && gp_placer_fits (candidate->executor, task, step, now)
               && harm (&pass, candidate, step->image) <= HARM_BETTER;
     }
   g_array_free (pass.candidates, TRUE);
@@ -636,13 +573,17 @@
 
 gp_time_t
 gp_placer_assign (gp_book_t *book, gp_pressure_t *pressure,
-                  const gp_forecast_t *forecast, gp_time_t now,
-                  int64_t wall_ms, GPtrArray *placed)
-{
-  pass_t pass
-      = { .book = book, .pressure = pressure, .now = now, .placed = placed };
+                  const gp_forecast_t *forecast, gp_quarantine_t *quarantine,
+                  gp_time_t now, int64_t wall_ms, GPtrArray *placed)
+{
+  gp_placer_pass_t pass = { .book = book,
+                            .pressure = pressure,
+                            .now = now,
+                            .quarantine = quarantine,
+                            .placed = placed };
   GArray *jobs;
 
+  gp_quarantine_choose (quarantine, book, now);
   pass.candidates = find_candidates (book, now);
   if (pass.candidates->len > 0)
     {
--- a/src/jobs/placer.h
+++ b/src/jobs/placer.h
@@ -11,6 +11,7 @@
 #include "jobs/book.h"
 #include "jobs/forecast.h"
 #include "jobs/pressure.h"
+#include "jobs/quarantine.h"
 
 /* Is there another executor where the filling TASK fits and would do next to
    no harm?  */
@@ -20,7 +21,8 @@
 /* Assign waiting tasks of BOOK, add each to PLACED and return when time
    alone may allow more (a due time or the end of a pause).  */
 gp_time_t gp_placer_assign (gp_book_t *book, gp_pressure_t *pressure,
-                            const gp_forecast_t *forecast, gp_time_t now,
+                            const gp_forecast_t *forecast,
+                            gp_quarantine_t *quarantine, gp_time_t now,
                             int64_t wall_ms, GPtrArray *placed);
 
 #endif
--- /dev/null
+++ b/src/jobs/placer_suspects.c
@@ -0,0 +1,122 @@
+/* Where tasks are started that are under suspicion, or whose queue is.  */
+
+#include "jobs/placer_private.h"
+
+#include <string.h>
+
+#include "jobs/suspicion.h"
+
+bool
+gp_placer_is_better (const gp_placer_candidate_t *candidate, int64_t points,
+                     const gp_placer_candidate_t *best, int64_t best_points)
+{
+  if (points != best_points || best == NULL)
+    return points > best_points;
+  return strcmp (candidate->executor->id, best->executor->id) < 0;
+}
+
+/* Is TASK of a queue that is under suspicion?  */
+static bool
+is_of_suspects (const gp_placer_pass_t *pass, const gp_job_task_t *task)
+{
+  return pass->quarantine != NULL
+         && gp_quarantine_has (pass->quarantine, task->job->submission->queue,
+                               pass->now);
+}
+
+bool
+gp_placer_wants_quarantine (const gp_placer_pass_t *pass,
+                            const gp_job_task_t *task)
+{
+  if (pass->quarantine == NULL
+      || !gp_quarantine_is_on (pass->quarantine, pass->now))
+    return false;
+  if (gp_suspicion_wants_alone (task, pass->now))
+    return !gp_suspicion_is_strong (task);
+  return is_of_suspects (pass, task);
+}
+
+/* May one more executor be kept for the suspect TASK?  The suspects of a job
+   share one, but for those of a gang, which start together.  */
+static bool
+may_keep_one (const gp_placer_pass_t *pass, const gp_job_task_t *task)
+{
+  guint kept = 0;
+
+  for (guint i = 0; i < pass->candidates->len; i++)
+    {
+      const gp_job_executor_t *executor
+          = g_array_index (pass->candidates, gp_placer_candidate_t, i)
+                .executor;
+
+      if (gp_suspicion_is_kept_for (executor, task->job, pass->now))
+        return gp_task_step (task)->gang;
+      kept += !executor->quarantined
+              && gp_suspicion_is_kept (executor, pass->now);
+    }
+  return kept < MAX (pass->candidates->len / GP_SUSPICION_SHARE, 1);
+}
+
+gp_placer_candidate_t *
+gp_placer_choose_alone (const gp_placer_pass_t *pass, gp_job_task_t *task)
+{
+  const Gp__Jobs__Step *step = gp_task_step (task);
+  bool more = may_keep_one (pass, task);
+  gp_placer_candidate_t *best = NULL;
+  int64_t best_points = INT64_MIN;
+
+  for (guint i = 0; i < pass->candidates->len; i++)
+    {
+      gp_placer_candidate_t *candidate
+          = &g_array_index (pass->candidates, gp_placer_candidate_t, i);
+      gp_job_executor_t *executor = candidate->executor;
+      bool kept = gp_suspicion_is_kept_for (executor, task->job, pass->now);
+      int64_t points;
+
+      if ((!kept && !more && !executor->quarantined)
+          || !gp_placer_fits (executor, task, step, pass->now))
+        continue;
+      points = kept ? INT64_MAX : -gp_suspicion_at_stake (executor, pass->now);
+      if (gp_placer_is_better (candidate, points, best, best_points))
+        {
+          best = candidate;
+          best_points = points;
+        }
+    }
+  if (best == NULL || gp_suspicion_is_quiet (best->executor, pass->now))
+    return best;
+  gp_suspicion_keep (best->executor, task, pass->now);
+  return NULL;
+}
+
+gp_placer_candidate_t *
+gp_placer_choose_quarantined (const gp_placer_pass_t *pass,
+                              const gp_job_task_t *task)
+{
+  const Gp__Jobs__Step *step = gp_task_step (task);
+  gp_placer_candidate_t *best = NULL;
+  int64_t best_points = INT64_MIN;
+
+  for (guint i = 0; i < pass->candidates->len; i++)
+    {
+      gp_placer_candidate_t *candidate
+          = &g_array_index (pass->candidates, gp_placer_candidate_t, i);
+      gp_job_executor_t *executor = candidate->executor;
+      bool kept = gp_suspicion_is_kept_for (executor, task->job, pass->now);
+      int64_t points;
+
+      if (executor->down || !executor->quarantined
+          || !gp_placer_fits (executor, task, step, pass->now))
+        continue;
+      points = kept ? INT64_MAX : -gp_suspicion_at_stake (executor, pass->now);
+      if (gp_placer_is_better (candidate, points, best, best_points))
+        {
+          best = candidate;
+          best_points = points;
+        }
+    }
+  if (best == NULL && is_of_suspects (pass, task))
+    gp_quarantine_note_waiting (pass->quarantine, task->job->submission->queue,
+                                pass->now);
+  return best;
+}
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -9,6 +9,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "jobs/placer.h"
+#include "jobs/scheduler_private.h"
 #include "jobs/suspicion.h"
 
 /* Runs that fail one after the other before an executor gets no more work
@@ -27,27 +28,6 @@
 
 static gp_histogram_t placed_time = GP_HISTOGRAM (
     "job_placed", "From when a job was known here to its first run");
-static gp_counter_t lost_runs_count
-    = GP_COUNTER ("runs_lost_total", "Runs on executors that have died");
-static gp_counter_t suspect_runs_count
-    = GP_COUNTER ("runs_suspect_total",
-                  "Of these, runs that may have taken their executor down");
-static gp_counter_t given_up_count = GP_COUNTER (
-    "tasks_given_up_total", "Tasks that have taken their executors down");
-/* Executors that have died, by gp_death_t.  */
-static gp_counter_t dead_counts[] = {
-  [GP_DEATH_REPLACED]
-  = GP_COUNTER ("executors_replaced_total", "Dead: another one is on its VM"),
-  [GP_DEATH_LEFT]
-  = GP_COUNTER ("executors_left_total", "Dead: it has said goodbye"),
-  [GP_DEATH_LAPSED]
-  = GP_COUNTER ("executors_lapsed_total", "Dead: its lease has run out"),
-  [GP_DEATH_UNHEARD] = GP_COUNTER ("executors_unheard_total",
-                                   "Dead: the same, and it does not answer"),
-  [GP_DEATH_SILENT] = GP_COUNTER ("executors_silent_total",
-                                  "Dead: silent until all leases were over"),
-};
-
 /* A filling run that is held back for so long is moved, one of an executor
    in each RELOCATE_TIME: a stop and a start take about a second.  */
 #define SLOW_TIME (800 * GP_MSEC)
@@ -60,12 +40,9 @@
   scheduler->book = book;
   scheduler->pressure = pressure;
   gp_forecast_init (&scheduler->forecast);
+  gp_quarantine_init (&scheduler->quarantine);
   gp_histogram_register (&placed_time);
-  gp_counter_register (&lost_runs_count);
-  gp_counter_register (&suspect_runs_count);
-  gp_counter_register (&given_up_count);
-  for (size_t i = 0; i < G_N_ELEMENTS (dead_counts); i++)
-    gp_counter_register (&dead_counts[i]);
+  gp_scheduler_register_losses ();
   scheduler->next_due = GP_TIME_NEVER;
   scheduler->orders = g_array_new (FALSE, FALSE, sizeof (gp_order_t));
   gp_list_init (&scheduler->dirty);
@@ -76,6 +53,7 @@
 {
   g_array_free (scheduler->orders, TRUE);
   gp_forecast_finish (&scheduler->forecast);
+  gp_quarantine_finish (&scheduler->quarantine);
 }
 
 void
@@ -87,8 +65,8 @@
   scheduler->next_due = GP_TIME_NEVER;
 }
 
-static void
-mark_dirty (gp_scheduler_t *scheduler, gp_job_t *job)
+void
+gp_scheduler_mark_dirty (gp_scheduler_t *scheduler, gp_job_t *job)
 {
   gp_list_remove (&job->dirty_link);
   gp_list_push_back (&scheduler->dirty, &job->dirty_link);
@@ -118,17 +96,17 @@
     return;
   gp_task_set_state (task, GP_TASK_STOPPING);
   add_order (scheduler, GP_ORDER_STOP, task);
-  mark_dirty (scheduler, task->job);
+  gp_scheduler_mark_dirty (scheduler, task->job);
 }
 
-static void
-end_job (gp_scheduler_t *scheduler, gp_job_t *job, gp_job_state_t state,
-         int64_t wall_ms)
+void
+gp_scheduler_end_job (gp_scheduler_t *scheduler, gp_job_t *job,
+                      gp_job_state_t state, int64_t wall_ms)
 {
   bool forecast = job->forecast_at != 0;
 
   gp_book_end (job, state, wall_ms);
-  mark_dirty (scheduler, job);
+  gp_scheduler_mark_dirty (scheduler, job);
   for (uint32_t i = 0; i < job->task_count; i++)
     stop_task (scheduler, &job->tasks[i]);
   gp_log (
@@ -146,23 +124,22 @@
   if (job->submission == NULL || gp_job_ended (job))
     return;
   if (job->cancelled)
-    end_job (scheduler, job, GP_JOB_CANCELLED, wall_ms);
+    gp_scheduler_end_job (scheduler, job, GP_JOB_CANCELLED, wall_ms);
 }
 
 void
 gp_scheduler_rewrite (gp_scheduler_t *scheduler, gp_job_t *job)
 {
   job->overwritten = false;
-  mark_dirty (scheduler, job);
+  gp_scheduler_mark_dirty (scheduler, job);
 }
 
-/* Take TASK off its executor; it waits again.  */
-static void
-release (gp_scheduler_t *scheduler, gp_job_task_t *task)
+void
+gp_scheduler_release (gp_scheduler_t *scheduler, gp_job_task_t *task)
 {
   gp_job_executor_remove (task->executor, task);
   gp_task_set_state (task, GP_TASK_WAITING);
-  mark_dirty (scheduler, task->job);
+  gp_scheduler_mark_dirty (scheduler, task->job);
 }
 
 static void
@@ -230,7 +207,7 @@
   gp_task_set_state (task, GP_TASK_DONE);
   g_clear_pointer (&task->checkpoint, g_free);
   if (!gp_job_ended (job) && job->done_count == job->task_count)
-    end_job (scheduler, job, GP_JOB_COMPLETED, wall_ms);
+    gp_scheduler_end_job (scheduler, job, GP_JOB_COMPLETED, wall_ms);
 }
 
 static void
@@ -246,7 +223,7 @@
   if (gp_task_step (task)->long_running || gp_job_ended (job))
     return;
   if (counted->failures >= job->submission->max_attempts)
-    end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
+    gp_scheduler_end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
 }
 
 /* A gang ends done as one: its other members need no word of their own.  */
@@ -259,7 +236,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       if (first[i].executor != NULL)
-        release (scheduler, &first[i]);
+        gp_scheduler_release (scheduler, &first[i]);
       if (first[i].state != GP_TASK_DONE)
         finish_task (scheduler, &first[i], wall_ms);
     }
@@ -294,7 +271,7 @@
   judge (executor, how, now);
   if (how == GP_END_DONE)
     gp_suspicion_clear (task);
-  release (scheduler, task);
+  gp_scheduler_release (scheduler, task);
   if (how == GP_END_DONE && !step->long_running)
     {
       learn_duration (scheduler, task, now);
@@ -349,7 +326,7 @@
     {
       add_order (scheduler, GP_ORDER_FORGET, task);
       executor->full_until = now + FULL_TIME;
-      release (scheduler, task);
+      gp_scheduler_release (scheduler, task);
       gp_log (GP_LOG_INFO, "run.absent", GP_LOG_S ("task", run->task),
               GP_LOG_I ("run", run->run), GP_LOG_S ("executor", executor->id));
       return;
@@ -362,158 +339,6 @@
   g_array_append_val (scheduler->orders, order);
 }
 
-static const char *
-death_name (gp_death_t why)
-{
-  switch (why)
-    {
-    case GP_DEATH_REPLACED:
-      return "another one is on its VM";
-    case GP_DEATH_LEFT:
-      return "it has left";
-    case GP_DEATH_LAPSED:
-      return "its lease has run out";
-    case GP_DEATH_UNHEARD:
-      return "its lease has run out, and it does not answer";
-    case GP_DEATH_SILENT:
-      return "silent until all leases were over";
-    }
-  return "";
-}
-
-/* Milliseconds from THEN to NOW, -1 where THEN is not known.  */
-static int64_t
-ms_ago (gp_time_t then, gp_time_t now)
-{
-  return then != 0 ? (now - then) / GP_MSEC : -1;
-}
-
-static void
-log_lost (const gp_job_task_t *task, gp_suspicion_t suspicion, gp_time_t now)
-{
-  const gp_job_executor_t *executor = task->executor;
-  char name[GP_TASK_NAME_SIZE];
-
-  gp_task_name (task, name);
-  gp_log (GP_LOG_INFO, "run.lost", GP_LOG_S ("task", name),
-          GP_LOG_I ("run", task->run), GP_LOG_S ("executor", executor->id),
-          GP_LOG_I ("suspect", suspicion != GP_SUSPICION_NONE),
-          GP_LOG_I ("crashes", task->crashes),
-          GP_LOG_I ("evidence", task->evidence),
-          GP_LOG_I ("told", executor->suspects_told),
-          GP_LOG_I ("fresh", task->fresh),
-          GP_LOG_I ("unanswered", task->unanswered),
-          GP_LOG_I ("alone", task->alone),
-          GP_LOG_I ("assigned_ms_ago", ms_ago (task->since, now)),
-          GP_LOG_I ("reported_ms_ago", ms_ago (executor->reported_at, now)));
-}
-
-/* Does the death of EXECUTOR, for the reason WHY, speak against a run that had
-   just begun there?  Not that of one which was to leave, or which answers.  */
-static bool
-may_be_crash (const gp_job_executor_t *executor, gp_death_t why)
-{
-  switch (why)
-    {
-    case GP_DEATH_REPLACED:
-    case GP_DEATH_UNHEARD:
-    case GP_DEATH_SILENT:
-      return !executor->draining;
-    case GP_DEATH_LEFT:
-    case GP_DEATH_LAPSED:
-      return false;
-    }
-  return false;
-}
-
-/* TASK's run ends with its executor: nobody will tell of it again.  Counting
-   only the ends that executors tell, a task that takes them down would be
-   started without end, each time on another executor.  */
-static void
-lose_run (gp_scheduler_t *scheduler, gp_job_task_t *task,
-          gp_suspicion_t suspicion, gp_time_t now, int64_t wall_ms)
-{
-  gp_job_t *job = task->job;
-
-  log_lost (task, suspicion, now);
-  gp_counter_add (&lost_runs_count, 1);
-  gp_counter_add (&suspect_runs_count, suspicion != GP_SUSPICION_NONE);
-  release (scheduler, task);
-  if (suspicion != GP_SUSPICION_GUILTY || gp_job_ended (job))
-    return;
-  gp_counter_add (&given_up_count, 1);
-  gp_log (GP_LOG_WARNING, "task.given_up", GP_LOG_S ("job", job->id),
-          GP_LOG_I ("index", task->index), GP_LOG_I ("run", task->run),
-          GP_LOG_I ("crashes", task->crashes));
-  end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
-}
-
-/* The task whose run on EXECUTOR is RUN, or NULL.  */
-static gp_job_task_t *
-task_of_run (gp_scheduler_t *scheduler, const gp_job_executor_t *executor,
-             const Gp__Jobs__TaskRun *run)
-{
-  gp_job_task_t *task = gp_book_task (scheduler->book, run->task);
-
-  if (task == NULL || task->executor != executor || task->run != run->run)
-    return NULL;
-  return task;
-}
-
-void
-gp_scheduler_settled (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
-                      Gp__Jobs__TaskRun *const *runs, size_t count)
-{
-  for (size_t i = 0; i < count; i++)
-    {
-      gp_job_task_t *task = task_of_run (scheduler, executor, runs[i]);
-
-      if (task != NULL && gp_suspicion_clear (task))
-        mark_dirty (scheduler, task->job);
-    }
-}
-
-void
-gp_scheduler_suspects (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
-                       Gp__Jobs__TaskRun *const *runs, size_t count)
-{
-  executor->suspects_told = true;
-  for (size_t i = 0; i < count; i++)
-    {
-      gp_job_task_t *task = task_of_run (scheduler, executor, runs[i]);
-
-      if (task == NULL)
-        continue;
-      task->suspect = true;
-      task->fresh = runs[i]->fresh;
-      task->unanswered = runs[i]->unanswered;
-    }
-}
-
-void
-gp_scheduler_dead (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
-                   gp_death_t why, gp_time_t now, int64_t wall_ms)
-{
-  const gp_job_t *sole_job = gp_suspicion_sole_job (executor);
-
-  gp_log (GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
-          GP_LOG_I ("runs", executor->task_count),
-          GP_LOG_S ("why", death_name (why)));
-  gp_counter_add (&dead_counts[why], 1);
-  executor->dead = true;
-  executor->reachable = false;
-  GP_LIST_FOREACH_SAFE (link, &executor->tasks)
-  {
-    gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
-    gp_suspicion_t suspicion = may_be_crash (executor, why)
-                                   ? gp_suspicion_crashed (task, sole_job)
-                                   : GP_SUSPICION_NONE;
-
-    lose_run (scheduler, task, suspicion, now, wall_ms);
-  }
-  executor->suspects_told = false;
-}
-
 void
 gp_scheduler_drain (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                     gp_time_t now)
@@ -587,9 +412,9 @@
 {
   GPtrArray *placed = g_ptr_array_new ();
 
-  scheduler->next_due
-      = gp_placer_assign (scheduler->book, scheduler->pressure,
-                          &scheduler->forecast, now, wall_ms, placed);
+  scheduler->next_due = gp_placer_assign (
+      scheduler->book, scheduler->pressure, &scheduler->forecast,
+      &scheduler->quarantine, now, wall_ms, placed);
   for (guint i = 0; i < placed->len; i++)
     {
       gp_job_task_t *task = g_ptr_array_index (placed, i);
@@ -598,7 +423,7 @@
         gp_histogram_add (&placed_time, now - task->job->submitted_at);
       add_order (scheduler, GP_ORDER_START, task);
       log_assigned (task);
-      mark_dirty (scheduler, task->job);
+      gp_scheduler_mark_dirty (scheduler, task->job);
     }
   g_ptr_array_free (placed, TRUE);
 }
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -14,6 +14,7 @@
 #include "jobs/book.h"
 #include "jobs/forecast.h"
 #include "jobs/pressure.h"
+#include "jobs/quarantine.h"
 
 typedef enum
 {
@@ -37,6 +38,7 @@
   gp_book_t *book;
   gp_pressure_t *pressure;
   gp_forecast_t forecast;
+  gp_quarantine_t quarantine;
   gp_list_t dirty;    /* gp_job_t.dirty_link */
   GArray *orders;     /* gp_order_t, in the order of their decisions */
   gp_time_t next_due; /* when gp_scheduler_plan has to look again at the
@@ -82,6 +84,14 @@
                             gp_job_executor_t *executor,
                             Gp__Jobs__TaskRun *const *runs, size_t count);
 
+/* EXECUTOR does not answer, and what may have taken it down has been told: its
+   queue is noted, see jobs/quarantine.h.  */
+void gp_scheduler_down (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
+                        gp_time_t now);
+
+/* EXECUTOR answers again: what was told of suspects there is void.  */
+void gp_scheduler_no_suspects (gp_job_executor_t *executor);
+
 /* What proves that an executor runs nothing any more.  */
 typedef enum
 {
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -31,10 +31,8 @@
   return executor->reported_at - MAX (task->since, executor->reported_since);
 }
 
-/* May the run of TASK have begun just when its executor went down, by what its
-   guard told?  */
-static bool
-is_beginner (const gp_job_task_t *task)
+bool
+gp_suspicion_is_beginner (const gp_job_task_t *task)
 {
   return task->suspect && !task->settled && (task->fresh || task->unanswered);
 }
@@ -44,7 +42,7 @@
 is_suspect (const gp_job_task_t *task)
 {
   if (task->executor->suspects_told || task->settled)
-    return is_beginner (task);
+    return gp_suspicion_is_beginner (task);
   return task->executor->reported_at == 0
          || known_time (task)
                 < gp_suspicion_settle_time (gp_task_step (task)->gang);
@@ -74,7 +72,7 @@
     const gp_job_task_t *task
         = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
 
-    if (!is_beginner (task))
+    if (!gp_suspicion_is_beginner (task))
       continue;
     if (job != NULL && job != task->job)
       return NULL;
@@ -88,11 +86,13 @@
 static uint32_t
 weight (const gp_job_task_t *task, const gp_job_t *sole_job)
 {
-  if (task->fresh && sole_job == task->job)
+  bool sole = sole_job == task->job;
+
+  if (sole && (task->just || (task->fresh && task->alone)))
     return GP_SUSPICION_PROOF;
-  if (!task->alone)
-    return 0;
-  return !task->executor->suspects_told || sole_job == task->job
+  if (sole && task->fresh)
+    return GP_SUSPICION_HINT;
+  return task->alone && (sole || !task->executor->suspects_told)
              ? GP_SUSPICION_HINT
              : 0;
 }
@@ -116,29 +116,48 @@
   task->settled = false;
   task->suspect = false;
   task->fresh = false;
+  task->just = false;
   task->unanswered = false;
   task->alone = false;
 }
 
+/* Is TASK to be started alone?  Not yet one that stood beside others under the
+   end of one executor, by the lists alone: executors that go down by
+   themselves leave many such behind.  */
+static bool
+is_isolated (const gp_job_task_t *task)
+{
+  bool by_lists = task->fresh && !task->just;
+
+  return task->evidence > 0 || task->crashes > 1
+         || (task->crashes == 1 && !by_lists);
+}
+
 /* Its patience begins when it can be assigned: suspects that lose theirs while
    the store is away would go to one executor, and down with it.  */
 void
 gp_suspicion_waits (gp_job_task_t *task, gp_time_t now)
 {
-  if (task->crashes > 0 && task->alone_since == 0)
+  if (is_isolated (task) && task->alone_since == 0)
     task->alone_since = now;
 }
 
+bool
+gp_suspicion_is_strong (const gp_job_task_t *task)
+{
+  return task->evidence > 0 || task->crashes >= GP_SUSPICION_PATIENT;
+}
+
 /* Until when TASK waits to be started alone.  A gang needs several executors
-   at once, which may never be kept together.  */
+   at once, and two gangs may keep some of each other's.  */
 static gp_time_t
 patient_until (const gp_job_task_t *task)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
 
-  if (!step->gang
-      && (task->evidence > 0 || task->crashes >= GP_SUSPICION_PATIENT))
-    return GP_TIME_NEVER;
+  if (gp_suspicion_is_strong (task))
+    return step->gang ? task->alone_since + GP_SUSPICION_GANG_PATIENCE
+                      : GP_TIME_NEVER;
   return task->alone_since
          + (step->long_running ? GP_SUSPICION_LASTING_PATIENCE
                                : GP_SUSPICION_PATIENCE);
@@ -147,7 +166,7 @@
 bool
 gp_suspicion_wants_alone (const gp_job_task_t *task, gp_time_t now)
 {
-  return task->crashes > 0 && task->alone_since != 0
+  return is_isolated (task) && task->alone_since != 0
          && now <= patient_until (task);
 }
 
@@ -199,6 +218,15 @@
     keep_until (executor, task->job, now + GP_SUSPICION_QUIET_TIME);
 }
 
+void
+gp_suspicion_keep_for (gp_job_executor_t *executor, const gp_job_t *job,
+                       gp_time_t until)
+{
+  bool kept = strcmp (executor->kept_for, job->id) == 0;
+
+  keep_until (executor, job, kept ? MAX (until, executor->kept_until) : until);
+}
+
 int64_t
 gp_suspicion_at_stake (const gp_job_executor_t *executor, gp_time_t now)
 {
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -5,12 +5,13 @@
    nothing; what tells them apart is evidence, never a count of ends, as any
    number of them proves nothing against who only stood nearby:
 
-   - Such a task does it as soon as it begins.  An end speaks against those
-   runs only that had just begun or, as their start was held up or nobody is
-   left to tell, may have.  Others on the executor have nothing to do with it.
+   - Such a task does it as soon as it begins.  An end speaks only against runs
+     that had just begun or, as their start was held up or nobody is left to
+     tell, may have.  Others on the executor have nothing to do with it.
    - It is a PROOF where all of these are of one job, which is given up as a
-     whole; and a HINT where nobody can tell what had just begun, but nothing
-     of another job was started there.
+     whole.  It is a HINT where that is told by the lists only, which don't
+     show when the executor ended, of a run that was not started alone; or
+     where nobody can tell anything of one that was.
    - A run that has settled, which was listed as at work for SETTLE_TIME, did
      not take its executor down by being started.  Its task is above suspicion
      again, and what was counted of it is forgotten.
@@ -18,11 +19,12 @@
      by itself under a task that has just begun, or what hints make up.
 
    So that the next end tells, a task under which an executor has gone down is
-   started alone: on an executor that takes nothing else until the run has
-   settled, but for tasks of the same job.  Where no executor is quiet, the one
-   with the least to lose is kept until it is.  Only a few executors at a time
-   are kept; after a disaster many are under suspicion, and all have to run
-   again, so that those of which no more is known wait no longer than PATIENCE.
+   started alone, unless others had begun with it and no more is known: on an
+   executor that takes nothing else until the run has settled, but for tasks of
+   the same job.  Where no executor is quiet, the one with the least to lose is
+   kept until it is.  Only a few executors at a time are kept; after a disaster
+   many are under suspicion, and all have to run again, so that those of which
+   no more is known wait no longer than PATIENCE.
 
    What was counted stands in the job's progress, in the same record as the run
    that is assigned next: no start is made that a later leader does not know
@@ -36,8 +38,8 @@
 #include "jobs/executor.h"
 
 /* After so many executors a task waits for a start that tells, for as long as
-   that takes: users allow two starts more.  */
-#define GP_SUSPICION_PATIENT 3
+   that takes: users allow two starts after three.  */
+#define GP_SUSPICION_PATIENT 2
 /* Executors that are counted at the most: more of them change nothing.  */
 #define GP_SUSPICION_MOST 4
 
@@ -54,9 +56,9 @@
 /* A run that its executor outlived for longer had not only just begun.  Lists
    tell that in steps of a quarter of a second ...  */
 #define GP_SUSPICION_FRESH_TIME (500 * GP_MSEC)
-/* ... a connection that ends with the executor at once: a few times what such
-   a task takes, so that little else has begun in that time.  */
-#define GP_SUSPICION_JUST_TIME (40 * GP_MSEC)
+/* ... a connection that ends with the executor at once: ten times what such a
+   task takes, as a VM may be busy, and little else begins in that time.  */
+#define GP_SUSPICION_JUST_TIME (100 * GP_MSEC)
 /* Members of a gang are listed while they wait for each other, up to 3 s.  */
 #define GP_SUSPICION_GANG_TIME (3 * GP_SEC)
 
@@ -70,6 +72,8 @@
    again within 6 s, the others are late already.  */
 #define GP_SUSPICION_LASTING_PATIENCE (3 * GP_SEC)
 #define GP_SUSPICION_PATIENCE (10 * GP_SEC)
+/* Nor do the members of a gang against which something speaks.  */
+#define GP_SUSPICION_GANG_PATIENCE (60 * GP_SEC)
 /* Of all executors, at most one in so many is kept (but one may be) ... */
 #define GP_SUSPICION_SHARE 4
 /* ... and for no longer: three orders without an answer, and what it takes to
@@ -93,6 +97,10 @@
    counted of it has changed, so that its progress has to be written.  */
 bool gp_suspicion_clear (gp_job_task_t *task);
 
+/* May the run of TASK have begun just when its executor went down, by what its
+   guard told?  */
+bool gp_suspicion_is_beginner (const gp_job_task_t *task);
+
 /* The job of all runs on EXECUTOR, which went down without a word, that may
    have begun just then by what its guard told; NULL: there is none, or they
    are of several.  */
@@ -109,6 +117,10 @@
 /* TASK waits, and is about to be assigned if there is a place for it.  */
 void gp_suspicion_waits (gp_job_task_t *task, gp_time_t now);
 
+/* Does something speak against TASK, or has it been counted for so long that
+   only a start that tells helps?  */
+bool gp_suspicion_is_strong (const gp_job_task_t *task);
+
 /* Is TASK to be started alone?  */
 bool gp_suspicion_wants_alone (const gp_job_task_t *task, gp_time_t now);
 
@@ -128,6 +140,11 @@
 void gp_suspicion_keep (gp_job_executor_t *executor, const gp_job_task_t *task,
                         gp_time_t now);
 
+/* Keep EXECUTOR, on which a task of JOB is assigned, for it until UNTIL at
+   least.  */
+void gp_suspicion_keep_for (gp_job_executor_t *executor, const gp_job_t *job,
+                            gp_time_t until);
+
 /* What the end of EXECUTOR would cost: milliseconds of work on all its
    processors.  */
 int64_t gp_suspicion_at_stake (const gp_job_executor_t *executor,
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -254,6 +254,8 @@
       pause = LIST_RETRY_TIME;
       gp_agent_list_refused (&guard->agent, list->result, list->clock_ms, now);
     }
+  if (gp_agent_is_down (&guard->agent, now) != guard->told.down)
+    gp_guard_send_report (guard);
   if (guard->agent.ends->len > 0 && guard->unrecorded_since == 0)
     guard->unrecorded_since = now;
   if (guard->agent.ends->len > 0)
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -34,6 +34,7 @@
   gp_time_t servings_at; /* ... which was sent then */
   GPtrArray *fillings;   /* images, owned, in the order that the leader has
                             told them */
+  bool down;             /* that the executor does not answer */
 } gp_told_t;
 
 typedef struct
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -42,6 +42,8 @@
   Gp__Jobs__TaskRun row = row_of (run);
 
   row.fresh = gp_agent_is_fresh (agent, run);
+  row.just = gp_agent_had_just_begun (agent, run);
+  row.age_ms = gp_agent_age_ms (agent, run);
   row.unanswered = gp_agent_is_unanswered (agent, run);
   g_array_append_val (rows, row);
 }
@@ -64,8 +66,8 @@
   report->n_absent = absent->len;
 }
 
-/* Runs that have settled, and those that go down with an executor whose lease
-   has run out and may be what it went down for.  */
+/* Runs that have settled, and those that go down with an executor that does
+   not answer or whose lease has run out and may be what it went down for.  */
 static void
 report_suspects (const gp_agent_t *agent, Gp__Jobs__Report *report,
                  GArray *settled, GArray *suspects)
@@ -78,7 +80,8 @@
     {
       if (gp_agent_tells_settled (value))
         add_row (settled, value);
-      if (report->lapsed && gp_agent_is_suspect (agent, value))
+      if ((report->lapsed || report->down)
+          && gp_agent_is_suspect (agent, value))
         add_suspect (suspects, agent, value);
     }
   report->settled = gp_link_pointers (settled);
@@ -280,6 +283,8 @@
     report.predecessor = agent->predecessor;
   report.lapsed = gp_agent_lapsed (agent, now);
   report.answers = gp_agent_answers (agent, now);
+  report.down = gp_agent_is_down (agent, now);
+  guard->told.down = report.down;
   report.ended = agent->ended;
   report.synced = agent->synced;
   report.ends = (Gp__Jobs__End **)agent->ends->pdata;
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -99,8 +99,11 @@
   gp_job_executor_t *executor = gp_book_executor (leader->book, before);
 
   if (predecessor != NULL && strcmp (predecessor->executor, before) == 0)
-    gp_scheduler_suspects (&leader->scheduler, executor, predecessor->suspects,
-                           predecessor->n_suspects);
+    {
+      gp_scheduler_no_suspects (executor);
+      gp_scheduler_suspects (&leader->scheduler, executor,
+                             predecessor->suspects, predecessor->n_suspects);
+    }
   declare_dead (leader, executor, GP_DEATH_REPLACED);
 }
 
@@ -149,18 +152,22 @@
                         report->n_settled);
   if (report->ended && !executor->dead)
     declare_dead (leader, executor, GP_DEATH_LEFT);
+  if (executor->suspects_told)
+    gp_scheduler_no_suspects (executor);
+  if ((report->lapsed || report->down) && !executor->dead)
+    gp_scheduler_suspects (&leader->scheduler, executor, report->suspects,
+                           report->n_suspects);
+  if (report->down && !executor->dead)
+    gp_scheduler_down (&leader->scheduler, executor, now);
   if (report->lapsed && !executor->dead)
-    {
-      gp_scheduler_suspects (&leader->scheduler, executor, report->suspects,
-                             report->n_suspects);
-      declare_dead (leader, executor,
-                    report->answers ? GP_DEATH_LAPSED : GP_DEATH_UNHEARD);
-    }
+    declare_dead (leader, executor,
+                  report->answers ? GP_DEATH_LAPSED : GP_DEATH_UNHEARD);
   /* It may work again only under a new fence.  */
   if (executor->dead)
     link->wants_sync = true;
   if (report->synced != link->sync && now - link->synced_at > RESYNC_TIME)
     link->wants_sync = true;
+  executor->down = report->down;
   link->silent = report->ended || (report->lapsed && !report->answers);
   executor->reported_at = now;
   if (executor->reported_since == 0)
@@ -213,6 +220,7 @@
 {
   gp_leader_t *leader = link->leader;
   bool was_reachable;
+  bool was_down;
 
   if (leader->role != GP_LEADER_LEADING || !is_of_link (link, report))
     return;
@@ -231,10 +239,12 @@
     return;
   set_executor (link, report);
   was_reachable = link->executor->reachable;
+  was_down = link->executor->down;
   gp_leader_learn (link, report);
   note_lacking (link, report);
   take_report (link, report);
-  if (link->executor->reachable != was_reachable || is_news (link, report))
+  if (link->executor->reachable != was_reachable
+      || link->executor->down != was_down || is_news (link, report))
     gp_leader_turn_soon (leader);
 }
 
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -444,6 +444,35 @@
   show_beginners (&agent, "stopped", now + 3 * GP_SEC);
 }
 
+static void
+show_down (gp_agent_t *agent, const char *what, gp_time_t now)
+{
+  printf ("  %s: %d\n", what, gp_agent_is_down (agent, now));
+}
+
+static void
+test_down (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  printf ("is the executor down?\n");
+  begin (&agent, now);
+  gp_agent_list_refused (&agent, GP_AGENT_UNANSWERED, -1, now);
+  show_down (&agent, "a call went unanswered", now);
+  show_down (&agent, "299 ms later", now + 299 * GP_MSEC);
+  show_down (&agent, "300 ms later", now + 300 * GP_MSEC);
+  gp_agent_listed (&agent, NULL, 0, NULL, 0, 5300, now, now + GP_SEC);
+  show_down (&agent, "an answer", now + GP_SEC);
+  gp_agent_list_refused (&agent, GP_AGENT_CUT, -1, now + GP_SEC);
+  show_down (&agent, "its side ends a connection", now + GP_SEC);
+  gp_agent_listed (&agent, NULL, 0, NULL, 0, 5400, now, now + GP_SEC);
+  show_down (&agent, "but answers on another one", now + GP_SEC);
+  gp_agent_list_refused (&agent, GP_AGENT_NOBODY, -1, now + GP_SEC);
+  show_down (&agent, "nobody listens", now + GP_SEC);
+  gp_agent_finish (&agent);
+}
+
 static Gp__Jobs__Executor *
 executor_of_cores (const char *id, unsigned cores)
 {
@@ -808,6 +837,7 @@
           { "stop", test_stop },
           { "suspects", test_suspects },
           { "beginners", test_beginners },
+          { "down", test_down },
           { "shrink", test_shrink },
           { "random", test_random },
           CU_TEST_INFO_NULL };
--- /dev/null
+++ b/tests/unit/test_quarantine.c
@@ -0,0 +1,277 @@
+/* Tests of queues that are under suspicion: scripted, with what becomes of
+   other work beside.
+
+   What users saw: one queue brought many tasks that take their executors down,
+   for ten seconds.  Each was given up after two executors, but each first
+   start took some thirty runs of other jobs with it, and large jobs and such
+   as last suffered for the whole day.  What showed it: `run.lost` of work that
+   had settled long before, beside suspects of one and the same queue each
+   time.  */
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobs/suspicion.h"
+#include "jobs_site.h"
+#include "runner.h"
+
+#define EXECUTORS 8
+
+static Gp__Jobs__Submission *
+of_queue (const char *queue, unsigned count, unsigned cpu_milli)
+{
+  Gp__Jobs__Submission *submission = jobs_site_submission (count, cpu_milli);
+
+  free (submission->queue);
+  submission->queue = strdup (queue);
+  return submission;
+}
+
+static Gp__Jobs__Submission *
+filling (const char *queue, unsigned count)
+{
+  Gp__Jobs__Submission *submission = of_queue (queue, count, 1000);
+
+  submission->steps[0]->fills = true;
+  return submission;
+}
+
+/* Executors x1 to x8 of eight cores each.  */
+static void
+begin (jobs_site_t *site)
+{
+  jobs_site_init (site);
+  for (unsigned i = 1; i <= EXECUTORS; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "x%u", i);
+      jobs_site_executor (site, id, 8);
+    }
+}
+
+/* QUEUE has shown that its tasks take executors down.  */
+static void
+condemn (jobs_site_t *site, const char *queue)
+{
+  for (int i = 0; i < GP_QUARANTINE_ENDS; i++)
+    gp_quarantine_note (&site->scheduler.quarantine, &site->book, queue,
+                        site->now);
+}
+
+static void
+show_quarantine (const jobs_site_t *site)
+{
+  printf ("  in quarantine:");
+  for (unsigned i = 1; i <= EXECUTORS + 2; i++)
+    {
+      const gp_job_executor_t *executor;
+      char id[8];
+
+      g_snprintf (id, sizeof id, "x%u", i);
+      executor = g_hash_table_lookup (site->book.executors, id);
+      if (executor != NULL && executor->quarantined && !executor->dead)
+        printf (" %s", id);
+    }
+  printf ("\n");
+}
+
+static void
+show (const jobs_site_t *site, const char *what)
+{
+  const gp_quarantine_t *quarantine = &site->scheduler.quarantine;
+
+  printf ("  %s: %d\n", what,
+          gp_quarantine_has (quarantine, "bad", site->now));
+}
+
+static void
+test_queue (void)
+{
+  jobs_site_t site;
+  gp_quarantine_t *quarantine = &site.scheduler.quarantine;
+
+  printf ("which queue is under suspicion\n");
+  jobs_site_init (&site);
+  gp_quarantine_note (quarantine, &site.book, "bad", site.now);
+  show (&site, "after one end");
+  site.now += GP_QUARANTINE_FRESH_TIME + 1;
+  gp_quarantine_note (quarantine, &site.book, "bad", site.now);
+  show (&site, "another one too late");
+  site.now += GP_QUARANTINE_FRESH_TIME;
+  gp_quarantine_note (quarantine, &site.book, "bad", site.now);
+  show (&site, "and one in time");
+  printf ("  another queue: %d\n",
+          gp_quarantine_has (quarantine, "good", site.now));
+  site.now += GP_QUARANTINE_FRESH_TIME;
+  show (&site, "as long as the last end is fresh");
+  gp_quarantine_note_waiting (quarantine, "bad", site.now);
+  site.now += GP_QUARANTINE_FRESH_TIME;
+  show (&site, "or since a task of it waited");
+  site.now += 1;
+  show (&site, "no longer");
+  printf ("but not for ever\n");
+  gp_quarantine_note (quarantine, &site.book, "bad", site.now);
+  gp_quarantine_note (quarantine, &site.book, "bad", site.now);
+  for (int i = 0; i < 4; i++)
+    {
+      site.now += GP_QUARANTINE_FRESH_TIME;
+      show (&site, "ten seconds more, and one waits");
+      gp_quarantine_note_waiting (quarantine, "bad", site.now);
+    }
+  jobs_site_finish (&site);
+}
+
+static void
+test_fits (void)
+{
+  static const unsigned tasks[] = { 16, 17 };
+
+  printf ("a queue is confined only if its work fits there\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (tasks); i++)
+    {
+      jobs_site_t site;
+      char what[32];
+
+      begin (&site);
+      jobs_site_submit (&site, "00000000000000aa",
+                        of_queue ("bad", tasks[i], 1000));
+      jobs_site_plan (&site);
+      condemn (&site, "bad");
+      g_snprintf (what, sizeof what, "%u of 64 cores", tasks[i]);
+      show (&site, what);
+      jobs_site_finish (&site);
+    }
+}
+
+/* An executor goes down as just COUNT tasks of one job have begun there, or
+   some time later; its queue is "bad".  */
+static void
+try_end (const char *what, bool just, bool beside)
+{
+  jobs_site_t site;
+  gp_job_t *jobs[2];
+  gp_job_executor_t *executor;
+
+  jobs_site_init (&site);
+  executor = jobs_site_executor (&site, "x1", 8);
+  jobs[0]
+      = jobs_site_submit (&site, "00000000000000aa", of_queue ("bad", 2, 500));
+  jobs[1] = jobs_site_submit (&site, "00000000000000bb",
+                              of_queue ("good", 1, 500));
+  jobs_site_plan (&site);
+  executor->suspects_told = true;
+  for (int i = 0; i <= beside; i++)
+    {
+      jobs[i]->tasks[0].suspect = true;
+      jobs[i]->tasks[0].fresh = true;
+      jobs[i]->tasks[0].just = just;
+    }
+  gp_quarantine_note (&site.scheduler.quarantine, &site.book, "bad", site.now);
+  gp_scheduler_down (&site.scheduler, executor, site.now);
+  gp_scheduler_down (&site.scheduler, executor, site.now);
+  show (&site, what);
+  jobs_site_finish (&site);
+}
+
+static void
+test_ends (void)
+{
+  printf ("which ends speak against a queue that has one already\n");
+  try_end ("its job alone had just begun", true, false);
+  try_end ("only lately", false, false);
+  try_end ("another job had just begun as well", true, true);
+}
+
+static void
+test_places (void)
+{
+  jobs_site_t site;
+  gp_job_t *bad;
+  gp_job_t *next;
+  gp_job_t *good;
+  gp_job_t *fills;
+
+  printf ("its tasks are started in quarantine, one job after the other on "
+          "each executor\n");
+  begin (&site);
+  good = jobs_site_submit (&site, "00000000000000aa",
+                           of_queue ("good", 6, 4000));
+  jobs_site_plan (&site);
+  jobs_site_print_job (good);
+  condemn (&site, "bad");
+  bad = jobs_site_submit (&site, "00000000000000bb",
+                          of_queue ("bad", 9, 1000));
+  next = jobs_site_submit (&site, "00000000000000cc",
+                           of_queue ("bad", 2, 1000));
+  jobs_site_plan (&site);
+  show_quarantine (&site);
+  jobs_site_print_job (bad);
+  jobs_site_print_job (next);
+  site.now += GP_QUARANTINE_KEEP_TIME;
+  jobs_site_plan (&site);
+  jobs_site_print_job (next);
+  printf ("other work goes elsewhere, if it finds a place\n");
+  good = jobs_site_submit (&site, "00000000000000dd",
+                           of_queue ("good", 7, 4000));
+  fills = jobs_site_submit (&site, "00000000000000ee", filling ("good", 8));
+  site.now += GP_QUARANTINE_KEEP_TIME;
+  jobs_site_plan (&site);
+  jobs_site_print_job (good);
+  jobs_site_print_job (fills);
+  jobs_site_finish (&site);
+}
+
+static void
+test_returns (void)
+{
+  jobs_site_t site;
+  gp_job_t *bad;
+  gp_job_executor_t *fallen;
+
+  printf ("an executor that went down in quarantine is not replaced by one "
+          "that has something to lose\n");
+  begin (&site);
+  jobs_site_submit (&site, "00000000000000aa", of_queue ("good", 12, 4000));
+  condemn (&site, "bad");
+  jobs_site_plan (&site);
+  show_quarantine (&site);
+  fallen = NULL;
+  for (unsigned i = EXECUTORS; i >= 1; i--)
+    {
+      gp_job_executor_t *executor;
+      char id[8];
+
+      g_snprintf (id, sizeof id, "x%u", i);
+      executor = gp_book_executor (&site.book, id);
+      executor->down = executor->quarantined;
+      if (executor->down)
+        fallen = executor;
+    }
+  bad = jobs_site_submit (&site, "00000000000000bb",
+                          of_queue ("bad", 1, 1000));
+  jobs_site_plan (&site);
+  jobs_site_print_job (bad);
+  printf ("but by the one that comes after it\n");
+  if (fallen != NULL)
+    jobs_site_dead (&site, fallen, GP_DEATH_REPLACED);
+  jobs_site_executor (&site, "x9", 8);
+  site.now += GP_SEC;
+  jobs_site_plan (&site);
+  show_quarantine (&site);
+  jobs_site_print_job (bad);
+  jobs_site_finish (&site);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "queue", test_queue },     { "fits", test_fits },
+          { "ends", test_ends },       { "places", test_places },
+          { "returns", test_returns }, CU_TEST_INFO_NULL };
+
+  return runner_main ("quarantine", tests);
+}
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -28,6 +28,7 @@
 typedef enum
 {
   BEGUN_EARLIER,
+  BEGUN_LATELY, /* by the lists */
   BEGUN_JUST_NOW,
   BEGUN_UNANSWERED /* its start was held up: at any time */
 } begun_t;
@@ -44,7 +45,8 @@
   gp_task_name (task, name);
   run.task = name;
   run.run = task->run;
-  run.fresh = begun == BEGUN_JUST_NOW;
+  run.fresh = begun == BEGUN_JUST_NOW || begun == BEGUN_LATELY;
+  run.just = begun == BEGUN_JUST_NOW;
   run.unanswered = begun == BEGUN_UNANSWERED;
   gp_scheduler_suspects (&site->scheduler, task->executor, runs, 1);
 }
@@ -289,6 +291,44 @@
   jobs_site_finish (&site);
 }
 
+/* The guard could not tell when the executor ended, only that the run had been
+   listed for less than half a second.  */
+static void
+test_by_lists (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+  gp_job_t *beside;
+
+  printf ("by the lists alone: one end beside others keeps nobody apart\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  job = jobs_site_submit (&site, JOB_A, jobs_site_submission (1, 1000));
+  beside = jobs_site_submit (&site, JOB_B, jobs_site_submission (1, 1000));
+  jobs_site_plan (&site);
+  tell_suspect (&site, &job->tasks[0], BEGUN_LATELY);
+  tell_suspect (&site, &beside->tasks[0], BEGUN_LATELY);
+  replace (&site, "x1", "x2");
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  jobs_site_print_job (beside);
+  beside->cancelled = true;
+  jobs_site_end (&site, &beside->tasks[0], GP_END_DONE);
+  printf ("and ends of one that began by itself are hints\n");
+  for (int i = 2; i <= STARTS_MAX + 1 && !gp_job_ended (job); i++)
+    {
+      char next[8];
+
+      jobs_site_plan (&site);
+      tell_suspect (&site, &job->tasks[0], BEGUN_LATELY);
+      g_snprintf (next, sizeof next, "x%d", i + 1);
+      replace (&site, job->tasks[0].executor->id, next);
+      jobs_site_print_job (job);
+    }
+  CU_ASSERT (job->tasks[0].run <= STARTS_MAX);
+  jobs_site_finish (&site);
+}
+
 /* Guard and executor are lost together: nobody can tell what had begun.  */
 static void
 test_no_word (void)
@@ -612,6 +652,7 @@
     gp_task_name (task, run->task);
     run->run = task->run;
     run->fresh = world->site.now == task->since;
+    run->just = run->fresh;
     g_ptr_array_add (suspects, run);
   }
   gp_scheduler_suspects (&world->site.scheduler, executor,
@@ -743,6 +784,7 @@
                                  { "kept", test_kept },
                                  { "coincidence", test_coincidence },
                                  { "bystander", test_bystander },
+                                 { "by_lists", test_by_lists },
                                  { "no_word", test_no_word },
                                  { "beside", test_beside },
                                  { "outage", test_outage },
