Suspects: a start that is alone tells, whatever the lists' steps, leaders and gangs

The last answer of any call tells it now, and a start waits 100 ms longer for an executor to be quiet. - A new leader did not know that an executor was kept, and put others there. - Of a gang only the member under suspicion was to be alone; those placed before it made the executor unquiet each time. - The other way round: an end that is known to have come 0.1 to 0.5 s after a start was a proof where the run was alone. It is a hint: executors that go down by themselves do so too.

--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -88,7 +88,7 @@
   if (has_just_begun_run (agent))
     return gp_agent_had_just_begun (agent, run);
   return !is_unknown (run)
-         && !was_listed_for (run, gp_suspicion_fresh_time (is_gang (run)));
+         && agent->heard_at - run->began_at < GP_SUSPICION_FRESH_TIME;
 }
 
 bool
@@ -178,6 +178,7 @@
   row->just = gp_agent_had_just_begun (agent, run);
   row->age_ms = gp_agent_age_ms (agent, run);
   row->unanswered = gp_agent_is_unanswered (agent, run);
+  row->timed = agent->gone_from != 0;
   return row;
 }
 
--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -142,13 +142,13 @@
   task->failures = progress->failures;
   task->crashes = progress->crashes;
   task->evidence = progress->evidence;
-  task->alone = progress->alone;
   if (progress->checkpoint.len > 0)
     task->checkpoint = g_strndup ((const char *)progress->checkpoint.data,
                                   progress->checkpoint.len);
   if (*progress->executor == '\0')
     return;
   gp_job_executor_add (gp_book_executor (book, progress->executor), task);
+  gp_suspicion_folded (task, progress->alone);
   gp_task_set_state (task,
                      progress->stopping ? GP_TASK_STOPPING : GP_TASK_ASSIGNED);
 }
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -37,7 +37,8 @@
   gp_time_t assigned_at;    /* this process gave it its last run, 0: never */
   char kept_for[GP_JOB_ID_SIZE + 1]; /* it takes no runs but those of this
                                         job, "": it does ... */
-  gp_time_t kept_until;              /* ... but for no longer than this */
+  gp_time_t kept_until; /* ... but for no longer than this; 0: a leader before
+                           has kept it */
   bool
       suspects_told; /* its guard has told which runs may have taken it down */
   gp_time_t unspoken_since; /* no guard reports it since then, 0: one does */
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -86,6 +86,7 @@
   bool just;       /* ... or just then ... */
   uint32_t age_ms; /* ... so long before, 0: not known */
   bool unanswered; /* ... or may have: its start was not answered */
+  bool timed;      /* by when its executor ended, not by the lists */
   gp_job_executor_t *executor; /* while assigned or stopping */
   gp_list_t on_executor;       /* in gp_job_executor_t.tasks */
   char *checkpoint;            /* NULL: none */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -337,7 +337,7 @@
   gp_suspicion_waits (task, pass->now);
   if (gp_placer_wants_quarantine (pass, task))
     return gp_placer_choose_quarantined (pass, task);
-  if (gp_suspicion_wants_alone (task, pass->now))
+  if (gp_placer_wants_alone (pass, task))
     return gp_placer_choose_alone (pass, task);
   for (guint i = 0; i < pass->candidates->len; i++)
     {
@@ -373,6 +373,8 @@
   if (gp_placer_wants_quarantine (pass, task))
     gp_suspicion_keep_for (candidate->executor, job,
                            pass->now + GP_QUARANTINE_KEEP_TIME);
+  else if (gp_placer_wants_alone (pass, task))
+    gp_suspicion_keep (candidate->executor, task, pass->now);
   gp_suspicion_assigned (task, pass->now);
   if (step->fills && candidate->counted)
     add_filling (pass, candidate, step->image);
@@ -447,7 +449,7 @@
 
   gp_job_executor_remove (executor, task);
   gp_task_set_state (task, GP_TASK_WAITING);
-  if (gp_suspicion_wants_alone (task, pass->now))
+  if (gp_placer_wants_alone (pass, task))
     gp_suspicion_keep (executor, task, pass->now);
 }
 
@@ -493,6 +495,7 @@
       runs[i] = first[i].run;
       run = MAX (run, first[i].run + 1);
       waiting = waiting && first[i].state == GP_TASK_WAITING;
+      gp_suspicion_waits (&first[i], pass->now);
     }
   if (waiting)
     share_checkpoint (first, count);
--- a/src/jobs/placer_private.h
+++ b/src/jobs/placer_private.h
@@ -33,6 +33,11 @@
                           int64_t points, const gp_placer_candidate_t *best,
                           int64_t best_points);
 
+/* Is TASK to be started alone?  A gang is as a whole: its other members would
+   make the executor unquiet.  */
+bool gp_placer_wants_alone (const gp_placer_pass_t *pass,
+                            const gp_job_task_t *task);
+
 /* Is TASK to be started in quarantine?  While there is one, also suspects of
    other queues are, of which no more is known yet.  */
 bool gp_placer_wants_quarantine (const gp_placer_pass_t *pass,
--- a/src/jobs/placer_suspects.c
+++ b/src/jobs/placer_suspects.c
@@ -24,6 +24,21 @@
                                pass->now);
 }
 
+bool
+gp_placer_wants_alone (const gp_placer_pass_t *pass, const gp_job_task_t *task)
+{
+  const gp_job_task_t *first;
+  uint32_t step = gp_task_step_number (task);
+
+  if (!gp_task_step (task)->gang)
+    return gp_suspicion_wants_alone (task, pass->now);
+  first = gp_job_step_tasks (task->job, gp_task_occurrence (task), step);
+  for (uint32_t i = 0; i < task->job->submission->steps[step]->count; i++)
+    if (gp_suspicion_wants_alone (&first[i], pass->now))
+      return true;
+  return false;
+}
+
 bool
 gp_placer_wants_quarantine (const gp_placer_pass_t *pass,
                             const gp_job_task_t *task)
@@ -31,7 +46,7 @@
   if (pass->quarantine == NULL
       || !gp_quarantine_is_on (pass->quarantine, pass->now))
     return false;
-  if (gp_suspicion_wants_alone (task, pass->now))
+  if (gp_placer_wants_alone (pass, task))
     return !gp_suspicion_is_strong (task);
   return is_of_suspects (pass, task);
 }
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -198,6 +198,7 @@
     task->fresh = false;
     task->just = false;
     task->unanswered = false;
+    task->timed = false;
   }
 }
 
@@ -217,6 +218,7 @@
       task->just = runs[i]->just;
       task->age_ms = runs[i]->age_ms;
       task->unanswered = runs[i]->unanswered;
+      task->timed = runs[i]->timed;
     }
 }
 
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -14,12 +14,6 @@
   return GP_SUSPICION_SETTLE_TIME + (gang ? GP_SUSPICION_GANG_TIME : 0);
 }
 
-gp_time_t
-gp_suspicion_fresh_time (bool gang)
-{
-  return GP_SUSPICION_FRESH_TIME + (gang ? GP_SUSPICION_GANG_TIME : 0);
-}
-
 /* For how long this process knows the run of TASK to have been there, at
    least.  A run that a leader before assigned counts from the first report of
    its executor on.  */
@@ -88,7 +82,7 @@
 {
   bool sole = sole_job == task->job;
 
-  if (sole && (task->just || (task->fresh && task->alone)))
+  if (sole && (task->just || (task->fresh && task->alone && !task->timed)))
     return GP_SUSPICION_PROOF;
   if (sole && task->fresh)
     return GP_SUSPICION_HINT;
@@ -118,6 +112,7 @@
   task->fresh = false;
   task->just = false;
   task->unanswered = false;
+  task->timed = false;
   task->alone = false;
 }
 
@@ -170,10 +165,23 @@
          && now <= patient_until (task);
 }
 
+/* Until when EXECUTOR is kept.  What a leader before has kept counts from the
+   first report to this one on.  */
+static gp_time_t
+kept_until (const gp_job_executor_t *executor)
+{
+  if (executor->kept_until != 0)
+    return executor->kept_until;
+  return executor->reported_since == 0
+             ? GP_TIME_NEVER
+             : executor->reported_since + GP_SUSPICION_SETTLE_TIME
+                   + GP_SUSPICION_KEEP_TIME;
+}
+
 bool
 gp_suspicion_is_kept (const gp_job_executor_t *executor, gp_time_t now)
 {
-  return *executor->kept_for != '\0' && now < executor->kept_until;
+  return *executor->kept_for != '\0' && now < kept_until (executor);
 }
 
 bool
@@ -210,6 +218,14 @@
   executor->kept_until = until;
 }
 
+void
+gp_suspicion_folded (gp_job_task_t *task, bool alone)
+{
+  task->alone = alone;
+  if (alone)
+    keep_until (task->executor, task->job, 0);
+}
+
 void
 gp_suspicion_keep (gp_job_executor_t *executor, const gp_job_task_t *task,
                    gp_time_t now)
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -9,9 +9,9 @@
      that had just begun or, as their start was held up or nobody is left to
      tell, may have.  Others on the executor have nothing to do with it.
    - It is a PROOF where all of these are of one job, which is given up as a
-     whole.  It is a HINT where that is told by the lists only, which don't
-     show when the executor ended, of a run that was not started alone; or
-     where nobody can tell anything of one that was.
+     whole, and had begun just then, or, where the lists alone tell, were
+     started alone.  It is a HINT where they had begun a little earlier, or
+     where nobody can tell anything of a run that was alone.
    - A run that has settled, which was listed as at work for SETTLE_TIME, did
      not take its executor down by being started.  Its task is above suspicion
      again, and what was counted of it is forgotten.
@@ -53,7 +53,7 @@
    their executor down do so milliseconds after their start; the longer this is
    the longer executors are kept.  */
 #define GP_SUSPICION_SETTLE_TIME (GP_SEC)
-/* A run that its executor outlived for longer had not only just begun.  Lists
+/* A run that its executor outlived for longer had not begun lately.  Answers
    tell that in steps of a quarter of a second ...  */
 #define GP_SUSPICION_FRESH_TIME (500 * GP_MSEC)
 /* ... a connection that ends with the executor at once: ten times what such a
@@ -62,9 +62,9 @@
 /* Members of a gang are listed while they wait for each other, up to 3 s.  */
 #define GP_SUSPICION_GANG_TIME (3 * GP_SEC)
 
-/* A run that was assigned so long ago has begun: its order is answered within
-   milliseconds, or made again after 300 ms.  */
-#define GP_SUSPICION_BEGIN_TIME (500 * GP_MSEC)
+/* A run that was assigned so long ago has not begun lately: its order is
+   answered within milliseconds, or made again after 300 ms.  */
+#define GP_SUSPICION_BEGIN_TIME (GP_SUSPICION_FRESH_TIME + 100 * GP_MSEC)
 /* An executor is kept for a start for so long, until all there has begun and
    the next look at what waits.  */
 #define GP_SUSPICION_QUIET_TIME (GP_SUSPICION_BEGIN_TIME + 250 * GP_MSEC)
@@ -90,8 +90,6 @@
 
 /* How long a run of a task, a member of a GANG, has to be at work.  */
 gp_time_t gp_suspicion_settle_time (bool gang);
-/* And not to have only just begun, by the lists.  */
-gp_time_t gp_suspicion_fresh_time (bool gang);
 
 /* The run of TASK has settled, or its end was done.  Returns whether what was
    counted of it has changed, so that its progress has to be written.  */
@@ -136,6 +134,9 @@
 /* Would TASK, which EXECUTOR takes, be alone if it were assigned now?  */
 bool gp_suspicion_is_quiet (const gp_job_executor_t *executor, gp_time_t now);
 
+/* A record tells that TASK is on its executor, ALONE or not.  */
+void gp_suspicion_folded (gp_job_task_t *task, bool alone);
+
 /* Keep EXECUTOR for TASK, which is to be started there when it is quiet.  */
 void gp_suspicion_keep (gp_job_executor_t *executor, const gp_job_task_t *task,
                         gp_time_t now);
--- a/tests/scripts/crashes.py
+++ b/tests/scripts/crashes.py
@@ -30,9 +30,14 @@
 GIVEN_UP_S = 60.0
 # What runs so long on an executor did not take it down by being started.
 AT_WORK_S = 2.5
+# From the start of a run to the end of its executor.
+IN_A_ROW_S = 0.9
+# For how long starts are held up.
+HELD_S = [0.6, 0.95]
 COUNT = 4
 CRASHER = JOB_A + ".0.0.0"
 TASKS = {"count": COUNT, "cpu": 1000, "memMb": 10, "estimateMs": 300}
+ONE_LASTS = [{"count": 1, "cpu": 1000, "memMb": 10, "longRunning": True}]
 
 
 def answered(site, job):
@@ -210,10 +215,58 @@
         verdict(site)
 
 
+def in_a_row(build):
+    """What users saw: a job that lasts was failed, as its executor had gone
+    down four times about a second after its start: four executors gave a task
+    up without evidence."""
+    print("an executor goes down under a run a second after its start, six "
+          "times in a row")
+    with site_of(build, workers=1) as site:
+        site.submit("e1", JOB_B, ONE_LASTS, spec="lasts")
+        for _ in range(6):
+            crash_after(site, IN_A_ROW_S)
+        back = wait_for(lambda: site.judge.at_work(JOB_B) != [], 20)
+        print("  its job:", answered(site, JOB_B), "at work:", back)
+        verdict(site)
+
+
+def crash_after(site, seconds):
+    """The only executor goes down by itself so long after the start of JOB_B.
+    """
+    wait_for(lambda: site.judge.at_work(JOB_B) != [], 20)
+    time.sleep(seconds)
+    site.executors["w1"].crash(dark_s=0.5)
+
+
+def held_up(build):
+    """What users saw: a job was given up that only stood beside another one,
+    whose start was held up and came when the former was thought to be alone.
+    """
+    print("a start is held up beside a task under which two executors have gone "
+          "down")
+    for held_s in HELD_S:
+        with site_of(build, workers=1) as site:
+            site.submit("e1", JOB_B, ONE_LASTS, spec="lasts")
+            crash_after(site, 0.3)
+            crash_after(site, 0.3)
+            site.judge.crashers.add(CRASHER)
+            site.executors["w1"].held = {CRASHER: held_s}
+            site.submit("e1", JOB_A, [{**TASKS, "count": 1}])
+            wait_for(lambda: answered(site, JOB_A) == "failed", GIVEN_UP_S)
+            back = wait_for(lambda: site.judge.at_work(JOB_B) != [], 20)
+            print("  held", held_s, "starts:",
+                  site.judge.starts.get(CRASHER, 0), file=sys.stderr)
+            print(f"  held up for {held_s} s, its job:",
+                  answered(site, JOB_A), "beside it:", answered(site, JOB_B),
+                  "at work:", back, "breaches:", site.judge.breaches)
+
+
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (plain, gang, lasting, timed, leaders, guards,
-                              everything, lapses, outage, beside)}
+                              everything, lapses, outage, beside, in_a_row)}
+# Takes half a minute.
+BY_HAND = {"held_up": held_up}
 
 if __name__ == "__main__":
     for wanted in sys.argv[2:] or SCENARIOS:
-        SCENARIOS[wanted](sys.argv[1])
+        {**SCENARIOS, **BY_HAND}[wanted](sys.argv[1])
--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -54,6 +54,7 @@
     """One VM's executor; `crash` ends its life and begins another, `drain`
     and `leave` end it for good.  Faults: `late` (share of orders that get no
     answer and are carried out later), `late_s` (how much later at the most),
+    `held` (tasks whose starts are carried out so much later, unanswered),
     `fails` (every run fails), `bad_rows` (each list has a malformed row beside
     the good ones), `garbles` (its list has a run whose number is a text, and
     a bad end), `unreadable_ends` (the next N ends are listed in a form that
@@ -72,6 +73,7 @@
         self.lock = threading.Condition()
         self.late = 0.0
         self.late_s = 1.0
+        self.held = {}  # task: its starts arrive so many seconds later
         self.fails = False
         self.bad_rows = False
         self.garbles = False
@@ -263,6 +265,12 @@
         order = json.loads(body)
         target = headers.get("x-target-instance")
         call = path.rsplit("/", 1)[-1]
+        held_s = self.held.get(order.get("task"), 0)
+        if held_s and call == "run-start":
+            threading.Timer(held_s, self.carry_out,
+                            (call, order, target, True)).start()
+            time.sleep(0.8)
+            return None
         if self.random.random() < self.late:
             delay = self.random.uniform(0.1, self.late_s)
             threading.Timer(delay, self.carry_out,
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -29,6 +29,7 @@
 {
   BEGUN_EARLIER,
   BEGUN_LATELY, /* by the lists */
+  BEGUN_300_MS_AGO,
   BEGUN_JUST_NOW,
   BEGUN_UNANSWERED /* its start was held up: at any time */
 } begun_t;
@@ -45,7 +46,8 @@
   gp_task_name (task, name);
   run.task = name;
   run.run = task->run;
-  run.fresh = begun == BEGUN_JUST_NOW || begun == BEGUN_LATELY;
+  run.fresh = begun != BEGUN_EARLIER && begun != BEGUN_UNANSWERED;
+  run.timed = begun == BEGUN_JUST_NOW || begun == BEGUN_300_MS_AGO;
   run.just = begun == BEGUN_JUST_NOW;
   run.unanswered = begun == BEGUN_UNANSWERED;
   gp_scheduler_suspects (&site->scheduler, task->executor, runs, 1);
@@ -291,6 +293,31 @@
   jobs_site_finish (&site);
 }
 
+/* An executor that ends 300 ms after a start by itself does so again.  */
+static void
+test_a_little_earlier (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+
+  printf ("an end a little after each start is a hint, also of a run that was "
+          "alone\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  job = jobs_site_submit (&site, JOB_A, lasting ());
+  for (int i = 1; i <= 3; i++)
+    {
+      char next[8];
+
+      jobs_site_plan (&site);
+      tell_suspect (&site, &job->tasks[0], BEGUN_300_MS_AGO);
+      g_snprintf (next, sizeof next, "x%d", i + 1);
+      replace (&site, job->tasks[0].executor->id, next);
+      jobs_site_print_job (job);
+    }
+  jobs_site_finish (&site);
+}
+
 /* The guard could not tell when the executor ended, only that the run had been
    listed for less than half a second.  */
 static void
@@ -556,6 +583,41 @@
   jobs_site_finish (&site);
 }
 
+/* What users saw: a gang with a task that takes its executor down waited for a
+   minute.  The cause: of its members only one was to be started alone; those
+   placed before it made the only executor unquiet each time.  */
+static void
+test_gang_on_one (void)
+{
+  jobs_site_t site;
+  Gp__Jobs__Submission *submission = jobs_site_submission (3, 1000);
+  gp_job_t *job;
+
+  printf ("a gang of which one member is to be alone, on one executor\n");
+  submission->steps[0]->gang = true;
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  job = jobs_site_submit (&site, JOB_A, submission);
+  jobs_site_plan (&site);
+  tell_suspect (&site, &job->tasks[1], BEGUN_JUST_NOW);
+  replace (&site, "x1", "x2");
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  printf ("and where others have just begun\n");
+  tell_suspect (&site, &job->tasks[1], BEGUN_EARLIER);
+  replace (&site, "x2", "x3");
+  jobs_site_submit (&site, JOB_B, lasting ());
+  jobs_site_executor (&site, "x3", 8)->assigned_at = site.now;
+  gp_book_executor (&site.book, "x3")->task_count++;
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  site.now += GP_SUSPICION_BEGIN_TIME;
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  gp_book_executor (&site.book, "x3")->task_count--;
+  jobs_site_finish (&site);
+}
+
 static void
 test_next_leader (void)
 {
@@ -784,6 +846,7 @@
                                  { "kept", test_kept },
                                  { "coincidence", test_coincidence },
                                  { "bystander", test_bystander },
+                                 { "little", test_a_little_earlier },
                                  { "by_lists", test_by_lists },
                                  { "no_word", test_no_word },
                                  { "beside", test_beside },
@@ -792,6 +855,7 @@
                                  { "settled", test_settled },
                                  { "deaths", test_deaths },
                                  { "gang", test_gang },
+                                 { "gang_on_one", test_gang_on_one },
                                  { "next_leader", test_next_leader },
                                  { "random", test_random },
                                  CU_TEST_INFO_NULL };
