Jobs that were given to an executor that is down still wait

Cause: a job counted as begun with the assignment of its first run. By the log all six had been given to executors that were down, up to 3 s before the leader had the proof of it, and were lost there without a start.

Change: a job begins with a run on an executor that is not known to be down, or when that answers again; guards tell so at once.

Test: test_quarantine (pending); the code before says 0. Left: the next leader takes a job for begun by its record of progress.

--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -197,6 +197,14 @@
   return !job->lacks_submission && !job->lacks_progress;
 }
 
+void
+gp_job_begin (gp_job_t *job)
+{
+  job->started = true;
+  if (job->state == GP_JOB_QUEUED)
+    job->state = GP_JOB_RUNNING;
+}
+
 bool
 gp_job_ended (const gp_job_t *job)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -135,7 +135,8 @@
   gp_step_tally_t *tallies; /* by occurrence and step */
   uint32_t task_count;
   uint32_t done_count;
-  bool started;         /* a run was assigned once */
+  bool started;         /* a run was assigned once, to an executor that was
+                           not known to be down */
   gp_time_t idle_since; /* it has work and no run since, 0: it has a run */
   bool dropped;         /* its submission is being dropped from the log */
   gp_list_t link;       /* in gp_book_t.live while it has not ended and
@@ -163,6 +164,9 @@
 
 bool gp_job_ended (const gp_job_t *job);
 
+/* A run of JOB may be at work: it waits no longer.  */
+void gp_job_begin (gp_job_t *job);
+
 /* The same by what is on the log, which is what callers are told.  */
 bool gp_job_end_is_recorded (const gp_job_t *job);
 
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -537,18 +537,17 @@
         assign_step (pass, job, k, s);
 }
 
-/* The jobs of what was placed have begun; a gang that was withdrawn has not.
- */
+/* The jobs of what was placed have begun; a gang that was withdrawn has not,
+   nor has what waits for an executor that is down.  */
 static void
 note_begun (const GPtrArray *placed)
 {
   for (guint i = 0; i < placed->len; i++)
     {
-      gp_job_t *job = ((gp_job_task_t *)g_ptr_array_index (placed, i))->job;
+      const gp_job_task_t *task = g_ptr_array_index (placed, i);
 
-      job->started = true;
-      if (job->state == GP_JOB_QUEUED)
-        job->state = GP_JOB_RUNNING;
+      if (!task->executor->down)
+        gp_job_begin (task->job);
     }
 }
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -89,9 +89,12 @@
 void gp_scheduler_down (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                         gp_time_t now);
 
-/* EXECUTOR answers again: what was told of suspects there is void.  */
+/* What was told of suspects on EXECUTOR is void.  */
 void gp_scheduler_no_suspects (gp_job_executor_t *executor);
 
+/* EXECUTOR answers again: what was given to it meanwhile may begin.  */
+void gp_scheduler_up (gp_job_executor_t *executor);
+
 /* What proves that an executor runs nothing any more.  */
 typedef enum
 {
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -202,6 +202,21 @@
   }
 }
 
+void
+gp_scheduler_up (gp_job_executor_t *executor)
+{
+  executor->down = false;
+  executor->blamed = false;
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    if (!gp_job_ended (task->job))
+      gp_job_begin (task->job);
+  }
+}
+
 void
 gp_scheduler_suspects (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                        Gp__Jobs__TaskRun *const *runs, size_t count)
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -265,13 +265,42 @@
   jobs_site_finish (&site);
 }
 
+/* What users saw: no job was said to wait, and six had waited for five
+   seconds. The cause: a job counted as begun as soon as its first run was
+   assigned, also to an executor whose guard had told that it was down.  */
+static void
+test_pending (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+  gp_job_executor_t *executor;
+
+  printf ("what is given to an executor that is down waits\n");
+  jobs_site_init (&site);
+  executor = jobs_site_executor (&site, "x1", 8);
+  executor->down = true;
+  job = jobs_site_submit (&site, "00000000000000aa",
+                          of_queue ("good", 1, 1000));
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  printf ("  pending: %u\n", gp_book_pending (&site.book, "good"));
+  printf ("until that answers\n");
+  gp_scheduler_up (executor);
+  jobs_site_print_job (job);
+  printf ("  pending: %u\n", gp_book_pending (&site.book, "good"));
+  jobs_site_finish (&site);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[]
-      = { { "queue", test_queue },     { "fits", test_fits },
-          { "ends", test_ends },       { "places", test_places },
-          { "returns", test_returns }, CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = { { "queue", test_queue },
+                                 { "fits", test_fits },
+                                 { "ends", test_ends },
+                                 { "places", test_places },
+                                 { "returns", test_returns },
+                                 { "pending", test_pending },
+                                 CU_TEST_INFO_NULL };
 
   return runner_main ("quarantine", tests);
 }
