galenapier losses names who paid for work that takes executors down

Which runs went with an executor, and which jobs may have taken it down, could be told only line by line.

Test: losses.sh; what it printed before is unchanged.

--- a/src/cli/losses.c
+++ b/src/cli/losses.c
@@ -67,13 +67,22 @@
   gp_time_t time;
 } ends_t;
 
+/* An executor that went down, and what may have taken it down.  */
 typedef struct
 {
-  GHashTable *jobs;    /* id to job_t, owned */
-  GHashTable *runs;    /* "task run" to run_t, owned: under way */
-  GHashTable *ends;    /* "queue how" to ends_t, owned */
-  GHashTable *answers; /* "status why" to a count */
-  gp_time_t last;      /* time of the last line */
+  gp_time_t at;
+  unsigned runs; /* that went with it */
+  char *jobs;    /* owned */
+} suspects_t;
+
+typedef struct
+{
+  GHashTable *jobs;     /* id to job_t, owned */
+  GHashTable *runs;     /* "task run" to run_t, owned: under way */
+  GHashTable *ends;     /* "queue how" to ends_t, owned */
+  GHashTable *answers;  /* "status why" to a count */
+  GHashTable *suspects; /* executor to suspects_t, owned */
+  gp_time_t last;       /* time of the last line */
 } account_t;
 
 static void
@@ -91,6 +100,13 @@
   g_free (data);
 }
 
+static void
+free_suspects (gpointer data)
+{
+  g_free (((suspects_t *)data)->jobs);
+  g_free (data);
+}
+
 static job_t *
 need_job (account_t *account, const char *id, gp_time_t now)
 {
@@ -199,6 +215,26 @@
   g_free (key);
 }
 
+/* A run went with its executor: count it, if runs there may have done it.  */
+static void
+take_lost (account_t *account, const gp_log_line_t *line)
+{
+  const char *executor = gp_log_line_text (line, "executor");
+  const char *jobs = gp_log_line_text (line, "suspects");
+  suspects_t *suspects = g_hash_table_lookup (account->suspects, executor);
+
+  if (*jobs == '\0')
+    return;
+  if (suspects == NULL)
+    {
+      suspects = g_new0 (suspects_t, 1);
+      suspects->at = line->time;
+      suspects->jobs = g_strdup (jobs);
+      g_hash_table_insert (account->suspects, g_strdup (executor), suspects);
+    }
+  suspects->runs++;
+}
+
 static void
 take_job_end (account_t *account, const gp_log_line_t *line)
 {
@@ -231,7 +267,10 @@
   else if (strcmp (event, "run.ended") == 0)
     take_end (account, line, gp_log_line_text (line, "how"));
   else if (strcmp (event, "run.lost") == 0)
-    take_end (account, line, "lost");
+    {
+      take_end (account, line, "lost");
+      take_lost (account, line);
+    }
   else if (strcmp (event, "run.absent") == 0)
     take_end (account, line, "absent");
   else if (strcmp (event, "job.ended") == 0)
@@ -464,6 +503,43 @@
   return rows;
 }
 
+static gint
+by_time (gconstpointer a, gconstpointer b, gpointer data)
+{
+  GHashTable *suspects = data;
+  const suspects_t *left = g_hash_table_lookup (suspects, *(char *const *)a);
+  const suspects_t *right = g_hash_table_lookup (suspects, *(char *const *)b);
+
+  if (left->at != right->at)
+    return left->at < right->at ? -1 : 1;
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+/* Who paid for work that takes executors down, and for which.  */
+static json_t *
+executor_table (const account_t *account)
+{
+  json_t *rows = json_array ();
+  guint count;
+  char **executors
+      = (char **)g_hash_table_get_keys_as_array (account->suspects, &count);
+
+  g_qsort_with_data (executors, (gint)count, sizeof *executors, by_time,
+                     account->suspects);
+  for (guint i = 0; i < count; i++)
+    {
+      const suspects_t *suspects
+          = g_hash_table_lookup (account->suspects, executors[i]);
+
+      json_array_append_new (rows, json_pack ("{s:s, s:i, s:s}", "executor",
+                                              executors[i], "runs_lost",
+                                              (int)suspects->runs, "suspects",
+                                              suspects->jobs));
+    }
+  g_free (executors);
+  return rows;
+}
+
 json_t *
 gp_losses_of (const GArray *lines, gp_time_t every)
 {
@@ -472,6 +548,8 @@
     .runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_run),
     .ends = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
     .answers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+    .suspects
+    = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_suspects),
   };
   GPtrArray *jobs;
   json_t *result;
@@ -479,14 +557,16 @@
   for (guint i = 0; i < lines->len; i++)
     take_line (&account, &g_array_index (lines, gp_log_line_t, i));
   jobs = sorted_jobs (&account);
-  result = json_pack ("{s:o, s:o, s:o, s:o}", "queues",
+  result = json_pack ("{s:o, s:o, s:o, s:o, s:o}", "queues",
                       queue_table (&account, jobs), "answers",
                       answer_table (&account), "runs", run_table (&account),
-                      "moments", moment_table (&account, jobs, every));
+                      "moments", moment_table (&account, jobs, every),
+                      "executors", executor_table (&account));
   g_ptr_array_unref (jobs);
   g_hash_table_destroy (account.jobs);
   g_hash_table_destroy (account.runs);
   g_hash_table_destroy (account.ends);
   g_hash_table_destroy (account.answers);
+  g_hash_table_destroy (account.suspects);
   return result;
 }
--- a/tests/scripts/losses.py
+++ b/tests/scripts/losses.py
@@ -32,6 +32,10 @@
             self.event(ends_s, "e2", "run.ended", task=task, run=run,
                        executor="w1-1", how=how, after_ms=0)
 
+    def lost(self, at_s, job, executor, suspects):
+        self.event(at_s, "e2", "run.lost", task=f"{job}.0.0.0", run=1,
+                   executor=executor, suspect=0, suspects=suspects)
+
     def ended(self, at_s, job, state, took_ms, objective_ms=2000):
         self.event(at_s, "e2", "job.ended", job=job, state=state, done=1,
                    tasks=1, took_ms=took_ms, objective_ms=objective_ms)
@@ -59,6 +63,10 @@
     log.answered(12.4, second, 503, "not available")
     log.answered(13.6, second)
     log.run(second, "check", 1, 13.7, 0, None)
+    log.lost(13.9, refused, "w2-1", "")
+    log.lost(13.91, cancelled, "w3-1", f"{again} {at_work}")
+    log.lost(13.92, refused, "w3-1", f"{again} {at_work}")
+    log.lost(13.8, unknown, "w4-1", again)
     log.answered(14.0, cancelled)
     log.ended(14.5, cancelled, "cancelled", 490, -1)
 
