Pacing: a run that is over its target counts before its load is known

Cause: the plan looked only at runs whose load is known, which takes a second, or has been taught by the leader. By a log of the measures there was 398 to 459 ms for 0.8 s beside filling work at full speed, then 167, 113, 62, 51, 54 and 52 of 50.

Ruled out: that a measure of 50 ms is over as well (the play went another way, the measures did not stand at 50).

--- a/src/jobs/agent_measure.c
+++ b/src/jobs/agent_measure.c
@@ -285,6 +285,16 @@
                                .over = run->over };
 }
 
+/* Does the plan look at the serving RUN?  At one whose load is known, and at
+   one that is over its target: the load of one that has just come is known
+   after a second only, and users bear four over the target.  */
+static bool
+is_to_be_kept (const gp_agent_run_t *run, gp_time_t now)
+{
+  return gp_headroom_is_known (&run->headroom) || is_taught (run, now)
+         || run->over > 0.0;
+}
+
 /* Let the pacer plan anew with the filling runs that there are now; those that
    were not seen at work yet may be busy.  */
 void
@@ -307,8 +317,7 @@
       if (run->start->fills)
         busy.work[place_of (agent, run->start->image)]
             += may_be_busy (agent, run);
-      else if ((gp_headroom_is_known (&run->headroom) || is_taught (run, now))
-               && count < GP_PACER_SERVINGS)
+      else if (is_to_be_kept (run, now) && count < GP_PACER_SERVINGS)
         servings[count++] = plan_serving (run, now);
     }
   gp_pacer_update (&agent->pacer, servings, count, &busy);
--- a/tests/unit/test_agent_measure.c
+++ b/tests/unit/test_agent_measure.c
@@ -163,6 +163,26 @@
 }
 
 /* A serving run that has just started tells nothing of its load.  */
+/* What users saw: a run that lasts was over its target for four seconds by
+   what worked beside it, from its start on.  The cause: its load was known
+   only a second later, and the plan passed it over until then.  */
+static void
+test_unknown_load (void)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  printf ("a run whose load is not known yet is over its target\n");
+  begin (&agent, now);
+  for (int i = 0; i < 3; i++)
+    {
+      list (&agent, TARGET_MS * 8, CPU_MILLI, CPU_MILLI, now);
+      show (&agent, "so far");
+      now += STEP;
+    }
+  gp_agent_finish (&agent);
+}
+
 static void
 test_warm (void)
 {
@@ -183,11 +203,10 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "phases", test_phases },
-                                 { "distrust", test_distrust },
-                                 { "gone", test_gone },
-                                 { "warm", test_warm },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "phases", test_phases }, { "distrust", test_distrust },
+          { "gone", test_gone },     { "unknown_load", test_unknown_load },
+          { "warm", test_warm },     CU_TEST_INFO_NULL };
 
   return runner_main ("agent_measure", tests);
 }
