Suspects: one search for both kinds of places; quarantine costs nothing while there is none

The two searches differed in one condition. A suspect is no longer kept an executor that is down. Executors were rated at each turn, also without a queue under suspicion; a leader of hundreds looks at them some fifty times a second.

--- a/src/jobs/placer_suspects.c
+++ b/src/jobs/placer_suspects.c
@@ -72,11 +72,14 @@
   return kept < MAX (pass->candidates->len / GP_SUSPICION_SHARE, 1);
 }
 
-gp_placer_candidate_t *
-gp_placer_choose_alone (const gp_placer_pass_t *pass, gp_job_task_t *task)
+/* Of the executors in quarantine, of those that are kept for TASK's job, and
+   where it may be ELSEWHERE of all others: one that is kept, or else the one
+   with the least to lose.  */
+static gp_placer_candidate_t *
+least_at_stake (const gp_placer_pass_t *pass, const gp_job_task_t *task,
+                bool elsewhere)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
-  bool more = may_keep_one (pass, task);
   gp_placer_candidate_t *best = NULL;
   int64_t best_points = INT64_MIN;
 
@@ -88,7 +91,7 @@
       bool kept = gp_suspicion_is_kept_for (executor, task->job, pass->now);
       int64_t points;
 
-      if ((!kept && !more && !executor->quarantined)
+      if (executor->down || (!kept && !executor->quarantined && !elsewhere)
           || !gp_placer_fits (executor, task, step, pass->now))
         continue;
       points = kept ? INT64_MAX : -gp_suspicion_at_stake (executor, pass->now);
@@ -98,6 +101,15 @@
           best_points = points;
         }
     }
+  return best;
+}
+
+gp_placer_candidate_t *
+gp_placer_choose_alone (const gp_placer_pass_t *pass, gp_job_task_t *task)
+{
+  gp_placer_candidate_t *best
+      = least_at_stake (pass, task, may_keep_one (pass, task));
+
   if (best == NULL || gp_suspicion_is_quiet (best->executor, pass->now))
     return best;
   gp_suspicion_keep (best->executor, task, pass->now);
@@ -108,28 +120,8 @@
 gp_placer_choose_quarantined (const gp_placer_pass_t *pass,
                               const gp_job_task_t *task)
 {
-  const Gp__Jobs__Step *step = gp_task_step (task);
-  gp_placer_candidate_t *best = NULL;
-  int64_t best_points = INT64_MIN;
+  gp_placer_candidate_t *best = least_at_stake (pass, task, false);
 
-  for (guint i = 0; i < pass->candidates->len; i++)
-    {
-      gp_placer_candidate_t *candidate
-          = &g_array_index (pass->candidates, gp_placer_candidate_t, i);
-      gp_job_executor_t *executor = candidate->executor;
-      bool kept = gp_suspicion_is_kept_for (executor, task->job, pass->now);
-      int64_t points;
-
-      if (executor->down || !executor->quarantined
-          || !gp_placer_fits (executor, task, step, pass->now))
-        continue;
-      points = kept ? INT64_MAX : -gp_suspicion_at_stake (executor, pass->now);
-      if (gp_placer_is_better (candidate, points, best, best_points))
-        {
-          best = candidate;
-          best_points = points;
-        }
-    }
   if (best == NULL && is_of_suspects (pass, task))
     gp_quarantine_note_waiting (pass->quarantine, task->job->submission->queue,
                                 pass->now);
--- a/src/jobs/quarantine.c
+++ b/src/jobs/quarantine.c
@@ -19,6 +19,7 @@
 void
 gp_quarantine_init (gp_quarantine_t *quarantine)
 {
+  quarantine->chosen = false;
   quarantine->queues
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -186,16 +187,39 @@
   return rated;
 }
 
+/* A leader of many executors rates them only while there is a need to.  */
+static void
+choose_none (gp_quarantine_t *quarantine, const gp_book_t *book)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!quarantine->chosen)
+    return;
+  quarantine->chosen = false;
+  g_hash_table_iter_init (&iter, book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((gp_job_executor_t *)value)->quarantined = false;
+}
+
 void
-gp_quarantine_choose (const gp_quarantine_t *quarantine, const gp_book_t *book,
+gp_quarantine_choose (gp_quarantine_t *quarantine, const gp_book_t *book,
                       gp_time_t now)
 {
-  bool on = gp_quarantine_is_on (quarantine, now);
   guint down;
-  GArray *rated = rate (book, now, &down);
-  guint wanted = MAX ((rated->len + down) / GP_QUARANTINE_SHARE, 1);
-  guint count = on && wanted > down ? wanted - down : 0;
+  guint wanted;
+  guint count;
+  GArray *rated;
 
+  if (!gp_quarantine_is_on (quarantine, now))
+    {
+      choose_none (quarantine, book);
+      return;
+    }
+  quarantine->chosen = true;
+  rated = rate (book, now, &down);
+  wanted = MAX ((rated->len + down) / GP_QUARANTINE_SHARE, 1);
+  count = wanted > down ? wanted - down : 0;
   for (guint i = 0; i < rated->len; i++)
     g_array_index (rated, rated_t, i).executor->quarantined = i < count;
   g_array_free (rated, TRUE);
--- a/src/jobs/quarantine.h
+++ b/src/jobs/quarantine.h
@@ -41,6 +41,7 @@
 typedef struct
 {
   GHashTable *queues; /* name to the times of its last ends, owned */
+  bool chosen;        /* executors are in quarantine */
 } gp_quarantine_t;
 
 void gp_quarantine_init (gp_quarantine_t *quarantine);
@@ -62,7 +63,7 @@
 bool gp_quarantine_is_on (const gp_quarantine_t *quarantine, gp_time_t now);
 
 /* Choose the executors of BOOK that are in quarantine from NOW on.  */
-void gp_quarantine_choose (const gp_quarantine_t *quarantine,
-                           const gp_book_t *book, gp_time_t now);
+void gp_quarantine_choose (gp_quarantine_t *quarantine, const gp_book_t *book,
+                           gp_time_t now);
 
 #endif
