Suspects: executors that are lost together were taken down by no task

Cause: where leaders, guards and executors are lost together nobody can tell what had begun, and each run counted. Since one such end is enough to be started alone, all of it waited for executors of its own.

Change: an end of which nobody tells anything speaks against no run, where at least two, and half of the other executors, are gone without a word as well.

Test: test_suspicion (power).

--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -8,6 +8,10 @@
 #include "base/log.h"
 #include "jobs/suspicion.h"
 
+/* Executors that are lost without a word within this go together ...  */
+#define TOGETHER_TIME (GP_SEC)
+/* ... if there are so many others: two may be chance.  */
+#define TOGETHER_LEAST 2
 /* Jobs that a line on a lost run names.  */
 #define SUSPECTS_NAMED 4
 
@@ -237,6 +241,33 @@
     }
 }
 
+/* Did EXECUTOR, of which no guard has told what may have taken it down, go
+   with half of the others, of which no guard speaks either?  Then power was
+   lost, or a zone; a task takes one executor down.  */
+static bool
+went_with_others (const gp_book_t *book, const gp_job_executor_t *executor,
+                  gp_time_t now)
+{
+  unsigned others = 0;
+  unsigned gone = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_executor_t *other = value;
+      bool lost = other->dead && other->lost_at != 0
+                  && now - other->lost_at <= TOGETHER_TIME;
+
+      if (other == executor || (other->dead && !lost))
+        continue;
+      others++;
+      gone += lost || !other->reachable;
+    }
+  return gone >= TOGETHER_LEAST && gone * 2 >= others;
+}
+
 /* Had a run on EXECUTOR begun just when that went down?  */
 static bool
 has_just_begun_run (const gp_job_executor_t *executor)
@@ -268,7 +299,9 @@
 {
   const gp_job_t *sole_job = gp_suspicion_sole_job (executor);
   char *suspects = name_suspects (executor);
-  bool crash = may_be_crash (executor, why);
+  bool crash = may_be_crash (executor, why)
+               && (executor->suspects_told
+                   || !went_with_others (scheduler->book, executor, now));
   bool proved = crash && sole_job != NULL && has_just_begun_run (executor);
 
   if (proved)
@@ -277,6 +310,7 @@
           GP_LOG_I ("runs", executor->task_count),
           GP_LOG_S ("why", death_name (why)));
   gp_counter_add (&dead_counts[why], 1);
+  executor->lost_at = executor->suspects_told ? 0 : now;
   executor->dead = true;
   executor->reachable = false;
   GP_LIST_FOREACH_SAFE (link, &executor->tasks)
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -356,6 +356,37 @@
   jobs_site_finish (&site);
 }
 
+/* What users saw: after all VMs had lost power, work that lasts came back
+   late. The cause: all of it stood under suspicion, and waited for executors
+   of its own.  */
+static void
+test_power (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+
+  printf ("half of the executors are lost together: nothing has done it\n");
+  jobs_site_init (&site);
+  for (int i = 1; i <= 6; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "x%d", i);
+      jobs_site_executor (&site, id, 1);
+    }
+  job = jobs_site_submit (&site, JOB_A, jobs_site_submission (6, 1000));
+  jobs_site_plan (&site);
+  gp_book_executor (&site.book, "x2")->reachable = false;
+  jobs_site_dead (&site, gp_book_executor (&site.book, "x1"), GP_DEATH_SILENT);
+  jobs_site_print_job (job);
+  printf ("two of six are not half\n");
+  gp_book_executor (&site.book, "x3")->reachable = false;
+  gp_book_executor (&site.book, "x4")->reachable = false;
+  jobs_site_dead (&site, gp_book_executor (&site.book, "x2"), GP_DEATH_SILENT);
+  jobs_site_print_job (job);
+  jobs_site_finish (&site);
+}
+
 /* Guard and executor are lost together: nobody can tell what had begun.  */
 static void
 test_no_word (void)
@@ -373,6 +404,7 @@
       char next[8];
 
       jobs_site_plan (&site);
+      site.now += 3 * GP_SEC;
       jobs_site_dead (&site, job->tasks[0].executor, GP_DEATH_SILENT);
       jobs_site_print_job (job);
       g_snprintf (next, sizeof next, "x%d", i + 1);
@@ -848,6 +880,7 @@
                                  { "bystander", test_bystander },
                                  { "little", test_a_little_earlier },
                                  { "by_lists", test_by_lists },
+                                 { "power", test_power },
                                  { "no_word", test_no_word },
                                  { "beside", test_beside },
                                  { "outage", test_outage },
