--- a/tests/unit/test_agent_measure.c
+++ b/tests/unit/test_agent_measure.c
@@ -176,7 +176,7 @@
   begin (&agent, now);
   for (int i = 0; i < 3; i++)
     {
-      list (&agent, TARGET_MS * 8, CPU_MILLI, CPU_MILLI, now);
+      list (&agent, (int64_t)TARGET_MS * 8, CPU_MILLI, CPU_MILLI, now);
       show (&agent, "so far");
       now += STEP;
     }
