--- a/tests/scripts/crashes.sh
+++ b/tests/scripts/crashes.sh
@@ -4,4 +4,4 @@
 here=$(dirname "$0")
 . "$here/side-by-side"
 side_by_side "$1" "$here/crashes.py" plain gang lasting timed leaders \
-  guards everything lapses outage beside
+  guards everything lapses outage beside in_a_row
