--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -199,18 +199,10 @@
                             int64_t clock_ms, gp_time_t now);
 /* May RUN have taken the executor down, should that not answer again?  */
 bool gp_agent_is_suspect (const gp_agent_t *agent, const gp_agent_run_t *run);
-/* Had it begun just then, where the end of a connection told when that was? */
-bool gp_agent_had_just_begun (const gp_agent_t *agent,
-                              const gp_agent_run_t *run);
-/* Had it begun lately?  If some have begun just then, no others are meant.  */
-bool gp_agent_is_fresh (const gp_agent_t *agent, const gp_agent_run_t *run);
-/* For how many milliseconds was it at work when the executor was last known to
-   be up?  0: it is not known.  */
-uint32_t gp_agent_age_ms (const gp_agent_t *agent, const gp_agent_run_t *run);
-/* Has nobody told whether it has begun, and when?  A start that was held up
-   may arrive at any time.  */
-bool gp_agent_is_unanswered (const gp_agent_t *agent,
-                             const gp_agent_run_t *run);
+/* Say in ROW what tells the suspect RUN from others: when it had begun.  */
+void gp_agent_describe_suspect (const gp_agent_t *agent,
+                                const gp_agent_run_t *run,
+                                Gp__Jobs__TaskRun *row);
 /* Is the leader to be told now that RUN, which it watches, has settled? Counts
    as told from then on.  */
 bool gp_agent_tells_settled (gp_agent_run_t *run);
@@ -241,6 +233,9 @@
  *AGAIN_AT.  */
 gp_agent_call_t gp_agent_next_call (gp_agent_t *agent, gp_time_t now,
                                     gp_time_t *again_at);
+/* May a call that came to RESULT have been carried out, or be yet, as no
+   answer came?  */
+bool gp_agent_is_unanswered (gp_agent_result_t result);
 /* The answer to a call about run NUMBER of the task NAME; PERCENT is what a
    pace asked for.  */
 void gp_agent_answered (gp_agent_t *agent, gp_agent_call_kind_t kind,
@@ -270,8 +265,8 @@
    of the leader.  */
 void gp_agent_lacking (const gp_agent_t *agent, GPtrArray *jobs);
 
-/* Have calls to the executor failed, so that nothing new is to be given to it
-   until one is answered?  Its runs may be at work nevertheless.  */
+/* Have calls to the executor failed, and was none answered since?  Its runs
+   may be at work nevertheless.  */
 bool gp_agent_is_down (const gp_agent_t *agent, gp_time_t now);
 
 /* Has the executor answered a call lately?  */
--- a/src/jobs/agent_calls.c
+++ b/src/jobs/agent_calls.c
@@ -149,9 +149,8 @@
     }
 }
 
-/* May an order that came to RESULT still be carried out?  */
-static bool
-is_unanswered (gp_agent_result_t result)
+bool
+gp_agent_is_unanswered (gp_agent_result_t result)
 {
   return result == GP_AGENT_UNANSWERED || result == GP_AGENT_CUT
          || result == GP_AGENT_NOBODY;
@@ -163,7 +162,7 @@
 {
   if (run->phase != GP_RUN_STARTING)
     {
-      run->doubtful = run->doubtful || is_unanswered (result);
+      run->doubtful = run->doubtful || gp_agent_is_unanswered (result);
       return;
     }
   switch (result)
@@ -221,7 +220,7 @@
       run->pace = percent;
       run->paced_at = now;
     }
-  if (is_unanswered (result))
+  if (gp_agent_is_unanswered (result))
     run->pace_sure_at = now + LATE_TIME;
   run->pace_again
       = now < run->pace_sure_at ? now + PACE_REPEAT_TIME : GP_TIME_NEVER;
--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -42,8 +42,8 @@
 
 /* May RUN have begun no longer than JUST_TIME before the executor went?  The
    answer to a start that takes the executor down may be lost with it.  */
-bool
-gp_agent_had_just_begun (const gp_agent_t *agent, const gp_agent_run_t *run)
+static bool
+had_just_begun (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
   gp_time_t earliest = is_unknown (run) ? run->sent_at : run->began_at;
 
@@ -52,8 +52,10 @@
          && agent->gone_from - earliest <= GP_SUSPICION_JUST_TIME;
 }
 
-uint32_t
-gp_agent_age_ms (const gp_agent_t *agent, const gp_agent_run_t *run)
+/* For how many milliseconds RUN was at work when the executor was last known
+   to be up, 0: it is not known.  */
+static uint32_t
+age_ms (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
   gp_time_t up = MAX (agent->heard_at, agent->gone_from);
 
@@ -62,10 +64,12 @@
              : 0;
 }
 
-bool
-gp_agent_is_unanswered (const gp_agent_t *agent, const gp_agent_run_t *run)
+/* Has nobody told whether RUN has begun, and when?  A start that was held up
+   may arrive at any time.  */
+static bool
+is_unanswered (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
-  return is_unknown (run) && !gp_agent_had_just_begun (agent, run);
+  return is_unknown (run) && !had_just_begun (agent, run);
 }
 
 static bool
@@ -76,21 +80,33 @@
 
   g_hash_table_iter_init (&iter, agent->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (gp_agent_had_just_begun (agent, value))
+    if (had_just_begun (agent, value))
       return true;
   return false;
 }
 
-/* One whose start was not answered for long may never have begun.  */
-bool
-gp_agent_is_fresh (const gp_agent_t *agent, const gp_agent_run_t *run)
+/* Had RUN begun lately?  If some have begun just then, no others are meant.
+   One whose start was not answered for long may never have begun.  */
+static bool
+is_fresh (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
   if (has_just_begun_run (agent))
-    return gp_agent_had_just_begun (agent, run);
+    return had_just_begun (agent, run);
   return !is_unknown (run)
          && agent->heard_at - run->began_at < GP_SUSPICION_FRESH_TIME;
 }
 
+void
+gp_agent_describe_suspect (const gp_agent_t *agent, const gp_agent_run_t *run,
+                           Gp__Jobs__TaskRun *row)
+{
+  row->fresh = is_fresh (agent, run);
+  row->just = had_just_begun (agent, run);
+  row->age_ms = age_ms (agent, run);
+  row->unanswered = is_unanswered (agent, run);
+  row->timed = agent->gone_from != 0;
+}
+
 bool
 gp_agent_is_down (const gp_agent_t *agent, gp_time_t now)
 {
@@ -174,11 +190,7 @@
   gp__jobs__task_run__init (row);
   row->task = g_strdup (run->name);
   row->run = run->run;
-  row->fresh = gp_agent_is_fresh (agent, run);
-  row->just = gp_agent_had_just_begun (agent, run);
-  row->age_ms = gp_agent_age_ms (agent, run);
-  row->unanswered = gp_agent_is_unanswered (agent, run);
-  row->timed = agent->gone_from != 0;
+  gp_agent_describe_suspect (agent, run, row);
   return row;
 }
 
--- a/src/jobs/placer_suspects.c
+++ b/src/jobs/placer_suspects.c
@@ -19,9 +19,8 @@
 static bool
 is_of_suspects (const gp_placer_pass_t *pass, const gp_job_task_t *task)
 {
-  return pass->quarantine != NULL
-         && gp_quarantine_has (pass->quarantine, task->job->submission->queue,
-                               pass->now);
+  return gp_quarantine_has (pass->quarantine, task->job->submission->queue,
+                            pass->now);
 }
 
 bool
@@ -43,8 +42,7 @@
 gp_placer_wants_quarantine (const gp_placer_pass_t *pass,
                             const gp_job_task_t *task)
 {
-  if (pass->quarantine == NULL
-      || !gp_quarantine_is_on (pass->quarantine, pass->now))
+  if (!gp_quarantine_is_on (pass->quarantine, pass->now))
     return false;
   if (gp_placer_wants_alone (pass, task))
     return !gp_suspicion_is_strong (task);
--- a/src/jobs/quarantine.c
+++ b/src/jobs/quarantine.c
@@ -171,17 +171,18 @@
   g_hash_table_iter_init (&iter, book->executors);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      gp_job_executor_t *executor = value;
-      const rated_t row
-          = { .executor = executor,
-              .at_stake = gp_suspicion_at_stake (executor, now) };
+      rated_t row = { .executor = value };
 
-      if (executor->dead || !executor->reachable || executor->draining)
+      if (row.executor->dead || !row.executor->reachable
+          || row.executor->draining)
         continue;
-      if (!executor->down)
-        g_array_append_val (rated, row);
-      else
-        *down += executor->quarantined;
+      if (row.executor->down)
+        {
+          *down += row.executor->quarantined;
+          continue;
+        }
+      row.at_stake = gp_suspicion_at_stake (row.executor, now);
+      g_array_append_val (rated, row);
     }
   g_array_sort (rated, by_stake);
   return rated;
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -196,13 +196,8 @@
   executor->suspects_told = false;
   GP_LIST_FOREACH (link, &executor->tasks)
   {
-    gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
-
-    task->suspect = false;
-    task->fresh = false;
-    task->just = false;
-    task->unanswered = false;
-    task->timed = false;
+    gp_suspicion_forget_told (
+        GP_CONTAINER_OF (link, gp_job_task_t, on_executor));
   }
 }
 
@@ -268,25 +263,30 @@
   return gone >= TOGETHER_LEAST && gone * 2 >= others;
 }
 
-/* Had a run on EXECUTOR begun just when that went down?  */
-static bool
-has_just_begun_run (const gp_job_executor_t *executor)
+/* The only job of which a run had begun on EXECUTOR just when that went down,
+   or NULL.  */
+static const gp_job_t *
+proved_job (const gp_job_executor_t *executor)
 {
+  const gp_job_t *job = gp_suspicion_sole_job (executor);
+
+  if (job == NULL)
+    return NULL;
   GP_LIST_FOREACH (link, &executor->tasks)
   {
     if (GP_CONTAINER_OF (link, gp_job_task_t, on_executor)->just)
-      return true;
+      return job;
   }
-  return false;
+  return NULL;
 }
 
 void
 gp_scheduler_down (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
                    gp_time_t now)
 {
-  const gp_job_t *job = gp_suspicion_sole_job (executor);
+  const gp_job_t *job = proved_job (executor);
 
-  if (job == NULL || executor->blamed || !has_just_begun_run (executor))
+  if (job == NULL || executor->blamed)
     return;
   executor->blamed = true;
   gp_quarantine_note (&scheduler->quarantine, scheduler->book,
@@ -302,7 +302,7 @@
   bool crash = may_be_crash (executor, why)
                && (executor->suspects_told
                    || !went_with_others (scheduler->book, executor, now));
-  bool proved = crash && sole_job != NULL && has_just_begun_run (executor);
+  bool proved = crash && proved_job (executor) != NULL;
 
   if (proved)
     gp_scheduler_down (scheduler, executor, now);
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -105,14 +105,21 @@
 }
 
 void
-gp_suspicion_forget_run (gp_job_task_t *task)
+gp_suspicion_forget_told (gp_job_task_t *task)
 {
-  task->settled = false;
   task->suspect = false;
   task->fresh = false;
   task->just = false;
+  task->age_ms = 0;
   task->unanswered = false;
   task->timed = false;
+}
+
+void
+gp_suspicion_forget_run (gp_job_task_t *task)
+{
+  gp_suspicion_forget_told (task);
+  task->settled = false;
   task->alone = false;
 }
 
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -109,6 +109,9 @@
 gp_suspicion_t gp_suspicion_crashed (gp_job_task_t *task,
                                      const gp_job_t *sole_job);
 
+/* What a guard has told of the run of TASK as a suspect is void.  */
+void gp_suspicion_forget_told (gp_job_task_t *task);
+
 /* Nothing is known of the run of TASK any more, or not yet.  */
 void gp_suspicion_forget_run (gp_job_task_t *task);
 
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -130,8 +130,7 @@
   gp_job_guard_t *guard = order->guard;
 
   guard->calls_open--;
-  if (result == GP_AGENT_UNANSWERED || result == GP_AGENT_CUT
-      || result == GP_AGENT_NOBODY)
+  if (gp_agent_is_unanswered (result))
     gp_counter_add (&unanswered_count, 1);
   else
     gp_histogram_add (&order_time, now_of (guard) - order->sent_at);
--- a/src/jobsd/guard_beats.c
+++ b/src/jobsd/guard_beats.c
@@ -79,8 +79,7 @@
   introduction->guard->introductions--;
   if (result == GP_AGENT_REPLACED)
     note_unconfirmed (id, "another one answers at its address");
-  else if (result == GP_AGENT_UNANSWERED || result == GP_AGENT_CUT
-           || result == GP_AGENT_NOBODY)
+  else if (gp_agent_is_unanswered (result))
     note_unconfirmed (id, "no answer");
   else
     take_heartbeat (introduction->guard, &introduction->heartbeat);
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -41,11 +41,7 @@
 {
   Gp__Jobs__TaskRun row = row_of (run);
 
-  row.fresh = gp_agent_is_fresh (agent, run);
-  row.just = gp_agent_had_just_begun (agent, run);
-  row.age_ms = gp_agent_age_ms (agent, run);
-  row.unanswered = gp_agent_is_unanswered (agent, run);
-  row.timed = agent->gone_from != 0;
+  gp_agent_describe_suspect (agent, run, &row);
   g_array_append_val (rows, row);
 }
 
