Failing test: tasks that take their executors down, and starts that are late

Judge and bounds are those of crashes.py.

Read from the logs of three plays: - run.lost of a start that was alone, answered within 5 ms, with evidence unchanged: beside it stand jobs whose starts the executor had not answered (starts_late), or whose order the guard could carry out only with a new lease, 0.9 s after it was made (guard_killed). - run.lost with alone=1, suspect=0, told=0, four times for one task: the end was taken for a loss of power, as those of the other such tasks fell into the same second (guard_killed). Listed as ordered_late.

--- /dev/null
+++ b/tests/scripts/ordered_late.py
@@ -0,0 +1,281 @@
+"""Tasks that take their executors down, and starts that are ordered or carried
+out late.
+
+What users saw: such a task was started six times and more.  A start of it that
+was to be alone, so that its end tells, was not: the store was away between the
+decision and the order, and its executor was kept for it from the decision on;
+or a start of another task, which the executor had not answered, was still on
+its way there, and might have begun at any time.
+
+Set KEEP_LOGS to a path's beginning to keep the logs of what failed.
+
+Each of four such tasks is started five times at the most, its job is given up
+within a minute of the last fault, and nothing happens to the jobs beside them.
+"""
+
+import contextlib
+import os
+import shutil
+import sys
+import threading
+import time
+
+from crashes import GIVEN_UP_S, STARTS_MAX, answered, wait_for
+from platform_site import site_of
+from same_id import Stream
+
+JOB_LASTING = "00000000beef00bb"
+JOBS = [f"{i:015x}a" for i in range(0xc0, 0xc4)]
+CRASHERS = {job: job + ".0.0.0" for job in JOBS}
+STEP = {"count": 3, "cpu": 1000, "memMb": 10, "estimateMs": 300}
+SMALL = [{"count": 6, "cpu": 1000, "memMb": 10, "estimateMs": 300}]
+LASTING = [{"count": 2, "cpu": 1000, "memMb": 10, "longRunning": True}]
+# Longer than an executor is kept for a start that can't be begun.
+AWAY_S = 5.0
+# Orders are carried out late for so long after each crash, and so much later.
+LATE_FOR_S = 4.0
+LATE_S = (0.1, 4.5)
+LATER_S = (2.0, 12.0)
+LATE_SHARE = 0.8
+# So many faults, each at a start that follows a crash.
+FAULTS = 4
+
+
+class Trap:
+    """Does something when the leader writes down that a task in CRASHERS is
+    started again: its executor has gone down before, and the order waits for
+    the record."""
+
+    def __init__(self, site, do):
+        self.site = site
+        self.do = do
+        self.left = FAULTS
+        self.over_at = time.monotonic()
+        self.append = site.store.append
+        site.store.append = self.on_append
+
+    def is_sprung(self, query, body):
+        """Is the last crash past, and does BODY start one of them again?"""
+        starts = self.site.judge.starts
+        return (self.left > 0 and query["topic"] == "keyed.progress"
+                and time.monotonic() > self.over_at
+                and any(job.encode() in body
+                        and starts.get(CRASHERS[job], 0) > 0
+                        and not self.site.judge.at_work(CRASHERS[job])
+                        and self.site.judge.crashes for job in JOBS))
+
+    def on_append(self, query, body):
+        if self.is_sprung(query, body):
+            self.left -= 1
+            self.over_at = time.monotonic() + AWAY_S
+            return self.do(query, body)
+        return self.append(query, body)
+
+
+def away(site, how):
+    """A trap that takes the store away with the append that it is sprung by."""
+    def do(query, body):
+        site.store.down = how
+        threading.Timer(AWAY_S, come_back, (site,)).start()
+        return (503, b"{}") if how == "busy" else None
+    return Trap(site, do)
+
+
+def come_back(site):
+    site.store.down = None
+
+
+def late_for(executor, late_s):
+    """EXECUTOR leaves most starts unanswered for a while."""
+    executor.late, executor.late_s = LATE_SHARE, late_s
+    executor.late_calls = ("run-start",)
+    time.sleep(LATE_FOR_S)
+    executor.late = 0.0
+
+
+class Crashes:
+    """DO (name of the worker) in a thread at each crash, until `end`."""
+
+    def __init__(self, site, do):
+        self.site = site
+        self.do = do
+        self.over = threading.Event()
+        self.acts = []
+        self.thread = threading.Thread(target=self.run)
+        self.thread.start()
+
+    def run(self):
+        seen = 0
+        while not self.over.wait(0.005):
+            crashes = self.site.judge.crashes
+            if len(crashes) > seen:
+                worker = crashes[seen].rsplit("-", 1)[0]
+                seen += 1
+                act = threading.Thread(target=self.do, args=(worker,))
+                act.start()
+                self.acts.append(act)
+
+    def end(self):
+        self.over.set()
+        self.thread.join()
+        for act in self.acts:
+            act.join()
+
+
+def judge(site):
+    """Whatever went on: what became of JOBS?"""
+    starts = site.judge.starts
+    ended = wait_for(lambda: all(answered(site, job) == "failed"
+                                 for job in JOBS), GIVEN_UP_S)
+    counts = [starts.get(CRASHERS[job], 0) for job in JOBS]
+    print("  starts:", counts, file=sys.stderr)
+    if "KEEP_LOGS" in os.environ and max(counts) > STARTS_MAX:
+        shutil.copytree(site.folder, os.environ["KEEP_LOGS"] + str(os.getpid()))
+    print("  given up:", ended, "started at most five times:",
+          max(counts) <= STARTS_MAX)
+
+
+def submit(site, job):
+    """Is JOB accepted?"""
+    with contextlib.suppress(OSError):
+        return site.submit("e1", job, [STEP]) == 200
+    return False
+
+
+def play(build, do=lambda site, worker: None, trap=lambda site: None):
+    """DO at each crash; TRAP (site) is set before the first one."""
+    with site_of(build, entries=3, workers=6) as site:
+        site.judge.crashers.update(CRASHERS.values())
+        site.submit("e1", JOB_LASTING, LASTING, spec="lasts")
+        wait_for(lambda: len(site.judge.at_work(JOB_LASTING)) == 2, 10)
+        stream = Stream(site, SMALL)
+        crashes = Crashes(site, lambda worker: do(site, worker))
+        trap(site)
+        for job in JOBS:
+            wait_for(lambda j=job: submit(site, j), GIVEN_UP_S)
+        judge(site)
+        crashes.end()
+        come_back(site)
+        stream.end()
+        back = wait_for(lambda: len(site.judge.at_work(JOB_LASTING)) == 2, 15)
+        print("  beside them:", answered(site, JOB_LASTING), "at work:", back,
+              "breaches:", site.judge.breaches)
+
+
+def leader_killed(site):
+    """Kill the leader while an order waits for its record, which is lost, or
+    has been written."""
+    first = site.leader()
+    site.processes[first].kill()
+    wait_for(lambda: site.leader() not in (None, first), 10)
+    site.processes[first].start()
+
+
+def starts_late(build):
+    print("executors carry starts out late, for a while after each crash")
+    play(build, lambda site, worker: [
+        threading.Thread(target=late_for, args=(executor, LATE_S)).start()
+        for executor in site.executors.values()])
+
+
+def starts_later(build):
+    print("they carry them out up to twelve seconds late")
+    play(build, lambda site, worker: [
+        threading.Thread(target=late_for, args=(executor, LATER_S)).start()
+        for executor in site.executors.values()])
+
+
+def store_silent(build):
+    print("the store is silent when such a start is written down")
+    play(build, trap=lambda site: away(site, "silent"))
+
+
+def store_refusing(build):
+    print("the store refuses it")
+    play(build, trap=lambda site: away(site, "busy"))
+
+
+def store_slow(build):
+    print("the store takes seconds for it")
+
+    def trap(site):
+        def do(query, body):
+            time.sleep(0.9)
+            return trap.append(query, body)
+        trap = Trap(site, do)
+    play(build, trap=trap)
+
+
+def answers_lost(build):
+    print("the store writes it down, and its answer is lost; then it is silent")
+
+    def trap(site):
+        def do(query, body):
+            trap.append(query, body)
+            site.store.down = "silent"
+            threading.Timer(AWAY_S, come_back, (site,)).start()
+        trap = Trap(site, do)
+    play(build, trap=trap)
+
+
+def guard_killed(build):
+    print("a guard is killed under each start, and the store is silent at the "
+          "next one")
+
+    def restart(site, worker):
+        site.processes[worker].kill()
+        time.sleep(0.5)
+        site.processes[worker].start()
+    play(build, restart, lambda site: away(site, "silent"))
+
+
+def guards_stopped(build):
+    print("guards are stopped between the record and the start")
+
+    def stop(site, worker):
+        others = [name for name in site.executors if name != worker]
+        for name in others[::2]:
+            pause(site.processes[name])
+    play(build, stop)
+
+
+def pause(process):
+    with contextlib.suppress(ProcessLookupError):
+        process.signal(19)
+        threading.Timer(3.0, resume, (process,)).start()
+
+
+def resume(process):
+    with contextlib.suppress(ProcessLookupError):
+        process.signal(18)
+
+
+def leader_waits(build):
+    print("the leader is killed while such a start waits for its record")
+
+    def trap(site):
+        def do(query, body):
+            threading.Thread(target=leader_killed, args=(site,)).start()
+            if trap.left % 2:
+                trap.append(query, body)
+        trap = Trap(site, do)
+    play(build, trap=trap)
+
+
+def late_and_refusing(build):
+    print("executors carry starts out late while the store refuses")
+    play(build, lambda site, worker: [
+        threading.Thread(target=late_for, args=(executor, LATE_S)).start()
+        for executor in site.executors.values()],
+        lambda site: away(site, "busy"))
+
+
+SCENARIOS = {scenario.__name__: scenario
+             for scenario in (starts_late, starts_later, store_silent,
+                              store_refusing, store_slow, answers_lost,
+                              guard_killed, guards_stopped, leader_waits,
+                              late_and_refusing)}
+
+if __name__ == "__main__":
+    for wanted in sys.argv[2:] or SCENARIOS:
+        SCENARIOS[wanted](sys.argv[1])
--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -55,7 +55,8 @@
 class Executor:
     """One VM's executor; `crash` ends its life and begins another, `drain`
     and `leave` end it for good.  Faults: `late` (share of orders that get no
-    answer and are carried out later), `late_s` (how much later at the most),
+    answer and are carried out later), `late_s` (how much later, at the most or
+    between the two), `late_calls` (which orders that concerns, None: all),
     `held` (tasks whose starts are carried out so much later, unanswered; with
     KEPT only by the next life that `crash` lets begin with them),
     `fails` (every run fails), `bad_rows` (each list has a malformed row beside
@@ -79,6 +80,7 @@
         self.lock = threading.Condition()
         self.late = 0.0
         self.late_s = 1.0
+        self.late_calls = None
         self.held = {}  # task: its starts arrive so many seconds later
         self.kept = []  # what arrives with the next life
         self.fails = False
@@ -320,14 +322,21 @@
                             (call, order, target, True)).start()
             time.sleep(0.8)
             return None
-        if self.random.random() < self.late:
-            delay = self.random.uniform(0.1, self.late_s)
+        if self.is_late(call):
+            least_s, most_s = (self.late_s if isinstance(self.late_s, tuple)
+                               else (0.1, self.late_s))
+            delay = self.random.uniform(least_s, most_s)
             threading.Timer(delay, self.carry_out,
                             (call, order, target, True)).start()
             time.sleep(0.8)
             return None
         return self.carry_out(call, order, target)
 
+    def is_late(self, call):
+        """Is this order one that gets no answer and is carried out later?"""
+        return (self.late_calls is None or call in self.late_calls) \
+            and self.random.random() < self.late
+
     def carry_out(self, call, order, target, late=False):
         with self.lock:
             if self.closed:
