Guards keep starts alone, and make void what was not answered before

Callers saw a task that takes its executors down started six to eight times, five are the bound, each time with all that stood beside it. The leader counts from decisions and orders; a run begins when its guard has a lease, a list and a specification, when an unanswered start of it is carried out (seconds later), or when the next guard makes it again. So others could begin at any time beside it, and its end told nothing: evidence 0 though its own start was answered within 5 ms.

Change: what begins when is known at the guard, so it keeps a start alone there. Such a start is told as one, and is made only after a list, when all others have begun for 600 ms and no unanswered start of another job may be carried out: the fence is raised, and the list asked for with it shows what was carried out before; an executor does nothing under a lower fence. Others wait until it has settled. Its own start is made again only when the one before is void; after two seconds of that the leader gets it back. Reports tell that an executor is kept so, and the leader keeps it as long. A void start makes no suspect. Lines start.waited and run.given_back, counter guard_starts_held_total.

Ruled out: the store (late starts alone break the bound), the leader's times (they are over before an order that waits for a lease).

--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -98,6 +98,7 @@
   g_ptr_array_set_size (agent->carried, 0);
   agent->clock_ms = -1;
   agent->clock_is_behind = false;
+  agent->fence_listed = 0;
   agent->stale_ends = 0;
   agent->named_at = GP_TIME_NEVER;
   agent->granted = INT64_MIN / 2;
--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -24,7 +24,8 @@
      longer than DRAIN_START_TIME after the executor has said that it leaves.
      What has not begun then, or in a zone that is evacuated, is given back.
    - The fence only rises: with each life of the executor that is met, each
-     connection that ends and each word of the leader.  It begins at the
+     connection that ends, each word of the leader, and where a start that was
+     not answered has to be made void, see jobs/agent_alone.c.  It begins at the
      time of day, so that it is above those of processes before this one; where
      that has stepped back it leaps until the executor takes it.
    - Ends, clock and lease are those of one life.  A list that another life
@@ -65,6 +66,18 @@
   GP_RUN_ABSENT    /* it never ran here and never will */
 } gp_run_phase_t;
 
+/* Why a start waits, see jobs/agent_alone.c.  */
+typedef enum
+{
+  GP_HOLD_NOT,
+  GP_HOLD_BESIDE, /* for a run that is to be alone, to settle */
+  /* It is to be alone, and ...  */
+  GP_HOLD_TURN,   /* ... so is another one */
+  GP_HOLD_LIST,   /* ... nothing is known of what has begun before */
+  GP_HOLD_BEGUN,  /* ... others have only just begun */
+  GP_HOLD_DOUBT   /* ... a start that was not answered may begin yet */
+} gp_agent_hold_t;
+
 typedef struct
 {
   char name[GP_TASK_NAME_SIZE];
@@ -72,13 +85,20 @@
   gp_run_phase_t phase;
   Gp__Jobs__Start *start; /* owned; NULL for a run that is only stopped */
   bool in_flight;
-  bool doubtful;          /* a start went unanswered */
+  bool doubtful;          /* a start went unanswered, and may be carried out
+                             yet */
   bool listed;            /* seen on the executor's list */
   gp_time_t listed_since; /* first, 0: never ... */
   gp_time_t listed_at;    /* ... and last */
   unsigned unlisted;      /* lists that did not show it, one after the other */
   bool settled_told;      /* the leader was told that it has settled */
-  gp_time_t sent_at;      /* its first start, 0: never */
+  gp_time_t sent_at;      /* its first start that may have been carried out,
+                             or be yet; 0: none */
+  gp_time_t tried_at;     /* its first start, 0: never */
+  int64_t start_fence;    /* of its last start */
+  gp_time_t held_since;   /* its start waits for those of others, 0: it does
+                             not ... */
+  gp_agent_hold_t hold;   /* ... for this, at first */
   gp_time_t retry_at;     /* no call before */
   gp_time_t confirmed_at; /* when the phase was entered by an answer */
   gp_time_t began_at;     /* when it was first known to have begun, 0: it is
@@ -171,6 +191,9 @@
   int64_t fence;
   int64_t fence_asked;  /* the highest of a question */
   int64_t fence_leap;   /* added when the fence is too low, doubles */
+  int64_t fence_listed; /* the highest that a list of this life was asked for
+                           with: no order with a lower one is carried out after
+                           that list; 0: none was answered */
   int64_t clock_ms;     /* the executor's clock ... */
   gp_time_t clock_at;   /* ... no earlier than here */
   bool clock_is_behind; /* an answer told of a lower one */
@@ -257,6 +280,17 @@
 /* Another leader has come: what it wants is not known yet.  */
 void gp_agent_unsync (gp_agent_t *agent);
 
+/* The executor's list, which showed all that runs, was asked for with FENCE;
+   to be told before that is taken in.  */
+void gp_agent_fence_listed (gp_agent_t *agent, int64_t fence);
+
+/* The counter of starts that waited.  */
+void gp_agent_register_alone (void);
+
+/* Has a run that is to be alone not settled, so that those of other jobs wait
+   for it?  */
+bool gp_agent_keeps_alone (const gp_agent_t *agent);
+
 /* The leader knows the load of a serving run from all of its kind.  */
 void gp_agent_teach_load (gp_agent_t *agent, const char *task,
                           int32_t headroom_permille, int32_t slope_permille,
--- a/src/jobs/agent_calls.c
+++ b/src/jobs/agent_calls.c
@@ -80,10 +80,35 @@
          && gp_start_gate_is_open (&agent->gate, now);
 }
 
+/* Has the start of RUN to wait for those of others?  */
+static bool
+is_held (gp_agent_t *agent, gp_agent_run_t *run, const gp_agent_run_t *alone,
+         gp_time_t now, gp_time_t *again_at)
+{
+  gp_agent_hold_t hold = gp_agent_hold_of (agent, run, alone, now, again_at);
+
+  if (hold != GP_HOLD_NOT)
+    gp_agent_note_hold (run, hold, now);
+  return hold != GP_HOLD_NOT;
+}
+
+/* A start of RUN is made.  */
+static void
+note_start (const gp_agent_t *agent, gp_agent_run_t *run, gp_time_t now)
+{
+  gp_agent_note_hold (run, GP_HOLD_NOT, now);
+  if (run->tried_at == 0)
+    run->tried_at = now;
+  if (run->sent_at == 0)
+    run->sent_at = now;
+  run->start_fence = agent->fence;
+}
+
 gp_agent_call_t
 gp_agent_next_call (gp_agent_t *agent, gp_time_t now, gp_time_t *again_at)
 {
   gp_agent_call_t best = { .kind = GP_AGENT_CALL_NONE };
+  const gp_agent_run_t *alone;
   GHashTableIter iter;
   gpointer value;
 
@@ -95,6 +120,7 @@
   gp_agent_move_lease (agent, now);
   if (agent->plan_is_old)
     gp_agent_plan (agent, now);
+  alone = gp_agent_alone_run (agent);
   g_hash_table_iter_init (&iter, agent->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -103,7 +129,9 @@
 
       if (kind == GP_AGENT_CALL_NONE || run->in_flight)
         continue;
-      if (kind == GP_AGENT_CALL_START && !may_start (agent, now))
+      if (kind == GP_AGENT_CALL_START
+          && (!may_start (agent, now)
+              || is_held (agent, run, alone, now, again_at)))
         continue;
       if (run->retry_at > now)
         *again_at = MIN (*again_at, run->retry_at);
@@ -117,8 +145,7 @@
   if (best.kind == GP_AGENT_CALL_START)
     {
       best.spec = gp_spec_store_of_task (&agent->specs, best.run->name, now);
-      if (best.run->sent_at == 0)
-        best.run->sent_at = now;
+      note_start (agent, best.run, now);
     }
   if (best.kind == GP_AGENT_CALL_PACE)
     best.percent = gp_agent_wanted_pace (agent, best.run);
@@ -189,6 +216,8 @@
     case GP_AGENT_FENCED:
     case GP_AGENT_TOO_LATE:
     case GP_AGENT_REPLACED:
+      if (!run->doubtful)
+        run->sent_at = 0;
       break;
     }
 }
--- a/src/jobs/agent_list.c
+++ b/src/jobs/agent_list.c
@@ -169,6 +169,7 @@
   gp_agent_take_clock (agent, clock_ms, now);
   news = take_ends (agent, ends, end_count, now);
   take_rows (agent, rows, row_count, now);
+  gp_agent_void_starts (agent);
   if (agent->is_synced)
     gp_agent_stop_carried (agent);
   gp_agent_measure (agent, now);
@@ -176,6 +177,7 @@
     give_back_unlisted (agent, "zone evacuated");
   else if (now >= agent->starts_until)
     give_back_unlisted (agent, "executor leaves");
+  gp_agent_give_back_alone (agent, now);
   return find_absent (agent, sent_at) || news;
 }
 
--- a/src/jobs/agent_private.h
+++ b/src/jobs/agent_private.h
@@ -42,6 +42,32 @@
 void gp_agent_keep_predecessor (gp_agent_t *agent, gp_time_t now);
 void gp_agent_drop_predecessor (gp_agent_t *agent);
 
+/* Was RUN listed as at work for long enough not to be what takes its executor
+   down?  */
+bool gp_agent_has_settled (const gp_agent_run_t *run);
+
+/* Of the runs that are to be alone and have not settled: the one whose turn it
+   is, or NULL.  */
+const gp_agent_run_t *gp_agent_alone_run (const gp_agent_t *agent);
+
+/* Why the start of RUN has to wait for those of others; ALONE is what
+   gp_agent_alone_run says.  Another answer may be had at *AGAIN_AT, which is
+   only brought forward, and after each list.  May raise the fence.  */
+gp_agent_hold_t gp_agent_hold_of (gp_agent_t *agent,
+                                  const gp_agent_run_t *run,
+                                  const gp_agent_run_t *alone, gp_time_t now,
+                                  gp_time_t *again_at);
+
+/* The start of RUN waits for HOLD, or is made now (GP_HOLD_NOT).  */
+void gp_agent_note_hold (gp_agent_run_t *run, gp_agent_hold_t hold,
+                         gp_time_t now);
+
+/* A list was taken in: starts that can't be carried out any more are void, and
+   a run that is to be alone and could not be begun for too long goes back to
+   the leader.  */
+void gp_agent_void_starts (gp_agent_t *agent);
+void gp_agent_give_back_alone (gp_agent_t *agent, gp_time_t now);
+
 /* A call came to RESULT: note since when none is answered.  */
 void gp_agent_note_failed (gp_agent_t *agent, gp_agent_result_t result,
                            gp_time_t now);
--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -27,8 +27,8 @@
   return run->listed_since != 0 && run->listed_at - run->began_at >= time;
 }
 
-static bool
-has_settled (const gp_agent_run_t *run)
+bool
+gp_agent_has_settled (const gp_agent_run_t *run)
 {
   return was_listed_for (run, gp_suspicion_settle_time (is_gang (run)));
 }
@@ -105,6 +105,7 @@
   row->age_ms = age_ms (agent, run);
   row->unanswered = is_unanswered (agent, run);
   row->timed = agent->gone_from != 0;
+  row->alone = run->start != NULL && run->start->alone;
 }
 
 bool
@@ -135,7 +136,7 @@
 bool
 gp_agent_is_suspect (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
-  return may_have_begun (agent, run) && !has_settled (run);
+  return may_have_begun (agent, run) && !gp_agent_has_settled (run);
 }
 
 bool
@@ -143,7 +144,7 @@
 {
   bool asked = run->start != NULL && run->start->watched;
 
-  if (!asked || run->settled_told || !has_settled (run))
+  if (!asked || run->settled_told || !gp_agent_has_settled (run))
     return false;
   run->settled_told = true;
   return true;
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -292,6 +292,7 @@
       task->age_ms = runs[i]->age_ms;
       task->unanswered = runs[i]->unanswered;
       task->timed = runs[i]->timed;
+      task->alone = task->alone || runs[i]->alone;
     }
 }
 
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -307,6 +307,20 @@
     executor->assigned_at = now;
 }
 
+void
+gp_suspicion_goes_on (gp_job_executor_t *executor, gp_time_t now)
+{
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    if (task->alone && !task->settled)
+      gp_suspicion_keep_for (executor, task->job,
+                             now + GP_SUSPICION_SETTLE_TIME);
+  }
+}
+
 void
 gp_suspicion_ordered (gp_job_executor_t *executor, gp_time_t decided_at,
                       gp_time_t now)
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -23,6 +23,9 @@
 /* The executor holds a list call so long when nothing ends: half of the time
    that its measures look back.  */
 #define LIST_WAIT (250 * GP_MSEC)
+/* The same while others wait for a run that is to be alone: lists tell whether
+   it has begun, and that orders before it are void.  */
+#define LIST_WAIT_ALONE (50 * GP_MSEC)
 /* Beyond that without an answer it is made again.  */
 #define LIST_TIME (600 * GP_MSEC)
 /* Least duration between two list calls: ends that come together then come
@@ -238,7 +241,8 @@
 /* The list.  */
 
 void
-gp_guard_take_list (gp_job_guard_t *guard, const gp_runtime_list_t *list)
+gp_guard_take_list (gp_job_guard_t *guard, const gp_runtime_list_t *list,
+                    int64_t fence)
 {
   uint64_t listed = guard->agent.listed_ends;
   uint64_t stale = guard->agent.stale_ends;
@@ -246,6 +250,8 @@
      one that was asked for before all runs.  */
   gp_time_t asked_at = list->whole ? list->sent_at : INT64_MIN;
 
+  if (list->whole)
+    gp_agent_fence_listed (&guard->agent, fence);
   if (gp_agent_listed (&guard->agent, list->runs, list->run_count, list->ends,
                        list->end_count, list->clock_ms, asked_at,
                        now_of (guard)))
@@ -286,7 +292,7 @@
 
   if (result == GP_AGENT_TAKEN)
     {
-      gp_guard_take_list (guard, list);
+      gp_guard_take_list (guard, list, guard->listed_fence);
       return LIST_SPACING;
     }
   if (result != list->result)
@@ -324,12 +330,21 @@
   gp_timer_arm (&guard->list, now + pause);
 }
 
+/* How long the executor is to hold a list back when nothing ends.  */
+static gp_time_t
+list_wait (const gp_agent_t *agent, gp_time_t now)
+{
+  if (gp_agent_doubts_life (agent, now))
+    return 0;
+  return gp_agent_keeps_alone (agent) ? LIST_WAIT_ALONE : LIST_WAIT;
+}
+
 void
 gp_guard_ask_list (gp_job_guard_t *guard)
 {
   gp_agent_t *agent = &guard->agent;
   gp_time_t now = now_of (guard);
-  gp_time_t wait = gp_agent_doubts_life (agent, now) ? 0 : LIST_WAIT;
+  gp_time_t wait = list_wait (agent, now);
   gp_time_t patience
       = is_cut_lately (agent, now) ? LIST_CUT_PATIENCE : LIST_TIME;
   gp_runtime_order_t order
@@ -538,6 +553,7 @@
   gp_counter_register (&fenced_count);
   gp_counter_register (&stale_ends_count);
   gp_guard_register_beats ();
+  gp_agent_register_alone ();
   gp_guard_register_reports ();
   gp_histogram_register (&order_time);
   gp_histogram_register (&record_time);
--- a/src/jobsd/guard_beats.c
+++ b/src/jobsd/guard_beats.c
@@ -80,17 +80,17 @@
   gp_guard_ask_list (guard);
 }
 
-/* The life of HEARTBEAT has answered with LIST: it works here from now on. The
+/* The life of HEARTBEAT has answered with LIST, asked for with FENCE: it works here from now on. The
    leader hears of it with what it has of the life before.  */
 static void
 meet (gp_job_guard_t *guard, gp_heartbeat_t *heartbeat,
-      const gp_runtime_list_t *list)
+      const gp_runtime_list_t *list, int64_t fence)
 {
   gp_counter_add (&lives_count, 1);
   guard->beat_sequence = heartbeat->sequence;
   gp_agent_set_executor (&guard->agent, g_steal_pointer (&heartbeat->executor),
                          heartbeat->clock_ms, gp_loop_now (&guard->loop));
-  gp_guard_take_list (guard, list);
+  gp_guard_take_list (guard, list, fence);
   gp_guard_send_report (guard);
   gp_guard_ask_list (guard);
 }
@@ -146,7 +146,7 @@
   if (is_current (guard, heartbeat))
     take_heartbeat (guard, heartbeat);
   else if (doubt == NULL)
-    meet (guard, heartbeat, list);
+    meet (guard, heartbeat, list, introduction->fence);
   else
     note_unconfirmed (heartbeat->executor->id, doubt);
   gp_heartbeat_finish (heartbeat);
--- a/src/jobsd/guard_private.h
+++ b/src/jobsd/guard_private.h
@@ -12,8 +12,9 @@
 /* Is ID the executor that works on this VM, in whichever life?  */
 bool gp_guard_executor_is (const gp_job_guard_t *guard, const char *id);
 
-/* Take in a list of the executor's current life.  */
-void gp_guard_take_list (gp_job_guard_t *guard, const gp_runtime_list_t *list);
+/* Take in a list of the executor's current life, asked for with FENCE.  */
+void gp_guard_take_list (gp_job_guard_t *guard, const gp_runtime_list_t *list,
+                         int64_t fence);
 
 /* Ask the executor for its list, unless such a call is open.  */
 void gp_guard_ask_list (gp_job_guard_t *guard);
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -315,6 +315,7 @@
   report.lapsed = gp_agent_lapsed (agent, now);
   report.answers = gp_agent_answers (agent, now);
   report.down = gp_agent_is_down (agent, now);
+  report.keeps_alone = gp_agent_keeps_alone (agent);
   guard->told.down = report.down;
   report.ended = agent->ended;
   report.synced = agent->synced;
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -87,6 +87,7 @@
   start->cpu_milli = step->cpu_milli;
   start->watched = task->crashes > 0;
   start->gang = step->gang;
+  start->alone = task->alone;
   return start;
 }
 
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "jobs/agent.h"
 #include "jobs/fields.h"
+#include "jobs/suspicion.h"
 #include "jobsd/leader_private.h"
 
 /* A connection attempt that hangs is given up after this.  */
@@ -218,6 +219,8 @@
                         report->n_settled);
   if (report->ended && !executor->dead)
     declare_dead (leader, executor, GP_DEATH_LEFT);
+  if (report->keeps_alone)
+    gp_suspicion_goes_on (executor, now);
   if (executor->suspects_told)
     gp_scheduler_no_suspects (executor);
   if ((report->lapsed || report->down) && !executor->dead)
