An append counts from its first sending, also where the store refuses it

Operators were told that an append took milliseconds which the store had refused for seconds, and such an order counted as made at once: the executor of a start that was alone was kept from the decision on. Cause: each try that was not doubtful set the append's sending anew, so that only a silent store put one off.

Change: the first sending is kept apart from the first one that may have been carried out (which leases count from). What is kept for a time from the decision on, in quarantine too, is kept from the order on; the patience of suspects does not run while nothing can be assigned; a sync is waited for from its sending on. Line append.put_off.

--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -471,4 +471,11 @@
   g_hash_table_iter_init (&iter, scheduler->book->executors);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     gp_suspicion_ordered (value, decided_at, now);
+  GP_LIST_FOREACH (link, &scheduler->book->live)
+  {
+    gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
+
+    for (uint32_t i = 0; i < job->task_count; i++)
+      gp_suspicion_put_off (&job->tasks[i], decided_at, now);
+  }
 }
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -165,6 +165,14 @@
                                : GP_SUSPICION_PATIENCE);
 }
 
+void
+gp_suspicion_put_off (gp_job_task_t *task, gp_time_t decided_at,
+                      gp_time_t now)
+{
+  if (task->state == GP_TASK_WAITING && task->alone_since != 0)
+    task->alone_since += now - MAX (decided_at, task->alone_since);
+}
+
 bool
 gp_suspicion_wants_alone (const gp_job_task_t *task, gp_time_t now)
 {
@@ -327,6 +335,9 @@
 {
   if (executor->assigned_at >= decided_at)
     executor->assigned_at = now;
+  /* It was kept for a time that begins with the decision.  */
+  if (executor->kept_until > decided_at)
+    executor->kept_until += now - decided_at;
   GP_LIST_FOREACH (link, &executor->tasks)
   {
     gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -149,6 +149,11 @@
 void gp_suspicion_keep_for (gp_job_executor_t *executor, const gp_job_t *job,
                             gp_time_t until);
 
+/* From DECIDED_AT to NOW nothing could be assigned: TASK's patience, if it
+   waits, does not run in that time.  */
+void gp_suspicion_put_off (gp_job_task_t *task, gp_time_t decided_at,
+                           gp_time_t now);
+
 /* What the end of EXECUTOR would cost: milliseconds of work on all its
    processors.  */
 int64_t gp_suspicion_at_stake (const gp_job_executor_t *executor,
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -53,7 +53,7 @@
   gp_time_t report_sent_at;    /* the last report left, on the guard's clock */
   uint64_t sync;               /* number of the last sync sent or being sent */
   bool wants_sync;             /* the guard has to be told all its runs */
-  gp_time_t synced_at;         /* the last sync was made */
+  gp_time_t synced_at;         /* the last sync was made, or sent */
   bool sees_executor;          /* the guard's last report names one */
   bool silent; /* the executor's lease has run out and it does not answer, or
                   it has ended */
@@ -99,7 +99,9 @@
   GByteArray *batch;      /* the append in progress */
   unsigned batch_records;
   GArray *batch_states;    /* of the jobs in it, see jobsd/leader.c */
-  gp_time_t batch_sent_at; /* its first sending */
+  gp_time_t batch_began_at; /* its first sending, also if that was refused */
+  gp_time_t batch_sent_at;  /* its first sending that may have been carried
+                               out */
   bool doubtful;           /* it went unanswered once */
   bool resigning;          /* it gives the lead up */
   gp_platform_store_call_t *call;
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -115,6 +115,7 @@
 {
   g_clear_pointer (&leader->batch, g_byte_array_unref);
   leader->batch_records = 0;
+  leader->batch_began_at = 0;
   g_array_set_size (leader->batch_states, 0);
   leader->doubtful = false;
 }
@@ -132,17 +133,33 @@
     }
 }
 
+/* The orders of the append leave now.  Where it was put off, what was decided
+   with it begins behind it: a store that is silent and one that refuses do the
+   same to it.  */
+static void
+note_ordered (gp_leader_t *leader)
+{
+  gp_time_t now = now_of (leader);
+  gp_time_t took = now - leader->batch_began_at;
+
+  gp_histogram_add (&append_time, took);
+  if (took <= SLOW_APPEND_TIME)
+    return;
+  gp_log (GP_LOG_INFO, "append.put_off",
+          GP_LOG_I ("for_ms", took / GP_MSEC),
+          GP_LOG_I ("jobs", leader->batch_states->len),
+          GP_LOG_I ("frames", leader->frames->len));
+  gp_scheduler_ordered (&leader->scheduler, leader->batch_began_at, now);
+}
+
 static void
 batch_done (gp_leader_t *leader, uint64_t offset, gp_time_t sent_at)
 {
-  gp_histogram_add (&append_time, now_of (leader) - leader->batch_sent_at);
   leader->position = offset + leader->batch_records;
   leader->confirmed_at = sent_at;
   leader->heartbeat_due = now_of (leader) + GP_LEADER_HEARTBEAT_TIME;
   note_recorded (leader);
-  if (now_of (leader) - leader->batch_sent_at > SLOW_APPEND_TIME)
-    gp_scheduler_ordered (&leader->scheduler, leader->batch_sent_at,
-                          now_of (leader));
+  note_ordered (leader);
   end_batch (leader);
   gp_leader_send_frames (leader);
   if (leader->resigning)
@@ -328,6 +345,8 @@
 {
   gp_time_t now = now_of (leader);
 
+  if (leader->batch_began_at == 0)
+    leader->batch_began_at = now;
   if (!leader->doubtful)
     leader->batch_sent_at = now;
   leader->call = gp_platform_store_append (
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -53,6 +53,9 @@
 
       if (frame->peer != NULL && frame->peer == frame->link->peer)
         gp_link_send_bytes (frame->peer, frame->bytes, frame->kind);
+      /* It is waited for from now on, not while its append was put off.  */
+      if (frame->kind == GP__JOBS__FRAME__MESSAGE_SYNC)
+        frame->link->synced_at = gp_loop_now (leader->loop);
       frame_free (frame);
     }
   g_ptr_array_set_size (leader->frames, 0);
--- a/tests/scripts/ordered_late.py
+++ b/tests/scripts/ordered_late.py
@@ -23,6 +23,7 @@
 from crashes import GIVEN_UP_S, STARTS_MAX, answered, wait_for
 from platform_site import site_of
 from same_id import Stream
+from site_processes import request
 
 JOB_LASTING = "00000000beef00bb"
 JOBS = [f"{i:015x}a" for i in range(0xc0, 0xc4)]
@@ -270,11 +271,44 @@
         lambda site: away(site, "busy"))
 
 
+def told_as_put_off(build):
+    """What operators saw: a store that refused an append for seconds passed for
+    one that took milliseconds, and its orders for orders made at once."""
+    print("an append that the store puts off for seconds is told so")
+    for how in ("silent", "busy"):
+        with site_of(build, workers=1) as site:
+            site.submit("e1", JOBS[0], SMALL)
+            site.store.down = how
+            time.sleep(AWAY_S)
+            come_back(site)
+            wait_for(lambda s=site: answered(s, JOBS[0]) == "completed", 20)
+            print(f"  {how}: told by the counter:", slow_appends(site) > 0,
+                  "by the log:", puts_off(site) > 0)
+
+
+def slow_appends(site):
+    """How many appends took longer than half of AWAY_S, by the leader."""
+    counts = {}
+    _, _, data = request(site.metrics[site.leader()], "GET", "/metrics")
+    for line in data.decode().splitlines():
+        name, _, value = line.rpartition(" ")
+        if name.startswith("galenapier_progress_append_seconds_bucket"):
+            counts[name.split('"')[1]] = int(value)
+    within = max((count for bound, count in counts.items()
+                  if bound != "+Inf" and float(bound) <= AWAY_S / 2),
+                 default=0)
+    return counts["+Inf"] - within
+
+
+def puts_off(site):
+    return site.processes[site.leader()].log().count('"append.put_off"')
+
+
 SCENARIOS = {scenario.__name__: scenario
              for scenario in (starts_late, starts_later, store_silent,
                               store_refusing, store_slow, answers_lost,
                               guard_killed, guards_stopped, leader_waits,
-                              late_and_refusing)}
+                              late_and_refusing, told_as_put_off)}
 
 if __name__ == "__main__":
     for wanted in sys.argv[2:] or SCENARIOS:
--- a/tests/scripts/ordered_late.sh
+++ b/tests/scripts/ordered_late.sh
@@ -6,4 +6,4 @@
 . "$here/side-by-side"
 side_by_side "$1" "$here/ordered_late.py" starts_late starts_later \
   store_silent store_refusing store_slow answers_lost guard_killed \
-  guards_stopped leader_waits late_and_refusing
+  guards_stopped leader_waits late_and_refusing told_as_put_off
