Several tasks that take executors down are no loss of power

Callers saw such a task started seven times. Where no guard tells what had begun, and half of the others are gone or silent as well, the end passes for a loss of power and counts against nobody; the others had gone under starts that were alone, too.

Change: executors that go, or are silent, under a start that was alone and had not settled tell nothing of the others.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -60,6 +60,7 @@
   bool dead;               /* certainly runs nothing any more */
   gp_time_t lost_at;       /* since then, and its guard told nothing of what
                               may have taken it down; 0: it did */
+  bool lost_alone;         /* then a run that was alone had not settled */
   gp_time_t leaves_at;     /* while draining: its end at the earliest */
   uint32_t failed_in_row;  /* runs that failed since one was done */
   gp_time_t trusted_again; /* no new work before, after failures */
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -296,9 +296,26 @@
     }
 }
 
+/* Is EXECUTOR, if it is lost or silent, so under a suspect of its own?  */
+static bool
+has_alone_run (const gp_job_executor_t *executor)
+{
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    if (task->alone && !task->settled)
+      return true;
+  }
+  return executor->dead && executor->lost_alone;
+}
+
 /* Did EXECUTOR, of which no guard has told what may have taken it down, go
    with half of the others, of which no guard speaks either?  Then power was
-   lost, or a zone; a task takes one executor down.  */
+   lost, or a zone; a task takes one executor down.  Those that went, or are
+   silent, under a run that was alone tell nothing: several such tasks at once
+   are no loss of power.  */
 static bool
 went_with_others (const gp_book_t *book, const gp_job_executor_t *executor,
                   gp_time_t now)
@@ -315,7 +332,8 @@
       bool lost = other->dead && other->lost_at != 0
                   && now - other->lost_at <= TOGETHER_TIME;
 
-      if (other == executor || (other->dead && !lost))
+      if (other == executor || (other->dead && !lost)
+          || has_alone_run (other))
         continue;
       others++;
       gone += lost || !other->reachable;
@@ -371,6 +389,7 @@
           GP_LOG_S ("why", death_name (why)));
   gp_counter_add (&dead_counts[why], 1);
   executor->lost_at = executor->suspects_told ? 0 : now;
+  executor->lost_alone = has_alone_run (executor);
   executor->dead = true;
   executor->reachable = false;
   GP_LIST_FOREACH_SAFE (link, &executor->tasks)
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -20,6 +20,7 @@
 #define JOB_A "00000000000000aa"
 #define JOB_B "00000000000000bb"
 #define JOB_C "00000000000000cc"
+#define JOB_D "00000000000000dd"
 /* Starts of a task that takes its executors down, at the most: three executors
    go down under it, and two starts more are allowed.  */
 #define STARTS_MAX 5
@@ -387,6 +388,43 @@
   jobs_site_finish (&site);
 }
 
+/* What users saw: such a task was started seven times.  Others like it took
+   executors and guards down in the same second, which passed for a loss of
+   power: the ends of its starts, which were alone, did not count.  */
+static void
+test_several_alone (void)
+{
+  static const char *const ids[] = { JOB_A, JOB_B, JOB_C, JOB_D };
+  jobs_site_t site;
+  gp_job_t *jobs[G_N_ELEMENTS (ids)];
+
+  printf ("four of six go down, each under a start that was alone\n");
+  jobs_site_init (&site);
+  for (guint i = 0; i < 6; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "x%u", i + 1);
+      jobs_site_executor (&site, id, 1);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      jobs[i] = jobs_site_submit (&site, ids[i],
+                                  jobs_site_submission (1, 1000));
+      jobs_site_plan (&site);
+      jobs[i]->tasks[0].alone = true;
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
+    jobs[i]->tasks[0].executor->reachable = false;
+  for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      jobs_site_dead (&site, jobs[i]->tasks[0].executor, GP_DEATH_SILENT);
+      CU_ASSERT (jobs[i]->tasks[0].crashes == 1);
+      jobs_site_print_job (jobs[i]);
+    }
+  jobs_site_finish (&site);
+}
+
 /* Guard and executor are lost together: nobody can tell what had begun.  */
 static void
 test_no_word (void)
@@ -881,6 +919,7 @@
                                  { "little", test_a_little_earlier },
                                  { "by_lists", test_by_lists },
                                  { "power", test_power },
+                                 { "several_alone", test_several_alone },
                                  { "no_word", test_no_word },
                                  { "beside", test_beside },
                                  { "outage", test_outage },
