A guard that goes with its executor tells when

Callers saw such a task started six times where its guard was killed under every start: nobody was left to tell what had begun, so each end was a hint only, and the first two starts had told nothing. From the log: four run.lost with told=0, alone=1, evidence 1 to 4.

Change: guard and executor share a VM, and the leader sees the guard's connection end. Line run.lost tells guard_gone_ms_ago.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -50,6 +50,8 @@
                            has kept it */
   bool
       suspects_told; /* its guard has told which runs may have taken it down */
+  gp_time_t cut_at; /* its guard ended its connection to this leader, and has
+                       not reported it since; 0: it did not */
   gp_time_t unspoken_since; /* no guard reports it since then, 0: one does */
   bool awaited;     /* it was noted what its runs wait for since it does not */
   bool down;        /* its guard gets no answer from it */
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -128,6 +128,7 @@
           GP_LOG_I ("alone", task->alone), GP_LOG_I ("age_ms", task->age_ms),
           GP_LOG_S ("suspects", suspects),
           GP_LOG_I ("assigned_ms_ago", ms_ago (task->since, now)),
+          GP_LOG_I ("guard_gone_ms_ago", ms_ago (executor->cut_at, now)),
           GP_LOG_I ("reported_ms_ago", ms_ago (executor->reported_at, now)));
 }
 
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -75,6 +75,18 @@
   return job;
 }
 
+/* Did the guard of TASK's executor go just after TASK was ordered?  They share
+   a VM, so that the executor's end is told by that where no guard is left to
+   tell it.  */
+static bool
+went_with_guard (const gp_job_task_t *task)
+{
+  gp_time_t cut_at = task->executor->cut_at;
+
+  return task->since != 0 && cut_at >= task->since
+         && cut_at - task->since <= GP_SUSPICION_JUST_TIME;
+}
+
 /* What the end of its executor adds to the evidence against TASK, which may
    have begun just then.  */
 static uint32_t
@@ -82,13 +94,13 @@
 {
   bool sole = sole_job == task->job;
 
+  if (task->alone && !task->executor->suspects_told)
+    return went_with_guard (task) ? GP_SUSPICION_PROOF : GP_SUSPICION_HINT;
   if (sole && (task->just || (task->fresh && task->alone && !task->timed)))
     return GP_SUSPICION_PROOF;
   if (sole && task->fresh)
     return GP_SUSPICION_HINT;
-  return task->alone && (sole || !task->executor->suspects_told)
-             ? GP_SUSPICION_HINT
-             : 0;
+  return task->alone && sole ? GP_SUSPICION_HINT : 0;
 }
 
 gp_suspicion_t
@@ -144,6 +156,14 @@
     task->alone_since = now;
 }
 
+void
+gp_suspicion_put_off (gp_job_task_t *task, gp_time_t decided_at,
+                      gp_time_t now)
+{
+  if (task->state == GP_TASK_WAITING && task->alone_since != 0)
+    task->alone_since += now - MAX (decided_at, task->alone_since);
+}
+
 bool
 gp_suspicion_is_strong (const gp_job_task_t *task)
 {
@@ -165,14 +185,6 @@
                                : GP_SUSPICION_PATIENCE);
 }
 
-void
-gp_suspicion_put_off (gp_job_task_t *task, gp_time_t decided_at,
-                      gp_time_t now)
-{
-  if (task->state == GP_TASK_WAITING && task->alone_since != 0)
-    task->alone_since += now - MAX (decided_at, task->alone_since);
-}
-
 bool
 gp_suspicion_wants_alone (const gp_job_task_t *task, gp_time_t now)
 {
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -10,8 +10,9 @@
      tell, may have.  Others on the executor have nothing to do with it.
    - It is a PROOF where all of these are of one job, which is given up as a
      whole, and had begun just then, or, where the lists alone tell, were
-     started alone.  It is a HINT where they had begun a little earlier, or
-     where nobody can tell anything of a run that was alone.
+     started alone; or where a run was alone, and executor and guard went
+     together just after its order.  It is a HINT where they had begun a little
+     earlier, or where nobody can tell anything of a run that was alone.
    - A run that has settled, which was listed as at work for SETTLE_TIME, did
      not take its executor down by being started.  Its task is above suspicion
      again, and what was counted of it is forgotten.
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -241,6 +241,7 @@
   executor->down = report->down;
   link->silent = report->ended || (report->lapsed && !report->answers);
   executor->reported_at = now;
+  executor->cut_at = 0;
   if (executor->reported_since == 0)
     executor->reported_since = now;
   executor->reachable = !report->lapsed && !report->ended && !link->wants_sync
@@ -361,6 +362,8 @@
 
   if (link == NULL || link->peer != peer)
     return;
+  if (link->executor != NULL)
+    link->executor->cut_at = gp_loop_now (link->leader->loop);
   set_down (link, reason != NULL ? reason->message : "closed here");
   gp_timer_arm (&link->redial, gp_loop_now (link->leader->loop) + REDIAL_TIME);
 }
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -425,6 +425,38 @@
   jobs_site_finish (&site);
 }
 
+/* An executor goes down under a start that was alone, and its guard with it,
+   AFTER the order.  */
+static void
+go_with_guard (gp_time_t after)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  job = jobs_site_submit (&site, JOB_A, jobs_site_submission (1, 1000));
+  jobs_site_plan (&site);
+  job->tasks[0].alone = true;
+  job->tasks[0].executor->cut_at = site.now + after;
+  site.now += 3 * GP_SEC;
+  jobs_site_dead (&site, job->tasks[0].executor, GP_DEATH_SILENT);
+  printf ("  %ld ms after its order: evidence %u\n", (long)(after / GP_MSEC),
+          job->tasks[0].evidence);
+  jobs_site_finish (&site);
+}
+
+/* What users saw: such a task was started six times, each time a guard was
+   killed under it, so that nobody told what had begun.  */
+static void
+test_with_guard (void)
+{
+  printf ("guard and executor go down together under a start that was "
+          "alone\n");
+  go_with_guard (20 * GP_MSEC);
+  go_with_guard (600 * GP_MSEC);
+}
+
 /* Guard and executor are lost together: nobody can tell what had begun.  */
 static void
 test_no_word (void)
@@ -920,6 +952,7 @@
                                  { "by_lists", test_by_lists },
                                  { "power", test_power },
                                  { "several_alone", test_several_alone },
+                                 { "with_guard", test_with_guard },
                                  { "no_word", test_no_word },
                                  { "beside", test_beside },
                                  { "outage", test_outage },
