The end of a start that was alone counts, whoever else goes

A leader that had just come had not heard of the others yet, so that half of them passed for gone; and a run counted as settled by the time since its assignment, though its guard had held it or it had not been answered, and the guard, which alone knows, had told nothing.

Change: an end that nobody tells counts for a start that was alone, also where others went with it; that takes the place of looking at what the others went under. It is a hint, and settling clears it, so an honest suspect that is caught by losses of power has to be caught four times in a row. A run that is alone has settled when its guard says so.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -50,8 +50,8 @@
                            has kept it */
   bool
       suspects_told; /* its guard has told which runs may have taken it down */
-  gp_time_t cut_at; /* its guard ended its connection to this leader, and has
-                       not reported it since; 0: it did not */
+  gp_time_t cut_at;  /* its guard ended its connection to this leader, and has
+                        not reported it since; 0: it did not */
   gp_time_t unspoken_since; /* no guard reports it since then, 0: one does */
   bool awaited;     /* it was noted what its runs wait for since it does not */
   bool down;        /* its guard gets no answer from it */
@@ -62,7 +62,6 @@
   bool dead;               /* certainly runs nothing any more */
   gp_time_t lost_at;       /* since then, and its guard told nothing of what
                               may have taken it down; 0: it did */
-  bool lost_alone;         /* then a run that was alone had not settled */
   gp_time_t leaves_at;     /* while draining: its end at the earliest */
   uint32_t failed_in_row;  /* runs that failed since one was done */
   gp_time_t trusted_again; /* no new work before, after failures */
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -84,10 +84,10 @@
   return then != 0 ? (now - then) / GP_MSEC : -1;
 }
 
-/* The first jobs of which runs may have taken EXECUTOR down, owned by the
-   caller.  */
+/* The first jobs of which runs may have taken EXECUTOR down, but for EXCEPT
+   (NULL: none), owned by the caller.  */
 static char *
-name_suspects (const gp_job_executor_t *executor)
+name_suspects (const gp_job_executor_t *executor, const gp_job_t *except)
 {
   GString *names = g_string_new (NULL);
   unsigned count = 0;
@@ -97,7 +97,7 @@
     const gp_job_task_t *task
         = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
 
-    if (!gp_suspicion_is_beginner (task)
+    if (!gp_suspicion_is_beginner (task) || task->job == except
         || strstr (names->str, task->job->id) != NULL)
       continue;
     if (count++ == SUSPECTS_NAMED)
@@ -115,6 +115,9 @@
 {
   const gp_job_executor_t *executor = task->executor;
   char name[GP_TASK_NAME_SIZE];
+  /* Whose beginning has kept the end of a run that was alone from telling.  */
+  g_autofree char *beside
+      = task->alone ? name_suspects (executor, task->job) : NULL;
 
   gp_task_name (task, name);
   gp_log (GP_LOG_INFO, "run.lost", GP_LOG_S ("task", name),
@@ -127,6 +130,7 @@
           GP_LOG_I ("unanswered", task->unanswered),
           GP_LOG_I ("alone", task->alone), GP_LOG_I ("age_ms", task->age_ms),
           GP_LOG_S ("suspects", suspects),
+          GP_LOG_S ("beside", beside != NULL ? beside : ""),
           GP_LOG_I ("assigned_ms_ago", ms_ago (task->since, now)),
           GP_LOG_I ("guard_gone_ms_ago", ms_ago (executor->cut_at, now)),
           GP_LOG_I ("reported_ms_ago", ms_ago (executor->reported_at, now)));
@@ -297,26 +301,9 @@
     }
 }
 
-/* Is EXECUTOR, if it is lost or silent, so under a suspect of its own?  */
-static bool
-has_alone_run (const gp_job_executor_t *executor)
-{
-  GP_LIST_FOREACH (link, &executor->tasks)
-  {
-    const gp_job_task_t *task
-        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
-
-    if (task->alone && !task->settled)
-      return true;
-  }
-  return executor->dead && executor->lost_alone;
-}
-
 /* Did EXECUTOR, of which no guard has told what may have taken it down, go
    with half of the others, of which no guard speaks either?  Then power was
-   lost, or a zone; a task takes one executor down.  Those that went, or are
-   silent, under a run that was alone tell nothing: several such tasks at once
-   are no loss of power.  */
+   lost, or a zone; a task takes one executor down.  */
 static bool
 went_with_others (const gp_book_t *book, const gp_job_executor_t *executor,
                   gp_time_t now)
@@ -333,8 +320,7 @@
       bool lost = other->dead && other->lost_at != 0
                   && now - other->lost_at <= TOGETHER_TIME;
 
-      if (other == executor || (other->dead && !lost)
-          || has_alone_run (other))
+      if (other == executor || (other->dead && !lost))
         continue;
       others++;
       gone += lost || !other->reachable;
@@ -377,10 +363,10 @@
                    gp_death_t why, gp_time_t now, int64_t wall_ms)
 {
   const gp_job_t *sole_job = gp_suspicion_sole_job (executor);
-  char *suspects = name_suspects (executor);
-  bool crash = may_be_crash (executor, why)
-               && (executor->suspects_told
-                   || !went_with_others (scheduler->book, executor, now));
+  char *suspects = name_suspects (executor, NULL);
+  bool crash = may_be_crash (executor, why);
+  bool together = crash && !executor->suspects_told
+                  && went_with_others (scheduler->book, executor, now);
   bool proved = crash && proved_job (executor) != NULL;
 
   if (proved)
@@ -390,14 +376,16 @@
           GP_LOG_S ("why", death_name (why)));
   gp_counter_add (&dead_counts[why], 1);
   executor->lost_at = executor->suspects_told ? 0 : now;
-  executor->lost_alone = has_alone_run (executor);
   executor->dead = true;
   executor->reachable = false;
   GP_LIST_FOREACH_SAFE (link, &executor->tasks)
   {
     gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
-    gp_suspicion_t suspicion
-        = crash ? gp_suspicion_crashed (task, sole_job) : GP_SUSPICION_NONE;
+    /* Several tasks that take executors down at once look like a loss of
+       power, so that a start that was alone counts nevertheless.  */
+    gp_suspicion_t suspicion = crash && (!together || task->alone)
+                                   ? gp_suspicion_crashed (task, sole_job)
+                                   : GP_SUSPICION_NONE;
 
     gp_counter_add (&beside_runs_count, proved && task->job != sole_job);
     lose_run (scheduler, task, suspicion, suspects, now, wall_ms);
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -31,12 +31,16 @@
   return task->suspect && !task->settled && (task->fresh || task->unanswered);
 }
 
-/* The same, or where its guard said nothing, by what this process knows.  */
+/* The same, or where its guard said nothing, by what this process knows.  A
+   run that is alone may have begun long after it was assigned; its guard tells
+   when it has settled.  */
 static bool
 is_suspect (const gp_job_task_t *task)
 {
   if (task->executor->suspects_told || task->settled)
     return gp_suspicion_is_beginner (task);
+  if (task->alone)
+    return true;
   return task->executor->reported_at == 0
          || known_time (task)
                 < gp_suspicion_settle_time (gp_task_step (task)->gang);
@@ -157,8 +161,7 @@
 }
 
 void
-gp_suspicion_put_off (gp_job_task_t *task, gp_time_t decided_at,
-                      gp_time_t now)
+gp_suspicion_put_off (gp_job_task_t *task, gp_time_t decided_at, gp_time_t now)
 {
   if (task->state == GP_TASK_WAITING && task->alone_since != 0)
     task->alone_since += now - MAX (decided_at, task->alone_since);
