--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -25,9 +25,9 @@
      What has not begun then, or in a zone that is evacuated, is given back.
    - The fence only rises: with each life of the executor that is met, each
      connection that ends, each word of the leader, and where a start that was
-     not answered has to be made void, see jobs/agent_alone.c.  It begins at the
-     time of day, so that it is above those of processes before this one; where
-     that has stepped back it leaps until the executor takes it.
+     not answered has to be made void, see jobs/agent_alone.c.  It begins at
+   the time of day, so that it is above those of processes before this one;
+   where that has stepped back it leaps until the executor takes it.
    - Ends, clock and lease are those of one life.  A list that another life
      may answer, as a connection has ended, confirms nothing and extends
      nothing, and no order is sent before it is answered.  It carries a new
@@ -72,10 +72,10 @@
   GP_HOLD_NOT,
   GP_HOLD_BESIDE, /* for a run that is to be alone, to settle */
   /* It is to be alone, and ...  */
-  GP_HOLD_TURN,   /* ... so is another one */
-  GP_HOLD_LIST,   /* ... nothing is known of what has begun before */
-  GP_HOLD_BEGUN,  /* ... others have only just begun */
-  GP_HOLD_DOUBT   /* ... a start that was not answered may begin yet */
+  GP_HOLD_TURN,  /* ... so is another one */
+  GP_HOLD_LIST,  /* ... nothing is known of what has begun before */
+  GP_HOLD_BEGUN, /* ... others have only just begun */
+  GP_HOLD_DOUBT  /* ... a start that was not answered may begin yet */
 } gp_agent_hold_t;
 
 typedef struct
--- a/src/jobs/agent_alone.c
+++ b/src/jobs/agent_alone.c
@@ -2,11 +2,11 @@
 
    The leader gives a suspect an executor on which nothing else is to begin
    with it, or until it has settled; see jobs/suspicion.h.  When that was
-   decided, when it was written down and when it was ordered tell little of when
-   a run begins: a guard waits for leases, for lists and for specifications, its
-   orders go unanswered and are carried out seconds later, and the next guard
-   makes those again that the one before was killed over.  What begins when is
-   known here, so it is here that a start is kept alone.
+   decided, when it was written down and when it was ordered tell little of
+   when a run begins: a guard waits for leases, for lists and for
+   specifications, its orders go unanswered and are carried out seconds later,
+   and the next guard makes those again that the one before was killed over.
+   What begins when is known here, so it is here that a start is kept alone.
 
    Invariants, while such a run R has not settled:
    - No start of another job is made.
@@ -32,10 +32,12 @@
                   "Starts that waited for those of others: one was to be "
                   "alone");
 
-static const char *const hold_names[]
-    = { "", "another one is to be alone", "it is not its turn to be alone",
-        "no list tells what has begun", "others have just begun",
-        "an order that was not answered" };
+static const char *const hold_names[] = { "",
+                                          "another one is to be alone",
+                                          "it is not its turn to be alone",
+                                          "no list tells what has begun",
+                                          "others have just begun",
+                                          "an order that was not answered" };
 
 void
 gp_agent_register_alone (void)
--- a/src/jobs/agent_private.h
+++ b/src/jobs/agent_private.h
@@ -53,8 +53,7 @@
 /* Why the start of RUN has to wait for those of others; ALONE is what
    gp_agent_alone_run says.  Another answer may be had at *AGAIN_AT, which is
    only brought forward, and after each list.  May raise the fence.  */
-gp_agent_hold_t gp_agent_hold_of (gp_agent_t *agent,
-                                  const gp_agent_run_t *run,
+gp_agent_hold_t gp_agent_hold_of (gp_agent_t *agent, const gp_agent_run_t *run,
                                   const gp_agent_run_t *alone, gp_time_t now,
                                   gp_time_t *again_at);
 
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -461,6 +461,28 @@
   g_ptr_array_free (placed, TRUE);
 }
 
+/* Say of the runs on EXECUTOR that were assigned at DECIDED_AT or since that
+   they are ordered only NOW.  */
+static void
+log_put_off (const gp_job_executor_t *executor, gp_time_t decided_at,
+             gp_time_t now)
+{
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+    char name[GP_TASK_NAME_SIZE];
+
+    if (task->since < decided_at)
+      continue;
+    gp_task_name (task, name);
+    gp_log (GP_LOG_INFO, "run.put_off", GP_LOG_S ("task", name),
+            GP_LOG_I ("run", task->run),
+            GP_LOG_S ("why", "its record could not be written"),
+            GP_LOG_I ("for_ms", (now - task->since) / GP_MSEC));
+  }
+}
+
 void
 gp_scheduler_ordered (gp_scheduler_t *scheduler, gp_time_t decided_at,
                       gp_time_t now)
@@ -470,7 +492,10 @@
 
   g_hash_table_iter_init (&iter, scheduler->book->executors);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    gp_suspicion_ordered (value, decided_at, now);
+    {
+      log_put_off (value, decided_at, now);
+      gp_suspicion_ordered (value, decided_at, now);
+    }
   GP_LIST_FOREACH (link, &scheduler->book->live)
   {
     gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -163,8 +163,8 @@
 /* TASK is on its executor now, assigned anew.  */
 void gp_suspicion_assigned (gp_job_task_t *task, gp_time_t now);
 
-/* EXECUTOR's guard tells that a run which is to be alone has not settled there,
-   and that others wait for it: they are better assigned elsewhere.  */
+/* EXECUTOR's guard tells that a run which is to be alone has not settled
+   there, and that others wait for it: they are better assigned elsewhere.  */
 void gp_suspicion_goes_on (gp_job_executor_t *executor, gp_time_t now);
 
 /* What was assigned to EXECUTOR at DECIDED_AT or since is ordered only NOW, as
--- a/src/jobsd/guard_beats.c
+++ b/src/jobsd/guard_beats.c
@@ -80,8 +80,9 @@
   gp_guard_ask_list (guard);
 }
 
-/* The life of HEARTBEAT has answered with LIST, asked for with FENCE: it works here from now on. The
-   leader hears of it with what it has of the life before.  */
+/* The life of HEARTBEAT has answered with LIST, asked for with FENCE: it works
+   here from now on. The leader hears of it with what it has of the life
+   before.  */
 static void
 meet (gp_job_guard_t *guard, gp_heartbeat_t *heartbeat,
       const gp_runtime_list_t *list, int64_t fence)
--- a/tests/unit/test_alone.c
+++ b/tests/unit/test_alone.c
@@ -63,8 +63,8 @@
 
   guard->now += 20 * GP_MSEC;
   gp_agent_fence_listed (&guard->agent, fence);
-  gp_agent_listed (&guard->agent, rows, count, NULL, 0,
-                   guard->now / GP_MSEC, asked_at, guard->now);
+  gp_agent_listed (&guard->agent, rows, count, NULL, 0, guard->now / GP_MSEC,
+                   asked_at, guard->now);
 }
 
 static const char *
@@ -83,10 +83,9 @@
   gp_agent_call_t next;
 
   printf ("  calls:");
-  while ((next
-          = gp_agent_next_call (&guard->agent, guard->now, &again_at))
-             .kind
-         != GP_AGENT_CALL_NONE)
+  while (
+      (next = gp_agent_next_call (&guard->agent, guard->now, &again_at)).kind
+      != GP_AGENT_CALL_NONE)
     {
       char name[GP_TASK_NAME_SIZE];
 
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -409,8 +409,8 @@
     }
   for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
     {
-      jobs[i] = jobs_site_submit (&site, ids[i],
-                                  jobs_site_submission (1, 1000));
+      jobs[i]
+          = jobs_site_submit (&site, ids[i], jobs_site_submission (1, 1000));
       jobs_site_plan (&site);
       jobs[i]->tasks[0].alone = true;
     }
