--- /dev/null
+++ b/tools/soak_late.py
@@ -0,0 +1,96 @@
+"""Faults of the soak around the starts of tasks that take executors down: what
+makes a start that is to be alone late, so that its end may tell nothing."""
+
+import random
+import threading
+import time
+
+# Executors carry starts out late by these bounds.
+LATE_S = [(0.1, 4.5), (2.0, 12.0)]
+LATE_SHARE = 0.8
+LOOK_S = 0.005
+
+
+class LateStarts:
+    """Draws a fault, or two, at each crash at SITE, with draws of its own; none
+    begins after `end`."""
+
+    def __init__(self, site, faults, crashers, seed):
+        self.site = site
+        self.faults = faults
+        self.crashers = crashers
+        self.random = random.Random(f"late {seed}")
+        self.over = threading.Event()
+        self.away = None  # how the store goes with the next start, and how long
+        self.append = site.store.append
+        site.store.append = self.on_append
+        self.kinds = [self.starts_late, self.store_away, self.guard_killed,
+                      self.guards_paused, self.leader_killed]
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        seen = 0
+        while not self.over.wait(LOOK_S):
+            crashes = self.site.judge.crashes
+            if len(crashes) > seen:
+                worker = crashes[seen].rsplit("-", 1)[0]
+                seen += 1
+                for kind in self.random.sample(self.kinds,
+                                               self.random.choice([1, 1, 2])):
+                    kind(worker)
+
+    def end(self):
+        self.over.set()
+        self.thread.join()
+        self.away = None
+
+    def starts_late(self, worker):
+        seconds, late_s = self.random.uniform(2, 5), self.random.choice(LATE_S)
+        self.faults.note(f"starts late by {late_s} for {seconds:.1f} s")
+        self.faults.trouble(seconds + late_s[1])
+        for executor in list(self.site.executors.values()):
+            executor.late, executor.late_s = LATE_SHARE, late_s
+            executor.late_calls = ("run-start",)
+        self.faults.later(seconds, self.prompt)
+
+    def prompt(self):
+        for executor in list(self.site.executors.values()):
+            executor.late, executor.late_s, executor.late_calls = 0.0, 1.0, None
+
+    def store_away(self, worker):
+        """The store goes with the append that starts such a task again."""
+        self.away = (self.random.choice(["busy", "silent"]),
+                     self.random.uniform(1, 8))
+
+    def on_append(self, query, body):
+        away = self.away
+        if away is None or query["topic"] != "keyed.progress" or not any(
+                job.encode() in body for job in list(self.crashers.tasks)):
+            return self.append(query, body)
+        self.away = None
+        how, seconds = away
+        self.faults.note(f"store {how} {seconds:.1f} s under a start")
+        self.faults.trouble(seconds)
+        self.site.store.down = how
+        self.faults.later(seconds, self.come_back)
+        return (503, b"{}") if how == "busy" else None
+
+    def come_back(self):
+        self.site.store.down = None
+
+    def guard_killed(self, worker):
+        self.faults.in_background(self.faults.kill, worker,
+                                  self.random.uniform(0.1, 2))
+
+    def guards_paused(self, worker):
+        names = [name for name in list(self.site.executors) if name != worker]
+        for name in self.random.sample(names, min(2, len(names))):
+            self.faults.in_background(self.faults.pause, name,
+                                      self.random.uniform(0.5, 4))
+
+    def leader_killed(self, worker):
+        leader = self.site.leader()
+        if leader is not None:
+            self.faults.in_background(self.faults.kill, leader,
+                                      self.random.uniform(0.1, 2))
