--- a/tests/unit/test_transport_progress.c
+++ b/tests/unit/test_transport_progress.c
@@ -11,11 +11,14 @@
 /* A part comes each PART_TIME, so that PARTS of them take longer than
    DEADLINE_TIME.  */
 #define PART "0123456789"
-#define PART_TIME (100 * GP_MSEC)
-#define DEADLINE_TIME (400 * GP_MSEC)
+#define PART_TIME (20 * GP_MSEC)
+#define DEADLINE_TIME (50 * GP_MSEC)
 #define PARTS 8
-/* A call is on its way then, and no part has come.  */
-#define HOLD_AFTER_TIME (PART_TIME / 2)
+/* The same where the process is held up, which is so after HOLD_AFTER_TIME:
+   the call is on its way then, and no part has come.  */
+#define HELD_PART_TIME (100 * GP_MSEC)
+#define HELD_DEADLINE_TIME (400 * GP_MSEC)
+#define HOLD_AFTER_TIME (HELD_PART_TIME / 2)
 /* Far longer than a part is late on a busy machine.  */
 #define PATIENT_TIME (10 * GP_SEC)
 
@@ -28,6 +31,7 @@
   gp_timer_t timer;
   gp_timer_t hold;
   gp_time_t held_until; /* the process is held up, 0: it is not */
+  gp_time_t part_time;  /* between two parts */
   int parts;            /* to be sent */
   bool stall;           /* nothing follows them */
   size_t received;
@@ -46,7 +50,7 @@
   gp_http_exchange_part (fixture->exchange, PART, strlen (PART),
                          last && !fixture->stall);
   if (!last)
-    gp_timer_arm (timer, gp_loop_now (&fixture->loop) + PART_TIME);
+    gp_timer_arm (timer, gp_loop_now (&fixture->loop) + fixture->part_time);
 }
 
 static void
@@ -63,7 +67,8 @@
   fixture->exchange = exchange;
   gp_http_exchange_watch (exchange, on_gone, NULL, fixture);
   gp_http_exchange_start (exchange, 200, NULL, 0, -1);
-  gp_timer_arm (&fixture->timer, gp_loop_now (&fixture->loop) + PART_TIME);
+  gp_timer_arm (&fixture->timer,
+                gp_loop_now (&fixture->loop) + fixture->part_time);
 }
 
 static void
@@ -105,7 +110,9 @@
 {
   static const gp_http_call_callbacks_t callbacks
       = { on_head, on_body, on_done };
-  fixture_t fixture = { .parts = PARTS, .stall = stall };
+  fixture_t fixture = { .parts = PARTS,
+                        .stall = stall,
+                        .part_time = held ? HELD_PART_TIME : PART_TIME };
   const gp_http_server_options_t server = { .address = "127.0.0.1:0",
                                             .header_timeout = 20 * GP_SEC,
                                             .on_request = on_request,
@@ -125,9 +132,10 @@
       = g_strdup_printf ("127.0.0.1:%d", gp_http_server_port (fixture.server));
   client.address = address;
   fixture.client = gp_http_client_new (&fixture.loop, &client, NULL);
-  request.deadline = gp_loop_now (&fixture.loop) + DEADLINE_TIME;
+  request.deadline = gp_loop_now (&fixture.loop)
+                     + (held ? HELD_DEADLINE_TIME : DEADLINE_TIME);
   gp_http_client_call (fixture.client, &request, &callbacks, &fixture);
-  fixture.held_until = held ? request.deadline + PART_TIME : 0;
+  fixture.held_until = held ? request.deadline + HELD_PART_TIME : 0;
   gp_timer_arm (&fixture.hold, gp_loop_now (&fixture.loop) + HOLD_AFTER_TIME);
   CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.done, 1));
   if (fixture.exchange != NULL && fixture.parts > 0)
@@ -235,7 +243,7 @@
       = { on_head, on_bulk, on_bulk_done };
   static const gp_http_call_callbacks_t behind_callbacks
       = { on_head, on_bulk, on_behind_done };
-  pair_t pair = { .bulk = { .parts = PARTS } };
+  pair_t pair = { .bulk = { .parts = PARTS, .part_time = PART_TIME } };
   fixture_t *bulk = &pair.bulk;
   const gp_http_server_options_t server = { .address = "127.0.0.1:0",
                                             .header_timeout = 20 * GP_SEC,
--- a/tools/soak_crashers.py
+++ b/tools/soak_crashers.py
@@ -68,6 +68,11 @@
                                      "executors down")
                     return
 
+    def most_starts(self):
+        """Of one such task."""
+        return max((self.site.judge.starts.get(task, 0)
+                    for task in self.tasks.values()), default=0)
+
     def end(self):
         """Stop, and return the breaches, once all faults are over."""
         entry = next(iter(self.site.entries))
--- a/tools/soak_late.py
+++ b/tools/soak_late.py
@@ -8,11 +8,12 @@
 # Executors carry starts out late by these bounds.
 LATE_S = [(0.1, 4.5), (2.0, 12.0)]
 LATE_SHARE = 0.8
+KINDS_AT_ONCE = 2
 LOOK_S = 0.005
 
 
 class LateStarts:
-    """Draws a fault, or two, at each crash at SITE, with draws of its own; none
+    """Draws two faults at each crash at SITE, with draws of its own; none
     begins after `end`."""
 
     def __init__(self, site, faults, crashers, seed):
@@ -36,8 +37,7 @@
             if len(crashes) > seen:
                 worker = crashes[seen].rsplit("-", 1)[0]
                 seen += 1
-                for kind in self.random.sample(self.kinds,
-                                               self.random.choice([1, 1, 2])):
+                for kind in self.random.sample(self.kinds, KINDS_AT_ONCE):
                     kind(worker)
 
     def end(self):
