--- a/src/jobsd/guard_private.h
+++ b/src/jobsd/guard_private.h
@@ -16,6 +16,12 @@
 void gp_guard_take_list (gp_job_guard_t *guard, const gp_runtime_list_t *list,
                          int64_t fence);
 
+/* Make the calls that are due at the end of this phase of the loop.  */
+void gp_guard_act_soon (gp_job_guard_t *guard);
+
+void gp_guard_list_init (gp_job_guard_t *guard);
+void gp_guard_list_finish (gp_job_guard_t *guard);
+
 /* Ask the executor for its list, unless such a call is open.  */
 void gp_guard_ask_list (gp_job_guard_t *guard);
 
