--- a/tools/soak_late.py
+++ b/tools/soak_late.py
@@ -3,7 +3,8 @@
 
 import random
 import threading
-import time
+
+from ordered_late import alone_in
 
 # Executors carry starts out late by these bounds.
 LATE_S = [(0.1, 4.5), (2.0, 12.0)]
@@ -59,14 +60,14 @@
             executor.late, executor.late_s, executor.late_calls = 0.0, 1.0, None
 
     def store_away(self, worker):
-        """The store goes with the append that starts such a task again."""
+        """The store goes with the append that starts such a task alone."""
         self.away = (self.random.choice(["busy", "silent"]),
                      self.random.uniform(1, 8))
 
     def on_append(self, query, body):
         away = self.away
-        if away is None or query["topic"] != "keyed.progress" or not any(
-                job.encode() in body for job in list(self.crashers.tasks)):
+        if away is None or query["topic"] != "keyed.progress" \
+                or alone_in(body, list(self.crashers.tasks)) is None:
             return self.append(query, body)
         self.away = None
         how, seconds = away
