A step that could run and waits is told beside a run of its job; held runs teach nothing

Of a job with a run, what waits beside it was looked at by nobody: a lasting task that could run, or a step beside others, waited without a line or a count. The wait is noted by step now; beside a run only causes are told that hold work back though there is room, as one of many tasks that wait for room is no news. test_waits (beside): counted 0 before, 1 with this.

A run that its guard held for one that is alone began nobody knows when, so its duration is not learned: it would tell that its kind is slow. test_put_off (held): 2000 ms before.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -92,7 +92,10 @@
   char *checkpoint;            /* NULL: none */
   gp_time_t took;              /* duration of the run that was done, as seen
                                   by this process, 0: not known */
-  gp_time_t since;             /* when the run was assigned, by this process */
+  gp_time_t since; /* when the run was assigned, or ordered where that was put
+                      off, by this process */
+  bool held;       /* it may have begun long after that: it is alone, or waits
+                      for one that is */
   gp_job_executor_t *failed_on; /* the last executor it failed on */
   gp_job_executor_t *stray_on;  /* that was told to be at work with a run which
                                    is not wanted there, NULL: none ... */
@@ -122,10 +125,10 @@
   GP_WAIT_STRAY       /* see gp_job_executor_has_stray */
 } gp_wait_cause_t;
 
-/* A job's wait for a place.  */
+/* A step's wait for a place.  */
 typedef struct
 {
-  gp_time_t since;       /* it has work and no run, 0: it has one */
+  gp_time_t since;       /* a task of it finds none, 0: none waits */
   gp_time_t look_at;     /* no look before */
   gp_wait_cause_t cause; /* as last told */
   bool counted;          /* among those that could run */
@@ -136,6 +139,7 @@
 {
   uint32_t done;
   uint32_t waiting;
+  gp_job_wait_t wait; /* see jobs/placer_waits.h */
 } gp_step_tally_t;
 
 struct gp_job
@@ -171,7 +175,6 @@
   bool started;         /* a run was assigned once, to an executor that was
                            not known to be down */
   gp_time_t idle_since; /* it has work and no run since, 0: it has a run */
-  gp_job_wait_t wait;   /* see jobs/placer_waits.h */
   bool dropped;         /* its submission is being dropped from the log */
   gp_list_t link;       /* in gp_book_t.live while it has not ended and
                            its progress is known */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -266,7 +266,7 @@
           return;
         }
       assign (pass, &first[i], candidate, first[i].run + 1);
-      gp_placer_found_place (first[i].job);
+      gp_placer_found_place (&first[i]);
     }
 }
 
@@ -344,7 +344,7 @@
   if (waiting && placed < count)
     gp_placer_found_none (pass, held != NULL ? held : &first[placed]);
   if (waiting && placed == count)
-    gp_placer_found_place (first[0].job);
+    gp_placer_found_place (first);
   g_free (runs);
 }
 
--- a/src/jobs/placer_waits.c
+++ b/src/jobs/placer_waits.c
@@ -1,4 +1,4 @@
-/* What work waits for that finds no place, told once a job waits for long.  */
+/* What work waits for that finds no place, told once a step waits for long. */
 
 #include "jobs/placer_waits.h"
 
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "jobs/suspicion.h"
 
-/* A look at one job goes through all executors: none before it has waited for
+/* A look at one step goes through all executors: none before it has waited for
    so long, and none more often.  */
 #define LOOK_TIME (GP_SEC)
 /* Work that could run begins within this.  */
@@ -162,16 +162,16 @@
 void
 gp_placer_found_none (const gp_placer_pass_t *pass, const gp_job_task_t *task)
 {
-  gp_job_wait_t *wait = &task->job->wait;
+  gp_job_wait_t *wait = &gp_task_tally (task)->wait;
   gp_time_t waited = pass->now - wait->since;
   gp_wait_cause_t cause;
   bool free;
+  bool could_run;
 
   if (wait->since == 0)
     {
-      if (!gp_job_has_run (task->job))
-        *wait = (gp_job_wait_t){ .since = pass->now,
-                                 .look_at = pass->now + LOOK_TIME };
+      *wait = (gp_job_wait_t){ .since = pass->now,
+                               .look_at = pass->now + LOOK_TIME };
       return;
     }
   if (pass->now < wait->look_at)
@@ -179,18 +179,21 @@
   wait->look_at = pass->now + LOOK_TIME;
   cause = gp_placer_wait_cause (pass, task);
   free = is_mostly_free (pass, task);
-  if (cause != wait->cause)
+  could_run = free && holds_back (cause);
+  if (cause != wait->cause && (could_run || !gp_job_has_run (task->job)))
     tell (task, cause, waited, free);
   wait->cause = cause;
-  if (waited <= BOUND_TIME || wait->counted || !free || !holds_back (cause))
+  if (waited <= BOUND_TIME || wait->counted || !could_run)
     return;
   wait->counted = true;
   gp_counter_add (&counts[cause], 1);
 }
 
-/* The first task of JOB that waits and whose turn has come, or NULL.  */
-static const gp_job_task_t *
-first_waiting (const gp_job_t *job, int64_t wall_ms)
+/* No place was found for the tasks of JOB that wait and whose turn has come.
+ */
+static void
+found_none_of (const gp_placer_pass_t *pass, const gp_job_t *job,
+               int64_t wall_ms)
 {
   for (uint32_t k = 0; k < job->occurrences; k++)
     for (uint32_t s = 0; s < job->submission->n_steps; s++)
@@ -202,9 +205,8 @@
           continue;
         while (task->state != GP_TASK_WAITING)
           task++;
-        return task;
+        gp_placer_found_none (pass, task);
       }
-  return NULL;
 }
 
 void
@@ -212,16 +214,12 @@
 {
   GP_LIST_FOREACH (link, &pass->book->live)
   {
-    const gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
-    const gp_job_task_t *task = first_waiting (job, wall_ms);
-
-    if (task != NULL)
-      gp_placer_found_none (pass, task);
+    found_none_of (pass, GP_CONTAINER_OF (link, gp_job_t, link), wall_ms);
   }
 }
 
 void
-gp_placer_found_place (gp_job_t *job)
+gp_placer_found_place (const gp_job_task_t *task)
 {
-  job->wait = (gp_job_wait_t){ 0 };
+  gp_task_tally (task)->wait = (gp_job_wait_t){ 0 };
 }
--- a/src/jobs/placer_waits.h
+++ b/src/jobs/placer_waits.h
@@ -1,10 +1,11 @@
 /* What work waits for that finds no place.
 
-   A job that has work and no run is looked at each second: what keeps its task
-   from the executor that is nearest to taking it is told when that changes.
-   One that waits for longer than three seconds with most of its service's room
-   free, and not for want of room, is counted by its cause: that is never to
-   be.  Of jobs with a run, what waits beside it is not looked at.
+   A step of which a task finds no place is looked at each second: what keeps
+   the task from the executor that is nearest to taking it is told when that
+   changes.  One that waits for longer than three seconds with most of its
+   service's room free, and not for want of room, is counted by its cause: that
+   is never to be.  Where its job has a run, which may be one of many tasks
+   that wait for room, only such a cause is told.
 
    Pure but for its lines and counters.  */
 
@@ -27,7 +28,7 @@
  */
 void gp_placer_look_at_all (const gp_placer_pass_t *pass, int64_t wall_ms);
 
-/* JOB has a run.  */
-void gp_placer_found_place (gp_job_t *job);
+/* A task like TASK, of its step, has found a place.  */
+void gp_placer_found_place (const gp_job_task_t *task);
 
 #endif
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -188,12 +188,12 @@
                               gp_task_step (task), longest, sum / known);
 }
 
-/* TASK was done.  A run that went on from a checkpoint, or was assigned by
-   another process, tells nothing of the whole.  */
+/* TASK was done.  A run that went on from a checkpoint, was assigned by
+   another process or was held at its guard tells nothing of the whole.  */
 static void
 learn_duration (gp_scheduler_t *scheduler, gp_job_task_t *task, gp_time_t now)
 {
-  if (task->since == 0 || task->checkpoint != NULL)
+  if (task->since == 0 || task->checkpoint != NULL || task->held)
     return;
   task->took = now - task->since;
   gp_forecast_learn (&scheduler->forecast, task->job->submission->queue,
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -137,6 +137,7 @@
   gp_suspicion_forget_told (task);
   task->settled = false;
   task->alone = false;
+  task->held = false;
 }
 
 /* Is TASK to be started alone?  Not yet one that stood beside others under the
@@ -330,6 +331,19 @@
     executor->assigned_at = now;
 }
 
+/* What waits for ALONE, which has not settled, and that itself may have begun
+   long after they were assigned.  */
+static void
+note_held (gp_job_executor_t *executor, const gp_job_task_t *alone)
+{
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    task->held = task->held || task->since >= alone->since;
+  }
+}
+
 void
 gp_suspicion_goes_on (gp_job_executor_t *executor, gp_time_t now)
 {
@@ -338,9 +352,11 @@
     const gp_job_task_t *task
         = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
 
-    if (task->alone && !task->settled)
-      gp_suspicion_keep_for (executor, task->job,
-                             now + GP_SUSPICION_SETTLE_TIME);
+    if (!task->alone || task->settled)
+      continue;
+    gp_suspicion_keep_for (executor, task->job,
+                           now + GP_SUSPICION_SETTLE_TIME);
+    note_held (executor, task);
   }
 }
 
--- a/tests/unit/test_put_off.c
+++ b/tests/unit/test_put_off.c
@@ -53,10 +53,45 @@
   put_off (OUTAGE_TIME);
 }
 
+/* How long TASK took, as was learned of a run of 2 s, of which the first one
+   may have been waited for at its guard.  */
+static gp_time_t
+learned (bool held)
+{
+  jobs_site_t site;
+  gp_job_executor_t *executor;
+  gp_job_t *job;
+  gp_time_t took;
+
+  jobs_site_init (&site);
+  executor = jobs_site_executor (&site, "x1", 8);
+  job = jobs_site_submit (&site, "00000000000000aa",
+                          jobs_site_submission (2, 1000));
+  jobs_site_plan (&site);
+  job->tasks[1].alone = held;
+  gp_suspicion_goes_on (executor, site.now);
+  site.now += 2 * GP_SEC;
+  jobs_site_end (&site, &job->tasks[0], GP_END_DONE);
+  took = job->tasks[0].took;
+  jobs_site_finish (&site);
+  return took;
+}
+
+/* A run that waited at its guard for one that is alone began nobody knows
+   when.  */
+static void
+test_held (void)
+{
+  printf ("what a run took that was held at its guard: %ld ms, else %ld ms\n",
+          (long)(learned (true) / GP_MSEC), (long)(learned (false) / GP_MSEC));
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "alone", test_alone }, CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = { { "alone", test_alone },
+                                 { "held", test_held },
+                                 CU_TEST_INFO_NULL };
 
   return runner_main ("put_off", tests);
 }
--- a/tests/unit/test_waits.c
+++ b/tests/unit/test_waits.c
@@ -109,7 +109,8 @@
   end = site.now + 5 * GP_SEC;
   for (; site.now < end; site.now += 100 * GP_MSEC)
     jobs_site_plan (&site);
-  printf ("%s: %s, counted %d\n", what, gp_wait_cause_name (job->wait.cause),
+  printf ("%s: %s, counted %d\n", what,
+          gp_wait_cause_name (job->tallies[0].wait.cause),
           (int)(counted () - before));
   jobs_site_finish (&site);
 }
@@ -130,6 +131,44 @@
   wait_under ("it has room for one of two", 2, too_wide);
 }
 
+/* A job with a run: is its other task said to wait?  */
+static void
+wait_beside (const char *what, arrange_t arrange)
+{
+  jobs_site_t site;
+  gp_job_executor_t *executor;
+  gp_job_t *job;
+  int64_t before = counted ();
+  gp_time_t end;
+
+  jobs_site_init (&site);
+  executor = jobs_site_executor (&site, "x1", 8);
+  job = jobs_site_submit (&site, JOB, jobs_site_submission (2, 1000));
+  job->submission->steps[0]->long_running = true;
+  job->submission->steps[0]->max_per_executor = 1;
+  jobs_site_plan (&site);
+  CU_ASSERT (gp_job_has_run (job));
+  executor = jobs_site_executor (&site, "x2", 8);
+  arrange (&site, executor, job);
+  end = site.now + 5 * GP_SEC;
+  for (; site.now < end; site.now += 100 * GP_MSEC)
+    jobs_site_plan (&site);
+  printf ("beside a run, %s: %s, counted %d\n", what,
+          gp_wait_cause_name (job->tallies[0].wait.cause),
+          (int)(counted () - before));
+  jobs_site_finish (&site);
+}
+
+/* A task that lasts and could run is told and counted, though its job has
+   another one at work.  */
+static void
+test_beside (void)
+{
+  wait_beside ("the other executor is full", full);
+  wait_beside ("it fails what it is given", failing);
+  wait_beside ("it is kept for others", kept);
+}
+
 static void
 test_place (void)
 {
@@ -142,10 +181,10 @@
   job = jobs_site_submit (&site, JOB, jobs_site_submission (1, 1000));
   executor->draining = true;
   jobs_site_plan (&site);
-  CU_ASSERT (job->wait.since != 0);
+  CU_ASSERT (job->tallies[0].wait.since != 0);
   executor->draining = false;
   jobs_site_plan (&site);
-  CU_ASSERT_EQUAL (job->wait.since, 0);
+  CU_ASSERT_EQUAL (job->tallies[0].wait.since, 0);
   jobs_site_finish (&site);
 }
 
@@ -153,6 +192,7 @@
 main (void)
 {
   static CU_TestInfo tests[] = { { "causes", test_causes },
+                                 { "beside", test_beside },
                                  { "place", test_place },
                                  CU_TEST_INFO_NULL };
 
