galenapier losses tells executors that started again under their id

Table restarts: how often, the runs that went with the lives before, and those that the next ones carried out. Scripted run losses has two such lives.

--- a/src/cli/cmd_losses.c
+++ b/src/cli/cmd_losses.c
@@ -10,13 +10,14 @@
 #define EVERY_DEFAULT_S 10
 
 static bool
-is_of_jobs (const json_t *json, void *data)
+is_counted (const json_t *json, void *data)
 {
   const char *event = json_string_value (json_object_get (json, "event"));
 
   return event != NULL
          && (g_str_has_prefix (event, "job.")
-             || g_str_has_prefix (event, "run."));
+             || g_str_has_prefix (event, "run.")
+             || strcmp (event, "executor.next_life") == 0);
 }
 
 gp_cli_exit_t
@@ -37,7 +38,7 @@
       gp_cli_error ("--every takes a number of seconds over 0");
       return GP_CLI_USAGE;
     }
-  lines = gp_log_lines_read (argv + 1, is_of_jobs, NULL);
+  lines = gp_log_lines_read (argv + 1, is_counted, NULL);
   if (lines == NULL)
     return GP_CLI_USAGE;
   losses = gp_losses_of (lines, every_s * GP_SEC);
--- a/src/cli/losses.c
+++ b/src/cli/losses.c
@@ -75,6 +75,14 @@
   char *jobs;    /* owned */
 } suspects_t;
 
+/* An executor that has started again under its id.  */
+typedef struct
+{
+  unsigned lives;  /* that began so */
+  int64_t lost;    /* runs that went with the lives before ... */
+  int64_t carried; /* ... and that the next ones carried out */
+} restarts_t;
+
 typedef struct
 {
   GHashTable *jobs;     /* id to job_t, owned */
@@ -82,6 +90,7 @@
   GHashTable *ends;     /* "queue how" to ends_t, owned */
   GHashTable *answers;  /* "status why" to a count */
   GHashTable *suspects; /* executor to suspects_t, owned */
+  GHashTable *restarts; /* the same to restarts_t, owned */
   gp_time_t last;       /* time of the last line */
 } account_t;
 
@@ -235,6 +244,22 @@
   suspects->runs++;
 }
 
+static void
+take_next_life (account_t *account, const gp_log_line_t *line)
+{
+  const char *executor = gp_log_line_text (line, "executor");
+  restarts_t *restarts = g_hash_table_lookup (account->restarts, executor);
+
+  if (restarts == NULL)
+    {
+      restarts = g_new0 (restarts_t, 1);
+      g_hash_table_insert (account->restarts, g_strdup (executor), restarts);
+    }
+  restarts->lives++;
+  restarts->lost += gp_log_line_number (line, "lost", 0);
+  restarts->carried += gp_log_line_number (line, "carried", 0);
+}
+
 static void
 take_job_end (account_t *account, const gp_log_line_t *line)
 {
@@ -275,6 +300,8 @@
     take_end (account, line, "absent");
   else if (strcmp (event, "job.ended") == 0)
     take_job_end (account, line);
+  else if (strcmp (event, "executor.next_life") == 0)
+    take_next_life (account, line);
 }
 
 /* Where JOB, which was not in time, lost most of it.  */
@@ -540,6 +567,27 @@
   return rows;
 }
 
+static json_t *
+restart_table (const account_t *account)
+{
+  json_t *rows = json_array ();
+  GList *keys = sorted_keys (account->restarts);
+
+  for (const GList *key = keys; key != NULL; key = key->next)
+    {
+      const restarts_t *restarts
+          = g_hash_table_lookup (account->restarts, key->data);
+
+      json_array_append_new (
+          rows, json_pack ("{s:s, s:i, s:I, s:I}", "executor", key->data,
+                           "lives", (int)restarts->lives, "runs_lost",
+                           (json_int_t)restarts->lost, "runs_carried",
+                           (json_int_t)restarts->carried));
+    }
+  g_list_free (keys);
+  return rows;
+}
+
 json_t *
 gp_losses_of (const GArray *lines, gp_time_t every)
 {
@@ -550,6 +598,8 @@
     .answers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
     .suspects
     = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_suspects),
+    .restarts
+    = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
   };
   GPtrArray *jobs;
   json_t *result;
@@ -557,16 +607,17 @@
   for (guint i = 0; i < lines->len; i++)
     take_line (&account, &g_array_index (lines, gp_log_line_t, i));
   jobs = sorted_jobs (&account);
-  result = json_pack ("{s:o, s:o, s:o, s:o, s:o}", "queues",
-                      queue_table (&account, jobs), "answers",
-                      answer_table (&account), "runs", run_table (&account),
-                      "moments", moment_table (&account, jobs, every),
-                      "executors", executor_table (&account));
+  result = json_pack (
+      "{s:o, s:o, s:o, s:o, s:o, s:o}", "queues", queue_table (&account, jobs),
+      "answers", answer_table (&account), "runs", run_table (&account),
+      "moments", moment_table (&account, jobs, every), "executors",
+      executor_table (&account), "restarts", restart_table (&account));
   g_ptr_array_unref (jobs);
   g_hash_table_destroy (account.jobs);
   g_hash_table_destroy (account.runs);
   g_hash_table_destroy (account.ends);
   g_hash_table_destroy (account.answers);
   g_hash_table_destroy (account.suspects);
+  g_hash_table_destroy (account.restarts);
   return result;
 }
--- a/src/cli/losses.h
+++ b/src/cli/losses.h
@@ -18,7 +18,8 @@
 /* LINES are gp_log_line_t by time.  A JSON object of the caller's with the
    tables "queues"; "answers": those other than success, by why; "runs": by how
    they ended; "moments": by when jobs were handed in, in steps of EVERY;
-   "executors": those that runs there may have taken down, with these jobs.  */
+   "executors": those that runs there may have taken down, with these jobs;
+   "restarts": those that have started again under their id.  */
 json_t *gp_losses_of (const GArray *lines, gp_time_t every);
 
 #endif
--- a/tests/scripts/losses.py
+++ b/tests/scripts/losses.py
@@ -36,6 +36,10 @@
         self.event(at_s, "e2", "run.lost", task=f"{job}.0.0.0", run=1,
                    executor=executor, suspect=0, suspects=suspects)
 
+    def next_life(self, at_s, executor, lost, carried):
+        self.event(at_s, "e2", "executor.next_life", executor=executor,
+                   born_ms=2, born_before_ms=1, carried=carried, lost=lost)
+
     def ended(self, at_s, job, state, took_ms, objective_ms=2000):
         self.event(at_s, "e2", "job.ended", job=job, state=state, done=1,
                    tasks=1, took_ms=took_ms, objective_ms=objective_ms)
@@ -67,6 +71,8 @@
     log.lost(13.91, cancelled, "w3-1", f"{again} {at_work}")
     log.lost(13.92, refused, "w3-1", f"{again} {at_work}")
     log.lost(13.8, unknown, "w4-1", again)
+    log.next_life(13.95, "w2-1", 3, 1)
+    log.next_life(13.97, "w2-1", 2, 0)
     log.answered(14.0, cancelled)
     log.ended(14.5, cancelled, "cancelled", 490, -1)
 
