--- a/tests/unit/test_waits.c
+++ b/tests/unit/test_waits.c
@@ -142,7 +142,7 @@
   gp_time_t end;
 
   jobs_site_init (&site);
-  executor = jobs_site_executor (&site, "x1", 8);
+  jobs_site_executor (&site, "x1", 8);
   job = jobs_site_submit (&site, JOB, jobs_site_submission (2, 1000));
   job->submission->steps[0]->long_running = true;
   job->submission->steps[0]->max_per_executor = 1;
