--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -26,8 +26,8 @@
    - The fence only rises: with each life of the executor that is met, each
      connection that ends, each word of the leader, and where a start that was
      not answered has to be made void, see jobs/agent_alone.c.  It begins at
-   the time of day, so that it is above those of processes before this one;
-   where that has stepped back it leaps until the executor takes it.
+     the time of day, so that it is above those of processes before this one;
+     where that has stepped back it leaps until the executor takes it.
    - Ends, clock and lease are those of one life.  A list that another life
      may answer, as a connection has ended, confirms nothing and extends
      nothing, and no order is sent before it is answered.  It carries a new
