--- a/tests/unit/test_put_off.c
+++ b/tests/unit/test_put_off.c
@@ -89,9 +89,8 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "alone", test_alone },
-                                 { "held", test_held },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "alone", test_alone }, { "held", test_held }, CU_TEST_INFO_NULL };
 
   return runner_main ("put_off", tests);
 }
