--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -100,10 +100,11 @@
   unsigned batch_records;
   GArray *batch_states;     /* of the jobs in it, see jobsd/leader.c */
   gp_time_t batch_began_at; /* its first sending, also if that was refused */
-  gp_time_t batch_sent_at;  /* its first sending that may have been carried
-                               out */
-  bool doubtful;            /* it went unanswered once */
-  bool resigning;           /* it gives the lead up */
+  gp_time_t batch_leases_from; /* the lead that it confirms, and leases by
+                                  that, count from then: its first sending that
+                                  may have been carried out */
+  bool doubtful;               /* it went unanswered once */
+  bool resigning;              /* it gives the lead up */
   gp_platform_store_call_t *call;
   GPtrArray *frames; /* gp_leader_frame_t, to be sent when it is done */
   gp_time_t heartbeat_due;
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -289,7 +289,7 @@
     }
   if (leader->doubtful && answer->count > last
       && is_own_record (leader, &answer->records[last]))
-    batch_done (leader, leader->position, leader->batch_sent_at);
+    batch_done (leader, leader->position, leader->batch_leases_from);
   else if (answer->count == 0 || has_other_leader (answer))
     depose (leader, "another has appended");
   else
@@ -347,7 +347,7 @@
   if (leader->batch_began_at == 0)
     leader->batch_began_at = now;
   if (!leader->doubtful)
-    leader->batch_sent_at = now;
+    leader->batch_leases_from = now;
   leader->call = gp_platform_store_append (
       leader->store, GP_TOPIC_PROGRESS, leader->batch,
       (int64_t)leader->position, now + APPEND_TIME, on_appended, leader);
