The second end in a row that passes for a loss of power counts

Change: the first such end excuses a run that had only just begun, as before; the next one in a row counts. Settling takes the excuse back. What it costs: where power is lost twice within a second of work's start, that work begins alone the third time, if its patience lasts.

test_suspicion (power_again) fails before: aa is not counted the second time.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -77,6 +77,8 @@
   uint32_t evidence;     /* of these ends, that it has brought them about */
   gp_time_t alone_since; /* it looks for an executor of its own, 0: not yet; by
                             this process */
+  bool excused;    /* the end of its last run passed for a loss of power; by
+                      this process */
   bool alone;      /* nothing of other jobs had just begun beside its run, nor
                       will */
   bool settled;    /* its run was at work for long enough not to be what
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -381,11 +381,11 @@
   GP_LIST_FOREACH_SAFE (link, &executor->tasks)
   {
     gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
-    /* Several tasks that take executors down at once look like a loss of
-       power, so that a start that was alone counts nevertheless.  */
-    gp_suspicion_t suspicion = crash && (!together || task->alone)
-                                   ? gp_suspicion_crashed (task, sole_job)
-                                   : GP_SUSPICION_NONE;
+    gp_suspicion_t suspicion = GP_SUSPICION_NONE;
+
+    if (crash)
+      suspicion = together ? gp_suspicion_crashed_together (task, sole_job)
+                           : gp_suspicion_crashed (task, sole_job);
 
     gp_counter_add (&beside_runs_count, proved && task->job != sole_job);
     lose_run (scheduler, task, suspicion, suspects, now, wall_ms);
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -52,6 +52,7 @@
   bool changed = task->crashes > 0;
 
   task->settled = true;
+  task->excused = false;
   task->crashes = 0;
   task->evidence = 0;
   task->alone = false;
@@ -120,6 +121,15 @@
                                               : GP_SUSPICION_COUNTED;
 }
 
+gp_suspicion_t
+gp_suspicion_crashed_together (gp_job_task_t *task, const gp_job_t *sole_job)
+{
+  if (task->alone || task->excused)
+    return gp_suspicion_crashed (task, sole_job);
+  task->excused = is_suspect (task);
+  return GP_SUSPICION_NONE;
+}
+
 void
 gp_suspicion_forget_told (gp_job_task_t *task)
 {
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -110,6 +110,13 @@
 gp_suspicion_t gp_suspicion_crashed (gp_job_task_t *task,
                                      const gp_job_t *sole_job);
 
+/* The same where half of the others went TOGETHER with the executor, of which
+   nobody tells: power was lost, or several tasks took executors and guards
+   down at once.  A start that was alone counts nevertheless, and so does the
+   second such end in a row of any other.  */
+gp_suspicion_t gp_suspicion_crashed_together (gp_job_task_t *task,
+                                              const gp_job_t *sole_job);
+
 /* What a guard has told of the run of TASK as a suspect is void.  */
 void gp_suspicion_forget_told (gp_job_task_t *task);
 
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -388,6 +388,39 @@
   jobs_site_finish (&site);
 }
 
+/* What users saw: such a task was started six times: guards were killed under
+   its first two starts, as under others of its kind in the same second, and
+   both ends passed for losses of power.  */
+static void
+test_power_again (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+
+  printf ("the second loss of power in a row under a task that had just "
+          "begun counts\n");
+  jobs_site_init (&site);
+  for (int i = 1; i <= 4; i++)
+    {
+      char id[8];
+
+      g_snprintf (id, sizeof id, "x%d", i);
+      jobs_site_executor (&site, id, 8);
+    }
+  job = jobs_site_submit (&site, JOB_A, jobs_site_submission (1, 1000));
+  for (int i = 1; i <= 2; i++)
+    {
+      jobs_site_plan (&site);
+      gp_book_executor (&site.book, "x3")->reachable = false;
+      gp_book_executor (&site.book, "x4")->reachable = false;
+      jobs_site_dead (&site, job->tasks[0].executor, GP_DEATH_SILENT);
+      jobs_site_print_job (job);
+      gp_book_executor (&site.book, "x3")->reachable = true;
+      site.now += GP_SEC * 2;
+    }
+  jobs_site_finish (&site);
+}
+
 /* What users saw: such a task was started seven times.  Others like it took
    executors and guards down in the same second, which passed for a loss of
    power: the ends of its starts, which were alone, did not count.  */
@@ -951,6 +984,7 @@
                                  { "little", test_a_little_earlier },
                                  { "by_lists", test_by_lists },
                                  { "power", test_power },
+                                 { "power_again", test_power_again },
                                  { "several_alone", test_several_alone },
                                  { "with_guard", test_with_guard },
                                  { "no_word", test_no_word },
