Test: a guard is stopped only after the leader has heard of it

Traced by the run's log: the leader has guard.up of w3 and w2 2 ms after it led, and none of w1, which the scenario had stopped by then: the site counts as ready once there is a leader. A guard that never was up is not said to be down, so the scenario waited for a line that can't come. It waits for w1's guard.up first now; what it checks is as before.

--- a/tests/scripts/records.py
+++ b/tests/scripts/records.py
@@ -197,6 +197,8 @@
     guard reports after the executor's."""
     print("a place is overwritten, and its guard is the last to report")
     with site_of(build) as site:
+        until(lambda: '"guard.up","guard":"w1"'
+              in site.processes[site.leader()].log(), what="w1 is up")
         site.processes["w1"].signal(signal.SIGSTOP)
         until(lambda: '"guard.down","guard":"w1"'
               in site.processes[site.leader()].log(), what="w1 is silent")
