Tests: what an agent takes in of a list in virtual time, and late starts, stand once

Found in reading the change again: three worlds copied the rows and ends of the executor in virtual time into a list (fake_executor_list now), two tests of starts that are alone began with the same seven lines, three scenarios of late starts with the same loop, and signals stood as numbers.

--- a/tests/scripts/ordered_late.py
+++ b/tests/scripts/ordered_late.py
@@ -16,6 +16,7 @@
 import contextlib
 import os
 import shutil
+import signal
 import struct
 import sys
 import threading
@@ -39,6 +40,8 @@
 LATE_S = (0.1, 4.5)
 LATER_S = (2.0, 12.0)
 LATE_SHARE = 0.8
+# For so long guards are stopped.
+PAUSED_S = 3.0
 # So many faults, each at another start.
 FAULTS = 3
 # As TaskProgress.alone stands in a record.
@@ -111,6 +114,14 @@
     executor.late = 0.0
 
 
+def all_late_for(late_s):
+    """What is to be done at a crash: all executors leave starts unanswered."""
+    def do(site, worker):
+        for executor in site.executors.values():
+            threading.Thread(target=late_for, args=(executor, late_s)).start()
+    return do
+
+
 class Crashes:
     """DO (name of the worker) in a thread at each crash, until `end`; what is
     done lasts for LATE_FOR_S at the most."""
@@ -213,16 +224,12 @@
 
 def starts_late(build):
     print("executors carry starts out late, for a while after each crash")
-    play(build, lambda site, worker: [
-        threading.Thread(target=late_for, args=(executor, LATE_S)).start()
-        for executor in site.executors.values()])
+    play(build, all_late_for(LATE_S))
 
 
 def starts_later(build):
     print("they carry them out up to twelve seconds late")
-    play(build, lambda site, worker: [
-        threading.Thread(target=late_for, args=(executor, LATER_S)).start()
-        for executor in site.executors.values()])
+    play(build, all_late_for(LATER_S))
 
 
 def store_silent(build):
@@ -280,14 +287,8 @@
 
 
 def pause(process):
-    with contextlib.suppress(ProcessLookupError):
-        process.signal(19)
-        threading.Timer(3.0, resume, (process,)).start()
-
-
-def resume(process):
-    with contextlib.suppress(ProcessLookupError):
-        process.signal(18)
+    process.signal(signal.SIGSTOP)
+    threading.Timer(PAUSED_S, process.signal, (signal.SIGCONT,)).start()
 
 
 def leader_waits(build):
@@ -304,10 +305,7 @@
 
 def late_and_refusing(build):
     print("executors carry starts out late while the store refuses")
-    play(build, lambda site, worker: [
-        threading.Thread(target=late_for, args=(executor, LATE_S)).start()
-        for executor in site.executors.values()],
-        lambda site: away(site, "busy"))
+    play(build, all_late_for(LATE_S), lambda site: away(site, "busy"))
 
 
 def told_as_put_off(build):
--- a/tests/unit/fake_executor.c
+++ b/tests/unit/fake_executor.c
@@ -174,3 +174,24 @@
     g_ptr_array_remove_index (fake->ends, 0);
   return GP_AGENT_TAKEN;
 }
+
+void
+fake_executor_list (const fake_executor_t *fake, gp_agent_t *agent,
+                    gp_time_t sent_at, gp_time_t now)
+{
+  gp_agent_row_t *rows = g_new (gp_agent_row_t, fake->runs->len);
+  Gp__Jobs__End *ends = g_new (Gp__Jobs__End, fake->ends->len);
+
+  for (guint i = 0; i < fake->runs->len; i++)
+    {
+      const fake_run_t *run = &g_array_index (fake->runs, fake_run_t, i);
+
+      rows[i] = (gp_agent_row_t){ run->task, run->run, 100 };
+    }
+  for (guint i = 0; i < fake->ends->len; i++)
+    ends[i] = *(Gp__Jobs__End *)g_ptr_array_index (fake->ends, i);
+  gp_agent_listed (agent, rows, fake->runs->len, ends, fake->ends->len,
+                   fake_executor_clock (fake, now), sent_at, now);
+  g_free (rows);
+  g_free (ends);
+}
--- a/tests/unit/fake_executor.h
+++ b/tests/unit/fake_executor.h
@@ -48,6 +48,10 @@
                                       uint64_t confirmed, int64_t lease_ms,
                                       int64_t fence, gp_time_t now);
 
+/* AGENT takes in what the executor lists, asked for at SENT_AT.  */
+void fake_executor_list (const fake_executor_t *fake, gp_agent_t *agent,
+                         gp_time_t sent_at, gp_time_t now);
+
 /* Is RUN of TASK at work?  */
 bool fake_executor_runs (const fake_executor_t *fake, const char *task,
                          uint32_t run);
--- a/tests/unit/late_world.c
+++ b/tests/unit/late_world.c
@@ -199,24 +199,8 @@
 take_list (late_world_t *world, late_worker_t *worker, gp_time_t sent_at,
            int64_t fence)
 {
-  fake_executor_t *fake = &worker->fake;
-  gp_agent_row_t *rows = g_new (gp_agent_row_t, fake->runs->len);
-  Gp__Jobs__End *ends = g_new (Gp__Jobs__End, fake->ends->len);
-
-  for (guint i = 0; i < fake->runs->len; i++)
-    {
-      const fake_run_t *run = &g_array_index (fake->runs, fake_run_t, i);
-
-      rows[i] = (gp_agent_row_t){ run->task, run->run, 100 };
-    }
-  for (guint i = 0; i < fake->ends->len; i++)
-    ends[i] = *(Gp__Jobs__End *)g_ptr_array_index (fake->ends, i);
   gp_agent_fence_listed (&worker->agent, fence);
-  gp_agent_listed (
-      &worker->agent, rows, fake->runs->len, ends, fake->ends->len,
-      fake_executor_clock (fake, world->site.now), sent_at, world->site.now);
-  g_free (rows);
-  g_free (ends);
+  fake_executor_list (&worker->fake, &worker->agent, sent_at, world->site.now);
 }
 
 static void
--- a/tests/unit/test_agent_random.c
+++ b/tests/unit/test_agent_random.c
@@ -93,28 +93,6 @@
   return GP_AGENT_TAKEN;
 }
 
-static void
-answer_list (world_t *world, const flight_t *flight)
-{
-  fake_executor_t *fake = &world->fake;
-  gp_agent_row_t *rows = g_new (gp_agent_row_t, fake->runs->len);
-  Gp__Jobs__End *ends = g_new (Gp__Jobs__End, fake->ends->len);
-
-  for (guint i = 0; i < fake->runs->len; i++)
-    {
-      const fake_run_t *run = &g_array_index (fake->runs, fake_run_t, i);
-
-      rows[i] = (gp_agent_row_t){ run->task, run->run, 100 };
-    }
-  for (guint i = 0; i < fake->ends->len; i++)
-    ends[i] = *(Gp__Jobs__End *)g_ptr_array_index (fake->ends, i);
-  gp_agent_listed (&world->agent, rows, fake->runs->len, ends, fake->ends->len,
-                   fake_executor_clock (fake, world->now), flight->sent_at,
-                   world->now);
-  g_free (rows);
-  g_free (ends);
-}
-
 static void
 answer (world_t *world, const flight_t *flight, gp_agent_result_t result)
 {
@@ -132,7 +110,8 @@
     }
   world->listing = false;
   if (result == GP_AGENT_TAKEN)
-    answer_list (world, flight);
+    fake_executor_list (&world->fake, &world->agent, flight->sent_at,
+                        world->now);
   else
     gp_agent_list_refused (&world->agent, result, clock, world->now);
 }
--- a/tests/unit/test_alone.c
+++ b/tests/unit/test_alone.c
@@ -119,6 +119,19 @@
           row.unanswered ? "may have begun" : "", row.alone ? ", alone" : "");
 }
 
+/* A start of OTHER is not answered, and SUSPECT is ordered behind it.  */
+static void
+leave_unanswered (guard_t *guard)
+{
+  begin (guard);
+  list (guard, NULL, NULL);
+  order (guard, OTHER, false);
+  call (guard, GP_AGENT_UNANSWERED);
+  order (guard, SUSPECT, true);
+  guard->now += 150 * GP_MSEC;
+  call (guard, GP_AGENT_TAKEN);
+}
+
 /* What the soak and the scripts of late orders saw.  */
 static void
 test_unanswered_beside (void)
@@ -126,13 +139,7 @@
   guard_t guard;
 
   printf ("a start that was not answered is void before a suspect begins\n");
-  begin (&guard);
-  list (&guard, NULL, NULL);
-  order (&guard, OTHER, false);
-  call (&guard, GP_AGENT_UNANSWERED);
-  order (&guard, SUSPECT, true);
-  guard.now += 150 * GP_MSEC;
-  call (&guard, GP_AGENT_TAKEN);
+  leave_unanswered (&guard);
   list (&guard, NULL, NULL);
   call (&guard, GP_AGENT_TAKEN);
   guard.now += 10 * GP_MSEC;
@@ -141,13 +148,7 @@
   show_suspect (&guard, OTHER);
   gp_agent_finish (&guard.agent);
   printf ("it was carried out before: the suspect waits until it has begun\n");
-  begin (&guard);
-  list (&guard, NULL, NULL);
-  order (&guard, OTHER, false);
-  call (&guard, GP_AGENT_UNANSWERED);
-  order (&guard, SUSPECT, true);
-  guard.now += 150 * GP_MSEC;
-  call (&guard, GP_AGENT_TAKEN);
+  leave_unanswered (&guard);
   list (&guard, OTHER, NULL);
   call (&guard, GP_AGENT_TAKEN);
   guard.now += GP_SUSPICION_BEGIN_TIME;
--- a/tests/unit/test_lives_random.c
+++ b/tests/unit/test_lives_random.c
@@ -135,28 +135,6 @@
   return result;
 }
 
-static void
-take_list (world_t *world, gp_time_t sent_at)
-{
-  fake_executor_t *fake = &world->fake;
-  gp_agent_row_t *rows = g_new (gp_agent_row_t, fake->runs->len);
-  Gp__Jobs__End *ends = g_new (Gp__Jobs__End, fake->ends->len);
-
-  for (guint i = 0; i < fake->runs->len; i++)
-    {
-      const fake_run_t *run = &g_array_index (fake->runs, fake_run_t, i);
-
-      rows[i] = (gp_agent_row_t){ run->task, run->run, 100 };
-    }
-  for (guint i = 0; i < fake->ends->len; i++)
-    ends[i] = *(Gp__Jobs__End *)g_ptr_array_index (fake->ends, i);
-  gp_agent_listed (&world->agent, rows, fake->runs->len, ends, fake->ends->len,
-                   fake_executor_clock (fake, world->now), sent_at,
-                   world->now);
-  g_free (rows);
-  g_free (ends);
-}
-
 /* The answer to a question who is there, as in jobsd/guard_beats.c.  */
 static void
 answer_question (world_t *world, const flight_t *flight,
@@ -171,7 +149,8 @@
   gp_agent_set_executor (&world->agent, agent_life_new (ID, world->born_ms),
                          fake_executor_clock (&world->fake, world->now),
                          world->now);
-  take_list (world, flight->sent_at);
+  fake_executor_list (&world->fake, &world->agent, flight->sent_at,
+                      world->now);
 }
 
 static void
@@ -198,7 +177,8 @@
   else if (result != GP_AGENT_TAKEN)
     gp_agent_list_refused (&world->agent, result, clock, world->now);
   else if (world->agent.executor->born_ms == world->born_ms)
-    take_list (world, flight->sent_at);
+    fake_executor_list (&world->fake, &world->agent, flight->sent_at,
+                        world->now);
   else
     gp_agent_list_refused (&world->agent, GP_AGENT_NOBODY, -1, world->now);
 }
