run.lost tells whether the guard named the run, and its greatest age

Cause: a run that went with its executor and was not counted (suspect 0, told 1, fresh, just and unanswered 0) looked the same in the log whether its guard had named no such run or had named it and taken it for one that had begun earlier; and age_ms is the least age only. In the logs of late_starts with six starts these two could be told apart only by the times of other lines.

Change: TaskRun.max_age_ms, the age by the earliest moment at which the run may have begun; run.lost has it and `named`. Only in reports on executors that are down.

Evidence: test_late_random's histories print both. No decision reads them.

--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -75,15 +75,15 @@
   return agent->answered_at - latest < GP_SUSPICION_FRESH_TIME;
 }
 
-/* Returns for how many milliseconds at least a run that began at LATEST or
-   before had been running when the executor was last known to be up, 0: not
-   known.  */
+/* Returns for how many milliseconds a run that began at BEGAN_AT had been
+   running when the executor was last known to be up, 0: not known.  */
 static uint32_t
-age_ms (const gp_agent_t *agent, gp_time_t latest)
+age_ms (const gp_agent_t *agent, gp_time_t began_at)
 {
   gp_time_t up = MAX (agent->answered_at, agent->earliest_end_at);
 
-  return latest != 0 && up > latest ? (uint32_t)((up - latest) / GP_MSEC) : 0;
+  return began_at != 0 && up > began_at ? (uint32_t)((up - began_at) / GP_MSEC)
+                                        : 0;
 }
 
 static bool
@@ -131,6 +131,7 @@
   row->fresh = is_fresh (agent, run);
   row->just = had_just_begun (agent, run);
   row->age_ms = age_ms (agent, run->began_at);
+  row->max_age_ms = age_ms (agent, earliest_beginning (run));
   row->unanswered = is_uncertain (agent, run);
   row->timed = agent->earliest_end_at != 0;
   row->alone = run->start != NULL && run->start->alone;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -87,9 +87,10 @@
   bool suspect;    /* its guard reported the run as a suspect ... */
   bool fresh;      /* ... that had started recently ... */
   bool just;       /* ... or immediately before the crash ... */
-  uint32_t age_ms; /* ... by this time, 0: unknown ... */
-  bool unanswered; /* ... or may have at any time */
-  bool timed;      /* known from when its executor ended, not from its lists */
+  uint32_t age_ms; /* ... at least this long before, 0: unknown ... */
+  uint32_t max_age_ms; /* ... and at most this long, 0: unknown ... */
+  bool unanswered;     /* ... or may have at any time */
+  bool timed; /* known from when its executor ended, not from its lists */
   gp_job_executor_t *executor; /* while assigned or stopping */
   gp_list_t on_executor;       /* in gp_job_executor_t.tasks */
   char *checkpoint;            /* NULL: none */
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -136,9 +136,10 @@
       GP_LOG_I ("crashes", task->crashes),
       GP_LOG_I ("evidence", task->evidence),
       GP_LOG_I ("told", executor->suspects_reported),
-      GP_LOG_I ("fresh", task->fresh), GP_LOG_I ("just", task->just),
-      GP_LOG_I ("unanswered", task->unanswered),
+      GP_LOG_I ("named", task->suspect), GP_LOG_I ("fresh", task->fresh),
+      GP_LOG_I ("just", task->just), GP_LOG_I ("unanswered", task->unanswered),
       GP_LOG_I ("alone", task->alone), GP_LOG_I ("age_ms", task->age_ms),
+      GP_LOG_I ("max_age_ms", task->max_age_ms),
       GP_LOG_S ("suspects", suspects),
       GP_LOG_S ("beside", inconclusive_jobs != NULL ? inconclusive_jobs : ""),
       GP_LOG_I ("assigned_ms_ago", ms_ago (task->ordered_at, now)),
@@ -312,6 +313,7 @@
       task->fresh = runs[i]->fresh;
       task->just = runs[i]->just;
       task->age_ms = runs[i]->age_ms;
+      task->max_age_ms = runs[i]->max_age_ms;
       task->unanswered = runs[i]->unanswered;
       task->timed = runs[i]->timed;
       task->alone = task->alone || runs[i]->alone;
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -154,6 +154,7 @@
   task->fresh = false;
   task->just = false;
   task->age_ms = 0;
+  task->max_age_ms = 0;
   task->unanswered = false;
   task->timed = false;
 }
