Guard: a run whose start was made again may have begun just now

Cause: since a run has an earliest and a latest moment at which it may have begun. Where a start went unanswered and is made again, the first one may be the one that was carried out, so the earliest is old and the latest, the answer or the list, recent. Such a run was told neither as one that had just begun (the earliest is over 100 or 500 ms old) nor as one that may have begun at any time (the earliest is known): fresh, just and unanswered 0. So its end did not count, and its next start was made at once and beside others.

Change: a run that is not fresh and whose latest moment is recent is told as `unanswered`, whatever the earliest is. Why it works: such an end counts as a crash, so the next start is isolated; it is no evidence by itself, but where the run was isolated, and makes no other job's end conclusive. A run that was taken over 100 ms before a known end is not told (case "150 ms later").

Ruled out: that the isolation timeout is the cause.

test_late_random and test_honest_random keep their histories but for the decisions; the world's new faults draw nothing where they are off.

--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -113,15 +113,16 @@
          && agent->answered_at - earliest < GP_SUSPICION_FRESH_TIME;
 }
 
-/* Returns whether it is unknown if RUN has begun recently: a delayed start may
-   arrive at any time, and a run that an earlier guard process has started may
-   have begun at any time before this one knew of it.  */
+/* Returns whether it is unknown if RUN has begun recently: its start was not
+   answered, or of the moments at which it may have begun, only the last ones
+   are recent, as an earlier start went unanswered that may be the one that was
+   carried out.  */
 static bool
 is_uncertain (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
   if (start_is_unconfirmed (run))
     return !had_just_begun (agent, run);
-  return earliest_beginning (run) == 0 && may_be_recent (agent, run->began_at);
+  return !is_fresh (agent, run) && may_be_recent (agent, run->began_at);
 }
 
 void
--- a/tests/unit/late_world.c
+++ b/tests/unit/late_world.c
@@ -18,6 +18,14 @@
 #define MIN_RUN_AGE (150 * GP_MSEC)
 /* Each executor crashes by itself about once in 10 s.  */
 #define CRASH_CHANCE 0.002
+/* The task of LATE_CRASHING_JOB that crashes its executors.  */
+#define LATE_CRASHING_TASK LATE_CRASHING_JOB ".0.0.0"
+/* So many starts of a run are put off for so long: until the run is there.  */
+#define STARTS_PUT_OFF 2
+#define PUT_OFF_TIME (4 * GP_SEC)
+/* Chance that a job is submitted in a step.  */
+#define JOB_CHANCE 0.06
+#define JOB_CHANCE_BUSY 0.4
 
 /* A call in progress: carried out at DUE, answered unless LOST.  */
 typedef struct
@@ -143,7 +151,7 @@
       && late_random_chance (world->random, 0.5))
     worker->guard_kill_at
         = world->site.now + g_rand_int_range (world->random, 0, 100) * GP_MSEC;
-  if (!g_str_has_prefix (name, LATE_CRASHING_JOB ".0.0.0"))
+  if (!g_str_has_prefix (name, LATE_CRASHING_TASK))
     return;
   world->starts++;
   worker->crash_at = world->site.now + CRASH_TIME;
@@ -192,10 +200,37 @@
 
 /* Calls.  */
 
+/* Returns how many starts of this run the executor still has to carry out.  */
+static unsigned
+count_pending_starts (const late_worker_t *worker, const call_t *start)
+{
+  unsigned count = 0;
+
+  for (guint i = 0; i < worker->calls->len; i++)
+    {
+      const call_t *call = &g_array_index (worker->calls, call_t, i);
+
+      count += call->kind == GP_AGENT_CALL_START && call->run == start->run
+               && strcmp (call->name, start->name) == 0;
+    }
+  return count;
+}
+
+/* Returns whether the executor puts off START without an answer.  */
+static bool
+puts_off (const late_world_t *world, const late_worker_t *worker,
+          const call_t *start)
+{
+  return world->puts_off_culprit
+         && g_str_has_prefix (start->name, LATE_CRASHING_TASK)
+         && count_pending_starts (worker, start) < STARTS_PUT_OFF;
+}
+
 static call_t *
 send_call (late_world_t *world, late_worker_t *worker,
-           gp_agent_call_kind_t kind)
+           const gp_agent_call_t *next)
 {
+  gp_agent_call_kind_t kind = next->kind;
   GRand *random = world->random;
   gp_time_t now = world->site.now;
   call_t call = { .kind = kind,
@@ -204,6 +239,12 @@
                   .due = now + 5 * GP_MSEC,
                   .times_out_at = now + CALL_TIMEOUT };
 
+  if (next->run != NULL)
+    {
+      g_strlcpy (call.name, next->run->name, sizeof call.name);
+      call.run = next->run->run;
+      call.lease_ms = next->lease_ms;
+    }
   if (kind == GP_AGENT_CALL_NONE)
     call.due = now + g_rand_int_range (random, 1, 250) * GP_MSEC;
   if (kind == GP_AGENT_CALL_START && now < worker->starts_late_until
@@ -212,6 +253,11 @@
       call.lost = true;
       call.due = now + g_rand_int_range (random, 100, 4500) * GP_MSEC;
     }
+  if (kind == GP_AGENT_CALL_START && puts_off (world, worker, &call))
+    {
+      call.lost = true;
+      call.due = now + PUT_OFF_TIME;
+    }
   g_array_append_val (worker->calls, call);
   return &g_array_index (worker->calls, call_t, worker->calls->len - 1);
 }
@@ -284,16 +330,11 @@
   while ((next = gp_agent_next_call (&worker->agent, world->site.now, &again))
              .kind
          != GP_AGENT_CALL_NONE)
-    {
-      call = send_call (world, worker, next.kind);
-      g_strlcpy (call->name, next.run->name, sizeof call->name);
-      call->run = next.run->run;
-      call->lease_ms = next.lease_ms;
-    }
+    send_call (world, worker, &next);
   if (worker->listing)
     return;
   worker->listing = true;
-  call = send_call (world, worker, GP_AGENT_CALL_NONE);
+  call = send_call (world, worker, &next);
   call->confirmed = gp_agent_list_confirmed (&worker->agent, world->site.now);
   call->lease_ms = gp_agent_list_lease (&worker->agent, world->site.now);
   if (gp_agent_has_isolated_run (&worker->agent))
@@ -422,12 +463,19 @@
     late_leader_report (world, worker);
 }
 
+static double
+job_chance (const late_world_t *world)
+{
+  return world->faults & LATE_BUSY ? JOB_CHANCE_BUSY : JOB_CHANCE;
+}
+
 void
 late_world_run (late_world_t *world, gp_time_t duration, bool faulty)
 {
   gp_time_t until = world->site.now + duration;
   char id[GP_JOB_ID_SIZE + 1];
 
+  world->puts_off_culprit = faulty && (world->faults & LATE_CULPRIT);
   while (world->site.now < until)
     {
       world->site.now += STEP;
@@ -438,7 +486,7 @@
       if (faulty && (world->faults & LATE_LEADERS)
           && late_random_chance (world->random, 0.003))
         late_leader_change (world);
-      if (late_random_chance (world->random, 0.06))
+      if (late_random_chance (world->random, job_chance (world)))
         {
           g_snprintf (id, sizeof id, "%016x", 0x1000 + ++world->jobs);
           late_leader_submit (world, id, 3, false);
--- a/tests/unit/late_world.h
+++ b/tests/unit/late_world.h
@@ -21,7 +21,10 @@
   LATE_CRASHES = 16, /* executors crash by themselves, when nothing on them has
                         just begun */
   LATE_GUARDS_AT_STARTS = 32, /* guards are killed just after starts */
-  LATE_NO_CULPRIT = 64        /* no task crashes its executors */
+  LATE_NO_CULPRIT = 64,       /* no task crashes its executors */
+  LATE_CULPRIT = 128, /* the first starts of each run of the crashing task are
+                         not answered, and the run begins with the next one */
+  LATE_BUSY = 256     /* starts of others follow each other closely */
 } late_fault_t;
 
 typedef struct
@@ -68,6 +71,8 @@
   gp_time_t append_at; /* when the append completes, GP_TIME_NEVER: none is in
                           progress */
   uint64_t sync_count;
+  bool puts_off_culprit; /* the first starts of each run of the crashing task
+                            are put off now */
   late_worker_t workers[LATE_WORKERS];
   unsigned jobs;
   unsigned starts;        /* of the task that crashes executors */
