Leader: a run whose start was not confirmed has not settled

Cause: where nobody tells what had begun, the leader takes a run for settled that it ordered over a second before its executor's last report. The order is not the beginning: a start may go unanswered for seconds, and a guard that is killed between the order and the start is followed by one that knows nothing of the run until the next sync, 2 s later. The run begins then, takes executor and guard down 10 ms after, and its end does not count at all (suspect 0).

Change: reports name the runs that are to be started and not known to have begun (Report.unconfirmed); a guard that is not synced reports its whole list already. The leader counts a run as observed from the last report by which it may not have begun. Why it works: such an end counts as a crash, so the next start is isolated, and an end of that is evidence even if nobody tells of it. It is no evidence by itself.

Ruled out: the executor's time on the leader's clock (assigned_at), which decides where to isolate only. Not covered: an order that is on its way to its guard for over a second while reports arrive.

--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -326,6 +326,8 @@
 void gp_agent_describe_suspect (const gp_agent_t *agent,
                                 const gp_agent_run_t *run,
                                 Gp__Jobs__TaskRun *row);
+/* Returns whether RUN is to be started and not known to have begun.  */
+bool gp_agent_is_unconfirmed (const gp_agent_run_t *run);
 /* Returns whether to report to the leader now that RUN, which it watches, has
    settled.  It counts as reported from then on.  */
 bool gp_agent_report_settled (gp_agent_run_t *run);
--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -186,6 +186,12 @@
   return may_have_begun (agent, run) && !gp_agent_has_settled (run);
 }
 
+bool
+gp_agent_is_unconfirmed (const gp_agent_run_t *run)
+{
+  return run->phase == GP_RUN_STARTING && run->began_at == 0;
+}
+
 bool
 gp_agent_report_settled (gp_agent_run_t *run)
 {
--- a/src/jobs/frames.c
+++ b/src/jobs/frames.c
@@ -274,6 +274,8 @@
   remove_invalid (report->ends, &report->n_ends, check_end, "ends", refused);
   remove_invalid (report->absent, &report->n_absent, check_run, "absent",
                   refused);
+  remove_invalid (report->unconfirmed, &report->n_unconfirmed, check_run,
+                  "unconfirmed", refused);
   remove_invalid (report->carried, &report->n_carried, check_run, "carried",
                   refused);
   remove_invalid (report->settled, &report->n_settled, check_run, "settled",
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -94,6 +94,20 @@
                                 gp_job_executor_t *executor,
                                 Gp__Jobs__TaskRun *const *runs, size_t count);
 
+/* EXECUTOR's guard reports at NOW that the COUNT RUNS there are not known to
+   have begun.  */
+void gp_scheduler_note_unconfirmed (gp_scheduler_t *scheduler,
+                                    const gp_job_executor_t *executor,
+                                    Gp__Jobs__TaskRun *const *runs,
+                                    size_t count, gp_time_t now);
+
+/* EXECUTOR's guard reports at NOW, without knowing what is to run there, that
+   the COUNT RUNS are running.  The others may be started later, once it
+   knows.  */
+void gp_scheduler_note_unsynced (const gp_job_executor_t *executor,
+                                 Gp__Jobs__TaskRun *const *runs, size_t count,
+                                 gp_time_t now);
+
 /* EXECUTOR's guard reports that of all runs there the COUNT RUNS, and no
    others, may have crashed it.  */
 void gp_scheduler_note_suspects (gp_scheduler_t *scheduler,
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -270,6 +270,49 @@
     }
 }
 
+void
+gp_scheduler_note_unconfirmed (gp_scheduler_t *scheduler,
+                               const gp_job_executor_t *executor,
+                               Gp__Jobs__TaskRun *const *runs, size_t count,
+                               gp_time_t now)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      gp_job_task_t *task = task_of_run (scheduler, executor, runs[i]);
+
+      if (task != NULL)
+        task->unconfirmed_at = now;
+    }
+}
+
+/* Returns whether the current run of TASK is one of the COUNT RUNS.  */
+static bool
+is_current_run_of (const gp_job_task_t *task, Gp__Jobs__TaskRun *const *runs,
+                   size_t count)
+{
+  char name[GP_TASK_NAME_SIZE];
+
+  gp_task_name (task, name);
+  for (size_t i = 0; i < count; i++)
+    if (runs[i]->run == task->run && strcmp (runs[i]->task, name) == 0)
+      return true;
+  return false;
+}
+
+void
+gp_scheduler_note_unsynced (const gp_job_executor_t *executor,
+                            Gp__Jobs__TaskRun *const *runs, size_t count,
+                            gp_time_t now)
+{
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    if (!is_current_run_of (task, runs, count))
+      task->unconfirmed_at = now;
+  }
+}
+
 void
 gp_scheduler_clear_suspects (gp_job_executor_t *executor)
 {
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -16,14 +16,15 @@
 
 /* Returns the minimum time for which this process knows the run of TASK to
    have been present.  A run assigned by a previous leader counts from the
-   first report about its executor.  */
+   first report about its executor.  A start may go unanswered, or wait for the
+   next guard process to be synced, long after its order.  */
 static gp_time_t
 observed_time (const gp_job_task_t *task)
 {
   const gp_job_executor_t *executor = task->executor;
+  gp_time_t ordered_at = MAX (task->ordered_at, executor->reported_since);
 
-  return executor->reported_at
-         - MAX (task->ordered_at, executor->reported_since);
+  return executor->reported_at - MAX (ordered_at, task->unconfirmed_at);
 }
 
 bool
@@ -166,6 +167,7 @@
   task->settled = false;
   task->alone = false;
   task->may_start_late = false;
+  task->unconfirmed_at = 0;
 }
 
 /* Returns whether TASK has to be started in isolation.  A task with a single
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -51,7 +51,8 @@
 }
 
 static void
-report_runs (const gp_agent_t *agent, Gp__Jobs__Report *report, GArray *absent)
+report_runs (const gp_agent_t *agent, Gp__Jobs__Report *report, GArray *absent,
+             GArray *unconfirmed)
 {
   GHashTableIter iter;
   gpointer value;
@@ -63,9 +64,13 @@
 
       if (run->phase == GP_RUN_ABSENT)
         add_run (absent, run);
+      if (gp_agent_is_unconfirmed (run))
+        add_run (unconfirmed, run);
     }
   report->absent = gp_frame_row_pointers (absent);
   report->n_absent = absent->len;
+  report->unconfirmed = gp_frame_row_pointers (unconfirmed);
+  report->n_unconfirmed = unconfirmed->len;
 }
 
 static bool
@@ -315,6 +320,7 @@
   Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
   GPtrArray *lacking;
   GArray *absent;
+  GArray *unconfirmed;
   GArray *settled;
   GArray *suspects;
   GArray *servings;
@@ -327,6 +333,7 @@
     return;
   lacking = g_ptr_array_new_with_free_func (g_free);
   absent = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
+  unconfirmed = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   settled = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   suspects = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   servings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Serving));
@@ -362,7 +369,7 @@
   gp_agent_missing_specs (agent, lacking);
   report.lacking = (char **)lacking->pdata;
   report.n_lacking = lacking->len;
-  report_runs (agent, &report, absent);
+  report_runs (agent, &report, absent, unconfirmed);
   report_carried (agent, &report, carried);
   report_suspects (agent, &report, settled, suspects);
   report_measurements (guard, &report, servings, fillings);
@@ -371,6 +378,7 @@
   gp_agent_reported (agent, report.sent_at);
   gp_frame_send (guard->leader, &frame);
   g_free (report.absent);
+  g_free (report.unconfirmed);
   g_free (report.settled);
   g_free (report.suspects);
   g_free (report.servings);
@@ -378,6 +386,7 @@
   g_free (report.carried);
   g_ptr_array_unref (lacking);
   g_array_free (absent, TRUE);
+  g_array_free (unconfirmed, TRUE);
   g_array_free (settled, TRUE);
   g_array_free (suspects, TRUE);
   g_array_free (servings, TRUE);
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -212,6 +212,12 @@
                              now);
   gp_scheduler_note_settled (&leader->scheduler, executor, report->settled,
                              report->n_settled);
+  gp_scheduler_note_unconfirmed (&leader->scheduler, executor,
+                                 report->unconfirmed, report->n_unconfirmed,
+                                 now);
+  if (report->synced == 0)
+    gp_scheduler_note_unsynced (executor, report->carried, report->n_carried,
+                                now);
   if (report->ended && !executor->dead)
     gp_leader_declare_dead (leader, executor, GP_DEATH_DEREGISTERED);
   if (report->keeps_alone)
--- a/tests/unit/late_world.c
+++ b/tests/unit/late_world.c
@@ -22,6 +22,7 @@
 #define LATE_CRASHING_TASK LATE_CRASHING_JOB ".0.0.0"
 /* So many starts of a run are put off for so long: until the run is there.  */
 #define STARTS_PUT_OFF 2
+#define STARTS_PUT_OFF_LONG 4
 #define PUT_OFF_TIME (4 * GP_SEC)
 /* Chance that a job is submitted in a step.  */
 #define JOB_CHANCE 0.06
@@ -127,7 +128,9 @@
   if (late_worker_has_guard (world, worker))
     gp_agent_list_failed (&worker->agent, GP_AGENT_DISCONNECTED, -1,
                           world->site.now);
-  if ((world->faults & LATE_GUARDS) && late_random_chance (world->random, 0.5))
+  if ((world->faults & LATE_GUARDS_AT_CRASHES)
+      || ((world->faults & LATE_GUARDS)
+          && late_random_chance (world->random, 0.5)))
     kill_guard (world, worker);
   if (world->faults & LATE_STARTS)
     for (unsigned i = 0; i < LATE_WORKERS; i++)
@@ -216,14 +219,24 @@
   return count;
 }
 
+/* Returns how many starts of each run of the crashing task are put off.  */
+static unsigned
+starts_to_put_off (const late_world_t *world, bool faulty)
+{
+  if (!faulty)
+    return 0;
+  if (world->faults & LATE_CULPRIT_LONG)
+    return STARTS_PUT_OFF_LONG;
+  return world->faults & LATE_CULPRIT ? STARTS_PUT_OFF : 0;
+}
+
 /* Returns whether the executor puts off START without an answer.  */
 static bool
 puts_off (const late_world_t *world, const late_worker_t *worker,
           const call_t *start)
 {
-  return world->puts_off_culprit
-         && g_str_has_prefix (start->name, LATE_CRASHING_TASK)
-         && count_pending_starts (worker, start) < STARTS_PUT_OFF;
+  return g_str_has_prefix (start->name, LATE_CRASHING_TASK)
+         && count_pending_starts (worker, start) < world->starts_put_off;
 }
 
 static call_t *
@@ -475,7 +488,7 @@
   gp_time_t until = world->site.now + duration;
   char id[GP_JOB_ID_SIZE + 1];
 
-  world->puts_off_culprit = faulty && (world->faults & LATE_CULPRIT);
+  world->starts_put_off = starts_to_put_off (world, faulty);
   while (world->site.now < until)
     {
       world->site.now += STEP;
--- a/tests/unit/late_world.h
+++ b/tests/unit/late_world.h
@@ -24,7 +24,9 @@
   LATE_NO_CULPRIT = 64,       /* no task crashes its executors */
   LATE_CULPRIT = 128, /* the first starts of each run of the crashing task are
                          not answered, and the run begins with the next one */
-  LATE_BUSY = 256     /* starts of others follow each other closely */
+  LATE_BUSY = 256,    /* starts of others follow each other closely */
+  LATE_CULPRIT_LONG = 512,      /* like LATE_CULPRIT, for over a second */
+  LATE_GUARDS_AT_CRASHES = 1024 /* guards are killed with their executors */
 } late_fault_t;
 
 typedef struct
@@ -71,8 +73,8 @@
   gp_time_t append_at; /* when the append completes, GP_TIME_NEVER: none is in
                           progress */
   uint64_t sync_count;
-  bool puts_off_culprit; /* the first starts of each run of the crashing task
-                            are put off now */
+  unsigned starts_put_off; /* so many starts of each run of the crashing task
+                              are put off now */
   late_worker_t workers[LATE_WORKERS];
   unsigned jobs;
   unsigned starts;        /* of the task that crashes executors */
--- a/tests/unit/late_world_leader.c
+++ b/tests/unit/late_world_leader.c
@@ -246,9 +246,44 @@
                                  world->site.now);
       if (gp_agent_report_settled (run))
         gp_scheduler_note_settled (scheduler, worker->executor, &rows, 1);
+      if (gp_agent_is_unconfirmed (run))
+        gp_scheduler_note_unconfirmed (scheduler, worker->executor, &rows, 1,
+                                       world->site.now);
     }
 }
 
+/* A guard that is not synced reports all runs on its list.  */
+static void
+report_unsynced (late_world_t *world, const late_worker_t *worker)
+{
+  const gp_agent_t *agent = &worker->agent;
+  GPtrArray *rows = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_agent_run_t *run = value;
+      Gp__Jobs__TaskRun *row = g_new (Gp__Jobs__TaskRun, 1);
+
+      gp__jobs__task_run__init (row);
+      row->task = run->name;
+      row->run = run->run;
+      if (run->listed)
+        g_ptr_array_add (rows, row);
+      else
+        g_free (row);
+    }
+  for (guint i = 0; i < agent->carried->len; i++)
+    g_ptr_array_add (rows, g_memdup2 (g_ptr_array_index (agent->carried, i),
+                                      sizeof (Gp__Jobs__TaskRun)));
+  gp_scheduler_note_unsynced (worker->executor,
+                              (Gp__Jobs__TaskRun **)rows->pdata, rows->len,
+                              world->site.now);
+  g_ptr_array_unref (rows);
+}
+
 /* Handles a report that names another executor than the known one.  */
 static void
 replace_executor (late_world_t *world, late_worker_t *worker)
@@ -298,6 +333,8 @@
                             g_ptr_array_index (agent->ends, i), now,
                             now / GP_MSEC);
   report_runs (world, worker);
+  if (agent->synced == 0)
+    report_unsynced (world, worker);
   if (gp_agent_has_isolated_run (agent))
     gp_suspicion_extend_dedication (executor, now);
   if (executor->suspects_reported)
--- a/tests/unit/record_cases.c
+++ b/tests/unit/record_cases.c
@@ -508,6 +508,11 @@
   r.message.predecessor = &r.predecessor;
   r.absent.run = 0;
   add_report (cases, "a suspect of run 0", &r);
+  r.message.n_absent = 0;
+  r.message.unconfirmed = r.absents;
+  r.message.n_unconfirmed = 1;
+  r.absent.task = long_name;
+  add_report (cases, "an unconfirmed run with a very long name", &r);
 }
 
 static void
--- a/tests/unit/test_late_repeats.c
+++ b/tests/unit/test_late_repeats.c
@@ -1,10 +1,10 @@
 /* Random histories in virtual time in which the starts of a task that crashes
-   its executors go unanswered twice before the run begins, while other runs
-   begin beside it all the time.
+   its executors go unanswered several times before the run begins.
 
-   Guards against starting such a task six times or more: its run had begun
-   just before the crash, but as its first start was old, it counted neither as
-   one that had just begun nor as one that may have.  */
+   Guards against starting such a task six times or more.  Its run had begun
+   just before the crash, but as its first start was old, its guard told it
+   neither as one that had just begun nor as one that may have; and if the
+   guard was lost as well, the leader took the run for settled.  */
 
 #include "late_world.h"
 #include "runner.h"
@@ -67,12 +67,22 @@
   play_seeds (LATE_CULPRIT | LATE_BUSY);
 }
 
+/* No guard is left to tell when a run had begun, and the leader may not take
+   it for settled because its order is old.  */
+static void
+test_guards (void)
+{
+  play_seeds (LATE_CULPRIT_LONG | LATE_GUARDS_AT_CRASHES);
+}
+
 /* usage: test_late_repeats [FIRST SEEDS]  */
 int
 main (int argc, char **argv)
 {
-  static CU_TestInfo tests[]
-      = { { "quiet", test_quiet }, { "busy", test_busy }, CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = { { "quiet", test_quiet },
+                                 { "busy", test_busy },
+                                 { "guards", test_guards },
+                                 CU_TEST_INFO_NULL };
 
   if (argc == 3)
     {
