--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -43,6 +43,7 @@
   gp_quarantine_init (&scheduler->quarantine);
   gp_histogram_register (&placed_time);
   gp_scheduler_register_losses ();
+  gp_scheduler_register_reports ();
   gp_placer_register_waits ();
   scheduler->next_due = GP_TIME_NEVER;
   scheduler->process_started_at = 0;
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -32,8 +32,6 @@
     "runs_lost_beside_total",
     "Of these, runs of others on executors that a task has taken down, by "
     "what had just begun there");
-static gp_counter_t stray_runs_count = GP_COUNTER (
-    "runs_stray_total", "Runs at work that are not wanted where they are");
 static gp_counter_t given_up_count = GP_COUNTER (
     "tasks_given_up_total", "Tasks that have taken their executors down");
 /* Dead executors, indexed by gp_death_t.  */
@@ -59,7 +57,6 @@
   gp_counter_register (&suspect_runs_count);
   gp_counter_register (&bystander_runs_count);
   gp_counter_register (&given_up_count);
-  gp_counter_register (&stray_runs_count);
   for (size_t i = 0; i < G_N_ELEMENTS (dead_counts); i++)
     gp_counter_register (&dead_counts[i]);
 }
@@ -192,177 +189,6 @@
   gp_scheduler_end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
 }
 
-/* Returns the task whose current run on EXECUTOR is RUN, or NULL.  */
-static gp_job_task_t *
-task_of_run (gp_scheduler_t *scheduler, const gp_job_executor_t *executor,
-             const Gp__Jobs__TaskRun *run)
-{
-  gp_job_task_t *task = gp_book_task (scheduler->book, run->task);
-
-  if (task == NULL || task->executor != executor || task->run != run->run)
-    return NULL;
-  return task;
-}
-
-void
-gp_scheduler_move_run (gp_scheduler_t *scheduler, gp_job_executor_t *before,
-                       gp_job_executor_t *next, const char *name, uint32_t run)
-{
-  const Gp__Jobs__TaskRun row = { .task = (char *)name, .run = run };
-  gp_job_task_t *task = task_of_run (scheduler, before, &row);
-
-  if (task == NULL)
-    return;
-  gp_log (GP_LOG_INFO, "run.carried", GP_LOG_S ("task", name),
-          GP_LOG_I ("run", run), GP_LOG_S ("executor", next->id),
-          GP_LOG_I ("born_ms", next->born_ms));
-  gp_job_executor_remove (before, task);
-  gp_job_executor_add (next, task);
-}
-
-static void
-record_stray (gp_job_executor_t *executor, gp_job_task_t *task,
-              const Gp__Jobs__TaskRun *run)
-{
-  bool known = task->stray_on == executor
-               && task->stray_report + 1 == executor->reports;
-
-  task->stray_on = executor;
-  task->stray_report = executor->reports;
-  if (known || gp_job_ended (task->job))
-    return;
-  gp_counter_add (&stray_runs_count, 1);
-  gp_log (
-      GP_LOG_INFO, "run.stray", GP_LOG_S ("task", run->task),
-      GP_LOG_I ("run", run->run), GP_LOG_I ("last_run", task->run),
-      GP_LOG_S ("executor", executor->id),
-      GP_LOG_I ("born_ms", executor->born_ms),
-      GP_LOG_S ("task_on", task->executor != NULL ? task->executor->id : ""));
-}
-
-void
-gp_scheduler_note_strays (gp_scheduler_t *scheduler,
-                          gp_job_executor_t *executor,
-                          Gp__Jobs__TaskRun *const *runs, size_t count)
-{
-  executor->reports++;
-  for (size_t i = 0; i < count; i++)
-    {
-      gp_job_task_t *task = gp_book_task (scheduler->book, runs[i]->task);
-
-      if (task != NULL
-          && (task->executor != executor || task->run != runs[i]->run))
-        record_stray (executor, task, runs[i]);
-    }
-}
-
-void
-gp_scheduler_note_settled (gp_scheduler_t *scheduler,
-                           gp_job_executor_t *executor,
-                           Gp__Jobs__TaskRun *const *runs, size_t count)
-{
-  for (size_t i = 0; i < count; i++)
-    {
-      gp_job_task_t *task = task_of_run (scheduler, executor, runs[i]);
-
-      if (task != NULL && gp_suspicion_clear (task))
-        gp_scheduler_mark_dirty (scheduler, task->job);
-    }
-}
-
-void
-gp_scheduler_note_unconfirmed (gp_scheduler_t *scheduler,
-                               const gp_job_executor_t *executor,
-                               Gp__Jobs__TaskRun *const *runs, size_t count,
-                               gp_time_t now)
-{
-  for (size_t i = 0; i < count; i++)
-    {
-      gp_job_task_t *task = task_of_run (scheduler, executor, runs[i]);
-
-      if (task != NULL)
-        task->unconfirmed_at = now;
-    }
-}
-
-/* Returns whether the current run of TASK is one of the COUNT RUNS.  */
-static bool
-is_current_run_of (const gp_job_task_t *task, Gp__Jobs__TaskRun *const *runs,
-                   size_t count)
-{
-  char name[GP_TASK_NAME_SIZE];
-
-  gp_task_name (task, name);
-  for (size_t i = 0; i < count; i++)
-    if (runs[i]->run == task->run && strcmp (runs[i]->task, name) == 0)
-      return true;
-  return false;
-}
-
-void
-gp_scheduler_note_unsynced (const gp_job_executor_t *executor,
-                            Gp__Jobs__TaskRun *const *runs, size_t count,
-                            gp_time_t now)
-{
-  GP_LIST_FOREACH (link, &executor->tasks)
-  {
-    gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
-
-    if (!is_current_run_of (task, runs, count))
-      task->unconfirmed_at = now;
-  }
-}
-
-void
-gp_scheduler_clear_suspects (gp_job_executor_t *executor)
-{
-  executor->suspects_reported = false;
-  GP_LIST_FOREACH (link, &executor->tasks)
-  {
-    gp_suspicion_discard_report (
-        GP_CONTAINER_OF (link, gp_job_task_t, on_executor));
-  }
-}
-
-void
-gp_scheduler_executor_up (gp_scheduler_t *scheduler,
-                          gp_job_executor_t *executor)
-{
-  executor->down = false;
-  executor->failure_counted = false;
-  GP_LIST_FOREACH (link, &executor->tasks)
-  {
-    const gp_job_task_t *task
-        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
-
-    if (!gp_job_ended (task->job) && gp_job_mark_started (task->job))
-      gp_scheduler_mark_dirty (scheduler, task->job);
-  }
-}
-
-void
-gp_scheduler_note_suspects (gp_scheduler_t *scheduler,
-                            gp_job_executor_t *executor,
-                            Gp__Jobs__TaskRun *const *runs, size_t count)
-{
-  executor->suspects_reported = true;
-  for (size_t i = 0; i < count; i++)
-    {
-      gp_job_task_t *task = task_of_run (scheduler, executor, runs[i]);
-
-      if (task == NULL)
-        continue;
-      task->suspect = true;
-      task->fresh = runs[i]->fresh;
-      task->just = runs[i]->just;
-      task->age_ms = runs[i]->age_ms;
-      task->max_age_ms = runs[i]->max_age_ms;
-      task->unanswered = runs[i]->unanswered;
-      task->timed = runs[i]->timed;
-      task->alone = task->alone || runs[i]->alone;
-    }
-}
-
 /* Returns whether a guard reported OTHER so long after EXECUTOR was last
    reported that the two were not lost together.  */
 static bool
--- a/src/jobs/scheduler_private.h
+++ b/src/jobs/scheduler_private.h
@@ -17,5 +17,7 @@
 
 /* Registers the counters of dead executors and lost runs.  */
 void gp_scheduler_register_losses (void);
+/* Registers the counter of stray runs.  */
+void gp_scheduler_register_reports (void);
 
 #endif
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -13,6 +13,19 @@
    from this time on, as reports are frequent.  */
 #define UNHEARD_MIN (GP_SEC)
 
+/* The rows to which a report points.  */
+typedef struct
+{
+  GPtrArray *lacking;
+  GArray *absent; /* Gp__Jobs__TaskRun, as those below */
+  GArray *unconfirmed;
+  GArray *carried;
+  GArray *settled;
+  GArray *suspects;
+  GArray *servings; /* Gp__Jobs__Serving */
+  GArray *fillings; /* Gp__Jobs__Filling */
+} report_rows_t;
+
 static gp_counter_t runs_gauge
     = GP_GAUGE ("guard_runs", "Runs that belong on the executor");
 
@@ -22,6 +35,40 @@
   gp_counter_register (&runs_gauge);
 }
 
+static void
+report_rows_init (report_rows_t *rows)
+{
+  rows->lacking = g_ptr_array_new_with_free_func (g_free);
+  rows->absent = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
+  rows->unconfirmed = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
+  rows->carried = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
+  rows->settled = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
+  rows->suspects = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
+  rows->servings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Serving));
+  rows->fillings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Filling));
+}
+
+/* Frees the rows and REPORT's arrays of pointers to them.  */
+static void
+report_rows_finish (report_rows_t *rows, Gp__Jobs__Report *report)
+{
+  g_free (report->absent);
+  g_free (report->unconfirmed);
+  g_free (report->carried);
+  g_free (report->settled);
+  g_free (report->suspects);
+  g_free (report->servings);
+  g_free (report->fillings);
+  g_ptr_array_unref (rows->lacking);
+  g_array_free (rows->absent, TRUE);
+  g_array_free (rows->unconfirmed, TRUE);
+  g_array_free (rows->carried, TRUE);
+  g_array_free (rows->settled, TRUE);
+  g_array_free (rows->suspects, TRUE);
+  g_array_free (rows->servings, TRUE);
+  g_array_free (rows->fillings, TRUE);
+}
+
 static Gp__Jobs__TaskRun
 row_of (const gp_agent_run_t *run)
 {
@@ -51,8 +98,8 @@
 }
 
 static void
-report_runs (const gp_agent_t *agent, Gp__Jobs__Report *report, GArray *absent,
-             GArray *unconfirmed)
+report_runs (const gp_agent_t *agent, Gp__Jobs__Report *report,
+             report_rows_t *rows)
 {
   GHashTableIter iter;
   gpointer value;
@@ -63,14 +110,14 @@
       const gp_agent_run_t *run = value;
 
       if (run->phase == GP_RUN_ABSENT)
-        add_run (absent, run);
+        add_run (rows->absent, run);
       if (gp_agent_is_unconfirmed (run))
-        add_run (unconfirmed, run);
+        add_run (rows->unconfirmed, run);
     }
-  report->absent = gp_frame_row_pointers (absent);
-  report->n_absent = absent->len;
-  report->unconfirmed = gp_frame_row_pointers (unconfirmed);
-  report->n_unconfirmed = unconfirmed->len;
+  report->absent = gp_frame_row_pointers (rows->absent);
+  report->n_absent = rows->absent->len;
+  report->unconfirmed = gp_frame_row_pointers (rows->unconfirmed);
+  report->n_unconfirmed = rows->unconfirmed->len;
 }
 
 static bool
@@ -310,6 +357,64 @@
   return unheard >= UNHEARD_MIN ? (uint32_t)(unheard / GP_MSEC) : 0;
 }
 
+/* Describes AGENT's executor in REPORT: by UNCHANGED, which the caller
+   allocates, if the leader knows the rest.  */
+static void
+report_executor (gp_job_guard_t *guard, Gp__Jobs__Report *report,
+                 Gp__Jobs__Executor *unchanged)
+{
+  const gp_agent_t *agent = &guard->agent;
+
+  if (!is_executor_reported (guard))
+    {
+      report->executor = agent->executor;
+      report->predecessor = agent->predecessor;
+      return;
+    }
+  unchanged->id = agent->executor->id;
+  unchanged->born_ms = agent->executor->born_ms;
+  unchanged->unchanged = true;
+  report->executor = unchanged;
+}
+
+/* Fills in the fields of REPORT that describe the state of the executor and of
+   this guard.  */
+static void
+report_state (gp_job_guard_t *guard, Gp__Jobs__Report *report, gp_time_t now)
+{
+  gp_agent_t *agent = &guard->agent;
+
+  report->node = guard->settings->node;
+  report->unheard_ms = unheard_ms (guard, now);
+  report->lapsed = gp_agent_lease_lapsed (agent, now);
+  report->answers = gp_agent_is_responsive (agent, now);
+  report->down = gp_agent_is_down (agent, now);
+  report->keeps_alone = gp_agent_has_isolated_run (agent);
+  report->awaits_record = guard->executor_ends.since != 0;
+  report->stopping = guard->stopping;
+  report->ended = agent->ended;
+  report->synced = agent->synced;
+  guard->sent.down = report->down;
+}
+
+/* Fills in the rows of REPORT.  */
+static void
+report_rows (gp_job_guard_t *guard, Gp__Jobs__Report *report,
+             report_rows_t *rows)
+{
+  gp_agent_t *agent = &guard->agent;
+
+  report->ends = (Gp__Jobs__End **)agent->ends->pdata;
+  report->n_ends = agent->ends->len;
+  gp_agent_missing_specs (agent, rows->lacking);
+  report->lacking = (char **)rows->lacking->pdata;
+  report->n_lacking = rows->lacking->len;
+  report_runs (agent, report, rows);
+  report_carried (agent, report, rows->carried);
+  report_suspects (agent, report, rows->settled, rows->suspects);
+  report_measurements (guard, report, rows->servings, rows->fillings);
+}
+
 void
 gp_guard_send_report (gp_job_guard_t *guard)
 {
@@ -318,79 +423,24 @@
   Gp__Jobs__Report report = GP__JOBS__REPORT__INIT;
   Gp__Jobs__Executor unchanged = GP__JOBS__EXECUTOR__INIT;
   Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
-  GPtrArray *lacking;
-  GArray *absent;
-  GArray *unconfirmed;
-  GArray *settled;
-  GArray *suspects;
-  GArray *servings;
-  GArray *fillings;
-  GArray *carried;
+  report_rows_t rows;
 
   gp_timer_arm (&guard->report_timer, now + REPORT_INTERVAL);
   gp_guard_note_executor_ends (guard);
   if (guard->leader == NULL)
     return;
-  lacking = g_ptr_array_new_with_free_func (g_free);
-  absent = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
-  unconfirmed = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
-  settled = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
-  suspects = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
-  servings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Serving));
-  fillings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Filling));
-  carried = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   /* Each report has a unique send time, by which its acknowledgement refers to
      it.  */
   guard->report_sent_at = MAX (now, guard->report_sent_at + 1);
   report.sent_at = guard->report_sent_at;
-  report.node = guard->settings->node;
-  report.unheard_ms = unheard_ms (guard, now);
-  report.executor = agent->executor;
-  if (is_executor_reported (guard))
-    {
-      unchanged.id = agent->executor->id;
-      unchanged.born_ms = agent->executor->born_ms;
-      unchanged.unchanged = true;
-      report.executor = &unchanged;
-    }
-  else
-    report.predecessor = agent->predecessor;
-  report.lapsed = gp_agent_lease_lapsed (agent, now);
-  report.answers = gp_agent_is_responsive (agent, now);
-  report.down = gp_agent_is_down (agent, now);
-  report.keeps_alone = gp_agent_has_isolated_run (agent);
-  guard->sent.down = report.down;
-  report.awaits_record = guard->executor_ends.since != 0;
-  report.stopping = guard->stopping;
-  report.ended = agent->ended;
-  report.synced = agent->synced;
-  report.ends = (Gp__Jobs__End **)agent->ends->pdata;
-  report.n_ends = agent->ends->len;
-  gp_agent_missing_specs (agent, lacking);
-  report.lacking = (char **)lacking->pdata;
-  report.n_lacking = lacking->len;
-  report_runs (agent, &report, absent, unconfirmed);
-  report_carried (agent, &report, carried);
-  report_suspects (agent, &report, settled, suspects);
-  report_measurements (guard, &report, servings, fillings);
+  report_rows_init (&rows);
+  report_executor (guard, &report, &unchanged);
+  report_state (guard, &report, now);
+  report_rows (guard, &report, &rows);
   frame.message_case = GP__JOBS__FRAME__MESSAGE_REPORT;
   frame.report = &report;
   gp_agent_reported (agent, report.sent_at);
   gp_frame_send (guard->leader, &frame);
-  g_free (report.absent);
-  g_free (report.unconfirmed);
-  g_free (report.settled);
-  g_free (report.suspects);
-  g_free (report.servings);
-  g_free (report.fillings);
-  g_free (report.carried);
-  g_ptr_array_unref (lacking);
-  g_array_free (absent, TRUE);
-  g_array_free (unconfirmed, TRUE);
-  g_array_free (settled, TRUE);
-  g_array_free (suspects, TRUE);
-  g_array_free (servings, TRUE);
-  g_array_free (fillings, TRUE);
-  g_array_free (carried, TRUE);
+  report_rows_finish (&rows, &report);
   gp_counter_set (&runs_gauge, g_hash_table_size (agent->runs));
 }
