--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -21,10 +21,15 @@
      run that was isolated.
    - A run that a guard has found on its executor, started by an earlier guard
      process, may have started at any time before.  It is no evidence that the
-     start of such a run is answered anew.
+     start of such a run is answered anew.  Likewise a run whose start went
+     unanswered at first: any of its starts may be the one that was carried
+     out.
    - A run that has settled, which means that it was listed as running for
      GP_SUSPICION_SETTLE_TIME, did not crash its executor by starting.  Its
-     task is no longer suspect, and what was counted against it is cleared.
+     task is no longer suspect, and what was counted against it is cleared.  If
+     no guard is left to tell, a run passes for settled that the guard's
+     reports have covered for that long, not from its order but from the last
+     report by which it may not have begun.
    - A task is given up once its evidence reaches the threshold: two crashes
      with strong evidence, because an executor may also crash by itself under a
      task that has just started, or the equivalent in weak evidence.
