--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -114,9 +114,9 @@
 }
 
 /* Returns whether it is unknown if RUN has begun recently: its start was not
-   answered, or of the moments at which it may have begun, only the last ones
-   are recent, as an earlier start went unanswered that may be the one that was
-   carried out.  */
+   answered, or the latest moment at which it may have begun is recent and the
+   earliest is not.  Any of several starts may be the one that was carried out,
+   also one that an earlier guard process has sent.  */
 static bool
 is_uncertain (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -98,8 +98,8 @@
                            process, 0: unknown */
   gp_time_t ordered_at; /* when this process assigned the run, or ordered it if
                            the order was delayed */
-  gp_time_t unconfirmed_at; /* when its guard last reported that it was not
-                               known to have begun, 0: never */
+  gp_time_t unconfirmed_at; /* when its guard last reported that it may not
+                               have begun, 0: never */
   bool may_start_late; /* it may have started long after that, because it is
                           isolated or waits for an isolated run to settle */
   gp_job_executor_t *failed_on; /* the last executor it failed on */
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -101,8 +101,8 @@
                                     Gp__Jobs__TaskRun *const *runs,
                                     size_t count, gp_time_t now);
 
-/* EXECUTOR's guard reports at NOW, without knowing what is to run there, that
-   the COUNT RUNS are running.  The others may be started later, once it
+/* EXECUTOR's guard, which does not know yet what is to run there, reports at
+   NOW that the COUNT RUNS are running.  It may start the others once it
    knows.  */
 void gp_scheduler_note_unsynced (const gp_job_executor_t *executor,
                                  Gp__Jobs__TaskRun *const *runs, size_t count,
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -22,9 +22,9 @@
 observed_time (const gp_job_task_t *task)
 {
   const gp_job_executor_t *executor = task->executor;
-  gp_time_t ordered_at = MAX (task->ordered_at, executor->reported_since);
+  gp_time_t since = MAX (task->ordered_at, executor->reported_since);
 
-  return executor->reported_at - MAX (ordered_at, task->unconfirmed_at);
+  return executor->reported_at - MAX (since, task->unconfirmed_at);
 }
 
 bool
