Leader: a guard is lost when its connection ends, not when dialing fails

Three causes act together in its log; this is one of them.

Cause: where nobody is left to tell, a guard that goes within 100 ms of the order is strong evidence, as executor and guard share a VM. So the rule never held with real processes; the virtual world sets the moment once.

Change: the first end of a connection counts until the executor is reported again, as its comment says.

--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -379,7 +379,9 @@
 
   if (link == NULL || link->peer != peer)
     return;
-  if (link->executor != NULL)
+  /* Later connections, on which nothing was reported, do not count: attempts
+     to connect to a lost guard fail again and again.  */
+  if (link->executor != NULL && link->executor->disconnected_at == 0)
     link->executor->disconnected_at = gp_loop_now (link->leader->loop);
   mark_down (link,
              reason != NULL ? reason->message : "closed by this process");
