suspicion: a loss that passed for an outage counts after the next end

It was not counted, although its executor had not been reported since its order: of all rules only the one on outages does that. Run 2 was told as just begun, beside another such task: crashes 1, evidence 0. With one crash the wait for an isolated start is bounded by the isolation timeout, which ran out in quarantine: run 3, 26 s later, was not isolated, and its end told nothing. Three starts without evidence; of the three isolated ones two were weak evidence.

Change: once a guard reports that the next run may have crashed its executor, the loss before counts as a crash as well. With two crashes a task waits for an isolated start without limit. Crashes decide on isolation only; the evidence, by which a job is failed, is as before. The second loss of power in a row counts as before, too, and losses of power of honest work are still none (test_suspicion, transcript unchanged): of those only what had just begun is marked, and only a later end that a guard tells makes it a crash.

Brought about: test_isolation_timeout, outage: the third start after the timeout beside others and given up at the fifth before, isolated and given up at the fourth now.

--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -126,13 +126,26 @@
   return task->alone && sole ? GP_SUSPICION_WEAK_EVIDENCE : 0;
 }
 
+/* Returns how many crashes the death of the executor adds to those of TASK.
+   If TASK's guard reports that it may be the cause, the loss of its previous
+   run counts as well that was attributed to an outage: tasks that crash
+   executors and guards at the same time look like one.  */
+static uint32_t
+added_crashes (const gp_job_task_t *task)
+{
+  return task->lost_in_outage && task->executor->suspects_reported ? 2 : 1;
+}
+
 gp_suspicion_t
 gp_suspicion_crashed (gp_job_task_t *task, const gp_job_t *sole_job)
 {
   if (!is_suspect (task))
     return GP_SUSPICION_NONE;
   task->isolation_wait_since = 0;
-  task->crashes = MIN (task->crashes + 1, GP_SUSPICION_MAX_CRASHES);
+  task->crashes
+      = MIN (task->crashes + added_crashes (task), GP_SUSPICION_MAX_CRASHES);
+  task->lost_in_outage
+      = task->lost_in_outage && !task->executor->suspects_reported;
   task->evidence = MIN (task->evidence + added_evidence (task, sole_job),
                         GP_SUSPICION_EVIDENCE_LIMIT);
   return task->evidence == GP_SUSPICION_EVIDENCE_LIMIT ? GP_SUSPICION_GIVE_UP
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -136,7 +136,9 @@
 /* Like gp_suspicion_crashed, for an executor that was lost together with half
    of the others and whose guard reported nothing: power was lost, or several
    tasks crashed executors and guards at once.  Only an isolated start counts
-   then, or the second such crash in a row of any other task.  */
+   then, or the second such crash in a row of any other task; the first one
+   counts once a guard reports that the next run may have crashed its
+   executor.  */
 gp_suspicion_t gp_suspicion_crashed_in_outage (gp_job_task_t *task,
                                                const gp_job_t *sole_job);
 
