--- a/tests/unit/late_world_leader.c
+++ b/tests/unit/late_world_leader.c
@@ -265,15 +265,13 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       gp_agent_run_t *run = value;
-      Gp__Jobs__TaskRun *row = g_new (Gp__Jobs__TaskRun, 1);
-
-      gp__jobs__task_run__init (row);
-      row->task = run->name;
-      row->run = run->run;
-      if (run->listed)
-        g_ptr_array_add (rows, row);
-      else
-        g_free (row);
+      Gp__Jobs__TaskRun row = GP__JOBS__TASK_RUN__INIT;
+
+      if (!run->listed)
+        continue;
+      row.task = run->name;
+      row.run = run->run;
+      g_ptr_array_add (rows, g_memdup2 (&row, sizeof row));
     }
   for (guint i = 0; i < agent->carried->len; i++)
     g_ptr_array_add (rows, g_memdup2 (g_ptr_array_index (agent->carried, i),
