suspicion: an outage counts after the next end only

Found in reading again: a loss that passes for an outage counts once the next run is told as a suspect, but the mark stayed on the task when the next run was lost without being one. So a task that was lost in a loss of power, ran on for long and went with an executor that another one had crashed was counted twice at its next crash: a loss of power taken for a crash, though of a run before the last. With two crashes it waits for an isolated start without limit, which for a lasting task may be longer than it may be away. Nobody was failed by it: crashes decide on isolation only.

Change: the end of a run that is no suspect clears the mark, as its comment in job.h has it ("its last run"). The second loss of power in a row needs the mark as before.

Evidence: test_isolation_timeout, outage long ago: fails before (waits without limit, the fourth start isolated), with this the fourth start after the timeout of 10 s, one crash. The case outage, for which was made, is the same; test_suspicion's transcript too.

--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -140,7 +140,10 @@
 gp_suspicion_crashed (gp_job_task_t *task, const gp_job_t *sole_job)
 {
   if (!is_suspect (task))
-    return GP_SUSPICION_NONE;
+    {
+      task->lost_in_outage = false;
+      return GP_SUSPICION_NONE;
+    }
   task->isolation_wait_since = 0;
   task->crashes
       = MIN (task->crashes + added_crashes (task), GP_SUSPICION_MAX_CRASHES);
--- a/tests/unit/test_isolation_timeout.c
+++ b/tests/unit/test_isolation_timeout.c
@@ -166,11 +166,24 @@
   play ("its first end passes for an outage", told);
 }
 
+/* Guards against a task that waits for an isolated start without limit after a
+   single crash: its run before the last one was lost in an outage, and the one
+   since was at work for long.  */
+static void
+test_outage_long_ago (void)
+{
+  static const told_t told[]
+      = { LOST_IN_OUTAGE, TOLD_EARLIER, TOLD_UNKNOWN, TOLD_JUST_BEGUN };
+
+  play ("an outage before a run that had begun earlier", told);
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[] = { { "timeout", test_timeout },
                                  { "outage", test_outage },
+                                 { "outage long ago", test_outage_long_ago },
                                  CU_TEST_INFO_NULL };
 
   return runner_main ("isolation timeout", tests);
