Settings: switches of the features for hard load, and the share of a core

Cause: what is built for sites with hard load has to be switched on by a deployment; none of the switches existed, and an entry did not know its own processors. Nothing reads them yet. Measured: unit test of the settings; no behaviour changes.

--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -33,6 +33,9 @@
           settings.executor ? settings.executor : "-", settings.store);
   printf ("  peers %s metrics %s grace %d ms\n", settings.peers,
           settings.metrics, (int)(settings.grace_time / GP_MSEC));
+  if (settings.share_appends)
+    printf ("  shares appends, ranks leaders %d, %u of 1000 cores\n",
+            settings.rank_leaders, settings.cpu_milli);
   gp_platform_settings_finish (&settings);
 }
 
@@ -58,6 +61,18 @@
                   "internalPorts:\n  - 7000\n"
                   "platform:\n  address: \"127.0.0.1:9\"\n");
   g_unsetenv ("GALENAPIER_METRICS_PORT");
+  g_setenv ("GALENAPIER_SHARE_APPENDS", "yes", TRUE);
+  parse_settings ("node: \"n1\"\nzone: \"z\"\nip: \"127.0.0.1\"\n"
+                  "internalPorts:\n  - 7000\n"
+                  "platform:\n  address: \"127.0.0.1:9\"\n");
+  g_setenv ("GALENAPIER_SHARE_APPENDS", "on", TRUE);
+  g_setenv ("GALENAPIER_RANK_LEADERS", "off", TRUE);
+  parse_settings ("node: \"n1\"\nzone: \"z\"\nip: \"127.0.0.1\"\n"
+                  "internalPorts:\n  - 7000\n"
+                  "limits:\n  cpuShare: 0.12\n"
+                  "platform:\n  address: \"127.0.0.1:9\"\n");
+  g_unsetenv ("GALENAPIER_SHARE_APPENDS");
+  g_unsetenv ("GALENAPIER_RANK_LEADERS");
   parse_settings ("zone: \"z\"\n");
   parse_settings ("node: \"n1\n");
   parse_settings ("");
