agent: a run's speed limit and the leader's load stand in structs of their own

Change: gp_agent_pace_t and gp_agent_leader_load_t; no behaviour. Measured: the unit tests of the agent, its measurements and the pacer are unchanged and pass.

--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -388,8 +388,8 @@
   run->phase = phase;
   run->may_predate = carried || agent->first_listed_at == 0;
   run->began_at = carried ? agent->first_listed_at : 0;
-  run->pace = GP_PACER_FULL_SPEED;
-  run->pace_repeat_at = GP_TIME_NEVER;
+  run->pace.percent = GP_PACER_FULL_SPEED;
+  run->pace.repeat_at = GP_TIME_NEVER;
   run->busy_share = NAN;
   gp_headroom_init (&run->headroom);
   run->over_target_since = GP_TIME_NEVER;
--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -87,6 +87,28 @@
                               out */
 } gp_agent_hold_t;
 
+/* The load of a serving run without the effect of filling runs, as the leader
+   estimates it from all runs of its image.  */
+typedef struct
+{
+  double headroom;
+  double slope;          /* change of HEADROOM per second */
+  gp_time_t received_at; /* 0: never */
+} gp_agent_leader_load_t;
+
+/* The speed limit of a filling run.  A call that sets it may go unanswered and
+   be carried out late, after a newer one.  */
+typedef struct
+{
+  uint32_t percent;          /* of full speed, as last confirmed */
+  gp_time_t confirmed_at;    /* when PERCENT was confirmed, 0: never */
+  uint32_t previous_percent; /* the limit before that */
+  gp_time_t repeat_at;  /* when to repeat the call, as an unanswered one may
+                           still set an older limit; GP_TIME_NEVER: not
+                           needed */
+  gp_time_t certain_at; /* from then on no unanswered call can take effect */
+} gp_agent_pace_t;
+
 typedef struct
 {
   char name[GP_TASK_NAME_SIZE];
@@ -133,27 +155,18 @@
   int64_t measure;          /* from the last list, see gp_agent_row_t */
   gp_headroom_t headroom; /* of a serving run, excluding the effect of filling
                              runs */
-  double leader_headroom; /* the same, as the leader sent it */
-  double leader_slope;    /* its change per second, as the leader sent it */
-  gp_time_t leader_load_at; /* when the leader sent them, 0: never */
-  double headroom_deficit;  /* by how much the measured headroom fell short of
-                               the expected one */
-  double over_target_s;     /* for how many seconds it was over its latency
-                               target at the last measurement */
+  gp_agent_leader_load_t leader_load;
+  double headroom_deficit; /* by how much the measured headroom fell short of
+                              the expected one */
+  double over_target_s;    /* for how many seconds it was over its latency
+                              target at the last measurement */
   gp_time_t over_target_since; /* since when it is over the target, or
                                   GP_TIME_NEVER */
   double busy_share; /* share of the last half second in which a filling run
                         was busy; NAN: not measured yet */
   double work;       /* busy work that it did in that time */
-  gp_time_t active_since;    /* when first measured as running, 0: never */
-  uint32_t pace;             /* percent of full speed, as last confirmed */
-  gp_time_t paced_at;        /* when PACE was confirmed, 0: never */
-  uint32_t pace_before;      /* the previous pace */
-  gp_time_t pace_repeat_at;  /* when to repeat the pace, as an unanswered call
-                                may still set an older one; GP_TIME_NEVER: not
-                                needed */
-  gp_time_t pace_certain_at; /* from then on no unanswered pace call can take
-                                effect */
+  gp_time_t active_since; /* when first measured as running, 0: never */
+  gp_agent_pace_t pace;
 } gp_agent_run_t;
 
 typedef enum
--- a/src/jobs/agent_calls.c
+++ b/src/jobs/agent_calls.c
@@ -24,8 +24,8 @@
 {
   return run->phase == GP_RUN_STARTED && run->start != NULL
          && run->start->fills
-         && (run->pace != gp_agent_wanted_pace (agent, run)
-             || now >= run->pace_repeat_at);
+         && (run->pace.percent != gp_agent_wanted_pace (agent, run)
+             || now >= run->pace.repeat_at);
 }
 
 static bool
@@ -280,14 +280,14 @@
 {
   if (result == GP_AGENT_ACCEPTED)
     {
-      run->pace_before = run->pace;
-      run->pace = percent;
-      run->paced_at = now;
+      run->pace.previous_percent = run->pace.percent;
+      run->pace.percent = percent;
+      run->pace.confirmed_at = now;
     }
   if (gp_agent_is_unanswered (result))
-    run->pace_certain_at = now + MAX_CALL_DELAY;
-  run->pace_repeat_at
-      = now < run->pace_certain_at ? now + PACE_REPEAT_TIME : GP_TIME_NEVER;
+    run->pace.certain_at = now + MAX_CALL_DELAY;
+  run->pace.repeat_at
+      = now < run->pace.certain_at ? now + PACE_REPEAT_TIME : GP_TIME_NEVER;
 }
 
 void
--- a/src/jobs/agent_measure.c
+++ b/src/jobs/agent_measure.c
@@ -60,12 +60,12 @@
 static double
 mean_pace (const gp_agent_run_t *run, gp_time_t now)
 {
-  double before = run->pace_before;
-  double after = run->pace;
+  double before = run->pace.previous_percent;
+  double after = run->pace.percent;
   double share = 1.0;
 
-  if (run->paced_at != 0)
-    share = window_share (run->paced_at + PACE_DELAY, now);
+  if (run->pace.confirmed_at != 0)
+    share = window_share (run->pace.confirmed_at + PACE_DELAY, now);
   return (before + (after - before) * share) / GP_PACER_FULL_SPEED;
 }
 
@@ -75,8 +75,8 @@
 estimate_busy_share (gp_agent_run_t *run, double pace, gp_time_t now)
 {
   double full = run->start->cpu_milli;
-  bool changes
-      = run->paced_at != 0 && now < run->paced_at + PACE_DELAY + WINDOW_TIME;
+  bool changes = run->pace.confirmed_at != 0
+                 && now < run->pace.confirmed_at + PACE_DELAY + WINDOW_TIME;
   double share;
 
   if (run->measure == 0 || full == 0.0 || pace < MIN_CONCLUSIVE_PACE)
@@ -193,16 +193,16 @@
 
   if (run == NULL)
     return;
-  run->leader_headroom = headroom_permille / 1000.0;
-  run->leader_slope = slope_permille / 1000.0;
-  run->leader_load_at = now;
+  run->leader_load.headroom = headroom_permille / 1000.0;
+  run->leader_load.slope = slope_permille / 1000.0;
+  run->leader_load.received_at = now;
 }
 
 static bool
 has_leader_load (const gp_agent_run_t *run, gp_time_t now)
 {
-  return run->leader_load_at != 0
-         && now - run->leader_load_at < LEADER_LOAD_TIME;
+  return run->leader_load.received_at != 0
+         && now - run->leader_load.received_at < LEADER_LOAD_TIME;
 }
 
 /* Returns the expected headroom of RUN at WHEN, soon after NOW, without
@@ -212,8 +212,9 @@
 {
   if (!has_leader_load (run, now))
     return gp_headroom_at (&run->headroom, when);
-  return run->leader_headroom
-         + run->leader_slope * (double)(when - run->leader_load_at) / GP_SEC;
+  return run->leader_load.headroom
+         + run->leader_load.slope
+               * (double)(when - run->leader_load.received_at) / GP_SEC;
 }
 
 /* Records for how long RUN has been over its target.  */
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -239,7 +239,7 @@
       if (run->start->fills)
         {
           filling.task = (char *)run->name;
-          filling.pace_percent = run->pace;
+          filling.pace_percent = run->pace.percent;
           filling.work_permille = (uint32_t)(run->work * 1000.0);
           g_array_append_val (fillings, filling);
         }
