Entries: the leader hands over to an entry with more capacity

Change (GALENAPIER_RANK_LEADERS, off by default): entries announce their share of a core and their link in their Node records. A weak one, as jobs/candidacy.h defines it, claims leadership 300 ms later, and a weak leader resigns after 5 s while its appends are fast. It writes the resignation record of a planned stop, acknowledges no more reports from its sending on, drops its book and follows the log again. Each resignation of a weak leader without a strong one that then leads for 5 s doubles the time until the next one, up to 60 s; all entries count them, so that weak ones without a strong one do not hand over to each other every 5 s.

test_records counts how many beginnings of records are accepted: it has four more cases of Node records, whose last fields are optional.

--- /dev/null
+++ b/src/jobs/candidacy.h
@@ -0,0 +1,111 @@
+/* Which entry leads where the capacities of the entries differ.
+
+   The leader connects to all guards and makes all decisions, which an entry
+   with a small share of a core or a narrow link does with delays.  An entry is
+   weak if another is known that has at least twice its processors or twice its
+   link, and not less of the other.  A value that is unknown for either of the
+   two counts as equal: an entry that gives no capacity is not weak, and makes
+   no other entry weak.
+
+   A weak entry claims leadership later than others, and a weak leader hands
+   over: it resigns, and a stronger entry claims first.  It does so only while
+   its appends are fast, as the next leader needs the store.
+
+   The record of an entry remains when its VM is gone, so that a resignation
+   may find no stronger entry.  All entries therefore count the resignations of
+   weak leaders since a strong one has led, and each of them doubles the time
+   until the next one, whichever weak entry leads then.  A stronger entry that
+   has started since the last resignation ends this wait.
+
+   Pure: events and NOW in, decisions out.  */
+
+#ifndef GP_JOBS_CANDIDACY_H
+#define GP_JOBS_CANDIDACY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/list.h"
+#include "base/time.h"
+
+/* The head start of strong entries: a claim takes one read and one append,
+   30 ms, or 300 ms on a busy link.  */
+#define GP_CANDIDACY_CLAIM_DELAY (300 * GP_MSEC)
+/* A weak leader leads for this long at least, so that a change of the leader
+   remains rare compared with the time that a new one needs to connect to all
+   guards.  */
+#define GP_CANDIDACY_LEAD_TIME (5 * GP_SEC)
+/* The maximum of the time that doubles with each resignation.  */
+#define GP_CANDIDACY_WAIT_MAX (60 * GP_SEC)
+/* A process that has announced itself reads the log before it can lead.  */
+#define GP_CANDIDACY_LOAD_TIME (3 * GP_SEC)
+/* The last append has to take less than this; it takes 6 ms at the store's
+   usual speed.  */
+#define GP_CANDIDACY_APPEND_LIMIT (250 * GP_MSEC)
+
+typedef struct
+{
+  uint32_t cpu_milli; /* share of a core, in thousandths, 0: unknown */
+  uint32_t link_kbps; /* kilobits per second, 0: unknown */
+} gp_candidacy_capacity_t;
+
+/* Another entry.  */
+typedef struct
+{
+  gp_list_t link;
+  char *node; /* owned */
+  uint64_t incarnation;
+  gp_candidacy_capacity_t capacity;
+  gp_time_t loaded_at; /* from when on its process is expected to be able to
+                          lead */
+} gp_candidacy_entry_t;
+
+typedef struct
+{
+  const char *node;                 /* this entry */
+  gp_candidacy_capacity_t capacity; /* of this entry */
+  gp_list_t others; /* gp_candidacy_entry_t, owned; never removed, as there are
+                       no more of them than entries */
+  unsigned resignations;  /* of weak leaders since a strong one has led for
+                             GP_CANDIDACY_LEAD_TIME */
+  uint64_t resigned_next; /* offset after the last one that was counted */
+  gp_time_t resigned_at;  /* when the last one was counted */
+  gp_time_t strong_since; /* strong entries have led since, 0: a weak one
+                             leads */
+  gp_time_t led_since;    /* this entry has led since */
+} gp_candidacy_t;
+
+/* NODE, which has to stay valid, is this entry.  Its capacity is unknown.  */
+void gp_candidacy_init (gp_candidacy_t *candidacy, const char *node);
+void gp_candidacy_finish (gp_candidacy_t *candidacy);
+
+void gp_candidacy_set_capacity (gp_candidacy_t *candidacy,
+                                gp_candidacy_capacity_t capacity);
+
+/* The process INCARNATION of another entry, on NODE, has announced itself.  */
+void gp_candidacy_entry_announced (gp_candidacy_t *candidacy, const char *node,
+                                   uint64_t incarnation,
+                                   gp_candidacy_capacity_t capacity,
+                                   gp_time_t now);
+
+/* A leader's record at OFFSET names NODE, possibly this entry.  */
+void gp_candidacy_leader_read (gp_candidacy_t *candidacy, const char *node,
+                               bool resigned, uint64_t offset, gp_time_t now);
+
+/* This entry has taken leadership.  */
+void gp_candidacy_taken (gp_candidacy_t *candidacy, gp_time_t now);
+
+/* Returns an entry compared with which this one is weak, or NULL if it is not
+   weak.  */
+const gp_candidacy_entry_t *
+gp_candidacy_find_stronger (const gp_candidacy_t *candidacy);
+
+/* Returns by how much a claim of this entry is delayed.  */
+gp_time_t gp_candidacy_claim_delay (const gp_candidacy_t *candidacy);
+
+/* Returns whether this entry, which leads and whose last append took
+   APPEND_TIME, hands over now.  */
+bool gp_candidacy_hands_over (const gp_candidacy_t *candidacy,
+                              gp_time_t append_time, gp_time_t now);
+
+#endif
--- a/src/jobs/records.c
+++ b/src/jobs/records.c
@@ -226,7 +226,11 @@
 check_node (const Gp__Jobs__Node *node, GError **error)
 {
   if (!gp_field_address (node->address, "address", error)
-      || !gp_field_name_or_empty (node->zone, "zone", error))
+      || !gp_field_name_or_empty (node->zone, "zone", error)
+      || !gp_field_range (node->cpu_milli, 0, GP_NODE_CPU_MILLI_MAX,
+                          "cpu_milli", error)
+      || !gp_field_range (node->link_kbps, 0, GP_NODE_LINK_KBPS_MAX,
+                          "link_kbps", error))
     return false;
   return check_incarnation (node->incarnation, "incarnation", error);
 }
--- a/src/jobs/records.h
+++ b/src/jobs/records.h
@@ -36,6 +36,10 @@
 #define GP_LEARNED_KEY "learned"
 /* Prefix of a VM's name in the key that gives its executor.  */
 #define GP_PLACE_PREFIX "at."
+/* Capacities of an entry beyond these, 10,000 cores and a terabit per second,
+   are errors.  */
+#define GP_NODE_CPU_MILLI_MAX 10000000
+#define GP_NODE_LINK_KBPS_MAX 1000000000
 
 typedef enum
 {
--- a/src/jobsd/announce.c
+++ b/src/jobsd/announce.c
@@ -3,7 +3,7 @@
 #include "jobsd/announce.h"
 
 #include "base/log.h"
-#include "jobs.pb-c.h"
+#include "jobs/records.h"
 #include "protocol/message.h"
 
 /* Timeout of the append; a slow store answers within this time.  */
@@ -24,6 +24,18 @@
                 gp_loop_now (announcer->loop) + RETRY_DELAY);
 }
 
+uint32_t
+gp_announced_cpu_milli (const gp_platform_settings_t *settings)
+{
+  return MIN (settings->cpu_milli, GP_NODE_CPU_MILLI_MAX);
+}
+
+uint32_t
+gp_announced_link_kbps (const gp_platform_settings_t *settings)
+{
+  return (uint32_t)MIN (settings->link_rate * 8 / 1000, GP_NODE_LINK_KBPS_MAX);
+}
+
 static void
 announce (gp_announcer_t *announcer)
 {
@@ -38,6 +50,11 @@
   node.zone = announcer->settings->zone;
   node.incarnation = announcer->incarnation;
   node.ceased = announcer->ceased;
+  if (!announcer->guard)
+    {
+      node.cpu_milli = gp_announced_cpu_milli (announcer->settings);
+      node.link_kbps = gp_announced_link_kbps (announcer->settings);
+    }
   value = gp_message_pack (&node.base);
   bytes = g_bytes_get_data (value, &size);
   gp_platform_store_batch_add (batch, announcer->settings->node, bytes, size);
--- a/src/jobsd/announce.h
+++ b/src/jobsd/announce.h
@@ -1,5 +1,6 @@
 /* Announcing a process's address: a record with the address under the VM's
-   name in the topic of nodes, appended again until the store has it.  */
+   name in the topic of nodes, appended again until the store has it.  That of
+   an entry contains its capacity as well.  */
 
 #ifndef GP_JOBSD_ANNOUNCE_H
 #define GP_JOBSD_ANNOUNCE_H
@@ -36,4 +37,9 @@
                                    uint64_t incarnation);
 void gp_announcer_finish (gp_announcer_t *announcer);
 
+/* The capacity that an entry with SETTINGS announces, 0: not given; see Node
+   in protocol/jobs.proto.  */
+uint32_t gp_announced_cpu_milli (const gp_platform_settings_t *settings);
+uint32_t gp_announced_link_kbps (const gp_platform_settings_t *settings);
+
 #endif
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -102,6 +102,8 @@
       gp_store_route_add_peer (&entry->route, node->address);
       gp_leader_announced (&entry->leader, name, node->incarnation,
                            node->ceased);
+      if (entry->settings->rank_leaders)
+        gp_leader_note_capacity (&entry->leader, name, node);
     }
 }
 
@@ -376,6 +378,9 @@
   gp_leader_init (&entry->leader, &entry->loop, entry->store, &entry->book,
                   &entry->operators, settings->node, on_leadership_lost,
                   entry);
+  if (settings->rank_leaders)
+    gp_leader_set_capacity (&entry->leader, gp_announced_cpu_milli (settings),
+                            gp_announced_link_kbps (settings));
   gp_janitor_init (&entry->janitor, &entry->loop, entry->store, &entry->book,
                    &entry->leader, settings->status_time);
   gp_jobs_api_init (&entry->api, &entry->loop, entry->store, &entry->book,
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -73,9 +73,11 @@
   if (leader->role != GP_LEADER_LEADING)
     return;
   check_executors_if_due (leader);
+  if (leader->batch == NULL && !leader->stopping)
+    gp_leader_consider_handover (leader);
   /* While an append is in flight nothing new can be written: what arrives in
      the meantime is decided on together.  */
-  if (leader->batch == NULL && !leader->stopping)
+  if (leader->batch == NULL && !leader->stopping && !leader->handing_over)
     gp_scheduler_plan (&leader->scheduler, now_of (leader),
                        gp_time_wall_ms ());
   gp_leader_flush (leader);
@@ -119,6 +121,7 @@
   leader->epoch = epoch;
   /* A leadership of this node that was lost renews no more leases.  */
   gp_grants_leader_ended (&leader->grants, leader->node, now_of (leader));
+  gp_candidacy_taken (&leader->candidacy, now_of (leader));
   gp_log (GP_LOG_INFO, "lead.taken", GP_LOG_I ("epoch", epoch),
           GP_LOG_I ("jobs", g_hash_table_size (leader->book->jobs)),
           GP_LOG_I ("foreign_leases_ms",
@@ -133,9 +136,13 @@
 static gp_time_t
 takeover_timeout (const gp_leader_t *leader)
 {
-  if (!leader->leader_known || leader->resigned)
+  gp_time_t delay = gp_candidacy_claim_delay (&leader->candidacy);
+
+  if (!leader->leader_known)
     return 0;
-  return TAKEOVER_TIMEOUT_BASE
+  if (leader->resigned)
+    return delay;
+  return delay + TAKEOVER_TIMEOUT_BASE
          + TAKEOVER_TIMEOUT_INTERVALS * leader->record_interval
          + (leader->book_reset ? BOOK_RESET_DELAY : 0)
          + (gp_time_t)(g_str_hash (leader->node) % 5) * TAKEOVER_TIMEOUT_JITTER
@@ -224,6 +231,8 @@
     leader->book_reset = false;
   gp_grants_leadership_read (&leader->grants, leadership, offset,
                              now_of (leader));
+  gp_candidacy_leader_read (&leader->candidacy, leadership->node,
+                            leadership->resigned, offset, now_of (leader));
   if (leader->resigned)
     gp_grants_leader_ended (&leader->grants, leadership->node,
                             now_of (leader));
@@ -403,6 +412,7 @@
   /* Earlier processes on this node have ended.  */
   gp_grants_process_announced (&leader->grants, node, leader->incarnation, 0,
                                gp_loop_now (loop));
+  gp_leader_handover_init (leader);
   gp_pressure_init (&leader->pressure);
   leader->fillings = g_ptr_array_new_with_free_func (g_free);
   gp_scheduler_init (&leader->scheduler, book, &leader->pressure);
@@ -442,4 +452,5 @@
   gp_pressure_finish (&leader->pressure);
   g_ptr_array_unref (leader->fillings);
   gp_grants_finish (&leader->grants);
+  gp_candidacy_finish (&leader->candidacy);
 }
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -15,11 +15,17 @@
    the executor work for another GP_AGENT_LEASE_TIME.  A leader acknowledges
    reports only while its own last acknowledged append is at most
    GP_GRANTS_TERM_TIME old, and not after it has begun to resign.  How long
-   other leaders may still have renewed leases is tracked in jobs/grants.h.  */
+   other leaders may still have renewed leases is tracked in jobs/grants.h.
+
+   A leader resigns when its process stops or, if leaders are ranked by
+   capacity, when it hands over to a stronger entry.  In the second case its
+   process follows the log again, with a new book as after any other loss of
+   leadership.  */
 
 #ifndef GP_JOBSD_LEADER_H
 #define GP_JOBSD_LEADER_H
 
+#include "jobs/candidacy.h"
 #include "jobs/grants.h"
 #include "jobs/reply_watch.h"
 #include "jobs/scheduler.h"
@@ -120,8 +126,13 @@
                                   and leases based on that, count from here:
                                   the first attempt that may have been
                                   carried out */
-  bool outcome_unknown; /* an attempt to append the batch got no answer */
-  bool resigning;       /* the batch gives leadership up */
+  bool outcome_unknown;  /* an attempt to append the batch got no answer */
+  bool resigning;        /* the batch gives leadership up */
+  bool handing_over;     /* it does so for a stronger entry, and this process
+                            goes on as a follower */
+  gp_time_t append_time; /* duration of the last acknowledged append, from its
+                            first attempt */
+  gp_candidacy_t candidacy; /* without capacities unless leaders are ranked */
   gp_platform_store_call_t *call;
   GPtrArray *frames; /* frame_t of leader_frames.c, sent when the append is
                         done */
@@ -159,6 +170,15 @@
 void gp_leader_announced (gp_leader_t *leader, const char *node,
                           uint64_t incarnation, uint64_t ceased);
 
+/* Rank the entries by capacity, see jobs/candidacy.h; the values are those of
+   this entry, see Node in protocol/jobs.proto.  */
+void gp_leader_set_capacity (gp_leader_t *leader, uint32_t cpu_milli,
+                             uint32_t link_kbps);
+/* The entry on NODE has announced itself with RECORD, which contains its
+   capacity.  */
+void gp_leader_note_capacity (gp_leader_t *leader, const char *node,
+                              const Gp__Jobs__Node *record);
+
 /* A record of the progress topic was read while following, possibly a deletion
    of a key.  LOADING: it is the newest record of its key, and earlier ones
    were not read.  */
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -152,9 +152,53 @@
                                now);
 }
 
+/* Follow the log again.  CLAIMED: an attempt to take leadership has failed;
+   otherwise this entry has led, and its book is reloaded.  */
+static void
+follow (gp_leader_t *leader, bool claimed)
+{
+  leader->role = GP_LEADER_FOLLOWING;
+  leader->resigning = false;
+  leader->handing_over = false;
+  leader->book_reset = leader->book_reset || !claimed;
+  leader->record_read_at = now_of (leader);
+  end_batch (leader);
+  gp_timer_disarm (&leader->retry);
+  gp_leader_close_links (leader);
+  gp_scheduler_reset (&leader->scheduler);
+  g_hash_table_remove_all (leader->new_places);
+  /* Places are reloaded with the book: one that was never written must not
+     count as written when this entry leads again.  */
+  if (!claimed)
+    g_hash_table_remove_all (leader->places);
+  g_ptr_array_set_size (leader->progress_drops, 0);
+  leader->on_leadership_lost (claimed, leader->data);
+}
+
+/* The resignation is on the log.  */
+static void
+end_leadership (gp_leader_t *leader)
+{
+  bool hands_over = leader->handing_over;
+
+  gp_log (GP_LOG_INFO, "lead.resigned",
+          GP_LOG_S ("why", hands_over ? "a stronger entry is known"
+                                      : "the process stops"),
+          GP_LOG_I ("epoch", leader->epoch));
+  if (hands_over)
+    {
+      gp_leader_note_handover (leader, leader->position - 1);
+      follow (leader, false);
+      return;
+    }
+  leader->role = GP_LEADER_FOLLOWING;
+  gp_leader_close_links (leader);
+}
+
 static void
 complete_batch (gp_leader_t *leader, uint64_t offset, gp_time_t sent_at)
 {
+  leader->append_time = now_of (leader) - leader->batch_began_at;
   leader->position = offset + leader->batch_records;
   leader->confirmed_at = sent_at;
   leader->heartbeat_due = now_of (leader) + GP_LEADER_HEARTBEAT_INTERVAL;
@@ -164,9 +208,7 @@
   gp_leader_send_frames (leader);
   if (leader->resigning)
     {
-      gp_log (GP_LOG_INFO, "lead.resigned", GP_LOG_I ("epoch", leader->epoch));
-      leader->role = GP_LEADER_FOLLOWING;
-      gp_leader_close_links (leader);
+      end_leadership (leader);
       return;
     }
   if (leader->role == GP_LEADER_CLAIMING)
@@ -181,20 +223,7 @@
 
   gp_log (GP_LOG_INFO, "lead.lost", GP_LOG_S ("why", why),
           GP_LOG_I ("epoch", leader->epoch), GP_LOG_I ("claiming", claimed));
-  leader->role = GP_LEADER_FOLLOWING;
-  leader->book_reset = leader->book_reset || !claimed;
-  leader->record_read_at = now_of (leader);
-  end_batch (leader);
-  gp_timer_disarm (&leader->retry);
-  gp_leader_close_links (leader);
-  gp_scheduler_reset (&leader->scheduler);
-  g_hash_table_remove_all (leader->new_places);
-  /* Places are reloaded with the book: one that was never written must not
-     count as written when this entry leads again.  */
-  if (!claimed)
-    g_hash_table_remove_all (leader->places);
-  g_ptr_array_set_size (leader->progress_drops, 0);
-  leader->on_leadership_lost (claimed, leader->data);
+  follow (leader, claimed);
 }
 
 static bool
@@ -389,13 +418,14 @@
                  || g_hash_table_size (leader->new_places) > 0
                  || leader->progress_drops->len > 0;
   bool due = now_of (leader) >= leader->heartbeat_due;
+  bool resigns = leader->stopping || leader->handing_over;
 
   if (leader->batch != NULL)
     return;
-  if (leader->stopping)
+  if (resigns)
     gp_leader_rule_out_formers (leader);
   gp_leader_build_frames (leader);
-  if (!changed && !due && !leader->stopping)
+  if (!changed && !due && !resigns)
     {
       gp_leader_send_frames (leader);
       return;
@@ -405,8 +435,8 @@
   add_dirty_jobs (leader);
   add_progress_drops (leader);
   gp_leader_add_model (leader);
-  add_leadership (leader, leader->stopping);
-  leader->resigning = leader->stopping;
+  add_leadership (leader, resigns);
+  leader->resigning = resigns;
   append (leader);
 }
 
--- a/src/jobsd/leader_private.h
+++ b/src/jobsd/leader_private.h
@@ -70,6 +70,13 @@
 /* Leadership was taken by the record at offset EPOCH.  */
 void gp_leader_start_leading (gp_leader_t *leader, uint64_t epoch);
 
+void gp_leader_handover_init (gp_leader_t *leader);
+/* Begin to resign in favour of a stronger entry if one should lead.  To be
+   called only between appends; the next flush writes the resignation.  */
+void gp_leader_consider_handover (gp_leader_t *leader);
+/* The resignation at offset OFFSET is on the log, and this entry follows.  */
+void gp_leader_note_handover (gp_leader_t *leader, uint64_t offset);
+
 /* Add a record to the batch that is being built.  */
 void gp_leader_add_record (gp_leader_t *leader, const char *key,
                            GBytes *value);
--- a/tests/unit/record_cases.c
+++ b/tests/unit/record_cases.c
@@ -389,6 +389,19 @@
   add (cases, RECORD_CASE_NODE, name, key, &node.base);
 }
 
+static void
+add_capacity (GArray *cases, const char *name, uint32_t cpu_milli,
+              uint32_t link_kbps)
+{
+  Gp__Jobs__Node node = GP__JOBS__NODE__INIT;
+
+  node.address = "10.0.0.1:7000";
+  node.incarnation = 7;
+  node.cpu_milli = cpu_milli;
+  node.link_kbps = link_kbps;
+  add (cases, RECORD_CASE_NODE, name, "e1", &node.base);
+}
+
 static void
 add_nodes (GArray *cases)
 {
@@ -401,6 +414,10 @@
   add_node (cases, "no incarnation", "w1", "10.0.0.1:7000", 0);
   add_node (cases, "an empty key", "", "10.0.0.1:7000", 7);
   add_node (cases, "a very long key", long_name, "10.0.0.1:7000", 7);
+  add_capacity (cases, "an entry's capacity", 120, 10000);
+  add_capacity (cases, "the largest capacity", 10000000, 1000000000);
+  add_capacity (cases, "more cores than any VM", 10000001, 0);
+  add_capacity (cases, "a faster link than any", 0, 1000000001);
   add_foreign (cases, RECORD_CASE_NODE, "w1");
 }
 
