--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -50,14 +50,16 @@
 
     With LINKS, every connection between processes, to the store and to the
     executors goes through a Link whose faults the test controls; `links` maps
-    names to them.  WORKERS are split evenly over ZONES, in order.
+    names to them.  WORKERS are split evenly over ZONES, in order.  LIMITS maps
+    names of processes to their share of a core and their link in Mbit/s.
     """
 
     def __init__(self, build, folder, entries=2, workers=3, seed=1,
-                 status_s=120, links=False, zones=("z",)):
+                 status_s=120, links=False, zones=("z",), limits=None):
         self.build = build
         self.status_s = status_s
         self.zones = zones
+        self.limits = limits or {}
         self.workers = workers
         self.folder = folder
         self.store_address = free_address()
@@ -135,6 +137,10 @@
                  "bounds:", f"  status_s: {self.status_s}",
                  f"  evacuateMs: {int(EVACUATE_S * 1000)}",
                  "platform:", f'  address: "{store}"'] + more
+        if name in self.limits:
+            cores, mbits = self.limits[name]
+            lines += ["limits:", f"  cpuShare: {cores}",
+                      f"  linkMbps: {mbits}"]
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
         return path
