--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -138,9 +138,7 @@
 {
   gp_time_t delay = gp_candidacy_claim_delay (&leader->candidacy);
 
-  if (!leader->leader_known)
-    return 0;
-  if (leader->resigned)
+  if (!leader->leader_known || leader->resigned)
     return delay;
   return delay + TAKEOVER_TIMEOUT_BASE
          + TAKEOVER_TIMEOUT_INTERVALS * leader->record_interval
@@ -158,7 +156,9 @@
 gp_time_t
 gp_leader_claim_at (const gp_leader_t *leader)
 {
-  return leader->record_read_at + takeover_timeout (leader);
+  /* On a new site no record has been read.  */
+  return MAX (leader->record_read_at, leader->scheduler.process_started_at)
+         + takeover_timeout (leader);
 }
 
 void
