--- a/tests/unit/test_candidacy.c
+++ b/tests/unit/test_candidacy.c
@@ -350,6 +350,7 @@
   run (world, 2 * GP_SEC);
   CU_ASSERT_EQUAL_FATAL (world->leader, 0);
   world->append_time = GP_CANDIDACY_APPEND_LIMIT;
+  kill_entry (world, 1);
   world->entries[1].capacity = strong;
   start (world, 1);
   report (world, "slow", 60);
