Scheduler: measure the speed of executors (measure_speed)

Cause: with a seventh of the executors five times slower, quick jobs miss their objective, as a free slow executor looks like any other. Change: jobs/executor_speed.h measures executors by the ratio of the duration of a run to the one that was expected when it was assigned, relative to the other executors of the service; the placer subtracts points by the share of time that a task would lose. With all slow at once none counts as slow.

--- a/src/jobs/executor.c
+++ b/src/jobs/executor.c
@@ -144,6 +144,15 @@
                * (executor->serving_count > 0);
 }
 
+bool
+gp_job_executor_is_measured_by (const gp_job_task_t *task)
+{
+  const Gp__Jobs__Step *step = gp_task_step (task);
+
+  return step->cpu_milli > 0 && !step->fills && !step->gang
+         && !step->long_running && task->checkpoint == NULL;
+}
+
 bool
 gp_job_executor_has_label (const gp_job_executor_t *executor,
                            const char *label)
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -13,6 +13,7 @@
 #ifndef GP_JOBS_EXECUTOR_H
 #define GP_JOBS_EXECUTOR_H
 
+#include "jobs/executor_speed.h"
 #include "jobs/job.h"
 
 /* Resources that a run needs or an executor has.  */
@@ -79,6 +80,7 @@
   gp_time_t relocated_at; /* when a run was last moved away from it */
   gp_time_t full_until;   /* no new work before this time, as it has refused a
                              run for lack of resources */
+  gp_executor_speed_t speed;
 };
 
 gp_job_executor_t *gp_job_executor_new (const char *id);
@@ -108,6 +110,11 @@
    thousandths of a core.  Negative if there are too many.  */
 int64_t gp_job_executor_spare_cpu (const gp_job_executor_t *executor);
 
+/* Returns whether a run of TASK, when it is done, shows how fast its executor
+   is.  Filling runs are slowed down by other runs, members of a gang by each
+   other, and a run that resumes from a checkpoint is shorter.  */
+bool gp_job_executor_is_measured_by (const gp_job_task_t *task);
+
 bool gp_job_executor_has_label (const gp_job_executor_t *executor,
                                 const char *label);
 
--- a/src/jobs/forecast.c
+++ b/src/jobs/forecast.c
@@ -190,6 +190,15 @@
   return (gp_time_t)fmin (seconds * GP_SEC, (double)TASK_TIME_MAX);
 }
 
+gp_time_t
+gp_forecast_learned_time (const gp_forecast_t *forecast, const char *queue,
+                          const Gp__Jobs__Step *step)
+{
+  if (!g_hash_table_contains (forecast->models, model_key (queue, step)))
+    return 0;
+  return task_time (forecast, queue, step);
+}
+
 static double
 spread_of (const gp_forecast_t *forecast, const char *queue,
            const Gp__Jobs__Step *step)
--- a/src/jobs/forecast.h
+++ b/src/jobs/forecast.h
@@ -31,6 +31,12 @@
                                const Gp__Jobs__Step *step, gp_time_t longest,
                                gp_time_t mean);
 
+/* Returns the expected duration of a task of STEP, from a job of QUEUE, or 0
+   if nothing was learned about such tasks.  */
+gp_time_t gp_forecast_learned_time (const gp_forecast_t *forecast,
+                                    const char *queue,
+                                    const Gp__Jobs__Step *step);
+
 /* Appends what was learned to ROWS, as rows of Gp__Jobs__Forecast that point
    into FORECAST.  */
 void gp_forecast_pack (const gp_forecast_t *forecast, GArray *rows);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -100,8 +100,10 @@
                            the order was delayed */
   gp_time_t unconfirmed_at; /* when its guard last reported that it may not
                                have begun, 0: never */
-  bool may_start_late; /* it may have started long after that, because it is
-                          isolated or waits for an isolated run to settle */
+  bool may_start_late;  /* it may have started long after that, because it is
+                           isolated or waits for an isolated run to settle */
+  uint32_t expected_ms; /* how long the run was expected to take when this
+                           process assigned it, 0: unknown */
   gp_job_executor_t *failed_on; /* the last executor it failed on */
   gp_job_executor_t *stray_on;  /* the executor reported to have a stray run of
                                    it, NULL: none ... */
--- a/src/jobs/placer_score.c
+++ b/src/jobs/placer_score.c
@@ -41,6 +41,12 @@
    resort.  */
 #define QUARANTINE_POINTS 4000
 
+/* Points that a task would lose on an executor where all of its time is lost,
+   in proportion to the share that is: the preferred rack, outside of which
+   half of it is lost, is worth half as much.  Filling work is less urgent.  */
+#define LOST_TIME_POINTS 2000
+#define FILLING_LOST_TIME_POINTS (LOST_TIME_POINTS / 2)
+
 void
 gp_placer_add_filling (const gp_placer_pass_t *pass,
                        gp_placer_candidate_t *candidate, const char *image)
@@ -169,6 +175,15 @@
              : MAX_INTERFERENCE;
 }
 
+/* Returns the points subtracted for the speed of EXECUTOR.  */
+static int64_t
+speed_points (const gp_job_executor_t *executor, const Gp__Jobs__Step *step)
+{
+  double points = step->fills ? FILLING_LOST_TIME_POINTS : LOST_TIME_POINTS;
+
+  return (int64_t)(points * gp_executor_speed_lost_share (&executor->speed));
+}
+
 int64_t
 gp_placer_score (const gp_placer_pass_t *pass,
                  gp_placer_candidate_t *candidate, const gp_job_task_t *task,
@@ -202,5 +217,5 @@
     points -= FAILED_POINTS;
   if (executor->quarantined)
     points -= QUARANTINE_POINTS;
-  return points;
+  return points - speed_points (executor, step);
 }
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -44,9 +44,14 @@
   gp_histogram_register (&placed_time);
   gp_scheduler_register_losses ();
   gp_scheduler_register_reports ();
+  gp_scheduler_register_speed ();
   gp_placer_register_waits ();
   scheduler->next_due = GP_TIME_NEVER;
   scheduler->process_started_at = 0;
+  scheduler->measure_speed = false;
+  scheduler->speeds_due = 0;
+  scheduler->speeds
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   scheduler->orders = g_array_new (FALSE, FALSE, sizeof (gp_order_t));
   gp_list_init (&scheduler->dirty);
 }
@@ -57,6 +62,7 @@
   g_array_free (scheduler->orders, TRUE);
   gp_forecast_finish (&scheduler->forecast);
   gp_quarantine_finish (&scheduler->quarantine);
+  g_hash_table_destroy (scheduler->speeds);
 }
 
 void
@@ -66,6 +72,7 @@
   while (gp_list_pop_front (&scheduler->dirty) != NULL)
     ;
   scheduler->next_due = GP_TIME_NEVER;
+  gp_scheduler_reset_speeds (scheduler);
 }
 
 void
@@ -191,16 +198,18 @@
                               gp_task_step (task), longest, sum / known);
 }
 
-/* TASK was done: records its duration.  A run that resumed from a checkpoint,
-   was assigned by another process or was held at its guard does not show the
-   full duration.  */
+/* TASK was done on EXECUTOR: records its duration.  A run that resumed from a
+   checkpoint, was assigned by another process or was held at its guard does
+   not show the full duration.  */
 static void
-learn_duration (gp_scheduler_t *scheduler, gp_job_task_t *task, gp_time_t now)
+learn_duration (gp_scheduler_t *scheduler, gp_job_executor_t *executor,
+                gp_job_task_t *task, gp_time_t now)
 {
   if (task->ordered_at == 0 || task->checkpoint != NULL
       || task->may_start_late)
     return;
   task->duration = now - task->ordered_at;
+  gp_scheduler_measure_run (scheduler, executor, task, now);
   gp_forecast_learn (&scheduler->forecast, task->job->submission->queue,
                      gp_task_step (task), task->duration);
 }
@@ -281,7 +290,7 @@
   gp_scheduler_release (scheduler, task);
   if (how == GP_END_DONE && !step->long_running)
     {
-      learn_duration (scheduler, task, now);
+      learn_duration (scheduler, executor, task, now);
       if (step->gang)
         finish_gang (scheduler, task, wall_ms);
       else
@@ -454,6 +463,7 @@
 {
   GPtrArray *placed = g_ptr_array_new ();
 
+  gp_scheduler_compare_speeds (scheduler, now);
   scheduler->next_due = gp_placer_assign (
       scheduler->book, scheduler->pressure, &scheduler->forecast,
       &scheduler->quarantine, now, wall_ms, placed);
@@ -463,6 +473,7 @@
 
       if (task->index == 0 && task->run == 1)
         gp_histogram_add (&placed_time, now - task->job->submitted_at);
+      gp_scheduler_expect_run (scheduler, task);
       add_order (scheduler, GP_ORDER_START, task);
       log_assigned (task);
       gp_scheduler_mark_dirty (scheduler, task->job);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -43,6 +43,9 @@
   GArray *orders;     /* gp_order_t, in the order they were decided */
   gp_time_t next_due; /* latest time of the next gp_scheduler_plan */
   gp_time_t process_started_at; /* when this process started; 0: long ago */
+  bool measure_speed;   /* slow executors get less work; off by default */
+  GHashTable *speeds;   /* service to gp_executor_speeds_t, owned */
+  gp_time_t speeds_due; /* next comparison of the executors' speeds */
 } gp_scheduler_t;
 
 void gp_scheduler_init (gp_scheduler_t *scheduler, gp_book_t *book,
--- a/src/jobs/scheduler_private.h
+++ b/src/jobs/scheduler_private.h
@@ -15,6 +15,20 @@
 /* Takes TASK off its executor; it waits again.  */
 void gp_scheduler_release (gp_scheduler_t *scheduler, gp_job_task_t *task);
 
+/* TASK was assigned: records how long its run is expected to take.  What is
+   expected at its end may have been learned while it was running.  */
+void gp_scheduler_expect_run (const gp_scheduler_t *scheduler,
+                              gp_job_task_t *task);
+/* TASK was done on EXECUTOR by a run whose duration is known.  */
+void gp_scheduler_measure_run (const gp_scheduler_t *scheduler,
+                               gp_job_executor_t *executor,
+                               const gp_job_task_t *task, gp_time_t now);
+/* Compares the executors' speeds with each other, if that is due.  */
+void gp_scheduler_compare_speeds (gp_scheduler_t *scheduler, gp_time_t now);
+void gp_scheduler_reset_speeds (gp_scheduler_t *scheduler);
+/* Registers the counter of slow executors.  */
+void gp_scheduler_register_speed (void);
+
 /* Registers the counters of dead executors and lost runs.  */
 void gp_scheduler_register_losses (void);
 /* Registers the counter of stray runs.  */
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -376,6 +376,7 @@
   gp_leader_init (&entry->leader, &entry->loop, entry->store, &entry->book,
                   &entry->operators, settings->node, on_leadership_lost,
                   entry);
+  entry->leader.scheduler.measure_speed = settings->measure_speed;
   gp_janitor_init (&entry->janitor, &entry->loop, entry->store, &entry->book,
                    &entry->leader, settings->status_time);
   gp_jobs_api_init (&entry->api, &entry->loop, entry->store, &entry->book,
