--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -381,6 +381,7 @@
   if (settings->rank_leaders)
     gp_leader_set_capacity (&entry->leader, gp_announced_cpu_milli (settings),
                             gp_announced_link_kbps (settings));
+  entry->leader.scheduler.measure_speed = settings->measure_speed;
   gp_janitor_init (&entry->janitor, &entry->loop, entry->store, &entry->book,
                    &entry->leader, settings->status_time);
   gp_jobs_api_init (&entry->api, &entry->loop, entry->store, &entry->book,
