Entries share slow appends through the leader (share_appends)

Change: gp_append_collector_t makes one append of the batches that wait; the relay gives it unconditional appends to the topic of jobs; gp_job_appender_t takes the place of the append of jobs_api.c, chooses the route and reports the first success. The store's client recognises such a request, builds its answer, and marks a failure that the store itself has reported, so that a sender can tell it from a refusal of the collector. Off by default; then every append is the one direct call that it was. Measured: unit tests test_append_route, test_shared_appends, way, feed and platform pass; no run with processes yet.

--- a/src/jobs/append_batch.c
+++ b/src/jobs/append_batch.c
@@ -118,21 +118,35 @@
   return queue->sent_at + timeout;
 }
 
+/* Update the average with an append that has taken DURATION.  */
+static void
+note_duration (gp_append_queue_t *queue, gp_time_t duration)
+{
+  if (is_measured (queue, queue->sent_at))
+    queue->append_time += (gp_time_t)((double)(duration - queue->append_time)
+                                      * APPEND_TIME_GAIN);
+  else
+    queue->append_time = duration;
+}
+
 void
-gp_append_queue_end (gp_append_queue_t *queue, bool answered, gp_time_t now)
+gp_append_queue_end (gp_append_queue_t *queue, gp_append_outcome_t outcome,
+                     gp_time_t now, gp_list_t *ended)
 {
   gp_time_t duration = now - queue->sent_at;
+  gp_list_t *link;
 
+  gp_list_init (ended);
+  while ((link = gp_list_pop_front (&queue->in_flight)) != NULL)
+    gp_list_push_back (ended, link);
   queue->busy = false;
-  /* An append without an answer takes longer than it was waited for.  */
-  if (!answered)
-    duration = MAX (2 * queue->append_time, duration);
-  if (answered && !is_measured (queue, queue->sent_at))
-    queue->append_time = duration;
-  else
-    queue->append_time += (gp_time_t)((double)(duration - queue->append_time)
-                                      * APPEND_TIME_GAIN);
-  if (answered)
-    queue->measured_at = now;
+  if (outcome == GP_APPEND_DONE)
+    {
+      note_duration (queue, duration);
+      queue->measured_at = now;
+    }
+  /* It takes longer than it was waited for.  */
+  else if (outcome == GP_APPEND_UNKNOWN)
+    note_duration (queue, MAX (duration, 2 * queue->append_time));
   queue->start_at = now + pause_time (queue);
 }
--- a/src/jobs/append_batch.h
+++ b/src/jobs/append_batch.h
@@ -18,8 +18,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "base/list.h"
-#include "base/time.h"
+#include "jobs/append_route.h"
 
 /* Maximum size of an append in bytes, unless a single batch is larger.  */
 #define GP_APPEND_MAX_SIZE ((size_t)256 * 1024)
@@ -72,9 +71,10 @@
 /* Returns when the append in flight is given up.  */
 gp_time_t gp_append_queue_deadline (const gp_append_queue_t *queue);
 
-/* The append in flight has ended; the caller takes its batches from
-   IN_FLIGHT.  ANSWERED: by the store.  */
-void gp_append_queue_end (gp_append_queue_t *queue, bool answered,
-                          gp_time_t now);
+/* The append in flight has ended with OUTCOME, which is that of a direct
+   append.  Its batches are moved to ENDED, an empty list.  */
+void gp_append_queue_end (gp_append_queue_t *queue,
+                          gp_append_outcome_t outcome, gp_time_t now,
+                          gp_list_t *ended);
 
 #endif
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -100,6 +100,7 @@
   else
     {
       gp_store_route_add_peer (&entry->route, node->address);
+      gp_job_appender_set_relay (&entry->appender, name, node->address);
       gp_leader_announced (&entry->leader, name, node->incarnation,
                            node->ceased);
     }
@@ -378,11 +379,17 @@
                   entry);
   gp_janitor_init (&entry->janitor, &entry->loop, entry->store, &entry->book,
                    &entry->leader, settings->status_time);
-  gp_jobs_api_init (&entry->api, &entry->loop, entry->store, &entry->book,
+  gp_append_collector_init (&entry->collector, &entry->loop, entry->store);
+  gp_job_appender_init (&entry->appender, &entry->loop, entry->store,
+                        &entry->leader,
+                        settings->share_appends ? &entry->collector : NULL);
+  gp_jobs_api_init (&entry->api, &entry->loop, &entry->appender, &entry->book,
                     &entry->operators.queues, &entry->jobs, on_job_record,
                     entry);
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
-                          settings->store, settings->link_rate, error))
+                          settings->store, settings->link_rate,
+                          settings->share_appends ? &entry->collector : NULL,
+                          error))
     return false;
   if (!open_servers (entry, error))
     return false;
@@ -410,6 +417,8 @@
 gp_job_entry_finish (gp_job_entry_t *entry)
 {
   gp_jobs_api_finish (&entry->api);
+  gp_job_appender_finish (&entry->appender);
+  gp_append_collector_finish (&entry->collector);
   gp_traffic_reporter_finish (&entry->traffic);
   gp_janitor_finish (&entry->janitor);
   gp_operator_feed_finish (&entry->operators);
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -6,8 +6,10 @@
 
 #include "jobs/book.h"
 #include "jobsd/announce.h"
+#include "jobsd/append_collector.h"
 #include "jobsd/feed.h"
 #include "jobsd/janitor.h"
+#include "jobsd/job_appender.h"
 #include "jobsd/jobs_api.h"
 #include "jobsd/leader.h"
 #include "jobsd/operator_feed.h"
@@ -32,6 +34,8 @@
   gp_feed_t jobs;
   gp_feed_t progress;
   gp_feed_t nodes;
+  gp_append_collector_t collector;
+  gp_job_appender_t appender;
   gp_jobs_api_t api;
   gp_leader_t leader;
   gp_janitor_t janitor;
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -314,9 +314,8 @@
     change->in_call = true;
   }
   if (batch->len > 0)
-    api->call = gp_platform_store_append (api->store, GP_TOPIC_JOBS, batch,
-                                          GP_PLATFORM_STORE_UNCONDITIONAL,
-                                          now + timeout, on_appended, api);
+    api->call = gp_job_appender_append (api->appender, batch, now + timeout,
+                                        on_appended, api);
   g_byte_array_unref (batch);
 }
 
@@ -618,14 +617,14 @@
 
 void
 gp_jobs_api_init (gp_jobs_api_t *api, gp_loop_t *loop,
-                  gp_platform_store_t *store, gp_book_t *book,
+                  gp_job_appender_t *appender, gp_book_t *book,
                   const gp_queues_t *queues, const gp_feed_t *jobs,
                   void (*on_record) (const gp_platform_store_record_t *record,
                                      void *data),
                   void *data)
 {
   *api = (gp_jobs_api_t){ .loop = loop,
-                          .store = store,
+                          .appender = appender,
                           .book = book,
                           .queues = queues,
                           .jobs = jobs,
@@ -651,7 +650,7 @@
   GP_LIST_FOREACH_SAFE (link, &api->changes)
   free_change (GP_CONTAINER_OF (link, change_t, link));
   if (api->call != NULL)
-    gp_platform_store_cancel (api->call);
+    gp_job_append_cancel (api->call);
   gp_timer_finish (&api->timer);
   g_hash_table_destroy (api->open_outcomes);
 }
--- a/src/jobsd/jobs_api.h
+++ b/src/jobsd/jobs_api.h
@@ -6,32 +6,33 @@
 #include "jobs/book.h"
 #include "jobs/queues.h"
 #include "jobsd/feed.h"
+#include "jobsd/job_appender.h"
 #include "platform/store.h"
 #include "transport/http.h"
 
 typedef struct
 {
   gp_loop_t *loop;
-  gp_platform_store_t *store;
+  gp_job_appender_t *appender;
   gp_book_t *book;
   const gp_queues_t *queues;
   const gp_feed_t *jobs; /* feed of the book's jobs; its age is the book's */
   gp_list_t changes;     /* submissions and cancellations in progress */
   GHashTable *open_outcomes; /* ids, owned, of jobs for which an answer left
                                 the outcome open */
-  gp_platform_store_call_t *call; /* the append in progress, or NULL */
-  gp_time_t next_attempt_at;      /* no append is started before this time */
-  unsigned failures;              /* consecutive appends that failed */
-  gp_time_t failing_since;        /* the first of them was sent, 0: none */
-  gp_time_t latency; /* moving average of the duration of appends */
-  gp_timer_t timer;  /* the next append, or the timeout of a change */
+  gp_job_append_t *call;     /* the append in progress, or NULL */
+  gp_time_t next_attempt_at; /* no append is started before this time */
+  unsigned failures;         /* consecutive appends that failed */
+  gp_time_t failing_since;   /* the first of them was sent, 0: none */
+  gp_time_t latency;         /* moving average of the duration of appends */
+  gp_timer_t timer;          /* the next append, or the timeout of a change */
   /* A record is in the log: apply it now, without waiting for the feed.  */
   void (*on_record) (const gp_platform_store_record_t *record, void *data);
   void *data;
 } gp_jobs_api_t;
 
 void gp_jobs_api_init (
-    gp_jobs_api_t *api, gp_loop_t *loop, gp_platform_store_t *store,
+    gp_jobs_api_t *api, gp_loop_t *loop, gp_job_appender_t *appender,
     gp_book_t *book, const gp_queues_t *queues, const gp_feed_t *jobs,
     void (*on_record) (const gp_platform_store_record_t *record, void *data),
     void *data);
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -112,11 +112,26 @@
     }
 }
 
+static void
+set_leader_node (gp_leader_t *leader, const char *node)
+{
+  g_free (leader->leader_node);
+  leader->leader_node = g_strdup (node);
+}
+
+const char *
+gp_leader_current_node (const gp_leader_t *leader)
+{
+  return leader->role == GP_LEADER_LEADING ? leader->node
+                                           : leader->leader_node;
+}
+
 void
 gp_leader_start_leading (gp_leader_t *leader, uint64_t epoch)
 {
   leader->role = GP_LEADER_LEADING;
   leader->epoch = epoch;
+  set_leader_node (leader, NULL);
   /* A leadership of this node that was lost renews no more leases.  */
   gp_grants_leader_ended (&leader->grants, leader->node, now_of (leader));
   gp_log (GP_LOG_INFO, "lead.taken", GP_LOG_I ("epoch", epoch),
@@ -220,6 +235,7 @@
     gp_leader_raise_incarnation (leader, leadership->incarnation);
   /* An earlier process on this VM must have ended, as this one is running.  */
   leader->resigned = leadership->resigned || (here && !own);
+  set_leader_node (leader, leader->resigned ? NULL : leadership->node);
   if (!own)
     leader->book_reset = false;
   gp_grants_leadership_read (&leader->grants, leadership, offset,
@@ -240,6 +256,7 @@
     note_record_read (leader);
   leader->leader_known = true;
   leader->resigned = false;
+  set_leader_node (leader, NULL);
 }
 
 gboolean
@@ -442,4 +459,5 @@
   gp_pressure_finish (&leader->pressure);
   g_ptr_array_unref (leader->fillings);
   gp_grants_finish (&leader->grants);
+  g_free (leader->leader_node);
 }
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -109,6 +109,9 @@
                                 reads */
   bool resigned;     /* the last leader's record says that it resigned */
   bool leader_known; /* a leader's record has been read */
+  char *leader_node; /* owned: the node that the last such record names; NULL:
+                        it resigned, the record was unreadable, or there was
+                        none since this entry led */
   bool book_reset;   /* this entry lost leadership and reset its book, and no
                         other entry has led since */
   GByteArray *batch; /* the append in progress */
@@ -176,6 +179,9 @@
 /* When this follower claims leadership unless a record of the leader arrives
    before.  */
 gp_time_t gp_leader_claim_at (const gp_leader_t *leader);
+/* Returns the node of the entry that leads, as far as this entry knows, or
+   NULL.  */
+const char *gp_leader_current_node (const gp_leader_t *leader);
 /* The store answers again: repeat an append that may hang.  */
 void gp_leader_retry (gp_leader_t *leader);
 /* The progress topic could not be read for a while: restart the time without a
--- a/src/jobsd/relay.c
+++ b/src/jobsd/relay.c
@@ -135,11 +135,10 @@
 }
 
 static void
-on_request (gp_http_exchange_t *exchange, void *data)
+relay_request (gp_job_relay_t *relay, gp_http_exchange_t *exchange)
 {
   static const gp_http_call_callbacks_t callbacks
       = { on_head, on_body, on_done };
-  gp_job_relay_t *relay = data;
   gp_http_text_t method = gp_http_exchange_method (exchange);
   gp_http_text_t path = gp_http_exchange_path (exchange);
   gp_http_text_t body = gp_http_exchange_body (exchange);
@@ -169,9 +168,70 @@
       = gp_http_client_call (relay->client, &request, &callbacks, relayed);
 }
 
+/* A peer's batch at the collector.  */
+typedef struct
+{
+  gp_append_collector_t *collector;
+  gp_collected_t *collected;
+  gp_http_exchange_t *exchange;
+} shared_append_t;
+
+static void
+on_collected (const gp_platform_store_answer_t *answer, void *data)
+{
+  shared_append_t *append = data;
+
+  gp_http_exchange_watch (append->exchange, NULL, NULL, NULL);
+  gp_platform_store_answer_append (append->exchange, answer);
+  g_free (append);
+}
+
+static void
+on_sender_disconnected (void *data)
+{
+  shared_append_t *append = data;
+
+  gp_append_collector_cancel (append->collector, append->collected);
+  g_free (append);
+}
+
+static void
+collect_append (gp_append_collector_t *collector, gp_http_exchange_t *exchange)
+{
+  gp_http_text_t body = gp_http_exchange_body (exchange);
+  shared_append_t *append = g_new0 (shared_append_t, 1);
+
+  append->collector = collector;
+  append->exchange = exchange;
+  append->collected = gp_append_collector_add (
+      collector, (const uint8_t *)body.base, body.size, on_collected, append);
+  if (append->collected != NULL)
+    {
+      gp_http_exchange_watch (exchange, on_sender_disconnected, NULL, append);
+      return;
+    }
+  /* 503 says that nothing was done.  */
+  gp_http_exchange_answer (exchange, 503, NULL, 0, NULL, 0);
+  g_free (append);
+}
+
+static void
+on_request (gp_http_exchange_t *exchange, void *data)
+{
+  gp_job_relay_t *relay = data;
+
+  if (relay->collector != NULL
+      && gp_platform_store_is_jobs_append (gp_http_exchange_method (exchange),
+                                           gp_http_exchange_path (exchange)))
+    collect_append (relay->collector, exchange);
+  else
+    relay_request (relay, exchange);
+}
+
 bool
 gp_job_relay_init (gp_job_relay_t *relay, gp_loop_t *loop, const char *address,
-                   const char *store, int64_t link_rate, GError **error)
+                   const char *store, int64_t link_rate,
+                   gp_append_collector_t *collector, GError **error)
 {
   const gp_http_client_options_t client = { .address = store,
                                             .max_connections = CONNECTIONS,
@@ -185,6 +245,7 @@
                                             .data = relay };
 
   relay->loop = loop;
+  relay->collector = collector;
   gp_counter_register (&relayed_count);
   gp_traffic_register (&peers_traffic);
   gp_traffic_register (&store_traffic);
--- a/src/jobsd/relay.h
+++ b/src/jobsd/relay.h
@@ -5,11 +5,15 @@
    to the store unchanged, and has its own calls relayed by a peer while its
    direct route fails (see jobsd/store_route.h).  A relay always uses its
    direct route, so calls are relayed only once.  The store checks the
-   conditions on appends, so they apply on either route.  */
+   conditions on appends, so they apply on either route.
+
+   Appends to the topic of jobs without a condition go to the collector instead
+   if there is one (jobsd/append_collector.h).  */
 
 #ifndef GP_JOBSD_RELAY_H
 #define GP_JOBSD_RELAY_H
 
+#include "jobsd/append_collector.h"
 #include "transport/http.h"
 
 typedef struct
@@ -17,10 +21,13 @@
   gp_loop_t *loop;
   gp_http_server_t *server;
   gp_http_client_t *client;
+  gp_append_collector_t *collector; /* NULL: appends are relayed one by one */
 } gp_job_relay_t;
 
+/* COLLECTOR may be NULL.  */
 bool gp_job_relay_init (gp_job_relay_t *relay, gp_loop_t *loop,
                         const char *address, const char *store,
-                        int64_t link_rate, GError **error);
+                        int64_t link_rate, gp_append_collector_t *collector,
+                        GError **error);
 
 #endif
--- a/tests/unit/test_append_route.c
+++ b/tests/unit/test_append_route.c
@@ -27,7 +27,7 @@
 #define ATTEMPT_TIME_MAX (1200 * GP_MSEC)
 #define REFUSALS_MAX 4
 #define FAILURES_TO_REFUSE 2
-#define RECORD_SIZE 1000
+#define RECORD_SIZE ((size_t)1000)
 #define SLOW_FROM GP_SEC
 #define SLOW_UNTIL (11 * GP_SEC)
 #define END_AT (16 * GP_SEC)
@@ -219,11 +219,13 @@
 static void
 end_collected (world_t *world, entry_t *leader, gp_append_outcome_t outcome)
 {
+  gp_list_t ended;
+
   if (leader->dead)
     return;
   leader->collected = 0;
-  gp_append_queue_end (&leader->queue, outcome == GP_APPEND_DONE, world->now);
-  GP_LIST_FOREACH_SAFE (link, &leader->queue.in_flight)
+  gp_append_queue_end (&leader->queue, outcome, world->now, &ended);
+  GP_LIST_FOREACH_SAFE (link, &ended)
   {
     call_t *call = GP_CONTAINER_OF (link, call_t, batch.link);
 
@@ -434,7 +436,7 @@
 {
   *world = (world_t){ .entries = entries, .shares = shares };
   world->steady_from = SLOW_FROM + ATTEMPT_TIME_MIN
-                       + entries * SLOWNESS * PROCESS_TIME + TWO_APPENDS;
+                       + PROCESS_TIME * SLOWNESS * entries + TWO_APPENDS;
   world->submissions = g_array_new (FALSE, FALSE, sizeof (submission_t));
   world->calls = g_ptr_array_new_with_free_func (call_free);
   world->queue = g_ptr_array_new ();
@@ -446,7 +448,7 @@
       entry->latency = ANSWER_TIME;
       gp_append_route_init (&entry->route);
       gp_append_queue_init (&entry->queue);
-      for (gp_time_t at = i * 17 * GP_MSEC; at < END_AT - 3 * GP_SEC;
+      for (gp_time_t at = 17 * GP_MSEC * i; at < END_AT - 3 * GP_SEC;
            at += INTERVAL)
         {
           submission_t submission = { .entry = i, .at = at };
@@ -839,6 +841,7 @@
   gp_append_batch_t batches[G_N_ELEMENTS (sizes)];
   gp_append_batch_t last;
   gp_append_queue_t queue;
+  gp_list_t ended;
   gp_time_t now = GP_SEC;
 
   gp_append_queue_init (&queue);
@@ -860,7 +863,7 @@
       printf (", given up after %d ms\n",
               (int)((gp_append_queue_deadline (&queue) - now) / GP_MSEC));
       now += 384 * GP_MSEC;
-      gp_append_queue_end (&queue, true, now);
+      gp_append_queue_end (&queue, GP_APPEND_DONE, now, &ended);
       now += 20 * GP_MSEC;
     }
   CU_ASSERT_EQUAL (queue.waiting_size, 0);
