job_appender: an own shared append ends at its deadline; stand-in: slow appends

Change: the batch is taken back at the deadline; the first step of an append is handled where it is chosen. The stand-in of the store can take a time for each append, one after the other.

--- a/src/jobsd/job_appender.c
+++ b/src/jobsd/job_appender.c
@@ -24,6 +24,7 @@
   gp_platform_store_cb_t on_done;
   void *data;
   gp_time_t begun_at;
+  gp_time_t shared_deadline; /* when this entry's own collector is given up */
   gp_platform_store_call_t *direct; /* calls in progress, or NULL */
   gp_platform_store_call_t *by_peer;
   gp_collected_t *collected; /* at this entry's own collector, or NULL */
@@ -48,16 +49,29 @@
   g_free (append);
 }
 
-/* Arm the timer for the next append that may have to be sent directly as
-   well.  */
+static gp_job_append_t *
+append_of (gp_list_t *link)
+{
+  gp_append_t *state = GP_CONTAINER_OF (link, gp_append_t, link);
+
+  return GP_CONTAINER_OF (state, gp_job_append_t, state);
+}
+
+/* Arm the timer for the next append that may have to be sent directly as well,
+   or whose batch is taken back from this entry's collector.  */
 static void
 arm (gp_job_appender_t *appender)
 {
   gp_time_t at = GP_TIME_NEVER;
 
   GP_LIST_FOREACH (link, &appender->route.appends)
-  at = MIN (at,
-            gp_append_next_check (GP_CONTAINER_OF (link, gp_append_t, link)));
+  {
+    const gp_job_append_t *append = append_of (link);
+
+    at = MIN (at, gp_append_next_check (&append->state));
+    if (append->collected != NULL)
+      at = MIN (at, append->shared_deadline);
+  }
   gp_timer_arm (&appender->timer, at);
 }
 
@@ -157,9 +171,6 @@
 static void
 send_shared (gp_job_append_t *append)
 {
-  static const gp_platform_store_answer_t not_taken
-      = { .result = GP_PLATFORM_STORE_REFUSED,
-          .reason = "the leader does not take it" };
   gp_job_appender_t *appender = append->appender;
   const GByteArray *batch = append->batch;
   const char *address;
@@ -173,8 +184,11 @@
     append->by_peer = gp_platform_store_append_by_peer (
         appender->store, address, batch, append->state.deadline,
         on_shared_done, append);
-  if (append->collected == NULL && append->by_peer == NULL)
-    note_answer (append, GP_APPEND_SHARED, GP_APPEND_NOT_TAKEN, &not_taken);
+  if (append->collected == NULL && append->by_peer == NULL
+      && gp_append_note (&appender->route, &append->state, GP_APPEND_SHARED,
+                         GP_APPEND_NOT_TAKEN, append->begun_at)
+             == GP_APPEND_SEND_DIRECT)
+    send_direct (append);
 }
 
 /* APPEND has ended; ANSWER is the last one that it got.  */
@@ -202,13 +216,11 @@
   switch (step)
     {
     case GP_APPEND_WAIT:
+    case GP_APPEND_SEND_SHARED: /* only the first step */
       break;
     case GP_APPEND_SEND_DIRECT:
       send_direct (append);
       break;
-    case GP_APPEND_SEND_SHARED:
-      send_shared (append);
-      break;
     case GP_APPEND_END_DONE:
     case GP_APPEND_END_REFUSED:
       end_append (append, answer, false);
@@ -220,19 +232,35 @@
   arm (appender);
 }
 
+/* This entry's own collector has not answered in time.  The batch may be in
+   its append in flight.  */
+static void
+leave_collector (gp_job_append_t *append)
+{
+  static const gp_platform_store_answer_t late
+      = { .result = GP_PLATFORM_STORE_UNKNOWN,
+          .reason = "no answer to a shared append" };
+
+  gp_append_collector_cancel (append->appender->collector, append->collected);
+  append->collected = NULL;
+  note_answer (append, GP_APPEND_SHARED, GP_APPEND_LOST, &late);
+}
+
 static void
 on_timer (gp_timer_t *timer, void *data)
 {
   gp_job_appender_t *appender = data;
   gp_time_t now = gp_loop_now (appender->loop);
 
-  GP_LIST_FOREACH (link, &appender->route.appends)
+  GP_LIST_FOREACH_SAFE (link, &appender->route.appends)
   {
-    gp_append_t *state = GP_CONTAINER_OF (link, gp_append_t, link);
+    gp_job_append_t *append = append_of (link);
 
-    if (gp_append_check (&appender->route, state, now)
+    if (gp_append_check (&appender->route, &append->state, now)
         == GP_APPEND_SEND_DIRECT)
-      send_direct (GP_CONTAINER_OF (state, gp_job_append_t, state));
+      send_direct (append);
+    if (append->collected != NULL && now >= append->shared_deadline)
+      leave_collector (append);
   }
   arm (appender);
 }
@@ -304,6 +332,7 @@
   append->on_done = on_done;
   append->data = data;
   append->begun_at = gp_loop_now (appender->loop);
+  append->shared_deadline = deadline;
   append->batch = g_byte_array_sized_new (batch->len);
   g_byte_array_append (append->batch, batch->data, batch->len);
   begin (append, deadline);
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -13,6 +13,8 @@
 
 # How long a call that gets no response is held.
 SILENT_S = 2.0
+# A further append is refused while this time of appends is waiting.
+QUEUE_S = 2.0
 
 
 class Topic:
@@ -20,6 +22,8 @@
         self.records = []
         self.first = 0
         self.newest = {}
+        self.turn = threading.Lock()
+        self.waiting = 0  # appends that wait for their turn
 
     @property
     def end(self):
@@ -46,8 +50,9 @@
     "silent" to close connections without a response), refused (addresses of
     open() that respond with 503), silent (addresses of open() that close
     connections without a response), unreadable and unwritable (topics whose
-    reads or appends respond with 503) and lost (the next N appends take effect
-    without a response).
+    reads or appends respond with 503), lost (the next N appends take effect
+    without a response) and append_s (how long a topic processes an append, one
+    after the other; a response takes answer_s more).
     """
 
     def __init__(self, address):
@@ -55,6 +60,8 @@
         self.topics = {}
         self.down = None
         self.lost = 0
+        self.append_s = 0
+        self.answer_s = 0
         self.appends = 0
         self.refused = set()
         self.silent = set()
@@ -121,9 +128,29 @@
             return self.list_newest(query)
         return 404, b"{}"
 
+    def wait_turn(self, query):
+        """Take the time of an append; return False if it is refused."""
+        with self.lock:
+            topic = self.topic(query)
+            if topic.waiting * self.append_s > QUEUE_S:
+                return False
+            topic.waiting += 1
+        with topic.turn:
+            time.sleep(self.append_s)
+        with self.lock:
+            topic.waiting -= 1
+        return True
+
     def append(self, query, body):
         if query["topic"] in self.unwritable:
             return 503, b"{}"
+        if self.append_s > 0 and not self.wait_turn(query):
+            return 503, b"{}"
+        answer = self.append_now(query, body)
+        time.sleep(self.answer_s)
+        return answer
+
+    def append_now(self, query, body):
         for old, new in self.rewrites.items():
             body = body.replace(old, new)
         with self.lock:
