--- a/tests/unit/test_append_route.c
+++ b/tests/unit/test_append_route.c
@@ -869,18 +869,74 @@
   CU_ASSERT_EQUAL (queue.waiting_size, 0);
 }
 
+#define BATCHES 200
+
+/* The same over random events, against a plain array in the order of arrival:
+   each append has the oldest batches that fit, and their places add up.  */
+static void
+test_queue_random (void)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  gp_append_batch_t batches[BATCHES];
+  bool gone[BATCHES] = { false };
+  gp_append_queue_t queue;
+  gp_list_t ended;
+  int first = 0; /* all before have been in an append, or are gone */
+  int added = 0;
+
+  gp_append_queue_init (&queue);
+  for (gp_time_t now = 0; first < BATCHES; now += GP_MSEC)
+    {
+      int which = first + g_rand_int_range (random, 0, 5);
+      size_t size = 0;
+      uint64_t place = 0;
+
+      if (added < BATCHES && g_rand_boolean (random)
+          && gp_append_queue_add (&queue, &batches[added],
+                                  (size_t)g_rand_int_range (random, 1, 100000),
+                                  (unsigned)g_rand_int_range (random, 1, 9)))
+        added++;
+      if (which < added && !gone[which]
+          && g_rand_int_range (random, 0, 9) == 0)
+        {
+          gp_append_queue_remove (&queue, &batches[which]);
+          gone[which] = true;
+        }
+      if (queue.busy && g_rand_boolean (random))
+        gp_append_queue_end (&queue, GP_APPEND_DONE, now, &ended);
+      if (gp_append_queue_start (&queue, now))
+        for (; first < added && (gone[first] || batches[first].in_append);
+             first++)
+          {
+            if (gone[first])
+              continue;
+            CU_ASSERT_EQUAL (batches[first].place, place);
+            place += batches[first].records;
+            size += batches[first].size;
+          }
+      while (first < added && gone[first])
+        first++;
+      CU_ASSERT_TRUE (size <= GP_APPEND_MAX_SIZE);
+      CU_ASSERT_FALSE (size > 0 && first < added
+                       && size + batches[first].size <= GP_APPEND_MAX_SIZE);
+      size = 0;
+      for (int i = first; i < added; i++)
+        size += gone[i] ? 0 : batches[i].size;
+      CU_ASSERT_EQUAL (queue.waiting_size, size);
+    }
+  g_rand_free (random);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "slow_store", test_slow_store },
-                                 { "failures", test_failures },
-                                 { "when_shared", test_when_shared },
-                                 { "not_taken", test_not_taken },
-                                 { "store_refuses", test_store_refuses },
-                                 { "copy", test_copy },
-                                 { "silent_leader", test_silent_leader },
-                                 { "queue", test_queue },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = {
+    { "slow_store", test_slow_store },       { "failures", test_failures },
+    { "when_shared", test_when_shared },     { "not_taken", test_not_taken },
+    { "store_refuses", test_store_refuses }, { "copy", test_copy },
+    { "silent_leader", test_silent_leader }, { "queue", test_queue },
+    { "queue_random", test_queue_random },   CU_TEST_INFO_NULL
+  };
 
   return runner_main ("append_route", tests);
 }
--- a/tests/unit/test_shared_appends.c
+++ b/tests/unit/test_shared_appends.c
@@ -419,6 +419,31 @@
   fixture_finish (&fixture);
 }
 
+/* A batch that is not a sequence of complete records would make the records
+   of others unreadable.  */
+static void
+test_malformed (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    size_t size;
+    unsigned records;
+  } cases[] = { { "", 0, 0 },
+                { "\0\0\0\2\1k", 6, 1 },
+                { "\0\0\0\2\1k\0\0\0\4\1kvv", 14, 2 },
+                { "\0\0\0\2\1k\0\0\0\4\1kv", 13, 0 },
+                { "\0\0\0\2\1k\0", 7, 0 },
+                { "\0\0\0\2\2k", 6, 0 },
+                { "\0\0\0\0\0", 5, 0 },
+                { "\377\377\377\377\1k", 6, 0 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (gp_platform_store_batch_count (
+                         (const uint8_t *)cases[i].bytes, cases[i].size),
+                     cases[i].records);
+}
+
 int
 main (void)
 {
@@ -430,6 +455,7 @@
           { "not_collected", test_not_collected },
           { "appender", test_appender },
           { "leader_dies", test_leader_dies },
+          { "malformed", test_malformed },
           CU_TEST_INFO_NULL };
 
   stores = g_ptr_array_new ();
