share_appends.py: callers leave the killed entry out

Cause: a caller of the entry that was just killed ended with a KeyError in its thread (seen in one run with 11 entries).

--- a/tests/scripts/share_appends.py
+++ b/tests/scripts/share_appends.py
@@ -34,6 +34,7 @@
 
     def __init__(self, site):
         self.site = site
+        self.entries = list(site.entries)
         self.results = []  # time of the submission, job, status
         self.lock = threading.Lock()
         self.stopped = False
@@ -44,7 +45,7 @@
     def feed(self):
         number = 0
         while not self.stopped:
-            for entry in list(self.site.entries):
+            for entry in list(self.entries):
                 number += 1
                 thread = threading.Thread(
                     target=self.submit, args=(entry, f"{number:016x}"))
@@ -108,7 +109,7 @@
         if shared:
             leader = site.leader()
             site.processes[leader].kill()
-            del site.entries[leader]
+            callers.entries.remove(leader)
             killed = time.monotonic()
             time.sleep(LEADER_CHANGE_S)
         last = time.monotonic()
