Leader: a refused resignation in favour of another entry is withdrawn

Cause: a leader that resigns acknowledges no reports, also while its resignation waits for the store. An outage of 7 s that begins when a weak leader hands over let all leases expire: 6 starts of 3 long-running tasks, where a leader without a store extends leases for 8 s.

Change: while no attempt can have been carried out and the process does not stop, the batch gets a record without the resignation, and the leader leads on. It hands over later, when its appends are fast again. If an attempt got no answer, the resignation may be on the log and stays.

--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -119,7 +119,9 @@
                         other entry has led since */
   GByteArray *batch; /* the append in progress */
   unsigned batch_records;
-  GArray *batch_states;        /* batch_state_t of the jobs in the batch */
+  guint leadership_at;  /* position in the batch of the leader's record, which
+                           is its last one */
+  GArray *batch_states; /* batch_state_t of the jobs in the batch */
   gp_time_t batch_began_at;    /* first attempt to send the batch, also if that
                                   was refused */
   gp_time_t batch_leases_from; /* the leadership that the batch confirms,
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -337,6 +337,19 @@
       now_of (leader) + APPEND_TIMEOUT, on_checked, leader);
 }
 
+/* No attempt to append the resignation was carried out.  A leader that resigns
+   acknowledges no reports, so this one leads on while the store refuses
+   appends.  */
+static void
+withdraw_resignation (gp_leader_t *leader)
+{
+  g_byte_array_set_size (leader->batch, leader->leadership_at);
+  leader->batch_records--;
+  leader->handing_over = false;
+  leader->resigning = false;
+  add_leadership (leader, false);
+}
+
 static void
 on_appended (const gp_platform_store_answer_t *answer, void *data)
 {
@@ -369,6 +382,8 @@
       lose_leadership (leader, answer->reason);
       return;
     }
+  if (leader->handing_over && !leader->stopping && !leader->outcome_unknown)
+    withdraw_resignation (leader);
   gp_timer_arm (&leader->retry, now_of (leader) + APPEND_RETRY_DELAY);
 }
 
@@ -435,6 +450,7 @@
   add_dirty_jobs (leader);
   add_progress_drops (leader);
   gp_leader_add_model (leader);
+  leader->leadership_at = leader->batch->len;
   add_leadership (leader, resigns);
   leader->resigning = resigns;
   append (leader);
--- a/tests/scripts/handover.py
+++ b/tests/scripts/handover.py
@@ -36,8 +36,9 @@
 # Delays from the resignation until the strong entry is killed: during its
 # claim and after it.
 KILL_DELAYS_S = [0.02, 0.08, 0.15, 0.4]
-# Shorter than a lease, so that no task may be lost.
-OUTAGE_S = 2.5
+# Longer than a lease of 5 s, which a resigning leader does not extend.  A
+# leader does so for 8 s without the store.
+OUTAGE_S = 7.0
 # The fields `incarnation', `resigned' and `beat' of a leader's record that
 # resigns.
 RESIGNATION = re.compile(rb"\x11.{8}\x18\x01\x20", re.DOTALL)
