append_route: a fast moment does not shorten the time to a direct copy

Cause: simulated with a store that is fast for 1.5 s between two slow times, all entries sent direct copies after 200 ms, as the last shared appends had been fast; that filled the store's queue, and in the four seconds afterwards 10 of 176 submissions were accepted. Change: the time without an answer is that of an unmeasured leader when appends become slow again, and the average falls slowly only; the collector's average holds for a second without an append.

--- a/src/jobs/append_batch.c
+++ b/src/jobs/append_batch.c
@@ -14,9 +14,10 @@
 #define TIMEOUT_PERCENT 150
 #define TIMEOUT_MIN (500 * GP_MSEC)
 #define TIMEOUT_MAX (2400 * GP_MSEC)
-/* Older measurements say nothing about the store as it is now; the timeout is
-   TIMEOUT_MAX then.  */
-#define MEASUREMENT_AGE_MAX (5 * GP_SEC)
+/* While the collector is in use, one append follows on the other.  After a
+   longer time without one the store may be as slow as it was not before, and
+   the timeout is TIMEOUT_MAX.  */
+#define MEASUREMENT_AGE_MAX GP_SEC
 /* After an append the next one waits for a PAUSE_SHAREth of the average, at
    most PAUSE_MAX and in whole milliseconds, so that the senders that have just
    got their answers can add their next batches.  Otherwise each of them takes
--- a/src/jobs/append_route.c
+++ b/src/jobs/append_route.c
@@ -27,8 +27,11 @@
 /* For how long appends are direct after the leader did not take one or did not
    answer.  */
 #define BAR_PERIOD GP_SEC
-/* Weight of the last duration in the moving average.  */
+/* Weight of the last duration in the moving average.  A shorter duration has
+   less, in proportion to the time since the one before: when the store is fast
+   for a moment, the many appends in it do not hide how long slow ones take. */
 #define SHARED_TIME_GAIN 0.3
+#define SHARED_TIME_DECAY (5 * GP_SEC)
 
 void
 gp_append_route_init (gp_append_route_t *route)
@@ -85,8 +88,11 @@
 note_duration (gp_append_route_t *route, gp_time_t duration, bool done,
                gp_time_t now)
 {
-  if (duration >= SLOW_TIME)
-    route->slow = true;
+  if (duration >= SLOW_TIME && !route->slow)
+    {
+      route->slow = true;
+      route->answered_at = 0;
+    }
   if (!done || duration >= FAST_TIME)
     route->fast_since = 0;
   else if (route->fast_since == 0)
@@ -96,12 +102,16 @@
 static void
 note_shared_time (gp_append_route_t *route, gp_time_t duration, gp_time_t now)
 {
-  if (route->answered_at == 0
-      || now - route->answered_at > MEASUREMENT_AGE_MAX)
+  gp_time_t since = now - route->answered_at;
+  double gain = SHARED_TIME_GAIN;
+
+  if (duration < route->shared_time)
+    gain = MIN (gain, (double)since / SHARED_TIME_DECAY);
+  if (route->answered_at == 0 || since > MEASUREMENT_AGE_MAX)
     route->shared_time = duration;
   else
-    route->shared_time += (gp_time_t)((double)(duration - route->shared_time)
-                                      * SHARED_TIME_GAIN);
+    route->shared_time
+        += (gp_time_t)((double)(duration - route->shared_time) * gain);
   route->answered_at = now;
 }
 
--- a/tests/unit/test_append_route.c
+++ b/tests/unit/test_append_route.c
@@ -31,6 +31,8 @@
 #define SLOW_FROM GP_SEC
 #define SLOW_UNTIL (11 * GP_SEC)
 #define END_AT (16 * GP_SEC)
+/* The store may be fast for a moment in between.  */
+#define GAP_FROM (5 * GP_SEC)
 /* Two appends of a collector with the pause before each, and the hops.  */
 #define TWO_APPENDS                                                           \
   (2 * (SLOWNESS * (PROCESS_TIME + ANSWER_TIME) + 20 * GP_MSEC)               \
@@ -102,6 +104,7 @@
   gp_time_t busy_until; /* end of the append that is processed */
   unsigned attempts;
   unsigned store_calls;
+  gp_time_t gap_until;   /* of the moment in which the store is fast */
   unsigned lost_answers; /* so many answers to collectors are lost */
   gp_time_t steady_from; /* the direct appends by which entries found the
                             store slow are done, and two more */
@@ -111,7 +114,10 @@
 static gp_time_t
 slowness (const world_t *world)
 {
-  return world->now >= SLOW_FROM && world->now < SLOW_UNTIL ? SLOWNESS : 1;
+  return world->now >= SLOW_FROM && world->now < SLOW_UNTIL
+                 && (world->now < GAP_FROM || world->now >= world->gap_until)
+             ? SLOWNESS
+             : 1;
 }
 
 static submission_t *
@@ -571,6 +577,32 @@
     }
 }
 
+/* The store is fast for a moment.  What was measured then must not let all
+   entries send direct copies when it is slow again, which would fill its queue
+   for seconds.  */
+static void
+test_fast_moment (void)
+{
+  static const gp_time_t gaps[]
+      = { 300 * GP_MSEC, 700 * GP_MSEC, 1000 * GP_MSEC, 1500 * GP_MSEC };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (gaps); i++)
+    {
+      world_t world;
+      result_t result;
+
+      world_init (&world, 11, true);
+      world.gap_until = GAP_FROM + gaps[i];
+      run_until (&world, END_AT);
+      printf ("fast for %d ms\n", (int)(gaps[i] / GP_MSEC));
+      result = print_result (&world, "from then on", GAP_FROM,
+                             SLOW_UNTIL - GP_SEC);
+      CU_ASSERT_EQUAL (result.open, 0);
+      CU_ASSERT_TRUE (result.refused * 5 < result.accepted);
+      world_finish (&world);
+    }
+}
+
 /* Failures halfway.  */
 
 #define FAILURE_AT (6 * GP_SEC)
@@ -930,13 +962,17 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[] = {
-    { "slow_store", test_slow_store },       { "failures", test_failures },
-    { "when_shared", test_when_shared },     { "not_taken", test_not_taken },
-    { "store_refuses", test_store_refuses }, { "copy", test_copy },
-    { "silent_leader", test_silent_leader }, { "queue", test_queue },
-    { "queue_random", test_queue_random },   CU_TEST_INFO_NULL
-  };
+  static CU_TestInfo tests[] = { { "slow_store", test_slow_store },
+                                 { "fast_moment", test_fast_moment },
+                                 { "failures", test_failures },
+                                 { "when_shared", test_when_shared },
+                                 { "not_taken", test_not_taken },
+                                 { "store_refuses", test_store_refuses },
+                                 { "copy", test_copy },
+                                 { "silent_leader", test_silent_leader },
+                                 { "queue", test_queue },
+                                 { "queue_random", test_queue_random },
+                                 CU_TEST_INFO_NULL };
 
   return runner_main ("append_route", tests);
 }
