--- a/src/jobs/append_route.c
+++ b/src/jobs/append_route.c
@@ -19,9 +19,10 @@
 #define COPY_TIME_MAX (2 * GP_SEC)
 /* The same while there is no recent average.  When entries begin to share, or
    do so again after a time of direct appends, those of all entries are still
-   in the store's queue, which holds 2 s of appends.  With 2 s here, the direct
-   copies of 18 entries filled it again.  */
-#define COPY_TIME_UNMEASURED (3 * GP_SEC)
+   in the store's queue, which holds 2 s of appends, and two appends of the
+   collector follow.  With 2 s here for a store 64 times slower, or 3 s for one
+   128 times slower, the direct copies of 18 entries filled the queue again. */
+#define COPY_TIME_UNMEASURED (4 * GP_SEC)
 /* Older measurements say nothing about the store as it is now.  */
 #define MEASUREMENT_AGE_MAX (10 * GP_SEC)
 /* For how long appends are direct after the leader did not take one or did not
