Appends: a slow store is told from one that is unavailable

Cause: an attempt that its sender had given up was still processed by the store, and its repetition waited behind it. In a store 64 times slower, whose partition takes one append at a time, that kept the queue longer than any timeout.

Change: jobs/append_attempts.h decides when an append is sent and repeated. With confirm_appends, an overdue attempt stays in flight and its answer counts, two at most; the topic is read back before a repetition and shortly before a caller's answer is due; callers are refused at once only while no call of the entry is answered. The changes in progress move from jobs_api.c to job_changes.c. Retry-After follows the measured backlog.

--- /dev/null
+++ b/src/jobs/append_attempts.h
@@ -0,0 +1,153 @@
+/* Attempts of an entry to append what its callers wait for.
+
+   Pure: attempts, answers and NOW in, the next step out.
+
+   An attempt without an answer does not show whether the store has carried it
+   out, still has it in its queue, or never received it.  A slow store must not
+   get the same records again and again, as it processes all of them in turn,
+   and must not be mistaken for one that is unavailable.  So an attempt that is
+   overdue stays in flight, and its answer counts whenever it comes; before the
+   append is repeated, the topic is read back; and the store is unavailable
+   only if nothing at all is answered.
+
+   If CONFIRM is off, one attempt is in flight at a time, the caller gives it
+   up when its timeout is over, and nothing is read back.  */
+
+#ifndef GP_JOBS_APPEND_ATTEMPTS_H
+#define GP_JOBS_APPEND_ATTEMPTS_H
+
+#include <stdbool.h>
+
+#include "base/time.h"
+
+/* Attempts in flight.  */
+#define GP_APPEND_ATTEMPTS_MAX 2
+
+typedef enum
+{
+  GP_APPEND_DONE,
+  GP_APPEND_REFUSED, /* not carried out, and will not be */
+  GP_APPEND_LOST     /* ended without an answer: the outcome is open */
+} gp_append_end_t;
+
+typedef struct
+{
+  bool in_flight;
+  bool overdue;  /* its timeout is over */
+  bool replaced; /* it may be given up for another one: the store would have
+                    processed it by now */
+  bool settled;  /* nobody waits for it any more */
+  gp_time_t sent_at;
+  gp_time_t overdue_at; /* when its timeout is over */
+} gp_append_attempt_t;
+
+typedef struct
+{
+  bool confirm;
+  gp_append_attempt_t attempts[GP_APPEND_ATTEMPTS_MAX];
+  gp_time_t latency;       /* moving average of the duration of appends */
+  gp_time_t next_at;       /* no append is sent before this time */
+  unsigned failures;       /* consecutive appends that failed */
+  gp_time_t failing_since; /* the first of them was sent, 0: none */
+  gp_time_t open_at;       /* when an outcome was last left open */
+  gp_time_t seen_at;       /* all that the topic held then has been read */
+  gp_time_t answered_at;   /* any call of this entry was last answered */
+  unsigned silent;   /* consecutive attempts and read backs without an answer,
+                        and no call was answered since the first was sent */
+  bool reading;      /* a read back is in progress */
+  bool read_failed;  /* the last one was not answered */
+  gp_time_t read_at; /* when it was begun */
+  gp_time_t read_give_up; /* when it counts as not answered */
+} gp_append_attempts_t;
+
+typedef enum
+{
+  GP_APPEND_WAIT,     /* until AT */
+  GP_APPEND_SEND,     /* send what waits, as attempt SLOT */
+  GP_APPEND_READ_BACK /* read the topic before an append is repeated */
+} gp_append_act_t;
+
+typedef struct
+{
+  gp_append_act_t act;
+  gp_time_t at;  /* GP_TIME_NEVER: until an event */
+  unsigned slot; /* if an attempt is in flight there, it is given up */
+} gp_append_step_t;
+
+void gp_append_attempts_init (gp_append_attempts_t *attempts, bool confirm);
+
+/* Returns what to do now, if records wait.  OPEN: some of them may be on the
+   log already.  CAN_READ: reads of the topic do not fail.  */
+gp_append_step_t gp_append_attempts_next (const gp_append_attempts_t *attempts,
+                                          bool open, bool can_read,
+                                          gp_time_t now);
+
+/* Attempt SLOT is sent.  EXTRA is the time, a duration, that the link needs
+   for it.  */
+void gp_append_attempts_sent (gp_append_attempts_t *attempts, unsigned slot,
+                              gp_time_t extra, gp_time_t now);
+
+/* Attempt SLOT has ended, in time or late.  */
+void gp_append_attempts_ended (gp_append_attempts_t *attempts, unsigned slot,
+                               gp_append_end_t end, gp_time_t now);
+
+/* Nobody waits for attempt SLOT any more.  */
+void gp_append_attempts_settle (gp_append_attempts_t *attempts, unsigned slot);
+
+/* A record that was sent has been read from the topic: appends take effect,
+   whether they are answered or not.  */
+void gp_append_attempts_found (gp_append_attempts_t *attempts);
+
+/* Returns whether to cancel attempt SLOT: nobody waits for it, and it is
+   overdue.  Before that, its answer shows how long appends take.  */
+bool gp_append_attempts_is_useless (const gp_append_attempts_t *attempts,
+                                    unsigned slot);
+
+/* Attempt SLOT was cancelled.  */
+void gp_append_attempts_cancelled (gp_append_attempts_t *attempts,
+                                   unsigned slot);
+
+/* A read back is begun.  */
+void gp_append_attempts_read_back (gp_append_attempts_t *attempts,
+                                   gp_time_t now);
+
+/* Everything that the topic held at SEEN_AT has been read.  */
+void gp_append_attempts_seen (gp_append_attempts_t *attempts,
+                              gp_time_t seen_at, gp_time_t now);
+
+/* The store has answered any call of this entry.  */
+void gp_append_attempts_answered (gp_append_attempts_t *attempts,
+                                  gp_time_t now);
+
+/* Apply the timeouts that are over.  Returns whether an attempt or a read back
+   got no answer in time, and if so, when it was sent.  */
+bool gp_append_attempts_expire (gp_append_attempts_t *attempts, gp_time_t now,
+                                gp_time_t *sent_at);
+
+/* Returns whether the store answers nothing.  */
+bool gp_append_attempts_is_unavailable (const gp_append_attempts_t *attempts);
+
+/* Returns whether to refuse new callers at once: the store answers nothing,
+   and what is in flight shows when it does again.  */
+bool gp_append_attempts_refuses (const gp_append_attempts_t *attempts);
+
+/* Returns when to read the topic at the latest for a caller whose outcome is
+   open and whose answer is due at DEADLINE.  */
+gp_time_t
+gp_append_attempts_last_read_at (const gp_append_attempts_t *attempts,
+                                 gp_time_t deadline);
+
+/* Returns the timeout of an attempt, a duration.  */
+gp_time_t gp_append_attempts_timeout (const gp_append_attempts_t *attempts);
+
+/* Returns for how long, a duration, appends have failed; 0: they succeed, or
+   are only slow.  */
+gp_time_t gp_append_attempts_outage (const gp_append_attempts_t *attempts,
+                                     gp_time_t now);
+
+/* Returns in which time, a duration, BATCHES more appends are made after those
+   in flight.  */
+gp_time_t gp_append_attempts_backlog (const gp_append_attempts_t *attempts,
+                                      unsigned batches, gp_time_t now);
+
+#endif
--- a/src/jobs/retry_after.h
+++ b/src/jobs/retry_after.h
@@ -7,7 +7,10 @@
    minutes callers need not retry every second.  But a caller that would give
    up before then must be able to make another attempt in time.  And after an
    outage the callers must not all retry at once, so that each delay is
-   extended by an amount that depends on the request.  */
+   extended by an amount that depends on the request.
+
+   If the backlog of appends is measured, a caller returns once what waits now
+   has been appended, but within twice that time.  */
 
 #ifndef GP_JOBS_RETRY_AFTER_H
 #define GP_JOBS_RETRY_AFTER_H
@@ -22,6 +25,8 @@
                              duration; 0: it answers, and only this process is
                              not ready */
   gp_time_t store_time;   /* how long the store takes to answer, a duration */
+  gp_time_t backlog; /* in which time what waits now is appended, a duration;
+                        0: not measured */
   gp_time_t timeout; /* for how long the caller waits in all, a duration */
   uint32_t jitter;   /* any number that differs between requests */
 } gp_retry_after_t;
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -77,6 +77,17 @@
     apply_job_record (data, record);
 }
 
+/* A record that the feed delivers also answers the callers that wait for
+   it.  */
+static void
+on_delivered_job_record (const gp_platform_store_record_t *record, void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  on_job_record (record, entry);
+  gp_job_changes_delivered (&entry->api.changes, record);
+}
+
 static void
 on_progress_record (const gp_platform_store_record_t *record, void *data)
 {
@@ -172,6 +183,15 @@
   set_jobs_spacing (entry);
 }
 
+static void
+on_jobs_caught_up (void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_job_changes_caught_up (&entry->api.changes);
+  on_caught_up (entry);
+}
+
 /* The store has answered the feed of TOPIC after a failure: other calls that
    were sent during the outage may still hang.  */
 static void
@@ -218,6 +238,16 @@
   gp_feed_start (&entry->progress);
 }
 
+static void
+on_store_result (bool answered, void *data)
+{
+  gp_job_entry_t *entry = data;
+
+  gp_store_route_add_result (&entry->route, answered);
+  if (answered)
+    gp_job_changes_answered (&entry->api.changes);
+}
+
 static void
 on_zones (void *data)
 {
@@ -230,7 +260,7 @@
 init_feeds (gp_job_entry_t *entry)
 {
   static const gp_feed_callbacks_t jobs
-      = { on_job_record, NULL, on_caught_up, on_state };
+      = { on_delivered_job_record, NULL, on_jobs_caught_up, on_state };
   static const gp_feed_callbacks_t progress
       = { on_progress_record, NULL, on_caught_up, on_state };
   static const gp_feed_callbacks_t nodes
@@ -379,8 +409,9 @@
   gp_janitor_init (&entry->janitor, &entry->loop, entry->store, &entry->book,
                    &entry->leader, settings->status_time);
   gp_jobs_api_init (&entry->api, &entry->loop, entry->store, &entry->book,
-                    &entry->operators.queues, &entry->jobs, on_job_record,
-                    entry);
+                    &entry->operators.queues, &entry->jobs,
+                    settings->confirm_appends, on_job_record, entry);
+  gp_platform_store_set_on_result (entry->store, on_store_result, entry);
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
                           settings->store, settings->link_rate, error))
     return false;
--- /dev/null
+++ b/src/jobsd/job_changes.h
@@ -0,0 +1,78 @@
+/* Submissions and cancellations in progress, until they are answered.
+
+   A change is answered with success only when its record is in the log.  It is
+   refused only if the store has reported for each attempt that nothing was
+   done.  As long as the outcome of an attempt is unknown the same record is
+   appended again, and when the caller's timeout expires the answer leaves the
+   outcome open.  Both are safe to repeat: a second record with the same key
+   changes nothing.
+
+   When appends are sent and repeated is decided in jobs/append_attempts.h.  */
+
+#ifndef GP_JOBSD_JOB_CHANGES_H
+#define GP_JOBSD_JOB_CHANGES_H
+
+#include "jobs/append_attempts.h"
+#include "jobs/book.h"
+#include "jobsd/feed.h"
+#include "platform/store.h"
+#include "transport/http.h"
+
+typedef struct gp_job_changes gp_job_changes_t;
+
+/* An append in flight.  */
+typedef struct
+{
+  gp_job_changes_t *changes;
+  gp_platform_store_call_t *call; /* NULL: none */
+  unsigned waiting;               /* changes in it that are not answered */
+} gp_job_append_t;
+
+struct gp_job_changes
+{
+  gp_loop_t *loop;
+  gp_platform_store_t *store;
+  const gp_book_t *book;
+  gp_feed_t *jobs; /* feed of the book's jobs; its age is the book's */
+  gp_list_t list;  /* changes that are not answered, oldest first */
+  GHashTable *open_outcomes; /* ids, owned, of jobs for which an answer left
+                                the outcome open */
+  gp_append_attempts_t attempts;
+  gp_job_append_t appends[GP_APPEND_ATTEMPTS_MAX]; /* by slot of attempts */
+  bool unavailable;                                /* as logged last */
+  gp_timer_t timer; /* the next step, or the timeout of a change */
+  /* A record is in the log: apply it now, without waiting for the feed.  */
+  void (*on_record) (const gp_platform_store_record_t *record, void *data);
+  void *data;
+};
+
+/* CONFIRM: see gp_append_attempts_t.  */
+void gp_job_changes_init (
+    gp_job_changes_t *changes, gp_loop_t *loop, gp_platform_store_t *store,
+    const gp_book_t *book, gp_feed_t *jobs, bool confirm,
+    void (*on_record) (const gp_platform_store_record_t *record, void *data),
+    void *data);
+void gp_job_changes_finish (gp_job_changes_t *changes);
+
+/* Append a record for the job ID and answer EXCHANGE; takes ownership of
+   VALUE.  */
+void gp_job_changes_start (gp_job_changes_t *changes,
+                           gp_http_exchange_t *exchange, const char *id,
+                           bool is_cancel, GBytes *value);
+
+/* Answer EXCHANGE that nothing was done; the time to retry after depends on
+   the state of the store.  */
+void gp_job_changes_refuse (const gp_job_changes_t *changes,
+                            gp_http_exchange_t *exchange, const char *why);
+
+/* The feed of jobs has delivered RECORD, and the book has it.  */
+void gp_job_changes_delivered (gp_job_changes_t *changes,
+                               const gp_platform_store_record_t *record);
+
+/* The feed of jobs may have caught up.  */
+void gp_job_changes_caught_up (gp_job_changes_t *changes);
+
+/* The store has answered any call of this entry.  */
+void gp_job_changes_answered (gp_job_changes_t *changes);
+
+#endif
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -1,11 +1,4 @@
-/* The HTTP API for callers: submit, show and cancel jobs.
-
-   A change is answered with success only when its record is in the log.  It is
-   refused only if the store has reported for each attempt that nothing was
-   done.  As long as the outcome of an attempt is unknown the same record is
-   appended again, and when the caller's timeout expires the answer leaves the
-   outcome open.  Both are safe to repeat: a second record with the same key
-   changes nothing.  */
+/* The HTTP API for callers: submit, show and cancel jobs.  */
 
 #include "jobsd/jobs_api.h"
 
@@ -14,7 +7,6 @@
 #include "base/counters.h"
 #include "base/histogram.h"
 #include "base/log.h"
-#include "jobs/write_request.h"
 #include "jobs/records.h"
 #include "jobsd/job_answers.h"
 #include "platform/json.h"
@@ -22,374 +14,25 @@
 #include "platform/refusals.h"
 #include "protocol/message.h"
 
-/* Timeout of one attempt to append, as a multiple of the average duration of
-   appends, within these bounds: a slow store does not get the next attempt
-   while it still processes one, and an answer that was lost is not waited for
-   long.  */
-#define ATTEMPT_TIMEOUT_FACTOR 5
-#define ATTEMPT_TIMEOUT_MIN (500 * GP_MSEC)
-#define ATTEMPT_TIMEOUT_MAX (1200 * GP_MSEC)
-/* Weight of the last duration in the moving average.  */
-#define LATENCY_GAIN 0.3
-#define ATTEMPT_DELAY (50 * GP_MSEC)
-/* Consecutive failed appends after which new callers are refused at once while
-   the next append is in flight.  */
-#define FAILURES_TO_REFUSE 2
-/* Attempts that the store refuses before the caller is refused, if it can
-   retry: by then another route to the store has been found if there is
-   one.  */
-#define REFUSALS_MAX 4
-/* Limit of ids of jobs with an open outcome; an outage leaves a few
-   hundred.  */
-#define OPEN_OUTCOMES_MAX 10000
-/* Limit of bytes of records in one append; far below the platform's limit.  */
-#define BATCH_MAX ((size_t)256 * 1024)
 /* Maximum age of the book for the answer that a job does not exist.  */
 #define ABSENCE_AGE_MAX (2500 * GP_MSEC)
 
-static gp_counter_t accepted_count
-    = GP_COUNTER ("jobs_accepted_total", "Submissions that are on the log");
 static gp_counter_t repeated_count = GP_COUNTER (
     "jobs_repeated_total", "Submissions of a job that is known already");
-static gp_counter_t refused_count = GP_COUNTER (
-    "jobs_refused_total", "Submissions refused because of the store");
-static gp_counter_t open_count = GP_COUNTER (
-    "jobs_unknown_total", "Changes whose fate was left open to the caller");
-static gp_counter_t cancelled_count
-    = GP_COUNTER ("jobs_cancelled_total", "Cancellations on the log");
-
 static gp_counter_t unreadable_count
     = GP_COUNTER ("jobs_unreadable_total",
                   "States asked for of jobs with a record that is unreadable");
 
-static gp_histogram_t durable_time = GP_HISTOGRAM (
-    "job_durable", "From a submission or cancellation to its record");
 static gp_histogram_t book_age
     = GP_HISTOGRAM ("book_age", "Age of the book when a job was shown");
 
-/* A submission or cancellation until it is answered.  */
-typedef struct
-{
-  gp_list_t link;
-  gp_jobs_api_t *api;
-  gp_http_exchange_t *exchange; /* NULL: the caller has disconnected */
-  char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
-  GBytes *value;
-  gp_time_t deadline;  /* when its answer has to be sent */
-  gp_time_t refuse_at; /* when it is refused if no attempt was started */
-  gp_time_t since;
-  unsigned refusals;    /* attempts that the store has refused */
-  bool in_call;         /* part of the append in progress */
-  bool outcome_unknown; /* an append that included it got no answer */
-  bool is_cancel;
-  bool may_retry; /* its caller has the time to retry if it is refused */
-} change_t;
-
-static void append_waiting (gp_jobs_api_t *api);
-
-/* Answers.  */
-
 /* Answer that nothing was done; the time to retry after depends on the state
    of the store.  */
 static void
 refuse (const gp_jobs_api_t *api, gp_http_exchange_t *exchange,
         const char *why)
 {
-  gp_retry_after_t refusal = { .store_time = api->latency };
-
-  if (api->failing_since != 0)
-    refusal.store_outage = gp_loop_now (api->loop) - api->failing_since;
-  gp_job_refuse (exchange, why, refusal);
-}
-
-static void
-answer_change (const gp_jobs_api_t *api, gp_http_exchange_t *exchange,
-               int status, const char *why)
-{
-  if (status == 200)
-    gp_job_answer (exchange, 200, "{}");
-  else if (status == 503)
-    refuse (api, exchange, why);
-  else
-    gp_job_answer_error (exchange, status, why);
-}
-
-/* Changes.  */
-
-static void
-free_change (change_t *change)
-{
-  gp_list_remove (&change->link);
-  g_bytes_unref (change->value);
-  g_free (change);
-}
-
-/* The id of the job to which CHANGE belongs.  */
-static const char *
-id_of (const change_t *change)
-{
-  return change->is_cancel ? change->key + strlen (GP_CANCEL_PREFIX)
-                           : change->key;
-}
-
-static void
-log_answer (const char *id, bool is_cancel, int status, const char *why,
-            gp_time_t after, bool outcome_unknown)
-{
-  gp_log (GP_LOG_INFO, is_cancel ? "cancel.answered" : "job.answered",
-          GP_LOG_S ("job", id), GP_LOG_I ("status", status),
-          GP_LOG_S ("why", why), GP_LOG_I ("after_ms", after / GP_MSEC),
-          GP_LOG_I ("doubtful", outcome_unknown));
-}
-
-static void
-end_change (change_t *change, int status, const char *why)
-{
-  gp_time_t now = gp_loop_now (change->api->loop);
-
-  log_answer (id_of (change), change->is_cancel, status, why,
-              now - change->since, change->outcome_unknown);
-  if (change->exchange != NULL)
-    answer_change (change->api, change->exchange, status, why);
-  free_change (change);
-}
-
-static void
-complete_change (change_t *change, uint64_t offset)
-{
-  gp_jobs_api_t *api = change->api;
-  gsize size;
-  gp_platform_store_record_t record = { .offset = offset,
-                                        .key = change->key,
-                                        .key_size = strlen (change->key) };
-
-  record.value = g_bytes_get_data (change->value, &size);
-  record.value_size = size;
-  gp_counter_add (change->is_cancel ? &cancelled_count : &accepted_count, 1);
-  gp_histogram_add (&durable_time, gp_loop_now (api->loop) - change->since);
-  api->on_record (&record, api->data);
-  end_change (change, 200, "on the log");
-}
-
-/* Returns the status of a refusal. 503 means that the job never runs, which
-   holds only if no attempt has an open outcome, for this request
-   (OUTCOME_UNKNOWN) or an earlier one; otherwise 504.  */
-static int
-refusal_status (gp_jobs_api_t *api, const char *id, bool outcome_unknown)
-{
-  if (!outcome_unknown && !g_hash_table_contains (api->open_outcomes, id))
-    return 503;
-  if (g_hash_table_size (api->open_outcomes) >= OPEN_OUTCOMES_MAX)
-    g_hash_table_remove_all (api->open_outcomes);
-  g_hash_table_add (api->open_outcomes, g_strdup (id));
-  return 504;
-}
-
-/* No attempt is left: refuse a change that was certainly not made, and leave
-   the outcome of others open.  */
-static void
-give_up (change_t *change, const char *why)
-{
-  bool outcome_unknown = change->in_call || change->outcome_unknown;
-  int status = refusal_status (change->api, id_of (change), outcome_unknown);
-
-  gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
-  end_change (change, status, why);
-}
-
-/* The time at which CHANGE is given up.  */
-static gp_time_t
-due_at (const change_t *change)
-{
-  bool begun = change->in_call || change->outcome_unknown;
-
-  return begun ? change->deadline : change->refuse_at;
-}
-
-static void
-arm (gp_jobs_api_t *api)
-{
-  gp_time_t at = api->call == NULL ? api->next_attempt_at : GP_TIME_NEVER;
-
-  if (gp_list_empty (&api->changes))
-    return;
-  GP_LIST_FOREACH (link, &api->changes)
-  at = MIN (at, due_at (GP_CONTAINER_OF (link, change_t, link)));
-  gp_timer_arm (&api->timer, at);
-}
-
-static void
-update_latency (gp_jobs_api_t *api, gp_platform_store_result_t result,
-                gp_time_t duration)
-{
-  if (result == GP_PLATFORM_STORE_UNKNOWN)
-    duration = MAX (duration, 2 * api->latency);
-  api->latency
-      += (gp_time_t)((double)(duration - api->latency) * LATENCY_GAIN);
-}
-
-/* Apply the result of the append to one of its changes.  */
-static void
-apply_result (change_t *change, const gp_platform_store_answer_t *result,
-              uint64_t offset)
-{
-  change->in_call = false;
-  switch (result->result)
-    {
-    case GP_PLATFORM_STORE_DONE:
-      complete_change (change, offset);
-      return;
-    case GP_PLATFORM_STORE_UNKNOWN:
-      change->outcome_unknown = true;
-      return;
-    case GP_PLATFORM_STORE_REFUSED:
-    case GP_PLATFORM_STORE_CONFLICT:
-    case GP_PLATFORM_STORE_EXPIRED:
-      if (!change->outcome_unknown && change->may_retry
-          && ++change->refusals >= REFUSALS_MAX)
-        give_up (change, result->reason);
-      return;
-    }
-}
-
-static void
-on_appended (const gp_platform_store_answer_t *result, void *data)
-{
-  gp_jobs_api_t *api = data;
-  gp_time_t now = gp_loop_now (api->loop);
-  uint64_t offset = result->offset;
-
-  api->call = NULL;
-  update_latency (api, result->result, now - result->sent_at);
-  api->failures
-      = result->result == GP_PLATFORM_STORE_DONE ? 0 : api->failures + 1;
-  if (api->failures == 0)
-    api->failing_since = 0;
-  else if (api->failing_since == 0)
-    api->failing_since = result->sent_at;
-  api->next_attempt_at
-      = result->result == GP_PLATFORM_STORE_DONE ? now : now + ATTEMPT_DELAY;
-  GP_LIST_FOREACH_SAFE (link, &api->changes)
-  {
-    change_t *change = GP_CONTAINER_OF (link, change_t, link);
-
-    if (change->in_call)
-      apply_result (change, result, offset++);
-  }
-  append_waiting (api);
-  arm (api);
-}
-
-/* Append all waiting changes in one call, unless one is in flight.  */
-static void
-append_waiting (gp_jobs_api_t *api)
-{
-  gp_time_t now = gp_loop_now (api->loop);
-  gp_time_t timeout = CLAMP (ATTEMPT_TIMEOUT_FACTOR * api->latency,
-                             ATTEMPT_TIMEOUT_MIN, ATTEMPT_TIMEOUT_MAX);
-  /* After failures the average is unreliable: a change that can wait this long
-     is attempted.  */
-  gp_time_t store_time = MIN (api->latency, ATTEMPT_TIMEOUT_MIN);
-  GByteArray *batch;
-
-  if (api->call != NULL || now < api->next_attempt_at
-      || gp_list_empty (&api->changes))
-    return;
-  batch = g_byte_array_new ();
-  GP_LIST_FOREACH_SAFE (link, &api->changes)
-  {
-    change_t *change = GP_CONTAINER_OF (link, change_t, link);
-    gsize size;
-    const uint8_t *data = g_bytes_get_data (change->value, &size);
-
-    if (!change->outcome_unknown
-        && !gp_write_request_is_in_time (change->deadline, store_time, now))
-      {
-        give_up (change, "the store would answer too late");
-        continue;
-      }
-    if (batch->len > 0 && batch->len + size > BATCH_MAX)
-      break;
-    gp_platform_store_batch_add (batch, change->key, data, size);
-    change->in_call = true;
-  }
-  if (batch->len > 0)
-    api->call = gp_platform_store_append (api->store, GP_TOPIC_JOBS, batch,
-                                          GP_PLATFORM_STORE_UNCONDITIONAL,
-                                          now + timeout, on_appended, api);
-  g_byte_array_unref (batch);
-}
-
-static void
-on_timer (gp_timer_t *timer, void *data)
-{
-  gp_jobs_api_t *api = data;
-  gp_time_t now = gp_loop_now (api->loop);
-
-  GP_LIST_FOREACH_SAFE (link, &api->changes)
-  {
-    change_t *change = GP_CONTAINER_OF (link, change_t, link);
-
-    if (now >= due_at (change))
-      give_up (change, "the store does not answer");
-  }
-  append_waiting (api);
-  arm (api);
-}
-
-static void
-on_disconnected (void *data)
-{
-  change_t *change = data;
-
-  change->exchange = NULL;
-}
-
-/* The store does not answer, and the append in flight shows when it does
-   again: refuse a new caller at once, without an attempt.  */
-static void
-refuse_now (gp_jobs_api_t *api, gp_http_exchange_t *exchange, const char *id,
-            bool is_cancel)
-{
-  int status = refusal_status (api, id, false);
-
-  gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
-  log_answer (id, is_cancel, status, "the store has not answered lately", 0,
-              status != 503);
-  answer_change (api, exchange, status, "the store does not answer");
-}
-
-/* Start to append a record for the job ID; takes ownership of VALUE.  */
-static void
-start_change (gp_jobs_api_t *api, gp_http_exchange_t *exchange, const char *id,
-              bool is_cancel, GBytes *value)
-{
-  gp_time_t now = gp_loop_now (api->loop);
-  gp_time_t caller_timeout = gp_job_caller_timeout (exchange);
-  bool may_retry = gp_write_request_can_retry (caller_timeout);
-  change_t *change;
-
-  if (api->failures >= FAILURES_TO_REFUSE && api->call != NULL && may_retry)
-    {
-      refuse_now (api, exchange, id, is_cancel);
-      g_bytes_unref (value);
-      return;
-    }
-  change = g_new0 (change_t, 1);
-  change->api = api;
-  change->exchange = exchange;
-  change->is_cancel = is_cancel;
-  change->may_retry = may_retry;
-  change->since = now;
-  change->deadline = gp_write_request_deadline (now, caller_timeout);
-  change->refuse_at = gp_write_request_refuse_at (now, caller_timeout);
-  g_snprintf (change->key, sizeof change->key, "%s%s",
-              is_cancel ? GP_CANCEL_PREFIX : "", id);
-  change->value = value;
-  gp_list_push_back (&api->changes, &change->link);
-  gp_http_exchange_watch (exchange, on_disconnected, NULL, change);
-  append_waiting (api);
-  arm (api);
+  gp_job_changes_refuse (&api->changes, exchange, why);
 }
 
 /* Requests.  */
@@ -450,8 +93,8 @@
       g_error_free (error);
     }
   else
-    start_change (api, exchange, id, false,
-                  gp_message_pack (&submission->base));
+    gp_job_changes_start (&api->changes, exchange, id, false,
+                          gp_message_pack (&submission->base));
   if (submission != NULL)
     gp__jobs__submission__free_unpacked (submission, NULL);
 }
@@ -516,8 +159,8 @@
       gp_job_answer (exchange, 200, "{}");
       return;
     }
-  start_change (
-      api, exchange, id, true,
+  gp_job_changes_start (
+      &api->changes, exchange, id, true,
       g_bytes_new_static (GP_CANCEL_VALUE, strlen (GP_CANCEL_VALUE)));
 }
 
@@ -619,39 +262,23 @@
 void
 gp_jobs_api_init (gp_jobs_api_t *api, gp_loop_t *loop,
                   gp_platform_store_t *store, gp_book_t *book,
-                  const gp_queues_t *queues, const gp_feed_t *jobs,
+                  const gp_queues_t *queues, gp_feed_t *jobs, bool confirm,
                   void (*on_record) (const gp_platform_store_record_t *record,
                                      void *data),
                   void *data)
 {
-  *api = (gp_jobs_api_t){ .loop = loop,
-                          .store = store,
-                          .book = book,
-                          .queues = queues,
-                          .jobs = jobs,
-                          .on_record = on_record,
-                          .data = data };
-  gp_list_init (&api->changes);
-  api->open_outcomes
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  gp_timer_init (&api->timer, loop, on_timer, api);
-  gp_counter_register (&accepted_count);
+  *api = (gp_jobs_api_t){
+    .loop = loop, .book = book, .queues = queues, .jobs = jobs
+  };
+  gp_job_changes_init (&api->changes, loop, store, book, jobs, confirm,
+                       on_record, data);
   gp_counter_register (&repeated_count);
-  gp_counter_register (&refused_count);
-  gp_counter_register (&open_count);
-  gp_counter_register (&cancelled_count);
   gp_counter_register (&unreadable_count);
-  gp_histogram_register (&durable_time);
   gp_histogram_register (&book_age);
 }
 
 void
 gp_jobs_api_finish (gp_jobs_api_t *api)
 {
-  GP_LIST_FOREACH_SAFE (link, &api->changes)
-  free_change (GP_CONTAINER_OF (link, change_t, link));
-  if (api->call != NULL)
-    gp_platform_store_cancel (api->call);
-  gp_timer_finish (&api->timer);
-  g_hash_table_destroy (api->open_outcomes);
+  gp_job_changes_finish (&api->changes);
 }
--- a/src/jobsd/jobs_api.h
+++ b/src/jobsd/jobs_api.h
@@ -6,33 +6,24 @@
 #include "jobs/book.h"
 #include "jobs/queues.h"
 #include "jobsd/feed.h"
+#include "jobsd/job_changes.h"
 #include "platform/store.h"
 #include "transport/http.h"
 
 typedef struct
 {
   gp_loop_t *loop;
-  gp_platform_store_t *store;
   gp_book_t *book;
   const gp_queues_t *queues;
   const gp_feed_t *jobs; /* feed of the book's jobs; its age is the book's */
-  gp_list_t changes;     /* submissions and cancellations in progress */
-  GHashTable *open_outcomes; /* ids, owned, of jobs for which an answer left
-                                the outcome open */
-  gp_platform_store_call_t *call; /* the append in progress, or NULL */
-  gp_time_t next_attempt_at;      /* no append is started before this time */
-  unsigned failures;              /* consecutive appends that failed */
-  gp_time_t failing_since;        /* the first of them was sent, 0: none */
-  gp_time_t latency; /* moving average of the duration of appends */
-  gp_timer_t timer;  /* the next append, or the timeout of a change */
-  /* A record is in the log: apply it now, without waiting for the feed.  */
-  void (*on_record) (const gp_platform_store_record_t *record, void *data);
-  void *data;
+  gp_job_changes_t changes; /* submissions and cancellations in progress */
 } gp_jobs_api_t;
 
+/* CONFIRM: an append without an answer is read back.  ON_RECORD is called for
+   a record that is in the log, to apply it without waiting for the feed.  */
 void gp_jobs_api_init (
     gp_jobs_api_t *api, gp_loop_t *loop, gp_platform_store_t *store,
-    gp_book_t *book, const gp_queues_t *queues, const gp_feed_t *jobs,
+    gp_book_t *book, const gp_queues_t *queues, gp_feed_t *jobs, bool confirm,
     void (*on_record) (const gp_platform_store_record_t *record, void *data),
     void *data);
 void gp_jobs_api_finish (gp_jobs_api_t *api);
--- a/src/jobsd/store_route.c
+++ b/src/jobsd/store_route.c
@@ -37,11 +37,9 @@
     gp_timer_arm (&route->probe, gp_loop_now (route->loop) + PROBE_INTERVAL);
 }
 
-static void
-on_result (bool answered, void *data)
+void
+gp_store_route_add_result (gp_store_route_t *route, bool answered)
 {
-  gp_store_route_t *route = data;
-
   gp_time_t now = gp_loop_now (route->loop);
 
   if (answered)
@@ -65,6 +63,12 @@
     set_route (route, NULL);
 }
 
+static void
+on_result (bool answered, void *data)
+{
+  gp_store_route_add_result (data, answered);
+}
+
 static void
 on_probed (const gp_platform_store_answer_t *answer, void *data)
 {
--- a/tests/unit/test_retry_after.c
+++ b/tests/unit/test_retry_after.c
@@ -102,11 +102,46 @@
   CU_ASSERT_TRUE (guided.most_at_once * 2 < steady.most_at_once);
 }
 
+/* Guards against callers that return before what waits is appended, all at
+   once, or too late to try again.  */
+static void
+test_backlog (void)
+{
+  printf ("a backlog of appends, and how many callers return when\n");
+  for (gp_time_t backlog = 400 * GP_MSEC; backlog <= 7 * GP_SEC;
+       backlog += 2200 * GP_MSEC)
+    {
+      unsigned returns[20] = { 0 };
+
+      printf ("  %d ms:", (int)(backlog / GP_MSEC));
+      for (uint32_t jitter = 0; jitter < CALLERS; jitter++)
+        {
+          gp_retry_after_t refusal = { .store_time = 384 * GP_MSEC,
+                                       .backlog = backlog,
+                                       .timeout = 60 * GP_SEC,
+                                       .jitter = jitter };
+          unsigned delay = gp_retry_after_s (&refusal);
+
+          CU_ASSERT_TRUE_FATAL (delay < G_N_ELEMENTS (returns));
+          returns[delay]++;
+          CU_ASSERT_TRUE (delay * GP_SEC >= backlog);
+          CU_ASSERT_TRUE (delay == 1 || delay * GP_SEC <= 2 * backlog);
+          refusal.timeout = 3 * GP_SEC;
+          CU_ASSERT_EQUAL (gp_retry_after_s (&refusal), 1);
+        }
+      for (size_t i = 0; i < G_N_ELEMENTS (returns); i++)
+        if (returns[i] > 0)
+          printf (" %u after %u s", returns[i], (unsigned)i);
+      printf ("\n");
+    }
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[] = { { "transcript", test_transcript },
                                  { "outage", test_outage },
+                                 { "backlog", test_backlog },
                                  CU_TEST_INFO_NULL };
 
   return runner_main ("retry_after", tests);
