--- a/src/jobs/append_attempts.c
+++ b/src/jobs/append_attempts.c
@@ -57,14 +57,14 @@
 }
 
 /* The attempt in flight that was sent last, NULL: none.  */
-static const gp_append_attempt_t *
+static const gp_attempt_t *
 newest (const gp_append_attempts_t *attempts)
 {
-  const gp_append_attempt_t *found = NULL;
+  const gp_attempt_t *found = NULL;
 
   for (unsigned i = 0; i < GP_APPEND_ATTEMPTS_MAX; i++)
     {
-      const gp_append_attempt_t *attempt = &attempts->attempts[i];
+      const gp_attempt_t *attempt = &attempts->attempts[i];
 
       if (attempt->in_flight
           && (found == NULL || attempt->sent_at > found->sent_at))
@@ -98,25 +98,25 @@
   return at;
 }
 
-static gp_append_step_t
+static gp_attempt_step_t
 wait_until (gp_time_t at)
 {
-  return (gp_append_step_t){ .act = GP_APPEND_WAIT, .at = at };
+  return (gp_attempt_step_t){ .act = GP_ATTEMPT_WAIT, .at = at };
 }
 
 /* What to do when no attempt in flight is expected to be answered soon.  */
-static gp_append_step_t
+static gp_attempt_step_t
 next_repetition (const gp_append_attempts_t *attempts, bool reads,
                  gp_time_t now)
 {
-  const gp_append_attempt_t *last = newest (attempts);
-  gp_append_step_t step = { .act = GP_APPEND_SEND };
+  const gp_attempt_t *last = newest (attempts);
+  gp_attempt_step_t step = { .act = GP_ATTEMPT_SEND };
   bool has_slot = find_slot (attempts, &step.slot);
   gp_time_t at = attempts->next_at;
 
   if (reads && attempts->open_at > attempts->seen_at
       && !(attempts->read_failed && has_slot))
-    return (gp_append_step_t){ .act = GP_APPEND_READ_BACK };
+    return (gp_attempt_step_t){ .act = GP_ATTEMPT_READ_BACK };
   if (!has_slot)
     return wait_until (first_replaced_at (attempts));
   if (last != NULL)
@@ -124,11 +124,11 @@
   return now < at ? wait_until (at) : step;
 }
 
-gp_append_step_t
+gp_attempt_step_t
 gp_append_attempts_next (const gp_append_attempts_t *attempts, bool open,
                          bool can_read, gp_time_t now)
 {
-  const gp_append_attempt_t *last = newest (attempts);
+  const gp_attempt_t *last = newest (attempts);
 
   if (!attempts->confirm && last != NULL)
     return wait_until (GP_TIME_NEVER);
@@ -145,7 +145,7 @@
 gp_append_attempts_sent (gp_append_attempts_t *attempts, unsigned slot,
                          gp_time_t extra, gp_time_t now)
 {
-  attempts->attempts[slot] = (gp_append_attempt_t){
+  attempts->attempts[slot] = (gp_attempt_t){
     .in_flight = true,
     .sent_at = now,
     .overdue_at = now + gp_append_attempts_timeout (attempts) + extra
@@ -172,31 +172,30 @@
 }
 
 static void
-end_unconfirmed (gp_append_attempts_t *attempts, gp_append_end_t end,
+end_unconfirmed (gp_append_attempts_t *attempts, gp_attempt_end_t end,
                  gp_time_t duration)
 {
-  if (end == GP_APPEND_LOST)
+  if (end == GP_ATTEMPT_LOST)
     duration = MAX (duration, 2 * attempts->latency);
   add_duration (attempts, duration);
 }
 
 static void
-end_confirmed (gp_append_attempts_t *attempts,
-               const gp_append_attempt_t *attempt, gp_append_end_t end,
-               gp_time_t now)
+end_confirmed (gp_append_attempts_t *attempts, const gp_attempt_t *attempt,
+               gp_attempt_end_t end, gp_time_t now)
 {
   switch (end)
     {
-    case GP_APPEND_DONE:
+    case GP_ATTEMPT_DONE:
       add_duration (attempts, now - attempt->sent_at);
       gp_append_attempts_answered (attempts, now);
       return;
-    case GP_APPEND_REFUSED:
+    case GP_ATTEMPT_REFUSED:
       /* One that ends late may not have been connected at all.  */
       if (!attempt->overdue)
         gp_append_attempts_answered (attempts, now);
       return;
-    case GP_APPEND_LOST:
+    case GP_ATTEMPT_LOST:
       attempts->open_at = now;
       attempts->read_failed = false;
       if (!attempt->overdue && !attempt->settled)
@@ -207,18 +206,18 @@
 
 void
 gp_append_attempts_ended (gp_append_attempts_t *attempts, unsigned slot,
-                          gp_append_end_t end, gp_time_t now)
+                          gp_attempt_end_t end, gp_time_t now)
 {
-  gp_append_attempt_t *attempt = &attempts->attempts[slot];
+  gp_attempt_t *attempt = &attempts->attempts[slot];
 
   attempt->in_flight = false;
   if (attempts->confirm)
     end_confirmed (attempts, attempt, end, now);
   else
     end_unconfirmed (attempts, end, now - attempt->sent_at);
-  attempts->next_at = end == GP_APPEND_DONE ? now : now + DELAY;
-  attempts->failures = end == GP_APPEND_DONE ? 0 : attempts->failures + 1;
-  if (end == GP_APPEND_DONE)
+  attempts->next_at = end == GP_ATTEMPT_DONE ? now : now + DELAY;
+  attempts->failures = end == GP_ATTEMPT_DONE ? 0 : attempts->failures + 1;
+  if (end == GP_ATTEMPT_DONE)
     attempts->failing_since = 0;
   else if (attempts->failing_since == 0)
     attempts->failing_since = attempt->sent_at;
@@ -241,7 +240,7 @@
 gp_append_attempts_is_useless (const gp_append_attempts_t *attempts,
                                unsigned slot)
 {
-  const gp_append_attempt_t *attempt = &attempts->attempts[slot];
+  const gp_attempt_t *attempt = &attempts->attempts[slot];
 
   return attempts->confirm && attempt->in_flight && attempt->settled
          && attempt->overdue;
@@ -284,7 +283,7 @@
 
   for (unsigned i = 0; attempts->confirm && i < GP_APPEND_ATTEMPTS_MAX; i++)
     {
-      gp_append_attempt_t *attempt = &attempts->attempts[i];
+      gp_attempt_t *attempt = &attempts->attempts[i];
 
       if (!attempt->in_flight || now < attempt->overdue_at)
         continue;
@@ -353,7 +352,7 @@
 gp_append_attempts_backlog (const gp_append_attempts_t *attempts,
                             unsigned batches, gp_time_t now)
 {
-  const gp_append_attempt_t *last = newest (attempts);
+  const gp_attempt_t *last = newest (attempts);
   gp_time_t duration = attempts->latency;
   unsigned appends = batches;
 
--- a/src/jobs/append_attempts.h
+++ b/src/jobs/append_attempts.h
@@ -25,10 +25,10 @@
 
 typedef enum
 {
-  GP_APPEND_DONE,
-  GP_APPEND_REFUSED, /* not carried out, and will not be */
-  GP_APPEND_LOST     /* ended without an answer: the outcome is open */
-} gp_append_end_t;
+  GP_ATTEMPT_DONE,
+  GP_ATTEMPT_REFUSED, /* not carried out, and will not be */
+  GP_ATTEMPT_LOST     /* ended without an answer: the outcome is open */
+} gp_attempt_end_t;
 
 typedef struct
 {
@@ -39,12 +39,12 @@
   bool settled;  /* nobody waits for it any more */
   gp_time_t sent_at;
   gp_time_t overdue_at; /* when its timeout is over */
-} gp_append_attempt_t;
+} gp_attempt_t;
 
 typedef struct
 {
   bool confirm;
-  gp_append_attempt_t attempts[GP_APPEND_ATTEMPTS_MAX];
+  gp_attempt_t attempts[GP_APPEND_ATTEMPTS_MAX];
   gp_time_t latency;       /* moving average of the duration of appends */
   gp_time_t next_at;       /* no append is sent before this time */
   unsigned failures;       /* consecutive appends that failed */
@@ -62,25 +62,25 @@
 
 typedef enum
 {
-  GP_APPEND_WAIT,     /* until AT */
-  GP_APPEND_SEND,     /* send what waits, as attempt SLOT */
-  GP_APPEND_READ_BACK /* read the topic before an append is repeated */
-} gp_append_act_t;
+  GP_ATTEMPT_WAIT,     /* until AT */
+  GP_ATTEMPT_SEND,     /* send what waits, as attempt SLOT */
+  GP_ATTEMPT_READ_BACK /* read the topic before an append is repeated */
+} gp_attempt_act_t;
 
 typedef struct
 {
-  gp_append_act_t act;
+  gp_attempt_act_t act;
   gp_time_t at;  /* GP_TIME_NEVER: until an event */
   unsigned slot; /* if an attempt is in flight there, it is given up */
-} gp_append_step_t;
+} gp_attempt_step_t;
 
 void gp_append_attempts_init (gp_append_attempts_t *attempts, bool confirm);
 
 /* Returns what to do now, if records wait.  OPEN: some of them may be on the
    log already.  CAN_READ: reads of the topic do not fail.  */
-gp_append_step_t gp_append_attempts_next (const gp_append_attempts_t *attempts,
-                                          bool open, bool can_read,
-                                          gp_time_t now);
+gp_attempt_step_t
+gp_append_attempts_next (const gp_append_attempts_t *attempts, bool open,
+                         bool can_read, gp_time_t now);
 
 /* Attempt SLOT is sent.  EXTRA is the time, a duration, that the link needs
    for it.  */
@@ -89,7 +89,7 @@
 
 /* Attempt SLOT has ended, in time or late.  */
 void gp_append_attempts_ended (gp_append_attempts_t *attempts, unsigned slot,
-                               gp_append_end_t end, gp_time_t now);
+                               gp_attempt_end_t end, gp_time_t now);
 
 /* Nobody waits for attempt SLOT any more.  */
 void gp_append_attempts_settle (gp_append_attempts_t *attempts, unsigned slot);
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -120,7 +120,7 @@
 static void
 cancel_append (gp_job_changes_t *changes, unsigned slot)
 {
-  gp_job_append_t *append = &changes->appends[slot];
+  gp_change_append_t *append = &changes->appends[slot];
 
   if (append->call != NULL)
     gp_platform_store_cancel (append->call);
@@ -142,7 +142,7 @@
 static void
 leave_append (change_t *change, unsigned slot)
 {
-  gp_job_append_t *append = &change->changes->appends[slot];
+  gp_change_append_t *append = &change->changes->appends[slot];
 
   if ((change->in_calls & 1U << slot) == 0)
     return;
@@ -279,7 +279,7 @@
   return gp_append_attempts_last_read_at (attempts, change->deadline);
 }
 
-static gp_append_step_t
+static gp_attempt_step_t
 next_step (const gp_job_changes_t *changes)
 {
   return gp_append_attempts_next (&changes->attempts, has_open (changes),
@@ -345,27 +345,27 @@
     }
 }
 
-static gp_append_end_t
+static gp_attempt_end_t
 end_of (gp_platform_store_result_t result)
 {
   switch (result)
     {
     case GP_PLATFORM_STORE_DONE:
-      return GP_APPEND_DONE;
+      return GP_ATTEMPT_DONE;
     case GP_PLATFORM_STORE_UNKNOWN:
-      return GP_APPEND_LOST;
+      return GP_ATTEMPT_LOST;
     case GP_PLATFORM_STORE_REFUSED:
     case GP_PLATFORM_STORE_CONFLICT:
     case GP_PLATFORM_STORE_EXPIRED:
       break;
     }
-  return GP_APPEND_REFUSED;
+  return GP_ATTEMPT_REFUSED;
 }
 
 static void
 on_appended (const gp_platform_store_answer_t *result, void *data)
 {
-  gp_job_append_t *append = data;
+  gp_change_append_t *append = data;
   gp_job_changes_t *changes = append->changes;
   unsigned slot = (unsigned)(append - changes->appends);
 
@@ -503,19 +503,19 @@
 static void
 append_waiting (gp_job_changes_t *changes)
 {
-  gp_append_step_t step;
+  gp_attempt_step_t step;
 
   if (gp_list_empty (&changes->list))
     return;
   step = next_step (changes);
   switch (step.act)
     {
-    case GP_APPEND_WAIT:
+    case GP_ATTEMPT_WAIT:
       return;
-    case GP_APPEND_SEND:
+    case GP_ATTEMPT_SEND:
       send_append (changes, step.slot);
       return;
-    case GP_APPEND_READ_BACK:
+    case GP_ATTEMPT_READ_BACK:
       gp_append_attempts_read_back (&changes->attempts,
                                     gp_loop_now (changes->loop));
       refresh (changes);
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -26,7 +26,7 @@
   gp_job_changes_t *changes;
   gp_platform_store_call_t *call; /* NULL: none */
   unsigned waiting;               /* changes in it that are not answered */
-} gp_job_append_t;
+} gp_change_append_t;
 
 struct gp_job_changes
 {
@@ -38,8 +38,8 @@
   GHashTable *open_outcomes; /* ids, owned, of jobs for which an answer left
                                 the outcome open */
   gp_append_attempts_t attempts;
-  gp_job_append_t appends[GP_APPEND_ATTEMPTS_MAX]; /* by slot of attempts */
-  bool unavailable;                                /* as logged last */
+  gp_change_append_t appends[GP_APPEND_ATTEMPTS_MAX]; /* by slot of attempts */
+  bool unavailable;                                   /* as logged last */
   gp_timer_t timer; /* the next step, or the timeout of a change */
   /* A record is in the log: apply it now, without waiting for the feed.  */
   void (*on_record) (const gp_platform_store_record_t *record, void *data);
--- a/tests/unit/test_append_attempts.c
+++ b/tests/unit/test_append_attempts.c
@@ -75,7 +75,7 @@
   gp_time_t sent_at;
   gp_time_t answer_at; /* GP_TIME_NEVER: lost */
   gp_time_t give_up_at;
-  gp_append_end_t end;
+  gp_attempt_end_t end;
 } call_t;
 
 typedef struct
@@ -155,7 +155,7 @@
   if ((faulty && world->load.refuses)
       || world->busy_until - world->now > QUEUE_MAX)
     {
-      call->end = GP_APPEND_REFUSED;
+      call->end = GP_ATTEMPT_REFUSED;
       call->answer_at = arrival (world, world->now + answer_time);
       return GP_TIME_NEVER;
     }
@@ -164,7 +164,7 @@
         = MAX (world->busy_until, world->now) + APPEND_COST * factor (world);
   if (done_at != GP_TIME_NEVER)
     world->busy_until = done_at;
-  call->end = GP_APPEND_DONE;
+  call->end = GP_ATTEMPT_DONE;
   call->answer_at = done_at == GP_TIME_NEVER
                         ? GP_TIME_NEVER
                         : arrival (world, done_at + answer_time);
@@ -265,7 +265,7 @@
 }
 
 static void
-note_end (world_t *world, entry_t *entry, unsigned slot, gp_append_end_t end)
+note_end (world_t *world, entry_t *entry, unsigned slot, gp_attempt_end_t end)
 {
   previous_t *previous = &entry->previous;
   gp_time_t duration = world->now - entry->calls[slot].sent_at;
@@ -275,23 +275,23 @@
       gp_append_attempts_ended (&entry->attempts, slot, end, world->now);
       return;
     }
-  if (end == GP_APPEND_LOST)
+  if (end == GP_ATTEMPT_LOST)
     duration = MAX (duration, 2 * previous->latency);
   previous->latency
       += (gp_time_t)((double)(duration - previous->latency) * 0.3);
-  previous->failures = end == GP_APPEND_DONE ? 0 : previous->failures + 1;
+  previous->failures = end == GP_ATTEMPT_DONE ? 0 : previous->failures + 1;
   previous->next_at
-      = end == GP_APPEND_DONE ? world->now : world->now + 50 * GP_MSEC;
+      = end == GP_ATTEMPT_DONE ? world->now : world->now + 50 * GP_MSEC;
 }
 
 static void
 end_append (world_t *world, unsigned number, unsigned slot,
-            gp_append_end_t end)
+            gp_attempt_end_t end)
 {
   entry_t *entry = &world->entries[number];
 
   entry->calls[slot].in_flight = false;
-  if (end != GP_APPEND_LOST)
+  if (end != GP_ATTEMPT_LOST)
     entry->answered_at = world->now;
   note_end (world, entry, slot, end);
   FOREACH_WAITING (world, number, caller)
@@ -299,9 +299,9 @@
     if ((caller->in_calls >> slot & 1) == 0)
       continue;
     caller->in_calls &= ~(1U << slot);
-    if (end == GP_APPEND_DONE)
+    if (end == GP_ATTEMPT_DONE)
       answer (world, caller, 200);
-    else if (end == GP_APPEND_LOST)
+    else if (end == GP_ATTEMPT_LOST)
       caller->open = true;
     else if (!is_open (caller) && ++caller->refusals >= REFUSALS_MAX)
       give_up (world, caller);
@@ -413,7 +413,7 @@
 take_step (world_t *world, unsigned number)
 {
   entry_t *entry = &world->entries[number];
-  gp_append_step_t step;
+  gp_attempt_step_t step;
 
   if (world->rules == RULES_PREVIOUS)
     {
@@ -425,13 +425,13 @@
                                   true, world->now);
   switch (step.act)
     {
-    case GP_APPEND_WAIT:
+    case GP_ATTEMPT_WAIT:
       CU_ASSERT_TRUE (step.at > world->now);
       return;
-    case GP_APPEND_SEND:
+    case GP_ATTEMPT_SEND:
       send_append (world, number, step.slot);
       return;
-    case GP_APPEND_READ_BACK:
+    case GP_ATTEMPT_READ_BACK:
       gp_append_attempts_read_back (&entry->attempts, world->now);
       start_read (world, entry);
       return;
@@ -474,7 +474,7 @@
         end_append (world, number, slot, call->end);
       else if (call->in_flight && world->rules != RULES_ON
                && world->now >= call->give_up_at)
-        end_append (world, number, slot, GP_APPEND_LOST);
+        end_append (world, number, slot, GP_ATTEMPT_LOST);
     }
   if (entry->read.in_flight && world->now >= entry->read.answer_at)
     end_read (world, number);
