--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -12,7 +12,7 @@
 #include "jobsd/job_answers.h"
 
 /* The average duration of appends may be of an earlier time: a change that can
-   wait this long, or half of what its caller waits, is attempted.  */
+   wait this long, or three quarters of what its caller waits, is attempted. */
 #define STORE_TIME_MAX (500 * GP_MSEC)
 /* Attempts that the store refuses before the caller is refused, if it can
    retry: by then another route to the store has been found if there is
@@ -425,7 +425,7 @@
 
   /* With CONFIRM, failures do not count in the average.  */
   if (attempts->confirm)
-    limit = MAX (limit, (change->deadline - change->since) / 2);
+    limit = MAX (limit, (change->deadline - change->since) * 3 / 4);
   return gp_write_request_is_in_time (change->deadline,
                                       MIN (attempts->latency, limit), now);
 }
--- /dev/null
+++ b/tests/scripts/slow_store.py
@@ -0,0 +1,202 @@
+"""Entries whose store is 64 times slower than usual.
+
+Guards against a slow store that accepts nothing, as what its callers have
+given up waits in its queue, and against a refused submission that runs.
+"""
+
+import collections
+import json
+import sys
+import threading
+import time
+
+from platform_site import (HOST, JOB_A, other_entry, print_breaches, request,
+                           start_site, until)
+
+APPEND_S = 0.002
+# The queue of three entries is as long as that of eleven.
+CROWDED_APPEND_S = APPEND_S * 11 / 3
+ANSWER_S = 0.004
+SLOWER = 64
+STEP = [{"count": 1, "cpu": 100, "memMb": 1, "estimateMs": 50}]
+SLOW_S = 5.0
+SILENT_S = 4.0
+# In which an entry is killed before it gets an answer.
+LATE_S = 0.4
+# Between two submissions at an entry.
+INTERVAL_S = 0.15
+WORK = json.dumps({"spec": "work", "steps": STEP})
+
+
+class Callers:
+    """Submit a new job at each of ENTRIES every INTERVAL_S until stopped.
+
+    A caller that gets no response asks the next entry; any other response is
+    final.  `answers` has a tuple (time, id, status, body) for each job.
+    """
+
+    def __init__(self, site, entries):
+        self.site = site
+        self.entries = entries
+        self.lock = threading.Lock()
+        self.answers = []
+        self.stopped = threading.Event()
+        self.numbers = 0
+        self.threads = []
+        for entry in entries:
+            self.start(self.submit_regularly, entry)
+
+    def start(self, target, *arguments):
+        thread = threading.Thread(target=target, args=arguments, daemon=True)
+        with self.lock:
+            self.threads.append(thread)
+        thread.start()
+
+    def submit_regularly(self, entry):
+        while not self.stopped.wait(INTERVAL_S):
+            with self.lock:
+                self.numbers += 1
+                job = f"{self.numbers:016x}"
+            self.start(self.submit, entry, job)
+
+    def submit(self, entry, job):
+        began = time.monotonic()
+        first = self.entries.index(entry)
+        for name in self.entries[first:] + self.entries[:first]:
+            status, _, body = request(self.site.entries[name][0], "POST",
+                                      "/q/" + job, WORK, HOST)
+            if status != 0:
+                break
+        with self.lock:
+            self.answers.append((began, job, status, body))
+
+    def stop(self):
+        """Wait until all callers have their responses."""
+        self.stopped.set()
+        for thread in list(self.threads):
+            thread.join()
+
+    def jobs(self, status):
+        return [job for _, job, got, _ in self.answers if got == status]
+
+    def count_between(self, begin, end):
+        """Return how many callers of that time got each status."""
+        return collections.Counter(
+            status for began, _, status, _ in self.answers
+            if begin <= began < end)
+
+
+def slow_down(site, append_s=APPEND_S):
+    site.store.append_s, site.store.answer_s = append_s, ANSWER_S
+    site.store.slower = SLOWER
+
+
+def check_jobs(site, callers):
+    """Print whether accepted jobs have run once, and refused ones not."""
+    accepted = set(callers.jobs(200))
+    refused = set(callers.jobs(503))
+    for job in accepted:
+        site.await_state("e1", job, "completed")
+    started = {task.split(".")[0] for task in site.judge.starts}
+    print("  accepted jobs completed:", len(accepted) > 0)
+    print("  refused jobs that ran:", len(started & refused))
+    print("  other answers:",
+          sorted({status for _, _, status, _ in callers.answers}
+                 - {200, 503, 504}))
+    print_breaches(site)
+
+
+def slow(build):
+    print("a store 64 times slower, then silent")
+    with start_site(build, entries=3, features=["confirm_appends"]) as site:
+        callers = Callers(site, list(site.entries))
+        time.sleep(1)
+        slow_down(site)
+        slow_at = time.monotonic()
+        time.sleep(SLOW_S)
+        silent_at = time.monotonic()
+        site.store.down = "silent"
+        time.sleep(SILENT_S)
+        site.store.down = None
+        site.store.slower = 1
+        up_at = time.monotonic()
+        time.sleep(2)
+        callers.stop()
+        while_slow = callers.count_between(slow_at, silent_at - 1)
+        while_silent = callers.count_between(silent_at, up_at)
+        print("slow", while_slow, "silent", while_silent, "then",
+              callers.count_between(up_at, up_at + 10), file=sys.stderr)
+        print("  nine of ten accepted while it is slow:",
+              while_slow[200] * 10 >= while_slow.total() * 9 > 0)
+        print("  refused while it is silent:", while_silent[503] > 0)
+        print("  accepted then:", callers.count_between(
+            up_at + 1, up_at + 10)[200] > 0)
+        check_jobs(site, callers)
+
+
+def crowded(build):
+    print("a store 64 times slower, with a queue of 1.4 s")
+    with start_site(build, entries=3, features=["confirm_appends"]) as site:
+        callers = Callers(site, list(site.entries))
+        time.sleep(1)
+        slow_down(site, CROWDED_APPEND_S)
+        slow_at = time.monotonic()
+        time.sleep(SLOW_S)
+        site.store.slower = 1
+        fast_at = time.monotonic()
+        time.sleep(1)
+        callers.stop()
+        while_slow = callers.count_between(slow_at, fast_at)
+        print("crowded", while_slow, file=sys.stderr)
+        print("  more than a third accepted while it is slow:",
+              while_slow[200] * 3 > while_slow.total())
+        check_jobs(site, callers)
+
+
+def leader_killed(build):
+    print("the leading entry is killed with an append in flight")
+    with start_site(build, entries=3, features=["confirm_appends"]) as site:
+        leader = site.leader()
+        callers = Callers(site, list(site.entries))
+        slow_down(site)
+        time.sleep(2)
+        until(lambda: site.store.waiting("keyed.jobs") > 0,
+              what="append in flight")
+        site.processes[leader].kill()
+        killed_at = time.monotonic()
+        time.sleep(2)
+        site.store.slower = 1
+        time.sleep(1)
+        callers.stop()
+        site.processes[leader].start()
+        print(callers.count_between(0, killed_at),
+              callers.count_between(killed_at, killed_at + 10),
+              file=sys.stderr)
+        print("  accepted after that:", callers.count_between(
+            killed_at, killed_at + 10)[200] > 0)
+        check_jobs(site, callers)
+
+
+def stopped(build):
+    print("an answer is lost, and the entry is killed before it reads back")
+    with start_site(build, entries=3, features=["confirm_appends"]) as site:
+        entry = other_entry(site, site.leader())
+        callers = Callers(site, [entry, site.leader()])
+        callers.stop()
+        site.store.answer_s = LATE_S
+        callers.start(callers.submit, entry, JOB_A)
+        until(lambda: JOB_A in site.store.topics["keyed.jobs"].newest,
+              what="record")
+        site.processes[entry].kill()
+        site.store.answer_s = 0
+        callers.stop()
+        print("  answered by another entry:", callers.jobs(200) == [JOB_A])
+        site.processes[entry].start()
+        check_jobs(site, callers)
+
+
+SCENARIOS = {"slow": slow, "crowded": crowded, "leader_killed": leader_killed,
+             "stopped": stopped}
+
+if __name__ == "__main__":
+    SCENARIOS[sys.argv[2]](sys.argv[1])
