--- a/src/jobs/append_attempts.c
+++ b/src/jobs/append_attempts.c
@@ -25,10 +25,10 @@
 /* The store refuses an append if more than this time of appends is waiting, so
    an attempt that is not on the log by then has not reached the store.  */
 #define QUEUE_TIME_MAX (2 * GP_SEC)
-/* An answer that arrives within the average duration of an append, but at most
-   this long, after a call was sent may have left the store before the call
-   reached it.  It says nothing of what the store does now.  */
-#define CROSSING_TIME_MAX (250 * GP_MSEC)
+/* An answer that arrives within this share of the average duration of an
+   append, in percent, after a call was sent may have left the store before the
+   call reached it.  It says nothing of what the store does now.  */
+#define CROSSING_PERCENT 150
 /* Time for the last read of the topic before a caller's answer is due: a read
    takes less than an append.  */
 #define LAST_READ_MIN (150 * GP_MSEC)
@@ -157,8 +157,10 @@
 static void
 count_silence (gp_append_attempts_t *attempts, gp_time_t sent_at)
 {
-  if (attempts->answered_at
-      <= sent_at + MIN (attempts->latency, CROSSING_TIME_MAX))
+  gp_time_t crossing = MIN (attempts->latency * CROSSING_PERCENT / 100,
+                            gp_append_attempts_timeout (attempts));
+
+  if (attempts->answered_at <= sent_at + crossing)
     attempts->silent++;
   if (attempts->failing_since == 0)
     attempts->failing_since = sent_at;
@@ -191,9 +193,7 @@
       gp_append_attempts_answered (attempts, now);
       return;
     case GP_ATTEMPT_REFUSED:
-      /* One that ends late may not have been connected at all.  */
-      if (!attempt->overdue)
-        gp_append_attempts_answered (attempts, now);
+      /* It may not have come from the store, or not have been connected.  */
       return;
     case GP_ATTEMPT_LOST:
       attempts->open_at = now;
@@ -277,7 +277,7 @@
 
 bool
 gp_append_attempts_expire (gp_append_attempts_t *attempts, gp_time_t now,
-                           gp_time_t *sent_at)
+                           unsigned *slot)
 {
   bool expired = false;
 
@@ -301,7 +301,7 @@
       attempts->open_at = now;
       attempts->read_failed = false;
       count_silence (attempts, attempt->sent_at);
-      *sent_at = attempt->sent_at;
+      *slot = i;
       expired = true;
     }
   if (attempts->reading && now >= attempts->read_give_up)
@@ -309,7 +309,7 @@
       attempts->reading = false;
       attempts->read_failed = true;
       count_silence (attempts, attempts->read_at);
-      *sent_at = attempts->read_at;
+      *slot = GP_APPEND_ATTEMPTS_MAX;
       expired = true;
     }
   return expired;
--- a/src/jobs/append_attempts.h
+++ b/src/jobs/append_attempts.h
@@ -119,10 +119,10 @@
 void gp_append_attempts_answered (gp_append_attempts_t *attempts,
                                   gp_time_t now);
 
-/* Apply the timeouts that are over.  Returns whether an attempt or a read back
-   got no answer in time, and if so, when it was sent.  */
+/* Apply the timeouts that are over.  Returns whether an attempt got no answer
+   in time, which is set in SLOT, or a read back: GP_APPEND_ATTEMPTS_MAX.  */
 bool gp_append_attempts_expire (gp_append_attempts_t *attempts, gp_time_t now,
-                                gp_time_t *sent_at);
+                                unsigned *slot);
 
 /* Returns whether the store answers nothing.  */
 bool gp_append_attempts_is_unavailable (const gp_append_attempts_t *attempts);
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -123,7 +123,7 @@
   gp_change_append_t *append = &changes->appends[slot];
 
   if (append->call != NULL)
-    gp_platform_store_cancel (append->call);
+    gp_job_append_cancel (append->call);
   append->call = NULL;
   append->waiting = 0;
   gp_append_attempts_cancelled (&changes->attempts, slot);
@@ -467,6 +467,7 @@
 send_append (gp_job_changes_t *changes, unsigned slot)
 {
   gp_append_attempts_t *attempts = &changes->attempts;
+  gp_change_append_t *append = &changes->appends[slot];
   gp_time_t now = gp_loop_now (changes->loop);
   gp_time_t deadline = now + gp_append_attempts_timeout (attempts);
   GByteArray *batch = g_byte_array_new ();
@@ -478,13 +479,13 @@
     deadline = MAX (deadline, latest) + CALL_MARGIN;
   if (batch->len > 0)
     {
-      gp_append_attempts_sent (
-          attempts, slot,
-          gp_platform_store_append_time (changes->store, batch->len), now);
-      changes->appends[slot].call = gp_platform_store_append (
-          changes->store, GP_TOPIC_JOBS, batch,
-          GP_PLATFORM_STORE_UNCONDITIONAL, deadline, on_appended,
-          &changes->appends[slot]);
+      gp_time_t link_time = gp_platform_store_append_time (
+          changes->appender->store, batch->len);
+
+      append->call = gp_job_appender_append (changes->appender, batch,
+                                             deadline, on_appended, append);
+      append->shared = changes->appender->path == GP_APPEND_SHARED;
+      gp_append_attempts_sent (attempts, slot, link_time, now);
     }
   g_byte_array_unref (batch);
 }
@@ -523,19 +524,30 @@
     }
 }
 
+/* The append SLOT, or a read back, got no answer in time.  A failure of the
+   leader to answer says nothing about this entry's own route.  */
+static void
+report_overdue (gp_job_changes_t *changes, unsigned slot)
+{
+  const gp_append_attempts_t *attempts = &changes->attempts;
+  bool is_read = slot == GP_APPEND_ATTEMPTS_MAX;
+
+  gp_counter_add (&overdue_count, 1);
+  if (is_read || !changes->appends[slot].shared)
+    gp_platform_store_report_overdue (
+        changes->appender->store, GP_TOPIC_JOBS,
+        is_read ? attempts->read_at : attempts->attempts[slot].sent_at);
+}
+
 /* Apply the timeouts of appends and read backs.  */
 static void
 expire (gp_job_changes_t *changes)
 {
-  gp_time_t sent_at;
+  unsigned slot;
 
   if (gp_append_attempts_expire (&changes->attempts,
-                                 gp_loop_now (changes->loop), &sent_at))
-    {
-      gp_counter_add (&overdue_count, 1);
-      gp_platform_store_report_overdue (changes->store, GP_TOPIC_JOBS,
-                                        sent_at);
-    }
+                                 gp_loop_now (changes->loop), &slot))
+    report_overdue (changes, slot);
   cancel_useless (changes);
   note_state (changes);
 }
@@ -703,13 +715,13 @@
 
 void
 gp_job_changes_init (
-    gp_job_changes_t *changes, gp_loop_t *loop, gp_platform_store_t *store,
+    gp_job_changes_t *changes, gp_loop_t *loop, gp_job_appender_t *appender,
     const gp_book_t *book, gp_feed_t *jobs, bool confirm,
     void (*on_record) (const gp_platform_store_record_t *record, void *data),
     void *data)
 {
   *changes = (gp_job_changes_t){ .loop = loop,
-                                 .store = store,
+                                 .appender = appender,
                                  .book = book,
                                  .jobs = jobs,
                                  .on_record = on_record,
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -15,6 +15,7 @@
 #include "jobs/append_attempts.h"
 #include "jobs/book.h"
 #include "jobsd/feed.h"
+#include "jobsd/job_appender.h"
 #include "platform/store.h"
 #include "transport/http.h"
 
@@ -24,14 +25,15 @@
 typedef struct
 {
   gp_job_changes_t *changes;
-  gp_platform_store_call_t *call; /* NULL: none */
-  unsigned waiting;               /* changes in it that are not answered */
+  gp_job_append_t *call; /* NULL: none */
+  bool shared;           /* it was sent through the leader */
+  unsigned waiting;      /* changes in it that are not answered */
 } gp_change_append_t;
 
 struct gp_job_changes
 {
   gp_loop_t *loop;
-  gp_platform_store_t *store;
+  gp_job_appender_t *appender;
   const gp_book_t *book;
   gp_feed_t *jobs; /* feed of the book's jobs; its age is the book's */
   gp_list_t list;  /* changes that are not answered, oldest first */
@@ -48,7 +50,7 @@
 
 /* CONFIRM: see gp_append_attempts_t.  */
 void gp_job_changes_init (
-    gp_job_changes_t *changes, gp_loop_t *loop, gp_platform_store_t *store,
+    gp_job_changes_t *changes, gp_loop_t *loop, gp_job_appender_t *appender,
     const gp_book_t *book, gp_feed_t *jobs, bool confirm,
     void (*on_record) (const gp_platform_store_record_t *record, void *data),
     void *data);
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -261,7 +261,7 @@
 
 void
 gp_jobs_api_init (gp_jobs_api_t *api, gp_loop_t *loop,
-                  gp_platform_store_t *store, gp_book_t *book,
+                  gp_job_appender_t *appender, gp_book_t *book,
                   const gp_queues_t *queues, gp_feed_t *jobs, bool confirm,
                   void (*on_record) (const gp_platform_store_record_t *record,
                                      void *data),
@@ -270,7 +270,7 @@
   *api = (gp_jobs_api_t){
     .loop = loop, .book = book, .queues = queues, .jobs = jobs
   };
-  gp_job_changes_init (&api->changes, loop, store, book, jobs, confirm,
+  gp_job_changes_init (&api->changes, loop, appender, book, jobs, confirm,
                        on_record, data);
   gp_counter_register (&repeated_count);
   gp_counter_register (&unreadable_count);
--- a/src/jobsd/jobs_api.h
+++ b/src/jobsd/jobs_api.h
@@ -22,7 +22,7 @@
 /* CONFIRM: an append without an answer is read back.  ON_RECORD is called for
    a record that is in the log, to apply it without waiting for the feed.  */
 void gp_jobs_api_init (
-    gp_jobs_api_t *api, gp_loop_t *loop, gp_platform_store_t *store,
+    gp_jobs_api_t *api, gp_loop_t *loop, gp_job_appender_t *appender,
     gp_book_t *book, const gp_queues_t *queues, gp_feed_t *jobs, bool confirm,
     void (*on_record) (const gp_platform_store_record_t *record, void *data),
     void *data);
