append_attempts: no read back while the feed loads; shorter functions

Cause: a read back that was asked of a feed that loads is not sent, and counted as unanswered. Change: then the append is repeated without it. Measured: test_append_attempts gives the same transcript.

--- a/src/jobs/append_attempts.c
+++ b/src/jobs/append_attempts.c
@@ -74,7 +74,7 @@
 }
 
 /* Find the slot for the next attempt: a free one, or the one of an attempt
-   that can be replaced.  */
+   that is replaceable.  */
 static bool
 find_slot (const gp_append_attempts_t *attempts, unsigned *slot)
 {
@@ -82,14 +82,14 @@
     if (!attempts->attempts[*slot].in_flight)
       return true;
   for (*slot = 0; *slot < GP_APPEND_ATTEMPTS_MAX; (*slot)++)
-    if (attempts->attempts[*slot].replaced)
+    if (attempts->attempts[*slot].replaceable)
       return true;
   return false;
 }
 
-/* Returns when the first attempt can be replaced.  */
+/* Returns when the first attempt is replaceable.  */
 static gp_time_t
-first_replaced_at (const gp_append_attempts_t *attempts)
+first_replaceable_at (const gp_append_attempts_t *attempts)
 {
   gp_time_t at = GP_TIME_NEVER;
 
@@ -118,7 +118,7 @@
       && !(attempts->read_failed && has_slot))
     return (gp_attempt_step_t){ .act = GP_ATTEMPT_READ_BACK };
   if (!has_slot)
-    return wait_until (first_replaced_at (attempts));
+    return wait_until (first_replaceable_at (attempts));
   if (last != NULL)
     at = MAX (at, last->sent_at + attempts->latency * REPEAT_PERCENT / 100);
   return now < at ? wait_until (at) : step;
@@ -173,6 +173,14 @@
   attempts->silent = 0;
 }
 
+/* An outcome is left open, so the topic has to be read.  */
+static void
+leave_open (gp_append_attempts_t *attempts, gp_time_t now)
+{
+  attempts->open_at = now;
+  attempts->read_failed = false;
+}
+
 static void
 end_unconfirmed (gp_append_attempts_t *attempts, gp_attempt_end_t end,
                  gp_time_t duration)
@@ -196,8 +204,7 @@
       /* It may not have come from the store, or not have been connected.  */
       return;
     case GP_ATTEMPT_LOST:
-      attempts->open_at = now;
-      attempts->read_failed = false;
+      leave_open (attempts, now);
       if (!attempt->overdue && !attempt->settled)
         count_silence (attempts, attempt->sent_at);
       return;
@@ -275,6 +282,28 @@
   gp_append_attempts_answered (attempts, now);
 }
 
+/* Returns whether ATTEMPT has become overdue, and somebody waits for it.  */
+static bool
+expire_attempt (gp_append_attempts_t *attempts, gp_attempt_t *attempt,
+                gp_time_t now)
+{
+  if (!attempt->in_flight || now < attempt->overdue_at)
+    return false;
+  if (!attempt->replaceable && now >= attempt->sent_at + QUEUE_TIME_MAX)
+    {
+      attempt->replaceable = true;
+      leave_open (attempts, now);
+    }
+  if (attempt->overdue)
+    return false;
+  attempt->overdue = true;
+  if (attempt->settled)
+    return false;
+  leave_open (attempts, now);
+  count_silence (attempts, attempt->sent_at);
+  return true;
+}
+
 bool
 gp_append_attempts_expire (gp_append_attempts_t *attempts, gp_time_t now,
                            unsigned *slot)
@@ -282,28 +311,11 @@
   bool expired = false;
 
   for (unsigned i = 0; attempts->confirm && i < GP_APPEND_ATTEMPTS_MAX; i++)
-    {
-      gp_attempt_t *attempt = &attempts->attempts[i];
-
-      if (!attempt->in_flight || now < attempt->overdue_at)
-        continue;
-      if (!attempt->replaced && now >= attempt->sent_at + QUEUE_TIME_MAX)
-        {
-          attempt->replaced = true;
-          attempts->open_at = now;
-          attempts->read_failed = false;
-        }
-      if (attempt->overdue)
-        continue;
-      attempt->overdue = true;
-      if (attempt->settled)
-        continue;
-      attempts->open_at = now;
-      attempts->read_failed = false;
-      count_silence (attempts, attempt->sent_at);
-      *slot = i;
-      expired = true;
-    }
+    if (expire_attempt (attempts, &attempts->attempts[i], now))
+      {
+        *slot = i;
+        expired = true;
+      }
   if (attempts->reading && now >= attempts->read_give_up)
     {
       attempts->reading = false;
--- a/src/jobs/append_attempts.h
+++ b/src/jobs/append_attempts.h
@@ -33,10 +33,10 @@
 typedef struct
 {
   bool in_flight;
-  bool overdue;  /* its timeout is over */
-  bool replaced; /* it may be given up for another one: the store would have
-                    processed it by now */
-  bool settled;  /* nobody waits for it any more */
+  bool overdue;     /* its timeout is over */
+  bool replaceable; /* the store would have processed it by now: it may be
+                       given up for another one */
+  bool settled;     /* nobody waits for it any more */
   gp_time_t sent_at;
   gp_time_t overdue_at; /* when its timeout is over */
 } gp_attempt_t;
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -279,11 +279,18 @@
   return gp_append_attempts_last_read_at (attempts, change->deadline);
 }
 
+/* Returns whether a read of the topic can be sent now.  */
+static bool
+can_read (const gp_feed_t *feed)
+{
+  return feed->running && feed->loaded && !feed->down;
+}
+
 static gp_attempt_step_t
 next_step (const gp_job_changes_t *changes)
 {
   return gp_append_attempts_next (&changes->attempts, has_open (changes),
-                                  !changes->jobs->down,
+                                  can_read (changes->jobs),
                                   gp_loop_now (changes->loop));
 }
 
--- a/tests/unit/test_append_attempts.c
+++ b/tests/unit/test_append_attempts.c
@@ -578,7 +578,7 @@
   for (unsigned i = 0; i < load->entries; i++)
     {
       gp_append_attempts_init (&world->entries[i].attempts, rules == RULES_ON);
-      world->entries[i].next_read_at = i * 50 * GP_MSEC;
+      world->entries[i].next_read_at = (gp_time_t)i * 50 * GP_MSEC;
     }
   return world;
 }
@@ -598,7 +598,7 @@
 
   for (unsigned i = 0; i < world->load.entries; i++)
     if (world->now < world->load.end + GP_SEC
-        && (world->now + (i + 1) * 37 * GP_MSEC) % interval == 0)
+        && (world->now + (gp_time_t)(i + 1) * 37 * GP_MSEC) % interval == 0)
       arrive (world, i);
 }
 
