--- a/tests/unit/test_shared_appends.c
+++ b/tests/unit/test_shared_appends.c
@@ -280,6 +280,28 @@
   fixture_finish (&fixture);
 }
 
+/* The connection of a sender ends while its batch is in the append.  */
+static void
+test_sender_disconnects (void)
+{
+  fixture_t fixture;
+  gp_platform_store_call_t *call;
+
+  fixture_init (&fixture, "a sender disconnects", true, NULL);
+  call = send_by_peer (&fixture, "a");
+  await_request (&fixture, 1);
+  gp_platform_store_cancel (call);
+  fixture.answers = 1;
+  send_by_peer (&fixture, "b");
+  while (gp_list_empty (&fixture.collector.queue.waiting))
+    run_loop_iterations (&fixture.loop, 1);
+  answer_store (&fixture, 200, "{\"offset\":0,\"end\":2}");
+  await_request (&fixture, 2);
+  answer_store (&fixture, 200, "{\"offset\":2,\"end\":4}");
+  await_answers (&fixture);
+  fixture_finish (&fixture);
+}
+
 /* Only what the store refuses is passed on as refused by it; without an answer
    of the store the outcome is unknown to all senders.  */
 static void
@@ -419,17 +441,44 @@
   fixture_finish (&fixture);
 }
 
+/* A batch that is not a sequence of complete records would make the records
+   of others unreadable.  */
+static void
+test_malformed (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    size_t size;
+    unsigned records;
+  } cases[] = { { "", 0, 0 },
+                { "\0\0\0\2\1k", 6, 1 },
+                { "\0\0\0\2\1k\0\0\0\4\1kvv", 14, 2 },
+                { "\0\0\0\2\1k\0\0\0\4\1kv", 13, 0 },
+                { "\0\0\0\2\1k\0", 7, 0 },
+                { "\0\0\0\2\2k", 6, 0 },
+                { "\0\0\0\0\0", 5, 0 },
+                { "\377\377\377\377\1k", 6, 0 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (gp_platform_store_batch_count (
+                         (const uint8_t *)cases[i].bytes, cases[i].size),
+                     cases[i].records);
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[]
       = { { "collected", test_collected },
           { "sender_leaves", test_sender_leaves },
+          { "sender_disconnects", test_sender_disconnects },
           { "store_fails", test_store_fails },
           { "relayed_collector", test_relayed_collector },
           { "not_collected", test_not_collected },
           { "appender", test_appender },
           { "leader_dies", test_leader_dies },
+          { "malformed", test_malformed },
           CU_TEST_INFO_NULL };
 
   stores = g_ptr_array_new ();
