--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import collections
 import json
 import struct
 import threading
@@ -13,8 +14,8 @@
 
 # How long a call that gets no response is held.
 SILENT_S = 2.0
-# A further append is refused while this time of appends is waiting.
-QUEUE_S = 2.0
+# An append is refused if more than this time of appends is waiting.
+QUEUE_MAX_S = 2.0
 
 
 class Topic:
@@ -22,9 +23,8 @@
         self.records = []
         self.first = 0
         self.newest = {}
-        self.turn = threading.Lock()
-        self.waiting = 0  # appends that wait for their turn
-        self.calls = 0  # slow appends, also refused ones
+        self.queue = collections.deque()  # appends that wait for their turn
+        self.calls = 0  # appends, also refused ones
 
     @property
     def end(self):
@@ -51,9 +51,11 @@
     "silent" to close connections without a response), refused (addresses of
     open() that respond with 503), silent (addresses of open() that close
     connections without a response), unreadable and unwritable (topics whose
-    reads or appends respond with 503), lost (the next N appends take effect
-    without a response) and append_s (how long a topic processes an append, one
-    after the other; a response takes answer_s more).
+    reads or appends respond with 503) and lost (the next N appends take effect
+    without a response).
+
+    A topic processes its appends one at a time, append_s each, and any response
+    takes answer_s.  Both are multiplied by slower.
     """
 
     def __init__(self, address):
@@ -61,8 +63,9 @@
         self.topics = {}
         self.down = None
         self.lost = 0
-        self.append_s = 0
-        self.answer_s = 0
+        self.append_s = 0.0
+        self.answer_s = 0.0
+        self.slower = 1
         self.appends = 0
         self.refused = set()
         self.silent = set()
@@ -120,39 +123,35 @@
         if self.down == "silent":
             time.sleep(SILENT_S)
             return None
-        call = path.rsplit("/", 1)[-1]
-        if call == "log-append":
-            return self.append(query, body)
-        if call == "log-read":
-            return self.read(query)
-        if call == "log-newest":
-            return self.list_newest(query)
-        return 404, b"{}"
-
-    def wait_turn(self, query):
-        """Take the time of an append; return False if it is refused."""
+        calls = {"log-append": self.append_in_turn, "log-read": self.read,
+                 "log-newest": self.list_newest}
+        call = calls.get(path.rsplit("/", 1)[-1])
+        answer = call(query, body) if call else (404, b"{}")
+        time.sleep(self.answer_s * self.slower)
+        return answer
+
+    def append_in_turn(self, query, body):
         with self.lock:
             topic = self.topic(query)
             topic.calls += 1
-            if topic.waiting * self.append_s > QUEUE_S:
-                return False
-            topic.waiting += 1
-        with topic.turn:
-            time.sleep(self.append_s)
-        with self.lock:
-            topic.waiting -= 1
-        return True
+            queue = topic.queue
+            if len(queue) * self.append_s * self.slower > QUEUE_MAX_S:
+                return 503, b"{}"
+            turn = object()
+            queue.append(turn)
+            while queue[0] is not turn:
+                self.lock.wait()
+        time.sleep(self.append_s * self.slower)
+        try:
+            return self.append(query, body)
+        finally:
+            with self.lock:
+                queue.popleft()
+                self.lock.notify_all()
 
     def append(self, query, body):
         if query["topic"] in self.unwritable:
             return 503, b"{}"
-        if self.append_s > 0 and not self.wait_turn(query):
-            return 503, b"{}"
-        answer = self.append_now(query, body)
-        time.sleep(self.answer_s)
-        return answer
-
-    def append_now(self, query, body):
         for old, new in self.rewrites.items():
             body = body.replace(old, new)
         with self.lock:
@@ -167,7 +166,7 @@
                 return None
             return 200, json.dumps({"offset": at, "end": topic.end}).encode()
 
-    def read(self, query):
+    def read(self, query, _body):
         start = int(query["from"])
         deadline = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         if query["topic"] in self.unreadable:
@@ -189,7 +188,7 @@
                 data += struct.pack(">I", len(record)) + record
             return 200, data
 
-    def list_newest(self, query):
+    def list_newest(self, query, _body):
         if query["topic"] in self.unreadable:
             return 503, b"{}"
         with self.lock:
