Entries: admission by a forecast of room, off by default

Jobs were accepted without limit, so that batch jobs ended late or never in bursts. The leader now writes the processors and the unfinished work of each service under the key room of the progress topic, at most every 500 ms. An entry forecasts from it when a new job would be done, and refuses with 503 one whose forecast end lies after the end of its usefulness. A job that may be on the log is never refused by the forecast.

The sums of capacity and work move from jobs/urgency.c to jobs/room.c; the transcripts of test_jobs, test_urgency and test_evacuations are unchanged.

--- a/src/jobs/forecast.c
+++ b/src/jobs/forecast.c
@@ -224,19 +224,33 @@
   return longest;
 }
 
-/* Returns the duration of the longest chain of all steps of the job, by the
-   longest task of each step.  */
+/* Computes the expected duration of a task of each step.  */
+static void
+compute_task_times (const gp_forecast_t *forecast,
+                    const Gp__Jobs__Submission *submission,
+                    gp_time_t *task_times)
+{
+  for (size_t i = 0; i < submission->n_steps; i++)
+    task_times[i]
+        = task_time (forecast, submission->queue, submission->steps[i]);
+}
+
+/* Returns the objective of SUBMISSION, a duration, from the longest chain of
+   all its steps, by the longest task of each step.  */
 static gp_time_t
-full_chain (const gp_forecast_t *forecast, const gp_job_t *job)
+objective_of (const gp_forecast_t *forecast,
+              const Gp__Jobs__Submission *submission,
+              const gp_time_t *task_times)
 {
-  const Gp__Jobs__Submission *submission = job->submission;
   gp_time_t durations[GP_JOB_MAX_STEPS];
 
   for (size_t i = 0; i < submission->n_steps; i++)
-    durations[i] = (gp_time_t)((double)job->task_times[i]
+    durations[i] = (gp_time_t)((double)task_times[i]
                                * spread_of (forecast, submission->queue,
                                             submission->steps[i]));
-  return longest_chain (submission, durations);
+  return MIN (longest_chain (submission, durations), TASK_TIME_MAX)
+             * submission->stretch_percent / 100
+         + submission->target_ms * GP_MSEC;
 }
 
 static bool
@@ -271,18 +285,25 @@
 
   if (job->forecast_at != 0 && now < job->forecast_at + FORECAST_TIME)
     return;
-  for (size_t i = 0; i < submission->n_steps; i++)
-    job->task_times[i]
-        = task_time (forecast, submission->queue, submission->steps[i]);
-  objective = MIN (full_chain (forecast, job), TASK_TIME_MAX)
-                  * submission->stretch_percent / 100
-              + submission->target_ms * GP_MSEC;
+  compute_task_times (forecast, submission, job->task_times);
+  objective = objective_of (forecast, submission, job->task_times);
   begin = next_start_at (job);
   job->forecast_at = now;
   job->due_at = begin + objective;
   job->useless_at = begin + USELESS_FACTOR * objective;
 }
 
+void
+gp_forecast_submission (const gp_forecast_t *forecast,
+                        const Gp__Jobs__Submission *submission,
+                        gp_forecast_times_t *times)
+{
+  compute_task_times (forecast, submission, times->task_times);
+  times->chain = longest_chain (submission, times->task_times);
+  times->useful = USELESS_FACTOR
+                  * objective_of (forecast, submission, times->task_times);
+}
+
 /* Returns the remaining duration of one occurrence, by the mean of its tasks:
    a job must not be given up because its longest task might be late.  */
 static gp_time_t
--- a/src/jobs/forecast.h
+++ b/src/jobs/forecast.h
@@ -47,6 +47,22 @@
 void gp_forecast_job (const gp_forecast_t *forecast, gp_job_t *job,
                       gp_time_t now);
 
+/* What is expected of a submission on free executors, as durations.  */
+typedef struct
+{
+  gp_time_t task_times[GP_JOB_MAX_STEPS]; /* of a task, by step */
+  gp_time_t chain;  /* of its longest chain of steps, by the mean of their
+                       tasks */
+  gp_time_t useful; /* its result is useful for this long after its submission,
+                       0: it has no objective */
+} gp_forecast_times_t;
+
+/* Computes TIMES of SUBMISSION, which has passed gp_job_check, without a
+   job.  */
+void gp_forecast_submission (const gp_forecast_t *forecast,
+                             const Gp__Jobs__Submission *submission,
+                             gp_forecast_times_t *times);
+
 /* Returns the expected duration, on free executors, of the longest chain of
    steps that JOB still has to do.  JOB's forecast has to be up to date.  */
 gp_time_t gp_forecast_remaining (const gp_job_t *job);
--- a/src/jobs/records.c
+++ b/src/jobs/records.c
@@ -11,6 +11,7 @@
 #include "jobs/job.h"
 #include "jobs/pressure.h"
 #include "jobs/progress_compact.h"
+#include "jobs/room.h"
 #include "jobs/suspicion.h"
 
 /* Decodes the message of DESCRIPTOR in VALUE; NULL sets ERROR.  */
@@ -309,6 +310,17 @@
   return learned;
 }
 
+/* The rows of a room record are sums that belong together: one invalid row
+   refuses the record.  */
+static Gp__Jobs__Room *
+parse_room (const uint8_t *value, size_t size, GError **error)
+{
+  Gp__Jobs__Room *room
+      = unpack (&gp__jobs__room__descriptor, value, size, error);
+
+  return keep_valid (room, room != NULL && gp_room_check (room, error));
+}
+
 /* Keys.  */
 
 static void
@@ -408,6 +420,8 @@
     record->kind = GP_RECORD_LEADERSHIP;
   else if (g_strcmp0 (record->subject, GP_LEARNED_KEY) == 0)
     record->kind = GP_RECORD_LEARNED;
+  else if (g_strcmp0 (record->subject, GP_ROOM_KEY) == 0)
+    record->kind = GP_RECORD_ROOM;
   else if (gp_job_id_valid (record->subject, key_size))
     record->kind = GP_RECORD_PROGRESS;
 }
@@ -434,6 +448,9 @@
       record->u.learned
           = parse_learned (value, value_size, &record->refused, error);
       return record->u.learned != NULL;
+    case GP_RECORD_ROOM:
+      record->u.room = parse_room (value, value_size, error);
+      return record->u.room != NULL;
     case GP_RECORD_UNKNOWN:
     case GP_RECORD_SUBMISSION:
     case GP_RECORD_CANCELLATION:
@@ -483,6 +500,9 @@
     case GP_RECORD_LEARNED:
       free_message ((ProtobufCMessage *)record->u.learned);
       break;
+    case GP_RECORD_ROOM:
+      free_message ((ProtobufCMessage *)record->u.room);
+      break;
     case GP_RECORD_NODE:
       free_message ((ProtobufCMessage *)record->u.node);
       break;
--- a/src/jobs/records.h
+++ b/src/jobs/records.h
@@ -34,6 +34,8 @@
 #define GP_LEADER_KEY "leader"
 /* The key of the models that leaders have learned.  */
 #define GP_LEARNED_KEY "learned"
+/* The key of the leader's record of the room for new work.  */
+#define GP_ROOM_KEY "room"
 /* Prefix of a VM's name in the key that gives its executor.  */
 #define GP_PLACE_PREFIX "at."
 
@@ -46,6 +48,7 @@
   GP_RECORD_PLACE,
   GP_RECORD_LEADERSHIP,
   GP_RECORD_LEARNED,
+  GP_RECORD_ROOM,
   GP_RECORD_NODE
 } gp_record_kind_t;
 
@@ -60,6 +63,7 @@
     Gp__Jobs__Place *place;
     Gp__Jobs__Leadership *leadership;
     Gp__Jobs__Learned *learned; /* without the rows that were refused */
+    Gp__Jobs__Room *room;
     Gp__Jobs__Node *node;
   } u; /* NULL if the record was refused or the message taken over */
   GError *refused; /* owned: why the first invalid row of an accepted record
--- /dev/null
+++ b/src/jobs/room.c
@@ -0,0 +1,647 @@
+/* How much room there is for new work, and when a new job would be done.  */
+
+#include "jobs/room.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobs/executor.h"
+#include "jobs/fields.h"
+
+/* Share of a running task that counts as done.  */
+#define RUNNING_PROGRESS 0.5
+/* Least time between two records, and the time after which an unchanged one is
+   written again: entries use a record for 5 s, and count what they accept
+   until the next one.  */
+#define RECORD_INTERVAL (500 * GP_MSEC)
+#define UNCHANGED_INTERVAL (GP_SEC)
+/* A value has changed if it differs by more than one part in this many.  */
+#define CHANGE_SHARE 10
+/* No record is made for this long after a leader has begun: a guard reports
+   within 1.2 s, and executors that are not reported have no capacity.  */
+#define BEGIN_DELAY (1500 * GP_MSEC)
+/* Time constant of the average of what is reserved: batch work takes tens of
+   seconds, and bursts of quick work are shorter.  */
+#define BUSY_TIME (10 * GP_SEC)
+/* Weight of the last job in the average error.  */
+#define ERROR_GAIN 0.05
+/* Upper bounds of the values in a record: a billion cores, and a million cores
+   for eleven days.  Sums of such values are exact in an int64_t.  */
+#define MILLI_MAX INT64_C (1000000000000)
+#define WORK_MAX_MS INT64_C (1000000000000000)
+/* No forecast is longer, so that sums of such durations are valid times.  */
+#define DURATION_MAX ((gp_time_t)30 * 24 * 3600 * GP_SEC)
+/* Thousandths of a core times microseconds in a millisecond of one core.  */
+#define WORK_UNIT 1e6
+
+/* The unfinished work of the jobs of one priority, in thousandths of a core
+   times a duration.  */
+typedef struct
+{
+  uint32_t priority;
+  double useful[GP_ROOM_KINDS];
+  double useless[GP_ROOM_KINDS]; /* of jobs whose result is no longer useful */
+} level_t;
+
+/* A service at the leader.  */
+typedef struct
+{
+  char *name;
+  double error;      /* mean relative error of forecasts */
+  double busy;       /* average of gp_room_service_t.busy */
+  gp_time_t busy_at; /* when it was updated, 0: never */
+  bool present;      /* it has executors that take work */
+  double reserved;   /* processors for each kind, thousandths of a core */
+  double filling;
+  GArray *levels; /* level_t, by priority */
+} service_state_t;
+
+/* Sums of capacity and work.  */
+
+gp_room_service_t *
+gp_room_find_service (const GArray *services, const char *name)
+{
+  for (guint i = 0; i < services->len; i++)
+    {
+      gp_room_service_t *service
+          = &g_array_index (services, gp_room_service_t, i);
+
+      if (g_strcmp0 (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+static void
+add_executor (gp_room_service_t *service, const gp_job_executor_t *executor)
+{
+  int64_t spare = gp_job_executor_spare_cpu (executor);
+
+  service->capacity[GP_ROOM_RESERVED]
+      += (double)(executor->capacity.cpu_milli - executor->long_running_cpu);
+  service->capacity[GP_ROOM_FILLING]
+      += (double)(executor->filling_cpu + MAX (spare, 0));
+  service->unfilled += (double)MAX (executor->filling_cpu + spare, 0);
+  service->busy
+      += (double)(executor->used.cpu_milli - executor->long_running_cpu);
+}
+
+GArray *
+gp_room_sum_capacity (const gp_book_t *book)
+{
+  GArray *services = g_array_new (FALSE, FALSE, sizeof (gp_room_service_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_executor_t *executor = value;
+      gp_room_service_t added = { .name = executor->service };
+
+      if (!executor->reachable || executor->dead || executor->draining
+          || executor->evacuated)
+        continue;
+      if (gp_room_find_service (services, executor->service) == NULL)
+        g_array_append_val (services, added);
+      add_executor (gp_room_find_service (services, executor->service),
+                    executor);
+    }
+  return services;
+}
+
+double
+gp_room_count_work (const gp_job_t *job, gp_time_t now,
+                    double work[GP_ROOM_KINDS])
+{
+  double left = 0.0;
+
+  for (uint32_t k = 0; k < job->occurrences; k++)
+    for (size_t s = 0; s < job->submission->n_steps; s++)
+      {
+        const Gp__Jobs__Step *step = job->submission->steps[s];
+        const gp_step_tally_t *tally = &gp_job_tallies (job, k)[s];
+        uint32_t running = step->count - tally->done - tally->waiting;
+        double tasks = tally->waiting + running * (1.0 - RUNNING_PROGRESS);
+
+        left += tasks;
+        if (!step->long_running && gp_job_occurrence_at (job, k) <= now)
+          work[step->fills ? GP_ROOM_FILLING : GP_ROOM_RESERVED]
+              += tasks * (double)step->cpu_milli * (double)job->task_times[s];
+      }
+  return left;
+}
+
+/* The leader's state.  */
+
+static void
+free_state (gpointer data)
+{
+  service_state_t *state = data;
+
+  g_free (state->name);
+  g_array_free (state->levels, TRUE);
+  g_free (state);
+}
+
+void
+gp_room_init (gp_room_t *room)
+{
+  *room = (gp_room_t){ .services = g_hash_table_new_full (
+                           g_str_hash, g_str_equal, NULL, free_state) };
+}
+
+static void
+free_record (Gp__Jobs__Room *record)
+{
+  if (record != NULL)
+    gp__jobs__room__free_unpacked (record, NULL);
+}
+
+void
+gp_room_finish (gp_room_t *room)
+{
+  free_record (room->last);
+  g_hash_table_destroy (room->services);
+}
+
+static service_state_t *
+get_state (gp_room_t *room, const char *name)
+{
+  service_state_t *state = g_hash_table_lookup (room->services, name);
+
+  if (state != NULL)
+    return state;
+  state = g_new0 (service_state_t, 1);
+  state->name = g_strdup (name);
+  state->levels = g_array_new (FALSE, TRUE, sizeof (level_t));
+  g_hash_table_insert (room->services, state->name, state);
+  return state;
+}
+
+void
+gp_room_begin (gp_room_t *room, const Gp__Jobs__Room *record, gp_time_t now)
+{
+  g_hash_table_remove_all (room->services);
+  free_record (g_steal_pointer (&room->last));
+  room->next_at = now + BEGIN_DELAY;
+  for (size_t i = 0; record != NULL && i < record->n_services; i++)
+    get_state (room, record->services[i]->service)->error
+        = record->services[i]->error_permille / 1000.0;
+}
+
+void
+gp_room_job_ended (gp_room_t *room, gp_job_t *job, gp_time_t now)
+{
+  gp_time_t expected = job->forecast_end - job->submitted_at;
+  double error;
+  service_state_t *state;
+
+  if (job->forecast_end == 0 || job->state != GP_JOB_COMPLETED)
+    return;
+  state = get_state (room, job->submission->service);
+  error = (double)(now - job->forecast_end) / (double)MAX (expected, 1);
+  error = CLAMP (error, 0.0, GP_ROOM_ERROR_MAX_PERMILLE / 1000.0);
+  state->error += ERROR_GAIN * (error - state->error);
+  job->forecast_end = 0;
+}
+
+/* Computing the sums.  */
+
+static level_t *
+get_level (service_state_t *state, uint32_t priority)
+{
+  level_t added = { .priority = priority };
+  guint at = 0;
+
+  while (at < state->levels->len
+         && g_array_index (state->levels, level_t, at).priority < priority)
+    at++;
+  if (at == state->levels->len
+      || g_array_index (state->levels, level_t, at).priority != priority)
+    g_array_insert_val (state->levels, at, added);
+  return &g_array_index (state->levels, level_t, at);
+}
+
+static void
+update_busy (service_state_t *state, double busy, gp_time_t now)
+{
+  double gain = fmin ((double)(now - state->busy_at) / BUSY_TIME, 1.0);
+
+  if (state->busy_at == 0)
+    gain = 1.0;
+  state->busy += gain * (busy - state->busy);
+  state->busy_at = now;
+}
+
+static void
+sum_services (gp_room_t *room, const gp_book_t *book, gp_time_t now)
+{
+  GArray *services = gp_room_sum_capacity (book);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, room->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      service_state_t *state = value;
+
+      state->present = false;
+      g_array_set_size (state->levels, 0);
+    }
+  for (guint i = 0; i < services->len; i++)
+    {
+      const gp_room_service_t *sums
+          = &g_array_index (services, gp_room_service_t, i);
+      service_state_t *state;
+
+      /* The executor names its service; readers would reject the record.  */
+      if (sums->name == NULL || !gp_field_name (sums->name, "service", NULL))
+        continue;
+      state = get_state (room, sums->name);
+      update_busy (state, sums->busy, now);
+      state->present = true;
+      state->reserved = sums->capacity[GP_ROOM_RESERVED];
+      state->filling = sums->unfilled + sums->busy - state->busy;
+    }
+  g_array_free (services, TRUE);
+}
+
+/* Jobs whose result is no longer useful come after all others of their
+   priority, but before those of lower ones, see jobs/urgency.h.  */
+static void
+sum_jobs (gp_room_t *room, const gp_book_t *book,
+          const gp_forecast_t *forecast, gp_time_t now)
+{
+  GP_LIST_FOREACH (link, &book->live)
+  {
+    gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
+    level_t *level;
+
+    if (job->cancelled)
+      continue;
+    gp_forecast_job (forecast, job, now);
+    level = get_level (get_state (room, job->submission->service),
+                       job->submission->priority);
+    gp_room_count_work (job, now,
+                        now + gp_forecast_remaining (job) > job->useless_at
+                            ? level->useless
+                            : level->useful);
+  }
+}
+
+/* Making the record.  Its parts are allocated with malloc, because protobuf-c
+   frees them with free.  */
+
+static int64_t
+milli_of (double milli)
+{
+  return (int64_t)CLAMP (milli, 0.0, (double)MILLI_MAX);
+}
+
+static int64_t
+work_ms (double work)
+{
+  return (int64_t)fmin (work / WORK_UNIT, (double)WORK_MAX_MS);
+}
+
+static void
+add_service_row (GPtrArray *rows, const service_state_t *state)
+{
+  Gp__Jobs__ServiceRoom *row = g_new (Gp__Jobs__ServiceRoom, 1);
+
+  gp__jobs__service_room__init (row);
+  row->service = strdup (state->name);
+  row->reserved_milli = (uint64_t)milli_of (state->reserved);
+  row->filling_milli = (uint64_t)milli_of (state->filling);
+  row->error_permille = (uint32_t)(state->error * 1000.0);
+  g_ptr_array_add (rows, row);
+}
+
+static void
+add_backlog_rows (GPtrArray *rows, const service_state_t *state)
+{
+  double higher[GP_ROOM_KINDS] = { 0.0 };
+
+  for (guint i = 0; i < state->levels->len; i++)
+    {
+      const level_t *level = &g_array_index (state->levels, level_t, i);
+      Gp__Jobs__Backlog *row = g_new (Gp__Jobs__Backlog, 1);
+
+      gp__jobs__backlog__init (row);
+      row->service = strdup (state->name);
+      row->priority = level->priority;
+      row->reserved_ms = (uint64_t)work_ms (higher[GP_ROOM_RESERVED]
+                                            + level->useful[GP_ROOM_RESERVED]);
+      row->filling_ms = (uint64_t)work_ms (higher[GP_ROOM_FILLING]
+                                           + level->useful[GP_ROOM_FILLING]);
+      g_ptr_array_add (rows, row);
+      for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
+        higher[kind] += level->useful[kind] + level->useless[kind];
+    }
+}
+
+static gint
+by_name (gconstpointer a, gconstpointer b)
+{
+  return strcmp (a, b);
+}
+
+static Gp__Jobs__Room *
+build_record (const gp_room_t *room)
+{
+  Gp__Jobs__Room *record = g_new (Gp__Jobs__Room, 1);
+  GList *names = g_list_sort (g_hash_table_get_keys (room->services), by_name);
+  GPtrArray *services = g_ptr_array_new ();
+  GPtrArray *backlogs = g_ptr_array_new ();
+
+  for (const GList *at = names; at != NULL; at = at->next)
+    {
+      const service_state_t *state
+          = g_hash_table_lookup (room->services, at->data);
+
+      if (state->present)
+        add_service_row (services, state);
+      add_backlog_rows (backlogs, state);
+    }
+  g_list_free (names);
+  gp__jobs__room__init (record);
+  record->n_services = services->len;
+  record->n_backlogs = backlogs->len;
+  record->services
+      = (Gp__Jobs__ServiceRoom **)g_ptr_array_free (services, FALSE);
+  record->backlogs = (Gp__Jobs__Backlog **)g_ptr_array_free (backlogs, FALSE);
+  return record;
+}
+
+static bool
+has_changed (uint64_t before, uint64_t after)
+{
+  uint64_t difference = MAX (before, after) - MIN (before, after);
+
+  return difference > before / CHANGE_SHARE;
+}
+
+/* Returns whether a value of RECORD differs from that in the last record by a
+   tenth, or the rows are others.  */
+static bool
+record_has_changed (const Gp__Jobs__Room *last, const Gp__Jobs__Room *record)
+{
+  if (last == NULL || last->n_services != record->n_services
+      || last->n_backlogs != record->n_backlogs)
+    return true;
+  for (size_t i = 0; i < record->n_services; i++)
+    {
+      const Gp__Jobs__ServiceRoom *before = last->services[i];
+      const Gp__Jobs__ServiceRoom *after = record->services[i];
+
+      if (strcmp (before->service, after->service) != 0
+          || has_changed (before->reserved_milli, after->reserved_milli)
+          || has_changed (before->filling_milli, after->filling_milli))
+        return true;
+    }
+  for (size_t i = 0; i < record->n_backlogs; i++)
+    {
+      const Gp__Jobs__Backlog *before = last->backlogs[i];
+      const Gp__Jobs__Backlog *after = record->backlogs[i];
+
+      if (strcmp (before->service, after->service) != 0
+          || before->priority != after->priority
+          || has_changed (before->reserved_ms, after->reserved_ms)
+          || has_changed (before->filling_ms, after->filling_ms))
+        return true;
+    }
+  return false;
+}
+
+/* Forecasts the end of JOB, which is part of RECORD.  A job that is timed or
+   has long-running steps has no such end.  */
+static void
+forecast_end (const Gp__Jobs__Room *record, gp_job_t *job, gp_time_t now)
+{
+  double work[GP_ROOM_KINDS] = { 0.0 };
+  gp_room_request_t request = { .service = job->submission->service,
+                                .priority = job->submission->priority,
+                                .chain = gp_forecast_remaining (job) };
+  gp_room_outlook_t outlook;
+
+  for (size_t s = 0; s < job->submission->n_steps; s++)
+    if (job->submission->steps[s]->long_running)
+      return;
+  if (job->submission->repeats > 0)
+    return;
+  gp_room_count_work (job, now, work);
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
+    {
+      request.work.ms[kind] = work_ms (work[kind]);
+      request.ahead.ms[kind] = -request.work.ms[kind];
+    }
+  if (gp_room_forecast (record, &request, &outlook))
+    job->forecast_end = now + outlook.wait + outlook.own;
+}
+
+static void
+forecast_new_jobs (const Gp__Jobs__Room *record, const gp_book_t *book,
+                   gp_time_t now)
+{
+  GP_LIST_FOREACH (link, &book->live)
+  {
+    gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
+
+    if (job->forecast_end == 0 && !job->cancelled)
+      forecast_end (record, job, now);
+  }
+}
+
+const Gp__Jobs__Room *
+gp_room_make (gp_room_t *room, const gp_book_t *book,
+              const gp_forecast_t *forecast, gp_time_t now)
+{
+  Gp__Jobs__Room *record;
+
+  if (now < room->next_at)
+    return NULL;
+  room->next_at = now + RECORD_INTERVAL;
+  sum_services (room, book, now);
+  sum_jobs (room, book, forecast, now);
+  record = build_record (room);
+  forecast_new_jobs (record, book, now);
+  if (!record_has_changed (room->last, record)
+      && now < room->made_at + UNCHANGED_INTERVAL)
+    {
+      free_record (record);
+      return NULL;
+    }
+  free_record (room->last);
+  room->last = record;
+  room->made_at = now;
+  return record;
+}
+
+/* Reading a record.  */
+
+static bool
+check_service (const Gp__Jobs__ServiceRoom *row,
+               const Gp__Jobs__ServiceRoom *previous, GError **error)
+{
+  if (!gp_field_name (row->service, "service", error)
+      || !gp_field_range ((int64_t)row->reserved_milli, 0, MILLI_MAX,
+                          "reserved_milli", error)
+      || !gp_field_range ((int64_t)row->filling_milli, 0, MILLI_MAX,
+                          "filling_milli", error)
+      || !gp_field_range (row->error_permille, 0, GP_ROOM_ERROR_MAX_PERMILLE,
+                          "error_permille", error))
+    return false;
+  if (previous != NULL && strcmp (previous->service, row->service) >= 0)
+    return gp_field_fail (error, "service", "not in order");
+  return true;
+}
+
+/* The work of a priority includes that of the higher ones.  */
+static bool
+check_backlog (const Gp__Jobs__Backlog *row, const Gp__Jobs__Backlog *previous,
+               GError **error)
+{
+  int order = previous != NULL ? strcmp (previous->service, row->service) : -1;
+
+  if (!gp_field_name (row->service, "service", error)
+      || !gp_field_range ((int64_t)row->reserved_ms, 0, WORK_MAX_MS,
+                          "reserved_ms", error)
+      || !gp_field_range ((int64_t)row->filling_ms, 0, WORK_MAX_MS,
+                          "filling_ms", error))
+    return false;
+  if (order > 0 || (order == 0 && previous->priority >= row->priority))
+    return gp_field_fail (error, "priority", "not in order");
+  if (order == 0
+      && (previous->reserved_ms > row->reserved_ms
+          || previous->filling_ms > row->filling_ms))
+    return gp_field_fail (error, "priority", "less work than a higher one");
+  return true;
+}
+
+bool
+gp_room_check (const Gp__Jobs__Room *record, GError **error)
+{
+  for (size_t i = 0; i < record->n_services; i++)
+    if (!check_service (record->services[i],
+                        i > 0 ? record->services[i - 1] : NULL, error))
+      {
+        g_prefix_error (error, "services[%zu].", i);
+        return false;
+      }
+  for (size_t i = 0; i < record->n_backlogs; i++)
+    if (!check_backlog (record->backlogs[i],
+                        i > 0 ? record->backlogs[i - 1] : NULL, error))
+      {
+        g_prefix_error (error, "backlogs[%zu].", i);
+        return false;
+      }
+  return true;
+}
+
+gp_room_work_t
+gp_room_submission_work (const Gp__Jobs__Submission *submission,
+                         const gp_forecast_times_t *times)
+{
+  double work[GP_ROOM_KINDS] = { 0.0 };
+  gp_room_work_t sum;
+
+  for (size_t i = 0; i < submission->n_steps; i++)
+    {
+      const Gp__Jobs__Step *step = submission->steps[i];
+
+      if (!step->long_running)
+        work[step->fills ? GP_ROOM_FILLING : GP_ROOM_RESERVED]
+            += (double)step->count * (double)step->cpu_milli
+               * (double)times->task_times[i];
+    }
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
+    sum.ms[kind] = work_ms (work[kind]);
+  return sum;
+}
+
+/* Returns how long MILLI thousandths of a core take for MS of work.  */
+static gp_time_t
+time_for (int64_t ms, uint64_t milli)
+{
+  double duration;
+
+  if (ms <= 0)
+    return 0;
+  duration = (double)ms * WORK_UNIT / (double)MAX (milli, 1);
+  return (gp_time_t)fmin (duration, (double)DURATION_MAX);
+}
+
+/* Adds to AHEAD the work of PRIORITY and the higher ones.  */
+static void
+add_backlog (const Gp__Jobs__Room *record, const char *service,
+             uint32_t priority, gp_room_work_t *ahead)
+{
+  const Gp__Jobs__Backlog *row = NULL;
+
+  for (size_t i = 0; i < record->n_backlogs; i++)
+    if (record->backlogs[i]->priority <= priority
+        && strcmp (record->backlogs[i]->service, service) == 0)
+      row = record->backlogs[i];
+  if (row == NULL)
+    return;
+  ahead->ms[GP_ROOM_RESERVED] += (int64_t)row->reserved_ms;
+  ahead->ms[GP_ROOM_FILLING] += (int64_t)row->filling_ms;
+}
+
+static const Gp__Jobs__ServiceRoom *
+find_row (const Gp__Jobs__Room *record, const char *service)
+{
+  for (size_t i = 0; i < record->n_services; i++)
+    if (strcmp (record->services[i]->service, service) == 0)
+      return record->services[i];
+  return NULL;
+}
+
+bool
+gp_room_forecast (const Gp__Jobs__Room *record,
+                  const gp_room_request_t *request, gp_room_outlook_t *outlook)
+{
+  const Gp__Jobs__ServiceRoom *row = find_row (record, request->service);
+  double error;
+
+  if (row == NULL)
+    return false;
+  *outlook = (gp_room_outlook_t){ .ahead = request->ahead,
+                                  .own = MIN (request->chain, DURATION_MAX),
+                                  .error_permille = row->error_permille };
+  add_backlog (record, request->service, request->priority, &outlook->ahead);
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
+    {
+      uint64_t milli
+          = kind == GP_ROOM_FILLING ? row->filling_milli : row->reserved_milli;
+
+      if (request->work.ms[kind] == 0)
+        continue;
+      outlook->wait
+          = MAX (outlook->wait, time_for (outlook->ahead.ms[kind], milli));
+      outlook->own
+          = MAX (outlook->own, time_for (request->work.ms[kind], milli));
+    }
+  error = row->error_permille / 1000.0;
+  outlook->margin
+      = MIN ((gp_time_t)(error * (double)(outlook->wait + outlook->own)),
+             outlook->wait);
+  return true;
+}
+
+void
+gp_room_reading_set (gp_room_reading_t *reading, Gp__Jobs__Room *record,
+                     gp_time_t now)
+{
+  free_record (reading->record);
+  reading->record = record;
+  reading->read_at = now;
+}
+
+void
+gp_room_reading_finish (gp_room_reading_t *reading)
+{
+  free_record (reading->record);
+}
--- a/src/jobs/urgency.c
+++ b/src/jobs/urgency.c
@@ -4,104 +4,15 @@
 
 #include <string.h>
 
-#include "jobs/executor.h"
+#include "jobs/room.h"
 
-/* Share of a running task that counts as done.  */
-#define RUNNING_PROGRESS 0.5
-
-/* Kinds of capacity on an executor: filling tasks use what the reservations of
-   the others leave unused.  */
-typedef enum
-{
-  KIND_RESERVED,
-  KIND_FILLING,
-  KINDS
-} kind_t;
-
-/* The executors of a service: their capacity, in thousandths of a core, and
-   the work that admitted jobs require of it, in thousandths of a core times a
-   duration.  */
 typedef struct
 {
-  const char *name;
-  double capacity[KINDS];
-  double work[KINDS];
-} service_t;
-
-typedef struct
-{
-  gp_ranked_job_t ranked; /* first member: the array is sorted by it */
-  service_t *service;     /* NULL: the service has no executor */
-  double work[KINDS];     /* remaining work of the job */
+  gp_ranked_job_t ranked;     /* first member: the array is sorted by it */
+  gp_room_service_t *service; /* NULL: the service has no executor */
+  double work[GP_ROOM_KINDS]; /* remaining work of the job */
 } rated_job_t;
 
-static service_t *
-find_service (const GArray *services, const char *name)
-{
-  for (guint i = 0; i < services->len; i++)
-    {
-      service_t *service = &g_array_index (services, service_t, i);
-
-      if (g_strcmp0 (service->name, name) == 0)
-        return service;
-    }
-  return NULL;
-}
-
-static GArray *
-sum_capacity (const gp_book_t *book)
-{
-  GArray *services = g_array_new (FALSE, FALSE, sizeof (service_t));
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, book->executors);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const gp_job_executor_t *executor = value;
-      service_t added = { .name = executor->service };
-      service_t *service;
-
-      if (!executor->reachable || executor->dead || executor->draining
-          || executor->evacuated)
-        continue;
-      if (find_service (services, executor->service) == NULL)
-        g_array_append_val (services, added);
-      service = find_service (services, executor->service);
-      service->capacity[KIND_RESERVED]
-          += (double)(executor->capacity.cpu_milli
-                      - executor->long_running_cpu);
-      service->capacity[KIND_FILLING]
-          += (double)(executor->filling_cpu
-                      + MAX (gp_job_executor_spare_cpu (executor), 0));
-    }
-  return services;
-}
-
-/* Computes the job's remaining work and its progress; occurrences that are not
-   due yet require nothing.  */
-static void
-count_work (rated_job_t *rated_job, gp_time_t now)
-{
-  const gp_job_t *job = rated_job->ranked.job;
-  double left = 0.0;
-
-  for (uint32_t k = 0; k < job->occurrences; k++)
-    for (size_t s = 0; s < job->submission->n_steps; s++)
-      {
-        const Gp__Jobs__Step *step = job->submission->steps[s];
-        const gp_step_tally_t *tally = &gp_job_tallies (job, k)[s];
-        uint32_t running = step->count - tally->done - tally->waiting;
-        double tasks = tally->waiting + running * (1.0 - RUNNING_PROGRESS);
-
-        left += tasks;
-        if (!step->long_running && gp_job_occurrence_at (job, k) <= now)
-          rated_job->work[step->fills ? KIND_FILLING : KIND_RESERVED]
-              += tasks * (double)step->cpu_milli * (double)job->task_times[s];
-      }
-  rated_job->ranked.progress = 1.0 - left / job->task_count;
-}
-
 /* Returns whether JOB has long-running runs.  Such a job is useful for as long
    as they run, so it never becomes useless.  Ranked by the objective of its
    first start it would come after all others of its priority from a few
@@ -121,11 +32,12 @@
 assess (const GArray *services, gp_job_t *job, gp_time_t now)
 {
   gp_time_t remaining = gp_forecast_remaining (job);
-  rated_job_t rated_job
-      = { .ranked = { .job = job,
-                      .deadline_class = GP_DEADLINE_USELESS,
-                      .rank = job->due_at },
-          .service = find_service (services, job->submission->service) };
+  rated_job_t rated_job = { .ranked = { .job = job,
+                                        .deadline_class = GP_DEADLINE_USELESS,
+                                        .rank = job->due_at },
+                            .service = gp_room_find_service (
+                                services, job->submission->service) };
+  double left;
 
   if (now + remaining <= job->due_at || is_long_running (job))
     rated_job.ranked.deadline_class = GP_DEADLINE_IN_TIME;
@@ -134,7 +46,8 @@
       rated_job.ranked.deadline_class = GP_DEADLINE_LATE;
       rated_job.ranked.rank = remaining;
     }
-  count_work (&rated_job, now);
+  left = gp_room_count_work (job, now, rated_job.work);
+  rated_job.ranked.progress = 1.0 - left / job->task_count;
   return rated_job;
 }
 
@@ -158,7 +71,7 @@
 static void
 add_work (const rated_job_t *rated_job, double sign)
 {
-  for (int kind = 0; kind < KINDS; kind++)
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
     rated_job->service->work[kind] += sign * rated_job->work[kind];
 }
 
@@ -167,10 +80,10 @@
 static bool
 is_overbooked (const rated_job_t *rated_job, gp_time_t now)
 {
-  const service_t *service = rated_job->service;
+  const gp_room_service_t *service = rated_job->service;
   double time = (double)(rated_job->ranked.job->due_at - now);
 
-  for (int kind = 0; kind < KINDS; kind++)
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
     if (rated_job->work[kind] > 0.0
         && service->work[kind] > service->capacity[kind] * time)
       return true;
@@ -180,8 +93,8 @@
 static bool
 has_work_left (const rated_job_t *rated_job)
 {
-  return rated_job->work[KIND_RESERVED] > 0.0
-         || rated_job->work[KIND_FILLING] > 0.0;
+  return rated_job->work[GP_ROOM_RESERVED] > 0.0
+         || rated_job->work[GP_ROOM_FILLING] > 0.0;
 }
 
 /* Returns the job to demote so that the one at LAST may be in time: of the
@@ -192,7 +105,7 @@
 {
   rated_job_t *least = &g_array_index (rated, rated_job_t, last);
   uint32_t priority = least->ranked.job->submission->priority;
-  const service_t *service = least->service;
+  const gp_room_service_t *service = least->service;
 
   for (guint i = last; i-- > 0;)
     {
@@ -247,7 +160,7 @@
                  gp_time_t now)
 {
   GArray *rated = g_array_new (FALSE, FALSE, sizeof (rated_job_t));
-  GArray *services = sum_capacity (book);
+  GArray *services = gp_room_sum_capacity (book);
   GArray *ranked;
 
   GP_LIST_FOREACH (link, &book->live)
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -381,6 +381,10 @@
   gp_jobs_api_init (&entry->api, &entry->loop, entry->store, &entry->book,
                     &entry->operators.queues, &entry->jobs, on_job_record,
                     entry);
+  if (settings->forecast_admission)
+    gp_job_intake_enable (&entry->api.intake, &entry->leader.room_reading,
+                          &entry->leader.scheduler.forecast);
+  entry->leader.writes_room = settings->forecast_admission;
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
                           settings->store, settings->link_rate, error))
     return false;
--- a/src/jobsd/job_answers.c
+++ b/src/jobsd/job_answers.c
@@ -47,21 +47,28 @@
 }
 
 void
-gp_job_refuse (gp_http_exchange_t *exchange, const char *why,
-               gp_retry_after_t refusal)
+gp_job_refuse_for (gp_http_exchange_t *exchange, const char *why,
+                   unsigned seconds)
 {
   char *body = gp_platform_error_body (why);
-  char seconds[16];
+  char delay[16];
 
-  refusal.timeout = gp_job_caller_timeout (exchange);
-  refusal.jitter = g_random_int ();
-  g_snprintf (seconds, sizeof seconds, "%u", gp_retry_after_s (&refusal));
+  g_snprintf (delay, sizeof delay, "%u", seconds);
 
   const gp_http_header_t headers[]
       = { gp_http_header_make ("content-type", "application/json"),
-          gp_http_header_make ("retry-after", seconds) };
+          gp_http_header_make ("retry-after", delay) };
 
   gp_http_exchange_answer (exchange, 503, headers, G_N_ELEMENTS (headers),
                            body, strlen (body));
   free (body);
 }
+
+void
+gp_job_refuse (gp_http_exchange_t *exchange, const char *why,
+               gp_retry_after_t refusal)
+{
+  refusal.timeout = gp_job_caller_timeout (exchange);
+  refusal.jitter = g_random_int ();
+  gp_job_refuse_for (exchange, why, gp_retry_after_s (&refusal));
+}
--- a/src/jobsd/job_answers.h
+++ b/src/jobsd/job_answers.h
@@ -24,4 +24,8 @@
 void gp_job_refuse (gp_http_exchange_t *exchange, const char *why,
                     gp_retry_after_t refusal);
 
+/* The same with a delay of SECONDS.  */
+void gp_job_refuse_for (gp_http_exchange_t *exchange, const char *why,
+                        unsigned seconds);
+
 #endif
--- /dev/null
+++ b/src/jobsd/job_intake.h
@@ -0,0 +1,37 @@
+/* Refuses submissions that cannot be done in time: answers, counts and logs
+   what jobs/intake.h decides.  */
+
+#ifndef GP_JOBSD_JOB_INTAKE_H
+#define GP_JOBSD_JOB_INTAKE_H
+
+#include "base/log_sampler.h"
+#include "jobs/intake.h"
+#include "transport/http.h"
+
+typedef struct
+{
+  gp_intake_t decisions;
+  const gp_room_reading_t *room; /* NULL: nothing is refused */
+  const gp_forecast_t *forecast;
+  gp_log_sampler_t refusals; /* by queue, as callers choose their ids */
+  bool forecasts;            /* the last decision that could be forecast was */
+} gp_job_intake_t;
+
+void gp_job_intake_init (gp_job_intake_t *intake);
+void gp_job_intake_finish (gp_job_intake_t *intake);
+
+/* From now on, submissions are refused by the newest record of ROOM, with the
+   run times of FORECAST.  Both have to outlive INTAKE.  */
+void gp_job_intake_enable (gp_job_intake_t *intake,
+                           const gp_room_reading_t *room,
+                           const gp_forecast_t *forecast);
+
+/* Decides on SUBMISSION, the job ID, which arrives at NOW.  IRREFUSABLE: a
+   record of it is or may be on the log.  Returns whether it was refused and
+   EXCHANGE was answered; nothing has been done for it then.  */
+bool gp_job_intake_refuse (gp_job_intake_t *intake,
+                           gp_http_exchange_t *exchange, const char *id,
+                           const Gp__Jobs__Submission *submission,
+                           bool irrefusable, gp_time_t now);
+
+#endif
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -424,6 +424,22 @@
   gp_job_answer_error (exchange, 400, error->message);
 }
 
+/* Returns whether a record of the job ID is on the log, or may be because of
+   an attempt with an open outcome: a refusal would not be true then.  */
+static bool
+may_be_on_log (const gp_jobs_api_t *api, const char *id)
+{
+  GP_LIST_FOREACH (link, &api->changes)
+  {
+    const change_t *change = GP_CONTAINER_OF (link, change_t, link);
+
+    if (strcmp (change->key, id) == 0)
+      return true;
+  }
+  return gp_book_find (api->book, id) != NULL
+         || g_hash_table_contains (api->open_outcomes, id);
+}
+
 static void
 submit_job (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
             const gp_queue_t *queue, const char *id)
@@ -449,7 +465,9 @@
       refuse_malformed (exchange, queue, id, error);
       g_error_free (error);
     }
-  else
+  else if (!gp_job_intake_refuse (&api->intake, exchange, id, submission,
+                                  may_be_on_log (api, id),
+                                  gp_loop_now (api->loop)))
     start_change (api, exchange, id, false,
                   gp_message_pack (&submission->base));
   if (submission != NULL)
@@ -634,6 +652,7 @@
   gp_list_init (&api->changes);
   api->open_outcomes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gp_job_intake_init (&api->intake);
   gp_timer_init (&api->timer, loop, on_timer, api);
   gp_counter_register (&accepted_count);
   gp_counter_register (&repeated_count);
@@ -653,5 +672,6 @@
   if (api->call != NULL)
     gp_platform_store_cancel (api->call);
   gp_timer_finish (&api->timer);
+  gp_job_intake_finish (&api->intake);
   g_hash_table_destroy (api->open_outcomes);
 }
--- a/src/jobsd/jobs_api.h
+++ b/src/jobsd/jobs_api.h
@@ -6,6 +6,7 @@
 #include "jobs/book.h"
 #include "jobs/queues.h"
 #include "jobsd/feed.h"
+#include "jobsd/job_intake.h"
 #include "platform/store.h"
 #include "transport/http.h"
 
@@ -24,7 +25,8 @@
   unsigned failures;              /* consecutive appends that failed */
   gp_time_t failing_since;        /* the first of them was sent, 0: none */
   gp_time_t latency; /* moving average of the duration of appends */
-  gp_timer_t timer;  /* the next append, or the timeout of a change */
+  gp_job_intake_t intake;
+  gp_timer_t timer; /* the next append, or the timeout of a change */
   /* A record is in the log: apply it now, without waiting for the feed.  */
   void (*on_record) (const gp_platform_store_record_t *record, void *data);
   void *data;
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -127,6 +127,7 @@
                          0)
                         / GP_MSEC));
   take_over_jobs (leader);
+  gp_room_begin (&leader->room, leader->room_reading.record, now_of (leader));
   gp_leader_dial_all (leader);
 }
 
@@ -298,6 +299,9 @@
       if (record->refused != NULL)
         gp_refusals_record_row (&leader->refusals, record, record->refused);
       break;
+    case GP_RECORD_ROOM:
+      gp_leader_read_room (leader, record, place.loading);
+      break;
     case GP_RECORD_UNKNOWN:
     case GP_RECORD_SUBMISSION:
     case GP_RECORD_CANCELLATION:
@@ -420,6 +424,7 @@
   leader->progress_drops = g_ptr_array_new_with_free_func (g_free);
   gp_timer_init (&leader->timer, loop, on_timer, leader);
   gp_leader_append_init (leader);
+  gp_leader_room_init (leader);
   gp_deferred_init (&leader->round, on_round);
 }
 
@@ -427,6 +432,7 @@
 gp_leader_finish (gp_leader_t *leader)
 {
   gp_leader_append_finish (leader);
+  gp_leader_room_finish (leader);
   gp_leader_close_links (leader);
   gp_timer_finish (&leader->timer);
   gp_deferred_cancel (&leader->round);
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -22,6 +22,7 @@
 
 #include "jobs/grants.h"
 #include "jobs/reply_watch.h"
+#include "jobs/room.h"
 #include "jobs/scheduler.h"
 #include "jobs/spec_distribution.h"
 #include "jobsd/feed.h"
@@ -128,6 +129,10 @@
   gp_time_t heartbeat_due;
   gp_time_t check_due;   /* next check of all executors */
   gp_time_t learned_due; /* next write of the learned model */
+  bool writes_room;      /* this entry writes room records while it leads */
+  gp_room_t room;
+  gp_room_reading_t room_reading; /* the newest room record, also of this
+                                     entry */
   gp_timer_t timer;
   gp_timer_t retry;
   gp_deferred_t round;
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -103,7 +103,10 @@
       gp_leader_add_record (leader, job->id, bytes);
       g_array_append_val (leader->batch_states, state);
       if (gp_job_ended (job))
-        gp_spec_distribution_remove_job (&leader->specs, job->id);
+        {
+          gp_spec_distribution_remove_job (&leader->specs, job->id);
+          gp_room_job_ended (&leader->room, job, now_of (leader));
+        }
       g_bytes_unref (bytes);
     }
 }
@@ -405,6 +408,7 @@
   add_dirty_jobs (leader);
   add_progress_drops (leader);
   gp_leader_add_model (leader);
+  gp_leader_add_room (leader);
   add_leadership (leader, leader->stopping);
   leader->resigning = leader->stopping;
   append (leader);
--- a/src/jobsd/leader_private.h
+++ b/src/jobsd/leader_private.h
@@ -81,6 +81,15 @@
 void gp_leader_load_model (gp_leader_t *leader,
                            const Gp__Jobs__Learned *learned);
 
+void gp_leader_room_init (gp_leader_t *leader);
+void gp_leader_room_finish (gp_leader_t *leader);
+/* Add a record of the room for new work to the batch if one is due.  */
+void gp_leader_add_room (gp_leader_t *leader);
+/* Take over the room record RECORD of another leader.  LOADING: it may have
+   been written long ago, and is ignored.  */
+void gp_leader_read_room (gp_leader_t *leader, gp_record_t *record,
+                          bool loading);
+
 /* Update the model from the measurements in REPORT, if there are any.  */
 void gp_leader_update_model (gp_guard_link_t *link,
                              const Gp__Jobs__Report *report);
--- a/src/jobsd/refusals.c
+++ b/src/jobsd/refusals.c
@@ -86,6 +86,7 @@
     case GP_RECORD_PLACE:
     case GP_RECORD_LEADERSHIP:
     case GP_RECORD_LEARNED:
+    case GP_RECORD_ROOM:
     case GP_RECORD_NODE:
       break;
     }
@@ -111,6 +112,8 @@
       return "leadership";
     case GP_RECORD_LEARNED:
       return "learned";
+    case GP_RECORD_ROOM:
+      return "room";
     case GP_RECORD_NODE:
       return "node";
     }
--- a/tests/fuzz/fuzz_records.c
+++ b/tests/fuzz/fuzz_records.c
@@ -127,6 +127,7 @@
     case GP_RECORD_UNKNOWN:
     case GP_RECORD_PLACE:
     case GP_RECORD_LEADERSHIP:
+    case GP_RECORD_ROOM:
     case GP_RECORD_NODE:
       break;
     }
