room: the slack of accepted jobs, and errors by priority

The record now has the slack for which these may be delayed, and the error of forecasts by priority instead of by service, as the errors of batch work would otherwise lead to refusals of quick jobs.

--- a/src/jobs/intake.c
+++ b/src/jobs/intake.c
@@ -258,6 +258,8 @@
     return GP_INTAKE_TOO_LONG;
   if (outlook->wait + outlook->margin + outlook->own > useful)
     return GP_INTAKE_NO_ROOM;
+  if (outlook->late && outlook->delay > outlook->slack)
+    return GP_INTAKE_DELAYS;
   return GP_INTAKE_ACCEPTED;
 }
 
@@ -333,6 +335,8 @@
     {
     case GP_INTAKE_NO_ROOM:
       return "too much work is ahead of it to be done while of use";
+    case GP_INTAKE_DELAYS:
+      return "accepted work would be delayed until it is of no use";
     case GP_INTAKE_TOO_LONG:
       return "it takes longer than its result is of use";
     case GP_INTAKE_ACCEPTED:
--- a/src/jobs/intake.h
+++ b/src/jobs/intake.h
@@ -1,9 +1,10 @@
 /* Decides at an entry whether a new job is accepted.
 
    A job is refused if it cannot be done while its result is still useful, by
-   the leader's last record of the room for new work (jobs/room.h).  The work
-   ahead of it is that in the record, and what this entry has accepted since
-   the record was made.
+   the leader's last record of the room for new work (jobs/room.h), or if it
+   would delay accepted jobs of its priority until theirs is no longer useful.
+   The work ahead of it is that in the record, and what this entry has accepted
+   since the record was made.
 
    A refused caller that could be accepted when it is told to come back keeps
    its turn: until then its work counts as accepted, so that new callers find
@@ -26,6 +27,7 @@
 {
   GP_INTAKE_ACCEPTED,
   GP_INTAKE_NO_ROOM, /* refused: there is too much work ahead of it */
+  GP_INTAKE_DELAYS,  /* refused: accepted jobs would no longer be useful */
   GP_INTAKE_TOO_LONG /* refused: it takes too long even without that */
 } gp_intake_verdict_t;
 
--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -8,6 +8,7 @@
 
 #include "jobs/executor.h"
 #include "jobs/fields.h"
+#include "jobs/urgency.h"
 
 /* Share of a running task that counts as done.  */
 #define RUNNING_PROGRESS 0.5
@@ -25,7 +26,15 @@
    seconds, and bursts of quick work are shorter.  */
 #define BUSY_TIME (10 * GP_SEC)
 /* Weight of the last job in the average error.  */
-#define ERROR_GAIN 0.05
+#define ERROR_GAIN 0.1
+#define ERROR_MAX (GP_ROOM_ERROR_MAX_PERMILLE / 1000.0)
+/* Entries accept jobs until they read the next record.  In an overload of
+   twice the capacity, this adds about as much delay.  */
+#define SLACK_MARGIN (GP_SEC)
+/* A job is given up if the work ahead of it takes more than this share of the
+   time for which it is still useful, in percent: to refuse new jobs would not
+   help it.  */
+#define HOPELESS_PERCENT 125
 /* Upper bounds of the values in a record: a billion cores, and a million cores
    for eleven days.  Sums of such values are exact in an int64_t.  */
 #define MILLI_MAX INT64_C (1000000000000)
@@ -40,21 +49,24 @@
 typedef struct
 {
   uint32_t priority;
+  double error; /* mean relative error of forecasts */
   double useful[GP_ROOM_KINDS];
   double useless[GP_ROOM_KINDS]; /* of jobs whose result is no longer useful */
+  bool late;       /* there are jobs that will be late but useful ... */
+  gp_time_t slack; /* ... and may be delayed for so long */
 } level_t;
 
 /* A service at the leader.  */
 typedef struct
 {
   char *name;
-  double error;      /* mean relative error of forecasts */
   double busy;       /* average of gp_room_service_t.busy */
   gp_time_t busy_at; /* when it was updated, 0: never */
   bool present;      /* it has executors that take work */
   double reserved;   /* processors for each kind, thousandths of a core */
   double filling;
-  GArray *levels; /* level_t, by priority */
+  double ahead[GP_ROOM_KINDS]; /* work of the jobs counted so far */
+  GArray *levels;              /* level_t, by priority */
 } service_state_t;
 
 /* Sums of capacity and work.  */
@@ -180,50 +192,65 @@
   return state;
 }
 
+static level_t *
+get_level (service_state_t *state, uint32_t priority)
+{
+  level_t added = { .priority = priority };
+  guint at = 0;
+
+  while (at < state->levels->len
+         && g_array_index (state->levels, level_t, at).priority < priority)
+    at++;
+  if (at == state->levels->len
+      || g_array_index (state->levels, level_t, at).priority != priority)
+    g_array_insert_val (state->levels, at, added);
+  return &g_array_index (state->levels, level_t, at);
+}
+
 void
 gp_room_begin (gp_room_t *room, const Gp__Jobs__Room *record, gp_time_t now)
 {
   g_hash_table_remove_all (room->services);
   free_record (g_steal_pointer (&room->last));
   room->next_at = now + BEGIN_DELAY;
-  for (size_t i = 0; record != NULL && i < record->n_services; i++)
-    get_state (room, record->services[i]->service)->error
-        = record->services[i]->error_permille / 1000.0;
+  for (size_t i = 0; record != NULL && i < record->n_backlogs; i++)
+    {
+      const Gp__Jobs__Backlog *row = record->backlogs[i];
+
+      get_level (get_state (room, row->service), row->priority)->error
+          = row->error_permille / 1000.0;
+    }
 }
 
-void
-gp_room_job_ended (gp_room_t *room, gp_job_t *job, gp_time_t now)
+/* Learns that JOB ends, or is expected to end, at END.  */
+static void
+learn_error (gp_room_t *room, gp_job_t *job, gp_time_t end)
 {
-  gp_time_t expected = job->forecast_end - job->submitted_at;
-  double error;
-  service_state_t *state;
+  gp_time_t expected = MAX (job->forecast_end - job->submitted_at, 1);
+  double error = (double)(end - job->forecast_end) / (double)expected;
+  level_t *level = get_level (get_state (room, job->submission->service),
+                              job->submission->priority);
 
-  if (job->forecast_end == 0 || job->state != GP_JOB_COMPLETED)
-    return;
-  state = get_state (room, job->submission->service);
-  error = (double)(now - job->forecast_end) / (double)MAX (expected, 1);
-  error = CLAMP (error, 0.0, GP_ROOM_ERROR_MAX_PERMILLE / 1000.0);
-  state->error += ERROR_GAIN * (error - state->error);
-  job->forecast_end = 0;
+  error = CLAMP (error, 0.0, ERROR_MAX);
+  level->error += ERROR_GAIN * (error - level->error);
+  job->forecast_end = GP_TIME_NEVER;
 }
 
-/* Computing the sums.  */
-
-static level_t *
-get_level (service_state_t *state, uint32_t priority)
+static bool
+has_forecast (const gp_job_t *job)
 {
-  level_t added = { .priority = priority };
-  guint at = 0;
+  return job->forecast_end != 0 && job->forecast_end != GP_TIME_NEVER;
+}
 
-  while (at < state->levels->len
-         && g_array_index (state->levels, level_t, at).priority < priority)
-    at++;
-  if (at == state->levels->len
-      || g_array_index (state->levels, level_t, at).priority != priority)
-    g_array_insert_val (state->levels, at, added);
-  return &g_array_index (state->levels, level_t, at);
+void
+gp_room_job_ended (gp_room_t *room, gp_job_t *job, gp_time_t now)
+{
+  if (has_forecast (job) && job->state == GP_JOB_COMPLETED)
+    learn_error (room, job, now);
 }
 
+/* Computing the sums.  */
+
 static void
 update_busy (service_state_t *state, double busy, gp_time_t now)
 {
@@ -235,6 +262,18 @@
   state->busy_at = now;
 }
 
+/* Clears the sums; the errors remain.  */
+static void
+clear_levels (service_state_t *state)
+{
+  for (guint i = 0; i < state->levels->len; i++)
+    {
+      level_t *level = &g_array_index (state->levels, level_t, i);
+
+      *level = (level_t){ .priority = level->priority, .error = level->error };
+    }
+}
+
 static void
 sum_services (gp_room_t *room, const gp_book_t *book, gp_time_t now)
 {
@@ -248,7 +287,8 @@
       service_state_t *state = value;
 
       state->present = false;
-      g_array_set_size (state->levels, 0);
+      memset (state->ahead, 0, sizeof state->ahead);
+      clear_levels (state);
     }
   for (guint i = 0; i < services->len; i++)
     {
@@ -268,27 +308,70 @@
   g_array_free (services, TRUE);
 }
 
-/* Jobs whose result is no longer useful come after all others of their
-   priority, but before those of lower ones, see jobs/urgency.h.  */
+/* Returns how long the work that is counted so far takes on the processors
+   for each kind that WORK needs.  */
+static double
+time_to_finish (const service_state_t *state, const double work[GP_ROOM_KINDS])
+{
+  double longest = 0.0;
+
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
+    if (work[kind] > 0.0)
+      longest = fmax (longest,
+                      state->ahead[kind]
+                          / fmax (kind == GP_ROOM_FILLING ? state->filling
+                                                          : state->reserved,
+                                  1.0));
+  return longest;
+}
+
+/* JOB, which requires WORK and is counted in STATE, will be late.  */
+static void
+note_late (const service_state_t *state, level_t *level, const gp_job_t *job,
+           const double work[GP_ROOM_KINDS], gp_time_t now)
+{
+  double useful = (double)(job->useless_at - now);
+  double finish = time_to_finish (state, work);
+  gp_time_t slack = (gp_time_t)fmax (
+      useful - finish * (1.0 + level->error) - (double)SLACK_MARGIN, 0.0);
+
+  if (finish > useful * HOPELESS_PERCENT / 100.0)
+    return;
+  level->slack = level->late ? MIN (level->slack, slack) : slack;
+  level->late = true;
+}
+
+static void
+count_job (gp_room_t *room, const gp_ranked_job_t *ranked, gp_time_t now)
+{
+  const gp_job_t *job = ranked->job;
+  bool useless = ranked->deadline_class == GP_DEADLINE_USELESS;
+  service_state_t *state = get_state (room, job->submission->service);
+  level_t *level = get_level (state, job->submission->priority);
+  double work[GP_ROOM_KINDS] = { 0.0 };
+
+  gp_room_count_work (job, now, work);
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
+    {
+      state->ahead[kind] += work[kind];
+      *(useless ? &level->useless[kind] : &level->useful[kind]) += work[kind];
+    }
+  if (ranked->deadline_class == GP_DEADLINE_LATE)
+    note_late (state, level, job, work, now);
+}
+
+/* Jobs are counted in the order in which they are placed: those whose result
+   is no longer useful come after all others of their priority, but before
+   those of lower ones.  */
 static void
 sum_jobs (gp_room_t *room, const gp_book_t *book,
           const gp_forecast_t *forecast, gp_time_t now)
 {
-  GP_LIST_FOREACH (link, &book->live)
-  {
-    gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
-    level_t *level;
+  GArray *ranked = gp_urgency_rank (book, forecast, now);
 
-    if (job->cancelled)
-      continue;
-    gp_forecast_job (forecast, job, now);
-    level = get_level (get_state (room, job->submission->service),
-                       job->submission->priority);
-    gp_room_count_work (job, now,
-                        now + gp_forecast_remaining (job) > job->useless_at
-                            ? level->useless
-                            : level->useful);
-  }
+  for (guint i = 0; i < ranked->len; i++)
+    count_job (room, &g_array_index (ranked, gp_ranked_job_t, i), now);
+  g_array_free (ranked, TRUE);
 }
 
 /* Making the record.  Its parts are allocated with malloc, because protobuf-c
@@ -315,7 +398,6 @@
   row->service = strdup (state->name);
   row->reserved_milli = (uint64_t)milli_of (state->reserved);
   row->filling_milli = (uint64_t)milli_of (state->filling);
-  row->error_permille = (uint32_t)(state->error * 1000.0);
   g_ptr_array_add (rows, row);
 }
 
@@ -336,6 +418,9 @@
                                             + level->useful[GP_ROOM_RESERVED]);
       row->filling_ms = (uint64_t)work_ms (higher[GP_ROOM_FILLING]
                                            + level->useful[GP_ROOM_FILLING]);
+      row->error_permille = (uint32_t)(level->error * 1000.0);
+      row->late = level->late;
+      row->slack_ms = (uint32_t)(MIN (level->slack, DURATION_MAX) / GP_MSEC);
       g_ptr_array_add (rows, row);
       for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
         higher[kind] += level->useful[kind] + level->useless[kind];
@@ -409,7 +494,9 @@
       if (strcmp (before->service, after->service) != 0
           || before->priority != after->priority
           || has_changed (before->reserved_ms, after->reserved_ms)
-          || has_changed (before->filling_ms, after->filling_ms))
+          || has_changed (before->filling_ms, after->filling_ms)
+          || before->late != after->late
+          || has_changed (before->slack_ms, after->slack_ms))
         return true;
     }
   return false;
@@ -441,16 +528,27 @@
     job->forecast_end = now + outlook.wait + outlook.own;
 }
 
+/* Forecasts the ends of jobs that were not counted before, and learns from
+   those that are so late that their error is certain: they may never end.  */
 static void
-forecast_new_jobs (const Gp__Jobs__Room *record, const gp_book_t *book,
-                   gp_time_t now)
+check_forecasts (gp_room_t *room, const Gp__Jobs__Room *record,
+                 const gp_book_t *book, gp_time_t now)
 {
   GP_LIST_FOREACH (link, &book->live)
   {
     gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
 
-    if (job->forecast_end == 0 && !job->cancelled)
+    if (job->cancelled)
+      continue;
+    if (job->forecast_end == 0)
       forecast_end (record, job, now);
+    else if (has_forecast (job)
+             && (now > job->useless_at
+                 || (double)(now - job->forecast_end)
+                        > ERROR_MAX
+                              * (double)(job->forecast_end
+                                         - job->submitted_at)))
+      learn_error (room, job, GP_TIME_NEVER);
   }
 }
 
@@ -466,7 +564,7 @@
   sum_services (room, book, now);
   sum_jobs (room, book, forecast, now);
   record = build_record (room);
-  forecast_new_jobs (record, book, now);
+  check_forecasts (room, record, book, now);
   if (!record_has_changed (room->last, record)
       && now < room->made_at + UNCHANGED_INTERVAL)
     {
@@ -489,9 +587,7 @@
       || !gp_field_range ((int64_t)row->reserved_milli, 0, MILLI_MAX,
                           "reserved_milli", error)
       || !gp_field_range ((int64_t)row->filling_milli, 0, MILLI_MAX,
-                          "filling_milli", error)
-      || !gp_field_range (row->error_permille, 0, GP_ROOM_ERROR_MAX_PERMILLE,
-                          "error_permille", error))
+                          "filling_milli", error))
     return false;
   if (previous != NULL && strcmp (previous->service, row->service) >= 0)
     return gp_field_fail (error, "service", "not in order");
@@ -509,7 +605,12 @@
       || !gp_field_range ((int64_t)row->reserved_ms, 0, WORK_MAX_MS,
                           "reserved_ms", error)
       || !gp_field_range ((int64_t)row->filling_ms, 0, WORK_MAX_MS,
-                          "filling_ms", error))
+                          "filling_ms", error)
+      || !gp_field_range (row->error_permille, 0, GP_ROOM_ERROR_MAX_PERMILLE,
+                          "error_permille", error)
+      || !gp_field_range (row->slack_ms, 0,
+                          row->late ? DURATION_MAX / GP_MSEC : 0, "slack_ms",
+                          error))
     return false;
   if (order > 0 || (order == 0 && previous->priority >= row->priority))
     return gp_field_fail (error, "priority", "not in order");
@@ -573,21 +674,26 @@
   return (gp_time_t)fmin (duration, (double)DURATION_MAX);
 }
 
-/* Adds to AHEAD the work of PRIORITY and the higher ones.  */
+/* Adds the work of the request's priority and the higher ones.  */
 static void
-add_backlog (const Gp__Jobs__Room *record, const char *service,
-             uint32_t priority, gp_room_work_t *ahead)
+add_backlog (const Gp__Jobs__Room *record, const gp_room_request_t *request,
+             gp_room_outlook_t *outlook)
 {
   const Gp__Jobs__Backlog *row = NULL;
 
   for (size_t i = 0; i < record->n_backlogs; i++)
-    if (record->backlogs[i]->priority <= priority
-        && strcmp (record->backlogs[i]->service, service) == 0)
+    if (record->backlogs[i]->priority <= request->priority
+        && strcmp (record->backlogs[i]->service, request->service) == 0)
       row = record->backlogs[i];
   if (row == NULL)
     return;
-  ahead->ms[GP_ROOM_RESERVED] += (int64_t)row->reserved_ms;
-  ahead->ms[GP_ROOM_FILLING] += (int64_t)row->filling_ms;
+  outlook->ahead.ms[GP_ROOM_RESERVED] += (int64_t)row->reserved_ms;
+  outlook->ahead.ms[GP_ROOM_FILLING] += (int64_t)row->filling_ms;
+  if (row->priority != request->priority)
+    return;
+  outlook->error_permille = row->error_permille;
+  outlook->late = row->late;
+  outlook->slack = row->slack_ms * GP_MSEC;
 }
 
 static const Gp__Jobs__ServiceRoom *
@@ -604,14 +710,12 @@
                   const gp_room_request_t *request, gp_room_outlook_t *outlook)
 {
   const Gp__Jobs__ServiceRoom *row = find_row (record, request->service);
-  double error;
 
   if (row == NULL)
     return false;
   *outlook = (gp_room_outlook_t){ .ahead = request->ahead,
-                                  .own = MIN (request->chain, DURATION_MAX),
-                                  .error_permille = row->error_permille };
-  add_backlog (record, request->service, request->priority, &outlook->ahead);
+                                  .own = MIN (request->chain, DURATION_MAX) };
+  add_backlog (record, request, outlook);
   for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
     {
       uint64_t milli
@@ -623,11 +727,11 @@
           = MAX (outlook->wait, time_for (outlook->ahead.ms[kind], milli));
       outlook->own
           = MAX (outlook->own, time_for (request->work.ms[kind], milli));
+      outlook->delay = MAX (
+          outlook->delay,
+          time_for (request->work.ms[kind] + request->ahead.ms[kind], milli));
     }
-  error = row->error_permille / 1000.0;
-  outlook->margin
-      = MIN ((gp_time_t)(error * (double)(outlook->wait + outlook->own)),
-             outlook->wait);
+  outlook->margin = outlook->wait * outlook->error_permille / 1000;
   return true;
 }
 
--- a/src/jobs/room.h
+++ b/src/jobs/room.h
@@ -9,10 +9,16 @@
    leaves over on average: the share that is free at one moment says little
    about the tens of seconds that filling work takes.
 
+   New jobs overtake accepted ones that will miss their objective
+   (jobs/urgency.h).  So that these are done while they are useful, the record
+   also has the slack: for how long new jobs of the same priority may delay
+   them.
+
    For each job that is completed, the leader compares the end with the
    forecast made when the job was first counted.  The mean of how much later
-   jobs ended is the error in the record; earlier ends count as no error, as a
-   forecast that is too late must not lead to more refusals.
+   the jobs of a service and priority ended is the error in the record.
+   Earlier ends count as no error, as a forecast that is too late must not lead
+   to more refusals; and the errors of batch work have no effect on quick work.
 
    Pure: takes the book and NOW, returns records.  */
 
@@ -22,9 +28,10 @@
 #include "jobs/book.h"
 #include "jobs/forecast.h"
 
-/* Upper bound of the error of forecasts: twice the forecast time.  Jobs that
-   end even later were delayed by a fault.  */
-#define GP_ROOM_ERROR_MAX_PERMILLE 1000
+/* Upper bound of the error of forecasts.  A result is useful for three
+   objectives: with this error, jobs are accepted that meet their objective, so
+   that none is overtaken.  */
+#define GP_ROOM_ERROR_MAX_PERMILLE 3000
 
 /* Kinds of capacity on an executor: filling tasks use what the reservations of
    the others leave unused.  */
@@ -120,8 +127,12 @@
   gp_time_t wait;       /* until the work ahead is done */
   gp_time_t own;        /* from then until the job is done */
   gp_time_t margin;     /* by how much WAIT may be longer, by the error of
-                           earlier forecasts */
+                           earlier forecasts; OWN is not widened, as run times
+                           are measured */
   uint32_t error_permille;
+  bool late;       /* there are accepted jobs that it would delay ... */
+  gp_time_t delay; /* ... by its work and that in the request's AHEAD ... */
+  gp_time_t slack; /* ... and that may be delayed for so long */
 } gp_room_outlook_t;
 
 /* Forecasts the end of a job from RECORD.  Returns false if RECORD does not
