--- a/src/jobs/intake.c
+++ b/src/jobs/intake.c
@@ -28,6 +28,7 @@
   char *service;
   uint32_t priority;
   gp_room_work_t accepted;
+  unsigned accepted_count; /* number of jobs in ACCEPTED */
   gp_room_work_t returning;
 } row_t;
 
@@ -79,6 +80,7 @@
 drop_accepted (accepted_t *job)
 {
   add_work (&job->row->accepted, &job->work, -1);
+  job->row->accepted_count--;
   gp_list_remove (&job->link);
   g_free (job);
 }
@@ -169,10 +171,26 @@
          && strcmp (row->service, other->service) == 0;
 }
 
-/* Returns the work of this entry that is ahead of a job of ROW.  TURN: the
+/* Adds to AHEAD what was accepted of ROW by ENTRIES entries, among which
+   callers are spread evenly.  A few jobs here say little about the others: the
+   estimate of their share grows from nothing to that of this entry with the
+   number of jobs.  */
+static void
+add_accepted (gp_room_work_t *ahead, const row_t *row, unsigned entries)
+{
+  int64_t count = row->accepted_count;
+  int64_t others = (int64_t)entries - 1;
+
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
+    ahead->ms[kind]
+        += row->accepted.ms[kind]
+           + row->accepted.ms[kind] / (count + entries) * count * others;
+}
+
+/* Returns the work ahead of a job of ROW that is not in the record.  TURN: the
    job's own turn, or NULL for a new caller.  */
 static gp_room_work_t
-work_ahead (const gp_intake_t *intake, const row_t *row,
+work_ahead (const gp_intake_t *intake, const row_t *row, unsigned entries,
             const returning_t *turn)
 {
   gp_room_work_t ahead = { { 0 } };
@@ -185,7 +203,7 @@
 
       if (!is_ahead_of (other, row))
         continue;
-      add_work (&ahead, &other->accepted, 1);
+      add_accepted (&ahead, other, entries);
       if (turn == NULL)
         add_work (&ahead, &other->returning, 1);
     }
@@ -212,6 +230,7 @@
   job->work = *work;
   job->at = now;
   add_work (&row->accepted, work, 1);
+  row->accepted_count++;
   gp_list_push_back (&intake->accepted, &job->link);
 }
 
@@ -304,7 +323,7 @@
   decision.useful = times.useful;
   wanted.work = gp_room_submission_work (submission, &times);
   wanted.chain = times.chain;
-  wanted.ahead = work_ahead (intake, row, turn);
+  wanted.ahead = work_ahead (intake, row, request->entries, turn);
   decision.eligible = times.useful > 0 && is_covered (submission);
   if (room->record != NULL)
     decision.record_age = now - room->read_at;
--- a/src/jobs/intake.h
+++ b/src/jobs/intake.h
@@ -3,8 +3,8 @@
    A job is refused if it cannot be done while its result is still useful, by
    the leader's last record of the room for new work (jobs/room.h), or if it
    would delay accepted jobs of its priority until theirs is no longer useful.
-   The work ahead of it is that in the record, and what this entry has accepted
-   since the record was made.
+   The work ahead of it is that in the record, and what was accepted since the
+   record was made: by this entry, and by the others as estimated from that.
 
    A refused caller that could be accepted when it is told to come back keeps
    its turn: until then its work counts as accepted, so that new callers find
@@ -48,6 +48,7 @@
   const gp_forecast_t *forecast;
   const gp_room_reading_t *room;
   gp_time_t timeout; /* for how long the caller waits in all, a duration */
+  unsigned entries;  /* number of entries that accept jobs, with this one */
   bool irrefusable;  /* a record of the job is or may be on the log */
 } gp_intake_request_t;
 
--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -28,13 +28,11 @@
 /* Weight of the last job in the average error.  */
 #define ERROR_GAIN 0.1
 #define ERROR_MAX (GP_ROOM_ERROR_MAX_PERMILLE / 1000.0)
-/* Entries accept jobs until they read the next record.  In an overload of
-   twice the capacity, this adds about as much delay.  */
-#define SLACK_MARGIN (GP_SEC)
-/* A job is given up if the work ahead of it takes more than this share of the
-   time for which it is still useful, in percent: to refuse new jobs would not
-   help it.  */
-#define HOPELESS_PERCENT 125
+/* Part of the time for which a result is useful that is kept as a margin of
+   the slack: entries accept jobs until they read the next record, and run
+   times and free processors change.  With a sixth, some of the batch jobs that
+   were accepted at ten times the usual load were done too late.  */
+#define SLACK_MARGIN_SHARE 4
 /* Upper bounds of the values in a record: a billion cores, and a million cores
    for eleven days.  Sums of such values are exact in an int64_t.  */
 #define MILLI_MAX INT64_C (1000000000000)
@@ -63,6 +61,7 @@
   double busy;       /* average of gp_room_service_t.busy */
   gp_time_t busy_at; /* when it was updated, 0: never */
   bool present;      /* it has executors that take work */
+  bool has_record;   /* FILLING is from the previous leader's record */
   double reserved;   /* processors for each kind, thousandths of a core */
   double filling;
   double ahead[GP_ROOM_KINDS]; /* work of the jobs counted so far */
@@ -207,13 +206,18 @@
   return &g_array_index (state->levels, level_t, at);
 }
 
-void
-gp_room_begin (gp_room_t *room, const Gp__Jobs__Room *record, gp_time_t now)
+static void
+take_over (gp_room_t *room, const Gp__Jobs__Room *record)
 {
-  g_hash_table_remove_all (room->services);
-  free_record (g_steal_pointer (&room->last));
-  room->next_at = now + BEGIN_DELAY;
-  for (size_t i = 0; record != NULL && i < record->n_backlogs; i++)
+  for (size_t i = 0; i < record->n_services; i++)
+    {
+      const Gp__Jobs__ServiceRoom *row = record->services[i];
+      service_state_t *state = get_state (room, row->service);
+
+      state->has_record = true;
+      state->filling = (double)row->filling_milli;
+    }
+  for (size_t i = 0; i < record->n_backlogs; i++)
     {
       const Gp__Jobs__Backlog *row = record->backlogs[i];
 
@@ -222,6 +226,16 @@
     }
 }
 
+void
+gp_room_begin (gp_room_t *room, const Gp__Jobs__Room *record, gp_time_t now)
+{
+  g_hash_table_remove_all (room->services);
+  free_record (g_steal_pointer (&room->last));
+  room->next_at = now + BEGIN_DELAY;
+  if (record != NULL)
+    take_over (room, record);
+}
+
 /* Learns that JOB ends, or is expected to end, at END.  */
 static void
 learn_error (gp_room_t *room, gp_job_t *job, gp_time_t end)
@@ -251,14 +265,21 @@
 
 /* Computing the sums.  */
 
+/* Updates the average of what is reserved.  At first it follows from the
+   previous leader's record: just after a change of leaders, runs have piled up
+   that reserve everything.  */
 static void
-update_busy (service_state_t *state, double busy, gp_time_t now)
+update_busy (service_state_t *state, const gp_room_service_t *sums,
+             gp_time_t now)
 {
   double gain = fmin ((double)(now - state->busy_at) / BUSY_TIME, 1.0);
 
-  if (state->busy_at == 0)
-    gain = 1.0;
-  state->busy += gain * (busy - state->busy);
+  if (state->busy_at != 0)
+    state->busy += gain * (sums->busy - state->busy);
+  else if (state->has_record)
+    state->busy = fmax (sums->unfilled + sums->busy - state->filling, 0.0);
+  else
+    state->busy = sums->busy;
   state->busy_at = now;
 }
 
@@ -300,7 +321,7 @@
       if (sums->name == NULL || !gp_field_name (sums->name, "service", NULL))
         continue;
       state = get_state (room, sums->name);
-      update_busy (state, sums->busy, now);
+      update_busy (state, sums, now);
       state->present = true;
       state->reserved = sums->capacity[GP_ROOM_RESERVED];
       state->filling = sums->unfilled + sums->busy - state->busy;
@@ -325,6 +346,16 @@
   return longest;
 }
 
+static bool
+has_waiting_tasks (const gp_job_t *job)
+{
+  for (uint32_t k = 0; k < job->occurrences; k++)
+    for (size_t s = 0; s < job->submission->n_steps; s++)
+      if (gp_job_tallies (job, k)[s].waiting > 0)
+        return true;
+  return false;
+}
+
 /* JOB, which requires WORK and is counted in STATE, will be late.  */
 static void
 note_late (const service_state_t *state, level_t *level, const gp_job_t *job,
@@ -332,10 +363,14 @@
 {
   double useful = (double)(job->useless_at - now);
   double finish = time_to_finish (state, work);
-  gp_time_t slack = (gp_time_t)fmax (
-      useful - finish * (1.0 + level->error) - (double)SLACK_MARGIN, 0.0);
-
-  if (finish > useful * HOPELESS_PERCENT / 100.0)
+  double margin
+      = (double)(job->useless_at - job->submitted_at) / SLACK_MARGIN_SHARE;
+  gp_time_t slack
+      = (gp_time_t)fmax (useful - finish * (1.0 + level->error) - margin, 0.0);
+
+  /* To refuse new jobs would not help a job that is lost, nor one whose tasks
+     are all running.  */
+  if (finish > useful || !has_waiting_tasks (job))
     return;
   level->slack = level->late ? MIN (level->slack, slack) : slack;
   level->late = true;
@@ -624,6 +659,8 @@
 bool
 gp_room_check (const Gp__Jobs__Room *record, GError **error)
 {
+  if (record->n_services + record->n_backlogs == 0)
+    return gp_field_fail (error, "services", "missing");
   for (size_t i = 0; i < record->n_services; i++)
     if (!check_service (record->services[i],
                         i > 0 ? record->services[i - 1] : NULL, error))
--- a/src/jobs/room.h
+++ b/src/jobs/room.h
@@ -81,7 +81,7 @@
 void gp_room_finish (gp_room_t *room);
 
 /* A term as leader begins at NOW.  RECORD, of the previous leader, gives the
-   error of its forecasts; NULL: there is none.  No record is made until the
+   averages to begin with; NULL: there is none.  No record is made until the
    guards have had time to report their executors.  */
 void gp_room_begin (gp_room_t *room, const Gp__Jobs__Room *record,
                     gp_time_t now);
--- a/src/jobsd/job_intake.c
+++ b/src/jobsd/job_intake.c
@@ -39,10 +39,12 @@
 
 void
 gp_job_intake_enable (gp_job_intake_t *intake, const gp_room_reading_t *room,
-                      const gp_forecast_t *forecast)
+                      const gp_forecast_t *forecast,
+                      const gp_store_route_t *route)
 {
   intake->room = room;
   intake->forecast = forecast;
+  intake->route = route;
 }
 
 /* Log when forecasts begin and when all jobs are accepted again for lack of
@@ -96,6 +98,7 @@
 
   if (intake->room == NULL)
     return false;
+  request.entries = intake->route->peers->len + 1;
   decision = gp_intake_decide (&intake->decisions, &request, now);
   note_forecasts (intake, &decision);
   if (decision.verdict == GP_INTAKE_ACCEPTED)
--- a/src/jobsd/job_intake.h
+++ b/src/jobsd/job_intake.h
@@ -6,6 +6,7 @@
 
 #include "base/log_sampler.h"
 #include "jobs/intake.h"
+#include "jobsd/store_route.h"
 #include "transport/http.h"
 
 typedef struct
@@ -13,18 +14,21 @@
   gp_intake_t decisions;
   const gp_room_reading_t *room; /* NULL: nothing is refused */
   const gp_forecast_t *forecast;
-  gp_log_sampler_t refusals; /* by queue, as callers choose their ids */
-  bool forecasts;            /* the last decision that could be forecast was */
+  const gp_store_route_t *route; /* has the other entries as peers */
+  gp_log_sampler_t refusals;     /* by queue, as callers choose their ids */
+  bool forecasts; /* the last decision that could be forecast was */
 } gp_job_intake_t;
 
 void gp_job_intake_init (gp_job_intake_t *intake);
 void gp_job_intake_finish (gp_job_intake_t *intake);
 
 /* From now on, submissions are refused by the newest record of ROOM, with the
-   run times of FORECAST.  Both have to outlive INTAKE.  */
+   run times of FORECAST.  ROUTE gives the number of entries.  All have to
+   outlive INTAKE.  */
 void gp_job_intake_enable (gp_job_intake_t *intake,
                            const gp_room_reading_t *room,
-                           const gp_forecast_t *forecast);
+                           const gp_forecast_t *forecast,
+                           const gp_store_route_t *route);
 
 /* Decides on SUBMISSION, the job ID, which arrives at NOW.  IRREFUSABLE: a
    record of it is or may be on the log.  Returns whether it was refused and
--- a/tests/unit/record_cases.c
+++ b/tests/unit/record_cases.c
@@ -361,6 +361,52 @@
   add (cases, RECORD_CASE_PROGRESS, name, "learned", &learned.base);
 }
 
+static void
+add_room (GArray *cases, const char *name, uint64_t filling_milli,
+          uint32_t priority, uint64_t reserved_ms, uint32_t error_permille,
+          uint32_t slack_ms)
+{
+  Gp__Jobs__Room room = GP__JOBS__ROOM__INIT;
+  Gp__Jobs__ServiceRoom service = GP__JOBS__SERVICE_ROOM__INIT;
+  Gp__Jobs__Backlog quick = GP__JOBS__BACKLOG__INIT;
+  Gp__Jobs__Backlog batch = GP__JOBS__BACKLOG__INIT;
+  Gp__Jobs__ServiceRoom *services[] = { &service };
+  Gp__Jobs__Backlog *backlogs[] = { &quick, &batch };
+
+  service.service = "s";
+  service.reserved_milli = 72000;
+  service.filling_milli = filling_milli;
+  quick.service = "s";
+  quick.reserved_ms = 500;
+  batch.service = "s";
+  batch.priority = priority;
+  batch.reserved_ms = reserved_ms;
+  batch.filling_ms = 90000;
+  batch.error_permille = error_permille;
+  batch.late = slack_ms > 0 && slack_ms != 7;
+  batch.slack_ms = slack_ms;
+  room.services = services;
+  room.n_services = G_N_ELEMENTS (services);
+  room.backlogs = backlogs;
+  room.n_backlogs = G_N_ELEMENTS (backlogs);
+  add (cases, RECORD_CASE_PROGRESS, name, "room", &room.base);
+}
+
+static void
+add_rooms (GArray *cases)
+{
+  add_room (cases, "whole", 50000, 2, 500, 200, 4000);
+  add_room (cases, "more processors than there are", UINT64_MAX, 2, 500, 200,
+            0);
+  add_room (cases, "the same priority twice", 50000, 0, 500, 200, 0);
+  add_room (cases, "less work than of a higher priority", 50000, 2, 499, 200,
+            0);
+  add_room (cases, "work of centuries", 50000, 2, UINT64_MAX / 2, 200, 0);
+  add_room (cases, "a huge error", 50000, 2, 500, UINT32_MAX, 0);
+  add_room (cases, "slack of no jobs", 50000, 2, 500, 200, 7);
+  add_foreign (cases, RECORD_CASE_PROGRESS, "room");
+}
+
 static void
 add_all_learned (GArray *cases)
 {
@@ -678,6 +724,7 @@
   add_places (cases);
   add_leaderships (cases);
   add_all_learned (cases);
+  add_rooms (cases);
   add_nodes (cases);
   add_frames (cases);
   return cases;
