--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -323,7 +323,7 @@
     gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
     double *left = work_left (world, task);
 
-    *left -= (double)(STEP / GP_MSEC)
+    *left -= (double)STEP / (double)GP_MSEC
              * (gp_task_step (task)->fills ? fmax (speed, 0.0) : 1.0);
     if (*left <= 0.0 || task->state == GP_TASK_STOPPING)
       g_ptr_array_add (ended, task);
