--- a/src/cli/cmd_explain_logs.c
+++ b/src/cli/cmd_explain_logs.c
@@ -1,6 +1,7 @@
 /* galenapier explain ID LOG...: all log lines of all processes about one job,
    task, executor or zone, or about rejected malformed input.  */
 
+#include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
@@ -14,6 +15,8 @@
 #define REFUSED "refused"
 #define REFUSAL_SUFFIX ".malformed"
 #define UNCONFIRMED_EVENT "executor.unconfirmed"
+/* A submission that the forecast of room refused.  */
+#define NO_ROOM_EVENT "job.refused"
 
 /* Whether member KEY is ID, or a task of job ID: the name of a task is the id
    of its job, a "." and a suffix.  */
@@ -72,6 +75,27 @@
   }
 }
 
+/* Print in words what the forecast of a refused submission was based on.  */
+static void
+print_forecast (const gp_log_line_t *line)
+{
+  int64_t margin_ms = gp_log_line_number (line, "margin_ms", 0);
+  int64_t end_ms = gp_log_line_number (line, "forecast_ms", 0) + margin_ms;
+
+  printf ("    refused, nothing was done: forecast to be done after %.1f s, "
+          "%.1f s of that for errors of earlier forecasts (%" PRId64
+          " permille); useful for %.1f s\n",
+          (double)end_ms / 1000.0, (double)margin_ms / 1000.0,
+          gp_log_line_number (line, "error_permille", 0),
+          (double)gp_log_line_number (line, "useful_ms", 0) / 1000.0);
+  printf (
+      "    ahead of it: %.1f core seconds that reserve processors, %.1f of "
+      "filling work, by a forecast %.1f s old\n",
+      (double)gp_log_line_number (line, "reserved_ahead_ms", 0) / 1000.0,
+      (double)gp_log_line_number (line, "filling_ahead_ms", 0) / 1000.0,
+      (double)gp_log_line_number (line, "record_age_ms", 0) / 1000.0);
+}
+
 /* Print per line: milliseconds since the first line, milliseconds since the
    previous line, process, event and the other fields.  */
 static void
@@ -91,6 +115,8 @@
               json_string_value (json_object_get (line->json, "event")));
       print_fields (line->json);
       putchar ('\n');
+      if (strcmp (gp_log_line_text (line, "event"), NO_ROOM_EVENT) == 0)
+        print_forecast (line);
       previous = line->time;
     }
 }
--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -436,6 +436,25 @@
   g_ptr_array_add (rows, row);
 }
 
+static Gp__Jobs__Backlog *
+new_backlog (const service_state_t *state, const level_t *level,
+             const double higher[GP_ROOM_KINDS])
+{
+  Gp__Jobs__Backlog *row = g_new (Gp__Jobs__Backlog, 1);
+
+  gp__jobs__backlog__init (row);
+  row->service = strdup (state->name);
+  row->priority = level->priority;
+  row->reserved_ms = (uint64_t)work_ms (higher[GP_ROOM_RESERVED]
+                                        + level->useful[GP_ROOM_RESERVED]);
+  row->filling_ms = (uint64_t)work_ms (higher[GP_ROOM_FILLING]
+                                       + level->useful[GP_ROOM_FILLING]);
+  row->error_permille = (uint32_t)(level->error * 1000.0);
+  row->late = level->late;
+  row->slack_ms = (uint32_t)(MIN (level->slack, DURATION_MAX) / GP_MSEC);
+  return row;
+}
+
 static void
 add_backlog_rows (GPtrArray *rows, const service_state_t *state)
 {
@@ -444,19 +463,12 @@
   for (guint i = 0; i < state->levels->len; i++)
     {
       const level_t *level = &g_array_index (state->levels, level_t, i);
-      Gp__Jobs__Backlog *row = g_new (Gp__Jobs__Backlog, 1);
-
-      gp__jobs__backlog__init (row);
-      row->service = strdup (state->name);
-      row->priority = level->priority;
-      row->reserved_ms = (uint64_t)work_ms (higher[GP_ROOM_RESERVED]
-                                            + level->useful[GP_ROOM_RESERVED]);
-      row->filling_ms = (uint64_t)work_ms (higher[GP_ROOM_FILLING]
-                                           + level->useful[GP_ROOM_FILLING]);
-      row->error_permille = (uint32_t)(level->error * 1000.0);
-      row->late = level->late;
-      row->slack_ms = (uint32_t)(MIN (level->slack, DURATION_MAX) / GP_MSEC);
-      g_ptr_array_add (rows, row);
+      Gp__Jobs__Backlog *row = new_backlog (state, level, higher);
+
+      if (row->reserved_ms + row->filling_ms + row->error_permille > 0)
+        g_ptr_array_add (rows, row);
+      else
+        gp__jobs__backlog__free_unpacked (row, NULL);
       for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
         higher[kind] += level->useful[kind] + level->useless[kind];
     }
--- a/src/jobsd/job_intake.c
+++ b/src/jobsd/job_intake.c
@@ -77,6 +77,8 @@
           GP_LOG_I ("useful_ms", decision->useful / GP_MSEC),
           GP_LOG_I ("record_age_ms", decision->record_age / GP_MSEC),
           GP_LOG_I ("error_permille", outlook->error_permille),
+          GP_LOG_I ("delay_ms", outlook->delay / GP_MSEC),
+          GP_LOG_I ("slack_ms", outlook->late ? outlook->slack / GP_MSEC : -1),
           GP_LOG_I ("reserved_ahead_ms", outlook->ahead.ms[GP_ROOM_RESERVED]),
           GP_LOG_I ("filling_ahead_ms", outlook->ahead.ms[GP_ROOM_FILLING]),
           GP_LOG_I ("retry_s", seconds), GP_LOG_I ("count", count));
