--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -805,7 +805,152 @@
     }
 }
 
-static CU_TestInfo tests[] = { { "bursts", test_bursts },
+/* Single decisions, on one core with BACKLOG_MS of work ahead.  */
+
+static void
+set_backlog (gp_room_reading_t *reading, uint64_t backlog_ms, gp_time_t now)
+{
+  Gp__Jobs__Room room = GP__JOBS__ROOM__INIT;
+  Gp__Jobs__ServiceRoom service = GP__JOBS__SERVICE_ROOM__INIT;
+  Gp__Jobs__Backlog backlog = GP__JOBS__BACKLOG__INIT;
+  Gp__Jobs__ServiceRoom *services[] = { &service };
+  Gp__Jobs__Backlog *backlogs[] = { &backlog };
+  GBytes *bytes;
+  gsize size;
+  const uint8_t *data;
+
+  service.service = "upstream";
+  service.reserved_milli = 1000;
+  backlog.service = "upstream";
+  backlog.reserved_ms = backlog_ms;
+  room.services = services;
+  room.n_services = 1;
+  room.backlogs = backlogs;
+  room.n_backlogs = 1;
+  bytes = gp_message_pack (&room.base);
+  data = g_bytes_get_data (bytes, &size);
+  gp_room_reading_set (reading, gp__jobs__room__unpack (NULL, size, data),
+                       now);
+  g_bytes_unref (bytes);
+}
+
+typedef struct
+{
+  gp_intake_t intake;
+  gp_forecast_t forecast;
+  gp_room_reading_t reading;
+  gp_time_t now;
+} desk_t;
+
+static void
+desk_init (desk_t *desk, uint64_t backlog_ms)
+{
+  *desk = (desk_t){ .now = 10 * GP_SEC };
+  gp_intake_init (&desk->intake);
+  gp_forecast_init (&desk->forecast);
+  set_backlog (&desk->reading, backlog_ms, desk->now);
+}
+
+static void
+desk_finish (desk_t *desk)
+{
+  gp_intake_finish (&desk->intake);
+  gp_forecast_finish (&desk->forecast);
+  gp_room_reading_finish (&desk->reading);
+}
+
+/* Decides on the job ID, which is SUBMISSION and freed here.  */
+static gp_intake_decision_t
+decide (desk_t *desk, const char *id, Gp__Jobs__Submission *submission,
+        bool irrefusable)
+{
+  const gp_intake_request_t request = { .id = id,
+                                        .submission = submission,
+                                        .forecast = &desk->forecast,
+                                        .room = &desk->reading,
+                                        .timeout = CALLER_TIMEOUT,
+                                        .entries = 1,
+                                        .irrefusable = irrefusable };
+  gp_intake_decision_t decision
+      = gp_intake_decide (&desk->intake, &request, desk->now);
+
+  gp__jobs__submission__free_unpacked (submission, NULL);
+  return decision;
+}
+
+/* A second of work; the result is useful for 5.25 s.  */
+static bool
+accepts (desk_t *desk, const char *id)
+{
+  return decide (desk, id, jobs_site_submission (1, 1000), false).verdict
+         == GP_INTAKE_ACCEPTED;
+}
+
+/* A refused caller comes back before new ones get its room, and only if there
+   will be any.  */
+static void
+test_turns (void)
+{
+  desk_t desk;
+  gp_intake_decision_t decision;
+
+  desk_init (&desk, 2500);
+  CU_ASSERT_TRUE (accepts (&desk, "1"));
+  CU_ASSERT_TRUE (accepts (&desk, "2"));
+  decision = decide (&desk, "3", jobs_site_submission (1, 1000), false);
+  CU_ASSERT_EQUAL (decision.verdict, GP_INTAKE_NO_ROOM);
+  CU_ASSERT_EQUAL (decision.come_back_at, desk.now + GP_SEC);
+  CU_ASSERT_TRUE (decision.keeps_turn);
+  decision = decide (&desk, "4", jobs_site_submission (1, 1000), false);
+  CU_ASSERT_EQUAL (decision.verdict, GP_INTAKE_NO_ROOM);
+  CU_ASSERT_FALSE (decision.keeps_turn);
+  desk.now += GP_SEC;
+  set_backlog (&desk.reading, 3500, desk.now);
+  CU_ASSERT_FALSE (accepts (&desk, "5"));
+  CU_ASSERT_TRUE (accepts (&desk, "3"));
+  CU_ASSERT_FALSE (accepts (&desk, "6"));
+  /* Whoever does not come back takes no room any more.  */
+  desk.now += 4 * GP_SEC;
+  set_backlog (&desk.reading, 4000, desk.now);
+  CU_ASSERT_TRUE (accepts (&desk, "7"));
+  desk_finish (&desk);
+}
+
+/* The refusal of a job that is or may be on the log would not be true; and of
+   some jobs nothing can be forecast.  */
+static void
+test_exempt (void)
+{
+  Gp__Jobs__Submission *submission = jobs_site_submission (1, 1000);
+  desk_t desk;
+
+  desk_init (&desk, 60000);
+  CU_ASSERT_FALSE (accepts (&desk, "1"));
+  CU_ASSERT_EQUAL (decide (&desk, "1", submission, true).verdict,
+                   GP_INTAKE_ACCEPTED);
+  submission = jobs_site_submission (1, 1000);
+  submission->repeats = 3;
+  CU_ASSERT_FALSE (decide (&desk, "2", submission, false).eligible);
+  submission = jobs_site_submission (1, 1000);
+  submission->steps[0]->long_running = true;
+  CU_ASSERT_FALSE (decide (&desk, "3", submission, false).eligible);
+  submission = jobs_site_submission (1, 1000);
+  submission->stretch_percent = 0;
+  submission->target_ms = 0;
+  CU_ASSERT_FALSE (decide (&desk, "4", submission, false).eligible);
+  submission = jobs_site_submission (1, 1000);
+  set_text (&submission->service, "elsewhere");
+  CU_ASSERT_FALSE (decide (&desk, "5", submission, false).forecast);
+  desk.now += 5 * GP_SEC;
+  CU_ASSERT_FALSE (accepts (&desk, "6"));
+  desk.now += GP_MSEC;
+  CU_ASSERT_TRUE (accepts (&desk, "6"));
+  desk_finish (&desk);
+}
+
+static CU_TestInfo tests[] = { { "turns", test_turns },
+                               { "exempt", test_exempt },
+                               { "bursts", test_bursts },
                                { "ten times", test_ten_times },
                                { "flood", test_flood },
                                { "leavers", test_leavers },
