room: work that does not wait for processors is not ahead of new jobs

Tasks without an executor of their label, or that need accelerators, would have counted as work ahead for as long as they wait, and led to refusals of jobs that do not compete with them (test_room, other waits).

--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -346,14 +346,60 @@
   return longest;
 }
 
+/* Returns whether the waiting tasks of a step do not wait for processors: they
+   need accelerators, or have been found to wait for something else.  New jobs
+   do not have to wait for them.  */
 static bool
-has_waiting_tasks (const gp_job_t *job)
+waits_for_others (const Gp__Jobs__Step *step, const gp_step_tally_t *tally)
 {
+  if (step->accelerators > 0)
+    return true;
+  if (tally->wait.since == 0)
+    return false;
+  switch (tally->wait.cause)
+    {
+    case GP_WAIT_NO_EXECUTOR:
+    case GP_WAIT_SPREAD:
+    case GP_WAIT_ISOLATION:
+    case GP_WAIT_QUARANTINE:
+    case GP_WAIT_STRAY:
+      return true;
+    case GP_WAIT_NONE:
+    case GP_WAIT_CAPACITY:
+    case GP_WAIT_ZONE:
+    case GP_WAIT_UNREACHABLE:
+    case GP_WAIT_DRAINING:
+    case GP_WAIT_DISTRUSTED:
+    case GP_WAIT_DEDICATED:
+    case GP_WAIT_INTERFERENCE:
+    case GP_WAIT_GANG:
+      break;
+    }
+  return false;
+}
+
+/* Subtracts from WORK that of the waiting tasks of JOB that do not wait for
+   processors.  Returns whether others do.  */
+static bool
+subtract_others (const gp_job_t *job, gp_time_t now,
+                 double work[GP_ROOM_KINDS])
+{
+  bool waits = false;
+
   for (uint32_t k = 0; k < job->occurrences; k++)
     for (size_t s = 0; s < job->submission->n_steps; s++)
-      if (gp_job_tallies (job, k)[s].waiting > 0)
-        return true;
-  return false;
+      {
+        const Gp__Jobs__Step *step = job->submission->steps[s];
+        const gp_step_tally_t *tally = &gp_job_tallies (job, k)[s];
+
+        if (!waits_for_others (step, tally))
+          waits = waits || tally->waiting > 0;
+        else if (!step->long_running && gp_job_occurrence_at (job, k) <= now)
+          work[step->fills ? GP_ROOM_FILLING : GP_ROOM_RESERVED]
+              -= tally->waiting * (double)step->cpu_milli
+                 * (double)job->task_times[s];
+      }
+  return waits;
 }
 
 /* JOB, which requires WORK and is counted in STATE, will be late.  */
@@ -368,9 +414,8 @@
   gp_time_t slack
       = (gp_time_t)fmax (useful - finish * (1.0 + level->error) - margin, 0.0);
 
-  /* To refuse new jobs would not help a job that is lost, nor one whose tasks
-     are all running.  */
-  if (finish > useful || !has_waiting_tasks (job))
+  /* To refuse new jobs would not help a job that is lost.  */
+  if (finish > useful)
     return;
   level->slack = level->late ? MIN (level->slack, slack) : slack;
   level->late = true;
@@ -384,14 +429,18 @@
   service_state_t *state = get_state (room, job->submission->service);
   level_t *level = get_level (state, job->submission->priority);
   double work[GP_ROOM_KINDS] = { 0.0 };
+  bool waits;
 
   gp_room_count_work (job, now, work);
+  waits = subtract_others (job, now, work);
   for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
     {
+      work[kind] = fmax (work[kind], 0.0);
       state->ahead[kind] += work[kind];
       *(useless ? &level->useless[kind] : &level->useful[kind]) += work[kind];
     }
-  if (ranked->deadline_class == GP_DEADLINE_LATE)
+  /* New jobs do not delay one whose tasks are all running.  */
+  if (ranked->deadline_class == GP_DEADLINE_LATE && waits)
     note_late (state, level, job, work, now);
 }
 
--- a/tests/unit/test_room.c
+++ b/tests/unit/test_room.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/log.h"
@@ -319,6 +320,32 @@
   jobs_site_finish (&site);
 }
 
+/* Work that cannot be placed for lack of an executor with its label takes no
+   processors from others, however long it waits.  */
+static void
+test_other_waits (void)
+{
+  Gp__Jobs__Submission *submission = jobs_site_submission (100, 1000);
+  jobs_site_t site;
+  gp_room_t room;
+  const Gp__Jobs__Room *record;
+
+  jobs_site_init (&site);
+  gp_room_init (&room);
+  jobs_site_executor (&site, "x1", 4);
+  free (submission->steps[0]->required_label);
+  submission->steps[0]->required_label = strdup ("nowhere");
+  jobs_site_submit (&site, "00000000000000aa", submission);
+  for (unsigned i = 0; i < 30; i++, site.now += 100 * GP_MSEC)
+    jobs_site_plan (&site);
+  submit (&site, 1, 0, false, 2);
+  record = make (&room, &site);
+  CU_ASSERT_EQUAL (record->n_backlogs, 1);
+  CU_ASSERT_EQUAL (record->backlogs[0]->reserved_ms, 2000);
+  gp_room_finish (&room);
+  jobs_site_finish (&site);
+}
+
 static CU_TestInfo tests[] = { { "sums", test_sums },
                                { "times", test_times },
                                { "evacuation", test_evacuation },
@@ -326,6 +353,7 @@
                                { "errors", test_errors },
                                { "never done", test_never_done },
                                { "slack", test_slack },
+                               { "other waits", test_other_waits },
                                CU_TEST_INFO_NULL };
 
 int
