intake: the share of other entries is estimated from fewer jobs; 12 entries in test_intake

With 12 entries, a queue that floods got 18 of 65 accepted jobs done too late, as each entry has seen few of them; with the weight half way at the square root of the number of entries, 12 of 63 (test_intake).

--- a/src/jobs/intake.c
+++ b/src/jobs/intake.c
@@ -2,6 +2,7 @@
 
 #include "jobs/intake.h"
 
+#include <math.h>
 #include <string.h>
 
 /* A record is used for this long.  A leader writes one at least every second;
@@ -172,19 +173,19 @@
 }
 
 /* Adds to AHEAD what was accepted of ROW by ENTRIES entries, among which
-   callers are spread evenly.  A few jobs here say little about the others: the
-   estimate of their share grows from nothing to that of this entry with the
-   number of jobs.  */
+   callers are spread evenly.  One job here says little about the others, many
+   show their rate: the estimate of what each of them accepted grows with the
+   number of jobs here, half way at the square root of the number of
+   entries.  */
 static void
 add_accepted (gp_room_work_t *ahead, const row_t *row, unsigned entries)
 {
-  int64_t count = row->accepted_count;
-  int64_t others = (int64_t)entries - 1;
+  double count = row->accepted_count;
+  double factor
+      = 1.0 + (double)(entries - 1) * count / (count + sqrt ((double)entries));
 
   for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
-    ahead->ms[kind]
-        += row->accepted.ms[kind]
-           + row->accepted.ms[kind] / (count + entries) * count * others;
+    ahead->ms[kind] += (int64_t)((double)row->accepted.ms[kind] * factor);
 }
 
 /* Returns the work ahead of a job of ROW that is not in the record.  TURN: the
