Entries: no refusal by the forecast while the log cannot be read

The record of an attempt at another entry may be on the log then, and a refusal would not be true. Refusals for the sake of accepted work count as refusals for lack of room.

--- a/src/jobsd/job_intake.c
+++ b/src/jobsd/job_intake.c
@@ -105,8 +105,8 @@
   note_forecasts (intake, &decision);
   if (decision.verdict == GP_INTAKE_ACCEPTED)
     return false;
-  gp_counter_add (decision.verdict == GP_INTAKE_NO_ROOM ? &no_room_count
-                                                        : &too_long_count,
+  gp_counter_add (decision.verdict == GP_INTAKE_TOO_LONG ? &too_long_count
+                                                         : &no_room_count,
                   1);
   gp_counter_add (&turns_count, decision.keeps_turn);
   seconds = (unsigned)((decision.come_back_at - now + GP_SEC - 1) / GP_SEC);
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -425,7 +425,8 @@
 }
 
 /* Returns whether a record of the job ID is on the log, or may be because of
-   an attempt with an open outcome: a refusal would not be true then.  */
+   an attempt with an open outcome or because the log cannot be read: a refusal
+   would not be true then.  */
 static bool
 may_be_on_log (const gp_jobs_api_t *api, const char *id)
 {
@@ -437,7 +438,8 @@
       return true;
   }
   return gp_book_find (api->book, id) != NULL
-         || g_hash_table_contains (api->open_outcomes, id);
+         || g_hash_table_contains (api->open_outcomes, id)
+         || !gp_feed_is_current (api->jobs, ABSENCE_AGE_MAX);
 }
 
 static void
