--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -49,7 +49,8 @@
   uint32_t priority;
   double error; /* mean relative error of forecasts */
   double useful[GP_ROOM_KINDS];
-  double useless[GP_ROOM_KINDS]; /* of jobs whose result is no longer useful */
+  double useless[GP_ROOM_KINDS]; /* of jobs that cannot be done while they are
+                                    useful */
   bool late;       /* there are jobs that will be late but useful ... */
   gp_time_t slack; /* ... and may be delayed for so long */
 } level_t;
@@ -402,21 +403,16 @@
   return waits;
 }
 
-/* JOB, which requires WORK and is counted in STATE, will be late.  */
+/* A job of LEVEL that is useful for USEFUL more will be late, FINISH from
+   now.  */
 static void
-note_late (const service_state_t *state, level_t *level, const gp_job_t *job,
-           const double work[GP_ROOM_KINDS], gp_time_t now)
+note_late (level_t *level, const gp_job_t *job, double finish, double useful)
 {
-  double useful = (double)(job->useless_at - now);
-  double finish = time_to_finish (state, work);
   double margin
       = (double)(job->useless_at - job->submitted_at) / SLACK_MARGIN_SHARE;
   gp_time_t slack
       = (gp_time_t)fmax (useful - finish * (1.0 + level->error) - margin, 0.0);
 
-  /* To refuse new jobs would not help a job that is lost.  */
-  if (finish > useful)
-    return;
   level->slack = level->late ? MIN (level->slack, slack) : slack;
   level->late = true;
 }
@@ -425,11 +421,14 @@
 count_job (gp_room_t *room, const gp_ranked_job_t *ranked, gp_time_t now)
 {
   const gp_job_t *job = ranked->job;
-  bool useless = ranked->deadline_class == GP_DEADLINE_USELESS;
+  bool late = ranked->deadline_class == GP_DEADLINE_LATE;
+  double useful = (double)(job->useless_at - now);
   service_state_t *state = get_state (room, job->submission->service);
   level_t *level = get_level (state, job->submission->priority);
   double work[GP_ROOM_KINDS] = { 0.0 };
+  double finish;
   bool waits;
+  bool lost;
 
   gp_room_count_work (job, now, work);
   waits = subtract_others (job, now, work);
@@ -437,16 +436,22 @@
     {
       work[kind] = fmax (work[kind], 0.0);
       state->ahead[kind] += work[kind];
-      *(useless ? &level->useless[kind] : &level->useful[kind]) += work[kind];
     }
+  finish = time_to_finish (state, work);
+  /* To refuse new jobs would not help a job that is lost; those that come
+     overtake it.  */
+  lost = ranked->deadline_class == GP_DEADLINE_USELESS
+         || (late && waits && finish > useful);
+  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
+    *(lost ? &level->useless[kind] : &level->useful[kind]) += work[kind];
   /* New jobs do not delay one whose tasks are all running.  */
-  if (ranked->deadline_class == GP_DEADLINE_LATE && waits)
-    note_late (state, level, job, work, now);
+  if (late && waits && !lost)
+    note_late (level, job, finish, useful);
 }
 
 /* Jobs are counted in the order in which they are placed: those whose result
-   is no longer useful come after all others of their priority, but before
-   those of lower ones.  */
+   is no longer useful, or will not be when they are done, come after new ones
+   of their priority, but before those of lower ones.  */
 static void
 sum_jobs (gp_room_t *room, const gp_book_t *book,
           const gp_forecast_t *forecast, gp_time_t now)
