--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -423,6 +423,10 @@
                     &entry->operators.queues, &entry->jobs,
                     settings->confirm_appends, on_job_record, entry);
   gp_platform_store_set_on_result (entry->store, on_store_result, entry);
+  if (settings->forecast_admission)
+    gp_job_intake_enable (&entry->api.intake, &entry->leader.room_reading,
+                          &entry->leader.scheduler.forecast, &entry->route);
+  entry->leader.writes_room = settings->forecast_admission;
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
                           settings->store, settings->link_rate,
                           settings->share_appends ? &entry->collector : NULL,
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -599,6 +599,16 @@
   arm (changes);
 }
 
+bool
+gp_job_changes_may_have_written (const gp_job_changes_t *changes,
+                                 const char *id)
+{
+  GP_LIST_FOREACH (link, &changes->list)
+  if (strcmp (GP_CONTAINER_OF (link, change_t, link)->key, id) == 0)
+    return true;
+  return g_hash_table_contains (changes->open_outcomes, id);
+}
+
 /* What the feed of jobs delivers.  */
 
 static bool
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -62,6 +62,11 @@
                            gp_http_exchange_t *exchange, const char *id,
                            bool is_cancel, GBytes *value);
 
+/* Returns whether a submission of the job ID is in progress, or the outcome of
+   an earlier one is open.  */
+bool gp_job_changes_may_have_written (const gp_job_changes_t *changes,
+                                      const char *id);
+
 /* Answer EXCHANGE that nothing was done; the time to retry after depends on
    the state of the store.  */
 void gp_job_changes_refuse (const gp_job_changes_t *changes,
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -67,6 +67,17 @@
   gp_job_answer_error (exchange, 400, error->message);
 }
 
+/* Returns whether a record of the job ID is on the log, or may be because of
+   an attempt with an open outcome or because the log cannot be read: a refusal
+   would not be true then.  */
+static bool
+may_be_on_log (const gp_jobs_api_t *api, const char *id)
+{
+  return gp_book_find (api->book, id) != NULL
+         || gp_job_changes_may_have_written (&api->changes, id)
+         || !gp_feed_is_current (api->jobs, ABSENCE_AGE_MAX);
+}
+
 static void
 submit_job (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
             const gp_queue_t *queue, const char *id)
@@ -92,7 +103,9 @@
       refuse_malformed (exchange, queue, id, error);
       g_error_free (error);
     }
-  else
+  else if (!gp_job_intake_refuse (&api->intake, exchange, id, submission,
+                                  may_be_on_log (api, id),
+                                  gp_loop_now (api->loop)))
     gp_job_changes_start (&api->changes, exchange, id, false,
                           gp_message_pack (&submission->base));
   if (submission != NULL)
@@ -272,6 +285,7 @@
   };
   gp_job_changes_init (&api->changes, loop, appender, book, jobs, confirm,
                        on_record, data);
+  gp_job_intake_init (&api->intake);
   gp_counter_register (&repeated_count);
   gp_counter_register (&unreadable_count);
   gp_histogram_register (&book_age);
@@ -281,4 +295,5 @@
 gp_jobs_api_finish (gp_jobs_api_t *api)
 {
   gp_job_changes_finish (&api->changes);
+  gp_job_intake_finish (&api->intake);
 }
--- a/src/jobsd/jobs_api.h
+++ b/src/jobsd/jobs_api.h
@@ -7,6 +7,7 @@
 #include "jobs/queues.h"
 #include "jobsd/feed.h"
 #include "jobsd/job_changes.h"
+#include "jobsd/job_intake.h"
 #include "platform/store.h"
 #include "transport/http.h"
 
@@ -17,6 +18,7 @@
   const gp_queues_t *queues;
   const gp_feed_t *jobs; /* feed of the book's jobs; its age is the book's */
   gp_job_changes_t changes; /* submissions and cancellations in progress */
+  gp_job_intake_t intake;
 } gp_jobs_api_t;
 
 /* CONFIRM: an append without an answer is read back.  ON_RECORD is called for
