job_changes: a second request of a caller is not refused while the first is open

Cause: 503 says that a job never runs, but only answers that had left an outcome open were looked at. A caller that asked again before its first request was answered got 503 while that record was in flight. Change: with confirm_appends the requests in progress count as well, and a change that the book has is answered with 200. Measured: the scenario asked_twice of slow_store gives 504; 503 without the check. Without confirm_appends nothing changes.

--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -234,6 +234,32 @@
   end_change (change, 200, "on the log");
 }
 
+/* Returns whether the book has what CHANGE asks for.  */
+static bool
+is_in_book (const change_t *change)
+{
+  const gp_job_t *job = gp_book_find (change->changes->book, id_of (change));
+
+  if (job == NULL)
+    return false;
+  return change->is_cancel ? job->cancelled : job->submission != NULL;
+}
+
+/* Returns whether a record for the job ID that a caller waits for may be on
+   the log.  */
+static bool
+is_open_for (const gp_job_changes_t *changes, const char *id)
+{
+  GP_LIST_FOREACH (link, &changes->list)
+  {
+    const change_t *change = GP_CONTAINER_OF (link, change_t, link);
+
+    if (is_open (change) && strcmp (id_of (change), id) == 0)
+      return true;
+  }
+  return false;
+}
+
 /* Returns the status of a refusal. 503 means that the job never runs, which
    holds only if no attempt has an open outcome, for this request
    (OUTCOME_UNKNOWN) or an earlier one; otherwise 504.  */
@@ -241,6 +267,9 @@
 refusal_status (gp_job_changes_t *changes, const char *id,
                 bool outcome_unknown)
 {
+  /* A caller may try again before its first request is answered.  */
+  if (changes->attempts.confirm)
+    outcome_unknown = outcome_unknown || is_open_for (changes, id);
   if (!outcome_unknown && !g_hash_table_contains (changes->open_outcomes, id))
     return 503;
   if (g_hash_table_size (changes->open_outcomes) >= OPEN_OUTCOMES_MAX)
@@ -249,14 +278,30 @@
   return 504;
 }
 
+/* The book has what CHANGE asks for, by a record that the feed has delivered
+   or another change has appended.  */
+static void
+complete_known (change_t *change)
+{
+  gp_append_attempts_found (&change->changes->attempts);
+  gp_counter_add (&found_count, 1);
+  count_durable (change);
+  end_change (change, 200, "read from the log");
+}
+
 /* No attempt is left: refuse a change that was certainly not made, and leave
    the outcome of others open.  */
 static void
 give_up (change_t *change, const char *why)
 {
-  int status
-      = refusal_status (change->changes, id_of (change), is_open (change));
+  int status;
 
+  if (change->changes->attempts.confirm && is_in_book (change))
+    {
+      complete_known (change);
+      return;
+    }
+  status = refusal_status (change->changes, id_of (change), is_open (change));
   gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
   end_change (change, status, why);
 }
@@ -601,16 +646,6 @@
 
 /* What the feed of jobs delivers.  */
 
-static bool
-is_in_book (const change_t *change)
-{
-  const gp_job_t *job = gp_book_find (change->changes->book, id_of (change));
-
-  if (job == NULL)
-    return false;
-  return change->is_cancel ? job->cancelled : job->submission != NULL;
-}
-
 void
 gp_job_changes_delivered (gp_job_changes_t *changes,
                           const gp_platform_store_record_t *record)
@@ -621,13 +656,9 @@
   {
     change_t *change = GP_CONTAINER_OF (link, change_t, link);
 
-    if (!gp_platform_store_record_has_key (record, change->key)
-        || !is_in_book (change))
-      continue;
-    gp_append_attempts_found (&changes->attempts);
-    gp_counter_add (&found_count, 1);
-    count_durable (change);
-    end_change (change, 200, "read from the log");
+    if (gp_platform_store_record_has_key (record, change->key)
+        && is_in_book (change))
+      complete_known (change);
   }
 }
 
--- a/tests/scripts/slow_store.py
+++ b/tests/scripts/slow_store.py
@@ -10,8 +10,8 @@
 import threading
 import time
 
-from platform_site import (HOST, JOB_A, other_entry, print_breaches, request,
-                           start_site, until)
+from platform_site import (HOST, JOB_A, JOB_B, other_entry, print_breaches,
+                           request, start_site, until)
 
 APPEND_S = 0.002
 # The queue of three entries is as long as that of eleven.
@@ -217,8 +217,28 @@
         check_jobs(site, callers)
 
 
+def asked_twice(build):
+    """The second request must not be answered as not run."""
+    print("a caller asks again while its append is in flight")
+    with start_site(build, entries=3, features=CONFIRM) as site:
+        entry = other_entry(site, site.leader())
+        callers = Callers(site, [entry])
+        site.store.down = "silent"
+        callers.start(callers.submit, entry, JOB_A)
+        until(lambda: site.metric(entry, "store_unavailable") == 1,
+              what="unavailable")
+        print("  another job:", site.submit(entry, JOB_B, STEP))
+        print("  the same job:", site.submit(entry, JOB_A, STEP))
+        site.store.down = None
+        callers.stop()
+        site.submit(entry, JOB_A, STEP)
+        site.await_state(entry, JOB_A, "completed")
+        print_breaches(site)
+
+
 SCENARIOS = {"slow": slow, "crowded": crowded, "leader_killed": leader_killed,
-             "stopped": stopped, "cut_off": cut_off}
+             "stopped": stopped, "cut_off": cut_off,
+             "asked_twice": asked_twice}
 
 if __name__ == "__main__":
     SCENARIOS[sys.argv[2]](sys.argv[1])
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -54,8 +54,8 @@
     reads or appends respond with 503) and lost (the next N appends take effect
     without a response).
 
-    A topic processes its appends one at a time, append_s each, and any response
-    takes answer_s.  Both are multiplied by slower.
+    A topic processes its appends one at a time, append_s each, and any
+    response takes answer_s.  Both are multiplied by slower.
     """
 
     def __init__(self, address):
