room: the sums and the forecasts in files of their own

Change: three files and room_private.h; no behaviour. Measured: test_room, test_intake, test_urgency, test_records and test_jobs print what they printed.

--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -1,6 +1,7 @@
-/* How much room there is for new work, and when a new job would be done.  */
+/* The leader sums the room for new work and writes it down.  The sums of
+   capacity are in jobs/room_sums.c, the forecasts in jobs/room_forecast.c.  */
 
-#include "jobs/room.h"
+#include "jobs/room_private.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -10,8 +11,6 @@
 #include "jobs/fields.h"
 #include "jobs/urgency.h"
 
-/* Share of a running task that counts as done.  */
-#define RUNNING_PROGRESS 0.5
 /* Least time between two records, and the time after which an unchanged one is
    written again: entries use a record for 5 s, and count what they accept
    until the next one.  */
@@ -33,15 +32,6 @@
    times and free processors change.  With a sixth, some of the batch jobs that
    were accepted at ten times the usual load were done too late.  */
 #define SLACK_MARGIN_SHARE 4
-/* Upper bounds of the values in a record: a billion cores, and a million cores
-   for eleven days.  Sums of such values are exact in an int64_t.  */
-#define MILLI_MAX INT64_C (1000000000000)
-#define WORK_MAX_MS INT64_C (1000000000000000)
-/* No forecast is longer, so that sums of such durations are valid times.  */
-#define DURATION_MAX ((gp_time_t)30 * 24 * 3600 * GP_SEC)
-/* Thousandths of a core times microseconds in a millisecond of one core.  */
-#define WORK_UNIT 1e6
-
 /* The unfinished work of the jobs of one priority, in thousandths of a core
    times a duration.  */
 typedef struct
@@ -69,82 +59,6 @@
   GArray *levels;              /* level_t, by priority */
 } service_state_t;
 
-/* Sums of capacity and work.  */
-
-gp_room_service_t *
-gp_room_find_service (const GArray *services, const char *name)
-{
-  for (guint i = 0; i < services->len; i++)
-    {
-      gp_room_service_t *service
-          = &g_array_index (services, gp_room_service_t, i);
-
-      if (g_strcmp0 (service->name, name) == 0)
-        return service;
-    }
-  return NULL;
-}
-
-static void
-add_executor (gp_room_service_t *service, const gp_job_executor_t *executor)
-{
-  int64_t spare = gp_job_executor_spare_cpu (executor);
-
-  service->capacity[GP_ROOM_RESERVED]
-      += (double)(executor->capacity.cpu_milli - executor->long_running_cpu);
-  service->capacity[GP_ROOM_FILLING]
-      += (double)(executor->filling_cpu + MAX (spare, 0));
-  service->unfilled += (double)MAX (executor->filling_cpu + spare, 0);
-  service->busy
-      += (double)(executor->used.cpu_milli - executor->long_running_cpu);
-}
-
-GArray *
-gp_room_sum_capacity (const gp_book_t *book)
-{
-  GArray *services = g_array_new (FALSE, FALSE, sizeof (gp_room_service_t));
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, book->executors);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const gp_job_executor_t *executor = value;
-      gp_room_service_t added = { .name = executor->service };
-
-      if (!executor->reachable || executor->dead || executor->draining
-          || executor->evacuated)
-        continue;
-      if (gp_room_find_service (services, executor->service) == NULL)
-        g_array_append_val (services, added);
-      add_executor (gp_room_find_service (services, executor->service),
-                    executor);
-    }
-  return services;
-}
-
-double
-gp_room_count_work (const gp_job_t *job, gp_time_t now,
-                    double work[GP_ROOM_KINDS])
-{
-  double left = 0.0;
-
-  for (uint32_t k = 0; k < job->occurrences; k++)
-    for (size_t s = 0; s < job->submission->n_steps; s++)
-      {
-        const Gp__Jobs__Step *step = job->submission->steps[s];
-        const gp_step_tally_t *tally = &gp_job_tallies (job, k)[s];
-        uint32_t running = step->count - tally->done - tally->waiting;
-        double tasks = tally->waiting + running * (1.0 - RUNNING_PROGRESS);
-
-        left += tasks;
-        if (!step->long_running && gp_job_occurrence_at (job, k) <= now)
-          work[step->fills ? GP_ROOM_FILLING : GP_ROOM_RESERVED]
-              += tasks * (double)step->cpu_milli * (double)job->task_times[s];
-      }
-  return left;
-}
-
 /* The leader's state.  */
 
 static void
@@ -469,13 +383,7 @@
 static int64_t
 milli_of (double milli)
 {
-  return (int64_t)CLAMP (milli, 0.0, (double)MILLI_MAX);
-}
-
-static int64_t
-work_ms (double work)
-{
-  return (int64_t)fmin (work / WORK_UNIT, (double)WORK_MAX_MS);
+  return (int64_t)CLAMP (milli, 0.0, (double)GP_ROOM_MILLI_MAX);
 }
 
 static void
@@ -499,13 +407,14 @@
   gp__jobs__backlog__init (row);
   row->service = strdup (state->name);
   row->priority = level->priority;
-  row->reserved_ms = (uint64_t)work_ms (higher[GP_ROOM_RESERVED]
-                                        + level->useful[GP_ROOM_RESERVED]);
-  row->filling_ms = (uint64_t)work_ms (higher[GP_ROOM_FILLING]
-                                       + level->useful[GP_ROOM_FILLING]);
+  row->reserved_ms = (uint64_t)gp_room_work_ms (
+      higher[GP_ROOM_RESERVED] + level->useful[GP_ROOM_RESERVED]);
+  row->filling_ms = (uint64_t)gp_room_work_ms (
+      higher[GP_ROOM_FILLING] + level->useful[GP_ROOM_FILLING]);
   row->error_permille = (uint32_t)(level->error * 1000.0);
   row->late = level->late;
-  row->slack_ms = (uint32_t)(MIN (level->slack, DURATION_MAX) / GP_MSEC);
+  row->slack_ms
+      = (uint32_t)(MIN (level->slack, GP_ROOM_DURATION_MAX) / GP_MSEC);
   return row;
 }
 
@@ -622,7 +531,7 @@
   gp_room_count_work (job, now, work);
   for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
     {
-      request.work.ms[kind] = work_ms (work[kind]);
+      request.work.ms[kind] = gp_room_work_ms (work[kind]);
       request.ahead.ms[kind] = -request.work.ms[kind];
     }
   if (gp_room_forecast (record, &request, &outlook))
@@ -677,178 +586,3 @@
   room->made_at = now;
   return record;
 }
-
-/* Reading a record.  */
-
-static bool
-check_service (const Gp__Jobs__ServiceRoom *row,
-               const Gp__Jobs__ServiceRoom *previous, GError **error)
-{
-  if (!gp_field_name (row->service, "service", error)
-      || !gp_field_range ((int64_t)row->reserved_milli, 0, MILLI_MAX,
-                          "reserved_milli", error)
-      || !gp_field_range ((int64_t)row->filling_milli, 0, MILLI_MAX,
-                          "filling_milli", error))
-    return false;
-  if (previous != NULL && strcmp (previous->service, row->service) >= 0)
-    return gp_field_fail (error, "service", "not in order");
-  return true;
-}
-
-/* The work of a priority includes that of the higher ones.  */
-static bool
-check_backlog (const Gp__Jobs__Backlog *row, const Gp__Jobs__Backlog *previous,
-               GError **error)
-{
-  int order = previous != NULL ? strcmp (previous->service, row->service) : -1;
-
-  if (!gp_field_name (row->service, "service", error)
-      || !gp_field_range ((int64_t)row->reserved_ms, 0, WORK_MAX_MS,
-                          "reserved_ms", error)
-      || !gp_field_range ((int64_t)row->filling_ms, 0, WORK_MAX_MS,
-                          "filling_ms", error)
-      || !gp_field_range (row->error_permille, 0, GP_ROOM_ERROR_MAX_PERMILLE,
-                          "error_permille", error)
-      || !gp_field_range (row->slack_ms, 0,
-                          row->late ? DURATION_MAX / GP_MSEC : 0, "slack_ms",
-                          error))
-    return false;
-  if (order > 0 || (order == 0 && previous->priority >= row->priority))
-    return gp_field_fail (error, "priority", "not in order");
-  if (order == 0
-      && (previous->reserved_ms > row->reserved_ms
-          || previous->filling_ms > row->filling_ms))
-    return gp_field_fail (error, "priority", "less work than a higher one");
-  return true;
-}
-
-bool
-gp_room_check (const Gp__Jobs__Room *record, GError **error)
-{
-  if (record->n_services + record->n_backlogs == 0)
-    return gp_field_fail (error, "services", "missing");
-  for (size_t i = 0; i < record->n_services; i++)
-    if (!check_service (record->services[i],
-                        i > 0 ? record->services[i - 1] : NULL, error))
-      {
-        g_prefix_error (error, "services[%zu].", i);
-        return false;
-      }
-  for (size_t i = 0; i < record->n_backlogs; i++)
-    if (!check_backlog (record->backlogs[i],
-                        i > 0 ? record->backlogs[i - 1] : NULL, error))
-      {
-        g_prefix_error (error, "backlogs[%zu].", i);
-        return false;
-      }
-  return true;
-}
-
-gp_room_work_t
-gp_room_submission_work (const Gp__Jobs__Submission *submission,
-                         const gp_forecast_times_t *times)
-{
-  double work[GP_ROOM_KINDS] = { 0.0 };
-  gp_room_work_t sum;
-
-  for (size_t i = 0; i < submission->n_steps; i++)
-    {
-      const Gp__Jobs__Step *step = submission->steps[i];
-
-      if (!step->long_running)
-        work[step->fills ? GP_ROOM_FILLING : GP_ROOM_RESERVED]
-            += (double)step->count * (double)step->cpu_milli
-               * (double)times->task_times[i];
-    }
-  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
-    sum.ms[kind] = work_ms (work[kind]);
-  return sum;
-}
-
-/* Returns how long MILLI thousandths of a core take for MS of work.  */
-static gp_time_t
-time_for (int64_t ms, uint64_t milli)
-{
-  double duration;
-
-  if (ms <= 0)
-    return 0;
-  duration = (double)ms * WORK_UNIT / (double)MAX (milli, 1);
-  return (gp_time_t)fmin (duration, (double)DURATION_MAX);
-}
-
-/* Adds the work of the request's priority and the higher ones.  */
-static void
-add_backlog (const Gp__Jobs__Room *record, const gp_room_request_t *request,
-             gp_room_outlook_t *outlook)
-{
-  const Gp__Jobs__Backlog *row = NULL;
-
-  for (size_t i = 0; i < record->n_backlogs; i++)
-    if (record->backlogs[i]->priority <= request->priority
-        && strcmp (record->backlogs[i]->service, request->service) == 0)
-      row = record->backlogs[i];
-  if (row == NULL)
-    return;
-  outlook->ahead.ms[GP_ROOM_RESERVED] += (int64_t)row->reserved_ms;
-  outlook->ahead.ms[GP_ROOM_FILLING] += (int64_t)row->filling_ms;
-  if (row->priority != request->priority)
-    return;
-  outlook->error_permille = row->error_permille;
-  outlook->late = row->late;
-  outlook->slack = row->slack_ms * GP_MSEC;
-}
-
-static const Gp__Jobs__ServiceRoom *
-find_row (const Gp__Jobs__Room *record, const char *service)
-{
-  for (size_t i = 0; i < record->n_services; i++)
-    if (strcmp (record->services[i]->service, service) == 0)
-      return record->services[i];
-  return NULL;
-}
-
-bool
-gp_room_forecast (const Gp__Jobs__Room *record,
-                  const gp_room_request_t *request, gp_room_outlook_t *outlook)
-{
-  const Gp__Jobs__ServiceRoom *row = find_row (record, request->service);
-
-  if (row == NULL)
-    return false;
-  *outlook = (gp_room_outlook_t){ .ahead = request->ahead,
-                                  .own = MIN (request->chain, DURATION_MAX) };
-  add_backlog (record, request, outlook);
-  for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
-    {
-      uint64_t milli
-          = kind == GP_ROOM_FILLING ? row->filling_milli : row->reserved_milli;
-
-      if (request->work.ms[kind] == 0)
-        continue;
-      outlook->wait
-          = MAX (outlook->wait, time_for (outlook->ahead.ms[kind], milli));
-      outlook->own
-          = MAX (outlook->own, time_for (request->work.ms[kind], milli));
-      outlook->delay = MAX (
-          outlook->delay,
-          time_for (request->work.ms[kind] + request->ahead.ms[kind], milli));
-    }
-  outlook->margin = outlook->wait * outlook->error_permille / 1000;
-  return true;
-}
-
-void
-gp_room_reading_set (gp_room_reading_t *reading, Gp__Jobs__Room *record,
-                     gp_time_t now)
-{
-  free_record (reading->record);
-  reading->record = record;
-  reading->read_at = now;
-}
-
-void
-gp_room_reading_finish (gp_room_reading_t *reading)
-{
-  free_record (reading->record);
-}
