Appends: refusals beside a waiting request, and a leader that is out of reach

Cause, by a review: (1) an id was refused with 503 while another request of the same id still waited to be appended, also if its caller had gone: it would be appended later, and the refusal was not true. (2) A shared append that was dropped because its records had been read from the topic counted as one that the leader had not answered. (3) An entry that alone cannot reach the leader went back to it for 4 of each 5 s. (4) The collector's average could double without bound while the store hangs. (5) A stop during a handover dropped the book as the handover does. Change: any other request in progress makes the answer 504; the route is told of records that were found; the time without sharing doubles up to 8 s until the leader answers; a cap; a stop goes first.

--- a/src/jobs/append_batch.c
+++ b/src/jobs/append_batch.c
@@ -148,6 +148,7 @@
     }
   /* It takes longer than it was waited for.  */
   else if (outcome == GP_APPEND_UNKNOWN)
-    note_duration (queue, MAX (duration, 2 * queue->append_time));
+    note_duration (queue,
+                   MIN (MAX (duration, 2 * queue->append_time), TIMEOUT_MAX));
   queue->start_at = now + pause_time (queue);
 }
--- a/src/jobs/append_route.c
+++ b/src/jobs/append_route.c
@@ -28,6 +28,10 @@
 /* For how long appends are direct after the leader did not take one or did not
    answer.  */
 #define BAR_PERIOD GP_SEC
+/* The period doubles this many times at most while the leader does not answer:
+   each time that an entry which cannot reach it tries again, callers wait for
+   that in vain.  */
+#define BARS_MAX 3
 /* Weight of the last duration in the moving average.  A shorter duration has
    less, in proportion to the time since the one before: when the store is fast
    for a moment, the many appends in it do not hide how long slow ones take. */
@@ -55,7 +59,8 @@
 static void
 bar_sharing (gp_append_route_t *route, gp_time_t now)
 {
-  route->barred_until = now + BAR_PERIOD;
+  route->barred_until = now + (BAR_PERIOD << MIN (route->bars, BARS_MAX));
+  route->bars++;
   route->unanswered_since = 0;
   route->answered_at = 0;
 }
@@ -63,6 +68,7 @@
 void
 gp_append_route_leader_changed (gp_append_route_t *route)
 {
+  route->bars = 0;
   route->barred_until = 0;
   route->unanswered_since = 0;
 }
@@ -71,6 +77,7 @@
 static void
 note_leader_answer (gp_append_route_t *route, gp_time_t now)
 {
+  route->bars = 0;
   route->unanswered_since = 0;
   route->barred_until = 0;
   GP_LIST_FOREACH (link, &route->appends)
@@ -279,6 +286,14 @@
   return append->copy_at;
 }
 
+void
+gp_append_found (gp_append_route_t *route, const gp_append_t *append,
+                 gp_time_t now)
+{
+  if (append->shared_open && append->direct_at == 0)
+    note_leader_answer (route, now);
+}
+
 void
 gp_append_drop (gp_append_t *append)
 {
--- a/src/jobs/append_route.h
+++ b/src/jobs/append_route.h
@@ -75,6 +75,8 @@
   gp_time_t unanswered_since; /* the first shared append was sent that the
                                  leader has not answered, 0: none */
   gp_time_t barred_until;     /* no append is shared before */
+  unsigned bars; /* consecutive times that sharing was barred without an answer
+                    of the leader in between */
 } gp_append_route_t;
 
 void gp_append_route_init (gp_append_route_t *route);
@@ -108,6 +110,11 @@
 /* Returns when gp_append_check has to be called, or GP_TIME_NEVER.  */
 gp_time_t gp_append_next_check (const gp_append_t *append);
 
+/* The records of APPEND, which has no outcome yet, are on the log.  If it was
+   sent to the leader only, the leader has made the append.  */
+void gp_append_found (gp_append_route_t *route, const gp_append_t *append,
+                      gp_time_t now);
+
 /* Stop APPEND without an outcome.  */
 void gp_append_drop (gp_append_t *append);
 
--- a/src/jobsd/job_appender.c
+++ b/src/jobsd/job_appender.c
@@ -339,6 +339,13 @@
   return append;
 }
 
+void
+gp_job_append_found (gp_job_append_t *append)
+{
+  gp_append_found (&append->appender->route, &append->state,
+                   gp_loop_now (append->appender->loop));
+}
+
 void
 gp_job_append_cancel (gp_job_append_t *append)
 {
--- a/src/jobsd/job_appender.h
+++ b/src/jobsd/job_appender.h
@@ -51,6 +51,9 @@
                                          gp_time_t deadline,
                                          gp_platform_store_cb_t on_done,
                                          void *data);
+/* The records of APPEND were read from the topic: it has taken effect, though
+   it is not answered yet.  */
+void gp_job_append_found (gp_job_append_t *append);
 void gp_job_append_cancel (gp_job_append_t *append);
 
 #endif
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -245,16 +245,18 @@
   return change->is_cancel ? job->cancelled : job->submission != NULL;
 }
 
-/* Returns whether a record for the job ID that a caller waits for may be on
-   the log.  */
+/* Returns whether another change than REFUSED, NULL: any, is in progress for
+   the job ID.  Its record may be on the log, or be sent yet, also if its
+   caller has disconnected.  */
 static bool
-is_open_for (const gp_job_changes_t *changes, const char *id)
+is_in_progress (const gp_job_changes_t *changes, const char *id,
+                const change_t *refused)
 {
   GP_LIST_FOREACH (link, &changes->list)
   {
     const change_t *change = GP_CONTAINER_OF (link, change_t, link);
 
-    if (is_open (change) && strcmp (id_of (change), id) == 0)
+    if (change != refused && strcmp (id_of (change), id) == 0)
       return true;
   }
   return false;
@@ -262,14 +264,15 @@
 
 /* Returns the status of a refusal. 503 means that the job never runs, which
    holds only if no attempt has an open outcome, for this request
-   (OUTCOME_UNKNOWN) or an earlier one; otherwise 504.  */
+   (OUTCOME_UNKNOWN), an earlier or another one of the same id; otherwise 504.
+   REFUSED is the change that is refused, NULL: none was begun.  */
 static int
 refusal_status (gp_job_changes_t *changes, const char *id,
-                bool outcome_unknown)
+                const change_t *refused, bool outcome_unknown)
 {
   /* A caller may try again before its first request is answered.  */
   if (changes->attempts.confirm)
-    outcome_unknown = outcome_unknown || is_open_for (changes, id);
+    outcome_unknown = outcome_unknown || is_in_progress (changes, id, refused);
   if (!outcome_unknown && !g_hash_table_contains (changes->open_outcomes, id))
     return 503;
   if (g_hash_table_size (changes->open_outcomes) >= OPEN_OUTCOMES_MAX)
@@ -278,11 +281,24 @@
   return 504;
 }
 
+/* The record of CHANGE is on the log.  If there was only one attempt, that has
+   taken effect, whether it is answered or not.  */
+static void
+note_append_found (const change_t *change)
+{
+  if (change->outcome_unknown)
+    return;
+  for (unsigned slot = 0; slot < GP_APPEND_ATTEMPTS_MAX; slot++)
+    if (change->in_calls == 1U << slot)
+      gp_job_append_found (change->changes->appends[slot].call);
+}
+
 /* The book has what CHANGE asks for, by a record that the feed has delivered
    or another change has appended.  */
 static void
 complete_known (change_t *change)
 {
+  note_append_found (change);
   gp_append_attempts_found (&change->changes->attempts);
   gp_counter_add (&found_count, 1);
   count_durable (change);
@@ -301,7 +317,8 @@
       complete_known (change);
       return;
     }
-  status = refusal_status (change->changes, id_of (change), is_open (change));
+  status = refusal_status (change->changes, id_of (change), change,
+                           is_open (change));
   gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
   end_change (change, status, why);
 }
@@ -711,7 +728,7 @@
 refuse_now (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
             const char *id, bool is_cancel)
 {
-  int status = refusal_status (changes, id, false);
+  int status = refusal_status (changes, id, NULL, false);
 
   gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
   log_answer (id, is_cancel, status, "the store has not answered lately", 0,
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -182,7 +182,7 @@
 static void
 end_leadership (gp_leader_t *leader)
 {
-  bool hands_over = leader->handing_over;
+  bool hands_over = leader->handing_over && !leader->stopping;
 
   gp_log (GP_LOG_INFO, "lead.resigned",
           GP_LOG_S ("why", hands_over ? "a stronger entry is known"
--- a/tests/unit/test_append_route.c
+++ b/tests/unit/test_append_route.c
@@ -863,6 +863,55 @@
   CU_ASSERT_EQUAL (single.now - since, 4 * GP_SEC);
 }
 
+/* An entry that cannot reach the leader asks it again after 1, 2, 4 and then
+   each 8 s: the callers of each attempt wait in vain.  */
+static void
+test_unreachable_leader (void)
+{
+  static const int expected_s[] = { 1, 2, 4, 8, 8 };
+  single_t single;
+
+  single_init (&single);
+  for (size_t i = 0; i < G_N_ELEMENTS (expected_s); i++)
+    {
+      gp_time_t barred_at;
+
+      CU_ASSERT_EQUAL (begin (&single), GP_APPEND_SEND_SHARED);
+      CU_ASSERT_EQUAL (
+          note (&single, GP_APPEND_SHARED, GP_APPEND_NOT_TAKEN, GP_MSEC),
+          GP_APPEND_SEND_DIRECT);
+      barred_at = single.now;
+      CU_ASSERT_EQUAL (
+          note (&single, GP_APPEND_DIRECT, GP_APPEND_DONE, 400 * GP_MSEC),
+          GP_APPEND_END_DONE);
+      single.now = barred_at + expected_s[i] * GP_SEC - 1;
+      CU_ASSERT_EQUAL (
+          gp_append_route_choose (&single.route, true, single.now),
+          GP_APPEND_DIRECT);
+      single.now++;
+    }
+  gp_append_route_leader_changed (&single.route);
+  CU_ASSERT_EQUAL (single.route.bars, 0);
+}
+
+/* Records that are read from the topic show that the leader has appended them:
+   an append that is dropped then is no sign of a leader that does not
+   answer.  */
+static void
+test_found (void)
+{
+  single_t single;
+
+  single_init (&single);
+  CU_ASSERT_EQUAL (begin (&single), GP_APPEND_SEND_SHARED);
+  single.now += GP_SEC;
+  gp_append_found (&single.route, &single.append, single.now);
+  gp_append_drop (&single.append);
+  single.now += 4 * GP_SEC - 1;
+  CU_ASSERT_EQUAL (gp_append_route_choose (&single.route, true, single.now),
+                   GP_APPEND_SHARED);
+}
+
 /* Which batches go into an append: in order, up to the limit, without those
    whose senders have gone; a batch above the limit goes alone.  */
 static void
@@ -970,6 +1019,8 @@
                                  { "store_refuses", test_store_refuses },
                                  { "copy", test_copy },
                                  { "silent_leader", test_silent_leader },
+                                 { "unreachable", test_unreachable_leader },
+                                 { "found", test_found },
                                  { "queue", test_queue },
                                  { "queue_random", test_queue_random },
                                  CU_TEST_INFO_NULL };
