--- a/tests/scripts/slow_store.py
+++ b/tests/scripts/slow_store.py
@@ -10,8 +10,8 @@
 import threading
 import time
 
-from platform_site import (HOST, JOB_A, JOB_B, other_entry, print_breaches,
-                           request, start_site, until)
+from platform_site import (HOST, JOB_A, JOB_B, JOB_C, other_entry,
+                           print_breaches, request, start_site, until)
 
 APPEND_S = 0.002
 # The queue of three entries is as long as that of eleven.
@@ -24,6 +24,10 @@
 SILENT_S = 4.0
 # In which an entry is killed before it gets an answer.
 LATE_S = 0.4
+# A caller with this timeout has no time for a second attempt, so that it is not
+# refused at once; it waits for at least WAITING_S.
+HURRIED_MS = "1200"
+WAITING_S = 0.2
 # Between two submissions at an entry.
 INTERVAL_S = 0.15
 WORK = json.dumps({"spec": "work", "steps": STEP})
@@ -229,6 +233,13 @@
               what="unavailable")
         print("  another job:", site.submit(entry, JOB_B, STEP))
         print("  the same job:", site.submit(entry, JOB_A, STEP))
+        # It is not in an append yet, as the store answers nothing, but would
+        # be sent later.
+        callers.start(request, site.entries[entry][0], "POST", "/q/" + JOB_C,
+                      WORK, {**HOST, "X-Request-Deadline": HURRIED_MS})
+        time.sleep(WAITING_S)
+        print("  a job whose first request waits:",
+              site.submit(entry, JOB_C, STEP))
         site.store.down = None
         callers.stop()
         site.submit(entry, JOB_A, STEP)
