append_attempts, append_batch, append_route: comments that say units and reasons

Several comments only hinted at what a value means, one held the result of a trial in place of the reason for a constant, and one named a file from which the constant has moved. They now say what is counted, that it is a duration where it is one, which bound does what, and which step a function returns. No code changes.

--- a/src/jobs/append_attempts.c
+++ b/src/jobs/append_attempts.c
@@ -1,36 +1,37 @@
-/* Attempts of an entry to append what its callers wait for.  */
+/* Attempts of an entry to append the records that its callers wait for.  */
 
 #include "jobs/append_attempts.h"
 
 #include <glib.h>
 
-/* Timeout of one attempt to append, as a multiple of the average duration of
-   appends, within these bounds: a slow store does not get the next attempt
-   while it still processes one, and an answer that was lost is not waited for
-   long.  */
+/* Timeout of an attempt, within these bounds: a multiple of the average
+   duration of appends, so that a slow store does not get the next attempt
+   while it still processes one.  The upper bound limits the wait for an answer
+   that was lost.  */
 #define TIMEOUT_FACTOR 5
 #define TIMEOUT_MIN (500 * GP_MSEC)
 #define TIMEOUT_MAX (1200 * GP_MSEC)
 /* Weight of the last duration in the moving average.  */
 #define LATENCY_GAIN 0.3
-/* Delay after a failed append.  */
+/* Delay of the next append after a failed one.  */
 #define DELAY (50 * GP_MSEC)
 /* Consecutive failures, or attempts and read backs without an answer, after
    which new callers are refused at once.  */
 #define FAILURES_TO_REFUSE 2
-/* An append is repeated beside one in flight only if that takes longer than
-   appends take on average, in percent: otherwise the store's queue would only
-   get longer.  */
+/* An append is repeated while another one is in flight only if that one has
+   taken this percentage of the average: an earlier repetition would only make
+   the store's queue longer.  */
 #define REPEAT_PERCENT 150
-/* The store refuses an append if more than this time of appends is waiting, so
-   an attempt that is not on the log by then has not reached the store.  */
+/* The store refuses an append if those that wait there need more than this
+   time, so an attempt that is not on the log by then has not reached the
+   store.  */
 #define QUEUE_TIME_MAX (2 * GP_SEC)
-/* An answer that arrives within this share of the average duration of an
-   append, in percent, after a call was sent may have left the store before the
-   call reached it.  It says nothing of what the store does now.  */
+/* An answer that arrives within this percentage of the average duration of
+   appends after a call was sent may have left the store before the call
+   reached it, so it does not show that the store still answers.  */
 #define CROSSING_PERCENT 150
-/* Time for the last read of the topic before a caller's answer is due: a read
-   takes less than an append.  */
+/* Bounds of the time for the last read of the topic before a caller's answer
+   is due; the time is that of an average append, as a read takes less.  */
 #define LAST_READ_MIN (150 * GP_MSEC)
 #define LAST_READ_MAX (500 * GP_MSEC)
 
@@ -282,7 +283,7 @@
   gp_append_attempts_answered (attempts, now);
 }
 
-/* Returns whether ATTEMPT has become overdue, and somebody waits for it.  */
+/* Returns whether ATTEMPT has become overdue, and a caller waits for it.  */
 static bool
 expire_attempt (gp_append_attempts_t *attempts, gp_attempt_t *attempt,
                 gp_time_t now)
--- a/src/jobs/append_batch.c
+++ b/src/jobs/append_batch.c
@@ -5,24 +5,24 @@
 #include <glib.h>
 
 /* An append is given up after TIMEOUT_PERCENT of the average, within these
-   bounds: before its senders send their batches directly as well, at twice the
-   time that shared appends take (jobs/append_route.c), as the copies of all of
-   them would fill the store's queue.  The lower bound is that of direct
-   appends (jobsd/jobs_api.c).  The upper one is the longest time that the
-   store takes for what it has accepted: its queue holds up to 2 s of
-   appends.  */
+   bounds.  This is less than the time after which its senders send their
+   batches directly as well (twice the average, see jobs/append_route.c), as
+   the copies of all of them would fill the store's queue.  The lower bound is
+   that of direct appends (jobs/append_attempts.c).  The upper one is the
+   longest time that the store takes for what it has accepted: its queue holds
+   up to 2 s of appends.  */
 #define TIMEOUT_PERCENT 150
 #define TIMEOUT_MIN (500 * GP_MSEC)
 #define TIMEOUT_MAX (2400 * GP_MSEC)
-/* While the collector is in use, one append follows on the other.  After a
-   longer time without one the store may be as slow as it was not before, and
-   the timeout is TIMEOUT_MAX.  */
+/* The average is used for this long after the last append.  While the
+   collector is in use, appends follow each other closely; after a longer pause
+   the store may have become much slower, so the timeout is TIMEOUT_MAX.  */
 #define MEASUREMENT_AGE_MAX GP_SEC
-/* After an append the next one waits for a PAUSE_SHAREth of the average, at
-   most PAUSE_MAX and in whole milliseconds, so that the senders that have just
-   got their answers can add their next batches.  Otherwise each of them takes
-   part in every other append only, as a hop between entries takes up to 5 ms.
-   At usual speed, when an append takes 6 ms, there is no pause.  */
+/* Pause between two appends: the average divided by PAUSE_SHARE, at most
+   PAUSE_MAX, in whole milliseconds.  It lets the senders that have just been
+   answered add their next batches; without it each of them would be in every
+   other append only, as a hop between entries takes up to 5 ms.  At usual
+   speed, when an append takes 6 ms, there is no pause.  */
 #define PAUSE_SHARE 16
 #define PAUSE_MAX (20 * GP_MSEC)
 /* Weight of the last duration in the moving average.  */
@@ -146,7 +146,7 @@
       note_duration (queue, duration);
       queue->measured_at = now;
     }
-  /* It takes longer than it was waited for.  */
+  /* The append takes longer than the time for which it was in flight.  */
   else if (outcome == GP_APPEND_UNKNOWN)
     note_duration (queue, MAX (duration, 2 * queue->append_time));
   queue->start_at = now + pause_time (queue);
--- a/src/jobs/append_batch.h
+++ b/src/jobs/append_batch.h
@@ -3,9 +3,9 @@
    Pure: batches and NOW in, the next append out.
 
    One append is in flight at a time.  When it has ended, the batches that have
-   arrived in the meantime go into the next one, in the order of arrival.  So a
-   batch waits for the end of one append at most, and is done with the next,
-   whatever the number of senders.
+   arrived in the meantime go into the next one, in the order of arrival, up to
+   GP_APPEND_MAX_SIZE.  So if they fit, a batch waits for the end of one append
+   at most, whatever the number of senders.
 
    An append is atomic: its batches are all on the log or none is, and each
    follows on the one before.  Hence the offset of the first record of a batch
@@ -36,6 +36,7 @@
   uint64_t place; /* in the append in flight: number of records before it */
 } gp_append_batch_t;
 
+/* The batches that wait, and those in the append in flight.  */
 typedef struct
 {
   gp_list_t waiting;     /* gp_append_batch_t, in the order of arrival */
@@ -44,8 +45,9 @@
   bool busy;             /* an append is in flight */
   gp_time_t sent_at;     /* when it was sent */
   gp_time_t start_at;    /* no append is started before this time */
-  gp_time_t append_time; /* moving average of the duration of appends */
-  gp_time_t measured_at; /* the last one ended, 0: none did */
+  gp_time_t append_time; /* moving average of the duration of appends, a
+                            duration */
+  gp_time_t measured_at; /* end of the last append that was done, 0: none */
 } gp_append_queue_t;
 
 void gp_append_queue_init (gp_append_queue_t *queue);
--- a/src/jobs/append_route.c
+++ b/src/jobs/append_route.c
@@ -18,19 +18,20 @@
 #define COPY_TIME_MIN (200 * GP_MSEC)
 #define COPY_TIME_MAX (2 * GP_SEC)
 /* The same while there is no recent average.  When entries begin to share, or
-   do so again after a time of direct appends, those of all entries are still
-   in the store's queue, which holds 2 s of appends, and two appends of the
-   collector follow.  With 2 s here for a store 64 times slower, or 3 s for one
-   128 times slower, the direct copies of 18 entries filled the queue again. */
+   do so again after a time of direct appends, the direct appends of all
+   entries are still in the store's queue, which holds 2 s of appends, and two
+   appends of the collector follow.  With a shorter time, all entries send
+   copies before that, which fill the queue again.  */
 #define COPY_TIME_UNMEASURED (4 * GP_SEC)
 /* Older measurements say nothing about the store as it is now.  */
 #define MEASUREMENT_AGE_MAX (10 * GP_SEC)
 /* For how long appends are direct after the leader did not take one or did not
    answer.  */
 #define BAR_PERIOD GP_SEC
-/* Weight of the last duration in the moving average.  A shorter duration has
-   less, in proportion to the time since the one before: when the store is fast
-   for a moment, the many appends in it do not hide how long slow ones take. */
+/* Weight of the last duration in the moving average.  A duration below the
+   average has less weight, in proportion to the time since the append before:
+   when the store is fast for a moment, the many appends made then must not
+   hide how long slow ones take.  */
 #define SHARED_TIME_GAIN 0.3
 #define SHARED_TIME_DECAY (5 * GP_SEC)
 
@@ -67,7 +68,8 @@
   route->unanswered_since = 0;
 }
 
-/* The leader has answered, so that the others have the full time again.  */
+/* The leader has answered: the other shared appends get the full time for an
+   answer again.  */
 static void
 note_leader_answer (gp_append_route_t *route, gp_time_t now)
 {
@@ -116,7 +118,7 @@
   route->answered_at = now;
 }
 
-/* Update whether appends are slow, also from those in progress.  */
+/* Update whether appends are slow, including from those in progress.  */
 static void
 update_slow (gp_append_route_t *route, gp_time_t now)
 {
--- a/src/jobs/append_route.h
+++ b/src/jobs/append_route.h
@@ -4,10 +4,11 @@
 
    A partition of the store processes its appends one at a time, and each takes
    the same time, however many records it has.  When that time is long, the
-   appends of all entries together need more of it than there is, and appends
+   entries together send more appends than the partition can process, and those
    that their senders have given up are still processed in their turn.
    Therefore an entry whose appends are slow shares them: it sends them to the
-   leader, which makes one append of what waits there (jobs/append_batch.h).
+   leader, whose collector makes one append of all batches that wait there
+   (jobs/append_batch.h).
 
    A shared append that is not answered in time is sent directly as well, and
    the first success counts.  Both may take effect, which changes nothing: a
@@ -22,6 +23,7 @@
 #include "base/list.h"
 #include "base/time.h"
 
+/* The path of one append; both may be taken.  */
 typedef enum
 {
   GP_APPEND_DIRECT, /* to the store, on this process's own route */
@@ -64,23 +66,27 @@
   gp_time_t deadline;
 } gp_append_t;
 
+/* What an entry knows of both paths.  */
 typedef struct
 {
   gp_list_t appends;     /* gp_append_t in progress */
   bool slow;             /* appends are shared if there is a leader */
   gp_time_t fast_since;  /* appends have been fast since then, 0: the last one
                             was not */
-  gp_time_t shared_time; /* moving average of the duration of shared appends */
-  gp_time_t answered_at; /* the last shared append was done, 0: none was */
-  gp_time_t unanswered_since; /* the first shared append was sent that the
-                                 leader has not answered, 0: none */
-  gp_time_t barred_until;     /* no append is shared before */
+  gp_time_t shared_time; /* moving average of the duration of shared appends, a
+                            duration */
+  gp_time_t answered_at; /* when the last shared append was done, 0: none was,
+                            or its duration does not count any more */
+  gp_time_t unanswered_since; /* when the oldest shared append that the leader
+                                 has not answered was sent, or the leader's
+                                 last answer since; 0: none is unanswered */
+  gp_time_t barred_until;     /* no append is shared before this time */
 } gp_append_route_t;
 
 void gp_append_route_init (gp_append_route_t *route);
 
-/* Another entry leads: that the one before did not answer does not matter any
-   more.  */
+/* Another entry leads: failures of the previous leader to answer do not count
+   any more.  */
 void gp_append_route_leader_changed (gp_append_route_t *route);
 
 /* Returns the path that an append takes at NOW.  HAS_COLLECTOR: this entry
@@ -89,19 +95,21 @@
 gp_append_path_t gp_append_route_choose (gp_append_route_t *route,
                                          bool has_collector, gp_time_t now);
 
-/* Begin APPEND, which is to be done by DEADLINE; returns which way to send
-   it.  */
+/* Begin APPEND, which is to be done by DEADLINE.  Returns
+   GP_APPEND_SEND_DIRECT or GP_APPEND_SEND_SHARED.  */
 gp_append_step_t gp_append_begin (gp_append_route_t *route,
                                   gp_append_t *append, bool has_collector,
                                   gp_time_t deadline, gp_time_t now);
 
-/* APPEND had OUTCOME on PATH.  Once a step that ends it is returned, the route
-   does not refer to it any more, and further outcomes are of no interest.  */
+/* APPEND had OUTCOME on PATH.  Returns the next step.  After one that ends
+   APPEND, ROUTE does not refer to it any more, and further outcomes need not
+   be passed.  */
 gp_append_step_t gp_append_note (gp_append_route_t *route, gp_append_t *append,
                                  gp_append_path_t path,
                                  gp_append_outcome_t outcome, gp_time_t now);
 
-/* Returns whether APPEND is now to be sent directly as well.  */
+/* Returns GP_APPEND_SEND_DIRECT if APPEND is now to be sent directly as well,
+   GP_APPEND_WAIT otherwise.  */
 gp_append_step_t gp_append_check (gp_append_route_t *route,
                                   gp_append_t *append, gp_time_t now);
 
