room, intake: comments on fields, units and reasons

Some fields had no comment or one that ran on over three of them, two structures with types private to the source file did not name these types, and the reason for the margin of the slack was the result of a trial. Comments now name the types and the units, and say why. No code changes.

--- a/src/jobs/intake.c
+++ b/src/jobs/intake.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 /* A record is used for this long.  A leader writes one at least every second;
-   beyond 5 s the work ahead may be entirely different.  */
+   after 5 s the work ahead may be entirely different.  */
 #define RECORD_AGE_MAX (5 * GP_SEC)
 /* What was accepted less than this before a record was read is not in it yet:
    it is appended in 6 ms, read by the leader at once, and the entry reads the
@@ -15,12 +15,13 @@
 /* A refused caller must be able to make this number of attempts before it
    gives up.  */
 #define MIN_TRIES 3
-/* The least time to come back after: Retry-After has whole seconds.  */
+/* Minimum time until a caller comes back: Retry-After has whole seconds.  */
 #define COME_BACK_MIN GP_SEC
 /* How much later than told a caller may come back and still have its turn: the
    time is rounded up to a second.  */
 #define COME_BACK_MARGIN GP_SEC
-/* Limit of callers with a turn.  */
+/* Maximum number of callers with a turn, to bound memory and the time of a
+   decision.  */
 #define RETURNING_MAX 1000
 
 /* The work of one service and priority that is not in the record.  */
@@ -33,6 +34,7 @@
   gp_room_work_t returning;
 } row_t;
 
+/* A job accepted since the record.  */
 typedef struct
 {
   gp_list_t link;
@@ -41,6 +43,7 @@
   gp_time_t at;
 } accepted_t;
 
+/* The turn of a refused caller.  */
 typedef struct
 {
   uint64_t number; /* in the order of the first refusals */
@@ -284,7 +287,8 @@
 }
 
 /* Sets when the caller comes back: when enough of the work ahead will be done,
-   but within its own timeout.  It keeps its turn if both are possible.  */
+   but early enough for MIN_TRIES attempts within its timeout.  It keeps its
+   turn if both are possible.  */
 static void
 refuse (gp_intake_t *intake, const gp_intake_request_t *request, row_t *row,
         const gp_room_work_t *work, returning_t *turn, gp_time_t now,
--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -1,5 +1,6 @@
-/* The leader sums the room for new work and writes it down.  The sums of
-   capacity are in jobs/room_sums.c, the forecasts in jobs/room_forecast.c.  */
+/* Makes the leader's record of the room for new work, and learns the error of
+   its forecasts.  The sums of capacity are in jobs/room_sums.c, the forecasts
+   in jobs/room_forecast.c.  */
 
 #include "jobs/room_private.h"
 
@@ -11,10 +12,11 @@
 #include "jobs/fields.h"
 #include "jobs/urgency.h"
 
-/* Least time between two records, and the time after which an unchanged one is
-   written again: entries use a record for 5 s, and count what they accept
-   until the next one.  */
+/* Minimum time between two records.  Until the next one, entries count what
+   they accept.  */
 #define RECORD_INTERVAL (500 * GP_MSEC)
+/* Time after which an unchanged record is written again: entries use a record
+   for 5 s only (jobs/intake.c).  */
 #define UNCHANGED_INTERVAL (GP_SEC)
 /* A value has changed if it differs by more than one part in this many.  */
 #define CHANGE_SHARE 10
@@ -27,11 +29,12 @@
 /* Weight of the last job in the average error.  */
 #define ERROR_GAIN 0.1
 #define ERROR_MAX (GP_ROOM_ERROR_MAX_PERMILLE / 1000.0)
-/* Part of the time for which a result is useful that is kept as a margin of
+/* The time for which a result is useful, divided by this, is subtracted from
    the slack: entries accept jobs until they read the next record, and run
-   times and free processors change.  With a sixth, some of the batch jobs that
-   were accepted at ten times the usual load were done too late.  */
+   times and free processors change.  A smaller margin lets accepted batch jobs
+   end too late when callers submit at many times the usual rate.  */
 #define SLACK_MARGIN_SHARE 4
+
 /* The unfinished work of the jobs of one priority, in thousandths of a core
    times a duration.  */
 typedef struct
@@ -41,20 +44,21 @@
   double useful[GP_ROOM_KINDS];
   double useless[GP_ROOM_KINDS]; /* of jobs that cannot be done while they are
                                     useful */
-  bool late;       /* there are jobs that will be late but useful ... */
-  gp_time_t slack; /* ... and may be delayed for so long */
+  bool late;       /* there are jobs that will be late but useful */
+  gp_time_t slack; /* how much delay leaves all of these useful */
 } level_t;
 
-/* A service at the leader.  */
+/* The state of a service.  */
 typedef struct
 {
   char *name;
   double busy;       /* average of gp_room_service_t.busy */
   gp_time_t busy_at; /* when it was updated, 0: never */
   bool present;      /* it has executors that take work */
-  bool has_record;   /* FILLING is from the previous leader's record */
-  double reserved;   /* processors for each kind, thousandths of a core */
-  double filling;
+  bool has_record;   /* FILLING was taken from the previous leader's record */
+  double reserved;   /* processors for work that reserves them, in thousandths
+                        of a core */
+  double filling;    /* processors for filling work, likewise */
   double ahead[GP_ROOM_KINDS]; /* work of the jobs counted so far */
   GArray *levels;              /* level_t, by priority */
 } service_state_t;
@@ -151,7 +155,7 @@
     take_over (room, record);
 }
 
-/* Learns that JOB ends, or is expected to end, at END.  */
+/* Updates the average error: JOB ends, or is expected to end, at END.  */
 static void
 learn_error (gp_room_t *room, gp_job_t *job, gp_time_t end)
 {
@@ -180,9 +184,9 @@
 
 /* Computing the sums.  */
 
-/* Updates the average of what is reserved.  At first it follows from the
-   previous leader's record: just after a change of leaders, runs have piled up
-   that reserve everything.  */
+/* Updates the average of what is reserved.  Its first value follows from the
+   previous leader's record: just after a change of the leader, more is
+   reserved than on average, as new work has waited for the change.  */
 static void
 update_busy (service_state_t *state, const gp_room_service_t *sums,
              gp_time_t now)
@@ -261,9 +265,9 @@
   return longest;
 }
 
-/* Returns whether the waiting tasks of a step do not wait for processors: they
-   need accelerators, or have been found to wait for something else.  New jobs
-   do not have to wait for them.  */
+/* Returns whether the waiting tasks of a step wait for something other than
+   processors: for accelerators, or for what the placer has found.  New jobs do
+   not have to wait for them.  */
 static bool
 waits_for_others (const Gp__Jobs__Step *step, const gp_step_tally_t *tally)
 {
@@ -294,7 +298,7 @@
 }
 
 /* Subtracts from WORK that of the waiting tasks of JOB that do not wait for
-   processors.  Returns whether others do.  */
+   processors.  Returns whether JOB has tasks that do.  */
 static bool
 subtract_others (const gp_job_t *job, gp_time_t now,
                  double work[GP_ROOM_KINDS])
@@ -317,8 +321,8 @@
   return waits;
 }
 
-/* A job of LEVEL that is useful for USEFUL more will be late, FINISH from
-   now.  */
+/* JOB of LEVEL will be late: it will be done after FINISH, and its result is
+   useful for USEFUL, both durations from now.  */
 static void
 note_late (level_t *level, const gp_job_t *job, double finish, double useful)
 {
@@ -352,8 +356,8 @@
       state->ahead[kind] += work[kind];
     }
   finish = time_to_finish (state, work);
-  /* To refuse new jobs would not help a job that is lost; those that come
-     overtake it.  */
+  /* A lost job will not be done while it is useful.  It does not limit new
+     jobs, which overtake it.  */
   lost = ranked->deadline_class == GP_DEADLINE_USELESS
          || (late && waits && finish > useful);
   for (int kind = 0; kind < GP_ROOM_KINDS; kind++)
@@ -377,8 +381,8 @@
   g_array_free (ranked, TRUE);
 }
 
-/* Making the record.  Its parts are allocated with malloc, because protobuf-c
-   frees them with free.  */
+/* Making the record.  Its parts are allocated with malloc, which g_new uses as
+   well, because protobuf-c frees them with free.  */
 
 static int64_t
 milli_of (double milli)
--- a/src/jobs/room.h
+++ b/src/jobs/room.h
@@ -39,25 +39,25 @@
 {
   GP_ROOM_RESERVED,
   GP_ROOM_FILLING,
-  GP_ROOM_KINDS
+  GP_ROOM_KINDS /* number of kinds */
 } gp_room_kind_t;
 
-/* The executors of a service: their capacity, in thousandths of a core, and
-   work, in thousandths of a core times a duration.  */
+/* Sums over the executors of a service.  Capacities are in thousandths of a
+   core, work is in thousandths of a core times a duration.  */
 typedef struct
 {
-  const char *name;
+  const char *name; /* owned by the book's executors */
   double capacity[GP_ROOM_KINDS];
   double work[GP_ROOM_KINDS]; /* for the caller's sums, 0 at first */
   double unfilled; /* capacity that is neither reserved nor needed by serving
                       runs, whether filling runs use it or not */
-  double busy;     /* reserved by runs that are not long-running */
+  double busy;     /* capacity reserved by runs that are not long-running */
 } gp_room_service_t;
 
 /* Returns the services with executors that take work, as gp_room_service_t;
    the caller frees the array.  */
 GArray *gp_room_sum_capacity (const gp_book_t *book);
-/* Returns the service NAME, or NULL.  */
+/* Returns the service NAME of SERVICES, or NULL.  */
 gp_room_service_t *gp_room_find_service (const GArray *services,
                                          const char *name);
 
@@ -68,10 +68,10 @@
 double gp_room_count_work (const gp_job_t *job, gp_time_t now,
                            double work[GP_ROOM_KINDS]);
 
-/* The leader's state.  */
+/* What the leader needs to make records.  */
 typedef struct
 {
-  GHashTable *services; /* name to its state, owned */
+  GHashTable *services; /* name to service_state_t of room.c, owned */
   Gp__Jobs__Room *last; /* the last record made, owned, NULL: none */
   gp_time_t made_at;    /* when it was made */
   gp_time_t next_at;    /* next computation of the sums */
@@ -80,9 +80,9 @@
 void gp_room_init (gp_room_t *room);
 void gp_room_finish (gp_room_t *room);
 
-/* A term as leader begins at NOW.  RECORD, of the previous leader, gives the
-   averages to begin with; NULL: there is none.  No record is made until the
-   guards have had time to report their executors.  */
+/* This process begins to lead at NOW.  RECORD, of the previous leader, gives
+   the first values of the averages; NULL: there is none.  No record is made
+   until the guards have had time to report their executors.  */
 void gp_room_begin (gp_room_t *room, const Gp__Jobs__Room *record,
                     gp_time_t now);
 
@@ -92,7 +92,7 @@
                                     const gp_forecast_t *forecast,
                                     gp_time_t now);
 
-/* JOB has ended: learns the error of its forecast if it was completed.
+/* JOB has ended: updates the average error of forecasts if it was completed.
    Further calls for the same job have no effect.  */
 void gp_room_job_ended (gp_room_t *room, gp_job_t *job, gp_time_t now);
 
@@ -106,7 +106,7 @@
   int64_t ms[GP_ROOM_KINDS];
 } gp_room_work_t;
 
-/* The work of SUBMISSION, which takes TIMES.  */
+/* Returns the work of SUBMISSION, whose expected durations are TIMES.  */
 gp_room_work_t gp_room_submission_work (const Gp__Jobs__Submission *submission,
                                         const gp_forecast_times_t *times);
 
@@ -123,16 +123,18 @@
 /* A forecast; all times are durations.  */
 typedef struct
 {
-  gp_room_work_t ahead; /* all work ahead of the job */
-  gp_time_t wait;       /* until the work ahead is done */
-  gp_time_t own;        /* from then until the job is done */
-  gp_time_t margin;     /* by how much WAIT may be longer, by the error of
-                           earlier forecasts; OWN is not widened, as run times
-                           are measured */
-  uint32_t error_permille;
-  bool late;       /* there are accepted jobs that it would delay ... */
-  gp_time_t delay; /* ... by its work and that in the request's AHEAD ... */
-  gp_time_t slack; /* ... and that may be delayed for so long */
+  gp_room_work_t ahead;    /* all work ahead of the job */
+  gp_time_t wait;          /* until the work ahead is done */
+  gp_time_t own;           /* from then until the job is done */
+  gp_time_t margin;        /* by how much WAIT may be longer, by the error of
+                              earlier forecasts; OWN has no margin, as run
+                              times are measured */
+  uint32_t error_permille; /* mean relative error of earlier forecasts */
+  bool late;       /* accepted jobs of the same priority will miss their
+                      objective, so that this one would overtake them */
+  gp_time_t delay; /* by how much its work and that in the request's AHEAD
+                      would delay them */
+  gp_time_t slack; /* how much delay leaves them useful; set if LATE */
 } gp_room_outlook_t;
 
 /* Forecasts the end of a job from RECORD.  Returns false if RECORD does not
@@ -148,7 +150,8 @@
   gp_time_t read_at;      /* when it was read */
 } gp_room_reading_t;
 
-/* Replaces the record by RECORD, which READING then owns.  */
+/* Replaces the record by RECORD, which was read at NOW and which READING then
+   owns.  */
 void gp_room_reading_set (gp_room_reading_t *reading, Gp__Jobs__Room *record,
                           gp_time_t now);
 void gp_room_reading_finish (gp_room_reading_t *reading);
--- a/src/jobs/room_forecast.c
+++ b/src/jobs/room_forecast.c
@@ -99,7 +99,8 @@
   return sum;
 }
 
-/* Returns how long MILLI thousandths of a core take for MS of work.  */
+/* Returns how long MILLI thousandths of a core need for work that takes one
+   core MS milliseconds.  */
 static gp_time_t
 time_for (int64_t ms, uint64_t milli)
 {
@@ -111,7 +112,8 @@
   return (gp_time_t)fmin (duration, (double)GP_ROOM_DURATION_MAX);
 }
 
-/* Adds the work of the request's priority and the higher ones.  */
+/* Adds to OUTLOOK the work of the request's priority and the higher ones, and
+   sets the error and the slack if RECORD has them for that priority.  */
 static void
 add_backlog (const Gp__Jobs__Room *record, const gp_room_request_t *request,
              gp_room_outlook_t *outlook)
--- a/src/jobs/room_private.h
+++ b/src/jobs/room_private.h
@@ -1,15 +1,16 @@
-/* Bounds and units shared by the source files of the room.  */
+/* Bounds and units shared by the source files of jobs/room.h.  */
 
 #ifndef GP_JOBS_ROOM_PRIVATE_H
 #define GP_JOBS_ROOM_PRIVATE_H
 
 #include "jobs/room.h"
 
-/* Upper bounds of the values in a record: a billion cores, and a million cores
-   for eleven days.  Sums of such values are exact in an int64_t.  */
+/* Upper bounds of the values in a record: capacity in thousandths of a core (a
+   billion cores), and work in milliseconds of one core (a million cores for
+   eleven days).  Sums of such values do not overflow an int64_t.  */
 #define GP_ROOM_MILLI_MAX INT64_C (1000000000000)
 #define GP_ROOM_WORK_MAX_MS INT64_C (1000000000000000)
-/* No forecast is longer, so that sums of such durations are valid times.  */
+/* Upper bound of forecast durations, so that sums of them are valid times.  */
 #define GP_ROOM_DURATION_MAX ((gp_time_t)30 * 24 * 3600 * GP_SEC)
 /* Thousandths of a core times microseconds in a millisecond of one core.  */
 #define GP_ROOM_WORK_UNIT 1e6
--- a/src/jobs/room_sums.c
+++ b/src/jobs/room_sums.c
@@ -8,6 +8,7 @@
 
 /* Share of a running task that counts as done.  */
 #define RUNNING_PROGRESS 0.5
+
 gp_room_service_t *
 gp_room_find_service (const GArray *services, const char *name)
 {
