--- a/src/jobs/candidacy.c
+++ b/src/jobs/candidacy.c
@@ -149,7 +149,8 @@
 {
   if (candidacy->strong_since == 0)
     candidacy->strong_since = now;
-  /* One that ends sooner has not relieved the weak ones.  */
+  /* Strong leaders that end sooner do not show that a strong entry can lead.
+   */
   if (now - candidacy->strong_since >= GP_CANDIDACY_LEAD_TIME)
     candidacy->resignations = 0;
 }
@@ -215,6 +216,7 @@
   {
     const gp_candidacy_entry_t *entry
         = GP_CONTAINER_OF (link, gp_candidacy_entry_t, link);
+    /* It could have claimed leadership after the last resignation.  */
     bool offered = entry->loaded_at <= candidacy->resigned_at;
 
     if (is_stronger (&entry->capacity, &candidacy->capacity)
--- a/src/jobs/candidacy.h
+++ b/src/jobs/candidacy.h
@@ -2,20 +2,22 @@
 
    The leader connects to all guards and makes all decisions, which an entry
    with a small share of a core or a narrow link does with delays.  An entry is
-   weak if another is known that has at least twice its processors or twice its
-   link, and not less of the other.  A value that is unknown for either of the
-   two counts as equal: an entry that gives no capacity is not weak, and makes
-   no other entry weak.
+   weak if another one is known that has at least twice its processors and no
+   narrower link, or at least twice the bandwidth of its link and no fewer
+   processors.  A value that is unknown for either of the two counts as equal:
+   an entry that gives no capacity is not weak, and makes no other entry
+   weak.
 
    A weak entry claims leadership later than others, and a weak leader hands
    over: it resigns, and a stronger entry claims first.  It does so only while
    its appends are fast, as the next leader needs the store.
 
-   The record of an entry remains when its VM is gone, so that a resignation
-   may find no stronger entry.  All entries therefore count the resignations of
-   weak leaders since a strong one has led, and each of them doubles the time
-   until the next one, whichever weak entry leads then.  A stronger entry that
-   has started since the last resignation ends this wait.
+   The record of an entry remains when its VM is gone, so that after a
+   resignation there may be no stronger entry to claim leadership.  All entries
+   therefore count the resignations of weak leaders since a strong one has led,
+   and each of them doubles the time until the next one, whichever weak entry
+   leads then.  A stronger entry that has started since the last resignation
+   ends this wait.
 
    Pure: events and NOW in, decisions out.  */
 
@@ -28,21 +30,25 @@
 #include "base/list.h"
 #include "base/time.h"
 
-/* The head start of strong entries: a claim takes one read and one append,
-   30 ms, or 300 ms on a busy link.  */
+/* By how much the claim of a weak entry is delayed, so that a strong one can
+   claim first: a claim takes one read and one append, 30 ms, or 300 ms on a
+   busy link.  */
 #define GP_CANDIDACY_CLAIM_DELAY (300 * GP_MSEC)
 /* A weak leader leads for this long at least, so that a change of the leader
    remains rare compared with the time that a new one needs to connect to all
    guards.  */
 #define GP_CANDIDACY_LEAD_TIME (5 * GP_SEC)
-/* The maximum of the time that doubles with each resignation.  */
+/* Maximum of the time until a handover, which doubles with each
+   resignation.  */
 #define GP_CANDIDACY_WAIT_MAX (60 * GP_SEC)
-/* A process that has announced itself reads the log before it can lead.  */
+/* Time from the announcement of a process until it is expected to be able to
+   lead: it has to read the log first.  */
 #define GP_CANDIDACY_LOAD_TIME (3 * GP_SEC)
-/* The last append has to take less than this; it takes 6 ms at the store's
-   usual speed.  */
+/* A leader hands over only if its last append took less than this, as the next
+   leader needs the store; an append takes 6 ms at the store's usual speed.  */
 #define GP_CANDIDACY_APPEND_LIMIT (250 * GP_MSEC)
 
+/* The capacity of an entry.  */
 typedef struct
 {
   uint32_t cpu_milli; /* share of a core, in thousandths, 0: unknown */
@@ -60,6 +66,7 @@
                           lead */
 } gp_candidacy_entry_t;
 
+/* What an entry knows about the others and about past leaders.  */
 typedef struct
 {
   const char *node;                 /* this entry */
@@ -79,6 +86,7 @@
 void gp_candidacy_init (gp_candidacy_t *candidacy, const char *node);
 void gp_candidacy_finish (gp_candidacy_t *candidacy);
 
+/* Sets the capacity of this entry.  */
 void gp_candidacy_set_capacity (gp_candidacy_t *candidacy,
                                 gp_candidacy_capacity_t capacity);
 
@@ -100,11 +108,11 @@
 const gp_candidacy_entry_t *
 gp_candidacy_find_stronger (const gp_candidacy_t *candidacy);
 
-/* Returns by how much a claim of this entry is delayed.  */
+/* Returns by how much a claim of this entry is delayed, a duration.  */
 gp_time_t gp_candidacy_claim_delay (const gp_candidacy_t *candidacy);
 
 /* Returns whether this entry, which leads and whose last append took
-   APPEND_TIME, hands over now.  */
+   APPEND_TIME, a duration, hands over at NOW.  */
 bool gp_candidacy_hands_over (const gp_candidacy_t *candidacy,
                               gp_time_t append_time, gp_time_t now);
 
--- a/src/jobs/executor_speed.c
+++ b/src/jobs/executor_speed.c
@@ -5,12 +5,13 @@
 #include <glib.h>
 #include <stdlib.h>
 
-/* The ratio that is the factor, counted from the largest.  With fewer ratios,
-   the factor is 1.  */
+/* Rank, counted from the largest, of the ratio that is the factor.  With fewer
+   ratios, the factor is 1.  */
 #define RANK 3
 
-/* A last ratio that is older than this is not in the median: when all become
-   slow, it comes from before, as the next runs take long to end.  */
+/* A last ratio that is older than this is not in the median: when all
+   executors become slow, their next runs take long to end, and until then the
+   last ratios are from the time before.  */
 #define RECENT_TIME (GP_EXECUTOR_SPEED_MEMORY / 2)
 
 static int
@@ -48,7 +49,7 @@
   speed->renewed_at = now;
 }
 
-/* Returns the ratio before the last one by BACK.  */
+/* Returns the ratio that is BACK places before the last one.  */
 static float *
 ratio_at (gp_executor_speed_t *speed, unsigned int back)
 {
@@ -120,7 +121,7 @@
   return median;
 }
 
-/* Adds MEDIAN, as of NOW, and returns the reference.  */
+/* Updates COMMON by MEDIAN, as of NOW, and returns the reference.  */
 static float
 update_reference (gp_executor_speeds_t *common, float median, gp_time_t now)
 {
@@ -134,6 +135,8 @@
   return MAX (common->largest, common->largest_before);
 }
 
+/* Divides the ratios of SPEED that are new by REFERENCE, and discards the
+   older ones after a probe that is not slow.  */
 static void
 divide_fresh (gp_executor_speed_t *speed, float reference)
 {
--- a/src/jobs/executor_speed.h
+++ b/src/jobs/executor_speed.h
@@ -1,23 +1,24 @@
 /* The speed of an executor, measured by the runs that are done there.
 
    A run that is done gives a ratio: its duration divided by the one that was
-   expected (jobs/forecast.h).  It is divided by a reference, so that none is
-   slow when all are: the median of the last ratios, if recent, of all
-   executors of the service, or 1 if that is less, as an executor whose runs
-   take as long as expected is not slow.  It is the largest one of the current
-   and the previous period of GP_EXECUTOR_SPEED_MEMORY, as runs that began
-   while all were slow end later.  Each ratio is divided by the reference of
-   its own time, so that old ratios do not count against an executor when all
-   recover.
+   expected (jobs/forecast.h).  The ratio is divided by a reference, so that no
+   executor counts as slow when all are.  The reference follows the median of
+   the recent last ratios of all executors of the service, or 1 if the median
+   is less, as an executor whose runs take as long as expected is not slow.  It
+   is the largest of these medians in the current and the previous period of
+   GP_EXECUTOR_SPEED_MEMORY, as runs that began while all were slow end later.
+   Each ratio is divided by the reference of its own time, so that old ratios
+   do not count against an executor when all recover.
 
    The factor of an executor is the third largest of its last
-   GP_EXECUTOR_SPEED_RATIOS ratios: the median once there are five, and before,
-   two long tasks do not change it either.  Without a new ratio it goes back to
-   1 linearly within GP_EXECUTOR_SPEED_MEMORY, so that an executor that has
-   recovered gets work.  The first run that is assigned to one that no longer
-   counts as slow is a probe: the factor returns to its full value and goes
-   back to 1 anew, so that a slow executor is not filled each time.  A probe
-   that is not slow discards the older ratios.
+   GP_EXECUTOR_SPEED_RATIOS ratios.  That is the median once there are five;
+   with fewer, two long tasks do not change it either.  Without a new ratio it
+   goes back to 1 linearly within GP_EXECUTOR_SPEED_MEMORY, so that an executor
+   that has recovered gets work.  The first run that is assigned to an executor
+   whose factor has fallen below GP_EXECUTOR_SPEED_SLOW in this way is a probe:
+   the factor returns to its full value and goes back to 1 again, so that a
+   slow executor is not filled each time.  A probe that is not slow discards
+   the older ratios.
 
    Pure: ratios and NOW in, factors out.  */
 
@@ -30,6 +31,7 @@
 
 #include "base/time.h"
 
+/* Number of ratios that are kept for an executor.  */
 #define GP_EXECUTOR_SPEED_RATIOS 5
 /* Without a new ratio or a probe, all ratios are discarded after this
    time.  */
@@ -46,7 +48,7 @@
   uint8_t fresh;     /* how many of them are not divided by a reference yet */
   bool probing : 1;  /* a probe was assigned, and no run was compared since */
   bool was_slow : 1; /* it was slow after the last comparison */
-  float last_undivided; /* the last ratio */
+  float last_undivided; /* the last ratio, before it is divided */
   float factor;         /* as of the last comparison */
   gp_time_t renewed_at; /* time of the last ratio or probe */
 } gp_executor_speed_t;
@@ -54,9 +56,9 @@
 /* What the executors of a service have in common, initially zeroed.  */
 typedef struct
 {
-  float largest;        /* median since the current period began */
-  float largest_before; /* in the period before */
-  gp_time_t period_end;
+  float largest;        /* largest median since the current period began */
+  float largest_before; /* largest median in the period before */
+  gp_time_t period_end; /* of the current period */
 } gp_executor_speeds_t;
 
 /* A run that was expected to take EXPECTED was done at NOW and took
@@ -79,6 +81,7 @@
                                  gp_executor_speed_t *const *speeds,
                                  size_t count, gp_time_t now, bool *changed);
 
+/* Returns whether the factor is GP_EXECUTOR_SPEED_SLOW or larger.  */
 bool gp_executor_speed_is_slow (const gp_executor_speed_t *speed);
 
 /* Returns the share of its time that a run loses on the executor, 0 unless the
--- a/src/jobs/placer_score.c
+++ b/src/jobs/placer_score.c
@@ -41,9 +41,10 @@
    resort.  */
 #define QUARANTINE_POINTS 4000
 
-/* Points that a task would lose on an executor where all of its time is lost,
-   in proportion to the share that is: the preferred rack, outside of which
-   half of it is lost, is worth half as much.  Filling work is less urgent.  */
+/* Points subtracted for a slow executor, multiplied by the share of its time
+   that a task loses there.  A share of a half costs as much as the preferred
+   rack, outside of which work loses about that share.  Filling work is less
+   urgent, so it loses fewer points.  */
 #define LOST_TIME_POINTS 2000
 #define FILLING_LOST_TIME_POINTS (LOST_TIME_POINTS / 2)
 
--- a/src/jobs/retry_after.h
+++ b/src/jobs/retry_after.h
@@ -25,8 +25,8 @@
                              duration; 0: it answers, and only this process is
                              not ready */
   gp_time_t store_time;   /* how long the store takes to answer, a duration */
-  gp_time_t backlog; /* in which time what waits now is appended, a duration;
-                        0: not measured */
+  gp_time_t backlog;      /* expected time until what waits now is appended, a
+                             duration; 0: not measured */
   gp_time_t timeout; /* for how long the caller waits in all, a duration */
   uint32_t jitter;   /* any number that differs between requests */
 } gp_retry_after_t;
--- a/src/jobs/scheduler_private.h
+++ b/src/jobs/scheduler_private.h
@@ -15,8 +15,8 @@
 /* Takes TASK off its executor; it waits again.  */
 void gp_scheduler_release (gp_scheduler_t *scheduler, gp_job_task_t *task);
 
-/* TASK was assigned: records how long its run is expected to take.  What is
-   expected at its end may have been learned while it was running.  */
+/* TASK was assigned: records how long its run is expected to take.  This is
+   done now, as what is learned while the run is at work must not change it. */
 void gp_scheduler_expect_run (const gp_scheduler_t *scheduler,
                               gp_job_task_t *task);
 /* TASK was done on EXECUTOR by a run whose duration is known.  */
@@ -25,6 +25,7 @@
                                const gp_job_task_t *task, gp_time_t now);
 /* Compares the executors' speeds with each other, if that is due.  */
 void gp_scheduler_compare_speeds (gp_scheduler_t *scheduler, gp_time_t now);
+/* Discards what the executors of each service have in common.  */
 void gp_scheduler_reset_speeds (gp_scheduler_t *scheduler);
 /* Registers the counter of slow executors.  */
 void gp_scheduler_register_speed (void);
--- a/src/jobs/scheduler_speed.c
+++ b/src/jobs/scheduler_speed.c
@@ -5,8 +5,9 @@
 #include "base/counters.h"
 #include "base/log.h"
 
-/* Interval between comparisons: short compared with the time in which a factor
-   goes back to 1, as each one visits all executors.  */
+/* Interval between comparisons.  Each one visits all executors, so it is not
+   done in every planning round; the interval is short compared with the time
+   in which a factor goes back to 1.  */
 #define COMPARE_INTERVAL (100 * GP_MSEC)
 
 static gp_counter_t slow_gauge = GP_GAUGE (
