jobsd: comments on ownership, cancellation and constants

Several public structures and functions had no comment, or one that left open what happens to a callback after a cancellation. Two constants were described by what they cause rather than by what they bound. No other string and no code changes.

--- a/src/jobsd/append_collector.h
+++ b/src/jobsd/append_collector.h
@@ -4,8 +4,9 @@
    (jobs/append_route.h), by HTTP to its relay (jobsd/relay.h) as the same
    request that they would send to the store; the leader's own are added by a
    function call.  Which batches go into the next append is decided by
-   jobs/append_batch.h.  Every entry collects what it is sent, whether it leads
-   or not: these appends have no condition.
+   jobs/append_batch.h.  Every entry collects the batches that it is sent,
+   whether it leads or not: as these appends have no condition, the store
+   accepts them from any entry.
 
    The collector uses only the direct route to the store, so that no call is
    relayed in a loop.  While this process's own calls are relayed it takes no
@@ -17,6 +18,7 @@
 #include "jobs/append_batch.h"
 #include "platform/store.h"
 
+/* The collector of an entry.  */
 typedef struct
 {
   gp_loop_t *loop;
@@ -31,7 +33,8 @@
 
 void gp_append_collector_init (gp_append_collector_t *collector,
                                gp_loop_t *loop, gp_platform_store_t *store);
-/* Answer the senders that still wait.  */
+/* Cancel the append in flight and answer the senders that still wait: with an
+   unknown outcome if their batches are in it, with a refusal otherwise.  */
 void gp_append_collector_finish (gp_append_collector_t *collector);
 
 /* Add the SIZE bytes of BATCH, which are copied.  ON_DONE is called once,
@@ -45,8 +48,8 @@
                                          gp_platform_store_cb_t on_done,
                                          void *data);
 
-/* The sender does not wait any more.  A batch that is in the append in flight
-   may still be appended.  */
+/* The sender does not wait any more: ON_DONE is not called, and COLLECTED is
+   freed.  A batch that is in the append in flight may still be appended.  */
 void gp_append_collector_cancel (gp_append_collector_t *collector,
                                  gp_collected_t *collected);
 
--- a/src/jobsd/job_appender.c
+++ b/src/jobsd/job_appender.c
@@ -24,7 +24,8 @@
   gp_platform_store_cb_t on_done;
   void *data;
   gp_time_t begun_at;
-  gp_time_t shared_deadline; /* when this entry's own collector is given up */
+  gp_time_t shared_deadline; /* when the batch is taken back from this entry's
+                                own collector */
   gp_platform_store_call_t *direct; /* calls in progress, or NULL */
   gp_platform_store_call_t *by_peer;
   gp_collected_t *collected; /* at this entry's own collector, or NULL */
--- a/src/jobsd/job_appender.h
+++ b/src/jobsd/job_appender.h
@@ -11,6 +11,7 @@
 #include "jobsd/append_collector.h"
 #include "jobsd/leader.h"
 
+/* The appender of an entry.  */
 typedef struct
 {
   gp_loop_t *loop;
@@ -19,10 +20,12 @@
   gp_append_collector_t *collector; /* of this entry; NULL: appends are not
                                        shared */
   GHashTable *relays; /* node to relay address of other entries, owned */
-  char *last_leader;  /* owned: that of the last append, or NULL */
+  char *last_leader;  /* owned: node of the leader at the last append, or
+                         NULL */
   gp_append_route_t route;
   gp_append_path_t path; /* of the last append */
-  gp_timer_t timer;      /* the next append to be sent directly as well */
+  gp_timer_t timer;      /* when the next shared append is to be sent directly
+                            as well, or given up by this entry's collector */
 } gp_job_appender_t;
 
 /* An append in progress.  */
@@ -51,6 +54,8 @@
                                          gp_time_t deadline,
                                          gp_platform_store_cb_t on_done,
                                          void *data);
+/* Cancel and free APPEND.  ON_DONE is not called; the records may be on the
+   log, or be appended yet.  */
 void gp_job_append_cancel (gp_job_append_t *append);
 
 #endif
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -11,22 +11,26 @@
 #include "jobs/write_request.h"
 #include "jobsd/job_answers.h"
 
-/* The average duration of appends may be of an earlier time: a change that can
-   wait this long, or three quarters of what its caller waits, is attempted. */
+/* Upper bound of the duration of an append that is assumed to decide whether a
+   change can be answered in time, as the average may be out of date.  When
+   appends are confirmed, it is three quarters of the time that the caller
+   waits if that is more.  */
 #define STORE_TIME_MAX (500 * GP_MSEC)
 /* Attempts that the store refuses before the caller is refused, if it can
    retry: by then another route to the store has been found if there is
    one.  */
 #define REFUSALS_MAX 4
-/* Limit of ids of jobs with an open outcome; an outage leaves a few
+/* Maximum number of ids of jobs with an open outcome; an outage leaves a few
    hundred.  */
 #define OPEN_OUTCOMES_MAX 10000
-/* Limit of bytes of records in one append; far below the platform's limit.  */
+/* Maximum size of the records in one append, in bytes; far below the
+   platform's limit.  */
 #define BATCH_MAX ((size_t)256 * 1024)
-/* A call ends this long after its last caller has got an answer; it is
-   cancelled before.  */
+/* A call's deadline is this long after its timeout and after the answers of
+   all its callers are due, so that it is cancelled before (cancel_useless). */
 #define CALL_MARGIN (100 * GP_MSEC)
-/* One last read serves all callers for whom it is due within this time.  */
+/* A last read before an answer also serves the callers for whom one is due
+   within this time.  */
 #define LAST_READ_SPACING (100 * GP_MSEC)
 
 static gp_counter_t accepted_count
@@ -34,7 +38,7 @@
 static gp_counter_t refused_count = GP_COUNTER (
     "jobs_refused_total", "Submissions refused because of the store");
 static gp_counter_t open_count = GP_COUNTER (
-    "jobs_unknown_total", "Changes whose fate was left open to the caller");
+    "jobs_unknown_total", "Changes whose outcome was left open to the caller");
 static gp_counter_t cancelled_count
     = GP_COUNTER ("jobs_cancelled_total", "Cancellations on the log");
 static gp_counter_t overdue_count = GP_COUNTER (
@@ -65,7 +69,7 @@
   gp_time_t since;
   unsigned refusals; /* attempts that the store has refused */
   unsigned in_calls; /* slots of the appends in flight that include it, bits */
-  /* By slot: how many records precede it in that append.  */
+  /* By slot: number of records before it in that append.  */
   unsigned index[GP_APPEND_ATTEMPTS_MAX];
   bool outcome_unknown; /* an append that included it got no answer */
   bool last_read;       /* the topic was read shortly before the deadline */
@@ -467,8 +471,8 @@
   return size > 0 && change->changes->unavailable && !is_open (change);
 }
 
-/* Returns whether an append that is sent now is expected to be answered before
-   the answer to CHANGE is due.  */
+/* Returns whether an append that is sent now is expected to be answered in
+   time for CHANGE.  */
 static bool
 is_in_time (const change_t *change, gp_time_t now)
 {
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -1,4 +1,5 @@
-/* Submissions and cancellations in progress, until they are answered.
+/* Submissions and cancellations in progress, until they are answered; both are
+   called changes here.
 
    A change is answered with success only when its record is in the log.  It is
    refused only if the store has reported for each attempt that nothing was
@@ -21,7 +22,7 @@
 
 typedef struct gp_job_changes gp_job_changes_t;
 
-/* An append in flight.  */
+/* An append in flight, in a slot that is used again after its end.  */
 typedef struct
 {
   gp_job_changes_t *changes;
@@ -41,7 +42,7 @@
                                 the outcome open */
   gp_append_attempts_t attempts;
   gp_change_append_t appends[GP_APPEND_ATTEMPTS_MAX]; /* by slot of attempts */
-  bool unavailable;                                   /* as logged last */
+  bool unavailable; /* the store is, as logged last */
   gp_timer_t timer; /* the next step, or the timeout of a change */
   /* A record is in the log: apply it now, without waiting for the feed.  */
   void (*on_record) (const gp_platform_store_record_t *record, void *data);
@@ -54,10 +55,11 @@
     const gp_book_t *book, gp_feed_t *jobs, bool confirm,
     void (*on_record) (const gp_platform_store_record_t *record, void *data),
     void *data);
+/* Drops the changes that are not answered, and cancels the appends.  */
 void gp_job_changes_finish (gp_job_changes_t *changes);
 
-/* Append a record for the job ID and answer EXCHANGE; takes ownership of
-   VALUE.  */
+/* Append a record with VALUE for the job ID, a cancellation if IS_CANCEL and a
+   submission otherwise, and answer EXCHANGE; takes ownership of VALUE.  */
 void gp_job_changes_start (gp_job_changes_t *changes,
                            gp_http_exchange_t *exchange, const char *id,
                            bool is_cancel, GBytes *value);
--- a/src/jobsd/job_intake.c
+++ b/src/jobsd/job_intake.c
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "jobsd/job_answers.h"
 
-/* Queues with a count of their own in the log sampler.  */
+/* Maximum number of queues that the log sampler counts separately.  */
 #define QUEUES_MAX 1000
 
 static gp_counter_t no_room_count
--- a/src/jobsd/job_intake.h
+++ b/src/jobsd/job_intake.h
@@ -9,6 +9,7 @@
 #include "jobsd/store_route.h"
 #include "transport/http.h"
 
+/* Admission at an entry.  */
 typedef struct
 {
   gp_intake_t decisions;
@@ -16,9 +17,10 @@
   const gp_forecast_t *forecast;
   const gp_store_route_t *route; /* has the other entries as peers */
   gp_log_sampler_t refusals;     /* by queue, as callers choose their ids */
-  bool forecasts; /* the last decision that could be forecast was */
+  bool forecasts; /* the last decision on an eligible job used a forecast */
 } gp_job_intake_t;
 
+/* Nothing is refused until gp_job_intake_enable is called.  */
 void gp_job_intake_init (gp_job_intake_t *intake);
 void gp_job_intake_finish (gp_job_intake_t *intake);
 
@@ -30,9 +32,9 @@
                            const gp_forecast_t *forecast,
                            const gp_store_route_t *route);
 
-/* Decides on SUBMISSION, the job ID, which arrives at NOW.  IRREFUSABLE: a
-   record of it is or may be on the log.  Returns whether it was refused and
-   EXCHANGE was answered; nothing has been done for it then.  */
+/* Decides on SUBMISSION of the job ID, which arrives at NOW.  IRREFUSABLE: a
+   record of the job is or may be on the log.  Returns whether the submission
+   was refused; if so, EXCHANGE was answered and nothing else was done.  */
 bool gp_job_intake_refuse (gp_job_intake_t *intake,
                            gp_http_exchange_t *exchange, const char *id,
                            const Gp__Jobs__Submission *submission,
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -172,7 +172,8 @@
 gp_time_t
 gp_leader_claim_at (const gp_leader_t *leader)
 {
-  /* On a new site no record has been read.  */
+  /* On a new site no record has been read, and the timeout counts from the
+     start of this process.  */
   return MAX (leader->record_read_at, leader->scheduler.process_started_at)
          + takeover_timeout (leader);
 }
--- a/src/jobsd/leader_handover.c
+++ b/src/jobsd/leader_handover.c
@@ -1,5 +1,5 @@
-/* Binds jobs/candidacy.h: the capacities of the entries, and handing over to a
-   stronger one.  */
+/* Passes the capacities of the entries to jobs/candidacy.h, and hands over to
+   a stronger entry when that decides to.  */
 
 #include "jobsd/leader_private.h"
 
--- a/src/jobsd/leader_room.c
+++ b/src/jobsd/leader_room.c
@@ -1,4 +1,5 @@
-/* The leader's records of the room for new work, see jobs/room.h.  */
+/* Writes the leader's records of the room for new work, and reads those of
+   other leaders; see jobs/room.h.  */
 
 #include "jobsd/leader_private.h"
 
--- a/src/jobsd/relay.c
+++ b/src/jobsd/relay.c
@@ -168,7 +168,7 @@
       = gp_http_client_call (relay->client, &request, &callbacks, relayed);
 }
 
-/* A peer's batch at the collector.  */
+/* A peer's batch at the collector, until the peer is answered.  */
 typedef struct
 {
   gp_append_collector_t *collector;
@@ -210,7 +210,7 @@
       gp_http_exchange_watch (exchange, on_sender_disconnected, NULL, append);
       return;
     }
-  /* 503 says that nothing was done.  */
+  /* 503 tells the peer that nothing was appended.  */
   gp_http_exchange_answer (exchange, 503, NULL, 0, NULL, 0);
   g_free (append);
 }
--- a/src/jobsd/relay.h
+++ b/src/jobsd/relay.h
@@ -24,7 +24,8 @@
   gp_append_collector_t *collector; /* NULL: appends are relayed one by one */
 } gp_job_relay_t;
 
-/* COLLECTOR may be NULL.  */
+/* Listen on ADDRESS and relay to STORE, on a link of LINK_RATE bytes per
+   second, 0: unknown.  COLLECTOR may be NULL.  */
 bool gp_job_relay_init (gp_job_relay_t *relay, gp_loop_t *loop,
                         const char *address, const char *store,
                         int64_t link_rate, gp_append_collector_t *collector,
--- a/src/jobsd/store_route.h
+++ b/src/jobsd/store_route.h
@@ -29,9 +29,9 @@
                           gp_platform_store_t *store);
 void gp_store_route_finish (gp_store_route_t *route);
 
-/* A call on the current route was answered, or failed.  The store reports this
-   by itself (gp_platform_store_set_on_result) unless another callback has been
-   set since.  */
+/* A call on the current route was answered, or failed.  To be called by
+   whoever replaces the callback that gp_store_route_init sets with
+   gp_platform_store_set_on_result.  */
 void gp_store_route_add_result (gp_store_route_t *route, bool answered);
 
 /* Add a peer that relays calls at ADDRESS.  */
