Tests, benches: headers that say which failure is guarded against

They now name the failure. Constants say what they bound, structures what they hold. No check, output or code changes.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -62,7 +62,8 @@
     g_error ("%s", error->message);
 }
 
-/* A seventh of the executors is five times slower.  */
+/* Adds ratios to all executors, a seventh of which takes five times as long.
+ */
 static void
 add_ratios (gp_book_t *book, gp_time_t now)
 {
--- a/bench/bench_room.c
+++ b/bench/bench_room.c
@@ -1,6 +1,6 @@
-/* Measures the cost of a record of room at the leader, of reading one and of a
-   decision on a submission at an entry, with 3,600 executors and 95,000
-   tasks.  */
+/* Measures what a record of the room for new work costs: making it at the
+   leader, reading it at an entry, and deciding on a submission by it, with
+   3,600 executors and 95,000 tasks.  */
 
 #include <glib.h>
 #include <stdio.h>
@@ -19,7 +19,7 @@
 #define PRIORITIES 3
 #define RECORDS 20
 #define DECISIONS 100000
-/* Jobs that come back at the same time, the most that an entry keeps.  */
+/* Callers that come back, as many as an entry keeps a turn for.  */
 #define RETURNING 1000
 #define ENTRIES 18
 
@@ -82,6 +82,8 @@
     }
 }
 
+/* Returns how long DECISIONS decisions take, a duration; RETURNING: number of
+   callers that come back, 0: each is a new one.  */
 static gp_time_t
 measure_decisions (const gp_forecast_t *forecast,
                    const gp_room_reading_t *room, unsigned returning)
@@ -114,7 +116,8 @@
   return begin;
 }
 
-/* Reads BYTES as an entry does.  */
+/* Reads BYTES as an entry does, RECORDS times, and returns how long that
+   takes, a duration.  */
 static gp_time_t
 measure_reading (gp_room_reading_t *reading, GBytes *bytes, gp_time_t now)
 {
--- a/tests/scripts/handover.py
+++ b/tests/scripts/handover.py
@@ -22,10 +22,10 @@
           "e4": (0.12, 10)}
 STRONG = ("e1", "e2")
 WEAK = ("e3", "e4")
-# From the start of a strong entry: it has 3 s to load the log, and the weak
-# one leads for 5 s at least.
+# Longest time from the start of a strong entry until it leads: it has 3 s to
+# load the log, and the weak one leads for 5 s at least.
 HANDOVER_LIMIT_S = 10.0
-# Another handover would follow within this time.
+# Time in which a further handover would happen if the leader were still weak.
 STAYS_S = 6.0
 # Quick work that is submitted while the leader is stopped, or hands over, is
 # done within this time.
@@ -36,8 +36,9 @@
 # Delays from the resignation until the strong entry is killed: during its
 # claim and after it.
 KILL_DELAYS_S = [0.02, 0.08, 0.15, 0.4]
-# Longer than a lease of 5 s, which a resigning leader does not extend.  A
-# leader does so for 8 s without the store.
+# Duration of the outage: longer than a lease of 5 s, which a resigning leader
+# does not extend, and shorter than the 8 s for which a leader extends leases
+# without the store.
 OUTAGE_S = 7.0
 # The fields `incarnation', `resigned' and `beat' of a leader's record that
 # resigns.
--- a/tests/scripts/no_room.py
+++ b/tests/scripts/no_room.py
@@ -1,7 +1,7 @@
 """Entries with the forecast of room refuse what cannot be done while of use.
 
-A refused job must leave no record, its caller must be told when to come back,
-and `galenapier explain` must show why.
+Guards against a refused job that leaves a record, a caller that is not told
+when to come back, and a refusal that `galenapier explain` does not explain.
 """
 
 import json
--- a/tests/scripts/share_appends.py
+++ b/tests/scripts/share_appends.py
@@ -1,10 +1,10 @@
 """Entries that append to a slow store.
 
-Guards against a slow store that accepts nothing: with direct appends, those
-that entries have given up take all of its time.  With appends that are shared
-through the leader, submissions are accepted; when the leader is killed with
-batches in flight, no submission that was refused gets on the log, and none
-that was accepted is missing there.
+Guards against a slow store that accepts nothing, as direct appends that
+entries have given up take all of its time.  Appends are shared through the
+leader, so submissions are accepted.  The leader is killed with batches in
+flight: guards against refused submissions that are on the log, and accepted
+ones that are not.
 """
 
 import os
@@ -20,7 +20,8 @@
 APPEND_S = 0.25
 ANSWER_S = 0.1
 INTERVAL_S = 0.4
-# The direct appends with which the entries find the store slow are done.
+# Time until the direct appends by which the entries find the store slow are
+# done.
 TRANSITION_S = 3.0
 STEADY_S = 5.0
 # A caller is answered within this time.
@@ -30,7 +31,7 @@
 
 
 class Callers:
-    """Callers that submit a new job to each entry all the time."""
+    """Callers that submit a new job to each entry every INTERVAL_S."""
 
     def __init__(self, site):
         self.site = site
--- a/tests/scripts/slow_store.py
+++ b/tests/scripts/slow_store.py
@@ -14,7 +14,8 @@
                            request, start_site, until)
 
 APPEND_S = 0.002
-# The queue of three entries is as long as that of eleven.
+# With this duration of an append, the queue that three entries fill takes as
+# long as that of eleven entries with APPEND_S.
 CROWDED_APPEND_S = APPEND_S * 11 / 3
 ANSWER_S = 0.004
 SLOWER = 64
@@ -22,7 +23,7 @@
 STEP = [{"count": 1, "cpu": 100, "memMb": 1, "estimateMs": 50}]
 SLOW_S = 5.0
 SILENT_S = 4.0
-# In which an entry is killed before it gets an answer.
+# Delay of an answer, so that the entry can be killed before it.
 LATE_S = 0.4
 # Between two submissions at an entry.
 INTERVAL_S = 0.15
--- a/tests/unit/intake_world.c
+++ b/tests/unit/intake_world.c
@@ -1,4 +1,5 @@
-/* A site in virtual time for tests of admission by a forecast of room.  */
+/* Simulates a site in virtual time for tests of admission by a forecast of
+   room.  */
 
 #include "intake_world.h"
 
@@ -20,7 +21,8 @@
 #define READ_DELAY (120 * GP_MSEC)
 #define TRIES_MAX 4
 #define RUN_TIME (100 * GP_SEC)
-/* Durations differ from their estimates by this much (of the logarithm).  */
+/* Durations differ from their estimates by a factor whose logarithm is at most
+   twice this.  */
 #define NOISE 0.2
 
 static const char *const kind_names[] = { "quick", "batch", "huge" };
--- a/tests/unit/intake_world.h
+++ b/tests/unit/intake_world.h
@@ -1,7 +1,7 @@
-/* A site in virtual time for tests of admission by a forecast of room: a
-   leader that places jobs and writes records, entries that read them, callers
-   that come back, and a plain model of executors that shows what callers
-   really get.  */
+/* Simulates a site in virtual time for tests of admission by a forecast of
+   room: a leader that places jobs and writes records, entries that read them,
+   callers that come back, and a plain model of executors that shows when jobs
+   are done.  */
 
 #ifndef GP_TESTS_INTAKE_WORLD_H
 #define GP_TESTS_INTAKE_WORLD_H
@@ -19,6 +19,7 @@
   INTAKE_KINDS
 } intake_kind_t;
 
+/* What the callers of one kind got.  */
 typedef struct
 {
   unsigned callers;
@@ -34,13 +35,13 @@
 typedef struct
 {
   intake_kind_t kind;
-  double from_s;
+  double from_s; /* from the begin of the run */
   double to_s;
   double rate;
   unsigned leave_percent; /* share of callers that cancel after a second */
 } intake_load_t;
 
-/* Each fault lasts from the first time until the second.  */
+/* Faults, each from the first time until the second, as points in time.  */
 typedef struct
 {
   gp_time_t no_leader[2];
@@ -53,15 +54,16 @@
 #define INTAKE_QUICK_RATE 36.0
 #define INTAKE_BATCH_RATE 0.675
 
-/* Sums of what callers got, over all runs of a series.  */
+/* Runs of the same loads with the seeds from 1 to SEEDS, and the sums of what
+   callers got in them.  */
 typedef struct
 {
   const intake_load_t *loads;
-  size_t count;
+  size_t count; /* number of loads */
   unsigned seeds;
   void (*fail) (intake_faults_t *faults, gp_time_t begin); /* or NULL */
   intake_outcome_t outcomes[INTAKE_KINDS];
-  unsigned unreadable;
+  unsigned unreadable; /* records that entries could not read */
 } intake_series_t;
 
 #define INTAKE_SERIES(loads_, seeds_)                                         \
@@ -69,8 +71,8 @@
     .loads = (loads_), .count = G_N_ELEMENTS (loads_), .seeds = (seeds_)      \
   }
 
-/* Play the loads of SERIES with each of its seeds, and print and sum up what
-   callers get.  */
+/* Run the loads of SERIES with each of its seeds, with or without ADMISSION,
+   and print and sum up what callers get.  WHAT is printed before.  */
 void intake_world_play (const char *what, bool admission,
                         intake_series_t *series);
 
--- a/tests/unit/test_append_attempts.c
+++ b/tests/unit/test_append_attempts.c
@@ -1,10 +1,10 @@
 /* Tests of gp_append_attempts_t: entries whose callers append to one partition
    of a store that is slow, loses answers, is silent or refuses.
 
-   Guards against the fault in which a store 64 times slower accepted nothing
-   for 5.5 s: attempts that were given up stayed in its queue, and what they
-   had appended was appended again.  The previous rules are built here for
-   comparison.  */
+   Guards against a slow store that accepts nothing: attempts that an entry has
+   given up stay in its queue, and repetitions of what they contain wait behind
+   them.  The rules without CONFIRM, one attempt at a time that is given up at
+   its timeout, are implemented here as well, for comparison.  */
 
 #include <glib.h>
 #include <stdio.h>
@@ -19,9 +19,9 @@
 #define OTHER_SPACING (100 * GP_MSEC)
 #define FEED_TIMEOUT (1500 * GP_MSEC)
 #define REFUSALS_MAX 4
-/* No caller is refused at once if any call was answered for so long.  */
+/* No caller is refused at once if any call was answered within this time.  */
 #define RECENT (900 * GP_MSEC)
-/* Time of a last read, at most, before an answer is due.  */
+/* Longest time before an answer is due at which the last read is sent.  */
 #define LAST_READ_TIME (500 * GP_MSEC)
 /* The store.  */
 #define APPEND_COST (2 * GP_MSEC)
@@ -48,7 +48,8 @@
   bool refuses;
 } load_t;
 
-/* The rules before gp_append_attempts_t.  */
+/* State of the previous rules: those of gp_append_attempts_t without CONFIRM,
+   implemented independently of it.  */
 typedef struct
 {
   gp_time_t latency;
@@ -529,7 +530,7 @@
     CU_ASSERT_TRUE (world->now - entry->answered_at >= RECENT);
 }
 
-/* What callers got, who came during the fault.  */
+/* Returns what callers got that arrived during the fault.  */
 static outcome_t
 judge (const world_t *world)
 {
--- a/tests/unit/test_append_route.c
+++ b/tests/unit/test_append_route.c
@@ -4,9 +4,9 @@
    The partition processes one append at a time, refuses further ones while
    more than 2 s of them wait, and answers some time after it has processed
    one.  Each entry keeps one append in flight, gives it up after 0.5 to 1.2 s
-   and repeats it 50 ms later, as jobsd/jobs_api.c does.  Guards against a slow
-   store that accepts nothing, as all of its time goes into appends that were
-   given up.  */
+   and repeats it 50 ms later, as jobs/append_attempts.h does without CONFIRM.
+   Guards against a slow store that accepts nothing, as all of its time goes
+   into appends that were given up.  */
 
 #include <glib.h>
 #include <stdio.h>
@@ -33,7 +33,8 @@
 #define END_AT (16 * GP_SEC)
 /* The store may be fast for a moment in between.  */
 #define GAP_FROM (5 * GP_SEC)
-/* Two appends of a collector with the pause before each, and the hops.  */
+/* Longest time of two appends of a collector, with the pause before each and
+   the hops of a shared append.  */
 #define TWO_APPENDS                                                           \
   (2 * (SLOWNESS * (PROCESS_TIME + ANSWER_TIME) + 20 * GP_MSEC)               \
    + 2 * HOP_TIME + 2 * TICK)
@@ -499,7 +500,7 @@
   gp_time_t latest; /* the longest time until an answer of success */
 } result_t;
 
-/* What became of the submissions made from FROM until UNTIL.  */
+/* Returns the answers to the submissions made from FROM until UNTIL.  */
 static result_t
 result_of (const world_t *world, gp_time_t from, gp_time_t until)
 {
@@ -863,8 +864,9 @@
   CU_ASSERT_EQUAL (single.now - since, 4 * GP_SEC);
 }
 
-/* Which batches go into an append: in order, up to the limit, without those
-   whose senders have gone; a batch above the limit goes alone.  */
+/* Guards against appends with batches out of order, above the limit of size,
+   or of senders that do not wait any more; a batch above the limit goes alone.
+ */
 static void
 test_queue (void)
 {
@@ -903,8 +905,9 @@
 
 #define BATCHES 200
 
-/* The same over random events, against a plain array in the order of arrival:
-   each append has the oldest batches that fit, and their places add up.  */
+/* Differential run over random events, against a plain array in the order of
+   arrival: each append has the oldest batches that fit, and the place of each
+   is the number of records before it.  */
 static void
 test_queue_random (void)
 {
--- a/tests/unit/test_candidacy.c
+++ b/tests/unit/test_candidacy.c
@@ -361,7 +361,8 @@
   world_free (world);
 }
 
-/* Both claim with the same position; one append is refused.  */
+/* Guards against two leaders: both strong entries claim with the same
+   position, and one append is refused.  */
 static void
 test_two_strong_ones (void)
 {
@@ -403,8 +404,9 @@
   world_free (world);
 }
 
-/* The records of the strong ones remain.  The waiting times of 5, 10, 20 and
-   40 s and then 60 s allow six handovers in the first three minutes.  */
+/* Guards against entries that pass leadership around when no strong one is
+   left, whose records remain.  The waiting times of 5, 10, 20 and 40 s and
+   then 60 s allow six handovers in the first three minutes.  */
 static void
 test_only_weak_ones_left (void)
 {
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -20,8 +20,9 @@
   { INTAKE_BATCH, 15, 45, INTAKE_BATCH_RATE * 1.4, 0 },
 };
 
-/* Bursts of quick and of large jobs that overlap; without admission, nearly
-   half of the batch jobs end too late.  */
+/* Guards against accepting more in overlapping bursts of quick and of large
+   jobs than can be done while of use, and against refusing quick jobs in them.
+ */
 static void
 test_bursts (void)
 {
@@ -76,8 +77,9 @@
                   <= alone.outcomes[INTAKE_QUICK].refused * 102);
 }
 
-/* A queue that submits forty times the usual for some seconds, again and
-   again.  */
+/* Guards against a queue that submits forty times the usual for some seconds,
+   again and again, so that hardly any batch job is done while of use.  What is
+   accepted is checked in test_intake_floods.c.  */
 static void
 test_flood (void)
 {
@@ -98,7 +100,8 @@
   CU_ASSERT_EQUAL (series.outcomes[INTAKE_QUICK].refused, 0);
 }
 
-/* A third of the callers cancel after a second: what they leave is used.  */
+/* A third of the batch callers cancel after a second.  Guards against accepted
+   jobs that end too late, and quick jobs that are refused, because of that. */
 static void
 test_leavers (void)
 {
@@ -114,7 +117,8 @@
   intake_world_check_kept (&series);
 }
 
-/* Jobs whose own work takes longer than the result is of use.  */
+/* Guards against accepting jobs whose own work takes longer than the result is
+   of use.  */
 static void
 test_hopeless (void)
 {
@@ -272,8 +276,8 @@
          == GP_INTAKE_ACCEPTED;
 }
 
-/* A refused caller comes back before new ones get its room, and only if there
-   will be any.  */
+/* Guards against new callers that get the room of a refused one before it
+   comes back, and against a turn for one that could not be accepted then.  */
 static void
 test_turns (void)
 {
@@ -302,8 +306,8 @@
   desk_finish (&desk);
 }
 
-/* The refusal of a job that is or may be on the log would not be true; and of
-   some jobs nothing can be forecast.  */
+/* Guards against refusing a job whose record is or may be on the log, which
+   would not be true, and jobs that the forecast does not cover.  */
 static void
 test_exempt (void)
 {
