--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -173,7 +173,8 @@
   gp_time_t due_at;       /* its objective */
   gp_time_t useless_at;   /* its result is useless after this */
   gp_time_t forecast_end; /* the leader's forecast of its end when it was first
-                             counted, 0: none; see jobs/room.h */
+                             counted, 0: none yet, GP_TIME_NEVER: its error has
+                             been learned; see jobs/room.h */
   gp_time_t *task_times;  /* expected duration of a task, by step */
   gp_headroom_t *loads;   /* headroom of the serving runs, by step */
   uint32_t occurrences;
--- a/src/jobsd/announce.h
+++ b/src/jobsd/announce.h
@@ -37,8 +37,8 @@
                                    uint64_t incarnation);
 void gp_announcer_finish (gp_announcer_t *announcer);
 
-/* The capacity that an entry with SETTINGS announces, 0: not given; see Node
-   in protocol/jobs.proto.  */
+/* Return the capacity that an entry with SETTINGS announces, 0: not given: its
+   share of a core in thousandths, and its link in kilobits per second.  */
 uint32_t gp_announced_cpu_milli (const gp_platform_settings_t *settings);
 uint32_t gp_announced_link_kbps (const gp_platform_settings_t *settings);
 
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -136,8 +136,8 @@
   bool resigning;        /* the batch gives leadership up */
   bool handing_over;     /* it does so for a stronger entry, and this process
                             goes on as a follower */
-  gp_time_t append_time; /* duration of the last acknowledged append, from its
-                            first attempt */
+  gp_time_t append_time; /* a duration: of the last acknowledged append, from
+                            its first attempt */
   gp_candidacy_t candidacy; /* without capacities unless leaders are ranked */
   gp_platform_store_call_t *call;
   GPtrArray *frames; /* frame_t of leader_frames.c, sent when the append is
@@ -180,8 +180,9 @@
 void gp_leader_announced (gp_leader_t *leader, const char *node,
                           uint64_t incarnation, uint64_t ceased);
 
-/* Rank the entries by capacity, see jobs/candidacy.h; the values are those of
-   this entry, see Node in protocol/jobs.proto.  */
+/* Rank the entries by capacity, see jobs/candidacy.h.  CPU_MILLI, in
+   thousandths of a core, and LINK_KBPS, in kilobits per second, are those of
+   this entry; 0: unknown.  */
 void gp_leader_set_capacity (gp_leader_t *leader, uint32_t cpu_milli,
                              uint32_t link_kbps);
 /* The entry on NODE has announced itself with RECORD, which contains its
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -340,9 +340,9 @@
       now_of (leader) + APPEND_TIMEOUT, on_checked, leader);
 }
 
-/* No attempt to append the resignation was carried out.  A leader that resigns
-   acknowledges no reports, so this one leads on while the store refuses
-   appends.  */
+/* Replace the resignation in the batch, which no attempt has appended, by a
+   record that confirms leadership.  A leader that resigns acknowledges no
+   reports, so it must not go on resigning while the store refuses appends.  */
 static void
 withdraw_resignation (gp_leader_t *leader)
 {
--- a/src/jobsd/leader_private.h
+++ b/src/jobsd/leader_private.h
@@ -74,7 +74,7 @@
 /* Begin to resign in favour of a stronger entry if one should lead.  To be
    called only between appends; the next flush writes the resignation.  */
 void gp_leader_consider_handover (gp_leader_t *leader);
-/* The resignation at offset OFFSET is on the log, and this entry follows.  */
+/* The resignation in favour of a stronger entry is on the log at OFFSET.  */
 void gp_leader_note_handover (gp_leader_t *leader, uint64_t offset);
 
 /* Add a record to the batch that is being built.  */
--- a/tests/unit/test_executor_speed.c
+++ b/tests/unit/test_executor_speed.c
@@ -33,10 +33,10 @@
   GArray *runs;         /* sim_run_t, those that are running */
   GPtrArray *jobs;      /* gp_job_t, all that were submitted */
   unsigned executors;   /* named x00, x01 and so on */
-  unsigned slow;        /* the first ones are slow ... */
-  double slowdown;      /* ... by this factor */
-  unsigned long_one_in; /* one task in so many takes seven times as long, 0:
-                           none */
+  unsigned slow;        /* the first SLOW executors are slow */
+  double slowdown;      /* factor of the duration of runs there */
+  unsigned long_one_in; /* one task in LONG_ONE_IN takes seven times as long,
+                           0: none */
   gp_time_t next_job_at;
   unsigned slow_seen; /* executors that counted as slow, summed over ticks */
   unsigned wrong;     /* the same, of executors that were not slow */
