--- a/tests/unit/test_append_route.c
+++ b/tests/unit/test_append_route.c
@@ -510,7 +510,8 @@
     {
       const submission_t *submission = submission_at (world, i);
 
-      /* What is answered holds: accepted is on the log, refused is not.  */
+      /* Guards against false answers: what was accepted is on the log, what
+         was refused is not.  */
       CU_ASSERT_FALSE (submission->status == 200 && submission->on_log == 0);
       CU_ASSERT_FALSE (submission->status == 503 && submission->on_log > 0);
       if (submission->at < from || submission->at >= until)
@@ -578,9 +579,9 @@
     }
 }
 
-/* The store is fast for a moment.  What was measured then must not let all
-   entries send direct copies when it is slow again, which would fill its queue
-   for seconds.  */
+/* The store is fast for a moment.  Guards against a time-out from what was
+   measured then, by which all entries send direct copies when the store is
+   slow again and fill its queue for seconds.  */
 static void
 test_fast_moment (void)
 {
@@ -758,8 +759,9 @@
                    GP_APPEND_SHARED);
 }
 
-/* A leader that does not take an append is asked again after a second, and
-   the append counts as refused only if the store has refused it as well.  */
+/* Guards against an append that counts as refused because only the leader
+   has refused it, and against a leader that is not asked again after a
+   second.  */
 static void
 test_not_taken (void)
 {
@@ -786,7 +788,8 @@
       GP_APPEND_END_UNKNOWN);
 }
 
-/* What the store says through the leader does not end sharing.  */
+/* Guards against direct appends after a failure of the store that the
+   leader has passed on.  */
 static void
 test_store_refuses (void)
 {
@@ -804,8 +807,9 @@
   CU_ASSERT_EQUAL (begin (&single), GP_APPEND_SEND_SHARED);
 }
 
-/* Without an answer after twice the usual time an append is sent directly as
-   well, with as much time as it had; the first success counts.  */
+/* Guards against waiting longer than twice the usual time for a leader: the
+   append is sent directly as well then, with as much time as it had, and
+   the first success counts.  */
 static void
 test_copy (void)
 {
@@ -838,8 +842,8 @@
                    GP_APPEND_SHARED);
 }
 
-/* An attempt that ends before that time counts for the next one: with a
-   leader that never answers, appends are direct after at most 4 s.  */
+/* Guards against sharing for longer than 4 s with a leader that never answers,
+   when each attempt ends before that time.  */
 static void
 test_silent_leader (void)
 {
--- a/tests/unit/test_candidacy.c
+++ b/tests/unit/test_candidacy.c
@@ -431,9 +431,10 @@
   world_free (world);
 }
 
-/* A strong entry that is killed whenever it leads and comes back gets
-   leadership once for each of its processes, after it has loaded the log and
-   the weak one has led for its time.  */
+/* A strong entry is killed whenever it leads, and comes back.  Guards
+   against more than one handover for each of its processes: it gets
+   leadership after it has loaded the log and the weak one has led for its
+   time.  */
 static void
 test_strong_one_fails (void)
 {
--- a/tests/unit/test_room.c
+++ b/tests/unit/test_room.c
@@ -121,8 +121,8 @@
     }
 }
 
-/* Records: at most every half second, and without a change of a tenth every
-   second.  */
+/* Guards against records that are made more often than every half second or,
+   without a change of a tenth, more often than every second.  */
 static void
 test_times (void)
 {
@@ -156,8 +156,9 @@
   jobs_site_finish (&site);
 }
 
-/* An evacuated zone takes its share at once, also of the room for filling
-   work, which is an average otherwise.  */
+/* Guards against room that still includes an evacuated zone: its share is
+   gone at once, also from the room for filling work, which is an average
+   otherwise.  */
 static void
 test_evacuation (void)
 {
@@ -185,8 +186,9 @@
   jobs_site_finish (&site);
 }
 
-/* Work that is no longer useful is behind new work of its priority, and ahead
-   of lower ones.  */
+/* Guards against refusing new jobs because of work that is no longer
+   useful: it is behind new work of its priority, and ahead of lower
+   priorities.  */
 static void
 test_useless (void)
 {
@@ -209,7 +211,7 @@
   jobs_site_finish (&site);
 }
 
-/* The same of work that is useful now and will not be when it is done: new
+/* The same for work that is useful now and will not be when it is done: new
    jobs overtake it.  */
 static void
 test_lost (void)
@@ -256,8 +258,9 @@
   gp_room_job_ended (room, job, site->now + GP_SEC);
 }
 
-/* Late ends are learned by priority, early ones are no error, and the next
-   leader continues.  */
+/* Guards against errors of one priority that count for another, against
+   early ends that count as errors, and against a next leader that begins
+   without the average.  */
 static void
 test_errors (void)
 {
@@ -286,8 +289,7 @@
   jobs_site_finish (&site);
 }
 
-/* A job that is never done counts as well: otherwise the error would come
-   only from those that are.  */
+/* Guards against an error that ignores jobs that are never done.  */
 static void
 test_never_done (void)
 {
@@ -307,9 +309,9 @@
   jobs_site_finish (&site);
 }
 
-/* Accepted jobs that wait beyond their objective: the record has the time for
-   which new ones may delay them; jobs whose tasks are all running are not
-   delayed.  */
+/* Guards against new jobs that delay accepted ones beyond their usefulness:
+   the record has the time for which they may.  Jobs whose tasks are all
+   running are not delayed.  */
 static void
 test_slack (void)
 {
@@ -343,8 +345,8 @@
   jobs_site_finish (&site);
 }
 
-/* Work that cannot be placed for lack of an executor with its label takes no
-   processors from others, however long it waits.  */
+/* Guards against refusing jobs because of work that cannot be placed for
+   lack of an executor with its label, however long it waits.  */
 static void
 test_other_waits (void)
 {
--- a/tests/unit/test_shared_appends.c
+++ b/tests/unit/test_shared_appends.c
@@ -228,9 +228,9 @@
   g_free (fixture->relay_address);
 }
 
-/* Three batches wait while one is in flight, and go into one append.  One of
-   them belongs to the entry itself, another one to a peer whose calls are
-   relayed.  */
+/* Guards against wrong offsets when three batches that wait go into one
+   append.  One of them belongs to the entry itself, another one to a peer
+   whose calls are relayed.  */
 static void
 test_collected (void)
 {
@@ -255,8 +255,9 @@
   fixture_finish (&fixture);
 }
 
-/* A sender that leaves takes its batch out of the queue, and changes nothing
-   for the others once it is in an append.  */
+/* Guards against appending the batch of a sender that left while it was in
+   the queue, and against a sender that leaves later and changes the answers
+   to others.  */
 static void
 test_sender_leaves (void)
 {
@@ -280,7 +281,8 @@
   fixture_finish (&fixture);
 }
 
-/* The connection of a sender ends while its batch is in the append.  */
+/* Guards against an answer to a sender whose connection has ended while its
+   batch was in the append.  */
 static void
 test_sender_disconnects (void)
 {
@@ -302,8 +304,9 @@
   fixture_finish (&fixture);
 }
 
-/* Only what the store refuses is passed on as refused by it; without an answer
-   of the store the outcome is unknown to all senders.  */
+/* Guards against a refusal of a batch that may be on the log: only what the
+   store refuses is passed on as refused by it; without an answer of the
+   store the outcome is unknown to all senders.  */
 static void
 test_store_fails (void)
 {
@@ -321,8 +324,8 @@
   fixture_finish (&fixture);
 }
 
-/* An entry whose own calls are relayed takes no batches and refuses those that
-   wait: the peer that relays its calls might send them back.  */
+/* Guards against calls that are relayed in a loop: an entry whose own calls
+   are relayed takes no batches and refuses those that wait.  */
 static void
 test_relayed_collector (void)
 {
@@ -341,8 +344,9 @@
   fixture_finish (&fixture);
 }
 
-/* Other requests are relayed as before, and without a collector these are as
-   well.  */
+/* Guards against collecting other requests than appends to the topic of
+   jobs without a condition, and against collecting without a collector:
+   these are relayed.  */
 static void
 test_not_collected (void)
 {
@@ -419,9 +423,9 @@
   fixture_finish (&fixture);
 }
 
-/* The leader's process ends with a batch in flight.  The append is sent
-   directly; as the first one may be on the log, the store's refusal of the
-   second one is none.  */
+/* The leader's process ends with a batch in flight, and the append is sent
+   directly.  Guards against a refusal of the append because the store
+   refuses the second attempt, as the first one may be on the log.  */
 static void
 test_leader_dies (void)
 {
@@ -441,8 +445,8 @@
   fixture_finish (&fixture);
 }
 
-/* A batch that is not a sequence of complete records would make the records
-   of others unreadable.  */
+/* Guards against a batch that is not a sequence of complete records: it
+   would make the records of others unreadable.  */
 static void
 test_malformed (void)
 {
