--- a/src/jobs/append_route.h
+++ b/src/jobs/append_route.h
@@ -77,9 +77,9 @@
                             duration */
   gp_time_t answered_at; /* when the last shared append was done, 0: none was,
                             or its duration does not count any more */
-  gp_time_t unanswered_since; /* when the oldest shared append that the leader
-                                 has not answered was sent, or the leader's
-                                 last answer since; 0: none is unanswered */
+  gp_time_t unanswered_since; /* since when the leader has not answered a
+                                 shared append: when the first was sent, or its
+                                 last answer; 0: none is waited for */
   gp_time_t barred_until;     /* no append is shared before this time */
 } gp_append_route_t;
 
--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -266,8 +266,8 @@
 }
 
 /* Returns whether the waiting tasks of a step wait for something other than
-   processors: for accelerators, or for what the placer has found.  New jobs do
-   not have to wait for them.  */
+   processors: for accelerators, or for another cause that the placer has
+   found. New jobs do not have to wait for them.  */
 static bool
 waits_for_others (const Gp__Jobs__Step *step, const gp_step_tally_t *tally)
 {
