--- a/src/jobsd/append_collector.c
+++ b/src/jobsd/append_collector.c
@@ -61,9 +61,8 @@
     }
 }
 
-/* The outcome of an append without a condition.  */
-static gp_append_outcome_t
-outcome_of (const gp_platform_store_answer_t *answer)
+gp_append_outcome_t
+gp_append_outcome_of (const gp_platform_store_answer_t *answer)
 {
   switch (answer->result)
     {
@@ -90,7 +89,8 @@
   collected.collected = true;
   collector->call = NULL;
   gp_histogram_add (&append_time, now - answer->sent_at);
-  gp_append_queue_end (&collector->queue, outcome_of (answer), now, &ended);
+  gp_append_queue_end (&collector->queue, gp_append_outcome_of (answer), now,
+                       &ended);
   answer_senders (collector, &ended, &collected);
   start_append (collector);
 }
--- a/src/jobsd/job_appender.c
+++ b/src/jobsd/job_appender.c
@@ -24,7 +24,8 @@
   gp_platform_store_cb_t on_done;
   void *data;
   gp_time_t begun_at;
-  gp_time_t shared_deadline; /* when this entry's own collector is given up */
+  gp_time_t shared_deadline; /* when the batch is taken back from this entry's
+                                own collector */
   gp_platform_store_call_t *direct; /* calls in progress, or NULL */
   gp_platform_store_call_t *by_peer;
   gp_collected_t *collected; /* at this entry's own collector, or NULL */
@@ -75,30 +76,12 @@
   gp_timer_arm (&appender->timer, at);
 }
 
-/* The outcome of a direct append.  */
-static gp_append_outcome_t
-outcome_of (const gp_platform_store_answer_t *answer)
-{
-  switch (answer->result)
-    {
-    case GP_PLATFORM_STORE_DONE:
-      return GP_APPEND_DONE;
-    case GP_PLATFORM_STORE_UNKNOWN:
-      return GP_APPEND_UNKNOWN;
-    case GP_PLATFORM_STORE_REFUSED:
-    case GP_PLATFORM_STORE_CONFLICT:
-    case GP_PLATFORM_STORE_EXPIRED:
-      break;
-    }
-  return GP_APPEND_REFUSED;
-}
-
 /* The outcome of a shared append: a failure is the store's only if the
    collector says so.  */
 static gp_append_outcome_t
 shared_outcome_of (const gp_platform_store_answer_t *answer)
 {
-  gp_append_outcome_t outcome = outcome_of (answer);
+  gp_append_outcome_t outcome = gp_append_outcome_of (answer);
 
   if (outcome == GP_APPEND_DONE || answer->collected)
     return outcome;
@@ -126,7 +109,8 @@
   gp_job_append_t *append = data;
 
   append->direct = NULL;
-  note_answer (append, GP_APPEND_DIRECT, outcome_of (answer), answer);
+  note_answer (append, GP_APPEND_DIRECT, gp_append_outcome_of (answer),
+               answer);
 }
 
 static void
--- a/tests/unit/test_append_route.c
+++ b/tests/unit/test_append_route.c
@@ -4,9 +4,9 @@
    The partition processes one append at a time, refuses further ones while
    more than 2 s of them wait, and answers some time after it has processed
    one.  Each entry keeps one append in flight, gives it up after 0.5 to 1.2 s
-   and repeats it 50 ms later, as jobsd/jobs_api.c does.  Guards against a slow
-   store that accepts nothing, as all of its time goes into appends that were
-   given up.  */
+   and repeats it 50 ms later, as jobs/append_attempts.h does without CONFIRM.
+   Guards against a slow store that accepts nothing, as all of its time goes
+   into appends that were given up.  */
 
 #include <glib.h>
 #include <stdio.h>
@@ -33,7 +33,8 @@
 #define END_AT (16 * GP_SEC)
 /* The store may be fast for a moment in between.  */
 #define GAP_FROM (5 * GP_SEC)
-/* Two appends of a collector with the pause before each, and the hops.  */
+/* Longest time of two appends of a collector, with the pause before each and
+   the hops of a shared append.  */
 #define TWO_APPENDS                                                           \
   (2 * (SLOWNESS * (PROCESS_TIME + ANSWER_TIME) + 20 * GP_MSEC)               \
    + 2 * HOP_TIME + 2 * TICK)
@@ -499,7 +500,7 @@
   gp_time_t latest; /* the longest time until an answer of success */
 } result_t;
 
-/* What became of the submissions made from FROM until UNTIL.  */
+/* Returns the answers to the submissions made from FROM until UNTIL.  */
 static result_t
 result_of (const world_t *world, gp_time_t from, gp_time_t until)
 {
@@ -509,7 +510,8 @@
     {
       const submission_t *submission = submission_at (world, i);
 
-      /* What is answered holds: accepted is on the log, refused is not.  */
+      /* Guards against false answers: what was accepted is on the log, what
+         was refused is not.  */
       CU_ASSERT_FALSE (submission->status == 200 && submission->on_log == 0);
       CU_ASSERT_FALSE (submission->status == 503 && submission->on_log > 0);
       if (submission->at < from || submission->at >= until)
@@ -577,9 +579,9 @@
     }
 }
 
-/* The store is fast for a moment.  What was measured then must not let all
-   entries send direct copies when it is slow again, which would fill its queue
-   for seconds.  */
+/* The store is fast for a moment.  Guards against a time-out from what was
+   measured then, by which all entries send direct copies when the store is
+   slow again and fill its queue for seconds.  */
 static void
 test_fast_moment (void)
 {
@@ -757,8 +759,9 @@
                    GP_APPEND_SHARED);
 }
 
-/* A leader that does not take an append is asked again after a second, and
-   the append counts as refused only if the store has refused it as well.  */
+/* Guards against an append that counts as refused because only the leader
+   has refused it, and against a leader that is not asked again after a
+   second.  */
 static void
 test_not_taken (void)
 {
@@ -785,7 +788,8 @@
       GP_APPEND_END_UNKNOWN);
 }
 
-/* What the store says through the leader does not end sharing.  */
+/* Guards against direct appends after a failure of the store that the
+   leader has passed on.  */
 static void
 test_store_refuses (void)
 {
@@ -803,8 +807,9 @@
   CU_ASSERT_EQUAL (begin (&single), GP_APPEND_SEND_SHARED);
 }
 
-/* Without an answer after twice the usual time an append is sent directly as
-   well, with as much time as it had; the first success counts.  */
+/* Guards against waiting longer than twice the usual time for a leader: the
+   append is sent directly as well then, with as much time as it had, and
+   the first success counts.  */
 static void
 test_copy (void)
 {
@@ -837,8 +842,8 @@
                    GP_APPEND_SHARED);
 }
 
-/* An attempt that ends before that time counts for the next one: with a
-   leader that never answers, appends are direct after at most 4 s.  */
+/* Guards against sharing for longer than 4 s with a leader that never answers,
+   when each attempt ends before that time.  */
 static void
 test_silent_leader (void)
 {
@@ -912,8 +917,9 @@
                    GP_APPEND_SHARED);
 }
 
-/* Which batches go into an append: in order, up to the limit, without those
-   whose senders have gone; a batch above the limit goes alone.  */
+/* Guards against appends with batches out of order, above the limit of size,
+   or of senders that do not wait any more; a batch above the limit goes alone.
+ */
 static void
 test_queue (void)
 {
@@ -952,8 +958,9 @@
 
 #define BATCHES 200
 
-/* The same over random events, against a plain array in the order of arrival:
-   each append has the oldest batches that fit, and their places add up.  */
+/* Differential run over random events, against a plain array in the order of
+   arrival: each append has the oldest batches that fit, and the place of each
+   is the number of records before it.  */
 static void
 test_queue_random (void)
 {
