--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -247,34 +247,31 @@
   return change->is_cancel ? job->cancelled : job->submission != NULL;
 }
 
-/* Returns whether another change than REFUSED, NULL: any, is in progress for
-   the job ID.  Its record may be on the log, or be sent yet, also if its
-   caller has disconnected.  */
-static bool
-is_in_progress (const gp_job_changes_t *changes, const char *id,
-                const change_t *refused)
+/* Returns the number of changes in progress for the job ID.  The record of
+   each may be on the log, or be sent yet, also if its caller has disconnected.
+ */
+static unsigned
+count_in_progress (const gp_job_changes_t *changes, const char *id)
 {
-  GP_LIST_FOREACH (link, &changes->list)
-  {
-    const change_t *change = GP_CONTAINER_OF (link, change_t, link);
+  unsigned count = 0;
 
-    if (change != refused && strcmp (id_of (change), id) == 0)
-      return true;
-  }
-  return false;
+  GP_LIST_FOREACH (link, &changes->list)
+  count += strcmp (id_of (GP_CONTAINER_OF (link, change_t, link)), id) == 0;
+  return count;
 }
 
 /* Returns the status of a refusal. 503 means that the job never runs, which
    holds only if no attempt has an open outcome, for this request
    (OUTCOME_UNKNOWN), an earlier or another one of the same id; otherwise 504.
-   REFUSED is the change that is refused, NULL: none was begun.  */
+   REFUSED of the changes in progress for it, 0 or 1, are refused now.  */
 static int
-refusal_status (gp_job_changes_t *changes, const char *id,
-                const change_t *refused, bool outcome_unknown)
+refusal_status (gp_job_changes_t *changes, const char *id, unsigned refused,
+                bool outcome_unknown)
 {
   /* A caller may try again before its first request is answered.  */
   if (changes->attempts.confirm)
-    outcome_unknown = outcome_unknown || is_in_progress (changes, id, refused);
+    outcome_unknown
+        = outcome_unknown || count_in_progress (changes, id) > refused;
   if (!outcome_unknown && !g_hash_table_contains (changes->open_outcomes, id))
     return 503;
   if (g_hash_table_size (changes->open_outcomes) >= OPEN_OUTCOMES_MAX)
@@ -319,8 +316,8 @@
       complete_known (change);
       return;
     }
-  status = refusal_status (change->changes, id_of (change), change,
-                           is_open (change));
+  status
+      = refusal_status (change->changes, id_of (change), 1, is_open (change));
   gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
   end_change (change, status, why);
 }
@@ -730,7 +727,7 @@
 refuse_now (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
             const char *id, bool is_cancel)
 {
-  int status = refusal_status (changes, id, NULL, false);
+  int status = refusal_status (changes, id, 0, false);
 
   gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
   log_answer (id, is_cancel, status, "the store has not answered lately", 0,
