--- a/tests/scripts/soak.sh
+++ b/tests/scripts/soak.sh
@@ -1,7 +1,10 @@
 #!/bin/sh
-# Two short seeds of the soak, one of them with planned faults only, and two in
-# which executors restart under the same id; see tools/soak.
+# Two short seeds of the soak, one of them with planned faults only, two in
+# which executors restart under the same id, and two with a store that is slow
+# at times and entries of unequal capacity; see tools/soak.
 set -e
 soak=$(dirname "$0")/../../tools/soak
 python3 "$soak" "$1" --first 8 --seeds 2 --seconds 6
 python3 "$soak" "$1" --first 10 --seeds 2 --seconds 6 --lives
+python3 "$soak" "$1" --first 9001 --seeds 2 --seconds 6 \
+  --features share_appends confirm_appends measure_speed
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -21,6 +21,9 @@
 # An unplanned fault may have effects for this long after its end: the leases
 # of unreachable executors expire, and work is started elsewhere.
 UNPLANNED_EFFECTS_S = 16.0
+# At the usual speed of the store, where it can be slow: an append, and any
+# answer.
+APPEND_S, ANSWER_S = 0.002, 0.004
 # No signals are sent to a process for this long after its start: until it has
 # installed its handlers, any signal ends it.
 STARTUP_S = 0.5
@@ -32,7 +35,8 @@
     Kinds whose name contains a word in without are excluded.
     """
 
-    def __init__(self, site, seed, profile, without, workers, lives=False):
+    def __init__(self, site, seed, profile, without, workers, lives=False,
+                 slow_store=False):
         self.site = site
         # A separate generator, so that the schedule drawn from self.random
         # does not depend on lives.
@@ -54,6 +58,10 @@
                  + self.unplanned()}[profile]
         if lives and profile == "mixed":
             kinds = kinds + [self.executor_restarts] * 3
+        if slow_store:
+            site.store.append_s, site.store.answer_s = APPEND_S, ANSWER_S
+            if profile == "mixed":
+                kinds = kinds + [self.store_slow] * 3
         self.kinds = [kind for kind in kinds
                       if not any(word in kind.__name__ for word in without)]
 
@@ -404,6 +412,17 @@
             self.site.store.refused = set()
         self.later(seconds, all_again)
 
+    def store_slow(self):
+        slower, seconds = (self.random.choice([16, 64, 128]),
+                           self.random.uniform(1, 9))
+        self.note(f"store {slower} times slower {seconds:.1f} s")
+        self.trouble(seconds)
+        self.site.store.slower = slower
+
+        def fast():
+            self.site.store.slower = 1
+        self.later(seconds, fast)
+
     def store_loses(self):
         self.note("answers lost")
         self.trouble(0)
@@ -469,6 +488,7 @@
         self.site.store.down, self.site.store.refused = None, set()
         self.site.store.silent = set()
         self.site.store.lost = 0
+        self.site.store.slower = 1
         self.heal(list(self.site.links))
         for process in list(self.site.processes.values()):
             process.signal(signal.SIGCONT)
