--- a/review/lib/executor.py
+++ b/review/lib/executor.py
@@ -32,9 +32,6 @@
         self.labels = ["a", rack]
         self.name, self.life = name, 1
         self.absent_until = 0.0  # after a crash: nothing answers until then
-        self.fails = False       # every run ends `failed`
-        self.crash_after_start_s = None  # crash this long after a start
-        self.outage_s = 4.0      # how long a crash lasts
         self.server = serve(address, self.handle)
         threading.Thread(target=self.beat, daemon=True).start()
         threading.Thread(target=self.tick, daemon=True).start()
@@ -93,10 +90,8 @@
                         self.end(task, "lapsed")
                     elif now >= run["stop_at"]:
                         self.end(task, "stopped")
-                    else:
-                        how = self.ledger.outcome(task, run, now, self.fails)
-                        if how:
-                            self.end(task, how)
+                    elif now >= run["done_at"]:
+                        self.end(task, "done")
                 if lapsed and self.ended:
                     self.ledger.lapsed(self.id)
 
@@ -133,10 +128,6 @@
     def answer(self, status, **more):
         return status, json.dumps({"clockMs": self.clock(), **more}).encode()
 
-    def crash_in(self, life):
-        if life == self.life and not self.closed:
-            self.crash(self.outage_s)
-
     def extend(self, until):
         self.lease_ms = max(self.lease_ms,
                             min(until, self.clock() + HOLD_MAX_MS))
@@ -157,13 +148,10 @@
             self.extend(order["untilMs"])
             return self.answer(409, reason="room")
         self.runs[task] = {"run": run, "cpu": cpu,
-                           "stop_at": float("inf"), "began": time.monotonic(),
+                           "stop_at": float("inf"),
                            "done_at": time.monotonic() + self.work_s(task)}
         self.extend(order["untilMs"])
         self.ledger.start(self.id, task, run, order.get("spec", ""))
-        if self.crash_after_start_s is not None:
-            threading.Timer(self.crash_after_start_s, self.crash_in,
-                            (self.life,)).start()
         return self.answer(200)
 
     def stop(self, order):
--- a/review/lib/site_of_processes.py
+++ b/review/lib/site_of_processes.py
@@ -27,7 +27,6 @@
 FRONT, READY, CONTROL, INTERNAL = 8161, 8167, 8166, 7720
 STORE_PORT, APP_PORT = 8169, 8165
 METRICS = 9464
-GANG_WAIT_S = 3.0
 
 
 def document(version=3, **queue):
@@ -55,8 +54,6 @@
         self.twice = []     # starts after a `done`, or beside another run
         self.after_done = []
         self.most_ends = 0
-        self.gangs = {}      # (job, step): members
-        self.gang_runs = {}
         self.failed = {}     # task: runs that ended `failed`
         self.noted_done = set()
         self.specs = {}
@@ -82,11 +79,6 @@
                 if name == task:
                     self.after_done.append((key, task, before, run, executor))
             others[executor] = run
-            gang = self.gang(task, run)
-            if gang is not None:
-                gang["present"].add(task)
-                if len(gang["present"]) == gang["count"]:
-                    gang["at"] = now
             self.starts.setdefault(task, []).append((now, executor, run))
             self.specs.setdefault(task, set()).add(spec)
 
@@ -94,48 +86,14 @@
         with self.lock:
             self.note(f"{executor} crashes with {task} run {run}")
             self.active.get(task, {}).pop(executor, None)
-            gang = self.gang(task, run)
-            if gang is not None and gang["outcome"] is None:
-                gang["outcome"] = "broken"
 
     def crashed(self, executor):
         self.note(f"{executor} crashes")
 
-    def gang(self, task, run):
-        """The state of that run of TASK's gang; None if it is in no gang."""
-        job, _, step, _ = task.split(".")
-        count = self.gangs.get((job, int(step)))
-        if count is None:
-            return None
-        return self.gang_runs.setdefault(
-            (task.rsplit(".", 1)[0], run),
-            {"count": count, "present": set(), "at": None, "outcome": None})
-
-    def outcome(self, task, run, now, fails):
-        """How the run ends now; None if it goes on."""
-        gang = self.gang(task, run["run"])
-        with self.lock:
-            if gang is None:
-                if now < run["done_at"]:
-                    return None
-                return "failed" if fails else "done"
-            if gang["outcome"]:
-                return gang["outcome"]
-            if gang["at"] is None:
-                if now >= run["began"] + GANG_WAIT_S:
-                    return "alone"
-                return None
-            if now < gang["at"] + run["done_at"] - run["began"]:
-                return None
-            return "failed" if fails else "done"
-
     def end(self, executor, number, task, run, how):
         with self.lock:
             self.note(f"{executor} end {number}: {task} run {run} {how}")
             self.active.get(task, {}).pop(executor, None)
-            gang = self.gang(task, run)
-            if gang is not None and gang["outcome"] is None:
-                gang["outcome"] = "done" if how == "done" else "broken"
             if how == "failed":
                 self.failed.setdefault(task, []).append(run)
             if how == "done":
@@ -320,9 +278,9 @@
         """Send until there is a final answer, as a client does: no answer,
         502 and 504 are tried again at the next node."""
         for i, step in enumerate(steps):
-            self.ledger.cpus[job, i] = step.get("cpu", 0)
-            if step.get("gang"):
-                self.ledger.gangs[job, i] = step["count"]
+            # The cpu of a step that fills takes none of the capacity.
+            self.ledger.cpus[job, i] = 0 if step.get("fills") \
+                else step.get("cpu", 0)
         names = list(self.entries)
         for attempt in range(4):
             node = names[(names.index(entry) + attempt) % len(names)]
