--- a/review/lib/site_of_processes.py
+++ b/review/lib/site_of_processes.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -319,7 +320,11 @@
 
 
 def run(case):
-    """Play CASE(site folder, with trouble) and exit with 0, 1 or 2."""
+    """Play CASE(site folder, with trouble) and exit with 0, 1 or 2.
+
+    SIGTERM, also that of the time limit in run.sh, ends what was started.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     folder = os.environ["CASE_FOLDER"]
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
