agent: a list of the executor is one struct, with its completeness

gp_agent_listed took eight arguments, and whether the list was complete reached it only as a changed time of the request. gp_agent_list_t holds the list, and the agent decides what an incomplete one shows. The answer to a list request embeds it; its type is gp_runtime_list_answer_t.

No change of behaviour.

--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -225,6 +225,19 @@
                       the last half second */
 } gp_agent_row_t;
 
+/* The executor's list.  */
+typedef struct
+{
+  const gp_agent_row_t *runs;
+  size_t run_count;
+  const Gp__Jobs__End *ends; /* not yet confirmed, in ascending order */
+  size_t end_count;
+  int64_t clock_ms;  /* the executor's clock when it answered, -1: not given */
+  gp_time_t sent_at; /* when the list was requested */
+  bool complete;     /* any other run had not begun or is absent; otherwise the
+                        list shows nothing of the runs that it lacks */
+} gp_agent_list_t;
+
 typedef struct
 {
   Gp__Jobs__Executor *executor;       /* owned, NULL: not known yet */
@@ -401,11 +414,9 @@
 /* Returns the end of the lease for the next list request, on the executor's
    clock; 0: do not extend it.  */
 int64_t gp_agent_list_lease (gp_agent_t *agent, gp_time_t now);
-/* Handles the executor's list, requested at SENT_AT.  Returns whether there is
-   something new to report to the leader.  */
-bool gp_agent_listed (gp_agent_t *agent, const gp_agent_row_t *rows,
-                      size_t row_count, const Gp__Jobs__End *ends,
-                      size_t end_count, int64_t clock_ms, gp_time_t sent_at,
+/* Handles the executor's list.  Returns whether there is something new to
+   report to the leader.  */
+bool gp_agent_listed (gp_agent_t *agent, const gp_agent_list_t *list,
                       gp_time_t now);
 /* Returns whether the measurement of RUN at NOW shows the load of a warmed-up
    serving run.  */
--- a/src/jobs/agent_list.c
+++ b/src/jobs/agent_list.c
@@ -199,16 +199,17 @@
 }
 
 bool
-gp_agent_listed (gp_agent_t *agent, const gp_agent_row_t *rows,
-                 size_t row_count, const Gp__Jobs__End *ends, size_t end_count,
-                 int64_t clock_ms, gp_time_t sent_at, gp_time_t now)
+gp_agent_listed (gp_agent_t *agent, const gp_agent_list_t *list, gp_time_t now)
 {
+  /* Nothing counts as absent from a list that is not complete: it is treated
+     like one requested before all runs.  */
+  gp_time_t sent_at = list->complete ? list->sent_at : INT64_MIN;
   bool news;
 
   agent->is_disconnected = false;
-  gp_agent_update_clock (agent, clock_ms, now);
-  news = add_ends (agent, ends, end_count, now);
-  update_runs (agent, rows, row_count, sent_at, now);
+  gp_agent_update_clock (agent, list->clock_ms, now);
+  news = add_ends (agent, list->ends, list->end_count, now);
+  update_runs (agent, list->runs, list->run_count, sent_at, now);
   if (agent->fence_listed != 0)
     {
       if (agent->first_listed_at == 0)
--- a/src/jobsd/guard_deregistration.c
+++ b/src/jobsd/guard_deregistration.c
@@ -69,7 +69,7 @@
 }
 
 static void
-on_checked (const gp_runtime_list_t *list, void *data)
+on_checked (const gp_runtime_list_answer_t *answer, void *data)
 {
   check_t *check = data;
   gp_job_guard_t *guard = check->guard;
@@ -78,7 +78,7 @@
   if (guard->deregistration.executor != NULL)
     {
       if (guard->deregistration.incarnation == check->incarnation)
-        apply_answer (guard, list->result);
+        apply_answer (guard, answer->result);
       else
         check_presence (guard);
     }
--- a/src/jobsd/guard_heartbeats.c
+++ b/src/jobsd/guard_heartbeats.c
@@ -118,19 +118,19 @@
   gp_guard_request_list (guard);
 }
 
-/* The incarnation that sent HEARTBEAT has answered with LIST, requested with
+/* The incarnation that sent HEARTBEAT has answered with ANSWER, requested with
    FENCE: it is the current one from now on.  The report names it to the
    leader, together with what is left to report of the previous
    incarnation.  */
 static void
 accept_incarnation (gp_job_guard_t *guard, gp_heartbeat_t *heartbeat,
-                    const gp_runtime_list_t *list, int64_t fence)
+                    const gp_runtime_list_answer_t *answer, int64_t fence)
 {
   gp_counter_add (&incarnations_count, 1);
   guard->heartbeat_sequence = heartbeat->sequence;
   gp_agent_set_executor (&guard->agent, g_steal_pointer (&heartbeat->executor),
                          heartbeat->clock_ms, gp_loop_now (&guard->loop));
-  gp_guard_apply_list (guard, list, fence);
+  gp_guard_apply_list (guard, &answer->list, fence);
   gp_guard_send_report (guard);
   gp_guard_request_list (guard);
 }
@@ -149,38 +149,38 @@
   g_error_free (error);
 }
 
-/* Reason for which LIST does not confirm the heartbeat; NULL if it does.  */
+/* Reason for which ANSWER does not confirm the heartbeat; NULL if it does.  */
 static const char *
 rejection_reason (const identification_t *identification,
-                  const gp_runtime_list_t *list)
+                  const gp_runtime_list_answer_t *answer)
 {
   if (identification->incarnation
       != identification->guard->agent.incarnation_number)
     return "another incarnation was accepted in the meantime";
-  if (list->result == GP_AGENT_REPLACED)
+  if (answer->result == GP_AGENT_REPLACED)
     return "another executor answers at its address";
-  if (list->result != GP_AGENT_ACCEPTED)
+  if (answer->result != GP_AGENT_ACCEPTED)
     return "the executor does not answer";
-  if (list->born_ms != identification->heartbeat.executor->born_ms)
+  if (answer->born_ms != identification->heartbeat.executor->born_ms)
     return "another incarnation of it answers at its address";
   return NULL;
 }
 
-/* Returns whether to repeat the identification call, to which LIST is the
+/* Returns whether to repeat the identification call, to which ANSWER is the
    result.  */
 static bool
 is_to_be_repeated (identification_t *identification,
-                   const gp_runtime_list_t *list)
+                   const gp_runtime_list_answer_t *answer)
 {
   gp_agent_t *agent = &identification->guard->agent;
 
-  if (list->result == GP_AGENT_FENCED
+  if (answer->result == GP_AGENT_FENCED
       && identification->attempts < IDENTIFY_ATTEMPTS_MAX)
     {
       gp_agent_fence_rejected (agent, identification->fence);
       return true;
     }
-  return list->result == GP_AGENT_UNANSWERED
+  return answer->result == GP_AGENT_UNANSWERED
          && identification->incarnation == agent->incarnation_number
          && ++identification->unanswered < UNANSWERED_MAX;
 }
@@ -188,15 +188,15 @@
 static void send_identify (identification_t *identification);
 
 static void
-on_identified (const gp_runtime_list_t *list, void *data)
+on_identified (const gp_runtime_list_answer_t *answer, void *data)
 {
   identification_t *identification = data;
   gp_job_guard_t *guard = identification->guard;
   gp_heartbeat_t *heartbeat = &identification->heartbeat;
-  const char *reason = rejection_reason (identification, list);
+  const char *reason = rejection_reason (identification, answer);
 
   gp_agent_raise_fence_to (&guard->agent, identification->fence);
-  if (is_to_be_repeated (identification, list))
+  if (is_to_be_repeated (identification, answer))
     {
       send_identify (identification);
       return;
@@ -205,7 +205,7 @@
   if (is_current (guard, heartbeat))
     apply_heartbeat (guard, heartbeat);
   else if (reason == NULL)
-    accept_incarnation (guard, heartbeat, list, identification->fence);
+    accept_incarnation (guard, heartbeat, answer, identification->fence);
   else
     log_unconfirmed (heartbeat->executor->id, reason);
   gp_heartbeat_finish (heartbeat);
--- a/src/jobsd/guard_list.c
+++ b/src/jobsd/guard_list.c
@@ -40,20 +40,15 @@
 }
 
 void
-gp_guard_apply_list (gp_job_guard_t *guard, const gp_runtime_list_t *list,
+gp_guard_apply_list (gp_job_guard_t *guard, const gp_agent_list_t *list,
                      int64_t fence)
 {
   uint64_t listed = guard->agent.listed_ends;
   uint64_t stale = guard->agent.stale_ends;
-  /* Nothing counts as absent from a list that was not read completely: it is
-     treated like one requested before all runs.  */
-  gp_time_t requested_at = list->complete ? list->sent_at : INT64_MIN;
 
   if (list->complete)
     gp_agent_fence_listed (&guard->agent, fence);
-  if (gp_agent_listed (&guard->agent, list->runs, list->run_count, list->ends,
-                       list->end_count, list->clock_ms, requested_at,
-                       now_of (guard)))
+  if (gp_agent_listed (&guard->agent, list, now_of (guard)))
     gp_guard_send_report (guard);
   gp_counter_add (&ends_count, (int64_t)(guard->agent.listed_ends - listed));
   gp_counter_add (&stale_ends_count,
@@ -68,43 +63,44 @@
          && now - agent->down_since < LIST_DISCONNECTED_PERIOD;
 }
 
-/* Returns the result of LIST for the current incarnation.  If another
+/* Returns the result of ANSWER for the current incarnation.  If another
    incarnation has sent it, the current one has ended; the other one is
    accepted when its heartbeat arrives.  */
 static gp_agent_result_t
-list_result (const gp_agent_t *agent, const gp_runtime_list_t *list,
+list_result (const gp_agent_t *agent, const gp_runtime_list_answer_t *answer,
              gp_time_t now)
 {
-  if (list->result != GP_AGENT_ACCEPTED)
-    return list->result;
-  if (list->born_ms == GP_BORN_UNREADABLE)
+  if (answer->result != GP_AGENT_ACCEPTED)
+    return answer->result;
+  if (answer->born_ms == GP_BORN_UNREADABLE)
     return gp_agent_incarnation_is_uncertain (agent, now) ? GP_AGENT_UNANSWERED
                                                           : GP_AGENT_ACCEPTED;
-  return list->born_ms == agent->executor->born_ms
+  return answer->born_ms == agent->executor->born_ms
              ? GP_AGENT_ACCEPTED
              : GP_AGENT_CONNECTION_REFUSED;
 }
 
 /* Returns the time to wait until the next call.  */
 static gp_time_t
-apply_answer (gp_job_guard_t *guard, const gp_runtime_list_t *list)
+apply_answer (gp_job_guard_t *guard, const gp_runtime_list_answer_t *answer)
 {
-  gp_agent_result_t result = list_result (&guard->agent, list, now_of (guard));
+  gp_agent_result_t result
+      = list_result (&guard->agent, answer, now_of (guard));
 
   if (result == GP_AGENT_ACCEPTED)
     {
-      gp_guard_apply_list (guard, list, guard->listed_fence);
+      gp_guard_apply_list (guard, &answer->list, guard->listed_fence);
       return LIST_SPACING;
     }
-  if (result != list->result)
+  if (result != answer->result)
     gp_log (GP_LOG_INFO, "list.other_life",
             GP_LOG_S ("executor", guard->agent.executor->id),
-            GP_LOG_I ("born_ms", list->born_ms),
+            GP_LOG_I ("born_ms", answer->born_ms),
             GP_LOG_I ("born_known_ms", guard->agent.executor->born_ms));
   if (result == GP_AGENT_FENCED)
     gp_agent_fence_rejected (&guard->agent, guard->listed_fence);
   gp_agent_list_failed (&guard->agent, result,
-                        result == list->result ? list->clock_ms : -1,
+                        result == answer->result ? answer->list.clock_ms : -1,
                         now_of (guard));
   return was_disconnected_recently (&guard->agent, now_of (guard))
              ? LIST_RETRY_DISCONNECTED_DELAY
@@ -112,7 +108,7 @@
 }
 
 static void
-on_listed (const gp_runtime_list_t *list, void *data)
+on_listed (const gp_runtime_list_answer_t *answer, void *data)
 {
   gp_job_guard_t *guard = data;
   gp_time_t now = now_of (guard);
@@ -122,7 +118,7 @@
   if (guard->agent.executor == NULL)
     return;
   if (guard->listed_incarnation == guard->agent.incarnation_number)
-    pause = apply_answer (guard, list);
+    pause = apply_answer (guard, answer);
   if (gp_agent_is_down (&guard->agent, now) != guard->sent.down)
     gp_guard_send_report (guard);
   if (guard->agent.ends->len > 0 && guard->unrecorded_since == 0)
--- a/src/jobsd/guard_private.h
+++ b/src/jobsd/guard_private.h
@@ -14,7 +14,7 @@
 
 /* Process a list of the executor's current incarnation, requested with
    FENCE.  */
-void gp_guard_apply_list (gp_job_guard_t *guard, const gp_runtime_list_t *list,
+void gp_guard_apply_list (gp_job_guard_t *guard, const gp_agent_list_t *list,
                           int64_t fence);
 
 /* Make the calls that are due at the end of this phase of the event loop.  */
--- a/tests/unit/fake_executor.c
+++ b/tests/unit/fake_executor.c
@@ -196,8 +196,16 @@
     }
   for (guint i = 0; i < fake->ends->len; i++)
     ends[i] = *(Gp__Jobs__End *)g_ptr_array_index (fake->ends, i);
-  gp_agent_listed (agent, rows, fake->runs->len, ends, fake->ends->len,
-                   fake_executor_clock (fake, now), sent_at, now);
+  gp_agent_listed (
+      agent,
+      &(gp_agent_list_t){ .runs = rows,
+                          .run_count = fake->runs->len,
+                          .ends = ends,
+                          .end_count = fake->ends->len,
+                          .clock_ms = fake_executor_clock (fake, now),
+                          .sent_at = sent_at,
+                          .complete = true },
+      now);
   g_free (rows);
   g_free (ends);
 }
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -91,7 +91,10 @@
   agent_add_spec (agent, TASK, now);
   gp_agent_set_executor (agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_fence_listed (agent, agent->fence);
-  gp_agent_listed (agent, NULL, 0, NULL, 0, 5000, now, now);
+  gp_agent_listed (
+      agent,
+      &(gp_agent_list_t){ .clock_ms = 5000, .sent_at = now, .complete = true },
+      now);
   gp_agent_reported (agent, now);
   gp_agent_acknowledged (agent, now, 0, now);
 }
@@ -129,9 +132,16 @@
   call (&agent, GP_AGENT_NO_RESOURCES, now);
   call (&agent, GP_AGENT_ACCEPTED, now);
   show (&agent);
-  gp_agent_listed (&agent, NULL, 0, NULL, 0, 5300, now, now);
+  gp_agent_listed (
+      &agent,
+      &(gp_agent_list_t){ .clock_ms = 5300, .sent_at = now, .complete = true },
+      now);
   show (&agent);
-  gp_agent_listed (&agent, NULL, 0, NULL, 0, 5400, now + 1, now + 2);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .clock_ms = 5400,
+                                       .sent_at = now + 1,
+                                       .complete = true },
+                   now + 2);
   show (&agent);
   gp_agent_finish (&agent);
 }
@@ -148,7 +158,11 @@
   gp_agent_list_lease (&agent, now);
   now += 6 * GP_SEC;
   printf ("  lapsed: %d\n", gp_agent_lease_lapsed (&agent, now));
-  gp_agent_listed (&agent, NULL, 0, NULL, 0, 11000, now - 1, now);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .clock_ms = 11000,
+                                       .sent_at = now - 1,
+                                       .complete = true },
+                   now);
   gp_agent_acknowledged (&agent, now, 0, now);
   call (&agent, GP_AGENT_ACCEPTED, now);
   agent_sync_with (&agent, TASK, 1, now - 1);
@@ -294,13 +308,25 @@
   call (&agent, GP_AGENT_UNANSWERED, now);
   now += 200 * GP_MSEC;
   call (&agent, GP_AGENT_ACCEPTED, now);
-  gp_agent_listed (&agent, &row, 1, NULL, 0, 5300, now + 1, now + 2);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .runs = &row,
+                                       .run_count = 1,
+                                       .clock_ms = 5300,
+                                       .sent_at = now + 1,
+                                       .complete = true },
+                   now + 2);
   show (&agent);
   end.number = 1;
   end.task = TASK;
   end.run = 1;
   end.how = GP_END_STOPPED;
-  gp_agent_listed (&agent, NULL, 0, &end, 1, 5600, now + 3, now + 4);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .ends = &end,
+                                       .end_count = 1,
+                                       .clock_ms = 5600,
+                                       .sent_at = now + 3,
+                                       .complete = true },
+                   now + 4);
   show (&agent);
   gp_agent_finish (&agent);
 }
@@ -329,9 +355,21 @@
   gp_agent_find_run (&agent, TASK, 1)->start->gang = gang;
   gp_agent_find_run (&agent, TASK, 1)->start->watched = true;
   call (&agent, GP_AGENT_ACCEPTED, now);
-  gp_agent_listed (&agent, &row, 1, NULL, 0, 5300, now + 1, now + 2);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .runs = &row,
+                                       .run_count = 1,
+                                       .clock_ms = 5300,
+                                       .sent_at = now + 1,
+                                       .complete = true },
+                   now + 2);
   now += age;
-  gp_agent_listed (&agent, &row, 1, NULL, 0, 9000, now + 1, now + 2);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .runs = &row,
+                                       .run_count = 1,
+                                       .clock_ms = 9000,
+                                       .sent_at = now + 1,
+                                       .complete = true },
+                   now + 2);
   printf ("  listed for %d ms%s, told as settled: %d\n", (int)(age / GP_MSEC),
           gang ? " in a gang" : "",
           gp_agent_report_settled (gp_agent_find_run (&agent, TASK, 1)));
@@ -403,7 +441,13 @@
   agent_add_spec (&agent, OTHER, now);
   agent_sync_with (&agent, TASK, 1, 0);
   call (&agent, GP_AGENT_ACCEPTED, now - older);
-  gp_agent_listed (&agent, &row, 1, NULL, 0, 5300, now - 2, now - 1);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .runs = &row,
+                                       .run_count = 1,
+                                       .clock_ms = 5300,
+                                       .sent_at = now - 2,
+                                       .complete = true },
+                   now - 1);
   order_start (&agent, OTHER, 2);
   call (&agent, started, now);
   if (started == GP_AGENT_ACCEPTED)
@@ -466,7 +510,13 @@
   agent_add_spec (&agent, TASK, now);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_fence_listed (&agent, agent.fence);
-  gp_agent_listed (&agent, &row, 1, NULL, 0, 5000, now, now);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .runs = &row,
+                                       .run_count = 1,
+                                       .clock_ms = 5000,
+                                       .sent_at = now,
+                                       .complete = true },
+                   now);
   gp_agent_reported (&agent, now);
   gp_agent_acknowledged (&agent, now, 0, now);
   if (synced)
@@ -524,11 +574,17 @@
   show_down (&agent, "a call went unanswered", now);
   show_down (&agent, "299 ms later", now + 299 * GP_MSEC);
   show_down (&agent, "300 ms later", now + 300 * GP_MSEC);
-  gp_agent_listed (&agent, NULL, 0, NULL, 0, 5300, now, now + GP_SEC);
+  gp_agent_listed (
+      &agent,
+      &(gp_agent_list_t){ .clock_ms = 5300, .sent_at = now, .complete = true },
+      now + GP_SEC);
   show_down (&agent, "an answer", now + GP_SEC);
   gp_agent_list_failed (&agent, GP_AGENT_DISCONNECTED, -1, now + GP_SEC);
   show_down (&agent, "its side ends a connection", now + GP_SEC);
-  gp_agent_listed (&agent, NULL, 0, NULL, 0, 5400, now, now + GP_SEC);
+  gp_agent_listed (
+      &agent,
+      &(gp_agent_list_t){ .clock_ms = 5400, .sent_at = now, .complete = true },
+      now + GP_SEC);
   show_down (&agent, "but answers on another one", now + GP_SEC);
   gp_agent_list_failed (&agent, GP_AGENT_CONNECTION_REFUSED, -1, now + GP_SEC);
   show_down (&agent, "nobody listens", now + GP_SEC);
--- a/tests/unit/test_agent_measure.c
+++ b/tests/unit/test_agent_measure.c
@@ -67,8 +67,13 @@
   const gp_agent_row_t rows[]
       = { { SERVING, 1, tail_ms }, { FILL_A, 1, a }, { FILL_B, 1, b } };
 
-  gp_agent_listed (agent, rows, G_N_ELEMENTS (rows), NULL, 0,
-                   5000 + now / GP_MSEC, now, now);
+  gp_agent_listed (agent,
+                   &(gp_agent_list_t){ .runs = rows,
+                                       .run_count = G_N_ELEMENTS (rows),
+                                       .clock_ms = 5000 + now / GP_MSEC,
+                                       .sent_at = now,
+                                       .complete = true },
+                   now);
 }
 
 static uint32_t
@@ -152,7 +157,15 @@
   end.task = (char *)FILL_A;
   end.run = 1;
   end.how = GP_END_DONE;
-  gp_agent_listed (&agent, &left, 1, &end, 1, 5000 + now / GP_MSEC, now, now);
+  gp_agent_listed (&agent,
+                   &(gp_agent_list_t){ .runs = &left,
+                                       .run_count = 1,
+                                       .ends = &end,
+                                       .end_count = 1,
+                                       .clock_ms = 5000 + now / GP_MSEC,
+                                       .sent_at = now,
+                                       .complete = true },
+                   now);
   CU_ASSERT_EQUAL_FATAL (agent.ended_fillings->len, 1);
   ended = &g_array_index (agent.ended_fillings, gp_agent_ended_filling_t, 0);
   CU_ASSERT (gp_agent_ended_filling_work (ended, now) > 0.9);
--- a/tests/unit/test_alone.c
+++ b/tests/unit/test_alone.c
@@ -63,8 +63,13 @@
 
   guard->now += 20 * GP_MSEC;
   gp_agent_fence_listed (&guard->agent, fence);
-  gp_agent_listed (&guard->agent, rows, count, NULL, 0, guard->now / GP_MSEC,
-                   requested_at, guard->now);
+  gp_agent_listed (&guard->agent,
+                   &(gp_agent_list_t){ .runs = rows,
+                                       .run_count = count,
+                                       .clock_ms = guard->now / GP_MSEC,
+                                       .sent_at = requested_at,
+                                       .complete = true },
+                   guard->now);
 }
 
 static const char *
--- a/tests/unit/test_evacuations.c
+++ b/tests/unit/test_evacuations.c
@@ -137,7 +137,13 @@
 {
   const gp_agent_row_t row = { .task = TASK, .run = 1 };
 
-  gp_agent_listed (agent, &row, shown, NULL, 0, agent->clock_ms + 1, now, now);
+  gp_agent_listed (agent,
+                   &(gp_agent_list_t){ .runs = &row,
+                                       .run_count = shown,
+                                       .clock_ms = agent->clock_ms + 1,
+                                       .sent_at = now,
+                                       .complete = true },
+                   now);
 }
 
 static void
--- a/tests/unit/test_held_heartbeats.c
+++ b/tests/unit/test_held_heartbeats.c
@@ -22,7 +22,13 @@
 {
   const gp_agent_row_t row = { .task = TASK, .run = 1 };
 
-  gp_agent_listed (agent, &row, 1, NULL, 0, clock_ms, now, now);
+  gp_agent_listed (agent,
+                   &(gp_agent_list_t){ .runs = &row,
+                                       .run_count = 1,
+                                       .clock_ms = clock_ms,
+                                       .sent_at = now,
+                                       .complete = true },
+                   now);
 }
 
 /* The leader acknowledges a report that was sent at NOW.  */
--- a/tests/unit/test_lives.c
+++ b/tests/unit/test_lives.c
@@ -112,7 +112,13 @@
   end.task = (char *)TASK;
   end.run = run;
   end.how = GP_END_DONE;
-  gp_agent_listed (agent, NULL, 0, &end, 1, -1, now, now);
+  gp_agent_listed (agent,
+                   &(gp_agent_list_t){ .ends = &end,
+                                       .end_count = 1,
+                                       .clock_ms = -1,
+                                       .sent_at = now,
+                                       .complete = true },
+                   now);
 }
 
 static void
@@ -190,7 +196,10 @@
   gp_agent_answered (&agent, GP_AGENT_CALL_STOP, TASK, 9, 0, GP_AGENT_ACCEPTED,
                      6000, now);
   show_uncertain (&agent, "an order is answered", now);
-  gp_agent_listed (&agent, NULL, 0, NULL, 0, 6001, now, now);
+  gp_agent_listed (
+      &agent,
+      &(gp_agent_list_t){ .clock_ms = 6001, .sent_at = now, .complete = true },
+      now);
   show_uncertain (&agent, "its list is answered", now);
   gp_agent_finish (&agent);
 }
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -71,11 +71,12 @@
 }
 
 static void
-on_list (const gp_runtime_list_t *list, void *data)
+on_list (const gp_runtime_list_answer_t *answer, void *data)
 {
   fixture_t *fixture = data;
 
-  printf (" %s with %zu runs", result_name (list->result), list->run_count);
+  printf (" %s with %zu runs", result_name (answer->result),
+          answer->list.run_count);
   fixture->answered++;
 }
 
--- a/tests/unit/test_repeated_starts.c
+++ b/tests/unit/test_repeated_starts.c
@@ -59,7 +59,13 @@
 {
   const gp_agent_row_t row = { TASK, 1, 100 };
 
-  gp_agent_listed (agent, &row, shown, NULL, 0, clock_ms (now), sent_at, now);
+  gp_agent_listed (agent,
+                   &(gp_agent_list_t){ .runs = &row,
+                                       .run_count = shown,
+                                       .clock_ms = clock_ms (now),
+                                       .sent_at = sent_at,
+                                       .complete = true },
+                   now);
 }
 
 /* Sets up a guard that has sent the start of TASK twice, 0 and 400 ms after
--- a/tests/unit/test_strays.c
+++ b/tests/unit/test_strays.c
@@ -112,7 +112,11 @@
 
   gp_agent_init (&agent, 0, 0);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 1000, 0);
-  gp_agent_listed (&agent, &row, 1, NULL, 0, 1000, 0, 0);
+  gp_agent_listed (
+      &agent,
+      &(gp_agent_list_t){
+          .runs = &row, .run_count = 1, .clock_ms = 1000, .complete = true },
+      0);
   CU_ASSERT_EQUAL (gp_agent_next_call (&agent, 0, &again_at).kind,
                    GP_AGENT_CALL_NONE);
   sync.number = 1;
@@ -134,7 +138,11 @@
 
   gp_agent_init (&agent, 0, 0);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 1000, 0);
-  gp_agent_listed (&agent, &row, 1, NULL, 0, 1000, 0, 0);
+  gp_agent_listed (
+      &agent,
+      &(gp_agent_list_t){
+          .runs = &row, .run_count = 1, .clock_ms = 1000, .complete = true },
+      0);
   CU_ASSERT_EQUAL (agent.carried->len, 1);
   CU_ASSERT (gp_agent_lease_lapsed (&agent, gp_agent_lease_end (0) + 1));
   CU_ASSERT_EQUAL (agent.carried->len, 0);
@@ -151,7 +159,11 @@
   gp_agent_init (&agent, 0, 0);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 1000, 0);
   agent_sync_incarnation (&agent, "x1", TASK, 0, 1, 0);
-  gp_agent_listed (&agent, &row, 1, NULL, 0, 1000, 0, 0);
+  gp_agent_listed (
+      &agent,
+      &(gp_agent_list_t){
+          .runs = &row, .run_count = 1, .clock_ms = 1000, .complete = true },
+      0);
   CU_ASSERT (gp_agent_find_run (&agent, TASK, 1)->listed);
   gp_agent_executor_ended (&agent);
   CU_ASSERT (!gp_agent_find_run (&agent, TASK, 1)->listed);
