guard: log each started run that a list of the executor lacks

Change: a line run.missing with the number of rows of the list, and the counter guard_runs_missing_total.

--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -381,8 +381,8 @@
    FENCE.  To be called before gp_agent_listed.  */
 void gp_agent_fence_listed (gp_agent_t *agent, int64_t fence);
 
-/* Registers the counters of starts that were held back and of stops without
-   effect.  */
+/* Registers the counters of starts that were held back, of stops without
+   effect and of runs that a list lacks.  */
 void gp_agent_register_counters (void);
 
 /* Returns whether there is an isolated run that has not settled, so that runs
--- a/src/jobs/agent_isolation.c
+++ b/src/jobs/agent_isolation.c
@@ -50,6 +50,7 @@
 {
   gp_counter_register (&held_count);
   gp_agent_register_stop_counters ();
+  gp_agent_register_list_counters ();
 }
 
 static bool
--- a/src/jobs/agent_list.c
+++ b/src/jobs/agent_list.c
@@ -5,8 +5,19 @@
 
 #include <string.h>
 
+#include "base/counters.h"
 #include "base/log.h"
 
+static gp_counter_t missing_count = GP_COUNTER (
+    "guard_runs_missing_total",
+    "Started runs that the executor listed neither as active nor as ended");
+
+void
+gp_agent_register_list_counters (void)
+{
+  gp_counter_register (&missing_count);
+}
+
 static Gp__Jobs__End *
 copy_end (const Gp__Jobs__End *end)
 {
@@ -170,11 +181,27 @@
     }
 }
 
-/* Finds the runs that are missing in the list, which was requested at SENT_AT,
+static void
+log_missing (const gp_agent_t *agent, const gp_agent_run_t *run,
+             const gp_agent_list_t *list, gp_time_t now)
+{
+  gp_counter_add (&missing_count, 1);
+  gp_log (
+      GP_LOG_INFO, "run.missing", GP_LOG_S ("task", run->name),
+      GP_LOG_I ("run", run->run), GP_LOG_S ("executor", agent->executor->id),
+      GP_LOG_I ("listed_runs", list->run_count),
+      GP_LOG_I ("listed_ends", list->end_count),
+      GP_LOG_I ("seen_ends", agent->seen_ends),
+      GP_LOG_I ("listed_ms_ago",
+                run->listed_at != 0 ? (now - run->listed_at) / GP_MSEC : -1));
+}
+
+/* Finds the runs that are missing in LIST, which was requested at SENT_AT,
    after their phase was confirmed.  Returns whether one of them became
    absent.  */
 static bool
-find_absent (gp_agent_t *agent, gp_time_t sent_at)
+find_absent (gp_agent_t *agent, const gp_agent_list_t *list, gp_time_t sent_at,
+             gp_time_t now)
 {
   bool news = false;
   GHashTableIter iter;
@@ -188,7 +215,10 @@
       if (run->listed || run->in_flight || run->confirmed_at >= sent_at)
         continue;
       if (run->phase == GP_RUN_STARTED)
-        run->phase = GP_RUN_STOPPING;
+        {
+          run->phase = GP_RUN_STOPPING;
+          log_missing (agent, run, list, now);
+        }
       if (run->phase == GP_RUN_STOPPED)
         {
           run->phase = GP_RUN_ABSENT;
@@ -225,7 +255,7 @@
   else if (now >= agent->starts_until)
     return_unlisted (agent, "executor leaves");
   gp_agent_return_isolated (agent, now);
-  return find_absent (agent, sent_at) || news;
+  return find_absent (agent, list, sent_at, now) || news;
 }
 
 void
--- a/src/jobs/agent_private.h
+++ b/src/jobs/agent_private.h
@@ -16,6 +16,8 @@
 /* Stops run NUMBER of the task NAME, whether it is known or not.  */
 void gp_agent_want_stop (gp_agent_t *agent, const char *name, uint32_t number);
 
+void gp_agent_register_list_counters (void);
+
 /* Discards the last list: it no longer shows which runs are running.  */
 void gp_agent_clear_list (gp_agent_t *agent);
 
