--- a/src/jobsd/guard_list.c
+++ b/src/jobsd/guard_list.c
@@ -32,6 +32,9 @@
                   "Ends that the executor listed though they are on record");
 static gp_counter_t ends_count
     = GP_COUNTER ("guard_ends_total", "Ends that the executor listed");
+static gp_counter_t incomplete_count = GP_COUNTER (
+    "guard_lists_incomplete_total",
+    "Lists of the executor that do not show which runs are absent");
 
 static gp_time_t
 now_of (gp_job_guard_t *guard)
@@ -46,6 +49,7 @@
   uint64_t listed = guard->agent.listed_ends;
   uint64_t stale = guard->agent.stale_ends;
 
+  gp_counter_add (&incomplete_count, !list->complete);
   if (list->complete)
     gp_agent_fence_listed (&guard->agent, fence);
   if (gp_agent_listed (&guard->agent, list, now_of (guard)))
@@ -173,6 +177,7 @@
 {
   gp_counter_register (&ends_count);
   gp_counter_register (&stale_ends_count);
+  gp_counter_register (&incomplete_count);
   gp_timer_init (&guard->list_timer, &guard->loop, on_list_due, guard);
 }
 
