jobs_api: a job is not shown as queued before its progress was loaded

Callers of an entry that had just started, or had just lost its leadership, saw a completed job as queued, and it counted as waiting.

Cause: submissions and progress are loaded side by side, and a job without a progress record is queued. The answer asked only whether the submissions were current.

Ruled out: the list of the newest records is read to its last page, and the log is read on from the end that the first page named, so a load that has ended lacks no record.

Change: a feed records that it has loaded since it was started. Requests wait for that as they wait for a read elsewhere, 500 ms at most, and are refused with 503 after it. A known end or cancellation is shown at once.

--- a/src/jobsd/feed.c
+++ b/src/jobsd/feed.c
@@ -149,6 +149,7 @@
 {
   gp_feed_stop (feed);
   feed->running = true;
+  feed->has_loaded = false;
   feed->caught_up_at = INT64_MIN / 2;
   begin_load (feed);
   send_next_call (feed);
@@ -211,6 +212,7 @@
   else
     {
       feed->loaded = true;
+      feed->has_loaded = true;
       feed->position = feed->load_end;
       notify_load (feed, true);
     }
--- a/src/jobsd/feed.h
+++ b/src/jobsd/feed.h
@@ -38,6 +38,8 @@
   gp_timer_t timer;
   bool running;
   bool loaded;            /* the load has ended */
+  bool has_loaded;        /* a load has ended since the feed was started: what
+                             was not delivered did not exist then */
   bool down;              /* the last call failed */
   char *after;            /* while loading: the last key received */
   uint64_t load_end;      /* end of the topic in the first page of a load */
--- a/src/jobsd/fresh_reads.c
+++ b/src/jobsd/fresh_reads.c
@@ -28,13 +28,14 @@
 }
 
 /* Returns whether a request that arrived at ASKED_AT need not wait for FEED: a
-   read that was sent since has delivered all, it gets new records by polls as
-   they are written, or it cannot be read.  A single failure may be chance, and
-   the read is repeated.  */
+   read that was sent since has delivered all, it has loaded and gets new
+   records by polls as they are written, or it cannot be read.  A single
+   failure may be chance, and the read is repeated.  */
 static bool
 is_fresh (const gp_feed_t *feed, gp_time_t asked_at)
 {
-  return !feed->running || feed->failures > 1 || feed->pace.poll_time > 0
+  return !feed->running || feed->failures > 1
+         || (feed->has_loaded && feed->pace.poll_time > 0)
          || feed->caught_up_at >= asked_at;
 }
 
--- a/src/jobsd/fresh_reads.h
+++ b/src/jobsd/fresh_reads.h
@@ -50,8 +50,8 @@
 
 /* Returns whether EXCHANGE, whose answer depends on PARTS, has to wait; if so,
    the log is read and ON_READY is called later.  A request does not wait if
-   the topics are read by polls, as by a standby, or not read, as by a leader,
-   which is ahead of the log.  */
+   the topics have been loaded and are read by polls, as by a standby, or are
+   not read, as by a leader, which is ahead of the log.  */
 bool gp_fresh_reads_wait (gp_fresh_reads_t *reads,
                           gp_http_exchange_t *exchange, unsigned parts);
 
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -135,6 +135,15 @@
   refuse (api, exchange, "a record of the job cannot be read");
 }
 
+/* Returns whether a job without a progress record has none on the log.  While
+   the progress is being loaded, a job that has ended looks like one that
+   waits.  */
+static bool
+knows_progress (const gp_jobs_api_t *api)
+{
+  return api->reads.progress->has_loaded;
+}
+
 /* Returns what has to be read before the state of JOB, NULL if it is not
    known, is shown.  Its end is final, and so is its cancellation.  */
 static unsigned
@@ -168,6 +177,11 @@
       answer_absent (api, exchange);
       return;
     }
+  if (parts_to_read (job) != 0 && !knows_progress (api))
+    {
+      refuse (api, exchange, "the log cannot be read");
+      return;
+    }
   gp_histogram_add (&book_age,
                     gp_loop_now (api->loop) - api->jobs->caught_up_at);
   state = job->recorded;
@@ -203,7 +217,8 @@
       && gp_fresh_reads_wait (&api->reads, exchange,
                               GP_FRESH_JOBS | GP_FRESH_PROGRESS))
     return;
-  if (!gp_feed_is_current (api->jobs, ABSENCE_AGE_MAX))
+  if (!gp_feed_is_current (api->jobs, ABSENCE_AGE_MAX)
+      || !knows_progress (api))
     {
       refuse (api, exchange, "the log cannot be read");
       return;
