leader: what is learned of images is bounded, in memory and in its record

Cause: the record `learned` has a row for each pair of a serving and a filling image that was ever seen, and one for each image with known run times. When it outgrows the store's limit for a record, the append that holds it is refused for good, and with it the progress of all jobs.

The list of names that guards are sent, and the weights by their positions, grew in the same way.

Change: images are kept in maps that evict the least recently used one; the record begins with the images used last and ends at 48 KB; the list of names starts anew at twice the number of known images. Deployments with fewer images are served as before, but for the order of rows.

--- a/src/jobs/forecast.c
+++ b/src/jobs/forecast.c
@@ -6,6 +6,7 @@
 
 #include "coordination/regression.h"
 #include "jobs/fields.h"
+#include "protocol/message.h"
 
 /* The coefficients of a line: its height at an estimate of one second, and its
    slope.  */
@@ -43,32 +44,53 @@
 
 typedef struct
 {
+  gp_lru_entry_t entry;
   double coefficients[FEATURES];
   double covariance[FEATURES * FEATURES];
   gp_regression_t regression;
   double spread;
 } model_t;
 
+static model_t *
+model_of (gp_lru_entry_t *entry)
+{
+  return entry != NULL ? GP_CONTAINER_OF (entry, model_t, entry) : NULL;
+}
+
+static void
+free_model (gp_lru_entry_t *entry)
+{
+  g_free (model_of (entry));
+}
+
 void
 gp_forecast_init (gp_forecast_t *forecast)
 {
-  forecast->models
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gp_lru_init (&forecast->models, GP_FORECAST_IMAGES_MAX, free_model);
 }
 
 void
 gp_forecast_finish (gp_forecast_t *forecast)
 {
-  g_hash_table_destroy (forecast->models);
+  gp_lru_finish (&forecast->models);
+}
+
+static const model_t *
+find_model (const gp_forecast_t *forecast, const char *image)
+{
+  return model_of (gp_lru_find (&forecast->models, image));
 }
 
 static model_t *
 get_model (gp_forecast_t *forecast, const char *image)
 {
-  model_t *model = g_hash_table_lookup (forecast->models, image);
+  model_t *model = model_of (gp_lru_find (&forecast->models, image));
 
   if (model != NULL)
-    return model;
+    {
+      gp_lru_use (&forecast->models, &model->entry);
+      return model;
+    }
   model = g_new0 (model_t, 1);
   model->coefficients[1] = 1.0;
   model->covariance[0] = HEIGHT_VARIANCE;
@@ -76,7 +98,7 @@
   model->spread = SPREAD_PRIOR;
   gp_regression_init (&model->regression, FEATURES, model->coefficients,
                       model->covariance, NOISE_VARIANCE);
-  g_hash_table_insert (forecast->models, g_strdup (image), model);
+  gp_lru_add (&forecast->models, image, &model->entry);
   return model;
 }
 
@@ -124,24 +146,24 @@
 }
 
 void
-gp_forecast_pack (const gp_forecast_t *forecast, GArray *rows)
+gp_forecast_pack (const gp_forecast_t *forecast, size_t max_size, GArray *rows)
 {
-  GHashTableIter iter;
-  gpointer image;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, forecast->models);
-  while (g_hash_table_iter_next (&iter, &image, &value))
-    {
-      const model_t *model = value;
-      Gp__Jobs__Forecast row = GP__JOBS__FORECAST__INIT;
-
-      row.image = image;
-      row.height = model->coefficients[0];
-      row.slope = model->coefficients[1];
-      row.spread = model->spread;
-      g_array_append_val (rows, row);
-    }
+  size_t size = 0;
+
+  GP_LRU_FOREACH (link, &forecast->models)
+  {
+    const model_t *model = model_of (gp_lru_entry_of (link));
+    Gp__Jobs__Forecast row = GP__JOBS__FORECAST__INIT;
+
+    row.image = model->entry.name;
+    row.height = model->coefficients[0];
+    row.slope = model->coefficients[1];
+    row.spread = model->spread;
+    size += gp_message_row_size (&row.base);
+    if (size > max_size)
+      return;
+    g_array_append_val (rows, row);
+  }
 }
 
 bool
@@ -177,8 +199,7 @@
 task_time (const gp_forecast_t *forecast, const char *queue,
            const Gp__Jobs__Step *step)
 {
-  const model_t *model
-      = g_hash_table_lookup (forecast->models, model_key (queue, step));
+  const model_t *model = find_model (forecast, model_key (queue, step));
   gp_regression_input_t input = input_of (step);
   double seconds;
 
@@ -194,7 +215,7 @@
 gp_forecast_learned_time (const gp_forecast_t *forecast, const char *queue,
                           const Gp__Jobs__Step *step)
 {
-  if (!g_hash_table_contains (forecast->models, model_key (queue, step)))
+  if (find_model (forecast, model_key (queue, step)) == NULL)
     return 0;
   return task_time (forecast, queue, step);
 }
@@ -203,8 +224,7 @@
 spread_of (const gp_forecast_t *forecast, const char *queue,
            const Gp__Jobs__Step *step)
 {
-  const model_t *model
-      = g_hash_table_lookup (forecast->models, model_key (queue, step));
+  const model_t *model = find_model (forecast, model_key (queue, step));
 
   if (step->count < SPREAD_TASKS_MIN)
     return 1.0;
--- a/src/jobs/forecast.h
+++ b/src/jobs/forecast.h
@@ -5,16 +5,22 @@
    a run's duration is modelled as a linear function of the logarithm of its
    estimate, learned from runs that are done.  The longest task of a step is
    modelled as a learned multiple of the mean.  Without any data, estimates are
-   used as they are.  */
+   used as they are.
+
+   At most GP_FORECAST_IMAGES_MAX images are known; the one of which the last
+   run was done longest ago is forgotten.  */
 
 #ifndef GP_JOBS_FORECAST_H
 #define GP_JOBS_FORECAST_H
 
+#include "base/lru.h"
 #include "jobs/job.h"
 
+#define GP_FORECAST_IMAGES_MAX 1024
+
 typedef struct
 {
-  GHashTable *models; /* image to its model, owned */
+  gp_lru_t models; /* image to its model */
 } gp_forecast_t;
 
 void gp_forecast_init (gp_forecast_t *forecast);
@@ -38,8 +44,10 @@
                                     const Gp__Jobs__Step *step);
 
 /* Appends what was learned to ROWS, as rows of Gp__Jobs__Forecast that point
-   into FORECAST.  */
-void gp_forecast_pack (const gp_forecast_t *forecast, GArray *rows);
+   into FORECAST, of the most recently used images first, while they take at
+   most MAX_SIZE bytes in a message.  */
+void gp_forecast_pack (const gp_forecast_t *forecast, size_t max_size,
+                       GArray *rows);
 /* Returns whether ROW is within the bounds of what can be learned.  FALSE sets
    ERROR.  */
 bool gp_forecast_check (const Gp__Jobs__Forecast *row, GError **error);
--- a/src/jobs/pressure.c
+++ b/src/jobs/pressure.c
@@ -6,6 +6,7 @@
 #include <math.h>
 
 #include "coordination/regression.h"
+#include "protocol/message.h"
 
 /* Prior variance of a weight: a third of them lie around 0.9, the others at
    zero.  */
@@ -20,43 +21,106 @@
 /* Busy work below this, in runs at full speed, is ignored.  */
 #define WORK_MIN 0.02
 
+/* An image of filling runs.  */
 typedef struct
 {
+  gp_lru_entry_t entry;
+  unsigned int index;
+} filling_t;
+
+/* The weights of all filling images on an image of serving runs.  */
+typedef struct
+{
+  gp_lru_entry_t entry;
   double weights[GP_PRESSURE_IMAGES];
   double covariance[GP_PRESSURE_IMAGES * GP_PRESSURE_IMAGES];
   gp_regression_t regression;
 } model_t;
 
+static filling_t *
+filling_of (gp_lru_entry_t *entry)
+{
+  return entry != NULL ? GP_CONTAINER_OF (entry, filling_t, entry) : NULL;
+}
+
+static model_t *
+model_of (gp_lru_entry_t *entry)
+{
+  return entry != NULL ? GP_CONTAINER_OF (entry, model_t, entry) : NULL;
+}
+
+static void
+free_filling (gp_lru_entry_t *entry)
+{
+  g_free (filling_of (entry));
+}
+
+static void
+free_model (gp_lru_entry_t *entry)
+{
+  g_free (model_of (entry));
+}
+
 void
 gp_pressure_init (gp_pressure_t *pressure)
 {
-  pressure->image_indices
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  pressure->models
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gp_lru_init (&pressure->fillings, GP_PRESSURE_FILLINGS_MAX, free_filling);
+  gp_lru_init (&pressure->models, GP_PRESSURE_SERVINGS_MAX, free_model);
+  pressure->fillings_added = 0;
 }
 
 void
 gp_pressure_finish (gp_pressure_t *pressure)
 {
-  g_hash_table_destroy (pressure->image_indices);
-  g_hash_table_destroy (pressure->models);
+  gp_lru_finish (&pressure->fillings);
+  gp_lru_finish (&pressure->models);
+}
+
+/* An image takes the index of the one that is forgotten for it, so that all
+   indices have equally many.  */
+static filling_t *
+add_filling (gp_pressure_t *pressure, const char *image)
+{
+  filling_t *evicted = filling_of (gp_lru_next_evicted (&pressure->fillings));
+  filling_t *filling = g_new0 (filling_t, 1);
+
+  filling->index = evicted != NULL ? evicted->index
+                                   : gp_lru_count (&pressure->fillings)
+                                         % GP_PRESSURE_IMAGES;
+  gp_lru_add (&pressure->fillings, image, &filling->entry);
+  pressure->fillings_added++;
+  return filling;
 }
 
 unsigned int
 gp_pressure_image_index (gp_pressure_t *pressure, const char *image)
 {
-  guint index = GPOINTER_TO_UINT (
-      g_hash_table_lookup (pressure->image_indices, image));
+  filling_t *filling = filling_of (gp_lru_find (&pressure->fillings, image));
 
-  if (index == 0)
-    {
-      index = g_hash_table_size (pressure->image_indices) % GP_PRESSURE_IMAGES
-              + 1;
-      g_hash_table_insert (pressure->image_indices, g_strdup (image),
-                           GUINT_TO_POINTER (index));
-    }
-  return index - 1;
+  if (filling == NULL)
+    filling = add_filling (pressure, image);
+  else
+    gp_lru_use (&pressure->fillings, &filling->entry);
+  return filling->index;
+}
+
+int
+gp_pressure_spare_index (gp_pressure_t *pressure, const char *image)
+{
+  int index = gp_pressure_find_index (pressure, image);
+
+  if (index >= 0 || gp_lru_next_evicted (&pressure->fillings) != NULL)
+    return index;
+  return (int)add_filling (pressure, image)->index;
+}
+
+int
+gp_pressure_find_index (const gp_pressure_t *pressure, const char *image)
+{
+  const filling_t *filling
+      = filling_of (gp_lru_find (&pressure->fillings, image));
+
+  return filling != NULL ? (int)filling->index : -1;
 }
 
 static model_t *
@@ -74,16 +138,24 @@
   return model;
 }
 
+static const model_t *
+find_model (const gp_pressure_t *pressure, const char *serving)
+{
+  return model_of (gp_lru_find (&pressure->models, serving));
+}
+
 static model_t *
 get_model (gp_pressure_t *pressure, const char *serving)
 {
-  model_t *model = g_hash_table_lookup (pressure->models, serving);
+  model_t *model = model_of (gp_lru_find (&pressure->models, serving));
 
   if (model == NULL)
     {
       model = model_new ();
-      g_hash_table_insert (pressure->models, g_strdup (serving), model);
+      gp_lru_add (&pressure->models, serving, &model->entry);
     }
+  else
+    gp_lru_use (&pressure->models, &model->entry);
   return model;
 }
 
@@ -91,7 +163,7 @@
 gp_pressure_weight (const gp_pressure_t *pressure, const char *serving,
                     unsigned int index)
 {
-  const model_t *model = g_hash_table_lookup (pressure->models, serving);
+  const model_t *model = find_model (pressure, serving);
 
   return model != NULL ? model->weights[index] : GP_PRESSURE_PRIOR;
 }
@@ -131,7 +203,7 @@
 gp_pressure_sum (const gp_pressure_t *pressure, const char *serving,
                  const gp_pressure_work_t *work)
 {
-  return sum_by (g_hash_table_lookup (pressure->models, serving), work);
+  return sum_by (find_model (pressure, serving), work);
 }
 
 /* Filling runs do not speed a run up; a negative weight is noise.  */
@@ -195,3 +267,28 @@
       load, headroom + taken,
       noise + gp_regression_variance (&model->regression, &input), now);
 }
+
+void
+gp_pressure_pack (const gp_pressure_t *pressure, size_t max_size, GArray *rows)
+{
+  size_t size = 0;
+
+  GP_LRU_FOREACH (filling_link, &pressure->fillings)
+  {
+    const filling_t *filling = filling_of (gp_lru_entry_of (filling_link));
+
+    GP_LRU_FOREACH (model_link, &pressure->models)
+    {
+      const model_t *model = model_of (gp_lru_entry_of (model_link));
+      Gp__Jobs__Pressure row = GP__JOBS__PRESSURE__INIT;
+
+      row.serving = model->entry.name;
+      row.filling = filling->entry.name;
+      row.weight_permille = (int32_t)(model->weights[filling->index] * 1000.0);
+      size += gp_message_row_size (&row.base);
+      if (size > max_size)
+        return;
+      g_array_append_val (rows, row);
+    }
+  }
+}
--- a/src/jobs/pressure.h
+++ b/src/jobs/pressure.h
@@ -11,19 +11,30 @@
 
    The same weights hold at all loads: a busy run takes as much of a headroom
    of 2 as of one of 3.5, whereas the logarithm of the latency rises by
-   different amounts.  */
+   different amounts.
+
+   Where each build of a program is an image of its own, new ones come without
+   end.  So the numbers of images are bounded, and the least recently used ones
+   are forgotten.  */
 
 #ifndef GP_JOBS_PRESSURE_H
 #define GP_JOBS_PRESSURE_H
 
 #include <glib.h>
 
+#include "base/lru.h"
+#include "jobs.pb-c.h"
 #include "jobs/headroom.h"
 
 /* Number of images of filling runs that are distinguished; further ones share
    indices.  */
 #define GP_PRESSURE_IMAGES 32
 
+/* Maximum numbers of images of filling and of serving runs that are known.  A
+   model of a serving image takes 9 KB.  */
+#define GP_PRESSURE_FILLINGS_MAX 128
+#define GP_PRESSURE_SERVINGS_MAX 256
+
 /* The weight of a pair without data: a third of 0.9.  */
 #define GP_PRESSURE_PRIOR 0.3
 
@@ -43,16 +54,22 @@
 
 typedef struct
 {
-  GHashTable *image_indices; /* image of filling runs to its index plus one */
-  GHashTable *models;        /* image of serving runs to its model, owned */
+  gp_lru_t fillings;       /* images of filling runs, with their indices */
+  gp_lru_t models;         /* images of serving runs, with their weights */
+  uint64_t fillings_added; /* number of images ever added to FILLINGS */
 } gp_pressure_t;
 
 void gp_pressure_init (gp_pressure_t *pressure);
 void gp_pressure_finish (gp_pressure_t *pressure);
 
-/* Returns the index of IMAGE, assigning one if needed.  */
+/* Returns the index of IMAGE, which is used now, assigning one if needed.  */
 unsigned int gp_pressure_image_index (gp_pressure_t *pressure,
                                       const char *image);
+/* Returns the index of IMAGE or, if it has none and assigning one would make
+   another image be forgotten, -1.  This does not count as a use.  */
+int gp_pressure_spare_index (gp_pressure_t *pressure, const char *image);
+/* Returns the index of IMAGE, or -1 if it has none.  */
+int gp_pressure_find_index (const gp_pressure_t *pressure, const char *image);
 
 /* Returns the weight of the filling images at INDEX on SERVING.  */
 double gp_pressure_weight (const gp_pressure_t *pressure, const char *serving,
@@ -75,4 +92,10 @@
                         const gp_pressure_work_t *work, double headroom,
                         gp_headroom_t *load, gp_time_t now);
 
+/* Appends the weights to ROWS, as rows of Gp__Jobs__Pressure that point into
+   PRESSURE, those of the most recently used filling images first, while they
+   take at most MAX_SIZE bytes in a message.  */
+void gp_pressure_pack (const gp_pressure_t *pressure, size_t max_size,
+                       GArray *rows);
+
 #endif
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -321,10 +321,14 @@
   const GPtrArray *fillings = guard->sent.fillings;
 
   for (size_t i = 0; i < weights->n_permille && i < fillings->len; i++)
-    gp_pressure_set (
-        pressure, weights->serving,
-        gp_pressure_image_index (pressure, g_ptr_array_index (fillings, i)),
-        weights->permille[i] / 1000.0);
+    {
+      int index = gp_pressure_spare_index (pressure,
+                                           g_ptr_array_index (fillings, i));
+
+      if (index >= 0)
+        gp_pressure_set (pressure, weights->serving, (unsigned int)index,
+                         weights->permille[i] / 1000.0);
+    }
 }
 
 void
@@ -334,6 +338,8 @@
   const gp_sent_state_t *sent = &guard->sent;
   gp_time_t now = gp_loop_now (&guard->loop);
 
+  if (message->fillings_restart)
+    g_ptr_array_set_size (sent->fillings, 0);
   for (size_t i = 0; i < message->n_fillings; i++)
     g_ptr_array_add (sent->fillings, g_strdup (message->fillings[i]));
   for (size_t i = 0; i < message->n_weights; i++)
--- a/src/jobsd/leader.c
+++ b/src/jobsd/leader.c
@@ -453,7 +453,7 @@
                                gp_loop_now (loop));
   gp_leader_handover_init (leader);
   gp_pressure_init (&leader->pressure);
-  leader->fillings = g_ptr_array_new_with_free_func (g_free);
+  gp_filling_names_init (&leader->fillings);
   gp_scheduler_init (&leader->scheduler, book, &leader->pressure);
   leader->scheduler.process_started_at = gp_loop_now (loop);
   leader->links = gp_leader_links_new ();
@@ -491,7 +491,7 @@
   g_ptr_array_unref (leader->progress_drops);
   gp_scheduler_finish (&leader->scheduler);
   gp_pressure_finish (&leader->pressure);
-  g_ptr_array_unref (leader->fillings);
+  gp_filling_names_finish (&leader->fillings);
   gp_grants_finish (&leader->grants);
   gp_candidacy_finish (&leader->candidacy);
   g_free (leader->leader_node);
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -26,6 +26,7 @@
 #define GP_JOBSD_LEADER_H
 
 #include "jobs/candidacy.h"
+#include "jobs/filling_names.h"
 #include "jobs/grants.h"
 #include "jobs/reply_watch.h"
 #include "jobs/room.h"
@@ -67,13 +68,13 @@
   bool has_executor;      /* the guard's last report names an executor */
   bool executor_lost;     /* the executor's lease has expired and it does not
                              answer, or it has ended */
-  gp_time_t weights_sent_at; /* interference weights were last sent to the
-                                guard */
-  guint fillings_sent; /* number of entries of leader->fillings sent to the
-                          guard */
-  GPtrArray *missing_specs; /* ids, owned, of jobs whose specification the
-                               guard has to be sent */
-  bool reporting;           /* the guard reports on this connection */
+  gp_time_t weights_sent_at;    /* interference weights were last sent to the
+                                   guard */
+  gp_filling_cursor_t fillings; /* the part of leader->fillings that was sent
+                                   to the guard */
+  GPtrArray *missing_specs;     /* ids, owned, of jobs whose specification the
+                                   guard has to be sent */
+  bool reporting;               /* the guard reports on this connection */
   bool awaits_record;  /* its last report asks for confirmation that it is on
                           record */
   gp_time_t confirmed; /* send time of the last report that was confirmed so on
@@ -91,12 +92,11 @@
   const gp_operator_feed_t *operators;
   uint64_t incarnation;
   gp_scheduler_t scheduler;
-  gp_pressure_t pressure; /* interference model, learned from the guards'
-                             reports */
-  GPtrArray *fillings;  /* images of filling runs, owned, in the order in which
-                           they are sent to guards */
-  GHashTable *links;    /* node to gp_guard_link_t, owned */
-  GHashTable *places;   /* node to id of its executor, owned */
+  gp_pressure_t pressure;      /* interference model, learned from the guards'
+                                  reports */
+  gp_filling_names_t fillings; /* images of filling runs, as sent to guards */
+  GHashTable *links;           /* node to gp_guard_link_t, owned */
+  GHashTable *places;          /* node to id of its executor, owned */
   GHashTable *disputed; /* ids, owned, of executors that records place on two
                            VMs: until a guard reports such an executor, its
                            place is not taken as proof of a replacement */
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -367,7 +367,7 @@
   link->needs_sync = true;
   link->awaits_record = false;
   link->confirmed = 0;
-  link->fillings_sent = 0;
+  link->fillings = (gp_filling_cursor_t){ 0 };
   gp_spec_distribution_remove_guard (&link->leader->specs, link->node);
   g_ptr_array_set_size (link->missing_specs, 0);
   if (link->executor != NULL)
--- a/src/jobsd/leader_model.c
+++ b/src/jobsd/leader_model.c
@@ -14,31 +14,11 @@
 /* Interval between two records of the model, which take a few kilobytes
    each.  */
 #define MODEL_RECORD_INTERVAL (2 * GP_SEC)
-
-/* Add to ROWS the weights of all filling images next to the serving image
-   SERVING, which has to outlive ROWS.  */
-static void
-add_pressures (const gp_pressure_t *pressure, const char *serving,
-               GArray *rows)
-{
-  GHashTableIter iter;
-  gpointer image;
-  gpointer place;
-
-  g_hash_table_iter_init (&iter, pressure->image_indices);
-  while (g_hash_table_iter_next (&iter, &image, &place))
-    {
-      Gp__Jobs__Pressure row = GP__JOBS__PRESSURE__INIT;
-
-      row.serving = (char *)serving;
-      row.filling = image;
-      row.weight_permille
-          = (int32_t)(gp_pressure_weight (pressure, serving,
-                                          GPOINTER_TO_UINT (place) - 1)
-                      * 1000.0);
-      g_array_append_val (rows, row);
-    }
-}
+/* Maximum sizes in bytes of the two parts of such a record, which all entries
+   read.  The store refuses records of more than some hundred kilobytes, and
+   with them the progress of jobs in the same append.  */
+#define PRESSURES_MAX_SIZE ((size_t)32 * 1024)
+#define FORECASTS_MAX_SIZE ((size_t)16 * 1024)
 
 /* The load estimate of the step that the run NAME belongs to; NULL if the run
    is not on the executor of LINK.  */
@@ -83,22 +63,18 @@
     }
 }
 
-/* Append the filling images that are new in the model; the positions of the
-   others do not change.  */
-static void
-update_fillings (gp_leader_t *leader)
+/* The weight of the filling image at POSITION of the list that guards are sent
+   next to SERVING, in thousandths.  */
+static int32_t
+weight_at (const gp_leader_t *leader, const char *serving, guint position)
 {
-  GHashTableIter iter;
-  gpointer image;
+  const char *filling = g_ptr_array_index (leader->fillings.names, position);
+  int index = gp_pressure_find_index (&leader->pressure, filling);
+  double weight = index >= 0 ? gp_pressure_weight (&leader->pressure, serving,
+                                                   (unsigned int)index)
+                             : GP_PRESSURE_PRIOR;
 
-  if (leader->fillings->len
-      == g_hash_table_size (leader->pressure.image_indices))
-    return;
-  g_hash_table_iter_init (&iter, leader->pressure.image_indices);
-  while (g_hash_table_iter_next (&iter, &image, NULL))
-    if (!g_ptr_array_find_with_equal_func (leader->fillings, image,
-                                           g_str_equal, NULL))
-      g_ptr_array_add (leader->fillings, g_strdup (image));
+  return (int32_t)(weight * 1000.0);
 }
 
 /* Add the weights of all filling images next to the serving image SERVING,
@@ -116,16 +92,10 @@
   weights = g_new (Gp__Jobs__Weights, 1);
   gp__jobs__weights__init (weights);
   weights->serving = (char *)serving;
-  weights->n_permille = leader->fillings->len;
+  weights->n_permille = leader->fillings.names->len;
   weights->permille = g_new (int32_t, weights->n_permille);
-  for (guint i = 0; i < leader->fillings->len; i++)
-    weights->permille[i]
-        = (int32_t)(gp_pressure_weight (
-                        &leader->pressure, serving,
-                        gp_pressure_image_index (
-                            &leader->pressure,
-                            g_ptr_array_index (leader->fillings, i)))
-                    * 1000.0);
+  for (guint i = 0; i < weights->n_permille; i++)
+    weights->permille[i] = weight_at (leader, serving, i);
   g_ptr_array_add (rows, weights);
 }
 
@@ -144,10 +114,8 @@
 {
   gp_leader_t *leader = link->leader;
 
-  update_fillings (leader);
-  message->fillings = (char **)leader->fillings->pdata + link->fillings_sent;
-  message->n_fillings = leader->fillings->len - link->fillings_sent;
-  link->fillings_sent = leader->fillings->len;
+  gp_filling_names_update (&leader->fillings, &leader->pressure);
+  gp_filling_names_add_news (&leader->fillings, &link->fillings, message);
   for (size_t i = 0; i < report->n_servings; i++)
     {
       const char *image = image_of (link, report->servings[i]->task);
@@ -258,14 +226,11 @@
   Gp__Jobs__Learned learned = GP__JOBS__LEARNED__INIT;
   GArray *pressures = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Pressure));
   GArray *forecasts = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Forecast));
-  GHashTableIter iter;
-  gpointer serving;
   GBytes *bytes;
 
-  g_hash_table_iter_init (&iter, leader->pressure.models);
-  while (g_hash_table_iter_next (&iter, &serving, NULL))
-    add_pressures (&leader->pressure, serving, pressures);
-  gp_forecast_pack (&leader->scheduler.forecast, forecasts);
+  gp_pressure_pack (&leader->pressure, PRESSURES_MAX_SIZE, pressures);
+  gp_forecast_pack (&leader->scheduler.forecast, FORECASTS_MAX_SIZE,
+                    forecasts);
   learned.pressures = gp_frame_row_pointers (pressures);
   learned.n_pressures = pressures->len;
   learned.forecasts = gp_frame_row_pointers (forecasts);
@@ -293,12 +258,14 @@
   g_bytes_unref (bytes);
 }
 
+/* The rows begin with the most recently used images: in reverse order they
+   leave the images in the order of their use.  */
 void
 gp_leader_load_model (gp_leader_t *leader, const Gp__Jobs__Learned *learned)
 {
   gp_pressure_t *pressure = &leader->pressure;
 
-  for (size_t i = 0; i < learned->n_pressures; i++)
+  for (size_t i = learned->n_pressures; i-- > 0;)
     {
       const Gp__Jobs__Pressure *row = learned->pressures[i];
 
@@ -306,6 +273,6 @@
                        gp_pressure_image_index (pressure, row->filling),
                        row->weight_permille / 1000.0);
     }
-  for (size_t i = 0; i < learned->n_forecasts; i++)
+  for (size_t i = learned->n_forecasts; i-- > 0;)
     gp_forecast_set (&leader->scheduler.forecast, learned->forecasts[i]);
 }
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -9,4 +9,8 @@
 /* Pack MESSAGE, the base of a generated message.  */
 GBytes *gp_message_pack (const ProtobufCMessage *message);
 
+/* Returns the packed size in bytes of ROW as an element of a repeated field,
+   whose number is below 16.  */
+size_t gp_message_row_size (const ProtobufCMessage *row);
+
 #endif
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -16,6 +16,20 @@
 SILENT_S = 2.0
 # An append is refused if more than this time of appends is waiting.
 QUEUE_MAX_S = 2.0
+# Sizes in bytes above which a record or a call is refused.
+RECORD_MAX = 262144
+CALL_MAX = 2097152
+
+
+def is_oversized(body):
+    """Return whether BODY, or one of its records, is larger than allowed."""
+    at = 0
+    while at < len(body):
+        size = struct.unpack_from(">I", body, at)[0]
+        if size > RECORD_MAX:
+            return True
+        at += 4 + size
+    return len(body) > CALL_MAX
 
 
 class Topic:
@@ -67,6 +81,7 @@
         self.answer_s = 0.0
         self.slower = 1
         self.appends = 0
+        self.oversized = 0  # appends that were refused for their size
         self.refused = set()
         self.silent = set()
         self.unreadable = set()
@@ -152,6 +167,9 @@
     def append(self, query, body):
         if query["topic"] in self.unwritable:
             return 503, b"{}"
+        if is_oversized(body):
+            self.oversized += 1
+            return 400, b"{}"
         for old, new in self.rewrites.items():
             body = body.replace(old, new)
         with self.lock:
--- a/tests/unit/test_urgency.c
+++ b/tests/unit/test_urgency.c
@@ -31,7 +31,7 @@
   gp_time_t due_at = job->due_at;
 
   gp_forecast_init (&other);
-  gp_forecast_pack (forecast, rows);
+  gp_forecast_pack (forecast, SIZE_MAX, rows);
   CU_ASSERT_EQUAL_FATAL (rows->len, 1);
   row = &g_array_index (rows, Gp__Jobs__Forecast, 0);
   CU_ASSERT_TRUE (gp_forecast_set (&other, row));
