agent: a run whose start was refused is no suspect

Cause: `sent_at` is when a start was sent that was or may still be carried out. A start that the executor refuses is neither, but kept it, so that after a failure of the executor its guard named the run among those that may have caused it, as "unanswered".

Change: a refusal for want of room clears it, and so does one by an unhealthy executor, unless an earlier start may still be carried out or an earlier guard process may have begun the run.

--- a/src/jobs/agent_calls.c
+++ b/src/jobs/agent_calls.c
@@ -207,6 +207,18 @@
          || result == GP_AGENT_CONNECTION_REFUSED;
 }
 
+/* Returns whether RUN, a start of which had RESULT, cannot have begun so far.
+   A refusal by an unhealthy executor does not show what an earlier guard
+   process has started.  */
+static bool
+shows_not_begun (const gp_agent_run_t *run, gp_agent_result_t result)
+{
+  if (run->start_uncertain)
+    return false;
+  return result == GP_AGENT_NO_RESOURCES
+         || (result == GP_AGENT_REFUSED && !run->may_predate);
+}
+
 static void
 start_answered (gp_agent_t *agent, gp_agent_run_t *run,
                 gp_agent_result_t result, gp_time_t now)
@@ -236,6 +248,8 @@
     case GP_AGENT_TOO_OLD:
     case GP_AGENT_NO_RESOURCES:
     case GP_AGENT_REFUSED:
+      if (shows_not_begun (run, result))
+        run->sent_at = 0;
       run->start_unchecked = result == GP_AGENT_REFUSED;
       run->phase = GP_RUN_STOPPING;
       run->retry_at = now;
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -402,6 +402,19 @@
   call (&agent, GP_AGENT_UNANSWERED, now + 1);
   show_suspects (&agent, now + 3);
   gp_agent_finish (&agent);
+  /* Guards against isolating honest tasks whose starts were refused.  */
+  for (int i = 0; i < 2; i++)
+    {
+      printf ("nor one that was refused%s\n",
+              i == 0 ? "" : ", unless it was sent before without an answer");
+      begin (&agent, now);
+      agent_sync_with (&agent, TASK, 1, 0);
+      if (i == 1)
+        call (&agent, GP_AGENT_UNANSWERED, now);
+      call (&agent, GP_AGENT_REFUSED, now + 200 * GP_MSEC);
+      show_suspects (&agent, now + 200 * GP_MSEC + 3);
+      gp_agent_finish (&agent);
+    }
   printf ("nor one that was never sent; the one before is told on\n");
   begin (&agent, now);
   agent_sync_with (&agent, TASK, 1, 0);
