scheduler: a job whose starts are refused counts as waiting

Cause: a job counted as begun when a task was assigned. A refused start was known to its guard 10 ms later, but the leader heard of it only once a list lacked the run.

Change: guards report runs whose start was refused and that cannot have begun. The leader queues the job again, unless it is known to have begun, and from then on an assignment does not count; an end or a settled run does.

A job that has run before, but of which no end was listed, may be shown as queued if its next start is refused.

--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -127,6 +127,8 @@
   bool stop_ordered;      /* it is not wanted here any more; false in phase
                              "stopping": its start was refused, or a list did
                              not show it */
+  bool start_refused;     /* the executor refused its start, and it cannot have
+                             begun before */
   bool start_unchecked;   /* an unhealthy executor refused its start, which
                              does not show whether the run is there */
   bool stop_refused;      /* its stop counts as confirmed because it had not
@@ -355,6 +357,8 @@
                                 Gp__Jobs__TaskRun *row);
 /* Returns whether RUN is to be started and not known to have begun.  */
 bool gp_agent_is_unconfirmed (const gp_agent_run_t *run);
+/* Returns whether RUN has not begun, as its start was refused.  */
+bool gp_agent_is_refused (const gp_agent_run_t *run);
 /* Returns whether to report to the leader now that RUN, which it watches, has
    settled.  It counts as reported from then on.  */
 bool gp_agent_report_settled (gp_agent_run_t *run);
--- a/src/jobs/agent_calls.c
+++ b/src/jobs/agent_calls.c
@@ -248,7 +248,8 @@
     case GP_AGENT_TOO_OLD:
     case GP_AGENT_NO_RESOURCES:
     case GP_AGENT_REFUSED:
-      if (shows_not_begun (run, result))
+      run->start_refused = shows_not_begun (run, result);
+      if (run->start_refused)
         run->sent_at = 0;
       run->start_unchecked = result == GP_AGENT_REFUSED;
       run->phase = GP_RUN_STOPPING;
--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -192,6 +192,13 @@
   return run->phase == GP_RUN_STARTING && run->began_at == 0;
 }
 
+bool
+gp_agent_is_refused (const gp_agent_run_t *run)
+{
+  return run->start_refused && run->began_at == 0
+         && run->phase != GP_RUN_ABSENT;
+}
+
 bool
 gp_agent_report_settled (gp_agent_run_t *run)
 {
--- a/src/jobs/frames.c
+++ b/src/jobs/frames.c
@@ -276,6 +276,8 @@
                   refused);
   remove_invalid (report->unconfirmed, &report->n_unconfirmed, check_run,
                   "unconfirmed", refused);
+  remove_invalid (report->refused, &report->n_refused, check_run, "refused",
+                  refused);
   remove_invalid (report->carried, &report->n_carried, check_run, "carried",
                   refused);
   remove_invalid (report->settled, &report->n_settled, check_run, "settled",
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -203,6 +203,7 @@
   bool waited = job->state == GP_JOB_QUEUED;
 
   job->started = true;
+  job->start_refused = false;
   if (waited)
     job->state = GP_JOB_RUNNING;
   return waited;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -100,6 +100,8 @@
                            the order was delayed */
   gp_time_t unconfirmed_at; /* when its guard last reported that it may not
                                have begun, 0: never */
+  bool refused; /* its guard has reported that its start was refused and it has
+                   not begun */
   bool may_start_late;  /* it may have started long after that, because it is
                            isolated or waits for an isolated run to settle */
   uint32_t expected_ms; /* how long the run was expected to take when this
@@ -186,6 +188,9 @@
   uint32_t done_count;
   bool started; /* a run was assigned at some time to an executor that was not
                    known to be down */
+  bool has_begun;       /* a run of it is known to have begun */
+  bool start_refused;   /* an executor refused a start, and no run is known to
+                           have   begun: the job starts only when one has */
   gp_time_t idle_since; /* no run but work to do since then, 0: it has a run */
   bool dropped;         /* its submission was deleted from the log */
   gp_list_t link; /* in gp_book_t.live while it has not ended and its progress
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -385,7 +385,8 @@
 }
 
 /* Marks the jobs of the placed tasks as started.  Excluded are gangs that were
-   withdrawn and tasks on executors that are down.  */
+   withdrawn, tasks on executors that are down, and jobs whose starts were
+   refused.  */
 static void
 mark_jobs_started (const GPtrArray *placed)
 {
@@ -393,7 +394,7 @@
     {
       const gp_job_task_t *task = g_ptr_array_index (placed, i);
 
-      if (!task->executor->down)
+      if (!task->executor->down && !task->job->start_refused)
         gp_job_mark_started (task->job);
     }
 }
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -360,6 +360,7 @@
                                     ? (now - task->ordered_at) / GP_MSEC
                                     : -1));
   set_checkpoint (task, &end->checkpoint);
+  gp_scheduler_note_begun (scheduler, task->job);
   apply_end (scheduler, task, (gp_end_t)end->how, now, wall_ms);
   return true;
 }
@@ -378,6 +379,7 @@
       add_order (scheduler, GP_ORDER_FORGET, task);
       executor->full_until = now + REFUSED_PAUSE_TIME;
       gp_scheduler_release (scheduler, task);
+      gp_scheduler_await_begin (scheduler, task->job);
       gp_log (GP_LOG_INFO, "run.absent", GP_LOG_S ("task", run->task),
               GP_LOG_I ("run", run->run), GP_LOG_S ("executor", executor->id));
       return;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -104,6 +104,13 @@
                                     Gp__Jobs__TaskRun *const *runs,
                                     size_t count, gp_time_t now);
 
+/* EXECUTOR's guard reports that it has refused the starts of the COUNT RUNS,
+   which have not begun.  A job of which nothing else shows that it has ever
+   run is queued again, until a run of it is known to have begun.  */
+void gp_scheduler_note_refused (gp_scheduler_t *scheduler,
+                                const gp_job_executor_t *executor,
+                                Gp__Jobs__TaskRun *const *runs, size_t count);
+
 /* EXECUTOR's guard, which does not know yet what is to run there, reports at
    NOW that the COUNT RUNS are running.  It may start the others once it
    knows.  */
--- a/src/jobs/scheduler_reports.c
+++ b/src/jobs/scheduler_reports.c
@@ -90,7 +90,10 @@
     {
       gp_job_task_t *task = task_of_run (scheduler, executor, runs[i]);
 
-      if (task != NULL && gp_suspicion_clear (task))
+      if (task == NULL)
+        continue;
+      gp_scheduler_note_begun (scheduler, task->job);
+      if (gp_suspicion_clear (task))
         gp_scheduler_mark_dirty (scheduler, task->job);
     }
 }
@@ -149,12 +152,14 @@
   }
 }
 
-/* Returns whether the run of TASK is on an executor that is down, and may not
-   have started there: its start was not answered or, if its guard does not
-   name it as a suspect although it has not settled, was not sent.  */
+/* Returns whether the run of TASK may not have started: its start was refused,
+   or its executor is down and its start was not answered or, if its guard does
+   not name it as a suspect although it has not settled, was not sent.  */
 static bool
 may_not_have_started (const gp_job_task_t *task)
 {
+  if (task->refused)
+    return true;
   return task->executor->down
          && (task->suspect ? task->unanswered : !task->settled);
 }
@@ -163,6 +168,8 @@
 static bool
 may_not_have_begun (const gp_job_t *job)
 {
+  if (job->has_begun)
+    return false;
   for (uint32_t i = 0; i < job->task_count; i++)
     {
       const gp_job_task_t *task = &job->tasks[i];
@@ -175,6 +182,17 @@
   return true;
 }
 
+/* JOB waits again.  */
+static void
+queue_again (gp_scheduler_t *scheduler, gp_job_t *job)
+{
+  if (!job->started)
+    return;
+  job->started = false;
+  job->state = GP_JOB_QUEUED;
+  gp_scheduler_mark_dirty (scheduler, job);
+}
+
 void
 gp_scheduler_withdraw_starts (gp_scheduler_t *scheduler,
                               const gp_job_executor_t *executor)
@@ -183,14 +201,46 @@
   {
     gp_job_t *job = GP_CONTAINER_OF (link, gp_job_task_t, on_executor)->job;
 
-    if (gp_job_ended (job) || !job->started || !may_not_have_begun (job))
-      continue;
-    job->started = false;
-    job->state = GP_JOB_QUEUED;
-    gp_scheduler_mark_dirty (scheduler, job);
+    if (!gp_job_ended (job) && may_not_have_begun (job))
+      queue_again (scheduler, job);
   }
 }
 
+void
+gp_scheduler_await_begin (gp_scheduler_t *scheduler, gp_job_t *job)
+{
+  if (gp_job_ended (job) || !may_not_have_begun (job))
+    return;
+  job->start_refused = true;
+  queue_again (scheduler, job);
+}
+
+void
+gp_scheduler_note_refused (gp_scheduler_t *scheduler,
+                           const gp_job_executor_t *executor,
+                           Gp__Jobs__TaskRun *const *runs, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      gp_job_task_t *task = task_of_run (scheduler, executor, runs[i]);
+
+      if (task == NULL)
+        continue;
+      task->refused = true;
+      gp_scheduler_await_begin (scheduler, task->job);
+    }
+}
+
+void
+gp_scheduler_note_begun (gp_scheduler_t *scheduler, gp_job_t *job)
+{
+  job->has_begun = true;
+  if (!job->start_refused || gp_job_ended (job))
+    return;
+  gp_job_mark_started (job);
+  gp_scheduler_mark_dirty (scheduler, job);
+}
+
 void
 gp_scheduler_executor_up (gp_scheduler_t *scheduler,
                           gp_job_executor_t *executor)
@@ -202,7 +252,8 @@
     const gp_job_task_t *task
         = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
 
-    if (!gp_job_ended (task->job) && gp_job_mark_started (task->job))
+    if (!gp_job_ended (task->job) && !task->job->start_refused
+        && gp_job_mark_started (task->job))
       gp_scheduler_mark_dirty (scheduler, task->job);
   }
 }
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -184,6 +184,7 @@
   task->alone = false;
   task->may_start_late = false;
   task->unconfirmed_at = 0;
+  task->refused = false;
 }
 
 /* Returns whether TASK has to be started in isolation.  A task with a single
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -19,6 +19,7 @@
   GPtrArray *lacking;
   GArray *absent; /* Gp__Jobs__TaskRun, as those below */
   GArray *unconfirmed;
+  GArray *refused;
   GArray *carried;
   GArray *settled;
   GArray *suspects;
@@ -41,6 +42,7 @@
   rows->lacking = g_ptr_array_new_with_free_func (g_free);
   rows->absent = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   rows->unconfirmed = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
+  rows->refused = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   rows->carried = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   rows->settled = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   rows->suspects = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
@@ -54,6 +56,7 @@
 {
   g_free (report->absent);
   g_free (report->unconfirmed);
+  g_free (report->refused);
   g_free (report->carried);
   g_free (report->settled);
   g_free (report->suspects);
@@ -62,6 +65,7 @@
   g_ptr_array_unref (rows->lacking);
   g_array_free (rows->absent, TRUE);
   g_array_free (rows->unconfirmed, TRUE);
+  g_array_free (rows->refused, TRUE);
   g_array_free (rows->carried, TRUE);
   g_array_free (rows->settled, TRUE);
   g_array_free (rows->suspects, TRUE);
@@ -113,11 +117,15 @@
         add_run (rows->absent, run);
       if (gp_agent_is_unconfirmed (run))
         add_run (rows->unconfirmed, run);
+      if (gp_agent_is_refused (run))
+        add_run (rows->refused, run);
     }
   report->absent = gp_frame_row_pointers (rows->absent);
   report->n_absent = rows->absent->len;
   report->unconfirmed = gp_frame_row_pointers (rows->unconfirmed);
   report->n_unconfirmed = rows->unconfirmed->len;
+  report->refused = gp_frame_row_pointers (rows->refused);
+  report->n_refused = rows->refused->len;
 }
 
 static bool
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -89,7 +89,7 @@
   start->target_ms = step->target_ms;
   start->image = step->image;
   start->cpu_milli = step->cpu_milli;
-  start->watched = task->crashes > 0;
+  start->watched = task->crashes > 0 || task->job->start_refused;
   start->gang = step->gang;
   start->alone = task->alone;
   return start;
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -215,6 +215,8 @@
   gp_scheduler_note_unconfirmed (&leader->scheduler, executor,
                                  report->unconfirmed, report->n_unconfirmed,
                                  now);
+  gp_scheduler_note_refused (&leader->scheduler, executor, report->refused,
+                             report->n_refused);
   if (report->synced == 0)
     gp_scheduler_note_unsynced (executor, report->carried, report->n_carried,
                                 now);
--- a/tests/unit/record_cases.c
+++ b/tests/unit/record_cases.c
@@ -576,6 +576,11 @@
   r.message.n_unconfirmed = 1;
   r.absent.task = long_name;
   add_report (cases, "an unconfirmed run with a very long name", &r);
+  r.message.n_absent = 0;
+  r.message.refused = r.absents;
+  r.message.n_refused = 1;
+  r.absent.run = 0;
+  add_report (cases, "a refused start of run 0", &r);
 }
 
 static void
