scheduler: a late end also shows that a job has begun

An end that arrives after its run was given up is a run that has begun: the job does not wait any more. By reading; test_quarantine, test_jobs and test_lives kept.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -189,8 +189,8 @@
   bool started; /* a run was assigned at some time to an executor that was not
                    known to be down */
   bool has_begun;       /* a run of it is known to have begun */
-  bool start_refused;   /* an executor refused a start, and no run is known to
-                           have   begun: the job starts only when one has */
+  bool start_refused;   /* a start was refused, and no run is known to have
+                           begun: until one is, assignments do not count */
   gp_time_t idle_since; /* no run but work to do since then, 0: it has a run */
   bool dropped;         /* its submission was deleted from the log */
   gp_list_t link; /* in gp_book_t.live while it has not ended and its progress
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -331,6 +331,7 @@
           GP_LOG_I ("run", end->run), GP_LOG_I ("last_run", task->run),
           GP_LOG_S ("executor", executor->id));
   gp_suspicion_clear (task);
+  gp_scheduler_note_begun (scheduler, task->job);
   gp_scheduler_mark_dirty (scheduler, task->job);
   finish_task (scheduler, task, wall_ms);
 }
