--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -83,6 +83,21 @@
   printf ("  ends to tell: %u\n", agent->ends->len);
 }
 
+/* The agent receives a list, requested at SENT_AT, with ROW or, if that is
+   NULL, nothing.  */
+static void
+list (gp_agent_t *agent, const gp_agent_row_t *row, int64_t clock_ms,
+      gp_time_t sent_at, gp_time_t now)
+{
+  gp_agent_listed (agent,
+                   &(gp_agent_list_t){ .runs = row,
+                                       .run_count = row != NULL,
+                                       .clock_ms = clock_ms,
+                                       .sent_at = sent_at,
+                                       .complete = true },
+                   now);
+}
+
 /* The guard meets its executor, whose list is empty.  */
 static void
 begin (gp_agent_t *agent, gp_time_t now)
@@ -91,10 +106,7 @@
   agent_add_spec (agent, TASK, now);
   gp_agent_set_executor (agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_fence_listed (agent, agent->fence);
-  gp_agent_listed (
-      agent,
-      &(gp_agent_list_t){ .clock_ms = 5000, .sent_at = now, .complete = true },
-      now);
+  list (agent, NULL, 5000, now, now);
   gp_agent_reported (agent, now);
   gp_agent_acknowledged (agent, now, 0, now);
 }
@@ -132,16 +144,9 @@
   call (&agent, GP_AGENT_NO_RESOURCES, now);
   call (&agent, GP_AGENT_ACCEPTED, now);
   show (&agent);
-  gp_agent_listed (
-      &agent,
-      &(gp_agent_list_t){ .clock_ms = 5300, .sent_at = now, .complete = true },
-      now);
+  list (&agent, NULL, 5300, now, now);
   show (&agent);
-  gp_agent_listed (&agent,
-                   &(gp_agent_list_t){ .clock_ms = 5400,
-                                       .sent_at = now + 1,
-                                       .complete = true },
-                   now + 2);
+  list (&agent, NULL, 5400, now + 1, now + 2);
   show (&agent);
   gp_agent_finish (&agent);
 }
@@ -158,11 +163,7 @@
   gp_agent_list_lease (&agent, now);
   now += 6 * GP_SEC;
   printf ("  lapsed: %d\n", gp_agent_lease_lapsed (&agent, now));
-  gp_agent_listed (&agent,
-                   &(gp_agent_list_t){ .clock_ms = 11000,
-                                       .sent_at = now - 1,
-                                       .complete = true },
-                   now);
+  list (&agent, NULL, 11000, now - 1, now);
   gp_agent_acknowledged (&agent, now, 0, now);
   call (&agent, GP_AGENT_ACCEPTED, now);
   agent_sync_with (&agent, TASK, 1, now - 1);
@@ -308,13 +309,7 @@
   call (&agent, GP_AGENT_UNANSWERED, now);
   now += 200 * GP_MSEC;
   call (&agent, GP_AGENT_ACCEPTED, now);
-  gp_agent_listed (&agent,
-                   &(gp_agent_list_t){ .runs = &row,
-                                       .run_count = 1,
-                                       .clock_ms = 5300,
-                                       .sent_at = now + 1,
-                                       .complete = true },
-                   now + 2);
+  list (&agent, &row, 5300, now + 1, now + 2);
   show (&agent);
   end.number = 1;
   end.task = TASK;
@@ -355,21 +350,9 @@
   gp_agent_find_run (&agent, TASK, 1)->start->gang = gang;
   gp_agent_find_run (&agent, TASK, 1)->start->watched = true;
   call (&agent, GP_AGENT_ACCEPTED, now);
-  gp_agent_listed (&agent,
-                   &(gp_agent_list_t){ .runs = &row,
-                                       .run_count = 1,
-                                       .clock_ms = 5300,
-                                       .sent_at = now + 1,
-                                       .complete = true },
-                   now + 2);
+  list (&agent, &row, 5300, now + 1, now + 2);
   now += age;
-  gp_agent_listed (&agent,
-                   &(gp_agent_list_t){ .runs = &row,
-                                       .run_count = 1,
-                                       .clock_ms = 9000,
-                                       .sent_at = now + 1,
-                                       .complete = true },
-                   now + 2);
+  list (&agent, &row, 9000, now + 1, now + 2);
   printf ("  listed for %d ms%s, told as settled: %d\n", (int)(age / GP_MSEC),
           gang ? " in a gang" : "",
           gp_agent_report_settled (gp_agent_find_run (&agent, TASK, 1)));
@@ -454,13 +437,7 @@
   agent_add_spec (&agent, OTHER, now);
   agent_sync_with (&agent, TASK, 1, 0);
   call (&agent, GP_AGENT_ACCEPTED, now - older);
-  gp_agent_listed (&agent,
-                   &(gp_agent_list_t){ .runs = &row,
-                                       .run_count = 1,
-                                       .clock_ms = 5300,
-                                       .sent_at = now - 2,
-                                       .complete = true },
-                   now - 1);
+  list (&agent, &row, 5300, now - 2, now - 1);
   order_start (&agent, OTHER, 2);
   call (&agent, started, now);
   if (started == GP_AGENT_ACCEPTED)
@@ -523,13 +500,7 @@
   agent_add_spec (&agent, TASK, now);
   gp_agent_set_executor (&agent, agent_executor_new ("x1"), 5000, now);
   gp_agent_fence_listed (&agent, agent.fence);
-  gp_agent_listed (&agent,
-                   &(gp_agent_list_t){ .runs = &row,
-                                       .run_count = 1,
-                                       .clock_ms = 5000,
-                                       .sent_at = now,
-                                       .complete = true },
-                   now);
+  list (&agent, &row, 5000, now, now);
   gp_agent_reported (&agent, now);
   gp_agent_acknowledged (&agent, now, 0, now);
   if (synced)
@@ -587,17 +558,11 @@
   show_down (&agent, "a call went unanswered", now);
   show_down (&agent, "299 ms later", now + 299 * GP_MSEC);
   show_down (&agent, "300 ms later", now + 300 * GP_MSEC);
-  gp_agent_listed (
-      &agent,
-      &(gp_agent_list_t){ .clock_ms = 5300, .sent_at = now, .complete = true },
-      now + GP_SEC);
+  list (&agent, NULL, 5300, now, now + GP_SEC);
   show_down (&agent, "an answer", now + GP_SEC);
   gp_agent_list_failed (&agent, GP_AGENT_DISCONNECTED, -1, now + GP_SEC);
   show_down (&agent, "its side ends a connection", now + GP_SEC);
-  gp_agent_listed (
-      &agent,
-      &(gp_agent_list_t){ .clock_ms = 5400, .sent_at = now, .complete = true },
-      now + GP_SEC);
+  list (&agent, NULL, 5400, now, now + GP_SEC);
   show_down (&agent, "but answers on another one", now + GP_SEC);
   gp_agent_list_failed (&agent, GP_AGENT_CONNECTION_REFUSED, -1, now + GP_SEC);
   show_down (&agent, "nobody listens", now + GP_SEC);
