--- a/tests/unit/jobs_site.c
+++ b/tests/unit/jobs_site.c
@@ -160,6 +160,48 @@
                           site->now / GP_MSEC);
 }
 
+/* Returns the row of a report that names TASK's run; NAME is set to the name
+   of TASK.  */
+static Gp__Jobs__TaskRun
+row_of (const gp_job_task_t *task, char *name)
+{
+  Gp__Jobs__TaskRun row = GP__JOBS__TASK_RUN__INIT;
+
+  gp_task_name (task, name);
+  row.task = name;
+  row.run = task->run;
+  return row;
+}
+
+void
+jobs_site_run_settled (jobs_site_t *site, gp_job_task_t *task)
+{
+  char name[GP_TASK_NAME_SIZE];
+  Gp__Jobs__TaskRun row = row_of (task, name);
+  Gp__Jobs__TaskRun *rows[] = { &row };
+
+  gp_scheduler_note_settled (&site->scheduler, task->executor, rows, 1);
+}
+
+void
+jobs_site_run_refused (jobs_site_t *site, gp_job_task_t *task)
+{
+  char name[GP_TASK_NAME_SIZE];
+  Gp__Jobs__TaskRun row = row_of (task, name);
+  Gp__Jobs__TaskRun *rows[] = { &row };
+
+  gp_scheduler_note_refused (&site->scheduler, task->executor, rows, 1);
+}
+
+void
+jobs_site_run_absent (jobs_site_t *site, gp_job_task_t *task)
+{
+  char name[GP_TASK_NAME_SIZE];
+  const Gp__Jobs__TaskRun row = row_of (task, name);
+
+  gp_scheduler_run_absent (&site->scheduler, task->executor, &row, site->now);
+}
+
 void
 jobs_site_rebuild_book (const jobs_site_t *site, gp_book_t *fresh)
 {
--- a/tests/unit/jobs_site.h
+++ b/tests/unit/jobs_site.h
@@ -40,6 +40,12 @@
 void jobs_site_run_ended (jobs_site_t *site, gp_job_task_t *task,
                           gp_end_t how);
 
+/* The guard of TASK's executor reports of its run that it has settled, that
+   its start was refused, or that it is absent.  */
+void jobs_site_run_settled (jobs_site_t *site, gp_job_task_t *task);
+void jobs_site_run_refused (jobs_site_t *site, gp_job_task_t *task);
+void jobs_site_run_absent (jobs_site_t *site, gp_job_task_t *task);
+
 /* Prints JOB's state and for each task its state, run, executor and
    crashes.  */
 void jobs_site_print_job (const gp_job_t *job);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -417,31 +417,6 @@
   jobs_site_finish (&site);
 }
 
-static void
-report_refused (jobs_site_t *site, const gp_job_task_t *task)
-{
-  Gp__Jobs__TaskRun run = GP__JOBS__TASK_RUN__INIT;
-  Gp__Jobs__TaskRun *runs[] = { &run };
-  char name[GP_TASK_NAME_SIZE];
-
-  gp_task_name (task, name);
-  run.task = name;
-  run.run = task->run;
-  gp_scheduler_note_refused (&site->scheduler, task->executor, runs, 1);
-}
-
-static void
-report_absent (jobs_site_t *site, const gp_job_task_t *task)
-{
-  Gp__Jobs__TaskRun run = GP__JOBS__TASK_RUN__INIT;
-  char name[GP_TASK_NAME_SIZE];
-
-  gp_task_name (task, name);
-  run.task = name;
-  run.run = task->run;
-  gp_scheduler_run_absent (&site->scheduler, task->executor, &run, site->now);
-}
-
 /* Guards against reporting no job as waiting while thirty waited for executors
    that refused every call: a job counted as begun when it was assigned, and
    stayed so until the leases expired, or was assigned again.  */
@@ -458,13 +433,13 @@
   job = jobs_site_submit (&site, "00000000000000aa",
                           of_queue ("good", 2, 1000));
   jobs_site_plan (&site);
-  report_refused (&site, &job->tasks[0]);
+  jobs_site_run_refused (&site, &job->tasks[0]);
   print_pending (&site);
-  report_refused (&site, &job->tasks[1]);
+  jobs_site_run_refused (&site, &job->tasks[1]);
   print_pending (&site);
   printf ("also once the runs are absent, and when it is assigned again\n");
-  report_absent (&site, &job->tasks[0]);
-  report_absent (&site, &job->tasks[1]);
+  jobs_site_run_absent (&site, &job->tasks[0]);
+  jobs_site_run_absent (&site, &job->tasks[1]);
   print_pending (&site);
   site.now += GP_SEC;
   jobs_site_plan (&site);
@@ -474,8 +449,8 @@
   print_pending (&site);
   printf ("and from then on\n");
   jobs_site_plan (&site);
-  report_refused (&site, &job->tasks[0]);
-  report_refused (&site, &job->tasks[1]);
+  jobs_site_run_refused (&site, &job->tasks[0]);
+  jobs_site_run_refused (&site, &job->tasks[1]);
   print_pending (&site);
   jobs_site_finish (&site);
 }
