scheduler: only a refused start shows that a job has not begun

Cause: since any absent run queued its job again. But a run is absent also if it had begun and its executor no longer lists it, so a missing row was taken for a start that never happened, and a job that had run could be shown as queued.

Change: the job is queued again only if its guard has reported the refusal, which it tells also of a run that is absent already, and the leader reads before the absence.

--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -195,8 +195,7 @@
 bool
 gp_agent_is_refused (const gp_agent_run_t *run)
 {
-  return run->start_refused && run->began_at == 0
-         && run->phase != GP_RUN_ABSENT;
+  return run->start_refused && run->began_at == 0;
 }
 
 bool
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -380,7 +380,8 @@
       add_order (scheduler, GP_ORDER_FORGET, task);
       executor->full_until = now + REFUSED_PAUSE_TIME;
       gp_scheduler_release (scheduler, task);
-      gp_scheduler_await_begin (scheduler, task->job);
+      if (task->refused)
+        gp_scheduler_await_begin (scheduler, task->job);
       gp_log (GP_LOG_INFO, "run.absent", GP_LOG_S ("task", run->task),
               GP_LOG_I ("run", run->run), GP_LOG_S ("executor", executor->id));
       return;
--- a/src/jobs/scheduler_private.h
+++ b/src/jobs/scheduler_private.h
@@ -32,8 +32,8 @@
 
 /* Registers the counters of dead executors and lost runs.  */
 void gp_scheduler_register_losses (void);
-/* A run of JOB has not begun and never will.  If nothing shows that another
-   one has, JOB is queued again until one is known to have begun.  */
+/* A start of JOB was refused.  If nothing shows that a run of it has begun,
+   JOB is queued again until one is known to have.  */
 void gp_scheduler_await_begin (gp_scheduler_t *scheduler, gp_job_t *job);
 /* A run of JOB is known to have begun.  */
 void gp_scheduler_note_begun (gp_scheduler_t *scheduler, gp_job_t *job);
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -207,6 +207,9 @@
                                    report->ends[i], now, gp_time_wall_ms ()))
         break;
     }
+  /* Before the absent runs, which are no longer assigned afterwards.  */
+  gp_scheduler_note_refused (&leader->scheduler, executor, report->refused,
+                             report->n_refused);
   for (size_t i = 0; i < report->n_absent; i++)
     gp_scheduler_run_absent (&leader->scheduler, executor, report->absent[i],
                              now);
@@ -215,8 +218,6 @@
   gp_scheduler_note_unconfirmed (&leader->scheduler, executor,
                                  report->unconfirmed, report->n_unconfirmed,
                                  now);
-  gp_scheduler_note_refused (&leader->scheduler, executor, report->refused,
-                             report->n_refused);
   if (report->synced == 0)
     gp_scheduler_note_unsynced (executor, report->carried, report->n_carried,
                                 now);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -455,6 +455,25 @@
   jobs_site_finish (&site);
 }
 
+/* Guards against calling a job queued whose run had begun: an executor that no
+   longer lists a run does not show that it never began.  */
+static void
+test_missing (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+
+  printf ("a job whose run is absent, but was not refused, has begun\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 1);
+  job = jobs_site_submit (&site, "00000000000000aa",
+                          of_queue ("good", 1, 1000));
+  jobs_site_plan (&site);
+  jobs_site_run_absent (&site, &job->tasks[0]);
+  print_pending (&site);
+  jobs_site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -468,6 +487,7 @@
                                  { "not_named", test_not_named },
                                  { "not_withdrawn", test_not_withdrawn },
                                  { "refused", test_refused },
+                                 { "missing", test_missing },
                                  CU_TEST_INFO_NULL };
 
   return runner_main ("quarantine", tests);
