scheduler: log and count jobs that are queued again

A job that went from running back to queued left no line and no counter, so that refused starts and executors that are down could not be told apart, and the refusal of a state that is not loaded yet read like that of a log that cannot be read.

--- a/src/jobs/scheduler_reports.c
+++ b/src/jobs/scheduler_reports.c
@@ -11,9 +11,13 @@
 static gp_counter_t stray_runs_count = GP_COUNTER (
     "runs_stray_total", "Runs at work that are not wanted where they are");
 
+static gp_counter_t queued_again_count = GP_COUNTER (
+    "jobs_queued_again_total", "Jobs that wait again, as no run has begun");
+
 void
 gp_scheduler_register_reports (void)
 {
+  gp_counter_register (&queued_again_count);
   gp_counter_register (&stray_runs_count);
 }
 
@@ -182,12 +186,15 @@
   return true;
 }
 
-/* JOB waits again.  */
+/* JOB waits again because of WHY.  */
 static void
-queue_again (gp_scheduler_t *scheduler, gp_job_t *job)
+queue_again (gp_scheduler_t *scheduler, gp_job_t *job, const char *why)
 {
   if (!job->started)
     return;
+  gp_counter_add (&queued_again_count, 1);
+  gp_log (GP_LOG_INFO, "job.queued_again", GP_LOG_S ("job", job->id),
+          GP_LOG_S ("why", why));
   job->started = false;
   job->state = GP_JOB_QUEUED;
   gp_scheduler_mark_dirty (scheduler, job);
@@ -202,7 +209,7 @@
     gp_job_t *job = GP_CONTAINER_OF (link, gp_job_task_t, on_executor)->job;
 
     if (!gp_job_ended (job) && may_not_have_begun (job))
-      queue_again (scheduler, job);
+      queue_again (scheduler, job, "its executors are down");
   }
 }
 
@@ -212,7 +219,7 @@
   if (gp_job_ended (job) || !may_not_have_begun (job))
     return;
   job->start_refused = true;
-  queue_again (scheduler, job);
+  queue_again (scheduler, job, "its start was refused");
 }
 
 void
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -179,7 +179,7 @@
     }
   if (parts_to_read (job) != 0 && !knows_progress (api))
     {
-      refuse (api, exchange, "the log cannot be read");
+      refuse (api, exchange, "the progress of jobs is not loaded");
       return;
     }
   gp_histogram_add (&book_age,
--- a/tests/scripts/images.py
+++ b/tests/scripts/images.py
@@ -13,6 +13,7 @@
 FILLING = 200
 # The names of registries, repositories and digests together.
 NAME_SIZE = 200
+# Tells a leader that is stuck from one that is slow.
 LIMIT_S = 40.0
 
 
