scheduler: log each run that counts as a failed attempt

Cause: a job was shown as failed, and the log had the ends of its runs but not what was counted on which task, so that a count per member of a gang could not be told from one per run. Change: the line task.failed with the run, the count and the limit.

--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -225,6 +225,19 @@
     gp_scheduler_end_job (scheduler, job, GP_JOB_COMPLETED, wall_ms);
 }
 
+/* Logs that RUN of TASK, or of the gang whose first member it is, was counted
+   as a failed attempt.  */
+static void
+log_failure (const gp_job_task_t *task, uint32_t run)
+{
+  char name[GP_TASK_NAME_SIZE];
+
+  gp_task_name (task, name);
+  gp_log (GP_LOG_INFO, "task.failed", GP_LOG_S ("task", name),
+          GP_LOG_I ("run", run), GP_LOG_I ("failures", task->failures),
+          GP_LOG_I ("max_attempts", task->job->submission->max_attempts));
+}
+
 static void
 count_failure (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
 {
@@ -235,6 +248,7 @@
   if (gp_task_step (task)->gang)
     sibling_tasks (task, &counted);
   counted->failures++;
+  log_failure (counted, task->run);
   if (gp_task_step (task)->long_running || gp_job_ended (job))
     return;
   if (counted->failures >= job->submission->max_attempts)
