jobs: one function for the tasks of a step and occurrence

Cause: the scheduler, the score and the placement of suspects each worked out the tasks beside a given one. Change: gp_task_siblings in place of the three. Measured: test_jobs, test_suspicion, test_strays, test_waits and test_suspicion_random pass.

--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -267,6 +267,15 @@
                      + job->step_start[step]];
 }
 
+uint32_t
+gp_task_siblings (const gp_job_task_t *task, gp_job_task_t **first)
+{
+  uint32_t step = gp_task_step_number (task);
+
+  *first = gp_job_step_tasks (task->job, gp_task_occurrence (task), step);
+  return task->job->submission->steps[step]->count;
+}
+
 gp_step_tally_t *
 gp_job_tallies (const gp_job_t *job, uint32_t occurrence)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -242,6 +242,10 @@
 gp_job_task_t *gp_job_step_tasks (const gp_job_t *job, uint32_t occurrence,
                                   uint32_t step);
 
+/* Sets *FIRST to the first task of TASK's step and occurrence, for a gang its
+   members, and returns their number.  */
+uint32_t gp_task_siblings (const gp_job_task_t *task, gp_job_task_t **first);
+
 /* Returns the tallies of OCCURRENCE, one for each step.  */
 gp_step_tally_t *gp_job_tallies (const gp_job_t *job, uint32_t occurrence);
 
--- a/src/jobs/placer_score.c
+++ b/src/jobs/placer_score.c
@@ -157,12 +157,10 @@
 static bool
 is_with_siblings (const gp_job_executor_t *executor, const gp_job_task_t *task)
 {
-  const gp_job_t *job = task->job;
-  uint32_t step = gp_task_step_number (task);
-  const gp_job_task_t *first
-      = gp_job_step_tasks (job, gp_task_occurrence (task), step);
+  gp_job_task_t *first;
+  uint32_t count = gp_task_siblings (task, &first);
 
-  for (uint32_t i = 0; i < job->submission->steps[step]->count; i++)
+  for (uint32_t i = 0; i < count; i++)
     if (first[i].executor != NULL)
       return g_strcmp0 (rack_of (first[i].executor), rack_of (executor)) == 0;
   return true;
--- a/src/jobs/placer_suspects.c
+++ b/src/jobs/placer_suspects.c
@@ -27,13 +27,13 @@
 gp_placer_needs_isolation (const gp_placer_pass_t *pass,
                            const gp_job_task_t *task)
 {
-  const gp_job_task_t *first;
-  uint32_t step = gp_task_step_number (task);
+  gp_job_task_t *first;
+  uint32_t count;
 
   if (!gp_task_step (task)->gang)
     return gp_suspicion_needs_isolation (task, pass->now);
-  first = gp_job_step_tasks (task->job, gp_task_occurrence (task), step);
-  for (uint32_t i = 0; i < task->job->submission->steps[step]->count; i++)
+  count = gp_task_siblings (task, &first);
+  for (uint32_t i = 0; i < count; i++)
     if (gp_suspicion_needs_isolation (&first[i], pass->now))
       return true;
   return false;
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -163,25 +163,13 @@
       = g_strndup ((const char *)checkpoint->data, checkpoint->len);
 }
 
-/* Sets *FIRST to the first task of TASK's step and occurrence, for a gang its
-   members, and returns their number.  */
-static uint32_t
-sibling_tasks (gp_job_task_t *task, gp_job_task_t **first)
-{
-  gp_job_t *job = task->job;
-  uint32_t step = gp_task_step_number (task);
-
-  *first = gp_job_step_tasks (job, gp_task_occurrence (task), step);
-  return job->submission->steps[step]->count;
-}
-
 /* All tasks of TASK's step are done: records how long the longest took.
    Skipped if this process has seen less than half of them.  */
 static void
 learn_step (gp_scheduler_t *scheduler, gp_job_task_t *task)
 {
   gp_job_task_t *first;
-  uint32_t count = sibling_tasks (task, &first);
+  uint32_t count = gp_task_siblings (task, &first);
   gp_time_t longest = 0;
   gp_time_t sum = 0;
   uint32_t known = 0;
@@ -246,7 +234,7 @@
 
   /* Failures of a gang are counted together, on its first member.  */
   if (gp_task_step (task)->gang)
-    sibling_tasks (task, &counted);
+    gp_task_siblings (task, &counted);
   counted->failures++;
   log_failure (counted, task->run);
   if (gp_task_step (task)->long_running || gp_job_ended (job))
@@ -261,7 +249,7 @@
 finish_gang (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
 {
   gp_job_task_t *first;
-  uint32_t count = sibling_tasks (task, &first);
+  uint32_t count = gp_task_siblings (task, &first);
 
   for (uint32_t i = 0; i < count; i++)
     {
