scheduler: a failed run of a gang counts once, not for each member

Cause: the failures of a gang are counted on its first member, and each member that fails reports an end of its own; every such end was counted, whatever its run. So one run used up as many attempts as it had failed members.

Change: the number of the last run that was counted stands beside the count and in the record of the progress. Why this works: all members of a run have its number, and the next run is assigned only when none is left of the last one, so an end of the same number is of an attempt that was counted; the next leader reads the number with the count.

The leader changes between two ends of a run: counted once, before twice.

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -145,6 +145,7 @@
   gp_task_set_state (task, GP_TASK_WAITING);
   task->run = 0;
   task->failures = 0;
+  task->failed_run = 0;
   task->crashes = 0;
   task->evidence = 0;
   gp_suspicion_reset_run (task);
@@ -157,6 +158,7 @@
 {
   task->run = progress->run;
   task->failures = progress->failures;
+  task->failed_run = progress->failed_run;
   task->crashes = progress->crashes;
   task->evidence = progress->evidence;
   if (progress->checkpoint.len > 0)
@@ -409,6 +411,7 @@
   progress->index = task->index;
   progress->run = task->run;
   progress->failures = task->failures;
+  progress->failed_run = task->failed_run;
   progress->crashes = task->crashes;
   progress->evidence = task->evidence;
   progress->alone = task->alone;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -71,8 +71,10 @@
   gp_job_t *job;
   uint32_t index;
   gp_task_state_t state;
-  uint32_t run; /* the last number used, 0: none */
-  uint32_t failures;
+  uint32_t run;        /* the last number used, 0: none */
+  uint32_t failures;   /* number of failed runs; those of a gang are counted on
+                          its first member */
+  uint32_t failed_run; /* the last run counted in FAILURES, 0: none */
   uint32_t crashes;  /* consecutive crashes of executors that count against the
                         task; see jobs/suspicion.h */
   uint32_t evidence; /* evidence of these that the task caused them */
--- a/src/jobs/records.c
+++ b/src/jobs/records.c
@@ -79,6 +79,10 @@
       || !gp_field_text (&task->checkpoint, GP_FIELD_CHECKPOINT_MAX,
                          "checkpoint", error))
     return false;
+  if (task->failed_run > task->run)
+    return gp_field_fail (error, "failed_run", "not started yet");
+  if (task->failed_run > 0 && task->failures == 0)
+    return gp_field_fail (error, "failed_run", "without failures");
   if (task->stopping && *task->executor == '\0')
     return gp_field_fail (error, "stopping", "on no executor");
   return true;
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -226,15 +226,19 @@
           GP_LOG_I ("max_attempts", task->job->submission->max_attempts));
 }
 
+/* TASK's run has failed.  A run of a gang is one attempt, however many of its
+   members fail: each of them reports an end of its own.  */
 static void
 count_failure (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
 {
   gp_job_t *job = task->job;
   gp_job_task_t *counted = task;
 
-  /* Failures of a gang are counted together, on its first member.  */
   if (gp_task_step (task)->gang)
     gp_task_siblings (task, &counted);
+  if (counted->failed_run == task->run)
+    return;
+  counted->failed_run = task->run;
   counted->failures++;
   log_failure (counted, task->run);
   if (gp_task_step (task)->long_running || gp_job_ended (job))
--- a/tests/unit/record_cases.c
+++ b/tests/unit/record_cases.c
@@ -240,6 +240,12 @@
   add_one_progress (cases, "more crashes than any task lives through", p);
   p->tasks[0].run = 0;
   add_one_progress (cases, "a run without a number", p);
+  p->tasks[0].failures = 1;
+  p->tasks[0].failed_run = p->tasks[0].run + 1;
+  add_one_progress (cases, "a failed run that was not started", p);
+  p->tasks[0].failures = 0;
+  p->tasks[0].failed_run = 1;
+  add_one_progress (cases, "a failed run that was not counted", p);
   p->tasks[1].index = 1;
   add_one_progress (cases, "a task twice", p);
   p->tasks[1].index = 0;
--- /dev/null
+++ b/tests/unit/test_gangs.c
@@ -0,0 +1,169 @@
+/* Tests of gangs: what a report about one member means for the whole gang.
+   Guards against two faults: a run that several members fail counts as several
+   attempts, and the room of a gang that is done is used before the ends of its
+   members are listed.  */
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "gang_world.h"
+#include "runner.h"
+
+#define JOB "00000000000000aa"
+#define MEMBERS 12
+#define SEEDS 50
+#define JOBS 40
+
+/* Returns a job of one gang, placed on executors that have room for it.  */
+static gp_job_t *
+place_gang (jobs_site_t *site, unsigned members, unsigned max_attempts)
+{
+  Gp__Jobs__Submission *submission = jobs_site_submission (members, 3500);
+  gp_job_t *job;
+
+  submission->max_attempts = max_attempts;
+  submission->steps[0]->gang = true;
+  for (unsigned i = 0; i < members; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "x%u", i + 1);
+      jobs_site_executor (site, id, GANG_WORKER_CORES);
+    }
+  job = jobs_site_submit (site, JOB, submission);
+  jobs_site_plan (site);
+  return job;
+}
+
+/* The run of JOB's gang ends: the first FAILING members fail.  */
+static void
+fail_run (jobs_site_t *site, gp_job_t *job, unsigned failing)
+{
+  for (uint32_t i = 0; i < job->task_count; i++)
+    if (job->tasks[i].executor != NULL)
+      jobs_site_run_ended (site, &job->tasks[i],
+                           i < failing ? GP_END_FAILED : GP_END_BROKEN);
+}
+
+/* Guards against the loss of attempts: a run counted as often as members had
+   failed in it.  */
+static void
+test_attempts (void)
+{
+  for (unsigned failing = 1; failing <= MEMBERS; failing++)
+    for (unsigned max_attempts = 1; max_attempts <= 4; max_attempts++)
+      {
+        jobs_site_t site;
+        gp_job_t *job;
+        unsigned runs = 0;
+
+        jobs_site_init (&site);
+        job = place_gang (&site, MEMBERS, max_attempts);
+        while (!gp_job_ended (job) && runs < 2 * max_attempts)
+          {
+            runs++;
+            fail_run (&site, job, failing);
+            site.now += 10 * GP_SEC;
+            jobs_site_plan (&site);
+          }
+        CU_ASSERT_EQUAL (job->state, GP_JOB_FAILED);
+        CU_ASSERT_EQUAL (runs, max_attempts);
+        jobs_site_finish (&site);
+      }
+}
+
+/* Guards against a run that is counted by each leader: the record tells the
+   next one that it was.  */
+static void
+test_attempts_after_change (void)
+{
+  jobs_site_t site;
+  jobs_site_t next;
+  gp_job_t *job;
+
+  printf ("the leader changes between two failed ends of a run\n");
+  jobs_site_init (&site);
+  job = place_gang (&site, 3, 2);
+  jobs_site_run_ended (&site, &job->tasks[1], GP_END_FAILED);
+  jobs_site_print_job (job);
+  jobs_site_init (&next);
+  jobs_site_rebuild_book (&site, &next.book);
+  jobs_site_finish (&site);
+  job = gp_book_find (&next.book, JOB);
+  jobs_site_run_ended (&next, &job->tasks[0], GP_END_FAILED);
+  jobs_site_run_ended (&next, &job->tasks[2], GP_END_BROKEN);
+  jobs_site_print_job (job);
+  printf ("  failed runs: %u\n", job->tasks[0].failures);
+  jobs_site_finish (&next);
+}
+
+static void
+play_all (const char *what, const gang_faults_t *faults)
+{
+  gang_result_t sum = { 0 };
+
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      const gang_result_t result = gang_world_play (faults, JOBS, seed);
+
+      sum.jobs += result.jobs;
+      sum.completed += result.completed;
+      sum.failed += result.failed;
+      sum.cancelled += result.cancelled;
+      sum.leaders += result.leaders;
+      sum.lost_workers += result.lost_workers;
+      sum.forgotten += result.forgotten;
+      sum.overcommits += result.overcommits;
+      sum.wrong_failures += result.wrong_failures;
+      sum.late_completions += result.late_completions;
+      sum.unended += result.unended;
+      sum.reserved += result.reserved;
+      if (result.overcommits + result.wrong_failures + result.late_completions
+              + result.unended + result.reserved
+          > 0)
+        fprintf (stderr, "%s, seed %u: %u %u %u %u %u\n", what, seed,
+                 result.overcommits, result.wrong_failures,
+                 result.late_completions, result.unended, result.reserved);
+    }
+  fprintf (stderr,
+           "%s: %u jobs, %u completed, %u failed, %u cancelled, %u leaders, "
+           "%u workers lost, %u ends forgotten\n",
+           what, sum.jobs, sum.completed, sum.failed, sum.cancelled,
+           sum.leaders, sum.lost_workers, sum.forgotten);
+  printf ("%s: %u failed at a wrong run, %u completed late, %u not ended\n",
+          what, sum.wrong_failures, sum.late_completions, sum.unended);
+}
+
+/* Random gangs, over SEEDS seeds each.  */
+static void
+test_random (void)
+{
+  gang_faults_t faults = { .spread = 10 * GP_MSEC };
+
+  play_all ("ends 10 ms apart", &faults);
+  faults.spread = 400 * GP_MSEC;
+  faults.report_delay = 300 * GP_MSEC;
+  play_all ("ends 400 ms apart, reported up to 300 ms later", &faults);
+  faults.failing_runs = 0.4;
+  faults.failing_members = 0.5;
+  play_all ("runs fail", &faults);
+  faults.leader_interval = 200 * GP_MSEC;
+  play_all ("and leaders change", &faults);
+  faults.cancelled_jobs = 0.3;
+  faults.forgotten_ends = 0.2;
+  faults.loss_interval = GP_SEC;
+  play_all ("and workers are lost or forget ends, and jobs are cancelled",
+            &faults);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = { { "attempts", test_attempts },
+                                 { "attempts after a change of the leader",
+                                   test_attempts_after_change },
+                                 { "random", test_random },
+                                 CU_TEST_INFO_NULL };
+
+  return runner_main ("gangs", tests);
+}
