scheduler: log how many ends of a done gang are not listed yet

Cause: the log showed when a job was completed, but not which of its runs could still be at work then, so that room used too early could not be told from room given back by a wrong end. Change: the line gang.done with the members and those whose executors have not listed an end.

--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -247,6 +247,17 @@
     gp_scheduler_end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
 }
 
+static void
+log_gang_done (const gp_job_task_t *task, uint32_t members, uint32_t unlisted)
+{
+  char name[GP_TASK_NAME_SIZE];
+
+  gp_task_name (task, name);
+  gp_log (GP_LOG_INFO, "gang.done", GP_LOG_S ("task", name),
+          GP_LOG_I ("run", task->run), GP_LOG_I ("members", members),
+          GP_LOG_I ("unlisted", unlisted));
+}
+
 /* All members of a gang are done together: the others need not report their
    ends.  */
 static void
@@ -254,7 +265,11 @@
 {
   gp_job_task_t *first;
   uint32_t count = gp_task_siblings (task, &first);
+  uint32_t unlisted = 0;
 
+  for (uint32_t i = 0; i < count; i++)
+    unlisted += first[i].executor != NULL;
+  log_gang_done (task, count, unlisted);
   for (uint32_t i = 0; i < count; i++)
     {
       if (first[i].executor != NULL)
