scheduler: members of a done gang keep their room until they have ended

Cause: with the first end done of a gang the leader released the runs of all members. Their executors list the ends some time later, and until then the runs hold their room.

By the record w4 listed done at 5.171 s, a start brought w10 over at 5.174 s, w10 listed its end at 5.176 s. Ruled out: stopped runs, capacities that had shrunk, two leaders.

Change: a task that is done can still be on its executor. It is released by its own end, its absence or the death of the executor, as any other run; the record of the progress has a flag for it, so that the next leader keeps the room. Why this works: room is given back by what is known of that run only. The job is completed with the first done, as before.

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -152,6 +152,15 @@
   g_clear_pointer (&task->checkpoint, g_free);
 }
 
+/* Returns the state of a task that PROGRESS gives an executor.  */
+static gp_task_state_t
+assigned_state (const Gp__Jobs__TaskProgress *progress)
+{
+  if (progress->done)
+    return GP_TASK_DONE;
+  return progress->stopping ? GP_TASK_STOPPING : GP_TASK_ASSIGNED;
+}
+
 static void
 apply_task (gp_book_t *book, gp_job_task_t *task,
             const Gp__Jobs__TaskProgress *progress)
@@ -168,8 +177,9 @@
     return;
   gp_job_executor_add (gp_book_executor (book, progress->executor), task);
   gp_suspicion_restore (task, progress->alone);
-  gp_task_set_state (task,
-                     progress->stopping ? GP_TASK_STOPPING : GP_TASK_ASSIGNED);
+  if (progress->done)
+    gp_suspicion_clear (task);
+  gp_task_set_state (task, assigned_state (progress));
 }
 
 /* Adds JOB to the list of live jobs or removes it.  */
@@ -292,7 +302,8 @@
   for (size_t i = 0; i < progress->n_done; i++)
     runs[progress->done[i]] = RUN_DONE;
   for (size_t i = 0; i < progress->n_tasks; i++)
-    runs[progress->tasks[i]->index] = progress->tasks[i]->run;
+    runs[progress->tasks[i]->index]
+        = progress->tasks[i]->done ? RUN_DONE : progress->tasks[i]->run;
   return runs;
 }
 
@@ -394,12 +405,13 @@
   update_live (book, job);
 }
 
-/* Returns whether TASK has to be in its job's record.  If the job has ended,
-   only tasks that may still be running are.  */
+/* Returns whether TASK has a row in its job's record.  If the job has ended,
+   only tasks that may still be running have one; otherwise those that are done
+   and not running are only listed as done.  */
 static bool
-is_packed (const gp_job_task_t *task, bool ended)
+has_row (const gp_job_task_t *task, bool ended)
 {
-  if (ended)
+  if (ended || task->state == GP_TASK_DONE)
     return task->executor != NULL;
   return task->state != GP_TASK_WAITING || task->run != 0;
 }
@@ -416,6 +428,7 @@
   progress->evidence = task->evidence;
   progress->alone = task->alone;
   progress->stopping = task->state == GP_TASK_STOPPING;
+  progress->done = task->state == GP_TASK_DONE;
   if (task->executor != NULL)
     progress->executor = task->executor->id;
   if (task->checkpoint != NULL)
@@ -439,13 +452,13 @@
   progress.done = g_new (uint32_t, job->task_count);
   progress.tasks = g_new (Gp__Jobs__TaskProgress *, job->task_count);
   for (uint32_t i = 0; i < job->task_count; i++)
-    if (job->tasks[i].state == GP_TASK_DONE && !ended)
-      progress.done[progress.n_done++] = i;
-    else if (is_packed (&job->tasks[i], ended))
+    if (has_row (&job->tasks[i], ended))
       {
         progress.tasks[progress.n_tasks] = &tasks[progress.n_tasks];
         pack_task (&job->tasks[i], &tasks[progress.n_tasks++]);
       }
+    else if (job->tasks[i].state == GP_TASK_DONE && !ended)
+      progress.done[progress.n_done++] = i;
   bytes = gp_progress_pack (&progress);
   g_free (progress.done);
   g_free (progress.tasks);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -52,7 +52,9 @@
   GP_TASK_WAITING,
   GP_TASK_ASSIGNED, /* its run may be running on its executor */
   GP_TASK_STOPPING, /* the same, and a stop of the run has been ordered */
-  GP_TASK_DONE
+  GP_TASK_DONE      /* a member of a gang that another member has shown to be
+                       done remains on its executor until its own run is known to
+                       have ended there */
 } gp_task_state_t;
 
 /* How a run ended.  */
@@ -93,7 +95,7 @@
   uint32_t max_age_ms; /* ... and at most this long, 0: unknown ... */
   bool unanswered;     /* ... or may have at any time */
   bool timed; /* known from when its executor ended, not from its lists */
-  gp_job_executor_t *executor; /* while assigned or stopping */
+  gp_job_executor_t *executor; /* as long as its run may be running */
   gp_list_t on_executor;       /* in gp_job_executor_t.tasks */
   char *checkpoint;            /* NULL: none */
   gp_time_t duration;   /* duration of the run that was done, as seen by this
--- a/src/jobs/progress_compact.c
+++ b/src/jobs/progress_compact.c
@@ -108,7 +108,7 @@
 fits_columns (const Gp__Jobs__TaskProgress *task)
 {
   return task->failures == 0 && task->crashes == 0 && !task->alone
-         && task->checkpoint.len == 0 && !task->stopping;
+         && task->checkpoint.len == 0 && !task->stopping && !task->done;
 }
 
 /* Adds TASK to the columns if it fits.  Returns whether it did.  */
--- a/src/jobs/records.c
+++ b/src/jobs/records.c
@@ -85,6 +85,8 @@
     return gp_field_fail (error, "failed_run", "without failures");
   if (task->stopping && *task->executor == '\0')
     return gp_field_fail (error, "stopping", "on no executor");
+  if (task->done && *task->executor == '\0')
+    return gp_field_fail (error, "done", "on no executor");
   return true;
 }
 
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -149,14 +149,15 @@
 gp_scheduler_release (gp_scheduler_t *scheduler, gp_job_task_t *task)
 {
   gp_job_executor_remove (task->executor, task);
-  gp_task_set_state (task, GP_TASK_WAITING);
+  if (task->state != GP_TASK_DONE)
+    gp_task_set_state (task, GP_TASK_WAITING);
   gp_scheduler_mark_dirty (scheduler, task->job);
 }
 
 static void
 set_checkpoint (gp_job_task_t *task, const ProtobufCBinaryData *checkpoint)
 {
-  if (checkpoint->len == 0)
+  if (checkpoint->len == 0 || task->state == GP_TASK_DONE)
     return;
   g_free (task->checkpoint);
   task->checkpoint
@@ -258,8 +259,9 @@
           GP_LOG_I ("unlisted", unlisted));
 }
 
-/* All members of a gang are done together: the others need not report their
-   ends.  */
+/* TASK is done, and with it all members of its gang.  The runs of the others
+   keep their resources until their executors have listed their ends: these are
+   on other VMs, which end them a little later.  */
 static void
 finish_gang (gp_scheduler_t *scheduler, gp_job_task_t *task, int64_t wall_ms)
 {
@@ -267,16 +269,14 @@
   uint32_t count = gp_task_siblings (task, &first);
   uint32_t unlisted = 0;
 
-  for (uint32_t i = 0; i < count; i++)
-    unlisted += first[i].executor != NULL;
-  log_gang_done (task, count, unlisted);
   for (uint32_t i = 0; i < count; i++)
     {
-      if (first[i].executor != NULL)
-        gp_scheduler_release (scheduler, &first[i]);
+      unlisted += first[i].executor != NULL;
+      gp_suspicion_clear (&first[i]);
       if (first[i].state != GP_TASK_DONE)
         finish_task (scheduler, &first[i], wall_ms);
     }
+  log_gang_done (task, count, unlisted);
 }
 
 static void
@@ -304,11 +304,14 @@
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
   gp_job_executor_t *executor = task->executor;
+  bool was_done = task->state == GP_TASK_DONE;
 
   update_distrust (executor, how, now);
   if (how == GP_END_DONE)
     gp_suspicion_clear (task);
   gp_scheduler_release (scheduler, task);
+  if (was_done)
+    return;
   if (how == GP_END_DONE && !step->long_running)
     {
       learn_duration (scheduler, executor, task, now);
--- a/src/jobs/scheduler_private.h
+++ b/src/jobs/scheduler_private.h
@@ -12,7 +12,8 @@
 void gp_scheduler_end_job (gp_scheduler_t *scheduler, gp_job_t *job,
                            gp_job_state_t state, int64_t wall_ms);
 
-/* Takes TASK off its executor; it waits again.  */
+/* The run of TASK has ended or never began: takes TASK off its executor.  It
+   waits again unless it is done.  */
 void gp_scheduler_release (gp_scheduler_t *scheduler, gp_job_task_t *task);
 
 /* TASK was assigned: records how long its run is expected to take.  This is
--- a/tests/unit/record_cases.c
+++ b/tests/unit/record_cases.c
@@ -257,6 +257,9 @@
   p->tasks[0].executor = "";
   p->tasks[0].stopping = true;
   add_one_progress (cases, "a stop on no executor", p);
+  p->tasks[0].executor = "";
+  p->tasks[0].done = true;
+  add_one_progress (cases, "done, and at work on no executor", p);
   p->tasks[0].checkpoint.data = (uint8_t *)long_checkpoint;
   p->tasks[0].checkpoint.len = sizeof long_checkpoint;
   add_one_progress (cases, "a very long checkpoint", p);
--- a/tests/unit/test_gangs.c
+++ b/tests/unit/test_gangs.c
@@ -97,6 +97,55 @@
   jobs_site_finish (&next);
 }
 
+static void
+print_used (const jobs_site_t *site, const char *when)
+{
+  printf ("  %s:", when);
+  for (unsigned i = 1; i <= 3; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "x%u", i);
+      printf (" %d", (int)gp_book_executor ((gp_book_t *)&site->book, id)
+                         ->used.cpu_milli);
+    }
+  printf ("\n");
+}
+
+/* Guards against starts beyond an executor's capacity: the first end `done` of
+   a gang freed the room of all its members, and the next leader did not know
+   of those that had not ended.  */
+static void
+test_room (void)
+{
+  jobs_site_t site;
+  jobs_site_t next;
+  gp_job_t *job;
+
+  printf ("a gang of three is done, and its runs end one by one\n");
+  jobs_site_init (&site);
+  job = place_gang (&site, 3, 2);
+  print_used (&site, "at work");
+  jobs_site_run_ended (&site, &job->tasks[1], GP_END_DONE);
+  jobs_site_print_job (job);
+  print_used (&site, "first end");
+  CU_ASSERT_FALSE (gp_book_expired (job, INT64_MAX));
+  jobs_site_init (&next);
+  jobs_site_rebuild_book (&site, &next.book);
+  jobs_site_finish (&site);
+  job = gp_book_find (&next.book, JOB);
+  jobs_site_print_job (job);
+  print_used (&next, "next leader");
+  jobs_site_executor_dead (&next, gp_book_executor (&next.book, "x1"),
+                           GP_DEATH_UNREPORTED);
+  print_used (&next, "one is lost");
+  if (job->tasks[2].executor != NULL)
+    jobs_site_run_absent (&next, &job->tasks[2]);
+  print_used (&next, "one is absent");
+  jobs_site_print_job (job);
+  jobs_site_finish (&next);
+}
+
 static void
 play_all (const char *what, const gang_faults_t *faults)
 {
@@ -130,8 +179,10 @@
            "%u workers lost, %u ends forgotten\n",
            what, sum.jobs, sum.completed, sum.failed, sum.cancelled,
            sum.leaders, sum.lost_workers, sum.forgotten);
-  printf ("%s: %u failed at a wrong run, %u completed late, %u not ended\n",
-          what, sum.wrong_failures, sum.late_completions, sum.unended);
+  printf ("%s: %u beyond capacity, %u failed at a wrong run, %u completed "
+          "late, %u not ended, %u rooms not free\n",
+          what, sum.overcommits, sum.wrong_failures, sum.late_completions,
+          sum.unended, sum.reserved);
 }
 
 /* Random gangs, over SEEDS seeds each.  */
@@ -162,6 +213,7 @@
   static CU_TestInfo tests[] = { { "attempts", test_attempts },
                                  { "attempts after a change of the leader",
                                    test_attempts_after_change },
+                                 { "room", test_room },
                                  { "random", test_random },
                                  CU_TEST_INFO_NULL };
 
--- a/tests/unit/test_progress_compact.c
+++ b/tests/unit/test_progress_compact.c
@@ -85,6 +85,8 @@
           task->stopping = g_rand_boolean (random);
           task->checkpoint.data = (uint8_t *)"00000bb87a21d94b";
           task->checkpoint.len = g_rand_boolean (random) ? 16 : 0;
+          task->failed_run = task->failures;
+          task->done = !task->stopping && g_rand_boolean (random);
         }
       progress->rows[at] = task;
       progress->message.n_tasks++;
