agent: report runs that hold room and that no list shows

Callers saw a job that was never started on an empty executor, after another job was cancelled whose start had not arrived (LOST until the executor ended).

Cause: the leader holds the room of a stopped run until its guard reports the end or the absence. A new guard process learns of runs from the sync, which named wanted ones only, and from lists, which have no row for a run that never began. A report of an absence that was lost was not repeated either: the guard dropped the run at the next sync.

Evidence: unstarted_run.sh before: the next job not completed in 20 s, no line run.ended, run.absent or executor.dead. Ruled out by the same scenario: the executor's lease (the guard is back in 0.5 s), capacity (nothing is at work).

Change: a sync names the runs that hold room and are not wanted; the guard stops them if it does not know them, and reports their end or absence again. Why this works: the leader's list of held room and the guard's list of runs to report are the same after each sync.

Test: unstarted_run.sh; test_cancelled_runs, two cases that failed before, one that held; test_records: a sync with a stop, and one of no task.

--- a/src/jobs/agent.c
+++ b/src/jobs/agent.c
@@ -474,8 +474,20 @@
   return false;
 }
 
+/* Returns whether SYNC names RUN among those of which the leader knows neither
+   an end nor the absence.  */
+static bool
+is_unresolved (const Gp__Jobs__Sync *sync, const gp_agent_run_t *run)
+{
+  for (size_t i = 0; i < sync->n_stops; i++)
+    if (sync->stops[i]->run == run->run
+        && strcmp (sync->stops[i]->task, run->name) == 0)
+      return true;
+  return false;
+}
+
 /* Stops the runs that the leader does not want.  An absent run that it does
-   not want has been recorded and is dropped.  */
+   not want has been recorded and is dropped, unless the leader names it.  */
 static void
 stop_unwanted (gp_agent_t *agent, const Gp__Jobs__Sync *sync)
 {
@@ -489,11 +501,13 @@
 
       if (is_wanted (sync, run))
         continue;
-      if (run->phase == GP_RUN_ABSENT)
+      if (run->phase == GP_RUN_ABSENT && !is_unresolved (sync, run))
         g_hash_table_iter_remove (&iter);
       else
         gp_agent_want_stop (agent, run->name, run->run);
     }
+  for (size_t i = 0; i < sync->n_stops; i++)
+    gp_agent_want_stop (agent, sync->stops[i]->task, sync->stops[i]->run);
 }
 
 void
--- a/src/jobs/frames.c
+++ b/src/jobs/frames.c
@@ -216,7 +216,8 @@
   if (sync->after > now + SENT_AT_SLACK)
     return gp_field_fail (error, "sync.after", "in the future");
   return gp_field_name (sync->executor, "sync.executor", error)
-         && check_starts (sync->starts, sync->n_starts, error);
+         && check_starts (sync->starts, sync->n_starts, error)
+         && check_runs (sync->stops, sync->n_stops, "stops", error);
 }
 
 static bool
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -105,14 +105,14 @@
 }
 
 static Gp__Jobs__TaskRun *
-run_message (const gp_order_t *order)
+run_message (const gp_job_task_t *task, uint32_t number)
 {
   Gp__Jobs__TaskRun *run = g_new (Gp__Jobs__TaskRun, 1);
 
   gp__jobs__task_run__init (run);
   run->task = g_malloc (GP_TASK_NAME_SIZE);
-  gp_task_name (order->task, run->task);
-  run->run = order->run;
+  gp_task_name (task, run->task);
+  run->run = number;
   return run;
 }
 
@@ -165,10 +165,10 @@
         g_ptr_array_add (outbox->starts, start_message (order->task));
       break;
     case GP_ORDER_STOP:
-      g_ptr_array_add (outbox->stops, run_message (order));
+      g_ptr_array_add (outbox->stops, run_message (order->task, order->run));
       break;
     case GP_ORDER_FORGET:
-      g_ptr_array_add (outbox->forget, run_message (order));
+      g_ptr_array_add (outbox->forget, run_message (order->task, order->run));
       break;
     case GP_ORDER_SEEN:
       outbox->seen = MAX (outbox->seen, order->seen);
@@ -283,12 +283,14 @@
   g_array_free (specs, TRUE);
 }
 
-/* The full list of wanted runs of the executor.  It is built before the orders
-   of the same append, which have no further effect then.  */
+/* The full list of the executor's runs: those that are wanted, and those of
+   which neither the end nor the absence is known.  It is built before the
+   orders of the same append, which have no further effect then.  */
 static void
 build_sync (gp_guard_link_t *link)
 {
   GPtrArray *starts = g_ptr_array_new_with_free_func (free_start);
+  GPtrArray *stops = g_ptr_array_new_with_free_func (free_run);
   Gp__Jobs__Sync sync = GP__JOBS__SYNC__INIT;
   Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
 
@@ -299,6 +301,8 @@
 
     if (gp_scheduler_expects_run (task))
       g_ptr_array_add (starts, start_message (task));
+    else
+      g_ptr_array_add (stops, run_message (task, task->run));
   }
   link->sync = ++link->leader->sync_count;
   link->sync_sent_at = gp_loop_now (link->leader->loop);
@@ -308,6 +312,8 @@
   sync.born_ms = link->executor->born_ms;
   sync.starts = (Gp__Jobs__Start **)starts->pdata;
   sync.n_starts = starts->len;
+  sync.stops = (Gp__Jobs__TaskRun **)stops->pdata;
+  sync.n_stops = stops->len;
   sync.raise_fence = link->executor->dead;
   sync.after = link->report_sent_at;
   frame.message_case = GP__JOBS__FRAME__MESSAGE_SYNC;
@@ -315,6 +321,7 @@
   queue_frame (link, &frame);
   link->executor->dead = false;
   g_ptr_array_unref (starts);
+  g_ptr_array_unref (stops);
 }
 
 void
--- a/tests/unit/record_cases.c
+++ b/tests/unit/record_cases.c
@@ -635,6 +635,25 @@
   add_frame (cases, name, &frame);
 }
 
+static void
+add_sync_stop (GArray *cases, const char *name, const char *task, uint32_t run)
+{
+  Gp__Jobs__Sync sync = GP__JOBS__SYNC__INIT;
+  Gp__Jobs__TaskRun stop = GP__JOBS__TASK_RUN__INIT;
+  Gp__Jobs__TaskRun *stops[] = { &stop };
+  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+  stop.task = (char *)task;
+  stop.run = run;
+  sync.number = 1;
+  sync.executor = (char *)"w1-1";
+  sync.stops = stops;
+  sync.n_stops = 1;
+  frame.message_case = GP__JOBS__FRAME__MESSAGE_SYNC;
+  frame.sync = &sync;
+  add_frame (cases, name, &frame);
+}
+
 static void
 add_orders (GArray *cases, const char *name, const char *executor,
             const char *task, uint32_t run)
@@ -731,6 +750,8 @@
   add_sync (cases, "a start of a task that is none of ours", 1, "w1-1",
             JOB ".0.0", 1);
   add_sync (cases, "a start of run 0", 1, "w1-1", TASK, 0);
+  add_sync_stop (cases, "a sync with a stop", TASK, 1);
+  add_sync_stop (cases, "a sync with a stop of no task", "", 1);
   add_orders (cases, "orders", "w1-1", TASK, 1);
   add_orders (cases, "orders for no executor", "", TASK, 1);
   add_orders (cases, "a stop of run 0", "w1-1", TASK, 0);
--- a/tests/unit/test_cancelled_runs.c
+++ b/tests/unit/test_cancelled_runs.c
@@ -138,6 +138,25 @@
   agent_sync_with (&guard->agent, TASK, wanted, guard->now);
 }
 
+/* The leader does not want TASK's run, and knows neither an end of it nor that
+   it is absent.  */
+static void
+sync_unresolved (guard_t *guard)
+{
+  Gp__Jobs__Sync sync = GP__JOBS__SYNC__INIT;
+  Gp__Jobs__TaskRun stop = GP__JOBS__TASK_RUN__INIT;
+  Gp__Jobs__TaskRun *stops[] = { &stop };
+
+  stop.task = TASK;
+  stop.run = 1;
+  sync.number = guard->agent.synced + 1;
+  sync.executor = EXECUTOR;
+  sync.after = guard->now;
+  sync.stops = stops;
+  sync.n_stops = 1;
+  gp_agent_sync (&guard->agent, &sync);
+}
+
 static void
 order_stop (guard_t *guard)
 {
@@ -349,6 +368,60 @@
   finish (&guard);
 }
 
+/* Guards against resources that stay reserved: the executor lists the run
+   neither as active nor as ended, and only a guard process that has ended knew
+   of its start.  */
+static void
+test_unresolved_run_is_reported (void)
+{
+  guard_t guard;
+
+  begin (&guard);
+  sync_unresolved (&guard);
+  go_on (&guard, GP_SEC);
+  CU_ASSERT_EQUAL (phase (&guard), GP_RUN_ABSENT);
+  CU_ASSERT_EQUAL (guard.stops, 1);
+  finish (&guard);
+}
+
+/* The same if the report of the absence was lost with its connection.  */
+static void
+test_lost_report_is_repeated (void)
+{
+  guard_t guard;
+
+  begin (&guard);
+  list (&guard);
+  guard.fake.refuses = true;
+  sync_task (&guard, true);
+  go_on (&guard, GP_SEC);
+  CU_ASSERT_EQUAL (phase (&guard), GP_RUN_ABSENT);
+  sync_unresolved (&guard);
+  CU_ASSERT_EQUAL (phase (&guard), GP_RUN_ABSENT);
+  sync_task (&guard, false);
+  CU_ASSERT_PTR_NULL (gp_agent_find_run (&guard.agent, TASK, 1));
+  finish (&guard);
+}
+
+/* The run is active, or its end was listed: it ends once.  */
+static void
+test_unresolved_run_ends (void)
+{
+  guard_t guard;
+
+  begin (&guard);
+  sync_task (&guard, true);
+  go_on (&guard, GP_SEC);
+  restart (&guard);
+  sync_unresolved (&guard);
+  go_on (&guard, GONE_TIME);
+  CU_ASSERT_FALSE (runs (&guard));
+  CU_ASSERT (gp_agent_run_has_ended (&guard.agent, TASK, 1));
+  sync_unresolved (&guard);
+  CU_ASSERT_PTR_NULL (gp_agent_find_run (&guard.agent, TASK, 1));
+  finish (&guard);
+}
+
 int
 main (void)
 {
@@ -362,6 +435,9 @@
           { "wanted_run_goes_on", test_wanted_run_goes_on },
           { "wanted_run_goes_on_when_healthy",
             test_wanted_run_goes_on_when_healthy },
+          { "unresolved_run_is_reported", test_unresolved_run_is_reported },
+          { "lost_report_is_repeated", test_lost_report_is_repeated },
+          { "unresolved_run_ends", test_unresolved_run_ends },
           CU_TEST_INFO_NULL };
 
   return runner_main ("cancelled runs", tests);
