scheduler: stray and unknown runs hold room on their executor

Callers could see a start beyond the capacity of an executor that does not guard it (LIMIT), beside a run that an order carried out late has begun.

Cause: the room of an executor was that of its assigned runs. Runs that the guard reports as not wanted, or that belong to no known job, were only stopped.

Change: a stray run of a known job counts as used until a report no longer names it, or the executor is dead. An executor with runs of unknown jobs gets no work meanwhile; a log line, two counters and a cause of waiting tell it. The submission of an ended job is deleted only when none of its runs is left, as it tells what they use.

--- a/src/jobs/executor.c
+++ b/src/jobs/executor.c
@@ -108,6 +108,42 @@
   gp_job_executor_end_dedication (executor, task->job);
 }
 
+static void
+add_resources (gp_job_resources_t *sum, const gp_job_resources_t *resources,
+               int64_t sign)
+{
+  sum->cpu_milli += sign * resources->cpu_milli;
+  sum->memory_mb += sign * resources->memory_mb;
+  sum->accelerators += sign * resources->accelerators;
+}
+
+void
+gp_job_executor_add_stray (gp_job_executor_t *executor,
+                           const Gp__Jobs__Step *step)
+{
+  gp_job_resources_t resources;
+
+  if (step == NULL)
+    {
+      executor->unknown_runs++;
+      return;
+    }
+  resources
+      = (gp_job_resources_t){ .cpu_milli = step->fills ? 0 : step->cpu_milli,
+                              .memory_mb = step->memory_mb,
+                              .accelerators = step->accelerators };
+  add_resources (&executor->used, &resources, 1);
+  add_resources (&executor->stray, &resources, 1);
+}
+
+void
+gp_job_executor_clear_strays (gp_job_executor_t *executor)
+{
+  add_resources (&executor->used, &executor->stray, -1);
+  executor->stray = (gp_job_resources_t){ 0 };
+  executor->unknown_runs = 0;
+}
+
 void
 gp_job_executor_end_dedication (gp_job_executor_t *executor,
                                 const gp_job_t *job)
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -34,6 +34,10 @@
   char **labels; /* NULL-terminated, may be NULL */
   gp_job_resources_t capacity;
   gp_job_resources_t used;  /* by runs; of filling runs only the memory */
+  gp_job_resources_t stray; /* the part of USED that is of stray runs, by the
+                               last report of its guard */
+  uint32_t unknown_runs;    /* number of further runs in that report whose job
+                               is not known, and so not what they use */
   int64_t long_running_cpu; /* CPU of long-running runs, in thousandths of a
                                core */
   int64_t filling_cpu;   /* CPU requested by filling runs, in thousandths of a
@@ -95,6 +99,12 @@
 void gp_job_executor_add (gp_job_executor_t *executor, gp_job_task_t *task);
 void gp_job_executor_remove (gp_job_executor_t *executor, gp_job_task_t *task);
 
+/* Reserve the resources of a stray run of STEP on EXECUTOR, NULL: its job is
+   not known, and release those of all stray runs.  */
+void gp_job_executor_add_stray (gp_job_executor_t *executor,
+                                const Gp__Jobs__Step *step);
+void gp_job_executor_clear_strays (gp_job_executor_t *executor);
+
 /* Ends the dedication of EXECUTOR to JOB, unless it has an isolated run of
    that job that has not settled.  */
 void gp_job_executor_end_dedication (gp_job_executor_t *executor,
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -131,6 +131,7 @@
   GP_WAIT_UNREACHABLE,  /* ... are not reported, or do not answer */
   GP_WAIT_DRAINING,     /* ... are about to leave */
   GP_WAIT_DISTRUSTED,   /* ... have just failed runs or refused one */
+  GP_WAIT_UNKNOWN_RUNS, /* ... have runs of jobs that are not known */
   GP_WAIT_DEDICATED,    /* ... are dedicated to suspects, or in quarantine */
   GP_WAIT_INTERFERENCE, /* ... have runs that it would interfere with */
   GP_WAIT_GANG,         /* ... are too few for all of its gang */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -34,7 +34,8 @@
 is_usable (const gp_job_executor_t *executor, gp_time_t now)
 {
   return executor->reachable && !executor->draining && !executor->dead
-         && now >= executor->distrusted_until && now >= executor->full_until;
+         && executor->unknown_runs == 0 && now >= executor->distrusted_until
+         && now >= executor->full_until;
 }
 
 static bool
--- a/src/jobs/placer_waits.c
+++ b/src/jobs/placer_waits.c
@@ -21,6 +21,7 @@
   [GP_WAIT_UNREACHABLE] = "executors with room are not reached",
   [GP_WAIT_DRAINING] = "executors with room are about to leave",
   [GP_WAIT_DISTRUSTED] = "executors with room have just failed or refused",
+  [GP_WAIT_UNKNOWN_RUNS] = "executors with room have runs of unknown jobs",
   [GP_WAIT_DEDICATED] = "executors with room are kept for suspects",
   [GP_WAIT_INTERFERENCE] = "it would harm what serves there",
   [GP_WAIT_GANG] = "no room for all of its gang",
@@ -40,6 +41,8 @@
   = GP_COUNTER ("jobs_held_draining_total", "The same: about to leave"),
   [GP_WAIT_DISTRUSTED]
   = GP_COUNTER ("jobs_held_distrusted_total", "The same: failing"),
+  [GP_WAIT_UNKNOWN_RUNS] = GP_COUNTER ("jobs_held_unknown_total",
+                                       "The same: runs of unknown jobs there"),
   [GP_WAIT_DEDICATED]
   = GP_COUNTER ("jobs_held_kept_total", "The same: kept for suspects"),
   [GP_WAIT_INTERFERENCE]
@@ -88,6 +91,8 @@
   if (pass->now < executor->distrusted_until
       || pass->now < executor->full_until)
     return GP_WAIT_DISTRUSTED;
+  if (executor->unknown_runs > 0)
+    return GP_WAIT_UNKNOWN_RUNS;
   if (executor->quarantined
       || !gp_suspicion_allows (executor, task, pass->now))
     return GP_WAIT_DEDICATED;
--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -289,6 +289,7 @@
     case GP_WAIT_UNREACHABLE:
     case GP_WAIT_DRAINING:
     case GP_WAIT_DISTRUSTED:
+    case GP_WAIT_UNKNOWN_RUNS:
     case GP_WAIT_DEDICATED:
     case GP_WAIT_INTERFERENCE:
     case GP_WAIT_GANG:
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -86,7 +86,9 @@
 
 /* EXECUTOR's guard reports the COUNT RUNS on the latest list of running tasks.
    Runs that are not wanted there are strays: an order to an earlier
-   incarnation was carried out late.  */
+   incarnation was carried out late.  They hold resources until they are no
+   longer reported.  Nothing is assigned to EXECUTOR while it has a run whose
+   job is not known, as it is not known either what that run uses.  */
 void gp_scheduler_note_strays (gp_scheduler_t *scheduler,
                                gp_job_executor_t *executor,
                                Gp__Jobs__TaskRun *const *runs, size_t count);
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -313,6 +313,7 @@
   executor->lost_at = executor->suspects_reported ? 0 : now;
   executor->dead = true;
   executor->reachable = false;
+  gp_job_executor_clear_strays (executor);
   GP_LIST_FOREACH_SAFE (link, &executor->tasks)
   {
     gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
--- a/src/jobs/scheduler_reports.c
+++ b/src/jobs/scheduler_reports.c
@@ -11,6 +11,10 @@
 static gp_counter_t stray_runs_count = GP_COUNTER (
     "runs_stray_total", "Runs at work that are not wanted where they are");
 
+static gp_counter_t unknown_runs_count
+    = GP_COUNTER ("runs_unknown_total",
+                  "Executors found with runs at work whose job is not known");
+
 static gp_counter_t queued_again_count = GP_COUNTER (
     "jobs_queued_again_total", "Jobs that wait again, as no run has begun");
 
@@ -19,6 +23,7 @@
 {
   gp_counter_register (&queued_again_count);
   gp_counter_register (&stray_runs_count);
+  gp_counter_register (&unknown_runs_count);
 }
 
 /* Returns the task whose current run on EXECUTOR is RUN, or NULL.  */
@@ -58,6 +63,7 @@
 
   task->stray_on = executor;
   task->stray_report = executor->reports;
+  gp_job_executor_add_stray (executor, gp_task_step (task));
   if (known || gp_job_ended (task->job))
     return;
   gp_counter_add (&stray_runs_count, 1);
@@ -69,18 +75,36 @@
       GP_LOG_S ("task_on", task->executor != NULL ? task->executor->id : ""));
 }
 
+/* EXECUTOR is reported for the first time to have a run, RUN, of a job that is
+   not known.  */
+static void
+log_unknown (const gp_job_executor_t *executor, const Gp__Jobs__TaskRun *run)
+{
+  gp_counter_add (&unknown_runs_count, 1);
+  gp_log (GP_LOG_WARNING, "run.unknown", GP_LOG_S ("task", run->task),
+          GP_LOG_I ("run", run->run), GP_LOG_S ("executor", executor->id));
+}
+
 void
 gp_scheduler_note_strays (gp_scheduler_t *scheduler,
                           gp_job_executor_t *executor,
                           Gp__Jobs__TaskRun *const *runs, size_t count)
 {
+  bool had_unknown = executor->unknown_runs > 0;
+
   executor->reports++;
+  gp_job_executor_clear_strays (executor);
   for (size_t i = 0; i < count; i++)
     {
       gp_job_task_t *task = gp_book_task (scheduler->book, runs[i]->task);
 
-      if (task != NULL
-          && (task->executor != executor || task->run != runs[i]->run))
+      if (task == NULL)
+        {
+          gp_job_executor_add_stray (executor, NULL);
+          if (!had_unknown && executor->unknown_runs == 1)
+            log_unknown (executor, runs[i]);
+        }
+      else if (task->executor != executor || task->run != runs[i]->run)
         record_stray (executor, task, runs[i]);
     }
 }
--- a/src/jobsd/janitor.c
+++ b/src/jobsd/janitor.c
@@ -30,8 +30,9 @@
   g_ptr_array_set_size (janitor->dropping, 0);
 }
 
-/* Delete the submissions and cancellations of jobs that ended before WALL_MS.
-   Doing so twice is harmless.  */
+/* Delete the submissions and cancellations of jobs that ended before WALL_MS
+   and have no run left, whose resources only the submission tells.  Doing so
+   twice is harmless.  */
 static void
 drop_submissions (gp_janitor_t *janitor, int64_t wall_ms)
 {
@@ -47,7 +48,7 @@
       gp_job_t *job = value;
       char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
 
-      if (job->dropped || !gp_job_ended_before (job, wall_ms))
+      if (job->dropped || !gp_book_expired (job, wall_ms))
         continue;
       g_ptr_array_add (drops, g_strdup (job->id));
       gp_platform_store_batch_add (batch, job->id, NULL, 0);
--- a/tests/unit/test_strays.c
+++ b/tests/unit/test_strays.c
@@ -11,6 +11,7 @@
 
 #define JOB "00000000000000aa"
 #define TASK JOB ".0.0.0"
+#define OTHER_JOB "00000000000000bb"
 
 /* The guard of EXECUTOR reports RUN of TASK as stray, or no stray run (0).  */
 static void
@@ -99,6 +100,44 @@
   jobs_site_finish (&site);
 }
 
+/* Prints whether JOB is placed while the guard of EXECUTOR reports RUN of
+   TASK, and after it.  */
+static void
+place_beside (const char *what, const char *stray_task, unsigned cores)
+{
+  Gp__Jobs__TaskRun row = GP__JOBS__TASK_RUN__INIT;
+  Gp__Jobs__TaskRun *rows[] = { &row };
+  jobs_site_t site;
+  gp_job_executor_t *executor;
+  gp_job_t *job;
+
+  printf ("%s\n", what);
+  jobs_site_init (&site);
+  executor = jobs_site_executor (&site, "x1", cores);
+  jobs_site_submit (&site, JOB, jobs_site_submission (1, 5000));
+  jobs_site_plan (&site);
+  row.task = (char *)stray_task;
+  row.run = 3;
+  for (unsigned i = 0; i < 2; i++)
+    gp_scheduler_note_strays (&site.scheduler, executor, rows, 1);
+  job = jobs_site_submit (&site, OTHER_JOB, jobs_site_submission (1, 2000));
+  plan (&site, job, "it runs");
+  gp_scheduler_note_strays (&site.scheduler, executor, rows, 0);
+  plan (&site, job, "it has ended");
+  CU_ASSERT_EQUAL (executor->used.cpu_milli, 7000);
+  jobs_site_finish (&site);
+}
+
+/* Guards against a start beyond an executor's capacity: what a run uses that
+   the leader does not want, or does not know, was not counted.  */
+static void
+test_room (void)
+{
+  place_beside ("a stray run leaves no room", TASK, 8);
+  place_beside ("a stray run leaves some room", TASK, 12);
+  place_beside ("a run of an unknown job", "00000000000000cc.0.0.0", 16);
+}
+
 /* The guard stops a stray run as soon as it has a sync of the leader, not only
    after the next list.  */
 static void
@@ -173,12 +212,14 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[] = {
-    { "waits", test_waits },   { "gang", test_gang },
-    { "silent", test_silent }, { "stopped at once", test_stopped_at_once },
-    { "lapsed", test_lapsed }, { "ended", test_ended },
-    CU_TEST_INFO_NULL
-  };
+  static CU_TestInfo tests[] = { { "waits", test_waits },
+                                 { "gang", test_gang },
+                                 { "room", test_room },
+                                 { "silent", test_silent },
+                                 { "stopped at once", test_stopped_at_once },
+                                 { "lapsed", test_lapsed },
+                                 { "ended", test_ended },
+                                 CU_TEST_INFO_NULL };
 
   return runner_main ("strays", tests);
 }
--- a/tests/unit/test_waits.c
+++ b/tests/unit/test_waits.c
@@ -69,6 +69,12 @@
   gp_scheduler_note_strays (&site->scheduler, executor, rows, 1);
 }
 
+static void
+add_unknown_run (jobs_site_t *site, gp_job_executor_t *executor, gp_job_t *job)
+{
+  gp_job_executor_add_stray (executor, NULL);
+}
+
 static void
 make_gang_too_large (jobs_site_t *site, gp_job_executor_t *executor,
                      gp_job_t *job)
@@ -129,6 +135,7 @@
   wait_with ("it fails what it is given", 1, set_failing);
   wait_with ("it is kept for others", 1, set_dedicated);
   wait_with ("a run that nobody wants is there", 1, add_stray);
+  wait_with ("a run of an unknown job is there", 1, add_unknown_run);
   wait_with ("it has room for one of two", 2, make_gang_too_large);
 }
 
