scheduler: stop a gang's run when one of its members is absent or lost

Callers saw members of a gang end alone after three seconds (GANG), and the gang begin again only then, after the start of one member was refused or its executor was lost.

Cause: the leader released that member and left the others, though the run can not become complete any more.

Change: the other members' runs are stopped. Why this works: a run is complete only with all members under one number, and the number of the missing member is over; the next run begins when all have ended, as before.

--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -109,6 +109,19 @@
   gp_scheduler_mark_dirty (scheduler, task->job);
 }
 
+void
+gp_scheduler_stop_gang (gp_scheduler_t *scheduler, const gp_job_task_t *task)
+{
+  gp_job_task_t *first;
+  uint32_t count = gp_task_siblings (task, &first);
+
+  if (!gp_task_step (task)->gang || task->state == GP_TASK_DONE)
+    return;
+  for (uint32_t i = 0; i < count; i++)
+    if (first[i].executor != NULL && !first[i].executor->dead)
+      stop_task (scheduler, &first[i]);
+}
+
 void
 gp_scheduler_end_job (gp_scheduler_t *scheduler, gp_job_t *job,
                       gp_job_state_t state, int64_t wall_ms)
@@ -404,6 +417,7 @@
       add_order (scheduler, GP_ORDER_FORGET, task);
       executor->full_until = now + REFUSED_PAUSE_TIME;
       gp_scheduler_release (scheduler, task);
+      gp_scheduler_stop_gang (scheduler, task);
       if (task->refused)
         gp_scheduler_await_begin (scheduler, task->job);
       gp_log (GP_LOG_INFO, "run.absent", GP_LOG_S ("task", run->task),
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -180,6 +180,7 @@
   gp_counter_add (&lost_runs_count, 1);
   gp_counter_add (&suspect_runs_count, suspicion != GP_SUSPICION_NONE);
   gp_scheduler_release (scheduler, task);
+  gp_scheduler_stop_gang (scheduler, task);
   if (suspicion != GP_SUSPICION_GIVE_UP || gp_job_ended (job))
     return;
   gp_counter_add (&given_up_count, 1);
--- a/tests/unit/gang_world.c
+++ b/tests/unit/gang_world.c
@@ -8,6 +8,8 @@
 #define STEP_TIME (10 * GP_MSEC)
 #define WORK_TIME (500 * GP_MSEC)
 #define STOP_TIME (300 * GP_MSEC)
+/* A member ends if its run is not complete by then.  */
+#define GANG_TIMEOUT (3 * GP_SEC)
 #define SUBMIT_INTERVAL (150 * GP_MSEC)
 #define PLAY_TIME (120 * GP_SEC)
 #define MEMBER_CPU 3500
@@ -19,6 +21,7 @@
   char task[GP_TASK_NAME_SIZE];
   uint32_t run;
   uint32_t cpu;
+  gp_time_t began_at;
   gp_time_t ends_at;
   gp_end_t how;
 } work_t;
@@ -225,16 +228,39 @@
     }
 }
 
+/* The run of NAME has ended as HOW, or is absent: reported a little later.  */
+static void
+add_end (gang_world_t *world, worker_t *worker, const char *name, uint32_t run,
+         gp_end_t how, bool forgotten)
+{
+  end_t end = { .number = ++worker->end_count,
+                .run = run,
+                .how = how,
+                .forgotten = forgotten };
+
+  g_strlcpy (end.task, name, sizeof end.task);
+  end.report_at
+      = world->site->now + random_time (world, world->faults->report_delay);
+  g_array_append_val (worker->ends, end);
+}
+
 static void
 start (gang_world_t *world, worker_t *worker, const gp_job_task_t *task)
 {
-  work_t work = { .run = task->run, .ends_at = GP_TIME_NEVER };
+  work_t work = { .run = task->run,
+                  .began_at = world->site->now,
+                  .ends_at = GP_TIME_NEVER };
   uint32_t used = 0;
 
   gp_task_name (task, work.task);
   if (find_work (worker, work.task, work.run) != NULL
       || has_end (worker, work.task, work.run))
     return;
+  if (chance (world) < world->faults->refused_starts)
+    {
+      add_end (world, worker, work.task, work.run, GP_END_DONE, true);
+      return;
+    }
   work.cpu = gp_task_step (task)->cpu_milli;
   for (guint i = 0; i < worker->work->len; i++)
     used += g_array_index (worker->work, work_t, i).cpu;
@@ -268,19 +294,22 @@
 {
   for (guint i = worker->work->len; i-- > 0;)
     {
-      const work_t work = g_array_index (worker->work, work_t, i);
-      end_t end = { .run = work.run, .how = work.how };
+      work_t work = g_array_index (worker->work, work_t, i);
+      bool forgotten;
 
+      if (work.ends_at == GP_TIME_NEVER
+          && world->site->now >= work.began_at + GANG_TIMEOUT)
+        {
+          world->result.alone++;
+          work.how = GP_END_ALONE;
+          work.ends_at = world->site->now;
+        }
       if (work.ends_at > world->site->now)
         continue;
       g_array_remove_index (worker->work, i);
-      g_strlcpy (end.task, work.task, sizeof end.task);
-      end.number = ++worker->end_count;
-      end.report_at = world->site->now
-                      + random_time (world, world->faults->report_delay);
-      end.forgotten = chance (world) < world->faults->forgotten_ends;
-      world->result.forgotten += end.forgotten;
-      g_array_append_val (worker->ends, end);
+      forgotten = chance (world) < world->faults->forgotten_ends;
+      world->result.forgotten += forgotten;
+      add_end (world, worker, work.task, work.run, work.how, forgotten);
       if (work.how != GP_END_DONE)
         break_gang (world, work.task, work.run);
     }
--- a/tests/unit/gang_world.h
+++ b/tests/unit/gang_world.h
@@ -27,6 +27,7 @@
                                 none */
   gp_time_t loss_interval;   /* the same, between losses of a worker */
   double forgotten_ends;     /* ends that a worker forgets unreported */
+  double refused_starts;
 } gang_faults_t;
 
 typedef struct gang_world gang_world_t;
@@ -46,8 +47,9 @@
                               gang did, or not by then */
   unsigned late_completions; /* jobs not completed with the first end `done` of
                                 their last gang */
-  unsigned unended;          /* jobs that did not end */
-  unsigned reserved;         /* executors with room reserved at the end */
+  unsigned alone;   /* members that ended as they waited too long for others */
+  unsigned unended; /* jobs that did not end */
+  unsigned reserved; /* executors with room reserved at the end */
 } gang_result_t;
 
 /* Plays JOBS jobs with FAULTS and the random numbers of SEED.  */
--- a/tests/unit/test_gangs.c
+++ b/tests/unit/test_gangs.c
@@ -165,14 +165,16 @@
       sum.overcommits += result.overcommits;
       sum.wrong_failures += result.wrong_failures;
       sum.late_completions += result.late_completions;
+      sum.alone += result.alone;
       sum.unended += result.unended;
       sum.reserved += result.reserved;
       if (result.overcommits + result.wrong_failures + result.late_completions
-              + result.unended + result.reserved
+              + result.alone + result.unended + result.reserved
           > 0)
-        fprintf (stderr, "%s, seed %u: %u %u %u %u %u\n", what, seed,
+        fprintf (stderr, "%s, seed %u: %u %u %u %u %u %u\n", what, seed,
                  result.overcommits, result.wrong_failures,
-                 result.late_completions, result.unended, result.reserved);
+                 result.late_completions, result.alone, result.unended,
+                 result.reserved);
     }
   fprintf (stderr,
            "%s: %u jobs, %u completed, %u failed, %u cancelled, %u leaders, "
@@ -180,9 +182,9 @@
            what, sum.jobs, sum.completed, sum.failed, sum.cancelled,
            sum.leaders, sum.lost_workers, sum.forgotten);
   printf ("%s: %u beyond capacity, %u failed at a wrong run, %u completed "
-          "late, %u not ended, %u rooms not free\n",
+          "late, %u alone, %u not ended, %u rooms not free\n",
           what, sum.overcommits, sum.wrong_failures, sum.late_completions,
-          sum.unended, sum.reserved);
+          sum.alone, sum.unended, sum.reserved);
 }
 
 /* Random gangs, over SEEDS seeds each.  */
@@ -200,6 +202,8 @@
   play_all ("runs fail", &faults);
   faults.leader_interval = 200 * GP_MSEC;
   play_all ("and leaders change", &faults);
+  faults.refused_starts = 0.02;
+  play_all ("and starts are refused", &faults);
   faults.cancelled_jobs = 0.3;
   faults.forgotten_ends = 0.2;
   faults.loss_interval = GP_SEC;
