scheduler: a gang resumes from its newest checkpoint

Callers paid for work that was done twice: a gang resumed from the point before its last run if the executor of its first member had been lost in that run.

Cause: each member kept the checkpoint of its own last reported end, and the placer took that of the first member that had one, of whatever run.

Change: the checkpoint of an ended member is kept on the first member of its gang. Why this works: a run begins only after all runs of the last one have ended, so the last one reported is of the last run. An older record has it on any member, and the first one found is taken, as before.

Test: test_gangs, checkpoint: the third run resumed from 'first' before, from 'second' now. test_jobs, test_strays, test_suspicion, test_quarantine and test_records pass.

--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -305,8 +305,8 @@
     }
 }
 
-/* All members resume from the same point: the checkpoint of any member is
-   valid for all.  */
+/* All members resume from the same point, the checkpoint of the first member
+   that has one: the scheduler keeps the newest on the first of all.  */
 static void
 share_checkpoint (gp_job_task_t *first, uint32_t count)
 {
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -167,13 +167,20 @@
   gp_scheduler_mark_dirty (scheduler, task->job);
 }
 
+/* The run of TASK has ended with CHECKPOINT.  That of any member of a gang is
+   valid for all, and the newest is kept on the first member: another one may
+   still have that of an earlier run, if its executor was lost in this one.  */
 static void
 set_checkpoint (gp_job_task_t *task, const ProtobufCBinaryData *checkpoint)
 {
+  gp_job_task_t *keeper = task;
+
   if (checkpoint->len == 0 || task->state == GP_TASK_DONE)
     return;
-  g_free (task->checkpoint);
-  task->checkpoint
+  if (gp_task_step (task)->gang)
+    gp_task_siblings (task, &keeper);
+  g_free (keeper->checkpoint);
+  keeper->checkpoint
       = g_strndup ((const char *)checkpoint->data, checkpoint->len);
 }
 
--- a/tests/unit/test_gangs.c
+++ b/tests/unit/test_gangs.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "gang_world.h"
 #include "runner.h"
@@ -146,6 +147,63 @@
   jobs_site_finish (&next);
 }
 
+/* The run of TASK ends as HOW with CHECKPOINT.  */
+static void
+end_with_checkpoint (jobs_site_t *site, gp_job_task_t *task, gp_end_t how,
+                     const char *checkpoint)
+{
+  Gp__Jobs__End end = GP__JOBS__END__INIT;
+  char name[GP_TASK_NAME_SIZE];
+
+  gp_task_name (task, name);
+  end.number = 1;
+  end.task = name;
+  end.run = task->run;
+  end.how = how;
+  end.checkpoint.data = (uint8_t *)checkpoint;
+  end.checkpoint.len = strlen (checkpoint);
+  gp_scheduler_run_ended (&site->scheduler, task->executor, &end, site->now,
+                          site->now / GP_MSEC);
+}
+
+static void
+print_checkpoints (const gp_job_t *job, const char *when)
+{
+  printf ("  %s:", when);
+  for (uint32_t i = 0; i < job->task_count; i++)
+    printf (" %s",
+            job->tasks[i].checkpoint != NULL ? job->tasks[i].checkpoint : "-");
+  printf ("\n");
+}
+
+/* Guards against work that is done twice: a gang resumed from the checkpoint
+   of its first member, though that was of an earlier run, as its executor had
+   been lost in the last one.  */
+static void
+test_checkpoint (void)
+{
+  jobs_site_t site;
+  gp_job_t *job;
+
+  printf ("a gang resumes from the last checkpoint of any member\n");
+  jobs_site_init (&site);
+  job = place_gang (&site, 3, 9);
+  end_with_checkpoint (&site, &job->tasks[2], GP_END_FAILED, "first");
+  jobs_site_run_ended (&site, &job->tasks[0], GP_END_BROKEN);
+  jobs_site_run_ended (&site, &job->tasks[1], GP_END_BROKEN);
+  jobs_site_plan (&site);
+  print_checkpoints (job, "second run");
+  jobs_site_executor_dead (&site, job->tasks[0].executor,
+                           GP_DEATH_DEREGISTERED);
+  for (uint32_t i = 0; i < job->task_count; i++)
+    if (job->tasks[i].executor != NULL)
+      end_with_checkpoint (&site, &job->tasks[i], GP_END_BROKEN, "second");
+  jobs_site_plan (&site);
+  print_checkpoints (job, "third run");
+  jobs_site_print_job (job);
+  jobs_site_finish (&site);
+}
+
 static void
 play_all (const char *what, const gang_faults_t *faults)
 {
@@ -218,7 +276,8 @@
                                  { "attempts after a change of the leader",
                                    test_attempts_after_change },
                                  { "room", test_room },
-                                 { "random", test_random },
+                                 { "checkpoint", test_checkpoint },
+                                                        { "random", test_random },
                                  CU_TEST_INFO_NULL };
 
   return runner_main ("gangs", tests);
