scheduler: a late end done of a member completes its gang

Callers could see a gang run again after a run of it was done (TWICE). By reading; shown by a unit test only.

Cause: the next incarnation of an executor may carry out an old start, and the end done of that run is accepted late for a task that waits, but was dropped for a member of a gang, though one such end represents all members.

Change: it completes the gang. Members that are assigned again are stopped and hold their room until they have ended.

Test: test_gangs, done late: run 2 started before, completed by run 1 now.

--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -363,7 +363,7 @@
     return false;
   step = gp_task_step (task);
   return task->state == GP_TASK_WAITING && end->run <= task->run
-         && !step->long_running && !step->gang && !gp_job_ended (task->job);
+         && !step->long_running && !gp_job_ended (task->job);
 }
 
 static void
@@ -377,7 +377,11 @@
   gp_suspicion_clear (task);
   gp_scheduler_note_begun (scheduler, task->job);
   gp_scheduler_mark_dirty (scheduler, task->job);
-  finish_task (scheduler, task, wall_ms);
+  gp_scheduler_stop_gang (scheduler, task);
+  if (gp_task_step (task)->gang)
+    finish_gang (scheduler, task, wall_ms);
+  else
+    finish_task (scheduler, task, wall_ms);
 }
 
 bool
--- a/tests/unit/test_gangs.c
+++ b/tests/unit/test_gangs.c
@@ -204,6 +204,37 @@
   jobs_site_finish (&site);
 }
 
+/* Guards against a start after a run that was done: the next incarnations of
+   the executors have carried out the starts late, and ended the run.  */
+static void
+test_done_late (void)
+{
+  Gp__Jobs__End end = GP__JOBS__END__INIT;
+  jobs_site_t site;
+  gp_job_t *job;
+  gp_job_executor_t *next;
+
+  printf ("a gang is done by a run that was given up\n");
+  jobs_site_init (&site);
+  job = place_gang (&site, 2, 9);
+  for (uint32_t i = 0; i < 2; i++)
+    jobs_site_executor_dead (&site, job->tasks[i].executor,
+                             GP_DEATH_RESTARTED);
+  jobs_site_print_job (job);
+  next = gp_book_next_incarnation (&site.book,
+                                   gp_book_executor (&site.book, "x1"), 1000);
+  end.number = 1;
+  end.task = (char *)JOB ".0.0.0";
+  end.run = 1;
+  end.how = GP_END_DONE;
+  gp_scheduler_run_ended (&site.scheduler, next, &end, site.now,
+                          site.now / GP_MSEC);
+  jobs_site_executor (&site, "x3", GANG_WORKER_CORES);
+  jobs_site_plan (&site);
+  jobs_site_print_job (job);
+  jobs_site_finish (&site);
+}
+
 static void
 play_all (const char *what, const gang_faults_t *faults)
 {
@@ -277,7 +308,8 @@
                                    test_attempts_after_change },
                                  { "room", test_room },
                                  { "checkpoint", test_checkpoint },
-                                                        { "random", test_random },
+                                 { "done late", test_done_late },
+                                 { "random", test_random },
                                  CU_TEST_INFO_NULL };
 
   return runner_main ("gangs", tests);
