--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -53,13 +53,15 @@
     names to them.  WORKERS are split evenly over ZONES, in order.  LIMITS maps
     names of processes to their share of a core and their link in Mbit/s.
     FEATURES are settings that are given by environment variables: names of
-    those that are switched on, or NAME=VALUE.
+    those that are switched on, or NAME=VALUE.  The executors are of
+    EXECUTOR_TYPE.
     """
 
     def __init__(self, build, folder, entries=2, workers=3, seed=1,
                  status_s=120, links=False, zones=("z",), limits=None,
-                 features=()):
+                 features=(), executor_type=Executor):
         self.build = build
+        self.executor_type = executor_type
         self.features = features
         self.status_s = status_s
         self.zones = zones
@@ -178,7 +180,7 @@
                                     f'app: "{orders}"'],
                              zone)
         self.start(name, "guard", path)
-        self.executors[name] = Executor(
+        self.executors[name] = self.executor_type(
             self.judge, name, app, self.link(f"{name} heartbeats", control),
             seed=seed, zone=zone)
 
