scheduler: members that fail in one run lengthen a pause once

Callers saw a gang wait for up to 8 s on an empty site after one failed run.

Cause: an executor gets a pause after two failures in a row, twice as long with each further one, and each member of a gang that failed in one run counted as one, though they may have failed for one cause.

Change: several members of one run suffice for the first pause and do not lengthen it; further runs do.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -79,6 +79,9 @@
   gp_time_t leaves_at; /* while draining: the earliest time of its end */
   uint32_t failed_in_row; /* number of failed runs since the last successful
                              one */
+  const gp_job_task_t *failed_gang; /* the first member of the gang of which a
+                                       run failed here last, only to compare */
+  uint32_t failed_gang_run;         /* the number of that run */
   gp_time_t
       distrusted_until;   /* no new work before this time, after failures */
   gp_time_t relocated_at; /* when a run was last moved away from it */
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -299,14 +299,41 @@
   log_gang_done (task, count, unlisted);
 }
 
+/* TASK's run has failed on EXECUTOR.  Returns whether that is known already
+   from another member of its gang in the same run.  */
+static bool
+is_same_failure (gp_job_executor_t *executor, gp_job_task_t *task)
+{
+  gp_job_task_t *first;
+  bool same;
+
+  if (!gp_task_step (task)->gang)
+    return false;
+  gp_task_siblings (task, &first);
+  same = executor->failed_gang == first
+         && executor->failed_gang_run == task->run;
+  executor->failed_gang = first;
+  executor->failed_gang_run = task->run;
+  return same;
+}
+
+/* The run of TASK on EXECUTOR has ended as HOW.  Several members of a gang
+   that fail there in one run suffice for the first pause, but do not lengthen
+   it: they may have failed for the same cause.  */
 static void
-update_distrust (gp_job_executor_t *executor, gp_end_t how, gp_time_t now)
+update_distrust (gp_job_executor_t *executor, gp_job_task_t *task,
+                 gp_end_t how, gp_time_t now)
 {
   gp_time_t pause = DISTRUST_TIME;
 
   if (how == GP_END_DONE)
     executor->failed_in_row = 0;
-  if (how != GP_END_FAILED || ++executor->failed_in_row < FAILURES_TO_DISTRUST)
+  if (how != GP_END_FAILED)
+    return;
+  if (is_same_failure (executor, task)
+      && executor->failed_in_row >= FAILURES_TO_DISTRUST)
+    return;
+  if (++executor->failed_in_row < FAILURES_TO_DISTRUST)
     return;
   for (uint32_t i = FAILURES_TO_DISTRUST;
        i < executor->failed_in_row && pause < DISTRUST_TIME_MAX; i++)
@@ -326,7 +353,7 @@
   gp_job_executor_t *executor = task->executor;
   bool was_done = task->state == GP_TASK_DONE;
 
-  update_distrust (executor, how, now);
+  update_distrust (executor, task, how, now);
   if (how == GP_END_DONE)
     gp_suspicion_clear (task);
   gp_scheduler_release (scheduler, task);
--- a/tests/unit/test_gangs.c
+++ b/tests/unit/test_gangs.c
@@ -235,6 +235,37 @@
   jobs_site_finish (&site);
 }
 
+/* Guards against an executor that gets no work for seconds after one failed
+   run, as each member on it counted as a further failure.  */
+static void
+test_pause (void)
+{
+  for (unsigned members = 2; members <= MEMBERS; members++)
+    {
+      jobs_site_t site;
+      gp_job_executor_t *executor;
+      Gp__Jobs__Submission *submission = jobs_site_submission (members, 1000);
+      gp_job_t *job;
+      gp_time_t failed_at;
+
+      jobs_site_init (&site);
+      executor = jobs_site_executor (&site, "x1", GANG_WORKER_CORES);
+      submission->steps[0]->gang = true;
+      job = jobs_site_submit (&site, JOB, submission);
+      jobs_site_plan (&site);
+      fail_run (&site, job, members);
+      failed_at = site.now;
+      CU_ASSERT_EQUAL (executor->failed_in_row, 2);
+      while (!gp_job_has_run (job) && site.now < failed_at + 20 * GP_SEC)
+        {
+          site.now += 10 * GP_MSEC;
+          jobs_site_plan (&site);
+        }
+      CU_ASSERT_EQUAL (site.now - failed_at, GP_SEC);
+      jobs_site_finish (&site);
+    }
+}
+
 static void
 play_all (const char *what, const gang_faults_t *faults)
 {
@@ -309,6 +340,7 @@
                                  { "room", test_room },
                                  { "checkpoint", test_checkpoint },
                                  { "done late", test_done_late },
+                                 { "pause", test_pause },
                                  { "random", test_random },
                                  CU_TEST_INFO_NULL };
 
