leader: records and appends stay within the store's bounds

Cause: nothing read recordBytes and callBytes. The store refuses what is larger for good, and the leader repeated the same bytes each 60 ms; its lease and all other jobs wait in the same append.

Ruled out: a passing refusal (the store takes all other calls).

Change: a record leaves out the checkpoints for which it has no room, counted and logged; an append takes the jobs that fit, the next one follows at once, and the orders wait until all are on the log. Below the bounds, and where the settings have none, records and appends are as before. Why this works: each job's record is a whole state, and nothing is ordered that is not on record.

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -13,6 +13,9 @@
 /* No job is retained for longer than this; an earlier submission comes from a
    wrong clock.  */
 #define AGE_MAX_MS ((int64_t)3600 * 1000)
+/* Bytes of the tag and the length before a message within another one, for a
+   message of less than 2 MB.  */
+#define ROW_OVERHEAD 4
 
 static void
 free_job (gpointer job)
@@ -438,34 +441,126 @@
     }
 }
 
-GBytes *
-gp_book_pack (const gp_job_t *job)
+/* A record that is being packed.  */
+typedef struct
+{
+  Gp__Jobs__Progress message;
+  Gp__Jobs__TaskProgress *rows; /* one for each task, used up to n_tasks */
+} packing_t;
+
+static void
+packing_init (packing_t *packing, const gp_job_t *job)
 {
-  Gp__Jobs__Progress progress = GP__JOBS__PROGRESS__INIT;
-  Gp__Jobs__TaskProgress *tasks
-      = g_new (Gp__Jobs__TaskProgress, job->task_count);
+  Gp__Jobs__Progress *message = &packing->message;
   bool ended = gp_job_ended (job);
-  GBytes *bytes;
 
-  progress.state = job->state;
-  progress.ended_wall_ms = job->ended_wall_ms;
-  progress.done = g_new (uint32_t, job->task_count);
-  progress.tasks = g_new (Gp__Jobs__TaskProgress *, job->task_count);
+  gp__jobs__progress__init (message);
+  message->state = job->state;
+  message->ended_wall_ms = job->ended_wall_ms;
+  message->done = g_new (uint32_t, job->task_count);
+  message->tasks = g_new (Gp__Jobs__TaskProgress *, job->task_count);
+  packing->rows = g_new (Gp__Jobs__TaskProgress, job->task_count);
   for (uint32_t i = 0; i < job->task_count; i++)
     if (has_row (&job->tasks[i], ended))
       {
-        progress.tasks[progress.n_tasks] = &tasks[progress.n_tasks];
-        pack_task (&job->tasks[i], &tasks[progress.n_tasks++]);
+        Gp__Jobs__TaskProgress *row = &packing->rows[message->n_tasks];
+
+        pack_task (&job->tasks[i], row);
+        message->tasks[message->n_tasks++] = row;
       }
     else if (job->tasks[i].state == GP_TASK_DONE && !ended)
-      progress.done[progress.n_done++] = i;
-  bytes = gp_progress_pack (&progress);
-  g_free (progress.done);
-  g_free (progress.tasks);
-  g_free (tasks);
+      message->done[message->n_done++] = i;
+}
+
+static void
+packing_finish (packing_t *packing)
+{
+  g_free (packing->message.done);
+  g_free (packing->message.tasks);
+  g_free (packing->rows);
+}
+
+/* Returns by how many bytes at most a record grows if CHECKPOINT is added to
+   ROW, which has none.  */
+static size_t
+checkpoint_size (Gp__Jobs__TaskProgress *row, ProtobufCBinaryData checkpoint)
+{
+  size_t before = gp_progress_needs_message (row)
+                      ? gp__jobs__task_progress__get_packed_size (row)
+                      : 0;
+  size_t after;
+
+  row->checkpoint = checkpoint;
+  after = gp__jobs__task_progress__get_packed_size (row);
+  row->checkpoint.len = 0;
+  return after + ROW_OVERHEAD - before;
+}
+
+/* Takes the checkpoints out of PACKING, and puts those back that fit into
+   LIMIT bytes beside the rest.  Returns the number of the others.  */
+static unsigned
+limit_checkpoints (packing_t *packing, size_t limit)
+{
+  size_t count = packing->message.n_tasks;
+  ProtobufCBinaryData *checkpoints = g_new (ProtobufCBinaryData, count);
+  unsigned left_out = 0;
+  size_t size;
+  GBytes *bytes;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      checkpoints[i] = packing->rows[i].checkpoint;
+      packing->rows[i].checkpoint.len = 0;
+    }
+  bytes = gp_progress_pack (&packing->message);
+  size = g_bytes_get_size (bytes);
+  g_bytes_unref (bytes);
+  for (size_t i = 0; i < count; i++)
+    {
+      Gp__Jobs__TaskProgress *row = &packing->rows[i];
+      size_t added = checkpoint_size (row, checkpoints[i]);
+
+      if (checkpoints[i].len == 0)
+        continue;
+      if (size + added > limit)
+        {
+          left_out++;
+          continue;
+        }
+      size += added;
+      row->checkpoint = checkpoints[i];
+    }
+  g_free (checkpoints);
+  return left_out;
+}
+
+GBytes *
+gp_book_pack_within (const gp_job_t *job, size_t limit, unsigned *left_out)
+{
+  packing_t packing;
+  GBytes *bytes;
+
+  packing_init (&packing, job);
+  *left_out = 0;
+  bytes = gp_progress_pack (&packing.message);
+  if (g_bytes_get_size (bytes) > limit)
+    {
+      *left_out = limit_checkpoints (&packing, limit);
+      g_bytes_unref (bytes);
+      bytes = gp_progress_pack (&packing.message);
+    }
+  packing_finish (&packing);
   return bytes;
 }
 
+GBytes *
+gp_book_pack (const gp_job_t *job)
+{
+  unsigned left_out;
+
+  return gp_book_pack_within (job, SIZE_MAX, &left_out);
+}
+
 void
 gp_book_end (gp_job_t *job, gp_job_state_t state, int64_t wall_ms)
 {
--- a/src/jobs/progress_compact.c
+++ b/src/jobs/progress_compact.c
@@ -104,11 +104,11 @@
     }
 }
 
-static bool
-fits_columns (const Gp__Jobs__TaskProgress *task)
+bool
+gp_progress_needs_message (const Gp__Jobs__TaskProgress *task)
 {
-  return task->failures == 0 && task->crashes == 0 && !task->alone
-         && task->checkpoint.len == 0 && !task->stopping && !task->done;
+  return task->failures > 0 || task->crashes > 0 || task->alone
+         || task->checkpoint.len > 0 || task->stopping || task->done;
 }
 
 /* Adds TASK to the columns if it fits.  Returns whether it did.  */
@@ -118,7 +118,8 @@
   split_id_t id = split (task->executor);
   uint32_t gap = task->index - columns->next;
 
-  if (!fits_columns (task) || id.digits == 0 || task->index < columns->next)
+  if (gp_progress_needs_message (task) || id.digits == 0
+      || task->index < columns->next)
     return false;
   if (columns->numbers->len == 0)
     columns->first = id;
--- a/src/jobs/progress_compact.h
+++ b/src/jobs/progress_compact.h
@@ -23,6 +23,10 @@
    by index.  */
 GBytes *gp_progress_pack (const Gp__Jobs__Progress *progress);
 
+/* Returns whether TASK has more than a run and an executor, so that it cannot be
+   a row of the columns.  */
+bool gp_progress_needs_message (const Gp__Jobs__TaskProgress *task);
+
 /* Converts the unpacked PROGRESS to the form with one message for each run.
    Returns false and sets ERROR, naming the field, if that is not possible;
    PROGRESS is unchanged then.  */
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -463,6 +463,8 @@
   if (settings->forecast_admission)
     gp_job_intake_enable (&entry->api.intake, &entry->leader.room_reading,
                           &entry->leader.scheduler.forecast, &entry->route);
+  entry->leader.record_bytes = settings->record_bytes;
+  entry->leader.append_bytes = settings->append_bytes;
   entry->leader.writes_room = settings->forecast_admission;
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
                           settings->store, settings->link_rate,
--- a/src/jobsd/leader.h
+++ b/src/jobsd/leader.h
@@ -135,6 +135,7 @@
                                   and leases based on that, count from here:
                                   the first attempt that may have been
                                   carried out */
+  bool batch_is_partial;       /* changed jobs are left that did not fit in */
   bool outcome_unknown;  /* an attempt to append the batch got no answer */
   bool resigning;        /* the batch gives leadership up */
   bool handing_over;     /* it does so for a stronger entry, and this process
@@ -149,6 +150,9 @@
   gp_time_t heartbeat_due;
   gp_time_t check_due;   /* next check of all executors */
   gp_time_t learned_due; /* next write of the learned model */
+  size_t record_bytes;   /* most bytes of a record of the log, with its key, 0:
+                            not known */
+  size_t append_bytes;   /* the same of all records of an append */
   bool writes_room;      /* this entry writes room records while it leads */
   gp_room_t room;
   gp_room_reading_t room_reading; /* the newest room record, also of this
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "base/counters.h"
 #include "base/histogram.h"
 #include "base/log.h"
 #include "protocol/message.h"
@@ -15,6 +16,12 @@
    timed from its end, not from when they were decided.  */
 #define SLOW_APPEND_THRESHOLD (200 * GP_MSEC)
 
+/* Bytes of the length of a key within a record.  */
+#define KEY_LENGTH_SIZE 1
+
+static gp_counter_t left_out_count
+    = GP_COUNTER ("checkpoints_left_out_total",
+                  "Checkpoints for which a job's record had no room");
 static gp_histogram_t append_time = GP_HISTOGRAM (
     "progress_append", "From the first sending of an append to its end");
 
@@ -89,25 +96,72 @@
   g_hash_table_remove_all (leader->new_places);
 }
 
+/* Returns the progress of JOB in a record that the log accepts.  */
+static GBytes *
+pack_job (const gp_leader_t *leader, const gp_job_t *job)
+{
+  const size_t key_size = KEY_LENGTH_SIZE + GP_JOB_ID_SIZE;
+  size_t limit = leader->record_bytes > key_size
+                     ? leader->record_bytes - key_size
+                     : SIZE_MAX;
+  unsigned left_out;
+  GBytes *bytes = gp_book_pack_within (job, limit, &left_out);
+
+  if (left_out > 0)
+    {
+      gp_counter_add (&left_out_count, left_out);
+      gp_log (GP_LOG_WARNING, "progress.shortened", GP_LOG_S ("job", job->id),
+              GP_LOG_I ("checkpoints", left_out),
+              GP_LOG_I ("bytes", (int64_t)g_bytes_get_size (bytes)),
+              GP_LOG_I ("limit", (int64_t)leader->record_bytes));
+    }
+  return bytes;
+}
+
+/* Returns whether the batch has room for a record of SIZE bytes and, as the
+   leader's own records follow those of the jobs, for one of any size.  */
+static bool
+has_batch_room (const gp_leader_t *leader, size_t size)
+{
+  return leader->append_bytes == 0 || leader->batch_states->len == 0
+         || leader->batch->len + size + leader->record_bytes
+                <= leader->append_bytes;
+}
+
+static void
+add_job (gp_leader_t *leader, gp_job_t *job, GBytes *progress)
+{
+  const batch_state_t state = { job, job->state };
+
+  gp_leader_add_record (leader, job->id, progress);
+  g_array_append_val (leader->batch_states, state);
+  if (!gp_job_ended (job))
+    return;
+  gp_spec_distribution_remove_job (&leader->specs, job->id);
+  gp_room_job_ended (&leader->room, job, now_of (leader));
+}
+
+/* Adds the changed jobs that fit into one append; the others remain in the
+   list.  */
 static void
 add_dirty_jobs (gp_leader_t *leader)
 {
-  gp_list_t *link;
+  gp_list_t *dirty = &leader->scheduler.dirty;
 
-  while ((link = gp_list_pop_front (&leader->scheduler.dirty)) != NULL)
+  while (!gp_list_empty (dirty))
     {
-      gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, dirty_link);
-      const batch_state_t state = { job, job->state };
-      GBytes *bytes = gp_book_pack (job);
+      gp_job_t *job = GP_CONTAINER_OF (dirty->next, gp_job_t, dirty_link);
+      GBytes *bytes = pack_job (leader, job);
+      bool fits = has_batch_room (leader, g_bytes_get_size (bytes));
 
-      gp_leader_add_record (leader, job->id, bytes);
-      g_array_append_val (leader->batch_states, state);
-      if (gp_job_ended (job))
+      if (fits)
         {
-          gp_spec_distribution_remove_job (&leader->specs, job->id);
-          gp_room_job_ended (&leader->room, job, now_of (leader));
+          gp_list_remove (&job->dirty_link);
+          add_job (leader, job, bytes);
         }
       g_bytes_unref (bytes);
+      if (!fits)
+        return;
     }
 }
 
@@ -198,6 +252,21 @@
   gp_leader_close_links (leader);
 }
 
+static void begin_append (gp_leader_t *leader);
+
+/* The batch is on the log, but not all changed jobs fitted in: appends the
+   next ones.  The orders that were decided with all of them wait until the
+   last one is on the log.  */
+static void
+continue_append (gp_leader_t *leader)
+{
+  gp_time_t began_at = leader->batch_began_at;
+
+  end_batch (leader);
+  leader->batch_began_at = began_at;
+  begin_append (leader);
+}
+
 static void
 complete_batch (gp_leader_t *leader, uint64_t offset, gp_time_t sent_at)
 {
@@ -206,6 +275,11 @@
   leader->confirmed_at = sent_at;
   leader->heartbeat_due = now_of (leader) + GP_LEADER_HEARTBEAT_INTERVAL;
   note_recorded (leader);
+  if (leader->batch_is_partial)
+    {
+      continue_append (leader);
+      return;
+    }
   note_orders_sent (leader);
   end_batch (leader);
   gp_leader_send_frames (leader);
@@ -429,6 +503,29 @@
   g_ptr_array_set_size (leader->progress_drops, 0);
 }
 
+/* Appends what has changed, as much as one append takes.  The resignation of a
+   leader that stops is in the last append, in the record that ends it.  */
+static void
+begin_append (gp_leader_t *leader)
+{
+  bool resigns = leader->stopping || leader->handing_over;
+
+  leader->batch = g_byte_array_new ();
+  add_places (leader);
+  add_dirty_jobs (leader);
+  leader->batch_is_partial = !gp_list_empty (&leader->scheduler.dirty);
+  if (!leader->batch_is_partial)
+    {
+      add_progress_drops (leader);
+      gp_leader_add_model (leader);
+      gp_leader_add_room (leader);
+    }
+  leader->leadership_at = leader->batch->len;
+  leader->resigning = resigns && !leader->batch_is_partial;
+  add_leadership (leader, leader->resigning);
+  append (leader);
+}
+
 void
 gp_leader_flush (gp_leader_t *leader)
 {
@@ -448,22 +545,14 @@
       gp_leader_send_frames (leader);
       return;
     }
-  leader->batch = g_byte_array_new ();
-  add_places (leader);
-  add_dirty_jobs (leader);
-  add_progress_drops (leader);
-  gp_leader_add_model (leader);
-  gp_leader_add_room (leader);
-  leader->leadership_at = leader->batch->len;
-  add_leadership (leader, resigns);
-  leader->resigning = resigns;
-  append (leader);
+  begin_append (leader);
 }
 
 void
 gp_leader_claim (gp_leader_t *leader)
 {
   leader->role = GP_LEADER_CLAIMING;
+  leader->batch_is_partial = false;
   leader->batch = g_byte_array_new ();
   add_leadership (leader, false);
   append (leader);
@@ -483,6 +572,7 @@
 gp_leader_append_init (gp_leader_t *leader)
 {
   gp_histogram_register (&append_time);
+  gp_counter_register (&left_out_count);
   leader->batch_states = g_array_new (FALSE, FALSE, sizeof (batch_state_t));
   gp_timer_init (&leader->retry, leader->loop, on_retry, leader);
 }
--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -54,13 +54,15 @@
     names of processes to their share of a core and their link in Mbit/s.
     FEATURES are settings that are given by environment variables: names of
     those that are switched on, or NAME=VALUE.  The executors are of
-    EXECUTOR_TYPE.
+    EXECUTOR_TYPE.  STORE_BOUNDS maps names of the store's bounds to values that
+    the processes are told.
     """
 
     def __init__(self, build, folder, entries=2, workers=3, seed=1,
                  status_s=120, links=False, zones=("z",), limits=None,
-                 features=(), executor_type=Executor):
+                 features=(), executor_type=Executor, store_bounds=None):
         self.build = build
+        self.store_bounds = store_bounds or {}
         self.executor_type = executor_type
         self.features = features
         self.status_s = status_s
@@ -142,7 +144,10 @@
                  "internalPorts:", f"  - {port}",
                  "bounds:", f"  status_s: {self.status_s}",
                  f"  evacuateMs: {int(EVACUATE_S * 1000)}",
-                 "platform:", f'  address: "{store}"'] + more
+                 "platform:", f'  address: "{store}"']
+        lines += [f"  {bound}: {value}"
+                  for bound, value in self.store_bounds.items()]
+        lines += more
         if name in self.limits:
             cores, mbits = self.limits[name]
             lines += ["limits:", f"  cpuShare: {cores}",
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -88,6 +88,34 @@
   parse_settings ("");
 }
 
+static void
+check_store_bounds (const char *value, size_t expected)
+{
+  g_autofree char *text
+      = g_strdup_printf ("node: \"n1\"\nzone: \"z\"\nip: \"127.0.0.1\"\n"
+                         "internalPorts:\n  - 7000\n"
+                         "platform:\n  address: \"127.0.0.1:9\"\n"
+                         "  recordBytes: %s\n  callBytes: %s\n",
+                         value, value);
+  gp_platform_settings_t settings;
+
+  CU_ASSERT_TRUE_FATAL (
+      gp_platform_settings_parse (&settings, text, strlen (text), NULL));
+  CU_ASSERT_EQUAL (settings.record_bytes, expected);
+  CU_ASSERT_EQUAL (settings.append_bytes, expected);
+  gp_platform_settings_finish (&settings);
+}
+
+/* Guards against appends that the store refuses for their size.  */
+static void
+test_store_bounds (void)
+{
+  check_store_bounds ("262144", 262144);
+  check_store_bounds ("null", 0);
+  check_store_bounds ("-1", 0);
+  check_store_bounds ("many", 0);
+}
+
 static void
 parse_submission (const char *body)
 {
@@ -225,11 +253,11 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "settings", test_settings },
-                                 { "submission", test_submission },
-                                 { "document", test_document },
-                                 { "heartbeat", test_heartbeat },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = {
+    { "settings", test_settings },     { "store bounds", test_store_bounds },
+    { "submission", test_submission }, { "document", test_document },
+    { "heartbeat", test_heartbeat },   CU_TEST_INFO_NULL
+  };
 
   return runner_main ("platform", tests);
 }
