frame_io: a frame that is too large to be sent is counted and logged

Cause: a frame over 1 MB was dropped without a line, so that a guard that is never synced could not be told from a lost connection. The frame is still not sent.

--- a/src/jobsd/frame_io.c
+++ b/src/jobsd/frame_io.c
@@ -2,6 +2,8 @@
 
 #include "jobsd/frame_io.h"
 
+#include "base/counters.h"
+#include "base/log.h"
 #include "jobs/frames.h"
 #include "protocol/codec.h"
 #include "transport/traffic.h"
@@ -27,16 +29,31 @@
   = GP_TRAFFIC ("orders", "orders to guards"),
 };
 
+static gp_counter_t too_large_count
+    = GP_COUNTER ("frames_too_large_total",
+                  "Frames that were not sent, as they were too large");
+
 void
 gp_frame_io_register (void)
 {
+  gp_counter_register (&too_large_count);
   for (guint i = 0; i < G_N_ELEMENTS (traffic); i++)
     gp_traffic_register (&traffic[i]);
 }
 
+/* Counts a frame that is about to be sent, or will not be for its size.  */
 static void
 count_sent (Gp__Jobs__Frame__MessageCase kind, size_t size)
 {
+  if (size > GP_FRAME_MAX_SIZE)
+    {
+      gp_counter_add (&too_large_count, 1);
+      gp_log (GP_LOG_WARNING, "frame.too_large",
+              GP_LOG_S ("kind", traffic[kind].out_field),
+              GP_LOG_I ("bytes", (int64_t)size),
+              GP_LOG_I ("limit", (int64_t)GP_FRAME_MAX_SIZE));
+      return;
+    }
   gp_traffic_sent (&traffic[kind], size + GP_FRAME_HEADER_SIZE);
 }
 
