placer: a task that needs a whole executor may take an empty one

Cause: six hundredths of an executor are kept for the first priority, also on an empty one, so a task that needs more than the rest fits nowhere.

Change: what a task has to leave is bounded by what it can leave on an empty executor. Why this works: a task that needs less leaves the same as before; one that needs more fits only where nothing else runs.

--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -99,19 +99,31 @@
          && executor->used.cpu_milli * 2 < executor->capacity.cpu_milli;
 }
 
+/* Returns the processors of EXECUTOR that TASK, of STEP, has to leave unused.
+   A task that needs more than the others of an empty executor may take it as a
+   whole: it would fit on none of that size.  */
+static int64_t
+reserved_cpu (const gp_job_executor_t *executor, const gp_job_task_t *task,
+              const Gp__Jobs__Step *step)
+{
+  int64_t capacity = executor->capacity.cpu_milli;
+
+  if (task->job->submission->priority == 0)
+    return 0;
+  return MIN (capacity * RESERVED_PERMILLE / 1000,
+              MAX (capacity - step->cpu_milli, 0));
+}
+
 static bool
 has_processors (const gp_job_executor_t *executor, const gp_job_task_t *task,
                 const Gp__Jobs__Step *step, gp_time_t now)
 {
-  int64_t reserved = executor->capacity.cpu_milli * RESERVED_PERMILLE / 1000;
-
   if (step->fills)
     return gp_job_executor_spare_cpu (executor)
                >= (int64_t)step->cpu_milli * FILL_PERMILLE / 1000
            || may_overcommit (executor, task, now);
-  if (task->job->submission->priority == 0)
-    reserved = 0;
-  return executor->used.cpu_milli + step->cpu_milli + reserved
+  return executor->used.cpu_milli + step->cpu_milli
+             + reserved_cpu (executor, task, step)
          <= executor->capacity.cpu_milli;
 }
 
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -202,6 +202,37 @@
   jobs_site_finish (&site);
 }
 
+/* Guards against a job that is accepted and never started: a task of a lower
+   priority that needs a whole executor found none on an empty site.  */
+static void
+test_whole_executor (void)
+{
+  for (unsigned cpu_milli = 14000; cpu_milli <= 16000; cpu_milli += 500)
+    for (unsigned priority = 0; priority <= 2; priority++)
+      {
+        jobs_site_t site;
+        Gp__Jobs__Submission *large = jobs_site_submission (3, cpu_milli);
+        Gp__Jobs__Submission *small = jobs_site_submission (1, 500);
+        gp_job_t *job;
+
+        jobs_site_init (&site);
+        jobs_site_executor (&site, "x1", 16);
+        jobs_site_executor (&site, "x2", 16);
+        large->priority = priority;
+        job = jobs_site_submit (&site, JOB_A, large);
+        jobs_site_plan (&site);
+        CU_ASSERT_PTR_NOT_NULL (job->tasks[0].executor);
+        CU_ASSERT_PTR_NOT_NULL (job->tasks[1].executor);
+        CU_ASSERT_PTR_NULL (job->tasks[2].executor);
+        /* What the large ones leave is kept for the first priority.  */
+        small->priority = 2;
+        job = jobs_site_submit (&site, JOB_B, small);
+        jobs_site_plan (&site);
+        CU_ASSERT_EQUAL (gp_job_has_run (job), cpu_milli <= 14500);
+        jobs_site_finish (&site);
+      }
+}
+
 static void
 test_distrust (void)
 {
@@ -624,6 +655,7 @@
                                  { "cancel", test_cancel },
                                  { "lasting", test_lasting },
                                  { "gang", test_gang },
+                                 { "whole executor", test_whole_executor },
                                  { "repeats", test_repeats },
                                  { "priority", test_priority },
                                  { "distrust", test_distrust },
