--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -102,10 +102,11 @@
 void gp_job_executor_add (gp_job_executor_t *executor, gp_job_task_t *task);
 void gp_job_executor_remove (gp_job_executor_t *executor, gp_job_task_t *task);
 
-/* Reserve the resources of a stray run of STEP on EXECUTOR, NULL: its job is
-   not known, and release those of all stray runs.  */
+/* Reserves the resources of a stray run of STEP on EXECUTOR.  STEP may be NULL
+   if the job of the run is not known; the run is only counted then.  */
 void gp_job_executor_add_stray (gp_job_executor_t *executor,
                                 const Gp__Jobs__Step *step);
+/* Releases the resources of all stray runs on EXECUTOR.  */
 void gp_job_executor_clear_strays (gp_job_executor_t *executor);
 
 /* Ends the dedication of EXECUTOR to JOB, unless it has an isolated run of
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -99,9 +99,9 @@
          && executor->used.cpu_milli * 2 < executor->capacity.cpu_milli;
 }
 
-/* Returns the processors of EXECUTOR that TASK, of STEP, has to leave unused.
-   A task that needs more than the others of an empty executor may take it as a
-   whole: it would fit on none of that size.  */
+/* Returns the processors of EXECUTOR that TASK, of STEP, has to leave to jobs
+   of the first priority.  A task that would leave less on an empty executor
+   may take that one: it would fit on no executor of its size otherwise.  */
 static int64_t
 reserved_cpu (const gp_job_executor_t *executor, const gp_job_task_t *task,
               const Gp__Jobs__Step *step)
--- a/src/jobs/progress_compact.h
+++ b/src/jobs/progress_compact.h
@@ -23,8 +23,8 @@
    by index.  */
 GBytes *gp_progress_pack (const Gp__Jobs__Progress *progress);
 
-/* Returns whether TASK has more than a run and an executor, so that it cannot be
-   a row of the columns.  */
+/* Returns whether TASK has more than a run and an executor, so that it cannot
+   be a row of the columns.  */
 bool gp_progress_needs_message (const Gp__Jobs__TaskProgress *task);
 
 /* Converts the unpacked PROGRESS to the form with one message for each run.
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -173,14 +173,14 @@
 static void
 set_checkpoint (gp_job_task_t *task, const ProtobufCBinaryData *checkpoint)
 {
-  gp_job_task_t *keeper = task;
+  gp_job_task_t *holder = task;
 
   if (checkpoint->len == 0 || task->state == GP_TASK_DONE)
     return;
   if (gp_task_step (task)->gang)
-    gp_task_siblings (task, &keeper);
-  g_free (keeper->checkpoint);
-  keeper->checkpoint
+    gp_task_siblings (task, &holder);
+  g_free (holder->checkpoint);
+  holder->checkpoint
       = g_strndup ((const char *)checkpoint->data, checkpoint->len);
 }
 
@@ -299,29 +299,29 @@
   log_gang_done (task, count, unlisted);
 }
 
-/* TASK's run has failed on EXECUTOR.  Returns whether that is known already
-   from another member of its gang in the same run.  */
+/* Records that TASK's run has failed on EXECUTOR.  Returns whether another
+   member of its gang has failed there in the same run.  */
 static bool
-is_same_failure (gp_job_executor_t *executor, gp_job_task_t *task)
+note_gang_failure (gp_job_executor_t *executor, const gp_job_task_t *task)
 {
   gp_job_task_t *first;
-  bool same;
+  bool known;
 
   if (!gp_task_step (task)->gang)
     return false;
   gp_task_siblings (task, &first);
-  same = executor->failed_gang == first
-         && executor->failed_gang_run == task->run;
+  known = executor->failed_gang == first
+          && executor->failed_gang_run == task->run;
   executor->failed_gang = first;
   executor->failed_gang_run = task->run;
-  return same;
+  return known;
 }
 
 /* The run of TASK on EXECUTOR has ended as HOW.  Several members of a gang
    that fail there in one run suffice for the first pause, but do not lengthen
    it: they may have failed for the same cause.  */
 static void
-update_distrust (gp_job_executor_t *executor, gp_job_task_t *task,
+update_distrust (gp_job_executor_t *executor, const gp_job_task_t *task,
                  gp_end_t how, gp_time_t now)
 {
   gp_time_t pause = DISTRUST_TIME;
@@ -330,7 +330,7 @@
     executor->failed_in_row = 0;
   if (how != GP_END_FAILED)
     return;
-  if (is_same_failure (executor, task)
+  if (note_gang_failure (executor, task)
       && executor->failed_in_row >= FAILURES_TO_DISTRUST)
     return;
   if (++executor->failed_in_row < FAILURES_TO_DISTRUST)
