--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -89,9 +89,9 @@
 GBytes *gp_book_pack (const gp_job_t *job);
 
 /* The same in at most LIMIT bytes, without as many checkpoints as that takes;
-   *LEFT_OUT is set to their number.  A task whose checkpoint is left out starts
-   from the beginning if another leader starts it next.  The record is larger
-   than LIMIT if it would be even without checkpoints.  */
+   *LEFT_OUT is set to their number.  A task whose checkpoint is left out
+   starts from the beginning if another leader starts it next.  The record is
+   larger than LIMIT if it would be even without checkpoints.  */
 GBytes *gp_book_pack_within (const gp_job_t *job, size_t limit,
                              unsigned *left_out);
 
--- a/tests/unit/test_record_size.c
+++ b/tests/unit/test_record_size.c
@@ -55,7 +55,9 @@
   jobs_site_init (&other);
   jobs_site_submit (&other, JOB, jobs_site_submission (job->task_count, 1));
   read = gp_book_progress (&other.book, JOB, data, size, NULL);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+  CU_ASSERT_PTR_NOT_NULL (read);
+  if (read == NULL)
+    return;
   for (uint32_t i = 0; i < read->task_count; i++)
     {
       const gp_job_task_t *task = &read->tasks[i];
