--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -109,17 +109,35 @@
   gp_scheduler_mark_dirty (scheduler, task->job);
 }
 
+/* Logs that STOPPED members of TASK's gang are stopped because of TASK.  */
+static void
+log_gang_stopped (const gp_job_task_t *task, uint32_t stopped)
+{
+  char name[GP_TASK_NAME_SIZE];
+
+  gp_task_name (task, name);
+  gp_log (GP_LOG_INFO, "gang.stopped", GP_LOG_S ("task", name),
+          GP_LOG_I ("run", task->run), GP_LOG_I ("members", stopped));
+}
+
 void
 gp_scheduler_stop_gang (gp_scheduler_t *scheduler, const gp_job_task_t *task)
 {
   gp_job_task_t *first;
   uint32_t count = gp_task_siblings (task, &first);
 
+  uint32_t stopped = 0;
+
   if (!gp_task_step (task)->gang || task->state == GP_TASK_DONE)
     return;
   for (uint32_t i = 0; i < count; i++)
-    if (first[i].executor != NULL && !first[i].executor->dead)
-      stop_task (scheduler, &first[i]);
+    if (first[i].state == GP_TASK_ASSIGNED && !first[i].executor->dead)
+      {
+        stop_task (scheduler, &first[i]);
+        stopped++;
+      }
+  if (stopped > 0)
+    log_gang_stopped (task, stopped);
 }
 
 void
--- a/src/jobsd/leader_append.c
+++ b/src/jobsd/leader_append.c
@@ -252,11 +252,12 @@
   gp_leader_close_links (leader);
 }
 
-static void begin_append (gp_leader_t *leader);
+static void begin_append (gp_leader_t *leader, bool resigns);
 
 /* The batch is on the log, but not all changed jobs fitted in: appends the
    next ones.  The orders that were decided with all of them wait until the
-   last one is on the log.  */
+   last one is on the log; a leader that stops meanwhile resigns after they
+   were sent.  */
 static void
 continue_append (gp_leader_t *leader)
 {
@@ -264,7 +265,7 @@
 
   end_batch (leader);
   leader->batch_began_at = began_at;
-  begin_append (leader);
+  begin_append (leader, false);
 }
 
 static void
@@ -503,13 +504,11 @@
   g_ptr_array_set_size (leader->progress_drops, 0);
 }
 
-/* Appends what has changed, as much as one append takes.  The resignation of a
-   leader that stops is in the last append, in the record that ends it.  */
+/* Appends what has changed, as much as one append takes.  RESIGNS: gives
+   leadership up with it, unless some of it is left for the next append.  */
 static void
-begin_append (gp_leader_t *leader)
+begin_append (gp_leader_t *leader, bool resigns)
 {
-  bool resigns = leader->stopping || leader->handing_over;
-
   leader->batch = g_byte_array_new ();
   add_places (leader);
   add_dirty_jobs (leader);
@@ -545,7 +544,7 @@
       gp_leader_send_frames (leader);
       return;
     }
-  begin_append (leader);
+  begin_append (leader, resigns);
 }
 
 void
