test_placement: draw random numbers in a defined order

Cause: a request's processors and memory were drawn as arguments of one call, whose order of evaluation differs: gcc draws the last argument first on x86-64 and the first one first on aarch64. There the sequence of test_hold leaves another worker empty before the held one, so that its check failed, 3 of 3. Trace: free resources, holder and tasks of the held worker printed at the end; the task was placed on another worker that fitted, which ends the hold as documented. The choice itself does not depend on the architecture; building with -ffp-contract=off changed nothing. Change: one draw a statement, in the order of x86-64; the check is unchanged. Measured: on aarch64 test_placement passes and its output equals the expected one, which was written on x86-64.

--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -178,9 +178,12 @@
 static gp_placement_request_t
 random_request (run_t *run, uint64_t task)
 {
+  /* One draw a statement: the order in which arguments are evaluated differs
+     between architectures.  */
+  uint32_t memory_mib = 500U << g_rand_int_range (run->random, 0, 9);
+  uint32_t millicores = 250U << g_rand_int_range (run->random, 0, 8);
   gp_placement_request_t request
-      = policy_request (task, 250U << g_rand_int_range (run->random, 0, 8),
-                        500U << g_rand_int_range (run->random, 0, 9));
+      = policy_request (task, millicores, memory_mib);
 
   request.group = (uint32_t)g_rand_int_range (run->random, 0, 5);
   request.kind = (uint16_t)request.group;
