book: a record that would be too large names each executor once

Cause: each task with more than a run is a message of its own with its executor's name; only checkpoints could be left out of a record. Records that fit are byte for byte as before. A record with references has an unpaired run, so that a reader of the version before refuses it in place of taking running tasks for waiting ones.

--- a/src/jobs/progress_compact.c
+++ b/src/jobs/progress_compact.c
@@ -104,11 +104,14 @@
     }
 }
 
-bool
-gp_progress_needs_message (const Gp__Jobs__TaskProgress *task)
+/* Returns whether TASK has more than a run and an executor's name, so that it
+   cannot be a row of the columns.  */
+static bool
+needs_message (const Gp__Jobs__TaskProgress *task)
 {
   return task->failures > 0 || task->crashes > 0 || task->alone
-         || task->checkpoint.len > 0 || task->stopping || task->done;
+         || task->checkpoint.len > 0 || task->stopping || task->done
+         || task->executor_ref > 0;
 }
 
 /* Adds TASK to the columns if it fits.  Returns whether it did.  */
@@ -118,8 +121,7 @@
   split_id_t id = split (task->executor);
   uint32_t gap = task->index - columns->next;
 
-  if (gp_progress_needs_message (task) || id.digits == 0
-      || task->index < columns->next)
+  if (needs_message (task) || id.digits == 0 || task->index < columns->next)
     return false;
   if (columns->numbers->len == 0)
     columns->first = id;
@@ -133,9 +135,44 @@
   return true;
 }
 
+void
+gp_progress_share_executors (Gp__Jobs__Progress *progress, GPtrArray *names)
+{
+  GHashTable *refs = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (size_t i = 0; i < progress->n_tasks; i++)
+    {
+      Gp__Jobs__TaskProgress *task = progress->tasks[i];
+      guint ref;
+
+      if (*task->executor == '\0')
+        continue;
+      ref = GPOINTER_TO_UINT (g_hash_table_lookup (refs, task->executor));
+      if (ref == 0)
+        {
+          g_ptr_array_add (names, task->executor);
+          ref = names->len;
+          g_hash_table_insert (refs, task->executor, GUINT_TO_POINTER (ref));
+        }
+      task->executor_ref = ref;
+      task->executor = (char *)protobuf_c_empty_string;
+    }
+  progress->executors = (char **)names->pdata;
+  progress->n_executors = names->len;
+  g_hash_table_unref (refs);
+}
+
+/* Returns by how many numbers RUNS is longer than the other columns.  */
+static size_t
+unpaired_runs (const Gp__Jobs__Progress *progress)
+{
+  return progress->n_executors > 0 ? 1 : 0;
+}
+
 GBytes *
 gp_progress_pack (const Gp__Jobs__Progress *progress)
 {
+  const uint32_t no_run = 0;
   Gp__Jobs__Progress compact = *progress;
   columns_t columns;
   GBytes *bytes;
@@ -145,6 +182,8 @@
   for (size_t i = 0; i < progress->n_tasks; i++)
     if (!add_run (&columns, progress->tasks[i]))
       g_ptr_array_add (columns.rest, progress->tasks[i]);
+  if (unpaired_runs (progress) > 0)
+    g_array_append_val (columns.runs, no_run);
   compact.n_done = 0;
   compact.done_ranges = (uint32_t *)(void *)columns.ranges->data;
   compact.n_done_ranges = columns.ranges->len;
@@ -185,7 +224,7 @@
 {
   uint64_t next = 0;
 
-  if (progress->n_runs != progress->n_run_gaps
+  if (progress->n_runs != progress->n_run_gaps + unpaired_runs (progress)
       || progress->n_run_executors != progress->n_run_gaps)
     return gp_field_fail (error, "runs", "columns of different lengths");
   if (progress->n_run_gaps == 0)
@@ -206,6 +245,42 @@
   return true;
 }
 
+static bool
+check_refs (const Gp__Jobs__Progress *progress, GError **error)
+{
+  for (size_t i = 0; i < progress->n_tasks; i++)
+    {
+      const Gp__Jobs__TaskProgress *task = progress->tasks[i];
+
+      if (task->executor_ref > progress->n_executors)
+        return gp_field_fail (error, "executor_ref", "no such executor");
+      if (task->executor_ref > 0 && *task->executor != '\0')
+        return gp_field_fail (error, "executor_ref", "beside a name");
+    }
+  return true;
+}
+
+static void
+expand_executors (Gp__Jobs__Progress *progress)
+{
+  for (size_t i = 0; i < progress->n_tasks; i++)
+    {
+      Gp__Jobs__TaskProgress *task = progress->tasks[i];
+
+      if (task->executor_ref == 0)
+        continue;
+      if (task->executor != (char *)protobuf_c_empty_string)
+        free (task->executor);
+      task->executor = strdup (progress->executors[task->executor_ref - 1]);
+      task->executor_ref = 0;
+    }
+  for (size_t i = 0; i < progress->n_executors; i++)
+    free (progress->executors[i]);
+  free (progress->executors);
+  progress->executors = NULL;
+  progress->n_executors = 0;
+}
+
 static void
 expand_done (Gp__Jobs__Progress *progress)
 {
@@ -257,8 +332,10 @@
 bool
 gp_progress_expand (Gp__Jobs__Progress *progress, GError **error)
 {
-  if (!check_ranges (progress, error) || !check_columns (progress, error))
+  if (!check_ranges (progress, error) || !check_columns (progress, error)
+      || !check_refs (progress, error))
     return false;
+  expand_executors (progress);
   if (progress->n_done_ranges > 0)
     expand_done (progress);
   if (progress->n_run_gaps > 0)
--- a/src/jobs/progress_compact.h
+++ b/src/jobs/progress_compact.h
@@ -9,6 +9,10 @@
    remain separate messages, and so does everything in a record that was
    written without columns.
 
+   Where most tasks are separate messages, the names of their executors make up
+   most of the record.  If it would be too large for the log, it has each name
+   once, and the tasks refer to it.
+
    Pure.  */
 
 #ifndef GP_JOBS_PROGRESS_COMPACT_H
@@ -23,9 +27,11 @@
    by index.  */
 GBytes *gp_progress_pack (const Gp__Jobs__Progress *progress);
 
-/* Returns whether TASK has more than a run and an executor, so that it cannot
-   be a row of the columns.  */
-bool gp_progress_needs_message (const Gp__Jobs__TaskProgress *task);
+/* Makes the tasks of PROGRESS refer to their executors by index.  The name of
+   each is added to NAMES, which is empty and has to exist, as the strings
+   have, as long as PROGRESS is used.  */
+void gp_progress_share_executors (Gp__Jobs__Progress *progress,
+                                  GPtrArray *names);
 
 /* Converts the unpacked PROGRESS to the form with one message for each run.
    Returns false and sets ERROR, naming the field, if that is not possible;
--- a/tests/unit/test_progress_compact.c
+++ b/tests/unit/test_progress_compact.c
@@ -102,28 +102,28 @@
   return (*first)->index < (*second)->index ? -1 : 1;
 }
 
-/* Returns whether PROGRESS, in the order of its tasks, equals EXPECTED.  */
+/* Returns whether PROGRESS, in the order of its tasks, is EXPECTED unpacked.
+ */
 static bool
-is_same (const Gp__Jobs__Progress *expected, Gp__Jobs__Progress *progress)
+is_same (GBytes *expected, Gp__Jobs__Progress *progress)
 {
-  GBytes *one;
-  GBytes *two;
+  GBytes *bytes;
   bool same;
 
   if (progress->n_tasks > 0)
     qsort (progress->tasks, progress->n_tasks, sizeof (void *), by_index);
   progress->executor_prefix = (char *)protobuf_c_empty_string;
   progress->executor_digits = 0;
-  one = gp_message_pack (&expected->base);
-  two = gp_message_pack (&progress->base);
-  same = g_bytes_equal (one, two);
-  g_bytes_unref (one);
-  g_bytes_unref (two);
+  bytes = gp_message_pack (&progress->base);
+  same = g_bytes_equal (expected, bytes);
+  g_bytes_unref (bytes);
   return same;
 }
 
+/* Packs random records, in the form that names each executor once if SHARED,
+   and reads them.  */
 static void
-test_random (void)
+read_random (bool shared)
 {
   GRand *random = g_rand_new_with_seed (1);
   progress_t *progress = g_new (progress_t, 1);
@@ -135,11 +135,17 @@
       gsize size;
       const uint8_t *data;
       Gp__Jobs__Progress *read;
+      GBytes *expected;
+      GPtrArray *names;
       char *prefix;
 
       draw_progress (progress, random, count, false);
       if (progress->message.n_done + progress->message.n_tasks == 0)
         continue;
+      expected = gp_message_pack (&progress->message.base);
+      names = g_ptr_array_new ();
+      if (shared)
+        gp_progress_share_executors (&progress->message, names);
       bytes = gp_progress_pack (&progress->message);
       data = g_bytes_get_data (bytes, &size);
       read = gp_record_progress (data, size, NULL);
@@ -147,16 +153,25 @@
       if (read == NULL)
         return;
       prefix = read->executor_prefix;
-      CU_ASSERT_TRUE_FATAL (is_same (&progress->message, read));
+      CU_ASSERT_TRUE_FATAL (is_same (expected, read));
       read->executor_prefix = prefix;
       gp__jobs__progress__free_unpacked (read, NULL);
       g_bytes_unref (bytes);
+      g_bytes_unref (expected);
+      g_ptr_array_unref (names);
     }
   g_rand_free (random);
   g_free (progress);
   printf ("%d random records are read as they were packed\n", ROUNDS);
 }
 
+static void
+test_random (void)
+{
+  read_random (false);
+  read_random (true);
+}
+
 /* Jobs as on a busy site: 72 tasks, on average 32 done and 15 running.  */
 static void
 test_size (void)
@@ -247,12 +262,46 @@
   print_result ("a run without a number", &progress);
 }
 
+/* References to executors that this product never writes.  A record with names
+   but without an unpaired run would be read by an earlier version, which does
+   not know the names, as one of tasks that wait.  */
+static void
+test_refused_refs (void)
+{
+  char *names[] = { "i-1", "i-2" };
+  uint32_t runs[] = { 0 };
+  Gp__Jobs__TaskProgress task = GP__JOBS__TASK_PROGRESS__INIT;
+  Gp__Jobs__TaskProgress *tasks[] = { &task };
+  Gp__Jobs__Progress progress = GP__JOBS__PROGRESS__INIT;
+
+  task.run = 1;
+  task.executor_ref = 2;
+  progress.state = 1;
+  progress.tasks = tasks;
+  progress.n_tasks = 1;
+  progress.executors = names;
+  progress.n_executors = 2;
+  print_result ("a reference without an unpaired run", &progress);
+  progress.runs = runs;
+  progress.n_runs = 1;
+  print_result ("a reference", &progress);
+  task.executor = "i-1";
+  print_result ("a reference and a name", &progress);
+  task.executor = (char *)protobuf_c_empty_string;
+  task.executor_ref = 3;
+  print_result ("a reference beyond the names", &progress);
+  progress.n_executors = 0;
+  progress.n_runs = 0;
+  print_result ("a reference without names", &progress);
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[] = { { "random", test_random },
                                  { "size", test_size },
                                  { "refused", test_refused },
+                                 { "refused references", test_refused_refs },
                                  CU_TEST_INFO_NULL };
 
   return runner_main ("progress compact", tests);
