leader, guard: orders, syncs and reports that are too large go in parts

What callers saw (in a trial): a job of 300 tasks on one executor whose runs had failed with checkpoints of 4,000 characters was never started again, nor was any job whose start was decided with it; both stayed "running". Cause: all orders for a guard go in one frame, as do all runs of a sync and all ends of a report. A frame above 1 MB is not sent, and the leader takes it for sent, as only the sender could have parted it. Evidence: frames_too_large_total was 1 at the leader, starts stayed at 300 for 20 s; with 400 tasks a guard's report was left out as well. Change: a frame to a guard has as many rows as fit, the next ones follow. What is forgotten goes before starts, and stops after them; the report is confirmed with the last part. A guard keeps the starts of a sync until its last part, so that no run that a later part names is stopped. A report has the ends that fit; the others follow once these are on record. If the executor is down or its lease is over, all ends come at once without checkpoints, since runs without a reported end count as lost then. What fits into a frame is byte for byte as before. Tried and dropped: a sync that names the runs whose starts follow in orders; the guard stopped these as unwanted before the orders came, 144 of 400 ran again.

--- a/src/jobs/agent.h
+++ b/src/jobs/agent.h
@@ -248,15 +248,18 @@
                                          one that had runs; NULL: none
                                          known */
   GHashTable *runs;                   /* name to gp_agent_run_t, owned */
-  gp_spec_store_t specs; /* not cleared when the executor changes */
-  GPtrArray *ends;       /* Gp__Jobs__End, owned: listed, but not durably
-                            recorded yet */
-  uint64_t seen_ends;    /* ends up to this number are durably recorded */
-  uint64_t listed_ends;  /* highest end number received in a list */
-  uint64_t stale_ends;   /* number of ends that were listed although they were
-                            recorded */
-  uint64_t synced;       /* number of the last sync */
-  bool is_synced;        /* RUNS is what the leader wants */
+  gp_spec_store_t specs;  /* not cleared when the executor changes */
+  GPtrArray *ends;        /* Gp__Jobs__End, owned: listed, but not durably
+                             recorded yet */
+  uint64_t seen_ends;     /* ends up to this number are durably recorded */
+  uint64_t listed_ends;   /* highest end number received in a list */
+  uint64_t stale_ends;    /* number of ends that were listed although they were
+                             recorded */
+  uint64_t synced;        /* number of the last sync */
+  bool is_synced;         /* RUNS is what the leader wants */
+  uint64_t sync_part_of;  /* number of the last sync or part of one */
+  GPtrArray *sync_starts; /* Gp__Jobs__Start, owned: of the parts of a sync
+                             whose last one has not arrived */
   uint64_t incarnation_number; /* number of executor incarnations found */
   GPtrArray *carried; /* Gp__Jobs__TaskRun, owned: runs on the last list that
                          are not in RUNS */
--- a/src/jobsd/guard_reports.c
+++ b/src/jobsd/guard_reports.c
@@ -3,6 +3,8 @@
 #include "jobsd/guard_private.h"
 
 #include "base/counters.h"
+#include "base/log.h"
+#include "jobs/frame_parts.h"
 #include "jobsd/frame_io.h"
 #include "protocol/message.h"
 
@@ -25,14 +27,19 @@
   GArray *suspects;
   GArray *servings; /* Gp__Jobs__Serving */
   GArray *fillings; /* Gp__Jobs__Filling */
+  GArray *ends;     /* Gp__Jobs__End, if they are without their checkpoints */
 } report_rows_t;
 
 static gp_counter_t runs_gauge
     = GP_GAUGE ("guard_runs", "Runs that belong on the executor");
+static gp_counter_t parted_count
+    = GP_COUNTER ("reports_parted_total",
+                  "Reports that had no room for all ends or checkpoints");
 
 void
 gp_guard_register_reports (void)
 {
+  gp_counter_register (&parted_count);
   gp_counter_register (&runs_gauge);
 }
 
@@ -48,6 +55,7 @@
   rows->suspects = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__TaskRun));
   rows->servings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Serving));
   rows->fillings = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Filling));
+  rows->ends = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__End));
 }
 
 /* Frees the rows and REPORT's arrays of pointers to them.  */
@@ -62,6 +70,8 @@
   g_free (report->suspects);
   g_free (report->servings);
   g_free (report->fillings);
+  if (rows->ends->len > 0)
+    g_free (report->ends);
   g_ptr_array_unref (rows->lacking);
   g_array_free (rows->absent, TRUE);
   g_array_free (rows->unconfirmed, TRUE);
@@ -71,6 +81,7 @@
   g_array_free (rows->suspects, TRUE);
   g_array_free (rows->servings, TRUE);
   g_array_free (rows->fillings, TRUE);
+  g_array_free (rows->ends, TRUE);
 }
 
 static Gp__Jobs__TaskRun
@@ -411,6 +422,47 @@
   guard->sent.down = report->down;
 }
 
+/* Sets REPORT's ends to ENDS without their checkpoints.  */
+static void
+report_short_ends (Gp__Jobs__Report *report, const GPtrArray *ends,
+                   report_rows_t *rows)
+{
+  for (guint i = 0; i < ends->len; i++)
+    {
+      Gp__Jobs__End end = *(const Gp__Jobs__End *)g_ptr_array_index (ends, i);
+
+      end.checkpoint.len = 0;
+      g_array_append_val (rows->ends, end);
+    }
+  report->ends = gp_frame_row_pointers (rows->ends);
+  report->n_ends = ends->len;
+}
+
+/* Fills in the ends of REPORT, whose other fields are set.  Those for which a
+   frame has no room follow once the others are on record.  But if the executor
+   is down or its lease is over, all ends have to come with that: runs that
+   have not been reported as ended count as lost then.  */
+static void
+report_ends (const gp_agent_t *agent, Gp__Jobs__Report *report,
+             report_rows_t *rows)
+{
+  const GPtrArray *ends = agent->ends;
+  bool needs_all = report->lapsed || report->ended || report->down;
+  size_t size = gp__jobs__report__get_packed_size (report);
+
+  report->ends = (Gp__Jobs__End **)ends->pdata;
+  report->n_ends = gp_frame_rows_that_fit ((ProtobufCMessage **)report->ends,
+                                           ends->len, &size);
+  if (report->n_ends == ends->len)
+    return;
+  gp_counter_add (&parted_count, 1);
+  gp_log (GP_LOG_INFO, "report.parted", GP_LOG_I ("ends", ends->len),
+          GP_LOG_I ("fit", (int64_t)report->n_ends),
+          GP_LOG_I ("without_checkpoints", needs_all));
+  if (needs_all)
+    report_short_ends (report, ends, rows);
+}
+
 /* Fills in the rows of REPORT.  */
 static void
 report_rows (gp_job_guard_t *guard, Gp__Jobs__Report *report,
@@ -418,8 +470,6 @@
 {
   gp_agent_t *agent = &guard->agent;
 
-  report->ends = (Gp__Jobs__End **)agent->ends->pdata;
-  report->n_ends = agent->ends->len;
   gp_agent_missing_specs (agent, rows->lacking);
   report->lacking = (char **)rows->lacking->pdata;
   report->n_lacking = rows->lacking->len;
@@ -427,6 +477,7 @@
   report_carried (agent, report, rows->carried);
   report_suspects (agent, report, rows->settled, rows->suspects);
   report_measurements (guard, report, rows->servings, rows->fillings);
+  report_ends (agent, report, rows);
 }
 
 void
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "jobs/frame_parts.h"
 #include "jobs/spec_store.h"
 #include "jobsd/leader_private.h"
 #include "protocol/message.h"
@@ -248,13 +249,84 @@
   return link->awaits_record && link->report_sent_at > link->confirmed;
 }
 
+/* How much of each list of orders is in earlier parts.  */
+typedef struct
+{
+  size_t forget;
+  size_t specs;
+  size_t starts;
+  size_t stops;
+} orders_cursor_t;
+
+/* Returns how many of the COUNT messages at ROWS are added to a part that has
+ *SIZE bytes, none if it is *FULL.  */
+static size_t
+rows_for_part (void *rows, size_t count, size_t *size, bool *full)
+{
+  size_t fit = *full ? 0 : gp_frame_rows_that_fit (rows, count, size);
+
+  *full = *full || fit < count;
+  return fit;
+}
+
+/* Returns the part of ALL from CURSOR on, which is moved to its end, and sets
+   *LAST if that is the last one.  Earlier runs are forgotten before new ones
+   start, and these start before they are stopped.  */
+static Gp__Jobs__Orders
+next_part (const Gp__Jobs__Orders *all, orders_cursor_t *cursor, bool *last)
+{
+  Gp__Jobs__Orders part = *all;
+  bool full = false;
+  size_t size;
+
+  part.n_forget = part.n_specs = part.n_starts = part.n_stops = 0;
+  size = gp__jobs__orders__get_packed_size (&part);
+  part.forget = all->forget + cursor->forget;
+  part.n_forget = rows_for_part (part.forget, all->n_forget - cursor->forget,
+                                 &size, &full);
+  part.specs = all->specs + cursor->specs;
+  part.n_specs
+      = rows_for_part (part.specs, all->n_specs - cursor->specs, &size, &full);
+  part.starts = all->starts + cursor->starts;
+  part.n_starts = rows_for_part (part.starts, all->n_starts - cursor->starts,
+                                 &size, &full);
+  part.stops = all->stops + cursor->stops;
+  part.n_stops
+      = rows_for_part (part.stops, all->n_stops - cursor->stops, &size, &full);
+  cursor->forget += part.n_forget;
+  cursor->specs += part.n_specs;
+  cursor->starts += part.n_starts;
+  cursor->stops += part.n_stops;
+  if (full)
+    part.recorded = 0;
+  *last = !full;
+  return part;
+}
+
+/* Queues ORDERS, in several frames if they are too large for one.  */
+static void
+queue_orders (gp_guard_link_t *link, const Gp__Jobs__Orders *orders)
+{
+  orders_cursor_t cursor = { 0 };
+  bool last = false;
+
+  while (!last)
+    {
+      Gp__Jobs__Orders part = next_part (orders, &cursor, &last);
+      Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+
+      frame.message_case = GP__JOBS__FRAME__MESSAGE_ORDERS;
+      frame.orders = &part;
+      queue_frame (link, &frame);
+    }
+}
+
 /* OUTBOX may be NULL.  */
 static void
 build_orders (gp_guard_link_t *link, const outbox_t *outbox)
 {
   GArray *specs = g_array_new (FALSE, FALSE, sizeof (Gp__Jobs__Spec));
   Gp__Jobs__Orders orders = GP__JOBS__ORDERS__INIT;
-  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
 
   orders.executor = link->executor->id;
   orders.born_ms = link->executor->born_ms;
@@ -276,13 +348,37 @@
       orders.n_forget = outbox->forget->len;
       orders.seen_ends = outbox->seen;
     }
-  frame.message_case = GP__JOBS__FRAME__MESSAGE_ORDERS;
-  frame.orders = &orders;
-  queue_frame (link, &frame);
+  queue_orders (link, &orders);
   g_free (orders.specs);
   g_array_free (specs, TRUE);
 }
 
+/* Queues SYNC with STARTS, in several parts if they are too large for a
+   frame.  */
+static void
+queue_sync (gp_guard_link_t *link, Gp__Jobs__Sync *sync,
+            const GPtrArray *starts)
+{
+  size_t base = gp__jobs__sync__get_packed_size (sync);
+  size_t done = 0;
+
+  do
+    {
+      Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
+      size_t size = base;
+
+      sync->starts = (Gp__Jobs__Start **)starts->pdata + done;
+      sync->n_starts = gp_frame_rows_that_fit (
+          (ProtobufCMessage **)sync->starts, starts->len - done, &size);
+      done += sync->n_starts;
+      sync->more = done < starts->len;
+      frame.message_case = GP__JOBS__FRAME__MESSAGE_SYNC;
+      frame.sync = sync;
+      queue_frame (link, &frame);
+    }
+  while (sync->more);
+}
+
 /* The full list of the executor's runs: those that are wanted, and those of
    which neither the end nor the absence is known.  It is built before the
    orders of the same append, which have no further effect then.  */
@@ -292,7 +388,6 @@
   GPtrArray *starts = g_ptr_array_new_with_free_func (free_start);
   GPtrArray *stops = g_ptr_array_new_with_free_func (free_run);
   Gp__Jobs__Sync sync = GP__JOBS__SYNC__INIT;
-  Gp__Jobs__Frame frame = GP__JOBS__FRAME__INIT;
 
   GP_LIST_FOREACH (at, &link->executor->tasks)
   {
@@ -310,15 +405,11 @@
   sync.number = link->sync;
   sync.executor = link->executor->id;
   sync.born_ms = link->executor->born_ms;
-  sync.starts = (Gp__Jobs__Start **)starts->pdata;
-  sync.n_starts = starts->len;
   sync.stops = (Gp__Jobs__TaskRun **)stops->pdata;
   sync.n_stops = stops->len;
   sync.raise_fence = link->executor->dead;
   sync.after = link->report_sent_at;
-  frame.message_case = GP__JOBS__FRAME__MESSAGE_SYNC;
-  frame.sync = &sync;
-  queue_frame (link, &frame);
+  queue_sync (link, &sync, starts);
   link->executor->dead = false;
   g_ptr_array_unref (starts);
   g_ptr_array_unref (stops);
--- a/tests/scripts/large_progress.py
+++ b/tests/scripts/large_progress.py
@@ -1,13 +1,16 @@
-"""Progress that is larger than a record, or an append, of the store may be.
+"""Progress that is larger than a record, an append or a frame may be.
 
 Guards against one job that stops all others: the store refused the leader's
-append for its size, and the leader repeated it for ever.
+append for its size, and the leader repeated it for ever.  And against jobs that
+are never started: a frame that was too large was not sent, and with it all
+orders for a guard, all runs of a sync or all ends of a report were lost.
 """
 
 import sys
 import time
 
-from platform_site import JOB_A, Executor, start_site, until
+from platform_site import (JOB_A, JOB_B, Executor, print_breaches, start_site,
+                           until)
 
 import platform_store  # found by way of platform_site
 
@@ -18,11 +21,16 @@
 LARGE_TASKS = 40  # whose checkpoints take more than a record
 JOBS = 60
 TASKS = 4  # of each; together they take more than an append
-CORES = 200
+CORES = 400
+FRAME_TASKS = 400  # whose checkpoints take more than a frame
+FRAME_CHECKPOINT = "c" * 4000
 
 
 class CheckpointExecutor(Executor):
-    """An executor of CORES cores whose failed runs leave CHECKPOINT."""
+    """An executor of CORES cores whose failed runs leave a checkpoint."""
+
+    checkpoint = CHECKPOINT
+    failures = 0
 
     def __init__(self, *arguments, **more):
         super().__init__(*arguments, **{**more, "cores": CORES})
@@ -30,7 +38,8 @@
     def end(self, task, how, listed=True):
         super().end(task, how, listed)
         if how == "failed":
-            self.ended[-1][4] = CHECKPOINT
+            self.ended[-1][4] = self.checkpoint
+            self.failures += 1
 
 
 def steps(count):
@@ -43,12 +52,13 @@
         executor.fails = on
 
 
-def site_with_bounds(build):
-    platform_store.RECORD_MAX = RECORD_BYTES
-    platform_store.CALL_MAX = APPEND_BYTES
+def site_with_bounds(build, record_bytes=RECORD_BYTES,
+                     append_bytes=APPEND_BYTES, **more):
+    platform_store.RECORD_MAX = record_bytes
+    platform_store.CALL_MAX = append_bytes
     return start_site(build, executor_type=CheckpointExecutor,
-                      store_bounds={"recordBytes": RECORD_BYTES,
-                                    "callBytes": APPEND_BYTES})
+                      store_bounds={"recordBytes": record_bytes,
+                                    "callBytes": append_bytes}, **more)
 
 
 def large_record(build):
@@ -88,9 +98,42 @@
         print("  appends refused for their size:", site.store.oversized)
 
 
+def print_unsent(site):
+    """Print how many frames were not sent, as they were too large."""
+    print("  frames that were too large:",
+          sum(site.metric(name, "frames_too_large_total")
+              for name in site.processes))
+
+
+def large_frames(build):
+    print("checkpoints of one executor that take more than a frame")
+    with site_with_bounds(build, 262144, 2097152, workers=1) as site:
+        executor = site.executors["w1"]
+        executor.checkpoint = FRAME_CHECKPOINT
+        executor.work_s = 1.0
+        fail(site, True)
+        site.submit("e1", JOB_A, steps(FRAME_TASKS))
+        until(lambda: sum(site.judge.starts.values()) == FRAME_TASKS,
+              what="started")
+        until(lambda: executor.failures == FRAME_TASKS, what="failed")
+        fail(site, False)
+        executor.work_s = 4.0
+        until(lambda: sum(site.judge.starts.values()) >= 2 * FRAME_TASKS,
+              what="started again")
+        site.processes["w1"].kill()
+        site.processes["w1"].start()
+        site.submit("e1", JOB_B, steps(1))
+        for job in (JOB_A, JOB_B):
+            site.await_state("e2", job, "completed")
+        print("  starts:", sum(site.judge.starts.values()))
+        print_unsent(site)
+        print_breaches(site)
+
+
 def main(build):
     large_record(build)
     large_append(build)
+    large_frames(build)
 
 
 main(sys.argv[1])
