--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -258,8 +258,8 @@
   size_t stops;
 } orders_cursor_t;
 
-/* Returns how many of the COUNT messages at ROWS are added to a part that has
- *SIZE bytes, none if it is *FULL.  */
+/* Returns how many of the COUNT messages at ROWS are added to a part of SIZE
+   bytes: none if it is FULL, which is set if some are left.  */
 static size_t
 rows_for_part (void *rows, size_t count, size_t *size, bool *full)
 {
@@ -353,8 +353,8 @@
   g_array_free (specs, TRUE);
 }
 
-/* Queues SYNC with STARTS, in several parts if they are too large for a
-   frame.  */
+/* Queues SYNC with STARTS, in several parts if they are too large for a frame.
+   If its stops alone are, the frame is not sent, and is counted as such.  */
 static void
 queue_sync (gp_guard_link_t *link, Gp__Jobs__Sync *sync,
             const GPtrArray *starts)
@@ -376,7 +376,7 @@
       frame.sync = sync;
       queue_frame (link, &frame);
     }
-  while (sync->more);
+  while (sync->more && sync->n_starts > 0);
 }
 
 /* The full list of the executor's runs: those that are wanted, and those of
