scheduler: stop a gang's run when one of its members has ended before it was done

What callers could see: a gang that began again only after three seconds, as members that began after another one had failed waited for it and ended alone.

Cause: the leader stopped the other members' runs if one was absent or lost, not if it had ended. It relied on the executors to end them as `broken', but a member may fail before its run is complete, and the pages do not tell what becomes of those that begin after that.

Evidence: test_gangs, "failing starts": starts that arrive up to 0.5 s apart, one member in fifty fails as it begins, members that begin later wait. Ruled out: orders lost with a leader; the world of the test now syncs the guards, as leaders do.

Change: any end but done of a member stops the others. A stop of a run that has ended already has no effect; one that has not begun is refused from then on.

--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -125,7 +125,6 @@
 {
   gp_job_task_t *first;
   uint32_t count = gp_task_siblings (task, &first);
-
   uint32_t stopped = 0;
 
   if (!gp_task_step (task)->gang || task->state == GP_TASK_DONE)
@@ -392,6 +391,8 @@
       task->failed_on = executor;
       count_failure (scheduler, task, wall_ms);
     }
+  if (how != GP_END_DONE)
+    gp_scheduler_stop_gang (scheduler, task);
 }
 
 /* Returns whether END reports that the work of TASK, which waits, was done by
--- a/src/jobs/scheduler_private.h
+++ b/src/jobs/scheduler_private.h
@@ -12,9 +12,10 @@
 void gp_scheduler_end_job (gp_scheduler_t *scheduler, gp_job_t *job,
                            gp_job_state_t state, int64_t wall_ms);
 
-/* The run of TASK, which was released, never began or is lost.  If TASK is a
-   member of a gang, stops the run of the others: it cannot become complete any
-   more, and they would wait for TASK until they time out.  */
+/* The run of TASK, which was released, never began, is lost or has ended
+   before it was done.  If TASK is a member of a gang, stops the run of the
+   others: it cannot become complete any more, and those that have not begun
+   yet would wait for TASK until they time out.  */
 void gp_scheduler_stop_gang (gp_scheduler_t *scheduler,
                              const gp_job_task_t *task);
 
--- a/tests/unit/gang_world.c
+++ b/tests/unit/gang_world.c
@@ -38,12 +38,21 @@
   bool forgotten;
 } end_t;
 
+/* A start that a worker has not carried out yet.  */
+typedef struct
+{
+  char task[GP_TASK_NAME_SIZE];
+  uint32_t run;
+  gp_time_t due;
+} pending_start_t;
+
 typedef struct
 {
   char id[16];
   unsigned incarnation;
-  GArray *work; /* work_t */
-  GArray *ends; /* end_t, in the order of their numbers */
+  GArray *starts; /* pending_start_t */
+  GArray *work;   /* work_t */
+  GArray *ends;   /* end_t, in the order of their numbers */
   uint64_t end_count;
 } worker_t;
 
@@ -211,19 +220,20 @@
 }
 
 static void
-note_present (gang_world_t *world, const gp_job_task_t *task, const char *name)
+note_present (gang_world_t *world, const gp_job_task_t *task, const char *name,
+              uint32_t run)
 {
-  gang_run_t *gang = gang_run_of (world, name, task->run);
+  gang_run_t *gang = gang_run_of (world, name, run);
 
   gang->present++;
-  if (gang->over)
-    end_gang (world, name, task->run, GP_END_BROKEN, world->site->now);
-  else if (gang->present == gp_task_step (task)->count)
+  if (gang->over && !world->faults->late_members_wait)
+    end_gang (world, name, run, GP_END_BROKEN, world->site->now);
+  else if (!gang->over && gang->present == gp_task_step (task)->count)
     {
       bool fails = chance (world) < world->faults->failing_runs;
 
       gang->over = true;
-      end_gang (world, name, task->run, fails ? GP_END_FAILED : GP_END_DONE,
+      end_gang (world, name, run, fails ? GP_END_FAILED : GP_END_DONE,
                 world->site->now + WORK_TIME);
     }
 }
@@ -244,12 +254,19 @@
   g_array_append_val (worker->ends, end);
 }
 
+static bool
+fails_at_once (gang_world_t *world)
+{
+  return world->faults->failing_starts > 0
+         && chance (world) < world->faults->failing_starts;
+}
+
 static void
-start (gang_world_t *world, worker_t *worker, const gp_job_task_t *task)
+start (gang_world_t *world, worker_t *worker, const gp_job_task_t *task,
+       uint32_t run)
 {
-  work_t work = { .run = task->run,
-                  .began_at = world->site->now,
-                  .ends_at = GP_TIME_NEVER };
+  work_t work
+      = { .run = run, .began_at = world->site->now, .ends_at = GP_TIME_NEVER };
   uint32_t used = 0;
 
   gp_task_name (task, work.task);
@@ -270,17 +287,76 @@
       work.how = GP_END_DONE;
       work.ends_at = world->site->now + WORK_TIME;
     }
+  else if (fails_at_once (world))
+    {
+      work.how = GP_END_FAILED;
+      work.ends_at = world->site->now;
+    }
   g_array_append_val (worker->work, work);
-  if (gp_task_step (task)->gang)
-    note_present (world, task, work.task);
+  if (gp_task_step (task)->gang && work.ends_at == GP_TIME_NEVER)
+    note_present (world, task, work.task, run);
 }
 
 static void
-stop (gang_world_t *world, const worker_t *worker, const char *task,
-      uint32_t run)
+receive_start (gang_world_t *world, worker_t *worker,
+               const gp_job_task_t *task)
+{
+  pending_start_t pending = { .run = task->run };
+
+  if (world->faults->start_delay == 0)
+    {
+      start (world, worker, task, task->run);
+      return;
+    }
+  gp_task_name (task, pending.task);
+  pending.due
+      = world->site->now + random_time (world, world->faults->start_delay);
+  g_array_append_val (worker->starts, pending);
+}
+
+/* Carries out the starts of WORKER whose time has come.  */
+static void
+begin_work (gang_world_t *world, worker_t *worker)
+{
+  for (guint i = worker->starts->len; i-- > 0;)
+    {
+      const pending_start_t pending
+          = g_array_index (worker->starts, pending_start_t, i);
+
+      if (pending.due > world->site->now)
+        continue;
+      g_array_remove_index (worker->starts, i);
+      start (world, worker, gp_book_task (&world->site->book, pending.task),
+             pending.run);
+    }
+}
+
+/* Drops the start of RUN of TASK, which WORKER has not carried out yet.
+   Returns whether there was one.  */
+static bool
+drop_start (worker_t *worker, const char *task, uint32_t run)
+{
+  for (guint i = 0; i < worker->starts->len; i++)
+    {
+      const pending_start_t *pending
+          = &g_array_index (worker->starts, pending_start_t, i);
+
+      if (pending->run != run || strcmp (pending->task, task) != 0)
+        continue;
+      g_array_remove_index (worker->starts, i);
+      return true;
+    }
+  return false;
+}
+
+/* A run that has not begun yet will not, and is absent.  */
+static void
+stop (gang_world_t *world, worker_t *worker, const char *task, uint32_t run)
 {
   work_t *work = find_work (worker, task, run);
 
+  if (drop_start (worker, task, run))
+    add_end (world, worker, task, run, GP_END_STOPPED, true);
   if (work == NULL || work->ends_at != GP_TIME_NEVER)
     return;
   work->how = GP_END_STOPPED;
@@ -459,7 +535,7 @@
         case GP_ORDER_START:
           if (order->task->run == order->run
               && gp_scheduler_expects_run (order->task))
-            start (world, worker, order->task);
+            receive_start (world, worker, order->task);
           break;
         case GP_ORDER_STOP:
           gp_task_name (order->task, name);
@@ -476,6 +552,24 @@
     ;
 }
 
+/* The guard of WORKER is synced: the runs that the leader does not want there
+   are stopped, whether the last leader's order to do so was sent or not.  */
+static void
+sync_worker (gang_world_t *world, worker_t *worker)
+{
+  GP_LIST_FOREACH (link, &executor_of (world, worker)->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+    char name[GP_TASK_NAME_SIZE];
+
+    if (gp_scheduler_expects_run (task))
+      continue;
+    gp_task_name (task, name);
+    stop (world, worker, name, task->run);
+  }
+}
+
 /* The next leader builds its book from the records.  What the last one had
    confirmed is on record, so the guards may repeat any of the other ends.  */
 static void
@@ -488,7 +582,10 @@
   world->site->now = before->now;
   jobs_site_rebuild_book (before, &world->site->book);
   for (unsigned i = 0; i < GANG_WORKERS; i++)
-    report_worker (world, &world->workers[i]);
+    {
+      report_worker (world, &world->workers[i]);
+      sync_worker (world, &world->workers[i]);
+    }
   jobs_site_finish (before);
   world->result.leaders++;
   world->leader_due = next_fault (world, world->faults->leader_interval);
@@ -512,6 +609,7 @@
 
   jobs_site_executor_dead (world->site, executor_of (world, worker),
                            GP_DEATH_DEREGISTERED);
+  g_array_set_size (worker->starts, 0);
   g_array_set_size (worker->work, 0);
   g_array_set_size (worker->ends, 0);
   for (guint i = 0; i < work->len; i++)
@@ -543,6 +641,7 @@
     {
       worker_t *worker = &world->workers[i];
 
+      worker->starts = g_array_new (FALSE, FALSE, sizeof (pending_start_t));
       worker->work = g_array_new (FALSE, FALSE, sizeof (work_t));
       worker->ends = g_array_new (FALSE, FALSE, sizeof (end_t));
       begin_worker (world, worker);
@@ -556,6 +655,7 @@
 {
   for (unsigned i = 0; i < GANG_WORKERS; i++)
     {
+      g_array_free (world->workers[i].starts, TRUE);
       g_array_free (world->workers[i].work, TRUE);
       g_array_free (world->workers[i].ends, TRUE);
     }
@@ -576,6 +676,8 @@
       if (chance (world) < world->faults->cancelled_jobs)
         cancel_random (world);
     }
+  for (unsigned i = 0; i < GANG_WORKERS; i++)
+    begin_work (world, &world->workers[i]);
   for (unsigned i = 0; i < GANG_WORKERS; i++)
     end_work (world, &world->workers[i]);
   for (unsigned i = 0; i < GANG_WORKERS; i++)
@@ -593,7 +695,8 @@
 is_idle (const gang_world_t *world)
 {
   for (unsigned i = 0; i < GANG_WORKERS; i++)
-    if (world->workers[i].work->len > 0 || world->workers[i].ends->len > 0)
+    if (world->workers[i].starts->len > 0 || world->workers[i].work->len > 0
+        || world->workers[i].ends->len > 0)
       return false;
   return gp_list_empty (&world->site->book.live);
 }
--- a/tests/unit/gang_world.h
+++ b/tests/unit/gang_world.h
@@ -28,6 +28,12 @@
   gp_time_t loss_interval;   /* the same, between losses of a worker */
   double forgotten_ends;     /* ends that a worker forgets unreported */
   double refused_starts;
+  double failing_starts;  /* members that fail as soon as they begin, before
+                             their run is complete */
+  gp_time_t start_delay;  /* starts are carried out up to this much later */
+  bool late_members_wait; /* a member that begins after another one has ended
+                             waits for the others in place of ending at once:
+                             the executors do not say which they do */
 } gang_faults_t;
 
 typedef struct gang_world gang_world_t;
--- a/tests/unit/test_gangs.c
+++ b/tests/unit/test_gangs.c
@@ -307,6 +307,28 @@
           sum.alone, sum.unended, sum.reserved);
 }
 
+/* Members that fail before their run is complete, over SEEDS seeds each.
+   Guards against members that begin later and wait for those until they end
+   alone.  */
+static void
+test_failing_starts (void)
+{
+  gang_faults_t faults = { .spread = 10 * GP_MSEC,
+                           .report_delay = 300 * GP_MSEC,
+                           .start_delay = 500 * GP_MSEC,
+                           .failing_starts = 0.02,
+                           .late_members_wait = true };
+
+  play_all ("members fail as they begin", &faults);
+  faults.leader_interval = 200 * GP_MSEC;
+  play_all ("and leaders change", &faults);
+  faults.cancelled_jobs = 0.3;
+  faults.forgotten_ends = 0.2;
+  faults.loss_interval = GP_SEC;
+  play_all ("and workers are lost or forget ends, and jobs are cancelled",
+            &faults);
+}
+
 /* Random gangs, over SEEDS seeds each.  */
 static void
 test_random (void)
@@ -341,6 +363,7 @@
                                  { "checkpoint", test_checkpoint },
                                  { "done late", test_done_late },
                                  { "pause", test_pause },
+                                 { "failing starts", test_failing_starts },
                                  { "random", test_random },
                                  CU_TEST_INFO_NULL };
 
