placer: all members of a gang avoid an executor on which one has failed

What callers could see: one bad executor used up several attempts of a gang, as its next run had another member there. No user has reported it; found while looking at each place where a fact about a gang is taken from one member.

Cause: the executor to avoid was kept for the member that had failed, though a failure of any member is one of the gang.

Change: a member avoids the executors on which the last run that failed was one of its gang's, which each executor knows already for its pause. Tasks that are no gang are placed as before.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -80,7 +80,8 @@
   uint32_t failed_in_row; /* number of failed runs since the last successful
                              one */
   const gp_job_task_t *failed_gang; /* the first member of the gang of which a
-                                       run failed here last, only to compare */
+                                       run failed here last; only to compare,
+                                       as it may be freed */
   uint32_t failed_gang_run;         /* the number of that run */
   gp_time_t
       distrusted_until;   /* no new work before this time, after failures */
--- a/src/jobs/placer_score.c
+++ b/src/jobs/placer_score.c
@@ -183,6 +183,19 @@
   return (int64_t)(points * gp_executor_speed_lost_share (&executor->speed));
 }
 
+/* Returns whether TASK, or if it is a member of a gang any member, has failed
+   on EXECUTOR.  */
+static bool
+has_failed_on (const gp_job_task_t *task, const gp_job_executor_t *executor)
+{
+  gp_job_task_t *first;
+
+  if (!gp_task_step (task)->gang)
+    return task->failed_on == executor;
+  gp_task_siblings (task, &first);
+  return executor->failed_gang == first;
+}
+
 int64_t
 gp_placer_score (const gp_placer_pass_t *pass,
                  gp_placer_candidate_t *candidate, const gp_job_task_t *task,
@@ -212,7 +225,7 @@
     points += RACK_POINTS;
   if (step->same_rack && !is_with_siblings (executor, task))
     points -= RACK_POINTS;
-  if (task->failed_on == executor)
+  if (has_failed_on (task, executor))
     points -= FAILED_POINTS;
   if (executor->quarantined)
     points -= QUARANTINE_POINTS;
--- a/tests/unit/test_gangs.c
+++ b/tests/unit/test_gangs.c
@@ -266,6 +266,31 @@
     }
 }
 
+/* Guards against attempts that are lost on one bad executor: only the member
+   that had failed there avoided it, and the next run had another one there. */
+static void
+test_avoids_executor (void)
+{
+  for (unsigned failing = 0; failing < 4; failing++)
+    {
+      jobs_site_t site;
+      gp_job_executor_t *bad;
+      gp_job_t *job;
+
+      jobs_site_init (&site);
+      job = place_gang (&site, 4, 3);
+      jobs_site_executor (&site, "x5", GANG_WORKER_CORES);
+      bad = job->tasks[failing].executor;
+      for (uint32_t i = 0; i < job->task_count; i++)
+        jobs_site_run_ended (&site, &job->tasks[i],
+                             i == failing ? GP_END_FAILED : GP_END_BROKEN);
+      jobs_site_plan (&site);
+      CU_ASSERT (gp_job_has_run (job));
+      CU_ASSERT_EQUAL (bad->task_count, 0);
+      jobs_site_finish (&site);
+    }
+}
+
 static void
 play_all (const char *what, const gang_faults_t *faults)
 {
@@ -363,6 +388,7 @@
                                  { "checkpoint", test_checkpoint },
                                  { "done late", test_done_late },
                                  { "pause", test_pause },
+                                 { "avoids executor", test_avoids_executor },
                                  { "failing starts", test_failing_starts },
                                  { "random", test_random },
                                  CU_TEST_INFO_NULL };
