agent: a run known to be at work for over 100 ms did not end its executor

Cause: where the moment of the executor's end is known, as its connection closed, a run that was known to have begun up to half a second before still counted as evidence against its task. That time is meant for ends of which only the lists tell. Executors that end by themselves so left suspects behind on each of them, and suspects start one after the other, on a quarter of the executors.

Users' tasks that end their executor do so within 10 ms.

Change: such a run is not told as fresh. Members of gangs still are, as they begin their work when all are there. Where the moment is not known, nothing changes.

--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -17,8 +17,11 @@
      and executor and guard disappeared together just after its order, unless
      the task would be given up by it: guards are also killed alone, and no
      report shows that the executor died at the same time.  It is weak evidence
-     if the runs had started a little earlier, or if nothing is known about a
-     run that was isolated.
+     if the runs may have started a little earlier, or if nothing is known
+     about a run that was isolated.
+   - A run that is known to have begun more than GP_SUSPICION_JUST_TIME before
+     the executor ended, as its connection shows, did not crash it.  Only
+     members of gangs may have: they begin their work when all are there.
    - A run that a guard has found on its executor, started by an earlier guard
      process, may have started at any time before.  It is no evidence that the
      start of such a run is answered anew.  Likewise a run whose start went
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -448,8 +448,10 @@
 
 /* Guards against failing jobs because of other work that began on their
    executor up to a second later, when all runs that had not settled were
-   considered equally responsible.  A failure is noticed at once if the
-   executor closes the connection, or refuses one between two lists.  */
+   considered equally responsible, and because of executors that end by
+   themselves some tenths of a second after a start.  A failure is noticed at
+   once if the executor closes the connection, or refuses one between two
+   lists.  */
 static void
 test_beginners (void)
 {
@@ -476,6 +478,12 @@
   crash_with_other_run ("both had begun for longer", 300 * GP_MSEC,
                         GP_AGENT_ACCEPTED, GP_AGENT_DISCONNECTED,
                         200 * GP_MSEC);
+  crash_with_other_run ("one had begun for 100 ms", 300 * GP_MSEC,
+                        GP_AGENT_ACCEPTED, GP_AGENT_DISCONNECTED,
+                        100 * GP_MSEC);
+  crash_with_other_run ("one had begun for a little longer", 300 * GP_MSEC,
+                        GP_AGENT_ACCEPTED, GP_AGENT_DISCONNECTED,
+                        101 * GP_MSEC);
   printf ("a run that was started and is to be stopped had begun\n");
   begin (&agent, now);
   agent_sync_with (&agent, TASK, 1, 0);
