scheduler: an end together with others that no run has caused is no evidence

Cause: each end of an executor was judged by itself. A task that had just begun on it, alone, was the only possible cause there, also if other executors on which nothing had begun went down at the same moment; two such ends gave the job up.

Change: the leader keeps when an executor was first reported to be down, and whether a run on it might have done it. If two others of which none might were reported within 100 ms, the end counts neither against the tasks nor against their queue. Why this works: a task takes down the executor on which it runs, and no other one. Culprits on several executors at once are each told by their own guard, so that these ends are not without an explanation.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -66,11 +66,14 @@
   bool guard_stopping; /* its guard was being stopped as planned when it last
                           reported */
   gp_time_t unreported_since; /* since when no guard reports it, 0: one does */
-  bool wait_logged;     /* it was logged that its runs wait because no guard
-                           reports it */
-  bool down;            /* its guard gets no answer from it */
-  bool failure_counted; /* its failure was counted against a queue */
-  bool quarantined;     /* see jobs/quarantine.h */
+  bool wait_logged;      /* it was logged that its runs wait because no guard
+                            reports it */
+  bool down;             /* its guard gets no answer from it */
+  gp_time_t down_at;     /* when that was first reported, 0: it
+                            answers */
+  bool down_unexplained; /* no run on it might have crashed it then */
+  bool failure_counted;  /* its failure was counted against a queue */
+  bool quarantined;      /* see jobs/quarantine.h */
   bool draining;
   bool evacuated;      /* its zone is evacuated: it gets no new work */
   bool dead;           /* it certainly runs nothing any more */
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -127,7 +127,8 @@
                                  Gp__Jobs__TaskRun *const *runs, size_t count);
 
 /* EXECUTOR does not answer, and the runs that may have crashed it have been
-   reported: counts this against their queue, see jobs/quarantine.h.  */
+   reported: counts this against their queue, see jobs/quarantine.h, unless
+   others ended together with it.  */
 void gp_scheduler_executor_down (gp_scheduler_t *scheduler,
                                  gp_job_executor_t *executor, gp_time_t now);
 
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -17,6 +17,8 @@
 /* The last reports on executors that are lost together are at most this far
    apart: twice the time between two reports of a guard.  */
 #define REPORTS_APART_TIME (600 * GP_MSEC)
+/* Executors that are reported to be down within this time ended together.  */
+#define DOWN_TOGETHER_TIME (100 * GP_MSEC)
 /* A leader whose process is younger than this may have lost its power together
    with the executors.  VMs come back within seconds of each other.  */
 #define POWER_RETURN_TIME (15 * GP_SEC)
@@ -280,13 +282,56 @@
   return NULL;
 }
 
+/* Records when EXECUTOR was first reported to be down, and whether a run may
+   have crashed it.  */
+static void
+note_down (gp_job_executor_t *executor, gp_time_t now)
+{
+  if (executor->down_at != 0)
+    return;
+  executor->down_at = now;
+  executor->down_unexplained = true;
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    if (gp_suspicion_may_have_just_started (
+            GP_CONTAINER_OF (link, gp_job_task_t, on_executor)))
+      executor->down_unexplained = false;
+  }
+}
+
+/* Returns whether several executors that no run can have crashed ended
+   together with EXECUTOR.  They have a common cause, so what had just started
+   on EXECUTOR is not it.  */
+static bool
+ended_with_others (const gp_scheduler_t *scheduler,
+                   const gp_job_executor_t *executor)
+{
+  unsigned others = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, scheduler->book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_executor_t *other = value;
+
+      others
+          += other != executor && other->down_at != 0
+             && other->down_unexplained
+             && ABS (other->down_at - executor->down_at) <= DOWN_TOGETHER_TIME;
+    }
+  return others >= OUTAGE_MIN_OTHERS;
+}
+
 void
 gp_scheduler_executor_down (gp_scheduler_t *scheduler,
                             gp_job_executor_t *executor, gp_time_t now)
 {
   const gp_job_t *job = crashing_job (executor);
 
-  if (job == NULL || executor->failure_counted)
+  note_down (executor, now);
+  if (job == NULL || executor->failure_counted
+      || ended_with_others (scheduler, executor))
     return;
   executor->failure_counted = true;
   gp_quarantine_record_failure (&scheduler->quarantine, scheduler->book,
@@ -300,7 +345,8 @@
 {
   const gp_job_t *sole_job = gp_suspicion_sole_job (executor);
   char *suspects = name_suspects (executor, NULL);
-  bool crash = may_be_crash (executor, why);
+  bool together = ended_with_others (scheduler, executor);
+  bool crash = may_be_crash (executor, why) && !together;
   bool in_outage = crash && !executor->suspects_reported
                    && lost_with_others (scheduler, executor, why, now);
   bool crasher_known = crash && crashing_job (executor) != NULL;
@@ -309,7 +355,7 @@
     gp_scheduler_executor_down (scheduler, executor, now);
   gp_log (GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
           GP_LOG_I ("runs", executor->task_count),
-          GP_LOG_S ("why", death_name (why)));
+          GP_LOG_S ("why", death_name (why)), GP_LOG_I ("together", together));
   gp_counter_add (&dead_counts[why], 1);
   executor->lost_at = executor->suspects_reported ? 0 : now;
   executor->dead = true;
--- a/src/jobs/scheduler_reports.c
+++ b/src/jobs/scheduler_reports.c
@@ -277,6 +277,7 @@
                           gp_job_executor_t *executor)
 {
   executor->down = false;
+  executor->down_at = 0;
   executor->failure_counted = false;
   GP_LIST_FOREACH (link, &executor->tasks)
   {
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -22,6 +22,9 @@
    - A run that is known to have begun more than GP_SUSPICION_JUST_TIME before
      the executor ended, as its connection shows, did not crash it.  Only
      members of gangs may have: they begin their work when all are there.
+   - If several executors on which no run had just started go down together
+     with this one, they have a common cause, and the crash counts against
+     nobody.
    - A run that a guard has found on its executor, started by an earlier guard
      process, may have started at any time before.  It is no evidence that the
      start of such a run is answered anew.  Likewise a run whose start went
--- a/tests/unit/test_suspicion_losses.c
+++ b/tests/unit/test_suspicion_losses.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdio.h>
 
+#include "jobs/suspicion.h"
 #include "jobs_site.h"
 #include "runner.h"
 
@@ -329,6 +330,77 @@
   jobs_site_finish (&site);
 }
 
+/* TASK, which is on its executor alone, is reported to have just started when
+   that went down.  */
+static void
+report_just_started (jobs_site_t *site, const gp_job_task_t *task)
+{
+  Gp__Jobs__TaskRun run = GP__JOBS__TASK_RUN__INIT;
+  Gp__Jobs__TaskRun *runs[] = { &run };
+  char name[GP_TASK_NAME_SIZE];
+
+  gp_task_name (task, name);
+  run.task = name;
+  run.run = task->run;
+  run.fresh = true;
+  run.just = true;
+  run.timed = true;
+  gp_scheduler_note_suspects (&site->scheduler, task->executor, runs, 1);
+}
+
+/* An executor goes down under a task against which there is evidence already,
+   and APART later each of OTHERS others.  On these a task has just started as
+   well if EXPLAINED is set.  Returns whether the first task is given up.  */
+static bool
+is_given_up (unsigned others, bool explained, gp_time_t apart)
+{
+  jobs_site_t site;
+  gp_job_t *jobs[4];
+  bool given_up;
+
+  jobs_site_init (&site);
+  for (unsigned i = 0; i <= others; i++)
+    {
+      char id[GP_JOB_ID_SIZE + 1];
+
+      g_snprintf (id, sizeof id, "x%u", i + 1);
+      jobs_site_executor (&site, id, 1);
+      g_snprintf (id, sizeof id, "%016x", i + 1);
+      jobs[i] = jobs_site_submit (&site, id, jobs_site_submission (1, 1000));
+    }
+  jobs_site_plan (&site);
+  jobs[0]->tasks[0].evidence = GP_SUSPICION_STRONG_EVIDENCE;
+  for (unsigned i = 0; i <= others; i++)
+    {
+      const gp_job_task_t *task = &jobs[i]->tasks[0];
+
+      if (i == 1)
+        site.now += apart;
+      if (i == 0 || explained)
+        report_just_started (&site, task);
+      gp_scheduler_executor_down (&site.scheduler, task->executor, site.now);
+    }
+  site.now += 200 * GP_MSEC;
+  jobs_site_executor_dead (&site, jobs[0]->tasks[0].executor,
+                           GP_DEATH_REPLACED);
+  given_up = jobs[0]->state == GP_JOB_FAILED;
+  jobs_site_finish (&site);
+  return given_up;
+}
+
+/* Guards against failing a job because of executors that all end together: if
+   one of them had just started a task each time, the task was given up.  */
+static void
+test_together (void)
+{
+  CU_ASSERT_TRUE (is_given_up (0, false, 0));
+  CU_ASSERT_TRUE (is_given_up (1, false, 0));
+  CU_ASSERT_FALSE (is_given_up (2, false, 0));
+  CU_ASSERT_FALSE (is_given_up (3, false, 100 * GP_MSEC));
+  CU_ASSERT_TRUE (is_given_up (3, false, 101 * GP_MSEC));
+  CU_ASSERT_TRUE (is_given_up (3, true, 0));
+}
+
 int
 main (void)
 {
@@ -343,6 +415,7 @@
           { "unheard_power", test_unheard_power },
           { "power_of_leader", test_power_of_leader },
           { "start_of_leader_long_ago", test_start_of_leader_long_ago },
+          { "together", test_together },
           CU_TEST_INFO_NULL };
 
   return runner_main ("suspicion losses", tests);
