scheduler: a job whose starts went to a lost guard is queued again

Cause: a job counted as begun from its first assignment to an executor that is not known to be down. A VM without power tells nothing, and nothing looked at the jobs when its guard was found to be gone; they stayed begun until they were assigned again.

Ruled out: refused or unanswered starts, of which a guard would tell; there is none.

Change: when a guard is lost, a job is queued again if no report shows that a run of it has begun: none has come within 0.3 s of the order or later, or the last one named the run as not answered. The job begins with the first report of a synced guard that does not name it, as with an end or a settled run so far; this now holds for jobs whose start was refused, too. start_refused becomes awaits_begin. Nine unit tests of jobs and suspicion pass, their output is unchanged.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -66,6 +66,8 @@
   bool guard_stopping; /* its guard was being stopped as planned when it last
                           reported */
   gp_time_t unreported_since; /* since when no guard reports it, 0: one does */
+  bool has_unconfirmed;  /* jobs with runs here wait for a report that shows
+                            that these have begun */
   bool wait_logged;      /* it was logged that its runs wait because no guard
                             reports it */
   bool down;             /* its guard gets no answer from it */
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -203,7 +203,7 @@
   bool waited = job->state == GP_JOB_QUEUED;
 
   job->started = true;
-  job->start_refused = false;
+  job->awaits_begin = false;
   if (waited)
     job->state = GP_JOB_RUNNING;
   return waited;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -194,8 +194,9 @@
   bool started; /* a run was assigned at some time to an executor that was not
                    known to be down */
   bool has_begun;       /* a run of it is known to have begun */
-  bool start_refused;   /* a start was refused, and no run is known to have
-                           begun: until one is, assignments do not count */
+  bool awaits_begin;    /* its starts were refused or may not have arrived:
+                           until a run is known to have begun, assignments do
+                           not count */
   gp_time_t idle_since; /* no run but work to do since then, 0: it has a run */
   bool dropped;         /* its submission was deleted from the log */
   gp_list_t link; /* in gp_book_t.live while it has not ended and its progress
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -407,7 +407,7 @@
     {
       const gp_job_task_t *task = g_ptr_array_index (placed, i);
 
-      if (!task->executor->down && !task->job->start_refused)
+      if (!task->executor->down && !task->job->awaits_begin)
         gp_job_mark_started (task->job);
     }
 }
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -573,6 +573,8 @@
       if (task->index == 0 && task->run == 1)
         gp_histogram_add (&placed_time, now - task->job->submitted_at);
       gp_scheduler_expect_run (scheduler, task);
+      task->executor->has_unconfirmed
+          = task->executor->has_unconfirmed || task->job->awaits_begin;
       add_order (scheduler, GP_ORDER_START, task);
       log_assigned (task);
       gp_scheduler_mark_dirty (scheduler, task->job);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -126,6 +126,16 @@
                                  gp_job_executor_t *executor,
                                  Gp__Jobs__TaskRun *const *runs, size_t count);
 
+/* The connection to EXECUTOR's guard is lost, and EXECUTOR not reachable. Jobs
+   of which no report shows that a run has begun wait again.  */
+void gp_scheduler_guard_lost (gp_scheduler_t *scheduler,
+                              gp_job_executor_t *executor);
+
+/* EXECUTOR's guard, which is synced, reports at NOW, and has named the starts
+   that are not answered: the other runs there have begun.  */
+void gp_scheduler_note_confirmed (gp_scheduler_t *scheduler,
+                                  gp_job_executor_t *executor, gp_time_t now);
+
 /* EXECUTOR does not answer, and the runs that may have crashed it have been
    reported: counts this against their queue, see jobs/quarantine.h, unless
    others ended together with it.  */
--- a/src/jobs/scheduler_reports.c
+++ b/src/jobs/scheduler_reports.c
@@ -8,6 +8,10 @@
 #include "base/log.h"
 #include "jobs/suspicion.h"
 
+/* An order is carried out, and known to the guard's next report, within this
+   time.  */
+#define ORDER_TIME (300 * GP_MSEC)
+
 static gp_counter_t stray_runs_count = GP_COUNTER (
     "runs_stray_total", "Runs at work that are not wanted where they are");
 
@@ -180,14 +184,29 @@
   }
 }
 
+/* Returns whether no report of TASK's guard shows that its run has begun: none
+   has come since its start may have been carried out, or the last one told
+   that it had not been answered.  */
+static bool
+is_unconfirmed (const gp_job_task_t *task)
+{
+  gp_time_t reported_at = task->executor->reported_at;
+
+  return reported_at <= task->ordered_at + ORDER_TIME
+         || task->unconfirmed_at == reported_at;
+}
+
 /* Returns whether the run of TASK may not have started: its start was refused,
-   or its executor is down and its start was not answered or, if its guard does
-   not name it as a suspect although it has not settled, was not sent.  */
+   or its guard is gone and has not shown that it has, or its executor is down
+   and its start was not answered or, if its guard does not name it as a
+   suspect although it has not settled, was not sent.  */
 static bool
 may_not_have_started (const gp_job_task_t *task)
 {
   if (task->refused)
     return true;
+  if (!task->executor->reachable && is_unconfirmed (task))
+    return true;
   return task->executor->down
          && (task->suspect ? task->unanswered : !task->settled);
 }
@@ -237,13 +256,58 @@
   }
 }
 
+/* JOB waits again because of WHY, until a report shows that a run of it has
+   begun, unless one may have already.  */
+static void
+await_begin (gp_scheduler_t *scheduler, gp_job_t *job, const char *why)
+{
+  if (gp_job_ended (job) || !may_not_have_begun (job))
+    return;
+  job->awaits_begin = true;
+  queue_again (scheduler, job, why);
+}
+
 void
 gp_scheduler_await_begin (gp_scheduler_t *scheduler, gp_job_t *job)
 {
-  if (gp_job_ended (job) || !may_not_have_begun (job))
+  await_begin (scheduler, job, "its start was refused");
+}
+
+void
+gp_scheduler_guard_lost (gp_scheduler_t *scheduler,
+                         gp_job_executor_t *executor)
+{
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    await_begin (scheduler, task->job, "its guard is gone");
+    executor->has_unconfirmed
+        = executor->has_unconfirmed || task->job->awaits_begin;
+  }
+}
+
+void
+gp_scheduler_note_confirmed (gp_scheduler_t *scheduler,
+                             gp_job_executor_t *executor, gp_time_t now)
+{
+  if (!executor->has_unconfirmed)
     return;
-  job->start_refused = true;
-  queue_again (scheduler, job, "its start was refused");
+  executor->has_unconfirmed = false;
+  GP_LIST_FOREACH (link, &executor->tasks)
+  {
+    const gp_job_task_t *task
+        = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
+
+    if (!task->job->awaits_begin)
+      continue;
+    if (task->refused || task->unconfirmed_at == now
+        || now <= task->ordered_at + ORDER_TIME)
+      executor->has_unconfirmed = true;
+    else
+      gp_scheduler_note_begun (scheduler, task->job);
+  }
 }
 
 void
@@ -266,7 +330,7 @@
 gp_scheduler_note_begun (gp_scheduler_t *scheduler, gp_job_t *job)
 {
   job->has_begun = true;
-  if (!job->start_refused || gp_job_ended (job))
+  if (!job->awaits_begin || gp_job_ended (job))
     return;
   gp_job_mark_started (job);
   gp_scheduler_mark_dirty (scheduler, job);
@@ -284,7 +348,7 @@
     const gp_job_task_t *task
         = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
 
-    if (!gp_job_ended (task->job) && !task->job->start_refused
+    if (!gp_job_ended (task->job) && !task->job->awaits_begin
         && gp_job_mark_started (task->job))
       gp_scheduler_mark_dirty (scheduler, task->job);
   }
--- a/src/jobsd/leader_frames.c
+++ b/src/jobsd/leader_frames.c
@@ -90,7 +90,7 @@
   start->target_ms = step->target_ms;
   start->image = step->image;
   start->cpu_milli = step->cpu_milli;
-  start->watched = task->crashes > 0 || task->job->start_refused;
+  start->watched = task->crashes > 0 || task->job->awaits_begin;
   start->gang = step->gang;
   start->alone = task->alone;
   return start;
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -221,6 +221,8 @@
   if (report->synced == 0)
     gp_scheduler_note_unsynced (executor, report->carried, report->n_carried,
                                 now);
+  else if (report->synced == link->sync)
+    gp_scheduler_note_confirmed (&leader->scheduler, executor, now);
   if (report->ended && !executor->dead)
     gp_leader_declare_dead (leader, executor, GP_DEATH_DEREGISTERED);
   if (report->keeps_alone)
@@ -373,8 +375,13 @@
   link->fillings = (gp_filling_cursor_t){ 0 };
   gp_spec_distribution_remove_guard (&link->leader->specs, link->node);
   g_ptr_array_set_size (link->missing_specs, 0);
-  if (link->executor != NULL)
-    link->executor->reachable = false;
+  if (link->executor == NULL)
+    return;
+  link->executor->reachable = false;
+  if (link->leader->role != GP_LEADER_LEADING)
+    return;
+  gp_scheduler_guard_lost (&link->leader->scheduler, link->executor);
+  gp_leader_schedule_round (link->leader);
 }
 
 static void
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -474,6 +474,68 @@
   jobs_site_finish (&site);
 }
 
+/* What the guard of an executor reports of a run there before it is lost.  */
+typedef enum
+{
+  NOT_REPORTED, /* nothing since the start was ordered */
+  START_UNANSWERED,
+  START_ANSWERED
+} last_report_t;
+
+/* EXECUTOR's guard reports LAST of run 1 of TASK.  */
+static void
+report_start (jobs_site_t *site, gp_job_executor_t *executor, char *task,
+              last_report_t last)
+{
+  Gp__Jobs__TaskRun run = GP__JOBS__TASK_RUN__INIT;
+  Gp__Jobs__TaskRun *runs[] = { &run };
+
+  if (last == NOT_REPORTED)
+    return;
+  site->now += GP_SEC;
+  run.task = task;
+  run.run = 1;
+  gp_scheduler_note_unconfirmed (&site->scheduler, executor, runs,
+                                 last == START_UNANSWERED ? 1 : 0, site->now);
+  gp_scheduler_note_confirmed (&site->scheduler, executor, site->now);
+  executor->reported_at = site->now;
+}
+
+/* Guards against reporting no job as waiting while several waited whose starts
+   had been sent to VMs without power: they counted as begun until they were
+   assigned again.  */
+static void
+test_guard_lost (void)
+{
+  static const char *const names[]
+      = { [NOT_REPORTED] = "has not reported since",
+          [START_UNANSWERED] = "told that the start was not answered",
+          [START_ANSWERED] = "told that it was" };
+
+  for (last_report_t last = NOT_REPORTED; last <= START_ANSWERED; last++)
+    {
+      char task[] = "00000000000000aa.0.0.0";
+      jobs_site_t site;
+      gp_job_executor_t *executor;
+
+      printf ("a guard is lost that %s\n", names[last]);
+      jobs_site_init (&site);
+      executor = jobs_site_executor (&site, "x1", 8);
+      executor->reported_at = site.now;
+      jobs_site_submit (&site, "00000000000000aa", of_queue ("good", 1, 1000));
+      jobs_site_plan (&site);
+      report_start (&site, executor, task, last);
+      executor->reachable = false;
+      gp_scheduler_guard_lost (&site.scheduler, executor);
+      print_pending (&site);
+      printf ("it is back, and the run is there\n");
+      executor->reachable = true;
+      report_start (&site, executor, task, START_ANSWERED);
+      print_pending (&site);
+      jobs_site_finish (&site);
+    }
+}
+
 int
 main (void)
 {
@@ -488,6 +550,7 @@
                                  { "not_withdrawn", test_not_withdrawn },
                                  { "refused", test_refused },
                                  { "missing", test_missing },
+                                 { "guard_lost", test_guard_lost },
                                  CU_TEST_INFO_NULL };
 
   return runner_main ("quarantine", tests);
