agent: a gang's run known to be at work for over 100 ms did not end its executor

Each end counted as weak evidence, and four of them gave the job up.

Change: gangs are no exception.

--- a/src/jobs/agent_suspects.c
+++ b/src/jobs/agent_suspects.c
@@ -102,8 +102,7 @@
 /* Returns whether RUN had begun recently.  If some runs had only just begun,
    only those count.  A run whose start went unanswered for long may never have
    begun.  If the moment of the executor's end is known, a run that was known
-   to have begun some time before did not cause it, unless it waited for the
-   other members of its gang until then.  */
+   to have begun some time before did not cause it.  */
 static bool
 is_fresh (const gp_agent_t *agent, const gp_agent_run_t *run)
 {
@@ -113,7 +112,7 @@
     return had_just_begun (agent, run);
   return !start_is_unconfirmed (run) && earliest != 0
          && agent->answered_at - earliest < GP_SUSPICION_FRESH_TIME
-         && (is_gang (run) || may_be_recent (agent, run->began_at));
+         && may_be_recent (agent, run->began_at);
 }
 
 /* Returns whether it is unknown if RUN has begun recently: its start was not
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -20,8 +20,9 @@
      if the runs may have started a little earlier, or if nothing is known
      about a run that was isolated.
    - A run that is known to have begun more than GP_SUSPICION_JUST_TIME before
-     the executor ended, as its connection shows, did not crash it.  Only
-     members of gangs may have: they begin their work when all are there.
+     the executor ended, as its connection shows, did not crash it.  This
+     includes members of gangs: they crash it as they begin, too, and do not
+     wait for the others.
    - If several executors on which no run had just started go down together
      with this one, they have a common cause, and the crash counts against
      nobody.
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -446,6 +446,23 @@
   show_suspected_runs (&agent, what, now + 3 * GP_SEC);
 }
 
+/* TASK, a member of a gang, was started at NOW; the executor closes its
+   connection after DELAY.  */
+static void
+crash_with_member (const char *what, gp_time_t delay)
+{
+  gp_agent_t agent;
+  gp_time_t now = 10 * GP_SEC;
+
+  begin (&agent, now);
+  agent_sync_with (&agent, TASK, 1, 0);
+  gp_agent_find_run (&agent, TASK, 1)->start->gang = true;
+  call (&agent, GP_AGENT_ACCEPTED, now);
+  agent.answered_at = now;
+  gp_agent_list_failed (&agent, GP_AGENT_DISCONNECTED, -1, now + delay);
+  show_suspected_runs (&agent, what, now + 3 * GP_SEC);
+}
+
 /* Guards against failing jobs because of other work that began on their
    executor up to a second later, when all runs that had not settled were
    considered equally responsible, and because of executors that end by
@@ -484,6 +501,8 @@
   crash_with_other_run ("one had begun for a little longer", 300 * GP_MSEC,
                         GP_AGENT_ACCEPTED, GP_AGENT_DISCONNECTED,
                         101 * GP_MSEC);
+  crash_with_member ("a member of a gang had begun for 100 ms", 100 * GP_MSEC);
+  crash_with_member ("for a little longer", 101 * GP_MSEC);
   printf ("a run that was started and is to be stopped had begun\n");
   begin (&agent, now);
   agent_sync_with (&agent, TASK, 1, 0);
