scheduler: a lost guard tells nothing of what a previous leader has assigned

Callers could see a job as `queued' that had run for long: after a change of the leader, if the new one did not reach the guard of the job's run. Found by reading once more; no user has reported it.

Cause: no report had come to this leader, which passed for no report at all; and a run that is being stopped is not named among the starts that are not answered, which passed for one that has begun.

Change: a run that a previous leader has assigned stays begun, and only a run that is wanted confirms a job.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -71,8 +71,7 @@
   bool wait_logged;      /* it was logged that its runs wait because no guard
                             reports it */
   bool down;             /* its guard gets no answer from it */
-  gp_time_t down_at;     /* when that was first reported, 0: it
-                            answers */
+  gp_time_t down_at;     /* when that was first reported, 0: it answers */
   bool down_unexplained; /* no run on it might have crashed it then */
   bool failure_counted;  /* its failure was counted against a queue */
   bool quarantined;      /* see jobs/quarantine.h */
--- a/src/jobs/scheduler_reports.c
+++ b/src/jobs/scheduler_reports.c
@@ -186,12 +186,15 @@
 
 /* Returns whether no report of TASK's guard shows that its run has begun: none
    has come since its start may have been carried out, or the last one told
-   that it had not been answered.  */
+   that it had not been answered.  Of a run that a previous leader has assigned
+   it is not known what that leader was told.  */
 static bool
 is_unconfirmed (const gp_job_task_t *task)
 {
   gp_time_t reported_at = task->executor->reported_at;
 
+  if (task->ordered_at == 0)
+    return false;
   return reported_at <= task->ordered_at + ORDER_TIME
          || task->unconfirmed_at == reported_at;
 }
@@ -302,8 +305,9 @@
 
     if (!task->job->awaits_begin)
       continue;
-    if (task->refused || task->unconfirmed_at == now
-        || now <= task->ordered_at + ORDER_TIME)
+    /* A run that is being stopped is not named, and may not have begun.  */
+    if (task->state != GP_TASK_ASSIGNED || task->refused
+        || task->unconfirmed_at == now || now <= task->ordered_at + ORDER_TIME)
       executor->has_unconfirmed = true;
     else
       gp_scheduler_note_begun (scheduler, task->job);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -536,22 +536,47 @@
     }
 }
 
+/* Guards against showing a job as queued that has run for long: the next
+   leader has no report of the guard, and does not know what the last one was
+   told.  */
+static void
+test_guard_lost_by_next_leader (void)
+{
+  jobs_site_t site;
+  jobs_site_t next;
+
+  printf ("the next leader does not reach the guard of a job's run\n");
+  jobs_site_init (&site);
+  jobs_site_executor (&site, "x1", 8);
+  jobs_site_submit (&site, "00000000000000aa", of_queue ("good", 1, 1000));
+  jobs_site_plan (&site);
+  jobs_site_init (&next);
+  jobs_site_rebuild_book (&site, &next.book);
+  jobs_site_finish (&site);
+  gp_scheduler_guard_lost (&next.scheduler,
+                           gp_book_executor (&next.book, "x1"));
+  print_pending (&next);
+  jobs_site_finish (&next);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "queue", test_queue },
-                                 { "fits", test_fits },
-                                 { "ends", test_ends },
-                                 { "places", test_places },
-                                 { "returns", test_returns },
-                                 { "pending", test_pending },
-                                 { "withdrawn", test_withdrawn },
-                                 { "not_named", test_not_named },
-                                 { "not_withdrawn", test_not_withdrawn },
-                                 { "refused", test_refused },
-                                 { "missing", test_missing },
-                                 { "guard_lost", test_guard_lost },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "queue", test_queue },
+          { "fits", test_fits },
+          { "ends", test_ends },
+          { "places", test_places },
+          { "returns", test_returns },
+          { "pending", test_pending },
+          { "withdrawn", test_withdrawn },
+          { "not_named", test_not_named },
+          { "not_withdrawn", test_not_withdrawn },
+          { "refused", test_refused },
+          { "missing", test_missing },
+          { "guard_lost", test_guard_lost },
+          { "guard_lost_by_next_leader", test_guard_lost_by_next_leader },
+          CU_TEST_INFO_NULL };
 
   return runner_main ("quarantine", tests);
 }
