--- a/tests/scripts/platform_site.py
+++ b/tests/scripts/platform_site.py
@@ -55,13 +55,16 @@
     FEATURES are settings that are given by environment variables: names of
     those that are switched on, or NAME=VALUE.  The executors are of
     EXECUTOR_TYPE.  STORE_BOUNDS maps names of the store's bounds to values that
-    the processes are told.
+    the processes are told.  MACHINE is the memory in MiB and the descriptors
+    that each process is told it may use.
     """
 
     def __init__(self, build, folder, entries=2, workers=3, seed=1,
                  status_s=120, links=False, zones=("z",), limits=None,
-                 features=(), executor_type=Executor, store_bounds=None):
+                 features=(), executor_type=Executor, store_bounds=None,
+                 machine=None):
         self.build = build
+        self.machine = machine
         self.store_bounds = store_bounds or {}
         self.executor_type = executor_type
         self.features = features
@@ -148,14 +151,22 @@
         lines += [f"  {bound}: {value}"
                   for bound, value in self.store_bounds.items()]
         lines += more
-        if name in self.limits:
-            cores, mbits = self.limits[name]
-            lines += ["limits:", f"  cpuShare: {cores}",
-                      f"  linkMbps: {mbits}"]
+        lines += self.limit_lines(name)
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
         return path
 
+    def limit_lines(self, name):
+        """Return the lines about the limits of the process NAME."""
+        lines = []
+        if name in self.limits:
+            cores, mbits = self.limits[name]
+            lines += [f"  cpuShare: {cores}", f"  linkMbps: {mbits}"]
+        if self.machine:
+            memory_mb, descriptors = self.machine
+            lines += [f"  memoryMb: {memory_mb}", f"  maxFds: {descriptors}"]
+        return ["limits:", *lines] if lines else []
+
     def start(self, name, role, path):
         """Start the process NAME as ROLE with the settings file at PATH."""
         program = os.path.join(self.build, "galenapier-node")
