transport: what all connections of a process hold is bounded

What callers saw: a crowd of clients that stop short of the end of a legal body, send it in chunks, or do not read their answers ended a process: it ran out of memory. The same at the relay, the ready check, the heartbeats and the peers' port, and at the product's own entry. A stop beside such a crowd did not end in its time.

Cause: h2o keeps a request in a buffer of its connection until it is answered, up to the largest body for each connection and for as long as the client likes to take; the kernel adds what is not read. Each connection was bounded, nothing counted them together, and no code read the memory and the descriptors that a process is given. A shutdown waited for the rest of each request.

Change: the servers of a process share two limiters, one for callers and one for the site's own clients, whose limits are parts of the process's memory and descriptors. A connection may hold 16 KiB; above that its buffer grows only by permission, and the connection stops reading until it has it. When requests wait, the connections that have held large buffers for the longest time are closed, none within a second, and none whose request is complete and not answered. At the limit of connections, an idle one gives way. The kernel's buffers have fixed sizes, also for connections that are not accepted yet. A shutdown gives up requests that are incomplete, and answers that are not read, after a second.

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -121,6 +121,7 @@
   char *zone;
   char *rack; /* NULL when absent */
   gp_log_level_t log_level;
+  uint32_t memory_mib;           /* that the process may use */
   gp_settings_region_t *regions; /* if empty, zones are not checked */
   uint32_t regions_count;
   gp_settings_member_t *entries;
--- a/src/base/settings_check.c
+++ b/src/base/settings_check.c
@@ -287,6 +287,35 @@
            values->reconnect_max_ms);
 }
 
+/* Memory in MiB of a process whose settings do not state it.  */
+#define MEMORY_MIB_DEFAULT 256
+/* The memory that a process needs for each KiB of the largest body, in KiB:
+   the buffer of a body may be twice as large, and an eighth of the memory is
+   certainly there for such buffers.  */
+#define MEMORY_PER_BODY 16
+
+/* Returns the memory in MiB that the largest body needs.  */
+static uint32_t
+memory_for_body (const gp_settings_t *settings)
+{
+  if (settings->entry == NULL)
+    return 0;
+  return (uint32_t)((uint64_t)settings->entry->max_body_kib * MEMORY_PER_BODY
+                    / 1024);
+}
+
+static void
+check_memory (check_t *check, gp_settings_t *settings)
+{
+  uint32_t needed = memory_for_body (settings);
+
+  if (gp_yaml_find (check->root, "memory_mib") == NULL)
+    settings->memory_mib = MAX (MEMORY_MIB_DEFAULT, needed);
+  else if (settings->memory_mib < needed)
+    ERROR (check, "memory_mib", "16 times entry.max_body_kib, or more",
+           "%u MiB is less than %u MiB", settings->memory_mib, needed);
+}
+
 void
 gp_settings_check (gp_settings_t *settings, const gp_yaml_node_t *root,
                    GPtrArray *issues)
@@ -297,6 +326,7 @@
     settings->log_level = GP_LOG_INFO;
   check_location (&check, "", settings->region, settings->zone);
   check_entries (&check);
+  check_memory (&check, settings);
   if (settings->platform_log)
     check_platform_log (&check, settings->platform_log);
   if (!settings->entry == !settings->guard)
--- a/src/base/settings_schema.c
+++ b/src/base/settings_schema.c
@@ -126,6 +126,7 @@
   NAME ("rack", OPTIONAL, gp_settings_t, rack),
   CYAML_FIELD_ENUM ("log_level", OPTIONAL | CYAML_FLAG_STRICT, gp_settings_t,
                     log_level, log_levels, CYAML_ARRAY_LEN (log_levels)),
+  UINT ("memory_mib", OPTIONAL, gp_settings_t, memory_mib),
   CYAML_FIELD_SEQUENCE ("regions", OPTIONAL | CYAML_FLAG_POINTER,
                         gp_settings_t, regions, &region_value, 1,
                         LIST_MAX_COUNT),
@@ -148,6 +149,8 @@
 
 #define MILLICORES_MAX 1024000
 #define MEMORY_MIB_MAX 67108864
+/* A process of the smallest site uses a quarter of it.  */
+#define MEMORY_MIB_MIN 32
 #define ACCELERATORS_MAX 1024
 
 #define RANGE GP_YAML_RULE_RANGE
@@ -160,6 +163,7 @@
   GP_YAML_RULE_NAME (settings_fields, "region"),
   GP_YAML_RULE_NAME (settings_fields, "zone"),
   GP_YAML_RULE_NAME (settings_fields, "rack"),
+  RANGE (settings_fields, "memory_mib", MEMORY_MIB_MIN, MEMORY_MIB_MAX, 0),
   GP_YAML_RULE_NAME (region_fields, "name"),
   GP_YAML_RULE_NAME (region_fields, "zones"),
   GP_YAML_RULE_NAME (member_fields, "name"),
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -250,7 +250,7 @@
 }
 
 static gp_http_server_options_t
-caller_options (const gp_entry_t *entry)
+caller_options (gp_entry_t *entry)
 {
   const gp_settings_entry_t *settings = entry->settings->entry;
 
@@ -259,8 +259,10 @@
     .bind_only = true,
     .max_body_size = settings->max_body_kib * 1024UL,
     .header_timeout = entry->settings->timings.header_ms * GP_MSEC,
+    .limiter = &entry->limiters.callers,
+    .buffers = gp_large_buffers,
     .on_request = on_caller,
-    .data = (void *)entry
+    .data = entry
   };
 }
 
@@ -309,6 +311,7 @@
   if (entry->settings->entry->operators == NULL)
     return true;
   options.address = entry->settings->entry->operators;
+  options.limiter = &entry->limiters.internal;
   options.on_request = gp_operators_on_request;
   entry->operators = gp_http_server_new (&entry->loop, &options, error);
   return entry->operators != NULL;
@@ -480,6 +483,9 @@
   if (!gp_program_load_tls (settings, &entry->tls, error)
       || !gp_loop_init (&entry->loop, error))
     return false;
+  gp_process_limiters_init (&entry->limiters, &entry->loop,
+                            settings->memory_mib * GP_PROCESS_MIB, 0,
+                            gp_large_buffers);
   entry->rand = g_rand_new ();
   gp_session_host_init (&entry->host, &entry->loop, entry->tls, &self,
                         &session_callbacks, entry);
@@ -495,7 +501,8 @@
   if (!init_components (entry, error))
     return false;
   gp_timer_init (&entry->stop_timer, &entry->loop, on_leave_delay_over, entry);
-  if (!gp_session_host_listen (&entry->host, settings->entry->peers, error))
+  if (!gp_session_host_listen (&entry->host, settings->entry->peers,
+                               &entry->limiters.internal, error))
     return false;
   if (!listen_http (entry, error))
     return false;
@@ -537,6 +544,7 @@
   gp_news_finish (&entry->news);
   gp_downlinks_close (&entry->downlinks);
   gp_routes_finish (&entry->routes);
+  gp_process_limiters_finish (&entry->limiters);
   gp_loop_finish (&entry->loop);
   gp_views_finish (&entry->views);
   gp_processes_finish (&entry->processes);
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -18,12 +18,14 @@
 #include "daemon/view.h"
 #include "protocol/dialer.h"
 #include "protocol/session.h"
+#include "transport/process_limits.h"
 
 #define GP_ENTRY_TIMELINE_SIZE 65536
 
 struct gp_entry
 {
   gp_loop_t loop;
+  gp_process_limiters_t limiters;
   const gp_settings_t *settings;
   gp_tls_t *tls;
   GRand *rand;
--- a/src/daemon/guard.c
+++ b/src/daemon/guard.c
@@ -386,6 +386,9 @@
   if (!gp_program_load_tls (settings, &guard->tls, error)
       || !gp_loop_init (&guard->loop, error))
     return false;
+  gp_process_limiters_init (&guard->limiters, &guard->loop,
+                            settings->memory_mib * GP_PROCESS_MIB, 0,
+                            gp_large_buffers);
   guard->rand = g_rand_new ();
   gp_counter_register (&entries_connected);
   gp_counter_register (&heartbeats_sent);
@@ -394,7 +397,8 @@
   if (!start_components (guard, error))
     return false;
   if (settings->guard->peers != NULL
-      && !gp_session_host_listen (&guard->host, settings->guard->peers, error))
+      && !gp_session_host_listen (&guard->host, settings->guard->peers,
+                                  &guard->limiters.internal, error))
     return false;
   gp_timer_init (&guard->heartbeat, &guard->loop, on_heartbeat, guard);
   arm_heartbeat (guard);
@@ -427,6 +431,7 @@
     gp_runner_free (guard->runner);
   gp_configuration_free (guard->configuration);
   g_free (guard->events);
+  gp_process_limiters_finish (&guard->limiters);
   gp_loop_finish (&guard->loop);
   gp_uplinks_finish (&guard->uplinks);
   if (guard->tls != NULL)
--- a/src/daemon/guard.h
+++ b/src/daemon/guard.h
@@ -15,12 +15,14 @@
 #include "daemon/execution.h"
 #include "daemon/runner.h"
 #include "daemon/uplinks.h"
+#include "transport/process_limits.h"
 
 #define GP_GUARD_TIMELINE_SIZE 4096
 
 typedef struct
 {
   gp_loop_t loop;
+  gp_process_limiters_t limiters;
   const gp_settings_t *settings;
   gp_tls_t *tls;
   GRand *rand;
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -336,17 +336,36 @@
                            NULL, 0);
 }
 
+/* Opens a server of the site's own clients at ADDRESS.  */
 static gp_http_server_t *
-open_server (gp_job_entry_t *entry, const char *address, gp_traffic_t *traffic,
+open_server (gp_job_entry_t *entry, const char *address,
              void (*on_call) (gp_http_exchange_t *exchange, void *data),
              GError **error)
 {
-  const gp_http_server_options_t options = { .address = address,
-                                             .max_body_size = BODY_MAX,
-                                             .header_timeout = HEADER_TIMEOUT,
-                                             .traffic = traffic,
-                                             .on_request = on_call,
-                                             .data = entry };
+  const gp_http_server_options_t options
+      = { .address = address,
+          .max_body_size = BODY_MAX,
+          .header_timeout = HEADER_TIMEOUT,
+          .limiter = &entry->limiters.internal,
+          .buffers = gp_large_buffers,
+          .on_request = on_call,
+          .data = entry };
+
+  return gp_http_server_new (&entry->loop, &options, error);
+}
+
+static gp_http_server_t *
+open_caller_server (gp_job_entry_t *entry, GError **error)
+{
+  const gp_http_server_options_t options
+      = { .address = entry->settings->front,
+          .max_body_size = BODY_MAX,
+          .header_timeout = HEADER_TIMEOUT,
+          .traffic = &callers_traffic,
+          .limiter = &entry->limiters.callers,
+          .buffers = gp_small_buffers,
+          .on_request = on_request,
+          .data = entry };
 
   return gp_http_server_new (&entry->loop, &options, error);
 }
@@ -357,16 +376,15 @@
   const gp_platform_settings_t *settings = entry->settings;
 
   gp_traffic_register (&callers_traffic);
-  entry->caller_server = open_server (entry, settings->front, &callers_traffic,
-                                      on_request, error);
+  entry->caller_server = open_caller_server (entry, error);
   if (entry->caller_server == NULL)
     return false;
   entry->ready_server
-      = open_server (entry, settings->ready, NULL, on_ready_request, error);
+      = open_server (entry, settings->ready, on_ready_request, error);
   if (entry->ready_server == NULL)
     return false;
-  entry->metrics_server = open_server (entry, settings->metrics, NULL,
-                                       gp_metrics_request, error);
+  entry->metrics_server
+      = open_server (entry, settings->metrics, gp_metrics_request, error);
   return entry->metrics_server != NULL;
 }
 
@@ -421,6 +439,9 @@
   entry->settings = settings;
   if (!gp_loop_init (&entry->loop, error))
     return false;
+  gp_process_limiters_init (&entry->limiters, &entry->loop,
+                            settings->memory_bytes, settings->descriptors,
+                            gp_small_buffers);
   gp_loop_on_signal (&entry->loop, on_stop, entry);
   gp_loop_on_reload (&entry->loop, on_reload, entry);
   gp_counter_register (&jobs_gauge);
@@ -469,7 +490,7 @@
   if (!gp_job_relay_init (&entry->relay, &entry->loop, settings->relay,
                           settings->store, settings->link_rate,
                           settings->share_appends ? &entry->collector : NULL,
-                          error))
+                          &entry->limiters, error))
     return false;
   if (!open_servers (entry, error))
     return false;
@@ -510,6 +531,7 @@
   gp_store_route_finish (&entry->route);
   gp_announcer_finish (&entry->announcer);
   gp_timer_finish (&entry->serve_timer);
+  gp_process_limiters_finish (&entry->limiters);
   gp_loop_finish (&entry->loop);
   gp_book_finish (&entry->book);
 }
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -18,11 +18,13 @@
 #include "jobsd/traffic_reporter.h"
 #include "jobsd/store_route.h"
 #include "platform/settings.h"
+#include "transport/process_limits.h"
 
 typedef struct
 {
   const gp_platform_settings_t *settings;
   gp_loop_t loop;
+  gp_process_limiters_t limiters;
   gp_platform_store_t *store;
   gp_job_relay_t relay;
   gp_store_route_t route;
--- a/src/jobsd/guard.c
+++ b/src/jobsd/guard.c
@@ -421,6 +421,8 @@
   gp_http_server_options_t options = { .address = guard->settings->beats,
                                        .max_body_size = BODY_MAX,
                                        .header_timeout = HEADER_TIMEOUT,
+                                       .limiter = &guard->limiters.callers,
+                                       .buffers = gp_small_buffers,
                                        .on_request = on_request,
                                        .data = guard };
 
@@ -428,13 +430,18 @@
   if (guard->heartbeat_server == NULL)
     return false;
   options.address = guard->settings->metrics;
+  options.limiter = &guard->limiters.internal;
+  options.buffers = gp_large_buffers;
   options.on_request = gp_metrics_request;
   guard->metrics_server = gp_http_server_new (&guard->loop, &options, error);
   if (guard->metrics_server == NULL)
     return false;
   guard->peers = gp_peer_listen (&guard->loop, guard->settings->peers, NULL,
                                  &callbacks, on_accept, guard, error);
-  return guard->peers != NULL;
+  if (guard->peers == NULL)
+    return false;
+  gp_peer_server_set_limiter (guard->peers, &guard->limiters.internal);
+  return true;
 }
 
 /* How long the information that the zone is open remains valid: an order sent
@@ -455,6 +462,9 @@
   guard->settings = settings;
   if (!gp_loop_init (&guard->loop, error))
     return false;
+  gp_process_limiters_init (&guard->limiters, &guard->loop,
+                            settings->memory_bytes, settings->descriptors,
+                            gp_small_buffers);
   gp_loop_on_signal (&guard->loop, on_stop, guard);
   gp_loop_on_reload (&guard->loop, on_reload, guard);
   register_counters ();
@@ -507,6 +517,7 @@
   gp_traffic_reporter_finish (&guard->traffic);
   gp_timer_finish (&guard->stop_timer);
   gp_announcer_finish (&guard->announcer);
+  gp_process_limiters_finish (&guard->limiters);
   gp_loop_finish (&guard->loop);
   gp_agent_finish (&guard->agent);
   gp_refusals_finish (&guard->refusals);
--- a/src/jobsd/guard.h
+++ b/src/jobsd/guard.h
@@ -14,6 +14,7 @@
 #include "platform/store.h"
 #include "transport/http.h"
 #include "transport/peer.h"
+#include "transport/process_limits.h"
 
 /* An executor has deregistered, and the guard checks whether it is still
    there.  */
@@ -54,6 +55,7 @@
 {
   const gp_platform_settings_t *settings;
   gp_loop_t loop;
+  gp_process_limiters_t limiters;
   gp_platform_store_t *store;
   gp_platform_runtime_t *runtime;
   gp_http_server_t *heartbeat_server;
--- a/src/jobsd/relay.c
+++ b/src/jobsd/relay.c
@@ -50,6 +50,7 @@
 relayed_call_free (relayed_call_t *relayed)
 {
   relayed->relay->open_calls--;
+  relayed->relay->open_bytes -= g_bytes_get_size (relayed->body);
   g_free (relayed->method);
   g_free (relayed->path);
   g_bytes_unref (relayed->body);
@@ -165,6 +166,7 @@
           .traffic = &store_traffic };
 
   relay->open_calls++;
+  relay->open_bytes += body.size;
   relayed->relay = relay;
   relayed->exchange = exchange;
   relayed->method = g_strndup (method.base, method.size);
@@ -226,6 +228,15 @@
   g_free (append);
 }
 
+/* Returns whether one more call, with a body of SIZE bytes, can be relayed.
+   The body is kept until the store answers, also if the peer disconnects.  */
+static bool
+has_room (const gp_job_relay_t *relay, size_t size)
+{
+  return relay->open_calls < OPEN_CALLS_MAX
+         && size <= relay->max_bytes - relay->open_bytes;
+}
+
 static void
 on_request (gp_http_exchange_t *exchange, void *data)
 {
@@ -235,7 +246,7 @@
       && gp_platform_store_is_jobs_append (gp_http_exchange_method (exchange),
                                            gp_http_exchange_path (exchange)))
     collect_append (relay->collector, exchange);
-  else if (relay->open_calls >= OPEN_CALLS_MAX)
+  else if (!has_room (relay, gp_http_exchange_body (exchange).size))
     {
       gp_counter_add (&refused_count, 1);
       gp_http_exchange_answer (exchange, 503, NULL, 0, NULL, 0);
@@ -247,7 +258,8 @@
 bool
 gp_job_relay_init (gp_job_relay_t *relay, gp_loop_t *loop, const char *address,
                    const char *store, int64_t link_rate,
-                   gp_append_collector_t *collector, GError **error)
+                   gp_append_collector_t *collector,
+                   gp_process_limiters_t *limiters, GError **error)
 {
   const gp_http_client_options_t client = { .address = store,
                                             .max_connections = CONNECTIONS,
@@ -257,11 +269,14 @@
                                             .max_body_size = BODY_MAX,
                                             .header_timeout = HEADER_TIMEOUT,
                                             .traffic = &peers_traffic,
+                                            .limiter = &limiters->internal,
+                                            .buffers = gp_large_buffers,
                                             .on_request = on_request,
                                             .data = relay };
 
   relay->loop = loop;
   relay->collector = collector;
+  relay->max_bytes = limiters->limits.relayed_bytes;
   gp_counter_register (&relayed_count);
   gp_counter_register (&refused_count);
   gp_traffic_register (&peers_traffic);
--- a/src/jobsd/relay.h
+++ b/src/jobsd/relay.h
@@ -15,6 +15,7 @@
 
 #include "jobsd/append_collector.h"
 #include "transport/http.h"
+#include "transport/process_limits.h"
 
 typedef struct
 {
@@ -23,6 +24,8 @@
   gp_http_client_t *client;
   gp_append_collector_t *collector; /* NULL: appends are relayed one by one */
   unsigned open_calls;              /* of peers, that are being relayed */
+  size_t open_bytes;                /* of their bodies */
+  size_t max_bytes;                 /* limit of OPEN_BYTES */
 } gp_job_relay_t;
 
 /* Listen on ADDRESS and relay to STORE, on a link of LINK_RATE bytes per
@@ -30,6 +33,6 @@
 bool gp_job_relay_init (gp_job_relay_t *relay, gp_loop_t *loop,
                         const char *address, const char *store,
                         int64_t link_rate, gp_append_collector_t *collector,
-                        GError **error);
+                        gp_process_limiters_t *limiters, GError **error);
 
 #endif
--- a/src/protocol/session.c
+++ b/src/protocol/session.c
@@ -214,7 +214,7 @@
 
 bool
 gp_session_host_listen (gp_session_host_t *host, const char *address,
-                        GError **error)
+                        gp_connection_limiter_t *limiter, GError **error)
 {
   GError *cause = NULL;
 
@@ -226,6 +226,7 @@
                         GP_PROTOCOL_ERROR_PEER, "listen for peers");
       return false;
     }
+  gp_peer_server_set_limiter (host->server, limiter);
   return true;
 }
 
--- a/src/protocol/session.h
+++ b/src/protocol/session.h
@@ -84,9 +84,9 @@
                            const gp_session_callbacks_t *callbacks,
                            void *data);
 
-/* Accept sessions on ADDRESS.  */
+/* Accept sessions on ADDRESS, as many as LIMITER permits; it may be NULL.  */
 bool gp_session_host_listen (gp_session_host_t *host, const char *address,
-                             GError **error);
+                             gp_connection_limiter_t *limiter, GError **error);
 int gp_session_host_port (const gp_session_host_t *host);
 
 /* Close the listener and all sessions.  */
--- a/src/transport/http.h
+++ b/src/transport/http.h
@@ -17,6 +17,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "transport/connection_limiter.h"
+#include "transport/listener.h"
 #include "transport/loop.h"
 #include "transport/traffic.h"
 
@@ -59,6 +61,9 @@
   bool bind_only;           /* connections are refused until
                           gp_http_server_listen */
   gp_traffic_t *traffic;    /* counts requests and responses, may be NULL */
+  gp_connection_limiter_t *limiter; /* of the connections, may be NULL; it has
+                                       to outlive the server */
+  gp_socket_buffers_t buffers;      /* of a connection */
   void (*on_request) (gp_http_exchange_t *exchange, void *data);
   void *data;
 } gp_http_server_options_t;
@@ -76,8 +81,10 @@
 void gp_http_server_disable_keepalive (gp_http_server_t *server);
 
 /* Stop listening and close idle connections.  Open exchanges and the requests
-   of clients that are already connected are completed; then ON_DONE is called
-   once.  The server must not be used afterwards; gp_loop_finish frees it.  */
+   of clients that are already connected are completed, unless a client does
+   not send the rest of its request, or does not read its answer, within a
+   second; then ON_DONE is called once.  The server must not be used
+   afterwards; gp_loop_finish frees it.  */
 void gp_http_server_shutdown (gp_http_server_t *server,
                               void (*on_done) (void *data), void *data);
 size_t gp_http_server_open_exchanges (const gp_http_server_t *server);
--- a/src/transport/http_exchange.c
+++ b/src/transport/http_exchange.c
@@ -39,7 +39,7 @@
   gp_deferred_cancel (&exchange->deferred);
   gp_list_remove (&exchange->link);
   exchange->server->open_exchanges--;
-  exchange->connection->exchanges--;
+  gp_http_connection_end_exchange (exchange->connection);
   if (exchange->part != NULL)
     g_byte_array_unref (exchange->part);
   if (!gone)
@@ -282,13 +282,21 @@
   return h2o_iovec_init (exchange->part->data, size);
 }
 
+/* The user has finished with EXCHANGE.  */
+static void
+end (gp_http_exchange_t *exchange)
+{
+  exchange->state = GP_HTTP_EXCHANGE_ENDED;
+  gp_http_connection_answered (exchange->connection);
+}
+
 void
 gp_http_exchange_part (gp_http_exchange_t *exchange, const void *bytes,
                        size_t size, bool final)
 {
   g_assert (exchange->state == GP_HTTP_EXCHANGE_STARTED && !exchange->writing);
   if (final)
-    exchange->state = GP_HTTP_EXCHANGE_ENDED;
+    end (exchange);
   if (exchange->bodiless || size == 0)
     defer (exchange, final ? GP_HTTP_ACTION_END : GP_HTTP_ACTION_PROCEED);
   else
@@ -322,7 +330,7 @@
   if (exchange->state == GP_HTTP_EXCHANGE_WAITING)
     gp_http_exchange_start (exchange, 500, NULL, 0, -1);
   g_assert (exchange->state == GP_HTTP_EXCHANGE_STARTED);
-  exchange->state = GP_HTTP_EXCHANGE_ENDED;
+  end (exchange);
   exchange->request->http1_is_persistent = 0;
   if (exchange->request->version < HTTP_1_1)
     reset_on_close (exchange);
@@ -381,8 +389,7 @@
   gp_deferred_init (&exchange->deferred, on_exchange_deferred);
   gp_list_push_back (&server->exchanges, &exchange->link);
   server->open_exchanges++;
-  exchange->connection->exchanges++;
-  exchange->connection->used = true;
+  gp_http_connection_begin_exchange (exchange->connection);
   gp_counter_register (&requests_total);
   gp_counter_register (&gone_total);
   gp_counter_add (&requests_total, 1);
--- a/src/transport/http_private.h
+++ b/src/transport/http_private.h
@@ -1,8 +1,10 @@
-/* Declarations shared by http_server.c and http_exchange.c.  */
+/* Declarations shared by http_server.c, http_connection.c and
+   http_exchange.c.  */
 
 #ifndef GP_TRANSPORT_HTTP_PRIVATE_H
 #define GP_TRANSPORT_HTTP_PRIVATE_H
 
+#include "transport/connection_limiter.h"
 #include "transport/http_header.h"
 #include "transport/listener.h"
 
@@ -25,11 +27,17 @@
 typedef struct
 {
   gp_list_t link;
+  gp_list_t settle_link; /* in gp_http_server_t.settling */
   gp_http_server_t *server;
+  gp_limited_connection_t limited;
   h2o_socket_t *socket;
+  uv_stream_t *stream;
+  uv_alloc_cb alloc_cb; /* h2o's own callbacks for reading */
+  uv_read_cb read_cb;
   size_t exchanges;
   gp_time_t accepted_at;
-  bool used; /* has received a request */
+  bool used;     /* has received a request */
+  bool answered; /* the answer to the last one is complete */
 } gp_http_connection_t;
 
 struct gp_http_exchange
@@ -62,10 +70,14 @@
   h2o_context_t context;
   h2o_accept_ctx_t accept;
   gp_list_t connections;
+  gp_list_t settling; /* connections whose request has just ended */
+  gp_deferred_t settle;
   gp_list_t exchanges;
   size_t open_exchanges;
   gp_timer_t
       idle_timer; /* when the next connection becomes idle during shutdown */
+  gp_time_t unfinished_until; /* when a shutdown gives up incomplete requests
+                                 and answers that are not read */
   gp_deferred_t done;
   gp_http_server_options_t options;
   void (*on_done) (void *data);
@@ -75,6 +87,27 @@
 /* Create an exchange for REQUEST and pass it to the user of SERVER.  */
 void gp_http_exchange_begin (gp_http_server_t *server, h2o_req_t *request);
 
+/* Connections (http_connection.c).  */
+
+/* Pass TCP, which is connected, to h2o.  */
+void gp_http_connection_start (gp_http_server_t *server, uv_tcp_t *tcp);
+
+/* Close CONNECTION, which has no request without an answer: at once, or, if an
+   answer is being written, soon.  */
+void gp_http_connection_abandon (gp_http_connection_t *connection);
+
+/* A complete request has arrived on CONNECTION.  */
+void gp_http_connection_begin_exchange (gp_http_connection_t *connection);
+/* The user has completed the answer.  */
+void gp_http_connection_answered (gp_http_connection_t *connection);
+/* h2o has finished with the request.  */
+void gp_http_connection_end_exchange (gp_http_connection_t *connection);
+
+void gp_http_server_init_settling (gp_http_server_t *server);
+
+/* A connection has been closed.  */
+void gp_http_server_check_done (gp_http_server_t *server);
+
 /* Call on_gone and abort the exchange, because the loop is being finished.  */
 void gp_http_exchange_force_close (gp_http_exchange_t *exchange);
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -5,13 +5,14 @@
    loop, which is not allowed from inside the loop; therefore a server that was
    shut down is freed by gp_loop_finish.
 
-   A server that is shutting down answers every request of which any byte was
-   read, and every request of a client that was connected before the listener
-   began to drop new connections: a connection without a request counts as idle
-   only FIRST_REQUEST_TIME after it was accepted.  The one case it cannot cover
-   is a request that is sent while its idle, already used connection is being
-   closed; gp_http_server_disable_keepalive, called before the shutdown, makes
-   this rare.  */
+   A server that is shutting down answers every request that was read whole,
+   every request of which any byte was read if the rest arrives within
+   UNFINISHED_TIME, and every request of a client that was connected before the
+   listener began to drop new connections: a connection without a request
+   counts as idle only FIRST_REQUEST_TIME after it was accepted.  The one case
+   it cannot cover is a request that is sent while its idle, already used
+   connection is being closed; gp_http_server_disable_keepalive, called before
+   the shutdown, makes this rare.  */
 
 #include <sys/socket.h>
 
@@ -25,6 +26,11 @@
    for the retransmission of a lost packet.  */
 #define FIRST_REQUEST_TIME (500 * GP_MSEC)
 
+/* Time for which a shutdown waits for the rest of a request, or for a client
+   to read its answer.  Without a bound, clients that never do would keep a
+   stopping process until it is killed.  */
+#define UNFINISHED_TIME GP_SEC
+
 typedef struct
 {
   h2o_handler_t handler;
@@ -33,31 +39,14 @@
 
 /* Connections.  */
 
-static void
-check_done (gp_http_server_t *server)
+void
+gp_http_server_check_done (gp_http_server_t *server)
 {
   if (server->closing && !server->listening
       && gp_list_empty (&server->connections))
     gp_deferred_schedule (&server->done, server->loop);
 }
 
-static void
-on_connection_closed (void *data)
-{
-  gp_http_connection_t *connection = data;
-  gp_http_server_t *server = connection->server;
-
-  gp_list_remove (&connection->link);
-  g_free (connection);
-  check_done (server);
-}
-
-static void
-on_tcp_closed (uv_handle_t *handle)
-{
-  g_free (handle);
-}
-
 /* Return the time from which CONNECTION counts as idle.  Closing it then loses
    nothing but a request that is already on its way.  h2o keeps a request in
    the input buffer until it is complete.  */
@@ -71,45 +60,46 @@
   return connection->accepted_at + FIRST_REQUEST_TIME;
 }
 
+/* Return the time from which CONNECTION, which is not idle, is not waited for
+   any more.  */
+static gp_time_t
+abandoned_from (const gp_http_connection_t *connection)
+{
+  if (connection->exchanges > 0 && !connection->answered)
+    return GP_TIME_NEVER;
+  return connection->server->unfinished_until;
+}
+
 /* Shut down the receiving side of idle connections.  Data that has already
-   been received is still read and answered.  */
+   been received is still read and answered.  Then close the connections whose
+   clients do not go on.  */
 static void
 close_idle (gp_http_server_t *server)
 {
   gp_time_t now = gp_loop_now (server->loop);
   gp_time_t next = GP_TIME_NEVER;
 
-  GP_LIST_FOREACH (pos, &server->connections)
+  GP_LIST_FOREACH_SAFE (pos, &server->connections)
   {
-    const gp_http_connection_t *connection
+    gp_http_connection_t *connection
         = GP_CONTAINER_OF (pos, gp_http_connection_t, link);
-    gp_time_t from = idle_from (connection);
-
-    if (from <= now)
+    gp_time_t idle = idle_from (connection);
+    gp_time_t abandoned = abandoned_from (connection);
+
+    next = MIN (next, idle > now ? idle : GP_TIME_NEVER);
+    next = MIN (next, abandoned > now ? abandoned : GP_TIME_NEVER);
+    if (abandoned <= now)
+      gp_http_connection_abandon (connection);
+    else if (idle <= now)
       shutdown (h2o_socket_get_fd (connection->socket), SHUT_RD);
-    else
-      next = MIN (next, from);
   }
   gp_timer_arm (&server->idle_timer, next);
 }
 
 static void
-start_connection (gp_http_server_t *server, uv_tcp_t *tcp)
+on_refused_closed (uv_handle_t *handle)
 {
-  gp_http_connection_t *connection = g_new0 (gp_http_connection_t, 1);
-  h2o_socket_t *socket
-      = h2o_uv_socket_create ((uv_stream_t *)tcp, on_tcp_closed);
-
-  uv_tcp_nodelay (tcp, 1);
-  connection->server = server;
-  connection->socket = socket;
-  connection->accepted_at = gp_loop_now (server->loop);
-  gp_list_push_back (&server->connections, &connection->link);
-  socket->on_close.cb = on_connection_closed;
-  socket->on_close.data = connection;
-  h2o_accept (&server->accept, socket);
-  if (server->closing)
-    close_idle (server);
+  g_free (handle);
 }
 
 static void
@@ -120,10 +110,15 @@
   uv_tcp_t *tcp = g_new0 (uv_tcp_t, 1);
 
   uv_tcp_init (&server->loop->uv, tcp);
-  if (uv_accept ((uv_stream_t *)&listener->tcp, (uv_stream_t *)tcp) == 0)
-    start_connection (server, tcp);
-  else
-    uv_close ((uv_handle_t *)tcp, on_tcp_closed);
+  if (uv_accept ((uv_stream_t *)&listener->tcp, (uv_stream_t *)tcp) != 0
+      || !gp_connection_limiter_admit (server->options.limiter))
+    {
+      uv_close ((uv_handle_t *)tcp, on_refused_closed);
+      return;
+    }
+  gp_http_connection_start (server, tcp);
+  if (server->closing)
+    close_idle (server);
 }
 
 /* The server.  */
@@ -147,7 +142,7 @@
       = GP_CONTAINER_OF (listener, gp_http_server_t, listener);
 
   server->listening = false;
-  check_done (server);
+  gp_http_server_check_done (server);
 }
 
 void
@@ -210,6 +205,7 @@
       = GP_CONTAINER_OF (closer, gp_http_server_t, closer);
 
   gp_deferred_cancel (&server->done);
+  gp_deferred_cancel (&server->settle);
   h2o_context_dispose (&server->context);
   h2o_config_dispose (&server->config);
   g_free ((char *)server->options.address);
@@ -263,15 +259,17 @@
   gp_list_init (&server->connections);
   gp_list_init (&server->exchanges);
   gp_deferred_init (&server->done, on_done_deferred);
+  gp_http_server_init_settling (server);
+  server->unfinished_until = GP_TIME_NEVER;
   gp_timer_init (&server->idle_timer, loop, on_idle_timer, server);
   configure (server);
   gp_closer_add (&server->closer, loop, on_closer_close, on_closer_dispose);
   server->listening = true;
   if (options->bind_only
           ? gp_listener_bind (&server->listener, loop, options->address,
-                              on_connection, error)
+                              options->buffers, on_connection, error)
           : gp_listener_open (&server->listener, loop, options->address,
-                              on_connection, error))
+                              options->buffers, on_connection, error))
     return server;
   begin_closing (server);
   gp_listener_close (&server->listener, on_listener_closed);
@@ -299,10 +297,11 @@
   if (!server->closing)
     {
       begin_closing (server);
+      server->unfinished_until = gp_loop_now (server->loop) + UNFINISHED_TIME;
       gp_listener_drain (&server->listener, on_listener_closed);
       close_idle (server);
     }
-  check_done (server);
+  gp_http_server_check_done (server);
 }
 
 size_t
--- a/src/transport/listener.c
+++ b/src/transport/listener.c
@@ -73,6 +73,32 @@
   close_tcp (listener);
 }
 
+static int
+descriptor (const gp_listener_t *listener)
+{
+  uv_os_fd_t fd = -1;
+
+  uv_fileno ((const uv_handle_t *)&listener->tcp, &fd);
+  return fd;
+}
+
+static void
+set_buffer (int fd, int option, int size)
+{
+  if (size > 0 && setsockopt (fd, SOL_SOCKET, option, &size, sizeof size) != 0)
+    gp_log (GP_LOG_WARNING, "listener.no-buffer-size",
+            GP_LOG_S ("error", g_strerror (errno)));
+}
+
+/* Connections inherit the sizes, which have to be set before the socket
+   listens: those that wait to be accepted hold bytes, too.  */
+static void
+set_buffers (const gp_listener_t *listener)
+{
+  set_buffer (descriptor (listener), SO_RCVBUF, listener->buffers.receive);
+  set_buffer (descriptor (listener), SO_SNDBUF, listener->buffers.send);
+}
+
 /* Create, bind and, unless BIND_ONLY, listen.  Return 0 or a libuv error.  */
 static int
 start (gp_listener_t *listener)
@@ -84,21 +110,14 @@
   if (rc == 0)
     rc = uv_tcp_bind (&listener->tcp, (struct sockaddr *)&listener->address,
                       0);
+  if (rc == 0)
+    set_buffers (listener);
   if (rc == 0 && !listener->bind_only)
     rc = uv_listen ((uv_stream_t *)&listener->tcp, LISTEN_BACKLOG,
                     on_connection);
   return rc;
 }
 
-static int
-descriptor (const gp_listener_t *listener)
-{
-  uv_os_fd_t fd = -1;
-
-  uv_fileno ((const uv_handle_t *)&listener->tcp, &fd);
-  return fd;
-}
-
 /* Attach a socket filter that drops SYN packets, so that no new connections
    begin, and passes the packets of handshakes in progress.  */
 static void
@@ -150,8 +169,8 @@
 
 static bool
 bind_address (gp_listener_t *listener, gp_loop_t *loop, const char *address,
-              bool bind_only, void (*on_connected) (gp_listener_t *listener),
-              GError **error)
+              gp_socket_buffers_t buffers, bool bind_only,
+              void (*on_connected) (gp_listener_t *listener), GError **error)
 {
   int size = sizeof listener->address;
   int rc;
@@ -159,6 +178,7 @@
   gp_counter_register (&accept_errors_total);
   memset (listener, 0, sizeof *listener);
   listener->bind_only = bind_only;
+  listener->buffers = buffers;
   listener->on_connection = on_connected;
   gp_timer_init (&listener->retry, loop, on_retry, listener);
   listener->retry.uv.data = listener;
@@ -178,20 +198,22 @@
 
 bool
 gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
-                  const char *address,
+                  const char *address, gp_socket_buffers_t buffers,
                   void (*on_connected) (gp_listener_t *listener),
                   GError **error)
 {
-  return bind_address (listener, loop, address, false, on_connected, error);
+  return bind_address (listener, loop, address, buffers, false, on_connected,
+                       error);
 }
 
 bool
 gp_listener_bind (gp_listener_t *listener, gp_loop_t *loop,
-                  const char *address,
+                  const char *address, gp_socket_buffers_t buffers,
                   void (*on_connected) (gp_listener_t *listener),
                   GError **error)
 {
-  return bind_address (listener, loop, address, true, on_connected, error);
+  return bind_address (listener, loop, address, buffers, true, on_connected,
+                       error);
 }
 
 /* A failure is handled like one to accept: the socket is closed and opened
--- a/src/transport/listener.h
+++ b/src/transport/listener.h
@@ -21,6 +21,14 @@
 
 typedef struct gp_listener gp_listener_t;
 
+/* Sizes of the kernel's buffers for a connection, in bytes; 0: the kernel
+   decides, and may give a connection several megabytes.  */
+typedef struct
+{
+  int receive;
+  int send;
+} gp_socket_buffers_t;
+
 struct gp_listener
 {
   uv_tcp_t tcp;
@@ -33,19 +41,21 @@
   bool closing;
   bool draining;  /* new connections are dropped, RETRY polls */
   bool bind_only; /* bound, not listening */
+  gp_socket_buffers_t buffers;
 };
 
-/* Listen on ADDRESS ("IP:port").  ON_CONNECTED must accept one connection from
-   TCP with uv_accept.  The listener must be closed even after a failure.  */
+/* Listen on ADDRESS ("IP:port"), for connections with BUFFERS.  ON_CONNECTED
+   must accept one connection from TCP with uv_accept.  The listener must be
+   closed even after a failure.  */
 bool gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
-                       const char *address,
+                       const char *address, gp_socket_buffers_t buffers,
                        void (*on_connected) (gp_listener_t *listener),
                        GError **error);
 
 /* Bind to ADDRESS without listening: connections are refused until
    gp_listener_listen.  */
 bool gp_listener_bind (gp_listener_t *listener, gp_loop_t *loop,
-                       const char *address,
+                       const char *address, gp_socket_buffers_t buffers,
                        void (*on_connected) (gp_listener_t *listener),
                        GError **error);
 void gp_listener_listen (gp_listener_t *listener);
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -66,6 +66,7 @@
   if (peer->state == GP_PEER_CLOSED)
     return;
   peer->state = GP_PEER_CLOSED;
+  gp_limited_connection_leave (&peer->limited);
   gp_closer_remove (&peer->closer);
   gp_list_remove (&peer->server_link);
   gp_deferred_cancel (&peer->flush);
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -18,6 +18,7 @@
 #include <stdint.h>
 
 #include "base/list.h"
+#include "transport/connection_limiter.h"
 #include "transport/loop.h"
 #include "transport/tls.h"
 
@@ -92,6 +93,13 @@
                 void *(*on_accept) (gp_peer_t *peer, void *data), void *data,
                 GError **error);
 
+/* Limit the connections that are accepted from now on, and the incomplete
+   frames that they hold.  A connection that has sent a complete frame is
+   closed only while it holds an incomplete one.  LIMITER has to outlive the
+   peers.  */
+void gp_peer_server_set_limiter (gp_peer_server_t *server,
+                                 gp_connection_limiter_t *limiter);
+
 /* Stop accepting connections; open peers stay open.  */
 void gp_peer_server_close (gp_peer_server_t *server);
 
--- a/src/transport/peer_private.h
+++ b/src/transport/peer_private.h
@@ -3,6 +3,7 @@
 #ifndef GP_TRANSPORT_PEER_PRIVATE_H
 #define GP_TRANSPORT_PEER_PRIVATE_H
 
+#include "transport/connection_limiter.h"
 #include "transport/endpoint.h"
 #include "transport/listener.h"
 #include "transport/peer.h"
@@ -35,6 +36,9 @@
   GByteArray *inflight;   /* bytes being written */
   bool writing;           /* a write of INFLIGHT is in progress */
   bool paused;
+  gp_limited_connection_t limited; /* of an accepted peer */
+  bool awaits_memory; /* does not read until its limiter resumes it */
+  bool used;          /* has received a frame */
   bool congested;
   bool input_ended;      /* the peer has ended its stream */
   bool user_notified;    /* the user knows this peer and gets on_close */
@@ -54,6 +58,7 @@
   gp_loop_t *loop;
   gp_listener_t listener;
   gp_tls_t *tls;
+  gp_connection_limiter_t *limiter; /* NULL: none */
   gp_peer_callbacks_t callbacks;
   void *(*on_accept) (gp_peer_t *peer, void *data);
   void *data;
--- a/src/transport/peer_read.c
+++ b/src/transport/peer_read.c
@@ -45,6 +45,7 @@
         break;
       used += GP_FRAME_HEADER_SIZE + frame;
       gp_counter_add (&frames_in_total, 1);
+      peer->used = true;
       peer->callbacks.on_frame (peer, body, frame, peer->data);
     }
   return used;
@@ -61,6 +62,38 @@
     g_byte_array_remove_range (peer->input, 0, (guint)used);
 }
 
+/* Returns the bytes that PEER needs until its incomplete frame is complete. */
+static size_t
+input_needed (const gp_peer_t *peer)
+{
+  if (peer->input->len < GP_FRAME_HEADER_SIZE)
+    return peer->input->len;
+  return MAX (peer->input->len,
+              frame_size (peer->input->data) + GP_FRAME_HEADER_SIZE);
+}
+
+/* Ask the limiter for the memory of an incomplete frame, and stop reading
+   until it is granted.  */
+static void
+reserve_input (gp_peer_t *peer)
+{
+  size_t needed = input_needed (peer);
+
+  if (peer->state != GP_PEER_OPEN)
+    return;
+  if (peer->input->len > 0)
+    gp_limited_connection_set_phase (&peer->limited, GP_CONNECTION_RECEIVING);
+  else
+    gp_limited_connection_set_phase (&peer->limited,
+                                     peer->used ? GP_CONNECTION_SERVING
+                                                : GP_CONNECTION_IDLE);
+  gp_limited_connection_shrink (&peer->limited, needed);
+  if (gp_limited_connection_grow (&peer->limited, needed))
+    return;
+  peer->awaits_memory = true;
+  uv_read_stop ((uv_stream_t *)&peer->tcp);
+}
+
 static void
 process_bytes (gp_peer_t *peer, const uint8_t *bytes, size_t size)
 {
@@ -173,12 +206,14 @@
   if (peer->tls_conn.ssl == NULL)
     {
       process_bytes (peer, (uint8_t *)buffer->base, (size_t)got);
+      reserve_input (peer);
       return;
     }
   gp_tls_conn_feed (&peer->tls_conn, buffer->base, (size_t)got);
   if (peer->state == GP_PEER_HANDSHAKING)
     continue_handshake (peer);
   read_tls (peer);
+  reserve_input (peer);
 }
 
 void
@@ -196,7 +231,8 @@
     parse_input (peer);
   if (peer->tls_conn.ssl != NULL)
     read_tls (peer);
-  if (peer->state == GP_PEER_OPEN && !peer->paused)
+  reserve_input (peer);
+  if (peer->state == GP_PEER_OPEN && !peer->paused && !peer->awaits_memory)
     gp_peer_start_reading (peer);
 }
 
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -5,6 +5,10 @@
 
 #define HANDSHAKE_TIME (5 * GP_SEC)
 
+/* The kernel's receive buffer of a peer in bytes, for a tenth of a second of
+   orders; a peer that does not read holds no more.  */
+#define RECEIVE_BUFFER (32 * 1024)
+
 static void
 on_peer_closer (gp_closer_t *closer)
 {
@@ -21,6 +25,37 @@
   gp_address_format (&address, peer->address, sizeof peer->address);
 }
 
+static gp_peer_t *
+peer_of (gp_limited_connection_t *limited)
+{
+  return GP_CONTAINER_OF (limited, gp_peer_t, limited);
+}
+
+static void
+on_evicted (gp_limited_connection_t *limited)
+{
+  gp_peer_fail (peer_of (limited), GP_TRANSPORT_ERROR_SIZE,
+                "closed to make room for others");
+}
+
+static void
+on_resumed (gp_limited_connection_t *limited)
+{
+  gp_peer_t *peer = peer_of (limited);
+
+  peer->awaits_memory = false;
+  if (peer->state == GP_PEER_OPEN && !peer->paused)
+    gp_peer_start_reading (peer);
+}
+
+static void
+enter_limiter (gp_peer_t *peer, gp_connection_limiter_t *limiter)
+{
+  peer->limited.close = on_evicted;
+  peer->limited.resume = on_resumed;
+  gp_limited_connection_enter (&peer->limited, limiter);
+}
+
 static void
 on_connection (gp_listener_t *listener)
 {
@@ -29,11 +64,13 @@
   gp_peer_t *peer = gp_peer_new (server->loop, &server->callbacks);
 
   gp_closer_add (&peer->closer, server->loop, on_peer_closer, NULL);
-  if (uv_accept ((uv_stream_t *)&listener->tcp, (uv_stream_t *)&peer->tcp) < 0)
+  if (uv_accept ((uv_stream_t *)&listener->tcp, (uv_stream_t *)&peer->tcp) < 0
+      || !gp_connection_limiter_admit (server->limiter))
     {
       gp_peer_destroy (peer);
       return;
     }
+  enter_limiter (peer, server->limiter);
   set_peer_address (peer);
   peer->server = server;
   gp_list_push_back (&server->handshaking, &peer->server_link);
@@ -54,6 +91,7 @@
                 void *(*on_accept) (gp_peer_t *peer, void *data), void *data,
                 GError **error)
 {
+  static const gp_socket_buffers_t buffers = { .receive = RECEIVE_BUFFER };
   gp_peer_server_t *server = g_new0 (gp_peer_server_t, 1);
 
   server->loop = loop;
@@ -64,8 +102,8 @@
   server->handshake_time = HANDSHAKE_TIME;
   gp_list_init (&server->handshaking);
   gp_closer_add (&server->closer, loop, on_closer, NULL);
-  if (gp_listener_open (&server->listener, loop, address, on_connection,
-                        error))
+  if (gp_listener_open (&server->listener, loop, address, buffers,
+                        on_connection, error))
     return server;
   gp_peer_server_close (server);
   return NULL;
@@ -86,6 +124,13 @@
   gp_listener_close (&server->listener, on_listener_closed);
 }
 
+void
+gp_peer_server_set_limiter (gp_peer_server_t *server,
+                            gp_connection_limiter_t *limiter)
+{
+  server->limiter = limiter;
+}
+
 int
 gp_peer_server_port (const gp_peer_server_t *server)
 {
--- a/tests/unit/task_site.c
+++ b/tests/unit/task_site.c
@@ -179,7 +179,7 @@
 
   gp_session_host_init (&site->entry, &site->guard.loop, NULL, &self,
                         &entry_callbacks, site);
-  g_assert (gp_session_host_listen (&site->entry, address, NULL));
+  g_assert (gp_session_host_listen (&site->entry, address, NULL, NULL));
 }
 
 void
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -43,6 +43,13 @@
   { "not numbers", HEAD "guard: {worker: {runtime: \"127.0.0.1:9\", "
                         "millicores: -1, memory_mib: \"100\", "
                         "accelerators: 010}}\n" },
+  { "little memory", HEAD GUARD "memory_mib: 31\n" },
+  { "memory for the largest body",
+    HEAD "memory_mib: 64\n"
+         "platform_log: {address: \"127.0.0.1:9\", stream: s}\n"
+         "entry: {callers: \"127.0.0.1:2\", operators: \"127.0.0.1:3\", "
+         "peers: \"127.0.0.1:1\", operator_token: t, "
+         "max_body_kib: 65536}\n" },
   { "number too large", HEAD GUARD "timings: {lease_ms: 4294967296}\n" },
   { "no section", HEAD },
   { "both sections", HEAD ENTRY GUARD },
--- a/tests/unit/test_shared_appends.c
+++ b/tests/unit/test_shared_appends.c
@@ -28,6 +28,7 @@
 struct fixture
 {
   gp_loop_t loop;
+  gp_process_limiters_t limiters;
   gp_http_server_t *server;
   gp_http_exchange_t *asked; /* the request that the store has not answered */
   int requests;
@@ -196,6 +197,8 @@
   printf ("%s\n", name);
   memset (fixture, 0, sizeof *fixture);
   CU_ASSERT_TRUE_FATAL (gp_loop_init (&fixture->loop, NULL));
+  gp_process_limiters_init (&fixture->limiters, &fixture->loop, 0, 0,
+                            gp_small_buffers);
   fixture->server = gp_http_server_new (&fixture->loop, &options, NULL);
   CU_ASSERT_PTR_NOT_NULL_FATAL (fixture->server);
   address = g_strdup_printf ("127.0.0.1:%d",
@@ -206,7 +209,7 @@
                             fixture->store);
   CU_ASSERT_TRUE_FATAL (gp_job_relay_init (
       &fixture->relay, &fixture->loop, "127.0.0.1:0", address, 0,
-      shares ? &fixture->collector : NULL, NULL));
+      shares ? &fixture->collector : NULL, &fixture->limiters, NULL));
   fixture->relay_address = g_strdup_printf (
       "127.0.0.1:%d", gp_http_server_port (fixture->relay.server));
   fixture->leader.node = "peer";
@@ -224,6 +227,7 @@
 {
   gp_job_appender_finish (&fixture->appender);
   gp_append_collector_finish (&fixture->collector);
+  gp_process_limiters_finish (&fixture->limiters);
   gp_loop_finish (&fixture->loop);
   g_free (fixture->relay_address);
 }
--- a/tests/unit/test_views.c
+++ b/tests/unit/test_views.c
@@ -97,7 +97,7 @@
   gp_timeline_append (&process->timeline, GP_TIMELINE_PROCESS_START, &subject,
                       NULL, 1000000);
   CU_ASSERT_FATAL (
-      gp_session_host_listen (&process->host, "127.0.0.1:0", NULL));
+      gp_session_host_listen (&process->host, "127.0.0.1:0", NULL, NULL));
 }
 
 static void
