jobsd: a refusal stays true after a crowd of open outcomes

What callers could see: the answer 503, that a job never runs, for a job that an earlier, unanswered attempt had put on the log. Found by reading; no user has reported it.

Cause: the ids of jobs whose outcome an answer has left open were all forgotten when there were 10,000, and a refusal of one of them then said that it never runs. A crowd of submissions in an outage of the store brings that about.

Change: after they have been forgotten, any job may be one of them for a minute, in which callers repeat their requests: refusals leave the outcome open (504). The set is a module of its own, pure and bounded.

--- a/src/jobsd/job_change.c
+++ b/src/jobsd/job_change.c
@@ -11,10 +11,6 @@
 #include "jobs/write_request.h"
 #include "jobsd/job_answers.h"
 
-/* Maximum number of ids of jobs with an open outcome; an outage leaves a few
-   hundred.  */
-#define OPEN_OUTCOMES_MAX 10000
-
 static gp_counter_t accepted_count
     = GP_COUNTER ("jobs_accepted_total", "Submissions that are on the log");
 static gp_counter_t refused_count = GP_COUNTER (
@@ -200,6 +196,25 @@
   return count;
 }
 
+/* Returns whether an earlier answer may have left the outcome of a submission
+   or cancellation of the job ID open.  */
+static bool
+had_open_outcome (const gp_job_changes_t *changes, const char *id)
+{
+  return gp_open_outcomes_may_contain (&changes->open_outcomes, id,
+                                       gp_loop_now (changes->loop));
+}
+
+bool
+gp_job_changes_may_have_written (const gp_job_changes_t *changes,
+                                 const char *id)
+{
+  GP_LIST_FOREACH (link, &changes->list)
+  if (strcmp (GP_CONTAINER_OF (link, gp_change_t, link)->key, id) == 0)
+    return true;
+  return had_open_outcome (changes, id);
+}
+
 /* Returns the status of a refusal. 503 means that the job never runs, which
    holds only if no attempt has an open outcome, for this request
    (OUTCOME_UNKNOWN), an earlier or another one of the same id; otherwise 504.
@@ -212,11 +227,10 @@
   if (changes->attempts.confirm)
     outcome_unknown
         = outcome_unknown || count_in_progress (changes, id) > refused;
-  if (!outcome_unknown && !g_hash_table_contains (changes->open_outcomes, id))
+  if (!outcome_unknown && !had_open_outcome (changes, id))
     return 503;
-  if (g_hash_table_size (changes->open_outcomes) >= OPEN_OUTCOMES_MAX)
-    g_hash_table_remove_all (changes->open_outcomes);
-  g_hash_table_add (changes->open_outcomes, g_strdup (id));
+  gp_open_outcomes_add (&changes->open_outcomes, id,
+                        gp_loop_now (changes->loop));
   return 504;
 }
 
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -388,16 +388,6 @@
   arm (changes);
 }
 
-bool
-gp_job_changes_may_have_written (const gp_job_changes_t *changes,
-                                 const char *id)
-{
-  GP_LIST_FOREACH (link, &changes->list)
-  if (strcmp (GP_CONTAINER_OF (link, gp_change_t, link)->key, id) == 0)
-    return true;
-  return g_hash_table_contains (changes->open_outcomes, id);
-}
-
 /* What the feed of jobs delivers.  */
 
 void
@@ -473,8 +463,7 @@
   gp_append_attempts_init (&changes->attempts, confirm);
   for (unsigned slot = 0; slot < GP_APPEND_ATTEMPTS_MAX; slot++)
     changes->appends[slot].changes = changes;
-  changes->open_outcomes
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gp_open_outcomes_init (&changes->open_outcomes);
   gp_timer_init (&changes->timer, loop, on_timer, changes);
   gp_change_register ();
   gp_counter_register (&overdue_count);
@@ -490,5 +479,5 @@
   for (unsigned slot = 0; slot < GP_APPEND_ATTEMPTS_MAX; slot++)
     gp_job_changes_cancel_append (changes, slot);
   gp_timer_finish (&changes->timer);
-  g_hash_table_destroy (changes->open_outcomes);
+  gp_open_outcomes_finish (&changes->open_outcomes);
 }
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -15,6 +15,7 @@
 
 #include "jobs/append_attempts.h"
 #include "jobs/book.h"
+#include "jobs/open_outcomes.h"
 #include "jobsd/feed.h"
 #include "jobsd/job_appender.h"
 #include "platform/store.h"
@@ -38,8 +39,7 @@
   const gp_book_t *book;
   gp_feed_t *jobs; /* feed of the book's jobs; its age is the book's */
   gp_list_t list;  /* changes that are not answered, oldest first */
-  GHashTable *open_outcomes; /* ids, owned, of jobs for which an answer left
-                                the outcome open */
+  gp_open_outcomes_t open_outcomes;
   gp_append_attempts_t attempts;
   gp_change_append_t appends[GP_APPEND_ATTEMPTS_MAX]; /* by slot of attempts */
   bool unavailable; /* the store is, as logged last */
