--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -30,6 +30,8 @@
 gp_book_init (gp_book_t *book)
 {
   gp_list_init (&book->live);
+  book->costs = (gp_job_costs_t){ 0 };
+  book->max_tasks = 0;
   book->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_job);
   book->executors
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_executor);
@@ -198,12 +200,12 @@
 static void
 apply (gp_book_t *book, gp_job_t *job, const Gp__Jobs__Progress *progress)
 {
-  for (uint32_t i = 0; i < job->task_count; i++)
+  for (uint32_t i = 0; i < job->known_tasks; i++)
     reset_task (&job->tasks[i]);
   for (size_t i = 0; i < progress->n_done; i++)
-    gp_task_set_state (&job->tasks[progress->done[i]], GP_TASK_DONE);
+    gp_task_set_state (gp_job_task (job, progress->done[i]), GP_TASK_DONE);
   for (size_t i = 0; i < progress->n_tasks; i++)
-    apply_task (book, &job->tasks[progress->tasks[i]->index],
+    apply_task (book, gp_job_task (job, progress->tasks[i]->index),
                 progress->tasks[i]);
   /* A job remains queued as long as its runs are on executors that are
      down.  */
@@ -252,6 +254,7 @@
       gp__jobs__submission__free_unpacked (submission, NULL);
       return job;
     }
+  gp_job_add_costs (job, &book->costs);
   job->submission_unreadable = false;
   if (!apply_early (book, job, error))
     {
@@ -323,7 +326,7 @@
   if (gp_job_ended (job))
     return gp_field_fail (error, "state", "the job has ended");
   runs = recorded_runs (job, progress);
-  for (uint32_t i = 0; i < job->task_count; i++)
+  for (uint32_t i = 0; i < job->known_tasks; i++)
     if (runs[i]
         < (job->tasks[i].state == GP_TASK_DONE ? RUN_DONE : job->tasks[i].run))
       grows = false;
@@ -437,6 +440,28 @@
          && !gp_job_has_run (job);
 }
 
+bool
+gp_book_has_room_for_tasks (const gp_book_t *book, const gp_job_t *job)
+{
+  return job->tasks != NULL || book->max_tasks == 0 || book->costs.tasks == 0
+         || book->costs.tasks + gp_job_tasks_cost (job) <= book->max_tasks;
+}
+
+static void
+forget_if_ended (gpointer key, gpointer value, gpointer data)
+{
+  gp_job_t *job = value;
+
+  if (gp_job_end_is_recorded (job) && !gp_job_has_run (job))
+    gp_job_forget_tasks (job);
+}
+
+void
+gp_book_forget_ended_tasks (gp_book_t *book)
+{
+  g_hash_table_foreach (book->jobs, forget_if_ended, NULL);
+}
+
 static gboolean
 expired (gpointer key, gpointer value, gpointer data)
 {
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -18,6 +18,9 @@
                             that are not ids */
   gp_list_t live; /* defined jobs that have not ended and whose progress is
                      known, in the order of arrival */
+  gp_job_costs_t costs; /* of all defined jobs */
+  size_t max_tasks; /* limit of COSTS.tasks for jobs whose tasks are not known
+                       yet, in bytes, 0: none */
 } gp_book_t;
 
 void gp_book_init (gp_book_t *book);
@@ -102,6 +105,14 @@
    cancelled.  */
 unsigned gp_book_pending (const gp_book_t *book, const char *queue);
 
+/* Returns whether the tasks of JOB are known, or there is memory for them.
+   There is always memory for one job.  */
+bool gp_book_has_room_for_tasks (const gp_book_t *book, const gp_job_t *job);
+
+/* Frees the tasks of all jobs that have ended and have no run.  No pointer to
+   such a task may be in use.  */
+void gp_book_forget_ended_tasks (gp_book_t *book);
+
 /* Returns whether JOB ended before WALL_MS and no task of it is on an
    executor.  */
 bool gp_book_expired (const gp_job_t *job, int64_t wall_ms);
--- /dev/null
+++ b/src/jobs/book_limit.h
@@ -0,0 +1,61 @@
+/* How many accepted jobs a site can hold.
+
+   Every entry builds the same book from the log, and a process that starts
+   again reads it anew: a job that one entry accepts takes memory in all of
+   them, and it cannot be refused later.  So what the book may hold is bounded
+   by the entry that has least memory for it.  One half is for submissions, and
+   is checked before a job is accepted.  The other half is for tasks of which
+   something is known; the leader makes no more of them known than fit, and
+   other jobs wait (gp_book_has_room_for_tasks).
+
+   A job may take only a part of what is left for submissions.  Thus large jobs
+   are refused first, and small ones are accepted beside any number of large
+   ones.  Entries accept jobs at the same time and learn of each other's later;
+   so what an entry accepts within GP_BOOK_LIMIT_WINDOW is bounded by its share
+   of what is left, but for one job.
+
+   Pure: records of entries, the cost of jobs and the time in, decisions out.
+   A record remains when its VM is gone, so that the limit may be lower than it
+   has to be.  */
+
+#ifndef GP_JOBS_BOOK_LIMIT_H
+#define GP_JOBS_BOOK_LIMIT_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "base/time.h"
+
+/* Time within which all entries have read what one has accepted; an entry that
+   has not read the log for that long accepts nothing.  */
+#define GP_BOOK_LIMIT_WINDOW (2500 * GP_MSEC)
+
+typedef struct
+{
+  size_t bytes;       /* for the book, the least of all entries; 0: no limit */
+  size_t own;         /* of this entry */
+  GHashTable *others; /* node to the bytes of another entry, owned */
+  gp_time_t window_until; /* when the present window ends */
+  size_t accepted;        /* cost of the jobs accepted in it ... */
+  size_t accepted_before; /* ... and in the one before */
+} gp_book_limit_t;
+
+/* OWN: bytes that this entry has for the book; 0: nothing is refused.  */
+void gp_book_limit_init (gp_book_limit_t *limit, size_t own);
+void gp_book_limit_finish (gp_book_limit_t *limit);
+
+/* The entry on NODE has BYTES for the book; 0: not known.  */
+void gp_book_limit_announced (gp_book_limit_t *limit, const char *node,
+                              size_t bytes);
+
+/* Returns the bytes for submissions, or for known tasks; 0: no limit.  */
+size_t gp_book_limit_part (const gp_book_limit_t *limit);
+
+/* Returns whether a job whose submission takes COST bytes can be accepted at
+   NOW, while HELD bytes are taken by submissions that are accepted or may be;
+   if so, it is counted as accepted.  */
+bool gp_book_limit_admit (gp_book_limit_t *limit, size_t held, size_t cost,
+                          gp_time_t now);
+
+#endif
--- a/src/jobs/book_pack.c
+++ b/src/jobs/book_pack.c
@@ -64,11 +64,11 @@
   gp__jobs__progress__init (message);
   message->state = job->state;
   message->ended_wall_ms = job->ended_wall_ms;
-  message->done = g_new (uint32_t, job->task_count);
-  message->tasks = g_new (Gp__Jobs__TaskProgress *, job->task_count);
-  packing->rows = g_new (Gp__Jobs__TaskProgress, job->task_count);
+  message->done = g_new (uint32_t, job->known_tasks);
+  message->tasks = g_new (Gp__Jobs__TaskProgress *, job->known_tasks);
+  packing->rows = g_new (Gp__Jobs__TaskProgress, job->known_tasks);
   packing->executors = g_ptr_array_new ();
-  for (uint32_t i = 0; i < job->task_count; i++)
+  for (uint32_t i = 0; i < job->known_tasks; i++)
     if (has_row (&job->tasks[i], ended))
       {
         Gp__Jobs__TaskProgress *row = &packing->rows[message->n_tasks];
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -8,6 +8,13 @@
 #include "base/error.h"
 #include "jobs/fields.h"
 
+/* What the allocator adds to a block, and the number of blocks of a step, in
+   which its entries in arrays by step are included.  */
+#define BLOCK_SIZE 32
+#define STEP_BLOCKS ((size_t)6)
+/* A usual checkpoint of a task, which is kept as text.  */
+#define TASK_TEXT 32
+
 gp_job_t *
 gp_job_new (const char *id)
 {
@@ -22,12 +29,21 @@
 static void
 free_tasks (gp_job_t *job)
 {
-  for (uint32_t i = 0; i < job->task_count; i++)
+  for (uint32_t i = 0; i < job->known_tasks; i++)
     {
       gp_list_remove (&job->tasks[i].on_executor);
       g_free (job->tasks[i].checkpoint);
     }
-  g_free (job->tasks);
+  g_clear_pointer (&job->tasks, g_free);
+  job->known_tasks = 0;
+  if (job->total != NULL)
+    job->total->tasks -= job->costs.tasks;
+  job->costs.tasks = 0;
+}
+
+static void
+free_steps (gp_job_t *job)
+{
   g_free (job->tallies);
   g_free (job->task_times);
   g_free (job->loads);
@@ -40,6 +56,9 @@
   gp_list_remove (&job->link);
   gp_list_remove (&job->dirty_link);
   free_tasks (job);
+  free_steps (job);
+  if (job->total != NULL)
+    job->total->submissions -= job->costs.submissions;
   if (job->submission != NULL)
     gp__jobs__submission__free_unpacked (job->submission, NULL);
   if (job->early_progress != NULL)
@@ -152,8 +171,91 @@
          && check_times (submission, error);
 }
 
+size_t
+gp_job_cost (const Gp__Jobs__Submission *submission)
+{
+  size_t occurrences = MAX (submission->repeats, 1);
+  size_t cost = sizeof (gp_job_t) + sizeof *submission + submission->spec.len
+                + BLOCK_SIZE;
+
+  for (size_t i = 0; i < submission->n_steps; i++)
+    {
+      const Gp__Jobs__Step *step = submission->steps[i];
+
+      cost += sizeof *step + strlen (step->required_label)
+              + strlen (step->preferred_rack) + strlen (step->image)
+              + step->n_after * sizeof *step->after + STEP_BLOCKS * BLOCK_SIZE
+              + occurrences * sizeof (gp_step_tally_t);
+    }
+  return cost;
+}
+
+size_t
+gp_job_tasks_cost (const gp_job_t *job)
+{
+  return job->task_count * (sizeof (gp_job_task_t) + TASK_TEXT);
+}
+
+void
+gp_job_add_costs (gp_job_t *job, gp_job_costs_t *total)
+{
+  job->total = total;
+  total->submissions += job->costs.submissions;
+  total->tasks += job->costs.tasks;
+}
+
+/* Sets the tallies of a job whose tasks all wait.  */
+static void
+reset_tallies (gp_job_t *job)
+{
+  size_t steps = job->submission->n_steps;
+
+  for (size_t i = 0; i < job->occurrences * steps; i++)
+    job->tallies[i]
+        = (gp_step_tally_t){ .waiting
+                             = job->submission->steps[i % steps]->count };
+  job->done_count = 0;
+}
+
+void
+gp_task_init (gp_job_task_t *task, gp_job_t *job, uint32_t index)
+{
+  *task = (gp_job_task_t){ .job = job, .index = index };
+  gp_list_init (&task->on_executor);
+}
+
+void
+gp_job_make_tasks (gp_job_t *job)
+{
+  if (job->tasks != NULL)
+    return;
+  job->tasks = g_new (gp_job_task_t, job->task_count);
+  job->known_tasks = job->task_count;
+  for (uint32_t i = 0; i < job->task_count; i++)
+    gp_task_init (&job->tasks[i], job, i);
+  job->costs.tasks = gp_job_tasks_cost (job);
+  if (job->total != NULL)
+    job->total->tasks += job->costs.tasks;
+}
+
+void
+gp_job_forget_tasks (gp_job_t *job)
+{
+  if (job->tasks == NULL)
+    return;
+  free_tasks (job);
+  reset_tallies (job);
+}
+
+gp_job_task_t *
+gp_job_task (gp_job_t *job, uint32_t index)
+{
+  gp_job_make_tasks (job);
+  return &job->tasks[index];
+}
+
 static void
-make_tasks (gp_job_t *job)
+make_steps (gp_job_t *job)
 {
   const Gp__Jobs__Submission *submission = job->submission;
   size_t steps = submission->n_steps;
@@ -166,17 +268,10 @@
       job->tasks_per_occurrence += submission->steps[i]->count;
     }
   job->task_count = job->tasks_per_occurrence * job->occurrences;
-  job->tasks = g_new0 (gp_job_task_t, job->task_count);
   job->tallies = g_new0 (gp_step_tally_t, job->occurrences * steps);
   job->task_times = g_new0 (gp_time_t, steps);
   job->loads = g_new0 (gp_headroom_t, steps);
-  for (uint32_t i = 0; i < job->task_count; i++)
-    {
-      job->tasks[i].job = job;
-      job->tasks[i].index = i;
-      gp_list_init (&job->tasks[i].on_executor);
-      gp_task_tally (&job->tasks[i])->waiting++;
-    }
+  reset_tallies (job);
 }
 
 bool
@@ -186,8 +281,9 @@
   if (job->submission != NULL || !gp_job_check (submission, NULL))
     return false;
   job->submission = submission;
+  job->costs.submissions = gp_job_cost (submission);
   job->submitted_at = submitted_at;
-  make_tasks (job);
+  make_steps (job);
   return true;
 }
 
@@ -218,7 +314,7 @@
 bool
 gp_job_has_run (const gp_job_t *job)
 {
-  for (uint32_t i = 0; i < job->task_count; i++)
+  for (uint32_t i = 0; i < job->known_tasks; i++)
     if (job->tasks[i].executor != NULL)
       return true;
   return false;
@@ -260,11 +356,16 @@
   return task->job->submission->steps[gp_task_step_number (task)];
 }
 
+uint32_t
+gp_job_step_index (const gp_job_t *job, uint32_t occurrence, uint32_t step)
+{
+  return occurrence * job->tasks_per_occurrence + job->step_start[step];
+}
+
 gp_job_task_t *
-gp_job_step_tasks (const gp_job_t *job, uint32_t occurrence, uint32_t step)
+gp_job_step_tasks (gp_job_t *job, uint32_t occurrence, uint32_t step)
 {
-  return &job->tasks[occurrence * job->tasks_per_occurrence
-                     + job->step_start[step]];
+  return gp_job_task (job, gp_job_step_index (job, occurrence, step));
 }
 
 uint32_t
@@ -272,6 +373,9 @@
 {
   uint32_t step = gp_task_step_number (task);
 
+  *first = NULL;
+  if (task->job->tasks == NULL)
+    return 0;
   *first = gp_job_step_tasks (task->job, gp_task_occurrence (task), step);
   return task->job->submission->steps[step]->count;
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -3,8 +3,11 @@
    A job is a Submission (protocol/jobs.proto) and the state of its tasks.
    Step S of occurrence K has COUNT tasks.  All tasks of a job are stored in
    one array, ordered by occurrence and then by step, so each task has a single
-   index.  The state of the tasks is packed into a Progress record, which
-   replaces the previous one; a reader needs only the newest.
+   index.  The array exists from when something becomes known of a task until
+   the job has ended and has no run: otherwise all its tasks wait, or do not
+   matter, and the tallies say so.  The state of the tasks is packed into a
+   Progress record, which replaces the previous one; a reader needs only the
+   newest.
 
    The right to run: at most one run of a task may be running, the one numbered
    RUN on EXECUTOR.  It is given up only when the run's end or absence on that
@@ -138,9 +141,17 @@
   /* The task itself is held back:  */
   GP_WAIT_ISOLATION,  /* a suspect that waits for an isolated start */
   GP_WAIT_QUARANTINE, /* it belongs to a suspect queue */
+  GP_WAIT_MEMORY,     /* there is no memory for the state of its tasks */
   GP_WAIT_STRAY       /* see gp_job_executor_has_stray */
 } gp_wait_cause_t;
 
+/* Memory that jobs take, in bytes.  */
+typedef struct
+{
+  size_t submissions; /* from when a job is accepted */
+  size_t tasks;       /* known tasks */
+} gp_job_costs_t;
+
 /* How a step waits for a place.  */
 typedef struct
 {
@@ -186,10 +197,13 @@
   gp_headroom_t *loads;   /* headroom of the serving runs, by step */
   uint32_t occurrences;
   uint32_t tasks_per_occurrence;
-  uint32_t *step_start; /* first index of each step in an occurrence */
-  gp_job_task_t *tasks;
+  uint32_t *step_start;     /* first index of each step in an occurrence */
+  gp_job_task_t *tasks;     /* NULL: nothing is known of any task */
+  uint32_t known_tasks;     /* number of elements of TASKS: none or all */
   gp_step_tally_t *tallies; /* by occurrence and step */
   uint32_t task_count;
+  gp_job_costs_t costs;
+  gp_job_costs_t *total; /* of the book, which includes COSTS; NULL: none */
   uint32_t done_count;
   bool started; /* a run was assigned at some time to an executor that was not
                    known to be down */
@@ -219,6 +233,32 @@
 /* Returns whether SUBMISSION can be scheduled at all.  FALSE sets ERROR.  */
 bool gp_job_check (const Gp__Jobs__Submission *submission, GError **error);
 
+/* Returns the memory in bytes that a job with SUBMISSION takes as long as
+   nothing is known of its tasks.  */
+size_t gp_job_cost (const Gp__Jobs__Submission *submission);
+
+/* Returns the memory in bytes that the tasks of JOB, which is defined, take
+   once they are known.  */
+size_t gp_job_tasks_cost (const gp_job_t *job);
+
+/* From now on, the costs of JOB are part of TOTAL.  */
+void gp_job_add_costs (gp_job_t *job, gp_job_costs_t *total);
+
+/* Something is known of a task of JOB, which is defined: makes the tasks,
+   unless they exist.  */
+void gp_job_make_tasks (gp_job_t *job);
+
+/* Frees the tasks of JOB, of which none is on an executor.  All wait then, by
+   the tallies.  */
+void gp_job_forget_tasks (gp_job_t *job);
+
+/* Returns task INDEX of JOB, which is defined; makes the tasks if necessary.
+ */
+gp_job_task_t *gp_job_task (gp_job_t *job, uint32_t index);
+
+/* Initializes TASK as task INDEX of JOB of which nothing is known.  */
+void gp_task_init (gp_job_task_t *task, gp_job_t *job, uint32_t index);
+
 /* Returns whether the newest records of JOB, or earlier ones, are known.  */
 bool gp_job_is_readable (const gp_job_t *job);
 
@@ -244,12 +284,18 @@
 uint32_t gp_task_occurrence (const gp_job_task_t *task);
 gp_step_tally_t *gp_task_tally (const gp_job_task_t *task);
 
-/* Returns the tasks of STEP in OCCURRENCE, as many as the step counts.  */
-gp_job_task_t *gp_job_step_tasks (const gp_job_t *job, uint32_t occurrence,
+/* Returns the index of the first task of STEP in OCCURRENCE.  */
+uint32_t gp_job_step_index (const gp_job_t *job, uint32_t occurrence,
+                            uint32_t step);
+
+/* Returns the tasks of STEP in OCCURRENCE, as many as the step counts; makes
+   the tasks if necessary.  */
+gp_job_task_t *gp_job_step_tasks (gp_job_t *job, uint32_t occurrence,
                                   uint32_t step);
 
 /* Sets *FIRST to the first task of TASK's step and occurrence, for a gang its
-   members, and returns their number.  */
+   members, and returns their number; NULL and 0 if the job's tasks are not
+   known.  */
 uint32_t gp_task_siblings (const gp_job_task_t *task, gp_job_task_t **first);
 
 /* Returns the tallies of OCCURRENCE, one for each step.  */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -372,13 +372,34 @@
   g_free (runs);
 }
 
+/* Returns whether a task of the step may find a place, for a job of which no
+   task is known: its tasks are made only then.  */
+static bool
+may_find_place (gp_placer_pass_t *pass, gp_job_t *job, uint32_t occurrence,
+                uint32_t step)
+{
+  gp_job_task_t probe;
+
+  gp_task_init (&probe, job, gp_job_step_index (job, occurrence, step));
+  if (gp_book_has_room_for_tasks (pass->book, job)
+      && choose (pass, &probe) != NULL)
+    return true;
+  gp_placer_note_unplaced (pass, &probe);
+  if (!job->submission->steps[step]->gang)
+    note_idle (pass, &probe);
+  return false;
+}
+
 static void
 assign_step (gp_placer_pass_t *pass, gp_job_t *job, uint32_t occurrence,
              uint32_t step)
 {
   const Gp__Jobs__Step *definition = job->submission->steps[step];
-  gp_job_task_t *first = gp_job_step_tasks (job, occurrence, step);
+  gp_job_task_t *first;
 
+  if (job->tasks == NULL && !may_find_place (pass, job, occurrence, step))
+    return;
+  first = gp_job_step_tasks (job, occurrence, step);
   if (definition->gang)
     assign_gang (pass, first, definition->count);
   else
--- a/src/jobs/placer_score.c
+++ b/src/jobs/placer_score.c
@@ -193,7 +193,7 @@
   if (!gp_task_step (task)->gang)
     return task->failed_on == executor;
   gp_task_siblings (task, &first);
-  return executor->failed_gang == first;
+  return first != NULL && executor->failed_gang == first;
 }
 
 int64_t
--- a/src/jobs/placer_waits.c
+++ b/src/jobs/placer_waits.c
@@ -27,6 +27,7 @@
   [GP_WAIT_GANG] = "no room for all of its gang",
   [GP_WAIT_ISOLATION] = "it is a suspect and starts alone",
   [GP_WAIT_QUARANTINE] = "its queue is in quarantine",
+  [GP_WAIT_MEMORY] = "no memory for the state of its tasks",
   [GP_WAIT_STRAY] = "a run that nobody wants has not ended",
 };
 
@@ -108,6 +109,8 @@
 
   if (gp_job_executor_has_stray (task))
     return GP_WAIT_STRAY;
+  if (!gp_book_has_room_for_tasks (pass->book, task->job))
+    return GP_WAIT_MEMORY;
   if (gp_placer_needs_quarantine (pass, task))
     return GP_WAIT_QUARANTINE;
   if (gp_placer_needs_isolation (pass, task))
@@ -241,22 +244,36 @@
           GP_LOG_I ("for_ms", waited / GP_MSEC));
 }
 
+/* No place was found for the waiting tasks of the step whose first task is
+   INDEX.  */
+static void
+note_step_unplaced (const gp_placer_pass_t *pass, gp_job_t *job,
+                    uint32_t index)
+{
+  gp_job_task_t probe;
+
+  if (job->tasks == NULL)
+    {
+      gp_task_init (&probe, job, index);
+      gp_placer_note_unplaced (pass, &probe);
+      return;
+    }
+  while (job->tasks[index].state != GP_TASK_WAITING)
+    index++;
+  gp_placer_note_unplaced (pass, &job->tasks[index]);
+}
+
 /* No place was found for the waiting tasks of JOB that are ready to run.  */
 static void
-note_job_unplaced (const gp_placer_pass_t *pass, const gp_job_t *job,
+note_job_unplaced (const gp_placer_pass_t *pass, gp_job_t *job,
                    int64_t wall_ms)
 {
   for (uint32_t k = 0; k < job->occurrences; k++)
     for (uint32_t s = 0; s < job->submission->n_steps; s++)
       {
-        const gp_job_task_t *task = gp_job_step_tasks (job, k, s);
-
-        if (gp_job_tallies (job, k)[s].waiting == 0
-            || !gp_job_step_ready (job, k, s, wall_ms))
-          continue;
-        while (task->state != GP_TASK_WAITING)
-          task++;
-        gp_placer_note_unplaced (pass, task);
+        if (gp_job_tallies (job, k)[s].waiting > 0
+            && gp_job_step_ready (job, k, s, wall_ms))
+          note_step_unplaced (pass, job, gp_job_step_index (job, k, s));
       }
 }
 
--- a/src/jobs/room.c
+++ b/src/jobs/room.c
@@ -281,6 +281,7 @@
     case GP_WAIT_SPREAD:
     case GP_WAIT_ISOLATION:
     case GP_WAIT_QUARANTINE:
+    case GP_WAIT_MEMORY:
     case GP_WAIT_STRAY:
       return true;
     case GP_WAIT_NONE:
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -147,7 +147,7 @@
 
   gp_book_end (job, state, wall_ms);
   gp_scheduler_mark_dirty (scheduler, job);
-  for (uint32_t i = 0; i < job->task_count; i++)
+  for (uint32_t i = 0; i < job->known_tasks; i++)
     stop_task (scheduler, &job->tasks[i]);
   gp_log (
       GP_LOG_INFO, "job.ended", GP_LOG_S ("job", job->id),
@@ -621,7 +621,7 @@
   {
     gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
 
-    for (uint32_t i = 0; i < job->task_count; i++)
+    for (uint32_t i = 0; i < job->known_tasks; i++)
       gp_suspicion_extend_wait (&job->tasks[i], decided_at, now);
   }
 }
--- a/src/jobs/scheduler_reports.c
+++ b/src/jobs/scheduler_reports.c
@@ -220,7 +220,7 @@
 {
   if (job->has_begun)
     return false;
-  for (uint32_t i = 0; i < job->task_count; i++)
+  for (uint32_t i = 0; i < job->known_tasks; i++)
     {
       const gp_job_task_t *task = &job->tasks[i];
 
--- a/src/jobsd/announce.c
+++ b/src/jobsd/announce.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "jobs/records.h"
 #include "protocol/message.h"
+#include "transport/process_limits.h"
 
 /* Timeout of the append; a slow store answers within this time.  */
 #define ANNOUNCE_TIMEOUT (2 * GP_SEC)
@@ -36,6 +37,16 @@
   return (uint32_t)MIN (settings->link_rate * 8 / 1000, GP_NODE_LINK_KBPS_MAX);
 }
 
+/* Returns the memory of an entry for accepted jobs in KiB.  */
+static uint32_t
+announced_book_kib (const gp_platform_settings_t *settings)
+{
+  gp_process_limits_t limits = gp_process_limits_of (
+      settings->memory_bytes, settings->descriptors, gp_small_buffers);
+
+  return (uint32_t)MIN (limits.book_bytes / 1024, UINT32_MAX);
+}
+
 static void
 announce (gp_announcer_t *announcer)
 {
@@ -54,6 +65,7 @@
     {
       node.cpu_milli = gp_announced_cpu_milli (announcer->settings);
       node.link_kbps = gp_announced_link_kbps (announcer->settings);
+      node.book_kib = announced_book_kib (announcer->settings);
     }
   value = gp_message_pack (&node.base);
   bytes = g_bytes_get_data (value, &size);
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -21,6 +21,19 @@
 #define CLAIM_AGE_MAX (2 * GP_SEC)
 
 static gp_counter_t jobs_gauge = GP_GAUGE ("jobs", "Jobs in the book");
+static gp_counter_t submissions_gauge
+    = GP_GAUGE ("book_submission_bytes", "Memory of accepted submissions");
+static gp_counter_t tasks_gauge
+    = GP_GAUGE ("book_task_bytes", "Memory of tasks that are known");
+static gp_counter_t book_max_gauge
+    = GP_GAUGE ("book_bytes_max",
+                "Most bytes of accepted submissions, and of known tasks");
+static gp_counter_t pending_gauge
+    = GP_GAUGE ("pending_bytes", "Memory of submissions and cancellations "
+                                 "that are on their way to the log");
+static gp_counter_t pending_max_gauge
+    = GP_GAUGE ("pending_bytes_max",
+                "Most bytes of submissions and cancellations on their way");
 static gp_counter_t leading_gauge
     = GP_GAUGE ("leading", "1 while this process leads");
 
@@ -30,6 +43,32 @@
 static gp_traffic_t callers_traffic
     = GP_TRAFFIC ("callers", "requests of callers and their answers");
 
+static void
+register_gauges (void)
+{
+  gp_counter_register (&jobs_gauge);
+  gp_counter_register (&submissions_gauge);
+  gp_counter_register (&tasks_gauge);
+  gp_counter_register (&book_max_gauge);
+  gp_counter_register (&pending_gauge);
+  gp_counter_register (&pending_max_gauge);
+  gp_counter_register (&leading_gauge);
+  gp_counter_register (&standby_gauge);
+}
+
+/* Show what jobs and changes hold, and their limits.  */
+static void
+update_gauges (const gp_job_entry_t *entry)
+{
+  gp_counter_set (&jobs_gauge, g_hash_table_size (entry->book.jobs));
+  gp_counter_set (&submissions_gauge, (int64_t)entry->book.costs.submissions);
+  gp_counter_set (&tasks_gauge, (int64_t)entry->book.costs.tasks);
+  gp_counter_set (&book_max_gauge,
+                  (int64_t)gp_book_limit_part (&entry->book_limit));
+  gp_counter_set (&pending_gauge, (int64_t)entry->api.changes.bytes);
+  gp_counter_set (&pending_max_gauge, (int64_t)entry->api.changes.max_bytes);
+}
+
 /* Apply a decoded record to the book; returns NULL and sets ERROR if it does
    not fit the current state.  */
 static gp_job_t *
@@ -63,7 +102,7 @@
     }
   if (job != NULL)
     gp_leader_job_changed (&entry->leader, job);
-  gp_counter_set (&jobs_gauge, g_hash_table_size (entry->book.jobs));
+  update_gauges (entry);
   gp_record_finish (&record);
 }
 
@@ -114,6 +153,9 @@
       gp_standbys_entry_announced (
           &entry->standbys, name,
           (gp_candidacy_capacity_t){ node->cpu_milli, node->link_kbps });
+      gp_book_limit_announced (&entry->book_limit, name,
+                               (size_t)node->book_kib * 1024);
+      entry->book.max_tasks = gp_book_limit_part (&entry->book_limit);
       if (entry->settings->rank_leaders)
         gp_leader_note_capacity (&entry->leader, name, node);
     }
@@ -195,6 +237,7 @@
                && gp_feed_is_current (&entry->progress, CLAIM_AGE_MAX)
                && entry->nodes.loaded && entry->operators.queues.version > 0;
 
+  update_gauges (entry);
   gp_fresh_reads_check (&entry->api.reads);
   if (!entry->progress.running)
     return;
@@ -444,9 +487,7 @@
                             gp_small_buffers);
   gp_loop_on_signal (&entry->loop, on_stop, entry);
   gp_loop_on_reload (&entry->loop, on_reload, entry);
-  gp_counter_register (&jobs_gauge);
-  gp_counter_register (&leading_gauge);
-  gp_counter_register (&standby_gauge);
+  register_gauges ();
   gp_timer_init (&entry->serve_timer, &entry->loop, on_serve_end, entry);
   gp_book_init (&entry->book);
   entry->store = gp_platform_store_new (&entry->loop, settings->store,
@@ -480,6 +521,10 @@
   gp_jobs_api_init (&entry->api, &entry->loop, &entry->appender, &entry->book,
                     &entry->operators.queues, &entry->jobs, &entry->progress,
                     settings->confirm_appends, on_job_record, entry);
+  gp_book_limit_init (&entry->book_limit, entry->limiters.limits.book_bytes);
+  entry->book.max_tasks = gp_book_limit_part (&entry->book_limit);
+  gp_jobs_api_set_limits (&entry->api, &entry->book_limit,
+                          entry->limiters.limits.pending_bytes);
   gp_platform_store_set_on_result (entry->store, on_store_result, entry);
   if (settings->forecast_admission)
     gp_job_intake_enable (&entry->api.intake, &entry->leader.room_reading,
@@ -534,4 +579,5 @@
   gp_process_limiters_finish (&entry->limiters);
   gp_loop_finish (&entry->loop);
   gp_book_finish (&entry->book);
+  gp_book_limit_finish (&entry->book_limit);
 }
--- a/src/jobsd/entry.h
+++ b/src/jobsd/entry.h
@@ -33,6 +33,7 @@
   gp_http_server_t *ready_server;
   gp_http_server_t *metrics_server;
   gp_book_t book;
+  gp_book_limit_t book_limit;
   gp_operator_feed_t operators;
   gp_feed_t jobs;
   gp_feed_t progress;
--- a/src/jobsd/janitor.c
+++ b/src/jobsd/janitor.c
@@ -75,6 +75,9 @@
   gp_time_t pause = janitor->retention_ms * GP_MSEC / SCANS;
 
   gp_timer_arm (&janitor->timer, gp_loop_now (janitor->loop) + pause);
+  /* Orders refer to tasks until they are sent.  */
+  if (janitor->leader->scheduler.orders->len == 0)
+    gp_book_forget_ended_tasks (janitor->book);
   if (janitor->leader->role == GP_LEADER_LEADING)
     {
       if (janitor->dropping->len == 0)
--- a/src/jobsd/job_change.c
+++ b/src/jobsd/job_change.c
@@ -11,6 +11,10 @@
 #include "jobs/write_request.h"
 #include "jobsd/job_answers.h"
 
+/* Submissions may take this part of the limit on changes, in percent, so that
+   jobs can still be cancelled beside a crowd of submissions.  */
+#define SUBMISSIONS_PERCENT 75
+
 static gp_counter_t accepted_count
     = GP_COUNTER ("jobs_accepted_total", "Submissions that are on the log");
 static gp_counter_t refused_count = GP_COUNTER (
@@ -31,11 +35,7 @@
 static unsigned
 count_batches (const gp_job_changes_t *changes)
 {
-  size_t size = 0;
-
-  GP_LIST_FOREACH (link, &changes->list)
-  size += g_bytes_get_size (GP_CONTAINER_OF (link, gp_change_t, link)->value);
-  return (unsigned)(size / GP_APPEND_MAX_SIZE) + 1;
+  return (unsigned)(changes->bytes / GP_APPEND_MAX_SIZE) + 1;
 }
 
 void
@@ -102,6 +102,26 @@
 
 /* Changes.  */
 
+/* Returns the memory of a change with a value of SIZE bytes.  */
+static size_t
+size_of (size_t size)
+{
+  return sizeof (gp_change_t) + size;
+}
+
+bool
+gp_change_exceeds_limit (const gp_job_changes_t *changes, size_t size,
+                         bool is_cancel)
+{
+  size_t limit = changes->max_bytes;
+
+  if (limit == 0)
+    return false;
+  if (!is_cancel)
+    limit = limit / 100 * SUBMISSIONS_PERCENT;
+  return changes->bytes + size_of (size) > limit;
+}
+
 void
 gp_change_free (gp_change_t *change)
 {
@@ -109,6 +129,8 @@
     gp_change_leave_append (change, slot);
   gp_job_changes_cancel_useless (change->changes);
   gp_list_remove (&change->link);
+  change->changes->bytes -= size_of (g_bytes_get_size (change->value));
+  change->changes->cost -= change->cost;
   g_bytes_unref (change->value);
   g_free (change);
 }
@@ -285,20 +307,20 @@
 void
 gp_job_changes_refuse_now (gp_job_changes_t *changes,
                            gp_http_exchange_t *exchange, const char *id,
-                           bool is_cancel)
+                           bool is_cancel, const char *why)
 {
   int status = refusal_status (changes, id, 0, false);
 
   gp_counter_add (status == 503 ? &refused_count : &open_count, 1);
-  log_answer (id, is_cancel, status, "the store has not answered lately", 0,
-              status != 503);
-  answer_change (changes, exchange, status, "the store does not answer");
+  log_answer (id, is_cancel, status, why, 0, status != 503);
+  answer_change (changes, exchange, status, why);
 }
 
 gp_change_t *
 gp_change_new (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
-               const char *id, bool is_cancel, GBytes *value)
+               const char *id, size_t cost, GBytes *value)
 {
+  bool is_cancel = cost == 0;
   gp_time_t now = gp_loop_now (changes->loop);
   gp_time_t caller_timeout = gp_job_caller_timeout (exchange);
   gp_change_t *change = g_new0 (gp_change_t, 1);
@@ -313,6 +335,9 @@
   g_snprintf (change->key, sizeof change->key, "%s%s",
               is_cancel ? GP_CANCEL_PREFIX : "", id);
   change->value = value;
+  change->cost = cost;
+  changes->bytes += size_of (g_bytes_get_size (value));
+  changes->cost += cost;
   gp_list_push_back (&changes->list, &change->link);
   gp_http_exchange_watch (exchange, on_disconnected, NULL, change);
   return change;
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -429,23 +429,61 @@
   note_state (changes);
 }
 
-void
-gp_job_changes_start (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
-                      const char *id, bool is_cancel, GBytes *value)
+/* Returns why a new change with a value of SIZE bytes is refused, or NULL.  */
+static const char *
+why_refused (const gp_job_changes_t *changes,
+             const gp_http_exchange_t *exchange, size_t size, bool is_cancel)
 {
-  expire (changes);
+  if (gp_change_exceeds_limit (changes, size, is_cancel))
+    return "too many requests wait for the log";
+  /* The append in flight shows when the store answers again.  */
   if (gp_append_attempts_refuses (&changes->attempts)
       && gp_write_request_can_retry (gp_job_caller_timeout (exchange)))
+    return "the store does not answer";
+  return NULL;
+}
+
+/* COST is 0 for a cancellation.  */
+static void
+start (gp_job_changes_t *changes, gp_http_exchange_t *exchange, const char *id,
+       size_t cost, GBytes *value)
+{
+  const char *why;
+
+  expire (changes);
+  why = why_refused (changes, exchange, g_bytes_get_size (value), cost == 0);
+  if (why != NULL)
     {
-      gp_job_changes_refuse_now (changes, exchange, id, is_cancel);
+      gp_job_changes_refuse_now (changes, exchange, id, cost == 0, why);
       g_bytes_unref (value);
       return;
     }
-  gp_change_new (changes, exchange, id, is_cancel, value);
+  gp_change_new (changes, exchange, id, cost, value);
   append_waiting (changes);
   arm (changes);
 }
 
+void
+gp_job_changes_submit (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
+                       const char *id, size_t cost, GBytes *value)
+{
+  start (changes, exchange, id, cost, value);
+}
+
+void
+gp_job_changes_cancel (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
+                       const char *id)
+{
+  start (changes, exchange, id, 0,
+         g_bytes_new_static (GP_CANCEL_VALUE, strlen (GP_CANCEL_VALUE)));
+}
+
+void
+gp_job_changes_set_limit (gp_job_changes_t *changes, size_t max_bytes)
+{
+  changes->max_bytes = max_bytes;
+}
+
 void
 gp_job_changes_init (
     gp_job_changes_t *changes, gp_loop_t *loop, gp_job_appender_t *appender,
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -37,8 +37,11 @@
   gp_loop_t *loop;
   gp_job_appender_t *appender;
   const gp_book_t *book;
-  gp_feed_t *jobs; /* feed of the book's jobs; its age is the book's */
-  gp_list_t list;  /* changes that are not answered, oldest first */
+  gp_feed_t *jobs;  /* feed of the book's jobs; its age is the book's */
+  gp_list_t list;   /* changes that are not answered, oldest first */
+  size_t bytes;     /* held for the changes of LIST */
+  size_t max_bytes; /* limit of BYTES, 0: none */
+  size_t cost;      /* sum of gp_job_cost of the submissions of LIST */
   gp_open_outcomes_t open_outcomes;
   gp_append_attempts_t attempts;
   gp_change_append_t appends[GP_APPEND_ATTEMPTS_MAX]; /* by slot of attempts */
@@ -55,14 +58,21 @@
     const gp_book_t *book, gp_feed_t *jobs, bool confirm,
     void (*on_record) (const gp_platform_store_record_t *record, void *data),
     void *data);
+/* Hold at most MAX_BYTES for changes that are not answered, also of callers
+   that have disconnected, and refuse further ones at once.  Cancellations are
+   refused last.  */
+void gp_job_changes_set_limit (gp_job_changes_t *changes, size_t max_bytes);
 /* Drops the changes that are not answered, and cancels the appends.  */
 void gp_job_changes_finish (gp_job_changes_t *changes);
 
-/* Append a record with VALUE for the job ID, a cancellation if IS_CANCEL and a
-   submission otherwise, and answer EXCHANGE; takes ownership of VALUE.  */
-void gp_job_changes_start (gp_job_changes_t *changes,
-                           gp_http_exchange_t *exchange, const char *id,
-                           bool is_cancel, GBytes *value);
+/* Append a submission of the job ID with VALUE, whose job takes COST bytes,
+   and answer EXCHANGE; takes ownership of VALUE.  */
+void gp_job_changes_submit (gp_job_changes_t *changes,
+                            gp_http_exchange_t *exchange, const char *id,
+                            size_t cost, GBytes *value);
+/* The same for a cancellation.  */
+void gp_job_changes_cancel (gp_job_changes_t *changes,
+                            gp_http_exchange_t *exchange, const char *id);
 
 /* Returns whether a submission of the job ID is in progress, or the outcome of
    an earlier one is open.  */
--- a/src/jobsd/job_changes_private.h
+++ b/src/jobsd/job_changes_private.h
@@ -15,6 +15,7 @@
   gp_http_exchange_t *exchange; /* NULL: the caller has disconnected */
   char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
   GBytes *value;
+  size_t cost;         /* of the job, 0: it is a cancellation */
   gp_time_t deadline;  /* when its answer has to be sent */
   gp_time_t refuse_at; /* when it is refused if no attempt was started */
   gp_time_t since;
@@ -30,10 +31,14 @@
 
 void gp_change_register (void);
 
-/* Adds a change, which takes ownership of VALUE, to the list.  */
+/* Adds a change, which takes ownership of VALUE, to the list.  COST is 0 for a
+   cancellation.  */
 gp_change_t *gp_change_new (gp_job_changes_t *changes,
                             gp_http_exchange_t *exchange, const char *id,
-                            bool is_cancel, GBytes *value);
+                            size_t cost, GBytes *value);
+/* Returns whether a change of SIZE bytes exceeds the limit.  */
+bool gp_change_exceeds_limit (const gp_job_changes_t *changes, size_t size,
+                              bool is_cancel);
 /* Frees CHANGE, and cancels the appends for which nobody waits then.  */
 void gp_change_free (gp_change_t *change);
 
@@ -56,11 +61,10 @@
    the outcome of others open.  */
 void gp_change_give_up (gp_change_t *change, const char *why);
 
-/* The store does not answer, and the append in flight shows when it does
-   again: refuse a new caller at once, without an attempt.  */
+/* Refuse a new caller at once, without an attempt, because of WHY.  */
 void gp_job_changes_refuse_now (gp_job_changes_t *changes,
                                 gp_http_exchange_t *exchange, const char *id,
-                                bool is_cancel);
+                                bool is_cancel, const char *why);
 
 void gp_job_changes_cancel_append (gp_job_changes_t *changes, unsigned slot);
 /* Cancel the appends for which nobody waits.  */
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -14,6 +14,12 @@
 #include "platform/refusals.h"
 #include "protocol/message.h"
 
+/* Time after which a caller is to come back whose job there is no memory for,
+   in seconds: jobs that have ended leave the book after some minutes.  */
+#define BOOK_RETRY_S 10
+/* Maximum number of queues that the log sampler counts separately.  */
+#define QUEUES_MAX 1000
+
 /* Maximum age of the book for the answer that a job does not exist.  */
 #define ABSENCE_AGE_MAX (2500 * GP_MSEC)
 
@@ -23,6 +29,10 @@
     = GP_COUNTER ("jobs_unreadable_total",
                   "States asked for of jobs with a record that is unreadable");
 
+static gp_counter_t book_full_count
+    = GP_COUNTER ("jobs_refused_memory_total",
+                  "Submissions refused as there is no memory for the job");
+
 static gp_histogram_t book_age
     = GP_HISTOGRAM ("book_age", "Age of the book when a job was shown");
 
@@ -78,6 +88,46 @@
          || !gp_feed_is_current (api->jobs, ABSENCE_AGE_MAX);
 }
 
+/* Refuses the job ID of QUEUE, which takes COST bytes, if there is no memory
+   for it; returns whether it did.  */
+static bool
+refuse_for_memory (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
+                   const gp_queue_t *queue, const char *id, size_t cost)
+{
+  size_t held = api->book->costs.submissions + api->changes.cost;
+  uint64_t count;
+
+  if (api->book_limit == NULL || may_be_on_log (api, id)
+      || gp_book_limit_admit (api->book_limit, held, cost,
+                              gp_loop_now (api->loop)))
+    return false;
+  gp_counter_add (&book_full_count, 1);
+  count = gp_log_sampler_count (&api->book_refusals, queue->name);
+  if (count > 0)
+    gp_log (GP_LOG_WARNING, "job.refused_memory", GP_LOG_S ("job", id),
+            GP_LOG_S ("queue", queue->name), GP_LOG_I ("count", count),
+            GP_LOG_I ("cost", cost), GP_LOG_I ("held", held),
+            GP_LOG_I ("limit", gp_book_limit_part (api->book_limit)));
+  gp_job_refuse_for (exchange, "there is no memory for the job", BOOK_RETRY_S);
+  return true;
+}
+
+/* Hands SUBMISSION, which is valid, on to the log unless it is refused.  */
+static void
+accept_job (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
+            const gp_queue_t *queue, const char *id,
+            const Gp__Jobs__Submission *submission)
+{
+  size_t cost = gp_job_cost (submission);
+
+  if (!refuse_for_memory (api, exchange, queue, id, cost)
+      && !gp_job_intake_refuse (&api->intake, exchange, id, submission,
+                                may_be_on_log (api, id),
+                                gp_loop_now (api->loop)))
+    gp_job_changes_submit (&api->changes, exchange, id, cost,
+                           gp_message_pack (&submission->base));
+}
+
 static void
 submit_job (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
             const gp_queue_t *queue, const char *id)
@@ -103,11 +153,8 @@
       refuse_malformed (exchange, queue, id, error);
       g_error_free (error);
     }
-  else if (!gp_job_intake_refuse (&api->intake, exchange, id, submission,
-                                  may_be_on_log (api, id),
-                                  gp_loop_now (api->loop)))
-    gp_job_changes_start (&api->changes, exchange, id, false,
-                          gp_message_pack (&submission->base));
+  else
+    accept_job (api, exchange, queue, id, submission);
   if (submission != NULL)
     gp__jobs__submission__free_unpacked (submission, NULL);
 }
@@ -202,9 +249,7 @@
       gp_job_answer (exchange, 200, "{}");
       return;
     }
-  gp_job_changes_start (
-      &api->changes, exchange, id, true,
-      g_bytes_new_static (GP_CANCEL_VALUE, strlen (GP_CANCEL_VALUE)));
+  gp_job_changes_cancel (&api->changes, exchange, id);
 }
 
 static void
@@ -336,14 +381,25 @@
                        on_record, data);
   gp_fresh_reads_init (&api->reads, loop, jobs, progress, on_read, api);
   gp_job_intake_init (&api->intake);
+  gp_log_sampler_init (&api->book_refusals, QUEUES_MAX);
+  gp_counter_register (&book_full_count);
   gp_counter_register (&repeated_count);
   gp_counter_register (&unreadable_count);
   gp_histogram_register (&book_age);
 }
 
+void
+gp_jobs_api_set_limits (gp_jobs_api_t *api, gp_book_limit_t *limit,
+                        size_t pending_bytes)
+{
+  api->book_limit = limit;
+  gp_job_changes_set_limit (&api->changes, pending_bytes);
+}
+
 void
 gp_jobs_api_finish (gp_jobs_api_t *api)
 {
+  gp_log_sampler_finish (&api->book_refusals);
   gp_fresh_reads_finish (&api->reads);
   gp_job_changes_finish (&api->changes);
   gp_job_intake_finish (&api->intake);
--- a/src/transport/connection_limiter.c
+++ b/src/transport/connection_limiter.c
@@ -11,13 +11,15 @@
 static gp_counter_t refused_total
     = GP_COUNTER ("connections_refused_total",
                   "New connections closed at once, as too many were open");
-static gp_counter_t closed_total = GP_COUNTER (
-    "connections_closed_total", "Connections closed to make room for others");
-static gp_counter_t replaced_total = GP_COUNTER (
-    "connections_closed_for_new_total", "The same, for a new connection");
+static gp_counter_t closed_total
+    = GP_COUNTER ("connections_closed_total",
+                  "Connections closed to make room for others, for any cause");
+static gp_counter_t replaced_total
+    = GP_COUNTER ("connections_closed_for_new_total",
+                  "Connections closed for a new connection");
 static gp_counter_t evicted_total
     = GP_COUNTER ("connections_closed_for_bytes_total",
-                  "The same, for the bytes of other requests");
+                  "Connections closed for the bytes that other requests need");
 static gp_counter_t paused_total
     = GP_COUNTER ("connections_paused_total",
                   "Times that a large request had to wait for memory");
--- a/src/transport/connection_limiter.h
+++ b/src/transport/connection_limiter.h
@@ -21,19 +21,6 @@
   gp_counter_t max_bytes;
 } gp_connection_gauges_t;
 
-/* Initializer of static gauges.  GROUP is in snake case, WHAT is used in the
-   help texts; both are string literals.  */
-#define GP_CONNECTION_GAUGES(group, what)                                     \
-  {                                                                           \
-    GP_GAUGE ("connections_" group, "Open connections of " what),             \
-        GP_GAUGE ("connection_bytes_" group,                                  \
-                  "Bytes of large requests held for " what),                  \
-        GP_GAUGE ("connections_" group "_max",                                \
-                  "Most open connections of " what),                          \
-        GP_GAUGE ("connection_bytes_" group "_max",                           \
-                  "Most bytes of large requests held for " what),             \
-  }
-
 typedef struct
 {
   gp_loop_t *loop;
--- a/src/transport/process_limits.c
+++ b/src/transport/process_limits.c
@@ -30,9 +30,25 @@
     = { .receive = 32 * 1024, .send = 32 * 1024 };
 
 static gp_connection_gauges_t callers_gauges
-    = GP_CONNECTION_GAUGES ("callers", "callers");
+    = { .connections
+        = GP_GAUGE ("connections_callers", "Connections of callers"),
+        .bytes = GP_GAUGE ("connection_bytes_callers",
+                           "Bytes of large requests of callers"),
+        .max_connections
+        = GP_GAUGE ("connections_callers_max", "Most connections of callers"),
+        .max_bytes = GP_GAUGE ("connection_bytes_callers_max",
+                               "Most bytes of large requests of callers") };
 static gp_connection_gauges_t internal_gauges
-    = GP_CONNECTION_GAUGES ("internal", "the site's own clients");
+    = { .connections = GP_GAUGE ("connections_internal",
+                                 "Connections of operators, peers and checks"),
+        .bytes = GP_GAUGE ("connection_bytes_internal",
+                           "Bytes of large requests and frames of these"),
+        .max_connections
+        = GP_GAUGE ("connections_internal_max",
+                    "Most connections of operators, peers and checks"),
+        .max_bytes
+        = GP_GAUGE ("connection_bytes_internal_max",
+                    "Most bytes of large requests and frames of these") };
 
 static size_t
 part_of (size_t whole, unsigned percent)
--- a/tests/scripts/crowd_jobs.py
+++ b/tests/scripts/crowd_jobs.py
@@ -6,8 +6,9 @@
 
 import json
 import sys
+import time
 
-from crowd import MIB, Watch
+from crowd import MIB, Watch, comes_true
 from platform_site import HOST, request, start_site, until
 
 MEMORY_MIB = 64
@@ -27,17 +28,25 @@
          "after": [0] * 60000}]
 
 
+# Jobs that are to run 5,000 times, from an hour later on.
+TIMED = [{"count": 1, "cpu": 1000, "memMb": 10}]
+TIMES = {"repeats": 5000, "intervalMs": 1000}
+HOUR_MS = 3600 * 1000
+
+
 def job_id(number):
     return f"{number:016x}"
 
 
-def submit_all(site, steps):
+def submit_all(site, steps, times):
     """Submit JOBS at both entries in turn; return accepted ids and statuses."""
+    if times:
+        times = {**times, "firstMs": int(time.time() * 1000) + HOUR_MS}
     accepted = []
     statuses = set()
     for number in range(JOBS):
         entry = f"e{number % 2 + 1}"
-        body = json.dumps({"spec": SPEC, "steps": steps})
+        body = json.dumps({"spec": SPEC, "steps": steps, **times})
         status, headers, _ = request(site.entries[entry][0], "POST",
                                      "/q/" + job_id(number), body, HOST)
         if status == 200:
@@ -49,10 +58,12 @@
 
 
 def known(site, entry, accepted):
-    """Return whether ENTRY shows each of the ACCEPTED jobs."""
-    until(lambda: site.state(entry, accepted[-1]) == "queued", WAIT_S,
-          "the last job is known")
-    return all(site.state(entry, job) == "queued" for job in accepted)
+    """Return whether ENTRY comes to show each of the ACCEPTED jobs.
+
+    What another entry has accepted is visible within some seconds.
+    """
+    return comes_true(lambda: all(site.state(entry, job) == "queued"
+                                  for job in accepted), WAIT_S)
 
 
 def quick_job(site, number):
@@ -62,14 +73,14 @@
     return "completed"
 
 
-def meet(build, what, steps):
+def meet(build, what, steps, times):
     print(what)
     with start_site(build, entries=2, workers=1, features=FEATURES,
                     machine=(MEMORY_MIB, DESCRIPTORS)) as site:
         with Watch(site.processes["e1"]) as first, \
                 Watch(site.processes["e2"]) as second, \
                 Watch(site.processes["w1"]) as guard:
-            accepted, statuses = submit_all(site, steps)
+            accepted, statuses = submit_all(site, steps, times)
             print("  accepted some:", len(accepted) > 0)
             print("  other answers than 200, 429 and 503:",
                   sorted(statuses - {200, 429, 503}, key=str))
@@ -97,8 +108,9 @@
 
 
 def main(build):
-    meet(build, "jobs of 5,000 tasks", LARGE)
-    meet(build, "jobs whose steps wait for many", WIDE)
+    meet(build, "jobs of 5,000 tasks", LARGE, {})
+    meet(build, "jobs whose steps wait for many", WIDE, {})
+    meet(build, "jobs of 5,000 occurrences", TIMED, TIMES)
 
 
 if __name__ == "__main__":
--- a/tests/unit/intake_world.c
+++ b/tests/unit/intake_world.c
@@ -349,7 +349,7 @@
 
     job->forecast_end = 0;
     for (uint32_t i = 0; i < job->task_count; i++)
-      job->tasks[i].ordered_at = 0;
+      gp_job_task (job, i)->ordered_at = 0;
   }
 }
 
--- a/tests/unit/jobs_site.c
+++ b/tests/unit/jobs_site.c
@@ -118,12 +118,12 @@
 }
 
 void
-jobs_site_print_job (const gp_job_t *job)
+jobs_site_print_job (gp_job_t *job)
 {
   printf ("  %s %s:", job->id + 14, gp_job_state_name (job->state));
   for (uint32_t i = 0; i < job->task_count; i++)
     {
-      const gp_job_task_t *task = &job->tasks[i];
+      const gp_job_task_t *task = gp_job_task (job, i);
 
       printf (" %c%u", "wasd"[task->state], task -> run);
       if (task->executor != NULL)
--- a/tests/unit/jobs_site.h
+++ b/tests/unit/jobs_site.h
@@ -48,7 +48,7 @@
 
 /* Prints JOB's state and for each task its state, run, executor and
    crashes.  */
-void jobs_site_print_job (const gp_job_t *job);
+void jobs_site_print_job (gp_job_t *job);
 
 /* EXECUTOR has died for the reason WHY.  */
 void jobs_site_executor_dead (jobs_site_t *site, gp_job_executor_t *executor,
--- a/tests/unit/test_executor_speed.c
+++ b/tests/unit/test_executor_speed.c
@@ -479,7 +479,9 @@
   job = jobs_site_submit (sim->site, id, submission);
   g_ptr_array_add (sim->jobs, job);
   jobs_site_plan (sim->site);
-  return job->tasks[0].executor != NULL ? job->tasks[0].executor->id : "none";
+  return gp_job_task (job, 0)->executor != NULL
+             ? gp_job_task (job, 0)->executor->id
+             : "none";
 }
 
 /* Guards against jobs that wait although a slow executor has room.  */
@@ -586,13 +588,14 @@
   CU_ASSERT_EQUAL (gauge (), 0);
   next->reported_since = sim.site->now;
   for (uint32_t i = 0; i < job->task_count; i++)
-    if (job->tasks[i].executor->previous_key != NULL)
+    if (gp_job_task (job, i)->executor->previous_key != NULL)
       {
-        gp_task_name (&job->tasks[i], name);
-        gp_scheduler_move_run (&sim.site->scheduler, job->tasks[i].executor,
-                               next, name, job->tasks[i].run);
-        CU_ASSERT_PTR_EQUAL_FATAL (job->tasks[i].executor, next);
-        jobs_site_run_ended (sim.site, &job->tasks[i], GP_END_DONE);
+        gp_task_name (gp_job_task (job, i), name);
+        gp_scheduler_move_run (&sim.site->scheduler,
+                               gp_job_task (job, i)->executor, next, name,
+                               gp_job_task (job, i)->run);
+        CU_ASSERT_PTR_EQUAL_FATAL (gp_job_task (job, i)->executor, next);
+        jobs_site_run_ended (sim.site, gp_job_task (job, i), GP_END_DONE);
       }
   CU_ASSERT_FALSE (gp_executor_speed_is_measured (&next->speed));
   finish (&sim);
--- a/tests/unit/test_gangs.c
+++ b/tests/unit/test_gangs.c
@@ -41,8 +41,8 @@
 fail_run (jobs_site_t *site, gp_job_t *job, unsigned failing)
 {
   for (uint32_t i = 0; i < job->task_count; i++)
-    if (job->tasks[i].executor != NULL)
-      jobs_site_run_ended (site, &job->tasks[i],
+    if (gp_job_task (job, i)->executor != NULL)
+      jobs_site_run_ended (site, gp_job_task (job, i),
                            i < failing ? GP_END_FAILED : GP_END_BROKEN);
 }
 
@@ -85,16 +85,16 @@
   printf ("the leader changes between two failed ends of a run\n");
   jobs_site_init (&site);
   job = place_gang (&site, 3, 2);
-  jobs_site_run_ended (&site, &job->tasks[1], GP_END_FAILED);
+  jobs_site_run_ended (&site, gp_job_task (job, 1), GP_END_FAILED);
   jobs_site_print_job (job);
   jobs_site_init (&next);
   jobs_site_rebuild_book (&site, &next.book);
   jobs_site_finish (&site);
   job = gp_book_find (&next.book, JOB);
-  jobs_site_run_ended (&next, &job->tasks[0], GP_END_FAILED);
-  jobs_site_run_ended (&next, &job->tasks[2], GP_END_BROKEN);
+  jobs_site_run_ended (&next, gp_job_task (job, 0), GP_END_FAILED);
+  jobs_site_run_ended (&next, gp_job_task (job, 2), GP_END_BROKEN);
   jobs_site_print_job (job);
-  printf ("  failed runs: %u\n", job->tasks[0].failures);
+  printf ("  failed runs: %u\n", gp_job_task (job, 0)->failures);
   jobs_site_finish (&next);
 }
 
@@ -127,7 +127,7 @@
   jobs_site_init (&site);
   job = place_gang (&site, 3, 2);
   print_used (&site, "at work");
-  jobs_site_run_ended (&site, &job->tasks[1], GP_END_DONE);
+  jobs_site_run_ended (&site, gp_job_task (job, 1), GP_END_DONE);
   jobs_site_print_job (job);
   print_used (&site, "first end");
   CU_ASSERT_FALSE (gp_book_expired (job, INT64_MAX));
@@ -140,8 +140,8 @@
   jobs_site_executor_dead (&next, gp_book_executor (&next.book, "x1"),
                            GP_DEATH_UNREPORTED);
   print_used (&next, "one is lost");
-  if (job->tasks[2].executor != NULL)
-    jobs_site_run_absent (&next, &job->tasks[2]);
+  if (gp_job_task (job, 2)->executor != NULL)
+    jobs_site_run_absent (&next, gp_job_task (job, 2));
   print_used (&next, "one is absent");
   jobs_site_print_job (job);
   jobs_site_finish (&next);
@@ -167,12 +167,13 @@
 }
 
 static void
-print_checkpoints (const gp_job_t *job, const char *when)
+print_checkpoints (gp_job_t *job, const char *when)
 {
   printf ("  %s:", when);
   for (uint32_t i = 0; i < job->task_count; i++)
-    printf (" %s",
-            job->tasks[i].checkpoint != NULL ? job->tasks[i].checkpoint : "-");
+    printf (" %s", gp_job_task (job, i)->checkpoint != NULL
+                       ? gp_job_task (job, i)->checkpoint
+                       : "-");
   printf ("\n");
 }
 
@@ -188,16 +189,17 @@
   printf ("a gang resumes from the last checkpoint of any member\n");
   jobs_site_init (&site);
   job = place_gang (&site, 3, 9);
-  end_with_checkpoint (&site, &job->tasks[2], GP_END_FAILED, "first");
-  jobs_site_run_ended (&site, &job->tasks[0], GP_END_BROKEN);
-  jobs_site_run_ended (&site, &job->tasks[1], GP_END_BROKEN);
+  end_with_checkpoint (&site, gp_job_task (job, 2), GP_END_FAILED, "first");
+  jobs_site_run_ended (&site, gp_job_task (job, 0), GP_END_BROKEN);
+  jobs_site_run_ended (&site, gp_job_task (job, 1), GP_END_BROKEN);
   jobs_site_plan (&site);
   print_checkpoints (job, "second run");
-  jobs_site_executor_dead (&site, job->tasks[0].executor,
+  jobs_site_executor_dead (&site, gp_job_task (job, 0)->executor,
                            GP_DEATH_DEREGISTERED);
   for (uint32_t i = 0; i < job->task_count; i++)
-    if (job->tasks[i].executor != NULL)
-      end_with_checkpoint (&site, &job->tasks[i], GP_END_BROKEN, "second");
+    if (gp_job_task (job, i)->executor != NULL)
+      end_with_checkpoint (&site, gp_job_task (job, i), GP_END_BROKEN,
+                           "second");
   jobs_site_plan (&site);
   print_checkpoints (job, "third run");
   jobs_site_print_job (job);
@@ -218,7 +220,7 @@
   jobs_site_init (&site);
   job = place_gang (&site, 2, 9);
   for (uint32_t i = 0; i < 2; i++)
-    jobs_site_executor_dead (&site, job->tasks[i].executor,
+    jobs_site_executor_dead (&site, gp_job_task (job, i)->executor,
                              GP_DEATH_RESTARTED);
   jobs_site_print_job (job);
   next = gp_book_next_incarnation (&site.book,
@@ -280,9 +282,9 @@
       jobs_site_init (&site);
       job = place_gang (&site, 4, 3);
       jobs_site_executor (&site, "x5", GANG_WORKER_CORES);
-      bad = job->tasks[failing].executor;
+      bad = gp_job_task (job, failing)->executor;
       for (uint32_t i = 0; i < job->task_count; i++)
-        jobs_site_run_ended (&site, &job->tasks[i],
+        jobs_site_run_ended (&site, gp_job_task (job, i),
                              i == failing ? GP_END_FAILED : GP_END_BROKEN);
       jobs_site_plan (&site);
       CU_ASSERT (gp_job_has_run (job));
--- a/tests/unit/test_isolation_timeout.c
+++ b/tests/unit/test_isolation_timeout.c
@@ -115,30 +115,31 @@
   jobs_site_executor (&site, "x1", 8);
   other = jobs_site_submit (&site, JOB_B, jobs_site_submission (1, 1000));
   jobs_site_plan (&site);
-  busy = other->tasks[0].executor;
-  other->tasks[0].alone = true;
+  busy = gp_job_task (other, 0)->executor;
+  gp_job_task (other, 0)->alone = true;
   gp_suspicion_extend_dedication (busy, site.now);
   jobs_site_executor (&site, "x2", 8);
   jobs_site_executor (&site, "x3", 8);
   job = jobs_site_submit (&site, JOB_A, jobs_site_submission (1, 1000));
-  for (wait_for_start (&site, &job->tasks[0], busy);
-       *told != TOLD_JUST_BEGUN && job->tasks[0].executor != NULL; told++)
+  for (wait_for_start (&site, gp_job_task (job, 0), busy);
+       *told != TOLD_JUST_BEGUN && gp_job_task (job, 0)->executor != NULL;
+       told++)
     {
-      crash (&site, &job->tasks[0], *told);
-      wait_for_start (&site, &job->tasks[0], busy);
+      crash (&site, gp_job_task (job, 0), *told);
+      wait_for_start (&site, gp_job_task (job, 0), busy);
     }
   other->cancelled = true;
-  jobs_site_run_ended (&site, &other->tasks[0], GP_END_DONE);
-  while (!gp_job_ended (job) && job->tasks[0].run <= STARTS_MAX)
+  jobs_site_run_ended (&site, gp_job_task (other, 0), GP_END_DONE);
+  while (!gp_job_ended (job) && gp_job_task (job, 0)->run <= STARTS_MAX)
     {
-      if (job->tasks[0].executor != NULL)
-        crash (&site, &job->tasks[0], TOLD_JUST_BEGUN);
+      if (gp_job_task (job, 0)->executor != NULL)
+        crash (&site, gp_job_task (job, 0), TOLD_JUST_BEGUN);
       site.now += GP_SEC;
       if (!gp_job_ended (job))
-        wait_for_start (&site, &job->tasks[0], NULL);
+        wait_for_start (&site, gp_job_task (job, 0), NULL);
     }
   jobs_site_print_job (job);
-  CU_ASSERT (job->tasks[0].run <= STARTS_MAX);
+  CU_ASSERT (gp_job_task (job, 0)->run <= STARTS_MAX);
   jobs_site_finish (&site);
 }
 
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -49,13 +49,13 @@
   jobs_site_plan (&site);
   print_orders (&site);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[0], GP_END_DONE);
+  jobs_site_run_ended (&site, gp_job_task (job, 0), GP_END_DONE);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[1], GP_END_DONE);
+  jobs_site_run_ended (&site, gp_job_task (job, 1), GP_END_DONE);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[2], GP_END_DONE);
+  jobs_site_run_ended (&site, gp_job_task (job, 2), GP_END_DONE);
   jobs_site_print_job (job);
   jobs_site_finish (&site);
 }
@@ -73,12 +73,12 @@
   job = jobs_site_submit (&site, JOB_A, jobs_site_submission (2, 1000));
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[0], GP_END_LAPSED);
-  jobs_site_run_ended (&site, &job->tasks[1], GP_END_FAILED);
+  jobs_site_run_ended (&site, gp_job_task (job, 0), GP_END_LAPSED);
+  jobs_site_run_ended (&site, gp_job_task (job, 1), GP_END_FAILED);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
   g_array_set_size (site.scheduler.orders, 0);
-  jobs_site_run_ended (&site, &job->tasks[1], GP_END_FAILED);
+  jobs_site_run_ended (&site, gp_job_task (job, 1), GP_END_FAILED);
   jobs_site_print_job (job);
   print_orders (&site);
   jobs_site_finish (&site);
@@ -100,7 +100,7 @@
   gp_scheduler_job_changed (&site.scheduler, job, 5);
   print_orders (&site);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[0], GP_END_STOPPED);
+  jobs_site_run_ended (&site, gp_job_task (job, 0), GP_END_STOPPED);
   jobs_site_plan (&site);
   print_orders (&site);
   jobs_site_print_job (job);
@@ -124,7 +124,7 @@
       site.now += 20 * GP_SEC;
       jobs_site_plan (&site);
       jobs_site_print_job (job);
-      jobs_site_run_ended (&site, &job->tasks[0], (gp_end_t)how);
+      jobs_site_run_ended (&site, gp_job_task (job, 0), (gp_end_t)how);
     }
   jobs_site_print_job (job);
   jobs_site_finish (&site);
@@ -147,14 +147,14 @@
   jobs_site_executor (&site, "x2", 8);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[0], GP_END_FAILED);
+  jobs_site_run_ended (&site, gp_job_task (job, 0), GP_END_FAILED);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[1], GP_END_BROKEN);
-  jobs_site_run_ended (&site, &job->tasks[2], GP_END_BROKEN);
+  jobs_site_run_ended (&site, gp_job_task (job, 1), GP_END_BROKEN);
+  jobs_site_run_ended (&site, gp_job_task (job, 2), GP_END_BROKEN);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[1], GP_END_DONE);
+  jobs_site_run_ended (&site, gp_job_task (job, 1), GP_END_DONE);
   jobs_site_print_job (job);
   jobs_site_finish (&site);
 }
@@ -221,9 +221,9 @@
         large->priority = priority;
         job = jobs_site_submit (&site, JOB_A, large);
         jobs_site_plan (&site);
-        CU_ASSERT_PTR_NOT_NULL (job->tasks[0].executor);
-        CU_ASSERT_PTR_NOT_NULL (job->tasks[1].executor);
-        CU_ASSERT_PTR_NULL (job->tasks[2].executor);
+        CU_ASSERT_PTR_NOT_NULL (gp_job_task (job, 0)->executor);
+        CU_ASSERT_PTR_NOT_NULL (gp_job_task (job, 1)->executor);
+        CU_ASSERT_PTR_NULL (gp_job_task (job, 2)->executor);
         /* What the large ones leave is kept for the first priority.  */
         small->priority = 2;
         job = jobs_site_submit (&site, JOB_B, small);
@@ -247,7 +247,7 @@
   job = jobs_site_submit (&site, JOB_A, submission);
   jobs_site_plan (&site);
   for (int i = 0; i < 3; i++)
-    jobs_site_run_ended (&site, &job->tasks[i], GP_END_FAILED);
+    jobs_site_run_ended (&site, gp_job_task (job, i), GP_END_FAILED);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
   site.now += 3 * GP_SEC;
@@ -325,14 +325,14 @@
   filling->steps[0]->checkpointing = true;
   job = jobs_site_submit (&site, JOB_A, filling);
   jobs_site_plan (&site);
-  job->tasks[0].throttled_since = site.now;
+  gp_job_task (job, 0)->throttled_since = site.now;
   site.now += 2 * GP_SEC;
   gp_scheduler_relocate (&site.scheduler, executor, site.now);
   jobs_site_print_job (job);
   jobs_site_executor (&site, "x2", 8);
   gp_scheduler_relocate (&site.scheduler, executor, site.now);
   jobs_site_print_job (job);
-  jobs_site_run_ended (&site, &job->tasks[0], GP_END_STOPPED);
+  jobs_site_run_ended (&site, gp_job_task (job, 0), GP_END_STOPPED);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
   jobs_site_finish (&site);
@@ -401,8 +401,8 @@
   g_hash_table_iter_init (&iter, site->book.jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const gp_job_t *job = value;
-      const gp_job_t *rebuilt = gp_book_find (&fresh, job->id);
+      gp_job_t *job = value;
+      gp_job_t *rebuilt = gp_book_find (&fresh, job->id);
 
       CU_ASSERT (rebuilt != NULL);
       if (rebuilt == NULL)
@@ -410,8 +410,8 @@
       CU_ASSERT_EQUAL (job->state, rebuilt->state);
       for (uint32_t i = 0; i < job->task_count; i++)
         {
-          const gp_job_task_t *task = &job->tasks[i];
-          const gp_job_task_t *other = &rebuilt->tasks[i];
+          const gp_job_task_t *task = gp_job_task (job, i);
+          const gp_job_task_t *other = gp_job_task (rebuilt, i);
 
           if (task->executor == NULL)
             CU_ASSERT_PTR_NULL (other->executor);
@@ -446,13 +446,13 @@
       g_hash_table_iter_init (&jobs, site->book.jobs);
       while (g_hash_table_iter_next (&jobs, NULL, &job_value))
         {
-          const gp_job_t *job = job_value;
+          gp_job_t *job = job_value;
 
           for (uint32_t i = 0; i < job->task_count; i++)
             {
-              const Gp__Jobs__Step *step = gp_task_step (&job->tasks[i]);
+              const Gp__Jobs__Step *step = gp_task_step (gp_job_task (job, i));
 
-              if (job->tasks[i].executor != executor)
+              if (gp_job_task (job, i)->executor != executor)
                 continue;
               memory += step->memory_mb;
               if (!step->fills)
@@ -496,9 +496,9 @@
       gp_job_t *job = value;
 
       for (uint32_t i = 0; i < job->task_count; i++)
-        if (job->tasks[i].executor != NULL
+        if (gp_job_task (job, i)->executor != NULL
             && g_rand_int_range (random, 0, 4) == 0)
-          jobs_site_run_ended (site, &job->tasks[i],
+          jobs_site_run_ended (site, gp_job_task (job, i),
                                (gp_end_t)g_rand_int_range (random, GP_END_DONE,
                                                            GP_END_ALONE + 1));
     }
--- a/tests/unit/test_put_off.c
+++ b/tests/unit/test_put_off.c
@@ -24,8 +24,8 @@
   jobs_site_executor (&site, "x1", 8);
   suspect = jobs_site_submit (&site, "00000000000000aa",
                               jobs_site_submission (1, 1000));
-  suspect->tasks[0].crashes = 2;
-  suspect->tasks[0].evidence = GP_SUSPICION_STRONG_EVIDENCE;
+  gp_job_task (suspect, 0)->crashes = 2;
+  gp_job_task (suspect, 0)->evidence = GP_SUSPICION_STRONG_EVIDENCE;
   decided_at = site.now;
   jobs_site_plan (&site);
   jobs_site_print_job (suspect);
@@ -36,7 +36,7 @@
   jobs_site_plan (&site);
   jobs_site_print_job (other);
   site.now += GP_SUSPICION_SETTLE_TIME;
-  gp_suspicion_clear (&suspect->tasks[0]);
+  gp_suspicion_clear (gp_job_task (suspect, 0));
   jobs_site_plan (&site);
   jobs_site_print_job (other);
   jobs_site_finish (&site);
@@ -69,11 +69,11 @@
   job = jobs_site_submit (&site, "00000000000000aa",
                           jobs_site_submission (2, 1000));
   jobs_site_plan (&site);
-  job->tasks[1].alone = held;
+  gp_job_task (job, 1)->alone = held;
   gp_suspicion_extend_dedication (executor, site.now);
   site.now += 2 * GP_SEC;
-  jobs_site_run_ended (&site, &job->tasks[0], GP_END_DONE);
-  took = job->tasks[0].duration;
+  jobs_site_run_ended (&site, gp_job_task (job, 0), GP_END_DONE);
+  took = gp_job_task (job, 0)->duration;
   jobs_site_finish (&site);
   return took;
 }
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -164,9 +164,9 @@
   executor->suspects_reported = true;
   for (int i = 0; i <= other_job; i++)
     {
-      jobs[i]->tasks[0].suspect = true;
-      jobs[i]->tasks[0].fresh = true;
-      jobs[i]->tasks[0].just = just;
+      gp_job_task (jobs[i], 0)->suspect = true;
+      gp_job_task (jobs[i], 0)->fresh = true;
+      gp_job_task (jobs[i], 0)->just = just;
     }
   gp_quarantine_record_failure (&site.scheduler.quarantine, &site.book, "bad",
                                 site.now);
@@ -387,9 +387,9 @@
       job = jobs_site_submit (&site, "00000000000000aa",
                               of_queue ("good", 1, 1000));
       jobs_site_plan (&site);
-      job->tasks[0].settled = settled;
-      report_down (&site, job->tasks[0].executor, "00000000000000aa.0.0.0",
-                   RUN_NOT_NAMED);
+      gp_job_task (job, 0)->settled = settled;
+      report_down (&site, gp_job_task (job, 0)->executor,
+                   "00000000000000aa.0.0.0", RUN_NOT_NAMED);
       jobs_site_print_job (job);
       print_pending (&site);
       jobs_site_finish (&site);
@@ -410,7 +410,7 @@
   job = jobs_site_submit (&site, "00000000000000aa",
                           of_queue ("good", 2, 1000));
   jobs_site_plan (&site);
-  report_down (&site, job->tasks[0].executor, "00000000000000aa.0.0.0",
+  report_down (&site, gp_job_task (job, 0)->executor, "00000000000000aa.0.0.0",
                RUN_UNANSWERED);
   jobs_site_print_job (job);
   print_pending (&site);
@@ -433,24 +433,24 @@
   job = jobs_site_submit (&site, "00000000000000aa",
                           of_queue ("good", 2, 1000));
   jobs_site_plan (&site);
-  jobs_site_run_refused (&site, &job->tasks[0]);
+  jobs_site_run_refused (&site, gp_job_task (job, 0));
   print_pending (&site);
-  jobs_site_run_refused (&site, &job->tasks[1]);
+  jobs_site_run_refused (&site, gp_job_task (job, 1));
   print_pending (&site);
   printf ("also once the runs are absent, and when it is assigned again\n");
-  jobs_site_run_absent (&site, &job->tasks[0]);
-  jobs_site_run_absent (&site, &job->tasks[1]);
+  jobs_site_run_absent (&site, gp_job_task (job, 0));
+  jobs_site_run_absent (&site, gp_job_task (job, 1));
   print_pending (&site);
   site.now += GP_SEC;
   jobs_site_plan (&site);
   print_pending (&site);
   printf ("until a run of it has begun\n");
-  jobs_site_run_ended (&site, &job->tasks[0], GP_END_STOPPED);
+  jobs_site_run_ended (&site, gp_job_task (job, 0), GP_END_STOPPED);
   print_pending (&site);
   printf ("and from then on\n");
   jobs_site_plan (&site);
-  jobs_site_run_refused (&site, &job->tasks[0]);
-  jobs_site_run_refused (&site, &job->tasks[1]);
+  jobs_site_run_refused (&site, gp_job_task (job, 0));
+  jobs_site_run_refused (&site, gp_job_task (job, 1));
   print_pending (&site);
   jobs_site_finish (&site);
 }
@@ -469,7 +469,7 @@
   job = jobs_site_submit (&site, "00000000000000aa",
                           of_queue ("good", 1, 1000));
   jobs_site_plan (&site);
-  jobs_site_run_absent (&site, &job->tasks[0]);
+  jobs_site_run_absent (&site, gp_job_task (job, 0));
   print_pending (&site);
   jobs_site_finish (&site);
 }
--- a/tests/unit/test_record_size.c
+++ b/tests/unit/test_record_size.c
@@ -51,7 +51,7 @@
   job = jobs_site_submit (site, JOB, submission);
   for (uint32_t i = 0; i < job->task_count; i++)
     {
-      gp_job_task_t *task = &job->tasks[i];
+      gp_job_task_t *task = gp_job_task (job, i);
       gp_job_executor_t *executor = executors[i % fleet->count];
 
       task->run = 2;
@@ -70,7 +70,7 @@
 /* Checks that BYTES are a valid record of JOB with everything but LEFT_OUT
    checkpoints.  */
 static void
-check_record (const gp_job_t *job, GBytes *bytes, unsigned left_out)
+check_record (gp_job_t *job, GBytes *bytes, unsigned left_out)
 {
   jobs_site_t other;
   gsize size;
@@ -86,17 +86,19 @@
     return;
   for (uint32_t i = 0; i < read->task_count; i++)
     {
-      const gp_job_task_t *task = &read->tasks[i];
+      const gp_job_task_t *task = gp_job_task (read, i);
 
       CU_ASSERT_EQUAL (task->run, 2);
       CU_ASSERT_EQUAL (task->failures, 1);
       CU_ASSERT_PTR_NOT_NULL (task->executor);
       if (task->executor != NULL)
         CU_ASSERT_STRING_EQUAL (task->executor->id,
-                                job->tasks[i].executor->id);
-      lacking += task->checkpoint == NULL && job->tasks[i].checkpoint != NULL;
+                                gp_job_task (job, i)->executor->id);
+      lacking += task->checkpoint == NULL
+                 && gp_job_task (job, i)->checkpoint != NULL;
       if (task->checkpoint != NULL)
-        CU_ASSERT_STRING_EQUAL (task->checkpoint, job->tasks[i].checkpoint);
+        CU_ASSERT_STRING_EQUAL (task->checkpoint,
+                                gp_job_task (job, i)->checkpoint);
     }
   CU_ASSERT_EQUAL (lacking, left_out);
   jobs_site_finish (&other);
--- a/tests/unit/test_records.c
+++ b/tests/unit/test_records.c
@@ -152,7 +152,7 @@
 }
 
 static void
-print_job (const char *when, const gp_job_t *job)
+print_job (const char *when, gp_job_t *job)
 {
   if (job == NULL)
     {
@@ -164,8 +164,9 @@
           job->newest_unreadable ? ", overwritten" : "");
   for (uint32_t i = 0; i < job->task_count; i++)
     printf (" %s/%u",
-            job->tasks[i].executor ? job->tasks[i].executor->id : "-",
-            job->tasks[i].run);
+            gp_job_task (job, i)->executor ? gp_job_task (job, i)->executor->id
+                                           : "-",
+            gp_job_task (job, i)->run);
   putchar ('\n');
 }
 
@@ -318,7 +319,7 @@
   apply_progress (&site, "ghost", 1, false);
   jobs_site_plan (&site);
   print_job ("planned", job);
-  CU_ASSERT_EQUAL (job->tasks[1].state, GP_TASK_ASSIGNED);
+  CU_ASSERT_EQUAL (gp_job_task (job, 1)->state, GP_TASK_ASSIGNED);
   jobs_site_finish (&site);
 }
 
@@ -368,7 +369,7 @@
 
   for (int i = 0; i < 3; i++)
     {
-      jobs_site_run_ended (&site, &job->tasks[i], GP_END_DONE);
+      jobs_site_run_ended (&site, gp_job_task (job, i), GP_END_DONE);
       gp_book_init (&fresh);
       jobs_site_rebuild_book (&site, &fresh);
       CU_ASSERT_PTR_NOT_NULL_FATAL (gp_book_find (&fresh, JOB));
--- a/tests/unit/test_room.c
+++ b/tests/unit/test_room.c
@@ -49,15 +49,15 @@
 
   GP_LIST_FOREACH (link, &site->book.live)
   {
-    const gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
+    gp_job_t *job = GP_CONTAINER_OF (link, gp_job_t, link);
 
     if (job->cancelled || job->submission->priority > priority
         || job->submission->steps[0]->fills != fills)
       continue;
     for (uint32_t i = 0; i < job->task_count; i++)
-      if (job->tasks[i].state == GP_TASK_WAITING)
+      if (gp_job_task (job, i)->state == GP_TASK_WAITING)
         halves += 2;
-      else if (job->tasks[i].state != GP_TASK_DONE)
+      else if (gp_job_task (job, i)->state != GP_TASK_DONE)
         halves++;
   }
   return halves * 500;
@@ -89,8 +89,9 @@
     gp_book_cancel (&site->book, job->id);
   jobs_site_plan (site);
   for (uint32_t i = 0; i < job->task_count; i++)
-    if (job->tasks[i].state == GP_TASK_ASSIGNED && g_rand_boolean (random))
-      gp_task_set_state (&job->tasks[i], GP_TASK_DONE);
+    if (gp_job_task (job, i)->state == GP_TASK_ASSIGNED
+        && g_rand_boolean (random))
+      gp_task_set_state (gp_job_task (job, i), GP_TASK_DONE);
 }
 
 static void
--- a/tests/unit/test_starved.c
+++ b/tests/unit/test_starved.c
@@ -26,12 +26,12 @@
 }
 
 static unsigned
-count_runs (const gp_job_t *job)
+count_runs (gp_job_t *job)
 {
   unsigned runs = 0;
 
   for (uint32_t i = 0; i < job->task_count; i++)
-    runs += job->tasks[i].executor != NULL;
+    runs += gp_job_task (job, i)->executor != NULL;
   return runs;
 }
 
--- a/tests/unit/test_strays.c
+++ b/tests/unit/test_strays.c
@@ -26,7 +26,7 @@
 }
 
 static void
-plan (jobs_site_t *site, const gp_job_t *job, const char *when)
+plan (jobs_site_t *site, gp_job_t *job, const char *when)
 {
   jobs_site_plan (site);
   printf ("%s: ", when);
@@ -52,8 +52,8 @@
   plan (&site, job, "and once more");
   report (&site, first, 0);
   plan (&site, job, "it has ended");
-  report (&site, job->tasks[0].executor, job->tasks[0].run);
-  CU_ASSERT (!gp_job_executor_has_stray (&job->tasks[0]));
+  report (&site, gp_job_task (job, 0)->executor, gp_job_task (job, 0)->run);
+  CU_ASSERT (!gp_job_executor_has_stray (gp_job_task (job, 0)));
   plan (&site, job, "its own run is no stray");
   jobs_site_finish (&site);
 }
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -134,7 +134,7 @@
   jobs_site_print_job (job);
   jobs_site_print_job (neighbour);
   printf ("that one has settled: another one has its turn\n");
-  jobs_site_run_settled (&site, &job->tasks[0]);
+  jobs_site_run_settled (&site, gp_job_task (job, 0));
   jobs_site_plan (&site);
   jobs_site_print_job (neighbour);
   printf ("when what is there has begun\n");
@@ -219,13 +219,13 @@
   set_up_suspects (&site, &job, &neighbour);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  report_suspect (&site, &job->tasks[0], STARTED_EARLIER);
+  report_suspect (&site, gp_job_task (job, 0), STARTED_EARLIER);
   replace_executor (&site, "x3", "x4");
   jobs_site_print_job (job);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
   printf ("and two that it takes down\n");
-  report_suspect (&site, &job->tasks[0], STARTED_JUST_NOW);
+  report_suspect (&site, gp_job_task (job, 0), STARTED_JUST_NOW);
   replace_executor (&site, "x4", "x5");
   jobs_site_print_job (job);
   jobs_site_plan (&site);
@@ -242,8 +242,8 @@
   gp_job_t *other = jobs_site_submit (site, id, jobs_site_submission (1, 500));
 
   jobs_site_plan (site);
-  if (other->tasks[0].executor == task->executor)
-    report_suspect (site, &other->tasks[0], STARTED_JUST_NOW);
+  if (gp_job_task (other, 0)->executor == task->executor)
+    report_suspect (site, gp_job_task (other, 0), STARTED_JUST_NOW);
   other->cancelled = true;
 }
 
@@ -268,12 +268,12 @@
       g_snprintf (id, sizeof id, "%016x", k);
       g_snprintf (next, sizeof next, "x%u", k + 1);
       jobs_site_plan (&site);
-      if (job->tasks[0].executor == NULL)
+      if (gp_job_task (job, 0)->executor == NULL)
         break;
       site.now += 1036 * GP_MSEC;
-      report_suspect (&site, &job->tasks[0], STARTED_EARLIER);
-      crash_with_other_run (&site, id, &job->tasks[0]);
-      replace_executor (&site, job->tasks[0].executor->id, next);
+      report_suspect (&site, gp_job_task (job, 0), STARTED_EARLIER);
+      crash_with_other_run (&site, id, gp_job_task (job, 0));
+      replace_executor (&site, gp_job_task (job, 0)->executor->id, next);
     }
   jobs_site_print_job (job);
   CU_ASSERT (job->state == GP_JOB_RUNNING);
@@ -297,9 +297,9 @@
       char next[8];
 
       jobs_site_plan (&site);
-      report_suspect (&site, &job->tasks[0], STARTED_300_MS_AGO);
+      report_suspect (&site, gp_job_task (job, 0), STARTED_300_MS_AGO);
       g_snprintf (next, sizeof next, "x%d", i + 1);
-      replace_executor (&site, job->tasks[0].executor->id, next);
+      replace_executor (&site, gp_job_task (job, 0)->executor->id, next);
       jobs_site_print_job (job);
     }
   jobs_site_finish (&site);
@@ -320,26 +320,26 @@
   job = jobs_site_submit (&site, JOB_A, jobs_site_submission (1, 1000));
   neighbour = jobs_site_submit (&site, JOB_B, jobs_site_submission (1, 1000));
   jobs_site_plan (&site);
-  report_suspect (&site, &job->tasks[0], STARTED_RECENTLY);
-  report_suspect (&site, &neighbour->tasks[0], STARTED_RECENTLY);
+  report_suspect (&site, gp_job_task (job, 0), STARTED_RECENTLY);
+  report_suspect (&site, gp_job_task (neighbour, 0), STARTED_RECENTLY);
   replace_executor (&site, "x1", "x2");
   jobs_site_plan (&site);
   jobs_site_print_job (job);
   jobs_site_print_job (neighbour);
   neighbour->cancelled = true;
-  jobs_site_run_ended (&site, &neighbour->tasks[0], GP_END_DONE);
+  jobs_site_run_ended (&site, gp_job_task (neighbour, 0), GP_END_DONE);
   printf ("and ends of one that began by itself are hints\n");
   for (int i = 2; i <= STARTS_MAX + 1 && !gp_job_ended (job); i++)
     {
       char next[8];
 
       jobs_site_plan (&site);
-      report_suspect (&site, &job->tasks[0], STARTED_RECENTLY);
+      report_suspect (&site, gp_job_task (job, 0), STARTED_RECENTLY);
       g_snprintf (next, sizeof next, "x%d", i + 1);
-      replace_executor (&site, job->tasks[0].executor->id, next);
+      replace_executor (&site, gp_job_task (job, 0)->executor->id, next);
       jobs_site_print_job (job);
     }
-  CU_ASSERT (job->tasks[0].run <= STARTS_MAX);
+  CU_ASSERT (gp_job_task (job, 0)->run <= STARTS_MAX);
   jobs_site_finish (&site);
 }
 
@@ -362,13 +362,13 @@
 
       jobs_site_plan (&site);
       site.now += 3 * GP_SEC;
-      jobs_site_executor_dead (&site, job->tasks[0].executor,
+      jobs_site_executor_dead (&site, gp_job_task (job, 0)->executor,
                                GP_DEATH_UNREPORTED);
       jobs_site_print_job (job);
       g_snprintf (next, sizeof next, "x%d", i + 1);
       jobs_site_executor (&site, next, 8);
     }
-  CU_ASSERT (job->tasks[0].run <= STARTS_MAX);
+  CU_ASSERT (gp_job_task (job, 0)->run <= STARTS_MAX);
   jobs_site_finish (&site);
 }
 
@@ -399,8 +399,8 @@
       job->cancelled = false;
       jobs_site_plan (&site);
       jobs_site_print_job (job);
-      report_suspect (&site, &job->tasks[0], STARTED_JUST_NOW);
-      report_suspect (&site, &third->tasks[0], neighbour_starts[i]);
+      report_suspect (&site, gp_job_task (job, 0), STARTED_JUST_NOW);
+      report_suspect (&site, gp_job_task (third, 0), neighbour_starts[i]);
       replace_executor (&site, "x3", "x4");
       jobs_site_print_job (job);
       jobs_site_print_job (third);
@@ -436,7 +436,7 @@
   set_up_suspects (&site, &job, &neighbour);
   jobs_site_plan (&site);
   jobs_site_print_job (neighbour);
-  executor = job->tasks[0].executor;
+  executor = gp_job_task (job, 0)->executor;
   site.now += GP_SUSPICION_ISOLATION_TIMEOUT;
   executor->assigned_at = site.now;
   jobs_site_plan (&site);
@@ -472,9 +472,9 @@
         printf ("once it had not\n");
       else
         {
-          jobs_site_run_settled (&site, &job->tasks[0]);
-          gp_scheduler_note_suspects (&site.scheduler, job->tasks[0].executor,
-                                      NULL, 0);
+          jobs_site_run_settled (&site, gp_job_task (job, 0));
+          gp_scheduler_note_suspects (&site.scheduler,
+                                      gp_job_task (job, 0)->executor, NULL, 0);
         }
       replace_executor (&site, id, next);
       jobs_site_print_job (job);
@@ -499,7 +499,7 @@
   executor->reported_at = site.now + reported_after;
   site.now += 10 * GP_SEC;
   jobs_site_executor_dead (&site, executor, why);
-  printf ("  %s: %u\n", what, job->tasks[0].crashes);
+  printf ("  %s: %u\n", what, gp_job_task (job, 0)->crashes);
   jobs_site_finish (&site);
 }
 
@@ -515,11 +515,11 @@
   job = jobs_site_submit (&site, JOB_A, long_running_job ());
   jobs_site_plan (&site);
   if (suspect)
-    report_suspect (&site, &job->tasks[0], STARTED_JUST_NOW);
+    report_suspect (&site, gp_job_task (job, 0), STARTED_JUST_NOW);
   else
     gp_scheduler_note_suspects (&site.scheduler, executor, NULL, 0);
   jobs_site_executor_dead (&site, executor, GP_DEATH_REPLACED);
-  printf ("  %s: %u\n", what, job->tasks[0].crashes);
+  printf ("  %s: %u\n", what, gp_job_task (job, 0)->crashes);
   jobs_site_finish (&site);
 }
 
@@ -558,14 +558,14 @@
   executor->guard_stopping = true;
   site.now += 10 * GP_SEC;
   jobs_site_executor_dead (&site, executor, GP_DEATH_UNREPORTED);
-  printf ("  nothing heard since: %u\n", job->tasks[0].crashes);
+  printf ("  nothing heard since: %u\n", gp_job_task (job, 0)->crashes);
   jobs_site_executor (&site, "x2", 8);
   jobs_site_plan (&site);
   jobs_site_print_job (job);
-  executor = job->tasks[0].executor;
+  executor = gp_job_task (job, 0)->executor;
   executor->guard_stopping = true;
   jobs_site_executor_dead (&site, executor, GP_DEATH_REPLACED);
-  printf ("  another executor is there: %u\n", job->tasks[0].crashes);
+  printf ("  another executor is there: %u\n", gp_job_task (job, 0)->crashes);
   jobs_site_finish (&site);
 }
 
@@ -591,10 +591,10 @@
       jobs_site_plan (&site);
       jobs_site_print_job (job);
       g_snprintf (id, sizeof id, "x%d", i + 3);
-      replace_executor (&site, job->tasks[0].executor->id, id);
+      replace_executor (&site, gp_job_task (job, 0)->executor->id, id);
       for (uint32_t k = 0; k < job->task_count; k++)
-        if (job->tasks[k].executor != NULL)
-          jobs_site_run_ended (&site, &job->tasks[k], GP_END_BROKEN);
+        if (gp_job_task (job, k)->executor != NULL)
+          jobs_site_run_ended (&site, gp_job_task (job, k), GP_END_BROKEN);
       jobs_site_print_job (job);
     }
   jobs_site_finish (&site);
@@ -616,12 +616,12 @@
   jobs_site_executor (&site, "x1", 8);
   job = jobs_site_submit (&site, JOB_A, submission);
   jobs_site_plan (&site);
-  report_suspect (&site, &job->tasks[1], STARTED_JUST_NOW);
+  report_suspect (&site, gp_job_task (job, 1), STARTED_JUST_NOW);
   replace_executor (&site, "x1", "x2");
   jobs_site_plan (&site);
   jobs_site_print_job (job);
   printf ("and where others have just begun\n");
-  report_suspect (&site, &job->tasks[1], STARTED_EARLIER);
+  report_suspect (&site, gp_job_task (job, 1), STARTED_EARLIER);
   replace_executor (&site, "x2", "x3");
   jobs_site_submit (&site, JOB_B, long_running_job ());
   jobs_site_executor (&site, "x3", 8)->assigned_at = site.now;
--- a/tests/unit/test_suspicion_losses.c
+++ b/tests/unit/test_suspicion_losses.c
@@ -77,7 +77,7 @@
   jobs_site_executor_dead (&site, gp_book_executor (&site.book, "x1"),
                            GP_DEATH_UNREPORTED);
   jobs_site_print_job (job);
-  CU_ASSERT (job->tasks[0].crashes == 1);
+  CU_ASSERT (gp_job_task (job, 0)->crashes == 1);
   jobs_site_finish (&site);
 }
 
@@ -147,7 +147,7 @@
     }
   jobs_site_print_job (job);
   for (uint32_t i = 0; i < 6; i++)
-    crashes += job->tasks[i].crashes;
+    crashes += gp_job_task (job, i)->crashes;
   CU_ASSERT (crashes <= 2);
   jobs_site_finish (&site);
 }
@@ -173,7 +173,7 @@
     }
   jobs_site_print_job (job);
   for (uint32_t i = 0; i < 6; i++)
-    crashes += job->tasks[i].crashes;
+    crashes += gp_job_task (job, i)->crashes;
   jobs_site_finish (&site);
   return crashes;
 }
@@ -220,7 +220,7 @@
       jobs_site_plan (&site);
       gp_book_executor (&site.book, "x3")->reachable = false;
       gp_book_executor (&site.book, "x4")->reachable = false;
-      jobs_site_executor_dead (&site, job->tasks[0].executor,
+      jobs_site_executor_dead (&site, gp_job_task (job, 0)->executor,
                                GP_DEATH_UNREPORTED);
       jobs_site_print_job (job);
       gp_book_executor (&site.book, "x3")->reachable = true;
@@ -253,15 +253,15 @@
       jobs[i]
           = jobs_site_submit (&site, ids[i], jobs_site_submission (1, 1000));
       jobs_site_plan (&site);
-      jobs[i]->tasks[0].alone = true;
+      gp_job_task (jobs[i], 0)->alone = true;
     }
   for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
-    jobs[i]->tasks[0].executor->reachable = false;
+    gp_job_task (jobs[i], 0)->executor->reachable = false;
   for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
     {
-      jobs_site_executor_dead (&site, jobs[i]->tasks[0].executor,
+      jobs_site_executor_dead (&site, gp_job_task (jobs[i], 0)->executor,
                                GP_DEATH_UNREPORTED);
-      CU_ASSERT (jobs[i]->tasks[0].crashes == 1);
+      CU_ASSERT (gp_job_task (jobs[i], 0)->crashes == 1);
       jobs_site_print_job (jobs[i]);
     }
   jobs_site_finish (&site);
@@ -279,12 +279,13 @@
   jobs_site_executor (&site, "x1", 8);
   job = jobs_site_submit (&site, JOB_A, jobs_site_submission (1, 1000));
   jobs_site_plan (&site);
-  job->tasks[0].alone = true;
-  job->tasks[0].executor->disconnected_at = site.now + after;
+  gp_job_task (job, 0)->alone = true;
+  gp_job_task (job, 0)->executor->disconnected_at = site.now + after;
   site.now += 3 * GP_SEC;
-  jobs_site_executor_dead (&site, job->tasks[0].executor, GP_DEATH_UNREPORTED);
+  jobs_site_executor_dead (&site, gp_job_task (job, 0)->executor,
+                           GP_DEATH_UNREPORTED);
   printf ("  %ld ms after its order: evidence %u\n", (long)(after / GP_MSEC),
-          job->tasks[0].evidence);
+          gp_job_task (job, 0)->evidence);
   jobs_site_finish (&site);
 }
 
@@ -317,9 +318,10 @@
       char next[8];
 
       jobs_site_plan (&site);
-      job->tasks[0].executor->disconnected_at = site.now + 20 * GP_MSEC;
+      gp_job_task (job, 0)->executor->disconnected_at
+          = site.now + 20 * GP_MSEC;
       site.now += 3 * GP_SEC;
-      jobs_site_executor_dead (&site, job->tasks[0].executor,
+      jobs_site_executor_dead (&site, gp_job_task (job, 0)->executor,
                                GP_DEATH_UNREPORTED);
       jobs_site_print_job (job);
       CU_ASSERT (i > 3 || !gp_job_ended (job));
@@ -369,10 +371,10 @@
       jobs[i] = jobs_site_submit (&site, id, jobs_site_submission (1, 1000));
     }
   jobs_site_plan (&site);
-  jobs[0]->tasks[0].evidence = GP_SUSPICION_STRONG_EVIDENCE;
+  gp_job_task (jobs[0], 0)->evidence = GP_SUSPICION_STRONG_EVIDENCE;
   for (unsigned i = 0; i <= others; i++)
     {
-      const gp_job_task_t *task = &jobs[i]->tasks[0];
+      const gp_job_task_t *task = gp_job_task (jobs[i], 0);
 
       if (i == 1)
         site.now += apart;
@@ -381,7 +383,7 @@
       gp_scheduler_executor_down (&site.scheduler, task->executor, site.now);
     }
   site.now += 200 * GP_MSEC;
-  jobs_site_executor_dead (&site, jobs[0]->tasks[0].executor,
+  jobs_site_executor_dead (&site, gp_job_task (jobs[0], 0)->executor,
                            GP_DEATH_REPLACED);
   given_up = jobs[0]->state == GP_JOB_FAILED;
   jobs_site_finish (&site);
--- a/tests/unit/test_suspicion_random.c
+++ b/tests/unit/test_suspicion_random.c
@@ -100,8 +100,8 @@
 break_gang (world_t *world, gp_job_t *job)
 {
   for (uint32_t i = 0; i < job->task_count; i++)
-    if (job->tasks[i].executor != NULL)
-      jobs_site_run_ended (&world->site, &job->tasks[i], GP_END_BROKEN);
+    if (gp_job_task (job, i)->executor != NULL)
+      jobs_site_run_ended (&world->site, gp_job_task (job, i), GP_END_BROKEN);
 }
 
 /* Returns an executor on which a crashing run has started, or NULL, and sets
@@ -116,9 +116,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       *found = value;
-      if (is_crasher (&(*found)->tasks[0])
-          && (*found)->tasks[0].executor != NULL)
-        return (*found)->tasks[0].executor;
+      if (is_crasher (gp_job_task ((*found), 0))
+          && gp_job_task ((*found), 0)->executor != NULL)
+        return gp_job_task ((*found), 0)->executor;
     }
   return NULL;
 }
@@ -138,7 +138,7 @@
 
       for (uint32_t i = 0; i < job->task_count; i++)
         {
-          gp_job_task_t *task = &job->tasks[i];
+          gp_job_task_t *task = gp_job_task (job, i);
 
           if (task->executor == NULL || is_crasher (task))
             continue;
@@ -161,11 +161,11 @@
   g_hash_table_iter_init (&iter, world->site.book.jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const gp_job_t *job = value;
+      gp_job_t *job = value;
 
-      bool crasher = is_crasher (&job->tasks[0]);
+      bool crasher = is_crasher (gp_job_task (job, 0));
 
-      CU_ASSERT (!crasher || job->tasks[0].run <= STARTS_MAX);
+      CU_ASSERT (!crasher || gp_job_task (job, 0)->run <= STARTS_MAX);
       CU_ASSERT (crasher || job->state != GP_JOB_FAILED);
     }
 }
@@ -185,7 +185,7 @@
   while ((executor = find_crashing (world, &job)) != NULL)
     {
       crash_executor (world, executor);
-      if (gp_task_step (&job->tasks[0])->gang)
+      if (gp_task_step (gp_job_task (job, 0))->gang)
         break_gang (world, job);
     }
 }
--- a/tests/unit/test_unconfirmed.c
+++ b/tests/unit/test_unconfirmed.c
@@ -75,7 +75,7 @@
   executor->disconnected_at = site.now;
   site.now += GP_SEC;
   jobs_site_executor_dead (&site, executor, GP_DEATH_REPLACED);
-  printf ("  %s: %u\n", what, job->tasks[0].crashes);
+  printf ("  %s: %u\n", what, gp_job_task (job, 0)->crashes);
   jobs_site_finish (&site);
 }
 
--- a/tests/unit/test_urgency.c
+++ b/tests/unit/test_urgency.c
@@ -117,7 +117,7 @@
   gp_forecast_job (&forecast, job, site.now);
   CU_ASSERT_EQUAL (job->due_at - job->submitted_at, 11750 * GP_MSEC);
   for (uint32_t i = 0; i < 2; i++)
-    gp_task_set_state (&job->tasks[i], GP_TASK_DONE);
+    gp_task_set_state (gp_job_task (job, i), GP_TASK_DONE);
   job->forecast_at = 0;
   gp_forecast_job (&forecast, job, site.now);
   CU_ASSERT_EQUAL (job->due_at - job->submitted_at, 71750 * GP_MSEC);
@@ -211,7 +211,7 @@
 }
 
 static double
-work_of (const gp_job_t *job)
+work_of (gp_job_t *job)
 {
   const Gp__Jobs__Step *step = job->submission->steps[0];
 
