transport: no more connections wait to be accepted than could be

Cause: the backlog of a server was 1,024 connections whatever the process may use; each may hold the kernel's receive buffer, up to 32 MiB a server while the process does not accept, as when it is paused. Found by writing the table of what is held; no test reaches it. Change: a server with a limiter has a backlog of its limit of connections, 1,024 at the most. Peers keep 1,024: hundreds of guards connect at once.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -247,11 +247,24 @@
   server->accept.hosts = config->hosts;
 }
 
+/* Connections that wait to be accepted hold bytes as well: there are no more
+   of them than could be accepted.  */
+static int
+backlog_of (const gp_http_server_options_t *options)
+{
+  size_t connections = options->limiter != NULL
+                           ? options->limiter->budget.limits.max_connections
+                           : GP_LISTENER_BACKLOG;
+
+  return (int)MIN (connections, GP_LISTENER_BACKLOG);
+}
+
 gp_http_server_t *
 gp_http_server_new (gp_loop_t *loop, const gp_http_server_options_t *options,
                     GError **error)
 {
   gp_http_server_t *server = g_new0 (gp_http_server_t, 1);
+  int backlog = backlog_of (options);
 
   server->loop = loop;
   server->options = *options;
@@ -267,9 +280,9 @@
   server->listening = true;
   if (options->bind_only
           ? gp_listener_bind (&server->listener, loop, options->address,
-                              options->buffers, on_connection, error)
+                              options->buffers, backlog, on_connection, error)
           : gp_listener_open (&server->listener, loop, options->address,
-                              options->buffers, on_connection, error))
+                              options->buffers, backlog, on_connection, error))
     return server;
   begin_closing (server);
   gp_listener_close (&server->listener, on_listener_closed);
--- a/src/transport/listener.c
+++ b/src/transport/listener.c
@@ -13,9 +13,6 @@
 #include "base/log.h"
 #include "transport/endpoint.h"
 
-/* Connections that may wait to be accepted; the kernel caps it.  */
-#define LISTEN_BACKLOG 1024
-
 #define RETRY_TIME (100 * GP_MSEC)
 
 /* After this time, the TCP handshakes that were in progress when draining
@@ -113,7 +110,7 @@
   if (rc == 0)
     set_buffers (listener);
   if (rc == 0 && !listener->bind_only)
-    rc = uv_listen ((uv_stream_t *)&listener->tcp, LISTEN_BACKLOG,
+    rc = uv_listen ((uv_stream_t *)&listener->tcp, listener->backlog,
                     on_connection);
   return rc;
 }
@@ -169,7 +166,7 @@
 
 static bool
 bind_address (gp_listener_t *listener, gp_loop_t *loop, const char *address,
-              gp_socket_buffers_t buffers, bool bind_only,
+              gp_socket_buffers_t buffers, int backlog, bool bind_only,
               void (*on_connected) (gp_listener_t *listener), GError **error)
 {
   int size = sizeof listener->address;
@@ -179,6 +176,7 @@
   memset (listener, 0, sizeof *listener);
   listener->bind_only = bind_only;
   listener->buffers = buffers;
+  listener->backlog = backlog;
   listener->on_connection = on_connected;
   gp_timer_init (&listener->retry, loop, on_retry, listener);
   listener->retry.uv.data = listener;
@@ -199,21 +197,21 @@
 bool
 gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
                   const char *address, gp_socket_buffers_t buffers,
-                  void (*on_connected) (gp_listener_t *listener),
+                  int backlog, void (*on_connected) (gp_listener_t *listener),
                   GError **error)
 {
-  return bind_address (listener, loop, address, buffers, false, on_connected,
-                       error);
+  return bind_address (listener, loop, address, buffers, backlog, false,
+                       on_connected, error);
 }
 
 bool
 gp_listener_bind (gp_listener_t *listener, gp_loop_t *loop,
                   const char *address, gp_socket_buffers_t buffers,
-                  void (*on_connected) (gp_listener_t *listener),
+                  int backlog, void (*on_connected) (gp_listener_t *listener),
                   GError **error)
 {
-  return bind_address (listener, loop, address, buffers, true, on_connected,
-                       error);
+  return bind_address (listener, loop, address, buffers, backlog, true,
+                       on_connected, error);
 }
 
 /* A failure is handled like one to accept: the socket is closed and opened
@@ -224,7 +222,8 @@
   if (!listener->bind_only)
     return;
   listener->bind_only = false;
-  if (uv_listen ((uv_stream_t *)&listener->tcp, LISTEN_BACKLOG, on_connection)
+  if (uv_listen ((uv_stream_t *)&listener->tcp, listener->backlog,
+                 on_connection)
       != 0)
     close_tcp (listener);
 }
--- a/src/transport/listener.h
+++ b/src/transport/listener.h
@@ -21,6 +21,10 @@
 
 typedef struct gp_listener gp_listener_t;
 
+/* Connections that may wait to be accepted, unless a listener sets another
+   limit; the kernel caps it.  */
+#define GP_LISTENER_BACKLOG 1024
+
 /* Sizes of the kernel's buffers for a connection, in bytes; 0: the kernel
    decides, and may give a connection several megabytes.  */
 typedef struct
@@ -42,13 +46,16 @@
   bool draining;  /* new connections are dropped, RETRY polls */
   bool bind_only; /* bound, not listening */
   gp_socket_buffers_t buffers;
+  int backlog;
 };
 
-/* Listen on ADDRESS ("IP:port"), for connections with BUFFERS.  ON_CONNECTED
+/* Listen on ADDRESS ("IP:port"), for connections with BUFFERS of which at most
+   BACKLOG wait to be accepted.  ON_CONNECTED
    must accept one connection from TCP with uv_accept.  The listener must be
    closed even after a failure.  */
 bool gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
                        const char *address, gp_socket_buffers_t buffers,
+                       int backlog,
                        void (*on_connected) (gp_listener_t *listener),
                        GError **error);
 
@@ -56,6 +63,7 @@
    gp_listener_listen.  */
 bool gp_listener_bind (gp_listener_t *listener, gp_loop_t *loop,
                        const char *address, gp_socket_buffers_t buffers,
+                       int backlog,
                        void (*on_connected) (gp_listener_t *listener),
                        GError **error);
 void gp_listener_listen (gp_listener_t *listener);
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -103,7 +103,7 @@
   gp_list_init (&server->handshaking);
   gp_closer_add (&server->closer, loop, on_closer, NULL);
   if (gp_listener_open (&server->listener, loop, address, buffers,
-                        on_connection, error))
+                        GP_LISTENER_BACKLOG, on_connection, error))
     return server;
   gp_peer_server_close (server);
   return NULL;
