book: executors do not refer to gangs whose tasks are freed

Cause: an executor keeps the address of a gang that has failed on it, to avoid it for that gang. Tasks are freed when their job has ended, and another gang at the same address would have been kept off the executor. Found by reading. Change: the reference is cleared before the tasks are freed. The parts of a process's memory are checked to fit into the whole. Measured: all unit tests as before.

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -447,19 +447,50 @@
          || book->costs.tasks + gp_job_tasks_cost (job) <= book->max_tasks;
 }
 
+static bool
+has_gang (const gp_job_t *job)
+{
+  for (size_t i = 0; i < job->submission->n_steps; i++)
+    if (job->submission->steps[i]->gang)
+      return true;
+  return false;
+}
+
+/* Executors refer to the gangs that have failed on them.  */
 static void
-forget_if_ended (gpointer key, gpointer value, gpointer data)
+forget_failed_gangs (const gp_book_t *book, const gp_job_t *job)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      gp_job_executor_t *executor = value;
+
+      if (executor->failed_gang >= job->tasks
+          && executor->failed_gang < job->tasks + job->known_tasks)
+        executor->failed_gang = NULL;
+    }
+}
+
+static void
+forget_if_ended (gpointer key, gpointer value, gpointer book)
 {
   gp_job_t *job = value;
 
-  if (gp_job_end_is_recorded (job) && !gp_job_has_run (job))
-    gp_job_forget_tasks (job);
+  if (job->tasks == NULL || !gp_job_end_is_recorded (job)
+      || gp_job_has_run (job))
+    return;
+  if (has_gang (job))
+    forget_failed_gangs (book, job);
+  gp_job_forget_tasks (job);
 }
 
 void
 gp_book_forget_ended_tasks (gp_book_t *book)
 {
-  g_hash_table_foreach (book->jobs, forget_if_ended, NULL);
+  g_hash_table_foreach (book->jobs, forget_if_ended, book);
 }
 
 static gboolean
--- a/tests/unit/test_connection_budget.c
+++ b/tests/unit/test_connection_budget.c
@@ -206,6 +206,20 @@
   run (&script);
 }
 
+/* Returns the most memory that LIMITS let clients take.  Each connection takes
+   at least its small request and its buffers.  */
+static size_t
+sum_of (const gp_process_limits_t *limits)
+{
+  size_t small = (size_t)gp_small_buffers.receive + gp_small_buffers.send;
+  size_t large = (size_t)gp_large_buffers.receive + gp_large_buffers.send;
+
+  return limits->callers.max_connections * (GP_CONNECTION_SMALL + small)
+         + limits->internal.max_connections * (GP_CONNECTION_SMALL + large)
+         + limits->callers.max_bytes + limits->internal.max_bytes
+         + limits->relayed_bytes + limits->pending_bytes + limits->book_bytes;
+}
+
 /* Guards against parts that do not fit into the whole, for machines of all
    sizes, and against limits that an ordinary caller would meet.  */
 static void
@@ -225,6 +239,7 @@
               limits.callers.max_bytes / KIB, limits.internal.max_connections,
               limits.internal.max_bytes / KIB, limits.relayed_bytes / KIB,
               limits.pending_bytes / KIB, limits.book_bytes / KIB);
+      CU_ASSERT_TRUE (sum_of (&limits) <= sizes[i] * GP_PROCESS_MIB);
     }
 }
 
