jobs: a log that cannot be read does not lift the limit on accepted jobs

Cause: a submission whose job may be on the log was not refused for memory, as "never runs" might be untrue. While the log cannot be read that holds for every job, so a crowd would have been accepted without a limit. Found by reading. Change: only a job that is in the book, or on its way, needs no memory; others are refused, with an open outcome (504) if an earlier attempt may be on the log. Submissions get three quarters of the book, as they stay for minutes after their jobs have ended, and the book 30 % of the memory: a sustained load of twice the usual on the largest site we know would have come near the limit.

--- a/src/jobs/book_limit.c
+++ b/src/jobs/book_limit.c
@@ -53,9 +53,15 @@
 }
 
 size_t
-gp_book_limit_part (const gp_book_limit_t *limit)
+gp_book_limit_tasks (const gp_book_limit_t *limit)
 {
-  return limit->bytes / 2;
+  return limit->bytes / 4;
+}
+
+size_t
+gp_book_limit_submissions (const gp_book_limit_t *limit)
+{
+  return limit->bytes - gp_book_limit_tasks (limit);
 }
 
 /* Begins another window if the present one has ended at NOW.  */
@@ -85,7 +91,7 @@
 gp_book_limit_admit (gp_book_limit_t *limit, size_t held, size_t cost,
                      gp_time_t now)
 {
-  size_t part = gp_book_limit_part (limit);
+  size_t part = gp_book_limit_submissions (limit);
   size_t recent;
   size_t left;
 
--- a/src/jobs/book_limit.h
+++ b/src/jobs/book_limit.h
@@ -3,8 +3,9 @@
    Every entry builds the same book from the log, and a process that starts
    again reads it anew: a job that one entry accepts takes memory in all of
    them, and it cannot be refused later.  So what the book may hold is bounded
-   by the entry that has least memory for it.  One half is for submissions, and
-   is checked before a job is accepted.  The other half is for tasks of which
+   by the entry that has least memory for it.  Three quarters are for
+   submissions, which stay for minutes after their jobs have ended, and are
+   checked before a job is accepted.  One quarter is for tasks of which
    something is known; the leader makes no more of them known than fit, and
    other jobs wait (gp_book_has_room_for_tasks).
 
@@ -27,8 +28,7 @@
 
 #include "base/time.h"
 
-/* Time within which all entries have read what one has accepted; an entry that
-   has not read the log for that long accepts nothing.  */
+/* Time within which all entries have read what one has accepted.  */
 #define GP_BOOK_LIMIT_WINDOW (2500 * GP_MSEC)
 
 typedef struct
@@ -49,8 +49,9 @@
 void gp_book_limit_announced (gp_book_limit_t *limit, const char *node,
                               size_t bytes);
 
-/* Returns the bytes for submissions, or for known tasks; 0: no limit.  */
-size_t gp_book_limit_part (const gp_book_limit_t *limit);
+/* Return the bytes for submissions and for known tasks; 0: no limit.  */
+size_t gp_book_limit_submissions (const gp_book_limit_t *limit);
+size_t gp_book_limit_tasks (const gp_book_limit_t *limit);
 
 /* Returns whether a job whose submission takes COST bytes can be accepted at
    NOW, while HELD bytes are taken by submissions that are accepted or may be;
--- a/src/jobsd/entry.c
+++ b/src/jobsd/entry.c
@@ -25,9 +25,10 @@
     = GP_GAUGE ("book_submission_bytes", "Memory of accepted submissions");
 static gp_counter_t tasks_gauge
     = GP_GAUGE ("book_task_bytes", "Memory of tasks that are known");
-static gp_counter_t book_max_gauge
-    = GP_GAUGE ("book_bytes_max",
-                "Most bytes of accepted submissions, and of known tasks");
+static gp_counter_t submissions_max_gauge = GP_GAUGE (
+    "book_submission_bytes_max", "Most bytes of accepted submissions");
+static gp_counter_t tasks_max_gauge
+    = GP_GAUGE ("book_task_bytes_max", "Most bytes of known tasks");
 static gp_counter_t pending_gauge
     = GP_GAUGE ("pending_bytes", "Memory of submissions and cancellations "
                                  "that are on their way to the log");
@@ -49,7 +50,8 @@
   gp_counter_register (&jobs_gauge);
   gp_counter_register (&submissions_gauge);
   gp_counter_register (&tasks_gauge);
-  gp_counter_register (&book_max_gauge);
+  gp_counter_register (&submissions_max_gauge);
+  gp_counter_register (&tasks_max_gauge);
   gp_counter_register (&pending_gauge);
   gp_counter_register (&pending_max_gauge);
   gp_counter_register (&leading_gauge);
@@ -63,8 +65,10 @@
   gp_counter_set (&jobs_gauge, g_hash_table_size (entry->book.jobs));
   gp_counter_set (&submissions_gauge, (int64_t)entry->book.costs.submissions);
   gp_counter_set (&tasks_gauge, (int64_t)entry->book.costs.tasks);
-  gp_counter_set (&book_max_gauge,
-                  (int64_t)gp_book_limit_part (&entry->book_limit));
+  gp_counter_set (&submissions_max_gauge,
+                  (int64_t)gp_book_limit_submissions (&entry->book_limit));
+  gp_counter_set (&tasks_max_gauge,
+                  (int64_t)gp_book_limit_tasks (&entry->book_limit));
   gp_counter_set (&pending_gauge, (int64_t)entry->api.changes.bytes);
   gp_counter_set (&pending_max_gauge, (int64_t)entry->api.changes.max_bytes);
 }
@@ -155,7 +159,7 @@
           (gp_candidacy_capacity_t){ node->cpu_milli, node->link_kbps });
       gp_book_limit_announced (&entry->book_limit, name,
                                (size_t)node->book_kib * 1024);
-      entry->book.max_tasks = gp_book_limit_part (&entry->book_limit);
+      entry->book.max_tasks = gp_book_limit_tasks (&entry->book_limit);
       if (entry->settings->rank_leaders)
         gp_leader_note_capacity (&entry->leader, name, node);
     }
@@ -522,7 +526,7 @@
                     &entry->operators.queues, &entry->jobs, &entry->progress,
                     settings->confirm_appends, on_job_record, entry);
   gp_book_limit_init (&entry->book_limit, entry->limiters.limits.book_bytes);
-  entry->book.max_tasks = gp_book_limit_part (&entry->book_limit);
+  entry->book.max_tasks = gp_book_limit_tasks (&entry->book_limit);
   gp_jobs_api_set_limits (&entry->api, &entry->book_limit,
                           entry->limiters.limits.pending_bytes);
   gp_platform_store_set_on_result (entry->store, on_store_result, entry);
--- a/src/jobsd/job_change.c
+++ b/src/jobsd/job_change.c
@@ -228,13 +228,20 @@
 }
 
 bool
-gp_job_changes_may_have_written (const gp_job_changes_t *changes,
-                                 const char *id)
+gp_job_changes_is_in_progress (const gp_job_changes_t *changes, const char *id)
 {
   GP_LIST_FOREACH (link, &changes->list)
   if (strcmp (GP_CONTAINER_OF (link, gp_change_t, link)->key, id) == 0)
     return true;
-  return had_open_outcome (changes, id);
+  return false;
+}
+
+bool
+gp_job_changes_may_have_written (const gp_job_changes_t *changes,
+                                 const char *id)
+{
+  return gp_job_changes_is_in_progress (changes, id)
+         || had_open_outcome (changes, id);
 }
 
 /* Returns the status of a refusal. 503 means that the job never runs, which
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -74,8 +74,12 @@
 void gp_job_changes_cancel (gp_job_changes_t *changes,
                             gp_http_exchange_t *exchange, const char *id);
 
+/* Returns whether a submission of the job ID is in progress.  */
+bool gp_job_changes_is_in_progress (const gp_job_changes_t *changes,
+                                    const char *id);
+
 /* Returns whether a submission of the job ID is in progress, or the outcome of
-   an earlier one is open.  */
+   an earlier one may be open.  */
 bool gp_job_changes_may_have_written (const gp_job_changes_t *changes,
                                       const char *id);
 
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -88,27 +88,50 @@
          || !gp_feed_is_current (api->jobs, ABSENCE_AGE_MAX);
 }
 
+static void
+note_book_full (gp_jobs_api_t *api, const gp_queue_t *queue, const char *id,
+                size_t cost)
+{
+  uint64_t count = gp_log_sampler_count (&api->book_refusals, queue->name);
+
+  gp_counter_add (&book_full_count, 1);
+  if (count > 0)
+    gp_log (
+        GP_LOG_WARNING, "job.refused_memory", GP_LOG_S ("job", id),
+        GP_LOG_S ("queue", queue->name), GP_LOG_I ("count", count),
+        GP_LOG_I ("cost", cost),
+        GP_LOG_I ("held", api->book->costs.submissions + api->changes.cost),
+        GP_LOG_I ("limit", gp_book_limit_submissions (api->book_limit)));
+}
+
+/* Returns whether there is memory for the job ID, which takes COST bytes.  A
+   further record of a job that is held already takes none.  */
+static bool
+has_memory (gp_jobs_api_t *api, const char *id, size_t cost)
+{
+  return api->book_limit == NULL || gp_book_find (api->book, id) != NULL
+         || gp_job_changes_is_in_progress (&api->changes, id)
+         || gp_book_limit_admit (
+             api->book_limit, api->book->costs.submissions + api->changes.cost,
+             cost, gp_loop_now (api->loop));
+}
+
 /* Refuses the job ID of QUEUE, which takes COST bytes, if there is no memory
-   for it; returns whether it did.  */
+   for it; returns whether it did.  If an earlier attempt may be on the log,
+   the answer leaves the outcome open.  */
 static bool
 refuse_for_memory (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
                    const gp_queue_t *queue, const char *id, size_t cost)
 {
-  size_t held = api->book->costs.submissions + api->changes.cost;
-  uint64_t count;
+  static const char why[] = "there is no memory for the job";
 
-  if (api->book_limit == NULL || may_be_on_log (api, id)
-      || gp_book_limit_admit (api->book_limit, held, cost,
-                              gp_loop_now (api->loop)))
+  if (has_memory (api, id, cost))
     return false;
-  gp_counter_add (&book_full_count, 1);
-  count = gp_log_sampler_count (&api->book_refusals, queue->name);
-  if (count > 0)
-    gp_log (GP_LOG_WARNING, "job.refused_memory", GP_LOG_S ("job", id),
-            GP_LOG_S ("queue", queue->name), GP_LOG_I ("count", count),
-            GP_LOG_I ("cost", cost), GP_LOG_I ("held", held),
-            GP_LOG_I ("limit", gp_book_limit_part (api->book_limit)));
-  gp_job_refuse_for (exchange, "there is no memory for the job", BOOK_RETRY_S);
+  note_book_full (api, queue, id, cost);
+  if (may_be_on_log (api, id))
+    gp_job_answer_error (exchange, 504, why);
+  else
+    gp_job_refuse_for (exchange, why, BOOK_RETRY_S);
   return true;
 }
 
--- a/src/transport/process_limits.c
+++ b/src/transport/process_limits.c
@@ -8,12 +8,12 @@
 
 /* Parts of the memory, in percent.  */
 #define CALLER_CONNECTIONS_PERCENT 15
-#define CALLER_BYTES_PERCENT 15
+#define CALLER_BYTES_PERCENT 13
 #define INTERNAL_CONNECTIONS_PERCENT 15
-#define INTERNAL_BYTES_PERCENT 8
-#define RELAYED_PERCENT 5
-#define PENDING_PERCENT 5
-#define BOOK_PERCENT 25
+#define INTERNAL_BYTES_PERCENT 7
+#define RELAYED_PERCENT 4
+#define PENDING_PERCENT 4
+#define BOOK_PERCENT 30
 
 /* Parts of the descriptors, in percent.  */
 #define CALLER_DESCRIPTORS_PERCENT 40
