jobs: an entry's share of the book counts what it has accepted, by the log

What callers could see: submissions refused for memory while there was plenty, as those that the store had refused before had used up the entry's share; found by reading.

Cause: a job counted as accepted when it was let in, not when it was on the log. And the share was renewed by the clock: an entry that can append but not read would have gone on accepting beside jobs that it does not know of. Change: what is on its way, and what has been put on the log or may have been, is counted; a window ends only when the log has been read after it. Ruled out: that accepted jobs are bounded less; the random entries of test_book_limit keep the same bound, the transcript of earlier lines is unchanged.

--- a/src/jobs/book_limit.c
+++ b/src/jobs/book_limit.c
@@ -64,21 +64,23 @@
   return limit->bytes - gp_book_limit_tasks (limit);
 }
 
-/* Begins another window if the present one has ended at NOW.  */
+/* Begins another window if the present one has ended.  After a pause of a
+   window or more, nothing in the one before is recent.  */
 static void
-update_window (gp_book_limit_t *limit, gp_time_t now)
+update_window (gp_book_window_t *window, const gp_book_load_t *load)
 {
-  if (now < limit->window_until)
+  if (load->read_at < window->until)
     return;
-  limit->accepted_before
-      = now < limit->window_until + GP_BOOK_LIMIT_WINDOW ? limit->accepted : 0;
-  limit->accepted = 0;
-  limit->window_until = now + GP_BOOK_LIMIT_WINDOW;
+  window->accepted_before
+      = load->read_at < window->until + GP_BOOK_LIMIT_WINDOW ? window->accepted
+                                                             : load->accepted;
+  window->accepted = load->accepted;
+  window->until = load->read_at + GP_BOOK_LIMIT_WINDOW;
 }
 
-/* Returns what this entry may accept within two windows while LEFT bytes are
-   left: half of its share, so that all entries together leave the other
-   half.  */
+/* Returns what this entry may have accepted within two windows while LEFT
+   bytes are left: half of its share, so that all entries together leave the
+   other half.  */
 static size_t
 own_share (const gp_book_limit_t *limit, size_t left)
 {
@@ -88,21 +90,19 @@
 }
 
 bool
-gp_book_limit_admit (gp_book_limit_t *limit, size_t held, size_t cost,
-                     gp_time_t now)
+gp_book_limit_admits (gp_book_limit_t *limit, const gp_book_load_t *load,
+                      size_t cost)
 {
   size_t part = gp_book_limit_submissions (limit);
+  size_t taken = load->held + load->pending;
+  size_t left = taken < part ? part - taken : 0;
   size_t recent;
-  size_t left;
 
   if (part == 0)
     return true;
-  update_window (limit, now);
-  recent = limit->accepted + limit->accepted_before;
-  left = held < part ? part - held : 0;
-  if (cost > left / LARGEST_PART
-      || (recent > 0 && recent + cost > own_share (limit, left)))
-    return false;
-  limit->accepted += cost;
-  return true;
+  update_window (&limit->submissions, load);
+  recent = load->pending
+           + (size_t)(load->accepted - limit->submissions.accepted_before);
+  return cost <= left / LARGEST_PART
+         && (recent == 0 || recent + cost <= own_share (limit, left));
 }
--- a/src/jobs/book_limit.h
+++ b/src/jobs/book_limit.h
@@ -11,9 +11,9 @@
 
    A job may take only a part of what is left for submissions.  Thus large jobs
    are refused first, and small ones are accepted beside any number of large
-   ones.  Entries accept jobs at the same time and learn of each other's later;
-   so what an entry accepts within GP_BOOK_LIMIT_WINDOW is bounded by its share
-   of what is left, but for one job.
+   ones.  Entries accept jobs at the same time and learn of each other's when
+   they read the log; so what an entry has accepted that others may not know of
+   yet is bounded by its share of what is left, but for one job.
 
    Pure: records of entries, the cost of jobs and the time in, decisions out.
    A record remains when its VM is gone, so that the limit may be lower than it
@@ -25,20 +25,38 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "base/time.h"
 
 /* Time within which all entries have read what one has accepted.  */
 #define GP_BOOK_LIMIT_WINDOW (2500 * GP_MSEC)
 
+/* What an entry holds and has accepted, in bytes.  */
+typedef struct
+{
+  size_t held;       /* in its book */
+  size_t pending;    /* on its way to the log */
+  uint64_t accepted; /* all that it has put on the log since its start */
+  gp_time_t read_at; /* it has read the log as it was then */
+} gp_book_load_t;
+
+/* What an entry has accepted lately.  A window begins when the one before has
+   lasted for GP_BOOK_LIMIT_WINDOW and the log has been read since: an entry
+   that does not learn what others accept gets no new share.  */
+typedef struct
+{
+  gp_time_t until;
+  uint64_t accepted;        /* gp_book_load_t.accepted when it began ... */
+  uint64_t accepted_before; /* ... and when the one before did */
+} gp_book_window_t;
+
 typedef struct
 {
   size_t bytes;       /* for the book, the least of all entries; 0: no limit */
   size_t own;         /* of this entry */
   GHashTable *others; /* node to the bytes of another entry, owned */
-  gp_time_t window_until; /* when the present window ends */
-  size_t accepted;        /* cost of the jobs accepted in it ... */
-  size_t accepted_before; /* ... and in the one before */
+  gp_book_window_t submissions;
 } gp_book_limit_t;
 
 /* OWN: bytes that this entry has for the book; 0: nothing is refused.  */
@@ -53,10 +71,9 @@
 size_t gp_book_limit_submissions (const gp_book_limit_t *limit);
 size_t gp_book_limit_tasks (const gp_book_limit_t *limit);
 
-/* Returns whether a job whose submission takes COST bytes can be accepted at
-   NOW, while HELD bytes are taken by submissions that are accepted or may be;
-   if so, it is counted as accepted.  */
-bool gp_book_limit_admit (gp_book_limit_t *limit, size_t held, size_t cost,
-                          gp_time_t now);
+/* Returns whether a job whose submission takes COST bytes can be accepted
+   beside LOAD.  */
+bool gp_book_limit_admits (gp_book_limit_t *limit, const gp_book_load_t *load,
+                           size_t cost);
 
 #endif
--- a/src/jobsd/job_change.c
+++ b/src/jobsd/job_change.c
@@ -166,6 +166,8 @@
 
   log_answer (id_of (change), change->is_cancel, status, why,
               now - change->since, change->outcome_unknown);
+  if (status != 503)
+    change->changes->accepted_cost += change->cost;
   if (change->exchange != NULL)
     answer_change (change->changes, change->exchange, status, why);
   gp_change_free (change);
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -37,11 +37,12 @@
   gp_loop_t *loop;
   gp_job_appender_t *appender;
   const gp_book_t *book;
-  gp_feed_t *jobs;  /* feed of the book's jobs; its age is the book's */
-  gp_list_t list;   /* changes that are not answered, oldest first */
-  size_t bytes;     /* held for the changes of LIST */
-  size_t max_bytes; /* limit of BYTES, 0: none */
-  size_t cost;      /* sum of gp_job_cost of the submissions of LIST */
+  gp_feed_t *jobs;        /* feed of the book's jobs; its age is the book's */
+  gp_list_t list;         /* changes that are not answered, oldest first */
+  size_t bytes;           /* held for the changes of LIST */
+  size_t max_bytes;       /* limit of BYTES, 0: none */
+  size_t cost;            /* sum of gp_job_cost of the submissions of LIST */
+  uint64_t accepted_cost; /* the same of all that are, or may be, on the log */
   gp_open_outcomes_t open_outcomes;
   gp_append_attempts_t attempts;
   gp_change_append_t appends[GP_APPEND_ATTEMPTS_MAX]; /* by slot of attempts */
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -109,11 +109,14 @@
 static bool
 has_memory (gp_jobs_api_t *api, const char *id, size_t cost)
 {
+  const gp_book_load_t load = { .held = api->book->costs.submissions,
+                                .pending = api->changes.cost,
+                                .accepted = api->changes.accepted_cost,
+                                .read_at = api->jobs->caught_up_at };
+
   return api->book_limit == NULL || gp_book_find (api->book, id) != NULL
          || gp_job_changes_is_in_progress (&api->changes, id)
-         || gp_book_limit_admit (
-             api->book_limit, api->book->costs.submissions + api->changes.cost,
-             cost, gp_loop_now (api->loop));
+         || gp_book_limit_admits (api->book_limit, &load, cost);
 }
 
 /* Refuses the job ID of QUEUE, which takes COST bytes, if there is no memory
--- a/tests/unit/test_book_limit.c
+++ b/tests/unit/test_book_limit.c
@@ -13,14 +13,20 @@
 #define KIB ((size_t)1024)
 #define MIB (1024 * KIB)
 
+/* An entry that has read the log at NOW, holds HELD bytes, and has accepted
+   ACCEPTED in all.  */
 static void
-print_admitted (gp_book_limit_t *limit, size_t held, size_t cost,
-                gp_time_t now)
+print_admitted (gp_book_limit_t *limit, size_t held, uint64_t *accepted,
+                size_t cost, gp_time_t now)
 {
+  gp_book_load_t load
+      = { .held = held, .accepted = *accepted, .read_at = now };
+  bool admitted = gp_book_limit_admits (limit, &load, cost);
+
   printf ("  %zu KiB beside %zu KiB at %.1f s: %s\n", cost / KIB, held / KIB,
-          (double)now / GP_SEC,
-          gp_book_limit_admit (limit, held, cost, now) ? "accepted"
-                                                       : "refused");
+          (double)now / GP_SEC, admitted ? "accepted" : "refused");
+  if (admitted)
+    *accepted += cost;
 }
 
 /* Guards against small jobs that are refused because of large ones, and
@@ -29,27 +35,32 @@
 test_script (void)
 {
   gp_book_limit_t limit;
+  uint64_t accepted = 0;
 
   printf ("an entry of 16 MiB\n");
   gp_book_limit_init (&limit, 16 * MIB);
-  print_admitted (&limit, 0, MIB, GP_SEC);
-  print_admitted (&limit, 0, 2 * MIB, 10 * GP_SEC);
-  print_admitted (&limit, 11 * MIB, 256 * KIB, 20 * GP_SEC);
-  print_admitted (&limit, 11 * MIB, 2 * KIB, 20 * GP_SEC);
-  print_admitted (&limit, 12 * MIB, 2 * KIB, 30 * GP_SEC);
+  print_admitted (&limit, 0, &accepted, MIB, GP_SEC);
+  print_admitted (&limit, 0, &accepted, 2 * MIB, 10 * GP_SEC);
+  print_admitted (&limit, 11 * MIB, &accepted, 256 * KIB, 20 * GP_SEC);
+  print_admitted (&limit, 11 * MIB, &accepted, 2 * KIB, 20 * GP_SEC);
+  print_admitted (&limit, 12 * MIB, &accepted, 2 * KIB, 30 * GP_SEC);
   printf ("within two windows, one of two entries\n");
   gp_book_limit_announced (&limit, "other", 16 * MIB);
-  print_admitted (&limit, 0, MIB, 40 * GP_SEC);
-  print_admitted (&limit, MIB, MIB, 41 * GP_SEC);
-  print_admitted (&limit, 2 * MIB, MIB, 42 * GP_SEC);
-  print_admitted (&limit, 2 * MIB, MIB, 45 * GP_SEC);
-  print_admitted (&limit, 2 * MIB, MIB, 48 * GP_SEC);
+  print_admitted (&limit, 0, &accepted, MIB, 40 * GP_SEC);
+  print_admitted (&limit, MIB, &accepted, MIB, 41 * GP_SEC);
+  print_admitted (&limit, 2 * MIB, &accepted, MIB, 42 * GP_SEC);
+  print_admitted (&limit, 2 * MIB, &accepted, MIB, 45 * GP_SEC);
+  print_admitted (&limit, 2 * MIB, &accepted, MIB, 48 * GP_SEC);
+  printf ("the log is not read after that\n");
+  print_admitted (&limit, 2 * MIB, &accepted, MIB / 2, 48 * GP_SEC);
+  print_admitted (&limit, 2 * MIB, &accepted, MIB, 48 * GP_SEC);
+  print_admitted (&limit, 2 * MIB, &accepted, MIB / 2, 48 * GP_SEC);
   printf ("beside an entry of 4 MiB\n");
   gp_book_limit_announced (&limit, "other", 4 * MIB);
-  print_admitted (&limit, 0, MIB / 4, 60 * GP_SEC);
-  print_admitted (&limit, 3 * MIB, KIB, 70 * GP_SEC);
+  print_admitted (&limit, 0, &accepted, MIB / 4, 60 * GP_SEC);
+  print_admitted (&limit, 3 * MIB, &accepted, KIB, 70 * GP_SEC);
   gp_book_limit_announced (&limit, "other", 0);
-  print_admitted (&limit, 3 * MIB, KIB, 80 * GP_SEC);
+  print_admitted (&limit, 3 * MIB, &accepted, KIB, 80 * GP_SEC);
   gp_book_limit_finish (&limit);
 }
 
@@ -68,6 +79,7 @@
 {
   gp_book_limit_t limits[ENTRIES_MAX];
   size_t accepted[STEPS][ENTRIES_MAX]; /* by each entry at each step */
+  uint64_t totals[ENTRIES_MAX];
   unsigned entries;
 } site_t;
 
@@ -111,12 +123,14 @@
       for (int i = 0; i < 3; i++)
         {
           size_t cost = (size_t)g_rand_int_range (rand, KIB, COST_MAX);
-          gp_time_t now = GP_SEC + step * STEP_TIME;
+          gp_book_load_t load = { .held = view_of (site, e, step),
+                                  .accepted = site->totals[e],
+                                  .read_at = GP_SEC + step * STEP_TIME };
 
-          if (!gp_book_limit_admit (&site->limits[e], view_of (site, e, step),
-                                    cost, now))
+          if (!gp_book_limit_admits (&site->limits[e], &load, cost))
             continue;
           site->accepted[step][e] += cost;
+          site->totals[e] += cost;
           total += cost;
         }
   return total;
