jobs: cancellations of unknown jobs are bounded, and forgotten

What callers could do: cancel jobs that nobody has submitted. Each cancellation made a job in the book of every entry and a record on the log, and both stayed for good. Found when the whole change was read once more; no user has reported it.

Cause: a job without a submission counts in no limit and never expires. Change: such cancellations have a sixteenth of the book, with the same windows as submissions; beyond it they are refused (503, nothing done), with a delay after which a job that another entry has accepted is known. Those without a submission for as long as ended jobs are kept are deleted from the log and the book. A submission of a job that is only known by its cancellation is limited like any other.

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -66,6 +66,7 @@
   if (job == NULL)
     {
       job = gp_job_new (id);
+      job->total = &book->costs;
       g_hash_table_insert (book->jobs, job->id, job);
     }
   return job;
@@ -254,7 +255,6 @@
       gp__jobs__submission__free_unpacked (submission, NULL);
       return job;
     }
-  gp_job_add_costs (job, &book->costs);
   job->submission_unreadable = false;
   if (!apply_early (book, job, error))
     {
@@ -282,6 +282,9 @@
   gp_job_t *job = get_job (book, id);
 
   job->cancelled = true;
+  if (job->submission == NULL)
+    gp_job_set_costs (
+        job, (gp_job_costs_t){ .cancellations = gp_job_undefined_cost () });
   return job;
 }
 
@@ -433,9 +436,34 @@
   return pending;
 }
 
+/* Returns whether JOB is only known by its cancellation.  */
+static bool
+is_undefined (const gp_job_t *job)
+{
+  return job->cancelled && job->submission == NULL
+         && !job->submission_unreadable && job->early_progress == NULL;
+}
+
+static void
+note_if_undefined (gpointer key, gpointer value, gpointer data)
+{
+  gp_job_t *job = value;
+
+  if (is_undefined (job) && job->undefined_wall_ms == 0)
+    job->undefined_wall_ms = *(const int64_t *)data;
+}
+
+void
+gp_book_note_undefined (gp_book_t *book, int64_t wall_ms)
+{
+  g_hash_table_foreach (book->jobs, note_if_undefined, &wall_ms);
+}
+
 bool
 gp_book_expired (const gp_job_t *job, int64_t wall_ms)
 {
+  if (is_undefined (job))
+    return job->undefined_wall_ms != 0 && job->undefined_wall_ms < wall_ms;
   return job->submission != NULL && gp_job_ended_before (job, wall_ms)
          && !gp_job_has_run (job);
 }
--- a/src/jobs/book.h
+++ b/src/jobs/book.h
@@ -18,7 +18,7 @@
                             that are not ids */
   gp_list_t live; /* defined jobs that have not ended and whose progress is
                      known, in the order of arrival */
-  gp_job_costs_t costs; /* of all defined jobs */
+  gp_job_costs_t costs; /* of all jobs */
   size_t max_tasks; /* limit of COSTS.tasks for jobs whose tasks are not known
                        yet, in bytes, 0: none */
 } gp_book_t;
@@ -113,8 +113,12 @@
    such a task may be in use.  */
 void gp_book_forget_ended_tasks (gp_book_t *book);
 
+/* Notes at WALL_MS which cancellations have no submission: anybody can cancel
+   what nobody has submitted.  */
+void gp_book_note_undefined (gp_book_t *book, int64_t wall_ms);
+
 /* Returns whether JOB ended before WALL_MS and no task of it is on an
-   executor.  */
+   executor, or only its cancellation is known and was so before WALL_MS.  */
 bool gp_book_expired (const gp_job_t *job, int64_t wall_ms);
 
 /* Removes all jobs for which gp_book_expired holds.  */
--- a/src/jobs/book_limit.c
+++ b/src/jobs/book_limit.c
@@ -52,16 +52,22 @@
   limit->bytes = least_of_all (limit);
 }
 
+size_t
+gp_book_limit_cancellations (const gp_book_limit_t *limit)
+{
+  return limit->bytes / 16;
+}
+
 size_t
 gp_book_limit_tasks (const gp_book_limit_t *limit)
 {
-  return limit->bytes / 4;
+  return limit->bytes / 4 - gp_book_limit_cancellations (limit);
 }
 
 size_t
 gp_book_limit_submissions (const gp_book_limit_t *limit)
 {
-  return limit->bytes - gp_book_limit_tasks (limit);
+  return limit->bytes - limit->bytes / 4;
 }
 
 /* Begins another window if the present one has ended.  After a pause of a
@@ -89,20 +95,36 @@
   return left / (2 * entries);
 }
 
-bool
-gp_book_limit_admits (gp_book_limit_t *limit, const gp_book_load_t *load,
-                      size_t cost)
+/* Returns whether COST bytes can be accepted beside LOAD, with WINDOW, while
+   PART bytes are for all; 0: any number.  */
+static bool
+admits (const gp_book_limit_t *limit, gp_book_window_t *window, size_t part,
+        const gp_book_load_t *load, size_t cost)
 {
-  size_t part = gp_book_limit_submissions (limit);
   size_t taken = load->held + load->pending;
   size_t left = taken < part ? part - taken : 0;
   size_t recent;
 
   if (part == 0)
     return true;
-  update_window (&limit->submissions, load);
-  recent = load->pending
-           + (size_t)(load->accepted - limit->submissions.accepted_before);
+  update_window (window, load);
+  recent = load->pending + (size_t)(load->accepted - window->accepted_before);
   return cost <= left / LARGEST_PART
          && (recent == 0 || recent + cost <= own_share (limit, left));
 }
+
+bool
+gp_book_limit_admits (gp_book_limit_t *limit, const gp_book_load_t *load,
+                      size_t cost)
+{
+  return admits (limit, &limit->submissions, gp_book_limit_submissions (limit),
+                 load, cost);
+}
+
+bool
+gp_book_limit_admits_cancellation (gp_book_limit_t *limit,
+                                   const gp_book_load_t *load, size_t cost)
+{
+  return admits (limit, &limit->cancellations,
+                 gp_book_limit_cancellations (limit), load, cost);
+}
--- a/src/jobs/book_limit.h
+++ b/src/jobs/book_limit.h
@@ -5,9 +5,10 @@
    them, and it cannot be refused later.  So what the book may hold is bounded
    by the entry that has least memory for it.  Three quarters are for
    submissions, which stay for minutes after their jobs have ended, and are
-   checked before a job is accepted.  One quarter is for tasks of which
+   checked before a job is accepted.  Three sixteenths are for tasks of which
    something is known; the leader makes no more of them known than fit, and
-   other jobs wait (gp_book_has_room_for_tasks).
+   other jobs wait (gp_book_has_room_for_tasks).  The rest is for cancellations
+   of jobs that are not known, which anybody can send.
 
    A job may take only a part of what is left for submissions.  Thus large jobs
    are refused first, and small ones are accepted beside any number of large
@@ -57,6 +58,7 @@
   size_t own;         /* of this entry */
   GHashTable *others; /* node to the bytes of another entry, owned */
   gp_book_window_t submissions;
+  gp_book_window_t cancellations;
 } gp_book_limit_t;
 
 /* OWN: bytes that this entry has for the book; 0: nothing is refused.  */
@@ -67,13 +69,21 @@
 void gp_book_limit_announced (gp_book_limit_t *limit, const char *node,
                               size_t bytes);
 
-/* Return the bytes for submissions and for known tasks; 0: no limit.  */
+/* Return the bytes for submissions, known tasks and cancellations of jobs that
+   are not known; 0: no limit.  */
 size_t gp_book_limit_submissions (const gp_book_limit_t *limit);
 size_t gp_book_limit_tasks (const gp_book_limit_t *limit);
+size_t gp_book_limit_cancellations (const gp_book_limit_t *limit);
 
 /* Returns whether a job whose submission takes COST bytes can be accepted
    beside LOAD.  */
 bool gp_book_limit_admits (gp_book_limit_t *limit, const gp_book_load_t *load,
                            size_t cost);
 
+/* The same for the cancellation of a job that is not known; LOAD is of such
+   cancellations.  */
+bool gp_book_limit_admits_cancellation (gp_book_limit_t *limit,
+                                        const gp_book_load_t *load,
+                                        size_t cost);
+
 #endif
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -36,9 +36,6 @@
     }
   g_clear_pointer (&job->tasks, g_free);
   job->known_tasks = 0;
-  if (job->total != NULL)
-    job->total->tasks -= job->costs.tasks;
-  job->costs.tasks = 0;
 }
 
 static void
@@ -57,8 +54,7 @@
   gp_list_remove (&job->dirty_link);
   free_tasks (job);
   free_steps (job);
-  if (job->total != NULL)
-    job->total->submissions -= job->costs.submissions;
+  gp_job_set_costs (job, (gp_job_costs_t){ 0 });
   if (job->submission != NULL)
     gp__jobs__submission__free_unpacked (job->submission, NULL);
   if (job->early_progress != NULL)
@@ -196,12 +192,33 @@
   return job->task_count * (sizeof (gp_job_task_t) + TASK_TEXT);
 }
 
+size_t
+gp_job_undefined_cost (void)
+{
+  return sizeof (gp_job_t) + 2 * BLOCK_SIZE;
+}
+
 void
-gp_job_add_costs (gp_job_t *job, gp_job_costs_t *total)
+gp_job_set_costs (gp_job_t *job, gp_job_costs_t costs)
+{
+  gp_job_costs_t *total = job->total;
+
+  if (total != NULL)
+    {
+      total->submissions += costs.submissions - job->costs.submissions;
+      total->cancellations += costs.cancellations - job->costs.cancellations;
+      total->tasks += costs.tasks - job->costs.tasks;
+    }
+  job->costs = costs;
+}
+
+static void
+set_tasks_cost (gp_job_t *job, size_t tasks)
 {
-  job->total = total;
-  total->submissions += job->costs.submissions;
-  total->tasks += job->costs.tasks;
+  gp_job_costs_t costs = job->costs;
+
+  costs.tasks = tasks;
+  gp_job_set_costs (job, costs);
 }
 
 /* Sets the tallies of a job whose tasks all wait.  */
@@ -233,9 +250,7 @@
   job->known_tasks = job->task_count;
   for (uint32_t i = 0; i < job->task_count; i++)
     gp_task_init (&job->tasks[i], job, i);
-  job->costs.tasks = gp_job_tasks_cost (job);
-  if (job->total != NULL)
-    job->total->tasks += job->costs.tasks;
+  set_tasks_cost (job, gp_job_tasks_cost (job));
 }
 
 void
@@ -244,6 +259,7 @@
   if (job->tasks == NULL)
     return;
   free_tasks (job);
+  set_tasks_cost (job, 0);
   reset_tallies (job);
 }
 
@@ -281,9 +297,11 @@
   if (job->submission != NULL || !gp_job_check (submission, NULL))
     return false;
   job->submission = submission;
-  job->costs.submissions = gp_job_cost (submission);
   job->submitted_at = submitted_at;
+  job->undefined_wall_ms = 0;
   make_steps (job);
+  gp_job_set_costs (
+      job, (gp_job_costs_t){ .submissions = gp_job_cost (submission) });
   return true;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -148,8 +148,9 @@
 /* Memory that jobs take, in bytes.  */
 typedef struct
 {
-  size_t submissions; /* from when a job is accepted */
-  size_t tasks;       /* known tasks */
+  size_t submissions;   /* from when a job is accepted */
+  size_t cancellations; /* of jobs whose submission is not known */
+  size_t tasks;         /* known tasks */
 } gp_job_costs_t;
 
 /* How a step waits for a place.  */
@@ -177,6 +178,9 @@
   gp_job_state_t recorded; /* the state in the log, which is the one sent to
                               callers, as a later one may be lost */
   bool cancelled;
+  int64_t undefined_wall_ms;  /* since when its cancellation is known without a
+                                 submission, as far as was looked, 0: it is not
+                                 */
   bool submission_unreadable; /* its record cannot be read */
   bool progress_unknown; /* its progress cannot be read, and no earlier one was
                             seen: its runs are unknown, so none is started */
@@ -241,8 +245,12 @@
    once they are known.  */
 size_t gp_job_tasks_cost (const gp_job_t *job);
 
-/* From now on, the costs of JOB are part of TOTAL.  */
-void gp_job_add_costs (gp_job_t *job, gp_job_costs_t *total);
+/* Returns the memory in bytes of a job of which only the cancellation is
+   known.  */
+size_t gp_job_undefined_cost (void);
+
+/* JOB has COSTS, which are part of the total that JOB refers to, if any.  */
+void gp_job_set_costs (gp_job_t *job, gp_job_costs_t costs);
 
 /* Something is known of a task of JOB, which is defined: makes the tasks,
    unless they exist.  */
--- a/src/jobsd/entry_feeds.c
+++ b/src/jobsd/entry_feeds.c
@@ -16,6 +16,9 @@
     = GP_GAUGE ("book_submission_bytes", "Memory of accepted submissions");
 static gp_counter_t tasks_gauge
     = GP_GAUGE ("book_task_bytes", "Memory of tasks that are known");
+static gp_counter_t cancellations_gauge
+    = GP_GAUGE ("book_cancellation_bytes",
+                "Memory of cancellations of jobs that are not known");
 static gp_counter_t submissions_max_gauge = GP_GAUGE (
     "book_submission_bytes_max", "Most bytes of accepted submissions");
 static gp_counter_t tasks_max_gauge
@@ -38,6 +41,7 @@
   gp_counter_register (&jobs_gauge);
   gp_counter_register (&submissions_gauge);
   gp_counter_register (&tasks_gauge);
+  gp_counter_register (&cancellations_gauge);
   gp_counter_register (&submissions_max_gauge);
   gp_counter_register (&tasks_max_gauge);
   gp_counter_register (&pending_gauge);
@@ -53,6 +57,8 @@
   gp_counter_set (&jobs_gauge, g_hash_table_size (entry->book.jobs));
   gp_counter_set (&submissions_gauge, (int64_t)entry->book.costs.submissions);
   gp_counter_set (&tasks_gauge, (int64_t)entry->book.costs.tasks);
+  gp_counter_set (&cancellations_gauge,
+                  (int64_t)entry->book.costs.cancellations);
   gp_counter_set (&submissions_max_gauge,
                   (int64_t)gp_book_limit_submissions (&entry->book_limit));
   gp_counter_set (&tasks_max_gauge,
--- a/src/jobsd/janitor.c
+++ b/src/jobsd/janitor.c
@@ -31,8 +31,9 @@
 }
 
 /* Delete the submissions and cancellations of jobs that ended before WALL_MS
-   and have no run left, whose resources only the submission tells.  Doing so
-   twice is harmless.  */
+   and have no run left, whose resources only the submission tells, and
+   cancellations that have had no submission since then.  Doing so twice is
+   harmless.  */
 static void
 drop_submissions (gp_janitor_t *janitor, int64_t wall_ms)
 {
@@ -78,6 +79,7 @@
   /* Orders refer to tasks until they are sent.  */
   if (janitor->leader->scheduler.orders->len == 0)
     gp_book_forget_ended_tasks (janitor->book);
+  gp_book_note_undefined (janitor->book, wall_ms);
   if (janitor->leader->role == GP_LEADER_LEADING)
     {
       if (janitor->dropping->len == 0)
--- a/src/jobsd/job_change.c
+++ b/src/jobsd/job_change.c
@@ -102,6 +102,13 @@
 
 /* Changes.  */
 
+static gp_change_load_t *
+load_of (const gp_change_t *change)
+{
+  return change->is_cancel ? &change->changes->cancellations
+                           : &change->changes->submissions;
+}
+
 /* Returns the memory of a change with a value of SIZE bytes.  */
 static size_t
 size_of (size_t size)
@@ -130,7 +137,7 @@
   gp_job_changes_cancel_useless (change->changes);
   gp_list_remove (&change->link);
   change->changes->bytes -= size_of (g_bytes_get_size (change->value));
-  change->changes->cost -= change->cost;
+  load_of (change)->pending -= change->cost;
   g_bytes_unref (change->value);
   g_free (change);
 }
@@ -167,7 +174,7 @@
   log_answer (id_of (change), change->is_cancel, status, why,
               now - change->since, change->outcome_unknown);
   if (status != 503)
-    change->changes->accepted_cost += change->cost;
+    load_of (change)->accepted += change->cost;
   if (change->exchange != NULL)
     answer_change (change->changes, change->exchange, status, why);
   gp_change_free (change);
@@ -327,9 +334,8 @@
 
 gp_change_t *
 gp_change_new (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
-               const char *id, size_t cost, GBytes *value)
+               const char *id, bool is_cancel, size_t cost, GBytes *value)
 {
-  bool is_cancel = cost == 0;
   gp_time_t now = gp_loop_now (changes->loop);
   gp_time_t caller_timeout = gp_job_caller_timeout (exchange);
   gp_change_t *change = g_new0 (gp_change_t, 1);
@@ -346,7 +352,7 @@
   change->value = value;
   change->cost = cost;
   changes->bytes += size_of (g_bytes_get_size (value));
-  changes->cost += cost;
+  load_of (change)->pending += cost;
   gp_list_push_back (&changes->list, &change->link);
   gp_http_exchange_watch (exchange, on_disconnected, NULL, change);
   return change;
--- a/src/jobsd/job_changes.c
+++ b/src/jobsd/job_changes.c
@@ -443,22 +443,21 @@
   return NULL;
 }
 
-/* COST is 0 for a cancellation.  */
 static void
 start (gp_job_changes_t *changes, gp_http_exchange_t *exchange, const char *id,
-       size_t cost, GBytes *value)
+       bool is_cancel, size_t cost, GBytes *value)
 {
   const char *why;
 
   expire (changes);
-  why = why_refused (changes, exchange, g_bytes_get_size (value), cost == 0);
+  why = why_refused (changes, exchange, g_bytes_get_size (value), is_cancel);
   if (why != NULL)
     {
-      gp_job_changes_refuse_now (changes, exchange, id, cost == 0, why);
+      gp_job_changes_refuse_now (changes, exchange, id, is_cancel, why);
       g_bytes_unref (value);
       return;
     }
-  gp_change_new (changes, exchange, id, cost, value);
+  gp_change_new (changes, exchange, id, is_cancel, cost, value);
   append_waiting (changes);
   arm (changes);
 }
@@ -467,14 +466,14 @@
 gp_job_changes_submit (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
                        const char *id, size_t cost, GBytes *value)
 {
-  start (changes, exchange, id, cost, value);
+  start (changes, exchange, id, false, cost, value);
 }
 
 void
 gp_job_changes_cancel (gp_job_changes_t *changes, gp_http_exchange_t *exchange,
-                       const char *id)
+                       const char *id, size_t cost)
 {
-  start (changes, exchange, id, 0,
+  start (changes, exchange, id, true, cost,
          g_bytes_new_static (GP_CANCEL_VALUE, strlen (GP_CANCEL_VALUE)));
 }
 
--- a/src/jobsd/job_changes.h
+++ b/src/jobsd/job_changes.h
@@ -32,17 +32,24 @@
   unsigned waiting;      /* changes in it that are not answered */
 } gp_change_append_t;
 
+/* Memory in the book, in bytes, that changes of one kind will take.  */
+typedef struct
+{
+  size_t pending;    /* of those that are not answered */
+  uint64_t accepted; /* of all that are, or may be, on the log */
+} gp_change_load_t;
+
 struct gp_job_changes
 {
   gp_loop_t *loop;
   gp_job_appender_t *appender;
   const gp_book_t *book;
-  gp_feed_t *jobs;        /* feed of the book's jobs; its age is the book's */
-  gp_list_t list;         /* changes that are not answered, oldest first */
-  size_t bytes;           /* held for the changes of LIST */
-  size_t max_bytes;       /* limit of BYTES, 0: none */
-  size_t cost;            /* sum of gp_job_cost of the submissions of LIST */
-  uint64_t accepted_cost; /* the same of all that are, or may be, on the log */
+  gp_feed_t *jobs;  /* feed of the book's jobs; its age is the book's */
+  gp_list_t list;   /* changes that are not answered, oldest first */
+  size_t bytes;     /* held for the changes of LIST */
+  size_t max_bytes; /* limit of BYTES, 0: none */
+  gp_change_load_t submissions;
+  gp_change_load_t cancellations; /* of jobs that were not known */
   gp_open_outcomes_t open_outcomes;
   gp_append_attempts_t attempts;
   gp_change_append_t appends[GP_APPEND_ATTEMPTS_MAX]; /* by slot of attempts */
@@ -71,9 +78,10 @@
 void gp_job_changes_submit (gp_job_changes_t *changes,
                             gp_http_exchange_t *exchange, const char *id,
                             size_t cost, GBytes *value);
-/* The same for a cancellation.  */
+/* The same for a cancellation; COST is 0 if the job is known.  */
 void gp_job_changes_cancel (gp_job_changes_t *changes,
-                            gp_http_exchange_t *exchange, const char *id);
+                            gp_http_exchange_t *exchange, const char *id,
+                            size_t cost);
 
 /* Returns whether a submission of the job ID is in progress.  */
 bool gp_job_changes_is_in_progress (const gp_job_changes_t *changes,
--- a/src/jobsd/job_changes_private.h
+++ b/src/jobsd/job_changes_private.h
@@ -15,7 +15,7 @@
   gp_http_exchange_t *exchange; /* NULL: the caller has disconnected */
   char key[sizeof GP_CANCEL_PREFIX + GP_JOB_ID_SIZE];
   GBytes *value;
-  size_t cost;         /* of the job, 0: it is a cancellation */
+  size_t cost;         /* memory that it will take in the book */
   gp_time_t deadline;  /* when its answer has to be sent */
   gp_time_t refuse_at; /* when it is refused if no attempt was started */
   gp_time_t since;
@@ -31,11 +31,10 @@
 
 void gp_change_register (void);
 
-/* Adds a change, which takes ownership of VALUE, to the list.  COST is 0 for a
-   cancellation.  */
+/* Adds a change, which takes ownership of VALUE, to the list.  */
 gp_change_t *gp_change_new (gp_job_changes_t *changes,
                             gp_http_exchange_t *exchange, const char *id,
-                            size_t cost, GBytes *value);
+                            bool is_cancel, size_t cost, GBytes *value);
 /* Returns whether a change of SIZE bytes exceeds the limit.  */
 bool gp_change_exceeds_limit (const gp_job_changes_t *changes, size_t size,
                               bool is_cancel);
--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -17,6 +17,9 @@
 /* Time after which a caller is to come back whose job there is no memory for,
    in seconds: jobs that have ended leave the book after some minutes.  */
 #define BOOK_RETRY_S 10
+/* The same for a cancellation, in seconds: until a job that another entry has
+   accepted is known here.  */
+#define CANCEL_RETRY_S 3
 /* Maximum number of queues that the log sampler counts separately.  */
 #define QUEUES_MAX 1000
 
@@ -33,6 +36,10 @@
     = GP_COUNTER ("jobs_refused_memory_total",
                   "Submissions refused as there is no memory for the job");
 
+static gp_counter_t cancels_full_count
+    = GP_COUNTER ("cancels_refused_memory_total",
+                  "Cancellations of unknown jobs refused for want of memory");
+
 static gp_histogram_t book_age
     = GP_HISTOGRAM ("book_age", "Age of the book when a job was shown");
 
@@ -96,25 +103,33 @@
 
   gp_counter_add (&book_full_count, 1);
   if (count > 0)
-    gp_log (
-        GP_LOG_WARNING, "job.refused_memory", GP_LOG_S ("job", id),
-        GP_LOG_S ("queue", queue->name), GP_LOG_I ("count", count),
-        GP_LOG_I ("cost", cost),
-        GP_LOG_I ("held", api->book->costs.submissions + api->changes.cost),
-        GP_LOG_I ("limit", gp_book_limit_submissions (api->book_limit)));
+    gp_log (GP_LOG_WARNING, "job.refused_memory", GP_LOG_S ("job", id),
+            GP_LOG_S ("queue", queue->name), GP_LOG_I ("count", count),
+            GP_LOG_I ("cost", cost),
+            GP_LOG_I ("held", api->book->costs.submissions
+                                  + api->changes.submissions.pending),
+            GP_LOG_I ("limit", gp_book_limit_submissions (api->book_limit)));
+}
+
+static gp_book_load_t
+load_of (const gp_jobs_api_t *api, size_t held,
+         const gp_change_load_t *changes)
+{
+  return (gp_book_load_t){ .held = held,
+                           .pending = changes->pending,
+                           .accepted = changes->accepted,
+                           .read_at = api->jobs->caught_up_at };
 }
 
 /* Returns whether there is memory for the job ID, which takes COST bytes.  A
-   further record of a job that is held already takes none.  */
+   further record of a job that is on its way takes none.  */
 static bool
 has_memory (gp_jobs_api_t *api, const char *id, size_t cost)
 {
-  const gp_book_load_t load = { .held = api->book->costs.submissions,
-                                .pending = api->changes.cost,
-                                .accepted = api->changes.accepted_cost,
-                                .read_at = api->jobs->caught_up_at };
+  const gp_book_load_t load
+      = load_of (api, api->book->costs.submissions, &api->changes.submissions);
 
-  return api->book_limit == NULL || gp_book_find (api->book, id) != NULL
+  return api->book_limit == NULL
          || gp_job_changes_is_in_progress (&api->changes, id)
          || gp_book_limit_admits (api->book_limit, &load, cost);
 }
@@ -265,17 +280,59 @@
   g_free (body);
 }
 
+/* Returns the memory that a cancellation of the job ID takes in the book: none
+   if the job is known, or on its way.  */
+static size_t
+cancellation_cost (const gp_jobs_api_t *api, const char *id)
+{
+  if (gp_book_find (api->book, id) != NULL
+      || gp_job_changes_is_in_progress (&api->changes, id))
+    return 0;
+  return gp_job_undefined_cost ();
+}
+
+/* Refuses the cancellation of the job ID of QUEUE if there is no memory for
+   the COST bytes that it takes; returns whether it did.  Nothing was done
+   then, and the job, if it was accepted elsewhere, will be known when the
+   caller tries again.  */
+static bool
+refuse_cancellation (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
+                     const gp_queue_t *queue, const char *id, size_t cost)
+{
+  const gp_book_load_t load = load_of (api, api->book->costs.cancellations,
+                                       &api->changes.cancellations);
+  uint64_t count;
+
+  if (cost == 0 || api->book_limit == NULL
+      || gp_book_limit_admits_cancellation (api->book_limit, &load, cost))
+    return false;
+  gp_counter_add (&cancels_full_count, 1);
+  count = gp_log_sampler_count (&api->cancel_refusals, queue->name);
+  if (count > 0)
+    gp_log (GP_LOG_WARNING, "cancel.refused_memory", GP_LOG_S ("job", id),
+            GP_LOG_S ("queue", queue->name), GP_LOG_I ("count", count),
+            GP_LOG_I ("held", load.held + load.pending),
+            GP_LOG_I ("limit", gp_book_limit_cancellations (api->book_limit)));
+  gp_job_refuse_for (exchange, "too many unknown jobs are being cancelled",
+                     CANCEL_RETRY_S);
+  return true;
+}
+
 static void
-cancel_job (gp_jobs_api_t *api, gp_http_exchange_t *exchange, const char *id)
+cancel_job (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
+            const gp_queue_t *queue, const char *id)
 {
   const gp_job_t *job = gp_book_find (api->book, id);
+  size_t cost;
 
   if (job != NULL && (job->cancelled || gp_job_end_is_recorded (job)))
     {
       gp_job_answer (exchange, 200, "{}");
       return;
     }
-  gp_job_changes_cancel (&api->changes, exchange, id);
+  cost = cancellation_cost (api, id);
+  if (!refuse_cancellation (api, exchange, queue, id, cost))
+    gp_job_changes_cancel (&api->changes, exchange, id, cost);
 }
 
 static void
@@ -346,7 +403,7 @@
   else if (gp_http_text_equal (method, "GET"))
     show_job (api, exchange, id, may_wait);
   else if (gp_http_text_equal (method, "DELETE"))
-    cancel_job (api, exchange, id);
+    cancel_job (api, exchange, queue, id);
   else
     gp_job_answer_error (exchange, 405, "no such method");
 }
@@ -408,7 +465,9 @@
   gp_fresh_reads_init (&api->reads, loop, jobs, progress, on_read, api);
   gp_job_intake_init (&api->intake);
   gp_log_sampler_init (&api->book_refusals, QUEUES_MAX);
+  gp_log_sampler_init (&api->cancel_refusals, QUEUES_MAX);
   gp_counter_register (&book_full_count);
+  gp_counter_register (&cancels_full_count);
   gp_counter_register (&repeated_count);
   gp_counter_register (&unreadable_count);
   gp_histogram_register (&book_age);
@@ -426,6 +485,7 @@
 gp_jobs_api_finish (gp_jobs_api_t *api)
 {
   gp_log_sampler_finish (&api->book_refusals);
+  gp_log_sampler_finish (&api->cancel_refusals);
   gp_fresh_reads_finish (&api->reads);
   gp_job_changes_finish (&api->changes);
   gp_job_intake_finish (&api->intake);
--- a/src/jobsd/jobs_api.h
+++ b/src/jobsd/jobs_api.h
@@ -23,7 +23,9 @@
   gp_fresh_reads_t reads; /* requests that wait for the log to be read */
   gp_job_changes_t changes; /* submissions and cancellations in progress */
   gp_job_intake_t intake;
-  gp_log_sampler_t book_refusals; /* by queue, as callers choose their ids */
+  /* By queue, as callers choose their ids.  */
+  gp_log_sampler_t book_refusals;
+  gp_log_sampler_t cancel_refusals;
 } gp_jobs_api_t;
 
 /* JOBS and PROGRESS are the feeds of the book.  CONFIRM: an append without an
--- a/tests/unit/test_book_limit.c
+++ b/tests/unit/test_book_limit.c
@@ -164,17 +164,12 @@
 
 static const unsigned sizes[] = { 1, 10, 100, 1000, 5000 };
 
-static void
-print_costs (const gp_book_t *book)
-{
-  printf (" %zu KiB of submissions, %zu KiB of tasks\n",
-          book->costs.submissions / KIB, book->costs.tasks / KIB);
-}
-
 /* Guards against waiting jobs that take memory for each of their tasks.  */
 static void
 test_waiting_tasks (void)
 {
+  size_t of_one_task = 0;
+
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
     {
       jobs_site_t site;
@@ -190,8 +185,12 @@
           jobs_site_submit (&site, id, submission);
         }
       jobs_site_plan (&site);
-      printf ("100 jobs of %u tasks that wait:", sizes[i]);
-      print_costs (&site.book);
+      if (i == 0)
+        of_one_task = site.book.costs.submissions;
+      printf ("100 jobs of %u tasks that wait: %.2f times as much as of one, "
+              "%zu for tasks\n",
+              sizes[i], (double)site.book.costs.submissions / of_one_task,
+              site.book.costs.tasks);
       CU_ASSERT_EQUAL (site.book.costs.tasks, 0);
       jobs_site_finish (&site);
     }
@@ -259,13 +258,45 @@
   for (unsigned i = 0; i < LARGE_JOBS; i++)
     ended += jobs[i]->state == GP_JOB_COMPLETED;
   gp_book_forget_ended_tasks (&site.book);
-  printf ("  completed %u, at the highest %zu KiB of tasks, now", ended,
-          most / KIB);
-  print_costs (&site.book);
+  printf ("  completed %u, within the limit: %d, now %zu bytes of tasks\n",
+          ended, most <= site.book.max_tasks, site.book.costs.tasks);
   CU_ASSERT_TRUE (most <= site.book.max_tasks);
   jobs_site_finish (&site);
 }
 
+/* Guards against cancellations of jobs that nobody has submitted that stay for
+   good, and against one that is forgotten before its job arrives.  */
+static void
+test_cancellations (void)
+{
+  const char *ids[] = { "0000000000000001", "0000000000000002" };
+  jobs_site_t site;
+  gp_job_t *job;
+
+  jobs_site_init (&site);
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      gp_book_cancel (&site.book, ids[i]);
+      gp_book_cancel (&site.book, ids[i]);
+    }
+  CU_ASSERT_EQUAL (site.book.costs.cancellations,
+                   2 * gp_job_undefined_cost ());
+  gp_book_note_undefined (&site.book, 1000);
+  gp_book_note_undefined (&site.book, 2000);
+  gp_book_expire (&site.book, 1000);
+  CU_ASSERT_EQUAL (g_hash_table_size (site.book.jobs), 2);
+  job = jobs_site_submit (&site, ids[0], jobs_site_submission (1, 1000));
+  CU_ASSERT_TRUE (job->cancelled);
+  CU_ASSERT_EQUAL (site.book.costs.cancellations, gp_job_undefined_cost ());
+  gp_book_expire (&site.book, 1001);
+  CU_ASSERT_PTR_EQUAL (gp_book_find (&site.book, ids[0]), job);
+  CU_ASSERT_PTR_NULL (gp_book_find (&site.book, ids[1]));
+  CU_ASSERT_EQUAL (site.book.costs.cancellations, 0);
+  gp_book_clear (&site.book);
+  CU_ASSERT_EQUAL (site.book.costs.submissions, 0);
+  jobs_site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -273,6 +304,7 @@
                           { "several entries", test_several_entries },
                           { "waiting tasks", test_waiting_tasks },
                           { "known tasks", test_known_tasks },
+                          { "cancellations", test_cancellations },
                           CU_TEST_INFO_NULL };
 
   return runner_main ("book_limit", tests);
