transport: a stop does not wait for a client that does not read a late answer

What callers saw: nothing; the process did not end by itself, and was killed with the other requests that it had. Found when the change was read once more.

Cause: the time after which a shutdown gives up an unread answer was looked at when the shutdown began, and not again when a request was answered later. Change: the answer has a second from when it is complete, and a connection that is answered during a shutdown arms the timer. Measured: test_transport_stop, unread answer, fails before (not ended within its 20 s) and passes; crowd_stop as before; address sanitizer clean.

--- a/src/transport/http_connection.c
+++ b/src/transport/http_connection.c
@@ -172,7 +172,7 @@
 {
   connection->exchanges++;
   connection->used = true;
-  connection->answered = false;
+  connection->answered_at = 0;
   gp_limited_connection_set_phase (&connection->limited,
                                    GP_CONNECTION_SERVING);
 }
@@ -180,9 +180,11 @@
 void
 gp_http_connection_answered (gp_http_connection_t *connection)
 {
-  connection->answered = true;
+  connection->answered_at = gp_loop_now (connection->server->loop);
   gp_limited_connection_set_phase (&connection->limited,
                                    GP_CONNECTION_ANSWERING);
+  if (connection->server->closing)
+    gp_http_server_await_reader (connection->server);
 }
 
 void
--- a/src/transport/http_private.h
+++ b/src/transport/http_private.h
@@ -36,8 +36,9 @@
   uv_read_cb read_cb;
   size_t exchanges;
   gp_time_t accepted_at;
-  bool used;     /* has received a request */
-  bool answered; /* the answer to the last one is complete */
+  bool used;             /* has received a request */
+  gp_time_t answered_at; /* when the answer to the last one was complete, 0:
+                            it is not */
 } gp_http_connection_t;
 
 struct gp_http_exchange
@@ -107,6 +108,8 @@
 
 /* A connection has been closed.  */
 void gp_http_server_check_done (gp_http_server_t *server);
+/* A connection of SERVER, which is shutting down, has been answered.  */
+void gp_http_server_await_reader (gp_http_server_t *server);
 
 /* Call on_gone and abort the exchange, because the loop is being finished.  */
 void gp_http_exchange_force_close (gp_http_exchange_t *exchange);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -65,9 +65,13 @@
 static gp_time_t
 abandoned_from (const gp_http_connection_t *connection)
 {
-  if (connection->exchanges > 0 && !connection->answered)
+  gp_time_t until = connection->server->unfinished_until;
+
+  if (connection->exchanges == 0)
+    return until;
+  if (connection->answered_at == 0)
     return GP_TIME_NEVER;
-  return connection->server->unfinished_until;
+  return MAX (until, connection->answered_at + UNFINISHED_TIME);
 }
 
 /* Shut down the receiving side of idle connections.  Data that has already
@@ -96,6 +100,14 @@
   gp_timer_arm (&server->idle_timer, next);
 }
 
+void
+gp_http_server_await_reader (gp_http_server_t *server)
+{
+  gp_time_t at = gp_loop_now (server->loop) + UNFINISHED_TIME;
+
+  gp_timer_arm (&server->idle_timer, MIN (at, server->idle_timer.deadline));
+}
+
 static void
 on_refused_closed (uv_handle_t *handle)
 {
--- a/tests/unit/test_transport_stop.c
+++ b/tests/unit/test_transport_stop.c
@@ -13,6 +13,8 @@
 
 #define MAX_BODY 1000
 #define ITERATIONS 5
+/* More than the kernel's buffers of a connection hold.  */
+#define UNREAD_SIZE ((size_t)64 * 1024 * 1024)
 
 #define HEAD                                                                  \
   "POST /echo HTTP/1.1\r\nhost: a\r\n"                                        \
@@ -273,6 +275,30 @@
   teardown (&fixture);
 }
 
+/* Guards against a stop that waits for good for a client that does not read
+   its answer, if the answer is given after the shutdown has begun.  */
+static void
+test_unread_answer (void)
+{
+  static const char hold[] = "GET /hold HTTP/1.1\r\nhost: a\r\n\r\n";
+  g_autofree char *body = g_malloc0 (UNREAD_SIZE);
+  fixture_t fixture;
+  int fd;
+
+  setup (&fixture);
+  fd = connect_client (&fixture);
+  send_text (fd, hold);
+  CU_ASSERT_TRUE (run_until_count (&fixture.loop, &fixture.requests, 1));
+  stop (&fixture);
+  run_loop_iterations (&fixture.loop, ITERATIONS);
+  CU_ASSERT_FALSE (fixture.shut_down);
+  gp_http_exchange_answer (fixture.open_exchange, 200, NULL, 0, body,
+                           UNREAD_SIZE);
+  CU_ASSERT_TRUE (run_until (&fixture.loop, &fixture.shut_down));
+  close (fd);
+  teardown (&fixture);
+}
+
 int
 main (void)
 {
@@ -283,6 +309,7 @@
           { "idle", test_idle },
           { "late connect", test_late_connect },
           { "retire within an answer", test_disable_keepalive_in_response },
+          { "unread answer", test_unread_answer },
           CU_TEST_INFO_NULL };
 
   return runner_main ("transport/stop", tests);
