transport: processes of the site are not limited in number

Found when the change was read once more.

Cause: sessions counted among the limited connections also when they had shown that they belong to the site. Change: after its Hello was accepted, a connection counts no more and is not closed for others; its incomplete frames still need memory. Measured: test_connection_budget, processes of the site (new); the other lines of its transcript are unchanged.

--- a/src/protocol/session.c
+++ b/src/protocol/session.c
@@ -101,6 +101,7 @@
       return;
     }
   accept_hello (session, envelope->hello);
+  gp_peer_trust (session->peer);
   host->callbacks.on_ready (session, host->data);
 }
 
--- a/src/transport/connection_budget.c
+++ b/src/transport/connection_budget.c
@@ -80,7 +80,8 @@
 gp_connection_budget_remove (gp_connection_budget_t *budget,
                              gp_connection_claim_t *claim)
 {
-  budget->connections--;
+  if (claim->phase != GP_CONNECTION_TRUSTED)
+    budget->connections--;
   budget->bytes -= counted (claim->bytes);
   gp_list_remove (&claim->link);
   gp_list_remove (&claim->large_link);
@@ -116,13 +117,15 @@
                                 gp_connection_claim_t *claim,
                                 gp_connection_phase_t phase, gp_time_t now)
 {
-  if (claim->phase == phase)
+  if (claim->phase == phase || claim->phase == GP_CONNECTION_TRUSTED)
     return;
+  if (phase == GP_CONNECTION_TRUSTED)
+    budget->connections--;
   claim->phase = phase;
   claim->since = now;
   gp_list_remove (&claim->link);
   gp_list_push_back (&budget->phases[phase], &claim->link);
-  if (phase != GP_CONNECTION_RECEIVING)
+  if (phase != GP_CONNECTION_RECEIVING && phase != GP_CONNECTION_TRUSTED)
     gp_list_remove (&claim->wait_link);
   update_large (budget, claim, now);
 }
--- a/src/transport/connection_budget.h
+++ b/src/transport/connection_budget.h
@@ -14,6 +14,11 @@
    time that requests take.  Likewise, the connection that gives way to a new
    one is idle, is receiving a request, or its peer does not read the answer.
 
+   A connection whose peer is known to belong to the site counts no more among
+   the connections, and is never closed here: a site has as many processes as
+   it has.  What it holds above GP_CONNECTION_SMALL bytes still needs
+   permission.
+
    Invariants: BYTES is the sum of the claims above GP_CONNECTION_SMALL and
    exceeds max_bytes at no time; a claim is in LARGE only if its connection may
    be closed and holds more than GP_CONNECTION_SMALL.  */
@@ -48,6 +53,7 @@
   GP_CONNECTION_RECEIVING, /* part of a request has */
   GP_CONNECTION_ANSWERING, /* the answer is complete, but not all written */
   GP_CONNECTION_SERVING,   /* a request is complete and not answered */
+  GP_CONNECTION_TRUSTED,   /* its peer belongs to the site */
   GP_CONNECTION_CLOSING,   /* it is being closed */
   GP_CONNECTION_PHASES     /* number of phases */
 } gp_connection_phase_t;
@@ -68,7 +74,7 @@
 typedef struct
 {
   gp_connection_limits_t limits;
-  size_t connections;
+  size_t connections; /* without those that are trusted */
   size_t bytes;
   gp_list_t phases[GP_CONNECTION_PHASES];
   gp_list_t large;   /* may be closed, the first one first */
@@ -119,7 +125,7 @@
                                   gp_connection_claim_t *claim);
 
 /* The connection of CLAIM is in PHASE.  A call with the present phase has no
-   effect.  */
+   effect; a trusted connection stays so.  */
 void gp_connection_budget_set_phase (gp_connection_budget_t *budget,
                                      gp_connection_claim_t *claim,
                                      gp_connection_phase_t phase,
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -100,6 +100,10 @@
 void gp_peer_server_set_limiter (gp_peer_server_t *server,
                                  gp_connection_limiter_t *limiter);
 
+/* PEER, which was accepted, has shown that it belongs to the site: it is
+   neither limited in number nor closed for others any more.  */
+void gp_peer_trust (gp_peer_t *peer);
+
 /* Stop accepting connections; open peers stay open.  */
 void gp_peer_server_close (gp_peer_server_t *server);
 
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -124,6 +124,12 @@
   gp_listener_close (&server->listener, on_listener_closed);
 }
 
+void
+gp_peer_trust (gp_peer_t *peer)
+{
+  gp_limited_connection_set_phase (&peer->limited, GP_CONNECTION_TRUSTED);
+}
+
 void
 gp_peer_server_set_limiter (gp_peer_server_t *server,
                             gp_connection_limiter_t *limiter)
--- a/tests/unit/test_connection_budget.c
+++ b/tests/unit/test_connection_budget.c
@@ -74,7 +74,7 @@
 set_phase (script_t *script, int number, gp_connection_phase_t phase)
 {
   static const char *const names[]
-      = { "idle", "receiving", "answering", "serving", "closing" };
+      = { "idle", "receiving", "answering", "serving", "trusted", "closing" };
 
   gp_connection_budget_set_phase (&script->budget, &script->claims[number],
                                   phase, script->now);
@@ -193,6 +193,31 @@
   add (&script, 5);
 }
 
+/* Guards against a limit that the processes of a large site would meet, and
+   against closing them for others.  */
+static void
+test_trusted (void)
+{
+  script_t script;
+
+  script_init (&script, "processes of the site", 2, 64 * KIB);
+  for (int i = 0; i < 4; i++)
+    {
+      add (&script, i);
+      set_phase (&script, i, GP_CONNECTION_TRUSTED);
+    }
+  advance (&script, GP_SEC);
+  add (&script, 4);
+  add (&script, 5);
+  grow (&script, 0, 64 * KIB);
+  grow (&script, 1, 32 * KIB);
+  advance (&script, 20 * GP_SEC);
+  run (&script);
+  gp_connection_budget_remove (&script.budget, &script.claims[0]);
+  run (&script);
+  CU_ASSERT_EQUAL (script.budget.connections, 2);
+}
+
 /* Guards against a request that waits for more memory than there is.  */
 static void
 test_too_large (void)
@@ -524,6 +549,7 @@
   CU_TestInfo tests[] = { { "unfinished", test_unfinished },
                           { "served", test_served },
                           { "connections", test_connections },
+                          { "trusted", test_trusted },
                           { "too large", test_too_large },
                           { "parts", test_parts },
                           { "random crowds", test_random_crowds },
