transport: peers that send one frame do not keep others out

What callers saw: nothing yet; an on-call engineer would have found the counters of a guard out of reach, and a new leader could have been refused by it. Found when the change was read once more.

Cause: a connection that had sent a whole frame was never closed for a new one. As many such connections as the limit permits kept everybody else out of a guard. Change: at the limit, the connection that has sent nothing for the longest time, a second at least, gives way; a leader sends something every 0.3 s.

--- a/src/transport/connection_budget.c
+++ b/src/transport/connection_budget.c
@@ -130,6 +130,18 @@
   update_large (budget, claim, now);
 }
 
+void
+gp_connection_budget_refresh (gp_connection_budget_t *budget,
+                              gp_connection_claim_t *claim, gp_time_t now)
+{
+  gp_connection_budget_set_phase (budget, claim, GP_CONNECTION_IDLE, now);
+  if (claim->phase != GP_CONNECTION_IDLE)
+    return;
+  claim->since = now;
+  gp_list_remove (&claim->link);
+  gp_list_push_back (&budget->phases[GP_CONNECTION_IDLE], &claim->link);
+}
+
 /* Returns whether there is room for CLAIM to grow to BYTES.  */
 static bool
 has_room (const gp_connection_budget_t *budget,
--- a/src/transport/connection_budget.h
+++ b/src/transport/connection_budget.h
@@ -131,6 +131,13 @@
                                      gp_connection_phase_t phase,
                                      gp_time_t now);
 
+/* The connection of CLAIM is idle from NOW on, as its peer has just sent
+   something whole; it gives way after those that have been idle for longer.
+   */
+void gp_connection_budget_refresh (gp_connection_budget_t *budget,
+                                   gp_connection_claim_t *claim,
+                                   gp_time_t now);
+
 /* Returns whether the connection of CLAIM may hold BYTES in all.  If not, it
    has to stop reading until GP_BUDGET_RESUME names it.  */
 bool gp_connection_budget_grow (gp_connection_budget_t *budget,
--- a/src/transport/connection_limiter.c
+++ b/src/transport/connection_limiter.c
@@ -230,6 +230,18 @@
   schedule_check (limiter);
 }
 
+void
+gp_limited_connection_refresh (gp_limited_connection_t *connection)
+{
+  gp_connection_limiter_t *limiter = connection->limiter;
+
+  if (limiter == NULL || connection->claim.phase == GP_CONNECTION_CLOSING)
+    return;
+  gp_connection_budget_refresh (&limiter->budget, &connection->claim,
+                                gp_loop_now (limiter->loop));
+  schedule_check (limiter);
+}
+
 bool
 gp_limited_connection_grow (gp_limited_connection_t *connection, size_t bytes)
 {
--- a/src/transport/connection_limiter.h
+++ b/src/transport/connection_limiter.h
@@ -68,6 +68,9 @@
 void gp_limited_connection_set_phase (gp_limited_connection_t *connection,
                                       gp_connection_phase_t phase);
 
+/* See gp_connection_budget_refresh.  */
+void gp_limited_connection_refresh (gp_limited_connection_t *connection);
+
 /* Returns whether CONNECTION may hold BYTES in all; if not, it has to stop
    reading until it is resumed.  */
 bool gp_limited_connection_grow (gp_limited_connection_t *connection,
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -94,9 +94,8 @@
                 GError **error);
 
 /* Limit the connections that are accepted from now on, and the incomplete
-   frames that they hold.  A connection that has sent a complete frame is
-   closed only while it holds an incomplete one.  LIMITER has to outlive the
-   peers.  */
+   frames that they hold.  At the limit, the connection that has sent nothing
+   for the longest time gives way.  LIMITER has to outlive the peers.  */
 void gp_peer_server_set_limiter (gp_peer_server_t *server,
                                  gp_connection_limiter_t *limiter);
 
--- a/src/transport/peer_private.h
+++ b/src/transport/peer_private.h
@@ -38,7 +38,6 @@
   bool paused;
   gp_limited_connection_t limited; /* of an accepted peer */
   bool awaits_memory; /* does not read until its limiter resumes it */
-  bool used;          /* has received a frame */
   bool congested;
   bool input_ended;      /* the peer has ended its stream */
   bool user_notified;    /* the user knows this peer and gets on_close */
--- a/src/transport/peer_read.c
+++ b/src/transport/peer_read.c
@@ -45,7 +45,6 @@
         break;
       used += GP_FRAME_HEADER_SIZE + frame;
       gp_counter_add (&frames_in_total, 1);
-      peer->used = true;
       peer->callbacks.on_frame (peer, body, frame, peer->data);
     }
   return used;
@@ -84,9 +83,7 @@
   if (peer->input->len > 0)
     gp_limited_connection_set_phase (&peer->limited, GP_CONNECTION_RECEIVING);
   else
-    gp_limited_connection_set_phase (&peer->limited,
-                                     peer->used ? GP_CONNECTION_SERVING
-                                                : GP_CONNECTION_IDLE);
+    gp_limited_connection_refresh (&peer->limited);
   gp_limited_connection_shrink (&peer->limited, needed);
   if (gp_limited_connection_grow (&peer->limited, needed))
     return;
--- a/tests/scripts/crowd_entry.py
+++ b/tests/scripts/crowd_entry.py
@@ -30,6 +30,8 @@
 BEAT_DECLARED = 64 * 1024 - 64
 BEAT_CROWD = 1100
 QUICK = [{"count": 1, "cpu": 1000, "memMb": 10}]
+# An empty acknowledgement, which counts from the leader only.
+IDLE_FRAME = (2).to_bytes(4, "big") + bytes([3 << 3 | 2, 0])
 # Steps with names as long as are accepted, 45 KB in all.
 LONG_STEPS = [{"count": 1, "cpu": 1, "memMb": 1, "requirements": "l" * 250,
                "affinity": "r" * 250, "image": "i" * 250}] * 60
@@ -223,11 +225,39 @@
         crowd.close()
 
 
+def next_leader(build):
+    """A leader has to reach a guard that a crowd has reached before it."""
+    print("whole frames at a guard, and the leader is killed")
+    with crowd_site(build) as site:
+        with Watch(site.processes["w1"]) as watch:
+            crowd = Crowd(port_of(site, "w1", 0), CROWD,
+                          lambda n: IDLE_FRAME)
+            crowd.send()
+            site.processes[site.leader()].kill()
+            survivor = until(lambda: next(
+                (e for e in site.entries
+                 if site.processes[e].popen.poll() is None), None))
+            until(lambda: site.submit(survivor, job_id(1), QUICK) == 200,
+                  WAIT_S, "an ordinary job is accepted")
+            until(lambda: site.state(survivor, job_id(1)) == "completed",
+                  WAIT_S, "an ordinary job is completed")
+            print("  an ordinary job beside it: completed")
+            until(lambda: site.metric("w1", "connections_internal") is not None,
+                  WAIT_S, "its counters are shown")
+            print("  its counters beside it: shown")
+            crowd.close()
+        print("  lives:", watch.lives())
+        print("  descriptors within the limit:", watch.sockets <= SOCKETS)
+        print(f"w1: {watch.sockets} sockets at the highest", file=sys.stderr)
+
+
 def main(build, case):
     if case == "callers":
         at_entry(build)
     elif case == "servers":
         at_other_servers(build)
+    elif case == "peers":
+        next_leader(build)
     else:
         leave(build)
         calm(build)
--- a/tests/unit/test_connection_budget.c
+++ b/tests/unit/test_connection_budget.c
@@ -193,6 +193,23 @@
   add (&script, 5);
 }
 
+/* Guards against peers that send one frame and then keep others out, and
+   against closing one that goes on sending.  */
+static void
+test_refreshed (void)
+{
+  script_t script;
+
+  script_init (&script, "peers that are silent, and one that is not", 2,
+               64 * KIB);
+  add (&script, 0);
+  add (&script, 1);
+  advance (&script, GP_SEC);
+  gp_connection_budget_refresh (&script.budget, &script.claims[0], script.now);
+  add (&script, 2);
+  add (&script, 3);
+}
+
 /* Guards against a limit that the processes of a large site would meet, and
    against closing them for others.  */
 static void
@@ -549,6 +566,7 @@
   CU_TestInfo tests[] = { { "unfinished", test_unfinished },
                           { "served", test_served },
                           { "connections", test_connections },
+                          { "refreshed", test_refreshed },
                           { "trusted", test_trusted },
                           { "too large", test_too_large },
                           { "parts", test_parts },
