jobs: the log is read before a job is refused for memory

Cause: an entry that reads the log each 2 s could have answered that a job never runs (503) which another entry had accepted in the meantime: a caller repeats an unanswered request at any entry. Change: an entry that is not a standby reads the log first, as for the state of a job; a standby gets records as they are written. What remains: an append of another entry that is still on its way is not seen, as with any refusal.

--- a/src/jobsd/jobs_api.c
+++ b/src/jobsd/jobs_api.c
@@ -134,44 +134,47 @@
          || gp_book_limit_admits (api->book_limit, &load, cost);
 }
 
-/* Refuses the job ID of QUEUE, which takes COST bytes, if there is no memory
-   for it; returns whether it did.  If an earlier attempt may be on the log,
-   the answer leaves the outcome open.  */
-static bool
+/* Refuses the job ID of QUEUE, which takes COST bytes, for want of memory.  If
+   an earlier attempt may be on the log, the answer leaves the outcome open. */
+static void
 refuse_for_memory (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
                    const gp_queue_t *queue, const char *id, size_t cost)
 {
   static const char why[] = "there is no memory for the job";
 
-  if (has_memory (api, id, cost))
-    return false;
   note_book_full (api, queue, id, cost);
   if (may_be_on_log (api, id))
     gp_job_answer_error (exchange, 504, why);
   else
     gp_job_refuse_for (exchange, why, BOOK_RETRY_S);
-  return true;
 }
 
-/* Hands SUBMISSION, which is valid, on to the log unless it is refused.  */
+/* Hands SUBMISSION, which is valid, on to the log unless it is refused.
+   MAY_WAIT: the log may be read before it is refused for memory, as another
+   entry may have accepted it since this one has read the log.  */
 static void
 accept_job (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
             const gp_queue_t *queue, const char *id,
-            const Gp__Jobs__Submission *submission)
+            const Gp__Jobs__Submission *submission, bool may_wait)
 {
   size_t cost = gp_job_cost (submission);
 
-  if (!refuse_for_memory (api, exchange, queue, id, cost)
-      && !gp_job_intake_refuse (&api->intake, exchange, id, submission,
-                                may_be_on_log (api, id),
-                                gp_loop_now (api->loop)))
+  if (!has_memory (api, id, cost))
+    {
+      if (!may_wait
+          || !gp_fresh_reads_wait (&api->reads, exchange, GP_FRESH_JOBS))
+        refuse_for_memory (api, exchange, queue, id, cost);
+    }
+  else if (!gp_job_intake_refuse (&api->intake, exchange, id, submission,
+                                  may_be_on_log (api, id),
+                                  gp_loop_now (api->loop)))
     gp_job_changes_submit (&api->changes, exchange, id, cost,
                            gp_message_pack (&submission->base));
 }
 
 static void
 submit_job (gp_jobs_api_t *api, gp_http_exchange_t *exchange,
-            const gp_queue_t *queue, const char *id)
+            const gp_queue_t *queue, const char *id, bool may_wait)
 {
   gp_http_text_t body = gp_http_exchange_body (exchange);
   const gp_job_t *job = gp_book_find (api->book, id);
@@ -195,7 +198,7 @@
       g_error_free (error);
     }
   else
-    accept_job (api, exchange, queue, id, submission);
+    accept_job (api, exchange, queue, id, submission, may_wait);
   if (submission != NULL)
     gp__jobs__submission__free_unpacked (submission, NULL);
 }
@@ -399,7 +402,7 @@
     }
   memcpy (id, rest.base, rest.size);
   if (gp_http_text_equal (method, "POST"))
-    submit_job (api, exchange, queue, id);
+    submit_job (api, exchange, queue, id, may_wait);
   else if (gp_http_text_equal (method, "GET"))
     show_job (api, exchange, id, may_wait);
   else if (gp_http_text_equal (method, "DELETE"))
