transport: the log tells whose connections are limited, and why

Cause: one counter and one line stood for callers and for the site's own clients, and for a request that others made give way as for one that could never fit; a submission that was refused as too many wait counted as refused by the store. Change: the line names the group, a request that can never fit has a cause and a counter of its own, and so have changes beyond their limit. Measured: test_connection_budget, one line says rejected in place of closed.

--- a/src/jobsd/job_change.c
+++ b/src/jobsd/job_change.c
@@ -19,6 +19,9 @@
     = GP_COUNTER ("jobs_accepted_total", "Submissions that are on the log");
 static gp_counter_t refused_count = GP_COUNTER (
     "jobs_refused_total", "Submissions refused because of the store");
+static gp_counter_t pending_full_count = GP_COUNTER (
+    "changes_refused_pending_total",
+    "Submissions and cancellations refused as too many wait for the log");
 static gp_counter_t open_count = GP_COUNTER (
     "jobs_unknown_total", "Changes whose outcome was left open to the caller");
 static gp_counter_t cancelled_count
@@ -126,7 +129,10 @@
     return false;
   if (!is_cancel)
     limit = limit / 100 * SUBMISSIONS_PERCENT;
-  return changes->bytes + size_of (size) > limit;
+  if (changes->bytes + size_of (size) <= limit)
+    return false;
+  gp_counter_add (&pending_full_count, 1);
+  return true;
 }
 
 void
@@ -363,6 +369,7 @@
 {
   gp_counter_register (&accepted_count);
   gp_counter_register (&refused_count);
+  gp_counter_register (&pending_full_count);
   gp_counter_register (&open_count);
   gp_counter_register (&cancelled_count);
   gp_counter_register (&found_count);
--- a/src/jobsd/job_changes_private.h
+++ b/src/jobsd/job_changes_private.h
@@ -35,7 +35,7 @@
 gp_change_t *gp_change_new (gp_job_changes_t *changes,
                             gp_http_exchange_t *exchange, const char *id,
                             bool is_cancel, size_t cost, GBytes *value);
-/* Returns whether a change of SIZE bytes exceeds the limit.  */
+/* Returns whether a change of SIZE bytes exceeds the limit; counts it then. */
 bool gp_change_exceeds_limit (const gp_job_changes_t *changes, size_t size,
                               bool is_cancel);
 /* Frees CHANGE, and cancels the appends for which nobody waits then.  */
--- a/src/transport/connection_budget.c
+++ b/src/transport/connection_budget.c
@@ -249,7 +249,7 @@
   claim = GP_CONTAINER_OF (budget->waiting.next, gp_connection_claim_t,
                            wait_link);
   if (!gp_connection_budget_fits (budget, claim->wanted))
-    return (gp_budget_action_t){ GP_BUDGET_CLOSE, .u.claim = claim };
+    return (gp_budget_action_t){ GP_BUDGET_REJECT, .u.claim = claim };
   if (!has_room (budget, claim, claim->wanted))
     return make_room (budget, claim, now);
   gp_list_remove (&claim->wait_link);
--- a/src/transport/connection_budget.h
+++ b/src/transport/connection_budget.h
@@ -86,7 +86,8 @@
 {
   GP_BUDGET_NOTHING, /* nobody waits */
   GP_BUDGET_RESUME,  /* CLAIM has its bytes, and its connection may read */
-  GP_BUDGET_CLOSE,   /* close the connection of CLAIM */
+  GP_BUDGET_CLOSE,   /* close the connection of CLAIM, for others */
+  GP_BUDGET_REJECT,  /* close it, as it needs more than there is for all */
   GP_BUDGET_WAIT     /* ask again at AT */
 } gp_budget_action_kind_t;
 
@@ -95,7 +96,7 @@
   gp_budget_action_kind_t kind;
   union
   {
-    gp_connection_claim_t *claim; /* RESUME, CLOSE */
+    gp_connection_claim_t *claim; /* RESUME, CLOSE, REJECT */
     gp_time_t at;                 /* WAIT; GP_TIME_NEVER: when one ends */
   } u;
 } gp_budget_action_t;
--- a/src/transport/connection_limiter.c
+++ b/src/transport/connection_limiter.c
@@ -20,6 +20,10 @@
 static gp_counter_t evicted_total
     = GP_COUNTER ("connections_closed_for_bytes_total",
                   "Connections closed for the bytes that other requests need");
+static gp_counter_t too_large_total
+    = GP_COUNTER ("connections_closed_too_large_total",
+                  "Connections closed as their request needs more memory than "
+                  "there is for all");
 static gp_counter_t paused_total
     = GP_COUNTER ("connections_paused_total",
                   "Times that a large request had to wait for memory");
@@ -38,8 +42,9 @@
 
   gp_counter_add (counter, 1);
   if (count > 0)
-    gp_log (GP_LOG_WARNING, "connections.limited", GP_LOG_S ("why", cause),
-            GP_LOG_I ("count", count),
+    gp_log (GP_LOG_WARNING, "connections.limited",
+            GP_LOG_S ("group", limiter->gauges->group),
+            GP_LOG_S ("why", cause), GP_LOG_I ("count", count),
             GP_LOG_I ("connections", limiter->budget.connections),
             GP_LOG_I ("bytes", limiter->budget.bytes));
 }
@@ -111,6 +116,10 @@
           close_connection (limiter, action.u.claim, &evicted_total,
                             "others wait for the memory of its request");
           break;
+        case GP_BUDGET_REJECT:
+          close_connection (limiter, action.u.claim, &too_large_total,
+                            "its request needs more memory than there is");
+          break;
         }
     }
 }
@@ -141,6 +150,7 @@
   gp_counter_register (&closed_total);
   gp_counter_register (&replaced_total);
   gp_counter_register (&evicted_total);
+  gp_counter_register (&too_large_total);
   gp_counter_register (&paused_total);
   gp_counter_register (&gauges->connections);
   gp_counter_register (&gauges->bytes);
--- a/src/transport/connection_limiter.h
+++ b/src/transport/connection_limiter.h
@@ -15,6 +15,7 @@
 /* Gauges of one budget, static like all counters.  */
 typedef struct
 {
+  const char *group; /* whose connections, in the log */
   gp_counter_t connections;
   gp_counter_t bytes;
   gp_counter_t max_connections;
--- a/src/transport/process_limits.c
+++ b/src/transport/process_limits.c
@@ -30,7 +30,8 @@
     = { .receive = 32 * 1024, .send = 32 * 1024 };
 
 static gp_connection_gauges_t callers_gauges
-    = { .connections
+    = { .group = "callers",
+        .connections
         = GP_GAUGE ("connections_callers", "Connections of callers"),
         .bytes = GP_GAUGE ("connection_bytes_callers",
                            "Bytes of large requests of callers"),
@@ -39,7 +40,8 @@
         .max_bytes = GP_GAUGE ("connection_bytes_callers_max",
                                "Most bytes of large requests of callers") };
 static gp_connection_gauges_t internal_gauges
-    = { .connections = GP_GAUGE ("connections_internal",
+    = { .group = "internal",
+        .connections = GP_GAUGE ("connections_internal",
                                  "Connections of operators, peers and checks"),
         .bytes = GP_GAUGE ("connection_bytes_internal",
                            "Bytes of large requests and frames of these"),
--- a/tests/unit/test_connection_budget.c
+++ b/tests/unit/test_connection_budget.c
@@ -120,6 +120,10 @@
           printf ("  %d is closed\n", number_of (script, action.u.claim));
           gp_connection_budget_remove (&script->budget, action.u.claim);
           break;
+        case GP_BUDGET_REJECT:
+          printf ("  %d is rejected\n", number_of (script, action.u.claim));
+          gp_connection_budget_remove (&script->budget, action.u.claim);
+          break;
         }
     }
 }
