--- a/src/transport/listener.h
+++ b/src/transport/listener.h
@@ -50,9 +50,8 @@
 };
 
 /* Listen on ADDRESS ("IP:port"), for connections with BUFFERS of which at most
-   BACKLOG wait to be accepted.  ON_CONNECTED
-   must accept one connection from TCP with uv_accept.  The listener must be
-   closed even after a failure.  */
+   BACKLOG wait to be accepted.  ON_CONNECTED must accept one connection from
+   TCP with uv_accept.  The listener must be closed even after a failure.  */
 bool gp_listener_open (gp_listener_t *listener, gp_loop_t *loop,
                        const char *address, gp_socket_buffers_t buffers,
                        int backlog,
