--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -10,8 +10,8 @@
 
 /* What the allocator adds to a block, and the number of blocks of a step, in
    which its entries in arrays by step are included.  */
-#define BLOCK_SIZE 32
-#define STEP_BLOCKS ((size_t)6)
+#define BLOCK_SIZE ((size_t)32)
+#define STEP_BLOCKS 6
 /* A usual checkpoint of a task, which is kept as text.  */
 #define TASK_TEXT 32
 
