jobs: the log tells how an executor was lost, and which others with it

In a series of losses of power most runs become suspects. Two things were not in the log: whether a death was taken for an outage, and how many executors fell silent at the same moment by the last reports on them, whenever their deaths became known. executor.dead gives both, the age of the last report and when the guard's connection was closed. No decision changes.

--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -265,6 +265,29 @@
   return lost_others >= OUTAGE_MIN_OTHERS && lost_others * 2 >= others;
 }
 
+/* Returns how many other executors are lost or not reported whose last reports
+   are at most REPORTS_APART_TIME from the last one on EXECUTOR.  */
+static unsigned
+count_silent_together (const gp_scheduler_t *scheduler,
+                       const gp_job_executor_t *executor)
+{
+  unsigned count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, scheduler->book->executors);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gp_job_executor_t *other = value;
+      bool lost = other->dead ? other->lost_at != 0 : !other->reachable;
+
+      count += other != executor && lost && other->reported_at != 0
+               && ABS (other->reported_at - executor->reported_at)
+                      <= REPORTS_APART_TIME;
+    }
+  return count;
+}
+
 /* Returns the only job of which runs may have started on EXECUTOR just before
    it died, if one of them certainly had (`just`), otherwise NULL.  */
 static const gp_job_t *
@@ -353,9 +376,16 @@
 
   if (crasher_known)
     gp_scheduler_executor_down (scheduler, executor, now);
-  gp_log (GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
-          GP_LOG_I ("runs", executor->task_count),
-          GP_LOG_S ("why", death_name (why)), GP_LOG_I ("together", together));
+  gp_log (
+      GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
+      GP_LOG_I ("runs", executor->task_count),
+      GP_LOG_S ("why", death_name (why)), GP_LOG_I ("together", together),
+      GP_LOG_I ("told", executor->suspects_reported),
+      GP_LOG_I ("outage", in_outage),
+      GP_LOG_I ("silent_together",
+                count_silent_together (scheduler, executor)),
+      GP_LOG_I ("reported_ms_ago", ms_ago (executor->reported_at, now)),
+      GP_LOG_I ("guard_gone_ms_ago", ms_ago (executor->disconnected_at, now)));
   gp_counter_add (&dead_counts[why], 1);
   executor->lost_at = executor->suspects_reported ? 0 : now;
   executor->dead = true;
