jobs: a loss of several executors is charged to tasks that explain all of it

Cause: losses counted as one by the moment at which they became known, and only if half of the other executors were lost; VMs that were back stood among the others. The second such loss in a row counted as a crash of every task. The log showed for 132 of 132 deaths that three or six others fell silent within one interval of reports, and that no connection was closed at the loss; 36 were taken for an outage.

Now executors are lost together by the last reports on them, or, for a new leader, by the first connections that their VMs do not answer; a guard that was killed closes or refuses a connection. Tasks may be the cause only if runs of one job, or isolated runs, had just begun on each of the lost executors.

--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -24,6 +24,20 @@
   int64_t accelerators;
 } gp_job_resources_t;
 
+/* What the loss of an executor of which no guard reports suspects may have
+   been; see jobs/correlated_loss.h.  */
+typedef enum
+{
+  GP_LOSS_SINGLE,   /* the executor was lost on its own ... */
+  GP_LOSS_UNHEARD,  /* ... or this leader has had no report on it ... */
+  GP_LOSS_VM,       /* ... or its VM fell silent */
+  GP_LOSS_JOB,      /* others were lost as well, and runs of one job may be the
+                       cause ... */
+  GP_LOSS_ISOLATED, /* ... or isolated runs ... */
+  GP_LOSS_ANY,      /* ... or any run, as this leader has had no report ... */
+  GP_LOSS_OUTAGE    /* ... or none */
+} gp_loss_t;
+
 struct gp_job_executor
 {
   char *id;
@@ -63,6 +77,9 @@
   gp_time_t disconnected_at; /* when its guard closed the connection to this
                                 leader, without a report since; 0: it did
                                 not */
+  gp_time_t unanswered_at;   /* before the first report to this leader: when a
+                                connection was first opened to its guard that the
+                                VM did not answer, 0: none */
   bool guard_stopping; /* its guard was being stopped as planned when it last
                           reported */
   gp_time_t unreported_since; /* since when no guard reports it, 0: one does */
@@ -76,11 +93,17 @@
   bool failure_counted;  /* its failure was counted against a queue */
   bool quarantined;      /* see jobs/quarantine.h */
   bool draining;
-  bool evacuated;      /* its zone is evacuated: it gets no new work */
-  bool dead;           /* it certainly runs nothing any more */
-  gp_time_t lost_at;   /* when it was lost without a report of which runs may
-                          have crashed it; 0: there was one, or it is not lost */
-  gp_time_t leaves_at; /* while draining: the earliest time of its end */
+  bool evacuated;    /* its zone is evacuated: it gets no new work */
+  bool dead;         /* it certainly runs nothing any more */
+  gp_time_t lost_at; /* when it was lost without a report of which runs may
+                        have crashed it; 0: there was one, or it is not lost */
+  gp_loss_t loss;    /* how it was lost, if LOSS_SILENT_SINCE is when its VM
+                        fell silent */
+  gp_time_t loss_silent_since;
+  char loss_job[GP_JOB_ID_SIZE + 1]; /* GP_LOSS_JOB: id of that job */
+  gp_time_t vm_lost_at; /* when a loss of its VM became known last, under this
+                           executor or an earlier one; 0: never */
+  gp_time_t leaves_at;  /* while draining: the earliest time of its end */
   uint32_t failed_in_row; /* number of failed runs since the last successful
                              one */
   const gp_job_task_t *failed_gang; /* the first member of the gang of which a
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -176,6 +176,10 @@
                                  gp_job_executor_t *executor, gp_death_t why,
                                  gp_time_t now, int64_t wall_ms);
 
+/* NEXT has taken the place of BEFORE, which is dead, on its VM.  */
+void gp_scheduler_executor_replaced (const gp_job_executor_t *before,
+                                     gp_job_executor_t *next);
+
 /* EXECUTOR is about to leave: stops runs that have to continue elsewhere.  */
 void gp_scheduler_drain (gp_scheduler_t *scheduler,
                          gp_job_executor_t *executor, gp_time_t now);
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -6,17 +6,9 @@
 
 #include "base/counters.h"
 #include "base/log.h"
+#include "jobs/correlated_loss.h"
 #include "jobs/suspicion.h"
 
-/* Executors that die without a report on suspects within this time count as
-   lost together ...  */
-#define OUTAGE_TIME (GP_SEC)
-/* ... if there are at least this many others; a single other may be
-   chance.  */
-#define OUTAGE_MIN_OTHERS 2
-/* The last reports on executors that are lost together are at most this far
-   apart: twice the time between two reports of a guard.  */
-#define REPORTS_APART_TIME (600 * GP_MSEC)
 /* Executors that are reported to be down within this time ended together.  */
 #define DOWN_TOGETHER_TIME (100 * GP_MSEC)
 /* A leader whose process is younger than this may have lost its power together
@@ -192,15 +184,6 @@
   gp_scheduler_end_job (scheduler, job, GP_JOB_FAILED, wall_ms);
 }
 
-/* Returns whether a guard reported OTHER so long after EXECUTOR was last
-   reported that the two were not lost together.  */
-static bool
-was_heard_later (const gp_job_executor_t *other,
-                 const gp_job_executor_t *executor)
-{
-  return other->reported_at - executor->reported_at > REPORTS_APART_TIME;
-}
-
 /* Returns whether a guard reports what came after an executor that died of
    WHY.  */
 static bool
@@ -229,63 +212,21 @@
          && now - scheduler->process_started_at <= POWER_RETURN_TIME;
 }
 
-/* Returns whether EXECUTOR, which died of WHY and for which no guard has
-   reported suspects, was lost together with at least half of the others, which
-   no guard reports either.  That means a loss of power or of a zone; a task
-   crashes a single executor.  If EXECUTOR's guard is back, others that this
-   leader has not heard of yet show nothing: their guards are just reaching
-   it, unless its own process has just started as well.  */
-static bool
-lost_with_others (const gp_scheduler_t *scheduler,
-                  const gp_job_executor_t *executor, gp_death_t why,
-                  gp_time_t now)
+/* Returns how EXECUTOR, which died of WHY, was lost.  What its guard reports
+   on suspects goes before how others were lost.  If this process has lost its
+   power together with the executors, the guards that are back prove
+   nothing.  */
+static gp_loss_t
+classify_loss (const gp_scheduler_t *scheduler, gp_job_executor_t *executor,
+               gp_death_t why, gp_time_t now)
 {
-  const gp_book_t *book = scheduler->book;
   bool guard_back
       = is_guard_back (why) && !may_have_lost_power (scheduler, now);
-  unsigned others = 0;
-  unsigned lost_others = 0;
-  GHashTableIter iter;
-  gpointer value;
 
-  g_hash_table_iter_init (&iter, book->executors);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const gp_job_executor_t *other = value;
-      bool lost = other->dead && other->lost_at != 0
-                  && now - other->lost_at <= OUTAGE_TIME;
-
-      if (other == executor || (other->dead && !lost)
-          || (guard_back && !lost && other->reported_at == 0))
-        continue;
-      others++;
-      lost_others
-          += lost || (!other->reachable && !was_heard_later (other, executor));
-    }
-  return lost_others >= OUTAGE_MIN_OTHERS && lost_others * 2 >= others;
-}
-
-/* Returns how many other executors are lost or not reported whose last reports
-   are at most REPORTS_APART_TIME from the last one on EXECUTOR.  */
-static unsigned
-count_silent_together (const gp_scheduler_t *scheduler,
-                       const gp_job_executor_t *executor)
-{
-  unsigned count = 0;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, scheduler->book->executors);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const gp_job_executor_t *other = value;
-      bool lost = other->dead ? other->lost_at != 0 : !other->reachable;
-
-      count += other != executor && lost && other->reported_at != 0
-               && ABS (other->reported_at - executor->reported_at)
-                      <= REPORTS_APART_TIME;
-    }
-  return count;
+  if (executor->suspects_reported)
+    return GP_LOSS_SINGLE;
+  return gp_correlated_loss_classify (scheduler->book, executor, guard_back,
+                                      now);
 }
 
 /* Returns the only job of which runs may have started on EXECUTOR just before
@@ -343,7 +284,7 @@
              && other->down_unexplained
              && ABS (other->down_at - executor->down_at) <= DOWN_TOGETHER_TIME;
     }
-  return others >= OUTAGE_MIN_OTHERS;
+  return others >= GP_LOSS_MIN_OTHERS;
 }
 
 void
@@ -370,8 +311,7 @@
   char *suspects = name_suspects (executor, NULL);
   bool together = ended_with_others (scheduler, executor);
   bool crash = may_be_crash (executor, why) && !together;
-  bool in_outage = crash && !executor->suspects_reported
-                   && lost_with_others (scheduler, executor, why, now);
+  gp_loss_t loss = classify_loss (scheduler, executor, why, now);
   bool crasher_known = crash && crashing_job (executor) != NULL;
 
   if (crasher_known)
@@ -381,9 +321,9 @@
       GP_LOG_I ("runs", executor->task_count),
       GP_LOG_S ("why", death_name (why)), GP_LOG_I ("together", together),
       GP_LOG_I ("told", executor->suspects_reported),
-      GP_LOG_I ("outage", in_outage),
-      GP_LOG_I ("silent_together",
-                count_silent_together (scheduler, executor)),
+      GP_LOG_S ("loss", gp_loss_name (loss)),
+      GP_LOG_I ("lost_together",
+                gp_correlated_loss_others (scheduler->book, executor)),
       GP_LOG_I ("reported_ms_ago", ms_ago (executor->reported_at, now)),
       GP_LOG_I ("guard_gone_ms_ago", ms_ago (executor->disconnected_at, now)));
   gp_counter_add (&dead_counts[why], 1);
@@ -397,13 +337,21 @@
     gp_suspicion_t suspicion = GP_SUSPICION_NONE;
 
     if (crash)
-      suspicion = in_outage ? gp_suspicion_crashed_in_outage (task, sole_job)
-                            : gp_suspicion_crashed (task, sole_job);
+      suspicion = gp_suspicion_lost (task, loss, sole_job, now);
 
     gp_counter_add (&bystander_runs_count,
                     crasher_known && task->job != sole_job);
     lose_run (scheduler, task, suspicion, suspects, now, wall_ms);
   }
+  if (crash && gp_loss_is_of_vm (loss))
+    executor->vm_lost_at = now;
   executor->suspects_reported = false;
   g_free (suspects);
 }
+
+void
+gp_scheduler_executor_replaced (const gp_job_executor_t *before,
+                                gp_job_executor_t *next)
+{
+  next->vm_lost_at = MAX (next->vm_lost_at, before->vm_lost_at);
+}
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include "jobs/correlated_loss.h"
+
 /* Assumed loss for a long-running run, or for a run assigned by a previous
    leader: the time until such work is running again.  */
 #define LONG_RUNNING_LOSS_TIME (5 * GP_SEC)
@@ -33,12 +35,10 @@
   return task->suspect && !task->settled && (task->fresh || task->unanswered);
 }
 
-/* Like gp_suspicion_may_have_just_started, but if the guard reported no
-   suspects, decides by what this process knows.  An isolated run may have
-   started long after it was assigned; only its guard can report that it has
-   settled.  */
-static bool
-is_suspect (const gp_job_task_t *task)
+/* An isolated run may have started long after it was assigned; only its guard
+   can report that it has settled.  */
+bool
+gp_suspicion_may_be_cause (const gp_job_task_t *task)
 {
   if (task->executor->suspects_reported || task->settled)
     return gp_suspicion_may_have_just_started (task);
@@ -139,7 +139,7 @@
 gp_suspicion_t
 gp_suspicion_crashed (gp_job_task_t *task, const gp_job_t *sole_job)
 {
-  if (!is_suspect (task))
+  if (!gp_suspicion_may_be_cause (task))
     {
       task->lost_in_outage = false;
       return GP_SUSPICION_NONE;
@@ -155,12 +155,79 @@
                                                        : GP_SUSPICION_COUNTED;
 }
 
+/* The loss of TASK's run adds a crash, up to MAX in all, and no evidence.  */
+static gp_suspicion_t
+count_crash (gp_job_task_t *task, uint32_t max)
+{
+  if (!gp_suspicion_may_be_cause (task))
+    {
+      task->lost_in_outage = false;
+      return GP_SUSPICION_NONE;
+    }
+  task->isolation_wait_since = 0;
+  if (task->crashes < max)
+    task->crashes++;
+  return GP_SUSPICION_COUNTED;
+}
+
+/* TASK's executor was lost with its VM.  A task crashes its executor, not the
+   VM, so that a repetition tells no more.  */
+static gp_suspicion_t
+lost_with_vm (gp_job_task_t *task, const gp_job_t *sole_job, gp_time_t now)
+{
+  if (task->alone && !gp_correlated_loss_is_unstable (task->executor, now))
+    return gp_suspicion_crashed (task, sole_job);
+  return count_crash (task, 1);
+}
+
+/* Returns whether the run of TASK may be the cause of a loss of several
+   executors, as LOSS says.  */
+static bool
+may_explain (const gp_job_task_t *task, gp_loss_t loss, gp_time_t now)
+{
+  if (task->alone && gp_correlated_loss_is_unstable (task->executor, now))
+    return false;
+  switch (loss)
+    {
+    case GP_LOSS_JOB:
+      return strcmp (task->job->id, task->executor->loss_job) == 0
+             && (task->alone || task->lost_in_outage);
+    case GP_LOSS_ISOLATED:
+      return task->alone;
+    case GP_LOSS_ANY:
+      return task->lost_in_outage;
+    case GP_LOSS_SINGLE:
+    case GP_LOSS_UNHEARD:
+    case GP_LOSS_VM:
+    case GP_LOSS_OUTAGE:
+      break;
+    }
+  return false;
+}
+
 gp_suspicion_t
-gp_suspicion_crashed_in_outage (gp_job_task_t *task, const gp_job_t *sole_job)
+gp_suspicion_lost (gp_job_task_t *task, gp_loss_t loss,
+                   const gp_job_t *sole_job, gp_time_t now)
 {
-  if (task->alone || task->lost_in_outage)
+  switch (loss)
+    {
+    case GP_LOSS_SINGLE:
+      return gp_suspicion_crashed (task, sole_job);
+    case GP_LOSS_UNHEARD:
+      if (task->alone)
+        return gp_suspicion_crashed (task, sole_job);
+      return count_crash (task, GP_SUSPICION_STRONG_CRASHES);
+    case GP_LOSS_VM:
+      return lost_with_vm (task, sole_job, now);
+    case GP_LOSS_JOB:
+    case GP_LOSS_ISOLATED:
+    case GP_LOSS_ANY:
+    case GP_LOSS_OUTAGE:
+      break;
+    }
+  if (may_explain (task, loss, now))
     return gp_suspicion_crashed (task, sole_job);
-  task->lost_in_outage = is_suspect (task);
+  task->lost_in_outage = gp_suspicion_may_be_cause (task);
   return GP_SUSPICION_NONE;
 }
 
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -25,7 +25,9 @@
      wait for the others.
    - If several executors on which no run had just started go down together
      with this one, they have a common cause, and the crash counts against
-     nobody.
+     nobody.  Neither does it if several executors and their guards are lost
+     together and no task explains the loss of all of them; see
+     jobs/correlated_loss.h.
    - A run that a guard has found on its executor, started by an earlier guard
      process, may have started at any time before.  It is no evidence that the
      start of such a run is answered anew.  Likewise a run whose start went
@@ -130,6 +132,11 @@
    died, according to the guard's report.  */
 bool gp_suspicion_may_have_just_started (const gp_job_task_t *task);
 
+/* Returns whether the run of TASK may have just started when its executor was
+   lost: according to the guard's report or, if there is none, by what this
+   process knows.  */
+bool gp_suspicion_may_be_cause (const gp_job_task_t *task);
+
 /* EXECUTOR died without reporting the end of its runs.  Returns the job of all
    runs on it that may have just started according to the guard's report, or
    NULL if there are none or they belong to several jobs.  */
@@ -140,14 +147,14 @@
 gp_suspicion_t gp_suspicion_crashed (gp_job_task_t *task,
                                      const gp_job_t *sole_job);
 
-/* Like gp_suspicion_crashed, for an executor that was lost together with half
-   of the others and whose guard reported nothing: power was lost, or several
-   tasks crashed executors and guards at once.  Only an isolated start counts
-   then, or the second such crash in a row of any other task; the first one
-   counts once a guard reports that the next run may have crashed its
-   executor.  */
-gp_suspicion_t gp_suspicion_crashed_in_outage (gp_job_task_t *task,
-                                               const gp_job_t *sole_job);
+/* The same for an executor that was lost as LOSS says and whose guard reported
+   nothing.  If others were lost as well, an isolated start of a run that may
+   be the cause counts, or the second such loss in a row of any other; the
+   first one counts once a guard reports that the next run may have crashed its
+   executor.  However often VMs fall silent under a task, that is one crash,
+   unless it was started in isolation.  An outage counts against nobody.  */
+gp_suspicion_t gp_suspicion_lost (gp_job_task_t *task, gp_loss_t loss,
+                                  const gp_job_t *sole_job, gp_time_t now);
 
 /* Discards what a guard has reported about the run of TASK as a suspect.  */
 void gp_suspicion_discard_report (gp_job_task_t *task);
--- a/src/jobsd/leader_links.c
+++ b/src/jobsd/leader_links.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/error.h"
 #include "base/log.h"
 #include "jobs/fields.h"
 #include "jobs/suspicion.h"
@@ -93,10 +94,11 @@
              || predecessor->born_ms == executor->born_ms);
 }
 
-/* The guard reports another executor than EXECUTOR, or another incarnation of
-   it.  PREDECESSOR describes the previous one, or is NULL.  */
+/* The guard reports NEXT, another executor than EXECUTOR or another
+   incarnation of it.  PREDECESSOR describes the previous one, or is NULL.  */
 static void
 replace_executor (gp_leader_t *leader, gp_job_executor_t *executor,
+                  gp_job_executor_t *next,
                   const Gp__Jobs__Predecessor *predecessor, gp_death_t why)
 {
   if (is_predecessor (predecessor, executor))
@@ -107,6 +109,7 @@
                                   predecessor->n_suspects);
     }
   gp_leader_declare_dead (leader, executor, why);
+  gp_scheduler_executor_replaced (executor, next);
 }
 
 /* Returns whether REPORT is from another incarnation of EXECUTOR, whose id it
@@ -145,7 +148,7 @@
           GP_LOG_I ("carried", next->task_count),
           GP_LOG_I ("lost", executor->task_count));
   if (!executor->dead)
-    replace_executor (leader, executor, report->predecessor,
+    replace_executor (leader, executor, next, report->predecessor,
                       GP_DEATH_RESTARTED);
   return next;
 }
@@ -177,7 +180,7 @@
   if (other && before != NULL
       && !g_hash_table_contains (leader->disputed, before))
     replace_executor (leader, gp_book_executor (leader->book, before),
-                      report->predecessor, GP_DEATH_REPLACED);
+                      executor, report->predecessor, GP_DEATH_REPLACED);
   if (other || executor->born_ms != born_before_ms)
     gp_leader_add_place (leader, link->node, id);
   if (g_hash_table_remove (leader->disputed, id))
@@ -255,6 +258,7 @@
   executor->reported_at = now;
   executor->guard_stopping = report->stopping;
   executor->disconnected_at = 0;
+  executor->unanswered_at = 0;
   if (executor->reported_since == 0)
     executor->reported_since = now;
   executor->reachable = !report->lapsed && !report->ended && !report->stopping
@@ -384,6 +388,21 @@
   gp_leader_schedule_round (link->leader);
 }
 
+/* A connection of LINK that was opened at link->reported_at was not
+   answered.  */
+static void
+note_unanswered (gp_guard_link_t *link)
+{
+  const char *id = g_hash_table_lookup (link->leader->places, link->node);
+  gp_job_executor_t *executor;
+
+  if (id == NULL || link->reporting)
+    return;
+  executor = gp_book_executor (link->leader->book, id);
+  if (executor->unanswered_at == 0)
+    executor->unanswered_at = link->reported_at;
+}
+
 static void
 on_close (gp_peer_t *peer, const GError *reason, void *data)
 {
@@ -395,6 +414,8 @@
      to connect to a lost guard fail again and again.  */
   if (link->executor != NULL && link->executor->disconnected_at == 0)
     link->executor->disconnected_at = gp_loop_now (link->leader->loop);
+  if (g_error_matches (reason, GP_TRANSPORT_ERROR, GP_TRANSPORT_ERROR_TIMEOUT))
+    note_unanswered (link);
   mark_down (link,
              reason != NULL ? reason->message : "closed by this process");
   gp_timer_arm (&link->redial,
