jobs: suspects start in groups where too many wait to be isolated

Callers saw jobs with nothing running on an idle site: their tasks were suspects after losses of power and waited for isolated starts.

Cause: one job at a time starts in isolation on one executor in four, for some two seconds, and with two crashes a task waits for that without a limit.

If more jobs wait than can be isolated within the isolation timeout, their suspects start beside each other on executors that take nothing else, half of all at the most. An executor that lives clears its group. The job's record tells the next leader which runs are in a group.

Tried: a second group of any number of starts, and a group that the next leader does not know of; both gave six starts.

--- a/src/jobs/book.c
+++ b/src/jobs/book.c
@@ -179,7 +179,7 @@
   if (*progress->executor == '\0')
     return;
   gp_job_executor_add (gp_book_executor (book, progress->executor), task);
-  gp_suspicion_restore (task, progress->alone);
+  gp_suspicion_restore (task, progress->alone, progress->in_group);
   if (progress->done)
     gp_suspicion_clear (task);
   gp_task_set_state (task, assigned_state (progress));
--- a/src/jobs/book_pack.c
+++ b/src/jobs/book_pack.c
@@ -36,6 +36,7 @@
   progress->crashes = task->crashes;
   progress->evidence = task->evidence;
   progress->alone = task->alone;
+  progress->in_group = task->in_group;
   progress->stopping = task->state == GP_TASK_STOPPING;
   progress->done = task->state == GP_TASK_DONE;
   if (task->executor != NULL)
--- a/src/jobs/executor.c
+++ b/src/jobs/executor.c
@@ -144,21 +144,39 @@
   executor->unknown_runs = 0;
 }
 
+/* Returns whether EXECUTOR is dedicated because of the run of TASK there.  */
+static bool
+is_dedicated_for (const gp_job_executor_t *executor, const gp_job_task_t *task)
+{
+  switch (executor->dedication.kind)
+    {
+    case GP_DEDICATION_NONE:
+      return false;
+    case GP_DEDICATION_JOB:
+      return task->alone
+             && strcmp (executor->dedication.job, task->job->id) == 0;
+    case GP_DEDICATION_GROUP:
+      return task->in_group;
+    }
+  return false;
+}
+
 void
 gp_job_executor_end_dedication (gp_job_executor_t *executor,
                                 const gp_job_t *job)
 {
-  if (strcmp (executor->dedicated_to, job->id) != 0)
+  if (executor->dedication.kind == GP_DEDICATION_JOB
+      && strcmp (executor->dedication.job, job->id) != 0)
     return;
   GP_LIST_FOREACH (link, &executor->tasks)
   {
     const gp_job_task_t *task
         = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
 
-    if (task->job == job && task->alone && !task->settled)
+    if (!task->settled && is_dedicated_for (executor, task))
       return;
   }
-  *executor->dedicated_to = '\0';
+  executor->dedication.kind = GP_DEDICATION_NONE;
 }
 
 bool
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -24,6 +24,23 @@
   int64_t accelerators;
 } gp_job_resources_t;
 
+/* What a dedicated executor takes; see jobs/suspicion.h.  */
+typedef enum
+{
+  GP_DEDICATION_NONE, /* it is not dedicated */
+  GP_DEDICATION_JOB,  /* runs of one job */
+  GP_DEDICATION_GROUP /* suspects of several jobs */
+} gp_dedication_kind_t;
+
+typedef struct
+{
+  gp_dedication_kind_t kind;
+  char job[GP_JOB_ID_SIZE + 1]; /* GP_DEDICATION_JOB: its id */
+  uint32_t crashes; /* GP_DEDICATION_GROUP: those of each suspect in it */
+  gp_time_t until;  /* its end at the latest; 0: a previous leader dedicated
+                       the executor */
+} gp_dedication_t;
+
 /* What the loss of an executor of which no guard reports suspects may have
    been; see jobs/correlated_loss.h.  */
 typedef enum
@@ -67,11 +84,7 @@
   uint64_t reports;         /* number of reports from its guard */
   gp_time_t assigned_at;    /* when this process last assigned a run to it, 0:
                                never */
-  char dedicated_to[GP_JOB_ID_SIZE + 1]; /* dedicated executor: id of the only
-                                            job whose runs it takes, "": not
-                                            dedicated */
-  gp_time_t dedicated_until; /* end of its dedication at the latest; 0: a
-                                previous leader dedicated it */
+  gp_dedication_t dedication;
   bool suspects_reported; /* its guard has reported which runs may have crashed
                              it */
   gp_time_t disconnected_at; /* when its guard closed the connection to this
@@ -137,8 +150,8 @@
 /* Releases the resources of all stray runs on EXECUTOR.  */
 void gp_job_executor_clear_strays (gp_job_executor_t *executor);
 
-/* Ends the dedication of EXECUTOR to JOB, unless it has an isolated run of
-   that job that has not settled.  */
+/* Ends the dedication of EXECUTOR to JOB or to a group, unless it has an
+   isolated run of that job, or a run of the group, that has not settled.  */
 void gp_job_executor_end_dedication (gp_job_executor_t *executor,
                                      const gp_job_t *job);
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -89,6 +89,8 @@
                           known to this process only */
   bool alone; /* its run is isolated: no run of another job on the executor had
                  just started, nor will any be started there */
+  bool in_group;   /* its run was started on an executor that is dedicated to a
+                      group of suspects */
   bool settled;    /* its run has run for long enough not to be the one that
                       crashes its executor */
   bool suspect;    /* its guard reported the run as a suspect ... */
--- a/src/jobs/placer.c
+++ b/src/jobs/placer.c
@@ -169,7 +169,7 @@
 }
 
 static gp_placer_candidate_t *
-choose (const gp_placer_pass_t *pass, gp_job_task_t *task)
+choose (gp_placer_pass_t *pass, gp_job_task_t *task)
 {
   const Gp__Jobs__Step *step = gp_task_step (task);
   gp_placer_candidate_t *best = NULL;
--- a/src/jobs/placer_private.h
+++ b/src/jobs/placer_private.h
@@ -4,6 +4,7 @@
 #define GP_JOBS_PLACER_PRIVATE_H
 
 #include "jobs/placer.h"
+#include "jobs/suspicion.h"
 
 /* Data about an executor that a pass needs more than once.  */
 typedef struct
@@ -13,6 +14,17 @@
   gp_pressure_work_t fillings; /* expected busy work of its filling runs */
 } gp_placer_candidate_t;
 
+/* The suspects that wait for an isolated start and may start in a group, by
+   their crashes.  */
+typedef struct
+{
+  bool counted;
+  guint jobs[GP_SUSPICION_GROUP_CRASHES + 1]; /* number of their jobs */
+  /* One that found no place in a group, so that those that need as much need
+     not be tried; NULL: none.  */
+  const gp_job_task_t *unplaced[GP_SUSPICION_GROUP_CRASHES + 1];
+} gp_placer_suspects_t;
+
 typedef struct
 {
   const gp_book_t *book;
@@ -21,6 +33,7 @@
   gp_quarantine_t *quarantine; /* NULL: nothing is assigned in this pass */
   GArray *candidates; /* gp_placer_candidate_t, those that may take work */
   GPtrArray *placed;
+  gp_placer_suspects_t suspects;
 } gp_placer_pass_t;
 
 /* Returns whether EXECUTOR has the service and the label that TASK, of STEP,
@@ -91,10 +104,26 @@
                               const gp_job_task_t *task);
 
 /* Returns the place for an isolated start of the suspect TASK: an executor
-   dedicated to its job, or else the one with the least work to lose.  NULL:
-   none yet; an executor may then have been dedicated to the task until
-   everything on it has started.  */
-gp_placer_candidate_t *gp_placer_choose_isolated (const gp_placer_pass_t *pass,
+   dedicated to its job, or to a group if more suspects wait than can be
+   isolated in time, or else the one with the least work to lose.  NULL: none
+   yet; an executor may then have been dedicated to the task until everything
+   on it has started.  */
+gp_placer_candidate_t *gp_placer_choose_isolated (gp_placer_pass_t *pass,
+                                                  gp_job_task_t *task);
+
+/* Returns how many executors may be dedicated at the same time: one in SHARE,
+   at least one.  */
+guint gp_placer_dedicated_max (const gp_placer_pass_t *pass, guint share);
+
+/* Returns whether the suspect TASK is to be started in a group: more jobs with
+   such suspects wait than can be started in isolation in time.  */
+bool gp_placer_starts_in_group (gp_placer_pass_t *pass,
+                                const gp_job_task_t *task);
+
+/* Returns the place for TASK in a group, or NULL if there is none yet; an
+   executor may then have been dedicated to a group until everything on it has
+   started.  */
+gp_placer_candidate_t *gp_placer_choose_in_group (gp_placer_pass_t *pass,
                                                   gp_job_task_t *task);
 
 #endif
--- a/src/jobs/placer_suspects.c
+++ b/src/jobs/placer_suspects.c
@@ -66,11 +66,13 @@
 
       if (gp_suspicion_is_dedicated_to (executor, task->job, pass->now))
         return gp_task_step (task)->gang;
-      dedicated += !executor->quarantined
-                   && gp_suspicion_is_dedicated (executor, pass->now);
+      dedicated
+          += !executor->quarantined
+             && gp_suspicion_is_dedicated (executor, pass->now)
+             && !gp_suspicion_is_dedicated_to_group (executor, pass->now);
     }
   return dedicated
-         < MAX (pass->candidates->len / GP_SUSPICION_DEDICATED_SHARE, 1);
+         < gp_placer_dedicated_max (pass, GP_SUSPICION_DEDICATED_SHARE);
 }
 
 /* Chooses among the executors in quarantine, those dedicated to TASK's job
@@ -109,11 +111,13 @@
 }
 
 gp_placer_candidate_t *
-gp_placer_choose_isolated (const gp_placer_pass_t *pass, gp_job_task_t *task)
+gp_placer_choose_isolated (gp_placer_pass_t *pass, gp_job_task_t *task)
 {
-  gp_placer_candidate_t *best
-      = choose_least_work_at_risk (pass, task, may_dedicate_one (pass, task));
+  gp_placer_candidate_t *best;
 
+  if (gp_placer_starts_in_group (pass, task))
+    return gp_placer_choose_in_group (pass, task);
+  best = choose_least_work_at_risk (pass, task, may_dedicate_one (pass, task));
   if (best == NULL
       || gp_suspicion_has_no_recent_starts (best->executor, pass->now))
     return best;
--- a/src/jobs/progress_compact.c
+++ b/src/jobs/progress_compact.c
@@ -110,8 +110,8 @@
 needs_message (const Gp__Jobs__TaskProgress *task)
 {
   return task->failures > 0 || task->crashes > 0 || task->alone
-         || task->checkpoint.len > 0 || task->stopping || task->done
-         || task->executor_ref > 0;
+         || task->in_group || task->checkpoint.len > 0 || task->stopping
+         || task->done || task->executor_ref > 0;
 }
 
 /* Adds TASK to the columns if it fits.  Returns whether it did.  */
--- a/src/jobs/suspicion.c
+++ b/src/jobs/suspicion.c
@@ -59,6 +59,7 @@
   task->crashes = 0;
   task->evidence = 0;
   task->alone = false;
+  task->in_group = false;
   if (task->executor != NULL)
     gp_job_executor_end_dedication (task->executor, task->job);
   return changed;
@@ -123,6 +124,8 @@
     return GP_SUSPICION_STRONG_EVIDENCE;
   if (sole && task->fresh)
     return GP_SUSPICION_WEAK_EVIDENCE;
+  if (task->in_group)
+    return GP_SUSPICION_WEAK_EVIDENCE;
   return task->alone && sole ? GP_SUSPICION_WEAK_EVIDENCE : 0;
 }
 
@@ -214,7 +217,7 @@
     case GP_LOSS_SINGLE:
       return gp_suspicion_crashed (task, sole_job);
     case GP_LOSS_UNHEARD:
-      if (task->alone)
+      if (task->alone || task->in_group)
         return gp_suspicion_crashed (task, sole_job);
       return count_crash (task, GP_SUSPICION_STRONG_CRASHES);
     case GP_LOSS_VM:
@@ -249,6 +252,7 @@
   gp_suspicion_discard_report (task);
   task->settled = false;
   task->alone = false;
+  task->in_group = false;
   task->may_start_late = false;
   task->unconfirmed_at = 0;
   task->refused = false;
@@ -316,13 +320,22 @@
          && now <= isolation_deadline (task);
 }
 
+bool
+gp_suspicion_may_start_in_group (const gp_job_task_t *task)
+{
+  return task->evidence <= GP_SUSPICION_WEAK_EVIDENCE && task->crashes > 0
+         && task->crashes <= GP_SUSPICION_GROUP_CRASHES
+         && (task->evidence == 0 || task->run < GP_SUSPICION_GROUP_STARTS)
+         && !gp_task_step (task)->gang;
+}
+
 /* Returns the time until which EXECUTOR is dedicated.  A dedication made by a
    previous leader counts from the first report to this leader.  */
 static gp_time_t
 dedication_end (const gp_job_executor_t *executor)
 {
-  if (executor->dedicated_until != 0)
-    return executor->dedicated_until;
+  if (executor->dedication.until != 0)
+    return executor->dedication.until;
   return executor->reported_since == 0
              ? GP_TIME_NEVER
              : executor->reported_since + GP_SUSPICION_SETTLE_TIME
@@ -332,7 +345,8 @@
 bool
 gp_suspicion_is_dedicated (const gp_job_executor_t *executor, gp_time_t now)
 {
-  return *executor->dedicated_to != '\0' && now < dedication_end (executor);
+  return executor->dedication.kind != GP_DEDICATION_NONE
+         && now < dedication_end (executor);
 }
 
 bool
@@ -340,13 +354,35 @@
                               const gp_job_t *job, gp_time_t now)
 {
   return gp_suspicion_is_dedicated (executor, now)
-         && strcmp (executor->dedicated_to, job->id) == 0;
+         && executor->dedication.kind == GP_DEDICATION_JOB
+         && strcmp (executor->dedication.job, job->id) == 0;
+}
+
+bool
+gp_suspicion_is_dedicated_to_group (const gp_job_executor_t *executor,
+                                    gp_time_t now)
+{
+  return gp_suspicion_is_dedicated (executor, now)
+         && executor->dedication.kind == GP_DEDICATION_GROUP;
+}
+
+/* Returns whether TASK may be started on EXECUTOR, which is dedicated to a
+   group.  */
+static bool
+may_join_group (const gp_job_executor_t *executor, const gp_job_task_t *task,
+                gp_time_t now)
+{
+  return gp_suspicion_needs_isolation (task, now)
+         && gp_suspicion_may_start_in_group (task)
+         && task->crashes == executor->dedication.crashes;
 }
 
 bool
 gp_suspicion_allows (const gp_job_executor_t *executor,
                      const gp_job_task_t *task, gp_time_t now)
 {
+  if (gp_suspicion_is_dedicated_to_group (executor, now))
+    return may_join_group (executor, task, now);
   return !gp_suspicion_is_dedicated (executor, now)
          || gp_suspicion_is_dedicated_to (executor, task->job, now);
 }
@@ -367,16 +403,24 @@
 set_dedication (gp_job_executor_t *executor, const gp_job_t *job,
                 gp_time_t until)
 {
-  g_strlcpy (executor->dedicated_to, job->id, sizeof executor->dedicated_to);
-  executor->dedicated_until = until;
+  executor->dedication.kind = GP_DEDICATION_JOB;
+  g_strlcpy (executor->dedication.job, job->id,
+             sizeof executor->dedication.job);
+  executor->dedication.until = until;
 }
 
 void
-gp_suspicion_restore (gp_job_task_t *task, bool isolated)
+gp_suspicion_restore (gp_job_task_t *task, bool isolated, bool in_group)
 {
+  gp_dedication_t *dedication = &task->executor->dedication;
+
   task->alone = isolated;
+  task->in_group = in_group;
   if (isolated)
     set_dedication (task->executor, task->job, 0);
+  else if (in_group)
+    *dedication = (gp_dedication_t){ .kind = GP_DEDICATION_GROUP,
+                                     .crashes = task->crashes };
 }
 
 void
@@ -388,14 +432,26 @@
                     now + GP_SUSPICION_DEDICATE_AHEAD_TIME);
 }
 
+void
+gp_suspicion_dedicate_to_group (gp_job_executor_t *executor,
+                                const gp_job_task_t *task, gp_time_t now)
+{
+  if (gp_suspicion_is_dedicated (executor, now))
+    return;
+  executor->dedication.kind = GP_DEDICATION_GROUP;
+  executor->dedication.crashes = task->crashes;
+  executor->dedication.until = now + GP_SUSPICION_DEDICATE_AHEAD_TIME;
+}
+
 void
 gp_suspicion_dedicate_until (gp_job_executor_t *executor, const gp_job_t *job,
                              gp_time_t until)
 {
-  bool dedicated = strcmp (executor->dedicated_to, job->id) == 0;
+  bool dedicated = executor->dedication.kind == GP_DEDICATION_JOB
+                   && strcmp (executor->dedication.job, job->id) == 0;
 
   set_dedication (executor, job,
-                  dedicated ? MAX (until, executor->dedicated_until) : until);
+                  dedicated ? MAX (until, executor->dedication.until) : until);
 }
 
 int64_t
@@ -441,6 +497,18 @@
                       + GP_SUSPICION_DEDICATE_TIME);
 }
 
+/* Dedicates the executor of TASK, which starts there in a group at NOW, until
+   its run has settled.  */
+static void
+extend_group (const gp_job_task_t *task, gp_time_t now)
+{
+  gp_dedication_t *dedication = &task->executor->dedication;
+
+  dedication->until
+      = MAX (dedication->until,
+             now + GP_SUSPICION_SETTLE_TIME + GP_SUSPICION_DEDICATE_TIME);
+}
+
 void
 gp_suspicion_note_assigned (gp_job_task_t *task, gp_time_t now)
 {
@@ -448,8 +516,11 @@
 
   gp_suspicion_reset_run (task);
   end_isolation (executor, task->job);
-  task->alone = gp_suspicion_needs_isolation (task, now);
-  if (task->alone)
+  task->in_group = gp_suspicion_is_dedicated_to_group (executor, now);
+  task->alone = !task->in_group && gp_suspicion_needs_isolation (task, now);
+  if (task->in_group)
+    extend_group (task, now);
+  else if (task->alone)
     dedicate_for_start (task, now);
   else if (!gp_suspicion_is_dedicated_to (executor, task->job, now))
     executor->assigned_at = now;
@@ -493,8 +564,8 @@
   if (executor->assigned_at >= decided_at)
     executor->assigned_at = now;
   /* The dedication period started at the time of the decision.  */
-  if (executor->dedicated_until > decided_at)
-    executor->dedicated_until += now - decided_at;
+  if (executor->dedication.until > decided_at)
+    executor->dedication.until += now - decided_at;
   GP_LIST_FOREACH (link, &executor->tasks)
   {
     gp_job_task_t *task = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -17,8 +17,8 @@
      and executor and guard disappeared together just after its order, unless
      the task would be given up by it: guards are also killed alone, and no
      report shows that the executor died at the same time.  It is weak evidence
-     if the runs may have started a little earlier, or if nothing is known
-     about a run that was isolated.
+     if the runs may have started a little earlier, if nothing is known about a
+     run that was isolated, or for a run that was started in a group.
    - A run that is known to have begun more than GP_SUSPICION_JUST_TIME before
      the executor ended, as its connection shows, did not crash it.  This
      includes members of gangs: they crash it as they begin, too, and do not
@@ -106,6 +106,16 @@
 /* At most one in so many of all executors is dedicated, but always at least
    one is allowed.  */
 #define GP_SUSPICION_DEDICATED_SHARE 4
+/* At most one in so many is dedicated where suspects start in groups: most of
+   the work that waits is theirs then.  */
+#define GP_SUSPICION_GROUP_SHARE 2
+/* A task with more crashes than this starts in isolation, never in a group:
+   with its first start and two isolated ones, users allow two in groups.  Each
+   start after the first adds evidence.  */
+#define GP_SUSPICION_GROUP_CRASHES 2
+/* A task with evidence against it, from a group that crashed, is started in
+   another one only before it has had this many starts.  */
+#define GP_SUSPICION_GROUP_STARTS 3
 /* Limit on the dedication of an executor for one start: three unanswered
    orders, plus the time to settle.  A run that cannot be started must not
    block its executor.  */
@@ -190,8 +200,8 @@
                                         gp_time_t now);
 
 /* Restores from a record that TASK is on its executor; ISOLATED: it was
-   started in isolation.  */
-void gp_suspicion_restore (gp_job_task_t *task, bool isolated);
+   started in isolation; IN_GROUP: it was started in a group.  */
+void gp_suspicion_restore (gp_job_task_t *task, bool isolated, bool in_group);
 
 /* Dedicates EXECUTOR to TASK, which is to be started there once all other runs
    there have certainly started.  */
@@ -216,6 +226,18 @@
 /* TASK has been newly assigned to its executor.  */
 void gp_suspicion_note_assigned (gp_job_task_t *task, gp_time_t now);
 
+/* Returns whether TASK may be started beside suspects of other jobs.  */
+bool gp_suspicion_may_start_in_group (const gp_job_task_t *task);
+
+/* Returns whether EXECUTOR is dedicated to a group of suspects.  */
+bool gp_suspicion_is_dedicated_to_group (const gp_job_executor_t *executor,
+                                         gp_time_t now);
+
+/* Dedicates EXECUTOR, unless it is dedicated, to a group of suspects that have
+   as many crashes as TASK.  */
+void gp_suspicion_dedicate_to_group (gp_job_executor_t *executor,
+                                     const gp_job_task_t *task, gp_time_t now);
+
 /* EXECUTOR's guard reports that an isolated run has not settled there and that
    other runs are held back until it does; the leader had better assign those
    elsewhere.  */
--- a/tests/unit/test_power_series.c
+++ b/tests/unit/test_power_series.c
@@ -260,9 +260,10 @@
         gp_job_task_t *task
             = GP_CONTAINER_OF (link, gp_job_task_t, on_executor);
         bool alone = task->alone;
+        bool in_group = task->in_group;
 
         gp_suspicion_reset_run (task);
-        gp_suspicion_restore (task, alone);
+        gp_suspicion_restore (task, alone, in_group);
         task->ordered_at = 0;
         task->lost_in_outage = false;
       }
--- a/tests/unit/test_waits.c
+++ b/tests/unit/test_waits.c
@@ -53,9 +53,10 @@
 static void
 set_dedicated (jobs_site_t *site, gp_job_executor_t *executor, gp_job_t *job)
 {
-  g_strlcpy (executor->dedicated_to, "00000000000000bb",
-             sizeof executor->dedicated_to);
-  executor->dedicated_until = GP_TIME_NEVER;
+  executor->dedication.kind = GP_DEDICATION_JOB;
+  g_strlcpy (executor->dedication.job, "00000000000000bb",
+             sizeof executor->dedication.job);
+  executor->dedication.until = GP_TIME_NEVER;
 }
 
 static void
