platform, daemon: one odd value costs its row, not the whole body

Here one odd row among an executor's running tasks (1e999, thirty digits, 3,000 levels, a NUL character, half of a surrogate pair, bytes that are not UTF-8) left all accepted jobs queued for as long as it was there; no process ended.

Cause: bodies were parsed whole, and what the parser itself refuses is an error of the body. A row that parses and is wrong has cost that row alone.

All JSON bodies are read by base/json_reader.c now: events of libyajl (new: libyajl-dev), values of jansson. A value that cannot be represented reads as null and fails the check of its field.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 SANITIZE ?=
 BUILD := build$(if $(SANITIZE),-sanitize)
 
-PACKAGES := libh2o libuv libprotobuf-c libcyaml yaml-0.1 glib-2.0 jansson \
+PACKAGES := libh2o libuv libprotobuf-c libcyaml yaml-0.1 glib-2.0 jansson yajl \
 	libxxhash openssl
 ifneq ($(MAKECMDGOALS),deps)
 PKG_CFLAGS := $(patsubst -I%,-isystem%,$(shell pkg-config --cflags $(PACKAGES)))
--- a/src/daemon/runner_runtime.c
+++ b/src/daemon/runner_runtime.c
@@ -14,6 +14,10 @@
 
 #define RETRY_INTERVAL (100 * GP_MSEC)
 
+static gp_counter_t unreadable_total
+    = GP_COUNTER ("runner_unreadable_total",
+                  "Tasks on the runtime's list that could not be read.");
+
 static void on_events (const gp_runtime_answer_t *answer, void *data);
 
 static void
@@ -138,6 +142,28 @@
   await_events (runner);
 }
 
+/* Returns whether all items of LIST can be read; counts and logs the
+   others.  */
+static bool
+check_items (const json_t *list)
+{
+  gp_runtime_task_t task;
+  const json_t *item;
+  unsigned unreadable = 0;
+  size_t i;
+
+  json_array_foreach (list, i, item) unreadable
+      += !gp_runtime_read_task (item, &task);
+  if (unreadable == 0)
+    return true;
+  gp_counter_add (&unreadable_total, unreadable);
+  gp_log (GP_LOG_WARNING, "runtime.malformed",
+          GP_LOG_S ("why", "tasks on its list cannot be read"),
+          GP_LOG_I ("count", unreadable),
+          GP_LOG_I ("listed", json_array_size (list)));
+  return false;
+}
+
 /* Attached for the first time in this process: take over the listed tasks and
    start to hold a lease.  */
 static void
@@ -148,6 +174,7 @@
   size_t i;
 
   gp_runner_begin_lease (runner);
+  check_items (list);
   json_array_foreach (list, i, item)
   {
     if (gp_runtime_read_task (item, &task))
@@ -180,6 +207,8 @@
   return false;
 }
 
+/* Nothing is lost by a list with items that cannot be read: they may be the
+   tasks that seem to be missing.  */
 static void
 set_unlisted_lost (gp_runner_t *runner, const json_t *list)
 {
@@ -226,7 +255,8 @@
 {
   gp_lease_holder_actions_t actions = { 0 };
 
-  set_unlisted_lost (runner, list);
+  if (check_items (list))
+    set_unlisted_lost (runner, list);
   if (cancel_listed (runner, list) > 0)
     {
       retry_later (runner);
--- a/src/daemon/runtime.c
+++ b/src/daemon/runtime.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/json_reader.h"
 
 #define CALL_TIMEOUT (5 * GP_SEC)
 #define EVENTS_WAIT_MS 5000
@@ -96,14 +97,13 @@
 {
   call_t *call = data;
   gp_runtime_answer_t *answer = &call->answer;
-  json_error_t parse_error;
 
   answer->sent = sent;
   if (error != NULL)
     answer->status = 0;
   else
-    answer->body = json_loadb (call->received->str, call->received->len, 0,
-                               &parse_error);
+    answer->body
+        = gp_json_read (call->received->str, call->received->len, NULL);
   read_claimed (answer);
   if (call->done != NULL && !call->runtime->closed)
     call->done (answer, call->runtime->data);
--- a/tests/standins/platform_executor.py
+++ b/tests/standins/platform_executor.py
@@ -68,6 +68,8 @@
                      with_held_starts
     fails            every run fails
     bad_rows         each list has one malformed row among the valid ones
+    odd_row          bytes: each list begins with this row of running tasks,
+                     which may be anything
     malformed_list   the list has a run whose number is a string, and an
                      invalid end
     unreadable_ends  the next N ends are listed, permanently, with an unknown
@@ -97,6 +99,7 @@
         self.held_orders = []  # held orders for the next incarnation
         self.fails = False
         self.bad_rows = False
+        self.odd_row = b""
         self.malformed_list = False
         self.unreadable_ends = 0
         self.unreachable = False
@@ -489,8 +492,18 @@
             ended.append([0, "", -1, "vanished", 7])
         if self.bad_rows:
             self.add_bad_row(running, ended)
-        return self.answer(200, running=running, ended=ended,
-                           **self.born_field())
+        status, body = self.answer(200, running=running, ended=ended,
+                                   **self.born_field())
+        return status, self.with_odd_row(body)
+
+    def with_odd_row(self, body):
+        """Return BODY, a list, with the odd row before the other runs."""
+        if not self.odd_row:
+            return body
+        begin = b'"running": ['
+        first, rest = body.split(begin, 1)
+        comma = b"" if rest.startswith(b"]") else b", "
+        return first + begin + self.odd_row + comma + rest
 
     def add_bad_row(self, running, ended):
         """Insert a malformed row about one of the runs listed."""
