jobs: counters and log lines for outages, lost VMs and groups of suspects

An operator could not tell an outage from tasks that crash executors, nor see that suspects start in groups. executors_lost_outage_total and executors_lost_vm_total count what executor.dead tells in loss; suspects_grouped_total and suspects.grouped tell of groups. No decision changes.

--- a/src/jobs/placer.h
+++ b/src/jobs/placer.h
@@ -18,8 +18,10 @@
 bool gp_placer_has_better_place (gp_book_t *book, gp_pressure_t *pressure,
                                  const gp_job_task_t *task, gp_time_t now);
 
-/* Registers the counters of waiting work, see jobs/placer_waits.h.  */
+/* Register the counters of waiting work, see jobs/placer_waits.h, and of
+   suspects that are started in groups.  */
 void gp_placer_register_waits (void);
+void gp_placer_register_groups (void);
 
 /* Assigns waiting tasks of BOOK, adds each to PLACED and returns the time at
    which more may become possible by the passage of time alone (a due time or
--- a/src/jobs/placer_groups.c
+++ b/src/jobs/placer_groups.c
@@ -22,6 +22,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/counters.h"
+#include "base/log.h"
 #include "jobs/suspicion.h"
 
 /* Time that an isolated start takes: until everything on the executor has
@@ -31,6 +33,17 @@
 /* Number of isolated starts on one executor within the isolation timeout.  */
 #define STARTS_IN_TIME (GP_SUSPICION_ISOLATION_TIMEOUT / ISOLATED_START_TIME)
 
+static gp_counter_t grouped_count
+    = GP_COUNTER ("suspects_grouped_total",
+                  "Places found for suspects in a group, as more of them wait "
+                  "than can be started in isolation in time");
+
+void
+gp_placer_register_groups (void)
+{
+  gp_counter_register (&grouped_count);
+}
+
 guint
 gp_placer_dedicated_max (const gp_placer_pass_t *pass, guint share)
 {
@@ -200,6 +213,17 @@
   return best;
 }
 
+/* Dedicates EXECUTOR to a group of suspects like TASK.  */
+static void
+open_group (const gp_placer_pass_t *pass, gp_job_executor_t *executor,
+            const gp_job_task_t *task)
+{
+  gp_suspicion_dedicate_to_group (executor, task, pass->now);
+  gp_log (GP_LOG_INFO, "suspects.grouped", GP_LOG_S ("executor", executor->id),
+          GP_LOG_I ("jobs", pass->suspects.jobs[task->crashes]),
+          GP_LOG_I ("crashes", task->crashes));
+}
+
 gp_placer_candidate_t *
 gp_placer_choose_in_group (gp_placer_pass_t *pass, gp_job_task_t *task)
 {
@@ -214,7 +238,10 @@
       *unplaced = task;
       return NULL;
     }
-  gp_suspicion_dedicate_to_group (best->executor, task, pass->now);
-  return gp_suspicion_has_no_recent_starts (best->executor, pass->now) ? best
-                                                                       : NULL;
+  if (!gp_suspicion_is_dedicated (best->executor, pass->now))
+    open_group (pass, best->executor, task);
+  if (!gp_suspicion_has_no_recent_starts (best->executor, pass->now))
+    return NULL;
+  gp_counter_add (&grouped_count, 1);
+  return best;
 }
--- a/src/jobs/scheduler.c
+++ b/src/jobs/scheduler.c
@@ -46,6 +46,7 @@
   gp_scheduler_register_reports ();
   gp_scheduler_register_speed ();
   gp_placer_register_waits ();
+  gp_placer_register_groups ();
   scheduler->next_due = GP_TIME_NEVER;
   scheduler->process_started_at = 0;
   scheduler->measure_speed = false;
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -28,6 +28,12 @@
     "what had just begun there");
 static gp_counter_t given_up_count = GP_COUNTER (
     "tasks_given_up_total", "Tasks that have taken their executors down");
+static gp_counter_t outage_count
+    = GP_COUNTER ("executors_lost_outage_total",
+                  "Dead: lost in an outage of several, which counts against "
+                  "no task");
+static gp_counter_t vm_count = GP_COUNTER (
+    "executors_lost_vm_total", "Dead: their VMs fell silent one at a time");
 /* Dead executors, indexed by gp_death_t.  */
 static gp_counter_t dead_counts[] = {
   [GP_DEATH_REPLACED]
@@ -51,6 +57,8 @@
   gp_counter_register (&suspect_runs_count);
   gp_counter_register (&bystander_runs_count);
   gp_counter_register (&given_up_count);
+  gp_counter_register (&outage_count);
+  gp_counter_register (&vm_count);
   for (size_t i = 0; i < G_N_ELEMENTS (dead_counts); i++)
     gp_counter_register (&dead_counts[i]);
 }
@@ -328,6 +336,8 @@
       GP_LOG_I ("reported_ms_ago", ms_ago (executor->reported_at, now)),
       GP_LOG_I ("guard_gone_ms_ago", ms_ago (executor->disconnected_at, now)));
   gp_counter_add (&dead_counts[why], 1);
+  gp_counter_add (&outage_count, loss == GP_LOSS_OUTAGE);
+  gp_counter_add (&vm_count, loss == GP_LOSS_VM);
   executor->lost_at = executor->suspects_reported ? 0 : now;
   executor->dead = true;
   executor->reachable = false;
