--- a/src/jobs/correlated_loss.h
+++ b/src/jobs/correlated_loss.h
@@ -39,6 +39,7 @@
 
 /* Twice the time between two reports of a guard.  */
 #define GP_LOSS_REPORTS_APART_TIME (600 * GP_MSEC)
+/* A single other executor may be lost by chance.  */
 #define GP_LOSS_MIN_OTHERS 2
 
 /* Classifies the loss of EXECUTOR, which is not marked as dead yet.
--- a/src/jobs/scheduler_losses.c
+++ b/src/jobs/scheduler_losses.c
@@ -320,8 +320,9 @@
 }
 
 static void
-log_dead (const gp_scheduler_t *scheduler, const gp_job_executor_t *executor,
-          gp_death_t why, gp_loss_t loss, bool together, gp_time_t now)
+record_dead (const gp_scheduler_t *scheduler,
+             const gp_job_executor_t *executor, gp_death_t why, gp_loss_t loss,
+             bool together, gp_time_t now)
 {
   gp_log (
       GP_LOG_INFO, "executor.dead", GP_LOG_S ("executor", executor->id),
@@ -355,7 +356,7 @@
 
   if (crasher_known)
     gp_scheduler_executor_down (scheduler, executor, now);
-  log_dead (scheduler, executor, why, loss, together, now);
+  record_dead (scheduler, executor, why, loss, together, now);
   executor->lost_at = executor_only ? 0 : now;
   executor->dead = true;
   executor->reachable = false;
--- a/src/jobs/suspicion.h
+++ b/src/jobs/suspicion.h
@@ -50,7 +50,8 @@
    one with the least work to lose is dedicated until it is.  Only a few
    executors are dedicated at a time.  After a large outage many tasks are
    suspect, and all have to run again, so those with no further evidence wait
-   no longer than the isolation timeout.
+   no longer than the isolation timeout, and if too many wait for that, they
+   start in groups; see jobs/placer_groups.c.
 
    The counts are stored in the job's progress, in the same record as the run
    that is assigned next: no start is made that a later leader does not know
